Build the path from callers to targets end to end

Cause: the project needs its packages, core types and interfaces before the parts can be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Commands of the project; each one sets up what it needs.
+
+PYTHON ?= python3
+VENV ?= .venv
+AREA ?= all
+BIN := $(abspath $(VENV))/bin
+PACKAGES := state coordination protocol transport daemon cli emulator
+SOURCES := $(foreach name,$(PACKAGES),$(CURDIR)/packages/$(name)/src)
+empty :=
+space := $(empty) $(empty)
+# Puts this checkout before the one that the environment was installed from.
+export PYTHONPATH := $(subst $(space),:,$(SOURCES))
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test lint types unit behave bench bench-compare plots format example
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --require-hashes -r requirements.txt
+	$(BIN)/python -m pip install --quiet --no-build-isolation --no-deps \
+		$(foreach name,$(PACKAGES),-e packages/$(name))
+	touch $(STAMP)
+
+format: setup
+	$(BIN)/ruff format packages features
+	$(BIN)/ruff check --fix packages features
+
+lint: setup
+	$(BIN)/ruff format --check packages features
+	$(BIN)/ruff check packages features
+	$(BIN)/flake8 packages features
+	$(BIN)/lint-imports
+
+types: setup
+	$(BIN)/mypy packages/*/src
+
+unit: setup
+	$(BIN)/python -m pytest
+
+behave: setup
+	$(BIN)/behave --format progress features
+
+test: lint types behave unit
+
+demo: setup
+	$(BIN)/python -m skylarktack.emulator.demo
+
+bench: setup
+	$(BIN)/python -m skylarktack.emulator.bench --area $(AREA)
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of skylarktack, embeddable without the daemon."""
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_peers.py
@@ -0,0 +1,140 @@
+"""Entry instances in one process that call each other directly."""
+
+import threading
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from skylarktack import state
+from skylarktack.coordination import ports
+
+
+class LocalPeerHub:
+    """Connects the networks of several instances in one process."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._networks: dict[state.InstanceName, LocalPeerNetwork] = {}
+        self._cut: set[frozenset[state.InstanceName]] = set()
+
+    def join(
+        self, name: str, failure_domain: str = 'domain-0'
+    ) -> 'LocalPeerNetwork':
+        """Add one instance."""
+        network = LocalPeerNetwork(
+            self, state.InstanceName(name), failure_domain
+        )
+        with self._lock:
+            self._networks[network.name] = network
+        return network
+
+    def leave(self, name: str) -> None:
+        """Remove one instance."""
+        with self._lock:
+            self._networks.pop(state.InstanceName(name), None)
+
+    def cut(self, one: str, other: str) -> None:
+        """Let no message pass between two instances."""
+        with self._lock:
+            self._cut.add(_pair(one, other))
+
+    def heal(self) -> None:
+        """Remove all cuts."""
+        with self._lock:
+            self._cut.clear()
+
+    def reach(
+        self, source: state.InstanceName, peer: state.InstanceName
+    ) -> 'LocalPeerNetwork | None':
+        """Return the peer's network if a message can pass."""
+        with self._lock:
+            if _pair(source, peer) in self._cut:
+                return None
+            return self._networks.get(peer)
+
+    def networks(self) -> 'tuple[LocalPeerNetwork, ...]':
+        """Return all instances in order of name."""
+        with self._lock:
+            names = sorted(self._networks)
+            return tuple(self._networks[name] for name in names)
+
+
+class LocalPeerNetwork:
+    """The peers of one instance; handlers run in the sender's thread."""
+
+    def __init__(
+        self,
+        hub: LocalPeerHub,
+        name: state.InstanceName,
+        failure_domain: str,
+    ) -> None:
+        self._hub = hub
+        self._name = name
+        self._handlers: dict[type, ports.PeerHandler] = {}
+        self.member = state.Member(
+            name=name,
+            address=state.Address('127.0.0.1', 0),
+            failure_domain=state.FailureDomain(failure_domain),
+            region='region-1',
+            incarnation=1,
+            state=state.MemberState.ALIVE,
+        )
+
+    @property
+    def name(self) -> state.InstanceName:
+        """Name of this instance."""
+        return self._name
+
+    def members(self) -> tuple[state.Member, ...]:
+        """Return the instances that can be reached, this one included."""
+        found: list[state.Member] = []
+        for network in self._hub.networks():
+            if network is self or self._hub.reach(self._name, network.name):
+                found.append(network.member)
+        return tuple(found)
+
+    def send(self, peer: state.InstanceName, message: object) -> bool:
+        """Send without an answer; False if it certainly was not sent."""
+        network = self._hub.reach(self._name, peer)
+        if network is None:
+            return False
+        network.receive(self._name, message)
+        return True
+
+    def broadcast(self, message: object) -> int:
+        """Send to all reachable peers; return how many were reached."""
+        reached_count = 0
+        for member in self.members():
+            if member.name == self._name:
+                continue
+            if self.send(member.name, message):
+                reached_count += 1
+        return reached_count
+
+    def request(
+        self, peer: state.InstanceName, message: object, timeout_s: float
+    ) -> Result[Any, ports.PeerFault]:
+        """Send and wait for the answer."""
+        network = self._hub.reach(self._name, peer)
+        if network is None:
+            return Error(
+                ports.PeerFault(ports.PeerFaultKind.UNREACHABLE, peer)
+            )
+        return Ok(network.receive(self._name, message))
+
+    def handle(self, message_type: type, handler: ports.PeerHandler) -> None:
+        """Register the handler for one type of message."""
+        self._handlers[message_type] = handler
+
+    def receive(self, source: state.InstanceName, message: object) -> Any:
+        """Run the handler of a message and return its answer."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return None
+        return handler(source, message)
+
+
+def _pair(one: str, other: str) -> frozenset[state.InstanceName]:
+    return frozenset({state.InstanceName(one), state.InstanceName(other)})
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_store.py
@@ -0,0 +1,164 @@
+"""The platform's object API in memory, with faults."""
+
+import collections
+import dataclasses
+import threading
+import time
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from skylarktack import state
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreFaults:
+    """Faults of the store in memory."""
+
+    #: Whether every call fails without effect.
+    down: bool = False
+
+    #: Writes, counted down, that take effect without an answer.
+    lose_write_answers_count: int = 0
+
+    #: Writes, counted down, that fail without effect and without an answer.
+    lose_writes_count: int = 0
+
+
+class MemoryObjectStore:
+    """Versioned objects shared by all instances of one test."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._objects: dict[str, state.StoredObject] = {}
+        self._version = 0
+        self.listed = state.PlatformList((), ())
+        self.faults = StoreFaults()
+        self.call_counts: collections.Counter[str] = collections.Counter()
+
+    def set_faults(self, faults: StoreFaults) -> None:
+        """Switch faults and wake waiting watches."""
+        with self._changed:
+            self.faults = faults
+            self._changed.notify_all()
+
+    def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
+        """Read one object."""
+        with self._changed:
+            self.call_counts['get'] += 1
+            if self.faults.down:
+                return Error(_unavailable())
+            stored = self._objects.get(key)
+            if stored is None:
+                return Error(
+                    state.StoreFault(state.StoreFaultKind.MISSING, key)
+                )
+            return Ok(stored)
+
+    def put(
+        self, key: str, value: bytes, expected_version: int | None
+    ) -> Result[state.StoredObject, state.StoreFault]:
+        """Write one object if its version is the expected one."""
+        with self._changed:
+            self.call_counts['put'] += 1
+            if self.faults.down:
+                return Error(_unavailable())
+            if self._take('lose_writes_count'):
+                return Error(_answer_lost())
+            current = self._objects.get(key)
+            found = None if current is None else current.version
+            if found != expected_version:
+                return Error(
+                    state.StoreFault(state.StoreFaultKind.CONFLICT, key)
+                )
+            self._version += 1
+            stored = state.StoredObject(key, value, self._version)
+            self._objects[key] = stored
+            self._changed.notify_all()
+            if self._take('lose_write_answers_count'):
+                return Error(_answer_lost())
+            return Ok(stored)
+
+    def delete(
+        self, key: str, expected_version: int
+    ) -> Result[None, state.StoreFault]:
+        """Remove one object if its version is the expected one."""
+        with self._changed:
+            self.call_counts['delete'] += 1
+            if self.faults.down:
+                return Error(_unavailable())
+            current = self._objects.get(key)
+            if current is None or current.version != expected_version:
+                return Error(
+                    state.StoreFault(state.StoreFaultKind.CONFLICT, key)
+                )
+            self._version += 1
+            del self._objects[key]
+            return Ok(None)
+
+    def list(
+        self, prefix: str
+    ) -> Result[tuple[state.StoredObject, ...], state.StoreFault]:
+        """Read all objects whose key starts with the prefix."""
+        with self._changed:
+            self.call_counts['list'] += 1
+            if self.faults.down:
+                return Error(_unavailable())
+            return Ok(self._matching(prefix, 0))
+
+    def watch(
+        self, prefix: str, after_version: int, wait_s: float
+    ) -> Result[state.WatchBatch, state.StoreFault]:
+        """Wait for changes after a version; empty when the wait ends."""
+        end_s = time.monotonic() + wait_s
+        with self._changed:
+            self.call_counts['watch'] += 1
+            while True:
+                if self.faults.down:
+                    return Error(_unavailable())
+                changed = self._matching(prefix, after_version)
+                if changed:
+                    return Ok(state.WatchBatch(self._version, changed))
+                left_s = end_s - time.monotonic()
+                if left_s <= 0:
+                    return Ok(state.WatchBatch(after_version, ()))
+                self._changed.wait(left_s)
+
+    def platform_list(self) -> Result[state.PlatformList, state.StoreFault]:
+        """Read the list of live and leaving instances."""
+        with self._changed:
+            self.call_counts['platform_list'] += 1
+            if self.faults.down:
+                return Error(_unavailable())
+            return Ok(self.listed)
+
+    def _take(self, field: str) -> bool:
+        left: int = getattr(self.faults, field)
+        if not left:
+            return False
+        self.faults = dataclasses.replace(
+            self.faults,
+            **{field: left - 1},  # type: ignore[arg-type]
+        )
+        return True
+
+    def _matching(
+        self, prefix: str, after_version: int
+    ) -> tuple[state.StoredObject, ...]:
+        found: list[state.StoredObject] = []
+        for stored in self._objects.values():
+            if not stored.key.startswith(prefix):
+                continue
+            if stored.version <= after_version:
+                continue
+            found.append(stored)
+        return tuple(sorted(found, key=lambda stored: stored.version))
+
+
+def _unavailable() -> state.StoreFault:
+    return state.StoreFault(state.StoreFaultKind.UNAVAILABLE, 'down')
+
+
+def _answer_lost() -> state.StoreFault:
+    return state.StoreFault(state.StoreFaultKind.ANSWER_LOST, 'lost')
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/generation/_results.py
@@ -0,0 +1,56 @@
+"""What a caller receives from a running generation."""
+
+import dataclasses
+
+from skylarktack import state
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeliveredToken:
+    """One token and what the caller needs to resume after it."""
+
+    #: Position, from 0.
+    position: int
+
+    #: Attempt that produced it.
+    attempt: int
+
+    #: Target of that attempt.
+    target: state.TargetName
+
+    #: Digest of the answer up to and with this token, hexadecimal.
+    digest: str
+
+    #: Text in UTF-8.
+    text: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Delivery:
+    """Tokens that arrived together."""
+
+    #: The tokens in order.
+    tokens: tuple[DeliveredToken, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Completed:
+    """The answer is whole."""
+
+    #: Tokens in the answer.
+    token_count: int
+
+    #: Why the engine stopped.
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Failed:
+    """The answer cannot be completed."""
+
+    #: The typed reason.
+    refusal: state.Refusal
+
+
+#: Any step of a generation, as its caller sees it.
+GenerationStep = Delivery | Completed | Failed
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Entry instances that know of each other."""
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/moves/__init__.py
@@ -0,0 +1,7 @@
+"""Planned moves between versions."""
+
+from skylarktack.coordination.moves._chooser import RouteVersionChooser
+
+__all__ = [
+    'RouteVersionChooser',
+]
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/once/__init__.py
@@ -0,0 +1,1 @@
+"""Plain calls that may not be repeated."""
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/ports/__init__.py
@@ -0,0 +1,59 @@
+"""Interfaces of the coordination layer to everything outside it."""
+
+from skylarktack.coordination.ports._clock import Clock
+from skylarktack.coordination.ports._clock import SystemClock
+from skylarktack.coordination.ports._decisions import Admission
+from skylarktack.coordination.ports._decisions import ConfigurationSource
+from skylarktack.coordination.ports._decisions import Metrics
+from skylarktack.coordination.ports._decisions import OutcomeObserver
+from skylarktack.coordination.ports._decisions import Permit
+from skylarktack.coordination.ports._decisions import Readiness
+from skylarktack.coordination.ports._decisions import RetryBudget
+from skylarktack.coordination.ports._decisions import SelectionRequest
+from skylarktack.coordination.ports._decisions import TargetSelector
+from skylarktack.coordination.ports._decisions import VersionChooser
+from skylarktack.coordination.ports._engines import CacheEvent
+from skylarktack.coordination.ports._engines import EngineClient
+from skylarktack.coordination.ports._engines import EngineLoad
+from skylarktack.coordination.ports._engines import StreamFault
+from skylarktack.coordination.ports._engines import StreamFaultKind
+from skylarktack.coordination.ports._engines import TargetOrder
+from skylarktack.coordination.ports._engines import TargetOrderKind
+from skylarktack.coordination.ports._engines import TokenStream
+from skylarktack.coordination.ports._peers import GossipTopic
+from skylarktack.coordination.ports._peers import PeerFault
+from skylarktack.coordination.ports._peers import PeerFaultKind
+from skylarktack.coordination.ports._peers import PeerHandler
+from skylarktack.coordination.ports._peers import PeerNetwork
+from skylarktack.coordination.ports._services import ServiceClient
+from skylarktack.coordination.ports._store import ObjectStore
+
+__all__ = [
+    'Admission',
+    'CacheEvent',
+    'Clock',
+    'ConfigurationSource',
+    'EngineClient',
+    'EngineLoad',
+    'GossipTopic',
+    'Metrics',
+    'ObjectStore',
+    'OutcomeObserver',
+    'PeerFault',
+    'PeerFaultKind',
+    'PeerHandler',
+    'PeerNetwork',
+    'Permit',
+    'Readiness',
+    'RetryBudget',
+    'SelectionRequest',
+    'ServiceClient',
+    'StreamFault',
+    'StreamFaultKind',
+    'SystemClock',
+    'TargetOrder',
+    'TargetOrderKind',
+    'TargetSelector',
+    'TokenStream',
+    'VersionChooser',
+]
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/__main__.py
@@ -0,0 +1,6 @@
+"""Runs ``python -m skylarktack.daemon``."""
+
+from skylarktack.daemon import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -0,0 +1,66 @@
+"""Entry point of ``skylarktackd``."""
+
+import json
+import os
+import pathlib
+import signal
+import sys
+import threading
+from types import FrameType
+
+import fire
+
+from skylarktack import protocol
+from skylarktack import transport
+from skylarktack.daemon import _instance
+
+#: Exit code for settings that were rejected.
+EXIT_INVALID_SETTINGS = 2
+
+
+def run(settings: str) -> None:
+    """Run one entry instance until it is told to stop.
+
+    :param settings: path of the settings file, JSON with comments.
+    """
+    transport.configure_logs()
+    text = pathlib.Path(settings).read_text(encoding='utf-8')
+    decoded = protocol.decode_settings(text)
+    if decoded.is_error():
+        for finding in decoded.error:
+            print(
+                f'{settings}: {finding.place}: {finding.message}',
+                file=sys.stderr,
+            )
+        sys.exit(EXIT_INVALID_SETTINGS)
+    instance = _instance.Instance(decoded.ok)
+    stopped = threading.Event()
+
+    def _order_stop(number: int, frame: FrameType | None) -> None:
+        stopped.set()
+
+    signal.signal(signal.SIGTERM, _order_stop)
+    signal.signal(signal.SIGINT, _order_stop)
+    instance.start()
+    address = instance.caller_address
+    print(
+        json.dumps(
+            {
+                'name': decoded.ok.name,
+                'host': address.host,
+                'port': address.port,
+                'operator_port': 0,
+                'peer_port': 0,
+            }
+        ),
+        flush=True,
+    )
+    stopped.wait()
+    instance.stop()
+    # A waiting watch would hold the process until its time limit.
+    os._exit(0)
+
+
+def main() -> None:
+    """Run the command line of ``skylarktackd``."""
+    fire.Fire(run)
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/__init__.py
@@ -0,0 +1,67 @@
+"""Stand-ins, load tool and benchmarks; not part of the two binaries."""
+
+from skylarktack.emulator._caller import ReceivedAnswer
+from skylarktack.emulator._caller import fetch_generation
+from skylarktack.emulator._caller import generate
+from skylarktack.emulator._deployment import ANNOUNCE_TIMEOUT_S
+from skylarktack.emulator._deployment import OPERATOR_TOKEN
+from skylarktack.emulator._deployment import SECRET
+from skylarktack.emulator._deployment import STOP_TIMEOUT_S
+from skylarktack.emulator._deployment import Deployment
+from skylarktack.emulator._deployment import DeploymentShape
+from skylarktack.emulator._deployment import EmulatedProcess
+from skylarktack.emulator._deployment import default_document
+from skylarktack.emulator._deployment import key_hash
+from skylarktack.emulator._deployment import organisation_key
+from skylarktack.emulator._deployment import wait_ready
+from skylarktack.emulator._engine import KEEPALIVE_S
+from skylarktack.emulator._engine import EngineServer
+from skylarktack.emulator._engine_model import EngineFaults
+from skylarktack.emulator._engine_model import EngineModel
+from skylarktack.emulator._engine_model import EngineRun
+from skylarktack.emulator._engine_model import EngineShape
+from skylarktack.emulator._engine_model import expected_text
+from skylarktack.emulator._engine_model import expected_token
+from skylarktack.emulator._http_stand_in import StandInHandler
+from skylarktack.emulator._http_stand_in import StandInServer
+from skylarktack.emulator._http_stand_in import address_of
+from skylarktack.emulator._http_stand_in import serve_stand_in
+from skylarktack.emulator._object_api import ObjectApi
+from skylarktack.emulator._object_api import ObjectApiFaults
+from skylarktack.emulator._object_api import ObjectApiServer
+from skylarktack.emulator._service import ServiceFaults
+from skylarktack.emulator._service import ServiceServer
+
+__all__ = [
+    'ANNOUNCE_TIMEOUT_S',
+    'Deployment',
+    'DeploymentShape',
+    'EmulatedProcess',
+    'EngineFaults',
+    'EngineModel',
+    'EngineRun',
+    'EngineServer',
+    'EngineShape',
+    'KEEPALIVE_S',
+    'OPERATOR_TOKEN',
+    'ObjectApi',
+    'ObjectApiFaults',
+    'ObjectApiServer',
+    'ReceivedAnswer',
+    'SECRET',
+    'STOP_TIMEOUT_S',
+    'ServiceFaults',
+    'ServiceServer',
+    'StandInHandler',
+    'StandInServer',
+    'address_of',
+    'default_document',
+    'expected_text',
+    'expected_token',
+    'fetch_generation',
+    'generate',
+    'key_hash',
+    'organisation_key',
+    'serve_stand_in',
+    'wait_ready',
+]
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/_deployment.py
@@ -0,0 +1,419 @@
+"""Starts a small deployment of real processes on loopback addresses."""
+
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+from types import TracebackType
+from typing import Any
+from typing import Self
+
+from skylarktack import protocol
+from skylarktack import state
+from skylarktack import transport
+
+#: Shared secret of deployments that this module starts.
+SECRET = 'secret of the emulated deployment'
+
+#: Operators' token of deployments that this module starts.
+OPERATOR_TOKEN = 'operator token of the emulated deployment'
+
+#: Longest wait for a process to announce its port.
+ANNOUNCE_TIMEOUT_S = 30.0
+
+#: Longest wait for a process to end after it was told to stop.
+STOP_TIMEOUT_S = 40.0
+
+
+def organisation_key(name: str) -> str:
+    """Return the key that callers of an emulated organisation use."""
+    return f'key of {name}'
+
+
+def key_hash(key: str) -> str:
+    """Return the form in which a document holds a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class EmulatedProcess:
+    """One process that announced where it listens."""
+
+    def __init__(self, name: str, arguments: list[str]) -> None:
+        self.name = name
+        # Its own session keeps an interrupt at the terminal from reaching
+        # it before the deployment stops it.
+        self._process = subprocess.Popen(
+            [sys.executable, '-m', *arguments],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL
+            if not os.environ.get('SKYLARKTACK_EMULATOR_LOGS')
+            else None,
+            start_new_session=True,
+        )
+        self.announced: dict[str, Any] = {}
+
+    def wait_announced(self) -> None:
+        """Wait until the process printed where it listens.
+
+        :raises RuntimeError: if it ended or took too long.
+        """
+        timer = threading.Timer(ANNOUNCE_TIMEOUT_S, self._process.kill)
+        timer.start()
+        assert self._process.stdout is not None
+        line = self._process.stdout.readline()
+        timer.cancel()
+        if not line:
+            raise RuntimeError(f'{self.name} did not start')
+        self.announced = json.loads(line)
+
+    @property
+    def address(self) -> state.Address:
+        """Where it listens."""
+        return state.Address(self.announced['host'], self.announced['port'])
+
+    @property
+    def process_id(self) -> int:
+        """Identifier of the operating system."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.is_running:
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process without warning."""
+        self.signal(signal.SIGKILL)
+        self._process.wait()
+
+    def stop(self) -> None:
+        """Ask the process to stop, then end it if it does not."""
+        # A paused process does not see the request.
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+
+    def wait_stopped(self) -> int:
+        """Wait until the process ended and return its exit code."""
+        try:
+            return self._process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return self._process.wait()
+        finally:
+            if self._process.stdout is not None:
+                self._process.stdout.close()
+
+    def control(self, path: str = '/control', **fields: Any) -> None:
+        """Switch faults of a stand-in."""
+        transport.http_call(
+            self.address,
+            'POST',
+            path,
+            json.dumps(fields).encode(),
+            {},
+            5.0,
+        )
+
+    def read_json(self, path: str) -> Any:
+        """Read a control endpoint of a stand-in."""
+        answered = transport.http_call(
+            self.address, 'GET', path, None, {}, 5.0
+        )
+        return json.loads(answered.ok.body)
+
+
+@dataclasses.dataclass(frozen=True)
+class DeploymentShape:
+    """Size of an emulated deployment."""
+
+    #: Entry instances.
+    instance_count: int = 3
+
+    #: Model engines.
+    engine_count: int = 4
+
+    #: Plain service replicas.
+    service_count: int = 1
+
+    #: Failure domains over which targets and instances are spread.
+    failure_domain_count: int = 2
+
+    #: Time of one step of an engine.
+    step_ms: float = 20.0
+
+    #: Slots of an engine.
+    slot_count: int = 32
+
+    #: Versions that engines serve at the start, joined by ``+``.
+    engine_versions: str = 'model-1'
+
+    #: Settings that replace the defaults of instances, as plain JSON.
+    overrides: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+def default_document() -> state.ConfigurationDocument:
+    """Return a document with two organisations and three routes."""
+    organisations: list[state.Organisation] = []
+    for name in ('large', 'small'):
+        organisations.append(
+            state.Organisation(
+                name=state.OrganisationName(name),
+                key_sha256=(key_hash(organisation_key(name)),),
+            )
+        )
+    return state.ConfigurationDocument(
+        organisations=tuple(organisations),
+        routes=(
+            state.Route(
+                name=state.RouteName('digest'),
+                kind=state.RouteKind.GENERATION,
+                version=state.VersionName('model-1'),
+            ),
+            state.Route(
+                name=state.RouteName('stock'),
+                kind=state.RouteKind.SERVICE,
+                version=state.VersionName('desk-1'),
+            ),
+            state.Route(
+                name=state.RouteName('shipment'),
+                kind=state.RouteKind.SERVICE,
+                version=state.VersionName('desk-1'),
+                repeatable=False,
+            ),
+        ),
+        versions=(
+            state.Version(
+                name=state.VersionName('model-1'),
+                kind=state.RouteKind.GENERATION,
+                weights='model-1',
+            ),
+            state.Version(
+                name=state.VersionName('desk-1'),
+                kind=state.RouteKind.SERVICE,
+            ),
+        ),
+    )
+
+
+class Deployment:
+    """Stand-ins and entry instances; a context manager that ends them."""
+
+    def __init__(
+        self,
+        shape: DeploymentShape,
+        document: state.ConfigurationDocument | None = None,
+    ) -> None:
+        self.shape = shape
+        self.document = document or default_document()
+        self.engines: list[EmulatedProcess] = []
+        self.services: list[EmulatedProcess] = []
+        self.instances: list[EmulatedProcess] = []
+        self.leaving: set[str] = set()
+        self._folder = tempfile.TemporaryDirectory(prefix='skylarktack-')
+
+    def __enter__(self) -> Self:
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """End all processes."""
+        groups = [self.instances, self.engines, self.services]
+        if hasattr(self, 'object_api'):
+            groups.append([self.object_api])
+        for group in groups:
+            for process in group:
+                process.stop()
+            for process in group:
+                process.wait_stopped()
+        self._folder.cleanup()
+
+    def start_instance(self, index: int) -> EmulatedProcess:
+        """Start one more entry instance and enter it in the list."""
+        process = self._spawn_instance(index)
+        process.wait_announced()
+        self.instances.append(process)
+        self.publish_list()
+        return process
+
+    def start_engine(self, index: int) -> EmulatedProcess:
+        """Start one more engine; the list must be published after it."""
+        process = EmulatedProcess(
+            f'engine-{index}',
+            [
+                'skylarktack.emulator',
+                'engine',
+                f'--name=engine-{index}',
+                f'--step_ms={self.shape.step_ms}',
+                f'--slot_count={self.shape.slot_count}',
+                f'--versions={self.shape.engine_versions}',
+            ],
+        )
+        self.engines.append(process)
+        return process
+
+    def publish_list(self) -> None:
+        """Enter all running processes in the platform's list."""
+        targets: list[state.Target] = []
+        versions = tuple(
+            state.VersionName(name)
+            for name in self.shape.engine_versions.split('+')
+        )
+        for index, process in enumerate(self.engines):
+            targets.append(
+                self._target(process, index, state.TargetKind.ENGINE, versions)
+            )
+        for index, process in enumerate(self.services):
+            targets.append(
+                self._target(
+                    process,
+                    index,
+                    state.TargetKind.SERVICE,
+                    (state.VersionName('desk-1'),),
+                )
+            )
+        instances: list[state.ListedInstance] = []
+        for index, process in enumerate(self.instances):
+            instances.append(
+                state.ListedInstance(
+                    name=state.InstanceName(process.name),
+                    peer_address=state.Address(
+                        process.announced['host'],
+                        process.announced['peer_port'],
+                    ),
+                    failure_domain=self._domain(index),
+                    region='region-1',
+                )
+            )
+        listed = state.PlatformList(tuple(targets), tuple(instances))
+        transport.http_call(
+            self.object_api.address,
+            'POST',
+            '/control/instances',
+            protocol.encode_platform_list(listed),
+            {},
+            5.0,
+        )
+
+    def _start(self) -> None:
+        self.object_api = EmulatedProcess(
+            'object-api', ['skylarktack.emulator', 'object_api']
+        )
+        for index in range(self.shape.engine_count):
+            self.start_engine(index)
+        for index in range(self.shape.service_count):
+            name = f'service-{index}'
+            self.services.append(
+                EmulatedProcess(
+                    name, ['skylarktack.emulator', 'service', f'--name={name}']
+                )
+            )
+        for process in [self.object_api, *self.engines, *self.services]:
+            process.wait_announced()
+        self._store_document()
+        for index in range(self.shape.instance_count):
+            self.instances.append(self._spawn_instance(index))
+        for process in self.instances:
+            process.wait_announced()
+        self.publish_list()
+        for process in self.instances:
+            wait_ready(process)
+
+    def _store_document(self) -> None:
+        transport.http_call(
+            self.object_api.address,
+            'PUT',
+            '/objects/configuration/current',
+            protocol.encode_document(self.document).encode(),
+            {},
+            5.0,
+        )
+
+    def _spawn_instance(self, index: int) -> EmulatedProcess:
+        name = f'instance-{index}'
+        path = pathlib.Path(self._folder.name) / f'{name}.json'
+        path.write_text(json.dumps(self._settings(name, index)))
+        return EmulatedProcess(
+            name, ['skylarktack.daemon', f'--settings={path}']
+        )
+
+    def _settings(self, name: str, index: int) -> dict[str, Any]:
+        anywhere = {'host': '127.0.0.1', 'port': 0}
+        store = self.object_api.address
+        settings: dict[str, Any] = {
+            'name': name,
+            'failure_domain': self._domain(index),
+            'region': 'region-1',
+            'listen': anywhere,
+            'operator_listen': anywhere,
+            'secret': SECRET,
+            'operator_token_sha256': key_hash(OPERATOR_TOKEN),
+            'store': {'address': {'host': store.host, 'port': store.port}},
+            'peer': {'listen': anywhere},
+        }
+        for field, value in self.shape.overrides.items():
+            if isinstance(value, dict):
+                settings[field] = {**settings.get(field, {}), **value}
+                continue
+            settings[field] = value
+        return settings
+
+    def _domain(self, index: int) -> state.FailureDomain:
+        return state.FailureDomain(
+            f'domain-{index % self.shape.failure_domain_count}'
+        )
+
+    def _target(
+        self,
+        process: EmulatedProcess,
+        index: int,
+        kind: state.TargetKind,
+        versions: tuple[state.VersionName, ...],
+    ) -> state.Target:
+        return state.Target(
+            name=state.TargetName(process.name),
+            kind=kind,
+            address=process.address,
+            failure_domain=self._domain(index),
+            region='region-1',
+            versions=versions,
+            leaving=process.name in self.leaving,
+        )
+
+
+def wait_ready(process: EmulatedProcess) -> None:
+    """Wait until an instance serves callers.
+
+    :raises RuntimeError: if it does not become ready.
+    """
+    waiting = threading.Event()
+    for _ in range(600):
+        answered = transport.http_call(
+            process.address, 'GET', '/readyz', None, {}, 5.0
+        )
+        if answered.is_ok() and answered.ok.status == 200:
+            return
+        waiting.wait(0.05)
+    raise RuntimeError(f'{process.name} did not become ready')
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -0,0 +1,31 @@
+"""Runs benchmarks: ``python -m skylarktack.emulator.bench --area AREA``."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import fire
+
+from skylarktack.emulator.bench import _figures
+from skylarktack.emulator.bench import _relay
+
+#: Benchmarks by area, in the order in which ``all`` runs them.
+AREAS: dict[str, Callable[[int], Iterator[_figures.Figure]]] = {
+    'relay': _relay.run,
+}
+
+
+def run(area: str = 'all', seed: int = 1) -> None:
+    """Run the benchmarks of one area or of all.
+
+    :param area: one of the areas, or ``all``.
+    :param seed: seed of all random choices.
+    """
+    for name, measure in AREAS.items():
+        if area not in ('all', name):
+            continue
+        for figure in measure(seed):
+            print(figure.to_json(), flush=True)
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
--- /dev/null
+++ b/packages/protocol/src/skylarktack/protocol/_caller.py
@@ -0,0 +1,128 @@
+"""The callers' interface: JSON bodies, errors and server-sent events."""
+
+import json
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import pydantic
+
+from skylarktack import state
+from skylarktack.coordination import generation
+from skylarktack.protocol import _event_ids
+from skylarktack.protocol import _generate_body
+
+#: Name of the header that carries the request identifier.
+REQUEST_ID_HEADER = 'Skylarktack-Request-Id'
+
+#: HTTP status of each kind of refusal.
+STATUS_BY_CODE = {
+    state.RefusalCode.BAD_REQUEST: 400,
+    state.RefusalCode.KEY_REQUIRED: 400,
+    state.RefusalCode.UNAUTHORISED: 401,
+    state.RefusalCode.FORBIDDEN: 403,
+    state.RefusalCode.UNKNOWN_ROUTE: 404,
+    state.RefusalCode.UNKNOWN_REQUEST: 404,
+    state.RefusalCode.KEY_CONFLICT: 409,
+    state.RefusalCode.CONFLICT: 409,
+    state.RefusalCode.CANCELLED: 409,
+    state.RefusalCode.DIVERGED: 409,
+    state.RefusalCode.BODY_TOO_LARGE: 413,
+    state.RefusalCode.INVALID: 422,
+    state.RefusalCode.LIMIT_REACHED: 429,
+    state.RefusalCode.INTERNAL: 500,
+    state.RefusalCode.TARGET_FAILED: 502,
+    state.RefusalCode.OUTCOME_UNKNOWN: 502,
+    state.RefusalCode.QUEUE_DEADLINE: 503,
+    state.RefusalCode.NO_TARGET: 503,
+    state.RefusalCode.STORE_UNAVAILABLE: 503,
+    state.RefusalCode.NOT_READY: 503,
+    state.RefusalCode.STOPPING: 503,
+    state.RefusalCode.RETRY_BUDGET: 503,
+}
+
+_BODY = pydantic.TypeAdapter(_generate_body.GenerateBody)
+
+
+def decode_generate_body(
+    body: bytes,
+) -> Result[_generate_body.GenerateBody, state.Refusal]:
+    """Decode the JSON body of a request for a generation."""
+    try:
+        return Ok(_BODY.validate_json(body))
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        place = '.'.join(str(part) for part in first['loc']) or 'body'
+        return Error(
+            state.Refusal(
+                code=state.RefusalCode.BAD_REQUEST,
+                message=f'{place}: {first["msg"]}.',
+                run=state.RunState.NOT_RUN,
+            )
+        )
+
+
+def encode_refusal(
+    refusal: state.Refusal, request_id: state.RequestId
+) -> bytes:
+    """Encode a refusal as the JSON form of all errors."""
+    fields: dict[str, str | int] = {
+        'code': refusal.code.value,
+        'message': refusal.message,
+        'run': refusal.run.value,
+        'request_id': request_id,
+    }
+    if refusal.retry_after_ms is not None:
+        fields['retry_after_ms'] = refusal.retry_after_ms
+    return json.dumps({'error': fields}).encode()
+
+
+def encode_answer(
+    request_id: state.RequestId, text: str, end: generation.Completed
+) -> bytes:
+    """Encode a whole answer for a caller that did not ask for a stream."""
+    return json.dumps(
+        {
+            'request_id': request_id,
+            'text': text,
+            'token_count': end.token_count,
+            'reason': end.reason,
+        }
+    ).encode()
+
+
+class CallerStreamEncoder:
+    """Encodes the steps of one generation as server-sent events."""
+
+    def __init__(
+        self,
+        signer: _event_ids.EventIdSigner,
+        request_id: state.RequestId,
+    ) -> None:
+        self._signer = signer
+        self._request_id = request_id
+
+    def encode(self, step: generation.GenerationStep) -> bytes:
+        """Return one chunk that holds all events of the step."""
+        if isinstance(step, generation.Delivery):
+            return b''.join([self._token(token) for token in step.tokens])
+        if isinstance(step, generation.Completed):
+            data = json.dumps(
+                {'token_count': step.token_count, 'reason': step.reason}
+            )
+            return f'event: end\ndata: {data}\n\n'.encode()
+        error = encode_refusal(step.refusal, self._request_id).decode()
+        return f'event: error\ndata: {error}\n\n'.encode()
+
+    def _token(self, token: generation.DeliveredToken) -> bytes:
+        event_id = self._signer.encode(
+            self._request_id,
+            state.ResumeToken(
+                position=token.position + 1,
+                attempt=token.attempt,
+                target=token.target,
+                digest=token.digest,
+            ),
+        )
+        data = json.dumps(token.text.decode())
+        return f'id: {event_id}\ndata: {data}\n\n'.encode()
--- /dev/null
+++ b/packages/protocol/src/skylarktack/protocol/_engine.py
@@ -0,0 +1,150 @@
+"""The engines' interface: JSON bodies and server-sent events."""
+
+import dataclasses
+import hashlib
+import json
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import pydantic
+
+from skylarktack import state
+from skylarktack.coordination import ports
+
+#: Length of a prompt block whose prefix engines cache, in characters.
+PREFIX_BLOCK_CHARS = 64
+
+_ORDER = pydantic.TypeAdapter(state.EngineOrder)
+_LOAD = pydantic.TypeAdapter(ports.EngineLoad)
+_CACHE_EVENTS = pydantic.TypeAdapter(tuple[ports.CacheEvent, ...])
+_TARGET_ORDER = pydantic.TypeAdapter(ports.TargetOrder)
+
+
+def prefix_hashes(prompt: str) -> tuple[str, ...]:
+    """Return the hash of each cached prefix of a prompt, shortest first.
+
+    Prefixes end at multiples of ``PREFIX_BLOCK_CHARS``.
+    """
+    found: list[str] = []
+    digest = hashlib.blake2b(digest_size=8)
+    last = len(prompt) - PREFIX_BLOCK_CHARS
+    for start in range(0, last + 1, PREFIX_BLOCK_CHARS):
+        digest.update(prompt[start : start + PREFIX_BLOCK_CHARS].encode())
+        found.append(digest.copy().hexdigest())
+    return tuple(found)
+
+
+def encode_engine_order(order: state.EngineOrder) -> bytes:
+    """Encode the body that starts an attempt."""
+    return json.dumps(dataclasses.asdict(order)).encode()
+
+
+def decode_engine_order(body: bytes) -> state.EngineOrder:
+    """Decode the body that starts an attempt.
+
+    :raises ValueError: if it is malformed.
+    """
+    return _ORDER.validate_json(body)
+
+
+def decode_engine_load(
+    body: bytes,
+) -> Result[ports.EngineLoad, ports.StreamFault]:
+    """Decode a load report."""
+    try:
+        return Ok(_LOAD.validate_json(body))
+    except ValueError as error:
+        return Error(_malformed(str(error)))
+
+
+def decode_cache_events(
+    body: bytes,
+) -> Result[tuple[ports.CacheEvent, ...], ports.StreamFault]:
+    """Decode a list of cache events."""
+    try:
+        return Ok(_CACHE_EVENTS.validate_json(body))
+    except ValueError as error:
+        return Error(_malformed(str(error)))
+
+
+def encode_plain(value: object) -> bytes:
+    """Encode a frozen data class, or a tuple of them, as JSON."""
+    adapter: pydantic.TypeAdapter[object] = pydantic.TypeAdapter(type(value))
+    if isinstance(value, tuple):
+        return json.dumps(
+            [dataclasses.asdict(item) for item in value]
+        ).encode()
+    return adapter.dump_json(value)
+
+
+def decode_target_order(body: bytes) -> ports.TargetOrder:
+    """Decode an order to change what a target serves.
+
+    :raises ValueError: if it is malformed.
+    """
+    return _TARGET_ORDER.validate_json(body)
+
+
+def encode_stream_event(event: state.StreamEvent) -> bytes:
+    """Encode one event of an engine's stream."""
+    if isinstance(event, state.TokenEvent):
+        data = json.dumps(event.text.decode())
+        return (
+            f'id: {event.attempt}:{event.position}\ndata: {data}\n\n'
+        ).encode()
+    if isinstance(event, state.Keepalive):
+        return b': keepalive\n\n'
+    names = {
+        state.StreamStart: 'start',
+        state.StreamEnd: 'end',
+        state.StreamError: 'error',
+    }
+    data = json.dumps(dataclasses.asdict(event))
+    return f'event: {names[type(event)]}\ndata: {data}\n\n'.encode()
+
+
+class StreamDecoder:
+    """Decodes an engine's server-sent events as they arrive."""
+
+    def __init__(self) -> None:
+        self._rest = b''
+
+    def feed(
+        self, data: bytes
+    ) -> Result[tuple[state.StreamEvent, ...], ports.StreamFault]:
+        """Return the events completed by some more bytes."""
+        blocks = (self._rest + data).split(b'\n\n')
+        self._rest = blocks.pop()
+        events: list[state.StreamEvent] = []
+        try:
+            for block in blocks:
+                events.append(_decode_block(block))
+        except (ValueError, TypeError, KeyError) as error:
+            return Error(_malformed(str(error)))
+        return Ok(tuple(events))
+
+
+def _decode_block(block: bytes) -> state.StreamEvent:
+    if block.startswith(b'id: '):
+        head, _, data = block.partition(b'\n')
+        attempt, _, position = head[4:].partition(b':')
+        return state.TokenEvent(
+            int(attempt), int(position), json.loads(data[6:]).encode()
+        )
+    if block.startswith(b':'):
+        return state.Keepalive()
+    head, _, data = block.partition(b'\n')
+    name = head.removeprefix(b'event: ').decode()
+    fields = json.loads(data.removeprefix(b'data: '))
+    if name == 'start':
+        return state.StreamStart(**fields)
+    if name == 'end':
+        return state.StreamEnd(**fields)
+    if name == 'error':
+        return state.StreamError(**fields)
+    raise ValueError(f'unknown event {name!r}')
+
+
+def _malformed(message: str) -> ports.StreamFault:
+    return ports.StreamFault(ports.StreamFaultKind.MALFORMED, message)
--- /dev/null
+++ b/packages/protocol/src/skylarktack/protocol/_peer_messages.py
@@ -0,0 +1,8 @@
+"""Table of the messages between entry instances.
+
+Each subject of the coordination layer defines its messages as frozen data
+classes and enters them here under a tag that never changes its meaning.
+"""
+
+#: Message types by tag.
+PEER_MESSAGES: dict[str, type] = {}
--- /dev/null
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -0,0 +1,113 @@
+"""Data of skylarktack: frozen data classes and typed errors."""
+
+from skylarktack.state._calls import DispatchFault
+from skylarktack.state._calls import PlainCall
+from skylarktack.state._calls import ServiceAnswer
+from skylarktack.state._delivered import DIGEST_BYTES
+from skylarktack.state._delivered import DeliveredText
+from skylarktack.state._documents import ActiveConfiguration
+from skylarktack.state._documents import CallerLossPolicy
+from skylarktack.state._documents import ConfigurationDocument
+from skylarktack.state._documents import Limits
+from skylarktack.state._documents import Move
+from skylarktack.state._documents import Organisation
+from skylarktack.state._documents import Route
+from skylarktack.state._documents import RouteKind
+from skylarktack.state._documents import Version
+from skylarktack.state._errors import Finding
+from skylarktack.state._errors import Refusal
+from skylarktack.state._errors import RefusalCode
+from skylarktack.state._errors import RunState
+from skylarktack.state._generations import EngineOrder
+from skylarktack.state._generations import GenerationRequest
+from skylarktack.state._generations import Keepalive
+from skylarktack.state._generations import ResumeToken
+from skylarktack.state._generations import StreamEnd
+from skylarktack.state._generations import StreamError
+from skylarktack.state._generations import StreamEvent
+from skylarktack.state._generations import StreamStart
+from skylarktack.state._generations import TokenEvent
+from skylarktack.state._members import Member
+from skylarktack.state._members import MemberState
+from skylarktack.state._names import FailureDomain
+from skylarktack.state._names import InstanceName
+from skylarktack.state._names import OrganisationName
+from skylarktack.state._names import RequestId
+from skylarktack.state._names import RouteName
+from skylarktack.state._names import TargetName
+from skylarktack.state._names import VersionName
+from skylarktack.state._settings import CallerSettings
+from skylarktack.state._settings import ClaimSettings
+from skylarktack.state._settings import GenerationSettings
+from skylarktack.state._settings import InstanceSettings
+from skylarktack.state._settings import PeerSettings
+from skylarktack.state._settings import RetrySettings
+from skylarktack.state._settings import StoreSettings
+from skylarktack.state._store import StoredObject
+from skylarktack.state._store import StoreFault
+from skylarktack.state._store import StoreFaultKind
+from skylarktack.state._store import WatchBatch
+from skylarktack.state._targets import Address
+from skylarktack.state._targets import ListedInstance
+from skylarktack.state._targets import OutcomeKind
+from skylarktack.state._targets import PlatformList
+from skylarktack.state._targets import Target
+from skylarktack.state._targets import TargetKind
+from skylarktack.state._targets import TargetOutcome
+
+__all__ = [
+    'ActiveConfiguration',
+    'Address',
+    'CallerLossPolicy',
+    'CallerSettings',
+    'ClaimSettings',
+    'ConfigurationDocument',
+    'DIGEST_BYTES',
+    'DeliveredText',
+    'DispatchFault',
+    'EngineOrder',
+    'FailureDomain',
+    'Finding',
+    'GenerationRequest',
+    'GenerationSettings',
+    'InstanceName',
+    'InstanceSettings',
+    'Keepalive',
+    'Limits',
+    'ListedInstance',
+    'Member',
+    'MemberState',
+    'Move',
+    'Organisation',
+    'OrganisationName',
+    'OutcomeKind',
+    'PeerSettings',
+    'PlainCall',
+    'PlatformList',
+    'Refusal',
+    'RefusalCode',
+    'RequestId',
+    'ResumeToken',
+    'RetrySettings',
+    'Route',
+    'RouteKind',
+    'RouteName',
+    'RunState',
+    'ServiceAnswer',
+    'StoreFault',
+    'StoreFaultKind',
+    'StoreSettings',
+    'StoredObject',
+    'StreamEnd',
+    'StreamError',
+    'StreamEvent',
+    'StreamStart',
+    'Target',
+    'TargetKind',
+    'TargetName',
+    'TargetOutcome',
+    'TokenEvent',
+    'Version',
+    'VersionName',
+    'WatchBatch',
+]
