Keep generations whole over losses, reconnects and a planned stop

Cause: the thin runner only failed over on a closed or silent stream, took any token with the right number, and knew nothing of callers who come back.

Change: attempts have unique numbers, are attached again after a loss, fail over with the delivered prefix and are cancelled until acknowledged; replayed text is compared before anything is delivered; generations are held in a table so that callers join, fetch and cancel them, on any instance; a stop drains and hands over.

--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -1,13 +1,23 @@
 """Replacements of the ports in memory, for tests and examples."""
 
 from skylarktack.coordination.fakes._clock import ManualClock
+from skylarktack.coordination.fakes._engines import OUTAGE_S
+from skylarktack.coordination.fakes._engines import EngineFault
+from skylarktack.coordination.fakes._engines import EngineFaultKind
+from skylarktack.coordination.fakes._engines import FaultyEngines
 from skylarktack.coordination.fakes._metrics import MemoryMetrics
 from skylarktack.coordination.fakes._peers import LocalPeerHub
 from skylarktack.coordination.fakes._peers import LocalPeerNetwork
+from skylarktack.coordination.fakes._stepping_clock import SteppingClock
 from skylarktack.coordination.fakes._store import MemoryObjectStore
 from skylarktack.coordination.fakes._store import StoreFaults
 
 __all__ = [
+    'EngineFault',
+    'EngineFaultKind',
+    'FaultyEngines',
+    'OUTAGE_S',
+    'SteppingClock',
     'LocalPeerHub',
     'LocalPeerNetwork',
     'ManualClock',
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_engines.py
@@ -0,0 +1,330 @@
+"""Model engines in memory, with faults at chosen positions."""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+import random
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from skylarktack import state
+from skylarktack.coordination import ports
+from skylarktack.coordination.fakes import _stepping_clock
+
+#: Time between two reads of a healthy stream.
+STEP_S = 0.02
+
+#: How long a dead engine is away and a frozen one does not move.
+OUTAGE_S = 2.5
+
+
+class EngineFaultKind(enum.Enum):
+    """What goes wrong when a stream reaches a position."""
+
+    CLOSE = 'close'
+    SILENCE = 'silence'
+    ERROR = 'error'
+    GAP = 'gap'
+    REPEAT = 'repeat'
+    CROSS = 'cross'
+    CROSSED_STREAM = 'crossed_stream'
+    LATE = 'late'
+    TRUNCATE = 'truncate'
+    SKIP_TO_END = 'skip_to_end'
+    DIE = 'die'
+    FREEZE = 'freeze'
+    RESTART = 'restart'
+    IGNORE_PREFIX = 'ignore_prefix'
+    DIVERGE = 'diverge'
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineFault:
+    """One fault of one request; it happens once."""
+
+    #: What goes wrong.
+    kind: EngineFaultKind
+
+    #: Position of the token before which it happens.
+    position: int
+
+
+@dataclasses.dataclass
+class _Run:
+    order: state.EngineOrder
+    position: int
+    start: int
+    diverges: bool = False
+
+
+class _Engine:
+    def __init__(self) -> None:
+        self.incarnation = 1
+        self.dead_until_s = 0.0
+        self.frozen_until_s = 0.0
+        self.runs: dict[tuple[str, int], _Run] = {}
+
+    def restart(self) -> None:
+        self.incarnation += 1
+        self.runs.clear()
+
+
+class FaultyEngines:
+    """An ``EngineClient`` whose engines live in memory.
+
+    Time passes by reading: a read moves the clock instead of waiting, so
+    that thousands of faults run in seconds and always in the same order.
+    """
+
+    def __init__(
+        self,
+        clock: _stepping_clock.SteppingClock,
+        token_at: Callable[[str, int], str],
+        seed: int,
+    ) -> None:
+        self.clock = clock
+        self.token_at = token_at
+        self.random = random.Random(seed)
+        self.faults: dict[str, list[EngineFault]] = {}
+        self.fired: list[EngineFaultKind] = []
+        self.generated_count = 0
+        self.started_count = 0
+        self._engines: dict[str, _Engine] = {}
+
+    def engine(self, name: str) -> _Engine:
+        """Return the engine of a target."""
+        return self._engines.setdefault(name, _Engine())
+
+    def running(self) -> list[tuple[str, str]]:
+        """Return target and request of each attempt that was not ended."""
+        found: list[tuple[str, str]] = []
+        for name, engine in self._engines.items():
+            for request_id, attempt in engine.runs:
+                run = engine.runs[request_id, attempt]
+                if run.position < run.order.max_tokens_count:
+                    found.append((name, request_id))
+        return found
+
+    def take_fault(self, request_id: str, position: int) -> EngineFault | None:
+        """Return the fault due at a position and forget it."""
+        waiting = self.faults.get(request_id, [])
+        for fault in waiting:
+            if fault.position <= position:
+                waiting.remove(fault)
+                self.fired.append(fault.kind)
+                return fault
+        return None
+
+    def start(
+        self, target: state.Target, order: state.EngineOrder, timeout_s: float
+    ) -> Result[ports.TokenStream, ports.StreamFault]:
+        """Start an attempt; the prefix in the order is continued."""
+        fault = self._unavailable(target, timeout_s)
+        if fault is not None:
+            return Error(fault)
+        self.started_count += 1
+        engine = self.engine(target.name)
+        start = len(order.prefix_tokens)
+        run = _Run(order, start, start)
+        if start:
+            due = self.take_fault(f'prefix {order.request_id}', start)
+            if due is not None:
+                run.position = run.start = 0
+                run.diverges = due.kind is EngineFaultKind.DIVERGE
+        engine.runs[order.request_id, order.attempt] = run
+        return Ok(_FaultyStream(self, engine, run, run.start))
+
+    def attach(
+        self,
+        target: state.Target,
+        request_id: state.RequestId,
+        attempt: int,
+        from_position: int,
+        timeout_s: float,
+    ) -> Result[ports.TokenStream, ports.StreamFault]:
+        """Join a running or finished attempt from a position."""
+        fault = self._unavailable(target, timeout_s)
+        if fault is not None:
+            return Error(fault)
+        engine = self.engine(target.name)
+        run = engine.runs.get((request_id, attempt))
+        if run is None:
+            return Error(_fault(ports.StreamFaultKind.MISSING))
+        return Ok(_FaultyStream(self, engine, run, from_position))
+
+    def cancel(
+        self,
+        target: state.Target,
+        request_id: state.RequestId,
+        attempt: int,
+        timeout_s: float,
+    ) -> Result[None, ports.StreamFault]:
+        """End an attempt; Ok once the engine acknowledged it."""
+        fault = self._unavailable(target, timeout_s)
+        if fault is not None:
+            return Error(fault)
+        self.engine(target.name).runs.pop((request_id, attempt), None)
+        return Ok(None)
+
+    def load(
+        self, target: state.Target, timeout_s: float
+    ) -> Result[ports.EngineLoad, ports.StreamFault]:
+        """Report nothing."""
+        return Error(_fault(ports.StreamFaultKind.REFUSED))
+
+    def cache_events(
+        self, target: state.Target, after: int, timeout_s: float
+    ) -> Result[tuple[ports.CacheEvent, ...], ports.StreamFault]:
+        """Report nothing."""
+        return Ok(())
+
+    def order(
+        self, target: state.Target, order: ports.TargetOrder, timeout_s: float
+    ) -> Result[None, ports.StreamFault]:
+        """Refuse the order."""
+        return Error(_fault(ports.StreamFaultKind.REFUSED))
+
+    def _unavailable(
+        self, target: state.Target, timeout_s: float
+    ) -> ports.StreamFault | None:
+        engine = self.engine(target.name)
+        now_s = self.clock.monotonic_s()
+        if engine.dead_until_s > now_s:
+            return _fault(ports.StreamFaultKind.UNREACHABLE)
+        if engine.frozen_until_s > now_s:
+            self.clock.advance(timeout_s)
+            return _fault(ports.StreamFaultKind.SILENT)
+        return None
+
+
+class _FaultyStream:
+    def __init__(
+        self, fleet: FaultyEngines, engine: _Engine, run: _Run, start: int
+    ) -> None:
+        self._fleet = fleet
+        self._engine = engine
+        self._run = run
+        self._sent = start
+        self._incarnation = engine.incarnation
+        self._started = False
+        self._silent = False
+        self._crossed = False
+        self._finished = False
+
+    def read(
+        self, timeout_s: float
+    ) -> Result[tuple[state.StreamEvent, ...], ports.StreamFault]:
+        fleet = self._fleet
+        engine = self._engine
+        now_s = fleet.clock.monotonic_s()
+        if self._incarnation != engine.incarnation or self._finished:
+            return Error(_fault(ports.StreamFaultKind.CLOSED))
+        if self._silent or engine.frozen_until_s > now_s:
+            fleet.clock.advance(timeout_s)
+            return Error(_fault(ports.StreamFaultKind.SILENT))
+        order = self._run.order
+        if (order.request_id, order.attempt) not in engine.runs:
+            return Error(_fault(ports.StreamFaultKind.CLOSED))
+        fleet.clock.advance(STEP_S)
+        if not self._started:
+            self._started = True
+            return Ok((self._start_event(),))
+        due = fleet.take_fault(order.request_id, self._sent)
+        if due is not None:
+            return self._fail(due.kind, timeout_s)
+        return Ok(self._batch())
+
+    def close(self) -> None:
+        self._finished = True
+
+    def _start_event(self) -> state.StreamEvent:
+        order = self._run.order
+        return state.StreamStart(
+            order.request_id,
+            order.attempt,
+            f'incarnation-{self._incarnation}',
+            self._sent,
+        )
+
+    def _fail(
+        self, kind: EngineFaultKind, timeout_s: float
+    ) -> Result[tuple[state.StreamEvent, ...], ports.StreamFault]:
+        engine = self._engine
+        now_s = self._fleet.clock.monotonic_s()
+        if kind is EngineFaultKind.DIE:
+            engine.restart()
+            engine.dead_until_s = now_s + OUTAGE_S
+            return Error(_fault(ports.StreamFaultKind.CLOSED))
+        if kind is EngineFaultKind.RESTART:
+            engine.restart()
+            return Error(_fault(ports.StreamFaultKind.CLOSED))
+        if kind is EngineFaultKind.CLOSE:
+            self._finished = True
+            return Error(_fault(ports.StreamFaultKind.CLOSED))
+        if kind is EngineFaultKind.FREEZE:
+            engine.frozen_until_s = now_s + OUTAGE_S
+            return self.read(timeout_s)
+        if kind is EngineFaultKind.SILENCE:
+            self._silent = True
+            return self.read(timeout_s)
+        return Ok(self._wrong_events(kind))
+
+    def _wrong_events(
+        self, kind: EngineFaultKind
+    ) -> tuple[state.StreamEvent, ...]:
+        order = self._run.order
+        if kind is EngineFaultKind.ERROR:
+            return (state.StreamError('engine_failed', 'Engine failed.'),)
+        if kind is EngineFaultKind.TRUNCATE:
+            return (state.StreamEnd(self._sent, 'length'),)
+        if kind is EngineFaultKind.SKIP_TO_END:
+            return (state.StreamEnd(order.max_tokens_count, 'length'),)
+        if kind is EngineFaultKind.GAP:
+            before = self._batch()
+            return before[1:]
+        if kind is EngineFaultKind.REPEAT:
+            before = self._batch()
+            return (*before, *before)
+        if kind is EngineFaultKind.LATE:
+            # Tokens of an older attempt of this request.
+            late = state.TokenEvent(order.attempt - 1, self._sent, b'late ')
+            return (late, *self._batch())
+        if kind is EngineFaultKind.CROSSED_STREAM:
+            # The answer to another request comes on this connection.
+            return (
+                state.StreamStart(
+                    state.RequestId('r-another'), order.attempt + 1, 'x', 0
+                ),
+                state.TokenEvent(order.attempt, self._sent, b'crossed '),
+                state.StreamEnd(self._sent + 1, 'stop'),
+            )
+        crossed = state.TokenEvent(order.attempt + 7, self._sent, b'crossed ')
+        return (crossed, *self._batch(), crossed)
+
+    def _batch(self) -> tuple[state.StreamEvent, ...]:
+        run = self._run
+        order = run.order
+        events: list[state.StreamEvent] = []
+        for _ in range(self._fleet.random.randint(1, 4)):
+            if self._sent >= order.max_tokens_count:
+                events.append(
+                    state.StreamEnd(order.max_tokens_count, 'length')
+                )
+                break
+            text = self._fleet.token_at(order.prompt, self._sent)
+            if run.diverges:
+                text = text.upper()
+            events.append(
+                state.TokenEvent(order.attempt, self._sent, text.encode())
+            )
+            self._sent += 1
+            if self._sent > run.position:
+                run.position = self._sent
+                self._fleet.generated_count += 1
+        return tuple(events)
+
+
+def _fault(kind: ports.StreamFaultKind) -> ports.StreamFault:
+    return ports.StreamFault(kind, kind.value)
--- a/packages/coordination/src/skylarktack/coordination/generation/_results.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_results.py
@@ -18,6 +18,9 @@
     #: Target of that attempt.
     target: state.TargetName
 
+    #: Version that the attempt ran.
+    version: state.VersionName
+
     #: Digest of the answer up to and with this token, hexadecimal.
     digest: str
 
@@ -52,5 +55,23 @@
     refusal: state.Refusal
 
 
+@dataclasses.dataclass(frozen=True)
+class Idle:
+    """Sign of life while no token arrives."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Restarted:
+    """Everything delivered so far is void; the first token follows.
+
+    Only sent to callers who accepted it.
+    """
+
+
+@dataclasses.dataclass(frozen=True)
+class HandedOver:
+    """This instance stops; the caller resumes on another one."""
+
+
 #: Any step of a generation, as its caller sees it.
-GenerationStep = Delivery | Completed | Failed
+GenerationStep = Delivery | Completed | Failed | Idle | Restarted | HandedOver
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/tests/generation_bed.py
@@ -0,0 +1,174 @@
+"""One instance's generations over engines in memory."""
+
+import dataclasses
+import zlib
+
+from expression import Result
+
+from skylarktack import state
+from skylarktack.coordination import fakes
+from skylarktack.coordination import generation
+from skylarktack.coordination import limits
+from skylarktack.coordination import moves
+from skylarktack.coordination import ports
+from skylarktack.coordination import routing
+
+ROUTE = state.Route(
+    name=state.RouteName('digest'),
+    kind=state.RouteKind.GENERATION,
+    version=state.VersionName('model-1'),
+)
+ORGANISATION = state.OrganisationName('small')
+
+
+def token_at(prompt: str, position: int) -> str:
+    """Return the token that healthy engines give at a position."""
+    return f'w{zlib.crc32(f"{prompt} {position}".encode()) % 1000} '
+
+
+def expected_text(prompt: str, count: int) -> str:
+    """Return the whole answer to a prompt."""
+    return ''.join(token_at(prompt, at) for at in range(count))
+
+
+def request(
+    number: int = 1, count: int = 20, **fields: object
+) -> state.GenerationRequest:
+    """Return a request whose prompt depends on its number."""
+    return dataclasses.replace(
+        state.GenerationRequest(
+            request_id=state.RequestId(f'request-{number}'),
+            organisation=ORGANISATION,
+            route=ROUTE,
+            prompt=f'prompt {number}',
+            max_tokens_count=count,
+        ),
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+class Outcomes:
+    """Keeps the evidence of attempts."""
+
+    def __init__(self) -> None:
+        self.seen: list[state.TargetOutcome] = []
+
+    def observe(self, outcome: state.TargetOutcome) -> None:
+        """Take one outcome in."""
+        self.seen.append(outcome)
+
+
+class Fleet:
+    """Engines, their clock and their list."""
+
+    def __init__(self, seed: int, engine_count: int = 4) -> None:
+        self.clock = fakes.SteppingClock()
+        self.engines = fakes.FaultyEngines(self.clock, token_at, seed)
+        self.targets: list[state.Target] = []
+        for index in range(engine_count):
+            self.targets.append(
+                state.Target(
+                    name=state.TargetName(f'engine-{index}'),
+                    kind=state.TargetKind.ENGINE,
+                    address=state.Address('127.0.0.1', index),
+                    failure_domain=state.FailureDomain(f'domain-{index % 2}'),
+                    region='region-1',
+                    versions=(ROUTE.version,),
+                )
+            )
+
+
+class Bed:
+    """The generations of one instance."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        seed: int,
+        settings: state.GenerationSettings | None = None,
+        peers: ports.PeerNetwork | None = None,
+        burst_count: int = 1000,
+    ) -> None:
+        self.fleet = fleet
+        self.selector = routing.TwoChoicesSelector(seed)
+        self.selector.update(tuple(fleet.targets))
+        self.metrics = fakes.MemoryMetrics()
+        self.outcomes = Outcomes()
+        budget = limits.TokenRetryBudget(
+            state.RetrySettings(budget_burst_count=burst_count)
+        )
+        parts = generation.GenerationParts(
+            settings=settings or state.GenerationSettings(),
+            engines=fleet.engines,
+            selector=self.selector,
+            retry_budget=budget,
+            versions=moves.RouteVersionChooser(),
+            outcomes=self.outcomes,
+            clock=fleet.clock,
+            metrics=self.metrics,
+        )
+        self.canceller = generation.AttemptCanceller(parts, False)
+        self.service = generation.GenerationService(
+            parts,
+            100,
+            peers,
+            generation.GenerationRunner(parts, self.canceller),
+        )
+
+    def run(self, wanted: state.GenerationRequest) -> 'Received':
+        """Read a generation to its end."""
+        return read(self.service, self.service.open(wanted))
+
+
+class Received:
+    """What a caller got."""
+
+    def __init__(self) -> None:
+        self.text = ''
+        self.tokens: list[generation.DeliveredToken] = []
+        self.end: generation.Completed | None = None
+        self.refusal: state.Refusal | None = None
+        self.restart_count = 0
+        self.handed_over = False
+
+    def token(self) -> state.ResumeToken:
+        """Return the resume token after the last token."""
+        last = self.tokens[-1]
+        return state.ResumeToken(
+            last.position + 1,
+            last.attempt,
+            last.target,
+            last.digest,
+            last.version,
+        )
+
+
+def read(
+    service: generation.GenerationService,
+    opened: Result[generation.GenerationFeed, state.Refusal],
+    limit_count: int | None = None,
+) -> Received:
+    """Read a feed to its end, or until some tokens arrived."""
+    received = Received()
+    if opened.is_error():
+        received.refusal = opened.error
+        return received
+    for step in opened.ok:
+        if isinstance(step, generation.Delivery):
+            for token in step.tokens:
+                received.text += token.text.decode()
+                received.tokens.append(token)
+        if isinstance(step, generation.Restarted):
+            received.restart_count += 1
+            received.text = ''
+            received.tokens.clear()
+        if isinstance(step, generation.Completed):
+            received.end = step
+        if isinstance(step, generation.Failed):
+            received.refusal = step.refusal
+        if isinstance(step, generation.HandedOver):
+            received.handed_over = True
+        if limit_count is not None and len(received.tokens) >= limit_count:
+            break
+    service.release(opened.ok)
+    return received
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -46,7 +46,7 @@
         self._holder = configuration.ConfigurationHolder(self._clock)
         self._selector = routing.TwoChoicesSelector()
         versions = moves.RouteVersionChooser()
-        runner = generation.GenerationRunner(
+        self._generations = generation.GenerationService(
             generation.GenerationParts(
                 settings=settings.generation,
                 engines=transport.HttpEngineClient(),
@@ -56,7 +56,8 @@
                 outcomes=_OutcomeCounter(self._metrics),
                 clock=self._clock,
                 metrics=self._metrics,
-            )
+            ),
+            settings.caller.generation_count,
         )
         application = transport.CallerApplication(
             transport.CallerParts(
@@ -64,7 +65,7 @@
                 configuration=self._holder,
                 readiness=self,
                 admission=limits.UnlimitedAdmission(),
-                generations=runner,
+                generations=self._generations,
                 lookups=lookup.LookupRunner(
                     transport.HttpServiceClient(), self._selector, versions
                 ),
@@ -86,7 +87,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
-        if self._stopping.is_set():
+        if self._stopping.is_set() or self._generations.is_stopping:
             return False
         return self._listed and self._holder.current().revision > 0
 
@@ -98,7 +99,8 @@
         _LOG.info('callers are served', address=str(self._callers.address))
 
     def stop(self) -> None:
-        """Stop all tasks."""
+        """Let running generations end or move, then stop all tasks."""
+        self._generations.drain()
         self._stopping.set()
         self._callers.stop()
         self._tasks.shutdown(wait=False, cancel_futures=True)
--- a/packages/emulator/src/skylarktack/emulator/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/__init__.py
@@ -3,6 +3,8 @@
 from skylarktack.emulator._caller import ReceivedAnswer
 from skylarktack.emulator._caller import fetch_generation
 from skylarktack.emulator._caller import generate
+from skylarktack.emulator._caller_loop import ResumedAnswer
+from skylarktack.emulator._caller_loop import generate_resumed
 from skylarktack.emulator._deployment import ANNOUNCE_TIMEOUT_S
 from skylarktack.emulator._deployment import OPERATOR_TOKEN
 from skylarktack.emulator._deployment import SECRET
@@ -33,6 +35,8 @@
 from skylarktack.emulator._service import ServiceServer
 
 __all__ = [
+    'ResumedAnswer',
+    'generate_resumed',
     'ANNOUNCE_TIMEOUT_S',
     'Deployment',
     'DeploymentShape',
--- a/packages/emulator/src/skylarktack/emulator/_caller.py
+++ b/packages/emulator/src/skylarktack/emulator/_caller.py
@@ -33,6 +33,12 @@
     #: Fields of the typed error, or None.
     error: dict[str, object] | None
 
+    #: Whether the instance asked the caller to resume elsewhere.
+    handed_over: bool = False
+
+    #: Whether the answer began again on this connection.
+    restarted: bool = False
+
     @property
     def text(self) -> str:
         """The whole text."""
@@ -110,6 +116,8 @@
     error: dict[str, object] | None = None
     status = 0
     request_id = ''
+    handed_over = False
+    restarted = False
     connection = http.client.HTTPConnection(
         address.host, address.port, timeout=timeout_s
     )
@@ -135,6 +143,16 @@
                 if name == 'end':
                     end = data
                     break
+                if name == 'handover':
+                    handed_over = True
+                    break
+                if name == 'restart':
+                    restarted = True
+                    name = ''
+                    tokens.clear()
+                    event_ids.clear()
+                    arrivals_s.clear()
+                    continue
                 if name == 'error':
                     error = data['error']
                     break
@@ -157,4 +175,6 @@
         arrivals_s=tuple(arrivals_s),
         end=end,
         error=error,
+        handed_over=handed_over,
+        restarted=restarted,
     )
--- a/packages/emulator/src/skylarktack/emulator/_engine.py
+++ b/packages/emulator/src/skylarktack/emulator/_engine.py
@@ -62,7 +62,7 @@
             self.answer_json(500, {})
             return
         run = self.server.model.submit(order)
-        self._stream(run, len(order.prefix_tokens))
+        self._stream(run, run.start)
 
     def do_GET(self) -> None:
         model = self.server.model
@@ -88,7 +88,13 @@
             self.answer(200, protocol.encode_plain(events))
             return
         if self.route == '/control/running':
-            self.answer_json(200, {'running_count': model.running_count()})
+            self.answer_json(
+                200,
+                {
+                    'running_count': model.running_count(),
+                    'generated_count': model.generated_count,
+                },
+            )
             return
         if self.route == '/control/orders':
             with model.changed:
@@ -188,7 +194,7 @@
         order = run.order
         parts: list[bytes] = []
         for at in range(sent, position):
-            made = at - len(order.prefix_tokens)
+            made = at - run.start
             if faults.error_after_count and made >= faults.error_after_count:
                 parts.append(
                     protocol.encode_stream_event(
--- a/packages/emulator/src/skylarktack/emulator/_engine_model.py
+++ b/packages/emulator/src/skylarktack/emulator/_engine_model.py
@@ -89,7 +89,10 @@
     #: Position that each stream leaves out; negative means none.
     skip_position: int = -1
 
-    #: Whether the text of a continued prefix differs.
+    #: Whether a given prefix is generated again from its first token.
+    ignore_prefix: bool = False
+
+    #: Whether the text of an attempt with a prefix differs.
     diverge: bool = False
 
 
@@ -134,7 +137,9 @@
     def __init__(self, order: state.EngineOrder, arrived_s: float) -> None:
         self.order = order
         self.arrived_s = arrived_s
-        self.position = len(order.prefix_tokens)
+        # Position of the first token that this attempt generates itself.
+        self.start = len(order.prefix_tokens)
+        self.position = self.start
         self.prefill_steps = 0
         self.done = False
         self.cancelled = False
@@ -159,6 +164,7 @@
         self.orders: list[ports.TargetOrder] = []
         self.runs: dict[tuple[str, int], EngineRun] = {}
         self.steps_count = 0
+        self.generated_count = 0
         self._waiting: list[tuple[int, float, int, EngineRun]] = []
         self._running: list[EngineRun] = []
         self._serial = 0
@@ -179,6 +185,8 @@
         """Queue an attempt by priority."""
         with self.changed:
             run = EngineRun(order, time.monotonic())
+            if self.faults.ignore_prefix:
+                run.start = run.position = 0
             run.prefill_steps = self._prefill(order.prompt)
             self.runs[run.key] = run
             self._serial += 1
@@ -197,6 +205,7 @@
                 return False
             run.cancelled = True
             run.done = True
+            run.done_s = time.monotonic()
             self.changed.notify_all()
             return True
 
@@ -297,7 +306,10 @@
             if run.prefill_steps > 0:
                 run.prefill_steps -= 1
                 continue
-            run.position += 1
+            # A prefix may already hold the whole answer.
+            if run.position < run.order.max_tokens_count:
+                run.position += 1
+                self.generated_count += 1
             if run.position >= run.order.max_tokens_count:
                 run.done = True
                 run.done_s = now_s
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -1,5 +1,7 @@
 """Encodings of all messages, apart from the decisions."""
 
+from skylarktack.protocol._caller import HANDOVER
+from skylarktack.protocol._caller import LAST_EVENT_ID_HEADER
 from skylarktack.protocol._caller import REQUEST_ID_HEADER
 from skylarktack.protocol._caller import STATUS_BY_CODE
 from skylarktack.protocol._caller import CallerStreamEncoder
@@ -42,6 +44,8 @@
     'Frame',
     'FrameFault',
     'GenerateBody',
+    'HANDOVER',
+    'LAST_EVENT_ID_HEADER',
     'MAC_BYTES',
     'MAX_TOKENS_COUNT',
     'PEER_MESSAGES',
--- a/packages/protocol/src/skylarktack/protocol/_caller.py
+++ b/packages/protocol/src/skylarktack/protocol/_caller.py
@@ -15,6 +15,9 @@
 #: Name of the header that carries the request identifier.
 REQUEST_ID_HEADER = 'Skylarktack-Request-Id'
 
+#: Name of the header that carries the event id after which to resume.
+LAST_EVENT_ID_HEADER = 'Last-Event-ID'
+
 #: HTTP status of each kind of refusal.
 STATUS_BY_CODE = {
     state.RefusalCode.BAD_REQUEST: 400,
@@ -41,6 +44,14 @@
     state.RefusalCode.RETRY_BUDGET: 503,
 }
 
+#: What a caller is told whose generation continues on another instance.
+HANDOVER = state.Refusal(
+    code=state.RefusalCode.STOPPING,
+    message='The instance stops; resume with the last event id.',
+    run=state.RunState.UNKNOWN,
+    retry_after_ms=0,
+)
+
 _BODY = pydantic.TypeAdapter(_generate_body.GenerateBody)
 
 
@@ -97,32 +108,47 @@
     def __init__(
         self,
         signer: _event_ids.EventIdSigner,
+        organisation: state.OrganisationName,
         request_id: state.RequestId,
     ) -> None:
         self._signer = signer
+        self._organisation = organisation
         self._request_id = request_id
 
     def encode(self, step: generation.GenerationStep) -> bytes:
         """Return one chunk that holds all events of the step."""
         if isinstance(step, generation.Delivery):
             return b''.join([self._token(token) for token in step.tokens])
+        if isinstance(step, generation.Idle):
+            return b': keepalive\n\n'
         if isinstance(step, generation.Completed):
             data = json.dumps(
                 {'token_count': step.token_count, 'reason': step.reason}
             )
             return f'event: end\ndata: {data}\n\n'.encode()
+        if isinstance(step, generation.Restarted):
+            return b'event: restart\ndata: {}\n\n'
+        if isinstance(step, generation.HandedOver):
+            error = encode_refusal(HANDOVER, self._request_id).decode()
+            return f'event: handover\ndata: {error}\n\n'.encode()
         error = encode_refusal(step.refusal, self._request_id).decode()
         return f'event: error\ndata: {error}\n\n'.encode()
 
-    def _token(self, token: generation.DeliveredToken) -> bytes:
-        event_id = self._signer.encode(
+    def event_id(self, token: generation.DeliveredToken) -> str:
+        """Return the event id with which a caller resumes after a token."""
+        return self._signer.encode(
+            self._organisation,
             self._request_id,
             state.ResumeToken(
                 position=token.position + 1,
                 attempt=token.attempt,
                 target=token.target,
                 digest=token.digest,
+                version=token.version,
             ),
         )
+
+    def _token(self, token: generation.DeliveredToken) -> bytes:
+        event_id = self.event_id(token)
         data = json.dumps(token.text.decode())
         return f'id: {event_id}\ndata: {data}\n\n'.encode()
--- a/packages/protocol/src/skylarktack/protocol/_event_ids.py
+++ b/packages/protocol/src/skylarktack/protocol/_event_ids.py
@@ -1,20 +1,26 @@
 """Event ids of callers' streams: signed resume tokens."""
 
+import functools
 import hashlib
 import hmac
+import urllib.parse
 
 from skylarktack import state
 
 #: Length of the authentication code in an event id, in bytes.
 MAC_BYTES = 8
 
+#: Longest event id that is looked at.
+EVENT_ID_LIMIT_CHARS = 1024
+
 
 class EventIdSigner:
     """Encodes and checks resume tokens with the deployment's secret.
 
-    An event id is ``<position>.<attempt>.<digest>.<mac>.<target>``. The code
-    covers the request identifier too, so that the id of one request cannot
-    be used for another.
+    An event id is ``<position>.<attempt>.<digest>.<mac>.<target>/<version>``.
+    The code covers the organisation and the request identifier too, so that
+    the id of one request cannot be used for another, nor by another
+    organisation.
     """
 
     def __init__(self, secret: str) -> None:
@@ -24,40 +30,58 @@
         ).digest()
 
     def encode(
-        self, request_id: state.RequestId, token: state.ResumeToken
+        self,
+        organisation: state.OrganisationName,
+        request_id: state.RequestId,
+        token: state.ResumeToken,
     ) -> str:
         """Return the event id of one position of one request."""
-        fields = (
-            f'{token.position}.{token.attempt}.{token.digest}.{token.target}'
-        )
-        return (
-            f'{token.position}.{token.attempt}.{token.digest}.'
-            f'{self._mac(request_id, fields)}.{token.target}'
-        )
+        head = f'{token.position}.{token.attempt}.{token.digest}'
+        place = _encode_place(token.target, token.version)
+        mac = self._mac(organisation, request_id, f'{head}.{place}')
+        return f'{head}.{mac}.{place}'
 
     def decode(
-        self, request_id: state.RequestId, text: str
+        self,
+        organisation: state.OrganisationName,
+        request_id: state.RequestId,
+        text: str,
     ) -> state.ResumeToken | None:
         """Return the token of an event id, or None if it is not genuine."""
         parts = text.split('.', 4)
-        if len(parts) != 5:
+        if len(parts) != 5 or len(text) > EVENT_ID_LIMIT_CHARS:
             return None
-        position, attempt, digest, mac, target = parts
-        fields = f'{position}.{attempt}.{digest}.{target}'
-        if not hmac.compare_digest(
-            mac.encode(), self._mac(request_id, fields).encode()
-        ):
+        position, attempt, digest, mac, place = parts
+        expected = self._mac(
+            organisation,
+            request_id,
+            f'{position}.{attempt}.{digest}.{place}',
+        )
+        if not hmac.compare_digest(mac.encode(), expected.encode()):
             return None
+        target, _, version = place.partition('/')
         return state.ResumeToken(
             position=int(position),
             attempt=int(attempt),
-            target=state.TargetName(target),
+            target=state.TargetName(urllib.parse.unquote(target)),
             digest=digest,
+            version=state.VersionName(urllib.parse.unquote(version)),
         )
 
-    def _mac(self, request_id: state.RequestId, fields: str) -> str:
+    def _mac(
+        self,
+        organisation: state.OrganisationName,
+        request_id: state.RequestId,
+        fields: str,
+    ) -> str:
         return hashlib.blake2b(
-            f'{request_id}\n{fields}'.encode(),
+            f'{organisation}\n{request_id}\n{fields}'.encode(),
             key=self._key,
             digest_size=MAC_BYTES,
         ).hexdigest()
+
+
+@functools.lru_cache(maxsize=1024)
+def _encode_place(target: str, version: str) -> str:
+    quoted = urllib.parse.quote(target, safe='')
+    return f'{quoted}/{urllib.parse.quote(version, safe="")}'
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -4,6 +4,7 @@
 from skylarktack.state._calls import PlainCall
 from skylarktack.state._calls import ServiceAnswer
 from skylarktack.state._delivered import DIGEST_BYTES
+from skylarktack.state._delivered import DeliveredCursor
 from skylarktack.state._delivered import DeliveredText
 from skylarktack.state._documents import ActiveConfiguration
 from skylarktack.state._documents import CallerLossPolicy
@@ -18,6 +19,12 @@
 from skylarktack.state._errors import Refusal
 from skylarktack.state._errors import RefusalCode
 from skylarktack.state._errors import RunState
+from skylarktack.state._generation_record import GenerationRecord
+from skylarktack.state._generation_record import RecordStart
+from skylarktack.state._generation_record import ResumeCheck
+from skylarktack.state._generation_table import GenerationTable
+from skylarktack.state._generation_table import HeldGeneration
+from skylarktack.state._generations import AttemptNote
 from skylarktack.state._generations import EngineOrder
 from skylarktack.state._generations import GenerationRequest
 from skylarktack.state._generations import Keepalive
@@ -56,6 +63,13 @@
 from skylarktack.state._targets import TargetOutcome
 
 __all__ = [
+    'DeliveredCursor',
+    'HeldGeneration',
+    'GenerationTable',
+    'ResumeCheck',
+    'RecordStart',
+    'GenerationRecord',
+    'AttemptNote',
     'ActiveConfiguration',
     'Address',
     'CallerLossPolicy',
--- a/packages/state/src/skylarktack/state/_delivered.py
+++ b/packages/state/src/skylarktack/state/_delivered.py
@@ -54,6 +54,20 @@
             start = end
         return found
 
+    @property
+    def size_bytes(self) -> int:
+        """Memory that the text and its offsets take."""
+        return len(self._text) + len(self._ends) * self._ends.itemsize
+
+    def cursor(self, position: int) -> 'DeliveredCursor':
+        """Return a reader of the tokens from a position on."""
+        return DeliveredCursor(self, position)
+
+    def slice_text(self, position: int) -> bytes:
+        """Return the text of the token at a position."""
+        start = self._ends[position - 1] if position else 0
+        return bytes(self._text[start : self._ends[position]])
+
     def digest_at(self, position: int) -> str:
         """Return the digest of the first ``position`` tokens."""
         digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
@@ -64,3 +78,30 @@
             digest.update(token)
             start = end
         return digest.hexdigest()
+
+
+class DeliveredCursor:
+    """Reads held tokens in order and keeps the digest of what it read."""
+
+    def __init__(self, delivered: DeliveredText, position: int) -> None:
+        self._delivered = delivered
+        self._digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        self._position = 0
+        while self._position < position:
+            self.take()
+
+    @property
+    def position(self) -> int:
+        """Position of the token that comes next."""
+        return self._position
+
+    def take(self) -> tuple[bytes, str]:
+        """Return the next token and the digest up to its end.
+
+        :raises IndexError: if no further token is held.
+        """
+        token = self._delivered.slice_text(self._position)
+        self._position += 1
+        self._digest.update(b'%d:' % len(token))
+        self._digest.update(token)
+        return token, self._digest.copy().hexdigest()
--- a/packages/state/src/skylarktack/state/_generations.py
+++ b/packages/state/src/skylarktack/state/_generations.py
@@ -6,6 +6,7 @@
 from skylarktack.state._names import OrganisationName
 from skylarktack.state._names import RequestId
 from skylarktack.state._names import TargetName
+from skylarktack.state._names import VersionName
 
 
 @dataclasses.dataclass(frozen=True)
@@ -24,6 +25,26 @@
     #: Digest of the delivered tokens, hexadecimal.
     digest: str
 
+    #: Version that the attempt ran; empty if it is not known.
+    version: VersionName = VersionName('')
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptNote:
+    """Where a part of an answer was generated."""
+
+    #: Number of the attempt.
+    number: int
+
+    #: Target of the attempt.
+    target: TargetName
+
+    #: Version that it ran.
+    version: VersionName
+
+    #: Position of the first token that it delivered.
+    from_position: int
+
 
 @dataclasses.dataclass(frozen=True)
 class GenerationRequest:
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -41,12 +41,41 @@
     #: Longest wait for the first token of an attempt.
     first_token_ms: int = 10_000
 
-    #: Longest wait for a new connection to a target.
+    #: Longest wait for a new connection to a target, and for the answer to
+    #: a probe on it.
     connect_ms: int = 500
 
+    #: Longest wait for the head of the answer to a new attempt.
+    start_ms: int = 1500
+
     #: Most attempts of one request.
     attempt_count: int = 6
 
+    #: Failovers of one generation that need no retry budget once it has
+    #: delivered a token; the loss of an engine with all its streams must not
+    #: exhaust the budget.
+    free_failover_count: int = 1
+
+    #: Longest wait for a target after a loss when none is free.
+    target_wait_ms: int = 3000
+
+    #: Time before a leaving target's deadline at which its generations move.
+    leave_margin_ms: int = 3000
+
+    #: How long a generation goes on after its caller disconnected, on routes
+    #: that cancel it.
+    caller_grace_ms: int = 2000
+
+    #: Longest wait for a peer that may hold a generation.
+    peer_ms: int = 400
+
+    #: Memory for generations that nobody reads at present.
+    retained_bytes: int = 33_554_432
+
+    #: Whether lost streams are attached again and continued elsewhere;
+    #: benchmarks switch it off to measure its cost.
+    protection: bool = True
+
     #: How long running streams may finish after a stop was ordered.
     drain_ms: int = 30_000
 
--- a/packages/transport/src/skylarktack/transport/_caller_application.py
+++ b/packages/transport/src/skylarktack/transport/_caller_application.py
@@ -1,29 +1,25 @@
 """WSGI application of the callers' interface."""
 
-from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Iterator
 import dataclasses
 import hashlib
-import re
 from typing import Any
-import uuid
 
 from expression import Error
 from expression import Ok
 from expression import Result
-import structlog
 
 from skylarktack import protocol
 from skylarktack import state
 from skylarktack.coordination import generation
 from skylarktack.coordination import lookup
 from skylarktack.coordination import ports
+from skylarktack.transport import _answers
+from skylarktack.transport import _generation_endpoints
+from skylarktack.transport import _routes
 
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+StartResponse = _answers.StartResponse
 
-_LOG = structlog.get_logger(part='caller')
-_REQUEST_ID = re.compile(r'[A-Za-z0-9_-]{8,80}')
 _PASSED_HEADERS = ('CONTENT_TYPE', 'HTTP_ACCEPT', 'HTTP_ACCEPT_LANGUAGE')
 
 
@@ -44,7 +40,7 @@
     admission: ports.Admission
 
     #: Generations.
-    generations: generation.GenerationRunner
+    generations: generation.GenerationService
 
     #: Repeatable plain calls.
     lookups: lookup.LookupRunner
@@ -58,6 +54,13 @@
 
     def __init__(self, parts: CallerParts) -> None:
         self._parts = parts
+        self._generations = _generation_endpoints.GenerationEndpoints(
+            parts.generations,
+            parts.signer,
+            parts.configuration,
+            parts.admission,
+            parts.settings.name,
+        )
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -65,30 +68,36 @@
         """Serve one request."""
         path = environ['PATH_INFO']
         if path == '/healthz':
-            return _plain(start_response, '200 OK', b'ok\n')
+            return _answers.plain(start_response, '200 OK', b'ok\n')
         if path == '/readyz':
             if self._parts.readiness.is_ready():
-                return _plain(start_response, '200 OK', b'ready\n')
-            return _plain(
+                return _answers.plain(start_response, '200 OK', b'ready\n')
+            return _answers.plain(
                 start_response, '503 Service Unavailable', b'not ready\n'
             )
-        request_id = state.RequestId(f'r-{uuid.uuid4().hex}')
+        request_id = generation.mint_request_id(self._parts.settings.name)
         organisation = self._authenticate(environ)
         if organisation.is_error():
-            return _refuse(start_response, request_id, organisation.error)
+            return _answers.refuse(
+                start_response, request_id, organisation.error
+            )
         parts = path.split('/', 4)
         if path.startswith('/v1/generate/') and len(parts) == 4:
-            return self._generate(
-                environ, start_response, organisation.ok, request_id
+            return self._generations.generate(
+                environ, start_response, organisation.ok
+            )
+        if path.startswith('/v1/generations/') and len(parts) == 4:
+            return self._generations.existing(
+                environ, start_response, organisation.ok
             )
         if path.startswith('/v1/call/') and len(parts) >= 4:
             return self._call(
                 environ, start_response, organisation.ok, request_id
             )
-        return _refuse(
+        return _answers.refuse(
             start_response,
             request_id,
-            _not_run(state.RefusalCode.UNKNOWN_ROUTE, 'No such path.'),
+            _answers.not_run(state.RefusalCode.UNKNOWN_ROUTE, 'No such path.'),
         )
 
     def _authenticate(
@@ -97,7 +106,9 @@
         scheme, _, key = environ.get('HTTP_AUTHORIZATION', '').partition(' ')
         if scheme.lower() != 'bearer' or not key:
             return Error(
-                _not_run(state.RefusalCode.UNAUTHORISED, 'A key is required.')
+                _answers.not_run(
+                    state.RefusalCode.UNAUTHORISED, 'A key is required.'
+                )
             )
         hashed = hashlib.sha256(key.strip().encode()).hexdigest()
         document = self._parts.configuration.current().document
@@ -105,125 +116,10 @@
             if hashed in organisation.key_sha256:
                 return Ok(organisation)
         return Error(
-            _not_run(state.RefusalCode.UNAUTHORISED, 'The key is unknown.')
-        )
-
-    def _route(
-        self,
-        name: str,
-        kind: state.RouteKind,
-        organisation: state.Organisation,
-    ) -> Result[state.Route, state.Refusal]:
-        document = self._parts.configuration.current().document
-        for route in document.routes:
-            if route.name != name or route.kind is not kind:
-                continue
-            allowed = route.organisations
-            if allowed and organisation.name not in allowed:
-                return Error(
-                    _not_run(
-                        state.RefusalCode.FORBIDDEN,
-                        'The organisation may not use this route.',
-                    )
-                )
-            return Ok(route)
-        return Error(
-            _not_run(state.RefusalCode.UNKNOWN_ROUTE, 'No such route.')
-        )
-
-    def _generate(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-        organisation: state.Organisation,
-        request_id: state.RequestId,
-    ) -> Iterable[bytes]:
-        route = self._route(
-            environ['PATH_INFO'].split('/')[3],
-            state.RouteKind.GENERATION,
-            organisation,
-        )
-        if route.is_error():
-            return _refuse(start_response, request_id, route.error)
-        body = protocol.decode_generate_body(environ['wsgi.input'].read())
-        if body.is_error():
-            return _refuse(start_response, request_id, body.error)
-        if body.ok.request_id is not None:
-            if _REQUEST_ID.fullmatch(body.ok.request_id) is None:
-                return _refuse(
-                    start_response,
-                    request_id,
-                    _not_run(
-                        state.RefusalCode.BAD_REQUEST,
-                        'request_id: 8 to 80 letters, digits, _ or -.',
-                    ),
-                )
-            request_id = state.RequestId(body.ok.request_id)
-        request = state.GenerationRequest(
-            request_id=request_id,
-            organisation=organisation.name,
-            route=route.ok,
-            prompt=body.ok.prompt,
-            max_tokens_count=body.ok.max_tokens,
-            priority=organisation.priority,
-            delivered_tokens=body.ok.delivered,
-            accepts_restart=body.ok.restart,
-        )
-        permit = self._parts.admission.admit(organisation, route.ok)
-        if permit.is_error():
-            return _refuse(start_response, request_id, permit.error)
-        _LOG.info('generation started', request_id=request_id)
-        if body.ok.stream:
-            start_response(
-                '200 OK',
-                [
-                    ('Content-Type', 'text/event-stream'),
-                    ('Cache-Control', 'no-store'),
-                    (protocol.REQUEST_ID_HEADER, request_id),
-                ],
+            _answers.not_run(
+                state.RefusalCode.UNAUTHORISED, 'The key is unknown.'
             )
-            return self._stream(request, permit.ok)
-        return self._whole(request, permit.ok, start_response)
-
-    def _stream(
-        self, request: state.GenerationRequest, permit: ports.Permit
-    ) -> Iterator[bytes]:
-        encoder = protocol.CallerStreamEncoder(
-            self._parts.signer, request.request_id
         )
-        try:
-            for step in self._parts.generations.run(request):
-                yield encoder.encode(step)
-        finally:
-            permit.release()
-
-    def _whole(
-        self,
-        request: state.GenerationRequest,
-        permit: ports.Permit,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        text = bytearray()
-        try:
-            for step in self._parts.generations.run(request):
-                if isinstance(step, generation.Delivery):
-                    for token in step.tokens:
-                        text += token.text
-                    continue
-                if isinstance(step, generation.Failed):
-                    return _refuse(
-                        start_response, request.request_id, step.refusal
-                    )
-                return _json(
-                    start_response,
-                    request.request_id,
-                    protocol.encode_answer(
-                        request.request_id, text.decode(), step
-                    ),
-                )
-        finally:
-            permit.release()
-        return []
 
     def _call(
         self,
@@ -233,9 +129,14 @@
         request_id: state.RequestId,
     ) -> Iterable[bytes]:
         parts = environ['PATH_INFO'].split('/', 4)
-        route = self._route(parts[3], state.RouteKind.SERVICE, organisation)
+        route = _routes.find_route(
+            self._parts.configuration.current().document,
+            parts[3],
+            state.RouteKind.SERVICE,
+            organisation,
+        )
         if route.is_error():
-            return _refuse(start_response, request_id, route.error)
+            return _answers.refuse(start_response, request_id, route.error)
         path = '/' + (parts[4] if len(parts) > 4 else '')
         if environ.get('QUERY_STRING'):
             path += '?' + environ['QUERY_STRING']
@@ -251,13 +152,13 @@
         )
         permit = self._parts.admission.admit(organisation, route.ok)
         if permit.is_error():
-            return _refuse(start_response, request_id, permit.error)
+            return _answers.refuse(start_response, request_id, permit.error)
         try:
             answered = self._parts.lookups.run(call)
         finally:
             permit.ok.release()
         if answered.is_error():
-            return _refuse(start_response, request_id, answered.error)
+            return _answers.refuse(start_response, request_id, answered.error)
         answer = answered.ok
         start_response(
             f'{answer.status} Answer',
@@ -275,46 +176,3 @@
         shown = name.removeprefix('HTTP_').replace('_', '-').title()
         found.append((shown, value))
     return tuple(found)
-
-
-def _not_run(code: state.RefusalCode, message: str) -> state.Refusal:
-    return state.Refusal(code, message, state.RunState.NOT_RUN)
-
-
-def _plain(
-    start_response: StartResponse, status: str, body: bytes
-) -> Iterable[bytes]:
-    start_response(status, [('Content-Type', 'text/plain')])
-    return [body]
-
-
-def _json(
-    start_response: StartResponse, request_id: state.RequestId, body: bytes
-) -> Iterable[bytes]:
-    start_response(
-        '200 OK',
-        [
-            ('Content-Type', 'application/json'),
-            (protocol.REQUEST_ID_HEADER, request_id),
-        ],
-    )
-    return [body]
-
-
-def _refuse(
-    start_response: StartResponse,
-    request_id: state.RequestId,
-    refusal: state.Refusal,
-) -> Iterable[bytes]:
-    headers = [
-        ('Content-Type', 'application/json'),
-        (protocol.REQUEST_ID_HEADER, request_id),
-    ]
-    if refusal.retry_after_ms is not None:
-        seconds = max(1, round(refusal.retry_after_ms / 1000))
-        headers.append(('Retry-After', str(seconds)))
-    start_response(
-        f'{protocol.STATUS_BY_CODE[refusal.code]} {refusal.code.value}',
-        headers,
-    )
-    return [protocol.encode_refusal(refusal, request_id)]
