Prove generations over faults of real processes

Cause: sockets and processes show faults that engines in memory cannot.

Change: engines restart under their address, links are cut without closing connections, and a caller resumes on another instance; one case for each fault, among them instance and engine killed together and a planned stop.

--- a/packages/coordination/src/skylarktack/coordination/generation/_service.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_service.py
@@ -172,15 +172,22 @@
             self._feed_count -= 1
             self._changed.notify_all()
 
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until nothing is read or advanced; return whether it is so."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: not self._table.running(), timeout_s
+            )
+
     def drain(self) -> DrainReport:
         """Let running generations finish, then hand over the others."""
         self._stopping = True
         running = self._table.running()
         _LOG.info('drain started', running_count=len(running))
-        self._wait_released(self._parts.settings.drain_ms / 1000)
+        self.wait_idle(self._parts.settings.drain_ms / 1000)
         for pump in self._table.running():
             pump.record.handover_ordered = True
-        self._wait_released(HANDOVER_WAIT_S)
+        self.wait_idle(HANDOVER_WAIT_S)
         ended_count = 0
         for pump in running:
             if pump.record.is_ended or pump.record.cancel_ordered:
@@ -247,8 +254,11 @@
     def _take_up(
         self, request: state.GenerationRequest, position: int
     ) -> Result[_feed.GenerationFeed, state.Refusal]:
+        # A caller who moved here is looked for even if the identifier names
+        # no instance, so that the former one does not cancel the attempt.
+        moved = request.resume is not None
         found = self._find_on_peer(
-            request.organisation, request.request_id, request.resume, False
+            request.organisation, request.request_id, request.resume, moved
         )
         if found is not None and found.part.prompt not in (
             None,
@@ -348,12 +358,6 @@
             self._parts.clock.monotonic_s(),
         )
 
-    def _wait_released(self, timeout_s: float) -> None:
-        with self._changed:
-            self._changed.wait_for(
-                lambda: not self._table.running(), timeout_s
-            )
-
 
 def _start_from_token(
     request: state.GenerationRequest, prompt_known: bool
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
@@ -0,0 +1,312 @@
+"""Callers who disconnect, reconnect, fetch and cancel."""
+
+import dataclasses
+
+import pytest
+
+from skylarktack import state
+from skylarktack.coordination import fakes
+from skylarktack.coordination import generation
+from skylarktack.coordination.tests import generation_bed
+
+OTHER = state.OrganisationName('large')
+
+
+def _two(
+    request_id: str | None = None, linked: bool = True
+) -> tuple[generation_bed.Bed, generation_bed.Bed, state.GenerationRequest]:
+    fleet = generation_bed.Fleet(1)
+    hub = fakes.LocalPeerHub()
+    beds = [
+        generation_bed.Bed(fleet, 1, peers=hub.join(name) if linked else None)
+        for name in ('one', 'two')
+    ]
+    chosen = request_id or generation.mint_request_id(
+        state.InstanceName('one')
+    )
+    wanted = generation_bed.request(1, 40, request_id=state.RequestId(chosen))
+    return beds[0], beds[1], wanted
+
+
+def _interrupt(
+    bed: generation_bed.Bed, wanted: state.GenerationRequest
+) -> generation_bed.Received:
+    return generation_bed.read(bed.service, bed.service.open(wanted), 15)
+
+
+class TestReconnect:
+    """Guards against missing or repeated tokens after a reconnect."""
+
+    @pytest.mark.parametrize('linked', (True, False))
+    @pytest.mark.parametrize('engine_lost', (False, True))
+    @pytest.mark.parametrize('sends_delivered', (False, True))
+    def test_other_instance(
+        self, linked: bool, engine_lost: bool, sends_delivered: bool
+    ) -> None:
+        """The rest follows from a peer, the engine, or a checked rerun."""
+        one, two, wanted = _two(linked=linked)
+        first = _interrupt(one, wanted)
+        token = first.token()
+        if engine_lost:
+            one.fleet.engines.engine(token.target).restart()
+        delivered = tuple(held.text.decode() for held in first.tokens)
+        again = dataclasses.replace(
+            wanted,
+            resume=token,
+            delivered_tokens=delivered if sends_delivered else None,
+        )
+        rest = two.run(again)
+        assert rest.refusal is None
+        assert first.text + rest.text == generation_bed.expected_text(
+            wanted.prompt, 40
+        )
+        assert rest.tokens[0].position == token.position
+
+    def test_same_instance(self) -> None:
+        """A caller who comes back joins the detached generation."""
+        one, _, wanted = _two()
+        first = _interrupt(one, wanted)
+        rest = one.run(dataclasses.replace(wanted, resume=first.token()))
+        assert first.text + rest.text == generation_bed.expected_text(
+            wanted.prompt, 40
+        )
+
+    def test_stuck_connection_does_not_hold_up_the_next(self) -> None:
+        """A reader that never reads on does not block a second one."""
+        one, _, wanted = _two()
+        stuck = one.service.open(wanted).ok
+        while not isinstance(next(stuck), generation.Delivery):
+            continue
+        whole = one.run(wanted)
+        assert whole.text == generation_bed.expected_text(wanted.prompt, 40)
+
+    def test_diverged_rerun_is_a_typed_failure(self) -> None:
+        """A rerun with another text ends before anything is delivered."""
+        one, two, wanted = _two(linked=False)
+        first = _interrupt(one, wanted)
+        token = first.token()
+        one.fleet.engines.engine(token.target).restart()
+        two.fleet.engines.token_at = lambda prompt, at: f'other {at} '
+        rest = two.run(dataclasses.replace(wanted, resume=token))
+        assert rest.refusal is not None
+        assert rest.refusal.code is state.RefusalCode.DIVERGED
+        assert rest.text == ''
+        accepted = dataclasses.replace(
+            wanted, resume=token, accepts_restart=True
+        )
+        restarted = two.run(accepted)
+        assert restarted.restart_count == 1
+        assert restarted.text.startswith('other 0 ')
+        assert restarted.end is not None
+
+    def test_wrong_delivered_text_is_refused(self) -> None:
+        """Text that the event id does not cover is no prefix."""
+        one, two, wanted = _two(linked=False)
+        token = _interrupt(one, wanted).token()
+        refused = two.run(
+            dataclasses.replace(
+                wanted, resume=token, delivered_tokens=('wrong ',) * 15
+            )
+        )
+        assert refused.refusal is not None
+        assert refused.refusal.code is state.RefusalCode.BAD_REQUEST
+
+
+class TestFetch:
+    """Guards against lost or leaked generations when only the id is known."""
+
+    def _fetch(
+        self,
+        bed: generation_bed.Bed,
+        wanted: state.GenerationRequest,
+        organisation: state.OrganisationName = generation_bed.ORGANISATION,
+        resume: state.ResumeToken | None = None,
+    ) -> generation_bed.Received:
+        opened = bed.service.fetch(
+            organisation,
+            wanted.request_id,
+            resume,
+            lambda name, version: generation_bed.ROUTE,
+        )
+        return generation_bed.read(bed.service, opened)
+
+    @pytest.mark.parametrize('request_id', (None, 'chosen-by-caller'))
+    @pytest.mark.parametrize('elsewhere', (False, True))
+    def test_finished_answer(
+        self, request_id: str | None, elsewhere: bool
+    ) -> None:
+        """A finished answer is replayed here and on a peer."""
+        one, two, wanted = _two(request_id)
+        one.run(wanted)
+        started_count = one.fleet.engines.started_count
+        fetched = self._fetch(two if elsewhere else one, wanted)
+        assert fetched.text == generation_bed.expected_text(wanted.prompt, 40)
+        assert fetched.end is not None
+        assert one.fleet.engines.started_count == started_count
+
+    def test_running_answer_by_event_id(self) -> None:
+        """The engine's stream is joined though no instance is asked."""
+        one, two, wanted = _two(linked=False)
+        first = _interrupt(one, wanted)
+        rest = self._fetch(two, wanted, resume=first.token())
+        assert first.text + rest.text == generation_bed.expected_text(
+            wanted.prompt, 40
+        )
+
+    def test_lost_engine_without_prompt_is_a_typed_failure(self) -> None:
+        """Without the prompt nothing can be generated again."""
+        one, two, wanted = _two(linked=False)
+        token = _interrupt(one, wanted).token()
+        one.fleet.engines.engine(token.target).restart()
+        rest = self._fetch(two, wanted, resume=token)
+        assert rest.refusal is not None
+        assert rest.refusal.code is state.RefusalCode.UNKNOWN_REQUEST
+
+    def test_other_organisation(self) -> None:
+        """An organisation cannot see the generation of another one."""
+        one, two, wanted = _two()
+        one.run(wanted)
+        for bed in (one, two):
+            fetched = self._fetch(bed, wanted, OTHER)
+            assert fetched.refusal is not None
+            assert fetched.refusal.code is state.RefusalCode.UNKNOWN_REQUEST
+
+    def test_retention_ends(self) -> None:
+        """A finished answer is forgotten after the route's retention."""
+        one, _, wanted = _two()
+        one.run(wanted)
+        one.fleet.clock.advance(generation_bed.ROUTE.retention_ms / 1000 + 1)
+        one.run(generation_bed.request(2))
+        assert self._fetch(one, wanted).refusal is not None
+
+
+class TestCallerLoss:
+    """Guards against engine slots held for callers who left."""
+
+    @pytest.mark.parametrize(
+        ('policy', 'finishes'),
+        (
+            (state.CallerLossPolicy.CANCEL, False),
+            (state.CallerLossPolicy.FINISH, True),
+        ),
+    )
+    def test_policy(
+        self, policy: state.CallerLossPolicy, finishes: bool
+    ) -> None:
+        """The slot is freed, or the answer is finished and kept."""
+        one, _, wanted = _two()
+        route = dataclasses.replace(wanted.route, caller_loss=policy)
+        wanted = dataclasses.replace(
+            wanted, route=route, max_tokens_count=1000
+        )
+        _interrupt(one, wanted)
+        one.service.wait_idle(10.0)
+        one.canceller.run_round()
+        assert not one.fleet.engines.running()
+        whole = one.fleet.engines.generated_count == 1000
+        assert whole is finishes
+
+    def test_cancel(self) -> None:
+        """A cancelled generation ends with its typed error anywhere."""
+        one, two, wanted = _two()
+        feed = one.service.open(wanted).ok
+        next(feed)
+        organisation = generation_bed.ORGANISATION
+        cancelled = two.service.cancel(organisation, wanted.request_id, None)
+        assert cancelled.is_ok()
+        last = list(feed)[-1]
+        assert isinstance(last, generation.Failed)
+        assert last.refusal.code is state.RefusalCode.CANCELLED
+        unknown = two.service.cancel(OTHER, wanted.request_id, None)
+        assert unknown.is_error()
+
+
+class TestPlannedStop:
+    """Guards against streams that a planned stop cuts."""
+
+    def test_drain(self) -> None:
+        """New work is refused and the rest moves with its event id."""
+        one, two, wanted = _two()
+        settings = state.GenerationSettings(drain_ms=1)
+        one = generation_bed.Bed(one.fleet, 1, settings)
+        finished = generation_bed.request(5)
+        one.run(finished)
+        feed = one.service.open(wanted).ok
+        got: list[generation.DeliveredToken] = []
+        while not got:
+            step = next(feed)
+            if isinstance(step, generation.Delivery):
+                got.extend(step.tokens)
+        report = one.service.drain()
+        assert report.running_count == 1
+        assert report.handed_over_count == 1
+        refused = one.run(generation_bed.request(6))
+        assert refused.refusal is not None
+        assert refused.refusal.code is state.RefusalCode.STOPPING
+        assert refused.refusal.run is state.RunState.NOT_RUN
+        rest = list(feed)
+        assert isinstance(rest[-1], generation.HandedOver)
+        first = generation_bed.Received()
+        first.tokens = got
+        for step in rest:
+            if isinstance(step, generation.Delivery):
+                first.tokens.extend(step.tokens)
+        started_count = one.fleet.engines.started_count
+        again = dataclasses.replace(wanted, resume=first.token())
+        moved = two.run(again)
+        text = b''.join(token.text for token in first.tokens).decode()
+        assert text + moved.text == generation_bed.expected_text(
+            wanted.prompt, 40
+        )
+        assert one.fleet.engines.started_count == started_count
+
+    def test_leaving_target(self) -> None:
+        """A generation moves before its target's deadline."""
+        one, _, wanted = _two()
+        wanted = dataclasses.replace(wanted, max_tokens_count=400)
+        feed = one.service.open(wanted).ok
+        text = b''
+        target = None
+        for step in feed:
+            if not isinstance(step, generation.Delivery):
+                continue
+            text += b''.join(token.text for token in step.tokens)
+            if target is None:
+                target = step.tokens[0].target
+                self._leave(one, target)
+        assert text.decode() == generation_bed.expected_text(
+            wanted.prompt, 400
+        )
+        targets = [seen.target for seen in one.outcomes.seen]
+        assert targets[0] == target
+        assert targets[1] != target
+
+    def _leave(self, bed: generation_bed.Bed, name: state.TargetName) -> None:
+        changed: list[state.Target] = []
+        for target in bed.fleet.targets:
+            if target.name == name:
+                target = dataclasses.replace(
+                    target,
+                    leaving=True,
+                    leave_deadline_s=bed.fleet.clock.wall_s() + 4.0,
+                )
+            changed.append(target)
+        bed.selector.update(tuple(changed))
+
+
+class TestRetryBudget:
+    """Guards against a retry storm when all targets fail."""
+
+    def test_budget_ends_the_attempts(self) -> None:
+        """Attempts that bring nothing spend the budget and then end."""
+        fleet = generation_bed.Fleet(1)
+        bed = generation_bed.Bed(fleet, 1, burst_count=10)
+        for number in range(50):
+            wanted = generation_bed.request(number)
+            fleet.engines.faults[wanted.request_id] = [
+                fakes.EngineFault(fakes.EngineFaultKind.ERROR, 0)
+                for _ in range(10)
+            ]
+            received = bed.run(wanted)
+            assert received.refusal is not None
+        assert fleet.engines.started_count <= 50 + 10 + 50 * 0.1
--- a/packages/emulator/src/skylarktack/emulator/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/__init__.py
@@ -28,6 +28,7 @@
 from skylarktack.emulator._http_stand_in import StandInServer
 from skylarktack.emulator._http_stand_in import address_of
 from skylarktack.emulator._http_stand_in import serve_stand_in
+from skylarktack.emulator._link import CuttableLink
 from skylarktack.emulator._object_api import ObjectApi
 from skylarktack.emulator._object_api import ObjectApiFaults
 from skylarktack.emulator._object_api import ObjectApiServer
@@ -35,6 +36,7 @@
 from skylarktack.emulator._service import ServiceServer
 
 __all__ = [
+    'CuttableLink',
     'ResumedAnswer',
     'generate_resumed',
     'ANNOUNCE_TIMEOUT_S',
--- a/packages/emulator/src/skylarktack/emulator/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/_deployment.py
@@ -220,6 +220,8 @@
         self.services: list[EmulatedProcess] = []
         self.instances: list[EmulatedProcess] = []
         self.leaving: set[str] = set()
+        #: Addresses listed instead of those of processes, for cut links.
+        self.links: dict[str, state.Address] = {}
         self._folder = tempfile.TemporaryDirectory(prefix='skylarktack-')
 
     def __enter__(self) -> Self:
@@ -260,19 +262,31 @@
 
     def start_engine(self, index: int) -> EmulatedProcess:
         """Start one more engine; the list must be published after it."""
-        process = EmulatedProcess(
+        process = self._spawn_engine(index, 0)
+        self.engines.append(process)
+        return process
+
+    def restart_engine(self, index: int) -> None:
+        """Kill an engine and start it again under the same address."""
+        before = self.engines[index]
+        before.kill()
+        process = self._spawn_engine(index, before.announced['port'])
+        process.wait_announced()
+        self.engines[index] = process
+
+    def _spawn_engine(self, index: int, port: int) -> EmulatedProcess:
+        return EmulatedProcess(
             f'engine-{index}',
             [
                 'skylarktack.emulator',
                 'engine',
                 f'--name=engine-{index}',
+                f'--port={port}',
                 f'--step_ms={self.shape.step_ms}',
                 f'--slot_count={self.shape.slot_count}',
                 f'--versions={self.shape.engine_versions}',
             ],
         )
-        self.engines.append(process)
-        return process
 
     def publish_list(self) -> None:
         """Enter all running processes in the platform's list."""
@@ -395,7 +409,7 @@
         return state.Target(
             name=state.TargetName(process.name),
             kind=kind,
-            address=process.address,
+            address=self.links.get(process.name, process.address),
             failure_domain=self._domain(index),
             region='region-1',
             versions=versions,
