Share one deployment among the cases with real processes

Cause: each case started its own processes and the file took 61 s.

Change: one deployment serves all cases and is repaired between them.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
@@ -1,9 +1,9 @@
 """Generations over faults of real processes."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import signal
 import threading
-import time
 
 import pytest
 
@@ -11,7 +11,7 @@
 from skylarktack import state
 
 KEY = emulator.organisation_key('small')
-TOKEN_COUNT = 60
+TOKEN_COUNT = 80
 
 #: A fault done to the engine that runs the generation.
 Fault = Callable[[emulator.Deployment, int], None]
@@ -25,7 +25,7 @@
     engine = deployment.engines[index]
     engine.signal(signal.SIGSTOP)
     # The engine comes back after the failover with its attempt still there.
-    threading.Timer(2.5, engine.signal, (signal.SIGCONT,)).start()
+    threading.Timer(1.5, engine.signal, (signal.SIGCONT,)).start()
 
 
 def _silence(deployment: emulator.Deployment, index: int) -> None:
@@ -86,51 +86,87 @@
         return self.received
 
 
+@pytest.fixture(scope='module')
+def deployment() -> Iterator[emulator.Deployment]:
+    """Serve all cases, since starting processes takes most of the time."""
+    shape = emulator.DeploymentShape(
+        instance_count=7,
+        engine_count=3,
+        service_count=0,
+        step_ms=10.0,
+        overrides={'generation': {'drain_ms': 100}},
+    )
+    with emulator.Deployment(shape) as started:
+        yield started
+
+
 def _running_engine(deployment: emulator.Deployment) -> int:
+    """Return the engine that runs a generation, once it generated some."""
     waiting = threading.Event()
+    counts: dict[int, int] = {}
     for _ in range(400):
         for index, engine in enumerate(deployment.engines):
-            if not engine.is_running:
-                continue
             seen = engine.read_json('/control/running')
-            if seen['running_count'] and seen['generated_count'] > 5:
+            first = counts.setdefault(index, seen['generated_count'])
+            if seen['running_count'] and seen['generated_count'] > first + 4:
                 return index
         waiting.wait(0.02)
     raise AssertionError('no engine ran the generation')
 
 
+def _repair(deployment: emulator.Deployment) -> None:
+    """End all faults of engines."""
+    for index, engine in enumerate(deployment.engines):
+        engine.signal(signal.SIGCONT)
+        if not engine.is_running:
+            deployment.restart_engine(index)
+        deployment.engines[index].control(
+            error_after_count=0,
+            close_after_count=0,
+            cross_answers=False,
+            repeat_tokens=False,
+        )
+
+
+def _ready_instances(
+    deployment: emulator.Deployment,
+) -> list[emulator.EmulatedProcess]:
+    return [each for each in deployment.instances if each.is_running]
+
+
 class TestEngineFaults:
     """Guards against faults that only sockets and processes show."""
 
     @pytest.mark.parametrize('fault', FAULTS)
-    def test_answer_is_whole(self, fault: Fault) -> None:
+    def test_answer_is_whole(
+        self, deployment: emulator.Deployment, fault: Fault
+    ) -> None:
         """The caller's one connection brings the whole answer."""
-        shape = emulator.DeploymentShape(
-            instance_count=1, engine_count=2, service_count=0
-        )
-        with emulator.Deployment(shape) as deployment:
-            reader = _Reader([deployment.instances[0].address], 'a week')
-            fault(deployment, _running_engine(deployment))
+        reader = _Reader([deployment.instances[-1].address], 'a week')
+        fault(deployment, _running_engine(deployment))
+        try:
             assert reader.check().connection_count == 1
+        finally:
+            _repair(deployment)
 
-    def test_cut_link(self) -> None:
+    def test_cut_link(self, deployment: emulator.Deployment) -> None:
         """A link that loses all bytes is left for another engine."""
-        shape = emulator.DeploymentShape(
-            instance_count=1, engine_count=2, service_count=0
-        )
-        with emulator.Deployment(shape) as deployment:
-            links = [
-                emulator.CuttableLink(engine.address)
-                for engine in deployment.engines
-            ]
-            for engine, link in zip(deployment.engines, links, strict=True):
-                deployment.links[engine.name] = link.address
-            deployment.publish_list()
-            # The instance reads the list once a second.
-            time.sleep(1.5)
-            reader = _Reader([deployment.instances[0].address], 'a week')
+        links: list[emulator.CuttableLink] = []
+        for engine in deployment.engines:
+            links.append(emulator.CuttableLink(engine.address))
+            deployment.links[engine.name] = links[-1].address
+        instance = deployment.start_instance(20)
+        emulator.wait_ready(instance)
+        deployment.instances.remove(instance)
+        deployment.links.clear()
+        try:
+            reader = _Reader([instance.address], 'a week')
             links[_running_engine(deployment)].cut()
             assert reader.check().connection_count == 1
+        finally:
+            instance.kill()
+            instance.wait_stopped()
+            deployment.publish_list()
 
 
 class TestInstanceFaults:
@@ -139,40 +175,42 @@
     @pytest.mark.parametrize('sends_delivered', (False, True))
     @pytest.mark.parametrize('engine_too', (False, True))
     def test_killed_while_serving(
-        self, engine_too: bool, sends_delivered: bool
+        self,
+        deployment: emulator.Deployment,
+        engine_too: bool,
+        sends_delivered: bool,
     ) -> None:
         """The caller's event id is enough on another instance."""
-        shape = emulator.DeploymentShape(
-            instance_count=2, engine_count=2, service_count=0
-        )
-        with emulator.Deployment(shape) as deployment:
-            addresses = [each.address for each in deployment.instances]
-            reader = _Reader(addresses, 'a week', sends_delivered)
-            index = _running_engine(deployment)
-            if engine_too:
-                deployment.engines[index].kill()
-            deployment.instances[0].kill()
+        instances = _ready_instances(deployment)
+        addresses = [each.address for each in instances[:2]]
+        reader = _Reader(addresses, 'a week', sends_delivered)
+        index = _running_engine(deployment)
+        if engine_too:
+            deployment.engines[index].kill()
+        instances[0].kill()
+        try:
             assert reader.check().connection_count == 2
+        finally:
+            _repair(deployment)
 
-    def test_planned_stop(self) -> None:
+    def test_planned_stop(self, deployment: emulator.Deployment) -> None:
         """Streams that outlast the drain continue on another instance."""
-        shape = emulator.DeploymentShape(
-            instance_count=2,
-            engine_count=2,
-            service_count=0,
-            overrides={'generation': {'drain_ms': 200}},
-        )
-        with emulator.Deployment(shape) as deployment:
-            addresses = [each.address for each in deployment.instances]
-            readers = [_Reader(addresses, f'week {at}') for at in range(8)]
-            _running_engine(deployment)
-            deployment.instances[0].stop()
-            for reader in readers:
-                assert reader.check().handover_count == 1
-            assert deployment.instances[0].wait_stopped() == 0
-            seen = [
-                engine.read_json('/control/running')['generated_count']
-                for engine in deployment.engines
-            ]
-            # No token was generated twice.
-            assert sum(seen) == 8 * TOKEN_COUNT
+        instances = _ready_instances(deployment)
+        addresses = [each.address for each in instances[:2]]
+        before = _generated_count(deployment)
+        readers = [_Reader(addresses, f'week {at}') for at in range(8)]
+        _running_engine(deployment)
+        instances[0].stop()
+        for reader in readers:
+            assert reader.check().handover_count == 1
+        assert instances[0].wait_stopped() == 0
+        # No token was generated twice.
+        generated_count = _generated_count(deployment) - before
+        assert generated_count == 8 * TOKEN_COUNT
+
+
+def _generated_count(deployment: emulator.Deployment) -> int:
+    found = 0
+    for engine in deployment.engines:
+        found += engine.read_json('/control/running')['generated_count']
+    return found
