Cut links of an instance that knows no other way

Cause: the case of a cut link passed with protection switched off, because the new instance had first read the list with the direct addresses.

Change: the list with the links is published before the instance starts.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
@@ -155,6 +155,8 @@
         for engine in deployment.engines:
             links.append(emulator.CuttableLink(engine.address))
             deployment.links[engine.name] = links[-1].address
+        # The new instance must never learn the addresses behind the links.
+        deployment.publish_list()
         instance = deployment.start_instance(20)
         emulator.wait_ready(instance)
         deployment.instances.remove(instance)
