Test event ids and the endpoints of generations

Cause: signed event ids and the ways to ask for a generation had no test of their own, and each event id keyed its hash anew.

Change: one keyed hash for each request is copied for each token; tests for foreign and damaged ids, and for posting, resuming, fetching and cancelling.

--- a/packages/protocol/src/skylarktack/protocol/_event_ids.py
+++ b/packages/protocol/src/skylarktack/protocol/_event_ids.py
@@ -36,10 +36,27 @@
         token: state.ResumeToken,
     ) -> str:
         """Return the event id of one position of one request."""
-        head = f'{token.position}.{token.attempt}.{token.digest}'
-        place = _encode_place(token.target, token.version)
-        mac = self._mac(organisation, request_id, f'{head}.{place}')
-        return f'{head}.{mac}.{place}'
+        return self.writer(organisation, request_id).encode(
+            token.position,
+            token.attempt,
+            token.digest,
+            token.target,
+            token.version,
+        )
+
+    def writer(
+        self,
+        organisation: state.OrganisationName,
+        request_id: state.RequestId,
+    ) -> 'EventIdWriter':
+        """Return an encoder for the many event ids of one request."""
+        return EventIdWriter(
+            hashlib.blake2b(
+                f'{organisation}\n{request_id}\n'.encode(),
+                key=self._key,
+                digest_size=MAC_BYTES,
+            )
+        )
 
     def decode(
         self,
@@ -81,6 +98,29 @@
         ).hexdigest()
 
 
+class EventIdWriter:
+    """Encodes the event ids of one request; owned by one thread."""
+
+    def __init__(self, keyed: hashlib.blake2b) -> None:
+        # Copying the state is cheaper than keying it for each token.
+        self._keyed = keyed
+
+    def encode(
+        self,
+        position: int,
+        attempt: int,
+        digest: str,
+        target: state.TargetName,
+        version: state.VersionName,
+    ) -> str:
+        """Return the event id of one position."""
+        head = f'{position}.{attempt}.{digest}'
+        place = _encode_place(target, version)
+        keyed = self._keyed.copy()
+        keyed.update(f'{head}.{place}'.encode())
+        return f'{head}.{keyed.hexdigest()}.{place}'
+
+
 @functools.lru_cache(maxsize=1024)
 def _encode_place(target: str, version: str) -> str:
     quoted = urllib.parse.quote(target, safe='')
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/tests/test_generation_endpoints.py
@@ -0,0 +1,197 @@
+"""Callers' endpoints of generations, without sockets."""
+
+import hashlib
+import io
+import json
+from typing import Any
+
+import pytest
+
+from skylarktack import protocol
+from skylarktack import state
+from skylarktack import transport
+from skylarktack.coordination import configuration
+from skylarktack.coordination import limits
+from skylarktack.coordination import lookup
+from skylarktack.coordination import moves
+from skylarktack.coordination.tests import generation_bed
+
+SECRET = 'secret'
+
+
+class _Ready:
+    def is_ready(self) -> bool:
+        return True
+
+
+def _application(bed: generation_bed.Bed) -> transport.CallerApplication:
+    organisations: list[state.Organisation] = []
+    for name in ('small', 'large'):
+        hashed = hashlib.sha256(name.encode()).hexdigest()
+        organisations.append(
+            state.Organisation(state.OrganisationName(name), (hashed,))
+        )
+    holder = configuration.ConfigurationHolder(bed.fleet.clock)
+    holder.offer(
+        1,
+        state.ConfigurationDocument(
+            tuple(organisations), (generation_bed.ROUTE,)
+        ),
+    )
+    anywhere = state.Address('127.0.0.1', 0)
+    settings = state.InstanceSettings(
+        name=state.InstanceName('one'),
+        failure_domain=state.FailureDomain('domain-0'),
+        region='region-1',
+        listen=anywhere,
+        operator_listen=anywhere,
+        secret=SECRET,
+        operator_token_sha256='',
+        store=state.StoreSettings(anywhere),
+        peer=state.PeerSettings(anywhere),
+    )
+    lookups = lookup.LookupRunner(
+        transport.HttpServiceClient(),
+        bed.selector,
+        moves.RouteVersionChooser(),
+    )
+    return transport.CallerApplication(
+        transport.CallerParts(
+            settings=settings,
+            configuration=holder,
+            readiness=_Ready(),
+            admission=limits.UnlimitedAdmission(),
+            generations=bed.service,
+            lookups=lookups,
+            signer=protocol.EventIdSigner(SECRET),
+        )
+    )
+
+
+class _Answer:
+    """What one request brought."""
+
+    def __init__(
+        self,
+        application: transport.CallerApplication,
+        method: str,
+        path: str,
+        body: dict[str, object] | None = None,
+        last_event_id: str = '',
+        key: str = 'small',
+    ) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        environ: dict[str, Any] = {
+            'REQUEST_METHOD': method,
+            'PATH_INFO': path,
+            'HTTP_AUTHORIZATION': f'Bearer {key}',
+            'HTTP_LAST_EVENT_ID': last_event_id,
+            'wsgi.input': io.BytesIO(json.dumps(body or {}).encode()),
+        }
+        path, _, environ['QUERY_STRING'] = path.partition('?')
+        environ['PATH_INFO'] = path
+        parts = application(environ, self._start)
+        self.body = b''.join(parts)
+        if hasattr(parts, 'close'):
+            parts.close()
+
+    def _start(self, status: str, headers: list[tuple[str, str]]) -> None:
+        self.status = int(status.split()[0])
+        self.headers = dict(headers)
+
+    @property
+    def code(self) -> object:
+        """Code of the typed error."""
+        return json.loads(self.body)['error']['code']
+
+    def event_ids(self) -> list[str]:
+        """Return the event id of each token."""
+        lines = self.body.decode().splitlines()
+        return [line[4:] for line in lines if line.startswith('id: ')]
+
+    def tokens(self) -> list[str]:
+        """Return the tokens."""
+        found: list[str] = []
+        for block in self.body.decode().split('\n\n'):
+            if block.startswith('id: '):
+                found.append(json.loads(block.splitlines()[1][6:]))
+        return found
+
+
+@pytest.fixture
+def application() -> transport.CallerApplication:
+    """Serve one instance over engines in memory."""
+    return _application(generation_bed.Bed(generation_bed.Fleet(1), 1))
+
+
+POST = '/v1/generate/digest'
+ASKED: dict[str, object] = {
+    'prompt': 'fans',
+    'max_tokens': 12,
+    'request_id': 'request-1',
+}
+HELD = '/v1/generations/request-1'
+
+
+class TestGenerationEndpoints:
+    """Guards against answers that differ between the ways to ask."""
+
+    def test_all_ways_bring_the_same(
+        self, application: transport.CallerApplication
+    ) -> None:
+        """Posted, resumed, fetched and whole answers agree."""
+        expected = generation_bed.expected_text('fans', 12)
+        posted = _Answer(application, 'POST', POST, ASKED)
+        assert ''.join(posted.tokens()) == expected
+        fetched = _Answer(application, 'GET', HELD)
+        assert fetched.event_ids() == posted.event_ids()
+        middle = posted.event_ids()[4]
+        for answer in (
+            _Answer(application, 'POST', POST, ASKED, middle),
+            _Answer(application, 'GET', HELD, None, middle),
+        ):
+            assert answer.tokens() == posted.tokens()[5:]
+            assert b'event: end' in answer.body
+        whole = {**ASKED, 'stream': False}
+        for answer in (
+            _Answer(application, 'POST', POST, whole, middle),
+            _Answer(application, 'GET', HELD + '?stream=false'),
+        ):
+            assert json.loads(answer.body)['text'] == expected
+
+    @pytest.mark.parametrize(
+        ('method', 'path', 'changes', 'event_id', 'key', 'status', 'code'),
+        (
+            ('POST', POST, {'request_id': 'é'}, '', 'small', 400, 'bad_'),
+            ('POST', POST, {'delivered': ['a']}, '', 'small', 400, 'bad_'),
+            ('POST', POST, {'max_tokens': 0}, '', 'small', 400, 'bad_'),
+            ('POST', POST, {}, '1.2.3.4.x/y', 'small', 400, 'bad_'),
+            ('POST', POST, {'prompt': 'x'}, '', 'small', 409, 'idempotency'),
+            ('POST', '/v1/generate/x', {}, '', 'small', 404, 'unknown_route'),
+            ('GET', HELD, {}, '1.2.3.4.x/y', 'small', 400, 'bad_'),
+            ('GET', HELD, {}, '', 'large', 404, 'unknown_request'),
+            ('DELETE', HELD, {}, '', 'large', 404, 'unknown_request'),
+            ('GET', '/v1/generations/x', {}, '', 'small', 400, 'bad_'),
+            ('GET', HELD, {}, '', 'nobody', 401, 'unauthorised'),
+        ),
+    )
+    def test_refusals(
+        self,
+        application: transport.CallerApplication,
+        method: str,
+        path: str,
+        changes: dict[str, object],
+        event_id: str,
+        key: str,
+        status: int,
+        code: str,
+    ) -> None:
+        """Each bad request gets its typed error and a request id."""
+        _Answer(application, 'POST', POST, ASKED)
+        answer = _Answer(
+            application, method, path, {**ASKED, **changes}, event_id, key
+        )
+        assert answer.status == status
+        assert str(answer.code).startswith(code)
+        assert answer.headers[protocol.REQUEST_ID_HEADER]
