Accept, distribute and edit the configuration

Cause: the instance only read a document that somebody had put into the object API; nothing checked it, kept its history or spread it by peers. Change: rules with places, conditional acceptance with history and repeated submissions, a follower with a few watchers and peers, the operators' interface and a console of forms without scripts.

--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_publisher.py
@@ -0,0 +1,319 @@
+"""Accepts configuration changes as conditional writes to the object API."""
+
+import dataclasses
+import enum
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from skylarktack import state
+from skylarktack.coordination import ports
+from skylarktack.coordination.configuration import _codec
+from skylarktack.coordination.configuration import _rules
+
+#: Key of the record in effect.
+CURRENT_KEY = 'configuration/current'
+
+#: Prefix of the records that were in effect before.
+HISTORY_PREFIX = 'configuration/history/'
+
+#: Earlier changes named in a record, by which a repeated submission is
+#: recognised.
+RECENT_CHANGES_COUNT = 32
+
+#: Largest value that the object API holds.
+VALUE_LIMIT_BYTES = 1_000_000
+
+
+class ChangeFaultKind(enum.Enum):
+    """Why a change was not accepted."""
+
+    #: The document has findings.
+    INVALID = 'invalid'
+
+    #: Another change was accepted since the base revision.
+    CONFLICT = 'conflict'
+
+    #: The object API cannot be reached; the change is not accepted.
+    UNAVAILABLE = 'unavailable'
+
+    #: The change may have been accepted; submit it again unchanged.
+    UNKNOWN = 'unknown'
+
+    #: No such revision.
+    MISSING = 'missing'
+
+
+@dataclasses.dataclass(frozen=True)
+class ChangeFault:
+    """A change that was not accepted."""
+
+    #: Why.
+    kind: ChangeFaultKind
+
+    #: One sentence for people.
+    message: str
+
+    #: What is wrong with the document, if it is invalid.
+    findings: tuple[state.Finding, ...] = ()
+
+    #: The record in effect, if another change came first.
+    current: state.ConfigurationRecord | None = None
+
+
+class ConfigurationPublisher:
+    """Accepts changes; any instance can do so.
+
+    The conditional write of the current record decides between racing
+    operators. The record that it replaces is copied to the history first, so
+    that no accepted revision is ever missing there.
+    """
+
+    def __init__(
+        self,
+        store: ports.ObjectStore,
+        codec: _codec.ConfigurationCodec,
+        clock: ports.Clock,
+    ) -> None:
+        self._store = store
+        self._codec = codec
+        self._clock = clock
+
+    def apply(
+        self, change: state.ConfigurationChange
+    ) -> Result[state.ConfigurationRecord, ChangeFault]:
+        """Accept a change, or say why not.
+
+        A change that was accepted before under the same identifier returns
+        the record in effect and writes nothing.
+        """
+        findings = _rules.check_document(change.document)
+        if findings:
+            return Error(
+                ChangeFault(
+                    ChangeFaultKind.INVALID,
+                    'The document is invalid.',
+                    findings,
+                )
+            )
+        found = self._read_current()
+        if found.is_error():
+            return Error(found.error)
+        current, version = found.ok
+        if current is not None and _was_applied(current, change.change_id):
+            return Ok(current)
+        revision = 0 if current is None else current.revision
+        if change.base_revision != revision:
+            return Error(
+                ChangeFault(
+                    ChangeFaultKind.CONFLICT,
+                    f'Revision {revision} is in effect; the change started '
+                    f'from revision {change.base_revision}.',
+                    current=current,
+                )
+            )
+        record = self._next_record(change, current)
+        value = self._codec.encode(record)
+        if len(value) > VALUE_LIMIT_BYTES:
+            return Error(
+                ChangeFault(
+                    ChangeFaultKind.INVALID,
+                    'The document is too large for one object.',
+                    (
+                        state.Finding(
+                            '$', f'Takes more than {VALUE_LIMIT_BYTES} bytes.'
+                        ),
+                    ),
+                )
+            )
+        if current is not None:
+            kept = self._keep_in_history(current)
+            if kept is not None:
+                return Error(kept)
+        return self._write(record, value, version)
+
+    def roll_back(
+        self, revision: int, author: str, change_id: str
+    ) -> Result[state.ConfigurationRecord, ChangeFault]:
+        """Accept the document of an earlier revision as a new revision."""
+        old = self.revision(revision)
+        if old.is_error():
+            return Error(old.error)
+        found = self._read_current()
+        if found.is_error():
+            return Error(found.error)
+        current, _ = found.ok
+        return self.apply(
+            state.ConfigurationChange(
+                document=old.ok.document,
+                base_revision=0 if current is None else current.revision,
+                author=author,
+                change_id=change_id,
+                comment=f'Roll back to revision {revision}.',
+            )
+        )
+
+    def revision(
+        self, revision: int
+    ) -> Result[state.ConfigurationRecord, ChangeFault]:
+        """Read an accepted revision, the one in effect included."""
+        found = self._read_current()
+        if found.is_error():
+            return Error(found.error)
+        current, _ = found.ok
+        if current is not None and current.revision == revision:
+            return Ok(current)
+        stored = self._store.get(_history_key(revision))
+        if stored.is_error():
+            return Error(_store_fault(stored.error, writes=False))
+        return self._decode(stored.ok.value)
+
+    def history(
+        self, count: int
+    ) -> Result[tuple[state.ConfigurationRecord, ...], ChangeFault]:
+        """Read the last accepted revisions, newest first."""
+        found = self._read_current()
+        if found.is_error():
+            return Error(found.error)
+        current, _ = found.ok
+        if current is None:
+            return Ok(())
+        records = [current]
+        lowest = max(0, current.revision - count)
+        for revision in range(current.revision - 1, lowest, -1):
+            stored = self._store.get(_history_key(revision))
+            if stored.is_error():
+                break
+            decoded = self._decode(stored.ok.value)
+            if decoded.is_error():
+                return Error(decoded.error)
+            records.append(decoded.ok)
+        return Ok(tuple(records))
+
+    def _next_record(
+        self,
+        change: state.ConfigurationChange,
+        current: state.ConfigurationRecord | None,
+    ) -> state.ConfigurationRecord:
+        recent: tuple[state.AppliedChange, ...] = ()
+        revision = 1
+        if current is not None:
+            revision = current.revision + 1
+            recent = (
+                state.AppliedChange(current.change_id, current.revision),
+                *current.recent_changes,
+            )[:RECENT_CHANGES_COUNT]
+        return state.ConfigurationRecord(
+            revision=revision,
+            document=change.document,
+            author=change.author,
+            accepted_s=self._clock.wall_s(),
+            change_id=change.change_id,
+            comment=change.comment,
+            recent_changes=recent,
+        )
+
+    def _keep_in_history(
+        self, current: state.ConfigurationRecord
+    ) -> ChangeFault | None:
+        written = self._store.put(
+            _history_key(current.revision),
+            self._codec.encode(current),
+            None,
+        )
+        if written.is_ok():
+            return None
+        if written.error.kind is state.StoreFaultKind.CONFLICT:
+            # An earlier attempt to replace this revision has kept it.
+            return None
+        # The current record is unchanged, so nothing was accepted.
+        return ChangeFault(
+            ChangeFaultKind.UNAVAILABLE, 'The object API did not answer.'
+        )
+
+    def _write(
+        self,
+        record: state.ConfigurationRecord,
+        value: bytes,
+        version: int | None,
+    ) -> Result[state.ConfigurationRecord, ChangeFault]:
+        written = self._store.put(CURRENT_KEY, value, version)
+        if written.is_ok():
+            return Ok(record)
+        if written.error.kind is state.StoreFaultKind.UNAVAILABLE:
+            return Error(_store_fault(written.error, writes=False))
+        # A conflict or a lost answer: the record in effect tells.
+        found = self._read_current()
+        if found.is_error():
+            return Error(_store_fault(written.error, writes=True))
+        current, _ = found.ok
+        if current is not None and _was_applied(current, record.change_id):
+            return Ok(record)
+        if written.error.kind is state.StoreFaultKind.ANSWER_LOST:
+            # The write may still be on its way; a repeated submission with
+            # the same identifier settles it.
+            return Error(_store_fault(written.error, writes=True))
+        return Error(
+            ChangeFault(
+                ChangeFaultKind.CONFLICT,
+                'Another change was accepted first.',
+                current=current,
+            )
+        )
+
+    def _read_current(
+        self,
+    ) -> Result[
+        tuple[state.ConfigurationRecord | None, int | None], ChangeFault
+    ]:
+        stored = self._store.get(CURRENT_KEY)
+        if stored.is_error():
+            if stored.error.kind is state.StoreFaultKind.MISSING:
+                return Ok((None, None))
+            return Error(_store_fault(stored.error, writes=False))
+        decoded = self._decode(stored.ok.value)
+        if decoded.is_error():
+            return Error(decoded.error)
+        return Ok((decoded.ok, stored.ok.version))
+
+    def _decode(
+        self, value: bytes
+    ) -> Result[state.ConfigurationRecord, ChangeFault]:
+        decoded = self._codec.decode(value)
+        if decoded.is_error():
+            return Error(
+                ChangeFault(
+                    ChangeFaultKind.INVALID,
+                    'The stored record is invalid.',
+                    decoded.error,
+                )
+            )
+        return Ok(decoded.ok)
+
+
+def _was_applied(record: state.ConfigurationRecord, change_id: str) -> bool:
+    if record.change_id == change_id:
+        return True
+    for change in record.recent_changes:
+        if change.change_id == change_id:
+            return True
+    return False
+
+
+def _history_key(revision: int) -> str:
+    return f'{HISTORY_PREFIX}{revision:010d}'
+
+
+def _store_fault(fault: state.StoreFault, writes: bool) -> ChangeFault:
+    if writes:
+        return ChangeFault(
+            ChangeFaultKind.UNKNOWN,
+            'The answer of the object API was lost; submit the change again '
+            'with the same identifier.',
+        )
+    if fault.kind is state.StoreFaultKind.MISSING:
+        return ChangeFault(ChangeFaultKind.MISSING, 'No such revision.')
+    return ChangeFault(
+        ChangeFaultKind.UNAVAILABLE, 'The object API cannot be reached.'
+    )
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -6,6 +6,20 @@
 from skylarktack.protocol._caller import decode_generate_body
 from skylarktack.protocol._caller import encode_answer
 from skylarktack.protocol._caller import encode_refusal
+from skylarktack.protocol._configurations import RECORD_LIMIT_BYTES
+from skylarktack.protocol._configurations import JsonConfigurationCodec
+from skylarktack.protocol._configurations import decode_findings
+from skylarktack.protocol._configurations import decode_record_for_operators
+from skylarktack.protocol._configurations import encode_findings
+from skylarktack.protocol._configurations import encode_record_for_operators
+from skylarktack.protocol._console import LISTED_COUNT
+from skylarktack.protocol._console import SECTIONS
+from skylarktack.protocol._console import ConsoleField
+from skylarktack.protocol._console import ConsolePage
+from skylarktack.protocol._console import document_difference
+from skylarktack.protocol._console import new_entry
+from skylarktack.protocol._console import read_entry
+from skylarktack.protocol._console import render_console
 from skylarktack.protocol._documents import T
 from skylarktack.protocol._documents import decode_document
 from skylarktack.protocol._documents import decode_settings
@@ -38,16 +52,22 @@
 
 __all__ = [
     'CallerStreamEncoder',
+    'ConsoleField',
+    'ConsolePage',
     'EventIdSigner',
     'Frame',
     'FrameFault',
     'GenerateBody',
+    'JsonConfigurationCodec',
+    'LISTED_COUNT',
     'MAC_BYTES',
     'MAX_TOKENS_COUNT',
     'PEER_MESSAGES',
     'PREFIX_BLOCK_CHARS',
     'PeerCodec',
+    'RECORD_LIMIT_BYTES',
     'REQUEST_ID_HEADER',
+    'SECTIONS',
     'STATUS_BY_CODE',
     'StreamDecoder',
     'T',
@@ -56,20 +76,28 @@
     'decode_document',
     'decode_engine_load',
     'decode_engine_order',
+    'decode_findings',
     'decode_generate_body',
     'decode_objects',
     'decode_platform_list',
+    'decode_record_for_operators',
     'decode_settings',
     'decode_target_order',
     'decode_watch_batch',
+    'document_difference',
     'encode_answer',
     'encode_document',
     'encode_engine_order',
+    'encode_findings',
     'encode_objects',
     'encode_plain',
     'encode_platform_list',
+    'encode_record_for_operators',
     'encode_refusal',
     'encode_stream_event',
     'encode_watch_batch',
+    'new_entry',
     'prefix_hashes',
+    'read_entry',
+    'render_console',
 ]
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -3,6 +3,14 @@
 from skylarktack.state._calls import DispatchFault
 from skylarktack.state._calls import PlainCall
 from skylarktack.state._calls import ServiceAnswer
+from skylarktack.state._configurations import AppliedChange
+from skylarktack.state._configurations import ConfigurationAnswer
+from skylarktack.state._configurations import ConfigurationChange
+from skylarktack.state._configurations import ConfigurationFetch
+from skylarktack.state._configurations import ConfigurationOffer
+from skylarktack.state._configurations import ConfigurationRecord
+from skylarktack.state._configurations import InstanceStatus
+from skylarktack.state._configurations import StatusRequest
 from skylarktack.state._delivered import DIGEST_BYTES
 from skylarktack.state._delivered import DeliveredText
 from skylarktack.state._documents import ActiveConfiguration
@@ -58,10 +66,16 @@
 __all__ = [
     'ActiveConfiguration',
     'Address',
+    'AppliedChange',
     'CallerLossPolicy',
     'CallerSettings',
     'ClaimSettings',
+    'ConfigurationAnswer',
+    'ConfigurationChange',
     'ConfigurationDocument',
+    'ConfigurationFetch',
+    'ConfigurationOffer',
+    'ConfigurationRecord',
     'DIGEST_BYTES',
     'DeliveredText',
     'DispatchFault',
@@ -72,6 +86,7 @@
     'GenerationSettings',
     'InstanceName',
     'InstanceSettings',
+    'InstanceStatus',
     'Keepalive',
     'Limits',
     'ListedInstance',
@@ -94,6 +109,7 @@
     'RouteName',
     'RunState',
     'ServiceAnswer',
+    'StatusRequest',
     'StoreFault',
     'StoreFaultKind',
     'StoreSettings',
--- a/packages/transport/src/skylarktack/transport/__init__.py
+++ b/packages/transport/src/skylarktack/transport/__init__.py
@@ -3,6 +3,7 @@
 from skylarktack.transport._caller_application import CallerApplication
 from skylarktack.transport._caller_application import CallerParts
 from skylarktack.transport._caller_application import StartResponse
+from skylarktack.transport._console_endpoint import ConsoleEndpoint
 from skylarktack.transport._engine_client import READ_LIMIT_BYTES
 from skylarktack.transport._engine_client import HttpEngineClient
 from skylarktack.transport._engine_client import HttpTokenStream
@@ -17,15 +18,31 @@
 from skylarktack.transport._metrics import OTHER_LABEL
 from skylarktack.transport._metrics import StatsdMetrics
 from skylarktack.transport._object_store import HttpObjectStore
+from skylarktack.transport._operator_answers import OperatorAnswer
+from skylarktack.transport._operator_answers import change_fault
+from skylarktack.transport._operator_answers import json_answer
+from skylarktack.transport._operator_answers import json_error
+from skylarktack.transport._operator_answers import record_summary
+from skylarktack.transport._operator_answers import token_of
+from skylarktack.transport._operator_application import BODY_LIMIT_BYTES
+from skylarktack.transport._operator_application import HISTORY_COUNT
+from skylarktack.transport._operator_application import OperatorApplication
+from skylarktack.transport._operator_application import OperatorExtension
+from skylarktack.transport._operator_application import OperatorParts
+from skylarktack.transport._operator_application import PlannedStop
+from skylarktack.transport._operator_application import StatusSource
 from skylarktack.transport._service_client import HttpServiceClient
 from skylarktack.transport._wsgi_server import Application
 from skylarktack.transport._wsgi_server import WsgiServer
 
 __all__ = [
     'Application',
+    'BODY_LIMIT_BYTES',
     'CallerApplication',
     'CallerParts',
+    'ConsoleEndpoint',
     'DURATION_LIMIT_MS',
+    'HISTORY_COUNT',
     'HttpAnswer',
     'HttpEngineClient',
     'HttpFault',
@@ -35,11 +52,22 @@
     'LABEL_LIMIT_COUNT',
     'OTHER_LABEL',
     'OpenResponse',
+    'OperatorAnswer',
+    'OperatorApplication',
+    'OperatorExtension',
+    'OperatorParts',
+    'PlannedStop',
     'READ_LIMIT_BYTES',
     'StartResponse',
     'StatsdMetrics',
+    'StatusSource',
     'WsgiServer',
+    'change_fault',
     'configure_logs',
     'http_call',
+    'json_answer',
+    'json_error',
     'open_http_response',
+    'record_summary',
+    'token_of',
 ]
