Connect entry instances over websockets with SWIM membership

Other parts need real peers behind the PeerNetwork port. The transport proves the shared secret on both sides, seals each frame with a sequence number and bounds its connections; membership probes, relays probes, refutes and exchanges state with bounded neighbours, and the daemon announces its peer port.

--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/membership/_membership.py
@@ -0,0 +1,263 @@
+"""Membership of one instance: rounds of probes and exchanges."""
+
+import collections
+from collections.abc import Callable
+import concurrent.futures
+import dataclasses
+import random
+import threading
+
+import structlog
+
+from skylarktack import state
+from skylarktack.coordination import ports
+from skylarktack.coordination.membership import _beliefs
+from skylarktack.coordination.membership import _exchanges
+from skylarktack.coordination.membership import _health
+from skylarktack.coordination.membership import _messages
+from skylarktack.coordination.membership import _neighbours
+from skylarktack.coordination.membership import _prober
+
+#: Longest wait for the answer to ``Join``.
+JOIN_TIMEOUT_S = 1.0
+
+#: Probe rounds between two attempts to meet an instance that is listed or
+#: believed dead, once other instances are known.
+REUNION_ROUNDS = 2
+
+#: Time between rounds, in multiples of the interval, that shows that this
+#: instance was paused.
+PAUSE_FACTOR = 3.0
+
+_LOG = structlog.get_logger(part='membership')
+
+
+@dataclasses.dataclass(frozen=True)
+class MembershipParts:
+    """What membership needs."""
+
+    #: Intervals, limits and switches.
+    settings: state.PeerSettings
+
+    #: Connections to other instances.
+    network: ports.NeighbourNetwork
+
+    #: Table that membership keeps up to date.
+    table: state.MemberTable
+
+    #: Source of time.
+    clock: ports.Clock
+
+    #: Counters.
+    metrics: ports.Metrics
+
+    #: Seed of random choices; None takes a random one.
+    seed: int | None = None
+
+
+class Membership:
+    """Keeps the member table in step with the fleet.
+
+    Two tasks run: one probes, the other exchanges state with neighbours.
+    ``probe_round`` and ``exchange_round`` are one round of each.
+    """
+
+    def __init__(self, parts: MembershipParts) -> None:
+        self._parts = parts
+        self._random = random.Random(parts.seed)
+        self._health = _health.LocalHealth(parts.settings.health_limit_count)
+        self._beliefs = _beliefs.Beliefs(
+            parts.settings,
+            parts.table,
+            parts.clock,
+            parts.metrics,
+            self._health,
+        )
+        self._prober = _prober.Prober(
+            parts.settings,
+            parts.network,
+            parts.table,
+            self._beliefs,
+            self._health,
+            parts.clock,
+            random.Random(self._random.random()),
+        )
+        self._exchanges = _exchanges.Exchanges(
+            parts.settings,
+            parts.network,
+            parts.table,
+            self._beliefs,
+            parts.metrics,
+        )
+        self._stopping = threading.Event()
+        self._probe_wake = threading.Event()
+        self._lost: collections.deque[state.InstanceName] = collections.deque()
+        self._previous: set[state.InstanceName] = set()
+        self._wanted: set[state.InstanceName] = set()
+        self._round_count = 0
+        self._last_exchange_s = parts.clock.monotonic_s()
+        self._tasks = concurrent.futures.ThreadPoolExecutor(
+            2, thread_name_prefix='membership'
+        )
+        parts.network.handle(_messages.Join, self._answer_join)
+
+    def add_topic(self, topic: ports.GossipTopic) -> None:
+        """Carry a gossip topic on the exchanges from now on."""
+        self._exchanges.add_topic(topic)
+
+    def take_list(self, listed: tuple[state.ListedInstance, ...]) -> None:
+        """Take in the platform's list, which seeds the membership."""
+        self._parts.table.set_listed(listed)
+
+    def start(self) -> None:
+        """Start both tasks."""
+        self._tasks.submit(self._run_probes)
+        self._tasks.submit(self._run_exchanges)
+
+    def leave(self) -> None:
+        """Tell the neighbours that this instance is about to stop."""
+        own = self._beliefs.leave()
+        self._parts.network.broadcast(_messages.News((own,)))
+
+    def stop(self) -> None:
+        """Stop both tasks."""
+        self._stopping.set()
+        self._probe_wake.set()
+        self._prober.stop()
+        self._tasks.shutdown(wait=False, cancel_futures=True)
+
+    def probe_round(self) -> None:
+        """Probe lost neighbours, one neighbour and one other instance."""
+        while self._lost and not self._stopping.is_set():
+            self._prober.probe(self._lost.popleft())
+        self._round_count += 1
+        neighbours = self._live_neighbours()
+        if neighbours:
+            index = self._round_count % len(neighbours)
+            self._prober.probe(neighbours[index])
+        target = self._prober.next_target()
+        if target is not None and target not in neighbours:
+            self._prober.probe(target)
+        if target is None or self._round_count % REUNION_ROUNDS == 0:
+            self._meet_one()
+
+    def exchange_round(self) -> None:
+        """Expire suspicions, choose neighbours and send them state."""
+        self._note_pause()
+        self._beliefs.expire()
+        self._exchanges.send_urgent()
+        self._parts.network.maintain()
+        self._choose_neighbours()
+        self._exchanges.send_next()
+        self._parts.metrics.gauge(
+            'membership.live', len(self._parts.table.live())
+        )
+        self._parts.metrics.gauge(
+            'membership.health_factor', self._health.factor
+        )
+
+    def _run_probes(self) -> None:
+        interval_s = self._parts.settings.probe_interval_ms / 1000
+        while not self._stopping.is_set():
+            self._attempt(self.probe_round)
+            self._parts.clock.wait(
+                self._probe_wake, self._jittered(interval_s)
+            )
+            self._probe_wake.clear()
+
+    def _run_exchanges(self) -> None:
+        interval_s = self._parts.settings.exchange_interval_ms / 1000
+        while not self._stopping.is_set():
+            self._attempt(self.exchange_round)
+            self._parts.clock.wait(self._stopping, self._jittered(interval_s))
+
+    def _jittered(self, interval_s: float) -> float:
+        # Keeps instances that started together apart.
+        return interval_s * (0.9 + 0.2 * self._random.random())
+
+    def _attempt(self, work: Callable[[], None]) -> None:
+        try:
+            work()
+        except Exception:  # a fault in one round must not end the task
+            _LOG.exception('round failed')
+            self._parts.metrics.count('membership.round_errors')
+
+    def _note_pause(self) -> None:
+        now_s = self._parts.clock.monotonic_s()
+        gap_s = now_s - self._last_exchange_s
+        self._last_exchange_s = now_s
+        if not self._parts.settings.guards_pauses:
+            return
+        interval_s = self._parts.settings.exchange_interval_ms / 1000
+        if gap_s < interval_s * PAUSE_FACTOR + JOIN_TIMEOUT_S:
+            return
+        # Answers and refutations of that time are still to be read.
+        self._parts.metrics.count('membership.pauses')
+        _LOG.warning('this instance was paused', duration_s=round(gap_s, 1))
+        self._health.worsen(2)
+        self._beliefs.postpone(gap_s)
+
+    def _live_neighbours(self) -> list[state.InstanceName]:
+        live = {member.name for member in self._parts.table.live()}
+        return [
+            peer for peer in self._parts.network.neighbours() if peer in live
+        ]
+
+    def _choose_neighbours(self) -> None:
+        count = self._parts.settings.connection_count // 2
+        table = self._parts.table
+        ranked = _neighbours.ranked_neighbours(table.own, table.live(), count)
+        present = set(self._parts.network.neighbours())
+        live = {member.name for member in table.live()}
+        for peer in self._previous - present:
+            if peer in live:
+                self._lost.append(peer)
+                self._probe_wake.set()
+        wanted: set[state.InstanceName] = set()
+        for peer in ranked:
+            if len(wanted) >= count:
+                break
+            if peer in present or self._parts.network.connect(peer):
+                wanted.add(peer)
+                continue
+            if peer not in self._lost:
+                self._lost.append(peer)
+                self._probe_wake.set()
+        for peer in self._wanted - wanted:
+            if peer in present and peer not in live:
+                self._parts.network.disconnect(peer)
+        self._wanted = wanted
+        self._previous = set(self._parts.network.neighbours())
+
+    def _meet_one(self) -> None:
+        """Exchange whole tables with an instance that is not live here."""
+        table = self._parts.table
+        if not self._parts.settings.reunites and len(table.live()) > 1:
+            return
+        known = {member.name for member in table.live()}
+        absent = set(table.listed()) - known
+        for member in table.all():
+            if member.state == state.MemberState.DEAD:
+                absent.add(member.name)
+            if member.state == state.MemberState.LEAVING:
+                absent.discard(member.name)
+        if not absent:
+            return
+        peer = self._random.choice(sorted(absent))
+        message = _messages.Join(table.own, table.all())
+        answered = self._parts.network.request(peer, message, JOIN_TIMEOUT_S)
+        if answered.is_error():
+            return
+        if isinstance(answered.ok, _messages.Joined):
+            self._beliefs.take((answered.ok.sender,), peer)
+            self._beliefs.take(answered.ok.members, peer, softened=True)
+
+    def _answer_join(
+        self, peer: state.InstanceName, message: _messages.Join
+    ) -> _messages.Joined:
+        # What the sender believes of this instance may have to be refuted
+        # before the answer is composed.
+        self._beliefs.take(message.members, peer, softened=True)
+        self._beliefs.take((message.sender,), peer)
+        table = self._parts.table
+        return _messages.Joined(table.own, table.all())
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/membership/_messages.py
@@ -0,0 +1,111 @@
+"""Messages of the membership part."""
+
+import dataclasses
+
+from skylarktack import state
+
+
+@dataclasses.dataclass(frozen=True)
+class Join:
+    """Request to exchange whole tables; answered by ``Joined``."""
+
+    #: The sender.
+    sender: state.Member
+
+    #: All instances that the sender knows of.
+    members: tuple[state.Member, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Joined:
+    """Answer to ``Join``."""
+
+    #: The answering instance.
+    sender: state.Member
+
+    #: All instances that it knows of.
+    members: tuple[state.Member, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """Request for a sign of life; answered by ``Probed``."""
+
+    #: The sender.
+    sender: state.Member
+
+    #: Recent news.
+    news: tuple[state.Member, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Probed:
+    """Answer to ``Probe``."""
+
+    #: The answering instance.
+    sender: state.Member
+
+    #: Recent news.
+    news: tuple[state.Member, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayProbe:
+    """Request to probe another instance; answered by ``RelayedProbe``."""
+
+    #: The instance to probe.
+    target: state.InstanceName
+
+    #: Longest wait for its answer.
+    timeout_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayedProbe:
+    """Answer to ``RelayProbe``."""
+
+    #: Whether the instance answered.
+    reached: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class News:
+    """Changes that are passed on at once; not answered."""
+
+    #: Changed instances.
+    members: tuple[state.Member, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class TopicPayload:
+    """What one gossip topic tells a neighbour."""
+
+    #: Name of the topic.
+    topic: str
+
+    #: Its content, opaque here.
+    content: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Exchange:
+    """Periodic message to a neighbour; not answered."""
+
+    #: The sender.
+    sender: state.Member
+
+    #: Recent news.
+    news: tuple[state.Member, ...] = ()
+
+    #: Digest of the sender's table.
+    digest: int = 0
+
+    #: Part of the sender's table, if the neighbour's digest differed.
+    members: tuple[state.Member, ...] = ()
+
+    #: Gossip topics.
+    topics: tuple[TopicPayload, ...] = ()
+
+
+#: Requests whose handlers never wait.
+INLINE_TYPES: frozenset[type] = frozenset({Probe, Join})
--- a/packages/coordination/src/skylarktack/coordination/ports/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/__init__.py
@@ -21,6 +21,7 @@
 from skylarktack.coordination.ports._engines import TargetOrderKind
 from skylarktack.coordination.ports._engines import TokenStream
 from skylarktack.coordination.ports._peers import GossipTopic
+from skylarktack.coordination.ports._peers import NeighbourNetwork
 from skylarktack.coordination.ports._peers import PeerFault
 from skylarktack.coordination.ports._peers import PeerFaultKind
 from skylarktack.coordination.ports._peers import PeerHandler
@@ -37,6 +38,7 @@
     'EngineLoad',
     'GossipTopic',
     'Metrics',
+    'NeighbourNetwork',
     'ObjectStore',
     'OutcomeObserver',
     'PeerFault',
--- a/packages/coordination/src/skylarktack/coordination/ports/_peers.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/_peers.py
@@ -75,6 +75,26 @@
         ...
 
 
+class NeighbourNetwork(PeerNetwork, Protocol):
+    """A network whose lasting connections can be chosen."""
+
+    def neighbours(self) -> tuple[state.InstanceName, ...]:
+        """Return the peers with a lasting connection."""
+        ...
+
+    def connect(self, peer: state.InstanceName) -> bool:
+        """Open a lasting connection unless there is one."""
+        ...
+
+    def disconnect(self, peer: state.InstanceName) -> None:
+        """Close the lasting connection to a peer."""
+        ...
+
+    def maintain(self) -> None:
+        """Close idle short connections and silent lasting ones."""
+        ...
+
+
 class GossipTopic(Protocol):
     """Small state spread on the periodic exchanges between peers."""
 
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -15,6 +15,7 @@
 from skylarktack.coordination import moves
 from skylarktack.coordination import ports
 from skylarktack.coordination import routing
+from skylarktack.daemon import _peers
 
 #: Key of the configuration document in the object API.
 CONFIGURATION_KEY = 'configuration/current'
@@ -43,6 +44,7 @@
         self._clock = ports.SystemClock()
         self._store = transport.HttpObjectStore(settings.store)
         self._metrics = transport.StatsdMetrics(settings.statsd)
+        self._peers = _peers.Peers(settings, self._clock, self._metrics)
         self._holder = configuration.ConfigurationHolder(self._clock)
         self._selector = routing.TwoChoicesSelector()
         versions = moves.RouteVersionChooser()
@@ -84,6 +86,11 @@
         """Where callers connect."""
         return self._callers.address
 
+    @property
+    def peer_address(self) -> state.Address:
+        """Where other instances connect."""
+        return self._peers.address
+
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
         if self._stopping.is_set():
@@ -92,6 +99,7 @@
 
     def start(self) -> None:
         """Start all tasks."""
+        self._peers.start()
         self._tasks.submit(self._follow_configuration)
         self._tasks.submit(self._follow_platform_list)
         self._callers.start()
@@ -100,7 +108,9 @@
     def stop(self) -> None:
         """Stop all tasks."""
         self._stopping.set()
+        self._peers.leave()
         self._callers.stop()
+        self._peers.stop()
         self._tasks.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped')
 
@@ -128,6 +138,7 @@
             listed = self._store.platform_list()
             if listed.is_ok():
                 self._selector.update(listed.ok.targets)
+                self._peers.membership.take_list(listed.ok.instances)
                 self._listed = bool(listed.ok.targets)
             self._clock.wait(
                 self._stopping, self._settings.store.list_interval_ms / 1000
--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -50,7 +50,7 @@
                 'host': address.host,
                 'port': address.port,
                 'operator_port': 0,
-                'peer_port': 0,
+                'peer_port': instance.peer_address.port,
             }
         ),
         flush=True,
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/_peers.py
@@ -0,0 +1,68 @@
+"""Composition of the peer network and of membership."""
+
+from skylarktack import protocol
+from skylarktack import state
+from skylarktack import transport
+from skylarktack.coordination import membership
+from skylarktack.coordination import ports
+
+
+class Peers:
+    """The peer network and the membership of one instance."""
+
+    def __init__(
+        self,
+        settings: state.InstanceSettings,
+        clock: ports.Clock,
+        metrics: ports.Metrics,
+    ) -> None:
+        listening = transport.listen_for_peers(settings.peer.listen)
+        self.address = state.Address(
+            settings.peer.listen.host, int(listening.getsockname()[1])
+        )
+        table = state.MemberTable(
+            state.Member(
+                name=settings.name,
+                address=self.address,
+                failure_domain=settings.failure_domain,
+                region=settings.region,
+                # A restarted instance supersedes its former self at once.
+                incarnation=int(clock.wall_s() * 1000),
+                state=state.MemberState.ALIVE,
+            )
+        )
+        self.network = transport.WebsocketPeerNetwork(
+            transport.PeerNetworkParts(
+                settings=settings.peer,
+                secret=settings.secret,
+                table=table,
+                messages=protocol.PEER_MESSAGES,
+                clock=clock,
+                metrics=metrics,
+                inline_types=membership.INLINE_TYPES,
+            ),
+            listening,
+        )
+        self.membership = membership.Membership(
+            membership.MembershipParts(
+                settings=settings.peer,
+                network=self.network,
+                table=table,
+                clock=clock,
+                metrics=metrics,
+            )
+        )
+
+    def start(self) -> None:
+        """Accept peers and join the fleet."""
+        self.network.start()
+        self.membership.start()
+
+    def leave(self) -> None:
+        """Tell the peers that this instance is about to stop."""
+        self.membership.leave()
+
+    def stop(self) -> None:
+        """Close all connections and stop all tasks."""
+        self.membership.stop()
+        self.network.stop()
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -35,18 +35,36 @@
 from skylarktack.protocol._peer_codec import FrameFault
 from skylarktack.protocol._peer_codec import PeerCodec
 from skylarktack.protocol._peer_messages import PEER_MESSAGES
+from skylarktack.protocol._peer_session import FRAME_CODE_BYTES
+from skylarktack.protocol._peer_session import NONCE_BYTES
+from skylarktack.protocol._peer_session import FrameSeal
+from skylarktack.protocol._peer_session import PeerAuthenticator
+from skylarktack.protocol._peer_session import PeerChallenge
+from skylarktack.protocol._peer_session import PeerDone
+from skylarktack.protocol._peer_session import PeerHello
+from skylarktack.protocol._peer_session import PeerProof
+from skylarktack.protocol._peer_session import PeerRefusal
 
 __all__ = [
     'CallerStreamEncoder',
     'EventIdSigner',
+    'FRAME_CODE_BYTES',
     'Frame',
     'FrameFault',
+    'FrameSeal',
     'GenerateBody',
     'MAC_BYTES',
     'MAX_TOKENS_COUNT',
+    'NONCE_BYTES',
     'PEER_MESSAGES',
     'PREFIX_BLOCK_CHARS',
+    'PeerAuthenticator',
+    'PeerChallenge',
     'PeerCodec',
+    'PeerDone',
+    'PeerHello',
+    'PeerProof',
+    'PeerRefusal',
     'REQUEST_ID_HEADER',
     'STATUS_BY_CODE',
     'StreamDecoder',
--- a/packages/protocol/src/skylarktack/protocol/_peer_messages.py
+++ b/packages/protocol/src/skylarktack/protocol/_peer_messages.py
@@ -4,5 +4,22 @@
 classes and enters them here under a tag that never changes its meaning.
 """
 
+from skylarktack.coordination import membership
+from skylarktack.protocol import _peer_session
+
 #: Message types by tag.
-PEER_MESSAGES: dict[str, type] = {}
+PEER_MESSAGES: dict[str, type] = {
+    'peer.hello': _peer_session.PeerHello,
+    'peer.challenge': _peer_session.PeerChallenge,
+    'peer.proof': _peer_session.PeerProof,
+    'peer.refusal': _peer_session.PeerRefusal,
+    'peer.done': _peer_session.PeerDone,
+    'member.join': membership.Join,
+    'member.joined': membership.Joined,
+    'member.probe': membership.Probe,
+    'member.probed': membership.Probed,
+    'member.relay': membership.RelayProbe,
+    'member.relayed': membership.RelayedProbe,
+    'member.news': membership.News,
+    'member.exchange': membership.Exchange,
+}
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -29,6 +29,8 @@
 from skylarktack.state._generations import TokenEvent
 from skylarktack.state._members import Member
 from skylarktack.state._members import MemberState
+from skylarktack.state._members import MemberTable
+from skylarktack.state._members import supersedes
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
 from skylarktack.state._names import OrganisationName
@@ -77,6 +79,7 @@
     'ListedInstance',
     'Member',
     'MemberState',
+    'MemberTable',
     'Move',
     'Organisation',
     'OrganisationName',
@@ -110,4 +113,5 @@
     'Version',
     'VersionName',
     'WatchBatch',
+    'supersedes',
 ]
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -81,6 +81,43 @@
     #: Time between probes.
     probe_interval_ms: int = 1000
 
+    #: Longest wait for the answer to a probe while this instance is healthy.
+    probe_timeout_ms: int = 500
+
+    #: Instances asked to probe one that did not answer; 0 asks none.
+    helper_count: int = 3
+
+    #: Time in which a suspect instance can refute, while this instance is
+    #: healthy.
+    suspicion_ms: int = 2000
+
+    #: Largest local health score; 0 switches the adjustment off.
+    health_limit_count: int = 8
+
+    #: Time between exchanges with neighbours.
+    exchange_interval_ms: int = 500
+
+    #: Neighbours that receive an exchange each time.
+    exchange_count: int = 2
+
+    #: Most bytes of gossip topics in one exchange.
+    exchange_limit_bytes: int = 600
+
+    #: Most news items piggybacked on one message.
+    news_count: int = 6
+
+    #: How long a dead instance is remembered once it is no longer listed.
+    retention_s: int = 600
+
+    #: Whether this instance refutes news of its death.
+    refutes: bool = True
+
+    #: Whether findings made across a pause of this instance are dropped.
+    guards_pauses: bool = True
+
+    #: Whether dead and unknown listed instances are contacted again.
+    reunites: bool = True
+
 
 @dataclasses.dataclass(frozen=True)
 class ClaimSettings:
--- a/packages/transport/src/skylarktack/transport/__init__.py
+++ b/packages/transport/src/skylarktack/transport/__init__.py
@@ -17,6 +17,9 @@
 from skylarktack.transport._metrics import OTHER_LABEL
 from skylarktack.transport._metrics import StatsdMetrics
 from skylarktack.transport._object_store import HttpObjectStore
+from skylarktack.transport._peer_network import PeerNetworkParts
+from skylarktack.transport._peer_network import WebsocketPeerNetwork
+from skylarktack.transport._peer_network import listen_for_peers
 from skylarktack.transport._service_client import HttpServiceClient
 from skylarktack.transport._wsgi_server import Application
 from skylarktack.transport._wsgi_server import WsgiServer
@@ -35,11 +38,14 @@
     'LABEL_LIMIT_COUNT',
     'OTHER_LABEL',
     'OpenResponse',
+    'PeerNetworkParts',
     'READ_LIMIT_BYTES',
     'StartResponse',
     'StatsdMetrics',
+    'WebsocketPeerNetwork',
     'WsgiServer',
     'configure_logs',
     'http_call',
+    'listen_for_peers',
     'open_http_response',
 ]
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/_peer_links.py
@@ -0,0 +1,155 @@
+"""Open connections of one instance."""
+
+import threading
+
+from skylarktack import state
+from skylarktack.coordination import ports
+from skylarktack.transport import _peer_link
+
+#: Idle time after which a short connection is closed.
+IDLE_S = 5.0
+
+#: Silence after which a lasting connection counts as lost. Neighbours
+#: exchange at least every few seconds.
+SILENCE_S = 10.0
+
+
+class PeerLinks:
+    """Table of the open connections.
+
+    A lasting connection belongs to two neighbours; either may have opened
+    it. Short connections carry the requests of the side that opened them.
+    """
+
+    def __init__(
+        self,
+        name: state.InstanceName,
+        settings: state.PeerSettings,
+        clock: ports.Clock,
+        metrics: ports.Metrics,
+    ) -> None:
+        self._name = name
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._lasting: dict[state.InstanceName, _peer_link.PeerLink] = {}
+        self._opened: dict[state.InstanceName, _peer_link.PeerLink] = {}
+        self._accepted: set[_peer_link.PeerLink] = set()
+
+    def add(self, link: _peer_link.PeerLink) -> bool:
+        """Enter a connection; False if it must be closed instead."""
+        closing: _peer_link.PeerLink | None = None
+        with self._lock:
+            if link.session.lasting:
+                closing = self._choose_lasting(link)
+            elif link.session.initiated:
+                closing = self._choose_opened(link)
+            else:
+                self._accepted.add(link)
+        if closing is None:
+            return True
+        if closing is link:
+            return False
+        closing.close()
+        return True
+
+    def remove(self, link: _peer_link.PeerLink) -> None:
+        """Remove a closed connection."""
+        peer = link.session.peer
+        with self._lock:
+            if self._lasting.get(peer) is link:
+                del self._lasting[peer]
+            if self._opened.get(peer) is link:
+                del self._opened[peer]
+            self._accepted.discard(link)
+
+    def neighbours(self) -> tuple[state.InstanceName, ...]:
+        """Return the peers with a lasting connection, in order of name."""
+        with self._lock:
+            return tuple(
+                peer
+                for peer in sorted(self._lasting)
+                if self._lasting[peer].is_open
+            )
+
+    def neighbour(
+        self, peer: state.InstanceName
+    ) -> _peer_link.PeerLink | None:
+        """Return the lasting connection to a peer."""
+        with self._lock:
+            link = self._lasting.get(peer)
+            return link if link is not None and link.is_open else None
+
+    def find(self, peer: state.InstanceName) -> _peer_link.PeerLink | None:
+        """Return any connection that can carry a request to a peer."""
+        with self._lock:
+            for table in (self._lasting, self._opened):
+                link = table.get(peer)
+                if link is not None and link.is_open:
+                    return link
+            return None
+
+    def close_idle(self) -> None:
+        """Close idle short connections and silent lasting ones."""
+        now_s = self._clock.monotonic_s()
+        closing: list[_peer_link.PeerLink] = []
+        with self._lock:
+            for link in self._lasting.values():
+                if now_s - link.received_s > SILENCE_S:
+                    self._metrics.count('peer.silent_links')
+                    closing.append(link)
+            # The side that opened a short connection closes it; the other
+            # one waits longer, so that no request crosses the close.
+            for link in self._opened.values():
+                if now_s - link.used_s > IDLE_S:
+                    closing.append(link)
+            for link in self._accepted:
+                if now_s - link.used_s > IDLE_S * 4:
+                    closing.append(link)
+        for link in closing:
+            link.close()
+
+    def close_all(self) -> None:
+        """Close all connections."""
+        with self._lock:
+            closing = [*self._lasting.values(), *self._opened.values()]
+            closing.extend(self._accepted)
+        for link in closing:
+            link.close()
+
+    def _choose_lasting(
+        self, link: _peer_link.PeerLink
+    ) -> _peer_link.PeerLink | None:
+        """Enter the better of two connections; return the other one."""
+        peer = link.session.peer
+        old = self._lasting.get(peer)
+        if old is None or not old.is_open:
+            if len(self._lasting) >= self._settings.connection_count * 2:
+                self._metrics.count('peer.refused.crowded')
+                return link
+            self._lasting[peer] = link
+            return None
+        same_start = old.session.start_id == link.session.start_id
+        if same_start and old.session.initiated != link.session.initiated:
+            # Both sides connected at once; both keep the connection that
+            # the instance with the lower name opened.
+            if old.session.initiated == (self._name < peer):
+                return link
+        self._lasting[peer] = link
+        return old
+
+    def _choose_opened(
+        self, link: _peer_link.PeerLink
+    ) -> _peer_link.PeerLink | None:
+        peer = link.session.peer
+        old = self._opened.get(peer)
+        if old is not None and old.is_open:
+            return link
+        if len(self._opened) >= self._settings.connection_count * 2:
+            idlest = min(self._opened.values(), key=lambda one: one.used_s)
+            del self._opened[idlest.session.peer]
+            self._opened[peer] = link
+            return idlest
+        self._opened[peer] = link
+        return None
