--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -1,6 +1,9 @@
 """Replacements of the ports in memory, for tests and examples."""
 
 from skylarktack.coordination.fakes._clock import ManualClock
+from skylarktack.coordination.fakes._fleet import MemberFleet
+from skylarktack.coordination.fakes._links import MemoryLinkHub
+from skylarktack.coordination.fakes._links import MemoryLinkNetwork
 from skylarktack.coordination.fakes._metrics import MemoryMetrics
 from skylarktack.coordination.fakes._peers import LocalPeerHub
 from skylarktack.coordination.fakes._peers import LocalPeerNetwork
@@ -11,6 +14,9 @@
     'LocalPeerHub',
     'LocalPeerNetwork',
     'ManualClock',
+    'MemberFleet',
+    'MemoryLinkHub',
+    'MemoryLinkNetwork',
     'MemoryMetrics',
     'MemoryObjectStore',
     'StoreFaults',
--- a/packages/coordination/src/skylarktack/coordination/membership/_beliefs.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_beliefs.py
@@ -49,7 +49,8 @@
         self._deadlines_s: dict[state.InstanceName, float] = {}
         self._gone_since_s: dict[state.InstanceName, float] = {}
         self._urgent: list[UrgentNews] = []
-        self._leaving = False
+        #: Set while there is news to be passed on at once.
+        self.urgent_arrived = threading.Event()
 
     def take(
         self,
@@ -102,7 +103,6 @@
     def leave(self) -> state.Member:
         """Note that this instance is about to stop; return its entry."""
         with self._lock:
-            self._leaving = True
             own = self._table.own
             self._set_own(own.incarnation + 1, state.MemberState.LEAVING)
             return self._table.own
@@ -118,6 +118,7 @@
         with self._lock:
             urgent = tuple(self._urgent)
             self._urgent.clear()
+            self.urgent_arrived.clear()
             return urgent
 
     def _take_one(
@@ -198,3 +199,4 @@
         self._rumours.add(member)
         if len(self._urgent) < URGENT_LIMIT_COUNT:
             self._urgent.append(UrgentNews(member, source))
+            self.urgent_arrived.set()
--- a/packages/coordination/src/skylarktack/coordination/membership/_exchanges.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_exchanges.py
@@ -34,6 +34,7 @@
         self._lock = threading.Lock()
         self._topics: dict[str, ports.GossipTopic] = {}
         self._digests: dict[state.InstanceName, int] = {}
+        self._first_topics: dict[state.InstanceName, int] = {}
         self._turn = 0
         self._slice_start = 0
         network.handle(_messages.Exchange, self._receive)
@@ -91,8 +92,10 @@
         with self._lock:
             topics = list(self._topics.values())
         if topics:
-            # A topic that always fills the budget must not starve others.
-            first = self._turn % len(topics)
+            # A topic that always fills the budget must not starve others,
+            # so each peer's exchanges begin with the topics in turn.
+            first = self._first_topics.get(peer, 0) % len(topics)
+            self._first_topics[peer] = first + 1
             topics = topics[first:] + topics[:first]
         left_bytes = self._settings.exchange_limit_bytes
         payloads: list[_messages.TopicPayload] = []
@@ -121,8 +124,12 @@
                 continue
             try:
                 topic.receive(peer, payload.content)
-            except Exception:  # a fault of one topic must not stop others
-                _LOG.exception('gossip topic failed', topic=payload.topic)
+            except Exception as error:  # must not stop other topics
+                _LOG.error(
+                    'gossip topic failed',
+                    topic=payload.topic,
+                    error=repr(error),
+                )
                 self._metrics.count('membership.topic_errors')
 
     def _receive_news(
--- a/packages/coordination/src/skylarktack/coordination/membership/_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_membership.py
@@ -21,6 +21,12 @@
 #: Longest wait for the answer to ``Join``.
 JOIN_TIMEOUT_S = 1.0
 
+#: Shortest time between two messages with fresh news to one neighbour.
+URGENT_SPACING_S = 0.05
+
+#: Time before a lost or refused neighbour is connected again.
+RECONNECT_S = 2.0
+
 #: Probe rounds between two attempts to meet an instance that is listed or
 #: believed dead, once other instances are known.
 REUNION_ROUNDS = 2
@@ -94,6 +100,9 @@
         self._lost: collections.deque[state.InstanceName] = collections.deque()
         self._previous: set[state.InstanceName] = set()
         self._wanted: set[state.InstanceName] = set()
+        self._retry_at_s: dict[state.InstanceName, float] = {}
+        self._ranked_live: tuple[state.Member, ...] = ()
+        self._ranking: tuple[state.InstanceName, ...] = ()
         self._round_count = 0
         self._last_exchange_s = parts.clock.monotonic_s()
         self._tasks = concurrent.futures.ThreadPoolExecutor(
@@ -123,6 +132,7 @@
         """Stop both tasks."""
         self._stopping.set()
         self._probe_wake.set()
+        self._beliefs.urgent_arrived.set()
         self._prober.stop()
         self._tasks.shutdown(wait=False, cancel_futures=True)
 
@@ -156,6 +166,10 @@
             'membership.health_factor', self._health.factor
         )
 
+    def pass_news_on(self) -> None:
+        """Send fresh news to the neighbours at once."""
+        self._exchanges.send_urgent()
+
     def _run_probes(self) -> None:
         interval_s = self._parts.settings.probe_interval_ms / 1000
         while not self._stopping.is_set():
@@ -166,10 +180,19 @@
             self._probe_wake.clear()
 
     def _run_exchanges(self) -> None:
+        clock = self._parts.clock
         interval_s = self._parts.settings.exchange_interval_ms / 1000
+        next_s = clock.monotonic_s()
         while not self._stopping.is_set():
-            self._attempt(self.exchange_round)
-            self._parts.clock.wait(self._stopping, self._jittered(interval_s))
+            if clock.monotonic_s() >= next_s:
+                self._attempt(self.exchange_round)
+                next_s = clock.monotonic_s() + self._jittered(interval_s)
+            else:
+                self._attempt(self.pass_news_on)
+            # Changes that come close together go into one message.
+            clock.wait(self._stopping, URGENT_SPACING_S)
+            left_s = max(0.0, next_s - clock.monotonic_s())
+            clock.wait(self._beliefs.urgent_arrived, left_s)
 
     def _jittered(self, interval_s: float) -> float:
         # Keeps instances that started together apart.
@@ -204,30 +227,62 @@
         ]
 
     def _choose_neighbours(self) -> None:
-        count = self._parts.settings.connection_count // 2
         table = self._parts.table
-        ranked = _neighbours.ranked_neighbours(table.own, table.live(), count)
-        present = set(self._parts.network.neighbours())
-        live = {member.name for member in table.live()}
-        for peer in self._previous - present:
-            if peer in live:
-                self._lost.append(peer)
-                self._probe_wake.set()
+        network = self._parts.network
+        live = table.live()
+        names = {member.name for member in live}
+        present = set(network.neighbours())
+        now_s = self._parts.clock.monotonic_s()
+        for peer in sorted((self._previous - present) & names):
+            # The peer died, or it has too many connections.
+            self._retry_at_s[peer] = now_s + RECONNECT_S
+            self._probe_soon(peer)
+        count = self._parts.settings.connection_count // 2
         wanted: set[state.InstanceName] = set()
-        for peer in ranked:
+        for peer in self._ranked(live, count):
             if len(wanted) >= count:
                 break
-            if peer in present or self._parts.network.connect(peer):
+            if self._retry_at_s.get(peer, now_s) > now_s:
+                continue
+            if peer in present or network.connect(peer):
                 wanted.add(peer)
                 continue
-            if peer not in self._lost:
-                self._lost.append(peer)
-                self._probe_wake.set()
-        for peer in self._wanted - wanted:
-            if peer in present and peer not in live:
-                self._parts.network.disconnect(peer)
+            self._retry_at_s[peer] = now_s + RECONNECT_S
+            self._probe_soon(peer)
+        for peer in sorted(self._unwanted(present, names, wanted)):
+            network.disconnect(peer)
         self._wanted = wanted
-        self._previous = set(self._parts.network.neighbours())
+        self._previous = set(network.neighbours())
+
+    def _unwanted(
+        self,
+        present: set[state.InstanceName],
+        live: set[state.InstanceName],
+        wanted: set[state.InstanceName],
+    ) -> set[state.InstanceName]:
+        """Return connections to gone peers and former choices in excess."""
+        unwanted = present - live
+        if len(present) > self._parts.settings.connection_count:
+            unwanted |= (self._wanted - wanted) & present
+        return unwanted
+
+    def _ranked(
+        self, live: tuple[state.Member, ...], count: int
+    ) -> tuple[state.InstanceName, ...]:
+        # The table returns the same tuple until it changes.
+        if live is not self._ranked_live:
+            self._ranked_live = live
+            self._retry_at_s.clear()
+            self._ranking = _neighbours.ranked_neighbours(
+                self._parts.table.own, live, count
+            )
+        return self._ranking
+
+    def _probe_soon(self, peer: state.InstanceName) -> None:
+        if peer in self._lost:
+            return
+        self._lost.append(peer)
+        self._probe_wake.set()
 
     def _meet_one(self) -> None:
         """Exchange whole tables with an instance that is not live here."""
--- a/packages/state/src/skylarktack/state/_members.py
+++ b/packages/state/src/skylarktack/state/_members.py
@@ -51,6 +51,8 @@
     MemberState.DEAD: 3,
 }
 
+_SERVING = (MemberState.ALIVE, MemberState.SUSPECT)
+
 
 def supersedes(new: Member, old: Member) -> bool:
     """Return whether a belief replaces another one of the same instance."""
@@ -67,7 +69,10 @@
         self._own = own
         self._members: dict[InstanceName, Member] = {own.name: own}
         self._listed: dict[InstanceName, Address] = {}
+        # Derived values, dropped at each change.
         self._digest: int | None = None
+        self._all: tuple[Member, ...] | None = None
+        self._live: tuple[Member, ...] | None = None
 
     @property
     def own(self) -> Member:
@@ -83,17 +88,22 @@
     def all(self) -> tuple[Member, ...]:
         """Return all instances, dead ones included, in order of name."""
         with self._lock:
-            return tuple(self._members[name] for name in sorted(self._members))
+            return self._sorted()
 
     def live(self) -> tuple[Member, ...]:
         """Return the instances that serve, in order of name.
 
-        A suspect instance still serves; a leaving one does not.
+        A suspect instance still serves; a leaving one does not. The same
+        tuple is returned until the table changes.
         """
-        serving = (MemberState.ALIVE, MemberState.SUSPECT)
-        return tuple(
-            member for member in self.all() if member.state in serving
-        )
+        with self._lock:
+            if self._live is None:
+                self._live = tuple(
+                    member
+                    for member in self._sorted()
+                    if member.state in _SERVING
+                )
+            return self._live
 
     def merge(self, new: Member) -> bool:
         """Take in a belief of another instance; return whether it is news."""
@@ -104,7 +114,7 @@
             if old is not None and not supersedes(new, old):
                 return False
             self._members[new.name] = new
-            self._digest = None
+            self._note_change()
             return True
 
     def set_own(self, own: Member) -> None:
@@ -112,7 +122,7 @@
         with self._lock:
             self._own = own
             self._members[own.name] = own
-            self._digest = None
+            self._note_change()
 
     def forget(self, name: InstanceName) -> None:
         """Remove an instance that is gone for good."""
@@ -120,7 +130,7 @@
             if name == self._own.name:
                 return
             self._members.pop(name, None)
-            self._digest = None
+            self._note_change()
 
     def set_listed(self, listed: tuple[ListedInstance, ...]) -> None:
         """Replace the addresses that the platform's list names."""
@@ -152,18 +162,30 @@
         """Return a number that is equal for equal tables."""
         with self._lock:
             if self._digest is None:
-                hashed = hashlib.blake2b(digest_size=8)
-                for name in sorted(self._members):
-                    member = self._members[name]
-                    if member.state in (
-                        MemberState.DEAD,
-                        MemberState.LEAVING,
-                    ):
-                        # Gone instances are forgotten at different times.
-                        continue
-                    hashed.update(
-                        f'{name} {member.incarnation} '
-                        f'{member.state.value}\n'.encode()
-                    )
-                self._digest = int.from_bytes(hashed.digest(), 'big')
+                self._digest = _digest_of(self._sorted())
             return self._digest
+
+    def _sorted(self) -> tuple[Member, ...]:
+        if self._all is None:
+            self._all = tuple(
+                self._members[name] for name in sorted(self._members)
+            )
+        return self._all
+
+    def _note_change(self) -> None:
+        self._digest = None
+        self._all = None
+        self._live = None
+
+
+def _digest_of(members: tuple[Member, ...]) -> int:
+    hashed = hashlib.blake2b(digest_size=8)
+    for member in members:
+        if member.state not in _SERVING:
+            # Gone instances are forgotten at different times.
+            continue
+        hashed.update(
+            f'{member.name} {member.incarnation} '
+            f'{member.state.value}\n'.encode()
+        )
+    return int.from_bytes(hashed.digest(), 'big')
