--- a/packages/transport/src/skylarktack/transport/__init__.py
+++ b/packages/transport/src/skylarktack/transport/__init__.py
@@ -31,6 +31,9 @@
 from skylarktack.transport._operator_application import OperatorParts
 from skylarktack.transport._operator_application import PlannedStop
 from skylarktack.transport._operator_application import StatusSource
+from skylarktack.transport._peer_network import PeerNetworkParts
+from skylarktack.transport._peer_network import WebsocketPeerNetwork
+from skylarktack.transport._peer_network import listen_for_peers
 from skylarktack.transport._service_client import HttpServiceClient
 from skylarktack.transport._wsgi_server import Application
 from skylarktack.transport._wsgi_server import WsgiServer
@@ -61,12 +64,18 @@
     'StartResponse',
     'StatsdMetrics',
     'StatusSource',
+    'PeerNetworkParts',
+    'READ_LIMIT_BYTES',
+    'StartResponse',
+    'StatsdMetrics',
+    'WebsocketPeerNetwork',
     'WsgiServer',
     'change_fault',
     'configure_logs',
     'http_call',
     'json_answer',
     'json_error',
+    'listen_for_peers',
     'open_http_response',
     'record_summary',
     'token_of',
