--- a/packages/protocol/src/skylarktack/protocol/_peer_messages.py
+++ b/packages/protocol/src/skylarktack/protocol/_peer_messages.py
@@ -31,4 +31,12 @@
     'member.relayed': membership.RelayedProbe,
     'member.news': membership.News,
     'member.exchange': membership.Exchange,
+from skylarktack.coordination import generation
+
+#: Message types by tag.
+PEER_MESSAGES: dict[str, type] = {
+    'generation.read': generation.ReadGeneration,
+    'generation.part': generation.GenerationPart,
+    'generation.cancel': generation.CancelGeneration,
+    'generation.cancelled': generation.GenerationCancelled,
 }
