Run unrepeatable calls at most once under stored claims

Cause: plain calls went straight to a target, so a repeated booking ran again and a lookup waited for one slow target. Change: claims are records in buckets of the object API whose head is written conditionally; one writer thread for each bucket groups them, other instances forward. Lookups retry, hedge and avoid ejected targets on kept connections.

--- a/packages/coordination/src/skylarktack/coordination/lookup/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/lookup/__init__.py
@@ -1,7 +1,13 @@
 """Plain calls that may be repeated."""
 
+from skylarktack.coordination.lookup._latencies import RouteLatencies
+from skylarktack.coordination.lookup._runner import DEADLINE_HEADER
+from skylarktack.coordination.lookup._runner import LookupParts
 from skylarktack.coordination.lookup._runner import LookupRunner
 
 __all__ = [
+    'DEADLINE_HEADER',
+    'LookupParts',
     'LookupRunner',
+    'RouteLatencies',
 ]
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/once/_table.py
@@ -0,0 +1,180 @@
+"""Claims of the whole deployment, as one instance reaches them."""
+
+import dataclasses
+import hashlib
+import threading
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import structlog
+
+from skylarktack import state
+from skylarktack.coordination import ports
+from skylarktack.coordination.once import _bucket
+from skylarktack.coordination.once import _messages
+from skylarktack.coordination.once import _rules
+from skylarktack.coordination.once import _writer
+
+_LOG = structlog.get_logger(part='claim')
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimTableParts:
+    """What the table of claims needs."""
+
+    #: Settings, store, encoding and clock of the buckets.
+    bucket: _bucket.BucketParts
+
+    #: Other instances.
+    peers: ports.PeerNetwork
+
+
+class ClaimTable:
+    """Proposes records to the buckets, through their owners if possible."""
+
+    def __init__(self, parts: ClaimTableParts) -> None:
+        self._parts = parts
+        self._settings = parts.bucket.settings
+        self._clock = parts.bucket.clock
+        self._lock = threading.Lock()
+        self._writers: dict[int, _writer.BucketWriter] = {}
+        self._passed_over_until_s: dict[state.InstanceName, float] = {}
+        parts.peers.handle(_messages.ClaimForward, self._on_forward)
+
+    def propose(
+        self,
+        record: state.ClaimRecord,
+        timeout_s: float,
+        fresh: bool = False,
+    ) -> Result[state.ClaimRecord | None, state.StoreFault]:
+        """Return the record of the key after the proposal was weighed.
+
+        A claim is held if the result carries its claim id. After a fault
+        the claim is not held, but may be written later; ``propose_later``
+        with a released record revokes it.
+        """
+        writer = self._writer(self.bucket_of(record.key))
+        outcome = writer.propose((record,), timeout_s, fresh)
+        return outcome.map(lambda records: records[0])
+
+    def propose_later(self, record: state.ClaimRecord) -> None:
+        """Write a record in the background."""
+        self._writer(self.bucket_of(record.key)).propose_later(record)
+
+    def unresolved(
+        self,
+    ) -> Result[tuple[state.ClaimRecord, ...], state.StoreFault]:
+        """Read all buckets and return the claims without an outcome."""
+        now_s = self._clock.wall_s()
+        found: list[state.ClaimRecord] = []
+        for bucket in range(self._settings.bucket_count):
+            log = _bucket.BucketLog(bucket, self._parts.bucket)
+            records = log.records()
+            if records.is_error():
+                return Error(records.error)
+            for record in records.ok:
+                if _rules.is_unresolved(record, now_s):
+                    found.append(record)
+        return Ok(tuple(found))
+
+    def stop(self) -> None:
+        """Write recorded outcomes that wait, and end all writers."""
+        with self._lock:
+            writers = tuple(self._writers.values())
+        for writer in writers:
+            writer.stop()
+
+    def bucket_of(self, key: state.ClaimKey) -> int:
+        """Return the bucket of a key; the same on all instances."""
+        text = f'{key.organisation}\0{key.key}'
+        return _hash(text) % self._settings.bucket_count
+
+    def owner(self, bucket: int) -> state.InstanceName:
+        """Return the instance that should write a bucket.
+
+        The membership may differ between instances; two owners slow each
+        other down by conflicts and do no harm.
+        """
+        own_name = self._parts.peers.name
+        now_s = self._clock.monotonic_s()
+        chosen = own_name
+        best = _hash(f'{bucket}\0{own_name}')
+        for member in self._parts.peers.members():
+            if member.state is not state.MemberState.ALIVE:
+                continue
+            if now_s < self._passed_over_until_s.get(member.name, 0.0):
+                continue
+            rank = _hash(f'{bucket}\0{member.name}')
+            if rank > best:
+                chosen, best = member.name, rank
+        return chosen
+
+    def _writer(self, bucket: int) -> _writer.BucketWriter:
+        with self._lock:
+            writer = self._writers.get(bucket)
+            if writer is None:
+                writer = _writer.BucketWriter(
+                    bucket, self._parts.bucket, self._forward
+                )
+                self._writers[bucket] = writer
+            return writer
+
+    def _forward(
+        self,
+        bucket: int,
+        records: tuple[state.ClaimRecord, ...],
+        fresh: bool,
+    ) -> _bucket.Records | None:
+        owner = self.owner(bucket)
+        if owner == self._parts.peers.name:
+            return None
+        answered = self._parts.peers.request(
+            owner,
+            _messages.ClaimForward(
+                bucket, records, self._settings.forward_timeout_ms, fresh
+            ),
+            self._settings.forward_timeout_ms / 1000,
+        )
+        fault = 'no answer'
+        if answered.is_error():
+            fault = answered.error.kind.value
+        elif isinstance(answered.ok, _messages.ClaimForwarded):
+            if len(answered.ok.records) == len(records):
+                return answered.ok.records
+            fault = answered.ok.fault
+        # An owner that is paused or cut off must not cost each batch the
+        # whole time limit.
+        self._passed_over_until_s[owner] = self._clock.monotonic_s() + (
+            self._settings.back_off_ms / 1000
+        )
+        self._parts.bucket.metrics.count('claim.owner_passed_over')
+        _LOG.warning(
+            'bucket owner did not answer; writing the claims here',
+            owner=owner,
+            bucket=bucket,
+            fault=fault,
+        )
+        return None
+
+    def _on_forward(
+        self, peer: state.InstanceName, message: _messages.ClaimForward
+    ) -> _messages.ClaimForwarded:
+        if not 0 <= message.bucket < self._settings.bucket_count:
+            return _messages.ClaimForwarded(fault='no such bucket')
+        # The sender's choice of owner is not questioned here: passing the
+        # proposals on again could go round in circles.
+        outcome = self._writer(message.bucket).propose(
+            message.records,
+            message.timeout_ms / 1000,
+            message.fresh,
+            local_only=True,
+        )
+        if outcome.is_error():
+            return _messages.ClaimForwarded(fault=outcome.error.message)
+        return _messages.ClaimForwarded(outcome.ok)
+
+
+def _hash(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, 'big')
--- a/packages/coordination/src/skylarktack/coordination/ports/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/__init__.py
@@ -1,5 +1,6 @@
 """Interfaces of the coordination layer to everything outside it."""
 
+from skylarktack.coordination.ports._claims import SegmentCodec
 from skylarktack.coordination.ports._clock import Clock
 from skylarktack.coordination.ports._clock import SystemClock
 from skylarktack.coordination.ports._decisions import Admission
@@ -25,7 +26,10 @@
 from skylarktack.coordination.ports._peers import PeerFaultKind
 from skylarktack.coordination.ports._peers import PeerHandler
 from skylarktack.coordination.ports._peers import PeerNetwork
+from skylarktack.coordination.ports._services import LookupClient
+from skylarktack.coordination.ports._services import PendingCall
 from skylarktack.coordination.ports._services import ServiceClient
+from skylarktack.coordination.ports._services import TargetHealth
 from skylarktack.coordination.ports._store import ObjectStore
 
 __all__ = [
@@ -36,6 +40,7 @@
     'EngineClient',
     'EngineLoad',
     'GossipTopic',
+    'LookupClient',
     'Metrics',
     'ObjectStore',
     'OutcomeObserver',
@@ -43,14 +48,17 @@
     'PeerFaultKind',
     'PeerHandler',
     'PeerNetwork',
+    'PendingCall',
     'Permit',
     'Readiness',
     'RetryBudget',
+    'SegmentCodec',
     'SelectionRequest',
     'ServiceClient',
     'StreamFault',
     'StreamFaultKind',
     'SystemClock',
+    'TargetHealth',
     'TargetOrder',
     'TargetOrderKind',
     'TargetSelector',
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -11,10 +11,11 @@
 from skylarktack.coordination import configuration
 from skylarktack.coordination import generation
 from skylarktack.coordination import limits
-from skylarktack.coordination import lookup
 from skylarktack.coordination import moves
+from skylarktack.coordination import once
 from skylarktack.coordination import ports
 from skylarktack.coordination import routing
+from skylarktack.daemon import _calls
 
 #: Key of the configuration document in the object API.
 CONFIGURATION_KEY = 'configuration/current'
@@ -46,14 +47,29 @@
         self._holder = configuration.ConfigurationHolder(self._clock)
         self._selector = routing.TwoChoicesSelector()
         versions = moves.RouteVersionChooser()
+        retry_budget = limits.TokenRetryBudget(settings.retry)
+        outcomes = _OutcomeCounter(self._metrics)
+        self._calls = _calls.CallParts(
+            _calls.CallNeeds(
+                settings=settings,
+                store=self._store,
+                peers=once.SingleMemberNetwork(settings),
+                selector=self._selector,
+                versions=versions,
+                retry_budget=retry_budget,
+                outcomes=outcomes,
+                clock=self._clock,
+                metrics=self._metrics,
+            )
+        )
         runner = generation.GenerationRunner(
             generation.GenerationParts(
                 settings=settings.generation,
                 engines=transport.HttpEngineClient(),
                 selector=self._selector,
-                retry_budget=limits.TokenRetryBudget(settings.retry),
+                retry_budget=retry_budget,
                 versions=versions,
-                outcomes=_OutcomeCounter(self._metrics),
+                outcomes=outcomes,
                 clock=self._clock,
                 metrics=self._metrics,
             )
@@ -65,9 +81,8 @@
                 readiness=self,
                 admission=limits.UnlimitedAdmission(),
                 generations=runner,
-                lookups=lookup.LookupRunner(
-                    transport.HttpServiceClient(), self._selector, versions
-                ),
+                lookups=self._calls.lookups,
+                once=self._calls.once,
                 signer=protocol.EventIdSigner(settings.secret),
             )
         )
@@ -101,6 +116,7 @@
         """Stop all tasks."""
         self._stopping.set()
         self._callers.stop()
+        self._calls.stop()
         self._tasks.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped')
 
--- a/packages/emulator/src/skylarktack/emulator/_service.py
+++ b/packages/emulator/src/skylarktack/emulator/_service.py
@@ -120,4 +120,4 @@
         if answer is None:
             self.answer_json(404, {})
             return
-        self.answer(200, answer)
+        self.answer(200, answer, (('Outcome-Status', '201'),))
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -6,6 +6,7 @@
 from skylarktack.protocol._caller import decode_generate_body
 from skylarktack.protocol._caller import encode_answer
 from skylarktack.protocol._caller import encode_refusal
+from skylarktack.protocol._claims import CborSegmentCodec
 from skylarktack.protocol._documents import T
 from skylarktack.protocol._documents import decode_document
 from skylarktack.protocol._documents import decode_settings
@@ -38,6 +39,7 @@
 
 __all__ = [
     'CallerStreamEncoder',
+    'CborSegmentCodec',
     'EventIdSigner',
     'Frame',
     'FrameFault',
--- a/packages/protocol/src/skylarktack/protocol/_caller.py
+++ b/packages/protocol/src/skylarktack/protocol/_caller.py
@@ -27,6 +27,7 @@
     state.RefusalCode.CONFLICT: 409,
     state.RefusalCode.CANCELLED: 409,
     state.RefusalCode.DIVERGED: 409,
+    state.RefusalCode.ANSWER_EXPIRED: 410,
     state.RefusalCode.BODY_TOO_LARGE: 413,
     state.RefusalCode.INVALID: 422,
     state.RefusalCode.LIMIT_REACHED: 429,
--- /dev/null
+++ b/packages/protocol/src/skylarktack/protocol/_claims.py
@@ -0,0 +1,109 @@
+"""Claim segments in the object API: CBOR.
+
+A segment is ``[layout version, sealed segments, records]``. Each record is a
+byte string that holds a CBOR array, so that its encoding is reused as long as
+the record stays in the head.
+"""
+
+import functools
+from typing import Any
+
+import cbor2
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from skylarktack import state
+
+#: Version of the layout.
+LAYOUT_VERSION = 1
+
+#: Most records whose encoding is kept.
+_CACHE_COUNT = 16_384
+
+
+class CborSegmentCodec:
+    """Encodes the objects of claim buckets as CBOR."""
+
+    def __init__(self) -> None:
+        self._record = functools.lru_cache(_CACHE_COUNT)(_encode_record)
+
+    def encode(self, segment: state.ClaimSegment) -> bytes:
+        """Encode one segment."""
+        sealed: list[list[Any]] = []
+        for older in segment.sealed:
+            sealed.append(
+                [older.name, older.newest_s, older.size_bytes, older.stripped]
+            )
+        records = [self._record(record) for record in segment.records]
+        return cbor2.dumps([LAYOUT_VERSION, sealed, records])
+
+    def decode(
+        self, value: bytes
+    ) -> Result[state.ClaimSegment, state.StoreFault]:
+        """Decode one segment; a malformed one is ``UNAVAILABLE``."""
+        try:
+            version, sealed, records = cbor2.loads(value)
+            if version != LAYOUT_VERSION:
+                return Error(_fault(f'layout version {version}'))
+            return Ok(
+                state.ClaimSegment(
+                    tuple(state.SealedSegment(*older) for older in sealed),
+                    tuple(_decode_record(record) for record in records),
+                )
+            )
+        except Exception as error:  # cbor2 raises many types on bad input
+            return Error(_fault(repr(error)))
+
+
+def _encode_record(record: state.ClaimRecord) -> bytes:
+    answer: list[Any] | None = None
+    if record.answer is not None:
+        answer = [
+            record.answer.status,
+            [list(header) for header in record.answer.headers],
+            record.answer.body,
+        ]
+    return cbor2.dumps(
+        [
+            record.key.organisation,
+            record.key.key,
+            record.claim_id,
+            record.fingerprint,
+            record.instance,
+            record.phase.value,
+            record.claimed_s,
+            record.changed_s,
+            list(record.targets),
+            answer,
+            record.note,
+        ]
+    )
+
+
+def _decode_record(value: bytes) -> state.ClaimRecord:
+    fields = cbor2.loads(value)
+    answer: state.ServiceAnswer | None = None
+    if fields[9] is not None:
+        status, headers, body = fields[9]
+        answer = state.ServiceAnswer(
+            status, tuple((name, text) for name, text in headers), body
+        )
+    return state.ClaimRecord(
+        key=state.ClaimKey(fields[0], fields[1]),
+        claim_id=fields[2],
+        fingerprint=fields[3],
+        instance=fields[4],
+        phase=state.ClaimPhase(fields[5]),
+        claimed_s=fields[6],
+        changed_s=fields[7],
+        targets=tuple(fields[8]),
+        answer=answer,
+        note=fields[10],
+    )
+
+
+def _fault(message: str) -> state.StoreFault:
+    return state.StoreFault(
+        state.StoreFaultKind.UNAVAILABLE, f'malformed segment: {message}'
+    )
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -3,6 +3,11 @@
 from skylarktack.state._calls import DispatchFault
 from skylarktack.state._calls import PlainCall
 from skylarktack.state._calls import ServiceAnswer
+from skylarktack.state._claims import ClaimKey
+from skylarktack.state._claims import ClaimPhase
+from skylarktack.state._claims import ClaimRecord
+from skylarktack.state._claims import ClaimSegment
+from skylarktack.state._claims import SealedSegment
 from skylarktack.state._delivered import DIGEST_BYTES
 from skylarktack.state._delivered import DeliveredText
 from skylarktack.state._documents import ActiveConfiguration
@@ -40,6 +45,7 @@
 from skylarktack.state._settings import ClaimSettings
 from skylarktack.state._settings import GenerationSettings
 from skylarktack.state._settings import InstanceSettings
+from skylarktack.state._settings import LookupSettings
 from skylarktack.state._settings import PeerSettings
 from skylarktack.state._settings import RetrySettings
 from skylarktack.state._settings import StoreSettings
@@ -60,6 +66,10 @@
     'Address',
     'CallerLossPolicy',
     'CallerSettings',
+    'ClaimKey',
+    'ClaimPhase',
+    'ClaimRecord',
+    'ClaimSegment',
     'ClaimSettings',
     'ConfigurationDocument',
     'DIGEST_BYTES',
@@ -75,6 +85,7 @@
     'Keepalive',
     'Limits',
     'ListedInstance',
+    'LookupSettings',
     'Member',
     'MemberState',
     'Move',
@@ -93,6 +104,7 @@
     'RouteKind',
     'RouteName',
     'RunState',
+    'SealedSegment',
     'ServiceAnswer',
     'StoreFault',
     'StoreFaultKind',
--- a/packages/state/src/skylarktack/state/_errors.py
+++ b/packages/state/src/skylarktack/state/_errors.py
@@ -32,6 +32,7 @@
     RETRY_BUDGET = 'retry_budget_exhausted'
     TARGET_FAILED = 'target_failed'
     OUTCOME_UNKNOWN = 'outcome_unknown'
+    ANSWER_EXPIRED = 'answer_expired'
     DIVERGED = 'continuation_diverged'
     CANCELLED = 'cancelled'
     CONFLICT = 'revision_conflict'
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -90,7 +90,28 @@
     bucket_count: int = 4
 
     #: Shortest time between two writes of one bucket.
-    write_interval_ms: int = 40
+    write_interval_ms: int = 50
+
+    #: Longest delay of a recorded outcome that finds no claim to be
+    #: written with.
+    record_delay_ms: int = 200
+
+    #: Longest wait of a call for its claim.
+    claim_timeout_ms: int = 1000
+
+    #: Longest wait for the answer of a bucket's owner.
+    forward_timeout_ms: int = 400
+
+    #: How long claims are refused at once after the store failed, and how
+    #: long an owner that did not answer is passed over.
+    back_off_ms: int = 250
+
+    #: Largest answer that is recorded.
+    answer_limit_bytes: int = 16_384
+
+    #: Size beyond which the head of a bucket is sealed. Each write sends
+    #: the whole head, so it is kept small.
+    head_limit_bytes: int = 65_536
 
     #: How long a claim is kept.
     retention_s: int = 86_400
@@ -98,7 +119,7 @@
     #: How long a recorded answer is kept.
     answer_retention_s: int = 600
 
-    #: Size beyond which a segment is sealed.
+    #: Size up to which sealed segments are merged.
     segment_limit_bytes: int = 524_288
 
 
@@ -113,6 +134,38 @@
     budget_burst_count: int = 10
 
 
+@dataclasses.dataclass(frozen=True)
+class LookupSettings:
+    """Retries, hedges and ejection for calls that may be repeated."""
+
+    #: Most attempts of one call, the first and hedges included.
+    attempt_count: int = 3
+
+    #: Delay before a hedge while a route has too few samples.
+    hedge_initial_ms: float = 50.0
+
+    #: Shortest delay before a hedge.
+    hedge_floor_ms: float = 2.0
+
+    #: Whether hedges are sent.
+    hedges: bool = True
+
+    #: Whether slow and failing targets are ejected.
+    ejects: bool = True
+
+    #: Faults of a target within a second that eject it.
+    eject_fault_count: int = 3
+
+    #: Largest ejected share of the known targets.
+    eject_share: float = 0.5
+
+    #: First duration of an ejection; it doubles with each further one.
+    eject_ms: int = 1000
+
+    #: Longest duration of an ejection.
+    eject_ceiling_ms: int = 30_000
+
+
 @dataclasses.dataclass(frozen=True)
 class InstanceSettings:
     """All settings of one entry instance."""
@@ -156,6 +209,9 @@
     #: At-most-once claims.
     claim: ClaimSettings = dataclasses.field(default_factory=ClaimSettings)
 
+    #: Calls that may be repeated.
+    lookup: LookupSettings = dataclasses.field(default_factory=LookupSettings)
+
     #: Retries.
     retry: RetrySettings = dataclasses.field(default_factory=RetrySettings)
 
--- a/packages/transport/src/skylarktack/transport/__init__.py
+++ b/packages/transport/src/skylarktack/transport/__init__.py
@@ -12,6 +12,7 @@
 from skylarktack.transport._http_client import http_call
 from skylarktack.transport._http_client import open_http_response
 from skylarktack.transport._logs import configure_logs
+from skylarktack.transport._lookup_client import HttpLookupClient
 from skylarktack.transport._metrics import DURATION_LIMIT_MS
 from skylarktack.transport._metrics import LABEL_LIMIT_COUNT
 from skylarktack.transport._metrics import OTHER_LABEL
@@ -29,6 +30,7 @@
     'HttpAnswer',
     'HttpEngineClient',
     'HttpFault',
+    'HttpLookupClient',
     'HttpObjectStore',
     'HttpServiceClient',
     'HttpTokenStream',
--- a/packages/transport/src/skylarktack/transport/_caller_application.py
+++ b/packages/transport/src/skylarktack/transport/_caller_application.py
@@ -18,13 +18,14 @@
 from skylarktack import state
 from skylarktack.coordination import generation
 from skylarktack.coordination import lookup
+from skylarktack.coordination import once
 from skylarktack.coordination import ports
+from skylarktack.transport import _call_endpoints
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 _LOG = structlog.get_logger(part='caller')
 _REQUEST_ID = re.compile(r'[A-Za-z0-9_-]{8,80}')
-_PASSED_HEADERS = ('CONTENT_TYPE', 'HTTP_ACCEPT', 'HTTP_ACCEPT_LANGUAGE')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,6 +50,9 @@
     #: Repeatable plain calls.
     lookups: lookup.LookupRunner
 
+    #: Plain calls that may not be repeated.
+    once: once.OnceRunner
+
     #: Event ids.
     signer: protocol.EventIdSigner
 
@@ -58,6 +62,9 @@
 
     def __init__(self, parts: CallerParts) -> None:
         self._parts = parts
+        self._calls = _call_endpoints.CallEndpoints(
+            parts.admission, parts.lookups, parts.once, _refuse
+        )
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -82,8 +89,17 @@
                 environ, start_response, organisation.ok, request_id
             )
         if path.startswith('/v1/call/') and len(parts) >= 4:
-            return self._call(
-                environ, start_response, organisation.ok, request_id
+            route = self._route(
+                parts[3], state.RouteKind.SERVICE, organisation.ok
+            )
+            if route.is_error():
+                return _refuse(start_response, request_id, route.error)
+            return self._calls.serve(
+                environ,
+                start_response,
+                organisation.ok,
+                route.ok,
+                request_id,
             )
         return _refuse(
             start_response,
@@ -225,57 +241,6 @@
             permit.release()
         return []
 
-    def _call(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-        organisation: state.Organisation,
-        request_id: state.RequestId,
-    ) -> Iterable[bytes]:
-        parts = environ['PATH_INFO'].split('/', 4)
-        route = self._route(parts[3], state.RouteKind.SERVICE, organisation)
-        if route.is_error():
-            return _refuse(start_response, request_id, route.error)
-        path = '/' + (parts[4] if len(parts) > 4 else '')
-        if environ.get('QUERY_STRING'):
-            path += '?' + environ['QUERY_STRING']
-        call = state.PlainCall(
-            request_id=request_id,
-            organisation=organisation.name,
-            route=route.ok,
-            method=environ['REQUEST_METHOD'],
-            path=path,
-            headers=_passed_headers(environ),
-            body=environ['wsgi.input'].read(),
-            idempotency_key=environ.get('HTTP_IDEMPOTENCY_KEY'),
-        )
-        permit = self._parts.admission.admit(organisation, route.ok)
-        if permit.is_error():
-            return _refuse(start_response, request_id, permit.error)
-        try:
-            answered = self._parts.lookups.run(call)
-        finally:
-            permit.ok.release()
-        if answered.is_error():
-            return _refuse(start_response, request_id, answered.error)
-        answer = answered.ok
-        start_response(
-            f'{answer.status} Answer',
-            [*answer.headers, (protocol.REQUEST_ID_HEADER, request_id)],
-        )
-        return [answer.body]
-
-
-def _passed_headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
-    found: list[tuple[str, str]] = []
-    for name in _PASSED_HEADERS:
-        value = environ.get(name)
-        if not value:
-            continue
-        shown = name.removeprefix('HTTP_').replace('_', '-').title()
-        found.append((shown, value))
-    return tuple(found)
-
 
 def _not_run(code: state.RefusalCode, message: str) -> state.Refusal:
     return state.Refusal(code, message, state.RunState.NOT_RUN)
--- a/packages/transport/src/skylarktack/transport/_service_client.py
+++ b/packages/transport/src/skylarktack/transport/_service_client.py
@@ -1,5 +1,7 @@
 """Calls to plain services over HTTP."""
 
+import dataclasses
+
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -7,6 +9,9 @@
 from skylarktack import state
 from skylarktack.transport import _http_client
 
+#: Header in which a target gives the status of an earlier call's answer.
+OUTCOME_STATUS_HEADER = 'Outcome-Status'
+
 _HOP_HEADERS = frozenset(
     {
         'connection',
@@ -29,10 +34,7 @@
         self, target: state.Target, call: state.PlainCall, timeout_s: float
     ) -> Result[state.ServiceAnswer, state.DispatchFault]:
         """Send the call exactly once; nothing below sends it again."""
-        headers = dict(call.headers)
-        headers['Skylarktack-Request-Id'] = call.request_id
-        if call.idempotency_key is not None:
-            headers['Idempotency-Key'] = call.idempotency_key
+        headers = call_headers(call)
         answered = _http_client.http_call(
             target.address,
             call.method,
@@ -42,8 +44,8 @@
             timeout_s,
         )
         if answered.is_error():
-            return Error(_dispatch_fault(answered.error))
-        return Ok(_service_answer(answered.ok))
+            return Error(dispatch_fault(answered.error))
+        return Ok(service_answer(answered.ok))
 
     def outcome(
         self, target: state.Target, idempotency_key: str, timeout_s: float
@@ -58,11 +60,11 @@
             timeout_s,
         )
         if answered.is_error():
-            return Error(_dispatch_fault(answered.error))
+            return Error(dispatch_fault(answered.error))
         if answered.ok.status == 404:
             return Ok(None)
         if answered.ok.status == 200:
-            return Ok(_service_answer(answered.ok))
+            return Ok(_recorded_answer(answered.ok))
         return Error(
             state.DispatchFault(
                 state.RunState.UNKNOWN,
@@ -71,7 +73,25 @@
         )
 
 
-def _service_answer(answer: _http_client.HttpAnswer) -> state.ServiceAnswer:
+def call_headers(call: state.PlainCall) -> dict[str, str]:
+    """Return the headers that a target gets."""
+    headers = dict(call.headers)
+    headers['Skylarktack-Request-Id'] = call.request_id
+    if call.idempotency_key is not None:
+        headers['Idempotency-Key'] = call.idempotency_key
+    return headers
+
+
+def _recorded_answer(answer: _http_client.HttpAnswer) -> state.ServiceAnswer:
+    kept = service_answer(answer)
+    status = answer.header(OUTCOME_STATUS_HEADER)
+    if status is None or not status.isdecimal():
+        return kept
+    return dataclasses.replace(kept, status=int(status))
+
+
+def service_answer(answer: _http_client.HttpAnswer) -> state.ServiceAnswer:
+    """Return an answer without the headers of its connection."""
     kept: list[tuple[str, str]] = []
     for name, value in answer.headers:
         if name.lower() in _HOP_HEADERS:
@@ -80,6 +100,7 @@
     return state.ServiceAnswer(answer.status, tuple(kept), answer.body)
 
 
-def _dispatch_fault(fault: _http_client.HttpFault) -> state.DispatchFault:
+def dispatch_fault(fault: _http_client.HttpFault) -> state.DispatchFault:
+    """Return a fault with what it says about the run."""
     run = state.RunState.UNKNOWN if fault.sent else state.RunState.NOT_RUN
     return state.DispatchFault(run, fault.message, fault.timed_out)
