--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -1,13 +1,13 @@
 """Replacements of the ports in memory, for tests and examples."""
 
 from skylarktack.coordination.fakes._clock import ManualClock
-from skylarktack.coordination.fakes._fleet import MemberFleet
-from skylarktack.coordination.fakes._links import MemoryLinkHub
-from skylarktack.coordination.fakes._links import MemoryLinkNetwork
-from skylarktack.coordination.fakes._engines import OUTAGE_S
 from skylarktack.coordination.fakes._engines import EngineFault
 from skylarktack.coordination.fakes._engines import EngineFaultKind
 from skylarktack.coordination.fakes._engines import FaultyEngines
+from skylarktack.coordination.fakes._engines import OUTAGE_S
+from skylarktack.coordination.fakes._fleet import MemberFleet
+from skylarktack.coordination.fakes._links import MemoryLinkHub
+from skylarktack.coordination.fakes._links import MemoryLinkNetwork
 from skylarktack.coordination.fakes._metrics import MemoryMetrics
 from skylarktack.coordination.fakes._peers import LocalPeerHub
 from skylarktack.coordination.fakes._peers import LocalPeerNetwork
@@ -19,8 +19,6 @@
     'EngineFault',
     'EngineFaultKind',
     'FaultyEngines',
-    'OUTAGE_S',
-    'SteppingClock',
     'LocalPeerHub',
     'LocalPeerNetwork',
     'ManualClock',
@@ -29,5 +27,7 @@
     'MemoryLinkNetwork',
     'MemoryMetrics',
     'MemoryObjectStore',
+    'OUTAGE_S',
+    'SteppingClock',
     'StoreFaults',
 ]
--- a/packages/emulator/src/skylarktack/emulator/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/__init__.py
@@ -6,18 +6,18 @@
 from skylarktack.emulator._caller_loop import ResumedAnswer
 from skylarktack.emulator._caller_loop import generate_resumed
 from skylarktack.emulator._deployment import ANNOUNCE_TIMEOUT_S
-from skylarktack.emulator._deployment import OPERATOR_TOKEN
-from skylarktack.emulator._deployment import SECRET
-from skylarktack.emulator._deployment import STOP_TIMEOUT_S
 from skylarktack.emulator._deployment import Deployment
 from skylarktack.emulator._deployment import DeploymentShape
 from skylarktack.emulator._deployment import EmulatedProcess
+from skylarktack.emulator._deployment import OPERATOR_TOKEN
+from skylarktack.emulator._deployment import SECRET
+from skylarktack.emulator._deployment import STOP_TIMEOUT_S
 from skylarktack.emulator._deployment import default_document
 from skylarktack.emulator._deployment import key_hash
 from skylarktack.emulator._deployment import organisation_key
 from skylarktack.emulator._deployment import wait_ready
-from skylarktack.emulator._engine import KEEPALIVE_S
 from skylarktack.emulator._engine import EngineServer
+from skylarktack.emulator._engine import KEEPALIVE_S
 from skylarktack.emulator._engine_model import EngineFaults
 from skylarktack.emulator._engine_model import EngineModel
 from skylarktack.emulator._engine_model import EngineRun
@@ -36,10 +36,8 @@
 from skylarktack.emulator._service import ServiceServer
 
 __all__ = [
-    'CuttableLink',
-    'ResumedAnswer',
-    'generate_resumed',
     'ANNOUNCE_TIMEOUT_S',
+    'CuttableLink',
     'Deployment',
     'DeploymentShape',
     'EmulatedProcess',
@@ -54,6 +52,7 @@
     'ObjectApiFaults',
     'ObjectApiServer',
     'ReceivedAnswer',
+    'ResumedAnswer',
     'SECRET',
     'STOP_TIMEOUT_S',
     'ServiceFaults',
@@ -66,6 +65,7 @@
     'expected_token',
     'fetch_generation',
     'generate',
+    'generate_resumed',
     'key_hash',
     'organisation_key',
     'serve_stand_in',
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -1,23 +1,24 @@
 """Encodings of all messages, apart from the decisions."""
 
+from skylarktack.protocol._caller import CallerStreamEncoder
 from skylarktack.protocol._caller import HANDOVER
 from skylarktack.protocol._caller import LAST_EVENT_ID_HEADER
 from skylarktack.protocol._caller import REQUEST_ID_HEADER
 from skylarktack.protocol._caller import STATUS_BY_CODE
-from skylarktack.protocol._caller import CallerStreamEncoder
 from skylarktack.protocol._caller import decode_generate_body
 from skylarktack.protocol._caller import encode_answer
 from skylarktack.protocol._caller import encode_refusal
-from skylarktack.protocol._configurations import RECORD_LIMIT_BYTES
+from skylarktack.protocol._claims import CborSegmentCodec
 from skylarktack.protocol._configurations import JsonConfigurationCodec
+from skylarktack.protocol._configurations import RECORD_LIMIT_BYTES
 from skylarktack.protocol._configurations import decode_findings
 from skylarktack.protocol._configurations import decode_record_for_operators
 from skylarktack.protocol._configurations import encode_findings
 from skylarktack.protocol._configurations import encode_record_for_operators
-from skylarktack.protocol._console import LISTED_COUNT
-from skylarktack.protocol._console import SECTIONS
 from skylarktack.protocol._console import ConsoleField
 from skylarktack.protocol._console import ConsolePage
+from skylarktack.protocol._console import LISTED_COUNT
+from skylarktack.protocol._console import SECTIONS
 from skylarktack.protocol._console import document_difference
 from skylarktack.protocol._console import new_entry
 from skylarktack.protocol._console import read_entry
@@ -36,24 +37,24 @@
 from skylarktack.protocol._engine import encode_plain
 from skylarktack.protocol._engine import encode_stream_event
 from skylarktack.protocol._engine import prefix_hashes
-from skylarktack.protocol._event_ids import MAC_BYTES
 from skylarktack.protocol._event_ids import EventIdSigner
-from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
+from skylarktack.protocol._event_ids import MAC_BYTES
 from skylarktack.protocol._generate_body import GenerateBody
+from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
 from skylarktack.protocol._object_api import decode_objects
 from skylarktack.protocol._object_api import decode_platform_list
 from skylarktack.protocol._object_api import decode_watch_batch
 from skylarktack.protocol._object_api import encode_objects
 from skylarktack.protocol._object_api import encode_platform_list
 from skylarktack.protocol._object_api import encode_watch_batch
-from skylarktack.protocol._peer_codec import WIRE_VERSION
 from skylarktack.protocol._peer_codec import Frame
 from skylarktack.protocol._peer_codec import FrameFault
 from skylarktack.protocol._peer_codec import PeerCodec
+from skylarktack.protocol._peer_codec import WIRE_VERSION
 from skylarktack.protocol._peer_messages import PEER_MESSAGES
 from skylarktack.protocol._peer_session import FRAME_CODE_BYTES
-from skylarktack.protocol._peer_session import NONCE_BYTES
 from skylarktack.protocol._peer_session import FrameSeal
+from skylarktack.protocol._peer_session import NONCE_BYTES
 from skylarktack.protocol._peer_session import PeerAuthenticator
 from skylarktack.protocol._peer_session import PeerChallenge
 from skylarktack.protocol._peer_session import PeerDone
@@ -63,6 +64,7 @@
 
 __all__ = [
     'CallerStreamEncoder',
+    'CborSegmentCodec',
     'ConsoleField',
     'ConsolePage',
     'EventIdSigner',
@@ -71,10 +73,10 @@
     'FrameFault',
     'FrameSeal',
     'GenerateBody',
-    'JsonConfigurationCodec',
-    'LISTED_COUNT',
     'HANDOVER',
+    'JsonConfigurationCodec',
     'LAST_EVENT_ID_HEADER',
+    'LISTED_COUNT',
     'MAC_BYTES',
     'MAX_TOKENS_COUNT',
     'NONCE_BYTES',
@@ -83,11 +85,11 @@
     'PeerAuthenticator',
     'PeerChallenge',
     'PeerCodec',
-    'RECORD_LIMIT_BYTES',
     'PeerDone',
     'PeerHello',
     'PeerProof',
     'PeerRefusal',
+    'RECORD_LIMIT_BYTES',
     'REQUEST_ID_HEADER',
     'SECTIONS',
     'STATUS_BY_CODE',
--- a/packages/protocol/src/skylarktack/protocol/_peer_messages.py
+++ b/packages/protocol/src/skylarktack/protocol/_peer_messages.py
@@ -39,4 +39,10 @@
     'generation.part': generation.GenerationPart,
     'generation.cancel': generation.CancelGeneration,
     'generation.cancelled': generation.GenerationCancelled,
+from skylarktack.coordination import once
+
+#: Message types by tag.
+PEER_MESSAGES: dict[str, type] = {
+    'claim-forward': once.ClaimForward,
+    'claim-forwarded': once.ClaimForwarded,
 }
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -3,6 +3,11 @@
 from skylarktack.state._calls import DispatchFault
 from skylarktack.state._calls import PlainCall
 from skylarktack.state._calls import ServiceAnswer
+from skylarktack.state._claims import ClaimKey
+from skylarktack.state._claims import ClaimPhase
+from skylarktack.state._claims import ClaimRecord
+from skylarktack.state._claims import ClaimSegment
+from skylarktack.state._claims import SealedSegment
 from skylarktack.state._configurations import AppliedChange
 from skylarktack.state._configurations import ConfigurationAnswer
 from skylarktack.state._configurations import ConfigurationChange
@@ -57,12 +62,13 @@
 from skylarktack.state._settings import ClaimSettings
 from skylarktack.state._settings import GenerationSettings
 from skylarktack.state._settings import InstanceSettings
+from skylarktack.state._settings import LookupSettings
 from skylarktack.state._settings import PeerSettings
 from skylarktack.state._settings import RetrySettings
 from skylarktack.state._settings import StoreSettings
-from skylarktack.state._store import StoredObject
 from skylarktack.state._store import StoreFault
 from skylarktack.state._store import StoreFaultKind
+from skylarktack.state._store import StoredObject
 from skylarktack.state._store import WatchBatch
 from skylarktack.state._targets import Address
 from skylarktack.state._targets import ListedInstance
@@ -73,18 +79,16 @@
 from skylarktack.state._targets import TargetOutcome
 
 __all__ = [
-    'DeliveredCursor',
-    'HeldGeneration',
-    'GenerationTable',
-    'ResumeCheck',
-    'RecordStart',
-    'GenerationRecord',
-    'AttemptNote',
     'ActiveConfiguration',
     'Address',
     'AppliedChange',
+    'AttemptNote',
     'CallerLossPolicy',
     'CallerSettings',
+    'ClaimKey',
+    'ClaimPhase',
+    'ClaimRecord',
+    'ClaimSegment',
     'ClaimSettings',
     'ConfigurationAnswer',
     'ConfigurationChange',
@@ -93,19 +97,24 @@
     'ConfigurationOffer',
     'ConfigurationRecord',
     'DIGEST_BYTES',
+    'DeliveredCursor',
     'DeliveredText',
     'DispatchFault',
     'EngineOrder',
     'FailureDomain',
     'Finding',
+    'GenerationRecord',
     'GenerationRequest',
     'GenerationSettings',
+    'GenerationTable',
+    'HeldGeneration',
     'InstanceName',
     'InstanceSettings',
     'InstanceStatus',
     'Keepalive',
     'Limits',
     'ListedInstance',
+    'LookupSettings',
     'Member',
     'MemberState',
     'MemberTable',
@@ -116,15 +125,18 @@
     'PeerSettings',
     'PlainCall',
     'PlatformList',
+    'RecordStart',
     'Refusal',
     'RefusalCode',
     'RequestId',
+    'ResumeCheck',
     'ResumeToken',
     'RetrySettings',
     'Route',
     'RouteKind',
     'RouteName',
     'RunState',
+    'SealedSegment',
     'ServiceAnswer',
     'StatusRequest',
     'StoreFault',
--- a/packages/transport/src/skylarktack/transport/__init__.py
+++ b/packages/transport/src/skylarktack/transport/__init__.py
@@ -4,15 +4,16 @@
 from skylarktack.transport._caller_application import CallerParts
 from skylarktack.transport._caller_application import StartResponse
 from skylarktack.transport._console_endpoint import ConsoleEndpoint
-from skylarktack.transport._engine_client import READ_LIMIT_BYTES
 from skylarktack.transport._engine_client import HttpEngineClient
 from skylarktack.transport._engine_client import HttpTokenStream
+from skylarktack.transport._engine_client import READ_LIMIT_BYTES
 from skylarktack.transport._http_client import HttpAnswer
 from skylarktack.transport._http_client import HttpFault
 from skylarktack.transport._http_client import OpenResponse
 from skylarktack.transport._http_client import http_call
 from skylarktack.transport._http_client import open_http_response
 from skylarktack.transport._logs import configure_logs
+from skylarktack.transport._lookup_client import HttpLookupClient
 from skylarktack.transport._metrics import DURATION_LIMIT_MS
 from skylarktack.transport._metrics import LABEL_LIMIT_COUNT
 from skylarktack.transport._metrics import OTHER_LABEL
@@ -49,6 +50,7 @@
     'HttpAnswer',
     'HttpEngineClient',
     'HttpFault',
+    'HttpLookupClient',
     'HttpObjectStore',
     'HttpServiceClient',
     'HttpTokenStream',
@@ -59,15 +61,12 @@
     'OperatorApplication',
     'OperatorExtension',
     'OperatorParts',
+    'PeerNetworkParts',
     'PlannedStop',
     'READ_LIMIT_BYTES',
     'StartResponse',
     'StatsdMetrics',
     'StatusSource',
-    'PeerNetworkParts',
-    'READ_LIMIT_BYTES',
-    'StartResponse',
-    'StatsdMetrics',
     'WebsocketPeerNetwork',
     'WsgiServer',
     'change_fault',
--- a/packages/transport/src/skylarktack/transport/_caller_application.py
+++ b/packages/transport/src/skylarktack/transport/_caller_application.py
@@ -8,19 +8,23 @@
 from expression import Error
 from expression import Ok
 from expression import Result
+import structlog
 
 from skylarktack import protocol
 from skylarktack import state
+from skylarktack.coordination import configuration
 from skylarktack.coordination import generation
 from skylarktack.coordination import lookup
+from skylarktack.coordination import once
 from skylarktack.coordination import ports
 from skylarktack.transport import _answers
+from skylarktack.transport import _call_endpoints
 from skylarktack.transport import _generation_endpoints
 from skylarktack.transport import _routes
 
 StartResponse = _answers.StartResponse
 
-_PASSED_HEADERS = ('CONTENT_TYPE', 'HTTP_ACCEPT', 'HTTP_ACCEPT_LANGUAGE')
+_LOG = structlog.get_logger(part='caller')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,6 +49,9 @@
     #: Repeatable plain calls.
     lookups: lookup.LookupRunner
 
+    #: Plain calls that run at most once.
+    once: once.OnceRunner
+
     #: Event ids.
     signer: protocol.EventIdSigner
 
@@ -54,6 +61,9 @@
 
     def __init__(self, parts: CallerParts) -> None:
         self._parts = parts
+        self._directory = configuration.ConfigurationDirectory(
+            parts.configuration
+        )
         self._generations = _generation_endpoints.GenerationEndpoints(
             parts.generations,
             parts.signer,
@@ -61,6 +71,9 @@
             parts.admission,
             parts.settings.name,
         )
+        self._calls = _call_endpoints.CallEndpoints(
+            parts.admission, parts.lookups, parts.once, _answers.refuse
+        )
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -76,6 +89,29 @@
                 start_response, '503 Service Unavailable', b'not ready\n'
             )
         request_id = generation.mint_request_id(self._parts.settings.name)
+        try:
+            return self._serve(environ, start_response, path, request_id)
+        except Exception:
+            # A fault in this program must not reach the caller as a
+            # traceback; whether a target ran the request is not known.
+            _LOG.exception('request failed', request_id=request_id)
+            return _answers.refuse(
+                start_response,
+                request_id,
+                state.Refusal(
+                    state.RefusalCode.INTERNAL,
+                    'The instance failed to serve the request.',
+                    state.RunState.UNKNOWN,
+                ),
+            )
+
+    def _serve(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+        path: str,
+        request_id: state.RequestId,
+    ) -> Iterable[bytes]:
         organisation = self._authenticate(environ)
         if organisation.is_error():
             return _answers.refuse(
@@ -91,8 +127,20 @@
                 environ, start_response, organisation.ok
             )
         if path.startswith('/v1/call/') and len(parts) >= 4:
-            return self._call(
-                environ, start_response, organisation.ok, request_id
+            route = _routes.find_route(
+                self._parts.configuration.current().document,
+                parts[3],
+                state.RouteKind.SERVICE,
+                organisation.ok,
+            )
+            if route.is_error():
+                return _answers.refuse(start_response, request_id, route.error)
+            return self._calls.serve(
+                environ,
+                start_response,
+                organisation.ok,
+                route.ok,
+                request_id,
             )
         return _answers.refuse(
             start_response,
@@ -111,68 +159,11 @@
                 )
             )
         hashed = hashlib.sha256(key.strip().encode()).hexdigest()
-        document = self._parts.configuration.current().document
-        for organisation in document.organisations:
-            if hashed in organisation.key_sha256:
-                return Ok(organisation)
+        organisation = self._directory.organisation_by_key(hashed)
+        if organisation is not None:
+            return Ok(organisation)
         return Error(
             _answers.not_run(
                 state.RefusalCode.UNAUTHORISED, 'The key is unknown.'
             )
         )
-
-    def _call(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-        organisation: state.Organisation,
-        request_id: state.RequestId,
-    ) -> Iterable[bytes]:
-        parts = environ['PATH_INFO'].split('/', 4)
-        route = _routes.find_route(
-            self._parts.configuration.current().document,
-            parts[3],
-            state.RouteKind.SERVICE,
-            organisation,
-        )
-        if route.is_error():
-            return _answers.refuse(start_response, request_id, route.error)
-        path = '/' + (parts[4] if len(parts) > 4 else '')
-        if environ.get('QUERY_STRING'):
-            path += '?' + environ['QUERY_STRING']
-        call = state.PlainCall(
-            request_id=request_id,
-            organisation=organisation.name,
-            route=route.ok,
-            method=environ['REQUEST_METHOD'],
-            path=path,
-            headers=_passed_headers(environ),
-            body=environ['wsgi.input'].read(),
-            idempotency_key=environ.get('HTTP_IDEMPOTENCY_KEY'),
-        )
-        permit = self._parts.admission.admit(organisation, route.ok)
-        if permit.is_error():
-            return _answers.refuse(start_response, request_id, permit.error)
-        try:
-            answered = self._parts.lookups.run(call)
-        finally:
-            permit.ok.release()
-        if answered.is_error():
-            return _answers.refuse(start_response, request_id, answered.error)
-        answer = answered.ok
-        start_response(
-            f'{answer.status} Answer',
-            [*answer.headers, (protocol.REQUEST_ID_HEADER, request_id)],
-        )
-        return [answer.body]
-
-
-def _passed_headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
-    found: list[tuple[str, str]] = []
-    for name in _PASSED_HEADERS:
-        value = environ.get(name)
-        if not value:
-            continue
-        shown = name.removeprefix('HTTP_').replace('_', '-').title()
-        found.append((shown, value))
-    return tuple(found)
