Choose targets from watched load, digests and prefix hints

Cause: two choices over own in-flight counts knows neither the load that other instances cause, nor failures, nor cached prefixes. Change: target table with watched and used subsets, load reports, digests as a gossip topic, urgent leaving notices, bounded ejection, slow start, five policies behind one Protocol, adaptive concurrency, retry budgets for each organisation; prefix hashes moved to the state layer.

--- a/packages/coordination/src/skylarktack/coordination/ports/_engines.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/_engines.py
@@ -64,6 +64,9 @@
     #: Age of the report when it was sent.
     age_ms: int
 
+    #: Whether the engine takes no new work.
+    leaving: bool = False
+
 
 @dataclasses.dataclass(frozen=True)
 class CacheEvent:
--- a/packages/coordination/src/skylarktack/coordination/routing/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/__init__.py
@@ -1,7 +1,43 @@
-"""Choice of targets."""
+"""State of targets and the choice among them."""
 
-from skylarktack.coordination.routing._targets import TwoChoicesSelector
+from skylarktack.coordination.routing._digests import DigestTopic
+from skylarktack.coordination.routing._evidence import Candidate
+from skylarktack.coordination.routing._evidence import DigestCodec
+from skylarktack.coordination.routing._evidence import Evidence
+from skylarktack.coordination.routing._evidence import LoadDigest
+from skylarktack.coordination.routing._evidence import LoadSample
+from skylarktack.coordination.routing._evidence import TargetLeaving
+from skylarktack.coordination.routing._policies import CandidatePool
+from skylarktack.coordination.routing._policies import SelectionPolicy
+from skylarktack.coordination.routing._prefixes import PrefixIndex
+from skylarktack.coordination.routing._selector import TableSelector
+from skylarktack.coordination.routing._selector import make_policy
+from skylarktack.coordination.routing._subsets import instance_place
+from skylarktack.coordination.routing._subsets import ordered_targets
+from skylarktack.coordination.routing._subsets import used_targets
+from skylarktack.coordination.routing._subsets import watched_targets
+from skylarktack.coordination.routing._table import TargetTable
+from skylarktack.coordination.routing._watch import LeavingNotices
+from skylarktack.coordination.routing._watch import TargetWatcher
 
 __all__ = [
-    'TwoChoicesSelector',
+    'Candidate',
+    'CandidatePool',
+    'DigestCodec',
+    'DigestTopic',
+    'Evidence',
+    'LeavingNotices',
+    'LoadDigest',
+    'LoadSample',
+    'PrefixIndex',
+    'SelectionPolicy',
+    'TableSelector',
+    'TargetLeaving',
+    'TargetTable',
+    'TargetWatcher',
+    'instance_place',
+    'make_policy',
+    'ordered_targets',
+    'used_targets',
+    'watched_targets',
 ]
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -14,7 +14,7 @@
 from skylarktack.coordination import lookup
 from skylarktack.coordination import moves
 from skylarktack.coordination import ports
-from skylarktack.coordination import routing
+from skylarktack.daemon import _routing
 
 #: Key of the configuration document in the object API.
 CONFIGURATION_KEY = 'configuration/current'
@@ -25,11 +25,15 @@
 class _OutcomeCounter:
     """Counts outcomes by kind."""
 
-    def __init__(self, metrics: ports.Metrics) -> None:
+    def __init__(
+        self, metrics: ports.Metrics, selector: ports.OutcomeObserver
+    ) -> None:
         self._metrics = metrics
+        self._selector = selector
 
     def observe(self, outcome: state.TargetOutcome) -> None:
         """Take one outcome in."""
+        self._selector.observe(outcome)
         self._metrics.count(f'outcome.{outcome.kind.value}')
 
 
@@ -44,16 +48,22 @@
         self._store = transport.HttpObjectStore(settings.store)
         self._metrics = transport.StatsdMetrics(settings.statsd)
         self._holder = configuration.ConfigurationHolder(self._clock)
-        self._selector = routing.TwoChoicesSelector()
+        engines = transport.HttpEngineClient()
+        self._routing = _routing.RoutingPart(
+            settings, engines, self._clock, self._metrics
+        )
+        selector = self._routing.selector
         versions = moves.RouteVersionChooser()
         runner = generation.GenerationRunner(
             generation.GenerationParts(
                 settings=settings.generation,
-                engines=transport.HttpEngineClient(),
-                selector=self._selector,
-                retry_budget=limits.TokenRetryBudget(settings.retry),
+                engines=engines,
+                selector=selector,
+                retry_budget=limits.OrganisationRetryBudget(
+                    settings.retry, settings.limit
+                ),
                 versions=versions,
-                outcomes=_OutcomeCounter(self._metrics),
+                outcomes=_OutcomeCounter(self._metrics, selector),
                 clock=self._clock,
                 metrics=self._metrics,
             )
@@ -66,7 +76,7 @@
                 admission=limits.UnlimitedAdmission(),
                 generations=runner,
                 lookups=lookup.LookupRunner(
-                    transport.HttpServiceClient(), self._selector, versions
+                    transport.HttpServiceClient(), selector, versions
                 ),
                 signer=protocol.EventIdSigner(settings.secret),
             )
@@ -94,12 +104,14 @@
         """Start all tasks."""
         self._tasks.submit(self._follow_configuration)
         self._tasks.submit(self._follow_platform_list)
+        self._routing.watcher.start()
         self._callers.start()
         _LOG.info('callers are served', address=str(self._callers.address))
 
     def stop(self) -> None:
         """Stop all tasks."""
         self._stopping.set()
+        self._routing.watcher.stop()
         self._callers.stop()
         self._tasks.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped')
@@ -127,7 +139,7 @@
         while not self._stopping.is_set():
             listed = self._store.platform_list()
             if listed.is_ok():
-                self._selector.update(listed.ok.targets)
+                self._routing.update(listed.ok)
                 self._listed = bool(listed.ok.targets)
             self._clock.wait(
                 self._stopping, self._settings.store.list_interval_ms / 1000
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -6,11 +6,11 @@
 from skylarktack.protocol._caller import decode_generate_body
 from skylarktack.protocol._caller import encode_answer
 from skylarktack.protocol._caller import encode_refusal
+from skylarktack.protocol._digests import StructDigestCodec
 from skylarktack.protocol._documents import T
 from skylarktack.protocol._documents import decode_document
 from skylarktack.protocol._documents import decode_settings
 from skylarktack.protocol._documents import encode_document
-from skylarktack.protocol._engine import PREFIX_BLOCK_CHARS
 from skylarktack.protocol._engine import StreamDecoder
 from skylarktack.protocol._engine import decode_cache_events
 from skylarktack.protocol._engine import decode_engine_load
@@ -19,7 +19,6 @@
 from skylarktack.protocol._engine import encode_engine_order
 from skylarktack.protocol._engine import encode_plain
 from skylarktack.protocol._engine import encode_stream_event
-from skylarktack.protocol._engine import prefix_hashes
 from skylarktack.protocol._event_ids import MAC_BYTES
 from skylarktack.protocol._event_ids import EventIdSigner
 from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
@@ -35,6 +34,8 @@
 from skylarktack.protocol._peer_codec import FrameFault
 from skylarktack.protocol._peer_codec import PeerCodec
 from skylarktack.protocol._peer_messages import PEER_MESSAGES
+from skylarktack.state import PREFIX_BLOCK_CHARS
+from skylarktack.state import prefix_hashes
 
 __all__ = [
     'CallerStreamEncoder',
@@ -50,6 +51,7 @@
     'REQUEST_ID_HEADER',
     'STATUS_BY_CODE',
     'StreamDecoder',
+    'StructDigestCodec',
     'T',
     'WIRE_VERSION',
     'decode_cache_events',
--- a/packages/protocol/src/skylarktack/protocol/_engine.py
+++ b/packages/protocol/src/skylarktack/protocol/_engine.py
@@ -1,7 +1,6 @@
 """The engines' interface: JSON bodies and server-sent events."""
 
 import dataclasses
-import hashlib
 import json
 
 from expression import Error
@@ -12,29 +11,12 @@
 from skylarktack import state
 from skylarktack.coordination import ports
 
-#: Length of a prompt block whose prefix engines cache, in characters.
-PREFIX_BLOCK_CHARS = 64
-
 _ORDER = pydantic.TypeAdapter(state.EngineOrder)
 _LOAD = pydantic.TypeAdapter(ports.EngineLoad)
 _CACHE_EVENTS = pydantic.TypeAdapter(tuple[ports.CacheEvent, ...])
 _TARGET_ORDER = pydantic.TypeAdapter(ports.TargetOrder)
 
 
-def prefix_hashes(prompt: str) -> tuple[str, ...]:
-    """Return the hash of each cached prefix of a prompt, shortest first.
-
-    Prefixes end at multiples of ``PREFIX_BLOCK_CHARS``.
-    """
-    found: list[str] = []
-    digest = hashlib.blake2b(digest_size=8)
-    last = len(prompt) - PREFIX_BLOCK_CHARS
-    for start in range(0, last + 1, PREFIX_BLOCK_CHARS):
-        digest.update(prompt[start : start + PREFIX_BLOCK_CHARS].encode())
-        found.append(digest.copy().hexdigest())
-    return tuple(found)
-
-
 def encode_engine_order(order: state.EngineOrder) -> bytes:
     """Encode the body that starts an attempt."""
     return json.dumps(dataclasses.asdict(order)).encode()
--- a/packages/protocol/src/skylarktack/protocol/_peer_messages.py
+++ b/packages/protocol/src/skylarktack/protocol/_peer_messages.py
@@ -4,5 +4,9 @@
 classes and enters them here under a tag that never changes its meaning.
 """
 
+from skylarktack.coordination import routing
+
 #: Message types by tag.
-PEER_MESSAGES: dict[str, type] = {}
+PEER_MESSAGES: dict[str, type] = {
+    'target-leaving': routing.TargetLeaving,
+}
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -36,6 +36,8 @@
 from skylarktack.state._names import RouteName
 from skylarktack.state._names import TargetName
 from skylarktack.state._names import VersionName
+from skylarktack.state._prefixes import PREFIX_BLOCK_CHARS
+from skylarktack.state._prefixes import prefix_hashes
 from skylarktack.state._settings import CallerSettings
 from skylarktack.state._settings import ClaimSettings
 from skylarktack.state._settings import GenerationSettings
@@ -54,6 +56,8 @@
 from skylarktack.state._targets import Target
 from skylarktack.state._targets import TargetKind
 from skylarktack.state._targets import TargetOutcome
+from skylarktack.state._traffic_settings import LimitSettings
+from skylarktack.state._traffic_settings import RoutingSettings
 
 __all__ = [
     'ActiveConfiguration',
@@ -73,6 +77,7 @@
     'InstanceName',
     'InstanceSettings',
     'Keepalive',
+    'LimitSettings',
     'Limits',
     'ListedInstance',
     'Member',
@@ -81,6 +86,7 @@
     'Organisation',
     'OrganisationName',
     'OutcomeKind',
+    'PREFIX_BLOCK_CHARS',
     'PeerSettings',
     'PlainCall',
     'PlatformList',
@@ -92,6 +98,7 @@
     'Route',
     'RouteKind',
     'RouteName',
+    'RoutingSettings',
     'RunState',
     'ServiceAnswer',
     'StoreFault',
@@ -110,4 +117,5 @@
     'Version',
     'VersionName',
     'WatchBatch',
+    'prefix_hashes',
 ]
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -5,6 +5,8 @@
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
 from skylarktack.state._targets import Address
+from skylarktack.state._traffic_settings import LimitSettings
+from skylarktack.state._traffic_settings import RoutingSettings
 
 
 @dataclasses.dataclass(frozen=True)
@@ -159,5 +161,13 @@
     #: Retries.
     retry: RetrySettings = dataclasses.field(default_factory=RetrySettings)
 
+    #: Choice of targets.
+    routing: RoutingSettings = dataclasses.field(
+        default_factory=RoutingSettings
+    )
+
+    #: Shared limits.
+    limit: LimitSettings = dataclasses.field(default_factory=LimitSettings)
+
     #: Where statsd listens, or None.
     statsd: Address | None = None
--- a/packages/state/src/skylarktack/state/_targets.py
+++ b/packages/state/src/skylarktack/state/_targets.py
@@ -107,6 +107,9 @@
     CANCELLED = 'cancelled'
     REFUSED = 'refused'
 
+    #: The target refused because it takes no new work.
+    LEAVING = 'leaving'
+
 
 @dataclasses.dataclass(frozen=True)
 class TargetOutcome:
