--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -14,6 +14,7 @@
 from skylarktack.coordination import lookup
 from skylarktack.coordination import moves
 from skylarktack.coordination import ports
+from skylarktack.daemon import _limits
 from skylarktack.daemon import _routing
 
 #: Key of the configuration document in the object API.
@@ -53,6 +54,9 @@
             settings, engines, self._clock, self._metrics
         )
         selector = self._routing.selector
+        self._limits = _limits.LimitsPart(
+            settings, self._holder, self._clock, self._metrics
+        )
         versions = moves.RouteVersionChooser()
         runner = generation.GenerationRunner(
             generation.GenerationParts(
@@ -73,7 +77,7 @@
                 settings=settings,
                 configuration=self._holder,
                 readiness=self,
-                admission=limits.UnlimitedAdmission(),
+                admission=self._limits.admission,
                 generations=runner,
                 lookups=lookup.LookupRunner(
                     transport.HttpServiceClient(), selector, versions
@@ -140,6 +144,7 @@
             listed = self._store.platform_list()
             if listed.is_ok():
                 self._routing.update(listed.ok)
+                self._limits.update(listed.ok)
                 self._listed = bool(listed.ok.targets)
             self._clock.wait(
                 self._stopping, self._settings.store.list_interval_ms / 1000
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -23,6 +23,7 @@
 from skylarktack.protocol._event_ids import EventIdSigner
 from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
 from skylarktack.protocol._generate_body import GenerateBody
+from skylarktack.protocol._loans import CborLoanCodec
 from skylarktack.protocol._object_api import decode_objects
 from skylarktack.protocol._object_api import decode_platform_list
 from skylarktack.protocol._object_api import decode_watch_batch
@@ -38,6 +39,7 @@
 from skylarktack.state import prefix_hashes
 
 __all__ = [
+    'CborLoanCodec',
     'CallerStreamEncoder',
     'EventIdSigner',
     'Frame',
