--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -23,11 +23,11 @@
 from skylarktack.protocol._console import new_entry
 from skylarktack.protocol._console import read_entry
 from skylarktack.protocol._console import render_console
+from skylarktack.protocol._digests import StructDigestCodec
 from skylarktack.protocol._documents import T
 from skylarktack.protocol._documents import decode_document
 from skylarktack.protocol._documents import decode_settings
 from skylarktack.protocol._documents import encode_document
-from skylarktack.protocol._engine import PREFIX_BLOCK_CHARS
 from skylarktack.protocol._engine import StreamDecoder
 from skylarktack.protocol._engine import decode_cache_events
 from skylarktack.protocol._engine import decode_engine_load
@@ -41,6 +41,7 @@
 from skylarktack.protocol._event_ids import MAC_BYTES
 from skylarktack.protocol._generate_body import GenerateBody
 from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
+from skylarktack.protocol._loans import CborLoanCodec
 from skylarktack.protocol._object_api import decode_objects
 from skylarktack.protocol._object_api import decode_platform_list
 from skylarktack.protocol._object_api import decode_watch_batch
@@ -61,9 +62,12 @@
 from skylarktack.protocol._peer_session import PeerHello
 from skylarktack.protocol._peer_session import PeerProof
 from skylarktack.protocol._peer_session import PeerRefusal
+from skylarktack.state import PREFIX_BLOCK_CHARS
+from skylarktack.state import prefix_hashes
 
 __all__ = [
     'CallerStreamEncoder',
+    'CborLoanCodec',
     'CborSegmentCodec',
     'ConsoleField',
     'ConsolePage',
@@ -94,6 +98,7 @@
     'SECTIONS',
     'STATUS_BY_CODE',
     'StreamDecoder',
+    'StructDigestCodec',
     'T',
     'WIRE_VERSION',
     'decode_cache_events',
--- a/packages/protocol/src/skylarktack/protocol/_peer_messages.py
+++ b/packages/protocol/src/skylarktack/protocol/_peer_messages.py
@@ -45,4 +45,9 @@
 PEER_MESSAGES: dict[str, type] = {
     'claim-forward': once.ClaimForward,
     'claim-forwarded': once.ClaimForwarded,
+from skylarktack.coordination import routing
+
+#: Message types by tag.
+PEER_MESSAGES: dict[str, type] = {
+    'target-leaving': routing.TargetLeaving,
 }
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -58,6 +58,8 @@
 from skylarktack.state._names import RouteName
 from skylarktack.state._names import TargetName
 from skylarktack.state._names import VersionName
+from skylarktack.state._prefixes import PREFIX_BLOCK_CHARS
+from skylarktack.state._prefixes import prefix_hashes
 from skylarktack.state._settings import CallerSettings
 from skylarktack.state._settings import ClaimSettings
 from skylarktack.state._settings import GenerationSettings
@@ -77,6 +79,8 @@
 from skylarktack.state._targets import Target
 from skylarktack.state._targets import TargetKind
 from skylarktack.state._targets import TargetOutcome
+from skylarktack.state._traffic_settings import LimitSettings
+from skylarktack.state._traffic_settings import RoutingSettings
 
 __all__ = [
     'ActiveConfiguration',
@@ -112,6 +116,7 @@
     'InstanceSettings',
     'InstanceStatus',
     'Keepalive',
+    'LimitSettings',
     'Limits',
     'ListedInstance',
     'LookupSettings',
@@ -122,6 +127,7 @@
     'Organisation',
     'OrganisationName',
     'OutcomeKind',
+    'PREFIX_BLOCK_CHARS',
     'PeerSettings',
     'PlainCall',
     'PlatformList',
@@ -135,6 +141,7 @@
     'Route',
     'RouteKind',
     'RouteName',
+    'RoutingSettings',
     'RunState',
     'SealedSegment',
     'ServiceAnswer',
@@ -155,5 +162,6 @@
     'Version',
     'VersionName',
     'WatchBatch',
+    'prefix_hashes',
     'supersedes',
 ]
