Build planned moves: record, driver, judging and share in effect

Cause: routes had no way from one version to another. Change: one object for each move with lease, phase and share; a driver that makes every step by a conditional write; a split by a hash of the request id; evidence judged by sequential tests within failure domains.

--- a/packages/coordination/src/skylarktack/coordination/moves/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/__init__.py
@@ -1,7 +1,53 @@
 """Planned moves between versions."""
 
+from skylarktack.coordination.moves._chooser import MoveVersionChooser
 from skylarktack.coordination.moves._chooser import RouteVersionChooser
+from skylarktack.coordination.moves._chooser import request_fraction
+from skylarktack.coordination.moves._codec import KEY_PREFIX
+from skylarktack.coordination.moves._codec import MoveCodec
+from skylarktack.coordination.moves._codec import key_of
+from skylarktack.coordination.moves._evidence import EvidenceBook
+from skylarktack.coordination.moves._evidence import EvidenceCollector
+from skylarktack.coordination.moves._evidence import latency_sums
+from skylarktack.coordination.moves._judging import Judge
+from skylarktack.coordination.moves._judging import Judgement
+from skylarktack.coordination.moves._judging import SequentialJudge
+from skylarktack.coordination.moves._judging import ThresholdJudge
+from skylarktack.coordination.moves._loading import LoadProgress
+from skylarktack.coordination.moves._loading import TargetDirectory
+from skylarktack.coordination.moves._part import MovesOutside
+from skylarktack.coordination.moves._part import MovesPart
+from skylarktack.coordination.moves._planning import Situation
+from skylarktack.coordination.moves._planning import decide
+from skylarktack.coordination.moves._session import DriverParts
+from skylarktack.coordination.moves._session import MoveSession
+from skylarktack.coordination.moves._session import SessionState
+from skylarktack.coordination.moves._table import KnownMove
+from skylarktack.coordination.moves._table import MoveTable
 
 __all__ = [
+    'DriverParts',
+    'EvidenceBook',
+    'EvidenceCollector',
+    'Judge',
+    'Judgement',
+    'KEY_PREFIX',
+    'KnownMove',
+    'LoadProgress',
+    'MoveCodec',
+    'MoveSession',
+    'MoveTable',
+    'MoveVersionChooser',
+    'MovesOutside',
+    'MovesPart',
     'RouteVersionChooser',
+    'SequentialJudge',
+    'SessionState',
+    'Situation',
+    'TargetDirectory',
+    'ThresholdJudge',
+    'decide',
+    'key_of',
+    'latency_sums',
+    'request_fraction',
 ]
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/moves/_judging.py
@@ -0,0 +1,264 @@
+"""Judges a new version against the old one serving at the same time."""
+
+import dataclasses
+import math
+from typing import Protocol
+
+from skylarktack import state
+
+#: Rate ratios over which the test of failures is a mixture.
+RATE_RATIOS = (2.0, 4.0, 16.0, 64.0)
+
+#: Fewest values of each version for a comparison of latencies; below it
+#: the variance is too uncertain.
+LATENCY_COUNT = 12
+
+#: Effective number of values for which the latency bound is tightest.
+TIGHTEST_COUNT = 60.0
+
+#: Smallest variance of the logarithm of a latency; keeps a handful of
+#: equal values from proving a difference.
+VARIANCE_FLOOR = 0.01
+
+#: Targets on which connections must be lost before losses are held
+#: against the version: a single one may be a failed machine.
+LOST_TARGET_COUNT = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Judgement:
+    """What evidence says at this moment."""
+
+    #: Whether the new version is worse than the old one.
+    bad: bool
+
+    #: One sentence if it is bad.
+    reason: str
+
+    #: Attempts on the new version.
+    attempt_count: int
+
+
+class Judge(Protocol):
+    """Compares two versions; may be asked any number of times."""
+
+    def judge(
+        self,
+        rows: tuple[state.EvidenceRow, ...],
+        to_version: state.VersionName,
+        rejection_probability: float,
+    ) -> Judgement:
+        """Judge the counts of one stage, combined from any instances."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class _Pair:
+    """Both versions in one failure domain."""
+
+    #: Counts of the new version.
+    new: state.EvidenceRow
+
+    #: Counts of the old version.
+    old: state.EvidenceRow
+
+
+class SequentialJudge:
+    """Tests that stay valid however often they are evaluated.
+
+    Failures: given a failure, it belongs to the new version with the
+    probability of its part of the attempts if both fail equally often. The
+    likelihood ratio of a mixture of higher rates is a non-negative
+    martingale under that hypothesis, so it passes ``1 / probability`` with
+    at most the given probability at any time (Ville). Latencies: an
+    asymptotic confidence sequence of the difference of mean logarithms
+    (normal mixture of Robbins). Both compare within failure domains, so a
+    fault common to both versions cancels out.
+    """
+
+    def __init__(self, settings: state.MoveSettings) -> None:
+        self._settings = settings
+
+    def judge(
+        self,
+        rows: tuple[state.EvidenceRow, ...],
+        to_version: state.VersionName,
+        rejection_probability: float,
+    ) -> Judgement:
+        """Judge the counts of one stage, combined from any instances."""
+        pairs = _pairs(rows, to_version)
+        attempts = sum(pair.new.attempt_count for pair in pairs)
+        # Three tests share the probability of a wrong rejection.
+        each = rejection_probability / 3
+        failures = failure_log_ratio(pairs, _lost_counts(pairs))
+        if failures >= math.log(1 / each):
+            failed = sum(_failed(pair.new, True) for pair in pairs)
+            return Judgement(
+                True, f'{failed} of {attempts} attempts failed.', attempts
+            )
+        tolerance = math.log(self._settings.tolerated_slowdown)
+        for field, words in (
+            ('first_token', 'Time to the first token'),
+            ('inter_token', 'Time between tokens'),
+        ):
+            lower = latency_lower_bound(pairs, field, each)
+            if lower > tolerance:
+                factor = math.exp(lower)
+                return Judgement(
+                    True, f'{words} is above {factor:.2f} times.', attempts
+                )
+        return Judgement(False, '', attempts)
+
+
+class ThresholdJudge:
+    """Fixed thresholds; kept for the comparison in the benchmark."""
+
+    def __init__(
+        self, failure_ratio: float = 0.05, slowdown: float = 1.3
+    ) -> None:
+        self._failure_ratio = failure_ratio
+        self._slowdown = slowdown
+
+    def judge(
+        self,
+        rows: tuple[state.EvidenceRow, ...],
+        to_version: state.VersionName,
+        rejection_probability: float,
+    ) -> Judgement:
+        """Judge the counts of one stage, combined from any instances."""
+        pairs = _pairs(rows, to_version)
+        attempts = sum(pair.new.attempt_count for pair in pairs)
+        failed = sum(_failed(pair.new, True) for pair in pairs)
+        if attempts >= 10 and failed > self._failure_ratio * attempts:
+            return Judgement(True, 'Too many failures.', attempts)
+        for field in ('first_token', 'inter_token'):
+            new = _total([getattr(pair.new, field) for pair in pairs])
+            old = _total([getattr(pair.old, field) for pair in pairs])
+            if new.count < 10 or old.count < 10:
+                continue
+            difference = new.log_sum / new.count - old.log_sum / old.count
+            if difference > math.log(self._slowdown):
+                return Judgement(True, 'Too slow.', attempts)
+        return Judgement(False, '', attempts)
+
+
+def failure_log_ratio(
+    pairs: tuple[_Pair, ...], count_lost: bool = True
+) -> float:
+    """Return the logarithm of the mixture likelihood ratio of failures."""
+    logs = [0.0] * len(RATE_RATIOS)
+    for pair in pairs:
+        attempts = pair.new.attempt_count + pair.old.attempt_count
+        part = pair.new.attempt_count / attempts if attempts else 0.0
+        if not 0.0 < part < 1.0:
+            continue
+        new = _failed(pair.new, count_lost)
+        old = _failed(pair.old, count_lost)
+        for index, ratio in enumerate(RATE_RATIOS):
+            theta = ratio * part / (ratio * part + 1 - part)
+            logs[index] += new * math.log(theta / part)
+            logs[index] += old * math.log((1 - theta) / (1 - part))
+    largest = max(logs)
+    total = sum(math.exp(value - largest) for value in logs)
+    return largest + math.log(total / len(logs))
+
+
+def latency_lower_bound(
+    pairs: tuple[_Pair, ...], field: str, probability: float
+) -> float:
+    """Return a bound below the difference of mean log latencies."""
+    weight_sum = 0.0
+    difference_sum = 0.0
+    new_count = 0
+    spread_sum = 0.0
+    for pair in pairs:
+        new: state.LatencySums = getattr(pair.new, field)
+        old: state.LatencySums = getattr(pair.old, field)
+        if new.count < 2 or old.count < 2:
+            continue
+        spread = max(VARIANCE_FLOOR, _variance(new), _variance(old))
+        variance = spread / new.count + spread / old.count
+        difference = new.log_sum / new.count - old.log_sum / old.count
+        weight_sum += 1 / variance
+        difference_sum += difference / variance
+        spread_sum += spread * new.count
+        new_count += new.count
+    if new_count < LATENCY_COUNT:
+        return -math.inf
+    effective = spread_sum / new_count * weight_sum
+    scaled = effective / TIGHTEST_COUNT
+    radius = math.sqrt(
+        2
+        * (scaled + 1)
+        / scaled
+        / weight_sum
+        * math.log(math.sqrt(scaled + 1) / probability)
+    )
+    return difference_sum / weight_sum - radius
+
+
+def add_rows(
+    one: state.EvidenceRow, other: state.EvidenceRow
+) -> state.EvidenceRow:
+    """Return the sum of two rows, with the key of the first."""
+    targets = list(one.lost_targets)
+    for name in other.lost_targets:
+        if name not in targets:
+            targets.append(name)
+    return dataclasses.replace(
+        one,
+        attempt_count=one.attempt_count + other.attempt_count,
+        error_count=one.error_count + other.error_count,
+        truncated_count=one.truncated_count + other.truncated_count,
+        lost_count=one.lost_count + other.lost_count,
+        lost_targets=tuple(targets[:LOST_TARGET_COUNT]),
+        first_token=_total([one.first_token, other.first_token]),
+        inter_token=_total([one.inter_token, other.inter_token]),
+    )
+
+
+def _pairs(
+    rows: tuple[state.EvidenceRow, ...], to_version: state.VersionName
+) -> tuple[_Pair, ...]:
+    new: dict[state.FailureDomain, state.EvidenceRow] = {}
+    old: dict[state.FailureDomain, state.EvidenceRow] = {}
+    everywhere = state.EvidenceRow(to_version, state.FailureDomain(''))
+    for row in rows:
+        side = new if row.version == to_version else old
+        known = side.get(row.failure_domain)
+        side[row.failure_domain] = add_rows(known, row) if known else row
+        if side is old:
+            everywhere = add_rows(everywhere, row)
+    found: list[_Pair] = []
+    for domain, row in new.items():
+        # Without the old version in the domain, all of its targets serve
+        # as the comparison.
+        found.append(_Pair(row, old.get(domain, everywhere)))
+    return tuple(found)
+
+
+def _lost_counts(pairs: tuple[_Pair, ...]) -> bool:
+    targets: set[state.TargetName] = set()
+    for pair in pairs:
+        targets.update(pair.new.lost_targets)
+    return len(targets) >= LOST_TARGET_COUNT
+
+
+def _failed(row: state.EvidenceRow, count_lost: bool) -> int:
+    failed = row.error_count + row.truncated_count
+    return failed + row.lost_count if count_lost else failed
+
+
+def _variance(sums: state.LatencySums) -> float:
+    mean = sums.log_sum / sums.count
+    return (sums.log_square_sum / sums.count - mean * mean) * (
+        sums.count / (sums.count - 1)
+    )
+
+
+def _total(several: list[state.LatencySums]) -> state.LatencySums:
+    return state.LatencySums(
+        count=sum(sums.count for sums in several),
+        log_sum=sum(sums.log_sum for sums in several),
+        log_square_sum=sum(sums.log_square_sum for sums in several),
+    )
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -12,9 +12,9 @@
 from skylarktack.coordination import generation
 from skylarktack.coordination import limits
 from skylarktack.coordination import lookup
-from skylarktack.coordination import moves
 from skylarktack.coordination import ports
 from skylarktack.coordination import routing
+from skylarktack.daemon import _moves
 
 #: Key of the configuration document in the object API.
 CONFIGURATION_KEY = 'configuration/current'
@@ -23,14 +23,19 @@
 
 
 class _OutcomeCounter:
-    """Counts outcomes by kind."""
+    """Counts outcomes by kind and passes them on."""
 
-    def __init__(self, metrics: ports.Metrics) -> None:
+    def __init__(
+        self, metrics: ports.Metrics, *observers: ports.OutcomeObserver
+    ) -> None:
         self._metrics = metrics
+        self._observers = observers
 
     def observe(self, outcome: state.TargetOutcome) -> None:
         """Take one outcome in."""
         self._metrics.count(f'outcome.{outcome.kind.value}')
+        for observer in self._observers:
+            observer.observe(outcome)
 
 
 class Instance:
@@ -45,15 +50,26 @@
         self._metrics = transport.StatsdMetrics(settings.statsd)
         self._holder = configuration.ConfigurationHolder(self._clock)
         self._selector = routing.TwoChoicesSelector()
-        versions = moves.RouteVersionChooser()
+        engines = transport.HttpEngineClient()
+        self._moves = _moves.build_moves(
+            settings,
+            self._clock,
+            self._store,
+            _moves.NoPeers(settings),
+            engines,
+            self._holder,
+            self._selector,
+            self._metrics,
+        )
+        versions = self._moves.versions
         runner = generation.GenerationRunner(
             generation.GenerationParts(
                 settings=settings.generation,
-                engines=transport.HttpEngineClient(),
+                engines=engines,
                 selector=self._selector,
                 retry_budget=limits.TokenRetryBudget(settings.retry),
                 versions=versions,
-                outcomes=_OutcomeCounter(self._metrics),
+                outcomes=_OutcomeCounter(self._metrics, self._moves.outcomes),
                 clock=self._clock,
                 metrics=self._metrics,
             )
@@ -94,6 +110,7 @@
         """Start all tasks."""
         self._tasks.submit(self._follow_configuration)
         self._tasks.submit(self._follow_platform_list)
+        self._moves.start()
         self._callers.start()
         _LOG.info('callers are served', address=str(self._callers.address))
 
@@ -101,6 +118,7 @@
         """Stop all tasks."""
         self._stopping.set()
         self._callers.stop()
+        self._moves.stop()
         self._tasks.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped')
 
@@ -128,6 +146,7 @@
             listed = self._store.platform_list()
             if listed.is_ok():
                 self._selector.update(listed.ok.targets)
+                self._moves.directory.update(listed.ok.targets)
                 self._listed = bool(listed.ok.targets)
             self._clock.wait(
                 self._stopping, self._settings.store.list_interval_ms / 1000
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -24,6 +24,7 @@
 from skylarktack.protocol._event_ids import EventIdSigner
 from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
 from skylarktack.protocol._generate_body import GenerateBody
+from skylarktack.protocol._moves import JsonMoveCodec
 from skylarktack.protocol._object_api import decode_objects
 from skylarktack.protocol._object_api import decode_platform_list
 from skylarktack.protocol._object_api import decode_watch_batch
@@ -42,6 +43,7 @@
     'Frame',
     'FrameFault',
     'GenerateBody',
+    'JsonMoveCodec',
     'MAC_BYTES',
     'MAX_TOKENS_COUNT',
     'PEER_MESSAGES',
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -29,6 +29,17 @@
 from skylarktack.state._generations import TokenEvent
 from skylarktack.state._members import Member
 from skylarktack.state._members import MemberState
+from skylarktack.state._moves import EvidenceReport
+from skylarktack.state._moves import EvidenceRow
+from skylarktack.state._moves import LatencySums
+from skylarktack.state._moves import MoveLease
+from skylarktack.state._moves import MoveNotice
+from skylarktack.state._moves import MovePhase
+from skylarktack.state._moves import MoveRecord
+from skylarktack.state._moves import MoveSettings
+from skylarktack.state._moves import MoveStep
+from skylarktack.state._moves import MoveStop
+from skylarktack.state._moves import MoveVerdict
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
 from skylarktack.state._names import OrganisationName
@@ -66,6 +77,8 @@
     'DeliveredText',
     'DispatchFault',
     'EngineOrder',
+    'EvidenceReport',
+    'EvidenceRow',
     'FailureDomain',
     'Finding',
     'GenerationRequest',
@@ -73,11 +86,20 @@
     'InstanceName',
     'InstanceSettings',
     'Keepalive',
+    'LatencySums',
     'Limits',
     'ListedInstance',
     'Member',
     'MemberState',
     'Move',
+    'MoveLease',
+    'MoveNotice',
+    'MovePhase',
+    'MoveRecord',
+    'MoveSettings',
+    'MoveStep',
+    'MoveStop',
+    'MoveVerdict',
     'Organisation',
     'OrganisationName',
     'OutcomeKind',
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from skylarktack.state._moves import MoveSettings
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
 from skylarktack.state._targets import Address
@@ -159,5 +160,8 @@
     #: Retries.
     retry: RetrySettings = dataclasses.field(default_factory=RetrySettings)
 
+    #: Planned moves.
+    move: MoveSettings = dataclasses.field(default_factory=MoveSettings)
+
     #: Where statsd listens, or None.
     statsd: Address | None = None
