--- a/packages/coordination/src/skylarktack/coordination/moves/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/__init__.py
@@ -13,6 +13,7 @@
 from skylarktack.coordination.moves._judging import Judgement
 from skylarktack.coordination.moves._judging import SequentialJudge
 from skylarktack.coordination.moves._judging import ThresholdJudge
+from skylarktack.coordination.moves._loading import FIRST_WAVE_COUNT
 from skylarktack.coordination.moves._loading import LoadProgress
 from skylarktack.coordination.moves._loading import TargetDirectory
 from skylarktack.coordination.moves._part import MovesOutside
@@ -29,6 +30,7 @@
     'DriverParts',
     'EvidenceBook',
     'EvidenceCollector',
+    'FIRST_WAVE_COUNT',
     'Judge',
     'Judgement',
     'KEY_PREFIX',
--- a/packages/coordination/src/skylarktack/coordination/moves/_judging.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_judging.py
@@ -35,8 +35,8 @@
     #: One sentence if it is bad.
     reason: str
 
-    #: Attempts on the new version.
-    attempt_count: int
+    #: Attempts on the version that has fewer.
+    compared_count: int
 
 
 class Judge(Protocol):
@@ -88,13 +88,14 @@
         """Judge the counts of one stage, combined from any instances."""
         pairs = _pairs(rows, to_version)
         attempts = sum(pair.new.attempt_count for pair in pairs)
+        compared = min(attempts, sum(pair.old.attempt_count for pair in pairs))
         # Three tests share the probability of a wrong rejection.
         each = rejection_probability / 3
         failures = failure_log_ratio(pairs, _lost_counts(pairs))
         if failures >= math.log(1 / each):
             failed = sum(_failed(pair.new, True) for pair in pairs)
             return Judgement(
-                True, f'{failed} of {attempts} attempts failed.', attempts
+                True, f'{failed} of {attempts} attempts failed.', compared
             )
         tolerance = math.log(self._settings.tolerated_slowdown)
         for field, words in (
@@ -105,9 +106,9 @@
             if lower > tolerance:
                 factor = math.exp(lower)
                 return Judgement(
-                    True, f'{words} is above {factor:.2f} times.', attempts
+                    True, f'{words} is above {factor:.2f} times.', compared
                 )
-        return Judgement(False, '', attempts)
+        return Judgement(False, '', compared)
 
 
 class ThresholdJudge:
@@ -128,9 +129,10 @@
         """Judge the counts of one stage, combined from any instances."""
         pairs = _pairs(rows, to_version)
         attempts = sum(pair.new.attempt_count for pair in pairs)
+        compared = min(attempts, sum(pair.old.attempt_count for pair in pairs))
         failed = sum(_failed(pair.new, True) for pair in pairs)
         if attempts >= 10 and failed > self._failure_ratio * attempts:
-            return Judgement(True, 'Too many failures.', attempts)
+            return Judgement(True, 'Too many failures.', compared)
         for field in ('first_token', 'inter_token'):
             new = _total([getattr(pair.new, field) for pair in pairs])
             old = _total([getattr(pair.old, field) for pair in pairs])
@@ -138,8 +140,8 @@
                 continue
             difference = new.log_sum / new.count - old.log_sum / old.count
             if difference > math.log(self._slowdown):
-                return Judgement(True, 'Too slow.', attempts)
-        return Judgement(False, '', attempts)
+                return Judgement(True, 'Too slow.', compared)
+        return Judgement(False, '', compared)
 
 
 def failure_log_ratio(
@@ -201,19 +203,20 @@
     one: state.EvidenceRow, other: state.EvidenceRow
 ) -> state.EvidenceRow:
     """Return the sum of two rows, with the key of the first."""
-    targets = list(one.lost_targets)
+    targets = one.lost_targets
     for name in other.lost_targets:
         if name not in targets:
-            targets.append(name)
-    return dataclasses.replace(
-        one,
+            targets = (*targets, name)
+    return state.EvidenceRow(
+        version=one.version,
+        failure_domain=one.failure_domain,
         attempt_count=one.attempt_count + other.attempt_count,
         error_count=one.error_count + other.error_count,
         truncated_count=one.truncated_count + other.truncated_count,
         lost_count=one.lost_count + other.lost_count,
-        lost_targets=tuple(targets[:LOST_TARGET_COUNT]),
-        first_token=_total([one.first_token, other.first_token]),
-        inter_token=_total([one.inter_token, other.inter_token]),
+        lost_targets=targets[:LOST_TARGET_COUNT],
+        first_token=_add_sums(one.first_token, other.first_token),
+        inter_token=_add_sums(one.inter_token, other.inter_token),
     )
 
 
@@ -256,9 +259,18 @@
     )
 
 
-def _total(several: list[state.LatencySums]) -> state.LatencySums:
+def _add_sums(
+    one: state.LatencySums, other: state.LatencySums
+) -> state.LatencySums:
     return state.LatencySums(
-        count=sum(sums.count for sums in several),
-        log_sum=sum(sums.log_sum for sums in several),
-        log_square_sum=sum(sums.log_square_sum for sums in several),
+        one.count + other.count,
+        one.log_sum + other.log_sum,
+        one.log_square_sum + other.log_square_sum,
     )
+
+
+def _total(several: list[state.LatencySums]) -> state.LatencySums:
+    total = state.LatencySums()
+    for sums in several:
+        total = _add_sums(total, sums)
+    return total
--- a/packages/coordination/src/skylarktack/coordination/moves/_loading.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_loading.py
@@ -25,11 +25,15 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._targets: tuple[state.Target, ...] = ()
+        self._found: dict[
+            tuple[state.VersionName, ...], tuple[state.Target, ...]
+        ] = {}
 
     def update(self, targets: tuple[state.Target, ...]) -> None:
         """Replace all targets."""
         with self._lock:
             self._targets = targets
+            self._found = {}
 
     def serving(
         self, versions: tuple[state.VersionName, ...]
@@ -38,10 +42,18 @@
         each failure domain before the second ones.
         """
         with self._lock:
-            targets = self._targets
+            found = self._found.get(versions)
+            if found is None:
+                found = self._sorted(versions)
+                self._found[versions] = found
+            return found
+
+    def _sorted(
+        self, versions: tuple[state.VersionName, ...]
+    ) -> tuple[state.Target, ...]:
         places: dict[state.FailureDomain, int] = {}
         ordered: list[tuple[int, str, state.Target]] = []
-        for target in sorted(targets, key=lambda target: target.name):
+        for target in sorted(self._targets, key=lambda target: target.name):
             if target.leaving or not set(versions) & set(target.versions):
                 continue
             place = places.get(target.failure_domain, 0)
--- a/packages/coordination/src/skylarktack/coordination/moves/_planning.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_planning.py
@@ -163,6 +163,10 @@
     in_stage_s = situation.now_s - record.stage_since_s
     if in_stage_s < stage_duration_s(settings, record, progress):
         return None
+    compared = situation.judgement.compared_count
+    if settings.shares[record.stage] > settings.unjudged_share:
+        if compared < settings.judged_attempt_count:
+            return None
     if record.stage + 1 >= len(settings.shares):
         return dataclasses.replace(
             record,
@@ -172,13 +176,12 @@
         )
     if record.verdict is not state.MoveVerdict.GOOD:
         if _is_last_unjudged(settings, record.stage):
-            judged = situation.judgement.attempt_count
-            if judged < settings.judged_attempt_count:
+            if compared < settings.judged_attempt_count:
                 return None
             return dataclasses.replace(
                 record,
                 verdict=state.MoveVerdict.GOOD,
-                reason=f'{judged} attempts showed nothing against it.',
+                reason=f'{compared} attempts showed nothing against it.',
             )
     share = settings.shares[record.stage + 1]
     if share > settings.unjudged_share:
--- a/packages/coordination/src/skylarktack/coordination/moves/_session.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_session.py
@@ -334,7 +334,7 @@
             phase=record.phase.value,
             share=record.share,
             fencing_number=record.lease.fencing_number,
-            reason=record.reason,
+            reason=record.history[-1].reason,
         )
 
     def _move(self) -> state.Move | None:
--- a/packages/state/src/skylarktack/state/_moves.py
+++ b/packages/state/src/skylarktack/state/_moves.py
@@ -151,13 +151,14 @@
     record_age_limit_ms: int = 10_000
 
     #: Shares of requests for the new version, one for each stage.
-    shares: tuple[float, ...] = (0.01, 0.05, 0.25, 0.5, 0.95)
+    shares: tuple[float, ...] = (0.01, 0.05, 0.25, 0.5, 0.9)
 
     #: Largest share before the evidence gave a verdict.
     unjudged_share: float = 0.05
 
-    #: Attempts on the new version without which it is not judged good.
-    judged_attempt_count: int = 100
+    #: Attempts on each of the two versions without which no stage from the
+    #: last unjudged one on is passed.
+    judged_attempt_count: int = 150
 
     #: Time of the last stage before the verdict, as a part of the time
     #: from the end of the first load to the deadline.
