--- a/packages/coordination/src/skylarktack/coordination/moves/_loading.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_loading.py
@@ -166,6 +166,11 @@
             # A former driver may have ordered a load just now.
             first = right.lease.fencing_number == 1
             self._next_order_s = now_s + (0 if first else progress.interval_s)
+        # Orders that became due since the step before go out together; the
+        # rate is not made up for longer pauses.
+        step_s = self._settings.step_ms / 1000
+        backlog_s = step_s if progress.interval_s < step_s else 0.0
+        self._next_order_s = max(self._next_order_s, now_s - backlog_s)
         for target in missing:
             if now_s < self._next_order_s or target.name in self._loaded:
                 continue
@@ -176,12 +181,7 @@
                 continue
             self._order(target, record)
             self._ordered_s[target.name] = now_s
-            # Orders that became due since the step before go out together,
-            # but none that was missed for longer.
-            self._next_order_s = max(
-                self._next_order_s + progress.interval_s,
-                now_s - self._settings.step_ms / 1000,
-            )
+            self._next_order_s += progress.interval_s
             now_s = self._clock.monotonic_s()
 
     def _wanted(self, record: state.MoveRecord) -> tuple[state.Target, ...]:
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/moves/tests/_support.py
@@ -0,0 +1,104 @@
+"""Traffic and checks for tests of moves."""
+
+import math
+
+from skylarktack import state
+from skylarktack.coordination import fakes
+
+#: Longest run of a test's world, in ticks of half a second.
+TICK_LIMIT = 160
+
+_SPREAD = 0.4
+
+
+def row(
+    version: str, domain: str, count: int, failed: int = 0, slow: float = 1.0
+) -> state.EvidenceRow:
+    """Return counts with the given failures and slowdown."""
+    centre = math.log(100.0 * slow)
+    sums = state.LatencySums(
+        count, count * centre, count * (centre * centre + _SPREAD * _SPREAD)
+    )
+    return state.EvidenceRow(
+        version=state.VersionName(version),
+        failure_domain=state.FailureDomain(domain),
+        attempt_count=count,
+        error_count=failed,
+        first_token=sums,
+        inter_token=sums,
+    )
+
+
+def serve(world: fakes.MoveWorld, failed: int = 0) -> None:
+    """Feed one tick's outcomes; ``failed`` of ten fail on model-2."""
+    for instance in world.instances.values():
+        share = instance.part.table.share('digest')
+        collector = instance.part.outcomes
+        for domain in ('domain-0', 'domain-1'):
+            collector.add('digest', row('model-1', domain, 40))
+            if share > 0:
+                count = max(10, int(40 * share))
+                new = row('model-2', domain, count, failed * count // 10)
+                collector.add('digest', new)
+
+
+class Observer:
+    """Checks on each tick what must hold under any fault."""
+
+    def __init__(self, world: fakes.MoveWorld) -> None:
+        self._world = world
+        self._highest_share = 0.0
+        self._ended: state.MoveRecord | None = None
+        self._fencing_number = 0
+        self.judged = False
+
+    def check(self) -> None:
+        """Fail if a share rose without a record or an end changed."""
+        record = self._world.record()
+        if record is None:
+            return
+        assert record.lease.fencing_number >= self._fencing_number
+        self._fencing_number = record.lease.fencing_number
+        if self._ended is not None:
+            assert record == self._ended
+        if record.ended:
+            self._ended = record
+        self._highest_share = max(self._highest_share, record.share)
+        self.judged |= record.verdict is state.MoveVerdict.GOOD
+        limit = self._highest_share if self.judged else 0.05
+        for instance in self._world.instances.values():
+            share = instance.part.table.share('digest')
+            assert share <= limit
+            if self._world.clock.wall_s() >= record.deadline_s:
+                assert share in (0.0, 1.0)
+
+
+def run_until(
+    world: fakes.MoveWorld,
+    observer: Observer,
+    moment: str,
+    failed: int = 0,
+) -> state.MoveRecord | None:
+    """Run until the record reaches a moment or the move has ended.
+
+    :param moment: a phase, or ``stage-`` and a number.
+    """
+    for _ in range(TICK_LIMIT):
+        record = world.record()
+        if record is not None:
+            if moment in (record.phase.value, f'stage-{record.stage}'):
+                return record
+            if record.ended:
+                return record
+        run_ticks(world, observer, 1, failed)
+    return world.record()
+
+
+def run_ticks(
+    world: fakes.MoveWorld, observer: Observer, count: int, failed: int = 0
+) -> None:
+    """Run some ticks."""
+    for _ in range(count):
+        world.tick()
+        serve(world, failed)
+        observer.check()
--- a/packages/state/src/skylarktack/state/_moves.py
+++ b/packages/state/src/skylarktack/state/_moves.py
@@ -144,7 +144,8 @@
     #: Largest accepted difference between two instances' wall clocks.
     clock_allowance_ms: int = 500
 
-    #: Longest wait for a target's answer to an order.
+    #: Longest wait for a target's answer to an order. No order is sent that
+    #: could outlast the lease, so it must be shorter than the lease.
     order_timeout_ms: int = 1000
 
     #: Age of a record beyond which it raises no share.
