--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -9,6 +9,13 @@
 from skylarktack.coordination.fakes._links import MemoryLinkHub
 from skylarktack.coordination.fakes._links import MemoryLinkNetwork
 from skylarktack.coordination.fakes._metrics import MemoryMetrics
+from skylarktack.coordination.fakes._moves import FixedConfiguration
+from skylarktack.coordination.fakes._moves import MemoryEngines
+from skylarktack.coordination.fakes._moves import MemoryMoveCodec
+from skylarktack.coordination.fakes._moves import MoveInstance
+from skylarktack.coordination.fakes._moves import MoveWorld
+from skylarktack.coordination.fakes._moves import MoveWorldShape
+from skylarktack.coordination.fakes._moves import StoreLink
 from skylarktack.coordination.fakes._peers import LocalPeerHub
 from skylarktack.coordination.fakes._peers import LocalPeerNetwork
 from skylarktack.coordination.fakes._stepping_clock import SteppingClock
@@ -19,15 +26,22 @@
     'EngineFault',
     'EngineFaultKind',
     'FaultyEngines',
+    'FixedConfiguration',
     'LocalPeerHub',
     'LocalPeerNetwork',
     'ManualClock',
     'MemberFleet',
+    'MemoryEngines',
     'MemoryLinkHub',
     'MemoryLinkNetwork',
     'MemoryMetrics',
+    'MemoryMoveCodec',
     'MemoryObjectStore',
+    'MoveInstance',
+    'MoveWorld',
+    'MoveWorldShape',
     'OUTAGE_S',
     'SteppingClock',
     'StoreFaults',
+    'StoreLink',
 ]
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -42,6 +42,7 @@
 from skylarktack.protocol._generate_body import GenerateBody
 from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
 from skylarktack.protocol._loans import CborLoanCodec
+from skylarktack.protocol._moves import JsonMoveCodec
 from skylarktack.protocol._object_api import decode_objects
 from skylarktack.protocol._object_api import decode_platform_list
 from skylarktack.protocol._object_api import decode_watch_batch
@@ -79,6 +80,7 @@
     'GenerateBody',
     'HANDOVER',
     'JsonConfigurationCodec',
+    'JsonMoveCodec',
     'LAST_EVENT_ID_HEADER',
     'LISTED_COUNT',
     'MAC_BYTES',
--- a/packages/protocol/src/skylarktack/protocol/_peer_messages.py
+++ b/packages/protocol/src/skylarktack/protocol/_peer_messages.py
@@ -50,4 +50,7 @@
 #: Message types by tag.
 PEER_MESSAGES: dict[str, type] = {
     'target-leaving': routing.TargetLeaving,
+    'moves.evidence': state.EvidenceReport,
+    'moves.notice': state.MoveNotice,
+    'moves.stop': state.MoveStop,
 }
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -51,6 +51,17 @@
 from skylarktack.state._members import MemberState
 from skylarktack.state._members import MemberTable
 from skylarktack.state._members import supersedes
+from skylarktack.state._moves import EvidenceReport
+from skylarktack.state._moves import EvidenceRow
+from skylarktack.state._moves import LatencySums
+from skylarktack.state._moves import MoveLease
+from skylarktack.state._moves import MoveNotice
+from skylarktack.state._moves import MovePhase
+from skylarktack.state._moves import MoveRecord
+from skylarktack.state._moves import MoveSettings
+from skylarktack.state._moves import MoveStep
+from skylarktack.state._moves import MoveStop
+from skylarktack.state._moves import MoveVerdict
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
 from skylarktack.state._names import OrganisationName
@@ -105,6 +116,8 @@
     'DeliveredText',
     'DispatchFault',
     'EngineOrder',
+    'EvidenceReport',
+    'EvidenceRow',
     'FailureDomain',
     'Finding',
     'GenerationRecord',
@@ -116,6 +129,7 @@
     'InstanceSettings',
     'InstanceStatus',
     'Keepalive',
+    'LatencySums',
     'LimitSettings',
     'Limits',
     'ListedInstance',
@@ -124,6 +138,14 @@
     'MemberState',
     'MemberTable',
     'Move',
+    'MoveLease',
+    'MoveNotice',
+    'MovePhase',
+    'MoveRecord',
+    'MoveSettings',
+    'MoveStep',
+    'MoveStop',
+    'MoveVerdict',
     'Organisation',
     'OrganisationName',
     'OutcomeKind',
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from skylarktack.state._moves import MoveSettings
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
 from skylarktack.state._targets import Address
@@ -283,6 +284,7 @@
     #: Retries.
     retry: RetrySettings = dataclasses.field(default_factory=RetrySettings)
 
+<<<<<<< HEAD
     #: Choice of targets.
     routing: RoutingSettings = dataclasses.field(
         default_factory=RoutingSettings
@@ -290,6 +292,10 @@
 
     #: Shared limits.
     limit: LimitSettings = dataclasses.field(default_factory=LimitSettings)
+=======
+    #: Planned moves.
+    move: MoveSettings = dataclasses.field(default_factory=MoveSettings)
+>>>>>>> moves
 
     #: Where statsd listens, or None.
     statsd: Address | None = None
