Wire peers, configuration, routing, limits, calls and moves together

Change: the instance builds every part on the websocket peer network; operators get their port; waiting watches end when the instance stops; the caller's key is found in a table instead of a walk over organisations.

--- a/packages/coordination/src/skylarktack/coordination/configuration/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/__init__.py
@@ -1,22 +1,35 @@
 """The configuration in effect: rules, acceptance and distribution."""
 
 from skylarktack.coordination.configuration._codec import ConfigurationCodec
-from skylarktack.coordination.configuration._follower import (
-from skylarktack.coordination.configuration._follower import FollowerParts
+from skylarktack.coordination.configuration._directory import (
+    ConfigurationDirectory,
+)
 from skylarktack.coordination.configuration._follower import PEER_TIMEOUT_S
 from skylarktack.coordination.configuration._follower import POLL_MAX_S
 from skylarktack.coordination.configuration._follower import POLL_MIN_S
 from skylarktack.coordination.configuration._follower import RETRY_WAIT_S
-from skylarktack.coordination.configuration._follower import RevisionTopic
-from skylarktack.coordination.configuration._follower import WATCHER_COUNT
+from skylarktack.coordination.configuration._follower import (
+    TRUSTED_ANSWER_COUNT,
+)
 from skylarktack.coordination.configuration._follower import WATCH_WAIT_S
+from skylarktack.coordination.configuration._follower import WATCHER_COUNT
+from skylarktack.coordination.configuration._follower import (
+    ConfigurationFollower,
+)
+from skylarktack.coordination.configuration._follower import FollowerParts
+from skylarktack.coordination.configuration._follower import RevisionTopic
 from skylarktack.coordination.configuration._holder import ConfigurationHolder
-from skylarktack.coordination.configuration._publisher import (
 from skylarktack.coordination.configuration._publisher import CURRENT_KEY
-from skylarktack.coordination.configuration._publisher import ChangeFault
-from skylarktack.coordination.configuration._publisher import ChangeFaultKind
 from skylarktack.coordination.configuration._publisher import HISTORY_PREFIX
+from skylarktack.coordination.configuration._publisher import (
+    RECENT_CHANGES_COUNT,
+)
 from skylarktack.coordination.configuration._publisher import VALUE_LIMIT_BYTES
+from skylarktack.coordination.configuration._publisher import ChangeFault
+from skylarktack.coordination.configuration._publisher import ChangeFaultKind
+from skylarktack.coordination.configuration._publisher import (
+    ConfigurationPublisher,
+)
 from skylarktack.coordination.configuration._rules import MOVE_DURATION_MIN_S
 from skylarktack.coordination.configuration._rules import WAIT_LIMIT_MS
 from skylarktack.coordination.configuration._rules import check_document
@@ -26,6 +39,7 @@
     'ChangeFault',
     'ChangeFaultKind',
     'ConfigurationCodec',
+    'ConfigurationDirectory',
     'ConfigurationFollower',
     'ConfigurationHolder',
     'ConfigurationPublisher',
--- a/packages/coordination/src/skylarktack/coordination/configuration/_directory.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_directory.py
@@ -30,7 +30,9 @@
         self._source = source
         self._index = _Index(-1, {}, {})
 
-    def organisation_by_key(self, key_sha256: str) -> state.Organisation | None:
+    def organisation_by_key(
+        self, key_sha256: str
+    ) -> state.Organisation | None:
         """Return the organisation that a key belongs to, or None."""
         return self._current().organisations_by_key.get(key_sha256)
 
--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -1,10 +1,12 @@
 """Replacements of the ports in memory, for tests and examples."""
 
 from skylarktack.coordination.fakes._clock import ManualClock
+from skylarktack.coordination.fakes._engines import OUTAGE_S
+from skylarktack.coordination.fakes._engines import STEP_S
 from skylarktack.coordination.fakes._engines import EngineFault
 from skylarktack.coordination.fakes._engines import EngineFaultKind
 from skylarktack.coordination.fakes._engines import FaultyEngines
-from skylarktack.coordination.fakes._engines import OUTAGE_S
+from skylarktack.coordination.fakes._fleet import HOPS_PER_STEP
 from skylarktack.coordination.fakes._fleet import MemberFleet
 from skylarktack.coordination.fakes._links import MemoryLinkHub
 from skylarktack.coordination.fakes._links import MemoryLinkNetwork
@@ -18,6 +20,7 @@
 from skylarktack.coordination.fakes._moves import StoreLink
 from skylarktack.coordination.fakes._peers import LocalPeerHub
 from skylarktack.coordination.fakes._peers import LocalPeerNetwork
+from skylarktack.coordination.fakes._selector import PlainSelector
 from skylarktack.coordination.fakes._stepping_clock import SteppingClock
 from skylarktack.coordination.fakes._store import MemoryObjectStore
 from skylarktack.coordination.fakes._store import StoreFaults
@@ -27,6 +30,7 @@
     'EngineFaultKind',
     'FaultyEngines',
     'FixedConfiguration',
+    'HOPS_PER_STEP',
     'LocalPeerHub',
     'LocalPeerNetwork',
     'ManualClock',
@@ -41,6 +45,9 @@
     'MoveWorld',
     'MoveWorldShape',
     'OUTAGE_S',
+    'PlainSelector',
+    'STEP_S',
+    'STEP_S',
     'SteppingClock',
     'StoreFaults',
     'StoreLink',
--- a/packages/coordination/src/skylarktack/coordination/routing/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/__init__.py
@@ -19,7 +19,6 @@
 from skylarktack.coordination.routing._subsets import used_targets
 from skylarktack.coordination.routing._subsets import watched_targets
 from skylarktack.coordination.routing._table import TargetTable
-from skylarktack.coordination.routing._targets import TwoChoicesSelector
 from skylarktack.coordination.routing._watch import LeavingNotices
 from skylarktack.coordination.routing._watch import TargetWatcher
 
@@ -40,7 +39,6 @@
     'TargetLeaving',
     'TargetTable',
     'TargetWatcher',
-    'TwoChoicesSelector',
     'instance_place',
     'make_policy',
     'ordered_targets',
--- a/packages/daemon/src/skylarktack/daemon/__init__.py
+++ b/packages/daemon/src/skylarktack/daemon/__init__.py
@@ -1,13 +1,11 @@
 """The entry instance, binary ``skylarktackd``."""
 
-from skylarktack.daemon._instance import CONFIGURATION_KEY
 from skylarktack.daemon._instance import Instance
 from skylarktack.daemon._main import EXIT_INVALID_SETTINGS
 from skylarktack.daemon._main import main
 from skylarktack.daemon._main import run
 
 __all__ = [
-    'CONFIGURATION_KEY',
     'EXIT_INVALID_SETTINGS',
     'Instance',
     'main',
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -8,30 +8,42 @@
 from skylarktack import protocol
 from skylarktack import state
 from skylarktack import transport
-from skylarktack.coordination import configuration
 from skylarktack.coordination import generation
 from skylarktack.coordination import limits
-from skylarktack.coordination import lookup
-from skylarktack.coordination import moves
 from skylarktack.coordination import ports
-from skylarktack.coordination import routing
+from skylarktack.daemon import _calls
+from skylarktack.daemon import _configuration
+from skylarktack.daemon import _limits
+from skylarktack.daemon import _moves
+from skylarktack.daemon import _operators
 from skylarktack.daemon import _peers
+from skylarktack.daemon import _routing
+from skylarktack.daemon import _status
 
-#: Key of the configuration document in the object API.
-CONFIGURATION_KEY = 'configuration/current'
+#: Threads for operators' connections.
+OPERATOR_THREAD_COUNT = 8
 
 _LOG = structlog.get_logger(part='instance')
 
 
-class _OutcomeCounter:
-    """Counts outcomes by kind."""
+class _OutcomeFan:
+    """Counts outcomes by kind and passes them on."""
 
-    def __init__(self, metrics: ports.Metrics) -> None:
+    def __init__(
+        self, metrics: ports.Metrics, *observers: ports.OutcomeObserver
+    ) -> None:
         self._metrics = metrics
+        self._observers = observers
 
     def observe(self, outcome: state.TargetOutcome) -> None:
         """Take one outcome in."""
         self._metrics.count(f'outcome.{outcome.kind.value}')
+        if outcome.first_token_ms is not None:
+            self._metrics.duration(
+                'first_token', outcome.organisation, outcome.first_token_ms
+            )
+        for observer in self._observers:
+            observer.observe(outcome)
 
 
 class Instance:
@@ -41,52 +53,86 @@
         self._settings = settings
         self._stopping = threading.Event()
         self._listed = False
+        self._target_count = 0
+        #: Set when an operator or a signal ordered the planned stop.
+        self.stop_ordered = threading.Event()
         self._clock = ports.SystemClock()
         self._store = transport.HttpObjectStore(settings.store)
         self._metrics = transport.StatsdMetrics(settings.statsd)
         self._peers = _peers.Peers(settings, self._clock, self._metrics)
-        self._holder = configuration.ConfigurationHolder(self._clock)
-        self._selector = routing.TwoChoicesSelector()
-        versions = moves.RouteVersionChooser()
+        network = self._peers.network
+        self._configuration = _configuration.ConfigurationPart(
+            self._store, network, self._clock, self._metrics
+        )
+        engines = transport.HttpEngineClient()
+        self._routing = _routing.RoutingPart(
+            settings, engines, self._clock, self._metrics, network
+        )
+        self._limits = _limits.LimitsPart(
+            settings, self._configuration.holder, self._clock, self._metrics
+        )
+        self._moves = _moves.build_moves(
+            settings,
+            self._clock,
+            self._store,
+            network,
+            engines,
+            self._configuration.holder,
+            self._routing.selector,
+            self._metrics,
+        )
+        outcomes = _OutcomeFan(
+            self._metrics, self._routing.selector, self._moves.outcomes
+        )
+        retry_budget = limits.OrganisationRetryBudget(
+            settings.retry, settings.limit
+        )
+        self._calls = _calls.CallParts(
+            _calls.CallNeeds(
+                settings=settings,
+                store=self._store,
+                peers=network,
+                selector=self._routing.selector,
+                versions=self._moves.versions,
+                retry_budget=retry_budget,
+                outcomes=outcomes,
+                clock=self._clock,
+                metrics=self._metrics,
+            )
+        )
         self._generations = generation.GenerationService(
             generation.GenerationParts(
                 settings=settings.generation,
-                engines=transport.HttpEngineClient(),
-                selector=self._selector,
-                retry_budget=limits.TokenRetryBudget(settings.retry),
-                versions=versions,
-                outcomes=_OutcomeCounter(self._metrics),
+                engines=engines,
+                selector=self._routing.selector,
+                retry_budget=retry_budget,
+                versions=self._moves.versions,
+                outcomes=outcomes,
                 clock=self._clock,
                 metrics=self._metrics,
             ),
             settings.caller.generation_count,
+            network,
         )
-        application = transport.CallerApplication(
-            transport.CallerParts(
-                settings=settings,
-                configuration=self._holder,
-                readiness=self,
-                admission=limits.UnlimitedAdmission(),
-                generations=self._generations,
-                lookups=lookup.LookupRunner(
-                    transport.HttpServiceClient(), self._selector, versions
-                ),
-                signer=protocol.EventIdSigner(settings.secret),
-            )
-        )
-        self._callers = transport.WsgiServer(
-            application, settings.listen, settings.caller
-        )
-        # One task for the configuration watch, one for the platform's list.
+        self._status = _status.FleetStatus(network, self.status)
+        self._callers = self._caller_server()
+        self._operators = self._operator_server()
+        # One task for the configuration, one for the platform's list.
         self._tasks = concurrent.futures.ThreadPoolExecutor(
             max_workers=2, thread_name_prefix='instance'
         )
+        self._add_topics()
 
     @property
     def caller_address(self) -> state.Address:
         """Where callers connect."""
         return self._callers.address
 
+    @property
+    def operator_address(self) -> state.Address:
+        """Where operators connect."""
+        return self._operators.address
+
     @property
     def peer_address(self) -> state.Address:
         """Where other instances connect."""
@@ -94,54 +140,123 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
-        if self._stopping.is_set() or self._generations.is_stopping:
+        if self.stop_ordered.is_set() or self._generations.is_stopping:
             return False
-        return self._listed and self._holder.current().revision > 0
+        return self._listed and self._revision() > 0
+
+    def order_stop(self) -> None:
+        """Begin the planned stop and return at once."""
+        self.stop_ordered.set()
+
+    def status(self) -> state.InstanceStatus:
+        """Return what this instance says of itself."""
+        active = self._configuration.holder.current()
+        return state.InstanceStatus(
+            name=self._settings.name,
+            failure_domain=self._settings.failure_domain,
+            ready=self.is_ready(),
+            stopping=self.stop_ordered.is_set(),
+            revision=active.revision,
+            revision_since_s=active.since_s,
+            store_reachable=self._configuration.follower.store_reachable,
+            member_count=len(self._peers.network.members()),
+            target_count=self._target_count,
+            generation_count=self._generations.running_count,
+            metrics=self._metrics.snapshot(),
+        )
 
     def start(self) -> None:
         """Start all tasks."""
         self._peers.start()
-        self._tasks.submit(self._follow_configuration)
+        self._tasks.submit(self._configuration.follower.follow)
         self._tasks.submit(self._follow_platform_list)
+        self._routing.watcher.start()
+        self._moves.start()
+        self._operators.start()
         self._callers.start()
         _LOG.info('callers are served', address=str(self._callers.address))
 
     def stop(self) -> None:
         """Let running generations end or move, then stop all tasks."""
+        self.stop_ordered.set()
         self._generations.drain()
         self._stopping.set()
+        self._moves.stop()
+        self._routing.watcher.stop()
+        self._calls.stop()
+        self._configuration.follower.stop()
         self._peers.leave()
         self._callers.stop()
+        self._operators.stop()
+        self._store.close()
         self._peers.stop()
         self._tasks.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped')
 
-    def _follow_configuration(self) -> None:
-        seen = 0
-        while not self._stopping.is_set():
-            batch = self._store.watch(CONFIGURATION_KEY, seen, 10.0)
-            if batch.is_error():
-                self._clock.wait(self._stopping, 0.5)
-                continue
-            seen = batch.ok.version
-            for stored in batch.ok.changed:
-                self._take(stored)
-
-    def _take(self, stored: state.StoredObject) -> None:
-        decoded = protocol.decode_document(stored.value.decode())
-        if decoded.is_error():
-            _LOG.error('stored configuration is invalid', key=stored.key)
-            return
-        if self._holder.offer(stored.version, decoded.ok):
-            _LOG.info('configuration in effect', revision=stored.version)
+    def _caller_server(self) -> transport.WsgiServer:
+        settings = self._settings
+        application = transport.CallerApplication(
+            transport.CallerParts(
+                settings=settings,
+                configuration=self._configuration.holder,
+                readiness=self,
+                admission=self._limits.admission,
+                generations=self._generations,
+                lookups=self._calls.lookups,
+                once=self._calls.once,
+                signer=protocol.EventIdSigner(settings.secret),
+            )
+        )
+        return transport.WsgiServer(
+            application, settings.listen, settings.caller
+        )
+
+    def _operator_server(self) -> transport.WsgiServer:
+        application = transport.OperatorApplication(
+            transport.OperatorParts(
+                settings=self._settings,
+                publisher=self._configuration.publisher,
+                holder=self._configuration.holder,
+                status=self._status,
+                planned_stop=self,
+                extensions=(
+                    _operators.UnknownCallsExtension(
+                        self._calls.unknown_calls
+                    ),
+                ),
+            )
+        )
+        return transport.WsgiServer(
+            application,
+            self._settings.operator_listen,
+            state.CallerSettings(
+                thread_count=OPERATOR_THREAD_COUNT,
+                body_limit_bytes=transport.OPERATOR_BODY_LIMIT_BYTES,
+            ),
+        )
+
+    def _add_topics(self) -> None:
+        members = self._peers.membership
+        self._configuration.add_topics(members)
+        members.add_topic(self._routing.topic)
+        members.add_topic(self._limits.topic)
+
+    def _revision(self) -> int:
+        return self._configuration.holder.current().revision
 
     def _follow_platform_list(self) -> None:
         while not self._stopping.is_set():
             listed = self._store.platform_list()
             if listed.is_ok():
-                self._selector.update(listed.ok.targets)
-                self._peers.membership.take_list(listed.ok.instances)
-                self._listed = bool(listed.ok.targets)
+                self._take_list(listed.ok)
             self._clock.wait(
                 self._stopping, self._settings.store.list_interval_ms / 1000
             )
+
+    def _take_list(self, listed: state.PlatformList) -> None:
+        self._routing.update(listed)
+        self._limits.update(listed)
+        self._moves.directory.update(listed.targets)
+        self._peers.membership.take_list(listed.instances)
+        self._target_count = len(listed.targets)
+        self._listed = bool(listed.targets)
--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -1,11 +1,9 @@
 """Entry point of ``skylarktackd``."""
 
 import json
-import os
 import pathlib
 import signal
 import sys
-import threading
 from types import FrameType
 
 import fire
@@ -34,10 +32,9 @@
             )
         sys.exit(EXIT_INVALID_SETTINGS)
     instance = _instance.Instance(decoded.ok)
-    stopped = threading.Event()
 
     def _order_stop(number: int, frame: FrameType | None) -> None:
-        stopped.set()
+        instance.order_stop()
 
     signal.signal(signal.SIGTERM, _order_stop)
     signal.signal(signal.SIGINT, _order_stop)
@@ -49,16 +46,14 @@
                 'name': decoded.ok.name,
                 'host': address.host,
                 'port': address.port,
-                'operator_port': 0,
+                'operator_port': instance.operator_address.port,
                 'peer_port': instance.peer_address.port,
             }
         ),
         flush=True,
     )
-    stopped.wait()
+    instance.stop_ordered.wait()
     instance.stop()
-    # A waiting watch would hold the process until its time limit.
-    os._exit(0)
 
 
 def main() -> None:
--- a/packages/emulator/src/skylarktack/emulator/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/_deployment.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import threading
+import time
 from types import TracebackType
 from typing import Any
 from typing import Self
@@ -356,11 +357,18 @@
             wait_ready(process)
 
     def _store_document(self) -> None:
+        record = state.ConfigurationRecord(
+            revision=1,
+            document=self.document,
+            author='emulator',
+            accepted_s=time.time(),
+            change_id='emulator',
+        )
         transport.http_call(
             self.object_api.address,
             'PUT',
             '/objects/configuration/current',
-            protocol.encode_document(self.document).encode(),
+            protocol.JsonConfigurationCodec().encode(record),
             {},
             5.0,
         )
--- a/packages/emulator/src/skylarktack/emulator/_engine_model.py
+++ b/packages/emulator/src/skylarktack/emulator/_engine_model.py
@@ -7,7 +7,6 @@
 import time
 import zlib
 
-from skylarktack import protocol
 from skylarktack import state
 from skylarktack.coordination import ports
 
@@ -258,7 +257,7 @@
             return True
 
     def _prefill(self, prompt: str) -> int:
-        hashes = protocol.prefix_hashes(prompt)
+        hashes = state.prefix_hashes(prompt)
         cached = 0
         for prefix in hashes:
             if prefix not in self._cache:
@@ -271,7 +270,7 @@
         while len(self._cache) > self.shape.cache_block_count:
             removed, _ = self._cache.popitem(last=False)
             self._publish(removed, False)
-        left = len(prompt) - cached * protocol.PREFIX_BLOCK_CHARS
+        left = len(prompt) - cached * state.PREFIX_BLOCK_CHARS
         return left // self.shape.prefill_chars
 
     def _publish(self, prefix: str, added: bool) -> None:
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -1,24 +1,25 @@
 """Encodings of all messages, apart from the decisions."""
 
-from skylarktack.protocol._caller import CallerStreamEncoder
 from skylarktack.protocol._caller import HANDOVER
 from skylarktack.protocol._caller import LAST_EVENT_ID_HEADER
 from skylarktack.protocol._caller import REQUEST_ID_HEADER
 from skylarktack.protocol._caller import STATUS_BY_CODE
+from skylarktack.protocol._caller import CallerStreamEncoder
 from skylarktack.protocol._caller import decode_generate_body
 from skylarktack.protocol._caller import encode_answer
 from skylarktack.protocol._caller import encode_refusal
+from skylarktack.protocol._claims import LAYOUT_VERSION
 from skylarktack.protocol._claims import CborSegmentCodec
-from skylarktack.protocol._configurations import JsonConfigurationCodec
 from skylarktack.protocol._configurations import RECORD_LIMIT_BYTES
+from skylarktack.protocol._configurations import JsonConfigurationCodec
 from skylarktack.protocol._configurations import decode_findings
 from skylarktack.protocol._configurations import decode_record_for_operators
 from skylarktack.protocol._configurations import encode_findings
 from skylarktack.protocol._configurations import encode_record_for_operators
-from skylarktack.protocol._console import ConsoleField
-from skylarktack.protocol._console import ConsolePage
 from skylarktack.protocol._console import LISTED_COUNT
 from skylarktack.protocol._console import SECTIONS
+from skylarktack.protocol._console import ConsoleField
+from skylarktack.protocol._console import ConsolePage
 from skylarktack.protocol._console import document_difference
 from skylarktack.protocol._console import new_entry
 from skylarktack.protocol._console import read_entry
@@ -36,11 +37,11 @@
 from skylarktack.protocol._engine import encode_engine_order
 from skylarktack.protocol._engine import encode_plain
 from skylarktack.protocol._engine import encode_stream_event
-from skylarktack.protocol._engine import prefix_hashes
-from skylarktack.protocol._event_ids import EventIdSigner
+from skylarktack.protocol._event_ids import EVENT_ID_LIMIT_CHARS
 from skylarktack.protocol._event_ids import MAC_BYTES
-from skylarktack.protocol._generate_body import GenerateBody
+from skylarktack.protocol._event_ids import EventIdSigner
 from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
+from skylarktack.protocol._generate_body import GenerateBody
 from skylarktack.protocol._loans import CborLoanCodec
 from skylarktack.protocol._moves import JsonMoveCodec
 from skylarktack.protocol._object_api import decode_objects
@@ -49,22 +50,20 @@
 from skylarktack.protocol._object_api import encode_objects
 from skylarktack.protocol._object_api import encode_platform_list
 from skylarktack.protocol._object_api import encode_watch_batch
+from skylarktack.protocol._peer_codec import WIRE_VERSION
 from skylarktack.protocol._peer_codec import Frame
 from skylarktack.protocol._peer_codec import FrameFault
 from skylarktack.protocol._peer_codec import PeerCodec
-from skylarktack.protocol._peer_codec import WIRE_VERSION
 from skylarktack.protocol._peer_messages import PEER_MESSAGES
 from skylarktack.protocol._peer_session import FRAME_CODE_BYTES
-from skylarktack.protocol._peer_session import FrameSeal
 from skylarktack.protocol._peer_session import NONCE_BYTES
+from skylarktack.protocol._peer_session import FrameSeal
 from skylarktack.protocol._peer_session import PeerAuthenticator
 from skylarktack.protocol._peer_session import PeerChallenge
 from skylarktack.protocol._peer_session import PeerDone
 from skylarktack.protocol._peer_session import PeerHello
 from skylarktack.protocol._peer_session import PeerProof
 from skylarktack.protocol._peer_session import PeerRefusal
-from skylarktack.state import PREFIX_BLOCK_CHARS
-from skylarktack.state import prefix_hashes
 
 __all__ = [
     'CallerStreamEncoder',
@@ -72,6 +71,7 @@
     'CborSegmentCodec',
     'ConsoleField',
     'ConsolePage',
+    'EVENT_ID_LIMIT_CHARS',
     'EventIdSigner',
     'FRAME_CODE_BYTES',
     'Frame',
@@ -82,12 +82,16 @@
     'JsonConfigurationCodec',
     'JsonMoveCodec',
     'LAST_EVENT_ID_HEADER',
+    'LAYOUT_VERSION',
     'LISTED_COUNT',
     'MAC_BYTES',
     'MAX_TOKENS_COUNT',
     'NONCE_BYTES',
     'PEER_MESSAGES',
-    'PREFIX_BLOCK_CHARS',
+    'PEER_MESSAGES',
+    'PEER_MESSAGES',
+    'PEER_MESSAGES',
+    'PEER_MESSAGES',
     'PeerAuthenticator',
     'PeerChallenge',
     'PeerCodec',
@@ -128,7 +132,6 @@
     'encode_stream_event',
     'encode_watch_batch',
     'new_entry',
-    'prefix_hashes',
     'read_entry',
     'render_console',
 ]
--- a/packages/protocol/src/skylarktack/protocol/_peer_messages.py
+++ b/packages/protocol/src/skylarktack/protocol/_peer_messages.py
@@ -5,6 +5,11 @@
 """
 
 from skylarktack import state
+from skylarktack.coordination import generation
+from skylarktack.coordination import membership
+from skylarktack.coordination import once
+from skylarktack.coordination import routing
+from skylarktack.protocol import _peer_session
 
 #: Message types by tag.
 PEER_MESSAGES: dict[str, type] = {
@@ -13,11 +18,6 @@
     'configuration.answer': state.ConfigurationAnswer,
     'status.request': state.StatusRequest,
     'status.answer': state.InstanceStatus,
-from skylarktack.coordination import membership
-from skylarktack.protocol import _peer_session
-
-#: Message types by tag.
-PEER_MESSAGES: dict[str, type] = {
     'peer.hello': _peer_session.PeerHello,
     'peer.challenge': _peer_session.PeerChallenge,
     'peer.proof': _peer_session.PeerProof,
@@ -31,24 +31,12 @@
     'member.relayed': membership.RelayedProbe,
     'member.news': membership.News,
     'member.exchange': membership.Exchange,
-from skylarktack.coordination import generation
-
-#: Message types by tag.
-PEER_MESSAGES: dict[str, type] = {
     'generation.read': generation.ReadGeneration,
     'generation.part': generation.GenerationPart,
     'generation.cancel': generation.CancelGeneration,
     'generation.cancelled': generation.GenerationCancelled,
-from skylarktack.coordination import once
-
-#: Message types by tag.
-PEER_MESSAGES: dict[str, type] = {
     'claim-forward': once.ClaimForward,
     'claim-forwarded': once.ClaimForwarded,
-from skylarktack.coordination import routing
-
-#: Message types by tag.
-PEER_MESSAGES: dict[str, type] = {
     'target-leaving': routing.TargetLeaving,
     'moves.evidence': state.EvidenceReport,
     'moves.notice': state.MoveNotice,
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -36,6 +36,7 @@
 from skylarktack.state._generation_record import RecordStart
 from skylarktack.state._generation_record import ResumeCheck
 from skylarktack.state._generation_table import GenerationTable
+from skylarktack.state._generation_table import H
 from skylarktack.state._generation_table import HeldGeneration
 from skylarktack.state._generations import AttemptNote
 from skylarktack.state._generations import EngineOrder
@@ -79,9 +80,9 @@
 from skylarktack.state._settings import PeerSettings
 from skylarktack.state._settings import RetrySettings
 from skylarktack.state._settings import StoreSettings
+from skylarktack.state._store import StoredObject
 from skylarktack.state._store import StoreFault
 from skylarktack.state._store import StoreFaultKind
-from skylarktack.state._store import StoredObject
 from skylarktack.state._store import WatchBatch
 from skylarktack.state._targets import Address
 from skylarktack.state._targets import ListedInstance
@@ -124,6 +125,7 @@
     'GenerationRequest',
     'GenerationSettings',
     'GenerationTable',
+    'H',
     'HeldGeneration',
     'InstanceName',
     'InstanceSettings',
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -284,7 +284,6 @@
     #: Retries.
     retry: RetrySettings = dataclasses.field(default_factory=RetrySettings)
 
-<<<<<<< HEAD
     #: Choice of targets.
     routing: RoutingSettings = dataclasses.field(
         default_factory=RoutingSettings
@@ -292,10 +291,9 @@
 
     #: Shared limits.
     limit: LimitSettings = dataclasses.field(default_factory=LimitSettings)
-=======
+
     #: Planned moves.
     move: MoveSettings = dataclasses.field(default_factory=MoveSettings)
->>>>>>> moves
 
     #: Where statsd listens, or None.
     statsd: Address | None = None
--- a/packages/transport/src/skylarktack/transport/__init__.py
+++ b/packages/transport/src/skylarktack/transport/__init__.py
@@ -1,18 +1,27 @@
 """Sockets of skylarktack: servers, clients and metrics."""
 
+from skylarktack.transport._answers import StartResponse
+from skylarktack.transport._answers import not_run
+from skylarktack.transport._answers import plain
+from skylarktack.transport._answers import refuse
+from skylarktack.transport._answers import whole
+from skylarktack.transport._call_endpoints import CallEndpoints
+from skylarktack.transport._call_endpoints import Refuse
 from skylarktack.transport._caller_application import CallerApplication
 from skylarktack.transport._caller_application import CallerParts
-from skylarktack.transport._caller_application import StartResponse
 from skylarktack.transport._console_endpoint import ConsoleEndpoint
+from skylarktack.transport._engine_client import READ_LIMIT_BYTES
 from skylarktack.transport._engine_client import HttpEngineClient
 from skylarktack.transport._engine_client import HttpTokenStream
-from skylarktack.transport._engine_client import READ_LIMIT_BYTES
+from skylarktack.transport._generation_endpoints import GenerationEndpoints
 from skylarktack.transport._http_client import HttpAnswer
 from skylarktack.transport._http_client import HttpFault
+from skylarktack.transport._http_client import OpenConnections
 from skylarktack.transport._http_client import OpenResponse
 from skylarktack.transport._http_client import http_call
 from skylarktack.transport._http_client import open_http_response
 from skylarktack.transport._logs import configure_logs
+from skylarktack.transport._lookup_client import IDLE_LIMIT_COUNT
 from skylarktack.transport._lookup_client import HttpLookupClient
 from skylarktack.transport._metrics import DURATION_LIMIT_MS
 from skylarktack.transport._metrics import LABEL_LIMIT_COUNT
@@ -25,27 +34,48 @@
 from skylarktack.transport._operator_answers import json_error
 from skylarktack.transport._operator_answers import record_summary
 from skylarktack.transport._operator_answers import token_of
-from skylarktack.transport._operator_application import BODY_LIMIT_BYTES
 from skylarktack.transport._operator_application import HISTORY_COUNT
+from skylarktack.transport._operator_application import (
+    OPERATOR_BODY_LIMIT_BYTES,
+)
 from skylarktack.transport._operator_application import OperatorApplication
 from skylarktack.transport._operator_application import OperatorExtension
 from skylarktack.transport._operator_application import OperatorParts
 from skylarktack.transport._operator_application import PlannedStop
 from skylarktack.transport._operator_application import StatusSource
+from skylarktack.transport._peer_handshake import PeerHandshake
+from skylarktack.transport._peer_link import PeerLink
+from skylarktack.transport._peer_link import PeerSession
+from skylarktack.transport._peer_links import IDLE_S
+from skylarktack.transport._peer_links import SILENCE_S
+from skylarktack.transport._peer_links import PeerLinks
+from skylarktack.transport._peer_network import HANDLER_COUNT
+from skylarktack.transport._peer_network import OPEN_TIMEOUT_S
+from skylarktack.transport._peer_network import REQUEST_LIMIT_COUNT
+from skylarktack.transport._peer_network import SEND_TIMEOUT_S
 from skylarktack.transport._peer_network import PeerNetworkParts
 from skylarktack.transport._peer_network import WebsocketPeerNetwork
 from skylarktack.transport._peer_network import listen_for_peers
+from skylarktack.transport._routes import find_generation_route
+from skylarktack.transport._routes import find_route
+from skylarktack.transport._routes import may_use
+from skylarktack.transport._service_client import OUTCOME_STATUS_HEADER
 from skylarktack.transport._service_client import HttpServiceClient
+from skylarktack.transport._service_client import call_headers
+from skylarktack.transport._service_client import dispatch_fault
+from skylarktack.transport._service_client import service_answer
 from skylarktack.transport._wsgi_server import Application
 from skylarktack.transport._wsgi_server import WsgiServer
 
 __all__ = [
     'Application',
-    'BODY_LIMIT_BYTES',
+    'CallEndpoints',
     'CallerApplication',
     'CallerParts',
     'ConsoleEndpoint',
     'DURATION_LIMIT_MS',
+    'GenerationEndpoints',
+    'HANDLER_COUNT',
     'HISTORY_COUNT',
     'HttpAnswer',
     'HttpEngineClient',
@@ -54,28 +84,53 @@
     'HttpObjectStore',
     'HttpServiceClient',
     'HttpTokenStream',
+    'IDLE_LIMIT_COUNT',
+    'IDLE_S',
     'LABEL_LIMIT_COUNT',
+    'OPEN_TIMEOUT_S',
+    'OPERATOR_BODY_LIMIT_BYTES',
     'OTHER_LABEL',
+    'OUTCOME_STATUS_HEADER',
+    'OpenConnections',
     'OpenResponse',
     'OperatorAnswer',
     'OperatorApplication',
     'OperatorExtension',
     'OperatorParts',
+    'PeerHandshake',
+    'PeerLink',
+    'PeerLinks',
     'PeerNetworkParts',
+    'PeerSession',
     'PlannedStop',
     'READ_LIMIT_BYTES',
+    'REQUEST_LIMIT_COUNT',
+    'Refuse',
+    'SEND_TIMEOUT_S',
+    'SILENCE_S',
+    'StartResponse',
     'StartResponse',
     'StatsdMetrics',
     'StatusSource',
     'WebsocketPeerNetwork',
     'WsgiServer',
+    'call_headers',
     'change_fault',
     'configure_logs',
+    'dispatch_fault',
+    'find_generation_route',
+    'find_route',
     'http_call',
     'json_answer',
     'json_error',
     'listen_for_peers',
+    'may_use',
+    'not_run',
     'open_http_response',
+    'plain',
     'record_summary',
+    'refuse',
+    'service_answer',
     'token_of',
+    'whole',
 ]
--- a/packages/transport/src/skylarktack/transport/_http_client.py
+++ b/packages/transport/src/skylarktack/transport/_http_client.py
@@ -6,6 +6,8 @@
 from collections.abc import Mapping
 import dataclasses
 import http.client
+import socket
+import threading
 
 from expression import Error
 from expression import Ok
@@ -61,6 +63,47 @@
     response: http.client.HTTPResponse
 
 
+class OpenConnections:
+    """Connections of waiting calls, so that a stop can end them."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._closed = False
+        self._connections: set[http.client.HTTPConnection] = set()
+
+    def add(self, connection: http.client.HTTPConnection) -> None:
+        """Enter an open connection; it ends at once after ``close_all``."""
+        with self._lock:
+            self._connections.add(connection)
+            closed = self._closed
+        if closed:
+            _shut_down(connection)
+
+    def remove(self, connection: http.client.HTTPConnection) -> None:
+        """Forget a connection."""
+        with self._lock:
+            self._connections.discard(connection)
+
+    def close_all(self) -> None:
+        """End all waiting calls and those that come later."""
+        with self._lock:
+            self._closed = True
+            connections = tuple(self._connections)
+        for connection in connections:
+            _shut_down(connection)
+
+
+def _shut_down(connection: http.client.HTTPConnection) -> None:
+    # Unlike closing, this wakes a thread that reads from the socket.
+    if connection.sock is None:
+        return
+    try:
+        connection.sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The other end was faster.
+        return
+
+
 def open_http_response(
     address: state.Address,
     method: str,
@@ -68,8 +111,12 @@
     body: bytes | None,
     headers: Mapping[str, str],
     timeout_s: float,
+    connections: OpenConnections | None = None,
 ) -> Result[OpenResponse, HttpFault]:
-    """Send a request on a new connection and read the response's head."""
+    """Send a request on a new connection and read the response's head.
+
+    :param connections: where the connection is entered while it waits.
+    """
     connection = http.client.HTTPConnection(
         address.host, address.port, timeout=timeout_s
     )
@@ -80,6 +127,8 @@
         return Error(
             HttpFault(False, isinstance(error, TimeoutError), str(error))
         )
+    if connections is not None:
+        connections.add(connection)
     try:
         connection.request(method, path, body, dict(headers))
         response = connection.getresponse()
@@ -88,6 +137,9 @@
         return Error(
             HttpFault(True, isinstance(error, TimeoutError), repr(error))
         )
+    finally:
+        if connections is not None:
+            connections.remove(connection)
     return Ok(OpenResponse(connection, response))
 
 
@@ -98,10 +150,11 @@
     body: bytes | None,
     headers: Mapping[str, str],
     timeout_s: float,
+    connections: OpenConnections | None = None,
 ) -> Result[HttpAnswer, HttpFault]:
     """Send a request on a new connection and read the whole answer."""
     opened = open_http_response(
-        address, method, path, body, headers, timeout_s
+        address, method, path, body, headers, timeout_s, connections
     )
     if opened.is_error():
         return Error(opened.error)
--- a/packages/transport/src/skylarktack/transport/_object_store.py
+++ b/packages/transport/src/skylarktack/transport/_object_store.py
@@ -17,6 +17,11 @@
     def __init__(self, settings: state.StoreSettings) -> None:
         self._address = settings.address
         self._timeout_s = settings.timeout_ms / 1000
+        self._open = _http_client.OpenConnections()
+
+    def close(self) -> None:
+        """End waiting watches; later calls fail."""
+        self._open.close_all()
 
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         """Read one object."""
@@ -96,6 +101,7 @@
             body,
             headers or {},
             self._timeout_s + extra_wait_s,
+            self._open,
         )
         if answered.is_error():
             fault = answered.error
--- a/packages/transport/src/skylarktack/transport/_operator_application.py
+++ b/packages/transport/src/skylarktack/transport/_operator_application.py
@@ -21,7 +21,7 @@
 _LOG = structlog.get_logger(part='operator')
 
 #: Largest body of an operator's request.
-BODY_LIMIT_BYTES = 16_000_000
+OPERATOR_BODY_LIMIT_BYTES = 16_000_000
 
 #: Revisions that the history shows.
 HISTORY_COUNT = 50
