--- /dev/null
+++ b/packages/cli/src/skylarktack/cli/_commands.py
@@ -0,0 +1,264 @@
+"""Operators' commands."""
+
+import getpass
+import hashlib
+import json
+import pathlib
+import sys
+import time
+from typing import Any
+import urllib.parse
+import uuid
+
+from expression import Result
+
+from skylarktack import protocol
+from skylarktack import state
+from skylarktack.cli import _operator_client
+from skylarktack.cli import _tables
+from skylarktack.coordination import configuration
+
+#: Exit code for a document that was rejected.
+EXIT_INVALID = 2
+
+#: Exit code for a command that did not succeed.
+EXIT_FAILED = 1
+
+
+class RouteCommands:
+    """Commands about routes."""
+
+    def explain(
+        self,
+        route: str,
+        prompt: str = '',
+        address: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Show how an instance would send a request of a route.
+
+        :param route: name of the route.
+        :param prompt: prompt text, for the part of the prefix cache.
+        :param address: operator address of an instance, IP:PORT.
+        :param json: whether to print JSON.
+        """
+        query = urllib.parse.urlencode({'route': route, 'prompt': prompt})
+        answer = _call(address, 'GET', f'/operator/route-explain?{query}')
+        _show(answer, json, _tables.explanation)
+
+
+class UnknownCallCommands:
+    """Commands about calls whose outcome is unknown."""
+
+    def list(self, address: str | None = None, json: bool = False) -> None:
+        """List the calls whose outcome is unknown.
+
+        :param address: operator address of an instance, IP:PORT.
+        :param json: whether to print JSON.
+        """
+        answer = _call(address, 'GET', '/operator/unknown-calls')
+        _show(answer, json, _tables.unknown_calls)
+
+    def settle(
+        self,
+        organisation: str,
+        key: str,
+        claim_id: str,
+        ran: bool,
+        address: str | None = None,
+    ) -> None:
+        """Record whether a call ran, after asking the target's operators.
+
+        :param organisation: organisation of the caller.
+        :param key: the caller's idempotency key.
+        :param claim_id: identifier that the list shows.
+        :param ran: whether the call ran.
+        :param address: operator address of an instance, IP:PORT.
+        """
+        body = json.dumps(
+            {
+                'organisation': organisation,
+                'key': str(key),
+                'claim_id': str(claim_id),
+                'ran': ran,
+                'operator': getpass.getuser(),
+            }
+        ).encode()
+        answer = _call(address, 'POST', '/operator/unknown-calls', body)
+        print(f'settled: {answer["phase"]}')
+
+
+class Commands:
+    """Operators' command line of skylarktack.
+
+    Give the address of any instance's operators' port with --address or in
+    SKYLARKTACK_OPERATOR_ADDRESS, and the operators' token in
+    SKYLARKTACK_OPERATOR_TOKEN.
+    """
+
+    def __init__(self) -> None:
+        self.route = RouteCommands()
+        self.unknown = UnknownCallCommands()
+
+    def check(self, file: str, json: bool = False) -> None:
+        """Check a configuration document and print all findings.
+
+        :param file: path of the document, JSON with comments.
+        :param json: whether to print JSON.
+        """
+        findings = check_text(_read(file))
+        if json:
+            print(protocol.encode_findings(findings).decode())
+        else:
+            _print_findings(file, findings)
+        if findings:
+            sys.exit(EXIT_INVALID)
+        if not json:
+            print(f'{file}: valid')
+
+    def apply(
+        self,
+        file: str,
+        base: int | None = None,
+        comment: str = '',
+        address: str | None = None,
+    ) -> None:
+        """Submit a configuration document as the next revision.
+
+        :param file: path of the document, JSON with comments.
+        :param base: revision that the document started from; by default the
+            one in effect.
+        :param comment: one line that says why.
+        :param address: operator address of an instance, IP:PORT.
+        """
+        text = _read(file)
+        findings = check_text(text)
+        if findings:
+            _print_findings(file, findings)
+            sys.exit(EXIT_INVALID)
+        if base is None:
+            base = _revision_in_effect(address)
+        # The same document from the same base is the same submission, so
+        # that a repeated command after a lost answer does not apply twice.
+        change_id = hashlib.sha256(f'{base}\n{text}'.encode()).hexdigest()
+        answer = _call(
+            address,
+            'PUT',
+            '/operator/configuration',
+            text.encode(),
+            {
+                'If-Match': f'"{base}"',
+                'Skylarktack-Change-Id': change_id[:32],
+                'Skylarktack-Author': getpass.getuser(),
+                'Skylarktack-Comment': comment,
+            },
+        )
+        print(f'revision {answer["revision"]} accepted')
+
+    def show(self, revision: int = 0, address: str | None = None) -> None:
+        """Print the document of a revision, by default the one in effect.
+
+        :param revision: number of the revision.
+        :param address: operator address of an instance, IP:PORT.
+        """
+        query = f'?revision={revision}' if revision else ''
+        answer = _call(address, 'GET', f'/operator/configuration{query}')
+        print(json.dumps(answer['document'], indent=2))
+
+    def status(self, address: str | None = None, json: bool = False) -> None:
+        """Show each instance and the revision in effect there.
+
+        :param address: operator address of an instance, IP:PORT.
+        :param json: whether to print JSON, metrics included.
+        """
+        answer = _call(address, 'GET', '/operator/status')
+        _show(answer, json, lambda plain: _tables.status(plain, time.time()))
+
+    def history(self, address: str | None = None, json: bool = False) -> None:
+        """List accepted revisions, newest first.
+
+        :param address: operator address of an instance, IP:PORT.
+        :param json: whether to print JSON.
+        """
+        answer = _call(address, 'GET', '/operator/history')
+        _show(answer, json, _tables.history)
+
+    def rollback(self, revision: int, address: str | None = None) -> None:
+        """Make the document of an earlier revision a new revision.
+
+        :param revision: number of the earlier revision.
+        :param address: operator address of an instance, IP:PORT.
+        """
+        answer = _call(
+            address,
+            'POST',
+            f'/operator/rollback?revision={revision}',
+            b'',
+            {
+                'Skylarktack-Change-Id': uuid.uuid4().hex,
+                'Skylarktack-Author': getpass.getuser(),
+            },
+        )
+        print(f'revision {answer["revision"]} accepted')
+
+    def drain(self, address: str | None = None) -> None:
+        """Order the planned stop of one instance.
+
+        :param address: operator address of that instance, IP:PORT.
+        """
+        _call(address, 'POST', '/operator/drain', b'')
+        print('planned stop ordered')
+
+
+def check_text(text: str) -> tuple[state.Finding, ...]:
+    """Return everything that is wrong with the text of a document."""
+    decoded = protocol.decode_document(text)
+    if decoded.is_error():
+        return decoded.error
+    return configuration.check_document(decoded.ok)
+
+
+def _read(file: str) -> str:
+    try:
+        return pathlib.Path(file).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        print(f'{file}: {error}', file=sys.stderr)
+        sys.exit(EXIT_FAILED)
+
+
+def _revision_in_effect(address: str | None) -> int:
+    answer = _call(address, 'GET', '/operator/history')
+    revisions = answer['revisions']
+    return int(revisions[0]['revision']) if revisions else 0
+
+
+def _call(
+    address: str | None,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> Any:
+    client = _operator_client.OperatorClient(address)
+    called: Result[Any, _operator_client.OperatorFault] = client.call(
+        method, path, body, headers
+    )
+    if called.is_ok():
+        return called.ok
+    print(called.error.message, file=sys.stderr)
+    if called.error.findings:
+        _print_findings('document', called.error.findings)
+        sys.exit(EXIT_INVALID)
+    sys.exit(EXIT_FAILED)
+
+
+def _print_findings(file: str, findings: tuple[state.Finding, ...]) -> None:
+    for finding in findings:
+        print(f'{file}: {finding.place}: {finding.message}')
+
+
+def _show(answer: Any, as_json: bool, table: Any) -> None:
+    if as_json:
+        print(json.dumps(answer))
+        return
+    print(table(answer))
--- a/packages/coordination/src/skylarktack/coordination/routing/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/__init__.py
@@ -9,6 +9,9 @@
 from skylarktack.coordination.routing._evidence import LoadDigest
 from skylarktack.coordination.routing._evidence import LoadSample
 from skylarktack.coordination.routing._evidence import TargetLeaving
+from skylarktack.coordination.routing._explain import RouteExplainer
+from skylarktack.coordination.routing._explain import RouteExplanation
+from skylarktack.coordination.routing._explain import TargetExplanation
 from skylarktack.coordination.routing._policies import CandidatePool
 from skylarktack.coordination.routing._policies import SelectionPolicy
 from skylarktack.coordination.routing._prefixes import PrefixIndex
@@ -23,6 +26,9 @@
 from skylarktack.coordination.routing._watch import TargetWatcher
 
 __all__ = [
+    'RouteExplainer',
+    'RouteExplanation',
+    'TargetExplanation',
     'Candidate',
     'CandidatePool',
     'DigestCodec',
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -11,6 +11,7 @@
 from skylarktack.coordination import generation
 from skylarktack.coordination import limits
 from skylarktack.coordination import ports
+from skylarktack.coordination import routing
 from skylarktack.daemon import _calls
 from skylarktack.daemon import _configuration
 from skylarktack.daemon import _limits
@@ -223,6 +224,15 @@
                     _operators.UnknownCallsExtension(
                         self._calls.unknown_calls
                     ),
+                    _operators.RouteExplainExtension(
+                        routing.RouteExplainer(
+                            self._settings.routing,
+                            self._configuration.holder,
+                            self._moves.versions,
+                            self._routing.table,
+                            self._routing.selector,
+                        )
+                    ),
                 ),
             )
         )
--- a/packages/daemon/src/skylarktack/daemon/_operators.py
+++ b/packages/daemon/src/skylarktack/daemon/_operators.py
@@ -1,9 +1,11 @@
 """Operators' endpoints of single parts."""
 
+import dataclasses
 import json
 
 from skylarktack import transport
 from skylarktack.coordination import once
+from skylarktack.coordination import routing
 
 
 class UnknownCallsExtension:
@@ -65,3 +67,26 @@
                 status, settled.error.code.value, settled.error.message
             )
         return transport.json_answer({'phase': settled.ok.phase.value})
+
+
+class RouteExplainExtension:
+    """Shows how a request of a route would be sent."""
+
+    def __init__(self, explainer: routing.RouteExplainer) -> None:
+        self._explainer = explainer
+
+    @property
+    def prefix(self) -> str:
+        """Path below ``/operator/`` that the extension serves."""
+        return 'route-explain'
+
+    def answer(
+        self, method: str, query: dict[str, str], body: bytes
+    ) -> transport.OperatorAnswer:
+        """Answer one request."""
+        explained = self._explainer.explain(
+            query.get('route', ''), query.get('prompt', '')
+        )
+        if explained is None:
+            return transport.json_error(404, 'unknown_route', 'No such route.')
+        return transport.json_answer(dataclasses.asdict(explained))
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration that ``make demo`` runs."""
