--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/_moves.py
@@ -0,0 +1,32 @@
+"""Wiring of planned moves."""
+
+from skylarktack import protocol
+from skylarktack import state
+from skylarktack.coordination import moves
+from skylarktack.coordination import ports
+
+
+def build_moves(
+    settings: state.InstanceSettings,
+    clock: ports.Clock,
+    store: ports.ObjectStore,
+    peers: ports.PeerNetwork,
+    engines: ports.EngineClient,
+    configuration: ports.ConfigurationSource,
+    selector: ports.TargetSelector,
+    metrics: ports.Metrics,
+) -> moves.MovesPart:
+    """Build the planned moves of one instance."""
+    return moves.MovesPart(
+        moves.MovesOutside(
+            settings=settings.move,
+            clock=clock,
+            store=store,
+            codec=protocol.JsonMoveCodec(),
+            peers=peers,
+            engines=engines,
+            configuration=configuration,
+            selector=selector,
+            metrics=metrics,
+        )
+    )
--- a/packages/emulator/src/skylarktack/emulator/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/__init__.py
@@ -36,10 +36,8 @@
 from skylarktack.emulator._service import ServiceServer
 
 __all__ = [
-    'CuttableLink',
-    'ResumedAnswer',
-    'generate_resumed',
     'ANNOUNCE_TIMEOUT_S',
+    'CuttableLink',
     'Deployment',
     'DeploymentShape',
     'EmulatedProcess',
@@ -54,6 +52,7 @@
     'ObjectApiFaults',
     'ObjectApiServer',
     'ReceivedAnswer',
+    'ResumedAnswer',
     'SECRET',
     'STOP_TIMEOUT_S',
     'ServiceFaults',
@@ -66,6 +65,7 @@
     'expected_token',
     'fetch_generation',
     'generate',
+    'generate_resumed',
     'key_hash',
     'organisation_key',
     'serve_stand_in',
--- a/packages/emulator/src/skylarktack/emulator/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/_deployment.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import threading
+import time
 from types import TracebackType
 from typing import Any
 from typing import Self
@@ -77,6 +78,13 @@
         """Where it listens."""
         return state.Address(self.announced['host'], self.announced['port'])
 
+    @property
+    def operator_address(self) -> state.Address:
+        """Where an entry instance accepts operators."""
+        return state.Address(
+            self.announced['host'], self.announced['operator_port']
+        )
+
     @property
     def process_id(self) -> int:
         """Identifier of the operating system."""
@@ -356,11 +364,18 @@
             wait_ready(process)
 
     def _store_document(self) -> None:
+        record = state.ConfigurationRecord(
+            revision=1,
+            document=self.document,
+            author='emulator',
+            accepted_s=time.time(),
+            change_id='emulator',
+        )
         transport.http_call(
             self.object_api.address,
             'PUT',
             '/objects/configuration/current',
-            protocol.encode_document(self.document).encode(),
+            protocol.JsonConfigurationCodec().encode(record),
             {},
             5.0,
         )
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -8,11 +8,27 @@
 from skylarktack.protocol._caller import decode_generate_body
 from skylarktack.protocol._caller import encode_answer
 from skylarktack.protocol._caller import encode_refusal
+from skylarktack.protocol._claims import LAYOUT_VERSION
+from skylarktack.protocol._claims import CborSegmentCodec
+from skylarktack.protocol._configurations import RECORD_LIMIT_BYTES
+from skylarktack.protocol._configurations import JsonConfigurationCodec
+from skylarktack.protocol._configurations import decode_findings
+from skylarktack.protocol._configurations import decode_record_for_operators
+from skylarktack.protocol._configurations import encode_findings
+from skylarktack.protocol._configurations import encode_record_for_operators
+from skylarktack.protocol._console import LISTED_COUNT
+from skylarktack.protocol._console import SECTIONS
+from skylarktack.protocol._console import ConsoleField
+from skylarktack.protocol._console import ConsolePage
+from skylarktack.protocol._console import document_difference
+from skylarktack.protocol._console import new_entry
+from skylarktack.protocol._console import read_entry
+from skylarktack.protocol._console import render_console
+from skylarktack.protocol._digests import StructDigestCodec
 from skylarktack.protocol._documents import T
 from skylarktack.protocol._documents import decode_document
 from skylarktack.protocol._documents import decode_settings
 from skylarktack.protocol._documents import encode_document
-from skylarktack.protocol._engine import PREFIX_BLOCK_CHARS
 from skylarktack.protocol._engine import StreamDecoder
 from skylarktack.protocol._engine import decode_cache_events
 from skylarktack.protocol._engine import decode_engine_load
@@ -21,11 +37,13 @@
 from skylarktack.protocol._engine import encode_engine_order
 from skylarktack.protocol._engine import encode_plain
 from skylarktack.protocol._engine import encode_stream_event
-from skylarktack.protocol._engine import prefix_hashes
+from skylarktack.protocol._event_ids import EVENT_ID_LIMIT_CHARS
 from skylarktack.protocol._event_ids import MAC_BYTES
 from skylarktack.protocol._event_ids import EventIdSigner
 from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
 from skylarktack.protocol._generate_body import GenerateBody
+from skylarktack.protocol._loans import CborLoanCodec
+from skylarktack.protocol._moves import JsonMoveCodec
 from skylarktack.protocol._object_api import decode_objects
 from skylarktack.protocol._object_api import decode_platform_list
 from skylarktack.protocol._object_api import decode_watch_batch
@@ -37,43 +55,83 @@
 from skylarktack.protocol._peer_codec import FrameFault
 from skylarktack.protocol._peer_codec import PeerCodec
 from skylarktack.protocol._peer_messages import PEER_MESSAGES
+from skylarktack.protocol._peer_session import FRAME_CODE_BYTES
+from skylarktack.protocol._peer_session import NONCE_BYTES
+from skylarktack.protocol._peer_session import FrameSeal
+from skylarktack.protocol._peer_session import PeerAuthenticator
+from skylarktack.protocol._peer_session import PeerChallenge
+from skylarktack.protocol._peer_session import PeerDone
+from skylarktack.protocol._peer_session import PeerHello
+from skylarktack.protocol._peer_session import PeerProof
+from skylarktack.protocol._peer_session import PeerRefusal
 
 __all__ = [
     'CallerStreamEncoder',
+    'CborLoanCodec',
+    'CborSegmentCodec',
+    'ConsoleField',
+    'ConsolePage',
+    'EVENT_ID_LIMIT_CHARS',
     'EventIdSigner',
+    'FRAME_CODE_BYTES',
     'Frame',
     'FrameFault',
+    'FrameSeal',
     'GenerateBody',
     'HANDOVER',
+    'JsonConfigurationCodec',
+    'JsonMoveCodec',
     'LAST_EVENT_ID_HEADER',
+    'LAYOUT_VERSION',
+    'LISTED_COUNT',
     'MAC_BYTES',
     'MAX_TOKENS_COUNT',
+    'NONCE_BYTES',
     'PEER_MESSAGES',
-    'PREFIX_BLOCK_CHARS',
+    'PEER_MESSAGES',
+    'PEER_MESSAGES',
+    'PEER_MESSAGES',
+    'PEER_MESSAGES',
+    'PeerAuthenticator',
+    'PeerChallenge',
     'PeerCodec',
+    'PeerDone',
+    'PeerHello',
+    'PeerProof',
+    'PeerRefusal',
+    'RECORD_LIMIT_BYTES',
     'REQUEST_ID_HEADER',
+    'SECTIONS',
     'STATUS_BY_CODE',
     'StreamDecoder',
+    'StructDigestCodec',
     'T',
     'WIRE_VERSION',
     'decode_cache_events',
     'decode_document',
     'decode_engine_load',
     'decode_engine_order',
+    'decode_findings',
     'decode_generate_body',
     'decode_objects',
     'decode_platform_list',
+    'decode_record_for_operators',
     'decode_settings',
     'decode_target_order',
     'decode_watch_batch',
+    'document_difference',
     'encode_answer',
     'encode_document',
     'encode_engine_order',
+    'encode_findings',
     'encode_objects',
     'encode_plain',
     'encode_platform_list',
+    'encode_record_for_operators',
     'encode_refusal',
     'encode_stream_event',
     'encode_watch_batch',
-    'prefix_hashes',
+    'new_entry',
+    'read_entry',
+    'render_console',
 ]
