Prove fetch, cancel and the loss of a caller with real processes

Change: cases that fetch and cancel through a peer, and one whose caller leaves and frees its engine slot.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import http.client
+import json
 import signal
 import threading
 
@@ -9,6 +11,7 @@
 
 from skylarktack import emulator
 from skylarktack import state
+from skylarktack import transport
 
 KEY = emulator.organisation_key('small')
 TOKEN_COUNT = 80
@@ -59,8 +62,10 @@
         addresses: list[state.Address],
         prompt: str,
         sends_delivered: bool = True,
+        request_id: str | None = None,
     ) -> None:
         super().__init__()
+        self._request_id = request_id
         self._addresses = addresses
         self._sends_delivered = sends_delivered
         self.prompt = prompt
@@ -72,7 +77,11 @@
             self._addresses,
             'digest',
             KEY,
-            {'prompt': self.prompt, 'max_tokens': TOKEN_COUNT},
+            {
+                'prompt': self.prompt,
+                'max_tokens': TOKEN_COUNT,
+                'request_id': self._request_id,
+            },
             self._sends_delivered,
         )
 
@@ -171,6 +180,30 @@
             deployment.publish_list()
 
 
+class TestCallerLoss:
+    """Guards against engine slots held for callers who left."""
+
+    def test_slot_is_freed(self, deployment: emulator.Deployment) -> None:
+        """The engine's attempt ends after its caller disconnected."""
+        address = deployment.instances[-1].address
+        connection = http.client.HTTPConnection(address.host, address.port)
+        connection.request(
+            'POST',
+            '/v1/generate/digest',
+            json.dumps({'prompt': 'a week', 'max_tokens': 1_000_000}),
+            {'Authorization': f'Bearer {KEY}'},
+        )
+        connection.getresponse().read(100)
+        engine = deployment.engines[_running_engine(deployment)]
+        connection.close()
+        waiting = threading.Event()
+        for _ in range(400):
+            if not engine.read_json('/control/running')['running_count']:
+                return
+            waiting.wait(0.05)
+        raise AssertionError('the attempt was not cancelled')
+
+
 class TestInstanceFaults:
     """Guards against streams that end with their instance."""
 
@@ -195,6 +228,37 @@
         finally:
             _repair(deployment)
 
+    def test_fetch_and_cancel_through_a_peer(
+        self, deployment: emulator.Deployment
+    ) -> None:
+        """The request id leads any instance to the one that minted it."""
+        instances = _ready_instances(deployment)
+        one, two = [each.address for each in instances[:2]]
+        body: dict[str, object] = {'prompt': 'a week', 'max_tokens': 20}
+        posted = emulator.generate(one, 'digest', KEY, body)
+        fetched = emulator.fetch_generation(two, posted.request_id, KEY)
+        assert fetched.tokens == posted.tokens
+        assert fetched.end == posted.end
+        other = emulator.organisation_key('large')
+        hidden = emulator.fetch_generation(two, posted.request_id, other)
+        assert hidden.status == 404
+        long_id = f'r-{instances[0].name}-{"0" * 32}'
+        reader = _Reader([one], 'a week', request_id=long_id)
+        _running_engine(deployment)
+        cancelled = transport.http_call(
+            two,
+            'DELETE',
+            f'/v1/generations/{long_id}',
+            None,
+            {'Authorization': f'Bearer {KEY}'},
+            5.0,
+        )
+        assert cancelled.ok.status == 200
+        reader.join()
+        error = reader.received.answer.error
+        assert error is not None
+        assert error['code'] == 'cancelled'
+
     def test_planned_stop(self, deployment: emulator.Deployment) -> None:
         """Streams that outlast the drain continue on another instance."""
         instances = _ready_instances(deployment)
