Leave an attempt alone that another instance reads

Cause: a second reader on a peer that left cancelled the attempt of the first one, which then had to fail over.

Change: an attempt joined without taking it over is not cancelled from here.

--- a/packages/coordination/src/skylarktack/coordination/generation/_runner.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_runner.py
@@ -333,7 +333,8 @@
         finally:
             kind = _OUTCOMES.get(ended, evidence.fault)
             self._observe(record, note, evidence, kind)
-            if ended not in _KEPT:
+            kept = ended in _KEPT or note.number == record.shared_attempt
+            if not kept:
                 self.canceller.abandon(
                     target, record.request.request_id, note.number
                 )
--- a/packages/coordination/src/skylarktack/coordination/generation/_service.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_service.py
@@ -402,6 +402,7 @@
         version=part.attempt.version if part.attempt else None,
         tokens=found.tokens,
         running=part.attempt,
+        is_shared=request.resume is None,
         prompt_known=prompt_known,
     )
 
--- a/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
@@ -144,6 +144,23 @@
         assert fetched.end is not None
         assert one.fleet.engines.started_count == started_count
 
+    def test_second_reader_leaves_the_first_alone(self) -> None:
+        """A reader on a peer that leaves does not cancel the attempt."""
+        one, two, wanted = _two()
+        feed = one.service.open(wanted).ok
+        next(feed)
+        opened = two.service.fetch(
+            generation_bed.ORGANISATION,
+            wanted.request_id,
+            None,
+            lambda name, version: generation_bed.ROUTE,
+        )
+        generation_bed.read(two.service, opened, 5)
+        two.service.wait_idle(10.0)
+        two.canceller.run_round()
+        assert isinstance(list(feed)[-1], generation.Completed)
+        assert one.fleet.engines.started_count == 1
+
     def test_running_answer_by_event_id(self) -> None:
         """The engine's stream is joined though no instance is asked."""
         one, two, wanted = _two(linked=False)
--- a/packages/state/src/skylarktack/state/_generation_record.py
+++ b/packages/state/src/skylarktack/state/_generation_record.py
@@ -42,6 +42,10 @@
     #: Attempt that may still run on its target, or None.
     running: AttemptNote | None = None
 
+    #: Whether another instance still reads the running attempt, which must
+    #: then not be cancelled from here.
+    is_shared: bool = False
+
     #: Whether the prompt is known; without it only a running attempt helps.
     prompt_known: bool = True
 
@@ -54,6 +58,10 @@
         self.version = start.version
         self.prompt_known = start.prompt_known
         self.running = start.running
+        #: Attempt that another instance reads too, 0 for none.
+        self.shared_attempt = 0
+        if start.is_shared and start.running is not None:
+            self.shared_attempt = start.running.number
         #: Signals new text, the end, or a change of who advances.
         self.changed = threading.Condition()
         #: Orders from other threads; the advancing thread reads them.
