Make the answer of the second reader's test outlast the grace time

Cause: the case passed with the mechanism off, because the answer was over before the grace time was.

Result: fails with the mechanism off, passes with it.

--- a/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
@@ -147,6 +147,7 @@
     def test_second_reader_leaves_the_first_alone(self) -> None:
         """A reader on a peer that leaves does not cancel the attempt."""
         one, two, wanted = _two()
+        wanted = dataclasses.replace(wanted, max_tokens_count=4000)
         feed = one.service.open(wanted).ok
         next(feed)
         opened = two.service.fetch(
