Prove that an instance leaves a moved attempt alone

Cause: no case failed when a peer did not hand a generation over.

Change: one more case.

Result: fails with the handover off, passes with it.

--- a/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
@@ -62,6 +62,19 @@
         )
         assert rest.tokens[0].position == token.position
 
+    def test_former_instance_leaves_the_attempt_alone(self) -> None:
+        """The instance that a caller left does not cancel what moved."""
+        one, two, wanted = _two()
+        wanted = dataclasses.replace(wanted, max_tokens_count=4000)
+        first = _interrupt(one, wanted)
+        again = dataclasses.replace(wanted, resume=first.token())
+        feed = two.service.open(again).ok
+        next(feed)
+        one.service.wait_idle(10.0)
+        one.canceller.run_round()
+        assert isinstance(list(feed)[-1], generation.Completed)
+        assert one.fleet.engines.started_count == 1
+
     def test_same_instance(self) -> None:
         """A caller who comes back joins the detached generation."""
         one, _, wanted = _two()
