--- a/packages/coordination/src/skylarktack/coordination/configuration/tests/test_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/tests/test_rules.py
@@ -45,12 +45,18 @@
 
 
 def _with_route(**fields: object) -> state.ConfigurationDocument:
-    route = dataclasses.replace(_GOOD.routes[0], **fields)  # type: ignore[arg-type]
+    route = dataclasses.replace(
+        _GOOD.routes[0],
+        **fields,  # type: ignore[arg-type]
+    )
     return dataclasses.replace(_GOOD, routes=(route,))
 
 
 def _with_move(**fields: object) -> state.ConfigurationDocument:
-    move = dataclasses.replace(_GOOD.moves[0], **fields)  # type: ignore[arg-type]
+    move = dataclasses.replace(
+        _GOOD.moves[0],
+        **fields,  # type: ignore[arg-type]
+    )
     return dataclasses.replace(_GOOD, moves=(move,))
 
 
