--- a/packages/transport/src/skylarktack/transport/_peer_handshake.py
+++ b/packages/transport/src/skylarktack/transport/_peer_handshake.py
@@ -117,7 +117,9 @@
         """Return a message, None if the connection closed, or a fault."""
         try:
             data = connection.recv(timeout=self._timeout_s)
-        except (OSError, exceptions.WebSocketException, EOFError):
+        except (OSError, exceptions.WebSocketException, EOFError) as error:
+            if _peer_link.is_oversized(error):
+                return protocol.FrameFault('oversized')
             return None
         if not isinstance(data, bytes):
             return protocol.FrameFault('not a binary frame')
--- a/packages/transport/src/skylarktack/transport/_peer_link.py
+++ b/packages/transport/src/skylarktack/transport/_peer_link.py
@@ -8,6 +8,7 @@
 from expression import Ok
 from expression import Result
 from websockets import exceptions
+from websockets import frames
 from websockets.sync import connection as websocket
 
 from skylarktack import protocol
@@ -64,6 +65,7 @@
         self._clock = clock
         self._metrics = metrics
         self._closed = threading.Event()
+        self._retired = threading.Event()
         self._send_lock = threading.Lock()
         self._pending_lock = threading.Lock()
         self._pending: dict[int, _PendingAnswer] = {}
@@ -76,6 +78,11 @@
         """Whether neither side closed the connection."""
         return not self._closed.is_set()
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether new messages may be sent on it."""
+        return not self._closed.is_set() and not self._retired.is_set()
+
     @property
     def received_s(self) -> float:
         """Monotonic time at which the last frame arrived."""
@@ -126,10 +133,10 @@
         if pending.message is not None:
             return _answer(pending.message)
         if self._received_s < sent_s:
-            # The connection may have lost its state in a middlebox; the
-            # next message goes over a new one.
+            # The connection may have lost its state in a middlebox, so the
+            # next message goes over a new one; answers may still come.
             self._metrics.count('peer.silent_links')
-            self.close()
+            self.retire()
         return Error(
             ports.PeerFault(ports.PeerFaultKind.NO_ANSWER, 'no answer')
         )
@@ -138,8 +145,9 @@
         """Wait for the next frame; None once the connection is closed."""
         try:
             sealed = self._connection.recv()
-        except (OSError, exceptions.WebSocketException, EOFError):
-            self._note_oversized()
+        except (OSError, exceptions.WebSocketException, EOFError) as error:
+            if is_oversized(error):
+                self._metrics.count('peer.refused.oversized')
             return None
         if not isinstance(sealed, bytes):
             self._metrics.count('peer.refused.malformed')
@@ -163,6 +171,10 @@
         pending.message = frame.message
         pending.arrived.set()
 
+    def retire(self) -> None:
+        """Let no new message use it; it is closed once it is idle."""
+        self._retired.set()
+
     def close(self) -> None:
         """Close at once and wake all waiting threads; safe to call twice."""
         if self._closed.is_set():
@@ -178,10 +190,15 @@
         with self._pending_lock:
             self._pending.pop(number, None)
 
-    def _note_oversized(self) -> None:
-        # 1009 is the websocket close code for a message that is too big.
-        if self._connection.protocol.close_code == 1009:
-            self._metrics.count('peer.refused.oversized')
+
+def is_oversized(error: Exception) -> bool:
+    """Return whether a connection was closed for a frame above the limit."""
+    if not isinstance(error, exceptions.ConnectionClosed):
+        return False
+    return (
+        error.sent is not None
+        and error.sent.code == frames.CloseCode.MESSAGE_TOO_BIG
+    )
 
 
 def _answer(message: Any) -> Result[Any, ports.PeerFault]:
--- a/packages/transport/src/skylarktack/transport/_peer_links.py
+++ b/packages/transport/src/skylarktack/transport/_peer_links.py
@@ -19,6 +19,8 @@
 
     A lasting connection belongs to two neighbours; either may have opened
     it. Short connections carry the requests of the side that opened them.
+    Replaced connections drain: answers may still come, and they are closed
+    when they are idle.
     """
 
     def __init__(
@@ -35,24 +37,18 @@
         self._lock = threading.Lock()
         self._lasting: dict[state.InstanceName, _peer_link.PeerLink] = {}
         self._opened: dict[state.InstanceName, _peer_link.PeerLink] = {}
-        self._accepted: set[_peer_link.PeerLink] = set()
+        self._draining: set[_peer_link.PeerLink] = set()
 
     def add(self, link: _peer_link.PeerLink) -> bool:
         """Enter a connection; False if it must be closed instead."""
-        closing: _peer_link.PeerLink | None = None
         with self._lock:
             if link.session.lasting:
-                closing = self._choose_lasting(link)
-            elif link.session.initiated:
-                closing = self._choose_opened(link)
-            else:
-                self._accepted.add(link)
-        if closing is None:
+                return self._add_lasting(link)
+            if link.session.initiated:
+                self._add_opened(link)
+                return True
+            self._draining.add(link)
             return True
-        if closing is link:
-            return False
-        closing.close()
-        return True
 
     def remove(self, link: _peer_link.PeerLink) -> None:
         """Remove a closed connection."""
@@ -62,7 +58,7 @@
                 del self._lasting[peer]
             if self._opened.get(peer) is link:
                 del self._opened[peer]
-            self._accepted.discard(link)
+            self._draining.discard(link)
 
     def neighbours(self) -> tuple[state.InstanceName, ...]:
         """Return the peers with a lasting connection, in order of name."""
@@ -70,7 +66,7 @@
             return tuple(
                 peer
                 for peer in sorted(self._lasting)
-                if self._lasting[peer].is_open
+                if self._lasting[peer].is_usable
             )
 
     def neighbour(
@@ -79,14 +75,14 @@
         """Return the lasting connection to a peer."""
         with self._lock:
             link = self._lasting.get(peer)
-            return link if link is not None and link.is_open else None
+            return link if link is not None and link.is_usable else None
 
     def find(self, peer: state.InstanceName) -> _peer_link.PeerLink | None:
         """Return any connection that can carry a request to a peer."""
         with self._lock:
             for table in (self._lasting, self._opened):
                 link = table.get(peer)
-                if link is not None and link.is_open:
+                if link is not None and link.is_usable:
                     return link
             return None
 
@@ -104,8 +100,9 @@
             for link in self._opened.values():
                 if now_s - link.used_s > IDLE_S:
                     closing.append(link)
-            for link in self._accepted:
-                if now_s - link.used_s > IDLE_S * 4:
+            for link in self._draining:
+                factor = 1 if link.session.initiated else 4
+                if now_s - link.used_s > IDLE_S * factor:
                     closing.append(link)
         for link in closing:
             link.close()
@@ -114,42 +111,43 @@
         """Close all connections."""
         with self._lock:
             closing = [*self._lasting.values(), *self._opened.values()]
-            closing.extend(self._accepted)
+            closing.extend(self._draining)
         for link in closing:
             link.close()
 
-    def _choose_lasting(
-        self, link: _peer_link.PeerLink
-    ) -> _peer_link.PeerLink | None:
-        """Enter the better of two connections; return the other one."""
+    def _add_lasting(self, link: _peer_link.PeerLink) -> bool:
         peer = link.session.peer
         old = self._lasting.get(peer)
-        if old is None or not old.is_open:
+        if old is None:
             if len(self._lasting) >= self._settings.connection_count * 2:
                 self._metrics.count('peer.refused.crowded')
-                return link
+                return False
             self._lasting[peer] = link
-            return None
-        same_start = old.session.start_id == link.session.start_id
-        if same_start and old.session.initiated != link.session.initiated:
-            # Both sides connected at once; both keep the connection that
+            return True
+        crossed = (
+            old.is_usable
+            and old.session.start_id == link.session.start_id
+            and old.session.initiated != link.session.initiated
+        )
+        if crossed and old.session.initiated == (self._name < peer):
+            # Both sides connected at once; both use the connection that
             # the instance with the lower name opened.
-            if old.session.initiated == (self._name < peer):
-                return link
+            self._draining.add(link)
+            return True
+        self._draining.add(old)
         self._lasting[peer] = link
-        return old
+        return True
 
-    def _choose_opened(
-        self, link: _peer_link.PeerLink
-    ) -> _peer_link.PeerLink | None:
+    def _add_opened(self, link: _peer_link.PeerLink) -> None:
         peer = link.session.peer
         old = self._opened.get(peer)
-        if old is not None and old.is_open:
-            return link
-        if len(self._opened) >= self._settings.connection_count * 2:
+        if old is not None and old.is_usable:
+            self._draining.add(link)
+            return
+        if old is not None:
+            self._draining.add(old)
+        elif len(self._opened) >= self._settings.connection_count * 2:
             idlest = min(self._opened.values(), key=lambda one: one.used_s)
             del self._opened[idlest.session.peer]
-            self._opened[peer] = link
-            return idlest
+            self._draining.add(idlest)
         self._opened[peer] = link
-        return None
--- a/packages/transport/src/skylarktack/transport/_peer_network.py
+++ b/packages/transport/src/skylarktack/transport/_peer_network.py
@@ -234,9 +234,7 @@
             return Error(proved.error)
         link = self._register(connection, proved.ok)
         if link is None:
-            # Another thread was faster, or the peer opened one meanwhile.
-            found = self._links.find(peer)
-            return Error('duplicate') if found is None else Ok(found)
+            return Error('too many connections')
         self._reader_pool.submit(self._read, link)
         return Ok(link)
 
