Run membership alone in real processes and measure it

The cost of membership at 340 instances can only be judged from its slope over real processes. A small stand-in runs the membership part of an entry instance; the bench grows a fleet of them, kills and loads it.

--- a/packages/coordination/src/skylarktack/coordination/membership/_beliefs.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_beliefs.py
@@ -180,7 +180,6 @@
         self._deadlines_s.pop(member.name, None)
         self._gone_since_s.pop(member.name, None)
         if member.state == state.MemberState.SUSPECT:
-            self._metrics.count('membership.suspicions')
             duration_s = self._settings.suspicion_ms / 1000
             self._deadlines_s[member.name] = (
                 now_s + duration_s * self._health.factor
@@ -188,6 +187,7 @@
         if member.state in _GONE:
             self._gone_since_s[member.name] = now_s
         if known is None or known.state != member.state:
+            self._metrics.count(f'membership.became_{member.state.value}')
             _LOG.info(
                 'instance changed', name=member.name, state=member.state.value
             )
--- a/packages/coordination/src/skylarktack/coordination/tests/test_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_membership.py
@@ -89,9 +89,9 @@
 def cut_one_way(made: fakes.MemberFleet) -> bool:
     """Cut two instances in one direction; all others reach both."""
     made.hub.cut('instance-001', 'instance-005')
-    before = made.metrics.counts['membership.suspicions']
+    before = made.metrics.counts['membership.became_suspect']
     made.run(30.0)
-    suspected = made.metrics.counts['membership.suspicions'] - before
+    suspected = made.metrics.counts['membership.became_suspect'] - before
     return made.agrees() and suspected == 0
 
 
@@ -156,7 +156,7 @@
     made.memberships['instance-003'].leave()
     made.kill('instance-003')
     made.run(1.0)
-    suspected = made.metrics.counts['membership.suspicions']
+    suspected = made.metrics.counts['membership.became_suspect']
     return not made.unaware('instance-003') and suspected == 0
 
 
--- a/packages/emulator/src/skylarktack/emulator/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/__init__.py
@@ -29,6 +29,7 @@
 from skylarktack.emulator._object_api import ObjectApi
 from skylarktack.emulator._object_api import ObjectApiFaults
 from skylarktack.emulator._object_api import ObjectApiServer
+from skylarktack.emulator._peer_fleet import PeerFleet
 from skylarktack.emulator._service import ServiceFaults
 from skylarktack.emulator._service import ServiceServer
 
@@ -47,6 +48,7 @@
     'ObjectApi',
     'ObjectApiFaults',
     'ObjectApiServer',
+    'PeerFleet',
     'ReceivedAnswer',
     'SECRET',
     'STOP_TIMEOUT_S',
--- a/packages/emulator/src/skylarktack/emulator/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/__main__.py
@@ -9,6 +9,7 @@
 from skylarktack.emulator import _engine_model
 from skylarktack.emulator import _http_stand_in
 from skylarktack.emulator import _object_api
+from skylarktack.emulator import _peer_process
 from skylarktack.emulator import _service
 
 
@@ -49,6 +50,10 @@
         """Run the platform's object API."""
         _run(_object_api.ObjectApiServer(state.Address(host, port)), name)
 
+    def peer(self, name: str = 'entry-0', domain: str = 'domain-0') -> None:
+        """Run the membership part of an entry instance alone."""
+        _peer_process.run(name, domain)
+
 
 def _run(server: _http_stand_in.StandInServer, name: str) -> None:
     _http_stand_in.serve_stand_in(server, name, announce=True)
--- a/packages/emulator/src/skylarktack/emulator/bench/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -6,11 +6,13 @@
 import fire
 
 from skylarktack.emulator.bench import _figures
+from skylarktack.emulator.bench import _membership
 from skylarktack.emulator.bench import _relay
 
 #: Benchmarks by area, in the order in which ``all`` runs them.
 AREAS: dict[str, Callable[[int], Iterator[_figures.Figure]]] = {
     'relay': _relay.run,
+    'membership': _membership.run,
 }
 
 
--- a/packages/transport/src/skylarktack/transport/_peer_handshake.py
+++ b/packages/transport/src/skylarktack/transport/_peer_handshake.py
@@ -10,6 +10,7 @@
 
 from skylarktack import protocol
 from skylarktack import state
+from skylarktack.coordination import ports
 from skylarktack.transport import _peer_link
 
 
@@ -23,11 +24,13 @@
         secret: str,
         codec: protocol.PeerCodec,
         timeout_s: float,
+        metrics: ports.Metrics,
     ) -> None:
         self._name = name
         self._start_id = start_id
         self._codec = codec
         self._timeout_s = timeout_s
+        self._metrics = metrics
         self._authenticator = protocol.PeerAuthenticator(secret)
 
     def initiate(
@@ -107,10 +110,12 @@
         )
 
     def _send(self, connection: websocket.Connection, message: object) -> bool:
+        encoded = self._codec.encode(protocol.Frame(message))
         try:
-            connection.send(self._codec.encode(protocol.Frame(message)))
+            connection.send(encoded)
         except (OSError, exceptions.WebSocketException):
             return False
+        self._metrics.count('peer.sent_bytes', len(encoded))
         return True
 
     def _receive(self, connection: websocket.Connection) -> Any:
@@ -123,6 +128,7 @@
             return None
         if not isinstance(data, bytes):
             return protocol.FrameFault('not a binary frame')
+        self._metrics.count('peer.received_bytes', len(data))
         decoded = self._codec.decode(data)
         if decoded.is_error():
             return decoded.error
--- a/packages/transport/src/skylarktack/transport/_peer_network.py
+++ b/packages/transport/src/skylarktack/transport/_peer_network.py
@@ -86,6 +86,7 @@
             parts.secret,
             self._codec,
             OPEN_TIMEOUT_S,
+            parts.metrics,
         )
         self._links = _peer_links.PeerLinks(
             parts.table.own.name, parts.settings, parts.clock, parts.metrics
@@ -227,6 +228,7 @@
         except (OSError, exceptions.WebSocketException) as error:
             return Error(repr(error))
         _limit_writes(connection)
+        self._count_opening(connection)
         proved = self._handshake.initiate(connection, peer, lasting)
         if proved.is_error():
             connection.close_socket()
@@ -282,6 +284,7 @@
 
     def _accept(self, connection: websocket.Connection) -> None:
         _limit_writes(connection)
+        self._count_opening(connection)
         proved = self._handshake.accept(connection)
         if proved.is_error():
             self._count_refusal(proved.error)
@@ -374,6 +377,17 @@
             )
         return protocol.PeerDone() if answer is None else answer
 
+    def _count_opening(self, connection: websocket.Connection) -> None:
+        sent, received = connection.request, connection.response
+        if sent is None or received is None:
+            return
+        count = self._parts.metrics.count
+        count('peer.openings')
+        count(
+            'peer.opening_bytes',
+            len(sent.serialize()) + len(received.serialize()),
+        )
+
     def _count_refusal(self, reason: str) -> None:
         self._parts.metrics.count(f'peer.refused.{reason}')
 
