--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -1,6 +1,13 @@
 """Replacements of the ports in memory, for tests and examples."""
 
 from skylarktack.coordination.fakes._clock import ManualClock
+from skylarktack.coordination.fakes._engines import OUTAGE_S
+from skylarktack.coordination.fakes._engines import EngineFault
+from skylarktack.coordination.fakes._engines import EngineFaultKind
+from skylarktack.coordination.fakes._engines import FaultyEngines
+from skylarktack.coordination.fakes._fleet import MemberFleet
+from skylarktack.coordination.fakes._links import MemoryLinkHub
+from skylarktack.coordination.fakes._links import MemoryLinkNetwork
 from skylarktack.coordination.fakes._metrics import MemoryMetrics
 from skylarktack.coordination.fakes._moves import FixedConfiguration
 from skylarktack.coordination.fakes._moves import MemoryEngines
@@ -11,6 +18,7 @@
 from skylarktack.coordination.fakes._moves import StoreLink
 from skylarktack.coordination.fakes._peers import LocalPeerHub
 from skylarktack.coordination.fakes._peers import LocalPeerNetwork
+from skylarktack.coordination.fakes._stepping_clock import SteppingClock
 from skylarktack.coordination.fakes._store import MemoryObjectStore
 from skylarktack.coordination.fakes._store import StoreFaults
 
@@ -20,6 +28,17 @@
     'LocalPeerNetwork',
     'ManualClock',
     'MemoryEngines',
+    'EngineFault',
+    'EngineFaultKind',
+    'FaultyEngines',
+    'OUTAGE_S',
+    'SteppingClock',
+    'LocalPeerHub',
+    'LocalPeerNetwork',
+    'ManualClock',
+    'MemberFleet',
+    'MemoryLinkHub',
+    'MemoryLinkNetwork',
     'MemoryMetrics',
     'MemoryMoveCodec',
     'MemoryObjectStore',
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -15,6 +15,7 @@
 from skylarktack.coordination import ports
 from skylarktack.coordination import routing
 from skylarktack.daemon import _moves
+from skylarktack.daemon import _peers
 
 #: Key of the configuration document in the object API.
 CONFIGURATION_KEY = 'configuration/current'
@@ -48,6 +49,7 @@
         self._clock = ports.SystemClock()
         self._store = transport.HttpObjectStore(settings.store)
         self._metrics = transport.StatsdMetrics(settings.statsd)
+        self._peers = _peers.Peers(settings, self._clock, self._metrics)
         self._holder = configuration.ConfigurationHolder(self._clock)
         self._selector = routing.TwoChoicesSelector()
         engines = transport.HttpEngineClient()
@@ -55,14 +57,14 @@
             settings,
             self._clock,
             self._store,
-            _moves.NoPeers(settings),
+            self._peers.network,
             engines,
             self._holder,
             self._selector,
             self._metrics,
         )
         versions = self._moves.versions
-        runner = generation.GenerationRunner(
+        self._generations = generation.GenerationService(
             generation.GenerationParts(
                 settings=settings.generation,
                 engines=engines,
@@ -72,7 +74,8 @@
                 outcomes=_OutcomeCounter(self._metrics, self._moves.outcomes),
                 clock=self._clock,
                 metrics=self._metrics,
-            )
+            ),
+            settings.caller.generation_count,
         )
         application = transport.CallerApplication(
             transport.CallerParts(
@@ -80,7 +83,7 @@
                 configuration=self._holder,
                 readiness=self,
                 admission=limits.UnlimitedAdmission(),
-                generations=runner,
+                generations=self._generations,
                 lookups=lookup.LookupRunner(
                     transport.HttpServiceClient(), self._selector, versions
                 ),
@@ -100,14 +103,20 @@
         """Where callers connect."""
         return self._callers.address
 
+    @property
+    def peer_address(self) -> state.Address:
+        """Where other instances connect."""
+        return self._peers.address
+
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
-        if self._stopping.is_set():
+        if self._stopping.is_set() or self._generations.is_stopping:
             return False
         return self._listed and self._holder.current().revision > 0
 
     def start(self) -> None:
         """Start all tasks."""
+        self._peers.start()
         self._tasks.submit(self._follow_configuration)
         self._tasks.submit(self._follow_platform_list)
         self._moves.start()
@@ -115,10 +124,13 @@
         _LOG.info('callers are served', address=str(self._callers.address))
 
     def stop(self) -> None:
-        """Stop all tasks."""
+        """Let running generations end or move, then stop all tasks."""
+        self._generations.drain()
         self._stopping.set()
+        self._peers.leave()
         self._callers.stop()
         self._moves.stop()
+        self._peers.stop()
         self._tasks.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped')
 
@@ -147,6 +159,7 @@
             if listed.is_ok():
                 self._selector.update(listed.ok.targets)
                 self._moves.directory.update(listed.ok.targets)
+                self._peers.membership.take_list(listed.ok.instances)
                 self._listed = bool(listed.ok.targets)
             self._clock.wait(
                 self._stopping, self._settings.store.list_interval_ms / 1000
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
@@ -0,0 +1,218 @@
+"""Generations over faults of real processes."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import signal
+import threading
+
+import pytest
+
+from skylarktack import emulator
+from skylarktack import state
+
+KEY = emulator.organisation_key('small')
+TOKEN_COUNT = 80
+
+#: A fault done to the engine that runs the generation.
+Fault = Callable[[emulator.Deployment, int], None]
+
+
+def _kill(deployment: emulator.Deployment, index: int) -> None:
+    deployment.engines[index].kill()
+
+
+def _freeze(deployment: emulator.Deployment, index: int) -> None:
+    engine = deployment.engines[index]
+    engine.signal(signal.SIGSTOP)
+    # The engine comes back after the failover with its attempt still there.
+    threading.Timer(1.5, engine.signal, (signal.SIGCONT,)).start()
+
+
+def _silence(deployment: emulator.Deployment, index: int) -> None:
+    deployment.engines[index].control(silence_open=True)
+
+
+def _error(deployment: emulator.Deployment, index: int) -> None:
+    deployment.engines[index].control(error_after_count=1)
+
+
+def _close(deployment: emulator.Deployment, index: int) -> None:
+    deployment.engines[index].control(close_after_count=1)
+
+
+def _cross(deployment: emulator.Deployment, index: int) -> None:
+    deployment.engines[index].control(cross_answers=True, repeat_tokens=True)
+
+
+def _restart(deployment: emulator.Deployment, index: int) -> None:
+    deployment.restart_engine(index)
+
+
+FAULTS = (_kill, _freeze, _silence, _error, _close, _cross, _restart)
+
+
+class _Reader(threading.Thread):
+    """A caller in a thread of its own."""
+
+    def __init__(
+        self,
+        addresses: list[state.Address],
+        prompt: str,
+        sends_delivered: bool = True,
+    ) -> None:
+        super().__init__()
+        self._addresses = addresses
+        self._sends_delivered = sends_delivered
+        self.prompt = prompt
+        self.start()
+
+    def run(self) -> None:
+        """Read the answer over as many connections as it takes."""
+        self.received = emulator.generate_resumed(
+            self._addresses,
+            'digest',
+            KEY,
+            {'prompt': self.prompt, 'max_tokens': TOKEN_COUNT},
+            self._sends_delivered,
+        )
+
+    def check(self) -> emulator.ResumedAnswer:
+        """Compare the answer token for token."""
+        self.join()
+        answer = self.received.answer
+        assert answer.error is None, answer.error
+        assert answer.end is not None
+        assert answer.text == emulator.expected_text(self.prompt, TOKEN_COUNT)
+        return self.received
+
+
+@pytest.fixture(scope='module')
+def deployment() -> Iterator[emulator.Deployment]:
+    """Serve all cases, since starting processes takes most of the time."""
+    shape = emulator.DeploymentShape(
+        instance_count=7,
+        engine_count=3,
+        service_count=0,
+        step_ms=10.0,
+        overrides={'generation': {'drain_ms': 100}},
+    )
+    with emulator.Deployment(shape) as started:
+        yield started
+
+
+def _running_engine(deployment: emulator.Deployment) -> int:
+    """Return the engine that runs a generation, once it generated some."""
+    waiting = threading.Event()
+    counts: dict[int, int] = {}
+    for _ in range(400):
+        for index, engine in enumerate(deployment.engines):
+            seen = engine.read_json('/control/running')
+            first = counts.setdefault(index, seen['generated_count'])
+            if seen['running_count'] and seen['generated_count'] > first + 4:
+                return index
+        waiting.wait(0.02)
+    raise AssertionError('no engine ran the generation')
+
+
+def _repair(deployment: emulator.Deployment) -> None:
+    """End all faults of engines."""
+    for index, engine in enumerate(deployment.engines):
+        engine.signal(signal.SIGCONT)
+        if not engine.is_running:
+            deployment.restart_engine(index)
+        deployment.engines[index].control(
+            error_after_count=0,
+            close_after_count=0,
+            cross_answers=False,
+            repeat_tokens=False,
+        )
+
+
+def _ready_instances(
+    deployment: emulator.Deployment,
+) -> list[emulator.EmulatedProcess]:
+    return [each for each in deployment.instances if each.is_running]
+
+
+class TestEngineFaults:
+    """Guards against faults that only sockets and processes show."""
+
+    @pytest.mark.parametrize('fault', FAULTS)
+    def test_answer_is_whole(
+        self, deployment: emulator.Deployment, fault: Fault
+    ) -> None:
+        """The caller's one connection brings the whole answer."""
+        reader = _Reader([deployment.instances[-1].address], 'a week')
+        fault(deployment, _running_engine(deployment))
+        try:
+            assert reader.check().connection_count == 1
+        finally:
+            _repair(deployment)
+
+    def test_cut_link(self, deployment: emulator.Deployment) -> None:
+        """A link that loses all bytes is left for another engine."""
+        links: list[emulator.CuttableLink] = []
+        for engine in deployment.engines:
+            links.append(emulator.CuttableLink(engine.address))
+            deployment.links[engine.name] = links[-1].address
+        # The new instance must never learn the addresses behind the links.
+        deployment.publish_list()
+        instance = deployment.start_instance(20)
+        emulator.wait_ready(instance)
+        deployment.instances.remove(instance)
+        deployment.links.clear()
+        try:
+            reader = _Reader([instance.address], 'a week')
+            links[_running_engine(deployment)].cut()
+            assert reader.check().connection_count == 1
+        finally:
+            instance.kill()
+            instance.wait_stopped()
+            deployment.publish_list()
+
+
+class TestInstanceFaults:
+    """Guards against streams that end with their instance."""
+
+    @pytest.mark.parametrize('sends_delivered', (False, True))
+    @pytest.mark.parametrize('engine_too', (False, True))
+    def test_killed_while_serving(
+        self,
+        deployment: emulator.Deployment,
+        engine_too: bool,
+        sends_delivered: bool,
+    ) -> None:
+        """The caller's event id is enough on another instance."""
+        instances = _ready_instances(deployment)
+        addresses = [each.address for each in instances[:2]]
+        reader = _Reader(addresses, 'a week', sends_delivered)
+        index = _running_engine(deployment)
+        if engine_too:
+            deployment.engines[index].kill()
+        instances[0].kill()
+        try:
+            assert reader.check().connection_count == 2
+        finally:
+            _repair(deployment)
+
+    def test_planned_stop(self, deployment: emulator.Deployment) -> None:
+        """Streams that outlast the drain continue on another instance."""
+        instances = _ready_instances(deployment)
+        addresses = [each.address for each in instances[:2]]
+        before = _generated_count(deployment)
+        readers = [_Reader(addresses, f'week {at}') for at in range(8)]
+        _running_engine(deployment)
+        instances[0].stop()
+        for reader in readers:
+            assert reader.check().handover_count == 1
+        assert instances[0].wait_stopped() == 0
+        # No token was generated twice.
+        generated_count = _generated_count(deployment) - before
+        assert generated_count == 8 * TOKEN_COUNT
+
+
+def _generated_count(deployment: emulator.Deployment) -> int:
+    found = 0
+    for engine in deployment.engines:
+        found += engine.read_json('/control/running')['generated_count']
+    return found
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -1,11 +1,27 @@
 """Encodings of all messages, apart from the decisions."""
 
+from skylarktack.protocol._caller import HANDOVER
+from skylarktack.protocol._caller import LAST_EVENT_ID_HEADER
 from skylarktack.protocol._caller import REQUEST_ID_HEADER
 from skylarktack.protocol._caller import STATUS_BY_CODE
 from skylarktack.protocol._caller import CallerStreamEncoder
 from skylarktack.protocol._caller import decode_generate_body
 from skylarktack.protocol._caller import encode_answer
 from skylarktack.protocol._caller import encode_refusal
+from skylarktack.protocol._configurations import RECORD_LIMIT_BYTES
+from skylarktack.protocol._configurations import JsonConfigurationCodec
+from skylarktack.protocol._configurations import decode_findings
+from skylarktack.protocol._configurations import decode_record_for_operators
+from skylarktack.protocol._configurations import encode_findings
+from skylarktack.protocol._configurations import encode_record_for_operators
+from skylarktack.protocol._console import LISTED_COUNT
+from skylarktack.protocol._console import SECTIONS
+from skylarktack.protocol._console import ConsoleField
+from skylarktack.protocol._console import ConsolePage
+from skylarktack.protocol._console import document_difference
+from skylarktack.protocol._console import new_entry
+from skylarktack.protocol._console import read_entry
+from skylarktack.protocol._console import render_console
 from skylarktack.protocol._documents import T
 from skylarktack.protocol._documents import decode_document
 from skylarktack.protocol._documents import decode_settings
@@ -36,20 +52,46 @@
 from skylarktack.protocol._peer_codec import FrameFault
 from skylarktack.protocol._peer_codec import PeerCodec
 from skylarktack.protocol._peer_messages import PEER_MESSAGES
+from skylarktack.protocol._peer_session import FRAME_CODE_BYTES
+from skylarktack.protocol._peer_session import NONCE_BYTES
+from skylarktack.protocol._peer_session import FrameSeal
+from skylarktack.protocol._peer_session import PeerAuthenticator
+from skylarktack.protocol._peer_session import PeerChallenge
+from skylarktack.protocol._peer_session import PeerDone
+from skylarktack.protocol._peer_session import PeerHello
+from skylarktack.protocol._peer_session import PeerProof
+from skylarktack.protocol._peer_session import PeerRefusal
 
 __all__ = [
     'CallerStreamEncoder',
+    'ConsoleField',
+    'ConsolePage',
     'EventIdSigner',
+    'FRAME_CODE_BYTES',
     'Frame',
     'FrameFault',
+    'FrameSeal',
     'GenerateBody',
     'JsonMoveCodec',
+    'JsonConfigurationCodec',
+    'LISTED_COUNT',
+    'HANDOVER',
+    'LAST_EVENT_ID_HEADER',
     'MAC_BYTES',
     'MAX_TOKENS_COUNT',
+    'NONCE_BYTES',
     'PEER_MESSAGES',
     'PREFIX_BLOCK_CHARS',
+    'PeerAuthenticator',
+    'PeerChallenge',
     'PeerCodec',
+    'RECORD_LIMIT_BYTES',
+    'PeerDone',
+    'PeerHello',
+    'PeerProof',
+    'PeerRefusal',
     'REQUEST_ID_HEADER',
+    'SECTIONS',
     'STATUS_BY_CODE',
     'StreamDecoder',
     'T',
@@ -58,20 +100,28 @@
     'decode_document',
     'decode_engine_load',
     'decode_engine_order',
+    'decode_findings',
     'decode_generate_body',
     'decode_objects',
     'decode_platform_list',
+    'decode_record_for_operators',
     'decode_settings',
     'decode_target_order',
     'decode_watch_batch',
+    'document_difference',
     'encode_answer',
     'encode_document',
     'encode_engine_order',
+    'encode_findings',
     'encode_objects',
     'encode_plain',
     'encode_platform_list',
+    'encode_record_for_operators',
     'encode_refusal',
     'encode_stream_event',
     'encode_watch_batch',
+    'new_entry',
     'prefix_hashes',
+    'read_entry',
+    'render_console',
 ]
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -3,7 +3,16 @@
 from skylarktack.state._calls import DispatchFault
 from skylarktack.state._calls import PlainCall
 from skylarktack.state._calls import ServiceAnswer
+from skylarktack.state._configurations import AppliedChange
+from skylarktack.state._configurations import ConfigurationAnswer
+from skylarktack.state._configurations import ConfigurationChange
+from skylarktack.state._configurations import ConfigurationFetch
+from skylarktack.state._configurations import ConfigurationOffer
+from skylarktack.state._configurations import ConfigurationRecord
+from skylarktack.state._configurations import InstanceStatus
+from skylarktack.state._configurations import StatusRequest
 from skylarktack.state._delivered import DIGEST_BYTES
+from skylarktack.state._delivered import DeliveredCursor
 from skylarktack.state._delivered import DeliveredText
 from skylarktack.state._documents import ActiveConfiguration
 from skylarktack.state._documents import CallerLossPolicy
@@ -18,6 +27,12 @@
 from skylarktack.state._errors import Refusal
 from skylarktack.state._errors import RefusalCode
 from skylarktack.state._errors import RunState
+from skylarktack.state._generation_record import GenerationRecord
+from skylarktack.state._generation_record import RecordStart
+from skylarktack.state._generation_record import ResumeCheck
+from skylarktack.state._generation_table import GenerationTable
+from skylarktack.state._generation_table import HeldGeneration
+from skylarktack.state._generations import AttemptNote
 from skylarktack.state._generations import EngineOrder
 from skylarktack.state._generations import GenerationRequest
 from skylarktack.state._generations import Keepalive
@@ -29,6 +44,8 @@
 from skylarktack.state._generations import TokenEvent
 from skylarktack.state._members import Member
 from skylarktack.state._members import MemberState
+from skylarktack.state._members import MemberTable
+from skylarktack.state._members import supersedes
 from skylarktack.state._moves import EvidenceReport
 from skylarktack.state._moves import EvidenceRow
 from skylarktack.state._moves import LatencySums
@@ -67,12 +84,25 @@
 from skylarktack.state._targets import TargetOutcome
 
 __all__ = [
+    'DeliveredCursor',
+    'HeldGeneration',
+    'GenerationTable',
+    'ResumeCheck',
+    'RecordStart',
+    'GenerationRecord',
+    'AttemptNote',
     'ActiveConfiguration',
     'Address',
+    'AppliedChange',
     'CallerLossPolicy',
     'CallerSettings',
     'ClaimSettings',
+    'ConfigurationAnswer',
+    'ConfigurationChange',
     'ConfigurationDocument',
+    'ConfigurationFetch',
+    'ConfigurationOffer',
+    'ConfigurationRecord',
     'DIGEST_BYTES',
     'DeliveredText',
     'DispatchFault',
@@ -85,12 +115,14 @@
     'GenerationSettings',
     'InstanceName',
     'InstanceSettings',
+    'InstanceStatus',
     'Keepalive',
     'LatencySums',
     'Limits',
     'ListedInstance',
     'Member',
     'MemberState',
+    'MemberTable',
     'Move',
     'MoveLease',
     'MoveNotice',
@@ -116,6 +148,7 @@
     'RouteName',
     'RunState',
     'ServiceAnswer',
+    'StatusRequest',
     'StoreFault',
     'StoreFaultKind',
     'StoreSettings',
@@ -132,4 +165,5 @@
     'Version',
     'VersionName',
     'WatchBatch',
+    'supersedes',
 ]
