Move a route between versions with real processes

Cause: moves were proved on fakes alone. Change: the engine stand-in takes time to load and obeys an order once, the platform's list can follow loads, and a split waits until a target serves the new version.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
@@ -171,6 +171,9 @@
     #: Whether its process is stopped for now.
     paused: bool = False
 
+    #: Targets that it knows.
+    listed: tuple[state.Target, ...] = ()
+
     #: Whether it learns of records by neither watch nor list.
     deaf: bool = False
 
@@ -224,6 +227,8 @@
         self.metrics = _metrics.MemoryMetrics()
         self.configuration = FixedConfiguration(self._document())
         self.targets = self._targets()
+        self._listed_targets = self.targets
+        self._listed_count = 0
         self._by_name = {target.name: target for target in self.targets}
         self.instances: dict[str, MoveInstance] = {}
         for index in range(shape.instance_count):
@@ -283,6 +288,9 @@
     def round(self, instance: MoveInstance) -> None:
         """Do what the threads of one instance do in one interval."""
         part = instance.part
+        if self._listed() is not instance.listed:
+            instance.listed = self._listed_targets
+            part.directory.update(instance.listed)
         if not instance.deaf:
             part.read_records()
         part.send_reports()
@@ -309,6 +317,18 @@
         record = self.record(name)
         return record.lease.holder if record else ''
 
+    def _listed(self) -> tuple[state.Target, ...]:
+        """Return the targets with the versions that they serve by now."""
+        if self._listed_count != len(self.engines.orders):
+            self._listed_count = len(self.engines.orders)
+            found: list[state.Target] = []
+            for target in self.targets:
+                loaded = self.engines.loaded.get(target.name, set())
+                versions = (*target.versions, *sorted(loaded))
+                found.append(dataclasses.replace(target, versions=versions))
+            self._listed_targets = tuple(found)
+        return self._listed_targets
+
     def _document(self) -> state.ConfigurationDocument:
         now_s = self.clock.wall_s()
         old = state.VersionName('model-1')
--- a/packages/coordination/src/skylarktack/coordination/moves/_chooser.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_chooser.py
@@ -4,6 +4,7 @@
 
 from skylarktack import state
 from skylarktack.coordination import ports
+from skylarktack.coordination.moves import _loading
 from skylarktack.coordination.moves import _table
 
 _FRACTIONS = float(1 << 64)
@@ -30,9 +31,11 @@
         self,
         configuration: ports.ConfigurationSource,
         table: _table.MoveTable,
+        directory: _loading.TargetDirectory,
     ) -> None:
         self._configuration = configuration
         self._table = table
+        self._directory = directory
 
     def version_for(
         self, route: state.Route, request_id: state.RequestId
@@ -46,6 +49,9 @@
             share = self._table.share(move.name)
             if share <= 0.0:
                 continue
+            if share < 1.0 and not self._directory.serving((move.to_version,)):
+                # The platform's list lags behind the loads.
+                continue
             if share >= 1.0 or request_fraction(move.name, request_id) < share:
                 version = move.to_version
         return version
--- a/packages/coordination/src/skylarktack/coordination/moves/_loading.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_loading.py
@@ -224,8 +224,11 @@
 
     def _order(self, target: state.Target, record: state.MoveRecord) -> None:
         order = ports.TargetOrder(
-            # The same for all drivers, so that a repetition acts once.
-            order_id=f'{record.name}.{target.name}.load',
+            # A repetition under the same lease acts once; a later driver's
+            # order may have to load a version that was dropped since.
+            order_id=(
+                f'{record.name}.{record.lease.fencing_number}.{target.name}'
+            ),
             kind=ports.TargetOrderKind.LOAD,
             subject=record.to_version,
             fencing_number=record.lease.fencing_number,
--- a/packages/coordination/src/skylarktack/coordination/moves/_part.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_part.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import dataclasses
 import hashlib
+import math
 import threading
 
 import structlog
@@ -88,7 +89,7 @@
         self.table = _table.MoveTable(settings, outside.clock)
         self.directory = _loading.TargetDirectory()
         self.versions = _chooser.MoveVersionChooser(
-            outside.configuration, self.table
+            outside.configuration, self.table, self.directory
         )
         self.outcomes = _evidence.EvidenceCollector(
             settings,
@@ -201,7 +202,7 @@
     def _follow_records(self) -> None:
         outside = self._outside
         seen = 0
-        read_s = -1e9
+        read_s = -math.inf
         while not self._stopping.is_set():
             interval_s = outside.settings.read_interval_ms / 1000
             # A watch may go silent; a read of all records finds it out.
--- a/packages/emulator/src/skylarktack/emulator/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/__main__.py
@@ -25,6 +25,7 @@
         versions: str = 'v1',
         checks_fencing: bool = False,
         report_lag_ms: int = 500,
+        load_ms: int = 0,
     ) -> None:
         """Run a model engine."""
         shape = _engine_model.EngineShape(
@@ -34,6 +35,7 @@
             versions=tuple(versions.split('+')),
             checks_fencing=checks_fencing,
             report_lag_ms=report_lag_ms,
+            load_ms=load_ms,
         )
         _run(_engine.EngineServer(state.Address(host, port), shape), name)
 
--- a/packages/emulator/src/skylarktack/emulator/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/_deployment.py
@@ -158,6 +158,9 @@
     #: Versions that engines serve at the start, joined by ``+``.
     engine_versions: str = 'model-1'
 
+    #: Time that an engine takes to load a version.
+    engine_load_ms: int = 0
+
     #: Settings that replace the defaults of instances, as plain JSON.
     overrides: dict[str, Any] = dataclasses.field(default_factory=dict)
 
@@ -220,6 +223,7 @@
         self.services: list[EmulatedProcess] = []
         self.instances: list[EmulatedProcess] = []
         self.leaving: set[str] = set()
+        self.lists_loads = False
         #: Addresses listed instead of those of processes, for cut links.
         self.links: dict[str, state.Address] = {}
         self._folder = tempfile.TemporaryDirectory(prefix='skylarktack-')
@@ -285,19 +289,21 @@
                 f'--step_ms={self.shape.step_ms}',
                 f'--slot_count={self.shape.slot_count}',
                 f'--versions={self.shape.engine_versions}',
+                f'--load_ms={self.shape.engine_load_ms}',
             ],
         )
 
     def publish_list(self) -> None:
         """Enter all running processes in the platform's list."""
         targets: list[state.Target] = []
-        versions = tuple(
-            state.VersionName(name)
-            for name in self.shape.engine_versions.split('+')
-        )
         for index, process in enumerate(self.engines):
             targets.append(
-                self._target(process, index, state.TargetKind.ENGINE, versions)
+                self._target(
+                    process,
+                    index,
+                    state.TargetKind.ENGINE,
+                    self._engine_versions(process),
+                )
             )
         for index, process in enumerate(self.services):
             targets.append(
@@ -394,6 +400,17 @@
             settings[field] = value
         return settings
 
+    def _engine_versions(
+        self, process: EmulatedProcess
+    ) -> tuple[state.VersionName, ...]:
+        """Return what an engine serves, loads ordered since included."""
+        if self.lists_loads and process.is_running:
+            return tuple(process.read_json('/v1/load')['versions'])
+        return tuple(
+            state.VersionName(name)
+            for name in self.shape.engine_versions.split('+')
+        )
+
     def _domain(self, index: int) -> state.FailureDomain:
         return state.FailureDomain(
             f'domain-{index % self.shape.failure_domain_count}'
--- a/packages/emulator/src/skylarktack/emulator/_engine_model.py
+++ b/packages/emulator/src/skylarktack/emulator/_engine_model.py
@@ -124,6 +124,9 @@
     #: Whether orders with an old fencing number are refused.
     checks_fencing: bool = False
 
+    #: Time from an order to load a version until the engine serves it.
+    load_ms: int = 0
+
     #: How long a finished attempt can be attached to.
     retention_ms: int = 60_000
 
@@ -162,6 +165,7 @@
         self.versions: list[str] = list(shape.versions)
         self.fencing_number = 0
         self.orders: list[ports.TargetOrder] = []
+        self._loads: list[tuple[float, str]] = []
         self.runs: dict[tuple[str, int], EngineRun] = {}
         self.steps_count = 0
         self.generated_count = 0
@@ -248,15 +252,27 @@
             self.fencing_number = max(
                 self.fencing_number, order.fencing_number
             )
+            if any(order.order_id == known.order_id for known in self.orders):
+                return True
             self.orders.append(order)
             if order.kind is ports.TargetOrderKind.LOAD:
-                if order.subject not in self.versions:
-                    self.versions.append(order.subject)
+                ready_s = time.monotonic() + self.shape.load_ms / 1000
+                self._loads.append((ready_s, order.subject))
+                self._finish_loads()
             if order.kind is ports.TargetOrderKind.UNLOAD:
                 if order.subject in self.versions:
                     self.versions.remove(order.subject)
             return True
 
+    def _finish_loads(self) -> None:
+        now_s = time.monotonic()
+        for load in list(self._loads):
+            if load[0] > now_s:
+                continue
+            self._loads.remove(load)
+            if load[1] not in self.versions:
+                self.versions.append(load[1])
+
     def _prefill(self, prompt: str) -> int:
         hashes = protocol.prefix_hashes(prompt)
         cached = 0
@@ -297,6 +313,8 @@
     def _step(self) -> None:
         now_s = time.monotonic()
         self.steps_count += 1
+        if self._loads:
+            self._finish_loads()
         self._running = [run for run in self._running if not run.done]
         while self._waiting and len(self._running) < self.shape.slot_count:
             run = heapq.heappop(self._waiting)[3]
