Hold the share of a version that evidence leans against

Cause: the whole path completed a move although all eight attempts on the new version had failed: too few to reject it, yet counted as good. And a version on a single target that lost all its connections was never held. Change: a share does not rise while a test at a chance of 5% would reject; losses on one target are ignored only if the version works in another failure domain.

--- a/packages/coordination/src/skylarktack/coordination/moves/_judging.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_judging.py
@@ -21,9 +21,13 @@
 VARIANCE_FLOOR = 0.01
 
 #: Targets on which connections must be lost before losses are held
-#: against the version: a single one may be a failed machine.
+#: against the version: a single one may be a failed machine, as long as
+#: the version works in another failure domain.
 LOST_TARGET_COUNT = 2
 
+#: Successful attempts that show that a version works in a failure domain.
+WORKING_COUNT = 10
+
 
 @dataclasses.dataclass(frozen=True)
 class Judgement:
@@ -38,6 +42,10 @@
     #: Attempts on the version that has fewer.
     compared_count: int
 
+    #: Whether the evidence leans against the new version without proof;
+    #: its share does not rise then.
+    suspect: bool = False
+
 
 class Judge(Protocol):
     """Compares two versions; may be asked any number of times."""
@@ -89,14 +97,24 @@
         pairs = _pairs(rows, to_version)
         attempts = sum(pair.new.attempt_count for pair in pairs)
         compared = min(attempts, sum(pair.old.attempt_count for pair in pairs))
+        reason = self._rejection(pairs, rejection_probability)
+        if reason:
+            return Judgement(True, reason, compared)
+        suspicion = self._settings.suspicion_probability
+        suspect = bool(self._rejection(pairs, suspicion))
+        return Judgement(False, '', compared, suspect)
+
+    def _rejection(self, pairs: tuple[_Pair, ...], probability: float) -> str:
+        """Return why the new version is worse; empty if that is unproved."""
+        if not probability:
+            return ''
         # Three tests share the probability of a wrong rejection.
-        each = rejection_probability / 3
+        each = probability / 3
         failures = failure_log_ratio(pairs, _lost_counts(pairs))
         if failures >= math.log(1 / each):
+            attempts = sum(pair.new.attempt_count for pair in pairs)
             failed = sum(_failed(pair.new, True) for pair in pairs)
-            return Judgement(
-                True, f'{failed} of {attempts} attempts failed.', compared
-            )
+            return f'{failed} of {attempts} attempts failed.'
         tolerance = math.log(self._settings.tolerated_slowdown)
         for field, words in (
             ('first_token', 'Time to the first token'),
@@ -104,11 +122,8 @@
         ):
             lower = latency_lower_bound(pairs, field, each)
             if lower > tolerance:
-                factor = math.exp(lower)
-                return Judgement(
-                    True, f'{words} is above {factor:.2f} times.', compared
-                )
-        return Judgement(False, '', compared)
+                return f'{words} is above {math.exp(lower):.2f} times.'
+        return ''
 
 
 class ThresholdJudge:
@@ -242,9 +257,13 @@
 
 def _lost_counts(pairs: tuple[_Pair, ...]) -> bool:
     targets: set[state.TargetName] = set()
+    works = False
     for pair in pairs:
         targets.update(pair.new.lost_targets)
-    return len(targets) >= LOST_TARGET_COUNT
+        succeeded = pair.new.attempt_count - _failed(pair.new, True)
+        if not pair.new.lost_count and succeeded >= WORKING_COUNT:
+            works = True
+    return not works or len(targets) >= LOST_TARGET_COUNT
 
 
 def _failed(row: state.EvidenceRow, count_lost: bool) -> int:
--- a/packages/coordination/src/skylarktack/coordination/moves/_planning.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_planning.py
@@ -155,6 +155,8 @@
         return roll_back(
             record, situation.judgement.reason, state.MoveVerdict.BAD
         )
+    if situation.judgement.suspect:
+        return None
     if situation.stopped_count:
         # One instance's evidence is against the version; the others' may
         # confirm it. Until then nothing rises.
--- a/packages/state/src/skylarktack/state/_moves.py
+++ b/packages/state/src/skylarktack/state/_moves.py
@@ -187,7 +187,11 @@
     #: Chance that combined evidence rejects a good version in one stage.
     rejection_probability: float = 1e-4
 
-    #: The same for the evidence of one instance alone.
+    #: Chance that combined evidence keeps a good version's share from
+    #: rising for a while, in one stage.
+    suspicion_probability: float = 0.05
+
+    #: The same as ``rejection_probability`` for one instance alone.
     own_rejection_probability: float = 1e-6
 
     #: Slowdown that is not held against a version, as a factor.
