--- a/packages/coordination/src/skylarktack/coordination/configuration/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/__init__.py
@@ -1,6 +1,9 @@
 """The configuration in effect: rules, acceptance and distribution."""
 
 from skylarktack.coordination.configuration._codec import ConfigurationCodec
+from skylarktack.coordination.configuration._directory import (
+    ConfigurationDirectory,
+)
 from skylarktack.coordination.configuration._follower import PEER_TIMEOUT_S
 from skylarktack.coordination.configuration._follower import POLL_MAX_S
 from skylarktack.coordination.configuration._follower import POLL_MIN_S
@@ -36,6 +39,7 @@
     'ChangeFault',
     'ChangeFaultKind',
     'ConfigurationCodec',
+    'ConfigurationDirectory',
     'ConfigurationFollower',
     'ConfigurationHolder',
     'ConfigurationPublisher',
--- a/packages/coordination/src/skylarktack/coordination/routing/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_selector.py
@@ -1,4 +1,4 @@
-"""Chooses targets by the power of two choices over in-flight counts."""
+"""A selector without load reports, for tests of other parts."""
 
 import random
 import threading
@@ -11,7 +11,7 @@
 from skylarktack.coordination import ports
 
 
-class TwoChoicesSelector:
+class PlainSelector:
     """Takes the less loaded of two random targets of the version."""
 
     def __init__(self, seed: int | None = None) -> None:
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -8,6 +8,8 @@
 from skylarktack.protocol._caller import decode_generate_body
 from skylarktack.protocol._caller import encode_answer
 from skylarktack.protocol._caller import encode_refusal
+from skylarktack.protocol._claims import LAYOUT_VERSION
+from skylarktack.protocol._claims import CborSegmentCodec
 from skylarktack.protocol._configurations import RECORD_LIMIT_BYTES
 from skylarktack.protocol._configurations import JsonConfigurationCodec
 from skylarktack.protocol._configurations import decode_findings
@@ -22,11 +24,11 @@
 from skylarktack.protocol._console import new_entry
 from skylarktack.protocol._console import read_entry
 from skylarktack.protocol._console import render_console
+from skylarktack.protocol._digests import StructDigestCodec
 from skylarktack.protocol._documents import T
 from skylarktack.protocol._documents import decode_document
 from skylarktack.protocol._documents import decode_settings
 from skylarktack.protocol._documents import encode_document
-from skylarktack.protocol._engine import PREFIX_BLOCK_CHARS
 from skylarktack.protocol._engine import StreamDecoder
 from skylarktack.protocol._engine import decode_cache_events
 from skylarktack.protocol._engine import decode_engine_load
@@ -35,11 +37,12 @@
 from skylarktack.protocol._engine import encode_engine_order
 from skylarktack.protocol._engine import encode_plain
 from skylarktack.protocol._engine import encode_stream_event
-from skylarktack.protocol._engine import prefix_hashes
+from skylarktack.protocol._event_ids import EVENT_ID_LIMIT_CHARS
 from skylarktack.protocol._event_ids import MAC_BYTES
 from skylarktack.protocol._event_ids import EventIdSigner
 from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
 from skylarktack.protocol._generate_body import GenerateBody
+from skylarktack.protocol._loans import CborLoanCodec
 from skylarktack.protocol._moves import JsonMoveCodec
 from skylarktack.protocol._object_api import decode_objects
 from skylarktack.protocol._object_api import decode_platform_list
@@ -64,8 +67,11 @@
 
 __all__ = [
     'CallerStreamEncoder',
+    'CborLoanCodec',
+    'CborSegmentCodec',
     'ConsoleField',
     'ConsolePage',
+    'EVENT_ID_LIMIT_CHARS',
     'EventIdSigner',
     'FRAME_CODE_BYTES',
     'Frame',
@@ -77,23 +83,33 @@
     'LISTED_COUNT',
     'HANDOVER',
     'LAST_EVENT_ID_HEADER',
+    'HANDOVER',
+    'JsonConfigurationCodec',
+    'JsonMoveCodec',
+    'LAST_EVENT_ID_HEADER',
+    'LAYOUT_VERSION',
+    'LISTED_COUNT',
     'MAC_BYTES',
     'MAX_TOKENS_COUNT',
     'NONCE_BYTES',
     'PEER_MESSAGES',
-    'PREFIX_BLOCK_CHARS',
+    'PEER_MESSAGES',
+    'PEER_MESSAGES',
+    'PEER_MESSAGES',
+    'PEER_MESSAGES',
     'PeerAuthenticator',
     'PeerChallenge',
     'PeerCodec',
-    'RECORD_LIMIT_BYTES',
     'PeerDone',
     'PeerHello',
     'PeerProof',
     'PeerRefusal',
+    'RECORD_LIMIT_BYTES',
     'REQUEST_ID_HEADER',
     'SECTIONS',
     'STATUS_BY_CODE',
     'StreamDecoder',
+    'StructDigestCodec',
     'T',
     'WIRE_VERSION',
     'decode_cache_events',
@@ -121,7 +137,6 @@
     'encode_stream_event',
     'encode_watch_batch',
     'new_entry',
-    'prefix_hashes',
     'read_entry',
     'render_console',
 ]
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -3,6 +3,11 @@
 from skylarktack.state._calls import DispatchFault
 from skylarktack.state._calls import PlainCall
 from skylarktack.state._calls import ServiceAnswer
+from skylarktack.state._claims import ClaimKey
+from skylarktack.state._claims import ClaimPhase
+from skylarktack.state._claims import ClaimRecord
+from skylarktack.state._claims import ClaimSegment
+from skylarktack.state._claims import SealedSegment
 from skylarktack.state._configurations import AppliedChange
 from skylarktack.state._configurations import ConfigurationAnswer
 from skylarktack.state._configurations import ConfigurationChange
@@ -31,6 +36,7 @@
 from skylarktack.state._generation_record import RecordStart
 from skylarktack.state._generation_record import ResumeCheck
 from skylarktack.state._generation_table import GenerationTable
+from skylarktack.state._generation_table import H
 from skylarktack.state._generation_table import HeldGeneration
 from skylarktack.state._generations import AttemptNote
 from skylarktack.state._generations import EngineOrder
@@ -64,10 +70,13 @@
 from skylarktack.state._names import RouteName
 from skylarktack.state._names import TargetName
 from skylarktack.state._names import VersionName
+from skylarktack.state._prefixes import PREFIX_BLOCK_CHARS
+from skylarktack.state._prefixes import prefix_hashes
 from skylarktack.state._settings import CallerSettings
 from skylarktack.state._settings import ClaimSettings
 from skylarktack.state._settings import GenerationSettings
 from skylarktack.state._settings import InstanceSettings
+from skylarktack.state._settings import LookupSettings
 from skylarktack.state._settings import PeerSettings
 from skylarktack.state._settings import RetrySettings
 from skylarktack.state._settings import StoreSettings
@@ -82,20 +91,20 @@
 from skylarktack.state._targets import Target
 from skylarktack.state._targets import TargetKind
 from skylarktack.state._targets import TargetOutcome
+from skylarktack.state._traffic_settings import LimitSettings
+from skylarktack.state._traffic_settings import RoutingSettings
 
 __all__ = [
-    'DeliveredCursor',
-    'HeldGeneration',
-    'GenerationTable',
-    'ResumeCheck',
-    'RecordStart',
-    'GenerationRecord',
-    'AttemptNote',
     'ActiveConfiguration',
     'Address',
     'AppliedChange',
+    'AttemptNote',
     'CallerLossPolicy',
     'CallerSettings',
+    'ClaimKey',
+    'ClaimPhase',
+    'ClaimRecord',
+    'ClaimSegment',
     'ClaimSettings',
     'ConfigurationAnswer',
     'ConfigurationChange',
@@ -104,6 +113,7 @@
     'ConfigurationOffer',
     'ConfigurationRecord',
     'DIGEST_BYTES',
+    'DeliveredCursor',
     'DeliveredText',
     'DispatchFault',
     'EngineOrder',
@@ -111,15 +121,21 @@
     'EvidenceRow',
     'FailureDomain',
     'Finding',
+    'GenerationRecord',
     'GenerationRequest',
     'GenerationSettings',
+    'GenerationTable',
+    'H',
+    'HeldGeneration',
     'InstanceName',
     'InstanceSettings',
     'InstanceStatus',
     'Keepalive',
     'LatencySums',
+    'LimitSettings',
     'Limits',
     'ListedInstance',
+    'LookupSettings',
     'Member',
     'MemberState',
     'MemberTable',
@@ -135,18 +151,23 @@
     'Organisation',
     'OrganisationName',
     'OutcomeKind',
+    'PREFIX_BLOCK_CHARS',
     'PeerSettings',
     'PlainCall',
     'PlatformList',
+    'RecordStart',
     'Refusal',
     'RefusalCode',
     'RequestId',
+    'ResumeCheck',
     'ResumeToken',
     'RetrySettings',
     'Route',
     'RouteKind',
     'RouteName',
+    'RoutingSettings',
     'RunState',
+    'SealedSegment',
     'ServiceAnswer',
     'StatusRequest',
     'StoreFault',
@@ -165,5 +186,6 @@
     'Version',
     'VersionName',
     'WatchBatch',
+    'prefix_hashes',
     'supersedes',
 ]
