Report failures of a new version at once, the rest by budget

Cause: regular reports of 340 instances would take a driver far beyond its budget, and a longer interval would delay the news of failures. Change: the interval follows the size of the report; a new failure on the new version is reported in the next round.

--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -26,11 +26,6 @@
 from skylarktack.coordination.fakes._store import StoreFaults
 
 __all__ = [
-    'FixedConfiguration',
-    'LocalPeerHub',
-    'LocalPeerNetwork',
-    'ManualClock',
-    'MemoryEngines',
     'EngineFault',
     'EngineFaultKind',
     'FaultyEngines',
--- a/packages/coordination/src/skylarktack/coordination/moves/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/__init__.py
@@ -16,6 +16,9 @@
 from skylarktack.coordination.moves._loading import FIRST_WAVE_COUNT
 from skylarktack.coordination.moves._loading import LoadProgress
 from skylarktack.coordination.moves._loading import TargetDirectory
+from skylarktack.coordination.moves._part import REPORT_BYTES_PER_S
+from skylarktack.coordination.moves._part import REPORT_HEAD_BYTES
+from skylarktack.coordination.moves._part import REPORT_ROW_BYTES
 from skylarktack.coordination.moves._part import MovesOutside
 from skylarktack.coordination.moves._part import MovesPart
 from skylarktack.coordination.moves._planning import Situation
@@ -42,6 +45,9 @@
     'MoveVersionChooser',
     'MovesOutside',
     'MovesPart',
+    'REPORT_BYTES_PER_S',
+    'REPORT_HEAD_BYTES',
+    'REPORT_ROW_BYTES',
     'RouteVersionChooser',
     'SequentialJudge',
     'SessionState',
--- a/packages/coordination/src/skylarktack/coordination/moves/_part.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_part.py
@@ -35,16 +35,35 @@
 #: Longest wait of one watch.
 WATCH_WAIT_S = 10.0
 
-#: Bytes a second of reports that a driver takes in for one move; reports
-#: are sent less often when there are many instances.
+#: Bytes a second of reports that a driver takes in for one move; regular
+#: reports are sent less often when there are many instances. Failures of
+#: the new version are reported in the next round all the same.
 REPORT_BYTES_PER_S = 40_000.0
 
-#: Size assumed of a report with four rows.
-REPORT_BYTES = 1_400.0
+#: Size of a report on the wire without rows; ``moves.report_size`` of the
+#: bench measures a whole one.
+REPORT_HEAD_BYTES = 80.0
+
+#: Size of one row of a report.
+REPORT_ROW_BYTES = 240.0
 
 _LOG = structlog.get_logger(part='moves')
 
 
+@dataclasses.dataclass(frozen=True)
+class _SentReport:
+    """The last report of one move that was sent."""
+
+    #: Monotonic time.
+    at_s: float
+
+    #: Stage of the counts.
+    stage: int
+
+    #: Failed attempts on the new version in it.
+    failed_count: int
+
+
 @dataclasses.dataclass(frozen=True)
 class MovesOutside:
     """Everything that moves need from other parts."""
@@ -117,7 +136,7 @@
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._driven: set[str] = set()
-        self._reported_s: dict[str, float] = {}
+        self._sent: dict[str, _SentReport] = {}
         # One task for the records, one for reports and free leases, and one
         # for each move that this instance drives.
         self._tasks = concurrent.futures.ThreadPoolExecutor(
@@ -153,24 +172,28 @@
     def send_reports(self) -> None:
         """Send this instance's evidence to the drivers, if it is due."""
         outside = self._outside
-        interval_s = len(outside.peers.members()) * (
-            REPORT_BYTES / REPORT_BYTES_PER_S
-        )
         now_s = outside.clock.monotonic_s()
         for known in self.table.all_known():
             name = known.record.name
             holder = known.record.lease.holder
             if known.record.ended or holder == outside.peers.name:
                 continue
-            due_s = self._reported_s.get(name, -interval_s) + interval_s
-            if now_s < due_s and not known.stopped:
-                continue
             report = self.outcomes.report(name, outside.peers.name)
             if report is None:
                 continue
-            self._reported_s[name] = now_s
+            failed = _failed_count(report, known.record.to_version)
+            sent = self._sent.get(name, _SentReport(-math.inf, -1, 0))
+            due_s = sent.at_s + self._report_interval_s(report)
+            urgent = sent.stage != report.stage or failed > sent.failed_count
+            if now_s < due_s and not urgent and not report.stopped:
+                continue
+            self._sent[name] = _SentReport(now_s, report.stage, failed)
             outside.peers.send(holder, report)
 
+    def _report_interval_s(self, report: state.EvidenceReport) -> float:
+        size = REPORT_HEAD_BYTES + REPORT_ROW_BYTES * len(report.rows)
+        return len(self._outside.peers.members()) * size / REPORT_BYTES_PER_S
+
     def free_moves(self) -> tuple[str, ...]:
         """Return the started moves that seem to have no driver."""
         now_s = self._outside.clock.wall_s()
@@ -287,6 +310,16 @@
             self._outside.peers.broadcast(stop)
 
 
+def _failed_count(
+    report: state.EvidenceReport, to_version: state.VersionName
+) -> int:
+    failed = 0
+    for row in report.rows:
+        if row.version == to_version:
+            failed += row.error_count + row.truncated_count + row.lost_count
+    return failed
+
+
 def _weight(name: str, instance: state.InstanceName) -> bytes:
     return hashlib.blake2b(
         f'{name}/{instance}'.encode(), digest_size=8
--- a/packages/emulator/src/skylarktack/emulator/bench/_moves.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_moves.py
@@ -28,6 +28,9 @@
 #: Seeded moves of each kind for the comparison of judges.
 JUDGE_COUNT = 60
 
+#: Entry instances of the planned fleet.
+FLEET_COUNT = 340
+
 #: Processes that share the moves.
 WORKER_COUNT = 6
 
@@ -78,7 +81,7 @@
         yield from _judge_figures(pool, seed)
     yield from _weighted(rates, lost, seed)
     with structlog.testing.capture_logs():
-        yield _report_size(seed)
+        yield from _report_sizes(seed)
 
 
 def _silence_logs() -> None:
@@ -219,25 +222,51 @@
         )
 
 
-def _report_size(seed: int) -> _figures.Figure:
-    """Bytes of one report on the wire, two versions in two domains."""
-    world = fakes.MoveWorld(fakes.MoveWorldShape())
+def _report_sizes(seed: int) -> Iterator[_figures.Figure]:
+    """Bytes of a report and of all reports that reach one driver."""
+    for domain_count in (2, 13):
+        size = _report_size(seed, domain_count)
+        name = f'moves.report_size_{domain_count}_domains'
+        yield _figures.Figure(name, size, 'bytes', seed, 1)
+        rows = 2 * domain_count
+        assumed = moves.REPORT_HEAD_BYTES + moves.REPORT_ROW_BYTES * rows
+        interval_s = max(
+            TICK_S, FLEET_COUNT * assumed / moves.REPORT_BYTES_PER_S
+        )
+        yield _figures.Figure(
+            f'moves.report_interval_{domain_count}_domains_340',
+            interval_s,
+            's',
+            seed,
+            1,
+        )
+        yield _figures.Figure(
+            f'moves.driver_reports_{domain_count}_domains_340',
+            FLEET_COUNT * size / interval_s,
+            'bytes/s',
+            seed,
+            1,
+        )
+
+
+def _report_size(seed: int, domain_count: int) -> int:
     draw = random.Random(seed)
+    world = fakes.MoveWorld(
+        fakes.MoveWorldShape(failure_domain_count=domain_count)
+    )
     behaviour = _move_traffic.behaviour_of(_move_traffic.MoveKind.GOOD, draw)
     traffic = _move_traffic.Traffic(world, behaviour, draw)
-    while True:
+    codec = protocol.PeerCodec(protocol.PEER_MESSAGES)
+    for _ in range(80):
         world.tick(TICK_S)
         traffic.serve('digest', TICK_S, 0.0)
         for name, instance in world.instances.items():
             report = instance.part.outcomes.report(
                 'digest', state.InstanceName(name)
             )
-            if report is not None and len(report.rows) == 4:
-                codec = protocol.PeerCodec(protocol.PEER_MESSAGES)
-                size = len(codec.encode(protocol.Frame(report)))
-                return _figures.Figure(
-                    'moves.report_size', size, 'bytes', seed, 1
-                )
+            if report is not None and len(report.rows) == 2 * domain_count:
+                return len(codec.encode(protocol.Frame(report)))
+    raise RuntimeError('no instance saw both versions in all domains')
 
 
 class _Watcher:
