--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -47,7 +47,6 @@
     'OUTAGE_S',
     'PlainSelector',
     'STEP_S',
-    'STEP_S',
     'SteppingClock',
     'StoreFaults',
     'StoreLink',
--- a/packages/coordination/src/skylarktack/coordination/routing/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/__init__.py
@@ -26,9 +26,6 @@
 from skylarktack.coordination.routing._watch import TargetWatcher
 
 __all__ = [
-    'RouteExplainer',
-    'RouteExplanation',
-    'TargetExplanation',
     'Candidate',
     'CandidatePool',
     'DigestCodec',
@@ -39,9 +36,12 @@
     'LoadDigest',
     'LoadSample',
     'PrefixIndex',
+    'RouteExplainer',
+    'RouteExplanation',
     'SelectionPolicy',
     'TableSelector',
     'TargetEjection',
+    'TargetExplanation',
     'TargetLeaving',
     'TargetTable',
     'TargetWatcher',
--- a/packages/emulator/src/skylarktack/emulator/bench/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -7,8 +7,8 @@
 
 from skylarktack.emulator.bench import _configuration
 from skylarktack.emulator.bench import _figures
-from skylarktack.emulator.bench import _moves
 from skylarktack.emulator.bench import _membership
+from skylarktack.emulator.bench import _moves
 from skylarktack.emulator.bench import _relay
 
 #: Benchmarks by area, in the order in which ``all`` runs them.
--- a/packages/transport/src/skylarktack/transport/__init__.py
+++ b/packages/transport/src/skylarktack/transport/__init__.py
@@ -109,7 +109,6 @@
     'SEND_TIMEOUT_S',
     'SILENCE_S',
     'StartResponse',
-    'StartResponse',
     'StatsdMetrics',
     'StatusSource',
     'WebsocketPeerNetwork',
