--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,25 @@
 
 bench: setup
 	$(BIN)/python -m skylarktack.emulator.bench --area $(AREA)
+
+# Runs the same benchmarks on an earlier commit and on this one.
+bench-compare: setup
+	test -n "$(BASE)" || { echo "give BASE=<commit>"; exit 2; }
+	rm -rf build/base && git worktree prune
+	git worktree add --quiet --detach build/base $(BASE)
+	-$(MAKE) -C build/base VENV=$(abspath $(VENV)) AREA=$(AREA) bench \
+		> build/base.jsonl
+	git worktree remove --force build/base
+	-$(MAKE) AREA=$(AREA) bench > build/now.jsonl
+	$(BIN)/python -m skylarktack.emulator.bench.compare \
+		build/base.jsonl build/now.jsonl
+
+# Draws plots of the figures in FIGURES, by default of a new run.
+FIGURES ?= build/now.jsonl
+plots: setup
+	mkdir -p build
+	test -f $(FIGURES) || $(MAKE) -s bench > $(FIGURES)
+	$(BIN)/python -m skylarktack.emulator.bench.plots $(FIGURES)
+
+example: setup
+	$(BIN)/python examples/embed_coordination.py
