--- a/packages/protocol/src/skylarktack/protocol/_caller.py
+++ b/packages/protocol/src/skylarktack/protocol/_caller.py
@@ -146,5 +146,5 @@
 
     def _token(self, token: generation.DeliveredToken) -> bytes:
         event_id = self.event_id(token)
-        data = json.dumps(token.text.decode())
+        data = json.encoder.encode_basestring_ascii(token.text.decode())
         return f'id: {event_id}\ndata: {data}\n\n'.encode()
