--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -1,17 +1,49 @@
 """Replacements of the ports in memory, for tests and examples."""
 
+from skylarktack.coordination.fakes._call_world import BookingResult
+from skylarktack.coordination.fakes._call_world import CallInstance
+from skylarktack.coordination.fakes._call_world import CallWorld
+from skylarktack.coordination.fakes._call_world import CallWorldShape
+from skylarktack.coordination.fakes._call_world import Response
+from skylarktack.coordination.fakes._call_world import booking_fault
+from skylarktack.coordination.fakes._call_world import plain_call
 from skylarktack.coordination.fakes._clock import ManualClock
+from skylarktack.coordination.fakes._codec import PickledSegmentCodec
+from skylarktack.coordination.fakes._faulted import FaultedSummary
+from skylarktack.coordination.fakes._faulted import run_faulted_bookings
 from skylarktack.coordination.fakes._metrics import MemoryMetrics
 from skylarktack.coordination.fakes._peers import LocalPeerHub
 from skylarktack.coordination.fakes._peers import LocalPeerNetwork
+from skylarktack.coordination.fakes._services import MemoryServices
+from skylarktack.coordination.fakes._services import ServiceMisbehaviour
+from skylarktack.coordination.fakes._steps import CallStep
+from skylarktack.coordination.fakes._steps import InstanceDied
+from skylarktack.coordination.fakes._steps import StepAction
+from skylarktack.coordination.fakes._steps import StepGate
 from skylarktack.coordination.fakes._store import MemoryObjectStore
 from skylarktack.coordination.fakes._store import StoreFaults
 
 __all__ = [
+    'BookingResult',
+    'CallInstance',
+    'CallStep',
+    'CallWorld',
+    'CallWorldShape',
+    'FaultedSummary',
+    'InstanceDied',
     'LocalPeerHub',
     'LocalPeerNetwork',
     'ManualClock',
     'MemoryMetrics',
     'MemoryObjectStore',
+    'MemoryServices',
+    'PickledSegmentCodec',
+    'Response',
+    'ServiceMisbehaviour',
+    'StepAction',
+    'StepGate',
     'StoreFaults',
+    'booking_fault',
+    'plain_call',
+    'run_faulted_bookings',
 ]
--- a/packages/coordination/src/skylarktack/coordination/once/_dispatch.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_dispatch.py
@@ -19,10 +19,6 @@
 #: have got the call.
 TARGET_COUNT = 3
 
-#: Delays between questions to a target that lost the answer: it may be
-#: about to run the call.
-_ASK_DELAYS_S = (0.0, 0.1, 0.4)
-
 #: Longest wait for one answer to such a question.
 _ASK_TIMEOUT_S = 0.5
 
@@ -221,8 +217,8 @@
         self, record: state.ClaimRecord, target: state.Target
     ) -> _in_flight.CallResult:
         never = threading.Event()
-        for delay_s in _ASK_DELAYS_S:
-            self._clock.wait(never, delay_s)
+        for delay_ms in self._parts.settings.ask_delays_ms:
+            self._clock.wait(never, delay_ms / 1000)
             found = self.outcome(record, target)
             if found is not None:
                 self._parts.metrics.count('once.outcomes_recovered')
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_lookup.py
@@ -0,0 +1,167 @@
+"""Repeatable calls: retries, hedges, ejection."""
+
+import dataclasses
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import pytest
+
+from skylarktack import state
+from skylarktack.coordination import fakes
+from skylarktack.coordination import limits
+from skylarktack.coordination import lookup
+from skylarktack.coordination import moves
+from skylarktack.coordination import ports
+from skylarktack.coordination import routing
+
+
+class _Pending:
+    def __init__(self, name: str, behaviour: str) -> None:
+        self.name = name
+        self.behaviour = behaviour
+        self.is_closed = False
+
+    def receive(
+        self, timeout_s: float
+    ) -> Result[state.ServiceAnswer, state.DispatchFault]:
+        if self.behaviour == 'lost':
+            return Error(state.DispatchFault(state.RunState.UNKNOWN, 'lost'))
+        status = 500 if self.behaviour == 'error' else 200
+        return Ok(state.ServiceAnswer(status, (), self.name.encode()))
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class _Client:
+    """Targets behave by name; waits move the clock."""
+
+    def __init__(self, clock: fakes.ManualClock) -> None:
+        self._clock = clock
+        self.behaviours: dict[str, str] = {}
+        self.sent: list[_Pending] = []
+        self.deadlines_ms: list[int] = []
+
+    def send(
+        self, target: state.Target, call: state.PlainCall, timeout_s: float
+    ) -> Result[ports.PendingCall, state.DispatchFault]:
+        behaviour = self.behaviours.get(target.name, 'good')
+        if behaviour == 'refused':
+            return Error(state.DispatchFault(state.RunState.NOT_RUN, 'down'))
+        pending = _Pending(target.name, behaviour)
+        self.sent.append(pending)
+        headers = dict(call.headers)
+        self.deadlines_ms.append(int(headers[lookup.DEADLINE_HEADER]))
+        return Ok(pending)
+
+    def first_ready(
+        self, pending: tuple[ports.PendingCall, ...], timeout_s: float
+    ) -> ports.PendingCall | None:
+        for call in pending:
+            assert isinstance(call, _Pending)
+            if call.behaviour != 'frozen':
+                return call
+        self._clock.advance(timeout_s)
+        return None
+
+
+class _World:
+    def __init__(self, **changes: object) -> None:
+        self.clock = fakes.ManualClock()
+        self.client = _Client(self.clock)
+        self.metrics = fakes.MemoryMetrics()
+        settings = dataclasses.replace(
+            state.LookupSettings(),
+            **changes,  # type: ignore[arg-type]
+        )
+        selector = routing.TwoChoicesSelector(seed=1)
+        selector.update(
+            tuple(
+                state.Target(
+                    name=state.TargetName(name),
+                    kind=state.TargetKind.SERVICE,
+                    address=state.Address('127.0.0.1', 1),
+                    failure_domain=state.FailureDomain('domain-0'),
+                    region='region-1',
+                    versions=(state.VersionName('desk-1'),),
+                )
+                for name in ('a', 'b', 'c', 'd')
+            )
+        )
+        self.health = routing.TargetEjection(settings, self.clock)
+        self.runner = lookup.LookupRunner(
+            lookup.LookupParts(
+                settings=settings,
+                client=self.client,
+                selector=selector,
+                versions=moves.RouteVersionChooser(),
+                retry_budget=limits.TokenRetryBudget(state.RetrySettings()),
+                health=self.health,
+                outcomes=self,
+                clock=self.clock,
+                metrics=self.metrics,
+            )
+        )
+
+    def observe(self, outcome: state.TargetOutcome) -> None:
+        """Ignore the evidence."""
+
+    def run(self, count: int) -> list[lookup.CallResult]:
+        call = fakes.plain_call('', 'request-1')
+        return [self.runner.run(call) for _ in range(count)]
+
+
+class TestLookups:
+    """Guards against lookups that wait for, or flood, a bad target."""
+
+    @pytest.mark.parametrize('behaviour', ['refused', 'lost', 'error'])
+    def test_failing_target(self, behaviour: str) -> None:
+        """Retries hide one failing target, and it is soon ejected."""
+        world = _World()
+        world.client.behaviours['a'] = behaviour
+        for answered in world.run(400):
+            assert answered.ok.status == 200
+        assert world.metrics.counts['lookup.retries'] <= 10 + 40
+        assert world.health.ejected() == ('a',)
+
+    def test_frozen_target(self) -> None:
+        """A hedge answers in place of a frozen target."""
+        world = _World()
+        world.client.behaviours['a'] = 'frozen'
+        for answered in world.run(400):
+            assert answered.is_ok()
+        frozen = [item for item in world.client.sent if item.name == 'a']
+        assert 3 <= len(frozen) < 40
+        assert all(item.is_closed for item in frozen)
+        assert min(world.client.deadlines_ms) < 200
+
+    def test_frozen_target_without_mechanism(self) -> None:
+        """Without hedges and ejection the same case times out."""
+        world = _World(hedges=False, ejects=False)
+        world.client.behaviours['a'] = 'frozen'
+        failed = [item for item in world.run(400) if item.is_error()]
+        assert len(failed) > 40
+        assert failed[0].error.run is state.RunState.UNKNOWN
+
+    def test_common_fault(self) -> None:
+        """At most half of the targets are ejected, whatever fails."""
+        world = _World()
+        for name in ('a', 'b', 'c', 'd'):
+            world.client.behaviours[name] = 'lost'
+        results = world.run(200)
+        assert all(item.is_error() for item in results)
+        assert len(world.health.ejected()) == 2
+        assert world.metrics.counts['lookup.retries'] <= 10 + 20
+
+    def test_ejection_ends(self) -> None:
+        """A target that is well again gets calls again."""
+        world = _World()
+        world.client.behaviours['a'] = 'refused'
+        world.run(100)
+        assert world.health.ejected() == ('a',)
+        world.client.behaviours.clear()
+        world.clock.advance(2.0)
+        world.run(100)
+        assert world.health.ejected() == ()
+        assert any(item.name == 'a' for item in world.client.sent)
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_once.py
@@ -0,0 +1,297 @@
+"""Calls that may not be repeated, under faults at every step."""
+
+import concurrent.futures
+import dataclasses
+import threading
+
+from expression import Ok
+import pytest
+
+from skylarktack import state
+from skylarktack.coordination import fakes
+from skylarktack.coordination import once
+
+_SHAPE = fakes.CallWorldShape(codec=fakes.PickledSegmentCodec())
+_KEY = state.ClaimKey(state.OrganisationName('small'), 'key-1')
+
+
+def _outcome(response: fakes.Response) -> str:
+    if response.answer is not None:
+        return 'answer'
+    if response.refusal is None:
+        return 'lost'
+    return response.refusal.run.value
+
+
+#: Step, action, outcomes that the first and the second request may have.
+_STEP_CASES = [
+    (fakes.CallStep.BEFORE_CLAIM, fakes.StepAction.KILL, 'lost', 'answer'),
+    (fakes.CallStep.BEFORE_CLAIM, fakes.StepAction.PAUSE, 'answer', 'answer'),
+    (fakes.CallStep.BEFORE_CLAIM, fakes.StepAction.CUT, 'lost', 'answer'),
+    (fakes.CallStep.CLAIM_SENT, fakes.StepAction.KILL, 'lost', 'answer'),
+    (
+        fakes.CallStep.CLAIM_SENT,
+        fakes.StepAction.PAUSE,
+        'not_run answer',
+        'answer',
+    ),
+    (fakes.CallStep.CLAIM_SENT, fakes.StepAction.CUT, 'lost', 'answer'),
+    (fakes.CallStep.CLAIM_WRITTEN, fakes.StepAction.KILL, 'lost', 'unknown'),
+    (
+        fakes.CallStep.CLAIM_WRITTEN,
+        fakes.StepAction.PAUSE,
+        'not_run answer',
+        'answer unknown',
+    ),
+    (fakes.CallStep.CLAIM_WRITTEN, fakes.StepAction.CUT, 'lost', 'unknown'),
+    (fakes.CallStep.CLAIMED, fakes.StepAction.KILL, 'lost', 'unknown'),
+    (fakes.CallStep.CLAIMED, fakes.StepAction.PAUSE, 'answer', 'unknown'),
+    (fakes.CallStep.CLAIMED, fakes.StepAction.CUT, 'lost', 'unknown'),
+    (fakes.CallStep.DISPATCHED, fakes.StepAction.KILL, 'lost', 'answer'),
+    (fakes.CallStep.DISPATCHED, fakes.StepAction.PAUSE, 'answer', 'answer'),
+    (fakes.CallStep.DISPATCHED, fakes.StepAction.CUT, 'lost', 'answer'),
+    (fakes.CallStep.ANSWERED, fakes.StepAction.KILL, 'lost', 'answer'),
+    (fakes.CallStep.ANSWERED, fakes.StepAction.PAUSE, 'answer', 'answer'),
+    (fakes.CallStep.ANSWERED, fakes.StepAction.CUT, 'lost', 'answer'),
+    (fakes.CallStep.RECORDED, fakes.StepAction.KILL, 'lost', 'answer'),
+    (fakes.CallStep.RECORDED, fakes.StepAction.PAUSE, 'answer', 'answer'),
+    (fakes.CallStep.RECORDED, fakes.StepAction.CUT, 'lost', 'answer'),
+]
+
+
+class TestOnceAtEachStep:
+    """Guards against a second run after a fault between two steps."""
+
+    @pytest.mark.parametrize(
+        ('step', 'action', 'first', 'second'), _STEP_CASES
+    )
+    def test_stopped_instance(
+        self,
+        step: fakes.CallStep,
+        action: fakes.StepAction,
+        first: str,
+        second: str,
+    ) -> None:
+        """The key runs once at most, and a refusal as not run is true."""
+        world = fakes.CallWorld(dataclasses.replace(_SHAPE, instance_count=2))
+        # The first instance must write its own claim for the step to occur.
+        owner = world.instances[0].claims.owner(
+            world.instances[0].claims.bucket_of(_KEY)
+        )
+        stopped, other = sorted(
+            world.instances, key=lambda item: item.name != owner
+        )
+        stopped.gate.arm(step, action)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            pending = pool.submit(
+                stopped.book, fakes.plain_call('key-1', 'request-1')
+            )
+            assert stopped.gate.reached.wait(10)
+            if action is not fakes.StepAction.PAUSE:
+                world.hub.leave(stopped.name)
+            two = other.book(fakes.plain_call('key-1', 'request-2'))
+            stopped.gate.resume()
+            one = pending.result()
+        world.stop()
+        result = fakes.BookingResult('key-1', (one, two))
+        assert fakes.booking_fault(result, world.services) is None
+        assert _outcome(one) in first.split()
+        assert _outcome(two) in second.split()
+
+    def test_step_cases_need_the_conditional_write(self) -> None:
+        """Without the fence two instances that claim at once both run."""
+        shape = dataclasses.replace(
+            _SHAPE, instance_count=2, conditional_writes=False
+        )
+        world = fakes.CallWorld(shape)
+        one, two = world.instances
+        world.hub.cut(one.name, two.name)
+        one.gate.arm(fakes.CallStep.CLAIM_SENT, fakes.StepAction.PAUSE)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            pending = pool.submit(
+                one.book, fakes.plain_call('key-1', 'request-1')
+            )
+            assert one.gate.reached.wait(10)
+            two.book(fakes.plain_call('key-1', 'request-2'))
+            one.gate.resume()
+            pending.result()
+        world.stop()
+        assert world.services.executions['small:key-1'] == 2
+
+
+class TestOnceWithStoreFaults:
+    """Guards against claims that a failing store leaves in doubt."""
+
+    @pytest.mark.parametrize(
+        ('faults', 'expected', 'execution_count'),
+        [
+            (fakes.StoreFaults(down=True), 'not_run', 0),
+            (fakes.StoreFaults(lose_write_answers_count=1), 'answer', 1),
+            (fakes.StoreFaults(lose_writes_count=1), 'answer', 1),
+            (fakes.StoreFaults(lose_write_answers_count=2), 'answer', 1),
+            (fakes.StoreFaults(lose_writes_count=100), 'not_run', 0),
+        ],
+    )
+    def test_before_claim(
+        self,
+        faults: fakes.StoreFaults,
+        expected: str,
+        execution_count: int,
+    ) -> None:
+        """A lost answer is settled by reading; an outage refuses."""
+        world = fakes.CallWorld(_SHAPE)
+        world.store.set_faults(faults)
+        response = world.instances[0].book(
+            fakes.plain_call('key-1', 'request-1')
+        )
+        world.store.set_faults(fakes.StoreFaults())
+        world.stop()
+        assert _outcome(response) == expected
+        assert world.services.executions['small:key-1'] == execution_count
+
+    def test_down_after_dispatch(self) -> None:
+        """The outcome is recorded once the store is back."""
+        world = fakes.CallWorld(_SHAPE)
+        one, two = world.instances[:2]
+        one.gate.arm(fakes.CallStep.DISPATCHED, fakes.StepAction.PAUSE)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            pending = pool.submit(
+                one.book, fakes.plain_call('key-1', 'request-1')
+            )
+            assert one.gate.reached.wait(10)
+            world.store.set_faults(fakes.StoreFaults(down=True))
+            one.gate.resume()
+            assert _outcome(pending.result()) == 'answer'
+        world.store.set_faults(fakes.StoreFaults())
+        again = two.book(fakes.plain_call('key-1', 'request-2'))
+        world.stop()
+        assert _outcome(again) == 'answer'
+        assert world.services.executions['small:key-1'] == 1
+
+    def test_seeded_faults(self) -> None:
+        """Random faults of instances, store and targets together."""
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            summaries = list(
+                pool.map(
+                    lambda seed: fakes.run_faulted_bookings(seed, _SHAPE),
+                    range(32),
+                )
+            )
+        assert sum(item.answered_count for item in summaries) > 0
+        assert sum(item.not_run_count for item in summaries) > 0
+        for summary in summaries:
+            assert summary.faults == ()
+
+
+class TestOnceKeys:
+    """Guards against answers that go to the wrong request."""
+
+    @pytest.mark.parametrize(
+        ('call', 'code'),
+        [
+            (fakes.plain_call('', 'r-2'), state.RefusalCode.KEY_REQUIRED),
+            (fakes.plain_call('k\n', 'r-2'), state.RefusalCode.BAD_REQUEST),
+            (fakes.plain_call('k' * 256, 'r'), state.RefusalCode.BAD_REQUEST),
+            (
+                fakes.plain_call('key-1', 'r-2', b'other'),
+                state.RefusalCode.KEY_CONFLICT,
+            ),
+        ],
+    )
+    def test_refused(
+        self, call: state.PlainCall, code: state.RefusalCode
+    ) -> None:
+        """A missing, bad or reused key gets its typed refusal."""
+        world = fakes.CallWorld(_SHAPE)
+        world.instances[0].book(fakes.plain_call('key-1', 'request-1'))
+        response = world.instances[1].book(call)
+        world.stop()
+        assert response.refusal is not None
+        assert response.refusal.code is code
+        assert response.refusal.run is state.RunState.NOT_RUN
+        assert sum(world.services.executions.values()) == 1
+
+    def test_organisations_do_not_share(self) -> None:
+        """The same key of two organisations runs for each."""
+        world = fakes.CallWorld(_SHAPE)
+        for name in ('small', 'large', 'small'):
+            world.instances[0].book(
+                fakes.plain_call('key-1', f'request-{name}', b'{}', name)
+            )
+        world.stop()
+        assert dict(world.services.executions) == {
+            'small:key-1': 1,
+            'large:key-1': 1,
+        }
+
+    @pytest.mark.parametrize(
+        ('faults', 'expected', 'execution_count'),
+        [
+            (fakes.ServiceMisbehaviour(refuse_count=1), 'answer', 1),
+            (fakes.ServiceMisbehaviour(refuse_count=9), 'not_run', 0),
+            (fakes.ServiceMisbehaviour(lose_answer_count=1), 'answer', 1),
+            (
+                fakes.ServiceMisbehaviour(
+                    lose_answer_count=1, tells_outcome=False
+                ),
+                'unknown',
+                1,
+            ),
+            (
+                fakes.ServiceMisbehaviour(late_execution_count=1, late_s=0.3),
+                'unknown',
+                1,
+            ),
+            # A client that calls a lost answer "not run" breaks the
+            # promise; the case shows that the count would reveal it.
+            (
+                fakes.ServiceMisbehaviour(
+                    lose_answer_count=1, claims_not_run=True
+                ),
+                'answer',
+                2,
+            ),
+        ],
+    )
+    def test_target_faults(
+        self,
+        faults: fakes.ServiceMisbehaviour,
+        expected: str,
+        execution_count: int,
+    ) -> None:
+        """Only a call that certainly was not run goes elsewhere."""
+        world = fakes.CallWorld(_SHAPE)
+        world.services.faults = faults
+        response = world.instances[0].book(
+            fakes.plain_call('key-1', 'request-1')
+        )
+        threading.Event().wait(0.4 if faults.late_execution_count else 0)
+        world.stop()
+        assert _outcome(response) == expected
+        assert world.services.executions['small:key-1'] == execution_count
+
+    def test_operator_and_late_answer(self) -> None:
+        """A settlement counts unless an observed answer came first."""
+        world = fakes.CallWorld(_SHAPE)
+        world.services.faults = fakes.ServiceMisbehaviour(
+            lose_answer_count=1, tells_outcome=False
+        )
+        one = world.instances[0]
+        one.book(fakes.plain_call('key-1', 'request-1'))
+        one.claims.stop()
+        two = world.instances[1]
+        listed = two.unknown_calls.list_unknown().ok
+        assert [item.key for item in listed] == [_KEY]
+        settlement = once.Settlement(
+            _KEY.organisation, _KEY.key, listed[0].claim_id, False, 'ann'
+        )
+        settled = two.unknown_calls.settle(settlement)
+        again = two.unknown_calls.settle(settlement)
+        repeated = two.book(fakes.plain_call('key-1', 'request-2'))
+        assert settled.is_ok()
+        assert again.error.code is state.RefusalCode.CONFLICT
+        assert repeated.refusal is not None
+        assert repeated.refusal.code is state.RefusalCode.CANCELLED
+        assert two.unknown_calls.list_unknown() == Ok(())
+        world.stop()
+        assert world.services.executions['small:key-1'] == 1
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -102,6 +102,10 @@
     #: Longest wait for the answer of a bucket's owner.
     forward_timeout_ms: int = 400
 
+    #: Delays between questions to a target whose answer was lost; it may be
+    #: about to run the call.
+    ask_delays_ms: tuple[int, ...] = (0, 100, 400)
+
     #: How long claims are refused at once after the store failed, and how
     #: long an owner that did not answer is passed over.
     back_off_ms: int = 250
