Move open claims past retention into the head

Cause: a sealed segment that held only an expired open claim was compacted again without end; test_retention did not finish. Change: compaction moves such claims into the head.

--- a/packages/coordination/src/skylarktack/coordination/once/_bucket.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_bucket.py
@@ -115,19 +115,26 @@
             for record in self._contents[sealed.name]:
                 merged[record.key] = record
         now_s = self._parts.clock.wall_s()
+        expired_s = now_s - self._parts.settings.retention_s
+        head = dict(self._head)
         kept: list[state.ClaimRecord] = []
         for record in merged.values():
             left = _rules.keep(record, self._parts.settings, now_s)
             # A later segment holds the present record of some keys.
-            if left is not None and self._index.get(record.key) is record:
-                kept.append(left)
+            if left is None or self._index.get(record.key) is not record:
+                continue
+            if left.changed_s <= expired_s:
+                # An open claim; in the head it keeps no old segment.
+                head[left.key] = left
+                continue
+            kept.append(left)
         rest = self._sealed[len(old) :]
         if kept:
             sealed_result = self._put_sealed(tuple(kept), stripped=True)
             if sealed_result.is_error():
                 return Error(sealed_result.error)
             rest = (sealed_result.ok, *rest)
-        written = self._put_head(rest, dict(self._head))
+        written = self._put_head(rest, head)
         if written.is_error():
             self._is_fresh = False
             return Error(written.error)
