--- a/packages/coordination/src/skylarktack/coordination/fakes/_call_world.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_call_world.py
@@ -129,10 +129,14 @@
 class CallWorld:
     """The instances, their peers, the store and the services."""
 
-    def __init__(self, shape: CallWorldShape) -> None:
+    def __init__(
+        self,
+        shape: CallWorldShape,
+        store: _store.MemoryObjectStore | None = None,
+    ) -> None:
         self.shape = shape
         self.hub = _peers.LocalPeerHub()
-        self.store = _store.MemoryObjectStore()
+        self.store = store or _store.MemoryObjectStore()
         self.services = _services.MemoryServices()
         self.instances: list[CallInstance] = []
         for index in range(shape.instance_count):
--- a/packages/emulator/src/skylarktack/emulator/_service.py
+++ b/packages/emulator/src/skylarktack/emulator/_service.py
@@ -63,6 +63,11 @@
                 found = dict(self.server.executions)
             self.answer_json(200, found)
             return
+        if self.route == '/control/requests':
+            with self.server.lock:
+                count = self.server.request_count
+            self.answer_json(200, {'request_count': count})
+            return
         if self.route == '/outcome':
             self._outcome()
             return
--- a/packages/emulator/src/skylarktack/emulator/bench/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -6,11 +6,15 @@
 import fire
 
 from skylarktack.emulator.bench import _figures
+from skylarktack.emulator.bench import _lookup
+from skylarktack.emulator.bench import _once
 from skylarktack.emulator.bench import _relay
 
 #: Benchmarks by area, in the order in which ``all`` runs them.
 AREAS: dict[str, Callable[[int], Iterator[_figures.Figure]]] = {
     'relay': _relay.run,
+    'once': _once.run,
+    'lookup': _lookup.run,
 }
 
 
