--- a/packages/coordination/src/skylarktack/coordination/once/_table.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_table.py
@@ -16,6 +16,10 @@
 from skylarktack.coordination.once import _rules
 from skylarktack.coordination.once import _writer
 
+#: Instances that one batch is sent to; two time limits of a forward are
+#: shorter than a call's wait for its claim.
+_OWNER_COUNT = 2
+
 _LOG = structlog.get_logger(part='claim')
 
 
@@ -54,13 +58,13 @@
         the claim is not held, but may be written later; ``propose_later``
         with a released record revokes it.
         """
-        writer = self._writer(self.bucket_of(record.key))
+        writer = self._writer_of(self.bucket_of(record.key))
         outcome = writer.propose((record,), timeout_s, fresh)
         return outcome.map(lambda records: records[0])
 
     def propose_later(self, record: state.ClaimRecord) -> None:
         """Write a record in the background."""
-        self._writer(self.bucket_of(record.key)).propose_later(record)
+        self._writer_of(self.bucket_of(record.key)).propose_later(record)
 
     def unresolved(
         self,
@@ -110,7 +114,7 @@
                 chosen, best = member.name, rank
         return chosen
 
-    def _writer(self, bucket: int) -> _writer.BucketWriter:
+    def _writer_of(self, bucket: int) -> _writer.BucketWriter:
         with self._lock:
             writer = self._writers.get(bucket)
             if writer is None:
@@ -125,24 +129,43 @@
         bucket: int,
         records: tuple[state.ClaimRecord, ...],
         fresh: bool,
-    ) -> _bucket.Records | None:
-        owner = self.owner(bucket)
-        if owner == self._parts.peers.name:
-            return None
-        answered = self._parts.peers.request(
-            owner,
-            _messages.ClaimForward(
-                bucket, records, self._settings.forward_timeout_ms, fresh
-            ),
-            self._settings.forward_timeout_ms / 1000,
-        )
-        fault = 'no answer'
-        if answered.is_error():
-            fault = answered.error.kind.value
-        elif isinstance(answered.ok, _messages.ClaimForwarded):
-            if len(answered.ok.records) == len(records):
-                return answered.ok.records
-            fault = answered.ok.fault
+    ) -> _writer.Outcome | None:
+        """Send a batch to the owner, or to the next one in rank.
+
+        All instances pass on to the same next one: if each wrote by itself
+        after a slow answer, their conditional writes would defeat each
+        other and the bucket would come to a halt.
+        """
+        fault = ''
+        asked_count = 0
+        while asked_count < _OWNER_COUNT:
+            owner = self.owner(bucket)
+            if owner == self._parts.peers.name:
+                return None
+            answered = self._parts.peers.request(
+                owner,
+                _messages.ClaimForward(
+                    bucket, records, self._settings.forward_timeout_ms, fresh
+                ),
+                self._settings.forward_timeout_ms / 1000,
+            )
+            fault = 'no answer'
+            if answered.is_error():
+                fault = answered.error.kind.value
+                # An unreachable owner took no time.
+                if answered.error.kind is not ports.PeerFaultKind.UNREACHABLE:
+                    asked_count += 1
+            elif isinstance(answered.ok, _messages.ClaimForwarded):
+                if len(answered.ok.records) == len(records):
+                    return Ok(answered.ok.records)
+                fault = answered.ok.fault
+                asked_count += 1
+            self._pass_over(owner, bucket, fault)
+        return Error(state.StoreFault(state.StoreFaultKind.UNAVAILABLE, fault))
+
+    def _pass_over(
+        self, owner: state.InstanceName, bucket: int, fault: str
+    ) -> None:
         # An owner that is paused or cut off must not cost each batch the
         # whole time limit.
         self._passed_over_until_s[owner] = self._clock.monotonic_s() + (
@@ -150,12 +173,11 @@
         )
         self._parts.bucket.metrics.count('claim.owner_passed_over')
         _LOG.warning(
-            'bucket owner did not answer; writing the claims here',
+            'bucket owner did not take claims; passing it over',
             owner=owner,
             bucket=bucket,
             fault=fault,
         )
-        return None
 
     def _on_forward(
         self, peer: state.InstanceName, message: _messages.ClaimForward
@@ -164,7 +186,7 @@
             return _messages.ClaimForwarded(fault='no such bucket')
         # The sender's choice of owner is not questioned here: passing the
         # proposals on again could go round in circles.
-        outcome = self._writer(message.bucket).propose(
+        outcome = self._writer_of(message.bucket).propose(
             message.records,
             message.timeout_ms / 1000,
             message.fresh,
--- a/packages/coordination/src/skylarktack/coordination/once/_writer.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_writer.py
@@ -26,9 +26,7 @@
 Outcome = Result[_bucket.Records, state.StoreFault]
 
 #: Sends a batch to the bucket's owner; None if it must be written here.
-Forward = Callable[
-    [int, tuple[state.ClaimRecord, ...], bool], _bucket.Records | None
-]
+Forward = Callable[[int, tuple[state.ClaimRecord, ...], bool], Outcome | None]
 
 
 @dataclasses.dataclass
@@ -193,14 +191,33 @@
         if forwarded or later:
             proposals = _proposals(forwarded, later)
             fresh = any(ticket.fresh for ticket in forwarded)
-            records = self._forward(self._bucket, proposals, fresh)
-            if records is not None:
-                _finish(forwarded, Ok(records), len(later))
+            outcome = self._forward(self._bucket, proposals, fresh)
+            if outcome is not None:
+                self._end_forwarded(forwarded, later, outcome)
                 live = [ticket for ticket in live if ticket.local_only]
                 later = []
         if live or later:
             self._commit(live, later)
 
+    def _end_forwarded(
+        self,
+        tickets: list[_Ticket],
+        later: list[state.ClaimRecord],
+        outcome: Outcome,
+    ) -> None:
+        if outcome.is_error():
+            with self._changed:
+                self._back_off()
+                self._later[:0] = later
+        _finish(tickets, outcome, len(later))
+
+    def _back_off(self) -> None:
+        """Refuse claims for a while; the lock is held."""
+        self._parts.metrics.count('claim.store_faults')
+        self._down_until_s = self._clock.monotonic_s() + (
+            self._parts.settings.back_off_ms / 1000
+        )
+
     def _commit(
         self, tickets: list[_Ticket], later: list[state.ClaimRecord]
     ) -> None:
@@ -215,10 +232,7 @@
         with self._changed:
             self._written_s = started_s
             if outcome.is_error():
-                self._parts.metrics.count('claim.store_faults')
-                self._down_until_s = ended_s + (
-                    self._parts.settings.back_off_ms / 1000
-                )
+                self._back_off()
                 self._later[:0] = later
                 # Those that arrived meanwhile would only wait in vain.
                 tickets = tickets + self._tickets
