--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -1,6 +1,8 @@
 """Replacements of the ports in memory, for tests and examples."""
 
 from skylarktack.coordination.fakes._clock import ManualClock
+from skylarktack.coordination.fakes._codecs import PlainDigestCodec
+from skylarktack.coordination.fakes._codecs import PlainLoanCodec
 from skylarktack.coordination.fakes._metrics import MemoryMetrics
 from skylarktack.coordination.fakes._peers import LocalPeerHub
 from skylarktack.coordination.fakes._peers import LocalPeerNetwork
@@ -13,5 +15,7 @@
     'ManualClock',
     'MemoryMetrics',
     'MemoryObjectStore',
+    'PlainDigestCodec',
+    'PlainLoanCodec',
     'StoreFaults',
 ]
--- a/packages/coordination/src/skylarktack/coordination/limits/_ledger.py
+++ b/packages/coordination/src/skylarktack/coordination/limits/_ledger.py
@@ -12,6 +12,9 @@
 #: Room above the recent need that is kept or asked for.
 HEADROOM = 1.1
 
+#: Rates below this count as none.
+RATE_FLOOR = 0.02
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lent:
@@ -57,6 +60,7 @@
         self.lent: dict[state.InstanceName, Lent] = {}
         self.borrowed: dict[state.InstanceName, Borrowed] = {}
         self.used_s = now_s
+        self.wanted_s = -math.inf
         self._need = 0.0
         self._need_s = now_s
         self._tokens = 0.0
@@ -95,6 +99,14 @@
             return decayed
         return max(decayed, float(self.running_count + self.waiting_count))
 
+    def kept_need(self, now_s: float) -> float:
+        """Return what is kept for the recent need, with some room."""
+        wanted = self.need(now_s) * HEADROOM
+        if self._is_rate:
+            return wanted if wanted > RATE_FLOOR else 0.0
+        # Half a slot of decayed need keeps no slot.
+        return float(max(0, math.ceil(wanted - 0.6)))
+
     def may_start(self, allowance: float, now_s: float, burst: float) -> bool:
         """Return whether one more request fits."""
         if not self._is_rate:
--- a/packages/coordination/src/skylarktack/coordination/limits/_shares.py
+++ b/packages/coordination/src/skylarktack/coordination/limits/_shares.py
@@ -27,6 +27,9 @@
 #: Time between repetitions of a grant or a return, which may get lost.
 REPEAT_S = 2.0
 
+#: Time between two wants for one limit; lenders need about as long to answer.
+WANT_REPEAT_S = 0.9
+
 #: Age beyond which a want of another instance counts no more.
 WANT_AGE_S = 4.0
 
@@ -221,12 +224,15 @@
     def _want(
         self, scope: _scopes.Scope, ledger: _ledger.Ledger, now_s: float
     ) -> None:
-        need = ledger.need(now_s)
+        if now_s - ledger.wanted_s < WANT_REPEAT_S:
+            return
+        wanted = ledger.kept_need(now_s)
         allowance = self._allowance(scope, now_s)
-        if need <= allowance * 0.9:
+        if wanted <= allowance:
             return
+        ledger.wanted_s = now_s
         limit = self._index.limit(scope) or 0.0
-        more = min(limit, need * _ledger.HEADROOM + 1) - allowance
+        more = min(limit, wanted) - allowance
         if more > 0:
             self._say(
                 _scopes.EntryKind.WANT,
@@ -245,10 +251,7 @@
         ledger = self._ledger(scope, now_s)
         base = self._base(scope, now_s)
         lent = sum(loan.amount for loan in ledger.lent.values())
-        spare = base - lent
-        need = ledger.need(now_s)
-        if need > 0.01:
-            spare -= need * _ledger.HEADROOM
+        spare = base - lent - ledger.kept_need(now_s)
         counted = len(self._members.counted)
         # Other instances answer the same wants; each gives twice its part,
         # so that some without spare do no harm.
@@ -272,10 +275,9 @@
         self, scope: _scopes.Scope, ledger: _ledger.Ledger, now_s: float
     ) -> None:
         idle_s = self._settings.loan_ttl_ms / 1000
-        excess = self._allowance(scope, now_s) - (
-            ledger.need(now_s) * _ledger.HEADROOM
-        )
-        free = self._allowance(scope, now_s) - ledger.running_count
+        allowance = self._allowance(scope, now_s)
+        excess = allowance - ledger.kept_need(now_s)
+        free = allowance - ledger.running_count
         for lender, held in sorted(ledger.borrowed.items()):
             if held.kept <= 0:
                 if now_s - held.heard_s > idle_s:
--- a/packages/coordination/src/skylarktack/coordination/routing/_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/_evidence.py
@@ -36,8 +36,9 @@
     #: Identifier of the engine's process, empty if unknown.
     incarnation: str = ''
 
-    #: Whether the target itself or a peer said that it is leaving.
-    leaving: bool = False
+    #: Monotonic time at which the target or a peer said that it is leaving,
+    #: or None.
+    leaving_since_s: float | None = None
 
     #: Failures since the last success.
     failure_count: int = 0
@@ -48,6 +49,11 @@
     #: Monotonic time until which it gets no work.
     ejected_until_s: float = 0.0
 
+    @property
+    def leaving(self) -> bool:
+        """Whether it takes no new work."""
+        return self.leaving_since_s is not None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
--- a/packages/coordination/src/skylarktack/coordination/routing/_subsets.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/_subsets.py
@@ -12,6 +12,12 @@
 
 from skylarktack import state
 
+#: Fewest instances on average that use a target, half of them as neighbours.
+USER_COUNT = 6
+
+#: Golden ratio; its multiples are spread evenly over the unit interval.
+PHASE_STEP = 0.618034
+
 
 def name_hash(name: str) -> int:
     """Return the 32-bit hash of a name."""
@@ -96,6 +102,9 @@
     full or lost.
     """
     count = len(ordered)
+    # Few instances in front of many targets: each uses more of them, or
+    # some targets would have no user.
+    used_count = max(used_count, -(-USER_COUNT * count // instance_count))
     if count <= used_count:
         return list(ordered)
     home = place * count // instance_count
@@ -106,9 +115,11 @@
         for offset in range(near_count)
     }
     far_count = used_count - near_count
+    stride = (count - near_count) / far_count
+    # A different phase at each place, or all places would share the same
+    # far targets.
+    phase = place * PHASE_STEP % 1.0
+    begin = home + near_count - near_count // 2
     for index in range(far_count):
-        at = (home + near_count // 2 + index * count // far_count) % count
-        while at in chosen:
-            at = (at + 1) % count
-        chosen.add(at)
+        chosen.add((begin + int((index + phase) * stride)) % count)
     return [ordered[index] for index in sorted(chosen)]
--- a/packages/coordination/src/skylarktack/coordination/routing/_table.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/_table.py
@@ -24,6 +24,9 @@
 #: by a detour looks a little newer than it is.
 DIGEST_MARGIN_S = 0.3
 
+#: A load report must be later by this than a notice of leaving to revoke it.
+LEAVING_HOLD_S = 2.0
+
 #: Outcomes that speak against a target.
 FAILURE_KINDS = frozenset(
     {
@@ -147,19 +150,23 @@
                 return False, False
             now_s = self._clock.monotonic_s()
             restarted = known.incarnation not in ('', load.incarnation)
-            newly_leaving = load.leaving and not known.leaving
+            if restarted:
+                known = dataclasses.replace(
+                    known, leaving_since_s=None, started_s=now_s
+                )
             self._evidence[name] = dataclasses.replace(
-                known,
-                incarnation=load.incarnation,
-                leaving=load.leaving,
-                started_s=now_s if restarted else known.started_s,
+                known, incarnation=load.incarnation
             )
+            newly_leaving = load.leaving and self._mark_leaving(name)
+            sampled_s = now_s - load.age_ms / 1000
             self._take_sample(
                 name,
                 load.running_count + load.waiting_count,
                 load.slot_count,
-                now_s - load.age_ms / 1000,
+                sampled_s,
             )
+            if not load.leaving:
+                self._unmark_leaving(name, sampled_s)
             return restarted, newly_leaving
 
     def take_digests(
@@ -187,6 +194,8 @@
                 self._take_sample(
                     name, digest.load_count, digest.slot_count, sampled_s
                 )
+                if not digest.leaving:
+                    self._unmark_leaving(name, sampled_s)
         return tuple(leaving)
 
     def mark_leaving(self, name: state.TargetName) -> bool:
@@ -312,12 +321,29 @@
         known = self._evidence.get(name)
         if known is None or known.leaving:
             return False
-        self._evidence[name] = dataclasses.replace(known, leaving=True)
+        self._evidence[name] = dataclasses.replace(
+            known, leaving_since_s=self._clock.monotonic_s()
+        )
         self._serial += 1
         self._recent[name] = self._serial
         self._recent.move_to_end(name)
         return True
 
+    def _unmark_leaving(
+        self, name: state.TargetName, sampled_s: float
+    ) -> None:
+        """Allow work again if a later report does not say leaving.
+
+        Reports lag, so one from before the notice proves nothing.
+        """
+        known = self._evidence[name]
+        if known.leaving_since_s is None:
+            return
+        if sampled_s > known.leaving_since_s + LEAVING_HOLD_S:
+            self._evidence[name] = dataclasses.replace(
+                known, leaving_since_s=None
+            )
+
     def _remote_load(
         self, sample: _evidence.LoadSample | None, now_s: float
     ) -> float:
--- a/packages/coordination/src/skylarktack/coordination/routing/_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/_watch.py
@@ -34,12 +34,14 @@
 
     def announce(self, target: state.TargetName) -> None:
         """Tell connected peers about a target that is leaving."""
-        _LOG.info('target is leaving', target=target)
-        if self._peers is None:
-            return
         known = self._table.evidence(target)
         incarnation = known.incarnation if known is not None else ''
-        self._peers.broadcast(_evidence.TargetLeaving(target, incarnation))
+        self._pass_on(_evidence.TargetLeaving(target, incarnation))
+
+    def _pass_on(self, message: _evidence.TargetLeaving) -> None:
+        _LOG.info('target is leaving', target=message.target)
+        if self._peers is not None:
+            self._peers.broadcast(message)
 
     def _receive(
         self, peer: state.InstanceName, message: _evidence.TargetLeaving
@@ -52,7 +54,7 @@
                 # The target restarted since; the notice is old.
                 return
         if self._table.mark_leaving(message.target):
-            self.announce(message.target)
+            self._pass_on(message)
 
 
 class TargetWatcher:
