--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -20,6 +20,8 @@
 from skylarktack.coordination.fakes._codec import PickledSegmentCodec
 from skylarktack.coordination.fakes._faulted import FaultedSummary
 from skylarktack.coordination.fakes._faulted import run_faulted_bookings
+from skylarktack.coordination.fakes._codecs import PlainDigestCodec
+from skylarktack.coordination.fakes._codecs import PlainLoanCodec
 from skylarktack.coordination.fakes._metrics import MemoryMetrics
 from skylarktack.coordination.fakes._moves import FixedConfiguration
 from skylarktack.coordination.fakes._moves import MemoryEngines
@@ -71,6 +73,8 @@
     'PlainSelector',
     'STEP_S',
     'SteppingClock',
+    'PlainDigestCodec',
+    'PlainLoanCodec',
     'StoreFaults',
     'StoreLink',
     'MemoryServices',
