--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -8,20 +8,20 @@
 from skylarktack.coordination.fakes._call_world import booking_fault
 from skylarktack.coordination.fakes._call_world import plain_call
 from skylarktack.coordination.fakes._clock import ManualClock
+from skylarktack.coordination.fakes._codec import PickledSegmentCodec
+from skylarktack.coordination.fakes._codecs import PlainDigestCodec
+from skylarktack.coordination.fakes._codecs import PlainLoanCodec
 from skylarktack.coordination.fakes._engines import OUTAGE_S
 from skylarktack.coordination.fakes._engines import STEP_S
 from skylarktack.coordination.fakes._engines import EngineFault
 from skylarktack.coordination.fakes._engines import EngineFaultKind
 from skylarktack.coordination.fakes._engines import FaultyEngines
+from skylarktack.coordination.fakes._faulted import FaultedSummary
+from skylarktack.coordination.fakes._faulted import run_faulted_bookings
 from skylarktack.coordination.fakes._fleet import HOPS_PER_STEP
 from skylarktack.coordination.fakes._fleet import MemberFleet
 from skylarktack.coordination.fakes._links import MemoryLinkHub
 from skylarktack.coordination.fakes._links import MemoryLinkNetwork
-from skylarktack.coordination.fakes._codec import PickledSegmentCodec
-from skylarktack.coordination.fakes._faulted import FaultedSummary
-from skylarktack.coordination.fakes._faulted import run_faulted_bookings
-from skylarktack.coordination.fakes._codecs import PlainDigestCodec
-from skylarktack.coordination.fakes._codecs import PlainLoanCodec
 from skylarktack.coordination.fakes._metrics import MemoryMetrics
 from skylarktack.coordination.fakes._moves import FixedConfiguration
 from skylarktack.coordination.fakes._moves import MemoryEngines
@@ -33,9 +33,9 @@
 from skylarktack.coordination.fakes._peers import LocalPeerHub
 from skylarktack.coordination.fakes._peers import LocalPeerNetwork
 from skylarktack.coordination.fakes._selector import PlainSelector
-from skylarktack.coordination.fakes._stepping_clock import SteppingClock
 from skylarktack.coordination.fakes._services import MemoryServices
 from skylarktack.coordination.fakes._services import ServiceMisbehaviour
+from skylarktack.coordination.fakes._stepping_clock import SteppingClock
 from skylarktack.coordination.fakes._steps import CallStep
 from skylarktack.coordination.fakes._steps import InstanceDied
 from skylarktack.coordination.fakes._steps import StepAction
@@ -44,17 +44,17 @@
 from skylarktack.coordination.fakes._store import StoreFaults
 
 __all__ = [
-    'EngineFault',
-    'EngineFaultKind',
-    'FaultyEngines',
-    'FixedConfiguration',
-    'HOPS_PER_STEP',
     'BookingResult',
     'CallInstance',
     'CallStep',
     'CallWorld',
     'CallWorldShape',
+    'EngineFault',
+    'EngineFaultKind',
     'FaultedSummary',
+    'FaultyEngines',
+    'FixedConfiguration',
+    'HOPS_PER_STEP',
     'InstanceDied',
     'LocalPeerHub',
     'LocalPeerNetwork',
@@ -66,24 +66,23 @@
     'MemoryMetrics',
     'MemoryMoveCodec',
     'MemoryObjectStore',
+    'MemoryServices',
     'MoveInstance',
     'MoveWorld',
     'MoveWorldShape',
     'OUTAGE_S',
-    'PlainSelector',
-    'STEP_S',
-    'SteppingClock',
+    'PickledSegmentCodec',
     'PlainDigestCodec',
     'PlainLoanCodec',
-    'StoreFaults',
-    'StoreLink',
-    'MemoryServices',
-    'PickledSegmentCodec',
+    'PlainSelector',
     'Response',
+    'STEP_S',
     'ServiceMisbehaviour',
     'StepAction',
     'StepGate',
+    'SteppingClock',
     'StoreFaults',
+    'StoreLink',
     'booking_fault',
     'plain_call',
     'run_faulted_bookings',
--- a/packages/transport/src/skylarktack/transport/_wsgi_server.py
+++ b/packages/transport/src/skylarktack/transport/_wsgi_server.py
@@ -8,6 +8,7 @@
 import waitress.server
 
 from skylarktack import state
+from skylarktack.transport import _error_channel
 
 Application = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
@@ -29,12 +30,16 @@
             ident='skylarktack',
             connection_limit=settings.thread_count * 4,
             max_request_body_size=settings.body_limit_bytes,
+            # Instances have no disk that a large body could go to.
+            inbuf_overflow=settings.body_limit_bytes + 1,
             outbuf_high_watermark=settings.output_limit_bytes,
             # Lets the server see that a caller has disconnected.
             channel_request_lookahead=1,
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=True,
         )
+        assert isinstance(self._server, waitress.server.BaseWSGIServer)
+        self._server.channel_class = _error_channel.TypedErrorChannel
         self._thread = threading.Thread(
             target=self._server.run, name='wsgi-server', daemon=True
         )
