--- a/packages/transport/src/skylarktack/transport/_error_channel.py
+++ b/packages/transport/src/skylarktack/transport/_error_channel.py
@@ -1,5 +1,6 @@
 """Answers of the HTTP server to requests that it cannot parse."""
 
+from typing import Any
 import uuid
 
 import waitress.channel
@@ -19,7 +20,8 @@
 
     def execute(self) -> None:
         """Send the error and close the connection."""
-        error = self.request.error
+        request: Any = self.request
+        error = request.error
         refusal = state.Refusal(
             _CODES.get(error.code, state.RefusalCode.BAD_REQUEST),
             f'{error.reason}.',
