--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -1,6 +1,7 @@
 """Composition of one entry instance."""
 
 import concurrent.futures
+import random
 import threading
 
 import structlog
@@ -21,6 +22,9 @@
 from skylarktack.daemon import _routing
 from skylarktack.daemon import _status
 
+#: Instances that read the platform's list at its full rate.
+LIST_READER_COUNT = 16
+
 #: Threads for operators' connections.
 OPERATOR_THREAD_COUNT = 8
 
@@ -259,9 +263,15 @@
             listed = self._store.platform_list()
             if listed.is_ok():
                 self._take_list(listed.ok)
-            self._clock.wait(
-                self._stopping, self._settings.store.list_interval_ms / 1000
-            )
+            self._clock.wait(self._stopping, self._list_interval_s())
+
+    def _list_interval_s(self) -> float:
+        # The reads of the whole fleet stay at LIST_READER_COUNT in each
+        # interval; what one instance reads reaches the others as notices.
+        member_count = len(self._peers.network.members())
+        factor = max(1.0, member_count / LIST_READER_COUNT)
+        jitter = random.uniform(0.8, 1.2)
+        return self._settings.store.list_interval_ms / 1000 * factor * jitter
 
     def _take_list(self, listed: state.PlatformList) -> None:
         self._routing.update(listed)
