--- a/packages/coordination/src/skylarktack/coordination/moves/_judging.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_judging.py
@@ -21,9 +21,13 @@
 VARIANCE_FLOOR = 0.01
 
 #: Targets on which connections must be lost before losses are held
-#: against the version: a single one may be a failed machine.
+#: against the version: a single one may be a failed machine, as long as
+#: the version works in another failure domain.
 LOST_TARGET_COUNT = 2
 
+#: Successful attempts that show that a version works in a failure domain.
+WORKING_COUNT = 10
+
 
 @dataclasses.dataclass(frozen=True)
 class Judgement:
@@ -38,6 +42,10 @@
     #: Attempts on the version that has fewer.
     compared_count: int
 
+    #: Whether the evidence leans against the new version without proof;
+    #: its share does not rise then.
+    suspect: bool = False
+
 
 class Judge(Protocol):
     """Compares two versions; may be asked any number of times."""
@@ -63,6 +71,46 @@
     old: state.EvidenceRow
 
 
+@dataclasses.dataclass(frozen=True)
+class _LatencyDifference:
+    """Difference of the mean logarithms of one latency."""
+
+    #: Field of the rows that it compares.
+    field: str
+
+    #: New version's mean less the old version's.
+    mean: float
+
+    #: Inverse variance of the mean; 0 with too few values.
+    weight: float
+
+    #: Effective number of values, in units of ``TIGHTEST_COUNT``.
+    scaled_count: float
+
+    @property
+    def words(self) -> str:
+        """Name of the latency in a sentence."""
+        if self.field == 'first_token':
+            return 'Time to the first token'
+        return 'Time between tokens'
+
+    def lower_bound(self, probability: float) -> float:
+        """Return a bound that the true difference passes with at most this
+        probability at any time.
+        """
+        if not self.weight:
+            return -math.inf
+        scaled = self.scaled_count
+        radius = math.sqrt(
+            2
+            * (scaled + 1)
+            / scaled
+            / self.weight
+            * math.log(math.sqrt(scaled + 1) / probability)
+        )
+        return self.mean - radius
+
+
 class SequentialJudge:
     """Tests that stay valid however often they are evaluated.
 
@@ -89,26 +137,35 @@
         pairs = _pairs(rows, to_version)
         attempts = sum(pair.new.attempt_count for pair in pairs)
         compared = min(attempts, sum(pair.old.attempt_count for pair in pairs))
+        failures = failure_log_ratio(pairs, _lost_counts(pairs))
+        differences = (
+            _latency_difference(pairs, 'first_token'),
+            _latency_difference(pairs, 'inter_token'),
+        )
         # Three tests share the probability of a wrong rejection.
         each = rejection_probability / 3
-        failures = failure_log_ratio(pairs, _lost_counts(pairs))
         if failures >= math.log(1 / each):
             failed = sum(_failed(pair.new, True) for pair in pairs)
             return Judgement(
                 True, f'{failed} of {attempts} attempts failed.', compared
             )
         tolerance = math.log(self._settings.tolerated_slowdown)
-        for field, words in (
-            ('first_token', 'Time to the first token'),
-            ('inter_token', 'Time between tokens'),
-        ):
-            lower = latency_lower_bound(pairs, field, each)
+        for difference in differences:
+            lower = difference.lower_bound(each)
             if lower > tolerance:
-                factor = math.exp(lower)
                 return Judgement(
-                    True, f'{words} is above {factor:.2f} times.', compared
+                    True,
+                    f'{difference.words} is above {math.exp(lower):.2f} '
+                    'times that of the old version.',
+                    compared,
                 )
-        return Judgement(False, '', compared)
+        each = self._settings.suspicion_probability / 3
+        suspect = bool(each) and (
+            failures >= math.log(1 / each)
+            or differences[0].lower_bound(each) > tolerance
+            or differences[1].lower_bound(each) > tolerance
+        )
+        return Judgement(False, '', compared, suspect)
 
 
 class ThresholdJudge:
@@ -165,10 +222,9 @@
     return largest + math.log(total / len(logs))
 
 
-def latency_lower_bound(
-    pairs: tuple[_Pair, ...], field: str, probability: float
-) -> float:
-    """Return a bound below the difference of mean log latencies."""
+def _latency_difference(
+    pairs: tuple[_Pair, ...], field: str
+) -> _LatencyDifference:
     weight_sum = 0.0
     difference_sum = 0.0
     new_count = 0
@@ -186,17 +242,13 @@
         spread_sum += spread * new.count
         new_count += new.count
     if new_count < LATENCY_COUNT:
-        return -math.inf
-    effective = spread_sum / new_count * weight_sum
-    scaled = effective / TIGHTEST_COUNT
-    radius = math.sqrt(
-        2
-        * (scaled + 1)
-        / scaled
-        / weight_sum
-        * math.log(math.sqrt(scaled + 1) / probability)
+        return _LatencyDifference(field, 0.0, 0.0, 0.0)
+    return _LatencyDifference(
+        field,
+        difference_sum / weight_sum,
+        weight_sum,
+        spread_sum / new_count * weight_sum / TIGHTEST_COUNT,
     )
-    return difference_sum / weight_sum - radius
 
 
 def add_rows(
@@ -242,9 +294,13 @@
 
 def _lost_counts(pairs: tuple[_Pair, ...]) -> bool:
     targets: set[state.TargetName] = set()
+    works = False
     for pair in pairs:
         targets.update(pair.new.lost_targets)
-    return len(targets) >= LOST_TARGET_COUNT
+        succeeded = pair.new.attempt_count - _failed(pair.new, True)
+        if not pair.new.lost_count and succeeded >= WORKING_COUNT:
+            works = True
+    return not works or len(targets) >= LOST_TARGET_COUNT
 
 
 def _failed(row: state.EvidenceRow, count_lost: bool) -> int:
--- a/packages/transport/src/skylarktack/transport/_peer_handshake.py
+++ b/packages/transport/src/skylarktack/transport/_peer_handshake.py
@@ -10,6 +10,7 @@
 
 from skylarktack import protocol
 from skylarktack import state
+from skylarktack.coordination import ports
 from skylarktack.transport import _peer_link
 
 
@@ -23,11 +24,13 @@
         secret: str,
         codec: protocol.PeerCodec,
         timeout_s: float,
+        metrics: ports.Metrics,
     ) -> None:
         self._name = name
         self._start_id = start_id
         self._codec = codec
         self._timeout_s = timeout_s
+        self._metrics = metrics
         self._authenticator = protocol.PeerAuthenticator(secret)
 
     def initiate(
@@ -107,20 +110,25 @@
         )
 
     def _send(self, connection: websocket.Connection, message: object) -> bool:
+        encoded = self._codec.encode(protocol.Frame(message))
         try:
-            connection.send(self._codec.encode(protocol.Frame(message)))
+            connection.send(encoded)
         except (OSError, exceptions.WebSocketException):
             return False
+        self._metrics.count('peer.sent_bytes', len(encoded))
         return True
 
     def _receive(self, connection: websocket.Connection) -> Any:
         """Return a message, None if the connection closed, or a fault."""
         try:
             data = connection.recv(timeout=self._timeout_s)
-        except (OSError, exceptions.WebSocketException, EOFError):
+        except (OSError, exceptions.WebSocketException, EOFError) as error:
+            if _peer_link.is_oversized(error):
+                return protocol.FrameFault('oversized')
             return None
         if not isinstance(data, bytes):
             return protocol.FrameFault('not a binary frame')
+        self._metrics.count('peer.received_bytes', len(data))
         decoded = self._codec.decode(data)
         if decoded.is_error():
             return decoded.error
