--- a/packages/coordination/src/skylarktack/coordination/fakes/_call_world.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_call_world.py
@@ -91,7 +91,7 @@
             kind=state.RouteKind.SERVICE,
             version=_VERSION,
             repeatable=False,
-            call_timeout_ms=200,
+            call_timeout_ms=50,
         ),
         method='POST',
         path='/book',
--- a/packages/coordination/src/skylarktack/coordination/once/_table.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_table.py
@@ -1,6 +1,7 @@
 """Claims of the whole deployment, as one instance reaches them."""
 
 import dataclasses
+import functools
 import hashlib
 import threading
 
@@ -20,6 +21,10 @@
 #: shorter than a call's wait for its claim.
 _OWNER_COUNT = 2
 
+#: How long a chosen owner is kept: ranking 340 members for each batch would
+#: cost more than the batch, and ownership is only a hint.
+_OWNER_AGE_S = 0.1
+
 _LOG = structlog.get_logger(part='claim')
 
 
@@ -34,6 +39,14 @@
     peers: ports.PeerNetwork
 
 
+@dataclasses.dataclass(frozen=True)
+class _KnownOwner:
+    """The owner of a bucket as last ranked."""
+
+    name: state.InstanceName
+    until_s: float
+
+
 class ClaimTable:
     """Proposes records to the buckets, through their owners if possible."""
 
@@ -43,6 +56,7 @@
         self._clock = parts.bucket.clock
         self._lock = threading.Lock()
         self._writers: dict[int, _writer.BucketWriter] = {}
+        self._owners: dict[int, _KnownOwner] = {}
         self._passed_over_until_s: dict[state.InstanceName, float] = {}
         parts.peers.handle(_messages.ClaimForward, self._on_forward)
 
@@ -100,16 +114,24 @@
         The membership may differ between instances; two owners slow each
         other down by conflicts and do no harm.
         """
-        own_name = self._parts.peers.name
         now_s = self._clock.monotonic_s()
+        known = self._owners.get(bucket)
+        if known is not None and now_s < known.until_s:
+            return known.name
+        chosen = self._first_in_rank(bucket, now_s)
+        self._owners[bucket] = _KnownOwner(chosen, now_s + _OWNER_AGE_S)
+        return chosen
+
+    def _first_in_rank(self, bucket: int, now_s: float) -> state.InstanceName:
+        own_name = self._parts.peers.name
         chosen = own_name
-        best = _hash(f'{bucket}\0{own_name}')
+        best = _rank(bucket, own_name)
         for member in self._parts.peers.members():
             if member.state is not state.MemberState.ALIVE:
                 continue
             if now_s < self._passed_over_until_s.get(member.name, 0.0):
                 continue
-            rank = _hash(f'{bucket}\0{member.name}')
+            rank = _rank(bucket, member.name)
             if rank > best:
                 chosen, best = member.name, rank
         return chosen
@@ -171,6 +193,7 @@
         self._passed_over_until_s[owner] = self._clock.monotonic_s() + (
             self._settings.back_off_ms / 1000
         )
+        self._owners.clear()
         self._parts.bucket.metrics.count('claim.owner_passed_over')
         _LOG.warning(
             'bucket owner did not take claims; passing it over',
@@ -197,6 +220,11 @@
         return _messages.ClaimForwarded(outcome.ok)
 
 
+@functools.lru_cache(16_384)
+def _rank(bucket: int, name: state.InstanceName) -> int:
+    return _hash(f'{bucket}\0{name}')
+
+
 def _hash(text: str) -> int:
     digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(digest, 'big')
