Meet absent instances in a task of their own

A listed instance whose host is silent held the probe task for a second every other round, and several silent neighbours held the exchange task so long that it took itself for paused. Reunions have a task now, and a round of neighbour choice ends at the first failed connection.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_fleet.py
@@ -104,6 +104,8 @@
         # Half of the fleet probes in each step.
         if (self._step_count + len(name) + int(name[-3:])) % 2 == 0:
             part.probe_round()
+        if (self._step_count + int(name[-3:])) % 4 == 0:
+            part.reunion_round()
 
     def live(self, name: str) -> set[str]:
         """Return whom an instance believes to be live."""
--- a/packages/coordination/src/skylarktack/coordination/membership/_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_membership.py
@@ -27,9 +27,9 @@
 #: Time before a lost or refused neighbour is connected again.
 RECONNECT_S = 2.0
 
-#: Probe rounds between two attempts to meet an instance that is listed or
-#: believed dead, once other instances are known.
-REUNION_ROUNDS = 2
+#: Time between two attempts to meet an instance that is listed or believed
+#: dead, in multiples of the probe interval, once others are known.
+REUNION_FACTOR = 2
 
 #: Time between rounds, in multiples of the interval, that shows that this
 #: instance was paused.
@@ -64,8 +64,9 @@
 class Membership:
     """Keeps the member table in step with the fleet.
 
-    Two tasks run: one probes, the other exchanges state with neighbours.
-    ``probe_round`` and ``exchange_round`` are one round of each.
+    Three tasks run: one probes, one exchanges state with neighbours and one
+    tries to meet instances that are not live here. ``probe_round``,
+    ``exchange_round`` and ``reunion_round`` are one round of each.
     """
 
     def __init__(self, parts: MembershipParts) -> None:
@@ -106,7 +107,7 @@
         self._round_count = 0
         self._last_exchange_s = parts.clock.monotonic_s()
         self._tasks = concurrent.futures.ThreadPoolExecutor(
-            2, thread_name_prefix='membership'
+            3, thread_name_prefix='membership'
         )
         parts.network.handle(_messages.Join, self._answer_join)
 
@@ -119,7 +120,8 @@
         self._parts.table.set_listed(listed)
 
     def start(self) -> None:
-        """Start both tasks."""
+        """Start all tasks."""
+        self._tasks.submit(self._run_reunions)
         self._tasks.submit(self._run_probes)
         self._tasks.submit(self._run_exchanges)
 
@@ -129,7 +131,7 @@
         self._parts.network.broadcast(_messages.News((own,)))
 
     def stop(self) -> None:
-        """Stop both tasks."""
+        """Stop all tasks."""
         self._stopping.set()
         self._probe_wake.set()
         self._beliefs.urgent_arrived.set()
@@ -148,8 +150,6 @@
         target = self._prober.next_target()
         if target is not None and target not in neighbours:
             self._prober.probe(target)
-        if target is None or self._round_count % REUNION_ROUNDS == 0:
-            self._meet_one()
 
     def exchange_round(self) -> None:
         """Expire suspicions, choose neighbours and send them state."""
@@ -194,6 +194,16 @@
             left_s = max(0.0, next_s - clock.monotonic_s())
             clock.wait(self._beliefs.urgent_arrived, left_s)
 
+    def _run_reunions(self) -> None:
+        # A task of its own, since an instance that is gone may leave each
+        # attempt unanswered until its time limit.
+        interval_s = self._parts.settings.probe_interval_ms / 1000
+        while not self._stopping.is_set():
+            self._attempt(self.reunion_round)
+            alone = len(self._parts.table.live()) == 1
+            wait_s = interval_s if alone else interval_s * REUNION_FACTOR
+            self._parts.clock.wait(self._stopping, self._jittered(wait_s))
+
     def _jittered(self, interval_s: float) -> float:
         # Keeps instances that started together apart.
         return interval_s * (0.9 + 0.2 * self._random.random())
@@ -249,6 +259,8 @@
                 continue
             self._retry_at_s[peer] = now_s + RECONNECT_S
             self._probe_soon(peer)
+            # Several peers that do not answer must not delay this round.
+            break
         for peer in sorted(self._unwanted(present, names, wanted)):
             network.disconnect(peer)
         self._wanted = wanted
@@ -284,7 +296,7 @@
         self._lost.append(peer)
         self._probe_wake.set()
 
-    def _meet_one(self) -> None:
+    def reunion_round(self) -> None:
         """Exchange whole tables with an instance that is not live here."""
         table = self._parts.table
         if not self._parts.settings.reunites and len(table.live()) > 1:
