--- a/packages/coordination/src/skylarktack/coordination/membership/_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_membership.py
@@ -248,12 +248,21 @@
             self._retry_at_s[peer] = now_s + RECONNECT_S
             self._probe_soon(peer)
         count = self._parts.settings.connection_count // 2
+        suspects = {
+            member.name
+            for member in live
+            if member.state == state.MemberState.SUSPECT
+        }
         wanted: set[state.InstanceName] = set()
         for peer in self._ranked(live, count):
             if len(wanted) >= count:
                 break
             if self._retry_at_s.get(peer, now_s) > now_s:
                 continue
+            if peer not in present and peer in suspects:
+                # Waiting for its connection would delay this round, which
+                # also ends the suspicion and passes the news on.
+                continue
             if peer in present or network.connect(peer):
                 wanted.add(peer)
                 continue
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -89,7 +89,7 @@
 
     #: Time in which a suspect instance can refute, while this instance is
     #: healthy.
-    suspicion_ms: int = 2000
+    suspicion_ms: int = 1500
 
     #: Largest local health score; 0 switches the adjustment off.
     health_limit_count: int = 8
