--- a/packages/protocol/src/skylarktack/protocol/_peer_messages.py
+++ b/packages/protocol/src/skylarktack/protocol/_peer_messages.py
@@ -4,11 +4,20 @@
 classes and enters them here under a tag that never changes its meaning.
 """
 
+from skylarktack import state
+from skylarktack.coordination import generation
 from skylarktack.coordination import membership
+from skylarktack.coordination import once
+from skylarktack.coordination import routing
 from skylarktack.protocol import _peer_session
 
 #: Message types by tag.
 PEER_MESSAGES: dict[str, type] = {
+    'configuration.offer': state.ConfigurationOffer,
+    'configuration.fetch': state.ConfigurationFetch,
+    'configuration.answer': state.ConfigurationAnswer,
+    'status.request': state.StatusRequest,
+    'status.answer': state.InstanceStatus,
     'peer.hello': _peer_session.PeerHello,
     'peer.challenge': _peer_session.PeerChallenge,
     'peer.proof': _peer_session.PeerProof,
@@ -22,4 +31,14 @@
     'member.relayed': membership.RelayedProbe,
     'member.news': membership.News,
     'member.exchange': membership.Exchange,
+    'generation.read': generation.ReadGeneration,
+    'generation.part': generation.GenerationPart,
+    'generation.cancel': generation.CancelGeneration,
+    'generation.cancelled': generation.GenerationCancelled,
+    'claim-forward': once.ClaimForward,
+    'claim-forwarded': once.ClaimForwarded,
+    'target-leaving': routing.TargetLeaving,
+    'moves.evidence': state.EvidenceReport,
+    'moves.notice': state.MoveNotice,
+    'moves.stop': state.MoveStop,
 }
