Measure routing policies and shared limits

Cause: the default policy and the limits had no figures. Change: bench areas routing and limits; one uncached block now costs 0.002 of utilisation instead of 0.01.

--- a/packages/emulator/src/skylarktack/emulator/bench/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -6,11 +6,15 @@
 import fire
 
 from skylarktack.emulator.bench import _figures
+from skylarktack.emulator.bench import _limits
 from skylarktack.emulator.bench import _relay
+from skylarktack.emulator.bench import _routing
 
 #: Benchmarks by area, in the order in which ``all`` runs them.
 AREAS: dict[str, Callable[[int], Iterator[_figures.Figure]]] = {
     'relay': _relay.run,
+    'routing': _routing.run,
+    'limits': _limits.run,
 }
 
 
--- a/packages/state/src/skylarktack/state/_traffic_settings.py
+++ b/packages/state/src/skylarktack/state/_traffic_settings.py
@@ -64,7 +64,7 @@
     region_penalty: float = 0.3
 
     #: Cost of one uncached prompt block, as utilisation.
-    block_cost: float = 0.01
+    block_cost: float = 0.002
 
     #: Random candidates that the cost policy looks at.
     sample_count: int = 4
