Let each lender answer at most two borrowers in a round

Cause: with 56 borrowers and 284 lenders each pair had a grant of its own, more than the gossip topic can carry. Change: a lender picks two borrowers by the hash of both names.

--- a/packages/coordination/src/skylarktack/coordination/limits/_members.py
+++ b/packages/coordination/src/skylarktack/coordination/limits/_members.py
@@ -91,3 +91,8 @@
 
 def _rank_hash(scope: _scopes.Scope, name: state.InstanceName) -> int:
     return zlib.crc32(f'{name}/{scope.kind.value}/{scope.name}'.encode())
+
+
+def pair_hash(one: str, other: str) -> int:
+    """Return a hash of two names in this order."""
+    return zlib.crc32(f'{one}/{other}'.encode())
--- a/packages/coordination/src/skylarktack/coordination/limits/_shares.py
+++ b/packages/coordination/src/skylarktack/coordination/limits/_shares.py
@@ -33,6 +33,9 @@
 #: Age beyond which a want of another instance counts no more.
 WANT_AGE_S = 4.0
 
+#: Most instances that one lender answers in a round.
+BORROWER_COUNT = 2
+
 #: Time after which an unused ledger is dropped.
 IDLE_S = 30.0
 
@@ -252,11 +255,18 @@
         base = self._base(scope, now_s)
         lent = sum(loan.amount for loan in ledger.lent.values())
         spare = base - lent - ledger.kept_need(now_s)
-        counted = len(self._members.counted)
-        # Other instances answer the same wants; each gives twice its part,
-        # so that some without spare do no harm.
-        part = 2 / max(1, counted - len(wants))
-        for name, (amount, _) in sorted(wants.items()):
+        # Few borrowers for each lender, different ones for different
+        # lenders: grants to all would be as many as pairs of instances.
+        order = sorted(
+            wants, key=lambda name: _members.pair_hash(self._name, name)
+        )
+        chosen = order[:BORROWER_COUNT]
+        lenders = max(1, len(self._members.counted) - len(wants))
+        # Other lenders answer the same wants; each gives twice its part, so
+        # that some without spare do no harm.
+        part = 2 * len(wants) / max(1, lenders * len(chosen))
+        for name in chosen:
+            amount, _ = wants[name]
             if not self._members.is_listed(name):
                 continue
             given = min(spare, amount * min(1.0, part))
