--- a/packages/coordination/src/skylarktack/coordination/ports/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/__init__.py
@@ -1,5 +1,6 @@
 """Interfaces of the coordination layer to everything outside it."""
 
+from skylarktack.coordination.ports._claims import SegmentCodec
 from skylarktack.coordination.ports._clock import Clock
 from skylarktack.coordination.ports._clock import SystemClock
 from skylarktack.coordination.ports._decisions import Admission
@@ -21,11 +22,15 @@
 from skylarktack.coordination.ports._engines import TargetOrderKind
 from skylarktack.coordination.ports._engines import TokenStream
 from skylarktack.coordination.ports._peers import GossipTopic
+from skylarktack.coordination.ports._peers import NeighbourNetwork
 from skylarktack.coordination.ports._peers import PeerFault
 from skylarktack.coordination.ports._peers import PeerFaultKind
 from skylarktack.coordination.ports._peers import PeerHandler
 from skylarktack.coordination.ports._peers import PeerNetwork
+from skylarktack.coordination.ports._services import LookupClient
+from skylarktack.coordination.ports._services import PendingCall
 from skylarktack.coordination.ports._services import ServiceClient
+from skylarktack.coordination.ports._services import TargetHealth
 from skylarktack.coordination.ports._store import ObjectStore
 
 __all__ = [
@@ -36,21 +41,26 @@
     'EngineClient',
     'EngineLoad',
     'GossipTopic',
+    'LookupClient',
     'Metrics',
+    'NeighbourNetwork',
     'ObjectStore',
     'OutcomeObserver',
     'PeerFault',
     'PeerFaultKind',
     'PeerHandler',
     'PeerNetwork',
+    'PendingCall',
     'Permit',
     'Readiness',
     'RetryBudget',
+    'SegmentCodec',
     'SelectionRequest',
     'ServiceClient',
     'StreamFault',
     'StreamFaultKind',
     'SystemClock',
+    'TargetHealth',
     'TargetOrder',
     'TargetOrderKind',
     'TargetSelector',
--- a/packages/coordination/src/skylarktack/coordination/routing/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/__init__.py
@@ -1,12 +1,17 @@
 """State of targets and the choice among them."""
 
 from skylarktack.coordination.routing._digests import DigestTopic
+from skylarktack.coordination.routing._ejection import EVIDENCE_S
+from skylarktack.coordination.routing._ejection import TargetEjection
 from skylarktack.coordination.routing._evidence import Candidate
 from skylarktack.coordination.routing._evidence import DigestCodec
 from skylarktack.coordination.routing._evidence import Evidence
 from skylarktack.coordination.routing._evidence import LoadDigest
 from skylarktack.coordination.routing._evidence import LoadSample
 from skylarktack.coordination.routing._evidence import TargetLeaving
+from skylarktack.coordination.routing._explain import RouteExplainer
+from skylarktack.coordination.routing._explain import RouteExplanation
+from skylarktack.coordination.routing._explain import TargetExplanation
 from skylarktack.coordination.routing._policies import CandidatePool
 from skylarktack.coordination.routing._policies import SelectionPolicy
 from skylarktack.coordination.routing._prefixes import PrefixIndex
@@ -25,13 +30,18 @@
     'CandidatePool',
     'DigestCodec',
     'DigestTopic',
+    'EVIDENCE_S',
     'Evidence',
     'LeavingNotices',
     'LoadDigest',
     'LoadSample',
     'PrefixIndex',
+    'RouteExplainer',
+    'RouteExplanation',
     'SelectionPolicy',
     'TableSelector',
+    'TargetEjection',
+    'TargetExplanation',
     'TargetLeaving',
     'TargetTable',
     'TargetWatcher',
--- a/packages/emulator/src/skylarktack/emulator/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/__init__.py
@@ -3,6 +3,8 @@
 from skylarktack.emulator._caller import ReceivedAnswer
 from skylarktack.emulator._caller import fetch_generation
 from skylarktack.emulator._caller import generate
+from skylarktack.emulator._caller_loop import ResumedAnswer
+from skylarktack.emulator._caller_loop import generate_resumed
 from skylarktack.emulator._deployment import ANNOUNCE_TIMEOUT_S
 from skylarktack.emulator._deployment import OPERATOR_TOKEN
 from skylarktack.emulator._deployment import SECRET
@@ -26,14 +28,17 @@
 from skylarktack.emulator._http_stand_in import StandInServer
 from skylarktack.emulator._http_stand_in import address_of
 from skylarktack.emulator._http_stand_in import serve_stand_in
+from skylarktack.emulator._link import CuttableLink
 from skylarktack.emulator._object_api import ObjectApi
 from skylarktack.emulator._object_api import ObjectApiFaults
 from skylarktack.emulator._object_api import ObjectApiServer
+from skylarktack.emulator._peer_fleet import PeerFleet
 from skylarktack.emulator._service import ServiceFaults
 from skylarktack.emulator._service import ServiceServer
 
 __all__ = [
     'ANNOUNCE_TIMEOUT_S',
+    'CuttableLink',
     'Deployment',
     'DeploymentShape',
     'EmulatedProcess',
@@ -47,7 +52,9 @@
     'ObjectApi',
     'ObjectApiFaults',
     'ObjectApiServer',
+    'PeerFleet',
     'ReceivedAnswer',
+    'ResumedAnswer',
     'SECRET',
     'STOP_TIMEOUT_S',
     'ServiceFaults',
@@ -60,6 +67,7 @@
     'expected_token',
     'fetch_generation',
     'generate',
+    'generate_resumed',
     'key_hash',
     'organisation_key',
     'serve_stand_in',
--- a/packages/emulator/src/skylarktack/emulator/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/_deployment.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import threading
+import time
 from types import TracebackType
 from typing import Any
 from typing import Self
@@ -77,6 +78,13 @@
         """Where it listens."""
         return state.Address(self.announced['host'], self.announced['port'])
 
+    @property
+    def operator_address(self) -> state.Address:
+        """Where an entry instance accepts operators."""
+        return state.Address(
+            self.announced['host'], self.announced['operator_port']
+        )
+
     @property
     def process_id(self) -> int:
         """Identifier of the operating system."""
@@ -158,6 +166,9 @@
     #: Versions that engines serve at the start, joined by ``+``.
     engine_versions: str = 'model-1'
 
+    #: Time that an engine takes to load a version.
+    engine_load_ms: int = 0
+
     #: Settings that replace the defaults of instances, as plain JSON.
     overrides: dict[str, Any] = dataclasses.field(default_factory=dict)
 
@@ -220,6 +231,9 @@
         self.services: list[EmulatedProcess] = []
         self.instances: list[EmulatedProcess] = []
         self.leaving: set[str] = set()
+        self.lists_loads = False
+        #: Addresses listed instead of those of processes, for cut links.
+        self.links: dict[str, state.Address] = {}
         self._folder = tempfile.TemporaryDirectory(prefix='skylarktack-')
 
     def __enter__(self) -> Self:
@@ -260,30 +274,44 @@
 
     def start_engine(self, index: int) -> EmulatedProcess:
         """Start one more engine; the list must be published after it."""
-        process = EmulatedProcess(
+        process = self._spawn_engine(index, 0)
+        self.engines.append(process)
+        return process
+
+    def restart_engine(self, index: int) -> None:
+        """Kill an engine and start it again under the same address."""
+        before = self.engines[index]
+        before.kill()
+        process = self._spawn_engine(index, before.announced['port'])
+        process.wait_announced()
+        self.engines[index] = process
+
+    def _spawn_engine(self, index: int, port: int) -> EmulatedProcess:
+        return EmulatedProcess(
             f'engine-{index}',
             [
                 'skylarktack.emulator',
                 'engine',
                 f'--name=engine-{index}',
+                f'--port={port}',
                 f'--step_ms={self.shape.step_ms}',
                 f'--slot_count={self.shape.slot_count}',
                 f'--versions={self.shape.engine_versions}',
+                f'--load_ms={self.shape.engine_load_ms}',
             ],
         )
-        self.engines.append(process)
-        return process
 
     def publish_list(self) -> None:
         """Enter all running processes in the platform's list."""
         targets: list[state.Target] = []
-        versions = tuple(
-            state.VersionName(name)
-            for name in self.shape.engine_versions.split('+')
-        )
         for index, process in enumerate(self.engines):
             targets.append(
-                self._target(process, index, state.TargetKind.ENGINE, versions)
+                self._target(
+                    process,
+                    index,
+                    state.TargetKind.ENGINE,
+                    self._engine_versions(process),
+                )
             )
         for index, process in enumerate(self.services):
             targets.append(
@@ -342,11 +370,18 @@
             wait_ready(process)
 
     def _store_document(self) -> None:
+        record = state.ConfigurationRecord(
+            revision=1,
+            document=self.document,
+            author='emulator',
+            accepted_s=time.time(),
+            change_id='emulator',
+        )
         transport.http_call(
             self.object_api.address,
             'PUT',
             '/objects/configuration/current',
-            protocol.encode_document(self.document).encode(),
+            protocol.JsonConfigurationCodec().encode(record),
             {},
             5.0,
         )
@@ -380,6 +415,17 @@
             settings[field] = value
         return settings
 
+    def _engine_versions(
+        self, process: EmulatedProcess
+    ) -> tuple[state.VersionName, ...]:
+        """Return what an engine serves, loads ordered since included."""
+        if self.lists_loads and process.is_running:
+            return tuple(process.read_json('/v1/load')['versions'])
+        return tuple(
+            state.VersionName(name)
+            for name in self.shape.engine_versions.split('+')
+        )
+
     def _domain(self, index: int) -> state.FailureDomain:
         return state.FailureDomain(
             f'domain-{index % self.shape.failure_domain_count}'
@@ -395,7 +441,7 @@
         return state.Target(
             name=state.TargetName(process.name),
             kind=kind,
-            address=process.address,
+            address=self.links.get(process.name, process.address),
             failure_domain=self._domain(index),
             region='region-1',
             versions=versions,
--- a/packages/emulator/src/skylarktack/emulator/_engine_model.py
+++ b/packages/emulator/src/skylarktack/emulator/_engine_model.py
@@ -7,7 +7,6 @@
 import time
 import zlib
 
-from skylarktack import protocol
 from skylarktack import state
 from skylarktack.coordination import ports
 
@@ -89,7 +88,10 @@
     #: Position that each stream leaves out; negative means none.
     skip_position: int = -1
 
-    #: Whether the text of a continued prefix differs.
+    #: Whether a given prefix is generated again from its first token.
+    ignore_prefix: bool = False
+
+    #: Whether the text of an attempt with a prefix differs.
     diverge: bool = False
 
 
@@ -121,6 +123,9 @@
     #: Whether orders with an old fencing number are refused.
     checks_fencing: bool = False
 
+    #: Time from an order to load a version until the engine serves it.
+    load_ms: int = 0
+
     #: How long a finished attempt can be attached to.
     retention_ms: int = 60_000
 
@@ -134,7 +139,9 @@
     def __init__(self, order: state.EngineOrder, arrived_s: float) -> None:
         self.order = order
         self.arrived_s = arrived_s
-        self.position = len(order.prefix_tokens)
+        # Position of the first token that this attempt generates itself.
+        self.start = len(order.prefix_tokens)
+        self.position = self.start
         self.prefill_steps = 0
         self.done = False
         self.cancelled = False
@@ -157,8 +164,10 @@
         self.versions: list[str] = list(shape.versions)
         self.fencing_number = 0
         self.orders: list[ports.TargetOrder] = []
+        self._loads: list[tuple[float, str]] = []
         self.runs: dict[tuple[str, int], EngineRun] = {}
         self.steps_count = 0
+        self.generated_count = 0
         self._waiting: list[tuple[int, float, int, EngineRun]] = []
         self._running: list[EngineRun] = []
         self._serial = 0
@@ -179,6 +188,8 @@
         """Queue an attempt by priority."""
         with self.changed:
             run = EngineRun(order, time.monotonic())
+            if self.faults.ignore_prefix:
+                run.start = run.position = 0
             run.prefill_steps = self._prefill(order.prompt)
             self.runs[run.key] = run
             self._serial += 1
@@ -197,6 +208,7 @@
                 return False
             run.cancelled = True
             run.done = True
+            run.done_s = time.monotonic()
             self.changed.notify_all()
             return True
 
@@ -239,17 +251,29 @@
             self.fencing_number = max(
                 self.fencing_number, order.fencing_number
             )
+            if any(order.order_id == known.order_id for known in self.orders):
+                return True
             self.orders.append(order)
             if order.kind is ports.TargetOrderKind.LOAD:
-                if order.subject not in self.versions:
-                    self.versions.append(order.subject)
+                ready_s = time.monotonic() + self.shape.load_ms / 1000
+                self._loads.append((ready_s, order.subject))
+                self._finish_loads()
             if order.kind is ports.TargetOrderKind.UNLOAD:
                 if order.subject in self.versions:
                     self.versions.remove(order.subject)
             return True
 
+    def _finish_loads(self) -> None:
+        now_s = time.monotonic()
+        for load in list(self._loads):
+            if load[0] > now_s:
+                continue
+            self._loads.remove(load)
+            if load[1] not in self.versions:
+                self.versions.append(load[1])
+
     def _prefill(self, prompt: str) -> int:
-        hashes = protocol.prefix_hashes(prompt)
+        hashes = state.prefix_hashes(prompt)
         cached = 0
         for prefix in hashes:
             if prefix not in self._cache:
@@ -262,7 +286,7 @@
         while len(self._cache) > self.shape.cache_block_count:
             removed, _ = self._cache.popitem(last=False)
             self._publish(removed, False)
-        left = len(prompt) - cached * protocol.PREFIX_BLOCK_CHARS
+        left = len(prompt) - cached * state.PREFIX_BLOCK_CHARS
         return left // self.shape.prefill_chars
 
     def _publish(self, prefix: str, added: bool) -> None:
@@ -288,6 +312,8 @@
     def _step(self) -> None:
         now_s = time.monotonic()
         self.steps_count += 1
+        if self._loads:
+            self._finish_loads()
         self._running = [run for run in self._running if not run.done]
         while self._waiting and len(self._running) < self.shape.slot_count:
             run = heapq.heappop(self._waiting)[3]
@@ -297,7 +323,10 @@
             if run.prefill_steps > 0:
                 run.prefill_steps -= 1
                 continue
-            run.position += 1
+            # A prefix may already hold the whole answer.
+            if run.position < run.order.max_tokens_count:
+                run.position += 1
+                self.generated_count += 1
             if run.position >= run.order.max_tokens_count:
                 run.done = True
                 run.done_s = now_s
--- a/packages/emulator/src/skylarktack/emulator/bench/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -5,8 +5,14 @@
 
 import fire
 
+from skylarktack.emulator.bench import _configuration
 from skylarktack.emulator.bench import _figures
 from skylarktack.emulator.bench import _limits
+from skylarktack.emulator.bench import _generation
+from skylarktack.emulator.bench import _lookup
+from skylarktack.emulator.bench import _membership
+from skylarktack.emulator.bench import _moves
+from skylarktack.emulator.bench import _once
 from skylarktack.emulator.bench import _relay
 from skylarktack.emulator.bench import _routing
 
@@ -15,6 +21,12 @@
     'relay': _relay.run,
     'routing': _routing.run,
     'limits': _limits.run,
+    'generation': _generation.run,
+    'configuration': _configuration.run,
+    'moves': _moves.run,
+    'membership': _membership.run,
+    'once': _once.run,
+    'lookup': _lookup.run,
 }
 
 
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -3,7 +3,21 @@
 from skylarktack.state._calls import DispatchFault
 from skylarktack.state._calls import PlainCall
 from skylarktack.state._calls import ServiceAnswer
+from skylarktack.state._claims import ClaimKey
+from skylarktack.state._claims import ClaimPhase
+from skylarktack.state._claims import ClaimRecord
+from skylarktack.state._claims import ClaimSegment
+from skylarktack.state._claims import SealedSegment
+from skylarktack.state._configurations import AppliedChange
+from skylarktack.state._configurations import ConfigurationAnswer
+from skylarktack.state._configurations import ConfigurationChange
+from skylarktack.state._configurations import ConfigurationFetch
+from skylarktack.state._configurations import ConfigurationOffer
+from skylarktack.state._configurations import ConfigurationRecord
+from skylarktack.state._configurations import InstanceStatus
+from skylarktack.state._configurations import StatusRequest
 from skylarktack.state._delivered import DIGEST_BYTES
+from skylarktack.state._delivered import DeliveredCursor
 from skylarktack.state._delivered import DeliveredText
 from skylarktack.state._documents import ActiveConfiguration
 from skylarktack.state._documents import CallerLossPolicy
@@ -18,6 +32,13 @@
 from skylarktack.state._errors import Refusal
 from skylarktack.state._errors import RefusalCode
 from skylarktack.state._errors import RunState
+from skylarktack.state._generation_record import GenerationRecord
+from skylarktack.state._generation_record import RecordStart
+from skylarktack.state._generation_record import ResumeCheck
+from skylarktack.state._generation_table import GenerationTable
+from skylarktack.state._generation_table import H
+from skylarktack.state._generation_table import HeldGeneration
+from skylarktack.state._generations import AttemptNote
 from skylarktack.state._generations import EngineOrder
 from skylarktack.state._generations import GenerationRequest
 from skylarktack.state._generations import Keepalive
@@ -29,6 +50,19 @@
 from skylarktack.state._generations import TokenEvent
 from skylarktack.state._members import Member
 from skylarktack.state._members import MemberState
+from skylarktack.state._members import MemberTable
+from skylarktack.state._members import supersedes
+from skylarktack.state._moves import EvidenceReport
+from skylarktack.state._moves import EvidenceRow
+from skylarktack.state._moves import LatencySums
+from skylarktack.state._moves import MoveLease
+from skylarktack.state._moves import MoveNotice
+from skylarktack.state._moves import MovePhase
+from skylarktack.state._moves import MoveRecord
+from skylarktack.state._moves import MoveSettings
+from skylarktack.state._moves import MoveStep
+from skylarktack.state._moves import MoveStop
+from skylarktack.state._moves import MoveVerdict
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
 from skylarktack.state._names import OrganisationName
@@ -42,6 +76,7 @@
 from skylarktack.state._settings import ClaimSettings
 from skylarktack.state._settings import GenerationSettings
 from skylarktack.state._settings import InstanceSettings
+from skylarktack.state._settings import LookupSettings
 from skylarktack.state._settings import PeerSettings
 from skylarktack.state._settings import RetrySettings
 from skylarktack.state._settings import StoreSettings
@@ -62,27 +97,57 @@
 __all__ = [
     'ActiveConfiguration',
     'Address',
+    'AppliedChange',
+    'AttemptNote',
     'CallerLossPolicy',
     'CallerSettings',
+    'ClaimKey',
+    'ClaimPhase',
+    'ClaimRecord',
+    'ClaimSegment',
     'ClaimSettings',
+    'ConfigurationAnswer',
+    'ConfigurationChange',
     'ConfigurationDocument',
+    'ConfigurationFetch',
+    'ConfigurationOffer',
+    'ConfigurationRecord',
     'DIGEST_BYTES',
+    'DeliveredCursor',
     'DeliveredText',
     'DispatchFault',
     'EngineOrder',
+    'EvidenceReport',
+    'EvidenceRow',
     'FailureDomain',
     'Finding',
+    'GenerationRecord',
     'GenerationRequest',
     'GenerationSettings',
+    'GenerationTable',
+    'H',
+    'HeldGeneration',
     'InstanceName',
     'InstanceSettings',
+    'InstanceStatus',
     'Keepalive',
+    'LatencySums',
     'LimitSettings',
     'Limits',
     'ListedInstance',
+    'LookupSettings',
     'Member',
     'MemberState',
+    'MemberTable',
     'Move',
+    'MoveLease',
+    'MoveNotice',
+    'MovePhase',
+    'MoveRecord',
+    'MoveSettings',
+    'MoveStep',
+    'MoveStop',
+    'MoveVerdict',
     'Organisation',
     'OrganisationName',
     'OutcomeKind',
@@ -90,9 +155,11 @@
     'PeerSettings',
     'PlainCall',
     'PlatformList',
+    'RecordStart',
     'Refusal',
     'RefusalCode',
     'RequestId',
+    'ResumeCheck',
     'ResumeToken',
     'RetrySettings',
     'Route',
@@ -100,7 +167,9 @@
     'RouteName',
     'RoutingSettings',
     'RunState',
+    'SealedSegment',
     'ServiceAnswer',
+    'StatusRequest',
     'StoreFault',
     'StoreFaultKind',
     'StoreSettings',
@@ -118,4 +187,5 @@
     'VersionName',
     'WatchBatch',
     'prefix_hashes',
+    'supersedes',
 ]
