--- a/packages/coordination/src/skylarktack/coordination/moves/_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_evidence.py
@@ -11,7 +11,7 @@
 
 #: Successes between two judgements of this instance's own evidence; a
 #: failure on the new version is judged at once.
-JUDGE_EVERY_COUNT = 8
+JUDGE_EVERY_COUNT = 32
 
 _ERRORS = (
     state.OutcomeKind.ERROR,
--- a/packages/coordination/src/skylarktack/coordination/moves/_judging.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_judging.py
@@ -207,12 +207,14 @@
     """Return the logarithm of the mixture likelihood ratio of failures."""
     logs = [0.0] * len(RATE_RATIOS)
     for pair in pairs:
+        new = _failed(pair.new, count_lost)
+        old = _failed(pair.old, count_lost)
+        if not new and not old:
+            continue
         attempts = pair.new.attempt_count + pair.old.attempt_count
         part = pair.new.attempt_count / attempts if attempts else 0.0
         if not 0.0 < part < 1.0:
             continue
-        new = _failed(pair.new, count_lost)
-        old = _failed(pair.old, count_lost)
         for index, ratio in enumerate(RATE_RATIOS):
             theta = ratio * part / (ratio * part + 1 - part)
             logs[index] += new * math.log(theta / part)
--- a/packages/coordination/src/skylarktack/coordination/moves/_part.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_part.py
@@ -183,10 +183,10 @@
                 continue
             failed = _failed_count(report, known.record.to_version)
             sent = self._sent.get(name, _SentReport(-math.inf, -1, 0))
-            due_s = sent.at_s + self._report_interval_s(report)
             urgent = sent.stage != report.stage or failed > sent.failed_count
-            if now_s < due_s and not urgent and not report.stopped:
-                continue
+            if not urgent and not report.stopped:
+                if now_s < sent.at_s + self._report_interval_s(report):
+                    continue
             self._sent[name] = _SentReport(now_s, report.stage, failed)
             outside.peers.send(holder, report)
 
@@ -207,8 +207,8 @@
         for known in self.table.all_known():
             if known.record.ended:
                 continue
-            expires_s = known.record.lease.expires_s
-            if now_s > expires_s + self._delay_s(known.record.name):
+            overdue_s = now_s - known.record.lease.expires_s
+            if overdue_s > 0 and overdue_s > self._delay_s(known.record.name):
                 found.append(known.record.name)
         return tuple(found)
 
