--- a/packages/emulator/src/skylarktack/emulator/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/__init__.py
@@ -32,6 +32,7 @@
 from skylarktack.emulator._object_api import ObjectApi
 from skylarktack.emulator._object_api import ObjectApiFaults
 from skylarktack.emulator._object_api import ObjectApiServer
+from skylarktack.emulator._peer_fleet import PeerFleet
 from skylarktack.emulator._service import ServiceFaults
 from skylarktack.emulator._service import ServiceServer
 
@@ -51,6 +52,7 @@
     'ObjectApi',
     'ObjectApiFaults',
     'ObjectApiServer',
+    'PeerFleet',
     'ReceivedAnswer',
     'ResumedAnswer',
     'SECRET',
