Replace targets that do not load, and bound the wait for silent ones

Cause: one dead target in the first wave held a move until its deadline, and reads of silent targets could cost the driver its lease. Change: the first wave goes on to another target after a refused order or a load that does not come; a step reads reports for 0.4 s at most.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
@@ -128,6 +128,10 @@
         self.loaded: dict[state.TargetName, set[state.VersionName]] = {}
         self.orders: list[tuple[state.TargetName, ports.TargetOrder]] = []
         self.highest: dict[state.TargetName, int] = {}
+        #: Targets that answer nothing.
+        self.dead: set[state.TargetName] = set()
+        #: Targets that take orders and never carry them out.
+        self.stuck: set[state.TargetName] = set()
 
     def order(
         self,
@@ -136,6 +140,8 @@
         timeout_s: float,
     ) -> Result[None, ports.StreamFault]:
         """Load a version; refuse an old number if the target checks it."""
+        if target.name in self.dead:
+            return Error(_UNREACHABLE)
         highest = self.highest.get(target.name, 0)
         if target.checks_fencing and order.fencing_number < highest:
             return Error(
@@ -144,13 +150,16 @@
         self.highest[target.name] = max(highest, order.fencing_number)
         self.orders.append((target.name, order))
         versions = self.loaded.setdefault(target.name, set())
-        versions.add(state.VersionName(order.subject))
+        if target.name not in self.stuck:
+            versions.add(state.VersionName(order.subject))
         return Ok(None)
 
     def load(
         self, target: state.Target, timeout_s: float
     ) -> Result[ports.EngineLoad, ports.StreamFault]:
         """Return the loaded versions."""
+        if target.name in self.dead:
+            return Error(_UNREACHABLE)
         versions = self.loaded.get(target.name, set())
         return Ok(ports.EngineLoad('one', 0, 0, 1, tuple(sorted(versions)), 0))
 
@@ -379,4 +388,6 @@
         return tuple(found)
 
 
+_UNREACHABLE = ports.StreamFault(ports.StreamFaultKind.UNREACHABLE, 'dead')
+
 _UNAVAILABLE = state.StoreFault(state.StoreFaultKind.UNAVAILABLE, 'down')
--- a/packages/coordination/src/skylarktack/coordination/moves/_loading.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_loading.py
@@ -16,6 +16,14 @@
 #: Most load reports that one step reads.
 REPORTS_PER_STEP_COUNT = 8
 
+#: Longest wait for a load report, and time after which a step reads no
+#: more of them: silent targets must not cost the driver its lease.
+REPORT_TIMEOUT_S = 0.4
+
+#: Time without a load, beyond twice the time it takes at the weight
+#: store's rate, after which the first wave goes on to another target.
+LOAD_PATIENCE_S = 10.0
+
 _LOG = structlog.get_logger(part='moves')
 
 
@@ -112,6 +120,7 @@
         self._directory = directory
         self._loaded: set[state.TargetName] = set()
         self._ordered_s: dict[state.TargetName, float] = {}
+        self._failed: set[state.TargetName] = set()
         self._next_order_s: float | None = None
         self._next_report = 0
 
@@ -155,7 +164,7 @@
         """
         wanted = self._wanted(record)
         if record.verdict is not state.MoveVerdict.GOOD:
-            wanted = wanted[: progress.first_wave_count]
+            wanted = self._first_wave(wanted, progress)
         missing: list[state.Target] = []
         for target in wanted:
             if not self._serves(target, record.to_version):
@@ -176,14 +185,38 @@
                 continue
             if not self._may_order(target, right, now_s):
                 continue
-            retry_s = max(10.0, 2 * progress.interval_s)
-            if now_s < self._ordered_s.get(target.name, -math.inf) + retry_s:
+            if not self._is_overdue(target, progress, now_s):
                 continue
             self._order(target, record)
             self._ordered_s[target.name] = now_s
             self._next_order_s += progress.interval_s
             now_s = self._clock.monotonic_s()
 
+    def _first_wave(
+        self, wanted: tuple[state.Target, ...], progress: LoadProgress
+    ) -> tuple[state.Target, ...]:
+        """Return the first targets, those that do not load after others."""
+        now_s = self._clock.monotonic_s()
+        hopeful: list[state.Target] = []
+        failed: list[state.Target] = []
+        for target in wanted:
+            if target.name in self._ordered_s:
+                if self._is_overdue(target, progress, now_s):
+                    self._failed.add(target.name)
+            if target.name in self._failed:
+                failed.append(target)
+                continue
+            hopeful.append(target)
+        return (*hopeful, *failed)[: progress.first_wave_count]
+
+    def _is_overdue(
+        self, target: state.Target, progress: LoadProgress, now_s: float
+    ) -> bool:
+        """Whether an order is due: none sent, or the last one failed."""
+        patience_s = LOAD_PATIENCE_S + 2 * progress.interval_s
+        ordered_s = self._ordered_s.get(target.name, -math.inf)
+        return now_s >= ordered_s + patience_s
+
     def _wanted(self, record: state.MoveRecord) -> tuple[state.Target, ...]:
         return self._directory.serving(
             (record.from_version, record.to_version)
@@ -213,14 +246,16 @@
         self, missing: list[state.Target], version: state.VersionName
     ) -> None:
         count = min(len(missing), REPORTS_PER_STEP_COUNT)
+        started_s = self._clock.monotonic_s()
         for _ in range(count):
+            if self._clock.monotonic_s() >= started_s + REPORT_TIMEOUT_S:
+                return
             target = missing[self._next_report % len(missing)]
             self._next_report += 1
-            report = self._engines.load(
-                target, self._settings.order_timeout_ms / 1000
-            )
+            report = self._engines.load(target, REPORT_TIMEOUT_S)
             if report.is_ok() and version in report.ok.versions:
                 self._loaded.add(target.name)
+                self._failed.discard(target.name)
 
     def _order(self, target: state.Target, record: state.MoveRecord) -> None:
         order = ports.TargetOrder(
@@ -237,6 +272,7 @@
             target, order, self._settings.order_timeout_ms / 1000
         )
         if answered.is_error():
+            self._failed.add(target.name)
             _LOG.warning(
                 'load order failed',
                 move=record.name,
--- a/packages/coordination/src/skylarktack/coordination/moves/_part.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_part.py
@@ -270,6 +270,7 @@
             if self.table.known(name) is None:
                 clock.wait(self._stopping, self._delay_s(name))
             while not self._stopping.is_set():
+                started_s = clock.monotonic_s()
                 reached = session.step()
                 if reached in (
                     _session.SessionState.WAITING,
@@ -277,7 +278,9 @@
                     _session.SessionState.ENDED,
                 ):
                     return
-                clock.wait(self._stopping, step_s)
+                # A step that waited for targets must not delay the renewal.
+                spent_s = clock.monotonic_s() - started_s
+                clock.wait(self._stopping, max(0.05, step_s - spent_s))
         except Exception:
             _LOG.exception('driving failed', move=name)
         finally:
--- a/packages/coordination/src/skylarktack/coordination/moves/tests/test_mechanisms.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/tests/test_mechanisms.py
@@ -136,6 +136,17 @@
         for before, after in zip(counts, counts[8:], strict=False):
             assert after - before <= 5
 
+    @pytest.mark.parametrize('fault', ('dead', 'stuck'))
+    def test_target_that_does_not_load(self, fault: str) -> None:
+        """A target of the first wave that fails is replaced by another."""
+        world = fakes.MoveWorld(fakes.MoveWorldShape(window_s=80.0))
+        getattr(world.engines, fault).add(world.targets[0].name)
+        record = _support.run_until(
+            world, _support.Observer(world), 'completed'
+        )
+        assert record is not None
+        assert record.phase is state.MovePhase.COMPLETED
+
     def test_plan_that_cannot_finish(self) -> None:
         """Loading that outlasts the deadline is refused at the start."""
         world = fakes.MoveWorld(
