Remove records of ended moves that left the configuration

Cause: all instances read all records again and again, so records that pile up would make the reads grow without end. Change: an hour after its end one instance removes the record of a move that the configuration no longer holds.

--- a/packages/coordination/src/skylarktack/coordination/moves/_part.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_part.py
@@ -32,6 +32,14 @@
 #: cost in the whole fleet.
 FLEET_READS_PER_S = 150.0
 
+#: Time after its end for which the record of a move is kept once the
+#: configuration no longer holds the move. All records are read again and
+#: again, so they must not pile up.
+RECORD_RETENTION_S = 3600.0
+
+#: Time between two removals of old records.
+REMOVAL_INTERVAL_S = 60.0
+
 #: Longest wait of one watch.
 WATCH_WAIT_S = 10.0
 
@@ -212,6 +220,25 @@
                 found.append(known.record.name)
         return tuple(found)
 
+    def remove_old_records(self) -> None:
+        """Remove records of moves that ended and left the configuration."""
+        outside = self._outside
+        active = outside.configuration.current()
+        configured = {move.name for move in active.document.moves}
+        oldest_s = outside.clock.wall_s() - RECORD_RETENTION_S
+        for known in self.table.all_known():
+            record = known.record
+            if not record.ended or record.name in configured:
+                continue
+            if record.updated_s > oldest_s:
+                continue
+            if active.revision < record.configuration_revision:
+                continue
+            # One instance removes it; the others drop their copy.
+            if self._delay_s(record.name) == 0.0:
+                outside.store.delete(_codec.key_of(record.name), known.version)
+            self.table.forget(record.name)
+
     def _take(self, stored: state.StoredObject) -> None:
         decoded = self._outside.codec.decode(stored.value)
         if decoded.is_error():
@@ -247,8 +274,13 @@
 
     def _supervise(self) -> None:
         step_s = self._outside.settings.step_ms / 1000
+        removal_s = self._outside.clock.monotonic_s()
         while not self._outside.clock.wait(self._stopping, step_s):
             try:
+                now_s = self._outside.clock.monotonic_s()
+                if now_s >= removal_s + REMOVAL_INTERVAL_S:
+                    removal_s = now_s
+                    self.remove_old_records()
                 self.send_reports()
                 for name in self.free_moves():
                     self._drive_soon(name)
--- a/packages/coordination/src/skylarktack/coordination/moves/_table.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_table.py
@@ -79,6 +79,11 @@
         _LOG.warning('stopped sending to a version', move=name, reason=reason)
         return True
 
+    def forget(self, name: str) -> None:
+        """Drop an ended move that the configuration no longer holds."""
+        with self._lock:
+            self._known.pop(name, None)
+
     def known(self, name: str) -> KnownMove | None:
         """Return what is known of a move."""
         return self._known.get(name)
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/moves/tests/test_judging.py
@@ -0,0 +1,110 @@
+"""Verdicts on versions, with each mechanism and with it switched off."""
+
+import dataclasses
+
+import pytest
+
+from skylarktack import state
+from skylarktack.coordination import fakes
+from skylarktack.coordination import moves
+from skylarktack.coordination.moves.tests import _support
+
+
+class TestJudging:
+    """Guards against a verdict on a good version and for a bad one."""
+
+    @pytest.mark.parametrize('sequential', (True, False))
+    def test_common_fault(self, sequential: bool) -> None:
+        """A fault of one failure domain is not held against the version;
+        fixed thresholds do hold it.
+        """
+        rows = (
+            _support.row('model-1', 'domain-0', 400, failed=400),
+            _support.row('model-2', 'domain-0', 20, failed=20),
+            _support.row('model-1', 'domain-1', 400),
+            _support.row('model-2', 'domain-1', 20),
+        )
+        judge: moves.Judge = moves.ThresholdJudge()
+        if sequential:
+            judge = moves.SequentialJudge(state.MoveSettings())
+        judged = judge.judge(rows, state.VersionName('model-2'), 1e-4)
+        assert judged.bad is not sequential
+
+    @pytest.mark.parametrize(
+        ('failed', 'slow', 'lost_targets', 'works_elsewhere', 'bad'),
+        (
+            (0, 1.0, (), True, False),
+            (1, 1.0, (), True, False),
+            (10, 1.0, (), True, True),
+            (0, 2.0, (), True, True),
+            (0, 1.1, (), True, False),
+            (0, 1.0, ('engine-1',), True, False),
+            (0, 1.0, ('engine-1',), False, True),
+            (0, 1.0, ('engine-1', 'engine-2'), True, True),
+        ),
+    )
+    def test_verdicts(
+        self,
+        failed: int,
+        slow: float,
+        lost_targets: tuple[str, ...],
+        works_elsewhere: bool,
+        bad: bool,
+    ) -> None:
+        """One lost target is a machine if the version works elsewhere."""
+        new = dataclasses.replace(
+            _support.row('model-2', 'domain-0', 60, failed, slow),
+            lost_count=20 if lost_targets else 0,
+            lost_targets=tuple(
+                state.TargetName(name) for name in lost_targets
+            ),
+        )
+        rows = [_support.row('model-1', 'domain-0', 1000, 1), new]
+        if works_elsewhere:
+            rows.append(_support.row('model-1', 'domain-1', 1000, 1))
+            rows.append(_support.row('model-2', 'domain-1', 60, slow=slow))
+        judge = moves.SequentialJudge(state.MoveSettings())
+        judged = judge.judge(tuple(rows), state.VersionName('model-2'), 1e-4)
+        assert judged.bad is bad
+
+    @pytest.mark.parametrize('controlled', (True, False))
+    def test_share_under_control(self, controlled: bool) -> None:
+        """Without an unjudged share a bad version gets half the traffic."""
+        settings = state.MoveSettings()
+        if not controlled:
+            settings = dataclasses.replace(
+                settings, shares=(0.5,), unjudged_share=0.5
+            )
+        world = fakes.MoveWorld(fakes.MoveWorldShape(settings=settings))
+        highest = 0.0
+        for _ in range(60):
+            world.tick()
+            _support.serve(world, failed=2)
+            for instance in world.instances.values():
+                share = instance.part.table.share('digest')
+                highest = max(highest, share)
+        record = world.record()
+        assert record is not None
+        assert record.verdict is state.MoveVerdict.BAD
+        assert (highest <= 0.05) is controlled
+
+
+class TestSuspicion:
+    """Guards against a version judged good because little is known of it."""
+
+    @pytest.mark.parametrize('held', (True, False))
+    def test_few_failed_attempts(self, held: bool) -> None:
+        """All of eight attempts failed, which proves nothing at a share of
+        one half, and yet the share must not rise.
+        """
+        settings = state.MoveSettings()
+        if not held:
+            settings = dataclasses.replace(settings, suspicion_probability=0.0)
+        rows = (
+            _support.row('model-1', 'domain-0', 8),
+            _support.row('model-2', 'domain-0', 8, failed=8),
+        )
+        judge = moves.SequentialJudge(settings)
+        judged = judge.judge(rows, state.VersionName('model-2'), 1e-4)
+        assert not judged.bad
+        assert judged.suspect is held
