--- a/packages/emulator/src/skylarktack/emulator/bench/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -8,8 +8,10 @@
 from skylarktack.emulator.bench import _configuration
 from skylarktack.emulator.bench import _figures
 from skylarktack.emulator.bench import _generation
+from skylarktack.emulator.bench import _lookup
 from skylarktack.emulator.bench import _membership
 from skylarktack.emulator.bench import _moves
+from skylarktack.emulator.bench import _once
 from skylarktack.emulator.bench import _relay
 
 #: Benchmarks by area, in the order in which ``all`` runs them.
@@ -19,6 +21,8 @@
     'configuration': _configuration.run,
     'moves': _moves.run,
     'membership': _membership.run,
+    'once': _once.run,
+    'lookup': _lookup.run,
 }
 
 
