--- a/packages/emulator/src/skylarktack/emulator/bench/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -7,8 +7,8 @@
 
 from skylarktack.emulator.bench import _configuration
 from skylarktack.emulator.bench import _figures
-from skylarktack.emulator.bench import _limits
 from skylarktack.emulator.bench import _generation
+from skylarktack.emulator.bench import _limits
 from skylarktack.emulator.bench import _lookup
 from skylarktack.emulator.bench import _membership
 from skylarktack.emulator.bench import _moves
