Let begun answers pass the load limit of targets

Cause: the limit of requests for each target, merged with routing, refused the failover of running generations: 258 of 500 answers ended with limit_reached after one of four engines was killed.

--- a/packages/coordination/src/skylarktack/coordination/generation/_runner.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_runner.py
@@ -254,6 +254,8 @@
                     prompt=request.prompt,
                     excluded=course.excluded,
                     avoided_domain=course.avoided_domain,
+                    continues=record.position > 0
+                    or request.resume is not None,
                 )
             )
             if chosen.is_ok():
--- a/packages/coordination/src/skylarktack/coordination/ports/_decisions.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/_decisions.py
@@ -33,6 +33,10 @@
     #: Failure domain to avoid if another one has room.
     avoided_domain: state.FailureDomain | None = None
 
+    #: Whether it continues an answer that has begun. Such a request goes
+    #: before new work and is not held back by the load of targets.
+    continues: bool = False
+
 
 class TargetSelector(Protocol):
     """Chooses the target of an attempt."""
--- a/packages/coordination/src/skylarktack/coordination/routing/_selector.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/_selector.py
@@ -139,7 +139,8 @@
         found = self._table.candidate(name, self._request.avoided_domain)
         if found is None or self._request.version not in found.target.versions:
             return None
-        if found.in_flight_count >= self._adaptive.limit(name):
+        is_full = found.in_flight_count >= self._adaptive.limit(name)
+        if is_full and not self._request.continues:
             self.full = True
             return None
         return found
--- a/packages/coordination/src/skylarktack/coordination/tests/test_routing.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_routing.py
@@ -320,6 +320,20 @@
         rig = Rig(state.RoutingSettings(concurrency_start_count=0))
         assert set(rig.chosen(5)) == {''}
 
+    def test_full_targets_take_answers_that_have_begun(self) -> None:
+        """The limit of targets never ends an answer after a failover."""
+        rig = Rig(state.RoutingSettings(concurrency_start_count=0))
+        found = rig.selector.assign(
+            ports.SelectionRequest(
+                state.RequestId('request-1'),
+                ROUTE,
+                state.OrganisationName('small'),
+                VERSION,
+                continues=True,
+            )
+        )
+        assert found.is_ok()
+
     def test_report_of_idle_target_draws_no_herd(self) -> None:
         """Instances that see one idle target do not all choose it."""
         rig = Rig(target_count=30)
--- a/packages/emulator/src/skylarktack/emulator/_caller_loop.py
+++ b/packages/emulator/src/skylarktack/emulator/_caller_loop.py
@@ -17,6 +17,10 @@
 PASSING_CODES = ('stopping', 'not_ready', 'no_target')
 
 
+#: Errors after which a caller who already holds tokens tries again.
+BUSY_CODES = ('limit_reached', 'queue_deadline')
+
+
 @dataclasses.dataclass(frozen=True)
 class ResumedAnswer:
     """What a caller received over as many connections as it took."""
@@ -69,9 +73,9 @@
             body = {**body, 'request_id': part.request_id}
         received.append(part)
         tokens.extend(part.tokens)
+        codes = PASSING_CODES + (BUSY_CODES if tokens else ())
         final = part.end is not None or (
-            part.error is not None
-            and part.error.get('code') not in PASSING_CODES
+            part.error is not None and part.error.get('code') not in codes
         )
         if final or time.monotonic() - last_s > GIVE_UP_S:
             return _joined(received)
