--- a/packages/emulator/src/skylarktack/emulator/bench/_generation_cost.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_generation_cost.py
@@ -85,6 +85,7 @@
         yield _figures.Figure(
             f'generation.cpu_{name}', value, 'us/token', seed, count
         )
+    yield from _alternatives(seed)
     record = state.GenerationRecord(state.RecordStart(_request(0)))
     record.append([b'token12 '] * TOKEN_COUNT)
     yield _figures.Figure(
@@ -96,6 +97,40 @@
     )
 
 
+def _alternatives(seed: int) -> Iterator[_figures.Figure]:
+    """Yield what each token costs for each place of the state."""
+    count = TOKEN_COUNT * ANSWER_COUNT
+    note = state.AttemptNote(
+        65_540, state.TargetName('engine-1'), state.VersionName('model-1'), 0
+    )
+    codec = protocol.PeerCodec(protocol.PEER_MESSAGES)
+    part = generation.GenerationPart(
+        known=True, tokens=('capacitor12 ',), position=100, attempt=note
+    )
+    started_s = time.process_time()
+    for _ in range(count):
+        codec.decode(codec.encode(protocol.Frame(part, 1)))
+    copied_s = time.process_time() - started_s
+    request = _request(0)
+    writer = protocol.EventIdSigner('secret').writer(
+        request.organisation, request.request_id
+    )
+    delivered = state.DeliveredText()
+    started_s = time.process_time()
+    for position in range(count):
+        digest = delivered.append(b'capacitor12 ')
+        writer.encode(position, 65_540, digest, note.target, note.version)
+    signed_s = time.process_time() - started_s
+    for name, used_s in (('peer_copy', copied_s), ('event_id', signed_s)):
+        yield _figures.Figure(
+            f'generation.cpu_{name}',
+            used_s / count * 1e6,
+            'us/token',
+            seed,
+            count,
+        )
+
+
 def _request(number: int) -> state.GenerationRequest:
     return state.GenerationRequest(
         request_id=state.RequestId(f'request-{number}'),
