--- a/packages/emulator/src/skylarktack/emulator/bench/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -8,15 +8,19 @@
 from skylarktack.emulator.bench import _configuration
 from skylarktack.emulator.bench import _figures
 from skylarktack.emulator.bench import _generation
+from skylarktack.emulator.bench import _limits
 from skylarktack.emulator.bench import _lookup
 from skylarktack.emulator.bench import _membership
 from skylarktack.emulator.bench import _moves
 from skylarktack.emulator.bench import _once
 from skylarktack.emulator.bench import _relay
+from skylarktack.emulator.bench import _routing
 
 #: Benchmarks by area, in the order in which ``all`` runs them.
 AREAS: dict[str, Callable[[int], Iterator[_figures.Figure]]] = {
     'relay': _relay.run,
+    'routing': _routing.run,
+    'limits': _limits.run,
     'generation': _generation.run,
     'configuration': _configuration.run,
     'moves': _moves.run,
