--- a/packages/protocol/src/skylarktack/protocol/tests/test_peer_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_peer_codec.py
@@ -1,12 +1,14 @@
 """Contract of the messages between entry instances."""
 
 import dataclasses
+import functools
 import json
 import pathlib
 from typing import Any
 
 import cbor2
 from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies
 import pytest
 
@@ -50,6 +52,7 @@
 }
 
 
+@functools.cache
 def codec() -> protocol.PeerCodec:
     """Return the codec of this release."""
     return protocol.PeerCodec(protocol.PEER_MESSAGES)
@@ -119,11 +122,13 @@
 class TestMalformedFrames:
     """Guards against bytes that raise instead of being refused."""
 
+    @settings(deadline=None)
     @given(strategies.binary(max_size=200))
     def test_random_bytes(self, data: bytes) -> None:
         """Random bytes are decoded to a fault."""
         assert codec().decode(data).is_error()
 
+    @settings(deadline=None)
     @given(strategies.data())
     def test_damaged_message(self, data: strategies.DataObject) -> None:
         """A message with one changed byte is a message or a fault."""
