Close the idlest short connection when too many are open

A replaced short connection was kept until it was idle, and its reader held a thread of the bounded pool. Requests to more peers than the pool has threads, such as a status query of the whole fleet, then had no reader and timed out. The idlest one without a pending request is closed at once now; if all have one, the new request fails as unreachable.

Measured: the new case fails without the change; the 70 cases of the part and the whole path pass.

--- a/packages/transport/src/skylarktack/transport/_peer_link.py
+++ b/packages/transport/src/skylarktack/transport/_peer_link.py
@@ -83,6 +83,12 @@
         """Whether new messages may be sent on it."""
         return not self._closed.is_set() and not self._retired.is_set()
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether a request waits for its answer."""
+        with self._pending_lock:
+            return bool(self._pending)
+
     @property
     def received_s(self) -> float:
         """Monotonic time at which the last frame arrived."""
--- a/packages/transport/src/skylarktack/transport/_peer_links.py
+++ b/packages/transport/src/skylarktack/transport/_peer_links.py
@@ -45,8 +45,7 @@
             if link.session.lasting:
                 return self._add_lasting(link)
             if link.session.initiated:
-                self._add_opened(link)
-                return True
+                return self._add_opened(link)
             self._draining.add(link)
             return True
 
@@ -138,16 +137,27 @@
         self._lasting[peer] = link
         return True
 
-    def _add_opened(self, link: _peer_link.PeerLink) -> None:
+    def _add_opened(self, link: _peer_link.PeerLink) -> bool:
         peer = link.session.peer
         old = self._opened.get(peer)
         if old is not None and old.is_usable:
             self._draining.add(link)
-            return
+            return True
         if old is not None:
             self._draining.add(old)
         elif len(self._opened) >= self._settings.connection_count * 2:
-            idlest = min(self._opened.values(), key=lambda one: one.used_s)
-            del self._opened[idlest.session.peer]
-            self._draining.add(idlest)
+            if not self._close_idlest():
+                self._metrics.count('peer.refused.crowded')
+                return False
         self._opened[peer] = link
+        return True
+
+    def _close_idlest(self) -> bool:
+        """Close a short connection without requests; False if all have."""
+        idle = [one for one in self._opened.values() if not one.has_pending]
+        if not idle:
+            return False
+        idlest = min(idle, key=lambda one: one.used_s)
+        del self._opened[idlest.session.peer]
+        idlest.close()
+        return True
--- a/packages/transport/src/skylarktack/transport/tests/test_peer_network.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_peer_network.py
@@ -236,6 +236,17 @@
         assert eventually(lambda: crowded.refused('crowded') == 1)
         assert len(crowded.network.neighbours()) == 2
 
+    def test_short_connections_are_bounded(
+        self, start: Callable[..., Peer]
+    ) -> None:
+        """Requests to more peers than may be connected all succeed."""
+        asking = start('asking', connection_count=1)
+        others = [start(f'other-{index}') for index in range(8)]
+        introduce(asking, *others)
+        for other in others:
+            answered = asking.network.request(other.network.name, RELAY, 5.0)
+            assert answered.is_ok()
+
     def test_restarted_peer(self, start: Callable[..., Peer]) -> None:
         """A peer that restarts under its name is connected again."""
         one, two = start('one'), start('two')
