Let the recent need of a limit fall within 2 s

Cause: an instance whose demand ended kept borrowed slots for 5 to 10 s. Change: the need decays with 2 s instead of 5 s.

--- a/packages/coordination/src/skylarktack/coordination/limits/_ledger.py
+++ b/packages/coordination/src/skylarktack/coordination/limits/_ledger.py
@@ -7,7 +7,7 @@
 from skylarktack.coordination.limits import _scopes
 
 #: Time in which a recent need falls to about a third.
-NEED_DECAY_S = 5.0
+NEED_DECAY_S = 2.0
 
 #: Room above the recent need that is kept or asked for.
 HEADROOM = 1.1
