--- a/packages/coordination/src/skylarktack/coordination/moves/_part.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_part.py
@@ -32,6 +32,14 @@
 #: cost in the whole fleet.
 FLEET_READS_PER_S = 150.0
 
+#: Time after its end for which the record of a move is kept once the
+#: configuration no longer holds the move. All records are read again and
+#: again, so they must not pile up.
+RECORD_RETENTION_S = 3600.0
+
+#: Time between two removals of old records.
+REMOVAL_INTERVAL_S = 60.0
+
 #: Longest wait of one watch.
 WATCH_WAIT_S = 10.0
 
@@ -183,10 +191,10 @@
                 continue
             failed = _failed_count(report, known.record.to_version)
             sent = self._sent.get(name, _SentReport(-math.inf, -1, 0))
-            due_s = sent.at_s + self._report_interval_s(report)
             urgent = sent.stage != report.stage or failed > sent.failed_count
-            if now_s < due_s and not urgent and not report.stopped:
-                continue
+            if not urgent and not report.stopped:
+                if now_s < sent.at_s + self._report_interval_s(report):
+                    continue
             self._sent[name] = _SentReport(now_s, report.stage, failed)
             outside.peers.send(holder, report)
 
@@ -207,11 +215,30 @@
         for known in self.table.all_known():
             if known.record.ended:
                 continue
-            expires_s = known.record.lease.expires_s
-            if now_s > expires_s + self._delay_s(known.record.name):
+            overdue_s = now_s - known.record.lease.expires_s
+            if overdue_s > 0 and overdue_s > self._delay_s(known.record.name):
                 found.append(known.record.name)
         return tuple(found)
 
+    def remove_old_records(self) -> None:
+        """Remove records of moves that ended and left the configuration."""
+        outside = self._outside
+        active = outside.configuration.current()
+        configured = {move.name for move in active.document.moves}
+        oldest_s = outside.clock.wall_s() - RECORD_RETENTION_S
+        for known in self.table.all_known():
+            record = known.record
+            if not record.ended or record.name in configured:
+                continue
+            if record.updated_s > oldest_s:
+                continue
+            if active.revision < record.configuration_revision:
+                continue
+            # One instance removes it; the others drop their copy.
+            if self._delay_s(record.name) == 0.0:
+                outside.store.delete(_codec.key_of(record.name), known.version)
+            self.table.forget(record.name)
+
     def _take(self, stored: state.StoredObject) -> None:
         decoded = self._outside.codec.decode(stored.value)
         if decoded.is_error():
@@ -247,8 +274,13 @@
 
     def _supervise(self) -> None:
         step_s = self._outside.settings.step_ms / 1000
+        removal_s = self._outside.clock.monotonic_s()
         while not self._outside.clock.wait(self._stopping, step_s):
             try:
+                now_s = self._outside.clock.monotonic_s()
+                if now_s >= removal_s + REMOVAL_INTERVAL_S:
+                    removal_s = now_s
+                    self.remove_old_records()
                 self.send_reports()
                 for name in self.free_moves():
                     self._drive_soon(name)
@@ -270,6 +302,7 @@
             if self.table.known(name) is None:
                 clock.wait(self._stopping, self._delay_s(name))
             while not self._stopping.is_set():
+                started_s = clock.monotonic_s()
                 reached = session.step()
                 if reached in (
                     _session.SessionState.WAITING,
@@ -277,7 +310,9 @@
                     _session.SessionState.ENDED,
                 ):
                     return
-                clock.wait(self._stopping, step_s)
+                # A step that waited for targets must not delay the renewal.
+                spent_s = clock.monotonic_s() - started_s
+                clock.wait(self._stopping, max(0.05, step_s - spent_s))
         except Exception:
             _LOG.exception('driving failed', move=name)
         finally:
