--- a/packages/emulator/src/skylarktack/emulator/bench/_limits.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_limits.py
@@ -25,6 +25,11 @@
 #: Fairness: organisations, slots, time of a request, time of one run.
 FAIR_ORGANISATION_COUNT = 10
 FAIR_SLOT_COUNT = 20
+
+#: Smallest organisations, with one request at a time each. One alone gives
+#: fewer than a hundred samples, whose 99th percentile is their maximum.
+FAIR_SMALL_COUNT = 4
+
 FAIR_SERVICE_S = 0.03
 FAIR_RUN_S = 4.0
 
@@ -60,7 +65,7 @@
 
 
 def _small_p99_ms(large_count: int) -> tuple[float, int]:
-    """Return the smallest organisation's p99 and its number of requests."""
+    """Return the p99 of the smallest organisations and their requests."""
     route = _route(FAIR_SLOT_COUNT)
     clock = ports.SystemClock()
     book = _limit_shares.book(
@@ -91,14 +96,19 @@
         threads.append(
             threading.Thread(target=_work, args=('large', 0.0, False))
         )
-    for number in range(FAIR_ORGANISATION_COUNT - 2):
+    for number in range(FAIR_ORGANISATION_COUNT - 1 - FAIR_SMALL_COUNT):
         for _ in range(2):
             threads.append(
                 threading.Thread(
                     target=_work, args=(f'middle-{number}', 0.002, False)
                 )
             )
-    threads.append(threading.Thread(target=_work, args=('small', 0.01, True)))
+    for number in range(FAIR_SMALL_COUNT):
+        threads.append(
+            threading.Thread(
+                target=_work, args=(f'small-{number}', 0.01, True)
+            )
+        )
     for thread in threads:
         thread.start()
     for thread in threads:
