--- a/packages/coordination/src/skylarktack/coordination/lookup/_runner.py
+++ b/packages/coordination/src/skylarktack/coordination/lookup/_runner.py
@@ -176,7 +176,11 @@
         settings = self._parts.settings
         p95_ms = self._latencies.p95_ms(work.call.route.name)
         if p95_ms is None:
-            p95_ms = settings.hedge_initial_ms
+            # A short time limit must leave room for the hedge's answer.
+            p95_ms = min(
+                settings.hedge_initial_ms,
+                work.call.route.call_timeout_ms / 4,
+            )
         due_s = work.open[0].started_s + (
             max(settings.hedge_floor_ms, p95_ms) / 1000
         )
