--- a/packages/emulator/src/skylarktack/emulator/bench/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import signal
+from types import FrameType
 
 import fire
 
@@ -36,6 +38,7 @@
     :param area: one of the areas, or ``all``.
     :param seed: seed of all random choices.
     """
+    signal.signal(signal.SIGTERM, _interrupt)
     for name, measure in AREAS.items():
         if area not in ('all', name):
             continue
@@ -43,5 +46,11 @@
             print(figure.to_json(), flush=True)
 
 
+def _interrupt(number: int, frame: FrameType | None) -> None:
+    # Deployments end their processes on the way out; the default action
+    # would leave them behind.
+    raise KeyboardInterrupt
+
+
 if __name__ == '__main__':
     fire.Fire(run)
