--- a/packages/emulator/src/skylarktack/emulator/bench/_lookup.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_lookup.py
@@ -25,6 +25,9 @@
 #: Generations that run alongside.
 GENERATION_COUNT = 500
 
+#: Longest silence of a generation that the benchmark waits for.
+READ_TIMEOUT_S = 15.0
+
 _KEY = emulator.organisation_key('large')
 _PLAIN = {'lookup': {'hedges': False, 'ejects': False}}
 
@@ -266,7 +269,9 @@
 def _read_stream(
     address: state.Address, index: int, stopping: threading.Event
 ) -> None:
-    connection = _connect(address)
+    connection = http.client.HTTPConnection(
+        address.host, address.port, timeout=READ_TIMEOUT_S
+    )
     body = f'{{"prompt": "stream {index}", "max_tokens": 100000}}'
     connection.request(
         'POST',
@@ -274,8 +279,13 @@
         body,
         {'Authorization': f'Bearer {_KEY}'},
     )
-    response = connection.getresponse()
-    while not stopping.is_set():
-        if not response.read1(65_536):
-            break
-    connection.close()
+    try:
+        response = connection.getresponse()
+        while not stopping.is_set():
+            if not response.read1(65_536):
+                break
+    except OSError:
+        # A stream without data must not hold the benchmark.
+        return
+    finally:
+        connection.close()
--- a/packages/emulator/src/skylarktack/emulator/bench/_relay.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_relay.py
@@ -69,7 +69,9 @@
                 'caller': {
                     'thread_count': stream_count + 16,
                     'generation_count': stream_count,
-                }
+                },
+                # The engines' slots are enough for all streams at once.
+                'routing': {'concurrency_start_count': stream_count},
             },
         )
         with emulator.Deployment(shape) as deployment:
