Read all tokens that have arrived at once and rest waiting threads

Change: streams are requested by HTTP/1.0, whose body is read as it comes; the switch interval is 100 ms.

--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -15,12 +15,18 @@
 #: Exit code for settings that were rejected.
 EXIT_INVALID_SETTINGS = 2
 
+#: Longest run of a thread while others wait. Each waiting thread wakes once
+#: in this time, which with hundreds of streams took most of a core at the
+#: default of 5 ms; the threads give way at each read and write anyway.
+SWITCH_INTERVAL_S = 0.1
+
 
 def run(settings: str) -> None:
     """Run one entry instance until it is told to stop.
 
     :param settings: path of the settings file, JSON with comments.
     """
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     transport.configure_logs()
     text = pathlib.Path(settings).read_text(encoding='utf-8')
     decoded = protocol.decode_settings(text)
--- a/packages/emulator/src/skylarktack/emulator/_engine.py
+++ b/packages/emulator/src/skylarktack/emulator/_engine.py
@@ -134,7 +134,10 @@
         opened_s = time.monotonic()
         self.send_response(200)
         self.send_header('Content-Type', 'text/event-stream')
-        self.send_header('Transfer-Encoding', 'chunked')
+        if self._is_chunked():
+            self.send_header('Transfer-Encoding', 'chunked')
+        else:
+            self.close_connection = True
         self.end_headers()
         self._chunk(
             protocol.encode_stream_event(
@@ -181,10 +184,10 @@
                 if self.server.model.faults.close_after_count:
                     self.drop_connection()
                     return
-                self.wfile.write(b'0\r\n\r\n')
+                self._end_chunks()
                 return
             if done:
-                self.wfile.write(b'0\r\n\r\n')
+                self._end_chunks()
                 return
 
     def _tokens(
@@ -225,5 +228,16 @@
                 )
         return b''.join(parts), False
 
+    def _is_chunked(self) -> bool:
+        # HTTP/1.0 knows no chunks; the end of the connection ends the body.
+        return self.request_version != 'HTTP/1.0'
+
+    def _end_chunks(self) -> None:
+        if self._is_chunked():
+            self.wfile.write(b'0\r\n\r\n')
+
     def _chunk(self, data: bytes) -> None:
+        if not self._is_chunked():
+            self.wfile.write(data)
+            return
         self.wfile.write(b'%x\r\n%b\r\n' % (len(data), data))
--- a/packages/transport/src/skylarktack/transport/_engine_client.py
+++ b/packages/transport/src/skylarktack/transport/_engine_client.py
@@ -23,8 +23,7 @@
     def __init__(self, opened: _http_client.OpenResponse) -> None:
         self._connection = opened.connection
         self._response = opened.response
-        # The response may have taken the socket over from the connection.
-        self._socket = opened.connection.sock
+        self._socket = opened.socket
         self._timeout_s = -1.0
         self._decoder = protocol.StreamDecoder()
 
@@ -59,6 +58,7 @@
         """Close the connection; safe to call twice and from any thread."""
         self._response.close()
         self._connection.close()
+        self._socket.close()
 
 
 class HttpEngineClient:
@@ -140,7 +140,13 @@
         timeout_s: float,
     ) -> Result[ports.TokenStream, ports.StreamFault]:
         opened = _http_client.open_http_response(
-            target.address, method, path, body, _JSON, timeout_s
+            target.address,
+            method,
+            path,
+            body,
+            _JSON,
+            timeout_s,
+            streamed=True,
         )
         if opened.is_error():
             return Error(_from_http(opened.error))
--- a/packages/transport/src/skylarktack/transport/_http_client.py
+++ b/packages/transport/src/skylarktack/transport/_http_client.py
@@ -62,6 +62,10 @@
     #: The response.
     response: http.client.HTTPResponse
 
+    #: Socket of the connection, which gives it up to a response that ends
+    #: with the connection.
+    socket: socket.socket
+
 
 class OpenConnections:
     """Connections of waiting calls, so that a stop can end them."""
@@ -104,6 +108,18 @@
         return
 
 
+class StreamConnection(http.client.HTTPConnection):
+    """A connection for one streamed response, by HTTP/1.0.
+
+    Without chunked coding one read returns everything that has arrived,
+    rather than one chunk, and no chunk has to be parsed. The engines' end
+    event tells a whole stream from one that broke off.
+    """
+
+    _http_vsn = 10
+    _http_vsn_str = 'HTTP/1.0'
+
+
 def open_http_response(
     address: state.Address,
     method: str,
@@ -112,14 +128,15 @@
     headers: Mapping[str, str],
     timeout_s: float,
     connections: OpenConnections | None = None,
+    streamed: bool = False,
 ) -> Result[OpenResponse, HttpFault]:
     """Send a request on a new connection and read the response's head.
 
     :param connections: where the connection is entered while it waits.
+    :param streamed: whether the body is read as it arrives.
     """
-    connection = http.client.HTTPConnection(
-        address.host, address.port, timeout=timeout_s
-    )
+    kind = StreamConnection if streamed else http.client.HTTPConnection
+    connection = kind(address.host, address.port, timeout=timeout_s)
     try:
         connection.connect()
     except OSError as error:
@@ -127,6 +144,7 @@
         return Error(
             HttpFault(False, isinstance(error, TimeoutError), str(error))
         )
+    connected = connection.sock
     if connections is not None:
         connections.add(connection)
     try:
@@ -140,7 +158,7 @@
     finally:
         if connections is not None:
             connections.remove(connection)
-    return Ok(OpenResponse(connection, response))
+    return Ok(OpenResponse(connection, response, connected))
 
 
 def http_call(
