Keep the environment when an earlier commit is measured

Cause: the earlier commit's checkout is newer than the stamp of the shared environment, so its make would have reinstalled the packages from there. Change: the stamp is given as old.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,8 @@
 	test -n "$(BASE)" || { echo "give BASE=<commit>"; exit 2; }
 	rm -rf build/base && git worktree prune
 	git worktree add --quiet --detach build/base $(BASE)
-	-$(MAKE) -C build/base VENV=$(abspath $(VENV)) AREA=$(AREA) bench \
+	-$(MAKE) -C build/base -o $(abspath $(STAMP)) VENV=$(abspath $(VENV)) \
+		AREA=$(AREA) bench \
 		> build/base.jsonl
 	git worktree remove --force build/base
 	-$(MAKE) AREA=$(AREA) bench > build/now.jsonl
