Measure the cost of generations without gathering

Cause: the bench of the cost reads a stream that is always ready, so each read waited 20 ms and the area did not end in 100 s. Change: the bench sets the gather time to 0.

--- a/packages/emulator/src/skylarktack/emulator/bench/_generation_cost.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_generation_cost.py
@@ -198,7 +198,8 @@
     )
     engines = _ReadyEngines(fakes.SteppingClock(), lambda prompt, at: '', seed)
     parts = generation.GenerationParts(
-        settings=state.GenerationSettings(),
+        # The stream is always ready, so gathering would only add waits.
+        settings=state.GenerationSettings(gather_ms=0),
         engines=engines,
         selector=selector,
         retry_budget=limits.OrganisationRetryBudget(
