--- a/packages/emulator/src/skylarktack/emulator/bench/plots.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/plots.py
@@ -10,19 +10,22 @@
 
 from matplotlib import pyplot  # noqa: E402  the backend is chosen first
 
-#: Plots by file name: title, axis label and prefix of the figures' names.
-PLOTS: dict[str, tuple[str, str, str]] = {
+#: Plots by file name: title, axis label, prefix of the figures' names and a
+#: part that the names must contain.
+PLOTS: dict[str, tuple[str, str, str, str]] = {
     'resume_pause.png': (
         'Resume pause seen by callers',
         'ms',
-        'generation.pause',
+        'generation.',
+        '.pause_',
     ),
     'control_cost.png': (
-        'Control cost by number of instances',
-        'value',
+        'Control traffic by number of instances',
+        'bytes/s',
         'membership.',
+        'bytes_with_headers_',
     ),
-    'move_outcomes.png': ('Outcomes of moves', 'share', 'moves.'),
+    'move_outcomes.png': ('Outcomes of moves', 'share', 'moves.', ''),
 }
 
 
@@ -36,8 +39,11 @@
     found = [json.loads(line) for line in lines if line.startswith('{')]
     target = pathlib.Path(folder)
     target.mkdir(parents=True, exist_ok=True)
-    for name, (title, label, prefix) in PLOTS.items():
-        chosen = [one for one in found if one['name'].startswith(prefix)]
+    for name, (title, label, prefix, part) in PLOTS.items():
+        chosen: list[dict[str, object]] = []
+        for one in found:
+            if one['name'].startswith(prefix) and part in one['name']:
+                chosen.append(one)
         if not chosen:
             continue
         _draw_bars(chosen, title, label, target / name)
