--- a/packages/emulator/src/skylarktack/emulator/bench/_lookup.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_lookup.py
@@ -14,6 +14,7 @@
 from skylarktack import emulator
 from skylarktack import state
 from skylarktack.emulator.bench import _figures
+from skylarktack.emulator.bench import _streams
 
 #: Lookups of each measurement.
 LOOKUP_COUNT = 1000
@@ -25,9 +26,6 @@
 #: Generations that run alongside.
 GENERATION_COUNT = 500
 
-#: Longest silence of a generation that the benchmark waits for.
-READ_TIMEOUT_S = 15.0
-
 _KEY = emulator.organisation_key('large')
 _PLAIN = {'lookup': {'hedges': False, 'ejects': False}}
 
@@ -249,11 +247,12 @@
 def _generations(deployment: emulator.Deployment) -> Iterator[None]:
     """Keep many generations running."""
     stopping = threading.Event()
+    counts = [0] * GENERATION_COUNT
     readers: list[threading.Thread] = []
     for index in range(GENERATION_COUNT):
         reader = threading.Thread(
-            target=_read_stream,
-            args=(deployment.instances[0].address, index, stopping),
+            target=_streams.read_stream,
+            args=(deployment.instances[0].address, index, counts, stopping),
         )
         reader.start()
         readers.append(reader)
@@ -264,28 +263,3 @@
         stopping.set()
         for reader in readers:
             reader.join()
-
-
-def _read_stream(
-    address: state.Address, index: int, stopping: threading.Event
-) -> None:
-    connection = http.client.HTTPConnection(
-        address.host, address.port, timeout=READ_TIMEOUT_S
-    )
-    body = f'{{"prompt": "stream {index}", "max_tokens": 100000}}'
-    connection.request(
-        'POST',
-        '/v1/generate/digest',
-        body,
-        {'Authorization': f'Bearer {_KEY}'},
-    )
-    try:
-        response = connection.getresponse()
-        while not stopping.is_set():
-            if not response.read1(65_536):
-                break
-    except OSError:
-        # A stream without data must not hold the benchmark.
-        return
-    finally:
-        connection.close()
--- a/packages/emulator/src/skylarktack/emulator/bench/_relay.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_relay.py
@@ -10,23 +10,21 @@
 from skylarktack import emulator
 from skylarktack import state
 from skylarktack.emulator.bench import _figures
+from skylarktack.emulator.bench import _streams
 
 #: Share of one of 340 instances in 3 million tokens a second.
 TARGET_TOKENS_PER_S = 8800
 
-#: Longest silence that a reader of the benchmark waits for.
-READ_TIMEOUT_S = 20.0
-
 _KEY = emulator.organisation_key('large')
 
 
 def run(seed: int) -> Iterator[_figures.Figure]:
     """Yield the figures of the area ``relay``."""
-    yield from _lookups(seed)
-    yield from _streams(seed)
+    yield from _lookup_figures(seed)
+    yield from _stream_figures(seed)
 
 
-def _lookups(seed: int) -> Iterator[_figures.Figure]:
+def _lookup_figures(seed: int) -> Iterator[_figures.Figure]:
     shape = emulator.DeploymentShape(instance_count=1, engine_count=1)
     count = 400
     with emulator.Deployment(shape) as deployment:
@@ -58,7 +56,7 @@
     return (time.perf_counter() - started_s) * 1000
 
 
-def _streams(seed: int) -> Iterator[_figures.Figure]:
+def _stream_figures(seed: int) -> Iterator[_figures.Figure]:
     for stream_count, step_ms in ((64, 7.0), (640, 68.0)):
         shape = emulator.DeploymentShape(
             instance_count=1,
@@ -109,7 +107,8 @@
     readers: list[threading.Thread] = []
     for index in range(stream_count):
         reader = threading.Thread(
-            target=_read_stream, args=(address, index, counts, stopping)
+            target=_streams.read_stream,
+            args=(address, index, counts, stopping),
         )
         reader.start()
         readers.append(reader)
@@ -126,33 +125,3 @@
     for reader in readers:
         reader.join()
     return token_count / elapsed_s, cpu_s / elapsed_s
-
-
-def _read_stream(
-    address: state.Address,
-    index: int,
-    counts: list[int],
-    stopping: threading.Event,
-) -> None:
-    connection = http.client.HTTPConnection(
-        address.host, address.port, timeout=READ_TIMEOUT_S
-    )
-    body = f'{{"prompt": "stream {index}", "max_tokens": 100000}}'
-    connection.request(
-        'POST',
-        '/v1/generate/digest',
-        body,
-        {'Authorization': f'Bearer {_KEY}'},
-    )
-    try:
-        response = connection.getresponse()
-        while not stopping.is_set():
-            data = response.read1(65_536)
-            if not data:
-                break
-            counts[index] += data.count(b'id: ')
-    except OSError:
-        # A stream without data ends the count of this reader.
-        return
-    finally:
-        connection.close()
