--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
@@ -0,0 +1,203 @@
+"""Following of the store: a list, then watches, for each kind of object."""
+
+import dataclasses
+import enum
+import random
+import threading
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.ports import Clock
+
+T = TypeVar('T')
+C = TypeVar('C', contravariant=True)
+
+#: First and longest wait after a call to the store failed. A store that is
+#: back has to be noticed well within the time that a change may take.
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.6
+
+
+class StoreFaultKind(enum.Enum):
+    """How a call to the store failed."""
+
+    #: No answer, or an answer that says to come back.
+    UNAVAILABLE = 'unavailable'
+
+    #: The history after the revision is gone; list again.
+    HISTORY_GONE = 'history_gone'
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreFault:
+    """A call to the store failed."""
+
+    #: How.
+    kind: StoreFaultKind
+
+    #: Cause, for logs.
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Listing(Generic[T]):
+    """All objects of one kind at one revision."""
+
+    #: The objects.
+    items: tuple[T, ...]
+
+    #: Revision of the store.
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes(Generic[T]):
+    """Changes of one kind after one revision; empty if there was none."""
+
+    #: The changes in order.
+    items: tuple[T, ...]
+
+    #: Revision up to which they are complete.
+    revision: int
+
+
+class KindReader(Protocol[T]):
+    """Reads objects of one kind from the store."""
+
+    def list_all(self) -> Listing[T] | StoreFault:
+        """Return all objects."""
+        ...
+
+    def watch(self, revision: int, wait_s: float) -> Changes[T] | StoreFault:
+        """Return the changes after a revision as soon as there are any."""
+        ...
+
+
+class KindBelief(Protocol[C]):
+    """Takes over what the store says of one kind."""
+
+    def replace(self, items: tuple[C, ...], after_outage: bool) -> None:
+        """Take over a whole list."""
+        ...
+
+    def apply(self, items: tuple[C, ...]) -> None:
+        """Take over changes."""
+        ...
+
+    def confirm(self) -> None:
+        """Note that the store just answered."""
+        ...
+
+    def doubt(self) -> None:
+        """Note that the store could not be asked."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class FollowSettings:
+    """How one kind is followed."""
+
+    #: Name of the kind, for logs.
+    name: str
+
+    #: Longest time that one watch waits for a change.
+    watch_wait_s: float
+
+    #: Pause between two watches, which gathers changes into one call.
+    gather_s: float
+
+
+class Follower(Generic[T]):
+    """Keeps one kind up to date; run it as a task of its own."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        reader: KindReader[T],
+        belief: KindBelief[T],
+        log: _ports.BeliefLog,
+        settings: FollowSettings,
+    ) -> None:
+        self._clock = clock
+        self._reader = reader
+        self._belief = belief
+        self._log = log
+        self._settings = settings
+        self._stopped = threading.Event()
+        self._failing_since_s: float | None = None
+        self._retry_s = FIRST_RETRY_S
+
+    def stop(self) -> None:
+        """Let the task end after its current call."""
+        self._stopped.set()
+
+    def run(self) -> None:
+        """Follow the kind until told to stop."""
+        revision: int | None = None
+        is_first = True
+        while not self._stopped.is_set():
+            if revision is None:
+                revision = self._list(is_first)
+                is_first = is_first and revision is None
+                continue
+            revision = self._watch(revision)
+
+    def _list(self, is_first: bool) -> int | None:
+        answer = self._reader.list_all()
+        if isinstance(answer, StoreFault):
+            self._take_fault(answer)
+            return None
+        was_out = self._failing_since_s is not None
+        self._take_success()
+        self._belief.replace(answer.items, was_out and not is_first)
+        self._belief.confirm()
+        return answer.revision
+
+    def _watch(self, revision: int) -> int | None:
+        answer = self._reader.watch(revision, self._settings.watch_wait_s)
+        if isinstance(answer, StoreFault):
+            if answer.kind is StoreFaultKind.HISTORY_GONE:
+                self._log.record(
+                    'store',
+                    'the history is gone; listing again',
+                    kind=self._settings.name,
+                )
+                return None
+            self._take_fault(answer)
+            # What expired during an outage may come back; only a list tells
+            # it from what left.
+            return None
+        self._take_success()
+        self._belief.apply(answer.items)
+        self._belief.confirm()
+        if answer.items and self._settings.gather_s > 0:
+            self._clock.wait(self._stopped, self._settings.gather_s)
+        return answer.revision
+
+    def _take_fault(self, fault: StoreFault) -> None:
+        self._belief.doubt()
+        if self._failing_since_s is None:
+            self._failing_since_s = self._clock.monotonic_s()
+            self._log.record(
+                'store',
+                'the store is lost',
+                kind=self._settings.name,
+                cause=fault.detail,
+            )
+        jitter = 0.5 + random.random() / 2
+        self._clock.wait(self._stopped, self._retry_s * jitter)
+        self._retry_s = min(LONGEST_RETRY_S, self._retry_s * 2)
+
+    def _take_success(self) -> None:
+        if self._failing_since_s is not None:
+            out_s = self._clock.monotonic_s() - self._failing_since_s
+            self._log.record(
+                'store',
+                'the store is back',
+                kind=self._settings.name,
+                after_ms=round(out_s * 1000),
+            )
+        self._failing_since_s = None
+        self._retry_s = FIRST_RETRY_S
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -0,0 +1,257 @@
+"""Admission of requests: configuration, route, key, deadline, outcome."""
+
+import dataclasses
+import random
+import threading
+from typing import Protocol
+
+from skylarktack.coordination.forwarding import _beliefs
+from skylarktack.coordination.forwarding import _calls
+from skylarktack.coordination.forwarding import _outcomes
+from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _routes
+from skylarktack.coordination.forwarding import _streams
+from skylarktack.coordination.forwarding import _work
+from skylarktack.coordination.ports import Clock
+from skylarktack.state import forwarding as data
+
+#: When a caller may come back to an instance that knows no configuration,
+#: or whose configuration may be outdated.
+UNKNOWN_RETRY_AFTER_S = 0.3
+
+#: When a caller may come back after an instance that stops.
+STOPPING_RETRY_AFTER_S = 0.05
+
+#: After the order to stop, streams are still accepted for this time, since
+#: the balancer sends new connections until it has noticed.
+STOPPING_ACCEPT_S = 0.3
+
+Outcome = _outcomes.StreamOutcome
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestReport:
+    """A request that has ended, with all that was decided about it."""
+
+    #: The request.
+    request: data.FrontRequest
+
+    #: Name of its route, or None.
+    route: str | None
+
+    #: Kind of its route, or None.
+    kind: data.RequestKind | None
+
+    #: Organisation of its caller, or None.
+    organisation: str | None
+
+    #: Version of the configuration that was in force, or None.
+    configuration_version: int | None
+
+    #: Whether the store had confirmed that version lately.
+    is_configuration_current: bool
+
+    #: How it ended.
+    outcome: Outcome
+
+    #: Time that it took.
+    duration_ms: float
+
+    #: All decisions.
+    steps: tuple[_outcomes.RequestStep, ...]
+
+
+class RequestObserver(Protocol):
+    """Learns how requests ended."""
+
+    def ended(self, report: RequestReport) -> None:
+        """Take one report without waiting."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewayParts:
+    """What the gateway is made of."""
+
+    #: Source of time.
+    clock: Clock
+
+    #: Configuration in force.
+    configuration: _beliefs.ConfigurationHolder
+
+    #: Forwards calls.
+    calls: _calls.CallForwarder
+
+    #: Forwards streams.
+    streams: _streams.StreamForwarder
+
+    #: Learns how requests ended.
+    observer: RequestObserver
+
+
+@dataclasses.dataclass(frozen=True)
+class _Admitted:
+    """Route, service and organisation of a request."""
+
+    route: data.ForwardingRoute
+    service: str
+    has_standby_copies: bool
+    organisation: str | None
+
+
+class Gateway:
+    """Decides what becomes of each request."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+        self._clock = parts.clock
+        self._stop_ordered_at_s: float | None = None
+        self._lock = threading.Lock()
+        self._active_count = 0
+        self._is_idle = threading.Condition(self._lock)
+
+    def limits(self) -> data.FrontLimits:
+        """Return the limits on callers that are in force."""
+        table = self._parts.configuration.table
+        if table is None:
+            return data.FrontLimits()
+        return table.configuration.limits
+
+    def order_stop(self) -> None:
+        """Accept no long work from now on."""
+        self._stop_ordered_at_s = self._clock.monotonic_s()
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the instance was told to stop."""
+        return self._stop_ordered_at_s is not None
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no request is in progress; return whether so."""
+        with self._is_idle:
+            return self._is_idle.wait_for(
+                lambda: self._active_count == 0, timeout_s
+            )
+
+    def handle(
+        self, request: data.FrontRequest, caller: _ports.Caller
+    ) -> Outcome:
+        """Forward one request and return how it ended."""
+        started_at_s = self._clock.monotonic_s()
+        notes = _outcomes.RequestNotes(started_at_s)
+        table = self._parts.configuration.table
+        is_current = self._parts.configuration.is_current()
+        with self._lock:
+            self._active_count += 1
+        admitted = self._admit(table, is_current, request)
+        route = organisation = None
+        try:
+            if isinstance(admitted, data.Refusal):
+                outcome: Outcome = admitted
+            else:
+                route = admitted.route
+                organisation = admitted.organisation
+                outcome = self._forward(
+                    admitted, request, caller, started_at_s, notes
+                )
+        finally:
+            with self._is_idle:
+                self._active_count -= 1
+                self._is_idle.notify_all()
+        self._parts.observer.ended(
+            RequestReport(
+                request=request,
+                route=route.name if route else None,
+                kind=route.kind if route else None,
+                organisation=organisation,
+                configuration_version=(
+                    None if table is None else table.configuration.version
+                ),
+                is_configuration_current=is_current,
+                outcome=outcome,
+                duration_ms=1000 * (self._clock.monotonic_s() - started_at_s),
+                steps=tuple(notes.steps),
+            )
+        )
+        return outcome
+
+    def _admit(
+        self,
+        table: _routes.RouteTable | None,
+        is_current: bool,
+        request: data.FrontRequest,
+    ) -> _Admitted | data.Refusal:
+        if table is None:
+            return _unsure('no configuration is known yet')
+        route = table.find_route(request.host, request.path)
+        if route is None:
+            if not is_current:
+                return _unsure('the route may be newer')
+            return data.Refusal(data.RefusalReason.NO_ROUTE)
+        organisation = None
+        if table.needs_key(route):
+            holder = table.find_organisation(request.key or '')
+            if holder is None:
+                if not is_current:
+                    return _unsure('the key may be newer')
+                return data.Refusal(data.RefusalReason.UNKNOWN_KEY)
+            organisation = holder.organisation
+        service = _routes.choose_service(route, random.random)
+        if service is None:
+            return data.Refusal(
+                data.RefusalReason.NO_TARGET,
+                UNKNOWN_RETRY_AFTER_S,
+                'the route has no service',
+            )
+        if self._refuses_while_stopping(route):
+            return data.Refusal(
+                data.RefusalReason.STOPPING, STOPPING_RETRY_AFTER_S
+            )
+        description = table.find_service(service)
+        engine = None if description is None else description.engine
+        return _Admitted(
+            route,
+            service,
+            engine is not None and engine.has_standby_copies,
+            organisation,
+        )
+
+    def _refuses_while_stopping(self, route: data.ForwardingRoute) -> bool:
+        if self._stop_ordered_at_s is None:
+            return False
+        if route.kind is not data.RequestKind.STREAM:
+            return False
+        now_s = self._clock.monotonic_s()
+        return now_s > self._stop_ordered_at_s + STOPPING_ACCEPT_S
+
+    def _forward(
+        self,
+        admitted: _Admitted,
+        request: data.FrontRequest,
+        caller: _ports.Caller,
+        started_at_s: float,
+        notes: _outcomes.RequestNotes,
+    ) -> Outcome:
+        limit_ms = admitted.route.timeout_ms
+        if request.time_limit_ms is not None:
+            limit_ms = min(limit_ms, request.time_limit_ms)
+        work = _work.Work(
+            request=request,
+            route=admitted.route,
+            service=admitted.service,
+            has_standby_copies=admitted.has_standby_copies,
+            organisation=admitted.organisation,
+            caller=caller,
+            started_at_s=started_at_s,
+            deadline_s=started_at_s + limit_ms / 1000,
+            notes=notes,
+        )
+        if admitted.route.kind is data.RequestKind.STREAM:
+            return self._parts.streams.run(work)
+        return self._parts.calls.run(work)
+
+
+def _unsure(detail: str) -> data.Refusal:
+    return data.Refusal(
+        data.RefusalReason.NO_CONFIGURATION, UNKNOWN_RETRY_AFTER_S, detail
+    )
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -0,0 +1,381 @@
+"""Known targets, the evidence about each, and the choice among them."""
+
+import dataclasses
+import hashlib
+import math
+import threading
+
+from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.ports import Clock
+from skylarktack.state import forwarding as data
+
+#: Weight of the newest sample in the means of latency and errors.
+SAMPLE_WEIGHT = 0.2
+
+#: A mean without a new sample for this time no longer counts.
+SAMPLE_LIFETIME_S = 3.0
+
+#: Latency that is assumed of a target without samples.
+DEFAULT_LATENCY_MS = 25.0
+
+#: Disadvantage of a target in another failure domain.
+REMOTE_PENALTY_MS = 4.0
+
+#: Factor on the expected latency of a target whose answers are all errors.
+ERROR_PENALTY = 6.0
+
+#: First and longest time for which a target that failed is passed over.
+EJECTION_S = 0.5
+LONGEST_EJECTION_S = 4.0
+
+#: Time for which a target that is no longer at its address is passed over.
+#: Its entry goes after at most three intervals of its heartbeat.
+MISDIRECTED_EJECTION_S = 5.0
+
+#: Failed targets of one failure domain within this time that put the other
+#: targets of the domain behind those of other domains.
+DOMAIN_LOSS_COUNT = 2
+DOMAIN_LOSS_WINDOW_S = 0.6
+DOMAIN_DOUBT_S = 1.2
+
+#: Age at which a reported load no longer counts.
+LOAD_LIFETIME_S = 1.0
+
+#: After the store returns, entries that expired meanwhile come back within
+#: this time if their target lives.
+LAPSE_GRACE_S = 2.2
+
+
+@dataclasses.dataclass
+class _Evidence:
+    """What this instance has seen of one target."""
+
+    in_flight_count: int = 0
+    latency_ms: float = 0.0
+    error_share: float = 0.0
+    sampled_at_s: float = -math.inf
+    failure_count: int = 0
+    ejected_until_s: float = -math.inf
+    load: data.TargetLoad | None = None
+    load_at_s: float = -math.inf
+
+
+@dataclasses.dataclass(frozen=True)
+class EnginePair:
+    """Engines for one run: where it runs and where its copy lies."""
+
+    #: The engine that runs it.
+    primary: data.ListedTarget
+
+    #: The engine that keeps a copy of its memory, or None.
+    standby: data.ListedTarget | None
+
+
+class TargetTable:
+    """Targets of all services with the evidence of this instance."""
+
+    def __init__(
+        self, clock: Clock, log: _ports.BeliefLog, failure_domain: str
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._failure_domain = failure_domain
+        self._lock = threading.Lock()
+        self._targets: dict[str, data.ListedTarget] = {}
+        self._evidence: dict[str, _Evidence] = {}
+        self._lapsed: dict[str, float] = {}
+        self._lapse_grace_until_s = -math.inf
+        self._domain_losses: dict[tuple[str, str], list[float]] = {}
+        self._doubted_domains: dict[tuple[str, str], float] = {}
+        self.is_known = threading.Event()
+
+    def replace(
+        self, targets: tuple[data.ListedTarget, ...], after_outage: bool
+    ) -> None:
+        """Take over a whole list.
+
+        :param after_outage: whether entries may be missing only because
+            they expired while the store was away.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            if after_outage:
+                self._lapse_grace_until_s = now_s + LAPSE_GRACE_S
+            listed = {target.name for target in targets}
+            for target in targets:
+                self._put(target)
+            for name in list(self._targets):
+                if name not in listed:
+                    self._remove(name, now_s)
+        self.is_known.set()
+
+    def apply(self, change: data.TargetChange) -> None:
+        """Take over one change."""
+        with self._lock:
+            if change.target is not None:
+                self._put(change.target)
+            elif change.name in self._targets:
+                self._remove(change.name, self._clock.monotonic_s())
+
+    def find(self, name: str) -> data.ListedTarget | None:
+        """Return a target by name."""
+        return self._targets.get(name)
+
+    def begin(self, target: data.ListedTarget) -> None:
+        """Note that a request is sent to the target."""
+        with self._lock:
+            self._of(target).in_flight_count += 1
+
+    def end(self, target: data.ListedTarget) -> None:
+        """Note that a request at the target has ended."""
+        with self._lock:
+            evidence = self._evidence.get(target.name)
+            if evidence is not None and evidence.in_flight_count > 0:
+                evidence.in_flight_count -= 1
+
+    def report_load(
+        self, target: data.ListedTarget, load: data.TargetLoad | None
+    ) -> None:
+        """Note the load that the target reported."""
+        if load is None:
+            return
+        with self._lock:
+            evidence = self._of(target)
+            evidence.load = load
+            evidence.load_at_s = self._clock.monotonic_s()
+
+    def report_answer(
+        self, target: data.ListedTarget, latency_ms: float, is_error: bool
+    ) -> None:
+        """Note that the target answered."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            evidence = self._of(target)
+            if now_s - evidence.sampled_at_s > SAMPLE_LIFETIME_S:
+                evidence.latency_ms = latency_ms
+                evidence.error_share = 0.0
+            evidence.sampled_at_s = now_s
+            evidence.latency_ms += SAMPLE_WEIGHT * (
+                latency_ms - evidence.latency_ms
+            )
+            evidence.error_share += SAMPLE_WEIGHT * (
+                float(is_error) - evidence.error_share
+            )
+            evidence.failure_count = 0
+            evidence.ejected_until_s = -math.inf
+
+    def report_failure(
+        self, target: data.ListedTarget, cause: str, is_loss: bool
+    ) -> None:
+        """Note that the target failed, and pass it over for a while.
+
+        :param is_loss: whether the target seems to be gone, which puts its
+            failure domain in doubt.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            evidence = self._of(target)
+            evidence.failure_count += 1
+            span_s = min(
+                LONGEST_EJECTION_S,
+                EJECTION_S * 2 ** (evidence.failure_count - 1),
+            )
+            evidence.ejected_until_s = now_s + span_s
+            if is_loss:
+                self._count_domain_loss(target, now_s)
+        self._log.record(
+            'target',
+            'a target failed and is passed over',
+            target=target.name,
+            cause=cause,
+            for_ms=round(span_s * 1000),
+        )
+
+    def report_misdirected(self, target: data.ListedTarget) -> None:
+        """Note that another target has the address."""
+        with self._lock:
+            evidence = self._of(target)
+            evidence.ejected_until_s = (
+                self._clock.monotonic_s() + MISDIRECTED_EJECTION_S
+            )
+        self._log.record(
+            'target',
+            'a target is no longer at its address',
+            target=target.name,
+        )
+
+    def choose_for_call(
+        self, service: str, passed_over: frozenset[str]
+    ) -> data.ListedTarget | None:
+        """Return the target with the shortest expected time, or None."""
+        with self._lock:
+            candidates = self._usable(service, passed_over)
+            if not candidates:
+                return None
+            return min(candidates, key=self._expected_ms)
+
+    def choose_engines(
+        self, service: str, request: data.FrontRequest, passed: frozenset[str]
+    ) -> EnginePair | None:
+        """Return the engine for a run and the one for its copy.
+
+        The order by a hash of the prompt's last part gives a repeated
+        request the engine that has read the prompt, at any instance; load
+        decides between the first two.
+        """
+        with self._lock:
+            candidates = self._usable(service, passed)
+            serving = []
+            for target in candidates:
+                if request.model and target.models:
+                    if request.model not in target.models:
+                        continue
+                serving.append(target)
+            if not serving:
+                return None
+            subject = (
+                request.prompt_parts[-1].part_id
+                if request.prompt_parts
+                else request.attempt_id
+            )
+            serving.sort(key=lambda target: _rank(subject, target.name))
+            primary = serving[0]
+            for other in serving[1:3]:
+                if self._busy_count(other) + 1 < self._busy_count(primary):
+                    primary = other
+            return EnginePair(primary, self._standby(serving, primary))
+
+    def choose_standby(
+        self, service: str, primary: data.ListedTarget
+    ) -> data.ListedTarget | None:
+        """Return an engine for the copy of a run at the primary."""
+        with self._lock:
+            candidates = self._usable(service, frozenset((primary.name,)))
+            return self._standby(candidates, primary)
+
+    def _standby(
+        self,
+        candidates: list[data.ListedTarget],
+        primary: data.ListedTarget,
+    ) -> data.ListedTarget | None:
+        best = None
+        best_load = math.inf
+        for target in candidates:
+            if target.name == primary.name:
+                continue
+            load = float(self._busy_count(target))
+            if target.failure_domain == primary.failure_domain:
+                load += 1000.0
+            if load < best_load:
+                best = target
+                best_load = load
+        return best
+
+    def _put(self, target: data.ListedTarget) -> None:
+        held = self._targets.get(target.name)
+        self._lapsed.pop(target.name, None)
+        self._targets[target.name] = target
+        if held == target:
+            return
+        if held is None:
+            self._log.record(
+                'target',
+                'a target is known',
+                target=target.name,
+                service=target.service,
+                at=str(target.endpoint),
+                version=target.version,
+            )
+        elif target.is_leaving and not held.is_leaving:
+            self._log.record('target', 'a target leaves', target=target.name)
+
+    def _remove(self, name: str, now_s: float) -> None:
+        if now_s < self._lapse_grace_until_s:
+            self._lapsed.setdefault(name, self._lapse_grace_until_s)
+            return
+        del self._targets[name]
+        self._evidence.pop(name, None)
+        self._lapsed.pop(name, None)
+        self._log.record('target', 'a target is gone', target=name)
+
+    def _drop_lapsed(self) -> None:
+        now_s = self._clock.monotonic_s()
+        for name, until_s in list(self._lapsed.items()):
+            if now_s >= until_s:
+                self._remove(name, now_s)
+
+    def _usable(
+        self, service: str, passed_over: frozenset[str]
+    ) -> list[data.ListedTarget]:
+        if self._lapsed:
+            self._drop_lapsed()
+        now_s = self._clock.monotonic_s()
+        sound = []
+        doubtful = []
+        ejected = []
+        for target in self._targets.values():
+            if target.service != service or target.is_leaving:
+                continue
+            if target.name in passed_over:
+                continue
+            if now_s < self._of(target).ejected_until_s:
+                ejected.append(target)
+                continue
+            domain = (service, target.failure_domain)
+            if now_s < self._doubted_domains.get(domain, -math.inf):
+                doubtful.append(target)
+                continue
+            sound.append(target)
+        return sound or doubtful or ejected
+
+    def _count_domain_loss(
+        self, target: data.ListedTarget, now_s: float
+    ) -> None:
+        domain = (target.service, target.failure_domain)
+        losses = self._domain_losses.setdefault(domain, [])
+        losses[:] = [
+            moment_s
+            for moment_s in losses
+            if now_s - moment_s < DOMAIN_LOSS_WINDOW_S
+        ]
+        losses.append(now_s)
+        if len(losses) >= DOMAIN_LOSS_COUNT:
+            self._doubted_domains[domain] = now_s + DOMAIN_DOUBT_S
+
+    def _of(self, target: data.ListedTarget) -> _Evidence:
+        evidence = self._evidence.get(target.name)
+        if evidence is None:
+            evidence = _Evidence()
+            self._evidence[target.name] = evidence
+        return evidence
+
+    def _busy_count(self, target: data.ListedTarget) -> int:
+        evidence = self._of(target)
+        busy = evidence.in_flight_count
+        age_s = self._clock.monotonic_s() - evidence.load_at_s
+        if evidence.load is not None and age_s < LOAD_LIFETIME_S:
+            reported = (
+                evidence.load.running_count + evidence.load.waiting_count
+            )
+            busy = max(busy, reported)
+        return busy
+
+    def _expected_ms(self, target: data.ListedTarget) -> float:
+        evidence = self._of(target)
+        age_s = self._clock.monotonic_s() - evidence.sampled_at_s
+        latency_ms = DEFAULT_LATENCY_MS
+        error_share = 0.0
+        if age_s < SAMPLE_LIFETIME_S:
+            latency_ms = evidence.latency_ms
+            error_share = evidence.error_share
+        slots = max(1, target.slot_count)
+        expected_ms = latency_ms * (1 + self._busy_count(target) / slots)
+        expected_ms *= 1 + ERROR_PENALTY * error_share
+        if target.failure_domain != self._failure_domain:
+            expected_ms += REMOTE_PENALTY_MS
+        return expected_ms
+
+
+def _rank(subject: str, name: str) -> bytes:
+    text = f'{subject}/{name}'.encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/packages/daemon/src/skylarktack/daemon/__init__.py
+++ b/packages/daemon/src/skylarktack/daemon/__init__.py
@@ -1,10 +1,15 @@
 """The entry instance, binary ``skylarktackd``."""
 
-from skylarktack.daemon._instance import Instance
-from skylarktack.daemon._main import EXIT_INVALID_SETTINGS
-from skylarktack.daemon._main import main
-from skylarktack.daemon._main import run
-from skylarktack.daemon._peers import Peers
+from typing import TYPE_CHECKING
+
+from skylarktack.state import lazy_exports
+
+if TYPE_CHECKING:
+    from skylarktack.daemon._instance import Instance
+    from skylarktack.daemon._main import EXIT_INVALID_SETTINGS
+    from skylarktack.daemon._main import main
+    from skylarktack.daemon._main import run
+    from skylarktack.daemon._peers import Peers
 
 __all__ = [
     'EXIT_INVALID_SETTINGS',
@@ -13,3 +18,13 @@
     'main',
     'run',
 ]
+
+_MODULE_BY_NAME = {
+    'EXIT_INVALID_SETTINGS': '_main',
+    'Instance': '_instance',
+    'Peers': '_peers',
+    'main': '_main',
+    'run': '_main',
+}
+
+__getattr__ = lazy_exports(__name__, _MODULE_BY_NAME)
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/__main__.py
@@ -0,0 +1,6 @@
+"""Runs ``python -m skylarktack.daemon.forwarding``."""
+
+from skylarktack.daemon.forwarding import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -0,0 +1,163 @@
+"""Wires the forwarding front end of one instance."""
+
+from concurrent import futures
+import time
+
+from skylarktack import platform
+from skylarktack.coordination import forwarding
+from skylarktack.coordination import ports
+from skylarktack.daemon.forwarding import _readiness
+from skylarktack.daemon.forwarding import _reports
+from skylarktack.protocol import forwarding as messages
+from skylarktack.state import forwarding as data
+from skylarktack.transport import forwarding as transport
+
+#: Descriptors that are kept for listeners, the store and files.
+RESERVED_DESCRIPTOR_COUNT = 250
+
+#: Descriptors that one connection of a caller needs: its own, and two to
+#: targets.
+DESCRIPTORS_PER_CALLER = 3
+
+#: Most connections of callers at once; each has a thread.
+CALLER_LIMIT_COUNT = 600
+
+#: Longest time that one watch waits.
+WATCH_WAIT_S = 3.0
+
+#: Pause between two watches of targets, which gathers many changes at once.
+TARGET_GATHER_S = 0.25
+
+#: A configuration that was not confirmed for this time may be outdated.
+CONFIRMATION_VALIDITY_S = WATCH_WAIT_S + 1.0
+
+#: After the order to stop, connections without a request are closed from
+#: this time on; by then the balancer has seen that the instance stops.
+CLOSE_IDLE_AFTER_S = 1.2
+
+#: The instance goes on accepting for this time after the order to stop,
+#: since two questions of the balancer have to fail first.
+ACCEPT_AFTER_STOP_S = 3.0
+
+#: Step in which a stop looks for connections to close.
+STOP_STEP_S = 0.2
+
+#: Time before the end of the grace period at which a stop ends anyway.
+STOP_MARGIN_S = 0.25
+
+#: Longest wait for the log at the end.
+LOG_CLOSE_S = 0.1
+
+
+class ForwardingInstance:
+    """All tasks of the forwarding front end of one instance."""
+
+    def __init__(
+        self, settings: data.ForwardingSettings, log: transport.LineLog
+    ) -> None:
+        self._settings = settings
+        self._log = log
+        clock = ports.SystemClock()
+        codec = platform.PlatformMessageCodec()
+        self._configuration = forwarding.ConfigurationHolder(clock, log)
+        self._targets = forwarding.TargetTable(
+            clock, log, settings.failure_domain
+        )
+        client = transport.HttpTargetClient(codec)
+        budget = forwarding.RetryBudget(
+            clock, settings.retry_ratio, settings.retry_window_ms / 1000
+        )
+        self._gateway = forwarding.Gateway(
+            forwarding.GatewayParts(
+                clock=clock,
+                configuration=self._configuration,
+                calls=forwarding.CallForwarder(
+                    clock, self._targets, client, budget
+                ),
+                streams=forwarding.StreamForwarder(
+                    forwarding.StreamParts(
+                        clock=clock,
+                        targets=self._targets,
+                        client=client,
+                        budget=budget,
+                        new_splitter=messages.EventStreamSplitter,
+                    )
+                ),
+                observer=_reports.RequestLog(clock, log),
+            )
+        )
+        spare_count = settings.descriptor_limit - RESERVED_DESCRIPTOR_COUNT
+        self._tasks = futures.ThreadPoolExecutor(
+            max(
+                8,
+                min(CALLER_LIMIT_COUNT, spare_count // DESCRIPTORS_PER_CALLER),
+            )
+        )
+        self._front = transport.Listener(
+            settings.front, self._gateway, codec, self._tasks
+        )
+        self._listeners = [self._front]
+        if settings.readiness is not None:
+            readiness = _readiness.ReadinessHandler(
+                self._gateway, self._configuration, self._targets
+            )
+            self._listeners.append(
+                transport.Listener(
+                    settings.readiness, readiness, codec, self._tasks
+                )
+            )
+        self._configuration_follower = forwarding.Follower(
+            clock,
+            platform.ConfigurationReader(
+                transport.HttpStoreCalls(settings.store), log
+            ),
+            forwarding.ConfigurationBelief(
+                self._configuration, CONFIRMATION_VALIDITY_S
+            ),
+            log,
+            forwarding.FollowSettings('configuration', WATCH_WAIT_S, 0.0),
+        )
+        self._target_follower = forwarding.Follower(
+            clock,
+            platform.TargetReader(
+                transport.HttpStoreCalls(settings.store), log
+            ),
+            forwarding.TargetBelief(self._targets),
+            log,
+            forwarding.FollowSettings(
+                'targets', WATCH_WAIT_S, TARGET_GATHER_S
+            ),
+        )
+        self._own_tasks = futures.ThreadPoolExecutor(8)
+
+    def start(self) -> None:
+        """Start all tasks."""
+        self._own_tasks.submit(self._log.run)
+        self._own_tasks.submit(self._configuration_follower.run)
+        self._own_tasks.submit(self._target_follower.run)
+        for listener in self._listeners:
+            self._own_tasks.submit(listener.run)
+
+    def stop(self) -> None:
+        """Finish the requests in progress, at most for the grace period."""
+        ordered_at_s = time.monotonic()
+        end_s = ordered_at_s + self._settings.grace_ms / 1000 - STOP_MARGIN_S
+        self._gateway.order_stop()
+        self._log.record('instance', 'stopping')
+        while time.monotonic() < end_s:
+            self._gateway.wait_idle(STOP_STEP_S)
+            time.sleep(STOP_STEP_S)
+            ordered_for_s = time.monotonic() - ordered_at_s
+            if ordered_for_s >= CLOSE_IDLE_AFTER_S:
+                self._front.close_idle()
+            if ordered_for_s < ACCEPT_AFTER_STOP_S:
+                continue
+            if self._gateway.wait_idle(0.0):
+                break
+        self._log.record(
+            'instance',
+            'stopped',
+            after_ms=round((time.monotonic() - ordered_at_s) * 1000),
+            is_idle=self._gateway.wait_idle(0.0),
+        )
+        self._log.close(LOG_CLOSE_S)
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_readiness.py
@@ -0,0 +1,45 @@
+"""Answers the balancer's question whether the instance is ready."""
+
+from skylarktack.coordination import forwarding
+from skylarktack.state import forwarding as data
+
+_READY_STATUS = 200
+_NOT_READY_STATUS = 503
+
+
+class ReadinessHandler:
+    """Says ready once configuration and targets are known."""
+
+    def __init__(
+        self,
+        gateway: forwarding.Gateway,
+        configuration: forwarding.ConfigurationHolder,
+        targets: forwarding.TargetTable,
+    ) -> None:
+        self._gateway = gateway
+        self._configuration = configuration
+        self._targets = targets
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the connection ends after the current answer."""
+        return self._gateway.is_stopping
+
+    def limits(self) -> data.FrontLimits:
+        """Return the limits on callers."""
+        return data.FrontLimits()
+
+    def is_ready(self) -> bool:
+        """Return whether the instance can serve requests."""
+        return (
+            self._configuration.is_known.is_set()
+            and self._targets.is_known.is_set()
+            and not self._gateway.is_stopping
+        )
+
+    def handle(
+        self, request: data.FrontRequest, caller: forwarding.Caller
+    ) -> forwarding.StreamOutcome:
+        """Answer any request with the readiness."""
+        status = _READY_STATUS if self.is_ready() else _NOT_READY_STATUS
+        return data.FrontAnswer(status, (), b'')
--- /dev/null
+++ b/packages/platform/src/skylarktack/platform/__init__.py
@@ -0,0 +1,21 @@
+"""Names, formats and calls of the users' platform; decides nothing."""
+
+from skylarktack.platform._configuration import decode_configuration
+from skylarktack.platform._entries import decode_target
+from skylarktack.platform._fields import MalformedError
+from skylarktack.platform._messages import PlatformMessageCodec
+from skylarktack.platform._settings import PATH_VARIABLE
+from skylarktack.platform._settings import decode_settings
+from skylarktack.platform._store import ConfigurationReader
+from skylarktack.platform._store import TargetReader
+
+__all__ = [
+    'ConfigurationReader',
+    'MalformedError',
+    'PATH_VARIABLE',
+    'PlatformMessageCodec',
+    'TargetReader',
+    'decode_configuration',
+    'decode_settings',
+    'decode_target',
+]
--- /dev/null
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -0,0 +1,196 @@
+"""The platform's headers and status codes as requests and answers.
+
+Each name stands here once. ``Replica-Signature`` is a code over the answer
+that only the target can make; the front end passes it on and never checks it.
+"""
+
+from skylarktack.protocol import forwarding as messages
+from skylarktack.state import forwarding as data
+
+_ATTEMPT = b'attempt-id'
+_TIME_LIMIT = b'deadline-ms'
+_KEY = b'key'
+_LAST_EVENT = b'last-event-id'
+_MODEL = b'model'
+_TOKENS = b'token-usage'
+_PROMPT = b'prompt-prefix'
+_SIGNATURE = b'replica-signature'
+_NOT_RUN = b'not-executed'
+_LOAD = b'replica-load'
+_ENCODING = b'content-encoding'
+
+#: Fields that only the front end may set, and those that it sets anew.
+_OWN_NAMES = frozenset(
+    (
+        _TIME_LIMIT,
+        _KEY,
+        _LAST_EVENT,
+        b'content-length',
+        b'expected-replica',
+        b'expected-version',
+        b'hold',
+        b'kv-backup',
+        b'kv-fetch',
+        b'kv-from',
+        b'pin-ms',
+        b'request-priority',
+        b'tenant',
+    )
+)
+
+_STATUS_BY_REASON = {
+    data.RefusalReason.NO_CONFIGURATION: 503,
+    data.RefusalReason.NO_ROUTE: 404,
+    data.RefusalReason.UNKNOWN_KEY: 401,
+    data.RefusalReason.BAD_REQUEST: 400,
+    data.RefusalReason.HEADER_TOO_LARGE: 431,
+    data.RefusalReason.BODY_TOO_LARGE: 413,
+    data.RefusalReason.READ_TIMEOUT: 408,
+    data.RefusalReason.NO_TARGET: 503,
+    data.RefusalReason.STOPPING: 503,
+    data.RefusalReason.TIME_UP_NOT_RUN: 503,
+    data.RefusalReason.TIME_UP: 504,
+    data.RefusalReason.TARGET_FAILED: 502,
+}
+
+_PROBE_PATH = b'/report'
+
+
+class PlatformMessageCodec:
+    """Translates the platform's messages."""
+
+    def decode_request(
+        self, head: data.RequestHead, body: bytes, has_body: bool
+    ) -> data.FrontRequest | data.Refusal:
+        """Return the request of a caller."""
+        values = _first_values(head.headers)
+        tokens = _decode_numbers(values.get(_TOKENS, b''))
+        dropped = messages.connection_bound_names(head.headers) | _OWN_NAMES
+        time_limit = values.get(_TIME_LIMIT)
+        time_limit_ms = None if time_limit is None else _number(time_limit)
+        if time_limit is not None and time_limit_ms is None:
+            return data.Refusal(
+                data.RefusalReason.BAD_REQUEST,
+                detail='the time limit is not a number',
+            )
+        last_event = values.get(_LAST_EVENT, b'')
+        return data.FrontRequest(
+            attempt_id=_text(values.get(_ATTEMPT)) or '',
+            method=head.method,
+            path=head.target,
+            host=_decode_host(values.get(b'host', b'')),
+            headers=messages.without_names(head.headers, dropped),
+            body=body,
+            has_body=has_body,
+            time_limit_ms=time_limit_ms,
+            key=_text(values.get(_KEY)),
+            last_event_id=int(last_event) if last_event.isdigit() else None,
+            model=_text(values.get(_MODEL)),
+            prompt_parts=_decode_parts(values.get(_PROMPT, b'')),
+            prompt_tokens=tokens[0] if tokens else 0,
+            output_tokens=tokens[1] if len(tokens) > 1 else 0,
+        )
+
+    def encode_request(
+        self, request: data.FrontRequest, delivery: data.Delivery
+    ) -> data.Headers:
+        """Return the header fields of a request to a target."""
+        target = delivery.target
+        headers = list(request.headers)
+        headers.append((b'Expected-Replica', target.name.encode()))
+        if delivery.time_left_ms is not None:
+            left_ms = max(1, int(delivery.time_left_ms))
+            headers.append((b'Deadline-Ms', str(left_ms).encode()))
+        if delivery.organisation is not None:
+            headers.append((b'Tenant', delivery.organisation.encode()))
+        if delivery.last_event_id is not None:
+            last_event = str(delivery.last_event_id).encode()
+            headers.append((b'Last-Event-Id', last_event))
+        if delivery.standby is not None:
+            headers.append((b'Kv-Backup', str(delivery.standby).encode()))
+        if delivery.from_copy:
+            copy = f'{target.endpoint}/{request.attempt_id}'
+            headers.append((b'Kv-From', copy.encode()))
+        return tuple(headers)
+
+    def decode_answer(
+        self, status: int, headers: data.Headers
+    ) -> data.AnswerHead:
+        """Return the head of a target's answer."""
+        values = _first_values(headers)
+        return data.AnswerHead(
+            status=status,
+            headers=headers,
+            attempt_id=_text(values.get(_ATTEMPT)),
+            is_signed=_SIGNATURE in values,
+            is_not_run=_NOT_RUN in values,
+            is_encoded=_ENCODING in values,
+            load=_decode_load(values.get(_LOAD, b'')),
+        )
+
+    def encode_refusal(self, refusal: data.Refusal) -> data.FrontAnswer:
+        """Return the answer that tells a caller of a refusal."""
+        headers: list[tuple[bytes, bytes]] = [
+            (b'Content-Type', b'text/plain; charset=utf-8')
+        ]
+        if refusal.retry_after_s is not None:
+            seconds = f'{refusal.retry_after_s:g}'.encode()
+            headers.append((b'Retry-After', seconds))
+        return data.FrontAnswer(
+            _STATUS_BY_REASON[refusal.reason],
+            tuple(headers),
+            f'{refusal.reason.value}\n'.encode(),
+        )
+
+    def probe_path(self) -> bytes:
+        """Return the path at which a target tells its load."""
+        return _PROBE_PATH
+
+
+def _first_values(headers: data.Headers) -> dict[bytes, bytes]:
+    values: dict[bytes, bytes] = {}
+    for name, value in headers:
+        values.setdefault(name.lower(), value.strip())
+    return values
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode('latin-1')
+
+
+def _number(value: bytes) -> float | None:
+    try:
+        return max(0.0, float(value))
+    except ValueError:
+        return None
+
+
+def _decode_numbers(value: bytes) -> tuple[int, ...]:
+    numbers = []
+    for text in value.split(b','):
+        if text.strip().isdigit():
+            numbers.append(int(text))
+    return tuple(numbers)
+
+
+def _decode_host(value: bytes) -> str:
+    name, separator, port = value.decode('latin-1').lower().rpartition(':')
+    if separator and port.isdigit():
+        return name
+    return value.decode('latin-1').lower()
+
+
+def _decode_parts(value: bytes) -> tuple[data.PromptPart, ...]:
+    parts = []
+    for entry in value.decode('latin-1').split(','):
+        part_id, separator, tokens = entry.strip().partition(':')
+        if separator and tokens.isdigit():
+            parts.append(data.PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _decode_load(value: bytes) -> data.TargetLoad | None:
+    numbers = _decode_numbers(value)
+    if len(numbers) != 3:
+        return None
+    return data.TargetLoad(*numbers)
--- /dev/null
+++ b/packages/platform/src/skylarktack/platform/_settings.py
@@ -0,0 +1,68 @@
+"""The platform's settings file as settings of an instance.
+
+Lines hold ``a.b=value``; lists are joined by commas. Unknown names are
+ignored, since new ones may come.
+"""
+
+from skylarktack import state
+from skylarktack.platform import _entries
+from skylarktack.platform import _fields
+from skylarktack.state import forwarding as data
+
+#: Environment variable with the path of the settings file.
+PATH_VARIABLE = 'SKYLARKTACK_CONFIG'
+
+
+def decode_settings(
+    place: str, text: str, metrics_port: int | None = None
+) -> data.ForwardingSettings:
+    """Return the settings of a file.
+
+    :param place: path of the file, for findings.
+    :param metrics_port: port of the metrics address, or None for none.
+    :raises MalformedError: if it cannot be read, with all findings.
+    """
+    findings: list[state.Finding] = []
+    values: dict[str, str] = {}
+    for number, line in enumerate(text.splitlines(), start=1):
+        if not line.strip() or line.lstrip().startswith('#'):
+            continue
+        name, separator, value = line.partition('=')
+        if not separator:
+            findings.append(
+                state.Finding(f'{place}:{number}', 'is not name=value')
+            )
+            continue
+        values[name.strip()] = value.strip()
+    reader = _fields.FieldReader(place, values, findings)
+    readiness = None
+    if 'listen_addresses.ready' in values:
+        readiness = _entries.decode_endpoint(reader, 'listen_addresses.ready')
+    metrics = None
+    if metrics_port is not None:
+        metrics = data.Endpoint(reader.text('ip_address'), metrics_port)
+    settings = data.ForwardingSettings(
+        instance=reader.text('node_name'),
+        failure_domain=reader.text('availability_zone'),
+        front=_entries.decode_endpoint(reader, 'listen_addresses.frontend'),
+        readiness=readiness,
+        metrics=metrics,
+        store=_entries.decode_endpoint(reader, 'platform.address'),
+        grace_ms=1000 * _number(reader, 'bounds.grace_period_s'),
+        configuration_lag_ms=_number(reader, 'bounds.config_apply_ms'),
+        retry_ratio=_number(reader, 'bounds.retry_budget_ratio'),
+        retry_window_ms=1000 * _number(reader, 'bounds.budget_window_s'),
+        descriptor_limit=int(_number(reader, 'limits.file_descriptors')),
+    )
+    reader.check()
+    return settings
+
+
+def _number(reader: _fields.FieldReader, name: str) -> float:
+    text = reader.text(name)
+    try:
+        return float(text)
+    except ValueError:
+        if text:
+            reader.reject(name, 'is not a number')
+        return 0.0
--- /dev/null
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/__init__.py
@@ -0,0 +1,11 @@
+"""HTTP/1.1 messages and event streams as the forwarding front reads them."""
+
+from skylarktack.protocol.forwarding._event_stream import EventStreamSplitter
+from skylarktack.protocol.forwarding._headers import connection_bound_names
+from skylarktack.protocol.forwarding._headers import without_names
+
+__all__ = [
+    'EventStreamSplitter',
+    'connection_bound_names',
+    'without_names',
+]
--- /dev/null
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -0,0 +1,49 @@
+"""Data of the forwarding front end: configuration, targets, requests."""
+
+from skylarktack.state.forwarding._configuration import EngineCapacity
+from skylarktack.state.forwarding._configuration import ForwardingConfiguration
+from skylarktack.state.forwarding._configuration import ForwardingRoute
+from skylarktack.state.forwarding._configuration import FrontLimits
+from skylarktack.state.forwarding._configuration import KeyHolder
+from skylarktack.state.forwarding._configuration import RequestKind
+from skylarktack.state.forwarding._configuration import ServiceDescription
+from skylarktack.state.forwarding._configuration import WeightedService
+from skylarktack.state.forwarding._requests import AnswerHead
+from skylarktack.state.forwarding._requests import Delivery
+from skylarktack.state.forwarding._requests import FrontAnswer
+from skylarktack.state.forwarding._requests import FrontRequest
+from skylarktack.state.forwarding._requests import Headers
+from skylarktack.state.forwarding._requests import PromptPart
+from skylarktack.state.forwarding._requests import Refusal
+from skylarktack.state.forwarding._requests import RefusalReason
+from skylarktack.state.forwarding._requests import RequestHead
+from skylarktack.state.forwarding._settings import ForwardingSettings
+from skylarktack.state.forwarding._targets import Endpoint
+from skylarktack.state.forwarding._targets import ListedTarget
+from skylarktack.state.forwarding._targets import TargetChange
+from skylarktack.state.forwarding._targets import TargetLoad
+
+__all__ = [
+    'AnswerHead',
+    'Delivery',
+    'Endpoint',
+    'EngineCapacity',
+    'ForwardingConfiguration',
+    'ForwardingRoute',
+    'ForwardingSettings',
+    'FrontAnswer',
+    'FrontLimits',
+    'FrontRequest',
+    'Headers',
+    'KeyHolder',
+    'ListedTarget',
+    'PromptPart',
+    'Refusal',
+    'RefusalReason',
+    'RequestHead',
+    'RequestKind',
+    'ServiceDescription',
+    'TargetChange',
+    'TargetLoad',
+    'WeightedService',
+]
--- /dev/null
+++ b/packages/state/src/skylarktack/state/forwarding/_settings.py
@@ -0,0 +1,44 @@
+"""Settings of the forwarding front end of one instance."""
+
+import dataclasses
+
+from skylarktack.state.forwarding._targets import Endpoint
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwardingSettings:
+    """What an instance learns before it starts."""
+
+    #: Name of the instance.
+    instance: str
+
+    #: Its failure domain.
+    failure_domain: str
+
+    #: Where callers connect.
+    front: Endpoint
+
+    #: Where the balancer asks for readiness, or None.
+    readiness: Endpoint | None
+
+    #: Where metrics are served, or None.
+    metrics: Endpoint | None
+
+    #: The platform's store.
+    store: Endpoint
+
+    #: Time from the order to stop until the process is killed.
+    grace_ms: float
+
+    #: Time within which a new configuration has to be in force.
+    configuration_lag_ms: float
+
+    #: Sends beyond the first that one request for a service pays for, over
+    #: all instances.
+    retry_ratio: float
+
+    #: Window in which sends beyond the first are counted.
+    retry_window_ms: float
+
+    #: Open files of the process.
+    descriptor_limit: int
--- /dev/null
+++ b/packages/state/src/skylarktack/state/forwarding/_targets.py
@@ -0,0 +1,75 @@
+"""Targets as a registry lists them."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """An IP address and a TCP port."""
+
+    #: IP address in text form.
+    host: str
+
+    #: TCP port.
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+
+@dataclasses.dataclass(frozen=True)
+class ListedTarget:
+    """One running target of a service."""
+
+    #: Unique name of this start of the target.
+    name: str
+
+    #: Service that it belongs to.
+    service: str
+
+    #: Where it accepts requests.
+    endpoint: Endpoint
+
+    #: Its failure domain.
+    failure_domain: str
+
+    #: Version of its software.
+    version: str
+
+    #: Requests that it processes at once.
+    slot_count: int
+
+    #: Whether it takes no new requests because it stops soon.
+    is_leaving: bool = False
+
+    #: Names of the models that it serves; empty if it serves none.
+    models: tuple[str, ...] = ()
+
+    #: When it started, in milliseconds since the epoch, or None. A target
+    #: may start again under its name and then knows nothing of before.
+    started_at_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class TargetChange:
+    """One change of the registry of targets."""
+
+    #: Name of the entry.
+    name: str
+
+    #: The target as it is now, or None if it is gone or cannot be read.
+    target: ListedTarget | None
+
+
+@dataclasses.dataclass(frozen=True)
+class TargetLoad:
+    """Load that a target reported about itself; stale when it arrives."""
+
+    #: Requests in progress.
+    running_count: int
+
+    #: Requests in its queue.
+    waiting_count: int
+
+    #: Requests that it processes at once.
+    slot_count: int
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -0,0 +1,109 @@
+"""Calls to the platform's store over one kept connection for each task."""
+
+import select
+import socket
+import time
+
+import h11
+
+from skylarktack.coordination import forwarding
+from skylarktack.state import forwarding as data
+from skylarktack.transport.forwarding import _sockets
+
+#: Longest wait for a connection to the store.
+CONNECT_TIMEOUT_S = 0.5
+
+
+class HttpStoreCalls:
+    """Sends calls to the store, one at a time."""
+
+    def __init__(self, store: data.Endpoint) -> None:
+        self._store = store
+        self._connection: socket.socket | None = None
+        self._parser = h11.Connection(h11.CLIENT)
+
+    def call(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> forwarding.StoreAnswer | forwarding.ExchangeFault:
+        """Send one call and return the whole answer.
+
+        :param path: path and query.
+        :param timeout_s: longest time for connection and answer together.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        try:
+            return self._call(method, path, body, deadline_s)
+        except (OSError, h11.ProtocolError) as error:
+            self._drop()
+            return forwarding.ExchangeFault(
+                forwarding.FaultKind.LOST,
+                str(error) or 'the store did not answer in time',
+            )
+
+    def _call(
+        self, method: str, path: str, body: bytes | None, deadline_s: float
+    ) -> forwarding.StoreAnswer:
+        connection = self._connected()
+        headers = [(b'Host', str(self._store).encode())]
+        if body is not None:
+            headers.append((b'Content-Type', b'application/json'))
+            headers.append((b'Content-Length', str(len(body)).encode()))
+        outgoing = self._parser.send(
+            h11.Request(method=method, target=path, headers=headers)
+        )
+        if body:
+            outgoing += self._parser.send(h11.Data(data=body)) or b''
+        self._parser.send(h11.EndOfMessage())
+        view = memoryview(outgoing or b'')
+        while view:
+            try:
+                view = view[connection.send(view) :]
+            except BlockingIOError:
+                self._wait(connection, select.POLLOUT, deadline_s)
+        status = 0
+        parts: list[bytes] = []
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                self._wait(connection, select.POLLIN, deadline_s)
+                self._parser.receive_data(
+                    connection.recv(_sockets.READ_SIZE_BYTES)
+                )
+                continue
+            if isinstance(event, h11.Response):
+                status = event.status_code
+                continue
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if isinstance(event, h11.ConnectionClosed):
+                raise ConnectionError('the store closed the connection')
+        if self._parser.our_state is h11.DONE and (
+            self._parser.their_state is h11.DONE
+        ):
+            self._parser.start_next_cycle()
+        else:
+            self._drop()
+        return forwarding.StoreAnswer(status, b''.join(parts))
+
+    def _connected(self) -> socket.socket:
+        if self._connection is not None:
+            return self._connection
+        connection = _sockets.connect(self._store, CONNECT_TIMEOUT_S)
+        self._connection = connection
+        self._parser = h11.Connection(h11.CLIENT)
+        return connection
+
+    def _drop(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
+
+    def _wait(
+        self, connection: socket.socket, events: int, deadline_s: float
+    ) -> None:
+        left_s = deadline_s - time.monotonic()
+        if left_s <= 0 or not _sockets.wait_for(connection, events, left_s):
+            raise TimeoutError('the store did not answer in time')
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -0,0 +1,265 @@
+"""Requests to targets, each over a connection of its own.
+
+A kept connection may have gone stale, silent, or hold a late second answer,
+and a request that may not be repeated is lost with it; a new connection
+costs a millisecond.
+"""
+
+import select
+import socket
+import time
+
+import h11
+
+from skylarktack.coordination import forwarding
+from skylarktack.state import forwarding as data
+from skylarktack.transport.forwarding import _sockets
+
+#: Longest wait for a target to read more of a request.
+SEND_STALL_S = 3.0
+
+
+class HttpExchange:
+    """One request to one target and its answer."""
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        parser: h11.Connection,
+        codec: forwarding.MessageCodec,
+        attempt_id: str,
+    ) -> None:
+        self._connection = connection
+        self._parser = parser
+        self._codec = codec
+        self._attempt_id = attempt_id
+        self._has_ended = False
+        self._early: list[forwarding.AnswerEvent] = []
+
+    def fileno(self) -> int:
+        """Return the descriptor to wait on."""
+        return self._connection.fileno()
+
+    def close(self) -> None:
+        """Close the connection, which cancels an unfinished request."""
+        self._connection.close()
+
+    def has_early_answer(self) -> bool:
+        """Return whether an answer came before all was sent."""
+        return bool(self._early)
+
+    def send(self, outgoing: bytes) -> forwarding.ExchangeFault | None:
+        """Send the request, or as much as the target reads of it."""
+        view = memoryview(outgoing)
+        while view:
+            try:
+                sent = self._connection.send(view)
+            except BlockingIOError:
+                found = _sockets.wait_for(
+                    self._connection,
+                    select.POLLOUT | select.POLLIN,
+                    SEND_STALL_S,
+                )
+                if not found:
+                    return _lost('the target does not read the request')
+                if found & select.POLLIN:
+                    # A target may answer before it has read the body.
+                    self._early.extend(self._take())
+                    if self._early:
+                        return None
+                continue
+            except OSError:
+                # The answer may have arrived before the target closed.
+                self._early.extend(self._take())
+                return None
+            view = view[sent:]
+        return None
+
+    def receive(self) -> tuple[forwarding.AnswerEvent, ...]:
+        """Return what has arrived, without waiting; may be empty."""
+        events = self._early
+        self._early = []
+        if not events or not _is_final(events[-1]):
+            events = events + self._take()
+        return tuple(events)
+
+    def _take(self) -> list[forwarding.AnswerEvent]:
+        try:
+            received = self._connection.recv(_sockets.READ_SIZE_BYTES)
+        except BlockingIOError:
+            return []
+        except OSError as error:
+            return [_lost(f'connection lost: {error.strerror}')]
+        try:
+            self._parser.receive_data(received)
+            return self._parse()
+        except h11.RemoteProtocolError as error:
+            if not received:
+                return [_lost('the connection ended within the answer')]
+            return [
+                forwarding.ExchangeFault(
+                    forwarding.FaultKind.MALFORMED, str(error)
+                )
+            ]
+
+    def _parse(self) -> list[forwarding.AnswerEvent]:
+        events: list[forwarding.AnswerEvent] = []
+        while not self._has_ended:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                break
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                head = self._codec.decode_answer(
+                    event.status_code, tuple(event.headers.raw_items())
+                )
+                if head.attempt_id not in (None, self._attempt_id):
+                    self._has_ended = True
+                    events.append(
+                        forwarding.ExchangeFault(
+                            forwarding.FaultKind.MALFORMED,
+                            'the answer belongs to another request',
+                        )
+                    )
+                    break
+                events.append(head)
+                continue
+            if isinstance(event, h11.Data):
+                if event.data:
+                    events.append(forwarding.BodyPart(bytes(event.data)))
+                continue
+            self._has_ended = True
+            if isinstance(event, h11.EndOfMessage):
+                events.append(forwarding.AnswerEnd())
+            else:
+                events.append(_lost('the connection ended without answer'))
+        return events
+
+
+class HttpTargetClient:
+    """Sends requests to targets over HTTP/1.1."""
+
+    def __init__(self, codec: forwarding.MessageCodec) -> None:
+        self._codec = codec
+
+    def send(
+        self,
+        request: data.FrontRequest,
+        delivery: data.Delivery,
+        connect_timeout_s: float,
+    ) -> HttpExchange | forwarding.ExchangeFault:
+        """Connect to the target and send the whole request.
+
+        :param connect_timeout_s: longest wait for the connection.
+        """
+        try:
+            connection = _sockets.connect(
+                delivery.target.endpoint, connect_timeout_s
+            )
+        except OSError as error:
+            return _not_connected(error)
+        parser = h11.Connection(h11.CLIENT)
+        headers = list(self._codec.encode_request(request, delivery))
+        if request.has_body:
+            headers.append(
+                (b'Content-Length', str(len(request.body)).encode())
+            )
+        try:
+            outgoing = parser.send(
+                h11.Request(
+                    method=request.method,
+                    target=request.path,
+                    headers=headers,
+                )
+            )
+            if request.body:
+                outgoing += parser.send(h11.Data(data=request.body)) or b''
+            parser.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            connection.close()
+            return forwarding.ExchangeFault(
+                forwarding.FaultKind.NOT_CONNECTED,
+                f'the request cannot be encoded: {error}',
+            )
+        exchange = HttpExchange(
+            connection, parser, self._codec, request.attempt_id
+        )
+        fault = exchange.send(outgoing)
+        if fault is not None:
+            exchange.close()
+            return fault
+        return exchange
+
+    def wait(
+        self,
+        exchanges: tuple[forwarding.Exchange, ...],
+        caller: forwarding.Caller,
+        timeout_s: float,
+    ) -> forwarding.Ready:
+        """Wait for an answer, the caller's leaving, or the timeout."""
+        early = []
+        poller = select.poll()
+        by_descriptor: dict[int, forwarding.Exchange] = {}
+        for exchange in exchanges:
+            if not isinstance(exchange, HttpExchange):
+                raise TypeError('an exchange of another client')
+            if exchange.has_early_answer():
+                early.append(exchange)
+            by_descriptor[exchange.fileno()] = exchange
+            poller.register(exchange.fileno(), select.POLLIN)
+        if early:
+            return forwarding.Ready(tuple(early), False)
+        caller_descriptor = caller.fileno()
+        if caller_descriptor >= 0:
+            poller.register(
+                caller_descriptor, select.POLLIN | select.POLLRDHUP
+            )
+        found = poller.poll(max(0.0, timeout_s) * 1000)
+        ready = []
+        has_caller_left = False
+        for descriptor, _ in found:
+            if descriptor == caller_descriptor:
+                has_caller_left = caller.has_left()
+                continue
+            ready.append(by_descriptor[descriptor])
+        return forwarding.Ready(tuple(ready), has_caller_left)
+
+    def is_alive(self, target: data.ListedTarget, timeout_s: float) -> bool:
+        """Return whether the target answers a request for its load."""
+        deadline_s = time.monotonic() + timeout_s
+        try:
+            connection = _sockets.connect(target.endpoint, timeout_s)
+        except OSError:
+            return False
+        request = (
+            b'GET '
+            + self._codec.probe_path()
+            + b' HTTP/1.1\r\nHost: '
+            + str(target.endpoint).encode()
+            + b'\r\n\r\n'
+        )
+        try:
+            connection.send(request)
+            left_s = deadline_s - time.monotonic()
+            found = _sockets.wait_for(connection, select.POLLIN, left_s)
+            return bool(found) and bool(connection.recv(1))
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+
+def _is_final(event: forwarding.AnswerEvent) -> bool:
+    return isinstance(event, forwarding.AnswerEnd | forwarding.ExchangeFault)
+
+
+def _lost(detail: str) -> forwarding.ExchangeFault:
+    return forwarding.ExchangeFault(forwarding.FaultKind.LOST, detail)
+
+
+def _not_connected(error: OSError) -> forwarding.ExchangeFault:
+    detail = error.strerror or 'timed out'
+    return forwarding.ExchangeFault(
+        forwarding.FaultKind.NOT_CONNECTED, f'no connection: {detail}'
+    )
