Share runs and lost engines among the instances

Each instance picked engines by its own streams alone: whole domains of engines die every few seconds, all instances rushed to the same survivors, and prompts queued for up to four seconds. Instances now tell each other of runs and lost engines by datagrams (full reports each second, changes at once) and find each other through a kind of their own in the store.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -3,8 +3,16 @@
 from skylarktack.coordination.forwarding._beliefs import ConfigurationBelief
 from skylarktack.coordination.forwarding._beliefs import ConfigurationHolder
 from skylarktack.coordination.forwarding._beliefs import TargetBelief
+from skylarktack.coordination.forwarding._budget import RepeatLimits
 from skylarktack.coordination.forwarding._budget import RetryBudget
 from skylarktack.coordination.forwarding._calls import CallForwarder
+from skylarktack.coordination.forwarding._fleet import FleetLink
+from skylarktack.coordination.forwarding._fleet import FleetMember
+from skylarktack.coordination.forwarding._fleet import FleetReporter
+from skylarktack.coordination.forwarding._fleet import FleetView
+from skylarktack.coordination.forwarding._fleet import LossListener
+from skylarktack.coordination.forwarding._fleet import PeerRegistry
+from skylarktack.coordination.forwarding._fleet import RunPlace
 from skylarktack.coordination.forwarding._following import Changes
 from skylarktack.coordination.forwarding._following import Follower
 from skylarktack.coordination.forwarding._following import FollowSettings
@@ -18,7 +26,6 @@
 from skylarktack.coordination.forwarding._gateway import RequestObserver
 from skylarktack.coordination.forwarding._gateway import RequestReport
 from skylarktack.coordination.forwarding._outcomes import CallerLeft
-from skylarktack.coordination.forwarding._outcomes import CallOutcome
 from skylarktack.coordination.forwarding._outcomes import RequestNotes
 from skylarktack.coordination.forwarding._outcomes import RequestStep
 from skylarktack.coordination.forwarding._outcomes import RunState
@@ -42,19 +49,25 @@
 from skylarktack.coordination.forwarding._ports import TargetClient
 from skylarktack.coordination.forwarding._routes import RouteTable
 from skylarktack.coordination.forwarding._routes import choose_service
+from skylarktack.coordination.forwarding._stream_parts import AttemptEnd
+from skylarktack.coordination.forwarding._stream_parts import Final
+from skylarktack.coordination.forwarding._stream_parts import Lost
+from skylarktack.coordination.forwarding._stream_parts import NotRun
+from skylarktack.coordination.forwarding._stream_parts import StreamParts
+from skylarktack.coordination.forwarding._stream_parts import StreamProgress
 from skylarktack.coordination.forwarding._streams import StreamForwarder
-from skylarktack.coordination.forwarding._streams import StreamParts
 from skylarktack.coordination.forwarding._targets import EnginePair
 from skylarktack.coordination.forwarding._targets import TargetTable
+from skylarktack.coordination.forwarding._targets import subject_of
 from skylarktack.coordination.forwarding._work import Work
 
 __all__ = [
     'AnswerEnd',
     'AnswerEvent',
+    'AttemptEnd',
     'BeliefLog',
     'BodyPart',
     'CallForwarder',
-    'CallOutcome',
     'Caller',
     'CallerLeft',
     'Changes',
@@ -64,10 +77,12 @@
     'EventSplitter',
     'Exchange',
     'ExchangeFault',
-    'MessageCodec',
-    'StoreAnswer',
-    'StoreCalls',
     'FaultKind',
+    'Final',
+    'FleetLink',
+    'FleetMember',
+    'FleetReporter',
+    'FleetView',
     'FollowSettings',
     'Follower',
     'Gateway',
@@ -75,15 +90,24 @@
     'KindBelief',
     'KindReader',
     'Listing',
+    'LossListener',
+    'Lost',
+    'MessageCodec',
+    'NotRun',
+    'PeerRegistry',
     'Ready',
+    'RepeatLimits',
     'RequestNotes',
     'RequestObserver',
     'RequestReport',
     'RequestStep',
     'RetryBudget',
     'RouteTable',
+    'RunPlace',
     'RunState',
     'SplitEvents',
+    'StoreAnswer',
+    'StoreCalls',
     'StoreFault',
     'StoreFaultKind',
     'StreamBroken',
@@ -91,9 +115,11 @@
     'StreamForwarder',
     'StreamOutcome',
     'StreamParts',
+    'StreamProgress',
     'TargetBelief',
     'TargetClient',
     'TargetTable',
     'Work',
     'choose_service',
+    'subject_of',
 ]
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_budget.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_budget.py
@@ -1,6 +1,8 @@
 """Budget of sends beyond the first, for each service."""
 
 import collections
+from collections.abc import Callable
+import dataclasses
 import threading
 
 from skylarktack.coordination.ports import Clock
@@ -9,18 +11,38 @@
 #: by all instances, and each sees only its own requests.
 LOCAL_RATIO_SHARE = 0.75
 
-#: Sends beyond the first that each instance may make in a window without
-#: requests that pay for them.
-LOCAL_ALLOWANCE_COUNT = 4
+#: Part of the fleet's fixed allowance that all instances spend together.
+ALLOWANCE_SHARE = 0.8
+
+
+@dataclasses.dataclass(frozen=True)
+class RepeatLimits:
+    """Sends beyond the first that all instances may make together."""
+
+    #: Repeats for each request of a service.
+    ratio: float
+
+    #: Repeats in a window beyond the ratio.
+    allowance_count: float
+
+    #: Length of the window.
+    window_s: float
 
 
 class RetryBudget:
     """Counts requests and repeats of each service in a sliding window."""
 
-    def __init__(self, clock: Clock, ratio: float, window_s: float) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        limits: RepeatLimits,
+        instance_count: Callable[[], int],
+    ) -> None:
         self._clock = clock
-        self._ratio = ratio * LOCAL_RATIO_SHARE
-        self._window_s = window_s
+        self._ratio = limits.ratio * LOCAL_RATIO_SHARE
+        self._allowance_count = limits.allowance_count * ALLOWANCE_SHARE
+        self._window_s = limits.window_s
+        self._instance_count = instance_count
         self._lock = threading.Lock()
         self._requests: dict[str, collections.deque[float]] = {}
         self._repeats: dict[str, collections.deque[float]] = {}
@@ -37,12 +59,20 @@
         with self._lock:
             requests = self._fresh(self._requests, service)
             repeats = self._fresh(self._repeats, service)
-            limit = self._ratio * len(requests) + LOCAL_ALLOWANCE_COUNT
+            allowance = self._allowance_count / self._instance_count()
+            limit = self._ratio * len(requests) + max(1.0, allowance)
             if len(repeats) >= limit:
                 return False
             repeats.append(self._clock.monotonic_s())
             return True
 
+    def return_repeat(self, service: str) -> None:
+        """Give back the last repeat, which did not reach a target."""
+        with self._lock:
+            repeats = self._fresh(self._repeats, service)
+            if repeats:
+                repeats.pop()
+
     def _fresh(
         self, table: dict[str, collections.deque[float]], service: str
     ) -> collections.deque[float]:
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -0,0 +1,411 @@
+"""What the instances of the fleet know of each other's runs.
+
+Many instances choose among the same engines. Each tells the others which
+runs it started and which targets it found lost, so that a choice rests on
+loads that are milliseconds old. A report that gets lost is replaced by the
+next full one.
+"""
+
+import dataclasses
+import random
+import threading
+from typing import Protocol
+
+from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.ports import Clock
+from skylarktack.state import forwarding as data
+
+#: Shortest time between two full reports to the same peer.
+REPORT_INTERVAL_S = 1.0
+
+#: Time that each peer adds to the interval, which bounds the datagrams that
+#: an instance sends and receives at 20 a second.
+REPORT_INTERVAL_PER_PEER_S = 0.05
+
+#: Number of intervals after which a silent peer's runs no longer count.
+SILENT_INTERVAL_COUNT = 2.5
+
+#: A peer that was silent for this time is forgotten.
+PEER_LIFETIME_S = 120.0
+
+#: Time for which the place of an ended run is remembered.
+PLACE_LIFETIME_S = 20.0
+
+#: Most remembered places.
+PLACE_LIMIT_COUNT = 4096
+
+#: Bytes a second that changes may take, and the burst that is allowed.
+CHANGE_BYTES_PER_S = 6000.0
+CHANGE_BURST_BYTES = 20000.0
+
+#: Weights of an engine's runs against each other. The prompt of a run that
+#: is still read delays the tokens of all others.
+READING_WEIGHT = 2.0
+RUNNING_WEIGHT = 1.0
+STANDBY_WEIGHT = 0.25
+
+
+class FleetLink(Protocol):
+    """Sends datagrams to other instances."""
+
+    def send(
+        self, report: data.FleetReport, peers: tuple[data.Endpoint, ...]
+    ) -> int:
+        """Send one report to each peer; return the bytes sent."""
+        ...
+
+
+class LossListener(Protocol):
+    """Learns of targets that another instance found lost."""
+
+    def report_rumour(self, name: str) -> None:
+        """Take over that a target is lost."""
+        ...
+
+
+class PeerRegistry(Protocol):
+    """Lists the instances of the fleet."""
+
+    def register(
+        self, peer: data.ListedPeer
+    ) -> tuple[data.ListedPeer, ...] | None:
+        """Enter this instance; return all, or None if the store is away."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class RunPlace:
+    """Where a run is or was."""
+
+    #: The run.
+    notice: data.RunNotice
+
+    #: Monotonic time at which it was last heard of.
+    heard_at_s: float
+
+
+@dataclasses.dataclass
+class _Peer:
+    endpoint: data.Endpoint
+    started_at_ms: int = 0
+    sequence: int = -1
+    heard_at_s: float = 0.0
+    valid_until_s: float = 0.0
+    runs: dict[str, data.RunNotice] = dataclasses.field(default_factory=dict)
+
+
+class FleetView:
+    """Runs of all instances, as far as they were told."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: _ports.BeliefLog,
+        instance: str,
+        endpoint: data.Endpoint | None,
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._instance = instance
+        self._endpoint = endpoint or data.Endpoint('', 0)
+        self._started_at_ms = int(clock.wall_s() * 1000)
+        self._lock = threading.Lock()
+        self._sequence = 0
+        self._own_runs: dict[str, data.RunNotice] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._changed_runs: list[data.RunNotice] = []
+        self._lost_targets: list[str] = []
+        self._places: dict[str, RunPlace] = {}
+        self._loss_listener: LossListener | None = None
+        self._has_news = threading.Event()
+        self._is_greeting = True
+
+    def set_loss_listener(self, listener: LossListener) -> None:
+        """Tell the listener of targets that peers found lost."""
+        self._loss_listener = listener
+
+    def note_run(self, notice: data.RunNotice) -> None:
+        """Note a run of this instance that began, went on or ended."""
+        with self._lock:
+            if notice.has_ended:
+                self._own_runs.pop(notice.attempt_id, None)
+            else:
+                self._own_runs[notice.attempt_id] = notice
+            self._remember(notice)
+            self._changed_runs.append(notice)
+        self._has_news.set()
+
+    def note_run_end(self, notice: data.RunNotice) -> None:
+        """Note that a run of this instance has ended at its engine."""
+        self.note_run(dataclasses.replace(notice, has_ended=True))
+
+    def note_lost_target(self, name: str) -> None:
+        """Tell the peers of a target that this instance found lost."""
+        with self._lock:
+            self._lost_targets.append(name)
+        self._has_news.set()
+
+    def add_peers(self, peers: tuple[data.ListedPeer, ...]) -> None:
+        """Add instances that the store lists."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            for listed in peers:
+                if listed.instance == self._instance:
+                    continue
+                if listed.endpoint == self._endpoint:
+                    continue
+                held = self._peers.get(listed.instance)
+                if held is None or held.sequence < 0:
+                    self._peers[listed.instance] = _Peer(
+                        listed.endpoint, heard_at_s=now_s
+                    )
+            self._is_greeting = True
+        self._has_news.set()
+
+    def take(self, report: data.FleetReport) -> None:
+        """Take over a report of another instance."""
+        if report.instance == self._instance:
+            return
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            peer = self._peers.get(report.instance)
+            is_new = peer is None
+            if peer is None:
+                peer = _Peer(report.endpoint)
+                self._peers[report.instance] = peer
+                self._is_greeting = True
+            if report.started_at_ms != peer.started_at_ms:
+                peer.started_at_ms = report.started_at_ms
+                peer.sequence = -1
+                peer.runs.clear()
+            peer.endpoint = report.endpoint
+            peer.heard_at_s = now_s
+            self._take_runs(peer, report)
+            valid_s = SILENT_INTERVAL_COUNT * report.next_report_ms / 1000
+            peer.valid_until_s = now_s + valid_s
+        if is_new:
+            self._log.record(
+                'fleet',
+                'an instance is known',
+                peer=report.instance,
+                at=str(report.endpoint),
+            )
+            self._has_news.set()
+        if self._loss_listener is None:
+            return
+        for name in report.lost_targets:
+            self._loss_listener.report_rumour(name)
+
+    def loads(self) -> dict[str, float]:
+        """Return the weighted count of runs of each engine."""
+        now_s = self._clock.monotonic_s()
+        loads: dict[str, float] = {}
+        with self._lock:
+            for notice in self._own_runs.values():
+                _add_load(loads, notice)
+            for peer in self._peers.values():
+                if now_s > peer.valid_until_s:
+                    continue
+                for notice in peer.runs.values():
+                    _add_load(loads, notice)
+        return loads
+
+    def find_place(self, subject: str) -> RunPlace | None:
+        """Return where a run with the same last part was last seen."""
+        with self._lock:
+            place = self._places.get(subject)
+        if place is None:
+            return None
+        age_s = self._clock.monotonic_s() - place.heard_at_s
+        return place if age_s <= PLACE_LIFETIME_S else None
+
+    def instance_count(self) -> int:
+        """Return the number of instances that were heard of lately."""
+        now_s = self._clock.monotonic_s()
+        count = 1
+        with self._lock:
+            for peer in self._peers.values():
+                if now_s <= peer.valid_until_s:
+                    count += 1
+        return count
+
+    def report_interval_s(self) -> float:
+        """Return the time between two full reports."""
+        with self._lock:
+            extra_s = REPORT_INTERVAL_PER_PEER_S * len(self._peers)
+        return max(REPORT_INTERVAL_S, extra_s)
+
+    def wait_for_news(self, timeout_s: float) -> bool:
+        """Wait until there is something to tell; return whether so."""
+        has_news = self._clock.wait(self._has_news, timeout_s)
+        self._has_news.clear()
+        return has_news
+
+    def full_report(self) -> data.FleetReport:
+        """Return a report with all runs of this instance."""
+        interval_s = self.report_interval_s()
+        with self._lock:
+            self._changed_runs.clear()
+            self._is_greeting = False
+            return self._report(
+                True, tuple(self._own_runs.values()), interval_s
+            )
+
+    def change_report(self) -> data.FleetReport | None:
+        """Return a report of what changed since the last, or None."""
+        interval_s = self.report_interval_s()
+        with self._lock:
+            if self._is_greeting:
+                return None
+            if not self._changed_runs and not self._lost_targets:
+                return None
+            changed = tuple(self._changed_runs)
+            self._changed_runs.clear()
+            return self._report(False, changed, interval_s)
+
+    def is_greeting(self) -> bool:
+        """Return whether new peers wait for a full report."""
+        with self._lock:
+            return self._is_greeting
+
+    def peers(self) -> tuple[data.Endpoint, ...]:
+        """Return where the peers receive reports, in random order."""
+        oldest_s = self._clock.monotonic_s() - PEER_LIFETIME_S
+        with self._lock:
+            for name in list(self._peers):
+                if self._peers[name].heard_at_s < oldest_s:
+                    del self._peers[name]
+            endpoints = [peer.endpoint for peer in self._peers.values()]
+        random.shuffle(endpoints)
+        return tuple(endpoints)
+
+    def _report(
+        self,
+        is_full: bool,
+        runs: tuple[data.RunNotice, ...],
+        interval_s: float,
+    ) -> data.FleetReport:
+        self._sequence += 1
+        lost = tuple(self._lost_targets)
+        self._lost_targets.clear()
+        return data.FleetReport(
+            instance=self._instance,
+            endpoint=self._endpoint,
+            started_at_ms=self._started_at_ms,
+            sequence=self._sequence,
+            is_full=is_full,
+            runs=runs,
+            lost_targets=lost,
+            next_report_ms=int(interval_s * 1000),
+        )
+
+    def _take_runs(self, peer: _Peer, report: data.FleetReport) -> None:
+        if report.sequence <= peer.sequence:
+            return
+        peer.sequence = report.sequence
+        if report.is_full:
+            peer.runs.clear()
+        for notice in report.runs:
+            if notice.has_ended:
+                peer.runs.pop(notice.attempt_id, None)
+            else:
+                peer.runs[notice.attempt_id] = notice
+            self._remember(notice)
+
+    def _remember(self, notice: data.RunNotice) -> None:
+        if not notice.subject:
+            return
+        self._places.pop(notice.subject, None)
+        self._places[notice.subject] = RunPlace(
+            notice, self._clock.monotonic_s()
+        )
+        while len(self._places) > PLACE_LIMIT_COUNT:
+            del self._places[next(iter(self._places))]
+
+
+def _add_load(loads: dict[str, float], notice: data.RunNotice) -> None:
+    weight = READING_WEIGHT if notice.is_reading else RUNNING_WEIGHT
+    loads[notice.engine] = loads.get(notice.engine, 0.0) + weight
+    if notice.standby is not None:
+        held = loads.get(notice.standby, 0.0)
+        loads[notice.standby] = held + STANDBY_WEIGHT
+
+
+class FleetReporter:
+    """Tells the peers of this instance's runs; run it as a task."""
+
+    def __init__(self, clock: Clock, view: FleetView, link: FleetLink) -> None:
+        self._clock = clock
+        self._view = view
+        self._link = link
+        self._allowance_bytes = CHANGE_BURST_BYTES
+        self._refilled_at_s = clock.monotonic_s()
+        self._change_bytes = 200.0
+
+    def run(self) -> None:
+        """Send reports until the process ends."""
+        next_full_s = self._clock.monotonic_s()
+        while True:
+            left_s = next_full_s - self._clock.monotonic_s()
+            if left_s > 0 and not self._view.is_greeting():
+                if self._view.wait_for_news(left_s):
+                    self._send_changes()
+                continue
+            peers = self._view.peers()
+            self._link.send(self._view.full_report(), peers)
+            interval_s = self._view.report_interval_s()
+            jitter = 0.75 + random.random() / 2
+            next_full_s = self._clock.monotonic_s() + interval_s * jitter
+
+    def _send_changes(self) -> None:
+        report = self._view.change_report()
+        if report is None:
+            return
+        now_s = self._clock.monotonic_s()
+        gained = (now_s - self._refilled_at_s) * CHANGE_BYTES_PER_S
+        self._refilled_at_s = now_s
+        self._allowance_bytes = min(
+            CHANGE_BURST_BYTES, self._allowance_bytes + gained
+        )
+        # Beyond the allowance only some peers learn of a change at once; the
+        # others learn of it with the next full report.
+        affordable = int(max(0.0, self._allowance_bytes) / self._change_bytes)
+        peers = self._view.peers()[:affordable]
+        if not peers:
+            return
+        sent_bytes = self._link.send(report, peers)
+        self._change_bytes = max(1.0, sent_bytes / len(peers))
+        self._allowance_bytes -= sent_bytes
+
+
+class FleetMember:
+    """Enters this instance in the list of instances; run it as a task."""
+
+    #: Time between two looks at the list, which repairs lost greetings.
+    LOOK_INTERVAL_S = 60.0
+
+    #: Wait after the store could not be asked.
+    RETRY_S = 0.7
+
+    def __init__(
+        self,
+        clock: Clock,
+        view: FleetView,
+        registry: PeerRegistry,
+        peer: data.ListedPeer,
+    ) -> None:
+        self._clock = clock
+        self._view = view
+        self._registry = registry
+        self._peer = peer
+        self._never = threading.Event()
+
+    def run(self) -> None:
+        """Register and look for peers until the process ends."""
+        while True:
+            peers = self._registry.register(self._peer)
+            if peers is None:
+                self._clock.wait(self._never, self.RETRY_S)
+                continue
+            self._view.add_peers(peers)
+            self._clock.wait(self._never, self.LOOK_INTERVAL_S)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -114,8 +114,10 @@
         """Wait for an answer, the caller's leaving, or the timeout."""
         ...
 
-    def is_alive(self, target: data.ListedTarget, timeout_s: float) -> bool:
-        """Return whether the target answers a request for its load."""
+    def probe(
+        self, target: data.ListedTarget, timeout_s: float
+    ) -> data.TargetReport | None:
+        """Return what the target says of itself, or None if it is silent."""
         ...
 
 
@@ -171,6 +173,10 @@
         """Return the path at which a target tells its load."""
         ...
 
+    def decode_report(self, body: bytes) -> data.TargetReport | None:
+        """Return what a target says of itself, or None if unreadable."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreAnswer:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -1,10 +1,11 @@
 """Known targets, the evidence about each, and the choice among them."""
 
 import dataclasses
-import hashlib
 import math
+import random
 import threading
 
+from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -38,6 +39,14 @@
 DOMAIN_LOSS_WINDOW_S = 0.6
 DOMAIN_DOUBT_S = 1.2
 
+#: An answer this young outweighs another instance's word that the target
+#: is lost.
+RUMOUR_DISPROOF_S = 0.3
+
+#: How much more loaded than the least loaded engine the one may be that
+#: kept the prompt of a run that goes on.
+RETURN_LOAD_LIMIT = 6.0
+
 #: Age at which a reported load no longer counts.
 LOAD_LIFETIME_S = 1.0
 
@@ -56,6 +65,7 @@
     sampled_at_s: float = -math.inf
     failure_count: int = 0
     ejected_until_s: float = -math.inf
+    rumoured_at_s: float = -math.inf
     load: data.TargetLoad | None = None
     load_at_s: float = -math.inf
 
@@ -75,11 +85,17 @@
     """Targets of all services with the evidence of this instance."""
 
     def __init__(
-        self, clock: Clock, log: _ports.BeliefLog, failure_domain: str
+        self,
+        clock: Clock,
+        log: _ports.BeliefLog,
+        failure_domain: str,
+        fleet: _fleet.FleetView,
     ) -> None:
         self._clock = clock
         self._log = log
         self._failure_domain = failure_domain
+        self._fleet = fleet
+        fleet.set_loss_listener(self)
         self._lock = threading.Lock()
         self._targets: dict[str, data.ListedTarget] = {}
         self._evidence: dict[str, _Evidence] = {}
@@ -183,6 +199,8 @@
             evidence.ejected_until_s = now_s + span_s
             if is_loss:
                 self._count_domain_loss(target, now_s)
+        if is_loss:
+            self._fleet.note_lost_target(target.name)
         self._log.record(
             'target',
             'a target failed and is passed over',
@@ -191,6 +209,34 @@
             for_ms=round(span_s * 1000),
         )
 
+    def report_rumour(self, name: str) -> None:
+        """Take over that another instance found a target lost."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            target = self._targets.get(name)
+            if target is None:
+                return
+            evidence = self._of(target)
+            if now_s - evidence.sampled_at_s < RUMOUR_DISPROOF_S:
+                return
+            until_s = now_s + EJECTION_S
+            evidence.ejected_until_s = max(evidence.ejected_until_s, until_s)
+            evidence.rumoured_at_s = now_s
+            self._count_domain_loss(target, now_s)
+
+    def is_passed_over(self, target: data.ListedTarget) -> bool:
+        """Return whether the target is gone or failed a moment ago."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            if target.name not in self._targets:
+                return True
+            return now_s < self._of(target).ejected_until_s
+
+    def rumoured_at_s(self, target: data.ListedTarget) -> float:
+        """Return when another instance last found the target lost."""
+        with self._lock:
+            return self._of(target).rumoured_at_s
+
     def report_misdirected(self, target: data.ListedTarget) -> None:
         """Note that another target has the address."""
         with self._lock:
@@ -219,57 +265,40 @@
     ) -> EnginePair | None:
         """Return the engine for a run and the one for its copy.
 
-        The order by a hash of the prompt's last part gives a repeated
-        request the engine that has read the prompt, at any instance; load
-        decides between the first two.
+        A run that goes on for a caller that came back is sent where it was,
+        since that engine still keeps the prompt.
         """
+        subject = subject_of(request)
+        loads = self._fleet.loads()
+        place = None
+        if request.last_event_id is not None:
+            place = self._fleet.find_place(subject)
         with self._lock:
-            candidates = self._usable(service, passed)
             serving = []
-            for target in candidates:
+            for target in self._usable(service, passed):
                 if request.model and target.models:
                     if request.model not in target.models:
                         continue
                 serving.append(target)
             if not serving:
                 return None
-            subject = (
-                request.prompt_parts[-1].part_id
-                if request.prompt_parts
-                else request.attempt_id
-            )
-            serving.sort(key=lambda target: _rank(subject, target.name))
-            primary = serving[0]
-            for other in serving[1:3]:
-                if self._busy_count(other) + 1 < self._busy_count(primary):
-                    primary = other
-            return EnginePair(primary, self._standby(serving, primary))
+            primary = _least_loaded(serving, loads)
+            for target in serving:
+                if place is None or target.name != place.notice.engine:
+                    continue
+                lead = loads.get(target.name, 0.0)
+                if lead - loads.get(primary.name, 0.0) < RETURN_LOAD_LIMIT:
+                    primary = target
+            return EnginePair(primary, _standby(serving, primary, loads))
 
     def choose_standby(
         self, service: str, primary: data.ListedTarget
     ) -> data.ListedTarget | None:
         """Return an engine for the copy of a run at the primary."""
+        loads = self._fleet.loads()
         with self._lock:
             candidates = self._usable(service, frozenset((primary.name,)))
-            return self._standby(candidates, primary)
-
-    def _standby(
-        self,
-        candidates: list[data.ListedTarget],
-        primary: data.ListedTarget,
-    ) -> data.ListedTarget | None:
-        best = None
-        best_load = math.inf
-        for target in candidates:
-            if target.name == primary.name:
-                continue
-            load = float(self._busy_count(target))
-            if target.failure_domain == primary.failure_domain:
-                load += 1000.0
-            if load < best_load:
-                best = target
-                best_load = load
-        return best
+            return _standby(candidates, primary, loads)
 
     def _put(self, target: data.ListedTarget) -> None:
         held = self._targets.get(target.name)
@@ -376,6 +405,36 @@
         return expected_ms
 
 
-def _rank(subject: str, name: str) -> bytes:
-    text = f'{subject}/{name}'.encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
+def subject_of(request: data.FrontRequest) -> str:
+    """Return what attempts for the same output have in common."""
+    if request.prompt_parts:
+        return request.prompt_parts[-1].part_id
+    return ''
+
+
+def _least_loaded(
+    candidates: list[data.ListedTarget], loads: dict[str, float]
+) -> data.ListedTarget:
+    return min(
+        candidates,
+        key=lambda target: (loads.get(target.name, 0.0), random.random()),
+    )
+
+
+def _standby(
+    candidates: list[data.ListedTarget],
+    primary: data.ListedTarget,
+    loads: dict[str, float],
+) -> data.ListedTarget | None:
+    remote = []
+    local = []
+    for target in candidates:
+        if target.name == primary.name:
+            continue
+        if target.failure_domain == primary.failure_domain:
+            local.append(target)
+        else:
+            remote.append(target)
+    if not remote and not local:
+        return None
+    return _least_loaded(remote or local, loads)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -39,6 +39,9 @@
 #: since two questions of the balancer have to fail first.
 ACCEPT_AFTER_STOP_S = 3.0
 
+#: Tasks besides those for connections.
+OWN_TASK_COUNT = 12
+
 #: Step in which a stop looks for connections to close.
 STOP_STEP_S = 0.2
 
@@ -60,12 +63,21 @@
         clock = ports.SystemClock()
         codec = platform.PlatformMessageCodec()
         self._configuration = forwarding.ConfigurationHolder(clock, log)
+        self._fleet = forwarding.FleetView(
+            clock, log, settings.instance, settings.peer
+        )
         self._targets = forwarding.TargetTable(
-            clock, log, settings.failure_domain
+            clock, log, settings.failure_domain, self._fleet
         )
         client = transport.HttpTargetClient(codec)
         budget = forwarding.RetryBudget(
-            clock, settings.retry_ratio, settings.retry_window_ms / 1000
+            clock,
+            forwarding.RepeatLimits(
+                settings.retry_ratio,
+                settings.retry_allowance_count,
+                settings.retry_window_ms / 1000,
+            ),
+            self._fleet.instance_count,
         )
         self._gateway = forwarding.Gateway(
             forwarding.GatewayParts(
@@ -79,6 +91,7 @@
                         clock=clock,
                         targets=self._targets,
                         client=client,
+                        fleet=self._fleet,
                         budget=budget,
                         new_splitter=messages.EventStreamSplitter,
                     )
@@ -128,7 +141,7 @@
                 'targets', WATCH_WAIT_S, TARGET_GATHER_S
             ),
         )
-        self._own_tasks = futures.ThreadPoolExecutor(8)
+        self._own_tasks = futures.ThreadPoolExecutor(OWN_TASK_COUNT)
 
     def start(self) -> None:
         """Start all tasks."""
@@ -137,6 +150,21 @@
         self._own_tasks.submit(self._target_follower.run)
         for listener in self._listeners:
             self._own_tasks.submit(listener.run)
+        if self._settings.peer is not None:
+            self._start_fleet(self._settings.peer)
+
+    def _start_fleet(self, endpoint: data.Endpoint) -> None:
+        clock = ports.SystemClock()
+        link = transport.DatagramLink(endpoint, self._log)
+        registry = platform.StorePeerRegistry(
+            transport.HttpStoreCalls(self._settings.store), self._log
+        )
+        peer = data.ListedPeer(self._settings.instance, link.endpoint)
+        member = forwarding.FleetMember(clock, self._fleet, registry, peer)
+        reporter = forwarding.FleetReporter(clock, self._fleet, link)
+        self._own_tasks.submit(link.run, self._fleet)
+        self._own_tasks.submit(reporter.run)
+        self._own_tasks.submit(member.run)
 
     def stop(self) -> None:
         """Finish the requests in progress, at most for the grace period."""
@@ -144,20 +172,26 @@
         end_s = ordered_at_s + self._settings.grace_ms / 1000 - STOP_MARGIN_S
         self._gateway.order_stop()
         self._log.record('instance', 'stopping')
+        is_accepting = True
         while time.monotonic() < end_s:
-            self._gateway.wait_idle(STOP_STEP_S)
             time.sleep(STOP_STEP_S)
             ordered_for_s = time.monotonic() - ordered_at_s
             if ordered_for_s >= CLOSE_IDLE_AFTER_S:
                 self._front.close_idle()
             if ordered_for_s < ACCEPT_AFTER_STOP_S:
                 continue
-            if self._gateway.wait_idle(0.0):
+            if is_accepting:
+                # Requests on connections that were accepted until now are
+                # still served.
+                self._front.close()
+                is_accepting = False
+                continue
+            if not self._front.open_count():
                 break
         self._log.record(
             'instance',
             'stopped',
             after_ms=round((time.monotonic() - ordered_at_s) * 1000),
-            is_idle=self._gateway.wait_idle(0.0),
+            open_connections=self._front.open_count(),
         )
         self._log.close(LOG_CLOSE_S)
--- a/packages/platform/src/skylarktack/platform/__init__.py
+++ b/packages/platform/src/skylarktack/platform/__init__.py
@@ -3,6 +3,7 @@
 from skylarktack.platform._configuration import decode_configuration
 from skylarktack.platform._entries import decode_target
 from skylarktack.platform._fields import MalformedError
+from skylarktack.platform._instances import StorePeerRegistry
 from skylarktack.platform._messages import PlatformMessageCodec
 from skylarktack.platform._settings import PATH_VARIABLE
 from skylarktack.platform._settings import decode_settings
@@ -14,6 +15,7 @@
     'MalformedError',
     'PATH_VARIABLE',
     'PlatformMessageCodec',
+    'StorePeerRegistry',
     'TargetReader',
     'decode_configuration',
     'decode_settings',
--- /dev/null
+++ b/packages/platform/src/skylarktack/platform/_instances.py
@@ -0,0 +1,84 @@
+"""The system's own kind of objects that lists its instances."""
+
+import json
+from typing import Any
+from urllib import parse
+
+from skylarktack.coordination import forwarding
+from skylarktack.platform import _entries
+from skylarktack.platform import _fields
+from skylarktack.platform import _store
+from skylarktack.state import forwarding as data
+
+#: Kind of the objects; one for each name of an instance.
+KIND = 'skylarktack-instances'
+
+_EXISTS_STATUS = 409
+_DONE_STATUSES = frozenset((200, 201))
+
+
+class StorePeerRegistry:
+    """Lists the instances of the fleet in the platform's store."""
+
+    def __init__(
+        self, calls: forwarding.StoreCalls, log: forwarding.BeliefLog
+    ) -> None:
+        self._calls = calls
+        self._log = log
+        self._objects = _store.ObjectReader(calls, KIND)
+        self._is_entered = False
+
+    def register(
+        self, peer: data.ListedPeer
+    ) -> tuple[data.ListedPeer, ...] | None:
+        """Enter this instance; return all, or None if the store is away."""
+        listing = self._objects.list_objects()
+        if isinstance(listing, forwarding.StoreFault):
+            return None
+        peers = []
+        is_listed = False
+        for item in listing.items:
+            listed = _decode(item)
+            if listed is None:
+                continue
+            peers.append(listed)
+            is_listed = is_listed or listed == peer
+        if not is_listed and not self._enter(peer):
+            return None
+        return tuple(peers)
+
+    def _enter(self, peer: data.ListedPeer) -> bool:
+        body = json.dumps(
+            {
+                'metadata': {'name': peer.instance, 'finalizers': []},
+                'specification': {'address': str(peer.endpoint)},
+            }
+        ).encode()
+        path = f'/objects/{KIND}'
+        answer = self._calls.call('POST', path, body, _store.CALL_TIMEOUT_S)
+        if isinstance(answer, forwarding.ExchangeFault):
+            return False
+        if answer.status == _EXISTS_STATUS:
+            name = parse.quote(peer.instance, safe='')
+            answer = self._calls.call(
+                'PUT', f'{path}/{name}', body, _store.CALL_TIMEOUT_S
+            )
+            if isinstance(answer, forwarding.ExchangeFault):
+                return False
+        if answer.status in _DONE_STATUSES:
+            return True
+        self._log.record(
+            'fleet', 'the instance was not listed', status=answer.status
+        )
+        return False
+
+
+def _decode(item: dict[str, Any]) -> data.ListedPeer | None:
+    name = _store.name_of(item)
+    reader = _fields.FieldReader.of(
+        f'{KIND}/{name}', item.get('specification'), []
+    )
+    endpoint = _entries.decode_endpoint(reader, 'address')
+    if reader.findings or not name:
+        return None
+    return data.ListedPeer(name, endpoint)
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -4,6 +4,9 @@
 that only the target can make; the front end passes it on and never checks it.
 """
 
+import json
+
+from skylarktack.platform import _fields
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
 
@@ -146,6 +149,18 @@
         """Return the path at which a target tells its load."""
         return _PROBE_PATH
 
+    def decode_report(self, body: bytes) -> data.TargetReport | None:
+        """Return what a target says of itself, or None if unreadable."""
+        try:
+            decoded = json.loads(body)
+        except ValueError:
+            return None
+        reader = _fields.FieldReader.of('report', decoded, [])
+        queued_count = reader.optional_whole('queued_requests') or 0
+        if reader.findings:
+            return None
+        return data.TargetReport(queued_count)
+
 
 def _first_values(headers: data.Headers) -> dict[bytes, bytes]:
     values: dict[bytes, bytes] = {}
--- a/packages/platform/src/skylarktack/platform/_settings.py
+++ b/packages/platform/src/skylarktack/platform/_settings.py
@@ -46,11 +46,13 @@
         failure_domain=reader.text('availability_zone'),
         front=_entries.decode_endpoint(reader, 'listen_addresses.frontend'),
         readiness=readiness,
+        peer=_decode_peer(reader),
         metrics=metrics,
         store=_entries.decode_endpoint(reader, 'platform.address'),
         grace_ms=1000 * _number(reader, 'bounds.grace_period_s'),
         configuration_lag_ms=_number(reader, 'bounds.config_apply_ms'),
         retry_ratio=_number(reader, 'bounds.retry_budget_ratio'),
+        retry_allowance_count=_number(reader, 'bounds.retry_budget_extra'),
         retry_window_ms=1000 * _number(reader, 'bounds.budget_window_s'),
         descriptor_limit=int(_number(reader, 'limits.file_descriptors')),
     )
@@ -58,6 +60,16 @@
     return settings
 
 
+def _decode_peer(reader: _fields.FieldReader) -> data.Endpoint | None:
+    if reader.table.get('internal_port_range') is None:
+        return None
+    first, _, _ = reader.text('internal_port_range').partition(',')
+    if first.isdigit():
+        return data.Endpoint(reader.text('ip_address'), int(first))
+    reader.reject('internal_port_range', 'is not two ports')
+    return None
+
+
 def _number(reader: _fields.FieldReader, name: str) -> float:
     text = reader.text(name)
     try:
--- a/packages/platform/src/skylarktack/platform/_store.py
+++ b/packages/platform/src/skylarktack/platform/_store.py
@@ -24,7 +24,7 @@
 _OK_STATUS = 200
 
 
-class _ObjectReader:
+class ObjectReader:
     """Lists and watches the objects of one kind."""
 
     def __init__(self, calls: forwarding.StoreCalls, kind: str) -> None:
@@ -51,7 +51,7 @@
                 return forwarding.Listing(tuple(objects), revision)
             # ``start_revision`` takes the name of the last object, not a
             # revision.
-            last = parse.quote(_name_of(objects[-1]), safe='')
+            last = parse.quote(name_of(objects[-1]), safe='')
             query = f'?start_revision={last}'
         return _unreadable('the list has too many pages')
 
@@ -110,7 +110,7 @@
     def __init__(
         self, calls: forwarding.StoreCalls, log: forwarding.BeliefLog
     ) -> None:
-        self._objects = _ObjectReader(calls, 'config')
+        self._objects = ObjectReader(calls, 'config')
         self._log = log
 
     def list_all(
@@ -143,7 +143,7 @@
     ) -> tuple[data.ForwardingConfiguration, ...]:
         configurations = []
         for item in objects:
-            place = f'config/{_name_of(item)}'
+            place = f'config/{name_of(item)}'
             try:
                 configurations.append(
                     _configuration.decode_configuration(
@@ -161,7 +161,7 @@
     def __init__(
         self, calls: forwarding.StoreCalls, log: forwarding.BeliefLog
     ) -> None:
-        self._objects = _ObjectReader(calls, 'servers')
+        self._objects = ObjectReader(calls, 'servers')
         self._log = log
 
     def list_all(
@@ -189,7 +189,7 @@
     def _decode(
         self, item: dict[str, Any], is_gone: bool
     ) -> data.TargetChange:
-        name = _name_of(item)
+        name = name_of(item)
         if is_gone:
             return data.TargetChange(name, None)
         try:
@@ -200,7 +200,8 @@
         return data.TargetChange(name, target)
 
 
-def _name_of(item: dict[str, Any]) -> str:
+def name_of(item: dict[str, Any]) -> str:
+    """Return the name of an object, or an empty text."""
     metadata = item.get('metadata')
     if isinstance(metadata, dict) and isinstance(metadata.get('name'), str):
         return str(metadata['name'])
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -8,6 +8,9 @@
 from skylarktack.state.forwarding._configuration import RequestKind
 from skylarktack.state.forwarding._configuration import ServiceDescription
 from skylarktack.state.forwarding._configuration import WeightedService
+from skylarktack.state.forwarding._fleet import FleetReport
+from skylarktack.state.forwarding._fleet import ListedPeer
+from skylarktack.state.forwarding._fleet import RunNotice
 from skylarktack.state.forwarding._requests import AnswerHead
 from skylarktack.state.forwarding._requests import Delivery
 from skylarktack.state.forwarding._requests import FrontAnswer
@@ -22,12 +25,14 @@
 from skylarktack.state.forwarding._targets import ListedTarget
 from skylarktack.state.forwarding._targets import TargetChange
 from skylarktack.state.forwarding._targets import TargetLoad
+from skylarktack.state.forwarding._targets import TargetReport
 
 __all__ = [
     'AnswerHead',
     'Delivery',
     'Endpoint',
     'EngineCapacity',
+    'FleetReport',
     'ForwardingConfiguration',
     'ForwardingRoute',
     'ForwardingSettings',
@@ -36,14 +41,17 @@
     'FrontRequest',
     'Headers',
     'KeyHolder',
+    'ListedPeer',
     'ListedTarget',
     'PromptPart',
     'Refusal',
     'RefusalReason',
     'RequestHead',
     'RequestKind',
+    'RunNotice',
     'ServiceDescription',
     'TargetChange',
     'TargetLoad',
+    'TargetReport',
     'WeightedService',
 ]
--- /dev/null
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -0,0 +1,68 @@
+"""What instances tell each other about runs and lost targets."""
+
+import dataclasses
+
+from skylarktack.state.forwarding._targets import Endpoint
+
+
+@dataclasses.dataclass(frozen=True)
+class RunNotice:
+    """One run of a stream at an engine."""
+
+    #: Attempt of the caller that the run belongs to.
+    attempt_id: str
+
+    #: Last part of the prompt, which later attempts share.
+    subject: str
+
+    #: Engine that runs it.
+    engine: str
+
+    #: Engine that keeps a copy of its memory, or None.
+    standby: str | None
+
+    #: Whether the engine still reads the prompt.
+    is_reading: bool
+
+    #: Whether the run has ended at this engine.
+    has_ended: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetReport:
+    """One datagram of an instance to another."""
+
+    #: Name of the sender.
+    instance: str
+
+    #: Where the sender receives datagrams.
+    endpoint: Endpoint
+
+    #: Start of the sender, in milliseconds since the epoch.
+    started_at_ms: int
+
+    #: Number of the report; grows with each report of the sender.
+    sequence: int
+
+    #: Whether it holds all runs of the sender or only changed ones.
+    is_full: bool
+
+    #: Runs of the sender.
+    runs: tuple[RunNotice, ...]
+
+    #: Targets that the sender found lost a moment ago.
+    lost_targets: tuple[str, ...]
+
+    #: Time until the sender's next full report, in milliseconds.
+    next_report_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ListedPeer:
+    """An instance as the store lists it."""
+
+    #: Name of the instance.
+    instance: str
+
+    #: Where it receives datagrams.
+    endpoint: Endpoint
--- a/packages/state/src/skylarktack/state/forwarding/_settings.py
+++ b/packages/state/src/skylarktack/state/forwarding/_settings.py
@@ -21,6 +21,9 @@
     #: Where the balancer asks for readiness, or None.
     readiness: Endpoint | None
 
+    #: Where other instances send datagrams, or None.
+    peer: Endpoint | None
+
     #: Where metrics are served, or None.
     metrics: Endpoint | None
 
@@ -37,6 +40,10 @@
     #: all instances.
     retry_ratio: float
 
+    #: Sends beyond the first in a window that no request has to pay for,
+    #: over all instances.
+    retry_allowance_count: float
+
     #: Window in which sends beyond the first are counted.
     retry_window_ms: float
 
--- a/packages/state/src/skylarktack/state/forwarding/_targets.py
+++ b/packages/state/src/skylarktack/state/forwarding/_targets.py
@@ -61,6 +61,14 @@
     target: ListedTarget | None
 
 
+@dataclasses.dataclass(frozen=True)
+class TargetReport:
+    """What an engine says of itself when it is asked."""
+
+    #: Requests that wait to be read.
+    queued_count: int
+
+
 @dataclasses.dataclass(frozen=True)
 class TargetLoad:
     """Load that a target reported about itself; stale when it arrives."""
--- a/packages/transport/src/skylarktack/transport/__init__.py
+++ b/packages/transport/src/skylarktack/transport/__init__.py
@@ -40,6 +40,9 @@
     from skylarktack.transport._operator_answers import record_summary
     from skylarktack.transport._operator_answers import token_of
     from skylarktack.transport._operator_application import HISTORY_COUNT
+    from skylarktack.transport._operator_application import (
+        OPERATOR_BODY_LIMIT_BYTES,
+    )
     from skylarktack.transport._operator_application import OperatorApplication
     from skylarktack.transport._operator_application import OperatorExtension
     from skylarktack.transport._operator_application import OperatorParts
@@ -151,6 +154,7 @@
     'HttpEngineClient': '_engine_client',
     'HttpTokenStream': '_engine_client',
     'GenerationEndpoints': '_generation_endpoints',
+    'OPERATOR_BODY_LIMIT_BYTES': '_operator_application',
     'HttpAnswer': '_http_client',
     'HttpFault': '_http_client',
     'OpenConnections': '_http_client',
--- a/packages/transport/src/skylarktack/transport/forwarding/__init__.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Sockets of the forwarding front end."""
 
+from skylarktack.transport.forwarding._fleet_link import DatagramLink
 from skylarktack.transport.forwarding._front_connection import FrontConnection
 from skylarktack.transport.forwarding._front_connection import FrontHandler
 from skylarktack.transport.forwarding._line_log import LineLog
@@ -9,6 +10,7 @@
 from skylarktack.transport.forwarding._target_client import HttpTargetClient
 
 __all__ = [
+    'DatagramLink',
     'FrontConnection',
     'FrontHandler',
     'HttpExchange',
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
@@ -0,0 +1,77 @@
+"""Datagrams between instances.
+
+A report is worthless once the next one exists, so nothing is sent again and
+no connection is kept; the project's websockets serve messages that may not
+get lost.
+"""
+
+import socket
+
+from skylarktack.coordination import forwarding
+from skylarktack.protocol import forwarding as messages
+from skylarktack.state import forwarding as data
+
+#: Largest datagram; most reports hold a few hundred bytes.
+DATAGRAM_LIMIT_BYTES = 60000
+
+
+class DatagramLink:
+    """Sends and receives reports at one address."""
+
+    def __init__(
+        self, endpoint: data.Endpoint, log: forwarding.BeliefLog
+    ) -> None:
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((endpoint.host, endpoint.port))
+        self._log = log
+        self._malformed_count = 0
+
+    @property
+    def endpoint(self) -> data.Endpoint:
+        """Return the address in use, with the port that was assigned."""
+        host, port = self._socket.getsockname()
+        return data.Endpoint(host, port)
+
+    def send(
+        self, report: data.FleetReport, peers: tuple[data.Endpoint, ...]
+    ) -> int:
+        """Send one report to each peer; return the bytes sent."""
+        datagram = messages.encode_report(report)
+        sent_bytes = 0
+        for peer in peers:
+            try:
+                self._socket.sendto(
+                    datagram, socket.MSG_DONTWAIT, (peer.host, peer.port)
+                )
+            except OSError:
+                # A full buffer or a peer that is gone; the next full report
+                # replaces this one.
+                continue
+            sent_bytes += len(datagram)
+        return sent_bytes
+
+    def run(self, view: forwarding.FleetView) -> None:
+        """Take over reports until the process ends."""
+        while True:
+            try:
+                datagram = self._socket.recv(DATAGRAM_LIMIT_BYTES)
+            except ConnectionError:
+                # An earlier datagram met a closed port.
+                continue
+            except OSError:
+                return
+            report = messages.decode_report(datagram)
+            if report is not None:
+                view.take(report)
+                continue
+            self._malformed_count += 1
+            if self._malformed_count == 1:
+                self._log.record(
+                    'fleet',
+                    'a datagram is malformed; later ones are not logged',
+                    size_bytes=len(datagram),
+                )
+
+    def close(self) -> None:
+        """Stop receiving."""
+        self._socket.close()
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -53,6 +53,11 @@
                 self._open.add(connection)
             self._tasks.submit(self._serve, connection)
 
+    def open_count(self) -> int:
+        """Return the number of open connections."""
+        with self._lock:
+            return len(self._open)
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         with self._lock:
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -225,29 +225,42 @@
             ready.append(by_descriptor[descriptor])
         return forwarding.Ready(tuple(ready), has_caller_left)
 
-    def is_alive(self, target: data.ListedTarget, timeout_s: float) -> bool:
-        """Return whether the target answers a request for its load."""
+    def probe(
+        self, target: data.ListedTarget, timeout_s: float
+    ) -> data.TargetReport | None:
+        """Return what the target says of itself, or None if it is silent."""
         deadline_s = time.monotonic() + timeout_s
         try:
             connection = _sockets.connect(target.endpoint, timeout_s)
         except OSError:
-            return False
-        request = (
-            b'GET '
-            + self._codec.probe_path()
-            + b' HTTP/1.1\r\nHost: '
-            + str(target.endpoint).encode()
-            + b'\r\n\r\n'
+            return None
+        parser = h11.Connection(h11.CLIENT)
+        outgoing = parser.send(
+            h11.Request(
+                method='GET',
+                target=self._codec.probe_path(),
+                headers=[(b'Host', str(target.endpoint).encode())],
+            )
         )
+        parser.send(h11.EndOfMessage())
+        exchange = HttpExchange(connection, parser, self._codec, '')
+        body: list[bytes] = []
         try:
-            connection.send(request)
-            left_s = deadline_s - time.monotonic()
-            found = _sockets.wait_for(connection, select.POLLIN, left_s)
-            return bool(found) and bool(connection.recv(1))
-        except OSError:
-            return False
+            if exchange.send(outgoing or b'') is not None:
+                return None
+            while True:
+                left_s = deadline_s - time.monotonic()
+                if not _sockets.wait_for(connection, select.POLLIN, left_s):
+                    return None
+                for event in exchange.receive():
+                    if isinstance(event, forwarding.ExchangeFault):
+                        return None
+                    if isinstance(event, forwarding.BodyPart):
+                        body.append(event.data)
+                    if isinstance(event, forwarding.AnswerEnd):
+                        return self._codec.decode_report(b''.join(body))
         finally:
-            connection.close()
+            exchange.close()
 
 
 def _is_final(event: forwarding.AnswerEvent) -> bool:
