Test the decisions of forwarding and hold requests before a configuration

An instance without a configuration refused at once and named 0.3 s; callers come back once, so after a power cut during an outage of the store 10 of 185 streams were refused for good.

--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -20,6 +20,12 @@
 from skylarktack.coordination.fakes._faulted import run_faulted_bookings
 from skylarktack.coordination.fakes._fleet import HOPS_PER_STEP
 from skylarktack.coordination.fakes._fleet import MemberFleet
+from skylarktack.coordination.fakes._forwarding import RecordingLog
+from skylarktack.coordination.fakes._forwarding import ScriptedCaller
+from skylarktack.coordination.fakes._forwarding import ScriptedEvent
+from skylarktack.coordination.fakes._forwarding import ScriptedExchange
+from skylarktack.coordination.fakes._forwarding import ScriptedTargetClient
+from skylarktack.coordination.fakes._forwarding import SentRequest
 from skylarktack.coordination.fakes._links import MemoryLinkHub
 from skylarktack.coordination.fakes._links import MemoryLinkNetwork
 from skylarktack.coordination.fakes._metrics import MemoryMetrics
@@ -44,6 +50,12 @@
 from skylarktack.coordination.fakes._store import StoreFaults
 
 __all__ = [
+    'RecordingLog',
+    'ScriptedCaller',
+    'ScriptedEvent',
+    'ScriptedExchange',
+    'ScriptedTargetClient',
+    'SentRequest',
     'BookingResult',
     'CallInstance',
     'CallStep',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -26,6 +26,7 @@
 from skylarktack.coordination.forwarding._gateway import RequestObserver
 from skylarktack.coordination.forwarding._gateway import RequestReport
 from skylarktack.coordination.forwarding._outcomes import CallerLeft
+from skylarktack.coordination.forwarding._outcomes import CallOutcome
 from skylarktack.coordination.forwarding._outcomes import RequestNotes
 from skylarktack.coordination.forwarding._outcomes import RequestStep
 from skylarktack.coordination.forwarding._outcomes import RunState
@@ -69,6 +70,7 @@
     'BodyPart',
     'CallForwarder',
     'Caller',
+    'CallOutcome',
     'CallerLeft',
     'Changes',
     'ConfigurationBelief',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
@@ -19,6 +19,9 @@
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.6
 
+#: Longest wait before the first list was read, while nothing can be served.
+LONGEST_FIRST_RETRY_S = 0.25
+
 
 class StoreFaultKind(enum.Enum):
     """How a call to the store failed."""
@@ -128,6 +131,7 @@
         self._stopped = threading.Event()
         self._failing_since_s: float | None = None
         self._retry_s = FIRST_RETRY_S
+        self._has_listed = False
 
     def stop(self) -> None:
         """Let the task end after its current call."""
@@ -136,22 +140,21 @@
     def run(self) -> None:
         """Follow the kind until told to stop."""
         revision: int | None = None
-        is_first = True
         while not self._stopped.is_set():
             if revision is None:
-                revision = self._list(is_first)
-                is_first = is_first and revision is None
+                revision = self._list()
                 continue
             revision = self._watch(revision)
 
-    def _list(self, is_first: bool) -> int | None:
+    def _list(self) -> int | None:
         answer = self._reader.list_all()
         if isinstance(answer, StoreFault):
             self._take_fault(answer)
             return None
         was_out = self._failing_since_s is not None
         self._take_success()
-        self._belief.replace(answer.items, was_out and not is_first)
+        self._belief.replace(answer.items, was_out and self._has_listed)
+        self._has_listed = True
         self._belief.confirm()
         return answer.revision
 
@@ -188,7 +191,10 @@
             )
         jitter = 0.5 + random.random() / 2
         self._clock.wait(self._stopped, self._retry_s * jitter)
-        self._retry_s = min(LONGEST_RETRY_S, self._retry_s * 2)
+        longest_s = LONGEST_RETRY_S
+        if not self._has_listed:
+            longest_s = LONGEST_FIRST_RETRY_S
+        self._retry_s = min(longest_s, self._retry_s * 2)
 
     def _take_success(self) -> None:
         if self._failing_since_s is not None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -15,9 +15,19 @@
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: When a caller may come back to an instance that knows no configuration,
-#: or whose configuration may be outdated.
-UNKNOWN_RETRY_AFTER_S = 0.3
+#: Part of the caller's time for which a request waits for the first
+#: configuration, and the longest such wait.
+HOLD_LIMIT_SHARE = 0.02
+LONGEST_HOLD_S = 0.5
+
+#: Part of the caller's time after which it may come back to an instance that
+#: knows no configuration or an outdated one, and the longest such time. Many
+#: callers come back only once, so they should not come back too early.
+RETRY_LIMIT_SHARE = 0.28
+LONGEST_RETRY_AFTER_S = 2.0
+
+#: Time of a caller that did not say how long it waits.
+DEFAULT_TIME_LIMIT_MS = 2000.0
 
 #: When a caller may come back after an instance that stops.
 STOPPING_RETRY_AFTER_S = 0.05
@@ -139,6 +149,7 @@
         """Forward one request and return how it ended."""
         started_at_s = self._clock.monotonic_s()
         notes = _outcomes.RequestNotes(started_at_s)
+        self._await_configuration(request)
         table = self._parts.configuration.table
         is_current = self._parts.configuration.is_current()
         with self._lock:
@@ -175,6 +186,16 @@
         )
         return outcome
 
+    def _await_configuration(self, request: data.FrontRequest) -> None:
+        """Hold a request for a moment until a configuration is known."""
+        is_known = self._parts.configuration.is_known
+        if is_known.is_set():
+            return
+        limit_s = _time_limit_s(request)
+        self._clock.wait(
+            is_known, min(LONGEST_HOLD_S, HOLD_LIMIT_SHARE * limit_s)
+        )
+
     def _admit(
         self,
         table: _routes.RouteTable | None,
@@ -182,25 +203,25 @@
         request: data.FrontRequest,
     ) -> _Admitted | data.Refusal:
         if table is None:
-            return _unsure('no configuration is known yet')
+            return _unsure(request, 'no configuration is known yet')
         route = table.find_route(request.host, request.path)
         if route is None:
             if not is_current:
-                return _unsure('the route may be newer')
+                return _unsure(request, 'the route may be newer')
             return data.Refusal(data.RefusalReason.NO_ROUTE)
         organisation = None
         if table.needs_key(route):
             holder = table.find_organisation(request.key or '')
             if holder is None:
                 if not is_current:
-                    return _unsure('the key may be newer')
+                    return _unsure(request, 'the key may be newer')
                 return data.Refusal(data.RefusalReason.UNKNOWN_KEY)
             organisation = holder.organisation
         service = _routes.choose_service(route, random.random)
         if service is None:
             return data.Refusal(
                 data.RefusalReason.NO_TARGET,
-                UNKNOWN_RETRY_AFTER_S,
+                _retry_after_s(request),
                 'the route has no service',
             )
         if self._refuses_while_stopping(route):
@@ -251,7 +272,17 @@
         return self._parts.calls.run(work)
 
 
-def _unsure(detail: str) -> data.Refusal:
+def _time_limit_s(request: data.FrontRequest) -> float:
+    limit_ms = request.time_limit_ms
+    return (DEFAULT_TIME_LIMIT_MS if limit_ms is None else limit_ms) / 1000
+
+
+def _retry_after_s(request: data.FrontRequest) -> float:
+    wait_s = RETRY_LIMIT_SHARE * _time_limit_s(request)
+    return round(min(LONGEST_RETRY_AFTER_S, wait_s), 3)
+
+
+def _unsure(request: data.FrontRequest, detail: str) -> data.Refusal:
     return data.Refusal(
-        data.RefusalReason.NO_CONFIGURATION, UNKNOWN_RETRY_AFTER_S, detail
+        data.RefusalReason.NO_CONFIGURATION, _retry_after_s(request), detail
     )
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
@@ -0,0 +1,274 @@
+"""Requests, targets and forwarders for tests."""
+
+import dataclasses
+import math
+
+from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
+from skylarktack.state import forwarding as data
+
+PAUSE_MS = 700.0
+OBJECTIVE_MS = 4500.0
+
+
+class _Splitter:
+    """Splits events that end with an empty line."""
+
+    def __init__(self) -> None:
+        self._partial = b''
+
+    def split(self, received: bytes) -> forwarding.SplitEvents:
+        """Return the whole events that are complete with these bytes."""
+        gathered = self._partial + received
+        events, separator, self._partial = gathered.rpartition(b'\n\n')
+        ids = []
+        for line in events.split(b'\n'):
+            if line.startswith(b'id: '):
+                ids.append(int(line[4:]))
+        return forwarding.SplitEvents(events + separator, tuple(ids))
+
+    def has_partial(self) -> bool:
+        """Return whether part of an event is waiting for its rest."""
+        return bool(self._partial)
+
+
+def target(
+    name: str,
+    domain: str = 'domain-a',
+    service: str = 'pool',
+    is_leaving: bool = False,
+) -> data.ListedTarget:
+    """Return a target whose port comes from its name."""
+    port = 1000 + sum(name.encode())
+    return data.ListedTarget(
+        name=name,
+        service=service,
+        endpoint=data.Endpoint('10.0.0.1', port),
+        failure_domain=domain,
+        version='v1',
+        slot_count=12,
+        is_leaving=is_leaving,
+    )
+
+
+def route(
+    kind: data.RequestKind = data.RequestKind.IDEMPOTENT,
+    max_attempts: int = 2,
+    is_resumable: bool = True,
+    timeout_ms: float = 25000,
+) -> data.ForwardingRoute:
+    """Return a route to the service ``pool``."""
+    is_stream = kind is data.RequestKind.STREAM
+    return data.ForwardingRoute(
+        name='route',
+        host='host.example',
+        path_prefix='/a/',
+        kind=kind,
+        services=(data.WeightedService('pool', 1.0),),
+        timeout_ms=timeout_ms,
+        latency_objective_ms=OBJECTIVE_MS if is_stream else 100.0,
+        max_attempts=max_attempts,
+        priority=1,
+        is_anonymous=False,
+        is_resumable=is_stream and is_resumable,
+        longest_pause_ms=PAUSE_MS if is_stream else None,
+    )
+
+
+def request(
+    path: bytes = b'/a/x',
+    key: str | None = 'key',
+    last_event_id: int | None = None,
+    time_limit_ms: float | None = 1500.0,
+) -> data.FrontRequest:
+    """Return an attempt of a caller."""
+    return data.FrontRequest(
+        attempt_id='attempt',
+        method=b'POST',
+        path=path,
+        host='host.example',
+        headers=(),
+        body=b'body',
+        has_body=True,
+        time_limit_ms=time_limit_ms,
+        key=key,
+        last_event_id=last_event_id,
+        model=None,
+        prompt_parts=(
+            data.PromptPart('shared', 200),
+            data.PromptPart('own', 8000),
+        ),
+        prompt_tokens=8200,
+        output_tokens=900,
+    )
+
+
+def head(
+    status: int = 200, is_signed: bool = True, is_not_run: bool = False
+) -> data.AnswerHead:
+    """Return the head of an answer."""
+    return data.AnswerHead(
+        status=status,
+        headers=((b'X', b'1'),),
+        attempt_id='attempt',
+        is_signed=is_signed,
+        is_not_run=is_not_run,
+        is_encoded=False,
+        load=None,
+    )
+
+
+def answer(
+    status: int = 200,
+    after_s: float = 0.02,
+    is_signed: bool = True,
+    is_not_run: bool = False,
+) -> tuple[fakes.ScriptedEvent, ...]:
+    """Return the script of a whole answer."""
+    return (
+        fakes.ScriptedEvent(after_s, head(status, is_signed, is_not_run)),
+        fakes.ScriptedEvent(after_s, forwarding.BodyPart(b'answer')),
+        fakes.ScriptedEvent(after_s, forwarding.AnswerEnd()),
+    )
+
+
+def lost(after_s: float = 0.02) -> tuple[fakes.ScriptedEvent, ...]:
+    """Return the script of a connection that breaks."""
+    fault = forwarding.ExchangeFault(forwarding.FaultKind.LOST, 'reset')
+    return (fakes.ScriptedEvent(after_s, fault),)
+
+
+REFUSED = forwarding.ExchangeFault(
+    forwarding.FaultKind.NOT_CONNECTED, 'no connection'
+)
+
+
+def event_bytes(event_id: int) -> bytes:
+    """Return one event of a stream."""
+    return f'id: {event_id}\ndata: t{event_id}\n\n'.encode()
+
+
+def events(
+    first: int,
+    last: int,
+    start_s: float = 1.0,
+    pace_s: float = 0.04,
+    ending: str = 'end',
+) -> tuple[fakes.ScriptedEvent, ...]:
+    """Return the script of a stream.
+
+    :param ending: ``end``, ``lost``, or ``silent`` for none.
+    """
+    steps = [fakes.ScriptedEvent(start_s, head())]
+    at_s = start_s
+    for event_id in range(first, last + 1):
+        part = forwarding.BodyPart(event_bytes(event_id))
+        steps.append(fakes.ScriptedEvent(at_s, part))
+        at_s += pace_s
+    if ending == 'end':
+        steps.append(fakes.ScriptedEvent(at_s, forwarding.AnswerEnd()))
+    if ending == 'lost':
+        steps.append(fakes.ScriptedEvent(at_s, lost()[0].event))
+    return tuple(steps)
+
+
+def whole(first: int, last: int) -> bytes:
+    """Return the bytes of a range of events."""
+    return b''.join(event_bytes(number) for number in range(first, last + 1))
+
+
+@dataclasses.dataclass
+class Bed:
+    """Forwarders over scripted targets."""
+
+    clock: fakes.SteppingClock
+    log: fakes.RecordingLog
+    client: fakes.ScriptedTargetClient
+    caller: fakes.ScriptedCaller
+    fleet: forwarding.FleetView
+    targets: forwarding.TargetTable
+    budget: forwarding.RetryBudget
+    calls: forwarding.CallForwarder
+    streams: forwarding.StreamForwarder
+
+    def work(
+        self, of_route: data.ForwardingRoute, of_request: data.FrontRequest
+    ) -> forwarding.Work:
+        """Return an admitted request."""
+        now_s = self.clock.monotonic_s()
+        limit_ms = min(
+            of_route.timeout_ms, of_request.time_limit_ms or math.inf
+        )
+        return forwarding.Work(
+            request=of_request,
+            route=of_route,
+            service='pool',
+            has_standby_copies=True,
+            organisation='organisation',
+            caller=self.caller,
+            started_at_s=now_s,
+            deadline_s=now_s + limit_ms / 1000,
+            notes=forwarding.RequestNotes(now_s),
+        )
+
+    def call(
+        self,
+        of_route: data.ForwardingRoute | None = None,
+        of_request: data.FrontRequest | None = None,
+    ) -> forwarding.CallOutcome:
+        """Forward a call."""
+        return self.calls.run(
+            self.work(of_route or route(), of_request or request())
+        )
+
+    def stream(
+        self,
+        of_route: data.ForwardingRoute | None = None,
+        of_request: data.FrontRequest | None = None,
+    ) -> forwarding.StreamOutcome:
+        """Forward a stream."""
+        kind = data.RequestKind.STREAM
+        return self.streams.run(
+            self.work(
+                of_route or route(kind, max_attempts=5),
+                of_request or request(time_limit_ms=25000.0),
+            )
+        )
+
+
+def make(*listed: data.ListedTarget, allowance: float = 100.0) -> Bed:
+    """Return a bed that knows the targets."""
+    clock = fakes.SteppingClock()
+    log = fakes.RecordingLog()
+    client = fakes.ScriptedTargetClient(clock)
+    fleet = forwarding.FleetView(
+        clock, log, 'instance-0', data.Endpoint('10.1.0.1', 7200)
+    )
+    targets = forwarding.TargetTable(clock, log, 'domain-a', fleet)
+    targets.replace(listed, after_outage=False)
+    budget = forwarding.RetryBudget(
+        clock,
+        forwarding.RepeatLimits(0.8, allowance, 10.0),
+        fleet.instance_count,
+    )
+    streams = forwarding.StreamForwarder(
+        forwarding.StreamParts(
+            clock=clock,
+            targets=targets,
+            client=client,
+            fleet=fleet,
+            budget=budget,
+            new_splitter=_Splitter,
+        )
+    )
+    return Bed(
+        clock=clock,
+        log=log,
+        client=client,
+        caller=fakes.ScriptedCaller(clock),
+        fleet=fleet,
+        targets=targets,
+        budget=budget,
+        calls=forwarding.CallForwarder(clock, targets, client, budget),
+        streams=streams,
+    )
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
@@ -0,0 +1,132 @@
+"""Reports among the instances."""
+
+from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
+from skylarktack.state import forwarding as data
+
+
+def _report(
+    sequence: int,
+    runs: tuple[data.RunNotice, ...] = (),
+    is_full: bool = True,
+    started_at_ms: int = 1,
+    lost: tuple[str, ...] = (),
+) -> data.FleetReport:
+    return data.FleetReport(
+        instance='peer',
+        endpoint=data.Endpoint('10.1.0.2', 7200),
+        started_at_ms=started_at_ms,
+        sequence=sequence,
+        is_full=is_full,
+        runs=runs,
+        lost_targets=lost,
+        next_report_ms=1000,
+    )
+
+
+def _run(name: str, has_ended: bool = False) -> data.RunNotice:
+    return data.RunNotice(name, name, f'engine-{name}', None, False, has_ended)
+
+
+def _view(clock: fakes.SteppingClock) -> forwarding.FleetView:
+    return forwarding.FleetView(
+        clock, fakes.RecordingLog(), 'own', data.Endpoint('10.1.0.1', 7200)
+    )
+
+
+class TestFleetView:
+    """Loads follow the newest reports and expire with their senders."""
+
+    def test_changes_add_to_a_full_report(self) -> None:
+        """Guards against loads that miss runs between full reports."""
+        view = _view(fakes.SteppingClock())
+        view.take(_report(1, (_run('a'),)))
+        view.take(_report(2, (_run('b'),), is_full=False))
+        assert set(view.loads()) == {'engine-a', 'engine-b'}
+        view.take(_report(3, (_run('a', True),), is_full=False))
+        assert set(view.loads()) == {'engine-b'}
+
+    def test_an_overtaken_report_is_dropped(self) -> None:
+        """Guards against datagrams that arrive out of order."""
+        view = _view(fakes.SteppingClock())
+        view.take(_report(2, (_run('new'),)))
+        view.take(_report(1, (_run('old'),)))
+        assert set(view.loads()) == {'engine-new'}
+
+    def test_a_restarted_peer_starts_anew(self) -> None:
+        """Guards against runs of a process that was killed."""
+        view = _view(fakes.SteppingClock())
+        view.take(_report(9, (_run('old'),)))
+        view.take(_report(1, (_run('new'),), started_at_ms=2))
+        assert set(view.loads()) == {'engine-new'}
+
+    def test_a_silent_peer_no_longer_counts(self) -> None:
+        """Guards against load that a dead instance leaves behind."""
+        clock = fakes.SteppingClock()
+        view = _view(clock)
+        view.take(_report(1, (_run('a'),)))
+        assert view.instance_count() == 2
+        clock.advance(3.0)
+        assert not view.loads()
+        assert view.instance_count() == 1
+
+    def test_new_peers_get_a_full_report(self) -> None:
+        """Guards against a peer that learns of runs only by changes."""
+        view = _view(fakes.SteppingClock())
+        view.full_report()
+        view.note_run(_run('a'))
+        view.take(_report(1))
+        assert view.change_report() is None
+        assert view.is_greeting()
+        assert len(view.full_report().runs) == 1
+
+    def test_remembers_where_an_ended_run_was(self) -> None:
+        """Guards against reading a prompt again after a dead instance."""
+        clock = fakes.SteppingClock()
+        view = _view(clock)
+        view.take(_report(1, (_run('a', True),)))
+        place = view.find_place('a')
+        assert place is not None
+        assert place.notice.engine == 'engine-a'
+        clock.advance(30.0)
+        assert view.find_place('a') is None
+
+
+class TestRetryBudget:
+    """Repeats stay within the budget that all instances share."""
+
+    def test_divides_the_allowance_by_the_fleet(self) -> None:
+        """Guards against a fleet that spends the allowance many times."""
+        clock = fakes.SteppingClock()
+        for count, expected in ((1, 80), (10, 8)):
+            budget = forwarding.RetryBudget(
+                clock,
+                forwarding.RepeatLimits(0.8, 100.0, 10.0),
+                lambda count=count: count,  # type: ignore[misc]
+            )
+            claimed = 0
+            while budget.claim_repeat('pool'):
+                claimed += 1
+            assert claimed == expected
+
+    def test_the_window_slides(self) -> None:
+        """Guards against a budget that is spent for good."""
+        clock = fakes.SteppingClock()
+        budget = forwarding.RetryBudget(
+            clock, forwarding.RepeatLimits(0.0, 1.25, 10.0), lambda: 1
+        )
+        assert budget.claim_repeat('pool')
+        assert not budget.claim_repeat('pool')
+        clock.advance(11.0)
+        assert budget.claim_repeat('pool')
+
+    def test_a_send_without_connection_is_given_back(self) -> None:
+        """Guards against dead targets that use up the budget."""
+        budget = forwarding.RetryBudget(
+            fakes.SteppingClock(),
+            forwarding.RepeatLimits(0.0, 1.25, 10.0),
+            lambda: 1,
+        )
+        assert budget.claim_repeat('pool')
+        budget.return_repeat('pool')
+        assert budget.claim_repeat('pool')
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -0,0 +1,276 @@
+"""Streams over engines that fail, by fault and moment."""
+
+import dataclasses
+
+import pytest
+
+from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
+from skylarktack.coordination.forwarding.tests import bed
+from skylarktack.state import forwarding as data
+
+
+def _pair() -> bed.Bed:
+    """Return a bed whose first choice is the engine ``first``."""
+    desk = bed.make(bed.target('first'), bed.target('second', 'domain-b'))
+    # A run of another instance makes the second engine the busier one.
+    desk.fleet.note_run(
+        data.RunNotice('other', 'other', 'second', None, is_reading=True)
+    )
+    return desk
+
+
+class TestContinuation:
+    """A stream goes on at the engine that keeps a copy of the run."""
+
+    def test_names_a_standby_in_another_domain(self) -> None:
+        """Guards against a copy that dies with the run's own domain."""
+        desk = bed.make(
+            bed.target('first'),
+            bed.target('near'),
+            bed.target('far', 'domain-b'),
+        )
+        for name in ('near', 'far'):
+            desk.fleet.note_run(
+                data.RunNotice(name, name, name, None, is_reading=True)
+            )
+        desk.client.script('first', bed.events(1, 3))
+        desk.stream()
+        delivery = desk.client.sent[0].delivery
+        assert delivery.standby == bed.target('far').endpoint
+
+    def test_goes_on_from_the_copy_after_a_reset(self) -> None:
+        """Guards against a prompt that is read again, or a torn answer."""
+        desk = _pair()
+        desk.client.script('first', bed.events(1, 5, ending='lost'))
+        desk.client.script('second', bed.events(6, 9, start_s=0.05))
+        outcome = desk.stream()
+        assert isinstance(outcome, forwarding.StreamDone)
+        assert desk.caller.received == bed.whole(1, 9)
+        second = desk.client.sent[1].delivery
+        assert second.from_copy
+        assert second.last_event_id == 5
+
+    def test_reads_again_where_no_copy_can_be(self) -> None:
+        """Guards against asking for the copy of a run without an event."""
+        desk = _pair()
+        desk.client.script('first', bed.lost(0.5))
+        desk.client.script('second', bed.events(1, 3))
+        assert isinstance(desk.stream(), forwarding.StreamDone)
+        assert not desk.client.sent[1].delivery.from_copy
+
+    def test_reads_again_when_the_copy_is_gone(self) -> None:
+        """Guards against a stream that ends because its copy was lost."""
+        desk = bed.make(
+            bed.target('first'),
+            bed.target('second', 'domain-b'),
+            bed.target('third', 'domain-c'),
+        )
+        for name in ('second', 'third', 'third'):
+            desk.fleet.note_run(
+                data.RunNotice(name, name, name, None, is_reading=True)
+            )
+        desk.client.script('first', bed.events(1, 5, ending='lost'))
+        desk.client.script('second', bed.answer(503, is_not_run=True))
+        desk.client.script('third', bed.events(6, 9))
+        assert isinstance(desk.stream(), forwarding.StreamDone)
+        assert desk.caller.received == bed.whole(1, 9)
+        assert not desk.client.sent[2].delivery.from_copy
+
+    def test_keeps_the_head_of_the_first_engine(self) -> None:
+        """Guards against two heads in one answer."""
+        desk = _pair()
+        desk.client.script('first', bed.events(1, 2, ending='lost'))
+        desk.client.script('second', bed.events(3, 4, start_s=0.05))
+        desk.stream()
+        assert desk.caller.head == bed.head()
+
+    def test_closes_the_engine_before_the_next(self) -> None:
+        """Guards against two engines that work on one run."""
+        desk = _pair()
+        desk.client.script('first', bed.events(1, 5, ending='silent'))
+        desk.client.silent.add('first')
+        desk.client.script('second', bed.events(6, 9, start_s=0.05))
+        desk.stream()
+        assert desk.client.exchanges[0].is_closed
+
+
+class TestSilence:
+    """An engine that falls silent is told from one that is slow."""
+
+    def test_leaves_a_dead_engine_within_the_pause(self) -> None:
+        """Guards against a pause that makes the whole stream late."""
+        desk = _pair()
+        desk.client.script('first', bed.events(1, 5, ending='silent'))
+        desk.client.silent.add('first')
+        desk.client.script('second', bed.events(6, 9, start_s=0.05))
+        assert isinstance(desk.stream(), forwarding.StreamDone)
+        moments = desk.caller.received_at_s
+        pauses = [
+            later - earlier
+            for earlier, later in zip(moments, moments[1:], strict=False)
+        ]
+        assert max(pauses) < bed.PAUSE_MS / 1000
+
+    def test_leaves_a_hanging_engine_within_the_pause(self) -> None:
+        """Guards against a connection that went silent for good."""
+        desk = _pair()
+        desk.client.script('first', bed.events(1, 5, ending='silent'))
+        desk.client.script('second', bed.events(6, 9, start_s=0.05))
+        assert isinstance(desk.stream(), forwarding.StreamDone)
+        moments = desk.caller.received_at_s
+        assert moments[5] - moments[4] < bed.PAUSE_MS / 1000
+
+    def test_stays_with_an_engine_that_reads_a_long_prompt(self) -> None:
+        """Guards against prompts that are read in vain under load."""
+        desk = _pair()
+        desk.client.queued_count = 2
+        desk.client.script('first', bed.events(1, 3, start_s=6.0))
+        assert isinstance(desk.stream(), forwarding.StreamDone)
+        assert desk.client.sent_to() == ['first']
+        assert desk.client.probed
+
+    def test_leaves_a_reading_engine_that_a_peer_found_lost(self) -> None:
+        """Guards against seconds of waiting for an engine that is gone."""
+        desk = _pair()
+        desk.client.silent.add('first')
+        desk.client.script('second', bed.events(1, 3))
+        original = desk.client.wait
+
+        def _wait(
+            exchanges: tuple[forwarding.Exchange, ...],
+            caller: forwarding.Caller,
+            timeout_s: float,
+        ) -> forwarding.Ready:
+            ready = original(exchanges, caller, timeout_s)
+            if len(desk.client.sent) == 1:
+                desk.targets.report_rumour('first')
+            return ready
+
+        desk.client.wait = _wait  # type: ignore[method-assign]
+        started_s = desk.clock.monotonic_s()
+        assert isinstance(desk.stream(), forwarding.StreamDone)
+        assert desk.client.sent[1].at_s - started_s < 0.6
+
+    def test_leaves_an_engine_that_makes_no_first_event_once(self) -> None:
+        """Guards against a request that hangs at a healthy engine."""
+        desk = _pair()
+        desk.client.script('first', ())
+        desk.client.script('second', bed.events(1, 3))
+        assert isinstance(desk.stream(), forwarding.StreamDone)
+        assert desk.client.sent_to() == ['first', 'second']
+
+
+@dataclasses.dataclass(frozen=True)
+class BreakCase:
+    """An end of the engine's bytes that is no end of the stream."""
+
+    name: str
+    tail: tuple[forwarding.AnswerEvent, ...]
+
+
+BREAK_CASES = (
+    BreakCase(
+        'within an event',
+        (forwarding.BodyPart(b'id: 3\nda'), forwarding.AnswerEnd()),
+    ),
+    BreakCase(
+        'bytes that are no answer',
+        (
+            forwarding.ExchangeFault(
+                forwarding.FaultKind.MALFORMED, 'illegal chunk'
+            ),
+        ),
+    ),
+    BreakCase('an id is missing', (forwarding.BodyPart(bed.event_bytes(4)),)),
+    BreakCase('an id comes twice', (forwarding.BodyPart(bed.event_bytes(2)),)),
+)
+
+
+class TestOrder:
+    """The caller receives each event once and in order."""
+
+    @pytest.mark.parametrize('case', BREAK_CASES, ids=lambda case: case.name)
+    def test_goes_on_after_a_break(self, case: BreakCase) -> None:
+        """Guards against torn, missing or doubled events."""
+        desk = _pair()
+        start = bed.events(1, 2, ending='silent')
+        tail = tuple(fakes.ScriptedEvent(1.2, event) for event in case.tail)
+        desk.client.script('first', start + tail)
+        desk.client.script('second', bed.events(3, 6, start_s=0.05))
+        assert isinstance(desk.stream(), forwarding.StreamDone)
+        assert desk.caller.received == bed.whole(1, 6)
+
+    def test_goes_on_for_a_caller_that_came_back(self) -> None:
+        """Guards against events that the caller already has."""
+        desk = _pair()
+        desk.client.script('first', bed.events(5, 6))
+        desk.stream(
+            of_request=bed.request(last_event_id=4, time_limit_ms=25000.0)
+        )
+        assert desk.client.sent[0].delivery.last_event_id == 4
+        assert desk.caller.received == bed.whole(5, 6)
+
+    def test_a_caller_comes_back_to_the_engine_it_had(self) -> None:
+        """Guards against a prompt that is read again at another engine."""
+        desk = bed.make(
+            bed.target('a'), bed.target('b'), bed.target('c', 'domain-b')
+        )
+        desk.fleet.take(
+            data.FleetReport(
+                instance='instance-1',
+                endpoint=data.Endpoint('10.1.0.2', 7200),
+                started_at_ms=1,
+                sequence=1,
+                is_full=False,
+                runs=(data.RunNotice('old', 'own', 'b', None, False, True),),
+                lost_targets=(),
+                next_report_ms=1000,
+            )
+        )
+        desk.client.script('b', bed.events(5, 6))
+        desk.stream(
+            of_request=bed.request(last_event_id=4, time_limit_ms=25000.0)
+        )
+        assert desk.client.sent_to() == ['b']
+
+
+class TestRefusals:
+    """A stream that was not run says so, and only then."""
+
+    def test_a_lost_run_is_not_called_not_run(self) -> None:
+        """Guards against a promise for a run that an engine made."""
+        desk = bed.make(bed.target('only'))
+        desk.client.script('only', bed.lost(0.5))
+        kind = data.RequestKind.STREAM
+        outcome = desk.stream(bed.route(kind, is_resumable=False))
+        assert isinstance(outcome, data.Refusal)
+        assert outcome.reason is data.RefusalReason.TARGET_FAILED
+
+    def test_no_engine_is_told_within_an_eighth(self) -> None:
+        """Guards against callers that wait long for a refusal."""
+        desk = bed.make()
+        started_s = desk.clock.monotonic_s()
+        outcome = desk.stream()
+        assert isinstance(outcome, data.Refusal)
+        assert outcome.reason is data.RefusalReason.NO_TARGET
+        waited_ms = 1000 * (desk.clock.monotonic_s() - started_s)
+        assert waited_ms <= bed.OBJECTIVE_MS / 8 + 100
+
+    def test_a_stream_that_may_not_resume_is_broken_off(self) -> None:
+        """Guards against a second run of a request that may run once."""
+        desk = _pair()
+        desk.client.script('first', bed.events(1, 5, ending='lost'))
+        kind = data.RequestKind.STREAM
+        outcome = desk.stream(bed.route(kind, is_resumable=False))
+        assert isinstance(outcome, forwarding.StreamBroken)
+        assert desk.client.sent_to() == ['first']
+
+    def test_ends_at_the_time_limit(self) -> None:
+        """Guards against streams that outlast their route's time."""
+        desk = _pair()
+        kind = data.RequestKind.STREAM
+        desk.client.script('first', bed.events(1, 500, pace_s=0.04))
+        outcome = desk.stream(bed.route(kind, timeout_ms=3000))
+        assert isinstance(outcome, forwarding.StreamBroken)
+        assert desk.client.exchanges[0].is_closed
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
@@ -0,0 +1,136 @@
+"""The table of targets: list, evidence, choice."""
+
+from skylarktack.coordination.forwarding.tests import bed
+from skylarktack.state import forwarding as data
+
+
+class TestTargetList:
+    """The table follows the registry, also after an outage."""
+
+    def test_a_leaving_target_gets_nothing_new(self) -> None:
+        """Guards against requests to a target that stops."""
+        desk = bed.make(bed.target('a'), bed.target('b'))
+        leaving = bed.target('a', is_leaving=True)
+        desk.targets.apply(data.TargetChange('a', leaving))
+        chosen = desk.targets.choose_for_call('pool', frozenset())
+        assert chosen is not None
+        assert chosen.name == 'b'
+
+    def test_a_target_that_is_gone_is_forgotten(self) -> None:
+        """Guards against an address that another service has by now."""
+        desk = bed.make(bed.target('a'))
+        desk.targets.apply(data.TargetChange('a', None))
+        assert desk.targets.choose_for_call('pool', frozenset()) is None
+
+    def test_entries_that_expired_in_an_outage_have_a_moment(self) -> None:
+        """Guards against an empty table right after an outage."""
+        desk = bed.make(bed.target('a'))
+        desk.targets.replace((), after_outage=True)
+        assert desk.targets.choose_for_call('pool', frozenset()) is not None
+        desk.clock.advance(2.5)
+        assert desk.targets.choose_for_call('pool', frozenset()) is None
+
+    def test_an_entry_that_comes_back_stays(self) -> None:
+        """Guards against dropping a target that registered again."""
+        desk = bed.make(bed.target('a'))
+        desk.targets.replace((), after_outage=True)
+        desk.targets.apply(data.TargetChange('a', bed.target('a')))
+        desk.clock.advance(2.5)
+        assert desk.targets.choose_for_call('pool', frozenset()) is not None
+
+
+class TestEvidence:
+    """Failures pass a target over; answers bring it back."""
+
+    def test_a_failed_target_is_passed_over_for_a_while(self) -> None:
+        """Guards against request after request to a dead target."""
+        desk = bed.make(bed.target('a'), bed.target('b'))
+        desk.targets.report_failure(bed.target('a'), 'reset', is_loss=True)
+        for _ in range(5):
+            chosen = desk.targets.choose_for_call('pool', frozenset())
+            assert chosen is not None
+            assert chosen.name == 'b'
+        desk.clock.advance(1.0)
+        assert not desk.targets.is_passed_over(bed.target('a'))
+
+    def test_is_used_when_all_others_failed_too(self) -> None:
+        """Guards against refusals while a target might serve."""
+        desk = bed.make(bed.target('a'))
+        desk.targets.report_failure(bed.target('a'), 'reset', is_loss=True)
+        assert desk.targets.choose_for_call('pool', frozenset()) is not None
+
+    def test_two_losses_put_a_domain_in_doubt(self) -> None:
+        """Guards against trying each target of a domain that died."""
+        desk = bed.make(
+            bed.target('a'),
+            bed.target('b'),
+            bed.target('c'),
+            bed.target('d', 'domain-b'),
+        )
+        for name in ('a', 'b'):
+            desk.targets.report_failure(bed.target(name), 'reset', True)
+        chosen = desk.targets.choose_for_call('pool', frozenset())
+        assert chosen is not None
+        assert chosen.name == 'd'
+
+    def test_a_recent_answer_outweighs_a_rumour(self) -> None:
+        """Guards against one instance's broken link ejecting a target."""
+        desk = bed.make(bed.target('a'))
+        desk.targets.report_answer(bed.target('a'), 20.0, is_error=False)
+        desk.targets.report_rumour('a')
+        assert not desk.targets.is_passed_over(bed.target('a'))
+
+    def test_a_rumour_passes_a_target_over(self) -> None:
+        """Guards against each instance finding a loss by itself."""
+        desk = bed.make(bed.target('a'))
+        desk.targets.report_rumour('a')
+        assert desk.targets.is_passed_over(bed.target('a'))
+
+    def test_errors_and_slowness_lower_a_target(self) -> None:
+        """Guards against a grey target that answers health checks."""
+        desk = bed.make(bed.target('grey'), bed.target('good', 'domain-b'))
+        for _ in range(10):
+            desk.targets.report_answer(bed.target('grey'), 20.0, True)
+            desk.targets.report_answer(bed.target('good'), 20.0, False)
+        chosen = desk.targets.choose_for_call('pool', frozenset())
+        assert chosen is not None
+        assert chosen.name == 'good'
+
+
+class TestEngineChoice:
+    """Engines are chosen by the runs of the whole fleet."""
+
+    def test_spreads_runs_by_the_reports_of_peers(self) -> None:
+        """Guards against all instances choosing the same engine."""
+        desk = bed.make(bed.target('a'), bed.target('b', 'domain-b'))
+        desk.fleet.take(
+            data.FleetReport(
+                instance='instance-1',
+                endpoint=data.Endpoint('10.1.0.2', 7200),
+                started_at_ms=1,
+                sequence=1,
+                is_full=True,
+                runs=(data.RunNotice('x', 'x', 'a', None, True),),
+                lost_targets=(),
+                next_report_ms=1000,
+            )
+        )
+        for _ in range(5):
+            pair = desk.targets.choose_engines(
+                'pool', bed.request(), frozenset()
+            )
+            assert pair is not None
+            assert pair.primary.name == 'b'
+
+    def test_ties_are_broken_at_random(self) -> None:
+        """Guards against instances that all take the first of equals."""
+        names = [f'engine-{number}' for number in range(8)]
+        desk = bed.make(*(bed.target(name) for name in names))
+        chosen = set()
+        for _ in range(100):
+            pair = desk.targets.choose_engines(
+                'pool', bed.request(), frozenset()
+            )
+            assert pair is not None
+            chosen.add(pair.primary.name)
+        assert len(chosen) > 4
