Serve a request that arrived before an idle connection is closed

Connections with unread bytes are now left alone, and a request that crosses the shutdown is not passed on.

--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -1,5 +1,6 @@
 """One connection of a caller: reads requests, writes answers."""
 
+import contextlib
 import select
 import socket
 import threading
@@ -70,6 +71,7 @@
         self._has_begun_answer = False
         self._state = threading.Lock()
         self._is_idle = True
+        self._is_closing = False
         self._is_closed = False
 
     def run(self) -> None:
@@ -94,11 +96,13 @@
         with self._state:
             if self._is_closed or not self._is_idle:
                 return
-            try:
-                self._connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                # The caller closed it at the same moment.
+            # A request that has arrived but was not read yet is served.
+            if _sockets.wait_for(self._connection, select.POLLIN, 0.0):
                 return
+            self._is_closing = True
+            # The caller may close it at the same moment.
+            with contextlib.suppress(OSError):
+                self._connection.shutdown(socket.SHUT_RDWR)
 
     def fileno(self) -> int:
         """Return the descriptor to wait on, or -1 to wait for nothing."""
@@ -222,6 +226,8 @@
                 continue
             if isinstance(event, h11.Request):
                 with self._state:
+                    if self._is_closing:
+                        return None
                     self._is_idle = False
                 head = data.RequestHead(
                     method=event.method,
