--- /dev/null
+++ b/packages/platform/src/skylarktack/platform/tests/test_messages.py
@@ -0,0 +1,192 @@
+"""Headers and status codes, from messages after the platform's page."""
+
+import pytest
+
+from skylarktack import platform
+from skylarktack.state import forwarding as data
+
+CODEC = platform.PlatformMessageCodec()
+
+TARGET = data.ListedTarget(
+    name='i-7f3a91c2',
+    service='pool-a',
+    endpoint=data.Endpoint('10.128.0.9', 8080),
+    failure_domain='zone-a',
+    version='v1',
+    slot_count=12,
+)
+
+HEAD = data.RequestHead(
+    method=b'POST',
+    target=b'/lohu930/2f?page=1',
+    headers=(
+        (b'Host', b'Ficu95.example:80'),
+        (b'Attempt-Id', b'9c41d07be2a35f68'),
+        (b'Last-Event-Id', b'12'),
+        (b'Model', b'm'),
+        (b'Token-Usage', b'1460,80'),
+        (b'Prompt-Prefix', b'5c1e07a2:800,e4402b7d:250'),
+        (b'Deadline-Ms', b'25000'),
+        (b'Key', b'secret'),
+        (b'X-Own', b'kept'),
+    ),
+)
+
+#: What a consumer may not set at a replica.
+RESERVED = (
+    b'Hold',
+    b'Pin-Ms',
+    b'Kv-Backup',
+    b'Kv-From',
+    b'Kv-Fetch',
+    b'Tenant',
+    b'Expected-Replica',
+    b'Expected-Version',
+    b'Request-Priority',
+)
+
+
+def _request(*more: tuple[bytes, bytes]) -> data.FrontRequest:
+    head = data.RequestHead(HEAD.method, HEAD.target, HEAD.headers + more)
+    decoded = CODEC.decode_request(head, b'body', True)
+    assert isinstance(decoded, data.FrontRequest)
+    return decoded
+
+
+class TestConsumerRequest:
+    """A consumer's headers become typed fields."""
+
+    def test_fields(self) -> None:
+        """Guards against headers that are taken for others."""
+        request = _request()
+        assert request.attempt_id == '9c41d07be2a35f68'
+        assert request.host == 'ficu95.example'
+        assert request.path == b'/lohu930/2f?page=1'
+        assert request.time_limit_ms == 25000
+        assert request.key == 'secret'
+        assert request.last_event_id == 12
+        assert request.model == 'm'
+        assert request.prompt_tokens == 1460
+        assert request.output_tokens == 80
+        assert request.prompt_parts == (
+            data.PromptPart('5c1e07a2', 800),
+            data.PromptPart('e4402b7d', 250),
+        )
+
+    def test_a_time_limit_that_is_no_number_is_refused(self) -> None:
+        """Guards against requests without an end."""
+        head = data.RequestHead(b'GET', b'/', ((b'Deadline-Ms', b'soon'),))
+        refusal = CODEC.decode_request(head, b'', False)
+        assert isinstance(refusal, data.Refusal)
+        assert refusal.reason is data.RefusalReason.BAD_REQUEST
+
+
+class TestReplicaRequest:
+    """What a replica receives."""
+
+    def test_headers(self) -> None:
+        """Guards against keys that are passed on and lost headers."""
+        delivery = data.Delivery(
+            target=TARGET,
+            organisation='huka270',
+            time_left_ms=1234.9,
+            last_event_id=40,
+            standby=data.Endpoint('10.128.0.10', 8081),
+            from_copy=True,
+        )
+        encoded = CODEC.encode_request(_request(), delivery)
+        assert encoded == (
+            (b'Host', b'Ficu95.example:80'),
+            (b'Attempt-Id', b'9c41d07be2a35f68'),
+            (b'Model', b'm'),
+            (b'Token-Usage', b'1460,80'),
+            (b'Prompt-Prefix', b'5c1e07a2:800,e4402b7d:250'),
+            (b'X-Own', b'kept'),
+            (b'Expected-Replica', b'i-7f3a91c2'),
+            (b'Deadline-Ms', b'1234'),
+            (b'Tenant', b'huka270'),
+            (b'Last-Event-Id', b'40'),
+            (b'Kv-Backup', b'10.128.0.10:8081'),
+            (b'Kv-From', b'10.128.0.9:8080/9c41d07be2a35f68'),
+        )
+
+    @pytest.mark.parametrize('name', RESERVED, ids=bytes.decode)
+    def test_reserved_headers_are_not_passed_on(self, name: bytes) -> None:
+        """Guards against consumers that set what the system sets."""
+        for spelling in (name, name.lower(), name.upper()):
+            request = _request((spelling, b'1'))
+            plain = data.Delivery(TARGET, None, None)
+            names = [
+                sent.lower()
+                for sent, value in CODEC.encode_request(request, plain)
+                if value == b'1'
+            ]
+            assert not names
+
+
+class TestReplicaAnswer:
+    """What a replica says of its answer."""
+
+    def test_a_signed_answer(self) -> None:
+        """Guards against answers without the replica's signature."""
+        headers = (
+            (b'Attempt-Id', b'9c41'),
+            (b'Replica-Signature', b'3e1b.07'),
+            (b'Replica-Load', b'3,1,8'),
+        )
+        head = CODEC.decode_answer(200, headers)
+        assert head.attempt_id == '9c41'
+        assert head.is_signed
+        assert not head.is_not_run
+        assert head.load == data.TargetLoad(3, 1, 8)
+        assert head.headers == headers
+
+    def test_the_word_that_it_has_not_run(self) -> None:
+        """Guards against repeating what has run."""
+        assert CODEC.decode_answer(503, ((b'Not-Executed', b'1'),)).is_not_run
+        assert not CODEC.decode_answer(503, ()).is_not_run
+
+    def test_an_unreadable_load_is_no_load(self) -> None:
+        """Guards against choices by a load that was misread."""
+        for value in (b'', b'3', b'3,x,8', b'1,2,3,4'):
+            headers = ((b'Replica-Load', value),)
+            assert CODEC.decode_answer(200, headers).load is None
+
+    def test_a_report(self) -> None:
+        """Guards against a queue that is misread."""
+        report = CODEC.decode_report(b'{"queued_requests":3,"busy":false}')
+        assert report == data.TargetReport(3)
+        assert CODEC.decode_report(b'not json') is None
+        assert CODEC.decode_report(b'[]') is None
+
+
+class TestRefusal:
+    """Status codes that promise something keep the promise."""
+
+    @pytest.mark.parametrize(
+        ('reason', 'status'),
+        [
+            (data.RefusalReason.NO_CONFIGURATION, 503),
+            (data.RefusalReason.NO_ROUTE, 404),
+            (data.RefusalReason.UNKNOWN_KEY, 401),
+            (data.RefusalReason.BAD_REQUEST, 400),
+            (data.RefusalReason.HEADER_TOO_LARGE, 431),
+            (data.RefusalReason.BODY_TOO_LARGE, 413),
+            (data.RefusalReason.READ_TIMEOUT, 408),
+            (data.RefusalReason.NO_TARGET, 503),
+            (data.RefusalReason.STOPPING, 503),
+            (data.RefusalReason.TIME_UP_NOT_RUN, 503),
+            (data.RefusalReason.TIME_UP, 504),
+            (data.RefusalReason.TARGET_FAILED, 502),
+        ],
+    )
+    def test_status(self, reason: data.RefusalReason, status: int) -> None:
+        """Guards against a promise for a request that may have run."""
+        answer = CODEC.encode_refusal(data.Refusal(reason, 0.42))
+        assert answer.status == status
+        assert (b'Retry-After', b'0.42') in answer.headers
+
+    def test_every_reason_has_a_status(self) -> None:
+        """Guards against a reason that ends in an error of our own."""
+        for reason in data.RefusalReason:
+            assert CODEC.encode_refusal(data.Refusal(reason)).status
--- /dev/null
+++ b/packages/platform/src/skylarktack/platform/tests/test_settings.py
@@ -0,0 +1,67 @@
+"""The settings file, from lines written after the platform's page."""
+
+import pytest
+
+from skylarktack import platform
+from skylarktack.state import forwarding as data
+
+LINES = """\
+# comment
+node_name=edge-a-1
+ip_address=10.1.0.19
+availability_zone=zone-a
+listen_addresses.frontend=10.1.0.19:8740
+listen_addresses.ready=10.1.0.19:8749
+internal_port_range=7200,7215
+limits.file_descriptors=4100
+bounds.grace_period_s=8
+bounds.config_apply_ms=2000
+bounds.retry_budget_ratio=0.8
+bounds.budget_window_s=10
+bounds.retry_budget_extra=150
+platform.address=10.200.1.7:8742
+a.field.of.a.later.day=x=y
+"""
+
+
+class TestSettings:
+    """All settings are read, or all faults are named."""
+
+    def test_fields(self) -> None:
+        """Guards against units and names that are taken for others."""
+        assert platform.decode_settings(
+            'node.conf', LINES
+        ) == data.ForwardingSettings(
+            instance='edge-a-1',
+            failure_domain='zone-a',
+            front=data.Endpoint('10.1.0.19', 8740),
+            readiness=data.Endpoint('10.1.0.19', 8749),
+            peer=data.Endpoint('10.1.0.19', 7200),
+            metrics=None,
+            store=data.Endpoint('10.200.1.7', 8742),
+            grace_ms=8000,
+            configuration_lag_ms=2000,
+            retry_ratio=0.8,
+            retry_allowance_count=150,
+            retry_window_ms=10000,
+            descriptor_limit=4100,
+        )
+
+    def test_a_name_of_digits_stays_a_name(self) -> None:
+        """Guards against names that are read as numbers."""
+        text = LINES.replace('edge-a-1', '17')
+        assert platform.decode_settings('node.conf', text).instance == '17'
+
+    def test_all_findings_name_their_place(self) -> None:
+        """Guards against operators who mend one fault at a time."""
+        text = LINES.replace('8740', 'port').replace('=0.8', '=much')
+        text = text.replace('node_name=edge-a-1', 'node_name')
+        with pytest.raises(platform.MalformedError) as caught:
+            platform.decode_settings('node.conf', text)
+        places = {found.place for found in caught.value.findings}
+        assert places == {
+            'node.conf:2',
+            'node.conf.node_name',
+            'node.conf.listen_addresses.frontend',
+            'node.conf.bounds.retry_budget_ratio',
+        }
--- /dev/null
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -0,0 +1,50 @@
+"""Datagrams among instances."""
+
+import hypothesis
+from hypothesis import strategies
+
+from skylarktack.protocol import forwarding as messages
+from skylarktack.state import forwarding as data
+
+REPORT = data.FleetReport(
+    instance='edge-a-1',
+    endpoint=data.Endpoint('10.1.0.19', 7200),
+    started_at_ms=1770053550000,
+    sequence=7,
+    is_full=True,
+    runs=(
+        data.RunNotice('a1', 's1', 'engine-1', 'engine-2', True),
+        data.RunNotice('a2', 's2', 'engine-1', None, False, True),
+    ),
+    lost_targets=('engine-3',),
+    next_report_ms=1000,
+)
+
+
+class TestFleetCodec:
+    """What is sent is what is taken; anything else is nothing."""
+
+    def test_round_trip(self) -> None:
+        """Guards against fields that change places."""
+        assert messages.decode_report(messages.encode_report(REPORT)) == REPORT
+
+    def test_size(self) -> None:
+        """Guards against reports that outgrow a datagram's share of a link.
+
+        An instance sends 20 datagrams a second; 200 bytes each leave 10 of
+        the 14 KB/s that control may take.
+        """
+        assert len(messages.encode_report(REPORT)) < 200
+
+    @hypothesis.given(strategies.binary(max_size=300))
+    def test_other_bytes_are_no_report(self, datagram: bytes) -> None:
+        """Guards against a task that ends on a foreign datagram."""
+        decoded = messages.decode_report(datagram)
+        assert decoded is None or isinstance(decoded, data.FleetReport)
+
+    @hypothesis.given(strategies.integers(0, 200))
+    def test_a_cut_report_is_no_report(self, length: int) -> None:
+        """Guards against a datagram that arrives in part."""
+        whole = messages.encode_report(REPORT)
+        cut = whole[: min(length, len(whole) - 1)]
+        assert messages.decode_report(cut) is None
