--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -66,9 +66,10 @@
             bed.target('second', 'domain-b'),
             bed.target('third', 'domain-c'),
         )
-        for name in ('second', 'third', 'third'):
+        for number, name in enumerate(('second', 'third', 'third')):
+            run = f'run-{number}'
             desk.fleet.note_run(
-                data.RunNotice(name, name, name, None, is_reading=True)
+                data.RunNotice(run, run, name, None, is_reading=True)
             )
         desk.client.script('first', bed.events(1, 5, ending='lost'))
         desk.client.script('second', bed.answer(503, is_not_run=True))
