Let a few instances of a large fleet watch the store for all

In fleets of more than 12 instances the three first by a hash of the name now watch, pass the store's answers on as datagrams and send beats while the store answers them; the others listen, ask the store when they miss a change, and watch for themselves when no beat comes. Instances enter the list before they read it, so that of two that start together one sees the other.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -50,6 +50,8 @@
 from skylarktack.coordination.forwarding._ports import TargetClient
 from skylarktack.coordination.forwarding._routes import RouteTable
 from skylarktack.coordination.forwarding._routes import choose_service
+from skylarktack.coordination.forwarding._sharing import SharingLink
+from skylarktack.coordination.forwarding._sharing import StoreSharing
 from skylarktack.coordination.forwarding._stream_parts import AttemptEnd
 from skylarktack.coordination.forwarding._stream_parts import Final
 from skylarktack.coordination.forwarding._stream_parts import Lost
@@ -110,8 +112,10 @@
     'SplitEvents',
     'StoreAnswer',
     'StoreCalls',
+    'SharingLink',
     'StoreFault',
     'StoreFaultKind',
+    'StoreSharing',
     'StreamBroken',
     'StreamDone',
     'StreamForwarder',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import hashlib
 import random
 import threading
 from typing import Protocol
@@ -49,9 +50,9 @@
     """Sends datagrams to other instances."""
 
     def send(
-        self, report: data.FleetReport, peers: tuple[data.Endpoint, ...]
+        self, message: data.FleetMessage, peers: tuple[data.Endpoint, ...]
     ) -> int:
-        """Send one report to each peer; return the bytes sent."""
+        """Send one message to each peer; return the bytes sent."""
         ...
 
 
@@ -106,7 +107,7 @@
     ) -> None:
         self._clock = clock
         self._log = log
-        self._instance = instance
+        self.instance = instance
         self._endpoint = endpoint or data.Endpoint('', 0)
         self._started_at_ms = int(clock.wall_s() * 1000)
         self._lock = threading.Lock()
@@ -150,7 +151,7 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             for listed in peers:
-                if listed.instance == self._instance:
+                if listed.instance == self.instance:
                     continue
                 if listed.endpoint == self._endpoint:
                     continue
@@ -164,7 +165,7 @@
 
     def take(self, report: data.FleetReport) -> None:
         """Take over a report of another instance."""
-        if report.instance == self._instance:
+        if report.instance == self.instance:
             return
         now_s = self._clock.monotonic_s()
         with self._lock:
@@ -229,6 +230,19 @@
                     count += 1
         return count
 
+    def rank(self) -> int:
+        """Return the place of this instance in an order of all heard of."""
+        now_s = self._clock.monotonic_s()
+        own_key = _order_key(self.instance)
+        rank = 0
+        with self._lock:
+            for name, peer in self._peers.items():
+                if now_s > peer.valid_until_s:
+                    continue
+                if _order_key(name) < own_key:
+                    rank += 1
+        return rank
+
     def report_interval_s(self) -> float:
         """Return the time between two full reports."""
         with self._lock:
@@ -289,7 +303,7 @@
         lost = tuple(self._lost_targets)
         self._lost_targets.clear()
         return data.FleetReport(
-            instance=self._instance,
+            instance=self.instance,
             endpoint=self._endpoint,
             started_at_ms=self._started_at_ms,
             sequence=self._sequence,
@@ -323,6 +337,10 @@
             del self._places[next(iter(self._places))]
 
 
+def _order_key(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
+
+
 def _add_load(loads: dict[str, float], notice: data.RunNotice) -> None:
     weight = READING_WEIGHT if notice.is_reading else RUNNING_WEIGHT
     loads[notice.engine] = loads.get(notice.engine, 0.0) + weight
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
@@ -9,7 +9,9 @@
 from typing import TypeVar
 
 from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _sharing
 from skylarktack.coordination.ports import Clock
+from skylarktack.state import forwarding as data
 
 T = TypeVar('T')
 C = TypeVar('C', contravariant=True)
@@ -22,6 +24,15 @@
 #: Longest wait before the first list was read, while nothing can be served.
 LONGEST_FIRST_RETRY_S = 0.25
 
+#: Step in which a listening instance looks whether it still may listen.
+LISTEN_STEP_S = 0.2
+
+#: A listening instance that misses a change for this time asks the store.
+BEHIND_LIMIT_S = 0.3
+
+#: Wait of a watch that only fetches what is missing.
+CATCH_UP_WAIT_S = 0.05
+
 
 class StoreFaultKind(enum.Enum):
     """How a call to the store failed."""
@@ -65,6 +76,9 @@
     #: Revision up to which they are complete.
     revision: int
 
+    #: The answer as the store sent it, for other instances.
+    content: bytes = b''
+
 
 class KindReader(Protocol[T]):
     """Reads objects of one kind from the store."""
@@ -77,6 +91,10 @@
         """Return the changes after a revision as soon as there are any."""
         ...
 
+    def decode_changes(self, content: bytes) -> Changes[T] | StoreFault:
+        """Return the changes in an answer that another instance got."""
+        ...
+
 
 class KindBelief(Protocol[C]):
     """Takes over what the store says of one kind."""
@@ -122,7 +140,11 @@
         belief: KindBelief[T],
         log: _ports.BeliefLog,
         settings: FollowSettings,
+        sharing: _sharing.StoreSharing | None = None,
     ) -> None:
+        self._sharing = sharing
+        self._event_revision = 0
+        self._behind_since_s: float | None = None
         self._clock = clock
         self._reader = reader
         self._belief = belief
@@ -144,7 +166,50 @@
             if revision is None:
                 revision = self._list()
                 continue
-            revision = self._watch(revision)
+            if self._may_listen():
+                revision = self._listen(revision)
+                continue
+            revision = self._watch(revision, self._watch_wait_s())
+
+    def _may_listen(self) -> bool:
+        if self._sharing is None:
+            return False
+        return self._sharing.may_listen(self._settings.name)
+
+    def _watch_wait_s(self) -> float:
+        if self._sharing is not None and self._sharing.is_watcher():
+            return _sharing.SHARED_WATCH_WAIT_S
+        return self._settings.watch_wait_s
+
+    def _listen(self, revision: int) -> int | None:
+        """Take over what a watching instance passes on."""
+        if self._sharing is None:
+            raise AssertionError('only a shared kind is listened to')
+        name = self._settings.name
+        change = self._sharing.next_change(name, LISTEN_STEP_S)
+        if change is not None and change.revision > revision:
+            decoded = self._reader.decode_changes(change.content)
+            is_complete = change.previous_revision <= revision
+            if is_complete and isinstance(decoded, Changes):
+                self._belief.apply(decoded.items)
+                self._belief.confirm()
+                self._event_revision = change.revision
+                self._behind_since_s = None
+                return change.revision
+        heard_revision = self._sharing.heard_revision(name)
+        if heard_revision is None or change is not None:
+            return revision
+        if heard_revision <= revision:
+            self._behind_since_s = None
+            self._belief.confirm()
+            return revision
+        now_s = self._clock.monotonic_s()
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s
+        if now_s - self._behind_since_s < BEHIND_LIMIT_S:
+            return revision
+        self._behind_since_s = None
+        return self._watch(revision, CATCH_UP_WAIT_S)
 
     def _list(self) -> int | None:
         answer = self._reader.list_all()
@@ -156,10 +221,12 @@
         self._belief.replace(answer.items, was_out and self._has_listed)
         self._has_listed = True
         self._belief.confirm()
+        self._event_revision = answer.revision
+        self._note_answer()
         return answer.revision
 
-    def _watch(self, revision: int) -> int | None:
-        answer = self._reader.watch(revision, self._settings.watch_wait_s)
+    def _watch(self, revision: int, wait_s: float) -> int | None:
+        answer = self._reader.watch(revision, wait_s)
         if isinstance(answer, StoreFault):
             if answer.kind is StoreFaultKind.HISTORY_GONE:
                 self._log.record(
@@ -175,10 +242,32 @@
         self._take_success()
         self._belief.apply(answer.items)
         self._belief.confirm()
+        if answer.items:
+            self._publish(answer)
+            self._event_revision = answer.revision
+        self._note_answer()
         if answer.items and self._settings.gather_s > 0:
             self._clock.wait(self._stopped, self._settings.gather_s)
         return answer.revision
 
+    def _publish(self, answer: Changes[T]) -> None:
+        if self._sharing is None:
+            return
+        self._sharing.publish(
+            data.StoreChange(
+                self._settings.name,
+                self._event_revision,
+                answer.revision,
+                answer.content,
+            )
+        )
+
+    def _note_answer(self) -> None:
+        if self._sharing is not None:
+            self._sharing.note_answer(
+                self._settings.name, self._event_revision
+            )
+
     def _take_fault(self, fault: StoreFault) -> None:
         self._belief.doubt()
         if self._failing_since_s is None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
@@ -1,9 +1,11 @@
 """Following of the store through its faults."""
 
 import collections
+import dataclasses
 
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
+from skylarktack.state import forwarding as data
 
 UNAVAILABLE = forwarding.StoreFault(
     forwarding.StoreFaultKind.UNAVAILABLE, 'down'
@@ -39,6 +41,12 @@
         assert not isinstance(answer, forwarding.Listing)
         return answer
 
+    def decode_changes(
+        self, content: bytes
+    ) -> forwarding.Changes[str] | forwarding.StoreFault:
+        text = content.decode()
+        return forwarding.Changes(tuple(text.split()), 0, content)
+
     def _next(self) -> Answer:
         answer = self._answers.popleft()
         if not self._answers and self.follower is not None:
@@ -124,3 +132,155 @@
         """Guards against final refusals while the store is away."""
         _, belief, _ = _follow(forwarding.Listing((), 5), UNAVAILABLE)
         assert not belief.is_trusted
+
+
+@dataclasses.dataclass
+class _Link:
+    sent: list[data.FleetMessage] = dataclasses.field(default_factory=list)
+
+    def send(
+        self, message: data.FleetMessage, peers: tuple[data.Endpoint, ...]
+    ) -> int:
+        self.sent.append(message)
+        return 100 * len(peers)
+
+
+class _SharedBed:
+    """A follower in a fleet of many instances."""
+
+    def __init__(self, is_watcher: bool, *answers: Answer) -> None:
+        self.clock = fakes.SteppingClock()
+        self.link = _Link()
+        self.reader = _Reader(*answers)
+        self.belief = _Belief()
+        self.sharing = self._sharing_of_rank(is_watcher)
+        self.follower = forwarding.Follower(
+            self.clock,
+            self.reader,
+            self.belief,
+            fakes.RecordingLog(),
+            forwarding.FollowSettings('kind', 3.0, 0.0),
+            self.sharing,
+        )
+        self.reader.follower = self.follower
+
+    def _sharing_of_rank(self, is_watcher: bool) -> forwarding.StoreSharing:
+        names = [f'instance-{number}' for number in range(20)]
+        for own in names:
+            view = forwarding.FleetView(
+                self.clock, fakes.RecordingLog(), own, data.Endpoint('h', 1)
+            )
+            for number, name in enumerate(names):
+                if name != own:
+                    view.take(_peer_report(name, number))
+            sharing = forwarding.StoreSharing(self.clock, view, self.link)
+            if sharing.is_watcher() == is_watcher:
+                return sharing
+        raise AssertionError('no such instance')
+
+
+def _peer_report(name: str, number: int) -> data.FleetReport:
+    return data.FleetReport(
+        instance=name,
+        endpoint=data.Endpoint('10.1.0.1', 7200 + number),
+        started_at_ms=1,
+        sequence=1,
+        is_full=True,
+        runs=(),
+        lost_targets=(),
+        next_report_ms=1_000_000,
+    )
+
+
+class TestSharedWatches:
+    """In a large fleet a few instances watch for all."""
+
+    def test_a_watcher_passes_changes_on(self) -> None:
+        """Guards against a store that each instance asks by itself."""
+        bed = _SharedBed(
+            True,
+            forwarding.Listing((), 5),
+            forwarding.Changes(('b',), 9, b'b'),
+        )
+        bed.follower.run()
+        assert data.StoreChange('kind', 5, 9, b'b') in bed.link.sent
+        beat = bed.sharing.beat()
+        assert beat is not None
+        assert beat.revisions == (('kind', 9),)
+
+    def test_a_watcher_that_no_longer_hears_the_store_is_silent(self) -> None:
+        """Guards against instances that rely on one that is cut off."""
+        bed = _SharedBed(True, forwarding.Listing((), 5))
+        bed.follower.run()
+        assert bed.sharing.beat() is not None
+        bed.clock.advance(1.5)
+        assert bed.sharing.beat() is None
+
+    def test_a_listener_takes_changes_without_a_call(self) -> None:
+        """Guards against the price of a call at each instance."""
+        bed = _SharedBed(False, forwarding.Listing((), 5))
+        bed.reader.follower = None
+        bed.sharing.take_beat(data.StoreBeat('x', (('kind', 5),)))
+        bed.sharing.take_change(data.StoreChange('kind', 5, 9, b'b c'))
+        original = bed.belief.apply
+
+        def _apply(items: tuple[str, ...]) -> None:
+            original(items)
+            bed.follower.stop()
+
+        bed.belief.apply = _apply  # type: ignore[method-assign]
+        bed.follower.run()
+        assert bed.reader.calls == ['list']
+        assert bed.belief.taken[-1] == ('changes', ('b', 'c'), False)
+
+    def test_a_listener_that_misses_a_change_asks_the_store(self) -> None:
+        """Guards against a datagram that was lost."""
+        bed = _SharedBed(
+            False,
+            forwarding.Listing((), 5),
+            forwarding.Changes(('b', 'c'), 9, b'b c'),
+        )
+        bed.sharing.take_change(data.StoreChange('kind', 7, 9, b'c'))
+        original = bed.sharing.next_change
+
+        def _next(kind: str, timeout_s: float) -> data.StoreChange | None:
+            bed.clock.advance(timeout_s)
+            bed.sharing.take_beat(data.StoreBeat('x', (('kind', 9),)))
+            return original(kind, 0.001)
+
+        bed.sharing.next_change = _next  # type: ignore[method-assign]
+        bed.sharing.take_beat(data.StoreBeat('x', (('kind', 9),)))
+        reader_next = bed.reader.list_all
+
+        def _list() -> forwarding.Listing[str] | forwarding.StoreFault:
+            answer = reader_next()
+            bed.sharing.take_beat(data.StoreBeat('x', (('kind', 9),)))
+            return answer
+
+        bed.reader.list_all = _list  # type: ignore[method-assign]
+        bed.follower.run()
+        assert bed.reader.calls == ['list', 'watch 5']
+        assert bed.belief.taken == [
+            ('list', (), False),
+            ('changes', ('b', 'c'), False),
+        ]
+
+    def test_a_listener_without_beats_watches_itself(self) -> None:
+        """Guards against an old configuration after all watchers died."""
+        bed = _SharedBed(
+            False, forwarding.Listing((), 5), forwarding.Changes((), 6)
+        )
+        bed.sharing.take_beat(data.StoreBeat('x', (('kind', 5),)))
+        bed.clock.advance(1.0)
+        bed.follower.run()
+        assert bed.reader.calls == ['list', 'watch 5']
+
+    def test_a_small_fleet_watches_freely(self) -> None:
+        """Guards against delays where a call costs next to nothing."""
+        clock = fakes.SteppingClock()
+        view = forwarding.FleetView(
+            clock, fakes.RecordingLog(), 'own', data.Endpoint('h', 1)
+        )
+        sharing = forwarding.StoreSharing(clock, view, _Link())
+        sharing.take_beat(data.StoreBeat('x', (('kind', 5),)))
+        assert not sharing.may_listen('kind')
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -119,6 +119,13 @@
                     settings.readiness, readiness, codec, self._tasks
                 )
             )
+        self._link: transport.DatagramLink | None = None
+        self._sharing: forwarding.StoreSharing | None = None
+        if settings.peer is not None:
+            self._link = transport.DatagramLink(settings.peer, log)
+            self._sharing = forwarding.StoreSharing(
+                clock, self._fleet, self._link
+            )
         self._configuration_follower = forwarding.Follower(
             clock,
             platform.ConfigurationReader(
@@ -129,6 +136,7 @@
             ),
             log,
             forwarding.FollowSettings('configuration', WATCH_WAIT_S, 0.0),
+            self._sharing,
         )
         self._target_follower = forwarding.Follower(
             clock,
@@ -140,6 +148,7 @@
             forwarding.FollowSettings(
                 'targets', WATCH_WAIT_S, TARGET_GATHER_S
             ),
+            self._sharing,
         )
         self._own_tasks = futures.ThreadPoolExecutor(OWN_TASK_COUNT)
 
@@ -150,19 +159,23 @@
         self._own_tasks.submit(self._target_follower.run)
         for listener in self._listeners:
             self._own_tasks.submit(listener.run)
-        if self._settings.peer is not None:
-            self._start_fleet(self._settings.peer)
+        if self._link is not None and self._sharing is not None:
+            self._start_fleet(self._link, self._sharing)
 
-    def _start_fleet(self, endpoint: data.Endpoint) -> None:
+    def _start_fleet(
+        self,
+        link: transport.DatagramLink,
+        sharing: forwarding.StoreSharing,
+    ) -> None:
         clock = ports.SystemClock()
-        link = transport.DatagramLink(endpoint, self._log)
         registry = platform.StorePeerRegistry(
             transport.HttpStoreCalls(self._settings.store), self._log
         )
         peer = data.ListedPeer(self._settings.instance, link.endpoint)
         member = forwarding.FleetMember(clock, self._fleet, registry, peer)
         reporter = forwarding.FleetReporter(clock, self._fleet, link)
-        self._own_tasks.submit(link.run, self._fleet)
+        self._own_tasks.submit(link.run, self._fleet, sharing)
+        self._own_tasks.submit(sharing.run_beats)
         self._own_tasks.submit(reporter.run)
         self._own_tasks.submit(member.run)
 
--- a/packages/platform/src/skylarktack/platform/_instances.py
+++ b/packages/platform/src/skylarktack/platform/_instances.py
@@ -24,27 +24,30 @@
         self, calls: forwarding.StoreCalls, log: forwarding.BeliefLog
     ) -> None:
         self._calls = calls
-        self._log = log
         self._objects = _store.ObjectReader(calls, KIND)
-        self._is_entered = False
+        self._log = log
+        self._has_entered = False
 
     def register(
         self, peer: data.ListedPeer
     ) -> tuple[data.ListedPeer, ...] | None:
-        """Enter this instance; return all, or None if the store is away."""
-        listing = self._objects.list_objects()
+        """Enter this instance; return all, or None if the store is away.
+
+        The first list is read after the entry was made, so that of two
+        instances that start together one sees the other.
+        """
+        is_first = not self._has_entered
+        if is_first and not self._enter(peer):
+            return None
+        listing = self._objects.list_objects(may_be_stale=not is_first)
         if isinstance(listing, forwarding.StoreFault):
             return None
+        self._has_entered = True
         peers = []
-        is_listed = False
         for item in listing.items:
             listed = _decode(item)
-            if listed is None:
-                continue
-            peers.append(listed)
-            is_listed = is_listed or listed == peer
-        if not is_listed and not self._enter(peer):
-            return None
+            if listed is not None:
+                peers.append(listed)
         return tuple(peers)
 
     def _enter(self, peer: data.ListedPeer) -> bool:
--- a/packages/platform/src/skylarktack/platform/_store.py
+++ b/packages/platform/src/skylarktack/platform/_store.py
@@ -2,6 +2,8 @@
 
 import json
 from typing import Any
+from typing import Generic
+from typing import TypeVar
 from urllib import parse
 
 from skylarktack import state
@@ -11,6 +13,8 @@
 from skylarktack.platform import _fields
 from skylarktack.state import forwarding as data
 
+T = TypeVar('T')
+
 #: Longest time for the answer of a call that waits for nothing.
 CALL_TIMEOUT_S = 1.5
 
@@ -32,11 +36,16 @@
         self._path = f'/objects/{kind}'
 
     def list_objects(
-        self,
+        self, may_be_stale: bool = False
     ) -> forwarding.Listing[dict[str, Any]] | forwarding.StoreFault:
-        """Return all objects of the kind."""
+        """Return all objects of the kind.
+
+        :param may_be_stale: take a list that may be seconds old, at a tenth
+            of the price.
+        """
+        first_query = '?stale_read=1' if may_be_stale else ''
         objects: list[dict[str, Any]] = []
-        query = ''
+        query = first_query
         for _ in range(PAGE_LIMIT_COUNT):
             answer = self._get(query, CALL_TIMEOUT_S)
             if isinstance(answer, forwarding.StoreFault):
@@ -47,148 +56,136 @@
             if not answer.get('has_more'):
                 revision = answer.get('at')
                 if not isinstance(revision, int):
-                    return _unreadable('a list names no revision')
+                    return _unavailable('a list names no revision')
                 return forwarding.Listing(tuple(objects), revision)
             # ``start_revision`` takes the name of the last object, not a
             # revision.
             last = parse.quote(name_of(objects[-1]), safe='')
-            query = f'?start_revision={last}'
-        return _unreadable('the list has too many pages')
+            separator = '&' if first_query else '?'
+            query = f'{first_query}{separator}start_revision={last}'
+        return _unavailable('the list has too many pages')
 
-    def watch_objects(
+    def watch_events(
         self, revision: int, wait_s: float
-    ) -> (
-        forwarding.Changes[tuple[dict[str, Any], bool]] | forwarding.StoreFault
-    ):
-        """Return changed objects and whether each was removed."""
+    ) -> bytes | forwarding.StoreFault:
+        """Return the store's answer to a watch, undecoded."""
         query = (
             f'?watch_stream={revision}&wait_timeout_ms={int(wait_s * 1000)}'
         )
-        answer = self._get(query, wait_s + WATCH_MARGIN_S)
-        if isinstance(answer, forwarding.StoreFault):
-            return answer
-        changed = []
-        for event in answer.get('events') or ():
-            if not isinstance(event, dict):
-                continue
-            if isinstance(event.get('object'), dict):
-                changed.append((event['object'], bool(event.get('deleted'))))
-        new_revision = answer.get('at')
-        if not isinstance(new_revision, int):
-            return _unreadable('a watch names no revision')
-        return forwarding.Changes(tuple(changed), new_revision)
+        return self._call(query, wait_s + WATCH_MARGIN_S)
 
     def _get(
         self, query: str, timeout_s: float
     ) -> dict[str, Any] | forwarding.StoreFault:
+        answer = self._call(query, timeout_s)
+        if isinstance(answer, forwarding.StoreFault):
+            return answer
+        return _decode_table(answer)
+
+    def _call(
+        self, query: str, timeout_s: float
+    ) -> bytes | forwarding.StoreFault:
         answer = self._calls.call('GET', self._path + query, None, timeout_s)
         if isinstance(answer, forwarding.ExchangeFault):
-            return forwarding.StoreFault(
-                forwarding.StoreFaultKind.UNAVAILABLE, answer.detail
-            )
+            return _unavailable(answer.detail)
         if answer.status == _HISTORY_GONE_STATUS:
             return forwarding.StoreFault(
                 forwarding.StoreFaultKind.HISTORY_GONE, 'the history is gone'
             )
         if answer.status != _OK_STATUS:
-            return forwarding.StoreFault(
-                forwarding.StoreFaultKind.UNAVAILABLE,
-                f'the store answered {answer.status}',
-            )
-        try:
-            decoded = json.loads(answer.body)
-        except ValueError as error:
-            return _unreadable(str(error))
-        if not isinstance(decoded, dict):
-            return _unreadable('the answer is not a table')
-        return decoded
+            return _unavailable(f'the store answered {answer.status}')
+        return answer.body
 
 
-class ConfigurationReader:
-    """Reads the newest configuration."""
+class _KindReader(Generic[T]):
+    """Reads one kind of objects as values of one type."""
+
+    #: Kind of the objects.
+    kind = ''
 
     def __init__(
         self, calls: forwarding.StoreCalls, log: forwarding.BeliefLog
     ) -> None:
-        self._objects = ObjectReader(calls, 'config')
+        self._objects = ObjectReader(calls, self.kind)
         self._log = log
 
-    def list_all(
-        self,
-    ) -> (
-        forwarding.Listing[data.ForwardingConfiguration]
-        | forwarding.StoreFault
-    ):
-        """Return the configuration, if there is one."""
+    def list_all(self) -> forwarding.Listing[T] | forwarding.StoreFault:
+        """Return all objects."""
         answer = self._objects.list_objects()
         if isinstance(answer, forwarding.StoreFault):
             return answer
-        return forwarding.Listing(self._decode(answer.items), answer.revision)
+        items = []
+        for item in answer.items:
+            decoded = self.decode(item, False)
+            if decoded is not None:
+                items.append(decoded)
+        return forwarding.Listing(tuple(items), answer.revision)
 
     def watch(
         self, revision: int, wait_s: float
-    ) -> (
-        forwarding.Changes[data.ForwardingConfiguration]
-        | forwarding.StoreFault
-    ):
-        """Return configurations accepted after a revision."""
-        answer = self._objects.watch_objects(revision, wait_s)
+    ) -> forwarding.Changes[T] | forwarding.StoreFault:
+        """Return the changes after a revision as soon as there are any."""
+        answer = self._objects.watch_events(revision, wait_s)
         if isinstance(answer, forwarding.StoreFault):
             return answer
-        kept = tuple(item for item, is_gone in answer.items if not is_gone)
-        return forwarding.Changes(self._decode(kept), answer.revision)
-
-    def _decode(
-        self, objects: tuple[dict[str, Any], ...]
-    ) -> tuple[data.ForwardingConfiguration, ...]:
-        configurations = []
-        for item in objects:
-            place = f'config/{name_of(item)}'
-            try:
-                configurations.append(
-                    _configuration.decode_configuration(
-                        place, item.get('specification')
-                    )
-                )
-            except _fields.MalformedError as error:
-                _record_findings(self._log, error.findings)
-        return tuple(configurations)
-
-
-class TargetReader:
-    """Reads the entries of targets."""
+        return self.decode_changes(answer)
 
-    def __init__(
-        self, calls: forwarding.StoreCalls, log: forwarding.BeliefLog
-    ) -> None:
-        self._objects = ObjectReader(calls, 'servers')
-        self._log = log
-
-    def list_all(
-        self,
-    ) -> forwarding.Listing[data.TargetChange] | forwarding.StoreFault:
-        """Return all entries."""
-        answer = self._objects.list_objects()
+    def decode_changes(
+        self, content: bytes
+    ) -> forwarding.Changes[T] | forwarding.StoreFault:
+        """Return the changes in the store's answer to a watch."""
+        answer = _decode_table(content)
         if isinstance(answer, forwarding.StoreFault):
             return answer
-        changes = tuple(self._decode(item, False) for item in answer.items)
-        return forwarding.Listing(changes, answer.revision)
+        items = []
+        for event in answer.get('events') or ():
+            if not isinstance(event, dict):
+                continue
+            if not isinstance(event.get('object'), dict):
+                continue
+            decoded = self.decode(event['object'], bool(event.get('deleted')))
+            if decoded is not None:
+                items.append(decoded)
+        revision = answer.get('at')
+        if not isinstance(revision, int):
+            return _unavailable('a watch names no revision')
+        return forwarding.Changes(tuple(items), revision, content)
 
-    def watch(
-        self, revision: int, wait_s: float
-    ) -> forwarding.Changes[data.TargetChange] | forwarding.StoreFault:
-        """Return entries that changed after a revision."""
-        answer = self._objects.watch_objects(revision, wait_s)
-        if isinstance(answer, forwarding.StoreFault):
-            return answer
-        changes = tuple(
-            self._decode(item, is_gone) for item, is_gone in answer.items
-        )
-        return forwarding.Changes(changes, answer.revision)
+    def decode(self, item: dict[str, Any], is_gone: bool) -> T | None:
+        """Return the value of an object, or None if it says nothing."""
+        raise AssertionError('each kind decodes its own objects')
+
+
+class ConfigurationReader(_KindReader[data.ForwardingConfiguration]):
+    """Reads the newest configuration."""
+
+    kind = 'config'
 
-    def _decode(
+    def decode(
         self, item: dict[str, Any], is_gone: bool
-    ) -> data.TargetChange:
+    ) -> data.ForwardingConfiguration | None:
+        """Return the configuration of a manifest."""
+        if is_gone:
+            return None
+        place = f'config/{name_of(item)}'
+        try:
+            return _configuration.decode_configuration(
+                place, item.get('specification')
+            )
+        except _fields.MalformedError as error:
+            _record_findings(self._log, error.findings)
+            return None
+
+
+class TargetReader(_KindReader[data.TargetChange]):
+    """Reads the entries of targets."""
+
+    kind = 'servers'
+
+    def decode(
+        self, item: dict[str, Any], is_gone: bool
+    ) -> data.TargetChange | None:
+        """Return the target of an entry; a malformed one names none."""
         name = name_of(item)
         if is_gone:
             return data.TargetChange(name, None)
@@ -220,5 +217,15 @@
     )
 
 
-def _unreadable(detail: str) -> forwarding.StoreFault:
+def _decode_table(content: bytes) -> dict[str, Any] | forwarding.StoreFault:
+    try:
+        decoded = json.loads(content)
+    except ValueError as error:
+        return _unavailable(str(error))
+    if not isinstance(decoded, dict):
+        return _unavailable('the answer is not a table')
+    return decoded
+
+
+def _unavailable(detail: str) -> forwarding.StoreFault:
     return forwarding.StoreFault(forwarding.StoreFaultKind.UNAVAILABLE, detail)
--- a/packages/platform/src/skylarktack/platform/tests/test_store.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_store.py
@@ -160,28 +160,36 @@
         own = _object('edge-a-1', {'address': '10.1.0.19:7200'})
         other = _object('edge-b-1', {'address': '10.2.0.13:7200'})
         calls = _Calls(
-            (200, {'items': [other], 'at': 5}),
             (201, own),
+            (200, {'items': [own, other], 'at': 5}),
             (200, {'items': [own, other], 'at': 6}),
         )
         registry = platform.StorePeerRegistry(calls, fakes.RecordingLog())
         peers = registry.register(self.PEER)
         assert peers is not None
-        assert [peer.instance for peer in peers] == ['edge-b-1']
+        assert [peer.instance for peer in peers] == ['edge-a-1', 'edge-b-1']
         assert registry.register(self.PEER) is not None
-        assert [method for method, _, _ in calls.calls] == [
-            'GET',
-            'POST',
-            'GET',
+        path = '/objects/skylarktack-instances'
+        assert [(method, where) for method, where, _ in calls.calls] == [
+            ('POST', path),
+            ('GET', path),
+            ('GET', f'{path}?stale_read=1'),
         ]
 
+    def test_of_two_that_start_together_one_sees_the_other(self) -> None:
+        """Guards against a list that is read before the entry is made."""
+        calls = _Calls((201, {}), (200, {'items': [], 'at': 5}))
+        registry = platform.StorePeerRegistry(calls, fakes.RecordingLog())
+        registry.register(self.PEER)
+        assert [method for method, _, _ in calls.calls] == ['POST', 'GET']
+
     def test_replaces_the_address_of_an_earlier_instance(self) -> None:
         """Guards against peers that send to an address that is gone."""
         old = _object('edge-a-1', {'address': '10.9.9.9:7200'})
-        calls = _Calls((200, {'items': [old], 'at': 5}), (409, old), (200, {}))
+        calls = _Calls((409, old), (200, {}), (200, {'items': [], 'at': 5}))
         registry = platform.StorePeerRegistry(calls, fakes.RecordingLog())
         assert registry.register(self.PEER) is not None
-        method, _, body = calls.calls[-1]
+        method, _, body = calls.calls[1]
         assert method == 'PUT'
         assert body['specification'] == {'address': '10.1.0.19:7200'}
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/__init__.py
@@ -1,15 +1,15 @@
 """HTTP/1.1 messages and event streams as the forwarding front reads them."""
 
 from skylarktack.protocol.forwarding._event_stream import EventStreamSplitter
-from skylarktack.protocol.forwarding._fleet_codec import decode_report
-from skylarktack.protocol.forwarding._fleet_codec import encode_report
+from skylarktack.protocol.forwarding._fleet_codec import decode_message
+from skylarktack.protocol.forwarding._fleet_codec import encode_message
 from skylarktack.protocol.forwarding._headers import connection_bound_names
 from skylarktack.protocol.forwarding._headers import without_names
 
 __all__ = [
     'EventStreamSplitter',
     'connection_bound_names',
-    'decode_report',
-    'encode_report',
+    'decode_message',
+    'encode_message',
     'without_names',
 ]
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -1,15 +1,60 @@
 """Datagrams between instances, in CBOR arrays of fixed order."""
 
+from typing import Any
+import zlib
+
 import cbor2
 
 from skylarktack.state import forwarding as data
 
-#: First item of each datagram; other numbers are of other versions.
-FORMAT_NUMBER = 1
+#: First item of each datagram: its format and what it holds.
+REPORT_NUMBER = 1
+CHANGE_NUMBER = 2
+BEAT_NUMBER = 3
+
+#: Largest content of a change after it was unpacked.
+CONTENT_LIMIT_BYTES = 4 * 1024 * 1024
+
+
+def encode_message(message: data.FleetMessage) -> bytes:
+    """Return the datagram of a message."""
+    if isinstance(message, data.StoreChange):
+        return cbor2.dumps(
+            (
+                CHANGE_NUMBER,
+                message.kind,
+                message.previous_revision,
+                message.revision,
+                zlib.compress(message.content),
+            )
+        )
+    if isinstance(message, data.StoreBeat):
+        return cbor2.dumps((BEAT_NUMBER, message.instance, message.revisions))
+    return _encode_report(message)
+
+
+def decode_message(datagram: bytes) -> data.FleetMessage | None:
+    """Return the message of a datagram, or None if it is not one."""
+    try:
+        fields = cbor2.loads(datagram)
+        if fields[0] == REPORT_NUMBER:
+            return _decode_report(fields)
+        if fields[0] == CHANGE_NUMBER:
+            return _decode_change(fields)
+        if fields[0] == BEAT_NUMBER:
+            return _decode_beat(fields)
+    except (
+        cbor2.CBORDecodeError,
+        ValueError,
+        TypeError,
+        LookupError,
+        zlib.error,
+    ):
+        return None
+    return None
 
 
-def encode_report(report: data.FleetReport) -> bytes:
-    """Return the datagram of a report."""
+def _encode_report(report: data.FleetReport) -> bytes:
     runs = []
     for run in report.runs:
         runs.append(
@@ -24,7 +69,7 @@
         )
     return cbor2.dumps(
         (
-            FORMAT_NUMBER,
+            REPORT_NUMBER,
             report.instance,
             report.endpoint.host,
             report.endpoint.port,
@@ -38,33 +83,46 @@
     )
 
 
-def decode_report(datagram: bytes) -> data.FleetReport | None:
-    """Return the report of a datagram, or None if it is not one."""
-    try:
-        fields = cbor2.loads(datagram)
-        if fields[0] != FORMAT_NUMBER:
-            return None
-        runs = []
-        for run in fields[7]:
-            runs.append(
-                data.RunNotice(
-                    attempt_id=str(run[0]),
-                    subject=str(run[1]),
-                    engine=str(run[2]),
-                    standby=None if run[3] is None else str(run[3]),
-                    is_reading=bool(run[4]),
-                    has_ended=bool(run[5]),
-                )
+def _decode_report(fields: Any) -> data.FleetReport:
+    runs = []
+    for run in fields[7]:
+        runs.append(
+            data.RunNotice(
+                attempt_id=str(run[0]),
+                subject=str(run[1]),
+                engine=str(run[2]),
+                standby=None if run[3] is None else str(run[3]),
+                is_reading=bool(run[4]),
+                has_ended=bool(run[5]),
             )
-        return data.FleetReport(
-            instance=str(fields[1]),
-            endpoint=data.Endpoint(str(fields[2]), int(fields[3])),
-            started_at_ms=int(fields[4]),
-            sequence=int(fields[5]),
-            is_full=bool(fields[6]),
-            runs=tuple(runs),
-            lost_targets=tuple(str(name) for name in fields[8]),
-            next_report_ms=int(fields[9]),
         )
-    except (cbor2.CBORDecodeError, ValueError, TypeError, LookupError):
+    return data.FleetReport(
+        instance=str(fields[1]),
+        endpoint=data.Endpoint(str(fields[2]), int(fields[3])),
+        started_at_ms=int(fields[4]),
+        sequence=int(fields[5]),
+        is_full=bool(fields[6]),
+        runs=tuple(runs),
+        lost_targets=tuple(str(name) for name in fields[8]),
+        next_report_ms=int(fields[9]),
+    )
+
+
+def _decode_change(fields: Any) -> data.StoreChange | None:
+    unpacker = zlib.decompressobj()
+    content = unpacker.decompress(fields[4], CONTENT_LIMIT_BYTES)
+    if not unpacker.eof:
         return None
+    return data.StoreChange(
+        kind=str(fields[1]),
+        previous_revision=int(fields[2]),
+        revision=int(fields[3]),
+        content=content,
+    )
+
+
+def _decode_beat(fields: Any) -> data.StoreBeat:
+    revisions = []
+    for kind, revision in fields[2]:
+        revisions.append((str(kind), int(revision)))
+    return data.StoreBeat(str(fields[1]), tuple(revisions))
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -26,7 +26,17 @@
 
     def test_round_trip(self) -> None:
         """Guards against fields that change places."""
-        assert messages.decode_report(messages.encode_report(REPORT)) == REPORT
+        assert (
+            messages.decode_message(messages.encode_message(REPORT)) == REPORT
+        )
+
+    def test_changes_and_beats(self) -> None:
+        """Guards against store answers that change on the way."""
+        change = data.StoreChange('targets', 5, 9, b'{"events":[],"at":9}')
+        beat = data.StoreBeat('edge-a-1', (('targets', 9), ('routes', 4)))
+        for message in (change, beat):
+            datagram = messages.encode_message(message)
+            assert messages.decode_message(datagram) == message
 
     def test_size(self) -> None:
         """Guards against reports that outgrow a datagram's share of a link.
@@ -34,17 +44,17 @@
         An instance sends 20 datagrams a second; 200 bytes each leave 10 of
         the 14 KB/s that control may take.
         """
-        assert len(messages.encode_report(REPORT)) < 200
+        assert len(messages.encode_message(REPORT)) < 200
 
     @hypothesis.given(strategies.binary(max_size=300))
     def test_other_bytes_are_no_report(self, datagram: bytes) -> None:
         """Guards against a task that ends on a foreign datagram."""
-        decoded = messages.decode_report(datagram)
-        assert decoded is None or isinstance(decoded, data.FleetReport)
+        decoded = messages.decode_message(datagram)
+        assert decoded is None or isinstance(decoded, data.FleetMessage)
 
     @hypothesis.given(strategies.integers(0, 200))
     def test_a_cut_report_is_no_report(self, length: int) -> None:
         """Guards against a datagram that arrives in part."""
-        whole = messages.encode_report(REPORT)
+        whole = messages.encode_message(REPORT)
         cut = whole[: min(length, len(whole) - 1)]
-        assert messages.decode_report(cut) is None
+        assert messages.decode_message(cut) is None
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -8,9 +8,12 @@
 from skylarktack.state.forwarding._configuration import RequestKind
 from skylarktack.state.forwarding._configuration import ServiceDescription
 from skylarktack.state.forwarding._configuration import WeightedService
+from skylarktack.state.forwarding._fleet import FleetMessage
 from skylarktack.state.forwarding._fleet import FleetReport
 from skylarktack.state.forwarding._fleet import ListedPeer
 from skylarktack.state.forwarding._fleet import RunNotice
+from skylarktack.state.forwarding._fleet import StoreBeat
+from skylarktack.state.forwarding._fleet import StoreChange
 from skylarktack.state.forwarding._requests import AnswerHead
 from skylarktack.state.forwarding._requests import Delivery
 from skylarktack.state.forwarding._requests import FrontAnswer
@@ -32,6 +35,7 @@
     'Delivery',
     'Endpoint',
     'EngineCapacity',
+    'FleetMessage',
     'FleetReport',
     'ForwardingConfiguration',
     'ForwardingRoute',
@@ -50,6 +54,8 @@
     'RequestKind',
     'RunNotice',
     'ServiceDescription',
+    'StoreBeat',
+    'StoreChange',
     'TargetChange',
     'TargetLoad',
     'TargetReport',
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -57,6 +57,39 @@
     next_report_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreChange:
+    """An answer of the store that one instance passes on to the others."""
+
+    #: Kind of the objects.
+    kind: str
+
+    #: Revision of the change before the first of these.
+    previous_revision: int
+
+    #: Revision up to which the changes are complete.
+    revision: int
+
+    #: The answer as the store sent it.
+    content: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreBeat:
+    """Word of a watching instance that it hears the store."""
+
+    #: Name of the sender.
+    instance: str
+
+    #: Kinds that the store confirmed a moment ago, each with the revision of
+    #: its newest change.
+    revisions: tuple[tuple[str, int], ...]
+
+
+#: What instances send each other.
+FleetMessage = FleetReport | StoreChange | StoreBeat
+
+
 @dataclasses.dataclass(frozen=True)
 class ListedPeer:
     """An instance as the store lists it."""
--- a/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
@@ -11,8 +11,11 @@
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
 
-#: Largest datagram; most reports hold a few hundred bytes.
-DATAGRAM_LIMIT_BYTES = 60000
+#: Largest datagram that is sent; most hold a few hundred bytes.
+DATAGRAM_LIMIT_BYTES = 30000
+
+#: Largest datagram that is taken.
+RECEIVE_LIMIT_BYTES = 65536
 
 
 class DatagramLink:
@@ -33,10 +36,13 @@
         return data.Endpoint(host, port)
 
     def send(
-        self, report: data.FleetReport, peers: tuple[data.Endpoint, ...]
+        self, message: data.FleetMessage, peers: tuple[data.Endpoint, ...]
     ) -> int:
-        """Send one report to each peer; return the bytes sent."""
-        datagram = messages.encode_report(report)
+        """Send one message to each peer; return the bytes sent."""
+        datagram = messages.encode_message(message)
+        if len(datagram) > DATAGRAM_LIMIT_BYTES:
+            # The peers ask the store for what they miss.
+            return 0
         sent_bytes = 0
         for peer in peers:
             try:
@@ -50,28 +56,37 @@
             sent_bytes += len(datagram)
         return sent_bytes
 
-    def run(self, view: forwarding.FleetView) -> None:
-        """Take over reports until the process ends."""
+    def run(
+        self, view: forwarding.FleetView, sharing: forwarding.StoreSharing
+    ) -> None:
+        """Take over messages until the process ends."""
         while True:
             try:
-                datagram = self._socket.recv(DATAGRAM_LIMIT_BYTES)
+                datagram = self._socket.recv(RECEIVE_LIMIT_BYTES)
             except ConnectionError:
                 # An earlier datagram met a closed port.
                 continue
             except OSError:
                 return
-            report = messages.decode_report(datagram)
-            if report is not None:
-                view.take(report)
-                continue
-            self._malformed_count += 1
-            if self._malformed_count == 1:
-                self._log.record(
-                    'fleet',
-                    'a datagram is malformed; later ones are not logged',
-                    size_bytes=len(datagram),
-                )
+            message = messages.decode_message(datagram)
+            if isinstance(message, data.FleetReport):
+                view.take(message)
+            elif isinstance(message, data.StoreChange):
+                sharing.take_change(message)
+            elif isinstance(message, data.StoreBeat):
+                sharing.take_beat(message)
+            else:
+                self._count_malformed(len(datagram))
 
     def close(self) -> None:
         """Stop receiving."""
         self._socket.close()
+
+    def _count_malformed(self, size_bytes: int) -> None:
+        self._malformed_count += 1
+        if self._malformed_count == 1:
+            self._log.record(
+                'fleet',
+                'a datagram is malformed; later ones are not logged',
+                size_bytes=size_bytes,
+            )
