Log typed events, serve metrics, explain requests from logs

One frozen type for each log line in the layer that decides; counters and histograms by organisation, route, kind and outcome on the metrics address; skylarktack explain and skylarktack logs check.

--- a/packages/cli/src/skylarktack/cli/_commands.py
+++ b/packages/cli/src/skylarktack/cli/_commands.py
@@ -14,9 +14,11 @@
 
 from skylarktack import protocol
 from skylarktack import state
+from skylarktack.cli import _explain
 from skylarktack.cli import _operator_client
 from skylarktack.cli import _tables
 from skylarktack.coordination import configuration
+from skylarktack.protocol import forwarding as messages
 
 #: Exit code for a document that was rejected.
 EXIT_INVALID = 2
@@ -88,6 +90,21 @@
         print(f'settled: {answer["phase"]}')
 
 
+class LogCommands:
+    """Commands about logs."""
+
+    def check(self, *files: str) -> None:
+        """Print which lines of log files cannot be read.
+
+        :param files: paths of log files; - is standard input.
+        """
+        _, findings = _read_log_lines(files)
+        for finding in findings:
+            print(f'{finding.place}: {finding.message}')
+        if findings:
+            sys.exit(EXIT_INVALID)
+
+
 class Commands:
     """Operators' command line of skylarktack.
 
@@ -99,6 +116,7 @@
     def __init__(self) -> None:
         self.route = RouteCommands()
         self.unknown = UnknownCallCommands()
+        self.logs = LogCommands()
 
     def check(self, file: str, json: bool = False) -> None:
         """Check a configuration document and print all findings.
@@ -201,6 +219,16 @@
         )
         print(f'revision {answer["revision"]} accepted')
 
+    def explain(self, request: str, *files: str) -> None:
+        """Tell from log files what became of a request, and why.
+
+        :param request: id of the caller's attempt.
+        :param files: log files of all instances; - is standard input.
+        """
+        lines, _ = _read_log_lines(files)
+        for text in _explain.explain_request(str(request), lines):
+            print(text)
+
     def drain(self, address: str | None = None) -> None:
         """Order the planned stop of one instance.
 
@@ -226,6 +254,19 @@
         sys.exit(EXIT_FAILED)
 
 
+def _read_log_lines(
+    files: tuple[str, ...],
+) -> tuple[list[messages.LogLine], list[state.Finding]]:
+    lines: list[messages.LogLine] = []
+    findings: list[state.Finding] = []
+    for file in files or ('-',):
+        text = sys.stdin.read() if file == '-' else _read(file)
+        found, wrong = _explain.check_lines(file, text.splitlines())
+        lines.extend(found)
+        findings.extend(wrong)
+    return lines, findings
+
+
 def _revision_in_effect(address: str | None) -> int:
     answer = _call(address, 'GET', '/operator/revision')
     return int(answer['revision'])
--- a/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
@@ -176,15 +176,15 @@
 
 
 class RecordingLog:
-    """Keeps log lines for tests."""
+    """Keeps log events for tests."""
 
     def __init__(self) -> None:
-        self.lines: list[tuple[str, str, dict[str, object]]] = []
+        self.events: list[forwarding.LogEvent] = []
 
-    def record(self, part: str, message: str, **fields: object) -> None:
-        """Keep one line."""
-        self.lines.append((part, message, fields))
+    def record(self, event: forwarding.LogEvent) -> None:
+        """Keep one event."""
+        self.events.append(event)
 
     def messages(self, part: str) -> list[str]:
         """Return the messages of one part."""
-        return [line[1] for line in self.lines if line[0] == part]
+        return [event.message for event in self.events if event.part == part]
--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -6,6 +6,31 @@
 from skylarktack.coordination.forwarding._budget import RepeatLimits
 from skylarktack.coordination.forwarding._budget import RetryBudget
 from skylarktack.coordination.forwarding._calls import CallForwarder
+from skylarktack.coordination.forwarding._events import ConfigurationInForce
+from skylarktack.coordination.forwarding._events import DatagramMalformed
+from skylarktack.coordination.forwarding._events import EntryMalformed
+from skylarktack.coordination.forwarding._events import EventLog
+from skylarktack.coordination.forwarding._events import HistoryLost
+from skylarktack.coordination.forwarding._events import InstanceNotListed
+from skylarktack.coordination.forwarding._events import InstanceStarted
+from skylarktack.coordination.forwarding._events import InstanceStopped
+from skylarktack.coordination.forwarding._events import InstanceStopping
+from skylarktack.coordination.forwarding._events import LinesDropped
+from skylarktack.coordination.forwarding._events import LogEvent
+from skylarktack.coordination.forwarding._events import PeerKnown
+from skylarktack.coordination.forwarding._events import ReadinessChanged
+from skylarktack.coordination.forwarding._events import RequestFailed
+from skylarktack.coordination.forwarding._events import RequestServed
+from skylarktack.coordination.forwarding._events import RoleChanged
+from skylarktack.coordination.forwarding._events import SettingsRead
+from skylarktack.coordination.forwarding._events import StoreLost
+from skylarktack.coordination.forwarding._events import StoreRegained
+from skylarktack.coordination.forwarding._events import TargetGone
+from skylarktack.coordination.forwarding._events import TargetKnown
+from skylarktack.coordination.forwarding._events import TargetLeaving
+from skylarktack.coordination.forwarding._events import TargetMisdirected
+from skylarktack.coordination.forwarding._events import TargetPassedOver
+from skylarktack.coordination.forwarding._events import TargetRumoured
 from skylarktack.coordination.forwarding._fleet import FleetLink
 from skylarktack.coordination.forwarding._fleet import FleetMember
 from skylarktack.coordination.forwarding._fleet import FleetReporter
@@ -35,7 +60,6 @@
 from skylarktack.coordination.forwarding._outcomes import StreamOutcome
 from skylarktack.coordination.forwarding._ports import AnswerEnd
 from skylarktack.coordination.forwarding._ports import AnswerEvent
-from skylarktack.coordination.forwarding._ports import BeliefLog
 from skylarktack.coordination.forwarding._ports import BodyPart
 from skylarktack.coordination.forwarding._ports import Caller
 from skylarktack.coordination.forwarding._ports import EventSplitter
@@ -65,10 +89,34 @@
 from skylarktack.coordination.forwarding._work import Work
 
 __all__ = [
+    'ConfigurationInForce',
+    'DatagramMalformed',
+    'EntryMalformed',
+    'EventLog',
+    'HistoryLost',
+    'InstanceNotListed',
+    'InstanceStarted',
+    'InstanceStopped',
+    'InstanceStopping',
+    'LinesDropped',
+    'LogEvent',
+    'PeerKnown',
+    'ReadinessChanged',
+    'RequestFailed',
+    'RequestServed',
+    'RoleChanged',
+    'SettingsRead',
+    'StoreLost',
+    'StoreRegained',
+    'TargetGone',
+    'TargetKnown',
+    'TargetLeaving',
+    'TargetMisdirected',
+    'TargetPassedOver',
+    'TargetRumoured',
     'AnswerEnd',
     'AnswerEvent',
     'AttemptEnd',
-    'BeliefLog',
     'BodyPart',
     'CallForwarder',
     'Caller',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_beliefs.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_beliefs.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _routes
 from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.ports import Clock
@@ -17,7 +17,7 @@
     the store last confirmed it.
     """
 
-    def __init__(self, clock: Clock, log: _ports.BeliefLog) -> None:
+    def __init__(self, clock: Clock, log: _events.EventLog) -> None:
         self._clock = clock
         self._log = log
         self._lock = threading.Lock()
@@ -41,10 +41,9 @@
             self._table = _routes.RouteTable(configuration)
         self.is_known.set()
         self._log.record(
-            'configuration',
-            'a version is in force',
-            version=configuration.version,
-            routes=len(configuration.routes),
+            _events.ConfigurationInForce(
+                configuration.version, len(configuration.routes)
+            )
         )
 
     def confirm(self, validity_s: float) -> None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -12,7 +12,7 @@
 import threading
 from typing import Protocol
 
-from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -101,7 +101,7 @@
     def __init__(
         self,
         clock: Clock,
-        log: _ports.BeliefLog,
+        log: _events.EventLog,
         instance: str,
         endpoint: data.Endpoint | None,
     ) -> None:
@@ -186,10 +186,7 @@
             peer.valid_until_s = now_s + valid_s
         if is_new:
             self._log.record(
-                'fleet',
-                'an instance is known',
-                peer=report.instance,
-                at=str(report.endpoint),
+                _events.PeerKnown(report.instance, str(report.endpoint))
             )
             self._has_news.set()
         if self._loss_listener is None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 from typing import TypeVar
 
-from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _sharing
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -138,11 +138,12 @@
         clock: Clock,
         reader: KindReader[T],
         belief: KindBelief[T],
-        log: _ports.BeliefLog,
+        log: _events.EventLog,
         settings: FollowSettings,
         sharing: _sharing.StoreSharing | None = None,
     ) -> None:
         self._sharing = sharing
+        self._is_listening = False
         self._event_revision = 0
         self._behind_since_s: float | None = None
         self._clock = clock
@@ -174,7 +175,13 @@
     def _may_listen(self) -> bool:
         if self._sharing is None:
             return False
-        return self._sharing.may_listen(self._settings.name)
+        may_listen = self._sharing.may_listen(self._settings.name)
+        if may_listen != self._is_listening:
+            self._is_listening = may_listen
+            self._log.record(
+                _events.RoleChanged(self._settings.name, may_listen)
+            )
+        return may_listen
 
     def _watch_wait_s(self) -> float:
         if self._sharing is not None and self._sharing.is_watcher():
@@ -229,11 +236,7 @@
         answer = self._reader.watch(revision, wait_s)
         if isinstance(answer, StoreFault):
             if answer.kind is StoreFaultKind.HISTORY_GONE:
-                self._log.record(
-                    'store',
-                    'the history is gone; listing again',
-                    kind=self._settings.name,
-                )
+                self._log.record(_events.HistoryLost(self._settings.name))
                 return None
             self._take_fault(answer)
             # What expired during an outage may come back; only a list tells
@@ -273,10 +276,7 @@
         if self._failing_since_s is None:
             self._failing_since_s = self._clock.monotonic_s()
             self._log.record(
-                'store',
-                'the store is lost',
-                kind=self._settings.name,
-                cause=fault.detail,
+                _events.StoreLost(self._settings.name, fault.detail)
             )
         jitter = 0.5 + random.random() / 2
         self._clock.wait(self._stopped, self._retry_s * jitter)
@@ -289,10 +289,7 @@
         if self._failing_since_s is not None:
             out_s = self._clock.monotonic_s() - self._failing_since_s
             self._log.record(
-                'store',
-                'the store is back',
-                kind=self._settings.name,
-                after_ms=round(out_s * 1000),
+                _events.StoreRegained(self._settings.name, round(out_s * 1000))
             )
         self._failing_since_s = None
         self._retry_s = FIRST_RETRY_S
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -118,7 +118,6 @@
         self._stop_ordered_at_s: float | None = None
         self._lock = threading.Lock()
         self._active_count = 0
-        self._is_idle = threading.Condition(self._lock)
 
     def limits(self) -> data.FrontLimits:
         """Return the limits on callers that are in force."""
@@ -136,12 +135,10 @@
         """Return whether the instance was told to stop."""
         return self._stop_ordered_at_s is not None
 
-    def wait_idle(self, timeout_s: float) -> bool:
-        """Wait until no request is in progress; return whether so."""
-        with self._is_idle:
-            return self._is_idle.wait_for(
-                lambda: self._active_count == 0, timeout_s
-            )
+    def active_count(self) -> int:
+        """Return the number of requests in progress."""
+        with self._lock:
+            return self._active_count
 
     def handle(
         self, request: data.FrontRequest, caller: _ports.Caller
@@ -166,9 +163,8 @@
                     admitted, request, caller, started_at_s, notes
                 )
         finally:
-            with self._is_idle:
+            with self._lock:
                 self._active_count -= 1
-                self._is_idle.notify_all()
         self._parts.observer.ended(
             RequestReport(
                 request=request,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -201,11 +201,3 @@
         :param timeout_s: longest time for connection and answer together.
         """
         ...
-
-
-class BeliefLog(Protocol):
-    """Log of changes of what the instance believes."""
-
-    def record(self, part: str, message: str, **fields: object) -> None:
-        """Write one line without waiting."""
-        ...
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -5,8 +5,8 @@
 import random
 import threading
 
+from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _fleet
-from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -87,7 +87,7 @@
     def __init__(
         self,
         clock: Clock,
-        log: _ports.BeliefLog,
+        log: _events.EventLog,
         failure_domain: str,
         fleet: _fleet.FleetView,
     ) -> None:
@@ -202,11 +202,7 @@
         if is_loss:
             self._fleet.note_lost_target(target.name)
         self._log.record(
-            'target',
-            'a target failed and is passed over',
-            target=target.name,
-            cause=cause,
-            for_ms=round(span_s * 1000),
+            _events.TargetPassedOver(target.name, cause, round(span_s * 1000))
         )
 
     def report_rumour(self, name: str) -> None:
@@ -223,6 +219,7 @@
             evidence.ejected_until_s = max(evidence.ejected_until_s, until_s)
             evidence.rumoured_at_s = now_s
             self._count_domain_loss(target, now_s)
+        self._log.record(_events.TargetRumoured(name))
 
     def is_passed_over(self, target: data.ListedTarget) -> bool:
         """Return whether the target is gone or failed a moment ago."""
@@ -244,11 +241,7 @@
             evidence.ejected_until_s = (
                 self._clock.monotonic_s() + MISDIRECTED_EJECTION_S
             )
-        self._log.record(
-            'target',
-            'a target is no longer at its address',
-            target=target.name,
-        )
+        self._log.record(_events.TargetMisdirected(target.name))
 
     def choose_for_call(
         self, service: str, passed_over: frozenset[str]
@@ -308,15 +301,15 @@
             return
         if held is None:
             self._log.record(
-                'target',
-                'a target is known',
-                target=target.name,
-                service=target.service,
-                at=str(target.endpoint),
-                version=target.version,
+                _events.TargetKnown(
+                    target.name,
+                    target.service,
+                    str(target.endpoint),
+                    target.version,
+                )
             )
         elif target.is_leaving and not held.is_leaving:
-            self._log.record('target', 'a target leaves', target=target.name)
+            self._log.record(_events.TargetLeaving(target.name))
 
     def _remove(self, name: str, now_s: float) -> None:
         if now_s < self._lapse_grace_until_s:
@@ -325,7 +318,7 @@
         del self._targets[name]
         self._evidence.pop(name, None)
         self._lapsed.pop(name, None)
-        self._log.record('target', 'a target is gone', target=name)
+        self._log.record(_events.TargetGone(name))
 
     def _drop_lapsed(self) -> None:
         now_s = self._clock.monotonic_s()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -6,6 +6,7 @@
 from skylarktack import platform
 from skylarktack.coordination import forwarding
 from skylarktack.coordination import ports
+from skylarktack.daemon.forwarding import _metrics
 from skylarktack.daemon.forwarding import _readiness
 from skylarktack.daemon.forwarding import _reports
 from skylarktack.protocol import forwarding as messages
@@ -70,6 +71,7 @@
             clock, log, settings.failure_domain, self._fleet
         )
         client = transport.HttpTargetClient(codec)
+        metrics = _metrics.RequestMetrics()
         budget = forwarding.RetryBudget(
             clock,
             forwarding.RepeatLimits(
@@ -96,7 +98,9 @@
                         new_splitter=messages.EventStreamSplitter,
                     )
                 ),
-                observer=_reports.RequestLog(clock, log),
+                observer=_reports.Observers(
+                    _reports.RequestLog(clock, log), metrics
+                ),
             )
         )
         spare_count = settings.descriptor_limit - RESERVED_DESCRIPTOR_COUNT
@@ -112,13 +116,22 @@
         self._listeners = [self._front]
         if settings.readiness is not None:
             readiness = _readiness.ReadinessHandler(
-                self._gateway, self._configuration, self._targets
+                self._gateway, self._configuration, self._targets, log
             )
             self._listeners.append(
                 transport.Listener(
                     settings.readiness, readiness, codec, self._tasks
                 )
             )
+        if settings.metrics is not None:
+            self._listeners.append(
+                transport.Listener(
+                    settings.metrics,
+                    _metrics.MetricsHandler(metrics),
+                    codec,
+                    self._tasks,
+                )
+            )
         self._link: transport.DatagramLink | None = None
         self._sharing: forwarding.StoreSharing | None = None
         if settings.peer is not None:
@@ -184,7 +197,9 @@
         ordered_at_s = time.monotonic()
         end_s = ordered_at_s + self._settings.grace_ms / 1000 - STOP_MARGIN_S
         self._gateway.order_stop()
-        self._log.record('instance', 'stopping')
+        self._log.record(
+            forwarding.InstanceStopping(self._gateway.active_count())
+        )
         is_accepting = True
         while time.monotonic() < end_s:
             time.sleep(STOP_STEP_S)
@@ -202,9 +217,9 @@
             if not self._front.open_count():
                 break
         self._log.record(
-            'instance',
-            'stopped',
-            after_ms=round((time.monotonic() - ordered_at_s) * 1000),
-            open_connections=self._front.open_count(),
+            forwarding.InstanceStopped(
+                after_ms=round((time.monotonic() - ordered_at_s) * 1000),
+                open_connections=self._front.open_count(),
+            )
         )
         self._log.close(LOG_CLOSE_S)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -5,9 +5,11 @@
 import signal
 import sys
 import threading
+import time
 from types import FrameType
 
 from skylarktack import platform
+from skylarktack.coordination import forwarding
 from skylarktack.daemon.forwarding import _instance
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
@@ -46,40 +48,59 @@
 
 
 def main() -> None:
-    """Run one instance until it is told to stop."""
+    """Run one instance until it is told to stop.
+
+    The only argument is ``--metrics-port=PORT``; an argument parser would
+    cost more processor time than the settings.
+    """
+    metrics_port = _metrics_port(sys.argv[1:])
     signals = _Signals()
     signals.install()
     threading.stack_size(THREAD_STACK_BYTES)
     path = os.environ.get(platform.PATH_VARIABLE, '')
-    settings = _read_settings(path)
+    settings = _read_settings(path, metrics_port)
     if settings is None:
         sys.exit(EXIT_INVALID_SETTINGS)
     log = transport.LineLog(settings.instance)
     instance = _instance.ForwardingInstance(settings, log)
     instance.start()
-    log.record('instance', 'started', front=str(settings.front))
+    log.record(
+        forwarding.InstanceStarted(
+            str(settings.front), round(time.process_time() * 1000)
+        )
+    )
     while not signals.has_stop:
         signals.received.wait(SETTINGS_CHECK_S)
         signals.received.clear()
         if not signals.has_reload:
             continue
         signals.has_reload = False
-        changed = _read_settings(path)
-        log.record(
-            'instance',
-            'settings were read again',
-            is_changed=changed != settings,
-        )
+        changed = _read_settings(path, metrics_port)
+        log.record(forwarding.SettingsRead(changed != settings))
     instance.stop()
     # Threads that wait for callers or the store do not end by themselves.
     os._exit(0)
 
 
-def _read_settings(path: str) -> data.ForwardingSettings | None:
+def _metrics_port(arguments: list[str]) -> int | None:
+    """Return the port of the metrics address, or None for none."""
+    port = None
+    for argument in arguments:
+        name, _, value = argument.partition('=')
+        if name != '--metrics-port' or not value.isdigit():
+            print(f'unknown argument: {argument}', file=sys.stderr)
+            sys.exit(EXIT_INVALID_SETTINGS)
+        port = int(value)
+    return port
+
+
+def _read_settings(
+    path: str, metrics_port: int | None
+) -> data.ForwardingSettings | None:
     """Return the settings, or None after all findings were printed."""
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
-        return platform.decode_settings(path, text)
+        return platform.decode_settings(path, text, metrics_port)
     except OSError as error:
         print(f'{path}: {error.strerror}', file=sys.stderr)
     except platform.MalformedError as error:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_readiness.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_readiness.py
@@ -15,7 +15,10 @@
         gateway: forwarding.Gateway,
         configuration: forwarding.ConfigurationHolder,
         targets: forwarding.TargetTable,
+        log: forwarding.EventLog,
     ) -> None:
+        self._log = log
+        self._was_ready = False
         self._gateway = gateway
         self._configuration = configuration
         self._targets = targets
@@ -41,5 +44,9 @@
         self, request: data.FrontRequest, caller: forwarding.Caller
     ) -> forwarding.StreamOutcome:
         """Answer any request with the readiness."""
-        status = _READY_STATUS if self.is_ready() else _NOT_READY_STATUS
+        is_ready = self.is_ready()
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            self._log.record(forwarding.ReadinessChanged(is_ready))
+        status = _READY_STATUS if is_ready else _NOT_READY_STATUS
         return data.FrontAnswer(status, (), b'')
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
@@ -17,7 +17,7 @@
 class RequestLog:
     """Writes one line for each failed request and some served ones."""
 
-    def __init__(self, clock: Clock, log: forwarding.BeliefLog) -> None:
+    def __init__(self, clock: Clock, log: forwarding.EventLog) -> None:
         self._clock = clock
         self._log = log
         self._lock = threading.Lock()
@@ -26,26 +26,29 @@
 
     def ended(self, report: forwarding.RequestReport) -> None:
         """Take one report without waiting."""
-        outcome, cause = _describe(report.outcome)
+        outcome, cause = describe(report.outcome)
         is_served = outcome in ('answered', 'streamed')
         if is_served and not self._has_allowance():
             return
+        event_type = (
+            forwarding.RequestServed if is_served else forwarding.RequestFailed
+        )
         self._log.record(
-            'request',
-            'a request was served' if is_served else 'a request failed',
-            request=report.request.attempt_id,
-            route=report.route,
-            kind=report.kind.value if report.kind else None,
-            organisation=report.organisation,
-            configuration=report.configuration_version,
-            is_current=report.is_configuration_current,
-            outcome=outcome,
-            cause=cause,
-            duration_ms=round(report.duration_ms, 1),
-            steps=[
-                {'at_ms': step.at_ms, 'step': step.step, **step.inputs}
-                for step in report.steps
-            ],
+            event_type(
+                request=report.request.attempt_id,
+                route=report.route,
+                kind=report.kind.value if report.kind else None,
+                organisation=report.organisation,
+                configuration=report.configuration_version,
+                is_current=report.is_configuration_current,
+                outcome=outcome,
+                cause=cause,
+                duration_ms=round(report.duration_ms, 1),
+                steps=tuple(
+                    {'at_ms': step.at_ms, 'step': step.step, **step.inputs}
+                    for step in report.steps
+                ),
+            )
         )
 
     def _has_allowance(self) -> bool:
@@ -60,7 +63,8 @@
             return True
 
 
-def _describe(outcome: forwarding.StreamOutcome) -> tuple[str, str]:
+def describe(outcome: forwarding.StreamOutcome) -> tuple[str, str]:
+    """Return the name of an outcome and its cause in one phrase."""
     if isinstance(outcome, data.FrontAnswer):
         if outcome.status < FIRST_FAILURE_STATUS:
             return 'answered', f'status {outcome.status}'
@@ -72,3 +76,15 @@
     if isinstance(outcome, forwarding.CallerLeft):
         return 'caller_left', 'the caller closed the connection'
     return 'streamed', 'complete'
+
+
+class Observers:
+    """Tells several observers of each request that ended."""
+
+    def __init__(self, *observers: forwarding.RequestObserver) -> None:
+        self._observers = observers
+
+    def ended(self, report: forwarding.RequestReport) -> None:
+        """Pass one report on."""
+        for observer in self._observers:
+            observer.ended(report)
--- a/packages/platform/src/skylarktack/platform/_store.py
+++ b/packages/platform/src/skylarktack/platform/_store.py
@@ -104,7 +104,7 @@
     kind = ''
 
     def __init__(
-        self, calls: forwarding.StoreCalls, log: forwarding.BeliefLog
+        self, calls: forwarding.StoreCalls, log: forwarding.EventLog
     ) -> None:
         self._objects = ObjectReader(calls, self.kind)
         self._log = log
@@ -206,14 +206,14 @@
 
 
 def _record_findings(
-    log: forwarding.BeliefLog, findings: tuple[state.Finding, ...]
+    log: forwarding.EventLog, findings: tuple[state.Finding, ...]
 ) -> None:
     log.record(
-        'store',
-        'an entry is malformed and names nothing',
-        findings='; '.join(
-            f'{finding.place}: {finding.message}' for finding in findings
-        ),
+        forwarding.EntryMalformed(
+            '; '.join(
+                f'{finding.place}: {finding.message}' for finding in findings
+            )
+        )
     )
 
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/__init__.py
@@ -5,10 +5,14 @@
 from skylarktack.protocol.forwarding._fleet_codec import encode_message
 from skylarktack.protocol.forwarding._headers import connection_bound_names
 from skylarktack.protocol.forwarding._headers import without_names
+from skylarktack.protocol.forwarding._log_lines import LogLine
+from skylarktack.protocol.forwarding._log_lines import decode_log_line
 
 __all__ = [
     'EventStreamSplitter',
+    'LogLine',
     'connection_bound_names',
+    'decode_log_line',
     'decode_message',
     'encode_message',
     'without_names',
--- a/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
@@ -22,7 +22,7 @@
     """Sends and receives reports at one address."""
 
     def __init__(
-        self, endpoint: data.Endpoint, log: forwarding.BeliefLog
+        self, endpoint: data.Endpoint, log: forwarding.EventLog
     ) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((endpoint.host, endpoint.port))
@@ -85,8 +85,4 @@
     def _count_malformed(self, size_bytes: int) -> None:
         self._malformed_count += 1
         if self._malformed_count == 1:
-            self._log.record(
-                'fleet',
-                'a datagram is malformed; later ones are not logged',
-                size_bytes=size_bytes,
-            )
+            self._log.record(forwarding.DatagramMalformed(size_bytes))
--- a/packages/transport/src/skylarktack/transport/forwarding/_line_log.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_line_log.py
@@ -5,12 +5,15 @@
 import, more than the rest of the start, so lines are encoded here.
 """
 
+import dataclasses
 import json
 import os
 import queue
 import threading
 import time
 
+from skylarktack.coordination import forwarding
+
 #: Lines that wait to be written; more are dropped and counted.
 QUEUE_LIMIT_COUNT = 2000
 
@@ -31,22 +34,10 @@
         self._lock = threading.Lock()
         self._ended = threading.Event()
 
-    def record(self, part: str, message: str, **fields: object) -> None:
-        """Queue one line without waiting.
-
-        :param part: part of the program, the prefix of its lines.
-        :param message: what happened, a short sentence.
-        """
-        line: dict[str, object] = {
-            'time_s': round(time.time(), 3),
-            'instance': self._instance,
-            'part': part,
-            'event': message,
-        }
-        line.update(fields)
-        text = json.dumps(line, default=str, separators=(',', ':'))
+    def record(self, event: forwarding.LogEvent) -> None:
+        """Queue one line without waiting."""
         try:
-            self._lines.put_nowait(text)
+            self._lines.put_nowait(self._encode(event))
         except queue.Full:
             with self._lock:
                 self._dropped_count += 1
@@ -62,15 +53,7 @@
                 self._dropped_count = 0
             if dropped_count:
                 self._write(
-                    json.dumps(
-                        {
-                            'time_s': round(time.time(), 3),
-                            'instance': self._instance,
-                            'part': 'log',
-                            'event': 'lines were dropped',
-                            'count': dropped_count,
-                        }
-                    )
+                    self._encode(forwarding.LinesDropped(dropped_count))
                 )
             self._write(line)
         self._ended.set()
@@ -83,6 +66,17 @@
             return
         self._ended.wait(timeout_s)
 
+    def _encode(self, event: forwarding.LogEvent) -> str:
+        line: dict[str, object] = {
+            'time_s': round(time.time(), 3),
+            'instance': self._instance,
+            'part': event.part,
+            'event': event.message,
+        }
+        for field in dataclasses.fields(event):
+            line[field.name] = getattr(event, field.name)
+        return json.dumps(line, default=str, separators=(',', ':'))
+
     def _write(self, line: str) -> None:
         outgoing = memoryview(line.encode() + b'\n')
         while outgoing:
