Share the budget of repeats and what is known of ended targets

Instances now report their counts, an instance spends what the fleet leaves (its own part while peers are unheard), and a 421 or a refused connection passes the entry over until it is unlisted; a 421 is told to all.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_budget.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_budget.py
@@ -1,18 +1,16 @@
 """Budget of sends beyond the first, for each service."""
 
 import collections
-from collections.abc import Callable
 import dataclasses
 import threading
 
+from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.ports import Clock
+from skylarktack.state import forwarding as data
 
-#: Part of the allowed ratio that one instance spends. The budget is shared
-#: by all instances, and each sees only its own requests.
-LOCAL_RATIO_SHARE = 0.75
-
-#: Part of the fleet's fixed allowance that all instances spend together.
-ALLOWANCE_SHARE = 0.8
+#: Part of the budget that is spent. The counts of the peers are a moment
+#: old, so several instances may spend the same remainder.
+BUDGET_SHARE = 0.75
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,22 +28,26 @@
 
 
 class RetryBudget:
-    """Counts requests and repeats of each service in a sliding window."""
+    """Counts requests and repeats of each service in a sliding window.
+
+    The counts of the peers arrive with their reports. While some peers are
+    not heard, this instance spends only its part of the fixed allowance.
+    """
 
     def __init__(
         self,
         clock: Clock,
         limits: RepeatLimits,
-        instance_count: Callable[[], int],
+        fleet: _fleet.FleetView,
     ) -> None:
         self._clock = clock
-        self._ratio = limits.ratio * LOCAL_RATIO_SHARE
-        self._allowance_count = limits.allowance_count * ALLOWANCE_SHARE
+        self._limits = limits
         self._window_s = limits.window_s
-        self._instance_count = instance_count
+        self._fleet = fleet
         self._lock = threading.Lock()
         self._requests: dict[str, collections.deque[float]] = {}
         self._repeats: dict[str, collections.deque[float]] = {}
+        fleet.set_repeat_counter(self)
 
     def count_request(self, service: str) -> None:
         """Note the first send of a request."""
@@ -56,16 +58,35 @@
 
     def claim_repeat(self, service: str) -> bool:
         """Return whether one more send is within the budget, and count it."""
+        peers = self._fleet.peer_counts(service)
+        heard_share = self._fleet.heard_share()
         with self._lock:
-            requests = self._fresh(self._requests, service)
+            request_count = peers.request_count + len(
+                self._fresh(self._requests, service)
+            )
             repeats = self._fresh(self._repeats, service)
-            allowance = self._allowance_count / self._instance_count()
-            limit = self._ratio * len(requests) + max(1.0, allowance)
-            if len(repeats) >= limit:
+            limit = self._limits.ratio * request_count
+            limit += self._limits.allowance_count * heard_share
+            spent_count = peers.repeat_count + len(repeats)
+            if spent_count + 1 > BUDGET_SHARE * limit:
                 return False
             repeats.append(self._clock.monotonic_s())
             return True
 
+    def counts(self) -> tuple[data.RepeatCounts, ...]:
+        """Return the counts of this instance, for its peers."""
+        counts = []
+        with self._lock:
+            for service in self._requests.keys() | self._repeats.keys():
+                request_count = len(self._fresh(self._requests, service))
+                repeat_count = len(self._fresh(self._repeats, service))
+                if not request_count and not repeat_count:
+                    continue
+                counts.append(
+                    data.RepeatCounts(service, request_count, repeat_count)
+                )
+        return tuple(counts)
+
     def return_repeat(self, service: str) -> None:
         """Give back the last repeat, which did not reach a target."""
         with self._lock:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -260,12 +260,15 @@
             detail=fault.detail,
         )
         self._last_fault = fault.detail
-        if fault.kind is not _ports.FaultKind.NOT_CONNECTED:
+        if fault.has_arrived:
             self._run_count += 1
+        elif self._send_count > 1:
+            self._budget.return_repeat(self._work.service)
+        if fault.kind is _ports.FaultKind.DOWN:
+            self._targets.report_down(target, fault.detail)
+            return
         self._targets.report_failure(
-            target,
-            fault.detail,
-            is_loss=fault.kind is _ports.FaultKind.NOT_CONNECTED,
+            target, fault.detail, is_loss=not fault.has_arrived
         )
 
     def _finish(self, attempt: _Attempt) -> None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -63,6 +63,18 @@
         """Take over that a target is lost."""
         ...
 
+    def report_gone(self, name: str) -> None:
+        """Take over that another target has a target's address."""
+        ...
+
+
+class RepeatCounter(Protocol):
+    """Counts requests and repeats of this instance."""
+
+    def counts(self) -> tuple[data.RepeatCounts, ...]:
+        """Return the counts of this instance, for its peers."""
+        ...
+
 
 class PeerRegistry(Protocol):
     """Lists the instances of the fleet."""
@@ -93,6 +105,7 @@
     heard_at_s: float = 0.0
     valid_until_s: float = 0.0
     runs: dict[str, data.RunNotice] = dataclasses.field(default_factory=dict)
+    counts: tuple[data.RepeatCounts, ...] = ()
 
 
 class FleetView:
@@ -116,6 +129,8 @@
         self._peers: dict[str, _Peer] = {}
         self._changed_runs: list[data.RunNotice] = []
         self._lost_targets: list[str] = []
+        self._gone_targets: list[str] = []
+        self._repeat_counter: RepeatCounter | None = None
         self._places: dict[str, RunPlace] = {}
         self._loss_listener: LossListener | None = None
         self._has_news = threading.Event()
@@ -146,6 +161,38 @@
             self._lost_targets.append(name)
         self._has_news.set()
 
+    def note_gone_target(self, name: str) -> None:
+        """Tell the peers that another target has a target's address."""
+        with self._lock:
+            self._gone_targets.append(name)
+        self._has_news.set()
+
+    def set_repeat_counter(self, counter: RepeatCounter) -> None:
+        """Tell the peers the counts of the counter."""
+        self._repeat_counter = counter
+
+    def peer_counts(self, service: str) -> data.RepeatCounts:
+        """Return the sums over all peers that are heard."""
+        now_s = self._clock.monotonic_s()
+        request_count = 0
+        repeat_count = 0
+        with self._lock:
+            for peer in self._peers.values():
+                if now_s > peer.valid_until_s:
+                    continue
+                for counts in peer.counts:
+                    if counts.service != service:
+                        continue
+                    request_count += counts.request_count
+                    repeat_count += counts.repeat_count
+        return data.RepeatCounts(service, request_count, repeat_count)
+
+    def heard_share(self) -> float:
+        """Return which part of the known instances is heard, with this."""
+        heard_count = self.instance_count()
+        with self._lock:
+            return heard_count / (1 + len(self._peers))
+
     def add_peers(self, peers: tuple[data.ListedPeer, ...]) -> None:
         """Add instances that the store lists."""
         now_s = self._clock.monotonic_s()
@@ -193,6 +240,8 @@
             return
         for name in report.lost_targets:
             self._loss_listener.report_rumour(name)
+        for name in report.gone_targets:
+            self._loss_listener.report_gone(name)
 
     def loads(self) -> dict[str, float]:
         """Return the weighted count of runs of each engine."""
@@ -254,25 +303,29 @@
 
     def full_report(self) -> data.FleetReport:
         """Return a report with all runs of this instance."""
+        counts = self._own_counts()
         interval_s = self.report_interval_s()
         with self._lock:
             self._changed_runs.clear()
             self._is_greeting = False
             return self._report(
-                True, tuple(self._own_runs.values()), interval_s
+                True, tuple(self._own_runs.values()), interval_s, counts
             )
 
     def change_report(self) -> data.FleetReport | None:
         """Return a report of what changed since the last, or None."""
+        counts = self._own_counts()
         interval_s = self.report_interval_s()
         with self._lock:
             if self._is_greeting:
                 return None
-            if not self._changed_runs and not self._lost_targets:
+            if not (
+                self._changed_runs or self._lost_targets or self._gone_targets
+            ):
                 return None
             changed = tuple(self._changed_runs)
             self._changed_runs.clear()
-            return self._report(False, changed, interval_s)
+            return self._report(False, changed, interval_s, counts)
 
     def is_greeting(self) -> bool:
         """Return whether new peers wait for a full report."""
@@ -295,8 +348,11 @@
         is_full: bool,
         runs: tuple[data.RunNotice, ...],
         interval_s: float,
+        counts: tuple[data.RepeatCounts, ...],
     ) -> data.FleetReport:
         self._sequence += 1
+        gone = tuple(self._gone_targets)
+        self._gone_targets.clear()
         lost = tuple(self._lost_targets)
         self._lost_targets.clear()
         return data.FleetReport(
@@ -308,12 +364,20 @@
             runs=runs,
             lost_targets=lost,
             next_report_ms=int(interval_s * 1000),
+            gone_targets=gone,
+            counts=counts,
         )
 
+    def _own_counts(self) -> tuple[data.RepeatCounts, ...]:
+        if self._repeat_counter is None:
+            return ()
+        return self._repeat_counter.counts()
+
     def _take_runs(self, peer: _Peer, report: data.FleetReport) -> None:
         if report.sequence <= peer.sequence:
             return
         peer.sequence = report.sequence
+        peer.counts = report.counts
         if report.is_full:
             peer.runs.clear()
         for notice in report.runs:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -13,6 +13,9 @@
     #: No connection; nothing was sent, so the request has not run.
     NOT_CONNECTED = 'not_connected'
 
+    #: Nothing listens at the address; the request has not run.
+    DOWN = 'down'
+
     #: The connection broke after the request was sent; it may have run.
     LOST = 'lost'
 
@@ -30,6 +33,11 @@
     #: Cause, for logs.
     detail: str
 
+    @property
+    def has_arrived(self) -> bool:
+        """Return whether the request may have reached the target."""
+        return self.kind not in (FaultKind.NOT_CONNECTED, FaultKind.DOWN)
+
 
 @dataclasses.dataclass(frozen=True)
 class BodyPart:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -118,12 +118,15 @@
             kind=fault.kind.value,
             detail=fault.detail,
         )
-        self._targets.report_failure(
-            self._target,
-            fault.detail,
-            is_loss=fault.kind is not _ports.FaultKind.MALFORMED,
-        )
-        if fault.kind is _ports.FaultKind.NOT_CONNECTED:
+        if fault.kind is _ports.FaultKind.DOWN:
+            self._targets.report_down(self._target, fault.detail)
+        else:
+            self._targets.report_failure(
+                self._target,
+                fault.detail,
+                is_loss=fault.kind is not _ports.FaultKind.MALFORMED,
+            )
+        if not fault.has_arrived:
             return _stream_parts.NotRun(fault.detail, has_arrived=False)
         return _stream_parts.Lost(fault.detail, self._is_running)
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -29,9 +29,10 @@
 EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
 
-#: Time for which a target that is no longer at its address is passed over.
-#: Its entry goes after at most three intervals of its heartbeat.
-MISDIRECTED_EJECTION_S = 5.0
+#: Time for which a target whose process has ended is passed over. Its entry
+#: goes after at most three intervals of its heartbeat, and the next process
+#: at its address has another name.
+GONE_EJECTION_S = 5.0
 
 #: Failed targets of one failure domain within this time that put the other
 #: targets of the domain behind those of other domains.
@@ -234,13 +235,21 @@
         with self._lock:
             return self._of(target).rumoured_at_s
 
+    def report_down(self, target: data.ListedTarget, cause: str) -> None:
+        """Note that nothing listens at the target's address."""
+        self.report_failure(target, cause, is_loss=True)
+        with self._lock:
+            self._eject(target.name, GONE_EJECTION_S)
+
+    def report_gone(self, name: str) -> None:
+        """Take over that another target has a target's address."""
+        with self._lock:
+            self._eject(name, GONE_EJECTION_S)
+
     def report_misdirected(self, target: data.ListedTarget) -> None:
         """Note that another target has the address."""
-        with self._lock:
-            evidence = self._of(target)
-            evidence.ejected_until_s = (
-                self._clock.monotonic_s() + MISDIRECTED_EJECTION_S
-            )
+        self.report_gone(target.name)
+        self._fleet.note_gone_target(target.name)
         self._log.record(_events.TargetMisdirected(target.name))
 
     def choose_for_call(
@@ -299,6 +308,9 @@
         self._targets[target.name] = target
         if held == target:
             return
+        if held is not None and held.started_at_ms != target.started_at_ms:
+            # A new process under the name; nothing is known about it.
+            self._evidence.pop(target.name, None)
         if held is None:
             self._log.record(
                 _events.TargetKnown(
@@ -326,6 +338,14 @@
             if now_s >= until_s:
                 self._remove(name, now_s)
 
+    def _eject(self, name: str, span_s: float) -> None:
+        target = self._targets.get(name)
+        if target is None:
+            return
+        evidence = self._of(target)
+        until_s = self._clock.monotonic_s() + span_s
+        evidence.ejected_until_s = max(evidence.ejected_until_s, until_s)
+
     def _usable(
         self, service: str, passed_over: frozenset[str]
     ) -> list[data.ListedTarget]:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
@@ -1,5 +1,7 @@
 """The table of targets: list, evidence, choice."""
 
+import dataclasses
+
 from skylarktack.coordination.forwarding.tests import bed
 from skylarktack.state import forwarding as data
 
@@ -86,6 +88,31 @@
         desk.targets.report_rumour('a')
         assert desk.targets.is_passed_over(bed.target('a'))
 
+    def test_a_refused_connection_outlasts_the_entry(self) -> None:
+        """Guards against trying a process that ended until it is unlisted.
+
+        Its entry stays for three heartbeats; the next process at the
+        address has another name.
+        """
+        desk = bed.make(bed.target('a'), bed.target('b'))
+        desk.targets.report_down(bed.target('a'), 'refused')
+        desk.clock.advance(3.6)
+        assert desk.targets.is_passed_over(bed.target('a'))
+
+    def test_a_target_that_lost_its_address_is_told_to_peers(self) -> None:
+        """Guards against each instance asking the wrong target once."""
+        desk = bed.make(bed.target('a'), bed.target('b'))
+        desk.fleet.full_report()
+        desk.targets.report_misdirected(bed.target('a'))
+        report = desk.fleet.change_report()
+        assert report is not None
+        assert report.gone_targets == ('a',)
+        other = bed.make(bed.target('a'), bed.target('b'))
+        other.fleet.take(dataclasses.replace(report, instance='peer'))
+        assert other.targets.is_passed_over(bed.target('a'))
+        other.clock.advance(3.6)
+        assert other.targets.is_passed_over(bed.target('a'))
+
     def test_errors_and_slowness_lower_a_target(self) -> None:
         """Guards against a grey target that answers health checks."""
         desk = bed.make(bed.target('grey'), bed.target('good', 'domain-b'))
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -79,7 +79,7 @@
                 settings.retry_allowance_count,
                 settings.retry_window_ms / 1000,
             ),
-            self._fleet.instance_count,
+            self._fleet,
         )
         self._gateway = forwarding.Gateway(
             forwarding.GatewayParts(
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -1,5 +1,6 @@
 """Datagrams between instances, in CBOR arrays of fixed order."""
 
+import dataclasses
 from typing import Any
 import zlib
 
@@ -79,6 +80,8 @@
             runs,
             report.lost_targets,
             report.next_report_ms,
+            report.gone_targets,
+            [dataclasses.astuple(counts) for counts in report.counts],
         )
     )
 
@@ -96,6 +99,13 @@
                 has_ended=bool(run[5]),
             )
         )
+    counts = []
+    for service, request_count, repeat_count in fields[11]:
+        counts.append(
+            data.RepeatCounts(
+                str(service), int(request_count), int(repeat_count)
+            )
+        )
     return data.FleetReport(
         instance=str(fields[1]),
         endpoint=data.Endpoint(str(fields[2]), int(fields[3])),
@@ -105,6 +115,8 @@
         runs=tuple(runs),
         lost_targets=tuple(str(name) for name in fields[8]),
         next_report_ms=int(fields[9]),
+        gone_targets=tuple(str(name) for name in fields[10]),
+        counts=tuple(counts),
     )
 
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -18,6 +18,8 @@
     ),
     lost_targets=('engine-3',),
     next_report_ms=1000,
+    gone_targets=('engine-4',),
+    counts=(data.RepeatCounts('pool', 12, 3),),
 )
 
 
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -11,6 +11,7 @@
 from skylarktack.state.forwarding._fleet import FleetMessage
 from skylarktack.state.forwarding._fleet import FleetReport
 from skylarktack.state.forwarding._fleet import ListedPeer
+from skylarktack.state.forwarding._fleet import RepeatCounts
 from skylarktack.state.forwarding._fleet import RunNotice
 from skylarktack.state.forwarding._fleet import StoreBeat
 from skylarktack.state.forwarding._fleet import StoreChange
@@ -51,6 +52,7 @@
     'Refusal',
     'RefusalReason',
     'RequestHead',
+    'RepeatCounts',
     'RequestKind',
     'RunNotice',
     'ServiceDescription',
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -28,6 +28,20 @@
     has_ended: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class RepeatCounts:
+    """Requests for one service, and sends beyond the first of each."""
+
+    #: Name of the service.
+    service: str
+
+    #: Requests in the window.
+    request_count: int
+
+    #: Sends beyond the first in the window.
+    repeat_count: int
+
+
 @dataclasses.dataclass(frozen=True)
 class FleetReport:
     """One datagram of an instance to another."""
@@ -56,6 +70,12 @@
     #: Time until the sender's next full report, in milliseconds.
     next_report_ms: int
 
+    #: Targets whose address has another target by now.
+    gone_targets: tuple[str, ...] = ()
+
+    #: Requests and repeats of the sender in the window of the budget.
+    counts: tuple[RepeatCounts, ...] = ()
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreChange:
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -272,7 +272,8 @@
 
 
 def _not_connected(error: OSError) -> forwarding.ExchangeFault:
+    kind = forwarding.FaultKind.NOT_CONNECTED
+    if isinstance(error, ConnectionRefusedError):
+        kind = forwarding.FaultKind.DOWN
     detail = error.strerror or 'timed out'
-    return forwarding.ExchangeFault(
-        forwarding.FaultKind.NOT_CONNECTED, f'no connection: {detail}'
-    )
+    return forwarding.ExchangeFault(kind, f'no connection: {detail}')
