--- a/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
@@ -108,6 +108,7 @@
         self.exchanges: list[ScriptedExchange] = []
         self.silent: set[str] = set()
         self.queued_count = 0
+        self.reports: dict[str, data.TargetReport] = {}
         self.probed: list[str] = []
 
     def script(
@@ -172,7 +173,8 @@
         if target.name in self.silent:
             self._clock.advance(timeout_s)
             return None
-        return data.TargetReport(self.queued_count)
+        report = data.TargetReport(self.queued_count)
+        return self.reports.get(target.name, report)
 
 
 class RecordingLog:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -155,10 +155,23 @@
         split = self._splitter.split(event.data)
         if not split.events:
             return None
+        self._note_pause()
         self._heard_at_s = self._clock.monotonic_s()
         self._is_running = True
         return self._pass_on(head, split)
 
+    def _note_pause(self) -> None:
+        """Note a pause that makes the stream late for its caller."""
+        now_s = self._clock.monotonic_s()
+        last_s = self._progress.passed_on_at_s
+        self._progress.passed_on_at_s = now_s
+        longest_ms = self._work.route.longest_pause_ms
+        if last_s is None or longest_ms is None:
+            return
+        pause_ms = 1000 * (now_s - last_s)
+        if pause_ms > longest_ms:
+            self._note('long_pause', pause_ms=round(pause_ms))
+
     def _next_check_s(self, now_s: float) -> float:
         """Return when the engine's silence has to be looked at again."""
         if not self._work.route.may_repeat:
@@ -195,6 +208,8 @@
         self._checked_at_s = self._clock.monotonic_s()
         if report is None:
             return self._take_silence('silent')
+        if _is_replaced(self._target, report):
+            return self._take_silence('another process has the address')
         self._note(
             'probe', target=self._target.name, queued=report.queued_count
         )
@@ -282,6 +297,12 @@
         self._work.notes.note(self._clock.monotonic_s(), step, **inputs)
 
 
+def _is_replaced(target: data.ListedTarget, report: data.TargetReport) -> bool:
+    if target.started_at_ms is None or report.started_at_ms is None:
+        return False
+    return target.started_at_ms != report.started_at_ms
+
+
 def _ended_early(detail: str) -> _ports.ExchangeFault:
     return _ports.ExchangeFault(
         _ports.FaultKind.LOST, f'the stream ended {detail}'
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_parts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_parts.py
@@ -44,6 +44,9 @@
     #: Whether the head of the answer was sent.
     has_started: bool = False
 
+    #: Monotonic time of the last events that were passed on, or None.
+    passed_on_at_s: float | None = None
+
     #: Whether an engine was left that answered probes but made no event.
     has_left_hanging: bool = False
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -153,6 +153,17 @@
         assert isinstance(desk.stream(), forwarding.StreamDone)
         assert desk.client.sent[1].at_s - started_s < 0.6
 
+    def test_leaves_an_engine_that_was_replaced(self) -> None:
+        """Guards against probes that a new process at the address answers."""
+        desk = _pair()
+        started = dataclasses.replace(bed.target('first'), started_at_ms=1)
+        desk.targets.apply(data.TargetChange('first', started))
+        desk.client.reports['first'] = data.TargetReport(0, started_at_ms=2)
+        desk.client.script('second', bed.events(1, 3))
+        started_s = desk.clock.monotonic_s()
+        assert isinstance(desk.stream(), forwarding.StreamDone)
+        assert desk.client.sent[1].at_s - started_s < 2.0
+
     def test_leaves_an_engine_that_makes_no_first_event_once(self) -> None:
         """Guards against a request that hangs at a healthy engine."""
         desk = _pair()
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -157,9 +157,10 @@
             return None
         reader = _fields.FieldReader.of('report', decoded, [])
         queued_count = reader.optional_whole('queued_requests') or 0
+        started_at_ms = reader.optional_whole('born')
         if reader.findings:
             return None
-        return data.TargetReport(queued_count)
+        return data.TargetReport(queued_count, started_at_ms)
 
 
 def _first_values(headers: data.Headers) -> dict[bytes, bytes]:
--- a/packages/platform/src/skylarktack/platform/tests/test_messages.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_messages.py
@@ -156,6 +156,8 @@
         """Guards against a queue that is misread."""
         report = CODEC.decode_report(b'{"queued_requests":3,"busy":false}')
         assert report == data.TargetReport(3)
+        report = CODEC.decode_report(b'{"queued_requests":0,"born":17}')
+        assert report == data.TargetReport(0, started_at_ms=17)
         assert CODEC.decode_report(b'not json') is None
         assert CODEC.decode_report(b'[]') is None
 
--- a/packages/state/src/skylarktack/state/forwarding/_targets.py
+++ b/packages/state/src/skylarktack/state/forwarding/_targets.py
@@ -68,6 +68,9 @@
     #: Requests that wait to be read.
     queued_count: int
 
+    #: When it started, in milliseconds since the epoch, or None.
+    started_at_ms: int | None = None
+
 
 @dataclasses.dataclass(frozen=True)
 class TargetLoad:
