--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -39,6 +39,12 @@
     #: Where callers connect.
     front: str
 
+    #: Where the balancer asks, or None.
+    ready: str | None
+
+    #: Where other instances send datagrams, or None.
+    peer: str | None
+
     #: Processor time of the start.
     processor_ms: int
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -64,8 +64,14 @@
         clock = ports.SystemClock()
         codec = platform.PlatformMessageCodec()
         self._configuration = forwarding.ConfigurationHolder(clock, log)
+        self._link: transport.DatagramLink | None = None
+        if settings.peer is not None:
+            self._link = transport.DatagramLink(settings.peer, log)
         self._fleet = forwarding.FleetView(
-            clock, log, settings.instance, settings.peer
+            clock,
+            log,
+            settings.instance,
+            None if self._link is None else self._link.endpoint,
         )
         self._targets = forwarding.TargetTable(
             clock, log, settings.failure_domain, self._fleet
@@ -114,15 +120,15 @@
             settings.front, self._gateway, codec, self._tasks
         )
         self._listeners = [self._front]
+        self._ready: transport.Listener | None = None
         if settings.readiness is not None:
             readiness = _readiness.ReadinessHandler(
                 self._gateway, self._configuration, self._targets, log
             )
-            self._listeners.append(
-                transport.Listener(
-                    settings.readiness, readiness, codec, self._tasks
-                )
+            self._ready = transport.Listener(
+                settings.readiness, readiness, codec, self._tasks
             )
+            self._listeners.append(self._ready)
         if settings.metrics is not None:
             self._listeners.append(
                 transport.Listener(
@@ -132,10 +138,8 @@
                     self._tasks,
                 )
             )
-        self._link: transport.DatagramLink | None = None
         self._sharing: forwarding.StoreSharing | None = None
-        if settings.peer is not None:
-            self._link = transport.DatagramLink(settings.peer, log)
+        if self._link is not None:
             self._sharing = forwarding.StoreSharing(
                 clock, self._fleet, self._link
             )
@@ -175,6 +179,20 @@
         if self._link is not None and self._sharing is not None:
             self._start_fleet(self._link, self._sharing)
 
+    def record_start(self, processor_ms: int) -> None:
+        """Write the addresses in use to the log.
+
+        :param processor_ms: processor time of the start.
+        """
+        self._log.record(
+            forwarding.InstanceStarted(
+                front=str(self._front.endpoint),
+                ready=str(self._ready.endpoint) if self._ready else None,
+                peer=str(self._link.endpoint) if self._link else None,
+                processor_ms=processor_ms,
+            )
+        )
+
     def _start_fleet(
         self,
         link: transport.DatagramLink,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -64,11 +64,7 @@
     log = transport.LineLog(settings.instance)
     instance = _instance.ForwardingInstance(settings, log)
     instance.start()
-    log.record(
-        forwarding.InstanceStarted(
-            str(settings.front), round(time.process_time() * 1000)
-        )
-    )
+    instance.record_start(round(time.process_time() * 1000))
     while not signals.has_stop:
         signals.received.wait(SETTINGS_CHECK_S)
         signals.received.clear()
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/platform/__init__.py
@@ -0,0 +1,45 @@
+"""Stand-ins of the users' platform: store, targets, instances, callers."""
+
+from skylarktack.emulator.platform._caller import Answer
+from skylarktack.emulator.platform._caller import Attempt
+from skylarktack.emulator.platform._caller import call
+from skylarktack.emulator.platform._caller import new_attempt_id
+from skylarktack.emulator.platform._caller import read_stream
+from skylarktack.emulator.platform._deployment import INSTANCE_MODULE
+from skylarktack.emulator.platform._deployment import PlatformDeployment
+from skylarktack.emulator.platform._deployment import PlatformInstance
+from skylarktack.emulator.platform._deployment import address_in_line
+from skylarktack.emulator.platform._manifest import HOST
+from skylarktack.emulator.platform._manifest import KEY
+from skylarktack.emulator.platform._manifest import manifest
+from skylarktack.emulator.platform._proxy import FaultProxy
+from skylarktack.emulator.platform._proxy import ProxyMode
+from skylarktack.emulator.platform._store import PlatformStore
+from skylarktack.emulator.platform._store import StoreMode
+from skylarktack.emulator.platform._target import PlatformTarget
+from skylarktack.emulator.platform._target import Run
+from skylarktack.emulator.platform._target import TargetBehaviour
+from skylarktack.emulator.platform._target import event_text
+
+__all__ = [
+    'HOST',
+    'address_in_line',
+    'INSTANCE_MODULE',
+    'KEY',
+    'Answer',
+    'Attempt',
+    'FaultProxy',
+    'PlatformDeployment',
+    'PlatformInstance',
+    'PlatformStore',
+    'PlatformTarget',
+    'ProxyMode',
+    'Run',
+    'StoreMode',
+    'TargetBehaviour',
+    'call',
+    'event_text',
+    'manifest',
+    'new_attempt_id',
+    'read_stream',
+]
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
@@ -0,0 +1,262 @@
+"""A deployment of real instances over the stand-ins."""
+
+import json
+import os
+import pathlib
+import queue
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from types import TracebackType
+from typing import Any
+
+from skylarktack import state
+from skylarktack.emulator.platform import _manifest
+from skylarktack.emulator.platform import _proxy
+from skylarktack.emulator.platform import _store
+from skylarktack.emulator.platform import _target
+from skylarktack.platform import PATH_VARIABLE
+
+#: Module that runs an instance.
+INSTANCE_MODULE = 'skylarktack.daemon.forwarding'
+
+#: Longest wait for a process to start, to be ready or to end.
+PATIENCE_S = 60.0
+
+DOMAINS = ('domain-a', 'domain-b', 'domain-c')
+
+
+class PlatformInstance:
+    """One instance in a process of its own."""
+
+    def __init__(
+        self, name: str, domain: str, folder: pathlib.Path, store: str
+    ) -> None:
+        self.name = name
+        self._domain = domain
+        self._path = folder / f'{name}.conf'
+        self._store = store
+        self._ports = {'front': 0, 'ready': 0, 'peer': 0}
+        self.lines: list[dict[str, Any]] = []
+        self._started: queue.Queue[dict[str, Any]] = queue.Queue()
+        self.process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def address(self) -> state.Address:
+        """Return where callers connect."""
+        return state.Address('127.0.0.1', self._ports['front'])
+
+    @property
+    def ready_address(self) -> state.Address:
+        """Return where the balancer asks."""
+        return state.Address('127.0.0.1', self._ports['ready'])
+
+    @property
+    def settings_path(self) -> str:
+        """Return the path of the settings file."""
+        return str(self._path)
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process and wait until it listens."""
+        self._path.write_text(self._settings(), encoding='utf-8')
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', INSTANCE_MODULE],
+            stdout=subprocess.PIPE,
+            env=os.environ | {PATH_VARIABLE: str(self._path)},
+        )
+        threading.Thread(
+            target=self._read_log, args=(self.process,), daemon=True
+        ).start()
+        started = self._started.get(timeout=PATIENCE_S)
+        for name in self._ports:
+            self._ports[name] = _port_of(started, name)
+
+    def signal(self, number: int) -> None:
+        """Send a signal if the process runs."""
+        if self.process is not None and self.is_running:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+        self.wait_ended()
+
+    def wait_ended(self) -> None:
+        """Wait for the end of the process."""
+        if self.process is not None:
+            self.process.wait(PATIENCE_S)
+
+    def wait_for_line(self, part: str, event: str, **fields: Any) -> None:
+        """Wait until the instance has written a line with the fields."""
+        end_s = time.monotonic() + PATIENCE_S
+        while time.monotonic() < end_s:
+            for line in list(self.lines):
+                if line['part'] != part or line['event'] != event:
+                    continue
+                if fields.items() <= line.items():
+                    return
+            time.sleep(0.02)
+        raise TimeoutError(f'{self.name} wrote no line {part}: {event}')
+
+    def _read_log(self, process: subprocess.Popen[bytes]) -> None:
+        if process.stdout is None:
+            raise AssertionError('the log is read through a pipe')
+        for text in process.stdout:
+            line = json.loads(text)
+            self.lines.append(line)
+            if line['part'] == 'instance' and line['event'] == 'started':
+                self._started.put(line)
+
+    def _settings(self) -> str:
+        return '\n'.join(
+            (
+                f'node_name={self.name}',
+                'ip_address=127.0.0.1',
+                f'availability_zone={self._domain}',
+                f'listen_addresses.frontend=127.0.0.1:{self._ports["front"]}',
+                f'listen_addresses.ready=127.0.0.1:{self._ports["ready"]}',
+                f'internal_port_range={self._ports["peer"]},0',
+                'limits.file_descriptors=1000',
+                'bounds.grace_period_s=8',
+                'bounds.config_apply_ms=2000',
+                'bounds.retry_budget_ratio=0.8',
+                'bounds.budget_window_s=10',
+                'bounds.retry_budget_extra=150',
+                f'platform.address={self._store}',
+                '',
+            )
+        )
+
+
+def address_in_line(text: bytes) -> state.Address:
+    """Return where callers connect, from the last line of a log."""
+    started = json.loads(text.splitlines()[-1])
+    return state.Address('127.0.0.1', _port_of(started, 'front'))
+
+
+def _port_of(started: dict[str, Any], name: str) -> int:
+    return int(str(started[name]).rpartition(':')[2])
+
+
+class PlatformDeployment:
+    """Store, targets and instances, all on the loopback address."""
+
+    def __init__(
+        self,
+        instance_count: int = 2,
+        engine_count: int = 3,
+        service_count: int = 2,
+        has_proxies: bool = False,
+    ) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.store = _store.PlatformStore()
+        self.copies: dict[str, set[str]] = {}
+        self.proxies: dict[str, _proxy.FaultProxy] = {}
+        self.engines = self._targets('pool', engine_count, has_proxies)
+        self.services = self._targets('desk', service_count, has_proxies)
+        self.version = 1
+        self.store_proxies: list[_proxy.FaultProxy] = []
+        self.instances = []
+        for number in range(instance_count):
+            address = self.store.address
+            if has_proxies:
+                proxy = _proxy.FaultProxy(address)
+                self.store_proxies.append(proxy)
+                address = proxy.address
+            self.instances.append(
+                PlatformInstance(
+                    f'instance-{number}',
+                    DOMAINS[number % len(DOMAINS)],
+                    pathlib.Path(self._folder.name),
+                    str(address),
+                )
+            )
+
+    def __enter__(self) -> 'PlatformDeployment':
+        self.apply(_manifest.manifest(self.version))
+        for target in self.engines + self.services:
+            self.enter(target)
+        for instance in self.instances:
+            instance.start()
+        for instance in self.instances:
+            self.wait_serving(instance)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for instance in self.instances:
+            instance.kill()
+        for target in self.engines + self.services:
+            target.crash()
+        for proxy in (*self.proxies.values(), *self.store_proxies):
+            proxy.close()
+        self.store.close()
+        self._folder.cleanup()
+
+    def apply(self, manifest: dict[str, Any]) -> None:
+        """Write a manifest to the store."""
+        self.version = manifest['version']
+        self.store.put('config', 'main', manifest)
+
+    def enter(self, target: _target.PlatformTarget) -> None:
+        """Write the entry of a target to the store."""
+        proxy = self.proxies.get(str(target.address))
+        address = None if proxy is None else proxy.address
+        self.store.put('servers', target.name, target.entry(address))
+
+    def crash(self, target: _target.PlatformTarget) -> None:
+        """Crash a target and remove its entry."""
+        name = target.name
+        target.crash()
+        self.store.remove('servers', name)
+
+    def restart(self, target: _target.PlatformTarget) -> None:
+        """Start a crashed target under a new name."""
+        target.start()
+        self.enter(target)
+
+    def wait_serving(self, instance: PlatformInstance) -> None:
+        """Wait until an instance knows configuration and targets."""
+        instance.wait_for_line('configuration', 'a version is in force')
+        for target in self.engines + self.services:
+            if target.is_running:
+                instance.wait_for_line(
+                    'target', 'a target is known', target=target.name
+                )
+
+    def runs(self) -> list[_target.Run]:
+        """Return all runs at all targets."""
+        runs = []
+        for target in self.engines + self.services:
+            with target.lock:
+                runs.extend(target.runs)
+        return runs
+
+    def _targets(
+        self, service: str, count: int, has_proxies: bool
+    ) -> list[_target.PlatformTarget]:
+        targets = []
+        for number in range(count):
+            domain = DOMAINS[number % len(DOMAINS)]
+            target = _target.PlatformTarget(service, domain, self.copies)
+            targets.append(target)
+            if has_proxies:
+                proxy = _proxy.FaultProxy(target.address)
+                self.proxies[str(target.address)] = proxy
+                # Copies are found under the address that callers use.
+                self.copies[str(proxy.address)] = self.copies[
+                    str(target.address)
+                ]
+        return targets
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/platform/_store.py
@@ -0,0 +1,208 @@
+"""Stand-in for the platform's store, with its faults."""
+
+import enum
+import json
+import threading
+import time
+from typing import Any
+import urllib.parse
+
+from skylarktack import state
+from skylarktack.emulator import _http_stand_in
+
+
+class StoreMode(enum.Enum):
+    """How the store answers."""
+
+    GOOD = 'good'
+
+    #: Each call gets 503.
+    BUSY = 'busy'
+
+    #: Connections end without an answer.
+    RESET = 'reset'
+
+    #: Calls get no answer.
+    SILENT = 'silent'
+
+
+class PlatformStore:
+    """Objects by kind and name, one revision counter, watches."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._oldest_revision = 0
+        self._revision = 1
+        self._mode = StoreMode.GOOD
+        self.delay_s = 0.0
+        self.call_count = 0
+        store = self
+
+        class _Handler(_Requests):
+            _store = store
+
+        self._server = _http_stand_in.StandInServer(('127.0.0.1', 0), _Handler)
+        _http_stand_in.serve_stand_in(self._server, 'store', announce=False)
+
+    @property
+    def address(self) -> state.Address:
+        """Return where the store listens."""
+        return _http_stand_in.address_of(self._server)
+
+    @property
+    def mode(self) -> StoreMode:
+        """Return how the store answers."""
+        return self._mode
+
+    def set_mode(self, mode: StoreMode) -> None:
+        """Answer all calls so from now on, also waiting watches."""
+        with self._changed:
+            self._mode = mode
+            self._changed.notify_all()
+
+    def forget_history(self) -> None:
+        """Drop the history; later watches get 410."""
+        with self._changed:
+            self._events.clear()
+            self._oldest_revision = self._revision
+            self._changed.notify_all()
+
+    def put(self, kind: str, name: str, specification: Any) -> None:
+        """Create or replace an object."""
+        with self._changed:
+            held = self._objects.setdefault(kind, {}).get(name)
+            if held is not None and held['specification'] == specification:
+                return
+            self._revision += 1
+            item = {
+                'metadata': {
+                    'name': name,
+                    'revision': self._revision,
+                    'created_at': 1,
+                    'finalizers': [],
+                    'deletion_pending': False,
+                },
+                'specification': specification,
+                'status': None,
+            }
+            self._objects[kind][name] = item
+            self._events.append((self._revision, kind, item, False))
+            self._changed.notify_all()
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object if there is one."""
+        with self._changed:
+            item = self._objects.get(kind, {}).pop(name, None)
+            if item is None:
+                return
+            self._revision += 1
+            self._events.append((self._revision, kind, item, True))
+            self._changed.notify_all()
+
+    def names(self, kind: str) -> tuple[str, ...]:
+        """Return the names of all objects of a kind."""
+        with self._changed:
+            return tuple(self._objects.get(kind, {}))
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.set_mode(StoreMode.RESET)
+        self._server.shutdown()
+        self._server.server_close()
+
+    def listing(self, kind: str) -> dict[str, Any]:
+        """Return the answer to a list."""
+        with self._changed:
+            items = list(self._objects.get(kind, {}).values())
+            return {'items': items, 'has_more': False, 'at': self._revision}
+
+    def create(self, kind: str, item: dict[str, Any]) -> int:
+        """Create an object; return the status of the answer."""
+        name = item['metadata']['name']
+        with self._changed:
+            if name in self._objects.get(kind, {}):
+                return 409
+        self.put(kind, name, item.get('specification'))
+        return 201
+
+    def watch(
+        self, kind: str, revision: int, wait_s: float
+    ) -> tuple[int, dict[str, Any]] | None:
+        """Return status and answer of a watch, or None if it is cut."""
+        end_s = time.monotonic() + wait_s
+        with self._changed:
+            while True:
+                if self._mode is not StoreMode.GOOD:
+                    return None
+                if revision < self._oldest_revision:
+                    return 410, {}
+                events = []
+                for number, of_kind, item, is_gone in self._events:
+                    if of_kind == kind and number > revision:
+                        events.append({'object': item, 'deleted': is_gone})
+                left_s = end_s - time.monotonic()
+                if events or left_s <= 0:
+                    return 200, {'events': events, 'at': self._revision}
+                self._changed.wait(left_s)
+
+    def wait_good(self) -> None:
+        """Wait until the store answers again."""
+        with self._changed:
+            while self._mode is StoreMode.SILENT:
+                self._changed.wait()
+
+
+class _Requests(_http_stand_in.StandInHandler):
+    """Calls to the store."""
+
+    _store: PlatformStore
+
+    def do_GET(self) -> None:
+        """List or watch a kind."""
+        if self._is_refused():
+            return
+        kind = self._kind()
+        revision = self.query('watch_stream')
+        if not revision:
+            self.answer_json(200, self._store.listing(kind))
+            return
+        wait_s = int(self.query('wait_timeout_ms', '0')) / 1000
+        answer = self._store.watch(kind, int(revision), wait_s)
+        if answer is None:
+            self._is_refused()
+            return
+        self.answer_json(*answer)
+
+    def do_POST(self) -> None:
+        """Create an object."""
+        item = json.loads(self.body())
+        if not self._is_refused():
+            self.answer_json(self._store.create(self._kind(), item), item)
+
+    def do_PUT(self) -> None:
+        """Replace the specification of an object."""
+        item = json.loads(self.body())
+        if self._is_refused():
+            return
+        name = urllib.parse.unquote(self.route.rpartition('/')[2])
+        self._store.put(self._kind(), name, item.get('specification'))
+        self.answer_json(200, item)
+
+    def _kind(self) -> str:
+        return urllib.parse.unquote(self.route.split('/')[2])
+
+    def _is_refused(self) -> bool:
+        """Refuse the call as the mode says; return whether so."""
+        self._store.call_count += 1
+        if self._store.delay_s:
+            time.sleep(self._store.delay_s)
+        if self._store.mode is StoreMode.BUSY:
+            self.answer_json(503, {})
+            return True
+        if self._store.mode is StoreMode.GOOD:
+            return False
+        self._store.wait_good()
+        self.drop_connection()
+        return True
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/platform/_target.py
@@ -0,0 +1,289 @@
+"""Stand-in for the platform's replicas: engines and plain services."""
+
+import dataclasses
+import hashlib
+import itertools
+import socket
+import threading
+import time
+from typing import Any
+
+from skylarktack import state
+from skylarktack.emulator import _http_stand_in
+
+_NUMBERS = itertools.count(1)
+
+
+@dataclasses.dataclass
+class TargetBehaviour:
+    """How a target works; tests change it while it runs."""
+
+    #: Time of a call, and of the prompt of a stream.
+    work_s: float = 0.01
+    prompt_s: float = 0.05
+
+    #: Time between two events of a stream.
+    pace_s: float = 0.01
+
+    #: Whether each run ends with an error of the target's own.
+    fails: bool = False
+
+    #: Whether each run's answer is lost with its connection.
+    loses_answers: bool = False
+
+    #: Whether runs stand still and probes get no answer.
+    is_frozen: bool = False
+
+    #: Whether each request is refused as not run.
+    is_full: bool = False
+
+
+@dataclasses.dataclass
+class Run:
+    """One run of a request at a target."""
+
+    #: Attempt of the caller.
+    attempt_id: str
+
+    #: Target that ran it.
+    target: str
+
+    #: Method and path, and the organisation that the target was told.
+    line: str
+    organisation: str | None
+
+    #: Monotonic times of its start and end; the end is None while it works.
+    started_at_s: float
+    ended_at_s: float | None = None
+
+
+def event_text(subject: str, event_id: int) -> str:
+    """Return the bytes of an event; the same at every engine."""
+    word = hashlib.blake2b(
+        f'{subject}/{event_id}'.encode(), digest_size=4
+    ).hexdigest()
+    return f'id: {event_id}\ndata: {word}\n\n'
+
+
+class PlatformTarget:
+    """One replica; a crash ends it, a restart gives it a new name."""
+
+    def __init__(
+        self, service: str, domain: str, copies: dict[str, set[str]]
+    ) -> None:
+        self.service = service
+        self.domain = domain
+        self.behaviour = TargetBehaviour()
+        self.runs: list[Run] = []
+        self.lock = threading.Lock()
+        # Attempts whose memory each address keeps a copy of.
+        self.copies = copies
+        self._connections: set[socket.socket] = set()
+        self._server: _http_stand_in.StandInServer | None = None
+        self._port = 0
+        self.is_leaving = False
+        self.name = ''
+        self.started_at_ms = 0
+        self.start()
+
+    @property
+    def address(self) -> state.Address:
+        """Return where the target listens."""
+        return state.Address('127.0.0.1', self._port)
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the target listens."""
+        return self._server is not None
+
+    def start(self) -> None:
+        """Listen under a new name, at the same address as before."""
+        target = self
+
+        class _Handler(_Requests):
+            _target = target
+
+        self.name = f'i-{next(_NUMBERS):08x}'
+        self.started_at_ms = int(time.time() * 1000)
+        self.is_leaving = False
+        self.behaviour.is_frozen = False
+        self._server = _http_stand_in.StandInServer(
+            ('127.0.0.1', self._port), _Handler
+        )
+        self._port = self._server.server_address[1]
+        self.copies.setdefault(str(self.address), set())
+        _http_stand_in.serve_stand_in(self._server, self.name, announce=False)
+
+    def crash(self) -> None:
+        """Reset all connections, forget all copies, and stop listening."""
+        server = self._server
+        if server is None:
+            return
+        self._server = None
+        server.shutdown()
+        server.server_close()
+        with self.lock:
+            connections = tuple(self._connections)
+            self.copies[str(self.address)].clear()
+        for connection in connections:
+            try:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0'
+                )
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # It has ended by itself.
+                continue
+
+    def entry(self, at: state.Address | None = None) -> dict[str, Any]:
+        """Return the target's entry in the store.
+
+        :param at: address that callers use, such as that of a proxy.
+        """
+        return {
+            'service': self.service,
+            'address': str(at or self.address),
+            'availability_zone': self.domain,
+            'version': 'v1',
+            'capacity_slots': 12,
+            'state': 'draining' if self.is_leaving else 'ready',
+            'cold_remaining_ms': 0,
+            'inference_stage': 'colocated',
+            'models': [],
+            'sequence_number': 1,
+            'born': self.started_at_ms,
+        }
+
+    def track(self, connection: socket.socket, is_open: bool) -> None:
+        """Note a connection that was opened or closed."""
+        with self.lock:
+            if is_open:
+                self._connections.add(connection)
+            else:
+                self._connections.discard(connection)
+
+
+class _Requests(_http_stand_in.StandInHandler):
+    """Requests to one target."""
+
+    _target: PlatformTarget
+
+    def setup(self) -> None:
+        """Note the connection."""
+        super().setup()
+        self._target.track(self.connection, True)
+
+    def finish(self) -> None:
+        """Forget the connection."""
+        self._target.track(self.connection, False)
+        super().finish()
+
+    def do_GET(self) -> None:
+        """Answer a probe or a call."""
+        self._await_thaw()
+        if self.route == '/report':
+            self.answer_json(
+                200,
+                {
+                    'queued_requests': 0,
+                    'active_requests': 0,
+                    'born': self._target.started_at_ms,
+                },
+            )
+            return
+        self._serve()
+
+    def do_POST(self) -> None:
+        """Answer a call or a stream."""
+        self.body()
+        self._await_thaw()
+        self._serve()
+
+    def _serve(self) -> None:
+        expected = self.headers.get('Expected-Replica')
+        if expected != self._target.name:
+            self.answer(421, b'', (('Replica-Id', self._target.name),))
+            return
+        attempt_id = self.headers.get('Attempt-Id', '')
+        behaviour = self._target.behaviour
+        copy = self.headers.get('Kv-From')
+        if behaviour.is_full or (copy and not self._has_copy(copy)):
+            self.answer(503, b'', (('Not-Executed', '1'),))
+            return
+        run = Run(
+            attempt_id=attempt_id,
+            target=self._target.name,
+            line=f'{self.command} {self.path}',
+            organisation=self.headers.get('Tenant'),
+            started_at_s=time.monotonic(),
+        )
+        with self._target.lock:
+            self._target.runs.append(run)
+        try:
+            self._work(run, is_copy=bool(copy))
+        finally:
+            run.ended_at_s = time.monotonic()
+
+    def _work(self, run: Run, is_copy: bool) -> None:
+        behaviour = self._target.behaviour
+        is_stream = 'Prompt-Prefix' in self.headers
+        if not is_copy:
+            time.sleep(behaviour.prompt_s if is_stream else behaviour.work_s)
+        self._await_thaw()
+        if behaviour.loses_answers:
+            self.drop_connection()
+            return
+        signed = (
+            ('Attempt-Id', run.attempt_id),
+            ('Replica-Signature', f'{run.target}.{run.attempt_id}'),
+            ('Replica-Load', '1,0,12'),
+        )
+        if behaviour.fails:
+            self.answer(500, b'failed', signed)
+            return
+        if not is_stream:
+            self.answer(200, f'{run.attempt_id} done'.encode(), signed)
+            return
+        self.send_response(200)
+        self.send_header('Content-Type', 'text/event-stream')
+        self.send_header('Transfer-Encoding', 'chunked')
+        for name, value in signed:
+            self.send_header(name, value)
+        self.end_headers()
+        self._stream(run)
+
+    def _stream(self, run: Run) -> None:
+        subject = self.headers['Prompt-Prefix'].split(',')[-1].split(':')[0]
+        first = int(self.headers.get('Last-Event-Id') or 0) + 1
+        last = int(self.headers['Token-Usage'].split(',')[1])
+        standby = self.headers.get('Kv-Backup')
+        try:
+            for event_id in range(first, last + 1):
+                self._await_thaw()
+                if not self._target.is_running:
+                    return
+                self._chunk(event_text(subject, event_id).encode())
+                if standby in self._target.copies:
+                    self._target.copies[standby].add(run.attempt_id)
+                time.sleep(self._target.behaviour.pace_s)
+            self._chunk(b'')
+        except OSError:
+            # The caller closed the connection, which cancels the run.
+            self.close_connection = True
+
+    def _chunk(self, content: bytes) -> None:
+        size = f'{len(content):x}\r\n'.encode()
+        self.wfile.write(size + content + b'\r\n')
+        self.wfile.flush()
+
+    def _has_copy(self, copy: str) -> bool:
+        # The address in the header is the one that callers use.
+        attempt_id = copy.partition('/')[2]
+        for address, attempts in self._target.copies.items():
+            if address == str(self._target.address):
+                return attempt_id in attempts
+        return False
+
+    def _await_thaw(self) -> None:
+        while self._target.behaviour.is_frozen and self._target.is_running:
+            time.sleep(0.01)
