--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/soak/__init__.py
@@ -0,0 +1,21 @@
+"""A fault soak: real instances, faults from outside, promises checked."""
+
+from skylarktack.emulator.soak._regressions import REGRESSIONS
+from skylarktack.emulator.soak._regressions import Regression
+from skylarktack.emulator.soak._run import SoakResult
+from skylarktack.emulator.soak._run import run_seed
+from skylarktack.emulator.soak._schedule import Injection
+from skylarktack.emulator.soak._schedule import InjectionKind
+from skylarktack.emulator.soak._schedule import SoakShape
+from skylarktack.emulator.soak._schedule import draw_schedule
+
+__all__ = [
+    'REGRESSIONS',
+    'Injection',
+    'InjectionKind',
+    'Regression',
+    'SoakResult',
+    'SoakShape',
+    'draw_schedule',
+    'run_seed',
+]
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/soak/__main__.py
@@ -0,0 +1,65 @@
+"""Runs the soak: ``python -m skylarktack.emulator.soak``."""
+
+import pathlib
+import random
+import sys
+import time
+
+import fire
+
+from skylarktack.emulator import soak
+
+
+def run(
+    seed: int | None = None,
+    seeds: int = 1,
+    minutes: float = 0.0,
+    length_s: float = 15.0,
+    instances: int = 3,
+    logs: str = 'build/soak',
+) -> None:
+    """Run seeds and print each promise with the checks made.
+
+    :param seed: first seed; without one, fresh seeds are drawn.
+    :param seeds: number of seeds, counted up from the first.
+    :param minutes: go on with fresh seeds for this time.
+    :param length_s: time in which faults are injected, for each seed.
+    :param instances: processes of the system.
+    :param logs: folder for the logs of seeds that broke a promise.
+    """
+    shape = soak.SoakShape(instance_count=instances, length_s=length_s)
+    end_s = time.monotonic() + 60 * minutes
+    first = random.randrange(1_000_000) if seed is None else seed
+    broken = []
+    number = 0
+    while number < seeds or time.monotonic() < end_s:
+        result = soak.run_seed(first + number, shape, pathlib.Path(logs))
+        _show(result, shape)
+        if not result.is_kept:
+            broken.append(result.seed)
+        number += 1
+    print(f'{number - len(broken)} passed, {len(broken)} failed')
+    if broken:
+        print(f'broken seeds: {broken}')
+        sys.exit(1)
+
+
+def _show(result: soak.SoakResult, shape: soak.SoakShape) -> None:
+    print(f'seed {result.seed}: {len(result.schedule)} faults')
+    for injection in result.schedule:
+        print(f'  {injection}')
+    for promise in result.promises:
+        state = 'broken' if promise.broken else 'kept'
+        print(f'  {state}: {promise.name} ({promise.check_count} checks)')
+        for what in promise.broken[:5]:
+            print(f'    {what}')
+    print(f'  served {result.served_count} of {result.request_count}')
+    print(
+        f'  again: python -m skylarktack.emulator.soak --seed={result.seed} '
+        f'--length_s={shape.length_s} --instances={shape.instance_count}',
+        flush=True,
+    )
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/soak/_checkers.py
@@ -0,0 +1,185 @@
+"""Promises, checked from what callers and targets saw."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from skylarktack.emulator import platform
+from skylarktack.emulator.soak import _callers
+
+#: Statuses that promise that a request has not run.
+PROMISE_STATUSES = frozenset((408, 421, 429, 503))
+
+#: Statuses that deny a proper request.
+DENIAL_STATUSES = frozenset((400, 401, 403, 404, 413, 431))
+
+
+@dataclasses.dataclass
+class Promise:
+    """One promise with the checks made and what broke it."""
+
+    name: str
+    check_count: int = 0
+    broken: list[str] = dataclasses.field(default_factory=list)
+
+    def check(self, holds: bool, what: str) -> None:
+        """Count one check."""
+        self.check_count += 1
+        if not holds:
+            self.broken.append(what)
+
+
+@dataclasses.dataclass(frozen=True)
+class Evidence:
+    """All that callers and targets saw in a run."""
+
+    calls: tuple[_callers.CallRecord, ...]
+    streams: tuple[_callers.StreamRecord, ...]
+    runs: tuple[platform.Run, ...]
+
+
+def check_all(evidence: Evidence) -> tuple[Promise, ...]:
+    """Return all promises with their checks."""
+    return tuple(check(evidence) for check in _CHECKS)
+
+
+def _order(evidence: Evidence) -> Promise:
+    promise = Promise('no event is missing, doubled, mixed or torn')
+    for stream in evidence.streams:
+        attempt = stream.attempts[0]
+        for number, event in enumerate(stream.events, start=1):
+            expected = platform.event_text(attempt.subject or '', number)
+            promise.check(
+                event == expected,
+                f'{attempt.attempt_id}: event {number} is {event!r}',
+            )
+    return promise
+
+
+def _completeness(evidence: Evidence) -> Promise:
+    promise = Promise('a stream that ends as complete is whole')
+    for stream in evidence.streams:
+        attempt = stream.attempts[0]
+        if stream.is_complete:
+            promise.check(
+                len(stream.events) == attempt.event_count,
+                f'{attempt.attempt_id}: {len(stream.events)} of '
+                f'{attempt.event_count} events',
+            )
+    return promise
+
+
+def _once(evidence: Evidence) -> Promise:
+    promise = Promise('a booking runs at most once')
+    counts = _run_counts(evidence)
+    for call in evidence.calls:
+        if call.attempt.route == 'book':
+            count = counts[call.attempt.attempt_id]
+            promise.check(
+                count <= 1, f'{call.attempt.attempt_id} ran {count} times'
+            )
+    return promise
+
+
+def _true_refusals(evidence: Evidence) -> Promise:
+    promise = Promise('a refusal that says not run is true')
+    counts = _run_counts(evidence)
+    for call in evidence.calls:
+        if call.answer is None or call.attempt.route != 'book':
+            continue
+        if call.answer.status in PROMISE_STATUSES:
+            promise.check(
+                counts[call.attempt.attempt_id] == 0,
+                f'{call.attempt.attempt_id} got {call.answer.status} and ran',
+            )
+    return promise
+
+
+def _own_answers(evidence: Evidence) -> Promise:
+    promise = Promise('a caller gets the answer to its own request')
+    for call in evidence.calls:
+        if call.answer is None or call.answer.status != 200:
+            continue
+        expected = f'{call.attempt.attempt_id} done'.encode()
+        promise.check(
+            call.answer.body == expected,
+            f'{call.attempt.attempt_id} got {call.answer.body!r}',
+        )
+        promise.check(
+            'Replica-Signature' in call.answer.headers,
+            f'{call.attempt.attempt_id} got an unsigned answer',
+        )
+    return promise
+
+
+def _no_denial(evidence: Evidence) -> Promise:
+    promise = Promise('nothing is denied that each manifest allows')
+    for call in evidence.calls:
+        if call.answer is None or call.attempt.route not in ('book', 'peek'):
+            continue
+        promise.check(
+            call.answer.status not in DENIAL_STATUSES,
+            f'{call.attempt.attempt_id} got {call.answer.status}',
+        )
+    for stream in evidence.streams:
+        for refusal in stream.refusals:
+            promise.check(
+                refusal.status not in DENIAL_STATUSES,
+                f'{stream.attempts[0].attempt_id} got {refusal.status}',
+            )
+    return promise
+
+
+def _no_return(evidence: Evidence) -> Promise:
+    promise = Promise('a configuration never goes back in a process')
+    served_at_s: dict[tuple[int, str], float] = {}
+    for call in sorted(evidence.calls, key=lambda record: record.ended_at_s):
+        if call.answer is None or not call.attempt.route.startswith('r'):
+            continue
+        key = (call.process_id, call.attempt.route)
+        if call.answer.status == 200:
+            served_at_s.setdefault(key, call.ended_at_s)
+            continue
+        if key in served_at_s and call.started_at_s > served_at_s[key]:
+            promise.check(
+                call.answer.status != 404,
+                f'{call.instance} lost route {call.attempt.route}',
+            )
+    return promise
+
+
+def _organisation(evidence: Evidence) -> Promise:
+    promise = Promise('a target is told the organisation of the key')
+    for run in evidence.runs:
+        promise.check(
+            run.organisation == 'dealer',
+            f'{run.attempt_id} ran for {run.organisation}',
+        )
+    return promise
+
+
+def _known_requests(evidence: Evidence) -> Promise:
+    promise = Promise('only what a caller sent runs')
+    sent = {call.attempt.attempt_id for call in evidence.calls}
+    for stream in evidence.streams:
+        sent.update(attempt.attempt_id for attempt in stream.attempts)
+    for run in evidence.runs:
+        promise.check(run.attempt_id in sent, f'{run.attempt_id} ran')
+    return promise
+
+
+def _run_counts(evidence: Evidence) -> collections.Counter[str]:
+    return collections.Counter(run.attempt_id for run in evidence.runs)
+
+
+_CHECKS: tuple[Callable[[Evidence], Promise], ...] = (
+    _order,
+    _completeness,
+    _once,
+    _true_refusals,
+    _own_answers,
+    _no_denial,
+    _no_return,
+    _organisation,
+    _known_requests,
+)
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/soak/_run.py
@@ -0,0 +1,116 @@
+"""One run of the soak."""
+
+import dataclasses
+import pathlib
+import time
+
+from skylarktack.emulator import platform
+from skylarktack.emulator.soak import _callers
+from skylarktack.emulator.soak import _checkers
+from skylarktack.emulator.soak import _injectors
+from skylarktack.emulator.soak import _recovery
+from skylarktack.emulator.soak import _schedule
+
+
+@dataclasses.dataclass(frozen=True)
+class SoakResult:
+    """What one seed showed."""
+
+    seed: int
+    schedule: tuple[_schedule.Injection, ...]
+    promises: tuple[_checkers.Promise, ...]
+
+    #: Streams and calls that were served, of all.
+    served_count: int
+    request_count: int
+
+    @property
+    def is_kept(self) -> bool:
+        """Return whether every promise was kept."""
+        return not any(promise.broken for promise in self.promises)
+
+
+def run_seed(
+    seed: int,
+    shape: _schedule.SoakShape,
+    log_folder: pathlib.Path | None = None,
+) -> SoakResult:
+    """Run the schedule of a seed and check the promises.
+
+    :param log_folder: where the logs of the instances are kept if a promise
+        is broken.
+    """
+    schedule = _schedule.draw_schedule(seed, shape)
+    with platform.PlatformDeployment(
+        shape.instance_count,
+        shape.engine_count,
+        shape.service_count,
+        has_proxies=True,
+    ) as deployment:
+        injector = _injectors.Injector(deployment)
+        callers = _callers.Callers(deployment, seed)
+        callers.start(shape.caller_count)
+        started_s = time.monotonic()
+        for injection in schedule:
+            wait_s = started_s + injection.at_s - time.monotonic()
+            time.sleep(max(0.0, wait_s))
+            injector.inject(injection)
+        injector.mend()
+        callers.stop()
+        recovery = _recovery.check_recovery(deployment)
+        evidence = _checkers.Evidence(
+            tuple(callers.calls),
+            tuple(callers.streams),
+            tuple(
+                run
+                for run in deployment.runs()
+                if run.attempt_id not in _probe_ids(deployment, callers)
+            ),
+        )
+        promises = (*_checkers.check_all(evidence), recovery)
+        result = SoakResult(
+            seed,
+            schedule,
+            promises,
+            _served(evidence),
+            len(evidence.calls) + len(evidence.streams),
+        )
+        if log_folder is not None and not result.is_kept:
+            _keep_logs(deployment, log_folder / f'seed-{seed}')
+    return result
+
+
+def _probe_ids(
+    deployment: platform.PlatformDeployment, callers: _callers.Callers
+) -> frozenset[str]:
+    """Return the attempts of the recovery check, which ended last."""
+    sent = {call.attempt.attempt_id for call in callers.calls}
+    for stream in callers.streams:
+        sent.update(attempt.attempt_id for attempt in stream.attempts)
+    ended_s = max((call.ended_at_s for call in callers.calls), default=0.0)
+    return frozenset(
+        run.attempt_id
+        for run in deployment.runs()
+        if run.attempt_id not in sent and run.started_at_s > ended_s
+    )
+
+
+def _served(evidence: _checkers.Evidence) -> int:
+    served = 0
+    for call in evidence.calls:
+        if call.answer is not None and call.answer.status == 200:
+            served += 1
+    for stream in evidence.streams:
+        served += int(stream.is_complete)
+    return served
+
+
+def _keep_logs(
+    deployment: platform.PlatformDeployment, folder: pathlib.Path
+) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for instance in deployment.instances:
+        path = folder / f'{instance.name}.log'
+        path.write_text(
+            '\n'.join(str(line) for line in instance.lines), encoding='utf-8'
+        )
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
@@ -0,0 +1,98 @@
+"""The schedule of faults, drawn from the seed alone."""
+
+import dataclasses
+import enum
+import random
+
+
+class InjectionKind(enum.Enum):
+    """What is done to the deployment."""
+
+    ENGINE_CRASH = 'engine_crash'
+    ENGINE_FREEZE = 'engine_freeze'
+    DOMAIN_CRASH = 'domain_crash'
+    SERVICE_CRASH = 'service_crash'
+    SERVICE_FAILS = 'service_fails'
+    SERVICE_LOSES_ANSWERS = 'service_loses_answers'
+    SERVICE_FULL = 'service_full'
+    LINK_DELAY = 'link_delay'
+    LINK_RESET = 'link_reset'
+    LINK_SILENCE = 'link_silence'
+    LINK_CUT_OUT = 'link_cut_out'
+    LINK_CUT_BACK = 'link_cut_back'
+    STORE_BUSY = 'store_busy'
+    STORE_RESET = 'store_reset'
+    STORE_SILENT = 'store_silent'
+    STORE_SLOW = 'store_slow'
+    STORE_FORGETS = 'store_forgets'
+    STORE_LINK_SILENCE = 'store_link_silence'
+    INSTANCE_KILL = 'instance_kill'
+    INSTANCE_PAUSE = 'instance_pause'
+    INSTANCE_STOP = 'instance_stop'
+    INSTANCE_RELOAD = 'instance_reload'
+    ALL_KILL = 'all_kill'
+    CONFIGURATION = 'configuration'
+    TARGET_LEAVES = 'target_leaves'
+
+
+@dataclasses.dataclass(frozen=True)
+class SoakShape:
+    """Size and length of a run."""
+
+    #: Processes of the system.
+    instance_count: int = 3
+
+    #: Stand-ins of engines and plain services.
+    engine_count: int = 6
+    service_count: int = 3
+
+    #: Callers at once.
+    caller_count: int = 6
+
+    #: Time in which faults are injected.
+    length_s: float = 15.0
+
+    #: Mean time between two faults.
+    gap_s: float = 0.8
+
+
+@dataclasses.dataclass(frozen=True)
+class Injection:
+    """One fault of the schedule."""
+
+    #: Time since the start of the run.
+    at_s: float
+
+    #: What is done.
+    kind: InjectionKind
+
+    #: Which engine, service, link or instance, modulo their number.
+    index: int
+
+    #: How long it lasts.
+    for_s: float
+
+    def __str__(self) -> str:
+        return (
+            f'{self.at_s:6.2f} s  {self.kind.value} #{self.index} '
+            f'for {self.for_s:.2f} s'
+        )
+
+
+def draw_schedule(seed: int, shape: SoakShape) -> tuple[Injection, ...]:
+    """Return the faults of a seed in the order of their times."""
+    draw = random.Random(seed)
+    kinds = list(InjectionKind)
+    injections = []
+    at_s = draw.uniform(0.2, shape.gap_s)
+    while at_s < shape.length_s:
+        injections.append(
+            Injection(
+                at_s,
+                draw.choice(kinds),
+                draw.randrange(12),
+                draw.uniform(0.3, 3.0),
+            )
+        )
+        at_s += draw.expovariate(1 / shape.gap_s)
+    return tuple(injections)
