--- /dev/null
+++ b/packages/cli/src/skylarktack/cli/tests/test_explain.py
@@ -0,0 +1,46 @@
+"""Requests explained from golden logs."""
+
+import pathlib
+
+from skylarktack.cli import _explain
+
+GOLDEN = pathlib.Path(__file__).parent / 'golden'
+
+REQUESTS = ('broken-stream', 'lost-booking', 'unsure-lookup', 'unknown')
+
+
+class TestExplain:
+    """From the id of a request to its cause."""
+
+    def test_golden_log(self) -> None:
+        """Guards against explanations that lose a decision or its inputs."""
+        text = (GOLDEN / 'three_failures.log').read_text(encoding='utf-8')
+        lines, findings = _explain.check_lines('log', text.splitlines())
+        assert not findings
+        shown = []
+        for request in REQUESTS:
+            shown.append(f'== {request}')
+            shown.extend(_explain.explain_request(request, lines))
+        expected = (GOLDEN / 'three_failures.txt').read_text(encoding='utf-8')
+        assert shown == expected.splitlines()
+
+    def test_unreadable_lines_are_told_with_their_place(self) -> None:
+        """Guards against lines that are left out without a word."""
+        lines, findings = _explain.check_lines(
+            'log',
+            (
+                'no object',
+                '{"time_s":1,',
+                '{"time_s":1,"instance":"a","part":"p"}',
+                '{"time_s":"x","instance":"a","part":"p","event":"e"}',
+                '',
+                '{"time_s":1,"instance":"a","part":"p","event":"e"}',
+            ),
+        )
+        assert len(lines) == 1
+        assert [finding.place for finding in findings] == [
+            'log:1',
+            'log:2',
+            'log:3',
+            'log:4',
+        ]
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -0,0 +1,175 @@
+"""Lines and metrics of requests that have ended."""
+
+import dataclasses
+
+import pytest
+
+from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
+from skylarktack.coordination.forwarding.tests import bed
+from skylarktack.coordination.forwarding.tests import test_gateway
+from skylarktack.daemon.forwarding import _metrics
+from skylarktack.daemon.forwarding import _reports
+from skylarktack.state import forwarding as data
+
+STREAM = data.RequestKind.STREAM
+ONCE = data.RequestKind.NON_IDEMPOTENT
+
+
+@dataclasses.dataclass(frozen=True)
+class CauseCase:
+    """What goes wrong, and the words that the line has to hold."""
+
+    name: str
+    kind: data.RequestKind
+    script: tuple[fakes.ScriptedEvent, ...] | forwarding.ExchangeFault
+    outcome: str
+    cause: str
+    request: data.FrontRequest = bed.request()
+
+
+CASES = (
+    CauseCase(
+        'no route',
+        ONCE,
+        (),
+        'refused',
+        'no_route',
+        bed.request(path=b'/unknown/'),
+    ),
+    CauseCase(
+        'unknown key', ONCE, (), 'refused', 'unknown_key', bed.request(key='x')
+    ),
+    CauseCase('no connection', ONCE, bed.REFUSED, 'refused', 'no connection'),
+    CauseCase('lost', ONCE, bed.lost(), 'refused', 'target_failed: reset'),
+    CauseCase(
+        'full',
+        ONCE,
+        bed.answer(503, is_not_run=True),
+        'refused',
+        'the target refused with 503',
+    ),
+    CauseCase('time', ONCE, (), 'refused', 'time_up'),
+    CauseCase(
+        'own failure', ONCE, bed.answer(500), 'target_failure', 'status 500'
+    ),
+    CauseCase(
+        'unsigned',
+        ONCE,
+        bed.answer(200, is_signed=False),
+        'refused',
+        'not signed',
+    ),
+    CauseCase(
+        'stream lost',
+        STREAM,
+        bed.events(1, 3, ending='lost'),
+        'broken',
+        'reset',
+        bed.request(time_limit_ms=25000.0),
+    ),
+    CauseCase(
+        'stream cut by the time',
+        STREAM,
+        bed.events(1, 900),
+        'broken',
+        'time limit',
+        bed.request(time_limit_ms=2000.0),
+    ),
+)
+
+
+class TestRequestLog:
+    """Each failure leaves a line that names its cause."""
+
+    @pytest.mark.parametrize('case', CASES, ids=lambda case: case.name)
+    def test_names_the_cause(self, case: CauseCase) -> None:
+        """Guards against failures that on-call engineers cannot explain."""
+        desk = bed.make(bed.target('only'))
+        desk.client.script('only', case.script)
+        holder = forwarding.ConfigurationHolder(desk.clock, desk.log)
+        log = fakes.RecordingLog()
+        gateway = forwarding.Gateway(
+            forwarding.GatewayParts(
+                clock=desk.clock,
+                configuration=holder,
+                calls=desk.calls,
+                streams=desk.streams,
+                observer=_reports.RequestLog(desk.clock, log),
+            )
+        )
+        route = bed.route(case.kind, max_attempts=1, is_resumable=False)
+        holder.offer(test_gateway.configuration(4, route))
+        holder.confirm(60.0)
+        gateway.handle(case.request, desk.caller)
+        [event] = log.events
+        assert isinstance(event, forwarding.RequestFailed)
+        assert event.request == 'attempt'
+        assert event.configuration == 4
+        assert event.outcome == case.outcome
+        assert case.cause in event.cause
+
+    def test_served_requests_are_sampled(self) -> None:
+        """Guards against a log that grows with the traffic."""
+        clock = fakes.SteppingClock()
+        log = fakes.RecordingLog()
+        requests = _reports.RequestLog(clock, log)
+        for _ in range(100):
+            requests.ended(_report(data.FrontAnswer(200, (), b'')))
+        served = len(log.events)
+        assert 0 < served < 10
+        for _ in range(100):
+            requests.ended(_report(data.Refusal(data.RefusalReason.TIME_UP)))
+        assert len(log.events) == served + 100
+
+
+class TestRequestMetrics:
+    """Counters and histograms as text."""
+
+    def test_text(self) -> None:
+        """Guards against metrics that no collector can read."""
+        metrics = _metrics.RequestMetrics()
+        metrics.ended(_report(data.FrontAnswer(200, (), b'')))
+        handler = _metrics.MetricsHandler(metrics)
+        answer = handler.handle(
+            bed.request(), fakes.ScriptedCaller(fakes.SteppingClock())
+        )
+        assert isinstance(answer, data.FrontAnswer)
+        text = answer.body.decode()
+        labels = (
+            'kind="idempotent",organisation="organisation",'
+            'outcome="answered",route="route"'
+        )
+        for name in labels.split(','):
+            assert name in text
+        assert 'skylarktack_request_duration_ms_count' in text
+
+    def test_series_are_bounded(self) -> None:
+        """Guards against memory that grows with the organisations."""
+        metrics = _metrics.RequestMetrics()
+        for number in range(1000):
+            report = _report(data.FrontAnswer(200, (), b''))
+            metrics.ended(
+                dataclasses.replace(report, organisation=f'o-{number}')
+            )
+        text = _metrics.MetricsHandler(metrics).handle(
+            bed.request(), fakes.ScriptedCaller(fakes.SteppingClock())
+        )
+        assert isinstance(text, data.FrontAnswer)
+        count = text.body.count(b'skylarktack_request_duration_ms_count')
+        assert count <= _metrics.SERIES_LIMIT_COUNT + 1
+        assert b'organisation="other"' in text.body
+
+
+def _report(outcome: forwarding.StreamOutcome) -> forwarding.RequestReport:
+    return forwarding.RequestReport(
+        request=bed.request(),
+        route='route',
+        kind=data.RequestKind.IDEMPOTENT,
+        organisation='organisation',
+        configuration_version=1,
+        is_configuration_current=True,
+        outcome=outcome,
+        duration_ms=12.0,
+        steps=(),
+    )
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -0,0 +1,223 @@
+"""Requests to targets and the faults of their connections."""
+
+from collections.abc import Iterator
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from skylarktack.coordination import forwarding
+from skylarktack.state import forwarding as data
+from skylarktack.transport import forwarding as transport
+from skylarktack.transport.forwarding.tests import front_bed
+
+
+class _Nobody:
+    """A caller that never leaves."""
+
+    def fileno(self) -> int:
+        return -1
+
+    def has_left(self) -> bool:
+        return False
+
+    def start_stream(self, head: data.AnswerHead) -> bool:
+        return True
+
+    def send_events(self, events: bytes) -> bool:
+        return True
+
+
+class _Target:
+    """Answers each connection with the same bytes."""
+
+    def __init__(self, answer: bytes, ending: str = 'stay') -> None:
+        self._answer = answer
+        self._ending = ending
+        self.received = b''
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self._connections: list[socket.socket] = []
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    @property
+    def target(self) -> data.ListedTarget:
+        host, port = self._listener.getsockname()
+        return data.ListedTarget(
+            'target', 'pool', data.Endpoint(host, port), 'domain', 'v1', 1
+        )
+
+    def close(self) -> None:
+        self._listener.close()
+        for connection in self._connections:
+            connection.close()
+
+    def _serve(self) -> None:
+        with contextlib.suppress(OSError):
+            connection, _ = self._listener.accept()
+            self._connections.append(connection)
+            while b'\r\n\r\n' not in self.received:
+                self.received += connection.recv(65536)
+            connection.sendall(self._answer)
+            if self._ending == 'end':
+                connection.shutdown(socket.SHUT_WR)
+            if self._ending == 'reset':
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0'
+                )
+                connection.close()
+
+
+def _request(body: bytes = b'body') -> data.FrontRequest:
+    head = data.RequestHead(
+        b'POST', b'/a', ((b'Host', b'h'), (b'Attempt', b'own'))
+    )
+    decoded = front_bed.PlainCodec().decode_request(head, body, True)
+    assert isinstance(decoded, data.FrontRequest)
+    return decoded
+
+
+@contextlib.contextmanager
+def _serving(answer: bytes, ending: str = 'stay') -> Iterator[_Target]:
+    target = _Target(answer, ending)
+    try:
+        yield target
+    finally:
+        target.close()
+
+
+def _exchange(
+    target: _Target, body: bytes = b'body'
+) -> list[forwarding.AnswerEvent]:
+    """Send a request and return all events of the answer."""
+    client = transport.HttpTargetClient(front_bed.PlainCodec())
+    sent = client.send(
+        _request(body), data.Delivery(target.target, None, None), 5.0
+    )
+    assert not isinstance(sent, forwarding.ExchangeFault)
+    events: list[forwarding.AnswerEvent] = []
+    while True:
+        ready = client.wait((sent,), _Nobody(), front_bed.PATIENCE_S)
+        assert ready.exchanges == (sent,)
+        events.extend(sent.receive())
+        if events and isinstance(
+            events[-1], forwarding.AnswerEnd | forwarding.ExchangeFault
+        ):
+            sent.close()
+            return events
+
+
+HEAD = b'HTTP/1.1 200 OK\r\nAttempt: own\r\n'
+
+
+class TestAnswers:
+    """Answers of each framing, and bytes that are none."""
+
+    @pytest.mark.parametrize(
+        ('answer', 'ending'),
+        [
+            (HEAD + b'Content-Length: 2\r\n\r\nok', 'stay'),
+            (
+                HEAD
+                + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
+                'stay',
+            ),
+            (HEAD + b'\r\nok', 'end'),
+            (HEAD + b'Content-Length: 2\r\n\r\nok' + HEAD, 'stay'),
+            (
+                b'HTTP/1.1 100 Continue\r\n\r\n'
+                + HEAD
+                + b'Content-Length: 2\r\n\r\nok',
+                'stay',
+            ),
+        ],
+        ids=['length', 'chunks', 'until the end', 'extra', 'interim'],
+    )
+    def test_a_whole_answer(self, answer: bytes, ending: str) -> None:
+        """Guards against bytes that get lost or added."""
+        with _serving(answer, ending) as target:
+            events = _exchange(target)
+        assert isinstance(events[0], data.AnswerHead)
+        body = b''
+        for event in events:
+            if isinstance(event, forwarding.BodyPart):
+                body += event.data
+        assert body == b'ok'
+        assert events[-1] == forwarding.AnswerEnd()
+
+    @pytest.mark.parametrize(
+        ('answer', 'ending', 'kind'),
+        [
+            (
+                HEAD + b'Content-Length: 5\r\n\r\nok',
+                'end',
+                forwarding.FaultKind.LOST,
+            ),
+            (
+                HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n',
+                'end',
+                forwarding.FaultKind.LOST,
+            ),
+            (HEAD + b'\r\nok', 'reset', forwarding.FaultKind.LOST),
+            (b'', 'end', forwarding.FaultKind.LOST),
+            (b'no answer\r\n\r\n', 'stay', forwarding.FaultKind.MALFORMED),
+            (
+                HEAD.replace(b'own', b'other')
+                + b'Content-Length: 2\r\n\r\nok',
+                'stay',
+                forwarding.FaultKind.MALFORMED,
+            ),
+        ],
+        ids=['short', 'no last chunk', 'reset', 'nothing', 'noise', 'crossed'],
+    )
+    def test_what_is_no_whole_answer(
+        self, answer: bytes, ending: str, kind: forwarding.FaultKind
+    ) -> None:
+        """Guards against an answer that is cut, foreign or unreadable."""
+        with _serving(answer, ending) as target:
+            last = _exchange(target)[-1]
+        assert isinstance(last, forwarding.ExchangeFault)
+        assert last.kind is kind
+
+    def test_an_answer_before_the_body_was_read(self) -> None:
+        """Guards against waiting for a target that reads no further."""
+        answer = HEAD + b'Content-Length: 2\r\n\r\nok'
+        with _serving(answer) as target:
+            events = _exchange(target, b'x' * 20_000_000)
+        assert events[-1] == forwarding.AnswerEnd()
+
+
+class TestConnections:
+    """What can be known when no connection comes about."""
+
+    def test_nothing_listens(self) -> None:
+        """Guards against taking an ended process for a slow one."""
+        client = transport.HttpTargetClient(front_bed.PlainCodec())
+        with socket.socket() as bound:
+            # A port that is bound but not listened on refuses connections.
+            bound.bind(('127.0.0.1', 0))
+            endpoint = data.Endpoint(*bound.getsockname())
+            listed = data.ListedTarget(
+                'target', 'pool', endpoint, 'domain', 'v1', 1
+            )
+            delivery = data.Delivery(listed, None, None)
+            fault = client.send(_request(), delivery, 5.0)
+        assert isinstance(fault, forwarding.ExchangeFault)
+        assert fault.kind is forwarding.FaultKind.DOWN
+        assert not fault.has_arrived
+
+    def test_a_probe(self) -> None:
+        """Guards against an engine that is alive but taken for lost."""
+        client = transport.HttpTargetClient(front_bed.PlainCodec())
+        answer = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n3'
+        with _serving(answer) as target:
+            report = client.probe(target.target, front_bed.PATIENCE_S)
+            assert report == data.TargetReport(3)
+            assert target.received.startswith(b'GET /load ')
+
+    def test_a_probe_without_an_answer(self) -> None:
+        """Guards against a silent engine that is taken for alive."""
+        client = transport.HttpTargetClient(front_bed.PlainCodec())
+        with _serving(b'') as target:
+            assert client.probe(target.target, 0.1) is None
