Keep a domain that lost engines in doubt until its entries have gone

Targets of a domain that lost two are now behind the others for 4 s unless they were heard or listed since; requests also wait for the first list of targets.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -11,6 +11,7 @@
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _routes
 from skylarktack.coordination.forwarding import _streams
+from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.forwarding import _work
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -89,6 +90,9 @@
     #: Configuration in force.
     configuration: _beliefs.ConfigurationHolder
 
+    #: Known targets.
+    targets: _targets.TargetTable
+
     #: Forwards calls.
     calls: _calls.CallForwarder
 
@@ -146,7 +150,7 @@
         """Forward one request and return how it ended."""
         started_at_s = self._clock.monotonic_s()
         notes = _outcomes.RequestNotes(started_at_s)
-        self._await_configuration(request)
+        self._await_beliefs(request)
         table = self._parts.configuration.table
         is_current = self._parts.configuration.is_current()
         with self._lock:
@@ -182,15 +186,17 @@
         )
         return outcome
 
-    def _await_configuration(self, request: data.FrontRequest) -> None:
-        """Hold a request for a moment until a configuration is known."""
-        is_known = self._parts.configuration.is_known
-        if is_known.is_set():
-            return
-        limit_s = _time_limit_s(request)
-        self._clock.wait(
-            is_known, min(LONGEST_HOLD_S, HOLD_LIMIT_SHARE * limit_s)
-        )
+    def _await_beliefs(self, request: data.FrontRequest) -> None:
+        """Hold a request for a moment until it can be sent on."""
+        hold_s = min(LONGEST_HOLD_S, HOLD_LIMIT_SHARE * _time_limit_s(request))
+        until_s = self._clock.monotonic_s() + hold_s
+        for is_known in (
+            self._parts.configuration.is_known,
+            self._parts.targets.is_known,
+        ):
+            left_s = until_s - self._clock.monotonic_s()
+            if not is_known.is_set() and left_s > 0:
+                self._clock.wait(is_known, left_s)
 
     def _admit(
         self,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -156,6 +156,7 @@
         if not split.events:
             return None
         self._note_pause()
+        self._targets.note_heard(self._target)
         self._heard_at_s = self._clock.monotonic_s()
         self._is_running = True
         return self._pass_on(head, split)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -38,7 +38,11 @@
 #: targets of the domain behind those of other domains.
 DOMAIN_LOSS_COUNT = 2
 DOMAIN_LOSS_WINDOW_S = 0.6
-DOMAIN_DOUBT_S = 1.2
+
+#: Time for which targets of a domain that lost several stay behind the
+#: others unless they are heard. The entry of a dead target stays for three
+#: heartbeats.
+DOMAIN_DOUBT_S = 4.0
 
 #: An answer this young outweighs another instance's word that the target
 #: is lost.
@@ -67,6 +71,8 @@
     failure_count: int = 0
     ejected_until_s: float = -math.inf
     rumoured_at_s: float = -math.inf
+    heard_at_s: float = -math.inf
+    known_at_s: float = -math.inf
     load: data.TargetLoad | None = None
     load_at_s: float = -math.inf
 
@@ -102,8 +108,8 @@
         self._evidence: dict[str, _Evidence] = {}
         self._lapsed: dict[str, float] = {}
         self._lapse_grace_until_s = -math.inf
-        self._domain_losses: dict[tuple[str, str], list[float]] = {}
-        self._doubted_domains: dict[tuple[str, str], float] = {}
+        self._domain_losses: dict[tuple[str, str], dict[str, float]] = {}
+        self._doubted_since_s: dict[tuple[str, str], float] = {}
         self.is_known = threading.Event()
 
     def replace(
@@ -178,9 +184,15 @@
             evidence.error_share += SAMPLE_WEIGHT * (
                 float(is_error) - evidence.error_share
             )
+            evidence.heard_at_s = now_s
             evidence.failure_count = 0
             evidence.ejected_until_s = -math.inf
 
+    def note_heard(self, target: data.ListedTarget) -> None:
+        """Note that the target is alive."""
+        with self._lock:
+            self._of(target).heard_at_s = self._clock.monotonic_s()
+
     def report_failure(
         self, target: data.ListedTarget, cause: str, is_loss: bool
     ) -> None:
@@ -312,6 +324,7 @@
             # A new process under the name; nothing is known about it.
             self._evidence.pop(target.name, None)
         if held is None:
+            self._of(target).known_at_s = self._clock.monotonic_s()
             self._log.record(
                 _events.TargetKnown(
                     target.name,
@@ -363,26 +376,32 @@
             if now_s < self._of(target).ejected_until_s:
                 ejected.append(target)
                 continue
-            domain = (service, target.failure_domain)
-            if now_s < self._doubted_domains.get(domain, -math.inf):
+            if self._is_doubtful(target, now_s):
                 doubtful.append(target)
                 continue
             sound.append(target)
         return sound or doubtful or ejected
 
+    def _is_doubtful(self, target: data.ListedTarget, now_s: float) -> bool:
+        """Return whether the target may have died with its domain."""
+        domain = (target.service, target.failure_domain)
+        since_s = self._doubted_since_s.get(domain)
+        if since_s is None or now_s >= since_s + DOMAIN_DOUBT_S:
+            return False
+        evidence = self._of(target)
+        return max(evidence.heard_at_s, evidence.known_at_s) <= since_s
+
     def _count_domain_loss(
         self, target: data.ListedTarget, now_s: float
     ) -> None:
         domain = (target.service, target.failure_domain)
-        losses = self._domain_losses.setdefault(domain, [])
-        losses[:] = [
-            moment_s
-            for moment_s in losses
-            if now_s - moment_s < DOMAIN_LOSS_WINDOW_S
-        ]
-        losses.append(now_s)
+        losses = self._domain_losses.setdefault(domain, {})
+        losses[target.name] = now_s
+        for name, lost_at_s in list(losses.items()):
+            if now_s - lost_at_s >= DOMAIN_LOSS_WINDOW_S:
+                del losses[name]
         if len(losses) >= DOMAIN_LOSS_COUNT:
-            self._doubted_domains[domain] = now_s + DOMAIN_DOUBT_S
+            self._doubted_since_s[domain] = now_s
 
     def _of(self, target: data.ListedTarget) -> _Evidence:
         evidence = self._evidence.get(target.name)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
@@ -49,6 +49,7 @@
         forwarding.GatewayParts(
             clock=desk.clock,
             configuration=holder,
+            targets=desk.targets,
             calls=desk.calls,
             streams=desk.streams,
             observer=observer,
@@ -72,6 +73,17 @@
         assert isinstance(outcome, data.Refusal)
         assert outcome.retry_after_s == pytest.approx(0.42)
 
+    def test_waits_for_the_first_list_of_targets(self) -> None:
+        """Guards against refusals between two answers of the store."""
+        front = _front()
+        front.holder.offer(configuration())
+        front.desk.targets.is_known.clear()
+        started_s = front.desk.clock.monotonic_s()
+        front.desk.client.script('only', bed.answer())
+        front.ask(bed.request())
+        waited_s = front.desk.client.sent[0].at_s - started_s
+        assert waited_s == pytest.approx(0.03)
+
     @pytest.mark.parametrize(
         ('request_', 'known', 'unsure'),
         [
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
@@ -75,6 +75,55 @@
         assert chosen is not None
         assert chosen.name == 'd'
 
+    def test_the_doubt_lasts_as_long_as_entries_of_the_dead(self) -> None:
+        """Guards against copies of runs at engines that died unnoticed.
+
+        An entry stays for three heartbeats, and a dead engine looks idle.
+        """
+        desk = bed.make(
+            *(bed.target(name) for name in 'abc'),
+            bed.target('d', 'domain-b'),
+        )
+        for name in ('a', 'b'):
+            desk.targets.report_failure(bed.target(name), 'reset', True)
+        desk.clock.advance(3.0)
+        standby = desk.targets.choose_standby('pool', bed.target('x', 'z'))
+        assert standby is not None
+        assert standby.name == 'd'
+
+    def test_what_is_heard_or_new_is_not_in_doubt(self) -> None:
+        """Guards against passing over the living of a domain."""
+        desk = bed.make(*(bed.target(name) for name in 'abc'))
+        for name in ('a', 'b'):
+            desk.targets.report_failure(bed.target(name), 'reset', True)
+        desk.clock.advance(0.1)
+        desk.targets.note_heard(bed.target('c'))
+        desk.targets.apply(data.TargetChange('new', bed.target('new')))
+        desk.targets.apply(
+            data.TargetChange('far', bed.target('far', 'domain-b'))
+        )
+        chosen = set()
+        for _ in range(60):
+            pair = desk.targets.choose_engines(
+                'pool', bed.request(), frozenset()
+            )
+            assert pair is not None
+            chosen.add(pair.primary.name)
+        assert chosen == {'c', 'new', 'far'}
+
+    def test_one_target_that_fails_twice_is_no_domain(self) -> None:
+        """Guards against one bad target that puts a domain in doubt."""
+        desk = bed.make(bed.target('a'), bed.target('b'))
+        for _ in range(3):
+            desk.targets.report_failure(bed.target('a'), 'reset', True)
+        desk.targets.apply(
+            data.TargetChange('far', bed.target('far', 'domain-b'))
+        )
+        desk.targets.report_answer(bed.target('far'), 900.0, False)
+        chosen = desk.targets.choose_for_call('pool', frozenset())
+        assert chosen is not None
+        assert chosen.name == 'b'
+
     def test_a_recent_answer_outweighs_a_rumour(self) -> None:
         """Guards against one instance's broken link ejecting a target."""
         desk = bed.make(bed.target('a'))
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -91,6 +91,7 @@
             forwarding.GatewayParts(
                 clock=clock,
                 configuration=self._configuration,
+                targets=self._targets,
                 calls=forwarding.CallForwarder(
                     clock, self._targets, client, budget
                 ),
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -93,6 +93,7 @@
             forwarding.GatewayParts(
                 clock=desk.clock,
                 configuration=holder,
+                targets=desk.targets,
                 calls=desk.calls,
                 streams=desk.streams,
                 observer=_reports.RequestLog(desk.clock, log),
