--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -29,10 +29,10 @@
 EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
 
-#: Time for which a target whose process has ended is passed over. Its entry
-#: goes after at most three intervals of its heartbeat, and the next process
-#: at its address has another name.
-GONE_EJECTION_S = 5.0
+#: Time for which a target at whose address nothing listens is passed over.
+#: Its entry goes after at most three intervals of its heartbeat, and the next
+#: process at its address has another name.
+DOWN_EJECTION_S = 5.0
 
 #: Failed targets of one failure domain within this time that put the other
 #: targets of the domain behind those of other domains.
@@ -41,8 +41,8 @@
 
 #: Time for which targets of a domain that lost several stay behind the
 #: others unless they are heard. The entry of a dead target stays for three
-#: heartbeats.
-DOMAIN_DOUBT_S = 4.0
+#: heartbeats, or for as long as the store is away.
+DOMAIN_DOUBT_S = 10.0
 
 #: An answer this young outweighs another instance's word that the target
 #: is lost.
@@ -251,12 +251,13 @@
         """Note that nothing listens at the target's address."""
         self.report_failure(target, cause, is_loss=True)
         with self._lock:
-            self._eject(target.name, GONE_EJECTION_S)
+            self._eject(target.name, DOWN_EJECTION_S)
 
     def report_gone(self, name: str) -> None:
         """Take over that another target has a target's address."""
         with self._lock:
-            self._eject(name, GONE_EJECTION_S)
+            # It never comes back under the same entry.
+            self._eject(name, math.inf)
 
     def report_misdirected(self, target: data.ListedTarget) -> None:
         """Note that another target has the address."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
@@ -78,7 +78,8 @@
     def test_the_doubt_lasts_as_long_as_entries_of_the_dead(self) -> None:
         """Guards against copies of runs at engines that died unnoticed.
 
-        An entry stays for three heartbeats, and a dead engine looks idle.
+        An entry stays for three heartbeats, or for as long as the store is
+        away, and a dead engine looks idle.
         """
         desk = bed.make(
             *(bed.target(name) for name in 'abc'),
@@ -86,7 +87,7 @@
         )
         for name in ('a', 'b'):
             desk.targets.report_failure(bed.target(name), 'reset', True)
-        desk.clock.advance(3.0)
+        desk.clock.advance(9.0)
         standby = desk.targets.choose_standby('pool', bed.target('x', 'z'))
         assert standby is not None
         assert standby.name == 'd'
@@ -162,6 +163,19 @@
         other.clock.advance(3.6)
         assert other.targets.is_passed_over(bed.target('a'))
 
+    def test_a_name_without_an_address_stays_out_in_an_outage(self) -> None:
+        """Guards against asking for the dead again and again.
+
+        Entries do not expire while the store is away.
+        """
+        desk = bed.make(bed.target('a'), bed.target('b'))
+        desk.targets.report_misdirected(bed.target('a'))
+        desk.clock.advance(30.0)
+        assert desk.targets.is_passed_over(bed.target('a'))
+        again = dataclasses.replace(bed.target('a'), started_at_ms=5)
+        desk.targets.apply(data.TargetChange('a', again))
+        assert not desk.targets.is_passed_over(again)
+
     def test_errors_and_slowness_lower_a_target(self) -> None:
         """Guards against a grey target that answers health checks."""
         desk = bed.make(bed.target('grey'), bed.target('good', 'domain-b'))
