--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -50,7 +50,8 @@
         shown.append(
             f'{started_s:.3f} {line.instance} request: begins on route '
             f'{line.fields.get("route")} '
-            f'({line.fields.get("kind")}) for '
+            f'({line.fields.get("kind")}) {line.fields.get("host", "")}'
+            f'{line.fields.get("path", "")} for '
             f'{line.fields.get("organisation")}'
         )
         shown.extend(_steps(line, started_s))
@@ -82,6 +83,8 @@
         waited = line.fields.get('duration_ms')
         faults = f' Last fault: {last_fault}.' if last_fault else ''
         return f'The caller closed the connection after {waited} ms.{faults}'
+    if line.event == 'a request was late':
+        return f'Served late: {_slowest(line)}.'
     if last_fault:
         return f'Served in spite of: {last_fault}.'
     return 'Served.'
@@ -167,6 +170,28 @@
     return last
 
 
+def _slowest(line: messages.LogLine) -> str:
+    """Return between which steps the most time went by."""
+    steps = [
+        *_step_list(line),
+        {'step': 'the end', 'at_ms': _number(line, 'duration_ms')},
+    ]
+    longest_ms = -1.0
+    slowest = ''
+    before: dict[str, Any] = {'step': 'the start', 'at_ms': 0.0}
+    for step in steps:
+        took_ms = float(step['at_ms']) - float(before['at_ms'])
+        if took_ms > longest_ms:
+            longest_ms = took_ms
+            where = before.get('target') or step.get('target') or 'no target'
+            slowest = (
+                f'{took_ms:.0f} ms from {before["step"]} to {step["step"]} '
+                f'at {where}'
+            )
+        before = step
+    return slowest
+
+
 def _is_failure(status: object) -> bool:
     return isinstance(status, int) and status >= 400
 
--- a/packages/cli/src/skylarktack/cli/tests/test_explain.py
+++ b/packages/cli/src/skylarktack/cli/tests/test_explain.py
@@ -6,7 +6,13 @@
 
 GOLDEN = pathlib.Path(__file__).parent / 'golden'
 
-REQUESTS = ('broken-stream', 'lost-booking', 'unsure-lookup', 'unknown')
+REQUESTS = (
+    'broken-stream',
+    'lost-booking',
+    'unsure-lookup',
+    'late-lookup',
+    'unknown',
+)
 
 
 class TestExplain:
@@ -14,14 +20,14 @@
 
     def test_golden_log(self) -> None:
         """Guards against explanations that lose a decision or its inputs."""
-        text = (GOLDEN / 'three_failures.log').read_text(encoding='utf-8')
+        text = (GOLDEN / 'failures.log').read_text(encoding='utf-8')
         lines, findings = _explain.check_lines('log', text.splitlines())
         assert not findings
         shown = []
         for request in REQUESTS:
             shown.append(f'== {request}')
             shown.extend(_explain.explain_request(request, lines))
-        expected = (GOLDEN / 'three_failures.txt').read_text(encoding='utf-8')
+        expected = (GOLDEN / 'failures.txt').read_text(encoding='utf-8')
         assert shown == expected.splitlines()
 
     def test_unreadable_lines_are_told_with_their_place(self) -> None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -20,6 +20,7 @@
 from skylarktack.coordination.forwarding._events import PeerKnown
 from skylarktack.coordination.forwarding._events import ReadinessChanged
 from skylarktack.coordination.forwarding._events import RequestFailed
+from skylarktack.coordination.forwarding._events import RequestLate
 from skylarktack.coordination.forwarding._events import RequestServed
 from skylarktack.coordination.forwarding._events import RoleChanged
 from skylarktack.coordination.forwarding._events import SettingsRead
@@ -103,6 +104,7 @@
     'PeerKnown',
     'ReadinessChanged',
     'RequestFailed',
+    'RequestLate',
     'RequestServed',
     'RoleChanged',
     'SettingsRead',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -45,9 +45,6 @@
     #: Where other instances send datagrams, or None.
     peer: str | None
 
-    #: Processor time of the start.
-    processor_ms: int
-
 
 @dataclasses.dataclass(frozen=True)
 class InstanceStopping(LogEvent):
@@ -292,6 +289,10 @@
     #: Attempt of the caller.
     request: str
 
+    #: Host and path that the caller named.
+    host: str
+    path: str
+
     #: Name and kind of the route, or None if none matched.
     route: str | None
     kind: str | None
@@ -318,6 +319,13 @@
     steps: tuple[dict[str, Any], ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class RequestLate(RequestServed):
+    """A request was served later than its route's objective."""
+
+    message = 'a request was late'
+
+
 @dataclasses.dataclass(frozen=True)
 class RequestFailed(RequestServed):
     """A request failed; each of these is written."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -53,6 +53,9 @@
     #: Kind of its route, or None.
     kind: data.RequestKind | None
 
+    #: Time within which an answer is on time, or None.
+    latency_objective_ms: float | None
+
     #: Organisation of its caller, or None.
     organisation: str | None
 
@@ -174,6 +177,9 @@
                 request=request,
                 route=route.name if route else None,
                 kind=route.kind if route else None,
+                latency_objective_ms=(
+                    route.latency_objective_ms if route else None
+                ),
                 organisation=organisation,
                 configuration_version=(
                     None if table is None else table.configuration.version
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -180,17 +180,13 @@
         if self._link is not None and self._sharing is not None:
             self._start_fleet(self._link, self._sharing)
 
-    def record_start(self, processor_ms: int) -> None:
-        """Write the addresses in use to the log.
-
-        :param processor_ms: processor time of the start.
-        """
+    def record_start(self) -> None:
+        """Write the addresses in use to the log."""
         self._log.record(
             forwarding.InstanceStarted(
                 front=str(self._front.endpoint),
                 ready=str(self._ready.endpoint) if self._ready else None,
                 peer=str(self._link.endpoint) if self._link else None,
-                processor_ms=processor_ms,
             )
         )
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -5,7 +5,6 @@
 import signal
 import sys
 import threading
-import time
 from types import FrameType
 
 from skylarktack import platform
@@ -64,7 +63,7 @@
     log = transport.LineLog(settings.instance)
     instance = _instance.ForwardingInstance(settings, log)
     instance.start()
-    instance.record_start(round(time.process_time() * 1000))
+    instance.record_start()
     while not signals.has_stop:
         signals.received.wait(SETTINGS_CHECK_S)
         signals.received.clear()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -124,6 +124,57 @@
         assert len(log.events) == served + 100
 
 
+class TestLateRequests:
+    """A late answer leaves a line although it was served."""
+
+    @pytest.mark.parametrize(
+        ('script', 'kind', 'is_late'),
+        [
+            (bed.answer(after_s=0.02), ONCE, False),
+            (bed.answer(after_s=0.2), ONCE, True),
+            (bed.events(1, 3), STREAM, False),
+            (bed.events(1, 3, start_s=5.0), STREAM, True),
+            (bed.events(1, 3, pace_s=0.8), STREAM, True),
+        ],
+        ids=['call', 'late call', 'stream', 'late start', 'long pause'],
+    )
+    def test_is_written(
+        self,
+        script: tuple[fakes.ScriptedEvent, ...],
+        kind: data.RequestKind,
+        is_late: bool,
+    ) -> None:
+        """Guards against slow lookups that no line explains."""
+        desk = bed.make(bed.target('only'))
+        desk.client.queued_count = 1
+        desk.client.script('only', script)
+        log = fakes.RecordingLog()
+        holder = forwarding.ConfigurationHolder(desk.clock, desk.log)
+        gateway = forwarding.Gateway(
+            forwarding.GatewayParts(
+                clock=desk.clock,
+                configuration=holder,
+                targets=desk.targets,
+                calls=desk.calls,
+                streams=desk.streams,
+                observer=_reports.RequestLog(desk.clock, log),
+            )
+        )
+        route = bed.route(kind, max_attempts=1, is_resumable=False)
+        holder.offer(test_gateway.configuration(4, route))
+        request = bed.request(time_limit_ms=25000.0)
+        gateway.handle(request, desk.caller)
+        late = [
+            event
+            for event in log.events
+            if isinstance(event, forwarding.RequestLate)
+        ]
+        assert bool(late) == is_late
+        for event in log.events:
+            assert isinstance(event, forwarding.RequestServed)
+            assert event.path == '/a/x'
+
+
 class TestRequestMetrics:
     """Counters and histograms as text."""
 
@@ -167,6 +218,7 @@
         request=bed.request(),
         route='route',
         kind=data.RequestKind.IDEMPOTENT,
+        latency_objective_ms=100.0,
         organisation='organisation',
         configuration_version=1,
         is_configuration_current=True,
