--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 export PYTHONPATH := $(subst $(space),:,$(SOURCES))
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint types unit behave bench bench-compare plots format example
+.PHONY: setup demo demo-platform soak test lint types unit behave bench bench-compare plots format example
 
 setup: $(STAMP)
 
@@ -47,6 +47,16 @@
 demo: setup
 	$(BIN)/python -m skylarktack.emulator.demo
 
+# The same on stand-ins of the users' platform.
+demo-platform: setup
+	$(BIN)/python -m skylarktack.emulator.demo.platform
+
+# Fresh seeds of the fault soak; SEED=<n> repeats one.
+MINUTES ?= 2
+soak: setup
+	$(BIN)/python -m skylarktack.emulator.soak --minutes=$(MINUTES) \
+		$(if $(SEED),--seed=$(SEED) --minutes=0,)
+
 bench: setup
 	$(BIN)/python -m skylarktack.emulator.bench --area $(AREA)
 
