Split what grew and keep one copy of the address type

Evidence and doubts of domains leave the table of targets, tasks of the fleet leave its view, the front end's address is the product's, and the gateway of the tests stands once.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -32,13 +32,13 @@
 from skylarktack.coordination.forwarding._events import TargetMisdirected
 from skylarktack.coordination.forwarding._events import TargetPassedOver
 from skylarktack.coordination.forwarding._events import TargetRumoured
-from skylarktack.coordination.forwarding._fleet import FleetLink
-from skylarktack.coordination.forwarding._fleet import FleetMember
-from skylarktack.coordination.forwarding._fleet import FleetReporter
 from skylarktack.coordination.forwarding._fleet import FleetView
 from skylarktack.coordination.forwarding._fleet import LossListener
-from skylarktack.coordination.forwarding._fleet import PeerRegistry
 from skylarktack.coordination.forwarding._fleet import RunPlace
+from skylarktack.coordination.forwarding._fleet_tasks import FleetLink
+from skylarktack.coordination.forwarding._fleet_tasks import FleetMember
+from skylarktack.coordination.forwarding._fleet_tasks import FleetReporter
+from skylarktack.coordination.forwarding._fleet_tasks import PeerRegistry
 from skylarktack.coordination.forwarding._following import Changes
 from skylarktack.coordination.forwarding._following import Follower
 from skylarktack.coordination.forwarding._following import FollowSettings
@@ -75,7 +75,6 @@
 from skylarktack.coordination.forwarding._ports import TargetClient
 from skylarktack.coordination.forwarding._routes import RouteTable
 from skylarktack.coordination.forwarding._routes import choose_service
-from skylarktack.coordination.forwarding._sharing import SharingLink
 from skylarktack.coordination.forwarding._sharing import StoreSharing
 from skylarktack.coordination.forwarding._stream_parts import AttemptEnd
 from skylarktack.coordination.forwarding._stream_parts import Final
@@ -162,7 +161,6 @@
     'SplitEvents',
     'StoreAnswer',
     'StoreCalls',
-    'SharingLink',
     'StoreFault',
     'StoreFaultKind',
     'StoreSharing',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -35,10 +35,6 @@
 #: Most remembered places.
 PLACE_LIMIT_COUNT = 4096
 
-#: Bytes a second that changes may take, and the burst that is allowed.
-CHANGE_BYTES_PER_S = 6000.0
-CHANGE_BURST_BYTES = 20000.0
-
 #: Weights of an engine's runs against each other. The prompt of a run that
 #: is still read delays the tokens of all others.
 READING_WEIGHT = 2.0
@@ -46,16 +42,6 @@
 STANDBY_WEIGHT = 0.25
 
 
-class FleetLink(Protocol):
-    """Sends datagrams to other instances."""
-
-    def send(
-        self, message: data.FleetMessage, peers: tuple[data.Endpoint, ...]
-    ) -> int:
-        """Send one message to each peer; return the bytes sent."""
-        ...
-
-
 class LossListener(Protocol):
     """Learns of targets that another instance found lost."""
 
@@ -76,16 +62,6 @@
         ...
 
 
-class PeerRegistry(Protocol):
-    """Lists the instances of the fleet."""
-
-    def register(
-        self, peer: data.ListedPeer
-    ) -> tuple[data.ListedPeer, ...] | None:
-        """Enter this instance; return all, or None if the store is away."""
-        ...
-
-
 @dataclasses.dataclass(frozen=True)
 class RunPlace:
     """Where a run is or was."""
@@ -99,7 +75,7 @@
 
 @dataclasses.dataclass
 class _Peer:
-    endpoint: data.Endpoint
+    endpoint: data.Address
     started_at_ms: int = 0
     sequence: int = -1
     heard_at_s: float = 0.0
@@ -116,12 +92,12 @@
         clock: Clock,
         log: _events.EventLog,
         instance: str,
-        endpoint: data.Endpoint | None,
+        endpoint: data.Address | None,
     ) -> None:
         self._clock = clock
         self._log = log
         self.instance = instance
-        self._endpoint = endpoint or data.Endpoint('', 0)
+        self._endpoint = endpoint or data.Address('', 0)
         self._started_at_ms = int(clock.wall_s() * 1000)
         self._lock = threading.Lock()
         self._sequence = 0
@@ -332,7 +308,7 @@
         with self._lock:
             return self._is_greeting
 
-    def peers(self) -> tuple[data.Endpoint, ...]:
+    def peers(self) -> tuple[data.Address, ...]:
         """Return where the peers receive reports, in random order."""
         oldest_s = self._clock.monotonic_s() - PEER_LIFETIME_S
         with self._lock:
@@ -408,83 +384,3 @@
     if notice.standby is not None:
         held = loads.get(notice.standby, 0.0)
         loads[notice.standby] = held + STANDBY_WEIGHT
-
-
-class FleetReporter:
-    """Tells the peers of this instance's runs; run it as a task."""
-
-    def __init__(self, clock: Clock, view: FleetView, link: FleetLink) -> None:
-        self._clock = clock
-        self._view = view
-        self._link = link
-        self._allowance_bytes = CHANGE_BURST_BYTES
-        self._refilled_at_s = clock.monotonic_s()
-        self._change_bytes = 200.0
-
-    def run(self) -> None:
-        """Send reports until the process ends."""
-        next_full_s = self._clock.monotonic_s()
-        while True:
-            left_s = next_full_s - self._clock.monotonic_s()
-            if left_s > 0 and not self._view.is_greeting():
-                if self._view.wait_for_news(left_s):
-                    self._send_changes()
-                continue
-            peers = self._view.peers()
-            self._link.send(self._view.full_report(), peers)
-            interval_s = self._view.report_interval_s()
-            jitter = 0.75 + random.random() / 2
-            next_full_s = self._clock.monotonic_s() + interval_s * jitter
-
-    def _send_changes(self) -> None:
-        report = self._view.change_report()
-        if report is None:
-            return
-        now_s = self._clock.monotonic_s()
-        gained = (now_s - self._refilled_at_s) * CHANGE_BYTES_PER_S
-        self._refilled_at_s = now_s
-        self._allowance_bytes = min(
-            CHANGE_BURST_BYTES, self._allowance_bytes + gained
-        )
-        # Beyond the allowance only some peers learn of a change at once; the
-        # others learn of it with the next full report.
-        affordable = int(max(0.0, self._allowance_bytes) / self._change_bytes)
-        peers = self._view.peers()[:affordable]
-        if not peers:
-            return
-        sent_bytes = self._link.send(report, peers)
-        self._change_bytes = max(1.0, sent_bytes / len(peers))
-        self._allowance_bytes -= sent_bytes
-
-
-class FleetMember:
-    """Enters this instance in the list of instances; run it as a task."""
-
-    #: Time between two looks at the list, which repairs lost greetings.
-    LOOK_INTERVAL_S = 60.0
-
-    #: Wait after the store could not be asked.
-    RETRY_S = 0.7
-
-    def __init__(
-        self,
-        clock: Clock,
-        view: FleetView,
-        registry: PeerRegistry,
-        peer: data.ListedPeer,
-    ) -> None:
-        self._clock = clock
-        self._view = view
-        self._registry = registry
-        self._peer = peer
-        self._never = threading.Event()
-
-    def run(self) -> None:
-        """Register and look for peers until the process ends."""
-        while True:
-            peers = self._registry.register(self._peer)
-            if peers is None:
-                self._clock.wait(self._never, self.RETRY_S)
-                continue
-            self._view.add_peers(peers)
-            self._clock.wait(self._never, self.LOOK_INTERVAL_S)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
@@ -11,9 +11,9 @@
 import math
 import queue
 import threading
-from typing import Protocol
 
 from skylarktack.coordination.forwarding import _fleet
+from skylarktack.coordination.forwarding import _fleet_tasks
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -41,16 +41,6 @@
 INBOX_LIMIT_COUNT = 256
 
 
-class SharingLink(Protocol):
-    """Sends messages to other instances."""
-
-    def send(
-        self, message: data.FleetMessage, peers: tuple[data.Endpoint, ...]
-    ) -> int:
-        """Send one message to each peer; return the bytes sent."""
-        ...
-
-
 @dataclasses.dataclass
 class _Kind:
     """What is known about one kind of objects."""
@@ -68,7 +58,10 @@
     """Decides who watches, and passes changes among the instances."""
 
     def __init__(
-        self, clock: Clock, fleet: _fleet.FleetView, link: SharingLink
+        self,
+        clock: Clock,
+        fleet: _fleet.FleetView,
+        link: _fleet_tasks.FleetLink,
     ) -> None:
         self._clock = clock
         self._fleet = fleet
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -6,6 +6,7 @@
 import threading
 
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _evidence
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -34,16 +35,6 @@
 #: process at its address has another name.
 DOWN_EJECTION_S = 5.0
 
-#: Failed targets of one failure domain within this time that put the other
-#: targets of the domain behind those of other domains.
-DOMAIN_LOSS_COUNT = 2
-DOMAIN_LOSS_WINDOW_S = 0.6
-
-#: Time for which targets of a domain that lost several stay behind the
-#: others unless they are heard. The entry of a dead target stays for three
-#: heartbeats, or for as long as the store is away.
-DOMAIN_DOUBT_S = 10.0
-
 #: An answer this young outweighs another instance's word that the target
 #: is lost.
 RUMOUR_DISPROOF_S = 0.3
@@ -60,23 +51,6 @@
 LAPSE_GRACE_S = 2.2
 
 
-@dataclasses.dataclass
-class _Evidence:
-    """What this instance has seen of one target."""
-
-    in_flight_count: int = 0
-    latency_ms: float = 0.0
-    error_share: float = 0.0
-    sampled_at_s: float = -math.inf
-    failure_count: int = 0
-    ejected_until_s: float = -math.inf
-    rumoured_at_s: float = -math.inf
-    heard_at_s: float = -math.inf
-    known_at_s: float = -math.inf
-    load: data.TargetLoad | None = None
-    load_at_s: float = -math.inf
-
-
 @dataclasses.dataclass(frozen=True)
 class EnginePair:
     """Engines for one run: where it runs and where its copy lies."""
@@ -105,11 +79,10 @@
         fleet.set_loss_listener(self)
         self._lock = threading.Lock()
         self._targets: dict[str, data.ListedTarget] = {}
-        self._evidence: dict[str, _Evidence] = {}
+        self._evidence: dict[str, _evidence.TargetEvidence] = {}
         self._lapsed: dict[str, float] = {}
         self._lapse_grace_until_s = -math.inf
-        self._domain_losses: dict[tuple[str, str], dict[str, float]] = {}
-        self._doubted_since_s: dict[tuple[str, str], float] = {}
+        self._doubts = _evidence.DomainDoubts()
         self.is_known = threading.Event()
 
     def replace(
@@ -211,7 +184,7 @@
             )
             evidence.ejected_until_s = now_s + span_s
             if is_loss:
-                self._count_domain_loss(target, now_s)
+                self._doubts.count_loss(target, now_s)
         if is_loss:
             self._fleet.note_lost_target(target.name)
         self._log.record(
@@ -231,7 +204,7 @@
             until_s = now_s + EJECTION_S
             evidence.ejected_until_s = max(evidence.ejected_until_s, until_s)
             evidence.rumoured_at_s = now_s
-            self._count_domain_loss(target, now_s)
+            self._doubts.count_loss(target, now_s)
         self._log.record(_events.TargetRumoured(name))
 
     def is_passed_over(self, target: data.ListedTarget) -> bool:
@@ -377,37 +350,16 @@
             if now_s < self._of(target).ejected_until_s:
                 ejected.append(target)
                 continue
-            if self._is_doubtful(target, now_s):
+            if self._doubts.is_doubtful(target, self._of(target), now_s):
                 doubtful.append(target)
                 continue
             sound.append(target)
         return sound or doubtful or ejected
 
-    def _is_doubtful(self, target: data.ListedTarget, now_s: float) -> bool:
-        """Return whether the target may have died with its domain."""
-        domain = (target.service, target.failure_domain)
-        since_s = self._doubted_since_s.get(domain)
-        if since_s is None or now_s >= since_s + DOMAIN_DOUBT_S:
-            return False
-        evidence = self._of(target)
-        return max(evidence.heard_at_s, evidence.known_at_s) <= since_s
-
-    def _count_domain_loss(
-        self, target: data.ListedTarget, now_s: float
-    ) -> None:
-        domain = (target.service, target.failure_domain)
-        losses = self._domain_losses.setdefault(domain, {})
-        losses[target.name] = now_s
-        for name, lost_at_s in list(losses.items()):
-            if now_s - lost_at_s >= DOMAIN_LOSS_WINDOW_S:
-                del losses[name]
-        if len(losses) >= DOMAIN_LOSS_COUNT:
-            self._doubted_since_s[domain] = now_s
-
-    def _of(self, target: data.ListedTarget) -> _Evidence:
+    def _of(self, target: data.ListedTarget) -> _evidence.TargetEvidence:
         evidence = self._evidence.get(target.name)
         if evidence is None:
-            evidence = _Evidence()
+            evidence = _evidence.TargetEvidence()
             self._evidence[target.name] = evidence
         return evidence
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
@@ -43,7 +43,7 @@
     return data.ListedTarget(
         name=name,
         service=service,
-        endpoint=data.Endpoint('10.0.0.1', port),
+        endpoint=data.Address('10.0.0.1', port),
         failure_domain=domain,
         version='v1',
         slot_count=12,
@@ -242,7 +242,7 @@
     log = fakes.RecordingLog()
     client = fakes.ScriptedTargetClient(clock)
     fleet = forwarding.FleetView(
-        clock, log, 'instance-0', data.Endpoint('10.1.0.1', 7200)
+        clock, log, 'instance-0', data.Address('10.1.0.1', 7200)
     )
     targets = forwarding.TargetTable(clock, log, 'domain-a', fleet)
     targets.replace(listed, after_outage=False)
@@ -272,3 +272,45 @@
         calls=forwarding.CallForwarder(clock, targets, client, budget),
         streams=streams,
     )
+
+
+def configuration(
+    version: int = 1, *routes: data.ForwardingRoute
+) -> data.ForwardingConfiguration:
+    """Return a configuration with one organisation."""
+    return data.ForwardingConfiguration(
+        version=version,
+        routes=routes or (route(),),
+        services=(data.ServiceDescription('pool', 100, None),),
+        limits=data.FrontLimits(),
+        organisations=(data.KeyHolder('organisation', ('key',), None),),
+    )
+
+
+@dataclasses.dataclass
+class Front:
+    """A gateway over a bed."""
+
+    desk: Bed
+    holder: forwarding.ConfigurationHolder
+    gateway: forwarding.Gateway
+
+    def ask(self, of_request: data.FrontRequest) -> forwarding.StreamOutcome:
+        """Send a request."""
+        return self.gateway.handle(of_request, self.desk.caller)
+
+
+def front(desk: Bed, observer: forwarding.RequestObserver) -> Front:
+    """Return a gateway that knows no configuration yet."""
+    holder = forwarding.ConfigurationHolder(desk.clock, desk.log)
+    gateway = forwarding.Gateway(
+        forwarding.GatewayParts(
+            clock=desk.clock,
+            configuration=holder,
+            targets=desk.targets,
+            calls=desk.calls,
+            streams=desk.streams,
+            observer=observer,
+        )
+    )
+    return Front(desk, holder, gateway)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
@@ -16,7 +16,7 @@
 ) -> data.FleetReport:
     return data.FleetReport(
         instance='peer',
-        endpoint=data.Endpoint('10.1.0.2', 7200),
+        endpoint=data.Address('10.1.0.2', 7200),
         started_at_ms=started_at_ms,
         sequence=sequence,
         is_full=is_full,
@@ -32,7 +32,7 @@
 
 def _view(clock: fakes.SteppingClock) -> forwarding.FleetView:
     return forwarding.FleetView(
-        clock, fakes.RecordingLog(), 'own', data.Endpoint('10.1.0.1', 7200)
+        clock, fakes.RecordingLog(), 'own', data.Address('10.1.0.1', 7200)
     )
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
@@ -139,7 +139,7 @@
     sent: list[data.FleetMessage] = dataclasses.field(default_factory=list)
 
     def send(
-        self, message: data.FleetMessage, peers: tuple[data.Endpoint, ...]
+        self, message: data.FleetMessage, peers: tuple[data.Address, ...]
     ) -> int:
         self.sent.append(message)
         return 100 * len(peers)
@@ -168,7 +168,7 @@
         names = [f'instance-{number}' for number in range(20)]
         for own in names:
             view = forwarding.FleetView(
-                self.clock, fakes.RecordingLog(), own, data.Endpoint('h', 1)
+                self.clock, fakes.RecordingLog(), own, data.Address('h', 1)
             )
             for number, name in enumerate(names):
                 if name != own:
@@ -182,7 +182,7 @@
 def _peer_report(name: str, number: int) -> data.FleetReport:
     return data.FleetReport(
         instance=name,
-        endpoint=data.Endpoint('10.1.0.1', 7200 + number),
+        endpoint=data.Address('10.1.0.1', 7200 + number),
         started_at_ms=1,
         sequence=1,
         is_full=True,
@@ -279,7 +279,7 @@
         """Guards against delays where a call costs next to nothing."""
         clock = fakes.SteppingClock()
         view = forwarding.FleetView(
-            clock, fakes.RecordingLog(), 'own', data.Endpoint('h', 1)
+            clock, fakes.RecordingLog(), 'own', data.Address('h', 1)
         )
         sharing = forwarding.StoreSharing(clock, view, _Link())
         sharing.take_beat(data.StoreBeat('x', (('kind', 5),)))
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
@@ -17,45 +17,9 @@
         self.reports.append(report)
 
 
-@dataclasses.dataclass
-class _Front:
-    desk: bed.Bed
-    holder: forwarding.ConfigurationHolder
-    gateway: forwarding.Gateway
-    observer: _Observer
-
-    def ask(self, request: data.FrontRequest) -> forwarding.StreamOutcome:
-        return self.gateway.handle(request, self.desk.caller)
-
-
-def configuration(
-    version: int = 1, *routes: data.ForwardingRoute
-) -> data.ForwardingConfiguration:
-    """Return a configuration with one organisation."""
-    return data.ForwardingConfiguration(
-        version=version,
-        routes=routes or (bed.route(),),
-        services=(data.ServiceDescription('pool', 100, None),),
-        limits=data.FrontLimits(),
-        organisations=(data.KeyHolder('organisation', ('key',), None),),
-    )
-
-
-def _front() -> _Front:
+def _front(observer: _Observer | None = None) -> bed.Front:
     desk = bed.make(bed.target('only'))
-    holder = forwarding.ConfigurationHolder(desk.clock, desk.log)
-    observer = _Observer()
-    gateway = forwarding.Gateway(
-        forwarding.GatewayParts(
-            clock=desk.clock,
-            configuration=holder,
-            targets=desk.targets,
-            calls=desk.calls,
-            streams=desk.streams,
-            observer=observer,
-        )
-    )
-    return _Front(desk, holder, gateway, observer)
+    return bed.front(desk, observer or _Observer())
 
 
 def _reason(outcome: forwarding.StreamOutcome) -> data.RefusalReason:
@@ -76,7 +40,7 @@
     def test_waits_for_the_first_list_of_targets(self) -> None:
         """Guards against refusals between two answers of the store."""
         front = _front()
-        front.holder.offer(configuration())
+        front.holder.offer(bed.configuration())
         front.desk.targets.is_known.clear()
         started_s = front.desk.clock.monotonic_s()
         front.desk.client.script('only', bed.answer())
@@ -112,7 +76,7 @@
     ) -> None:
         """Guards against denying what a newer configuration allows."""
         front = _front()
-        front.holder.offer(configuration())
+        front.holder.offer(bed.configuration())
         front.holder.confirm(4.0)
         assert _reason(front.ask(request_)) is known
         front.holder.doubt()
@@ -123,7 +87,9 @@
         longer = dataclasses.replace(
             bed.route(), name='longer', path_prefix='/a/b/'
         )
-        table = forwarding.RouteTable(configuration(1, bed.route(), longer))
+        table = forwarding.RouteTable(
+            bed.configuration(1, bed.route(), longer)
+        )
         found = table.find_route('host.example', b'/a/b/c?x=1')
         assert found is not None
         assert found.name == 'longer'
@@ -134,7 +100,7 @@
         """Guards against denying a route that needs no key."""
         front = _front()
         anonymous = dataclasses.replace(bed.route(), is_anonymous=True)
-        front.holder.offer(configuration(1, anonymous))
+        front.holder.offer(bed.configuration(1, anonymous))
         front.desk.client.script('only', bed.answer())
         outcome = front.ask(bed.request(key=None))
         assert isinstance(outcome, data.FrontAnswer)
@@ -147,8 +113,8 @@
     def test_an_older_version_is_not_taken(self) -> None:
         """Guards against a late answer that reverts a configuration."""
         front = _front()
-        front.holder.offer(configuration(7))
-        front.holder.offer(configuration(5))
+        front.holder.offer(bed.configuration(7))
+        front.holder.offer(bed.configuration(5))
         table = front.holder.table
         assert table is not None
         assert table.configuration.version == 7
@@ -172,7 +138,7 @@
         call = dataclasses.replace(
             bed.route(), name='call', path_prefix='/call/'
         )
-        front.holder.offer(configuration(1, stream, call))
+        front.holder.offer(bed.configuration(1, stream, call))
         front.gateway.order_stop()
         front.desk.clock.advance(1.0)
         outcome = front.ask(bed.request())
@@ -187,11 +153,12 @@
 
     def test_names_route_organisation_version_and_steps(self) -> None:
         """Guards against failures that logs cannot explain."""
-        front = _front()
-        front.holder.offer(configuration(3))
+        observer = _Observer()
+        front = _front(observer)
+        front.holder.offer(bed.configuration(3))
         front.desk.client.script('only', bed.lost())
         front.ask(bed.request())
-        report = front.observer.reports[0]
+        report = observer.reports[0]
         assert report.route == 'route'
         assert report.organisation == 'organisation'
         assert report.configuration_version == 3
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -231,7 +231,7 @@
         desk.fleet.take(
             data.FleetReport(
                 instance='instance-1',
-                endpoint=data.Endpoint('10.1.0.2', 7200),
+                endpoint=data.Address('10.1.0.2', 7200),
                 started_at_ms=1,
                 sequence=1,
                 is_full=False,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -7,7 +7,6 @@
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding.tests import bed
-from skylarktack.coordination.forwarding.tests import test_gateway
 from skylarktack.daemon.forwarding import _metrics
 from skylarktack.daemon.forwarding import _reports
 from skylarktack.state import forwarding as data
@@ -87,22 +86,12 @@
         """Guards against failures that on-call engineers cannot explain."""
         desk = bed.make(bed.target('only'))
         desk.client.script('only', case.script)
-        holder = forwarding.ConfigurationHolder(desk.clock, desk.log)
         log = fakes.RecordingLog()
-        gateway = forwarding.Gateway(
-            forwarding.GatewayParts(
-                clock=desk.clock,
-                configuration=holder,
-                targets=desk.targets,
-                calls=desk.calls,
-                streams=desk.streams,
-                observer=_reports.RequestLog(desk.clock, log),
-            )
-        )
+        front = bed.front(desk, _reports.RequestLog(desk.clock, log))
         route = bed.route(case.kind, max_attempts=1, is_resumable=False)
-        holder.offer(test_gateway.configuration(4, route))
-        holder.confirm(60.0)
-        gateway.handle(case.request, desk.caller)
+        front.holder.offer(bed.configuration(4, route))
+        front.holder.confirm(60.0)
+        front.ask(case.request)
         [event] = log.events
         assert isinstance(event, forwarding.RequestFailed)
         assert event.request == 'attempt'
@@ -149,21 +138,10 @@
         desk.client.queued_count = 1
         desk.client.script('only', script)
         log = fakes.RecordingLog()
-        holder = forwarding.ConfigurationHolder(desk.clock, desk.log)
-        gateway = forwarding.Gateway(
-            forwarding.GatewayParts(
-                clock=desk.clock,
-                configuration=holder,
-                targets=desk.targets,
-                calls=desk.calls,
-                streams=desk.streams,
-                observer=_reports.RequestLog(desk.clock, log),
-            )
-        )
+        front = bed.front(desk, _reports.RequestLog(desk.clock, log))
         route = bed.route(kind, max_attempts=1, is_resumable=False)
-        holder.offer(test_gateway.configuration(4, route))
-        request = bed.request(time_limit_ms=25000.0)
-        gateway.handle(request, desk.caller)
+        front.holder.offer(bed.configuration(4, route))
+        front.ask(bed.request(time_limit_ms=25000.0))
         late = [
             event
             for event in log.events
--- a/packages/emulator/src/skylarktack/emulator/demo/platform.py
+++ b/packages/emulator/src/skylarktack/emulator/demo/platform.py
@@ -1,4 +1,4 @@
-"""Shows the platform path: ``python -m skylarktack.emulator.demo.platform``."""
+"""Shows the platform path on stand-ins of the platform."""
 
 import sys
 import time
--- a/packages/platform/src/skylarktack/platform/_entries.py
+++ b/packages/platform/src/skylarktack/platform/_entries.py
@@ -26,7 +26,7 @@
     target = data.ListedTarget(
         name=name,
         service=reader.text('service'),
-        endpoint=decode_endpoint(reader, 'address'),
+        endpoint=decode_address(reader, 'address'),
         failure_domain=reader.text('availability_zone'),
         version=reader.text('version'),
         slot_count=reader.whole('capacity_slots'),
@@ -39,11 +39,11 @@
     return target
 
 
-def decode_endpoint(reader: _fields.FieldReader, name: str) -> data.Endpoint:
+def decode_address(reader: _fields.FieldReader, name: str) -> data.Address:
     """Return an address and a port from a text with a colon between."""
     text = reader.text(name)
     host, separator, port = text.rpartition(':')
     if separator and host and port.isdigit():
-        return data.Endpoint(host, int(port))
+        return data.Address(host, int(port))
     reader.reject(name, 'is not an address and a port')
-    return data.Endpoint('', 0)
+    return data.Address('', 0)
--- a/packages/platform/src/skylarktack/platform/_instances.py
+++ b/packages/platform/src/skylarktack/platform/_instances.py
@@ -79,7 +79,7 @@
     reader = _fields.FieldReader.of(
         f'{KIND}/{name}', item.get('specification'), []
     )
-    endpoint = _entries.decode_endpoint(reader, 'address')
+    endpoint = _entries.decode_address(reader, 'address')
     if reader.findings or not name:
         return None
     return data.ListedPeer(name, endpoint)
--- a/packages/platform/src/skylarktack/platform/_settings.py
+++ b/packages/platform/src/skylarktack/platform/_settings.py
@@ -37,18 +37,18 @@
     reader = _fields.FieldReader(place, values, findings)
     readiness = None
     if 'listen_addresses.ready' in values:
-        readiness = _entries.decode_endpoint(reader, 'listen_addresses.ready')
+        readiness = _entries.decode_address(reader, 'listen_addresses.ready')
     metrics = None
     if metrics_port is not None:
-        metrics = data.Endpoint(reader.text('ip_address'), metrics_port)
+        metrics = data.Address(reader.text('ip_address'), metrics_port)
     settings = data.ForwardingSettings(
         instance=reader.text('node_name'),
         failure_domain=reader.text('availability_zone'),
-        front=_entries.decode_endpoint(reader, 'listen_addresses.frontend'),
+        front=_entries.decode_address(reader, 'listen_addresses.frontend'),
         readiness=readiness,
         peer=_decode_peer(reader),
         metrics=metrics,
-        store=_entries.decode_endpoint(reader, 'platform.address'),
+        store=_entries.decode_address(reader, 'platform.address'),
         grace_ms=1000 * _number(reader, 'bounds.grace_period_s'),
         configuration_lag_ms=_number(reader, 'bounds.config_apply_ms'),
         retry_ratio=_number(reader, 'bounds.retry_budget_ratio'),
@@ -60,12 +60,12 @@
     return settings
 
 
-def _decode_peer(reader: _fields.FieldReader) -> data.Endpoint | None:
+def _decode_peer(reader: _fields.FieldReader) -> data.Address | None:
     if reader.table.get('internal_port_range') is None:
         return None
     first, _, _ = reader.text('internal_port_range').partition(',')
     if first.isdigit():
-        return data.Endpoint(reader.text('ip_address'), int(first))
+        return data.Address(reader.text('ip_address'), int(first))
     reader.reject('internal_port_range', 'is not two ports')
     return None
 
--- a/packages/platform/src/skylarktack/platform/tests/test_entries.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_entries.py
@@ -30,7 +30,7 @@
         assert platform.decode_target('i-1', ENTRY) == data.ListedTarget(
             name='i-1',
             service='pool-a',
-            endpoint=data.Endpoint('10.128.0.9', 8080),
+            endpoint=data.Address('10.128.0.9', 8080),
             failure_domain='zone-a',
             version='v1',
             slot_count=12,
--- a/packages/platform/src/skylarktack/platform/tests/test_messages.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_messages.py
@@ -10,7 +10,7 @@
 TARGET = data.ListedTarget(
     name='i-7f3a91c2',
     service='pool-a',
-    endpoint=data.Endpoint('10.128.0.9', 8080),
+    endpoint=data.Address('10.128.0.9', 8080),
     failure_domain='zone-a',
     version='v1',
     slot_count=12,
@@ -91,7 +91,7 @@
             organisation='huka270',
             time_left_ms=1234.9,
             last_event_id=40,
-            standby=data.Endpoint('10.128.0.10', 8081),
+            standby=data.Address('10.128.0.10', 8081),
             from_copy=True,
         )
         encoded = CODEC.encode_request(_request(), delivery)
--- a/packages/platform/src/skylarktack/platform/tests/test_store.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_store.py
@@ -153,7 +153,7 @@
 class TestPeerRegistry:
     """Instances find each other in the store."""
 
-    PEER = data.ListedPeer('edge-a-1', data.Endpoint('10.1.0.19', 7200))
+    PEER = data.ListedPeer('edge-a-1', data.Address('10.1.0.19', 7200))
 
     def test_enters_itself_once(self) -> None:
         """Guards against writes at each look."""
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -108,7 +108,7 @@
         )
     return data.FleetReport(
         instance=str(fields[1]),
-        endpoint=data.Endpoint(str(fields[2]), int(fields[3])),
+        endpoint=data.Address(str(fields[2]), int(fields[3])),
         started_at_ms=int(fields[4]),
         sequence=int(fields[5]),
         is_full=bool(fields[6]),
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -8,7 +8,7 @@
 
 REPORT = data.FleetReport(
     instance='edge-a-1',
-    endpoint=data.Endpoint('10.1.0.19', 7200),
+    endpoint=data.Address('10.1.0.19', 7200),
     started_at_ms=1770053550000,
     sequence=7,
     is_full=True,
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -5,6 +5,7 @@
 from skylarktack.state._lazy import lazy_exports
 
 if TYPE_CHECKING:
+    from skylarktack.state._addresses import Address
     from skylarktack.state._calls import DispatchFault
     from skylarktack.state._calls import PlainCall
     from skylarktack.state._calls import ServiceAnswer
@@ -89,7 +90,6 @@
     from skylarktack.state._store import StoreFault
     from skylarktack.state._store import StoreFaultKind
     from skylarktack.state._store import WatchBatch
-    from skylarktack.state._targets import Address
     from skylarktack.state._targets import ListedInstance
     from skylarktack.state._targets import OutcomeKind
     from skylarktack.state._targets import PlatformList
@@ -281,7 +281,7 @@
     'StoreFault': '_store',
     'StoreFaultKind': '_store',
     'WatchBatch': '_store',
-    'Address': '_targets',
+    'Address': '_addresses',
     'ListedInstance': '_targets',
     'OutcomeKind': '_targets',
     'PlatformList': '_targets',
--- /dev/null
+++ b/packages/state/src/skylarktack/state/_addresses.py
@@ -0,0 +1,17 @@
+"""Network addresses."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """An IP address and a port."""
+
+    #: IP address in text form.
+    host: str
+
+    #: TCP port.
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
--- a/packages/state/src/skylarktack/state/_members.py
+++ b/packages/state/src/skylarktack/state/_members.py
@@ -5,9 +5,9 @@
 import hashlib
 import threading
 
+from skylarktack.state._addresses import Address
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
-from skylarktack.state._targets import Address
 from skylarktack.state._targets import ListedInstance
 
 
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
+from skylarktack.state._addresses import Address
 from skylarktack.state._moves import MoveSettings
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
-from skylarktack.state._targets import Address
 from skylarktack.state._traffic_settings import LimitSettings
 from skylarktack.state._traffic_settings import RoutingSettings
 
--- a/packages/state/src/skylarktack/state/_targets.py
+++ b/packages/state/src/skylarktack/state/_targets.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from skylarktack.state._addresses import Address
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
 from skylarktack.state._names import OrganisationName
@@ -18,20 +19,6 @@
     SERVICE = 'service'
 
 
-@dataclasses.dataclass(frozen=True)
-class Address:
-    """An IP address and a port."""
-
-    #: IP address in text form.
-    host: str
-
-    #: TCP port.
-    port: int
-
-    def __str__(self) -> str:
-        return f'{self.host}:{self.port}'
-
-
 @dataclasses.dataclass(frozen=True)
 class Target:
     """One model engine or plain service replica."""
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Data of the forwarding front end: configuration, targets, requests."""
 
+from skylarktack.state._addresses import Address
 from skylarktack.state.forwarding._configuration import EngineCapacity
 from skylarktack.state.forwarding._configuration import ForwardingConfiguration
 from skylarktack.state.forwarding._configuration import ForwardingRoute
@@ -25,16 +26,15 @@
 from skylarktack.state.forwarding._requests import RefusalReason
 from skylarktack.state.forwarding._requests import RequestHead
 from skylarktack.state.forwarding._settings import ForwardingSettings
-from skylarktack.state.forwarding._targets import Endpoint
 from skylarktack.state.forwarding._targets import ListedTarget
 from skylarktack.state.forwarding._targets import TargetChange
 from skylarktack.state.forwarding._targets import TargetLoad
 from skylarktack.state.forwarding._targets import TargetReport
 
 __all__ = [
+    'Address',
     'AnswerHead',
     'Delivery',
-    'Endpoint',
     'EngineCapacity',
     'FleetMessage',
     'FleetReport',
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from skylarktack.state.forwarding._targets import Endpoint
+from skylarktack.state._addresses import Address
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,7 +50,7 @@
     instance: str
 
     #: Where the sender receives datagrams.
-    endpoint: Endpoint
+    endpoint: Address
 
     #: Start of the sender, in milliseconds since the epoch.
     started_at_ms: int
@@ -118,4 +118,4 @@
     instance: str
 
     #: Where it receives datagrams.
-    endpoint: Endpoint
+    endpoint: Address
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from skylarktack.state.forwarding._targets import Endpoint
+from skylarktack.state._addresses import Address
 from skylarktack.state.forwarding._targets import ListedTarget
 from skylarktack.state.forwarding._targets import TargetLoad
 
@@ -98,7 +98,7 @@
     last_event_id: int | None = None
 
     #: Engine that keeps a copy of the run's memory, or None.
-    standby: Endpoint | None = None
+    standby: Address | None = None
 
     #: Whether the run goes on from the copy that the target keeps.
     from_copy: bool = False
--- a/packages/state/src/skylarktack/state/forwarding/_settings.py
+++ b/packages/state/src/skylarktack/state/forwarding/_settings.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from skylarktack.state.forwarding._targets import Endpoint
+from skylarktack.state._addresses import Address
 
 
 @dataclasses.dataclass(frozen=True)
@@ -16,19 +16,19 @@
     failure_domain: str
 
     #: Where callers connect.
-    front: Endpoint
+    front: Address
 
     #: Where the balancer asks for readiness, or None.
-    readiness: Endpoint | None
+    readiness: Address | None
 
     #: Where other instances send datagrams, or None.
-    peer: Endpoint | None
+    peer: Address | None
 
     #: Where metrics are served, or None.
-    metrics: Endpoint | None
+    metrics: Address | None
 
     #: The platform's store.
-    store: Endpoint
+    store: Address
 
     #: Time from the order to stop until the process is killed.
     grace_ms: float
--- a/packages/state/src/skylarktack/state/forwarding/_targets.py
+++ b/packages/state/src/skylarktack/state/forwarding/_targets.py
@@ -2,19 +2,7 @@
 
 import dataclasses
 
-
-@dataclasses.dataclass(frozen=True)
-class Endpoint:
-    """An IP address and a TCP port."""
-
-    #: IP address in text form.
-    host: str
-
-    #: TCP port.
-    port: int
-
-    def __str__(self) -> str:
-        return f'{self.host}:{self.port}'
+from skylarktack.state._addresses import Address
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,7 +16,7 @@
     service: str
 
     #: Where it accepts requests.
-    endpoint: Endpoint
+    endpoint: Address
 
     #: Its failure domain.
     failure_domain: str
--- a/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
@@ -22,7 +22,7 @@
     """Sends and receives reports at one address."""
 
     def __init__(
-        self, endpoint: data.Endpoint, log: forwarding.EventLog
+        self, endpoint: data.Address, log: forwarding.EventLog
     ) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((endpoint.host, endpoint.port))
@@ -30,13 +30,13 @@
         self._malformed_count = 0
 
     @property
-    def endpoint(self) -> data.Endpoint:
+    def endpoint(self) -> data.Address:
         """Return the address in use, with the port that was assigned."""
         host, port = self._socket.getsockname()
-        return data.Endpoint(host, port)
+        return data.Address(host, port)
 
     def send(
-        self, message: data.FleetMessage, peers: tuple[data.Endpoint, ...]
+        self, message: data.FleetMessage, peers: tuple[data.Address, ...]
     ) -> int:
         """Send one message to each peer; return the bytes sent."""
         datagram = messages.encode_message(message)
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -16,7 +16,7 @@
 
     def __init__(
         self,
-        endpoint: data.Endpoint,
+        endpoint: data.Address,
         handler: _front_connection.FrontHandler,
         codec: forwarding.MessageCodec,
         tasks: futures.Executor,
@@ -30,10 +30,10 @@
         self._is_closed = False
 
     @property
-    def endpoint(self) -> data.Endpoint:
+    def endpoint(self) -> data.Address:
         """Return the address in use, with the port that was assigned."""
         host, port = self._socket.getsockname()
-        return data.Endpoint(host, port)
+        return data.Address(host, port)
 
     def run(self) -> None:
         """Accept connections until the listener is closed."""
--- a/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
@@ -41,7 +41,7 @@
     )
 
 
-def connect(endpoint: data.Endpoint, timeout_s: float) -> socket.socket:
+def connect(endpoint: data.Address, timeout_s: float) -> socket.socket:
     """Return a connected, non-blocking socket.
 
     :raises OSError: if there is no connection within the timeout.
@@ -58,7 +58,7 @@
     return connection
 
 
-def listen(endpoint: data.Endpoint) -> socket.socket:
+def listen(endpoint: data.Address) -> socket.socket:
     """Return a listening socket.
 
     :raises OSError: if the address cannot be used.
--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -17,7 +17,7 @@
 class HttpStoreCalls:
     """Sends calls to the store, one at a time."""
 
-    def __init__(self, store: data.Endpoint) -> None:
+    def __init__(self, store: data.Address) -> None:
         self._store = store
         self._connection: socket.socket | None = None
         self._parser = h11.Connection(h11.CLIENT)
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
@@ -22,9 +22,9 @@
         threading.Thread(target=self._serve, daemon=True).start()
 
     @property
-    def endpoint(self) -> data.Endpoint:
+    def endpoint(self) -> data.Address:
         host, port = self._listener.getsockname()
-        return data.Endpoint(host, port)
+        return data.Address(host, port)
 
     def close(self) -> None:
         self._listener.close()
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -45,7 +45,7 @@
     def target(self) -> data.ListedTarget:
         host, port = self._listener.getsockname()
         return data.ListedTarget(
-            'target', 'pool', data.Endpoint(host, port), 'domain', 'v1', 1
+            'target', 'pool', data.Address(host, port), 'domain', 'v1', 1
         )
 
     def close(self) -> None:
@@ -197,7 +197,7 @@
         with socket.socket() as bound:
             # A port that is bound but not listened on refuses connections.
             bound.bind(('127.0.0.1', 0))
-            endpoint = data.Endpoint(*bound.getsockname())
+            endpoint = data.Address(*bound.getsockname())
             listed = data.ListedTarget(
                 'target', 'pool', endpoint, 'domain', 'v1', 1
             )
