Name the attempt in a handover, also before the first token

Three of eight streams had no token when their instance handed them over. Their callers had no event id, so the next instance started them again, while the first attempts ran on to their end for nobody: three times 80 tokens. The handover event now carries an event id for the position reached, also position 0, so the next instance attaches to the running attempt.

The same case failed once more on the old code with 641 tokens: an attempt that an earlier case had cancelled made one more token after the count had been taken. The case now waits until the engines are idle before it counts; the exact bound stays.

--- a/packages/coordination/src/skylarktack/coordination/generation/_feed.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_feed.py
@@ -164,7 +164,7 @@
             if record.refusal is not None:
                 return _results.Failed(record.refusal)
             if pump.handed_over:
-                return _results.HandedOver()
+                return self._handed_over()
             step = pump.try_advance()
             if step is None:
                 record.wait_beyond(self._position, WAIT_S)
@@ -180,8 +180,25 @@
                 return step
             if isinstance(step, _results.Restarted):
                 continue
+            if isinstance(step, _results.HandedOver):
+                return self._handed_over()
             return step
 
+    def _handed_over(self) -> _results.HandedOver:
+        record = self._pump.record
+        if not record.last_attempt or record.lacks_check():
+            return _results.HandedOver()
+        note = record.note_at(record.position)
+        return _results.HandedOver(
+            state.ResumeToken(
+                self._position,
+                note.number,
+                note.target,
+                record.digest_at(self._position),
+                note.version,
+            )
+        )
+
     def _held(self) -> _results.GenerationStep:
         record = self._pump.record
         cursor = self._cursor
--- a/packages/coordination/src/skylarktack/coordination/generation/_results.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_results.py
@@ -72,6 +72,10 @@
 class HandedOver:
     """This instance stops; the caller resumes on another one."""
 
+    #: Where the caller resumes, or None if no attempt was begun. A caller
+    #: without a token has no other event id that names the attempt.
+    resume: state.ResumeToken | None = None
+
 
 #: Any step of a generation, as its caller sees it.
 GenerationStep = Delivery | Completed | Failed | Idle | Restarted | HandedOver
--- a/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
@@ -298,6 +298,29 @@
         )
         assert one.fleet.engines.started_count == started_count
 
+    @pytest.mark.parametrize('linked', (True, False))
+    def test_handover_before_the_first_token(self, linked: bool) -> None:
+        """A stream without a token moves too; its prompt is read once.
+
+        The caller has no event id yet, so without the one in the handover
+        the next instance started the generation again, and the first attempt
+        ran on to its end for nobody.
+        """
+        one, two, wanted = _two(linked=linked)
+        feed = one.service.open(wanted).ok
+        while not one.fleet.engines.started_count:
+            assert isinstance(next(feed), generation.Idle)
+        feed.pump.record.handover_ordered = True
+        last = list(feed)[-1]
+        assert isinstance(last, generation.HandedOver)
+        assert last.resume is not None
+        assert last.resume.position == 0
+        one.service.release(feed)
+        moved = two.run(dataclasses.replace(wanted, resume=last.resume))
+        assert moved.text == generation_bed.expected_text(wanted.prompt, 40)
+        assert one.fleet.engines.started_count == 1
+        assert one.fleet.engines.generated_count == 40
+
     def test_leaving_target(self) -> None:
         """A generation moves before its target's deadline."""
         one, _, wanted = _two()
--- a/packages/emulator/src/skylarktack/emulator/_caller.py
+++ b/packages/emulator/src/skylarktack/emulator/_caller.py
@@ -39,6 +39,9 @@
     #: Whether the answer began again on this connection.
     restarted: bool = False
 
+    #: Newest event id, also that of a handover, or None.
+    last_event_id: str | None = None
+
     @property
     def text(self) -> str:
         """The whole text."""
@@ -118,6 +121,7 @@
     request_id = ''
     handed_over = False
     restarted = False
+    event_id = ''
     connection = http.client.HTTPConnection(
         address.host, address.port, timeout=timeout_s
     )
@@ -128,7 +132,6 @@
         request_id = response.getheader('Skylarktack-Request-Id') or ''
         if status != 200:
             error = json.loads(response.read())['error']
-        event_id = ''
         name = ''
         while status == 200:
             line = response.readline().rstrip(b'\n')
@@ -151,6 +154,7 @@
                     name = ''
                     tokens.clear()
                     event_ids.clear()
+                    event_id = ''
                     arrivals_s.clear()
                     continue
                 if name == 'error':
@@ -177,4 +181,5 @@
         error=error,
         handed_over=handed_over,
         restarted=restarted,
+        last_event_id=event_id or None,
     )
--- a/packages/emulator/src/skylarktack/emulator/_caller_loop.py
+++ b/packages/emulator/src/skylarktack/emulator/_caller_loop.py
@@ -53,16 +53,16 @@
     last_s = time.monotonic()
     turn = 0
     while True:
-        event_ids = [at for part in received for at in part.event_ids]
+        event_id = _newest_event_id(received)
         posted = dict(body)
-        if event_ids and sends_delivered:
+        if tokens and sends_delivered:
             posted['delivered'] = tokens
         part = _caller.generate(
             addresses[turn % len(addresses)],
             route,
             key,
             posted,
-            event_ids[-1] if event_ids else None,
+            event_id,
         )
         if part.restarted:
             received.clear()
@@ -83,6 +83,15 @@
         waiting.wait(RETRY_S)
 
 
+def _newest_event_id(
+    received: list[_caller.ReceivedAnswer],
+) -> str | None:
+    for part in reversed(received):
+        if part.last_event_id is not None:
+            return part.last_event_id
+    return None
+
+
 def _joined(received: list[_caller.ReceivedAnswer]) -> ResumedAnswer:
     last = received[-1]
     joined = dataclasses.replace(
--- a/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
@@ -263,6 +263,9 @@
         """Streams that outlast the drain continue on another instance."""
         instances = _ready_instances(deployment)
         addresses = [each.address for each in instances[:2]]
+        # Attempts that the cases before have cancelled end a moment later;
+        # their last tokens are not counted here.
+        _await_idle_engines(deployment)
         before = _generated_count(deployment)
         readers = [_Reader(addresses, f'week {at}') for at in range(8)]
         _running_engine(deployment)
@@ -275,6 +278,21 @@
         assert generated_count == 8 * TOKEN_COUNT
 
 
+def _await_idle_engines(deployment: emulator.Deployment) -> None:
+    """Wait until no engine runs an attempt."""
+    waiting = threading.Event()
+    for _ in range(400):
+        running_count = 0
+        for engine in deployment.engines:
+            running_count += engine.read_json('/control/running')[
+                'running_count'
+            ]
+        if not running_count:
+            return
+        waiting.wait(0.05)
+    raise AssertionError('an attempt of an earlier case still runs')
+
+
 def _generated_count(deployment: emulator.Deployment) -> int:
     found = 0
     for engine in deployment.engines:
--- a/packages/protocol/src/skylarktack/protocol/_caller.py
+++ b/packages/protocol/src/skylarktack/protocol/_caller.py
@@ -130,7 +130,10 @@
             return b'event: restart\ndata: {}\n\n'
         if isinstance(step, generation.HandedOver):
             error = encode_refusal(HANDOVER, self._request_id).decode()
-            return f'event: handover\ndata: {error}\n\n'.encode()
+            place = ''
+            if step.resume is not None:
+                place = f'id: {self.resume_id(step.resume)}\n'
+            return f'{place}event: handover\ndata: {error}\n\n'.encode()
         error = encode_refusal(step.refusal, self._request_id).decode()
         return f'event: error\ndata: {error}\n\n'.encode()
 
@@ -144,6 +147,16 @@
             token.version,
         )
 
+    def resume_id(self, resume: state.ResumeToken) -> str:
+        """Return the event id of a resume token."""
+        return self._event_ids.encode(
+            resume.position,
+            resume.attempt,
+            resume.digest,
+            resume.target,
+            resume.version,
+        )
+
     def _token(self, token: generation.DeliveredToken) -> bytes:
         event_id = self.event_id(token)
         data = json.encoder.encode_basestring_ascii(token.text.decode())
--- a/packages/protocol/src/skylarktack/protocol/tests/test_event_ids.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_event_ids.py
@@ -4,6 +4,7 @@
 
 from skylarktack import protocol
 from skylarktack import state
+from skylarktack.coordination import generation
 
 ORGANISATION = state.OrganisationName('small')
 REQUEST = state.RequestId('request-1')
@@ -58,3 +59,36 @@
             assert signer.decode(ORGANISATION, REQUEST, changed) is None
         for broken in ('', '.', '1.2.3.4', text + 'x', 'x' * 5000):
             assert signer.decode(ORGANISATION, REQUEST, broken) is None
+
+
+class TestHandoverEvent:
+    """Guards against a handover that names no attempt to go on with."""
+
+    def _encode(self, step: generation.HandedOver) -> bytes:
+        encoder = protocol.CallerStreamEncoder(
+            protocol.EventIdSigner('secret'),
+            ORGANISATION,
+            REQUEST,
+        )
+        return encoder.encode(step)
+
+    def test_event_id_before_the_first_token(self) -> None:
+        """The id of the handover is a genuine one for position 0."""
+        resume = state.ResumeToken(
+            0, 7, state.TargetName('engine-1'), '00', state.VersionName('v1')
+        )
+        lines = self._encode(generation.HandedOver(resume)).split(b'\n')
+        assert lines[0].startswith(b'id: ')
+        assert lines[1] == b'event: handover'
+        decoded = protocol.EventIdSigner('secret').decode(
+            ORGANISATION,
+            REQUEST,
+            lines[0][4:].decode(),
+        )
+        assert decoded == resume
+
+    def test_no_attempt(self) -> None:
+        """A generation without an attempt has nothing to go on with."""
+        assert self._encode(generation.HandedOver()).startswith(
+            b'event: handover\n'
+        )
--- a/packages/transport/src/skylarktack/transport/_generation_endpoints.py
+++ b/packages/transport/src/skylarktack/transport/_generation_endpoints.py
@@ -200,11 +200,9 @@
         request_id: state.RequestId,
     ) -> Iterable[bytes]:
         text: list[bytes] = []
-        last: generation.DeliveredToken | None = None
         for step in caller.feed:
             if isinstance(step, generation.Delivery):
                 text.extend(token.text for token in step.tokens)
-                last = step.tokens[-1]
             if isinstance(step, generation.Restarted):
                 text.clear()
             if isinstance(step, generation.Failed):
@@ -212,11 +210,12 @@
                     start_response, request_id, step.refusal
                 )
             if isinstance(step, generation.HandedOver):
+                resume = step.resume
                 return _answers.refuse(
                     start_response,
                     request_id,
                     protocol.HANDOVER,
-                    encoder.event_id(last) if last is not None else None,
+                    encoder.resume_id(resume) if resume is not None else None,
                 )
             if isinstance(step, generation.Completed):
                 answer = protocol.encode_answer(
