--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -17,6 +17,10 @@
 from skylarktack.coordination.forwarding._events import InstanceStopping
 from skylarktack.coordination.forwarding._events import LinesDropped
 from skylarktack.coordination.forwarding._events import LogEvent
+from skylarktack.coordination.forwarding._events import MoveNotRecorded
+from skylarktack.coordination.forwarding._events import MoveRecorded
+from skylarktack.coordination.forwarding._events import MoveShifting
+from skylarktack.coordination.forwarding._events import MoveStopped
 from skylarktack.coordination.forwarding._events import PeerKnown
 from skylarktack.coordination.forwarding._events import ReadinessChanged
 from skylarktack.coordination.forwarding._events import RequestFailed
@@ -51,6 +55,14 @@
 from skylarktack.coordination.forwarding._gateway import GatewayParts
 from skylarktack.coordination.forwarding._gateway import RequestObserver
 from skylarktack.coordination.forwarding._gateway import RequestReport
+from skylarktack.coordination.forwarding._move_driver import MoveDriver
+from skylarktack.coordination.forwarding._move_driver import MoveWriter
+from skylarktack.coordination.forwarding._moves import ANY_VERSION
+from skylarktack.coordination.forwarding._moves import ExposureLimits
+from skylarktack.coordination.forwarding._moves import MoveBelief
+from skylarktack.coordination.forwarding._moves import MoveTable
+from skylarktack.coordination.forwarding._moves import VersionJudge
+from skylarktack.coordination.forwarding._moves import VersionRule
 from skylarktack.coordination.forwarding._outcomes import CallerLeft
 from skylarktack.coordination.forwarding._outcomes import CallOutcome
 from skylarktack.coordination.forwarding._outcomes import RequestNotes
@@ -89,6 +101,18 @@
 from skylarktack.coordination.forwarding._work import Work
 
 __all__ = [
+    'ANY_VERSION',
+    'ExposureLimits',
+    'MoveBelief',
+    'MoveDriver',
+    'MoveNotRecorded',
+    'MoveRecorded',
+    'MoveShifting',
+    'MoveStopped',
+    'MoveTable',
+    'MoveWriter',
+    'VersionJudge',
+    'VersionRule',
     'ConfigurationInForce',
     'DatagramMalformed',
     'EntryMalformed',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -150,8 +150,11 @@
     def _send_next(self) -> bool:
         """Send to one more target; return whether one took the request."""
         while self._may_send():
+            rule = self._work.versions
+            if self._send_count > 0:
+                rule = rule.for_repeat()
             target = self._targets.choose_for_call(
-                self._work.service, frozenset(self._passed_over)
+                self._work.service, frozenset(self._passed_over), rule
             )
             if target is None:
                 self._is_exhausted = True
@@ -280,9 +283,7 @@
         if self._failure is not None and not self._open:
             return self._failure
         for attempt in self._open:
-            self._targets.report_failure(
-                attempt.target, 'no answer in time', is_loss=False
-            )
+            self._targets.report_timeout(attempt.target, attempt.sent_at_s)
         if self._open or self._run_count:
             return data.Refusal(data.RefusalReason.TIME_UP)
         return data.Refusal(data.RefusalReason.TIME_UP_NOT_RUN, RETRY_AFTER_S)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -230,6 +230,62 @@
     target: str
 
 
+@dataclasses.dataclass(frozen=True)
+class MoveRecorded(LogEvent):
+    """The store holds another phase of a move."""
+
+    part = 'move'
+    message = 'a phase of a move is recorded'
+
+    service: str
+
+    #: Version that the traffic moves to.
+    to_version: str
+
+    #: The phase.
+    phase: str
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveStopped(LogEvent):
+    """No traffic goes to the new version any more."""
+
+    part = 'move'
+    message = 'the new version gets no more traffic'
+
+    service: str
+    to_version: str
+
+    #: What the evidence says.
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveShifting(LogEvent):
+    """All traffic goes to the new version."""
+
+    part = 'move'
+    message = 'all traffic goes to the new version'
+
+    service: str
+    to_version: str
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveNotRecorded(LogEvent):
+    """The store did not take a phase; it is written again."""
+
+    part = 'move'
+    message = 'a phase of a move was not recorded'
+
+    service: str
+    to_version: str
+    phase: str
+
+    #: How the call failed.
+    cause: str
+
+
 @dataclasses.dataclass(frozen=True)
 class PeerKnown(LogEvent):
     """Another instance was heard of."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -265,6 +265,17 @@
                     rank += 1
         return rank
 
+    def leading_peers(self, count: int) -> tuple[data.Address, ...]:
+        """Return where the first instances in that order receive reports."""
+        now_s = self._clock.monotonic_s()
+        ranked = []
+        with self._lock:
+            for name, peer in self._peers.items():
+                if now_s <= peer.valid_until_s:
+                    ranked.append((_order_key(name), peer.endpoint))
+        ranked.sort(key=lambda entry: entry[0])
+        return tuple(endpoint for _, endpoint in ranked[:count])
+
     def report_interval_s(self) -> float:
         """Return the time between two full reports."""
         with self._lock:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -7,6 +7,7 @@
 
 from skylarktack.coordination.forwarding import _beliefs
 from skylarktack.coordination.forwarding import _calls
+from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _routes
@@ -93,6 +94,9 @@
     #: Configuration in force.
     configuration: _beliefs.ConfigurationHolder
 
+    #: Moves of services to other versions.
+    moves: _moves.MoveTable
+
     #: Known targets.
     targets: _targets.TargetTable
 
@@ -268,6 +272,7 @@
             request=request,
             route=admitted.route,
             service=admitted.service,
+            versions=self._parts.moves.draw(admitted.service),
             has_standby_copies=admitted.has_standby_copies,
             organisation=admitted.organisation,
             caller=caller,
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -0,0 +1,514 @@
+"""Planned moves of a service to another version: share, evidence, verdict.
+
+While a move is judged, the new version gets a small share of the requests,
+bounded by the exposure that all instances together may cause. Each instance
+counts its own outcomes and those that the others report, and stops sending
+to a version as soon as the evidence condemns it, whoever drives the move.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import random
+import threading
+from typing import Protocol
+
+from skylarktack import state
+from skylarktack.coordination import moves
+from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.ports import Clock
+from skylarktack.state import forwarding as data
+
+#: Part of the allowed exposure that is used before the verdict. The counts of
+#: the peers are a moment old, so several instances may use the same rest.
+TRIAL_EXPOSURE_SHARE = 0.5
+
+#: Part of a move's time within which the trial should gather its evidence.
+TRIAL_TIME_SHARE = 0.5
+
+#: Largest part of the requests that goes to a version on trial.
+TRIAL_LARGEST_SHARE = 0.3
+
+#: Part of the allowed exposure that a shift before the end may reach.
+SHIFT_EXPOSURE_SHARE = 0.9
+
+#: Parts of a move's time: before the first no shift begins, from the second
+#: on it begins whatever the exposure, at the third the move ends. Runs at
+#: the old version end with the move, so a shift should begin early.
+SHIFT_EARLIEST_SHARE = 0.6
+SHIFT_LATEST_SHARE = 0.88
+END_SHARE = 0.92
+
+#: Least time between the end of a move and its limit, for the last write.
+END_MARGIN_S = 1.0
+
+#: Attempts on the new version without which a move is not completed.
+JUDGED_COUNT = 8
+
+#: Attempts on the new version between two judgements without a failure.
+JUDGE_EVERY_COUNT = 8
+
+#: Chance that the evidence rejects a good version.
+REJECTION_PROBABILITY = 1e-4
+
+#: A version that no order names is kept from traffic for this time after it
+#: appeared, since its order may arrive a moment after its first target.
+UNPROVEN_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class ExposureLimits:
+    """Requests that a bad version may get while it is judged."""
+
+    #: Part of all requests for the service.
+    fraction: float
+
+    #: Requests beyond that part.
+    allowance_count: float
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionRule:
+    """Which versions one request may be sent to."""
+
+    #: Version that is taken if it has a sound target, or None.
+    preferred: str | None = None
+
+    #: Versions that it must not be sent to.
+    excluded: frozenset[str] = frozenset()
+
+    #: Whether the request tries a version that is not proven yet.
+    is_trial: bool = False
+
+    def for_repeat(self) -> 'VersionRule':
+        """Return the rule for sends after the first.
+
+        A request that tried a new version is repeated at a proven one.
+        """
+        if not self.is_trial or self.preferred is None:
+            return self
+        return VersionRule(None, self.excluded | {self.preferred})
+
+
+#: The rule of a service without a move.
+ANY_VERSION = VersionRule()
+
+
+class VersionJudge(Protocol):
+    """Compares two versions that serve at the same time."""
+
+    def judge(
+        self,
+        rows: tuple[state.EvidenceRow, ...],
+        to_version: state.VersionName,
+        rejection_probability: float,
+    ) -> moves.Judgement:
+        """Judge counts combined from any instances."""
+        ...
+
+
+@dataclasses.dataclass
+class _Move:
+    """A move under way; changes with each request."""
+
+    order: data.MoveOrder
+    seen_at_s: float
+    rows: dict[tuple[str, str], state.EvidenceRow] = dataclasses.field(
+        default_factory=dict
+    )
+    request_count: int = 0
+    sent_count: int = 0
+    unjudged_count: int = 0
+    is_shifting: bool = False
+    stop_reason: str = ''
+    due_phase: state.MovePhase | None = None
+    due_since_s: float = 0.0
+    reports: dict[str, tuple[data.MoveReport, float]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class MoveTable:
+    """Moves of all services as this instance knows them."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: _events.EventLog,
+        limits: ExposureLimits,
+        judge: VersionJudge,
+        draw: Callable[[], float] = random.random,
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._limits = limits
+        self._judge = judge
+        self._draw = draw
+        self._lock = threading.Lock()
+        self._moves: dict[str, _Move] = {}
+        self._versions: dict[str, set[str]] = {}
+        self._rejected: dict[str, set[str]] = {}
+        self._unproven: dict[tuple[str, str], float] = {}
+        #: Set once the orders were read for the first time.
+        self.is_known = threading.Event()
+        #: Set at each new order; the driver clears it.
+        self.has_news = threading.Event()
+
+    def replace(self, changes: tuple[data.MoveChange, ...]) -> None:
+        """Take over all orders."""
+        with self._lock:
+            listed = {change.service for change in changes}
+            for service in list(self._moves):
+                if service not in listed:
+                    del self._moves[service]
+            for change in changes:
+                self._take(change)
+        self.is_known.set()
+
+    def apply(self, change: data.MoveChange) -> None:
+        """Take over one change."""
+        with self._lock:
+            self._take(change)
+
+    def note_version(
+        self, service: str, version: str, is_first_list: bool
+    ) -> None:
+        """Note that a target of a version was listed."""
+        with self._lock:
+            known = self._versions.setdefault(service, set())
+            if version in known:
+                return
+            if known and not is_first_list:
+                until_s = self._clock.monotonic_s() + UNPROVEN_S
+                self._unproven[service, version] = until_s
+            known.add(version)
+
+    def draw(self, service: str) -> VersionRule:
+        """Return which versions the next request may be sent to."""
+        with self._lock:
+            move = self._moves.get(service)
+            excluded = self._excluded(service)
+            if move is None:
+                return VersionRule(None, excluded) if excluded else ANY_VERSION
+            version = move.order.to_version
+            move.request_count += 1
+            if move.stop_reason:
+                return VersionRule(None, excluded | {version})
+            if move.order.phase is state.MovePhase.ROLLED_BACK:
+                return VersionRule(None, excluded | {version})
+            is_complete = move.order.phase is state.MovePhase.COMPLETED
+            if is_complete or move.is_shifting:
+                return VersionRule(version, excluded - {version})
+            if self._draws_trial(move):
+                return VersionRule(version, excluded - {version}, True)
+            return VersionRule(None, excluded | {version})
+
+    def note_sent(self, target: data.ListedTarget) -> None:
+        """Note that a request is sent to a target."""
+        with self._lock:
+            move = self._moves.get(target.service)
+            if move is not None and target.version == move.order.to_version:
+                move.sent_count += 1
+
+    def observe(
+        self,
+        target: data.ListedTarget,
+        kind: state.OutcomeKind,
+        latency_ms: float | None = None,
+        is_counted: bool = True,
+    ) -> None:
+        """Take in how an attempt went.
+
+        :param is_counted: whether it counts as an attempt; the end of a
+            stream does not, since its first event did.
+        """
+        with self._lock:
+            move = self._moves.get(target.service)
+            if move is None or move.order.has_ended or move.stop_reason:
+                return
+            row = _row_of(target, kind, latency_ms, is_counted)
+            key = (target.version, target.failure_domain)
+            held = move.rows.get(key)
+            move.rows[key] = row if held is None else moves.add_rows(held, row)
+            if target.version != move.order.to_version:
+                return
+            move.unjudged_count += 1
+            is_success = kind is state.OutcomeKind.SUCCESS
+            if is_success and move.unjudged_count < JUDGE_EVERY_COUNT:
+                return
+            self._judge_move(move)
+
+    def take_report(self, report: data.MoveReport) -> None:
+        """Take over what another instance has seen."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            move = self._moves.get(report.service)
+            if move is None or move.order.to_version != report.to_version:
+                return
+            move.reports[report.instance] = (report, now_s)
+            if report.stop_reason and not move.stop_reason:
+                self._stop(move, report.stop_reason)
+            if report.is_shifting and not move.stop_reason:
+                self._shift(move)
+
+    def reports(self, instance: str) -> tuple[data.MoveReport, ...]:
+        """Return what this instance has seen of each move under way."""
+        found = []
+        with self._lock:
+            for service, move in self._moves.items():
+                if move.order.has_ended:
+                    continue
+                found.append(
+                    data.MoveReport(
+                        instance=instance,
+                        service=service,
+                        to_version=move.order.to_version,
+                        age_ms=int(1000 * self._age_s(move)),
+                        request_count=move.request_count,
+                        sent_count=move.sent_count,
+                        is_shifting=move.is_shifting,
+                        stop_reason=move.stop_reason,
+                        rows=tuple(move.rows.values()),
+                    )
+                )
+        return tuple(found)
+
+    def decide(self, service: str) -> state.MovePhase | None:
+        """Return the phase that should be recorded, or None if none is due.
+
+        Begins the shift of all traffic when its time has come.
+        """
+        with self._lock:
+            move = self._moves.get(service)
+            if move is None or move.order.has_ended:
+                return None
+            phase: state.MovePhase | None = self._due_phase(move)
+            if phase is move.order.phase:
+                phase = None
+            if phase is not move.due_phase:
+                move.due_phase = phase
+                move.due_since_s = self._clock.monotonic_s()
+            return phase
+
+    def due_for_s(self, service: str) -> float:
+        """Return for how long the same phase has been due."""
+        with self._lock:
+            move = self._moves.get(service)
+            if move is None or move.due_phase is None:
+                return 0.0
+            return self._clock.monotonic_s() - move.due_since_s
+
+    def order_of(self, service: str) -> data.MoveOrder | None:
+        """Return the newest order for a service."""
+        with self._lock:
+            move = self._moves.get(service)
+            return None if move is None else move.order
+
+    def open_services(self) -> tuple[str, ...]:
+        """Return the services with a move under way."""
+        found = []
+        with self._lock:
+            for service, move in self._moves.items():
+                if not move.order.has_ended:
+                    found.append(service)
+        return tuple(found)
+
+    def _take(self, change: data.MoveChange) -> None:
+        order = change.order
+        held = self._moves.get(change.service)
+        if order is None:
+            self._moves.pop(change.service, None)
+            return
+        if held is not None and held.order.to_version == order.to_version:
+            if order.revision < held.order.revision:
+                return
+            is_again = held.order.has_ended and not order.has_ended
+            if not is_again:
+                if order.phase is not held.order.phase:
+                    self._note_phase(order)
+                held.order = order
+                return
+        self._moves[change.service] = _Move(order, self._clock.monotonic_s())
+        if not order.has_ended:
+            self._rejected.get(change.service, set()).discard(order.to_version)
+            self.has_news.set()
+        self._note_phase(order)
+
+    def _note_phase(self, order: data.MoveOrder) -> None:
+        if order.phase is state.MovePhase.ROLLED_BACK:
+            rejected = self._rejected.setdefault(order.service, set())
+            rejected.add(order.to_version)
+        self._log.record(
+            _events.MoveRecorded(
+                order.service, order.to_version, order.phase.value
+            )
+        )
+
+    def _excluded(self, service: str) -> frozenset[str]:
+        excluded = frozenset(self._rejected.get(service, ()))
+        versions = self._versions.get(service, set())
+        if len(versions) > 1 and not self.is_known.is_set():
+            # Any of them may be on trial.
+            return frozenset(versions)
+        if not self._unproven:
+            return excluded
+        now_s = self._clock.monotonic_s()
+        for key, until_s in list(self._unproven.items()):
+            if now_s >= until_s:
+                del self._unproven[key]
+            elif key[0] == service:
+                excluded |= {key[1]}
+        return excluded
+
+    def _draws_trial(self, move: _Move) -> bool:
+        request_count, sent_count = self._totals(move)
+        limits = self._limits
+        allowance_count = TRIAL_EXPOSURE_SHARE * limits.allowance_count
+        fraction = TRIAL_EXPOSURE_SHARE * limits.fraction
+        if sent_count + 1 > fraction * request_count + allowance_count:
+            return False
+        # Before the first second has passed the rate is not known.
+        rate_per_s = request_count / max(1.0, self._age_s(move))
+        trial_s = TRIAL_TIME_SHARE * move.order.duration_s
+        expected_count = max(1.0, rate_per_s * trial_s)
+        share = fraction + allowance_count / expected_count
+        return self._draw() < min(TRIAL_LARGEST_SHARE, share)
+
+    def _totals(self, move: _Move) -> tuple[int, int]:
+        """Return requests for the service and sends to the new version."""
+        request_count = move.request_count
+        sent_count = move.sent_count
+        for report, _ in move.reports.values():
+            request_count += report.request_count
+            sent_count += report.sent_count
+        return request_count, sent_count
+
+    def _age_s(self, move: _Move) -> float:
+        """Return the time since any instance saw the order.
+
+        An instance that restarts learns it from the others.
+        """
+        now_s = self._clock.monotonic_s()
+        age_s = now_s - move.seen_at_s
+        for report, heard_at_s in move.reports.values():
+            age_s = max(age_s, report.age_ms / 1000 + now_s - heard_at_s)
+        return age_s
+
+    def _all_rows(self, move: _Move) -> tuple[state.EvidenceRow, ...]:
+        rows = list(move.rows.values())
+        for report, _ in move.reports.values():
+            rows.extend(report.rows)
+        return tuple(rows)
+
+    def _judge_move(self, move: _Move) -> moves.Judgement:
+        move.unjudged_count = 0
+        judged = self._judge.judge(
+            self._all_rows(move),
+            state.VersionName(move.order.to_version),
+            REJECTION_PROBABILITY,
+        )
+        if judged.bad and not move.stop_reason:
+            self._stop(move, judged.reason)
+        return judged
+
+    def _stop(self, move: _Move, reason: str) -> None:
+        move.stop_reason = reason
+        move.is_shifting = False
+        self._log.record(
+            _events.MoveStopped(
+                move.order.service, move.order.to_version, reason
+            )
+        )
+        self.has_news.set()
+
+    def _shift(self, move: _Move) -> None:
+        if move.is_shifting:
+            return
+        move.is_shifting = True
+        self._log.record(
+            _events.MoveShifting(move.order.service, move.order.to_version)
+        )
+        self.has_news.set()
+
+    def _due_phase(self, move: _Move) -> state.MovePhase:
+        if move.stop_reason:
+            return state.MovePhase.ROLLED_BACK
+        age_s = self._age_s(move)
+        duration_s = move.order.duration_s
+        end_s = min(END_SHARE * duration_s, duration_s - END_MARGIN_S)
+        if age_s < SHIFT_EARLIEST_SHARE * duration_s:
+            return state.MovePhase.SHIFTING
+        judged = self._judge_move(move)
+        if judged.bad:
+            return state.MovePhase.ROLLED_BACK
+        is_proven = not judged.suspect and self._tried(move) >= JUDGED_COUNT
+        if is_proven and self._may_shift(move, age_s):
+            self._shift(move)
+        if age_s < end_s:
+            return state.MovePhase.SHIFTING
+        if is_proven:
+            return state.MovePhase.COMPLETED
+        self._stop(move, 'The evidence does not suffice.')
+        return state.MovePhase.ROLLED_BACK
+
+    def _tried(self, move: _Move) -> int:
+        version = move.order.to_version
+        count = 0
+        for row in self._all_rows(move):
+            if row.version == version:
+                count += row.attempt_count
+        return count
+
+    def _may_shift(self, move: _Move, age_s: float) -> bool:
+        """Return whether a shift now keeps to the allowed exposure."""
+        duration_s = move.order.duration_s
+        if age_s >= SHIFT_LATEST_SHARE * duration_s:
+            return True
+        request_count, sent_count = self._totals(move)
+        rate_per_s = request_count / max(1.0, age_s)
+        exposure_count = sent_count + rate_per_s * (duration_s - age_s)
+        limit_count = self._limits.fraction * rate_per_s * duration_s
+        limit_count += self._limits.allowance_count
+        return exposure_count <= SHIFT_EXPOSURE_SHARE * limit_count
+
+
+def _row_of(
+    target: data.ListedTarget,
+    kind: state.OutcomeKind,
+    latency_ms: float | None,
+    is_counted: bool,
+) -> state.EvidenceRow:
+    is_lost = kind is state.OutcomeKind.CONNECTION_LOST
+    is_error = not is_lost and kind is not state.OutcomeKind.SUCCESS
+    return state.EvidenceRow(
+        version=state.VersionName(target.version),
+        failure_domain=state.FailureDomain(target.failure_domain),
+        attempt_count=int(is_counted),
+        error_count=int(is_error),
+        lost_count=int(is_lost),
+        lost_targets=(state.TargetName(target.name),) if is_lost else (),
+        first_token=moves.latency_sums(latency_ms),
+    )
+
+
+class MoveBelief:
+    """Keeps the table of moves as the store tells them."""
+
+    def __init__(self, table: MoveTable) -> None:
+        self._table = table
+
+    def replace(
+        self, items: tuple[data.MoveChange, ...], after_outage: bool
+    ) -> None:
+        """Take over a whole list."""
+        self._table.replace(items)
+
+    def apply(self, items: tuple[data.MoveChange, ...]) -> None:
+        """Take over changes."""
+        for item in items:
+            self._table.apply(item)
+
+    def confirm(self) -> None:
+        """Do nothing; a move goes on as it was last recorded."""
+
+    def doubt(self) -> None:
+        """Do nothing; a move goes on as it was last recorded."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -104,6 +104,11 @@
                 if end is not None:
                     return end
             if self._is_running and not was_running:
+                if notice.is_reading:
+                    waited_s = self._heard_at_s - self._sent_at_s
+                    self._targets.report_first_event(
+                        self._target, 1000 * waited_s
+                    )
                 self._parts.fleet.note_run(
                     dataclasses.replace(notice, is_reading=False)
                 )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -108,13 +108,19 @@
     def _choose(
         self, copy_at: data.ListedTarget | None
     ) -> _targets.EnginePair | None:
+        rule = self._work.versions
+        if self._send_count > 0:
+            rule = rule.for_repeat()
         if copy_at is not None:
-            standby = self._targets.choose_standby(self._work.service, copy_at)
+            standby = self._targets.choose_standby(
+                self._work.service, copy_at, self._work.request.model, rule
+            )
             return _targets.EnginePair(copy_at, standby)
         return self._targets.choose_engines(
             self._work.service,
             self._work.request,
             frozenset(self._passed_over),
+            rule,
         )
 
     def _is_held_out(self) -> bool:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -5,9 +5,11 @@
 import random
 import threading
 
+from skylarktack import state
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _evidence
 from skylarktack.coordination.forwarding import _fleet
+from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -71,11 +73,13 @@
         log: _events.EventLog,
         failure_domain: str,
         fleet: _fleet.FleetView,
+        moves: _moves.MoveTable,
     ) -> None:
         self._clock = clock
         self._log = log
         self._failure_domain = failure_domain
         self._fleet = fleet
+        self._moves = moves
         fleet.set_loss_listener(self)
         self._lock = threading.Lock()
         self._targets: dict[str, data.ListedTarget] = {}
@@ -119,6 +123,7 @@
 
     def begin(self, target: data.ListedTarget) -> None:
         """Note that a request is sent to the target."""
+        self._moves.note_sent(target)
         with self._lock:
             self._of(target).in_flight_count += 1
 
@@ -143,7 +148,7 @@
     def report_answer(
         self, target: data.ListedTarget, latency_ms: float, is_error: bool
     ) -> None:
-        """Note that the target answered."""
+        """Note that the target answered, or completed a stream."""
         now_s = self._clock.monotonic_s()
         with self._lock:
             evidence = self._of(target)
@@ -154,12 +159,25 @@
             evidence.latency_ms += SAMPLE_WEIGHT * (
                 latency_ms - evidence.latency_ms
             )
-            evidence.error_share += SAMPLE_WEIGHT * (
-                float(is_error) - evidence.error_share
-            )
+            self._count_answer(evidence, is_error)
             evidence.heard_at_s = now_s
             evidence.failure_count = 0
             evidence.ejected_until_s = -math.inf
+        kind = state.OutcomeKind.SUCCESS
+        if is_error:
+            kind = state.OutcomeKind.ERROR
+        # Engines' runs are counted at their first event.
+        is_counted = is_error or not target.models
+        self._moves.observe(
+            target, kind, latency_ms if is_counted else None, is_counted
+        )
+
+    def report_first_event(
+        self, target: data.ListedTarget, latency_ms: float
+    ) -> None:
+        """Note that an engine read a prompt and began to generate."""
+        if target.models:
+            self._moves.observe(target, state.OutcomeKind.SUCCESS, latency_ms)
 
     def note_heard(self, target: data.ListedTarget) -> None:
         """Note that the target is alive."""
@@ -185,12 +203,33 @@
             evidence.ejected_until_s = now_s + span_s
             if is_loss:
                 self._doubts.count_loss(target, now_s)
+        kind = state.OutcomeKind.ERROR
         if is_loss:
             self._fleet.note_lost_target(target.name)
+            kind = state.OutcomeKind.CONNECTION_LOST
+        self._moves.observe(target, kind)
         self._log.record(
             _events.TargetPassedOver(target.name, cause, round(span_s * 1000))
         )
 
+    def report_timeout(
+        self, target: data.ListedTarget, sent_at_s: float
+    ) -> None:
+        """Note that a request got no answer within its time.
+
+        A target that answered other requests meanwhile is not passed over:
+        the route may allow less time than its requests need.
+        """
+        with self._lock:
+            evidence = self._of(target)
+            is_hanging = evidence.heard_at_s <= sent_at_s
+            if not is_hanging:
+                self._count_answer(evidence, is_error=True)
+        if not is_hanging:
+            self._moves.observe(target, state.OutcomeKind.SILENT)
+            return
+        self.report_failure(target, 'no answer in time', is_loss=False)
+
     def report_rumour(self, name: str) -> None:
         """Take over that another instance found a target lost."""
         now_s = self._clock.monotonic_s()
@@ -239,17 +278,24 @@
         self._log.record(_events.TargetMisdirected(target.name))
 
     def choose_for_call(
-        self, service: str, passed_over: frozenset[str]
+        self,
+        service: str,
+        passed_over: frozenset[str],
+        rule: _moves.VersionRule = _moves.ANY_VERSION,
     ) -> data.ListedTarget | None:
         """Return the target with the shortest expected time, or None."""
         with self._lock:
-            candidates = self._usable(service, passed_over)
+            candidates = self._usable(service, passed_over, rule)
             if not candidates:
                 return None
             return min(candidates, key=self._expected_ms)
 
     def choose_engines(
-        self, service: str, request: data.FrontRequest, passed: frozenset[str]
+        self,
+        service: str,
+        request: data.FrontRequest,
+        passed: frozenset[str],
+        rule: _moves.VersionRule = _moves.ANY_VERSION,
     ) -> EnginePair | None:
         """Return the engine for a run and the one for its copy.
 
@@ -262,12 +308,9 @@
         if request.last_event_id is not None:
             place = self._fleet.find_place(subject)
         with self._lock:
-            serving = []
-            for target in self._usable(service, passed):
-                if request.model and target.models:
-                    if request.model not in target.models:
-                        continue
-                serving.append(target)
+            serving = _serving(
+                self._usable(service, passed, rule), request.model
+            )
             if not serving:
                 return None
             primary = _least_loaded(serving, loads)
@@ -280,14 +323,28 @@
             return EnginePair(primary, _standby(serving, primary, loads))
 
     def choose_standby(
-        self, service: str, primary: data.ListedTarget
+        self,
+        service: str,
+        primary: data.ListedTarget,
+        model: str | None,
+        rule: _moves.VersionRule = _moves.ANY_VERSION,
     ) -> data.ListedTarget | None:
         """Return an engine for the copy of a run at the primary."""
         loads = self._fleet.loads()
         with self._lock:
-            candidates = self._usable(service, frozenset((primary.name,)))
+            candidates = _serving(
+                self._usable(service, frozenset((primary.name,)), rule),
+                model,
+            )
             return _standby(candidates, primary, loads)
 
+    def _count_answer(
+        self, evidence: _evidence.TargetEvidence, is_error: bool
+    ) -> None:
+        evidence.error_share += SAMPLE_WEIGHT * (
+            float(is_error) - evidence.error_share
+        )
+
     def _put(self, target: data.ListedTarget) -> None:
         held = self._targets.get(target.name)
         self._lapsed.pop(target.name, None)
@@ -298,6 +355,9 @@
             # A new process under the name; nothing is known about it.
             self._evidence.pop(target.name, None)
         if held is None:
+            self._moves.note_version(
+                target.service, target.version, not self.is_known.is_set()
+            )
             self._of(target).known_at_s = self._clock.monotonic_s()
             self._log.record(
                 _events.TargetKnown(
@@ -334,7 +394,10 @@
         evidence.ejected_until_s = max(evidence.ejected_until_s, until_s)
 
     def _usable(
-        self, service: str, passed_over: frozenset[str]
+        self,
+        service: str,
+        passed_over: frozenset[str],
+        rule: _moves.VersionRule,
     ) -> list[data.ListedTarget]:
         if self._lapsed:
             self._drop_lapsed()
@@ -345,7 +408,7 @@
         for target in self._targets.values():
             if target.service != service or target.is_leaving:
                 continue
-            if target.name in passed_over:
+            if target.name in passed_over or target.version in rule.excluded:
                 continue
             if now_s < self._of(target).ejected_until_s:
                 ejected.append(target)
@@ -354,6 +417,13 @@
                 doubtful.append(target)
                 continue
             sound.append(target)
+        if rule.preferred is not None:
+            preferred = []
+            for target in sound:
+                if target.version == rule.preferred:
+                    preferred.append(target)
+            if preferred:
+                return preferred
         return sound or doubtful or ejected
 
     def _of(self, target: data.ListedTarget) -> _evidence.TargetEvidence:
@@ -397,6 +467,18 @@
     return ''
 
 
+def _serving(
+    candidates: list[data.ListedTarget], model: str | None
+) -> list[data.ListedTarget]:
+    """Return the engines that serve the model, or do not name any."""
+    serving = []
+    for target in candidates:
+        if model and target.models and model not in target.models:
+            continue
+        serving.append(target)
+    return serving
+
+
 def _least_loaded(
     candidates: list[data.ListedTarget], loads: dict[str, float]
 ) -> data.ListedTarget:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_work.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_work.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.state import forwarding as data
@@ -20,6 +21,9 @@
     #: Service that was drawn for it.
     service: str
 
+    #: Versions that it may be sent to.
+    versions: _moves.VersionRule
+
     #: Whether engines of the service keep copies of runs.
     has_standby_copies: bool
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
@@ -2,9 +2,12 @@
 
 import dataclasses
 import math
+import random
 
+from skylarktack import state
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
+from skylarktack.coordination import moves
 from skylarktack.state import forwarding as data
 
 PAUSE_MS = 700.0
@@ -186,6 +189,7 @@
     client: fakes.ScriptedTargetClient
     caller: fakes.ScriptedCaller
     fleet: forwarding.FleetView
+    moves: forwarding.MoveTable
     targets: forwarding.TargetTable
     budget: forwarding.RetryBudget
     calls: forwarding.CallForwarder
@@ -203,6 +207,7 @@
             request=of_request,
             route=of_route,
             service='pool',
+            versions=self.moves.draw('pool'),
             has_standby_copies=True,
             organisation='organisation',
             caller=self.caller,
@@ -244,7 +249,15 @@
     fleet = forwarding.FleetView(
         clock, log, 'instance-0', data.Address('10.1.0.1', 7200)
     )
-    targets = forwarding.TargetTable(clock, log, 'domain-a', fleet)
+    move_table = forwarding.MoveTable(
+        clock,
+        log,
+        forwarding.ExposureLimits(0.1, 50.0),
+        moves.SequentialJudge(state.MoveSettings()),
+        draw=random.Random(1).random,
+    )
+    move_table.replace(())
+    targets = forwarding.TargetTable(clock, log, 'domain-a', fleet, move_table)
     targets.replace(listed, after_outage=False)
     budget = forwarding.RetryBudget(
         clock,
@@ -267,6 +280,7 @@
         client=client,
         caller=fakes.ScriptedCaller(clock),
         fleet=fleet,
+        moves=move_table,
         targets=targets,
         budget=budget,
         calls=forwarding.CallForwarder(clock, targets, client, budget),
@@ -307,6 +321,7 @@
         forwarding.GatewayParts(
             clock=desk.clock,
             configuration=holder,
+            moves=desk.moves,
             targets=desk.targets,
             calls=desk.calls,
             streams=desk.streams,
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
@@ -0,0 +1,361 @@
+"""Planned moves: share, evidence, verdict, record."""
+
+from collections.abc import Callable
+import dataclasses
+
+import pytest
+
+from skylarktack import state
+from skylarktack.coordination import forwarding
+from skylarktack.coordination.forwarding.tests import bed
+from skylarktack.state import forwarding as data
+
+DURATION_S = 12.0
+RATE_PER_S = 40.0
+
+#: Latency of a call by version and time since the order, or None if it fails.
+Behaviour = Callable[[str, float], float | None]
+
+
+def _order(
+    revision: int = 5, phase: state.MovePhase = state.MovePhase.PLANNED
+) -> data.MoveOrder:
+    return data.MoveOrder('pool', 'v2', DURATION_S, revision, phase)
+
+
+def _new(name: str, domain: str = 'domain-a') -> data.ListedTarget:
+    return dataclasses.replace(bed.target(name, domain), version='v2')
+
+
+def _desk() -> bed.Bed:
+    return bed.make(
+        bed.target('old-a'),
+        bed.target('old-b', 'domain-b'),
+        _new('new-a'),
+        _new('new-b', 'domain-b'),
+    )
+
+
+class _Writer:
+    """Records phases like the store; may be away."""
+
+    def __init__(self) -> None:
+        self.order = _order()
+        self.written: list[state.MovePhase] = []
+        self.is_away = False
+
+    def write_phase(
+        self, order: data.MoveOrder, phase: state.MovePhase
+    ) -> data.MoveChange | forwarding.StoreFault:
+        if self.is_away:
+            return forwarding.StoreFault(
+                forwarding.StoreFaultKind.UNAVAILABLE, 'away'
+            )
+        if order.revision == self.order.revision:
+            self.written.append(phase)
+            self.order = dataclasses.replace(
+                self.order, phase=phase, revision=self.order.revision + 1
+            )
+        return data.MoveChange('pool', self.order)
+
+
+class _Link:
+    def __init__(self) -> None:
+        self.sent: list[tuple[data.FleetMessage, int]] = []
+
+    def send(
+        self, message: data.FleetMessage, peers: tuple[data.Address, ...]
+    ) -> int:
+        self.sent.append((message, len(peers)))
+        return 0
+
+
+@dataclasses.dataclass
+class _Trial:
+    """One instance that serves calls while a move is under way."""
+
+    desk: bed.Bed
+    writer: _Writer
+    link: _Link
+    driver: forwarding.MoveDriver
+    sent_new: int = 0
+    request_count: int = 0
+    failed_new: int = 0
+
+    def run(self, behaviour: Behaviour, until_s: float = DURATION_S) -> None:
+        """Serve requests at a steady rate."""
+        desk = self.desk
+        start_s = desk.clock.monotonic_s()
+        while desk.clock.monotonic_s() - start_s < until_s:
+            age_s = desk.clock.monotonic_s() - start_s
+            rule = desk.moves.draw('pool')
+            target = desk.targets.choose_for_call('pool', frozenset(), rule)
+            assert target is not None
+            self.request_count += 1
+            desk.targets.begin(target)
+            latency_ms = behaviour(target.version, age_s)
+            if target.version == 'v2':
+                self.sent_new += 1
+                self.failed_new += latency_ms is None
+            desk.targets.report_answer(
+                target, latency_ms or 20.0, latency_ms is None
+            )
+            desk.targets.end(target)
+            desk.clock.advance(1 / RATE_PER_S)
+            self.driver.step()
+
+
+def _trial() -> _Trial:
+    desk = _desk()
+    writer = _Writer()
+    link = _Link()
+    desk.moves.apply(data.MoveChange('pool', writer.order))
+    driver = forwarding.MoveDriver(
+        desk.clock, desk.log, desk.moves, desk.fleet, link, writer
+    )
+    return _Trial(desk, writer, link, driver)
+
+
+def _good(version: str, age_s: float) -> float | None:
+    return 20.0 + 5 * ((age_s * 1000) % 7)
+
+
+class _Failing:
+    """The new version fails every third call from some time on."""
+
+    def __init__(self, from_s: float) -> None:
+        self._from_s = from_s
+        self._count = 0
+
+    def __call__(self, version: str, age_s: float) -> float | None:
+        if version == 'v2' and age_s >= self._from_s:
+            self._count += 1
+            if self._count % 3 == 0:
+                return None
+        return _good(version, age_s)
+
+
+def _slow(version: str, age_s: float) -> float | None:
+    latency_ms = _good(version, age_s)
+    assert latency_ms is not None
+    return latency_ms * (4 if version == 'v2' else 1)
+
+
+class TestVerdict:
+    """Good versions are completed in time; bad ones are taken back."""
+
+    def test_a_good_version_is_completed(self) -> None:
+        """Guards against a good version that misses its time limit."""
+        trial = _trial()
+        trial.run(_good)
+        assert trial.writer.written == [
+            state.MovePhase.SHIFTING,
+            state.MovePhase.COMPLETED,
+        ]
+
+    @pytest.mark.parametrize(
+        'behaviour',
+        [_Failing(0.0), _Failing(4.0), _slow],
+        ids=['fails at once', 'fails later', 'slow'],
+    )
+    def test_a_bad_version_is_taken_back(self, behaviour: Behaviour) -> None:
+        """Guards against a bad version that gets more than its share."""
+        trial = _trial()
+        trial.run(behaviour)
+        assert trial.writer.written[-1] is state.MovePhase.ROLLED_BACK
+        assert trial.sent_new <= 0.1 * trial.request_count + 50
+        assert trial.failed_new < 50
+
+    def test_without_evidence_nothing_is_completed(self) -> None:
+        """Guards against a version that no request has tried."""
+        trial = _trial()
+        for _ in range(60):
+            trial.desk.clock.advance(0.2)
+            trial.driver.step()
+        assert trial.writer.written[-1] is state.MovePhase.ROLLED_BACK
+
+    def test_a_store_that_is_away_delays_only_the_record(self) -> None:
+        """Guards against traffic to a bad version while nobody can write."""
+        trial = _trial()
+        trial.writer.is_away = True
+        trial.run(_Failing(0.0))
+        assert trial.failed_new < 50
+        assert not trial.writer.written
+        trial.writer.is_away = False
+        trial.run(_good, 1.0)
+        assert trial.writer.written == [state.MovePhase.ROLLED_BACK]
+
+
+class TestVersionRules:
+    """What a request may be sent to, by the state of the move."""
+
+    def test_a_reverted_version_gets_nothing(self) -> None:
+        """Guards against requests to a version that was found bad."""
+        desk = _desk()
+        reverted = _order(6, state.MovePhase.ROLLED_BACK)
+        desk.moves.apply(data.MoveChange('pool', reverted))
+        passed = frozenset(('old-a', 'old-b'))
+        rule = desk.moves.draw('pool')
+        assert desk.targets.choose_for_call('pool', passed, rule) is None
+        desk.moves.apply(data.MoveChange('pool', None))
+        rule = desk.moves.draw('pool')
+        assert desk.targets.choose_for_call('pool', passed, rule) is None
+
+    def test_a_completed_version_gets_all(self) -> None:
+        """Guards against requests to targets that have just stopped."""
+        desk = _desk()
+        completed = _order(6, state.MovePhase.COMPLETED)
+        desk.moves.apply(data.MoveChange('pool', completed))
+        for _ in range(20):
+            rule = desk.moves.draw('pool')
+            target = desk.targets.choose_for_call('pool', frozenset(), rule)
+            assert target is not None
+            assert target.version == 'v2'
+
+    def test_a_failed_trial_is_repeated_at_the_old_version(self) -> None:
+        """Guards against a caller whose attempts all meet a bad version."""
+        desk = _desk()
+        desk.moves.apply(data.MoveChange('pool', _order()))
+        for _ in range(200):
+            rule = desk.moves.draw('pool')
+            if not rule.is_trial:
+                continue
+            again = rule.for_repeat()
+            target = desk.targets.choose_for_call('pool', frozenset(), again)
+            assert target is not None
+            assert target.version == 'v1'
+            return
+        raise AssertionError('no request tried the new version')
+
+    def test_a_version_that_appears_before_its_order(self) -> None:
+        """Guards against full traffic to a version whose order is late."""
+        desk = bed.make(bed.target('old-a'))
+        desk.targets.apply(data.TargetChange('new-a', _new('new-a')))
+        passed = frozenset(('old-a',))
+        rule = desk.moves.draw('pool')
+        assert desk.targets.choose_for_call('pool', passed, rule) is None
+        desk.clock.advance(3.1)
+        rule = desk.moves.draw('pool')
+        assert desk.targets.choose_for_call('pool', passed, rule) is not None
+
+    def test_a_start_waits_for_the_orders(self) -> None:
+        """Guards against a restart that takes a trial for the usual."""
+        desk = _desk()
+        desk.moves.is_known.clear()
+        rule = desk.moves.draw('pool')
+        assert desk.targets.choose_for_call('pool', frozenset(), rule) is None
+
+
+class TestReports:
+    """The fleet judges and shifts together."""
+
+    def _report(self, **fields: object) -> data.MoveReport:
+        return dataclasses.replace(
+            data.MoveReport(
+                instance='peer',
+                service='pool',
+                to_version='v2',
+                age_ms=0,
+                request_count=0,
+                sent_count=0,
+                is_shifting=False,
+                stop_reason='',
+                rows=(),
+            ),
+            **fields,  # type: ignore[arg-type]
+        )
+
+    def test_another_instance_stops_the_version(self) -> None:
+        """Guards against a bad version that others go on to use."""
+        desk = _desk()
+        desk.moves.apply(data.MoveChange('pool', _order()))
+        desk.moves.take_report(self._report(stop_reason='failed'))
+        for _ in range(200):
+            assert desk.moves.draw('pool').excluded == {'v2'}
+
+    def test_the_exposure_of_all_is_counted(self) -> None:
+        """Guards against instances that each use the whole allowance."""
+        desk = _desk()
+        desk.moves.apply(data.MoveChange('pool', _order()))
+        desk.moves.take_report(self._report(request_count=40, sent_count=60))
+        for _ in range(200):
+            assert not desk.moves.draw('pool').is_trial
+
+    def test_a_restarted_instance_learns_the_age(self) -> None:
+        """Guards against a move that starts over with each restart."""
+        desk = _desk()
+        desk.moves.apply(data.MoveChange('pool', _order()))
+        desk.moves.take_report(self._report(age_ms=9000))
+        desk.clock.advance(1.0)
+        assert desk.moves.reports('own')[0].age_ms == pytest.approx(
+            10000, abs=5
+        )
+
+    def test_few_collect_for_all(self) -> None:
+        """Guards against reports of each instance to each other one."""
+        trial = _trial()
+        for number in range(30):
+            trial.desk.fleet.take(
+                data.FleetReport(
+                    instance=f'peer-{number}',
+                    endpoint=data.Address('10.1.0.2', 7200 + number),
+                    started_at_ms=1,
+                    sequence=1,
+                    is_full=True,
+                    runs=(),
+                    lost_targets=(),
+                    next_report_ms=60_000,
+                )
+            )
+        assert len(trial.desk.fleet.leading_peers(3)) == 3
+        trial.driver.step()
+        _, peer_count = trial.link.sent[-1]
+        expected = 30 if trial.desk.fleet.rank() < 3 else 3
+        assert peer_count == expected
+
+
+class TestTurns:
+    """Usually one instance writes; any other takes over."""
+
+    def test_a_later_instance_waits_for_its_turn(self) -> None:
+        """Guards against a write of each instance for each phase."""
+        trial = _trial()
+        fleet = trial.desk.fleet
+        number = 0
+        while fleet.rank() == 0:
+            number += 1
+            fleet.take(
+                data.FleetReport(
+                    instance=f'peer-{number}',
+                    endpoint=data.Address('10.1.0.2', 7200 + number),
+                    started_at_ms=1,
+                    sequence=1,
+                    is_full=True,
+                    runs=(),
+                    lost_targets=(),
+                    next_report_ms=60_000,
+                )
+            )
+        trial.driver.step()
+        assert not trial.writer.written
+        trial.desk.clock.advance(0.6)
+        trial.driver.step()
+        assert trial.writer.written == [state.MovePhase.SHIFTING]
+
+
+class TestStreams:
+    """Streams try a new version and return to the old one."""
+
+    def test_a_failed_trial_goes_on_at_the_old_version(self) -> None:
+        """Guards against a stream that ends with a bad version."""
+        desk = _desk()
+        desk.moves.apply(data.MoveChange('pool', _order()))
+        for name in ('new-a', 'new-b'):
+            desk.client.script(name, *(bed.answer(500) for _ in range(50)))
+        for name in ('old-a', 'old-b'):
+            desk.client.script(name, *(bed.events(1, 3) for _ in range(50)))
+        for _ in range(20):
+            outcome = desk.stream()
+            assert isinstance(outcome, forwarding.StreamDone)
+        versions = [sent.delivery.target.version for sent in desk.client.sent]
+        assert 'v2' in versions
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
@@ -41,6 +41,26 @@
         assert desk.targets.choose_for_call('pool', frozenset()) is not None
 
 
+class TestStandby:
+    """A copy lies where the run can go on."""
+
+    def test_serves_the_model(self) -> None:
+        """Guards against copies at engines of another model."""
+        other = dataclasses.replace(
+            bed.target('b', 'domain-b'), models=('other',)
+        )
+        same = dataclasses.replace(
+            bed.target('c', 'domain-c'), models=('wanted', 'other')
+        )
+        desk = bed.make(bed.target('a'), other, same)
+        for _ in range(8):
+            standby = desk.targets.choose_standby(
+                'pool', bed.target('a'), 'wanted'
+            )
+            assert standby is not None
+            assert standby.name == 'c'
+
+
 class TestEvidence:
     """Failures pass a target over; answers bring it back."""
 
@@ -55,6 +75,30 @@
         desk.clock.advance(1.0)
         assert not desk.targets.is_passed_over(bed.target('a'))
 
+    def test_a_slow_route_does_not_condemn_a_target(self) -> None:
+        """Guards against passing over sound targets for a route's time.
+
+        Each call on a route with a short time ran out on every target, and
+        kept it from the calls of all other routes.
+        """
+        desk = bed.make(bed.target('a'))
+        sent_at_s = desk.clock.monotonic_s()
+        desk.clock.advance(0.2)
+        desk.targets.note_heard(bed.target('a'))
+        desk.clock.advance(0.2)
+        desk.targets.report_timeout(bed.target('a'), sent_at_s)
+        assert not desk.targets.is_passed_over(bed.target('a'))
+
+    def test_a_target_that_hangs_is_passed_over(self) -> None:
+        """Guards against calls to a target that answers nobody."""
+        desk = bed.make(bed.target('a'))
+        desk.targets.note_heard(bed.target('a'))
+        desk.clock.advance(0.1)
+        sent_at_s = desk.clock.monotonic_s()
+        desk.clock.advance(0.8)
+        desk.targets.report_timeout(bed.target('a'), sent_at_s)
+        assert desk.targets.is_passed_over(bed.target('a'))
+
     def test_is_used_when_all_others_failed_too(self) -> None:
         """Guards against refusals while a target might serve."""
         desk = bed.make(bed.target('a'))
@@ -88,7 +132,9 @@
         for name in ('a', 'b'):
             desk.targets.report_failure(bed.target(name), 'reset', True)
         desk.clock.advance(9.0)
-        standby = desk.targets.choose_standby('pool', bed.target('x', 'z'))
+        standby = desk.targets.choose_standby(
+            'pool', bed.target('x', 'z'), None
+        )
         assert standby is not None
         assert standby.name == 'd'
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -4,7 +4,9 @@
 import time
 
 from skylarktack import platform
+from skylarktack import state
 from skylarktack.coordination import forwarding
+from skylarktack.coordination import moves
 from skylarktack.coordination import ports
 from skylarktack.daemon.forwarding import _metrics
 from skylarktack.daemon.forwarding import _readiness
@@ -26,6 +28,10 @@
 #: Longest time that one watch waits.
 WATCH_WAIT_S = 3.0
 
+#: Longest time that one watch of the orders of moves waits. They are rare,
+#: and a move has many seconds.
+MOVE_WATCH_WAIT_S = 10.0
+
 #: Pause between two watches of targets, which gathers many changes at once.
 TARGET_GATHER_S = 0.25
 
@@ -41,7 +47,7 @@
 ACCEPT_AFTER_STOP_S = 3.0
 
 #: Tasks besides those for connections.
-OWN_TASK_COUNT = 12
+OWN_TASK_COUNT = 14
 
 #: Step in which a stop looks for connections to close.
 STOP_STEP_S = 0.2
@@ -73,8 +79,18 @@
             settings.instance,
             None if self._link is None else self._link.endpoint,
         )
+        self._moves = forwarding.MoveTable(
+            clock,
+            log,
+            forwarding.ExposureLimits(
+                settings.exposure_fraction, settings.exposure_allowance_count
+            ),
+            moves.SequentialJudge(state.MoveSettings()),
+        )
+        if not settings.has_moves:
+            self._moves.replace(())
         self._targets = forwarding.TargetTable(
-            clock, log, settings.failure_domain, self._fleet
+            clock, log, settings.failure_domain, self._fleet, self._moves
         )
         client = transport.HttpTargetClient(codec)
         metrics = _metrics.RequestMetrics()
@@ -91,6 +107,7 @@
             forwarding.GatewayParts(
                 clock=clock,
                 configuration=self._configuration,
+                moves=self._moves,
                 targets=self._targets,
                 calls=forwarding.CallForwarder(
                     clock, self._targets, client, budget
@@ -168,11 +185,21 @@
             ),
             self._sharing,
         )
+        self._move_follower = forwarding.Follower(
+            clock,
+            platform.MoveReader(transport.HttpStoreCalls(settings.store), log),
+            forwarding.MoveBelief(self._moves),
+            log,
+            forwarding.FollowSettings('moves', MOVE_WATCH_WAIT_S, 0.0),
+            self._sharing,
+        )
         self._own_tasks = futures.ThreadPoolExecutor(OWN_TASK_COUNT)
 
     def start(self) -> None:
         """Start all tasks."""
         self._own_tasks.submit(self._log.run)
+        if self._settings.has_moves:
+            self._own_tasks.submit(self._move_follower.run)
         self._own_tasks.submit(self._configuration_follower.run)
         self._own_tasks.submit(self._target_follower.run)
         for listener in self._listeners:
@@ -202,7 +229,18 @@
         peer = data.ListedPeer(self._settings.instance, link.endpoint)
         member = forwarding.FleetMember(clock, self._fleet, registry, peer)
         reporter = forwarding.FleetReporter(clock, self._fleet, link)
-        self._own_tasks.submit(link.run, self._fleet, sharing)
+        driver = forwarding.MoveDriver(
+            clock,
+            self._log,
+            self._moves,
+            self._fleet,
+            link,
+            platform.StoreMoveWriter(
+                transport.HttpStoreCalls(self._settings.store), self._log
+            ),
+        )
+        self._own_tasks.submit(link.run, self._fleet, sharing, self._moves)
+        self._own_tasks.submit(driver.run)
         self._own_tasks.submit(sharing.run_beats)
         self._own_tasks.submit(reporter.run)
         self._own_tasks.submit(member.run)
--- a/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
@@ -130,6 +130,9 @@
                 'bounds.retry_budget_ratio=0.8',
                 'bounds.budget_window_s=10',
                 'bounds.retry_budget_extra=150',
+                'contracts=base,rollout,platform',
+                'bounds.exposure_fraction=0.1',
+                'bounds.exposure_tolerance=50',
                 f'platform.address={self._store}',
                 '',
             )
@@ -227,6 +230,23 @@
         target.start()
         self.enter(target)
 
+    def order_move(
+        self, service: str, version: str, duration_s: float
+    ) -> None:
+        """Order that a service's traffic moves to a version."""
+        self.store.put(
+            'rollouts',
+            service,
+            {'service': service, 'target': version, 'duration_s': duration_s},
+        )
+
+    def add_service_target(self, version: str) -> _target.PlatformTarget:
+        """Start a target of another version beside the others."""
+        domain = DOMAINS[len(self.services) % len(DOMAINS)]
+        target = _target.PlatformTarget('desk', domain, self.copies, version)
+        self.services.append(target)
+        return target
+
     def wait_serving(self, instance: PlatformInstance) -> None:
         """Wait until an instance knows configuration and targets."""
         instance.wait_for_line('configuration', 'a version is in force')
--- a/packages/emulator/src/skylarktack/emulator/platform/_store.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_store.py
@@ -76,6 +76,7 @@
             if held is not None and held['specification'] == specification:
                 return
             self._revision += 1
+            status = None if held is None else held['status']
             item = {
                 'metadata': {
                     'name': name,
@@ -85,12 +86,42 @@
                     'deletion_pending': False,
                 },
                 'specification': specification,
-                'status': None,
+                'status': status,
             }
             self._objects[kind][name] = item
             self._events.append((self._revision, kind, item, False))
             self._changed.notify_all()
 
+    def put_status(
+        self, kind: str, name: str, revision: int | None, status: Any
+    ) -> tuple[int, dict[str, Any]]:
+        """Replace the status of an object if it has the revision.
+
+        :return: status of the answer, and the object as it is afterwards.
+        """
+        with self._changed:
+            held = self._objects.get(kind, {}).get(name)
+            if held is None:
+                return 404, {}
+            if revision is not None:
+                if held['metadata']['revision'] != revision:
+                    return 409, held
+            if held['status'] == status:
+                return 200, held
+            self._revision += 1
+            item = dict(held)
+            item['metadata'] = held['metadata'] | {'revision': self._revision}
+            item['status'] = status
+            self._objects[kind][name] = item
+            self._events.append((self._revision, kind, item, False))
+            self._changed.notify_all()
+            return 200, item
+
+    def status_of(self, kind: str, name: str) -> Any:
+        """Return the status of an object, or None."""
+        with self._changed:
+            return self._objects.get(kind, {}).get(name, {}).get('status')
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object if there is one."""
         with self._changed:
@@ -182,10 +213,19 @@
             self.answer_json(self._store.create(self._kind(), item), item)
 
     def do_PUT(self) -> None:
-        """Replace the specification of an object."""
+        """Replace the specification or the status of an object."""
         item = json.loads(self.body())
         if self._is_refused():
             return
+        if self.route.endswith('/status'):
+            name = urllib.parse.unquote(self.route.split('/')[3])
+            revision = item.get('metadata', {}).get('revision')
+            self.answer_json(
+                *self._store.put_status(
+                    self._kind(), name, revision, item.get('status')
+                )
+            )
+            return
         name = urllib.parse.unquote(self.route.rpartition('/')[2])
         self._store.put(self._kind(), name, item.get('specification'))
         self.answer_json(200, item)
--- a/packages/emulator/src/skylarktack/emulator/platform/_target.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_target.py
@@ -69,9 +69,14 @@
     """One replica; a crash ends it, a restart gives it a new name."""
 
     def __init__(
-        self, service: str, domain: str, copies: dict[str, set[str]]
+        self,
+        service: str,
+        domain: str,
+        copies: dict[str, set[str]],
+        version: str = 'v1',
     ) -> None:
         self.service = service
+        self.version = version
         self.domain = domain
         self.behaviour = TargetBehaviour()
         self.runs: list[Run] = []
@@ -144,7 +149,7 @@
             'service': self.service,
             'address': str(at or self.address),
             'availability_zone': self.domain,
-            'version': 'v1',
+            'version': self.version,
             'capacity_slots': 12,
             'state': 'draining' if self.is_leaving else 'ready',
             'cold_remaining_ms': 0,
--- a/packages/emulator/src/skylarktack/emulator/tests/test_platform_sessions.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_platform_sessions.py
@@ -340,3 +340,45 @@
         return connection.getresponse().status
     finally:
         connection.close()
+
+
+class TestMoves:
+    """Operators move a service to another version."""
+
+    def test_a_bad_version_is_taken_back(
+        self, deployment: platform.PlatformDeployment
+    ) -> None:
+        """Guards against a bad version that goes on getting requests."""
+        deployment.order_move('desk', 'v2', 30.0)
+        for instance in deployment.instances:
+            instance.wait_for_line(
+                'move', 'a phase of a move is recorded', service='desk'
+            )
+        bad = deployment.add_service_target('v2')
+        bad.behaviour.fails = True
+        deployment.enter(bad)
+        end_s = time.monotonic() + PATIENCE_S
+        request_count = 0
+        while True:
+            status = deployment.store.status_of('rollouts', 'desk')
+            if status is not None and status['state'] == 'reverted':
+                break
+            assert time.monotonic() < end_s
+            for instance in deployment.instances:
+                answer = platform.call(instance.address, _call('peek'))
+                # A failed trial is repeated at the old version.
+                assert answer.status == 200
+                request_count += 1
+        assert status == {'state': 'reverted', 'target': 'v2'}
+        assert len(bad.runs) <= 0.1 * request_count + 50
+        for instance in deployment.instances:
+            instance.wait_for_line(
+                'move',
+                'a phase of a move is recorded',
+                phase='rolled_back',
+            )
+        run_count = len(bad.runs)
+        for _ in range(50):
+            for instance in deployment.instances:
+                platform.call(instance.address, _call('peek'))
+        assert len(bad.runs) == run_count
--- a/packages/platform/src/skylarktack/platform/__init__.py
+++ b/packages/platform/src/skylarktack/platform/__init__.py
@@ -5,6 +5,8 @@
 from skylarktack.platform._fields import MalformedError
 from skylarktack.platform._instances import StorePeerRegistry
 from skylarktack.platform._messages import PlatformMessageCodec
+from skylarktack.platform._moves import MoveReader
+from skylarktack.platform._moves import StoreMoveWriter
 from skylarktack.platform._settings import PATH_VARIABLE
 from skylarktack.platform._settings import decode_settings
 from skylarktack.platform._store import ConfigurationReader
@@ -13,8 +15,10 @@
 __all__ = [
     'ConfigurationReader',
     'MalformedError',
+    'MoveReader',
     'PATH_VARIABLE',
     'PlatformMessageCodec',
+    'StoreMoveWriter',
     'StorePeerRegistry',
     'TargetReader',
     'decode_configuration',
--- a/packages/platform/src/skylarktack/platform/_settings.py
+++ b/packages/platform/src/skylarktack/platform/_settings.py
@@ -41,6 +41,7 @@
     metrics = None
     if metrics_port is not None:
         metrics = data.Address(reader.text('ip_address'), metrics_port)
+    has_moves = 'rollout' in values.get('contracts', '').split(',')
     settings = data.ForwardingSettings(
         instance=reader.text('node_name'),
         failure_domain=reader.text('availability_zone'),
@@ -54,6 +55,13 @@
         retry_ratio=_number(reader, 'bounds.retry_budget_ratio'),
         retry_allowance_count=_number(reader, 'bounds.retry_budget_extra'),
         retry_window_ms=1000 * _number(reader, 'bounds.budget_window_s'),
+        has_moves=has_moves,
+        exposure_fraction=(
+            _number(reader, 'bounds.exposure_fraction') if has_moves else 0.0
+        ),
+        exposure_allowance_count=(
+            _number(reader, 'bounds.exposure_tolerance') if has_moves else 0.0
+        ),
         descriptor_limit=int(_number(reader, 'limits.file_descriptors')),
     )
     reader.check()
--- a/packages/platform/src/skylarktack/platform/_store.py
+++ b/packages/platform/src/skylarktack/platform/_store.py
@@ -56,14 +56,14 @@
             if not answer.get('has_more'):
                 revision = answer.get('at')
                 if not isinstance(revision, int):
-                    return _unavailable('a list names no revision')
+                    return unavailable('a list names no revision')
                 return forwarding.Listing(tuple(objects), revision)
             # ``start_revision`` takes the name of the last object, not a
             # revision.
             last = parse.quote(name_of(objects[-1]), safe='')
             separator = '&' if first_query else '?'
             query = f'{first_query}{separator}start_revision={last}'
-        return _unavailable('the list has too many pages')
+        return unavailable('the list has too many pages')
 
     def watch_events(
         self, revision: int, wait_s: float
@@ -80,24 +80,24 @@
         answer = self._call(query, timeout_s)
         if isinstance(answer, forwarding.StoreFault):
             return answer
-        return _decode_table(answer)
+        return decode_table(answer)
 
     def _call(
         self, query: str, timeout_s: float
     ) -> bytes | forwarding.StoreFault:
         answer = self._calls.call('GET', self._path + query, None, timeout_s)
         if isinstance(answer, forwarding.ExchangeFault):
-            return _unavailable(answer.detail)
+            return unavailable(answer.detail)
         if answer.status == _HISTORY_GONE_STATUS:
             return forwarding.StoreFault(
                 forwarding.StoreFaultKind.HISTORY_GONE, 'the history is gone'
             )
         if answer.status != _OK_STATUS:
-            return _unavailable(f'the store answered {answer.status}')
+            return unavailable(f'the store answered {answer.status}')
         return answer.body
 
 
-class _KindReader(Generic[T]):
+class KindReader(Generic[T]):
     """Reads one kind of objects as values of one type."""
 
     #: Kind of the objects.
@@ -134,7 +134,7 @@
         self, content: bytes
     ) -> forwarding.Changes[T] | forwarding.StoreFault:
         """Return the changes in the store's answer to a watch."""
-        answer = _decode_table(content)
+        answer = decode_table(content)
         if isinstance(answer, forwarding.StoreFault):
             return answer
         items = []
@@ -148,7 +148,7 @@
                 items.append(decoded)
         revision = answer.get('at')
         if not isinstance(revision, int):
-            return _unavailable('a watch names no revision')
+            return unavailable('a watch names no revision')
         return forwarding.Changes(tuple(items), revision, content)
 
     def decode(self, item: dict[str, Any], is_gone: bool) -> T | None:
@@ -156,7 +156,7 @@
         raise AssertionError('each kind decodes its own objects')
 
 
-class ConfigurationReader(_KindReader[data.ForwardingConfiguration]):
+class ConfigurationReader(KindReader[data.ForwardingConfiguration]):
     """Reads the newest configuration."""
 
     kind = 'config'
@@ -173,11 +173,11 @@
                 place, item.get('specification')
             )
         except _fields.MalformedError as error:
-            _record_findings(self._log, error.findings)
+            record_findings(self._log, error.findings)
             return None
 
 
-class TargetReader(_KindReader[data.TargetChange]):
+class TargetReader(KindReader[data.TargetChange]):
     """Reads the entries of targets."""
 
     kind = 'servers'
@@ -192,7 +192,7 @@
         try:
             target = _entries.decode_target(name, item.get('specification'))
         except _fields.MalformedError as error:
-            _record_findings(self._log, error.findings)
+            record_findings(self._log, error.findings)
             return data.TargetChange(name, None)
         return data.TargetChange(name, target)
 
@@ -205,9 +205,10 @@
     return ''
 
 
-def _record_findings(
+def record_findings(
     log: forwarding.EventLog, findings: tuple[state.Finding, ...]
 ) -> None:
+    """Write what is wrong with an object to the log."""
     log.record(
         forwarding.EntryMalformed(
             '; '.join(
@@ -217,15 +218,17 @@
     )
 
 
-def _decode_table(content: bytes) -> dict[str, Any] | forwarding.StoreFault:
+def decode_table(content: bytes) -> dict[str, Any] | forwarding.StoreFault:
+    """Return the table that an answer holds."""
     try:
         decoded = json.loads(content)
     except ValueError as error:
-        return _unavailable(str(error))
+        return unavailable(str(error))
     if not isinstance(decoded, dict):
-        return _unavailable('the answer is not a table')
+        return unavailable('the answer is not a table')
     return decoded
 
 
-def _unavailable(detail: str) -> forwarding.StoreFault:
+def unavailable(detail: str) -> forwarding.StoreFault:
+    """Return the fault of a call that was not answered as it should be."""
     return forwarding.StoreFault(forwarding.StoreFaultKind.UNAVAILABLE, detail)
--- a/packages/platform/src/skylarktack/platform/tests/test_settings.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_settings.py
@@ -19,6 +19,9 @@
 bounds.retry_budget_ratio=0.8
 bounds.budget_window_s=10
 bounds.retry_budget_extra=150
+contracts=base,stream,rollout,platform
+bounds.exposure_fraction=0.1
+bounds.exposure_tolerance=50
 platform.address=10.200.1.7:8742
 a.field.of.a.later.day=x=y
 """
@@ -44,6 +47,9 @@
             retry_ratio=0.8,
             retry_allowance_count=150,
             retry_window_ms=10000,
+            has_moves=True,
+            exposure_fraction=0.1,
+            exposure_allowance_count=50,
             descriptor_limit=4100,
         )
 
@@ -52,6 +58,15 @@
         text = LINES.replace('edge-a-1', '17')
         assert platform.decode_settings('node.conf', text).instance == '17'
 
+    def test_without_moves(self) -> None:
+        """Guards against a start that fails where no move is ordered."""
+        lines = []
+        for line in LINES.splitlines():
+            if not line.startswith(('contracts', 'bounds.exposure')):
+                lines.append(line)
+        settings = platform.decode_settings('node.conf', '\n'.join(lines))
+        assert not settings.has_moves
+
     def test_all_findings_name_their_place(self) -> None:
         """Guards against operators who mend one fault at a time."""
         text = LINES.replace('8740', 'port').replace('=0.8', '=much')
--- a/packages/platform/src/skylarktack/platform/tests/test_store.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_store.py
@@ -11,7 +11,7 @@
 from skylarktack.state import forwarding as data
 
 
-class _Calls:
+class Calls:
     """Answers calls by script and records them."""
 
     def __init__(
@@ -47,8 +47,8 @@
 
 def _targets(
     *answers: tuple[int, Any] | forwarding.ExchangeFault,
-) -> tuple[platform.TargetReader, _Calls, fakes.RecordingLog]:
-    calls = _Calls(*answers)
+) -> tuple[platform.TargetReader, Calls, fakes.RecordingLog]:
+    calls = Calls(*answers)
     log = fakes.RecordingLog()
     return platform.TargetReader(calls, log), calls, log
 
@@ -143,7 +143,7 @@
         """Guards against a manifest that is not put in force."""
         manifest = test_configuration.MANIFEST
         event = {'deleted': False, 'object': _object('main', manifest)}
-        calls = _Calls((200, {'events': [event], 'at': 9}))
+        calls = Calls((200, {'events': [event], 'at': 9}))
         reader = platform.ConfigurationReader(calls, fakes.RecordingLog())
         changes = reader.watch(8, 3.0)
         assert isinstance(changes, forwarding.Changes)
@@ -159,7 +159,7 @@
         """Guards against writes at each look."""
         own = _object('edge-a-1', {'address': '10.1.0.19:7200'})
         other = _object('edge-b-1', {'address': '10.2.0.13:7200'})
-        calls = _Calls(
+        calls = Calls(
             (201, own),
             (200, {'items': [own, other], 'at': 5}),
             (200, {'items': [own, other], 'at': 6}),
@@ -178,7 +178,7 @@
 
     def test_of_two_that_start_together_one_sees_the_other(self) -> None:
         """Guards against a list that is read before the entry is made."""
-        calls = _Calls((201, {}), (200, {'items': [], 'at': 5}))
+        calls = Calls((201, {}), (200, {'items': [], 'at': 5}))
         registry = platform.StorePeerRegistry(calls, fakes.RecordingLog())
         registry.register(self.PEER)
         assert [method for method, _, _ in calls.calls] == ['POST', 'GET']
@@ -186,7 +186,7 @@
     def test_replaces_the_address_of_an_earlier_instance(self) -> None:
         """Guards against peers that send to an address that is gone."""
         old = _object('edge-a-1', {'address': '10.9.9.9:7200'})
-        calls = _Calls((409, old), (200, {}), (200, {'items': [], 'at': 5}))
+        calls = Calls((409, old), (200, {}), (200, {'items': [], 'at': 5}))
         registry = platform.StorePeerRegistry(calls, fakes.RecordingLog())
         assert registry.register(self.PEER) is not None
         method, _, body = calls.calls[1]
@@ -196,6 +196,6 @@
     def test_an_outage_is_told(self) -> None:
         """Guards against an instance that stays alone after an outage."""
         registry = platform.StorePeerRegistry(
-            _Calls(LOST), fakes.RecordingLog()
+            Calls(LOST), fakes.RecordingLog()
         )
         assert registry.register(self.PEER) is None
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -6,12 +6,14 @@
 
 import cbor2
 
+from skylarktack import state
 from skylarktack.state import forwarding as data
 
 #: First item of each datagram: its format and what it holds.
 REPORT_NUMBER = 1
 CHANGE_NUMBER = 2
 BEAT_NUMBER = 3
+MOVE_NUMBER = 4
 
 #: Largest content of a change after it was unpacked.
 CONTENT_LIMIT_BYTES = 4 * 1024 * 1024
@@ -31,6 +33,8 @@
         )
     if isinstance(message, data.StoreBeat):
         return cbor2.dumps((BEAT_NUMBER, message.instance, message.revisions))
+    if isinstance(message, data.MoveReport):
+        return _encode_move(message)
     return _encode_report(message)
 
 
@@ -44,6 +48,8 @@
             return _decode_change(fields)
         if fields[0] == BEAT_NUMBER:
             return _decode_beat(fields)
+        if fields[0] == MOVE_NUMBER:
+            return _decode_move(fields)
     except (
         cbor2.CBORDecodeError,
         ValueError,
@@ -138,3 +144,65 @@
     for kind, revision in fields[2]:
         revisions.append((str(kind), int(revision)))
     return data.StoreBeat(str(fields[1]), tuple(revisions))
+
+
+def _encode_move(report: data.MoveReport) -> bytes:
+    rows = []
+    for row in report.rows:
+        rows.append(
+            (
+                row.version,
+                row.failure_domain,
+                row.attempt_count,
+                row.error_count,
+                row.lost_count,
+                row.lost_targets,
+                dataclasses.astuple(row.first_token),
+            )
+        )
+    return cbor2.dumps(
+        (
+            MOVE_NUMBER,
+            report.instance,
+            report.service,
+            report.to_version,
+            report.age_ms,
+            report.request_count,
+            report.sent_count,
+            report.is_shifting,
+            report.stop_reason,
+            rows,
+        )
+    )
+
+
+def _decode_move(fields: Any) -> data.MoveReport:
+    rows = []
+    for row in fields[9]:
+        count, log_sum, log_square_sum = row[6]
+        rows.append(
+            state.EvidenceRow(
+                version=state.VersionName(str(row[0])),
+                failure_domain=state.FailureDomain(str(row[1])),
+                attempt_count=int(row[2]),
+                error_count=int(row[3]),
+                lost_count=int(row[4]),
+                lost_targets=tuple(
+                    state.TargetName(str(name)) for name in row[5]
+                ),
+                first_token=state.LatencySums(
+                    int(count), float(log_sum), float(log_square_sum)
+                ),
+            )
+        )
+    return data.MoveReport(
+        instance=str(fields[1]),
+        service=str(fields[2]),
+        to_version=str(fields[3]),
+        age_ms=int(fields[4]),
+        request_count=int(fields[5]),
+        sent_count=int(fields[6]),
+        is_shifting=bool(fields[7]),
+        stop_reason=str(fields[8]),
+        rows=tuple(rows),
+    )
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from skylarktack import state
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
 
@@ -40,6 +41,32 @@
             datagram = messages.encode_message(message)
             assert messages.decode_message(datagram) == message
 
+    def test_moves(self) -> None:
+        """Guards against evidence that changes on the way."""
+        report = data.MoveReport(
+            instance='edge-a-1',
+            service='pool',
+            to_version='v2',
+            age_ms=2500,
+            request_count=40,
+            sent_count=6,
+            is_shifting=False,
+            stop_reason='2 of 6 attempts failed.',
+            rows=(
+                state.EvidenceRow(
+                    version=state.VersionName('v2'),
+                    failure_domain=state.FailureDomain('zone-a'),
+                    attempt_count=6,
+                    error_count=1,
+                    lost_count=1,
+                    lost_targets=(state.TargetName('i-1'),),
+                    first_token=state.LatencySums(4, 12.5, 40.25),
+                ),
+            ),
+        )
+        datagram = messages.encode_message(report)
+        assert messages.decode_message(datagram) == report
+
     def test_size(self) -> None:
         """Guards against reports that outgrow a datagram's share of a link.
 
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -16,6 +16,9 @@
 from skylarktack.state.forwarding._fleet import RunNotice
 from skylarktack.state.forwarding._fleet import StoreBeat
 from skylarktack.state.forwarding._fleet import StoreChange
+from skylarktack.state.forwarding._moves import MoveChange
+from skylarktack.state.forwarding._moves import MoveOrder
+from skylarktack.state.forwarding._moves import MoveReport
 from skylarktack.state.forwarding._requests import AnswerHead
 from skylarktack.state.forwarding._requests import Delivery
 from skylarktack.state.forwarding._requests import FrontAnswer
@@ -48,6 +51,9 @@
     'KeyHolder',
     'ListedPeer',
     'ListedTarget',
+    'MoveChange',
+    'MoveOrder',
+    'MoveReport',
     'PromptPart',
     'Refusal',
     'RefusalReason',
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from skylarktack.state._addresses import Address
+from skylarktack.state.forwarding._moves import MoveReport
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,7 +108,7 @@
 
 
 #: What instances send each other.
-FleetMessage = FleetReport | StoreChange | StoreBeat
+FleetMessage = FleetReport | StoreChange | StoreBeat | MoveReport
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/packages/state/src/skylarktack/state/forwarding/_moves.py
@@ -0,0 +1,71 @@
+"""Orders to move a service's traffic to another version."""
+
+import dataclasses
+
+from skylarktack.state._moves import EvidenceRow
+from skylarktack.state._moves import MovePhase
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveOrder:
+    """An operator's order with what the system has recorded of it."""
+
+    #: Service whose traffic moves.
+    service: str
+
+    #: Version that it moves to.
+    to_version: str
+
+    #: Time from the order within which the move has to end.
+    duration_s: float
+
+    #: Revision of the order's object in the store.
+    revision: int
+
+    #: Recorded phase of this move. Shifting means that it was taken up;
+    #: planned, that nothing is recorded.
+    phase: MovePhase = MovePhase.PLANNED
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the recorded phase is final."""
+        return self.phase in (MovePhase.COMPLETED, MovePhase.ROLLED_BACK)
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveChange:
+    """One change of the orders."""
+
+    #: Service of the order.
+    service: str
+
+    #: The order as it is now, or None if it is gone or cannot be read.
+    order: MoveOrder | None
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveReport:
+    """What one instance has seen of a move, for the others."""
+
+    #: Name of the sender.
+    instance: str
+
+    #: Service and version of the move.
+    service: str
+    to_version: str
+
+    #: Time since the sender saw the order, in milliseconds.
+    age_ms: int
+
+    #: Requests for the service since then, and sends to the new version.
+    request_count: int
+    sent_count: int
+
+    #: Whether all traffic goes to the new version from now on.
+    is_shifting: bool
+
+    #: Why no traffic may go to the new version any more; empty if it may.
+    stop_reason: str
+
+    #: Counts since the order, by version and failure domain.
+    rows: tuple[EvidenceRow, ...]
--- a/packages/state/src/skylarktack/state/forwarding/_settings.py
+++ b/packages/state/src/skylarktack/state/forwarding/_settings.py
@@ -47,5 +47,13 @@
     #: Window in which sends beyond the first are counted.
     retry_window_ms: float
 
+    #: Whether operators order moves of services to other versions.
+    has_moves: bool
+
+    #: Part of a service's requests that a bad version may get, over all
+    #: instances, and the requests that it may get beyond.
+    exposure_fraction: float
+    exposure_allowance_count: float
+
     #: Open files of the process.
     descriptor_limit: int
--- a/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
@@ -57,7 +57,10 @@
         return sent_bytes
 
     def run(
-        self, view: forwarding.FleetView, sharing: forwarding.StoreSharing
+        self,
+        view: forwarding.FleetView,
+        sharing: forwarding.StoreSharing,
+        moves: forwarding.MoveTable,
     ) -> None:
         """Take over messages until the process ends."""
         while True:
@@ -75,6 +78,8 @@
                 sharing.take_change(message)
             elif isinstance(message, data.StoreBeat):
                 sharing.take_beat(message)
+            elif isinstance(message, data.MoveReport):
+                moves.take_report(message)
             else:
                 self._count_malformed(len(datagram))
 
