Let callers come back when stopping instances have left the balancer

Cause: a stream that reached an instance 0.3 s after its order to stop was refused with the word to come back after 50 ms. While instances stop in series, the only second attempt often met another one that stops, since the balancer notices within two seconds. Callers come back after a third of the latency objective now, at most two seconds.

Requests that reach an instance before its first configuration are held for three tenths of their time (two hundredths before), half a second at most, and then told to come back after a part of the time that is left.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -18,21 +18,27 @@
 from skylarktack.state import forwarding as data
 
 #: Part of the caller's time for which a request waits for the first
-#: configuration, and the longest such wait.
-HOLD_LIMIT_SHARE = 0.02
+#: configuration, and the longest such wait. Many callers come back only
+#: once, so an instance that starts while the store is away holds their
+#: requests first.
+HOLD_LIMIT_SHARE = 0.3
 LONGEST_HOLD_S = 0.5
 
-#: Part of the caller's time after which it may come back to an instance that
-#: knows no configuration or an outdated one, and the longest such time. Many
-#: callers come back only once, so they should not come back too early.
+#: Part of the caller's remaining time after which it may come back to an
+#: instance that knows no configuration or an outdated one, and the longest
+#: such time. Callers wait for a third of their remaining time at most.
 RETRY_LIMIT_SHARE = 0.28
 LONGEST_RETRY_AFTER_S = 2.0
 
 #: Time of a caller that did not say how long it waits.
 DEFAULT_TIME_LIMIT_MS = 2000.0
 
-#: When a caller may come back after an instance that stops.
-STOPPING_RETRY_AFTER_S = 0.05
+#: Part of the latency objective after which a caller may come back after an
+#: instance that stops, and the longest such time. The balancer takes up to
+#: two seconds to notice that instances stop, and a caller that comes back
+#: once should not meet another one that stops too.
+STOPPING_RETRY_OBJECTIVE_SHARE = 0.33
+LONGEST_STOPPING_RETRY_AFTER_S = 2.0
 
 #: After the order to stop, streams are still accepted for this time, since
 #: the balancer sends new connections until it has noticed.
@@ -124,7 +130,8 @@
     """Decides what becomes of each request."""
 
     def __init__(self, parts: GatewayParts) -> None:
-        self._parts = parts
+        #: What it is made of.
+        self.parts = parts
         self._clock = parts.clock
         self._stop_ordered_at_s: float | None = None
         self._lock = threading.Lock()
@@ -132,7 +139,7 @@
 
     def limits(self) -> data.FrontLimits:
         """Return the limits on callers that are in force."""
-        table = self._parts.configuration.table
+        table = self.parts.configuration.table
         if table is None:
             return data.FrontLimits()
         return table.configuration.limits
@@ -158,11 +165,12 @@
         started_at_s = self._clock.monotonic_s()
         notes = _outcomes.RequestNotes(started_at_s)
         self._await_beliefs(request)
-        table = self._parts.configuration.table
-        is_current = self._parts.configuration.is_current()
+        table = self.parts.configuration.table
+        is_current = self.parts.configuration.is_current()
         with self._lock:
             self._active_count += 1
-        admitted = self._admit(table, is_current, request)
+        held_s = self._clock.monotonic_s() - started_at_s
+        admitted = self._admit(table, is_current, request, held_s)
         route = organisation = None
         try:
             if isinstance(admitted, data.Refusal):
@@ -176,7 +184,7 @@
         finally:
             with self._lock:
                 self._active_count -= 1
-        self._parts.observer.ended(
+        self.parts.observer.ended(
             RequestReport(
                 request=request,
                 route=route.name if route else None,
@@ -201,8 +209,8 @@
         hold_s = min(LONGEST_HOLD_S, HOLD_LIMIT_SHARE * _time_limit_s(request))
         until_s = self._clock.monotonic_s() + hold_s
         for is_known in (
-            self._parts.configuration.is_known,
-            self._parts.targets.is_known,
+            self.parts.configuration.is_known,
+            self.parts.targets.is_known,
         ):
             left_s = until_s - self._clock.monotonic_s()
             if not is_known.is_set() and left_s > 0:
@@ -213,32 +221,34 @@
         table: _routes.RouteTable | None,
         is_current: bool,
         request: data.FrontRequest,
+        held_s: float,
     ) -> _Admitted | data.Refusal:
+        retry_after_s = _retry_after_s(request, held_s)
         if table is None:
-            return _unsure(request, 'no configuration is known yet')
+            return _unsure(retry_after_s, 'no configuration is known yet')
         route = table.find_route(request.host, request.path)
         if route is None:
             if not is_current:
-                return _unsure(request, 'the route may be newer')
+                return _unsure(retry_after_s, 'the route may be newer')
             return data.Refusal(data.RefusalReason.NO_ROUTE)
         organisation = None
         if table.needs_key(route):
             holder = table.find_organisation(request.key or '')
             if holder is None:
                 if not is_current:
-                    return _unsure(request, 'the key may be newer')
+                    return _unsure(retry_after_s, 'the key may be newer')
                 return data.Refusal(data.RefusalReason.UNKNOWN_KEY)
             organisation = holder.organisation
         service = _routes.choose_service(route, random.random)
         if service is None:
             return data.Refusal(
                 data.RefusalReason.NO_TARGET,
-                _retry_after_s(request),
+                retry_after_s,
                 'the route has no service',
             )
         if self._refuses_while_stopping(route):
             return data.Refusal(
-                data.RefusalReason.STOPPING, STOPPING_RETRY_AFTER_S
+                data.RefusalReason.STOPPING, _stopping_retry_after_s(route)
             )
         description = table.find_service(service)
         engine = None if description is None else description.engine
@@ -272,7 +282,7 @@
             request=request,
             route=admitted.route,
             service=admitted.service,
-            versions=self._parts.moves.draw(admitted.service),
+            versions=self.parts.moves.draw(admitted.service),
             has_standby_copies=admitted.has_standby_copies,
             organisation=admitted.organisation,
             caller=caller,
@@ -281,8 +291,8 @@
             notes=notes,
         )
         if admitted.route.kind is data.RequestKind.STREAM:
-            return self._parts.streams.run(work)
-        return self._parts.calls.run(work)
+            return self.parts.streams.run(work)
+        return self.parts.calls.run(work)
 
 
 def _time_limit_s(request: data.FrontRequest) -> float:
@@ -290,12 +300,23 @@
     return (DEFAULT_TIME_LIMIT_MS if limit_ms is None else limit_ms) / 1000
 
 
-def _retry_after_s(request: data.FrontRequest) -> float:
-    wait_s = RETRY_LIMIT_SHARE * _time_limit_s(request)
-    return round(min(LONGEST_RETRY_AFTER_S, wait_s), 3)
+def _retry_after_s(request: data.FrontRequest, held_s: float) -> float:
+    wait_s = RETRY_LIMIT_SHARE * (_time_limit_s(request) - held_s)
+    return round(min(LONGEST_RETRY_AFTER_S, max(0.0, wait_s)), 3)
 
 
-def _unsure(request: data.FrontRequest, detail: str) -> data.Refusal:
+def _unsure(retry_after_s: float, detail: str) -> data.Refusal:
     return data.Refusal(
-        data.RefusalReason.NO_CONFIGURATION, _retry_after_s(request), detail
+        data.RefusalReason.NO_CONFIGURATION, retry_after_s, detail
+    )
+
+
+def _stopping_retry_after_s(route: data.ForwardingRoute) -> float:
+    objective_s = route.latency_objective_ms / 1000
+    return round(
+        min(
+            LONGEST_STOPPING_RETRY_AFTER_S,
+            STOPPING_RETRY_OBJECTIVE_SHARE * objective_s,
+        ),
+        3,
     )
