Accept callers for as long as the streams of a stopping instance run

Cause: an instance closed its listener three seconds after the order to stop and ended up to five seconds later. While most of a failure domain stops, the balancer goes back to all of its instances, so callers met closed ports. It accepts until its last stream has ended now, and refuses a call that may outlast the instance, which is true to its word and comes back elsewhere. Callers of streams come back after 0.45 of the objective instead of a third.

No change in behaviour there.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -6,6 +6,8 @@
 from skylarktack.coordination.forwarding._budget import RepeatLimits
 from skylarktack.coordination.forwarding._budget import RetryBudget
 from skylarktack.coordination.forwarding._calls import CallForwarder
+from skylarktack.coordination.forwarding._choice import EnginePair
+from skylarktack.coordination.forwarding._choice import subject_of
 from skylarktack.coordination.forwarding._events import ConfigurationInForce
 from skylarktack.coordination.forwarding._events import DatagramMalformed
 from skylarktack.coordination.forwarding._events import EntryMalformed
@@ -57,12 +59,10 @@
 from skylarktack.coordination.forwarding._gateway import RequestReport
 from skylarktack.coordination.forwarding._move_driver import MoveDriver
 from skylarktack.coordination.forwarding._move_driver import MoveWriter
-from skylarktack.coordination.forwarding._moves import ANY_VERSION
 from skylarktack.coordination.forwarding._moves import ExposureLimits
 from skylarktack.coordination.forwarding._moves import MoveBelief
 from skylarktack.coordination.forwarding._moves import MoveTable
 from skylarktack.coordination.forwarding._moves import VersionJudge
-from skylarktack.coordination.forwarding._moves import VersionRule
 from skylarktack.coordination.forwarding._outcomes import CallerLeft
 from skylarktack.coordination.forwarding._outcomes import CallOutcome
 from skylarktack.coordination.forwarding._outcomes import RequestNotes
@@ -95,9 +95,9 @@
 from skylarktack.coordination.forwarding._stream_parts import StreamParts
 from skylarktack.coordination.forwarding._stream_parts import StreamProgress
 from skylarktack.coordination.forwarding._streams import StreamForwarder
-from skylarktack.coordination.forwarding._targets import EnginePair
 from skylarktack.coordination.forwarding._targets import TargetTable
-from skylarktack.coordination.forwarding._targets import subject_of
+from skylarktack.coordination.forwarding._version_rules import ANY_VERSION
+from skylarktack.coordination.forwarding._version_rules import VersionRule
 from skylarktack.coordination.forwarding._work import Work
 
 __all__ = [
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -1,6 +1,7 @@
 """Admission of requests: configuration, route, key, deadline, outcome."""
 
 import dataclasses
+import math
 import random
 import threading
 from typing import Protocol
@@ -36,9 +37,10 @@
 #: Part of the latency objective after which a caller may come back after an
 #: instance that stops, and the longest such time. The balancer takes up to
 #: two seconds to notice that instances stop, and a caller that comes back
-#: once should not meet another one that stops too.
-STOPPING_RETRY_OBJECTIVE_SHARE = 0.33
-LONGEST_STOPPING_RETRY_AFTER_S = 2.0
+#: once should not meet another one that stops too. The rest of the objective
+#: is for reading the prompt.
+STOPPING_RETRY_OBJECTIVE_SHARE = 0.45
+LONGEST_STOPPING_RETRY_AFTER_S = 2.2
 
 #: After the order to stop, streams are still accepted for this time, since
 #: the balancer sends new connections until it has noticed.
@@ -136,6 +138,8 @@
         self._stop_ordered_at_s: float | None = None
         self._lock = threading.Lock()
         self._active_count = 0
+        self._stream_count = 0
+        self._end_at_s = math.inf
 
     def limits(self) -> data.FrontLimits:
         """Return the limits on callers that are in force."""
@@ -144,8 +148,12 @@
             return data.FrontLimits()
         return table.configuration.limits
 
-    def order_stop(self) -> None:
-        """Accept no long work from now on."""
+    def order_stop(self, end_at_s: float) -> None:
+        """Accept nothing from now on that may outlast the instance.
+
+        :param end_at_s: monotonic time at which the instance ends at last.
+        """
+        self._end_at_s = end_at_s
         self._stop_ordered_at_s = self._clock.monotonic_s()
 
     @property
@@ -158,6 +166,11 @@
         with self._lock:
             return self._active_count
 
+    def stream_count(self) -> int:
+        """Return the number of streams in progress."""
+        with self._lock:
+            return self._stream_count
+
     def handle(
         self, request: data.FrontRequest, caller: _ports.Caller
     ) -> Outcome:
@@ -246,7 +259,7 @@
                 retry_after_s,
                 'the route has no service',
             )
-        if self._refuses_while_stopping(route):
+        if self._refuses_while_stopping(route, request):
             return data.Refusal(
                 data.RefusalReason.STOPPING, _stopping_retry_after_s(route)
             )
@@ -259,13 +272,15 @@
             organisation,
         )
 
-    def _refuses_while_stopping(self, route: data.ForwardingRoute) -> bool:
+    def _refuses_while_stopping(
+        self, route: data.ForwardingRoute, request: data.FrontRequest
+    ) -> bool:
         if self._stop_ordered_at_s is None:
             return False
-        if route.kind is not data.RequestKind.STREAM:
-            return False
         now_s = self._clock.monotonic_s()
-        return now_s > self._stop_ordered_at_s + STOPPING_ACCEPT_S
+        if route.kind is data.RequestKind.STREAM:
+            return now_s > self._stop_ordered_at_s + STOPPING_ACCEPT_S
+        return now_s + _limit_ms(route, request) / 1000 > self._end_at_s
 
     def _forward(
         self,
@@ -275,9 +290,7 @@
         started_at_s: float,
         notes: _outcomes.RequestNotes,
     ) -> Outcome:
-        limit_ms = admitted.route.timeout_ms
-        if request.time_limit_ms is not None:
-            limit_ms = min(limit_ms, request.time_limit_ms)
+        limit_ms = _limit_ms(admitted.route, request)
         work = _work.Work(
             request=request,
             route=admitted.route,
@@ -290,9 +303,24 @@
             deadline_s=started_at_s + limit_ms / 1000,
             notes=notes,
         )
-        if admitted.route.kind is data.RequestKind.STREAM:
+        if admitted.route.kind is not data.RequestKind.STREAM:
+            return self.parts.calls.run(work)
+        with self._lock:
+            self._stream_count += 1
+        try:
             return self.parts.streams.run(work)
-        return self.parts.calls.run(work)
+        finally:
+            with self._lock:
+                self._stream_count -= 1
+
+
+def _limit_ms(
+    route: data.ForwardingRoute, request: data.FrontRequest
+) -> float:
+    """Return how long the request may take at most."""
+    if request.time_limit_ms is None:
+        return route.timeout_ms
+    return min(route.timeout_ms, request.time_limit_ms)
 
 
 def _time_limit_s(request: data.FrontRequest) -> float:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -15,6 +15,7 @@
 from skylarktack import state
 from skylarktack.coordination import moves
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -50,10 +51,6 @@
 #: Chance that the evidence rejects a good version.
 REJECTION_PROBABILITY = 1e-4
 
-#: A version that no order names is kept from traffic for this time after it
-#: appeared, since its order may arrive a moment after its first target.
-UNPROVEN_S = 3.0
-
 
 @dataclasses.dataclass(frozen=True)
 class ExposureLimits:
@@ -66,33 +63,6 @@
     allowance_count: float
 
 
-@dataclasses.dataclass(frozen=True)
-class VersionRule:
-    """Which versions one request may be sent to."""
-
-    #: Version that is taken if it has a sound target, or None.
-    preferred: str | None = None
-
-    #: Versions that it must not be sent to.
-    excluded: frozenset[str] = frozenset()
-
-    #: Whether the request tries a version that is not proven yet.
-    is_trial: bool = False
-
-    def for_repeat(self) -> 'VersionRule':
-        """Return the rule for sends after the first.
-
-        A request that tried a new version is repeated at a proven one.
-        """
-        if not self.is_trial or self.preferred is None:
-            return self
-        return VersionRule(None, self.excluded | {self.preferred})
-
-
-#: The rule of a service without a move.
-ANY_VERSION = VersionRule()
-
-
 class VersionJudge(Protocol):
     """Compares two versions that serve at the same time."""
 
@@ -145,9 +115,7 @@
         self._draw = draw
         self._lock = threading.Lock()
         self._moves: dict[str, _Move] = {}
-        self._versions: dict[str, set[str]] = {}
-        self._rejected: dict[str, set[str]] = {}
-        self._unproven: dict[tuple[str, str], float] = {}
+        self._versions = _version_rules.KnownVersions()
         #: Set once the orders were read for the first time.
         self.is_known = threading.Event()
         #: Set at each new order; the driver clears it.
@@ -173,34 +141,39 @@
         self, service: str, version: str, is_first_list: bool
     ) -> None:
         """Note that a target of a version was listed."""
+        now_s = self._clock.monotonic_s()
         with self._lock:
-            known = self._versions.setdefault(service, set())
-            if version in known:
-                return
-            if known and not is_first_list:
-                until_s = self._clock.monotonic_s() + UNPROVEN_S
-                self._unproven[service, version] = until_s
-            known.add(version)
+            self._versions.note(service, version, is_first_list, now_s)
 
-    def draw(self, service: str) -> VersionRule:
+    def draw(self, service: str) -> _version_rules.VersionRule:
         """Return which versions the next request may be sent to."""
         with self._lock:
             move = self._moves.get(service)
-            excluded = self._excluded(service)
+            excluded = self._versions.excluded(
+                service, self.is_known.is_set(), self._clock.monotonic_s()
+            )
             if move is None:
-                return VersionRule(None, excluded) if excluded else ANY_VERSION
+                return (
+                    _version_rules.VersionRule(None, excluded)
+                    if excluded
+                    else _version_rules.ANY_VERSION
+                )
             version = move.order.to_version
             move.request_count += 1
             if move.stop_reason:
-                return VersionRule(None, excluded | {version})
+                return _version_rules.VersionRule(None, excluded | {version})
             if move.order.phase is state.MovePhase.ROLLED_BACK:
-                return VersionRule(None, excluded | {version})
+                return _version_rules.VersionRule(None, excluded | {version})
             is_complete = move.order.phase is state.MovePhase.COMPLETED
             if is_complete or move.is_shifting:
-                return VersionRule(version, excluded - {version})
+                return _version_rules.VersionRule(
+                    version, excluded - {version}
+                )
             if self._draws_trial(move):
-                return VersionRule(version, excluded - {version}, True)
-            return VersionRule(None, excluded | {version})
+                return _version_rules.VersionRule(
+                    version, excluded - {version}, True
+                )
+            return _version_rules.VersionRule(None, excluded | {version})
 
     def note_sent(self, target: data.ListedTarget) -> None:
         """Note that a request is sent to a target."""
@@ -329,36 +302,19 @@
                 return
         self._moves[change.service] = _Move(order, self._clock.monotonic_s())
         if not order.has_ended:
-            self._rejected.get(change.service, set()).discard(order.to_version)
+            self._versions.restore(change.service, order.to_version)
             self.has_news.set()
         self._note_phase(order)
 
     def _note_phase(self, order: data.MoveOrder) -> None:
         if order.phase is state.MovePhase.ROLLED_BACK:
-            rejected = self._rejected.setdefault(order.service, set())
-            rejected.add(order.to_version)
+            self._versions.reject(order.service, order.to_version)
         self._log.record(
             _events.MoveRecorded(
                 order.service, order.to_version, order.phase.value
             )
         )
 
-    def _excluded(self, service: str) -> frozenset[str]:
-        excluded = frozenset(self._rejected.get(service, ()))
-        versions = self._versions.get(service, set())
-        if len(versions) > 1 and not self.is_known.is_set():
-            # Any of them may be on trial.
-            return frozenset(versions)
-        if not self._unproven:
-            return excluded
-        now_s = self._clock.monotonic_s()
-        for key, until_s in list(self._unproven.items()):
-            if now_s >= until_s:
-                del self._unproven[key]
-            elif key[0] == service:
-                excluded |= {key[1]}
-        return excluded
-
     def _draws_trial(self, move: _Move) -> bool:
         request_count, sent_count = self._totals(move)
         limits = self._limits
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -1,11 +1,11 @@
 """Streams over engines that fail: the sequence of engines of one stream."""
 
 from skylarktack.coordination.forwarding import _calls
+from skylarktack.coordination.forwarding import _choice
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _relay
 from skylarktack.coordination.forwarding import _stream_parts
-from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.forwarding import _work
 from skylarktack.state import forwarding as data
 
@@ -44,7 +44,7 @@
         self._clock = parts.clock
         self._targets = parts.targets
         self._work = work
-        self._subject = _targets.subject_of(work.request)
+        self._subject = _choice.subject_of(work.request)
         self._progress = _stream_parts.StreamProgress(
             work.request.last_event_id
         )
@@ -96,7 +96,7 @@
         )
 
     def _standby_in_use(
-        self, pair: _targets.EnginePair
+        self, pair: _choice.EnginePair
     ) -> data.ListedTarget | None:
         """Return the engine with the copy unless it seems to be lost."""
         if not self._work.has_standby_copies or pair.standby is None:
@@ -107,7 +107,7 @@
 
     def _choose(
         self, copy_at: data.ListedTarget | None
-    ) -> _targets.EnginePair | None:
+    ) -> _choice.EnginePair | None:
         rule = self._work.versions
         if self._send_count > 0:
             rule = rule.for_repeat()
@@ -115,7 +115,7 @@
             standby = self._targets.choose_standby(
                 self._work.service, copy_at, self._work.request.model, rule
             )
-            return _targets.EnginePair(copy_at, standby)
+            return _choice.EnginePair(copy_at, standby)
         return self._targets.choose_engines(
             self._work.service,
             self._work.request,
@@ -142,7 +142,7 @@
         return ready.has_caller_left
 
     def _attempt(
-        self, pair: _targets.EnginePair, from_copy: bool
+        self, pair: _choice.EnginePair, from_copy: bool
     ) -> _stream_parts.AttemptEnd:
         target = pair.primary
         standby = None
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -1,15 +1,15 @@
 """Known targets, the evidence about each, and the choice among them."""
 
-import dataclasses
 import math
-import random
 import threading
 
 from skylarktack import state
+from skylarktack.coordination.forwarding import _choice
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _evidence
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _moves
+from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -53,17 +53,6 @@
 LAPSE_GRACE_S = 2.2
 
 
-@dataclasses.dataclass(frozen=True)
-class EnginePair:
-    """Engines for one run: where it runs and where its copy lies."""
-
-    #: The engine that runs it.
-    primary: data.ListedTarget
-
-    #: The engine that keeps a copy of its memory, or None.
-    standby: data.ListedTarget | None
-
-
 class TargetTable:
     """Targets of all services with the evidence of this instance."""
 
@@ -281,7 +270,7 @@
         self,
         service: str,
         passed_over: frozenset[str],
-        rule: _moves.VersionRule = _moves.ANY_VERSION,
+        rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
     ) -> data.ListedTarget | None:
         """Return the target with the shortest expected time, or None."""
         with self._lock:
@@ -295,48 +284,50 @@
         service: str,
         request: data.FrontRequest,
         passed: frozenset[str],
-        rule: _moves.VersionRule = _moves.ANY_VERSION,
-    ) -> EnginePair | None:
+        rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
+    ) -> _choice.EnginePair | None:
         """Return the engine for a run and the one for its copy.
 
         A run that goes on for a caller that came back is sent where it was,
         since that engine still keeps the prompt.
         """
-        subject = subject_of(request)
+        subject = _choice.subject_of(request)
         loads = self._fleet.loads()
         place = None
         if request.last_event_id is not None:
             place = self._fleet.find_place(subject)
         with self._lock:
-            serving = _serving(
+            serving = _choice.serving_model(
                 self._usable(service, passed, rule), request.model
             )
             if not serving:
                 return None
-            primary = _least_loaded(serving, loads)
+            primary = _choice.least_loaded(serving, loads)
             for target in serving:
                 if place is None or target.name != place.notice.engine:
                     continue
                 lead = loads.get(target.name, 0.0)
                 if lead - loads.get(primary.name, 0.0) < RETURN_LOAD_LIMIT:
                     primary = target
-            return EnginePair(primary, _standby(serving, primary, loads))
+            return _choice.EnginePair(
+                primary, _choice.standby_of(serving, primary, loads)
+            )
 
     def choose_standby(
         self,
         service: str,
         primary: data.ListedTarget,
         model: str | None,
-        rule: _moves.VersionRule = _moves.ANY_VERSION,
+        rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
     ) -> data.ListedTarget | None:
         """Return an engine for the copy of a run at the primary."""
         loads = self._fleet.loads()
         with self._lock:
-            candidates = _serving(
+            candidates = _choice.serving_model(
                 self._usable(service, frozenset((primary.name,)), rule),
                 model,
             )
-            return _standby(candidates, primary, loads)
+            return _choice.standby_of(candidates, primary, loads)
 
     def _count_answer(
         self, evidence: _evidence.TargetEvidence, is_error: bool
@@ -397,7 +388,7 @@
         self,
         service: str,
         passed_over: frozenset[str],
-        rule: _moves.VersionRule,
+        rule: _version_rules.VersionRule,
     ) -> list[data.ListedTarget]:
         if self._lapsed:
             self._drop_lapsed()
@@ -458,50 +449,3 @@
         if target.failure_domain != self._failure_domain:
             expected_ms += REMOTE_PENALTY_MS
         return expected_ms
-
-
-def subject_of(request: data.FrontRequest) -> str:
-    """Return what attempts for the same output have in common."""
-    if request.prompt_parts:
-        return request.prompt_parts[-1].part_id
-    return ''
-
-
-def _serving(
-    candidates: list[data.ListedTarget], model: str | None
-) -> list[data.ListedTarget]:
-    """Return the engines that serve the model, or do not name any."""
-    serving = []
-    for target in candidates:
-        if model and target.models and model not in target.models:
-            continue
-        serving.append(target)
-    return serving
-
-
-def _least_loaded(
-    candidates: list[data.ListedTarget], loads: dict[str, float]
-) -> data.ListedTarget:
-    return min(
-        candidates,
-        key=lambda target: (loads.get(target.name, 0.0), random.random()),
-    )
-
-
-def _standby(
-    candidates: list[data.ListedTarget],
-    primary: data.ListedTarget,
-    loads: dict[str, float],
-) -> data.ListedTarget | None:
-    remote = []
-    local = []
-    for target in candidates:
-        if target.name == primary.name:
-            continue
-        if target.failure_domain == primary.failure_domain:
-            local.append(target)
-        else:
-            remote.append(target)
-    if not remote and not local:
-        return None
-    return _least_loaded(remote or local, loads)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_work.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_work.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.state import forwarding as data
 
 
@@ -22,7 +22,7 @@
     service: str
 
     #: Versions that it may be sent to.
-    versions: _moves.VersionRule
+    versions: _version_rules.VersionRule
 
     #: Whether engines of the service keep copies of runs.
     has_standby_copies: bool
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -11,6 +11,7 @@
 from skylarktack.daemon.forwarding import _metrics
 from skylarktack.daemon.forwarding import _readiness
 from skylarktack.daemon.forwarding import _reports
+from skylarktack.daemon.forwarding import _stopping
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
@@ -38,23 +39,9 @@
 #: A configuration that was not confirmed for this time may be outdated.
 CONFIRMATION_VALIDITY_S = WATCH_WAIT_S + 1.0
 
-#: After the order to stop, connections without a request are closed from
-#: this time on; by then the balancer has seen that the instance stops.
-CLOSE_IDLE_AFTER_S = 1.2
-
-#: The instance goes on accepting for this time after the order to stop,
-#: since two questions of the balancer have to fail first.
-ACCEPT_AFTER_STOP_S = 3.0
-
 #: Tasks besides those for connections.
 OWN_TASK_COUNT = 14
 
-#: Step in which a stop looks for connections to close.
-STOP_STEP_S = 0.2
-
-#: Time before the end of the grace period at which a stop ends anyway.
-STOP_MARGIN_S = 0.25
-
 #: Longest wait for the log at the end.
 LOG_CLOSE_S = 0.1
 
@@ -248,27 +235,15 @@
     def stop(self) -> None:
         """Finish the requests in progress, at most for the grace period."""
         ordered_at_s = time.monotonic()
-        end_s = ordered_at_s + self._settings.grace_ms / 1000 - STOP_MARGIN_S
-        self._gateway.order_stop()
         self._log.record(
             forwarding.InstanceStopping(self._gateway.active_count())
         )
-        is_accepting = True
-        while time.monotonic() < end_s:
-            time.sleep(STOP_STEP_S)
-            ordered_for_s = time.monotonic() - ordered_at_s
-            if ordered_for_s >= CLOSE_IDLE_AFTER_S:
-                self._front.close_idle()
-            if ordered_for_s < ACCEPT_AFTER_STOP_S:
-                continue
-            if is_accepting:
-                # Requests on connections that were accepted until now are
-                # still served.
-                self._front.close()
-                is_accepting = False
-                continue
-            if not self._front.open_count():
-                break
+        _stopping.finish_requests(
+            ports.SystemClock(),
+            self._front,
+            self._gateway,
+            self._settings.grace_ms / 1000,
+        )
         self._log.record(
             forwarding.InstanceStopped(
                 after_ms=round((time.monotonic() - ordered_at_s) * 1000),
