Give no traffic to a version whose move was called off

Cause: an order that was replaced or removed before its end left its version without any rule, so it got its full share though nothing had judged it. A version whose move did not complete stays excluded until it is ordered again. Test first: TestVersionRules.test_a_move_that_was_called_off.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -127,7 +127,7 @@
             listed = {change.service for change in changes}
             for service in list(self._moves):
                 if service not in listed:
-                    del self._moves[service]
+                    self._take(data.MoveChange(service, None))
             for change in changes:
                 self._take(change)
 
@@ -287,10 +287,19 @@
     def _take(self, change: data.MoveChange) -> None:
         order = change.order
         held = self._moves.get(change.service)
+        is_same = (
+            held is not None
+            and order is not None
+            and held.order.to_version == order.to_version
+        )
+        if held is not None and not is_same:
+            if held.order.phase is not state.MovePhase.COMPLETED:
+                # A move that was called off has proven nothing.
+                self._versions.reject(change.service, held.order.to_version)
         if order is None:
             self._moves.pop(change.service, None)
             return
-        if held is not None and held.order.to_version == order.to_version:
+        if held is not None and is_same:
             if order.revision < held.order.revision:
                 return
             is_again = held.order.has_ended and not order.has_ended
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
@@ -201,6 +201,21 @@
         rule = desk.moves.draw('pool')
         assert desk.targets.choose_for_call('pool', passed, rule) is None
 
+    @pytest.mark.parametrize('is_replaced', (True, False))
+    def test_a_move_that_was_called_off(self, is_replaced: bool) -> None:
+        """Guards against full traffic to a version that was not judged."""
+        desk = _desk()
+        desk.moves.apply(data.MoveChange('pool', _order()))
+        order = None
+        if is_replaced:
+            order = dataclasses.replace(_order(9), to_version='v3')
+        desk.moves.apply(data.MoveChange('pool', order))
+        for _ in range(50):
+            rule = desk.moves.draw('pool')
+            target = desk.targets.choose_for_call('pool', frozenset(), rule)
+            assert target is not None
+            assert target.version == 'v1'
+
     def test_a_completed_version_gets_all(self) -> None:
         """Guards against requests to targets that have just stopped."""
         desk = _desk()
