Order moves to good and bad versions in the soak

A version that was taken back must get nothing once the last fault is over and every instance has heard of the end. The stand-in of targets keeps a bad version over restarts.

--- a/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
@@ -240,11 +240,18 @@
             {'service': service, 'target': version, 'duration_s': duration_s},
         )
 
-    def add_service_target(self, version: str) -> _target.PlatformTarget:
-        """Start a target of another version beside the others."""
+    def add_service_target(
+        self, version: str, is_bad: bool = False
+    ) -> _target.PlatformTarget:
+        """Start a target of another version beside the others.
+
+        :param is_bad: whether each of its runs fails.
+        """
         domain = DOMAINS[len(self.services) % len(DOMAINS)]
         target = _target.PlatformTarget('desk', domain, self.copies, version)
+        target.has_bad_version = is_bad
         self.services.append(target)
+        self.enter(target)
         return target
 
     def wait_serving(self, instance: PlatformInstance) -> None:
--- a/packages/emulator/src/skylarktack/emulator/platform/_target.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_target.py
@@ -77,6 +77,8 @@
     ) -> None:
         self.service = service
         self.version = version
+        # Whether the software of the version fails; a restart keeps it.
+        self.has_bad_version = False
         self.domain = domain
         self.behaviour = TargetBehaviour()
         self.runs: list[Run] = []
@@ -243,7 +245,7 @@
             ('Replica-Signature', f'{run.target}.{run.attempt_id}'),
             ('Replica-Load', '1,0,12'),
         )
-        if behaviour.fails:
+        if behaviour.fails or self._target.has_bad_version:
             self.answer(500, b'failed', signed)
             return
         if not is_stream:
--- a/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
@@ -27,6 +27,9 @@
 #: Delay of each call to a slow store.
 SLOW_STORE_S = 0.3
 
+#: Time within which a move has to end.
+MOVE_S = 4.0
+
 #: Time for which a leaving target serves on.
 DRAIN_S = 2.5
 
@@ -39,6 +42,7 @@
         self._lock = threading.Lock()
         self._timers: list[threading.Timer] = []
         self._restarting: set[str] = set()
+        self._move_count = 0
 
     def inject(self, injection: _schedule.Injection) -> None:
         """Start one fault; it ends by itself."""
@@ -54,6 +58,8 @@
             self._harm_instance(injection)
         elif kind is _Kind.CONFIGURATION:
             self._change_configuration()
+        elif kind in (_Kind.MOVE_TO_GOOD, _Kind.MOVE_TO_BAD):
+            self._order_move(is_bad=kind is _Kind.MOVE_TO_BAD)
         else:
             self._harm_target(injection)
 
@@ -189,6 +195,14 @@
         routes = tuple(f'r{number}' for number in range(2, version + 1))
         self._deployment.apply(platform.manifest(version, more_routes=routes))
 
+    def _order_move(self, is_bad: bool) -> None:
+        """Order a move of the plain services; it replaces an earlier one."""
+        with self._lock:
+            self._move_count += 1
+            version = f'v{self._move_count + 1}'
+        self._deployment.order_move('desk', version, MOVE_S)
+        self._deployment.add_service_target(version, is_bad)
+
     def _mend_store(self) -> None:
         self._deployment.store.set_mode(platform.StoreMode.GOOD)
 
--- a/packages/emulator/src/skylarktack/emulator/soak/_recovery.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_recovery.py
@@ -10,6 +10,12 @@
 #: Time within which every instance has to serve again.
 RECOVERY_S = 20.0
 
+#: Time after the end of a move until every instance has heard of it.
+SETTLE_S = 3.0
+
+#: Calls to each instance that show where a version still gets traffic.
+CALL_COUNT = 20
+
 
 def check_recovery(
     deployment: platform.PlatformDeployment,
@@ -28,6 +34,38 @@
     return promise
 
 
+def check_bad_versions(
+    deployment: platform.PlatformDeployment,
+) -> _checkers.Promise:
+    """Send calls after the last move has ended."""
+    promise = _checkers.Promise('a version that was taken back gets nothing')
+    bad = [each for each in deployment.services if each.has_bad_version]
+    if not bad or not _has_ended(deployment):
+        return promise
+    # Instances that were cut off learn of the end with their next watch.
+    time.sleep(SETTLE_S)
+    counts = [len(target.runs) for target in bad]
+    for instance in deployment.instances:
+        for _ in range(CALL_COUNT):
+            _serves_in_time(instance, 'peek')
+    for target, count in zip(bad, counts, strict=True):
+        promise.check(
+            len(target.runs) == count,
+            f'{target.version} ran {len(target.runs) - count} more',
+        )
+    return promise
+
+
+def _has_ended(deployment: platform.PlatformDeployment) -> bool:
+    end_s = time.monotonic() + RECOVERY_S
+    while time.monotonic() < end_s:
+        status = deployment.store.status_of('rollouts', 'desk')
+        if status is not None and status['state'] != 'in_progress':
+            return True
+        time.sleep(0.1)
+    return False
+
+
 def _serves_in_time(instance: platform.PlatformInstance, route: str) -> bool:
     end_s = time.monotonic() + RECOVERY_S
     while time.monotonic() < end_s:
--- a/packages/emulator/src/skylarktack/emulator/soak/_run.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_run.py
@@ -58,6 +58,7 @@
         injector.mend()
         callers.stop()
         recovery = _recovery.check_recovery(deployment)
+        taken_back = _recovery.check_bad_versions(deployment)
         evidence = _checkers.Evidence(
             tuple(callers.calls),
             tuple(callers.streams),
@@ -67,7 +68,7 @@
                 if run.attempt_id not in _probe_ids(deployment, callers)
             ),
         )
-        promises = (*_checkers.check_all(evidence), recovery)
+        promises = (*_checkers.check_all(evidence), recovery, taken_back)
         result = SoakResult(
             seed,
             schedule,
@@ -83,7 +84,7 @@
 def _probe_ids(
     deployment: platform.PlatformDeployment, callers: _callers.Callers
 ) -> frozenset[str]:
-    """Return the attempts of the recovery check, which ended last."""
+    """Return the attempts of the checks after the last fault."""
     sent = {call.attempt.attempt_id for call in callers.calls}
     for stream in callers.streams:
         sent.update(attempt.attempt_id for attempt in stream.attempts)
--- a/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
@@ -33,6 +33,8 @@
     ALL_KILL = 'all_kill'
     CONFIGURATION = 'configuration'
     TARGET_LEAVES = 'target_leaves'
+    MOVE_TO_GOOD = 'move_to_good'
+    MOVE_TO_BAD = 'move_to_bad'
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/emulator/src/skylarktack/emulator/tests/test_platform_sessions.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_platform_sessions.py
@@ -354,9 +354,7 @@
             instance.wait_for_line(
                 'move', 'a phase of a move is recorded', service='desk'
             )
-        bad = deployment.add_service_target('v2')
-        bad.behaviour.fails = True
-        deployment.enter(bad)
+        bad = deployment.add_service_target('v2', is_bad=True)
         end_s = time.monotonic() + PATIENCE_S
         request_count = 0
         while True:
