--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
@@ -301,6 +301,20 @@
     )
 
 
+def peer_report(name: str, number: int) -> data.FleetReport:
+    """Return a report of a peer that counts as heard for a long time."""
+    return data.FleetReport(
+        instance=name,
+        endpoint=data.Address('10.1.0.2', 7200 + number),
+        started_at_ms=1,
+        sequence=1,
+        is_full=True,
+        runs=(),
+        lost_targets=(),
+        next_report_ms=1_000_000,
+    )
+
+
 @dataclasses.dataclass
 class Front:
     """A gateway over a bed."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
@@ -5,6 +5,7 @@
 
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
+from skylarktack.coordination.forwarding.tests import bed
 from skylarktack.state import forwarding as data
 
 UNAVAILABLE = forwarding.StoreFault(
@@ -201,104 +202,91 @@
             )
             for number, name in enumerate(names):
                 if name != own:
-                    view.take(_peer_report(name, number))
+                    view.take(bed.peer_report(name, number))
             sharing = forwarding.StoreSharing(self.clock, view, self.link)
             if sharing.is_watcher() == is_watcher:
                 return sharing
         raise AssertionError('no such instance')
 
 
-def _peer_report(name: str, number: int) -> data.FleetReport:
-    return data.FleetReport(
-        instance=name,
-        endpoint=data.Address('10.1.0.1', 7200 + number),
-        started_at_ms=1,
-        sequence=1,
-        is_full=True,
-        runs=(),
-        lost_targets=(),
-        next_report_ms=1_000_000,
-    )
-
-
 class TestSharedWatches:
     """In a large fleet a few instances watch for all."""
 
     def test_a_watcher_passes_changes_on(self) -> None:
         """Guards against a store that each instance asks by itself."""
-        bed = _SharedBed(
+        shared = _SharedBed(
             True,
             forwarding.Listing((), 5),
             forwarding.Changes(('b',), 9, b'b'),
         )
-        bed.follower.run()
-        assert data.StoreChange('kind', 5, 9, b'b') in bed.link.sent
-        beat = bed.sharing.beat()
+        shared.follower.run()
+        assert data.StoreChange('kind', 5, 9, b'b') in shared.link.sent
+        beat = shared.sharing.beat()
         assert beat is not None
         assert beat.revisions == (('kind', 9),)
 
     def test_a_watcher_that_no_longer_hears_the_store_is_silent(self) -> None:
         """Guards against instances that rely on one that is cut off."""
-        bed = _SharedBed(
+        shared = _SharedBed(
             True, forwarding.Listing((), 5), forwarding.Changes((), 5)
         )
-        bed.follower.run()
-        assert bed.sharing.beat() is not None
-        bed.clock.advance(1.5)
-        assert bed.sharing.beat() is None
+        shared.follower.run()
+        assert shared.sharing.beat() is not None
+        shared.clock.advance(1.5)
+        assert shared.sharing.beat() is None
 
     def test_a_listener_takes_changes_without_a_call(self) -> None:
         """Guards against the price of a call at each instance."""
-        bed = _SharedBed(
+        shared = _SharedBed(
             False, forwarding.Listing((), 5), forwarding.Changes((), 5)
         )
-        bed.reader.follower = None
-        bed.sharing.take_beat(data.StoreBeat('x', (('kind', 5),)))
-        bed.sharing.take_change(data.StoreChange('kind', 5, 9, b'b c'))
-        original = bed.belief.apply
+        shared.reader.follower = None
+        shared.sharing.take_beat(data.StoreBeat('x', (('kind', 5),)))
+        shared.sharing.take_change(data.StoreChange('kind', 5, 9, b'b c'))
+        original = shared.belief.apply
 
         def _apply(items: tuple[str, ...]) -> None:
             original(items)
             if items:
-                bed.follower.stop()
+                shared.follower.stop()
 
-        bed.belief.apply = _apply  # type: ignore[method-assign]
-        bed.follower.run()
+        shared.belief.apply = _apply  # type: ignore[method-assign]
+        shared.follower.run()
         # Only the call that completes the stale list.
-        assert bed.reader.calls == ['stale list', 'watch 5']
-        assert bed.belief.taken[-1] == ('changes', ('b', 'c'), False)
+        assert shared.reader.calls == ['stale list', 'watch 5']
+        assert shared.belief.taken[-1] == ('changes', ('b', 'c'), False)
 
     def test_a_listener_that_misses_a_change_asks_the_store(self) -> None:
         """Guards against a datagram that was lost."""
-        bed = _SharedBed(
+        shared = _SharedBed(
             False,
             forwarding.Listing((), 5),
             forwarding.Changes((), 5),
             forwarding.Changes(('b', 'c'), 9, b'b c'),
         )
-        bed.sharing.take_change(data.StoreChange('kind', 7, 9, b'c'))
-        original = bed.sharing.next_change
+        shared.sharing.take_change(data.StoreChange('kind', 7, 9, b'c'))
+        original = shared.sharing.next_change
 
         def _next(kind: str, timeout_s: float) -> data.StoreChange | None:
-            bed.clock.advance(timeout_s)
-            bed.sharing.take_beat(data.StoreBeat('x', (('kind', 9),)))
+            shared.clock.advance(timeout_s)
+            shared.sharing.take_beat(data.StoreBeat('x', (('kind', 9),)))
             return original(kind, 0.001)
 
-        bed.sharing.next_change = _next  # type: ignore[method-assign]
-        bed.sharing.take_beat(data.StoreBeat('x', (('kind', 9),)))
-        reader_next = bed.reader.list_all
+        shared.sharing.next_change = _next  # type: ignore[method-assign]
+        shared.sharing.take_beat(data.StoreBeat('x', (('kind', 9),)))
+        reader_next = shared.reader.list_all
 
         def _list(
             may_be_stale: bool = False,
         ) -> forwarding.Listing[str] | forwarding.StoreFault:
             answer = reader_next(may_be_stale)
-            bed.sharing.take_beat(data.StoreBeat('x', (('kind', 9),)))
+            shared.sharing.take_beat(data.StoreBeat('x', (('kind', 9),)))
             return answer
 
-        bed.reader.list_all = _list  # type: ignore[method-assign]
-        bed.follower.run()
-        assert bed.reader.calls == ['stale list', 'watch 5', 'watch 5']
-        assert bed.belief.taken == [
+        shared.reader.list_all = _list  # type: ignore[method-assign]
+        shared.follower.run()
+        assert shared.reader.calls == ['stale list', 'watch 5', 'watch 5']
+        assert shared.belief.taken == [
             ('list', (), False),
             ('changes', (), False),
             ('changes', ('b', 'c'), False),
@@ -306,16 +294,16 @@
 
     def test_a_listener_without_beats_watches_itself(self) -> None:
         """Guards against an old configuration after all watchers died."""
-        bed = _SharedBed(
+        shared = _SharedBed(
             False,
             forwarding.Listing((), 5),
             forwarding.Changes((), 6),
             forwarding.Changes((), 7),
         )
-        bed.sharing.take_beat(data.StoreBeat('x', (('kind', 5),)))
-        bed.clock.advance(1.0)
-        bed.follower.run()
-        assert bed.reader.calls == ['stale list', 'watch 5', 'watch 6']
+        shared.sharing.take_beat(data.StoreBeat('x', (('kind', 5),)))
+        shared.clock.advance(1.0)
+        shared.follower.run()
+        assert shared.reader.calls == ['stale list', 'watch 5', 'watch 6']
 
     def test_a_small_fleet_watches_freely(self) -> None:
         """Guards against delays where a call costs next to nothing."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
@@ -310,18 +310,7 @@
         """Guards against reports of each instance to each other one."""
         trial = _trial()
         for number in range(30):
-            trial.desk.fleet.take(
-                data.FleetReport(
-                    instance=f'peer-{number}',
-                    endpoint=data.Address('10.1.0.2', 7200 + number),
-                    started_at_ms=1,
-                    sequence=1,
-                    is_full=True,
-                    runs=(),
-                    lost_targets=(),
-                    next_report_ms=60_000,
-                )
-            )
+            trial.desk.fleet.take(bed.peer_report(f'peer-{number}', number))
         assert len(trial.desk.fleet.leading_peers(3)) == 3
         trial.driver.step()
         _, peer_count = trial.link.sent[-1]
@@ -339,18 +328,7 @@
         number = 0
         while fleet.rank() == 0:
             number += 1
-            fleet.take(
-                data.FleetReport(
-                    instance=f'peer-{number}',
-                    endpoint=data.Address('10.1.0.2', 7200 + number),
-                    started_at_ms=1,
-                    sequence=1,
-                    is_full=True,
-                    runs=(),
-                    lost_targets=(),
-                    next_report_ms=60_000,
-                )
-            )
+            fleet.take(bed.peer_report(f'peer-{number}', number))
         trial.driver.step()
         assert not trial.writer.written
         trial.desk.clock.advance(0.6)
