Test a stopped peer after its close has arrived

Cause: the test asked before the thread that reads the connection had seen the peer's close, so the request was written to the closed connection; whether the peer acted on it can't be known then, and no_answer is the truth.

The check is replaced by two that are as strict: after the close has arrived, exactly unreachable; a request that the peer was handling when it stopped is exactly no_answer, never unreachable, and fails without waiting for its time-out. The crossing request must fail with one of the two.

--- a/packages/transport/src/skylarktack/transport/tests/test_peer_network.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_peer_network.py
@@ -165,10 +165,53 @@
             assert fault.kind == ports.PeerFaultKind.UNSUPPORTED
         missing = one.network.request(state.InstanceName('x'), RELAY, 5.0)
         assert missing.error.kind == ports.PeerFaultKind.UNREACHABLE
+
+    def test_stopped_peer(self, start: Callable[..., Peer]) -> None:
+        """A peer that stopped is unreachable once its close has arrived.
+
+        A request that crosses the close may have been handled for all that
+        its sender knows, so it may fail with no answer instead.
+        """
+        one, two = start('one'), start('two')
+        introduce(one, two)
+        peer = two.network.name
+        assert one.network.connect(peer)
         two.network.stop()
+        crossing = one.network.request(peer, RELAY, 5.0)
+        assert crossing.error.kind in (
+            ports.PeerFaultKind.NO_ANSWER,
+            ports.PeerFaultKind.UNREACHABLE,
+        )
+        assert eventually(lambda: not one.network.neighbours())
         stopped = one.network.request(peer, RELAY, 5.0)
         assert stopped.error.kind == ports.PeerFaultKind.UNREACHABLE
 
+    def test_peer_stops_while_it_handles(
+        self, start: Callable[..., Peer]
+    ) -> None:
+        """A request that may have been acted on never counts as unsent."""
+        one, two = start('one'), start('two')
+        introduce(one, two)
+        began, released = threading.Event(), threading.Event()
+
+        def _handle(
+            peer: state.InstanceName, message: membership.RelayProbe
+        ) -> membership.RelayedProbe:
+            began.set()
+            released.wait(10.0)
+            return membership.RelayedProbe(True)
+
+        two.network.handle(membership.RelayProbe, _handle)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            waiting = pool.submit(
+                one.network.request, two.network.name, RELAY, 3600.0
+            )
+            assert began.wait(10.0)
+            two.network.stop()
+            fault = waiting.result(10.0).error
+            released.set()
+        assert fault.kind == ports.PeerFaultKind.NO_ANSWER
+
     def test_slow_answers_do_not_cross(
         self, start: Callable[..., Peer]
     ) -> None:
