Ask a lost store in turns; pass its answers on through relays

Ruled out: fewer calls by longer waits of watches (a silent store would go unnoticed); relays alone (the outage remains).

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -45,6 +45,7 @@
 from skylarktack.coordination.forwarding._fleet_tasks import FleetMember
 from skylarktack.coordination.forwarding._fleet_tasks import FleetReporter
 from skylarktack.coordination.forwarding._fleet_tasks import PeerRegistry
+from skylarktack.coordination.forwarding._fleet_tasks import relay_groups
 from skylarktack.coordination.forwarding._following import Changes
 from skylarktack.coordination.forwarding._following import Follower
 from skylarktack.coordination.forwarding._following import FollowSettings
@@ -87,7 +88,9 @@
 from skylarktack.coordination.forwarding._ports import TargetClient
 from skylarktack.coordination.forwarding._routes import RouteTable
 from skylarktack.coordination.forwarding._routes import choose_service
+from skylarktack.coordination.forwarding._sharing import StoreRole
 from skylarktack.coordination.forwarding._sharing import StoreSharing
+from skylarktack.coordination.forwarding._store_health import StoreHealth
 from skylarktack.coordination.forwarding._stream_parts import AttemptEnd
 from skylarktack.coordination.forwarding._stream_parts import Final
 from skylarktack.coordination.forwarding._stream_parts import Lost
@@ -187,6 +190,8 @@
     'StoreCalls',
     'StoreFault',
     'StoreFaultKind',
+    'StoreHealth',
+    'StoreRole',
     'StoreSharing',
     'StreamBroken',
     'StreamDone',
@@ -199,5 +204,6 @@
     'TargetTable',
     'Work',
     'choose_service',
+    'relay_groups',
     'subject_of',
 ]
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_beliefs.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_beliefs.py
@@ -75,9 +75,13 @@
         after_outage: bool,
     ) -> None:
         """Take over a whole list."""
-        self.apply(items)
+        self.apply(items, after_outage)
 
-    def apply(self, items: tuple[data.ForwardingConfiguration, ...]) -> None:
+    def apply(
+        self,
+        items: tuple[data.ForwardingConfiguration, ...],
+        after_outage: bool,
+    ) -> None:
         """Take over changes."""
         for configuration in items:
             self._holder.offer(configuration)
@@ -107,8 +111,12 @@
                 listed.append(item.target)
         self._targets.replace(tuple(listed), after_outage)
 
-    def apply(self, items: tuple[data.TargetChange, ...]) -> None:
+    def apply(
+        self, items: tuple[data.TargetChange, ...], after_outage: bool
+    ) -> None:
         """Take over changes."""
+        if after_outage:
+            self._targets.await_lapsed()
         for item in items:
             self._targets.apply(item)
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -111,6 +111,7 @@
         self._loss_listener: LossListener | None = None
         self._has_news = threading.Event()
         self._is_greeting = True
+        self._has_listed = False
 
     def set_loss_listener(self, listener: LossListener) -> None:
         """Tell the listener of targets that peers found lost."""
@@ -184,6 +185,7 @@
                         listed.endpoint, heard_at_s=now_s
                     )
             self._is_greeting = True
+            self._has_listed = True
         self._has_news.set()
 
     def take(self, report: data.FleetReport) -> None:
@@ -252,6 +254,15 @@
                     count += 1
         return count
 
+    def is_small(self, limit_count: int) -> bool:
+        """Return whether the store listed at most so many instances."""
+        with self._lock:
+            return self._has_listed and len(self._peers) < limit_count
+
+    def precedes(self, name: str) -> bool:
+        """Return whether an instance comes before this one by rank."""
+        return _order_key(name) < _order_key(self.instance)
+
     def rank(self) -> int:
         """Return the place of this instance in an order of all heard of."""
         now_s = self._clock.monotonic_s()
@@ -330,6 +341,18 @@
         random.shuffle(endpoints)
         return tuple(endpoints)
 
+    def relay_order(self) -> tuple[data.Address, ...]:
+        """Return where all peers receive messages, those heard of first."""
+        now_s = self._clock.monotonic_s()
+        heard: list[data.Address] = []
+        others: list[data.Address] = []
+        with self._lock:
+            for peer in self._peers.values():
+                is_heard = now_s <= peer.valid_until_s
+                (heard if is_heard else others).append(peer.endpoint)
+        random.shuffle(heard)
+        return (*heard, *others)
+
     def _report(
         self,
         is_full: bool,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
@@ -12,6 +12,10 @@
 CHANGE_BYTES_PER_S = 6000.0
 CHANGE_BURST_BYTES = 20000.0
 
+#: Peers to which an instance sends a message that is passed on. A message
+#: reaches 340 instances within three hops.
+RELAY_COUNT = 8
+
 
 class FleetLink(Protocol):
     """Sends datagrams to other instances."""
@@ -22,6 +26,15 @@
         """Send one message to each peer; return the bytes sent."""
         ...
 
+    def spread(
+        self, message: data.FleetMessage, peers: tuple[data.Address, ...]
+    ) -> None:
+        """Send one message to a few peers, which pass it on to the others.
+
+        :param peers: all that have to get it, the surest ones first.
+        """
+        ...
+
 
 class PeerRegistry(Protocol):
     """Lists the instances of the fleet."""
@@ -33,6 +46,21 @@
         ...
 
 
+def relay_groups(
+    peers: tuple[data.Address, ...],
+) -> tuple[tuple[data.Address, ...], ...]:
+    """Return who is sent a message directly, each with those it passes it to.
+
+    The first of each group is sent the message; it does the same with the
+    rest of its group, so that nobody sends more than a few datagrams. Links of
+    5 Mbit/s lose most of 90 datagrams that are sent to them at once.
+    """
+    groups = []
+    for first in range(min(RELAY_COUNT, len(peers))):
+        groups.append(peers[first::RELAY_COUNT])
+    return tuple(groups)
+
+
 class FleetReporter:
     """Tells the peers of this instance's runs; run it as a task."""
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import random
 import threading
 from typing import Generic
 from typing import Protocol
@@ -10,20 +9,13 @@
 
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _sharing
+from skylarktack.coordination.forwarding import _store_health
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
 T = TypeVar('T')
 C = TypeVar('C', contravariant=True)
 
-#: First and longest wait after a call to the store failed. A store that is
-#: back has to be noticed well within the time that a change may take.
-FIRST_RETRY_S = 0.1
-LONGEST_RETRY_S = 0.6
-
-#: Longest wait before the first list was read, while nothing can be served.
-LONGEST_FIRST_RETRY_S = 0.25
-
 #: Step in which a listening instance looks whether it still may listen.
 LISTEN_STEP_S = 0.2
 
@@ -33,6 +25,9 @@
 #: Wait of a watch that only fetches what is missing.
 CATCH_UP_WAIT_S = 0.05
 
+#: Step in which a task that waits for its turn to ask looks again.
+TURN_STEP_S = 0.05
+
 
 class StoreFaultKind(enum.Enum):
     """How a call to the store failed."""
@@ -106,8 +101,12 @@
         """Take over a whole list."""
         ...
 
-    def apply(self, items: tuple[C, ...]) -> None:
-        """Take over changes."""
+    def apply(self, items: tuple[C, ...], after_outage: bool) -> None:
+        """Take over changes.
+
+        :param after_outage: whether entries may be gone only because they
+            expired while the store was away.
+        """
         ...
 
     def confirm(self) -> None:
@@ -143,20 +142,21 @@
         belief: KindBelief[T],
         log: _events.EventLog,
         settings: FollowSettings,
+        health: _store_health.StoreHealth,
         sharing: _sharing.StoreSharing | None = None,
     ) -> None:
-        self._sharing = sharing
-        self._is_listening = False
-        self._event_revision = 0
-        self._behind_since_s: float | None = None
         self._clock = clock
         self._reader = reader
         self._belief = belief
         self._log = log
         self._settings = settings
+        self._health = health
+        self._sharing = sharing
+        self._is_listening = False
+        self._event_revision = 0
+        self._behind_since_s: float | None = None
         self._stopped = threading.Event()
         self._failing_since_s: float | None = None
-        self._retry_s = FIRST_RETRY_S
         self._has_listed = False
         self._must_catch_up = False
 
@@ -168,64 +168,84 @@
         """Follow the kind until told to stop."""
         revision: int | None = None
         while not self._stopped.is_set():
+            if revision is not None and not self._is_asking_itself():
+                revision = self._listen(revision)
+                continue
+            if not self._health.claim_call(self._settings.name):
+                self._clock.wait(self._stopped, TURN_STEP_S)
+                continue
             if revision is None:
                 revision = self._list()
                 continue
+            if self._sharing is not None:
+                self._sharing.take_turn()
             if self._must_catch_up:
-                self._must_catch_up = False
                 revision = self._watch(revision, CATCH_UP_WAIT_S)
                 continue
-            if self._may_listen():
-                revision = self._listen(revision)
-                continue
             revision = self._watch(revision, self._watch_wait_s())
 
-    def _may_listen(self) -> bool:
+    def _is_asking_itself(self) -> bool:
+        """Return whether to ask the store rather than wait for others."""
         if self._sharing is None:
-            return False
-        may_listen = self._sharing.may_listen(self._settings.name)
-        if may_listen != self._is_listening:
-            self._is_listening = may_listen
+            return True
+        role = self._sharing.role(self._settings.name)
+        is_listening = role is _sharing.StoreRole.LISTEN
+        if is_listening != self._is_listening:
+            self._is_listening = is_listening
             self._log.record(
-                _events.RoleChanged(self._settings.name, may_listen)
+                _events.RoleChanged(self._settings.name, is_listening)
             )
-        return may_listen
+        return role is _sharing.StoreRole.ASK
 
     def _watch_wait_s(self) -> float:
-        if self._sharing is not None and self._sharing.is_watcher():
-            return _sharing.SHARED_WATCH_WAIT_S
-        return self._settings.watch_wait_s
+        if self._sharing is None:
+            return self._settings.watch_wait_s
+        return self._sharing.watch_wait_s(self._settings.watch_wait_s)
+
+    def _gather_s(self) -> float:
+        if self._sharing is None:
+            return self._settings.gather_s
+        return self._sharing.gather_s(self._settings.gather_s)
 
     def _listen(self, revision: int) -> int | None:
         """Take over what a watching instance passes on."""
         if self._sharing is None:
             raise AssertionError('only a shared kind is listened to')
         name = self._settings.name
-        change = self._sharing.next_change(name, LISTEN_STEP_S)
+        step_s = LISTEN_STEP_S if self._is_listening else TURN_STEP_S
+        change = self._sharing.next_change(name, step_s)
         if change is not None and change.revision > revision:
             decoded = self._reader.decode_changes(change.content)
             is_complete = change.previous_revision <= revision
             if is_complete and isinstance(decoded, Changes):
-                self._belief.apply(decoded.items)
-                self._belief.confirm()
+                self._belief.apply(decoded.items, change.follows_outage)
                 self._event_revision = change.revision
-                self._behind_since_s = None
+                self._note_up_to_date()
                 return change.revision
-        heard_revision = self._sharing.heard_revision(name)
-        if heard_revision is None or change is not None:
-            return revision
-        if heard_revision <= revision:
-            self._behind_since_s = None
-            self._belief.confirm()
+        heard = self._sharing.heard(name)
+        if heard is None or change is not None:
             return revision
+        if heard.changed_revision <= revision:
+            self._note_up_to_date()
+            # A revision that grows with the store's stays in its history.
+            return max(revision, heard.confirmed_revision)
         now_s = self._clock.monotonic_s()
         if self._behind_since_s is None:
             self._behind_since_s = now_s
         if now_s - self._behind_since_s < BEHIND_LIMIT_S:
             return revision
+        if not self._health.claim_call(name):
+            return revision
         self._behind_since_s = None
         return self._watch(revision, CATCH_UP_WAIT_S)
 
+    def _note_up_to_date(self) -> None:
+        """Note that others hear the store and nothing is missing here."""
+        self._behind_since_s = None
+        self._must_catch_up = False
+        self._belief.confirm()
+        self._note_regained()
+
     def _list(self) -> int | None:
         # While many instances start together, lists would wait for the
         # store's rate, which stale reads do not count against. The watch
@@ -235,39 +255,40 @@
         if isinstance(answer, StoreFault):
             self._take_fault(answer)
             return None
-        was_out = self._failing_since_s is not None
-        self._take_success()
+        was_out = self._take_success()
         self._belief.replace(answer.items, was_out and self._has_listed)
         self._has_listed = True
         self._event_revision = answer.revision
         self._must_catch_up = may_be_stale
         if not may_be_stale:
             self._belief.confirm()
-            self._note_answer()
+            self._note_answer(answer.revision)
         return answer.revision
 
     def _watch(self, revision: int, wait_s: float) -> int | None:
         answer = self._reader.watch(revision, wait_s)
         if isinstance(answer, StoreFault):
             if answer.kind is StoreFaultKind.HISTORY_GONE:
+                self._health.note_answer()
                 self._log.record(_events.HistoryLost(self._settings.name))
                 return None
             self._take_fault(answer)
-            # What expired during an outage may come back; only a list tells
-            # it from what left.
-            return None
-        self._take_success()
-        self._belief.apply(answer.items)
+            self._must_catch_up = True
+            return revision
+        was_out = self._take_success()
+        self._must_catch_up = False
+        self._belief.apply(answer.items, was_out)
         self._belief.confirm()
         if answer.items:
-            self._publish(answer)
+            self._publish(answer, was_out)
             self._event_revision = answer.revision
-        self._note_answer()
-        if answer.items and self._settings.gather_s > 0:
-            self._clock.wait(self._stopped, self._settings.gather_s)
+        self._note_answer(answer.revision)
+        gather_s = self._gather_s()
+        if answer.items and gather_s > 0:
+            self._clock.wait(self._stopped, gather_s)
         return answer.revision
 
-    def _publish(self, answer: Changes[T]) -> None:
+    def _publish(self, answer: Changes[T], was_out: bool) -> None:
         if self._sharing is None:
             return
         self._sharing.publish(
@@ -276,13 +297,16 @@
                 self._event_revision,
                 answer.revision,
                 answer.content,
+                follows_outage=was_out,
             )
         )
 
-    def _note_answer(self) -> None:
+    def _note_answer(self, revision: int) -> None:
         if self._sharing is not None:
             self._sharing.note_answer(
-                self._settings.name, self._event_revision
+                data.ConfirmedKind(
+                    self._settings.name, self._event_revision, revision
+                )
             )
 
     def _take_fault(self, fault: StoreFault) -> None:
@@ -292,18 +316,26 @@
             self._log.record(
                 _events.StoreLost(self._settings.name, fault.detail)
             )
-        jitter = 0.5 + random.random() / 2
-        self._clock.wait(self._stopped, self._retry_s * jitter)
-        longest_s = LONGEST_RETRY_S
+        longest_s = _store_health.LONGEST_RETRY_S
         if not self._has_listed:
-            longest_s = LONGEST_FIRST_RETRY_S
-        self._retry_s = min(longest_s, self._retry_s * 2)
+            longest_s = _store_health.LONGEST_FIRST_RETRY_S
+        self._health.note_fault(self._settings.name, longest_s)
+
+    def _take_success(self) -> bool:
+        """Note an answer; return whether an outage ended with it."""
+        failing_since_s = self._failing_since_s
+        was_out = failing_since_s is not None and self._health.may_have_lapsed(
+            failing_since_s
+        )
+        self._note_regained()
+        self._health.note_answer()
+        return was_out
 
-    def _take_success(self) -> None:
-        if self._failing_since_s is not None:
-            out_s = self._clock.monotonic_s() - self._failing_since_s
-            self._log.record(
-                _events.StoreRegained(self._settings.name, round(out_s * 1000))
-            )
+    def _note_regained(self) -> None:
+        if self._failing_since_s is None:
+            return
+        out_s = self._clock.monotonic_s() - self._failing_since_s
         self._failing_since_s = None
-        self._retry_s = FIRST_RETRY_S
+        self._log.record(
+            _events.StoreRegained(self._settings.name, round(out_s * 1000))
+        )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -466,7 +466,9 @@
         """Take over a whole list."""
         self._table.replace(items)
 
-    def apply(self, items: tuple[data.MoveChange, ...]) -> None:
+    def apply(
+        self, items: tuple[data.MoveChange, ...], after_outage: bool
+    ) -> None:
         """Take over changes."""
         for item in items:
             self._table.apply(item)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
@@ -2,14 +2,18 @@
 
 Each call to the store has its price and counts against its rates, and a
 change of one kind wakes each instance that watches it. In a small fleet each
-instance watches for itself. In a larger one a few watch and pass the store's
-answers on; the others listen, and ask the store themselves as soon as they
-miss a change or no longer hear that the watching instances hear the store.
+instance watches for itself. In a larger one the first instances in an order
+of all watch and pass the store's answers on; the others listen. When no word
+of a watching instance is heard, the others ask one after the other, in that
+order: the first that is answered watches for all until a better one is heard,
+and in an outage the whole fleet makes a few calls a second.
 """
 
 import dataclasses
+import enum
 import math
 import queue
+import random
 import threading
 
 from skylarktack.coordination.forwarding import _fleet
@@ -21,12 +25,27 @@
 WATCH_FREELY_COUNT = 12
 
 #: Instances that watch for all others in a larger fleet.
-WATCHER_COUNT = 3
+WATCHER_COUNT = 2
 
-#: Longest wait of a watch that others rely on; it bounds the time for which
+#: Longest wait of the watch that others rely on; it bounds the time for which
 #: a silent store goes unnoticed.
 SHARED_WATCH_WAIT_S = 1.0
 
+#: Shortest pause between two watches of an instance that hears one that comes
+#: before it, and only keeps up to replace it.
+BACKUP_GATHER_S = 1.0
+
+#: Time after the start in which an instance waits to hear the others before
+#: it asks the store for what its first, stale lists lack.
+SETTLE_S = 1.0
+
+#: Time between the turns of two instances that hear no watching one, the
+#: longest wait for the first turn, and the calls that all instances make a
+#: second after it.
+TURN_STEP_S = 0.1
+LONGEST_FIRST_TURN_S = 2.0
+TURNS_PER_S = 10.0
+
 #: Time between two beats of a watching instance.
 BEAT_INTERVAL_S = 0.4
 
@@ -41,14 +60,31 @@
 INBOX_LIMIT_COUNT = 256
 
 
+class StoreRole(enum.Enum):
+    """How an instance follows one kind of objects."""
+
+    #: It asks the store itself.
+    ASK = 'ask'
+
+    #: It takes over what others pass on.
+    LISTEN = 'listen'
+
+    #: It hears nobody, and others ask before it.
+    WAIT = 'wait'
+
+
 @dataclasses.dataclass
 class _Kind:
     """What is known about one kind of objects."""
 
-    own_revision: int = 0
+    confirmed: data.ConfirmedKind | None = None
     confirmed_at_s: float = -math.inf
-    heard_revision: int = 0
+    heard: data.ConfirmedKind | None = None
     heard_until_s: float = -math.inf
+    #: The same for instances that come before this one.
+    preceded_until_s: float = -math.inf
+    #: When this instance may ask although nobody is heard, or None.
+    turn_at_s: float | None = None
     inbox: queue.Queue[data.StoreChange] = dataclasses.field(
         default_factory=lambda: queue.Queue(INBOX_LIMIT_COUNT)
     )
@@ -69,6 +105,7 @@
         self._lock = threading.Lock()
         self._kinds: dict[str, _Kind] = {}
         self._never = threading.Event()
+        self._started_at_s = clock.monotonic_s()
 
     def is_shared(self) -> bool:
         """Return whether the fleet is large enough for shared watches."""
@@ -78,19 +115,70 @@
         """Return whether this instance watches for others."""
         return self.is_shared() and self._fleet.rank() < WATCHER_COUNT
 
-    def may_listen(self, kind: str) -> bool:
-        """Return whether this instance may rely on the others."""
-        if not self.is_shared() or self._fleet.rank() < WATCHER_COUNT:
-            return False
-        return self.heard_revision(kind) is not None
+    def role(self, kind: str) -> StoreRole:
+        """Return how this instance follows a kind now."""
+        now_s = self._clock.monotonic_s()
+        if not self.is_shared():
+            is_starting = now_s < self._started_at_s + SETTLE_S
+            if is_starting and not self._fleet.is_small(WATCH_FREELY_COUNT):
+                return StoreRole.WAIT
+            return StoreRole.ASK
+        rank = self._fleet.rank()
+        if rank < WATCHER_COUNT:
+            return StoreRole.ASK
+        with self._lock:
+            known = self._of(kind)
+            is_acting = self._is_confirmed(known, now_s)
+            is_preceded = now_s <= known.preceded_until_s
+            is_heard = now_s <= known.heard_until_s
+            if is_preceded or (is_heard and not is_acting):
+                known.turn_at_s = None
+                return StoreRole.LISTEN
+            if is_acting:
+                return StoreRole.ASK
+            if known.turn_at_s is None:
+                wait_s = min(
+                    TURN_STEP_S * (rank - WATCHER_COUNT), LONGEST_FIRST_TURN_S
+                )
+                known.turn_at_s = now_s + wait_s * _jitter()
+            if now_s < known.turn_at_s:
+                return StoreRole.WAIT
+            return StoreRole.ASK
 
-    def heard_revision(self, kind: str) -> int | None:
-        """Return the newest revision in use, or None if none is heard."""
+    def take_turn(self) -> None:
+        """Note that this instance asks the store."""
+        interval_s = self._fleet.instance_count() / TURNS_PER_S
+        next_s = self._clock.monotonic_s() + interval_s * _jitter()
+        with self._lock:
+            for known in self._kinds.values():
+                if known.turn_at_s is not None:
+                    known.turn_at_s = next_s
+
+    def watch_wait_s(self, longest_s: float) -> float:
+        """Return how long a watch may wait for a change.
+
+        :param longest_s: the same in a small fleet.
+        """
+        if not self.is_shared() or self._is_preceded():
+            return longest_s
+        return SHARED_WATCH_WAIT_S
+
+    def gather_s(self, shortest_s: float) -> float:
+        """Return the pause between two watches that gathers changes.
+
+        :param shortest_s: the same in a small fleet.
+        """
+        if self.is_shared() and self._is_preceded():
+            return max(shortest_s, BACKUP_GATHER_S)
+        return shortest_s
+
+    def heard(self, kind: str) -> data.ConfirmedKind | None:
+        """Return what others say of a kind, or None if none is heard."""
         with self._lock:
             known = self._of(kind)
             if self._clock.monotonic_s() > known.heard_until_s:
                 return None
-            return known.heard_revision
+            return known.heard
 
     def next_change(
         self, kind: str, timeout_s: float
@@ -103,20 +191,22 @@
         except queue.Empty:
             return None
 
-    def note_answer(self, kind: str, revision: int) -> None:
-        """Note that the store answered.
-
-        :param revision: revision of the newest change of the kind.
-        """
+    def note_answer(self, confirmed: data.ConfirmedKind) -> None:
+        """Note that the store answered."""
+        now_s = self._clock.monotonic_s()
         with self._lock:
-            known = self._of(kind)
-            known.own_revision = revision
-            known.confirmed_at_s = self._clock.monotonic_s()
+            known = self._of(confirmed.kind)
+            known.confirmed = confirmed
+            known.confirmed_at_s = now_s
+            for other in self._kinds.values():
+                # The store answers, so the other kinds need not wait.
+                if other.turn_at_s is not None:
+                    other.turn_at_s = now_s
 
     def publish(self, change: data.StoreChange) -> None:
-        """Pass a change on if others rely on this instance."""
-        if self.is_watcher():
-            self._link.send(change, self._fleet.peers())
+        """Pass a change on unless one that comes before does so."""
+        if self.is_shared() and not self._is_preceded():
+            self._link.spread(change, self._fleet.relay_order())
 
     def take_change(self, change: data.StoreChange) -> None:
         """Queue a change of another instance."""
@@ -131,25 +221,31 @@
     def take_beat(self, beat: data.StoreBeat) -> None:
         """Note that another instance hears the store."""
         until_s = self._clock.monotonic_s() + BEAT_LIFETIME_S
+        precedes = self._fleet.precedes(beat.instance)
         with self._lock:
-            for kind, revision in beat.revisions:
-                known = self._of(kind)
+            for confirmed in beat.kinds:
+                known = self._of(confirmed.kind)
                 known.heard_until_s = until_s
-                known.heard_revision = max(known.heard_revision, revision)
+                if precedes:
+                    known.preceded_until_s = until_s
+                if known.heard is None or not _is_older(
+                    confirmed, known.heard
+                ):
+                    known.heard = confirmed
 
     def beat(self) -> data.StoreBeat | None:
         """Return the word that this instance hears the store, or None."""
-        if not self.is_watcher():
+        if not self.is_shared() or self._is_preceded():
             return None
-        oldest_s = self._clock.monotonic_s() - CONFIRMATION_LIFETIME_S
-        revisions = []
+        now_s = self._clock.monotonic_s()
+        kinds = []
         with self._lock:
-            for kind, known in self._kinds.items():
-                if known.confirmed_at_s >= oldest_s:
-                    revisions.append((kind, known.own_revision))
-        if not revisions:
+            for known in self._kinds.values():
+                if known.confirmed and self._is_confirmed(known, now_s):
+                    kinds.append(known.confirmed)
+        if not kinds:
             return None
-        return data.StoreBeat(self._fleet.instance, tuple(revisions))
+        return data.StoreBeat(self._fleet.instance, tuple(kinds))
 
     def run_beats(self) -> None:
         """Send beats until the process ends; run it as a task."""
@@ -157,7 +253,19 @@
             self._clock.wait(self._never, BEAT_INTERVAL_S)
             beat = self.beat()
             if beat is not None:
-                self._link.send(beat, self._fleet.peers())
+                self._link.spread(beat, self._fleet.relay_order())
+
+    def _is_preceded(self) -> bool:
+        """Return whether an instance is heard that comes before this one."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            for known in self._kinds.values():
+                if now_s <= known.preceded_until_s:
+                    return True
+            return False
+
+    def _is_confirmed(self, known: _Kind, now_s: float) -> bool:
+        return now_s <= known.confirmed_at_s + CONFIRMATION_LIFETIME_S
 
     def _of(self, kind: str) -> _Kind:
         known = self._kinds.get(kind)
@@ -165,3 +273,14 @@
             known = _Kind()
             self._kinds[kind] = known
         return known
+
+
+def _is_older(one: data.ConfirmedKind, other: data.ConfirmedKind) -> bool:
+    return (one.changed_revision, one.confirmed_revision) < (
+        other.changed_revision,
+        other.confirmed_revision,
+    )
+
+
+def _jitter() -> float:
+    return 0.75 + random.random() / 2
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -86,10 +86,10 @@
         :param after_outage: whether entries may be missing only because
             they expired while the store was away.
         """
+        if after_outage:
+            self.await_lapsed()
         now_s = self._clock.monotonic_s()
         with self._lock:
-            if after_outage:
-                self._lapse_grace_until_s = now_s + LAPSE_GRACE_S
             listed = {target.name for target in targets}
             for target in targets:
                 self._put(target)
@@ -98,6 +98,13 @@
                     self._remove(name, now_s)
         self.is_known.set()
 
+    def await_lapsed(self) -> None:
+        """Keep targets whose entries expired while the store was away."""
+        with self._lock:
+            self._lapse_grace_until_s = (
+                self._clock.monotonic_s() + LAPSE_GRACE_S
+            )
+
     def apply(self, change: data.TargetChange) -> None:
         """Take over one change."""
         with self._lock:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
@@ -301,6 +301,28 @@
     )
 
 
+class RecordingLink:
+    """Keeps the messages to other instances."""
+
+    def __init__(self) -> None:
+        self.sent: list[data.FleetMessage] = []
+        self.receiver_counts: list[int] = []
+
+    def send(
+        self, message: data.FleetMessage, peers: tuple[data.Address, ...]
+    ) -> int:
+        """Keep a message that is sent to each peer."""
+        self.sent.append(message)
+        self.receiver_counts.append(len(peers))
+        return 100 * len(peers)
+
+    def spread(
+        self, message: data.FleetMessage, peers: tuple[data.Address, ...]
+    ) -> None:
+        """Keep a message that the peers pass on."""
+        self.send(message, peers)
+
+
 def peer_report(name: str, number: int) -> data.FleetReport:
     """Return a report of a peer that counts as heard for a long time."""
     return data.FleetReport(
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -148,6 +148,7 @@
             self._sharing = forwarding.StoreSharing(
                 clock, self._fleet, self._link
             )
+        health = forwarding.StoreHealth(clock)
         self._configuration_follower = forwarding.Follower(
             clock,
             platform.ConfigurationReader(
@@ -158,6 +159,7 @@
             ),
             log,
             forwarding.FollowSettings('configuration', WATCH_WAIT_S, 0.0),
+            health,
             self._sharing,
         )
         self._target_follower = forwarding.Follower(
@@ -170,6 +172,7 @@
             forwarding.FollowSettings(
                 'targets', WATCH_WAIT_S, TARGET_GATHER_S
             ),
+            health,
             self._sharing,
         )
         self._move_follower = forwarding.Follower(
@@ -178,6 +181,7 @@
             forwarding.MoveBelief(self._moves),
             log,
             forwarding.FollowSettings('moves', MOVE_WATCH_WAIT_S, 0.0),
+            health,
             self._sharing,
         )
         self._own_tasks = futures.ThreadPoolExecutor(OWN_TASK_COUNT)
--- a/packages/platform/src/skylarktack/platform/_instances.py
+++ b/packages/platform/src/skylarktack/platform/_instances.py
@@ -33,16 +33,25 @@
     ) -> tuple[data.ListedPeer, ...] | None:
         """Enter this instance; return all, or None if the store is away.
 
-        The first list is read after the entry was made, so that of two
-        instances that start together one sees the other.
+        An instance that starts again under its name mostly finds its entry
+        in a list that may be stale, which costs a tenth of a call. Otherwise
+        the list is read after the entry was made, so that of two instances
+        that start together one sees the other.
         """
-        is_first = not self._has_entered
-        if is_first and not self._enter(peer):
-            return None
-        listing = self._objects.list_objects(may_be_stale=not is_first)
+        peers = self._list(may_be_stale=True)
+        if peers is None or self._has_entered:
+            return peers
+        if peer not in peers:
+            if not self._enter(peer):
+                return None
+            peers = self._list(may_be_stale=False)
+        self._has_entered = peers is not None
+        return peers
+
+    def _list(self, may_be_stale: bool) -> tuple[data.ListedPeer, ...] | None:
+        listing = self._objects.list_objects(may_be_stale)
         if isinstance(listing, forwarding.StoreFault):
             return None
-        self._has_entered = True
         peers = []
         for item in listing.items:
             listed = _decode(item)
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -14,6 +14,7 @@
 CHANGE_NUMBER = 2
 BEAT_NUMBER = 3
 MOVE_NUMBER = 4
+RELAY_NUMBER = 5
 
 #: Largest content of a change after it was unpacked.
 CONTENT_LIMIT_BYTES = 4 * 1024 * 1024
@@ -29,10 +30,15 @@
                 message.previous_revision,
                 message.revision,
                 zlib.compress(message.content),
+                message.follows_outage,
             )
         )
     if isinstance(message, data.StoreBeat):
-        return cbor2.dumps((BEAT_NUMBER, message.instance, message.revisions))
+        kinds = [dataclasses.astuple(kind) for kind in message.kinds]
+        return cbor2.dumps((BEAT_NUMBER, message.instance, kinds))
+    if isinstance(message, data.RelayedMessage):
+        peers = [(peer.host, peer.port) for peer in message.peers]
+        return cbor2.dumps((RELAY_NUMBER, peers, message.content))
     if isinstance(message, data.MoveReport):
         return _encode_move(message)
     return _encode_report(message)
@@ -50,6 +56,8 @@
             return _decode_beat(fields)
         if fields[0] == MOVE_NUMBER:
             return _decode_move(fields)
+        if fields[0] == RELAY_NUMBER:
+            return _decode_relayed(fields)
     except (
         cbor2.CBORDecodeError,
         ValueError,
@@ -136,14 +144,29 @@
         previous_revision=int(fields[2]),
         revision=int(fields[3]),
         content=content,
+        follows_outage=bool(fields[5]),
     )
 
 
 def _decode_beat(fields: Any) -> data.StoreBeat:
-    revisions = []
-    for kind, revision in fields[2]:
-        revisions.append((str(kind), int(revision)))
-    return data.StoreBeat(str(fields[1]), tuple(revisions))
+    kinds = []
+    for kind, changed_revision, confirmed_revision in fields[2]:
+        kinds.append(
+            data.ConfirmedKind(
+                str(kind), int(changed_revision), int(confirmed_revision)
+            )
+        )
+    return data.StoreBeat(str(fields[1]), tuple(kinds))
+
+
+def _decode_relayed(fields: Any) -> data.RelayedMessage:
+    peers = []
+    for host, port in fields[1]:
+        peers.append(data.Address(str(host), int(port)))
+    content = fields[2]
+    if not isinstance(content, bytes):
+        raise TypeError('a relayed message is not bytes')
+    return data.RelayedMessage(content, tuple(peers))
 
 
 def _encode_move(report: data.MoveReport) -> bytes:
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -9,9 +9,11 @@
 from skylarktack.state.forwarding._configuration import RequestKind
 from skylarktack.state.forwarding._configuration import ServiceDescription
 from skylarktack.state.forwarding._configuration import WeightedService
+from skylarktack.state.forwarding._fleet import ConfirmedKind
 from skylarktack.state.forwarding._fleet import FleetMessage
 from skylarktack.state.forwarding._fleet import FleetReport
 from skylarktack.state.forwarding._fleet import ListedPeer
+from skylarktack.state.forwarding._fleet import RelayedMessage
 from skylarktack.state.forwarding._fleet import RepeatCounts
 from skylarktack.state.forwarding._fleet import RunNotice
 from skylarktack.state.forwarding._fleet import StoreBeat
@@ -35,6 +37,7 @@
 from skylarktack.state.forwarding._targets import TargetReport
 
 __all__ = [
+    'ConfirmedKind',
     'Address',
     'AnswerHead',
     'Delivery',
@@ -62,6 +65,7 @@
     'RequestKind',
     'RunNotice',
     'ServiceDescription',
+    'RelayedMessage',
     'StoreBeat',
     'StoreChange',
     'TargetChange',
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -94,6 +94,24 @@
     #: The answer as the store sent it.
     content: bytes
 
+    #: Whether entries may be gone only because they expired while the store
+    #: was away.
+    follows_outage: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfirmedKind:
+    """Kind of objects that the store confirmed."""
+
+    #: Name of the kind.
+    kind: str
+
+    #: Revision of its newest change.
+    changed_revision: int
+
+    #: Revision up to which the store confirmed that nothing else changed.
+    confirmed_revision: int
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreBeat:
@@ -102,13 +120,25 @@
     #: Name of the sender.
     instance: str
 
-    #: Kinds that the store confirmed a moment ago, each with the revision of
-    #: its newest change.
-    revisions: tuple[tuple[str, int], ...]
+    #: Kinds that the store confirmed a moment ago.
+    kinds: tuple[ConfirmedKind, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class RelayedMessage:
+    """A message that its receiver also passes on to others."""
+
+    #: The message, encoded.
+    content: bytes
+
+    #: Where it is passed on to.
+    peers: tuple[Address, ...]
 
 
 #: What instances send each other.
-FleetMessage = FleetReport | StoreChange | StoreBeat | MoveReport
+FleetMessage = (
+    FleetReport | StoreChange | StoreBeat | MoveReport | RelayedMessage
+)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
@@ -45,17 +45,38 @@
             return 0
         sent_bytes = 0
         for peer in peers:
-            try:
-                self._socket.sendto(
-                    datagram, socket.MSG_DONTWAIT, (peer.host, peer.port)
-                )
-            except OSError:
-                # A full buffer or a peer that is gone; the next full report
-                # replaces this one.
-                continue
-            sent_bytes += len(datagram)
+            sent_bytes += self._send(datagram, peer)
         return sent_bytes
 
+    def spread(
+        self, message: data.FleetMessage, peers: tuple[data.Address, ...]
+    ) -> None:
+        """Send one message to a few peers, which pass it on to the others."""
+        datagram = messages.encode_message(message)
+        if len(datagram) <= DATAGRAM_LIMIT_BYTES:
+            self._spread(datagram, peers)
+
+    def _spread(
+        self, datagram: bytes, peers: tuple[data.Address, ...]
+    ) -> None:
+        for group in forwarding.relay_groups(peers):
+            outgoing = datagram
+            if len(group) > 1:
+                outgoing = messages.encode_message(
+                    data.RelayedMessage(datagram, group[1:])
+                )
+            self._send(outgoing, group[0])
+
+    def _send(self, datagram: bytes, peer: data.Address) -> int:
+        try:
+            return self._socket.sendto(
+                datagram, socket.MSG_DONTWAIT, (peer.host, peer.port)
+            )
+        except OSError:
+            # A full buffer or a peer that is gone; the next full report or
+            # beat shows what is missing.
+            return 0
+
     def run(
         self,
         view: forwarding.FleetView,
@@ -72,6 +93,10 @@
             except OSError:
                 return
             message = messages.decode_message(datagram)
+            if isinstance(message, data.RelayedMessage):
+                self._spread(message.content, message.peers)
+                datagram = message.content
+                message = messages.decode_message(datagram)
             if isinstance(message, data.FleetReport):
                 view.take(message)
             elif isinstance(message, data.StoreChange):
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_fleet_link.py
@@ -0,0 +1,66 @@
+"""Datagrams between instances on loopback."""
+
+import socket
+
+from skylarktack.coordination import fakes
+from skylarktack.protocol import forwarding as messages
+from skylarktack.state import forwarding as data
+from skylarktack.transport import forwarding as transport
+
+BEAT = data.StoreBeat('edge-a-1', (data.ConfirmedKind('targets', 9, 12),))
+WAIT_S = 10.0
+
+
+def _receiver() -> tuple[socket.socket, data.Address]:
+    receiving = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    receiving.bind(('127.0.0.1', 0))
+    receiving.settimeout(WAIT_S)
+    return receiving, data.Address(*receiving.getsockname())
+
+
+class TestDatagramLink:
+    """Messages that are passed on, and those that cannot be sent."""
+
+    def test_a_spread_message_names_who_else_gets_it(self) -> None:
+        """Guards against peers that are left out, or reached twice."""
+        link = transport.DatagramLink(
+            data.Address('127.0.0.1', 0), fakes.RecordingLog()
+        )
+        receivers = [_receiver() for _ in range(20)]
+        peers = tuple(address for _, address in receivers)
+        link.spread(BEAT, peers)
+        reached: list[data.Address] = []
+        for receiving, address in receivers[:8]:
+            message = messages.decode_message(receiving.recv(65536))
+            assert isinstance(message, data.RelayedMessage)
+            assert messages.decode_message(message.content) == BEAT
+            reached.extend((address, *message.peers))
+        assert sorted(reached, key=str) == sorted(peers, key=str)
+        for receiving, _ in receivers:
+            receiving.close()
+        link.close()
+
+    def test_a_single_peer_gets_the_message_itself(self) -> None:
+        """Guards against a wrapper around nothing."""
+        link = transport.DatagramLink(
+            data.Address('127.0.0.1', 0), fakes.RecordingLog()
+        )
+        receiving, address = _receiver()
+        link.spread(BEAT, (address,))
+        assert messages.decode_message(receiving.recv(65536)) == BEAT
+        receiving.close()
+        link.close()
+
+    def test_an_oversized_message_is_not_sent(self) -> None:
+        """Guards against datagrams that no socket takes."""
+        link = transport.DatagramLink(
+            data.Address('127.0.0.1', 0), fakes.RecordingLog()
+        )
+        receiving, address = _receiver()
+        names = tuple(f'{number:x}' * 40 for number in range(2000))
+        kinds = tuple(data.ConfirmedKind(name, 1, 1) for name in names)
+        link.spread(data.StoreBeat('edge-a-1', kinds), (address,))
+        link.spread(BEAT, (address,))
+        assert messages.decode_message(receiving.recv(65536)) == BEAT
+        receiving.close()
+        link.close()
