Soak fourteen instances in the tests, so that shared watches are played

Cause: the seeds of the tests run two instances; a fleet follows the store through a few of its instances only from thirteen on, so no test with real processes played it.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
@@ -1,5 +1,7 @@
 """A short seeded soak, and the seeds that failed before."""
 
+import dataclasses
+
 import pytest
 
 from skylarktack.emulator import soak
@@ -9,23 +11,37 @@
     instance_count=2, engine_count=3, service_count=2, length_s=5.0
 )
 
+#: Enough instances that a few of them follow the store for all.
+SHARED_SEED = 1136
+SHARED_SHAPE = dataclasses.replace(SHAPE, instance_count=14)
+
 SEEDS = (11, *(regression.seed for regression in soak.REGRESSIONS))
 
 
+def _assert_kept(result: soak.SoakResult) -> None:
+    broken = [
+        f'{promise.name}: {what}'
+        for promise in result.promises
+        for what in promise.broken
+    ]
+    assert not broken
+    assert result.served_count > 0
+
+
 class TestSoak:
     """The promises hold while faults come in series and overlap."""
 
     @pytest.mark.parametrize('seed', SEEDS)
     def test_keeps_every_promise(self, seed: int) -> None:
         """Guards against faults that only show together."""
-        result = soak.run_seed(seed, SHAPE)
-        broken = [
-            f'{promise.name}: {what}'
-            for promise in result.promises
-            for what in promise.broken
-        ]
-        assert not broken
-        assert result.served_count > 0
+        _assert_kept(soak.run_seed(seed, SHAPE))
+
+    def test_keeps_every_promise_with_shared_watches(self) -> None:
+        """Guards against instances that rely on one that is gone.
+
+        The seed has an outage, lost history and a kill of all.
+        """
+        _assert_kept(soak.run_seed(SHARED_SEED, SHARED_SHAPE))
 
 
 class TestSchedule:
