Let busy instances tell their runs within what the fleet receives

Cause: each instance might spend an equal share on changes of its runs, and the balancer's shares are uneven, so the changes of the busy ones were held for up to a second.

What counts now is the rate of changes that reaches each instance: below 14,000 bytes a second all are told at once, above it the equal share holds.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
@@ -8,11 +8,19 @@
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: Bytes a second that the changes of one instance may cost the fleet, and
-#: the time for which it may spend them in advance.
+#: Bytes of changes that an instance receives in a second while all tell
+#: theirs at once. Each byte is also passed on once by somebody.
+RECEIVED_BYTES_PER_S = 14000.0
+
+#: Bytes a second that the changes of one instance may cost the fleet while
+#: more than that is received, and the time for which it may spend them in
+#: advance.
 CHANGE_BYTES_PER_S = 8000.0
 CHANGE_ADVANCE_S = 4.0
 
+#: Size of a change that is assumed before the first.
+TYPICAL_CHANGE_BYTES = 170.0
+
 #: Time for each peer, and the longest time, in which changes that nobody
 #: waits for are gathered. Runs that begin are told at once, since others
 #: choose an engine at the same moment.
@@ -79,6 +87,7 @@
         self._view = view
         self._link = link
         self._paid_until_s = clock.monotonic_s()
+        self._change_bytes = TYPICAL_CHANGE_BYTES
         self._never = threading.Event()
 
     def run(self) -> None:
@@ -112,12 +121,22 @@
         report = self._view.change_report()
         if report is None:
             return
-        cost_bytes = self._link.spread(report, self._view.spread_order())
+        peers = self._view.spread_order()
+        cost_bytes = self._link.spread(report, peers)
+        self._change_bytes = cost_bytes / max(1, len(peers))
         now_s = self._clock.monotonic_s()
         self._paid_until_s = max(now_s, self._paid_until_s)
         self._paid_until_s += cost_bytes / CHANGE_BYTES_PER_S
 
     def _held_s(self) -> float:
+        """Return the time until changes may be told.
+
+        Busy instances may use what the others leave, so what counts first is
+        the rate that reaches everybody.
+        """
+        received_bytes_per_s = self._view.change_rate() * self._change_bytes
+        if received_bytes_per_s < RECEIVED_BYTES_PER_S:
+            return 0.0
         allowed_at_s = self._paid_until_s - CHANGE_ADVANCE_S
         return max(0.0, allowed_at_s - self._clock.monotonic_s())
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -1,5 +1,7 @@
 """Streams over engines that fail: the sequence of engines of one stream."""
 
+import random
+
 from skylarktack.coordination.forwarding import _calls
 from skylarktack.coordination.forwarding import _choice
 from skylarktack.coordination.forwarding import _outcomes
@@ -19,6 +21,11 @@
 #: Wait before the targets are looked through again.
 HOLD_STEP_S = 0.1
 
+#: Longest wait before a run without a copy starts again. Runs that are lost
+#: together would all go to the engine with the least load; with the wait each
+#: instance hears of the choices before its own, which takes milliseconds.
+LONGEST_STAGGER_S = 0.04
+
 #: When a caller may come back after no target took its request.
 RETRY_AFTER_S = 0.3
 
@@ -87,6 +94,8 @@
                 break
             if end.has_copy:
                 copy_at = self._standby_in_use(pair)
+            if copy_at is None and self._stagger():
+                return _outcomes.CallerLeft()
         return self._give_up()
 
     def _may_run_again(self) -> bool:
@@ -141,6 +150,14 @@
         )
         return ready.has_caller_left
 
+    def _stagger(self) -> bool:
+        """Wait for a random moment; return whether the caller has left."""
+        left_s = self._work.deadline_s - self._clock.monotonic_s()
+        wait_s = min(LONGEST_STAGGER_S * random.random(), max(0.0, left_s))
+        return self._parts.client.wait(
+            (), self._work.caller, wait_s
+        ).has_caller_left
+
     def _attempt(
         self, pair: _choice.EnginePair, from_copy: bool
     ) -> _stream_parts.AttemptEnd:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
@@ -133,6 +133,17 @@
         link = bed.RecordingLink()
         return clock, view, link, forwarding.FleetReporter(clock, view, link)
 
+    def _press(self, view: forwarding.FleetView) -> None:
+        """Let more changes arrive than an instance may receive."""
+        for sequence in range(2, 302):
+            view.take(
+                dataclasses.replace(
+                    bed.peer_report('peer-0', 0),
+                    sequence=sequence,
+                    is_full=False,
+                )
+            )
+
     def test_a_change_is_told_to_all(self) -> None:
         """Guards against engines that some instances take for free.
 
@@ -144,9 +155,23 @@
         reporter.send_changes()
         assert link.receiver_counts == [self.PEER_COUNT]
 
+    def test_a_busy_instance_uses_what_the_others_leave(self) -> None:
+        """Guards against choices that rest on runs told a second late.
+
+        At 91 instances an equal share for each held back the changes of the
+        busy ones: 69 of 72 engines that were picked twice within a second
+        were picked by instances that did not know of the first.
+        """
+        _, view, link, reporter = self._reporter()
+        for number in range(40):
+            view.note_run(_run(f'run-{number}'))
+            reporter.send_changes()
+        assert len(link.sent) == 40
+
     def test_changes_beyond_the_allowance_go_together(self) -> None:
         """Guards against control traffic that grows with the requests."""
         clock, view, link, reporter = self._reporter()
+        self._press(view)
         for number in range(40):
             view.note_run(_run(f'run-{number}'))
             reporter.send_changes()
@@ -162,6 +187,7 @@
     def test_held_changes_wake_the_task_again(self) -> None:
         """Guards against changes that wait for the next full report."""
         _, view, _, reporter = self._reporter()
+        self._press(view)
         for number in range(10):
             view.note_run(_run(f'run-{number}'))
             reporter.send_changes()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -96,6 +96,40 @@
         assert desk.client.exchanges[0].is_closed
 
 
+class TestLostTogether:
+    """Runs that a failure domain takes with it start again apart."""
+
+    def test_runs_without_a_copy_start_again_at_different_moments(
+        self,
+    ) -> None:
+        """Guards against a herd at the engine with the least load.
+
+        Five instances that lost a prompt at the same moment started it again
+        at the one free engine; the last of them was read after 7 s.
+        """
+        waits_ms = set()
+        for _ in range(20):
+            desk = _pair()
+            desk.client.script('first', bed.lost())
+            desk.client.script('second', bed.events(1, 3))
+            assert isinstance(desk.stream(), forwarding.StreamDone)
+            lost, again = desk.client.sent
+            waits_ms.add(round(1000 * (again.at_s - lost.at_s), 1))
+        assert len(waits_ms) > 10
+        assert max(waits_ms) - min(waits_ms) <= 40
+
+    def test_a_run_goes_on_at_its_copy_at_once(self) -> None:
+        """Guards against a pause where no choice is made."""
+        moments = set()
+        for _ in range(5):
+            desk = _pair()
+            desk.client.script('first', bed.events(1, 5, ending='lost'))
+            desk.client.script('second', bed.events(6, 9, start_s=0.05))
+            desk.stream()
+            moments.add(desk.client.sent[1].at_s)
+        assert len(moments) == 1
+
+
 class TestSilence:
     """An engine that falls silent is told from one that is slow."""
 
