Split the evidence of targets and the meter of changes from their tables

What one target's evidence says (means, load, expected time) stands with the evidence, the belief of moves with the other beliefs, and the rate of changes has a module of its own.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -2,6 +2,7 @@
 
 from skylarktack.coordination.forwarding._beliefs import ConfigurationBelief
 from skylarktack.coordination.forwarding._beliefs import ConfigurationHolder
+from skylarktack.coordination.forwarding._beliefs import MoveBelief
 from skylarktack.coordination.forwarding._beliefs import TargetBelief
 from skylarktack.coordination.forwarding._budget import RepeatLimits
 from skylarktack.coordination.forwarding._budget import RetryBudget
@@ -61,7 +62,6 @@
 from skylarktack.coordination.forwarding._move_driver import MoveDriver
 from skylarktack.coordination.forwarding._move_driver import MoveWriter
 from skylarktack.coordination.forwarding._moves import ExposureLimits
-from skylarktack.coordination.forwarding._moves import MoveBelief
 from skylarktack.coordination.forwarding._moves import MoveTable
 from skylarktack.coordination.forwarding._moves import VersionJudge
 from skylarktack.coordination.forwarding._outcomes import CallerLeft
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_beliefs.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_beliefs.py
@@ -1,8 +1,9 @@
-"""What the instance believes about the configuration and its age."""
+"""What the instance believes of what the store tells, and its age."""
 
 import threading
 
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _routes
 from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.ports import Clock
@@ -125,3 +126,30 @@
 
     def doubt(self) -> None:
         """Do nothing; targets are used as they were last listed."""
+
+
+class MoveBelief:
+    """Keeps the table of moves as the store tells them."""
+
+    def __init__(self, table: _moves.MoveTable) -> None:
+        self._table = table
+
+    def replace(
+        self, items: tuple[data.MoveChange, ...], after_outage: bool
+    ) -> None:
+        """Take over a whole list."""
+        self._table.replace(items)
+
+    def apply(
+        self, items: tuple[data.MoveChange, ...], after_outage: bool
+    ) -> None:
+        """Take over changes."""
+        for item in items:
+            self._table.apply(item)
+
+    def confirm(self) -> None:
+        """Note that no newer order is missing."""
+        self._table.is_known.set()
+
+    def doubt(self) -> None:
+        """Do nothing; a move goes on as it was last recorded."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_evidence.py
@@ -5,6 +5,24 @@
 
 from skylarktack.state import forwarding as data
 
+#: Weight of the newest sample in the means of latency and errors.
+SAMPLE_WEIGHT = 0.2
+
+#: A mean without a new sample for this time no longer counts.
+SAMPLE_LIFETIME_S = 3.0
+
+#: Latency that is assumed of a target without samples.
+DEFAULT_LATENCY_MS = 25.0
+
+#: Disadvantage of a target in another failure domain.
+REMOTE_PENALTY_MS = 4.0
+
+#: Factor on the expected latency of a target whose answers are all errors.
+ERROR_PENALTY = 6.0
+
+#: Age at which a reported load no longer counts.
+LOAD_LIFETIME_S = 1.0
+
 #: Failed targets of one failure domain within this time that put the other
 #: targets of the domain behind those of other domains.
 DOMAIN_LOSS_COUNT = 2
@@ -43,6 +61,51 @@
     load: data.TargetLoad | None = None
     load_at_s: float = -math.inf
 
+    def sample_latency(self, latency_ms: float, now_s: float) -> None:
+        """Take the latency of an answer into the mean."""
+        if now_s - self.sampled_at_s > SAMPLE_LIFETIME_S:
+            self.latency_ms = latency_ms
+            self.error_share = 0.0
+        self.sampled_at_s = now_s
+        self.latency_ms += SAMPLE_WEIGHT * (latency_ms - self.latency_ms)
+
+    def count_answer(self, is_error: bool) -> None:
+        """Take an answer into the share of errors."""
+        self.error_share += SAMPLE_WEIGHT * (
+            float(is_error) - self.error_share
+        )
+
+    def busy_count(self, now_s: float) -> int:
+        """Return the requests at the target, as far as known."""
+        age_s = now_s - self.load_at_s
+        if self.load is None or age_s >= LOAD_LIFETIME_S:
+            return self.in_flight_count
+        reported = self.load.running_count + self.load.waiting_count
+        return max(self.in_flight_count, reported)
+
+
+def expected_ms(
+    evidence: TargetEvidence,
+    target: data.ListedTarget,
+    failure_domain: str,
+    now_s: float,
+) -> float:
+    """Return how long a call to the target is expected to take.
+
+    :param failure_domain: where the call comes from.
+    """
+    latency_ms = DEFAULT_LATENCY_MS
+    error_share = 0.0
+    if now_s - evidence.sampled_at_s < SAMPLE_LIFETIME_S:
+        latency_ms = evidence.latency_ms
+        error_share = evidence.error_share
+    slots = max(1, target.slot_count)
+    expected = latency_ms * (1 + evidence.busy_count(now_s) / slots)
+    expected *= 1 + ERROR_PENALTY * error_share
+    if target.failure_domain != failure_domain:
+        expected += REMOTE_PENALTY_MS
+    return expected
+
 
 class DomainDoubts:
     """Failure domains that lost several targets a moment ago."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -8,12 +8,12 @@
 
 import dataclasses
 import hashlib
-import math
 import random
 import threading
 from typing import Protocol
 
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _rate_meter
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -36,9 +36,6 @@
 #: Most remembered places.
 PLACE_LIMIT_COUNT = 4096
 
-#: Time over which the rate of changes is measured.
-CHANGE_RATE_SPAN_S = 2.0
-
 #: Weights of an engine's runs against each other. The prompt of a run that
 #: is still read delays the tokens of all others.
 READING_WEIGHT = 2.0
@@ -117,8 +114,7 @@
         self._has_changes = threading.Event()
         self._is_greeting = True
         self._has_listed = False
-        self._change_count = 0.0
-        self._changes_counted_at_s = clock.monotonic_s()
+        self._change_meter = _rate_meter.RateMeter()
 
     def set_loss_listener(self, listener: LossListener) -> None:
         """Tell the listener of targets that peers found lost."""
@@ -218,7 +214,7 @@
             peer.endpoint = report.endpoint
             peer.heard_at_s = now_s
             if not report.is_full:
-                self._count_change(now_s)
+                self._change_meter.count(now_s)
             self._take_runs(peer, report)
             valid_s = SILENT_INTERVAL_COUNT * report.next_report_ms / 1000
             peer.valid_until_s = now_s + valid_s
@@ -324,10 +320,9 @@
 
     def change_rate(self) -> float:
         """Return how many changes of peers arrive in a second."""
-        age_s = self._clock.monotonic_s() - self._changes_counted_at_s
+        now_s = self._clock.monotonic_s()
         with self._lock:
-            decay = math.exp(-age_s / CHANGE_RATE_SPAN_S)
-            return self._change_count * decay / CHANGE_RATE_SPAN_S
+            return self._change_meter.rate(now_s)
 
     def hold_changes(self) -> None:
         """Note that changes are still to be told."""
@@ -417,12 +412,6 @@
             return ()
         return self._repeat_counter.counts()
 
-    def _count_change(self, now_s: float) -> None:
-        age_s = now_s - self._changes_counted_at_s
-        decay = math.exp(-age_s / CHANGE_RATE_SPAN_S)
-        self._change_count = 1 + self._change_count * decay
-        self._changes_counted_at_s = now_s
-
     def _take_runs(self, peer: _Peer, report: data.FleetReport) -> None:
         if report.sequence <= peer.sequence:
             return
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -452,30 +452,3 @@
         lost_targets=(state.TargetName(target.name),) if is_lost else (),
         first_token=moves.latency_sums(latency_ms),
     )
-
-
-class MoveBelief:
-    """Keeps the table of moves as the store tells them."""
-
-    def __init__(self, table: MoveTable) -> None:
-        self._table = table
-
-    def replace(
-        self, items: tuple[data.MoveChange, ...], after_outage: bool
-    ) -> None:
-        """Take over a whole list."""
-        self._table.replace(items)
-
-    def apply(
-        self, items: tuple[data.MoveChange, ...], after_outage: bool
-    ) -> None:
-        """Take over changes."""
-        for item in items:
-            self._table.apply(item)
-
-    def confirm(self) -> None:
-        """Note that no newer order is missing."""
-        self._table.is_known.set()
-
-    def doubt(self) -> None:
-        """Do nothing; a move goes on as it was last recorded."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -13,21 +13,6 @@
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: Weight of the newest sample in the means of latency and errors.
-SAMPLE_WEIGHT = 0.2
-
-#: A mean without a new sample for this time no longer counts.
-SAMPLE_LIFETIME_S = 3.0
-
-#: Latency that is assumed of a target without samples.
-DEFAULT_LATENCY_MS = 25.0
-
-#: Disadvantage of a target in another failure domain.
-REMOTE_PENALTY_MS = 4.0
-
-#: Factor on the expected latency of a target whose answers are all errors.
-ERROR_PENALTY = 6.0
-
 #: First and longest time for which a target that failed is passed over.
 EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
@@ -45,9 +30,6 @@
 #: kept the prompt of a run that goes on.
 RETURN_LOAD_LIMIT = 6.0
 
-#: Age at which a reported load no longer counts.
-LOAD_LIFETIME_S = 1.0
-
 #: After the store returns, entries that expired meanwhile come back within
 #: this time if their target lives.
 LAPSE_GRACE_S = 2.2
@@ -148,14 +130,8 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             evidence = self._of(target)
-            if now_s - evidence.sampled_at_s > SAMPLE_LIFETIME_S:
-                evidence.latency_ms = latency_ms
-                evidence.error_share = 0.0
-            evidence.sampled_at_s = now_s
-            evidence.latency_ms += SAMPLE_WEIGHT * (
-                latency_ms - evidence.latency_ms
-            )
-            self._count_answer(evidence, is_error)
+            evidence.sample_latency(latency_ms, now_s)
+            evidence.count_answer(is_error)
             evidence.heard_at_s = now_s
             evidence.failure_count = 0
             evidence.ejected_until_s = -math.inf
@@ -220,7 +196,7 @@
             evidence = self._of(target)
             is_hanging = evidence.heard_at_s <= sent_at_s
             if not is_hanging:
-                self._count_answer(evidence, is_error=True)
+                evidence.count_answer(is_error=True)
         if not is_hanging:
             self._moves.observe(target, state.OutcomeKind.SILENT)
             return
@@ -336,13 +312,6 @@
             )
             return _choice.standby_of(candidates, primary, loads)
 
-    def _count_answer(
-        self, evidence: _evidence.TargetEvidence, is_error: bool
-    ) -> None:
-        evidence.error_share += SAMPLE_WEIGHT * (
-            float(is_error) - evidence.error_share
-        )
-
     def _put(self, target: data.ListedTarget) -> None:
         held = self._targets.get(target.name)
         self._lapsed.pop(target.name, None)
@@ -431,28 +400,10 @@
             self._evidence[target.name] = evidence
         return evidence
 
-    def _busy_count(self, target: data.ListedTarget) -> int:
-        evidence = self._of(target)
-        busy = evidence.in_flight_count
-        age_s = self._clock.monotonic_s() - evidence.load_at_s
-        if evidence.load is not None and age_s < LOAD_LIFETIME_S:
-            reported = (
-                evidence.load.running_count + evidence.load.waiting_count
-            )
-            busy = max(busy, reported)
-        return busy
-
     def _expected_ms(self, target: data.ListedTarget) -> float:
-        evidence = self._of(target)
-        age_s = self._clock.monotonic_s() - evidence.sampled_at_s
-        latency_ms = DEFAULT_LATENCY_MS
-        error_share = 0.0
-        if age_s < SAMPLE_LIFETIME_S:
-            latency_ms = evidence.latency_ms
-            error_share = evidence.error_share
-        slots = max(1, target.slot_count)
-        expected_ms = latency_ms * (1 + self._busy_count(target) / slots)
-        expected_ms *= 1 + ERROR_PENALTY * error_share
-        if target.failure_domain != self._failure_domain:
-            expected_ms += REMOTE_PENALTY_MS
-        return expected_ms
+        return _evidence.expected_ms(
+            self._of(target),
+            target,
+            self._failure_domain,
+            self._clock.monotonic_s(),
+        )
