Don't let what was told freely count against an instance later

Cause, found by reading: the cost of changes added up while the rate that reaches all was low, so a busy instance would have been silent for as long as a burst lasts. The debt ends at the time that may be spent in advance; a test failed first. StoreSharing.is_watcher had no caller left.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
@@ -125,8 +125,9 @@
         cost_bytes = self._link.spread(report, peers)
         self._change_bytes = cost_bytes / max(1, len(peers))
         now_s = self._clock.monotonic_s()
-        self._paid_until_s = max(now_s, self._paid_until_s)
-        self._paid_until_s += cost_bytes / CHANGE_BYTES_PER_S
+        # What was told while all could be told is not paid for later.
+        owed_s = min(CHANGE_ADVANCE_S, max(0.0, self._paid_until_s - now_s))
+        self._paid_until_s = now_s + owed_s + cost_bytes / CHANGE_BYTES_PER_S
 
     def _held_s(self) -> float:
         """Return the time until changes may be told.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
@@ -111,10 +111,6 @@
         """Return whether the fleet is large enough for shared watches."""
         return self._fleet.instance_count() > WATCH_FREELY_COUNT
 
-    def is_watcher(self) -> bool:
-        """Return whether this instance watches for others."""
-        return self.is_shared() and self._fleet.rank() < WATCHER_COUNT
-
     def role(self, kind: str) -> StoreRole:
         """Return how this instance follows a kind now."""
         now_s = self._clock.monotonic_s()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
@@ -184,6 +184,21 @@
         assert len(last.runs) == 40 - told_count
         assert link.receiver_counts[-1] == self.PEER_COUNT
 
+    def test_what_was_told_freely_is_no_debt(self) -> None:
+        """Guards against busy instances that fall silent under pressure."""
+        clock, view, link, reporter = self._reporter()
+        for number in range(40):
+            view.note_run(_run(f'free-{number}'))
+            reporter.send_changes()
+        self._press(view)
+        view.note_run(_run('pressed'))
+        reporter.send_changes()
+        assert len(link.sent) == 40
+        clock.advance(9000 / 8000)
+        self._press(view)
+        reporter.send_changes()
+        assert len(link.sent) == 41
+
     def test_held_changes_wake_the_task_again(self) -> None:
         """Guards against changes that wait for the next full report."""
         _, view, _, reporter = self._reporter()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
@@ -237,7 +237,8 @@
                 if name != own:
                     view.take(bed.peer_report(name, number))
             sharing = forwarding.StoreSharing(self.clock, view, self.link)
-            if sharing.is_watcher() == is_watcher:
+            asks = sharing.role('kind') is forwarding.StoreRole.ASK
+            if asks == is_watcher:
                 return sharing
         raise AssertionError('no such instance')
 
