Keep a listener's revision at the last change that it took over

Listeners took over the revision that a beat confirmed. While history is dropped a watch may show nothing and still name a newer revision, so a change was skipped; the list that the watching instance read afterwards named no newer revision than theirs, and they never asked. A test failed first.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
@@ -227,8 +227,7 @@
             return revision
         if heard.changed_revision <= revision:
             self._note_up_to_date()
-            # A revision that grows with the store's stays in its history.
-            return max(revision, heard.confirmed_revision)
+            return revision
         now_s = self._clock.monotonic_s()
         if self._behind_since_s is None:
             self._behind_since_s = now_s
