Drop the confirmed revision from beats

It had no reader since listeners keep the revision of their last change; a beat now names each kind and the revision of its newest change. Behaviour is the same but for beats that name the same change, which were ordered by it.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
@@ -261,7 +261,7 @@
         self._must_catch_up = may_be_stale
         if not may_be_stale:
             self._belief.confirm()
-            self._note_answer(answer.revision)
+            self._note_answer()
         return answer.revision
 
     def _watch(self, revision: int, wait_s: float) -> int | None:
@@ -281,7 +281,7 @@
         if answer.items:
             self._publish(answer, was_out)
             self._event_revision = answer.revision
-        self._note_answer(answer.revision)
+        self._note_answer()
         gather_s = self._gather_s()
         if answer.items and gather_s > 0:
             self._clock.wait(self._stopped, gather_s)
@@ -300,12 +300,10 @@
             )
         )
 
-    def _note_answer(self, revision: int) -> None:
+    def _note_answer(self) -> None:
         if self._sharing is not None:
             self._sharing.note_answer(
-                data.ConfirmedKind(
-                    self._settings.name, self._event_revision, revision
-                )
+                data.ConfirmedKind(self._settings.name, self._event_revision)
             )
 
     def _take_fault(self, fault: StoreFault) -> None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
@@ -224,9 +224,10 @@
                 known.heard_until_s = until_s
                 if precedes:
                     known.preceded_until_s = until_s
-                if known.heard is None or not _is_older(
-                    confirmed, known.heard
-                ):
+                newest = (
+                    0 if known.heard is None else known.heard.changed_revision
+                )
+                if confirmed.changed_revision >= newest:
                     known.heard = confirmed
 
     def beat(self) -> data.StoreBeat | None:
@@ -271,12 +272,5 @@
         return known
 
 
-def _is_older(one: data.ConfirmedKind, other: data.ConfirmedKind) -> bool:
-    return (one.changed_revision, one.confirmed_revision) < (
-        other.changed_revision,
-        other.confirmed_revision,
-    )
-
-
 def _jitter() -> float:
     return 0.75 + random.random() / 2
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
@@ -192,9 +192,7 @@
 
 
 def _beat(revision: int) -> data.StoreBeat:
-    return data.StoreBeat(
-        'x', (data.ConfirmedKind('kind', revision, revision),)
-    )
+    return data.StoreBeat('x', (data.ConfirmedKind('kind', revision),))
 
 
 class _SharedBed:
@@ -257,7 +255,7 @@
         assert data.StoreChange('kind', 5, 9, b'b') in shared.link.sent
         beat = shared.sharing.beat()
         assert beat is not None
-        assert beat.kinds == (data.ConfirmedKind('kind', 9, 9),)
+        assert beat.kinds == (data.ConfirmedKind('kind', 9),)
 
     def test_a_watcher_that_no_longer_hears_the_store_is_silent(self) -> None:
         """Guards against instances that rely on one that is cut off."""
@@ -339,7 +337,7 @@
 
         def _heard(kind: str) -> data.ConfirmedKind | None:
             changed = 5 if shared.clock.monotonic_s() < 1001.0 else 80
-            quiet = data.ConfirmedKind('kind', changed, 80)
+            quiet = data.ConfirmedKind('kind', changed)
             shared.sharing.take_beat(data.StoreBeat('x', (quiet,)))
             return told(kind)
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_sharing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_sharing.py
@@ -41,7 +41,7 @@
                 self.health.note_fault(kind, 0.6)
                 continue
             self.health.note_answer()
-            self.sharing.note_answer(data.ConfirmedKind(kind, 5, 5))
+            self.sharing.note_answer(data.ConfirmedKind(kind, 5))
         return call_count
 
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -150,12 +150,8 @@
 
 def _decode_beat(fields: Any) -> data.StoreBeat:
     kinds = []
-    for kind, changed_revision, confirmed_revision in fields[2]:
-        kinds.append(
-            data.ConfirmedKind(
-                str(kind), int(changed_revision), int(confirmed_revision)
-            )
-        )
+    for kind, changed_revision in fields[2]:
+        kinds.append(data.ConfirmedKind(str(kind), int(changed_revision)))
     return data.StoreBeat(str(fields[1]), tuple(kinds))
 
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -40,8 +40,8 @@
         beat = data.StoreBeat(
             'edge-a-1',
             (
-                data.ConfirmedKind('targets', 9, 12),
-                data.ConfirmedKind('routes', 4, 11),
+                data.ConfirmedKind('targets', 9),
+                data.ConfirmedKind('routes', 4),
             ),
         )
         spread = data.SpreadMessage(
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -109,9 +109,6 @@
     #: Revision of its newest change.
     changed_revision: int
 
-    #: Revision up to which the store confirmed that nothing else changed.
-    confirmed_revision: int
-
 
 @dataclasses.dataclass(frozen=True)
 class StoreBeat:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_fleet_link.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_fleet_link.py
@@ -7,7 +7,7 @@
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
 
-BEAT = data.StoreBeat('edge-a-1', (data.ConfirmedKind('targets', 9, 12),))
+BEAT = data.StoreBeat('edge-a-1', (data.ConfirmedKind('targets', 9),))
 WAIT_S = 10.0
 
 
@@ -58,7 +58,7 @@
         )
         receiving, address = _receiver()
         names = tuple(f'{number:x}' * 40 for number in range(2000))
-        kinds = tuple(data.ConfirmedKind(name, 1, 1) for name in names)
+        kinds = tuple(data.ConfirmedKind(name, 1) for name in names)
         link.spread(data.StoreBeat('edge-a-1', kinds), (address,))
         link.spread(BEAT, (address,))
         assert messages.decode_message(receiving.recv(65536)) == BEAT
