Hedge a held lookup after a share of the time that is left

A lookup that waited for the first configuration was sent to two targets at once, since the moment of the hedge counted from its arrival. It now counts from the first send, as the same share of what is left of the objective, or of the time limit once the objective has passed. Tests fail before.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -17,8 +17,8 @@
 #: Most targets that are tried for one request, whether or not they run it.
 SEND_LIMIT_COUNT = 5
 
-#: A repeatable request without an answer after this part of its latency
-#: objective is also sent to a second target.
+#: A repeatable request without an answer after this part of what was left of
+#: its latency objective at the first send is also sent to a second target.
 HEDGE_OBJECTIVE_SHARE = 0.45
 
 #: When a caller may come back after no target took its request.
@@ -138,8 +138,12 @@
         route = self._work.route
         if not route.may_repeat or route.max_attempts < 2:
             return self._work.deadline_s
-        delay_s = HEDGE_OBJECTIVE_SHARE * route.latency_objective_ms / 1000
-        return self._work.started_at_s + delay_s
+        # A request that was held before its first send has less time left.
+        now_s = self._clock.monotonic_s()
+        end_s = self._work.started_at_s + route.latency_objective_ms / 1000
+        if end_s <= now_s:
+            end_s = self._work.deadline_s
+        return now_s + HEDGE_OBJECTIVE_SHARE * (end_s - now_s)
 
     def _hedge(self) -> None:
         if self._run_count + 1 >= self._work.route.max_attempts:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_calls.py
@@ -138,6 +138,24 @@
         assert desk.clock.monotonic_s() - started_s < 0.1
         assert desk.client.exchanges[0].is_closed
 
+    @pytest.mark.parametrize('objective_share', (0.6, 1.5))
+    def test_a_held_lookup_is_not_hedged_at_once(
+        self, objective_share: float
+    ) -> None:
+        """Guards against twice the load when a start answers held lookups.
+
+        A lookup that waited for the first configuration is sent late.
+        """
+        desk = bed.make(bed.target('first'), bed.target('second', 'domain-b'))
+        desk.client.script('first', bed.answer(after_s=0.01))
+        of_route = bed.route(REPEATABLE, max_attempts=2, timeout_ms=4000)
+        work = desk.work(of_route, bed.request())
+        held_s = objective_share * of_route.latency_objective_ms / 1000
+        desk.clock.advance(held_s)
+        outcome = desk.calls.run(work)
+        assert isinstance(outcome, data.FrontAnswer)
+        assert desk.client.sent_to() == ['first']
+
     def test_never_hedges_a_call_that_may_run_once(self) -> None:
         """Guards against a booking that runs twice."""
         desk = bed.make(bed.target('hangs'), bed.target('good', 'domain-b'))
