Sum the evidence of moves in groups, and share the allowance

Cause: beyond 12 instances each one knew its own counts and those of three others, and used the whole allowance of sends to a version on trial. Each instance that heard of a stop also told it to all others once more.

The first instances in the order of all, the square root of the fleet's size, sum their members' counts; the first three sum those of the leaders, and one tells the sum to all. An instance leaves their part of the allowance to those it does not know of. A stop or shift is told by the instance that decided it; the sums repeat it. The tests of exposure at 91 instances and of bytes at 340 fail before.

Ruled out: a longer interval, which delays the verdict; a fixed part of the allowance for each instance, less than one request at 91. test_few_collect now checks scope and receivers of each role instead of one count.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -285,16 +285,19 @@
                     rank += 1
         return rank
 
-    def leading_peers(self, count: int) -> tuple[data.Address, ...]:
-        """Return where the first instances in that order receive reports."""
+    def leaders(self, count: int) -> dict[str, data.Address]:
+        """Return the first instances in that order, with their endpoints.
+
+        This instance may be among them.
+        """
         now_s = self._clock.monotonic_s()
-        ranked = []
+        ranked = [(_order_key(self.instance), self.instance, self._endpoint)]
         with self._lock:
             for name, peer in self._peers.items():
                 if now_s <= peer.valid_until_s:
-                    ranked.append((_order_key(name), peer.endpoint))
+                    ranked.append((_order_key(name), name, peer.endpoint))
         ranked.sort(key=lambda entry: entry[0])
-        return tuple(endpoint for _, endpoint in ranked[:count])
+        return {name: endpoint for _, name, endpoint in ranked[:count]}
 
     def report_interval_s(self) -> float:
         """Return the time between two full reports."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -13,6 +13,7 @@
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _fleet_tasks
 from skylarktack.coordination.forwarding import _following
+from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -20,12 +21,18 @@
 #: Time between two looks at the moves under way.
 STEP_S = 0.25
 
-#: Shortest time between two reports, and the time that each peer adds.
+#: Shortest time between two reports.
 REPORT_INTERVAL_S = 0.4
-REPORT_INTERVAL_PER_PEER_S = 0.02
 
-#: Instances that collect the evidence of all; the others report to them.
-COLLECTOR_COUNT = 3
+#: Bytes of reports that one that sums them receives in a second.
+REPORT_BYTES_PER_S = 9000.0
+
+#: Size of a report that is assumed before the first.
+TYPICAL_REPORT_BYTES = 500.0
+
+#: Intervals without a sum for the fleet after which the next collector tells
+#: its own.
+SILENT_INTERVAL_COUNT = 2.5
 
 #: Time that an instance leaves to each one before it in the order.
 TURN_S = 0.5
@@ -71,6 +78,7 @@
         self._never = threading.Event()
         self._next_report_s = 0.0
         self._next_write_s = 0.0
+        self._report_bytes = TYPICAL_REPORT_BYTES
 
     def run(self) -> None:
         """Drive moves until the process ends."""
@@ -83,16 +91,21 @@
     def step(self, has_news: bool = False) -> None:
         """Report what was seen and record the phases that are due.
 
-        :param has_news: whether the others should learn of it at once.
+        :param has_news: whether there is something to tell at once.
         """
         now_s = self._clock.monotonic_s()
         if has_news or now_s >= self._next_report_s:
-            self._report(has_news)
-            interval_s = max(
-                REPORT_INTERVAL_S,
-                REPORT_INTERVAL_PER_PEER_S * self._fleet.instance_count(),
+            leaders = self._fleet.leaders(
+                _move_evidence.leader_count(self._fleet.instance_count())
+            )
+            layout = _move_evidence.MoveLayout(
+                self._fleet.instance,
+                self._fleet.instance_count(),
+                tuple(leaders),
             )
-            self._next_report_s = now_s + interval_s
+            self._table.arrange(layout)
+            self._report(layout, leaders)
+            self._next_report_s = now_s + self._interval_s(layout)
         for service in self._table.open_services():
             phase = self._table.decide(service)
             order = self._table.order_of(service)
@@ -103,13 +116,60 @@
             if self._clock.monotonic_s() >= self._next_write_s:
                 self._write(order, phase)
 
-    def _report(self, has_news: bool) -> None:
-        for report in self._table.reports(self._fleet.instance):
-            peers = self._fleet.peers()
-            is_collector = self._fleet.rank() < COLLECTOR_COUNT
-            if not is_collector and not has_news:
-                peers = self._fleet.leading_peers(COLLECTOR_COUNT)
-            self._link.send(report, peers)
+    def _interval_s(self, layout: _move_evidence.MoveLayout) -> float:
+        """Return the time between two reports.
+
+        A collector hears the members of its group and all other leaders.
+        """
+        heard_count = 2 * len(layout.leaders)
+        received_bytes = heard_count * self._report_bytes
+        return max(REPORT_INTERVAL_S, received_bytes / REPORT_BYTES_PER_S)
+
+    def _report(
+        self,
+        layout: _move_evidence.MoveLayout,
+        leaders: dict[str, data.Address],
+    ) -> None:
+        if not leaders:
+            self._send(data.MoveScope.INSTANCE, self._fleet.peers())
+            return
+        own = self._fleet.instance
+        news = self._table.take_news()
+        for report in self._table.reports(own):
+            # A version that was stopped, or a shift, concerns all at once.
+            if report.service in news:
+                self._link.spread(report, self._fleet.spread_order())
+        if not layout.is_leader:
+            leader = layout.leader_of(own)
+            self._send(data.MoveScope.INSTANCE, (leaders[leader],))
+            return
+        collectors = []
+        for name in layout.collectors:
+            if name != own:
+                collectors.append(leaders[name])
+        self._send(data.MoveScope.GROUP, tuple(collectors))
+        if layout.is_collector and not self._is_preceded(layout):
+            for report in self._table.reports(own, data.MoveScope.FLEET):
+                self._link.spread(report, self._fleet.spread_order())
+
+    def _send(
+        self, scope: data.MoveScope, peers: tuple[data.Address, ...]
+    ) -> None:
+        for report in self._table.reports(self._fleet.instance, scope):
+            sent_bytes = self._link.send(report, peers)
+            self._report_bytes = sent_bytes / max(1, len(peers))
+
+    def _is_preceded(self, layout: _move_evidence.MoveLayout) -> bool:
+        """Return whether an earlier collector tells the fleet's sum."""
+        oldest_s = self._clock.monotonic_s() - (
+            SILENT_INTERVAL_COUNT * self._interval_s(layout)
+        )
+        for name in layout.collectors:
+            if name == self._fleet.instance:
+                return False
+            if self._table.fleet_heard_at_s(name) >= oldest_s:
+                return True
+        return False
 
     def _write(self, order: data.MoveOrder, phase: state.MovePhase) -> None:
         answer = self._writer.write_phase(order, phase)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 import threading
 from typing import Protocol
@@ -15,6 +16,7 @@
 from skylarktack import state
 from skylarktack.coordination import moves
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -82,20 +84,14 @@
     """A move under way; changes with each request."""
 
     order: data.MoveOrder
-    seen_at_s: float
-    rows: dict[tuple[str, str], state.EvidenceRow] = dataclasses.field(
-        default_factory=dict
-    )
-    request_count: int = 0
-    sent_count: int = 0
+    evidence: _move_evidence.MoveEvidence
     unjudged_count: int = 0
     is_shifting: bool = False
     stop_reason: str = ''
     due_phase: state.MovePhase | None = None
     due_since_s: float = 0.0
-    reports: dict[str, tuple[data.MoveReport, float]] = dataclasses.field(
-        default_factory=dict
-    )
+    #: Time at which the first instance saw the order.
+    began_at_s: float = math.inf
 
 
 class MoveTable:
@@ -117,9 +113,13 @@
         self._lock = threading.Lock()
         self._moves: dict[str, _Move] = {}
         self._versions = _version_rules.KnownVersions()
+        self._layout = _move_evidence.MoveLayout()
+        self._fleet_heard_at_s: dict[str, float] = {}
         #: Set once the orders were read for the first time.
         self.is_known = threading.Event()
-        #: Set at each new order; the driver clears it.
+        # Services with a stop or a shift that was decided here.
+        self._news: set[str] = set()
+        #: Set at each new order, stop and shift; the driver clears it.
         self.has_news = threading.Event()
 
     def replace(self, changes: tuple[data.MoveChange, ...]) -> None:
@@ -159,7 +159,7 @@
                     else _version_rules.ANY_VERSION
                 )
             version = move.order.to_version
-            move.request_count += 1
+            move.evidence.count_request()
             if move.stop_reason:
                 return _version_rules.VersionRule(None, excluded | {version})
             if move.order.phase is state.MovePhase.ROLLED_BACK:
@@ -180,7 +180,7 @@
         with self._lock:
             move = self._moves.get(target.service)
             if move is not None and target.version == move.order.to_version:
-                move.sent_count += 1
+                move.evidence.count_sent()
 
     def observe(
         self,
@@ -199,9 +199,7 @@
             if move is None or move.order.has_ended or move.stop_reason:
                 return
             row = _row_of(target, kind, latency_ms, is_counted)
-            key = (target.version, target.failure_domain)
-            held = move.rows.get(key)
-            move.rows[key] = row if held is None else moves.add_rows(held, row)
+            move.evidence.add(row)
             if target.version != move.order.to_version:
                 return
             move.unjudged_count += 1
@@ -217,30 +215,52 @@
             move = self._moves.get(report.service)
             if move is None or move.order.to_version != report.to_version:
                 return
-            move.reports[report.instance] = (report, now_s)
+            move.evidence.take(report)
+            if report.scope is data.MoveScope.FLEET:
+                self._fleet_heard_at_s[report.instance] = now_s
+            began_at_s = now_s - report.age_ms / 1000
+            move.began_at_s = min(move.began_at_s, began_at_s)
+            # The sender tells it to all, so it is no news from here.
             if report.stop_reason and not move.stop_reason:
-                self._stop(move, report.stop_reason)
+                self._stop(move, report.stop_reason, is_news=False)
             if report.is_shifting and not move.stop_reason:
-                self._shift(move)
+                self._shift(move, is_news=False)
 
-    def reports(self, instance: str) -> tuple[data.MoveReport, ...]:
-        """Return what this instance has seen of each move under way."""
+    def arrange(self, layout: _move_evidence.MoveLayout) -> None:
+        """Take over who sums whose counts."""
+        with self._lock:
+            self._layout = layout
+            for move in self._moves.values():
+                move.evidence.arrange(layout)
+
+    def reports(
+        self,
+        instance: str,
+        scope: data.MoveScope = data.MoveScope.INSTANCE,
+    ) -> tuple[data.MoveReport, ...]:
+        """Return what is known here of each move under way.
+
+        :param scope: whose counts to tell.
+        """
         found = []
         with self._lock:
             for service, move in self._moves.items():
                 if move.order.has_ended:
                     continue
+                counts = move.evidence.counts_of(scope)
                 found.append(
                     data.MoveReport(
                         instance=instance,
                         service=service,
                         to_version=move.order.to_version,
+                        scope=scope,
+                        member_count=counts.member_count,
                         age_ms=int(1000 * self._age_s(move)),
-                        request_count=move.request_count,
-                        sent_count=move.sent_count,
+                        request_count=counts.request_count,
+                        sent_count=counts.sent_count,
                         is_shifting=move.is_shifting,
                         stop_reason=move.stop_reason,
-                        rows=tuple(move.rows.values()),
+                        rows=counts.rows,
                     )
                 )
         return tuple(found)
@@ -270,6 +290,18 @@
                 return 0.0
             return self._clock.monotonic_s() - move.due_since_s
 
+    def take_news(self) -> frozenset[str]:
+        """Return the services with a stop or shift that nobody was told."""
+        with self._lock:
+            news = frozenset(self._news)
+            self._news.clear()
+            return news
+
+    def fleet_heard_at_s(self, instance: str) -> float:
+        """Return when an instance last told a sum of the fleet's counts."""
+        with self._lock:
+            return self._fleet_heard_at_s.get(instance, -math.inf)
+
     def order_of(self, service: str) -> data.MoveOrder | None:
         """Return the newest order for a service."""
         with self._lock:
@@ -309,7 +341,11 @@
                     self._note_phase(order)
                 held.order = order
                 return
-        self._moves[change.service] = _Move(order, self._clock.monotonic_s())
+        evidence = _move_evidence.MoveEvidence()
+        evidence.arrange(self._layout)
+        self._moves[change.service] = _Move(
+            order, evidence, began_at_s=self._clock.monotonic_s()
+        )
         if not order.has_ended:
             self._versions.restore(change.service, order.to_version)
             self.has_news.set()
@@ -325,49 +361,34 @@
         )
 
     def _draws_trial(self, move: _Move) -> bool:
-        request_count, sent_count = self._totals(move)
+        known = move.evidence.exposure()
         limits = self._limits
+        # What is not known of others is left to them.
+        known_share = known.member_count / self._layout.instance_count
         allowance_count = TRIAL_EXPOSURE_SHARE * limits.allowance_count
+        allowance_count *= min(1.0, known_share)
         fraction = TRIAL_EXPOSURE_SHARE * limits.fraction
-        if sent_count + 1 > fraction * request_count + allowance_count:
+        allowed_count = fraction * known.request_count + allowance_count
+        if known.sent_count + 1 > allowed_count:
             return False
         # Before the first second has passed the rate is not known.
-        rate_per_s = request_count / max(1.0, self._age_s(move))
+        rate_per_s = known.request_count / max(1.0, self._age_s(move))
         trial_s = TRIAL_TIME_SHARE * move.order.duration_s
         expected_count = max(1.0, rate_per_s * trial_s)
         share = fraction + allowance_count / expected_count
         return self._draw() < min(TRIAL_LARGEST_SHARE, share)
 
-    def _totals(self, move: _Move) -> tuple[int, int]:
-        """Return requests for the service and sends to the new version."""
-        request_count = move.request_count
-        sent_count = move.sent_count
-        for report, _ in move.reports.values():
-            request_count += report.request_count
-            sent_count += report.sent_count
-        return request_count, sent_count
-
     def _age_s(self, move: _Move) -> float:
         """Return the time since any instance saw the order.
 
         An instance that restarts learns it from the others.
         """
-        now_s = self._clock.monotonic_s()
-        age_s = now_s - move.seen_at_s
-        for report, heard_at_s in move.reports.values():
-            age_s = max(age_s, report.age_ms / 1000 + now_s - heard_at_s)
-        return age_s
-
-    def _all_rows(self, move: _Move) -> tuple[state.EvidenceRow, ...]:
-        rows = list(move.rows.values())
-        for report, _ in move.reports.values():
-            rows.extend(report.rows)
-        return tuple(rows)
+        return self._clock.monotonic_s() - move.began_at_s
 
     def _judge_move(self, move: _Move) -> moves.Judgement:
         move.unjudged_count = 0
         judged = self._judge.judge(
-            self._all_rows(move),
+            move.evidence.rows(),
             state.VersionName(move.order.to_version),
             REJECTION_PROBABILITY,
         )
@@ -375,7 +396,7 @@
             self._stop(move, judged.reason)
         return judged
 
-    def _stop(self, move: _Move, reason: str) -> None:
+    def _stop(self, move: _Move, reason: str, is_news: bool = True) -> None:
         move.stop_reason = reason
         move.is_shifting = False
         self._log.record(
@@ -383,16 +404,20 @@
                 move.order.service, move.order.to_version, reason
             )
         )
-        self.has_news.set()
+        if is_news:
+            self._news.add(move.order.service)
+            self.has_news.set()
 
-    def _shift(self, move: _Move) -> None:
+    def _shift(self, move: _Move, is_news: bool = True) -> None:
         if move.is_shifting:
             return
         move.is_shifting = True
         self._log.record(
             _events.MoveShifting(move.order.service, move.order.to_version)
         )
-        self.has_news.set()
+        if is_news:
+            self._news.add(move.order.service)
+            self.has_news.set()
 
     def _due_phase(self, move: _Move) -> state.MovePhase:
         if move.stop_reason:
@@ -422,9 +447,9 @@
         duration_s = move.order.duration_s
         if age_s >= SHIFT_LATEST_SHARE * duration_s:
             return True
-        request_count, sent_count = self._totals(move)
-        rate_per_s = request_count / max(1.0, age_s)
-        exposure_count = sent_count + rate_per_s * (duration_s - age_s)
+        known = move.evidence.exposure()
+        rate_per_s = known.request_count / max(1.0, age_s)
+        exposure_count = known.sent_count + rate_per_s * (duration_s - age_s)
         limit_count = self._limits.fraction * rate_per_s * duration_s
         limit_count += self._limits.allowance_count
         return exposure_count <= SHIFT_EXPOSURE_SHARE * limit_count
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
@@ -280,6 +280,8 @@
                 instance='peer',
                 service='pool',
                 to_version='v2',
+                scope=data.MoveScope.INSTANCE,
+                member_count=1,
                 age_ms=0,
                 request_count=0,
                 sent_count=0,
@@ -316,16 +318,48 @@
             10000, abs=5
         )
 
-    def test_few_collect_for_all(self) -> None:
-        """Guards against reports of each instance to each other one."""
+    @pytest.mark.parametrize(
+        ('name', 'scopes', 'receiver_counts'),
+        (
+            ('member', ['group', 'fleet'], [2, 30]),
+            ('peer', ['group'], [3]),
+            ('entry', ['instance'], [1]),
+        ),
+    )
+    def test_few_collect_for_all(
+        self, name: str, scopes: list[str], receiver_counts: list[int]
+    ) -> None:
+        """Guards against reports of each instance to each other one.
+
+        The names put this instance among the first three, among the other
+        leaders, or behind them.
+        """
         trial = _trial()
+        fleet = trial.desk.fleet
         for number in range(30):
-            trial.desk.fleet.take(bed.peer_report(f'peer-{number}', number))
-        assert len(trial.desk.fleet.leading_peers(3)) == 3
+            fleet.take(bed.peer_report(f'{name}-{number}', number))
         trial.driver.step()
-        peer_count = trial.link.receiver_counts[-1]
-        expected = 30 if trial.desk.fleet.rank() < 3 else 3
-        assert peer_count == expected
+        sent = trial.link.sent
+        assert [each.scope.value for each in sent] == scopes  # type: ignore[union-attr]
+        assert trial.link.receiver_counts == receiver_counts
+
+    @pytest.mark.parametrize('is_told', (True, False))
+    def test_news_is_told_by_one(self, is_told: bool) -> None:
+        """Guards against a stop that each of many instances tells to all."""
+        desk = _desk()
+        desk.moves.apply(data.MoveChange('pool', _order()))
+        desk.moves.has_news.clear()
+        if is_told:
+            desk.moves.take_report(self._report(stop_reason='failed'))
+        else:
+            for _ in range(40):
+                desk.moves.observe(_new('new-a'), state.OutcomeKind.ERROR)
+                desk.moves.observe(
+                    bed.target('old-a'), state.OutcomeKind.SUCCESS, 20.0
+                )
+        assert desk.moves.draw('pool').excluded == {'v2'}
+        news = set() if is_told else {'pool'}
+        assert desk.moves.take_news() == news
 
 
 class TestTurns:
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -185,6 +185,8 @@
             report.instance,
             report.service,
             report.to_version,
+            report.scope.value,
+            report.member_count,
             report.age_ms,
             report.request_count,
             report.sent_count,
@@ -197,7 +199,7 @@
 
 def _decode_move(fields: Any) -> data.MoveReport:
     rows = []
-    for row in fields[9]:
+    for row in fields[11]:
         count, log_sum, log_square_sum = row[6]
         rows.append(
             state.EvidenceRow(
@@ -218,10 +220,12 @@
         instance=str(fields[1]),
         service=str(fields[2]),
         to_version=str(fields[3]),
-        age_ms=int(fields[4]),
-        request_count=int(fields[5]),
-        sent_count=int(fields[6]),
-        is_shifting=bool(fields[7]),
-        stop_reason=str(fields[8]),
+        scope=data.MoveScope(fields[4]),
+        member_count=int(fields[5]),
+        age_ms=int(fields[6]),
+        request_count=int(fields[7]),
+        sent_count=int(fields[8]),
+        is_shifting=bool(fields[9]),
+        stop_reason=str(fields[10]),
         rows=tuple(rows),
     )
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -58,6 +58,8 @@
             instance='edge-a-1',
             service='pool',
             to_version='v2',
+            scope=data.MoveScope.GROUP,
+            member_count=7,
             age_ms=2500,
             request_count=40,
             sent_count=6,
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -21,6 +21,7 @@
 from skylarktack.state.forwarding._moves import MoveChange
 from skylarktack.state.forwarding._moves import MoveOrder
 from skylarktack.state.forwarding._moves import MoveReport
+from skylarktack.state.forwarding._moves import MoveScope
 from skylarktack.state.forwarding._requests import AnswerHead
 from skylarktack.state.forwarding._requests import Delivery
 from skylarktack.state.forwarding._requests import FrontAnswer
@@ -57,6 +58,7 @@
     'MoveChange',
     'MoveOrder',
     'MoveReport',
+    'MoveScope',
     'PromptPart',
     'Refusal',
     'RefusalReason',
--- a/packages/state/src/skylarktack/state/forwarding/_moves.py
+++ b/packages/state/src/skylarktack/state/forwarding/_moves.py
@@ -1,6 +1,7 @@
 """Orders to move a service's traffic to another version."""
 
 import dataclasses
+import enum
 
 from skylarktack.state._moves import EvidenceRow
 from skylarktack.state._moves import MovePhase
@@ -43,9 +44,22 @@
     order: MoveOrder | None
 
 
+class MoveScope(enum.Enum):
+    """Whose counts a report holds."""
+
+    #: The sender's.
+    INSTANCE = 'instance'
+
+    #: Those of the sender and of the instances that report to it.
+    GROUP = 'group'
+
+    #: Those of all instances that the sender knows.
+    FLEET = 'fleet'
+
+
 @dataclasses.dataclass(frozen=True)
 class MoveReport:
-    """What one instance has seen of a move, for the others."""
+    """What one or more instances have seen of a move, for the others."""
 
     #: Name of the sender.
     instance: str
@@ -54,7 +68,11 @@
     service: str
     to_version: str
 
-    #: Time since the sender saw the order, in milliseconds.
+    #: Whose counts these are, and of how many instances.
+    scope: MoveScope
+    member_count: int
+
+    #: Time since any instance saw the order, in milliseconds.
     age_ms: int
 
     #: Requests for the service since then, and sends to the new version.
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
@@ -0,0 +1,217 @@
+"""Planned moves in a large fleet: exposure, verdict, bytes."""
+
+import dataclasses
+import random
+
+import pytest
+
+from skylarktack import state
+from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
+from skylarktack.coordination import moves
+from skylarktack.coordination.forwarding.tests import bed
+from skylarktack.protocol import forwarding as codec
+from skylarktack.state import forwarding as data
+
+DURATION_S = 40.0
+STEP_S = 0.25
+LIMITS = forwarding.ExposureLimits(0.1, 50.0)
+
+#: What control may cost each instance, sent or received.
+CONTROL_BYTES_PER_S = 14000.0
+
+#: Part of the requests that the bad version fails.
+BAD_SHARE = 0.4
+
+
+class _Store:
+    """Holds the order and accepts the first phase for each revision."""
+
+    def __init__(self) -> None:
+        self.order = data.MoveOrder('pool', 'v2', DURATION_S, 5)
+
+    def write_phase(
+        self, order: data.MoveOrder, phase: state.MovePhase
+    ) -> data.MoveChange | forwarding.StoreFault:
+        if order.revision == self.order.revision:
+            self.order = dataclasses.replace(
+                self.order, phase=phase, revision=self.order.revision + 1
+            )
+        return data.MoveChange('pool', self.order)
+
+
+class _Instance:
+    """Moves of one instance, with the bytes that they cost."""
+
+    def __init__(self, number: int, world: '_World') -> None:
+        self.name = f'instance-{number}'
+        self.endpoint = data.Address(f'10.1.{number // 250}.{number % 250}', 1)
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.world = world
+        self.is_alive = True
+        log = fakes.RecordingLog()
+        self.fleet = forwarding.FleetView(
+            world.clock, log, self.name, self.endpoint
+        )
+        self.table = forwarding.MoveTable(
+            world.clock,
+            log,
+            LIMITS,
+            moves.SequentialJudge(state.MoveSettings()),
+            draw=world.random.random,
+        )
+        self.table.is_known.set()
+        self.driver = forwarding.MoveDriver(
+            world.clock, log, self.table, self.fleet, self, world.store
+        )
+
+    def send(
+        self, message: data.FleetMessage, peers: tuple[data.Address, ...]
+    ) -> int:
+        """Deliver a message to each peer."""
+        size = len(codec.encode_message(message))
+        self.sent_bytes += size * len(peers)
+        for endpoint in peers:
+            peer = self.world.by_endpoint[endpoint]
+            if not peer.is_alive:
+                continue
+            peer.received_bytes += size
+            assert isinstance(message, data.MoveReport)
+            peer.table.take_report(message)
+        return size * len(peers)
+
+    def spread(
+        self, message: data.FleetMessage, peers: tuple[data.Address, ...]
+    ) -> int:
+        """Deliver a message; its passing on costs others the bytes."""
+        held_bytes = self.sent_bytes
+        cost_bytes = self.send(message, peers)
+        self.sent_bytes = held_bytes
+        for endpoint in peers:
+            # On average each instance passes a message on once.
+            peer = self.world.by_endpoint[endpoint]
+            peer.sent_bytes += cost_bytes // len(peers)
+        return cost_bytes
+
+
+class _World:
+    """A fleet that serves one service during a move."""
+
+    def __init__(
+        self, instance_count: int, domain_count: int, rate_per_s: float
+    ) -> None:
+        self.clock = fakes.SteppingClock()
+        self.random = random.Random(1)
+        self.store = _Store()
+        self.by_endpoint: dict[data.Address, _Instance] = {}
+        self.instances: list[_Instance] = []
+        self.request_count = 0
+        self.sent_count = 0
+        self.bad_answer_count = 0
+        self.sent_after_count = 0
+        self._rate_per_s = rate_per_s
+        self._due_count = 0.0
+        self._domains = [f'domain-{each}' for each in range(domain_count)]
+        for number in range(instance_count):
+            instance = _Instance(number, self)
+            self.instances.append(instance)
+            self.by_endpoint[instance.endpoint] = instance
+        for instance in self.instances:
+            for peer in self.instances:
+                if peer is not instance:
+                    instance.fleet.take(_hello(peer))
+        for instance in self.instances:
+            instance.table.apply(data.MoveChange('pool', self.store.order))
+
+    def run(self, is_bad: bool, until_s: float = DURATION_S) -> None:
+        """Serve until the move has ended or the time is up."""
+        started_s = self.clock.monotonic_s()
+        while self.clock.monotonic_s() - started_s < until_s:
+            for instance in self.instances:
+                if instance.is_alive:
+                    has_news = instance.table.has_news.is_set()
+                    instance.table.has_news.clear()
+                    instance.driver.step(has_news)
+            self._due_count += self._rate_per_s * STEP_S
+            while self._due_count >= 1:
+                self._due_count -= 1
+                self._serve(self.random.choice(self.instances), is_bad)
+            self.clock.advance(STEP_S)
+            if self.store.order.has_ended:
+                for instance in self.instances:
+                    change = data.MoveChange('pool', self.store.order)
+                    instance.table.apply(change)
+                return
+
+    def _serve(self, instance: _Instance, is_bad: bool) -> None:
+        if not instance.is_alive:
+            return
+        self.request_count += 1
+        rule = instance.table.draw('pool')
+        version = 'v2' if rule.preferred == 'v2' else 'v1'
+        domain = self.random.choice(self._domains)
+        target = dataclasses.replace(
+            bed.target(f'{version}-{domain}', domain), version=version
+        )
+        instance.table.note_sent(target)
+        kind = state.OutcomeKind.SUCCESS
+        if version == 'v2':
+            self.sent_count += 1
+            if self.bad_answer_count >= LIMITS.allowance_count:
+                self.sent_after_count += 1
+            if is_bad and self.random.random() < BAD_SHARE:
+                kind = state.OutcomeKind.ERROR
+                self.bad_answer_count += 1
+        instance.table.observe(target, kind, 20.0 + self.random.random())
+
+    def leader(self) -> _Instance:
+        """Return the instance that comes first in the order of all."""
+        return min(self.instances, key=lambda each: each.fleet.rank())
+
+
+def _hello(peer: _Instance) -> data.FleetReport:
+    report = bed.peer_report(peer.name, 1)
+    return dataclasses.replace(report, endpoint=peer.endpoint)
+
+
+class TestLargeFleet:
+    """Many instances judge one version together."""
+
+    @pytest.mark.parametrize('instance_count', (9, 91))
+    def test_the_exposure_of_a_bad_version(self, instance_count: int) -> None:
+        """Guards against instances that each use the whole allowance."""
+        world = _World(instance_count, 4, rate_per_s=100.0)
+        world.run(is_bad=True)
+        assert world.store.order.phase is state.MovePhase.ROLLED_BACK
+        limit_count = LIMITS.fraction * world.request_count
+        assert world.sent_count <= limit_count + LIMITS.allowance_count
+        assert world.sent_after_count == 0
+
+    def test_a_good_version_is_completed(self) -> None:
+        """Guards against evidence that no judge gets to see."""
+        world = _World(91, 4, rate_per_s=100.0)
+        world.run(is_bad=False)
+        assert world.store.order.phase is state.MovePhase.COMPLETED
+
+    @pytest.mark.parametrize('is_bad', (True, False))
+    def test_a_verdict_without_the_first_instance(self, is_bad: bool) -> None:
+        """Guards against evidence that is lost with the one that sums it."""
+        world = _World(91, 4, rate_per_s=100.0)
+        world.leader().is_alive = False
+        world.run(is_bad)
+        expected = state.MovePhase.COMPLETED
+        if is_bad:
+            expected = state.MovePhase.ROLLED_BACK
+        assert world.store.order.phase is expected
+
+    def test_the_bytes_of_each_instance(self) -> None:
+        """Guards against reports that exceed what control may cost at 340
+        instances and 13 failure domains.
+        """
+        world = _World(340, 13, rate_per_s=2000.0)
+        until_s = 15.0
+        world.run(is_bad=False, until_s=until_s)
+        for instance in world.instances:
+            assert instance.sent_bytes <= CONTROL_BYTES_PER_S * until_s
+            assert instance.received_bytes <= CONTROL_BYTES_PER_S * until_s
