Move the exposure of a version on trial into a module of its own

The share of a trial and the moment of a shift are functions of the counts, the age and the limits; the table of moves keeps orders and verdicts.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -39,6 +39,7 @@
 from skylarktack.coordination.forwarding._events import TargetMisdirected
 from skylarktack.coordination.forwarding._events import TargetPassedOver
 from skylarktack.coordination.forwarding._events import TargetRumoured
+from skylarktack.coordination.forwarding._exposure import ExposureLimits
 from skylarktack.coordination.forwarding._fleet import FleetView
 from skylarktack.coordination.forwarding._fleet import LossListener
 from skylarktack.coordination.forwarding._fleet import RunPlace
@@ -61,7 +62,6 @@
 from skylarktack.coordination.forwarding._gateway import RequestReport
 from skylarktack.coordination.forwarding._move_driver import MoveDriver
 from skylarktack.coordination.forwarding._move_driver import MoveWriter
-from skylarktack.coordination.forwarding._moves import ExposureLimits
 from skylarktack.coordination.forwarding._moves import MoveTable
 from skylarktack.coordination.forwarding._moves import VersionJudge
 from skylarktack.coordination.forwarding._outcomes import CallerLeft
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -16,24 +16,12 @@
 from skylarktack import state
 from skylarktack.coordination import moves
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _exposure
 from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: Part of the allowed exposure that is used before the verdict. The counts of
-#: the peers are a moment old, so several instances may use the same rest.
-TRIAL_EXPOSURE_SHARE = 0.5
-
-#: Part of a move's time within which the trial should gather its evidence.
-TRIAL_TIME_SHARE = 0.5
-
-#: Largest part of the requests that goes to a version on trial.
-TRIAL_LARGEST_SHARE = 0.3
-
-#: Part of the allowed exposure that a shift before the end may reach.
-SHIFT_EXPOSURE_SHARE = 0.9
-
 #: Parts of a move's time: before the first no shift begins, from the second
 #: on it begins whatever the exposure, at the third the move ends. Runs at
 #: the old version end with the move, so a shift should begin early.
@@ -55,17 +43,6 @@
 REJECTION_PROBABILITY = 1e-4
 
 
-@dataclasses.dataclass(frozen=True)
-class ExposureLimits:
-    """Requests that a bad version may get while it is judged."""
-
-    #: Part of all requests for the service.
-    fraction: float
-
-    #: Requests beyond that part.
-    allowance_count: float
-
-
 class VersionJudge(Protocol):
     """Compares two versions that serve at the same time."""
 
@@ -101,7 +78,7 @@
         self,
         clock: Clock,
         log: _events.EventLog,
-        limits: ExposureLimits,
+        limits: _exposure.ExposureLimits,
         judge: VersionJudge,
         draw: Callable[[], float] = random.random,
     ) -> None:
@@ -169,7 +146,14 @@
                 return _version_rules.VersionRule(
                     version, excluded - {version}
                 )
-            if self._draws_trial(move):
+            share = _exposure.trial_share(
+                self._limits,
+                move.evidence.exposure(),
+                self._layout.instance_count,
+                self._age_s(move),
+                move.order.duration_s,
+            )
+            if self._draw() < share:
                 return _version_rules.VersionRule(
                     version, excluded - {version}, True
                 )
@@ -360,24 +344,6 @@
             )
         )
 
-    def _draws_trial(self, move: _Move) -> bool:
-        known = move.evidence.exposure()
-        limits = self._limits
-        # What is not known of others is left to them.
-        known_share = known.member_count / self._layout.instance_count
-        allowance_count = TRIAL_EXPOSURE_SHARE * limits.allowance_count
-        allowance_count *= min(1.0, known_share)
-        fraction = TRIAL_EXPOSURE_SHARE * limits.fraction
-        allowed_count = fraction * known.request_count + allowance_count
-        if known.sent_count + 1 > allowed_count:
-            return False
-        # Before the first second has passed the rate is not known.
-        rate_per_s = known.request_count / max(1.0, self._age_s(move))
-        trial_s = TRIAL_TIME_SHARE * move.order.duration_s
-        expected_count = max(1.0, rate_per_s * trial_s)
-        share = fraction + allowance_count / expected_count
-        return self._draw() < min(TRIAL_LARGEST_SHARE, share)
-
     def _age_s(self, move: _Move) -> float:
         """Return the time since any instance saw the order.
 
@@ -433,7 +399,13 @@
         is_proven = not judged.suspect and (
             judged.working_count >= JUDGED_COUNT
         )
-        if is_proven and self._may_shift(move, age_s):
+        is_late = age_s >= SHIFT_LATEST_SHARE * duration_s
+        if is_proven and (
+            is_late
+            or _exposure.may_shift(
+                self._limits, move.evidence.exposure(), age_s, duration_s
+            )
+        ):
             self._shift(move)
         if age_s < end_s:
             return state.MovePhase.SHIFTING
@@ -442,18 +414,6 @@
         self._stop(move, 'The evidence does not suffice.')
         return state.MovePhase.ROLLED_BACK
 
-    def _may_shift(self, move: _Move, age_s: float) -> bool:
-        """Return whether a shift now keeps to the allowed exposure."""
-        duration_s = move.order.duration_s
-        if age_s >= SHIFT_LATEST_SHARE * duration_s:
-            return True
-        known = move.evidence.exposure()
-        rate_per_s = known.request_count / max(1.0, age_s)
-        exposure_count = known.sent_count + rate_per_s * (duration_s - age_s)
-        limit_count = self._limits.fraction * rate_per_s * duration_s
-        limit_count += self._limits.allowance_count
-        return exposure_count <= SHIFT_EXPOSURE_SHARE * limit_count
-
 
 def _row_of(
     target: data.ListedTarget,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
@@ -339,8 +339,11 @@
         for number in range(30):
             fleet.take(bed.peer_report(f'{name}-{number}', number))
         trial.driver.step()
-        sent = trial.link.sent
-        assert [each.scope.value for each in sent] == scopes  # type: ignore[union-attr]
+        found = []
+        for report in trial.link.sent:
+            assert isinstance(report, data.MoveReport)
+            found.append(report.scope.value)
+        assert found == scopes
         assert trial.link.receiver_counts == receiver_counts
 
     @pytest.mark.parametrize('is_told', (True, False))
