--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_subsets.py
@@ -0,0 +1,53 @@
+"""Tests of the subsets of targets that an instance watches and uses."""
+
+import pytest
+
+from skylarktack import state
+from skylarktack.coordination import routing
+from skylarktack.coordination.tests import routing_bed
+
+SUBSETS = [
+    # instances, targets, failure domains
+    (9, 24, 4),
+    (7, 20, 4),
+    (340, 2700, 13),
+    (72, 2700, 13),
+    (3, 1, 1),
+]
+
+
+class TestSubsets:
+    """Guards against targets that too few instances watch or use."""
+
+    @pytest.mark.parametrize(('instances', 'targets', 'domains'), SUBSETS)
+    def test_subsets_are_balanced(
+        self, instances: int, targets: int, domains: int
+    ) -> None:
+        """Each target has its watchers and users, each instance its part."""
+        settings = state.RoutingSettings()
+        ordered = routing.ordered_targets(
+            [routing_bed.make_target(n, domains) for n in range(targets)]
+        )
+        listed = [
+            routing_bed.make_instance(n, domains) for n in range(instances)
+        ]
+        watchers: dict[str, int] = {one.name: 0 for one in ordered}
+        users = dict(watchers)
+        watched_counts: list[int] = []
+        for instance in listed:
+            place, count = routing.instance_place(instance.name, listed)
+            watched = routing.watched_targets(ordered, place, count, settings)
+            watched_counts.append(len(watched))
+            for target in watched:
+                watchers[target.name] += 1
+            for target in routing.used_targets(
+                ordered, place, count, settings.used_count
+            ):
+                users[target.name] += 1
+        assert min(watchers.values()) >= min(2, instances)
+        assert max(watched_counts) - min(watched_counts) <= 4
+        mean = sum(users.values()) / targets
+        assert mean >= min(6, instances)
+        # Half of the users are neighbours, which no choice of far targets
+        # takes away.
+        assert min(users.values()) >= min(3, instances)
--- a/packages/emulator/src/skylarktack/emulator/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/__init__.py
@@ -5,17 +5,13 @@
 from skylarktack.emulator._caller import generate
 from skylarktack.emulator._caller_loop import ResumedAnswer
 from skylarktack.emulator._caller_loop import generate_resumed
-from skylarktack.emulator._deployment import ANNOUNCE_TIMEOUT_S
 from skylarktack.emulator._deployment import OPERATOR_TOKEN
 from skylarktack.emulator._deployment import SECRET
-from skylarktack.emulator._deployment import STOP_TIMEOUT_S
 from skylarktack.emulator._deployment import Deployment
 from skylarktack.emulator._deployment import DeploymentShape
-from skylarktack.emulator._deployment import EmulatedProcess
 from skylarktack.emulator._deployment import default_document
 from skylarktack.emulator._deployment import key_hash
 from skylarktack.emulator._deployment import organisation_key
-from skylarktack.emulator._deployment import wait_ready
 from skylarktack.emulator._engine import KEEPALIVE_S
 from skylarktack.emulator._engine import EngineServer
 from skylarktack.emulator._engine_model import EngineFaults
@@ -33,6 +29,10 @@
 from skylarktack.emulator._object_api import ObjectApiFaults
 from skylarktack.emulator._object_api import ObjectApiServer
 from skylarktack.emulator._peer_fleet import PeerFleet
+from skylarktack.emulator._process import ANNOUNCE_TIMEOUT_S
+from skylarktack.emulator._process import STOP_TIMEOUT_S
+from skylarktack.emulator._process import EmulatedProcess
+from skylarktack.emulator._process import wait_ready
 from skylarktack.emulator._service import ServiceFaults
 from skylarktack.emulator._service import ServiceServer
 
--- a/packages/emulator/src/skylarktack/emulator/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/_deployment.py
@@ -3,13 +3,8 @@
 import dataclasses
 import hashlib
 import json
-import os
 import pathlib
-import signal
-import subprocess
-import sys
 import tempfile
-import threading
 import time
 from types import TracebackType
 from typing import Any
@@ -18,6 +13,7 @@
 from skylarktack import protocol
 from skylarktack import state
 from skylarktack import transport
+from skylarktack.emulator import _process
 
 #: Shared secret of deployments that this module starts.
 SECRET = 'secret of the emulated deployment'
@@ -25,12 +21,6 @@
 #: Operators' token of deployments that this module starts.
 OPERATOR_TOKEN = 'operator token of the emulated deployment'
 
-#: Longest wait for a process to announce its port.
-ANNOUNCE_TIMEOUT_S = 30.0
-
-#: Longest wait for a process to end after it was told to stop.
-STOP_TIMEOUT_S = 40.0
-
 
 def organisation_key(name: str) -> str:
     """Return the key that callers of an emulated organisation use."""
@@ -42,105 +32,6 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-class EmulatedProcess:
-    """One process that announced where it listens."""
-
-    def __init__(self, name: str, arguments: list[str]) -> None:
-        self.name = name
-        # Its own session keeps an interrupt at the terminal from reaching
-        # it before the deployment stops it.
-        self._process = subprocess.Popen(
-            [sys.executable, '-m', *arguments],
-            stdout=subprocess.PIPE,
-            stderr=subprocess.DEVNULL
-            if not os.environ.get('SKYLARKTACK_EMULATOR_LOGS')
-            else None,
-            start_new_session=True,
-        )
-        self.announced: dict[str, Any] = {}
-
-    def wait_announced(self) -> None:
-        """Wait until the process printed where it listens.
-
-        :raises RuntimeError: if it ended or took too long.
-        """
-        timer = threading.Timer(ANNOUNCE_TIMEOUT_S, self._process.kill)
-        timer.start()
-        assert self._process.stdout is not None
-        line = self._process.stdout.readline()
-        timer.cancel()
-        if not line:
-            raise RuntimeError(f'{self.name} did not start')
-        self.announced = json.loads(line)
-
-    @property
-    def address(self) -> state.Address:
-        """Where it listens."""
-        return state.Address(self.announced['host'], self.announced['port'])
-
-    @property
-    def operator_address(self) -> state.Address:
-        """Where an entry instance accepts operators."""
-        return state.Address(
-            self.announced['host'], self.announced['operator_port']
-        )
-
-    @property
-    def process_id(self) -> int:
-        """Identifier of the operating system."""
-        return self._process.pid
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the process has not ended."""
-        return self._process.poll() is None
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal if the process still runs."""
-        if self.is_running:
-            self._process.send_signal(number)
-
-    def kill(self) -> None:
-        """End the process without warning."""
-        self.signal(signal.SIGKILL)
-        self._process.wait()
-
-    def stop(self) -> None:
-        """Ask the process to stop, then end it if it does not."""
-        # A paused process does not see the request.
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGTERM)
-
-    def wait_stopped(self) -> int:
-        """Wait until the process ended and return its exit code."""
-        try:
-            return self._process.wait(STOP_TIMEOUT_S)
-        except subprocess.TimeoutExpired:
-            self.kill()
-            return self._process.wait()
-        finally:
-            if self._process.stdout is not None:
-                self._process.stdout.close()
-
-    def control(self, path: str = '/control', **fields: Any) -> None:
-        """Switch faults of a stand-in."""
-        transport.http_call(
-            self.address,
-            'POST',
-            path,
-            json.dumps(fields).encode(),
-            {},
-            5.0,
-        )
-
-    def read_json(self, path: str) -> Any:
-        """Read a control endpoint of a stand-in."""
-        answered = transport.http_call(
-            self.address, 'GET', path, None, {}, 5.0
-        )
-        return json.loads(answered.ok.body)
-
-
 @dataclasses.dataclass(frozen=True)
 class DeploymentShape:
     """Size of an emulated deployment."""
@@ -227,9 +118,9 @@
     ) -> None:
         self.shape = shape
         self.document = document or default_document()
-        self.engines: list[EmulatedProcess] = []
-        self.services: list[EmulatedProcess] = []
-        self.instances: list[EmulatedProcess] = []
+        self.engines: list[_process.EmulatedProcess] = []
+        self.services: list[_process.EmulatedProcess] = []
+        self.instances: list[_process.EmulatedProcess] = []
         self.leaving: set[str] = set()
         self.lists_loads = False
         #: Addresses listed instead of those of processes, for cut links.
@@ -264,7 +155,7 @@
                 process.wait_stopped()
         self._folder.cleanup()
 
-    def start_instance(self, index: int) -> EmulatedProcess:
+    def start_instance(self, index: int) -> _process.EmulatedProcess:
         """Start one more entry instance and enter it in the list."""
         process = self._spawn_instance(index)
         process.wait_announced()
@@ -272,7 +163,7 @@
         self.publish_list()
         return process
 
-    def start_engine(self, index: int) -> EmulatedProcess:
+    def start_engine(self, index: int) -> _process.EmulatedProcess:
         """Start one more engine; the list must be published after it."""
         process = self._spawn_engine(index, 0)
         self.engines.append(process)
@@ -286,8 +177,8 @@
         process.wait_announced()
         self.engines[index] = process
 
-    def _spawn_engine(self, index: int, port: int) -> EmulatedProcess:
-        return EmulatedProcess(
+    def _spawn_engine(self, index: int, port: int) -> _process.EmulatedProcess:
+        return _process.EmulatedProcess(
             f'engine-{index}',
             [
                 'skylarktack.emulator',
@@ -346,7 +237,7 @@
         )
 
     def _start(self) -> None:
-        self.object_api = EmulatedProcess(
+        self.object_api = _process.EmulatedProcess(
             'object-api', ['skylarktack.emulator', 'object_api']
         )
         for index in range(self.shape.engine_count):
@@ -354,7 +245,7 @@
         for index in range(self.shape.service_count):
             name = f'service-{index}'
             self.services.append(
-                EmulatedProcess(
+                _process.EmulatedProcess(
                     name, ['skylarktack.emulator', 'service', f'--name={name}']
                 )
             )
@@ -367,7 +258,7 @@
             process.wait_announced()
         self.publish_list()
         for process in self.instances:
-            wait_ready(process)
+            _process.wait_ready(process)
 
     def _store_document(self) -> None:
         record = state.ConfigurationRecord(
@@ -386,11 +277,11 @@
             5.0,
         )
 
-    def _spawn_instance(self, index: int) -> EmulatedProcess:
+    def _spawn_instance(self, index: int) -> _process.EmulatedProcess:
         name = f'instance-{index}'
         path = pathlib.Path(self._folder.name) / f'{name}.json'
         path.write_text(json.dumps(self._settings(name, index)))
-        return EmulatedProcess(
+        return _process.EmulatedProcess(
             name, ['skylarktack.daemon', f'--settings={path}']
         )
 
@@ -416,7 +307,7 @@
         return settings
 
     def _engine_versions(
-        self, process: EmulatedProcess
+        self, process: _process.EmulatedProcess
     ) -> tuple[state.VersionName, ...]:
         """Return what an engine serves, loads ordered since included."""
         if self.lists_loads and process.is_running:
@@ -433,7 +324,7 @@
 
     def _target(
         self,
-        process: EmulatedProcess,
+        process: _process.EmulatedProcess,
         index: int,
         kind: state.TargetKind,
         versions: tuple[state.VersionName, ...],
@@ -447,19 +338,3 @@
             versions=versions,
             leaving=process.name in self.leaving,
         )
-
-
-def wait_ready(process: EmulatedProcess) -> None:
-    """Wait until an instance serves callers.
-
-    :raises RuntimeError: if it does not become ready.
-    """
-    waiting = threading.Event()
-    for _ in range(600):
-        answered = transport.http_call(
-            process.address, 'GET', '/readyz', None, {}, 5.0
-        )
-        if answered.is_ok() and answered.ok.status == 200:
-            return
-        waiting.wait(0.05)
-    raise RuntimeError(f'{process.name} did not become ready')
--- a/packages/emulator/src/skylarktack/emulator/_peer_fleet.py
+++ b/packages/emulator/src/skylarktack/emulator/_peer_fleet.py
@@ -9,7 +9,7 @@
 from skylarktack import protocol
 from skylarktack import state
 from skylarktack import transport
-from skylarktack.emulator import _deployment
+from skylarktack.emulator import _process
 
 #: Failure domains over which the processes are spread.
 DOMAIN_COUNT = 4
@@ -22,8 +22,8 @@
     """Membership processes on loopback; a context manager that ends them."""
 
     def __init__(self) -> None:
-        self.processes: dict[str, _deployment.EmulatedProcess] = {}
-        self._spawned: list[_deployment.EmulatedProcess] = []
+        self.processes: dict[str, _process.EmulatedProcess] = {}
+        self._spawned: list[_process.EmulatedProcess] = []
         self._readers = concurrent.futures.ThreadPoolExecutor(READER_COUNT)
 
     def __enter__(self) -> Self:
@@ -43,7 +43,7 @@
 
     def grow(self, count: int) -> None:
         """Start processes up to a number of running ones and list them."""
-        started: list[_deployment.EmulatedProcess] = []
+        started: list[_process.EmulatedProcess] = []
         for index in range(len(self.processes), count):
             name = f'entry-{index:03}'
             started.append(self._spawn(name, index))
@@ -65,7 +65,7 @@
             state.PlatformList((), tuple(self._listed()))
         )
 
-        def _hand(process: _deployment.EmulatedProcess) -> None:
+        def _hand(process: _process.EmulatedProcess) -> None:
             transport.http_call(
                 process.address, 'POST', '/list', listed, {}, 5.0
             )
@@ -79,7 +79,7 @@
     def reports(self) -> dict[str, dict[str, Any]]:
         """Return the report of each running process."""
 
-        def _read(process: _deployment.EmulatedProcess) -> dict[str, Any]:
+        def _read(process: _process.EmulatedProcess) -> dict[str, Any]:
             report: dict[str, Any] = process.read_json('/report')
             return report
 
@@ -106,8 +106,8 @@
             waiting.wait(0.2)
         raise RuntimeError('The processes do not agree.')
 
-    def _spawn(self, name: str, index: int) -> _deployment.EmulatedProcess:
-        process = _deployment.EmulatedProcess(
+    def _spawn(self, name: str, index: int) -> _process.EmulatedProcess:
+        process = _process.EmulatedProcess(
             name,
             [
                 'skylarktack.emulator',
