Leave the allowance of a trial to instances not yet heard of

An instance that has just started took the fleet for as large as it had heard of, itself alone at first, and used the whole allowance of a version on trial. It now counts the instances that the store lists, and tries no version before it has read that list and its driver has looked at the fleet. Two tests fail before.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -62,6 +62,7 @@
 from skylarktack.coordination.forwarding._gateway import RequestReport
 from skylarktack.coordination.forwarding._move_driver import MoveDriver
 from skylarktack.coordination.forwarding._move_driver import MoveWriter
+from skylarktack.coordination.forwarding._move_evidence import MoveLayout
 from skylarktack.coordination.forwarding._moves import MoveTable
 from skylarktack.coordination.forwarding._moves import VersionJudge
 from skylarktack.coordination.forwarding._outcomes import CallerLeft
@@ -112,6 +113,7 @@
     'MoveRecorded',
     'MoveShifting',
     'MoveStopped',
+    'MoveLayout',
     'MoveTable',
     'MoveWriter',
     'VersionJudge',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_exposure.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_exposure.py
@@ -43,10 +43,12 @@
     """Return the part of the requests that may try the new version now.
 
     :param known: counts of as many instances as possible.
-    :param instance_count: instances of the fleet.
+    :param instance_count: instances of the fleet; 0 if that is not known.
     :param age_s: time since the order.
     :param duration_s: time of the move.
     """
+    if instance_count == 0:
+        return 0.0
     # What is not known of others is left to them.
     known_share = min(1.0, known.member_count / instance_count)
     allowance_count = TRIAL_EXPOSURE_SHARE * limits.allowance_count
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -263,6 +263,15 @@
                     count += 1
         return count
 
+    def expected_count(self) -> int:
+        """Return the instances that are listed or were heard of, with this.
+
+        0 before the store's list of instances is known: an instance that has
+        just started cannot tell how many others there are.
+        """
+        with self._lock:
+            return 1 + len(self._peers) if self._has_listed else 0
+
     def is_small(self, limit_count: int) -> bool:
         """Return whether the store listed at most so many instances."""
         with self._lock:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -100,7 +100,7 @@
             )
             layout = _move_evidence.MoveLayout(
                 self._fleet.instance,
-                self._fleet.instance_count(),
+                self._fleet.expected_count(),
                 tuple(leaders),
             )
             self._table.arrange(layout)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
@@ -30,8 +30,9 @@
     #: This instance.
     own_name: str = ''
 
-    #: Instances that were heard of lately, with this one.
-    instance_count: int = 1
+    #: Instances of the fleet, whether or not they were heard of; 0 if that is
+    #: not known.
+    instance_count: int = 0
 
     #: Instances that sum counts, in order; none in a small fleet.
     leaders: tuple[str, ...] = ()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/bed.py
@@ -323,6 +323,15 @@
         return self.send(message, peers)
 
 
+def listed_peers(count: int) -> tuple[data.ListedPeer, ...]:
+    """Return peers as the store lists them; none was heard of yet."""
+    peers = []
+    for number in range(count):
+        endpoint = data.Address('10.1.0.2', 7200 + number)
+        peers.append(data.ListedPeer(f'peer-{number}', endpoint))
+    return tuple(peers)
+
+
 def peer_report(name: str, number: int) -> data.FleetReport:
     """Return a report of a peer that counts as heard for a long time."""
     return data.FleetReport(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
@@ -28,12 +28,15 @@
 
 
 def _desk() -> bed.Bed:
-    return bed.make(
+    desk = bed.make(
         bed.target('old-a'),
         bed.target('old-b', 'domain-b'),
         _new('new-a'),
         _new('new-b', 'domain-b'),
     )
+    # What a driver does that knows of no other instance.
+    desk.moves.arrange(forwarding.MoveLayout('instance-0', 1))
+    return desk
 
 
 class _Writer:
@@ -94,8 +97,19 @@
             self.driver.step()
 
 
-def _trial(desk: bed.Bed | None = None) -> _Trial:
+def _trial(
+    desk: bed.Bed | None = None,
+    listed: tuple[data.ListedPeer, ...] | None = (),
+) -> _Trial:
+    """Return an instance on trial.
+
+    :param listed: the other instances in the store's list, or None if it was
+        not read.
+    """
     desk = desk or _desk()
+    desk.moves.arrange(forwarding.MoveLayout())
+    if listed is not None:
+        desk.fleet.add_peers(listed)
     writer = _Writer()
     link = bed.RecordingLink()
     desk.moves.apply(data.MoveChange('pool', writer.order))
@@ -346,6 +360,21 @@
         assert found == scopes
         assert trial.link.receiver_counts == receiver_counts
 
+    @pytest.mark.parametrize(
+        ('is_listed', 'most_count'), ((True, 2), (False, 0))
+    )
+    def test_a_start_leaves_the_allowance_to_others(
+        self, is_listed: bool, most_count: int
+    ) -> None:
+        """Guards against many instances that start together and each take
+        themselves for the whole fleet.
+        """
+        listed = bed.listed_peers(30) if is_listed else None
+        trial = _trial(listed=listed)
+        trial.run(_good, until_s=1.0)
+        assert trial.request_count == 40
+        assert trial.sent_new <= most_count
+
     @pytest.mark.parametrize('is_told', (True, False))
     def test_news_is_told_by_one(self, is_told: bool) -> None:
         """Guards against a stop that each of many instances tells to all."""
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
@@ -118,6 +118,7 @@
             self.instances.append(instance)
             self.by_endpoint[instance.endpoint] = instance
         for instance in self.instances:
+            instance.fleet.add_peers(())
             for peer in self.instances:
                 if peer is not instance:
                     instance.fleet.take(_hello(peer))
