Replace watching instances that are cut off within two seconds

The last answer counted for 1.3 s and the last beat for 0.9 s more.

A watch that others rely on now waits for half a second, so that the next instance asks after 1.7 s. The test of that bound, 2 s as a leaving target may go on, fails before (2.2 s).

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
@@ -28,8 +28,10 @@
 WATCHER_COUNT = 2
 
 #: Longest wait of the watch that others rely on; it bounds the time for which
-#: a silent store goes unnoticed.
-SHARED_WATCH_WAIT_S = 1.0
+#: a silent store goes unnoticed. When the watching instances are cut off, the
+#: next one asks after this, the margin of a confirmation and the life of a
+#: beat, 1.7 s, less than a leaving target may go on to get requests.
+SHARED_WATCH_WAIT_S = 0.5
 
 #: Shortest pause between two watches of an instance that hears one that comes
 #: before it, and only keeps up to replace it.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_sharing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_sharing.py
@@ -148,6 +148,21 @@
         assert roles.count(ASK) == 1
         assert WAIT not in roles
 
+    def test_watchers_that_are_cut_off_are_replaced_in_time(self) -> None:
+        """Guards against a leaving target that gets requests for too long.
+
+        The store cuts the two that watch off right after it answered them. A
+        target that leaves then may get requests for two seconds.
+        """
+        fleet = _Fleet()
+        fleet.play(2.0, up_ranks=frozenset((0, 1)))
+        others = frozenset(range(2, INSTANCE_COUNT))
+        waited_s = 0.0
+        while fleet.roles('targets')[2:].count(ASK) == 0:
+            fleet.play(STEP_S, up_ranks=others)
+            waited_s += STEP_S
+        assert waited_s < 2.0
+
     def test_all_kinds_follow_when_one_is_answered(self) -> None:
         """Guards against a kind that waits for a turn of its own."""
         fleet = _Fleet()
