Do not call the store on connections that have rested

A listening instance calls the store rarely, over a connection that may be gone without a word; the call then takes its whole time of 1.5 s, and what others pass on meanwhile waits for it.

A connection that rested for over a second is replaced. An instance that waits for its turn to ask takes over what others pass on instead of sleeping. Both have a test that fails before.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
@@ -172,7 +172,7 @@
                 revision = self._listen(revision)
                 continue
             if not self._health.claim_call(self._settings.name):
-                self._clock.wait(self._stopped, TURN_STEP_S)
+                revision = self._wait_for_turn(revision)
                 continue
             if revision is None:
                 revision = self._list()
@@ -214,16 +214,10 @@
         name = self._settings.name
         step_s = LISTEN_STEP_S if self._is_listening else TURN_STEP_S
         change = self._sharing.next_change(name, step_s)
-        if change is not None and change.revision > revision:
-            decoded = self._reader.decode_changes(change.content)
-            is_complete = change.previous_revision <= revision
-            if is_complete and isinstance(decoded, Changes):
-                self._belief.apply(decoded.items, change.follows_outage)
-                self._event_revision = change.revision
-                self._note_up_to_date()
-                return change.revision
+        if change is not None:
+            return self._take_passed_on(change, revision)
         heard = self._sharing.heard(name)
-        if heard is None or change is not None:
+        if heard is None:
             return revision
         if heard.changed_revision <= revision:
             self._note_up_to_date()
@@ -238,6 +232,31 @@
         self._behind_since_s = None
         return self._watch(revision, CATCH_UP_WAIT_S)
 
+    def _wait_for_turn(self, revision: int | None) -> int | None:
+        """Wait until this task may ask; take over what others pass on."""
+        if self._sharing is None or revision is None:
+            self._clock.wait(self._stopped, TURN_STEP_S)
+            return revision
+        change = self._sharing.next_change(self._settings.name, TURN_STEP_S)
+        if change is None:
+            return revision
+        return self._take_passed_on(change, revision)
+
+    def _take_passed_on(self, change: data.StoreChange, revision: int) -> int:
+        """Take over a change that another instance passed on.
+
+        :return: revision up to which everything is known here.
+        """
+        if not change.previous_revision <= revision < change.revision:
+            return revision
+        decoded = self._reader.decode_changes(change.content)
+        if not isinstance(decoded, Changes):
+            return revision
+        self._belief.apply(decoded.items, change.follows_outage)
+        self._event_revision = change.revision
+        self._note_up_to_date()
+        return change.revision
+
     def _note_up_to_date(self) -> None:
         """Note that others hear the store and nothing is missing here."""
         self._behind_since_s = None
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_following.py
@@ -236,7 +236,8 @@
                     view.take(bed.peer_report(name, number))
             sharing = forwarding.StoreSharing(self.clock, view, self.link)
             asks = sharing.role('kind') is forwarding.StoreRole.ASK
-            if asks == is_watcher:
+            # The third asks at first as well, since it hears nobody.
+            if asks == is_watcher and (view.rank() < 2) == is_watcher:
                 return sharing
         raise AssertionError('no such instance')
 
@@ -366,6 +367,23 @@
         shared.follower.run()
         assert shared.belief.taken[-1] == ('changes', ('b',), True)
 
+    def test_what_others_pass_on_counts_while_the_store_is_lost(self) -> None:
+        """Guards against an instance that waits for its own call to succeed
+        although another one has told it what changed.
+        """
+        shared = _SharedBed(True, forwarding.Listing((), 5), UNAVAILABLE)
+        shared.sharing.take_change(data.StoreChange('kind', 5, 9, b'b'))
+        original = shared.belief.apply
+
+        def _apply(items: tuple[str, ...], after_outage: bool) -> None:
+            original(items, after_outage)
+            shared.follower.stop()
+
+        shared.belief.apply = _apply  # type: ignore[method-assign]
+        shared.reader.follower = None
+        shared.follower.run()
+        assert shared.belief.taken[-1] == ('changes', ('b',), False)
+
     def test_a_listener_without_beats_watches_itself(self) -> None:
         """Guards against an old configuration after all watchers died."""
         shared = _SharedBed(
--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -1,5 +1,6 @@
 """Calls to the platform's store over one kept connection for each task."""
 
+from collections.abc import Callable
 import select
 import socket
 import time
@@ -13,12 +14,22 @@
 #: Longest wait for a connection to the store.
 CONNECT_TIMEOUT_S = 0.5
 
+#: A connection that rested for longer is replaced. Parties on the path may
+#: have forgotten it without a word, and a call on it would take all its time.
+REST_LIMIT_S = 1.0
+
 
 class HttpStoreCalls:
     """Sends calls to the store, one at a time."""
 
-    def __init__(self, store: data.Address) -> None:
+    def __init__(
+        self,
+        store: data.Address,
+        read_clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._store = store
+        self._read_clock = read_clock
+        self._used_at_s = 0.0
         self._connection: socket.socket | None = None
         self._parser = h11.Connection(h11.CLIENT)
 
@@ -30,9 +41,13 @@
         :param path: path and query.
         :param timeout_s: longest time for connection and answer together.
         """
-        deadline_s = time.monotonic() + timeout_s
+        now_s = self._read_clock()
+        if now_s > self._used_at_s + REST_LIMIT_S:
+            self._drop()
         try:
-            return self._call(method, path, body, deadline_s)
+            answer = self._call(method, path, body, now_s + timeout_s)
+            self._used_at_s = self._read_clock()
+            return answer
         except (OSError, h11.ProtocolError) as error:
             self._drop()
             return forwarding.ExchangeFault(
@@ -104,6 +119,6 @@
     def _wait(
         self, connection: socket.socket, events: int, deadline_s: float
     ) -> None:
-        left_s = deadline_s - time.monotonic()
+        left_s = deadline_s - self._read_clock()
         if left_s <= 0 or not _sockets.wait_for(connection, events, left_s):
             raise TimeoutError('the store did not answer in time')
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 
+from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
@@ -64,6 +65,22 @@
         assert store.requests[0].startswith(b'GET /objects/a?x=1 HTTP/1.1')
         store.close()
 
+    def test_replaces_a_connection_that_rested(self) -> None:
+        """Guards against a call that waits on a connection that is gone.
+
+        An instance that listens to others calls rarely. A path that was cut
+        meanwhile resets nothing, and the call would wait for its whole time.
+        """
+        store = _Store(GOOD, GOOD, GOOD)
+        clock = fakes.SteppingClock()
+        calls = transport.HttpStoreCalls(store.endpoint, clock.monotonic_s)
+        for rested_s in (0.0, 0.5, 3.0):
+            clock.advance(rested_s)
+            answer = calls.call('GET', '/objects/a', None, 20.0)
+            assert answer == forwarding.StoreAnswer(200, b'{}')
+        assert store.connection_count == 2
+        store.close()
+
     def test_connects_again_after_a_break(self) -> None:
         """Guards against a store that is lost with its connection."""
         store = _Store(GOOD, None, GOOD)
