Hold the counts of a move in one type

Found on reading the change again: `MoveReport` and the counts of an instance named the same four fields, and two methods chose the same source of counts by the same branch. `MoveCounts` is a type of the state that a report holds; one method chooses the source. The last sender of a sum for the fleet replaces a table of all senders that never shrank, and a stop that was told in a small fleet is no longer told once more when the fleet has grown. The judge counts attempts that worked only where it returns them.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_exposure.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_exposure.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 
-from skylarktack.coordination.forwarding import _move_evidence
+from skylarktack.state import forwarding as data
 
 #: Part of the allowed exposure that is used before the verdict. The counts of
 #: the peers are a moment old, so several instances may use the same rest.
@@ -35,7 +35,7 @@
 
 def trial_share(
     limits: ExposureLimits,
-    known: _move_evidence.MoveCounts,
+    known: data.MoveCounts,
     instance_count: int,
     age_s: float,
     duration_s: float,
@@ -67,7 +67,7 @@
 
 def may_shift(
     limits: ExposureLimits,
-    known: _move_evidence.MoveCounts,
+    known: data.MoveCounts,
     age_s: float,
     duration_s: float,
 ) -> bool:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -103,7 +103,7 @@
                 self._fleet.expected_count(),
                 tuple(leaders),
             )
-            self._table.arrange(layout)
+            self._table.set_layout(layout)
             self._report(layout, leaders)
             self._next_report_s = now_s + self._interval_s(layout)
         for service in self._table.open_services():
@@ -130,11 +130,11 @@
         layout: _move_evidence.MoveLayout,
         leaders: dict[str, data.Address],
     ) -> None:
+        news = self._table.take_news()
         if not leaders:
             self._send(data.MoveScope.INSTANCE, self._fleet.peers())
             return
         own = self._fleet.instance
-        news = self._table.take_news()
         for report in self._table.reports(own):
             # A version that was stopped, or a shift, concerns all at once.
             if report.service in news:
@@ -155,21 +155,18 @@
     def _send(
         self, scope: data.MoveScope, peers: tuple[data.Address, ...]
     ) -> None:
+        if not peers:
+            return
         for report in self._table.reports(self._fleet.instance, scope):
-            sent_bytes = self._link.send(report, peers)
-            self._report_bytes = sent_bytes / max(1, len(peers))
+            self._report_bytes = self._link.send(report, peers) / len(peers)
 
     def _is_preceded(self, layout: _move_evidence.MoveLayout) -> bool:
         """Return whether an earlier collector tells the fleet's sum."""
-        oldest_s = self._clock.monotonic_s() - (
-            SILENT_INTERVAL_COUNT * self._interval_s(layout)
+        silence_s = SILENT_INTERVAL_COUNT * self._interval_s(layout)
+        place = layout.collectors.index(self._fleet.instance)
+        return self._table.has_fleet_sum(
+            layout.collectors[:place], self._clock.monotonic_s() - silence_s
         )
-        for name in layout.collectors:
-            if name == self._fleet.instance:
-                return False
-            if self._table.fleet_heard_at_s(name) >= oldest_s:
-                return True
-        return False
 
     def _write(self, order: data.MoveOrder, phase: state.MovePhase) -> None:
         answer = self._writer.write_phase(order, phase)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
@@ -15,8 +15,8 @@
 from skylarktack.coordination import moves
 from skylarktack.state import forwarding as data
 
-#: Up to this number of instances each tells all others.
-TELL_ALL_COUNT = 12
+#: Up to this number of instances each reports to all others.
+DIRECT_REPORT_LIMIT_COUNT = 12
 
 #: Leaders that sum the counts of the whole fleet; the later ones replace
 #: the first.
@@ -62,7 +62,7 @@
             return instance
         return max(self.leaders, key=lambda name: _weight(name, instance))
 
-    def counts(self, report: data.MoveReport) -> bool:
+    def includes(self, report: data.MoveReport) -> bool:
         """Return whether this instance adds a report to its own counts."""
         if report.scope is data.MoveScope.INSTANCE:
             if not self.leaders:
@@ -76,36 +76,21 @@
 
 def leader_count(instance_count: int) -> int:
     """Return how many instances of a fleet sum counts."""
-    if instance_count <= TELL_ALL_COUNT:
+    if instance_count <= DIRECT_REPORT_LIMIT_COUNT:
         return 0
     return math.ceil(math.sqrt(instance_count))
 
 
-@dataclasses.dataclass(frozen=True)
-class MoveCounts:
-    """Counts of one move, of any number of instances."""
-
-    #: Requests for the service, and sends to the new version.
-    request_count: int = 0
-    sent_count: int = 0
-
-    #: Instances whose counts these are.
-    member_count: int = 0
-
-    #: Outcomes by version and failure domain.
-    rows: tuple[state.EvidenceRow, ...] = ()
-
-
 class _Sum:
     """Counts that are added up."""
 
-    def __init__(self) -> None:
+    def __init__(self, member_count: int = 0) -> None:
         self.request_count = 0
         self.sent_count = 0
-        self.member_count = 0
+        self.member_count = member_count
         self._rows: dict[tuple[str, str], state.EvidenceRow] = {}
 
-    def add(self, counts: MoveCounts | data.MoveReport) -> None:
+    def add(self, counts: data.MoveCounts) -> None:
         """Add the counts of others."""
         self.request_count += counts.request_count
         self.sent_count += counts.sent_count
@@ -119,9 +104,9 @@
         held = self._rows.get(key)
         self._rows[key] = row if held is None else moves.add_rows(held, row)
 
-    def counts(self) -> MoveCounts:
+    def counts(self) -> data.MoveCounts:
         """Return the sums."""
-        return MoveCounts(
+        return data.MoveCounts(
             self.request_count,
             self.sent_count,
             self.member_count,
@@ -132,15 +117,15 @@
 class MoveEvidence:
     """What this instance knows of one move; its owner serialises the calls."""
 
-    def __init__(self) -> None:
-        self._own = _Sum()
-        self._own.member_count = 1
-        # What was counted here since the fleet's sum came.
-        self._recent = _Sum()
-        self._fleet: data.MoveReport | None = None
+    def __init__(self, layout: MoveLayout) -> None:
+        self._layout = layout
+        self._own = _Sum(member_count=1)
+        # Sums of the other instances whose counts are added here.
+        self._others = data.MoveCounts()
         self._reports: dict[tuple[data.MoveScope, str], data.MoveReport] = {}
-        self._layout = MoveLayout()
-        self._others = MoveCounts()
+        # The last sum for the fleet, and what was counted here since.
+        self._fleet: data.MoveReport | None = None
+        self._recent = _Sum()
 
     def count_request(self) -> None:
         """Count a request for the service."""
@@ -157,64 +142,41 @@
         self._own.add_row(row)
         self._recent.add_row(row)
 
-    def arrange(self, layout: MoveLayout) -> None:
+    def set_layout(self, layout: MoveLayout) -> None:
         """Take over who sums whose counts."""
         if layout == self._layout:
             return
         self._layout = layout
         for key, report in list(self._reports.items()):
-            if not layout.counts(report):
+            if not layout.includes(report):
                 del self._reports[key]
-        self._sum_others()
+        self._others = self._sum_of(*data.MoveScope)
 
     def take(self, report: data.MoveReport) -> None:
         """Take over counts of others; a later report replaces an earlier."""
-        if report.scope is not data.MoveScope.FLEET:
-            if self._layout.counts(report):
-                self._reports[report.scope, report.instance] = report
-                self._sum_others()
-            return
-        held = self._fleet
-        is_newer = held is None or (
-            report.instance == held.instance
-            or report.request_count >= held.request_count
-        )
-        if is_newer:
-            self._fleet = report
-            self._recent = _Sum()
+        if report.scope is data.MoveScope.FLEET:
+            self._take_fleet_sum(report)
+        elif self._layout.includes(report):
+            self._reports[report.scope, report.instance] = report
+            self._others = self._sum_of(*data.MoveScope)
 
-    def exposure(self) -> MoveCounts:
+    def exposure(self) -> data.MoveCounts:
         """Return the requests and sends of as many instances as possible.
 
         The rows are left out, since each request asks for this.
         """
-        own = self._own
-        others = self._others
-        request_count = own.request_count + others.request_count
-        told = self._told()
-        if told is None:
-            return MoveCounts(
-                request_count,
-                own.sent_count + others.sent_count,
-                own.member_count + others.member_count,
-            )
-        return MoveCounts(
-            told.request_count + self._recent.request_count,
-            told.sent_count + self._recent.sent_count,
-            told.member_count,
+        own, others = self._best_known()
+        return data.MoveCounts(
+            own.request_count + others.request_count,
+            own.sent_count + others.sent_count,
+            own.member_count + others.member_count,
         )
 
     def rows(self) -> tuple[state.EvidenceRow, ...]:
         """Return the outcomes of as many instances as possible."""
-        told = self._told()
-        if told is None:
-            return self._with_others(self._others).rows
-        found = _Sum()
-        found.add(told)
-        found.add(self._recent.counts())
-        return found.counts().rows
+        return _total(*self._best_known()).rows
 
-    def counts_of(self, scope: data.MoveScope) -> MoveCounts:
+    def counts_of(self, scope: data.MoveScope) -> data.MoveCounts:
         """Return what this instance has to tell.
 
         :param scope: whose counts they are.
@@ -222,34 +184,41 @@
         if scope is data.MoveScope.INSTANCE:
             return self._own.counts()
         if scope is data.MoveScope.FLEET:
-            return self._with_others(self._others)
-        return self._with_others(self._sum_of(data.MoveScope.INSTANCE))
+            return _total(self._own, self._others)
+        return _total(self._own, self._sum_of(data.MoveScope.INSTANCE))
 
-    def _told(self) -> data.MoveReport | None:
-        """Return the fleet's sum if it holds more than is known here."""
+    def _take_fleet_sum(self, report: data.MoveReport) -> None:
+        held = self._fleet
+        if held is not None and report.instance != held.instance:
+            # Counts only grow, so a smaller sum of another is an older one.
+            if report.counts.request_count < held.counts.request_count:
+                return
+        self._fleet = report
+        self._recent = _Sum()
+
+    def _best_known(self) -> tuple[_Sum, data.MoveCounts]:
+        """Return own and others' counts that together hold most requests."""
         known_count = self._own.request_count + self._others.request_count
-        told = self._fleet
-        if told is None or told.request_count <= known_count:
-            return None
-        return told
-
-    def _with_others(self, others: MoveCounts) -> MoveCounts:
-        known = _Sum()
-        known.add(self._own.counts())
-        known.add(others)
-        return known.counts()
-
-    def _sum_others(self) -> None:
-        self._others = self._sum_of(*data.MoveScope)
+        fleet = self._fleet
+        if fleet is None or fleet.counts.request_count <= known_count:
+            return self._own, self._others
+        return self._recent, fleet.counts
 
-    def _sum_of(self, *scopes: data.MoveScope) -> MoveCounts:
+    def _sum_of(self, *scopes: data.MoveScope) -> data.MoveCounts:
         found = _Sum()
         for report in self._reports.values():
             if report.scope in scopes:
-                found.add(report)
+                found.add(report.counts)
         return found.counts()
 
 
+def _total(own: _Sum, others: data.MoveCounts) -> data.MoveCounts:
+    total = _Sum()
+    total.add(own.counts())
+    total.add(others)
+    return total.counts()
+
+
 def _weight(leader: str, instance: str) -> bytes:
     content = f'{leader} {instance}'.encode()
     return hashlib.blake2b(content, digest_size=8).digest()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -62,13 +62,13 @@
 
     order: data.MoveOrder
     evidence: _move_evidence.MoveEvidence
+    #: Time at which the first instance saw the order.
+    began_at_s: float
     unjudged_count: int = 0
     is_shifting: bool = False
     stop_reason: str = ''
     due_phase: state.MovePhase | None = None
     due_since_s: float = 0.0
-    #: Time at which the first instance saw the order.
-    began_at_s: float = math.inf
 
 
 class MoveTable:
@@ -91,7 +91,9 @@
         self._moves: dict[str, _Move] = {}
         self._versions = _version_rules.KnownVersions()
         self._layout = _move_evidence.MoveLayout()
-        self._fleet_heard_at_s: dict[str, float] = {}
+        # Who last sent a sum for the fleet, and when.
+        self._fleet_sum_sender = ''
+        self._fleet_sum_at_s = -math.inf
         #: Set once the orders were read for the first time.
         self.is_known = threading.Event()
         # Services with a stop or a shift that was decided here.
@@ -201,7 +203,8 @@
                 return
             move.evidence.take(report)
             if report.scope is data.MoveScope.FLEET:
-                self._fleet_heard_at_s[report.instance] = now_s
+                self._fleet_sum_sender = report.instance
+                self._fleet_sum_at_s = now_s
             began_at_s = now_s - report.age_ms / 1000
             move.began_at_s = min(move.began_at_s, began_at_s)
             # The sender tells it to all, so it is no news from here.
@@ -210,12 +213,12 @@
             if report.is_shifting and not move.stop_reason:
                 self._shift(move, is_news=False)
 
-    def arrange(self, layout: _move_evidence.MoveLayout) -> None:
+    def set_layout(self, layout: _move_evidence.MoveLayout) -> None:
         """Take over who sums whose counts."""
         with self._lock:
             self._layout = layout
             for move in self._moves.values():
-                move.evidence.arrange(layout)
+                move.evidence.set_layout(layout)
 
     def reports(
         self,
@@ -231,20 +234,16 @@
             for service, move in self._moves.items():
                 if move.order.has_ended:
                     continue
-                counts = move.evidence.counts_of(scope)
                 found.append(
                     data.MoveReport(
                         instance=instance,
                         service=service,
                         to_version=move.order.to_version,
                         scope=scope,
-                        member_count=counts.member_count,
+                        counts=move.evidence.counts_of(scope),
                         age_ms=int(1000 * self._age_s(move)),
-                        request_count=counts.request_count,
-                        sent_count=counts.sent_count,
                         is_shifting=move.is_shifting,
                         stop_reason=move.stop_reason,
-                        rows=counts.rows,
                     )
                 )
         return tuple(found)
@@ -281,10 +280,14 @@
             self._news.clear()
             return news
 
-    def fleet_heard_at_s(self, instance: str) -> float:
-        """Return when an instance last told a sum of the fleet's counts."""
+    def has_fleet_sum(self, senders: tuple[str, ...], since_s: float) -> bool:
+        """Return whether one of the senders sent the last fleet's sum.
+
+        :param since_s: monotonic time before which it no longer counts.
+        """
         with self._lock:
-            return self._fleet_heard_at_s.get(instance, -math.inf)
+            is_of_sender = self._fleet_sum_sender in senders
+            return is_of_sender and self._fleet_sum_at_s >= since_s
 
     def order_of(self, service: str) -> data.MoveOrder | None:
         """Return the newest order for a service."""
@@ -325,10 +328,10 @@
                     self._note_phase(order)
                 held.order = order
                 return
-        evidence = _move_evidence.MoveEvidence()
-        evidence.arrange(self._layout)
         self._moves[change.service] = _Move(
-            order, evidence, began_at_s=self._clock.monotonic_s()
+            order,
+            _move_evidence.MoveEvidence(self._layout),
+            self._clock.monotonic_s(),
         )
         if not order.has_ended:
             self._versions.restore(change.service, order.to_version)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
@@ -35,7 +35,7 @@
         _new('new-b', 'domain-b'),
     )
     # What a driver does that knows of no other instance.
-    desk.moves.arrange(forwarding.MoveLayout('instance-0', 1))
+    desk.moves.set_layout(forwarding.MoveLayout('instance-0', 1))
     return desk
 
 
@@ -107,7 +107,7 @@
         not read.
     """
     desk = desk or _desk()
-    desk.moves.arrange(forwarding.MoveLayout())
+    desk.moves.set_layout(forwarding.MoveLayout())
     if listed is not None:
         desk.fleet.add_peers(listed)
     writer = _Writer()
@@ -295,13 +295,10 @@
                 service='pool',
                 to_version='v2',
                 scope=data.MoveScope.INSTANCE,
-                member_count=1,
+                counts=data.MoveCounts(member_count=1),
                 age_ms=0,
-                request_count=0,
-                sent_count=0,
                 is_shifting=False,
                 stop_reason='',
-                rows=(),
             ),
             **fields,  # type: ignore[arg-type]
         )
@@ -318,7 +315,8 @@
         """Guards against instances that each use the whole allowance."""
         desk = _desk()
         desk.moves.apply(data.MoveChange('pool', _order()))
-        desk.moves.take_report(self._report(request_count=40, sent_count=60))
+        counts = data.MoveCounts(40, 60, member_count=1)
+        desk.moves.take_report(self._report(counts=counts))
         for _ in range(200):
             assert not desk.moves.draw('pool').is_trial
 
--- a/packages/coordination/src/skylarktack/coordination/moves/_judging.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_judging.py
@@ -155,9 +155,6 @@
         if any(_is_troubled(pair.old) for pair in pairs):
             overall = (_overall(rows, to_version),)
             failures = max(failures, failure_log_ratio(overall, count_lost))
-        working = sum(
-            pair.new.attempt_count - _failed(pair.new, True) for pair in pairs
-        )
         differences = (
             _latency_difference(pairs, 'first_token'),
             _latency_difference(pairs, 'inter_token'),
@@ -185,7 +182,10 @@
             or differences[0].lower_bound(each) > tolerance
             or differences[1].lower_bound(each) > tolerance
         )
-        return Judgement(False, '', compared, suspect, max(0, working))
+        failed = sum(_failed(pair.new, True) for pair in pairs)
+        return Judgement(
+            False, '', compared, suspect, max(0, attempts - failed)
+        )
 
 
 class ThresholdJudge:
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -167,7 +167,7 @@
 
 def _encode_move(report: data.MoveReport) -> bytes:
     rows = []
-    for row in report.rows:
+    for row in report.counts.rows:
         rows.append(
             (
                 row.version,
@@ -186,10 +186,10 @@
             report.service,
             report.to_version,
             report.scope.value,
-            report.member_count,
+            report.counts.member_count,
             report.age_ms,
-            report.request_count,
-            report.sent_count,
+            report.counts.request_count,
+            report.counts.sent_count,
             report.is_shifting,
             report.stop_reason,
             rows,
@@ -221,11 +221,13 @@
         service=str(fields[2]),
         to_version=str(fields[3]),
         scope=data.MoveScope(fields[4]),
-        member_count=int(fields[5]),
+        counts=data.MoveCounts(
+            request_count=int(fields[7]),
+            sent_count=int(fields[8]),
+            member_count=int(fields[5]),
+            rows=tuple(rows),
+        ),
         age_ms=int(fields[6]),
-        request_count=int(fields[7]),
-        sent_count=int(fields[8]),
         is_shifting=bool(fields[9]),
         stop_reason=str(fields[10]),
-        rows=tuple(rows),
     )
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -59,23 +59,25 @@
             service='pool',
             to_version='v2',
             scope=data.MoveScope.GROUP,
-            member_count=7,
+            counts=data.MoveCounts(
+                request_count=40,
+                sent_count=6,
+                member_count=7,
+                rows=(
+                    state.EvidenceRow(
+                        version=state.VersionName('v2'),
+                        failure_domain=state.FailureDomain('zone-a'),
+                        attempt_count=6,
+                        error_count=1,
+                        lost_count=1,
+                        lost_targets=(state.TargetName('i-1'),),
+                        first_token=state.LatencySums(4, 12.5, 40.25),
+                    ),
+                ),
+            ),
             age_ms=2500,
-            request_count=40,
-            sent_count=6,
             is_shifting=False,
             stop_reason='2 of 6 attempts failed.',
-            rows=(
-                state.EvidenceRow(
-                    version=state.VersionName('v2'),
-                    failure_domain=state.FailureDomain('zone-a'),
-                    attempt_count=6,
-                    error_count=1,
-                    lost_count=1,
-                    lost_targets=(state.TargetName('i-1'),),
-                    first_token=state.LatencySums(4, 12.5, 40.25),
-                ),
-            ),
         )
         datagram = messages.encode_message(report)
         assert messages.decode_message(datagram) == report
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -19,6 +19,7 @@
 from skylarktack.state.forwarding._fleet import StoreBeat
 from skylarktack.state.forwarding._fleet import StoreChange
 from skylarktack.state.forwarding._moves import MoveChange
+from skylarktack.state.forwarding._moves import MoveCounts
 from skylarktack.state.forwarding._moves import MoveOrder
 from skylarktack.state.forwarding._moves import MoveReport
 from skylarktack.state.forwarding._moves import MoveScope
@@ -56,6 +57,7 @@
     'ListedPeer',
     'ListedTarget',
     'MoveChange',
+    'MoveCounts',
     'MoveOrder',
     'MoveReport',
     'MoveScope',
--- a/packages/state/src/skylarktack/state/forwarding/_moves.py
+++ b/packages/state/src/skylarktack/state/forwarding/_moves.py
@@ -57,6 +57,21 @@
     FLEET = 'fleet'
 
 
+@dataclasses.dataclass(frozen=True)
+class MoveCounts:
+    """Counts of one move since its order, of any number of instances."""
+
+    #: Requests for the service, and sends to the new version.
+    request_count: int = 0
+    sent_count: int = 0
+
+    #: Instances whose counts these are.
+    member_count: int = 0
+
+    #: Outcomes by version and failure domain.
+    rows: tuple[EvidenceRow, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True)
 class MoveReport:
     """What one or more instances have seen of a move, for the others."""
@@ -68,22 +83,17 @@
     service: str
     to_version: str
 
-    #: Whose counts these are, and of how many instances.
+    #: Whose counts these are.
     scope: MoveScope
-    member_count: int
+
+    #: What they counted.
+    counts: MoveCounts
 
     #: Time since any instance saw the order, in milliseconds.
     age_ms: int
 
-    #: Requests for the service since then, and sends to the new version.
-    request_count: int
-    sent_count: int
-
     #: Whether all traffic goes to the new version from now on.
     is_shifting: bool
 
     #: Why no traffic may go to the new version any more; empty if it may.
     stop_reason: str
-
-    #: Counts since the order, by version and failure domain.
-    rows: tuple[EvidenceRow, ...]
