Split what is told to peers and the places of runs from the fleet's view

The loop over peers that were heard of lately stood in it six times. Behaviour is the same, the tests changed only by the name of the object that waits.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -42,7 +42,6 @@
 from skylarktack.coordination.forwarding._exposure import ExposureLimits
 from skylarktack.coordination.forwarding._fleet import FleetView
 from skylarktack.coordination.forwarding._fleet import LossListener
-from skylarktack.coordination.forwarding._fleet import RunPlace
 from skylarktack.coordination.forwarding._fleet_tasks import FleetLink
 from skylarktack.coordination.forwarding._fleet_tasks import FleetMember
 from skylarktack.coordination.forwarding._fleet_tasks import FleetReporter
@@ -89,6 +88,7 @@
 from skylarktack.coordination.forwarding._ports import TargetClient
 from skylarktack.coordination.forwarding._routes import RouteTable
 from skylarktack.coordination.forwarding._routes import choose_service
+from skylarktack.coordination.forwarding._run_places import RunPlace
 from skylarktack.coordination.forwarding._sharing import StoreRole
 from skylarktack.coordination.forwarding._sharing import StoreSharing
 from skylarktack.coordination.forwarding._store_health import StoreHealth
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -13,7 +13,9 @@
 from typing import Protocol
 
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _outgoing
 from skylarktack.coordination.forwarding import _rate_meter
+from skylarktack.coordination.forwarding import _run_places
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -30,18 +32,6 @@
 #: A peer that was silent for this time is forgotten.
 PEER_LIFETIME_S = 120.0
 
-#: Time for which the place of an ended run is remembered.
-PLACE_LIFETIME_S = 20.0
-
-#: Most remembered places.
-PLACE_LIMIT_COUNT = 4096
-
-#: Weights of an engine's runs against each other. The prompt of a run that
-#: is still read delays the tokens of all others.
-READING_WEIGHT = 2.0
-RUNNING_WEIGHT = 1.0
-STANDBY_WEIGHT = 0.25
-
 
 class LossListener(Protocol):
     """Learns of targets that another instance found lost."""
@@ -63,17 +53,6 @@
         ...
 
 
-@dataclasses.dataclass(frozen=True)
-class RunPlace:
-    """Where a run is or was."""
-
-    #: The run.
-    notice: data.RunNotice
-
-    #: Monotonic time at which it was last heard of.
-    heard_at_s: float
-
-
 @dataclasses.dataclass
 class _Peer:
     endpoint: data.Address
@@ -104,14 +83,11 @@
         self._sequence = 0
         self._own_runs: dict[str, data.RunNotice] = {}
         self._peers: dict[str, _Peer] = {}
-        self._changed_runs: list[data.RunNotice] = []
-        self._lost_targets: list[str] = []
-        self._gone_targets: list[str] = []
+        #: What is to be told to the peers.
+        self.outgoing = _outgoing.OutgoingChanges(clock)
         self._repeat_counter: RepeatCounter | None = None
-        self._places: dict[str, RunPlace] = {}
+        self._places = _run_places.RunPlaces()
         self._loss_listener: LossListener | None = None
-        self._has_news = threading.Event()
-        self._has_changes = threading.Event()
         self._is_greeting = True
         self._has_listed = False
         self._change_meter = _rate_meter.RateMeter()
@@ -127,11 +103,8 @@
                 self._own_runs.pop(notice.attempt_id, None)
             else:
                 self._own_runs[notice.attempt_id] = notice
-            self._remember(notice)
-            self._changed_runs.append(notice)
-        if notice.is_reading and not notice.has_ended:
-            self._has_news.set()
-        self._has_changes.set()
+            self._places.remember(notice, self._clock.monotonic_s())
+            self.outgoing.add_run(notice)
 
     def note_run_end(self, notice: data.RunNotice) -> None:
         """Note that a run of this instance has ended at its engine."""
@@ -140,16 +113,12 @@
     def note_lost_target(self, name: str) -> None:
         """Tell the peers of a target that this instance found lost."""
         with self._lock:
-            self._lost_targets.append(name)
-        self._has_news.set()
-        self._has_changes.set()
+            self.outgoing.add_lost_target(name)
 
     def note_gone_target(self, name: str) -> None:
         """Tell the peers that another target has a target's address."""
         with self._lock:
-            self._gone_targets.append(name)
-        self._has_news.set()
-        self._has_changes.set()
+            self.outgoing.add_gone_target(name)
 
     def set_repeat_counter(self, counter: RepeatCounter) -> None:
         """Tell the peers the counts of the counter."""
@@ -157,13 +126,10 @@
 
     def peer_counts(self, service: str) -> data.RepeatCounts:
         """Return the sums over all peers that are heard."""
-        now_s = self._clock.monotonic_s()
         request_count = 0
         repeat_count = 0
         with self._lock:
-            for peer in self._peers.values():
-                if now_s > peer.valid_until_s:
-                    continue
+            for peer in self._heard_peers().values():
                 for counts in peer.counts:
                     if counts.service != service:
                         continue
@@ -193,7 +159,7 @@
                     )
             self._is_greeting = True
             self._has_listed = True
-        self._has_changes.set()
+            self.outgoing.wake()
 
     def take(self, report: data.FleetReport) -> None:
         """Take over a report of another instance."""
@@ -207,6 +173,7 @@
                 peer = _Peer(report.endpoint)
                 self._peers[report.instance] = peer
                 self._is_greeting = True
+                self.outgoing.wake()
             if report.started_at_ms != peer.started_at_ms:
                 peer.started_at_ms = report.started_at_ms
                 peer.sequence = -1
@@ -222,7 +189,6 @@
             self._log.record(
                 _events.PeerKnown(report.instance, str(report.endpoint))
             )
-            self._has_changes.set()
         if self._loss_listener is None:
             return
         for name in report.lost_targets:
@@ -232,36 +198,24 @@
 
     def loads(self) -> dict[str, float]:
         """Return the weighted count of runs of each engine."""
-        now_s = self._clock.monotonic_s()
         loads: dict[str, float] = {}
         with self._lock:
             for notice in self._own_runs.values():
-                _add_load(loads, notice)
-            for peer in self._peers.values():
-                if now_s > peer.valid_until_s:
-                    continue
+                _run_places.add_load(loads, notice)
+            for peer in self._heard_peers().values():
                 for notice in peer.runs.values():
-                    _add_load(loads, notice)
+                    _run_places.add_load(loads, notice)
         return loads
 
-    def find_place(self, subject: str) -> RunPlace | None:
+    def find_place(self, subject: str) -> _run_places.RunPlace | None:
         """Return where a run with the same last part was last seen."""
         with self._lock:
-            place = self._places.get(subject)
-        if place is None:
-            return None
-        age_s = self._clock.monotonic_s() - place.heard_at_s
-        return place if age_s <= PLACE_LIFETIME_S else None
+            return self._places.find(subject, self._clock.monotonic_s())
 
     def instance_count(self) -> int:
         """Return the number of instances that were heard of lately."""
-        now_s = self._clock.monotonic_s()
-        count = 1
         with self._lock:
-            for peer in self._peers.values():
-                if now_s <= peer.valid_until_s:
-                    count += 1
-        return count
+            return 1 + len(self._heard_peers())
 
     def expected_count(self) -> int:
         """Return the instances that are listed or were heard of, with this.
@@ -283,30 +237,21 @@
 
     def rank(self) -> int:
         """Return the place of this instance in an order of all heard of."""
-        now_s = self._clock.monotonic_s()
-        own_key = _order_key(self.instance)
-        rank = 0
         with self._lock:
-            for name, peer in self._peers.items():
-                if now_s > peer.valid_until_s:
-                    continue
-                if _order_key(name) < own_key:
-                    rank += 1
-        return rank
+            heard = self._heard_peers()
+        return sum(self.precedes(name) for name in heard)
 
     def leaders(self, count: int) -> dict[str, data.Address]:
         """Return the first instances in that order, with their endpoints.
 
         This instance may be among them.
         """
-        now_s = self._clock.monotonic_s()
-        ranked = [(_order_key(self.instance), self.instance, self._endpoint)]
+        endpoints = {self.instance: self._endpoint}
         with self._lock:
-            for name, peer in self._peers.items():
-                if now_s <= peer.valid_until_s:
-                    ranked.append((_order_key(name), name, peer.endpoint))
-        ranked.sort(key=lambda entry: entry[0])
-        return {name: endpoint for _, name, endpoint in ranked[:count]}
+            for name, peer in self._heard_peers().items():
+                endpoints[name] = peer.endpoint
+        ranked = sorted(endpoints, key=_order_key)
+        return {name: endpoints[name] for name in ranked[:count]}
 
     def report_interval_s(self) -> float:
         """Return the time between two full reports."""
@@ -319,33 +264,18 @@
         with self._lock:
             return len(self._peers)
 
-    def wait_for_changes(self, timeout_s: float) -> bool:
-        """Wait until there is something to tell; return whether so."""
-        has_changes = self._clock.wait(self._has_changes, timeout_s)
-        self._has_changes.clear()
-        return has_changes
-
-    def wait_for_news(self, timeout_s: float) -> None:
-        """Wait until there is something that others should know at once."""
-        self._clock.wait(self._has_news, timeout_s)
-        self._has_news.clear()
-
     def change_rate(self) -> float:
         """Return how many changes of peers arrive in a second."""
         now_s = self._clock.monotonic_s()
         with self._lock:
             return self._change_meter.rate(now_s)
 
-    def hold_changes(self) -> None:
-        """Note that changes are still to be told."""
-        self._has_changes.set()
-
     def full_report(self) -> data.FleetReport:
         """Return a report with all runs of this instance."""
         counts = self._own_counts()
         interval_s = self.report_interval_s()
         with self._lock:
-            self._changed_runs.clear()
+            self.outgoing.take_runs()
             self._is_greeting = False
             return self._report(
                 True, tuple(self._own_runs.values()), interval_s, counts
@@ -356,14 +286,9 @@
         counts = self._own_counts()
         interval_s = self.report_interval_s()
         with self._lock:
-            if self._is_greeting:
-                return None
-            if not (
-                self._changed_runs or self._lost_targets or self._gone_targets
-            ):
+            if self._is_greeting or self.outgoing.is_empty():
                 return None
-            changed = tuple(self._changed_runs)
-            self._changed_runs.clear()
+            changed = self.outgoing.take_runs()
             return self._report(False, changed, interval_s, counts)
 
     def is_greeting(self) -> bool:
@@ -384,13 +309,13 @@
 
     def spread_order(self) -> tuple[data.Address, ...]:
         """Return where all peers receive messages, those heard of first."""
-        now_s = self._clock.monotonic_s()
         heard: list[data.Address] = []
         others: list[data.Address] = []
         with self._lock:
-            for peer in self._peers.values():
-                is_heard = now_s <= peer.valid_until_s
-                (heard if is_heard else others).append(peer.endpoint)
+            heard_peers = self._heard_peers()
+            for name, peer in self._peers.items():
+                group = heard if name in heard_peers else others
+                group.append(peer.endpoint)
         random.shuffle(heard)
         return (*heard, *others)
 
@@ -402,10 +327,6 @@
         counts: tuple[data.RepeatCounts, ...],
     ) -> data.FleetReport:
         self._sequence += 1
-        gone = tuple(self._gone_targets)
-        self._gone_targets.clear()
-        lost = tuple(self._lost_targets)
-        self._lost_targets.clear()
         return data.FleetReport(
             instance=self.instance,
             endpoint=self._endpoint,
@@ -413,9 +334,9 @@
             sequence=self._sequence,
             is_full=is_full,
             runs=runs,
-            lost_targets=lost,
+            lost_targets=self.outgoing.take_lost_targets(),
             next_report_ms=int(interval_s * 1000),
-            gone_targets=gone,
+            gone_targets=self.outgoing.take_gone_targets(),
             counts=counts,
         )
 
@@ -436,26 +357,17 @@
                 peer.runs.pop(notice.attempt_id, None)
             else:
                 peer.runs[notice.attempt_id] = notice
-            self._remember(notice)
+            self._places.remember(notice, self._clock.monotonic_s())
 
-    def _remember(self, notice: data.RunNotice) -> None:
-        if not notice.subject:
-            return
-        self._places.pop(notice.subject, None)
-        self._places[notice.subject] = RunPlace(
-            notice, self._clock.monotonic_s()
-        )
-        while len(self._places) > PLACE_LIMIT_COUNT:
-            del self._places[next(iter(self._places))]
+    def _heard_peers(self) -> dict[str, _Peer]:
+        """Return the peers that were heard of lately, by name."""
+        now_s = self._clock.monotonic_s()
+        heard = {}
+        for name, peer in self._peers.items():
+            if now_s <= peer.valid_until_s:
+                heard[name] = peer
+        return heard
 
 
 def _order_key(name: str) -> bytes:
     return hashlib.blake2b(name.encode(), digest_size=8).digest()
-
-
-def _add_load(loads: dict[str, float], notice: data.RunNotice) -> None:
-    weight = READING_WEIGHT if notice.is_reading else RUNNING_WEIGHT
-    loads[notice.engine] = loads.get(notice.engine, 0.0) + weight
-    if notice.standby is not None:
-        held = loads.get(notice.standby, 0.0)
-        loads[notice.standby] = held + STANDBY_WEIGHT
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
@@ -101,13 +101,13 @@
                 jitter = 0.75 + random.random() / 2
                 next_full_s = self._clock.monotonic_s() + interval_s * jitter
                 continue
-            if not self._view.wait_for_changes(left_s):
+            if not self._view.outgoing.wait_for_changes(left_s):
                 continue
             held_s = min(LONGEST_GATHER_S, self._held_s())
             if held_s > 0:
                 self._clock.wait(self._never, held_s)
             else:
-                self._view.wait_for_news(self._gather_s())
+                self._view.outgoing.wait_for_news(self._gather_s())
             self.send_changes()
 
     def send_changes(self) -> None:
@@ -116,7 +116,7 @@
         What is held back goes with the next changes, in one message.
         """
         if self._held_s() > 0:
-            self._view.hold_changes()
+            self._view.outgoing.wake()
             return
         report = self._view.change_report()
         if report is None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
@@ -206,9 +206,9 @@
         for number in range(10):
             view.note_run(_run(f'run-{number}'))
             reporter.send_changes()
-            assert view.wait_for_changes(0.0)
+            assert view.outgoing.wait_for_changes(0.0)
         reporter.send_changes()
-        assert view.wait_for_changes(0.0)
+        assert view.outgoing.wait_for_changes(0.0)
 
     def test_a_run_that_begins_waits_for_nothing(self) -> None:
         """Guards against instances that choose the same engine."""
@@ -216,10 +216,10 @@
         view.note_run(_run('a'))
         view.note_run(dataclasses.replace(_run('b'), is_reading=True))
         before_s = clock.monotonic_s()
-        view.wait_for_news(0.5)
+        view.outgoing.wait_for_news(0.5)
         assert clock.monotonic_s() == before_s
         view.note_run(_run('a', has_ended=True))
-        view.wait_for_news(0.5)
+        view.outgoing.wait_for_news(0.5)
         assert clock.monotonic_s() == before_s + 0.5
 
 
