--- a/packages/coordination/src/skylarktack/coordination/membership/_messages.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_messages.py
@@ -67,6 +67,10 @@
     #: Whether the instance answered.
     reached: bool
 
+    #: The instance as the helper knows it, if it announced its stop; the
+    #: asker may not have heard that.
+    news: tuple[state.Member, ...] = ()
+
 
 @dataclasses.dataclass(frozen=True)
 class News:
--- a/packages/coordination/src/skylarktack/coordination/membership/_prober.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_prober.py
@@ -115,17 +115,21 @@
         count = min(self._settings.helper_count, len(candidates))
         order = _messages.RelayProbe(name, int(timeout_s * 1000))
         asked = [
-            self._helpers.submit(
-                self._network.request, helper, order, timeout_s * 2
+            (
+                helper,
+                self._helpers.submit(
+                    self._network.request, helper, order, timeout_s * 2
+                ),
             )
             for helper in self._random.sample(candidates, count)
         ]
         findings: list[bool] = []
-        for future in asked:
+        for helper, future in asked:
             answered = future.result()
             if answered.is_error():
                 continue
             if isinstance(answered.ok, _messages.RelayedProbe):
+                self._beliefs.take(answered.ok.news, helper)
                 findings.append(answered.ok.reached)
         return findings
 
@@ -142,6 +146,8 @@
     def _answer_relay(
         self, peer: state.InstanceName, message: _messages.RelayProbe
     ) -> _messages.RelayedProbe:
-        return _messages.RelayedProbe(
-            self._reach(message.target, message.timeout_ms / 1000)
-        )
+        reached = self._reach(message.target, message.timeout_ms / 1000)
+        believed = self._table.get(message.target)
+        if believed is None or believed.state != state.MemberState.LEAVING:
+            return _messages.RelayedProbe(reached)
+        return _messages.RelayedProbe(reached, (believed,))
--- a/packages/coordination/src/skylarktack/coordination/tests/test_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_membership.py
@@ -230,6 +230,41 @@
         assert not case.fault(fleet(case.count, case.seed, settings))
 
 
+class TestPlannedStop:
+    """Guards against a planned stop that is taken for a failure."""
+
+    @pytest.mark.parametrize('seed', range(8))
+    def test_newcomer_without_links(self, seed: int) -> None:
+        """An instance that the farewell did not reach suspects nobody.
+
+        An instance that has just joined has no neighbour yet, so the
+        farewell of another one does not reach it, and its first probe of
+        that one fails. The seed decides whom it probes first.
+        """
+        made = fleet(4, seed)
+        made.start('instance-004')
+        joining = made.memberships['instance-004']
+        joining.take_list(
+            tuple(
+                state.ListedInstance(
+                    name=table.own.name,
+                    peer_address=table.own.address,
+                    failure_domain=table.own.failure_domain,
+                    region=table.own.region,
+                )
+                for table in made.tables.values()
+            )
+        )
+        joining.reunion_round()
+        assert made.live('instance-004') == set(made.tables)
+        made.memberships['instance-003'].leave()
+        made.kill('instance-003')
+        for _ in range(4):
+            joining.probe_round()
+        assert made.metrics.counts['membership.became_suspect'] == 0
+        assert not made.unaware('instance-003')
+
+
 class TestNeighbours:
     """Guards against a graph that falls apart or stays in one domain."""
 
--- a/packages/protocol/src/skylarktack/protocol/tests/test_peer_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_peer_codec.py
@@ -41,7 +41,7 @@
     'member.probe': membership.Probe(MEMBER, (MEMBER,)),
     'member.probed': membership.Probed(MEMBER, (MEMBER,)),
     'member.relay': membership.RelayProbe(state.InstanceName('entry-9'), 500),
-    'member.relayed': membership.RelayedProbe(True),
+    'member.relayed': membership.RelayedProbe(True, (MEMBER,)),
     'member.news': membership.News((MEMBER,)),
     'member.exchange': membership.Exchange(
         news=(MEMBER,),
@@ -110,6 +110,14 @@
         sent = codec().encode(protocol.Frame(membership.Probe(MEMBER), 1))
         assert newer.decode(sent).ok.message == _NewerProbe(MEMBER)
 
+    def test_relayed_probe_without_news(self) -> None:
+        """An answer of a release whose helpers told no news is read."""
+        sent = bytes.fromhex(
+            '846e6d656d6265722e72656c617965640105a16772656163686564f5'
+        )
+        expected = protocol.Frame(membership.RelayedProbe(True), 5)
+        assert codec().decode(sent).ok == expected
+
     def test_unknown_message(self) -> None:
         """A message of a later release is told apart from a broken one."""
         newer = protocol.PeerCodec({'member.later': _UnknownHere})
