Request lines hold the caller's time limit and the event it goes on after

Change: request lines hold `time_limit_ms` and `after_event`; `skylarktack explain` shows both. `make demo-platform` ends with the explanation of the request that it refuses while the store is away.

Found while reading that explanation, each with a test that failed first: - The cause of a lost store was in the words of h11 ("can't handle event type ConnectionClosed ..."); it says now that the store closed the connection. - Fire turned ids that read as numbers (12e3, 0x1f, 1_0) into other texts, so explain found no line and `unknown settle` named another call. Ids are taken as they are typed.

Ruled out for the first: a threshold that calls a caller "out of time"; the clocks of both sides differ, so both figures are shown instead.

--- a/packages/cli/src/skylarktack/cli/_commands.py
+++ b/packages/cli/src/skylarktack/cli/_commands.py
@@ -1,5 +1,6 @@
 """Operators' commands."""
 
+from collections.abc import Callable
 import getpass
 import hashlib
 import json
@@ -7,10 +8,12 @@
 import sys
 import time
 from typing import Any
+from typing import TypeVar
 import urllib.parse
 import uuid
 
 from expression import Result
+from fire import decorators
 
 from skylarktack import protocol
 from skylarktack import state
@@ -26,6 +29,16 @@
 #: Exit code for a command that did not succeed.
 EXIT_FAILED = 1
 
+_Command = TypeVar('_Command', bound=Callable[..., None])
+
+
+def _as_text(*names: str) -> Callable[[_Command], _Command]:
+    """Take arguments as they are typed; Fire makes numbers of some texts."""
+    decorated: Callable[[_Command], _Command] = decorators.SetParseFns(
+        **dict.fromkeys(names, str)
+    )
+    return decorated
+
 
 class RouteCommands:
     """Commands about routes."""
@@ -61,6 +74,7 @@
         answer = _call(address, 'GET', '/operator/unknown-calls')
         _show(answer, json, _tables.unknown_calls)
 
+    @_as_text('organisation', 'key', 'claim_id')
     def settle(
         self,
         organisation: str,
@@ -80,8 +94,8 @@
         body = json.dumps(
             {
                 'organisation': organisation,
-                'key': str(key),
-                'claim_id': str(claim_id),
+                'key': key,
+                'claim_id': claim_id,
                 'ran': ran,
                 'operator': getpass.getuser(),
             }
@@ -219,6 +233,7 @@
         )
         print(f'revision {answer["revision"]} accepted')
 
+    @_as_text('request')
     def explain(self, request: str, *files: str) -> None:
         """Tell from log files what became of a request, and why.
 
@@ -226,7 +241,7 @@
         :param files: log files of all instances; - is standard input.
         """
         lines, _ = _read_log_lines(files)
-        for text in _explain.explain_request(str(request), lines):
+        for text in _explain.explain_request(request, lines):
             print(text)
 
     def drain(self, address: str | None = None) -> None:
--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -52,7 +52,7 @@
             f'{line.fields.get("route")} '
             f'({line.fields.get("kind")}) {line.fields.get("host", "")}'
             f'{line.fields.get("path", "")} for '
-            f'{line.fields.get("organisation")}'
+            f'{line.fields.get("organisation")}{_terms(line)}'
         )
         shown.extend(_steps(line, started_s))
         shown.append(
@@ -82,7 +82,12 @@
     if outcome == 'caller_left':
         waited = line.fields.get('duration_ms')
         faults = f' Last fault: {last_fault}.' if last_fault else ''
-        return f'The caller closed the connection after {waited} ms.{faults}'
+        limit_ms = line.fields.get('time_limit_ms')
+        allowed = '' if limit_ms is None else f'; it had allowed {limit_ms} ms'
+        return (
+            f'The caller closed the connection after {waited} ms{allowed}.'
+            f'{faults}'
+        )
     if line.event == 'a request was late':
         return f'Served late: {_slowest(line)}.'
     if last_fault:
@@ -141,6 +146,14 @@
     return shown
 
 
+def _terms(line: messages.LogLine) -> str:
+    """Return from where the caller goes on and how long it waits."""
+    after_event = line.fields.get('after_event')
+    limit_ms = line.fields.get('time_limit_ms')
+    terms = '' if after_event is None else f' after event {after_event}'
+    return terms if limit_ms is None else f'{terms}, allowing {limit_ms} ms'
+
+
 def _steps(line: messages.LogLine, started_s: float) -> list[str]:
     shown = []
     for step in _step_list(line):
--- a/packages/cli/src/skylarktack/cli/tests/test_explain.py
+++ b/packages/cli/src/skylarktack/cli/tests/test_explain.py
@@ -1,7 +1,12 @@
 """Requests explained from golden logs."""
 
+import json
 import pathlib
 
+import fire
+import pytest
+
+from skylarktack import cli
 from skylarktack.cli import _explain
 
 GOLDEN = pathlib.Path(__file__).parent / 'golden'
@@ -11,6 +16,7 @@
     'lost-booking',
     'unsure-lookup',
     'late-lookup',
+    'returned-late',
     'unknown',
 )
 
@@ -50,3 +56,30 @@
             'log:3',
             'log:4',
         ]
+
+    @pytest.mark.parametrize(
+        'request_id', ['1234567890123e45', '1234567890123456', '12_3', '0x1f']
+    )
+    def test_id_that_reads_as_a_number(
+        self,
+        request_id: str,
+        tmp_path: pathlib.Path,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        """Guards against an id that is turned into another one.
+
+        Ids are hexadecimal; some of them read as a number.
+        """
+        line = {
+            'time_s': 1.0,
+            'instance': 'edge-a-1',
+            'part': 'request',
+            'event': 'a request failed',
+            'request': request_id,
+            'outcome': 'refused',
+            'cause': 'no_route: ',
+        }
+        path = tmp_path / 'instance.log'
+        path.write_text(json.dumps(line), encoding='utf-8')
+        fire.Fire(cli.Commands, ['explain', request_id, str(path)])
+        assert 'Cause: No route' in capsys.readouterr().out
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -362,6 +362,12 @@
     #: Whether the store had confirmed that version a moment before.
     is_current: bool
 
+    #: How long the caller had said it would wait, or None.
+    time_limit_ms: float | None
+
+    #: Id of the last event that the caller had, or None.
+    after_event: int | None
+
     #: How it ended.
     outcome: str
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
@@ -50,6 +50,8 @@
                 organisation=report.organisation,
                 configuration=report.configuration_version,
                 is_current=report.is_configuration_current,
+                time_limit_ms=report.request.time_limit_ms,
+                after_event=report.request.last_event_id,
                 outcome=outcome,
                 cause=cause,
                 duration_ms=round(report.duration_ms, 1),
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -153,6 +153,25 @@
             assert event.path == '/a/x'
 
 
+class TestLimits:
+    """Guards against a failure that its line cannot explain."""
+
+    def test_time_limit_and_resumption(self) -> None:
+        """A caller that came back with little time left is told apart."""
+        log = fakes.RecordingLog()
+        report = _report(forwarding.CallerLeft())
+        resumed = dataclasses.replace(
+            report.request, time_limit_ms=910.0, last_event_id=107
+        )
+        _reports.RequestLog(fakes.SteppingClock(), log).ended(
+            dataclasses.replace(report, request=resumed)
+        )
+        (event,) = log.events
+        assert isinstance(event, forwarding.RequestFailed)
+        assert event.time_limit_ms == 910.0
+        assert event.after_event == 107
+
+
 class TestRequestMetrics:
     """Counters and histograms as text."""
 
--- a/packages/emulator/src/skylarktack/emulator/demo/platform.py
+++ b/packages/emulator/src/skylarktack/emulator/demo/platform.py
@@ -1,5 +1,7 @@
 """Shows the platform path on stand-ins of the platform."""
 
+import json
+import subprocess
 import sys
 import time
 
@@ -89,7 +91,39 @@
         f'While the store is away: a lookup -> {served}, '
         f'a route that may be newer -> {unsure}.'
     )
-    return (served, unsure) == (200, 503)
+    explanation = explain(deployment, attempt.attempt_id)
+    print(f'skylarktack explain {attempt.attempt_id}:')
+    for text in explanation:
+        print(f'  {text}')
+    is_explained = explanation[-1].startswith('Cause: ')
+    return (served, unsure) == (200, 503) and is_explained
+
+
+def explain(
+    deployment: platform.PlatformDeployment, attempt_id: str
+) -> list[str]:
+    """Return what the command line tells of a failed request.
+
+    :param attempt_id: attempt that the first instance failed.
+    :raises subprocess.CalledProcessError: if the command fails.
+    """
+    deployment.instances[0].wait_for_line(
+        'request', 'a request failed', request=attempt_id
+    )
+    logs = [
+        json.dumps(line)
+        for instance in deployment.instances
+        for line in list(instance.lines)
+    ]
+    command = [sys.executable, '-m', 'skylarktack.cli', 'explain']
+    told = subprocess.run(
+        [*command, attempt_id, '-'],
+        input='\n'.join(logs),
+        stdout=subprocess.PIPE,
+        check=True,
+        text=True,
+    )
+    return told.stdout.splitlines()
 
 
 if __name__ == '__main__':
--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -18,6 +18,9 @@
 #: have forgotten it without a word, and a call on it would take all its time.
 REST_LIMIT_S = 1.0
 
+#: States of the store, as the parser names them, before it has answered.
+_UNANSWERED = (h11.IDLE, h11.SEND_RESPONSE)
+
 
 class HttpStoreCalls:
     """Sends calls to the store, one at a time."""
@@ -81,9 +84,10 @@
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
                 self._wait(connection, select.POLLIN, deadline_s)
-                self._parser.receive_data(
-                    connection.recv(_sockets.READ_SIZE_BYTES)
-                )
+                received = connection.recv(_sockets.READ_SIZE_BYTES)
+                if not received and self._parser.their_state in _UNANSWERED:
+                    raise ConnectionError('the store closed the connection')
+                self._parser.receive_data(received)
                 continue
             if isinstance(event, h11.Response):
                 status = event.status_code
@@ -93,8 +97,6 @@
                 continue
             if isinstance(event, h11.EndOfMessage):
                 break
-            if isinstance(event, h11.ConnectionClosed):
-                raise ConnectionError('the store closed the connection')
         if self._parser.our_state is h11.DONE and (
             self._parser.their_state is h11.DONE
         ):
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
@@ -96,6 +96,18 @@
         ]
         store.close()
 
+    def test_names_a_break_within_the_answer(self) -> None:
+        """Guards against a cause in the words of a library.
+
+        The log names it as the reason for which the store is lost.
+        """
+        store = _Store(None)
+        calls = transport.HttpStoreCalls(store.endpoint)
+        answer = calls.call('GET', '/objects/a', None, 20.0)
+        assert isinstance(answer, forwarding.ExchangeFault)
+        assert answer.detail == 'the store closed the connection'
+        store.close()
+
     def test_gives_a_silent_store_up(self) -> None:
         """Guards against a watch that hangs on a silent connection."""
         store = _Store(b'')
