Nothing is sent for a caller that has left before the first send

The wait for an answer looked at the caller, the first send did not.

Change: the gateway looks at the caller's connection once before it forwards; it costs one read that finds nothing for each request.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -308,6 +308,11 @@
         started_at_s: float,
         notes: _outcomes.RequestNotes,
     ) -> Outcome:
+        if caller.has_left():
+            # The request was held, or the process stood still, for longer
+            # than the caller waited.
+            notes.note(self._clock.monotonic_s(), 'caller_left')
+            return _outcomes.CallerLeft()
         limit_ms = _limit_ms(admitted.route, request)
         work = _work.Work(
             request=request,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
@@ -59,6 +59,25 @@
         waited_s = front.desk.client.sent[0].at_s - started_s
         assert waited_s == pytest.approx(0.45)
 
+    @pytest.mark.parametrize('kind', list(data.RequestKind))
+    def test_a_caller_that_left_gets_nothing_run(
+        self, kind: data.RequestKind
+    ) -> None:
+        """Guards against a booking that runs after its caller has left.
+
+        A process that stood still reads a request whose caller closed the
+        connection meanwhile; a request may also be held that long.
+        """
+        observer = _Observer()
+        front = _front(observer)
+        front.holder.offer(bed.configuration(1, bed.route(kind)))
+        front.desk.client.script('only', bed.answer())
+        front.desk.caller.leaves_at_s = front.desk.clock.monotonic_s()
+        outcome = front.ask(bed.request())
+        assert isinstance(outcome, forwarding.CallerLeft)
+        assert not front.desk.client.sent
+        assert observer.reports[0].steps[0].step == 'caller_left'
+
     def test_a_configuration_that_comes_in_time_serves(self) -> None:
         """Guards against refusals by an instance that is about to know.
 
