--- a/packages/coordination/src/skylarktack/coordination/membership/_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_membership.py
@@ -21,6 +21,9 @@
 #: Longest wait for the answer to ``Join``.
 JOIN_TIMEOUT_S = 1.0
 
+#: Longest wait until the neighbours have confirmed a farewell.
+FAREWELL_TIMEOUT_S = 0.5
+
 #: Shortest time between two messages with fresh news to one neighbour.
 URGENT_SPACING_S = 0.05
 
@@ -126,9 +129,22 @@
         self._tasks.submit(self._run_exchanges)
 
     def leave(self) -> None:
-        """Tell the neighbours that this instance is about to stop."""
-        own = self._beliefs.leave()
-        self._parts.network.broadcast(_messages.News((own,)))
+        """Tell the neighbours that this instance is about to stop.
+
+        It ends its connections afterwards. Neighbours that have confirmed
+        the stop can tell those that find it gone.
+        """
+        network = self._parts.network
+        clock = self._parts.clock
+        farewell = _messages.News((self._beliefs.leave(),))
+        network.broadcast(farewell)
+        end_s = clock.monotonic_s() + FAREWELL_TIMEOUT_S
+        for peer in network.neighbours():
+            left_s = end_s - clock.monotonic_s()
+            if left_s <= 0:
+                self._parts.metrics.count('membership.late_farewells')
+                return
+            network.request(peer, farewell, left_s)
 
     def stop(self) -> None:
         """Stop all tasks."""
--- a/packages/coordination/src/skylarktack/coordination/membership/_messages.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_messages.py
@@ -59,6 +59,9 @@
     #: Longest wait for its answer.
     timeout_ms: int
 
+    #: Incarnation of the instance that the asker knows.
+    incarnation: int = 0
+
 
 @dataclasses.dataclass(frozen=True)
 class RelayedProbe:
@@ -74,7 +77,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class News:
-    """Changes that are passed on at once; not answered."""
+    """Changes that are passed on at once.
+
+    As a request it is answered once they were taken in.
+    """
 
     #: Changed instances.
     members: tuple[state.Member, ...]
@@ -109,4 +115,4 @@
 
 
 #: Requests whose handlers never wait.
-INLINE_TYPES: frozenset[type] = frozenset({Probe, Join})
+INLINE_TYPES: frozenset[type] = frozenset({Probe, Join, News})
--- a/packages/coordination/src/skylarktack/coordination/membership/_prober.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_prober.py
@@ -113,7 +113,12 @@
             if member.state == state.MemberState.ALIVE:
                 candidates.append(member.name)
         count = min(self._settings.helper_count, len(candidates))
-        order = _messages.RelayProbe(name, int(timeout_s * 1000))
+        believed = self._table.get(name)
+        order = _messages.RelayProbe(
+            name,
+            int(timeout_s * 1000),
+            0 if believed is None else believed.incarnation,
+        )
         asked = [
             (
                 helper,
@@ -146,8 +151,20 @@
     def _answer_relay(
         self, peer: state.InstanceName, message: _messages.RelayProbe
     ) -> _messages.RelayedProbe:
+        believed = self._table.get(message.target)
+        if believed is not None and _has_left(believed, message.incarnation):
+            # A process that ends may accept a probe and not answer it.
+            return _messages.RelayedProbe(False, (believed,))
         reached = self._reach(message.target, message.timeout_ms / 1000)
         believed = self._table.get(message.target)
-        if believed is None or believed.state != state.MemberState.LEAVING:
+        if believed is None or not _has_left(believed, message.incarnation):
             return _messages.RelayedProbe(reached)
         return _messages.RelayedProbe(reached, (believed,))
+
+
+def _has_left(believed: state.Member, incarnation: int) -> bool:
+    """Return whether an instance announced its stop since an incarnation."""
+    return (
+        believed.state == state.MemberState.LEAVING
+        and believed.incarnation >= incarnation
+    )
--- a/packages/coordination/src/skylarktack/coordination/tests/test_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_membership.py
@@ -241,6 +241,42 @@
         farewell of another one does not reach it, and its first probe of
         that one fails. The seed decides whom it probes first.
         """
+        made, joining = self._joining(seed)
+        made.memberships['instance-003'].leave()
+        made.kill('instance-003')
+        for _ in range(4):
+            joining.probe_round()
+        assert made.metrics.counts['membership.became_suspect'] == 0
+        assert not made.unaware('instance-003')
+
+    @pytest.mark.parametrize('seed', range(8))
+    def test_helpers_answer_at_once(self, seed: int) -> None:
+        """Guards against helpers that probe an instance they know has left.
+
+        While its process ends it accepts connections and answers nothing,
+        so the helpers' findings came too late.
+        """
+        made, joining = self._joining(seed)
+        made.memberships['instance-003'].leave()
+        made.hub.pause('instance-003')
+        probed_by: list[str] = []
+
+        def _observe(receiver: str, message: object) -> None:
+            if receiver != 'instance-003':
+                return
+            if isinstance(message, membership.Probe):
+                probed_by.append(message.sender.name)
+
+        made.hub.observe = _observe
+        for _ in range(4):
+            joining.probe_round()
+        assert set(probed_by) <= {'instance-004'}
+        assert made.metrics.counts['membership.became_suspect'] == 0
+
+    def _joining(
+        self, seed: int
+    ) -> tuple[fakes.MemberFleet, membership.Membership]:
+        """Return a fleet and an instance that has no neighbour yet."""
         made = fleet(4, seed)
         made.start('instance-004')
         joining = made.memberships['instance-004']
@@ -257,12 +293,7 @@
         )
         joining.reunion_round()
         assert made.live('instance-004') == set(made.tables)
-        made.memberships['instance-003'].leave()
-        made.kill('instance-003')
-        for _ in range(4):
-            joining.probe_round()
-        assert made.metrics.counts['membership.became_suspect'] == 0
-        assert not made.unaware('instance-003')
+        return made, joining
 
 
 class TestNeighbours:
--- a/packages/protocol/src/skylarktack/protocol/tests/test_peer_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_peer_codec.py
@@ -40,7 +40,9 @@
     'member.joined': membership.Joined(MEMBER, (MEMBER,)),
     'member.probe': membership.Probe(MEMBER, (MEMBER,)),
     'member.probed': membership.Probed(MEMBER, (MEMBER,)),
-    'member.relay': membership.RelayProbe(state.InstanceName('entry-9'), 500),
+    'member.relay': membership.RelayProbe(
+        state.InstanceName('entry-9'), 500, 1_800_000_000_123
+    ),
     'member.relayed': membership.RelayedProbe(True, (MEMBER,)),
     'member.news': membership.News((MEMBER,)),
     'member.exchange': membership.Exchange(
@@ -110,13 +112,26 @@
         sent = codec().encode(protocol.Frame(membership.Probe(MEMBER), 1))
         assert newer.decode(sent).ok.message == _NewerProbe(MEMBER)
 
-    def test_relayed_probe_without_news(self) -> None:
-        """An answer of a release whose helpers told no news is read."""
-        sent = bytes.fromhex(
-            '846e6d656d6265722e72656c617965640105a16772656163686564f5'
-        )
-        expected = protocol.Frame(membership.RelayedProbe(True), 5)
-        assert codec().decode(sent).ok == expected
+    @pytest.mark.parametrize(
+        ('sent', 'message'),
+        [
+            (
+                '846c6d656d6265722e72656c61790105a26674617267657467656e74'
+                '72792d396a74696d656f75745f6d731901f4',
+                membership.RelayProbe(state.InstanceName('entry-9'), 500),
+            ),
+            (
+                '846e6d656d6265722e72656c617965640105a16772656163686564f5',
+                membership.RelayedProbe(True),
+            ),
+        ],
+    )
+    def test_relays_of_an_earlier_release(
+        self, sent: str, message: object
+    ) -> None:
+        """Relayed probes without incarnation and news are read."""
+        expected = protocol.Frame(message, 5)
+        assert codec().decode(bytes.fromhex(sent)).ok == expected
 
     def test_unknown_message(self) -> None:
         """A message of a later release is told apart from a broken one."""
