Show the processes' logs when a membership test fails

Change: the fixture lets the processes log to the standard error of the tests; pytest shows it with a failure.

Ruled out: names in the report of the processes, which would be a second copy of what their logs hold.

Measured: with the check reversed on purpose, the failure shows the changes of members within the test; with the check as it is, four tests pass.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_membership_processes.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_membership_processes.py
@@ -11,11 +11,17 @@
 
 @pytest.fixture(scope='class')
 def fleet() -> Iterator[emulator.PeerFleet]:
-    """Return five processes that know each other."""
-    with emulator.PeerFleet() as made:
-        made.grow(5)
-        made.wait_agreed()
-        yield made
+    """Return five processes that know each other.
+
+    Their logs go to the standard error of the tests, which is shown with a
+    failure: counters do not tell which instance was suspected.
+    """
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setenv('SKYLARKTACK_EMULATOR_LOGS', '1')
+        with emulator.PeerFleet() as made:
+            made.grow(5)
+            made.wait_agreed()
+            yield made
 
 
 class TestMembershipProcesses:
