Keep four routes apart in sums; probe for askers of an earlier release

Cause: found on reading. Outcomes of routes that are not told apart carry an empty name; in a sum of reports the empty name took one of the four places, so a route that an instance had told apart was lost.

Measured: both tests failed before (three routes and the empty one left of four; no probe sent) and pass after.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
@@ -113,7 +113,7 @@
 
     def _counted_as(self, evidence: data.RouteEvidence) -> str:
         """Return the route itself unless too many others came before."""
-        if evidence.route in self._routes:
+        if not evidence.route or evidence.route in self._routes:
             return evidence.route
         if len(self._routes) >= ROUTE_LIMIT_COUNT:
             return ''
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
@@ -271,6 +271,21 @@
             evidence.row.attempt_count for evidence in report.counts.rows
         ]
         assert sum(attempts) == 40
+        # Another instance keeps the same routes apart, in whatever order it
+        # hears of them.
+        other = _desk()
+        other.moves.apply(data.MoveChange('pool', _order()))
+        folded_first = sorted(report.counts.rows, key=lambda each: each.route)
+        other.moves.take_report(
+            dataclasses.replace(
+                report,
+                counts=dataclasses.replace(
+                    report.counts, rows=tuple(folded_first)
+                ),
+            )
+        )
+        (summed,) = other.moves.reports('instance-1', data.MoveScope.FLEET)
+        assert {each.route for each in summed.counts.rows} == routes
 
     def test_without_evidence_nothing_is_completed(self) -> None:
         """Guards against a version that no request has tried."""
--- a/packages/coordination/src/skylarktack/coordination/membership/_prober.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_prober.py
@@ -159,12 +159,16 @@
         believed = self._table.get(message.target)
         if believed is None or not _has_left(believed, message.incarnation):
             return _messages.RelayedProbe(reached)
+        # The stop became known here while the probe was under way.
         return _messages.RelayedProbe(reached, (believed,))
 
 
 def _has_left(believed: state.Member, incarnation: int) -> bool:
-    """Return whether an instance announced its stop since an incarnation."""
+    """Return whether an instance announced its stop since an incarnation.
+
+    Askers of an earlier release send 0 and may know a later start.
+    """
     return (
         believed.state == state.MemberState.LEAVING
-        and believed.incarnation >= incarnation
+        and 0 < incarnation <= believed.incarnation
     )
--- a/packages/coordination/src/skylarktack/coordination/tests/test_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_membership.py
@@ -273,6 +273,25 @@
         assert set(probed_by) <= {'instance-004'}
         assert made.metrics.counts['membership.became_suspect'] == 0
 
+    def test_asker_of_an_earlier_release(self) -> None:
+        """Guards against an instance that came back and is suspected.
+
+        A helper that missed its return cannot tell whether an asker that
+        sends no incarnation knows of it, so it probes.
+        """
+        made = fleet(4, 1)
+        made.memberships['instance-003'].leave()
+        probed: list[str] = []
+        made.hub.observe = lambda receiver, message: probed.append(receiver)
+        helper = made.hub.find(state.InstanceName('instance-000'))
+        assert helper is not None
+        answer = helper.receive(
+            state.InstanceName('instance-001'),
+            membership.RelayProbe(state.InstanceName('instance-003'), 500),
+        )
+        assert 'instance-003' in probed
+        assert answer.reached
+
     def _joining(
         self, seed: int
     ) -> tuple[fakes.MemberFleet, membership.Membership]:
