Follow each kind of the store for itself when its watcher is refused

An instance that came early in the order was answered for the configuration, so all listened to it for that kind. Others were answered for the targets, but each of them heard an instance before it for the configuration, took itself for preceded in all kinds, and neither passed changes on nor sent beats. Each instance then learned of leaving targets only by its own turn, one call in 9 s: 20 of 88 by 28.1 s, the others when the refusals ended at 32.5 s.

Change: whether one that comes before is heard is asked for each kind: for beats, for changes that are passed on, and for the wait of a watch.

Ruled out: lost datagrams (no instance had sent the change), the time that a cut watcher goes unnoticed (others had asked by 25.8 s), and load (the test in memory shows it).

Measured: test_a_watcher_that_is_answered_for_one_kind_only failed before (no instance listened for the targets) and passes after.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_following.py
@@ -200,12 +200,16 @@
     def _watch_wait_s(self) -> float:
         if self._sharing is None:
             return self._settings.watch_wait_s
-        return self._sharing.watch_wait_s(self._settings.watch_wait_s)
+        return self._sharing.watch_wait_s(
+            self._settings.name, self._settings.watch_wait_s
+        )
 
     def _gather_s(self) -> float:
         if self._sharing is None:
             return self._settings.gather_s
-        return self._sharing.gather_s(self._settings.gather_s)
+        return self._sharing.gather_s(
+            self._settings.name, self._settings.gather_s
+        )
 
     def _listen(self, revision: int) -> int | None:
         """Take over what a watching instance passes on."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_sharing.py
@@ -152,21 +152,23 @@
                 if known.turn_at_s is not None:
                     known.turn_at_s = next_s
 
-    def watch_wait_s(self, longest_s: float) -> float:
-        """Return how long a watch may wait for a change.
+    def watch_wait_s(self, kind: str, longest_s: float) -> float:
+        """Return how long a watch of a kind may wait for a change.
 
         :param longest_s: the same in a small fleet.
         """
-        if not self.is_shared() or self._is_preceded():
+        if not self.is_shared() or self._is_preceded(kind):
             return longest_s
         return SHARED_WATCH_WAIT_S
 
-    def gather_s(self, shortest_s: float) -> float:
-        """Return the pause between two watches that gathers changes.
+    def gather_s(self, kind: str, shortest_s: float) -> float:
+        """Return the pause between two watches of a kind.
+
+        It gathers changes into one call.
 
         :param shortest_s: the same in a small fleet.
         """
-        if self.is_shared() and self._is_preceded():
+        if self.is_shared() and self._is_preceded(kind):
             return max(shortest_s, BACKUP_GATHER_S)
         return shortest_s
 
@@ -203,7 +205,7 @@
 
     def publish(self, change: data.StoreChange) -> None:
         """Pass a change on unless one that comes before does so."""
-        if self.is_shared() and not self._is_preceded():
+        if self.is_shared() and not self._is_preceded(change.kind):
             self._link.spread(change, self._fleet.spread_order())
 
     def take_change(self, change: data.StoreChange) -> None:
@@ -234,12 +236,14 @@
 
     def beat(self) -> data.StoreBeat | None:
         """Return the word that this instance hears the store, or None."""
-        if not self.is_shared() or self._is_preceded():
+        if not self.is_shared():
             return None
         now_s = self._clock.monotonic_s()
         kinds = []
         with self._lock:
             for known in self._kinds.values():
+                if now_s <= known.preceded_until_s:
+                    continue
                 if known.confirmed and self._is_confirmed(known, now_s):
                     kinds.append(known.confirmed)
         if not kinds:
@@ -254,14 +258,14 @@
             if beat is not None:
                 self._link.spread(beat, self._fleet.spread_order())
 
-    def _is_preceded(self) -> bool:
-        """Return whether an instance is heard that comes before this one."""
+    def _is_preceded(self, kind: str) -> bool:
+        """Return whether one that comes before this one is heard for a kind.
+
+        The store may answer an instance for some kinds and refuse others.
+        """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            for known in self._kinds.values():
-                if now_s <= known.preceded_until_s:
-                    return True
-            return False
+            return now_s <= self._of(kind).preceded_until_s
 
     def _is_confirmed(self, known: _Kind, now_s: float) -> bool:
         return now_s <= known.confirmed_at_s + CONFIRMATION_LIFETIME_S
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_sharing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_sharing.py
@@ -27,7 +27,7 @@
         self.sharing = forwarding.StoreSharing(clock, self.view, self.link)
         self.health = forwarding.StoreHealth(clock)
 
-    def step(self, is_store_up: bool) -> int:
+    def step(self, answered_kinds: tuple[str, ...]) -> int:
         """Ask the store wherever it is this instance's turn."""
         call_count = 0
         for kind in KINDS:
@@ -37,7 +37,7 @@
                 continue
             self.sharing.take_turn()
             call_count += 1
-            if not is_store_up:
+            if kind not in answered_kinds:
                 self.health.note_fault(kind, 0.6)
                 continue
             self.health.note_answer()
@@ -64,18 +64,27 @@
                     instance.view.take(bed.peer_report(other.name, number))
 
     def play(
-        self, span_s: float, up_ranks: frozenset[int] = frozenset()
+        self,
+        span_s: float,
+        up_ranks: frozenset[int] = frozenset(),
+        partly_up_ranks: frozenset[int] = frozenset(),
     ) -> int:
         """Pass time; return the calls to the store.
 
         :param up_ranks: ranks of the instances that the store answers.
+        :param partly_up_ranks: the same for calls of the first kind only.
         """
         call_count = 0
         for _ in range(round(span_s / STEP_S)):
             self.clock.advance(STEP_S)
             self._ticks += 1
             for rank, instance in enumerate(self.instances):
-                call_count += instance.step(rank in up_ranks)
+                answered_kinds: tuple[str, ...] = ()
+                if rank in up_ranks:
+                    answered_kinds = KINDS
+                if rank in partly_up_ranks:
+                    answered_kinds = KINDS[:1]
+                call_count += instance.step(answered_kinds)
             if self._ticks % 8 == 0:
                 self._beat()
         return call_count
@@ -171,6 +180,26 @@
         for kind in KINDS:
             assert WAIT not in fleet.roles(kind)
 
+    def test_a_watcher_that_is_answered_for_one_kind_only(self) -> None:
+        """Guards against a kind that nobody passes on.
+
+        The store refused many calls of the watching instances, not all. The
+        one that was answered for the targets heard them for the
+        configuration and told nobody; 68 of 88 instances did not learn that
+        a target left (scale-2 of the grown Hanginan, DRAIN broken).
+        """
+        fleet = _Fleet()
+        fleet.play(
+            4.0, up_ranks=frozenset((5,)), partly_up_ranks=frozenset((0, 1))
+        )
+        for kind in KINDS:
+            assert set(fleet.roles(kind)[6:]) == {LISTEN}, kind
+        answered = fleet.instances[5]
+        for kind, is_told in zip(KINDS, (False, True, True), strict=True):
+            change = data.StoreChange(kind, 5, 6, b'')
+            answered.sharing.publish(change)
+            assert (change in answered.link.sent) is is_told
+
     def test_a_starting_instance_waits_to_hear_the_others(self) -> None:
         """Guards against a call of each instance when all start together."""
         clock = fakes.SteppingClock()
