Stop the instance only once all streams of the planned-stop test run

The test stopped the first instance once one of its eight streams ran; a stream that begins after the order to stop is refused there and goes to the second one at once. Shown with real processes: an eighth reader that starts 0.15 s after the order gives the same figures (second instance, one connection, no handover); seven others are handed over.

Change: the test waits until the engines run all eight; what it expects is unchanged. The wait for idle engines is the same function with 0.

Ruled out: the confirmed farewell (it follows the drain, in which the streams are handed over); a stream that ended within the drain (its attempt carries the second instance's name).

--- a/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
@@ -265,10 +265,12 @@
         addresses = [each.address for each in instances[:2]]
         # Attempts that the cases before have cancelled end a moment later;
         # their last tokens are not counted here.
-        _await_idle_engines(deployment)
+        _await_running(deployment, 0)
         before = _generated_count(deployment)
         readers = [_Reader(addresses, f'week {at}') for at in range(8)]
-        _running_engine(deployment)
+        # A stream that begins after the order to stop goes to the other
+        # instance at once and is not handed over.
+        _await_running(deployment, len(readers))
         instances[0].stop()
         for reader in readers:
             assert reader.check().handover_count == 1
@@ -278,8 +280,8 @@
         assert generated_count == 8 * TOKEN_COUNT
 
 
-def _await_idle_engines(deployment: emulator.Deployment) -> None:
-    """Wait until no engine runs an attempt."""
+def _await_running(deployment: emulator.Deployment, count: int) -> None:
+    """Wait until the engines run a number of attempts."""
     waiting = threading.Event()
     for _ in range(400):
         running_count = 0
@@ -287,10 +289,10 @@
             running_count += engine.read_json('/control/running')[
                 'running_count'
             ]
-        if not running_count:
+        if running_count == count:
             return
         waiting.wait(0.05)
-    raise AssertionError('an attempt of an earlier case still runs')
+    raise AssertionError(f'the engines never ran {count} attempts')
 
 
 def _generated_count(deployment: emulator.Deployment) -> int:
