--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -33,6 +33,8 @@
     'time_up': 'The time limit expired while a target processed the request.',
     'target_failed': 'The target failed while it worked on the request, and '
     'no other could go on.',
+    'internal_error': 'The instance failed with an unexpected error; its log '
+    'has the traceback.',
 }
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -38,6 +38,7 @@
 from skylarktack.coordination.forwarding._events import TargetMisdirected
 from skylarktack.coordination.forwarding._events import TargetRemoved
 from skylarktack.coordination.forwarding._events import TargetSuspected
+from skylarktack.coordination.forwarding._events import UnexpectedError
 from skylarktack.coordination.forwarding._events import WatchRevisionCompacted
 from skylarktack.coordination.forwarding._events import WatchRoleChanged
 from skylarktack.coordination.forwarding._exposure import ExposureLimits
@@ -105,6 +106,8 @@
 from skylarktack.coordination.forwarding._stream_attempts import StreamFinished
 from skylarktack.coordination.forwarding._stream_attempts import StreamProgress
 from skylarktack.coordination.forwarding._streams import StreamForwarder
+from skylarktack.coordination.forwarding._supervision import ErrorRecorder
+from skylarktack.coordination.forwarding._supervision import Supervisor
 from skylarktack.coordination.forwarding._targets import TargetTable
 from skylarktack.coordination.forwarding._version_rules import ANY_VERSION
 from skylarktack.coordination.forwarding._version_rules import VersionRule
@@ -220,6 +223,9 @@
     'TargetWatchHandler',
     'TargetClient',
     'TargetTable',
+    'UnexpectedError',
+    'ErrorRecorder',
+    'Supervisor',
     'AdmittedRequest',
     'choose_service',
     'broadcast_groups',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -26,9 +26,6 @@
 #: Retry-After of a request that no target accepted.
 RETRY_AFTER_S = 0.1
 
-#: Maximum size of a response body, which is buffered before it is forwarded.
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-
 #: Lowest status of a failure of the target itself; it executed the request.
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -46,7 +43,6 @@
     target: data.ListedTarget
     sent_at_s: float
     head: data.ResponseHead | None = None
-    size_bytes: int = 0
     body_chunks: list[bytes] = dataclasses.field(default_factory=list)
 
 
@@ -220,13 +216,7 @@
                 continue
             if isinstance(event, _ports.BodyChunk):
                 attempt.body_chunks.append(event.data)
-                attempt.size_bytes += len(event.data)
-                if attempt.size_bytes <= MAX_RESPONSE_BYTES:
-                    continue
-                self._close_attempt(attempt)
-                self._executed_count += 1
-                self._last_fault = 'the response exceeds the size limit'
-                return None
+                continue
             self._close_attempt(attempt)
             return self._handle_response(attempt)
         return None
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -82,6 +82,25 @@
     is_changed: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class UnexpectedError(LogEvent):
+    """A task or a request failed with an error that no code expects."""
+
+    part = 'instance'
+    message = 'unexpected error'
+
+    #: The task or step that failed.
+    place: str
+
+    #: Type and text of the error.
+    cause: str
+
+    traceback: str
+
+    #: Errors at this place since the start, some of which were not logged.
+    count: int
+
+
 @dataclasses.dataclass(frozen=True)
 class ReadinessChanged(LogEvent):
     """The readiness check now returns a different result."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -13,6 +13,7 @@
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _routes
 from skylarktack.coordination.forwarding import _streams
+from skylarktack.coordination.forwarding import _supervision
 from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.forwarding import _watch_handlers
 from skylarktack.coordination.ports import Clock
@@ -112,6 +113,9 @@
 
     observer: RequestObserver
 
+    #: Records errors that no code path expects.
+    errors: _supervision.ErrorRecorder
+
 
 @dataclasses.dataclass(frozen=True)
 class _Admission:
@@ -199,6 +203,11 @@
                 outcome = self._forward(
                     admission, request, caller, started_at_s, trace
                 )
+        except Exception as error:
+            self.dependencies.errors.record('request', error)
+            outcome = data.Refusal(
+                data.RefusalReason.INTERNAL_ERROR, detail=type(error).__name__
+            )
         finally:
             with self._lock:
                 self._active_count -= 1
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -161,9 +161,12 @@
     #: Bytes of the events, unchanged.
     events: bytes
 
-    #: Ids of the events, in order.
+    #: Ids of the events, in order; events without a numeric id have none.
     ids: tuple[int, ...]
 
+    #: Whether an incomplete event is larger than the splitter accepts.
+    is_oversized: bool = False
+
 
 class MessageCodec(Protocol):
     """Translates between HTTP messages and typed requests and responses."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -38,9 +38,6 @@
 #: the prefill.
 SUSPICION_CHECK_INTERVAL_S = 0.2
 
-#: Status of a response whose body is a stream of events.
-OK_STATUS = 200
-
 
 class Relay:
     """Relays the events of one engine to the caller."""
@@ -161,9 +158,7 @@
         head = self._head
         if head is None:
             raise AssertionError('the body of a response came before its head')
-        is_stream = (
-            head.status == OK_STATUS and head.is_signed and not head.is_encoded
-        )
+        is_stream = head.is_relayable
         if isinstance(event, _ports.ResponseEnd):
             if is_stream:
                 return self._handle_stream_end()
@@ -172,8 +167,18 @@
             self._error_body_chunks.append(event.data)
             return None
         split = self._splitter.split(event.data)
+        if split.is_oversized:
+            return self.handle_fault(
+                _ports.ExchangeFault(
+                    _ports.FaultKind.MALFORMED, 'an event exceeds the limit'
+                )
+            )
         if not split.events:
             return None
+        if not split.ids:
+            # Comments and events without an id are no progress, so an engine
+            # that sends only these counts as unresponsive.
+            return self._send_events(head, split.events)
         self._record_long_pause()
         self._targets.report_alive(self._target)
         self._last_event_at_s = self._clock.monotonic_s()
@@ -270,6 +275,12 @@
                 )
                 return _stream_attempts.AttemptLost(detail, may_have_copy=True)
             progress.last_event_id = event_id
+        return self._send_events(head, split.events)
+
+    def _send_events(
+        self, head: data.ResponseHead, events: bytes
+    ) -> _stream_attempts.AttemptEnd | None:
+        progress = self._progress
         if not progress.has_started:
             progress.has_started = True
             self._record('first_event', target=self._target.name)
@@ -277,7 +288,7 @@
                 return _stream_attempts.StreamFinished(
                     _outcomes.CallerDisconnected()
                 )
-        if not self._admitted.caller.send_events(split.events):
+        if not self._admitted.caller.send_events(events):
             return _stream_attempts.StreamFinished(
                 _outcomes.CallerDisconnected()
             )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -194,6 +194,7 @@
             last_event_id=self._progress.last_event_id,
             standby=standby,
             from_copy=from_copy,
+            is_stream=True,
         )
         self._tried_targets.add(target.name)
         self._record(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -387,6 +387,7 @@
             calls=harness.calls,
             streams=harness.streams,
             observer=observer,
+            errors=forwarding.ErrorRecorder(harness.clock, harness.log),
         )
     )
     return GatewayHarness(harness, holder, gateway)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -140,6 +140,81 @@
         assert len(times_s) == 1
 
 
+class TestStalledStreams:
+    """Streams that still send bytes but make no progress."""
+
+    @pytest.mark.parametrize('kept_alive', [b': wait\n\n', b'data: x\n\n'])
+    def test_bytes_now_and_then_are_no_progress(
+        self, kept_alive: bytes
+    ) -> None:
+        """Guards against a stalled stream that never fails over."""
+        env = _make_two_engines()
+        script = list(harness.stream_script(1, 3, ending='silent'))
+        for number in range(200):
+            chunk = forwarding.BodyChunk(kept_alive)
+            script.append(fakes.ScriptedEvent(1.2 + 0.1 * number, chunk))
+        env.client.script('first', tuple(script))
+        env.client.script('second', harness.stream_script(4, 6, start_s=0.05))
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        lost, again = env.client.sent
+        assert again.at_s - lost.at_s < 2.0
+
+    def test_slow_but_sound_stream_is_not_cut(self) -> None:
+        """Guards against a failover from an engine that is only slow."""
+        env = _make_two_engines()
+        env.client.script(
+            'first', harness.stream_script(1, 40, start_s=2.0, pace_s=0.45)
+        )
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first']
+
+    def test_event_without_end_fails_over(self) -> None:
+        """Guards against a stream that waits for the end of one event."""
+        env = _make_two_engines()
+        env.client.script('first', harness.stream_script(1, 3))
+        env.client.script('second', harness.stream_script(1, 3))
+        streams = forwarding.StreamForwarder(
+            forwarding.StreamDependencies(
+                clock=env.clock,
+                targets=env.targets,
+                client=env.client,
+                fleet=env.fleet,
+                budget=env.budget,
+                new_splitter=_OversizedOnce,
+            )
+        )
+        kind = data.RequestKind.STREAM
+        outcome = streams.run(
+            env.work(
+                harness.route(kind, max_attempts=5),
+                harness.request(time_limit_ms=25000.0),
+            )
+        )
+        assert isinstance(outcome, forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first', 'second']
+
+
+class _OversizedOnce:
+    """Reports an oversized event to the first stream that splits."""
+
+    _has_reported = False
+
+    def __init__(self) -> None:
+        self._is_first = not _OversizedOnce._has_reported
+        _OversizedOnce._has_reported = True
+
+    def split(self, received: bytes) -> forwarding.SplitEvents:
+        """Return the single event in these bytes."""
+        if self._is_first:
+            return forwarding.SplitEvents(b'', (), is_oversized=True)
+        number = int(received.split(b'\n')[0].removeprefix(b'id: '))
+        return forwarding.SplitEvents(received, (number,))
+
+    def has_partial(self) -> bool:
+        """Return False: each chunk is one event."""
+        return False
+
+
 class TestUnresponsiveEngines:
     """Unresponsive engines are distinguished from slow ones."""
 
--- a/packages/daemon/src/skylarktack/daemon/_operators.py
+++ b/packages/daemon/src/skylarktack/daemon/_operators.py
@@ -52,7 +52,7 @@
     def _settle(self, body: bytes) -> transport.OperatorAnswer:
         try:
             settlement = once.Settlement(**json.loads(body))
-        except (ValueError, TypeError):
+        except (ValueError, TypeError, RecursionError):
             return transport.json_error(
                 400,
                 'bad_request',
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -1,6 +1,8 @@
 """Composition of a forwarding instance."""
 
+from collections.abc import Callable
 from concurrent import futures
+import functools
 import time
 
 from skylarktack import platform
@@ -58,6 +60,8 @@
         self._log = log
         clock = ports.SystemClock()
         codec = platform.PlatformMessageCodec()
+        errors = forwarding.ErrorRecorder(clock, log)
+        self._supervisor = forwarding.Supervisor(clock, errors)
         self._configuration = forwarding.ConfigurationHolder(clock, log)
         self._link: transport.DatagramLink | None = None
         if settings.peer is not None:
@@ -82,7 +86,7 @@
             clock, log, settings.failure_domain, self._fleet, self._moves
         )
         client = transport.HttpTargetClient(codec)
-        metrics = _metrics.RequestMetrics()
+        metrics = _metrics.RequestMetrics(errors)
         budget = forwarding.RetryBudget(
             clock,
             forwarding.RetryLimits(
@@ -114,6 +118,7 @@
                 observer=_reports.CompositeObserver(
                     _reports.RequestLog(clock, log), metrics
                 ),
+                errors=errors,
             )
         )
         spare_count = settings.descriptor_limit - RESERVED_DESCRIPTOR_COUNT
@@ -127,7 +132,11 @@
             )
         )
         self._front = transport.Listener(
-            settings.front, self._gateway, codec, self._connection_tasks
+            settings.front,
+            self._gateway,
+            codec,
+            self._connection_tasks,
+            errors,
         )
         self._listeners = [self._front]
         self._readiness_listener: transport.Listener | None = None
@@ -136,7 +145,11 @@
                 self._gateway, self._configuration, self._targets, log
             )
             self._readiness_listener = transport.Listener(
-                settings.readiness, readiness, codec, self._connection_tasks
+                settings.readiness,
+                readiness,
+                codec,
+                self._connection_tasks,
+                errors,
             )
             self._listeners.append(self._readiness_listener)
         if settings.metrics is not None:
@@ -146,6 +159,7 @@
                     _metrics.MetricsHandler(metrics),
                     codec,
                     self._connection_tasks,
+                    errors,
                 )
             )
         self._shared_watch: forwarding.SharedWatch | None = None
@@ -195,13 +209,15 @@
 
     def start(self) -> None:
         """Start all background tasks and listeners; return at once."""
-        self._background_tasks.submit(self._log.run)
+        self._start_task('log', self._log.run)
         if self._settings.has_moves:
-            self._background_tasks.submit(self._move_watcher.run)
-        self._background_tasks.submit(self._configuration_watcher.run)
-        self._background_tasks.submit(self._target_watcher.run)
+            self._start_task('move watcher', self._move_watcher.run)
+        self._start_task(
+            'configuration watcher', self._configuration_watcher.run
+        )
+        self._start_task('target watcher', self._target_watcher.run)
         for listener in self._listeners:
-            self._background_tasks.submit(listener.run)
+            self._start_task('listener', listener.run)
         if self._link is not None and self._shared_watch is not None:
             self._start_fleet(self._link, self._shared_watch)
 
@@ -241,13 +257,19 @@
                 transport.HttpStoreCalls(self._settings.store), self._log
             ),
         )
-        self._background_tasks.submit(
-            link.run, self._fleet, shared_watch, self._moves
+        self._start_task(
+            'datagram link',
+            functools.partial(
+                link.run, self._fleet, shared_watch, self._moves
+            ),
         )
-        self._background_tasks.submit(driver.run)
-        self._background_tasks.submit(shared_watch.run_heartbeats)
-        self._background_tasks.submit(reporter.run)
-        self._background_tasks.submit(discovery.run)
+        self._start_task('move driver', driver.run)
+        self._start_task('heartbeats', shared_watch.run_heartbeats)
+        self._start_task('fleet reporter', reporter.run)
+        self._start_task('peer discovery', discovery.run)
+
+    def _start_task(self, name: str, task: Callable[[], None]) -> None:
+        self._background_tasks.submit(self._supervisor.run, name, task)
 
     def stop(self) -> None:
         """Shut down gracefully within the grace period, then close the log."""
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -59,7 +59,8 @@
 class RequestMetrics:
     """Aggregates finished requests by organisation, route and outcome."""
 
-    def __init__(self) -> None:
+    def __init__(self, errors: forwarding.ErrorRecorder) -> None:
+        self._errors = errors
         self._lock = threading.Lock()
         self._series: dict[SeriesKey, _Series] = {}
         self._step_counts: dict[str, int] = {}
@@ -111,8 +112,16 @@
                 )
             for step, count in self._step_counts.items():
                 steps.add_metric([step], count)
+        unexpected = core.CounterMetricFamily(
+            'skylarktack_unexpected_errors',
+            'Errors of tasks and requests that no code path expects.',
+            labels=['place'],
+        )
+        for place, count in self._errors.counts().items():
+            unexpected.add_metric([place], count)
         yield durations
         yield steps
+        yield unexpected
 
 
 class MetricsHandler:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -203,7 +203,7 @@
 
     def test_text(self) -> None:
         """Guards against missing labels or histogram counts."""
-        metrics = _metrics.RequestMetrics()
+        metrics = _metrics.RequestMetrics(_errors())
         metrics.on_request_end(_report(data.FrontResponse(200, (), b'')))
         handler = _metrics.MetricsHandler(metrics)
         response = handler.handle(
@@ -224,7 +224,7 @@
 
         Above the limit, requests are counted under "other".
         """
-        metrics = _metrics.RequestMetrics()
+        metrics = _metrics.RequestMetrics(_errors())
         for number in range(1000):
             report = _report(data.FrontResponse(200, (), b''))
             metrics.on_request_end(
@@ -239,6 +239,12 @@
         assert b'organisation="other"' in response.body
 
 
+def _errors() -> forwarding.ErrorRecorder:
+    return forwarding.ErrorRecorder(
+        fakes.SteppingClock(), fakes.RecordingLog()
+    )
+
+
 def _report(outcome: forwarding.StreamOutcome) -> forwarding.RequestReport:
     return forwarding.RequestReport(
         request=harness.request(),
--- a/packages/platform/src/skylarktack/platform/_configuration.py
+++ b/packages/platform/src/skylarktack/platform/_configuration.py
@@ -23,7 +23,7 @@
     :raises MalformedError: if it is malformed, with all findings.
     """
     findings: list[state.Finding] = []
-    reader = _fields.FieldReader.from_decoded(place, decoded, findings)
+    reader = _fields.FieldReader.from_document(place, decoded, findings)
     configuration = data.ForwardingConfiguration(
         version=reader.integer('version'),
         routes=tuple(
--- a/packages/platform/src/skylarktack/platform/_entries.py
+++ b/packages/platform/src/skylarktack/platform/_entries.py
@@ -3,10 +3,23 @@
 A target in the state ``draining`` is leaving: it takes no new requests.
 """
 
+import ipaddress
+import re
+
 from skylarktack import state
 from skylarktack.platform import _fields
 from skylarktack.state import forwarding as data
 
+MAX_PORT = 65535
+
+#: Largest number of slots that is accepted of one target.
+MAX_SLOT_COUNT = 100000
+
+#: The name of a target is sent in a header field, so it is one word of ASCII.
+_NAME = re.compile(r'[!-~]{1,256}')
+
+_ADDRESS = re.compile(r'([0-9.]{7,15}):([0-9]{1,5})')
+
 _IS_LEAVING_BY_STATE = {'ready': False, 'draining': True}
 
 
@@ -18,9 +31,13 @@
     :raises MalformedError: if it is malformed, with all findings.
     """
     findings: list[state.Finding] = []
-    reader = _fields.FieldReader.from_decoded(
+    reader = _fields.FieldReader.from_document(
         f'servers/{name}', decoded, findings
     )
+    if not _NAME.fullmatch(name):
+        findings.append(
+            state.Finding(f'servers/{name!r}', 'is not a valid name')
+        )
     value = reader.text('state')
     is_leaving = _IS_LEAVING_BY_STATE.get(value)
     if is_leaving is None:
@@ -34,7 +51,7 @@
         endpoint=decode_address(reader, 'address'),
         failure_domain=reader.text('availability_zone'),
         version=reader.text('version'),
-        slot_count=reader.integer('capacity_slots'),
+        slot_count=_decode_slot_count(reader),
         is_leaving=bool(is_leaving),
         models=tuple(models),
         # ``born`` is when the target started, in ms since the epoch,
@@ -46,10 +63,24 @@
 
 
 def decode_address(reader: _fields.FieldReader, name: str) -> data.Address:
-    """Return the address in a field of the form ``host:port``."""
-    text = reader.text(name)
-    host, separator, port = text.rpartition(':')
-    if separator and host and port.isdigit():
-        return data.Address(host, int(port))
-    reader.add_finding(name, 'is not of the form host:port')
+    """Return the address in a field of the form ``IP:port``."""
+    matched = _ADDRESS.fullmatch(reader.text(name))
+    if matched and _is_ip(matched[1]) and 0 < int(matched[2]) <= MAX_PORT:
+        return data.Address(matched[1], int(matched[2]))
+    reader.add_finding(name, 'is not of the form IP:port')
     return data.Address('', 0)
+
+
+def _decode_slot_count(reader: _fields.FieldReader) -> int:
+    slot_count = reader.integer('capacity_slots')
+    if slot_count > MAX_SLOT_COUNT:
+        reader.add_finding('capacity_slots', 'is out of range')
+    return slot_count
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
--- a/packages/platform/src/skylarktack/platform/_fields.py
+++ b/packages/platform/src/skylarktack/platform/_fields.py
@@ -3,9 +3,17 @@
 from collections.abc import Mapping
 import dataclasses
 from typing import Any
+from typing import TypeGuard
 
+from skylarktack import protocol
 from skylarktack import state
 
+#: Largest number that is accepted; JSON does not keep larger ones exactly.
+MAX_NUMBER = 2**53
+
+#: Longest string that is accepted. Names and addresses are far shorter.
+MAX_TEXT_CHARS = 4096
+
 
 class MalformedError(Exception):
     """A document is malformed; ``findings`` holds each path and error."""
@@ -32,6 +40,21 @@
     #: Errors found so far; shared with the readers of nested objects.
     findings: list[state.Finding] = dataclasses.field(default_factory=list)
 
+    @classmethod
+    def from_document(
+        cls, place: str, decoded: object, findings: list[state.Finding]
+    ) -> 'FieldReader':
+        """Return a reader of a whole document that another program wrote.
+
+        A document with an unreadable value anywhere adds a finding and is
+        read as an empty object.
+        """
+        cause = protocol.unreadable_cause(decoded)
+        if cause is None:
+            return cls.from_decoded(place, decoded, findings)
+        findings.append(state.Finding(place, cause))
+        return cls(place, {}, findings)
+
     @classmethod
     def from_decoded(
         cls, place: str, decoded: object, findings: list[state.Finding]
@@ -69,11 +92,11 @@
         return readers
 
     def text(self, name: str) -> str:
-        """Return a required, non-empty string."""
+        """Return a required, non-empty string of printable characters."""
         value = self.fields.get(name)
-        if isinstance(value, str) and value:
+        if isinstance(value, str) and is_clean_text(value):
             return value
-        self._add_finding(name, 'is missing or not a non-empty string')
+        self._add_finding(name, 'is missing or not a printable string')
         return ''
 
     def optional_text(self, name: str) -> str | None:
@@ -83,11 +106,11 @@
         return self.text(name)
 
     def number(self, name: str) -> float:
-        """Return a required number."""
+        """Return a required number, which is finite and not negative."""
         value = self.fields.get(name)
-        if isinstance(value, int | float) and not isinstance(value, bool):
+        if is_number(value):
             return float(value)
-        self._add_finding(name, 'is missing or not a number')
+        self._add_finding(name, 'is missing or not a number in range')
         return 0.0
 
     def optional_number(self, name: str) -> float | None:
@@ -97,12 +120,14 @@
         return self.number(name)
 
     def integer(self, name: str) -> int:
-        """Return a required integer; a float with an integer value counts."""
+        """Return a required integer, which is not negative.
+
+        A float with an integer value counts.
+        """
         value = self.fields.get(name)
-        if isinstance(value, int | float) and not isinstance(value, bool):
-            if value == int(value):
-                return int(value)
-        self._add_finding(name, 'is missing or not an integer')
+        if is_number(value) and value == int(value):
+            return int(value)
+        self._add_finding(name, 'is missing or not an integer in range')
         return 0
 
     def optional_integer(self, name: str) -> int | None:
@@ -129,10 +154,10 @@
             return ()
         texts = []
         for item in value:
-            if isinstance(item, str):
+            if isinstance(item, str) and is_clean_text(item):
                 texts.append(item)
                 continue
-            self._add_finding(name, 'has an item that is not a string')
+            self._add_finding(name, 'has an item that is no printable string')
         return tuple(texts)
 
     def add_finding(self, name: str, message: str) -> None:
@@ -149,3 +174,20 @@
 
     def _add_finding(self, name: str, message: str) -> None:
         self.findings.append(state.Finding(f'{self.place}.{name}', message))
+
+
+def is_number(value: Any) -> TypeGuard[int | float]:
+    """Return whether a decoded value is a number in the accepted range."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    # The comparison is false for NaN.
+    return 0 <= value <= MAX_NUMBER
+
+
+def is_clean_text(value: str) -> bool:
+    """Return whether a string is non-empty, printable and of a sane length.
+
+    Line breaks would start a new header field, and lone surrogates cannot be
+    encoded.
+    """
+    return 0 < len(value) <= MAX_TEXT_CHARS and value.isprintable()
--- a/packages/platform/src/skylarktack/platform/_instances.py
+++ b/packages/platform/src/skylarktack/platform/_instances.py
@@ -87,10 +87,10 @@
 
 def _decode(item: dict[str, Any]) -> data.ListedPeer | None:
     name = _store.name_of(item)
-    reader = _fields.FieldReader.from_decoded(
+    reader = _fields.FieldReader.from_document(
         f'{KIND}/{name}', item.get('specification'), []
     )
     endpoint = _entries.decode_address(reader, 'address')
-    if reader.findings or not name:
+    if reader.findings or not _fields.is_clean_text(name):
         return None
     return data.ListedPeer(name, endpoint)
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -5,8 +5,10 @@
 forwards it and never verifies it.
 """
 
-import json
+import math
+import re
 
+from skylarktack import protocol
 from skylarktack.platform import _fields
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
@@ -56,10 +58,14 @@
     data.RefusalReason.TIME_UP_NOT_RUN: 503,
     data.RefusalReason.TIME_UP: 504,
     data.RefusalReason.TARGET_FAILED: 502,
+    data.RefusalReason.INTERNAL_ERROR: 502,
 }
 
 _PROBE_PATH = b'/report'
 
+#: Counts have at most 15 ASCII digits, so that they are exact in JSON too.
+_COUNT = re.compile(rb'[0-9]{1,15}')
+
 
 class PlatformMessageCodec:
     """Translates between the platform's HTTP messages and typed ones."""
@@ -69,7 +75,7 @@
     ) -> data.FrontRequest | data.Refusal:
         """Return the request of a caller, or the refusal of a bad one."""
         values = _first_values(head.headers)
-        tokens = _parse_integers(values.get(_TOKEN_USAGE, b''))
+        tokens = _parse_counts(values.get(_TOKEN_USAGE, b''))
         dropped = (
             messages.connection_bound_names(head.headers) | _RESERVED_NAMES
         )
@@ -82,7 +88,6 @@
                 data.RefusalReason.BAD_REQUEST,
                 detail='header deadline-ms is not a number',
             )
-        last_event = values.get(_LAST_EVENT, b'')
         return data.FrontRequest(
             attempt_id=_decode_text(values.get(_ATTEMPT_ID)) or '',
             method=head.method,
@@ -93,7 +98,7 @@
             has_body=has_body,
             time_limit_ms=time_limit_ms,
             key=_decode_text(values.get(_KEY)),
-            last_event_id=int(last_event) if last_event.isdigit() else None,
+            last_event_id=_parse_count(values.get(_LAST_EVENT, b'')),
             model=_decode_text(values.get(_MODEL)),
             prompt_parts=_decode_prompt_parts(values.get(_PROMPT_PREFIX, b'')),
             prompt_tokens=tokens[0] if tokens else 0,
@@ -158,10 +163,10 @@
     def decode_report(self, body: bytes) -> data.TargetReport | None:
         """Return a target's report on itself, or None if it is malformed."""
         try:
-            decoded = json.loads(body)
+            decoded = protocol.decode_json(body)
         except ValueError:
             return None
-        reader = _fields.FieldReader.from_decoded('report', decoded, [])
+        reader = _fields.FieldReader.from_document('report', decoded, [])
         queued_count = reader.optional_integer('queued_requests') or 0
         started_at_ms = reader.optional_integer('born')
         if reader.findings:
@@ -182,37 +187,47 @@
 
 def _parse_time_limit(value: bytes) -> float | None:
     try:
-        return max(0.0, float(value))
+        limit_ms = float(value)
     except ValueError:
         return None
+    return max(0.0, limit_ms) if math.isfinite(limit_ms) else None
+
 
+def _parse_count(value: bytes) -> int | None:
+    return int(value) if _COUNT.fullmatch(value) else None
 
-def _parse_integers(value: bytes) -> tuple[int, ...]:
-    numbers = []
+
+def _parse_counts(value: bytes) -> tuple[int, ...]:
+    """Return the counts in a list separated by commas; others are skipped."""
+    counts = []
     for text in value.split(b','):
-        if text.strip().isdigit():
-            numbers.append(int(text))
-    return tuple(numbers)
+        count = _parse_count(text.strip())
+        if count is not None:
+            counts.append(count)
+    return tuple(counts)
 
 
 def _decode_host(value: bytes) -> str:
-    name, separator, port = value.decode('latin-1').lower().rpartition(':')
+    name, separator, port = value.lower().rpartition(b':')
     if separator and port.isdigit():
-        return name
+        return name.decode('latin-1')
     return value.decode('latin-1').lower()
 
 
 def _decode_prompt_parts(value: bytes) -> tuple[data.PromptPart, ...]:
     parts = []
-    for entry in value.decode('latin-1').split(','):
-        part_id, separator, tokens = entry.strip().partition(':')
-        if separator and tokens.isdigit():
-            parts.append(data.PromptPart(part_id, int(tokens)))
+    for entry in value.split(b','):
+        part_id, _, tokens = entry.strip().partition(b':')
+        token_count = _parse_count(tokens)
+        if token_count is not None:
+            parts.append(
+                data.PromptPart(part_id.decode('latin-1'), token_count)
+            )
     return tuple(parts)
 
 
 def _decode_load(value: bytes) -> data.TargetLoad | None:
-    numbers = _parse_integers(value)
+    numbers = _parse_counts(value)
     if len(numbers) != 3:
         return None
     return data.TargetLoad(*numbers)
--- a/packages/platform/src/skylarktack/platform/_moves.py
+++ b/packages/platform/src/skylarktack/platform/_moves.py
@@ -38,7 +38,7 @@
         self, item: dict[str, Any], is_deleted: bool
     ) -> data.MoveChange | None:
         """Return the move order of an object; a malformed one is no order."""
-        return decode_move(item, is_deleted, self._log)
+        return decode_move(item, is_deleted, self._findings)
 
 
 class StoreMoveWriter:
@@ -48,7 +48,7 @@
         self, client: forwarding.StoreClient, log: forwarding.EventLog
     ) -> None:
         self._client = client
-        self._log = log
+        self._findings = _store.FindingLog(log)
 
     def write_phase(
         self, order: data.MoveOrder, phase: state.MovePhase
@@ -88,11 +88,11 @@
         decoded = _store.decode_object(response.body)
         if isinstance(decoded, forwarding.StoreFault):
             return decoded
-        return decode_move(decoded, False, self._log)
+        return decode_move(decoded, False, self._findings)
 
 
 def decode_move(
-    item: dict[str, Any], is_deleted: bool, log: forwarding.EventLog
+    item: dict[str, Any], is_deleted: bool, log: _store.FindingLog
 ) -> data.MoveChange:
     """Return the move order of an object; a malformed one is no order."""
     service = _store.name_of(item)
@@ -100,7 +100,7 @@
         return data.MoveChange(service, None)
     findings: list[state.Finding] = []
     place = f'{KIND}/{service}'
-    reader = _fields.FieldReader.from_decoded(
+    reader = _fields.FieldReader.from_document(
         place, item.get('specification'), findings
     )
     metadata = _fields.FieldReader.from_decoded(
@@ -115,7 +115,7 @@
         phase=_decode_phase(item),
     )
     if findings:
-        _store.record_findings(log, tuple(findings))
+        log.record(tuple(findings))
         return data.MoveChange(service, None)
     return data.MoveChange(order.service, order)
 
--- a/packages/platform/src/skylarktack/platform/_settings.py
+++ b/packages/platform/src/skylarktack/platform/_settings.py
@@ -4,11 +4,15 @@
 Unknown names are ignored, so that the platform can add settings.
 """
 
+import re
+
 from skylarktack import state
 from skylarktack.platform import _entries
 from skylarktack.platform import _fields
 from skylarktack.state import forwarding as data
 
+_PORT = re.compile(r'[0-9]{1,5}')
+
 #: Environment variable with the path of the settings file.
 PATH_VARIABLE = 'SKYLARKTACK_CONFIG'
 
@@ -80,7 +84,7 @@
     if reader.fields.get('internal_port_range') is None:
         return None
     first, _, _ = reader.text('internal_port_range').partition(',')
-    if first.isdigit():
+    if _PORT.fullmatch(first) and 0 < int(first) <= _entries.MAX_PORT:
         return data.Address(reader.text('ip_address'), int(first))
     reader.add_finding(
         'internal_port_range', 'is not two ports separated by a comma'
@@ -91,8 +95,11 @@
 def _parse_number(reader: _fields.FieldReader, name: str) -> float:
     text = reader.text(name)
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
-        if text:
-            reader.add_finding(name, 'is not a number')
-        return 0.0
+        number = -1.0
+    if _fields.is_number(number):
+        return number
+    if text:
+        reader.add_finding(name, 'is not a number in range')
+    return 0.0
--- a/packages/platform/src/skylarktack/platform/_store.py
+++ b/packages/platform/src/skylarktack/platform/_store.py
@@ -4,12 +4,12 @@
 revision of the list.
 """
 
-import json
 from typing import Any
 from typing import Generic
 from typing import TypeVar
 from urllib import parse
 
+from skylarktack import protocol
 from skylarktack import state
 from skylarktack.coordination import forwarding
 from skylarktack.platform import _configuration
@@ -28,6 +28,9 @@
 #: Maximum number of pages of one list.
 MAX_PAGES_COUNT = 64
 
+#: Maximum number of distinct findings that a log of findings remembers.
+MAX_REMEMBERED_COUNT = 256
+
 _COMPACTED_STATUS = 410
 _OK_STATUS = 200
 
@@ -57,19 +60,22 @@
             response = self._get(query, CALL_TIMEOUT_S)
             if isinstance(response, forwarding.StoreFault):
                 return response
-            for item in response.get('items') or ():
-                if isinstance(item, dict):
-                    objects.append(item)
-            revision = response.get('at')
-            if isinstance(revision, int):
+            page = _objects_in(response, 'items')
+            objects.extend(page)
+            revision = _revision_of(response)
+            if revision is not None:
                 oldest_revision = min(revision, oldest_revision or revision)
             if not response.get('has_more'):
                 if oldest_revision is None:
                     return unavailable_fault('list response has no revision')
                 return forwarding.Listing(tuple(objects), oldest_revision)
+            if not page:
+                return unavailable_fault('a page of the list is empty')
             # ``start_revision`` takes the name of the last object, not a
             # revision.
-            last = parse.quote(name_of(objects[-1]), safe='')
+            last = parse.quote(
+                name_of(page[-1]), safe='', errors='surrogatepass'
+            )
             separator = '&' if first_query else '?'
             query = f'{first_query}{separator}start_revision={last}'
         return unavailable_fault(f'list has more than {MAX_PAGES_COUNT} pages')
@@ -127,7 +133,7 @@
         self, client: forwarding.StoreClient, log: forwarding.EventLog
     ) -> None:
         self._objects = ObjectReader(client, self.kind)
-        self._log = log
+        self._findings = FindingLog(log)
 
     def list_all(
         self, may_be_stale: bool = False
@@ -160,16 +166,14 @@
         if isinstance(response, forwarding.StoreFault):
             return response
         items = []
-        for event in response.get('events') or ():
-            if not isinstance(event, dict):
-                continue
+        for event in _objects_in(response, 'events'):
             if not isinstance(event.get('object'), dict):
                 continue
             decoded = self.decode(event['object'], bool(event.get('deleted')))
             if decoded is not None:
                 items.append(decoded)
-        revision = response.get('at')
-        if not isinstance(revision, int):
+        revision = _revision_of(response)
+        if revision is None:
             return unavailable_fault('watch response has no revision')
         return forwarding.Changes(tuple(items), revision, content)
 
@@ -199,7 +203,7 @@
                 place, item.get('specification')
             )
         except _fields.MalformedError as error:
-            record_findings(self._log, error.findings)
+            self._findings.record(error.findings)
             return None
 
 
@@ -218,11 +222,34 @@
         try:
             target = _entries.decode_target(name, item.get('specification'))
         except _fields.MalformedError as error:
-            record_findings(self._log, error.findings)
+            self._findings.record(error.findings)
             return data.TargetChange(name, None)
         return data.TargetChange(name, target)
 
 
+class FindingLog:
+    """Logs each distinct finding about malformed objects once.
+
+    A malformed object is read again with each list and each change of it.
+    """
+
+    def __init__(self, log: forwarding.EventLog) -> None:
+        self._log = log
+        self._logged: dict[str, None] = {}
+
+    def record(self, findings: tuple[state.Finding, ...]) -> None:
+        """Log the findings of one object unless they were logged before."""
+        text = '; '.join(
+            f'{finding.place}: {finding.message}' for finding in findings
+        )
+        if text in self._logged:
+            return
+        while len(self._logged) >= MAX_REMEMBERED_COUNT:
+            del self._logged[next(iter(self._logged))]
+        self._logged[text] = None
+        self._log.record(forwarding.StoreEntryMalformed(text))
+
+
 def name_of(item: dict[str, Any]) -> str:
     """Return the name of an object, or an empty string."""
     metadata = item.get('metadata')
@@ -231,23 +258,10 @@
     return ''
 
 
-def record_findings(
-    log: forwarding.EventLog, findings: tuple[state.Finding, ...]
-) -> None:
-    """Log the findings of a malformed object."""
-    log.record(
-        forwarding.StoreEntryMalformed(
-            '; '.join(
-                f'{finding.place}: {finding.message}' for finding in findings
-            )
-        )
-    )
-
-
 def decode_object(content: bytes) -> dict[str, Any] | forwarding.StoreFault:
     """Return the JSON object in the body of a response."""
     try:
-        decoded = json.loads(content)
+        decoded = protocol.decode_json(content)
     except ValueError as error:
         return unavailable_fault(str(error))
     if not isinstance(decoded, dict):
@@ -258,3 +272,20 @@
 def unavailable_fault(detail: str) -> forwarding.StoreFault:
     """Return the fault of a call that failed or got a bad response."""
     return forwarding.StoreFault(forwarding.StoreFaultKind.UNAVAILABLE, detail)
+
+
+def _objects_in(
+    response: dict[str, Any], name: str
+) -> tuple[dict[str, Any], ...]:
+    """Return the objects of a list; other items of the list are skipped."""
+    value = response.get(name)
+    if not isinstance(value, list):
+        return ()
+    return tuple(item for item in value if isinstance(item, dict))
+
+
+def _revision_of(response: dict[str, Any]) -> int | None:
+    revision = response.get('at')
+    if _fields.is_number(revision) and isinstance(revision, int):
+        return revision
+    return None
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -51,6 +51,9 @@
     from skylarktack.protocol._event_ids import EventIdSigner
     from skylarktack.protocol._generate_body import MAX_TOKENS_COUNT
     from skylarktack.protocol._generate_body import GenerateBody
+    from skylarktack.protocol._json_values import Unreadable
+    from skylarktack.protocol._json_values import decode_json
+    from skylarktack.protocol._json_values import unreadable_cause
     from skylarktack.protocol._loans import CborLoanCodec
     from skylarktack.protocol._moves import JsonMoveCodec
     from skylarktack.protocol._object_api import decode_objects
@@ -111,6 +114,7 @@
     'StreamDecoder',
     'StructDigestCodec',
     'T',
+    'Unreadable',
     'WIRE_VERSION',
     'decode_cache_events',
     'decode_document',
@@ -118,6 +122,7 @@
     'decode_engine_order',
     'decode_findings',
     'decode_generate_body',
+    'decode_json',
     'decode_objects',
     'decode_platform_list',
     'decode_record_for_operators',
@@ -139,6 +144,7 @@
     'new_entry',
     'read_entry',
     'render_console',
+    'unreadable_cause',
 ]
 
 _MODULE_BY_NAME = {
@@ -184,6 +190,9 @@
     'EventIdSigner': '_event_ids',
     'MAX_TOKENS_COUNT': '_generate_body',
     'GenerateBody': '_generate_body',
+    'Unreadable': '_json_values',
+    'decode_json': '_json_values',
+    'unreadable_cause': '_json_values',
     'CborLoanCodec': '_loans',
     'JsonMoveCodec': '_moves',
     'decode_objects': '_object_api',
--- a/packages/protocol/src/skylarktack/protocol/_documents.py
+++ b/packages/protocol/src/skylarktack/protocol/_documents.py
@@ -51,9 +51,13 @@
     try:
         # json is fast but rejects comments; json5 accepts them but is slow.
         plain = json.loads(text)
+    except RecursionError:
+        return Error((state.Finding('$', 'Nested too deeply.'),))
     except ValueError:
         try:
             plain = json5.loads(text)
+        except RecursionError:
+            return Error((state.Finding('$', 'Nested too deeply.'),))
         except ValueError as error:
             return Error((state.Finding('$', f'Not valid JSON: {error}.'),))
     unknown: list[state.Finding] = []
--- a/packages/protocol/src/skylarktack/protocol/_engine.py
+++ b/packages/protocol/src/skylarktack/protocol/_engine.py
@@ -86,6 +86,10 @@
     return f'event: {names[type(event)]}\ndata: {data}\n\n'.encode()
 
 
+#: Maximum size of one event.
+MAX_EVENT_BYTES = 1024 * 1024
+
+
 class StreamDecoder:
     """Decodes an engine's server-sent events incrementally."""
 
@@ -102,6 +106,8 @@
         """
         blocks = (self._buffer + data).split(b'\n\n')
         self._buffer = blocks.pop()
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise ValueError('an event exceeds the size limit')
         return tuple([_decode_block(block) for block in blocks])
 
 
--- a/packages/protocol/src/skylarktack/protocol/_object_api.py
+++ b/packages/protocol/src/skylarktack/protocol/_object_api.py
@@ -3,10 +3,12 @@
 import base64
 import dataclasses
 import json
+from typing import Any
 
 import pydantic
 
 from skylarktack import state
+from skylarktack.protocol import _json_values
 
 _PLATFORM_LIST = pydantic.TypeAdapter(state.PlatformList)
 
@@ -23,10 +25,7 @@
 
     :raises ValueError: if it is malformed.
     """
-    objects: list[state.StoredObject] = []
-    for fields in json.loads(body)['objects']:
-        objects.append(_decode_object(fields))
-    return tuple(objects)
+    return _decode_objects(_decode_fields(body))
 
 
 def encode_watch_batch(batch: state.WatchBatch) -> bytes:
@@ -44,8 +43,8 @@
 
     :raises ValueError: if it is malformed.
     """
-    version = int(json.loads(body)['version'])
-    return state.WatchBatch(version, decode_objects(body))
+    fields = _decode_fields(body)
+    return state.WatchBatch(_decode_version(fields), _decode_objects(fields))
 
 
 def encode_platform_list(platform_list: state.PlatformList) -> bytes:
@@ -67,9 +66,36 @@
     return fields
 
 
-def _decode_object(fields: dict[str, str]) -> state.StoredObject:
+def _decode_fields(body: bytes) -> dict[str, Any]:
+    decoded = _json_values.decode_json(body)
+    if not isinstance(decoded, dict):
+        raise ValueError('the response is not a JSON object')
+    return decoded
+
+
+def _decode_objects(fields: dict[str, Any]) -> tuple[state.StoredObject, ...]:
+    listed = fields.get('objects')
+    if not isinstance(listed, list):
+        raise ValueError('the response has no list of objects')
+    return tuple(_decode_object(item) for item in listed)
+
+
+def _decode_object(fields: Any) -> state.StoredObject:
+    if not isinstance(fields, dict):
+        raise ValueError('an entry of the list is no JSON object')
+    key = fields.get('key')
+    value = fields.get('value')
+    if not isinstance(key, str) or not isinstance(value, str):
+        raise ValueError('an object has no key or no value')
     return state.StoredObject(
-        key=fields['key'],
-        value=base64.b64decode(fields['value']),
-        version=int(fields['version']),
+        key=key,
+        value=base64.b64decode(value),
+        version=_decode_version(fields),
     )
+
+
+def _decode_version(fields: dict[str, Any]) -> int:
+    version = fields.get('version')
+    if isinstance(version, bool) or not isinstance(version, int):
+        raise ValueError('the version is not an integer')
+    return version
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_event_stream.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_event_stream.py
@@ -4,10 +4,18 @@
 are left unchanged.
 """
 
+import re
+
 from skylarktack.coordination import forwarding
 
 _ID_FIELD = b'id:'
 
+#: Maximum size of one event. An event holds a few tokens.
+MAX_EVENT_BYTES = 256 * 1024
+
+#: Longer ids exceed 64 bits.
+_EVENT_ID = re.compile(rb'[0-9]{1,18}')
+
 
 class EventStreamSplitter:
     """Buffers received bytes until an event is complete."""
@@ -29,9 +37,11 @@
             if not line.startswith(_ID_FIELD):
                 continue
             text = line[len(_ID_FIELD) :].strip()
-            if text.isdigit():
+            if _EVENT_ID.fullmatch(text):
                 ids.append(int(text))
-        return forwarding.SplitEvents(events, tuple(ids))
+        return forwarding.SplitEvents(
+            events, tuple(ids), len(self._partial) > MAX_EVENT_BYTES
+        )
 
     def has_partial(self) -> bool:
         """Return whether an incomplete event is buffered."""
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -1,6 +1,7 @@
 """Encodes datagrams between instances as positional CBOR arrays."""
 
 import dataclasses
+import ipaddress
 from typing import Any
 import zlib
 
@@ -25,6 +26,14 @@
 #: Maximum size of compressed content after decompression.
 CONTENT_LIMIT_BYTES = 4 * 1024 * 1024
 
+#: Integers in datagrams fit into 64 bits.
+MAX_INTEGER = 2**63 - 1
+
+#: Longest time between two reports that is accepted of a peer.
+MAX_REPORT_INTERVAL_MS = 600_000
+
+MAX_PORT = 65535
+
 
 def encode_message(message: data.FleetMessage) -> bytes:
     """Encode a message as a datagram."""
@@ -51,7 +60,11 @@
 
 
 def decode_message(datagram: bytes) -> data.FleetMessage | None:
-    """Decode a datagram; return None if it is malformed or of unknown type."""
+    """Decode a datagram; return None if it is malformed or of unknown type.
+
+    Numbers out of range and invalid addresses make it malformed: they would
+    fail later, in the tasks that use them.
+    """
     try:
         fields = cbor2.loads(datagram)
         if fields[0] == REPORT_TYPE:
@@ -64,13 +77,7 @@
             return _decode_move(fields)
         if fields[0] == BROADCAST_TYPE:
             return _decode_broadcast(fields)
-    except (
-        cbor2.CBORDecodeError,
-        ValueError,
-        TypeError,
-        LookupError,
-        zlib.error,
-    ):
+    except Exception:  # cbor2 and conversions raise many types on bad input
         return None
     return None
 
@@ -123,18 +130,18 @@
     for service, request_count, retry_count in fields[11]:
         counts.append(
             data.RetryCounts(
-                str(service), int(request_count), int(retry_count)
+                str(service), _integer(request_count), _integer(retry_count)
             )
         )
     return data.InstanceReport(
         instance=str(fields[1]),
-        endpoint=data.Address(str(fields[2]), int(fields[3])),
-        started_at_ms=int(fields[4]),
-        sequence=int(fields[5]),
+        endpoint=_address(fields[2], fields[3]),
+        started_at_ms=_integer(fields[4]),
+        sequence=_integer(fields[5]),
         is_full=bool(fields[6]),
         runs=tuple(runs),
         lost_targets=tuple(str(name) for name in fields[8]),
-        next_report_ms=int(fields[9]),
+        next_report_ms=_integer(fields[9], MAX_REPORT_INTERVAL_MS),
         replaced_targets=tuple(str(name) for name in fields[10]),
         counts=tuple(counts),
     )
@@ -143,8 +150,8 @@
 def _decode_change(fields: Any) -> data.StoreChange:
     return data.StoreChange(
         kind=str(fields[1]),
-        previous_revision=int(fields[2]),
-        revision=int(fields[3]),
+        previous_revision=_integer(fields[2]),
+        revision=_integer(fields[3]),
         content=_decompress(fields[4]),
         follows_outage=bool(fields[5]),
     )
@@ -153,14 +160,14 @@
 def _decode_heartbeat(fields: Any) -> data.WatchHeartbeat:
     kinds = []
     for kind, changed_revision in fields[2]:
-        kinds.append(data.ConfirmedKind(str(kind), int(changed_revision)))
+        kinds.append(data.ConfirmedKind(str(kind), _integer(changed_revision)))
     return data.WatchHeartbeat(str(fields[1]), tuple(kinds))
 
 
 def _decode_broadcast(fields: Any) -> data.BroadcastMessage:
     peers = []
     for host, port in fields[1]:
-        peers.append(data.Address(str(host), int(port)))
+        peers.append(_address(host, port))
     content = fields[2]
     if not isinstance(content, bytes):
         raise TypeError('content of a broadcast is not bytes')
@@ -218,12 +225,12 @@
         to_version=str(fields[3]),
         scope=data.MoveScope(fields[4]),
         counts=data.MoveCounts(
-            request_count=int(fields[7]),
-            sent_count=int(fields[8]),
-            member_count=int(fields[5]),
+            request_count=_integer(fields[7]),
+            sent_count=_integer(fields[8]),
+            member_count=_integer(fields[5]),
             rows=tuple(rows),
         ),
-        age_ms=int(fields[6]),
+        age_ms=_integer(fields[6]),
         is_shifting=bool(fields[9]),
         stop_reason=str(fields[10]),
     )
@@ -233,25 +240,58 @@
     version, domain, route, attempts, errors, lost, targets = fields[:7]
     count, log_sum, log_square_sum = fields[7:]
     return data.RouteEvidence(
-        str(names[int(route)]),
+        str(names[_integer(route)]),
         state.EvidenceRow(
-            version=state.VersionName(str(names[int(version)])),
-            failure_domain=state.FailureDomain(str(names[int(domain)])),
-            attempt_count=int(attempts),
-            error_count=int(errors),
-            lost_count=int(lost),
+            version=state.VersionName(str(names[_integer(version)])),
+            failure_domain=state.FailureDomain(str(names[_integer(domain)])),
+            attempt_count=_integer(attempts),
+            error_count=_integer(errors),
+            lost_count=_integer(lost),
             lost_targets=tuple(
                 state.TargetName(str(name)) for name in targets
             ),
             first_token=state.LatencySums(
-                int(count),
-                int(log_sum) / LOGARITHM_SCALE,
-                int(log_square_sum) / LOGARITHM_SCALE,
+                _integer(count),
+                _signed_integer(log_sum) / LOGARITHM_SCALE,
+                _integer(log_square_sum) / LOGARITHM_SCALE,
             ),
         ),
     )
 
 
+def _integer(value: Any, maximum: int = MAX_INTEGER) -> int:
+    """Return an integer from 0 to the maximum.
+
+    :raises ValueError: if the value is anything else.
+    """
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError('not an integer')
+    if not 0 <= value <= maximum:
+        raise ValueError('integer out of range')
+    return value
+
+
+def _signed_integer(value: Any) -> int:
+    """Return an integer of 64 bits.
+
+    :raises ValueError: if the value is anything else.
+    """
+    return -_integer(-value) if value < 0 else _integer(value)
+
+
+def _address(host: Any, port: Any) -> data.Address:
+    """Return an address to which a datagram can be sent.
+
+    A name instead of an IP address would block the sender in a lookup.
+
+    :raises ValueError: if the host is no IP address or the port is invalid.
+    """
+    text = str(ipaddress.IPv4Address(str(host)))
+    if _integer(port, MAX_PORT) == 0:
+        raise ValueError('port out of range')
+    return data.Address(text, port)
+
+
 def _decompress(compressed: bytes) -> bytes:
     """Decompress the content of a message.
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_log_lines.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_log_lines.py
@@ -5,9 +5,9 @@
 """
 
 import dataclasses
-import json
 from typing import Any
 
+from skylarktack import protocol
 from skylarktack import state
 
 #: Fields that every line must have.
@@ -51,20 +51,26 @@
     if start < 0:
         return state.Finding(place, 'holds no JSON object')
     try:
-        decoded = json.loads(text[start:])
+        decoded = protocol.decode_json(text[start:])
     except ValueError as error:
         return state.Finding(place, f'is not JSON: {error}')
+    cause = protocol.unreadable_cause(decoded)
+    if cause is not None:
+        return state.Finding(place, cause)
+    if not isinstance(decoded, dict):
+        return state.Finding(place, 'holds no JSON object')
     for name in _COMMON_FIELDS:
         if name not in decoded:
             return state.Finding(place, f'has no field {name}')
-    if not isinstance(decoded['time_s'], int | float):
+    time_s = decoded['time_s']
+    if isinstance(time_s, bool) or not isinstance(time_s, int | float):
         return state.Finding(place, 'time_s is not a number')
     fields = {}
     for name, value in decoded.items():
         if name not in _COMMON_FIELDS:
             fields[name] = value
     return LogLine(
-        float(decoded['time_s']),
+        float(time_s),
         str(decoded['instance']),
         str(decoded['part']),
         str(decoded['event']),
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_event_stream.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_event_stream.py
@@ -44,3 +44,20 @@
         assert split.events == b'id: 1\ndata: a\n\n'
         assert split.ids == (1,)
         assert splitter.has_partial()
+
+    def test_event_without_end_is_oversized(self) -> None:
+        """Guards against one event that fills the memory of the instance."""
+        splitter = messages.EventStreamSplitter()
+        split = splitter.split(b'id: 1\ndata: ')
+        total_bytes = 0
+        while not split.is_oversized:
+            split = splitter.split(b'x' * 4096)
+            total_bytes += 4096
+            assert not split.events
+            assert total_bytes < 1_000_000
+
+    def test_id_of_many_digits_is_no_id(self) -> None:
+        """Guards against an id that fails the conversion to a number."""
+        splitter = messages.EventStreamSplitter()
+        split = splitter.split(b'id: ' + b'9' * 5000 + b'\ndata: a\n\n')
+        assert split.ids == ()
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -1,7 +1,9 @@
 """Tests of the datagrams between instances."""
 
+import cbor2
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from skylarktack import state
 from skylarktack.protocol import forwarding as messages
@@ -23,6 +25,12 @@
     counts=(data.RetryCounts('pool', 12, 3),),
 )
 
+HEARTBEAT = data.WatchHeartbeat(
+    'edge-a-1', (data.ConfirmedKind('targets', 9),)
+)
+
+CHANGE = data.StoreChange('targets', 5, 9, b'{"events":[],"at":9}')
+
 
 class TestFleetCodec:
     """Messages survive a round trip; other bytes are rejected."""
@@ -140,6 +148,58 @@
         decoded = messages.decode_message(datagram)
         assert decoded is None or isinstance(decoded, data.FleetMessage)
 
+    @pytest.mark.parametrize(
+        ('index', 'value'),
+        [
+            (2, '10.1.0'),
+            (2, 'a name'),
+            (3, 0),
+            (3, 99999),
+            (3, -1),
+            (3, 1e400),
+            (4, float('nan')),
+            (5, 2**70),
+            (9, float('inf')),
+            (9, 10**12),
+            (9, -5),
+            (9, True),
+            (11, [['pool', 2**90, 1]]),
+        ],
+    )
+    def test_values_out_of_range(self, index: int, value: object) -> None:
+        """Guards against reports that fail in the tasks that use them.
+
+        A port out of range ended the task that reports to the peers.
+        """
+        fields = list(cbor2.loads(messages.encode_message(REPORT)))
+        fields[index] = value
+        assert messages.decode_message(cbor2.dumps(fields)) is None
+
+    @hypothesis.settings(max_examples=500, derandomize=True)
+    @hypothesis.given(
+        strategies.integers(0, 12),
+        strategies.recursive(
+            strategies.none()
+            | strategies.integers()
+            | strategies.floats()
+            | strategies.text(max_size=5)
+            | strategies.binary(max_size=5),
+            lambda nested: strategies.lists(nested, max_size=3),
+            max_leaves=6,
+        ),
+    )
+    def test_odd_fields_do_not_raise(self, index: int, value: object) -> None:
+        """Guards against a task that fails on a peer of another release."""
+        for message in (REPORT, HEARTBEAT, CHANGE):
+            fields = list(cbor2.loads(messages.encode_message(message)))
+            fields[min(index, len(fields) - 1)] = value
+            messages.decode_message(cbor2.dumps(fields))
+
+    @pytest.mark.parametrize('start', [b'\x81', b'\xa1\x01', b'\xc1', b'\x9f'])
+    def test_deep_nesting_is_rejected(self, start: bytes) -> None:
+        """Guards against a datagram that exhausts the stack."""
+        assert messages.decode_message(start * 30000) is None
+
     @hypothesis.given(strategies.integers(0, 200))
     def test_truncated_report_is_rejected(self, length: int) -> None:
         """Guards against a report read from an incomplete datagram."""
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -7,6 +7,9 @@
 from skylarktack.state.forwarding._targets import ListedTarget
 from skylarktack.state.forwarding._targets import TargetLoad
 
+#: Status of a response whose body may be a stream of events.
+OK_STATUS = 200
+
 #: Header fields in their original order, as raw bytes.
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -97,6 +100,9 @@
     #: Whether the target is to resume the run from its standby copy.
     from_copy: bool = False
 
+    #: Whether a successful response is a stream, relayed as it arrives.
+    is_stream: bool = False
+
 
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
@@ -122,6 +128,13 @@
     #: Load reported by the target, or None.
     load: TargetLoad | None
 
+    @property
+    def is_relayable(self) -> bool:
+        """Whether the body may be passed on to the caller as it arrives."""
+        return (
+            self.status == OK_STATUS and self.is_signed and not self.is_encoded
+        )
+
 
 class RefusalReason(enum.Enum):
     """Why the frontend itself ends a request."""
@@ -156,6 +169,9 @@
     #: The target failed while it processed the request.
     TARGET_FAILED = 'target_failed'
 
+    #: The frontend itself failed; a target may have executed the request.
+    INTERNAL_ERROR = 'internal_error'
+
 
 @dataclasses.dataclass(frozen=True)
 class Refusal:
--- a/packages/transport/src/skylarktack/transport/_console_endpoint.py
+++ b/packages/transport/src/skylarktack/transport/_console_endpoint.py
@@ -60,7 +60,7 @@
                 index=int(form.get('index') or 0),
                 search=form.get('search', ''),
             )
-        except (KeyError, ValueError):
+        except (KeyError, ValueError, RecursionError):
             return _html('<p>The form is incomplete.</p>', 400)
         return self._act(page, form)
 
--- a/packages/transport/src/skylarktack/transport/_http_client.py
+++ b/packages/transport/src/skylarktack/transport/_http_client.py
@@ -14,6 +14,7 @@
 from expression import Result
 
 from skylarktack import state
+from skylarktack.transport import _bounded_socket
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,7 +109,7 @@
         return
 
 
-class StreamConnection(http.client.HTTPConnection):
+class StreamConnection(_bounded_socket.BoundedConnection):
     """A connection for one streamed response, by HTTP/1.0.
 
     Without chunked coding one read returns everything that has arrived,
@@ -132,10 +133,14 @@
 ) -> Result[OpenResponse, HttpFault]:
     """Send a request on a new connection and read the response's head.
 
+    :param timeout_s: maximum time for the connection, and from then on for
+        the complete response, or for the head of a streamed one.
     :param connections: where the connection is entered while it waits.
     :param streamed: whether the body is read as it arrives.
     """
-    kind = StreamConnection if streamed else http.client.HTTPConnection
+    kind = _bounded_socket.BoundedConnection
+    if streamed:
+        kind = StreamConnection
     connection = kind(address.host, address.port, timeout=timeout_s)
     try:
         connection.connect()
@@ -145,11 +150,15 @@
             HttpFault(False, isinstance(error, TimeoutError), str(error))
         )
     connected = connection.sock
+    assert isinstance(connected, _bounded_socket.BoundedSocket)
+    connected.start_response(timeout_s)
     if connections is not None:
         connections.add(connection)
     try:
         connection.request(method, path, body, dict(headers))
         response = connection.getresponse()
+        if streamed:
+            connected.lift_bounds()
     except (OSError, http.client.HTTPException) as error:
         connection.close()
         return Error(
--- a/packages/transport/src/skylarktack/transport/_lookup_client.py
+++ b/packages/transport/src/skylarktack/transport/_lookup_client.py
@@ -16,6 +16,7 @@
 
 from skylarktack import state
 from skylarktack.coordination import ports
+from skylarktack.transport import _bounded_socket
 from skylarktack.transport import _http_client
 from skylarktack.transport import _service_client
 
@@ -26,7 +27,7 @@
 #: answer within a few milliseconds.
 _CONNECT_LIMIT_S = 0.5
 
-_Idle = collections.deque[http.client.HTTPConnection]
+_Idle = collections.deque[_bounded_socket.BoundedConnection]
 
 
 class _PendingHttpCall:
@@ -36,7 +37,7 @@
         self,
         client: 'HttpLookupClient',
         address: state.Address,
-        connection: http.client.HTTPConnection,
+        connection: _bounded_socket.BoundedConnection,
     ) -> None:
         self._client = client
         self._address = address
@@ -48,7 +49,7 @@
         """Read the answer and give the connection back."""
         connection = self.connection
         try:
-            connection.sock.settimeout(timeout_s)
+            connection.start_response(timeout_s)
             response = connection.getresponse()
             body = response.read()
         except (OSError, http.client.HTTPException) as error:
@@ -84,7 +85,7 @@
         """Send a call without waiting for its answer."""
         connection = self._take(target.address)
         if connection is None:
-            connection = http.client.HTTPConnection(
+            connection = _bounded_socket.BoundedConnection(
                 target.address.host,
                 target.address.port,
                 timeout=min(timeout_s, _CONNECT_LIMIT_S),
@@ -122,7 +123,9 @@
         return None
 
     def keep(
-        self, address: state.Address, connection: http.client.HTTPConnection
+        self,
+        address: state.Address,
+        connection: _bounded_socket.BoundedConnection,
     ) -> None:
         """Keep a connection whose answer was read."""
         with self._lock:
@@ -142,7 +145,7 @@
 
     def _take(
         self, address: state.Address
-    ) -> http.client.HTTPConnection | None:
+    ) -> _bounded_socket.BoundedConnection | None:
         while True:
             with self._lock:
                 idle = self._idle.get(address)
@@ -155,7 +158,7 @@
             connection.close()
 
 
-def _is_quiet(connection: http.client.HTTPConnection) -> bool:
+def _is_quiet(connection: _bounded_socket.BoundedConnection) -> bool:
     """Return whether the other end has neither closed nor sent anything."""
     if connection.sock is None:
         return False
--- a/packages/transport/src/skylarktack/transport/_object_store.py
+++ b/packages/transport/src/skylarktack/transport/_object_store.py
@@ -1,5 +1,8 @@
 """The platform's object API over HTTP."""
 
+from collections.abc import Callable
+import re
+from typing import TypeVar
 import urllib.parse
 
 from expression import Error
@@ -10,6 +13,10 @@
 from skylarktack import state
 from skylarktack.transport import _http_client
 
+T = TypeVar('T')
+
+_VERSION = re.compile('[0-9]{1,18}')
+
 
 class HttpObjectStore:
     """Calls to the object API; each opens its own connection."""
@@ -58,8 +65,8 @@
         """Read all objects whose key starts with the prefix."""
         query = urllib.parse.urlencode({'prefix': prefix})
         answered = self._call('GET', f'/objects?{query}')
-        return answered.map(
-            lambda answer: protocol.decode_objects(answer.body)
+        return answered.bind(
+            lambda answer: _decoded(answer, protocol.decode_objects)
         )
 
     def watch(
@@ -74,15 +81,15 @@
             }
         )
         answered = self._call('GET', f'/watch?{query}', extra_wait_s=wait_s)
-        return answered.map(
-            lambda answer: protocol.decode_watch_batch(answer.body)
+        return answered.bind(
+            lambda answer: _decoded(answer, protocol.decode_watch_batch)
         )
 
     def platform_list(self) -> Result[state.PlatformList, state.StoreFault]:
         """Read the lagging list of live and leaving instances."""
         answered = self._call('GET', '/instances')
-        return answered.map(
-            lambda answer: protocol.decode_platform_list(answer.body)
+        return answered.bind(
+            lambda answer: _decoded(answer, protocol.decode_platform_list)
         )
 
     def _call(
@@ -136,8 +143,21 @@
     return f'/objects/{urllib.parse.quote(key)}'
 
 
+def _decoded(
+    answer: _http_client.HttpAnswer, decode: Callable[[bytes], T]
+) -> Result[T, state.StoreFault]:
+    """Return what a response holds; a malformed one counts as no response."""
+    try:
+        return Ok(decode(answer.body))
+    except ValueError as error:
+        return Error(
+            state.StoreFault(state.StoreFaultKind.UNAVAILABLE, str(error))
+        )
+
+
 def _version(answer: _http_client.HttpAnswer) -> int:
-    return int((answer.header('ETag') or '"0"').strip('"'))
+    text = (answer.header('ETag') or '"0"').strip('"')
+    return int(text) if _VERSION.fullmatch(text) else 0
 
 
 def _stored(key: str, answer: _http_client.HttpAnswer) -> state.StoredObject:
--- a/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
@@ -84,9 +84,10 @@
             return self._socket.sendto(
                 datagram, socket.MSG_DONTWAIT, (peer.host, peer.port)
             )
-        except OSError:
-            # The send buffer is full or the peer is unreachable. Receivers
-            # detect the gap from the next full report or heartbeat.
+        except (OSError, OverflowError):
+            # The send buffer is full, or the peer is unreachable or has an
+            # invalid port. Receivers detect the gap from the next full report
+            # or heartbeat.
             return 0
 
     def run(
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -1,6 +1,7 @@
 """One connection of a caller: reads requests and writes responses."""
 
 import contextlib
+import math
 import select
 import socket
 import threading
@@ -24,6 +25,10 @@
 #: that closing does not reset the connection before the response is read.
 LINGER_S = 0.5
 
+#: Maximum time for a whole request. The time limit of the configuration
+#: bounds the head, and each pause between parts of the body.
+MAX_REQUEST_READ_S = 60.0
+
 _FRAMING_NAMES = frozenset((b'content-length',))
 
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
@@ -163,6 +168,9 @@
             if not self._write(self._parser.send(h11.EndOfMessage()) or b''):
                 return False
             return self._keeps_open()
+        if self._has_begun_response:
+            # A second head would be taken for a part of the stream.
+            return False
         if isinstance(outcome, data.Refusal):
             outcome = self._codec.encode_refusal(outcome)
         must_close = self._handler.is_stopping
@@ -209,6 +217,7 @@
         body: list[bytes] = []
         size_bytes = 0
         started_at_s: float | None = None
+        read_end_s = math.inf
         while True:
             try:
                 event = self._parser.next_event()
@@ -222,13 +231,15 @@
                     self._write(self._parser.send(interim) or b'')
                 if started_at_s is None and self._parser.trailing_data[0]:
                     started_at_s = time.monotonic()
-                refusal = self._read_more(limits, started_at_s)
+                refusal = self._read_more(limits, started_at_s, read_end_s)
                 if refusal is not None:
                     return refusal if started_at_s is not None else None
                 if self._has_disconnected:
                     return None
                 if started_at_s is None:
                     started_at_s = time.monotonic()
+                if read_end_s == math.inf:
+                    read_end_s = started_at_s + MAX_REQUEST_READ_S
                 continue
             if isinstance(event, h11.Request):
                 with self._state_lock:
@@ -261,18 +272,26 @@
             return None
 
     def _read_more(
-        self, limits: data.FrontLimits, started_at_s: float | None
+        self,
+        limits: data.FrontLimits,
+        started_at_s: float | None,
+        read_end_s: float,
     ) -> data.Refusal | None:
-        """Read once; return a refusal on timeout."""
+        """Read once; return a refusal on timeout.
+
+        :param started_at_s: when the caller began to send this part.
+        :param read_end_s: when the whole request has to be read.
+        """
+        now_s = time.monotonic()
         if started_at_s is None:
             wait_s = limits.idle_timeout_ms / 1000
         else:
-            waited_s = time.monotonic() - started_at_s
-            wait_s = limits.header_timeout_ms / 1000 - waited_s
-        ready_events = _sockets.wait_for(
+            wait_s = started_at_s + limits.header_timeout_ms / 1000 - now_s
+        wait_s = min(wait_s, read_end_s - now_s)
+        # A caller that sends a byte now and then is always readable.
+        if wait_s <= 0 or not _sockets.wait_for(
             self._connection, select.POLLIN, wait_s
-        )
-        if not ready_events:
+        ):
             return data.Refusal(data.RefusalReason.READ_TIMEOUT)
         self.has_disconnected()
         return None
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -4,12 +4,16 @@
 import contextlib
 import socket
 import threading
+import time
 
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport.forwarding import _front_connection
 from skylarktack.transport.forwarding import _sockets
 
+#: Pause after a failed accept, for example without free file descriptors.
+ACCEPT_RETRY_S = 0.05
+
 
 class Listener:
     """Accepts connections on one address and tracks those that are open."""
@@ -20,11 +24,13 @@
         handler: _front_connection.FrontHandler,
         codec: forwarding.MessageCodec,
         tasks: futures.Executor,
+        errors: forwarding.ErrorRecorder,
     ) -> None:
         self._socket = _sockets.listen(endpoint)
         self._handler = handler
         self._codec = codec
         self._tasks = tasks
+        self._errors = errors
         self._lock = threading.Lock()
         self._open: set[_front_connection.FrontConnection] = set()
         self._is_closed = False
@@ -45,6 +51,7 @@
                     return
                 # The caller disconnected before it was accepted, or the
                 # process is temporarily out of file descriptors.
+                time.sleep(ACCEPT_RETRY_S)
                 continue
             connection = _front_connection.FrontConnection(
                 accepted, self._handler, self._codec
@@ -76,6 +83,8 @@
     def _serve(self, connection: _front_connection.FrontConnection) -> None:
         try:
             connection.run()
+        except Exception as error:
+            self._errors.record('connection', error)
         finally:
             with self._lock:
                 self._open.discard(connection)
--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -9,6 +9,7 @@
 
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
+from skylarktack.transport.forwarding import _bounded_response
 from skylarktack.transport.forwarding import _sockets
 
 #: Maximum wait for a connection to the store.
@@ -19,8 +20,9 @@
 #: its timeout.
 IDLE_LIMIT_S = 1.0
 
-#: Parser states of the store's side before a response head has arrived.
-_BEFORE_RESPONSE = (h11.IDLE, h11.SEND_RESPONSE)
+#: Maximum size of one response. Values hold at most a megabyte, and a page of
+#: a list about as much.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 class HttpStoreCalls:
@@ -38,7 +40,7 @@
         self._read_clock = read_clock
         self._last_used_at_s = 0.0
         self._connection: socket.socket | None = None
-        self._parser = h11.Connection(h11.CLIENT)
+        self._parser = _new_parser()
 
     def call(
         self, method: str, path: str, body: bytes | None, timeout_s: float
@@ -66,17 +68,16 @@
         self, method: str, path: str, body: bytes | None, deadline_s: float
     ) -> forwarding.StoreResponse:
         connection = self._connect_if_needed()
+        parser = self._parser
         headers = [(b'Host', str(self._store).encode())]
         if body is not None:
             headers.append((b'Content-Type', b'application/json'))
             headers.append((b'Content-Length', str(len(body)).encode()))
-        outgoing = self._parser.send(
-            h11.Request(method=method, target=path, headers=headers)
+        outgoing = parser.encode(
+            h11.Request(method=method, target=path, headers=headers),
+            body or b'',
         )
-        if body:
-            outgoing += self._parser.send(h11.Data(data=body)) or b''
-        self._parser.send(h11.EndOfMessage())
-        view = memoryview(outgoing or b'')
+        view = memoryview(outgoing)
         while view:
             try:
                 view = view[connection.send(view) :]
@@ -85,16 +86,13 @@
         status = 0
         chunks: list[bytes] = []
         while True:
-            event = self._parser.next_event()
+            event = parser.next_event()
             if event is h11.NEED_DATA:
                 self._wait(connection, select.POLLIN, deadline_s)
                 received = connection.recv(_sockets.READ_SIZE_BYTES)
-                if (
-                    not received
-                    and self._parser.their_state in _BEFORE_RESPONSE
-                ):
+                if not received and not parser.has_begun():
                     raise ConnectionError('the store closed the connection')
-                self._parser.receive_data(received)
+                parser.receive_data(received)
                 continue
             if isinstance(event, h11.Response):
                 status = event.status_code
@@ -104,20 +102,22 @@
                 continue
             if isinstance(event, h11.EndOfMessage):
                 break
-        if self._parser.our_state is h11.DONE and (
-            self._parser.their_state is h11.DONE
-        ):
-            self._parser.start_next_cycle()
-        else:
+        if not parser.start_next_cycle():
             self._disconnect()
         return forwarding.StoreResponse(status, b''.join(chunks))
 
     def _connect_if_needed(self) -> socket.socket:
+        # Bytes that arrive between two calls are a late or second response,
+        # which the next call would take for its own.
+        if self._connection is not None and _sockets.wait_for(
+            self._connection, select.POLLIN, 0.0
+        ):
+            self._disconnect()
         if self._connection is not None:
             return self._connection
         connection = _sockets.connect(self._store, CONNECT_TIMEOUT_S)
         self._connection = connection
-        self._parser = h11.Connection(h11.CLIENT)
+        self._parser = _new_parser()
         return connection
 
     def _disconnect(self) -> None:
@@ -133,3 +133,10 @@
             connection, events, remaining_s
         ):
             raise TimeoutError('the store did not answer in time')
+
+
+def _new_parser() -> _bounded_response.BoundedResponseParser:
+    limits = _bounded_response.ResponseLimits(
+        MAX_RESPONSE_BYTES, _bounded_response.BufferBudget(MAX_RESPONSE_BYTES)
+    )
+    return _bounded_response.BoundedResponseParser(limits)
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -13,11 +13,19 @@
 
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
+from skylarktack.transport.forwarding import _bounded_response
 from skylarktack.transport.forwarding import _sockets
 
 #: Maximum wait for a target to read more of a request.
 SEND_STALL_S = 3.0
 
+#: Maximum size of a response body that is buffered, and of all of them.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+
+#: Maximum size of a target's report on itself.
+MAX_REPORT_BYTES = 256 * 1024
+
 
 class HttpExchange:
     """One request to one target and its response."""
@@ -25,14 +33,16 @@
     def __init__(
         self,
         connection: socket.socket,
-        parser: h11.Connection,
+        parser: _bounded_response.BoundedResponseParser,
         codec: forwarding.MessageCodec,
         attempt_id: str,
+        is_stream: bool = False,
     ) -> None:
         self._connection = connection
         self._parser = parser
         self._codec = codec
         self._attempt_id = attempt_id
+        self._is_stream = is_stream
         self._has_ended = False
         self._early_events: list[forwarding.ResponseEvent] = []
 
@@ -43,6 +53,7 @@
     def close(self) -> None:
         """Close the connection, which cancels an unfinished request."""
         self._connection.close()
+        self._parser.release()
 
     def has_early_response(self) -> bool:
         """Return whether response events arrived while sending."""
@@ -115,8 +126,6 @@
             event = self._parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 break
-            if isinstance(event, h11.InformationalResponse):
-                continue
             if isinstance(event, h11.Response):
                 head = self._codec.decode_response(
                     event.status_code, tuple(event.headers.raw_items())
@@ -130,6 +139,8 @@
                         )
                     )
                     break
+                if self._is_stream and head.is_relayable:
+                    self._parser.stop_counting()
                 events.append(head)
                 continue
             if isinstance(event, h11.Data):
@@ -149,8 +160,13 @@
 class HttpTargetClient:
     """Sends requests to targets over HTTP/1.1."""
 
-    def __init__(self, codec: forwarding.MessageCodec) -> None:
+    def __init__(
+        self,
+        codec: forwarding.MessageCodec,
+        max_buffered_bytes: int = MAX_BUFFERED_BYTES,
+    ) -> None:
         self._codec = codec
+        self._budget = _bounded_response.BufferBudget(max_buffered_bytes)
 
     def send(
         self,
@@ -168,23 +184,21 @@
             )
         except OSError as error:
             return _not_connected(error)
-        parser = h11.Connection(h11.CLIENT)
+        parser = self._new_parser(MAX_RESPONSE_BYTES)
         headers = list(self._codec.encode_request(request, delivery))
         if request.has_body:
             headers.append(
                 (b'Content-Length', str(len(request.body)).encode())
             )
         try:
-            outgoing = parser.send(
+            outgoing = parser.encode(
                 h11.Request(
                     method=request.method,
                     target=request.path,
                     headers=headers,
-                )
+                ),
+                request.body,
             )
-            if request.body:
-                outgoing += parser.send(h11.Data(data=request.body)) or b''
-            parser.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             connection.close()
             return forwarding.ExchangeFault(
@@ -192,7 +206,11 @@
                 f'the request cannot be encoded: {error}',
             )
         exchange = HttpExchange(
-            connection, parser, self._codec, request.attempt_id
+            connection,
+            parser,
+            self._codec,
+            request.attempt_id,
+            delivery.is_stream,
         )
         fault = exchange.send(outgoing)
         if fault is not None:
@@ -248,23 +266,24 @@
             connection = _sockets.connect(target.endpoint, timeout_s)
         except OSError:
             return None
-        parser = h11.Connection(h11.CLIENT)
-        outgoing = parser.send(
+        parser = self._new_parser(MAX_REPORT_BYTES)
+        outgoing = parser.encode(
             h11.Request(
                 method='GET',
                 target=self._codec.probe_path(),
                 headers=[(b'Host', str(target.endpoint).encode())],
-            )
+            ),
+            b'',
         )
-        parser.send(h11.EndOfMessage())
         exchange = HttpExchange(connection, parser, self._codec, '')
         body: list[bytes] = []
         try:
-            if exchange.send(outgoing or b'') is not None:
+            if exchange.send(outgoing) is not None:
                 return None
             while True:
+                # A target that never stops sending is always readable.
                 remaining_s = deadline_s - time.monotonic()
-                if not _sockets.wait_for(
+                if remaining_s <= 0 or not _sockets.wait_for(
                     connection, select.POLLIN, remaining_s
                 ):
                     return None
@@ -278,6 +297,13 @@
         finally:
             exchange.close()
 
+    def _new_parser(
+        self, max_body_bytes: int
+    ) -> _bounded_response.BoundedResponseParser:
+        return _bounded_response.BoundedResponseParser(
+            _bounded_response.ResponseLimits(max_body_bytes, self._budget)
+        )
+
 
 def _is_final(event: forwarding.ResponseEvent) -> bool:
     return isinstance(event, forwarding.ResponseEnd | forwarding.ExchangeFault)
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
@@ -12,11 +13,22 @@
 OK_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
 
 
+#: Delay of a repeated response.
+LATE_RESPONSE_S = 0.05
+
+
 class _Store:
-    """Sends scripted responses; None closes the connection."""
+    """Sends scripted responses; None closes the connection.
 
-    def __init__(self, *responses: bytes | None) -> None:
+    A late response follows each scripted one after a while.
+    """
+
+    def __init__(
+        self, *responses: bytes | None, late_response: bytes = b''
+    ) -> None:
         self._responses = list(responses)
+        self._late_response = late_response
+        self._has_sent_late = threading.Event()
         self.connection_count = 0
         self.requests: list[bytes] = []
         self._listener = socket.create_server(('127.0.0.1', 0))
@@ -30,12 +42,19 @@
     def close(self) -> None:
         self._listener.close()
 
+    def wait_until_late_response(self) -> None:
+        assert self._has_sent_late.wait(20.0)
+        self._has_sent_late.clear()
+        # Loopback delivers within this time.
+        time.sleep(LATE_RESPONSE_S)
+
     def _serve(self) -> None:
         with contextlib.suppress(OSError):
             while self._responses:
                 connection, _ = self._listener.accept()
                 self.connection_count += 1
-                self._respond(connection)
+                with contextlib.suppress(ConnectionError):
+                    self._respond(connection)
 
     def _respond(self, connection: socket.socket) -> None:
         with connection:
@@ -48,6 +67,11 @@
                 if response is None:
                     return
                 connection.sendall(response)
+                if self._late_response:
+                    time.sleep(LATE_RESPONSE_S)
+                    with contextlib.suppress(OSError):
+                        connection.sendall(self._late_response)
+                    self._has_sent_late.set()
             connection.recv(1)
 
 
@@ -82,6 +106,26 @@
         assert store.connection_count == 2
         store.close()
 
+    def test_a_late_second_response_belongs_to_no_call(self) -> None:
+        """Guards against taking a repeated response for that of the next call.
+
+        A server sent a second copy of a response on a connection that was in
+        use again, and the next call received it.
+        """
+        late = OK_RESPONSE.replace(b'{}', b'[]')
+        for responses in (
+            (OK_RESPONSE + late, OK_RESPONSE),
+            (OK_RESPONSE, OK_RESPONSE),
+        ):
+            store = _Store(*responses, late_response=late)
+            calls = transport.HttpStoreCalls(store.endpoint)
+            for _ in range(2):
+                response = calls.call('GET', '/objects/a', None, 20.0)
+                assert response == forwarding.StoreResponse(200, b'{}')
+                store.wait_until_late_response()
+            assert store.connection_count == 2
+            store.close()
+
     def test_reconnects_after_a_failure(self) -> None:
         """Guards against a store that stays unavailable after one fault."""
         store = _Store(OK_RESPONSE, None, OK_RESPONSE)
