Bound all that clients read of a response, in size and in time

Cause: the body of an engine's error response and of a load report was collected without a limit; a probe of a target that never stops sending never ended, since its socket was always readable; http.client applied its timeout to each read, so a byte now and then held a call of the other front end for ever, and bodies were read whole.

Change: the readers on h11 parse responses in one class with limits on heads, chunk headers, trailers, informational responses and buffered bodies, and a budget that all bodies share. Calls by http.client read through one socket class with a deadline and a size limit.

--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/_bounded_socket.py
@@ -0,0 +1,78 @@
+"""Client sockets whose reads of one response are bounded in time and size.
+
+``http.client`` applies its timeout to each read, so a server that sends a
+byte now and then, or bytes without end, would hold a call forever. The bound
+is below the parser, so it holds for heads, bodies, trailers and informational
+responses alike.
+"""
+
+import http.client
+import math
+import socket
+import time
+from typing import Any
+
+#: Maximum size of one response, its head included.
+RESPONSE_LIMIT_BYTES = 32 * 1024 * 1024
+
+
+class ResponseTooLargeError(OSError):
+    """A response exceeds the size limit."""
+
+
+class BoundedSocket(socket.socket):
+    """A connected socket that bounds what is read since ``start_response``.
+
+    Without a started response, reads are not bounded.
+    """
+
+    def __init__(self, connected: socket.socket) -> None:
+        timeout_s = connected.gettimeout()
+        super().__init__(fileno=connected.detach())
+        self.settimeout(timeout_s)
+        self._deadline_s = math.inf
+        self._free_bytes = math.inf
+
+    def start_response(self, timeout_s: float) -> None:
+        """Bound the next response.
+
+        :param timeout_s: maximum time until the response is complete.
+        """
+        self._deadline_s = time.monotonic() + timeout_s
+        self._free_bytes = RESPONSE_LIMIT_BYTES
+
+    def lift_bounds(self) -> None:
+        """End the bounds; the reader of a stream has its own."""
+        self._deadline_s = math.inf
+        self._free_bytes = math.inf
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Read into a buffer within the bounds.
+
+        :raises TimeoutError: if the deadline has passed.
+        :raises ResponseTooLargeError: if the response exceeds its limit.
+        """
+        if self._deadline_s != math.inf:
+            remaining_s = self._deadline_s - time.monotonic()
+            if remaining_s <= 0:
+                raise TimeoutError('timed out')
+            self.settimeout(remaining_s)
+        size_bytes = super().recv_into(buffer, nbytes, flags)
+        self._free_bytes -= size_bytes
+        if self._free_bytes < 0:
+            raise ResponseTooLargeError('the response exceeds the size limit')
+        return size_bytes
+
+
+class BoundedConnection(http.client.HTTPConnection):
+    """A connection with a ``BoundedSocket``."""
+
+    def connect(self) -> None:
+        """Connect to the server."""
+        super().connect()
+        self.sock = BoundedSocket(self.sock)
+
+    def start_response(self, timeout_s: float) -> None:
+        """Bound the next response; the connection must be open."""
+        assert isinstance(self.sock, BoundedSocket)
+        self.sock.start_response(timeout_s)
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
@@ -0,0 +1,158 @@
+"""Parsing of HTTP responses within limits on their size.
+
+A faulty server may send bytes without end: in the head, in a chunk header, in
+trailers, as informational responses, or in the body. Every reader of
+responses parses them here; the time limit is the reader's own.
+"""
+
+import dataclasses
+import threading
+
+import h11
+
+#: Maximum size of a head, a chunk header or the trailers.
+MAX_HEAD_BYTES = 32768
+
+#: Maximum number of informational responses before a response.
+MAX_INFORMATIONAL_COUNT = 16
+
+Event = (
+    h11.Response
+    | h11.Data
+    | h11.EndOfMessage
+    | h11.ConnectionClosed
+    | type[h11.NEED_DATA]
+    | type[h11.PAUSED]
+)
+
+
+class BufferBudget:
+    """Limits the bytes of response bodies that are buffered at one time.
+
+    Responses that are each within their limit could exhaust the memory
+    together.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._lock = threading.Lock()
+        self._free_bytes = limit_bytes
+
+    def claim(self, size_bytes: int) -> bool:
+        """Reserve bytes; return False if there are not enough."""
+        with self._lock:
+            if size_bytes > self._free_bytes:
+                return False
+            self._free_bytes -= size_bytes
+            return True
+
+    def release(self, size_bytes: int) -> None:
+        """Return bytes that were claimed."""
+        with self._lock:
+            self._free_bytes += size_bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class ResponseLimits:
+    """Limits on one response."""
+
+    #: Maximum size of the body.
+    max_body_bytes: int
+
+    #: Budget that all buffered bodies share.
+    budget: BufferBudget
+
+
+class BoundedResponseParser:
+    """Client side of one HTTP/1.1 connection.
+
+    Bytes of the body count until ``release`` is called, or until
+    ``stop_counting`` is called for a body that is passed on as it arrives.
+    """
+
+    def __init__(self, limits: ResponseLimits) -> None:
+        self._limits = limits
+        self._connection = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._is_counting = True
+        self._body_bytes = 0
+        self._informational_count = 0
+
+    def encode(self, request: h11.Request, body: bytes) -> bytes:
+        """Return the bytes of a request.
+
+        :raises h11.LocalProtocolError: if it cannot be encoded.
+        """
+        outgoing = self._connection.send(request) or b''
+        if body:
+            outgoing += self._connection.send(h11.Data(data=body)) or b''
+        self._connection.send(h11.EndOfMessage())
+        return outgoing
+
+    def receive_data(self, received: bytes) -> None:
+        """Add received bytes; empty if the server closed the connection.
+
+        :raises h11.RemoteProtocolError: if the response is incomplete.
+        """
+        self._connection.receive_data(received)
+
+    def next_event(self) -> Event:
+        """Return the next event, without informational responses.
+
+        :raises h11.RemoteProtocolError: if the bytes are no response, or the
+            response exceeds a limit.
+        """
+        while True:
+            event = self._connection.next_event()
+            if isinstance(event, h11.InformationalResponse):
+                self._informational_count += 1
+                if self._informational_count > MAX_INFORMATIONAL_COUNT:
+                    raise h11.RemoteProtocolError(
+                        'too many informational responses'
+                    )
+                continue
+            if isinstance(event, h11.Data) and self._is_counting:
+                self._count(len(event.data))
+            return event  # type: ignore[return-value]
+
+    def stop_counting(self) -> None:
+        """Lift the limit on the body, which is not buffered."""
+        self._is_counting = False
+
+    def release(self) -> None:
+        """Return the counted bytes to the budget; safe to call twice."""
+        self._limits.budget.release(self._body_bytes)
+        self._body_bytes = 0
+
+    def has_begun(self) -> bool:
+        """Return whether any byte of the response has arrived."""
+        return self._connection.their_state not in (
+            h11.IDLE,
+            h11.SEND_RESPONSE,
+        ) or bool(self._connection.trailing_data[0])
+
+    def start_next_cycle(self) -> bool:
+        """Prepare for another request; return False if that is impossible.
+
+        Bytes after the complete response belong to no request, so the
+        connection cannot be used again.
+        """
+        self.release()
+        self._informational_count = 0
+        if (
+            self._connection.our_state is not h11.DONE
+            or self._connection.their_state is not h11.DONE
+            or self._connection.trailing_data[0]
+        ):
+            return False
+        self._connection.start_next_cycle()
+        return True
+
+    def _count(self, size_bytes: int) -> None:
+        if self._body_bytes + size_bytes > self._limits.max_body_bytes:
+            raise h11.RemoteProtocolError('the body exceeds the size limit')
+        if not self._limits.budget.claim(size_bytes):
+            raise h11.RemoteProtocolError(
+                'the buffers of all responses are full'
+            )
+        self._body_bytes += size_bytes
