Send nothing to targets that say they leave or that ask for a pause

Cause: a target that leaves now says so in its answers (Server-Leaving), and one that refuses with 503 may ask for a pause (Retry-After). Both were passed on to the caller and otherwise ignored. Reading the code for it showed that a run could also be resumed from its copy at an engine that the store lists as draining: only removed and ejected engines were left out there.

Change: the table of targets keeps both in one class that neither the store's list nor a shortage of targets overrides. A leaving target is told to the peers by datagram (an appended field that earlier releases skip) and repeated in full reports for 30 s. A probe that is refused counts as an answer.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -35,7 +35,9 @@
 from skylarktack.coordination.forwarding._events import TargetAdded
 from skylarktack.coordination.forwarding._events import TargetDraining
 from skylarktack.coordination.forwarding._events import TargetEjected
+from skylarktack.coordination.forwarding._events import TargetLeaving
 from skylarktack.coordination.forwarding._events import TargetMisdirected
+from skylarktack.coordination.forwarding._events import TargetPaused
 from skylarktack.coordination.forwarding._events import TargetRemoved
 from skylarktack.coordination.forwarding._events import TargetSuspected
 from skylarktack.coordination.forwarding._events import UnexpectedError
@@ -223,6 +225,8 @@
     'TargetWatchHandler',
     'TargetClient',
     'TargetTable',
+    'TargetLeaving',
+    'TargetPaused',
     'UnexpectedError',
     'ErrorRecorder',
     'Supervisor',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -5,6 +5,7 @@
 from skylarktack.coordination.forwarding import _admitted_request
 from skylarktack.coordination.forwarding import _budget
 from skylarktack.coordination.forwarding import _outcomes
+from skylarktack.coordination.forwarding import _pause_waits
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.ports import Clock
@@ -92,7 +93,6 @@
         self._send_count = 0
         self._executed_count = 0
         self._failure_response: data.FrontResponse | None = None
-        self._is_exhausted = False
         self._last_fault = 'no target is available'
 
     def run(self) -> _outcomes.CallOutcome:
@@ -114,7 +114,12 @@
             if not self._open_attempts and not self._send_next():
                 if self._clock.monotonic_s() >= self._admitted.deadline_s:
                     return self._outcome_at_deadline()
-                return self._outcome_without_response()
+                pause = self._plan_pause_wait()
+                if pause is None or not pause.is_in_time:
+                    return self._outcome_without_response(pause)
+                if self._wait_for_pause(pause):
+                    return _outcomes.CallerDisconnected()
+                continue
             if now_s >= hedge_time_s and len(self._open_attempts) == 1:
                 hedge_time_s = self._admitted.deadline_s
                 self._hedge()
@@ -134,6 +139,33 @@
                 if response is not None:
                     return response
 
+    def _plan_pause_wait(self) -> _pause_waits.PauseWait | None:
+        """Return the wait for paused targets; None if others are left."""
+        if not self._may_send():
+            return None
+        pause_end_s = self._targets.next_pause_end_s(
+            self._admitted.service, self._admitted.version_rule
+        )
+        if pause_end_s is None:
+            return None
+        now_s = self._clock.monotonic_s()
+        return _pause_waits.plan_pause_wait(
+            pause_end_s - now_s,
+            self._admitted.deadline_s - now_s,
+            self._admitted.route.latency_objective_ms / 1000,
+        )
+
+    def _wait_for_pause(self, pause: _pause_waits.PauseWait) -> bool:
+        """Wait; return whether the caller disconnected.
+
+        Targets that refused the request become eligible again.
+        """
+        self._record('wait_for_pause', wait_ms=round(1000 * pause.wait_s))
+        self._tried_targets.clear()
+        return self._client.wait(
+            (), self._admitted.caller, pause.wait_s
+        ).has_caller_disconnected
+
     def _hedge_time_s(self) -> float:
         route = self._admitted.route
         if not route.is_retryable or route.max_attempts < 2:
@@ -161,7 +193,6 @@
                 self._admitted.service, frozenset(self._tried_targets), rule
             )
             if target is None:
-                self._is_exhausted = True
                 return False
             if self._send_count > 0:
                 if not self._budget.claim_retry(self._admitted.service):
@@ -212,7 +243,7 @@
                 return None
             if isinstance(event, data.ResponseHead):
                 attempt.head = event
-                self._targets.report_load(attempt.target, event.load)
+                self._targets.report_head(attempt.target, event)
                 continue
             if isinstance(event, _ports.BodyChunk):
                 attempt.body_chunks.append(event.data)
@@ -297,13 +328,21 @@
             return data.Refusal(data.RefusalReason.TIME_UP)
         return data.Refusal(data.RefusalReason.TIME_UP_NOT_RUN, RETRY_AFTER_S)
 
-    def _outcome_without_response(self) -> data.FrontResponse | data.Refusal:
+    def _outcome_without_response(
+        self, pause: _pause_waits.PauseWait | None
+    ) -> data.FrontResponse | data.Refusal:
         if self._failure_response is not None:
             return self._failure_response
         if self._executed_count:
             return data.Refusal(
                 data.RefusalReason.TARGET_FAILED, detail=self._last_fault
             )
+        if pause is not None:
+            return data.Refusal(
+                data.RefusalReason.NO_TARGET,
+                round(pause.wait_s, 3),
+                'all targets asked for a pause',
+            )
         return data.Refusal(
             data.RefusalReason.NO_TARGET, RETRY_AFTER_S, self._last_fault
         )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -201,6 +201,32 @@
     target: str
 
 
+@dataclasses.dataclass(frozen=True)
+class TargetLeaving(LogEvent):
+    """A target said in a response that it is about to stop."""
+
+    part = 'target'
+    message = 'target leaving'
+
+    target: str
+
+    #: Whether another instance received the response.
+    told_by_peer: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class TargetPaused(LogEvent):
+    """A target refused a request and asked for a pause."""
+
+    part = 'target'
+    message = 'target paused'
+
+    target: str
+
+    #: Time for which it receives nothing.
+    for_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class TargetRemoved(LogEvent):
     """A target was removed from the store."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -29,6 +29,9 @@
 #: A peer is live until it has sent no report for this number of its intervals.
 LIVENESS_INTERVAL_COUNT = 2.5
 
+#: Time for which full reports repeat that a target is leaving.
+LEAVING_REPEAT_S = 30.0
+
 #: A peer that has sent no report for this time is removed.
 PEER_LIFETIME_S = 120.0
 
@@ -44,6 +47,10 @@
         """Handle the report that another target has a target's address."""
         ...
 
+    def report_leaving(self, leaving: data.LeavingTarget) -> None:
+        """Handle the report that a target is about to stop."""
+        ...
+
 
 class RetryCounter(Protocol):
     """Counts requests and retries of this instance."""
@@ -93,6 +100,8 @@
         self._is_full_report_due = True
         self._has_listed = False
         self._change_meter = _rate_meter.RateMeter()
+        #: Leaving targets, and until when full reports repeat each.
+        self._leaving: dict[data.LeavingTarget, float] = {}
 
     def set_failure_listener(self, listener: TargetFailureListener) -> None:
         """Set the listener for failed targets that peers report."""
@@ -122,6 +131,16 @@
         with self._lock:
             self.outgoing.add_replaced_target(name)
 
+    def record_leaving_target(self, leaving: data.LeavingTarget) -> None:
+        """Report to the peers that a target is about to stop.
+
+        Full reports repeat it for a while, since a datagram may be lost.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            self._leaving[leaving] = now_s + LEAVING_REPEAT_S
+            self.outgoing.add_leaving_target(leaving)
+
     def set_retry_counter(self, counter: RetryCounter) -> None:
         """Set the counter whose counts are reported to the peers."""
         self._retry_counter = counter
@@ -197,6 +216,8 @@
             self._failure_listener.report_suspicion(name)
         for name in report.replaced_targets:
             self._failure_listener.report_replaced(name)
+        for leaving in report.leaving_targets:
+            self._failure_listener.report_leaving(leaving)
 
     def loads(self) -> dict[str, float]:
         """Return the weighted number of runs of each engine."""
@@ -345,6 +366,9 @@
         counts: tuple[data.RetryCounts, ...],
     ) -> data.InstanceReport:
         self._sequence += 1
+        leaving = self.outgoing.take_leaving_targets()
+        if is_full:
+            leaving = self._repeated_leaving()
         return data.InstanceReport(
             instance=self.instance,
             endpoint=self._endpoint,
@@ -356,8 +380,16 @@
             next_report_ms=int(interval_s * 1000),
             replaced_targets=self.outgoing.take_replaced_targets(),
             counts=counts,
+            leaving_targets=leaving,
         )
 
+    def _repeated_leaving(self) -> tuple[data.LeavingTarget, ...]:
+        now_s = self._clock.monotonic_s()
+        for leaving, until_s in list(self._leaving.items()):
+            if now_s >= until_s:
+                del self._leaving[leaving]
+        return tuple(self._leaving)
+
     def _own_counts(self) -> tuple[data.RetryCounts, ...]:
         if self._retry_counter is None:
             return ()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_outgoing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_outgoing.py
@@ -17,6 +17,7 @@
         self._runs: list[data.RunStatus] = []
         self._failed_targets: list[str] = []
         self._replaced_targets: list[str] = []
+        self._leaving_targets: list[data.LeavingTarget] = []
         self._has_changes = threading.Event()
         # Set by changes that the peers need at once.
         self._has_urgent_changes = threading.Event()
@@ -40,6 +41,12 @@
         self._has_urgent_changes.set()
         self._has_changes.set()
 
+    def add_leaving_target(self, leaving: data.LeavingTarget) -> None:
+        """Add a target that said that it is about to stop."""
+        self._leaving_targets.append(leaving)
+        self._has_urgent_changes.set()
+        self._has_changes.set()
+
     def wake(self) -> None:
         """Wake the reporting task."""
         self._has_changes.set()
@@ -47,7 +54,10 @@
     def is_empty(self) -> bool:
         """Return whether there is nothing to report."""
         return not (
-            self._runs or self._failed_targets or self._replaced_targets
+            self._runs
+            or self._failed_targets
+            or self._replaced_targets
+            or self._leaving_targets
         )
 
     def take_runs(self) -> tuple[data.RunStatus, ...]:
@@ -68,6 +78,12 @@
         self._replaced_targets.clear()
         return names
 
+    def take_leaving_targets(self) -> tuple[data.LeavingTarget, ...]:
+        """Return and clear the targets that are about to stop."""
+        leaving = tuple(self._leaving_targets)
+        self._leaving_targets.clear()
+        return leaving
+
     def wait_for_changes(self, timeout_s: float) -> bool:
         """Wait until the task is woken or the time has passed.
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -153,7 +153,7 @@
             return self.handle_fault(event)
         if isinstance(event, data.ResponseHead):
             self._head = event
-            self._targets.report_load(self._target, event.load)
+            self._targets.report_head(self._target, event)
             return None
         head = self._head
         if head is None:
@@ -233,12 +233,17 @@
         return self._probe()
 
     def _probe(self) -> _stream_attempts.AttemptEnd | None:
+        if self._targets.is_paused(self._target):
+            # It answered just now, and wants nothing more.
+            self._probed_at_s = self._clock.monotonic_s()
+            return None
         report = self._dependencies.client.probe(self._target, PROBE_TIMEOUT_S)
         self._probed_at_s = self._clock.monotonic_s()
         if report is None:
             return self._handle_unresponsive(
                 'the engine did not answer a probe'
             )
+        self._targets.report_probe(self._target, report)
         if _is_replaced(self._target, report):
             return self._handle_unresponsive(
                 'another process answers at this address'
@@ -246,7 +251,7 @@
         self._record(
             'probe', target=self._target.name, queued=report.queued_count
         )
-        if self._is_streaming or report.queued_count:
+        if self._is_streaming or report.queued_count != 0:
             return None
         if self._probed_at_s < self._sent_at_s + self._hang_after_s:
             return None
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -6,6 +6,7 @@
 from skylarktack.coordination.forwarding import _calls
 from skylarktack.coordination.forwarding import _engine_selection
 from skylarktack.coordination.forwarding import _outcomes
+from skylarktack.coordination.forwarding import _pause_waits
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _relay
 from skylarktack.coordination.forwarding import _stream_attempts
@@ -80,6 +81,13 @@
                 break
             pair = self._choose(copy_engine)
             if pair is None:
+                pause = self._plan_pause_wait()
+                if pause is not None and not pause.is_in_time:
+                    return self._outcome_without_stream(pause)
+                if pause is not None:
+                    if self._wait_for_pause(pause):
+                        return _outcomes.CallerDisconnected()
+                    continue
                 if self._has_queue_time_expired():
                     break
                 if self._wait_for_target():
@@ -106,7 +114,7 @@
                 copy_engine = self._usable_standby(pair)
             if copy_engine is None and self._wait_for_jitter():
                 return _outcomes.CallerDisconnected()
-        return self._outcome_without_stream()
+        return self._outcome_without_stream(None)
 
     def _may_retry(self) -> bool:
         route = self._admitted.route
@@ -155,6 +163,28 @@
         )
         return self._clock.monotonic_s() >= queue_end_s
 
+    def _plan_pause_wait(self) -> _pause_waits.PauseWait | None:
+        """Return the wait for paused engines; None if others are left."""
+        pause_end_s = self._targets.next_pause_end_s(
+            self._admitted.service, self._admitted.version_rule
+        )
+        if pause_end_s is None:
+            return None
+        now_s = self._clock.monotonic_s()
+        return _pause_waits.plan_pause_wait(
+            pause_end_s - now_s,
+            self._admitted.deadline_s - now_s,
+            self._admitted.route.latency_objective_ms / 1000,
+        )
+
+    def _wait_for_pause(self, pause: _pause_waits.PauseWait) -> bool:
+        """Wait; return whether the caller disconnected."""
+        self._record('wait_for_pause', wait_ms=round(1000 * pause.wait_s))
+        self._tried_targets.clear()
+        return self._dependencies.client.wait(
+            (), self._admitted.caller, pause.wait_s
+        ).has_caller_disconnected
+
     def _wait_for_target(self) -> bool:
         """Wait for a target; return whether the caller disconnected.
 
@@ -230,12 +260,20 @@
             self._targets.end_request(target)
             self._dependencies.fleet.record_run_end(run_status)
 
-    def _outcome_without_stream(self) -> _outcomes.StreamOutcome:
+    def _outcome_without_stream(
+        self, pause: _pause_waits.PauseWait | None
+    ) -> _outcomes.StreamOutcome:
         if self._progress.has_started:
             return _outcomes.StreamInterrupted(self._last_fault)
         if self._progress.failure is not None:
             return self._progress.failure
         is_time_up = self._clock.monotonic_s() >= self._admitted.deadline_s
+        if not self._has_executed and pause is not None:
+            return data.Refusal(
+                data.RefusalReason.NO_TARGET,
+                round(pause.wait_s, 3),
+                'all engines asked for a pause',
+            )
         if not self._has_executed:
             reason = data.RefusalReason.NO_TARGET
             if is_time_up:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -8,6 +8,7 @@
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _moves
+from skylarktack.coordination.forwarding import _target_exclusions
 from skylarktack.coordination.forwarding import _target_stats
 from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.ports import Clock
@@ -30,6 +31,9 @@
 #: cache, unless that engine's load exceeds the minimum load by this much.
 RESUME_LOAD_LIMIT = 6.0
 
+#: A refusal with this status may ask for a pause.
+SERVICE_UNAVAILABLE_STATUS = 503
+
 #: Targets whose entries expired in an outage register again within this time
 #: after its end if they are alive.
 EXPIRY_GRACE_S = 2.2
@@ -58,6 +62,7 @@
         self._expired: dict[str, float] = {}
         self._expiry_grace_until_s = -math.inf
         self._suspicions = _target_stats.DomainSuspicions()
+        self._exclusions = _target_exclusions.TargetExclusions()
         self.is_synced = threading.Event()
 
     def replace(
@@ -115,16 +120,61 @@
             if stats is not None and stats.in_flight_count > 0:
                 stats.in_flight_count -= 1
 
-    def report_load(
-        self, target: data.ListedTarget, load: data.TargetLoad | None
+    def report_head(
+        self, target: data.ListedTarget, head: data.ResponseHead
     ) -> None:
-        """Record the load that the target reported, if any."""
-        if load is None:
-            return
+        """Record what the target says of itself in the head of a response."""
+        if head.load is not None:
+            with self._lock:
+                stats = self._stats_of(target)
+                stats.load = head.load
+                stats.load_at_s = self._clock.monotonic_s()
+        if head.is_leaving:
+            self._record_leaving(target)
+        if head.status == SERVICE_UNAVAILABLE_STATUS:
+            self._record_pause(target, head.retry_after_s)
+
+    def report_probe(
+        self, target: data.ListedTarget, report: data.TargetReport
+    ) -> None:
+        """Record what the target says of itself in answer to a probe."""
+        if report.is_leaving:
+            self._record_leaving(target)
+        self._record_pause(target, report.retry_after_s)
+
+    def report_leaving(self, leaving: data.LeavingTarget) -> None:
+        """Exclude a target because a peer heard that it is leaving."""
         with self._lock:
-            stats = self._stats_of(target)
-            stats.load = load
-            stats.load_at_s = self._clock.monotonic_s()
+            is_new = self._exclusions.add_leaving(leaving)
+        if is_new:
+            self._log.record(_events.TargetLeaving(leaving.name, True))
+
+    def is_paused(self, target: data.ListedTarget) -> bool:
+        """Return whether the target asked to receive nothing for now."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            return now_s < self._exclusions.pause_end_s(target)
+
+    def next_pause_end_s(
+        self,
+        service: str,
+        rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
+    ) -> float | None:
+        """Return when the first paused target of a service may be used.
+
+        None if there is a target that is not paused, or no target at all.
+        """
+        now_s = self._clock.monotonic_s()
+        end_s: float | None = None
+        with self._lock:
+            for target in self._targets.values():
+                if not self._may_use(target, service, rule):
+                    continue
+                pause_end_s = self._exclusions.pause_end_s(target)
+                if pause_end_s <= now_s:
+                    return None
+                end_s = min(pause_end_s, end_s or pause_end_s)
+        return end_s
 
     def report_response(
         self,
@@ -230,10 +280,18 @@
         self._log.record(_events.TargetSuspected(name))
 
     def is_unavailable(self, target: data.ListedTarget) -> bool:
-        """Return whether the target was removed or is ejected."""
+        """Return whether the target must get no new request now.
+
+        It was removed, is leaving or paused, or is ejected.
+        """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            if target.name not in self._targets:
+            listed = self._targets.get(target.name)
+            if listed is None or listed.is_leaving:
+                return True
+            if self._exclusions.is_leaving(listed):
+                return True
+            if now_s < self._exclusions.pause_end_s(listed):
                 return True
             return now_s < self._stats_of(target).ejected_until_s
 
@@ -390,9 +448,11 @@
         suspect = []
         ejected = []
         for target in self._targets.values():
-            if target.service != service or target.is_leaving:
+            if target.name in excluded:
                 continue
-            if target.name in excluded or target.version in rule.excluded:
+            if not self._may_use(target, service, rule):
+                continue
+            if now_s < self._exclusions.pause_end_s(target):
                 continue
             if now_s < self._stats_of(target).ejected_until_s:
                 ejected.append(target)
@@ -412,6 +472,40 @@
                 return preferred
         return healthy or suspect or ejected
 
+    def _may_use(
+        self,
+        target: data.ListedTarget,
+        service: str,
+        rule: _version_rules.VersionRule,
+    ) -> bool:
+        """Return whether requests for a service may ever go to a target."""
+        if target.service != service or target.is_leaving:
+            return False
+        if target.version in rule.excluded:
+            return False
+        return not self._exclusions.is_leaving(target)
+
+    def _record_leaving(self, target: data.ListedTarget) -> None:
+        leaving = data.LeavingTarget(target.name, target.started_at_ms)
+        with self._lock:
+            is_new = self._exclusions.add_leaving(leaving)
+        if is_new:
+            self._fleet.record_leaving_target(leaving)
+            self._log.record(_events.TargetLeaving(target.name, False))
+
+    def _record_pause(
+        self, target: data.ListedTarget, pause_s: float | None
+    ) -> None:
+        if pause_s is None:
+            return
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            self._exclusions.forget_pauses(now_s)
+            end_s = self._exclusions.add_pause(target, pause_s, now_s)
+        self._log.record(
+            _events.TargetPaused(target.name, round(1000 * (end_s - now_s)))
+        )
+
     def _stats_of(
         self, target: data.ListedTarget
     ) -> _target_stats.TargetStats:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -110,7 +110,11 @@
 
 
 def head(
-    status: int = 200, is_signed: bool = True, is_not_executed: bool = False
+    status: int = 200,
+    is_signed: bool = True,
+    is_not_executed: bool = False,
+    is_leaving: bool = False,
+    retry_after_s: float | None = None,
 ) -> data.ResponseHead:
     """Return the head of a response."""
     return data.ResponseHead(
@@ -121,6 +125,8 @@
         is_not_executed=is_not_executed,
         is_encoded=False,
         load=None,
+        is_leaving=is_leaving,
+        retry_after_s=retry_after_s,
     )
 
 
@@ -138,6 +144,24 @@
     )
 
 
+def paused_script(pause_s: float) -> tuple[fakes.ScriptedEvent, ...]:
+    """Return the script of a refusal that asks for a pause."""
+    refusal = head(503, is_not_executed=True, retry_after_s=pause_s)
+    return (
+        fakes.ScriptedEvent(0.01, refusal),
+        fakes.ScriptedEvent(0.01, forwarding.ResponseEnd()),
+    )
+
+
+def leaving_script() -> tuple[fakes.ScriptedEvent, ...]:
+    """Return the script of a complete response of a leaving target."""
+    return (
+        fakes.ScriptedEvent(0.01, head(is_leaving=True)),
+        fakes.ScriptedEvent(0.01, forwarding.BodyChunk(b'answer')),
+        fakes.ScriptedEvent(0.01, forwarding.ResponseEnd()),
+    )
+
+
 def connection_lost_script(
     after_s: float = 0.02,
 ) -> tuple[fakes.ScriptedEvent, ...]:
--- a/packages/emulator/src/skylarktack/emulator/platform/_target.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_target.py
@@ -37,6 +37,12 @@
     #: Whether each request is refused as not run.
     is_full: bool = False
 
+    #: Time for which a refusal asks to receive nothing, or None.
+    pause_s: float | None = None
+
+    #: Whether all answers say that the target is leaving.
+    says_it_leaves: bool = False
+
 
 @dataclasses.dataclass
 class Run:
@@ -82,6 +88,8 @@
         self.domain = domain
         self.behaviour = TargetBehaviour()
         self.runs: list[Run] = []
+        # Monotonic times at which requests arrived, refused ones included.
+        self.arrived_at_s: list[float] = []
         self.lock = threading.Lock()
         # Attempts whose memory each address keeps a copy of.
         self.copies = copies
@@ -207,6 +215,8 @@
         self._serve()
 
     def _serve(self) -> None:
+        with self._target.lock:
+            self._target.arrived_at_s.append(time.monotonic())
         expected = self.headers.get('Expected-Replica')
         if expected != self._target.name:
             self.answer(421, b'', (('Replica-Id', self._target.name),))
@@ -215,7 +225,10 @@
         behaviour = self._target.behaviour
         copy = self.headers.get('Kv-From')
         if behaviour.is_full or (copy and not self._has_copy(copy)):
-            self.answer(503, b'', (('Not-Executed', '1'),))
+            refusal = [('Not-Executed', '1')]
+            if behaviour.pause_s is not None:
+                refusal.append(('Retry-After', str(behaviour.pause_s)))
+            self.answer(503, b'', (*refusal, *self._notices()))
             return
         run = Run(
             attempt_id=attempt_id,
@@ -244,6 +257,7 @@
             ('Attempt-Id', run.attempt_id),
             ('Replica-Signature', f'{run.target}.{run.attempt_id}'),
             ('Replica-Load', '1,0,12'),
+            *self._notices(),
         )
         if behaviour.fails or self._target.has_bad_version:
             self.answer(500, b'failed', signed)
@@ -278,6 +292,12 @@
             # The caller closed the connection, which cancels the run.
             self.close_connection = True
 
+    def _notices(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers in which the target tells of its end."""
+        if self._target.behaviour.says_it_leaves:
+            return (('Server-Leaving', '1'),)
+        return ()
+
     def _chunk(self, content: bytes) -> None:
         size = f'{len(content):x}\r\n'.encode()
         self.wfile.write(size + content + b'\r\n')
--- a/packages/platform/src/skylarktack/platform/_entries.py
+++ b/packages/platform/src/skylarktack/platform/_entries.py
@@ -64,9 +64,24 @@
 
 def decode_address(reader: _fields.FieldReader, name: str) -> data.Address:
     """Return the address in a field of the form ``IP:port``."""
+    return _decode_address(reader, name, 1)
+
+
+def decode_listen_address(
+    reader: _fields.FieldReader, name: str
+) -> data.Address:
+    """Return an address to listen at; with port 0 the system assigns one."""
+    return _decode_address(reader, name, 0)
+
+
+def _decode_address(
+    reader: _fields.FieldReader, name: str, min_port: int
+) -> data.Address:
     matched = _ADDRESS.fullmatch(reader.text(name))
-    if matched and _is_ip(matched[1]) and 0 < int(matched[2]) <= MAX_PORT:
-        return data.Address(matched[1], int(matched[2]))
+    if matched and _is_ip(matched[1]):
+        port = int(matched[2])
+        if min_port <= port <= MAX_PORT:
+            return data.Address(matched[1], port)
     reader.add_finding(name, 'is not of the form IP:port')
     return data.Address('', 0)
 
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -5,8 +5,11 @@
 forwards it and never verifies it.
 """
 
+from collections.abc import Callable
+from email import utils
 import math
 import re
+import time
 
 from skylarktack import protocol
 from skylarktack.platform import _fields
@@ -24,6 +27,8 @@
 _NOT_EXECUTED = b'not-executed'
 _LOAD = b'replica-load'
 _ENCODING = b'content-encoding'
+_LEAVING = b'server-leaving'
+_RETRY_AFTER = b'retry-after'
 
 #: Header fields that are not forwarded from the caller: those that only the
 #: front end may set, and those that it sets again for each target.
@@ -70,6 +75,11 @@
 class PlatformMessageCodec:
     """Translates between the platform's HTTP messages and typed ones."""
 
+    def __init__(
+        self, read_wall_clock: Callable[[], float] = time.time
+    ) -> None:
+        self._read_wall_clock = read_wall_clock
+
     def decode_request(
         self, head: data.RequestHead, body: bytes, has_body: bool
     ) -> data.FrontRequest | data.Refusal:
@@ -140,6 +150,10 @@
             is_not_executed=_NOT_EXECUTED in values,
             is_encoded=_ENCODING in values,
             load=_decode_load(values.get(_LOAD, b'')),
+            is_leaving=values.get(_LEAVING) == b'1',
+            retry_after_s=_parse_retry_after(
+                values.get(_RETRY_AFTER, b''), self._read_wall_clock()
+            ),
         )
 
     def encode_refusal(self, refusal: data.Refusal) -> data.FrontResponse:
@@ -193,6 +207,24 @@
     return max(0.0, limit_ms) if math.isfinite(limit_ms) else None
 
 
+def _parse_retry_after(value: bytes, wall_s: float) -> float | None:
+    """Return the delay in a ``Retry-After`` field (RFC 9110, 10.2.3).
+
+    Fractions of a second are accepted beside the standard's whole seconds
+    and dates. Anything else, and a negative or infinite delay, is None.
+    """
+    text = value.decode('latin-1')
+    try:
+        delay_s = float(text)
+    except ValueError:
+        try:
+            delay_s = utils.parsedate_to_datetime(text).timestamp() - wall_s
+        except (ValueError, OverflowError, IndexError, TypeError):
+            return None
+        delay_s = max(0.0, delay_s)
+    return delay_s if 0 <= delay_s < math.inf else None
+
+
 def _parse_count(value: bytes) -> int | None:
     return int(value) if _COUNT.fullmatch(value) else None
 
--- a/packages/platform/src/skylarktack/platform/_settings.py
+++ b/packages/platform/src/skylarktack/platform/_settings.py
@@ -43,7 +43,9 @@
     reader = _fields.FieldReader(place, values, findings)
     readiness = None
     if 'listen_addresses.ready' in values:
-        readiness = _entries.decode_address(reader, 'listen_addresses.ready')
+        readiness = _entries.decode_listen_address(
+            reader, 'listen_addresses.ready'
+        )
     metrics = None
     if metrics_port is not None:
         metrics = data.Address(reader.text('ip_address'), metrics_port)
@@ -51,7 +53,9 @@
     settings = data.ForwardingSettings(
         instance=reader.text('node_name'),
         failure_domain=reader.text('availability_zone'),
-        front=_entries.decode_address(reader, 'listen_addresses.frontend'),
+        front=_entries.decode_listen_address(
+            reader, 'listen_addresses.frontend'
+        ),
         readiness=readiness,
         peer=_decode_peer_address(reader),
         metrics=metrics,
@@ -84,7 +88,7 @@
     if reader.fields.get('internal_port_range') is None:
         return None
     first, _, _ = reader.text('internal_port_range').partition(',')
-    if _PORT.fullmatch(first) and 0 < int(first) <= _entries.MAX_PORT:
+    if _PORT.fullmatch(first) and int(first) <= _entries.MAX_PORT:
         return data.Address(reader.text('ip_address'), int(first))
     reader.add_finding(
         'internal_port_range', 'is not two ports separated by a comma'
--- a/packages/platform/src/skylarktack/platform/tests/test_messages.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_messages.py
@@ -81,6 +81,46 @@
         assert refusal.reason is data.RefusalReason.BAD_REQUEST
 
 
+class TestTargetNotices:
+    """What a target says of itself in the headers of any response."""
+
+    @pytest.mark.parametrize(
+        ('value', 'is_leaving'),
+        [(b'1', True), (b'0', False), (b'', False), (b'yes', False)],
+    )
+    def test_leaving(self, value: bytes, is_leaving: bool) -> None:
+        """Guards against requests to a target that is about to stop."""
+        head = CODEC.decode_response(421, ((b'Server-Leaving', value),))
+        assert head.is_leaving == is_leaving
+
+    @pytest.mark.parametrize(
+        ('value', 'delay_s'),
+        [
+            (b'3', 3.0),
+            (b'0.25', 0.25),
+            (b'0', 0.0),
+            (b'Sun, 06 Nov 1994 08:49:47 GMT', 10.0),
+            (b'Sun, 06 Nov 1994 08:49:30 GMT', 0.0),
+            (b'1e300', 1e300),
+            (b'-1', None),
+            (b'nan', None),
+            (b'inf', None),
+            (b'1e999', None),
+            (b'soon', None),
+            (b'Sun, 99 Nov 1994 08:49:37 GMT', None),
+            (b'Sun, 06 Nov 99999999999999999999 08:49:37 GMT', None),
+            (b'', None),
+            (b'\xb2', None),
+        ],
+    )
+    def test_retry_after(self, value: bytes, delay_s: float | None) -> None:
+        """Guards against odd delays, which must neither fail nor last."""
+        # Sun, 06 Nov 1994 08:49:37 GMT, the example of RFC 9110.
+        codec = platform.PlatformMessageCodec(lambda: 784111777.0)
+        head = codec.decode_response(503, ((b'Retry-After', value),))
+        assert head.retry_after_s == delay_s
+
+
 class TestTargetRequest:
     """The header fields of a request to a target."""
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -109,6 +109,10 @@
             report.next_report_ms,
             report.replaced_targets,
             [dataclasses.astuple(counts) for counts in report.counts],
+            [
+                (leaving.name, leaving.started_at_ms)
+                for leaving in report.leaving_targets
+            ],
         )
     )
 
@@ -133,6 +137,15 @@
                 str(service), _integer(request_count), _integer(retry_count)
             )
         )
+    leaving = []
+    # Earlier releases send no leaving targets.
+    for name, started_at_ms in fields[12] if len(fields) > 12 else ():
+        leaving.append(
+            data.LeavingTarget(
+                str(name),
+                None if started_at_ms is None else _integer(started_at_ms),
+            )
+        )
     return data.InstanceReport(
         instance=str(fields[1]),
         endpoint=_address(fields[2], fields[3]),
@@ -144,6 +157,7 @@
         next_report_ms=_integer(fields[9], MAX_REPORT_INTERVAL_MS),
         replaced_targets=tuple(str(name) for name in fields[10]),
         counts=tuple(counts),
+        leaving_targets=tuple(leaving),
     )
 
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -1,5 +1,7 @@
 """Tests of the datagrams between instances."""
 
+import dataclasses
+
 import cbor2
 import hypothesis
 from hypothesis import strategies
@@ -23,6 +25,10 @@
     next_report_ms=1000,
     replaced_targets=('engine-4',),
     counts=(data.RetryCounts('pool', 12, 3),),
+    leaving_targets=(
+        data.LeavingTarget('engine-5', 1770053550000),
+        data.LeavingTarget('engine-6', None),
+    ),
 )
 
 HEARTBEAT = data.WatchHeartbeat(
@@ -41,6 +47,12 @@
             messages.decode_message(messages.encode_message(REPORT)) == REPORT
         )
 
+    def test_report_of_an_earlier_release(self) -> None:
+        """Guards against reports that are lost while releases are mixed."""
+        fields = cbor2.loads(messages.encode_message(REPORT))
+        earlier = messages.decode_message(cbor2.dumps(fields[:12]))
+        assert earlier == dataclasses.replace(REPORT, leaving_targets=())
+
     def test_watch_message_round_trip(self) -> None:
         """Guards against store changes that are altered by the encoding."""
         change = data.StoreChange('targets', 5, 9, b'{"events":[],"at":9}')
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -34,6 +34,7 @@
 from skylarktack.state.forwarding._requests import RequestHead
 from skylarktack.state.forwarding._requests import ResponseHead
 from skylarktack.state.forwarding._settings import ForwardingSettings
+from skylarktack.state.forwarding._targets import LeavingTarget
 from skylarktack.state.forwarding._targets import ListedTarget
 from skylarktack.state.forwarding._targets import TargetChange
 from skylarktack.state.forwarding._targets import TargetLoad
@@ -56,6 +57,7 @@
     'Headers',
     'OrganisationKeys',
     'ListedPeer',
+    'LeavingTarget',
     'ListedTarget',
     'MoveChange',
     'MoveCounts',
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -7,6 +7,7 @@
 
 from skylarktack.state._addresses import Address
 from skylarktack.state.forwarding._moves import MoveReport
+from skylarktack.state.forwarding._targets import LeavingTarget
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,6 +77,9 @@
     #: Requests and retries of the sender in the budget window.
     counts: tuple[RetryCounts, ...] = ()
 
+    #: Targets that told the sender that they are about to stop.
+    leaving_targets: tuple[LeavingTarget, ...] = ()
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreChange:
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -128,6 +128,12 @@
     #: Load reported by the target, or None.
     load: TargetLoad | None
 
+    #: Whether the target says that it is about to stop.
+    is_leaving: bool = False
+
+    #: Time for which a target that refuses wants no requests, or None.
+    retry_after_s: float | None = None
+
     @property
     def is_relayable(self) -> bool:
         """Whether the body may be passed on to the caller as it arrives."""
--- a/packages/state/src/skylarktack/state/forwarding/_targets.py
+++ b/packages/state/src/skylarktack/state/forwarding/_targets.py
@@ -37,6 +37,17 @@
     started_at_ms: int | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class LeavingTarget:
+    """A target that said that it is about to stop."""
+
+    name: str
+
+    #: Wall clock time of its start, in milliseconds since the epoch; None if
+    #: it is unknown. A later start of the same name is not leaving.
+    started_at_ms: int | None
+
+
 @dataclasses.dataclass(frozen=True)
 class TargetChange:
     """One change of the target registry."""
@@ -51,13 +62,19 @@
 class TargetReport:
     """Response of an engine to a status request."""
 
-    #: Requests whose prefill has not started.
-    queued_count: int
+    #: Requests whose prefill has not started; None if it refused to report.
+    queued_count: int | None
 
     #: Wall clock time of its start, in milliseconds since the epoch; None if
     #: it is unknown.
     started_at_ms: int | None = None
 
+    #: Whether it says that it is about to stop.
+    is_leaving: bool = False
+
+    #: Time for which it asks to receive no requests, or None.
+    retry_after_s: float | None = None
+
 
 @dataclasses.dataclass(frozen=True)
 class TargetLoad:
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -5,6 +5,7 @@
 connection costs a millisecond.
 """
 
+import dataclasses
 import select
 import socket
 import time
@@ -26,6 +27,9 @@
 #: Maximum size of a target's report on itself.
 MAX_REPORT_BYTES = 256 * 1024
 
+#: Statuses of a target that is alive and refuses to report.
+_REFUSAL_STATUSES = frozenset((429, 503))
+
 
 class HttpExchange:
     """One request to one target and its response."""
@@ -259,7 +263,9 @@
     ) -> data.TargetReport | None:
         """Return the target's load report, or None if there is none.
 
-        None also stands for a failed connection and a malformed response.
+        None also stands for a failed connection and a malformed response. A
+        target that refuses to report is alive, so it gets a report without
+        a load.
         """
         deadline_s = time.monotonic() + timeout_s
         try:
@@ -276,6 +282,7 @@
             b'',
         )
         exchange = HttpExchange(connection, parser, self._codec, '')
+        head: data.ResponseHead | None = None
         body: list[bytes] = []
         try:
             if exchange.send(outgoing) is not None:
@@ -290,13 +297,35 @@
                 for event in exchange.receive():
                     if isinstance(event, forwarding.ExchangeFault):
                         return None
+                    if isinstance(event, data.ResponseHead):
+                        head = event
                     if isinstance(event, forwarding.BodyChunk):
                         body.append(event.data)
                     if isinstance(event, forwarding.ResponseEnd):
-                        return self._codec.decode_report(b''.join(body))
+                        return self._decode_report(head, b''.join(body))
         finally:
             exchange.close()
 
+    def _decode_report(
+        self, head: data.ResponseHead | None, body: bytes
+    ) -> data.TargetReport | None:
+        if head is None:
+            return None
+        report = self._codec.decode_report(body)
+        if head.status in _REFUSAL_STATUSES:
+            report = data.TargetReport(None)
+        if report is None:
+            return None
+        return dataclasses.replace(
+            report,
+            is_leaving=head.is_leaving,
+            retry_after_s=(
+                head.retry_after_s
+                if head.status in _REFUSAL_STATUSES
+                else None
+            ),
+        )
+
     def _new_parser(
         self, max_body_bytes: int
     ) -> _bounded_response.BoundedResponseParser:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -232,6 +232,15 @@
             assert report == data.TargetReport(3)
             assert target.received.startswith(b'GET /load ')
 
+    @pytest.mark.parametrize('status', [b'429', b'503'])
+    def test_a_refused_probe_is_an_answer(self, status: bytes) -> None:
+        """Guards against moving a run away from an engine that is alive."""
+        client = transport.HttpTargetClient(front_harness.PassThroughCodec())
+        response = b'HTTP/1.1 ' + status + b' No\r\nContent-Length: 0\r\n\r\n'
+        with _serving(response) as target:
+            report = client.probe(target.target, front_harness.TIMEOUT_S)
+        assert report == data.TargetReport(None)
+
     def test_a_probe_without_a_response(self) -> None:
         """Guards against treating an unresponsive engine as live."""
         client = transport.HttpTargetClient(front_harness.PassThroughCodec())
