--- a/packages/cli/src/skylarktack/cli/_commands.py
+++ b/packages/cli/src/skylarktack/cli/_commands.py
@@ -17,6 +17,7 @@
 
 from skylarktack import protocol
 from skylarktack import state
+from skylarktack.cli import _account
 from skylarktack.cli import _explain
 from skylarktack.cli import _operator_client
 from skylarktack.cli import _tables
@@ -26,6 +27,9 @@
 #: Exit code for invalid documents or malformed log lines.
 EXIT_INVALID = 2
 
+#: Findings about log lines that are printed; the others are only counted.
+MAX_PRINTED_FINDINGS = 20
+
 #: Exit code for a command that failed for another reason.
 EXIT_FAILED = 1
 
@@ -250,6 +254,30 @@
         for text in _explain.explain_request(request, lines):
             print(text)
 
+    def account(
+        self, *files: str, window_s: float = 10.0, json: bool = False
+    ) -> None:
+        """Account for the requests in log files by result and cause.
+
+        :param files: log files of all instances; - is standard input.
+        :param window_s: length of the time windows.
+        :param json: whether to print JSON.
+        """
+        if not window_s > 0:
+            print('window_s must be above 0', file=sys.stderr)
+            sys.exit(EXIT_INVALID)
+        account = _account.Account(window_s)
+        findings = _add_log_files(account, files)
+        if json:
+            _print_json(_account.to_plain(account))
+        else:
+            print(_account.to_text(account))
+        for finding in findings[:MAX_PRINTED_FINDINGS]:
+            print(f'{finding.place}: {finding.message}', file=sys.stderr)
+        if findings:
+            print(f'{len(findings)} malformed lines', file=sys.stderr)
+            sys.exit(EXIT_INVALID)
+
     def drain(self, address: str | None = None) -> None:
         """Request the planned stop of one instance.
 
@@ -275,6 +303,28 @@
         sys.exit(EXIT_FAILED)
 
 
+def _add_log_files(
+    account: _account.Account, files: tuple[str, ...]
+) -> list[state.Finding]:
+    """Add log files to an account, a line at a time."""
+    findings = []
+    for file in files or ('-',):
+        if file == '-':
+            findings.extend(_account.add_lines(account, file, sys.stdin))
+            continue
+        try:
+            with open(file, encoding='utf-8', errors='replace') as lines:
+                findings.extend(_account.add_lines(account, file, lines))
+        except OSError as error:
+            print(f'{file}: {error.strerror}', file=sys.stderr)
+            sys.exit(EXIT_FAILED)
+    return findings
+
+
+def _print_json(plain: Any) -> None:
+    print(json.dumps(plain, indent=2))
+
+
 def _read_log_lines(
     files: tuple[str, ...],
 ) -> tuple[list[messages.LogLine], list[state.Finding]]:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -1,5 +1,9 @@
 """Forwarding of requests to targets: routes, attempts, streams, caches."""
 
+from skylarktack.coordination.forwarding._accounting import RequestAccounts
+from skylarktack.coordination.forwarding._accounting import RequestCount
+from skylarktack.coordination.forwarding._accounting import RequestResult
+from skylarktack.coordination.forwarding._accounting import is_late
 from skylarktack.coordination.forwarding._admitted_request import (
     AdmittedRequest,
 )
@@ -27,6 +31,7 @@
 from skylarktack.coordination.forwarding._events import ReadinessChanged
 from skylarktack.coordination.forwarding._events import RequestFailed
 from skylarktack.coordination.forwarding._events import RequestLate
+from skylarktack.coordination.forwarding._events import RequestsCounted
 from skylarktack.coordination.forwarding._events import RequestServed
 from skylarktack.coordination.forwarding._events import SettingsReloaded
 from skylarktack.coordination.forwarding._events import StoreEntryMalformed
@@ -225,6 +230,11 @@
     'TargetWatchHandler',
     'TargetClient',
     'TargetTable',
+    'RequestAccounts',
+    'RequestCount',
+    'RequestResult',
+    'RequestsCounted',
+    'is_late',
     'TargetLeaving',
     'TargetPaused',
     'UnexpectedError',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -377,6 +377,27 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True)
+class RequestsCounted(LogEvent):
+    """Counts of the requests that ended since the last such line."""
+
+    part = 'request'
+    message = 'requests counted'
+
+    #: Failure domain of the instance.
+    domain: str
+
+    #: Requests in progress.
+    active_streams: int
+    active_calls: int
+
+    #: For each route, organisation, result and cause: the number of requests,
+    #: sends beyond the first, prompt tokens that were read again, the sums of
+    #: the times queued, until the first event or the response, and between
+    #: events, in ms, and the number of events.
+    rows: tuple[tuple[object, ...], ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class RequestServed(LogEvent):
     """A request was served; only a sample of these is logged."""
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -13,6 +13,7 @@
 from skylarktack.daemon.forwarding import _metrics
 from skylarktack.daemon.forwarding import _readiness
 from skylarktack.daemon.forwarding import _reports
+from skylarktack.daemon.forwarding import _request_counts
 from skylarktack.daemon.forwarding import _stopping
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
@@ -44,7 +45,7 @@
 CONFIRMATION_VALIDITY_S = WATCH_WAIT_S + 1.0
 
 #: Threads for background tasks and accept loops, connections not included.
-BACKGROUND_TASK_COUNT = 14
+BACKGROUND_TASK_COUNT = 15
 
 #: Maximum time to wait for the log to be written on exit.
 LOG_CLOSE_S = 0.1
@@ -87,6 +88,7 @@
         )
         client = transport.HttpTargetClient(codec)
         metrics = _metrics.RequestMetrics(errors)
+        accounts = forwarding.RequestAccounts()
         budget = forwarding.RetryBudget(
             clock,
             forwarding.RetryLimits(
@@ -116,11 +118,14 @@
                     )
                 ),
                 observer=_reports.CompositeObserver(
-                    _reports.RequestLog(clock, log), metrics
+                    _reports.RequestLog(clock, log), metrics, accounts
                 ),
                 errors=errors,
             )
         )
+        self._request_counts = _request_counts.RequestCountLog(
+            clock, log, accounts, self._gateway, settings.failure_domain
+        )
         spare_count = settings.descriptor_limit - RESERVED_DESCRIPTOR_COUNT
         self._connection_tasks = futures.ThreadPoolExecutor(
             max(
@@ -210,6 +215,7 @@
     def start(self) -> None:
         """Start all background tasks and listeners; return at once."""
         self._start_task('log', self._log.run)
+        self._start_task('request counts', self._request_counts.run)
         if self._settings.has_moves:
             self._start_task('move watcher', self._move_watcher.run)
         self._start_task(
@@ -283,6 +289,7 @@
             self._gateway,
             self._settings.grace_ms / 1000,
         )
+        self._request_counts.flush()
         self._log.record(
             forwarding.InstanceStopped(
                 after_ms=round((time.monotonic() - stop_began_at_s) * 1000),
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
@@ -35,7 +35,7 @@
         if outcome in SERVED_OUTCOMES:
             event_type = forwarding.RequestServed
             rate_limit = self._served_rate_limit
-            if _is_late(report):
+            if forwarding.is_late(report):
                 event_type = forwarding.RequestLate
                 rate_limit = self._late_rate_limit
             if not rate_limit.try_acquire():
@@ -86,20 +86,6 @@
             return True
 
 
-def _is_late(report: forwarding.RequestReport) -> bool:
-    objective_ms = report.latency_objective_ms
-    if objective_ms is None:
-        return False
-    if report.kind is not data.RequestKind.STREAM:
-        return report.duration_ms > objective_ms
-    for step in report.steps:
-        if step.step == 'long_pause':
-            return True
-        if step.step == 'first_event' and step.at_ms > objective_ms:
-            return True
-    return False
-
-
 def describe_outcome(outcome: forwarding.StreamOutcome) -> tuple[str, str]:
     """Return the name of an outcome, as logged, and its cause."""
     if isinstance(outcome, data.FrontResponse):
