Place runs by work and memory, replace lost copies, find read prompts

Engines have 64 slots but memory for eight runs, and runs were placed by their number alone.

Ruled out: placing by the remaining work of runs. While a prompt is read, a run makes a fifth of its progress, so even a run near its end is delayed.

Change: one module compares engines by prompts being read, runs, slots and KV cache, with copies; equals are chosen by rendezvous hashing of the prompt. A prompt returns to the engine that read it, whoever sends it. A relay that finds its standby engine lost asks its engine for another copy, brings it up to date every two seconds and frees it at the end. For 15 s after its start an instance asks an engine for room before a run is sent there, and asks up to four likely engines for the prompt of a stream that comes back; such a stream gets its copy later.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
@@ -109,6 +109,13 @@
         self.queued_count = 0
         self.reports: dict[str, data.TargetReport] = {}
         self.probed: list[str] = []
+        self.asked_for_parts: list[str] = []
+        self.parts: dict[str, frozenset[str]] = {}
+        self.copy_orders: list[tuple[float, data.CopyOrder]] = []
+        self.copy_script: (
+            tuple[ScriptedEvent, ...] | forwarding.ExchangeFault
+        ) = ()
+        self.released_copies: list[data.RunCopy] = []
 
     def script(
         self,
@@ -165,6 +172,33 @@
                 ready.append(exchange)
         return forwarding.WaitResult(tuple(ready), caller.has_disconnected())
 
+    def start_copy(
+        self, order: data.CopyOrder, connect_timeout_s: float
+    ) -> ScriptedExchange | forwarding.ExchangeFault:
+        """Record the order and start its scripted response."""
+        self.copy_orders.append((self._clock.monotonic_s(), order))
+        script = self.copy_script
+        if isinstance(script, forwarding.ExchangeFault):
+            return script
+        return ScriptedExchange(self._clock, script)
+
+    def decode_copy(self, body: bytes) -> str | None:
+        """Return the body as the handle; None if it is empty."""
+        return body.decode() or None
+
+    def release_copy(
+        self, engine: data.ListedTarget, copy: data.RunCopy
+    ) -> None:
+        """Record the copy that is freed."""
+        self.released_copies.append(copy)
+
+    def cached_parts(
+        self, target: data.ListedTarget, timeout_s: float
+    ) -> frozenset[str]:
+        """Record the question and return the parts set by the test."""
+        self.asked_for_parts.append(target.name)
+        return self.parts.get(target.name, frozenset())
+
     def probe(
         self, target: data.ListedTarget, timeout_s: float
     ) -> data.TargetReport | None:
--- a/packages/coordination/src/skylarktack/coordination/fakes/_stepping_clock.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_stepping_clock.py
@@ -1,5 +1,6 @@
 """A clock on which waits advance the time instead of blocking."""
 
+from collections.abc import Callable
 import threading
 
 
@@ -10,6 +11,7 @@
         self._lock = threading.Lock()
         self._elapsed_s = 0.0
         self._wall_s = wall_s
+        self._actions: list[tuple[float, Callable[[], None]]] = []
 
     def monotonic_s(self) -> float:
         """Return monotonic seconds, for measuring durations."""
@@ -32,3 +34,14 @@
         """Move monotonic and wall time forward."""
         with self._lock:
             self._elapsed_s += duration_s
+            now_s = 1000.0 + self._elapsed_s
+            due = [entry for entry in self._actions if entry[0] <= now_s]
+            for entry in due:
+                self._actions.remove(entry)
+        for _, action in due:
+            action()
+
+    def schedule(self, at_s: float, action: Callable[[], None]) -> None:
+        """Call a function once the monotonic time is reached or passed."""
+        with self._lock:
+            self._actions.append((at_s, action))
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_admitted_request.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_admitted_request.py
@@ -22,8 +22,9 @@
     #: Versions of the service to which the request may be sent.
     version_rule: _version_rules.VersionRule
 
-    #: Whether engines of the service keep standby copies of the KV cache.
-    has_standby_copies: bool
+    #: Capacity and features of the service's engines; None for a plain
+    #: service.
+    engine: data.EngineCapacity | None
 
     #: Organisation of the caller, or None on an anonymous route.
     organisation: str | None
@@ -40,3 +41,8 @@
 
     #: Decisions about the request, for the log.
     trace: _outcomes.RequestTrace
+
+    @property
+    def has_standby_copies(self) -> bool:
+        """Whether engines of the service keep copies of the KV cache."""
+        return self.engine is not None and self.engine.has_standby_copies
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -119,6 +119,7 @@
                     return self._outcome_without_response(pause)
                 if self._wait_for_pause(pause):
                     return _outcomes.CallerDisconnected()
+                hedge_time_s = self._hedge_time_s()
                 continue
             if now_s >= hedge_time_s and len(self._open_attempts) == 1:
                 hedge_time_s = self._admitted.deadline_s
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_engine_selection.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_engine_selection.py
@@ -1,7 +1,6 @@
-"""Selection of engines by model, load and failure domain."""
+"""The engines of a run, and filters that come before placing it."""
 
 import dataclasses
-import random
 
 from skylarktack.state import forwarding as data
 
@@ -37,36 +36,3 @@
             continue
         serving.append(target)
     return serving
-
-
-def choose_least_loaded(
-    candidates: list[data.ListedTarget], loads: dict[str, float]
-) -> data.ListedTarget:
-    """Return the engine with the least load; ties are broken at random."""
-    return min(
-        candidates,
-        key=lambda target: (loads.get(target.name, 0.0), random.random()),
-    )
-
-
-def choose_standby(
-    candidates: list[data.ListedTarget],
-    primary: data.ListedTarget,
-    loads: dict[str, float],
-) -> data.ListedTarget | None:
-    """Return an engine for the standby copy, or None.
-
-    Engines in another failure domain than the primary's are preferred.
-    """
-    remote = []
-    local = []
-    for target in candidates:
-        if target.name == primary.name:
-            continue
-        if target.failure_domain == primary.failure_domain:
-            local.append(target)
-        else:
-            remote.append(target)
-    if not remote and not local:
-        return None
-    return choose_least_loaded(remote or local, loads)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -14,6 +14,7 @@
 
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _outgoing
+from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _rate_meter
 from skylarktack.coordination.forwarding import _run_placements
 from skylarktack.coordination.ports import Clock
@@ -32,6 +33,10 @@
 #: Time for which full reports repeat that a target is leaving.
 LEAVING_REPEAT_S = 30.0
 
+#: Time after the start for which loads may be missing. Engines keep copies of
+#: runs that have ended for some seconds.
+WARM_UP_S = 15.0
+
 #: A peer that has sent no report for this time is removed.
 PEER_LIFETIME_S = 120.0
 
@@ -88,6 +93,7 @@
         self.instance = instance
         self._endpoint = endpoint or data.Address('', 0)
         self._started_at_ms = int(clock.wall_s() * 1000)
+        self._warm_at_s = clock.monotonic_s() + WARM_UP_S
         self._lock = threading.Lock()
         self._sequence = 0
         self._own_runs: dict[str, data.RunStatus] = {}
@@ -219,9 +225,17 @@
         for leaving in report.leaving_targets:
             self._failure_listener.report_leaving(leaving)
 
-    def loads(self) -> dict[str, float]:
-        """Return the weighted number of runs of each engine."""
-        loads: dict[str, float] = {}
+    def is_warming_up(self) -> bool:
+        """Return whether this instance started a short time ago.
+
+        It may then not know of all runs and copies, least of all of those
+        that instances left at the engines when they were killed.
+        """
+        return self._clock.monotonic_s() < self._warm_at_s
+
+    def loads(self) -> dict[str, _placement.EngineLoad]:
+        """Return the load of each engine that has a run or a copy."""
+        loads: dict[str, _placement.EngineLoad] = {}
         with self._lock:
             for run in self._own_runs.values():
                 _run_placements.add_load(loads, run)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -123,7 +123,7 @@
 
     route: data.ForwardingRoute
     service: str
-    has_standby_copies: bool
+    engine: data.EngineCapacity | None
     organisation: str | None
 
 
@@ -300,12 +300,7 @@
             return _Rejected(refusal, route, organisation)
         description = table.find_service(service)
         engine = None if description is None else description.engine
-        return _Admission(
-            route,
-            service,
-            engine is not None and engine.has_standby_copies,
-            organisation,
-        )
+        return _Admission(route, service, engine, organisation)
 
     def _is_refused_by_shutdown(
         self, route: data.ForwardingRoute, request: data.FrontRequest
@@ -340,7 +335,7 @@
             version_rule=self.dependencies.moves.choose_versions(
                 admission.service
             ),
-            has_standby_copies=admission.has_standby_copies,
+            engine=admission.engine,
             organisation=admission.organisation,
             caller=caller,
             started_at_s=started_at_s,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -135,6 +135,31 @@
         """
         ...
 
+    def start_copy(
+        self, order: data.CopyOrder, connect_timeout_s: float
+    ) -> Exchange | ExchangeFault:
+        """Ask an engine to copy a run; the answer comes when it is done."""
+        ...
+
+    def decode_copy(self, body: bytes) -> str | None:
+        """Return the handle of a copy, or None if it is malformed."""
+        ...
+
+    def release_copy(
+        self, engine: data.ListedTarget, copy: data.RunCopy
+    ) -> None:
+        """Free a copy of a run that its engine made."""
+        ...
+
+    def cached_parts(
+        self, target: data.ListedTarget, timeout_s: float
+    ) -> frozenset[str]:
+        """Return the ids of the prompt parts that an engine has cached.
+
+        Empty without a response.
+        """
+        ...
+
     def probe(
         self, target: data.ListedTarget, timeout_s: float
     ) -> data.TargetReport | None:
@@ -193,6 +218,28 @@
         """Return the response for a refused request."""
         ...
 
+    def encode_copy_order(self, order: data.CopyOrder) -> data.RequestMessage:
+        """Return the request that asks an engine to copy a run."""
+        ...
+
+    def decode_copy(self, body: bytes) -> str | None:
+        """Return the handle of a copy, or None if it is malformed."""
+        ...
+
+    def encode_copy_release(
+        self, engine: data.ListedTarget, handle: str
+    ) -> data.RequestMessage:
+        """Return the request that frees a copy at both engines."""
+        ...
+
+    def cached_parts_path(self) -> bytes:
+        """Return the path at which an engine lists its cached parts."""
+        ...
+
+    def decode_cached_parts(self, body: bytes) -> frozenset[str]:
+        """Return the ids of cached parts; empty if the list is malformed."""
+        ...
+
     def probe_path(self) -> bytes:
         """Return the path at which a target serves its health report."""
         ...
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -6,6 +6,7 @@
 from skylarktack.coordination.forwarding import _calls
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
 from skylarktack.state import forwarding as data
 
@@ -48,6 +49,7 @@
         admitted: _admitted_request.AdmittedRequest,
         progress: _stream_attempts.StreamProgress,
         target: data.ListedTarget,
+        copies: _standby_copies.StandbyCopies,
     ) -> None:
         self._dependencies = dependencies
         self._clock = dependencies.clock
@@ -55,6 +57,7 @@
         self._admitted = admitted
         self._progress = progress
         self._target = target
+        self._copies = copies
         self._splitter = dependencies.new_splitter()
         self._head: data.ResponseHead | None = None
         self._error_body_chunks: list[bytes] = []
@@ -90,8 +93,10 @@
             wait_until_s = min(
                 self._admitted.deadline_s, self._next_check_s(now_s)
             )
+            if self._is_streaming:
+                self._copies.maintain()
             wait_result = self._dependencies.client.wait(
-                (exchange,),
+                (exchange, *self._copies.exchanges()),
                 self._admitted.caller,
                 max(0.0, wait_until_s - self._clock.monotonic_s()),
             )
@@ -100,7 +105,8 @@
                 return _stream_attempts.StreamFinished(
                     _outcomes.CallerDisconnected()
                 )
-            if not wait_result.exchanges:
+            self._copies.receive(wait_result.exchanges)
+            if exchange not in wait_result.exchanges:
                 continue
             was_streaming = self._is_streaming
             for event in exchange.receive():
@@ -144,7 +150,7 @@
             return _stream_attempts.AttemptNotExecuted(
                 fault.detail, has_arrived=False
             )
-        return _stream_attempts.AttemptLost(fault.detail, self._is_streaming)
+        return self._lost(fault.detail)
 
     def _handle(
         self, event: _ports.ResponseEvent
@@ -278,7 +284,7 @@
                     detail,
                     is_loss=False,
                 )
-                return _stream_attempts.AttemptLost(detail, may_have_copy=True)
+                return self._lost(detail)
             progress.last_event_id = event_id
         return self._send_events(head, split.events)
 
@@ -308,6 +314,10 @@
         self._targets.report_response(
             self._target, self._admitted.route.name, latency_ms, is_error=False
         )
+        first_event_id = self._admitted.request.last_event_id or 0
+        last_event_id = self._progress.last_event_id or 0
+        self._record('complete', event_count=last_event_id - first_event_id)
+        self._copies.release()
         return _stream_attempts.StreamFinished(_outcomes.StreamCompleted())
 
     def _handle_error_response(
@@ -327,31 +337,33 @@
         self._progress.failure_count += 1
         if not head.is_signed or head.is_encoded:
             return _stream_attempts.AttemptLost(
-                'the response is not signed or is content-encoded',
-                may_have_copy=False,
+                'the response is not signed or is content-encoded', None
             )
         response = data.FrontResponse(
             head.status, head.headers, b''.join(self._error_body_chunks)
         )
         if head.status < _calls.FIRST_SERVER_ERROR_STATUS:
             if self._progress.has_started:
-                return _stream_attempts.AttemptLost(
-                    detail, may_have_copy=False
-                )
+                return _stream_attempts.AttemptLost(detail, None)
             return _stream_attempts.StreamFinished(response)
         self._targets.report_response(
             self._target, self._admitted.route.name, 0.0, is_error=True
         )
         if head.status not in _calls.NOT_EXECUTED_STATUSES:
             self._progress.failure = response
-        return _stream_attempts.AttemptLost(detail, may_have_copy=False)
+        return _stream_attempts.AttemptLost(detail, None)
 
     def _handle_unresponsive(self, detail: str) -> _stream_attempts.AttemptEnd:
         self._record('silence', target=self._target.name, detail=detail)
         self._targets.report_failure(
             self._target, self._admitted.route.name, detail, is_loss=True
         )
-        return _stream_attempts.AttemptLost(detail, self._is_streaming)
+        return self._lost(detail)
+
+    def _lost(self, detail: str) -> _stream_attempts.AttemptLost:
+        """Return the end of a run that can go on if there is a copy."""
+        copy = self._copies.usable_copy() if self._is_streaming else None
+        return _stream_attempts.AttemptLost(detail, copy)
 
     def _outcome_at_deadline(self) -> _outcomes.StreamOutcome:
         if self._progress.has_started:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_run_placements.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_run_placements.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from skylarktack.coordination.forwarding import _placement
 from skylarktack.state import forwarding as data
 
 #: Time for which the placement of a run is kept after its last report.
@@ -10,12 +11,6 @@
 #: Maximum number of placements that are kept.
 MAX_PLACEMENT_COUNT = 4096
 
-#: Weights of the runs of an engine. A run in prefill weighs more because it
-#: delays the tokens of all other runs.
-PREFILL_WEIGHT = 2.0
-DECODE_WEIGHT = 1.0
-STANDBY_WEIGHT = 0.25
-
 
 @dataclasses.dataclass(frozen=True)
 class RunPlacement:
@@ -56,10 +51,12 @@
         return placement
 
 
-def add_load(loads: dict[str, float], run: data.RunStatus) -> None:
-    """Add the weights of a run to the loads of its engines."""
-    weight = PREFILL_WEIGHT if run.is_prefilling else DECODE_WEIGHT
-    loads[run.engine] = loads.get(run.engine, 0.0) + weight
+def add_load(
+    loads: dict[str, _placement.EngineLoad], run: data.RunStatus
+) -> None:
+    """Add a run to the loads of its engines."""
+    load = loads.get(run.engine, _placement.IDLE)
+    loads[run.engine] = load.with_run(run)
     if run.standby is not None:
-        standby_load = loads.get(run.standby, 0.0)
-        loads[run.standby] = standby_load + STANDBY_WEIGHT
+        load = loads.get(run.standby, _placement.IDLE)
+        loads[run.standby] = load.with_standby(run)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
@@ -80,8 +80,8 @@
     #: Cause, for the log.
     detail: str
 
-    #: Whether another engine may have a standby copy of the run.
-    may_have_copy: bool
+    #: Copy from which another engine can go on with the run, or None.
+    copy: data.RunCopy | None
 
 
 AttemptEnd = StreamFinished | AttemptNotExecuted | AttemptLost
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -1,5 +1,6 @@
 """Forwards streams, with failover from one engine to the next."""
 
+import dataclasses
 import random
 
 from skylarktack.coordination.forwarding import _admitted_request
@@ -7,8 +8,10 @@
 from skylarktack.coordination.forwarding import _engine_selection
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _pause_waits
+from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _relay
+from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
 from skylarktack.state import forwarding as data
 
@@ -20,6 +23,12 @@
 #: become available before it is refused.
 QUEUE_OBJECTIVE_FRACTION = 0.12
 
+#: Maximum number of engines that one stream asks for room.
+MAX_CHECK_COUNT = 3
+
+#: Maximum number of engines that are asked for the prompt of one stream.
+MAX_PROMPT_SEARCH_COUNT = 4
+
 #: Interval between two checks for an available target.
 QUEUE_CHECK_INTERVAL_S = 0.1
 
@@ -60,14 +69,14 @@
         self._clock = dependencies.clock
         self._targets = dependencies.targets
         self._admitted = admitted
-        self._affinity_key = _engine_selection.affinity_key_of(
-            admitted.request
-        )
+        self._demand = _placement.demand_of(admitted)
         self._progress = _stream_attempts.StreamProgress(
             admitted.request.last_event_id
         )
         self._tried_targets: set[str] = set()
         self._send_count = 0
+        self._check_count = 0
+        self._has_found_full = False
         self._has_executed = False
         self._last_fault = 'no engine is available'
 
@@ -75,11 +84,12 @@
         """Forward the stream and return how it ended."""
         budget = self._dependencies.budget
         budget.count_request(self._admitted.service)
-        copy_engine: data.ListedTarget | None = None
+        copy: data.RunCopy | None = None
+        self._find_prompt()
         while self._clock.monotonic_s() < self._admitted.deadline_s:
             if self._send_count >= MAX_SEND_COUNT:
                 break
-            pair = self._choose(copy_engine)
+            pair = self._choose(copy)
             if pair is None:
                 pause = self._plan_pause_wait()
                 if pause is not None and not pause.is_in_time:
@@ -93,16 +103,18 @@
                 if self._wait_for_target():
                     return _outcomes.CallerDisconnected()
                 continue
+            if copy is None and self._is_full(pair.primary):
+                continue
             if self._send_count > 0:
                 if not budget.claim_retry(self._admitted.service):
                     self._record('budget_spent')
                     break
             self._send_count += 1
-            end = self._attempt(pair, from_copy=copy_engine is not None)
+            end = self._attempt(pair, copy)
             if isinstance(end, _stream_attempts.StreamFinished):
                 return end.outcome
             self._last_fault = end.detail
-            copy_engine = None
+            copy = None
             if isinstance(end, _stream_attempts.AttemptNotExecuted):
                 if not end.has_arrived and self._send_count > 1:
                     budget.refund_retry(self._admitted.service)
@@ -110,45 +122,116 @@
             self._has_executed = True
             if not self._may_retry():
                 break
-            if end.may_have_copy:
-                copy_engine = self._usable_standby(pair)
-            if copy_engine is None and self._wait_for_jitter():
+            copy = end.copy
+            if copy is None and self._wait_for_jitter():
                 return _outcomes.CallerDisconnected()
         return self._outcome_without_stream(None)
 
+    def _may_have_copy(self) -> bool:
+        """Return whether the engine is asked to copy the run from its start.
+
+        After a loss of all instances the streams that come back and the
+        copies of lost runs fill the engines, so these streams get a copy
+        later, as do runs that met a full engine.
+        """
+        if not self._admitted.has_standby_copies or self._has_found_full:
+            return False
+        fleet = self._dependencies.fleet
+        return not (self._demand.is_resumed and fleet.is_warming_up())
+
+    def _find_prompt(self) -> None:
+        """Ask engines for the prompt of a stream that comes back.
+
+        After a loss of all instances none of them remembers which engine has
+        read it, and all callers return at once. Reading their prompts again
+        would delay every stream.
+        """
+        fleet = self._dependencies.fleet
+        if not self._demand.is_resumed or not fleet.is_warming_up():
+            return
+        if fleet.find_placement(self._demand.affinity_key) is not None:
+            return
+        likely_engines = self._targets.likely_engines(
+            self._admitted.service,
+            self._admitted.request.model,
+            self._demand,
+            MAX_PROMPT_SEARCH_COUNT,
+            self._admitted.version_rule,
+        )
+        for engine in likely_engines:
+            part_ids = self._dependencies.client.cached_parts(
+                engine, _relay.PROBE_TIMEOUT_S
+            )
+            if self._demand.affinity_key not in part_ids:
+                continue
+            self._record('prompt_found', target=engine.name)
+            self._demand = dataclasses.replace(
+                self._demand, known_engine=engine.name
+            )
+            return
+
+    def _is_full(self, engine: data.ListedTarget) -> bool:
+        """Ask an engine for room while its load may not be known.
+
+        An engine without room, or without an answer, is not tried for now.
+        """
+        if self._check_count >= MAX_CHECK_COUNT:
+            return False
+        if engine.name == self._demand.known_engine:
+            return False
+        if not self._dependencies.fleet.is_warming_up():
+            return False
+        self._check_count += 1
+        report = self._dependencies.client.probe(
+            engine, _relay.PROBE_TIMEOUT_S
+        )
+        if report is None:
+            self._targets.report_failure(
+                engine,
+                self._admitted.route.name,
+                'the engine did not answer a probe',
+                is_loss=True,
+            )
+            self._tried_targets.add(engine.name)
+            return True
+        self._targets.report_probe(engine, report)
+        if not _placement.is_report_of_full_engine(report, self._demand):
+            return self._targets.is_unavailable(engine)
+        self._record(
+            'engine_full',
+            target=engine.name,
+            queued=report.queued_count,
+            used_tokens=report.used_tokens,
+        )
+        self._tried_targets.add(engine.name)
+        self._has_found_full = True
+        return True
+
     def _may_retry(self) -> bool:
         route = self._admitted.route
         return route.is_retryable and (
             self._progress.failure_count < route.max_attempts
         )
 
-    def _usable_standby(
-        self, pair: _engine_selection.EnginePair
-    ) -> data.ListedTarget | None:
-        """Return the engine with the standby copy unless it is ejected."""
-        if not self._admitted.has_standby_copies or pair.standby is None:
-            return None
-        if self._targets.is_unavailable(pair.standby):
-            return None
-        return pair.standby
-
     def _choose(
-        self, copy_engine: data.ListedTarget | None
+        self, copy: data.RunCopy | None
     ) -> _engine_selection.EnginePair | None:
         rule = self._admitted.version_rule
         if self._send_count > 0:
             rule = rule.for_retry()
-        if copy_engine is not None:
+        if copy is not None:
             standby = self._targets.choose_standby(
                 self._admitted.service,
-                copy_engine,
+                copy.engine,
                 self._admitted.request.model,
+                self._demand,
                 rule,
             )
-            return _engine_selection.EnginePair(copy_engine, standby)
+            return _engine_selection.EnginePair(copy.engine, standby)
         return self._targets.choose_engines(
             self._admitted.service,
-            self._admitted.request,
+            self._admitted.request.model,
+            self._demand,
             frozenset(self._tried_targets),
             rule,
         )
@@ -210,39 +293,43 @@
         ).has_caller_disconnected
 
     def _attempt(
-        self, pair: _engine_selection.EnginePair, from_copy: bool
+        self, pair: _engine_selection.EnginePair, copy: data.RunCopy | None
     ) -> _stream_attempts.AttemptEnd:
         target = pair.primary
-        standby = None
-        if self._admitted.has_standby_copies and pair.standby is not None:
-            standby = pair.standby.endpoint
+        standby = pair.standby
+        if not self._may_have_copy():
+            standby = None
         now_s = self._clock.monotonic_s()
         context = data.DispatchContext(
             target=target,
             organisation=self._admitted.organisation,
             time_left_ms=(self._admitted.deadline_s - now_s) * 1000,
             last_event_id=self._progress.last_event_id,
-            standby=standby,
-            from_copy=from_copy,
+            standby=None if standby is None else standby.endpoint,
+            copy=copy,
             is_stream=True,
         )
         self._tried_targets.add(target.name)
         self._record(
             'send',
             target=target.name,
-            standby=pair.standby.name if pair.standby else None,
-            from_copy=from_copy,
+            standby=None if standby is None else standby.name,
+            from_copy=copy is not None,
             after_event=self._progress.last_event_id,
         )
         run_status = data.RunStatus(
             attempt_id=self._admitted.request.attempt_id,
-            affinity_key=self._affinity_key,
+            affinity_key=self._demand.affinity_key,
             engine=target.name,
-            standby=pair.standby.name if pair.standby else None,
-            is_prefilling=not from_copy,
+            standby=None if standby is None else standby.name,
+            is_prefilling=copy is None,
+            token_count=self._demand.token_count,
+        )
+        copies = _standby_copies.StandbyCopies(
+            self._dependencies, self._admitted, run_status, target, standby
         )
         relay = _relay.Relay(
-            self._dependencies, self._admitted, self._progress, target
+            self._dependencies, self._admitted, self._progress, target, copies
         )
         self._targets.begin_request(target)
         self._dependencies.fleet.record_run(run_status)
@@ -256,6 +343,7 @@
                 return relay.run(result, run_status)
             finally:
                 result.close()
+                copies.close()
         finally:
             self._targets.end_request(target)
             self._dependencies.fleet.record_run_end(run_status)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -1,5 +1,6 @@
 """Known targets, the statistics of each, and the selection among them."""
 
+import dataclasses
 import math
 import threading
 
@@ -8,6 +9,7 @@
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _moves
+from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _target_exclusions
 from skylarktack.coordination.forwarding import _target_stats
 from skylarktack.coordination.forwarding import _version_rules
@@ -27,10 +29,6 @@
 #: this instance more recently than this.
 SUSPICION_OVERRIDE_S = 0.3
 
-#: A run that continues is sent to the engine that still has its prompt in the
-#: cache, unless that engine's load exceeds the minimum load by this much.
-RESUME_LOAD_LIMIT = 6.0
-
 #: A refusal with this status may ask for a pause.
 SERVICE_UNAVAILABLE_STATUS = 503
 
@@ -336,43 +334,49 @@
     def choose_engines(
         self,
         service: str,
-        request: data.FrontRequest,
+        model: str | None,
+        demand: _placement.RunDemand,
         excluded: frozenset[str],
         rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
     ) -> _engine_selection.EnginePair | None:
-        """Return the engine for a run and the one for its standby copy.
-
-        A run that a reconnected caller resumes is sent to its former engine,
-        which still has the prompt in its cache.
-        """
-        affinity_key = _engine_selection.affinity_key_of(request)
+        """Return the engine for a run and the one for its standby copy."""
         loads = self._fleet.loads()
-        placement = None
-        if request.last_event_id is not None:
-            placement = self._fleet.find_placement(affinity_key)
+        known = self._fleet.find_placement(demand.affinity_key)
+        if known is not None:
+            demand = dataclasses.replace(demand, known_engine=known.run.engine)
         with self._lock:
             serving = _engine_selection.filter_by_model(
-                self._usable(service, excluded, rule), request.model
+                self._usable(service, excluded, rule), model
             )
             if not serving:
                 return None
-            primary = _engine_selection.choose_least_loaded(serving, loads)
-            for target in serving:
-                if placement is None or target.name != placement.run.engine:
-                    continue
-                load = loads.get(target.name, 0.0)
-                if load - loads.get(primary.name, 0.0) < RESUME_LOAD_LIMIT:
-                    primary = target
+            primary = _placement.choose_primary(serving, loads, demand)
             return _engine_selection.EnginePair(
                 primary,
-                _engine_selection.choose_standby(serving, primary, loads),
+                _placement.choose_standby(serving, primary, loads, demand),
+            )
+
+    def likely_engines(
+        self,
+        service: str,
+        model: str | None,
+        demand: _placement.RunDemand,
+        count: int,
+        rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
+    ) -> tuple[data.ListedTarget, ...]:
+        """Return the engines that most likely have a prompt cached."""
+        with self._lock:
+            candidates = _engine_selection.filter_by_model(
+                self._usable(service, frozenset(), rule), model
             )
+        return _placement.likely_engines(candidates, demand, count)
 
     def choose_standby(
         self,
         service: str,
         primary: data.ListedTarget,
         model: str | None,
+        demand: _placement.RunDemand,
         rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
     ) -> data.ListedTarget | None:
         """Return an engine for the standby copy of a run at the primary."""
@@ -382,7 +386,9 @@
                 self._usable(service, frozenset((primary.name,)), rule),
                 model,
             )
-            return _engine_selection.choose_standby(candidates, primary, loads)
+            return _placement.choose_standby(
+                candidates, primary, loads, demand
+            )
 
     def _put(self, target: data.ListedTarget) -> None:
         previous = self._targets.get(target.name)
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -7,9 +7,11 @@
 
 from collections.abc import Callable
 from email import utils
+import json
 import math
 import re
 import time
+from urllib import parse
 
 from skylarktack import protocol
 from skylarktack.platform import _fields
@@ -67,6 +69,10 @@
 }
 
 _PROBE_PATH = b'/report'
+_CACHED_PARTS_PATH = b'/kv-list'
+
+#: A handle is sent in a header field, so it is one word of ASCII.
+_HANDLE = re.compile(r'[!-~]{1,256}')
 
 #: Counts have at most 15 ASCII digits, so that they are exact in JSON too.
 _COUNT = re.compile(rb'[0-9]{1,15}')
@@ -132,9 +138,11 @@
             headers.append((b'Last-Event-Id', last_event))
         if delivery.standby is not None:
             headers.append((b'Kv-Backup', str(delivery.standby).encode()))
-        if delivery.from_copy:
-            copy = f'{target.endpoint}/{request.attempt_id}'
-            headers.append((b'Kv-From', copy.encode()))
+        if delivery.copy is not None:
+            # A copy that an engine keeps by itself is named after the attempt.
+            source = delivery.copy.source or target.endpoint
+            handle = delivery.copy.handle or request.attempt_id
+            headers.append((b'Kv-From', f'{source}/{handle}'.encode()))
         return tuple(headers)
 
     def decode_response(
@@ -170,6 +178,71 @@
             f'{refusal.reason.value}\n'.encode(),
         )
 
+    def encode_copy_order(self, order: data.CopyOrder) -> data.RequestMessage:
+        """Return the request that asks an engine to copy a run."""
+        body = {
+            'identifier': order.attempt_id,
+            'target': str(order.destination),
+            'is_last': False,
+        }
+        return data.RequestMessage(
+            b'POST',
+            b'/kv-move',
+            (
+                (b'Host', str(order.engine.endpoint).encode()),
+                (b'Expected-Replica', order.engine.name.encode()),
+                (b'Content-Type', b'application/json'),
+            ),
+            json.dumps(body).encode(),
+        )
+
+    def decode_copy(self, body: bytes) -> str | None:
+        """Return the handle of a copy, or None if it is malformed."""
+        try:
+            decoded = protocol.decode_json(body)
+        except ValueError:
+            return None
+        reader = _fields.FieldReader.from_document('copy', decoded, [])
+        handle = reader.text('kv_handle')
+        return handle if _HANDLE.fullmatch(handle) else None
+
+    def encode_copy_release(
+        self, engine: data.ListedTarget, handle: str
+    ) -> data.RequestMessage:
+        """Return the request that frees a copy at both engines."""
+        path = parse.quote(handle, safe='')
+        return data.RequestMessage(
+            b'DELETE',
+            f'/kv-handle/{path}'.encode(),
+            (
+                (b'Host', str(engine.endpoint).encode()),
+                (b'Expected-Replica', engine.name.encode()),
+            ),
+            b'',
+        )
+
+    def cached_parts_path(self) -> bytes:
+        """Return the path at which an engine lists its cached parts."""
+        return _CACHED_PARTS_PATH
+
+    def decode_cached_parts(self, body: bytes) -> frozenset[str]:
+        """Return the ids of cached parts; malformed entries are skipped."""
+        try:
+            decoded = protocol.decode_json(body)
+        except ValueError:
+            return frozenset()
+        held = decoded.get('held') if isinstance(decoded, dict) else None
+        if not isinstance(held, list):
+            return frozenset()
+        part_ids = []
+        for entry in held:
+            # An entry holds an empty text, the id, tokens and the model.
+            if not isinstance(entry, list) or len(entry) < 2:
+                continue
+            if isinstance(entry[1], str):
+                part_ids.append(entry[1])
+        return frozenset(part_ids)
+
     def probe_path(self) -> bytes:
         """Return the path at which a target reports its load."""
         return _PROBE_PATH
@@ -183,9 +256,12 @@
         reader = _fields.FieldReader.from_document('report', decoded, [])
         queued_count = reader.optional_integer('queued_requests') or 0
         started_at_ms = reader.optional_integer('born')
+        used_tokens = reader.optional_integer('kv_used_tokens')
         if reader.findings:
             return None
-        return data.TargetReport(queued_count, started_at_ms)
+        return data.TargetReport(
+            queued_count, started_at_ms, used_tokens=used_tokens
+        )
 
 
 def _first_values(headers: data.Headers) -> dict[bytes, bytes]:
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -93,6 +93,7 @@
                 run.standby,
                 run.is_prefilling,
                 run.has_ended,
+                run.token_count,
             )
         )
     return cbor2.dumps(
@@ -128,6 +129,8 @@
                 standby=None if run[3] is None else str(run[3]),
                 is_prefilling=bool(run[4]),
                 has_ended=bool(run[5]),
+                # Earlier releases send no number of tokens.
+                token_count=_integer(run[6]) if len(run) > 6 else 0,
             )
         )
     counts = []
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -24,6 +24,8 @@
 from skylarktack.state.forwarding._moves import MoveReport
 from skylarktack.state.forwarding._moves import MoveScope
 from skylarktack.state.forwarding._moves import RouteEvidence
+from skylarktack.state.forwarding._requests import OK_STATUS
+from skylarktack.state.forwarding._requests import CopyOrder
 from skylarktack.state.forwarding._requests import DispatchContext
 from skylarktack.state.forwarding._requests import FrontRequest
 from skylarktack.state.forwarding._requests import FrontResponse
@@ -32,7 +34,9 @@
 from skylarktack.state.forwarding._requests import Refusal
 from skylarktack.state.forwarding._requests import RefusalReason
 from skylarktack.state.forwarding._requests import RequestHead
+from skylarktack.state.forwarding._requests import RequestMessage
 from skylarktack.state.forwarding._requests import ResponseHead
+from skylarktack.state.forwarding._requests import RunCopy
 from skylarktack.state.forwarding._settings import ForwardingSettings
 from skylarktack.state.forwarding._targets import LeavingTarget
 from skylarktack.state.forwarding._targets import ListedTarget
@@ -44,6 +48,10 @@
     'ConfirmedKind',
     'Address',
     'ResponseHead',
+    'RunCopy',
+    'OK_STATUS',
+    'RequestMessage',
+    'CopyOrder',
     'DispatchContext',
     'EngineCapacity',
     'FleetMessage',
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -26,6 +26,22 @@
     headers: Headers
 
 
+@dataclasses.dataclass(frozen=True)
+class RequestMessage:
+    """A complete request that the frontend itself makes of a target."""
+
+    method: bytes
+
+    #: Path and query.
+    target: bytes
+
+    #: Header fields but those for message framing.
+    headers: Headers
+
+    #: Empty for a request without a body.
+    body: bytes
+
+
 @dataclasses.dataclass(frozen=True)
 class PromptPart:
     """A part of a prompt that several requests may share."""
@@ -79,6 +95,33 @@
     output_tokens: int
 
 
+@dataclasses.dataclass(frozen=True)
+class RunCopy:
+    """A copy of a run's KV cache from which the run can go on."""
+
+    #: Engine that holds it.
+    engine: ListedTarget
+
+    #: Engine from which it was copied and its handle there. Both are None for
+    #: the copy that the run's engine keeps at its standby by itself.
+    source: Address | None = None
+    handle: str | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class CopyOrder:
+    """Asks an engine to copy one of its runs to another engine."""
+
+    #: Engine that executes the run.
+    engine: ListedTarget
+
+    #: Attempt of the caller to which the run belongs.
+    attempt_id: str
+
+    #: Engine that is to hold the copy.
+    destination: Address
+
+
 @dataclasses.dataclass(frozen=True)
 class DispatchContext:
     """Context that the frontend adds when it dispatches a request."""
@@ -97,12 +140,17 @@
     #: Engine that is to keep a standby copy of the run's KV cache, or None.
     standby: Address | None = None
 
-    #: Whether the target is to resume the run from its standby copy.
-    from_copy: bool = False
+    #: Copy from which the target is to go on with the run, or None.
+    copy: RunCopy | None = None
 
     #: Whether a successful response is a stream, relayed as it arrives.
     is_stream: bool = False
 
+    @property
+    def from_copy(self) -> bool:
+        """Whether the run goes on from a copy of its KV cache."""
+        return self.copy is not None
+
 
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
--- a/packages/state/src/skylarktack/state/forwarding/_targets.py
+++ b/packages/state/src/skylarktack/state/forwarding/_targets.py
@@ -72,6 +72,9 @@
     #: Whether it says that it is about to stop.
     is_leaving: bool = False
 
+    #: Tokens of its KV cache that cannot be evicted, or None if unknown.
+    used_tokens: int | None = None
+
     #: Time for which it asks to receive no requests, or None.
     retry_after_s: float | None = None
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -27,10 +27,21 @@
 #: Maximum size of a target's report on itself.
 MAX_REPORT_BYTES = 256 * 1024
 
+#: Maximum wait for an engine to free a copy.
+RELEASE_TIMEOUT_S = 0.02
+
 #: Statuses of a target that is alive and refuses to report.
 _REFUSAL_STATUSES = frozenset((429, 503))
 
 
+@dataclasses.dataclass(frozen=True)
+class _TargetResponse:
+    """A complete response to a request of the frontend itself."""
+
+    head: data.ResponseHead
+    body: bytes
+
+
 class HttpExchange:
     """One request to one target and its response."""
 
@@ -54,6 +65,11 @@
         """Return the file descriptor to poll."""
         return self._connection.fileno()
 
+    @property
+    def socket(self) -> socket.socket:
+        """Return the socket to poll."""
+        return self._connection
+
     def close(self) -> None:
         """Close the connection, which cancels an unfinished request."""
         self._connection.close()
@@ -267,31 +283,120 @@
         target that refuses to report is alive, so it gets a report without
         a load.
         """
-        deadline_s = time.monotonic() + timeout_s
-        try:
-            connection = _sockets.connect(target.endpoint, timeout_s)
-        except OSError:
+        response = self._get(target, self._codec.probe_path(), timeout_s)
+        if response is None:
             return None
+        report = self._codec.decode_report(response.body)
+        retry_after_s = None
+        if response.head.status in _REFUSAL_STATUSES:
+            report = data.TargetReport(None)
+            retry_after_s = response.head.retry_after_s
+        if report is None:
+            return None
+        return dataclasses.replace(
+            report,
+            is_leaving=response.head.is_leaving,
+            retry_after_s=retry_after_s,
+        )
+
+    def cached_parts(
+        self, target: data.ListedTarget, timeout_s: float
+    ) -> frozenset[str]:
+        """Return the ids of the prompt parts that an engine has cached.
+
+        Empty without a response.
+        """
+        path = self._codec.cached_parts_path()
+        response = self._get(target, path, timeout_s)
+        if response is None or response.head.status != data.OK_STATUS:
+            return frozenset()
+        return self._codec.decode_cached_parts(response.body)
+
+    def start_copy(
+        self, order: data.CopyOrder, connect_timeout_s: float
+    ) -> HttpExchange | forwarding.ExchangeFault:
+        """Ask an engine to copy a run; the answer comes when it is done."""
+        return self._start(
+            order.engine,
+            self._codec.encode_copy_order(order),
+            connect_timeout_s,
+        )
+
+    def decode_copy(self, body: bytes) -> str | None:
+        """Return the handle of a copy, or None if it is malformed."""
+        return self._codec.decode_copy(body)
+
+    def release_copy(
+        self, engine: data.ListedTarget, copy: data.RunCopy
+    ) -> None:
+        """Free a copy; the engine frees it later if this fails."""
+        if copy.handle is None:
+            return
+        exchange = self._start(
+            engine,
+            self._codec.encode_copy_release(engine, copy.handle),
+            RELEASE_TIMEOUT_S,
+        )
+        if isinstance(exchange, forwarding.ExchangeFault):
+            return
+        # An engine may drop a request whose connection closes early.
+        _sockets.wait_for(exchange.socket, select.POLLIN, RELEASE_TIMEOUT_S)
+        exchange.close()
+
+    def _start(
+        self,
+        target: data.ListedTarget,
+        message: data.RequestMessage,
+        connect_timeout_s: float,
+    ) -> HttpExchange | forwarding.ExchangeFault:
+        """Connect to a target and send a request of the frontend itself."""
+        headers = list(message.headers)
+        if message.body:
+            length = str(len(message.body)).encode()
+            headers.append((b'Content-Length', length))
         parser = self._new_parser(MAX_REPORT_BYTES)
         outgoing = parser.encode(
             h11.Request(
-                method='GET',
-                target=self._codec.probe_path(),
-                headers=[(b'Host', str(target.endpoint).encode())],
+                method=message.method, target=message.target, headers=headers
             ),
-            b'',
+            message.body,
         )
+        try:
+            connection = _sockets.connect(target.endpoint, connect_timeout_s)
+        except OSError as error:
+            return _not_connected(error)
         exchange = HttpExchange(connection, parser, self._codec, '')
+        fault = exchange.send(outgoing)
+        if fault is not None:
+            exchange.close()
+            return fault
+        return exchange
+
+    def _get(
+        self, target: data.ListedTarget, path: bytes, timeout_s: float
+    ) -> _TargetResponse | None:
+        """Send a GET request; return the complete response, or None."""
+        deadline_s = time.monotonic() + timeout_s
+        exchange = self._start(
+            target,
+            data.RequestMessage(
+                b'GET',
+                path,
+                ((b'Host', str(target.endpoint).encode()),),
+                b'',
+            ),
+            timeout_s,
+        )
+        if isinstance(exchange, forwarding.ExchangeFault):
+            return None
         head: data.ResponseHead | None = None
         body: list[bytes] = []
         try:
-            if exchange.send(outgoing) is not None:
-                return None
             while True:
                 # A target that never stops sending is always readable.
                 remaining_s = deadline_s - time.monotonic()
                 if remaining_s <= 0 or not _sockets.wait_for(
-                    connection, select.POLLIN, remaining_s
+                    exchange.socket, select.POLLIN, remaining_s
                 ):
                     return None
                 for event in exchange.receive():
@@ -299,33 +404,15 @@
                         return None
                     if isinstance(event, data.ResponseHead):
                         head = event
+                        continue
                     if isinstance(event, forwarding.BodyChunk):
                         body.append(event.data)
-                    if isinstance(event, forwarding.ResponseEnd):
-                        return self._decode_report(head, b''.join(body))
+                        continue
+                    if head is not None:
+                        return _TargetResponse(head, b''.join(body))
         finally:
             exchange.close()
 
-    def _decode_report(
-        self, head: data.ResponseHead | None, body: bytes
-    ) -> data.TargetReport | None:
-        if head is None:
-            return None
-        report = self._codec.decode_report(body)
-        if head.status in _REFUSAL_STATUSES:
-            report = data.TargetReport(None)
-        if report is None:
-            return None
-        return dataclasses.replace(
-            report,
-            is_leaving=head.is_leaving,
-            retry_after_s=(
-                head.retry_after_s
-                if head.status in _REFUSAL_STATUSES
-                else None
-            ),
-        )
-
     def _new_parser(
         self, max_body_bytes: int
     ) -> _bounded_response.BoundedResponseParser:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
@@ -70,6 +70,32 @@
         status = 431 if 'large' in refusal.reason.value else 400
         return data.FrontResponse(status, (), refusal.reason.value.encode())
 
+    def encode_copy_order(self, order: data.CopyOrder) -> data.RequestMessage:
+        """Return a request that names the run."""
+        headers = ((b'Host', b'h'),)
+        return data.RequestMessage(
+            b'POST', b'/copy', headers, order.attempt_id.encode()
+        )
+
+    def decode_copy(self, body: bytes) -> str | None:
+        """Return the body as the handle of a copy."""
+        return body.decode() or None
+
+    def encode_copy_release(
+        self, engine: data.ListedTarget, handle: str
+    ) -> data.RequestMessage:
+        """Return a request that names the handle."""
+        path = f'/copy/{handle}'.encode()
+        return data.RequestMessage(b'DELETE', path, ((b'Host', b'h'),), b'')
+
+    def cached_parts_path(self) -> bytes:
+        """Return the path at which an engine lists its cached parts."""
+        return b'/parts'
+
+    def decode_cached_parts(self, body: bytes) -> frozenset[str]:
+        """Return the words of the body as ids of parts."""
+        return frozenset(body.decode().split())
+
     def probe_path(self) -> bytes:
         """Return the path at which a target reports its load."""
         return b'/load'
