--- a/packages/emulator/src/skylarktack/emulator/platform/_target.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_target.py
@@ -3,6 +3,7 @@
 import dataclasses
 import hashlib
 import itertools
+import json
 import socket
 import threading
 import time
@@ -91,8 +92,12 @@
         # Monotonic times at which requests arrived, refused ones included.
         self.arrived_at_s: list[float] = []
         self.lock = threading.Lock()
-        # Attempts whose memory each address keeps a copy of.
+        # Attempts, and handles of ordered copies, whose memory each address
+        # keeps a copy of.
         self.copies = copies
+        # Ids of the prompt parts that were read.
+        self.cached_parts: set[str] = set()
+        self.ordered_copies: list[str] = []
         self._connections: set[socket.socket] = set()
         self._server: _http_stand_in.StandInServer | None = None
         self._port = 0
@@ -121,6 +126,7 @@
         self.name = f'i-{next(_NUMBERS):08x}'
         self.started_at_ms = int(time.time() * 1000)
         self.is_leaving = False
+        self.cached_parts.clear()
         self.behaviour.is_frozen = False
         self._server = _http_stand_in.StandInServer(
             ('127.0.0.1', self._port), _Handler
@@ -206,14 +212,44 @@
                 },
             )
             return
+        if self.route == '/kv-list':
+            held = [['', part, 100, 'm'] for part in self._target.cached_parts]
+            self.answer_json(200, {'epoch': 1, 'next': 1, 'held': held})
+            return
         self._serve()
 
     def do_POST(self) -> None:
-        """Answer a call or a stream."""
-        self.body()
+        """Answer a call or a stream, or copy a run to another engine."""
+        body = self.body()
         self._await_thaw()
+        if self.route == '/kv-move':
+            self._copy_run(json.loads(body))
+            return
         self._serve()
 
+    def do_DELETE(self) -> None:
+        """Free a copy at both engines."""
+        handle = self.route.rpartition('/')[2]
+        for handles in self._target.copies.values():
+            handles.discard(handle)
+        self.answer(200, b'', ())
+
+    def _copy_run(self, order: dict[str, Any]) -> None:
+        with self._target.lock:
+            is_running = any(
+                run.attempt_id == order['identifier']
+                and run.ended_at_s is None
+                for run in self._target.runs
+            )
+            if is_running:
+                handle = f'copy-{next(_NUMBERS)}'
+                self._target.ordered_copies.append(handle)
+                self._target.copies[order['target']].add(handle)
+        if not is_running:
+            self.answer(404, b'', ())
+            return
+        self.answer_json(200, {'kv_handle': handle, 'created_at': 1})
+
     def _serve(self) -> None:
         with self._target.lock:
             self._target.arrived_at_s.append(time.monotonic())
@@ -247,8 +283,13 @@
     def _work(self, run: Run, is_copy: bool) -> None:
         behaviour = self._target.behaviour
         is_stream = 'Prompt-Prefix' in self.headers
-        if not is_copy:
-            time.sleep(behaviour.prompt_s if is_stream else behaviour.work_s)
+        if is_stream and not is_copy:
+            part = self._last_part()
+            if part not in self._target.cached_parts:
+                time.sleep(behaviour.prompt_s)
+            self._target.cached_parts.add(part)
+        if not is_stream:
+            time.sleep(behaviour.work_s)
         self._await_thaw()
         if behaviour.loses_answers:
             self.drop_connection()
@@ -274,7 +315,7 @@
         self._stream(run)
 
     def _stream(self, run: Run) -> None:
-        subject = self.headers['Prompt-Prefix'].split(',')[-1].split(':')[0]
+        subject = self._last_part()
         first = int(self.headers.get('Last-Event-Id') or 0) + 1
         last = int(self.headers['Token-Usage'].split(',')[1])
         standby = self.headers.get('Kv-Backup')
@@ -298,6 +339,9 @@
             return (('Server-Leaving', '1'),)
         return ()
 
+    def _last_part(self) -> str:
+        return str(self.headers['Prompt-Prefix'].split(',')[-1].split(':')[0])
+
     def _chunk(self, content: bytes) -> None:
         size = f'{len(content):x}\r\n'.encode()
         self.wfile.write(size + content + b'\r\n')
