Count half of the longest output in an engine's memory; start faster

Reading dates of Retry-After imported the email package at each start.

Change: a run counts with its prompt and half of its longest output, and a copy is placed up to a full engine.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_placement.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_placement.py
@@ -30,7 +30,7 @@
 FULL_COST = 20.0
 
 #: Fill up to which an engine is given copies of other engines' runs.
-MAX_COPY_FILL = 0.9
+MAX_COPY_FILL = 1.0
 
 #: Largest cost for which a run returns to the engine that has read its prompt
 #: instead of the engine with the least cost. A stream that was interrupted
@@ -50,7 +50,7 @@
     #: Standby copies of runs of other engines.
     standby_count: int = 0
 
-    #: Tokens of the KV cache that runs and copies use at most.
+    #: Tokens of the KV cache that runs and copies use.
     token_count: int = 0
 
     def with_run(self, run: data.RunStatus) -> 'EngineLoad':
@@ -81,7 +81,8 @@
     #: Identifies the prompt; empty for a run without one.
     affinity_key: str
 
-    #: Prompt and longest output.
+    #: Prompt and half of the longest output, which the run has generated on
+    #: average over its time.
     token_count: int
 
     #: Size of each engine's KV cache; 0 if it is unknown.
@@ -102,7 +103,7 @@
     capacity = admitted.engine
     return RunDemand(
         affinity_key=_engine_selection.affinity_key_of(request),
-        token_count=request.prompt_tokens + request.output_tokens,
+        token_count=request.prompt_tokens + request.output_tokens // 2,
         kv_cache_tokens=0 if capacity is None else capacity.kv_cache_tokens,
         is_resumed=request.last_event_id is not None,
     )
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from email import utils
 import json
 import math
 import re
@@ -293,14 +292,24 @@
     try:
         delay_s = float(text)
     except ValueError:
-        try:
-            delay_s = utils.parsedate_to_datetime(text).timestamp() - wall_s
-        except (ValueError, OverflowError, IndexError, TypeError):
-            return None
-        delay_s = max(0.0, delay_s)
+        return _parse_retry_date(text, wall_s)
     return delay_s if 0 <= delay_s < math.inf else None
 
 
+def _parse_retry_date(text: str, wall_s: float) -> float | None:
+    if not text:
+        return None
+    # Imported here because dates are rare, and the import would slow down
+    # each start of an instance.
+    from email import utils
+
+    try:
+        delay_s = utils.parsedate_to_datetime(text).timestamp() - wall_s
+    except (ValueError, OverflowError, IndexError, TypeError):
+        return None
+    return max(0.0, delay_s)
+
+
 def _parse_count(value: bytes) -> int | None:
     return int(value) if _COUNT.fullmatch(value) else None
 
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -31,8 +31,8 @@
     #: Whether the engine no longer executes the run.
     has_ended: bool = False
 
-    #: Prompt and longest output, which the KV cache holds at most; 0 if an
-    #: earlier release reported the run.
+    #: Tokens that the KV cache holds for it; 0 if an earlier release reported
+    #: the run.
     token_count: int = 0
 
 
