Split the table of targets, the log events and the waits for pauses

The list of targets, their exclusions and the events about requests have modules of their own, and calls and streams share the plan for a pause. Two unused names are removed. A settings file that is invalid at SIGHUP was logged as changed; it is not any more.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -29,10 +29,6 @@
 from skylarktack.coordination.forwarding._events import MoveStopped
 from skylarktack.coordination.forwarding._events import PeerDiscovered
 from skylarktack.coordination.forwarding._events import ReadinessChanged
-from skylarktack.coordination.forwarding._events import RequestFailed
-from skylarktack.coordination.forwarding._events import RequestLate
-from skylarktack.coordination.forwarding._events import RequestsCounted
-from skylarktack.coordination.forwarding._events import RequestServed
 from skylarktack.coordination.forwarding._events import SettingsReloaded
 from skylarktack.coordination.forwarding._events import StoreEntryMalformed
 from skylarktack.coordination.forwarding._events import StoreRecovered
@@ -68,7 +64,6 @@
 from skylarktack.coordination.forwarding._moves import MoveTable
 from skylarktack.coordination.forwarding._outcomes import CallerDisconnected
 from skylarktack.coordination.forwarding._outcomes import CallOutcome
-from skylarktack.coordination.forwarding._outcomes import ExecutionState
 from skylarktack.coordination.forwarding._outcomes import RequestStep
 from skylarktack.coordination.forwarding._outcomes import RequestTrace
 from skylarktack.coordination.forwarding._outcomes import StreamCompleted
@@ -88,6 +83,10 @@
 from skylarktack.coordination.forwarding._ports import StoreResponse
 from skylarktack.coordination.forwarding._ports import TargetClient
 from skylarktack.coordination.forwarding._ports import WaitResult
+from skylarktack.coordination.forwarding._request_events import RequestFailed
+from skylarktack.coordination.forwarding._request_events import RequestLate
+from skylarktack.coordination.forwarding._request_events import RequestsCounted
+from skylarktack.coordination.forwarding._request_events import RequestServed
 from skylarktack.coordination.forwarding._routes import RouteTable
 from skylarktack.coordination.forwarding._routes import choose_service
 from skylarktack.coordination.forwarding._run_placements import RunPlacement
@@ -212,7 +211,6 @@
     'RetryBudget',
     'RouteTable',
     'RunPlacement',
-    'ExecutionState',
     'SplitEvents',
     'StoreResponse',
     'StoreClient',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -141,19 +141,10 @@
                     return response
 
     def _plan_pause_wait(self) -> _pause_waits.PauseWait | None:
-        """Return the wait for paused targets; None if others are left."""
         if not self._may_send():
             return None
-        pause_end_s = self._targets.next_pause_end_s(
-            self._admitted.service, self._admitted.version_rule
-        )
-        if pause_end_s is None:
-            return None
-        now_s = self._clock.monotonic_s()
-        return _pause_waits.plan_pause_wait(
-            pause_end_s - now_s,
-            self._admitted.deadline_s - now_s,
-            self._admitted.route.latency_objective_ms / 1000,
+        return _pause_waits.plan_for_request(
+            self._targets, self._admitted, self._clock.monotonic_s()
         )
 
     def _wait_for_pause(self, pause: _pause_waits.PauseWait) -> bool:
@@ -339,11 +330,7 @@
                 data.RefusalReason.TARGET_FAILED, detail=self._last_fault
             )
         if pause is not None:
-            return data.Refusal(
-                data.RefusalReason.NO_TARGET,
-                round(pause.wait_s, 3),
-                'all targets asked for a pause',
-            )
+            return pause.refusal()
         return data.Refusal(
             data.RefusalReason.NO_TARGET, RETRY_AFTER_S, self._last_fault
         )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -6,7 +6,6 @@
 the record of another.
 """
 
-import threading
 from typing import Protocol
 
 from skylarktack import state
@@ -77,7 +76,6 @@
         self._fleet = fleet
         self._link = link
         self._writer = writer
-        self._never = threading.Event()
         self._next_report_s = 0.0
         self._next_write_s = 0.0
         self._report_bytes = TYPICAL_REPORT_BYTES
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_outcomes.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_outcomes.py
@@ -1,7 +1,6 @@
 """Outcomes of forwarded requests, and the trace that explains them."""
 
 import dataclasses
-import enum
 
 from skylarktack.state import forwarding as data
 
@@ -34,13 +33,6 @@
 )
 
 
-class ExecutionState(enum.Enum):
-    """Whether a target is known not to have executed a request."""
-
-    NOT_RUN = 'not_run'
-    MAY_HAVE_RUN = 'may_have_run'
-
-
 @dataclasses.dataclass(frozen=True)
 class RequestStep:
     """One decision about a request."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_pause_waits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_pause_waits.py
@@ -4,6 +4,10 @@
 import dataclasses
 import random
 
+from skylarktack.coordination.forwarding import _admitted_request
+from skylarktack.coordination.forwarding import _targets
+from skylarktack.state import forwarding as data
+
 #: Requests that wait for the same pause are spread over this fraction of it,
 #: and at most this time, so that they do not all arrive at its end.
 SPREAD_FRACTION = 0.2
@@ -21,6 +25,32 @@
     #: should be refused now, to come back after the wait.
     is_in_time: bool
 
+    def refusal(self) -> data.Refusal:
+        """Return the refusal of a request that cannot wait."""
+        return data.Refusal(
+            data.RefusalReason.NO_TARGET,
+            round(self.wait_s, 3),
+            'all targets asked for a pause',
+        )
+
+
+def plan_for_request(
+    targets: _targets.TargetTable,
+    admitted: _admitted_request.AdmittedRequest,
+    now_s: float,
+) -> PauseWait | None:
+    """Return the wait of a request; None unless all targets are paused."""
+    pause_end_s = targets.next_pause_end_s(
+        admitted.service, admitted.version_rule
+    )
+    if pause_end_s is None:
+        return None
+    return plan_pause_wait(
+        pause_end_s - now_s,
+        admitted.deadline_s - now_s,
+        admitted.route.latency_objective_ms / 1000,
+    )
+
 
 def plan_pause_wait(
     pause_s: float,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -239,7 +239,7 @@
         return self._probe()
 
     def _probe(self) -> _stream_attempts.AttemptEnd | None:
-        if self._targets.is_paused(self._target):
+        if self._targets.exclusions.is_paused(self._target):
             # It answered just now, and wants nothing more.
             self._probed_at_s = self._clock.monotonic_s()
             return None
@@ -249,7 +249,7 @@
             return self._handle_unresponsive(
                 'the engine did not answer a probe'
             )
-        self._targets.report_probe(self._target, report)
+        self._targets.exclusions.report_probe(self._target, report)
         if _is_replaced(self._target, report):
             return self._handle_unresponsive(
                 'another process answers at this address'
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
@@ -25,8 +25,6 @@
 COPY_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 3.0
 
-_OK_STATUS = 200
-
 
 class StandbyCopies:
     """The copies of one run; its relay calls it between events."""
@@ -81,7 +79,7 @@
                 return
             self._start_copy(replacement.engine)
             return
-        if self._targets.is_paused(self._engine):
+        if self._targets.exclusions.is_paused(self._engine):
             return
         destination = self._choose_destination()
         if destination is not None:
@@ -165,7 +163,7 @@
     def _finish_copy(self) -> None:
         destination = self._destination
         self.close()
-        if self._head is None or self._head.status != _OK_STATUS:
+        if self._head is None or self._head.status != data.OK_STATUS:
             return
         handle = self._dependencies.client.decode_copy(b''.join(self._body))
         if handle is None or destination is None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -91,7 +91,9 @@
                 break
             pair = self._choose(copy)
             if pair is None:
-                pause = self._plan_pause_wait()
+                pause = _pause_waits.plan_for_request(
+                    self._targets, self._admitted, self._clock.monotonic_s()
+                )
                 if pause is not None and not pause.is_in_time:
                     return self._outcome_without_stream(pause)
                 if pause is not None:
@@ -194,7 +196,7 @@
             )
             self._tried_targets.add(engine.name)
             return True
-        self._targets.report_probe(engine, report)
+        self._targets.exclusions.report_probe(engine, report)
         if not _placement.is_report_of_full_engine(report, self._demand):
             return self._targets.is_unavailable(engine)
         self._record(
@@ -246,20 +248,6 @@
         )
         return self._clock.monotonic_s() >= queue_end_s
 
-    def _plan_pause_wait(self) -> _pause_waits.PauseWait | None:
-        """Return the wait for paused engines; None if others are left."""
-        pause_end_s = self._targets.next_pause_end_s(
-            self._admitted.service, self._admitted.version_rule
-        )
-        if pause_end_s is None:
-            return None
-        now_s = self._clock.monotonic_s()
-        return _pause_waits.plan_pause_wait(
-            pause_end_s - now_s,
-            self._admitted.deadline_s - now_s,
-            self._admitted.route.latency_objective_ms / 1000,
-        )
-
     def _wait_for_pause(self, pause: _pause_waits.PauseWait) -> bool:
         """Wait; return whether the caller disconnected."""
         self._record('wait_for_pause', wait_ms=round(1000 * pause.wait_s))
@@ -357,11 +345,7 @@
             return self._progress.failure
         is_time_up = self._clock.monotonic_s() >= self._admitted.deadline_s
         if not self._has_executed and pause is not None:
-            return data.Refusal(
-                data.RefusalReason.NO_TARGET,
-                round(pause.wait_s, 3),
-                'all engines asked for a pause',
-            )
+            return pause.refusal()
         if not self._has_executed:
             reason = data.RefusalReason.NO_TARGET
             if is_time_up:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -11,6 +11,7 @@
 from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _target_exclusions
+from skylarktack.coordination.forwarding import _target_list
 from skylarktack.coordination.forwarding import _target_stats
 from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.ports import Clock
@@ -29,13 +30,6 @@
 #: this instance more recently than this.
 SUSPICION_OVERRIDE_S = 0.3
 
-#: A refusal with this status may ask for a pause.
-SERVICE_UNAVAILABLE_STATUS = 503
-
-#: Targets whose entries expired in an outage register again within this time
-#: after its end if they are alive.
-EXPIRY_GRACE_S = 2.2
-
 
 class TargetTable:
     """Targets of all services with the statistics of this instance."""
@@ -55,12 +49,12 @@
         self._moves = moves
         fleet.set_failure_listener(self)
         self._lock = threading.Lock()
-        self._targets: dict[str, data.ListedTarget] = {}
+        self._list = _target_list.TargetList()
         self._stats: dict[str, _target_stats.TargetStats] = {}
-        self._expired: dict[str, float] = {}
-        self._expiry_grace_until_s = -math.inf
         self._suspicions = _target_stats.DomainSuspicions()
-        self._exclusions = _target_exclusions.TargetExclusions()
+        self.exclusions = _target_exclusions.TargetExclusions(
+            clock, log, fleet
+        )
         self.is_synced = threading.Event()
 
     def replace(
@@ -78,7 +72,7 @@
             listed = {target.name for target in targets}
             for target in targets:
                 self._put(target)
-            for name in list(self._targets):
+            for name in list(self._list.by_name):
                 if name not in listed:
                     self._remove(name, now_s)
         self.is_synced.set()
@@ -89,21 +83,19 @@
         They are removed if they do not register again.
         """
         with self._lock:
-            self._expiry_grace_until_s = (
-                self._clock.monotonic_s() + EXPIRY_GRACE_S
-            )
+            self._list.keep_expired(self._clock.monotonic_s())
 
     def apply(self, change: data.TargetChange) -> None:
         """Apply one change that the store reports."""
         with self._lock:
             if change.target is not None:
                 self._put(change.target)
-            elif change.name in self._targets:
+            elif change.name in self._list.by_name:
                 self._remove(change.name, self._clock.monotonic_s())
 
     def find(self, name: str) -> data.ListedTarget | None:
         """Return a target by name."""
-        return self._targets.get(name)
+        return self._list.by_name.get(name)
 
     def begin_request(self, target: data.ListedTarget) -> None:
         """Record that a request is sent to the target."""
@@ -127,31 +119,11 @@
                 stats = self._stats_of(target)
                 stats.load = head.load
                 stats.load_at_s = self._clock.monotonic_s()
-        if head.is_leaving:
-            self._record_leaving(target)
-        if head.status == SERVICE_UNAVAILABLE_STATUS:
-            self._record_pause(target, head.retry_after_s)
-
-    def report_probe(
-        self, target: data.ListedTarget, report: data.TargetReport
-    ) -> None:
-        """Record what the target says of itself in answer to a probe."""
-        if report.is_leaving:
-            self._record_leaving(target)
-        self._record_pause(target, report.retry_after_s)
+        self.exclusions.report_head(target, head)
 
     def report_leaving(self, leaving: data.LeavingTarget) -> None:
         """Exclude a target because a peer heard that it is leaving."""
-        with self._lock:
-            is_new = self._exclusions.add_leaving(leaving)
-        if is_new:
-            self._log.record(_events.TargetLeaving(leaving.name, True))
-
-    def is_paused(self, target: data.ListedTarget) -> bool:
-        """Return whether the target asked to receive nothing for now."""
-        now_s = self._clock.monotonic_s()
-        with self._lock:
-            return now_s < self._exclusions.pause_end_s(target)
+        self.exclusions.report_leaving(leaving)
 
     def next_pause_end_s(
         self,
@@ -165,10 +137,10 @@
         now_s = self._clock.monotonic_s()
         end_s: float | None = None
         with self._lock:
-            for target in self._targets.values():
+            for target in self._list.by_name.values():
                 if not self._may_use(target, service, rule):
                     continue
-                pause_end_s = self._exclusions.pause_end_s(target)
+                pause_end_s = self.exclusions.pause_end_s(target)
                 if pause_end_s <= now_s:
                     return None
                 end_s = min(pause_end_s, end_s or pause_end_s)
@@ -265,7 +237,7 @@
         """Eject a target for a while because a peer found it failed."""
         now_s = self._clock.monotonic_s()
         with self._lock:
-            target = self._targets.get(name)
+            target = self._list.by_name.get(name)
             if target is None:
                 return
             stats = self._stats_of(target)
@@ -284,12 +256,12 @@
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            listed = self._targets.get(target.name)
+            listed = self._list.by_name.get(target.name)
             if listed is None or listed.is_leaving:
                 return True
-            if self._exclusions.is_leaving(listed):
+            if self.exclusions.is_leaving(listed):
                 return True
-            if now_s < self._exclusions.pause_end_s(listed):
+            if now_s < self.exclusions.pause_end_s(listed):
                 return True
             return now_s < self._stats_of(target).ejected_until_s
 
@@ -391,9 +363,7 @@
             )
 
     def _put(self, target: data.ListedTarget) -> None:
-        previous = self._targets.get(target.name)
-        self._expired.pop(target.name, None)
-        self._targets[target.name] = target
+        previous = self._list.put(target)
         if previous == target:
             return
         if (
@@ -419,22 +389,12 @@
             self._log.record(_events.TargetDraining(target.name))
 
     def _remove(self, name: str, now_s: float) -> None:
-        if now_s < self._expiry_grace_until_s:
-            self._expired.setdefault(name, self._expiry_grace_until_s)
-            return
-        del self._targets[name]
-        self._stats.pop(name, None)
-        self._expired.pop(name, None)
-        self._log.record(_events.TargetRemoved(name))
-
-    def _remove_expired(self) -> None:
-        now_s = self._clock.monotonic_s()
-        for name, until_s in list(self._expired.items()):
-            if now_s >= until_s:
-                self._remove(name, now_s)
+        if self._list.remove(name, now_s):
+            self._stats.pop(name, None)
+            self._log.record(_events.TargetRemoved(name))
 
     def _eject(self, name: str, ejection_s: float) -> None:
-        target = self._targets.get(name)
+        target = self._list.by_name.get(name)
         if target is None:
             return
         stats = self._stats_of(target)
@@ -447,18 +407,18 @@
         excluded: frozenset[str],
         rule: _version_rules.VersionRule,
     ) -> list[data.ListedTarget]:
-        if self._expired:
-            self._remove_expired()
         now_s = self._clock.monotonic_s()
+        for name in self._list.take_expired(now_s):
+            self._remove(name, now_s)
         healthy = []
         suspect = []
         ejected = []
-        for target in self._targets.values():
+        for target in self._list.by_name.values():
             if target.name in excluded:
                 continue
             if not self._may_use(target, service, rule):
                 continue
-            if now_s < self._exclusions.pause_end_s(target):
+            if now_s < self.exclusions.pause_end_s(target):
                 continue
             if now_s < self._stats_of(target).ejected_until_s:
                 ejected.append(target)
@@ -489,28 +449,7 @@
             return False
         if target.version in rule.excluded:
             return False
-        return not self._exclusions.is_leaving(target)
-
-    def _record_leaving(self, target: data.ListedTarget) -> None:
-        leaving = data.LeavingTarget(target.name, target.started_at_ms)
-        with self._lock:
-            is_new = self._exclusions.add_leaving(leaving)
-        if is_new:
-            self._fleet.record_leaving_target(leaving)
-            self._log.record(_events.TargetLeaving(target.name, False))
-
-    def _record_pause(
-        self, target: data.ListedTarget, pause_s: float | None
-    ) -> None:
-        if pause_s is None:
-            return
-        now_s = self._clock.monotonic_s()
-        with self._lock:
-            self._exclusions.forget_pauses(now_s)
-            end_s = self._exclusions.add_pause(target, pause_s, now_s)
-        self._log.record(
-            _events.TargetPaused(target.name, round(1000 * (end_s - now_s)))
-        )
+        return not self.exclusions.is_leaving(target)
 
     def _stats_of(
         self, target: data.ListedTarget
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -72,7 +72,8 @@
             continue
         signals.is_reload_requested = False
         changed = _read_settings(path, metrics_port)
-        log.record(forwarding.SettingsReloaded(changed != settings))
+        is_changed = changed is not None and changed != settings
+        log.record(forwarding.SettingsReloaded(is_changed))
     instance.stop()
     # Threads blocked on callers or the store would keep the process alive.
     os._exit(0)
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -66,7 +66,7 @@
         return self._connection.fileno()
 
     @property
-    def socket(self) -> socket.socket:
+    def connection(self) -> socket.socket:
         """Return the socket to poll."""
         return self._connection
 
@@ -340,7 +340,9 @@
         if isinstance(exchange, forwarding.ExchangeFault):
             return
         # An engine may drop a request whose connection closes early.
-        _sockets.wait_for(exchange.socket, select.POLLIN, RELEASE_TIMEOUT_S)
+        _sockets.wait_for(
+            exchange.connection, select.POLLIN, RELEASE_TIMEOUT_S
+        )
         exchange.close()
 
     def _start(
@@ -396,7 +398,7 @@
                 # A target that never stops sending is always readable.
                 remaining_s = deadline_s - time.monotonic()
                 if remaining_s <= 0 or not _sockets.wait_for(
-                    exchange.socket, select.POLLIN, remaining_s
+                    exchange.connection, select.POLLIN, remaining_s
                 ):
                     return None
                 for event in exchange.receive():
