Listen for callers before the instance is imported

The imports take 0.2 s of processor time, twice as long on the machines of the deployment, and the socket was opened after them.

Ruled out: the restart itself (the processes run again within the second).

Change: the process opens the front socket with little more than the socket module imported (8 ms after the interpreter's own start), and hands it to the listener; connections wait in its backlog. The packages on that path import their modules lazily.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from concurrent import futures
 import functools
+import socket
 import time
 
 from skylarktack import platform
@@ -55,8 +56,15 @@
     """A forwarding instance with all its components and tasks."""
 
     def __init__(
-        self, settings: data.ForwardingSettings, log: transport.LineLog
+        self,
+        settings: data.ForwardingSettings,
+        log: transport.LineLog,
+        front: socket.socket | None = None,
     ) -> None:
+        """Create all components.
+
+        :param front: socket that listens for callers already, or None.
+        """
         self._settings = settings
         self._log = log
         clock = ports.SystemClock()
@@ -142,6 +150,7 @@
             codec,
             self._connection_tasks,
             errors,
+            front,
         )
         self._listeners = [self._front]
         self._readiness_listener: transport.Listener | None = None
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import threading
 from types import FrameType
@@ -47,9 +48,11 @@
         self.received.set()
 
 
-def main() -> None:
+def main(front: socket.socket | None = None) -> None:
     """Run one instance until SIGTERM or SIGINT.
 
+    :param front: socket that listens for callers already, or None.
+
     The only argument is ``--metrics-port=PORT``. It is parsed by hand, because
     an argument parser would take more CPU time than reading the settings.
     """
@@ -62,7 +65,7 @@
     if settings is None:
         sys.exit(EXIT_INVALID_SETTINGS)
     log = transport.LineLog(settings.instance)
-    instance = _instance.ForwardingInstance(settings, log)
+    instance = _instance.ForwardingInstance(settings, log, front)
     instance.start()
     instance.record_start()
     while not signals.is_stop_requested:
--- a/packages/platform/src/skylarktack/platform/__init__.py
+++ b/packages/platform/src/skylarktack/platform/__init__.py
@@ -5,20 +5,28 @@
 planned rollout of a service from one version to another.
 """
 
-from skylarktack.platform._configuration import decode_configuration
-from skylarktack.platform._entries import decode_target
-from skylarktack.platform._fields import MalformedError
-from skylarktack.platform._instances import StorePeerRegistry
-from skylarktack.platform._messages import PlatformMessageCodec
-from skylarktack.platform._moves import MoveReader
-from skylarktack.platform._moves import StoreMoveWriter
-from skylarktack.platform._settings import PATH_VARIABLE
-from skylarktack.platform._settings import decode_settings
-from skylarktack.platform._store import ConfigurationReader
-from skylarktack.platform._store import TargetReader
+from typing import TYPE_CHECKING
+
+from skylarktack.state import lazy_exports
+
+if TYPE_CHECKING:
+    from skylarktack.platform._configuration import decode_configuration
+    from skylarktack.platform._entries import decode_target
+    from skylarktack.platform._fields import MalformedError
+    from skylarktack.platform._front_address import PATH_VARIABLE
+    from skylarktack.platform._front_address import FrontAddress
+    from skylarktack.platform._front_address import find_front_address
+    from skylarktack.platform._instances import StorePeerRegistry
+    from skylarktack.platform._messages import PlatformMessageCodec
+    from skylarktack.platform._moves import MoveReader
+    from skylarktack.platform._moves import StoreMoveWriter
+    from skylarktack.platform._settings import decode_settings
+    from skylarktack.platform._store import ConfigurationReader
+    from skylarktack.platform._store import TargetReader
 
 __all__ = [
     'ConfigurationReader',
+    'FrontAddress',
     'MalformedError',
     'MoveReader',
     'PATH_VARIABLE',
@@ -29,4 +37,24 @@
     'decode_configuration',
     'decode_settings',
     'decode_target',
+    'find_front_address',
 ]
+
+# The front socket is opened before the other modules are imported.
+_MODULE_BY_NAME = {
+    'decode_configuration': '_configuration',
+    'decode_target': '_entries',
+    'MalformedError': '_fields',
+    'StorePeerRegistry': '_instances',
+    'PlatformMessageCodec': '_messages',
+    'MoveReader': '_moves',
+    'StoreMoveWriter': '_moves',
+    'PATH_VARIABLE': '_front_address',
+    'FrontAddress': '_front_address',
+    'find_front_address': '_front_address',
+    'decode_settings': '_settings',
+    'ConfigurationReader': '_store',
+    'TargetReader': '_store',
+}
+
+__getattr__ = lazy_exports(__name__, _MODULE_BY_NAME)
--- a/packages/platform/src/skylarktack/platform/_settings.py
+++ b/packages/platform/src/skylarktack/platform/_settings.py
@@ -13,9 +13,6 @@
 
 _PORT = re.compile(r'[0-9]{1,5}')
 
-#: Environment variable with the path of the settings file.
-PATH_VARIABLE = 'SKYLARKTACK_CONFIG'
-
 
 def decode_settings(
     place: str, text: str, metrics_port: int | None = None
--- a/packages/transport/src/skylarktack/transport/forwarding/__init__.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/__init__.py
@@ -1,13 +1,23 @@
 """Socket transports of the forwarding front end."""
 
-from skylarktack.transport.forwarding._fleet_link import DatagramLink
-from skylarktack.transport.forwarding._front_connection import FrontConnection
-from skylarktack.transport.forwarding._front_connection import FrontHandler
-from skylarktack.transport.forwarding._line_log import LineLog
-from skylarktack.transport.forwarding._listener import Listener
-from skylarktack.transport.forwarding._store_client import HttpStoreCalls
-from skylarktack.transport.forwarding._target_client import HttpExchange
-from skylarktack.transport.forwarding._target_client import HttpTargetClient
+from typing import TYPE_CHECKING
+
+from skylarktack.state import lazy_exports
+
+if TYPE_CHECKING:
+    from skylarktack.transport.forwarding._fleet_link import DatagramLink
+    from skylarktack.transport.forwarding._front_connection import (
+        FrontConnection,
+    )
+    from skylarktack.transport.forwarding._front_connection import FrontHandler
+    from skylarktack.transport.forwarding._line_log import LineLog
+    from skylarktack.transport.forwarding._listener import Listener
+    from skylarktack.transport.forwarding._listening import listen
+    from skylarktack.transport.forwarding._store_client import HttpStoreCalls
+    from skylarktack.transport.forwarding._target_client import HttpExchange
+    from skylarktack.transport.forwarding._target_client import (
+        HttpTargetClient,
+    )
 
 __all__ = [
     'DatagramLink',
@@ -18,4 +28,20 @@
     'HttpTargetClient',
     'LineLog',
     'Listener',
+    'listen',
 ]
+
+# The front socket is opened before the other modules are imported.
+_MODULE_BY_NAME = {
+    'DatagramLink': '_fleet_link',
+    'FrontConnection': '_front_connection',
+    'FrontHandler': '_front_connection',
+    'LineLog': '_line_log',
+    'Listener': '_listener',
+    'listen': '_listening',
+    'HttpStoreCalls': '_store_client',
+    'HttpExchange': '_target_client',
+    'HttpTargetClient': '_target_client',
+}
+
+__getattr__ = lazy_exports(__name__, _MODULE_BY_NAME)
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -9,7 +9,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport.forwarding import _front_connection
-from skylarktack.transport.forwarding import _sockets
+from skylarktack.transport.forwarding import _listening
 
 #: Pause after a failed accept, for example without free file descriptors.
 ACCEPT_RETRY_S = 0.05
@@ -25,8 +25,15 @@
         codec: forwarding.MessageCodec,
         tasks: futures.Executor,
         errors: forwarding.ErrorRecorder,
+        opened: socket.socket | None = None,
     ) -> None:
-        self._socket = _sockets.listen(endpoint)
+        """Listen at an address.
+
+        :param opened: socket that listens there already, or None.
+        """
+        self._socket = opened or _listening.listen(
+            endpoint.host, endpoint.port
+        )
         self._handler = handler
         self._codec = codec
         self._tasks = tasks
--- a/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
@@ -14,9 +14,6 @@
 #: The connection is closed when sent bytes stay unacknowledged for longer.
 UNACKNOWLEDGED_LIMIT_MS = 3000
 
-#: Maximum number of connections that wait to be accepted.
-BACKLOG_COUNT = 512
-
 #: Maximum bytes of one read.
 READ_SIZE_BYTES = 65536
 
@@ -58,22 +55,6 @@
     return connection
 
 
-def listen(endpoint: data.Address) -> socket.socket:
-    """Return a listening socket.
-
-    :raises OSError: if the address cannot be used.
-    """
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((endpoint.host, endpoint.port))
-        listener.listen(BACKLOG_COUNT)
-    except BaseException:
-        listener.close()
-        raise
-    return listener
-
-
 def wait_for(connection: socket.socket, events: int, timeout_s: float) -> int:
     """Wait for poll events of a socket; return them, or 0 on timeout."""
     poller = select.poll()
