Accept waiting connections before a planned stop closes the listener

Cause: closing the listening socket resets the connections in its backlog with the requests that were sent on them.

Change: the close waits up to 0.2 s until nothing waits to be accepted.

Figures: test_waiting_connections_are_served fails without the wait (40 connections reset). TestPlannedStop, with twelve callers and SIGTERM between and at the arrival of calls, passed before as well.

--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import contextlib
+import select
 import socket
 import threading
 import time
@@ -10,10 +11,16 @@
 from skylarktack.state import forwarding as data
 from skylarktack.transport.forwarding import _front_connection
 from skylarktack.transport.forwarding import _listening
+from skylarktack.transport.forwarding import _sockets
 
 #: Pause after a failed accept, for example without free file descriptors.
 ACCEPT_RETRY_S = 0.05
 
+#: Maximum wait of a close for connections that are not accepted yet, and the
+#: interval at which it checks.
+MAX_ACCEPT_WAIT_S = 0.2
+ACCEPT_CHECK_INTERVAL_S = 0.002
+
 
 class Listener:
     """Accepts connections on one address and tracks those that are open."""
@@ -80,7 +87,16 @@
             connection.close_if_idle()
 
     def close(self) -> None:
-        """Stop accepting; open connections are not affected."""
+        """Stop accepting; open connections are not affected.
+
+        Connections that wait to be accepted are accepted first: closing the
+        socket would reset them, with their requests.
+        """
+        end_s = time.monotonic() + MAX_ACCEPT_WAIT_S
+        while time.monotonic() < end_s and _sockets.wait_for(
+            self._socket, select.POLLIN, 0.0
+        ):
+            time.sleep(ACCEPT_CHECK_INTERVAL_S)
         self._is_closed = True
         # shutdown() fails if the socket has never accepted a connection.
         with contextlib.suppress(OSError):
