Copy a run once, and only for a standby engine that has left the list

Relays ordered 855 copies: one every two seconds for each run without a standby, and for engines that were ejected for half a second. A copy takes memory, a slot and the links; 41 runs were preempted, 220 arrivals rejected, and 164 streams late instead of 54.

Change: a run is copied once, when its standby engine has left the list or is draining.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
@@ -16,10 +16,6 @@
 from skylarktack.coordination.forwarding import _stream_attempts
 from skylarktack.state import forwarding as data
 
-#: Time after which a replacement copy is brought up to date. What it lacks is
-#: read again before the run goes on.
-REFRESH_INTERVAL_S = 2.0
-
 #: Time for which an engine may work on a copy, and the pause after a failed
 #: one.
 COPY_TIMEOUT_S = 2.0
@@ -46,7 +42,6 @@
         self._standby = standby
         #: The replacement copy, or None while there is none.
         self._replacement: data.RunCopy | None = None
-        self._copied_at_s = -math.inf
         self._exchange: _ports.Exchange | None = None
         self._destination: data.ListedTarget | None = None
         self._started_at_s = -math.inf
@@ -69,15 +64,12 @@
             if now_s >= self._started_at_s + COPY_TIMEOUT_S:
                 self._abandon_copy()
             return
-        if self._standby is not None and not self._is_lost(self._standby):
+        if self._standby is not None and not self._is_gone(self._standby):
             return
         if now_s < self._started_at_s + RETRY_PAUSE_S:
             return
         replacement = self._replacement
-        if replacement is not None and not self._is_lost(replacement.engine):
-            if now_s < self._copied_at_s + REFRESH_INTERVAL_S:
-                return
-            self._start_copy(replacement.engine)
+        if replacement is not None and not self._is_gone(replacement.engine):
             return
         if self._targets.exclusions.is_paused(self._engine):
             return
@@ -127,6 +119,15 @@
                 self._engine, self._replacement
             )
 
+    def _is_gone(self, engine: data.ListedTarget) -> bool:
+        """Return whether the list no longer offers an engine.
+
+        An engine that is only ejected or suspected mostly comes back, and
+        copies take memory, slots and links from other runs.
+        """
+        listed = self._targets.find(engine.name)
+        return listed is None or listed.is_leaving
+
     def _is_lost(self, engine: data.ListedTarget) -> bool:
         return self._targets.is_unavailable(engine)
 
@@ -171,7 +172,6 @@
         self._replacement = data.RunCopy(
             destination, self._engine.endpoint, handle
         )
-        self._copied_at_s = self._clock.monotonic_s()
         if self._run_status.standby != destination.name:
             self._run_status = dataclasses.replace(
                 self._run_status,
