--- a/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
@@ -2,8 +2,9 @@
 
 An engine copies the KV cache of a run to the standby engine by itself. When
 the standby engine is lost, the run has no copy left and would be read again
-from its prompt after the next loss, so the copy is replaced: the engine is
-asked to copy the run to another one, and again as the run grows.
+from its prompt after the next loss, so its engine is asked to copy it to
+another one, once. What the run generates after that is read again before it
+goes on, which takes a fraction of a second.
 """
 
 import dataclasses
