--- a/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
@@ -100,10 +100,10 @@
         """Return a copy from which the run can go on, or None."""
         if not self._admitted.has_standby_copies:
             return None
-        if self._standby is not None and not self._is_lost(self._standby):
+        if self._standby is not None and not self._is_unavailable(self._standby):
             return data.RunCopy(self._standby)
         replacement = self._replacement
-        if replacement is None or self._is_lost(replacement.engine):
+        if replacement is None or self._is_unavailable(replacement.engine):
             return None
         return replacement
 
@@ -129,7 +129,7 @@
         listed = self._targets.find(engine.name)
         return listed is None or listed.is_leaving
 
-    def _is_lost(self, engine: data.ListedTarget) -> bool:
+    def _is_unavailable(self, engine: data.ListedTarget) -> bool:
         return self._targets.is_unavailable(engine)
 
     def _choose_destination(self) -> data.ListedTarget | None:
