--- a/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
@@ -100,7 +100,9 @@
         """Return a copy from which the run can go on, or None."""
         if not self._admitted.has_standby_copies:
             return None
-        if self._standby is not None and not self._is_unavailable(self._standby):
+        if self._standby is not None and not self._is_unavailable(
+            self._standby
+        ):
             return data.RunCopy(self._standby)
         replacement = self._replacement
         if replacement is None or self._is_unavailable(replacement.engine):
