Load an instance's modules before it serves, from its own libraries

Callers saw: while a service moved to another version, requests on kept connections got no answer or a 502 after the target had answered 200, from the order to the verdict.

Cause: MoveTable.record_outcome used moves.latency_sums, which its package imports at first use. The module behind it, of the product's own front end, imports structlog, expression and websockets, which deploy/requirements.txt does not install. The import failed anew in each request of the service.

Ruled out: closed kept connections, since only requests of the moving service failed, each with this error.

Change: latency_sums has a module of its own, and an instance imports all that it can reach before it reads its settings, so that a missing module ends the start and not a request. The metrics library is still imported on the first scrape. A new test builds the tree with deploy/build.sh, runs it without any other installed package, follows lazy exports through its source to all reachable modules, and plays a move of a plain service and of engines. All its four cases failed before; the tests' environment had hidden the cause.

--- a/packages/coordination/src/skylarktack/coordination/moves/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/__init__.py
@@ -27,12 +27,12 @@
     from skylarktack.coordination.moves._driver import LeasedMoveDriver
     from skylarktack.coordination.moves._evidence import EvidenceCollector
     from skylarktack.coordination.moves._evidence import EvidenceReports
-    from skylarktack.coordination.moves._evidence import latency_sums
     from skylarktack.coordination.moves._judging import Judge
     from skylarktack.coordination.moves._judging import Judgement
     from skylarktack.coordination.moves._judging import SequentialJudge
     from skylarktack.coordination.moves._judging import ThresholdJudge
     from skylarktack.coordination.moves._judging import add_rows
+    from skylarktack.coordination.moves._latencies import latency_sums
     from skylarktack.coordination.moves._loading import FIRST_WAVE_COUNT
     from skylarktack.coordination.moves._loading import LoadProgress
     from skylarktack.coordination.moves._loading import TargetDirectory
@@ -82,7 +82,7 @@
     'MoveCodec': '_codec',
     'EvidenceReports': '_evidence',
     'EvidenceCollector': '_evidence',
-    'latency_sums': '_evidence',
+    'latency_sums': '_latencies',
     'add_rows': '_judging',
     'Judge': '_judging',
     'Judgement': '_judging',
--- a/packages/coordination/src/skylarktack/coordination/moves/_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_evidence.py
@@ -1,12 +1,12 @@
 """Evidence on versions: counts of this instance and reports of others."""
 
 import dataclasses
-import math
 import threading
 
 from skylarktack import state
 from skylarktack.coordination import ports
 from skylarktack.coordination.moves import _judging
+from skylarktack.coordination.moves import _latencies
 from skylarktack.coordination.moves import _table
 
 #: Successes on the new version between two evaluations of this instance's own
@@ -164,14 +164,6 @@
             self._reports.pop(name, None)
 
 
-def latency_sums(value_ms: float | None) -> state.LatencySums:
-    """Return the sums for a single latency, empty for None."""
-    if value_ms is None:
-        return state.LatencySums()
-    logarithm = math.log(max(0.01, value_ms))
-    return state.LatencySums(1, logarithm, logarithm * logarithm)
-
-
 def _row_of(
     outcome: state.TargetOutcome, domain: state.FailureDomain
 ) -> state.EvidenceRow:
@@ -179,8 +171,8 @@
         version=outcome.version,
         failure_domain=domain,
         attempt_count=1,
-        first_token=latency_sums(outcome.first_token_ms),
-        inter_token=latency_sums(outcome.inter_token_ms),
+        first_token=_latencies.latency_sums(outcome.first_token_ms),
+        inter_token=_latencies.latency_sums(outcome.inter_token_ms),
     )
     if outcome.kind in _ERROR_KINDS:
         return dataclasses.replace(row, error_count=1)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/__init__.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/__init__.py
@@ -7,9 +7,11 @@
 if TYPE_CHECKING:
     from skylarktack.daemon.forwarding._instance import ForwardingInstance
     from skylarktack.daemon.forwarding._main import main
+    from skylarktack.daemon.forwarding._modules import load_modules
 
 __all__ = [
     'ForwardingInstance',
+    'load_modules',
     'main',
 ]
 
@@ -17,6 +19,7 @@
 _MODULE_BY_NAME = {
     'ForwardingInstance': '_instance',
     'main': '_main',
+    'load_modules': '_modules',
 }
 
 __getattr__ = lazy_exports(__name__, _MODULE_BY_NAME)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -11,6 +11,7 @@
 from skylarktack import platform
 from skylarktack.coordination import forwarding
 from skylarktack.daemon.forwarding import _instance
+from skylarktack.daemon.forwarding import _modules
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
 
@@ -60,6 +61,7 @@
     signals = _Signals()
     signals.install()
     threading.stack_size(THREAD_STACK_BYTES)
+    _modules.load_modules()
     path = os.environ.get(platform.PATH_VARIABLE, '')
     settings = _read_settings(path, metrics_port)
     if settings is None:
--- a/packages/emulator/src/skylarktack/emulator/platform/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/__init__.py
@@ -6,6 +6,7 @@
 from skylarktack.emulator.platform._caller import new_attempt_id
 from skylarktack.emulator.platform._caller import read_stream
 from skylarktack.emulator.platform._deployment import INSTANCE_MODULE
+from skylarktack.emulator.platform._deployment import ISOLATING_FLAGS
 from skylarktack.emulator.platform._deployment import PlatformDeployment
 from skylarktack.emulator.platform._deployment import PlatformInstance
 from skylarktack.emulator.platform._deployment import address_in_line
@@ -25,6 +26,7 @@
     'HOST',
     'address_in_line',
     'INSTANCE_MODULE',
+    'ISOLATING_FLAGS',
     'KEY',
     'Answer',
     'Attempt',
--- a/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
@@ -23,6 +23,10 @@
 #: Module that runs an instance.
 INSTANCE_MODULE = 'skylarktack.daemon.forwarding'
 
+#: Flags with which Python finds no installed packages but those in
+#: PYTHONPATH.
+ISOLATING_FLAGS = ('-S', '-s')
+
 #: Longest wait for a process to start, to be ready or to end.
 PATIENCE_S = 60.0
 
@@ -33,9 +37,20 @@
     """One instance in a process of its own."""
 
     def __init__(
-        self, name: str, domain: str, folder: pathlib.Path, store: str
+        self,
+        name: str,
+        domain: str,
+        folder: pathlib.Path,
+        store: str,
+        tree: pathlib.Path | None = None,
     ) -> None:
+        """Prepare an instance; it is not started.
+
+        :param tree: folder from which the instance imports everything but
+            the standard library, or None for the environment of the tests.
+        """
         self.name = name
+        self._tree = tree
         self._domain = domain
         self._path = folder / f'{name}.conf'
         self._store = store
@@ -68,9 +83,9 @@
         """Start the process and wait until it listens."""
         self._path.write_text(self._settings(), encoding='utf-8')
         self.process = subprocess.Popen(
-            [sys.executable, '-m', INSTANCE_MODULE],
+            self._command(),
             stdout=subprocess.PIPE,
-            env=os.environ | {PATH_VARIABLE: str(self._path)},
+            env=self._environment(),
         )
         threading.Thread(
             target=self._read_log, args=(self.process,), daemon=True
@@ -79,6 +94,18 @@
         for name in self._ports:
             self._ports[name] = _port_of(started, name)
 
+    def _command(self) -> list[str]:
+        if self._tree is None:
+            return [sys.executable, '-m', INSTANCE_MODULE]
+        return [sys.executable, *ISOLATING_FLAGS, '-m', INSTANCE_MODULE]
+
+    def _environment(self) -> dict[str, str]:
+        environment = dict(os.environ)
+        environment[PATH_VARIABLE] = str(self._path)
+        if self._tree is not None:
+            environment['PYTHONPATH'] = str(self._tree)
+        return environment
+
     def signal(self, number: int) -> None:
         """Send a signal if the process runs."""
         if self.process is not None and self.is_running:
@@ -158,7 +185,13 @@
         engine_count: int = 3,
         service_count: int = 2,
         has_proxies: bool = False,
+        tree: pathlib.Path | None = None,
     ) -> None:
+        """Create store, targets and instances.
+
+        :param tree: folder from which the instances import everything but
+            the standard library, or None for the environment of the tests.
+        """
         self._folder = tempfile.TemporaryDirectory()
         self.store = _store.PlatformStore()
         self.copies: dict[str, set[str]] = {}
@@ -180,6 +213,7 @@
                     DOMAINS[number % len(DOMAINS)],
                     pathlib.Path(self._folder.name),
                     str(address),
+                    tree,
                 )
             )
 
@@ -260,13 +294,14 @@
 
         :param is_bad: whether each of its runs fails.
         """
-        domain = DOMAINS[len(self.services) % len(DOMAINS)]
-        target = _target.PlatformTarget('desk', domain, self.copies, version)
+        target = self._add_target('desk', self.services, version)
         target.has_bad_version = is_bad
-        self.services.append(target)
-        self.enter(target)
         return target
 
+    def add_engine(self, version: str) -> _target.PlatformTarget:
+        """Start an engine of another version beside the others."""
+        return self._add_target('pool', self.engines, version)
+
     def wait_serving(self, instance: PlatformInstance) -> None:
         """Wait until an instance knows configuration and targets."""
         instance.wait_for_line('configuration', 'configuration applied')
@@ -284,6 +319,18 @@
                 runs.extend(target.runs)
         return runs
 
+    def _add_target(
+        self,
+        service: str,
+        others: list[_target.PlatformTarget],
+        version: str,
+    ) -> _target.PlatformTarget:
+        domain = DOMAINS[len(others) % len(DOMAINS)]
+        target = _target.PlatformTarget(service, domain, self.copies, version)
+        others.append(target)
+        self.enter(target)
+        return target
+
     def _targets(
         self, service: str, count: int, has_proxies: bool
     ) -> list[_target.PlatformTarget]:
