Keep an answer when the accounting of its request fails

Callers saw: a 502, or a cut stream, in place of an answer that the target had given whole, and a closed connection before that.

Cause: outcomes are counted on the path of the answer, so any error in the statistics of a target, the evidence of a move, the report of a run, a standby copy or the log of the request replaced the answer.

Change: the reports of the target table, the end of a run, the handling of standby copies and the request report record an error, with its place, instead of raising it; the log line and the counter of unexpected errors stay.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -211,24 +211,26 @@
         finally:
             with self._lock:
                 self._active_count -= 1
-        self.dependencies.observer.on_request_end(
-            RequestReport(
-                request=request,
-                route=route.name if route else None,
-                kind=route.kind if route else None,
-                latency_objective_ms=(
-                    route.latency_objective_ms if route else None
-                ),
-                organisation=organisation,
-                configuration_version=(
-                    None if table is None else table.configuration.version
-                ),
-                is_configuration_current=is_current,
-                outcome=outcome,
-                duration_ms=1000 * (self._clock.monotonic_s() - started_at_s),
-                steps=tuple(trace.steps),
+        with self.dependencies.errors.contain('request report'):
+            self.dependencies.observer.on_request_end(
+                RequestReport(
+                    request=request,
+                    route=route.name if route else None,
+                    kind=route.kind if route else None,
+                    latency_objective_ms=(
+                        route.latency_objective_ms if route else None
+                    ),
+                    organisation=organisation,
+                    configuration_version=(
+                        None if table is None else table.configuration.version
+                    ),
+                    is_configuration_current=is_current,
+                    outcome=outcome,
+                    duration_ms=1000
+                    * (self._clock.monotonic_s() - started_at_s),
+                    steps=tuple(trace.steps),
+                )
             )
-        )
         return outcome
 
     def _wait_until_synced(self, request: data.FrontRequest) -> None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -121,9 +121,10 @@
                         self._admitted.route.name,
                         1000 * first_event_s,
                     )
-                self._dependencies.fleet.record_run(
-                    dataclasses.replace(run_status, is_prefilling=False)
-                )
+                with self._dependencies.errors.contain('run report'):
+                    self._dependencies.fleet.record_run(
+                        dataclasses.replace(run_status, is_prefilling=False)
+                    )
 
     def handle_fault(
         self, fault: _ports.ExchangeFault
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
@@ -22,6 +22,9 @@
 COPY_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 3.0
 
+#: Place of errors in the handling of copies.
+_PLACE = 'standby copies'
+
 
 class StandbyCopies:
     """The copies of one run; its relay calls it between events."""
@@ -58,6 +61,10 @@
 
     def maintain(self) -> None:
         """Start a replacement copy if the run has no usable one."""
+        with self._dependencies.errors.contain(_PLACE):
+            self._start_copy_if_due()
+
+    def _start_copy_if_due(self) -> None:
         if not self._admitted.has_standby_copies:
             return
         now_s = self._clock.monotonic_s()
@@ -82,7 +89,15 @@
         """Handle what the engine answers to the request for a copy."""
         if self._exchange is None or self._exchange not in ready:
             return
-        for event in self._exchange.receive():
+        try:
+            self._receive_events(self._exchange)
+        except Exception as error:
+            # An exchange that stays ready would be read again at once.
+            self._dependencies.errors.record(_PLACE, error)
+            self._abandon_copy()
+
+    def _receive_events(self, exchange: _ports.Exchange) -> None:
+        for event in exchange.receive():
             if isinstance(event, _ports.ExchangeFault):
                 self._abandon_copy()
                 return
@@ -117,7 +132,9 @@
 
     def release(self) -> None:
         """Free the replacement copy of a run that is complete."""
-        if self._replacement is not None:
+        if self._replacement is None:
+            return
+        with self._dependencies.errors.contain(_PLACE):
             self._dependencies.client.release_copy(
                 self._engine, self._replacement
             )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
@@ -6,6 +6,7 @@
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _supervision
 from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -29,6 +30,9 @@
     #: Creates a splitter for the bytes that one engine sends.
     new_splitter: type[_ports.EventSplitter]
 
+    #: Records errors of copies and run reports, which no stream depends on.
+    errors: _supervision.ErrorRecorder
+
 
 @dataclasses.dataclass
 class StreamProgress:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -334,7 +334,8 @@
                 copies.close()
         finally:
             self._targets.end_request(target)
-            self._dependencies.fleet.record_run_end(run_status)
+            with self._dependencies.errors.contain('run report'):
+                self._dependencies.fleet.record_run_end(run_status)
 
     def _outcome_without_stream(
         self, pause: _pause_waits.PauseWait | None
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_supervision.py
@@ -1,6 +1,8 @@
 """Supervision of background tasks, and a record of unexpected errors."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import threading
 import traceback
 
@@ -53,6 +55,19 @@
             )
         )
 
+    @contextlib.contextmanager
+    def contain(self, place: str) -> Iterator[None]:
+        """Record an error of the block instead of raising it.
+
+        For accounting, which must not affect the request that it describes.
+
+        :param place: see :meth:`record`.
+        """
+        try:
+            yield
+        except Exception as error:
+            self.record(place, error)
+
     def counts(self) -> dict[str, int]:
         """Return the number of errors since the start, by place."""
         with self._lock:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -10,6 +10,7 @@
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _placement
+from skylarktack.coordination.forwarding import _supervision
 from skylarktack.coordination.forwarding import _target_exclusions
 from skylarktack.coordination.forwarding import _target_list
 from skylarktack.coordination.forwarding import _target_stats
@@ -30,6 +31,9 @@
 #: this instance more recently than this.
 SUSPICION_OVERRIDE_S = 0.3
 
+#: Place of errors in the accounting of requests.
+_ACCOUNTING = 'target accounting'
+
 
 class TargetTable:
     """Targets of all services with the statistics of this instance."""
@@ -41,7 +45,9 @@
         failure_domain: str,
         fleet: _fleet.FleetView,
         moves: _moves.MoveTable,
+        errors: _supervision.ErrorRecorder,
     ) -> None:
+        self._errors = errors
         self._clock = clock
         self._log = log
         self._failure_domain = failure_domain
@@ -99,13 +105,14 @@
 
     def begin_request(self, target: data.ListedTarget) -> None:
         """Record that a request is sent to the target."""
-        self._moves.record_send(target)
-        with self._lock:
-            self._stats_of(target).in_flight_count += 1
+        with self._errors.contain(_ACCOUNTING):
+            self._moves.record_send(target)
+            with self._lock:
+                self._stats_of(target).in_flight_count += 1
 
     def end_request(self, target: data.ListedTarget) -> None:
         """Record that a request at the target has ended."""
-        with self._lock:
+        with self._errors.contain(_ACCOUNTING), self._lock:
             stats = self._stats.get(target.name)
             if stats is not None and stats.in_flight_count > 0:
                 stats.in_flight_count -= 1
@@ -114,12 +121,13 @@
         self, target: data.ListedTarget, head: data.ResponseHead
     ) -> None:
         """Record what the target says of itself in the head of a response."""
-        if head.load is not None:
-            with self._lock:
-                stats = self._stats_of(target)
-                stats.load = head.load
-                stats.load_at_s = self._clock.monotonic_s()
-        self.exclusions.report_head(target, head)
+        with self._errors.contain(_ACCOUNTING):
+            if head.load is not None:
+                with self._lock:
+                    stats = self._stats_of(target)
+                    stats.load = head.load
+                    stats.load_at_s = self._clock.monotonic_s()
+            self.exclusions.report_head(target, head)
 
     def report_leaving(self, leaving: data.LeavingTarget) -> None:
         """Exclude a target because a peer heard that it is leaving."""
@@ -154,35 +162,41 @@
         is_error: bool,
     ) -> None:
         """Record a response or a complete stream; end the ejection."""
-        now_s = self._clock.monotonic_s()
-        with self._lock:
-            stats = self._stats_of(target)
-            stats.record_latency(latency_ms, now_s)
-            stats.record_response(is_error)
-            stats.last_seen_at_s = now_s
-            stats.failure_count = 0
-            stats.ejected_until_s = -math.inf
-        kind = state.OutcomeKind.SUCCESS
-        if is_error:
-            kind = state.OutcomeKind.ERROR
-        # The runs of an engine are counted at their first event.
-        is_counted = is_error or not target.models
-        self._moves.record_outcome(
-            target, route, kind, latency_ms if is_counted else None, is_counted
-        )
+        with self._errors.contain(_ACCOUNTING):
+            now_s = self._clock.monotonic_s()
+            with self._lock:
+                stats = self._stats_of(target)
+                stats.record_latency(latency_ms, now_s)
+                stats.record_response(is_error)
+                stats.last_seen_at_s = now_s
+                stats.failure_count = 0
+                stats.ejected_until_s = -math.inf
+            kind = state.OutcomeKind.SUCCESS
+            if is_error:
+                kind = state.OutcomeKind.ERROR
+            # The runs of an engine are counted at their first event.
+            is_counted = is_error or not target.models
+            self._moves.record_outcome(
+                target,
+                route,
+                kind,
+                latency_ms if is_counted else None,
+                is_counted,
+            )
 
     def report_first_event(
         self, target: data.ListedTarget, route: str, latency_ms: float
     ) -> None:
         """Record that an engine finished prefill and began to generate."""
-        if target.models:
-            self._moves.record_outcome(
-                target, route, state.OutcomeKind.SUCCESS, latency_ms
-            )
+        with self._errors.contain(_ACCOUNTING):
+            if target.models:
+                self._moves.record_outcome(
+                    target, route, state.OutcomeKind.SUCCESS, latency_ms
+                )
 
     def report_alive(self, target: data.ListedTarget) -> None:
         """Record that the target is alive."""
-        with self._lock:
+        with self._errors.contain(_ACCOUNTING), self._lock:
             self._stats_of(target).last_seen_at_s = self._clock.monotonic_s()
 
     def report_failure(
@@ -193,25 +207,28 @@
         :param is_loss: whether the target seems to have stopped, which
             counts towards the suspicion of its failure domain.
         """
-        now_s = self._clock.monotonic_s()
-        with self._lock:
-            stats = self._stats_of(target)
-            stats.failure_count += 1
-            ejection_s = min(
-                MAX_EJECTION_S,
-                FIRST_EJECTION_S * 2 ** (stats.failure_count - 1),
-            )
-            stats.ejected_until_s = now_s + ejection_s
+        with self._errors.contain(_ACCOUNTING):
+            now_s = self._clock.monotonic_s()
+            with self._lock:
+                stats = self._stats_of(target)
+                stats.failure_count += 1
+                ejection_s = min(
+                    MAX_EJECTION_S,
+                    FIRST_EJECTION_S * 2 ** (stats.failure_count - 1),
+                )
+                stats.ejected_until_s = now_s + ejection_s
+                if is_loss:
+                    self._suspicions.record_loss(target, now_s)
+            kind = state.OutcomeKind.ERROR
             if is_loss:
-                self._suspicions.record_loss(target, now_s)
-        kind = state.OutcomeKind.ERROR
-        if is_loss:
-            self._fleet.record_failed_target(target.name)
-            kind = state.OutcomeKind.CONNECTION_LOST
-        self._moves.record_outcome(target, route, kind)
-        self._log.record(
-            _events.TargetEjected(target.name, cause, round(ejection_s * 1000))
-        )
+                self._fleet.record_failed_target(target.name)
+                kind = state.OutcomeKind.CONNECTION_LOST
+            self._moves.record_outcome(target, route, kind)
+            self._log.record(
+                _events.TargetEjected(
+                    target.name, cause, round(ejection_s * 1000)
+                )
+            )
 
     def report_timeout(
         self, target: data.ListedTarget, route: str, sent_at_s: float
@@ -221,17 +238,20 @@
         A target that responded to other requests meanwhile is not ejected:
         the timeout of the route may be too short for its requests.
         """
-        with self._lock:
-            stats = self._stats_of(target)
-            is_hanging = stats.last_seen_at_s <= sent_at_s
+        with self._errors.contain(_ACCOUNTING):
+            with self._lock:
+                stats = self._stats_of(target)
+                is_hanging = stats.last_seen_at_s <= sent_at_s
+                if not is_hanging:
+                    stats.record_response(is_error=True)
             if not is_hanging:
-                stats.record_response(is_error=True)
-        if not is_hanging:
-            self._moves.record_outcome(target, route, state.OutcomeKind.SILENT)
-            return
-        self.report_failure(
-            target, route, 'no response before the deadline', is_loss=False
-        )
+                self._moves.record_outcome(
+                    target, route, state.OutcomeKind.SILENT
+                )
+                return
+            self.report_failure(
+                target, route, 'no response before the deadline', is_loss=False
+            )
 
     def report_suspicion(self, name: str) -> None:
         """Eject a target for a while because a peer found it failed."""
@@ -274,9 +294,10 @@
         self, target: data.ListedTarget, route: str, cause: str
     ) -> None:
         """Record that the target's address refuses connections."""
-        self.report_failure(target, route, cause, is_loss=True)
-        with self._lock:
-            self._eject(target.name, REFUSED_EJECTION_S)
+        with self._errors.contain(_ACCOUNTING):
+            self.report_failure(target, route, cause, is_loss=True)
+            with self._lock:
+                self._eject(target.name, REFUSED_EJECTION_S)
 
     def report_replaced(self, name: str) -> None:
         """Eject a target for good because another one has its address."""
@@ -286,9 +307,10 @@
 
     def report_misdirected(self, target: data.ListedTarget) -> None:
         """Record that another target responded at the address."""
-        self.report_replaced(target.name)
-        self._fleet.record_replaced_target(target.name)
-        self._log.record(_events.TargetMisdirected(target.name))
+        with self._errors.contain(_ACCOUNTING):
+            self.report_replaced(target.name)
+            self._fleet.record_replaced_target(target.name)
+            self._log.record(_events.TargetMisdirected(target.name))
 
     def choose_for_call(
         self,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -308,7 +308,10 @@
         draw=random.Random(1).random,
     )
     move_table.is_synced.set()
-    targets = forwarding.TargetTable(clock, log, 'domain-a', fleet, move_table)
+    errors = forwarding.ErrorRecorder(clock, log)
+    targets = forwarding.TargetTable(
+        clock, log, 'domain-a', fleet, move_table, errors
+    )
     targets.replace(listed, after_outage=False)
     budget = forwarding.RetryBudget(
         clock,
@@ -323,6 +326,7 @@
             fleet=fleet,
             budget=budget,
             new_splitter=_Splitter,
+            errors=errors,
         )
     )
     return Harness(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -181,6 +181,7 @@
                 fleet=env.fleet,
                 budget=env.budget,
                 new_splitter=_OversizedOnce,
+                errors=forwarding.ErrorRecorder(env.clock, env.log),
             )
         )
         kind = data.RequestKind.STREAM
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -1,5 +1,7 @@
 """Tests of background tasks that fail, and of unexpected errors."""
 
+import pytest
+
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding.tests import harness
@@ -90,3 +92,88 @@
         assert reports[0].outcome is outcome
         assert 'unexpected error' in env.log.messages('instance')
         assert gateway.gateway.active_count() == 0
+
+
+class _FailingObserver:
+    """Fails at each report."""
+
+    def on_request_end(self, report: forwarding.RequestReport) -> None:
+        raise ValueError('odd report')
+
+
+def _fail(*arguments: object, **options: object) -> None:
+    raise ValueError('odd value')
+
+
+class TestAccountingErrors:
+    """An error in an account of a request leaves its answer alone."""
+
+    @pytest.mark.parametrize(
+        'method',
+        ['record_send', 'record_outcome'],
+    )
+    @pytest.mark.parametrize('status', [200, 500])
+    def test_call_keeps_its_answer(
+        self, monkeypatch: pytest.MonkeyPatch, method: str, status: int
+    ) -> None:
+        """Guards against a 502 in place of an answer of the target."""
+        env = harness.make_harness(harness.target('only'))
+        monkeypatch.setattr(env.moves, method, _fail)
+        env.client.script('only', harness.answer_script(status))
+        outcome = env.call(harness.route(data.RequestKind.NON_IDEMPOTENT))
+        assert isinstance(outcome, data.FrontResponse)
+        assert outcome.status == status
+        places = [
+            event.place
+            for event in env.log.events
+            if isinstance(event, forwarding.UnexpectedError)
+        ]
+        assert set(places) == {'target accounting'}
+
+    @pytest.mark.parametrize(
+        ('part', 'method'),
+        [
+            ('moves', 'record_send'),
+            ('moves', 'record_outcome'),
+            ('fleet', 'record_run_end'),
+        ],
+    )
+    def test_stream_is_whole(
+        self, monkeypatch: pytest.MonkeyPatch, part: str, method: str
+    ) -> None:
+        """Guards against a stream that is cut between two sound events."""
+        env = harness.make_harness(
+            harness.target('first'), harness.target('second', 'domain-b')
+        )
+        monkeypatch.setattr(getattr(env, part), method, _fail)
+        env.client.script('first', harness.stream_script(1, 9))
+        env.client.script('second', harness.stream_script(1, 9))
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.caller.received == harness.event_range_bytes(1, 9)
+        assert len(env.client.sent) == 1
+
+    def test_stream_goes_on_after_a_lost_engine(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a failover that ends with its account."""
+        env = harness.make_harness(
+            harness.target('first'), harness.target('second', 'domain-b')
+        )
+        monkeypatch.setattr(env.moves, 'record_outcome', _fail)
+        env.fleet.record_run(
+            data.RunStatus('run', 'run', 'second', None, is_prefilling=True)
+        )
+        script = harness.stream_script(1, 5, ending='lost')
+        env.client.script('first', script)
+        env.client.script('second', harness.stream_script(6, 9))
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.caller.received == harness.event_range_bytes(1, 9)
+
+    def test_answer_does_not_depend_on_its_report(self) -> None:
+        """Guards against a connection that ends because of a log line."""
+        env = harness.make_harness(harness.target('only'))
+        gateway_env = harness.make_gateway(env, _FailingObserver())
+        gateway_env.holder.replace_if_newer(harness.configuration())
+        env.client.script('only', harness.answer_script(200))
+        outcome = gateway_env.send(harness.request())
+        assert isinstance(outcome, data.FrontResponse)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -92,7 +92,12 @@
         if not settings.has_moves:
             self._moves.is_synced.set()
         self._targets = forwarding.TargetTable(
-            clock, log, settings.failure_domain, self._fleet, self._moves
+            clock,
+            log,
+            settings.failure_domain,
+            self._fleet,
+            self._moves,
+            errors,
         )
         client = transport.HttpTargetClient(codec)
         metrics = _metrics.RequestMetrics(errors)
@@ -123,6 +128,7 @@
                         fleet=self._fleet,
                         budget=budget,
                         new_splitter=messages.EventStreamSplitter,
+                        errors=errors,
                     )
                 ),
                 observer=_reports.CompositeObserver(
