Take a refusal as not executed only if it names the request

What callers saw: nothing yet; operators of similar systems reported "not run, try again" for requests that had run, and requests that ran twice.

Cause: a 503, 429 or 421 without an attempt id was taken as the target's word on this request, a 421 even without Not-Executed, and a success with Not-Executed was sent to a second target. A stream that may not be repeated passed a signed 408 or 429 of an engine on, although the engine had not stated that the request did not run; to callers these statuses promise it.

Each request has a connection of its own, so a refusal of an earlier request with its id was already rejected as foreign; those cases of the new test passed before and guard this (`head.attempt_id not in (...)` in HttpExchange).

The case 'misdirected' of TestCallFaults had a 421 without Not-Executed, which targets do not send; it now has one with it, and the 421 without it is a case that may not be repeated. The emulator's targets send both fields.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -7,6 +7,7 @@
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _pause_waits
 from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _refusals
 from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -30,11 +31,6 @@
 #: Lowest status of a failure of the target itself; it executed the request.
 FIRST_SERVER_ERROR_STATUS = 500
 
-#: Statuses that report to a caller that its request was not executed.
-NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
-
-MISDIRECTED_STATUS = 421
-
 
 @dataclasses.dataclass
 class _Attempt:
@@ -251,12 +247,11 @@
         target = attempt.target
         latency_ms = (self._clock.monotonic_s() - attempt.sent_at_s) * 1000
         self._record('answer', target=target.name, status=head.status)
-        if head.status == MISDIRECTED_STATUS:
-            self._last_fault = 'another target answers at this address'
-            self._targets.report_misdirected(target)
-            return None
-        if head.is_not_executed:
+        if _refusals.is_refusal(head, self._admitted.request):
             self._last_fault = f'the target refused with {head.status}'
+            if head.status == _refusals.MISDIRECTED_STATUS:
+                self._last_fault = 'another target answers at this address'
+                self._targets.report_misdirected(target)
             return None
         self._executed_count += 1
         is_error = head.status >= FIRST_SERVER_ERROR_STATUS
@@ -266,7 +261,8 @@
         response = data.FrontResponse(
             head.status, head.headers, b''.join(attempt.body_chunks)
         )
-        if not is_error and head.status not in NOT_EXECUTED_STATUSES:
+        may_reach_caller = _refusals.may_reach_caller(head)
+        if not is_error and may_reach_caller:
             if not head.is_signed or head.is_encoded:
                 self._last_fault = (
                     'the response is not signed or is content-encoded'
@@ -274,7 +270,7 @@
                 return None
             return response
         self._last_fault = f'the target failed with status {head.status}'
-        if head.is_signed and head.status not in NOT_EXECUTED_STATUSES:
+        if head.is_signed and may_reach_caller:
             self._failure_response = response
         return None
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -6,6 +6,7 @@
 from skylarktack.coordination.forwarding import _calls
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _refusals
 from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
 from skylarktack.state import forwarding as data
@@ -325,12 +326,10 @@
     ) -> _stream_attempts.AttemptEnd:
         self._record('answer', target=self._target.name, status=head.status)
         detail = f'the engine responded with status {head.status}'
-        if head.status == _calls.MISDIRECTED_STATUS:
-            self._targets.report_misdirected(self._target)
-            return _stream_attempts.AttemptNotExecuted(
-                'another target answers at this address', has_arrived=True
-            )
-        if head.is_not_executed:
+        if _refusals.is_refusal(head, self._admitted.request):
+            if head.status == _refusals.MISDIRECTED_STATUS:
+                self._targets.report_misdirected(self._target)
+                detail = 'another target answers at this address'
             return _stream_attempts.AttemptNotExecuted(
                 detail, has_arrived=True
             )
@@ -342,14 +341,15 @@
         response = data.FrontResponse(
             head.status, head.headers, b''.join(self._error_body_chunks)
         )
+        may_reach_caller = _refusals.may_reach_caller(head)
         if head.status < _calls.FIRST_SERVER_ERROR_STATUS:
-            if self._progress.has_started:
+            if self._progress.has_started or not may_reach_caller:
                 return _stream_attempts.AttemptLost(detail, None)
             return _stream_attempts.StreamFinished(response)
         self._targets.report_response(
             self._target, self._admitted.route.name, 0.0, is_error=True
         )
-        if head.status not in _calls.NOT_EXECUTED_STATUSES:
+        if may_reach_caller:
             self._progress.failure = response
         return _stream_attempts.AttemptLost(detail, None)
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_calls.py
@@ -44,7 +44,18 @@
         200,
     ),
     FaultCase(
-        'misdirected', NON_IDEMPOTENT, harness.answer_script(421), 2, 200
+        'misdirected',
+        NON_IDEMPOTENT,
+        harness.answer_script(421, is_not_executed=True),
+        2,
+        200,
+    ),
+    FaultCase(
+        '421 without Not-Executed',
+        NON_IDEMPOTENT,
+        harness.answer_script(421),
+        1,
+        data.RefusalReason.TARGET_FAILED,
     ),
     FaultCase(
         'target failure', NON_IDEMPOTENT, harness.answer_script(500), 1, 500
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -0,0 +1,355 @@
+"""Test bed: a front connection before targets that are raw sockets.
+
+Requests pass through the codec of the platform, the decisions and real
+connections, so a test sees exactly the bytes that a caller receives.
+"""
+
+import collections
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import math
+import random
+import socket
+import threading
+import time
+
+from skylarktack import platform
+from skylarktack import state
+from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
+from skylarktack.coordination import moves
+from skylarktack.coordination import ports
+from skylarktack.protocol import forwarding as messages
+from skylarktack.state import forwarding as data
+from skylarktack.transport import forwarding as transport
+
+#: Maximum wait of a test for an expected event.
+TIMEOUT_S = 20.0
+
+ATTEMPT_ID = b'attempt-1'
+
+#: Closes a connection with a reset.
+_RESET_LINGER = b'\1\0\0\0\0\0\0\0'
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a target sends to one request."""
+
+    #: Bytes in order, and pauses in seconds between them.
+    parts: tuple[bytes | float, ...]
+
+    #: ``stay`` keeps the connection open until the caller closes it, ``end``
+    #: closes it, and ``reset`` resets it.
+    ending: str = 'stay'
+
+    #: Whether the target answers as soon as it has read the head.
+    is_before_body: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class ReceivedRequest:
+    """A request that reached a target."""
+
+    target: str
+
+    head: bytes
+
+    @property
+    def last_event_id(self) -> bytes | None:
+        """Return the event after which the stream is to go on, or None."""
+        for line in self.head.lower().split(b'\r\n'):
+            if line.startswith(b'last-event-id:'):
+                return line.partition(b':')[2].strip()
+        return None
+
+
+class RawTarget:
+    """Sends the next answer of the bed to each request.
+
+    Probes always succeed.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        requests: list[ReceivedRequest],
+        answers: collections.deque[Answer],
+    ) -> None:
+        self.name = name
+        self.bodies: list[bytes] = []
+        self._requests = requests
+        self._answers = answers
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def listed(self) -> data.ListedTarget:
+        """Return the entry of the target."""
+        host, port = self._listener.getsockname()
+        return data.ListedTarget(
+            name=self.name,
+            service='pool',
+            endpoint=data.Address(host, port),
+            failure_domain=f'domain-{self.name}',
+            version='v1',
+            slot_count=12,
+        )
+
+    def close(self) -> None:
+        """Accept no more connections."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                threading.Thread(
+                    target=self._serve, args=(connection,), daemon=True
+                ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError), connection:
+            received = b''
+            while b'\r\n\r\n' not in received:
+                more = connection.recv(4096)
+                if not more:
+                    return
+                received += more
+            head, _, body = received.partition(b'\r\n\r\n')
+            if head.startswith(b'GET /report '):
+                connection.sendall(_response(b'{"queued_requests": 1}'))
+                return
+            self._requests.append(ReceivedRequest(self.name, head))
+            answer = self._answers.popleft()
+            if not answer.is_before_body:
+                body += _read_exactly(
+                    connection, _body_size_bytes(head) - len(body)
+                )
+            self._send(connection, answer)
+            if answer.ending == 'reset':
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
+                )
+            if answer.ending == 'stay':
+                while more := connection.recv(65536):
+                    body += more
+            self.bodies.append(body)
+
+    def _send(self, connection: socket.socket, answer: Answer) -> None:
+        for part in answer.parts:
+            if isinstance(part, bytes):
+                connection.sendall(part)
+            else:
+                time.sleep(part)
+
+
+def _response(body: bytes) -> bytes:
+    length = str(len(body)).encode()
+    return b'HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\n%s' % (length, body)
+
+
+def _body_size_bytes(head: bytes) -> int:
+    for line in head.lower().split(b'\r\n'):
+        if line.startswith(b'content-length:'):
+            return int(line.partition(b':')[2])
+    return 0
+
+
+def _read_exactly(connection: socket.socket, size_bytes: int) -> bytes:
+    received = b''
+    while len(received) < size_bytes:
+        more = connection.recv(65536)
+        if not more:
+            break
+        received += more
+    return received
+
+
+class _Forwarders:
+    """Admits each request to one route and forwards it."""
+
+    def __init__(
+        self,
+        route: data.ForwardingRoute,
+        listed: tuple[data.ListedTarget, ...],
+        log: fakes.RecordingLog,
+    ) -> None:
+        clock = ports.SystemClock()
+        self.is_stopping = False
+        self._clock = clock
+        self._route = route
+        fleet = forwarding.FleetView(
+            clock, log, 'instance-0', data.Address('10.1.0.1', 7200)
+        )
+        self._moves = forwarding.MoveTable(
+            clock,
+            log,
+            forwarding.ExposureLimits(0.1, 50.0),
+            moves.SequentialJudge(state.MoveSettings()),
+            draw=random.Random(1).random,
+        )
+        self._moves.is_synced.set()
+        self.targets = forwarding.TargetTable(
+            clock, log, 'domain-a', fleet, self._moves
+        )
+        self.targets.replace(listed, after_outage=False)
+        client = transport.HttpTargetClient(platform.PlatformMessageCodec())
+        budget = forwarding.RetryBudget(
+            clock, forwarding.RetryLimits(0.8, 100.0, 10.0), fleet
+        )
+        self._calls = forwarding.CallForwarder(
+            clock, self.targets, client, budget
+        )
+        self._streams = forwarding.StreamForwarder(
+            forwarding.StreamDependencies(
+                clock=clock,
+                targets=self.targets,
+                client=client,
+                fleet=fleet,
+                budget=budget,
+                new_splitter=messages.EventStreamSplitter,
+            )
+        )
+
+    def limits(self) -> data.FrontLimits:
+        """Return the default limits."""
+        return data.FrontLimits(max_body_bytes=64 * 1024 * 1024)
+
+    def handle(
+        self, request: data.FrontRequest, caller: forwarding.Caller
+    ) -> forwarding.StreamOutcome:
+        """Forward one request."""
+        now_s = self._clock.monotonic_s()
+        limit_ms = min(
+            self._route.timeout_ms, request.time_limit_ms or math.inf
+        )
+        admitted = forwarding.AdmittedRequest(
+            request=request,
+            route=self._route,
+            service='pool',
+            version_rule=self._moves.choose_versions('pool'),
+            engine=data.EngineCapacity(55_000, has_standby_copies=False),
+            organisation=None,
+            caller=caller,
+            started_at_s=now_s,
+            deadline_s=now_s + limit_ms / 1000,
+            trace=forwarding.RequestTrace(now_s),
+        )
+        if self._route.kind is data.RequestKind.STREAM:
+            return self._streams.run(admitted)
+        return self._calls.run(admitted)
+
+
+class ResponseBed:
+    """A caller, a front connection, and equal targets.
+
+    The first request that reaches a target gets the first answer, whichever
+    target that is.
+    """
+
+    def __init__(self, route: data.ForwardingRoute, *answers: Answer) -> None:
+        self.requests: list[ReceivedRequest] = []
+        self.remaining_answers = collections.deque(answers)
+        self.targets = [
+            RawTarget(name, self.requests, self.remaining_answers)
+            for name in ('a', 'b', 'c')
+        ]
+        self.log = fakes.RecordingLog()
+        self.forwarders = _Forwarders(
+            route, tuple(target.listed for target in self.targets), self.log
+        )
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            self.caller = socket.create_connection(listener.getsockname())
+            accepted, _ = listener.accept()
+        self.caller.settimeout(TIMEOUT_S)
+        connection = transport.FrontConnection(
+            accepted, self.forwarders, platform.PlatformMessageCodec()
+        )
+        self._task = threading.Thread(target=connection.run)
+        self._task.start()
+
+    def send(
+        self,
+        body: bytes = b'body',
+        attempt_id: bytes = ATTEMPT_ID,
+        version: bytes = b'1.1',
+    ) -> None:
+        """Send a request of the caller."""
+        length = str(len(body)).encode()
+        self.caller.sendall(
+            b'POST /a/x HTTP/%s\r\nHost: host.example\r\nAttempt-Id: %s\r\n'
+            b'Prompt-Prefix: 1:10\r\nContent-Length: %s\r\n\r\n%s'
+            % (version, attempt_id, length, body)
+        )
+
+    def read_to_end(self) -> bytes:
+        """End the caller's side of the connection and return all bytes.
+
+        :raises ConnectionResetError: if the connection is reset.
+        """
+        received = b''
+        while more := self.caller.recv(65536):
+            received += more
+        return received
+
+    def ask(self, body: bytes = b'body') -> tuple[int, bytes]:
+        """Send a request and return the status and body of its answer."""
+        self.send(body)
+        return self.read_answer()
+
+    def read_answer(self) -> tuple[int, bytes]:
+        """Return the status and body of an answer with a length."""
+        received = b''
+        while b'\r\n\r\n' not in received:
+            received += self.caller.recv(65536)
+        head, _, content = received.partition(b'\r\n\r\n')
+        content += _read_exactly(
+            self.caller, _body_size_bytes(head) - len(content)
+        )
+        return int(head.split(b' ')[1]), content
+
+    def close(self) -> None:
+        """End all connections."""
+        self.caller.close()
+        self._task.join(TIMEOUT_S)
+        assert not self._task.is_alive()
+        for target in self.targets:
+            target.close()
+
+
+@contextlib.contextmanager
+def serving(
+    route: data.ForwardingRoute, *answers: Answer
+) -> Iterator[ResponseBed]:
+    """Run a test bed whose targets send the answers in this order."""
+    bed = ResponseBed(route, *answers)
+    try:
+        yield bed
+    finally:
+        bed.close()
+
+
+def route(
+    kind: data.RequestKind,
+    max_attempts: int = 3,
+    is_resumable: bool = True,
+    timeout_ms: float = 10_000.0,
+) -> data.ForwardingRoute:
+    """Return a route to the targets."""
+    is_stream = kind is data.RequestKind.STREAM
+    return data.ForwardingRoute(
+        name='route',
+        host='host.example',
+        path_prefix='/a/',
+        kind=kind,
+        services=(data.WeightedService('pool', 1.0),),
+        timeout_ms=timeout_ms,
+        latency_objective_ms=4500.0,
+        max_attempts=max_attempts,
+        priority=1,
+        is_anonymous=True,
+        is_resumable=is_stream and is_resumable,
+        longest_pause_ms=700.0 if is_stream else None,
+    )
--- a/packages/emulator/src/skylarktack/emulator/platform/_target.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_target.py
@@ -253,15 +253,16 @@
     def _serve(self) -> None:
         with self._target.lock:
             self._target.arrived_at_s.append(time.monotonic())
+        attempt_id = self.headers.get('Attempt-Id', '')
+        refusal = [('Attempt-Id', attempt_id), ('Not-Executed', '1')]
         expected = self.headers.get('Expected-Replica')
         if expected != self._target.name:
-            self.answer(421, b'', (('Replica-Id', self._target.name),))
+            name = ('Replica-Id', self._target.name)
+            self.answer(421, b'', (*refusal, name))
             return
-        attempt_id = self.headers.get('Attempt-Id', '')
         behaviour = self._target.behaviour
         copy = self.headers.get('Kv-From')
         if behaviour.is_full or (copy and not self._has_copy(copy)):
-            refusal = [('Not-Executed', '1')]
             if behaviour.pause_s is not None:
                 refusal.append(('Retry-After', str(behaviour.pause_s)))
             self.answer(503, b'', (*refusal, *self._notices()))
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -186,7 +186,10 @@
     def is_relayable(self) -> bool:
         """Whether the body may be passed on to the caller as it arrives."""
         return (
-            self.status == OK_STATUS and self.is_signed and not self.is_encoded
+            self.status == OK_STATUS
+            and self.is_signed
+            and not self.is_encoded
+            and not self.is_not_executed
         )
 
 
