--- a/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
@@ -106,6 +106,8 @@
         self.sent: list[SentRequest] = []
         self.exchanges: list[ScriptedExchange] = []
         self.unresponsive: set[str] = set()
+        #: Targets whose addresses refuse connections.
+        self.ended: set[str] = set()
         self.queued_count = 0
         self.reports: dict[str, data.TargetReport] = {}
         self.probed: list[str] = []
@@ -210,6 +212,12 @@
         report = data.TargetReport(self.queued_count)
         return self.reports.get(target.name, report)
 
+    def refuses_connections(
+        self, target: data.ListedTarget, timeout_s: float
+    ) -> bool:
+        """Return whether the test has ended the target."""
+        return target.name in self.ended
+
 
 class RecordingLog:
     """Records log events for assertions in tests."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -28,6 +28,9 @@
 from skylarktack.coordination.forwarding._events import MoveShifting
 from skylarktack.coordination.forwarding._events import MoveStopped
 from skylarktack.coordination.forwarding._events import PeerDiscovered
+from skylarktack.coordination.forwarding._events import PromptPartProbed
+from skylarktack.coordination.forwarding._events import PromptPartQuarantined
+from skylarktack.coordination.forwarding._events import PromptPartReleased
 from skylarktack.coordination.forwarding._events import ReadinessChanged
 from skylarktack.coordination.forwarding._events import SettingsReloaded
 from skylarktack.coordination.forwarding._events import StoreEntryMalformed
@@ -46,6 +49,7 @@
 from skylarktack.coordination.forwarding._events import WatchRoleChanged
 from skylarktack.coordination.forwarding._exposure import ExposureLimits
 from skylarktack.coordination.forwarding._fleet import FleetView
+from skylarktack.coordination.forwarding._fleet import PromptEvidenceExchange
 from skylarktack.coordination.forwarding._fleet import TargetFailureListener
 from skylarktack.coordination.forwarding._fleet_tasks import FleetLink
 from skylarktack.coordination.forwarding._fleet_tasks import FleetReporter
@@ -83,6 +87,12 @@
 from skylarktack.coordination.forwarding._ports import StoreResponse
 from skylarktack.coordination.forwarding._ports import TargetClient
 from skylarktack.coordination.forwarding._ports import WaitResult
+from skylarktack.coordination.forwarding._prompt_quarantine import (
+    PromptQuarantine,
+)
+from skylarktack.coordination.forwarding._prompt_quarantine import (
+    QuarantineSettings,
+)
 from skylarktack.coordination.forwarding._request_events import RequestFailed
 from skylarktack.coordination.forwarding._request_events import RequestLate
 from skylarktack.coordination.forwarding._request_events import RequestsCounted
@@ -155,6 +165,9 @@
     'LogLinesDropped',
     'LogEvent',
     'PeerDiscovered',
+    'PromptPartProbed',
+    'PromptPartQuarantined',
+    'PromptPartReleased',
     'ReadinessChanged',
     'RequestFailed',
     'RequestLate',
@@ -208,6 +221,9 @@
     'RequestObserver',
     'RequestReport',
     'RequestStep',
+    'PromptEvidenceExchange',
+    'PromptQuarantine',
+    'QuarantineSettings',
     'RetryBudget',
     'RouteTable',
     'RunPlacement',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -272,6 +272,48 @@
     target: str
 
 
+@dataclasses.dataclass(frozen=True)
+class PromptPartQuarantined(LogEvent):
+    """Requests with a prompt part are refused: it ends engines."""
+
+    part = 'prompt'
+    message = 'prompt part quarantined'
+
+    #: Identifier of the part.
+    prompt_part: str
+
+    #: Moments at which engines ended under it; 0 if a peer reported it.
+    loss_count: int
+
+    #: Whether another instance decided it.
+    told_by_peer: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class PromptPartReleased(LogEvent):
+    """Requests with a prompt part are accepted again."""
+
+    part = 'prompt'
+    message = 'prompt part released'
+
+    prompt_part: str
+
+    cause: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PromptPartProbed(LogEvent):
+    """One request with a quarantined prompt part is let through."""
+
+    part = 'prompt'
+    message = 'prompt part probed'
+
+    prompt_part: str
+
+    #: Probe runs of the fleet so far.
+    probe_count: int
+
+
 @dataclasses.dataclass(frozen=True)
 class MoveRecorded(LogEvent):
     """The store holds a new phase of a move."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -57,6 +57,21 @@
         ...
 
 
+class PromptEvidenceExchange(Protocol):
+    """Gives and receives evidence about prompt parts."""
+
+    def evidence(self, is_full: bool) -> data.PromptEvidence:
+        """Return the evidence for a report.
+
+        :param is_full: whether recent evidence is repeated.
+        """
+        ...
+
+    def receive(self, evidence: data.PromptEvidence) -> None:
+        """Apply the evidence of another instance."""
+        ...
+
+
 class RetryCounter(Protocol):
     """Counts requests and retries of this instance."""
 
@@ -101,6 +116,7 @@
         #: Changes that have not been reported to the peers yet.
         self.outgoing = _outgoing.OutgoingChanges(clock)
         self._retry_counter: RetryCounter | None = None
+        self._prompt_exchange: PromptEvidenceExchange | None = None
         self._placements = _run_placements.RunPlacements()
         self._failure_listener: TargetFailureListener | None = None
         self._is_full_report_due = True
@@ -151,6 +167,15 @@
         """Set the counter whose counts are reported to the peers."""
         self._retry_counter = counter
 
+    def set_prompt_exchange(self, exchange: PromptEvidenceExchange) -> None:
+        """Set what gives and receives the evidence about prompt parts."""
+        self._prompt_exchange = exchange
+
+    def report_prompt_evidence(self) -> None:
+        """Report new evidence about prompt parts at once."""
+        with self._lock:
+            self.outgoing.add_prompt_evidence()
+
     def peer_counts(self, service: str) -> data.RetryCounts:
         """Return the sums of a service's counts over all live peers."""
         request_count = 0
@@ -216,6 +241,8 @@
             self._log.record(
                 _events.PeerDiscovered(report.instance, str(report.endpoint))
             )
+        if self._prompt_exchange is not None:
+            self._prompt_exchange.receive(report.prompt_evidence)
         if self._failure_listener is None:
             return
         for name in report.lost_targets:
@@ -324,9 +351,11 @@
         with self._lock:
             self.outgoing.take_runs()
             self._is_full_report_due = False
-            return self._report(
+            self.outgoing.clear_prompt_evidence()
+            report = self._report(
                 True, tuple(self._own_runs.values()), interval_s, counts
             )
+        return self._with_prompt_evidence(report)
 
     def change_report(self) -> data.InstanceReport | None:
         """Return a report of the changes since the last one, or None.
@@ -339,7 +368,9 @@
             if self._is_full_report_due or self.outgoing.is_empty():
                 return None
             changed = self.outgoing.take_runs()
-            return self._report(False, changed, interval_s, counts)
+            self.outgoing.clear_prompt_evidence()
+            report = self._report(False, changed, interval_s, counts)
+        return self._with_prompt_evidence(report)
 
     def is_full_report_due(self) -> bool:
         """Return whether new peers wait for a full report."""
@@ -397,6 +428,16 @@
             leaving_targets=leaving,
         )
 
+    def _with_prompt_evidence(
+        self, report: data.InstanceReport
+    ) -> data.InstanceReport:
+        if self._prompt_exchange is None:
+            return report
+        return dataclasses.replace(
+            report,
+            prompt_evidence=self._prompt_exchange.evidence(report.is_full),
+        )
+
     def _repeated_leaving(self) -> tuple[data.LeavingTarget, ...]:
         now_s = self._clock.monotonic_s()
         for leaving, until_s in list(self._leaving.items()):
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_outgoing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_outgoing.py
@@ -18,6 +18,7 @@
         self._failed_targets: list[str] = []
         self._replaced_targets: list[str] = []
         self._leaving_targets: list[data.LeavingTarget] = []
+        self._has_prompt_evidence = False
         self._has_changes = threading.Event()
         # Set by changes that the peers need at once.
         self._has_urgent_changes = threading.Event()
@@ -47,6 +48,12 @@
         self._has_urgent_changes.set()
         self._has_changes.set()
 
+    def add_prompt_evidence(self) -> None:
+        """Note that there is new evidence about prompt parts."""
+        self._has_prompt_evidence = True
+        self._has_urgent_changes.set()
+        self._has_changes.set()
+
     def wake(self) -> None:
         """Wake the reporting task."""
         self._has_changes.set()
@@ -58,6 +65,7 @@
             or self._failed_targets
             or self._replaced_targets
             or self._leaving_targets
+            or self._has_prompt_evidence
         )
 
     def take_runs(self) -> tuple[data.RunStatus, ...]:
@@ -84,6 +92,10 @@
         self._leaving_targets.clear()
         return leaving
 
+    def clear_prompt_evidence(self) -> None:
+        """Note that a report takes the new evidence about prompt parts."""
+        self._has_prompt_evidence = False
+
     def wait_for_changes(self, timeout_s: float) -> bool:
         """Wait until the task is woken or the time has passed.
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -166,6 +166,12 @@
         """Return the target's health report, or None without a response."""
         ...
 
+    def refuses_connections(
+        self, target: data.ListedTarget, timeout_s: float
+    ) -> bool:
+        """Return whether nothing listens at the target's address."""
+        ...
+
 
 class EventSplitter(Protocol):
     """Splits the bytes of a stream into complete events."""
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_losses.py
@@ -0,0 +1,156 @@
+"""Finds the prompt part under which engines ended, if there is one.
+
+A part may end each engine that begins to generate after it, whatever else the
+prompt holds. All runs of such an engine are lost with it, and the prompt has
+other parts that many requests share, so a loss alone accuses many parts. The
+decision is a test of groups: the part that the most losses have in common is
+their cause, and explains what else was lost with these engines.
+"""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(frozen=True)
+class EvidenceLimits:
+    """How much evidence makes a prompt part the cause of losses."""
+
+    #: Moments at which engines ended under the part, each another engine.
+    min_loss_count: int = 3
+
+    #: The same for a part with which some run has produced output before: it
+    #: is the cause only if it turned bad meanwhile.
+    min_loss_count_after_output: int = 5
+
+    #: Losses that are closer than this are one moment. A failure domain or
+    #: all engines end together, and a popular part is lost at each of them.
+    moment_s: float = 0.3
+
+    #: Age from which a loss no longer counts.
+    window_s: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Loss:
+    """A run that had produced nothing when its engine ended."""
+
+    engine: str
+
+    #: Shared parts of the run's prompt, in order.
+    part_ids: tuple[str, ...]
+
+    #: Monotonic time.
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Cause:
+    """A prompt part under which engines ended."""
+
+    part_id: str
+
+    #: Number of separate moments at which an engine ended.
+    moment_count: int
+
+
+def find_causes(
+    losses: Sequence[Loss],
+    output_at_s: Mapping[str, float],
+    limits: EvidenceLimits,
+) -> tuple[Cause, ...]:
+    """Return the parts that explain the losses, the strongest first.
+
+    :param losses: recent losses of all instances.
+    :param output_at_s: for each part with which a run has produced output,
+        the time at which the last one did. Earlier losses do not count.
+    """
+    causes: list[Cause] = []
+    unexplained = list(losses)
+    while True:
+        cause = _strongest_cause(unexplained, output_at_s, limits)
+        if cause is None:
+            return tuple(causes)
+        causes.append(cause)
+        ends = [loss for loss in unexplained if cause.part_id in loss.part_ids]
+        unexplained = [
+            loss
+            for loss in unexplained
+            if not _is_explained(loss, ends, limits.moment_s)
+        ]
+
+
+def is_sufficient(
+    part_id: str,
+    losses: Sequence[Loss],
+    output_at_s: Mapping[str, float],
+    limits: EvidenceLimits,
+) -> bool:
+    """Return whether the losses suffice if they have no other cause."""
+    required = limits.min_loss_count
+    if part_id in output_at_s:
+        required = limits.min_loss_count_after_output
+    count = _moment_count(part_id, losses, output_at_s, limits.moment_s)
+    return count >= required
+
+
+def _strongest_cause(
+    losses: Sequence[Loss],
+    output_at_s: Mapping[str, float],
+    limits: EvidenceLimits,
+) -> Cause | None:
+    """Return the part that most losses have in common, if they suffice.
+
+    Among equals, a part without any output goes first, then the one that is
+    later in its prompts: parts at the front are shared more widely.
+    """
+    position_by_part: dict[str, int] = {}
+    for loss in losses:
+        for position, part_id in enumerate(loss.part_ids):
+            position_by_part[part_id] = position
+    best: Cause | None = None
+    best_rank = (0, False, 0)
+    for part_id, position in position_by_part.items():
+        if not is_sufficient(part_id, losses, output_at_s, limits):
+            continue
+        count = _moment_count(part_id, losses, output_at_s, limits.moment_s)
+        rank = (count, part_id not in output_at_s, position)
+        if best is None or rank > best_rank:
+            best = Cause(part_id, count)
+            best_rank = rank
+    return best
+
+
+def _moment_count(
+    part_id: str,
+    losses: Sequence[Loss],
+    output_at_s: Mapping[str, float],
+    moment_s: float,
+) -> int:
+    """Return at how many moments another engine ended under a part."""
+    first_by_engine: dict[str, float] = {}
+    counts_from_s = output_at_s.get(part_id, -math.inf)
+    for loss in losses:
+        if part_id not in loss.part_ids or loss.at_s <= counts_from_s:
+            continue
+        known_s = first_by_engine.get(loss.engine, math.inf)
+        first_by_engine[loss.engine] = min(known_s, loss.at_s)
+    count = 0
+    moment_end_s = -math.inf
+    for at_s in sorted(first_by_engine.values()):
+        if at_s < moment_end_s:
+            continue
+        count += 1
+        moment_end_s = at_s + moment_s
+    return count
+
+
+def _is_explained(loss: Loss, ends: Sequence[Loss], moment_s: float) -> bool:
+    """Return whether the run was lost with an engine that a cause ended."""
+    for end in ends:
+        if loss.engine != end.engine:
+            continue
+        if abs(loss.at_s - end.at_s) < moment_s:
+            return True
+    return False
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -0,0 +1,511 @@
+"""Refuses requests with a prompt part that ends the engines it runs on.
+
+Each instance records which runs were lost with their engine before they
+produced output, and with which parts runs did produce output. Instances share
+this evidence, so that a part is quarantined after a few losses wherever its
+requests arrive, and only that part.
+"""
+
+import collections
+from collections.abc import Sequence
+import dataclasses
+import math
+import threading
+from typing import Protocol
+
+from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _fleet
+from skylarktack.coordination.forwarding import _prompt_losses
+from skylarktack.coordination.ports import Clock
+from skylarktack.state import forwarding as data
+
+#: Bounds of the memory; what is oldest is forgotten first.
+MAX_LOSS_COUNT = 128
+MAX_OUTPUT_COUNT = 4096
+MAX_QUARANTINE_COUNT = 64
+
+#: Bounds of a report. Parts beyond them, which are the last ones of a long
+#: prompt, and parts with longer identifiers are not observed.
+MAX_REPORTED_COUNT = 8
+MAX_PART_COUNT = 8
+MAX_PART_ID_CHARS = 64
+
+#: Time for which full reports repeat evidence, since a datagram may be lost.
+REPEAT_S = 30.0
+
+#: Number of recent requests from which the share of a part is estimated, and
+#: the least number that allows an estimate.
+RECENT_REQUEST_COUNT = 64
+MIN_REQUEST_COUNT = 16
+
+#: Shortest Retry-After of a refusal.
+MIN_RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class QuarantineSettings:
+    """When a prompt part is quarantined, and for how long."""
+
+    limits: _prompt_losses.EvidenceLimits = dataclasses.field(
+        default_factory=_prompt_losses.EvidenceLimits
+    )
+
+    #: Time for which an engine sends events of a run until its parts count as
+    #: harmless.
+    output_s: float = 0.5
+
+    #: Share of the requests from which a part is never quarantined: refusing
+    #: nearly all requests would be an outage, and the engines are at fault.
+    max_request_share: float = 0.9
+
+    #: Length of the first quarantine; each probe run doubles it.
+    quarantine_s: float = 60.0
+
+    #: Maximum number of probe runs of the fleet. After them the quarantine
+    #: lasts until no request has named the part for ``idle_s``.
+    max_probe_count: int = 3
+    idle_s: float = 600.0
+
+    #: Time that an instance leaves to each one of a lower rank to send the
+    #: probe run first.
+    probe_stagger_s: float = 1.0
+
+
+class EvidenceReporter(Protocol):
+    """Reports evidence to the other instances."""
+
+    def set_prompt_exchange(
+        self, exchange: _fleet.PromptEvidenceExchange
+    ) -> None:
+        """Set what gives and receives the evidence in reports."""
+        ...
+
+    def report_prompt_evidence(self) -> None:
+        """Report new evidence at once."""
+        ...
+
+    def rank(self) -> int:
+        """Return the rank of this instance among the live ones, from 0."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class Quarantine:
+    """A quarantined prompt part."""
+
+    part_id: str
+
+    #: Monotonic times of its beginning and of its end.
+    began_at_s: float
+    until_s: float
+
+    #: Probe runs of the fleet so far.
+    probe_count: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class QuarantineRefusal:
+    """Why a request is not sent to an engine."""
+
+    part_id: str
+
+    #: Time until the part may be tried again.
+    retry_after_s: float
+
+
+def observed_parts(request: data.FrontRequest) -> tuple[str, ...]:
+    """Return the parts of a prompt that other requests may share.
+
+    The last part belongs to the request or to its session.
+    """
+    part_ids: dict[str, None] = {}
+    for part in request.prompt_parts[:-1]:
+        if len(part.part_id) <= MAX_PART_ID_CHARS:
+            part_ids[part.part_id] = None
+    return tuple(part_ids)[:MAX_PART_COUNT]
+
+
+class PromptQuarantine:
+    """Evidence about prompt parts, and the parts that are quarantined."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: _events.EventLog,
+        fleet: EvidenceReporter,
+        settings: QuarantineSettings | None = None,
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._fleet = fleet
+        self.settings = settings or QuarantineSettings()
+        self._lock = threading.Lock()
+        #: Losses of all instances; the value tells whether this one saw it.
+        self._losses: dict[_prompt_losses.Loss, bool] = {}
+        #: When a run with a part last produced output.
+        self._output_at_s: dict[str, float] = {}
+        #: The newest of these times that was reported by any instance.
+        self._reported_output_at_s: dict[str, float] = {}
+        self._quarantines: dict[str, Quarantine] = {}
+        self._recent_requests: collections.deque[tuple[str, ...]] = (
+            collections.deque(maxlen=RECENT_REQUEST_COUNT)
+        )
+        #: Parts and losses that the next report has.
+        self._new_losses: list[_prompt_losses.Loss] = []
+        self._new_outputs: dict[str, None] = {}
+        self._new_quarantines: dict[str, None] = {}
+        fleet.set_prompt_exchange(self)
+
+    def admit(self, part_ids: tuple[str, ...]) -> QuarantineRefusal | None:
+        """Return why a new request must not be sent, or None.
+
+        At the end of a quarantine one request is let through as a probe.
+        """
+        with self._lock:
+            self._recent_requests.append(part_ids)
+            refusal, probe = self._find(part_ids, may_probe=True)
+        if probe is not None:
+            self._log.record(
+                _events.PromptPartProbed(probe.part_id, probe.probe_count)
+            )
+            self._fleet.report_prompt_evidence()
+        return refusal
+
+    def check_resend(
+        self, part_ids: tuple[str, ...]
+    ) -> QuarantineRefusal | None:
+        """Return why a run must not be sent to another engine, or None."""
+        with self._lock:
+            refusal, _ = self._find(part_ids, may_probe=False)
+        return refusal
+
+    def record_loss(self, engine: str, part_ids: tuple[str, ...]) -> None:
+        """Record that a run was lost with its engine before its output."""
+        if not part_ids:
+            return
+        loss = _prompt_losses.Loss(engine, part_ids, self._clock.monotonic_s())
+        with self._lock:
+            self._add_loss(loss, is_own=True)
+            self._new_losses.append(loss)
+            events = self._evaluate()
+        self._record(events)
+        self._fleet.report_prompt_evidence()
+
+    def record_output(self, part_ids: tuple[str, ...]) -> None:
+        """Record that a run produces output, which clears its parts."""
+        now_s = self._clock.monotonic_s()
+        events: list[_events.LogEvent] = []
+        with self._lock:
+            for part_id in part_ids:
+                self._put_output(part_id, now_s)
+                if self._is_output_awaited(part_id, now_s):
+                    self._new_outputs[part_id] = None
+                if self._release(part_id):
+                    events.append(_released(part_id, 'a run produced output'))
+            has_news = bool(self._new_outputs)
+        self._record(events)
+        if has_news:
+            self._fleet.report_prompt_evidence()
+
+    def quarantined_count(self) -> int:
+        """Return the number of parts that are quarantined."""
+        with self._lock:
+            return len(self._quarantines)
+
+    def evidence(self, is_full: bool) -> data.PromptEvidence:
+        """Return the evidence for a report to the other instances.
+
+        :param is_full: whether recent evidence is repeated.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            losses = self._new_losses
+            outputs = list(self._new_outputs)
+            quarantined = list(self._new_quarantines)
+            self._new_losses = []
+            self._new_outputs = {}
+            self._new_quarantines = {}
+            if is_full:
+                losses = self._repeated_losses(now_s)
+                outputs = self._repeated_outputs(outputs, now_s)
+                quarantined = list(self._quarantines)
+            return data.PromptEvidence(
+                tuple(
+                    data.PromptLoss(
+                        loss.engine, loss.part_ids, _age_ms(now_s, loss.at_s)
+                    )
+                    for loss in losses[-MAX_REPORTED_COUNT:]
+                ),
+                self._reported_outputs(outputs, now_s),
+                self._reported_quarantines(quarantined, now_s),
+            )
+
+    def receive(self, evidence: data.PromptEvidence) -> None:
+        """Apply the evidence of another instance."""
+        if not evidence:
+            return
+        now_s = self._clock.monotonic_s()
+        events: list[_events.LogEvent] = []
+        with self._lock:
+            for output in evidence.outputs:
+                at_s = now_s - output.age_ms / 1000
+                self._put_output(output.part_id, at_s)
+                self._put_reported(output.part_id, at_s)
+                quarantine = self._quarantines.get(output.part_id)
+                if quarantine is None or at_s <= quarantine.began_at_s:
+                    continue
+                if self._release(output.part_id):
+                    events.append(
+                        _released(output.part_id, 'reported by a peer')
+                    )
+            for reported in evidence.losses:
+                self._add_loss(
+                    _prompt_losses.Loss(
+                        reported.engine,
+                        reported.part_ids[:MAX_PART_COUNT],
+                        now_s - reported.age_ms / 1000,
+                    ),
+                    is_own=False,
+                )
+                for part_id in reported.part_ids:
+                    self._offer_output(part_id)
+            for quarantined in evidence.quarantined:
+                event = self._adopt(quarantined, now_s)
+                if event is not None:
+                    events.append(event)
+            events.extend(self._evaluate())
+        self._record(events)
+
+    def _find(
+        self, part_ids: tuple[str, ...], may_probe: bool
+    ) -> tuple[QuarantineRefusal | None, Quarantine | None]:
+        """Return the refusal of a request, and the probe that it becomes."""
+        now_s = self._clock.monotonic_s()
+        probe: Quarantine | None = None
+        for part_id in part_ids:
+            quarantine = self._quarantines.get(part_id)
+            if quarantine is None:
+                continue
+            if quarantine.probe_count >= self.settings.max_probe_count:
+                quarantine = self._prolong(quarantine, now_s)
+                if quarantine is None:
+                    continue
+            elif may_probe and self._is_probe_due(quarantine, now_s):
+                probe = self._claim_probe(quarantine, now_s)
+                continue
+            remaining_s = max(MIN_RETRY_AFTER_S, quarantine.until_s - now_s)
+            return QuarantineRefusal(part_id, round(remaining_s, 3)), None
+        return None, probe
+
+    def _prolong(
+        self, quarantine: Quarantine, now_s: float
+    ) -> Quarantine | None:
+        """Extend a quarantine without further probes; None if it ended."""
+        if now_s >= quarantine.until_s:
+            del self._quarantines[quarantine.part_id]
+            return None
+        prolonged = dataclasses.replace(
+            quarantine,
+            until_s=max(quarantine.until_s, now_s + self.settings.idle_s),
+        )
+        self._quarantines[quarantine.part_id] = prolonged
+        return prolonged
+
+    def _is_probe_due(self, quarantine: Quarantine, now_s: float) -> bool:
+        if now_s < quarantine.until_s:
+            return False
+        stagger_s = self.settings.probe_stagger_s * self._fleet.rank()
+        return now_s >= quarantine.until_s + stagger_s
+
+    def _claim_probe(self, quarantine: Quarantine, now_s: float) -> Quarantine:
+        probe_count = quarantine.probe_count + 1
+        length_s = self.settings.quarantine_s * 2**probe_count
+        probe = dataclasses.replace(
+            quarantine, until_s=now_s + length_s, probe_count=probe_count
+        )
+        self._quarantines[quarantine.part_id] = probe
+        self._new_quarantines[quarantine.part_id] = None
+        return probe
+
+    def _add_loss(self, loss: _prompt_losses.Loss, is_own: bool) -> None:
+        """Add a loss unless it is known or too old."""
+        now_s = self._clock.monotonic_s()
+        oldest_s = now_s - self.settings.limits.window_s
+        for known in list(self._losses):
+            if known.at_s < oldest_s:
+                del self._losses[known]
+                continue
+            if known.engine != loss.engine or known.part_ids != loss.part_ids:
+                continue
+            if abs(known.at_s - loss.at_s) < REPEAT_S:
+                return
+        if loss.at_s < oldest_s:
+            return
+        self._losses[loss] = is_own
+        while len(self._losses) > MAX_LOSS_COUNT:
+            del self._losses[next(iter(self._losses))]
+
+    def _put_output(self, part_id: str, at_s: float) -> None:
+        known_s = self._output_at_s.pop(part_id, -math.inf)
+        self._output_at_s[part_id] = max(known_s, at_s)
+        while len(self._output_at_s) > MAX_OUTPUT_COUNT:
+            forgotten = next(iter(self._output_at_s))
+            del self._output_at_s[forgotten]
+            self._reported_output_at_s.pop(forgotten, None)
+
+    def _put_reported(self, part_id: str, at_s: float) -> None:
+        known_s = self._reported_output_at_s.get(part_id, -math.inf)
+        self._reported_output_at_s[part_id] = max(known_s, at_s)
+
+    def _is_output_awaited(self, part_id: str, now_s: float) -> bool:
+        """Return whether the others have to learn of an output."""
+        if part_id in self._quarantines:
+            return True
+        reported_s = self._reported_output_at_s.get(part_id, -math.inf)
+        for loss in self._losses:
+            if part_id in loss.part_ids and reported_s <= loss.at_s <= now_s:
+                return True
+        return False
+
+    def _offer_output(self, part_id: str) -> None:
+        """Report an earlier output of a part unless another one did."""
+        if part_id not in self._output_at_s:
+            return
+        if part_id not in self._reported_output_at_s:
+            self._new_outputs[part_id] = None
+
+    def _evaluate(self) -> list[_events.LogEvent]:
+        """Quarantine the parts that explain the losses; release others."""
+        limits = self.settings.limits
+        losses = tuple(self._losses)
+        causes = _prompt_losses.find_causes(losses, self._output_at_s, limits)
+        events: list[_events.LogEvent] = []
+        for cause in causes:
+            if cause.part_id in self._quarantines:
+                continue
+            if self._is_in_most_requests(cause.part_id):
+                continue
+            self._begin(cause.part_id)
+            events.append(
+                _events.PromptPartQuarantined(
+                    cause.part_id, cause.moment_count, False
+                )
+            )
+        caused = {cause.part_id for cause in causes}
+        for part_id in list(self._quarantines):
+            if part_id in caused or not _prompt_losses.is_sufficient(
+                part_id, losses, self._output_at_s, limits
+            ):
+                continue
+            # Another part explains the same losses and more.
+            self._put_output(part_id, self._clock.monotonic_s())
+            self._new_outputs[part_id] = None
+            self._release(part_id)
+            events.append(_released(part_id, 'another part is the cause'))
+        return events
+
+    def _is_in_most_requests(self, part_id: str) -> bool:
+        request_count = len(self._recent_requests)
+        if request_count < MIN_REQUEST_COUNT:
+            return False
+        count = 0
+        for part_ids in self._recent_requests:
+            count += part_id in part_ids
+        return count > self.settings.max_request_share * request_count
+
+    def _begin(self, part_id: str) -> None:
+        now_s = self._clock.monotonic_s()
+        self._quarantines[part_id] = Quarantine(
+            part_id, now_s, now_s + self.settings.quarantine_s
+        )
+        self._new_quarantines[part_id] = None
+        while len(self._quarantines) > MAX_QUARANTINE_COUNT:
+            del self._quarantines[next(iter(self._quarantines))]
+
+    def _release(self, part_id: str) -> bool:
+        """End a quarantine; return whether there was one."""
+        self._new_quarantines.pop(part_id, None)
+        return self._quarantines.pop(part_id, None) is not None
+
+    def _adopt(
+        self, reported: data.QuarantinedPart, now_s: float
+    ) -> _events.LogEvent | None:
+        """Apply a quarantine of another instance; return a new event."""
+        part_id = reported.part_id
+        known = self._quarantines.get(part_id)
+        if known is not None and reported.probe_count <= known.probe_count:
+            return None
+        began_at_s = now_s - reported.age_ms / 1000
+        if self._output_at_s.get(part_id, -math.inf) > began_at_s:
+            self._offer_output(part_id)
+            return None
+        self._quarantines[part_id] = Quarantine(
+            part_id,
+            began_at_s,
+            now_s + reported.remaining_ms / 1000,
+            reported.probe_count,
+        )
+        while len(self._quarantines) > MAX_QUARANTINE_COUNT:
+            del self._quarantines[next(iter(self._quarantines))]
+        if known is not None:
+            return None
+        return _events.PromptPartQuarantined(part_id, 0, True)
+
+    def _repeated_losses(self, now_s: float) -> list[_prompt_losses.Loss]:
+        repeated = []
+        for loss, is_own in self._losses.items():
+            if is_own and now_s - loss.at_s < REPEAT_S:
+                repeated.append(loss)
+        return repeated
+
+    def _repeated_outputs(
+        self, outputs: Sequence[str], now_s: float
+    ) -> list[str]:
+        """Return the parts whose output is reported, the newest last."""
+        repeated = []
+        for part_id, at_s in self._reported_output_at_s.items():
+            if now_s - at_s < REPEAT_S and part_id not in outputs:
+                repeated.append(part_id)
+        return [*repeated, *outputs]
+
+    def _reported_outputs(
+        self, part_ids: Sequence[str], now_s: float
+    ) -> tuple[data.PromptOutput, ...]:
+        outputs = []
+        for part_id in part_ids[-MAX_REPORTED_COUNT:]:
+            at_s = self._output_at_s.get(part_id)
+            if at_s is None:
+                continue
+            self._put_reported(part_id, at_s)
+            outputs.append(data.PromptOutput(part_id, _age_ms(now_s, at_s)))
+        return tuple(outputs)
+
+    def _reported_quarantines(
+        self, part_ids: Sequence[str], now_s: float
+    ) -> tuple[data.QuarantinedPart, ...]:
+        quarantined = []
+        for part_id in part_ids:
+            quarantine = self._quarantines.get(part_id)
+            if quarantine is None:
+                continue
+            quarantined.append(
+                data.QuarantinedPart(
+                    part_id,
+                    _age_ms(now_s, quarantine.began_at_s),
+                    _age_ms(quarantine.until_s, now_s),
+                    quarantine.probe_count,
+                )
+            )
+        return tuple(quarantined)
+
+    def _record(self, events: Sequence[_events.LogEvent]) -> None:
+        for event in events:
+            self._log.record(event)
+
+
+def _released(part_id: str, cause: str) -> _events.LogEvent:
+    return _events.PromptPartReleased(part_id, cause)
+
+
+def _age_ms(now_s: float, at_s: float) -> int:
+    return max(0, round(1000 * (now_s - at_s)))
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -6,6 +6,7 @@
 from skylarktack.coordination.forwarding import _calls
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _prompt_quarantine
 from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
 from skylarktack.state import forwarding as data
@@ -59,6 +60,9 @@
         self._target = target
         self._copies = copies
         self._splitter = dependencies.new_splitter()
+        #: When the engine sent its first event of the run, or None.
+        self._first_event_at_s: float | None = None
+        self._has_cleared_parts = False
         self._head: data.ResponseHead | None = None
         self._error_body_chunks: list[bytes] = []
         self._is_streaming = False
@@ -150,7 +154,28 @@
             return _stream_attempts.AttemptNotExecuted(
                 fault.detail, has_arrived=False
             )
-        return self._lost(fault.detail)
+        is_connection_lost = fault.kind is _ports.FaultKind.LOST
+        return dataclasses.replace(
+            self._lost(fault.detail),
+            is_lost_before_output=(
+                is_connection_lost and not self._has_produced_output()
+            ),
+        )
+
+    def _has_produced_output(self) -> bool:
+        """Return whether the engine has sent events for long enough."""
+        if self._first_event_at_s is None:
+            return False
+        output_s = self._clock.monotonic_s() - self._first_event_at_s
+        return output_s >= self._dependencies.quarantine.settings.output_s
+
+    def _clear_parts(self) -> None:
+        """Record once that the engine survives the parts of the prompt."""
+        if not self._has_cleared_parts:
+            self._has_cleared_parts = True
+            self._dependencies.quarantine.record_output(
+                _prompt_quarantine.observed_parts(self._admitted.request)
+            )
 
     def _handle(
         self, event: _ports.ResponseEvent
@@ -189,6 +214,10 @@
         self._targets.report_alive(self._target)
         self._last_event_at_s = self._clock.monotonic_s()
         self._is_streaming = True
+        if self._first_event_at_s is None:
+            self._first_event_at_s = self._last_event_at_s
+        if self._has_produced_output():
+            self._clear_parts()
         return self._relay_events(head, split)
 
     def _record_long_pause(self) -> None:
@@ -310,6 +339,7 @@
             return self.handle_fault(_early_end_fault('within an event'))
         if not self._progress.has_started:
             return self.handle_fault(_early_end_fault('without an event'))
+        self._clear_parts()
         latency_ms = 1000 * (self._clock.monotonic_s() - self._sent_at_s)
         self._targets.report_response(
             self._target, self._admitted.route.name, latency_ms, is_error=False
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
@@ -6,6 +6,7 @@
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _prompt_quarantine
 from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -26,6 +27,9 @@
 
     budget: _budget.RetryBudget
 
+    #: Refuses requests with prompt parts that end engines.
+    quarantine: _prompt_quarantine.PromptQuarantine
+
     #: Creates a splitter for the bytes that one engine sends.
     new_splitter: type[_ports.EventSplitter]
 
@@ -83,5 +87,8 @@
     #: Copy from which another engine can go on with the run, or None.
     copy: data.RunCopy | None
 
+    #: Whether the connection was lost before the engine produced output.
+    is_lost_before_output: bool = False
+
 
 AttemptEnd = StreamFinished | AttemptNotExecuted | AttemptLost
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -10,6 +10,7 @@
 from skylarktack.coordination.forwarding import _pause_waits
 from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _ports
+from skylarktack.coordination.forwarding import _prompt_quarantine
 from skylarktack.coordination.forwarding import _relay
 from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
@@ -23,6 +24,9 @@
 #: become available before it is refused.
 QUEUE_OBJECTIVE_FRACTION = 0.12
 
+#: Maximum number of engines that may end under one run before their output.
+MAX_ENDED_ENGINE_COUNT = 3
+
 #: Maximum number of engines that one stream asks for room.
 MAX_CHECK_COUNT = 3
 
@@ -74,6 +78,8 @@
             admitted.request.last_event_id
         )
         self._tried_targets: set[str] = set()
+        self._part_ids = _prompt_quarantine.observed_parts(admitted.request)
+        self._ended_engine_count = 0
         self._send_count = 0
         self._check_count = 0
         self._has_found_full = False
@@ -85,10 +91,16 @@
         budget = self._dependencies.budget
         budget.count_request(self._admitted.service)
         copy: data.RunCopy | None = None
+        refusal = self._dependencies.quarantine.admit(self._part_ids)
+        if refusal is not None:
+            return self._outcome_of_quarantine(refusal)
         self._find_prompt()
         while self._clock.monotonic_s() < self._admitted.deadline_s:
             if self._send_count >= MAX_SEND_COUNT:
                 break
+            refusal = self._find_quarantine()
+            if refusal is not None:
+                return self._outcome_of_quarantine(refusal)
             pair = self._choose(copy)
             if pair is None:
                 pause = _pause_waits.plan_for_request(
@@ -122,6 +134,8 @@
                     budget.refund_retry(self._admitted.service)
                 continue
             self._has_executed = True
+            if end.is_lost_before_output:
+                self._record_lost_engine(pair.primary)
             if not self._may_retry():
                 break
             copy = end.copy
@@ -211,6 +225,8 @@
 
     def _may_retry(self) -> bool:
         route = self._admitted.route
+        if self._ended_engine_count >= MAX_ENDED_ENGINE_COUNT:
+            return False
         return route.is_retryable and (
             self._progress.failure_count < route.max_attempts
         )
@@ -336,6 +352,38 @@
             self._targets.end_request(target)
             self._dependencies.fleet.record_run_end(run_status)
 
+    def _record_lost_engine(self, engine: data.ListedTarget) -> None:
+        """Record an engine that ended; one that still listens did not."""
+        if not self._dependencies.client.refuses_connections(
+            engine, _relay.PROBE_TIMEOUT_S
+        ):
+            return
+        self._ended_engine_count += 1
+        self._record('engine_ended', target=engine.name)
+        self._dependencies.quarantine.record_loss(engine.name, self._part_ids)
+
+    def _find_quarantine(
+        self,
+    ) -> _prompt_quarantine.QuarantineRefusal | None:
+        """Return why the run must not be sent again, or None."""
+        if not self._has_executed:
+            return None
+        return self._dependencies.quarantine.check_resend(self._part_ids)
+
+    def _outcome_of_quarantine(
+        self, refusal: _prompt_quarantine.QuarantineRefusal
+    ) -> _outcomes.StreamOutcome:
+        detail = f'engines end under the prompt part {refusal.part_id}'
+        self._record('prompt_quarantined', prompt_part=refusal.part_id)
+        if self._has_executed:
+            self._last_fault = detail
+            return self._outcome_without_stream(None)
+        return data.Refusal(
+            data.RefusalReason.PROMPT_QUARANTINED,
+            refusal.retry_after_s,
+            detail,
+        )
+
     def _outcome_without_stream(
         self, pause: _pause_waits.PauseWait | None
     ) -> _outcomes.StreamOutcome:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -227,6 +227,7 @@
     budget: forwarding.RetryBudget
     calls: forwarding.CallForwarder
     streams: forwarding.StreamForwarder
+    quarantine: forwarding.PromptQuarantine
 
     def work(
         self, of_route: data.ForwardingRoute, of_request: data.FrontRequest
@@ -315,6 +316,7 @@
         forwarding.RetryLimits(0.8, allowance, 10.0),
         fleet,
     )
+    quarantine = forwarding.PromptQuarantine(clock, log, fleet)
     streams = forwarding.StreamForwarder(
         forwarding.StreamDependencies(
             clock=clock,
@@ -322,6 +324,7 @@
             client=client,
             fleet=fleet,
             budget=budget,
+            quarantine=quarantine,
             new_splitter=_Splitter,
         )
     )
@@ -336,6 +339,7 @@
         budget=budget,
         calls=forwarding.CallForwarder(clock, targets, client, budget),
         streams=streams,
+        quarantine=quarantine,
     )
 
 
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_losses.py
@@ -0,0 +1,122 @@
+"""Which prompt part explains the loss of engines."""
+
+import dataclasses
+
+import pytest
+
+from skylarktack.coordination.forwarding import _prompt_losses
+
+LIMITS = _prompt_losses.EvidenceLimits()
+
+Loss = _prompt_losses.Loss
+
+
+def _losses_under(
+    *part_ids: str, count: int, first_s: float = 10.0, gap_s: float = 1.0
+) -> tuple[_prompt_losses.Loss, ...]:
+    """Return losses on distinct engines, one after the other."""
+    losses = []
+    for number in range(count):
+        at_s = first_s + gap_s * number
+        losses.append(Loss(f'engine-{at_s}-{number}', part_ids, at_s))
+    return tuple(losses)
+
+
+@dataclasses.dataclass(frozen=True)
+class LossCase:
+    """Losses, the outputs that are known, and the causes they have."""
+
+    name: str
+    losses: tuple[_prompt_losses.Loss, ...]
+    causes: tuple[str, ...]
+    output_at_s: tuple[tuple[str, float], ...] = ()
+
+
+CASES = (
+    LossCase('too few losses', _losses_under('bad', count=2), ()),
+    LossCase('a part of one run', _losses_under('bad', count=3), ('bad',)),
+    LossCase(
+        'a shared part with earlier output',
+        _losses_under('front', 'bad', count=4),
+        ('bad',),
+        (('front', 5.0),),
+    ),
+    LossCase(
+        'a shared part with earlier output and more losses',
+        _losses_under('front', 'bad', count=9),
+        ('bad',),
+        (('front', 5.0),),
+    ),
+    LossCase(
+        'equal evidence accuses the part that is shared less',
+        _losses_under('front', 'bad', count=3),
+        ('bad',),
+    ),
+    LossCase(
+        'the part that several prompts have in common',
+        (
+            *_losses_under('front', 'bad', 'a', count=2),
+            *_losses_under('front', 'bad', 'b', count=2, first_s=20.0),
+        ),
+        ('bad',),
+        (('front', 5.0),),
+    ),
+    LossCase(
+        'a first part under which engines end',
+        (
+            *_losses_under('bad', 'a', count=3),
+            *_losses_under('bad', 'b', count=3, first_s=20.0),
+        ),
+        ('bad',),
+    ),
+    LossCase(
+        'a part that turned bad after its runs produced output',
+        _losses_under('bad', count=5),
+        ('bad',),
+        (('bad', 5.0),),
+    ),
+    LossCase(
+        'output after the losses clears a part',
+        _losses_under('popular', count=9),
+        (),
+        (('popular', 19.5),),
+    ),
+    LossCase(
+        'a failure domain that ends at one moment',
+        _losses_under('popular', count=12, gap_s=0.02),
+        (),
+    ),
+    LossCase(
+        'many losses on one engine',
+        tuple(Loss('engine', ('part',), 10.0 + n) for n in range(6)),
+        (),
+    ),
+    LossCase(
+        'runs that were lost with the engines of a bad part',
+        (
+            *_losses_under('bad', count=4),
+            *_losses_under('innocent', count=3),
+        ),
+        ('bad',),
+    ),
+    LossCase(
+        'two bad parts',
+        (
+            *_losses_under('bad', count=4),
+            *_losses_under('worse', count=6, first_s=10.5),
+        ),
+        ('worse', 'bad'),
+    ),
+)
+
+
+class TestFindCauses:
+    """The part that the most losses have in common is their cause."""
+
+    @pytest.mark.parametrize('case', CASES, ids=lambda case: case.name)
+    def test_causes(self, case: LossCase) -> None:
+        """Guards against a sound part that is refused, or a bad one sent."""
+        causes = _prompt_losses.find_causes(
+            case.losses, dict(case.output_at_s), LIMITS
+        )
+        assert tuple(cause.part_id for cause in causes) == case.causes
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -95,7 +95,8 @@
             clock, log, settings.failure_domain, self._fleet, self._moves
         )
         client = transport.HttpTargetClient(codec)
-        metrics = _metrics.RequestMetrics(errors)
+        quarantine = forwarding.PromptQuarantine(clock, log, self._fleet)
+        metrics = _metrics.RequestMetrics(errors, quarantine)
         accounts = forwarding.RequestAccounts()
         budget = forwarding.RetryBudget(
             clock,
@@ -122,6 +123,7 @@
                         client=client,
                         fleet=self._fleet,
                         budget=budget,
+                        quarantine=quarantine,
                         new_splitter=messages.EventStreamSplitter,
                     )
                 ),
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -59,8 +59,13 @@
 class RequestMetrics:
     """Aggregates finished requests by organisation, route and outcome."""
 
-    def __init__(self, errors: forwarding.ErrorRecorder) -> None:
+    def __init__(
+        self,
+        errors: forwarding.ErrorRecorder,
+        quarantine: forwarding.PromptQuarantine,
+    ) -> None:
         self._errors = errors
+        self._quarantine = quarantine
         self._lock = threading.Lock()
         self._series: dict[SeriesKey, _Series] = {}
         self._step_counts: dict[str, int] = {}
@@ -119,9 +124,15 @@
         )
         for place, count in self._errors.counts().items():
             unexpected.add_metric([place], count)
+        quarantined = core.GaugeMetricFamily(
+            'skylarktack_quarantined_prompt_parts',
+            'Prompt parts whose requests are refused.',
+            value=self._quarantine.quarantined_count(),
+        )
         yield durations
         yield steps
         yield unexpected
+        yield quarantined
 
 
 class MetricsHandler:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -203,7 +203,9 @@
 
     def test_text(self) -> None:
         """Guards against missing labels or histogram counts."""
-        metrics = _metrics.RequestMetrics(_errors())
+        metrics = _metrics.RequestMetrics(
+            _errors(), harness.make_harness().quarantine
+        )
         metrics.on_request_end(_report(data.FrontResponse(200, (), b'')))
         handler = _metrics.MetricsHandler(metrics)
         response = handler.handle(
@@ -224,7 +226,9 @@
 
         Above the limit, requests are counted under "other".
         """
-        metrics = _metrics.RequestMetrics(_errors())
+        metrics = _metrics.RequestMetrics(
+            _errors(), harness.make_harness().quarantine
+        )
         for number in range(1000):
             report = _report(data.FrontResponse(200, (), b''))
             metrics.on_request_end(
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -34,6 +34,12 @@
 
 MAX_PORT = 65535
 
+#: Bounds of the evidence about prompt parts that is accepted of a peer.
+MAX_PROMPT_ITEMS = 64
+MAX_PART_ID_CHARS = 64
+MAX_QUARANTINE_MS = 3_600_000
+MAX_PROBE_COUNT = 16
+
 
 def encode_message(message: data.FleetMessage) -> bytes:
     """Encode a message as a datagram."""
@@ -114,6 +120,7 @@
                 (leaving.name, leaving.started_at_ms)
                 for leaving in report.leaving_targets
             ],
+            _encode_prompt_evidence(report.prompt_evidence),
         )
     )
 
@@ -161,9 +168,62 @@
         replaced_targets=tuple(str(name) for name in fields[10]),
         counts=tuple(counts),
         leaving_targets=tuple(leaving),
+        # Earlier releases send no evidence about prompt parts.
+        prompt_evidence=(
+            _decode_prompt_evidence(fields[13])
+            if len(fields) > 13
+            else data.PromptEvidence()
+        ),
+    )
+
+
+def _encode_prompt_evidence(evidence: data.PromptEvidence) -> Any:
+    return (
+        [dataclasses.astuple(loss) for loss in evidence.losses],
+        [dataclasses.astuple(output) for output in evidence.outputs],
+        [dataclasses.astuple(part) for part in evidence.quarantined],
+    )
+
+
+def _decode_prompt_evidence(fields: Any) -> data.PromptEvidence:
+    losses = []
+    for engine, part_ids, age_ms in fields[0][:MAX_PROMPT_ITEMS]:
+        losses.append(
+            data.PromptLoss(
+                str(engine),
+                tuple(_part_id(part) for part in part_ids[:MAX_PROMPT_ITEMS]),
+                _integer(age_ms),
+            )
+        )
+    outputs = []
+    for part_id, age_ms in fields[1][:MAX_PROMPT_ITEMS]:
+        outputs.append(data.PromptOutput(_part_id(part_id), _integer(age_ms)))
+    quarantined = []
+    for part_id, age_ms, remaining_ms, probes in fields[2][:MAX_PROMPT_ITEMS]:
+        quarantined.append(
+            data.QuarantinedPart(
+                _part_id(part_id),
+                _integer(age_ms),
+                _integer(remaining_ms, MAX_QUARANTINE_MS),
+                _integer(probes, MAX_PROBE_COUNT),
+            )
+        )
+    return data.PromptEvidence(
+        tuple(losses), tuple(outputs), tuple(quarantined)
     )
 
 
+def _part_id(value: Any) -> str:
+    """Return the identifier of a prompt part.
+
+    :raises ValueError: if it is too long.
+    """
+    part_id = str(value)
+    if len(part_id) > MAX_PART_ID_CHARS:
+        raise ValueError('identifier of a prompt part is too long')
+    return part_id
+
+
 def _decode_change(fields: Any) -> data.StoreChange:
     return data.StoreChange(
         kind=str(fields[1]),
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -29,6 +29,11 @@
         data.LeavingTarget('engine-5', 1770053550000),
         data.LeavingTarget('engine-6', None),
     ),
+    prompt_evidence=data.PromptEvidence(
+        (data.PromptLoss('engine-7', ('p1', 'p2'), 1200),),
+        (data.PromptOutput('p1', 300),),
+        (data.QuarantinedPart('p2', 40, 59960, 1),),
+    ),
 )
 
 HEARTBEAT = data.WatchHeartbeat(
@@ -50,8 +55,24 @@
     def test_report_of_an_earlier_release(self) -> None:
         """Guards against reports that are lost while releases are mixed."""
         fields = cbor2.loads(messages.encode_message(REPORT))
+        without_evidence = dataclasses.replace(
+            REPORT, prompt_evidence=data.PromptEvidence()
+        )
+        earlier = messages.decode_message(cbor2.dumps(fields[:13]))
+        assert earlier == without_evidence
         earlier = messages.decode_message(cbor2.dumps(fields[:12]))
-        assert earlier == dataclasses.replace(REPORT, leaving_targets=())
+        assert earlier == dataclasses.replace(
+            without_evidence, leaving_targets=()
+        )
+
+    def test_long_part_id_is_malformed(self) -> None:
+        """Guards against memory that a peer fills with identifiers."""
+        evidence = data.PromptEvidence(
+            outputs=(data.PromptOutput('p' * 65, 300),)
+        )
+        report = dataclasses.replace(REPORT, prompt_evidence=evidence)
+        datagram = messages.encode_message(report)
+        assert messages.decode_message(datagram) is None
 
     def test_watch_message_round_trip(self) -> None:
         """Guards against store changes that are altered by the encoding."""
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -24,6 +24,10 @@
 from skylarktack.state.forwarding._moves import MoveReport
 from skylarktack.state.forwarding._moves import MoveScope
 from skylarktack.state.forwarding._moves import RouteEvidence
+from skylarktack.state.forwarding._prompt_evidence import PromptEvidence
+from skylarktack.state.forwarding._prompt_evidence import PromptLoss
+from skylarktack.state.forwarding._prompt_evidence import PromptOutput
+from skylarktack.state.forwarding._prompt_evidence import QuarantinedPart
 from skylarktack.state.forwarding._requests import OK_STATUS
 from skylarktack.state.forwarding._requests import CopyOrder
 from skylarktack.state.forwarding._requests import DispatchContext
@@ -72,7 +76,11 @@
     'MoveOrder',
     'MoveReport',
     'MoveScope',
+    'PromptEvidence',
+    'PromptLoss',
+    'PromptOutput',
     'PromptPart',
+    'QuarantinedPart',
     'Refusal',
     'RefusalReason',
     'RequestHead',
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -7,6 +7,7 @@
 
 from skylarktack.state._addresses import Address
 from skylarktack.state.forwarding._moves import MoveReport
+from skylarktack.state.forwarding._prompt_evidence import PromptEvidence
 from skylarktack.state.forwarding._targets import LeavingTarget
 
 
@@ -84,6 +85,9 @@
     #: Targets that told the sender that they are about to stop.
     leaving_targets: tuple[LeavingTarget, ...] = ()
 
+    #: Losses of engines under prompt parts, and the quarantined parts.
+    prompt_evidence: PromptEvidence = PromptEvidence()
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreChange:
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -211,6 +211,9 @@
     #: No target accepts the request; it was not executed.
     NO_TARGET = 'no_target'
 
+    #: A part of the prompt ends the engines; the request was not executed.
+    PROMPT_QUARANTINED = 'prompt_quarantined'
+
     #: The instance is shutting down; the request was not executed.
     STOPPING = 'stopping'
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -299,6 +299,21 @@
             retry_after_s=retry_after_s,
         )
 
+    def refuses_connections(
+        self, target: data.ListedTarget, timeout_s: float
+    ) -> bool:
+        """Return whether nothing listens at the target's address.
+
+        A timeout or a reset is no refusal: the target may be cut off or busy.
+        """
+        try:
+            _sockets.connect(target.endpoint, timeout_s).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def cached_parts(
         self, target: data.ListedTarget, timeout_s: float
     ) -> frozenset[str]:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -241,6 +241,14 @@
             report = client.probe(target.target, front_harness.TIMEOUT_S)
         assert report == data.TargetReport(None)
 
+    def test_an_ended_target_refuses_connections(self) -> None:
+        """Guards against taking a reset for the end of an engine."""
+        client = transport.HttpTargetClient(front_harness.PassThroughCodec())
+        with _serving(b'') as target:
+            listed = target.target
+            assert not client.refuses_connections(listed, 1.0)
+        assert client.refuses_connections(listed, 1.0)
+
     def test_a_probe_without_a_response(self) -> None:
         """Guards against treating an unresponsive engine as live."""
         client = transport.HttpTargetClient(front_harness.PassThroughCodec())
