Bound the cost of evidence about prompt parts

Each report of a peer with evidence evaluated all losses again, for each part over all losses: with 340 instances that repeat their losses for 30 s that would take most of a core. A report has at most 64 parts in its losses, so longer prompts are observed too, up to 32 parts, and what waits for a report is bounded at an instance without peers.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_losses.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_losses.py
@@ -88,11 +88,8 @@
     limits: EvidenceLimits,
 ) -> bool:
     """Return whether the losses suffice if they have no other cause."""
-    required = limits.min_loss_count
-    if part_id in output_at_s:
-        required = limits.min_loss_count_after_output
-    count = _moment_count(part_id, losses, output_at_s, limits.moment_s)
-    return count >= required
+    of_part = [loss for loss in losses if part_id in loss.part_ids]
+    return _count_if_sufficient(part_id, of_part, output_at_s, limits) > 0
 
 
 def _strongest_cause(
@@ -105,34 +102,51 @@
     Among equals, a part without any output goes first, then the one that is
     later in its prompts: parts at the front are shared more widely.
     """
+    losses_by_part: dict[str, list[Loss]] = {}
     position_by_part: dict[str, int] = {}
     for loss in losses:
         for position, part_id in enumerate(loss.part_ids):
+            losses_by_part.setdefault(part_id, []).append(loss)
             position_by_part[part_id] = position
     best: Cause | None = None
     best_rank = (0, False, 0)
-    for part_id, position in position_by_part.items():
-        if not is_sufficient(part_id, losses, output_at_s, limits):
+    for part_id, of_part in losses_by_part.items():
+        count = _count_if_sufficient(part_id, of_part, output_at_s, limits)
+        if not count:
             continue
-        count = _moment_count(part_id, losses, output_at_s, limits.moment_s)
+        position = position_by_part[part_id]
         rank = (count, part_id not in output_at_s, position)
-        if best is None or rank > best_rank:
+        if rank > best_rank:
             best = Cause(part_id, count)
             best_rank = rank
     return best
 
 
-def _moment_count(
+def _count_if_sufficient(
     part_id: str,
-    losses: Sequence[Loss],
+    of_part: Sequence[Loss],
     output_at_s: Mapping[str, float],
-    moment_s: float,
+    limits: EvidenceLimits,
 ) -> int:
-    """Return at how many moments another engine ended under a part."""
-    first_by_engine: dict[str, float] = {}
+    """Return the number of moments, or 0 if they are too few.
+
+    :param of_part: losses of runs with the part.
+    """
+    required = limits.min_loss_count
+    if part_id in output_at_s:
+        required = limits.min_loss_count_after_output
     counts_from_s = output_at_s.get(part_id, -math.inf)
+    count = _moment_count(of_part, counts_from_s, limits.moment_s)
+    return count if count >= required else 0
+
+
+def _moment_count(
+    losses: Sequence[Loss], counts_from_s: float, moment_s: float
+) -> int:
+    """Return at how many moments another engine ended."""
+    first_by_engine: dict[str, float] = {}
     for loss in losses:
-        if part_id not in loss.part_ids or loss.at_s <= counts_from_s:
+        if loss.at_s <= counts_from_s:
             continue
         known_s = first_by_engine.get(loss.engine, math.inf)
         first_by_engine[loss.engine] = min(known_s, loss.at_s)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -24,10 +24,14 @@
 MAX_OUTPUT_COUNT = 4096
 MAX_QUARANTINE_COUNT = 64
 
-#: Bounds of a report. Parts beyond them, which are the last ones of a long
-#: prompt, and parts with longer identifiers are not observed.
+#: Bounds of a report: losses, outputs, and the parts of all its losses. The
+#: oldest losses are left out, but never all.
 MAX_REPORTED_COUNT = 8
-MAX_PART_COUNT = 8
+MAX_REPORTED_PART_COUNT = 64
+
+#: Parts of a prompt beyond these, and parts with longer identifiers, are not
+#: observed.
+MAX_PART_COUNT = 32
 MAX_PART_ID_CHARS = 64
 
 #: Time for which full reports repeat evidence, since a datagram may be lost.
@@ -151,7 +155,9 @@
             collections.deque(maxlen=RECENT_REQUEST_COUNT)
         )
         #: Parts and losses that the next report has.
-        self._new_losses: list[_prompt_losses.Loss] = []
+        self._new_losses: collections.deque[_prompt_losses.Loss] = (
+            collections.deque(maxlen=MAX_REPORTED_COUNT)
+        )
         self._new_outputs: dict[str, None] = {}
         self._new_quarantines: dict[str, None] = {}
         fleet.set_prompt_exchange(self)
@@ -219,23 +225,18 @@
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            losses = self._new_losses
+            losses = list(self._new_losses)
             outputs = list(self._new_outputs)
             quarantined = list(self._new_quarantines)
-            self._new_losses = []
-            self._new_outputs = {}
-            self._new_quarantines = {}
+            self._new_losses.clear()
+            self._new_outputs.clear()
+            self._new_quarantines.clear()
             if is_full:
                 losses = self._repeated_losses(now_s)
                 outputs = self._repeated_outputs(outputs, now_s)
                 quarantined = list(self._quarantines)
             return data.PromptEvidence(
-                tuple(
-                    data.PromptLoss(
-                        loss.engine, loss.part_ids, _age_ms(now_s, loss.at_s)
-                    )
-                    for loss in losses[-MAX_REPORTED_COUNT:]
-                ),
+                _reported_losses(losses, now_s),
                 self._reported_outputs(outputs, now_s),
                 self._reported_quarantines(quarantined, now_s),
             )
@@ -258,8 +259,9 @@
                     events.append(
                         _released(output.part_id, 'reported by a peer')
                     )
+            has_new_loss = False
             for reported in evidence.losses:
-                self._add_loss(
+                has_new_loss |= self._add_loss(
                     _prompt_losses.Loss(
                         reported.engine,
                         reported.part_ids[:MAX_PART_COUNT],
@@ -273,7 +275,8 @@
                 event = self._adopt(quarantined, now_s)
                 if event is not None:
                     events.append(event)
-            events.extend(self._evaluate())
+            if has_new_loss:
+                events.extend(self._evaluate())
         self._record(events)
 
     def _find(
@@ -327,8 +330,8 @@
         self._new_quarantines[quarantine.part_id] = None
         return probe
 
-    def _add_loss(self, loss: _prompt_losses.Loss, is_own: bool) -> None:
-        """Add a loss unless it is known or too old."""
+    def _add_loss(self, loss: _prompt_losses.Loss, is_own: bool) -> bool:
+        """Add a loss; return False if it is known or too old."""
         now_s = self._clock.monotonic_s()
         oldest_s = now_s - self.settings.limits.window_s
         for known in list(self._losses):
@@ -338,12 +341,13 @@
             if known.engine != loss.engine or known.part_ids != loss.part_ids:
                 continue
             if abs(known.at_s - loss.at_s) < REPEAT_S:
-                return
+                return False
         if loss.at_s < oldest_s:
-            return
+            return False
         self._losses[loss] = is_own
         while len(self._losses) > MAX_LOSS_COUNT:
             del self._losses[next(iter(self._losses))]
+        return True
 
     def _put_output(self, part_id: str, at_s: float) -> None:
         known_s = self._output_at_s.pop(part_id, -math.inf)
@@ -352,6 +356,7 @@
             forgotten = next(iter(self._output_at_s))
             del self._output_at_s[forgotten]
             self._reported_output_at_s.pop(forgotten, None)
+            self._new_outputs.pop(forgotten, None)
 
     def _put_reported(self, part_id: str, at_s: float) -> None:
         known_s = self._reported_output_at_s.get(part_id, -math.inf)
@@ -503,6 +508,24 @@
             self._log.record(event)
 
 
+def _reported_losses(
+    losses: Sequence[_prompt_losses.Loss], now_s: float
+) -> tuple[data.PromptLoss, ...]:
+    """Return the newest losses, as many as a report may have."""
+    reported: list[data.PromptLoss] = []
+    part_count = 0
+    for loss in reversed(losses[-MAX_REPORTED_COUNT:]):
+        part_count += len(loss.part_ids)
+        if reported and part_count > MAX_REPORTED_PART_COUNT:
+            break
+        reported.append(
+            data.PromptLoss(
+                loss.engine, loss.part_ids, _age_ms(now_s, loss.at_s)
+            )
+        )
+    return tuple(reported)
+
+
 def _released(part_id: str, cause: str) -> _events.LogEvent:
     return _events.PromptPartReleased(part_id, cause)
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
@@ -273,13 +273,15 @@
         """Guards against datagrams that links cannot carry."""
         env = _make_env()
         for number in range(200):
-            part_ids = tuple(f'{n}-{number}' for n in range(8))
-            env.quarantine.record_output(part_ids)
+            part_ids = tuple(f'{n}-{number}' for n in range(32))
             env.quarantine.record_loss(f'engine-{number}', part_ids)
+            env.quarantine.record_output(part_ids)
         evidence = env.quarantine.evidence(is_full=True)
         limit = _prompt_quarantine.MAX_REPORTED_COUNT
-        assert len(evidence.losses) <= limit
-        assert len(evidence.outputs) <= limit
+        assert 0 < len(evidence.losses) <= limit
+        assert 0 < len(evidence.outputs) <= limit
+        part_count = sum(len(loss.part_ids) for loss in evidence.losses)
+        assert part_count <= _prompt_quarantine.MAX_REPORTED_PART_COUNT
 
     def test_fleet_view_carries_the_evidence(self) -> None:
         """Guards against evidence that is left out of reports."""
