--- a/packages/emulator/src/skylarktack/emulator/platform/_caller.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_caller.py
@@ -30,6 +30,9 @@
     #: Last part of the prompt, or None for a call.
     subject: str | None = None
 
+    #: Parts of the prompt before the last one.
+    shared_parts: tuple[str, ...] = ('shared',)
+
     #: Events of the whole stream.
     event_count: int = 0
 
@@ -165,7 +168,9 @@
     ]
     if attempt.subject is None:
         return headers
-    headers.append(('Prompt-Prefix', f'shared:200,{attempt.subject}:800'))
+    parts = [f'{part}:200' for part in attempt.shared_parts]
+    parts.append(f'{attempt.subject}:800')
+    headers.append(('Prompt-Prefix', ','.join(parts)))
     headers.append(('Token-Usage', f'1000,{attempt.event_count}'))
     if attempt.last_event_id:
         headers.append(('Last-Event-Id', str(attempt.last_event_id)))
--- a/packages/emulator/src/skylarktack/emulator/platform/_target.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_target.py
@@ -41,6 +41,10 @@
     #: Time for which a refusal asks to receive nothing, or None.
     pause_s: float | None = None
 
+    #: Prompt part under which the target crashes before the first event, or
+    #: None.
+    crash_part: str | None = None
+
     #: Whether all answers say that the target is leaving.
     says_it_leaves: bool = False
 
@@ -291,6 +295,9 @@
         if not is_stream:
             time.sleep(behaviour.work_s)
         self._await_thaw()
+        if is_stream and behaviour.crash_part in self._part_ids():
+            self._target.crash()
+            return
         if behaviour.loses_answers:
             self.drop_connection()
             return
@@ -339,8 +346,12 @@
             return (('Server-Leaving', '1'),)
         return ()
 
+    def _part_ids(self) -> list[str]:
+        entries = self.headers['Prompt-Prefix'].split(',')
+        return [str(entry.partition(':')[0]) for entry in entries]
+
     def _last_part(self) -> str:
-        return str(self.headers['Prompt-Prefix'].split(',')[-1].split(':')[0])
+        return self._part_ids()[-1]
 
     def _chunk(self, content: bytes) -> None:
         size = f'{len(content):x}\r\n'.encode()
