Merge the quarantine of prompt parts

Evidence about prompt parts is an account of a request too, so an error in it is recorded and the stream goes on; TestAccountingErrors has a case for it.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -227,6 +227,7 @@
     budget: forwarding.RetryBudget
     calls: forwarding.CallForwarder
     streams: forwarding.StreamForwarder
+    quarantine: forwarding.PromptQuarantine
 
     def work(
         self, of_route: data.ForwardingRoute, of_request: data.FrontRequest
@@ -318,6 +319,7 @@
         forwarding.RetryLimits(0.8, allowance, 10.0),
         fleet,
     )
+    quarantine = forwarding.PromptQuarantine(clock, log, fleet)
     streams = forwarding.StreamForwarder(
         forwarding.StreamDependencies(
             clock=clock,
@@ -325,6 +327,7 @@
             client=client,
             fleet=fleet,
             budget=budget,
+            quarantine=quarantine,
             new_splitter=_Splitter,
             errors=errors,
         )
@@ -340,6 +343,7 @@
         budget=budget,
         calls=forwarding.CallForwarder(clock, targets, client, budget),
         streams=streams,
+        quarantine=quarantine,
     )
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -136,6 +136,7 @@
             ('moves', 'record_send'),
             ('moves', 'record_outcome'),
             ('fleet', 'record_run_end'),
+            ('quarantine', 'record_output'),
         ],
     )
     def test_stream_is_whole(
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -100,7 +100,8 @@
             errors,
         )
         client = transport.HttpTargetClient(codec)
-        metrics = _metrics.RequestMetrics(errors)
+        quarantine = forwarding.PromptQuarantine(clock, log, self._fleet)
+        metrics = _metrics.RequestMetrics(errors, quarantine)
         accounts = forwarding.RequestAccounts()
         budget = forwarding.RetryBudget(
             clock,
@@ -127,6 +128,7 @@
                         client=client,
                         fleet=self._fleet,
                         budget=budget,
+                        quarantine=quarantine,
                         new_splitter=messages.EventStreamSplitter,
                         errors=errors,
                     )
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -210,6 +210,7 @@
                 client=client,
                 fleet=fleet,
                 budget=budget,
+                quarantine=forwarding.PromptQuarantine(clock, log, fleet),
                 new_splitter=messages.EventStreamSplitter,
                 errors=errors,
             )
