Keep a stream when the report of its start fails

Callers would see: a 502 in place of a stream, or a stream cut at a failover, and a target that counts as busier than it is for good, when the report of a new run to the fleet fails.

Cause: of the three reports of a run, those of its first event and of its end record an error, but the one before the send still raised it. It was made after the request was counted at its target, and outside the block that uncounts it.

Evidence: the new case of test_stream_is_whole (record_run fails) fails on the commit before with the error itself. With the report contained, the run is sent and uncounted as before.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -320,7 +320,8 @@
             self._dependencies, self._admitted, self._progress, target, copies
         )
         self._targets.begin_request(target)
-        self._dependencies.fleet.record_run(run_status)
+        with self._dependencies.errors.contain('run report'):
+            self._dependencies.fleet.record_run(run_status)
         try:
             result = self._dependencies.client.send(
                 self._admitted.request, context, _calls.CONNECT_TIMEOUT_S
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -135,6 +135,7 @@
         [
             ('moves', 'record_send'),
             ('moves', 'record_outcome'),
+            ('fleet', 'record_run'),
             ('fleet', 'record_run_end'),
         ],
     )
