Count a request in progress even if the count of its move fails

Callers would see: calls that go to a busy target while others are idle. Each such request was uncounted at its end without having been counted, so it took another request's place in the number in progress.

Cause: begin_request contains an error of the move's count, which comes before the number of requests in progress is raised; end_request lowers it all the same.

Evidence: the new test, in which three requests are in progress at one of two targets, fails on the commit before: the busy target is chosen. The number is now raised first, as an error after it cannot undo it.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -106,9 +106,9 @@
     def begin_request(self, target: data.ListedTarget) -> None:
         """Record that a request is sent to the target."""
         with self._errors.contain(_ACCOUNTING):
-            self._moves.record_send(target)
             with self._lock:
                 self._stats_of(target).in_flight_count += 1
+            self._moves.record_send(target)
 
     def end_request(self, target: data.ListedTarget) -> None:
         """Record that a request at the target has ended."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -178,3 +178,19 @@
         env.client.script('only', harness.answer_script(200))
         outcome = gateway_env.send(harness.request())
         assert isinstance(outcome, data.FrontResponse)
+
+    def test_target_of_a_call_stays_busy(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a busy target that is taken for an idle one."""
+        busy = harness.target('a')
+        env = harness.make_harness(busy, harness.target('b', 'domain-b'))
+        for _ in range(3):
+            env.targets.begin_request(busy)
+        monkeypatch.setattr(env.moves, 'record_send', _fail)
+        for _ in range(3):
+            env.targets.begin_request(busy)
+            env.targets.end_request(busy)
+        chosen = env.targets.choose_for_call('pool', frozenset())
+        assert chosen is not None
+        assert chosen.name == 'b'
