Keep a stream when the report of a probe fails

Callers would see: a cut stream, or a 502, once the engine of the stream says in answer to a probe that it is leaving or paused, and the report of that to the peers or the log fails.

Cause: what a target says in the head of a response is recorded within TargetTable.report_head, which contains errors. What it says in answer to a probe went to the exclusions directly, from the relay of the stream.

Both places now report to the table, as for heads; the target is excluded before it is reported.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -250,7 +250,7 @@
             return self._handle_unresponsive(
                 'the engine did not answer a probe'
             )
-        self._targets.exclusions.report_probe(self._target, report)
+        self._targets.report_probe(self._target, report)
         if _is_replaced(self._target, report):
             return self._handle_unresponsive(
                 'another process answers at this address'
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -196,7 +196,7 @@
             )
             self._tried_targets.add(engine.name)
             return True
-        self._targets.exclusions.report_probe(engine, report)
+        self._targets.report_probe(engine, report)
         if not _placement.is_report_of_full_engine(report, self._demand):
             return self._targets.is_unavailable(engine)
         self._record(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -129,6 +129,13 @@
                     stats.load_at_s = self._clock.monotonic_s()
             self.exclusions.report_head(target, head)
 
+    def report_probe(
+        self, target: data.ListedTarget, report: data.TargetReport
+    ) -> None:
+        """Record what the target says of itself in answer to a probe."""
+        with self._errors.contain(_ACCOUNTING):
+            self.exclusions.report_probe(target, report)
+
     def report_leaving(self, leaving: data.LeavingTarget) -> None:
         """Exclude a target because a peer heard that it is leaving."""
         self.exclusions.report_leaving(leaving)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -194,3 +194,14 @@
         chosen = env.targets.choose_for_call('pool', frozenset())
         assert chosen is not None
         assert chosen.name == 'b'
+
+    def test_stream_survives_the_report_of_a_probe(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a stream that is cut because its engine leaves."""
+        env = harness.make_harness(harness.target('only'))
+        monkeypatch.setattr(env.fleet, 'record_leaving_target', _fail)
+        env.client.reports['only'] = data.TargetReport(1, is_leaving=True)
+        env.client.script('only', harness.stream_script(1, 9, start_s=2.0))
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.probed == ['only']
