Start a stream when the search for its cached prompt fails

Callers would see: a 502 for a stream that comes back after a loss of all instances, of which nothing was sent yet, when an unexpected error ends the search for the engine that has its prompt.

Cause: the search only spares the engines work, but an error in it ended the request.

Evidence: the new test, in which the question to the engine fails, fails on the commit before with the error itself. The stream is now placed as one whose prompt no engine has.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -85,7 +85,8 @@
         budget = self._dependencies.budget
         budget.count_request(self._admitted.service)
         copy: data.RunCopy | None = None
-        self._find_prompt()
+        with self._dependencies.errors.contain('prompt search'):
+            self._find_prompt()
         while self._clock.monotonic_s() < self._admitted.deadline_s:
             if self._send_count >= MAX_SEND_COUNT:
                 break
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -205,3 +205,14 @@
         env.client.script('only', harness.stream_script(1, 9, start_s=2.0))
         assert isinstance(env.stream(), forwarding.StreamCompleted)
         assert env.client.probed == ['only']
+
+    def test_stream_starts_without_a_prompt_search(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a refusal because no cached prompt was found."""
+        env = harness.make_harness(harness.target('only'), is_warmed_up=False)
+        monkeypatch.setattr(env.client, 'cached_parts', _fail)
+        env.client.script('only', harness.stream_script(5, 9))
+        resumed = harness.request(last_event_id=4, time_limit_ms=25000.0)
+        outcome = env.stream(of_request=resumed)
+        assert isinstance(outcome, forwarding.StreamCompleted)
