Answer a request whose admission fails

Callers would see: a connection that is closed without an answer when an unexpected error ends the admission of a request. The instance would count the request as in progress for good, in its log lines and in its stop.

Cause: the gateway raised the number of requests in progress, and admitted the request, before the block that answers errors and lowers the number.

The admission now belongs to the block, and its error is a refusal like that of any other step.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -193,10 +193,12 @@
         with self._lock:
             self._active_count += 1
         queued_s = self._clock.monotonic_s() - started_at_s
-        admission = self._admit(table, is_current, request, queued_s)
-        route = admission.route
-        organisation = admission.organisation
+        route: data.ForwardingRoute | None = None
+        organisation: str | None = None
         try:
+            admission = self._admit(table, is_current, request, queued_s)
+            route = admission.route
+            organisation = admission.organisation
             if isinstance(admission, _Rejected):
                 outcome: Outcome = admission.refusal
             else:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -93,6 +93,19 @@
         assert 'unexpected error' in env.log.messages('instance')
         assert gateway.gateway.active_count() == 0
 
+    def test_failed_admission_is_answered(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a request that counts as active for good."""
+        env = harness.make_harness(harness.target('only'))
+        gateway_env = harness.make_gateway(env, _FailingObserver())
+        gateway_env.holder.replace_if_newer(harness.configuration())
+        monkeypatch.setattr(gateway_env.holder.table, 'find_route', _fail)
+        outcome = gateway_env.send(harness.request())
+        assert isinstance(outcome, data.Refusal)
+        assert outcome.reason is data.RefusalReason.INTERNAL_ERROR
+        assert gateway_env.gateway.active_count() == 0
+
 
 class _FailingObserver:
     """Fails at each report."""
