Count a request even if its log line fails

Operators would see: requests that are missing in the metrics and in the log lines with counts, whenever the line of the request itself fails.

Cause: the three observers of a finished request are called in one loop, so an error of the first ended it.

Evidence: with the class of the commit before, a failing observer raises out of the loop and the counts stay empty (trial with the observer of the new test). Each observer is now called on its own, and its error is recorded.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -132,7 +132,7 @@
                     )
                 ),
                 observer=_reports.CompositeObserver(
-                    _reports.RequestLog(clock, log), metrics, accounts
+                    errors, _reports.RequestLog(clock, log), metrics, accounts
                 ),
                 errors=errors,
             )
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
@@ -104,10 +104,16 @@
 class CompositeObserver:
     """Calls several observers for each finished request."""
 
-    def __init__(self, *observers: forwarding.RequestObserver) -> None:
+    def __init__(
+        self,
+        errors: forwarding.ErrorRecorder,
+        *observers: forwarding.RequestObserver,
+    ) -> None:
+        self._errors = errors
         self._observers = observers
 
     def on_request_end(self, report: forwarding.RequestReport) -> None:
-        """Pass one report to each observer."""
+        """Pass one report to each observer, even if another one fails."""
         for observer in self._observers:
-            observer.on_request_end(report)
+            with self._errors.contain('request report'):
+                observer.on_request_end(report)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -239,6 +239,29 @@
         assert b'organisation="other"' in response.body
 
 
+class _FailingObserver:
+    """Fails at each report."""
+
+    def on_request_end(self, report: forwarding.RequestReport) -> None:
+        raise ValueError('odd report')
+
+
+class TestCompositeObserver:
+    """Each observer receives each report."""
+
+    def test_observers_do_not_depend_on_each_other(self) -> None:
+        """Guards against requests that are missing in the counts."""
+        errors = _errors()
+        accounts = forwarding.RequestAccounts()
+        observer = _reports.CompositeObserver(
+            errors, _FailingObserver(), accounts
+        )
+        observer.on_request_end(_report(data.FrontResponse(200, (), b'')))
+        (row,) = accounts.take()
+        assert row.sums.request_count == 1
+        assert errors.counts() == {'request report': 1}
+
+
 def _errors() -> forwarding.ErrorRecorder:
     return forwarding.ErrorRecorder(
         fakes.SteppingClock(), fakes.RecordingLog()
