Keep an answer when an observer of its outcome fails

Callers of the product's own front end would see: an error in place of an answer that the target gave, or a generation cut at its last token, when the metrics or the evidence of a move fail on an outcome. A call that is not idempotent would end without its answer being recorded.

Cause: lookups, calls with a claim and generations report each outcome on the path of the answer, the last in a finally block, and the instance passes it to metrics, selector and evidence without a guard.

--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -18,6 +18,7 @@
 from skylarktack.daemon import _limits
 from skylarktack.daemon import _moves
 from skylarktack.daemon import _operators
+from skylarktack.daemon import _outcomes
 from skylarktack.daemon import _peers
 from skylarktack.daemon import _routing
 from skylarktack.daemon import _status
@@ -32,26 +33,6 @@
 _LOG = structlog.get_logger(part='instance')
 
 
-class _OutcomeBroadcaster:
-    """Counts outcomes by kind and forwards them to several observers."""
-
-    def __init__(
-        self, metrics: ports.Metrics, *observers: ports.OutcomeObserver
-    ) -> None:
-        self._metrics = metrics
-        self._observers = observers
-
-    def observe(self, outcome: state.TargetOutcome) -> None:
-        """Record one outcome."""
-        self._metrics.count(f'outcome.{outcome.kind.value}')
-        if outcome.first_token_ms is not None:
-            self._metrics.duration(
-                'first_token', outcome.organisation, outcome.first_token_ms
-            )
-        for observer in self._observers:
-            observer.observe(outcome)
-
-
 class Instance:
     """An entry instance with all its components and tasks."""
 
@@ -87,7 +68,7 @@
             self._routing.selector,
             self._metrics,
         )
-        outcomes = _OutcomeBroadcaster(
+        outcomes = _outcomes.OutcomeBroadcaster(
             self._metrics, self._routing.selector, self._moves.collector
         )
         retry_budget = limits.OrganisationRetryBudget(
