Answer HEAD requests without a body

Callers would see: a connection that is closed without any answer to a HEAD request that is refused, or whose answer has a body.

Cause: the response to HEAD was encoded with its body, which h11 rejects. The connection takes that error for a violation by the caller, and ends silently.

Evidence: the new test (two such requests on one connection, answered or refused) received no byte at all on the commit before. The length is still sent, as RFC 9110 (9.3.2) allows, and the body is left out.

--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -77,6 +77,7 @@
         self._pipelined_bytes = 0
         self._has_disconnected = False
         self._has_begun_response = False
+        self._is_head_request = False
         self._state_lock = threading.Lock()
         self._is_idle = True
         self._is_closing = False
@@ -90,6 +91,7 @@
             while self._serve_next():
                 self._pipelined_bytes = 0
                 self._has_begun_response = False
+                self._is_head_request = False
                 self._parser.start_next_cycle()
         except (OSError, h11.ProtocolError):
             # The caller disconnected or violated HTTP; nothing can be sent.
@@ -190,11 +192,13 @@
         self, response: data.FrontResponse, must_close: bool
     ) -> bool:
         headers = messages.without_names(response.headers, _FRAMING_NAMES)
-        if response.status not in _STATUSES_WITHOUT_BODY:
+        has_length = response.status not in _STATUSES_WITHOUT_BODY
+        if has_length:
             length = str(len(response.body)).encode()
             headers += ((b'Content-Length', length),)
         outgoing = self._encode_head(response.status, headers, must_close)
-        if response.body and response.status not in _STATUSES_WITHOUT_BODY:
+        has_body = has_length and not self._is_head_request
+        if response.body and has_body:
             outgoing += self._parser.send(h11.Data(data=response.body)) or b''
         outgoing += self._parser.send(h11.EndOfMessage()) or b''
         return self._write(outgoing)
@@ -251,6 +255,7 @@
                     target=event.target,
                     headers=tuple(event.headers.raw_items()),
                 )
+                self._is_head_request = head.method == b'HEAD'
                 has_body = _has_body(head.headers)
                 if _has_conflicting_lengths(head.headers):
                     return data.Refusal(
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
@@ -1,6 +1,7 @@
 """Caller connections: framing, limits, disconnects, planned stop."""
 
 from collections.abc import Iterator
+import socket
 
 import pytest
 
@@ -31,6 +32,29 @@
             harness.caller.sendall(POST)
             assert harness.read_response() == (200, b'body')
 
+    @pytest.mark.parametrize(
+        ('outcome', 'status'),
+        [
+            (data.FrontResponse(200, (), b'body'), b'200'),
+            (data.Refusal(data.RefusalReason.NO_ROUTE), b'400'),
+        ],
+        ids=['response', 'refusal'],
+    )
+    def test_head_is_answered_without_a_body(
+        self,
+        harness: front_harness.FrontHarness,
+        outcome: forwarding.StreamOutcome,
+        status: bytes,
+    ) -> None:
+        """Guards against a connection that closes without an answer."""
+        harness.handler.outcome = outcome
+        harness.start()
+        harness.caller.sendall(GET.replace(b'GET', b'HEAD') * 2)
+        harness.caller.shutdown(socket.SHUT_WR)
+        received = harness.read_all()
+        assert received.count(b'HTTP/1.1 ' + status) == 2
+        assert received.endswith(b'\r\n\r\n')
+
     def test_pipelined_responses_are_in_order(
         self, harness: front_harness.FrontHarness
     ) -> None:
