Install the libraries again if an instance cannot import them

Operators would see: instances that end at their start after a build that succeeded, when target/deps was carried over from a machine of another kind or from another version of Python, or is damaged.

Cause: the build compares only the list of libraries with the list of the last installation. cbor2 is compiled for one machine and one version of Python. An installation that was cut off also left the list of the one before.

The build now imports the libraries without any other package, installs them again if that fails, and fails itself if it does not help.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,9 +4,16 @@
 cd "$(dirname "$0")/.."
 deps=target/deps
 mkdir -p "$deps"
-if ! cmp -s deploy/requirements.txt target/installed.txt; then
+# Compiled libraries fit one version of Python and one kind of machine.
+import_libraries() {
+    PYTHONPATH="$deps" python3 -S -s -c 'import cbor2, h11, prometheus_client'
+}
+if ! cmp -s deploy/requirements.txt target/installed.txt ||
+    ! import_libraries 2>/dev/null; then
+    rm -f target/installed.txt
     python3 -m pip install --quiet --upgrade --no-deps --require-hashes \
         --target "$deps" --requirement deploy/requirements.txt
+    import_libraries
     cp deploy/requirements.txt target/installed.txt
 fi
 rm -rf "$deps/skylarktack"
--- a/packages/emulator/src/skylarktack/emulator/tests/test_deployed_tree.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_deployed_tree.py
@@ -1,6 +1,5 @@
 """The tree that deploy/build.sh makes, without the packages of the tests."""
 
-from collections.abc import Iterator
 import json
 import os
 import pathlib
@@ -49,23 +48,30 @@
 
 
 @pytest.fixture(name='tree', scope='module')
-def _tree(
-    tmp_path_factory: pytest.TempPathFactory,
-) -> Iterator[pathlib.Path]:
-    """Yield the folder that the build fills, made from a copy."""
-    copy = tmp_path_factory.mktemp('checkout')
+def _tree(tmp_path_factory: pytest.TempPathFactory) -> pathlib.Path:
+    """Return the folder that the build fills, made from a copy."""
+    return _build(_copy_checkout(tmp_path_factory.mktemp('checkout')))
+
+
+def _copy_checkout(copy: pathlib.Path) -> pathlib.Path:
+    """Copy what the build reads to a folder; return the folder."""
     shutil.copytree(_REPOSITORY / 'deploy', copy / 'deploy')
     for source in (_REPOSITORY / 'packages').glob('*/src'):
         shutil.copytree(source, copy / source.relative_to(_REPOSITORY))
+    return copy
+
+
+def _build(checkout: pathlib.Path) -> pathlib.Path:
+    """Run the build in a checkout; return the folder that it fills."""
     python_folder = str(pathlib.Path(sys.executable).parent)
     subprocess.run(
-        ['bash', str(copy / 'deploy' / 'build.sh')],
+        ['bash', str(checkout / 'deploy' / 'build.sh')],
         check=True,
         timeout=PATIENCE_S,
         env=os.environ
         | {'PATH': f'{python_folder}{os.pathsep}{os.environ["PATH"]}'},
     )
-    yield copy / 'target' / 'deps'
+    return checkout / 'target' / 'deps'
 
 
 def _run_in_tree(
@@ -86,6 +92,22 @@
     )
 
 
+class TestBuild:
+    """A build over the results of an earlier one."""
+
+    def test_library_for_another_machine_is_replaced(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a carried-over folder that no instance can use."""
+        checkout = _copy_checkout(tmp_path)
+        tree = _build(checkout)
+        for compiled in tree.glob('*/*.so'):
+            compiled.rename(compiled.with_suffix('.other-machine'))
+        _build(checkout)
+        printed = _run_in_tree(tree, 'import cbor2')
+        assert printed.returncode == 0, printed.stderr
+
+
 class TestModules:
     """Modules that an instance can import."""
 
