Test that a missing module ends the start of an instance

The test of the loaded modules calls load_modules() itself, so it would pass if the entry point no longer did. The new one takes a module out of a built tree and starts an instance: without the call in main() it fails, since the start goes on to the settings. No change of the code of an instance.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_deployed_tree.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_deployed_tree.py
@@ -134,6 +134,33 @@
         assert late == set()
 
 
+class TestStart:
+    """A start without one of the modules."""
+
+    def test_missing_module_ends_the_start(
+        self, tree: pathlib.Path, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against an instance that is ready but cannot serve."""
+        damaged = tmp_path / 'deps'
+        shutil.copytree(tree, damaged)
+        moves = damaged / 'skylarktack' / 'coordination' / 'moves'
+        (moves / '_latencies.py').unlink()
+        started = subprocess.run(
+            [
+                sys.executable,
+                *platform.ISOLATING_FLAGS,
+                '-m',
+                platform.INSTANCE_MODULE,
+            ],
+            capture_output=True,
+            text=True,
+            timeout=PATIENCE_S,
+            env=os.environ | {'PYTHONPATH': str(damaged)},
+        )
+        assert started.returncode != 0
+        assert 'ModuleNotFoundError' in started.stderr
+
+
 class TestRollOut:
     """A move of a service to another version, from order to verdict."""
 
