--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -94,7 +94,8 @@
         refusal = self._dependencies.quarantine.admit(self._part_ids)
         if refusal is not None:
             return self._outcome_of_quarantine(refusal)
-        self._find_prompt()
+        with self._dependencies.errors.contain('prompt search'):
+            self._find_prompt()
         while self._clock.monotonic_s() < self._admitted.deadline_s:
             if self._send_count >= MAX_SEND_COUNT:
                 break
@@ -210,7 +211,7 @@
             )
             self._tried_targets.add(engine.name)
             return True
-        self._targets.exclusions.report_probe(engine, report)
+        self._targets.report_probe(engine, report)
         if not _placement.is_report_of_full_engine(report, self._demand):
             return self._targets.is_unavailable(engine)
         self._record(
@@ -336,7 +337,8 @@
             self._dependencies, self._admitted, self._progress, target, copies
         )
         self._targets.begin_request(target)
-        self._dependencies.fleet.record_run(run_status)
+        with self._dependencies.errors.contain('run report'):
+            self._dependencies.fleet.record_run(run_status)
         try:
             result = self._dependencies.client.send(
                 self._admitted.request, context, _calls.CONNECT_TIMEOUT_S
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -106,9 +106,9 @@
     def begin_request(self, target: data.ListedTarget) -> None:
         """Record that a request is sent to the target."""
         with self._errors.contain(_ACCOUNTING):
-            self._moves.record_send(target)
             with self._lock:
                 self._stats_of(target).in_flight_count += 1
+            self._moves.record_send(target)
 
     def end_request(self, target: data.ListedTarget) -> None:
         """Record that a request at the target has ended."""
@@ -129,6 +129,13 @@
                     stats.load_at_s = self._clock.monotonic_s()
             self.exclusions.report_head(target, head)
 
+    def report_probe(
+        self, target: data.ListedTarget, report: data.TargetReport
+    ) -> None:
+        """Record what the target says of itself in answer to a probe."""
+        with self._errors.contain(_ACCOUNTING):
+            self.exclusions.report_probe(target, report)
+
     def report_leaving(self, leaving: data.LeavingTarget) -> None:
         """Exclude a target because a peer heard that it is leaving."""
         self.exclusions.report_leaving(leaving)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -93,6 +93,19 @@
         assert 'unexpected error' in env.log.messages('instance')
         assert gateway.gateway.active_count() == 0
 
+    def test_failed_admission_is_answered(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a request that counts as active for good."""
+        env = harness.make_harness(harness.target('only'))
+        gateway_env = harness.make_gateway(env, _FailingObserver())
+        gateway_env.holder.replace_if_newer(harness.configuration())
+        monkeypatch.setattr(gateway_env.holder.table, 'find_route', _fail)
+        outcome = gateway_env.send(harness.request())
+        assert isinstance(outcome, data.Refusal)
+        assert outcome.reason is data.RefusalReason.INTERNAL_ERROR
+        assert gateway_env.gateway.active_count() == 0
+
 
 class _FailingObserver:
     """Fails at each report."""
@@ -135,6 +148,7 @@
         [
             ('moves', 'record_send'),
             ('moves', 'record_outcome'),
+            ('fleet', 'record_run'),
             ('fleet', 'record_run_end'),
             ('quarantine', 'record_output'),
         ],
@@ -178,3 +192,41 @@
         env.client.script('only', harness.answer_script(200))
         outcome = gateway_env.send(harness.request())
         assert isinstance(outcome, data.FrontResponse)
+
+    def test_target_of_a_call_stays_busy(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a busy target that is taken for an idle one."""
+        busy = harness.target('a')
+        env = harness.make_harness(busy, harness.target('b', 'domain-b'))
+        for _ in range(3):
+            env.targets.begin_request(busy)
+        monkeypatch.setattr(env.moves, 'record_send', _fail)
+        for _ in range(3):
+            env.targets.begin_request(busy)
+            env.targets.end_request(busy)
+        chosen = env.targets.choose_for_call('pool', frozenset())
+        assert chosen is not None
+        assert chosen.name == 'b'
+
+    def test_stream_survives_the_report_of_a_probe(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a stream that is cut because its engine leaves."""
+        env = harness.make_harness(harness.target('only'))
+        monkeypatch.setattr(env.fleet, 'record_leaving_target', _fail)
+        env.client.reports['only'] = data.TargetReport(1, is_leaving=True)
+        env.client.script('only', harness.stream_script(1, 9, start_s=2.0))
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.probed == ['only']
+
+    def test_stream_starts_without_a_prompt_search(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a refusal because no cached prompt was found."""
+        env = harness.make_harness(harness.target('only'), is_warmed_up=False)
+        monkeypatch.setattr(env.client, 'cached_parts', _fail)
+        env.client.script('only', harness.stream_script(5, 9))
+        resumed = harness.request(last_event_id=4, time_limit_ms=25000.0)
+        outcome = env.stream(of_request=resumed)
+        assert isinstance(outcome, forwarding.StreamCompleted)
