Relay only events of the stream, in order, and only a whole end

What callers could see: the text of an error or a second response head in the middle of a stream, an event missing after a failover, or a stream that ended as complete before its last event.

Causes: - Events without an id were passed on unread, so a page in a success, text after an engine's failure (also within a body that ends with its connection) and a second head reached the caller. - A signed success of another media type was relayed as a stream. - The id of the last event advanced before the events of one read were sent; a gap in that read discarded them, and the next engine went on after them. - After a failover, a body with no event that ended with its connection completed the stream.

The splitter now returns each event with its id and stops at bytes that are no event with an id; comments and events without data still pass. The relay sends the events before a defect or a gap, and the run goes on after them at another engine or is interrupted. A success that holds no stream counts as a failure of its engine. A rest of the stream without events is complete only with a length or a last chunk: an engine that crashes after its head closes the connection too.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -81,6 +81,7 @@
 from skylarktack.coordination.forwarding._ports import SplitEvents
 from skylarktack.coordination.forwarding._ports import StoreClient
 from skylarktack.coordination.forwarding._ports import StoreResponse
+from skylarktack.coordination.forwarding._ports import StreamEvent
 from skylarktack.coordination.forwarding._ports import TargetClient
 from skylarktack.coordination.forwarding._ports import WaitResult
 from skylarktack.coordination.forwarding._request_events import RequestFailed
@@ -219,6 +220,7 @@
     'StoreHealth',
     'WatchRole',
     'SharedWatch',
+    'StreamEvent',
     'StreamInterrupted',
     'StreamCompleted',
     'StreamForwarder',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -179,18 +179,27 @@
         ...
 
 
+@dataclasses.dataclass(frozen=True)
+class StreamEvent:
+    """One complete event of a stream."""
+
+    #: Bytes of the event, unchanged, with the empty line that ends it.
+    data: bytes
+
+    #: None for comments and for events without data.
+    event_id: int | None
+
+
 @dataclasses.dataclass(frozen=True)
 class SplitEvents:
     """Complete events of a stream."""
 
-    #: Bytes of the events, unchanged.
-    events: bytes
-
-    #: Ids of the events, in order; events without a numeric id have none.
-    ids: tuple[int, ...]
+    #: Events in order.
+    events: tuple[StreamEvent, ...]
 
-    #: Whether an incomplete event is larger than the splitter accepts.
-    is_oversized: bool = False
+    #: Why the bytes after these events do not belong to the stream; None if
+    #: there are none, or if they are the start of another event.
+    defect: str | None = None
 
 
 class MessageCodec(Protocol):
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -168,29 +168,18 @@
         is_stream = head.is_relayable
         if isinstance(event, _ports.ResponseEnd):
             if is_stream:
-                return self._handle_stream_end()
+                return self._handle_stream_end(head)
             return self._handle_error_response(head)
         if not is_stream:
             self._error_body_chunks.append(event.data)
             return None
         split = self._splitter.split(event.data)
-        if split.is_oversized:
-            return self.handle_fault(
-                _ports.ExchangeFault(
-                    _ports.FaultKind.MALFORMED, 'an event exceeds the limit'
-                )
-            )
-        if not split.events:
-            return None
-        if not split.ids:
-            # Comments and events without an id are no progress, so an engine
-            # that sends only these counts as unresponsive.
-            return self._send_events(head, split.events)
-        self._record_long_pause()
-        self._targets.report_alive(self._target)
-        self._last_event_at_s = self._clock.monotonic_s()
-        self._is_streaming = True
-        return self._relay_events(head, split)
+        end = self._relay_events(head, split.events)
+        if end is not None or split.defect is None:
+            return end
+        return self.handle_fault(
+            _ports.ExchangeFault(_ports.FaultKind.MALFORMED, split.defect)
+        )
 
     def _record_long_pause(self) -> None:
         """Record a pause that is longer than the route allows."""
@@ -272,22 +261,41 @@
         )
 
     def _relay_events(
-        self, head: data.ResponseHead, split: _ports.SplitEvents
+        self, head: data.ResponseHead, events: tuple[_ports.StreamEvent, ...]
     ) -> _stream_attempts.AttemptEnd | None:
+        """Send events to the caller up to one that is out of order."""
         progress = self._progress
-        for event_id in split.ids:
-            expected = progress.last_event_id
-            if expected is not None and event_id != expected + 1:
-                detail = f'event {event_id} follows event {expected}'
-                self._targets.report_failure(
-                    self._target,
-                    self._admitted.route.name,
-                    detail,
-                    is_loss=False,
-                )
-                return self._lost(detail)
-            progress.last_event_id = event_id
-        return self._send_events(head, split.events)
+        last_event_id = progress.last_event_id
+        has_progress = False
+        misplaced: str | None = None
+        sound: list[bytes] = []
+        for event in events:
+            # Comments and events without an id are no progress, so an engine
+            # that sends only these counts as unresponsive.
+            if event.event_id is not None:
+                if last_event_id not in (None, event.event_id - 1):
+                    misplaced = (
+                        f'event {event.event_id} follows event {last_event_id}'
+                    )
+                    break
+                last_event_id = event.event_id
+                has_progress = True
+            sound.append(event.data)
+        if has_progress:
+            self._record_long_pause()
+            self._targets.report_alive(self._target)
+            self._last_event_at_s = self._clock.monotonic_s()
+            self._is_streaming = True
+        progress.last_event_id = last_event_id
+        if sound:
+            end = self._send_events(head, b''.join(sound))
+            if end is not None:
+                return end
+        if misplaced is None:
+            return None
+        return self.handle_fault(
+            _ports.ExchangeFault(_ports.FaultKind.MALFORMED, misplaced)
+        )
 
     def _send_events(
         self, head: data.ResponseHead, events: bytes
@@ -306,10 +314,14 @@
             )
         return None
 
-    def _handle_stream_end(self) -> _stream_attempts.AttemptEnd:
+    def _handle_stream_end(
+        self, head: data.ResponseHead
+    ) -> _stream_attempts.AttemptEnd:
         if self._splitter.has_partial():
             return self.handle_fault(_early_end_fault('within an event'))
-        if not self._progress.has_started:
+        if not self._is_streaming and (
+            self._progress.last_sent_at_s is None or head.ends_with_connection
+        ):
             return self.handle_fault(_early_end_fault('without an event'))
         latency_ms = 1000 * (self._clock.monotonic_s() - self._sent_at_s)
         self._targets.report_response(
@@ -341,6 +353,10 @@
         response = data.FrontResponse(
             head.status, head.headers, b''.join(self._error_body_chunks)
         )
+        if head.is_success:
+            return _stream_attempts.AttemptLost(
+                'the response is no stream of events', None
+            )
         may_reach_caller = _refusals.may_reach_caller(head)
         if head.status < _calls.FIRST_SERVER_ERROR_STATUS:
             if self._progress.has_started or not may_reach_caller:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -23,13 +23,15 @@
 
     def split(self, received: bytes) -> forwarding.SplitEvents:
         """Return the events that are complete with these bytes."""
-        gathered = self._partial + received
-        events, separator, self._partial = gathered.rpartition(b'\n\n')
-        ids = []
-        for line in events.split(b'\n'):
-            if line.startswith(b'id: '):
-                ids.append(int(line[4:]))
-        return forwarding.SplitEvents(events + separator, tuple(ids))
+        *complete, self._partial = (self._partial + received).split(b'\n\n')
+        events = []
+        for text in complete:
+            event_id = None
+            for line in text.split(b'\n'):
+                if line.startswith(b'id: '):
+                    event_id = int(line[4:])
+            events.append(forwarding.StreamEvent(text + b'\n\n', event_id))
+        return forwarding.SplitEvents(tuple(events))
 
     def has_partial(self) -> bool:
         """Return whether an incomplete event is buffered."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -206,9 +206,10 @@
     def split(self, received: bytes) -> forwarding.SplitEvents:
         """Return the single event in these bytes."""
         if self._is_first:
-            return forwarding.SplitEvents(b'', (), is_oversized=True)
+            return forwarding.SplitEvents((), defect='oversized')
         number = int(received.split(b'\n')[0].removeprefix(b'id: '))
-        return forwarding.SplitEvents(received, (number,))
+        event = forwarding.StreamEvent(received, number)
+        return forwarding.SplitEvents((event,))
 
     def has_partial(self) -> bool:
         """Return False: each chunk is one event."""
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -14,6 +14,8 @@
 import threading
 import time
 
+import h11
+
 from skylarktack import platform
 from skylarktack import state
 from skylarktack.coordination import fakes
@@ -29,6 +31,8 @@
 
 ATTEMPT_ID = b'attempt-1'
 
+HOST = (b'Host', b'host.example')
+
 #: Closes a connection with a reset.
 _RESET_LINGER = b'\1\0\0\0\0\0\0\0'
 
@@ -65,6 +69,18 @@
         return None
 
 
+@dataclasses.dataclass(frozen=True)
+class ReceivedStream:
+    """What a caller received of a stream."""
+
+    status: int
+
+    body: bytes
+
+    #: Whether the end of the answer looks like that of a whole one.
+    is_complete: bool
+
+
 class RawTarget:
     """Sends the next answer of the bed to each request.
 
@@ -122,6 +138,8 @@
                 connection.sendall(_response(b'{"queued_requests": 1}'))
                 return
             self._requests.append(ReceivedRequest(self.name, head))
+            if not self._answers:
+                return
             answer = self._answers.popleft()
             if not answer.is_before_body:
                 body += _read_exactly(
@@ -246,7 +264,7 @@
     """A caller, a front connection, and equal targets.
 
     The first request that reaches a target gets the first answer, whichever
-    target that is.
+    target that is. When no answer is left, connections are closed.
     """
 
     def __init__(self, route: data.ForwardingRoute, *answers: Answer) -> None:
@@ -284,15 +302,27 @@
             % (version, attempt_id, length, body)
         )
 
-    def read_to_end(self) -> bytes:
-        """End the caller's side of the connection and return all bytes.
-
-        :raises ConnectionResetError: if the connection is reset.
-        """
-        received = b''
-        while more := self.caller.recv(65536):
-            received += more
-        return received
+    def read_stream(self) -> 'ReceivedStream':
+        """Return the answer to the request that was sent, to its end."""
+        parser = h11.Connection(h11.CLIENT)
+        parser.send(h11.Request(method='GET', target='/', headers=[HOST]))
+        parser.send(h11.EndOfMessage())
+        status = 0
+        body = b''
+        while True:
+            try:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    parser.receive_data(self.caller.recv(65536))
+                    continue
+            except (ConnectionResetError, h11.RemoteProtocolError):
+                return ReceivedStream(status, body, is_complete=False)
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            if isinstance(event, h11.Data):
+                body += event.data
+            if isinstance(event, h11.EndOfMessage):
+                return ReceivedStream(status, body, is_complete=True)
 
     def ask(self, body: bytes = b'body') -> tuple[int, bytes]:
         """Send a request and return the status and body of its answer."""
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -30,6 +30,9 @@
 _ENCODING = b'content-encoding'
 _LEAVING = b'server-leaving'
 _RETRY_AFTER = b'retry-after'
+_CONTENT_TYPE = b'content-type'
+
+_EVENT_STREAM = b'text/event-stream'
 
 #: Header fields that are not forwarded from the caller: those that only the
 #: front end may set, and those that it sets again for each target.
@@ -149,6 +152,7 @@
     ) -> data.ResponseHead:
         """Return the head of a target's response."""
         values = _first_values(headers)
+        media_type = values.get(_CONTENT_TYPE, _EVENT_STREAM)
         return data.ResponseHead(
             status=status,
             headers=headers,
@@ -161,6 +165,10 @@
             retry_after_s=_parse_retry_after(
                 values.get(_RETRY_AFTER, b''), self._read_wall_clock()
             ),
+            has_other_content=(
+                media_type.partition(b';')[0].strip().lower() != _EVENT_STREAM
+            ),
+            ends_with_connection=not messages.has_framing(headers),
         )
 
     def encode_refusal(self, refusal: data.Refusal) -> data.FrontResponse:
--- a/packages/protocol/src/skylarktack/protocol/forwarding/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/__init__.py
@@ -1,6 +1,6 @@
 """Message formats of the forwarding gateway.
 
-Holds the splitter of event streams, the hop-by-hop header fields of HTTP/1.1,
+Holds the splitter of event streams, the header fields of HTTP/1.1 connections,
 the datagrams between instances and the readers of log lines.
 """
 
@@ -10,6 +10,7 @@
 from skylarktack.protocol.forwarding._fleet_codec import decode_message
 from skylarktack.protocol.forwarding._fleet_codec import encode_message
 from skylarktack.protocol.forwarding._headers import connection_bound_names
+from skylarktack.protocol.forwarding._headers import has_framing
 from skylarktack.protocol.forwarding._headers import without_names
 from skylarktack.state import lazy_exports
 
@@ -37,6 +38,7 @@
     'decode_log_line',
     'decode_message',
     'encode_message',
+    'has_framing',
     'read_counts',
     'without_names',
 ]
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_headers.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_headers.py
@@ -1,6 +1,6 @@
-"""Hop-by-hop header fields, which are not forwarded.
+"""Header fields of message framing, and hop-by-hop ones (RFC 9110, 7.6.1).
 
-Source: RFC 9110, section 7.6.1.
+Hop-by-hop fields are not forwarded.
 """
 
 from skylarktack.state import forwarding as data
@@ -20,6 +20,13 @@
     )
 )
 
+_FRAMING = frozenset((b'content-length', b'transfer-encoding'))
+
+
+def has_framing(headers: data.Headers) -> bool:
+    """Return whether a body has a length or chunks (RFC 9112, 6.3)."""
+    return any(name.lower() in _FRAMING for name, _ in headers)
+
 
 def connection_bound_names(headers: data.Headers) -> frozenset[bytes]:
     """Return the lower-case names of the fields that are not forwarded.
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_event_stream.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_event_stream.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from skylarktack.coordination import forwarding
 from skylarktack.protocol import forwarding as messages
 
 STREAM = (
@@ -30,8 +31,11 @@
         offsets = sorted({0, len(STREAM), *read_ends})
         for start, end in zip(offsets, offsets[1:], strict=False):
             split = splitter.split(STREAM[start:end])
-            forwarded += split.events
-            ids.extend(split.ids)
+            assert split.defect is None
+            for event in split.events:
+                forwarded += event.data
+                if event.event_id is not None:
+                    ids.append(event.event_id)
             assert STREAM.startswith(forwarded)
         assert forwarded == STREAM
         assert ids == [1, 2, 3, 4]
@@ -41,8 +45,9 @@
         """Guards against forwarding half an event of a failed engine."""
         splitter = messages.EventStreamSplitter()
         split = splitter.split(b'id: 1\ndata: a\n\nid: 2\nda')
-        assert split.events == b'id: 1\ndata: a\n\n'
-        assert split.ids == (1,)
+        event = forwarding.StreamEvent(b'id: 1\ndata: a\n\n', 1)
+        assert split.events == (event,)
+        assert split.defect is None
         assert splitter.has_partial()
 
     def test_event_without_end_is_oversized(self) -> None:
@@ -50,7 +55,7 @@
         splitter = messages.EventStreamSplitter()
         split = splitter.split(b'id: 1\ndata: ')
         total_bytes = 0
-        while not split.is_oversized:
+        while split.defect is None:
             split = splitter.split(b'x' * 4096)
             total_bytes += 4096
             assert not split.events
@@ -60,4 +65,5 @@
         """Guards against an id that fails the conversion to a number."""
         splitter = messages.EventStreamSplitter()
         split = splitter.split(b'id: ' + b'9' * 5000 + b'\ndata: a\n\n')
-        assert split.ids == ()
+        assert not split.events
+        assert split.defect is not None
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -10,6 +10,8 @@
 #: Status of a response whose body may be a stream of events.
 OK_STATUS = 200
 
+FIRST_REDIRECTION_STATUS = 300
+
 #: Header fields in their original order, as raw bytes.
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -182,14 +184,26 @@
     #: Time for which a target that refuses wants no requests, or None.
     retry_after_s: float | None = None
 
+    #: Whether the body is declared to be something else than events.
+    has_other_content: bool = False
+
+    #: Whether the body has neither a length nor chunks.
+    ends_with_connection: bool = False
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the target declares that it executed the request well."""
+        return OK_STATUS <= self.status < FIRST_REDIRECTION_STATUS
+
     @property
     def is_relayable(self) -> bool:
-        """Whether the body may be passed on to the caller as it arrives."""
+        """Whether the events in the body may be passed on as they arrive."""
         return (
             self.status == OK_STATUS
             and self.is_signed
             and not self.is_encoded
             and not self.is_not_executed
+            and not self.has_other_content
         )
 
 
