Reset the connection of an HTTP/1.0 caller whose stream is interrupted

What callers saw: a stream that had broken off looked complete to a caller of HTTP/1.0.

Cause: to such a caller a stream is sent without a length or chunks and ends with its connection, and an interrupted stream closed the connection in the same way as a complete one.

An unfinished response to HTTP/1.0 now ends with a reset; one to HTTP/1.1 still lacks its last chunk. TestNextAnswer.test_interruption_is_visible[1.0] failed before.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_broken_streams.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_broken_streams.py
@@ -207,7 +207,7 @@
             200, _events(1, 4), True
         )
 
-    @pytest.mark.parametrize('version', [b'1.1'])
+    @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
     def test_interruption_is_visible(self, version: bytes) -> None:
         """Guards against a broken stream that looks complete to a caller."""
         with response_bed.serving(
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -97,7 +97,7 @@
         finally:
             with self._state_lock:
                 self._is_closed = True
-            self._connection.close()
+            self._close()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
@@ -158,6 +158,18 @@
         outcome = self._handler.handle(received, self)
         return self._respond(outcome)
 
+    def _close(self) -> None:
+        """Close the connection; an unfinished response must not look whole.
+
+        A caller of HTTP/1.0 takes the end of the connection for the end of
+        a response without a length (RFC 9112, 6.3), unless it is reset.
+        """
+        is_unfinished = self._parser.our_state is h11.SEND_BODY
+        if is_unfinished and self._parser.their_http_version == b'1.0':
+            with contextlib.suppress(OSError):
+                _sockets.reset_on_close(self._connection)
+        self._connection.close()
+
     def _respond(self, outcome: forwarding.StreamOutcome) -> bool:
         if isinstance(
             outcome,
--- a/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import struct
 
 from skylarktack.state import forwarding as data
 
@@ -38,6 +39,14 @@
     )
 
 
+def reset_on_close(connection: socket.socket) -> None:
+    """Reset the connection when it is closed; unsent bytes are dropped."""
+    linger_on_for_no_time = struct.pack('ii', 1, 0)
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger_on_for_no_time
+    )
+
+
 def connect(endpoint: data.Address, timeout_s: float) -> socket.socket:
     """Return a connected, non-blocking socket.
 
