Send the rest of a body when a target responds before it has read it

What callers saw: 504 at the time limit, although the target worked on the request.

Cause: the exchange stopped sending for good when the first bytes of a response arrived, so a target that needs the rest of the body for the rest of its response waited until the deadline.

The exchange now keeps the unsent bytes and sends them while it reads the response. A whole response still ends the request and closes its connection, so no other bytes can arrive where the rest of the body is due.

TestLongBody.test_answer_that_waits_for_the_body failed before (504). The other new tests passed before; they guard the framing of plain answers, whole and broken ones, to callers of HTTP/1.0 and 1.1.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -51,6 +51,9 @@
     #: Whether the target answers as soon as it has read the head.
     is_before_body: bool = False
 
+    #: Bytes that it sends when it has read the body after all.
+    after_body: bytes = b''
+
 
 @dataclasses.dataclass(frozen=True)
 class ReceivedRequest:
@@ -146,6 +149,11 @@
                     connection, _body_size_bytes(head) - len(body)
                 )
             self._send(connection, answer)
+            if answer.after_body:
+                body += _read_exactly(
+                    connection, _body_size_bytes(head) - len(body)
+                )
+                connection.sendall(answer.after_body)
             if answer.ending == 'reset':
                 connection.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
@@ -340,6 +348,18 @@
         )
         return int(head.split(b' ')[1]), content
 
+    def wait_for_bodies(self, count: int) -> list[bytes]:
+        """Return the bodies of requests whose connections have ended."""
+        end_s = time.monotonic() + TIMEOUT_S
+        while True:
+            bodies = []
+            for target in self.targets:
+                bodies.extend(target.bodies)
+            if len(bodies) >= count:
+                return bodies
+            assert time.monotonic() < end_s
+            time.sleep(0.01)
+
     def close(self) -> None:
         """End all connections."""
         self.caller.close()
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
@@ -0,0 +1,113 @@
+"""Plain answers of each framing, broken off or whole, on real connections."""
+
+import pytest
+
+from skylarktack.daemon.forwarding.tests import response_bed
+from skylarktack.state import forwarding as data
+
+NON_IDEMPOTENT = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
+
+HEAD = b'HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nReplica-Signature: s\r\n'
+LENGTH = b'Content-Length: 4\r\n\r\n'
+CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+
+WHOLE_ANSWERS = {
+    'length': (HEAD + LENGTH + b'done', 'stay'),
+    'chunks': (HEAD + CHUNKED + b'4\r\ndone\r\n0\r\n\r\n', 'stay'),
+    'end of the connection': (HEAD + b'\r\ndone', 'end'),
+    'end of an HTTP/1.0 connection': (
+        HEAD.replace(b'1.1', b'1.0') + b'\r\ndone',
+        'end',
+    ),
+    'interim, then the end of the connection': (
+        b'HTTP/1.1 100 Continue\r\n\r\n' + HEAD + b'\r\ndone',
+        'end',
+    ),
+    'a second copy': (2 * (HEAD + LENGTH + b'done'), 'stay'),
+}
+
+BROKEN_ANSWERS = {
+    'short of its length': (HEAD + LENGTH + b'do', 'end'),
+    'no last chunk': (HEAD + CHUNKED + b'4\r\ndone\r\n', 'end'),
+    'within a chunk': (HEAD + CHUNKED + b'4\r\ndo', 'end'),
+    'reset with a length': (HEAD + LENGTH + b'do', 'reset'),
+    'reset without a length': (HEAD + b'\r\ndone', 'reset'),
+    'within the head': (HEAD, 'end'),
+}
+
+
+class TestPlainAnswer:
+    """A whole answer is served and a broken one is not."""
+
+    @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+    @pytest.mark.parametrize(
+        ('response', 'ending'),
+        WHOLE_ANSWERS.values(),
+        ids=WHOLE_ANSWERS.keys(),
+    )
+    def test_whole(self, response: bytes, ending: str, version: bytes) -> None:
+        """Guards against failing an answer that ends with its connection."""
+        with response_bed.serving(
+            NON_IDEMPOTENT, response_bed.Answer((response,), ending)
+        ) as bed:
+            bed.send(version=version)
+            assert bed.read_answer() == (200, b'done')
+
+    @pytest.mark.parametrize(
+        ('response', 'ending'),
+        WHOLE_ANSWERS.values(),
+        ids=WHOLE_ANSWERS.keys(),
+    )
+    def test_connection_of_the_caller_stays_in_use(
+        self, response: bytes, ending: str
+    ) -> None:
+        """Guards against bytes of one answer before the next one."""
+        answer = response_bed.Answer((response,), ending)
+        with response_bed.serving(NON_IDEMPOTENT, answer, answer) as bed:
+            assert bed.ask() == (200, b'done')
+            assert bed.ask() == (200, b'done')
+
+    @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+    @pytest.mark.parametrize(
+        ('response', 'ending'),
+        BROKEN_ANSWERS.values(),
+        ids=BROKEN_ANSWERS.keys(),
+    )
+    def test_broken(
+        self, response: bytes, ending: str, version: bytes
+    ) -> None:
+        """Guards against a broken answer that looks complete."""
+        with response_bed.serving(
+            NON_IDEMPOTENT, response_bed.Answer((response,), ending)
+        ) as bed:
+            bed.send(version=version)
+            status, _ = bed.read_answer()
+            assert len(bed.requests) == 1
+        assert status == 502
+
+
+class TestLongBody:
+    """Targets that answer before they have read a long body."""
+
+    BODY = b'x' * 8_000_000
+
+    def test_whole_answer_ends_the_request(self) -> None:
+        """Guards against other bytes where the rest of a body is due."""
+        answer = response_bed.Answer(
+            (HEAD + LENGTH + b'done', 0.2), is_before_body=True
+        )
+        with response_bed.serving(NON_IDEMPOTENT, answer, answer) as bed:
+            assert bed.ask(self.BODY) == (200, b'done')
+            assert bed.ask(self.BODY) == (200, b'done')
+            bodies = bed.wait_for_bodies(2)
+        for body in bodies:
+            assert self.BODY.startswith(body)
+
+    def test_answer_that_waits_for_the_body(self) -> None:
+        """Guards against a target that waits for a body that never comes."""
+        answer = response_bed.Answer(
+            (HEAD + LENGTH + b'do',), is_before_body=True, after_body=b'ne'
+        )
+        with response_bed.serving(NON_IDEMPOTENT, answer) as bed:
+            assert bed.ask(self.BODY) == (200, b'done')
+            assert bed.wait_for_bodies(1) == [self.BODY]
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -60,6 +60,7 @@
         self._is_stream = is_stream
         self._has_ended = False
         self._early_events: list[forwarding.ResponseEvent] = []
+        self._unsent = memoryview(b'')
 
     def fileno(self) -> int:
         """Return the file descriptor to poll."""
@@ -79,46 +80,62 @@
         """Return whether response events arrived while sending."""
         return bool(self._early_events)
 
+    @property
+    def awaited_events(self) -> int:
+        """Return the poll events after which to call ``receive``."""
+        if self._unsent:
+            return select.POLLIN | select.POLLOUT
+        return select.POLLIN
+
     def send(self, outgoing: bytes) -> forwarding.ExchangeFault | None:
-        """Send the request; stop if the target responds or closes early.
+        """Send the request until the target responds or closes early.
+
+        The rest is sent by ``receive``: a target may respond before it has
+        read the body, and still need it for the rest of its response.
 
         :return: a fault if the target stops reading without responding.
         """
-        view = memoryview(outgoing)
-        while view:
-            try:
-                sent = self._connection.send(view)
-            except BlockingIOError:
-                found = _sockets.wait_for(
-                    self._connection,
-                    select.POLLOUT | select.POLLIN,
-                    SEND_STALL_S,
-                )
-                if not found:
-                    return _connection_lost(
-                        'the target does not read the request'
-                    )
-                if found & select.POLLIN:
-                    # A target may respond before it has read the body.
-                    self._early_events.extend(self._read_events())
-                    if self._early_events:
-                        return None
+        self._unsent = memoryview(outgoing)
+        while self._unsent:
+            if self._send_some():
                 continue
-            except OSError:
-                # The response may have arrived before the target closed.
+            found = _sockets.wait_for(
+                self._connection, self.awaited_events, SEND_STALL_S
+            )
+            if not found:
+                return _connection_lost('the target does not read the request')
+            if found & select.POLLIN:
                 self._early_events.extend(self._read_events())
-                return None
-            view = view[sent:]
+                if self._early_events:
+                    return None
         return None
 
     def receive(self) -> tuple[forwarding.ResponseEvent, ...]:
         """Return the events received so far, without blocking."""
+        if self._unsent:
+            self._send_some()
         events = self._early_events
         self._early_events = []
         if not events or not _is_final(events[-1]):
             events = events + self._read_events()
         return tuple(events)
 
+    def _send_some(self) -> bool:
+        """Send what the connection takes; return False if it takes nothing.
+
+        After a failure nothing more is sent; the response may have arrived
+        before the target closed the connection.
+        """
+        try:
+            sent_bytes = self._connection.send(self._unsent)
+        except BlockingIOError:
+            return False
+        except OSError:
+            self._unsent = memoryview(b'')
+            return True
+        self._unsent = self._unsent[sent_bytes:]
+        return True
+
     def _read_events(self) -> list[forwarding.ResponseEvent]:
         try:
             received = self._connection.recv(_sockets.READ_SIZE_BYTES)
@@ -254,7 +271,7 @@
             if exchange.has_early_response():
                 early_exchanges.append(exchange)
             exchange_by_descriptor[exchange.fileno()] = exchange
-            poller.register(exchange.fileno(), select.POLLIN)
+            poller.register(exchange.fileno(), exchange.awaited_events)
         if early_exchanges:
             return forwarding.WaitResult(tuple(early_exchanges), False)
         caller_descriptor = caller.fileno()
