Keep a lookup's connection only if the target names the request

What callers could get: the answer to another caller's lookup. A service that sends a second copy of an answer late, when its connection is in use again, answered the next lookup with it.

Cause: a kept connection was checked for unexpected bytes before a request was sent on it, and the first response after that was taken as the answer.

Requests carry Skylarktack-Request-Id. A response that names another request is now a fault, as is a response on a used connection that names none, and a connection is kept only after a response that names its request. Services that do not return the header get a connection for each lookup. The header is not passed on twice to the caller, and the emulator's services return it.

The three cases of test_late_answer_belongs_to_no_other_lookup failed before.

--- a/packages/emulator/src/skylarktack/emulator/_http_stand_in.py
+++ b/packages/emulator/src/skylarktack/emulator/_http_stand_in.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from skylarktack import protocol
 from skylarktack import state
 
 _LOG = structlog.get_logger(part='emulator')
@@ -47,6 +48,9 @@
         """Send a whole answer."""
         self.send_response(status)
         self.send_header('Content-Length', str(len(body)))
+        request_id = self.headers.get(protocol.REQUEST_ID_HEADER)
+        if request_id is not None:
+            self.send_header(protocol.REQUEST_ID_HEADER, request_id)
         for name, value in headers:
             self.send_header(name, value)
         self.end_headers()
--- a/packages/transport/src/skylarktack/transport/_lookup_client.py
+++ b/packages/transport/src/skylarktack/transport/_lookup_client.py
@@ -3,6 +3,10 @@
 Only calls that may be repeated use kept connections: a target may close one
 at the moment a request is sent on it, and whether that request was run is
 then unknown.
+
+A target may also send a second copy of a response late, when the connection
+is in use again. So a connection is kept only if the target names the request
+in its responses, and a response that names another request is a fault.
 """
 
 import collections
@@ -14,6 +18,7 @@
 from expression import Ok
 from expression import Result
 
+from skylarktack import protocol
 from skylarktack import state
 from skylarktack.coordination import ports
 from skylarktack.transport import _bounded_socket
@@ -38,9 +43,13 @@
         client: 'HttpLookupClient',
         address: state.Address,
         connection: _bounded_socket.BoundedConnection,
+        request_id: state.RequestId,
+        is_reused: bool,
     ) -> None:
         self._client = client
         self._address = address
+        self._request_id = request_id
+        self._is_reused = is_reused
         self.connection = connection
 
     def receive(
@@ -55,7 +64,17 @@
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             return Error(_fault(error, sent=True))
-        if response.will_close:
+        named_id = response.getheader(protocol.REQUEST_ID_HEADER)
+        is_named = named_id == self._request_id
+        if not is_named and (self._is_reused or named_id is not None):
+            connection.close()
+            return Error(
+                state.DispatchFault(
+                    state.RunState.UNKNOWN,
+                    'The response does not name the request.',
+                )
+            )
+        if response.will_close or not is_named:
             connection.close()
         else:
             self._client.keep(self._address, connection)
@@ -84,6 +103,7 @@
     ) -> Result[ports.PendingCall, state.DispatchFault]:
         """Send a call without waiting for its answer."""
         connection = self._take(target.address)
+        is_reused = connection is not None
         if connection is None:
             connection = _bounded_socket.BoundedConnection(
                 target.address.host,
@@ -105,7 +125,11 @@
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             return Error(_fault(error, sent=True))
-        return Ok(_PendingHttpCall(self, target.address, connection))
+        return Ok(
+            _PendingHttpCall(
+                self, target.address, connection, call.request_id, is_reused
+            )
+        )
 
     def first_ready(
         self, pending: tuple[ports.PendingCall, ...], timeout_s: float
--- a/packages/transport/src/skylarktack/transport/_service_client.py
+++ b/packages/transport/src/skylarktack/transport/_service_client.py
@@ -6,6 +6,7 @@
 from expression import Ok
 from expression import Result
 
+from skylarktack import protocol
 from skylarktack import state
 from skylarktack.transport import _http_client
 
@@ -19,6 +20,7 @@
         'date',
         'keep-alive',
         'server',
+        protocol.REQUEST_ID_HEADER.lower(),
         'te',
         'trailer',
         'transfer-encoding',
@@ -76,7 +78,7 @@
 def call_headers(call: state.ServiceCall) -> dict[str, str]:
     """Return the headers that a target gets."""
     headers = dict(call.headers)
-    headers['Skylarktack-Request-Id'] = call.request_id
+    headers[protocol.REQUEST_ID_HEADER] = call.request_id
     if call.idempotency_key is not None:
         headers['Idempotency-Key'] = call.idempotency_key
     return headers
@@ -91,7 +93,10 @@
 
 
 def service_answer(answer: _http_client.HttpAnswer) -> state.ServiceResponse:
-    """Return an answer without the headers of its connection."""
+    """Return an answer without the headers of its connection.
+
+    The name of the request is set again for the caller.
+    """
     kept: list[tuple[str, str]] = []
     for name, value in answer.headers:
         if name.lower() in _HOP_HEADERS:
--- a/packages/transport/src/skylarktack/transport/tests/test_service_clients.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_service_clients.py
@@ -1,8 +1,10 @@
 """HTTP clients of plain services against raw sockets."""
 
+import dataclasses
 import socket
 import threading
 
+from expression import Result
 import pytest
 
 from skylarktack import state
@@ -123,3 +125,105 @@
         client.close()
         server.close()
         assert server.request_count == 4
+
+
+class _LateCopies:
+    """Answers each request with the body of its connection's next answer.
+
+    The answers of one connection are sent when its requests arrive.
+    """
+
+    def __init__(self, *answers: bytes) -> None:
+        self._answers = answers
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.connection_count = 0
+        threading.Thread(target=self._run, daemon=True).start()
+
+    @property
+    def target(self) -> state.Target:
+        return _target(self._listener)
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connection_count += 1
+            with connection:
+                for answer in self._answers:
+                    if not connection.recv(65_536):
+                        break
+                    connection.sendall(answer)
+
+
+def _named_answer(request_id: str, body: bytes) -> bytes:
+    head = (
+        f'HTTP/1.1 200 OK\r\nSkylarktack-Request-Id: {request_id}\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+class TestKeptConnections:
+    """Connections of lookups are used again, and hold no other answer."""
+
+    def _look_up(
+        self,
+        client: transport.HttpLookupClient,
+        server: _LateCopies,
+        request_id: str,
+    ) -> Result[state.ServiceResponse, state.DispatchFault]:
+        call = dataclasses.replace(
+            _call(), request_id=state.RequestId(request_id)
+        )
+        sent = client.send(server.target, call, 5.0).ok
+        return sent.receive(5.0)
+
+    @pytest.mark.parametrize(
+        'late',
+        [
+            _named_answer('request-1', b'one'),
+            b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none',
+            b'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n',
+        ],
+        ids=['second copy', 'unnamed answer', 'unnamed refusal'],
+    )
+    def test_late_answer_belongs_to_no_other_lookup(self, late: bytes) -> None:
+        """Guards against the answer of another caller."""
+        server = _LateCopies(_named_answer('request-1', b'one'), late)
+        client = transport.HttpLookupClient()
+        assert self._look_up(client, server, 'request-1').ok.body == b'one'
+        second = self._look_up(client, server, 'request-2')
+        client.close()
+        server.close()
+        assert second.error.run is state.RunState.UNKNOWN
+
+    def test_named_answers_keep_the_connection(self) -> None:
+        """Guards against a new connection for each lookup."""
+        server = _LateCopies(
+            _named_answer('request-1', b'one'),
+            _named_answer('request-2', b'two'),
+        )
+        client = transport.HttpLookupClient()
+        assert self._look_up(client, server, 'request-1').ok.body == b'one'
+        assert self._look_up(client, server, 'request-2').ok.body == b'two'
+        client.close()
+        server.close()
+        assert server.connection_count == 1
+
+    def test_unnamed_answers_end_the_connection(self) -> None:
+        """Guards against reuse where answers cannot be told apart."""
+        unnamed = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none'
+        server = _LateCopies(unnamed)
+        client = transport.HttpLookupClient()
+        for number in range(2):
+            request_id = f'request-{number}'
+            answered = self._look_up(client, server, request_id)
+            assert answered.ok.body == b'one'
+        client.close()
+        server.close()
+        assert server.connection_count == 2
