Skip every interim response of a target, not only 100 Continue

What callers got: an empty answer with status 103 or 102 when a service or an engine sent an interim response before its answer; on a lookup's kept connection the answer itself then belonged to the next lookup.

Cause: http.client skips 100 Continue only. The clients of the product's own front end now read on to the final response within the same bounds, and take 101, which no request asks for, as a fault. The forwarding front end parses with h11, which skipped them already (TestResponses 'interim').

The cases early hints, two, with a length, and the switched protocol failed before.

--- a/packages/transport/src/skylarktack/transport/_bounded_socket.py
+++ b/packages/transport/src/skylarktack/transport/_bounded_socket.py
@@ -6,6 +6,7 @@
 responses alike.
 """
 
+import http
 import http.client
 import math
 import socket
@@ -64,9 +65,32 @@
         return size_bytes
 
 
+class FinalResponse(http.client.HTTPResponse):
+    """A response after any number of interim ones (RFC 9110, 15.2).
+
+    ``http.client`` skips only ``100 Continue`` and takes the others for the
+    answer itself. The bounds of the socket hold for all of them together.
+    """
+
+    def begin(self) -> None:
+        """Read the head of the final response.
+
+        :raises http.client.HTTPException: if the protocol is switched, which
+            no request asks for.
+        """
+        super().begin()
+        while self.status < http.HTTPStatus.OK:
+            if self.status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                raise http.client.HTTPException('the protocol is switched')
+            self.headers = self.msg = None  # type: ignore[assignment]
+            super().begin()
+
+
 class BoundedConnection(http.client.HTTPConnection):
     """A connection with a ``BoundedSocket``."""
 
+    response_class = FinalResponse
+
     def connect(self) -> None:
         """Connect to the server."""
         super().connect()
--- a/packages/transport/src/skylarktack/transport/tests/test_service_clients.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_service_clients.py
@@ -227,3 +227,36 @@
         client.close()
         server.close()
         assert server.connection_count == 2
+
+
+class TestInterimResponses:
+    """The answer is the final response."""
+
+    @pytest.mark.parametrize(
+        'interim',
+        [
+            b'HTTP/1.1 100 Continue\r\n\r\n',
+            b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n',
+            2 * b'HTTP/1.1 102 Processing\r\n\r\n',
+            b'HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n',
+        ],
+        ids=['continue', 'early hints', 'two', 'with a length'],
+    )
+    def test_interim_response_is_not_the_answer(self, interim: bytes) -> None:
+        """Guards against an empty answer, and the next one to another call."""
+        server = _LateCopies(interim + _named_answer('request-1', b'one'))
+        answered = transport.HttpServiceClient().call(
+            server.target, _call(), 5.0
+        )
+        server.close()
+        assert answered.ok.status == 200
+        assert answered.ok.body == b'one'
+
+    def test_switched_protocol_is_no_answer(self) -> None:
+        """Guards against bytes of another protocol as an answer."""
+        server = _LateCopies(b'HTTP/1.1 101 Switching\r\n\r\n')
+        answered = transport.HttpServiceClient().call(
+            server.target, _call(), 5.0
+        )
+        server.close()
+        assert answered.error.run is state.RunState.UNKNOWN
