Go on cancelling attempts after an unexpected error

Operators of the product's own front end would see: engines that go on with attempts that nobody reads, and generation.cancel_dropped rising, for good.

Cause: one thread cancels all abandoned attempts. An unexpected error in one of the calls ended it, and it is started only once.

Evidence: the new test (the call for the first of two attempts fails) fails on the commit before with the error itself, and the second attempt is not cancelled. The error is now logged, and the attempt waits like one without an answer, up to the same age.

--- a/packages/coordination/src/skylarktack/coordination/generation/_cancels.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_cancels.py
@@ -4,6 +4,8 @@
 import dataclasses
 import threading
 
+import structlog
+
 from skylarktack import state
 from skylarktack.coordination import ports
 from skylarktack.coordination.generation import _dependencies
@@ -18,6 +20,8 @@
 #: never answer.
 MAX_AGE_S = 600.0
 
+_LOG = structlog.get_logger(part='generation')
+
 
 @dataclasses.dataclass(frozen=True)
 class AbandonedAttempt:
@@ -105,6 +109,19 @@
         return len(self._waiting)
 
     def _is_finished(self, abandoned: AbandonedAttempt) -> bool:
+        try:
+            if self._has_ended(abandoned):
+                return True
+        except Exception:
+            # One thread cancels all attempts, so none of them may end it.
+            _LOG.exception(
+                'attempt not cancelled', target=abandoned.target.name
+            )
+        now_s = self._dependencies.clock.monotonic_s()
+        return now_s - abandoned.abandoned_s > MAX_AGE_S
+
+    def _has_ended(self, abandoned: AbandonedAttempt) -> bool:
+        """Ask the engine to cancel; return whether the attempt has ended."""
         dependencies = self._dependencies
         response = dependencies.engines.cancel(
             abandoned.target,
@@ -117,7 +134,4 @@
             return True
         if response.error.kind is ports.StreamFaultKind.MISSING:
             return True
-        if dependencies.selector.target(abandoned.target.name) is None:
-            return True
-        age_s = dependencies.clock.monotonic_s() - abandoned.abandoned_s
-        return age_s > MAX_AGE_S
+        return dependencies.selector.target(abandoned.target.name) is None
--- a/packages/coordination/src/skylarktack/coordination/tests/test_generation_faults.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_generation_faults.py
@@ -2,6 +2,7 @@
 
 import random
 
+from expression import Result
 import pytest
 
 from skylarktack import state
@@ -113,6 +114,34 @@
         assert harness.fleet.engines.started_count == 1
         assert harness.fleet.engines.generated_count == 20
 
+    def test_failing_cancel_does_not_hold_up_others(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a canceller that ends at an unexpected error."""
+        harness = _new_harness(1)
+        first, second, *_ = harness.fleet.targets
+        cancel = harness.fleet.engines.cancel
+        cancelled = []
+
+        def cancel_unless_first(
+            target: state.Target,
+            request_id: state.RequestId,
+            attempt: int,
+            timeout_s: float,
+        ) -> Result[None, ports.StreamFault]:
+            if target is first:
+                raise ValueError('odd answer')
+            cancelled.append(target.name)
+            return cancel(target, request_id, attempt, timeout_s)
+
+        monkeypatch.setattr(
+            harness.fleet.engines, 'cancel', cancel_unless_first
+        )
+        for target in (first, second):
+            harness.canceller.abandon(target, state.RequestId('request-1'), 1)
+        assert harness.canceller.run_round() == 1
+        assert cancelled == [second.name]
+
     def test_frozen_attempt_is_cancelled_later(self) -> None:
         """Cancelling is retried until the engine responds again."""
         harness = _new_harness(3)
