--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -150,6 +150,7 @@
             ('moves', 'record_outcome'),
             ('fleet', 'record_run'),
             ('fleet', 'record_run_end'),
+            ('quarantine', 'record_output'),
         ],
     )
     def test_stream_is_whole(
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -186,7 +186,10 @@
     def is_relayable(self) -> bool:
         """Whether the body may be passed on to the caller as it arrives."""
         return (
-            self.status == OK_STATUS and self.is_signed and not self.is_encoded
+            self.status == OK_STATUS
+            and self.is_signed
+            and not self.is_encoded
+            and not self.is_not_executed
         )
 
 
@@ -211,6 +214,9 @@
     #: No target accepts the request; it was not executed.
     NO_TARGET = 'no_target'
 
+    #: A part of the prompt ends the engines; the request was not executed.
+    PROMPT_QUARANTINED = 'prompt_quarantined'
+
     #: The instance is shutting down; the request was not executed.
     STOPPING = 'stopping'
 
