Keep a stream when the check of a lost engine fails

Callers would see: a 502 or a cut stream in place of a failover, when the check whether a lost engine still listens fails with an error other than that of a socket.

Cause: the check that comes before the evidence on prompt parts was made outside the block that records errors of accounts.

Evidence: the new case (refuses_connections fails) fails on the commit before; the case of record_loss guards the block itself.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -357,13 +357,13 @@
 
     def _record_lost_engine(self, engine: data.ListedTarget) -> None:
         """Record an engine that ended; one that still listens did not."""
-        if not self._dependencies.client.refuses_connections(
-            engine, _relay.PROBE_TIMEOUT_S
-        ):
-            return
-        self._ended_engine_count += 1
-        self._record('engine_ended', target=engine.name)
         with self._dependencies.errors.contain('prompt evidence'):
+            if not self._dependencies.client.refuses_connections(
+                engine, _relay.PROBE_TIMEOUT_S
+            ):
+                return
+            self._ended_engine_count += 1
+            self._record('engine_ended', target=engine.name)
             self._dependencies.quarantine.record_loss(
                 engine.name, self._part_ids
             )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -167,14 +167,22 @@
         assert env.caller.received == harness.event_range_bytes(1, 9)
         assert len(env.client.sent) == 1
 
+    @pytest.mark.parametrize(
+        ('part', 'method'),
+        [
+            ('moves', 'record_outcome'),
+            ('client', 'refuses_connections'),
+            ('quarantine', 'record_loss'),
+        ],
+    )
     def test_stream_goes_on_after_a_lost_engine(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, part: str, method: str
     ) -> None:
         """Guards against a failover that ends with its account."""
         env = harness.make_harness(
             harness.target('first'), harness.target('second', 'domain-b')
         )
-        monkeypatch.setattr(env.moves, 'record_outcome', _fail)
+        monkeypatch.setattr(getattr(env, part), method, _fail)
         env.fleet.record_run(
             data.RunStatus('run', 'run', 'second', None, is_prefilling=True)
         )
