Judge versions by the number of slow responses, not by means alone

Cause: the only test of latencies compares means of logarithms with a bound that is tightest at 60 values. A version that is partly slow has a large variance, and at 47 requests a second the trial brings 30 to 50 values. At the shift the log of a trial showed, on the route of bookings, 31 values with a ratio of means of 1.71 and a lower bound of 0.42 (needed: 1.15), while 11 of the 31 responses took 91 ms or more, against 2 of 327 of the old version. Hedged lookups added nothing, since an attempt that is closed without a response left no latency. That routes were counted together, or that counts of other instances were missing, was ruled out: the two frequent routes had rows of their own and all nine instances were included.

Change: each instance also counts latencies by version and route in classes of half an octave, with a separate count of attempts that ended without a response. For each class, the responses that reach it are compared by a conditional likelihood ratio against a rate 1.5 times that of the old version, mixed over classes, rates and routes (an e-value, valid at any time). A version is rejected at 5e-5 and not completed from 0.05 on. Evidence is judged whenever it changes, also that of other instances: with many instances none had eight responses of its own. The histograms are a new last field of the reports, which earlier releases ignore. A new log line holds the numbers behind each decision.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -23,6 +23,7 @@
 from skylarktack.coordination.forwarding._events import InstanceStopping
 from skylarktack.coordination.forwarding._events import LogEvent
 from skylarktack.coordination.forwarding._events import LogLinesDropped
+from skylarktack.coordination.forwarding._events import MoveJudged
 from skylarktack.coordination.forwarding._events import MoveNotRecorded
 from skylarktack.coordination.forwarding._events import MoveRecorded
 from skylarktack.coordination.forwarding._events import MoveShifting
@@ -135,6 +136,7 @@
     'ExposureLimits',
     'MoveWatchHandler',
     'MoveDriver',
+    'MoveJudged',
     'MoveNotRecorded',
     'MoveRecorded',
     'MoveShifting',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -104,6 +104,11 @@
             for attempt in self._open_attempts:
                 attempt.exchange.close()
                 self._targets.end_request(attempt.target)
+                self._targets.report_abandoned(
+                    attempt.target,
+                    self._admitted.route.name,
+                    attempt.sent_at_s,
+                )
 
     def _run(self) -> _outcomes.CallOutcome:
         hedge_time_s = self._hedge_time_s()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -301,6 +301,42 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class MoveJudged(LogEvent):
+    """Evidence on which this instance decides about a move."""
+
+    part = 'move'
+    message = 'new version judged'
+
+    service: str
+    to_version: str
+
+    #: Phase that is due by the judgement: shifting if all traffic is to be
+    #: shifted.
+    phase: str
+
+    #: Time since the order.
+    age_s: float
+
+    #: Instances whose counts are included.
+    instances: int
+
+    #: Requests for the service, and those sent to the new version.
+    requests: int
+    sent: int
+
+    #: Successful attempts on the new version.
+    succeeded: int
+
+    is_suspect: bool
+
+    #: Logarithm of the e-value of the comparison of slow responses.
+    slow_evidence: float
+
+    #: Counts of slow responses of both versions.
+    slow_responses: str
+
+
 @dataclasses.dataclass(frozen=True)
 class MoveShifting(LogEvent):
     """All traffic is sent to the new version."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
@@ -14,6 +14,7 @@
 
 from skylarktack import state
 from skylarktack.coordination import moves
+from skylarktack.coordination.forwarding import _latency_classes
 from skylarktack.state import forwarding as data
 
 #: Maximum size of a fleet in which each instance reports to all others.
@@ -95,6 +96,7 @@
         self.sent_count = 0
         self.member_count = member_count
         self._rows: dict[tuple[str, str, str], state.EvidenceRow] = {}
+        self._histograms: dict[tuple[str, str], data.LatencyHistogram] = {}
         self._routes: set[str] = set()
 
     def add(self, counts: data.MoveCounts) -> None:
@@ -104,24 +106,38 @@
         self.member_count += counts.member_count
         for evidence in counts.rows:
             self.add_row(evidence)
+        for histogram in counts.latencies:
+            self.add_latencies(histogram)
 
     def add_row(self, evidence: data.RouteEvidence) -> None:
         """Add outcomes of one route, version and failure domain."""
         row = evidence.row
-        key = (row.version, row.failure_domain, self._counted_route(evidence))
+        route = self._counted_route(evidence.route)
+        key = (row.version, row.failure_domain, route)
         current = self._rows.get(key)
         self._rows[key] = (
             row if current is None else moves.add_rows(current, row)
         )
 
-    def _counted_route(self, evidence: data.RouteEvidence) -> str:
+    def add_latencies(self, histogram: data.LatencyHistogram) -> None:
+        """Add latencies of one route and version."""
+        route = self._counted_route(histogram.route)
+        key = (histogram.version, route)
+        current = self._histograms.get(key) or data.LatencyHistogram(
+            route, histogram.version
+        )
+        self._histograms[key] = _latency_classes.add_histograms(
+            current, histogram
+        )
+
+    def _counted_route(self, route: str) -> str:
         """Return the route, or an empty name once the limit is reached."""
-        if not evidence.route or evidence.route in self._routes:
-            return evidence.route
+        if not route or route in self._routes:
+            return route
         if len(self._routes) >= MAX_ROUTE_COUNT:
             return ''
-        self._routes.add(evidence.route)
-        return evidence.route
+        self._routes.add(route)
+        return route
 
     def counts(self) -> data.MoveCounts:
         """Return an immutable copy."""
@@ -133,6 +149,7 @@
                 data.RouteEvidence(route, row)
                 for (_, _, route), row in self._rows.items()
             ),
+            tuple(self._histograms.values()),
         )
 
 
@@ -167,6 +184,11 @@
         self._own.add_row(evidence)
         self._recent.add_row(evidence)
 
+    def add_latencies(self, histogram: data.LatencyHistogram) -> None:
+        """Add latencies of attempts of this instance."""
+        self._own.add_latencies(histogram)
+        self._recent.add_latencies(histogram)
+
     def set_topology(self, topology: AggregationTopology) -> None:
         """Set which instances aggregate whose counts.
 
@@ -191,7 +213,7 @@
     def exposure(self) -> data.MoveCounts:
         """Return the requests and sends of as many instances as possible.
 
-        The rows are omitted, since this is called for each request.
+        The outcomes are omitted, since this is called for each request.
         """
         own, others = self._most_complete()
         return data.MoveCounts(
@@ -200,9 +222,9 @@
             own.member_count + others.member_count,
         )
 
-    def rows(self) -> tuple[data.RouteEvidence, ...]:
-        """Return the outcomes of as many instances as possible."""
-        return _total(*self._most_complete()).rows
+    def known_counts(self) -> data.MoveCounts:
+        """Return the counts and outcomes of as many instances as possible."""
+        return _total(*self._most_complete())
 
     def counts_of(self, scope: data.MoveScope) -> data.MoveCounts:
         """Return the counts that this instance reports.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -18,6 +18,7 @@
 from skylarktack.coordination import moves
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _exposure
+from skylarktack.coordination.forwarding import _latency_classes
 from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _route_judging
 from skylarktack.coordination.forwarding import _version_rules
@@ -44,8 +45,11 @@
 #: judgements; a failed attempt is judged at once.
 JUDGE_INTERVAL_COUNT = 8
 
-#: Probability of rejecting a good version.
-REJECTION_PROBABILITY = 1e-4
+#: Accepted probabilities of a wrong judgement of a good version. A version
+#: that is only suspected is not completed.
+JUDGE_LIMITS = _route_judging.JudgeLimits(
+    rejection_probability=1e-4, suspicion_probability=0.05
+)
 
 
 @dataclasses.dataclass
@@ -57,6 +61,10 @@
     #: Monotonic time at which the first instance received the order.
     began_at_s: float
     unjudged_count: int = 0
+    #: Whether the evidence has changed since the last judgement.
+    has_new_evidence: bool = False
+    #: Last judgement of this instance; None before the first.
+    judgement: _route_judging.VersionJudgement | None = None
     is_shifting: bool = False
     stop_reason: str = ''
     due_phase: state.MovePhase | None = None
@@ -190,14 +198,40 @@
                 return
             row = _row_of(target, kind, latency_ms, is_counted)
             move.evidence.add(data.RouteEvidence(route, row))
+            is_success = kind is state.OutcomeKind.SUCCESS
+            if is_success and latency_ms is not None:
+                move.evidence.add_latencies(
+                    _latency_classes.histogram_of(
+                        route, target.version, latency_ms, is_response=True
+                    )
+                )
             if target.version != move.order.to_version:
                 return
+            move.has_new_evidence = True
             move.unjudged_count += 1
-            is_success = kind is state.OutcomeKind.SUCCESS
             if is_success and move.unjudged_count < JUDGE_INTERVAL_COUNT:
                 return
             self._judge_move(move)
 
+    def record_abandoned(
+        self, target: data.ListedTarget, route: str, waited_ms: float
+    ) -> None:
+        """Record that an attempt ended without waiting for its response.
+
+        A retryable request that a slow version holds up is answered by
+        another target, so that the slow responses themselves never arrive.
+        """
+        with self._lock:
+            move = self._moves.get(target.service)
+            if move is None or move.order.has_ended or move.stop_reason:
+                return
+            move.has_new_evidence = True
+            move.evidence.add_latencies(
+                _latency_classes.histogram_of(
+                    route, target.version, waited_ms, is_response=False
+                )
+            )
+
     def apply_report(self, report: data.MoveReport) -> None:
         """Apply the counts and decisions that another instance reports."""
         now_s = self._clock.monotonic_s()
@@ -206,6 +240,7 @@
             if move is None or move.order.to_version != report.to_version:
                 return
             move.evidence.merge(report)
+            move.has_new_evidence = True
             if report.scope is data.MoveScope.FLEET:
                 self._fleet_aggregate_sender = report.instance
                 self._fleet_aggregate_at_s = now_s
@@ -364,21 +399,25 @@
 
     def _judge_move(self, move: _Move) -> moves.Judgement:
         move.unjudged_count = 0
-        judgement = _route_judging.judge_routes(
+        move.has_new_evidence = False
+        judgement = _route_judging.judge_version(
             self._judge,
-            move.evidence.rows(),
+            move.evidence.known_counts(),
             state.VersionName(move.order.to_version),
-            REJECTION_PROBABILITY,
+            JUDGE_LIMITS,
         )
-        if judgement.bad and not move.stop_reason:
-            self._stop(move, judgement.reason)
-        return judgement
+        move.judgement = judgement
+        if judgement.overall.bad and not move.stop_reason:
+            self._stop(move, judgement.overall.reason)
+        return judgement.overall
 
     def _stop(
         self, move: _Move, reason: str, is_own_decision: bool = True
     ) -> None:
         move.stop_reason = reason
         move.is_shifting = False
+        if is_own_decision:
+            self._log_judgement(move, state.MovePhase.ROLLED_BACK)
         self._log.record(
             _events.MoveStopped(
                 move.order.service, move.order.to_version, reason
@@ -392,6 +431,8 @@
         if move.is_shifting:
             return
         move.is_shifting = True
+        if is_own_decision:
+            self._log_judgement(move, state.MovePhase.SHIFTING)
         self._log.record(
             _events.MoveShifting(move.order.service, move.order.to_version)
         )
@@ -399,6 +440,29 @@
             self._unreported_services.add(move.order.service)
             self.has_updates.set()
 
+    def _log_judgement(self, move: _Move, phase: state.MovePhase) -> None:
+        """Log the evidence on which a decision of this instance rests."""
+        judgement = move.judgement
+        if judgement is None:
+            return
+        counts = move.evidence.exposure()
+        slow = judgement.slow_responses
+        self._log.record(
+            _events.MoveJudged(
+                service=move.order.service,
+                to_version=move.order.to_version,
+                phase=phase.value,
+                age_s=round(self._age_s(move), 2),
+                instances=counts.member_count,
+                requests=counts.request_count,
+                sent=counts.sent_count,
+                succeeded=judgement.overall.success_count,
+                is_suspect=judgement.overall.suspect,
+                slow_evidence=round(slow.log_evidence, 2),
+                slow_responses=str(slow),
+            )
+        )
+
     def _due_phase(self, move: _Move) -> state.MovePhase:
         if move.stop_reason:
             return state.MovePhase.ROLLED_BACK
@@ -406,6 +470,8 @@
         duration_s = move.order.duration_s
         end_s = min(END_FRACTION * duration_s, duration_s - END_MARGIN_S)
         if age_s < SHIFT_EARLIEST_FRACTION * duration_s:
+            if move.has_new_evidence and self._judge_move(move).bad:
+                return state.MovePhase.ROLLED_BACK
             return state.MovePhase.SHIFTING
         judgement = self._judge_move(move)
         if judgement.bad:
@@ -424,6 +490,8 @@
         if age_s < end_s:
             return state.MovePhase.SHIFTING
         if is_proven:
+            if move.due_phase is not state.MovePhase.COMPLETED:
+                self._log_judgement(move, state.MovePhase.COMPLETED)
             return state.MovePhase.COMPLETED
         self._stop(move, 'The evidence does not suffice.')
         return state.MovePhase.ROLLED_BACK
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_route_judging.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_route_judging.py
@@ -6,13 +6,63 @@
 """
 
 import dataclasses
+import math
 
 from skylarktack import state
 from skylarktack.coordination import moves
+from skylarktack.coordination.forwarding import _slow_responses
 from skylarktack.state import forwarding as data
 
+#: Share of the probability of rejecting a good version that is left to the
+#: comparison of slow responses; the rest is for failures and mean latencies.
+SLOW_RESPONSES_SHARE = 0.5
 
-def judge_routes(
+
+@dataclasses.dataclass(frozen=True)
+class JudgeLimits:
+    """Accepted probabilities of a wrong judgement of a good version."""
+
+    #: Probability that any of the comparisons ever rejects it.
+    rejection_probability: float
+
+    #: Probability that the comparison of slow responses ever suspects it.
+    suspicion_probability: float
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionJudgement:
+    """Judgement of a version over all comparisons."""
+
+    #: Judgement with the counts of all routes together.
+    overall: moves.Judgement
+
+    slow_responses: _slow_responses.SlowResponses
+
+
+def judge_version(
+    judge: moves.Judge,
+    counts: data.MoveCounts,
+    to_version: state.VersionName,
+    limits: JudgeLimits,
+) -> VersionJudgement:
+    """Judge a version by its failures and latencies, overall and by route."""
+    probability = limits.rejection_probability
+    slow = _slow_responses.compare_slow_responses(counts.latencies, to_version)
+    judgement = _judge_routes(
+        judge,
+        counts.rows,
+        to_version,
+        (1 - SLOW_RESPONSES_SHARE) * probability,
+    )
+    slow_probability = SLOW_RESPONSES_SHARE * probability
+    if not judgement.bad and slow.log_evidence >= -math.log(slow_probability):
+        judgement = dataclasses.replace(judgement, bad=True, reason=str(slow))
+    if slow.log_evidence >= -math.log(limits.suspicion_probability):
+        judgement = dataclasses.replace(judgement, suspect=True)
+    return VersionJudgement(judgement, slow)
+
+
+def _judge_routes(
     judge: moves.Judge,
     evidence: tuple[data.RouteEvidence, ...],
     to_version: state.VersionName,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -180,6 +180,13 @@
                 target, route, state.OutcomeKind.SUCCESS, latency_ms
             )
 
+    def report_abandoned(
+        self, target: data.ListedTarget, route: str, sent_at_s: float
+    ) -> None:
+        """Record that a request has ended before the target's response."""
+        waited_s = self._clock.monotonic_s() - sent_at_s
+        self._moves.record_abandoned(target, route, 1000 * waited_s)
+
     def report_alive(self, target: data.ListedTarget) -> None:
         """Record that the target is alive."""
         with self._lock:
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -212,6 +212,16 @@
                 round(latency.log_square_sum * LOGARITHM_SCALE),
             )
         )
+    histograms = []
+    for histogram in report.counts.latencies:
+        histograms.append(
+            (
+                names.setdefault(histogram.version, len(names)),
+                names.setdefault(histogram.route, len(names)),
+                histogram.response_counts,
+                histogram.abandoned_counts,
+            )
+        )
     return cbor2.dumps(
         (
             MOVE_TYPE,
@@ -227,6 +237,7 @@
             report.stop_reason,
             # The rows are much alike, so compression halves their size.
             zlib.compress(cbor2.dumps((tuple(names), rows))),
+            zlib.compress(cbor2.dumps(histograms)),
         )
     )
 
@@ -236,6 +247,11 @@
     rows = []
     for fields_of_row in fields_of_rows:
         rows.append(_decode_evidence(fields_of_row, names))
+    histograms = []
+    # Earlier releases send no latency histograms.
+    if len(fields) > 12:
+        for histogram in cbor2.loads(_decompress(fields[12])):
+            histograms.append(_decode_histogram(histogram, names))
     return data.MoveReport(
         instance=str(fields[1]),
         service=str(fields[2]),
@@ -246,6 +262,7 @@
             sent_count=_integer(fields[8]),
             member_count=_integer(fields[5]),
             rows=tuple(rows),
+            latencies=tuple(histograms),
         ),
         age_ms=_integer(fields[6]),
         is_shifting=bool(fields[9]),
@@ -276,6 +293,16 @@
     )
 
 
+def _decode_histogram(fields: Any, names: Any) -> data.LatencyHistogram:
+    version, route, response_counts, abandoned_counts = fields
+    return data.LatencyHistogram(
+        str(names[_integer(route)]),
+        str(names[_integer(version)]),
+        tuple(_integer(count) for count in response_counts),
+        tuple(_integer(count) for count in abandoned_counts),
+    )
+
+
 def _integer(value: Any, maximum: int = MAX_INTEGER) -> int:
     """Return an integer from 0 to the maximum.
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -108,6 +108,10 @@
                         ),
                     ),
                 ),
+                latencies=(
+                    data.LatencyHistogram('peek', 'v2', (0, 0, 4), (0, 1)),
+                    data.LatencyHistogram('book', 'v1', (0, 70)),
+                ),
             ),
             age_ms=2500,
             is_shifting=False,
@@ -115,6 +119,12 @@
         )
         datagram = messages.encode_message(report)
         assert messages.decode_message(datagram) == report
+        # Earlier releases send no latency histograms.
+        earlier = cbor2.dumps(cbor2.loads(datagram)[:12])
+        counts = dataclasses.replace(report.counts, latencies=())
+        assert messages.decode_message(earlier) == dataclasses.replace(
+            report, counts=counts
+        )
 
     def test_move_report_size(self) -> None:
         """Guards against per-route evidence that saturates a link.
@@ -123,7 +133,17 @@
         9 KB/s. A turn of six seconds leaves 1,421 bytes for each report.
         """
         rows = []
+        histograms = []
         for version in ('v1.7.30', 'v1.7.31'):
+            for route in ('r-cguk9wh', 'r-cn9r7d5', 'r-x81kq2a'):
+                histograms.append(
+                    data.LatencyHistogram(
+                        route,
+                        version,
+                        (0, 0, 3, 40, 310, 2120, 6215, 5010, 1600, 240, 21, 2),
+                        (0, 0, 1, 7, 21),
+                    )
+                )
             for number in range(13):
                 for route in ('r-cguk9wh', 'r-cn9r7d5', 'r-x81kq2a'):
                     row = state.EvidenceRow(
@@ -139,7 +159,9 @@
             service='pool',
             to_version='v1.7.31',
             scope=data.MoveScope.GROUP,
-            counts=data.MoveCounts(90000, 3000, 18, tuple(rows)),
+            counts=data.MoveCounts(
+                90000, 3000, 18, tuple(rows), tuple(histograms)
+            ),
             age_ms=9500,
             is_shifting=False,
             stop_reason='',
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -18,6 +18,7 @@
 from skylarktack.state.forwarding._fleet import RunStatus
 from skylarktack.state.forwarding._fleet import StoreChange
 from skylarktack.state.forwarding._fleet import WatchHeartbeat
+from skylarktack.state.forwarding._moves import LatencyHistogram
 from skylarktack.state.forwarding._moves import MoveChange
 from skylarktack.state.forwarding._moves import MoveCounts
 from skylarktack.state.forwarding._moves import MoveOrder
@@ -65,6 +66,7 @@
     'Headers',
     'OrganisationKeys',
     'ListedPeer',
+    'LatencyHistogram',
     'LeavingTarget',
     'ListedTarget',
     'MoveChange',
--- a/packages/state/src/skylarktack/state/forwarding/_moves.py
+++ b/packages/state/src/skylarktack/state/forwarding/_moves.py
@@ -69,6 +69,26 @@
     row: EvidenceRow
 
 
+@dataclasses.dataclass(frozen=True)
+class LatencyHistogram:
+    """Latencies of a version on a route, in all failure domains.
+
+    Counts are by latency class; each class begins at the square root of two
+    times the bound of the one before. Trailing zeros are omitted.
+    """
+
+    #: Name of the route; empty for all routes that are counted together.
+    route: str
+
+    version: str
+
+    #: Successful responses by latency.
+    response_counts: tuple[int, ...] = ()
+
+    #: Attempts that ended without a response, by the time waited for it.
+    abandoned_counts: tuple[int, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True)
 class MoveCounts:
     """Counts of a move since its order, of one or more instances."""
@@ -83,6 +103,9 @@
     #: Outcome counts by version, failure domain and route.
     rows: tuple[RouteEvidence, ...] = ()
 
+    #: Latencies by version and route; empty in reports of earlier releases.
+    latencies: tuple[LatencyHistogram, ...] = ()
+
 
 @dataclasses.dataclass(frozen=True)
 class MoveReport:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
@@ -25,6 +25,10 @@
 #: Fraction of the requests that the bad version fails.
 BAD_FRACTION = 0.4
 
+#: Fraction of the requests that the slow version delays, and by what factor.
+SLOW_FRACTION = 0.5
+SLOWDOWN = 6.0
+
 
 class _Store:
     """Stores the order and accepts the first write to each revision."""
@@ -119,6 +123,7 @@
         self.sent_after_count = 0
         self._rate_per_s = rate_per_s
         self._due_count = 0.0
+        self._is_slow = False
         self._domains = [f'domain-{each}' for each in range(domain_count)]
         for number in range(instance_count):
             instance = _Instance(number, self)
@@ -132,8 +137,14 @@
         for instance in self.instances:
             instance.table.apply(data.MoveChange('pool', self.store.order))
 
-    def run(self, is_bad: bool, until_s: float = DURATION_S) -> None:
+    def run(
+        self,
+        is_bad: bool,
+        until_s: float = DURATION_S,
+        is_slow: bool = False,
+    ) -> None:
         """Serve requests until the move has ended or time is up."""
+        self._is_slow = is_slow
         started_s = self.clock.monotonic_s()
         while self.clock.monotonic_s() - started_s < until_s:
             for instance in self.instances:
@@ -164,6 +175,7 @@
         )
         instance.table.record_send(target)
         kind = state.OutcomeKind.SUCCESS
+        latency_ms = 20.0 + self.random.random()
         if version == 'v2':
             self.sent_count += 1
             if self.bad_response_count >= LIMITS.allowance_count:
@@ -171,8 +183,10 @@
             if is_bad and self.random.random() < BAD_FRACTION:
                 kind = state.OutcomeKind.ERROR
                 self.bad_response_count += 1
+            if self._is_slow and self.random.random() < SLOW_FRACTION:
+                latency_ms *= SLOWDOWN
+                self.bad_response_count += 1
         route = self.random.choice(ROUTES)
-        latency_ms = 20.0 + self.random.random()
         instance.table.record_outcome(target, route, kind, latency_ms)
 
     def leader(self) -> _Instance:
@@ -188,11 +202,14 @@
 class TestLargeFleet:
     """The fleet judges one version from shared evidence."""
 
+    @pytest.mark.parametrize('is_slow', (False, True))
     @pytest.mark.parametrize('instance_count', (9, 91))
-    def test_the_exposure_of_a_bad_version(self, instance_count: int) -> None:
+    def test_the_exposure_of_a_bad_version(
+        self, instance_count: int, is_slow: bool
+    ) -> None:
         """Guards against each instance using the full allowance."""
         simulation = _FleetSimulation(instance_count, 4, rate_per_s=100.0)
-        simulation.run(is_bad=True)
+        simulation.run(is_bad=not is_slow, is_slow=is_slow)
         assert simulation.store.order.phase is state.MovePhase.ROLLED_BACK
         limit_count = LIMITS.fraction * simulation.request_count
         assert simulation.sent_count <= limit_count + LIMITS.allowance_count
