--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -227,6 +227,7 @@
     budget: forwarding.RetryBudget
     calls: forwarding.CallForwarder
     streams: forwarding.StreamForwarder
+    quarantine: forwarding.PromptQuarantine
 
     def work(
         self, of_route: data.ForwardingRoute, of_request: data.FrontRequest
@@ -308,13 +309,17 @@
         draw=random.Random(1).random,
     )
     move_table.is_synced.set()
-    targets = forwarding.TargetTable(clock, log, 'domain-a', fleet, move_table)
+    errors = forwarding.ErrorRecorder(clock, log)
+    targets = forwarding.TargetTable(
+        clock, log, 'domain-a', fleet, move_table, errors
+    )
     targets.replace(listed, after_outage=False)
     budget = forwarding.RetryBudget(
         clock,
         forwarding.RetryLimits(0.8, allowance, 10.0),
         fleet,
     )
+    quarantine = forwarding.PromptQuarantine(clock, log, fleet)
     streams = forwarding.StreamForwarder(
         forwarding.StreamDependencies(
             clock=clock,
@@ -322,7 +327,9 @@
             client=client,
             fleet=fleet,
             budget=budget,
+            quarantine=quarantine,
             new_splitter=_Splitter,
+            errors=errors,
         )
     )
     return Harness(
@@ -336,6 +343,7 @@
         budget=budget,
         calls=forwarding.CallForwarder(clock, targets, client, budget),
         streams=streams,
+        quarantine=quarantine,
     )
 
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -92,10 +92,16 @@
         if not settings.has_moves:
             self._moves.is_synced.set()
         self._targets = forwarding.TargetTable(
-            clock, log, settings.failure_domain, self._fleet, self._moves
+            clock,
+            log,
+            settings.failure_domain,
+            self._fleet,
+            self._moves,
+            errors,
         )
         client = transport.HttpTargetClient(codec)
-        metrics = _metrics.RequestMetrics(errors)
+        quarantine = forwarding.PromptQuarantine(clock, log, self._fleet)
+        metrics = _metrics.RequestMetrics(errors, quarantine)
         accounts = forwarding.RequestAccounts()
         budget = forwarding.RetryBudget(
             clock,
@@ -122,7 +128,9 @@
                         client=client,
                         fleet=self._fleet,
                         budget=budget,
+                        quarantine=quarantine,
                         new_splitter=messages.EventStreamSplitter,
+                        errors=errors,
                     )
                 ),
                 observer=_reports.CompositeObserver(
