Contain errors in the account of abandoned attempts

The new case fails without the change. The log line of a judgement without evidence now counts all routes; it named a route that nobody had requested ("0 of 0 responses").

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_slow_responses.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_slow_responses.py
@@ -114,7 +114,8 @@
     strongest = all_routes
     if groups:
         index = group_evidence.index(max(group_evidence))
-        if group_evidence[index] > evidence:
+        # Without evidence, the counts of all routes tell more than any one's.
+        if group_evidence[index] > max(0.0, evidence):
             strongest = groups[index]
         evidence = _log_mean([evidence, _log_mean(group_evidence)])
     return _summary(evidence, strongest)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -198,8 +198,9 @@
         self, target: data.ListedTarget, route: str, sent_at_s: float
     ) -> None:
         """Record that a request has ended before the target's response."""
-        waited_s = self._clock.monotonic_s() - sent_at_s
-        self._moves.record_abandoned(target, route, 1000 * waited_s)
+        with self._errors.contain(_ACCOUNTING):
+            waited_s = self._clock.monotonic_s() - sent_at_s
+            self._moves.record_abandoned(target, route, 1000 * waited_s)
 
     def report_alive(self, target: data.ListedTarget) -> None:
         """Record that the target is alive."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_slow_versions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_slow_versions.py
@@ -195,6 +195,15 @@
             '0 of 100.'
         )
 
+    def test_counts_of_a_good_version_cover_all_routes(self) -> None:
+        """Guards against a log line about a route that nobody requested."""
+        found = _compare(
+            _histogram('v1', [20.0] * 90, 'book'),
+            _histogram('v2', [20.0] * 9, 'book'),
+            _histogram('v1', [20.0] * 5),
+        )
+        assert (found.new_count, found.old_count) == (9, 95)
+
     def test_abandoned_attempts_are_slow(self) -> None:
         """Guards against hedged requests that leave no evidence of a slow
         version.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -130,6 +130,22 @@
         ]
         assert set(places) == {'target accounting'}
 
+    def test_hedged_call_keeps_its_answer(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an answer that is lost with the slower attempt."""
+        env = harness.make_harness(
+            harness.target('hangs'), harness.target('good', 'domain-b')
+        )
+        monkeypatch.setattr(env.moves, 'record_abandoned', _fail)
+        env.client.script('good', harness.answer_script(200))
+        assert isinstance(env.call(), data.FrontResponse)
+        assert env.client.exchanges[0].is_closed
+        assert any(
+            isinstance(event, forwarding.UnexpectedError)
+            for event in env.log.events
+        )
+
     @pytest.mark.parametrize(
         ('part', 'method'),
         [
