Close the stand-in of a target while its thread accepts

Cause: the thread of the stand-in may still be within accept() when the socket is closed, which keeps the kernel's socket listening until it returns; besides, the thread went on reading after the end of its connection without a pause.

The assertions are unchanged.

--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -52,6 +52,9 @@
         )
 
     def close(self) -> None:
+        # A thread that is still accepting would keep the socket open.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         for connection in self._connections:
             connection.close()
@@ -61,7 +64,10 @@
             connection, _ = self._listener.accept()
             self._connections.append(connection)
             while b'\r\n\r\n' not in self.received:
-                self.received += connection.recv(65536)
+                received = connection.recv(65536)
+                if not received:
+                    return
+                self.received += received
             connection.sendall(self._response)
             if self._ending == 'end':
                 connection.shutdown(socket.SHUT_WR)
