--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -14,6 +14,8 @@
 import threading
 import time
 
+import h11
+
 from skylarktack import platform
 from skylarktack import state
 from skylarktack.coordination import fakes
@@ -29,6 +31,8 @@
 
 ATTEMPT_ID = b'attempt-1'
 
+HOST = (b'Host', b'host.example')
+
 #: Closes a connection with a reset.
 _RESET_LINGER = b'\1\0\0\0\0\0\0\0'
 
@@ -47,6 +51,9 @@
     #: Whether the target answers as soon as it has read the head.
     is_before_body: bool = False
 
+    #: Bytes that it sends when it has read the body after all.
+    after_body: bytes = b''
+
 
 @dataclasses.dataclass(frozen=True)
 class ReceivedRequest:
@@ -65,6 +72,18 @@
         return None
 
 
+@dataclasses.dataclass(frozen=True)
+class ReceivedStream:
+    """What a caller received of a stream."""
+
+    status: int
+
+    body: bytes
+
+    #: Whether the end of the answer looks like that of a whole one.
+    is_complete: bool
+
+
 class RawTarget:
     """Sends the next answer of the bed to each request.
 
@@ -122,12 +141,19 @@
                 connection.sendall(_response(b'{"queued_requests": 1}'))
                 return
             self._requests.append(ReceivedRequest(self.name, head))
+            if not self._answers:
+                return
             answer = self._answers.popleft()
             if not answer.is_before_body:
                 body += _read_exactly(
                     connection, _body_size_bytes(head) - len(body)
                 )
             self._send(connection, answer)
+            if answer.after_body:
+                body += _read_exactly(
+                    connection, _body_size_bytes(head) - len(body)
+                )
+                connection.sendall(answer.after_body)
             if answer.ending == 'reset':
                 connection.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
@@ -249,7 +275,7 @@
     """A caller, a front connection, and equal targets.
 
     The first request that reaches a target gets the first answer, whichever
-    target that is.
+    target that is. When no answer is left, connections are closed.
     """
 
     def __init__(self, route: data.ForwardingRoute, *answers: Answer) -> None:
@@ -287,15 +313,27 @@
             % (version, attempt_id, length, body)
         )
 
-    def read_to_end(self) -> bytes:
-        """End the caller's side of the connection and return all bytes.
-
-        :raises ConnectionResetError: if the connection is reset.
-        """
-        received = b''
-        while more := self.caller.recv(65536):
-            received += more
-        return received
+    def read_stream(self) -> 'ReceivedStream':
+        """Return the answer to the request that was sent, to its end."""
+        parser = h11.Connection(h11.CLIENT)
+        parser.send(h11.Request(method='GET', target='/', headers=[HOST]))
+        parser.send(h11.EndOfMessage())
+        status = 0
+        body = b''
+        while True:
+            try:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    parser.receive_data(self.caller.recv(65536))
+                    continue
+            except (ConnectionResetError, h11.RemoteProtocolError):
+                return ReceivedStream(status, body, is_complete=False)
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            if isinstance(event, h11.Data):
+                body += event.data
+            if isinstance(event, h11.EndOfMessage):
+                return ReceivedStream(status, body, is_complete=True)
 
     def ask(self, body: bytes = b'body') -> tuple[int, bytes]:
         """Send a request and return the status and body of its answer."""
@@ -313,6 +351,18 @@
         )
         return int(head.split(b' ')[1]), content
 
+    def wait_for_bodies(self, count: int) -> list[bytes]:
+        """Return the bodies of requests whose connections have ended."""
+        end_s = time.monotonic() + TIMEOUT_S
+        while True:
+            bodies = []
+            for target in self.targets:
+                bodies.extend(target.bodies)
+            if len(bodies) >= count:
+                return bodies
+            assert time.monotonic() < end_s
+            time.sleep(0.01)
+
     def close(self) -> None:
         """End all connections."""
         self.caller.close()
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -77,6 +77,7 @@
         self._pipelined_bytes = 0
         self._has_disconnected = False
         self._has_begun_response = False
+        self._is_head_request = False
         self._state_lock = threading.Lock()
         self._is_idle = True
         self._is_closing = False
@@ -90,6 +91,7 @@
             while self._serve_next():
                 self._pipelined_bytes = 0
                 self._has_begun_response = False
+                self._is_head_request = False
                 self._parser.start_next_cycle()
         except (OSError, h11.ProtocolError):
             # The caller disconnected or violated HTTP; nothing can be sent.
@@ -97,7 +99,7 @@
         finally:
             with self._state_lock:
                 self._is_closed = True
-            self._connection.close()
+            self._close()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
@@ -158,6 +160,18 @@
         outcome = self._handler.handle(received, self)
         return self._respond(outcome)
 
+    def _close(self) -> None:
+        """Close the connection; an unfinished response must not look whole.
+
+        A caller of HTTP/1.0 takes the end of the connection for the end of
+        a response without a length (RFC 9112, 6.3), unless it is reset.
+        """
+        is_unfinished = self._parser.our_state is h11.SEND_BODY
+        if is_unfinished and self._parser.their_http_version == b'1.0':
+            with contextlib.suppress(OSError):
+                _sockets.reset_on_close(self._connection)
+        self._connection.close()
+
     def _respond(self, outcome: forwarding.StreamOutcome) -> bool:
         if isinstance(
             outcome,
@@ -190,11 +204,13 @@
         self, response: data.FrontResponse, must_close: bool
     ) -> bool:
         headers = messages.without_names(response.headers, _FRAMING_NAMES)
-        if response.status not in _STATUSES_WITHOUT_BODY:
+        has_length = response.status not in _STATUSES_WITHOUT_BODY
+        if has_length:
             length = str(len(response.body)).encode()
             headers += ((b'Content-Length', length),)
         outgoing = self._encode_head(response.status, headers, must_close)
-        if response.body and response.status not in _STATUSES_WITHOUT_BODY:
+        has_body = has_length and not self._is_head_request
+        if response.body and has_body:
             outgoing += self._parser.send(h11.Data(data=response.body)) or b''
         outgoing += self._parser.send(h11.EndOfMessage()) or b''
         return self._write(outgoing)
@@ -251,6 +267,7 @@
                     target=event.target,
                     headers=tuple(event.headers.raw_items()),
                 )
+                self._is_head_request = head.method == b'HEAD'
                 has_body = _has_body(head.headers)
                 if _has_conflicting_lengths(head.headers):
                     return data.Refusal(
