--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -10,6 +10,7 @@
 import dataclasses
 import math
 import random
+import select
 import socket
 import threading
 import time
@@ -63,6 +64,9 @@
 
     head: bytes
 
+    #: Whether the connections of all earlier requests had ended by then.
+    is_alone: bool
+
     @property
     def last_event_id(self) -> bytes | None:
         """Return the event after which the stream is to go on, or None."""
@@ -95,11 +99,13 @@
         name: str,
         requests: list[ReceivedRequest],
         answers: collections.deque[Answer],
+        open_connections: list[socket.socket],
     ) -> None:
         self.name = name
         self.bodies: list[bytes] = []
         self._requests = requests
         self._answers = answers
+        self._open_connections = open_connections
         self._listener = socket.create_server(('127.0.0.1', 0))
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -140,7 +146,9 @@
             if head.startswith(b'GET /report '):
                 connection.sendall(_response(b'{"queued_requests": 1}'))
                 return
-            self._requests.append(ReceivedRequest(self.name, head))
+            is_alone = all(map(_has_ended, self._open_connections))
+            self._open_connections.append(connection)
+            self._requests.append(ReceivedRequest(self.name, head, is_alone))
             if not self._answers:
                 return
             answer = self._answers.popleft()
@@ -171,6 +179,15 @@
                 time.sleep(part)
 
 
+def _has_ended(connection: socket.socket) -> bool:
+    """Return whether either end has closed the connection."""
+    if connection.fileno() < 0:
+        return True
+    poller = select.poll()
+    poller.register(connection, select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def _response(body: bytes) -> bytes:
     length = str(len(body)).encode()
     return b'HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\n%s' % (length, body)
@@ -278,8 +295,14 @@
     def __init__(self, route: data.ForwardingRoute, *answers: Answer) -> None:
         self.requests: list[ReceivedRequest] = []
         self.remaining_answers = collections.deque(answers)
+        open_connections: list[socket.socket] = []
         self.targets = [
-            RawTarget(name, self.requests, self.remaining_answers)
+            RawTarget(
+                name,
+                self.requests,
+                self.remaining_answers,
+                open_connections,
+            )
             for name in ('a', 'b', 'c')
         ]
         self.log = fakes.RecordingLog()
@@ -348,6 +371,15 @@
         )
         return int(head.split(b' ')[1]), content
 
+    def ejected(self) -> list[str]:
+        """Return the targets that get no new request now."""
+        table = self.forwarders.targets
+        names = []
+        for target in self.targets:
+            if table.is_unavailable(target.listed):
+                names.append(target.name)
+        return names
+
     def wait_for_bodies(self, count: int) -> list[bytes]:
         """Return the bodies of requests whose connections have ended."""
         end_s = time.monotonic() + TIMEOUT_S
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_silent_targets.py
@@ -0,0 +1,93 @@
+"""Sound targets that fall silent for a while, on real connections."""
+
+import pytest
+
+from skylarktack.daemon.forwarding.tests import response_bed
+from skylarktack.state import forwarding as data
+
+#: A sound target may be silent for about a second.
+SILENCE_S = 1.5
+
+HEAD = b'HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nReplica-Signature: s\r\n'
+STREAM_HEAD = HEAD + b'Content-Type: text/event-stream\r\n\r\n'
+PLAIN_HEAD = HEAD + b'Content-Length: 4\r\n\r\n'
+FIRST_EVENT = b'id: 1\ndata: a\n\n'
+SECOND_EVENT = b'id: 2\ndata: b\n\n'
+
+SILENT_ANSWERS = {
+    'before the head': (SILENCE_S, PLAIN_HEAD + b'done'),
+    'within the head': (PLAIN_HEAD[:20], SILENCE_S, PLAIN_HEAD[20:] + b'done'),
+    'within the body': (PLAIN_HEAD + b'do', SILENCE_S, b'ne'),
+}
+
+SILENT_STREAMS = {
+    'before the head': (SILENCE_S, STREAM_HEAD + FIRST_EVENT + SECOND_EVENT),
+    'before the first event': (
+        STREAM_HEAD,
+        SILENCE_S,
+        FIRST_EVENT + SECOND_EVENT,
+    ),
+    'between events': (STREAM_HEAD + FIRST_EVENT, SILENCE_S, SECOND_EVENT),
+    'within an event': (
+        STREAM_HEAD + FIRST_EVENT + SECOND_EVENT[:8],
+        SILENCE_S,
+        SECOND_EVENT[8:],
+    ),
+    'before the end': (STREAM_HEAD + FIRST_EVENT + SECOND_EVENT, SILENCE_S),
+}
+
+
+class TestSilentTarget:
+    """Requests that may not be repeated wait for a silent target."""
+
+    @pytest.mark.parametrize(
+        'parts', SILENT_ANSWERS.values(), ids=SILENT_ANSWERS.keys()
+    )
+    def test_call(self, parts: tuple[bytes | float, ...]) -> None:
+        """Guards against breaking off a booking at a sound target."""
+        route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
+        with response_bed.serving(route, response_bed.Answer(parts)) as bed:
+            assert bed.ask() == (200, b'done')
+            assert len(bed.requests) == 1
+            assert not bed.ejected()
+
+    def test_call_with_a_long_body(self) -> None:
+        """Guards against giving up a target that reads late."""
+        route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
+        answer = response_bed.Answer(
+            (SILENCE_S, PLAIN_HEAD), is_before_body=True, after_body=b'done'
+        )
+        with response_bed.serving(route, answer) as bed:
+            assert bed.ask(b'x' * 8_000_000) == (200, b'done')
+            assert len(bed.requests) == 1
+            assert not bed.ejected()
+
+    @pytest.mark.parametrize(
+        'parts', SILENT_STREAMS.values(), ids=SILENT_STREAMS.keys()
+    )
+    def test_stream(self, parts: tuple[bytes | float, ...]) -> None:
+        """Guards against breaking off a stream that may not be resumed."""
+        route = response_bed.route(data.RequestKind.STREAM, is_resumable=False)
+        answer = response_bed.Answer(parts, 'end')
+        with response_bed.serving(route, answer) as bed:
+            bed.send()
+            received = bed.read_stream()
+            assert len(bed.requests) == 1
+            assert not bed.ejected()
+        assert received == response_bed.ReceivedStream(
+            200, FIRST_EVENT + SECOND_EVENT, True
+        )
+
+    def test_resumed_stream(self) -> None:
+        """Guards against two engines that work on one stream."""
+        route = response_bed.route(data.RequestKind.STREAM)
+        silent = response_bed.Answer(SILENT_STREAMS['between events'], 'end')
+        rest = response_bed.Answer((STREAM_HEAD + SECOND_EVENT,), 'end')
+        with response_bed.serving(route, silent, rest) as bed:
+            bed.send()
+            received = bed.read_stream()
+            assert [r.last_event_id for r in bed.requests] == [None, b'1']
+            assert bed.requests[1].is_alone
+        assert received == response_bed.ReceivedStream(
+            200, FIRST_EVENT + SECOND_EVENT, True
+        )
