Decode a token only if its data is one JSON string

What callers could see in a generation: the text of an error, a raw line end or half a character within a token, after an engine failed inside an event and went on with other bytes on the same connection.

Cause: data in quotes without a backslash was taken as a token without a parser, whatever stood between the first and the last quote.

The fast path now holds for one string of printable ASCII; all other data is read as JSON, which rejects it, and the generation goes on at another engine after the last token delivered.

--- a/packages/protocol/src/skylarktack/protocol/_engine.py
+++ b/packages/protocol/src/skylarktack/protocol/_engine.py
@@ -141,12 +141,19 @@
 
 def _decode_text(data: bytes) -> bytes:
     # Most tokens are JSON strings without escapes and need no JSON parser.
-    if data[:7] == b'data: "' and data[-1:] == b'"' and b'\\' not in data:
-        return data[7:-1]
-    text = json.loads(data.removeprefix(b'data: '))
-    if not isinstance(text, str):
+    text = data[7:-1]
+    if (
+        data[:7] == b'data: "'
+        and data.find(b'"', 7) == len(data) - 1
+        and b'\\' not in text
+        and text.isascii()
+        and text.decode().isprintable()
+    ):
+        return text
+    decoded = json.loads(data.removeprefix(b'data: '))
+    if not isinstance(decoded, str):
         raise ValueError('data of a token event is not a JSON string')
-    return text.encode()
+    return decoded.encode()
 
 
 def _malformed_fault(message: str) -> ports.StreamFault:
