Tell losses of several requests from those of a failure domain

Losses are now one moment only while each follows the one before within 0.1 s, as the losses of a domain do, up to 0.3 s. The new case of requests that arrive together failed before.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_losses.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_losses.py
@@ -24,9 +24,11 @@
     #: is the cause only if it turned bad meanwhile.
     min_loss_count_after_output: int = 5
 
-    #: Losses that are closer than this are one moment. A failure domain or
-    #: all engines end together, and a popular part is lost at each of them.
-    moment_s: float = 0.3
+    #: Losses are one moment while each follows the one before within the gap,
+    #: up to the length. A failure domain or all engines end together, and a
+    #: popular part is lost at each of them.
+    moment_gap_s: float = 0.1
+    moment_length_s: float = 0.3
 
     #: Age from which a loss no longer counts.
     window_s: float = 60.0
@@ -77,7 +79,7 @@
         unexplained = [
             loss
             for loss in unexplained
-            if not _is_explained(loss, ends, limits.moment_s)
+            if not _is_explained(loss, ends, limits.moment_length_s)
         ]
 
 
@@ -136,12 +138,12 @@
     if part_id in output_at_s:
         required = limits.min_loss_count_after_output
     counts_from_s = output_at_s.get(part_id, -math.inf)
-    count = _moment_count(of_part, counts_from_s, limits.moment_s)
+    count = _moment_count(of_part, counts_from_s, limits)
     return count if count >= required else 0
 
 
 def _moment_count(
-    losses: Sequence[Loss], counts_from_s: float, moment_s: float
+    losses: Sequence[Loss], counts_from_s: float, limits: EvidenceLimits
 ) -> int:
     """Return at how many moments another engine ended."""
     first_by_engine: dict[str, float] = {}
@@ -151,12 +153,17 @@
         known_s = first_by_engine.get(loss.engine, math.inf)
         first_by_engine[loss.engine] = min(known_s, loss.at_s)
     count = 0
-    moment_end_s = -math.inf
+    began_at_s = previous_s = -math.inf
     for at_s in sorted(first_by_engine.values()):
-        if at_s < moment_end_s:
+        is_same_moment = (
+            at_s < previous_s + limits.moment_gap_s
+            and at_s < began_at_s + limits.moment_length_s
+        )
+        previous_s = at_s
+        if is_same_moment:
             continue
         count += 1
-        moment_end_s = at_s + moment_s
+        began_at_s = at_s
     return count
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_losses.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_losses.py
@@ -86,6 +86,16 @@
         _losses_under('popular', count=12, gap_s=0.02),
         (),
     ),
+    LossCase(
+        'a popular bad part that ends an engine every 20 ms',
+        _losses_under('bad', count=60, gap_s=0.02),
+        ('bad',),
+    ),
+    LossCase(
+        'several requests with a bad part that arrive together',
+        _losses_under('bad', count=3, gap_s=0.15),
+        ('bad',),
+    ),
     LossCase(
         'many losses on one engine',
         tuple(Loss('engine', ('part',), 10.0 + n) for n in range(6)),
