Keep quarantined prompt parts in the store

Failed calls are repeated; released parts and entries that are long over are removed; odd entries are left out. In the account, a run that is not sent again has the cause of its refusal.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -93,6 +93,12 @@
 from skylarktack.coordination.forwarding._prompt_quarantine import (
     QuarantineSettings,
 )
+from skylarktack.coordination.forwarding._quarantine_keeper import (
+    QuarantineKeeper,
+)
+from skylarktack.coordination.forwarding._quarantine_keeper import (
+    QuarantineStore,
+)
 from skylarktack.coordination.forwarding._request_events import RequestFailed
 from skylarktack.coordination.forwarding._request_events import RequestLate
 from skylarktack.coordination.forwarding._request_events import RequestsCounted
@@ -223,7 +229,9 @@
     'RequestStep',
     'PromptEvidenceExchange',
     'PromptQuarantine',
+    'QuarantineKeeper',
     'QuarantineSettings',
+    'QuarantineStore',
     'RetryBudget',
     'RouteTable',
     'RunPlacement',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_accounting.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_accounting.py
@@ -221,6 +221,8 @@
     cause = _CAUSE_BY_REASON.get(refusal.reason)
     if cause is not None:
         return cause
+    if _first_at_ms(report, 'prompt_quarantined') is not None:
+        return 'prompt part quarantined'
     if refusal.reason is data.RefusalReason.TARGET_FAILED:
         return _loss_cause(report) or 'error of the target'
     if _first_at_ms(report, 'engine_full') is not None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -16,6 +16,7 @@
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _prompt_losses
+from skylarktack.coordination.forwarding import _quarantine_keeper
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -160,6 +161,9 @@
         )
         self._new_outputs: dict[str, None] = {}
         self._new_quarantines: dict[str, None] = {}
+        #: Parts whose stored quarantine is out of date.
+        self._unsaved: dict[str, None] = {}
+        self.has_changes = threading.Event()
         fleet.set_prompt_exchange(self)
 
     def admit(self, part_ids: tuple[str, ...]) -> QuarantineRefusal | None:
@@ -207,6 +211,7 @@
                 if self._is_output_awaited(part_id, now_s):
                     self._new_outputs[part_id] = None
                 if self._release(part_id):
+                    self._set_unsaved(part_id)
                     events.append(_released(part_id, 'a run produced output'))
             has_news = bool(self._new_outputs)
         self._record(events)
@@ -279,6 +284,66 @@
                 events.extend(self._evaluate())
         self._record(events)
 
+    def restore(self, stored: tuple[data.StoredQuarantine, ...]) -> None:
+        """Apply the quarantines that the store has."""
+        now_ms = 1000 * self._clock.wall_s()
+        longest_ms = 1000 * self.settings.idle_s
+        events: list[_events.LogEvent] = []
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            for item in stored:
+                if len(item.part_id) > MAX_PART_ID_CHARS:
+                    continue
+                remaining_ms = item.until_ms - now_ms
+                if remaining_ms < -1000 * self.settings.idle_s:
+                    self._set_unsaved(item.part_id)
+                    continue
+                event = self._adopt(
+                    data.QuarantinedPart(
+                        item.part_id,
+                        max(0, round(now_ms - item.began_at_ms)),
+                        round(min(max(0.0, remaining_ms), longest_ms)),
+                        min(item.probe_count, self.settings.max_probe_count),
+                    ),
+                    now_s,
+                )
+                if event is not None:
+                    events.append(event)
+        self._record(events)
+
+    def take_changes(
+        self,
+    ) -> tuple[_quarantine_keeper.QuarantineChange, ...]:
+        """Return the decisions that the store does not have yet."""
+        with self._lock:
+            self.has_changes.clear()
+            part_ids = tuple(self._unsaved)
+            self._unsaved.clear()
+            return tuple(
+                _quarantine_keeper.QuarantineChange(
+                    part_id, self._stored(part_id)
+                )
+                for part_id in part_ids
+            )
+
+    def _stored(self, part_id: str) -> data.StoredQuarantine | None:
+        quarantine = self._quarantines.get(part_id)
+        if quarantine is None:
+            return None
+        offset_s = self._clock.wall_s() - self._clock.monotonic_s()
+        return data.StoredQuarantine(
+            part_id,
+            round(1000 * (quarantine.began_at_s + offset_s)),
+            round(1000 * (quarantine.until_s + offset_s)),
+            quarantine.probe_count,
+        )
+
+    def _set_unsaved(self, part_id: str) -> None:
+        self._unsaved[part_id] = None
+        while len(self._unsaved) > MAX_QUARANTINE_COUNT:
+            del self._unsaved[next(iter(self._unsaved))]
+        self.has_changes.set()
+
     def _find(
         self, part_ids: tuple[str, ...], may_probe: bool
     ) -> tuple[QuarantineRefusal | None, Quarantine | None]:
@@ -305,7 +370,8 @@
     ) -> Quarantine | None:
         """Extend a quarantine without further probes; None if it ended."""
         if now_s >= quarantine.until_s:
-            del self._quarantines[quarantine.part_id]
+            self._release(quarantine.part_id)
+            self._set_unsaved(quarantine.part_id)
             return None
         prolonged = dataclasses.replace(
             quarantine,
@@ -328,6 +394,7 @@
         )
         self._quarantines[quarantine.part_id] = probe
         self._new_quarantines[quarantine.part_id] = None
+        self._set_unsaved(quarantine.part_id)
         return probe
 
     def _add_loss(self, loss: _prompt_losses.Loss, is_own: bool) -> bool:
@@ -406,6 +473,7 @@
             self._put_output(part_id, self._clock.monotonic_s())
             self._new_outputs[part_id] = None
             self._release(part_id)
+            self._set_unsaved(part_id)
             events.append(_released(part_id, 'another part is the cause'))
         return events
 
@@ -424,6 +492,7 @@
             part_id, now_s, now_s + self.settings.quarantine_s
         )
         self._new_quarantines[part_id] = None
+        self._set_unsaved(part_id)
         while len(self._quarantines) > MAX_QUARANTINE_COUNT:
             del self._quarantines[next(iter(self._quarantines))]
 
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_keeper.py
@@ -0,0 +1,120 @@
+"""Keeps quarantined prompt parts in the store.
+
+Instances learn of quarantines from each other. The store is for the case that
+all of them are killed at once, after which engines would end again before the
+part is known. An instance reads it when it starts, and writes what it decided
+itself.
+"""
+
+import dataclasses
+import threading
+from typing import Protocol
+
+from skylarktack.coordination.ports import Clock
+from skylarktack.state import forwarding as data
+
+#: Number of reads after the start. The store answers them cheaply, but what
+#: was written a few seconds before may be missing from the first.
+READ_COUNT = 2
+
+#: Time between two reads, and the delay after a failed call.
+READ_INTERVAL_S = 4.0
+RETRY_DELAY_S = 0.7
+
+#: Time after which an instance looks for changes that it missed.
+CHANGE_WAIT_S = 60.0
+
+
+class QuarantineStore(Protocol):
+    """Stored quarantines; the calls return None or False on a failure."""
+
+    def load(self) -> tuple[data.StoredQuarantine, ...] | None:
+        """Return all stored quarantines; they may be seconds old."""
+        ...
+
+    def save(self, quarantine: data.StoredQuarantine) -> bool:
+        """Create or replace the quarantine of a part."""
+        ...
+
+    def remove(self, part_id: str) -> bool:
+        """Remove the quarantine of a part."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class QuarantineChange:
+    """A decision of this instance that the store does not have yet."""
+
+    part_id: str
+
+    #: None for a part that was released.
+    stored: data.StoredQuarantine | None
+
+
+class QuarantineSource(Protocol):
+    """The quarantines of this instance."""
+
+    #: Set when there are changes.
+    has_changes: threading.Event
+
+    def restore(self, stored: tuple[data.StoredQuarantine, ...]) -> None:
+        """Apply what the store has."""
+        ...
+
+    def take_changes(self) -> tuple[QuarantineChange, ...]:
+        """Return the decisions since the last call."""
+        ...
+
+
+class QuarantineKeeper:
+    """Reads and writes stored quarantines; runs as a task."""
+
+    def __init__(
+        self, clock: Clock, source: QuarantineSource, store: QuarantineStore
+    ) -> None:
+        self._clock = clock
+        self._source = source
+        self._store = store
+        self._never_set = threading.Event()
+
+    def run(self) -> None:
+        """Read the store, then write changes until the process ends."""
+        for _ in range(READ_COUNT):
+            self.read()
+            self._clock.wait(self._source.has_changes, READ_INTERVAL_S)
+            self.write_changes()
+        while True:
+            self._clock.wait(self._source.has_changes, CHANGE_WAIT_S)
+            self.write_changes()
+
+    def read(self) -> None:
+        """Apply what the store has; repeat the call until it succeeds."""
+        while True:
+            stored = self._store.load()
+            if stored is not None:
+                self._source.restore(stored)
+                return
+            self._clock.wait(self._never_set, RETRY_DELAY_S)
+
+    def write_changes(self) -> None:
+        """Write the decisions of this instance, each until it succeeds.
+
+        A decision that a later one replaces meanwhile is left out.
+        """
+        pending = {
+            change.part_id: change for change in self._source.take_changes()
+        }
+        while pending:
+            for change in list(pending.values()):
+                if self._write(change):
+                    del pending[change.part_id]
+            if not pending:
+                return
+            self._clock.wait(self._never_set, RETRY_DELAY_S)
+            for change in self._source.take_changes():
+                pending[change.part_id] = change
+
+    def _write(self, change: QuarantineChange) -> bool:
+        if change.stored is None:
+            return self._store.remove(change.part_id)
+        return self._store.save(change.stored)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_accounting.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_accounting.py
@@ -149,6 +149,20 @@
         'left by itself',
         (SEND, FIRST),
     ),
+    AccountCase(
+        STREAM,
+        _refusal(data.RefusalReason.PROMPT_QUARANTINED, 60.0),
+        'refused',
+        'prompt part quarantined',
+        (_step(0.1, 'prompt_quarantined'),),
+    ),
+    AccountCase(
+        STREAM,
+        _refusal(data.RefusalReason.TARGET_FAILED),
+        'failed',
+        'prompt part quarantined',
+        (SEND, FAULT, _step(3001.0, 'prompt_quarantined')),
+    ),
 )
 
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -46,7 +46,7 @@
 CONFIRMATION_VALIDITY_S = WATCH_WAIT_S + 1.0
 
 #: Threads for background tasks and accept loops, connections not included.
-BACKGROUND_TASK_COUNT = 15
+BACKGROUND_TASK_COUNT = 16
 
 #: Maximum time to wait for the log to be written on exit.
 LOG_CLOSE_S = 0.1
@@ -96,6 +96,13 @@
         )
         client = transport.HttpTargetClient(codec)
         quarantine = forwarding.PromptQuarantine(clock, log, self._fleet)
+        self._quarantine_keeper = forwarding.QuarantineKeeper(
+            clock,
+            quarantine,
+            platform.StoreQuarantines(
+                transport.HttpStoreCalls(settings.store)
+            ),
+        )
         metrics = _metrics.RequestMetrics(errors, quarantine)
         accounts = forwarding.RequestAccounts()
         budget = forwarding.RetryBudget(
@@ -226,6 +233,7 @@
     def start(self) -> None:
         """Start all background tasks and listeners; return at once."""
         self._start_task('log', self._log.run)
+        self._start_task('quarantine keeper', self._quarantine_keeper.run)
         self._start_task('request counts', self._request_counts.run)
         if self._settings.has_moves:
             self._start_task('move watcher', self._move_watcher.run)
--- a/packages/emulator/src/skylarktack/emulator/platform/_store.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_store.py
@@ -236,6 +236,14 @@
         self._store.put(self._kind(), name, item.get('specification'))
         self.answer_json(200, item)
 
+    def do_DELETE(self) -> None:
+        """Remove an object."""
+        if self._is_refused():
+            return
+        name = urllib.parse.unquote(self.route.rpartition('/')[2])
+        self._store.remove(self._kind(), name)
+        self.answer_json(200, {})
+
     def _kind(self) -> str:
         return urllib.parse.unquote(self.route.split('/')[2])
 
--- a/packages/emulator/src/skylarktack/emulator/tests/test_crashing_prompts.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_crashing_prompts.py
@@ -1,6 +1,7 @@
 """Real instances and prompts under which each engine crashes."""
 
 from collections.abc import Iterator
+import time
 
 import pytest
 
@@ -8,6 +9,9 @@
 
 EVENT_COUNT = 100
 
+#: Longest wait for something that has to happen.
+PATIENCE_S = 60.0
+
 
 @pytest.fixture(name='deployment')
 def _deployment() -> Iterator[platform.PlatformDeployment]:
@@ -67,3 +71,27 @@
             sound = _stream(f'sound-{number}', 'shared')
             events = list(platform.read_stream(instance.address, sound))
             assert len(events) == EVENT_COUNT
+
+    def test_part_is_known_after_a_loss_of_all_instances(
+        self, deployment: platform.PlatformDeployment
+    ) -> None:
+        """Guards against engines that crash again after a power failure."""
+        for engine in deployment.engines:
+            engine.behaviour.prompt_s = 0.5
+            engine.behaviour.crash_part = 'crashing'
+        assert _statuses(deployment, 0, 'first') == [502]
+        end_s = time.monotonic() + PATIENCE_S
+        while not deployment.store.names('skylarktack-prompt-parts'):
+            assert time.monotonic() < end_s
+            time.sleep(0.02)
+        for instance in deployment.instances:
+            instance.kill()
+            instance.lines.clear()
+        for instance in deployment.instances:
+            instance.start()
+        for instance in deployment.instances:
+            deployment.wait_serving(instance)
+            instance.wait_for_line('prompt', 'prompt part quarantined')
+        assert _statuses(deployment, 1, 'later') == [503]
+        crashed = [e for e in deployment.engines if not e.is_running]
+        assert len(crashed) == 3
--- a/packages/platform/src/skylarktack/platform/__init__.py
+++ b/packages/platform/src/skylarktack/platform/__init__.py
@@ -20,6 +20,7 @@
     from skylarktack.platform._messages import PlatformMessageCodec
     from skylarktack.platform._moves import MoveReader
     from skylarktack.platform._moves import StoreMoveWriter
+    from skylarktack.platform._quarantines import StoreQuarantines
     from skylarktack.platform._settings import decode_settings
     from skylarktack.platform._store import ConfigurationReader
     from skylarktack.platform._store import TargetReader
@@ -33,6 +34,7 @@
     'PlatformMessageCodec',
     'StoreMoveWriter',
     'StorePeerRegistry',
+    'StoreQuarantines',
     'TargetReader',
     'decode_configuration',
     'decode_settings',
@@ -52,6 +54,7 @@
     'PATH_VARIABLE': '_front_address',
     'FrontAddress': '_front_address',
     'find_front_address': '_front_address',
+    'StoreQuarantines': '_quarantines',
     'decode_settings': '_settings',
     'ConfigurationReader': '_store',
     'TargetReader': '_store',
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -28,6 +28,7 @@
 from skylarktack.state.forwarding._prompt_evidence import PromptLoss
 from skylarktack.state.forwarding._prompt_evidence import PromptOutput
 from skylarktack.state.forwarding._prompt_evidence import QuarantinedPart
+from skylarktack.state.forwarding._prompt_evidence import StoredQuarantine
 from skylarktack.state.forwarding._requests import OK_STATUS
 from skylarktack.state.forwarding._requests import CopyOrder
 from skylarktack.state.forwarding._requests import DispatchContext
@@ -92,6 +93,7 @@
     'BroadcastMessage',
     'WatchHeartbeat',
     'StoreChange',
+    'StoredQuarantine',
     'TargetChange',
     'TargetLoad',
     'TargetReport',
--- a/packages/state/src/skylarktack/state/forwarding/_prompt_evidence.py
+++ b/packages/state/src/skylarktack/state/forwarding/_prompt_evidence.py
@@ -45,6 +45,20 @@
     probe_count: int
 
 
+@dataclasses.dataclass(frozen=True)
+class StoredQuarantine:
+    """A quarantined prompt part as the store keeps it."""
+
+    part_id: str
+
+    #: Wall clock times, in milliseconds since the epoch.
+    began_at_ms: int
+    until_ms: int
+
+    #: Probe runs so far.
+    probe_count: int
+
+
 @dataclasses.dataclass(frozen=True)
 class PromptEvidence:
     """Evidence about prompt parts in one report of an instance."""
