Refuse requests that wait while their prompt part is quarantined

A request that had been admitted, and then waited for an engine or was refused by a full one, was still sent after a part of its prompt was quarantined: only runs that had been executed were checked again. Now each send is checked, except the first one of the probe. The test failed before (the request was sent to a second engine and ended with target_failed).

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -118,6 +118,17 @@
     retry_after_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class PromptAdmission:
+    """Whether a new request may be sent to an engine."""
+
+    #: None for a request that may be sent.
+    refusal: QuarantineRefusal | None
+
+    #: Whether the request is the probe of a quarantined part.
+    is_probe: bool = False
+
+
 def observed_parts(request: data.FrontRequest) -> tuple[str, ...]:
     """Return the parts of a prompt that other requests may share.
 
@@ -166,8 +177,8 @@
         self.has_changes = threading.Event()
         fleet.set_prompt_exchange(self)
 
-    def admit(self, part_ids: tuple[str, ...]) -> QuarantineRefusal | None:
-        """Return why a new request must not be sent, or None.
+    def admit(self, part_ids: tuple[str, ...]) -> PromptAdmission:
+        """Return whether a new request may be sent.
 
         At the end of a quarantine one request is let through as a probe.
         """
@@ -179,12 +190,15 @@
                 _events.PromptPartProbed(probe.part_id, probe.probe_count)
             )
             self._fleet.report_prompt_evidence()
-        return refusal
+        return PromptAdmission(refusal, is_probe=probe is not None)
 
-    def check_resend(
+    def check_send(
         self, part_ids: tuple[str, ...]
     ) -> QuarantineRefusal | None:
-        """Return why a run must not be sent to another engine, or None."""
+        """Return why an admitted request must not be sent now, or None.
+
+        A probe is not to be checked before it was sent.
+        """
         with self._lock:
             refusal, _ = self._find(part_ids, may_probe=False)
         return refusal
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -79,6 +79,7 @@
         )
         self._tried_targets: set[str] = set()
         self._part_ids = _prompt_quarantine.observed_parts(admitted.request)
+        self._is_probe = False
         self._ended_engine_count = 0
         self._send_count = 0
         self._check_count = 0
@@ -91,9 +92,10 @@
         budget = self._dependencies.budget
         budget.count_request(self._admitted.service)
         copy: data.RunCopy | None = None
-        refusal = self._dependencies.quarantine.admit(self._part_ids)
-        if refusal is not None:
-            return self._outcome_of_quarantine(refusal)
+        admission = self._dependencies.quarantine.admit(self._part_ids)
+        if admission.refusal is not None:
+            return self._outcome_of_quarantine(admission.refusal)
+        self._is_probe = admission.is_probe
         self._find_prompt()
         while self._clock.monotonic_s() < self._admitted.deadline_s:
             if self._send_count >= MAX_SEND_COUNT:
@@ -365,10 +367,10 @@
     def _find_quarantine(
         self,
     ) -> _prompt_quarantine.QuarantineRefusal | None:
-        """Return why the run must not be sent again, or None."""
-        if not self._has_executed:
+        """Return why the run must not be sent now, or None."""
+        if self._is_probe and not self._has_executed:
             return None
-        return self._dependencies.quarantine.check_resend(self._part_ids)
+        return self._dependencies.quarantine.check_send(self._part_ids)
 
     def _outcome_of_quarantine(
         self, refusal: _prompt_quarantine.QuarantineRefusal
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
@@ -54,7 +54,7 @@
 
     def is_refused(self, part_ids: tuple[str, ...] = BAD) -> bool:
         """Return whether a new request is refused."""
-        return self.quarantine.admit(part_ids) is not None
+        return self.quarantine.admit(part_ids).refusal is not None
 
 
 def _make_env(clock: fakes.SteppingClock | None = None) -> _Env:
@@ -79,11 +79,11 @@
         env.lose(2)
         assert not env.is_refused()
         env.lose(1, name='other')
-        refusal = env.quarantine.admit(BAD)
+        refusal = env.quarantine.admit(BAD).refusal
         assert refusal is not None
         assert refusal.part_id == 'bad'
         assert refusal.retry_after_s == SETTINGS.quarantine_s
-        assert env.quarantine.check_resend(BAD) is not None
+        assert env.quarantine.check_send(BAD) is not None
 
     def test_other_parts_are_served(self) -> None:
         """Guards against refusing all requests that share a part."""
@@ -165,7 +165,7 @@
         env.lose(3)
         env.clock.advance(SETTINGS.quarantine_s)
         assert not env.is_refused()
-        assert env.quarantine.check_resend(BAD) is not None
+        assert env.quarantine.check_send(BAD) is not None
 
     def test_probes_are_bounded(self) -> None:
         """Guards against a part that is tried for ever."""
@@ -300,7 +300,7 @@
         other.quarantine.record_loss('second', BAD)
         other.clock.advance(1.0)
         other.quarantine.record_loss('third', BAD)
-        assert other.quarantine.admit(BAD) is not None
+        assert other.quarantine.admit(BAD).refusal is not None
 
     def test_no_evidence_is_falsy(self) -> None:
         """Guards against work for each report without evidence."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_quarantine_keeper.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_quarantine_keeper.py
@@ -68,7 +68,7 @@
         store = _store_after_quarantine()
         started = harness.make_harness()
         _keeper(started, store).read()
-        assert started.quarantine.admit(BAD) is not None
+        assert started.quarantine.admit(BAD).refusal is not None
 
     def test_failed_calls_are_repeated(self) -> None:
         """Guards against a decision that an outage of the store loses."""
@@ -81,7 +81,7 @@
         store.failures.extend((True, True))
         started = harness.make_harness()
         _keeper(started, store).read()
-        assert started.quarantine.admit(BAD) is not None
+        assert started.quarantine.admit(BAD).refusal is not None
 
     def test_released_part_is_removed(self) -> None:
         """Guards against a part that is refused again after a restart."""
@@ -114,7 +114,7 @@
         keeper = _keeper(env, store)
         keeper.read()
         keeper.write_changes()
-        assert env.quarantine.admit(BAD) is None
+        assert env.quarantine.admit(BAD).refusal is None
         assert not store.stored
 
     def test_odd_entries_bound_a_quarantine(self) -> None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Tests of streams over engines that fail."""
 
 import dataclasses
+from typing import Any
 
 import pytest
 
@@ -459,6 +460,28 @@
         assert outcome.retry_after_s is not None
         assert len(env.client.sent) == 3
 
+    def test_request_on_its_way_to_an_engine_is_refused(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against requests that were admitted before the quarantine."""
+        env = _make_engines(2)
+        refusal = harness.answer_script(503, is_not_executed=True)
+        env.client.script('engine-0', refusal)
+        send = env.client.send
+
+        def send_and_quarantine(*arguments: Any) -> Any:
+            quarantined = data.QuarantinedPart('shared', 0, 60_000, 0)
+            env.quarantine.receive(
+                data.PromptEvidence(quarantined=(quarantined,))
+            )
+            return send(*arguments)
+
+        monkeypatch.setattr(env.client, 'send', send_and_quarantine)
+        outcome = env.stream()
+        assert isinstance(outcome, data.Refusal)
+        assert outcome.reason is data.RefusalReason.PROMPT_QUARANTINED
+        assert env.client.sent_to() == ['engine-0']
+
     def test_engine_that_still_listens_has_not_ended(self) -> None:
         """Guards against refusing prompts because connections were reset."""
         env = _make_engines(6)
