--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -90,15 +90,15 @@
 from skylarktack.coordination.forwarding._prompt_quarantine import (
     PromptQuarantine,
 )
-from skylarktack.coordination.forwarding._prompt_quarantine import (
-    QuarantineSettings,
-)
 from skylarktack.coordination.forwarding._quarantine_keeper import (
     QuarantineKeeper,
 )
 from skylarktack.coordination.forwarding._quarantine_keeper import (
     QuarantineStore,
 )
+from skylarktack.coordination.forwarding._quarantine_records import (
+    QuarantineSettings,
+)
 from skylarktack.coordination.forwarding._request_events import RequestFailed
 from skylarktack.coordination.forwarding._request_events import RequestLate
 from skylarktack.coordination.forwarding._request_events import RequestsCounted
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -17,6 +17,7 @@
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _prompt_losses
 from skylarktack.coordination.forwarding import _quarantine_keeper
+from skylarktack.coordination.forwarding import _quarantine_records
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -30,11 +31,6 @@
 MAX_REPORTED_COUNT = 8
 MAX_REPORTED_PART_COUNT = 64
 
-#: Parts of a prompt beyond these, and parts with longer identifiers, are not
-#: observed.
-MAX_PART_COUNT = 32
-MAX_PART_ID_CHARS = 64
-
 #: Time for which full reports repeat evidence, since a datagram may be lost.
 REPEAT_S = 30.0
 
@@ -47,35 +43,6 @@
 MIN_RETRY_AFTER_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class QuarantineSettings:
-    """When a prompt part is quarantined, and for how long."""
-
-    limits: _prompt_losses.EvidenceLimits = dataclasses.field(
-        default_factory=_prompt_losses.EvidenceLimits
-    )
-
-    #: Time for which an engine sends events of a run until its parts count as
-    #: harmless.
-    output_s: float = 0.5
-
-    #: Share of the requests from which a part is never quarantined: refusing
-    #: nearly all requests would be an outage, and the engines are at fault.
-    max_request_share: float = 0.9
-
-    #: Length of the first quarantine; each probe run doubles it.
-    quarantine_s: float = 60.0
-
-    #: Maximum number of probe runs of the fleet. After them the quarantine
-    #: lasts until no request has named the part for ``idle_s``.
-    max_probe_count: int = 3
-    idle_s: float = 600.0
-
-    #: Time that an instance leaves to each one of a lower rank to send the
-    #: probe run first.
-    probe_stagger_s: float = 1.0
-
-
 class EvidenceReporter(Protocol):
     """Reports evidence to the other instances."""
 
@@ -94,53 +61,6 @@
         ...
 
 
-@dataclasses.dataclass(frozen=True)
-class Quarantine:
-    """A quarantined prompt part."""
-
-    part_id: str
-
-    #: Monotonic times of its beginning and of its end.
-    began_at_s: float
-    until_s: float
-
-    #: Probe runs of the fleet so far.
-    probe_count: int = 0
-
-
-@dataclasses.dataclass(frozen=True)
-class QuarantineRefusal:
-    """Why a request is not sent to an engine."""
-
-    part_id: str
-
-    #: Time until the part may be tried again.
-    retry_after_s: float
-
-
-@dataclasses.dataclass(frozen=True)
-class PromptAdmission:
-    """Whether a new request may be sent to an engine."""
-
-    #: None for a request that may be sent.
-    refusal: QuarantineRefusal | None
-
-    #: Whether the request is the probe of a quarantined part.
-    is_probe: bool = False
-
-
-def observed_parts(request: data.FrontRequest) -> tuple[str, ...]:
-    """Return the parts of a prompt that other requests may share.
-
-    The last part belongs to the request or to its session.
-    """
-    part_ids: dict[str, None] = {}
-    for part in request.prompt_parts[:-1]:
-        if len(part.part_id) <= MAX_PART_ID_CHARS:
-            part_ids[part.part_id] = None
-    return tuple(part_ids)[:MAX_PART_COUNT]
-
-
 class PromptQuarantine:
     """Evidence about prompt parts, and the parts that are quarantined."""
 
@@ -149,12 +69,12 @@
         clock: Clock,
         log: _events.EventLog,
         fleet: EvidenceReporter,
-        settings: QuarantineSettings | None = None,
+        settings: _quarantine_records.QuarantineSettings | None = None,
     ) -> None:
         self._clock = clock
         self._log = log
         self._fleet = fleet
-        self.settings = settings or QuarantineSettings()
+        self.settings = settings or _quarantine_records.QuarantineSettings()
         self._lock = threading.Lock()
         #: Losses of all instances; the value tells whether this one saw it.
         self._losses: dict[_prompt_losses.Loss, bool] = {}
@@ -162,7 +82,7 @@
         self._output_at_s: dict[str, float] = {}
         #: The newest of these times that was reported by any instance.
         self._reported_output_at_s: dict[str, float] = {}
-        self._quarantines: dict[str, Quarantine] = {}
+        self._quarantines: dict[str, _quarantine_records.Quarantine] = {}
         self._recent_requests: collections.deque[tuple[str, ...]] = (
             collections.deque(maxlen=RECENT_REQUEST_COUNT)
         )
@@ -177,7 +97,9 @@
         self.has_changes = threading.Event()
         fleet.set_prompt_exchange(self)
 
-    def admit(self, part_ids: tuple[str, ...]) -> PromptAdmission:
+    def admit(
+        self, part_ids: tuple[str, ...]
+    ) -> _quarantine_records.PromptAdmission:
         """Return whether a new request may be sent.
 
         At the end of a quarantine one request is let through as a probe.
@@ -190,11 +112,13 @@
                 _events.PromptPartProbed(probe.part_id, probe.probe_count)
             )
             self._fleet.report_prompt_evidence()
-        return PromptAdmission(refusal, is_probe=probe is not None)
+        return _quarantine_records.PromptAdmission(
+            refusal, is_probe=probe is not None
+        )
 
     def check_send(
         self, part_ids: tuple[str, ...]
-    ) -> QuarantineRefusal | None:
+    ) -> _quarantine_records.QuarantineRefusal | None:
         """Return why an admitted request must not be sent now, or None.
 
         A probe is not to be checked before it was sent.
@@ -283,7 +207,9 @@
                 has_new_loss |= self._add_loss(
                     _prompt_losses.Loss(
                         reported.engine,
-                        reported.part_ids[:MAX_PART_COUNT],
+                        reported.part_ids[
+                            : _quarantine_records.MAX_PART_COUNT
+                        ],
                         now_s - reported.age_ms / 1000,
                     ),
                     is_own=False,
@@ -306,7 +232,7 @@
         with self._lock:
             now_s = self._clock.monotonic_s()
             for item in stored:
-                if len(item.part_id) > MAX_PART_ID_CHARS:
+                if len(item.part_id) > _quarantine_records.MAX_PART_ID_CHARS:
                     continue
                 remaining_ms = item.until_ms - now_ms
                 if remaining_ms < -1000 * self.settings.idle_s:
@@ -360,10 +286,13 @@
 
     def _find(
         self, part_ids: tuple[str, ...], may_probe: bool
-    ) -> tuple[QuarantineRefusal | None, Quarantine | None]:
+    ) -> tuple[
+        _quarantine_records.QuarantineRefusal | None,
+        _quarantine_records.Quarantine | None,
+    ]:
         """Return the refusal of a request, and the probe that it becomes."""
         now_s = self._clock.monotonic_s()
-        probe: Quarantine | None = None
+        probe: _quarantine_records.Quarantine | None = None
         for part_id in part_ids:
             quarantine = self._quarantines.get(part_id)
             if quarantine is None:
@@ -376,12 +305,14 @@
                 probe = self._claim_probe(quarantine, now_s)
                 continue
             remaining_s = max(MIN_RETRY_AFTER_S, quarantine.until_s - now_s)
-            return QuarantineRefusal(part_id, round(remaining_s, 3)), None
+            return _quarantine_records.QuarantineRefusal(
+                part_id, round(remaining_s, 3)
+            ), None
         return None, probe
 
     def _prolong(
-        self, quarantine: Quarantine, now_s: float
-    ) -> Quarantine | None:
+        self, quarantine: _quarantine_records.Quarantine, now_s: float
+    ) -> _quarantine_records.Quarantine | None:
         """Extend a quarantine without further probes; None if it ended."""
         if now_s >= quarantine.until_s:
             self._release(quarantine.part_id)
@@ -394,13 +325,17 @@
         self._quarantines[quarantine.part_id] = prolonged
         return prolonged
 
-    def _is_probe_due(self, quarantine: Quarantine, now_s: float) -> bool:
+    def _is_probe_due(
+        self, quarantine: _quarantine_records.Quarantine, now_s: float
+    ) -> bool:
         if now_s < quarantine.until_s:
             return False
         stagger_s = self.settings.probe_stagger_s * self._fleet.rank()
         return now_s >= quarantine.until_s + stagger_s
 
-    def _claim_probe(self, quarantine: Quarantine, now_s: float) -> Quarantine:
+    def _claim_probe(
+        self, quarantine: _quarantine_records.Quarantine, now_s: float
+    ) -> _quarantine_records.Quarantine:
         probe_count = quarantine.probe_count + 1
         length_s = self.settings.quarantine_s * 2**probe_count
         probe = dataclasses.replace(
@@ -502,7 +437,7 @@
 
     def _begin(self, part_id: str) -> None:
         now_s = self._clock.monotonic_s()
-        self._quarantines[part_id] = Quarantine(
+        self._quarantines[part_id] = _quarantine_records.Quarantine(
             part_id, now_s, now_s + self.settings.quarantine_s
         )
         self._new_quarantines[part_id] = None
@@ -527,7 +462,7 @@
         if self._output_at_s.get(part_id, -math.inf) > began_at_s:
             self._offer_output(part_id)
             return None
-        self._quarantines[part_id] = Quarantine(
+        self._quarantines[part_id] = _quarantine_records.Quarantine(
             part_id,
             began_at_s,
             now_s + reported.remaining_ms / 1000,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -6,7 +6,7 @@
 from skylarktack.coordination.forwarding import _calls
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
-from skylarktack.coordination.forwarding import _prompt_quarantine
+from skylarktack.coordination.forwarding import _quarantine_records
 from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
 from skylarktack.state import forwarding as data
@@ -174,7 +174,7 @@
         if not self._has_cleared_parts:
             self._has_cleared_parts = True
             self._dependencies.quarantine.record_output(
-                _prompt_quarantine.observed_parts(self._admitted.request)
+                _quarantine_records.observed_parts(self._admitted.request)
             )
 
     def _handle(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -10,7 +10,7 @@
 from skylarktack.coordination.forwarding import _pause_waits
 from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _ports
-from skylarktack.coordination.forwarding import _prompt_quarantine
+from skylarktack.coordination.forwarding import _quarantine_records
 from skylarktack.coordination.forwarding import _relay
 from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
@@ -78,7 +78,7 @@
             admitted.request.last_event_id
         )
         self._tried_targets: set[str] = set()
-        self._part_ids = _prompt_quarantine.observed_parts(admitted.request)
+        self._part_ids = _quarantine_records.observed_parts(admitted.request)
         self._is_probe = False
         self._ended_engine_count = 0
         self._send_count = 0
@@ -366,14 +366,14 @@
 
     def _find_quarantine(
         self,
-    ) -> _prompt_quarantine.QuarantineRefusal | None:
+    ) -> _quarantine_records.QuarantineRefusal | None:
         """Return why the run must not be sent now, or None."""
         if self._is_probe and not self._has_executed:
             return None
         return self._dependencies.quarantine.check_send(self._part_ids)
 
     def _outcome_of_quarantine(
-        self, refusal: _prompt_quarantine.QuarantineRefusal
+        self, refusal: _quarantine_records.QuarantineRefusal
     ) -> _outcomes.StreamOutcome:
         detail = f'engines end under the prompt part {refusal.part_id}'
         self._record('prompt_quarantined', prompt_part=refusal.part_id)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
@@ -6,6 +6,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _prompt_quarantine
+from skylarktack.coordination.forwarding import _quarantine_records
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
@@ -143,7 +144,7 @@
     def test_last_part_is_not_observed(self) -> None:
         """Guards against evidence about parts that no request shares."""
         request = harness.request()
-        assert _prompt_quarantine.observed_parts(request) == ('shared',)
+        assert _quarantine_records.observed_parts(request) == ('shared',)
 
 
 class TestProbes:
