--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -92,7 +92,13 @@
 from skylarktack.coordination.forwarding._prompt_quarantine import (
     PromptQuarantine,
 )
-from skylarktack.coordination.forwarding._prompt_quarantine import (
+from skylarktack.coordination.forwarding._quarantine_keeper import (
+    QuarantineKeeper,
+)
+from skylarktack.coordination.forwarding._quarantine_keeper import (
+    QuarantineStore,
+)
+from skylarktack.coordination.forwarding._quarantine_records import (
     QuarantineSettings,
 )
 from skylarktack.coordination.forwarding._request_events import RequestFailed
@@ -226,7 +232,9 @@
     'RequestStep',
     'PromptEvidenceExchange',
     'PromptQuarantine',
+    'QuarantineKeeper',
     'QuarantineSettings',
+    'QuarantineStore',
     'RetryBudget',
     'RouteTable',
     'RunPlacement',
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -29,6 +29,7 @@
 from skylarktack.state.forwarding._prompt_evidence import PromptLoss
 from skylarktack.state.forwarding._prompt_evidence import PromptOutput
 from skylarktack.state.forwarding._prompt_evidence import QuarantinedPart
+from skylarktack.state.forwarding._prompt_evidence import StoredQuarantine
 from skylarktack.state.forwarding._requests import OK_STATUS
 from skylarktack.state.forwarding._requests import CopyOrder
 from skylarktack.state.forwarding._requests import DispatchContext
@@ -94,6 +95,7 @@
     'BroadcastMessage',
     'WatchHeartbeat',
     'StoreChange',
+    'StoredQuarantine',
     'TargetChange',
     'TargetLoad',
     'TargetReport',
