Give the evidence about prompt parts a module of its own

No change of behaviour: the tests of quarantine, keeper and streams pass; two of them name the bounds of a report at their new place.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -15,25 +15,16 @@
 
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _fleet
+from skylarktack.coordination.forwarding import _prompt_evidence
 from skylarktack.coordination.forwarding import _prompt_losses
 from skylarktack.coordination.forwarding import _quarantine_keeper
 from skylarktack.coordination.forwarding import _quarantine_records
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: Bounds of the memory; what is oldest is forgotten first.
-MAX_LOSS_COUNT = 128
-MAX_OUTPUT_COUNT = 4096
+#: Maximum number of quarantined parts; the oldest is forgotten first.
 MAX_QUARANTINE_COUNT = 64
 
-#: Bounds of a report: losses, outputs, and the parts of all its losses. The
-#: oldest losses are left out, but never all.
-MAX_REPORTED_COUNT = 8
-MAX_REPORTED_PART_COUNT = 64
-
-#: Time for which full reports repeat evidence, since a datagram may be lost.
-REPEAT_S = 30.0
-
 #: Number of recent requests from which the share of a part is estimated, and
 #: the least number that allows an estimate.
 RECENT_REQUEST_COUNT = 64
@@ -76,21 +67,14 @@
         self._fleet = fleet
         self.settings = settings or _quarantine_records.QuarantineSettings()
         self._lock = threading.Lock()
-        #: Losses of all instances; the value tells whether this one saw it.
-        self._losses: dict[_prompt_losses.Loss, bool] = {}
-        #: When a run with a part last produced output.
-        self._output_at_s: dict[str, float] = {}
-        #: The newest of these times that was reported by any instance.
-        self._reported_output_at_s: dict[str, float] = {}
+        self._evidence = _prompt_evidence.PromptEvidenceLog(
+            self.settings.limits.window_s
+        )
         self._quarantines: dict[str, _quarantine_records.Quarantine] = {}
         self._recent_requests: collections.deque[tuple[str, ...]] = (
             collections.deque(maxlen=RECENT_REQUEST_COUNT)
         )
-        #: Parts and losses that the next report has.
-        self._new_losses: collections.deque[_prompt_losses.Loss] = (
-            collections.deque(maxlen=MAX_REPORTED_COUNT)
-        )
-        self._new_outputs: dict[str, None] = {}
+        #: Quarantines that the next report has.
         self._new_quarantines: dict[str, None] = {}
         #: Parts whose stored quarantine is out of date.
         self._unsaved: dict[str, None] = {}
@@ -133,8 +117,7 @@
             return
         loss = _prompt_losses.Loss(engine, part_ids, self._clock.monotonic_s())
         with self._lock:
-            self._add_loss(loss, is_own=True)
-            self._new_losses.append(loss)
+            self._evidence.record_loss(loss)
             events = self._evaluate()
         self._record(events)
         self._fleet.report_prompt_evidence()
@@ -145,13 +128,13 @@
         events: list[_events.LogEvent] = []
         with self._lock:
             for part_id in part_ids:
-                self._put_output(part_id, now_s)
+                self._evidence.put_output(part_id, now_s)
                 if self._is_output_awaited(part_id, now_s):
-                    self._new_outputs[part_id] = None
+                    self._evidence.report_output(part_id)
                 if self._release(part_id):
                     self._set_unsaved(part_id)
                     events.append(_released(part_id, 'a run produced output'))
-            has_news = bool(self._new_outputs)
+            has_news = self._evidence.has_new_outputs
         self._record(events)
         if has_news:
             self._fleet.report_prompt_evidence()
@@ -168,19 +151,13 @@
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            losses = list(self._new_losses)
-            outputs = list(self._new_outputs)
             quarantined = list(self._new_quarantines)
-            self._new_losses.clear()
-            self._new_outputs.clear()
             self._new_quarantines.clear()
             if is_full:
-                losses = self._repeated_losses(now_s)
-                outputs = self._repeated_outputs(outputs, now_s)
                 quarantined = list(self._quarantines)
             return data.PromptEvidence(
-                _reported_losses(losses, now_s),
-                self._reported_outputs(outputs, now_s),
+                self._evidence.take_losses(is_full, now_s),
+                self._evidence.take_outputs(is_full, now_s),
                 self._reported_quarantines(quarantined, now_s),
             )
 
@@ -193,8 +170,7 @@
         with self._lock:
             for output in evidence.outputs:
                 at_s = now_s - output.age_ms / 1000
-                self._put_output(output.part_id, at_s)
-                self._put_reported(output.part_id, at_s)
+                self._evidence.apply_output(output.part_id, at_s)
                 quarantine = self._quarantines.get(output.part_id)
                 if quarantine is None or at_s <= quarantine.began_at_s:
                     continue
@@ -204,7 +180,7 @@
                     )
             has_new_loss = False
             for reported in evidence.losses:
-                has_new_loss |= self._add_loss(
+                has_new_loss |= self._evidence.apply_loss(
                     _prompt_losses.Loss(
                         reported.engine,
                         reported.part_ids[
@@ -212,10 +188,10 @@
                         ],
                         now_s - reported.age_ms / 1000,
                     ),
-                    is_own=False,
+                    now_s,
                 )
                 for part_id in reported.part_ids:
-                    self._offer_output(part_id)
+                    self._evidence.offer_output(part_id)
             for quarantined in evidence.quarantined:
                 event = self._adopt(quarantined, now_s)
                 if event is not None:
@@ -346,60 +322,20 @@
         self._set_unsaved(quarantine.part_id)
         return probe
 
-    def _add_loss(self, loss: _prompt_losses.Loss, is_own: bool) -> bool:
-        """Add a loss; return False if it is known or too old."""
-        now_s = self._clock.monotonic_s()
-        oldest_s = now_s - self.settings.limits.window_s
-        for known in list(self._losses):
-            if known.at_s < oldest_s:
-                del self._losses[known]
-                continue
-            if known.engine != loss.engine or known.part_ids != loss.part_ids:
-                continue
-            if abs(known.at_s - loss.at_s) < REPEAT_S:
-                return False
-        if loss.at_s < oldest_s:
-            return False
-        self._losses[loss] = is_own
-        while len(self._losses) > MAX_LOSS_COUNT:
-            del self._losses[next(iter(self._losses))]
-        return True
-
-    def _put_output(self, part_id: str, at_s: float) -> None:
-        known_s = self._output_at_s.pop(part_id, -math.inf)
-        self._output_at_s[part_id] = max(known_s, at_s)
-        while len(self._output_at_s) > MAX_OUTPUT_COUNT:
-            forgotten = next(iter(self._output_at_s))
-            del self._output_at_s[forgotten]
-            self._reported_output_at_s.pop(forgotten, None)
-            self._new_outputs.pop(forgotten, None)
-
-    def _put_reported(self, part_id: str, at_s: float) -> None:
-        known_s = self._reported_output_at_s.get(part_id, -math.inf)
-        self._reported_output_at_s[part_id] = max(known_s, at_s)
-
     def _is_output_awaited(self, part_id: str, now_s: float) -> bool:
         """Return whether the others have to learn of an output."""
-        if part_id in self._quarantines:
-            return True
-        reported_s = self._reported_output_at_s.get(part_id, -math.inf)
-        for loss in self._losses:
-            if part_id in loss.part_ids and reported_s <= loss.at_s <= now_s:
-                return True
-        return False
-
-    def _offer_output(self, part_id: str) -> None:
-        """Report an earlier output of a part unless another one did."""
-        if part_id not in self._output_at_s:
-            return
-        if part_id not in self._reported_output_at_s:
-            self._new_outputs[part_id] = None
+        return (
+            part_id in self._quarantines
+            or self._evidence.is_output_awaited(part_id, now_s)
+        )
 
     def _evaluate(self) -> list[_events.LogEvent]:
         """Quarantine the parts that explain the losses; release others."""
         limits = self.settings.limits
-        losses = tuple(self._losses)
-        causes = _prompt_losses.find_causes(losses, self._output_at_s, limits)
+        losses = self._evidence.losses
+        causes = _prompt_losses.find_causes(
+            losses, self._evidence.output_at_s, limits
+        )
         events: list[_events.LogEvent] = []
         for cause in causes:
             if cause.part_id in self._quarantines:
@@ -415,12 +351,12 @@
         caused = {cause.part_id for cause in causes}
         for part_id in list(self._quarantines):
             if part_id in caused or not _prompt_losses.is_sufficient(
-                part_id, losses, self._output_at_s, limits
+                part_id, losses, self._evidence.output_at_s, limits
             ):
                 continue
             # Another part explains the same losses and more.
-            self._put_output(part_id, self._clock.monotonic_s())
-            self._new_outputs[part_id] = None
+            self._evidence.put_output(part_id, self._clock.monotonic_s())
+            self._evidence.report_output(part_id)
             self._release(part_id)
             self._set_unsaved(part_id)
             events.append(_released(part_id, 'another part is the cause'))
@@ -459,8 +395,8 @@
         if known is not None and reported.probe_count <= known.probe_count:
             return None
         began_at_s = now_s - reported.age_ms / 1000
-        if self._output_at_s.get(part_id, -math.inf) > began_at_s:
-            self._offer_output(part_id)
+        if self._evidence.output_at_s.get(part_id, -math.inf) > began_at_s:
+            self._evidence.offer_output(part_id)
             return None
         self._quarantines[part_id] = _quarantine_records.Quarantine(
             part_id,
@@ -474,35 +410,6 @@
             return None
         return _events.PromptPartQuarantined(part_id, 0, True)
 
-    def _repeated_losses(self, now_s: float) -> list[_prompt_losses.Loss]:
-        repeated = []
-        for loss, is_own in self._losses.items():
-            if is_own and now_s - loss.at_s < REPEAT_S:
-                repeated.append(loss)
-        return repeated
-
-    def _repeated_outputs(
-        self, outputs: Sequence[str], now_s: float
-    ) -> list[str]:
-        """Return the parts whose output is reported, the newest last."""
-        repeated = []
-        for part_id, at_s in self._reported_output_at_s.items():
-            if now_s - at_s < REPEAT_S and part_id not in outputs:
-                repeated.append(part_id)
-        return [*repeated, *outputs]
-
-    def _reported_outputs(
-        self, part_ids: Sequence[str], now_s: float
-    ) -> tuple[data.PromptOutput, ...]:
-        outputs = []
-        for part_id in part_ids[-MAX_REPORTED_COUNT:]:
-            at_s = self._output_at_s.get(part_id)
-            if at_s is None:
-                continue
-            self._put_reported(part_id, at_s)
-            outputs.append(data.PromptOutput(part_id, _age_ms(now_s, at_s)))
-        return tuple(outputs)
-
     def _reported_quarantines(
         self, part_ids: Sequence[str], now_s: float
     ) -> tuple[data.QuarantinedPart, ...]:
@@ -514,8 +421,8 @@
             quarantined.append(
                 data.QuarantinedPart(
                     part_id,
-                    _age_ms(now_s, quarantine.began_at_s),
-                    _age_ms(quarantine.until_s, now_s),
+                    _prompt_evidence.age_ms(now_s, quarantine.began_at_s),
+                    _prompt_evidence.age_ms(quarantine.until_s, now_s),
                     quarantine.probe_count,
                 )
             )
@@ -526,27 +433,5 @@
             self._log.record(event)
 
 
-def _reported_losses(
-    losses: Sequence[_prompt_losses.Loss], now_s: float
-) -> tuple[data.PromptLoss, ...]:
-    """Return the newest losses, as many as a report may have."""
-    reported: list[data.PromptLoss] = []
-    part_count = 0
-    for loss in reversed(losses[-MAX_REPORTED_COUNT:]):
-        part_count += len(loss.part_ids)
-        if reported and part_count > MAX_REPORTED_PART_COUNT:
-            break
-        reported.append(
-            data.PromptLoss(
-                loss.engine, loss.part_ids, _age_ms(now_s, loss.at_s)
-            )
-        )
-    return tuple(reported)
-
-
 def _released(part_id: str, cause: str) -> _events.LogEvent:
     return _events.PromptPartReleased(part_id, cause)
-
-
-def _age_ms(now_s: float, at_s: float) -> int:
-    return max(0, round(1000 * (now_s - at_s)))
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
@@ -5,6 +5,7 @@
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding import _fleet
+from skylarktack.coordination.forwarding import _prompt_evidence
 from skylarktack.coordination.forwarding import _prompt_quarantine
 from skylarktack.coordination.forwarding import _quarantine_records
 from skylarktack.coordination.forwarding.tests import harness
@@ -138,7 +139,7 @@
         evidence = env.quarantine.evidence(is_full=True)
         limit = _prompt_quarantine.MAX_QUARANTINE_COUNT
         assert len(evidence.quarantined) <= limit
-        assert len(evidence.losses) <= _prompt_quarantine.MAX_REPORTED_COUNT
+        assert len(evidence.losses) <= _prompt_evidence.MAX_REPORTED_COUNT
         assert env.quarantine.quarantined_count() <= limit
 
     def test_last_part_is_not_observed(self) -> None:
@@ -278,11 +279,11 @@
             env.quarantine.record_loss(f'engine-{number}', part_ids)
             env.quarantine.record_output(part_ids)
         evidence = env.quarantine.evidence(is_full=True)
-        limit = _prompt_quarantine.MAX_REPORTED_COUNT
+        limit = _prompt_evidence.MAX_REPORTED_COUNT
         assert 0 < len(evidence.losses) <= limit
         assert 0 < len(evidence.outputs) <= limit
         part_count = sum(len(loss.part_ids) for loss in evidence.losses)
-        assert part_count <= _prompt_quarantine.MAX_REPORTED_PART_COUNT
+        assert part_count <= _prompt_evidence.MAX_REPORTED_PART_COUNT
 
     def test_fleet_view_carries_the_evidence(self) -> None:
         """Guards against evidence that is left out of reports."""
