Extend a quarantine at all instances, and store the extension

Cause: a request that was refused after the last probe extended the quarantine at its instance alone, and in memory alone; the last probe set a shorter end than the idle time; and the end was not logged.

Change: an extension of a tenth of the idle time or more is reported and stored, and adopted where it is later by a clear step, so that the delay of reports does not move the end on. The end is logged. The decision returns a record; the handling of a report and of the losses is split by kind of evidence; the log line names its source (own evidence, peer, store) and the moments.

The three new tests fail on the commit before: one instance refuses while another releases, no release is logged, the store has the end of the last probe.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 from typing import ClassVar
 from typing import Protocol
 
@@ -272,6 +273,14 @@
     target: str
 
 
+class DecisionSource(enum.Enum):
+    """Where an instance learned that a prompt part is quarantined."""
+
+    OWN_EVIDENCE = 'own evidence'
+    PEER = 'peer'
+    STORE = 'store'
+
+
 @dataclasses.dataclass(frozen=True)
 class PromptPartQuarantined(LogEvent):
     """Requests with a prompt part are refused: it ends engines."""
@@ -282,11 +291,12 @@
     #: Identifier of the part.
     prompt_part: str
 
-    #: Moments at which engines ended under it; 0 if a peer reported it.
-    loss_count: int
+    #: Separate moments at which engines crashed under it; 0 if it was decided
+    #: elsewhere.
+    moment_count: int
 
-    #: Whether another instance decided it.
-    told_by_peer: bool
+    #: Value of :class:`DecisionSource`.
+    source: str
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_evidence_log.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Sequence
 import math
+from typing import TypeVar
 
 from skylarktack.coordination.forwarding import _prompt_losses
 from skylarktack.state import forwarding as data
@@ -16,9 +17,13 @@
 MAX_REPORTED_COUNT = 8
 MAX_REPORTED_PART_COUNT = 64
 
-#: Time for which full reports repeat evidence, since a datagram may be lost.
+#: Time for which full reports repeat evidence, since a datagram may be lost,
+#: and within which losses of one engine with the same parts are one loss.
 REPEAT_S = 30.0
 
+_K = TypeVar('_K')
+_V = TypeVar('_V')
+
 
 class PromptEvidenceLog:
     """Losses and outputs that this instance saw or that peers reported.
@@ -67,12 +72,18 @@
         """Record that a run with a part produced output."""
         known_s = self.output_at_s.pop(part_id, -math.inf)
         self.output_at_s[part_id] = max(known_s, at_s)
-        while len(self.output_at_s) > MAX_OUTPUT_COUNT:
-            forgotten = next(iter(self.output_at_s))
-            del self.output_at_s[forgotten]
+        for forgotten in drop_oldest(self.output_at_s, MAX_OUTPUT_COUNT):
             self._reported_at_s.pop(forgotten, None)
             self._new_outputs.pop(forgotten, None)
 
+    def discount_losses(self, part_id: str, now_s: float) -> None:
+        """Stop counting earlier losses with a part, here and at the peers.
+
+        Recorded as an output, which reports carry.
+        """
+        self.put_output(part_id, now_s)
+        self.report_output(part_id)
+
     def apply_output(self, part_id: str, at_s: float) -> None:
         """Record an output that another instance reported."""
         self.put_output(part_id, at_s)
@@ -145,8 +156,7 @@
         if loss.at_s < oldest_s:
             return False
         self._losses[loss] = is_own
-        while len(self._losses) > MAX_LOSS_COUNT:
-            del self._losses[next(iter(self._losses))]
+        drop_oldest(self._losses, MAX_LOSS_COUNT)
         return True
 
     def _put_reported(self, part_id: str, at_s: float) -> None:
@@ -170,6 +180,16 @@
         return recent
 
 
+def drop_oldest(entries: dict[_K, _V], limit_count: int) -> list[_K]:
+    """Remove the first entries beyond a limit; return their keys."""
+    dropped = []
+    while len(entries) > limit_count:
+        key = next(iter(entries))
+        del entries[key]
+        dropped.append(key)
+    return dropped
+
+
 def age_ms(now_s: float, at_s: float) -> int:
     """Return the time since a moment, 0 if it is in the future."""
     return max(0, round(1000 * (now_s - at_s)))
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -15,7 +15,7 @@
 
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _fleet
-from skylarktack.coordination.forwarding import _prompt_evidence
+from skylarktack.coordination.forwarding import _prompt_evidence_log
 from skylarktack.coordination.forwarding import _prompt_losses
 from skylarktack.coordination.forwarding import _quarantine_keeper
 from skylarktack.coordination.forwarding import _quarantine_records
@@ -30,6 +30,11 @@
 RECENT_REQUEST_COUNT = 64
 MIN_REQUEST_COUNT = 16
 
+#: Fraction of the idle time by which a quarantine is extended at least: each
+#: extension is reported and stored, and ends are sent as ages, which a report
+#: delays.
+EXTENSION_STEP_FRACTION = 0.1
+
 #: Shortest Retry-After of a refusal.
 MIN_RETRY_AFTER_S = 1.0
 
@@ -52,6 +57,20 @@
         ...
 
 
+@dataclasses.dataclass(frozen=True)
+class _Decision:
+    """What is decided on a request."""
+
+    #: Why it must not be sent, or None.
+    refusal: _quarantine_records.QuarantineRefusal | None
+
+    #: The quarantine whose probe it is, or None.
+    probe: _quarantine_records.Quarantine | None
+
+    #: Parts whose quarantine has ended because no request named them.
+    expired_part_ids: tuple[str, ...] = ()
+
+
 class PromptQuarantine:
     """Evidence about prompt parts, and the parts that are quarantined."""
 
@@ -67,7 +86,7 @@
         self._fleet = fleet
         self.settings = settings or _quarantine_records.QuarantineSettings()
         self._lock = threading.Lock()
-        self._evidence = _prompt_evidence.PromptEvidenceLog(
+        self._evidence = _prompt_evidence_log.PromptEvidenceLog(
             self.settings.limits.window_s
         )
         self._quarantines: dict[str, _quarantine_records.Quarantine] = {}
@@ -84,20 +103,22 @@
     def admit(
         self, part_ids: tuple[str, ...]
     ) -> _quarantine_records.PromptAdmission:
-        """Return whether a new request may be sent.
+        """Count a new request and decide whether it is sent.
 
-        At the end of a quarantine one request is let through as a probe.
+        The first one after a quarantine becomes its probe.
         """
         with self._lock:
             self._recent_requests.append(part_ids)
-            refusal, probe = self._find(part_ids, may_probe=True)
+            decision = self._decide(part_ids, may_probe=True)
+        self._record_expired(decision)
+        probe = decision.probe
         if probe is not None:
             self._log.record(
                 _events.PromptPartProbed(probe.part_id, probe.probe_count)
             )
             self._fleet.report_prompt_evidence()
         return _quarantine_records.PromptAdmission(
-            refusal, is_probe=probe is not None
+            decision.refusal, is_probe=probe is not None
         )
 
     def check_send(
@@ -105,11 +126,13 @@
     ) -> _quarantine_records.QuarantineRefusal | None:
         """Return why an admitted request must not be sent now, or None.
 
-        A probe is not to be checked before it was sent.
+        Callers skip this for a probe that has not been sent yet, since it
+        would refuse the probe itself.
         """
         with self._lock:
-            refusal, _ = self._find(part_ids, may_probe=False)
-        return refusal
+            decision = self._decide(part_ids, may_probe=False)
+        self._record_expired(decision)
+        return decision.refusal
 
     def record_loss(self, engine: str, part_ids: tuple[str, ...]) -> None:
         """Record that a run was lost with its engine before its output."""
@@ -168,38 +191,46 @@
         now_s = self._clock.monotonic_s()
         events: list[_events.LogEvent] = []
         with self._lock:
-            for output in evidence.outputs:
-                at_s = now_s - output.age_ms / 1000
-                self._evidence.apply_output(output.part_id, at_s)
-                quarantine = self._quarantines.get(output.part_id)
-                if quarantine is None or at_s <= quarantine.began_at_s:
-                    continue
-                if self._release(output.part_id):
-                    events.append(
-                        _released(output.part_id, 'reported by a peer')
+            events.extend(self._apply_outputs(evidence.outputs, now_s))
+            has_new_loss = self._apply_losses(evidence.losses, now_s)
+            for quarantined in evidence.quarantined:
+                events.extend(
+                    self._adopt(
+                        quarantined, now_s, _events.DecisionSource.PEER
                     )
-            has_new_loss = False
-            for reported in evidence.losses:
-                has_new_loss |= self._evidence.apply_loss(
-                    _prompt_losses.Loss(
-                        reported.engine,
-                        reported.part_ids[
-                            : _quarantine_records.MAX_PART_COUNT
-                        ],
-                        now_s - reported.age_ms / 1000,
-                    ),
-                    now_s,
                 )
-                for part_id in reported.part_ids:
-                    self._evidence.offer_output(part_id)
-            for quarantined in evidence.quarantined:
-                event = self._adopt(quarantined, now_s)
-                if event is not None:
-                    events.append(event)
             if has_new_loss:
                 events.extend(self._evaluate())
         self._record(events)
 
+    def _apply_outputs(
+        self, outputs: Sequence[data.PromptOutput], now_s: float
+    ) -> list[_events.LogEvent]:
+        events: list[_events.LogEvent] = []
+        for output in outputs:
+            at_s = now_s - output.age_ms / 1000
+            self._evidence.apply_output(output.part_id, at_s)
+            quarantine = self._quarantines.get(output.part_id)
+            if quarantine is None or at_s <= quarantine.began_at_s:
+                continue
+            if self._release(output.part_id):
+                events.append(_released(output.part_id, 'reported by a peer'))
+        return events
+
+    def _apply_losses(
+        self, losses: Sequence[data.PromptLoss], now_s: float
+    ) -> bool:
+        """Add the losses of a report; return whether one was new."""
+        has_new_loss = False
+        for reported in losses:
+            part_ids = reported.part_ids[: _quarantine_records.MAX_PART_COUNT]
+            at_s = now_s - reported.age_ms / 1000
+            loss = _prompt_losses.Loss(reported.engine, part_ids, at_s)
+            has_new_loss |= self._evidence.apply_loss(loss, now_s)
+            for part_id in part_ids:
+                self._evidence.offer_output(part_id)
+        return has_new_loss
+
     def restore(self, stored: tuple[data.StoredQuarantine, ...]) -> None:
         """Apply the quarantines that the store has."""
         now_ms = 1000 * self._clock.wall_s()
@@ -214,17 +245,17 @@
                 if remaining_ms < -1000 * self.settings.idle_s:
                     self._set_unsaved(item.part_id)
                     continue
-                event = self._adopt(
-                    data.QuarantinedPart(
-                        item.part_id,
-                        max(0, round(now_ms - item.began_at_ms)),
-                        round(min(max(0.0, remaining_ms), longest_ms)),
-                        min(item.probe_count, self.settings.max_probe_count),
-                    ),
-                    now_s,
+                stored_part = data.QuarantinedPart(
+                    item.part_id,
+                    max(0, round(now_ms - item.began_at_ms)),
+                    round(min(max(0.0, remaining_ms), longest_ms)),
+                    min(item.probe_count, self.settings.max_probe_count),
+                )
+                events.extend(
+                    self._adopt(
+                        stored_part, now_s, _events.DecisionSource.STORE
+                    )
                 )
-                if event is not None:
-                    events.append(event)
         self._record(events)
 
     def take_changes(
@@ -256,50 +287,50 @@
 
     def _set_unsaved(self, part_id: str) -> None:
         self._unsaved[part_id] = None
-        while len(self._unsaved) > MAX_QUARANTINE_COUNT:
-            del self._unsaved[next(iter(self._unsaved))]
+        _prompt_evidence_log.drop_oldest(self._unsaved, MAX_QUARANTINE_COUNT)
         self.has_changes.set()
 
-    def _find(
-        self, part_ids: tuple[str, ...], may_probe: bool
-    ) -> tuple[
-        _quarantine_records.QuarantineRefusal | None,
-        _quarantine_records.Quarantine | None,
-    ]:
-        """Return the refusal of a request, and the probe that it becomes."""
+    def _decide(self, part_ids: tuple[str, ...], may_probe: bool) -> _Decision:
+        """Decide on a request; extend, end or probe its quarantines."""
         now_s = self._clock.monotonic_s()
         probe: _quarantine_records.Quarantine | None = None
+        expired: list[str] = []
         for part_id in part_ids:
             quarantine = self._quarantines.get(part_id)
             if quarantine is None:
                 continue
             if quarantine.probe_count >= self.settings.max_probe_count:
-                quarantine = self._prolong(quarantine, now_s)
-                if quarantine is None:
+                if now_s >= quarantine.until_s:
+                    self._release(part_id)
+                    self._set_unsaved(part_id)
+                    expired.append(part_id)
                     continue
+                quarantine = self._extend(quarantine, now_s)
             elif may_probe and self._is_probe_due(quarantine, now_s):
                 probe = self._claim_probe(quarantine, now_s)
                 continue
             remaining_s = max(MIN_RETRY_AFTER_S, quarantine.until_s - now_s)
-            return _quarantine_records.QuarantineRefusal(
+            refusal = _quarantine_records.QuarantineRefusal(
                 part_id, round(remaining_s, 3)
-            ), None
-        return None, probe
+            )
+            return _Decision(refusal, None, tuple(expired))
+        return _Decision(None, probe, tuple(expired))
 
-    def _prolong(
+    def _extend(
         self, quarantine: _quarantine_records.Quarantine, now_s: float
-    ) -> _quarantine_records.Quarantine | None:
-        """Extend a quarantine without further probes; None if it ended."""
-        if now_s >= quarantine.until_s:
-            self._release(quarantine.part_id)
-            self._set_unsaved(quarantine.part_id)
-            return None
-        prolonged = dataclasses.replace(
-            quarantine,
-            until_s=max(quarantine.until_s, now_s + self.settings.idle_s),
-        )
-        self._quarantines[quarantine.part_id] = prolonged
-        return prolonged
+    ) -> _quarantine_records.Quarantine:
+        """Extend a quarantine that has no further probes, at all instances."""
+        until_s = now_s + self.settings.idle_s
+        if until_s < quarantine.until_s + self._extension_step_s():
+            return quarantine
+        extended = dataclasses.replace(quarantine, until_s=until_s)
+        self._quarantines[quarantine.part_id] = extended
+        self._new_quarantines[quarantine.part_id] = None
+        self._set_unsaved(quarantine.part_id)
+        return extended
+
+    def _extension_step_s(self) -> float:
+        return EXTENSION_STEP_FRACTION * self.settings.idle_s
 
     def _is_probe_due(
         self, quarantine: _quarantine_records.Quarantine, now_s: float
@@ -314,6 +345,8 @@
     ) -> _quarantine_records.Quarantine:
         probe_count = quarantine.probe_count + 1
         length_s = self.settings.quarantine_s * 2**probe_count
+        if probe_count >= self.settings.max_probe_count:
+            length_s = max(length_s, self.settings.idle_s)
         probe = dataclasses.replace(
             quarantine, until_s=now_s + length_s, probe_count=probe_count
         )
@@ -331,11 +364,19 @@
 
     def _evaluate(self) -> list[_events.LogEvent]:
         """Quarantine the parts that explain the losses; release others."""
-        limits = self.settings.limits
-        losses = self._evidence.losses
         causes = _prompt_losses.find_causes(
-            losses, self._evidence.output_at_s, limits
+            self._evidence.losses,
+            self._evidence.output_at_s,
+            self.settings.limits,
         )
+        return [
+            *self._quarantine_causes(causes),
+            *self._release_explained(causes),
+        ]
+
+    def _quarantine_causes(
+        self, causes: Sequence[_prompt_losses.Cause]
+    ) -> list[_events.LogEvent]:
         events: list[_events.LogEvent] = []
         for cause in causes:
             if cause.part_id in self._quarantines:
@@ -345,18 +386,29 @@
             self._begin(cause.part_id)
             events.append(
                 _events.PromptPartQuarantined(
-                    cause.part_id, cause.moment_count, False
+                    cause.part_id,
+                    cause.moment_count,
+                    _events.DecisionSource.OWN_EVIDENCE.value,
                 )
             )
+        return events
+
+    def _release_explained(
+        self, causes: Sequence[_prompt_losses.Cause]
+    ) -> list[_events.LogEvent]:
+        """Release parts whose losses another part explains."""
         caused = {cause.part_id for cause in causes}
+        events: list[_events.LogEvent] = []
         for part_id in list(self._quarantines):
             if part_id in caused or not _prompt_losses.is_sufficient(
-                part_id, losses, self._evidence.output_at_s, limits
+                part_id,
+                self._evidence.losses,
+                self._evidence.output_at_s,
+                self.settings.limits,
             ):
                 continue
-            # Another part explains the same losses and more.
-            self._evidence.put_output(part_id, self._clock.monotonic_s())
-            self._evidence.report_output(part_id)
+            now_s = self._clock.monotonic_s()
+            self._evidence.discount_losses(part_id, now_s)
             self._release(part_id)
             self._set_unsaved(part_id)
             events.append(_released(part_id, 'another part is the cause'))
@@ -373,13 +425,19 @@
 
     def _begin(self, part_id: str) -> None:
         now_s = self._clock.monotonic_s()
-        self._quarantines[part_id] = _quarantine_records.Quarantine(
-            part_id, now_s, now_s + self.settings.quarantine_s
+        self._put(
+            _quarantine_records.Quarantine(
+                part_id, now_s, now_s + self.settings.quarantine_s
+            )
         )
         self._new_quarantines[part_id] = None
         self._set_unsaved(part_id)
-        while len(self._quarantines) > MAX_QUARANTINE_COUNT:
-            del self._quarantines[next(iter(self._quarantines))]
+
+    def _put(self, quarantine: _quarantine_records.Quarantine) -> None:
+        self._quarantines[quarantine.part_id] = quarantine
+        _prompt_evidence_log.drop_oldest(
+            self._quarantines, MAX_QUARANTINE_COUNT
+        )
 
     def _release(self, part_id: str) -> bool:
         """End a quarantine; return whether there was one."""
@@ -387,28 +445,43 @@
         return self._quarantines.pop(part_id, None) is not None
 
     def _adopt(
-        self, reported: data.QuarantinedPart, now_s: float
-    ) -> _events.LogEvent | None:
-        """Apply a quarantine of another instance; return a new event."""
+        self,
+        reported: data.QuarantinedPart,
+        now_s: float,
+        source: _events.DecisionSource,
+    ) -> list[_events.LogEvent]:
+        """Apply a quarantine from elsewhere; return an event if it is new."""
         part_id = reported.part_id
         known = self._quarantines.get(part_id)
-        if known is not None and reported.probe_count <= known.probe_count:
-            return None
+        until_s = now_s + reported.remaining_ms / 1000
+        if known is not None and not self._is_newer(reported, until_s, known):
+            return []
         began_at_s = now_s - reported.age_ms / 1000
         if self._evidence.output_at_s.get(part_id, -math.inf) > began_at_s:
             self._evidence.offer_output(part_id)
-            return None
-        self._quarantines[part_id] = _quarantine_records.Quarantine(
-            part_id,
-            began_at_s,
-            now_s + reported.remaining_ms / 1000,
-            reported.probe_count,
+            return []
+        self._put(
+            _quarantine_records.Quarantine(
+                part_id, began_at_s, until_s, reported.probe_count
+            )
         )
-        while len(self._quarantines) > MAX_QUARANTINE_COUNT:
-            del self._quarantines[next(iter(self._quarantines))]
         if known is not None:
-            return None
-        return _events.PromptPartQuarantined(part_id, 0, True)
+            return []
+        return [_events.PromptPartQuarantined(part_id, 0, source.value)]
+
+    def _is_newer(
+        self,
+        reported: data.QuarantinedPart,
+        until_s: float,
+        known: _quarantine_records.Quarantine,
+    ) -> bool:
+        """Return whether a report has a later probe or extension."""
+        if reported.probe_count != known.probe_count:
+            return reported.probe_count > known.probe_count
+        if known.probe_count < self.settings.max_probe_count:
+            return False
+        # Two thirds of a step: the report of an extension takes a while.
+        return until_s > known.until_s + self._extension_step_s() * 2 / 3
 
     def _reported_quarantines(
         self, part_ids: Sequence[str], now_s: float
@@ -421,13 +494,17 @@
             quarantined.append(
                 data.QuarantinedPart(
                     part_id,
-                    _prompt_evidence.age_ms(now_s, quarantine.began_at_s),
-                    _prompt_evidence.age_ms(quarantine.until_s, now_s),
+                    _prompt_evidence_log.age_ms(now_s, quarantine.began_at_s),
+                    _prompt_evidence_log.age_ms(quarantine.until_s, now_s),
                     quarantine.probe_count,
                 )
             )
         return tuple(quarantined)
 
+    def _record_expired(self, decision: _Decision) -> None:
+        for part_id in decision.expired_part_ids:
+            self._log.record(_released(part_id, 'no request named it'))
+
     def _record(self, events: Sequence[_events.LogEvent]) -> None:
         for event in events:
             self._log.record(event)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
@@ -5,7 +5,7 @@
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding import _fleet
-from skylarktack.coordination.forwarding import _prompt_evidence
+from skylarktack.coordination.forwarding import _prompt_evidence_log
 from skylarktack.coordination.forwarding import _prompt_quarantine
 from skylarktack.coordination.forwarding import _quarantine_records
 from skylarktack.coordination.forwarding.tests import harness
@@ -139,7 +139,7 @@
         evidence = env.quarantine.evidence(is_full=True)
         limit = _prompt_quarantine.MAX_QUARANTINE_COUNT
         assert len(evidence.quarantined) <= limit
-        assert len(evidence.losses) <= _prompt_evidence.MAX_REPORTED_COUNT
+        assert len(evidence.losses) <= _prompt_evidence_log.MAX_REPORTED_COUNT
         assert env.quarantine.quarantined_count() <= limit
 
     def test_last_part_is_not_observed(self) -> None:
@@ -190,6 +190,55 @@
         env.clock.advance(SETTINGS.idle_s + 1.0)
         assert not env.is_refused()
 
+    def test_request_at_one_instance_extends_the_quarantine_at_all(
+        self,
+    ) -> None:
+        """Guards against a release while another instance refuses the part."""
+        first = _make_env()
+        second = _make_env(first.clock)
+        first.lose(3)
+        for _ in range(SETTINGS.max_probe_count):
+            first.clock.advance(1000.0)
+            assert not first.is_refused()
+        _pass_on(first, second)
+        for _ in range(30):
+            first.clock.advance(SETTINGS.idle_s / 5)
+            assert first.is_refused()
+            _pass_on(first, second)
+        assert second.is_refused()
+
+    def test_reports_alone_do_not_extend_a_quarantine(self) -> None:
+        """Guards against delayed reports that move the end on for ever."""
+        first = _make_env()
+        second = _make_env(first.clock)
+        first.lose(3)
+        for _ in range(SETTINGS.max_probe_count):
+            first.clock.advance(1000.0)
+            assert not first.is_refused()
+        for _ in range(800):
+            for sender, receiver in ((first, second), (second, first)):
+                evidence = sender.quarantine.evidence(is_full=True)
+                first.clock.advance(0.5)
+                receiver.quarantine.receive(evidence)
+        assert not first.is_refused()
+        assert 'prompt part released' in first.log.messages('prompt')
+
+    def test_extension_is_stored(self) -> None:
+        """Guards against a part that is forgotten by a restart of all."""
+        env = _make_env()
+        env.lose(3)
+        for _ in range(SETTINGS.max_probe_count):
+            env.clock.advance(1000.0)
+            assert not env.is_refused()
+        env.quarantine.take_changes()
+        env.clock.advance(SETTINGS.idle_s / 2)
+        assert env.is_refused()
+        assert env.is_refused()
+        (change,) = env.quarantine.take_changes()
+        assert change.stored is not None
+        until_s = change.stored.until_ms / 1000
+        assert until_s > env.clock.wall_s() + 0.9 * SETTINGS.idle_s
+
     def test_instances_take_turns(self) -> None:
         """Guards against a probe of each instance at the same moment."""
         env = _make_env()
@@ -279,11 +328,11 @@
             env.quarantine.record_loss(f'engine-{number}', part_ids)
             env.quarantine.record_output(part_ids)
         evidence = env.quarantine.evidence(is_full=True)
-        limit = _prompt_evidence.MAX_REPORTED_COUNT
+        limit = _prompt_evidence_log.MAX_REPORTED_COUNT
         assert 0 < len(evidence.losses) <= limit
         assert 0 < len(evidence.outputs) <= limit
         part_count = sum(len(loss.part_ids) for loss in evidence.losses)
-        assert part_count <= _prompt_evidence.MAX_REPORTED_PART_COUNT
+        assert part_count <= _prompt_evidence_log.MAX_REPORTED_PART_COUNT
 
     def test_fleet_view_carries_the_evidence(self) -> None:
         """Guards against evidence that is left out of reports."""
