--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 deps=target/deps
 mkdir -p "$deps"
-# Compiled libraries fit one version of Python and one kind of machine.
+# Compiled libraries fit one version of Python and one processor architecture.
 import_libraries() {
     PYTHONPATH="$deps" python3 -S -s -c 'import cbor2, h11, prometheus_client'
 }
--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -27,7 +27,7 @@
     'limit.',
     'no_target': 'No target accepted the request; it was not executed.',
     'prompt_quarantined': 'A part of the prompt is quarantined, because '
-    'engines ended under it; the request was not executed.',
+    'engines crashed under it; the request was not executed.',
     'stopping': 'The instance was stopping; the caller should retry at '
     'another one.',
     'time_up_not_run': 'The time limit expired before a target accepted the '
--- a/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
@@ -107,7 +107,7 @@
         self.exchanges: list[ScriptedExchange] = []
         self.unresponsive: set[str] = set()
         #: Targets whose addresses refuse connections.
-        self.ended: set[str] = set()
+        self.crashed: set[str] = set()
         self.queued_count = 0
         self.reports: dict[str, data.TargetReport] = {}
         self.probed: list[str] = []
@@ -215,8 +215,8 @@
     def refuses_connections(
         self, target: data.ListedTarget, timeout_s: float
     ) -> bool:
-        """Return whether the test has ended the target."""
-        return target.name in self.ended
+        """Return whether the test has crashed the target."""
+        return target.name in self.crashed
 
 
 class RecordingLog:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -130,6 +130,7 @@
 from skylarktack.coordination.forwarding._stream_attempts import StreamFinished
 from skylarktack.coordination.forwarding._stream_attempts import StreamProgress
 from skylarktack.coordination.forwarding._streams import StreamForwarder
+from skylarktack.coordination.forwarding._supervision import REQUEST_REPORT
 from skylarktack.coordination.forwarding._supervision import ErrorRecorder
 from skylarktack.coordination.forwarding._supervision import Supervisor
 from skylarktack.coordination.forwarding._targets import TargetTable
@@ -228,6 +229,7 @@
     'RetryLimits',
     'RequestTrace',
     'RequestObserver',
+    'REQUEST_REPORT',
     'RequestReport',
     'RequestStep',
     'PromptEvidenceExchange',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -283,7 +283,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class PromptPartQuarantined(LogEvent):
-    """Requests with a prompt part are refused: it ends engines."""
+    """Requests with a prompt part are refused: it crashes engines."""
 
     part = 'prompt'
     message = 'prompt part quarantined'
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -213,7 +213,7 @@
         finally:
             with self._lock:
                 self._active_count -= 1
-        with self.dependencies.errors.contain('request report'):
+        with self.dependencies.errors.contain(_supervision.REQUEST_REPORT):
             self.dependencies.observer.on_request_end(
                 RequestReport(
                     request=request,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_losses.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_losses.py
@@ -1,10 +1,10 @@
-"""Finds the prompt part under which engines ended, if there is one.
+"""Finds the prompt part under which engines crashed, if there is one.
 
-A part may end each engine that begins to generate after it, whatever else the
-prompt holds. All runs of such an engine are lost with it, and the prompt has
-other parts that many requests share, so a loss alone accuses many parts. The
-decision is a test of groups: the part that the most losses have in common is
-their cause, and explains what else was lost with these engines.
+A part may crash each engine that begins to generate after it, whatever else
+the prompt holds. All runs of such an engine are lost with it, and the prompt
+has other parts that many requests share, so one loss is evidence against many
+parts. The part that most losses have in common is their cause, and explains
+what else was lost with these engines.
 """
 
 from collections.abc import Mapping
@@ -17,15 +17,16 @@
 class EvidenceLimits:
     """How much evidence makes a prompt part the cause of losses."""
 
-    #: Moments at which engines ended under the part, each another engine.
-    min_loss_count: int = 3
+    #: Number of separate moments at which an engine that had not crashed under
+    #: the part before crashed under it.
+    min_moment_count: int = 3
 
-    #: The same for a part with which some run has produced output before: it
-    #: is the cause only if it turned bad meanwhile.
-    min_loss_count_after_output: int = 5
+    #: The same for a part with which some run has produced output: it needs
+    #: more evidence, since engines have run it without a crash.
+    min_moment_count_after_output: int = 5
 
     #: Losses are one moment while each follows the one before within the gap,
-    #: up to the length. A failure domain or all engines end together, and a
+    #: up to the length. A failure domain or all engines crash together, and a
     #: popular part is lost at each of them.
     moment_gap_s: float = 0.1
     moment_length_s: float = 0.3
@@ -36,7 +37,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Loss:
-    """A run that had produced nothing when its engine ended."""
+    """A run that had not yet produced output when its engine crashed."""
 
     engine: str
 
@@ -49,11 +50,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Cause:
-    """A prompt part under which engines ended."""
+    """A prompt part under which engines crashed."""
 
     part_id: str
 
-    #: Number of separate moments at which an engine ended.
+    #: Number of separate moments at which an engine crashed.
     moment_count: int
 
 
@@ -75,11 +76,13 @@
         if cause is None:
             return tuple(causes)
         causes.append(cause)
-        ends = [loss for loss in unexplained if cause.part_id in loss.part_ids]
+        losses_of_cause = [
+            loss for loss in unexplained if cause.part_id in loss.part_ids
+        ]
         unexplained = [
             loss
             for loss in unexplained
-            if not _is_explained(loss, ends, limits.moment_length_s)
+            if not _is_explained(loss, losses_of_cause, limits.moment_length_s)
         ]
 
 
@@ -102,7 +105,7 @@
     """Return the part that most losses have in common, if they suffice.
 
     Among equals, a part without any output goes first, then the one that is
-    later in its prompts: parts at the front are shared more widely.
+    later in its prompts: earlier parts are shared more widely.
     """
     losses_by_part: dict[str, list[Loss]] = {}
     position_by_part: dict[str, int] = {}
@@ -134,9 +137,9 @@
 
     :param of_part: losses of runs with the part.
     """
-    required = limits.min_loss_count
+    required = limits.min_moment_count
     if part_id in output_at_s:
-        required = limits.min_loss_count_after_output
+        required = limits.min_moment_count_after_output
     counts_from_s = output_at_s.get(part_id, -math.inf)
     count = _moment_count(of_part, counts_from_s, limits)
     return count if count >= required else 0
@@ -145,7 +148,7 @@
 def _moment_count(
     losses: Sequence[Loss], counts_from_s: float, limits: EvidenceLimits
 ) -> int:
-    """Return at how many moments another engine ended."""
+    """Return at how many moments another engine crashed."""
     first_by_engine: dict[str, float] = {}
     for loss in losses:
         if loss.at_s <= counts_from_s:
@@ -167,11 +170,13 @@
     return count
 
 
-def _is_explained(loss: Loss, ends: Sequence[Loss], moment_s: float) -> bool:
-    """Return whether the run was lost with an engine that a cause ended."""
-    for end in ends:
-        if loss.engine != end.engine:
+def _is_explained(
+    loss: Loss, losses_of_cause: Sequence[Loss], moment_s: float
+) -> bool:
+    """Return whether the run was lost with an engine that a cause crashed."""
+    for other in losses_of_cause:
+        if loss.engine != other.engine:
             continue
-        if abs(loss.at_s - end.at_s) < moment_s:
+        if abs(loss.at_s - other.at_s) < moment_s:
             return True
     return False
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -1,4 +1,4 @@
-"""Refuses requests with a prompt part that ends the engines it runs on.
+"""Refuses requests with a prompt part that crashes the engines it runs on.
 
 Each instance records which runs were lost with their engine before they
 produced output, and with which parts runs did produce output. Instances share
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_keeper.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_keeper.py
@@ -1,9 +1,8 @@
 """Keeps quarantined prompt parts in the store.
 
-Instances learn of quarantines from each other. The store is for the case that
-all of them are killed at once, after which engines would end again before the
-part is known. An instance reads it when it starts, and writes what it decided
-itself.
+Instances learn of quarantines from each other. If all of them stop at once,
+the parts would have to be learned again from crashes. An instance reads the
+store when it starts, and writes what it decided itself.
 """
 
 import dataclasses
@@ -13,8 +12,8 @@
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: Number of reads after the start. The store answers them cheaply, but what
-#: was written a few seconds before may be missing from the first.
+#: Number of reads after the start. Stale reads cost a tenth of a call, but may
+#: miss writes of the last seconds.
 READ_COUNT = 2
 
 #: Time between two reads, and the delay after a failed call.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_records.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_records.py
@@ -19,8 +19,8 @@
         default_factory=_prompt_losses.EvidenceLimits
     )
 
-    #: Time for which an engine sends events of a run until its parts count as
-    #: harmless.
+    #: Time for which an engine sends events of a run until the run is evidence
+    #: that its parts crash no engine.
     output_s: float = 0.5
 
     #: Share of the requests from which a part is never quarantined: refusing
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -10,6 +10,7 @@
 from skylarktack.coordination.forwarding import _refusals
 from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
+from skylarktack.coordination.forwarding import _supervision
 from skylarktack.state import forwarding as data
 
 #: Fraction of the maximum pause after which an unresponsive engine is probed.
@@ -42,6 +43,22 @@
 SUSPICION_CHECK_INTERVAL_S = 0.2
 
 
+@dataclasses.dataclass(frozen=True)
+class _OrderedEvents:
+    """Events of one read, up to the first one that is out of order."""
+
+    data: bytes
+
+    #: Id of the last event so far; None if there was none.
+    last_event_id: int | None
+
+    #: Whether one of the events has an id.
+    has_progress: bool
+
+    #: What is wrong with the first event that was left out, or None.
+    defect: str | None
+
+
 class Relay:
     """Relays the events of one engine to the caller."""
 
@@ -63,7 +80,7 @@
         self._splitter = dependencies.new_splitter()
         #: When the engine sent its first event of the run, or None.
         self._first_event_at_s: float | None = None
-        self._has_cleared_parts = False
+        self._has_recorded_output = False
         self._head: data.ResponseHead | None = None
         self._error_body_chunks: list[bytes] = []
         self._is_streaming = False
@@ -126,7 +143,9 @@
                         self._admitted.route.name,
                         1000 * first_event_s,
                     )
-                with self._dependencies.errors.contain('run report'):
+                with self._dependencies.errors.contain(
+                    _supervision.RUN_REPORT
+                ):
                     self._dependencies.fleet.record_run(
                         dataclasses.replace(run_status, is_prefilling=False)
                     )
@@ -171,12 +190,12 @@
         output_s = self._clock.monotonic_s() - self._first_event_at_s
         return output_s >= self._dependencies.quarantine.settings.output_s
 
-    def _clear_parts(self) -> None:
-        """Record once that the engine survives the parts of the prompt."""
-        if self._has_cleared_parts:
+    def _record_output(self) -> None:
+        """Record once that a run with these parts produced output."""
+        if self._has_recorded_output:
             return
-        self._has_cleared_parts = True
-        with self._dependencies.errors.contain('prompt evidence'):
+        self._has_recorded_output = True
+        with self._dependencies.errors.contain(_supervision.PROMPT_EVIDENCE):
             self._dependencies.quarantine.record_output(
                 _quarantine_records.observed_parts(self._admitted.request)
             )
@@ -292,43 +311,30 @@
         self, head: data.ResponseHead, events: tuple[_ports.StreamEvent, ...]
     ) -> _stream_attempts.AttemptEnd | None:
         """Send events to the caller up to one that is out of order."""
-        progress = self._progress
-        last_event_id = progress.last_event_id
-        has_progress = False
-        misplaced: str | None = None
-        sound: list[bytes] = []
-        for event in events:
-            # Comments and events without an id are no progress, so an engine
-            # that sends only these counts as unresponsive.
-            if event.event_id is not None:
-                if last_event_id not in (None, event.event_id - 1):
-                    misplaced = (
-                        f'event {event.event_id} follows event {last_event_id}'
-                    )
-                    break
-                last_event_id = event.event_id
-                has_progress = True
-            sound.append(event.data)
-        if has_progress:
-            self._record_long_pause()
-            self._targets.report_alive(self._target)
-            self._last_event_at_s = self._clock.monotonic_s()
-            self._is_streaming = True
-            if self._first_event_at_s is None:
-                self._first_event_at_s = self._last_event_at_s
-            if self._has_produced_output():
-                self._clear_parts()
-        progress.last_event_id = last_event_id
-        if sound:
-            end = self._send_events(head, b''.join(sound))
+        ordered = _take_in_order(events, self._progress.last_event_id)
+        if ordered.has_progress:
+            self._record_progress()
+        self._progress.last_event_id = ordered.last_event_id
+        if ordered.data:
+            end = self._send_events(head, ordered.data)
             if end is not None:
                 return end
-        if misplaced is None:
+        if ordered.defect is None:
             return None
         return self.handle_fault(
-            _ports.ExchangeFault(_ports.FaultKind.MALFORMED, misplaced)
+            _ports.ExchangeFault(_ports.FaultKind.MALFORMED, ordered.defect)
         )
 
+    def _record_progress(self) -> None:
+        self._record_long_pause()
+        self._targets.report_alive(self._target)
+        self._last_event_at_s = self._clock.monotonic_s()
+        self._is_streaming = True
+        if self._first_event_at_s is None:
+            self._first_event_at_s = self._last_event_at_s
+        if self._has_produced_output():
+            self._record_output()
+
     def _send_events(
         self, head: data.ResponseHead, events: bytes
     ) -> _stream_attempts.AttemptEnd | None:
@@ -355,7 +361,8 @@
             self._progress.last_sent_at_s is None or head.ends_with_connection
         ):
             return self.handle_fault(_early_end_fault('without an event'))
-        self._clear_parts()
+        if self._first_event_at_s is not None:
+            self._record_output()
         latency_ms = 1000 * (self._clock.monotonic_s() - self._sent_at_s)
         self._targets.report_response(
             self._target, self._admitted.route.name, latency_ms, is_error=False
@@ -427,6 +434,30 @@
         self._admitted.trace.record(self._clock.monotonic_s(), step, **inputs)
 
 
+def _take_in_order(
+    events: tuple[_ports.StreamEvent, ...], last_event_id: int | None
+) -> _OrderedEvents:
+    in_order: list[bytes] = []
+    has_progress = False
+    for event in events:
+        # Comments and events without an id are no progress, so an engine that
+        # sends only these counts as unresponsive.
+        if event.event_id is not None:
+            if last_event_id not in (None, event.event_id - 1):
+                defect = (
+                    f'event {event.event_id} follows event {last_event_id}'
+                )
+                return _OrderedEvents(
+                    b''.join(in_order), last_event_id, has_progress, defect
+                )
+            last_event_id = event.event_id
+            has_progress = True
+        in_order.append(event.data)
+    return _OrderedEvents(
+        b''.join(in_order), last_event_id, has_progress, None
+    )
+
+
 def _is_replaced(target: data.ListedTarget, report: data.TargetReport) -> bool:
     if target.started_at_ms is None or report.started_at_ms is None:
         return False
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
@@ -15,6 +15,7 @@
 from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _stream_attempts
+from skylarktack.coordination.forwarding import _supervision
 from skylarktack.state import forwarding as data
 
 #: Time for which an engine may work on a copy, and the pause after a failed
@@ -22,9 +23,6 @@
 COPY_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 3.0
 
-#: Place of errors in the handling of copies.
-_PLACE = 'standby copies'
-
 
 class StandbyCopies:
     """The copies of one run; its relay calls it between events."""
@@ -61,7 +59,7 @@
 
     def maintain(self) -> None:
         """Start a replacement copy if the run has no usable one."""
-        with self._dependencies.errors.contain(_PLACE):
+        with self._dependencies.errors.contain(_supervision.STANDBY_COPIES):
             self._start_copy_if_due()
 
     def _start_copy_if_due(self) -> None:
@@ -93,7 +91,9 @@
             self._receive_events(self._exchange)
         except Exception as error:
             # An exchange that stays ready would be read again at once.
-            self._dependencies.errors.record(_PLACE, error)
+            self._dependencies.errors.record(
+                _supervision.STANDBY_COPIES, error
+            )
             self._abandon_copy()
 
     def _receive_events(self, exchange: _ports.Exchange) -> None:
@@ -134,7 +134,7 @@
         """Free the replacement copy of a run that is complete."""
         if self._replacement is None:
             return
-        with self._dependencies.errors.contain(_PLACE):
+        with self._dependencies.errors.contain(_supervision.STANDBY_COPIES):
             self._dependencies.client.release_copy(
                 self._engine, self._replacement
             )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
@@ -28,7 +28,7 @@
 
     budget: _budget.RetryBudget
 
-    #: Refuses requests with prompt parts that end engines.
+    #: Refuses requests with prompt parts that crash engines.
     quarantine: _prompt_quarantine.PromptQuarantine
 
     #: Creates a splitter for the bytes that one engine sends.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -14,6 +14,7 @@
 from skylarktack.coordination.forwarding import _relay
 from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
+from skylarktack.coordination.forwarding import _supervision
 from skylarktack.state import forwarding as data
 
 #: Maximum number of engines to which one stream is sent, whether or not they
@@ -24,9 +25,6 @@
 #: become available before it is refused.
 QUEUE_OBJECTIVE_FRACTION = 0.12
 
-#: Maximum number of engines that may end under one run before their output.
-MAX_ENDED_ENGINE_COUNT = 3
-
 #: Maximum number of engines that one stream asks for room.
 MAX_CHECK_COUNT = 3
 
@@ -80,7 +78,7 @@
         self._tried_targets: set[str] = set()
         self._part_ids = _quarantine_records.observed_parts(admitted.request)
         self._is_probe = False
-        self._ended_engine_count = 0
+        self._crashed_engine_count = 0
         self._send_count = 0
         self._check_count = 0
         self._has_found_full = False
@@ -96,12 +94,12 @@
         if admission.refusal is not None:
             return self._outcome_of_quarantine(admission.refusal)
         self._is_probe = admission.is_probe
-        with self._dependencies.errors.contain('prompt search'):
+        with self._dependencies.errors.contain(_supervision.PROMPT_SEARCH):
             self._find_prompt()
         while self._clock.monotonic_s() < self._admitted.deadline_s:
             if self._send_count >= MAX_SEND_COUNT:
                 break
-            refusal = self._find_quarantine()
+            refusal = self._check_quarantine()
             if refusal is not None:
                 return self._outcome_of_quarantine(refusal)
             pair = self._choose(copy)
@@ -138,7 +136,7 @@
                 continue
             self._has_executed = True
             if end.is_lost_before_output:
-                self._record_lost_engine(pair.primary)
+                self._record_crash(pair.primary)
             if not self._may_retry():
                 break
             copy = end.copy
@@ -228,7 +226,9 @@
 
     def _may_retry(self) -> bool:
         route = self._admitted.route
-        if self._ended_engine_count >= MAX_ENDED_ENGINE_COUNT:
+        # So many crashes under one run quarantine its prompt part.
+        limits = self._dependencies.quarantine.settings.limits
+        if self._crashed_engine_count >= limits.min_moment_count:
             return False
         return route.is_retryable and (
             self._progress.failure_count < route.max_attempts
@@ -339,7 +339,7 @@
             self._dependencies, self._admitted, self._progress, target, copies
         )
         self._targets.begin_request(target)
-        with self._dependencies.errors.contain('run report'):
+        with self._dependencies.errors.contain(_supervision.RUN_REPORT):
             self._dependencies.fleet.record_run(run_status)
         try:
             result = self._dependencies.client.send(
@@ -354,23 +354,26 @@
                 copies.close()
         finally:
             self._targets.end_request(target)
-            with self._dependencies.errors.contain('run report'):
+            with self._dependencies.errors.contain(_supervision.RUN_REPORT):
                 self._dependencies.fleet.record_run_end(run_status)
 
-    def _record_lost_engine(self, engine: data.ListedTarget) -> None:
-        """Record an engine that ended; one that still listens did not."""
-        with self._dependencies.errors.contain('prompt evidence'):
+    def _record_crash(self, engine: data.ListedTarget) -> None:
+        """Record a crashed engine.
+
+        An engine whose address accepts connections has not crashed.
+        """
+        with self._dependencies.errors.contain(_supervision.PROMPT_EVIDENCE):
             if not self._dependencies.client.refuses_connections(
                 engine, _relay.PROBE_TIMEOUT_S
             ):
                 return
-            self._ended_engine_count += 1
-            self._record('engine_ended', target=engine.name)
+            self._crashed_engine_count += 1
+            self._record('engine_crashed', target=engine.name)
             self._dependencies.quarantine.record_loss(
                 engine.name, self._part_ids
             )
 
-    def _find_quarantine(
+    def _check_quarantine(
         self,
     ) -> _quarantine_records.QuarantineRefusal | None:
         """Return why the run must not be sent now, or None."""
@@ -381,7 +384,7 @@
     def _outcome_of_quarantine(
         self, refusal: _quarantine_records.QuarantineRefusal
     ) -> _outcomes.StreamOutcome:
-        detail = f'engines end under the prompt part {refusal.part_id}'
+        detail = f'engines crash under the prompt part {refusal.part_id}'
         self._record('prompt_quarantined', prompt_part=refusal.part_id)
         if self._has_executed:
             self._last_fault = detail
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_supervision.py
@@ -19,6 +19,14 @@
 #: Minimum time between two log lines about errors at the same place.
 LOG_INTERVAL_S = 1.0
 
+#: Places of errors in accounts of requests; operators see them in log lines.
+RUN_REPORT = 'run report'
+PROMPT_EVIDENCE = 'prompt evidence'
+PROMPT_SEARCH = 'prompt search'
+REQUEST_REPORT = 'request report'
+STANDBY_COPIES = 'standby copies'
+TARGET_ACCOUNTING = 'target accounting'
+
 
 class ErrorRecorder:
     """Counts and logs errors that no code path expects."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -31,9 +31,6 @@
 #: this instance more recently than this.
 SUSPICION_OVERRIDE_S = 0.3
 
-#: Place of errors in the accounting of requests.
-_ACCOUNTING = 'target accounting'
-
 
 class TargetTable:
     """Targets of all services with the statistics of this instance."""
@@ -105,14 +102,14 @@
 
     def begin_request(self, target: data.ListedTarget) -> None:
         """Record that a request is sent to the target."""
-        with self._errors.contain(_ACCOUNTING):
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             with self._lock:
                 self._stats_of(target).in_flight_count += 1
             self._moves.record_send(target)
 
     def end_request(self, target: data.ListedTarget) -> None:
         """Record that a request at the target has ended."""
-        with self._errors.contain(_ACCOUNTING), self._lock:
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING), self._lock:
             stats = self._stats.get(target.name)
             if stats is not None and stats.in_flight_count > 0:
                 stats.in_flight_count -= 1
@@ -121,7 +118,7 @@
         self, target: data.ListedTarget, head: data.ResponseHead
     ) -> None:
         """Record what the target says of itself in the head of a response."""
-        with self._errors.contain(_ACCOUNTING):
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             if head.load is not None:
                 with self._lock:
                     stats = self._stats_of(target)
@@ -133,7 +130,7 @@
         self, target: data.ListedTarget, report: data.TargetReport
     ) -> None:
         """Record what the target says of itself in answer to a probe."""
-        with self._errors.contain(_ACCOUNTING):
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             self.exclusions.report_probe(target, report)
 
     def report_leaving(self, leaving: data.LeavingTarget) -> None:
@@ -169,7 +166,7 @@
         is_error: bool,
     ) -> None:
         """Record a response or a complete stream; end the ejection."""
-        with self._errors.contain(_ACCOUNTING):
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             now_s = self._clock.monotonic_s()
             with self._lock:
                 stats = self._stats_of(target)
@@ -195,7 +192,7 @@
         self, target: data.ListedTarget, route: str, latency_ms: float
     ) -> None:
         """Record that an engine finished prefill and began to generate."""
-        with self._errors.contain(_ACCOUNTING):
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             if target.models:
                 self._moves.record_outcome(
                     target, route, state.OutcomeKind.SUCCESS, latency_ms
@@ -205,13 +202,13 @@
         self, target: data.ListedTarget, route: str, sent_at_s: float
     ) -> None:
         """Record that a request has ended before the target's response."""
-        with self._errors.contain(_ACCOUNTING):
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             waited_s = self._clock.monotonic_s() - sent_at_s
             self._moves.record_abandoned(target, route, 1000 * waited_s)
 
     def report_alive(self, target: data.ListedTarget) -> None:
         """Record that the target is alive."""
-        with self._errors.contain(_ACCOUNTING), self._lock:
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING), self._lock:
             self._stats_of(target).last_seen_at_s = self._clock.monotonic_s()
 
     def report_failure(
@@ -222,7 +219,7 @@
         :param is_loss: whether the target seems to have stopped, which
             counts towards the suspicion of its failure domain.
         """
-        with self._errors.contain(_ACCOUNTING):
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             now_s = self._clock.monotonic_s()
             with self._lock:
                 stats = self._stats_of(target)
@@ -253,7 +250,7 @@
         A target that responded to other requests meanwhile is not ejected:
         the timeout of the route may be too short for its requests.
         """
-        with self._errors.contain(_ACCOUNTING):
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             with self._lock:
                 stats = self._stats_of(target)
                 is_hanging = stats.last_seen_at_s <= sent_at_s
@@ -309,7 +306,7 @@
         self, target: data.ListedTarget, route: str, cause: str
     ) -> None:
         """Record that the target's address refuses connections."""
-        with self._errors.contain(_ACCOUNTING):
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             self.report_failure(target, route, cause, is_loss=True)
             with self._lock:
                 self._eject(target.name, REFUSED_EJECTION_S)
@@ -322,7 +319,7 @@
 
     def report_misdirected(self, target: data.ListedTarget) -> None:
         """Record that another target responded at the address."""
-        with self._errors.contain(_ACCOUNTING):
+        with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             self.report_replaced(target.name)
             self._fleet.record_replaced_target(target.name)
             self._log.record(_events.TargetMisdirected(target.name))
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_losses.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_losses.py
@@ -33,47 +33,49 @@
 
 
 CASES = (
-    LossCase('too few losses', _losses_under('bad', count=2), ()),
-    LossCase('a part of one run', _losses_under('bad', count=3), ('bad',)),
+    LossCase('too few losses', _losses_under('crashing', count=2), ()),
+    LossCase(
+        'a part of one run', _losses_under('crashing', count=3), ('crashing',)
+    ),
     LossCase(
         'a shared part with earlier output',
-        _losses_under('front', 'bad', count=4),
-        ('bad',),
-        (('front', 5.0),),
+        _losses_under('common', 'crashing', count=4),
+        ('crashing',),
+        (('common', 5.0),),
     ),
     LossCase(
         'a shared part with earlier output and more losses',
-        _losses_under('front', 'bad', count=9),
-        ('bad',),
-        (('front', 5.0),),
+        _losses_under('common', 'crashing', count=9),
+        ('crashing',),
+        (('common', 5.0),),
     ),
     LossCase(
-        'equal evidence accuses the part that is shared less',
-        _losses_under('front', 'bad', count=3),
-        ('bad',),
+        'equal evidence points to the part that is shared less',
+        _losses_under('common', 'crashing', count=3),
+        ('crashing',),
     ),
     LossCase(
         'the part that several prompts have in common',
         (
-            *_losses_under('front', 'bad', 'a', count=2),
-            *_losses_under('front', 'bad', 'b', count=2, first_s=20.0),
+            *_losses_under('common', 'crashing', 'a', count=2),
+            *_losses_under('common', 'crashing', 'b', count=2, first_s=20.0),
         ),
-        ('bad',),
-        (('front', 5.0),),
+        ('crashing',),
+        (('common', 5.0),),
     ),
     LossCase(
-        'a first part under which engines end',
+        'a first part under which engines crash',
         (
-            *_losses_under('bad', 'a', count=3),
-            *_losses_under('bad', 'b', count=3, first_s=20.0),
+            *_losses_under('crashing', 'a', count=3),
+            *_losses_under('crashing', 'b', count=3, first_s=20.0),
         ),
-        ('bad',),
+        ('crashing',),
     ),
     LossCase(
         'a part that turned bad after its runs produced output',
-        _losses_under('bad', count=5),
-        ('bad',),
-        (('bad', 5.0),),
+        _losses_under('crashing', count=5),
+        ('crashing',),
+        (('crashing', 5.0),),
     ),
     LossCase(
         'output after the losses clears a part',
@@ -88,13 +90,13 @@
     ),
     LossCase(
         'a popular bad part that ends an engine every 20 ms',
-        _losses_under('bad', count=60, gap_s=0.02),
-        ('bad',),
+        _losses_under('crashing', count=60, gap_s=0.02),
+        ('crashing',),
     ),
     LossCase(
         'several requests with a bad part that arrive together',
-        _losses_under('bad', count=3, gap_s=0.15),
-        ('bad',),
+        _losses_under('crashing', count=3, gap_s=0.15),
+        ('crashing',),
     ),
     LossCase(
         'many losses on one engine',
@@ -104,18 +106,18 @@
     LossCase(
         'runs that were lost with the engines of a bad part',
         (
-            *_losses_under('bad', count=4),
-            *_losses_under('innocent', count=3),
+            *_losses_under('crashing', count=4),
+            *_losses_under('unrelated', count=3),
         ),
-        ('bad',),
+        ('crashing',),
     ),
     LossCase(
         'two bad parts',
         (
-            *_losses_under('bad', count=4),
+            *_losses_under('crashing', count=4),
             *_losses_under('worse', count=6, first_s=10.5),
         ),
-        ('worse', 'bad'),
+        ('worse', 'crashing'),
     ),
 )
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
@@ -11,9 +11,9 @@
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
-FRONT = 'front'
-BAD = ('front', 'bad')
-SOUND = ('front', 'sound')
+COMMON = 'common'
+CRASHING = ('common', 'crashing')
+WORKING = ('common', 'sound')
 
 SETTINGS = forwarding.QuarantineSettings()
 
@@ -47,14 +47,14 @@
     quarantine: forwarding.PromptQuarantine
 
     def lose(
-        self, count: int, part_ids: tuple[str, ...] = BAD, name: str = 'e'
+        self, count: int, part_ids: tuple[str, ...] = CRASHING, name: str = 'e'
     ) -> None:
         """Lose a run with each of several engines, a second apart."""
         for number in range(count):
             self.clock.advance(1.0)
             self.quarantine.record_loss(f'{name}-{number}', part_ids)
 
-    def is_refused(self, part_ids: tuple[str, ...] = BAD) -> bool:
+    def is_refused(self, part_ids: tuple[str, ...] = CRASHING) -> bool:
         """Return whether a new request is refused."""
         return self.quarantine.admit(part_ids).refusal is not None
 
@@ -73,7 +73,7 @@
 
 
 class TestQuarantine:
-    """Requests with a part under which engines ended are refused."""
+    """Requests with a part under which engines crashed are refused."""
 
     def test_part_is_refused_after_losses(self) -> None:
         """Guards against requests that end one engine after the other."""
@@ -81,52 +81,52 @@
         env.lose(2)
         assert not env.is_refused()
         env.lose(1, name='other')
-        refusal = env.quarantine.admit(BAD).refusal
+        refusal = env.quarantine.admit(CRASHING).refusal
         assert refusal is not None
-        assert refusal.part_id == 'bad'
+        assert refusal.part_id == 'crashing'
         assert refusal.retry_after_s == SETTINGS.quarantine_s
-        assert env.quarantine.check_send(BAD) is not None
+        assert env.quarantine.check_send(CRASHING) is not None
 
     def test_other_parts_are_served(self) -> None:
         """Guards against refusing all requests that share a part."""
         env = _make_env()
-        env.quarantine.record_output(SOUND)
+        env.quarantine.record_output(WORKING)
         env.lose(3)
         assert env.is_refused()
-        assert not env.is_refused(SOUND)
-        assert not env.is_refused((FRONT,))
+        assert not env.is_refused(WORKING)
+        assert not env.is_refused((COMMON,))
 
     def test_output_releases_a_part(self) -> None:
         """Guards against refusing a part with which engines get on."""
         env = _make_env()
         env.lose(3)
-        env.quarantine.record_output(BAD)
+        env.quarantine.record_output(CRASHING)
         assert not env.is_refused()
         assert 'prompt part released' in env.log.messages('prompt')
 
     def test_stronger_cause_releases_a_part(self) -> None:
-        """Guards against refusing what was only lost beside a bad part."""
+        """Guards against refusing what was lost beside a crashing part."""
         env = _make_env()
-        env.lose(3, ('bad', 'innocent'))
-        assert env.is_refused(('innocent',))
-        env.lose(3, ('bad', 'another'), 'other')
-        assert env.is_refused(('bad',))
-        assert not env.is_refused(('innocent',))
+        env.lose(3, ('crashing', 'unrelated'))
+        assert env.is_refused(('unrelated',))
+        env.lose(3, ('crashing', 'another'), 'other')
+        assert env.is_refused(('crashing',))
+        assert not env.is_refused(('unrelated',))
 
     def test_part_of_nearly_all_requests_is_served(self) -> None:
         """Guards against an outage because all engines fail."""
         env = _make_env()
         for _ in range(20):
-            assert not env.is_refused((FRONT,))
-        env.lose(9, (FRONT,))
-        assert not env.is_refused((FRONT,))
+            assert not env.is_refused((COMMON,))
+        env.lose(9, (COMMON,))
+        assert not env.is_refused((COMMON,))
 
     def test_old_losses_do_not_count(self) -> None:
         """Guards against a part that adds up unrelated losses of a day."""
         env = _make_env()
         for number in range(9):
             env.clock.advance(SETTINGS.limits.window_s / 2)
-            env.quarantine.record_loss(f'engine-{number}', BAD)
+            env.quarantine.record_loss(f'engine-{number}', CRASHING)
         assert not env.is_refused()
 
     def test_memory_is_bounded(self) -> None:
@@ -135,7 +135,7 @@
         for number in range(9000):
             env.quarantine.record_output((f'part-{number}',))
         for number in range(300):
-            env.lose(3, (f'bad-{number}',), f'engine-{number}')
+            env.lose(3, (f'crashing-{number}',), f'engine-{number}')
         evidence = env.quarantine.evidence(is_full=True)
         limit = _prompt_quarantine.MAX_QUARANTINE_COUNT
         assert len(evidence.quarantined) <= limit
@@ -167,7 +167,7 @@
         env.lose(3)
         env.clock.advance(SETTINGS.quarantine_s)
         assert not env.is_refused()
-        assert env.quarantine.check_send(BAD) is not None
+        assert env.quarantine.check_send(CRASHING) is not None
 
     def test_probes_are_bounded(self) -> None:
         """Guards against a part that is tried for ever."""
@@ -278,13 +278,13 @@
         """Guards against refusing a part that works elsewhere."""
         first = _make_env()
         second = _make_env(first.clock)
-        second.quarantine.record_output(SOUND)
+        second.quarantine.record_output(WORKING)
         first.lose(1)
         _pass_on(first, second)
         _pass_on(second, first)
         first.lose(2, name='other')
         assert first.is_refused()
-        assert not first.is_refused(SOUND)
+        assert not first.is_refused(WORKING)
 
     def test_output_releases_at_all_instances(self) -> None:
         """Guards against a part that stays refused at the others."""
@@ -293,7 +293,7 @@
         first.lose(3)
         _pass_on(first, second)
         second.clock.advance(1.0)
-        second.quarantine.record_output(BAD)
+        second.quarantine.record_output(CRASHING)
         _pass_on(second, first)
         assert not first.is_refused()
         _pass_on(first, second, is_full=True)
@@ -339,20 +339,20 @@
         env = harness.make_harness()
         env.fleet.add_peers(harness.listed_peers(1))
         env.fleet.full_report()
-        env.quarantine.record_loss('engine', BAD)
+        env.quarantine.record_loss('engine', CRASHING)
         change = env.fleet.change_report()
         assert change is not None
-        assert change.prompt_evidence.losses[0].part_ids == BAD
+        assert change.prompt_evidence.losses[0].part_ids == CRASHING
         assert env.fleet.full_report().prompt_evidence.losses
         other = harness.make_harness()
         other.fleet.receive(dataclasses.replace(change, instance='peer'))
         assert other.fleet.change_report() is None
         other.clock.advance(1.0)
-        other.quarantine.record_loss('second', BAD)
+        other.quarantine.record_loss('second', CRASHING)
         other.clock.advance(1.0)
-        other.quarantine.record_loss('third', BAD)
-        assert other.quarantine.admit(BAD).refusal is not None
+        other.quarantine.record_loss('third', CRASHING)
+        assert other.quarantine.admit(CRASHING).refusal is not None
 
     def test_no_evidence_is_falsy(self) -> None:
-        """Guards against work for each report without evidence."""
+        """Guards against taking the lock for reports without evidence."""
         assert not data.PromptEvidence()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_quarantine_keeper.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_quarantine_keeper.py
@@ -6,7 +6,7 @@
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
-BAD = ('front', 'bad')
+CRASHING = ('common', 'crashing')
 
 
 class _Store:
@@ -49,7 +49,7 @@
 def _quarantine(env: harness.Harness) -> None:
     for number in range(3):
         env.clock.advance(1.0)
-        env.quarantine.record_loss(f'engine-{number}', BAD)
+        env.quarantine.record_loss(f'engine-{number}', CRASHING)
 
 
 def _store_after_quarantine() -> _Store:
@@ -68,7 +68,7 @@
         store = _store_after_quarantine()
         started = harness.make_harness()
         _keeper(started, store).read()
-        assert started.quarantine.admit(BAD).refusal is not None
+        assert started.quarantine.admit(CRASHING).refusal is not None
 
     def test_failed_calls_are_repeated(self) -> None:
         """Guards against a decision that an outage of the store loses."""
@@ -77,11 +77,11 @@
         env = harness.make_harness()
         _quarantine(env)
         _keeper(env, store).write_changes()
-        assert 'bad' in store.stored
+        assert 'crashing' in store.stored
         store.failures.extend((True, True))
         started = harness.make_harness()
         _keeper(started, store).read()
-        assert started.quarantine.admit(BAD).refusal is not None
+        assert started.quarantine.admit(CRASHING).refusal is not None
 
     def test_released_part_is_removed(self) -> None:
         """Guards against a part that is refused again after a restart."""
@@ -90,7 +90,7 @@
         keeper = _keeper(env, store)
         _quarantine(env)
         keeper.write_changes()
-        env.quarantine.record_output(BAD)
+        env.quarantine.record_output(CRASHING)
         keeper.write_changes()
         assert not store.stored
 
@@ -108,19 +108,19 @@
     def test_old_entry_is_removed(self) -> None:
         """Guards against entries that pile up in the store."""
         store = _Store()
-        store.stored['bad'] = data.StoredQuarantine('bad', 1, 2, 0)
+        store.stored['crashing'] = data.StoredQuarantine('crashing', 1, 2, 0)
         env = harness.make_harness()
         env.clock.advance(100_000.0)
         keeper = _keeper(env, store)
         keeper.read()
         keeper.write_changes()
-        assert env.quarantine.admit(BAD).refusal is None
+        assert env.quarantine.admit(CRASHING).refusal is None
         assert not store.stored
 
-    def test_odd_entries_bound_a_quarantine(self) -> None:
-        """Guards against entries of another writer that end a task."""
+    def test_entry_with_huge_numbers_gives_a_bounded_quarantine(self) -> None:
+        """Guards against an entry that has a part refused for years."""
         store = _Store()
-        for part_id in ('bad', 'x' * 65):
+        for part_id in ('crashing', 'x' * 65):
             store.stored[part_id] = data.StoredQuarantine(
                 part_id, 2**53, 2**53, 2**53
             )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -484,16 +484,16 @@
         assert outcome.reason is data.RefusalReason.PROMPT_QUARANTINED
         assert env.client.sent_to() == ['engine-0']
 
-    def test_engine_that_still_listens_has_not_ended(self) -> None:
+    def test_engine_that_still_listens_has_not_crashed(self) -> None:
         """Guards against refusing prompts because connections were reset."""
         env = _make_engines(6)
-        env.client.ended.clear()
+        env.client.crashed.clear()
         env.client.script('engine-5', harness.stream_script(1, 3))
         assert isinstance(env.stream(), forwarding.StreamCompleted)
         assert len(env.client.sent) == 6
         assert env.quarantine.quarantined_count() == 0
 
-    def test_run_that_produced_output_is_an_innocent_one(self) -> None:
+    def test_run_lost_after_output_is_no_evidence(self) -> None:
         """Guards against refusing prompts that were lost beside others."""
         env = _make_engines(2)
         for _ in range(4):
@@ -507,11 +507,11 @@
 
 
 def _make_engines(count: int) -> harness.Harness:
-    """Return engines that are used in order and end under each run."""
+    """Return engines that are used in order and crash under each run."""
     names = [f'engine-{number}' for number in range(count)]
     env = harness.make_harness(*(harness.target(name) for name in names))
     for number, name in enumerate(names):
-        env.client.ended.add(name)
+        env.client.crashed.add(name)
         env.client.script(name, *(2 * (harness.connection_lost_script(1.0),)))
         for run in range(number):
             run_id = f'{name}-{run}'
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_modules.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_modules.py
@@ -23,7 +23,7 @@
 
 
 def load_modules() -> None:
-    """Import each module that an instance can reach while it serves.
+    """Import each module that serving a caller can reach.
 
     The metrics library is left out: it is imported on the first scrape.
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
@@ -115,5 +115,5 @@
     def on_request_end(self, report: forwarding.RequestReport) -> None:
         """Pass one report to each observer, even if another one fails."""
         for observer in self._observers:
-            with self._errors.contain('request report'):
+            with self._errors.contain(forwarding.REQUEST_REPORT):
                 observer.on_request_end(report)
--- a/packages/emulator/src/skylarktack/emulator/tests/test_deployed_tree.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_deployed_tree.py
@@ -95,14 +95,14 @@
 class TestBuild:
     """A build over the results of an earlier one."""
 
-    def test_library_for_another_machine_is_replaced(
+    def test_library_for_another_architecture_is_replaced(
         self, tmp_path: pathlib.Path
     ) -> None:
         """Guards against a carried-over folder that no instance can use."""
         checkout = _copy_checkout(tmp_path)
         tree = _build(checkout)
         for compiled in tree.glob('*/*.so'):
-            compiled.rename(compiled.with_suffix('.other-machine'))
+            compiled.rename(compiled.with_suffix('.other-architecture'))
         _build(checkout)
         printed = _run_in_tree(tree, 'import cbor2')
         assert printed.returncode == 0, printed.stderr
--- a/packages/state/src/skylarktack/state/forwarding/_prompt_evidence.py
+++ b/packages/state/src/skylarktack/state/forwarding/_prompt_evidence.py
@@ -1,4 +1,4 @@
-"""What instances tell each other about prompt parts that end engines.
+"""What instances tell each other about prompt parts that crash engines.
 
 Times are sent as ages, since the clocks of instances differ.
 """
@@ -8,7 +8,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class PromptLoss:
-    """A run that had produced nothing when its engine ended."""
+    """A run that had not yet produced output when its engine crashed."""
 
     engine: str
 
@@ -35,7 +35,7 @@
 
     part_id: str
 
-    #: Time since the quarantine began or was last extended.
+    #: Time since the quarantine began; probes and extensions do not change it.
     age_ms: int
 
     #: Time until its end.
