Name tests by the failure, and the sums of the slow-response test by their shape

Points of a newcomer's read: three things in _slow_responses.py were called log_ratios, and tests of answers, refusals and silent targets had names that said nothing.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_slow_responses.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_slow_responses.py
@@ -55,7 +55,7 @@
     old_slow_count: int
     old_count: int
 
-    def log_ratios(self) -> tuple[float, ...]:
+    def log_likelihood_ratios(self) -> tuple[float, ...]:
         """Return the log likelihood ratio for each of ``RATE_RATIOS``."""
         slow_count = self.new_slow_count + self.old_slow_count
         if not slow_count or not self.new_count or not self.old_count:
@@ -80,7 +80,7 @@
     comparisons: tuple[_Comparison, ...]
 
     #: Log likelihood ratios, by comparison and rate ratio.
-    log_ratios: tuple[tuple[float, ...], ...]
+    log_ratios_by_class: tuple[tuple[float, ...], ...]
 
 
 def compare_slow_responses(
@@ -106,15 +106,17 @@
         )
     if not tables:
         return SlowResponses()
-    # The empty name stands for many routes.
+    # Routes beyond the limit of a report share the empty name, so there is no
+    # one route to compare.
     groups = [(table,) for route, table in tables.items() if route]
-    group_evidence = [_log_mean(_log_ratios(group)) for group in groups]
+    group_evidence = [_log_mean(_sum_over_routes(group)) for group in groups]
     all_routes = tuple(tables.values())
-    evidence = _log_mean(_log_ratios(all_routes))
+    evidence = _log_mean(_sum_over_routes(all_routes))
     strongest = all_routes
     if groups:
         index = group_evidence.index(max(group_evidence))
-        # Without evidence, the counts of all routes tell more than any one's.
+        # Without evidence for a difference on one route, the counts of all
+        # routes are reported.
         if group_evidence[index] > max(0.0, evidence):
             strongest = groups[index]
         evidence = _log_mean([evidence, _log_mean(group_evidence)])
@@ -125,7 +127,7 @@
     evidence: float, tables: tuple[_RouteTable, ...]
 ) -> SlowResponses:
     """Return the evidence with the counts of the most telling latency."""
-    log_ratios = _log_ratios(tables)
+    log_ratios = _sum_over_routes(tables)
     position = log_ratios.index(max(log_ratios)) // len(RATE_RATIOS)
     found = [table.comparisons[position] for table in tables]
     return SlowResponses(
@@ -156,7 +158,8 @@
             _Comparison(new_slow, new_count, old_slow, old_count)
         )
     return _RouteTable(
-        tuple(comparisons), tuple(each.log_ratios() for each in comparisons)
+        tuple(comparisons),
+        tuple(each.log_likelihood_ratios() for each in comparisons),
     )
 
 
@@ -181,11 +184,11 @@
     return sums[::-1]
 
 
-def _log_ratios(tables: tuple[_RouteTable, ...]) -> list[float]:
+def _sum_over_routes(tables: tuple[_RouteTable, ...]) -> list[float]:
     """Return the sums over routes, for each latency and rate ratio."""
     sums = []
     for ratios_of_routes in zip(
-        *(table.log_ratios for table in tables), strict=True
+        *(table.log_ratios_by_class for table in tables), strict=True
     ):
         for ratios in zip(*ratios_of_routes, strict=True):
             sums.append(sum(ratios))
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
@@ -45,7 +45,9 @@
         WHOLE_ANSWERS.values(),
         ids=WHOLE_ANSWERS.keys(),
     )
-    def test_whole(self, response: bytes, ending: str, version: bytes) -> None:
+    def test_complete_answer_is_served(
+        self, response: bytes, ending: str, version: bytes
+    ) -> None:
         """Guards against failing an answer that ends with its connection."""
         with response_bed.serving(
             NON_IDEMPOTENT, response_bed.Answer((response,), ending)
@@ -73,7 +75,7 @@
         BROKEN_ANSWERS.values(),
         ids=BROKEN_ANSWERS.keys(),
     )
-    def test_broken(
+    def test_truncated_answer_is_not_served(
         self, response: bytes, ending: str, version: bytes
     ) -> None:
         """Guards against a broken answer that looks complete."""
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_refusals_of_targets.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_refusals_of_targets.py
@@ -77,7 +77,9 @@
     @pytest.mark.parametrize(
         'response', DOUBTFUL_REFUSALS.values(), ids=DOUBTFUL_REFUSALS.keys()
     )
-    def test_call(self, response: bytes, is_before_body: bool) -> None:
+    def test_doubtful_refusal_does_not_repeat_a_call(
+        self, response: bytes, is_before_body: bool
+    ) -> None:
         """Guards against a booking that runs twice, or a false refusal."""
         answer = response_bed.Answer(
             (response,), is_before_body=is_before_body
@@ -92,7 +94,9 @@
     @pytest.mark.parametrize(
         'response', DOUBTFUL_REFUSALS.values(), ids=DOUBTFUL_REFUSALS.keys()
     )
-    def test_stream(self, response: bytes) -> None:
+    def test_doubtful_refusal_does_not_repeat_a_stream(
+        self, response: bytes
+    ) -> None:
         """Guards against a stream that runs twice, or a false refusal."""
         with response_bed.serving(
             STREAM_ONCE,
@@ -122,7 +126,9 @@
     @pytest.mark.parametrize(
         'response', TRUE_REFUSALS.values(), ids=TRUE_REFUSALS.keys()
     )
-    def test_call(self, response: bytes) -> None:
+    def test_refused_call_is_sent_to_another_target(
+        self, response: bytes
+    ) -> None:
         """Guards against a booking that one full target fails."""
         with response_bed.serving(
             NON_IDEMPOTENT,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_silent_targets.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_silent_targets.py
@@ -43,7 +43,7 @@
     @pytest.mark.parametrize(
         'parts', SILENT_ANSWERS.values(), ids=SILENT_ANSWERS.keys()
     )
-    def test_call(self, parts: tuple[bytes | float, ...]) -> None:
+    def test_call_waits(self, parts: tuple[bytes | float, ...]) -> None:
         """Guards against breaking off a booking at a sound target."""
         route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
         with response_bed.serving(route, response_bed.Answer(parts)) as bed:
@@ -51,7 +51,7 @@
             assert len(bed.requests) == 1
             assert not bed.ejected()
 
-    def test_call_with_a_long_body(self) -> None:
+    def test_call_with_a_long_body_waits(self) -> None:
         """Guards against giving up a target that reads late."""
         route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
         answer = response_bed.Answer(
@@ -65,7 +65,7 @@
     @pytest.mark.parametrize(
         'parts', SILENT_STREAMS.values(), ids=SILENT_STREAMS.keys()
     )
-    def test_stream(self, parts: tuple[bytes | float, ...]) -> None:
+    def test_stream_waits(self, parts: tuple[bytes | float, ...]) -> None:
         """Guards against breaking off a stream that may not be resumed."""
         route = response_bed.route(data.RequestKind.STREAM, is_resumable=False)
         answer = response_bed.Answer(parts, 'end')
@@ -78,7 +78,7 @@
             200, FIRST_EVENT + SECOND_EVENT, True
         )
 
-    def test_resumed_stream(self) -> None:
+    def test_resumed_stream_leaves_one_run(self) -> None:
         """Guards against two engines that work on one stream."""
         route = response_bed.route(data.RequestKind.STREAM)
         silent = response_bed.Answer(SILENT_STREAMS['between events'], 'end')
--- a/packages/platform/src/skylarktack/platform/tests/test_quarantines.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_quarantines.py
@@ -38,12 +38,12 @@
         assert [call[0] for call in client.calls] == ['POST', 'PUT']
 
     @pytest.mark.parametrize('status', [200, 404])
-    def test_removed(self, status: int) -> None:
+    def test_removal_of_a_missing_entry_succeeds(self, status: int) -> None:
         """Guards against removing again what another instance removed."""
         client = test_store.ScriptedClient((status, {}))
         assert platform.StoreQuarantines(client).remove('48720f3588ea')
 
-    def test_failures(self) -> None:
+    def test_failed_call_is_no_success(self) -> None:
         """Guards against taking a failed call for a success."""
         client = test_store.ScriptedClient(
             (503, {}), test_store.NO_RESPONSE, (429, {}), (503, {})
