Keep the error of a reset that interrupts the sending of a request

Cause: the kernel reports a reset once, to the first call that asks. HttpExchange sends before it reads and dropped the error of the send, since a target may answer and close before it has read the request. The read that followed found an orderly end, which completes an answer without a length.

Evidence: two plain sockets, the reset while bytes are unsent: send raises ECONNRESET, then recv returns the received bytes and b''. Ruled out: the parser alone (the same reset after a short request is reported by the read) and the front connection (the exchange itself had reported the end of the response).

Why it works: the error of the send is kept and reported in place of the end. EPIPE is not kept: the kernel gives it for a reset that follows the target's own orderly end, and such an answer is whole (a case of the test).

--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
@@ -113,3 +113,24 @@
         with response_bed.serving(NON_IDEMPOTENT, answer) as bed:
             assert bed.ask(self.BODY) == (200, b'done')
             assert bed.wait_for_bodies(1) == [self.BODY]
+
+    @pytest.mark.parametrize('kind', data.RequestKind)
+    def test_reset_within_an_answer_without_a_length(
+        self, kind: data.RequestKind
+    ) -> None:
+        """Guards against a reset that is taken for the end of the answer.
+
+        While a part of the request is unsent, the reset is reported to the
+        send and the next read finds an orderly end.
+        """
+        head = HEAD + b'Content-Type: text/event-stream\r\n\r\n'
+        answer = response_bed.Answer(
+            (head + b'id: 1\ndata: a\n\n', 0.2),
+            ending='reset',
+            is_before_body=True,
+        )
+        route = response_bed.route(kind, is_resumable=False, timeout_ms=2000.0)
+        with response_bed.serving(route, *(5 * (answer,))) as bed:
+            bed.send(self.BODY)
+            received = bed.read_stream()
+        assert received.status != 200 or not received.is_complete
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -61,6 +61,9 @@
         self._has_ended = False
         self._early_events: list[forwarding.ResponseEvent] = []
         self._unsent = memoryview(b'')
+        #: Error that ended the connection while the request was being sent;
+        #: None if there was none, or if the response had ended before it.
+        self._send_error: OSError | None = None
 
     def fileno(self) -> int:
         """Return the file descriptor to poll."""
@@ -124,14 +127,21 @@
         """Send what the connection takes; return False if it takes nothing.
 
         After a failure nothing more is sent; the response may have arrived
-        before the target closed the connection.
+        before the target closed the connection. The kernel reports a reset
+        once, so it is kept for the reader, which would otherwise find an
+        orderly end. A broken pipe is no reset within the response: the
+        target had ended its side before.
         """
         try:
             sent_bytes = self._connection.send(self._unsent)
         except BlockingIOError:
             return False
-        except OSError:
+        except BrokenPipeError:
+            self._unsent = memoryview(b'')
+            return True
+        except OSError as error:
             self._unsent = memoryview(b'')
+            self._send_error = error
             return True
         self._unsent = self._unsent[sent_bytes:]
         return True
@@ -142,7 +152,9 @@
         except BlockingIOError:
             return []
         except OSError as error:
-            return [_connection_lost(f'connection lost: {error.strerror}')]
+            return [_reading_failed(error)]
+        if not received and self._send_error is not None:
+            return [_reading_failed(self._send_error)]
         try:
             self._parser.receive_data(received)
             return self._parse()
@@ -463,6 +475,10 @@
     return forwarding.ExchangeFault(forwarding.FaultKind.LOST, detail)
 
 
+def _reading_failed(error: OSError) -> forwarding.ExchangeFault:
+    return _connection_lost(f'connection lost: {error.strerror}')
+
+
 def _not_connected(error: OSError) -> forwarding.ExchangeFault:
     kind = forwarding.FaultKind.NOT_CONNECTED
     if isinstance(error, ConnectionRefusedError):
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import select
 import socket
 import threading
 
@@ -210,6 +211,70 @@
         assert events[-1] == forwarding.ResponseEnd()
 
 
+class TestResetWhileSending:
+    """Responses without a length, reset while the request is being sent."""
+
+    @pytest.mark.parametrize('has_ended', [False, True])
+    def test_the_end_of_the_response(self, has_ended: bool) -> None:
+        """Guards against a truncated response that counts as complete.
+
+        It is complete if the target ended it before the reset.
+        """
+        client = transport.HttpTargetClient(front_harness.PassThroughCodec())
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            listed = data.ListedTarget(
+                'target',
+                'pool',
+                data.Address(*listener.getsockname()),
+                'domain',
+                'v1',
+                1,
+            )
+            sent: list[forwarding.Exchange | forwarding.ExchangeFault] = []
+            sender = threading.Thread(
+                target=lambda: sent.append(
+                    client.send(
+                        _request(b'x' * 20_000_000),
+                        data.DispatchContext(listed, None, None),
+                        5.0,
+                    )
+                )
+            )
+            sender.start()
+            connection, _ = listener.accept()
+            connection.sendall(RESPONSE_HEAD + b'\r\n')
+            # Returns when the head has arrived; the body is mostly unsent.
+            sender.join(front_harness.TIMEOUT_S)
+            connection.sendall(b'ok')
+            if has_ended:
+                connection.shutdown(socket.SHUT_WR)
+            # Closing with unread bytes resets the connection.
+            connection.close()
+        exchange = sent[0]
+        assert isinstance(exchange, transport.HttpExchange)
+        _wait_for_hangup(exchange.connection)
+        events: list[forwarding.ResponseEvent] = []
+        while not events or not isinstance(
+            events[-1], forwarding.ResponseEnd | forwarding.ExchangeFault
+        ):
+            events.extend(exchange.receive())
+        exchange.close()
+        assert forwarding.BodyChunk(b'ok') in events
+        if has_ended:
+            assert events[-1] == forwarding.ResponseEnd()
+            return
+        assert isinstance(events[-1], forwarding.ExchangeFault)
+        assert events[-1].kind is forwarding.FaultKind.LOST
+
+
+def _wait_for_hangup(connection: socket.socket) -> None:
+    """Wait until the other end has reset the connection."""
+    poller = select.poll()
+    # Hang-ups and errors are reported without being asked for.
+    poller.register(connection, 0)
+    assert poller.poll(1000 * front_harness.TIMEOUT_S)
+
+
 class TestConnections:
     """Refused connections, and probes with and without a response."""
 
