Fail responses whose connection ends within a head or a chunk size

Callers of skylarktackd could get a 200 with an empty body when a target stopped in the middle of the head of its answer and closed, and the object API an empty value of version 0.

Cause: http.client takes the end of the connection for an empty line, and with it for the end of the head, of a chunk size (00 of 0010 is a last chunk) and of the trailers.

Ruled out: an error that a client drops; a reset at the same places raises in each.

Why it works: responses read lines through a reader that raises when the connection ends before the line does, below all clients of http.client.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_broken_streams.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_broken_streams.py
@@ -100,6 +100,12 @@
         'stay',
     ),
     'no event until the end of the connection': (HEAD + b'\r\n', 'end'),
+    'a head that ended': (HEAD, 'end'),
+    'a head that ended within its framing': (
+        HEAD + b'Transfer-Encoding: chunked\r\n',
+        'end',
+    ),
+    'a chunk size that ended': (HEAD + CHUNKED + b'00', 'end'),
     'another request': (
         _answer(
             200,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
@@ -32,7 +32,16 @@
     'within a chunk': (HEAD + CHUNKED + b'4\r\ndo', 'end'),
     'reset with a length': (HEAD + LENGTH + b'do', 'reset'),
     'reset without a length': (HEAD + b'\r\ndone', 'reset'),
-    'within the head': (HEAD, 'end'),
+    'within the status': (HEAD[:14], 'end'),
+    'after the status': (HEAD[:17], 'end'),
+    'within a header': (HEAD[:30], 'end'),
+    'after the signature': (HEAD, 'end'),
+    'within the length': (HEAD + b'Content-Length: 0', 'end'),
+    'within the empty line': (HEAD + b'Content-Length: 0\r\n\r', 'end'),
+    'after an interim answer': (b'HTTP/1.1 103 Early Hints\r\n\r\n', 'end'),
+    'within a chunk size': (HEAD + CHUNKED + b'00', 'end'),
+    'within the trailers': (HEAD + CHUNKED + b'0\r\n', 'end'),
+    'reset within the head': (HEAD, 'reset'),
 }
 
 
--- a/packages/transport/src/skylarktack/transport/_bounded_socket.py
+++ b/packages/transport/src/skylarktack/transport/_bounded_socket.py
@@ -1,13 +1,17 @@
-"""Client sockets whose reads of one response are bounded in time and size.
+"""Client connections whose responses are bounded, and whole or a fault.
 
 ``http.client`` applies its timeout to each read, so a server that sends a
 byte now and then, or bytes without end, would hold a call forever. The bound
 is below the parser, so it holds for heads, bodies, trailers and informational
 responses alike.
+
+``http.client`` also takes the end of the connection for the end of a line, and
+of a head. A head that broke off would be a response with an empty body.
 """
 
 import http
 import http.client
+import io
 import math
 import socket
 import time
@@ -65,13 +69,39 @@
         return size_bytes
 
 
+class EndWithinLineError(http.client.HTTPException):
+    """The connection ended within a head, a chunk size or the trailers."""
+
+
+class _WholeLineReader(io.BufferedReader):
+    """Reads lines that end with a line feed, or as long as was asked for."""
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Read one line.
+
+        :raises EndWithinLineError: if the connection ended before the line.
+        """
+        line = super().readline(size)
+        if not line.endswith(b'\n') and len(line) != size:
+            raise EndWithinLineError('the connection ended within a line')
+        return line
+
+
 class FinalResponse(http.client.HTTPResponse):
     """A response after any number of interim ones (RFC 9110, 15.2).
 
     ``http.client`` skips only ``100 Continue`` and takes the others for the
     answer itself. The bounds of the socket hold for all of them together.
+
+    A response that ends within a line is incomplete (RFC 9112, 8).
     """
 
+    def __init__(
+        self, connected: socket.socket, *arguments: Any, **named: Any
+    ):
+        super().__init__(connected, *arguments, **named)
+        self.fp: io.BufferedReader = _WholeLineReader(self.fp.detach())
+
     def begin(self) -> None:
         """Read the head of the final response.
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+import pytest
+
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
@@ -20,14 +22,19 @@
 class _Store:
     """Sends scripted responses; None closes the connection.
 
-    A late response follows each scripted one after a while.
+    A late response follows each scripted one after a while, or the connection
+    is closed after it.
     """
 
     def __init__(
-        self, *responses: bytes | None, late_response: bytes = b''
+        self,
+        *responses: bytes | None,
+        late_response: bytes = b'',
+        closes_after_response: bool = False,
     ) -> None:
         self._responses = list(responses)
         self._late_response = late_response
+        self._closes_after_response = closes_after_response
         self._has_sent_late = threading.Event()
         self.connection_count = 0
         self.requests: list[bytes] = []
@@ -67,6 +74,8 @@
                 if response is None:
                     return
                 connection.sendall(response)
+                if self._closes_after_response:
+                    return
                 if self._late_response:
                     time.sleep(LATE_RESPONSE_S)
                     with contextlib.suppress(OSError):
@@ -75,6 +84,35 @@
             connection.recv(1)
 
 
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+TRUNCATED_RESPONSES = {
+    'within the status': b'HTTP/1.1 200 O',
+    'within the head': b'HTTP/1.1 200 OK\r\nContent-Length: 0',
+    'after the head lines': b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n',
+    'within the body': OK_RESPONSE[:-1],
+    'within a chunk size': CHUNKED_HEAD + b'00',
+    'before the last chunk': CHUNKED_HEAD + b'2\r\n{}\r\n',
+}
+
+
+class TestTruncatedResponse:
+    """A response whose connection ends within it is no response."""
+
+    @pytest.mark.parametrize(
+        'response',
+        TRUNCATED_RESPONSES.values(),
+        ids=TRUNCATED_RESPONSES.keys(),
+    )
+    def test_is_a_fault(self, response: bytes) -> None:
+        """Guards against an empty list of targets made of a broken head."""
+        store = _Store(response, closes_after_response=True)
+        calls = transport.HttpStoreCalls(store.endpoint)
+        found = calls.call('GET', '/objects/a', None, 20.0)
+        store.close()
+        assert isinstance(found, forwarding.ExchangeFault)
+
+
 class TestStoreCalls:
     """One connection is reused until it is idle too long or fails."""
 
