Leave time for the last answers of a planned stop

Other operators saw requests that were taken late in the grace of a planned stop cut at its end without an answer. Looked for with a real instance: bookings every 20 ms from 6.0 to 7.6 s after SIGTERM, limits of 1 s, targets that answer at once, after 0.5 s and never in time.

What was found: an admitted call might reach its limit at the deadline itself, and the process ended at the first check after it.

Requests now have to end 0.2 s before the process does.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -161,7 +161,7 @@
     def begin_shutdown(self, end_at_s: float) -> None:
         """Refuse from now on requests that the instance may not finish.
 
-        :param end_at_s: monotonic time at which the process ends.
+        :param end_at_s: monotonic time by which requests have to end.
         """
         self._end_at_s = end_at_s
         self._shutdown_began_at_s = self._clock.monotonic_s()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_stopping.py
@@ -18,6 +18,10 @@
 #: The listener is closed at the latest this long before the deadline.
 CLOSE_MARGIN_S = 0.5
 
+#: Requests are admitted only if they end this long before the deadline, so
+#: that an answer at its time limit still reaches the caller.
+RESPONSE_MARGIN_S = 0.2
+
 #: Interval at which a shutdown checks for idle connections.
 POLL_INTERVAL_S = 0.2
 
@@ -46,10 +50,7 @@
     """The part of the gateway that a shutdown uses."""
 
     def begin_shutdown(self, end_at_s: float) -> None:
-        """Reject requests that cannot end before this time.
-
-        :param end_at_s: monotonic time of the deadline.
-        """
+        """Reject requests that may end after this monotonic time."""
         ...
 
     def stream_count(self) -> int:
@@ -69,7 +70,7 @@
     """
     stop_began_at_s = clock.monotonic_s()
     deadline_s = stop_began_at_s + grace_s - KILL_MARGIN_S
-    gateway.begin_shutdown(deadline_s)
+    gateway.begin_shutdown(deadline_s - RESPONSE_MARGIN_S)
     never_set = threading.Event()
     is_accepting = True
     while clock.monotonic_s() < deadline_s:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
@@ -97,3 +97,12 @@
         assert front.closed_after_s is not None
         assert front.closed_after_s < gateway.end_at_s < GRACE_S
         assert duration_s < GRACE_S
+
+    def test_leaves_time_for_the_last_answers(self) -> None:
+        """Guards against answers that are made at the deadline and not sent.
+
+        A request at a silent target is answered at its time limit, which may
+        be the last moment at which requests have to end.
+        """
+        _, gateway, duration_s = _stop(streams_end_s=99.0, calls_end_s=99.0)
+        assert duration_s - gateway.end_at_s >= 0.2
--- a/packages/emulator/src/skylarktack/emulator/tests/test_planned_stop.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_planned_stop.py
@@ -39,6 +39,78 @@
     return endings
 
 
+#: Time limit of the calls that come late in the grace period of 8 s, and when
+#: they are sent: until the last of them cannot end in time.
+LATE_LIMIT_S = 1.0
+FIRST_LATE_S = 6.0
+LAST_LATE_S = 7.6
+LATE_INTERVAL_S = 0.02
+
+
+def _call_late(
+    instance: platform.PlatformInstance, attempt: platform.Attempt
+) -> str:
+    """Send one call; return how it ended."""
+    try:
+        answer = platform.call(instance.address, attempt)
+    except ConnectionRefusedError:
+        return 'not connected'
+    except (OSError, h11.RemoteProtocolError) as error:
+        return f'cut: {error!r}'
+    return f'status {answer.status}'
+
+
+class TestLateRequests:
+    """Calls that arrive late in the grace period of a planned stop."""
+
+    @pytest.mark.parametrize('work_s', [0.0, 0.5 * LATE_LIMIT_S, 30.0])
+    def test_no_call_that_was_passed_on_is_cut(self, work_s: float) -> None:
+        """Guards against bookings that run and are cut by the stop.
+
+        A stream keeps the instance accepting until just before its end. Some
+        calls would be answered, or reach their time limit, just then.
+        """
+        with platform.PlatformDeployment(instance_count=1) as deployment:
+            instance = deployment.instances[0]
+            for service in deployment.services:
+                service.behaviour.work_s = work_s
+            stream = platform.Attempt(
+                'digest',
+                platform.new_attempt_id(),
+                subject='long',
+                event_count=5000,
+                time_limit_ms=60_000,
+            )
+            events = platform.read_stream(instance.address, stream)
+            next(events)
+            instance.signal(signal.SIGTERM)
+            stopped_at_s = time.monotonic()
+            ending_by_attempt = {}
+            with futures.ThreadPoolExecutor(200) as tasks:
+                sent_s = FIRST_LATE_S
+                while sent_s < LAST_LATE_S:
+                    time.sleep(
+                        max(0.0, stopped_at_s + sent_s - time.monotonic())
+                    )
+                    attempt = platform.Attempt(
+                        'book',
+                        platform.new_attempt_id(),
+                        time_limit_ms=round(1000 * LATE_LIMIT_S),
+                    )
+                    ending_by_attempt[attempt.attempt_id] = tasks.submit(
+                        _call_late, instance, attempt
+                    )
+                    sent_s += LATE_INTERVAL_S
+            instance.wait_ended()
+            ran = {run.attempt_id for run in deployment.runs()}
+            cut = []
+            for attempt_id, ending in ending_by_attempt.items():
+                if attempt_id in ran and ending.result().startswith('cut'):
+                    cut.append(ending.result())
+            assert ran & set(ending_by_attempt)
+            assert not cut
+
+
 class TestPlannedStop:
     """SIGTERM under a load of plain calls."""
 
