Keep ordinary responses out of the budget of large ones

What can happen beside it: while such responses hold the shared budget of 32 MiB, every further byte of any response failed, so that a caller got a 502 for a call that its target had answered. Shown by test_ordinary_response_needs_no_budget, which failed before.

The first 64 KiB of a body need nothing of the budget. At 600 callers that is 38 MB at most.

--- a/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
@@ -16,6 +16,10 @@
 #: Maximum number of informational responses before a response.
 MAX_INFORMATIONAL_COUNT = 16
 
+#: Size up to which a body needs nothing of the shared budget, so that large
+#: responses of a faulty server do not fail the ordinary ones of others.
+UNSHARED_BODY_BYTES = 65536
+
 Event = (
     h11.Response
     | h11.Data
@@ -27,7 +31,7 @@
 
 
 class BufferBudget:
-    """Limits the bytes of response bodies that are buffered at one time.
+    """Limits the bytes of large response bodies that are buffered at one time.
 
     Responses that are each within their limit could exhaust the memory
     together.
@@ -58,7 +62,8 @@
     #: Maximum size of the body.
     max_body_bytes: int
 
-    #: Budget that all buffered bodies share.
+    #: Budget that all buffered bodies share, for what each has above
+    #: ``UNSHARED_BODY_BYTES``.
     budget: BufferBudget
 
 
@@ -76,6 +81,7 @@
         )
         self._is_counting = True
         self._body_bytes = 0
+        self._claimed_bytes = 0
         self._informational_count = 0
 
     def encode(self, request: h11.Request, body: bytes) -> bytes:
@@ -121,7 +127,8 @@
 
     def release(self) -> None:
         """Return the counted bytes to the budget; safe to call twice."""
-        self._limits.budget.release(self._body_bytes)
+        self._limits.budget.release(self._claimed_bytes)
+        self._claimed_bytes = 0
         self._body_bytes = 0
 
     def has_begun(self) -> bool:
@@ -149,10 +156,13 @@
         return True
 
     def _count(self, size_bytes: int) -> None:
-        if self._body_bytes + size_bytes > self._limits.max_body_bytes:
+        total_bytes = self._body_bytes + size_bytes
+        if total_bytes > self._limits.max_body_bytes:
             raise h11.RemoteProtocolError('the body exceeds the size limit')
-        if not self._limits.budget.claim(size_bytes):
+        shared_bytes = max(0, total_bytes - UNSHARED_BODY_BYTES)
+        if not self._limits.budget.claim(shared_bytes - self._claimed_bytes):
             raise h11.RemoteProtocolError(
                 'the buffers of all responses are full'
             )
-        self._body_bytes += size_bytes
+        self._body_bytes = total_bytes
+        self._claimed_bytes = shared_bytes
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
@@ -128,6 +128,10 @@
         exchange.close()
 
 
+def _has_fault(events: tuple[forwarding.ResponseEvent, ...]) -> bool:
+    return any(isinstance(e, forwarding.ExchangeFault) for e in events)
+
+
 class TestEndlessTarget:
     """Responses of a target without an end."""
 
@@ -161,6 +165,42 @@
                 fault = _read_until_fault(client, server)
                 assert fault.detail == 'the buffers of all responses are full'
 
+    def test_ordinary_response_needs_no_budget(self) -> None:
+        """Guards against failing sound responses beside endless ones."""
+        client = transport.HttpTargetClient(
+            front_harness.PassThroughCodec(), max_buffered_bytes=1_000_000
+        )
+        sound_body = b'x' * 20_000
+        length = b'Content-Length: %d\r\n\r\n' % len(sound_body)
+        prefix, repeated = ENDLESS_RESPONSES['body until close']
+        with (
+            _serving(prefix, repeated) as endless,
+            _serving(HEAD + length + sound_body, b'', 1.0) as sound,
+        ):
+            other = client.send(
+                _request(),
+                data.DispatchContext(endless.target, None, None),
+                5.0,
+            )
+            assert not isinstance(other, forwarding.ExchangeFault)
+            # Its fault is the first event after the budget was used up.
+            while not _has_fault(other.receive()):
+                time.sleep(0)
+            exchange = client.send(
+                _request(), data.DispatchContext(sound.target, None, None), 5.0
+            )
+            assert not isinstance(exchange, forwarding.ExchangeFault)
+            body = b''
+            end_s = time.monotonic() + front_harness.TIMEOUT_S
+            while len(body) < len(sound_body) and time.monotonic() < end_s:
+                for event in exchange.receive():
+                    assert not isinstance(event, forwarding.ExchangeFault)
+                    if isinstance(event, forwarding.BodyChunk):
+                        body += event.data
+            exchange.close()
+            other.close()
+        assert body == sound_body
+
     @pytest.mark.parametrize(
         ('prefix', 'repeated'),
         ENDLESS_RESPONSES.values(),
