Watch the callers of long requests while they wait

Callers of requests above 64 KiB that left were not noticed, so their requests went on at targets (GONE), and waits ended at a time limit only.

Cause: a connection is left out of the wait once 64 KiB of pipelined bytes have been read, and the counter included the request itself.

When a request has been read, only the bytes that follow it count.

--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -283,6 +283,8 @@
                 body.append(bytes(event.data))
                 continue
             if isinstance(event, h11.EndOfMessage) and head is not None:
+                # What was read so far was the request itself.
+                self._pipelined_bytes = len(self._parser.trailing_data[0])
                 return self._codec.decode_request(
                     head, b''.join(body), has_body
                 )
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
@@ -191,6 +191,24 @@
             harness.handler.may_respond.wait(0.01)
         assert harness.connection.has_disconnected()
 
+    def test_the_caller_of_a_long_request_is_watched(
+        self, harness: front_harness.FrontHarness
+    ) -> None:
+        """Guards against runs that go on after the caller of a long body left.
+
+        The limit on pipelined bytes, above which nothing is read, does not
+        count the request itself.
+        """
+        harness.handler.may_respond.clear()
+        harness.start()
+        body = b'x' * 200_000
+        harness.caller.sendall(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s'
+            % (len(body), body)
+        )
+        assert harness.handler.has_started.wait(front_harness.TIMEOUT_S)
+        assert harness.connection.fileno() >= 0
+
     def test_a_pipelined_request_is_not_a_disconnect(
         self, harness: front_harness.FrontHarness
     ) -> None:
