Send long requests in the wait that watches their deadline and caller

Cause: the send waited up to 3 s for each part that the target read, before the first look at the deadline or at the caller; and an abandoned connection was closed in order, so the kernel went on to deliver the request.

Evidence: answers after 3.07 to 3.17 s for a limit of 0.8 s, and whole bodies of 1 and 20 MB delivered after their caller had left (TestUnreadRequest, five cases failed before). Ruled out: the wait for the answer; short requests to the same target got their 504 in time.

Sending now takes what the connection takes at once, and the rest goes out in the wait for the answer, which watches the caller, the hedge and the deadline. An exchange that is abandoned with unacknowledged bytes is reset, which drops them.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -117,7 +117,9 @@
         delivery: data.DispatchContext,
         connect_timeout_s: float,
     ) -> Exchange | ExchangeFault:
-        """Connect to the target and send the complete request.
+        """Connect to the target and begin to send the request.
+
+        The rest is sent while the exchange is waited for.
 
         :param connect_timeout_s: maximum wait for the connection.
         """
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -12,6 +12,7 @@
 import random
 import select
 import socket
+import sys
 import threading
 import time
 
@@ -156,20 +157,21 @@
                 body += _read_exactly(
                     connection, _body_size_bytes(head) - len(body)
                 )
-            self._send(connection, answer)
-            if answer.after_body:
-                body += _read_exactly(
-                    connection, _body_size_bytes(head) - len(body)
-                )
-                connection.sendall(answer.after_body)
-            if answer.ending == 'reset':
-                connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
-                )
-            if answer.ending == 'stay':
-                while more := connection.recv(65536):
-                    body += more
-            self.bodies.append(body)
+            try:
+                self._send(connection, answer)
+                if answer.after_body:
+                    body += _read_exactly(
+                        connection, _body_size_bytes(head) - len(body)
+                    )
+                    connection.sendall(answer.after_body)
+                if answer.ending == 'reset':
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
+                    )
+                if answer.ending == 'stay':
+                    body += _read_exactly(connection, sys.maxsize)
+            finally:
+                self.bodies.append(body)
 
     def _send(self, connection: socket.socket, answer: Answer) -> None:
         for part in answer.parts:
@@ -201,9 +203,13 @@
 
 
 def _read_exactly(connection: socket.socket, size_bytes: int) -> bytes:
+    """Read bytes, or fewer if the connection ends or is reset."""
     received = b''
     while len(received) < size_bytes:
-        more = connection.recv(65536)
+        try:
+            more = connection.recv(65536)
+        except ConnectionError:
+            break
         if not more:
             break
         received += more
@@ -383,6 +389,13 @@
                 names.append(target.name)
         return names
 
+    def wait_for_requests(self, count: int) -> None:
+        """Wait until targets have received the heads of requests."""
+        end_s = time.monotonic() + TIMEOUT_S
+        while len(self.requests) < count:
+            assert time.monotonic() < end_s
+            time.sleep(0.01)
+
     def wait_for_bodies(self, count: int) -> list[bytes]:
         """Return the bodies of requests whose connections have ended."""
         end_s = time.monotonic() + TIMEOUT_S
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_silent_targets.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_silent_targets.py
@@ -1,5 +1,7 @@
 """Sound targets that fall silent for a while, on real connections."""
 
+import time
+
 import pytest
 
 from skylarktack.daemon.forwarding.tests import response_bed
@@ -37,6 +39,47 @@
 }
 
 
+#: Time limit of a route, how late an answer may be, and for how long a target
+#: does not read.
+TIMEOUT_S = 0.8
+MAX_LATE_S = 0.5
+UNREAD_S = 4.0
+
+LONG_BODY = b'x' * 20_000_000
+
+
+class TestUnreadRequest:
+    """Long requests to a target that does not read them."""
+
+    @pytest.mark.parametrize('kind', data.RequestKind)
+    def test_is_answered_at_its_time_limit(
+        self, kind: data.RequestKind
+    ) -> None:
+        """Guards against a send that holds a request past its time limit."""
+        route = response_bed.route(kind, timeout_ms=1000 * TIMEOUT_S)
+        unread = response_bed.Answer((UNREAD_S,), 'end', is_before_body=True)
+        with response_bed.serving(route, *(12 * (unread,))) as bed:
+            began_s = time.monotonic()
+            status, _ = bed.ask(LONG_BODY)
+            took_s = time.monotonic() - began_s
+        assert status == 504
+        assert took_s < TIMEOUT_S + MAX_LATE_S
+
+    @pytest.mark.parametrize('body', [b'x' * 1_000_000, LONG_BODY])
+    def test_is_withdrawn_when_its_caller_leaves(self, body: bytes) -> None:
+        """Guards against a run whose caller has left long ago."""
+        route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
+        unread = response_bed.Answer(
+            (UNREAD_S / 2,), is_before_body=True, after_body=b' '
+        )
+        with response_bed.serving(route, unread) as bed:
+            bed.send(body)
+            bed.wait_for_requests(1)
+            bed.caller.close()
+            bodies = bed.wait_for_bodies(1)
+        assert len(bodies[0]) < len(body)
+
+
 class TestSilentTarget:
     """Requests that may not be repeated wait for a silent target."""
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
@@ -1,8 +1,12 @@
 """TCP sockets with options that detect an unreachable peer."""
 
+import array
+import contextlib
+import fcntl
 import select
 import socket
 import struct
+import termios
 
 from skylarktack.state import forwarding as data
 
@@ -47,6 +51,20 @@
     )
 
 
+def discard_undelivered(connection: socket.socket) -> None:
+    """Drop sent bytes that the peer has not acknowledged, on closing.
+
+    If there are any, the connection is reset; otherwise it ends in order.
+    """
+    unacknowledged = array.array('i', [0])
+    # A connection that has failed or is closed has nothing to drop.
+    with contextlib.suppress(OSError, ValueError):
+        # tcp(7): for a TCP socket this is SIOCOUTQ.
+        fcntl.ioctl(connection, termios.TIOCOUTQ, unacknowledged)
+        if unacknowledged[0]:
+            reset_on_close(connection)
+
+
 def connect(endpoint: data.Address, timeout_s: float) -> socket.socket:
     """Return a connected, non-blocking socket.
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -17,9 +17,6 @@
 from skylarktack.transport.forwarding import _bounded_response
 from skylarktack.transport.forwarding import _sockets
 
-#: Maximum wait for a target to read more of a request.
-SEND_STALL_S = 3.0
-
 #: Maximum size of a response body that is buffered, and of all of them.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
@@ -59,7 +56,6 @@
         self._attempt_id = attempt_id
         self._is_stream = is_stream
         self._has_ended = False
-        self._early_events: list[forwarding.ResponseEvent] = []
         self._unsent = memoryview(b'')
         #: Error that ended the connection while the request was being sent;
         #: None if there was none, or if the response had ended before it.
@@ -75,14 +71,20 @@
         return self._connection
 
     def close(self) -> None:
-        """Close the connection, which cancels an unfinished request."""
+        """Close the connection, which cancels an unfinished request.
+
+        Of a request that the target has not received whole, nothing more is
+        delivered, so that it does not run after its caller has left.
+        """
+        if not self._has_ended:
+            _sockets.discard_undelivered(self._connection)
+        self.finish()
+
+    def finish(self) -> None:
+        """Close the connection; what was sent is still delivered."""
         self._connection.close()
         self._parser.release()
 
-    def has_early_response(self) -> bool:
-        """Return whether response events arrived while sending."""
-        return bool(self._early_events)
-
     @property
     def awaited_events(self) -> int:
         """Return the poll events after which to call ``receive``."""
@@ -90,41 +92,24 @@
             return select.POLLIN | select.POLLOUT
         return select.POLLIN
 
-    def send(self, outgoing: bytes) -> forwarding.ExchangeFault | None:
-        """Send the request until the target responds or closes early.
+    def send(self, outgoing: bytes) -> None:
+        """Send what the connection takes at once, without blocking.
 
-        The rest is sent by ``receive``: a target may respond before it has
-        read the body, and still need it for the rest of its response.
-
-        :return: a fault if the target stops reading without responding.
+        The rest is sent by ``receive``, so the time limit and the caller of
+        the request are watched meanwhile. A target may also respond before
+        it has read the body, and still need it for the rest of its response.
         """
         self._unsent = memoryview(outgoing)
-        while self._unsent:
-            if self._send_some():
-                continue
-            found = _sockets.wait_for(
-                self._connection, self.awaited_events, SEND_STALL_S
-            )
-            if not found:
-                return _connection_lost('the target does not read the request')
-            if found & select.POLLIN:
-                self._early_events.extend(self._read_events())
-                if self._early_events:
-                    return None
-        return None
+        self._send_some()
 
     def receive(self) -> tuple[forwarding.ResponseEvent, ...]:
         """Return the events received so far, without blocking."""
         if self._unsent:
             self._send_some()
-        events = self._early_events
-        self._early_events = []
-        if not events or not _is_final(events[-1]):
-            events = events + self._read_events()
-        return tuple(events)
+        return tuple(self._read_events())
 
-    def _send_some(self) -> bool:
-        """Send what the connection takes; return False if it takes nothing.
+    def _send_some(self) -> None:
+        """Send what the connection takes.
 
         After a failure nothing more is sent; the response may have arrived
         before the target closed the connection. The kernel reports a reset
@@ -135,16 +120,15 @@
         try:
             sent_bytes = self._connection.send(self._unsent)
         except BlockingIOError:
-            return False
+            return
         except BrokenPipeError:
             self._unsent = memoryview(b'')
-            return True
+            return
         except OSError as error:
             self._unsent = memoryview(b'')
             self._send_error = error
-            return True
+            return
         self._unsent = self._unsent[sent_bytes:]
-        return True
 
     def _read_events(self) -> list[forwarding.ResponseEvent]:
         try:
@@ -223,7 +207,7 @@
         delivery: data.DispatchContext,
         connect_timeout_s: float,
     ) -> HttpExchange | forwarding.ExchangeFault:
-        """Connect to the target and send the complete request.
+        """Connect to the target and begin to send the request.
 
         :param connect_timeout_s: maximum wait for the connection.
         """
@@ -261,10 +245,7 @@
             request.attempt_id,
             delivery.is_stream,
         )
-        fault = exchange.send(outgoing)
-        if fault is not None:
-            exchange.close()
-            return fault
+        exchange.send(outgoing)
         return exchange
 
     def wait(
@@ -274,18 +255,13 @@
         timeout_s: float,
     ) -> forwarding.WaitResult:
         """Wait for a response, the caller to disconnect, or the timeout."""
-        early_exchanges = []
         poller = select.poll()
         exchange_by_descriptor: dict[int, forwarding.Exchange] = {}
         for exchange in exchanges:
             if not isinstance(exchange, HttpExchange):
                 raise TypeError('exchange was created by another client class')
-            if exchange.has_early_response():
-                early_exchanges.append(exchange)
             exchange_by_descriptor[exchange.fileno()] = exchange
             poller.register(exchange.fileno(), exchange.awaited_events)
-        if early_exchanges:
-            return forwarding.WaitResult(tuple(early_exchanges), False)
         caller_descriptor = caller.fileno()
         if caller_descriptor >= 0:
             poller.register(
@@ -387,7 +363,7 @@
         _sockets.wait_for(
             exchange.connection, select.POLLIN, RELEASE_TIMEOUT_S
         )
-        exchange.close()
+        exchange.finish()
 
     def _start(
         self,
@@ -395,7 +371,7 @@
         message: data.RequestMessage,
         connect_timeout_s: float,
     ) -> HttpExchange | forwarding.ExchangeFault:
-        """Connect to a target and send a request of the frontend itself."""
+        """Connect to a target and begin a request of the frontend itself."""
         headers = list(message.headers)
         if message.body:
             length = str(len(message.body)).encode()
@@ -412,10 +388,7 @@
         except OSError as error:
             return _not_connected(error)
         exchange = HttpExchange(connection, parser, self._codec, '')
-        fault = exchange.send(outgoing)
-        if fault is not None:
-            exchange.close()
-            return fault
+        exchange.send(outgoing)
         return exchange
 
     def _get(
@@ -442,7 +415,7 @@
                 # A target that never stops sending is always readable.
                 remaining_s = deadline_s - time.monotonic()
                 if remaining_s <= 0 or not _sockets.wait_for(
-                    exchange.connection, select.POLLIN, remaining_s
+                    exchange.connection, exchange.awaited_events, remaining_s
                 ):
                     return None
                 for event in exchange.receive():
@@ -467,10 +440,6 @@
         )
 
 
-def _is_final(event: forwarding.ResponseEvent) -> bool:
-    return isinstance(event, forwarding.ResponseEnd | forwarding.ExchangeFault)
-
-
 def _connection_lost(detail: str) -> forwarding.ExchangeFault:
     return forwarding.ExchangeFault(forwarding.FaultKind.LOST, detail)
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -230,27 +230,18 @@
                 'v1',
                 1,
             )
-            sent: list[forwarding.Exchange | forwarding.ExchangeFault] = []
-            sender = threading.Thread(
-                target=lambda: sent.append(
-                    client.send(
-                        _request(b'x' * 20_000_000),
-                        data.DispatchContext(listed, None, None),
-                        5.0,
-                    )
-                )
+            exchange = client.send(
+                _request(b'x' * 20_000_000),
+                data.DispatchContext(listed, None, None),
+                5.0,
             )
-            sender.start()
             connection, _ = listener.accept()
             connection.sendall(RESPONSE_HEAD + b'\r\n')
-            # Returns when the head has arrived; the body is mostly unsent.
-            sender.join(front_harness.TIMEOUT_S)
             connection.sendall(b'ok')
             if has_ended:
                 connection.shutdown(socket.SHUT_WR)
             # Closing with unread bytes resets the connection.
             connection.close()
-        exchange = sent[0]
         assert isinstance(exchange, transport.HttpExchange)
         _wait_for_hangup(exchange.connection)
         events: list[forwarding.ResponseEvent] = []
