List again when the answer to a watch cannot be read

Cause: the changes since the watched revision were 19 MB, longer than an answer may be. The fault counted as an outage, after which the watcher asks from the same revision again, and gets the same answer until the store drops its history.

Such answers (too long, incomplete, too slow once begun, malformed) are a fault of their own now, logged, after which the watcher lists, with the pause of any fault. The limit is 4 MiB rather than 16: longer changes are longer than the list, and were decoded in memory.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -163,6 +163,20 @@
     kind: str
 
 
+@dataclasses.dataclass(frozen=True)
+class WatchUnreadable(LogEvent):
+    """The changes after the watched revision could not be read."""
+
+    part = 'store'
+    message = 'watch response unreadable; listing again'
+
+    #: Kind of objects that was watched.
+    kind: str
+
+    #: What is wrong with the response.
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True)
 class StoreEntryMalformed(LogEvent):
     """An object in the store cannot be parsed and counts as missing."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -40,6 +40,10 @@
     #: The store compacted the changes after the revision; list again.
     REVISION_COMPACTED = 'history_gone'
 
+    #: A response that is too long, incomplete or malformed. The same call may
+    #: get it again and again; list instead.
+    UNREADABLE = 'unreadable'
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreFault:
@@ -323,6 +327,11 @@
                 return None
             self._record_fault(result)
             self._must_catch_up = True
+            if result.kind is StoreFaultKind.UNREADABLE:
+                self._log.record(
+                    _events.WatchUnreadable(self._settings.name, result.detail)
+                )
+                return None
             return revision
         after_outage = self._record_success()
         self._must_catch_up = False
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_store_watcher.py
@@ -13,6 +13,9 @@
 COMPACTED = forwarding.StoreFault(
     forwarding.StoreFaultKind.REVISION_COMPACTED, 'revision is compacted'
 )
+UNREADABLE = forwarding.StoreFault(
+    forwarding.StoreFaultKind.UNREADABLE, 'response is too long'
+)
 
 StoreResult = (
     forwarding.Listing[str] | forwarding.Changes[str] | forwarding.StoreFault
@@ -120,6 +123,20 @@
         assert source.calls == ['stale list', 'watch 5', 'list']
         assert handler.applied[-1] == ('list', ('a',), False)
 
+    def test_lists_again_after_an_unreadable_response(self) -> None:
+        """Guards against asking for the same long response for ever."""
+        source, handler, log = _run_watcher(
+            forwarding.Listing((), 5),
+            UNREADABLE,
+            forwarding.Listing(('a',), 9),
+        )
+        assert source.calls == ['stale list', 'watch 5', 'list']
+        assert handler.applied[-1] == ('list', ('a',), False)
+        assert handler.is_current
+        assert 'watch response unreadable; listing again' in log.messages(
+            'store'
+        )
+
     def test_changes_after_an_outage_are_marked(self) -> None:
         """Guards against removing targets whose entries expired in an outage.
 
--- a/packages/platform/src/skylarktack/platform/_store.py
+++ b/packages/platform/src/skylarktack/platform/_store.py
@@ -107,6 +107,8 @@
             'GET', self._path + query, None, timeout_s
         )
         if isinstance(response, forwarding.ExchangeFault):
+            if response.kind is forwarding.FaultKind.MALFORMED:
+                return _unreadable_fault(response.detail)
             return unavailable_fault(response.detail)
         if response.status == _COMPACTED_STATUS:
             return forwarding.StoreFault(
@@ -174,7 +176,7 @@
                 items.append(decoded)
         revision = _revision_of(response)
         if revision is None:
-            return unavailable_fault('watch response has no revision')
+            return _unreadable_fault('watch response has no revision')
         return forwarding.Changes(tuple(items), revision, content)
 
     def decode(self, item: dict[str, Any], is_deleted: bool) -> T | None:
@@ -263,9 +265,9 @@
     try:
         decoded = protocol.decode_json(content)
     except ValueError as error:
-        return unavailable_fault(str(error))
+        return _unreadable_fault(str(error))
     if not isinstance(decoded, dict):
-        return unavailable_fault('response is not a JSON object')
+        return _unreadable_fault('response is not a JSON object')
     return decoded
 
 
@@ -274,6 +276,10 @@
     return forwarding.StoreFault(forwarding.StoreFaultKind.UNAVAILABLE, detail)
 
 
+def _unreadable_fault(detail: str) -> forwarding.StoreFault:
+    return forwarding.StoreFault(forwarding.StoreFaultKind.UNREADABLE, detail)
+
+
 def _objects_in(
     response: dict[str, Any], name: str
 ) -> tuple[dict[str, Any], ...]:
--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -21,8 +21,13 @@
 IDLE_LIMIT_S = 1.0
 
 #: Maximum size of one response. Values hold at most a megabyte, and a page of
-#: a list about as much.
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+#: a list about as much. Changes that exceed it are read as a list, which is
+#: shorter.
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+
+
+class _SlowResponseError(OSError):
+    """A response began and was not complete in time."""
 
 
 class HttpStoreCalls:
@@ -49,6 +54,8 @@
 
         :param path: path and query.
         :param timeout_s: maximum time for connection and response together.
+        :return: a fault of the kind ``MALFORMED`` if a response arrived that
+            is too long, too slow, incomplete or malformed.
         """
         now_s = self._read_clock()
         if now_s > self._last_used_at_s + IDLE_LIMIT_S:
@@ -59,8 +66,11 @@
             return response
         except (OSError, h11.ProtocolError) as error:
             self._disconnect()
+            kind = forwarding.FaultKind.LOST
+            if isinstance(error, h11.ProtocolError | _SlowResponseError):
+                kind = forwarding.FaultKind.MALFORMED
             return forwarding.ExchangeFault(
-                forwarding.FaultKind.LOST,
+                kind,
                 str(error) or 'the store did not answer in time',
             )
 
@@ -88,7 +98,7 @@
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                self._wait(connection, select.POLLIN, deadline_s)
+                self._wait_for_response(connection, deadline_s)
                 received = connection.recv(_sockets.READ_SIZE_BYTES)
                 if not received and not parser.has_begun():
                     raise ConnectionError('the store closed the connection')
@@ -125,6 +135,18 @@
             self._connection.close()
         self._connection = None
 
+    def _wait_for_response(
+        self, connection: socket.socket, deadline_s: float
+    ) -> None:
+        try:
+            self._wait(connection, select.POLLIN, deadline_s)
+        except TimeoutError as error:
+            if not self._parser.has_begun():
+                raise
+            raise _SlowResponseError(
+                'the response was not complete in time'
+            ) from error
+
     def _wait(
         self, connection: socket.socket, events: int, deadline_s: float
     ) -> None:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
@@ -255,10 +255,13 @@
             calls = transport.HttpStoreCalls(server.endpoint)
             response = calls.call('GET', '/objects/a', None, 0.2)
         assert isinstance(response, forwarding.ExchangeFault)
+        # Asking again at the same revision would get the same response.
+        assert response.kind is forwarding.FaultKind.MALFORMED
 
     def _call_in_vain(self, calls: transport.HttpStoreCalls) -> None:
         response = calls.call('GET', '/objects/a', None, 5.0)
         assert isinstance(response, forwarding.ExchangeFault)
+        assert response.kind is forwarding.FaultKind.MALFORMED
 
 
 class TestEndlessCaller:
