Close the longest idle connection when a new one needs its thread

Cause: each connection has a thread of a pool of 600, idle or not, readiness and metrics shared that pool, and accepted connections waited in its queue.

Ruled out: descriptors and processor time; no accept failed, and answers on connections that were read came in time.

At the limit the connection that has waited longest for a request gives way, idle or slow to send, never one with a request. Readiness and metrics have threads of their own.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -28,7 +28,11 @@
 DESCRIPTORS_PER_CALLER = 3
 
 #: Maximum number of caller connections; each has a thread.
-CALLER_LIMIT_COUNT = 600
+CALLER_LIMIT_COUNT = 1200
+
+#: Maximum number of connections to each listener for operators and the load
+#: balancer. They have threads of their own, so that callers cannot use up all.
+OPERATOR_LIMIT_COUNT = 8
 
 #: Maximum time that one watch request waits for changes.
 WATCH_WAIT_S = 3.0
@@ -151,21 +155,16 @@
             clock, log, accounts, self._gateway, settings.failure_domain
         )
         spare_count = settings.descriptor_limit - RESERVED_DESCRIPTOR_COUNT
-        self._connection_tasks = futures.ThreadPoolExecutor(
-            max(
-                8,
-                min(
-                    CALLER_LIMIT_COUNT,
-                    spare_count // DESCRIPTORS_PER_CALLER,
-                ),
-            )
+        caller_limit_count = max(
+            8, min(CALLER_LIMIT_COUNT, spare_count // DESCRIPTORS_PER_CALLER)
         )
         self._front = transport.Listener(
             settings.front,
             self._gateway,
             codec,
-            self._connection_tasks,
+            futures.ThreadPoolExecutor(caller_limit_count),
             errors,
+            caller_limit_count,
             front,
         )
         self._listeners = [self._front]
@@ -178,8 +177,9 @@
                 settings.readiness,
                 readiness,
                 codec,
-                self._connection_tasks,
+                futures.ThreadPoolExecutor(OPERATOR_LIMIT_COUNT),
                 errors,
+                OPERATOR_LIMIT_COUNT,
             )
             self._listeners.append(self._readiness_listener)
         if settings.metrics is not None:
@@ -188,8 +188,9 @@
                     settings.metrics,
                     _metrics.MetricsHandler(metrics),
                     codec,
-                    self._connection_tasks,
+                    futures.ThreadPoolExecutor(OPERATOR_LIMIT_COUNT),
                     errors,
+                    OPERATOR_LIMIT_COUNT,
                 )
             )
         self._shared_watch: forwarding.SharedWatch | None = None
--- a/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
@@ -151,7 +151,7 @@
                 f'listen_addresses.frontend=127.0.0.1:{self._ports["front"]}',
                 f'listen_addresses.ready=127.0.0.1:{self._ports["ready"]}',
                 f'internal_port_range={self._ports["peer"]},0',
-                'limits.file_descriptors=1000',
+                'limits.file_descriptors=4100',
                 'bounds.grace_period_s=8',
                 'bounds.config_apply_ms=2000',
                 'bounds.retry_budget_ratio=0.8',
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -80,6 +80,8 @@
         self._is_head_request = False
         self._state_lock = threading.Lock()
         self._is_idle = True
+        self._has_request = False
+        self._waiting_since_s = time.monotonic()
         self._is_closing = False
         self._is_closed = False
 
@@ -114,6 +116,31 @@
             with contextlib.suppress(OSError):
                 self._connection.shutdown(socket.SHUT_RDWR)
 
+    @property
+    def waiting_since_s(self) -> float | None:
+        """Return since when no request has been read whole, or None."""
+        with self._state_lock:
+            if self._has_request or self._is_closing or self._is_closed:
+                return None
+            return self._waiting_since_s
+
+    def give_way(self) -> bool:
+        """Close the connection for another one; return whether it closes.
+
+        It stays open while it has a request, read or still unread. A part of
+        a request is dropped, so that callers that send slowly give way too.
+        """
+        with self._state_lock:
+            if self._has_request or self._is_closing or self._is_closed:
+                return False
+            if _sockets.wait_for(self._connection, select.POLLIN, 0.0):
+                return False
+            self._is_closing = True
+            # The caller may close the connection at the same time.
+            with contextlib.suppress(OSError):
+                self._connection.shutdown(socket.SHUT_RDWR)
+            return True
+
     def fileno(self) -> int:
         """Return the descriptor to poll, or -1 above the pipeline limit."""
         if self._pipelined_bytes > PIPELINE_LIMIT_BYTES:
@@ -195,6 +222,8 @@
             return False
         with self._state_lock:
             self._is_idle = True
+            self._has_request = False
+            self._waiting_since_s = time.monotonic()
         return (
             self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
@@ -283,6 +312,10 @@
                 body.append(bytes(event.data))
                 continue
             if isinstance(event, h11.EndOfMessage) and head is not None:
+                with self._state_lock:
+                    if self._is_closing:
+                        return None
+                    self._has_request = True
                 # What was read so far was the request itself.
                 self._pipelined_bytes = len(self._parser.trailing_data[0])
                 return self._codec.decode_request(
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import contextlib
+import operator
 import select
 import socket
 import threading
@@ -16,6 +17,10 @@
 #: Pause after a failed accept, for example without free file descriptors.
 ACCEPT_RETRY_S = 0.05
 
+#: Maximum wait for a connection to end before the listener looks again for
+#: one that can give way to a new one.
+ROOM_CHECK_S = 0.05
+
 #: Maximum wait of a close for connections that are not accepted yet, and the
 #: interval at which it checks.
 MAX_ACCEPT_WAIT_S = 0.2
@@ -32,10 +37,14 @@
         codec: forwarding.MessageCodec,
         tasks: futures.Executor,
         errors: forwarding.ErrorRecorder,
+        max_open_count: int,
         opened: socket.socket | None = None,
     ) -> None:
         """Listen at an address.
 
+        :param max_open_count: maximum number of open connections. Above it,
+            the one that has waited longest for a request gives way to a new
+            one.
         :param opened: socket that listens there already, or None.
         """
         self._socket = opened or _listening.listen(
@@ -45,7 +54,9 @@
         self._codec = codec
         self._tasks = tasks
         self._errors = errors
+        self._max_open_count = max_open_count
         self._lock = threading.Lock()
+        self._has_ended = threading.Condition(self._lock)
         self._open: set[_front_connection.FrontConnection] = set()
         self._is_closed = False
 
@@ -67,6 +78,7 @@
                 # process is temporarily out of file descriptors.
                 time.sleep(ACCEPT_RETRY_S)
                 continue
+            self._make_room()
             connection = _front_connection.FrontConnection(
                 accepted, self._handler, self._codec
             )
@@ -103,6 +115,18 @@
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
 
+    def _make_room(self) -> None:
+        """Wait until one more connection may be open."""
+        while not self._is_closed:
+            with self._lock:
+                if len(self._open) < self._max_open_count:
+                    return
+                connections = tuple(self._open)
+            _close_longest_waiting(connections)
+            with self._has_ended:
+                if len(self._open) >= self._max_open_count:
+                    self._has_ended.wait(ROOM_CHECK_S)
+
     def _serve(self, connection: _front_connection.FrontConnection) -> None:
         try:
             connection.run()
@@ -111,3 +135,18 @@
         finally:
             with self._lock:
                 self._open.discard(connection)
+                self._has_ended.notify_all()
+
+
+def _close_longest_waiting(
+    connections: tuple[_front_connection.FrontConnection, ...],
+) -> None:
+    waiting: list[tuple[float, _front_connection.FrontConnection]] = []
+    for connection in connections:
+        since_s = connection.waiting_since_s
+        if since_s is not None:
+            waiting.append((since_s, connection))
+    waiting.sort(key=operator.itemgetter(0))
+    for _, connection in waiting:
+        if connection.give_way():
+            return
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
@@ -1,8 +1,12 @@
 """Accepting connections, and the end of it."""
 
+from collections.abc import Iterator
 from concurrent import futures
+import contextlib
 import socket
 
+import pytest
+
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
@@ -12,6 +16,107 @@
 CONNECTION_COUNT = 40
 
 
+GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+
+MAX_OPEN_COUNT = 4
+
+
+@contextlib.contextmanager
+def _listening(
+    handler: front_harness.RecordingHandler,
+) -> Iterator[data.Address]:
+    """Serve callers with as many tasks as there may be connections."""
+    errors = forwarding.ErrorRecorder(
+        fakes.SteppingClock(), fakes.RecordingLog()
+    )
+    with (
+        futures.ThreadPoolExecutor(1) as accepting,
+        futures.ThreadPoolExecutor(MAX_OPEN_COUNT) as tasks,
+    ):
+        listener = transport.Listener(
+            data.Address('127.0.0.1', 0),
+            handler,
+            front_harness.PassThroughCodec(),
+            tasks,
+            errors,
+            MAX_OPEN_COUNT,
+        )
+        running = accepting.submit(listener.run)
+        try:
+            yield listener.endpoint
+        finally:
+            handler.may_respond.set()
+            listener.close()
+            listener.close_idle()
+            running.result(front_harness.TIMEOUT_S)
+
+
+def _connect(endpoint: data.Address, sent: bytes) -> socket.socket:
+    caller = socket.create_connection(
+        (endpoint.host, endpoint.port), front_harness.TIMEOUT_S
+    )
+    caller.sendall(sent)
+    return caller
+
+
+def _has_answer(caller: socket.socket) -> bool:
+    return caller.recv(65536).startswith(b'HTTP/1.1 200')
+
+
+class TestRoom:
+    """More connections than there may be at the same time."""
+
+    def test_the_longest_idle_connection_gives_way(self) -> None:
+        """Guards against requests that are never read.
+
+        Idle connections that callers keep open used up the tasks.
+        """
+        with _listening(front_harness.RecordingHandler()) as endpoint:
+            callers = []
+            for _ in range(3 * MAX_OPEN_COUNT):
+                caller = _connect(endpoint, GET)
+                assert _has_answer(caller)
+                callers.append(caller)
+            newest = callers[-MAX_OPEN_COUNT:]
+            for caller in callers[:-MAX_OPEN_COUNT]:
+                assert caller.recv(1) == b''
+            for caller in newest:
+                caller.sendall(GET)
+                assert _has_answer(caller)
+            for caller in callers:
+                caller.close()
+
+    def test_a_caller_that_sends_slowly_gives_way(self) -> None:
+        """Guards against callers that hold tasks by a byte now and then."""
+        slow = (b'', b'GE', GET[:-2], b'POST /a HTTP/1.1\r\nHost: h\r\n')
+        assert len(slow) == MAX_OPEN_COUNT
+        with _listening(front_harness.RecordingHandler()) as endpoint:
+            slow_callers = [_connect(endpoint, part) for part in slow]
+            caller = _connect(endpoint, GET)
+            assert _has_answer(caller)
+            caller.close()
+            for slow_caller in slow_callers:
+                slow_caller.close()
+
+    def test_a_connection_with_a_request_stays(self) -> None:
+        """Guards against a request that is cut for a new connection."""
+        handler = front_harness.RecordingHandler()
+        handler.may_respond.clear()
+        with _listening(handler) as endpoint:
+            busy = [_connect(endpoint, GET) for _ in range(MAX_OPEN_COUNT)]
+            late = _connect(endpoint, GET)
+            late.settimeout(0.5)
+            with pytest.raises(TimeoutError):
+                late.recv(1)
+            handler.may_respond.set()
+            for caller in busy:
+                assert _has_answer(caller)
+            late.settimeout(front_harness.TIMEOUT_S)
+            assert _has_answer(late)
+            for caller in (*busy, late):
+                caller.close()
+
+
 class TestClose:
     """The end of accepting cuts no connection that was made before."""
 
@@ -31,6 +136,7 @@
                 front_harness.PassThroughCodec(),
                 tasks,
                 errors,
+                CONNECTION_COUNT,
             )
             endpoint = listener.endpoint
             callers = []
