Count the bodies of all requests and responses in one account

Cause: bodies were bounded one by one, each was held three times (parts, joined, joined with the head), and the C library kept freed buffers of the largest size for each group of threads.

One account, half of memory_limit_mb, counts bodies above 64 KiB of requests and responses; a quarter is kept for responses, since a run whose response cannot be buffered was in vain. A request waits 0.5 s for memory, unread, then it is refused with a true "not run". Bodies are not copied, and freed buffers go back to the system.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -104,7 +104,10 @@
             self._moves,
             errors,
         )
-        client = transport.HttpTargetClient(codec)
+        memory = transport.MemoryAccount(
+            transport.body_limit_bytes(settings.memory_limit_bytes)
+        )
+        client = transport.HttpTargetClient(codec, memory)
         quarantine = forwarding.PromptQuarantine(clock, log, self._fleet)
         self._quarantine_keeper = forwarding.QuarantineKeeper(
             clock,
@@ -164,10 +167,13 @@
             codec,
             futures.ThreadPoolExecutor(caller_limit_count),
             errors,
-            caller_limit_count,
+            transport.ListenerLimits(caller_limit_count, memory),
             front,
         )
         self._listeners = [self._front]
+        operator_limits = transport.ListenerLimits(
+            OPERATOR_LIMIT_COUNT, memory
+        )
         self._readiness_listener: transport.Listener | None = None
         if settings.readiness is not None:
             readiness = _readiness.ReadinessHandler(
@@ -179,7 +185,7 @@
                 codec,
                 futures.ThreadPoolExecutor(OPERATOR_LIMIT_COUNT),
                 errors,
-                OPERATOR_LIMIT_COUNT,
+                operator_limits,
             )
             self._listeners.append(self._readiness_listener)
         if settings.metrics is not None:
@@ -190,7 +196,7 @@
                     codec,
                     futures.ThreadPoolExecutor(OPERATOR_LIMIT_COUNT),
                     errors,
-                    OPERATOR_LIMIT_COUNT,
+                    operator_limits,
                 )
             )
         self._shared_watch: forwarding.SharedWatch | None = None
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -1,5 +1,7 @@
 """Entry point of a forwarding instance."""
 
+import contextlib
+import ctypes
 import os
 import pathlib
 import signal
@@ -25,6 +27,14 @@
 #: connection has a thread.
 THREAD_STACK_BYTES = 256 * 1024
 
+#: Buffers from this size on are returned to the system when they are freed.
+#: The C library would raise the size to that of the largest body, and keep
+#: freed ones for each group of threads.
+RETURNED_BUFFER_BYTES = 128 * 1024
+
+#: Parameter of ``mallopt(3)`` for that size.
+_M_MMAP_THRESHOLD = -3
+
 
 class _Signals:
     """Records signals for the main loop."""
@@ -61,6 +71,7 @@
     signals = _Signals()
     signals.install()
     threading.stack_size(THREAD_STACK_BYTES)
+    _return_freed_buffers()
     _modules.load_modules()
     path = os.environ.get(platform.PATH_VARIABLE, '')
     settings = _read_settings(path, metrics_port)
@@ -84,6 +95,12 @@
     os._exit(0)
 
 
+def _return_freed_buffers() -> None:
+    # C libraries without this parameter return buffers by rules of their own.
+    with contextlib.suppress(AttributeError):
+        ctypes.CDLL(None).mallopt(_M_MMAP_THRESHOLD, RETURNED_BUFFER_BYTES)
+
+
 def _parse_metrics_port(arguments: list[str]) -> int | None:
     """Return the metrics port, or None to serve no metrics."""
     port = None
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -323,7 +323,10 @@
             accepted, _ = listener.accept()
         self.caller.settimeout(TIMEOUT_S)
         connection = transport.FrontConnection(
-            accepted, self.forwarders, platform.PlatformMessageCodec()
+            accepted,
+            self.forwarders,
+            platform.PlatformMessageCodec(),
+            transport.MemoryAccount(transport.body_limit_bytes(None)),
         )
         self._task = threading.Thread(target=connection.run)
         self._task.start()
--- a/packages/emulator/src/skylarktack/emulator/platform/_caller.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_caller.py
@@ -45,6 +45,9 @@
     #: How long the caller waits.
     time_limit_ms: int = 20000
 
+    #: Body of the request.
+    body: bytes = b'body'
+
 
 @dataclasses.dataclass(frozen=True)
 class Answer:
@@ -99,7 +102,7 @@
         self._socket = socket.create_connection(
             (instance.host, instance.port), timeout=WAIT_S
         )
-        body = b'body'
+        body = attempt.body
         request = h11.Request(
             method='POST',
             target=f'/{attempt.route}/x',
--- a/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
@@ -74,6 +74,15 @@
         """Return the path of the settings file."""
         return str(self._path)
 
+    def peak_memory_kb(self) -> int:
+        """Return the largest resident memory that the process has had."""
+        assert self.process is not None
+        status = pathlib.Path(f'/proc/{self.process.pid}/status')
+        for line in status.read_text(encoding='ascii').splitlines():
+            if line.startswith('VmHWM:'):
+                return int(line.split()[1])
+        raise OSError('the kernel tells no peak of the memory')
+
     @property
     def is_running(self) -> bool:
         """Return whether the process runs."""
@@ -152,6 +161,7 @@
                 f'listen_addresses.ready=127.0.0.1:{self._ports["ready"]}',
                 f'internal_port_range={self._ports["peer"]},0',
                 'limits.file_descriptors=4100',
+                'limits.memory_limit_mb=300',
                 'bounds.grace_period_s=8',
                 'bounds.config_apply_ms=2000',
                 'bounds.retry_budget_ratio=0.8',
--- a/packages/emulator/src/skylarktack/emulator/tests/test_endless_targets.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_endless_targets.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 from concurrent import futures
 import contextlib
-import pathlib
 import socket
 import threading
 import time
@@ -96,15 +95,6 @@
     return endings
 
 
-def _peak_memory_kb(instance: platform.PlatformInstance) -> int:
-    assert instance.process is not None
-    status = pathlib.Path(f'/proc/{instance.process.pid}/status')
-    for line in status.read_text(encoding='ascii').splitlines():
-        if line.startswith('VmHWM:'):
-            return int(line.split()[1])
-    raise AssertionError('the kernel tells no peak of the memory')
-
-
 class TestEndlessTargets:
     """Some targets of a service send bytes until the caller closes."""
 
@@ -132,6 +122,6 @@
                 for caller in callers:
                     endings += caller.result(60.0)
             assert instance.is_running
-            assert _peak_memory_kb(instance) < MEMORY_LIMIT_KB
+            assert instance.peak_memory_kb() < MEMORY_LIMIT_KB
             assert endings[200] > 0.9 * endings.total()
             assert set(endings) <= {200, 502, 503}
--- a/packages/platform/src/skylarktack/platform/_settings.py
+++ b/packages/platform/src/skylarktack/platform/_settings.py
@@ -11,6 +11,8 @@
 from skylarktack.platform import _fields
 from skylarktack.state import forwarding as data
 
+BYTES_PER_MB = 1024 * 1024
+
 _PORT = re.compile(r'[0-9]{1,5}')
 
 
@@ -76,6 +78,7 @@
             else 0.0
         ),
         descriptor_limit=int(_parse_number(reader, 'limits.file_descriptors')),
+        memory_limit_bytes=_parse_memory_limit(reader),
     )
     reader.raise_on_findings()
     return settings
@@ -93,6 +96,13 @@
     return None
 
 
+def _parse_memory_limit(reader: _fields.FieldReader) -> int | None:
+    if reader.fields.get('limits.memory_limit_mb') is None:
+        return None
+    limit_mb = _parse_number(reader, 'limits.memory_limit_mb')
+    return int(limit_mb * BYTES_PER_MB) or None
+
+
 def _parse_number(reader: _fields.FieldReader, name: str) -> float:
     text = reader.text(name)
     try:
--- a/packages/platform/src/skylarktack/platform/tests/test_messages.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_messages.py
@@ -284,6 +284,7 @@
             (data.RefusalReason.BODY_TOO_LARGE, 413),
             (data.RefusalReason.READ_TIMEOUT, 408),
             (data.RefusalReason.NO_TARGET, 503),
+            (data.RefusalReason.MEMORY_FULL, 503),
             (data.RefusalReason.STOPPING, 503),
             (data.RefusalReason.TIME_UP_NOT_RUN, 503),
             (data.RefusalReason.TIME_UP, 504),
--- a/packages/platform/src/skylarktack/platform/tests/test_settings.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_settings.py
@@ -14,6 +14,7 @@
 listen_addresses.ready=10.1.0.19:8749
 internal_port_range=7200,7215
 limits.file_descriptors=4100
+limits.memory_limit_mb=300
 bounds.grace_period_s=8
 bounds.config_apply_ms=2000
 bounds.retry_budget_ratio=0.8
@@ -51,6 +52,7 @@
             exposure_fraction=0.1,
             exposure_allowance_count=50,
             descriptor_limit=4100,
+            memory_limit_bytes=300 * 1024 * 1024,
         )
 
     def test_name_of_digits_is_a_string(self) -> None:
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -231,6 +231,9 @@
     #: A part of the prompt ends the engines; the request was not executed.
     PROMPT_QUARANTINED = 'prompt_quarantined'
 
+    #: There is no memory for the body; the request was not executed.
+    MEMORY_FULL = 'memory_full'
+
     #: The instance is shutting down; the request was not executed.
     STOPPING = 'stopping'
 
--- a/packages/state/src/skylarktack/state/forwarding/_settings.py
+++ b/packages/state/src/skylarktack/state/forwarding/_settings.py
@@ -54,3 +54,6 @@
 
     #: Limit on open file descriptors of the process.
     descriptor_limit: int
+
+    #: Limit on the resident memory of the process; None if it has none.
+    memory_limit_bytes: int | None = None
--- a/packages/transport/src/skylarktack/transport/forwarding/__init__.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/__init__.py
@@ -12,7 +12,10 @@
     from skylarktack.transport.forwarding._front_connection import FrontHandler
     from skylarktack.transport.forwarding._line_log import LineLog
     from skylarktack.transport.forwarding._listener import Listener
+    from skylarktack.transport.forwarding._listener import ListenerLimits
     from skylarktack.transport.forwarding._listening import listen
+    from skylarktack.transport.forwarding._memory import MemoryAccount
+    from skylarktack.transport.forwarding._memory import body_limit_bytes
     from skylarktack.transport.forwarding._store_client import HttpStoreCalls
     from skylarktack.transport.forwarding._target_client import HttpExchange
     from skylarktack.transport.forwarding._target_client import (
@@ -28,6 +31,9 @@
     'HttpTargetClient',
     'LineLog',
     'Listener',
+    'ListenerLimits',
+    'MemoryAccount',
+    'body_limit_bytes',
     'listen',
 ]
 
@@ -38,6 +44,9 @@
     'FrontHandler': '_front_connection',
     'LineLog': '_line_log',
     'Listener': '_listener',
+    'ListenerLimits': '_listener',
+    'MemoryAccount': '_memory',
+    'body_limit_bytes': '_memory',
     'listen': '_listening',
     'HttpStoreCalls': '_store_client',
     'HttpExchange': '_target_client',
--- a/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
@@ -6,19 +6,20 @@
 """
 
 import dataclasses
-import threading
 
 import h11
 
+from skylarktack.transport.forwarding import _memory
+
 #: Maximum size of a head, a chunk header or the trailers.
 MAX_HEAD_BYTES = 32768
 
 #: Maximum number of informational responses before a response.
 MAX_INFORMATIONAL_COUNT = 16
 
-#: Size up to which a body needs nothing of the shared budget, so that large
-#: responses of a faulty server do not fail the ordinary ones of others.
-UNSHARED_BODY_BYTES = 65536
+#: Size up to which a request's body is sent in one piece with its head. A
+#: longer one is not copied.
+JOINED_BODY_BYTES = 65536
 
 Event = (
     h11.Response
@@ -30,31 +31,6 @@
 )
 
 
-class BufferBudget:
-    """Limits the bytes of large response bodies that are buffered at one time.
-
-    Responses that are each within their limit could exhaust the memory
-    together.
-    """
-
-    def __init__(self, limit_bytes: int) -> None:
-        self._lock = threading.Lock()
-        self._free_bytes = limit_bytes
-
-    def claim(self, size_bytes: int) -> bool:
-        """Reserve bytes; return False if there are not enough."""
-        with self._lock:
-            if size_bytes > self._free_bytes:
-                return False
-            self._free_bytes -= size_bytes
-            return True
-
-    def release(self, size_bytes: int) -> None:
-        """Return bytes that were claimed."""
-        with self._lock:
-            self._free_bytes += size_bytes
-
-
 @dataclasses.dataclass(frozen=True)
 class ResponseLimits:
     """Limits on one response."""
@@ -62,9 +38,9 @@
     #: Maximum size of the body.
     max_body_bytes: int
 
-    #: Budget that all buffered bodies share, for what each has above
-    #: ``UNSHARED_BODY_BYTES``.
-    budget: BufferBudget
+    #: Account of what each buffered body has above
+    #: ``UNACCOUNTED_BODY_BYTES``.
+    memory: _memory.MemoryAccount
 
 
 class BoundedResponseParser:
@@ -84,16 +60,22 @@
         self._claimed_bytes = 0
         self._informational_count = 0
 
-    def encode(self, request: h11.Request, body: bytes) -> bytes:
-        """Return the bytes of a request.
+    def encode(self, request: h11.Request, body: bytes) -> tuple[bytes, ...]:
+        """Return the bytes of a request with a length, in one or two parts.
 
         :raises h11.LocalProtocolError: if it cannot be encoded.
         """
-        outgoing = self._connection.send(request) or b''
+        head = self._connection.send(request) or b''
+        if len(body) > JOINED_BODY_BYTES:
+            # Unlike ``send``, this does not copy the body.
+            self._connection.send_with_data_passthrough(h11.Data(data=body))
+            self._connection.send(h11.EndOfMessage())
+            return (head, body)
+        content = b''
         if body:
-            outgoing += self._connection.send(h11.Data(data=body)) or b''
+            content = self._connection.send(h11.Data(data=body)) or b''
         self._connection.send(h11.EndOfMessage())
-        return outgoing
+        return (head + content,)
 
     def receive_data(self, received: bytes) -> None:
         """Add received bytes; empty if the server closed the connection.
@@ -126,8 +108,8 @@
         self._is_counting = False
 
     def release(self) -> None:
-        """Return the counted bytes to the budget; safe to call twice."""
-        self._limits.budget.release(self._claimed_bytes)
+        """Return the counted bytes to the account; safe to call twice."""
+        self._limits.memory.release(self._claimed_bytes)
         self._claimed_bytes = 0
         self._body_bytes = 0
 
@@ -159,10 +141,12 @@
         total_bytes = self._body_bytes + size_bytes
         if total_bytes > self._limits.max_body_bytes:
             raise h11.RemoteProtocolError('the body exceeds the size limit')
-        shared_bytes = max(0, total_bytes - UNSHARED_BODY_BYTES)
-        if not self._limits.budget.claim(shared_bytes - self._claimed_bytes):
+        claimed_bytes = max(0, total_bytes - _memory.UNACCOUNTED_BODY_BYTES)
+        if not self._limits.memory.claim_response(
+            claimed_bytes - self._claimed_bytes
+        ):
             raise h11.RemoteProtocolError(
                 'the buffers of all responses are full'
             )
         self._body_bytes = total_bytes
-        self._claimed_bytes = shared_bytes
+        self._claimed_bytes = claimed_bytes
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -13,6 +13,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
+from skylarktack.transport.forwarding import _memory
 from skylarktack.transport.forwarding import _sockets
 
 #: Limit for pipelined bytes that are read while a request is in progress.
@@ -25,6 +26,11 @@
 #: that closing does not reset the connection before the response is read.
 LINGER_S = 0.5
 
+#: Maximum time for which a caller waits until there is memory for its body,
+#: and the Retry-After of one that was refused.
+MAX_MEMORY_WAIT_S = 0.5
+MEMORY_RETRY_AFTER_S = 1.0
+
 #: Maximum time for a whole request. The time limit of the configuration
 #: bounds the head, and each pause between parts of the body.
 MAX_REQUEST_READ_S = 60.0
@@ -66,8 +72,11 @@
         connection: socket.socket,
         handler: FrontHandler,
         codec: forwarding.MessageCodec,
+        memory: _memory.MemoryAccount,
     ) -> None:
         self._connection = connection
+        self._memory = memory
+        self._claimed_bytes = 0
         self._handler = handler
         self._codec = codec
         limits = handler.limits()
@@ -99,6 +108,7 @@
             # The caller disconnected or violated HTTP; nothing can be sent.
             pass
         finally:
+            self._release_body(0)
             with self._state_lock:
                 self._is_closed = True
             self._close()
@@ -185,6 +195,9 @@
             self._drain()
             return False
         outcome = self._handler.handle(received, self)
+        # The body is not needed while the caller reads its response.
+        del received
+        self._release_body(0)
         return self._respond(outcome)
 
     def _close(self) -> None:
@@ -259,7 +272,8 @@
         limits = self._handler.limits()
         head: data.RequestHead | None = None
         has_body = False
-        body: list[bytes] = []
+        # Grows in place; a list of parts would be held twice when joined.
+        body = bytearray()
         size_bytes = 0
         started_at_s: float | None = None
         read_end_s = math.inf
@@ -303,26 +317,70 @@
                         data.RefusalReason.BAD_REQUEST,
                         detail='both a length and a transfer coding',
                     )
+                refusal = self._claim_body(_content_length(head), limits)
+                if refusal is not None:
+                    return refusal
                 continue
             if isinstance(event, h11.Data):
-                started_at_s = time.monotonic()
                 size_bytes += len(event.data)
-                if size_bytes > limits.max_body_bytes:
-                    return data.Refusal(data.RefusalReason.BODY_TOO_LARGE)
-                body.append(bytes(event.data))
+                refusal = self._claim_chunks(size_bytes, limits)
+                if refusal is not None:
+                    return refusal
+                started_at_s = time.monotonic()
+                body += event.data
                 continue
             if isinstance(event, h11.EndOfMessage) and head is not None:
                 with self._state_lock:
                     if self._is_closing:
                         return None
                     self._has_request = True
+                self._release_body(size_bytes)
                 # What was read so far was the request itself.
                 self._pipelined_bytes = len(self._parser.trailing_data[0])
-                return self._codec.decode_request(
-                    head, b''.join(body), has_body
-                )
+                content = bytes(body)
+                del body
+                return self._codec.decode_request(head, content, has_body)
             return None
 
+    def _claim_body(
+        self, size_bytes: int, limits: data.FrontLimits
+    ) -> data.Refusal | None:
+        """Wait for memory for a body; return a refusal if there is none.
+
+        Nothing is read meanwhile, so that the caller waits too.
+        """
+        if size_bytes > limits.max_body_bytes:
+            return data.Refusal(data.RefusalReason.BODY_TOO_LARGE)
+        if size_bytes <= _memory.UNACCOUNTED_BODY_BYTES:
+            return None
+        if not self._memory.claim_request(size_bytes, MAX_MEMORY_WAIT_S):
+            return data.Refusal(
+                data.RefusalReason.MEMORY_FULL, MEMORY_RETRY_AFTER_S
+            )
+        self._claimed_bytes = size_bytes
+        return None
+
+    def _claim_chunks(
+        self, size_bytes: int, limits: data.FrontLimits
+    ) -> data.Refusal | None:
+        """Claim memory for a body of unknown length as it grows.
+
+        A long one claims the largest size at once: several that each wait
+        for more would hold what the others need.
+        """
+        if size_bytes > limits.max_body_bytes:
+            return data.Refusal(data.RefusalReason.BODY_TOO_LARGE)
+        is_ordinary = size_bytes <= _memory.UNACCOUNTED_BODY_BYTES
+        if is_ordinary or self._claimed_bytes:
+            return None
+        return self._claim_body(limits.max_body_bytes, limits)
+
+    def _release_body(self, kept_bytes: int) -> None:
+        """Release what was claimed for a body above the kept bytes."""
+        released_bytes = max(0, self._claimed_bytes - kept_bytes)
+        self._claimed_bytes -= released_bytes
+        self._memory.release(released_bytes)
+
     def _read_more(
         self,
         limits: data.FrontLimits,
@@ -396,6 +454,14 @@
     return False
 
 
+def _content_length(head: data.RequestHead) -> int:
+    """Return the length of a body, or 0 if it comes in chunks."""
+    for name, value in head.headers:
+        if name.lower() == b'content-length':
+            return int(value)
+    return 0
+
+
 def _has_conflicting_lengths(headers: data.Headers) -> bool:
     names = [name.lower() for name, _ in headers]
     return b'content-length' in names and b'transfer-encoding' in names
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import contextlib
+import dataclasses
 import operator
 import select
 import socket
@@ -12,6 +13,7 @@
 from skylarktack.state import forwarding as data
 from skylarktack.transport.forwarding import _front_connection
 from skylarktack.transport.forwarding import _listening
+from skylarktack.transport.forwarding import _memory
 from skylarktack.transport.forwarding import _sockets
 
 #: Pause after a failed accept, for example without free file descriptors.
@@ -27,6 +29,18 @@
 ACCEPT_CHECK_INTERVAL_S = 0.002
 
 
+@dataclasses.dataclass(frozen=True)
+class ListenerLimits:
+    """Limits on what all connections of a listener take together."""
+
+    #: Maximum number of open connections. Above it, the one that has waited
+    #: longest for a request gives way to a new one.
+    max_open_count: int
+
+    #: Account of the bodies of requests.
+    memory: _memory.MemoryAccount
+
+
 class Listener:
     """Accepts connections on one address and tracks those that are open."""
 
@@ -37,14 +51,11 @@
         codec: forwarding.MessageCodec,
         tasks: futures.Executor,
         errors: forwarding.ErrorRecorder,
-        max_open_count: int,
+        limits: ListenerLimits,
         opened: socket.socket | None = None,
     ) -> None:
         """Listen at an address.
 
-        :param max_open_count: maximum number of open connections. Above it,
-            the one that has waited longest for a request gives way to a new
-            one.
         :param opened: socket that listens there already, or None.
         """
         self._socket = opened or _listening.listen(
@@ -54,7 +65,7 @@
         self._codec = codec
         self._tasks = tasks
         self._errors = errors
-        self._max_open_count = max_open_count
+        self._limits = limits
         self._lock = threading.Lock()
         self._has_ended = threading.Condition(self._lock)
         self._open: set[_front_connection.FrontConnection] = set()
@@ -80,7 +91,7 @@
                 continue
             self._make_room()
             connection = _front_connection.FrontConnection(
-                accepted, self._handler, self._codec
+                accepted, self._handler, self._codec, self._limits.memory
             )
             with self._lock:
                 self._open.add(connection)
@@ -119,12 +130,12 @@
         """Wait until one more connection may be open."""
         while not self._is_closed:
             with self._lock:
-                if len(self._open) < self._max_open_count:
+                if len(self._open) < self._limits.max_open_count:
                     return
                 connections = tuple(self._open)
             _close_longest_waiting(connections)
             with self._has_ended:
-                if len(self._open) >= self._max_open_count:
+                if len(self._open) >= self._limits.max_open_count:
                     self._has_ended.wait(ROOM_CHECK_S)
 
     def _serve(self, connection: _front_connection.FrontConnection) -> None:
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/forwarding/_memory.py
@@ -0,0 +1,73 @@
+"""The memory that one instance holds for callers and targets.
+
+Bodies that are each within their limit could exhaust the memory together.
+"""
+
+import threading
+import time
+
+#: Size up to which a body needs nothing of the account, so that large bodies
+#: of some do not fail the ordinary ones of others.
+UNACCOUNTED_BODY_BYTES = 65536
+
+#: Fraction of the memory limit of the process that bodies may take, and the
+#: limit that is assumed without one.
+BODY_FRACTION = 0.5
+DEFAULT_MEMORY_LIMIT_BYTES = 256 * 1024 * 1024
+
+#: Fraction of the account that only responses may take: a request whose
+#: response cannot be buffered has run in vain.
+RESPONSE_FRACTION = 0.25
+
+
+class MemoryAccount:
+    """Counts the bytes of the large bodies that are held at one time."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self._free_bytes = limit_bytes
+        self._reserved_bytes = int(RESPONSE_FRACTION * limit_bytes)
+        self._was_released = threading.Condition()
+
+    def claim_response(self, size_bytes: int) -> bool:
+        """Reserve bytes for a response; return False if there are not enough.
+
+        A response cannot wait: the target would wait with it.
+        """
+        with self._was_released:
+            if size_bytes > self._free_bytes:
+                return False
+            self._free_bytes -= size_bytes
+            return True
+
+    def claim_request(self, size_bytes: int, timeout_s: float) -> bool:
+        """Reserve bytes for a request, and wait for them if needed.
+
+        :return: False if there are not enough before the timeout.
+        """
+        end_s = time.monotonic() + timeout_s
+        with self._was_released:
+            while size_bytes > self._free_bytes - self._reserved_bytes:
+                remaining_s = end_s - time.monotonic()
+                if remaining_s <= 0:
+                    return False
+                self._was_released.wait(remaining_s)
+            self._free_bytes -= size_bytes
+            return True
+
+    def release(self, size_bytes: int) -> None:
+        """Return bytes that were claimed."""
+        if not size_bytes:
+            return
+        with self._was_released:
+            self._free_bytes += size_bytes
+            self._was_released.notify_all()
+
+
+def body_limit_bytes(memory_limit_bytes: int | None) -> int:
+    """Return what all bodies may take together.
+
+    :param memory_limit_bytes: limit of the process, or None if unknown.
+    """
+    limit_bytes = memory_limit_bytes or DEFAULT_MEMORY_LIMIT_BYTES
+    return int(BODY_FRACTION * limit_bytes)
--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -10,6 +10,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport.forwarding import _bounded_response
+from skylarktack.transport.forwarding import _memory
 from skylarktack.transport.forwarding import _sockets
 
 #: Maximum wait for a connection to the store.
@@ -87,7 +88,7 @@
             h11.Request(method=method, target=path, headers=headers),
             body or b'',
         )
-        view = memoryview(outgoing)
+        view = memoryview(b''.join(outgoing))
         while view:
             try:
                 view = view[connection.send(view) :]
@@ -159,6 +160,6 @@
 
 def _new_parser() -> _bounded_response.BoundedResponseParser:
     limits = _bounded_response.ResponseLimits(
-        MAX_RESPONSE_BYTES, _bounded_response.BufferBudget(MAX_RESPONSE_BYTES)
+        MAX_RESPONSE_BYTES, _memory.MemoryAccount(MAX_RESPONSE_BYTES)
     )
     return _bounded_response.BoundedResponseParser(limits)
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -5,6 +5,7 @@
 connection costs a millisecond.
 """
 
+import collections
 import dataclasses
 import select
 import socket
@@ -15,11 +16,11 @@
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport.forwarding import _bounded_response
+from skylarktack.transport.forwarding import _memory
 from skylarktack.transport.forwarding import _sockets
 
-#: Maximum size of a response body that is buffered, and of all of them.
+#: Maximum size of a response body that is buffered.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 #: Maximum size of a target's report on itself.
 MAX_REPORT_BYTES = 256 * 1024
@@ -56,7 +57,7 @@
         self._attempt_id = attempt_id
         self._is_stream = is_stream
         self._has_ended = False
-        self._unsent = memoryview(b'')
+        self._unsent: collections.deque[memoryview] = collections.deque()
         #: Error that ended the connection while the request was being sent;
         #: None if there was none, or if the response had ended before it.
         self._send_error: OSError | None = None
@@ -92,14 +93,14 @@
             return select.POLLIN | select.POLLOUT
         return select.POLLIN
 
-    def send(self, outgoing: bytes) -> None:
+    def send(self, parts: tuple[bytes, ...]) -> None:
         """Send what the connection takes at once, without blocking.
 
         The rest is sent by ``receive``, so the time limit and the caller of
         the request are watched meanwhile. A target may also respond before
         it has read the body, and still need it for the rest of its response.
         """
-        self._unsent = memoryview(outgoing)
+        self._unsent.extend(memoryview(part) for part in parts)
         self._send_some()
 
     def receive(self) -> tuple[forwarding.ResponseEvent, ...]:
@@ -117,18 +118,23 @@
         orderly end. A broken pipe is no reset within the response: the
         target had ended its side before.
         """
-        try:
-            sent_bytes = self._connection.send(self._unsent)
-        except BlockingIOError:
-            return
-        except BrokenPipeError:
-            self._unsent = memoryview(b'')
-            return
-        except OSError as error:
-            self._unsent = memoryview(b'')
-            self._send_error = error
-            return
-        self._unsent = self._unsent[sent_bytes:]
+        while self._unsent:
+            part = self._unsent[0]
+            try:
+                sent_bytes = self._connection.send(part)
+            except BlockingIOError:
+                return
+            except BrokenPipeError:
+                self._unsent.clear()
+                return
+            except OSError as error:
+                self._unsent.clear()
+                self._send_error = error
+                return
+            if sent_bytes < len(part):
+                self._unsent[0] = part[sent_bytes:]
+                return
+            self._unsent.popleft()
 
     def _read_events(self) -> list[forwarding.ResponseEvent]:
         try:
@@ -196,10 +202,17 @@
     def __init__(
         self,
         codec: forwarding.MessageCodec,
-        max_buffered_bytes: int = MAX_BUFFERED_BYTES,
+        memory: _memory.MemoryAccount | None = None,
     ) -> None:
+        """Create a client.
+
+        :param memory: account of the bodies of responses; None for one of
+            its own.
+        """
         self._codec = codec
-        self._budget = _bounded_response.BufferBudget(max_buffered_bytes)
+        self._memory = memory or _memory.MemoryAccount(
+            _memory.body_limit_bytes(None)
+        )
 
     def send(
         self,
@@ -436,7 +449,7 @@
         self, max_body_bytes: int
     ) -> _bounded_response.BoundedResponseParser:
         return _bounded_response.BoundedResponseParser(
-            _bounded_response.ResponseLimits(max_body_bytes, self._budget)
+            _bounded_response.ResponseLimits(max_body_bytes, self._memory)
         )
 
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
@@ -136,14 +136,24 @@
 class FrontHarness:
     """A caller's socket and the connection that serves it."""
 
-    def __init__(self, handler: RecordingHandler | None = None) -> None:
+    def __init__(
+        self,
+        handler: RecordingHandler | None = None,
+        memory: transport.MemoryAccount | None = None,
+    ) -> None:
         self.handler = handler or RecordingHandler()
+        self.memory = memory or transport.MemoryAccount(
+            transport.body_limit_bytes(None)
+        )
         with socket.create_server(('127.0.0.1', 0)) as listener:
             self.caller = socket.create_connection(listener.getsockname())
             accepted, _ = listener.accept()
         self.caller.settimeout(TIMEOUT_S)
         self.connection = transport.FrontConnection(
-            accepted, self.handler, PassThroughCodec()
+            accepted,
+            self.handler,
+            PassThroughCodec(),
+            self.memory,
         )
         self._task = threading.Thread(target=self.connection.run)
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
@@ -21,6 +21,11 @@
 MAX_OPEN_COUNT = 4
 
 
+def _limits(max_open_count: int) -> transport.ListenerLimits:
+    memory = transport.MemoryAccount(transport.body_limit_bytes(None))
+    return transport.ListenerLimits(max_open_count, memory)
+
+
 @contextlib.contextmanager
 def _listening(
     handler: front_harness.RecordingHandler,
@@ -39,7 +44,7 @@
             front_harness.PassThroughCodec(),
             tasks,
             errors,
-            MAX_OPEN_COUNT,
+            _limits(MAX_OPEN_COUNT),
         )
         running = accepting.submit(listener.run)
         try:
@@ -136,7 +141,7 @@
                 front_harness.PassThroughCodec(),
                 tasks,
                 errors,
-                CONNECTION_COUNT,
+                _limits(CONNECTION_COUNT),
             )
             endpoint = listener.endpoint
             callers = []
