--- a/packages/emulator/src/skylarktack/emulator/tests/test_long_bodies.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_long_bodies.py
@@ -9,9 +9,9 @@
 MEMORY_LIMIT_KB = 300 * 1024
 
 #: Largest body of the manifest, and how many of them come at once: together
-#: they are longer than half of the memory.
+#: they are longer than the memory.
 BODY_BYTES = 4_000_000
-CALLER_COUNT = 60
+CALLER_COUNT = 80
 WAVE_COUNT = 3
 
 WORK_S = 1.0
