Show that a planned stop of skylarktackd answers running bookings

Other operators saw bookings cut at the end of a planned stop. Four bookings that are at a hanging target when SIGTERM comes are answered with 201 by the product's own front end, run once each, and have the same answer at another instance.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_once_processes.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_once_processes.py
@@ -113,3 +113,33 @@
             return
         waiting.wait(0.02)
     raise AssertionError(f'{key} did not run')
+
+
+class TestPlannedStop:
+    """A planned stop while bookings are at their target."""
+
+    def test_running_calls_are_answered(self) -> None:
+        """Guards against bookings that run and are cut by the stop."""
+        shape = emulator.DeploymentShape(
+            instance_count=2, engine_count=1, service_count=2
+        )
+        keys = [f'stopped-{number}' for number in range(4)]
+        with emulator.Deployment(shape, _document()) as deployment:
+            one, two = deployment.instances
+            services = deployment.services
+            assert _book(one, 'before')[0] == 201
+            for service in services:
+                service.control(hang=True)
+            with concurrent.futures.ThreadPoolExecutor(8) as pool:
+                running = [pool.submit(_book, one, key) for key in keys]
+                for key in keys:
+                    _wait_executed(services, f'small:{key}')
+                one.signal(signal.SIGTERM)
+                threading.Event().wait(0.5)
+                for service in services:
+                    service.control(hang=False)
+                statuses = [call.result()[0] for call in running]
+            assert statuses == [201] * len(keys)
+            assert [_book(two, key)[0] for key in keys] == statuses
+            found = _executions(services)
+        assert set(found.values()) == {1}
