--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -13,6 +13,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
+from skylarktack.transport.forwarding import _body_claim
 from skylarktack.transport.forwarding import _memory
 from skylarktack.transport.forwarding import _sockets
 
@@ -26,11 +27,6 @@
 #: that closing does not reset the connection before the response is read.
 LINGER_S = 0.5
 
-#: Maximum time for which a caller waits until there is memory for its body,
-#: and the Retry-After of one that was refused.
-MAX_MEMORY_WAIT_S = 0.5
-MEMORY_RETRY_AFTER_S = 1.0
-
 #: Maximum time for a whole request. The time limit of the configuration
 #: bounds the head, and each pause between parts of the body.
 MAX_REQUEST_READ_S = 60.0
@@ -75,8 +71,7 @@
         memory: _memory.MemoryAccount,
     ) -> None:
         self._connection = connection
-        self._memory = memory
-        self._claimed_bytes = 0
+        self._body_claim = _body_claim.BodyClaim(memory)
         self._handler = handler
         self._codec = codec
         limits = handler.limits()
@@ -108,7 +103,7 @@
             # The caller disconnected or violated HTTP; nothing can be sent.
             pass
         finally:
-            self._release_body(0)
+            self._body_claim.release()
             with self._state_lock:
                 self._is_closed = True
             self._close()
@@ -197,7 +192,7 @@
         outcome = self._handler.handle(received, self)
         # The body is not needed while the caller reads its response.
         del received
-        self._release_body(0)
+        self._body_claim.release()
         return self._respond(outcome)
 
     def _close(self) -> None:
@@ -317,13 +312,13 @@
                         data.RefusalReason.BAD_REQUEST,
                         detail='both a length and a transfer coding',
                     )
-                refusal = self._claim_body(_content_length(head), limits)
+                refusal = self._body_claim.claim(_content_length(head), limits)
                 if refusal is not None:
                     return refusal
                 continue
             if isinstance(event, h11.Data):
                 size_bytes += len(event.data)
-                refusal = self._claim_chunks(size_bytes, limits)
+                refusal = self._body_claim.grow(size_bytes, limits)
                 if refusal is not None:
                     return refusal
                 started_at_s = time.monotonic()
@@ -334,7 +329,7 @@
                     if self._is_closing:
                         return None
                     self._has_request = True
-                self._release_body(size_bytes)
+                self._body_claim.release(size_bytes)
                 # What was read so far was the request itself.
                 self._pipelined_bytes = len(self._parser.trailing_data[0])
                 content = bytes(body)
@@ -342,45 +337,6 @@
                 return self._codec.decode_request(head, content, has_body)
             return None
 
-    def _claim_body(
-        self, size_bytes: int, limits: data.FrontLimits
-    ) -> data.Refusal | None:
-        """Wait for memory for a body; return a refusal if there is none.
-
-        Nothing is read meanwhile, so that the caller waits too.
-        """
-        if size_bytes > limits.max_body_bytes:
-            return data.Refusal(data.RefusalReason.BODY_TOO_LARGE)
-        if size_bytes <= _memory.UNACCOUNTED_BODY_BYTES:
-            return None
-        if not self._memory.claim_request(size_bytes, MAX_MEMORY_WAIT_S):
-            return data.Refusal(
-                data.RefusalReason.MEMORY_FULL, MEMORY_RETRY_AFTER_S
-            )
-        self._claimed_bytes = size_bytes
-        return None
-
-    def _claim_chunks(
-        self, size_bytes: int, limits: data.FrontLimits
-    ) -> data.Refusal | None:
-        """Claim memory for a body of unknown length as it grows.
-
-        A long one claims the largest size at once: several that each wait
-        for more would hold what the others need.
-        """
-        if size_bytes > limits.max_body_bytes:
-            return data.Refusal(data.RefusalReason.BODY_TOO_LARGE)
-        is_ordinary = size_bytes <= _memory.UNACCOUNTED_BODY_BYTES
-        if is_ordinary or self._claimed_bytes:
-            return None
-        return self._claim_body(limits.max_body_bytes, limits)
-
-    def _release_body(self, kept_bytes: int) -> None:
-        """Release what was claimed for a body above the kept bytes."""
-        released_bytes = max(0, self._claimed_bytes - kept_bytes)
-        self._claimed_bytes -= released_bytes
-        self._memory.release(released_bytes)
-
     def _read_more(
         self,
         limits: data.FrontLimits,
