--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -35,6 +35,10 @@
 #: delays.
 EXTENSION_STEP_FRACTION = 0.1
 
+#: Fraction of such a step by which a reported end must be later than the
+#: known one to count as an extension; the rest allows for the delay.
+MIN_EXTENSION_FRACTION = 2 / 3
+
 #: Shortest Retry-After of a refusal.
 MIN_RETRY_AFTER_S = 1.0
 
@@ -480,8 +484,8 @@
             return reported.probe_count > known.probe_count
         if known.probe_count < self.settings.max_probe_count:
             return False
-        # Two thirds of a step: the report of an extension takes a while.
-        return until_s > known.until_s + self._extension_step_s() * 2 / 3
+        min_extension_s = MIN_EXTENSION_FRACTION * self._extension_step_s()
+        return until_s > known.until_s + min_extension_s
 
     def _reported_quarantines(
         self, part_ids: Sequence[str], now_s: float
