Give the log events of moves a module of their own

Pure move, names and lines of the log are the same; WatchUnreadable is exported like the other events of the watch.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -23,11 +23,6 @@
 from skylarktack.coordination.forwarding._events import InstanceStopping
 from skylarktack.coordination.forwarding._events import LogEvent
 from skylarktack.coordination.forwarding._events import LogLinesDropped
-from skylarktack.coordination.forwarding._events import MoveJudged
-from skylarktack.coordination.forwarding._events import MoveNotRecorded
-from skylarktack.coordination.forwarding._events import MoveRecorded
-from skylarktack.coordination.forwarding._events import MoveShifting
-from skylarktack.coordination.forwarding._events import MoveStopped
 from skylarktack.coordination.forwarding._events import PeerDiscovered
 from skylarktack.coordination.forwarding._events import PromptPartProbed
 from skylarktack.coordination.forwarding._events import PromptPartQuarantined
@@ -48,6 +43,7 @@
 from skylarktack.coordination.forwarding._events import UnexpectedError
 from skylarktack.coordination.forwarding._events import WatchRevisionCompacted
 from skylarktack.coordination.forwarding._events import WatchRoleChanged
+from skylarktack.coordination.forwarding._events import WatchUnreadable
 from skylarktack.coordination.forwarding._exposure import ExposureLimits
 from skylarktack.coordination.forwarding._fleet import FleetView
 from skylarktack.coordination.forwarding._fleet import PromptEvidenceExchange
@@ -63,6 +59,11 @@
 from skylarktack.coordination.forwarding._gateway import RequestReport
 from skylarktack.coordination.forwarding._move_driver import MoveDriver
 from skylarktack.coordination.forwarding._move_driver import MoveWriter
+from skylarktack.coordination.forwarding._move_events import MoveJudged
+from skylarktack.coordination.forwarding._move_events import MoveNotRecorded
+from skylarktack.coordination.forwarding._move_events import MoveRecorded
+from skylarktack.coordination.forwarding._move_events import MoveShifting
+from skylarktack.coordination.forwarding._move_events import MoveStopped
 from skylarktack.coordination.forwarding._move_evidence import (
     AggregationTopology,
 )
@@ -183,6 +184,7 @@
     'RequestLate',
     'RequestServed',
     'WatchRoleChanged',
+    'WatchUnreadable',
     'SettingsReloaded',
     'StoreUnavailable',
     'StoreRecovered',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -12,6 +12,7 @@
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _fleet_tasks
+from skylarktack.coordination.forwarding import _move_events
 from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _store_watcher
@@ -185,7 +186,7 @@
         if isinstance(result, _store_watcher.StoreFault):
             self._next_write_s = self._clock.monotonic_s() + RETRY_DELAY_S
             self._log.record(
-                _events.MoveNotRecorded(
+                _move_events.MoveNotRecorded(
                     order.service, order.to_version, phase.value, result.detail
                 )
             )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -19,6 +19,7 @@
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _exposure
 from skylarktack.coordination.forwarding import _latency_classes
+from skylarktack.coordination.forwarding import _move_events
 from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _route_judging
 from skylarktack.coordination.forwarding import _version_rules
@@ -385,7 +386,7 @@
         if order.phase is state.MovePhase.ROLLED_BACK:
             self._versions.reject(order.service, order.to_version)
         self._log.record(
-            _events.MoveRecorded(
+            _move_events.MoveRecorded(
                 order.service, order.to_version, order.phase.value
             )
         )
@@ -419,7 +420,7 @@
         if is_own_decision:
             self._log_judgement(move, state.MovePhase.ROLLED_BACK)
         self._log.record(
-            _events.MoveStopped(
+            _move_events.MoveStopped(
                 move.order.service, move.order.to_version, reason
             )
         )
@@ -434,7 +435,9 @@
         if is_own_decision:
             self._log_judgement(move, state.MovePhase.SHIFTING)
         self._log.record(
-            _events.MoveShifting(move.order.service, move.order.to_version)
+            _move_events.MoveShifting(
+                move.order.service, move.order.to_version
+            )
         )
         if is_own_decision:
             self._unreported_services.add(move.order.service)
@@ -448,7 +451,7 @@
         counts = move.evidence.exposure()
         slow = judgement.slow_responses
         self._log.record(
-            _events.MoveJudged(
+            _move_events.MoveJudged(
                 service=move.order.service,
                 to_version=move.order.to_version,
                 phase=phase.value,
