--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
@@ -0,0 +1,76 @@
+"""Scripted store and handler of the tests of watchers."""
+
+import collections
+
+from skylarktack.coordination import forwarding
+
+UNAVAILABLE = forwarding.StoreFault(
+    forwarding.StoreFaultKind.UNAVAILABLE, 'down'
+)
+COMPACTED = forwarding.StoreFault(
+    forwarding.StoreFaultKind.REVISION_COMPACTED, 'revision is compacted'
+)
+UNREADABLE = forwarding.StoreFault(
+    forwarding.StoreFaultKind.UNREADABLE, 'response is too long'
+)
+
+StoreResult = (
+    forwarding.Listing[str] | forwarding.Changes[str] | forwarding.StoreFault
+)
+
+
+class ScriptedSource:
+    """Returns scripted results and stops the watcher after the last one."""
+
+    def __init__(self, *results: StoreResult) -> None:
+        self._results = collections.deque(results)
+        self.calls: list[str] = []
+        self.waits_s: list[float] = []
+        self.watcher: forwarding.StoreWatcher[str] | None = None
+
+    def list_all(
+        self, may_be_stale: bool = False
+    ) -> forwarding.Listing[str] | forwarding.StoreFault:
+        self.calls.append('stale list' if may_be_stale else 'list')
+        result = self._next()
+        assert not isinstance(result, forwarding.Changes)
+        return result
+
+    def watch(
+        self, revision: int, wait_s: float
+    ) -> forwarding.Changes[str] | forwarding.StoreFault:
+        self.calls.append(f'watch {revision}')
+        self.waits_s.append(wait_s)
+        result = self._next()
+        assert not isinstance(result, forwarding.Listing)
+        return result
+
+    def decode_changes(
+        self, content: bytes
+    ) -> forwarding.Changes[str] | forwarding.StoreFault:
+        text = content.decode()
+        return forwarding.Changes(tuple(text.split()), 0, content)
+
+    def _next(self) -> StoreResult:
+        result = self._results.popleft()
+        if not self._results and self.watcher is not None:
+            self.watcher.stop()
+        return result
+
+
+class RecordingHandler:
+    def __init__(self) -> None:
+        self.applied: list[tuple[str, tuple[str, ...], bool]] = []
+        self.is_current = False
+
+    def replace(self, items: tuple[str, ...], after_outage: bool) -> None:
+        self.applied.append(('list', items, after_outage))
+
+    def apply(self, items: tuple[str, ...], after_outage: bool) -> None:
+        self.applied.append(('changes', items, after_outage))
+
+    def confirm(self) -> None:
+        self.is_current = True
+
+    def mark_stale(self) -> None:
+        self.is_current = False
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -10,9 +10,7 @@
 import dataclasses
 import math
 import random
-import select
 import socket
-import sys
 import threading
 import time
 
@@ -24,6 +22,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.coordination import moves
 from skylarktack.coordination import ports
+from skylarktack.daemon.forwarding.tests import raw_target
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
@@ -35,47 +34,6 @@
 
 HOST = (b'Host', b'host.example')
 
-#: Closes a connection with a reset.
-_RESET_LINGER = b'\1\0\0\0\0\0\0\0'
-
-
-@dataclasses.dataclass(frozen=True)
-class Answer:
-    """What a target sends to one request."""
-
-    #: Bytes in order, and pauses in seconds between them.
-    parts: tuple[bytes | float, ...]
-
-    #: ``stay`` keeps the connection open until the caller closes it, ``end``
-    #: closes it, and ``reset`` resets it.
-    ending: str = 'stay'
-
-    #: Whether the target answers as soon as it has read the head.
-    is_before_body: bool = False
-
-    #: Bytes that it sends when it has read the body after all.
-    after_body: bytes = b''
-
-
-@dataclasses.dataclass(frozen=True)
-class ReceivedRequest:
-    """A request that reached a target."""
-
-    target: str
-
-    head: bytes
-
-    #: Whether the connections of all earlier requests had ended by then.
-    is_alone: bool
-
-    @property
-    def last_event_id(self) -> bytes | None:
-        """Return the event after which the stream is to go on, or None."""
-        for line in self.head.lower().split(b'\r\n'):
-            if line.startswith(b'last-event-id:'):
-                return line.partition(b':')[2].strip()
-        return None
-
 
 @dataclasses.dataclass(frozen=True)
 class ReceivedStream:
@@ -89,133 +47,6 @@
     is_complete: bool
 
 
-class RawTarget:
-    """Sends the next answer of the bed to each request.
-
-    Probes always succeed.
-    """
-
-    def __init__(
-        self,
-        name: str,
-        requests: list[ReceivedRequest],
-        answers: collections.deque[Answer],
-        open_connections: list[socket.socket],
-    ) -> None:
-        self.name = name
-        self.bodies: list[bytes] = []
-        self._requests = requests
-        self._answers = answers
-        self._open_connections = open_connections
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    @property
-    def listed(self) -> data.ListedTarget:
-        """Return the entry of the target."""
-        host, port = self._listener.getsockname()
-        return data.ListedTarget(
-            name=self.name,
-            service='pool',
-            endpoint=data.Address(host, port),
-            failure_domain=f'domain-{self.name}',
-            version='v1',
-            slot_count=12,
-        )
-
-    def close(self) -> None:
-        """Accept no more connections."""
-        self._listener.close()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
-
-    def _serve(self, connection: socket.socket) -> None:
-        with contextlib.suppress(OSError), connection:
-            received = b''
-            while b'\r\n\r\n' not in received:
-                more = connection.recv(4096)
-                if not more:
-                    return
-                received += more
-            head, _, body = received.partition(b'\r\n\r\n')
-            if head.startswith(b'GET /report '):
-                connection.sendall(_response(b'{"queued_requests": 1}'))
-                return
-            is_alone = all(map(_has_ended, self._open_connections))
-            self._open_connections.append(connection)
-            self._requests.append(ReceivedRequest(self.name, head, is_alone))
-            if not self._answers:
-                return
-            answer = self._answers.popleft()
-            if not answer.is_before_body:
-                body += _read_exactly(
-                    connection, _body_size_bytes(head) - len(body)
-                )
-            try:
-                self._send(connection, answer)
-                if answer.after_body:
-                    body += _read_exactly(
-                        connection, _body_size_bytes(head) - len(body)
-                    )
-                    connection.sendall(answer.after_body)
-                if answer.ending == 'reset':
-                    connection.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
-                    )
-                if answer.ending == 'stay':
-                    body += _read_exactly(connection, sys.maxsize)
-            finally:
-                self.bodies.append(body)
-
-    def _send(self, connection: socket.socket, answer: Answer) -> None:
-        for part in answer.parts:
-            if isinstance(part, bytes):
-                connection.sendall(part)
-            else:
-                time.sleep(part)
-
-
-def _has_ended(connection: socket.socket) -> bool:
-    """Return whether either end has closed the connection."""
-    if connection.fileno() < 0:
-        return True
-    poller = select.poll()
-    poller.register(connection, select.POLLRDHUP)
-    return bool(poller.poll(0))
-
-
-def _response(body: bytes) -> bytes:
-    length = str(len(body)).encode()
-    return b'HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\n%s' % (length, body)
-
-
-def _body_size_bytes(head: bytes) -> int:
-    for line in head.lower().split(b'\r\n'):
-        if line.startswith(b'content-length:'):
-            return int(line.partition(b':')[2])
-    return 0
-
-
-def _read_exactly(connection: socket.socket, size_bytes: int) -> bytes:
-    """Read bytes, or fewer if the connection ends or is reset."""
-    received = b''
-    while len(received) < size_bytes:
-        try:
-            more = connection.recv(65536)
-        except ConnectionError:
-            break
-        if not more:
-            break
-        received += more
-    return received
-
-
 class _Forwarders:
     """Admits each request to one route and forwards it."""
 
@@ -301,12 +132,14 @@
     target that is. When no answer is left, connections are closed.
     """
 
-    def __init__(self, route: data.ForwardingRoute, *answers: Answer) -> None:
-        self.requests: list[ReceivedRequest] = []
+    def __init__(
+        self, route: data.ForwardingRoute, *answers: raw_target.Answer
+    ) -> None:
+        self.requests: list[raw_target.ReceivedRequest] = []
         self.remaining_answers = collections.deque(answers)
         open_connections: list[socket.socket] = []
         self.targets = [
-            RawTarget(
+            raw_target.RawTarget(
                 name,
                 self.requests,
                 self.remaining_answers,
@@ -378,8 +211,8 @@
         while b'\r\n\r\n' not in received:
             received += self.caller.recv(65536)
         head, _, content = received.partition(b'\r\n\r\n')
-        content += _read_exactly(
-            self.caller, _body_size_bytes(head) - len(content)
+        content += raw_target.read_exactly(
+            self.caller, raw_target.body_size_bytes(head) - len(content)
         )
         return int(head.split(b' ')[1]), content
 
@@ -422,7 +255,7 @@
 
 @contextlib.contextmanager
 def serving(
-    route: data.ForwardingRoute, *answers: Answer
+    route: data.ForwardingRoute, *answers: raw_target.Answer
 ) -> Iterator[ResponseBed]:
     """Run a test bed whose targets send the answers in this order."""
     bed = ResponseBed(route, *answers)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_broken_streams.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_broken_streams.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from skylarktack.daemon.forwarding.tests import raw_target
 from skylarktack.daemon.forwarding.tests import response_bed
 from skylarktack.state import forwarding as data
 
@@ -30,19 +31,19 @@
     return b'%x\r\n%s\r\n' % (len(content), content)
 
 
-def _whole_stream(first: int, last: int) -> response_bed.Answer:
+def _whole_stream(first: int, last: int) -> raw_target.Answer:
     body = _chunk(_events(first, last))
-    return response_bed.Answer((HEAD + CHUNKED + body + LAST_CHUNK,))
+    return raw_target.Answer((HEAD + CHUNKED + body + LAST_CHUNK,))
 
 
 def _broken_stream(
     last: int, framing: str, rest: bytes = b'', ending: str = 'end'
-) -> response_bed.Answer:
+) -> raw_target.Answer:
     """Return the events from 1 to last, other bytes, and the ending."""
     content = _events(1, last) + rest
     if framing == 'chunks':
-        return response_bed.Answer((HEAD + CHUNKED + _chunk(content),), ending)
-    return response_bed.Answer((HEAD + b'\r\n' + content,), ending)
+        return raw_target.Answer((HEAD + CHUNKED + _chunk(content),), ending)
+    return raw_target.Answer((HEAD + b'\r\n' + content,), ending)
 
 
 def _answer(status: int, headers: bytes, body: bytes) -> bytes:
@@ -161,7 +162,7 @@
         with response_bed.serving(
             RESUMABLE,
             _broken_stream(2, 'chunks'),
-            response_bed.Answer((response,), ending),
+            raw_target.Answer((response,), ending),
             _whole_stream(3, 4),
         ) as bed:
             bed.send()
@@ -184,7 +185,7 @@
         self, response: bytes, ending: str
     ) -> None:
         """Guards against a stream that ends as if it were complete."""
-        answer = response_bed.Answer((response,), ending)
+        answer = raw_target.Answer((response,), ending)
         route = response_bed.route(data.RequestKind.STREAM, timeout_ms=1500.0)
         with response_bed.serving(
             route, _broken_stream(2, 'chunks'), *(12 * (answer,))
@@ -203,7 +204,7 @@
         with response_bed.serving(
             RESUMABLE,
             _broken_stream(2, 'chunks'),
-            response_bed.Answer((gap,)),
+            raw_target.Answer((gap,)),
             _whole_stream(4, 4),
         ) as bed:
             bed.send()
@@ -287,7 +288,7 @@
         """Guards against a success that holds no stream."""
         with response_bed.serving(
             RESUMABLE,
-            response_bed.Answer((response,), ending),
+            raw_target.Answer((response,), ending),
             _whole_stream(1, 2),
         ) as bed:
             bed.send()
@@ -304,7 +305,7 @@
     @pytest.mark.parametrize('line_end', [b'\n', b'\r\n'])
     def test_whole_stream(self, line_end: bytes, version: bytes) -> None:
         """Guards against failing a stream that ends with its connection."""
-        answer = response_bed.Answer(
+        answer = raw_target.Answer(
             (HEAD + b'\r\n' + _events(1, 3, line_end),), 'end'
         )
         with response_bed.serving(NOT_RESUMABLE, answer) as bed:
@@ -346,7 +347,7 @@
             event[-cut:],
         )
         with response_bed.serving(
-            NOT_RESUMABLE, response_bed.Answer(parts, 'end')
+            NOT_RESUMABLE, raw_target.Answer(parts, 'end')
         ) as bed:
             bed.send()
             received = bed.read_stream()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from skylarktack.daemon.forwarding.tests import raw_target
 from skylarktack.daemon.forwarding.tests import response_bed
 from skylarktack.state import forwarding as data
 
@@ -59,7 +60,7 @@
     ) -> None:
         """Guards against failing an answer that ends with its connection."""
         with response_bed.serving(
-            NON_IDEMPOTENT, response_bed.Answer((response,), ending)
+            NON_IDEMPOTENT, raw_target.Answer((response,), ending)
         ) as bed:
             bed.send(version=version)
             assert bed.read_answer() == (200, b'done')
@@ -73,7 +74,7 @@
         self, response: bytes, ending: str
     ) -> None:
         """Guards against bytes of one answer before the next one."""
-        answer = response_bed.Answer((response,), ending)
+        answer = raw_target.Answer((response,), ending)
         with response_bed.serving(NON_IDEMPOTENT, answer, answer) as bed:
             assert bed.ask() == (200, b'done')
             assert bed.ask() == (200, b'done')
@@ -89,7 +90,7 @@
     ) -> None:
         """Guards against a broken answer that looks complete."""
         with response_bed.serving(
-            NON_IDEMPOTENT, response_bed.Answer((response,), ending)
+            NON_IDEMPOTENT, raw_target.Answer((response,), ending)
         ) as bed:
             bed.send(version=version)
             status, _ = bed.read_answer()
@@ -104,7 +105,7 @@
 
     def test_whole_answer_ends_the_request(self) -> None:
         """Guards against other bytes where the rest of a body is due."""
-        answer = response_bed.Answer(
+        answer = raw_target.Answer(
             (HEAD + LENGTH + b'done', 0.2), is_before_body=True
         )
         with response_bed.serving(NON_IDEMPOTENT, answer, answer) as bed:
@@ -116,7 +117,7 @@
 
     def test_answer_that_waits_for_the_body(self) -> None:
         """Guards against a target that waits for a body that never comes."""
-        answer = response_bed.Answer(
+        answer = raw_target.Answer(
             (HEAD + LENGTH + b'do',), is_before_body=True, after_body=b'ne'
         )
         with response_bed.serving(NON_IDEMPOTENT, answer) as bed:
@@ -133,7 +134,7 @@
         send and the next read finds an orderly end.
         """
         head = HEAD + b'Content-Type: text/event-stream\r\n\r\n'
-        answer = response_bed.Answer(
+        answer = raw_target.Answer(
             (head + b'id: 1\ndata: a\n\n', 0.2),
             ending='reset',
             is_before_body=True,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_refusals_of_targets.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_refusals_of_targets.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from skylarktack.daemon.forwarding.tests import raw_target
 from skylarktack.daemon.forwarding.tests import response_bed
 from skylarktack.state import forwarding as data
 
@@ -81,11 +82,9 @@
         self, response: bytes, is_before_body: bool
     ) -> None:
         """Guards against a booking that runs twice, or a false refusal."""
-        answer = response_bed.Answer(
-            (response,), is_before_body=is_before_body
-        )
+        answer = raw_target.Answer((response,), is_before_body=is_before_body)
         with response_bed.serving(
-            NON_IDEMPOTENT, answer, response_bed.Answer((SOUND,))
+            NON_IDEMPOTENT, answer, raw_target.Answer((SOUND,))
         ) as bed:
             status, _ = bed.ask()
             assert len(bed.requests) == 1
@@ -100,8 +99,8 @@
         """Guards against a stream that runs twice, or a false refusal."""
         with response_bed.serving(
             STREAM_ONCE,
-            response_bed.Answer((response,), 'end'),
-            response_bed.Answer((SOUND_STREAM,), 'end'),
+            raw_target.Answer((response,), 'end'),
+            raw_target.Answer((SOUND_STREAM,), 'end'),
         ) as bed:
             status, _ = bed.ask()
             assert len(bed.requests) == 1
@@ -109,11 +108,11 @@
 
     def test_refusal_while_the_body_is_written(self) -> None:
         """Guards against a late refusal that answers a long request."""
-        answer = response_bed.Answer(
+        answer = raw_target.Answer(
             (_answer(503, FOREIGN + NOT_EXECUTED),), is_before_body=True
         )
         with response_bed.serving(
-            NON_IDEMPOTENT, answer, response_bed.Answer((SOUND,))
+            NON_IDEMPOTENT, answer, raw_target.Answer((SOUND,))
         ) as bed:
             status, _ = bed.ask(b'x' * 20_000_000)
             assert len(bed.requests) == 1
@@ -132,19 +131,19 @@
         """Guards against a booking that one full target fails."""
         with response_bed.serving(
             NON_IDEMPOTENT,
-            response_bed.Answer((response,)),
-            response_bed.Answer((SOUND,)),
+            raw_target.Answer((response,)),
+            raw_target.Answer((SOUND,)),
         ) as bed:
             assert bed.ask() == (200, b'done')
             assert len(bed.requests) == 2
 
     def test_refusal_while_the_body_is_written(self) -> None:
         """Guards against waiting for a target that refuses at the head."""
-        answer = response_bed.Answer(
+        answer = raw_target.Answer(
             (_answer(503, OWN + NOT_EXECUTED),), is_before_body=True
         )
         with response_bed.serving(
-            NON_IDEMPOTENT, answer, response_bed.Answer((SOUND,))
+            NON_IDEMPOTENT, answer, raw_target.Answer((SOUND,))
         ) as bed:
             assert bed.ask(b'x' * 20_000_000) == (200, b'done')
             assert len(bed.requests) == 2
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_silent_targets.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_silent_targets.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from skylarktack.daemon.forwarding.tests import raw_target
 from skylarktack.daemon.forwarding.tests import response_bed
 from skylarktack.state import forwarding as data
 
@@ -57,7 +58,7 @@
     ) -> None:
         """Guards against a send that holds a request past its time limit."""
         route = response_bed.route(kind, timeout_ms=1000 * TIMEOUT_S)
-        unread = response_bed.Answer((UNREAD_S,), 'end', is_before_body=True)
+        unread = raw_target.Answer((UNREAD_S,), 'end', is_before_body=True)
         with response_bed.serving(route, *(12 * (unread,))) as bed:
             began_s = time.monotonic()
             status, _ = bed.ask(LONG_BODY)
@@ -69,7 +70,7 @@
     def test_is_withdrawn_when_its_caller_leaves(self, body: bytes) -> None:
         """Guards against a run whose caller has left long ago."""
         route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
-        unread = response_bed.Answer(
+        unread = raw_target.Answer(
             (UNREAD_S / 2,), is_before_body=True, after_body=b' '
         )
         with response_bed.serving(route, unread) as bed:
@@ -89,7 +90,7 @@
     def test_call_waits(self, parts: tuple[bytes | float, ...]) -> None:
         """Guards against breaking off a booking at a sound target."""
         route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
-        with response_bed.serving(route, response_bed.Answer(parts)) as bed:
+        with response_bed.serving(route, raw_target.Answer(parts)) as bed:
             assert bed.ask() == (200, b'done')
             assert len(bed.requests) == 1
             assert not bed.ejected()
@@ -97,7 +98,7 @@
     def test_call_with_a_long_body_waits(self) -> None:
         """Guards against giving up a target that reads late."""
         route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
-        answer = response_bed.Answer(
+        answer = raw_target.Answer(
             (SILENCE_S, PLAIN_HEAD), is_before_body=True, after_body=b'done'
         )
         with response_bed.serving(route, answer) as bed:
@@ -111,7 +112,7 @@
     def test_stream_waits(self, parts: tuple[bytes | float, ...]) -> None:
         """Guards against breaking off a stream that may not be resumed."""
         route = response_bed.route(data.RequestKind.STREAM, is_resumable=False)
-        answer = response_bed.Answer(parts, 'end')
+        answer = raw_target.Answer(parts, 'end')
         with response_bed.serving(route, answer) as bed:
             bed.send()
             received = bed.read_stream()
@@ -124,8 +125,8 @@
     def test_resumed_stream_leaves_one_run(self) -> None:
         """Guards against two engines that work on one stream."""
         route = response_bed.route(data.RequestKind.STREAM)
-        silent = response_bed.Answer(SILENT_STREAMS['between events'], 'end')
-        rest = response_bed.Answer((STREAM_HEAD + SECOND_EVENT,), 'end')
+        silent = raw_target.Answer(SILENT_STREAMS['between events'], 'end')
+        rest = raw_target.Answer((STREAM_HEAD + SECOND_EVENT,), 'end')
         with response_bed.serving(route, silent, rest) as bed:
             bed.send()
             received = bed.read_stream()
