--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -104,7 +104,7 @@
             self._moves,
             errors,
         )
-        memory = transport.MemoryAccount(
+        memory = transport.MemoryBudget(
             transport.body_limit_bytes(settings.memory_limit_bytes)
         )
         client = transport.HttpTargetClient(codec, memory)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -159,7 +159,7 @@
             accepted,
             self.forwarders,
             platform.PlatformMessageCodec(),
-            transport.MemoryAccount(transport.body_limit_bytes(None)),
+            transport.MemoryBudget(transport.body_limit_bytes(None)),
         )
         self._task = threading.Thread(target=connection.run)
         self._task.start()
--- a/packages/transport/src/skylarktack/transport/forwarding/__init__.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/__init__.py
@@ -14,7 +14,7 @@
     from skylarktack.transport.forwarding._listener import Listener
     from skylarktack.transport.forwarding._listener import ListenerLimits
     from skylarktack.transport.forwarding._listening import listen
-    from skylarktack.transport.forwarding._memory import MemoryAccount
+    from skylarktack.transport.forwarding._memory import MemoryBudget
     from skylarktack.transport.forwarding._memory import body_limit_bytes
     from skylarktack.transport.forwarding._store_client import HttpStoreCalls
     from skylarktack.transport.forwarding._target_client import HttpExchange
@@ -32,7 +32,7 @@
     'LineLog',
     'Listener',
     'ListenerLimits',
-    'MemoryAccount',
+    'MemoryBudget',
     'body_limit_bytes',
     'listen',
 ]
@@ -45,7 +45,7 @@
     'LineLog': '_line_log',
     'Listener': '_listener',
     'ListenerLimits': '_listener',
-    'MemoryAccount': '_memory',
+    'MemoryBudget': '_memory',
     'body_limit_bytes': '_memory',
     'listen': '_listening',
     'HttpStoreCalls': '_store_client',
--- a/packages/transport/src/skylarktack/transport/forwarding/_body_claim.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_body_claim.py
@@ -12,7 +12,7 @@
 class BodyClaim:
     """Claims memory for one body at a time and bounds its size."""
 
-    def __init__(self, memory: _memory.MemoryAccount) -> None:
+    def __init__(self, memory: _memory.MemoryBudget) -> None:
         self._memory = memory
         self._claimed_bytes = 0
 
@@ -25,7 +25,7 @@
         """
         if size_bytes > limits.max_body_bytes:
             return data.Refusal(data.RefusalReason.BODY_TOO_LARGE)
-        if size_bytes <= _memory.UNACCOUNTED_BODY_BYTES:
+        if size_bytes <= _memory.EXEMPT_BODY_BYTES:
             return None
         if not self._memory.claim_request(size_bytes, MAX_WAIT_S):
             return data.Refusal(data.RefusalReason.MEMORY_FULL, RETRY_AFTER_S)
@@ -42,7 +42,7 @@
         """
         if size_bytes > limits.max_body_bytes:
             return data.Refusal(data.RefusalReason.BODY_TOO_LARGE)
-        is_ordinary = size_bytes <= _memory.UNACCOUNTED_BODY_BYTES
+        is_ordinary = size_bytes <= _memory.EXEMPT_BODY_BYTES
         if is_ordinary or self._claimed_bytes:
             return None
         return self.claim(limits.max_body_bytes, limits)
--- a/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
@@ -38,9 +38,9 @@
     #: Maximum size of the body.
     max_body_bytes: int
 
-    #: Account of what each buffered body has above
-    #: ``UNACCOUNTED_BODY_BYTES``.
-    memory: _memory.MemoryAccount
+    #: Budget of what each buffered body has above
+    #: ``EXEMPT_BODY_BYTES``.
+    memory: _memory.MemoryBudget
 
 
 class BoundedResponseParser:
@@ -108,7 +108,7 @@
         self._is_counting = False
 
     def release(self) -> None:
-        """Return the counted bytes to the account; safe to call twice."""
+        """Return the counted bytes to the budget; safe to call twice."""
         self._limits.memory.release(self._claimed_bytes)
         self._claimed_bytes = 0
         self._body_bytes = 0
@@ -141,7 +141,7 @@
         total_bytes = self._body_bytes + size_bytes
         if total_bytes > self._limits.max_body_bytes:
             raise h11.RemoteProtocolError('the body exceeds the size limit')
-        claimed_bytes = max(0, total_bytes - _memory.UNACCOUNTED_BODY_BYTES)
+        claimed_bytes = max(0, total_bytes - _memory.EXEMPT_BODY_BYTES)
         if not self._limits.memory.claim_response(
             claimed_bytes - self._claimed_bytes
         ):
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -68,7 +68,7 @@
         connection: socket.socket,
         handler: FrontHandler,
         codec: forwarding.MessageCodec,
-        memory: _memory.MemoryAccount,
+        memory: _memory.MemoryBudget,
     ) -> None:
         self._connection = connection
         self._body_claim = _body_claim.BodyClaim(memory)
@@ -129,11 +129,11 @@
                 return None
             return self._waiting_since_s
 
-    def give_way(self) -> bool:
-        """Close the connection for another one; return whether it closes.
+    def evict(self) -> bool:
+        """Close the connection to make room; return whether it closes.
 
         It stays open while it has a request, read or still unread. A part of
-        a request is dropped, so that callers that send slowly give way too.
+        a request is dropped, so that callers that send slowly are evicted too.
         """
         with self._state_lock:
             if self._has_request or self._is_closing or self._is_closed:
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -20,7 +20,7 @@
 ACCEPT_RETRY_S = 0.05
 
 #: Maximum wait for a connection to end before the listener looks again for
-#: one that can give way to a new one.
+#: one that can be evicted for a new one.
 ROOM_CHECK_S = 0.05
 
 #: Maximum wait of a close for connections that are not accepted yet, and the
@@ -34,11 +34,11 @@
     """Limits on what all connections of a listener take together."""
 
     #: Maximum number of open connections. Above it, the one that has waited
-    #: longest for a request gives way to a new one.
+    #: longest for a request is evicted for a new one.
     max_open_count: int
 
-    #: Account of the bodies of requests.
-    memory: _memory.MemoryAccount
+    #: Budget of the bodies of requests.
+    memory: _memory.MemoryBudget
 
 
 class Listener:
@@ -133,7 +133,7 @@
                 if len(self._open) < self._limits.max_open_count:
                     return
                 connections = tuple(self._open)
-            _close_longest_waiting(connections)
+            _evict_longest_waiting(connections)
             with self._has_ended:
                 if len(self._open) >= self._limits.max_open_count:
                     self._has_ended.wait(ROOM_CHECK_S)
@@ -149,7 +149,7 @@
                 self._has_ended.notify_all()
 
 
-def _close_longest_waiting(
+def _evict_longest_waiting(
     connections: tuple[_front_connection.FrontConnection, ...],
 ) -> None:
     waiting: list[tuple[float, _front_connection.FrontConnection]] = []
@@ -159,5 +159,5 @@
             waiting.append((since_s, connection))
     waiting.sort(key=operator.itemgetter(0))
     for _, connection in waiting:
-        if connection.give_way():
+        if connection.evict():
             return
--- a/packages/transport/src/skylarktack/transport/forwarding/_memory.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_memory.py
@@ -6,21 +6,21 @@
 import threading
 import time
 
-#: Size up to which a body needs nothing of the account, so that large bodies
+#: Size up to which a body needs nothing of the budget, so that large bodies
 #: of some do not fail the ordinary ones of others.
-UNACCOUNTED_BODY_BYTES = 65536
+EXEMPT_BODY_BYTES = 65536
 
 #: Fraction of the memory limit of the process that bodies may take, and the
 #: limit that is assumed without one.
 BODY_FRACTION = 0.5
 DEFAULT_MEMORY_LIMIT_BYTES = 256 * 1024 * 1024
 
-#: Fraction of the account that only responses may take: a request whose
+#: Fraction of the budget that only responses may take: a request whose
 #: response cannot be buffered has run in vain.
 RESPONSE_FRACTION = 0.25
 
 
-class MemoryAccount:
+class MemoryBudget:
     """Counts the bytes of the large bodies that are held at one time."""
 
     def __init__(self, limit_bytes: int) -> None:
--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -160,6 +160,6 @@
 
 def _new_parser() -> _bounded_response.BoundedResponseParser:
     limits = _bounded_response.ResponseLimits(
-        MAX_RESPONSE_BYTES, _memory.MemoryAccount(MAX_RESPONSE_BYTES)
+        MAX_RESPONSE_BYTES, _memory.MemoryBudget(MAX_RESPONSE_BYTES)
     )
     return _bounded_response.BoundedResponseParser(limits)
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -202,15 +202,15 @@
     def __init__(
         self,
         codec: forwarding.MessageCodec,
-        memory: _memory.MemoryAccount | None = None,
+        memory: _memory.MemoryBudget | None = None,
     ) -> None:
         """Create a client.
 
-        :param memory: account of the bodies of responses; None for one of
+        :param memory: budget of the bodies of responses; None for one of
             its own.
         """
         self._codec = codec
-        self._memory = memory or _memory.MemoryAccount(
+        self._memory = memory or _memory.MemoryBudget(
             _memory.body_limit_bytes(None)
         )
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
@@ -139,10 +139,10 @@
     def __init__(
         self,
         handler: RecordingHandler | None = None,
-        memory: transport.MemoryAccount | None = None,
+        memory: transport.MemoryBudget | None = None,
     ) -> None:
         self.handler = handler or RecordingHandler()
-        self.memory = memory or transport.MemoryAccount(
+        self.memory = memory or transport.MemoryBudget(
             transport.body_limit_bytes(None)
         )
         with socket.create_server(('127.0.0.1', 0)) as listener:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
@@ -151,14 +151,14 @@
         assert faults[0].kind is forwarding.FaultKind.MALFORMED
         assert peak_bytes < MAX_PEAK_BYTES
 
-    def test_responses_share_an_account(self) -> None:
+    def test_responses_share_a_budget(self) -> None:
         """Guards against many large responses that fill the memory together.
 
         The bytes of a closed exchange are free for the next one.
         """
         client = transport.HttpTargetClient(
             front_harness.PassThroughCodec(),
-            transport.MemoryAccount(1_000_000),
+            transport.MemoryBudget(1_000_000),
         )
         prefix, repeated = ENDLESS_RESPONSES['body until close']
         with _serving(prefix, repeated) as server:
@@ -166,11 +166,11 @@
                 fault = _read_until_fault(client, server)
                 assert fault.detail == 'the buffers of all responses are full'
 
-    def test_ordinary_response_needs_no_account(self) -> None:
+    def test_ordinary_response_needs_no_budget(self) -> None:
         """Guards against failing sound responses beside endless ones."""
         client = transport.HttpTargetClient(
             front_harness.PassThroughCodec(),
-            transport.MemoryAccount(1_000_000),
+            transport.MemoryBudget(1_000_000),
         )
         sound_body = b'x' * 20_000
         length = b'Content-Length: %d\r\n\r\n' % len(sound_body)
@@ -185,7 +185,7 @@
                 5.0,
             )
             assert not isinstance(other, forwarding.ExchangeFault)
-            # Its fault is the first event after the account was used up.
+            # Its fault is the first event after the budget was used up.
             while not _has_fault(other.receive()):
                 time.sleep(0)
             exchange = client.send(
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
@@ -22,7 +22,7 @@
 
 
 def _limits(max_open_count: int) -> transport.ListenerLimits:
-    memory = transport.MemoryAccount(transport.body_limit_bytes(None))
+    memory = transport.MemoryBudget(transport.body_limit_bytes(None))
     return transport.ListenerLimits(max_open_count, memory)
 
 
@@ -68,10 +68,10 @@
     return caller.recv(65536).startswith(b'HTTP/1.1 200')
 
 
-class TestRoom:
+class TestEviction:
     """More connections than there may be at the same time."""
 
-    def test_the_longest_idle_connection_gives_way(self) -> None:
+    def test_evicts_the_longest_idle_connection(self) -> None:
         """Guards against requests that are never read.
 
         Idle connections that callers keep open used up the tasks.
@@ -91,7 +91,7 @@
             for caller in callers:
                 caller.close()
 
-    def test_a_caller_that_sends_slowly_gives_way(self) -> None:
+    def test_evicts_a_caller_that_sends_slowly(self) -> None:
         """Guards against callers that hold tasks by a byte now and then."""
         slow = (b'', b'GE', GET[:-2], b'POST /a HTTP/1.1\r\nHost: h\r\n')
         assert len(slow) == MAX_OPEN_COUNT
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_memory.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_memory.py
@@ -1,4 +1,4 @@
-"""The account of bodies, and callers that wait for it."""
+"""The budget of bodies, and callers that wait for it."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -13,40 +13,40 @@
 
 LIMIT_BYTES = 1_000_000
 
-#: What requests may take of the account; the rest is kept for responses.
+#: What requests may take of the budget; the rest is kept for responses.
 REQUEST_BYTES = 750_000
 
 BODY = b'x' * 500_000
 
 
-class TestMemoryAccount:
+class TestMemoryBudget:
     """Requests wait for memory, responses do not."""
 
     def test_requests_leave_room_for_responses(self) -> None:
         """Guards against runs whose response cannot be buffered."""
-        account = transport.MemoryAccount(LIMIT_BYTES)
-        assert account.claim_request(REQUEST_BYTES, 0.0)
-        assert not account.claim_request(1, 0.0)
-        assert account.claim_response(LIMIT_BYTES - REQUEST_BYTES)
-        assert not account.claim_response(1)
+        budget = transport.MemoryBudget(LIMIT_BYTES)
+        assert budget.claim_request(REQUEST_BYTES, 0.0)
+        assert not budget.claim_request(1, 0.0)
+        assert budget.claim_response(LIMIT_BYTES - REQUEST_BYTES)
+        assert not budget.claim_response(1)
 
     def test_a_request_waits_for_a_release(self) -> None:
         """Guards against refusing what there is room for a moment later."""
-        account = transport.MemoryAccount(LIMIT_BYTES)
-        assert account.claim_request(REQUEST_BYTES, 0.0)
+        budget = transport.MemoryBudget(LIMIT_BYTES)
+        assert budget.claim_request(REQUEST_BYTES, 0.0)
         results = []
         waiting = threading.Thread(
             target=lambda: results.append(
-                account.claim_request(1, front_harness.TIMEOUT_S)
+                budget.claim_request(1, front_harness.TIMEOUT_S)
             )
         )
         waiting.start()
-        account.release(REQUEST_BYTES)
+        budget.release(REQUEST_BYTES)
         waiting.join(front_harness.TIMEOUT_S)
         assert results == [True]
 
     def test_limit_is_a_part_of_the_memory_of_the_process(self) -> None:
-        """Guards against an account that does not fit the process."""
+        """Guards against a budget that does not fit the process."""
         for limit_bytes in (100_000_000, 300 * 1024 * 1024):
             found_bytes = transport.body_limit_bytes(limit_bytes)
             assert 0 < found_bytes <= limit_bytes / 2
@@ -54,7 +54,7 @@
 
 @contextlib.contextmanager
 def _serving(
-    memory: transport.MemoryAccount,
+    memory: transport.MemoryBudget,
 ) -> Iterator[front_harness.FrontHarness]:
     harness = front_harness.FrontHarness(memory=memory)
     harness.handler.front_limits = data.FrontLimits(max_body_bytes=len(BODY))
@@ -83,7 +83,7 @@
         self, encode: Callable[[bytes], bytes]
     ) -> None:
         """Guards against bodies that end the process together."""
-        memory = transport.MemoryAccount(LIMIT_BYTES)
+        memory = transport.MemoryBudget(LIMIT_BYTES)
         with _serving(memory) as first, _serving(memory) as second:
             first.handler.may_respond.clear()
             first.caller.sendall(encode(BODY))
@@ -100,7 +100,7 @@
         self, encode: Callable[[bytes], bytes]
     ) -> None:
         """Guards against refusing ordinary requests beside long ones."""
-        memory = transport.MemoryAccount(LIMIT_BYTES)
+        memory = transport.MemoryBudget(LIMIT_BYTES)
         assert memory.claim_request(REQUEST_BYTES, 0.0)
         with _serving(memory) as harness:
             harness.caller.sendall(encode(b'short'))
@@ -110,7 +110,7 @@
         self, encode: Callable[[bytes], bytes]
     ) -> None:
         """Guards against bodies that are held for slow readers."""
-        memory = transport.MemoryAccount(LIMIT_BYTES)
+        memory = transport.MemoryBudget(LIMIT_BYTES)
         with _serving(memory) as harness:
             for _ in range(3):
                 harness.caller.sendall(encode(BODY))
