--- a/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
@@ -30,6 +30,9 @@
 #: Longest wait for a process to start, to be ready or to end.
 PATIENCE_S = 60.0
 
+#: Newest lines of the log that a failed wait shows.
+SHOWN_LINE_COUNT = 30
+
 DOMAINS = ('domain-a', 'domain-b', 'domain-c')
 
 
@@ -140,7 +143,12 @@
                 if fields.items() <= line.items():
                     return
             time.sleep(0.02)
-        raise TimeoutError(f'{self.name} wrote no line {part}: {event}')
+        newest = '\n'.join(
+            str(line) for line in self.lines[-SHOWN_LINE_COUNT:]
+        )
+        raise TimeoutError(
+            f'{self.name} wrote no line {part}: {event}; newest:\n{newest}'
+        )
 
     def _read_log(self, process: subprocess.Popen[bytes]) -> None:
         if process.stdout is None:
--- a/packages/emulator/src/skylarktack/emulator/tests/test_endless_targets.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_endless_targets.py
@@ -76,6 +76,9 @@
         yield
     finally:
         for listener in listeners:
+            # A task that is still accepting would never end.
+            with contextlib.suppress(OSError):
+                listener.shutdown(socket.SHUT_RDWR)
             listener.close()
 
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
@@ -60,6 +60,9 @@
         )
 
     def close(self) -> None:
+        # A task that is still accepting would never end.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def _accept(self) -> None:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
@@ -47,6 +47,9 @@
         return data.Address(host, port)
 
     def close(self) -> None:
+        # A task that is still accepting would never end.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def wait_until_late_response(self) -> None:
