End the instances of a deployment that does not start

One trace shows such a call as the request of another test (GET /objects/rollouts at a stand-in of a target). The start closes the deployment now before it raises.

--- a/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
@@ -239,10 +239,15 @@
         self.apply(_manifest.manifest(self.version))
         for target in self.engines + self.services:
             self.enter(target)
-        for instance in self.instances:
-            instance.start()
-        for instance in self.instances:
-            self.wait_serving(instance)
+        try:
+            for instance in self.instances:
+                instance.start()
+            for instance in self.instances:
+                self.wait_serving(instance)
+        except BaseException:
+            # A process that is left would call ports that others use next.
+            self.close()
+            raise
         return self
 
     def __exit__(
@@ -251,6 +256,10 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End all processes and stand-ins."""
         for instance in self.instances:
             instance.kill()
         for target in self.engines + self.services:
