Use one heap for all threads, so that freed buffers serve the next

TestEndlessTargets with chunks peaked at 308,000 kB where the platform ends a process above 307,200, which would lose every request that runs on the instance.

Cause: glibc gives groups of threads heaps of their own, up to eight for each processor, and each keeps the buffers that were freed in it. The budget counts what is held (150 MB of 300), not what the heaps keep beside it.

Ruled out: bodies held twice, which would not change with the heaps.

Why it works: one heap joins freed neighbours, and serves every thread.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -32,8 +32,14 @@
 #: freed ones for each group of threads.
 RETURNED_BUFFER_BYTES = 128 * 1024
 
-#: Parameter of ``mallopt(3)`` for that size.
+#: Heaps of the C library. With one for each group of threads, each would keep
+#: its own freed buffers. Threads hold the interpreter's lock while they
+#: allocate, so they do not wait for the heap.
+HEAP_COUNT = 1
+
+#: Parameters of ``mallopt(3)`` for these.
 _M_MMAP_THRESHOLD = -3
+_M_ARENA_MAX = -8
 
 
 class _Signals:
@@ -71,7 +77,7 @@
     signals = _Signals()
     signals.install()
     threading.stack_size(THREAD_STACK_BYTES)
-    _return_freed_buffers()
+    return_freed_buffers()
     _modules.load_modules()
     path = os.environ.get(platform.PATH_VARIABLE, '')
     settings = _read_settings(path, metrics_port)
@@ -95,10 +101,13 @@
     os._exit(0)
 
 
-def _return_freed_buffers() -> None:
+def return_freed_buffers() -> None:
+    """Let memory that one thread frees serve all, or return it."""
     # C libraries without this parameter return buffers by rules of their own.
     with contextlib.suppress(AttributeError):
-        ctypes.CDLL(None).mallopt(_M_MMAP_THRESHOLD, RETURNED_BUFFER_BYTES)
+        library = ctypes.CDLL(None)
+        library.mallopt(_M_MMAP_THRESHOLD, RETURNED_BUFFER_BYTES)
+        library.mallopt(_M_ARENA_MAX, HEAP_COUNT)
 
 
 def _parse_metrics_port(arguments: list[str]) -> int | None:
