Give the tests one raw server, and one entry that lists it

Six test modules accepted connections on raw sockets, each with a loop of its own, and three built the same call and the same entry. They use RawServer now, which serves each connection in a task and ends the accepting task on close. Two of them (the servers of plain services) left that task running before.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/raw_target.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/raw_target.py
@@ -1,15 +1,14 @@
 """A target that is a raw socket and sends given bytes."""
 
 import collections
-import contextlib
 import dataclasses
 import select
 import socket
 import sys
-import threading
 import time
 
 from skylarktack.state import forwarding as data
+from skylarktack.transport.tests import raw_server
 
 #: Closes a connection with a reset.
 _RESET_LINGER = b'\1\0\0\0\0\0\0\0'
@@ -71,17 +70,15 @@
         self._requests = requests
         self._answers = answers
         self._open_connections = open_connections
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._server = raw_server.RawServer(self._serve)
 
     @property
     def listed(self) -> data.ListedTarget:
         """Return the entry of the target."""
-        host, port = self._listener.getsockname()
         return data.ListedTarget(
             name=self.name,
             service='pool',
-            endpoint=data.Address(host, port),
+            endpoint=data.Address(*self._server.address),
             failure_domain=f'domain-{self.name}',
             version='v1',
             slot_count=12,
@@ -89,55 +86,42 @@
 
     def close(self) -> None:
         """Accept no more connections, and end the task that accepts."""
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
+        self._server.close()
 
     def _serve(self, connection: socket.socket) -> None:
-        with contextlib.suppress(OSError), connection:
-            received = b''
-            while b'\r\n\r\n' not in received:
-                more = connection.recv(4096)
-                if not more:
-                    return
-                received += more
-            head, _, body = received.partition(b'\r\n\r\n')
-            if head.startswith(b'GET /report '):
-                connection.sendall(_response(b'{"queued_requests": 1}'))
+        received = b''
+        while b'\r\n\r\n' not in received:
+            more = connection.recv(4096)
+            if not more:
                 return
-            is_alone = all(map(_has_ended, self._open_connections))
-            self._open_connections.append(connection)
-            self._requests.append(ReceivedRequest(self.name, head, is_alone))
-            if not self._answers:
-                return
-            answer = self._answers.popleft()
-            if not answer.is_before_body:
+            received += more
+        head, _, body = received.partition(b'\r\n\r\n')
+        if head.startswith(b'GET /report '):
+            connection.sendall(_response(b'{"queued_requests": 1}'))
+            return
+        is_alone = all(map(_has_ended, self._open_connections))
+        self._open_connections.append(connection)
+        self._requests.append(ReceivedRequest(self.name, head, is_alone))
+        if not self._answers:
+            return
+        answer = self._answers.popleft()
+        if not answer.is_before_body:
+            body += read_exactly(connection, body_size_bytes(head) - len(body))
+        try:
+            self._send(connection, answer)
+            if answer.after_body:
                 body += read_exactly(
                     connection, body_size_bytes(head) - len(body)
                 )
-            try:
-                self._send(connection, answer)
-                if answer.after_body:
-                    body += read_exactly(
-                        connection, body_size_bytes(head) - len(body)
-                    )
-                    connection.sendall(answer.after_body)
-                if answer.ending == 'reset':
-                    connection.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
-                    )
-                if answer.ending == 'stay':
-                    body += read_exactly(connection, sys.maxsize)
-            finally:
-                self.bodies.append(body)
+                connection.sendall(answer.after_body)
+            if answer.ending == 'reset':
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
+                )
+            if answer.ending == 'stay':
+                body += read_exactly(connection, sys.maxsize)
+        finally:
+            self.bodies.append(body)
 
     def _send(self, connection: socket.socket, answer: Answer) -> None:
         for part in answer.parts:
--- a/packages/emulator/src/skylarktack/emulator/tests/test_endless_targets.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_endless_targets.py
@@ -5,13 +5,13 @@
 from concurrent import futures
 import contextlib
 import socket
-import threading
 import time
 
 import h11
 import pytest
 
 from skylarktack.emulator import platform
+from skylarktack.transport.tests import raw_server
 
 #: The platform ends a process above this resident memory.
 MEMORY_LIMIT_KB = 300 * 1024
@@ -32,54 +32,30 @@
 }
 
 
-def _send_without_end(
-    connection: socket.socket, prefix: bytes, repeated: bytes
-) -> None:
-    with contextlib.suppress(OSError), connection:
-        connection.recv(65536)
-        connection.sendall(prefix)
-        while True:
-            connection.sendall(repeated)
-
-
-def _accept(listener: socket.socket, prefix: bytes, repeated: bytes) -> None:
-    with contextlib.suppress(OSError):
-        while True:
-            connection, _ = listener.accept()
-            threading.Thread(
-                target=_send_without_end,
-                args=(connection, prefix, repeated),
-                daemon=True,
-            ).start()
-
-
 @contextlib.contextmanager
 def _endless_targets(
     deployment: platform.PlatformDeployment, prefix: bytes, repeated: bytes
 ) -> Iterator[None]:
     """Enter targets of the plain service that never end an answer."""
-    listeners = []
-    for number in range(ENDLESS_TARGET_COUNT):
-        listener = socket.create_server(('127.0.0.1', 0))
-        listeners.append(listener)
-        threading.Thread(
-            target=_accept, args=(listener, prefix, repeated), daemon=True
-        ).start()
-        entry = deployment.services[0].entry()
-        host, port = listener.getsockname()
-        entry['address'] = f'{host}:{port}'
-        deployment.store.put('servers', f'i-endless-{number}', entry)
-        deployment.instances[0].wait_for_line(
-            'target', 'target added', target=f'i-endless-{number}'
-        )
-    try:
+
+    def send_without_end(connection: socket.socket) -> None:
+        connection.recv(65536)
+        connection.sendall(prefix)
+        while True:
+            connection.sendall(repeated)
+
+    with contextlib.ExitStack() as servers:
+        for number in range(ENDLESS_TARGET_COUNT):
+            server = raw_server.RawServer(send_without_end)
+            servers.callback(server.close)
+            entry = deployment.services[0].entry()
+            host, port = server.address
+            entry['address'] = f'{host}:{port}'
+            deployment.store.put('servers', f'i-endless-{number}', entry)
+            deployment.instances[0].wait_for_line(
+                'target', 'target added', target=f'i-endless-{number}'
+            )
         yield
-    finally:
-        for listener in listeners:
-            # A task that is still accepting would never end.
-            with contextlib.suppress(OSError):
-                listener.shutdown(socket.SHUT_RDWR)
-            listener.close()
 
 
 def _call_until(
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 import contextlib
 import socket
-import threading
 import time
 import tracemalloc
 
@@ -14,6 +13,7 @@
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
 from skylarktack.transport.forwarding.tests import front_harness
+from skylarktack.transport.tests import raw_server
 
 HEAD = b'HTTP/1.1 200 OK\r\nAttempt: own\r\n'
 CHUNKED_HEAD = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -46,12 +46,11 @@
         self._repeated = repeated
         self._pause_s = pause_s
         self.closed_count = 0
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._server = raw_server.RawServer(self._serve)
 
     @property
     def endpoint(self) -> data.Address:
-        return data.Address(*self._listener.getsockname())
+        return data.Address(*self._server.address)
 
     @property
     def target(self) -> data.ListedTarget:
@@ -60,21 +59,10 @@
         )
 
     def close(self) -> None:
-        # A task that is still accepting would never end.
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
+        self._server.close()
 
     def _serve(self, connection: socket.socket) -> None:
-        with contextlib.suppress(OSError), connection:
+        with contextlib.suppress(OSError):
             connection.recv(65536)
             connection.sendall(self._prefix)
             while True:
--- a/packages/transport/src/skylarktack/transport/tests/test_engine_streams.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_engine_streams.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterator
 import contextlib
 import socket
-import threading
 
 import pytest
 
 from skylarktack import state
 from skylarktack import transport
 from skylarktack.coordination import ports
+from skylarktack.transport.tests import raw_server
 
 HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
 TOKEN = b'id: 1:0\ndata: "one"\n\n'
@@ -52,26 +52,17 @@
 
 @contextlib.contextmanager
 def _serving(response: bytes) -> Iterator[state.Target]:
-    """Send a response to one request and close the connection."""
+    """Send a response to each request and close the connection."""
 
-    def serve() -> None:
-        connection, _ = listener.accept()
-        with connection:
-            connection.recv(65_536)
-            connection.sendall(response)
+    def serve(connection: socket.socket) -> None:
+        connection.recv(65_536)
+        connection.sendall(response)
 
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        thread = threading.Thread(target=serve, daemon=True)
-        thread.start()
-        yield state.Target(
-            name=state.TargetName('raw'),
-            kind=state.TargetKind.ENGINE,
-            address=state.Address(*listener.getsockname()),
-            failure_domain=state.FailureDomain('domain-0'),
-            region='region-1',
-            versions=(),
-        )
-        thread.join()
+    server = raw_server.RawServer(serve)
+    try:
+        yield raw_server.target(server.address, state.TargetKind.ENGINE)
+    finally:
+        server.close()
 
 
 class TestEngineStream:
--- a/packages/transport/src/skylarktack/transport/tests/test_service_clients.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_service_clients.py
@@ -9,71 +9,37 @@
 
 from skylarktack import state
 from skylarktack import transport
+from skylarktack.transport.tests import raw_server
 
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
 
-class _RawServer:
+class _CountingServer:
     """Counts requests; answers a number of them on each connection."""
 
     def __init__(self, answers_per_connection: int) -> None:
         self._answer_count = answers_per_connection
-        self._listener = socket.create_server(('127.0.0.1', 0))
         self.request_count = 0
         self.closed = threading.Semaphore(0)
-        threading.Thread(target=self._run, daemon=True).start()
+        self._server = raw_server.RawServer(self._serve)
 
     @property
     def target(self) -> state.Target:
-        return _target(self._listener)
+        return raw_server.target(self._server.address)
 
     def close(self) -> None:
-        self._listener.close()
-
-    def _run(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            with connection:
-                for _ in range(self._answer_count):
-                    if not connection.recv(65_536):
-                        break
-                    self.request_count += 1
-                    connection.sendall(_ANSWER)
-                if not self._answer_count and connection.recv(65_536):
-                    self.request_count += 1
-            self.closed.release()
-
-
-def _target(listener: socket.socket) -> state.Target:
-    host, port = listener.getsockname()
-    return state.Target(
-        name=state.TargetName('raw'),
-        kind=state.TargetKind.SERVICE,
-        address=state.Address(host, port),
-        failure_domain=state.FailureDomain('domain-0'),
-        region='region-1',
-        versions=(),
-    )
-
+        self._server.close()
 
-def _call() -> state.ServiceCall:
-    return state.ServiceCall(
-        request_id=state.RequestId('request-1'),
-        organisation=state.OrganisationName('small'),
-        route=state.Route(
-            state.RouteName('stock'),
-            state.RouteKind.SERVICE,
-            state.VersionName('desk-1'),
-        ),
-        method='GET',
-        path='/items',
-        headers=(),
-        body=b'',
-        idempotency_key='key-1',
-    )
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            for _ in range(self._answer_count):
+                if not connection.recv(65_536):
+                    break
+                self.request_count += 1
+                connection.sendall(_ANSWER)
+            if not self._answer_count and connection.recv(65_536):
+                self.request_count += 1
+        self.closed.release()
 
 
 class TestServiceClients:
@@ -81,9 +47,9 @@
 
     def test_lost_answer_is_not_sent_again(self) -> None:
         """A connection closed after the request is an unknown outcome."""
-        server = _RawServer(answers_per_connection=0)
+        server = _CountingServer(answers_per_connection=0)
         answered = transport.HttpServiceClient().call(
-            server.target, _call(), 5.0
+            server.target, raw_server.service_call(), 5.0
         )
         server.close()
         assert answered.error.run is state.RunState.UNKNOWN
@@ -91,10 +57,12 @@
 
     def test_stale_connection_is_not_used_for_one_run_calls(self) -> None:
         """Each call has its own connection, so none can be stale."""
-        server = _RawServer(answers_per_connection=1)
+        server = _CountingServer(answers_per_connection=1)
         client = transport.HttpServiceClient()
         for _ in range(3):
-            assert client.call(server.target, _call(), 5.0).is_ok()
+            assert client.call(
+                server.target, raw_server.service_call(), 5.0
+            ).is_ok()
             assert server.closed.acquire(timeout=5)
         server.close()
         assert server.request_count == 3
@@ -105,7 +73,9 @@
             # Bound without listening, so that the port refuses.
             unused.bind(('127.0.0.1', 0))
             answered = transport.HttpServiceClient().call(
-                _target(unused), _call(), 5.0
+                raw_server.target(unused.getsockname()),
+                raw_server.service_call(),
+                5.0,
             )
         assert answered.error.run is state.RunState.NOT_RUN
 
@@ -114,10 +84,12 @@
         self, answers_per_connection: int
     ) -> None:
         """A closed kept connection is noticed before the next request."""
-        server = _RawServer(answers_per_connection)
+        server = _CountingServer(answers_per_connection)
         client = transport.HttpLookupClient()
         for _ in range(4):
-            sent = client.send(server.target, _call(), 5.0).ok
+            sent = client.send(
+                server.target, raw_server.service_call(), 5.0
+            ).ok
             assert client.first_ready((sent,), 5.0) is sent
             assert sent.receive(5.0).ok.body == b'ok'
             if answers_per_connection == 1:
@@ -135,29 +107,22 @@
 
     def __init__(self, *answers: bytes) -> None:
         self._answers = answers
-        self._listener = socket.create_server(('127.0.0.1', 0))
         self.connection_count = 0
-        threading.Thread(target=self._run, daemon=True).start()
+        self._server = raw_server.RawServer(self._serve)
 
     @property
     def target(self) -> state.Target:
-        return _target(self._listener)
+        return raw_server.target(self._server.address)
 
     def close(self) -> None:
-        self._listener.close()
-
-    def _run(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            self.connection_count += 1
-            with connection:
-                for answer in self._answers:
-                    if not connection.recv(65_536):
-                        break
-                    connection.sendall(answer)
+        self._server.close()
+
+    def _serve(self, connection: socket.socket) -> None:
+        self.connection_count += 1
+        for answer in self._answers:
+            if not connection.recv(65_536):
+                break
+            connection.sendall(answer)
 
 
 def _named_answer(request_id: str, body: bytes) -> bytes:
@@ -178,7 +143,7 @@
         request_id: str,
     ) -> Result[state.ServiceResponse, state.DispatchFault]:
         call = dataclasses.replace(
-            _call(), request_id=state.RequestId(request_id)
+            raw_server.service_call(), request_id=state.RequestId(request_id)
         )
         sent = client.send(server.target, call, 5.0).ok
         return sent.receive(5.0)
@@ -246,7 +211,7 @@
         """Guards against an empty answer, and the next one to another call."""
         server = _LateCopies(interim + _named_answer('request-1', b'one'))
         answered = transport.HttpServiceClient().call(
-            server.target, _call(), 5.0
+            server.target, raw_server.service_call(), 5.0
         )
         server.close()
         assert answered.ok.status == 200
@@ -256,7 +221,7 @@
         """Guards against bytes of another protocol as an answer."""
         server = _LateCopies(b'HTTP/1.1 101 Switching\r\n\r\n')
         answered = transport.HttpServiceClient().call(
-            server.target, _call(), 5.0
+            server.target, raw_server.service_call(), 5.0
         )
         server.close()
         assert answered.error.run is state.RunState.UNKNOWN
--- a/packages/transport/src/skylarktack/transport/tests/test_truncated_heads.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_truncated_heads.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 import contextlib
 import socket
-import threading
 from typing import Any
 
 from expression import Result
@@ -12,6 +11,7 @@
 
 from skylarktack import state
 from skylarktack import transport
+from skylarktack.transport.tests import raw_server
 
 TIMEOUT_S = 5.0
 
@@ -31,26 +31,13 @@
     'within the trailers': CHUNKED + b'0\r\n',
 }
 
-_CALL = state.ServiceCall(
-    request_id=state.RequestId('request-1'),
-    organisation=state.OrganisationName('small'),
-    route=state.Route(
-        state.RouteName('stock'),
-        state.RouteKind.SERVICE,
-        state.VersionName('desk-1'),
-    ),
-    method='GET',
-    path='/items',
-    headers=(),
-    body=b'',
-    idempotency_key='key-1',
-)
-
 Answered = Result[Any, Any]
 
 
 def _call(target: state.Target) -> Answered:
-    return transport.HttpServiceClient().call(target, _CALL, TIMEOUT_S)
+    return transport.HttpServiceClient().call(
+        target, raw_server.service_call(), TIMEOUT_S
+    )
 
 
 def _ask_outcome(target: state.Target) -> Answered:
@@ -59,7 +46,9 @@
 
 def _look_up(target: state.Target) -> Answered:
     client = transport.HttpLookupClient()
-    return client.send(target, _CALL, TIMEOUT_S).ok.receive(TIMEOUT_S)
+    return client.send(
+        target, raw_server.service_call(), TIMEOUT_S
+    ).ok.receive(TIMEOUT_S)
 
 
 def _command(target: state.Target) -> Answered:
@@ -101,30 +90,21 @@
 
 @contextlib.contextmanager
 def _serving(response: bytes) -> Iterator[state.Target]:
-    """Send a response to one request and end the connection in order."""
-
-    def serve() -> None:
-        connection, _ = listener.accept()
-        with connection:
-            connection.recv(65_536)
-            connection.sendall(response)
-            # Closing with unread bytes would reset the connection.
-            connection.shutdown(socket.SHUT_WR)
-            while connection.recv(65_536):
-                continue
-
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        task = threading.Thread(target=serve)
-        task.start()
-        yield state.Target(
-            name=state.TargetName('raw'),
-            kind=state.TargetKind.SERVICE,
-            address=state.Address(*listener.getsockname()),
-            failure_domain=state.FailureDomain('domain-0'),
-            region='region-1',
-            versions=(),
-        )
-        task.join(TIMEOUT_S)
+    """Send a response to each request and end the connection in order."""
+
+    def serve(connection: socket.socket) -> None:
+        connection.recv(65_536)
+        connection.sendall(response)
+        # Closing with unread bytes would reset the connection.
+        connection.shutdown(socket.SHUT_WR)
+        while connection.recv(65_536):
+            continue
+
+    server = raw_server.RawServer(serve)
+    try:
+        yield raw_server.target(server.address)
+    finally:
+        server.close()
 
 
 class TestTruncatedHead:
