Measure the bounds of one instance: make bench AREA=bounds

Stand-ins can answer a call with a body of a given length, and callers send a body without copying it.

--- a/packages/emulator/src/skylarktack/emulator/bench/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/__main__.py
@@ -7,6 +7,7 @@
 
 import fire
 
+from skylarktack.emulator.bench import _bounds
 from skylarktack.emulator.bench import _configuration
 from skylarktack.emulator.bench import _figures
 from skylarktack.emulator.bench import _generation
@@ -29,6 +30,7 @@
     'membership': _membership.run,
     'once': _once.run,
     'lookup': _lookup.run,
+    'bounds': _bounds.run,
 }
 
 
--- a/packages/emulator/src/skylarktack/emulator/platform/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from skylarktack.emulator.platform._caller import Answer
 from skylarktack.emulator.platform._caller import Attempt
+from skylarktack.emulator.platform._caller import CallerConnection
 from skylarktack.emulator.platform._caller import call
 from skylarktack.emulator.platform._caller import new_attempt_id
 from skylarktack.emulator.platform._caller import read_stream
@@ -30,6 +31,7 @@
     'KEY',
     'Answer',
     'Attempt',
+    'CallerConnection',
     'FaultProxy',
     'PlatformDeployment',
     'PlatformInstance',
--- a/packages/emulator/src/skylarktack/emulator/platform/_caller.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_caller.py
@@ -69,7 +69,7 @@
     :raises OSError: if the connection breaks.
     :raises h11.RemoteProtocolError: if the answer is not whole.
     """
-    with _Connection(instance, attempt) as connection:
+    with CallerConnection(instance, attempt) as connection:
         return connection.read_answer()
 
 
@@ -81,7 +81,7 @@
     :raises OSError: if the connection breaks.
     :raises h11.RemoteProtocolError: if the stream has no end.
     """
-    with _Connection(instance, attempt) as connection:
+    with CallerConnection(instance, attempt) as connection:
         if connection.read_head().status_code != _OK_STATUS:
             yield connection.read_answer()
             return
@@ -93,7 +93,7 @@
                 yield event.decode() + '\n\n'
 
 
-class _Connection:
+class CallerConnection:
     """A connection with one request on its way."""
 
     def __init__(self, instance: state.Address, attempt: Attempt) -> None:
@@ -111,12 +111,12 @@
                 ('Content-Length', str(len(body))),
             ],
         )
-        outgoing = self._parser.send(request) or b''
-        outgoing += self._parser.send(h11.Data(data=body)) or b''
+        self._socket.sendall(self._parser.send(request) or b'')
+        # The body is not copied: many callers may send the same one.
+        self._socket.sendall(self._parser.send(h11.Data(data=body)) or b'')
         self._parser.send(h11.EndOfMessage())
-        self._socket.sendall(outgoing)
 
-    def __enter__(self) -> '_Connection':
+    def __enter__(self) -> 'CallerConnection':
         return self
 
     def __exit__(
@@ -127,6 +127,10 @@
     ) -> None:
         self._socket.close()
 
+    def read_some(self, size_bytes: int) -> int:
+        """Read a part of the answer, unparsed; return how much there was."""
+        return len(self._socket.recv(size_bytes))
+
     def read_head(self) -> h11.Response:
         """Return the head of the answer."""
         if self._head is None:
--- a/packages/emulator/src/skylarktack/emulator/platform/_target.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_target.py
@@ -26,6 +26,9 @@
     #: Time between two events of a stream.
     pace_s: float = 0.01
 
+    #: Length of the answer to a call, or None for a short text.
+    answer_bytes: int | None = None
+
     #: Whether each run ends with an error of the target's own.
     fails: bool = False
 
@@ -312,7 +315,10 @@
             self.answer(500, b'failed', signed)
             return
         if not is_stream:
-            self.answer(200, f'{run.attempt_id} done'.encode(), signed)
+            body = f'{run.attempt_id} done'.encode()
+            if behaviour.answer_bytes is not None:
+                body = bytes(behaviour.answer_bytes)
+            self.answer(200, body, signed)
             return
         self.send_response(200)
         self.send_header('Content-Type', 'text/event-stream')
