Reach the bounds of instances in the soak

They are drawn from a second stream of the seed, so the seeds that failed before keep their faults (a test compares them). make soak plays them; the seeds that are kept do not.

--- a/packages/emulator/src/skylarktack/emulator/soak/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/__init__.py
@@ -4,12 +4,14 @@
 from skylarktack.emulator.soak._regressions import Regression
 from skylarktack.emulator.soak._run import SoakResult
 from skylarktack.emulator.soak._run import run_seed
+from skylarktack.emulator.soak._schedule import LOAD_KINDS
 from skylarktack.emulator.soak._schedule import Injection
 from skylarktack.emulator.soak._schedule import InjectionKind
 from skylarktack.emulator.soak._schedule import SoakShape
 from skylarktack.emulator.soak._schedule import draw_schedule
 
 __all__ = [
+    'LOAD_KINDS',
     'REGRESSIONS',
     'Injection',
     'InjectionKind',
--- a/packages/emulator/src/skylarktack/emulator/soak/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/__main__.py
@@ -9,6 +9,9 @@
 
 from skylarktack.emulator import soak
 
+#: Mean time between two loads.
+LOAD_GAP_S = 3.0
+
 
 def run(
     seed: int | None = None,
@@ -16,6 +19,7 @@
     minutes: float = 0.0,
     length_s: float = 15.0,
     instances: int = 3,
+    loads: bool = True,
     logs: str = 'build/soak',
 ) -> None:
     """Run seeds and print each promise with the checks made.
@@ -25,9 +29,14 @@
     :param minutes: go on with fresh seeds for this time.
     :param length_s: time in which faults are injected, for each seed.
     :param instances: processes of the system.
+    :param loads: whether the bounds of instances are reached as well.
     :param logs: folder for the logs of seeds that broke a promise.
     """
-    shape = soak.SoakShape(instance_count=instances, length_s=length_s)
+    shape = soak.SoakShape(
+        instance_count=instances,
+        length_s=length_s,
+        load_gap_s=LOAD_GAP_S if loads else None,
+    )
     end_s = time.monotonic() + 60 * minutes
     first = random.randrange(1_000_000) if seed is None else seed
     broken = []
@@ -56,7 +65,8 @@
     print(f'  served {result.served_count} of {result.request_count}')
     print(
         f'  again: python -m skylarktack.emulator.soak --seed={result.seed} '
-        f'--length_s={shape.length_s} --instances={shape.instance_count}',
+        f'--length_s={shape.length_s} --instances={shape.instance_count} '
+        f'--loads={shape.load_gap_s is not None}',
         flush=True,
     )
 
--- a/packages/emulator/src/skylarktack/emulator/soak/_callers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_callers.py
@@ -90,14 +90,15 @@
             attempt = platform.Attempt(
                 route, platform.new_attempt_id(), time_limit_ms=3000
             )
-            self._call(draw.choice(self._deployment.instances), attempt)
+            self.call(draw.choice(self._deployment.instances), attempt)
             time.sleep(draw.uniform(0.005, 0.05))
 
-    def _call(
+    def call(
         self,
         instance: platform.PlatformInstance,
         attempt: platform.Attempt,
     ) -> None:
+        """Send one call and record it."""
         process = instance.process
         started_at_s = time.monotonic()
         answer: platform.Answer | None
--- a/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
@@ -52,6 +52,8 @@
         elif kind in _STORE_MODES:
             self._deployment.store.set_mode(_STORE_MODES[kind])
             self._later(injection.for_s, self._mend_store)
+        elif kind is _Kind.STORE_RESTART:
+            self._restart_store(injection.for_s / 3)
         elif kind.value.startswith('store'):
             self._harm_store(injection)
         elif kind.value.startswith('instance') or kind is _Kind.ALL_KILL:
@@ -103,6 +105,13 @@
         proxy.set_mode(platform.ProxyMode.SILENCE)
         proxy.set_mode(platform.ProxyMode.PASS)
 
+    def _restart_store(self, after_s: float) -> None:
+        """Reset all calls to the store for a time, and drop its history."""
+        store = self._deployment.store
+        store.set_mode(platform.StoreMode.RESET)
+        store.forget_history()
+        self._later(after_s, self._mend_store)
+
     def _harm_instance(self, injection: _schedule.Injection) -> None:
         instances = self._deployment.instances
         if injection.kind is _Kind.ALL_KILL:
@@ -192,7 +201,7 @@
 
     def _change_configuration(self) -> None:
         version = self._deployment.version + 1
-        routes = tuple(f'r{number}' for number in range(2, version + 1))
+        routes = _schedule.routes_of(version)
         self._deployment.apply(platform.manifest(version, more_routes=routes))
 
     def _order_move(self, is_bad: bool) -> None:
--- a/packages/emulator/src/skylarktack/emulator/soak/_recovery.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_recovery.py
@@ -13,6 +13,9 @@
 #: Time after the end of a move until every instance has heard of it.
 SETTLE_S = 3.0
 
+#: Resident memory above which the platform ends a process.
+MEMORY_LIMIT_KB = 300 * 1024
+
 #: Calls to each instance that show where a version still gets traffic.
 CALL_COUNT = 20
 
@@ -34,6 +37,19 @@
     return promise
 
 
+def check_memory(
+    deployment: platform.PlatformDeployment,
+) -> _checkers.Promise:
+    """Look at the peak of each process that runs."""
+    promise = _checkers.Promise('an instance stays within its memory')
+    for instance in deployment.instances:
+        peak_kb = instance.peak_memory_kb()
+        promise.check(
+            peak_kb < MEMORY_LIMIT_KB, f'{instance.name} took {peak_kb} kB'
+        )
+    return promise
+
+
 def check_bad_versions(
     deployment: platform.PlatformDeployment,
 ) -> _checkers.Promise:
--- a/packages/emulator/src/skylarktack/emulator/soak/_run.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_run.py
@@ -8,6 +8,7 @@
 from skylarktack.emulator.soak import _callers
 from skylarktack.emulator.soak import _checkers
 from skylarktack.emulator.soak import _injectors
+from skylarktack.emulator.soak import _loads
 from skylarktack.emulator.soak import _recovery
 from skylarktack.emulator.soak import _schedule
 
@@ -49,14 +50,20 @@
     ) as deployment:
         injector = _injectors.Injector(deployment)
         callers = _callers.Callers(deployment, seed)
+        loads = _loads.LoadGenerator(deployment, callers)
         callers.start(shape.caller_count)
         started_s = time.monotonic()
         for injection in schedule:
             wait_s = started_s + injection.at_s - time.monotonic()
             time.sleep(max(0.0, wait_s))
-            injector.inject(injection)
+            if injection.kind in _loads.KINDS:
+                loads.start(injection)
+            else:
+                injector.inject(injection)
         injector.mend()
+        loads.wait_ended()
         callers.stop()
+        memory = _recovery.check_memory(deployment)
         recovery = _recovery.check_recovery(deployment)
         taken_back = _recovery.check_bad_versions(deployment)
         evidence = _checkers.Evidence(
@@ -68,7 +75,12 @@
                 if run.attempt_id not in _probe_ids(deployment, callers)
             ),
         )
-        promises = (*_checkers.check_all(evidence), recovery, taken_back)
+        promises = (
+            *_checkers.check_all(evidence),
+            memory,
+            recovery,
+            taken_back,
+        )
         result = SoakResult(
             seed,
             schedule,
--- a/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
@@ -35,6 +35,22 @@
     TARGET_LEAVES = 'target_leaves'
     MOVE_TO_GOOD = 'move_to_good'
     MOVE_TO_BAD = 'move_to_bad'
+    LONG_BODIES = 'long_bodies'
+    IDLE_CONNECTIONS = 'idle_connections'
+    LONG_MANIFEST = 'long_manifest'
+    STORE_RESTART = 'store_restart'
+
+
+#: What reaches the bounds of an instance. It has a schedule of its own, so
+#: that the seeds from before it keep theirs.
+LOAD_KINDS = (
+    InjectionKind.LONG_BODIES,
+    InjectionKind.IDLE_CONNECTIONS,
+    InjectionKind.LONG_MANIFEST,
+    InjectionKind.STORE_RESTART,
+)
+
+FAULT_KINDS = tuple(kind for kind in InjectionKind if kind not in LOAD_KINDS)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,6 +73,9 @@
     #: Mean time between two faults.
     gap_s: float = 0.8
 
+    #: Mean time between two loads, or None for none.
+    load_gap_s: float | None = None
+
 
 @dataclasses.dataclass(frozen=True)
 class Injection:
@@ -82,12 +101,29 @@
 
 
 def draw_schedule(seed: int, shape: SoakShape) -> tuple[Injection, ...]:
-    """Return the faults of a seed in the order of their times."""
-    draw = random.Random(seed)
-    kinds = list(InjectionKind)
+    """Return the faults and loads of a seed in the order of their times."""
+    injections = _draw(
+        random.Random(seed), FAULT_KINDS, shape.gap_s, shape.length_s
+    )
+    if shape.load_gap_s is not None:
+        injections += _draw(
+            random.Random(f'{seed}/loads'),
+            LOAD_KINDS,
+            shape.load_gap_s,
+            shape.length_s,
+        )
+    return tuple(sorted(injections, key=lambda injection: injection.at_s))
+
+
+def _draw(
+    draw: random.Random,
+    kinds: tuple[InjectionKind, ...],
+    gap_s: float,
+    length_s: float,
+) -> list[Injection]:
     injections = []
-    at_s = draw.uniform(0.2, shape.gap_s)
-    while at_s < shape.length_s:
+    at_s = draw.uniform(0.2, gap_s)
+    while at_s < length_s:
         injections.append(
             Injection(
                 at_s,
@@ -96,5 +132,10 @@
                 draw.uniform(0.3, 3.0),
             )
         )
-        at_s += draw.expovariate(1 / shape.gap_s)
-    return tuple(injections)
+        at_s += draw.expovariate(1 / gap_s)
+    return injections
+
+
+def routes_of(version: int) -> tuple[str, ...]:
+    """Return the routes that the manifests up to a version have added."""
+    return tuple(f'r{number}' for number in range(2, version + 1))
--- a/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
@@ -18,6 +18,10 @@
 
 SEED = 11
 
+#: A seed with each kind of load.
+LOAD_SEED = 58
+LOAD_SHAPE = dataclasses.replace(SHAPE, load_gap_s=1.0)
+
 
 def _assert_kept(result: soak.SoakResult) -> None:
     broken = [
@@ -50,6 +54,13 @@
         """
         _assert_kept(soak.run_seed(SHARED_SEED, SHARED_SHAPE))
 
+    def test_keeps_every_promise_at_the_bounds(self) -> None:
+        """Guards against a bound that is passed only beside faults."""
+        drawn = soak.draw_schedule(LOAD_SEED, LOAD_SHAPE)
+        kinds = {injection.kind for injection in drawn}
+        assert kinds >= set(soak.LOAD_KINDS)
+        _assert_kept(soak.run_seed(LOAD_SEED, LOAD_SHAPE))
+
 
 class TestCheckers:
     """The checkers look at the right moment."""
@@ -83,6 +94,15 @@
         """Guards against a fault that is never injected."""
         kinds = set()
         for seed in range(100):
-            for injection in soak.draw_schedule(seed, soak.SoakShape()):
+            for injection in soak.draw_schedule(seed, LOAD_SHAPE):
                 kinds.add(injection.kind)
         assert kinds == set(soak.InjectionKind)
+
+    def test_loads_do_not_change_the_faults(self) -> None:
+        """Guards against kept seeds that no longer show what they showed."""
+        faults = tuple(
+            injection
+            for injection in soak.draw_schedule(SEED, LOAD_SHAPE)
+            if injection.kind not in soak.LOAD_KINDS
+        )
+        assert faults == soak.draw_schedule(SEED, SHAPE)
