--- a/packages/emulator/src/skylarktack/emulator/soak/_loads.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_loads.py
@@ -13,6 +13,7 @@
 
 _Kind = _schedule.InjectionKind
 
+#: Loads that are started here; the injector restarts the store.
 KINDS = frozenset(
     (_Kind.LONG_BODIES, _Kind.IDLE_CONNECTIONS, _Kind.LONG_MANIFEST)
 )
