--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -32,9 +32,9 @@
 #: freed ones for each group of threads.
 RETURNED_BUFFER_BYTES = 128 * 1024
 
-#: Heaps of the C library. With one for each group of threads, each would keep
-#: its own freed buffers. Threads hold the interpreter's lock while they
-#: allocate, so they do not wait for the heap.
+#: Number of heaps of the C library. With one for each group of threads, each
+#: would keep its own freed buffers. Threads hold the interpreter's lock while
+#: they allocate, so they do not wait for the heap.
 HEAP_COUNT = 1
 
 #: Parameters of ``mallopt(3)`` for these.
@@ -102,7 +102,7 @@
 
 
 def return_freed_buffers() -> None:
-    """Let memory that one thread frees serve all, or return it."""
+    """Reuse freed memory in all threads, or return it to the system."""
     # C libraries without this parameter return buffers by rules of their own.
     with contextlib.suppress(AttributeError):
         library = ctypes.CDLL(None)
--- a/packages/emulator/src/skylarktack/emulator/bench/_bounds.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_bounds.py
@@ -1,9 +1,10 @@
-"""What one instance needs when its bounds are reached, and what callers get.
+"""What one instance uses at its bounds, and how calls end there.
 
 Every measurement has an instance of its own, whose settings allow 300 MB.
 """
 
 from collections import Counter
+from collections.abc import Callable
 from collections.abc import Iterator
 from concurrent import futures
 import contextlib
@@ -44,7 +45,7 @@
 MORE_ROUTES = tuple(f'r-{number}' for number in range(2800))
 APPLY_TARGET_S = 2.0
 
-#: Ends of calls that got no answer.
+#: Errors of a call that got no answer.
 _CUT = (OSError, h11.RemoteProtocolError)
 
 
@@ -111,9 +112,7 @@
         instance = deployment.instances[0]
         for service in deployment.services:
             service.behaviour.work_s = WORK_S
-        with futures.ThreadPoolExecutor(count) as tasks:
-            calls = [tasks.submit(call) for _ in range(count)]
-            endings = Counter(call.result() for call in calls)
+        endings = _count_endings(call, count)
         reporter = _Reporter(f'long_bodies.{count}', seed, count)
         yield from reporter.endings(instance, endings)
 
@@ -139,11 +138,7 @@
         instance = deployment.instances[0]
         for service in deployment.services:
             service.behaviour.answer_bytes = ANSWER_BYTES
-        with futures.ThreadPoolExecutor(SLOW_CALLER_COUNT) as tasks:
-            calls = [
-                tasks.submit(read_slowly) for _ in range(SLOW_CALLER_COUNT)
-            ]
-            endings = Counter(call.result() for call in calls)
+        endings = _count_endings(read_slowly, SLOW_CALLER_COUNT)
         reporter = _Reporter('slow_callers', seed, SLOW_CALLER_COUNT)
         yield from reporter.endings(instance, endings)
 
@@ -224,6 +219,13 @@
         )
 
 
+def _count_endings(call: Callable[[], str], count: int) -> Counter[str]:
+    """Make calls at the same time and count how they ended."""
+    with futures.ThreadPoolExecutor(count) as tasks:
+        calls = [tasks.submit(call) for _ in range(count)]
+        return Counter(pending.result() for pending in calls)
+
+
 def _call_ms(instance: platform.PlatformInstance) -> float:
     """Return the time of a call that its target answers at once."""
     began_s = time.monotonic()
--- a/packages/emulator/src/skylarktack/emulator/platform/_caller.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_caller.py
@@ -128,7 +128,7 @@
         self._socket.close()
 
     def read_some(self, size_bytes: int) -> int:
-        """Read a part of the answer, unparsed; return how much there was."""
+        """Read a part of the answer without parsing; return its size."""
         return len(self._socket.recv(size_bytes))
 
     def read_head(self) -> h11.Response:
--- a/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
@@ -41,8 +41,8 @@
     STORE_RESTART = 'store_restart'
 
 
-#: What reaches the bounds of an instance. It has a schedule of its own, so
-#: that the seeds from before it keep theirs.
+#: Loads that reach the bounds of an instance. They are drawn apart from the
+#: faults, so that seeds that failed before keep their faults.
 LOAD_KINDS = (
     InjectionKind.LONG_BODIES,
     InjectionKind.IDLE_CONNECTIONS,
