Log signals, and the requests that an exit cuts off

- 'signal received' is written when the main loop acts on a signal.
- A request that is still in progress when the instance exits is reported with the outcome 'cut' and its steps: in the log, the metrics, the account ('cut by the exit') and by explain.
Before, it left no line.

No decision changes. Test: TestRequestLog.test_cut_request_is_logged_once.

--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -86,8 +86,12 @@
     if outcome == 'target_failure':
         return f'Each available target returned a failure ({cause}).'
     if outcome == 'broken':
-        fault_note = f'; last fault: {last_fault}' if last_fault else ''
-        return f'The stream was broken off: {cause}{fault_note}.'
+        return f'The stream was broken off: {cause}{_fault_note(last_fault)}.'
+    if outcome == 'cut':
+        return (
+            'The grace period of a planned stop ended before the request '
+            f'did{_fault_note(last_fault)}.'
+        )
     if outcome == 'caller_left':
         duration_ms = line.fields.get('duration_ms')
         fault_note = f' Last fault: {last_fault}.' if last_fault else ''
@@ -106,6 +110,10 @@
     return 'Served.'
 
 
+def _fault_note(last_fault: str) -> str:
+    return f'; last fault: {last_fault}' if last_fault else ''
+
+
 def decode_lines(
     file: str, texts: Iterable[str]
 ) -> tuple[list[messages.LogLine], list[state.Finding]]:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -29,6 +29,7 @@
 from skylarktack.coordination.forwarding._events import PromptPartReleased
 from skylarktack.coordination.forwarding._events import ReadinessChanged
 from skylarktack.coordination.forwarding._events import SettingsReloaded
+from skylarktack.coordination.forwarding._events import SignalReceived
 from skylarktack.coordination.forwarding._events import StoreEntryMalformed
 from skylarktack.coordination.forwarding._events import StoreRecovered
 from skylarktack.coordination.forwarding._events import StoreUnavailable
@@ -70,6 +71,8 @@
 from skylarktack.coordination.forwarding._moves import MoveTable
 from skylarktack.coordination.forwarding._outcomes import CallerDisconnected
 from skylarktack.coordination.forwarding._outcomes import CallOutcome
+from skylarktack.coordination.forwarding._outcomes import CutByExit
+from skylarktack.coordination.forwarding._outcomes import RequestOutcome
 from skylarktack.coordination.forwarding._outcomes import RequestStep
 from skylarktack.coordination.forwarding._outcomes import RequestTrace
 from skylarktack.coordination.forwarding._outcomes import StreamCompleted
@@ -264,6 +267,9 @@
     'RequestCount',
     'RequestResult',
     'RequestsCounted',
+    'RequestOutcome',
+    'CutByExit',
+    'SignalReceived',
     'is_late',
     'TargetLeaving',
     'TargetPaused',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_accounting.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_accounting.py
@@ -191,6 +191,8 @@
         return RequestResult.FAILED, _refusal_cause(report, outcome)
     if isinstance(outcome, _outcomes.CallerDisconnected):
         return RequestResult.LEFT, _slow_cause(report) or 'left by itself'
+    if isinstance(outcome, _outcomes.CutByExit):
+        return RequestResult.FAILED, 'cut by the exit'
     if isinstance(outcome, _outcomes.StreamInterrupted):
         return RequestResult.FAILED, _loss_cause(report) or 'waited too long'
     if isinstance(outcome, data.FrontResponse):
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -46,6 +46,17 @@
     peer: str | None
 
 
+@dataclasses.dataclass(frozen=True)
+class SignalReceived(LogEvent):
+    """The instance acts on a signal."""
+
+    part = 'instance'
+    message = 'signal received'
+
+    #: Name of the signal.
+    signal: str
+
+
 @dataclasses.dataclass(frozen=True)
 class InstanceStopping(LogEvent):
     """The instance was asked to stop and finishes its requests."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -75,7 +75,7 @@
     #: Whether the store had confirmed that version recently.
     is_configuration_current: bool
 
-    outcome: Outcome
+    outcome: _outcomes.RequestOutcome
 
     #: From reading the request to its outcome, including the time for which
     #: it was queued.
@@ -85,6 +85,21 @@
     steps: tuple[_outcomes.RequestStep, ...]
 
 
+@dataclasses.dataclass(eq=False)
+class _OpenRequest:
+    """A request in progress, with what is known of it so far."""
+
+    request: data.FrontRequest
+    started_at_s: float
+    trace: _outcomes.RequestTrace
+    configuration_version: int | None
+    is_configuration_current: bool
+
+    #: Set when the request is admitted or rejected.
+    route: data.ForwardingRoute | None = None
+    organisation: str | None = None
+
+
 class RequestObserver(Protocol):
     """Receives a report on each request that has ended."""
 
@@ -144,7 +159,7 @@
         self._clock = dependencies.clock
         self._shutdown_began_at_s: float | None = None
         self._lock = threading.Lock()
-        self._active_count = 0
+        self._open: set[_OpenRequest] = set()
         self._stream_count = 0
         self._end_at_s = math.inf
 
@@ -174,7 +189,7 @@
     def active_count(self) -> int:
         """Return the number of requests in progress."""
         with self._lock:
-            return self._active_count
+            return len(self._open)
 
     def stream_count(self) -> int:
         """Return the number of streams in progress."""
@@ -189,16 +204,18 @@
         trace = _outcomes.RequestTrace(started_at_s)
         self._wait_until_synced(request)
         table = self.dependencies.configuration.table
+        version = None if table is None else table.configuration.version
         is_current = self.dependencies.configuration.is_current()
+        opened = _OpenRequest(
+            request, started_at_s, trace, version, is_current
+        )
         with self._lock:
-            self._active_count += 1
+            self._open.add(opened)
         queued_s = self._clock.monotonic_s() - started_at_s
-        route: data.ForwardingRoute | None = None
-        organisation: str | None = None
         try:
             admission = self._admit(table, is_current, request, queued_s)
-            route = admission.route
-            organisation = admission.organisation
+            opened.route = admission.route
+            opened.organisation = admission.organisation
             if isinstance(admission, _Rejected):
                 outcome: Outcome = admission.refusal
             else:
@@ -210,30 +227,43 @@
             outcome = data.Refusal(
                 data.RefusalReason.INTERNAL_ERROR, detail=type(error).__name__
             )
-        finally:
-            with self._lock:
-                self._active_count -= 1
+        with self._lock:
+            is_reported = opened not in self._open
+            self._open.discard(opened)
+        if not is_reported:
+            self._report(opened, outcome)
+        return outcome
+
+    def report_cut_requests(self) -> None:
+        """Report the requests in progress, which the exit cuts off."""
+        with self._lock:
+            cut_requests = tuple(self._open)
+            self._open.clear()
+        for opened in cut_requests:
+            self._report(opened, _outcomes.CutByExit())
+
+    def _report(
+        self, opened: _OpenRequest, outcome: _outcomes.RequestOutcome
+    ) -> None:
+        route = opened.route
         with self.dependencies.errors.contain(_supervision.REQUEST_REPORT):
+            now_s = self._clock.monotonic_s()
             self.dependencies.observer.on_request_end(
                 RequestReport(
-                    request=request,
+                    request=opened.request,
                     route=route.name if route else None,
                     kind=route.kind if route else None,
                     latency_objective_ms=(
                         route.latency_objective_ms if route else None
                     ),
-                    organisation=organisation,
-                    configuration_version=(
-                        None if table is None else table.configuration.version
-                    ),
-                    is_configuration_current=is_current,
+                    organisation=opened.organisation,
+                    configuration_version=opened.configuration_version,
+                    is_configuration_current=opened.is_configuration_current,
                     outcome=outcome,
-                    duration_ms=1000
-                    * (self._clock.monotonic_s() - started_at_s),
-                    steps=tuple(trace.steps),
+                    duration_ms=1000 * (now_s - opened.started_at_s),
+                    steps=tuple(opened.trace.steps),
                 )
             )
-        return outcome
 
     def _wait_until_synced(self, request: data.FrontRequest) -> None:
         """Wait for the first configuration and the first list of targets."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_outcomes.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_outcomes.py
@@ -23,6 +23,11 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True)
+class CutByExit:
+    """The process exits before the request has ended."""
+
+
 CallOutcome = data.FrontResponse | data.Refusal | CallerDisconnected
 StreamOutcome = (
     data.FrontResponse
@@ -32,6 +37,9 @@
     | StreamInterrupted
 )
 
+#: Outcomes that are reported; no handler returns the last.
+RequestOutcome = StreamOutcome | CutByExit
+
 
 @dataclasses.dataclass(frozen=True)
 class RequestStep:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -322,6 +322,7 @@
             self._gateway,
             self._settings.grace_ms / 1000,
         )
+        self._gateway.report_cut_requests()
         with self._errors.contain('request counts'):
             self._request_counts.flush()
         self._log.record(
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -93,9 +93,11 @@
         if not signals.is_reload_requested:
             continue
         signals.is_reload_requested = False
+        log.record(forwarding.SignalReceived('SIGHUP'))
         changed = _read_settings(path, metrics_port)
         is_changed = changed is not None and changed != settings
         log.record(forwarding.SettingsReloaded(is_changed))
+    log.record(forwarding.SignalReceived('SIGTERM'))
     instance.stop()
     # Threads blocked on callers or the store would keep the process alive.
     os._exit(0)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_reports.py
@@ -86,7 +86,7 @@
             return True
 
 
-def describe_outcome(outcome: forwarding.StreamOutcome) -> tuple[str, str]:
+def describe_outcome(outcome: forwarding.RequestOutcome) -> tuple[str, str]:
     """Return the name of an outcome, as logged, and its cause."""
     if isinstance(outcome, data.FrontResponse):
         if outcome.status < FIRST_FAILURE_STATUS:
@@ -96,6 +96,8 @@
         return 'refused', f'{outcome.reason.value}: {outcome.detail}'
     if isinstance(outcome, forwarding.StreamInterrupted):
         return 'broken', outcome.detail
+    if isinstance(outcome, forwarding.CutByExit):
+        return 'cut', 'the instance exits'
     if isinstance(outcome, forwarding.CallerDisconnected):
         return 'caller_left', 'the caller closed the connection'
     return 'streamed', 'complete'
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -118,6 +118,33 @@
         assert event.outcome == case.outcome
         assert case.cause in event.cause
 
+    def test_cut_request_is_logged_once(self) -> None:
+        """Guards against requests that end with the process unrecorded."""
+        test_harness = harness.make_harness(harness.target('only'))
+        test_harness.client.script('only', harness.stream_script(1, 3))
+        log = fakes.RecordingLog()
+        gateway = harness.make_gateway(
+            test_harness, _reports.RequestLog(test_harness.clock, log)
+        )
+
+        class CallerAtExit(fakes.ScriptedCaller):
+            def start_stream(self, head: data.ResponseHead) -> bool:
+                gateway.gateway.report_cut_requests()
+                return super().start_stream(head)
+
+        test_harness.caller = CallerAtExit(test_harness.clock)
+        route = harness.route(STREAM, max_attempts=1)
+        gateway.holder.replace_if_newer(harness.configuration(4, route))
+        gateway.holder.confirm(60.0)
+        gateway.send(harness.request(time_limit_ms=25000.0))
+        [event] = log.events
+        assert isinstance(event, forwarding.RequestFailed)
+        assert (event.request, event.outcome) == ('attempt', 'cut')
+        assert [step['step'] for step in event.steps] == [
+            'send',
+            'first_event',
+        ]
+
     def test_served_requests_are_sampled(self) -> None:
         """Guards against log volume that grows with the traffic.
 
