Hand signals to the main thread without a lock

Cause: the handlers set a threading.Event. Its lock is not reentrant, and a handler runs in the main thread between any two steps of it. While the main thread held that lock, which it takes at each check every 2 s and at each wait, the handler waited for the thread that it had interrupted.

Ruled out as the only way: two signals. One is enough, and the more other threads keep the interpreter busy, the longer the lock is held.

Fix: a queue.SimpleQueue, whose put() may interrupt get() in the same thread. Handlers only record number and time. They are installed before the imports, so a signal during the start is a planned stop too, and the grace period counts from the signal, not from the moment at which the main loop acts (test_counts_the_grace_period_from_the_signal).

The same cause elsewhere: skylarktackd, the process of the membership tests and the playground set an Event in their handlers; they use the queue too.

--- a/packages/daemon/src/skylarktack/daemon/__init__.py
+++ b/packages/daemon/src/skylarktack/daemon/__init__.py
@@ -10,11 +10,15 @@
     from skylarktack.daemon._main import main
     from skylarktack.daemon._main import run
     from skylarktack.daemon._peers import Peers
+    from skylarktack.daemon._signals import STOP_SIGNALS
+    from skylarktack.daemon._signals import ProcessSignals
 
 __all__ = [
     'EXIT_INVALID_SETTINGS',
     'Instance',
     'Peers',
+    'ProcessSignals',
+    'STOP_SIGNALS',
     'main',
     'run',
 ]
@@ -23,6 +27,8 @@
     'EXIT_INVALID_SETTINGS': '_main',
     'Instance': '_instance',
     'Peers': '_peers',
+    'ProcessSignals': '_signals',
+    'STOP_SIGNALS': '_signals',
     'main': '_main',
     'run': '_main',
 }
--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -2,15 +2,14 @@
 
 import json
 import pathlib
-import signal
 import sys
-from types import FrameType
 
 import fire
 
 from skylarktack import protocol
 from skylarktack import transport
 from skylarktack.daemon import _instance
+from skylarktack.daemon import _signals
 
 #: Exit code for invalid settings.
 EXIT_INVALID_SETTINGS = 2
@@ -21,12 +20,18 @@
 #: anyway.
 SWITCH_INTERVAL_S = 0.1
 
+#: Interval at which the main thread checks whether an operator has ordered
+#: the stop; a signal wakes it at once.
+STOP_CHECK_S = 0.5
+
 
 def run(settings: str) -> None:
     """Run one entry instance until SIGTERM, SIGINT or an operator's stop.
 
     :param settings: path of the settings file, JSON with comments.
     """
+    signals = _signals.ProcessSignals()
+    signals.install(_signals.STOP_SIGNALS)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     transport.configure_logs()
     text = pathlib.Path(settings).read_text(encoding='utf-8')
@@ -39,12 +44,6 @@
             )
         sys.exit(EXIT_INVALID_SETTINGS)
     instance = _instance.Instance(decoded.ok)
-
-    def _handle_stop_signal(number: int, frame: FrameType | None) -> None:
-        instance.order_stop()
-
-    signal.signal(signal.SIGTERM, _handle_stop_signal)
-    signal.signal(signal.SIGINT, _handle_stop_signal)
     instance.start()
     address = instance.caller_address
     print(
@@ -59,7 +58,9 @@
         ),
         flush=True,
     )
-    instance.stop_ordered.wait()
+    while not instance.stop_ordered.is_set():
+        if signals.wait(STOP_CHECK_S):
+            instance.order_stop()
     instance.stop()
 
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -310,9 +310,12 @@
     def _start_task(self, name: str, task: Callable[[], None]) -> None:
         self._background_tasks.submit(self._supervisor.run, name, task)
 
-    def stop(self) -> None:
-        """Shut down gracefully within the grace period, then close the log."""
-        stop_began_at_s = time.monotonic()
+    def stop(self, requested_at_s: float) -> None:
+        """Shut down gracefully within the grace period, then close the log.
+
+        :param requested_at_s: monotonic time of the signal, from which the
+            platform counts the grace period.
+        """
         self._log.record(
             forwarding.InstanceStopping(self._gateway.active_count())
         )
@@ -320,14 +323,14 @@
             ports.SystemClock(),
             self._front,
             self._gateway,
-            self._settings.grace_ms / 1000,
+            requested_at_s + self._settings.grace_ms / 1000,
         )
         self._gateway.report_cut_requests()
         with self._errors.contain('request counts'):
             self._request_counts.flush()
         self._log.record(
             forwarding.InstanceStopped(
-                after_ms=round((time.monotonic() - stop_began_at_s) * 1000),
+                after_ms=round((time.monotonic() - requested_at_s) * 1000),
                 open_connections=self._front.open_count(),
             )
         )
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -8,10 +8,10 @@
 import socket
 import sys
 import threading
-from types import FrameType
 
 from skylarktack import platform
 from skylarktack.coordination import forwarding
+from skylarktack.daemon import _signals
 from skylarktack.daemon.forwarding import _instance
 from skylarktack.daemon.forwarding import _modules
 from skylarktack.state import forwarding as data
@@ -42,40 +42,23 @@
 _M_ARENA_MAX = -8
 
 
-class _Signals:
-    """Records signals for the main loop."""
-
-    def __init__(self) -> None:
-        self.received = threading.Event()
-        self.is_stop_requested = False
-        self.is_reload_requested = False
-
-    def install(self) -> None:
-        """Install the handlers of SIGTERM, SIGINT and SIGHUP."""
-        signal.signal(signal.SIGTERM, self._request_stop)
-        signal.signal(signal.SIGINT, self._request_stop)
-        signal.signal(signal.SIGHUP, self._request_reload)
-
-    def _request_stop(self, number: int, frame: FrameType | None) -> None:
-        self.is_stop_requested = True
-        self.received.set()
-
-    def _request_reload(self, number: int, frame: FrameType | None) -> None:
-        self.is_reload_requested = True
-        self.received.set()
-
-
-def main(front: socket.socket | None = None) -> None:
+def main(
+    front: socket.socket | None = None,
+    signals: _signals.ProcessSignals | None = None,
+) -> None:
     """Run one instance until SIGTERM or SIGINT.
 
     :param front: socket that listens for callers already, or None.
+    :param signals: queue of a process that handles ``INSTANCE_SIGNALS``
+        already, or None.
 
     The only argument is ``--metrics-port=PORT``. It is parsed by hand, because
     an argument parser would take more CPU time than reading the settings.
     """
     metrics_port = _parse_metrics_port(sys.argv[1:])
-    signals = _Signals()
-    signals.install()
+    if signals is None:
+        signals = _signals.ProcessSignals()
+        signals.install(_signals.INSTANCE_SIGNALS)
     threading.stack_size(THREAD_STACK_BYTES)
     return_freed_buffers()
     _modules.load_modules()
@@ -87,18 +70,17 @@
     instance = _instance.ForwardingInstance(settings, log, front)
     instance.start()
     instance.record_start()
-    while not signals.is_stop_requested:
-        signals.received.wait(SIGNAL_CHECK_S)
-        signals.received.clear()
-        if not signals.is_reload_requested:
-            continue
-        signals.is_reload_requested = False
-        log.record(forwarding.SignalReceived('SIGHUP'))
-        changed = _read_settings(path, metrics_port)
-        is_changed = changed is not None and changed != settings
-        log.record(forwarding.SettingsReloaded(is_changed))
-    log.record(forwarding.SignalReceived('SIGTERM'))
-    instance.stop()
+    stop_signal: _signals.ReceivedSignal | None = None
+    while stop_signal is None:
+        for received in signals.wait(SIGNAL_CHECK_S):
+            log.record(forwarding.SignalReceived(received.number.name))
+            if received.number is not signal.SIGHUP:
+                stop_signal = stop_signal or received
+                continue
+            changed = _read_settings(path, metrics_port)
+            is_changed = changed is not None and changed != settings
+            log.record(forwarding.SettingsReloaded(is_changed))
+    instance.stop(stop_signal.received_at_s)
     # Threads blocked on callers or the store would keep the process alive.
     os._exit(0)
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_stopping.py
@@ -62,14 +62,14 @@
     clock: Clock,
     front: StoppingFront,
     gateway: StoppingGateway,
-    grace_s: float,
+    kill_at_s: float,
 ) -> None:
     """Block until all requests have ended or the deadline is reached.
 
-    :param grace_s: time from the stop signal until the process is killed.
+    :param kill_at_s: monotonic time at which the process is killed.
     """
     stop_began_at_s = clock.monotonic_s()
-    deadline_s = stop_began_at_s + grace_s - KILL_MARGIN_S
+    deadline_s = kill_at_s - KILL_MARGIN_S
     gateway.begin_shutdown(deadline_s - RESPONSE_MARGIN_S)
     never_set = threading.Event()
     is_accepting = True
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_instance.py
@@ -1,5 +1,7 @@
 """Composition of a forwarding instance, without its background tasks."""
 
+import time
+
 import pytest
 
 from skylarktack.daemon import forwarding
@@ -45,4 +47,4 @@
         log = transport.LineLog('instance-0')
         instance = forwarding.ForwardingInstance(_settings(), log)
         monkeypatch.setattr(_request_counts.RequestCountLog, 'flush', _fail)
-        instance.stop()
+        instance.stop(time.monotonic())
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
@@ -50,13 +50,15 @@
 
 
 def _stop(
-    streams_end_s: float, calls_end_s: float = 0.0
+    streams_end_s: float, calls_end_s: float = 0.0, delay_s: float = 0.0
 ) -> tuple[_FakeFront, _FakeGateway, float]:
     clock = fakes.SteppingClock()
     front = _FakeFront(clock, calls_end_s)
     gateway = _FakeGateway(clock, streams_end_s)
     started_s = clock.monotonic_s()
-    _stopping.finish_requests(clock, front, gateway, GRACE_S)
+    _stopping.finish_requests(
+        clock, front, gateway, started_s + GRACE_S - delay_s
+    )
     return front, gateway, clock.monotonic_s() - started_s
 
 
@@ -98,6 +100,13 @@
         assert front.closed_after_s < gateway.end_at_s < GRACE_S
         assert duration_s < GRACE_S
 
+    def test_counts_the_grace_period_from_the_signal(self) -> None:
+        """Guards against a stop that begins late and outlasts the grace."""
+        _, gateway, duration_s = _stop(
+            streams_end_s=99.0, calls_end_s=99.0, delay_s=2.0
+        )
+        assert gateway.end_at_s < duration_s < GRACE_S - 2.0
+
     def test_leaves_time_for_the_last_answers(self) -> None:
         """Guards against answers that are made at the deadline and not sent.
 
--- a/packages/emulator/src/skylarktack/emulator/_peer_process.py
+++ b/packages/emulator/src/skylarktack/emulator/_peer_process.py
@@ -1,11 +1,9 @@
 """Process that runs only the membership part of an entry instance."""
 
 import json
-import signal
 import sys
 import threading
 import time
-from types import FrameType
 
 from skylarktack import daemon
 from skylarktack import protocol
@@ -16,6 +14,9 @@
 from skylarktack.emulator import _deployment
 from skylarktack.emulator import _http_stand_in
 
+#: Longest wait for a signal; the main thread waits again after it.
+SIGNAL_CHECK_S = 60.0
+
 
 class _TimedMetrics(fakes.MemoryMetrics):
     """Counters with the time at which each was raised last."""
@@ -82,12 +83,8 @@
     metrics = _TimedMetrics()
     peers = daemon.Peers(settings, ports.SystemClock(), metrics)
     control = PeerControlServer(peers, metrics)
-    stopped = threading.Event()
-
-    def _order_stop(number: int, frame: FrameType | None) -> None:
-        stopped.set()
-
-    signal.signal(signal.SIGTERM, _order_stop)
+    signals = daemon.ProcessSignals()
+    signals.install(daemon.STOP_SIGNALS)
     peers.start()
     _http_stand_in.serve_stand_in(control, name, announce=False)
     host, port = control.server_address[:2]
@@ -102,7 +99,8 @@
         ),
         flush=True,
     )
-    stopped.wait()
+    while not signals.wait(SIGNAL_CHECK_S):
+        continue
     peers.leave()
     peers.stop()
     sys.exit(0)
--- a/packages/emulator/src/skylarktack/emulator/playground.py
+++ b/packages/emulator/src/skylarktack/emulator/playground.py
@@ -3,22 +3,17 @@
 Run: ``python -m skylarktack.emulator.playground``.
 """
 
-import signal
-import threading
-from types import FrameType
-
+from skylarktack import daemon
 from skylarktack import emulator
 
+#: Longest wait for a signal; the main thread waits again after it.
+SIGNAL_CHECK_S = 60.0
+
 
 def main() -> None:
     """Run a small deployment until it is interrupted."""
-    stopped = threading.Event()
-
-    def _stop(number: int, frame: FrameType | None) -> None:
-        stopped.set()
-
-    signal.signal(signal.SIGINT, _stop)
-    signal.signal(signal.SIGTERM, _stop)
+    signals = daemon.ProcessSignals()
+    signals.install(daemon.STOP_SIGNALS)
     with emulator.Deployment(emulator.DeploymentShape()) as deployment:
         for instance in deployment.instances:
             print(
@@ -29,7 +24,8 @@
         print(f"operators' token: {emulator.OPERATOR_TOKEN}")
         print('routes: digest (generation), stock (lookup), shipment (once)')
         print('Ctrl-C stops everything.', flush=True)
-        stopped.wait()
+        while not signals.wait(SIGNAL_CHECK_S):
+            continue
 
 
 if __name__ == '__main__':
