Keep a run at a silent engine unless it can go on elsewhere

Callers saw: begun streams ended in a planned stop (and at other times) seconds before its grace did, though their engines were sound and went on within a second.

Cause: a run was given up at the first probe that was not answered within 100 ms, or at the failover timeout; only then was the retry budget asked, and other engines looked for. When there was no way on, the stream ended.

Ruled out: the grace; with the users' budget (150) and so few streams none is cut on either.

Fix: a silence makes the relay reserve a send at an engine that is available now, retry included. Without one the run stays (step kept_at_silent_engine) and is checked again; when the engine is lost for good it moves as soon as the budget allows. A reserved retry that is not used is refunded. An engine that was left before may take the run again.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -4,6 +4,7 @@
 
 from skylarktack.coordination.forwarding import _admitted_request
 from skylarktack.coordination.forwarding import _calls
+from skylarktack.coordination.forwarding import _engine_watch
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _quarantine_records
@@ -13,35 +14,6 @@
 from skylarktack.coordination.forwarding import _supervision
 from skylarktack.state import forwarding as data
 
-#: Fraction of the maximum pause after which an unresponsive engine is probed.
-#: The prefill of another run delays events by a third of a maximum pause of
-#: 700 ms.
-PROBE_PAUSE_FRACTION = 0.4
-
-#: Fraction of the maximum pause after which a stream fails over even though
-#: its engine answers probes.
-FAILOVER_PAUSE_FRACTION = 0.7
-
-#: Maximum pause between events that is assumed of a route without one.
-DEFAULT_MAX_PAUSE_MS = 2000.0
-
-#: Fractions of the latency objective after which an engine that has produced
-#: no event is probed: for the first time, and between later probes.
-FIRST_PROBE_OBJECTIVE_FRACTION = 0.35
-NEXT_PROBE_OBJECTIVE_FRACTION = 0.25
-
-#: Fraction of the latency objective after which a stream fails over from an
-#: engine that answers probes and has an empty queue, but has produced no
-#: event.
-HANG_OBJECTIVE_FRACTION = 0.8
-
-#: Maximum wait for the response to a probe.
-PROBE_TIMEOUT_S = 0.1
-
-#: Interval at which suspicions reported by other instances are checked during
-#: the prefill.
-SUSPICION_CHECK_INTERVAL_S = 0.2
-
 
 @dataclasses.dataclass(frozen=True)
 class _OrderedEvents:
@@ -69,7 +41,12 @@
         progress: _stream_attempts.StreamProgress,
         target: data.ListedTarget,
         copies: _standby_copies.StandbyCopies,
+        failover: _stream_attempts.FailoverReservation,
     ) -> None:
+        """Create a relay.
+
+        :param failover: asked before the run leaves a silent engine.
+        """
         self._dependencies = dependencies
         self._clock = dependencies.clock
         self._targets = dependencies.targets
@@ -83,21 +60,12 @@
         self._has_recorded_output = False
         self._head: data.ResponseHead | None = None
         self._error_body_chunks: list[bytes] = []
-        self._is_streaming = False
-        self._sent_at_s = self._clock.monotonic_s()
-        self._last_event_at_s = self._sent_at_s
-        self._probed_at_s = self._sent_at_s
-        objective_s = admitted.route.latency_objective_ms / 1000
-        pause_s = (
-            admitted.route.longest_pause_ms or DEFAULT_MAX_PAUSE_MS
-        ) / 1000
-        self._probe_after_s = PROBE_PAUSE_FRACTION * pause_s
-        self._failover_after_s = FAILOVER_PAUSE_FRACTION * pause_s
-        self._hang_after_s = HANG_OBJECTIVE_FRACTION * objective_s
-        self._next_probe_after_s = NEXT_PROBE_OBJECTIVE_FRACTION * objective_s
-        self._probe_at_s = (
-            self._sent_at_s + FIRST_PROBE_OBJECTIVE_FRACTION * objective_s
+        self._failover = failover
+        self._watch = _engine_watch.EngineWatch(
+            dependencies, admitted, progress, target
         )
+        #: Time of the last event before a silence that was reported.
+        self._silence_began_at_s: float | None = None
 
     def run(
         self, exchange: _ports.Exchange, run_status: data.RunStatus
@@ -109,13 +77,15 @@
                 return _stream_attempts.StreamFinished(
                     self._outcome_at_deadline()
                 )
-            attempt_end = self._check_responsiveness(now_s)
-            if attempt_end is not None:
-                return attempt_end
+            silence = self._watch.check(now_s)
+            if silence is not None:
+                attempt_end = self._leave_silent_engine(silence)
+                if attempt_end is not None:
+                    return attempt_end
             wait_until_s = min(
-                self._admitted.deadline_s, self._next_check_s(now_s)
+                self._admitted.deadline_s, self._watch.next_check_s(now_s)
             )
-            if self._is_streaming:
+            if self._watch.is_streaming:
                 self._copies.maintain()
             wait_result = self._dependencies.client.wait(
                 (exchange, *self._copies.exchanges()),
@@ -130,14 +100,16 @@
             self._copies.receive(wait_result.exchanges)
             if exchange not in wait_result.exchanges:
                 continue
-            was_streaming = self._is_streaming
+            was_streaming = self._watch.is_streaming
             for event in exchange.receive():
                 end = self._handle(event)
                 if end is not None:
                     return end
-            if self._is_streaming and not was_streaming:
+            if self._watch.is_streaming and not was_streaming:
                 if run_status.is_prefilling:
-                    first_event_s = self._last_event_at_s - self._sent_at_s
+                    first_event_s = (
+                        self._watch.last_event_at_s - self._watch.sent_at_s
+                    )
                     self._targets.report_first_event(
                         self._target,
                         self._admitted.route.name,
@@ -240,73 +212,6 @@
         if pause_ms > max_pause_ms:
             self._record('long_pause', pause_ms=round(pause_ms))
 
-    def _next_check_s(self, now_s: float) -> float:
-        """Return when the responsiveness of the engine is checked next."""
-        if not self._admitted.route.is_retryable:
-            return self._admitted.deadline_s
-        if not self._is_streaming:
-            return min(self._probe_at_s, now_s + SUSPICION_CHECK_INTERVAL_S)
-        if self._probed_at_s <= self._last_event_at_s:
-            return self._last_event_at_s + self._probe_after_s
-        return self._last_event_at_s + self._failover_after_s
-
-    def _check_responsiveness(
-        self, now_s: float
-    ) -> _stream_attempts.AttemptEnd | None:
-        """Return how the attempt ended if the engine is unresponsive."""
-        if not self._admitted.route.is_retryable:
-            return None
-        if not self._is_streaming:
-            suspected_at_s = self._targets.suspected_at_s(self._target)
-            if now_s < self._probe_at_s and (
-                suspected_at_s <= self._probed_at_s
-            ):
-                return None
-            self._probe_at_s = now_s + self._next_probe_after_s
-            return self._probe()
-        inactive_s = now_s - self._last_event_at_s
-        if inactive_s >= self._failover_after_s:
-            return self._handle_unresponsive(
-                'no event before the failover timeout'
-            )
-        if inactive_s < self._probe_after_s:
-            return None
-        if self._probed_at_s > self._last_event_at_s:
-            return None
-        return self._probe()
-
-    def _probe(self) -> _stream_attempts.AttemptEnd | None:
-        if self._targets.exclusions.is_paused(self._target):
-            # It answered just now, and wants nothing more.
-            self._probed_at_s = self._clock.monotonic_s()
-            return None
-        report = self._dependencies.client.probe(self._target, PROBE_TIMEOUT_S)
-        self._probed_at_s = self._clock.monotonic_s()
-        if report is None:
-            return self._handle_unresponsive(
-                'the engine did not answer a probe'
-            )
-        self._targets.report_probe(self._target, report)
-        if _is_replaced(self._target, report):
-            return self._handle_unresponsive(
-                'another process answers at this address'
-            )
-        self._record(
-            'probe', target=self._target.name, queued=report.queued_count
-        )
-        if self._is_streaming or report.queued_count != 0:
-            return None
-        if self._probed_at_s < self._sent_at_s + self._hang_after_s:
-            return None
-        if self._progress.has_abandoned_hung_engine:
-            return None
-        # Engines do not report which prompts they are prefilling, so this
-        # one may be making progress. The failover is therefore done once.
-        self._progress.has_abandoned_hung_engine = True
-        return self._handle_unresponsive(
-            'no first event from an engine with an empty queue'
-        )
-
     def _relay_events(
         self, head: data.ResponseHead, events: tuple[_ports.StreamEvent, ...]
     ) -> _stream_attempts.AttemptEnd | None:
@@ -328,10 +233,9 @@
     def _record_progress(self) -> None:
         self._record_long_pause()
         self._targets.report_alive(self._target)
-        self._last_event_at_s = self._clock.monotonic_s()
-        self._is_streaming = True
+        self._watch.record_event()
         if self._first_event_at_s is None:
-            self._first_event_at_s = self._last_event_at_s
+            self._first_event_at_s = self._watch.last_event_at_s
         if self._has_produced_output():
             self._record_output()
 
@@ -357,13 +261,13 @@
     ) -> _stream_attempts.AttemptEnd:
         if self._splitter.has_partial():
             return self.handle_fault(_early_end_fault('within an event'))
-        if not self._is_streaming and (
+        if not self._watch.is_streaming and (
             self._progress.last_sent_at_s is None or head.ends_with_connection
         ):
             return self.handle_fault(_early_end_fault('without an event'))
         if self._first_event_at_s is not None:
             self._record_output()
-        latency_ms = 1000 * (self._clock.monotonic_s() - self._sent_at_s)
+        latency_ms = 1000 * (self._clock.monotonic_s() - self._watch.sent_at_s)
         self._targets.report_response(
             self._target, self._admitted.route.name, latency_ms, is_error=False
         )
@@ -409,16 +313,33 @@
             self._progress.failure = response
         return _stream_attempts.AttemptLost(detail, None)
 
-    def _handle_unresponsive(self, detail: str) -> _stream_attempts.AttemptEnd:
-        self._record('silence', target=self._target.name, detail=detail)
-        self._targets.report_failure(
-            self._target, self._admitted.route.name, detail, is_loss=True
-        )
-        return self._lost(detail)
+    def _leave_silent_engine(
+        self, detail: str
+    ) -> _stream_attempts.AttemptLost | None:
+        """Return the end of the run here, or None if it stays.
+
+        A sound engine may be silent for a second or longer. Its run is given
+        up only for another engine that can take it now.
+        """
+        is_new = self._silence_began_at_s != self._watch.last_event_at_s
+        if is_new:
+            self._silence_began_at_s = self._watch.last_event_at_s
+            self._record('silence', target=self._target.name, detail=detail)
+            self._targets.report_failure(
+                self._target, self._admitted.route.name, detail, is_loss=True
+            )
+        lost = self._lost(detail)
+        obstacle = self._failover.reserve(self._target, lost.copy)
+        if obstacle is None:
+            return lost
+        if is_new:
+            self._record('kept_at_silent_engine', cause=obstacle)
+        self._watch.defer()
+        return None
 
     def _lost(self, detail: str) -> _stream_attempts.AttemptLost:
         """Return the end of a run that can go on if there is a copy."""
-        copy = self._copies.usable_copy() if self._is_streaming else None
+        copy = self._copies.usable_copy() if self._watch.is_streaming else None
         return _stream_attempts.AttemptLost(detail, copy)
 
     def _outcome_at_deadline(self) -> _outcomes.StreamOutcome:
@@ -458,12 +379,6 @@
     )
 
 
-def _is_replaced(target: data.ListedTarget, report: data.TargetReport) -> bool:
-    if target.started_at_ms is None or report.started_at_ms is None:
-        return False
-    return target.started_at_ms != report.started_at_ms
-
-
 def _early_end_fault(detail: str) -> _ports.ExchangeFault:
     return _ports.ExchangeFault(
         _ports.FaultKind.LOST, f'the stream ended {detail}'
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
@@ -1,6 +1,7 @@
 """Types that the forwarding of a stream and its relays share."""
 
 import dataclasses
+from typing import Protocol
 
 from skylarktack.coordination.forwarding import _budget
 from skylarktack.coordination.forwarding import _fleet
@@ -63,6 +64,20 @@
     failure_count: int = 0
 
 
+class FailoverReservation(Protocol):
+    """Secures that a run can go on at another engine."""
+
+    def reserve(
+        self, engine: data.ListedTarget, copy: data.RunCopy | None
+    ) -> str | None:
+        """Reserve what the next send needs, or return what is missing.
+
+        :param engine: engine that the run would leave.
+        :param copy: copy from which the run would go on, or None.
+        """
+        ...
+
+
 @dataclasses.dataclass(frozen=True)
 class StreamFinished:
     """The attempt ended the whole stream."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -6,6 +6,7 @@
 from skylarktack.coordination.forwarding import _admitted_request
 from skylarktack.coordination.forwarding import _calls
 from skylarktack.coordination.forwarding import _engine_selection
+from skylarktack.coordination.forwarding import _engine_watch
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _pause_waits
 from skylarktack.coordination.forwarding import _placement
@@ -83,10 +84,18 @@
         self._check_count = 0
         self._has_found_full = False
         self._has_executed = False
+        self._has_reserved_retry = False
         self._last_fault = 'no engine is available'
 
     def run(self) -> _outcomes.StreamOutcome:
         """Forward the stream and return how it ended."""
+        try:
+            return self._run()
+        finally:
+            if self._has_reserved_retry:
+                self._dependencies.budget.refund_retry(self._admitted.service)
+
+    def _run(self) -> _outcomes.StreamOutcome:
         budget = self._dependencies.budget
         budget.count_request(self._admitted.service)
         copy: data.RunCopy | None = None
@@ -120,10 +129,9 @@
                 continue
             if copy is None and self._is_full(pair.primary):
                 continue
-            if self._send_count > 0:
-                if not budget.claim_retry(self._admitted.service):
-                    self._record('budget_spent')
-                    break
+            if self._send_count > 0 and not self._claim_retry():
+                self._record('budget_spent')
+                break
             self._send_count += 1
             end = self._attempt(pair, copy)
             if isinstance(end, _stream_attempts.StreamFinished):
@@ -144,6 +152,32 @@
                 return _outcomes.CallerDisconnected()
         return self._outcome_without_stream(None)
 
+    def reserve(
+        self, engine: data.ListedTarget, copy: data.RunCopy | None
+    ) -> str | None:
+        """Reserve a retry at an engine that is available now."""
+        if self._send_count >= MAX_SEND_COUNT:
+            return 'all sends are used'
+        if not self._may_retry() or self._check_quarantine() is not None:
+            return 'the run may not be sent again'
+        pair = self._choose(copy)
+        if pair is None:
+            # Engines that were left before may take the run again.
+            self._tried_targets = {engine.name}
+            pair = self._choose(copy)
+        if pair is None or self._targets.is_unavailable(pair.primary):
+            return 'no other engine is available'
+        if not self._claim_retry():
+            return 'the retry budget is spent'
+        self._has_reserved_retry = True
+        return None
+
+    def _claim_retry(self) -> bool:
+        if self._has_reserved_retry:
+            self._has_reserved_retry = False
+            return True
+        return self._dependencies.budget.claim_retry(self._admitted.service)
+
     def _may_have_copy(self) -> bool:
         """Return whether the engine is asked to copy the run from its start.
 
@@ -177,7 +211,7 @@
         )
         for engine in likely_engines:
             part_ids = self._dependencies.client.cached_parts(
-                engine, _relay.PROBE_TIMEOUT_S
+                engine, _engine_watch.PROBE_TIMEOUT_S
             )
             if self._demand.affinity_key not in part_ids:
                 continue
@@ -200,7 +234,7 @@
             return False
         self._check_count += 1
         report = self._dependencies.client.probe(
-            engine, _relay.PROBE_TIMEOUT_S
+            engine, _engine_watch.PROBE_TIMEOUT_S
         )
         if report is None:
             self._targets.report_failure(
@@ -336,7 +370,12 @@
             self._dependencies, self._admitted, run_status, target, standby
         )
         relay = _relay.Relay(
-            self._dependencies, self._admitted, self._progress, target, copies
+            self._dependencies,
+            self._admitted,
+            self._progress,
+            target,
+            copies,
+            self,
         )
         self._targets.begin_request(target)
         with self._dependencies.errors.contain(_supervision.RUN_REPORT):
@@ -364,7 +403,7 @@
         """
         with self._dependencies.errors.contain(_supervision.PROMPT_EVIDENCE):
             if not self._dependencies.client.refuses_connections(
-                engine, _relay.PROBE_TIMEOUT_S
+                engine, _engine_watch.PROBE_TIMEOUT_S
             ):
                 return
             self._crashed_engine_count += 1
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_silent_engines.py
@@ -0,0 +1,180 @@
+"""Engines that are silent for a while and then go on with their runs."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+import pytest
+
+from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
+from skylarktack.coordination.forwarding.tests import harness
+from skylarktack.state import forwarding as data
+
+#: Silence of a sound engine, longer than the failover timeout.
+SILENCE_S = 1.2
+
+
+def _silent_script(
+    silences_s: tuple[float, ...] = (SILENCE_S,),
+) -> tuple[fakes.ScriptedEvent, ...]:
+    """Return a stream with three events before and after each silence."""
+    script = [fakes.ScriptedEvent(1.0, harness.head())]
+    at_s = 1.0
+    event_id = 0
+    for silence_s in (0.0, *silences_s):
+        at_s += silence_s
+        for _ in range(3):
+            event_id += 1
+            at_s += 0.04
+            chunk = forwarding.BodyChunk(harness.event_bytes(event_id))
+            script.append(fakes.ScriptedEvent(at_s, chunk))
+    script.append(fakes.ScriptedEvent(at_s, forwarding.ResponseEnd()))
+    return tuple(script)
+
+
+def _make_env(*names: str, allowance: float = 100.0) -> harness.Harness:
+    """Return a harness that prefers the first engine."""
+    targets = [harness.target(name) for name in names]
+    env = harness.make_harness(*targets, allowance=allowance)
+    for name in names[1:]:
+        env.fleet.record_run(
+            data.RunStatus(name, name, name, None, is_prefilling=True)
+        )
+    return env
+
+
+def _spend_budget(env: harness.Harness) -> None:
+    while env.budget.claim_retry('pool'):
+        continue
+
+
+def _at_first_event(
+    env: harness.Harness, action: Callable[[harness.Harness], None]
+) -> None:
+    """Do something when the first event of the stream arrives."""
+    original = env.caller.start_stream
+
+    def _start_stream(head: data.ResponseHead) -> bool:
+        action(env)
+        return original(head)
+
+    env.caller.start_stream = _start_stream  # type: ignore[method-assign]
+
+
+def _eject_second(env: harness.Harness) -> None:
+    # Each failure in a row doubles the time for which an engine is ejected.
+    for _ in range(3):
+        env.targets.report_failure(
+            harness.target('second'), 'route', 'reset', is_loss=False
+        )
+
+
+def _do_nothing(env: harness.Harness) -> None:
+    pass
+
+
+@dataclasses.dataclass(frozen=True)
+class NoWayOnCase:
+    """Why a run cannot go on at another engine."""
+
+    name: str
+    engines: tuple[str, ...] = ('first', 'second')
+
+    #: What happens at the first event.
+    action: Callable[[harness.Harness], None] = _do_nothing
+
+
+NO_WAY_ON_CASES = (
+    NoWayOnCase('retry budget spent', action=_spend_budget),
+    NoWayOnCase('no other engine', engines=('first',)),
+    NoWayOnCase('other engine ejected', action=_eject_second),
+)
+
+
+class TestSilentButSoundEngines:
+    """A silence ends a run only if it can go on elsewhere."""
+
+    @pytest.mark.parametrize('answers_probes', [True, False])
+    @pytest.mark.parametrize(
+        'case', NO_WAY_ON_CASES, ids=lambda case: case.name
+    )
+    def test_stream_waits_for_its_engine(
+        self, case: NoWayOnCase, answers_probes: bool
+    ) -> None:
+        """Guards against streams that are cut though their engine goes on."""
+        env = _make_env(*case.engines)
+        env.client.script('first', _silent_script())
+        if not answers_probes:
+            env.client.unresponsive.add('first')
+        _at_first_event(env, case.action)
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first']
+        assert env.caller.received == harness.event_range_bytes(1, 6)
+
+    def test_prefill_waits_for_its_engine(self) -> None:
+        """Guards against a failure before the first event of a sound run."""
+        env = _make_env('first', 'second', allowance=0.0)
+        env.client.script('first', harness.stream_script(1, 3, start_s=3.0))
+        env.client.unresponsive.add('first')
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first']
+
+    def test_stream_moves_on_when_the_budget_allows_it(self) -> None:
+        """Guards against a run that stays at an engine that is lost."""
+        env = _make_env('first', 'second', allowance=2.0)
+        env.client.script(
+            'first', harness.stream_script(1, 3, ending='silent')
+        )
+        env.client.script('second', harness.stream_script(4, 6, start_s=0.05))
+        env.client.unresponsive.add('first')
+        _at_first_event(env, _spend_budget)
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        lost, again = env.client.sent
+        # The budget is spent at the first event, for a window of 10 s.
+        assert 11.0 < again.at_s - lost.at_s < 11.5
+
+    def test_an_engine_left_before_may_take_the_run_again(self) -> None:
+        """Guards against a run that is stuck once all engines were tried."""
+        env = _make_env('first', 'second')
+        env.client.script(
+            'first',
+            harness.stream_script(1, 3, ending='silent'),
+            harness.stream_script(7, 9, start_s=0.05),
+        )
+        env.client.script(
+            'second',
+            harness.stream_script(4, 6, start_s=1.0, ending='silent'),
+        )
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first', 'second', 'first']
+
+    def test_a_retry_that_is_not_used_is_refunded(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a budget that callers who leave use up."""
+        monkeypatch.setattr(random, 'random', lambda: 1.0)
+
+        def _lose_run(disconnects_after_s: float) -> harness.Harness:
+            env = _make_env('first', 'second')
+            env.client.script(
+                'first', harness.stream_script(1, 3, ending='silent')
+            )
+            env.client.unresponsive.add('first')
+            env.caller.disconnects_at_s = (
+                env.clock.monotonic_s() + disconnects_after_s
+            )
+            admitted = env.work(
+                harness.route(data.RequestKind.STREAM, max_attempts=5),
+                harness.request(time_limit_ms=25000.0),
+            )
+            # Runs without a copy are sent again after a delay.
+            capacity = data.EngineCapacity(55_000, has_standby_copies=False)
+            env.streams.run(dataclasses.replace(admitted, engine=capacity))
+            return env
+
+        lost, again, *_ = _lose_run(60.0).client.sent
+        env = _lose_run(again.at_s - lost.at_s - 0.01)
+        assert env.client.sent_to() == ['first']
+        [counts] = env.budget.counts()
+        assert counts.retry_count == 0
--- a/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
@@ -33,6 +33,9 @@
 #: Newest lines of the log that a failed wait shows.
 SHOWN_LINE_COUNT = 30
 
+#: Retries for a service in a window, beyond the ratio to its requests.
+RETRY_ALLOWANCE_COUNT = 150
+
 DOMAINS = ('domain-a', 'domain-b', 'domain-c')
 
 
@@ -46,12 +49,15 @@
         folder: pathlib.Path,
         store: str,
         tree: pathlib.Path | None = None,
+        retry_allowance_count: int = RETRY_ALLOWANCE_COUNT,
     ) -> None:
         """Prepare an instance; it is not started.
 
         :param tree: folder from which the instance imports everything but
             the standard library, or None for the environment of the tests.
+        :param retry_allowance_count: retries in a window beyond the ratio.
         """
+        self._retry_allowance_count = retry_allowance_count
         self.name = name
         self._tree = tree
         self._domain = domain
@@ -174,7 +180,7 @@
                 'bounds.config_apply_ms=2000',
                 'bounds.retry_budget_ratio=0.8',
                 'bounds.budget_window_s=10',
-                'bounds.retry_budget_extra=150',
+                f'bounds.retry_budget_extra={self._retry_allowance_count}',
                 'contracts=base,rollout,platform',
                 'bounds.exposure_fraction=0.1',
                 'bounds.exposure_tolerance=50',
@@ -204,11 +210,13 @@
         service_count: int = 2,
         has_proxies: bool = False,
         tree: pathlib.Path | None = None,
+        retry_allowance_count: int = RETRY_ALLOWANCE_COUNT,
     ) -> None:
         """Create store, targets and instances.
 
         :param tree: folder from which the instances import everything but
             the standard library, or None for the environment of the tests.
+        :param retry_allowance_count: retries in a window beyond the ratio.
         """
         self._folder = tempfile.TemporaryDirectory()
         self.store = _store.PlatformStore()
@@ -232,6 +240,7 @@
                     pathlib.Path(self._folder.name),
                     str(address),
                     tree,
+                    retry_allowance_count,
                 )
             )
 
--- a/packages/emulator/src/skylarktack/emulator/tests/test_planned_stop.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_planned_stop.py
@@ -1,12 +1,14 @@
 """A planned stop of a real instance while calls arrive."""
 
 from concurrent import futures
+import random
 import signal
 import time
 
 import h11
 import pytest
 
+from skylarktack import state
 from skylarktack.emulator import platform
 
 #: Time of one call, and of the load around the signal.
@@ -139,3 +141,76 @@
             whole = {f'status {status}' for status in WHOLE_STATUSES}
             assert endings.count('status 200') >= CALLER_COUNT
             assert set(endings) <= whole | {'not connected'}
+
+
+#: Streams in the planned stop, the range of their events, and how often and
+#: for how long all engines but one are silent, as sound ones may be. More
+#: runs meet a silence than the budget has retries.
+STREAM_COUNT = 30
+EVENT_COUNTS = (150, 300)
+SILENCE_COUNT = 3
+SILENCES_S = (0.6, 1.2)
+RETRY_ALLOWANCE_COUNT = 4
+
+
+def _read_events(address: state.Address, subject: str, count: int) -> str:
+    """Read one stream; return how it ended."""
+    attempt = platform.Attempt(
+        'digest',
+        platform.new_attempt_id(),
+        subject=subject,
+        event_count=count,
+    )
+    received = []
+    try:
+        for event in platform.read_stream(address, attempt):
+            received.append(event)
+    except (OSError, h11.RemoteProtocolError) as error:
+        return f'cut after {len(received)}: {error!r}'
+    expected = [
+        platform.event_text(subject, number + 1) for number in range(count)
+    ]
+    return 'whole' if received == expected else 'not whole'
+
+
+def _silence(engine: platform.PlatformTarget, for_s: float) -> None:
+    engine.behaviour.is_frozen = True
+    time.sleep(for_s)
+    engine.behaviour.is_frozen = False
+
+
+class TestSilentEngines:
+    """Engines that are silent now and then during a planned stop."""
+
+    def test_no_stream_is_cut(self) -> None:
+        """Guards against streams that a silence of sound engines ends."""
+        draw = random.Random(1)
+        with (
+            platform.PlatformDeployment(
+                instance_count=1, retry_allowance_count=RETRY_ALLOWANCE_COUNT
+            ) as deployment,
+            futures.ThreadPoolExecutor(STREAM_COUNT + 2) as tasks,
+        ):
+            instance = deployment.instances[0]
+            streams = []
+            for number in range(STREAM_COUNT):
+                subject = f'stream-{number}'
+                count = draw.randint(*EVENT_COUNTS)
+                streams.append(
+                    tasks.submit(
+                        _read_events, instance.address, subject, count
+                    )
+                )
+            while len(deployment.runs()) < STREAM_COUNT:
+                time.sleep(0.01)
+            instance.signal(signal.SIGTERM)
+            for number in range(SILENCE_COUNT):
+                silences = []
+                for index in (number, number + 1):
+                    engine = deployment.engines[index % 3]
+                    for_s = draw.uniform(*SILENCES_S)
+                    silences.append(tasks.submit(_silence, engine, for_s))
+                futures.wait(silences)
+            endings = [stream.result(60.0) for stream in streams]
+            instance.wait_ended()
+            assert endings == ['whole'] * STREAM_COUNT
