Hold responses to slow callers in the memory budget

Cause: an answer left the budget when it was complete, and was held as parts, as the joined body and once more with its head while its caller was sent to.

Fix: a body grows in place, and goes to its caller without a copy. It counts until it has been sent: the connection counts it before the exchange releases its claim. A long answer claims its whole length (the largest, if it has none) before more of it is read. Without memory it waits, and its target with it, until its deadline; before, it failed although the target had run it.

Not in the budget still: copies of streams, heads, the first 64 KiB of each body, and error answers of streams.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
@@ -71,6 +71,7 @@
         self.head: data.ResponseHead | None = None
         self.received = b''
         self.received_at_s: list[float] = []
+        self.held_bytes = 0
 
     def fileno(self) -> int:
         """Return -1: there is no file descriptor."""
@@ -80,6 +81,10 @@
         """Return whether the scripted disconnect time has passed."""
         return self._clock.monotonic_s() >= self.disconnects_at_s
 
+    def hold_response(self, size_bytes: int) -> None:
+        """Record the size of a response before it is returned."""
+        self.held_bytes += size_bytes
+
     def start_stream(self, head: data.ResponseHead) -> bool:
         """Record the response head."""
         self.head = head
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -40,7 +40,9 @@
     target: data.ListedTarget
     sent_at_s: float
     head: data.ResponseHead | None = None
-    body_chunks: list[bytes] = dataclasses.field(default_factory=list)
+
+    #: Grows in place; a list of parts would be held twice when joined.
+    body: bytearray = dataclasses.field(default_factory=bytearray)
 
 
 class CallForwarder:
@@ -239,10 +241,14 @@
                 self._targets.report_head(attempt.target, event)
                 continue
             if isinstance(event, _ports.BodyChunk):
-                attempt.body_chunks.append(event.data)
+                attempt.body += event.data
                 continue
+            response = self._handle_response(attempt)
+            if response is not None:
+                # Counted before the exchange releases its memory.
+                self._admitted.caller.hold_response(len(response.body))
             self._close_attempt(attempt)
-            return self._handle_response(attempt)
+            return response
         return None
 
     def _handle_response(self, attempt: _Attempt) -> data.FrontResponse | None:
@@ -264,7 +270,7 @@
             target, self._admitted.route.name, latency_ms, is_error
         )
         response = data.FrontResponse(
-            head.status, head.headers, b''.join(attempt.body_chunks)
+            head.status, head.headers, bytes(attempt.body)
         )
         may_reach_caller = _refusals.may_reach_caller(head)
         if not is_error and may_reach_caller:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -82,6 +82,13 @@
         """Read what has arrived; return whether the caller disconnected."""
         ...
 
+    def hold_response(self, size_bytes: int) -> None:
+        """Count a complete response as memory until it has been sent.
+
+        :param size_bytes: size of the body.
+        """
+        ...
+
     def start_stream(self, head: data.ResponseHead) -> bool:
         """Send the head of a stream.
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
@@ -58,6 +58,8 @@
         self._is_counting = True
         self._body_bytes = 0
         self._claimed_bytes = 0
+        #: Length of the body; None if it is unknown, or before the head.
+        self._length_bytes: int | None = None
         self._informational_count = 0
 
     def encode(self, request: h11.Request, body: bytes) -> tuple[bytes, ...]:
@@ -99,10 +101,43 @@
                         'too many informational responses'
                     )
                 continue
+            if isinstance(event, h11.Response):
+                self._length_bytes = _content_length(event)
             if isinstance(event, h11.Data) and self._is_counting:
                 self._count(len(event.data))
             return event  # type: ignore[return-value]
 
+    def claim_next(self, size_bytes: int) -> int:
+        """Return how many bytes may be received now, up to a size.
+
+        0 if the rest of the body needs memory that is not free yet. It is
+        claimed whole: several responses that each wait for more would hold
+        what the others need.
+
+        :raises h11.RemoteProtocolError: if the memory can never suffice.
+        """
+        if not self._is_counting or self._claimed_bytes:
+            return size_bytes
+        is_long = (self._length_bytes or 0) > _memory.EXEMPT_BODY_BYTES
+        exempt_bytes = _memory.EXEMPT_BODY_BYTES - self._body_bytes
+        if not is_long and exempt_bytes > 0:
+            return min(size_bytes, exempt_bytes)
+        length_bytes = self._limits.max_body_bytes
+        if self._length_bytes is not None:
+            length_bytes = min(length_bytes, self._length_bytes)
+        claimed_bytes = length_bytes - _memory.EXEMPT_BODY_BYTES
+        if claimed_bytes <= 0:
+            return size_bytes
+        memory = self._limits.memory
+        if memory.exceeds_limit(claimed_bytes):
+            raise h11.RemoteProtocolError(
+                'the buffers of all responses are full'
+            )
+        if not memory.claim_response(claimed_bytes):
+            return 0
+        self._claimed_bytes = claimed_bytes
+        return size_bytes
+
     def stop_counting(self) -> None:
         """Lift the limit on the body, which is not buffered."""
         self._is_counting = False
@@ -112,6 +147,7 @@
         self._limits.memory.release(self._claimed_bytes)
         self._claimed_bytes = 0
         self._body_bytes = 0
+        self._length_bytes = None
 
     def has_begun(self) -> bool:
         """Return whether any byte of the response has arrived."""
@@ -142,11 +178,19 @@
         if total_bytes > self._limits.max_body_bytes:
             raise h11.RemoteProtocolError('the body exceeds the size limit')
         claimed_bytes = max(0, total_bytes - _memory.EXEMPT_BODY_BYTES)
-        if not self._limits.memory.claim_response(
-            claimed_bytes - self._claimed_bytes
+        missing_bytes = max(0, claimed_bytes - self._claimed_bytes)
+        if missing_bytes and not self._limits.memory.claim_response(
+            missing_bytes
         ):
             raise h11.RemoteProtocolError(
                 'the buffers of all responses are full'
             )
         self._body_bytes = total_bytes
-        self._claimed_bytes = claimed_bytes
+        self._claimed_bytes += missing_bytes
+
+
+def _content_length(response: h11.Response) -> int | None:
+    for name, value in response.headers:
+        if name == b'content-length':
+            return int(value)
+    return None
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -27,6 +27,10 @@
 #: that closing does not reset the connection before the response is read.
 LINGER_S = 0.5
 
+#: Size up to which a body is sent in one piece with its head. A longer one
+#: is not copied.
+JOINED_BODY_BYTES = 65536
+
 #: Maximum time for a whole request. The time limit of the configuration
 #: bounds the head, and each pause between parts of the body.
 MAX_REQUEST_READ_S = 60.0
@@ -71,7 +75,9 @@
         memory: _memory.MemoryBudget,
     ) -> None:
         self._connection = connection
+        self._memory = memory
         self._body_claim = _body_claim.BodyClaim(memory)
+        self._held_bytes = 0
         self._handler = handler
         self._codec = codec
         limits = handler.limits()
@@ -104,6 +110,7 @@
             pass
         finally:
             self._body_claim.release()
+            self._release_response()
             with self._state_lock:
                 self._is_closed = True
             self._close()
@@ -168,6 +175,12 @@
         self._has_disconnected = not received
         return self._has_disconnected
 
+    def hold_response(self, size_bytes: int) -> None:
+        """Count a response as memory until it has been sent."""
+        held_bytes = max(0, size_bytes - _memory.EXEMPT_BODY_BYTES)
+        self._memory.hold_response(held_bytes)
+        self._held_bytes += held_bytes
+
     def start_stream(self, head: data.ResponseHead) -> bool:
         """Send the head of a stream; return False if the caller is gone."""
         self._has_begun_response = True
@@ -193,7 +206,13 @@
         # The body is not needed while the caller reads its response.
         del received
         self._body_claim.release()
-        return self._respond(outcome)
+        keeps_open = self._respond(outcome)
+        self._release_response()
+        return keeps_open
+
+    def _release_response(self) -> None:
+        self._memory.release(self._held_bytes)
+        self._held_bytes = 0
 
     def _close(self) -> None:
         """Close the connection; an unfinished response must not look whole.
@@ -247,10 +266,17 @@
             headers += ((b'Content-Length', length),)
         outgoing = self._encode_head(response.status, headers, must_close)
         has_body = has_length and not self._is_head_request
+        parts = [outgoing]
         if response.body and has_body:
-            outgoing += self._parser.send(h11.Data(data=response.body)) or b''
-        outgoing += self._parser.send(h11.EndOfMessage()) or b''
-        return self._write(outgoing)
+            # Unlike ``send``, this does not copy the body.
+            self._parser.send_with_data_passthrough(
+                h11.Data(data=response.body)
+            )
+            parts.append(response.body)
+        parts.append(self._parser.send(h11.EndOfMessage()) or b'')
+        if len(response.body) <= JOINED_BODY_BYTES:
+            return self._write(b''.join(parts))
+        return all(self._write(part) for part in parts)
 
     def _encode_head(
         self, status: int, headers: data.Headers, must_close: bool = False
--- a/packages/transport/src/skylarktack/transport/forwarding/_memory.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_memory.py
@@ -32,7 +32,8 @@
     def claim_response(self, size_bytes: int) -> bool:
         """Reserve bytes for a response; return False if there are not enough.
 
-        A response cannot wait: the target would wait with it.
+        The caller of this method may try again later; the target waits
+        meanwhile.
         """
         with self._was_released:
             if size_bytes > self._free_bytes:
@@ -40,6 +41,18 @@
             self._free_bytes -= size_bytes
             return True
 
+    def exceeds_limit(self, size_bytes: int) -> bool:
+        """Return whether so many bytes can never be reserved."""
+        return size_bytes > self._limit_bytes
+
+    def hold_response(self, size_bytes: int) -> None:
+        """Count bytes of a response that is in memory already.
+
+        The budget may be exceeded until its target's claim is released.
+        """
+        with self._was_released:
+            self._free_bytes -= size_bytes
+
     def claim_request(self, size_bytes: int, timeout_s: float) -> bool:
         """Reserve bytes for a request, and wait for them if needed.
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -25,6 +25,9 @@
 #: Maximum size of a target's report on itself.
 MAX_REPORT_BYTES = 256 * 1024
 
+#: Interval at which a response that waits for memory asks for it again.
+MEMORY_CHECK_S = 0.05
+
 #: Maximum wait for an engine to free a copy.
 RELEASE_TIMEOUT_S = 0.02
 
@@ -57,6 +60,8 @@
         self._attempt_id = attempt_id
         self._is_stream = is_stream
         self._has_ended = False
+        #: Whether the rest of the response waits for memory.
+        self.is_held_back = False
         self._unsent: collections.deque[memoryview] = collections.deque()
         #: Error that ended the connection while the request was being sent;
         #: None if there was none, or if the response had ended before it.
@@ -138,7 +143,14 @@
 
     def _read_events(self) -> list[forwarding.ResponseEvent]:
         try:
-            received = self._connection.recv(_sockets.READ_SIZE_BYTES)
+            size_bytes = self._parser.claim_next(_sockets.READ_SIZE_BYTES)
+        except h11.RemoteProtocolError as error:
+            return [_malformed(error)]
+        self.is_held_back = size_bytes == 0
+        if self.is_held_back:
+            return []
+        try:
+            received = self._connection.recv(size_bytes)
         except BlockingIOError:
             return []
         except OSError as error:
@@ -153,11 +165,7 @@
                 return [
                     _connection_lost('the connection ended within the answer')
                 ]
-            return [
-                forwarding.ExchangeFault(
-                    forwarding.FaultKind.MALFORMED, str(error)
-                )
-            ]
+            return [_malformed(error)]
 
     def _parse(self) -> list[forwarding.ResponseEvent]:
         events: list[forwarding.ResponseEvent] = []
@@ -230,7 +238,7 @@
             )
         except OSError as error:
             return _not_connected(error)
-        parser = self._new_parser(MAX_RESPONSE_BYTES)
+        parser = _new_parser(MAX_RESPONSE_BYTES, self._memory)
         headers = list(self._codec.encode_request(request, delivery))
         if request.has_body:
             headers.append(
@@ -270,9 +278,14 @@
         """Wait for a response, the caller to disconnect, or the timeout."""
         poller = select.poll()
         exchange_by_descriptor: dict[int, forwarding.Exchange] = {}
+        held_back_exchanges: list[forwarding.Exchange] = []
         for exchange in exchanges:
             if not isinstance(exchange, HttpExchange):
                 raise TypeError('exchange was created by another client class')
+            if exchange.is_held_back:
+                held_back_exchanges.append(exchange)
+                timeout_s = min(timeout_s, MEMORY_CHECK_S)
+                continue
             exchange_by_descriptor[exchange.fileno()] = exchange
             poller.register(exchange.fileno(), exchange.awaited_events)
         caller_descriptor = caller.fileno()
@@ -289,7 +302,7 @@
                 continue
             ready_exchanges.append(exchange_by_descriptor[descriptor])
         return forwarding.WaitResult(
-            tuple(ready_exchanges), is_caller_disconnected
+            (*ready_exchanges, *held_back_exchanges), is_caller_disconnected
         )
 
     def probe(
@@ -389,7 +402,11 @@
         if message.body:
             length = str(len(message.body)).encode()
             headers.append((b'Content-Length', length))
-        parser = self._new_parser(MAX_REPORT_BYTES)
+        # A report is read at once, so it does not wait for the memory of
+        # others.
+        parser = _new_parser(
+            MAX_REPORT_BYTES, _memory.MemoryBudget(MAX_REPORT_BYTES)
+        )
         outgoing = parser.encode(
             h11.Request(
                 method=message.method, target=message.target, headers=headers
@@ -445,18 +462,23 @@
         finally:
             exchange.close()
 
-    def _new_parser(
-        self, max_body_bytes: int
-    ) -> _bounded_response.BoundedResponseParser:
-        return _bounded_response.BoundedResponseParser(
-            _bounded_response.ResponseLimits(max_body_bytes, self._memory)
-        )
+
+def _new_parser(
+    max_body_bytes: int, memory: _memory.MemoryBudget
+) -> _bounded_response.BoundedResponseParser:
+    return _bounded_response.BoundedResponseParser(
+        _bounded_response.ResponseLimits(max_body_bytes, memory)
+    )
 
 
 def _connection_lost(detail: str) -> forwarding.ExchangeFault:
     return forwarding.ExchangeFault(forwarding.FaultKind.LOST, detail)
 
 
+def _malformed(error: h11.RemoteProtocolError) -> forwarding.ExchangeFault:
+    return forwarding.ExchangeFault(forwarding.FaultKind.MALFORMED, str(error))
+
+
 def _reading_failed(error: OSError) -> forwarding.ExchangeFault:
     return _connection_lost(f'connection lost: {error.strerror}')
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -23,6 +23,9 @@
     def has_disconnected(self) -> bool:
         return False
 
+    def hold_response(self, size_bytes: int) -> None:
+        pass
+
     def start_stream(self, head: data.ResponseHead) -> bool:
         return True
 
@@ -123,6 +126,52 @@
 RESPONSE_HEAD = b'HTTP/1.1 200 OK\r\nAttempt: own\r\n'
 
 
+class TestLongResponses:
+    """Long responses for which there is no memory yet."""
+
+    @pytest.mark.parametrize('has_length', [True, False])
+    def test_response_waits_for_memory(self, has_length: bool) -> None:
+        """Guards against failing an answer that a target has made."""
+        limit_bytes = 10_000_000
+        memory = transport.MemoryBudget(limit_bytes)
+        memory.hold_response(limit_bytes)
+        client = transport.HttpTargetClient(
+            front_harness.PassThroughCodec(), memory
+        )
+        body = b'x' * 500_000
+        framing = b'\r\n'
+        if has_length:
+            framing = b'Content-Length: %d\r\n\r\n' % len(body)
+        ending = 'stay' if has_length else 'end'
+        received = b''
+        has_ended = False
+        with _serving(RESPONSE_HEAD + framing + body, ending) as target:
+            sent = client.send(
+                _request(b''),
+                data.DispatchContext(target.target, None, None),
+                5.0,
+            )
+            assert not isinstance(sent, forwarding.ExchangeFault)
+            while not sent.is_held_back:
+                client.wait((sent,), _ConnectedCaller(), 0.1)
+                for event in sent.receive():
+                    if isinstance(event, forwarding.BodyChunk):
+                        received += event.data
+            assert len(received) < len(body)
+            memory.release(limit_bytes)
+            while not has_ended:
+                client.wait((sent,), _ConnectedCaller(), 0.1)
+                for event in sent.receive():
+                    assert not isinstance(event, forwarding.ExchangeFault)
+                    if isinstance(event, forwarding.BodyChunk):
+                        received += event.data
+                    has_ended = isinstance(event, forwarding.ResponseEnd)
+            assert received == body
+            assert not memory.claim_response(limit_bytes)
+            sent.close()
+        assert memory.claim_response(limit_bytes)
+
+
 class TestResponses:
     """Responses of each framing, and bytes that are no response."""
 
