Close no connection between the read of a request and its parsing

Callers saw: a request that the instance had read was dropped with its connection, without an answer, when idle connections were closed in a planned stop or evicted for new ones.

Cause: both look whether bytes wait in the socket and whether the parser has found a head. A request that has left the socket and is not parsed yet passes both checks, for as long as its task waits for the interpreter.

Fix: a connection says that it may hold an unparsed request from before it reads until its parser asks for more.

Open: requests that were pipelined behind one that is being answered are dropped by a planned stop, as before.

--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -15,6 +15,7 @@
 from skylarktack.state import forwarding as data
 from skylarktack.transport.forwarding import _body_claim
 from skylarktack.transport.forwarding import _memory
+from skylarktack.transport.forwarding import _request_framing
 from skylarktack.transport.forwarding import _sockets
 
 #: Limit for pipelined bytes that are read while a request is in progress.
@@ -39,8 +40,6 @@
 
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
-_HEADER_TOO_LARGE_STATUS = 431
-
 
 class FrontHandler(Protocol):
     """Handles the requests of a connection."""
@@ -91,6 +90,8 @@
         self._state_lock = threading.Lock()
         self._is_idle = True
         self._has_request = False
+        #: Whether received bytes may hold a request that is not parsed yet.
+        self._is_parsing = False
         self._waiting_since_s = time.monotonic()
         self._is_closing = False
         self._is_closed = False
@@ -118,7 +119,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         with self._state_lock:
-            if self._is_closed or not self._is_idle:
+            if self._is_closed or self._is_parsing or not self._is_idle:
                 return
             # A request that has arrived but is still unread is served.
             if _sockets.wait_for(self._connection, select.POLLIN, 0.0):
@@ -145,6 +146,8 @@
         with self._state_lock:
             if self._has_request or self._is_closing or self._is_closed:
                 return False
+            if self._is_parsing:
+                return False
             if _sockets.wait_for(self._connection, select.POLLIN, 0.0):
                 return False
             self._is_closing = True
@@ -250,6 +253,8 @@
         with self._state_lock:
             self._is_idle = True
             self._has_request = False
+            # The next request may have been received with the last one.
+            self._is_parsing = True
             self._waiting_since_s = time.monotonic()
         return (
             self._parser.our_state is h11.DONE
@@ -302,8 +307,10 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
-                return _bad_request(error)
+                return _request_framing.bad_request(error)
             if event is h11.NEED_DATA:
+                with self._state_lock:
+                    self._is_parsing = False
                 if self._parser.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(
                         status_code=100, headers=[]
@@ -332,13 +339,15 @@
                     headers=tuple(event.headers.raw_items()),
                 )
                 self._is_head_request = head.method == b'HEAD'
-                has_body = _has_body(head.headers)
-                if _has_conflicting_lengths(head.headers):
+                has_body = _request_framing.has_body(head.headers)
+                if _request_framing.has_conflicting_lengths(head.headers):
                     return data.Refusal(
                         data.RefusalReason.BAD_REQUEST,
                         detail='both a length and a transfer coding',
                     )
-                refusal = self._body_claim.claim(_content_length(head), limits)
+                refusal = self._body_claim.claim(
+                    _request_framing.content_length(head), limits
+                )
                 if refusal is not None:
                     return refusal
                 continue
@@ -385,6 +394,8 @@
             self._connection, select.POLLIN, wait_s
         ):
             return data.Refusal(data.RefusalReason.READ_TIMEOUT)
+        with self._state_lock:
+            self._is_parsing = True
         self.has_disconnected()
         return None
 
@@ -419,31 +430,3 @@
                 return
             if not self._connection.recv(_sockets.READ_SIZE_BYTES):
                 return
-
-
-def _bad_request(error: h11.RemoteProtocolError) -> data.Refusal:
-    if error.error_status_hint == _HEADER_TOO_LARGE_STATUS:
-        return data.Refusal(
-            data.RefusalReason.HEADER_TOO_LARGE, detail=str(error)
-        )
-    return data.Refusal(data.RefusalReason.BAD_REQUEST, detail=str(error))
-
-
-def _has_body(headers: data.Headers) -> bool:
-    for name, _ in headers:
-        if name.lower() in (b'content-length', b'transfer-encoding'):
-            return True
-    return False
-
-
-def _content_length(head: data.RequestHead) -> int:
-    """Return the length of a body, or 0 if it comes in chunks."""
-    for name, value in head.headers:
-        if name.lower() == b'content-length':
-            return int(value)
-    return 0
-
-
-def _has_conflicting_lengths(headers: data.Headers) -> bool:
-    names = [name.lower() for name, _ in headers]
-    return b'content-length' in names and b'transfer-encoding' in names
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import socket
 
+import h11
 import pytest
 
 from skylarktack.coordination import forwarding
@@ -250,6 +251,28 @@
         harness.start()
         assert harness.read_response() == (200, b'body')
 
+    @pytest.mark.parametrize('ending', ['close_if_idle', 'evict'])
+    def test_a_request_that_is_being_read_is_served(
+        self,
+        ending: str,
+        harness: front_harness.FrontHarness,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Guards against closing between the read of a request and its use."""
+        receive_data = h11.Connection.receive_data
+
+        def _receive_and_close(
+            parser: h11.Connection, received: bytes
+        ) -> None:
+            receive_data(parser, received)
+            if parser.our_role is h11.SERVER and received:
+                getattr(harness.connection, ending)()
+
+        monkeypatch.setattr(h11.Connection, 'receive_data', _receive_and_close)
+        harness.start()
+        harness.caller.sendall(POST)
+        assert harness.read_response() == (200, b'body')
+
     def test_a_request_after_the_close_is_not_executed(
         self, harness: front_harness.FrontHarness
     ) -> None:
