Soak: signals in quick succession, and short silences of engines

It now draws, apart from faults and loads, pairs of signals up to 200 us apart and silences of 0.6 to 1.2 s of engines in turn, and checks that an instance ends within its grace period when it is told to stop.

--- a/packages/emulator/src/skylarktack/emulator/soak/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/__main__.py
@@ -9,8 +9,9 @@
 
 from skylarktack.emulator import soak
 
-#: Mean time between two loads.
+#: Mean times between two loads, and between two injections of signals.
 LOAD_GAP_S = 3.0
+SIGNAL_GAP_S = 2.0
 
 
 def run(
@@ -20,6 +21,7 @@
     length_s: float = 15.0,
     instances: int = 3,
     loads: bool = True,
+    signals: bool = True,
     logs: str = 'build/soak',
 ) -> None:
     """Run seeds and print each promise with the checks made.
@@ -30,12 +32,15 @@
     :param length_s: time in which faults are injected, for each seed.
     :param instances: processes of the system.
     :param loads: whether the bounds of instances are reached as well.
+    :param signals: whether instances get signals in quick succession, beside
+        short silences of engines.
     :param logs: folder for the logs of seeds that broke a promise.
     """
     shape = soak.SoakShape(
         instance_count=instances,
         length_s=length_s,
         load_gap_s=LOAD_GAP_S if loads else None,
+        signal_gap_s=SIGNAL_GAP_S if signals else None,
     )
     end_s = time.monotonic() + 60 * minutes
     first = random.randrange(1_000_000) if seed is None else seed
@@ -66,7 +71,8 @@
     print(
         f'  again: python -m skylarktack.emulator.soak --seed={result.seed} '
         f'--length_s={shape.length_s} --instances={shape.instance_count} '
-        f'--loads={shape.load_gap_s is not None}',
+        f'--loads={shape.load_gap_s is not None} '
+        f'--signals={shape.signal_gap_s is not None}',
         flush=True,
     )
 
--- a/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
@@ -7,6 +7,7 @@
 
 from skylarktack.emulator import platform
 from skylarktack.emulator.soak import _schedule
+from skylarktack.emulator.soak import _signals
 
 _Kind = _schedule.InjectionKind
 
@@ -43,6 +44,7 @@
         self._timers: list[threading.Timer] = []
         self._restarting: set[str] = set()
         self._move_count = 0
+        self.signals = _signals.SignalSender(deployment)
 
     def inject(self, injection: _schedule.Injection) -> None:
         """Start one fault; it ends by itself."""
@@ -56,6 +58,8 @@
             self._restart_store(injection.for_s / 3)
         elif kind.value.startswith('store'):
             self._harm_store(injection)
+        elif kind is _Kind.ENGINE_SILENCES:
+            self._later(0.0, lambda: self.signals.silence_engines(injection))
         elif kind.value.startswith('instance') or kind is _Kind.ALL_KILL:
             self._harm_instance(injection)
         elif kind is _Kind.CONFIGURATION:
@@ -122,12 +126,19 @@
         if injection.kind is _Kind.INSTANCE_RELOAD:
             instance.signal(signal.SIGHUP)
         elif injection.kind is _Kind.INSTANCE_PAUSE:
+            self.signals.record_pause(instance.name, injection.for_s)
             instance.signal(signal.SIGSTOP)
             self._later(
                 injection.for_s, lambda: instance.signal(signal.SIGCONT)
             )
         elif injection.kind is _Kind.INSTANCE_STOP:
             self._restart(instance, signal.SIGTERM, 0.0)
+        elif injection.kind is _Kind.INSTANCE_SIGNALS:
+            self._cycle(
+                instance,
+                lambda: self.signals.send_pair(instance, injection),
+                0.0,
+            )
         else:
             self._restart(instance, signal.SIGKILL, injection.for_s / 3)
 
@@ -183,21 +194,33 @@
         number: int,
         after_s: float,
     ) -> None:
+        def _end() -> None:
+            instance.signal(signal.SIGCONT)
+            instance.signal(number)
+            instance.wait_ended()
+
+        self._cycle(instance, _end, after_s)
+
+    def _cycle(
+        self,
+        instance: platform.PlatformInstance,
+        end: Callable[[], None],
+        after_s: float,
+    ) -> None:
+        """End an instance and start it again, unless that is under way."""
         with self._lock:
             if instance.name in self._restarting or not instance.is_running:
                 return
             self._restarting.add(instance.name)
 
-        def _cycle() -> None:
-            instance.signal(signal.SIGCONT)
-            instance.signal(number)
-            instance.wait_ended()
+        def _end_and_start() -> None:
+            end()
             time.sleep(after_s)
             instance.start()
             with self._lock:
                 self._restarting.discard(instance.name)
 
-        self._later(0.0, _cycle)
+        self._later(0.0, _end_and_start)
 
     def _change_configuration(self) -> None:
         version = self._deployment.version + 1
--- a/packages/emulator/src/skylarktack/emulator/soak/_run.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_run.py
@@ -80,6 +80,7 @@
             memory,
             recovery,
             taken_back,
+            injector.signals.check(),
         )
         result = SoakResult(
             seed,
--- a/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
@@ -39,6 +39,8 @@
     IDLE_CONNECTIONS = 'idle_connections'
     LONG_MANIFEST = 'long_manifest'
     STORE_RESTART = 'store_restart'
+    INSTANCE_SIGNALS = 'instance_signals'
+    ENGINE_SILENCES = 'engine_silences'
 
 
 #: Loads that reach the bounds of an instance. They are drawn apart from the
@@ -50,7 +52,16 @@
     InjectionKind.STORE_RESTART,
 )
 
-FAULT_KINDS = tuple(kind for kind in InjectionKind if kind not in LOAD_KINDS)
+#: Signals in quick succession, and short silences of sound engines beside
+#: them. They are drawn apart from faults and loads.
+SIGNAL_KINDS = (
+    InjectionKind.INSTANCE_SIGNALS,
+    InjectionKind.ENGINE_SILENCES,
+)
+
+FAULT_KINDS = tuple(
+    kind for kind in InjectionKind if kind not in LOAD_KINDS + SIGNAL_KINDS
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,6 +87,9 @@
     #: Mean time between two loads, or None for none.
     load_gap_s: float | None = None
 
+    #: Mean time between two injections of signals, or None for none.
+    signal_gap_s: float | None = None
+
 
 @dataclasses.dataclass(frozen=True)
 class Injection:
@@ -112,6 +126,13 @@
             shape.load_gap_s,
             shape.length_s,
         )
+    if shape.signal_gap_s is not None:
+        injections += _draw(
+            random.Random(f'{seed}/signals'),
+            SIGNAL_KINDS,
+            shape.signal_gap_s,
+            shape.length_s,
+        )
     return tuple(sorted(injections, key=lambda injection: injection.at_s))
 
 
--- /dev/null
+++ b/packages/emulator/src/skylarktack/emulator/soak/_signals.py
@@ -0,0 +1,105 @@
+"""Signals in quick succession, and silences of engines beside them."""
+
+import dataclasses
+import random
+import signal
+import threading
+import time
+
+from skylarktack.emulator import platform
+from skylarktack.emulator.soak import _checkers
+from skylarktack.emulator.soak import _schedule
+
+#: Pairs of signals, one after the other.
+SIGNAL_PAIRS = (
+    (signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGHUP),
+)
+
+#: Longest pause between the signals of a pair.
+MAX_PAUSE_S = 0.0002
+
+#: Grace period in the settings of the instances, and the time for which the
+#: end of a process may go unseen.
+GRACE_S = 8.0
+CHECK_S = 0.5
+
+#: Silences of a sound engine.
+SILENCES_S = (0.6, 1.2)
+
+
+@dataclasses.dataclass(frozen=True)
+class PlannedStop:
+    """An instance that was told to stop."""
+
+    instance: str
+
+    #: Whether it ended by itself within its grace period.
+    has_ended: bool
+
+
+class SignalSender:
+    """Sends pairs of signals, and notes which instances do not stop."""
+
+    def __init__(self, deployment: platform.PlatformDeployment) -> None:
+        self._deployment = deployment
+        self._lock = threading.Lock()
+        self._paused: dict[str, float] = {}
+        self.stops: list[PlannedStop] = []
+
+    def record_pause(self, instance: str, for_s: float) -> None:
+        """Note that an instance is paused from now on."""
+        with self._lock:
+            paused_s = self._paused.get(instance, 0.0)
+            self._paused[instance] = paused_s + for_s
+
+    def send_pair(
+        self,
+        instance: platform.PlatformInstance,
+        injection: _schedule.Injection,
+    ) -> None:
+        """Send a pair of signals and wait for the end of the process."""
+        draw = random.Random(injection.at_s)
+        first, second = draw.choice(SIGNAL_PAIRS)
+        paused_before_s = self._paused_s(instance)
+        instance.signal(signal.SIGCONT)
+        instance.signal(first)
+        time.sleep(draw.uniform(0.0, MAX_PAUSE_S))
+        instance.signal(second)
+        began_at_s = time.monotonic()
+        while instance.is_running:
+            paused_s = self._paused_s(instance) - paused_before_s
+            if time.monotonic() > began_at_s + GRACE_S + CHECK_S + paused_s:
+                break
+            time.sleep(0.02)
+        self.stops.append(
+            PlannedStop(instance.name, has_ended=not instance.is_running)
+        )
+        instance.kill()
+
+    def silence_engines(self, injection: _schedule.Injection) -> None:
+        """Silence engines in turn, each for a short time."""
+        draw = random.Random(injection.at_s)
+        engines = self._deployment.engines
+        index = injection.index
+        end_s = time.monotonic() + injection.for_s
+        while time.monotonic() < end_s:
+            behaviour = engines[index % len(engines)].behaviour
+            behaviour.is_frozen = True
+            time.sleep(draw.uniform(*SILENCES_S))
+            behaviour.is_frozen = False
+            index += 1
+
+    def check(self) -> _checkers.Promise:
+        """Return whether each instance that was told to stop has ended."""
+        promise = _checkers.Promise('an instance stops when it is told to')
+        for stop in self.stops:
+            promise.check(
+                stop.has_ended, f'{stop.instance} ran on after its grace'
+            )
+        return promise
+
+    def _paused_s(self, instance: platform.PlatformInstance) -> float:
+        with self._lock:
+            return self._paused.get(instance.name, 0.0)
--- a/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
@@ -22,6 +22,14 @@
 LOAD_SEED = 58
 LOAD_SHAPE = dataclasses.replace(SHAPE, load_gap_s=1.0)
 
+#: A seed with several pairs of signals, and silences of engines beside them.
+SIGNAL_SEED = 3
+SIGNAL_SHAPE = dataclasses.replace(SHAPE, signal_gap_s=0.7)
+
+
+#: All that can be injected.
+FULL_SHAPE = dataclasses.replace(LOAD_SHAPE, signal_gap_s=0.7)
+
 
 def _assert_kept(result: soak.SoakResult) -> None:
     broken = [
@@ -61,6 +69,13 @@
         assert kinds >= set(soak.LOAD_KINDS)
         _assert_kept(soak.run_seed(LOAD_SEED, LOAD_SHAPE))
 
+    def test_keeps_every_promise_with_signals(self) -> None:
+        """Guards against an instance that does not stop when told to."""
+        drawn = soak.draw_schedule(SIGNAL_SEED, SIGNAL_SHAPE)
+        kinds = {injection.kind for injection in drawn}
+        assert kinds >= set(soak.SIGNAL_KINDS)
+        _assert_kept(soak.run_seed(SIGNAL_SEED, SIGNAL_SHAPE))
+
 
 class TestCheckers:
     """The checkers look at the right moment."""
@@ -94,15 +109,16 @@
         """Guards against a fault that is never injected."""
         kinds = set()
         for seed in range(100):
-            for injection in soak.draw_schedule(seed, LOAD_SHAPE):
+            for injection in soak.draw_schedule(seed, FULL_SHAPE):
                 kinds.add(injection.kind)
         assert kinds == set(soak.InjectionKind)
 
-    def test_loads_do_not_change_the_faults(self) -> None:
+    def test_loads_and_signals_do_not_change_the_faults(self) -> None:
         """Guards against kept seeds that no longer show what they showed."""
+        added = soak.LOAD_KINDS + soak.SIGNAL_KINDS
         faults = tuple(
             injection
-            for injection in soak.draw_schedule(SEED, LOAD_SHAPE)
-            if injection.kind not in soak.LOAD_KINDS
+            for injection in soak.draw_schedule(SEED, FULL_SHAPE)
+            if injection.kind not in added
         )
         assert faults == soak.draw_schedule(SEED, SHAPE)
