--- a/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
@@ -136,7 +136,7 @@
         elif injection.kind is _Kind.INSTANCE_SIGNALS:
             self._cycle(
                 instance,
-                lambda: self.signals.send_pair(instance, injection),
+                lambda: self.signals.send_series(instance, injection),
                 0.0,
             )
         else:
--- a/packages/emulator/src/skylarktack/emulator/soak/_signals.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_signals.py
@@ -10,15 +10,13 @@
 from skylarktack.emulator.soak import _checkers
 from skylarktack.emulator.soak import _schedule
 
-#: Pairs of signals, one after the other.
-SIGNAL_PAIRS = (
-    (signal.SIGHUP, signal.SIGTERM),
-    (signal.SIGTERM, signal.SIGTERM),
-    (signal.SIGTERM, signal.SIGHUP),
-)
+#: Signals before the one that stops the instance, and after it. The moments at
+#: which a signal could be lost are short, so there are many.
+RELOAD_COUNTS = (50, 400)
+LAST_SIGNALS = (None, signal.SIGTERM, signal.SIGHUP)
 
-#: Longest pause between the signals of a pair.
-MAX_PAUSE_S = 0.0002
+#: Longest pause between two signals of a series.
+MAX_PAUSE_S = 0.0003
 
 #: Grace period in the settings of the instances, and the time for which the
 #: end of a process may go unseen.
@@ -40,7 +38,7 @@
 
 
 class SignalSender:
-    """Sends pairs of signals, and notes which instances do not stop."""
+    """Sends series of signals, and notes which instances do not stop."""
 
     def __init__(self, deployment: platform.PlatformDeployment) -> None:
         self._deployment = deployment
@@ -54,19 +52,23 @@
             paused_s = self._paused.get(instance, 0.0)
             self._paused[instance] = paused_s + for_s
 
-    def send_pair(
+    def send_series(
         self,
         instance: platform.PlatformInstance,
         injection: _schedule.Injection,
     ) -> None:
-        """Send a pair of signals and wait for the end of the process."""
+        """Send a series of signals and wait for the end of the process."""
         draw = random.Random(injection.at_s)
-        first, second = draw.choice(SIGNAL_PAIRS)
+        numbers = [signal.SIGHUP] * draw.randint(*RELOAD_COUNTS)
+        numbers.append(signal.SIGTERM)
+        last = draw.choice(LAST_SIGNALS)
+        if last is not None:
+            numbers.append(last)
         paused_before_s = self._paused_s(instance)
         instance.signal(signal.SIGCONT)
-        instance.signal(first)
-        time.sleep(draw.uniform(0.0, MAX_PAUSE_S))
-        instance.signal(second)
+        for number in numbers:
+            instance.signal(number)
+            time.sleep(draw.uniform(0.0, MAX_PAUSE_S))
         began_at_s = time.monotonic()
         while instance.is_running:
             paused_s = self._paused_s(instance) - paused_before_s
--- a/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
@@ -22,7 +22,7 @@
 LOAD_SEED = 58
 LOAD_SHAPE = dataclasses.replace(SHAPE, load_gap_s=1.0)
 
-#: A seed with several pairs of signals, and silences of engines beside them.
+#: A seed with several series of signals, and silences of engines beside them.
 SIGNAL_SEED = 3
 SIGNAL_SHAPE = dataclasses.replace(SHAPE, signal_gap_s=0.7)
 
