Leave a hung engine later if the budget does not allow it at first

A run at an engine that answers probes, has an empty queue and sends no first event is moved once. Since a run is kept when it cannot go on elsewhere, the attempt to leave counted as the one move, and the run waited until its deadline.

Fix: the move counts when the run leaves. Test: test_a_hung_engine_is_left_when_the_budget_allows_it (failed before).

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_engine_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_engine_watch.py
@@ -57,6 +57,8 @@
         #: When the engine was last heard of; at first, when it was sent to.
         self.last_event_at_s = self.sent_at_s
         self._probed_at_s = self.sent_at_s
+        #: Whether the engine answers probes but has produced no event.
+        self._is_hung = False
         #: The next check after the run was kept at a silent engine.
         self._deferred_until_s = -math.inf
         objective_s = admitted.route.latency_objective_ms / 1000
@@ -82,6 +84,15 @@
             self._clock.monotonic_s() + self._probe_after_s
         )
 
+    def leave(self) -> None:
+        """Record that the run leaves the engine.
+
+        Engines do not report which prompts they are prefilling, so a hung one
+        may be making progress. Such an engine is left once.
+        """
+        if self._is_hung:
+            self._progress.has_abandoned_hung_engine = True
+
     def next_check_s(self, now_s: float) -> float:
         """Return when the responsiveness of the engine is checked next."""
         if not self._admitted.route.is_retryable:
@@ -143,9 +154,7 @@
             return None
         if self._progress.has_abandoned_hung_engine:
             return None
-        # Engines do not report which prompts they are prefilling, so this
-        # one may be making progress. The failover is therefore done once.
-        self._progress.has_abandoned_hung_engine = True
+        self._is_hung = True
         return 'no first event from an engine with an empty queue'
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -331,6 +331,7 @@
         lost = self._lost(detail)
         obstacle = self._failover.reserve(self._target, lost.copy)
         if obstacle is None:
+            self._watch.leave()
             return lost
         if is_new:
             self._record('kept_at_silent_engine', cause=obstacle)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_silent_engines.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_silent_engines.py
@@ -134,6 +134,24 @@
         # The budget is spent at the first event, for a window of 10 s.
         assert 11.0 < again.at_s - lost.at_s < 11.5
 
+    def test_a_hung_engine_is_left_when_the_budget_allows_it(self) -> None:
+        """Guards against a run that waits for its first event for good."""
+        env = _make_env('first', 'second', allowance=2.0)
+        env.client.script('first', ())
+        env.client.script('second', harness.stream_script(1, 3))
+        original = env.client.probe
+
+        def _probe(
+            target: data.ListedTarget, timeout_s: float
+        ) -> data.TargetReport | None:
+            if len(env.client.probed) == 0:
+                _spend_budget(env)
+            return original(target, timeout_s)
+
+        env.client.probe = _probe  # type: ignore[method-assign]
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first', 'second']
+
     def test_an_engine_left_before_may_take_the_run_again(self) -> None:
         """Guards against a run that is stuck once all engines were tried."""
         env = _make_env('first', 'second')
