--- a/packages/transport/src/skylarktack/transport/forwarding/_memory.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_memory.py
@@ -32,8 +32,7 @@
     def claim_response(self, size_bytes: int) -> bool:
         """Reserve bytes for a response; return False if there are not enough.
 
-        The caller of this method may try again later; the target waits
-        meanwhile.
+        The response stays unread then, until it is asked for again.
         """
         with self._was_released:
             if size_bytes > self._free_bytes:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_memory.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_memory.py
@@ -20,7 +20,7 @@
 
 
 class TestMemoryBudget:
-    """Requests wait for memory, responses do not."""
+    """Requests wait for memory for a while; responses are not refused."""
 
     def test_requests_leave_room_for_responses(self) -> None:
         """Guards against runs whose response cannot be buffered."""
