Keep idle connections for as long as their callers may count on

Callers saw a whole request on a kept connection that got neither an answer nor a refusal, after a change of the configuration.

Cause: a connection read the limits once, at the start of its wait. With a longer idle_timeout_ms in force it still closed by the shorter one, just when its caller used it again; a connection accepted before the first configuration waited by the defaults. The limit on heads was kept for the whole connection. After the timeout the socket was closed without looking whether a request had arrived while the task waited for the interpreter.

Fix: FrontLimitHistory knows the limits in force and those that a caller may still go by: whatever was in force since it began to wait or to send, and shortly before. A connection asks it again when its timeout has passed, waits longer by the delay until a configuration is in force everywhere, and looks for a request under the lock before it closes. An instance that the store does not confirm may have missed a longer limit and waits for a minute; the listener still evicts idle connections when it needs room. RequestReader and ConnectionPhase are split off the connection, which had grown.

Evidence: TestIdleTimeout, real processes.

Observability: a line when the limits change, and the metric skylarktack_connections_ended by cause.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -17,6 +17,7 @@
 from skylarktack.coordination.forwarding._events import ConfigurationApplied
 from skylarktack.coordination.forwarding._events import DatagramMalformed
 from skylarktack.coordination.forwarding._events import EventLog
+from skylarktack.coordination.forwarding._events import FrontLimitsChanged
 from skylarktack.coordination.forwarding._events import InstanceNotRegistered
 from skylarktack.coordination.forwarding._events import InstanceStarted
 from skylarktack.coordination.forwarding._events import InstanceStopped
@@ -54,6 +55,7 @@
 from skylarktack.coordination.forwarding._fleet_tasks import PeerDiscovery
 from skylarktack.coordination.forwarding._fleet_tasks import PeerRegistry
 from skylarktack.coordination.forwarding._fleet_tasks import broadcast_groups
+from skylarktack.coordination.forwarding._front_limits import FrontLimitHistory
 from skylarktack.coordination.forwarding._gateway import Gateway
 from skylarktack.coordination.forwarding._gateway import GatewayDependencies
 from skylarktack.coordination.forwarding._gateway import RequestObserver
@@ -156,6 +158,8 @@
 __all__ = [
     'ANY_VERSION',
     'ExposureLimits',
+    'FrontLimitHistory',
+    'FrontLimitsChanged',
     'MoveWatchHandler',
     'MoveDriver',
     'MoveJudged',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -135,6 +135,22 @@
     routes: int
 
 
+@dataclasses.dataclass(frozen=True)
+class FrontLimitsChanged(LogEvent):
+    """Other limits on callers are in force."""
+
+    part = 'configuration'
+    message = 'limits on callers changed'
+
+    version: int
+
+    max_header_bytes: int
+    max_body_bytes: int
+
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
 @dataclasses.dataclass(frozen=True)
 class StoreUnavailable(LogEvent):
     """A call to the store failed, the first since the last success."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -8,6 +8,7 @@
 
 from skylarktack.coordination.forwarding import _admitted_request
 from skylarktack.coordination.forwarding import _calls
+from skylarktack.coordination.forwarding import _front_limits
 from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
@@ -163,15 +164,17 @@
         self._stream_count = 0
         self._end_at_s = math.inf
 
-    def limits(self) -> data.FrontLimits:
-        """Return the limits on callers of the configuration in force.
+    def limits(self, began_at_s: float) -> data.FrontLimits:
+        """Return limits that allow whatever a caller may count on.
 
-        Before the first configuration these are the defaults.
+        :param began_at_s: monotonic time at which the caller began to wait
+            or to send.
         """
-        table = self.dependencies.configuration.table
-        if table is None:
-            return data.FrontLimits()
-        return table.configuration.limits
+        configuration = self.dependencies.configuration
+        limits = configuration.limits.allowed_since(began_at_s)
+        if configuration.is_current():
+            return limits
+        return _front_limits.while_unconfirmed(limits)
 
     def begin_shutdown(self, end_at_s: float) -> None:
         """Refuse from now on requests that the instance may not finish.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -3,6 +3,7 @@
 import threading
 
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _front_limits
 from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _routes
 from skylarktack.coordination.forwarding import _targets
@@ -18,7 +19,15 @@
     until when the last confirmation by the store is valid.
     """
 
-    def __init__(self, clock: Clock, log: _events.EventLog) -> None:
+    def __init__(
+        self, clock: Clock, log: _events.EventLog, lag_s: float
+    ) -> None:
+        """Create a holder without a configuration.
+
+        :param lag_s: maximum time until a configuration is in force on all
+            instances.
+        """
+        self.limits = _front_limits.FrontLimitHistory(clock, lag_s)
         self._clock = clock
         self._log = log
         self._lock = threading.Lock()
@@ -42,7 +51,10 @@
                 if configuration.version <= current_version:
                     return
             self._table = _routes.RouteTable(configuration)
+            has_new_limits = self.limits.replace(configuration.limits)
         self.is_synced.set()
+        if has_new_limits:
+            self._log.record(_limits_changed(configuration))
         self._log.record(
             _events.ConfigurationApplied(
                 configuration.version, len(configuration.routes)
@@ -65,6 +77,19 @@
         return self._clock.monotonic_s() < self._confirmed_until_s
 
 
+def _limits_changed(
+    configuration: data.ForwardingConfiguration,
+) -> _events.FrontLimitsChanged:
+    limits = configuration.limits
+    return _events.FrontLimitsChanged(
+        configuration.version,
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        limits.header_timeout_ms,
+        limits.idle_timeout_ms,
+    )
+
+
 class ConfigurationWatchHandler:
     """Activates configurations as the store reports them."""
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -14,6 +14,9 @@
 PAUSE_MS = 700.0
 OBJECTIVE_MS = 4500.0
 
+#: Maximum time until a configuration is in force on all instances.
+CONFIGURATION_LAG_S = 2.0
+
 
 class _Splitter:
     """Splits a stream into events, which end with an empty line."""
@@ -424,7 +427,9 @@
     harness: Harness, observer: forwarding.RequestObserver
 ) -> GatewayHarness:
     """Return a gateway that has not received a configuration yet."""
-    holder = forwarding.ConfigurationHolder(harness.clock, harness.log)
+    holder = forwarding.ConfigurationHolder(
+        harness.clock, harness.log, CONFIGURATION_LAG_S
+    )
     gateway = forwarding.Gateway(
         forwarding.GatewayDependencies(
             clock=harness.clock,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -76,7 +76,9 @@
         errors = forwarding.ErrorRecorder(clock, log)
         self._errors = errors
         self._supervisor = forwarding.Supervisor(clock, errors)
-        self._configuration = forwarding.ConfigurationHolder(clock, log)
+        self._configuration = forwarding.ConfigurationHolder(
+            clock, log, settings.configuration_lag_ms / 1000
+        )
         self._link: transport.DatagramLink | None = None
         if settings.peer is not None:
             self._link = transport.DatagramLink(settings.peer, log)
@@ -192,7 +194,9 @@
             self._listeners.append(
                 transport.Listener(
                     settings.metrics,
-                    _metrics.MetricsHandler(metrics),
+                    _metrics.MetricsHandler(
+                        metrics, _metrics.ConnectionMetrics(self._front)
+                    ),
                     codec,
                     futures.ThreadPoolExecutor(OPERATOR_LIMIT_COUNT),
                     errors,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -8,10 +8,12 @@
 import dataclasses
 import threading
 from typing import Any
+from typing import Protocol
 
 from skylarktack.coordination import forwarding
 from skylarktack.daemon.forwarding import _reports
 from skylarktack.state import forwarding as data
+from skylarktack.transport import forwarding as transport
 
 #: Upper bounds of the histogram buckets.
 BUCKET_BOUNDS_MS = (
@@ -135,18 +137,59 @@
         yield quarantined
 
 
+class EndCounts(Protocol):
+    """Counts why connections of callers have ended."""
+
+    def end_counts(self) -> dict[transport.ConnectionEnd, int]:
+        """Return the number of connections that have ended, by cause."""
+        ...
+
+
+class ConnectionMetrics:
+    """Counts the connections of callers by the cause of their end."""
+
+    def __init__(self, front: EndCounts) -> None:
+        self._front = front
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metric families; prometheus_client calls this."""
+        from prometheus_client import core
+
+        ended = core.CounterMetricFamily(
+            'skylarktack_connections_ended',
+            'Connections of callers that have ended, by cause.',
+            labels=['cause'],
+        )
+        for end, count in self._front.end_counts().items():
+            ended.add_metric([end.value], count)
+        yield ended
+
+
+class MetricCollector(Protocol):
+    """Collects some of the metrics."""
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metric families."""
+        ...
+
+
 class MetricsHandler:
     """Serves all metrics for any request to the metrics address."""
 
-    def __init__(self, metrics: RequestMetrics) -> None:
-        self._metrics = metrics
+    def __init__(self, *collectors: MetricCollector) -> None:
+        self._collectors = collectors
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metric families of all collectors."""
+        for collector in self._collectors:
+            yield from collector.collect()
 
     @property
     def is_stopping(self) -> bool:
         """Return False: scrapes are served until the process exits."""
         return False
 
-    def limits(self) -> data.FrontLimits:
+    def limits(self, began_at_s: float) -> data.FrontLimits:
         """Return the default limits on scrape requests."""
         return data.FrontLimits()
 
@@ -160,7 +203,7 @@
         return data.FrontResponse(
             _OK_STATUS,
             ((b'Content-Type', content_type),),
-            exposition.generate_latest(self._metrics),
+            exposition.generate_latest(self),
         )
 
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_readiness.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_readiness.py
@@ -28,7 +28,7 @@
         """Return whether to close the connection after this response."""
         return self._gateway.is_stopping
 
-    def limits(self) -> data.FrontLimits:
+    def limits(self, began_at_s: float) -> data.FrontLimits:
         """Return the default limits on readiness requests."""
         return data.FrontLimits()
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -96,7 +96,7 @@
             )
         )
 
-    def limits(self) -> data.FrontLimits:
+    def limits(self, began_at_s: float) -> data.FrontLimits:
         """Return the default limits."""
         return data.FrontLimits(max_body_bytes=64 * 1024 * 1024)
 
--- a/packages/state/src/skylarktack/state/forwarding/_configuration.py
+++ b/packages/state/src/skylarktack/state/forwarding/_configuration.py
@@ -117,6 +117,15 @@
     #: Maximum time that a connection may be idle between requests.
     idle_timeout_ms: float = 15000
 
+    def widen(self, other: 'FrontLimits') -> 'FrontLimits':
+        """Return limits that allow what either of the two allows."""
+        return FrontLimits(
+            max(self.max_header_bytes, other.max_header_bytes),
+            max(self.max_body_bytes, other.max_body_bytes),
+            max(self.header_timeout_ms, other.header_timeout_ms),
+            max(self.idle_timeout_ms, other.idle_timeout_ms),
+        )
+
 
 @dataclasses.dataclass(frozen=True)
 class OrganisationKeys:
--- a/packages/transport/src/skylarktack/transport/forwarding/__init__.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/__init__.py
@@ -5,11 +5,14 @@
 from skylarktack.state import lazy_exports
 
 if TYPE_CHECKING:
+    from skylarktack.transport.forwarding._connection_phase import (
+        ConnectionEnd,
+    )
     from skylarktack.transport.forwarding._fleet_link import DatagramLink
     from skylarktack.transport.forwarding._front_connection import (
         FrontConnection,
     )
-    from skylarktack.transport.forwarding._front_connection import FrontHandler
+    from skylarktack.transport.forwarding._front_handler import FrontHandler
     from skylarktack.transport.forwarding._line_log import LineLog
     from skylarktack.transport.forwarding._listener import Listener
     from skylarktack.transport.forwarding._listener import ListenerLimits
@@ -23,6 +26,7 @@
     )
 
 __all__ = [
+    'ConnectionEnd',
     'DatagramLink',
     'FrontConnection',
     'FrontHandler',
@@ -39,9 +43,10 @@
 
 # The front socket is opened before the other modules are imported.
 _MODULE_BY_NAME = {
+    'ConnectionEnd': '_connection_phase',
     'DatagramLink': '_fleet_link',
     'FrontConnection': '_front_connection',
-    'FrontHandler': '_front_connection',
+    'FrontHandler': '_front_handler',
     'LineLog': '_line_log',
     'Listener': '_listener',
     'ListenerLimits': '_listener',
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -1,5 +1,6 @@
 """Accepts connections and starts one task for each."""
 
+import collections
 from concurrent import futures
 import contextlib
 import dataclasses
@@ -11,7 +12,9 @@
 
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
+from skylarktack.transport.forwarding import _connection_phase
 from skylarktack.transport.forwarding import _front_connection
+from skylarktack.transport.forwarding import _front_handler
 from skylarktack.transport.forwarding import _listening
 from skylarktack.transport.forwarding import _memory
 from skylarktack.transport.forwarding import _sockets
@@ -47,7 +50,7 @@
     def __init__(
         self,
         endpoint: data.Address,
-        handler: _front_connection.FrontHandler,
+        handler: _front_handler.FrontHandler,
         codec: forwarding.MessageCodec,
         tasks: futures.Executor,
         errors: forwarding.ErrorRecorder,
@@ -69,6 +72,9 @@
         self._lock = threading.Lock()
         self._has_ended = threading.Condition(self._lock)
         self._open: set[_front_connection.FrontConnection] = set()
+        self._end_counts: collections.Counter[
+            _connection_phase.ConnectionEnd
+        ] = collections.Counter()
         self._is_closed = False
 
     @property
@@ -102,6 +108,11 @@
         with self._lock:
             return len(self._open)
 
+    def end_counts(self) -> dict[_connection_phase.ConnectionEnd, int]:
+        """Return the number of connections that have ended, by cause."""
+        with self._lock:
+            return dict(self._end_counts)
+
     def close_idle(self) -> None:
         """Close connections that have no request in progress."""
         with self._lock:
@@ -139,12 +150,14 @@
                     self._has_ended.wait(ROOM_CHECK_S)
 
     def _serve(self, connection: _front_connection.FrontConnection) -> None:
+        end = _connection_phase.ConnectionEnd.UNEXPECTED
         try:
-            connection.run()
+            end = connection.run()
         except Exception as error:
             self._errors.record('connection', error)
         finally:
             with self._lock:
+                self._end_counts[end] += 1
                 self._open.discard(connection)
                 self._has_ended.notify_all()
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
@@ -19,6 +19,9 @@
 #: The connection is closed when sent bytes stay unacknowledged for longer.
 UNACKNOWLEDGED_LIMIT_MS = 3000
 
+#: Maximum time that a write waits for the peer to read.
+WRITE_STALL_S = 20.0
+
 #: Maximum bytes of one read.
 READ_SIZE_BYTES = 65536
 
@@ -89,3 +92,19 @@
     for _, found in poller.poll(max(0.0, timeout_s) * 1000):
         return found
     return 0
+
+
+def send_all(connection: socket.socket, outgoing: bytes) -> bool:
+    """Send all bytes; return False if the peer is gone or does not read."""
+    view = memoryview(outgoing)
+    while view:
+        try:
+            sent_bytes = connection.send(view)
+        except BlockingIOError:
+            if not wait_for(connection, select.POLLOUT, WRITE_STALL_S):
+                return False
+            continue
+        except OSError:
+            return False
+        view = view[sent_bytes:]
+    return True
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
@@ -117,7 +117,7 @@
         self.outcome: forwarding.StreamOutcome | None = None
         self.front_limits = data.FrontLimits()
 
-    def limits(self) -> data.FrontLimits:
+    def limits(self, began_at_s: float) -> data.FrontLimits:
         """Return the limits set by the test."""
         return self.front_limits
 
