Read on after a refusal while its caller still sends the body

With a limit that falls by a change of the configuration this looks like a whole request with neither an answer nor a refusal.

Cause: the connection was closed LINGER_S (0.5 s) after the refusal. A close with unread bytes resets the connection, and a caller that reads only after it has sent everything loses the refusal.

Fix: as long as parts of the body are due they are read and dropped, for 30 s or 64 MiB in all and with pauses of 5 s at most; then the old 0.5 s. Such a connection is evicted first when room is needed, so these callers keep out no others.

Evidence: TestRefusedBodies.test_a_slow_caller_reads_the_refusal, with a length and in chunks: both failed before, pass now. An endless body is cut.

--- a/packages/transport/src/skylarktack/transport/forwarding/_connection_phase.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_connection_phase.py
@@ -52,6 +52,7 @@
         self._is_idle = True
         self._has_request = False
         self._is_parsing = False
+        self._is_lingering = False
         self._waiting_since_s = time.monotonic()
         self._end: ConnectionEnd | None = None
 
@@ -100,6 +101,11 @@
             self._is_parsing = True
             self._waiting_since_s = time.monotonic()
 
+    def begin_linger(self) -> None:
+        """Record that a refused caller may go on sending."""
+        with self._lock:
+            self._is_lingering = True
+
     def record_end(self, end: ConnectionEnd) -> ConnectionEnd:
         """Record why the connection ends; return the first reason."""
         with self._lock:
@@ -128,6 +134,9 @@
         a request is dropped, so that callers that send slowly are evicted too.
         """
         with self._lock:
+            if self._is_lingering and self._end is None:
+                self._shut_down(ConnectionEnd.EVICTED)
+                return True
             if self._has_request or self._is_parsing:
                 return False
             return self._close_unless_readable(ConnectionEnd.EVICTED)
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -130,6 +130,7 @@
         if isinstance(received, ConnectionEnd):
             return received
         if isinstance(received, data.Refusal):
+            self._phase.begin_linger()
             self._send_response(
                 self._codec.encode_refusal(received), must_close=True
             )
--- a/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
@@ -24,6 +24,12 @@
 #: that closing does not reset the connection before the response is read.
 LINGER_S = 0.5
 
+#: The same while the caller is still sending a body that was refused: the
+#: maximum time, the longest pause within it, and the maximum size.
+MAX_BODY_LINGER_S = 30.0
+MAX_BODY_LINGER_PAUSE_S = 5.0
+MAX_LINGER_BYTES = 64 * 1024 * 1024
+
 
 @dataclasses.dataclass
 class _PartialRequest:
@@ -137,17 +143,41 @@
         """Discard what a refused caller still sends.
 
         Closing the connection while it sends would reset it before the
-        caller has read the refusal, so it stays open for ``LINGER_S``.
+        caller has read the refusal.
         """
-        linger_end_s = time.monotonic() + LINGER_S
-        while True:
-            wait_s = linger_end_s - time.monotonic()
-            if wait_s <= 0 or not _sockets.wait_for(
-                self._connection, select.POLLIN, wait_s
-            ):
-                return
-            if not self._connection.recv(_sockets.READ_SIZE_BYTES):
+        has_more = self._has_more_body()
+        body_end_s = time.monotonic() + MAX_BODY_LINGER_S
+        discarded_bytes = 0
+        while has_more and discarded_bytes < MAX_LINGER_BYTES:
+            wait_s = min(
+                MAX_BODY_LINGER_PAUSE_S, body_end_s - time.monotonic()
+            )
+            received = self._receive_within(wait_s)
+            if not received:
                 return
+            discarded_bytes += len(received)
+            self.parser.receive_data(received)
+            has_more = self._has_more_body()
+        linger_end_s = time.monotonic() + LINGER_S
+        while self._receive_within(linger_end_s - time.monotonic()):
+            continue
+
+    def _receive_within(self, wait_s: float) -> bytes:
+        """Return received bytes; empty after the wait or at the end."""
+        if wait_s <= 0 or not _sockets.wait_for(
+            self._connection, select.POLLIN, wait_s
+        ):
+            return b''
+        return self._connection.recv(_sockets.READ_SIZE_BYTES)
+
+    def _has_more_body(self) -> bool:
+        """Drop received parts of a body; return whether more are due."""
+        try:
+            while isinstance(self.parser.next_event(), h11.Data):
+                continue
+        except h11.RemoteProtocolError:
+            return False
+        return self.parser.their_state is h11.SEND_BODY
 
     def _handle_head(
         self, event: h11.Request, partial: _PartialRequest
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
@@ -9,6 +9,7 @@
 
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
+from skylarktack.transport.forwarding import _request_reader
 from skylarktack.transport.forwarding import _sockets
 from skylarktack.transport.forwarding.tests import front_harness
 
@@ -175,6 +176,79 @@
         harness.close()
 
 
+LONG_BODY_BYTES = 400_000
+
+
+@pytest.fixture(name='refusing')
+def _refusing() -> Iterator[front_harness.FrontHarness]:
+    """Serve a connection on which the body of ``LONG_POST`` is too large."""
+    handler = front_harness.RecordingHandler()
+    handler.front_limits = data.FrontLimits(max_body_bytes=1000)
+    harness = front_harness.FrontHarness(handler)
+    harness.start()
+    yield harness
+    harness.close()
+
+
+LONG_POSTS = {
+    'with a length': (
+        b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n'
+        % LONG_BODY_BYTES,
+        b'x' * LONG_BODY_BYTES,
+    ),
+    'in chunks': (
+        b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'1000\r\n%s\r\n' % (b'x' * 4096) * 97 + b'0\r\n\r\n',
+    ),
+}
+
+
+class TestRefusedBodies:
+    """A body that is refused before it was read whole."""
+
+    @pytest.mark.parametrize(
+        ('head', 'body'), LONG_POSTS.values(), ids=LONG_POSTS.keys()
+    )
+    def test_a_slow_caller_reads_the_refusal(
+        self, head: bytes, body: bytes, refusing: front_harness.FrontHarness
+    ) -> None:
+        """Guards against a reset before the refusal was read.
+
+        Many callers read nothing before they have sent everything.
+        """
+        refusing.caller.sendall(head)
+        step_bytes = len(body) // 8
+        for start in range(0, len(body), step_bytes):
+            refusing.caller.sendall(body[start : start + step_bytes])
+            time.sleep(2 * _request_reader.LINGER_S / 8)
+        assert refusing.read_response() == (431, b'body_too_large')
+        assert refusing.read_all() == b''
+
+    def test_an_endless_body_is_cut(
+        self,
+        refusing: front_harness.FrontHarness,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Guards against callers that hold a task without end."""
+        monkeypatch.setattr(_request_reader, 'MAX_BODY_LINGER_S', 0.3)
+        refusing.caller.sendall(LONG_POSTS['in chunks'][0])
+        end_s = time.monotonic() + front_harness.TIMEOUT_S
+        with pytest.raises(ConnectionError):
+            while time.monotonic() < end_s:
+                refusing.caller.sendall(b'1000\r\n%s\r\n' % (b'x' * 4096))
+                time.sleep(0.01)
+
+    def test_its_connection_is_evicted(
+        self, refusing: front_harness.FrontHarness
+    ) -> None:
+        """Guards against refused callers that keep out new ones."""
+        refusing.caller.sendall(LONG_POSTS['with a length'][0])
+        assert refusing.read_response()[0] == 431
+        assert refusing.connection.waiting_since_s is not None
+        assert refusing.connection.evict()
+        refusing.wait_ended()
+
+
 class TestChangedLimits:
     """The limits change while a connection waits for a request."""
 
