Close a connection in a stop only after a response has announced it

Cause: whether the instance stops was asked twice, when a head was encoded and when its response had ended. The second answer closed connections whose response had announced nothing, with requests that had been received already.

Fix: only an announced close closes. A response does not announce it while bytes of a next request are received; the next response does.

Evidence: two new tests of TestStop, both failed before.

--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -185,7 +185,7 @@
     def _end_after_response(self) -> ConnectionEnd | None:
         if self._reader.has_disconnected:
             return ConnectionEnd.CALLER
-        if self._handler.is_stopping or self._parser.our_state is not h11.DONE:
+        if self._parser.our_state is not h11.DONE:
             return ConnectionEnd.ANNOUNCED
         self._phase.await_request()
         return None
@@ -218,11 +218,20 @@
         kept = messages.without_names(
             headers, messages.connection_bound_names(headers)
         )
-        if must_close or self._handler.is_stopping:
+        if must_close or self._must_announce_close():
             kept += ((b'Connection', b'close'),)
         response = h11.Response(status_code=status, headers=list(kept))
         return self._parser.send(response) or b''
 
+    def _must_announce_close(self) -> bool:
+        """Return whether the response is the last one of a stop.
+
+        A request that was received behind this one is answered first.
+        """
+        if not self._handler.is_stopping:
+            return False
+        return not self._reader.has_pipelined_bytes()
+
     def _write(self, outgoing: bytes) -> bool:
         """Write all bytes; return False if the caller is gone or stalled."""
         if _sockets.send_all(self._connection, outgoing):
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
@@ -373,6 +373,41 @@
         harness.caller.sendall(GET)
         assert b'Connection: close' in harness.read_all()
 
+    def test_a_request_received_behind_another_is_answered(
+        self, harness: front_harness.FrontHarness
+    ) -> None:
+        """Guards against dropping a pipelined request that was read."""
+        harness.handler.may_respond.clear()
+        harness.start()
+        harness.caller.sendall(POST)
+        assert harness.handler.has_started.wait(front_harness.TIMEOUT_S)
+        harness.caller.sendall(POST.replace(b'body', b'next'))
+        time.sleep(0.1)
+        assert not harness.connection.has_disconnected()
+        harness.handler.is_stopping = True
+        harness.handler.may_respond.set()
+        assert harness.read_response() == (200, b'body')
+        received = harness.read_all()
+        assert b'Connection: close' in received
+        assert received.endswith(b'next')
+
+    def test_a_stream_that_began_before_the_stop_keeps_its_connection(
+        self,
+    ) -> None:
+        """Guards against a close that no response has announced."""
+        handler = _StreamHandler(is_complete=True)
+        harness = front_harness.FrontHarness(handler)
+        handler.stops_after_head = True
+        harness.start()
+        harness.caller.sendall(GET)
+        received = b''
+        while not received.endswith(b'0\r\n\r\n'):
+            received += harness.caller.recv(65536)
+        assert b'Connection: close' not in received
+        harness.caller.sendall(GET)
+        assert b'Connection: close' in harness.read_all()
+        harness.close()
+
     def test_a_request_that_has_arrived_is_served(
         self, harness: front_harness.FrontHarness
     ) -> None:
@@ -464,6 +499,8 @@
     def __init__(self, is_complete: bool) -> None:
         super().__init__()
         self._is_complete = is_complete
+        #: Whether a stop begins once the head of a stream was sent.
+        self.stops_after_head = False
 
     def handle(
         self, request: data.FrontRequest, caller: forwarding.Caller
@@ -472,6 +509,7 @@
             200, ((b'Content-Type', b'text/event-stream'),)
         )
         assert caller.start_stream(head)
+        self.is_stopping = self.stops_after_head
         assert caller.send_events(b'id: 1\ndata: x\n\n')
         if self._is_complete:
             return forwarding.StreamCompleted()
