--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
@@ -6,6 +6,7 @@
 import pytest
 
 from skylarktack.coordination import forwarding
+from skylarktack.coordination.forwarding import _front_limits
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
@@ -32,6 +33,49 @@
     return outcome.reason
 
 
+class TestCallerLimits:
+    """Limits on callers, and what may be in force elsewhere."""
+
+    @pytest.mark.parametrize(
+        ('is_confirmed', 'expected_ms'),
+        [
+            (True, 5000.0),
+            (False, _front_limits.UNCONFIRMED_IDLE_TIMEOUT_MS),
+        ],
+        ids=['confirmed', 'unconfirmed'],
+    )
+    def test_idle_timeout(
+        self, is_confirmed: bool, expected_ms: float
+    ) -> None:
+        """Guards against a close by a limit that may be out of date."""
+        gateway_env = _make_gateway_env()
+        configuration = dataclasses.replace(
+            harness.configuration(),
+            limits=data.FrontLimits(idle_timeout_ms=3000.0),
+        )
+        gateway_env.holder.replace_if_newer(configuration)
+        clock = gateway_env.harness.clock
+        clock.advance(100.0)
+        if is_confirmed:
+            gateway_env.holder.confirm(1.0)
+        limits = gateway_env.gateway.limits(clock.monotonic_s())
+        assert limits.idle_timeout_ms == expected_ms
+
+    def test_a_change_is_logged(self) -> None:
+        """Guards against changed limits that no line tells of."""
+        gateway_env = _make_gateway_env()
+        for version, idle_timeout_ms in ((1, 3000.0), (2, 3000.0), (3, 4.0)):
+            gateway_env.holder.replace_if_newer(
+                dataclasses.replace(
+                    harness.configuration(),
+                    version=version,
+                    limits=data.FrontLimits(idle_timeout_ms=idle_timeout_ms),
+                )
+            )
+        messages = gateway_env.harness.log.messages('configuration')
+        assert messages.count('limits on callers changed') == 2
+
+
 class TestAdmission:
     """Admission by configuration, route and API key.
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -10,6 +10,7 @@
 from skylarktack.daemon.forwarding import _metrics
 from skylarktack.daemon.forwarding import _reports
 from skylarktack.state import forwarding as data
+from skylarktack.transport import forwarding as transport
 
 STREAM = data.RequestKind.STREAM
 ONCE = data.RequestKind.NON_IDEMPOTENT
@@ -270,6 +271,31 @@
         assert b'organisation="other"' in response.body
 
 
+class _Front:
+    """A listener whose connections have ended."""
+
+    def end_counts(self) -> dict[transport.ConnectionEnd, int]:
+        return {
+            transport.ConnectionEnd.IDLE: 3,
+            transport.ConnectionEnd.REFUSED: 1,
+        }
+
+
+class TestConnectionMetrics:
+    """Ends of connections in the Prometheus text format."""
+
+    def test_text(self) -> None:
+        """Guards against closed connections that no metric tells of."""
+        handler = _metrics.MetricsHandler(_metrics.ConnectionMetrics(_Front()))
+        response = handler.handle(
+            harness.request(), fakes.ScriptedCaller(fakes.SteppingClock())
+        )
+        assert isinstance(response, data.FrontResponse)
+        text = response.body.decode()
+        assert 'skylarktack_connections_ended_total{cause="idle"} 3.0' in text
+        assert 'skylarktack_connections_ended_total{cause="refused"} 1' in text
+
+
 class _FailingObserver:
     """Fails at each report."""
 
