--- a/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
@@ -9,6 +9,7 @@
 
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
+from skylarktack.transport import _lingering
 from skylarktack.transport.forwarding import _body_claim
 from skylarktack.transport.forwarding import _connection_phase
 from skylarktack.transport.forwarding import _front_handler
@@ -24,12 +25,6 @@
 #: that closing does not reset the connection before the response is read.
 LINGER_S = 0.5
 
-#: The same while the caller is still sending a body that was refused: the
-#: maximum time, the longest pause within it, and the maximum size.
-MAX_BODY_LINGER_S = 30.0
-MAX_BODY_LINGER_PAUSE_S = 5.0
-MAX_LINGER_BYTES = 64 * 1024 * 1024
-
 
 @dataclasses.dataclass
 class _PartialRequest:
@@ -142,22 +137,17 @@
     def discard_rest(self) -> None:
         """Discard what a refused caller still sends.
 
-        Closing the connection while it sends would reset it before the
-        caller has read the refusal.
+        It has ``LINGER_S`` to read the refusal after the rest of its body.
         """
-        has_more = self._has_more_body()
-        body_end_s = time.monotonic() + MAX_BODY_LINGER_S
-        discarded_bytes = 0
-        while has_more and discarded_bytes < MAX_LINGER_BYTES:
-            wait_s = min(
-                MAX_BODY_LINGER_PAUSE_S, body_end_s - time.monotonic()
+        lingering = _lingering.Lingering(time.monotonic())
+        while self._has_more_body():
+            received = self._receive_within(
+                lingering.remaining_s(time.monotonic())
             )
-            received = self._receive_within(wait_s)
             if not received:
                 return
-            discarded_bytes += len(received)
+            lingering.record_received(len(received), time.monotonic())
             self.parser.receive_data(received)
-            has_more = self._has_more_body()
         linger_end_s = time.monotonic() + LINGER_S
         while self._receive_within(linger_end_s - time.monotonic()):
             continue
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
@@ -9,6 +9,7 @@
 
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
+from skylarktack.transport import _lingering
 from skylarktack.transport.forwarding import _request_reader
 from skylarktack.transport.forwarding import _sockets
 from skylarktack.transport.forwarding.tests import front_harness
@@ -230,7 +231,7 @@
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
         """Guards against callers that hold a task without end."""
-        monkeypatch.setattr(_request_reader, 'MAX_BODY_LINGER_S', 0.3)
+        monkeypatch.setattr(_lingering, 'MAX_LINGER_S', 0.3)
         refusing.caller.sendall(LONG_POSTS['in chunks'][0])
         end_s = time.monotonic() + front_harness.TIMEOUT_S
         with pytest.raises(ConnectionError):
