Split the records and the filters off the table of targets

The entries and statistics of targets (put, remove, ejection, suspicion) are in _target_records.py, the filters that decide which targets may get a request in _target_candidates.py. As with TargetList, the owner serialises the calls, so the locks and the order within them are as before. The ejection times and the suspicion override moved with the code that uses them.

No behaviour changes.

Tests: coordination/forwarding/tests (whole), ruff, flake8, lint-imports, mypy.

--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_candidates.py
@@ -0,0 +1,109 @@
+"""Which targets of a service a request may be sent to."""
+
+from skylarktack.coordination.forwarding import _target_exclusions
+from skylarktack.coordination.forwarding import _target_records
+from skylarktack.coordination.forwarding import _version_rules
+from skylarktack.coordination.ports import Clock
+from skylarktack.state import forwarding as data
+
+
+class TargetCandidates:
+    """Filters targets by version, exclusion, ejection and suspicion.
+
+    The owner of the records serialises the calls.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        records: _target_records.TargetRecords,
+        exclusions: _target_exclusions.TargetExclusions,
+    ) -> None:
+        self._clock = clock
+        self._records = records
+        self._exclusions = exclusions
+
+    def usable(
+        self,
+        service: str,
+        excluded: frozenset[str],
+        rule: _version_rules.VersionRule,
+    ) -> list[data.ListedTarget]:
+        """Return the best targets of a service, empty if there is none.
+
+        Healthy targets come first, those of the preferred version before
+        others. Suspect and then ejected ones are returned only without them.
+        """
+        now_s = self._clock.monotonic_s()
+        self._records.remove_expired()
+        healthy = []
+        suspect = []
+        ejected = []
+        for target in self._records.by_name.values():
+            if target.name in excluded:
+                continue
+            if not self._may_use(target, service, rule):
+                continue
+            if now_s < self._exclusions.pause_end_s(target):
+                continue
+            if self._records.is_ejected(target, now_s):
+                ejected.append(target)
+                continue
+            if self._records.is_suspect(target, now_s):
+                suspect.append(target)
+                continue
+            healthy.append(target)
+        if rule.preferred is not None:
+            preferred = []
+            for target in healthy:
+                if target.version == rule.preferred:
+                    preferred.append(target)
+            if preferred:
+                return preferred
+        return healthy or suspect or ejected
+
+    def next_pause_end_s(
+        self, service: str, rule: _version_rules.VersionRule
+    ) -> float | None:
+        """Return when the first paused target of a service may be used.
+
+        None if there is a target that is not paused, or no target at all.
+        """
+        now_s = self._clock.monotonic_s()
+        end_s: float | None = None
+        for target in self._records.by_name.values():
+            if not self._may_use(target, service, rule):
+                continue
+            pause_end_s = self._exclusions.pause_end_s(target)
+            if pause_end_s <= now_s:
+                return None
+            end_s = min(pause_end_s, end_s or pause_end_s)
+        return end_s
+
+    def is_unavailable(self, target: data.ListedTarget) -> bool:
+        """Return whether the target must get no new request now.
+
+        It was removed, is leaving or paused, or is ejected.
+        """
+        now_s = self._clock.monotonic_s()
+        listed = self._records.by_name.get(target.name)
+        if listed is None or listed.is_leaving:
+            return True
+        if self._exclusions.is_leaving(listed):
+            return True
+        if now_s < self._exclusions.pause_end_s(listed):
+            return True
+        return self._records.is_ejected(target, now_s)
+
+    def _may_use(
+        self,
+        target: data.ListedTarget,
+        service: str,
+        rule: _version_rules.VersionRule,
+    ) -> bool:
+        """Return whether requests for a service may ever go to a target."""
+        if target.service != service or target.is_leaving:
+            return False
+        if target.version in rule.excluded:
+            return False
+        return not self._exclusions.is_leaving(target)
