Split the decisions on a move off the table of moves

The state of one move and the decisions on it (judgement, stop, shift, due phase, their log lines) are in _move_decisions.py, with the fractions of a move's duration and the limits of the judge. The table's lock still serialises all of it. The two places that noted a decision for the next report share one method.

No behaviour changes.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -1,4 +1,4 @@
-"""Moves of services to other versions: traffic share, evidence, verdict.
+"""The table of moves of services to other versions, and their traffic.
 
 A move is a planned rollout of a service from one version to another. While
 it is judged, the new version gets a small share of the requests, bounded
@@ -9,7 +9,6 @@
 """
 
 from collections.abc import Callable
-import dataclasses
 import math
 import random
 import threading
@@ -19,58 +18,17 @@
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _exposure
 from skylarktack.coordination.forwarding import _latency_classes
+from skylarktack.coordination.forwarding import _move_decisions
 from skylarktack.coordination.forwarding import _move_events
 from skylarktack.coordination.forwarding import _move_evidence
-from skylarktack.coordination.forwarding import _route_judging
 from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: Fractions of a move's duration: no traffic shift begins before the first,
-#: a shift begins at any exposure from the second on, and the move ends at the
-#: third. Runs at the old version end with the move, so a shift should begin
-#: early.
-SHIFT_EARLIEST_FRACTION = 0.6
-SHIFT_LATEST_FRACTION = 0.88
-END_FRACTION = 0.92
-
-#: Minimum time between the end of a move and its time limit, for recording
-#: the last phase.
-END_MARGIN_S = 1.0
-
-#: Minimum number of successful attempts on the new version for a move to
-#: be completed.
-MIN_SUCCESS_COUNT = 8
-
 #: Number of attempts on the new version, all successful, between two
 #: judgements; a failed attempt is judged at once.
 JUDGE_INTERVAL_COUNT = 8
 
-#: Accepted probabilities of a wrong judgement of a good version. A version
-#: that is only suspected is not completed.
-JUDGE_LIMITS = _route_judging.JudgeLimits(
-    rejection_probability=1e-4, suspicion_probability=0.05
-)
-
-
-@dataclasses.dataclass
-class _Move:
-    """State of one move; updated with each request."""
-
-    order: data.MoveOrder
-    evidence: _move_evidence.MoveEvidence
-    #: Monotonic time at which the first instance received the order.
-    began_at_s: float
-    unjudged_count: int = 0
-    #: Whether the evidence has changed since the last judgement.
-    has_new_evidence: bool = False
-    #: Last judgement of this instance; None before the first.
-    judgement: _route_judging.VersionJudgement | None = None
-    is_shifting: bool = False
-    stop_reason: str = ''
-    due_phase: state.MovePhase | None = None
-    due_since_s: float = 0.0
-
 
 class MoveTable:
     """Moves of all services, as known to this instance."""
@@ -86,10 +44,12 @@
         self._clock = clock
         self._log = log
         self._limits = limits
-        self._judge = judge
+        self._decisions = _move_decisions.MoveDecisions(
+            clock, log, limits, judge
+        )
         self._draw = draw
         self._lock = threading.Lock()
-        self._moves: dict[str, _Move] = {}
+        self._moves: dict[str, _move_decisions.Move] = {}
         self._versions = _version_rules.KnownVersions()
         self._topology = _move_evidence.AggregationTopology()
         # Sender and arrival time of the last aggregate for the fleet.
@@ -97,11 +57,9 @@
         self._fleet_aggregate_at_s = -math.inf
         #: Set once the orders have been read for the first time.
         self.is_synced = threading.Event()
-        # Services whose stop or shift was decided here but not yet reported.
-        self._unreported_services: set[str] = set()
         #: Set at each new order and at each stop or shift that was decided
         #: here; the driver clears it.
-        self.has_updates = threading.Event()
+        self.has_updates = self._decisions.has_updates
 
     def replace(self, changes: tuple[data.MoveChange, ...]) -> None:
         """Replace all orders by a complete list."""
@@ -163,7 +121,7 @@
                 self._limits,
                 move.evidence.exposure(),
                 self._topology.instance_count,
-                self._age_s(move),
+                self._decisions.age_s(move),
                 move.order.duration_s,
             )
             if self._draw() < share:
@@ -212,7 +170,7 @@
             move.unjudged_count += 1
             if is_success and move.unjudged_count < JUDGE_INTERVAL_COUNT:
                 return
-            self._judge_move(move)
+            self._decisions.judge(move)
 
     def record_abandoned(
         self, target: data.ListedTarget, route: str, waited_ms: float
@@ -249,9 +207,11 @@
             move.began_at_s = min(move.began_at_s, began_at_s)
             # The sender reports its decision to all instances itself.
             if report.stop_reason and not move.stop_reason:
-                self._stop(move, report.stop_reason, is_own_decision=False)
+                self._decisions.stop(
+                    move, report.stop_reason, is_own_decision=False
+                )
             if report.is_shifting and not move.stop_reason:
-                self._shift(move, is_own_decision=False)
+                self._decisions.shift(move, is_own_decision=False)
 
     def set_topology(
         self, topology: _move_evidence.AggregationTopology
@@ -283,7 +243,7 @@
                         to_version=move.order.to_version,
                         scope=scope,
                         counts=move.evidence.counts_of(scope),
-                        age_ms=int(1000 * self._age_s(move)),
+                        age_ms=int(1000 * self._decisions.age_s(move)),
                         is_shifting=move.is_shifting,
                         stop_reason=move.stop_reason,
                     )
@@ -299,7 +259,7 @@
             move = self._moves.get(service)
             if move is None or move.order.has_ended:
                 return None
-            phase: state.MovePhase | None = self._due_phase(move)
+            phase: state.MovePhase | None = self._decisions.due_phase(move)
             if phase is move.order.phase:
                 phase = None
             if phase is not move.due_phase:
@@ -318,9 +278,7 @@
     def take_updates(self) -> frozenset[str]:
         """Return and clear the services with an unreported stop or shift."""
         with self._lock:
-            services = frozenset(self._unreported_services)
-            self._unreported_services.clear()
-            return services
+            return self._decisions.take_updates()
 
     def has_fleet_aggregate(
         self, senders: tuple[str, ...], since_s: float
@@ -372,7 +330,7 @@
                     self._record_phase(order)
                 current.order = order
                 return
-        self._moves[change.service] = _Move(
+        self._moves[change.service] = _move_decisions.Move(
             order,
             _move_evidence.MoveEvidence(self._topology),
             self._clock.monotonic_s(),
@@ -391,114 +349,6 @@
             )
         )
 
-    def _age_s(self, move: _Move) -> float:
-        """Return the time since the first instance received the order.
-
-        A restarted instance learns it from the reports of the others.
-        """
-        return self._clock.monotonic_s() - move.began_at_s
-
-    def _judge_move(self, move: _Move) -> moves.Judgement:
-        move.unjudged_count = 0
-        move.has_new_evidence = False
-        judgement = _route_judging.judge_version(
-            self._judge,
-            move.evidence.known_counts(),
-            state.VersionName(move.order.to_version),
-            JUDGE_LIMITS,
-        )
-        move.judgement = judgement
-        if judgement.overall.bad and not move.stop_reason:
-            self._stop(move, judgement.overall.reason)
-        return judgement.overall
-
-    def _stop(
-        self, move: _Move, reason: str, is_own_decision: bool = True
-    ) -> None:
-        move.stop_reason = reason
-        move.is_shifting = False
-        if is_own_decision:
-            self._log_judgement(move, state.MovePhase.ROLLED_BACK)
-        self._log.record(
-            _move_events.MoveStopped(
-                move.order.service, move.order.to_version, reason
-            )
-        )
-        if is_own_decision:
-            self._unreported_services.add(move.order.service)
-            self.has_updates.set()
-
-    def _shift(self, move: _Move, is_own_decision: bool = True) -> None:
-        if move.is_shifting:
-            return
-        move.is_shifting = True
-        if is_own_decision:
-            self._log_judgement(move, state.MovePhase.SHIFTING)
-        self._log.record(
-            _move_events.MoveShifting(
-                move.order.service, move.order.to_version
-            )
-        )
-        if is_own_decision:
-            self._unreported_services.add(move.order.service)
-            self.has_updates.set()
-
-    def _log_judgement(self, move: _Move, phase: state.MovePhase) -> None:
-        """Log the evidence on which a decision of this instance rests."""
-        judgement = move.judgement
-        if judgement is None:
-            return
-        counts = move.evidence.exposure()
-        slow = judgement.slow_responses
-        self._log.record(
-            _move_events.MoveJudged(
-                service=move.order.service,
-                to_version=move.order.to_version,
-                phase=phase.value,
-                age_s=round(self._age_s(move), 2),
-                instances=counts.member_count,
-                requests=counts.request_count,
-                sent=counts.sent_count,
-                succeeded=judgement.overall.success_count,
-                is_suspect=judgement.overall.suspect,
-                slow_evidence=round(slow.log_evidence, 2),
-                slow_responses=str(slow),
-            )
-        )
-
-    def _due_phase(self, move: _Move) -> state.MovePhase:
-        if move.stop_reason:
-            return state.MovePhase.ROLLED_BACK
-        age_s = self._age_s(move)
-        duration_s = move.order.duration_s
-        end_s = min(END_FRACTION * duration_s, duration_s - END_MARGIN_S)
-        if age_s < SHIFT_EARLIEST_FRACTION * duration_s:
-            if move.has_new_evidence and self._judge_move(move).bad:
-                return state.MovePhase.ROLLED_BACK
-            return state.MovePhase.SHIFTING
-        judgement = self._judge_move(move)
-        if judgement.bad:
-            return state.MovePhase.ROLLED_BACK
-        is_proven = not judgement.suspect and (
-            judgement.success_count >= MIN_SUCCESS_COUNT
-        )
-        is_late = age_s >= SHIFT_LATEST_FRACTION * duration_s
-        if is_proven and (
-            is_late
-            or _exposure.may_shift(
-                self._limits, move.evidence.exposure(), age_s, duration_s
-            )
-        ):
-            self._shift(move)
-        if age_s < end_s:
-            return state.MovePhase.SHIFTING
-        if is_proven:
-            if move.due_phase is not state.MovePhase.COMPLETED:
-                self._log_judgement(move, state.MovePhase.COMPLETED)
-            return state.MovePhase.COMPLETED
-        self._stop(move, 'The evidence does not suffice.')
-        return state.MovePhase.ROLLED_BACK
-
 
 def _row_of(
     target: data.ListedTarget,
