Split the table of quarantines and the admission off their evidence

The quarantines, with what of them is to be reported and stored, are in _quarantine_table.py; the decision on a request (refusal, probe, expiry, share of the recent requests) is in _quarantine_admission.py. A release says whether the decision is the instance's own, which replaces three pairs of "release, then note as unsaved". MAX_QUARANTINE_COUNT moved to the table; its test imports it from there.

No behaviour changes.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -6,9 +6,7 @@
 requests arrive, and only that part.
 """
 
-import collections
 from collections.abc import Sequence
-import dataclasses
 import math
 import threading
 from typing import Protocol
@@ -17,33 +15,15 @@
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _prompt_evidence_log
 from skylarktack.coordination.forwarding import _prompt_losses
+from skylarktack.coordination.forwarding import _quarantine_admission
 from skylarktack.coordination.forwarding import _quarantine_keeper
 from skylarktack.coordination.forwarding import _quarantine_records
+from skylarktack.coordination.forwarding import _quarantine_table
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: Maximum number of quarantined parts; the oldest is forgotten first.
-MAX_QUARANTINE_COUNT = 64
 
-#: Number of recent requests from which the share of a part is estimated, and
-#: the least number that allows an estimate.
-RECENT_REQUEST_COUNT = 64
-MIN_REQUEST_COUNT = 16
-
-#: Fraction of the idle time by which a quarantine is extended at least: each
-#: extension is reported and stored, and ends are sent as ages, which a report
-#: delays.
-EXTENSION_STEP_FRACTION = 0.1
-
-#: Fraction of such a step by which a reported end must be later than the
-#: known one to count as an extension; the rest allows for the delay.
-MIN_EXTENSION_FRACTION = 2 / 3
-
-#: Shortest Retry-After of a refusal.
-MIN_RETRY_AFTER_S = 1.0
-
-
-class EvidenceReporter(Protocol):
+class EvidenceReporter(_quarantine_admission.InstanceRank, Protocol):
     """Reports evidence to the other instances."""
 
     def set_prompt_exchange(
@@ -56,24 +36,6 @@
         """Report new evidence at once."""
         ...
 
-    def rank(self) -> int:
-        """Return the rank of this instance among the live ones, from 0."""
-        ...
-
-
-@dataclasses.dataclass(frozen=True)
-class _Decision:
-    """What is decided on a request."""
-
-    #: Why it must not be sent, or None.
-    refusal: _quarantine_records.QuarantineRefusal | None
-
-    #: The quarantine whose probe it is, or None.
-    probe: _quarantine_records.Quarantine | None
-
-    #: Parts whose quarantine has ended because no request named them.
-    expired_part_ids: tuple[str, ...] = ()
-
 
 class PromptQuarantine:
     """Evidence about prompt parts, and the parts that are quarantined."""
@@ -93,15 +55,11 @@
         self._evidence = _prompt_evidence_log.PromptEvidenceLog(
             self.settings.limits.window_s
         )
-        self._quarantines: dict[str, _quarantine_records.Quarantine] = {}
-        self._recent_requests: collections.deque[tuple[str, ...]] = (
-            collections.deque(maxlen=RECENT_REQUEST_COUNT)
+        self._table = _quarantine_table.QuarantineTable(clock, self.settings)
+        self._admission = _quarantine_admission.QuarantineAdmission(
+            clock, self.settings, self._table, fleet
         )
-        #: Quarantines that the next report has.
-        self._new_quarantines: dict[str, None] = {}
-        #: Parts whose stored quarantine is out of date.
-        self._unsaved: dict[str, None] = {}
-        self.has_changes = threading.Event()
+        self.has_changes = self._table.has_changes
         fleet.set_prompt_exchange(self)
 
     def admit(
@@ -112,8 +70,8 @@
         The first one after a quarantine becomes its probe.
         """
         with self._lock:
-            self._recent_requests.append(part_ids)
-            decision = self._decide(part_ids, may_probe=True)
+            self._admission.count_request(part_ids)
+            decision = self._admission.decide(part_ids, may_probe=True)
         self._record_expired(decision)
         probe = decision.probe
         if probe is not None:
@@ -134,7 +92,7 @@
         would refuse the probe itself.
         """
         with self._lock:
-            decision = self._decide(part_ids, may_probe=False)
+            decision = self._admission.decide(part_ids, may_probe=False)
         self._record_expired(decision)
         return decision.refusal
 
@@ -158,8 +116,7 @@
                 self._evidence.put_output(part_id, now_s)
                 if self._is_output_awaited(part_id, now_s):
                     self._evidence.report_output(part_id)
-                if self._release(part_id):
-                    self._set_unsaved(part_id)
+                if self._table.release(part_id, is_own_decision=True):
                     events.append(_released(part_id, 'a run produced output'))
             has_news = self._evidence.has_new_outputs
         self._record(events)
@@ -169,7 +126,7 @@
     def quarantined_count(self) -> int:
         """Return the number of parts that are quarantined."""
         with self._lock:
-            return len(self._quarantines)
+            return len(self._table.part_ids())
 
     def evidence(self, is_full: bool) -> data.PromptEvidence:
         """Return the evidence for a report to the other instances.
@@ -178,14 +135,10 @@
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            quarantined = list(self._new_quarantines)
-            self._new_quarantines.clear()
-            if is_full:
-                quarantined = list(self._quarantines)
             return data.PromptEvidence(
                 self._evidence.take_losses(is_full, now_s),
                 self._evidence.take_outputs(is_full, now_s),
-                self._reported_quarantines(quarantined, now_s),
+                self._table.take_reported(is_full, now_s),
             )
 
     def receive(self, evidence: data.PromptEvidence) -> None:
@@ -214,10 +167,10 @@
         for output in outputs:
             at_s = now_s - output.age_ms / 1000
             self._evidence.apply_output(output.part_id, at_s)
-            quarantine = self._quarantines.get(output.part_id)
+            quarantine = self._table.find(output.part_id)
             if quarantine is None or at_s <= quarantine.began_at_s:
                 continue
-            if self._release(output.part_id):
+            if self._table.release(output.part_id, is_own_decision=False):
                 events.append(_released(output.part_id, 'reported by a peer'))
         return events
 
@@ -247,7 +200,7 @@
                     continue
                 remaining_ms = item.until_ms - now_ms
                 if remaining_ms < -1000 * self.settings.idle_s:
-                    self._set_unsaved(item.part_id)
+                    self._table.set_unsaved(item.part_id)
                     continue
                 stored_part = data.QuarantinedPart(
                     item.part_id,
@@ -267,104 +220,13 @@
     ) -> tuple[_quarantine_keeper.QuarantineChange, ...]:
         """Return the decisions that the store does not have yet."""
         with self._lock:
-            self.has_changes.clear()
-            part_ids = tuple(self._unsaved)
-            self._unsaved.clear()
-            return tuple(
-                _quarantine_keeper.QuarantineChange(
-                    part_id, self._stored(part_id)
-                )
-                for part_id in part_ids
-            )
-
-    def _stored(self, part_id: str) -> data.StoredQuarantine | None:
-        quarantine = self._quarantines.get(part_id)
-        if quarantine is None:
-            return None
-        offset_s = self._clock.wall_s() - self._clock.monotonic_s()
-        return data.StoredQuarantine(
-            part_id,
-            round(1000 * (quarantine.began_at_s + offset_s)),
-            round(1000 * (quarantine.until_s + offset_s)),
-            quarantine.probe_count,
-        )
-
-    def _set_unsaved(self, part_id: str) -> None:
-        self._unsaved[part_id] = None
-        _prompt_evidence_log.drop_oldest(self._unsaved, MAX_QUARANTINE_COUNT)
-        self.has_changes.set()
-
-    def _decide(self, part_ids: tuple[str, ...], may_probe: bool) -> _Decision:
-        """Decide on a request; extend, end or probe its quarantines."""
-        now_s = self._clock.monotonic_s()
-        probe: _quarantine_records.Quarantine | None = None
-        expired: list[str] = []
-        for part_id in part_ids:
-            quarantine = self._quarantines.get(part_id)
-            if quarantine is None:
-                continue
-            if quarantine.probe_count >= self.settings.max_probe_count:
-                if now_s >= quarantine.until_s:
-                    self._release(part_id)
-                    self._set_unsaved(part_id)
-                    expired.append(part_id)
-                    continue
-                quarantine = self._extend(quarantine, now_s)
-            elif may_probe and self._is_probe_due(quarantine, now_s):
-                probe = self._claim_probe(quarantine, now_s)
-                continue
-            remaining_s = max(MIN_RETRY_AFTER_S, quarantine.until_s - now_s)
-            refusal = _quarantine_records.QuarantineRefusal(
-                part_id, round(remaining_s, 3)
-            )
-            return _Decision(refusal, None, tuple(expired))
-        return _Decision(None, probe, tuple(expired))
-
-    def _extend(
-        self, quarantine: _quarantine_records.Quarantine, now_s: float
-    ) -> _quarantine_records.Quarantine:
-        """Extend a quarantine that has no further probes, at all instances."""
-        until_s = now_s + self.settings.idle_s
-        if until_s < quarantine.until_s + self._extension_step_s():
-            return quarantine
-        extended = dataclasses.replace(quarantine, until_s=until_s)
-        self._quarantines[quarantine.part_id] = extended
-        self._new_quarantines[quarantine.part_id] = None
-        self._set_unsaved(quarantine.part_id)
-        return extended
-
-    def _extension_step_s(self) -> float:
-        return EXTENSION_STEP_FRACTION * self.settings.idle_s
-
-    def _is_probe_due(
-        self, quarantine: _quarantine_records.Quarantine, now_s: float
-    ) -> bool:
-        if now_s < quarantine.until_s:
-            return False
-        stagger_s = self.settings.probe_stagger_s * self._fleet.rank()
-        return now_s >= quarantine.until_s + stagger_s
-
-    def _claim_probe(
-        self, quarantine: _quarantine_records.Quarantine, now_s: float
-    ) -> _quarantine_records.Quarantine:
-        probe_count = quarantine.probe_count + 1
-        length_s = self.settings.quarantine_s * 2**probe_count
-        if probe_count >= self.settings.max_probe_count:
-            length_s = max(length_s, self.settings.idle_s)
-        probe = dataclasses.replace(
-            quarantine, until_s=now_s + length_s, probe_count=probe_count
-        )
-        self._quarantines[quarantine.part_id] = probe
-        self._new_quarantines[quarantine.part_id] = None
-        self._set_unsaved(quarantine.part_id)
-        return probe
+            return self._table.take_changes()
 
     def _is_output_awaited(self, part_id: str, now_s: float) -> bool:
         """Return whether the others have to learn of an output."""
-        return (
-            part_id in self._quarantines
-            or self._evidence.is_output_awaited(part_id, now_s)
-        )
+        if self._table.find(part_id) is not None:
+            return True
+        return self._evidence.is_output_awaited(part_id, now_s)
 
     def _evaluate(self) -> list[_events.LogEvent]:
         """Quarantine the parts that explain the losses; release others."""
@@ -383,11 +245,11 @@
     ) -> list[_events.LogEvent]:
         events: list[_events.LogEvent] = []
         for cause in causes:
-            if cause.part_id in self._quarantines:
+            if self._table.find(cause.part_id) is not None:
                 continue
-            if self._is_in_most_requests(cause.part_id):
+            if self._admission.is_in_most_requests(cause.part_id):
                 continue
-            self._begin(cause.part_id)
+            self._table.begin(cause.part_id)
             events.append(
                 _events.PromptPartQuarantined(
                     cause.part_id,
@@ -403,7 +265,7 @@
         """Release parts whose losses another part explains."""
         caused = {cause.part_id for cause in causes}
         events: list[_events.LogEvent] = []
-        for part_id in list(self._quarantines):
+        for part_id in self._table.part_ids():
             if part_id in caused or not _prompt_losses.is_sufficient(
                 part_id,
                 self._evidence.losses,
@@ -413,41 +275,10 @@
                 continue
             now_s = self._clock.monotonic_s()
             self._evidence.discount_losses(part_id, now_s)
-            self._release(part_id)
-            self._set_unsaved(part_id)
+            self._table.release(part_id, is_own_decision=True)
             events.append(_released(part_id, 'another part is the cause'))
         return events
 
-    def _is_in_most_requests(self, part_id: str) -> bool:
-        request_count = len(self._recent_requests)
-        if request_count < MIN_REQUEST_COUNT:
-            return False
-        count = 0
-        for part_ids in self._recent_requests:
-            count += part_id in part_ids
-        return count > self.settings.max_request_share * request_count
-
-    def _begin(self, part_id: str) -> None:
-        now_s = self._clock.monotonic_s()
-        self._put(
-            _quarantine_records.Quarantine(
-                part_id, now_s, now_s + self.settings.quarantine_s
-            )
-        )
-        self._new_quarantines[part_id] = None
-        self._set_unsaved(part_id)
-
-    def _put(self, quarantine: _quarantine_records.Quarantine) -> None:
-        self._quarantines[quarantine.part_id] = quarantine
-        _prompt_evidence_log.drop_oldest(
-            self._quarantines, MAX_QUARANTINE_COUNT
-        )
-
-    def _release(self, part_id: str) -> bool:
-        """End a quarantine; return whether there was one."""
-        self._new_quarantines.pop(part_id, None)
-        return self._quarantines.pop(part_id, None) is not None
-
     def _adopt(
         self,
         reported: data.QuarantinedPart,
@@ -456,56 +287,26 @@
     ) -> list[_events.LogEvent]:
         """Apply a quarantine from elsewhere; return an event if it is new."""
         part_id = reported.part_id
-        known = self._quarantines.get(part_id)
+        is_known = self._table.find(part_id) is not None
         until_s = now_s + reported.remaining_ms / 1000
-        if known is not None and not self._is_newer(reported, until_s, known):
+        if self._table.is_current(reported, until_s):
             return []
         began_at_s = now_s - reported.age_ms / 1000
         if self._evidence.output_at_s.get(part_id, -math.inf) > began_at_s:
             self._evidence.offer_output(part_id)
             return []
-        self._put(
+        self._table.put(
             _quarantine_records.Quarantine(
                 part_id, began_at_s, until_s, reported.probe_count
             )
         )
-        if known is not None:
+        if is_known:
             return []
         return [_events.PromptPartQuarantined(part_id, 0, source.value)]
 
-    def _is_newer(
-        self,
-        reported: data.QuarantinedPart,
-        until_s: float,
-        known: _quarantine_records.Quarantine,
-    ) -> bool:
-        """Return whether a report has a later probe or extension."""
-        if reported.probe_count != known.probe_count:
-            return reported.probe_count > known.probe_count
-        if known.probe_count < self.settings.max_probe_count:
-            return False
-        min_extension_s = MIN_EXTENSION_FRACTION * self._extension_step_s()
-        return until_s > known.until_s + min_extension_s
-
-    def _reported_quarantines(
-        self, part_ids: Sequence[str], now_s: float
-    ) -> tuple[data.QuarantinedPart, ...]:
-        quarantined = []
-        for part_id in part_ids:
-            quarantine = self._quarantines.get(part_id)
-            if quarantine is None:
-                continue
-            quarantined.append(
-                data.QuarantinedPart(
-                    part_id,
-                    _prompt_evidence_log.age_ms(now_s, quarantine.began_at_s),
-                    _prompt_evidence_log.age_ms(quarantine.until_s, now_s),
-                    quarantine.probe_count,
-                )
-            )
-        return tuple(quarantined)
-
-    def _record_expired(self, decision: _Decision) -> None:
+    def _record_expired(
+        self, decision: _quarantine_admission.AdmissionDecision
+    ) -> None:
         for part_id in decision.expired_part_ids:
             self._log.record(_released(part_id, 'no request named it'))
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
@@ -6,8 +6,8 @@
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _prompt_evidence_log
-from skylarktack.coordination.forwarding import _prompt_quarantine
 from skylarktack.coordination.forwarding import _quarantine_records
+from skylarktack.coordination.forwarding import _quarantine_table
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
@@ -137,7 +137,7 @@
         for number in range(300):
             env.lose(3, (f'crashing-{number}',), f'engine-{number}')
         evidence = env.quarantine.evidence(is_full=True)
-        limit = _prompt_quarantine.MAX_QUARANTINE_COUNT
+        limit = _quarantine_table.MAX_QUARANTINE_COUNT
         assert len(evidence.quarantined) <= limit
         assert len(evidence.losses) <= _prompt_evidence_log.MAX_REPORTED_COUNT
         assert env.quarantine.quarantined_count() <= limit
