Let a run whose engine was lost wait for a retry from the budget

Callers saw: a stream whose engine was lost by its connection ended at once when the retry budget was spent, as interrupted, or as 502 before its first event. The caller would have waited for seconds (at least four latency objectives), and the budget refills while its window slides.

Cause: the claim of the retry was tried once, and its failure ended the stream: the connection to the engine is gone and its replacement was given up without need.

A run that has begun now asks the budget again every 100 ms, in the wait that watches its caller, and nothing is sent without a claimed retry. How long follows from what its caller gains: - After its first event: until one objective before the caller leaves (a gap of 2 s, 4 objectives or 8 maximum pauses), as the next engine may need an objective for its first event. A cut stream may never be finished; a long pause only makes it late. - Before its first event: until that event would be late. A later failure would only hold up the caller: its own retry is a new request, which needs nothing from the budget. - Never past one objective before the deadline. A request that has not run, or that may not be sent again, ends at once as before. The step wait_for_retry with its cause is recorded once for each wait; explain shows it, and budget_spent still follows if the wait ends without a retry.

Not played with real processes.

--- a/packages/cli/src/skylarktack/cli/tests/test_explain.py
+++ b/packages/cli/src/skylarktack/cli/tests/test_explain.py
@@ -17,6 +17,7 @@
     'unsure-lookup',
     'late-lookup',
     'returned-late',
+    'unfinished-stream',
     'unknown',
 )
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -13,6 +13,7 @@
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _quarantine_records
 from skylarktack.coordination.forwarding import _relay
+from skylarktack.coordination.forwarding import _retry_waits
 from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
 from skylarktack.coordination.forwarding import _supervision
@@ -85,6 +86,7 @@
         self._has_found_full = False
         self._has_executed = False
         self._has_reserved_retry = False
+        self._is_waiting_for_retry = False
         self._last_fault = 'no engine is available'
 
     def run(self) -> _outcomes.StreamOutcome:
@@ -129,10 +131,14 @@
                 continue
             if copy is None and self._is_full(pair.primary):
                 continue
-            if self._send_count > 0 and not self._claim_retry():
-                self._record('budget_spent')
-                break
-            self._send_count += 1
+            obstacle = self._secure_retry()
+            if obstacle is not None:
+                if not self._may_wait_for_retry():
+                    self._record(obstacle.value)
+                    break
+                if self._wait_for_retry(obstacle):
+                    return _outcomes.CallerDisconnected()
+                continue
             end = self._attempt(pair, copy)
             if isinstance(end, _stream_attempts.StreamFinished):
                 return end.outcome
@@ -172,6 +178,36 @@
         self._has_reserved_retry = True
         return None
 
+    def _secure_retry(self) -> _retry_waits.RetryObstacle | None:
+        """Claim what the next send needs, or return what is missing."""
+        if self._send_count == 0:
+            return None
+        if not self._claim_retry():
+            return _retry_waits.RetryObstacle.BUDGET_SPENT
+        return None
+
+    def _may_wait_for_retry(self) -> bool:
+        """Return whether the caller gains by a wait for a retry.
+
+        A request that has not run is refused instead: it may come back at
+        once, as a new request.
+        """
+        if not self._has_executed:
+            return False
+        wait_end_s = _retry_waits.retry_wait_end_s(
+            self._admitted, self._progress
+        )
+        return self._clock.monotonic_s() < wait_end_s
+
+    def _wait_for_retry(self, obstacle: _retry_waits.RetryObstacle) -> bool:
+        """Wait; return whether the caller disconnected."""
+        if not self._is_waiting_for_retry:
+            self._is_waiting_for_retry = True
+            self._record('wait_for_retry', cause=obstacle.value)
+        return self._dependencies.client.wait(
+            (), self._admitted.caller, _retry_waits.RETRY_CHECK_INTERVAL_S
+        ).has_caller_disconnected
+
     def _claim_retry(self) -> bool:
         if self._has_reserved_retry:
             self._has_reserved_retry = False
@@ -338,6 +374,8 @@
     ) -> _stream_attempts.AttemptEnd:
         target = pair.primary
         standby = pair.standby
+        self._send_count += 1
+        self._is_waiting_for_retry = False
         if not self._may_have_copy():
             standby = None
         now_s = self._clock.monotonic_s()
