Pace a lost run that engines refuse, instead of ending its stream

Callers saw: a stream that had lost its engine was cut once 12 sends were used, although each engine only said that it had not run the request (full, or another process at the address). Engines that are full after a loss of others refuse within milliseconds, so the 12 sends last about a second.

Cause: MAX_SEND_COUNT bounds how fast one stream uses the retry budget, but ended the stream, whose run nothing else continues.

A run that has begun is now sent again once a second after its 12 sends, each with a claimed retry, until the end of the wait for the budget (retry_wait_end_s). A request that has not run is refused after 12 sends as before: the refusal is true and tells it when to come back. The failover from a silent engine stays bound to the 12 sends, as a sound engine may still work on the run. The step wait_for_retry has the cause sends_used; explain tells of sends_used where the wait ended without a send.

Evidence: test_stream_outlasts_quick_refusals is interrupted with "the engine responded with status 503" on the code before; it completes now. test_later_sends_are_paced checks the interval and that sends end.

Not played with real processes.

--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -204,6 +204,8 @@
             last = f'status {step.get("status")} from {step.get("target")}'
         if name == 'budget_spent':
             last = 'the budget of repeats was spent'
+        if name == 'sends_used':
+            last = 'its sends were used up'
     return last
 
 
--- a/packages/cli/src/skylarktack/cli/tests/test_explain.py
+++ b/packages/cli/src/skylarktack/cli/tests/test_explain.py
@@ -18,6 +18,7 @@
     'late-lookup',
     'returned-late',
     'unfinished-stream',
+    'refused-run',
     'unknown',
 )
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_retry_waits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_retry_waits.py
@@ -14,12 +14,19 @@
 #: Interval between two attempts to claim a retry.
 RETRY_CHECK_INTERVAL_S = 0.1
 
+#: Interval between the sends of a run that has used all that are made at
+#: once. Each of them takes a retry from the budget of all streams.
+PACED_SEND_INTERVAL_S = 1.0
+
 
 class RetryObstacle(enum.Enum):
     """Why a run may not be sent again now; the value names the step."""
 
     BUDGET_SPENT = 'budget_spent'
 
+    #: The run has used the sends that are made at once.
+    SENDS_USED = 'sends_used'
+
 
 def retry_wait_end_s(
     admitted: _admitted_request.AdmittedRequest,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -1,6 +1,7 @@
 """Forwards streams, with failover from one engine to the next."""
 
 import dataclasses
+import math
 import random
 
 from skylarktack.coordination.forwarding import _admitted_request
@@ -19,8 +20,8 @@
 from skylarktack.coordination.forwarding import _supervision
 from skylarktack.state import forwarding as data
 
-#: Maximum number of engines to which one stream is sent, whether or not they
-#: execute it.
+#: Maximum number of engines to which one stream is sent at once, whether or
+#: not they execute it. A run that has begun is sent again at an interval.
 MAX_SEND_COUNT = 12
 
 #: Fraction of the latency objective for which a request waits for a target to
@@ -86,6 +87,7 @@
         self._has_found_full = False
         self._has_executed = False
         self._has_reserved_retry = False
+        self._last_send_at_s = -math.inf
         self._is_waiting_for_retry = False
         self._last_fault = 'no engine is available'
 
@@ -108,7 +110,7 @@
         with self._dependencies.errors.contain(_supervision.PROMPT_SEARCH):
             self._find_prompt()
         while self._clock.monotonic_s() < self._admitted.deadline_s:
-            if self._send_count >= MAX_SEND_COUNT:
+            if self._send_count >= MAX_SEND_COUNT and not self._has_executed:
                 break
             refusal = self._check_quarantine()
             if refusal is not None:
@@ -182,6 +184,12 @@
         """Claim what the next send needs, or return what is missing."""
         if self._send_count == 0:
             return None
+        if self._send_count >= MAX_SEND_COUNT:
+            next_send_at_s = (
+                self._last_send_at_s + _retry_waits.PACED_SEND_INTERVAL_S
+            )
+            if self._clock.monotonic_s() < next_send_at_s:
+                return _retry_waits.RetryObstacle.SENDS_USED
         if not self._claim_retry():
             return _retry_waits.RetryObstacle.BUDGET_SPENT
         return None
@@ -375,6 +383,7 @@
         target = pair.primary
         standby = pair.standby
         self._send_count += 1
+        self._last_send_at_s = self._clock.monotonic_s()
         self._is_waiting_for_retry = False
         if not self._may_have_copy():
             standby = None
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_retry_waits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_retry_waits.py
@@ -15,6 +15,8 @@
 
 OBJECTIVE_S = harness.OBJECTIVE_MS / 1000
 
+REFUSAL = harness.answer_script(503, after_s=0.01, is_not_executed=True)
+
 
 def _make_env(*names: str, allowance: float = 2.0) -> harness.Harness:
     """Return a harness that prefers the first engine."""
@@ -187,3 +189,53 @@
         outcome, _ = _stream(env)
         assert isinstance(outcome, forwarding.CallerDisconnected)
         assert env.client.sent_to() == ['first']
+
+
+class TestRefusingEngines:
+    """Runs that were lost, and that engines refuse in quick succession."""
+
+    def test_stream_outlasts_quick_refusals(self) -> None:
+        """Guards against a stream that is cut by refusals within a second."""
+        env = _make_env('first', 'second', 'third', allowance=100.0)
+        env.client.script(
+            'first',
+            harness.stream_script(1, 3, ending='lost'),
+            *(REFUSAL for _ in range(9)),
+        )
+        for name in ('second', 'third'):
+            env.client.script(
+                name,
+                *(REFUSAL for _ in range(6)),
+                harness.stream_script(4, 6, start_s=0.05),
+            )
+        outcome, admitted = _stream(env)
+        assert isinstance(outcome, forwarding.StreamCompleted)
+        assert env.caller.received == harness.event_range_bytes(1, 6)
+        assert len(env.client.sent) > 12
+        assert len(_wait_steps(admitted)) == len(env.client.sent) - 12
+
+    def test_later_sends_are_paced(self) -> None:
+        """Guards against one stream that uses up the budget of all."""
+        env = _make_env('first', 'second', 'third', allowance=100.0)
+        lost = harness.stream_script(1, 3, ending='lost')
+        env.client.script('first', lost, *(REFUSAL for _ in range(40)))
+        for name in ('second', 'third'):
+            env.client.script(name, *(REFUSAL for _ in range(40)))
+        outcome, _ = _stream(env)
+        assert isinstance(outcome, forwarding.StreamInterrupted)
+        times_s = [sent.at_s for sent in env.client.sent[11:]]
+        for earlier_s, later_s in zip(times_s, times_s[1:], strict=False):
+            assert later_s - earlier_s >= 1.0
+        assert len(times_s) <= CALLER_PATIENCE_S
+
+    def test_request_that_has_not_run_is_refused(self) -> None:
+        """Guards against callers that are held though they may come back."""
+        env = _make_env('first', 'second', 'third', allowance=100.0)
+        for name in ('first', 'second', 'third'):
+            env.client.script(name, *(REFUSAL for _ in range(40)))
+        started_s = env.clock.monotonic_s()
+        outcome, _ = _stream(env)
+        assert isinstance(outcome, data.Refusal)
+        assert outcome.reason is data.RefusalReason.NO_TARGET
+        assert len(env.client.sent) <= 12
+        assert env.clock.monotonic_s() - started_s < 1.0
