--- a/packages/cli/src/skylarktack/cli/tests/test_explain.py
+++ b/packages/cli/src/skylarktack/cli/tests/test_explain.py
@@ -17,6 +17,8 @@
     'unsure-lookup',
     'late-lookup',
     'returned-late',
+    'unfinished-stream',
+    'refused-run',
     'unknown',
 )
 
