List after a watch that got no response in time

Cause: a watch that got no byte before its timeout counted as an outage and was repeated at its old revision. The store prepared all manifests since then, 19 MB, for each repetition, and answered nobody meanwhile.

Now the store client tells a call without any byte from other failures. After such a watch of the configuration, whose list is one call like a watch, an instance of a fleet that does not share watches lists. Any kind in any fleet is listed if the store answered other calls since the kind's first fault. A list for all kinds after each outage was ruled out: at 340 instances each listener would ask the store after it. Refused and reset calls repeat the watch as before. Forwarded changes apply while a list is due.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -204,6 +204,17 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True)
+class WatchNotAnswered(LogEvent):
+    """The changes after the watched revision may take too long to send."""
+
+    part = 'store'
+    message = 'watch not answered in time; listing again'
+
+    #: Kind of objects that was watched.
+    kind: str
+
+
 @dataclasses.dataclass(frozen=True)
 class StoreEntryMalformed(LogEvent):
     """An object in the store cannot be parsed and counts as missing."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -21,6 +21,10 @@
     #: have been executed.
     LOST = 'lost'
 
+    #: No byte of a response arrived in time; the request may have been
+    #: executed.
+    NO_RESPONSE = 'no_response'
+
     #: The target sent bytes that are not a response to this request.
     MALFORMED = 'malformed'
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_health.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_health.py
@@ -96,6 +96,14 @@
             self._calling_kind = None
             self._retry_delay_s = FIRST_RETRY_DELAY_S
 
+    def has_responded_since(self, since_s: float) -> bool:
+        """Return whether the store responded to a call after a time.
+
+        :param since_s: monotonic time.
+        """
+        with self._lock:
+            return self._responded_at_s > since_s
+
     def may_have_expired(self, since_s: float) -> bool:
         """Return whether entries may have expired in an outage.
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -34,9 +34,12 @@
 class StoreFaultKind(enum.Enum):
     """How a call to the store failed."""
 
-    #: No response, or a response that asks to retry later.
+    #: The call failed, or the response asks to retry later.
     UNAVAILABLE = 'unavailable'
 
+    #: No byte of a response arrived in time.
+    TIMED_OUT = 'timed_out'
+
     #: The store compacted the changes after the revision; list again.
     REVISION_COMPACTED = 'history_gone'
 
@@ -143,6 +146,10 @@
     #: several.
     watch_pause_s: float
 
+    #: Whether a list is usually shorter than the changes of several seconds,
+    #: because the kind has few objects, which are long and often replaced.
+    is_list_shorter: bool = False
+
 
 class StoreWatcher(Generic[T]):
     """Keeps one kind of objects up to date; runs as a task of its own.
@@ -175,6 +182,7 @@
         self._failing_since_s: float | None = None
         self._has_listed = False
         self._must_catch_up = False
+        self._must_list = False
 
     def stop(self) -> None:
         """Make the task end after its current call."""
@@ -196,7 +204,7 @@
             if self._shared_watch is not None:
                 self._shared_watch.take_turn()
             if self._must_catch_up:
-                revision = self._watch(revision, CATCH_UP_WAIT_S)
+                revision = self._catch_up(revision)
                 continue
             revision = self._watch(revision, self._watch_wait_s())
 
@@ -259,7 +267,7 @@
         if not self._health.claim_call(name):
             return revision
         self._behind_since_s = None
-        return self._watch(revision, CATCH_UP_WAIT_S)
+        return self._catch_up(revision)
 
     def _wait_for_turn(self, revision: int | None) -> int | None:
         """Wait for the turn to ask the store; apply forwarded changes."""
@@ -294,9 +302,18 @@
         """Record that peers reach the store and no change is missing."""
         self._behind_since_s = None
         self._must_catch_up = False
+        self._must_list = False
         self._handler.confirm()
         self._record_recovery()
 
+    def _catch_up(self, revision: int) -> int | None:
+        """Fetch missing changes by a watch, or by a list if it is due."""
+        if not self._must_list:
+            return self._watch(revision, CATCH_UP_WAIT_S)
+        listed_revision = self._list()
+        # Without a list, changes that peers forward can still be applied.
+        return revision if listed_revision is None else listed_revision
+
     def _list(self) -> int | None:
         # When many instances start together, current lists would wait for
         # the store's rate limit, which stale reads do not count against.
@@ -311,6 +328,7 @@
         self._has_listed = True
         self._last_change_revision = result.revision
         self._must_catch_up = may_be_stale
+        self._must_list = False
         if not may_be_stale:
             self._handler.confirm()
             self._record_response()
@@ -327,6 +345,8 @@
                 return None
             self._record_fault(result)
             self._must_catch_up = True
+            if result.kind is StoreFaultKind.TIMED_OUT:
+                self._require_list_if_shorter()
             if result.kind is StoreFaultKind.UNREADABLE:
                 self._log.record(
                     _events.WatchUnreadable(self._settings.name, result.detail)
@@ -346,6 +366,24 @@
             self._clock.wait(self._stopped, watch_pause_s)
         return result.revision
 
+    def _require_list_if_shorter(self) -> None:
+        """List next if the changes may be too long to be sent in time."""
+        if self._must_list or self._failing_since_s is None:
+            return
+        # Peers that receive forwarded changes would all have to ask the store
+        # after a list, so a large fleet needs a sign that the store is not
+        # just unavailable.
+        is_shared = (
+            self._shared_watch is not None and self._shared_watch.is_shared()
+        )
+        may_list_at_once = self._settings.is_list_shorter and not is_shared
+        if not may_list_at_once and not self._health.has_responded_since(
+            self._failing_since_s
+        ):
+            return
+        self._must_list = True
+        self._log.record(_events.WatchNotAnswered(self._settings.name))
+
     def _publish(self, result: Changes[T], after_outage: bool) -> None:
         if self._shared_watch is None:
             return
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
@@ -15,20 +15,24 @@
     """A watcher of an instance in a large fleet."""
 
     def __init__(
-        self, is_watcher: bool, *results: watcher_harness.StoreResult
+        self,
+        is_watcher: bool,
+        *results: watcher_harness.StoreResult,
+        is_list_shorter: bool = False,
     ) -> None:
         self.clock = fakes.SteppingClock()
         self.link = harness.RecordingLink()
         self.source = watcher_harness.ScriptedSource(*results)
         self.handler = watcher_harness.RecordingHandler()
+        self.health = forwarding.StoreHealth(self.clock)
         self.shared_watch = self._shared_watch_of_rank(is_watcher)
         self.watcher = forwarding.StoreWatcher(
             self.clock,
             self.source,
             self.handler,
             fakes.RecordingLog(),
-            forwarding.WatchSettings('kind', 3.0, 0.0),
-            forwarding.StoreHealth(self.clock),
+            forwarding.WatchSettings('kind', 3.0, 0.0, is_list_shorter),
+            self.health,
             self.shared_watch,
         )
         self.source.watcher = self.watcher
@@ -215,6 +219,62 @@
         shared.watcher.run()
         assert shared.handler.applied[-1] == ('changes', ('b',), False)
 
+    def test_a_silent_store_is_watched_again(self) -> None:
+        """Guards against a call of each instance after an outage.
+
+        A list names a newer revision than the instances that receive changes
+        have, so that each of them would ask for changes.
+        """
+        shared = _SharedHarness(
+            True,
+            forwarding.Listing((), 5),
+            watcher_harness.TIMED_OUT,
+            watcher_harness.TIMED_OUT,
+            forwarding.Changes((), 5),
+            is_list_shorter=True,
+        )
+        shared.advance_while_waiting()
+        shared.watcher.run()
+        assert shared.source.calls == ['stale list'] + ['watch 5'] * 3
+
+    def test_forwarded_changes_apply_while_a_list_is_due(self) -> None:
+        """Guards against stale targets while the store answers no list."""
+        shared = _SharedHarness(
+            True,
+            forwarding.Listing((), 5),
+            watcher_harness.TIMED_OUT,
+            watcher_harness.TIMED_OUT,
+            watcher_harness.TIMED_OUT,
+            forwarding.Changes((), 9),
+        )
+        shared.advance_while_waiting()
+        started_at_s = shared.clock.monotonic_s()
+        shared.clock.schedule(
+            started_at_s + 0.01, shared.health.record_response
+        )
+        original = shared.source.list_all
+
+        def _list(
+            may_be_stale: bool = False,
+        ) -> forwarding.Listing[str] | forwarding.StoreFault:
+            result = original(may_be_stale)
+            if not may_be_stale:
+                shared.shared_watch.receive_change(
+                    data.StoreChange('kind', 5, 9, b'b')
+                )
+            return result
+
+        shared.source.list_all = _list  # type: ignore[method-assign]
+        shared.watcher.run()
+        assert shared.source.calls == [
+            'stale list',
+            'watch 5',
+            'watch 5',
+            'list',
+            'watch 9',
+        ]
+        assert ('changes', ('b',), False) in shared.handler.applied
+
     def test_a_receiver_without_heartbeats_watches_itself(self) -> None:
         """Guards against a stale configuration after all watchers crashed."""
         shared = _SharedHarness(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_store_watcher.py
@@ -7,6 +7,7 @@
 
 def _run_watcher(
     *results: watcher_harness.StoreResult,
+    is_list_shorter: bool = False,
 ) -> tuple[
     watcher_harness.ScriptedSource,
     watcher_harness.RecordingHandler,
@@ -21,7 +22,7 @@
         source,
         handler,
         log,
-        forwarding.WatchSettings('kind', 3.0, 0.0),
+        forwarding.WatchSettings('kind', 3.0, 0.0, is_list_shorter),
         forwarding.StoreHealth(clock),
     )
     source.watcher = watcher
@@ -151,3 +152,75 @@
             watcher_harness.UNAVAILABLE,
         )
         assert not handler.is_current
+
+
+class TestWatchWithoutResponse:
+    """The changes after a revision may take longer to send than a watch."""
+
+    def test_lists_if_the_list_is_shorter(self) -> None:
+        """Guards against asking for 19 MB of replaced configurations again."""
+        source, handler, log = _run_watcher(
+            forwarding.Listing((), 5),
+            watcher_harness.TIMED_OUT,
+            watcher_harness.TIMED_OUT,
+            forwarding.Listing(('a',), 9),
+            forwarding.Changes((), 9),
+            is_list_shorter=True,
+        )
+        assert source.calls == [
+            'stale list',
+            'watch 5',
+            'list',
+            'list',
+            'watch 9',
+        ]
+        assert handler.applied[1][1] == ('a',)
+        assert handler.is_current
+        not_answered = 'watch not answered in time; listing again'
+        assert log.messages('store').count(not_answered) == 1
+
+    def test_watches_again_if_the_store_is_silent_to_all(self) -> None:
+        """Guards against a list of many pages after each outage."""
+        source, handler, _ = _run_watcher(
+            forwarding.Listing(('a',), 5),
+            *[watcher_harness.TIMED_OUT] * 6,
+            forwarding.Changes((), 9),
+        )
+        assert source.calls == ['stale list'] + ['watch 5'] * 7
+        assert handler.applied[-1] == ('changes', (), True)
+
+    def test_lists_if_the_store_answers_other_calls(self) -> None:
+        """Guards against watching for ever what the store cannot send."""
+        clock = fakes.SteppingClock()
+        health = forwarding.StoreHealth(clock)
+        source = watcher_harness.ScriptedSource(
+            forwarding.Listing((), 5),
+            watcher_harness.TIMED_OUT,
+            watcher_harness.TIMED_OUT,
+            forwarding.Listing(('a',), 9),
+        )
+        handler = watcher_harness.RecordingHandler()
+        watcher = forwarding.StoreWatcher(
+            clock,
+            source,
+            handler,
+            fakes.RecordingLog(),
+            forwarding.WatchSettings('kind', 3.0, 0.0),
+            health,
+        )
+        source.watcher = watcher
+        # Another kind is answered after the first watch got no response.
+        clock.schedule(clock.monotonic_s() + 0.02, health.record_response)
+        watcher.run()
+        assert source.calls == ['stale list', 'watch 5', 'watch 5', 'list']
+        assert handler.applied[-1][1] == ('a',)
+
+    def test_a_refused_watch_is_repeated(self) -> None:
+        """Guards against a list from a store that refuses all calls."""
+        source, _, _ = _run_watcher(
+            forwarding.Listing((), 5),
+            watcher_harness.UNAVAILABLE,
+            forwarding.Changes((), 9),
+            is_list_shorter=True,
+        )
+        assert source.calls == ['stale list', 'watch 5', 'watch 5']
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
@@ -7,6 +7,9 @@
 UNAVAILABLE = forwarding.StoreFault(
     forwarding.StoreFaultKind.UNAVAILABLE, 'down'
 )
+TIMED_OUT = forwarding.StoreFault(
+    forwarding.StoreFaultKind.TIMED_OUT, 'no answer in time'
+)
 COMPACTED = forwarding.StoreFault(
     forwarding.StoreFaultKind.REVISION_COMPACTED, 'revision is compacted'
 )
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -218,7 +218,9 @@
                 self._configuration, CONFIRMATION_VALIDITY_S
             ),
             log,
-            forwarding.WatchSettings('configuration', WATCH_WAIT_S, 0.0),
+            forwarding.WatchSettings(
+                'configuration', WATCH_WAIT_S, 0.0, is_list_shorter=True
+            ),
             health,
             self._shared_watch,
         )
--- a/packages/platform/src/skylarktack/platform/_store.py
+++ b/packages/platform/src/skylarktack/platform/_store.py
@@ -109,6 +109,10 @@
         if isinstance(response, forwarding.ExchangeFault):
             if response.kind is forwarding.FaultKind.MALFORMED:
                 return _unreadable_fault(response.detail)
+            if response.kind is forwarding.FaultKind.NO_RESPONSE:
+                return forwarding.StoreFault(
+                    forwarding.StoreFaultKind.TIMED_OUT, response.detail
+                )
             return unavailable_fault(response.detail)
         if response.status == _COMPACTED_STATUS:
             return forwarding.StoreFault(
--- a/packages/platform/src/skylarktack/platform/tests/test_store.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_store.py
@@ -37,6 +37,9 @@
 
 
 NO_RESPONSE = forwarding.ExchangeFault(forwarding.FaultKind.LOST, 'no answer')
+SILENCE = forwarding.ExchangeFault(
+    forwarding.FaultKind.NO_RESPONSE, 'no answer in time'
+)
 
 
 def _object(name: str, specification: object) -> dict[str, Any]:
@@ -139,6 +142,7 @@
             ...,
         ] = (
             (NO_RESPONSE, unavailable),
+            (SILENCE, forwarding.StoreFaultKind.TIMED_OUT),
             ((503, {}), unavailable),
             ((429, {}), unavailable),
             ((200, b'no json'), unreadable),
--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -31,6 +31,10 @@
     """A response began and was not complete in time."""
 
 
+class _NoResponseError(OSError):
+    """No byte of a response arrived in time."""
+
+
 class HttpStoreCalls:
     """Sends calls to the store, one at a time.
 
@@ -56,7 +60,8 @@
         :param path: path and query.
         :param timeout_s: maximum time for connection and response together.
         :return: a fault of the kind ``MALFORMED`` if a response arrived that
-            is too long, too slow, incomplete or malformed.
+            is too long, too slow, incomplete or malformed, and of the kind
+            ``NO_RESPONSE`` if none began in time.
         """
         now_s = self._read_clock()
         if now_s > self._last_used_at_s + IDLE_LIMIT_S:
@@ -70,6 +75,8 @@
             kind = forwarding.FaultKind.LOST
             if isinstance(error, h11.ProtocolError | _SlowResponseError):
                 kind = forwarding.FaultKind.MALFORMED
+            if isinstance(error, _NoResponseError):
+                kind = forwarding.FaultKind.NO_RESPONSE
             return forwarding.ExchangeFault(
                 kind,
                 str(error) or 'the store did not answer in time',
@@ -143,7 +150,7 @@
             self._wait(connection, select.POLLIN, deadline_s)
         except TimeoutError as error:
             if not self._parser.has_begun():
-                raise
+                raise _NoResponseError(str(error)) from error
             raise _SlowResponseError(
                 'the response was not complete in time'
             ) from error
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
@@ -200,6 +200,7 @@
         calls = transport.HttpStoreCalls(store.endpoint)
         response = calls.call('GET', '/objects/a', None, 0.1)
         assert isinstance(response, forwarding.ExchangeFault)
+        assert response.kind is forwarding.FaultKind.NO_RESPONSE
         store.close()
 
     def test_sends_a_body(self) -> None:
