Split the peers and the reports off the view of the fleet

What each peer last reported (reports applied, liveness, retry counts, loads) is in _peer_table.py; the numbered reports of this instance, with the leaving targets that they repeat, are in _report_builder.py. The calls to the retry counter and to the prompt evidence stay outside the lock, as before.

No behaviour changes.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -14,8 +14,10 @@
 
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _outgoing
+from skylarktack.coordination.forwarding import _peer_table
 from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _rate_meter
+from skylarktack.coordination.forwarding import _report_builder
 from skylarktack.coordination.forwarding import _run_placements
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -27,19 +29,10 @@
 #: instance to sending and receiving 20 datagrams of full reports a second.
 REPORT_INTERVAL_PER_PEER_S = 0.05
 
-#: A peer is live until it has sent no report for this number of its intervals.
-LIVENESS_INTERVAL_COUNT = 2.5
-
-#: Time for which full reports repeat that a target is leaving.
-LEAVING_REPEAT_S = 30.0
-
 #: Time after the start for which loads may be missing. Engines keep copies of
 #: runs that have ended for some seconds.
 WARM_UP_S = 15.0
 
-#: A peer that has sent no report for this time is removed.
-PEER_LIFETIME_S = 120.0
-
 
 class TargetFailureListener(Protocol):
     """Receives what peers report about failed targets."""
@@ -80,19 +73,6 @@
         ...
 
 
-@dataclasses.dataclass
-class _Peer:
-    endpoint: data.Address
-    started_at_ms: int = 0
-    #: Sequence number of the last report, or -1 before the first.
-    sequence: int = -1
-    #: Monotonic time of the last report or, before it, of the listing.
-    last_seen_at_s: float = 0.0
-    live_until_s: float = 0.0
-    runs: dict[str, data.RunStatus] = dataclasses.field(default_factory=dict)
-    counts: tuple[data.RetryCounts, ...] = ()
-
-
 class FleetView:
     """The live instances of the fleet and the runs that they reported."""
 
@@ -107,23 +87,22 @@
         self._log = log
         self.instance = instance
         self._endpoint = endpoint or data.Address('', 0)
-        self._started_at_ms = int(clock.wall_s() * 1000)
         self._warm_at_s = clock.monotonic_s() + WARM_UP_S
         self._lock = threading.Lock()
-        self._sequence = 0
         self._own_runs: dict[str, data.RunStatus] = {}
-        self._peers: dict[str, _Peer] = {}
         #: Changes that have not been reported to the peers yet.
         self.outgoing = _outgoing.OutgoingChanges(clock)
+        self._reports = _report_builder.ReportBuilder(
+            clock, instance, self._endpoint, self.outgoing
+        )
         self._retry_counter: RetryCounter | None = None
         self._prompt_exchange: PromptEvidenceExchange | None = None
         self._placements = _run_placements.RunPlacements()
+        self._peers = _peer_table.PeerTable(clock, self._placements)
         self._failure_listener: TargetFailureListener | None = None
         self._is_full_report_due = True
         self._has_listed = False
         self._change_meter = _rate_meter.RateMeter()
-        #: Leaving targets, and until when full reports repeat each.
-        self._leaving: dict[data.LeavingTarget, float] = {}
 
     def set_failure_listener(self, listener: TargetFailureListener) -> None:
         """Set the listener for failed targets that peers report."""
@@ -158,10 +137,8 @@
 
         Full reports repeat it for a while, since a datagram may be lost.
         """
-        now_s = self._clock.monotonic_s()
         with self._lock:
-            self._leaving[leaving] = now_s + LEAVING_REPEAT_S
-            self.outgoing.add_leaving_target(leaving)
+            self._reports.add_leaving_target(leaving)
 
     def set_retry_counter(self, counter: RetryCounter) -> None:
         """Set the counter whose counts are reported to the peers."""
@@ -178,37 +155,24 @@
 
     def peer_counts(self, service: str) -> data.RetryCounts:
         """Return the sums of a service's counts over all live peers."""
-        request_count = 0
-        retry_count = 0
         with self._lock:
-            for peer in self._live_peers().values():
-                for counts in peer.counts:
-                    if counts.service != service:
-                        continue
-                    request_count += counts.request_count
-                    retry_count += counts.retry_count
-        return data.RetryCounts(service, request_count, retry_count)
+            return self._peers.retry_counts(service)
 
     def live_share(self) -> float:
         """Return the share of the known instances that is live."""
         live_count = self.instance_count()
         with self._lock:
-            return live_count / (1 + len(self._peers))
+            return live_count / (1 + len(self._peers.by_name))
 
     def add_peers(self, peers: tuple[data.ListedPeer, ...]) -> None:
         """Add the instances that the store lists."""
-        now_s = self._clock.monotonic_s()
         with self._lock:
             for listed in peers:
                 if listed.instance == self.instance:
                     continue
                 if listed.endpoint == self._endpoint:
                     continue
-                known = self._peers.get(listed.instance)
-                if known is None or known.sequence < 0:
-                    self._peers[listed.instance] = _Peer(
-                        listed.endpoint, last_seen_at_s=now_s
-                    )
+                self._peers.add(listed)
             self._is_full_report_due = True
             self._has_listed = True
             self.outgoing.wake()
@@ -219,24 +183,12 @@
             return
         now_s = self._clock.monotonic_s()
         with self._lock:
-            peer = self._peers.get(report.instance)
-            is_new = peer is None
-            if peer is None:
-                peer = _Peer(report.endpoint)
-                self._peers[report.instance] = peer
+            is_new = self._peers.apply(report)
+            if is_new:
                 self._is_full_report_due = True
                 self.outgoing.wake()
-            if report.started_at_ms != peer.started_at_ms:
-                peer.started_at_ms = report.started_at_ms
-                peer.sequence = -1
-                peer.runs.clear()
-            peer.endpoint = report.endpoint
-            peer.last_seen_at_s = now_s
             if not report.is_full:
                 self._change_meter.count(now_s)
-            self._apply_runs(peer, report)
-            valid_s = LIVENESS_INTERVAL_COUNT * report.next_report_ms / 1000
-            peer.live_until_s = now_s + valid_s
         if is_new:
             self._log.record(
                 _events.PeerDiscovered(report.instance, str(report.endpoint))
@@ -266,9 +218,7 @@
         with self._lock:
             for run in self._own_runs.values():
                 _run_placements.add_load(loads, run)
-            for peer in self._live_peers().values():
-                for run in peer.runs.values():
-                    _run_placements.add_load(loads, run)
+            self._peers.add_loads(loads)
         return loads
 
     def find_placement(
@@ -283,7 +233,7 @@
     def instance_count(self) -> int:
         """Return the number of live instances, with this one."""
         with self._lock:
-            return 1 + len(self._live_peers())
+            return 1 + len(self._peers.live())
 
     def expected_count(self) -> int:
         """Return the number of known instances, live or not, with this one.
@@ -292,7 +242,7 @@
         that has just started cannot tell how many others there are.
         """
         with self._lock:
-            return 1 + len(self._peers) if self._has_listed else 0
+            return 1 + len(self._peers.by_name) if self._has_listed else 0
 
     def is_small(self, limit_count: int) -> bool:
         """Return whether the fleet is known to have few instances.
@@ -300,7 +250,7 @@
         :param limit_count: maximum number of instances, with this one.
         """
         with self._lock:
-            return self._has_listed and len(self._peers) < limit_count
+            return self._has_listed and len(self._peers.by_name) < limit_count
 
     def is_outranked_by(self, name: str) -> bool:
         """Return whether an instance has a lower rank than this one."""
@@ -312,7 +262,7 @@
         The order of the ranks is the same at all instances.
         """
         with self._lock:
-            live = self._live_peers()
+            live = self._peers.live()
         return sum(self.is_outranked_by(name) for name in live)
 
     def leaders(self, count: int) -> dict[str, data.Address]:
@@ -322,7 +272,7 @@
         """
         endpoints = {self.instance: self._endpoint}
         with self._lock:
-            for name, peer in self._live_peers().items():
+            for name, peer in self._peers.live().items():
                 endpoints[name] = peer.endpoint
         ranked = sorted(endpoints, key=_order_key)
         return {name: endpoints[name] for name in ranked[:count]}
@@ -330,13 +280,13 @@
     def report_interval_s(self) -> float:
         """Return the time between two full reports."""
         with self._lock:
-            extra_s = REPORT_INTERVAL_PER_PEER_S * len(self._peers)
+            extra_s = REPORT_INTERVAL_PER_PEER_S * len(self._peers.by_name)
         return max(REPORT_INTERVAL_S, extra_s)
 
     def peer_count(self) -> int:
         """Return the number of known peers, live or not."""
         with self._lock:
-            return len(self._peers)
+            return len(self._peers.by_name)
 
     def change_rate(self) -> float:
         """Return how many change reports of peers arrive each second."""
@@ -352,7 +302,7 @@
             self.outgoing.take_runs()
             self._is_full_report_due = False
             self.outgoing.clear_prompt_evidence()
-            report = self._report(
+            report = self._reports.build(
                 True, tuple(self._own_runs.values()), interval_s, counts
             )
         return self._with_prompt_evidence(report)
@@ -369,7 +319,7 @@
                 return None
             changed = self.outgoing.take_runs()
             self.outgoing.clear_prompt_evidence()
-            report = self._report(False, changed, interval_s, counts)
+            report = self._reports.build(False, changed, interval_s, counts)
         return self._with_prompt_evidence(report)
 
     def is_full_report_due(self) -> bool:
@@ -382,12 +332,11 @@
 
         Peers that have been silent for too long are removed first.
         """
-        expired_before_s = self._clock.monotonic_s() - PEER_LIFETIME_S
         with self._lock:
-            for name in list(self._peers):
-                if self._peers[name].last_seen_at_s < expired_before_s:
-                    del self._peers[name]
-            endpoints = [peer.endpoint for peer in self._peers.values()]
+            self._peers.remove_silent()
+            endpoints = [
+                peer.endpoint for peer in self._peers.by_name.values()
+            ]
         random.shuffle(endpoints)
         return tuple(endpoints)
 
@@ -396,38 +345,13 @@
         live: list[data.Address] = []
         others: list[data.Address] = []
         with self._lock:
-            live_peers = self._live_peers()
-            for name, peer in self._peers.items():
+            live_peers = self._peers.live()
+            for name, peer in self._peers.by_name.items():
                 group = live if name in live_peers else others
                 group.append(peer.endpoint)
         random.shuffle(live)
         return (*live, *others)
 
-    def _report(
-        self,
-        is_full: bool,
-        runs: tuple[data.RunStatus, ...],
-        interval_s: float,
-        counts: tuple[data.RetryCounts, ...],
-    ) -> data.InstanceReport:
-        self._sequence += 1
-        leaving = self.outgoing.take_leaving_targets()
-        if is_full:
-            leaving = self._repeated_leaving()
-        return data.InstanceReport(
-            instance=self.instance,
-            endpoint=self._endpoint,
-            started_at_ms=self._started_at_ms,
-            sequence=self._sequence,
-            is_full=is_full,
-            runs=runs,
-            lost_targets=self.outgoing.take_failed_targets(),
-            next_report_ms=int(interval_s * 1000),
-            replaced_targets=self.outgoing.take_replaced_targets(),
-            counts=counts,
-            leaving_targets=leaving,
-        )
-
     def _with_prompt_evidence(
         self, report: data.InstanceReport
     ) -> data.InstanceReport:
@@ -438,41 +362,11 @@
             prompt_evidence=self._prompt_exchange.evidence(report.is_full),
         )
 
-    def _repeated_leaving(self) -> tuple[data.LeavingTarget, ...]:
-        now_s = self._clock.monotonic_s()
-        for leaving, until_s in list(self._leaving.items()):
-            if now_s >= until_s:
-                del self._leaving[leaving]
-        return tuple(self._leaving)
-
     def _own_counts(self) -> tuple[data.RetryCounts, ...]:
         if self._retry_counter is None:
             return ()
         return self._retry_counter.counts()
 
-    def _apply_runs(self, peer: _Peer, report: data.InstanceReport) -> None:
-        if report.sequence <= peer.sequence:
-            return
-        peer.sequence = report.sequence
-        peer.counts = report.counts
-        if report.is_full:
-            peer.runs.clear()
-        for run in report.runs:
-            if run.has_ended:
-                peer.runs.pop(run.attempt_id, None)
-            else:
-                peer.runs[run.attempt_id] = run
-            self._placements.record(run, self._clock.monotonic_s())
-
-    def _live_peers(self) -> dict[str, _Peer]:
-        """Return the peers whose last report is still valid, by name."""
-        now_s = self._clock.monotonic_s()
-        live = {}
-        for name, peer in self._peers.items():
-            if now_s <= peer.live_until_s:
-                live[name] = peer
-        return live
-
 
 def _order_key(name: str) -> bytes:
     return hashlib.blake2b(name.encode(), digest_size=8).digest()
