Split the exchange and the control requests off the target client

One request and its response (HttpExchange) are in _http_exchange.py, the requests of the frontend itself (probes, lists of cached parts, copies and their release) in _control_requests.py, and the mapping of errors to faults, which both and the client use, in _exchange_faults.py. HttpExchange stays exported by the package, from its new module; load_modules loads the others through HttpTargetClient.

No behaviour changes, and no further call on the path of an event.

--- a/packages/transport/src/skylarktack/transport/forwarding/__init__.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/__init__.py
@@ -13,6 +13,7 @@
         FrontConnection,
     )
     from skylarktack.transport.forwarding._front_handler import FrontHandler
+    from skylarktack.transport.forwarding._http_exchange import HttpExchange
     from skylarktack.transport.forwarding._line_log import LineLog
     from skylarktack.transport.forwarding._listener import Listener
     from skylarktack.transport.forwarding._listener import ListenerLimits
@@ -20,7 +21,6 @@
     from skylarktack.transport.forwarding._memory import MemoryBudget
     from skylarktack.transport.forwarding._memory import body_limit_bytes
     from skylarktack.transport.forwarding._store_client import HttpStoreCalls
-    from skylarktack.transport.forwarding._target_client import HttpExchange
     from skylarktack.transport.forwarding._target_client import (
         HttpTargetClient,
     )
@@ -54,7 +54,7 @@
     'body_limit_bytes': '_memory',
     'listen': '_listening',
     'HttpStoreCalls': '_store_client',
-    'HttpExchange': '_target_client',
+    'HttpExchange': '_http_exchange',
     'HttpTargetClient': '_target_client',
 }
 
