Collect the eligible targets of all policies in one function

Three policies held the same loop over names that keeps the eligible candidates. It is eligible_candidates in _policies.py now, called once for each choice. The loop of sample_candidates that stops at its count differs, and stays.

No behaviour changes.

--- a/packages/coordination/src/skylarktack/coordination/routing/_policies.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/_policies.py
@@ -58,16 +58,26 @@
         ...
 
 
-def sample_candidates(
-    pool: CandidatePool, count: int, rng: random.Random
+def eligible_candidates(
+    pool: CandidatePool, names: Sequence[state.TargetName]
 ) -> list[_records.Candidate]:
-    """Return up to ``count`` eligible targets, chosen at random."""
-    names = pool.names
+    """Return the eligible ones of the named targets, in the same order."""
     candidates: list[_records.Candidate] = []
-    for name in rng.sample(names, min(len(names), count)):
+    for name in names:
         candidate = pool.candidate(name)
         if candidate is not None:
             candidates.append(candidate)
+    return candidates
+
+
+def sample_candidates(
+    pool: CandidatePool, count: int, rng: random.Random
+) -> list[_records.Candidate]:
+    """Return up to ``count`` eligible targets, chosen at random."""
+    names = pool.names
+    candidates = eligible_candidates(
+        pool, rng.sample(names, min(len(names), count))
+    )
     if candidates:
         return candidates
     # None of the sampled targets is eligible; try all of them.
@@ -153,11 +163,7 @@
         self, hashes: Sequence[str], pool: CandidatePool
     ) -> _records.Candidate | None:
         """Return the target with the highest score below the load bound."""
-        candidates: list[_records.Candidate] = []
-        for name in pool.names:
-            candidate = pool.candidate(name)
-            if candidate is not None:
-                candidates.append(candidate)
+        candidates = eligible_candidates(pool, pool.names)
         if not candidates:
             return None
         key = _affinity_key(hashes, self._random)
@@ -206,10 +212,7 @@
         if hashes:
             names = list(self._prefixes.holders(hashes, MAX_HOLDER_COUNT))
             names.append(self._rendezvous_first(hashes, pool))
-            for name in names:
-                candidate = pool.candidate(name)
-                if candidate is not None:
-                    candidates.append(candidate)
+            candidates.extend(eligible_candidates(pool, names))
         best: _records.Candidate | None = None
         best_cost = float('inf')
         for candidate in candidates:
