Reserve the next attempt before skylarktackd leaves a silent engine

Cause: AttemptReader ended the attempt on a suspicion, and the replacement was secured later.

The reader now asks a FailoverReservation first: it assigns another target and claims the free failover or a retry, in that order, so that no retry is spent without a target. Without it the attempt is kept: the reader goes on attaching to the engine, without a connection in between, checks every 200 ms at most, lets callers leave meanwhile, and counts generation.kept_at_silent_engine. An attempt without a token for twice first_token_ms ends as before, so that a stalled one does not last for good. A target that was reserved and not used is released when the generation ends. Losses that are certain (the engine does not have the run, refuses the connection, reports an error) end the attempt at once, as before, and so does a generation whose prompt is unknown: its caller has to send it again.

What stays open: an attempt whose very first connection is not answered (start, or join of another instance's attempt) is still abandoned first, and an engine behind a cut link counts as unreachable, thus as lost.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_selector.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_selector.py
@@ -67,6 +67,11 @@
                 return
             self._in_flight.pop(target, None)
 
+    def in_flight(self) -> dict[state.TargetName, int]:
+        """Return the requests in flight of each target that has some."""
+        with self._lock:
+            return dict(self._in_flight)
+
     def target(self, name: state.TargetName) -> state.Target | None:
         """Return a known target by name, including leaving (draining) ones."""
         with self._lock:
--- a/packages/coordination/src/skylarktack/coordination/generation/_attempt.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_attempt.py
@@ -8,6 +8,7 @@
 from skylarktack.coordination import ports
 from skylarktack.coordination.generation import _dependencies
 from skylarktack.coordination.generation import _events
+from skylarktack.coordination.generation import _failover
 from skylarktack.coordination.generation import _inactivity
 from skylarktack.coordination.generation import _outcome_recorder
 
@@ -20,6 +21,14 @@
 #: Interval between checks whether the target is leaving, that is, draining.
 DRAIN_CHECK_INTERVAL_S = 0.5
 
+#: Interval between checks whether a generation can leave a silent engine.
+RESERVATION_INTERVAL_S = 0.2
+
+#: Time without a token, in multiples of the maximum wait for the first one,
+#: after which an attempt is lost even if the generation cannot go on
+#: elsewhere.
+KEPT_LIMIT_COUNT = 2
+
 
 class AttemptEnd(enum.Enum):
     """Why an attempt ended."""
@@ -43,13 +52,19 @@
         attempt: state.AttemptRecord,
         stream: ports.TokenStream,
         outcome_recorder: _outcome_recorder.OutcomeRecorder,
+        failover: _failover.FailoverReservation,
     ) -> None:
+        """Create a reader.
+
+        :param failover: asked before a silent engine is left.
+        """
         self._dependencies = dependencies
         self._record = record
         self._target = target
         self._attempt = attempt
         self._stream = stream
         self._outcome_recorder = outcome_recorder
+        self._failover = failover
         self._inactivity = _inactivity.InactivityTimeout(dependencies.settings)
         self._incarnation: str | None = None
         # Position of the next token expected on this connection. It is below
@@ -62,11 +77,17 @@
         self._is_broken = False
         self._has_diverged = False
         self._idle_reattach_count = 0
+        # Whether there is no connection to a silent engine.
+        self._is_detached = False
+        # Whether the attempt was kept since its latest token.
+        self._is_kept = False
         now_s = dependencies.clock.monotonic_s()
         self._progress_s = now_s
         self._arrival_s = now_s
         self._drain_checked_s = now_s
         self._opened_s = now_s
+        # When the next attempt may be reserved.
+        self._reservation_s = now_s
         self._never_set = threading.Event()
         self._batch_interval_s = dependencies.settings.gather_ms / 1000
 
@@ -80,12 +101,15 @@
                 if requested_end is not None:
                     return requested_end
                 self._wait_for_batch()
-                received = self._stream.read(self._inactivity.timeout_s)
+                received = self._read()
                 now_s = self._dependencies.clock.monotonic_s()
                 if isinstance(received, ports.StreamFault):
                     self._outcome_recorder.record_fault(received.kind)
                     if not self._reattach(received.kind, now_s):
                         return AttemptEnd.LOST
+                    if self._is_detached:
+                        # Lets a caller leave that waits for the engine.
+                        yield _events.Idle()
                     continue
                 self._inactivity.record_gap(now_s - self._arrival_s)
                 self._arrival_s = now_s
@@ -103,6 +127,14 @@
         finally:
             self._stream.close()
 
+    def _read(self) -> ports.StreamRead:
+        if not self._is_detached:
+            return self._stream.read(self._inactivity.timeout_s)
+        self._dependencies.clock.wait(self._never_set, RESERVATION_INTERVAL_S)
+        return ports.StreamFault(
+            ports.StreamFaultKind.SILENT, 'The engine is silent.'
+        )
+
     def _wait_for_batch(self) -> None:
         # Waking a thread costs as much as processing several tokens, so a
         # fast stream is read at most once per batch interval. A slower
@@ -188,6 +220,7 @@
         digests = record.append(new_tokens)
         self._progress_s = now_s
         self._idle_reattach_count = 0
+        self._is_kept = False
         self._outcome_recorder.record_tokens(now_s, len(new_tokens))
         if record.available <= position:
             return None
@@ -216,7 +249,7 @@
             if not self._reattach(fault, now_s):
                 return AttemptEnd.LOST
             return None
-        if now_s - self._progress_s > self._progress_limit_s():
+        if self._is_overdue(now_s) and self._may_leave():
             self._outcome_recorder.record_fault(ports.StreamFaultKind.SILENT)
             return AttemptEnd.LOST
         if now_s - self._drain_checked_s < DRAIN_CHECK_INTERVAL_S:
@@ -254,24 +287,44 @@
         return end.reason == 'length' and end.token_count < limit_count
 
     def _reattach(self, fault: ports.StreamFaultKind, now_s: float) -> bool:
-        """Attach on a new connection; return False if the attempt is lost."""
-        dependencies = self._dependencies
-        record = self._record
-        if not dependencies.settings.protection:
+        """Attach on a new connection; return False if the attempt is lost.
+
+        An attempt at a silent engine, which may be sound, is kept without a
+        connection while the generation cannot go on at another engine.
+        """
+        if not self._dependencies.settings.protection:
             return False
-        if now_s - self._progress_s > self._progress_limit_s():
+        is_silent = fault is ports.StreamFaultKind.SILENT
+        if self._has_used_reattaches(is_silent, now_s):
+            if not is_silent or self._may_leave():
+                return False
+            self._idle_reattach_count = 0
+        error = self._attach()
+        if error is None:
+            return True
+        if error is not ports.StreamFaultKind.SILENT:
             return False
+        return not self._may_leave()
+
+    def _has_used_reattaches(self, is_silent: bool, now_s: float) -> bool:
+        """Count a reattachment; return whether there are too many."""
+        if self._is_overdue(now_s):
+            return True
         # An engine that is merely slow to send its first token is
         # reattached any number of times.
-        is_waiting_for_first_token = (
-            fault is ports.StreamFaultKind.SILENT
-            and not self._outcome_recorder.token_count
-        )
-        if not is_waiting_for_first_token:
-            if self._idle_reattach_count >= MAX_IDLE_REATTACHES:
-                return False
-            self._idle_reattach_count += 1
+        if is_silent and not self._outcome_recorder.token_count:
+            return False
+        if self._idle_reattach_count >= MAX_IDLE_REATTACHES:
+            return True
+        self._idle_reattach_count += 1
+        return False
+
+    def _attach(self) -> ports.StreamFaultKind | None:
+        """Attach on a new connection; return why it failed, or None."""
+        dependencies = self._dependencies
+        record = self._record
         self._stream.close()
+        self._is_detached = True
         self._next_position = None
         self._new_tokens = []
         opened = dependencies.engines.attach(
@@ -282,11 +335,37 @@
             dependencies.settings.connect_ms / 1000,
         )
         if opened.is_error():
-            return False
+            return opened.error.kind
         self._stream = opened.ok
+        self._is_detached = False
         self._arrival_s = dependencies.clock.monotonic_s()
         dependencies.metrics.count('generation.attached_again')
-        return True
+        return None
+
+    def _may_leave(self) -> bool:
+        """Return whether the attempt at a silent engine may be abandoned.
+
+        The engine may be sound, so the next attempt is reserved first.
+        """
+        now_s = self._dependencies.clock.monotonic_s()
+        kept_limit_s = KEPT_LIMIT_COUNT * self._progress_limit_s()
+        if now_s - self._progress_s > kept_limit_s:
+            return True
+        if now_s < self._reservation_s:
+            return False
+        self._reservation_s = now_s + RESERVATION_INTERVAL_S
+        if self._failover.reserve(self._outcome_recorder.token_count > 0):
+            return True
+        if not self._is_kept:
+            self._is_kept = True
+            self._dependencies.metrics.count(
+                'generation.kept_at_silent_engine'
+            )
+        return False
+
+    def _is_overdue(self, now_s: float) -> bool:
+        """Return whether the next token is later than allowed."""
+        return now_s - self._progress_s > self._progress_limit_s()
 
     def _progress_limit_s(self) -> float:
         return self._dependencies.settings.first_token_ms / 1000
--- a/packages/coordination/src/skylarktack/coordination/generation/_runner.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_runner.py
@@ -12,6 +12,7 @@
 from skylarktack.coordination.generation import _cancels
 from skylarktack.coordination.generation import _dependencies
 from skylarktack.coordination.generation import _events
+from skylarktack.coordination.generation import _failover
 from skylarktack.coordination.generation import _outcome_recorder
 
 #: Interval between selections while no target is available after a loss.
@@ -22,31 +23,6 @@
 ]
 
 
-class _FailoverState:
-    """State of the attempts and failovers of one generation."""
-
-    def __init__(self, settings: state.GenerationSettings) -> None:
-        self.free_failover_count = settings.free_failover_count
-        self.excluded_targets: tuple[state.TargetName, ...] = ()
-        self.avoided_domain: state.FailureDomain | None = None
-        self.attempt_count = 0
-        # Whether the latest attempt certainly did not reach its target.
-        self.is_unreached = False
-        # Monotonic time of the first loss after the latest token.
-        self.first_loss_s: float | None = None
-
-    def record_loss(
-        self, target: state.Target, progressed: bool, now_s: float
-    ) -> None:
-        if progressed:
-            # Earlier failures of other targets are outdated.
-            self.excluded_targets = ()
-        if progressed or self.first_loss_s is None:
-            self.first_loss_s = now_s
-        self.excluded_targets = (*self.excluded_targets, target.name)
-        self.avoided_domain = target.failure_domain
-
-
 class GenerationRunner:
     """Runs generations, each with one call of ``run`` or ``advance``."""
 
@@ -82,7 +58,19 @@
             record.version = dependencies.versions.version_for(
                 request.route, request.request_id
             )
-        failover = _FailoverState(dependencies.settings)
+        failover = _failover.FailoverState(dependencies.settings)
+        try:
+            yield from self._advance(record, failover)
+        finally:
+            reserved = failover.take_reserved_target()
+            if reserved is not None:
+                dependencies.selector.release(reserved.name)
+
+    def _advance(
+        self,
+        record: state.GenerationRecord,
+        failover: _failover.FailoverState,
+    ) -> Iterator[_events.GenerationEvent]:
         running = record.running
         record.running = None
         attempt_result: _attempt.AttemptEnd | state.Refusal = (
@@ -144,7 +132,7 @@
         self,
         record: state.GenerationRecord,
         running: state.AttemptRecord,
-        failover: _FailoverState,
+        failover: _failover.FailoverState,
     ) -> _EventGenerator:
         """Attach to an attempt that another instance started."""
         dependencies = self._dependencies
@@ -172,7 +160,7 @@
             return _attempt.AttemptEnd.LOST
         dependencies.metrics.count('generation.joined')
         attempt_result = yield from self._read_attempt(
-            record, target, running, opened.ok, outcome_recorder
+            record, failover, target, running, opened.ok, outcome_recorder
         )
         failover.record_loss(
             target,
@@ -184,16 +172,21 @@
     def _next_attempt(
         self,
         record: state.GenerationRecord,
-        failover: _FailoverState,
+        failover: _failover.FailoverState,
         previous_end: _attempt.AttemptEnd,
     ) -> _EventGenerator:
         dependencies = self._dependencies
-        refusal = self._check_attempt_allowed(record, failover, previous_end)
-        if refusal is not None:
-            return refusal
+        if failover.reserved_target is None or record.cancel_requested:
+            refusal = self._check_attempt_allowed(
+                record, failover, previous_end
+            )
+            if refusal is not None:
+                return refusal
         if failover.excluded_targets:
             dependencies.metrics.count('generation.failover')
-        selected = self._select_target(record, failover)
+        selected = failover.take_reserved_target() or self._select_target(
+            record, failover
+        )
         if isinstance(selected, state.Refusal):
             return selected
         try:
@@ -214,7 +207,7 @@
     def _check_attempt_allowed(
         self,
         record: state.GenerationRecord,
-        failover: _FailoverState,
+        failover: _failover.FailoverState,
         previous_end: _attempt.AttemptEnd,
     ) -> state.Refusal | None:
         settings = self._dependencies.settings
@@ -251,43 +244,27 @@
             or not failover.excluded_targets
         ):
             return None
-        if failover.free_failover_count > 0 and record.position > 0:
-            failover.free_failover_count -= 1
-            return None
-        if self._dependencies.retry_budget.try_spend(
-            record.request.organisation
-        ):
+        if _failover.claim_failover(self._dependencies, record, failover):
             return None
         return _refusal(
             state.RefusalCode.RETRY_BUDGET, 'The retry budget is exhausted.'
         )
 
     def _select_target(
-        self, record: state.GenerationRecord, failover: _FailoverState
+        self, record: state.GenerationRecord, failover: _failover.FailoverState
     ) -> state.Target | state.Refusal:
         dependencies = self._dependencies
-        request = record.request
         is_first = not failover.excluded_targets
         end_s = dependencies.settings.target_wait_ms / 1000 + (
             failover.first_loss_s or dependencies.clock.monotonic_s()
         )
         while True:
-            if request.route.failover_across_versions and not is_first:
-                record.version = dependencies.versions.version_for(
-                    request.route, request.request_id
-                )
-            selected = dependencies.selector.assign(
-                ports.SelectionRequest(
-                    request_id=request.request_id,
-                    route=request.route,
-                    organisation=request.organisation,
-                    version=record.version or state.VersionName(''),
-                    prompt=request.prompt,
-                    excluded=failover.excluded_targets,
-                    avoided_domain=failover.avoided_domain,
-                    continues=record.position > 0
-                    or request.resume is not None,
-                )
+            selected = _failover.select_target(
+                dependencies,
+                record,
+                failover.excluded_targets,
+                failover.avoided_domain,
+                is_first,
             )
             if selected.is_ok():
                 return selected.ok
@@ -305,7 +282,7 @@
     def _start_attempt(
         self,
         record: state.GenerationRecord,
-        failover: _FailoverState,
+        failover: _failover.FailoverState,
         target: state.Target,
         attempt: state.AttemptRecord,
     ) -> _EventGenerator:
@@ -349,7 +326,7 @@
             return _attempt.AttemptEnd.LOST
         record.begin_attempt(attempt)
         attempt_result = yield from self._read_attempt(
-            record, target, attempt, opened.ok, outcome_recorder
+            record, failover, target, attempt, opened.ok, outcome_recorder
         )
         failover.record_loss(
             target,
@@ -361,6 +338,7 @@
     def _read_attempt(
         self,
         record: state.GenerationRecord,
+        failover: _failover.FailoverState,
         target: state.Target,
         attempt: state.AttemptRecord,
         stream: ports.TokenStream,
@@ -375,6 +353,9 @@
             attempt,
             stream,
             outcome_recorder,
+            _failover.TargetReservation(
+                self._dependencies, record, failover, target
+            ),
         )
         try:
             attempt_result = yield from reader.run()
