Wait for an engine after a loss before the first event

Cause: the queue time of requests that have not run, which starts with the request, also ended the wait of a run that was sent before; such a run has mostly used that time up when it is lost.

A lost run now waits until its first event would be late, as it does for the retry budget (retry_wait_end_s). Requests that have not run keep their queue time, after which they are refused with the truth that they have not run.

Evidence: both tests of TestNoEngine fail on the code before (502 after 2 s of the 4.5 s of the objective); all forwarding tests of coordination pass. Not played with real processes.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -338,6 +338,8 @@
     def _has_queue_time_expired(self) -> bool:
         if self._progress.has_started:
             return False
+        if self._has_executed:
+            return not self._may_wait_for_retry()
         objective_s = self._admitted.route.latency_objective_ms / 1000
         queue_end_s = (
             self._admitted.started_at_s
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_retry_waits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_retry_waits.py
@@ -191,6 +191,45 @@
         assert env.client.sent_to() == ['first']
 
 
+class TestNoEngine:
+    """Runs whose engine was lost while no other one is available."""
+
+    def test_first_event_may_still_be_on_time(self) -> None:
+        """Guards against a failure while the lost engine starts again."""
+        env = _make_env('only')
+        env.client.script(
+            'only',
+            harness.connection_lost_script(2.0),
+            harness.stream_script(1, 3),
+        )
+        env.client.queued_count = 1
+        outcome, _ = _stream(env)
+        assert isinstance(outcome, forwarding.StreamCompleted)
+
+    def test_failure_is_told_once_the_first_event_is_late(self) -> None:
+        """Guards against callers that wait for an engine in vain."""
+        env = _make_env('only')
+        env.client.script('only', harness.connection_lost_script(2.0))
+        env.client.queued_count = 1
+        original = env.client.send
+
+        def _send(
+            request: data.FrontRequest,
+            delivery: data.DispatchContext,
+            connect_timeout_s: float,
+        ) -> fakes.ScriptedExchange | forwarding.ExchangeFault:
+            env.targets.replace((), after_outage=False)
+            return original(request, delivery, connect_timeout_s)
+
+        env.client.send = _send  # type: ignore[method-assign]
+        started_s = env.clock.monotonic_s()
+        outcome, _ = _stream(env)
+        assert isinstance(outcome, data.Refusal)
+        assert outcome.reason is data.RefusalReason.TARGET_FAILED
+        ended_s = env.clock.monotonic_s() - started_s
+        assert OBJECTIVE_S <= ended_s < OBJECTIVE_S + 0.25
+
+
 class TestRefusingEngines:
     """Runs that were lost, and that engines refuse in quick succession."""
 
