Use the glossary's terms in a few comments

"frontend" becomes "instance", the glossary's term; a "sound" engine a "healthy" one; "own words" of targets what they say of themselves. Comments and doc comments only; names, settings and log lines are unchanged.

Tests: ruff, flake8, lint-imports, mypy.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_forwarding.py
@@ -25,7 +25,7 @@
 
     request: data.FrontRequest
 
-    #: Target and other context that the frontend added.
+    #: Target and other context that the instance added.
     delivery: data.DispatchContext
 
     #: Monotonic time at which it was sent.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_exclusions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_exclusions.py
@@ -1,7 +1,7 @@
 """Targets that asked to receive no requests: leaving or paused ones.
 
-These are the targets' own words, so they hold whatever the store lists, and
-no shortage of other targets overrides them.
+Targets say this of themselves, so it holds whatever the store lists, and
+no shortage of other targets overrides it.
 """
 
 import dataclasses
--- a/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
@@ -52,7 +52,7 @@
     InjectionKind.STORE_RESTART,
 )
 
-#: Signals in quick succession, and short silences of sound engines beside
+#: Signals in quick succession, and short silences of healthy engines beside
 #: them. They are drawn apart from faults and loads.
 SIGNAL_KINDS = (
     InjectionKind.INSTANCE_SIGNALS,
--- a/packages/emulator/src/skylarktack/emulator/soak/_signals.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_signals.py
@@ -23,7 +23,7 @@
 GRACE_S = 8.0
 CHECK_S = 0.5
 
-#: Silences of a sound engine.
+#: Silences of a healthy engine.
 SILENCES_S = (0.6, 1.2)
 
 
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -1,4 +1,4 @@
-"""Requests and responses that pass through the frontend."""
+"""Requests and responses that pass through an instance."""
 
 import dataclasses
 import enum
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestMessage:
-    """A complete request that the frontend itself makes of a target."""
+    """A complete request that an instance itself makes of a target."""
 
     method: bytes
 
@@ -126,7 +126,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class DispatchContext:
-    """Context that the frontend adds when it dispatches a request."""
+    """Context that the instance adds when it dispatches a request."""
 
     target: ListedTarget
 
@@ -208,7 +208,7 @@
 
 
 class RefusalReason(enum.Enum):
-    """Why the frontend itself ends a request."""
+    """Why the instance itself ends a request."""
 
     #: No configuration is available yet, or it may be stale.
     NO_CONFIGURATION = 'no_configuration'
@@ -246,7 +246,7 @@
     #: The target failed while it processed the request.
     TARGET_FAILED = 'target_failed'
 
-    #: The frontend itself failed; a target may have executed the request.
+    #: The instance itself failed; a target may have executed the request.
     INTERNAL_ERROR = 'internal_error'
 
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_control_requests.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_control_requests.py
@@ -1,4 +1,4 @@
-"""Requests of the frontend itself to targets, such as probes and copies."""
+"""Requests of an instance itself to targets, such as probes and copies."""
 
 import dataclasses
 import time
