Exclude versions whose order was replaced before a restart of all

Cause: those that start find targets of v1, v2 and v3 and an order for v3 alone. Nothing in the store says that v2 was on trial.

A version is now recorded in a kind of our own when its move begins, and the record is removed when the move is completed. The finding suggested a record when an order is seen to be replaced; that was ruled out, since here no instance lives to see it. An instance that starts reads the records before it uses a service with several versions, and excludes the recorded versions unless the current order is for them or no other version is left. This also keeps a version excluded that was taken back and whose order was replaced.

Cost: at most four writes a move; a start reads a stale list (a tenth of a call), a current one while a service has several versions or an open order.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -140,8 +140,11 @@
 from skylarktack.coordination.forwarding._supervision import ErrorRecorder
 from skylarktack.coordination.forwarding._supervision import Supervisor
 from skylarktack.coordination.forwarding._targets import TargetTable
+from skylarktack.coordination.forwarding._trial_keeper import TrialKeeper
+from skylarktack.coordination.forwarding._trial_keeper import TrialStore
 from skylarktack.coordination.forwarding._version_rules import ANY_VERSION
 from skylarktack.coordination.forwarding._version_rules import VersionRule
+from skylarktack.coordination.forwarding._version_trials import VersionTrials
 from skylarktack.coordination.forwarding._watch_handlers import (
     ConfigurationHolder,
 )
@@ -170,7 +173,10 @@
     'AggregationTopology',
     'MoveTable',
     'MoveWriter',
+    'TrialKeeper',
+    'TrialStore',
     'VersionRule',
+    'VersionTrials',
     'ConfigurationApplied',
     'DatagramMalformed',
     'StoreEntryMalformed',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_events.py
@@ -81,6 +81,18 @@
     to_version: str
 
 
+@dataclasses.dataclass(frozen=True)
+class VersionExcluded(_events.LogEvent):
+    """A version is not used because the store does not hold its order."""
+
+    part = 'move'
+    message = 'version excluded; its move was not completed'
+
+    service: str
+
+    version: str
+
+
 @dataclasses.dataclass(frozen=True)
 class MoveNotRecorded(_events.LogEvent):
     """A phase of a move could not be written; the write is retried."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -23,6 +23,7 @@
 from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _route_judging
 from skylarktack.coordination.forwarding import _version_rules
+from skylarktack.coordination.forwarding import _version_trials
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -90,6 +91,8 @@
         self._draw = draw
         self._lock = threading.Lock()
         self._moves: dict[str, _Move] = {}
+        #: Versions whose move has begun, to be kept beyond a restart.
+        self.trials = _version_trials.VersionTrials(clock, log)
         self._versions = _version_rules.KnownVersions()
         self._topology = _move_evidence.AggregationTopology()
         # Sender and arrival time of the last aggregate for the fleet.
@@ -139,9 +142,7 @@
         """
         with self._lock:
             move = self._moves.get(service)
-            excluded = self._versions.excluded(
-                service, self.is_synced.is_set(), self._clock.monotonic_s()
-            )
+            excluded = self._excluded(service)
             if move is None:
                 return (
                     _version_rules.VersionRule(None, excluded)
@@ -172,6 +173,28 @@
                 )
             return _version_rules.VersionRule(None, excluded | {version})
 
+    def _excluded(self, service: str) -> frozenset[str]:
+        """Return the versions that get no request, whatever its order."""
+        move = self._moves.get(service)
+        return self._versions.excluded(
+            service,
+            self.is_synced.is_set() and self.trials.is_read.is_set(),
+            self._clock.monotonic_s(),
+        ) | self.trials.excluded(
+            service,
+            self._versions.listed(service),
+            None if move is None else move.order.to_version,
+        )
+
+    def has_versions_on_trial(self) -> bool:
+        """Return whether a service may have a version that is not proven."""
+        with self._lock:
+            if self._versions.has_service_with_several():
+                return True
+            return any(
+                not move.order.has_ended for move in self._moves.values()
+            )
+
     def record_send(self, target: data.ListedTarget) -> None:
         """Count a request that is sent to a target of the new version."""
         with self._lock:
@@ -379,12 +402,15 @@
         )
         if not order.has_ended:
             self._versions.restore(change.service, order.to_version)
+            self.trials.record_begun(change.service, order.to_version)
             self.has_updates.set()
         self._record_phase(order)
 
     def _record_phase(self, order: data.MoveOrder) -> None:
         if order.phase is state.MovePhase.ROLLED_BACK:
             self._versions.reject(order.service, order.to_version)
+        if order.phase is state.MovePhase.COMPLETED:
+            self.trials.record_completed(order.service, order.to_version)
         self._log.record(
             _move_events.MoveRecorded(
                 order.service, order.to_version, order.phase.value
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
@@ -62,6 +62,14 @@
             )
         listed.add(version)
 
+    def listed(self, service: str) -> frozenset[str]:
+        """Return the versions of which a target was listed."""
+        return frozenset(self._listed.get(service, ()))
+
+    def has_service_with_several(self) -> bool:
+        """Return whether a service has listed targets of several versions."""
+        return any(len(listed) > 1 for listed in self._listed.values())
+
     def reject(self, service: str, version: str) -> None:
         """Exclude a version whose move was rolled back or cancelled."""
         self._rejected.setdefault(service, set()).add(version)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -314,6 +314,7 @@
         draw=random.Random(1).random,
     )
     move_table.is_synced.set()
+    move_table.trials.restore(())
     errors = forwarding.ErrorRecorder(clock, log)
     targets = forwarding.TargetTable(
         clock, log, 'domain-a', fleet, move_table, errors
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -98,6 +98,7 @@
         )
         if not settings.has_moves:
             self._moves.is_synced.set()
+            self._moves.trials.is_read.set()
         self._targets = forwarding.TargetTable(
             clock,
             log,
@@ -118,6 +119,15 @@
                 transport.HttpStoreCalls(settings.store)
             ),
         )
+        self._trial_keeper = forwarding.TrialKeeper(
+            clock,
+            self._moves,
+            platform.StoreVersionTrials(
+                transport.HttpStoreCalls(settings.store)
+            ),
+            self._fleet,
+            self._targets.is_synced,
+        )
         metrics = _metrics.RequestMetrics(errors, quarantine)
         accounts = forwarding.RequestAccounts()
         budget = forwarding.RetryBudget(
@@ -257,6 +267,7 @@
         self._start_task('request counts', self._request_counts.run)
         if self._settings.has_moves:
             self._start_task('move watcher', self._move_watcher.run)
+            self._start_task('trial keeper', self._trial_keeper.run)
         self._start_task(
             'configuration watcher', self._configuration_watcher.run
         )
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
@@ -71,6 +71,7 @@
             draw=random.Random(1).random,
         )
         self._moves.is_synced.set()
+        self._moves.trials.is_read.set()
         errors = forwarding.ErrorRecorder(clock, log)
         self.targets = forwarding.TargetTable(
             clock, log, 'domain-a', fleet, self._moves, errors
--- a/packages/platform/src/skylarktack/platform/__init__.py
+++ b/packages/platform/src/skylarktack/platform/__init__.py
@@ -24,6 +24,7 @@
     from skylarktack.platform._settings import decode_settings
     from skylarktack.platform._store import ConfigurationReader
     from skylarktack.platform._store import TargetReader
+    from skylarktack.platform._version_trials import StoreVersionTrials
 
 __all__ = [
     'ConfigurationReader',
@@ -35,6 +36,7 @@
     'StoreMoveWriter',
     'StorePeerRegistry',
     'StoreQuarantines',
+    'StoreVersionTrials',
     'TargetReader',
     'decode_configuration',
     'decode_settings',
@@ -55,6 +57,7 @@
     'FrontAddress': '_front_address',
     'find_front_address': '_front_address',
     'StoreQuarantines': '_quarantines',
+    'StoreVersionTrials': '_version_trials',
     'decode_settings': '_settings',
     'ConfigurationReader': '_store',
     'TargetReader': '_store',
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -49,6 +49,7 @@
 from skylarktack.state.forwarding._targets import TargetChange
 from skylarktack.state.forwarding._targets import TargetLoad
 from skylarktack.state.forwarding._targets import TargetReport
+from skylarktack.state.forwarding._version_trials import VersionTrial
 
 __all__ = [
     'ConfirmedKind',
@@ -96,6 +97,7 @@
     'WatchHeartbeat',
     'StoreChange',
     'StoredQuarantine',
+    'VersionTrial',
     'TargetChange',
     'TargetLoad',
     'TargetReport',
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
@@ -68,6 +68,7 @@
             draw=simulation.random.random,
         )
         self.table.is_synced.set()
+        self.table.trials.restore(())
         self.driver = forwarding.MoveDriver(
             simulation.clock,
             log,
