Keep acting on signals when the settings cannot be read

Callers of a forwarding instance got no answer after a SIGHUP whose settings file held one byte that is no UTF-8. UnicodeDecodeError ended the main thread. The process stayed, but the interpreter had begun its shutdown, so its executors took no more work: new connections were accepted and their requests neither answered nor refused, SIGTERM was not acted on, and open requests were cut at the kill.

The file is read without blocking and with a bound: a pipe in its place would stop the main thread, a huge file would take the memory. Each cause is a finding with its place. At the start the findings are printed and the exit code is 2; on SIGHUP they are logged as `settings rejected`, because standard error blocks when nobody reads it. Any other error while the settings are read again is recorded, and the loop goes on.

As root the case `unreadable` reads the file all the same; it was not run under another user.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_early_front.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_early_front.py
@@ -8,6 +8,7 @@
 import socket
 
 from skylarktack import platform
+from skylarktack.daemon import _settings_file
 from skylarktack.transport import forwarding as transport
 
 
@@ -19,10 +20,10 @@
     """
     path = os.environ.get(platform.PATH_VARIABLE, '')
     try:
-        with open(path, encoding='utf-8') as lines:
-            address = platform.find_front_address(lines)
+        text = _settings_file.read_settings_file(path)
+        address = platform.find_front_address(text.splitlines())
         if address is None:
             return None
         return transport.listen(address.host, address.port)
-    except (OSError, OverflowError, UnicodeError):
+    except (OSError, OverflowError, _settings_file.SettingsFileError):
         return None
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -248,6 +248,11 @@
             BACKGROUND_TASK_COUNT
         )
 
+    @property
+    def errors(self) -> forwarding.ErrorRecorder:
+        """Return the recorder of unexpected errors."""
+        return self._errors
+
     def start(self) -> None:
         """Start all background tasks and listeners; return at once."""
         self._start_task('log', self._log.run)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -3,7 +3,6 @@
 import contextlib
 import ctypes
 import os
-import pathlib
 import signal
 import socket
 import sys
@@ -14,7 +13,7 @@
 from skylarktack.daemon import _signals
 from skylarktack.daemon.forwarding import _instance
 from skylarktack.daemon.forwarding import _modules
-from skylarktack.state import forwarding as data
+from skylarktack.daemon.forwarding import _reload
 from skylarktack.transport import forwarding as transport
 
 #: Exit code for invalid settings or arguments.
@@ -23,6 +22,9 @@
 #: Maximum time that the main loop waits for a signal before it checks again.
 SIGNAL_CHECK_S = 2.0
 
+#: Place of errors while the settings are read again.
+RELOAD = 'settings reload'
+
 #: Address space that the stack of a thread reserves; small, because each
 #: connection has a thread.
 THREAD_STACK_BYTES = 256 * 1024
@@ -63,26 +65,41 @@
     return_freed_buffers()
     _modules.load_modules()
     path = os.environ.get(platform.PATH_VARIABLE, '')
-    settings = _read_settings(path, metrics_port)
-    if settings is None:
+    try:
+        settings = _reload.read_settings(path, metrics_port)
+    except _reload.InvalidSettingsError as error:
+        for finding in error.findings:
+            print(f'{finding.place}: {finding.message}', file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
     log = transport.LineLog(settings.instance)
     instance = _instance.ForwardingInstance(settings, log, front)
+    reloader = _reload.SettingsReloader(path, metrics_port, settings, log)
     instance.start()
     instance.record_start()
-    stop_signal: _signals.ReceivedSignal | None = None
-    while stop_signal is None:
+    stop_signal = wait_for_stop(signals, reloader, log, instance.errors)
+    instance.stop(stop_signal.received_at_s)
+    # Threads blocked on callers or the store would keep the process alive.
+    os._exit(0)
+
+
+def wait_for_stop(
+    signals: _signals.ProcessSignals,
+    reloader: _reload.SettingsReloader,
+    log: forwarding.EventLog,
+    errors: forwarding.ErrorRecorder,
+) -> _signals.ReceivedSignal:
+    """Act on signals until one stops the instance, and return that one."""
+    while True:
+        stop_signal: _signals.ReceivedSignal | None = None
         for received in signals.wait(SIGNAL_CHECK_S):
             log.record(forwarding.SignalReceived(received.number.name))
             if received.number is not signal.SIGHUP:
                 stop_signal = stop_signal or received
                 continue
-            changed = _read_settings(path, metrics_port)
-            is_changed = changed is not None and changed != settings
-            log.record(forwarding.SettingsReloaded(is_changed))
-    instance.stop(stop_signal.received_at_s)
-    # Threads blocked on callers or the store would keep the process alive.
-    os._exit(0)
+            with errors.contain(RELOAD):
+                reloader.reload()
+        if stop_signal is not None:
+            return stop_signal
 
 
 def return_freed_buffers() -> None:
@@ -104,18 +121,3 @@
             sys.exit(EXIT_INVALID_SETTINGS)
         port = int(value)
     return port
-
-
-def _read_settings(
-    path: str, metrics_port: int | None
-) -> data.ForwardingSettings | None:
-    """Return the settings, or None after printing all findings."""
-    try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-        return platform.decode_settings(path, text, metrics_port)
-    except OSError as error:
-        print(f'{path}: {error.strerror}', file=sys.stderr)
-    except platform.MalformedError as error:
-        for finding in error.findings:
-            print(f'{finding.place}: {finding.message}', file=sys.stderr)
-    return None
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/signalled_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/signalled_main.py
@@ -18,9 +18,12 @@
 from types import FrameType
 from typing import Any
 
+from skylarktack.coordination import forwarding
+from skylarktack.coordination import ports
 from skylarktack.daemon.forwarding import _instance
 from skylarktack.daemon.forwarding import _main
 from skylarktack.platform import PATH_VARIABLE
+from skylarktack.transport import forwarding as transport
 
 SETTINGS = """\
 node_name=instance-0
@@ -76,6 +79,9 @@
 
     def __init__(self, *arguments: object) -> None:
         """Take what an instance takes."""
+        clock = ports.SystemClock()
+        log = transport.LineLog('instance-0')
+        self.errors = forwarding.ErrorRecorder(clock, log)
 
     def start(self) -> None:
         """Do nothing."""
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_instance.py
@@ -12,7 +12,7 @@
 _ANY_PORT = data.Address('127.0.0.1', 0)
 
 
-def _settings() -> data.ForwardingSettings:
+def instance_settings() -> data.ForwardingSettings:
     return data.ForwardingSettings(
         instance='instance-0',
         failure_domain='domain-a',
@@ -45,6 +45,6 @@
     ) -> None:
         """Guards against a process that stays until it is killed."""
         log = transport.LineLog('instance-0')
-        instance = forwarding.ForwardingInstance(_settings(), log)
+        instance = forwarding.ForwardingInstance(instance_settings(), log)
         monkeypatch.setattr(_request_counts.RequestCountLog, 'flush', _fail)
         instance.stop(time.monotonic())
