Do all steps of a shutdown when one of them fails

An error in one step of ForwardingInstance.stop ended the main thread before the process exited: later steps (closing idle connections and the listener, the reports, the exit) were not done and open requests were cut at the kill.

Each step is now contained and recorded as `unexpected error` with its place. Counts that fail are taken as open requests, so that the stop waits for them. The process exits in any case when stop() ends, and a timer ends it just before the kill if a step never returns.

Before: the three new cases of test_instance.py fail on the old code. After: they pass, as do test_stopping.py, test_signals.py and the main loop's tests. The cases of test_stopping.py were not run on the old code, whose function has no recorder.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -325,22 +325,28 @@
         :param requested_at_s: monotonic time of the signal, from which the
             platform counts the grace period.
         """
-        self._log.record(
-            forwarding.InstanceStopping(self._gateway.active_count())
-        )
-        _stopping.finish_requests(
-            ports.SystemClock(),
-            self._front,
-            self._gateway,
-            requested_at_s + self._settings.grace_ms / 1000,
-        )
-        self._gateway.report_cut_requests()
+        kill_at_s = requested_at_s + self._settings.grace_ms / 1000
+        with self._errors.contain('stop report'):
+            self._log.record(
+                forwarding.InstanceStopping(self._gateway.active_count())
+            )
+        with self._errors.contain('stop'):
+            _stopping.finish_requests(
+                ports.SystemClock(),
+                self._front,
+                self._gateway,
+                self._errors,
+                kill_at_s,
+            )
+        with self._errors.contain('cut requests'):
+            self._gateway.report_cut_requests()
         with self._errors.contain('request counts'):
             self._request_counts.flush()
-        self._log.record(
-            forwarding.InstanceStopped(
-                after_ms=round((time.monotonic() - requested_at_s) * 1000),
-                open_connections=self._front.open_count(),
+        with self._errors.contain('stop report'):
+            self._log.record(
+                forwarding.InstanceStopped(
+                    after_ms=round((time.monotonic() - requested_at_s) * 1000),
+                    open_connections=self._front.open_count(),
+                )
             )
-        )
         self._log.close(LOG_CLOSE_S)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -14,6 +14,7 @@
 from skylarktack.daemon.forwarding import _instance
 from skylarktack.daemon.forwarding import _modules
 from skylarktack.daemon.forwarding import _reload
+from skylarktack.daemon.forwarding import _stopping
 from skylarktack.transport import forwarding as transport
 
 #: Exit code for invalid settings or arguments.
@@ -77,9 +78,15 @@
     instance.start()
     instance.record_start()
     stop_signal = wait_for_stop(signals, reloader, log, instance.errors)
-    instance.stop(stop_signal.received_at_s)
-    # Threads blocked on callers or the store would keep the process alive.
-    os._exit(0)
+    try:
+        with instance.errors.contain('exit timer'):
+            _stopping.exit_before(
+                stop_signal.received_at_s + settings.grace_ms / 1000
+            )
+        instance.stop(stop_signal.received_at_s)
+    finally:
+        # Threads blocked on callers or the store would keep the process alive.
+        os._exit(0)
 
 
 def wait_for_stop(
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_stopping.py
@@ -1,8 +1,11 @@
 """Graceful shutdown of an instance: finish open requests, then exit."""
 
+import os
 import threading
+import time
 from typing import Protocol
 
+from skylarktack.coordination import forwarding
 from skylarktack.coordination.ports import Clock
 
 #: Delay after the stop signal before idle connections are closed. By then
@@ -29,6 +32,22 @@
 #: that the process exits before it is killed.
 KILL_MARGIN_S = 0.25
 
+#: Places of errors in the steps of a shutdown.
+BEGIN_SHUTDOWN = 'begin of the shutdown'
+CLOSE_IDLE = 'close of idle connections'
+CLOSE_LISTENER = 'close of the listener'
+COUNT_REQUESTS = 'count of open requests'
+
+#: The process exits this long before it is killed, even if a step of the
+#: shutdown does not return.
+EXIT_MARGIN_S = 0.02
+
+#: Minimum time for the last reports of a shutdown that begins late.
+MIN_STOP_S = 0.5
+
+#: Exit code of a shutdown that did not return in time.
+EXIT_CUT_OFF = 1
+
 
 class StoppingFront(Protocol):
     """The part of the caller listener that a shutdown uses."""
@@ -58,34 +77,69 @@
         ...
 
 
+def exit_before(kill_at_s: float) -> None:
+    """End the process before its kill, even if a step never returns."""
+    delay_s = kill_at_s - EXIT_MARGIN_S - time.monotonic()
+    timer = threading.Timer(
+        max(MIN_STOP_S, delay_s), os._exit, (EXIT_CUT_OFF,)
+    )
+    timer.daemon = True
+    timer.start()
+
+
 def finish_requests(
     clock: Clock,
     front: StoppingFront,
     gateway: StoppingGateway,
+    errors: forwarding.ErrorRecorder,
     kill_at_s: float,
 ) -> None:
     """Block until all requests have ended or the deadline is reached.
 
+    A step that fails is recorded; the others are done all the same.
+
     :param kill_at_s: monotonic time at which the process is killed.
     """
     stop_began_at_s = clock.monotonic_s()
     deadline_s = kill_at_s - KILL_MARGIN_S
-    gateway.begin_shutdown(deadline_s - RESPONSE_MARGIN_S)
+    with errors.contain(BEGIN_SHUTDOWN):
+        gateway.begin_shutdown(deadline_s - RESPONSE_MARGIN_S)
     never_set = threading.Event()
     is_accepting = True
     while clock.monotonic_s() < deadline_s:
         clock.wait(never_set, POLL_INTERVAL_S)
         now_s = clock.monotonic_s()
         if now_s >= stop_began_at_s + CLOSE_IDLE_AFTER_S:
-            front.close_idle()
+            with errors.contain(CLOSE_IDLE):
+                front.close_idle()
         if now_s < stop_began_at_s + ACCEPT_AFTER_STOP_S:
             continue
         if is_accepting:
-            if gateway.stream_count() and now_s < deadline_s - CLOSE_MARGIN_S:
+            is_late = now_s >= deadline_s - CLOSE_MARGIN_S
+            if not is_late and _has_streams(gateway, errors):
                 continue
             # Requests on connections accepted so far are still served.
-            front.close()
+            with errors.contain(CLOSE_LISTENER):
+                front.close()
             is_accepting = False
             continue
-        if not front.open_count():
+        if not _has_connections(front, errors):
             return
+
+
+def _has_streams(
+    gateway: StoppingGateway, errors: forwarding.ErrorRecorder
+) -> bool:
+    """Return whether there are streams; true if that is unknown."""
+    with errors.contain(COUNT_REQUESTS):
+        return gateway.stream_count() > 0
+    return True
+
+
+def _has_connections(
+    front: StoppingFront, errors: forwarding.ErrorRecorder
+) -> bool:
+    """Return whether connections are open; true if that is unknown."""
+    with errors.contain(COUNT_REQUESTS):
+        return front.open_count() > 0
+    return True
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_instance.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from skylarktack.coordination import forwarding as coordination
 from skylarktack.daemon import forwarding
 from skylarktack.daemon.forwarding import _request_counts
 from skylarktack.state import forwarding as data
@@ -48,3 +49,17 @@
         instance = forwarding.ForwardingInstance(instance_settings(), log)
         monkeypatch.setattr(_request_counts.RequestCountLog, 'flush', _fail)
         instance.stop(time.monotonic())
+
+    @pytest.mark.parametrize(
+        'step',
+        ['active_count', 'report_cut_requests', 'begin_shutdown'],
+    )
+    def test_stop_does_not_depend_on_one_step(
+        self, step: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a process that is killed because one step failed."""
+        log = transport.LineLog('instance-0')
+        instance = forwarding.ForwardingInstance(instance_settings(), log)
+        monkeypatch.setattr(coordination.Gateway, step, _fail)
+        instance.stop(time.monotonic())
+        assert instance.errors.counts()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
@@ -1,9 +1,14 @@
 """Graceful shutdown on a simulated clock that waits advance."""
 
+import subprocess
+import sys
+
 import pytest
 
 from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
 from skylarktack.daemon.forwarding import _stopping
+from skylarktack.transport import forwarding as transport
 
 GRACE_S = 8.0
 
@@ -57,7 +62,11 @@
     gateway = _FakeGateway(clock, streams_end_s)
     started_s = clock.monotonic_s()
     _stopping.finish_requests(
-        clock, front, gateway, started_s + GRACE_S - delay_s
+        clock,
+        front,
+        gateway,
+        forwarding.ErrorRecorder(clock, transport.LineLog('instance-0')),
+        started_s + GRACE_S - delay_s,
     )
     return front, gateway, clock.monotonic_s() - started_s
 
@@ -115,3 +124,45 @@
         """
         _, gateway, duration_s = _stop(streams_end_s=99.0, calls_end_s=99.0)
         assert duration_s - gateway.end_at_s >= 0.2
+
+
+def _fail(*arguments: object) -> int:
+    raise ValueError('odd step')
+
+
+class TestFailingSteps:
+    """A step of the shutdown that fails."""
+
+    @pytest.mark.parametrize(
+        ('part', 'step'),
+        [
+            (_FakeGateway, 'begin_shutdown'),
+            (_FakeGateway, 'stream_count'),
+            (_FakeFront, 'close_idle'),
+            (_FakeFront, 'close'),
+            (_FakeFront, 'open_count'),
+        ],
+    )
+    def test_later_steps_are_done(
+        self, part: type, step: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against calls that are cut because another step failed."""
+        monkeypatch.setattr(part, step, _fail)
+        front, _, duration_s = _stop(streams_end_s=0.0, calls_end_s=4.5)
+        assert step == 'close' or front.closed_after_s is not None
+        assert 4.5 <= duration_s < GRACE_S
+
+
+class TestExitBefore:
+    """A shutdown with a step that never returns."""
+
+    def test_process_exits(self) -> None:
+        """Guards against a process that stays until it is killed."""
+        script = (
+            'import time; '
+            'from skylarktack.daemon.forwarding import _stopping; '
+            '_stopping.exit_before(time.monotonic()); '
+            'time.sleep(60.0)'
+        )
+        completed = subprocess.run([sys.executable, '-c', script], timeout=30)
+        assert completed.returncode == _stopping.EXIT_CUT_OFF
