Report an unreadable settings file of skylarktackd as a finding

Operators saw a traceback when the settings file of skylarktackd was missing or held bytes that are no UTF-8. It is now one line with the place and the cause, and exit code 2, as for invalid settings. skylarktackd reads the file only at its start, so callers were not affected.

Before: both new cases of test_settings.py fail. After: they pass.

--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -1,7 +1,6 @@
 """Entry point of ``skylarktackd``."""
 
 import json
-import pathlib
 import sys
 
 import fire
@@ -9,6 +8,7 @@
 from skylarktack import protocol
 from skylarktack import transport
 from skylarktack.daemon import _instance
+from skylarktack.daemon import _settings_file
 from skylarktack.daemon import _signals
 
 #: Exit code for invalid settings.
@@ -34,7 +34,11 @@
     signals.install(_signals.STOP_SIGNALS)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     transport.configure_logs()
-    text = pathlib.Path(settings).read_text(encoding='utf-8')
+    try:
+        text = _settings_file.read_settings_file(settings)
+    except _settings_file.SettingsFileError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_INVALID_SETTINGS)
     decoded = protocol.decode_settings(text)
     if decoded.is_error():
         for finding in decoded.error:
--- a/packages/daemon/src/skylarktack/daemon/tests/test_settings.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_settings.py
@@ -4,6 +4,8 @@
 import subprocess
 import sys
 
+import pytest
+
 from skylarktack import daemon
 
 
@@ -29,3 +31,20 @@
         output = completed.stderr
         for place in ('unknown', 'peer.listen.host', 'peer.listen.port'):
             assert place in output
+
+    @pytest.mark.parametrize('content', [b'// \xff\n{}', None])
+    def test_unreadable_settings_exit_with_a_finding(
+        self, content: bytes | None, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a traceback for a file that cannot be read."""
+        path = tmp_path / 'settings.json'
+        if content is not None:
+            path.write_bytes(content)
+        completed = subprocess.run(
+            [sys.executable, '-m', 'skylarktack.daemon', f'--settings={path}'],
+            capture_output=True,
+            text=True,
+        )
+        assert completed.returncode == daemon.EXIT_INVALID_SETTINGS
+        assert str(path) in completed.stderr
+        assert 'Traceback' not in completed.stderr
