Serve a connection for which no thread could be started

Callers whose connection was accepted while the system had no more threads got neither an answer nor a refusal until some idle caller left. submit() raises after it has queued the connection; the error ended the accept loop, which the supervisor started again only after a growing delay of up to 5 s.

The listener now records the error, accepts on, and evicts the idle connection that has waited longest, whose thread then serves the queued one. Eviction drops no request, as for the limit of connections.

Before: the new test fails, its second caller gets no byte within 5 s. After: it passes. If no thread exists at all, the connection waits for the next one.

--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -101,7 +101,7 @@
             )
             with self._lock:
                 self._open.add(connection)
-            self._tasks.submit(self._serve, connection)
+            self._start(connection)
 
     def open_count(self) -> int:
         """Return the number of open connections."""
@@ -137,6 +137,17 @@
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
 
+    def _start(self, connection: _front_connection.FrontConnection) -> None:
+        try:
+            self._tasks.submit(self._serve, connection)
+        except RuntimeError as error:
+            # The system has no more threads. The connection stays queued for
+            # the next thread that is free.
+            self._errors.record('start of a connection', error)
+            with self._lock:
+                connections = tuple(self._open - {connection})
+            _evict_longest_waiting(connections)
+
     def _make_room(self) -> None:
         """Wait until one more connection may be open."""
         while not self._is_closed:
