--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_instance.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from skylarktack.coordination import forwarding as coordination
 from skylarktack.daemon import forwarding
 from skylarktack.daemon.forwarding import _request_counts
 from skylarktack.state import forwarding as data
@@ -12,7 +13,7 @@
 _ANY_PORT = data.Address('127.0.0.1', 0)
 
 
-def _settings() -> data.ForwardingSettings:
+def instance_settings() -> data.ForwardingSettings:
     return data.ForwardingSettings(
         instance='instance-0',
         failure_domain='domain-a',
@@ -45,6 +46,20 @@
     ) -> None:
         """Guards against a process that stays until it is killed."""
         log = transport.LineLog('instance-0')
-        instance = forwarding.ForwardingInstance(_settings(), log)
+        instance = forwarding.ForwardingInstance(instance_settings(), log)
         monkeypatch.setattr(_request_counts.RequestCountLog, 'flush', _fail)
         instance.stop(time.monotonic())
+
+    @pytest.mark.parametrize(
+        'step',
+        ['active_count', 'report_cut_requests', 'begin_shutdown'],
+    )
+    def test_stop_does_not_depend_on_one_step(
+        self, step: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a process that is killed because one step failed."""
+        log = transport.LineLog('instance-0')
+        instance = forwarding.ForwardingInstance(instance_settings(), log)
+        monkeypatch.setattr(coordination.Gateway, step, _fail)
+        instance.stop(time.monotonic())
+        assert instance.errors.counts()
