Read on after a refusal where the end of the request is unknown

The limit on heads may fall by a change of the configuration.

Cause: read on only while the parser knew that parts of a body were due. After an error of the parser, or a head that is not complete, 0.5 s applied as before.

Fix: whatever is not known to be read whole is dropped within the same bounds, unparsed if the parser cannot follow. The memory is released before the refusal is sent, and the connection counts as lingering after it.

Evidence: test_a_caller_of_a_malformed_request_reads_the_refusal and test_the_memory_of_a_refused_body_is_free.

--- a/packages/transport/src/skylarktack/transport/_lingering.py
+++ b/packages/transport/src/skylarktack/transport/_lingering.py
@@ -17,6 +17,7 @@
 
     def __init__(self, now_s: float) -> None:
         self._end_s = now_s + MAX_LINGER_S
+        self._stop_end_s = now_s + MAX_PAUSE_S
         self._pause_end_s = now_s + MAX_PAUSE_S
         self._left_bytes = MAX_LINGER_BYTES
 
@@ -25,8 +26,15 @@
         self._left_bytes -= size_bytes
         self._pause_end_s = now_s + MAX_PAUSE_S
 
-    def remaining_s(self, now_s: float) -> float:
-        """Return how long to wait for more; not positive at the end."""
+    def remaining_s(self, now_s: float, is_stopping: bool = False) -> float:
+        """Return how long to wait for more; not positive at the end.
+
+        :param is_stopping: whether the process stops, which a refused caller
+            may not hold up for longer than a pause.
+        """
         if self._left_bytes <= 0:
             return 0.0
-        return min(self._end_s, self._pause_end_s) - now_s
+        end_s = min(self._end_s, self._pause_end_s)
+        if is_stopping:
+            end_s = min(end_s, self._stop_end_s)
+        return end_s - now_s
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -130,11 +130,13 @@
         if isinstance(received, ConnectionEnd):
             return received
         if isinstance(received, data.Refusal):
-            self._phase.begin_linger()
+            # A body that is dropped needs no memory.
+            self._reader.release_body()
             self._send_response(
                 self._codec.encode_refusal(received), must_close=True
             )
             self._connection.shutdown(socket.SHUT_WR)
+            self._phase.begin_linger()
             self._reader.discard_rest()
             return ConnectionEnd.REFUSED
         outcome = self._handler.handle(received, self)
--- a/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
@@ -25,6 +25,9 @@
 #: that closing does not reset the connection before the response is read.
 LINGER_S = 0.5
 
+#: States of the parser once a request was read whole.
+_WHOLE_REQUEST_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
 
 @dataclasses.dataclass
 class _PartialRequest:
@@ -140,16 +143,25 @@
         It has ``LINGER_S`` to read the refusal after the rest of its body.
         """
         lingering = _lingering.Lingering(time.monotonic())
-        while self._has_more_body():
+        while not self._has_read_all():
             received = self._receive_within(
-                lingering.remaining_s(time.monotonic())
+                lingering.remaining_s(
+                    time.monotonic(), self._handler.is_stopping
+                )
             )
             if not received:
                 return
             lingering.record_received(len(received), time.monotonic())
-            self.parser.receive_data(received)
-        linger_end_s = time.monotonic() + LINGER_S
-        while self._receive_within(linger_end_s - time.monotonic()):
+            # Without a head, or after a malformed part, nothing tells where
+            # the request ends.
+            if self.parser.their_state is h11.SEND_BODY:
+                self.parser.receive_data(received)
+        self.discard_briefly()
+
+    def discard_briefly(self) -> None:
+        """Discard what arrives within ``LINGER_S`` or before the end."""
+        end_s = time.monotonic() + LINGER_S
+        while self._receive_within(end_s - time.monotonic()):
             continue
 
     def _receive_within(self, wait_s: float) -> bytes:
@@ -160,14 +172,15 @@
             return b''
         return self._connection.recv(_sockets.READ_SIZE_BYTES)
 
-    def _has_more_body(self) -> bool:
-        """Drop received parts of a body; return whether more are due."""
+    def _has_read_all(self) -> bool:
+        """Drop parsed parts; return whether the request was read whole."""
         try:
-            while isinstance(self.parser.next_event(), h11.Data):
-                continue
+            while self.parser.their_state is h11.SEND_BODY:
+                if not isinstance(self.parser.next_event(), h11.Data):
+                    break
         except h11.RemoteProtocolError:
             return False
-        return self.parser.their_state is h11.SEND_BODY
+        return self.parser.their_state in _WHOLE_REQUEST_STATES
 
     def _handle_head(
         self, event: h11.Request, partial: _PartialRequest
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
@@ -10,6 +10,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport import _lingering
+from skylarktack.transport import forwarding as transport
 from skylarktack.transport.forwarding import _request_reader
 from skylarktack.transport.forwarding import _sockets
 from skylarktack.transport.forwarding.tests import front_harness
@@ -204,6 +205,17 @@
 }
 
 
+#: Requests whose end nothing tells, with the status of their refusal.
+UNPARSED_HEADS = {
+    'large head': (b'GET /a HTTP/1.1\r\nHost: h\r\nX: ', 431),
+    'no host': (b'POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\n', 400),
+    'bad chunk': (
+        b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n',
+        400,
+    ),
+}
+
+
 class TestRefusedBodies:
     """A body that is refused before it was read whole."""
 
@@ -225,6 +237,35 @@
         assert refusing.read_response() == (431, b'body_too_large')
         assert refusing.read_all() == b''
 
+    @pytest.mark.parametrize(
+        ('head', 'status'), UNPARSED_HEADS.values(), ids=UNPARSED_HEADS.keys()
+    )
+    def test_a_caller_of_a_malformed_request_reads_the_refusal(
+        self, head: bytes, status: int, refusing: front_harness.FrontHarness
+    ) -> None:
+        """Guards against a reset where the end of a request is unknown."""
+        refusing.caller.sendall(head)
+        for _ in range(8):
+            refusing.caller.sendall(b'x' * 40_000)
+            time.sleep(2 * _request_reader.LINGER_S / 8)
+        refusing.caller.shutdown(socket.SHUT_WR)
+        assert refusing.read_response()[0] == status
+        assert refusing.read_all() == b''
+
+    def test_the_memory_of_a_refused_body_is_free(
+        self, refusing: front_harness.FrontHarness
+    ) -> None:
+        """Guards against refused callers that hold the memory of others."""
+        limits = data.FrontLimits(header_timeout_ms=50)
+        refusing.handler.front_limits = limits
+        refusing.caller.sendall(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n'
+        )
+        assert refusing.read_response() == (400, b'read_timeout')
+        free_bytes = transport.body_limit_bytes(None)
+        claimable_bytes = int(0.75 * free_bytes)
+        assert refusing.memory.claim_request(claimable_bytes, 1.0)
+
     def test_an_endless_body_is_cut(
         self,
         refusing: front_harness.FrontHarness,
@@ -246,7 +287,11 @@
         refusing.caller.sendall(LONG_POSTS['with a length'][0])
         assert refusing.read_response()[0] == 431
         assert refusing.connection.waiting_since_s is not None
-        assert refusing.connection.evict()
+        # The refusal is read before its sender has recorded that it was sent.
+        end_s = time.monotonic() + front_harness.TIMEOUT_S
+        while not refusing.connection.evict():
+            assert time.monotonic() < end_s
+            time.sleep(0.01)
         refusing.wait_ended()
 
 
