Close only connections that have been idle for a second in a stop

Cause: between two requests a connection was taken for idle from its first moment on, and until the head of the next request was complete. What was received behind a response was looked for in the parser only, not in the socket.

Fix: a stop closes a connection after MIN_IDLE_S without a byte. The first bytes of a head begin a request, which the header timeout bounds.

The test of a request after the close sets MIN_IDLE_S to 0, since it closes a connection that was just opened; its check is the same.

--- a/packages/transport/src/skylarktack/transport/forwarding/_connection_phase.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_connection_phase.py
@@ -9,6 +9,10 @@
 
 from skylarktack.transport.forwarding import _sockets
 
+#: A stop closes only connections that have been idle for this time: the first
+#: request of a new one, or the next one of another, may be on its way.
+MIN_IDLE_S = 1.0
+
 
 class ConnectionEnd(enum.Enum):
     """Why a connection has ended."""
@@ -61,6 +65,11 @@
         """Return why the connection is closed, or None if it is not."""
         return self._end
 
+    @property
+    def is_lingering(self) -> bool:
+        """Return whether a refused caller may go on sending."""
+        return self._is_lingering
+
     @property
     def waiting_since_s(self) -> float | None:
         """Return since when no request has been read whole, or None."""
@@ -83,7 +92,7 @@
             self._is_parsing = False
 
     def begin_request(self) -> None:
-        """Record that the head of a request was read."""
+        """Record that the first bytes of a request were read."""
         with self._lock:
             self._is_idle = False
 
@@ -114,9 +123,12 @@
             return self._end
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
+        """Close the connection if it has been idle for ``MIN_IDLE_S``."""
+        idle_since_s = time.monotonic() - MIN_IDLE_S
         with self._lock:
-            if self._is_idle and not self._is_parsing:
+            if not self._is_idle or self._is_parsing:
+                return
+            if self._waiting_since_s <= idle_since_s:
                 self._close_unless_readable(ConnectionEnd.STOPPED)
 
     def expire(self) -> bool:
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import time
 
 import h11
 
@@ -19,6 +20,10 @@
 #: Limit for pipelined bytes that are read while a request is in progress.
 PIPELINE_LIMIT_BYTES = 65536
 
+#: Maximum time for which a stop answers requests that were received behind
+#: others before it announces the close regardless of them.
+MAX_PIPELINED_STOP_S = 1.0
+
 #: Size up to which a body is sent in one piece with its head. A longer one
 #: is not copied.
 JOINED_BODY_BYTES = 65536
@@ -48,6 +53,8 @@
             connection, handler, codec, self._phase, memory
         )
         self._has_begun_response = False
+        #: When this connection first noticed the stop, or None.
+        self._stopping_since_s: float | None = None
 
     def run(self) -> ConnectionEnd:
         """Serve requests until either side ends the connection.
@@ -70,7 +77,7 @@
         return end
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
+        """Close the connection if it has been idle for a while."""
         self._phase.close_if_idle()
 
     @property
@@ -78,6 +85,11 @@
         """Return since when no request has been read whole, or None."""
         return self._phase.waiting_since_s
 
+    @property
+    def is_lingering(self) -> bool:
+        """Return whether a refused caller may go on sending."""
+        return self._phase.is_lingering
+
     def evict(self) -> bool:
         """Close the connection to make room; return whether it closes.
 
@@ -188,10 +200,20 @@
         if self._reader.has_disconnected:
             return ConnectionEnd.CALLER
         if self._parser.our_state is not h11.DONE:
+            self._finish_announced_close()
             return ConnectionEnd.ANNOUNCED
         self._phase.await_request()
         return None
 
+    def _finish_announced_close(self) -> None:
+        """Let the caller read the last response before the close.
+
+        Closing with unread bytes would reset the connection.
+        """
+        if self._reader.has_pipelined_bytes():
+            self._connection.shutdown(socket.SHUT_WR)
+            self._reader.discard_briefly()
+
     def _send_response(
         self, response: data.FrontResponse, must_close: bool
     ) -> bool:
@@ -232,6 +254,11 @@
         """
         if not self._handler.is_stopping:
             return False
+        now_s = time.monotonic()
+        if self._stopping_since_s is None:
+            self._stopping_since_s = now_s
+        if now_s >= self._stopping_since_s + MAX_PIPELINED_STOP_S:
+            return True
         return not self._reader.has_pipelined_bytes()
 
     def _write(self, outgoing: bytes) -> bool:
--- a/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
@@ -84,8 +84,13 @@
         self._body_claim.release()
 
     def has_pipelined_bytes(self) -> bool:
-        """Return whether bytes of a next request were received already."""
-        return bool(self.parser.trailing_data[0])
+        """Return whether bytes of a next request have arrived."""
+        if self.parser.trailing_data[0]:
+            return True
+        return bool(
+            _sockets.wait_for(self._connection, select.POLLIN, 0.0)
+            and not self.receive()
+        )
 
     def receive(self) -> bool:
         """Receive once; return whether the caller has disconnected."""
@@ -185,7 +190,6 @@
     def _handle_head(
         self, event: h11.Request, partial: _PartialRequest
     ) -> data.Refusal | None:
-        self._phase.begin_request()
         partial.head = data.RequestHead(
             method=event.method,
             target=event.target,
@@ -233,7 +237,7 @@
         self._phase.record_parsed()
         if self.parser.they_are_waiting_for_100_continue:
             self._send_continue()
-        if partial.began_at_s is None and self.has_pipelined_bytes():
+        if partial.began_at_s is None and self.parser.trailing_data[0]:
             self._record_begin(partial)
         if partial.began_at_s is None:
             if not self._wait_while_idle():
@@ -252,6 +256,7 @@
         return None
 
     def _record_begin(self, partial: _PartialRequest) -> None:
+        self._phase.begin_request()
         partial.began_at_s = time.monotonic()
         partial.part_began_at_s = partial.began_at_s
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
@@ -1,7 +1,9 @@
 """Caller connections: framing, limits, disconnects, planned stop."""
 
 from collections.abc import Iterator
+import contextlib
 import socket
+import threading
 import time
 
 import h11
@@ -11,6 +13,8 @@
 from skylarktack.state import forwarding as data
 from skylarktack.transport import _lingering
 from skylarktack.transport import forwarding as transport
+from skylarktack.transport.forwarding import _connection_phase
+from skylarktack.transport.forwarding import _front_connection
 from skylarktack.transport.forwarding import _request_reader
 from skylarktack.transport.forwarding import _sockets
 from skylarktack.transport.forwarding.tests import front_harness
@@ -210,7 +214,7 @@
     'large head': (b'GET /a HTTP/1.1\r\nHost: h\r\nX: ', 431),
     'no host': (b'POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\n', 400),
     'bad chunk': (
-        b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n',
+        LONG_POSTS['in chunks'][0] + b'z\r\n',
         400,
     ),
 }
@@ -468,6 +472,61 @@
         harness.start()
         assert harness.read_response() == (200, b'body')
 
+    def test_a_connection_that_was_just_opened_stays_open(
+        self, harness: front_harness.FrontHarness
+    ) -> None:
+        """Guards against closing while the first request is on its way."""
+        harness.handler.is_stopping = True
+        harness.start()
+        harness.connection.close_if_idle()
+        harness.caller.sendall(POST)
+        assert harness.read_response() == (200, b'body')
+
+    def test_a_part_of_a_head_keeps_its_connection(
+        self,
+        harness: front_harness.FrontHarness,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Guards against closing between two parts of a head."""
+        monkeypatch.setattr(_connection_phase, 'MIN_IDLE_S', 0.0)
+        harness.start()
+        harness.caller.sendall(POST[:10])
+        time.sleep(0.1)
+        harness.connection.close_if_idle()
+        harness.caller.sendall(POST[10:])
+        assert harness.read_response() == (200, b'body')
+
+    def test_an_unread_pipelined_request_is_answered(
+        self, harness: front_harness.FrontHarness
+    ) -> None:
+        """Guards against dropping a request that has arrived unread."""
+        harness.handler.may_respond.clear()
+        harness.start()
+        harness.caller.sendall(POST)
+        assert harness.handler.has_started.wait(front_harness.TIMEOUT_S)
+        harness.caller.sendall(POST.replace(b'body', b'next'))
+        time.sleep(0.1)
+        harness.handler.is_stopping = True
+        harness.handler.may_respond.set()
+        assert harness.read_response() == (200, b'body')
+        assert harness.read_all().endswith(b'next')
+
+    def test_endless_pipelining_is_ended_in_order(
+        self,
+        harness: front_harness.FrontHarness,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Guards against a caller that holds up the stop until the kill."""
+        monkeypatch.setattr(_front_connection, 'MAX_PIPELINED_STOP_S', 0.2)
+        harness.handler.is_stopping = True
+        harness.start()
+        sending = threading.Thread(target=_pipeline, args=(harness.caller,))
+        sending.start()
+        received = harness.read_all()
+        sending.join(front_harness.TIMEOUT_S)
+        assert received.count(b'Connection: close') == 1
+        assert received.endswith(b'body')
+
     @pytest.mark.parametrize('ending', ['close_if_idle', 'evict'])
     def test_a_request_that_is_being_read_is_served(
         self,
@@ -491,9 +550,12 @@
         assert harness.read_response() == (200, b'body')
 
     def test_a_request_after_the_close_is_not_executed(
-        self, harness: front_harness.FrontHarness
+        self,
+        harness: front_harness.FrontHarness,
+        monkeypatch: pytest.MonkeyPatch,
     ) -> None:
         """Guards against executing a request without a way to respond."""
+        monkeypatch.setattr(_connection_phase, 'MIN_IDLE_S', 0.0)
         harness.handler.is_stopping = True
         harness.connection.close_if_idle()
         harness.caller.sendall(POST)
@@ -541,6 +603,14 @@
         harness.close()
 
 
+def _pipeline(caller: socket.socket) -> None:
+    """Send requests until the connection ends."""
+    end_s = time.monotonic() + front_harness.TIMEOUT_S
+    with contextlib.suppress(OSError):
+        while time.monotonic() < end_s:
+            caller.sendall(POST)
+
+
 class _StreamHandler(front_harness.RecordingHandler):
     def __init__(self, is_complete: bool) -> None:
         super().__init__()
