--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -176,12 +176,13 @@
 def _evict_longest_waiting(
     connections: tuple[_front_connection.FrontConnection, ...],
 ) -> None:
-    waiting: list[tuple[float, _front_connection.FrontConnection]] = []
+    """Evict one connection: of a refused caller, or the longest idle one."""
+    waiting: list[tuple[bool, float, _front_connection.FrontConnection]] = []
     for connection in connections:
         since_s = connection.waiting_since_s
         if since_s is not None:
-            waiting.append((since_s, connection))
-    waiting.sort(key=operator.itemgetter(0))
-    for _, connection in waiting:
+            waiting.append((not connection.is_lingering, since_s, connection))
+    waiting.sort(key=operator.itemgetter(0, 1))
+    for _, _, connection in waiting:
         if connection.evict():
             return
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
@@ -4,6 +4,7 @@
 from concurrent import futures
 import contextlib
 import socket
+import time
 
 import pytest
 
@@ -103,6 +104,26 @@
             for slow_caller in slow_callers:
                 slow_caller.close()
 
+    def test_evicts_a_refused_caller_before_an_idle_one(self) -> None:
+        """Guards against kept connections that yield to refused callers."""
+        handler = front_harness.RecordingHandler()
+        handler.front_limits = data.FrontLimits(max_body_bytes=3)
+        head = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n'
+        with _listening(handler) as endpoint:
+            idle = [_connect(endpoint, GET) for _ in range(MAX_OPEN_COUNT - 1)]
+            for caller in idle:
+                assert _has_answer(caller)
+            refused = _connect(endpoint, head)
+            assert refused.recv(65536).startswith(b'HTTP/1.1 431')
+            time.sleep(0.1)
+            late = _connect(endpoint, GET)
+            assert _has_answer(late)
+            for caller in idle:
+                caller.sendall(GET)
+                assert _has_answer(caller)
+            for caller in (*idle, refused, late):
+                caller.close()
+
     def test_a_connection_with_a_request_stays(self) -> None:
         """Guards against a request that is cut for a new connection."""
         handler = front_harness.RecordingHandler()
