Look for the rest of a request before refusing it as too slow

The timeout was decided by the clock alone; it now looks at the socket once more, and only once, since a caller that sends slowly is always readable.

Evidence: test_a_request_that_arrived_during_a_suspension_is_served failed before. test_an_incomplete_head_is_refused still holds.

--- a/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
@@ -43,6 +43,9 @@
 
     has_body: bool = False
 
+    #: Whether a part was still received after its timeout had passed.
+    is_overdue: bool = False
+
     #: Grows in place; a list of parts would be held twice when joined.
     body: bytearray = dataclasses.field(default_factory=bytearray)
 
@@ -286,10 +289,17 @@
             partial.part_began_at_s + timeout_ms / 1000 - now_s,
             began_at_s + MAX_REQUEST_READ_S - now_s,
         )
-        # A caller that sends a byte now and then is always readable.
-        return wait_s > 0 and bool(
-            _sockets.wait_for(self._connection, select.POLLIN, wait_s)
-        )
+        if wait_s > 0:
+            return bool(
+                _sockets.wait_for(self._connection, select.POLLIN, wait_s)
+            )
+        # The process may have been suspended while the rest arrived. A caller
+        # that sends a byte now and then is always readable, so this is
+        # allowed once.
+        if partial.is_overdue:
+            return False
+        partial.is_overdue = True
+        return bool(_sockets.wait_for(self._connection, select.POLLIN, 0.0))
 
     def _limits(self, began_at_s: float | None) -> data.FrontLimits:
         if began_at_s is None:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
@@ -172,6 +172,29 @@
         assert harness.read_response() == (400, b'read_timeout')
         harness.close()
 
+    def test_a_request_that_arrived_during_a_suspension_is_served(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a refusal of a request that is complete."""
+        handler = front_harness.RecordingHandler()
+        handler.front_limits = data.FrontLimits(header_timeout_ms=50)
+        harness = front_harness.FrontHarness(handler)
+        harness.caller.sendall(POST[:10])
+        next_event = h11.Connection.next_event
+
+        def _suspend(parser: h11.Connection) -> object:
+            event = next_event(parser)
+            if parser.our_role is h11.SERVER and parser.trailing_data[0]:
+                monkeypatch.undo()
+                harness.caller.sendall(POST[10:])
+                time.sleep(0.1)
+            return event
+
+        monkeypatch.setattr(h11.Connection, 'next_event', _suspend)
+        harness.start()
+        assert harness.read_response() == (200, b'body')
+        harness.close()
+
     def test_an_idle_connection_is_closed_without_a_response(self) -> None:
         """Guards against a response to no request."""
         handler = front_harness.RecordingHandler()
