--- a/packages/coordination/src/skylarktack/coordination/forwarding/_front_limits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_front_limits.py
@@ -38,8 +38,8 @@
     def __init__(self, clock: Clock, lag_s: float) -> None:
         """Create a history that begins with the default limits.
 
-        :param lag_s: maximum time until a configuration is in force on all
-            instances.
+        :param lag_s: maximum time for which this instance may not know a
+            configuration that is in force elsewhere.
         """
         self._clock = clock
         self._lag_s = lag_s
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -24,8 +24,8 @@
     ) -> None:
         """Create a holder without a configuration.
 
-        :param lag_s: maximum time until a configuration is in force on all
-            instances.
+        :param lag_s: maximum time for which this instance may not know a
+            configuration that is in force elsewhere.
         """
         self.limits = _front_limits.FrontLimitHistory(clock, lag_s)
         self._clock = clock
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -77,7 +77,9 @@
         self._errors = errors
         self._supervisor = forwarding.Supervisor(clock, errors)
         self._configuration = forwarding.ConfigurationHolder(
-            clock, log, settings.configuration_lag_ms / 1000
+            clock,
+            log,
+            max(settings.configuration_lag_ms / 1000, CONFIRMATION_VALIDITY_S),
         )
         self._link: transport.DatagramLink | None = None
         if settings.peer is not None:
