Reserve the ports of the instances of a test deployment

The soak ended with queue.Empty once: an instance that had been killed could not start again, "Address already in use".

Cause: the deployment started instances again on their former ports. While an instance is down, the kernel may assign its port to any other socket, as the local port of a connection too.

Fix: each port is bound by the harness with SO_REUSEADDR for as long as the deployment exists, and never listened on. The kernel assigns a bound port to no other socket, and an instance, which sets the same option, can still listen.

--- a/packages/emulator/src/skylarktack/emulator/platform/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/__init__.py
@@ -16,6 +16,7 @@
 from skylarktack.emulator.platform._manifest import manifest
 from skylarktack.emulator.platform._proxy import FaultProxy
 from skylarktack.emulator.platform._proxy import ProxyMode
+from skylarktack.emulator.platform._reserved_ports import ReservedPort
 from skylarktack.emulator.platform._store import PlatformStore
 from skylarktack.emulator.platform._store import StoreMode
 from skylarktack.emulator.platform._target import PlatformTarget
@@ -38,6 +39,7 @@
     'PlatformStore',
     'PlatformTarget',
     'ProxyMode',
+    'ReservedPort',
     'Run',
     'StoreMode',
     'TargetBehaviour',
--- a/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_deployment.py
@@ -16,6 +16,7 @@
 from skylarktack import state
 from skylarktack.emulator.platform import _manifest
 from skylarktack.emulator.platform import _proxy
+from skylarktack.emulator.platform import _reserved_ports
 from skylarktack.emulator.platform import _store
 from skylarktack.emulator.platform import _target
 from skylarktack.platform import PATH_VARIABLE
@@ -63,7 +64,10 @@
         self._domain = domain
         self._path = folder / f'{name}.conf'
         self._store = store
-        self._ports = {'front': 0, 'ready': 0, 'peer': 0}
+        self._ports = {
+            listener: _reserved_ports.ReservedPort()
+            for listener in ('front', 'ready', 'peer')
+        }
         self.lines: list[dict[str, Any]] = []
         self._started: queue.Queue[dict[str, Any]] = queue.Queue()
         self.process: subprocess.Popen[bytes] | None = None
@@ -71,12 +75,12 @@
     @property
     def address(self) -> state.Address:
         """Return where callers connect."""
-        return state.Address('127.0.0.1', self._ports['front'])
+        return state.Address('127.0.0.1', self._ports['front'].number)
 
     @property
     def ready_address(self) -> state.Address:
         """Return where the balancer asks."""
-        return state.Address('127.0.0.1', self._ports['ready'])
+        return state.Address('127.0.0.1', self._ports['ready'].number)
 
     @property
     def settings_path(self) -> str:
@@ -108,9 +112,7 @@
         threading.Thread(
             target=self._read_log, args=(self.process,), daemon=True
         ).start()
-        started = self._started.get(timeout=PATIENCE_S)
-        for name in self._ports:
-            self._ports[name] = _port_of(started, name)
+        self._started.get(timeout=PATIENCE_S)
 
     def _command(self) -> list[str]:
         if self._tree is None:
@@ -134,6 +136,12 @@
         self.signal(signal.SIGKILL)
         self.wait_ended()
 
+    def close(self) -> None:
+        """End the process and let others have its ports."""
+        self.kill()
+        for port in self._ports.values():
+            port.release()
+
     def wait_ended(self) -> None:
         """Wait for the end of the process."""
         if self.process is not None:
@@ -166,14 +174,15 @@
                 self._started.put(line)
 
     def _settings(self) -> str:
+        ports = {name: port.number for name, port in self._ports.items()}
         return '\n'.join(
             (
                 f'node_name={self.name}',
                 'ip_address=127.0.0.1',
                 f'availability_zone={self._domain}',
-                f'listen_addresses.frontend=127.0.0.1:{self._ports["front"]}',
-                f'listen_addresses.ready=127.0.0.1:{self._ports["ready"]}',
-                f'internal_port_range={self._ports["peer"]},0',
+                f'listen_addresses.frontend=127.0.0.1:{ports["front"]}',
+                f'listen_addresses.ready=127.0.0.1:{ports["ready"]}',
+                f'internal_port_range={ports["peer"]},0',
                 'limits.file_descriptors=4100',
                 'limits.memory_limit_mb=300',
                 'bounds.grace_period_s=8',
@@ -270,7 +279,7 @@
     def close(self) -> None:
         """End all processes and stand-ins."""
         for instance in self.instances:
-            instance.kill()
+            instance.close()
         for target in self.engines + self.services:
             target.crash()
         for proxy in (*self.proxies.values(), *self.store_proxies):
