Soak: keep connections across changes of the configuration

Two checkers: a whole request is answered or refused, and a connection at rest stays open as long as its caller counts on it.

--- a/packages/emulator/src/skylarktack/emulator/platform/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/__init__.py
@@ -1,7 +1,5 @@
 """Stand-ins of the users' platform: store, targets, instances, callers."""
 
-from skylarktack.emulator.platform._caller import Answer
-from skylarktack.emulator.platform._caller import Attempt
 from skylarktack.emulator.platform._caller import CallerConnection
 from skylarktack.emulator.platform._caller import call
 from skylarktack.emulator.platform._caller import new_attempt_id
@@ -11,6 +9,10 @@
 from skylarktack.emulator.platform._deployment import PlatformDeployment
 from skylarktack.emulator.platform._deployment import PlatformInstance
 from skylarktack.emulator.platform._deployment import address_in_line
+from skylarktack.emulator.platform._exchange import Answer
+from skylarktack.emulator.platform._exchange import Attempt
+from skylarktack.emulator.platform._exchange import Exchange
+from skylarktack.emulator.platform._kept_connection import KeptConnection
 from skylarktack.emulator.platform._manifest import HOST
 from skylarktack.emulator.platform._manifest import KEY
 from skylarktack.emulator.platform._manifest import manifest
@@ -33,7 +35,9 @@
     'Answer',
     'Attempt',
     'CallerConnection',
+    'Exchange',
     'FaultProxy',
+    'KeptConnection',
     'PlatformDeployment',
     'PlatformInstance',
     'PlatformStore',
--- a/packages/emulator/src/skylarktack/emulator/soak/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/__init__.py
@@ -4,6 +4,7 @@
 from skylarktack.emulator.soak._regressions import Regression
 from skylarktack.emulator.soak._run import SoakResult
 from skylarktack.emulator.soak._run import run_seed
+from skylarktack.emulator.soak._schedule import CHANGE_KINDS
 from skylarktack.emulator.soak._schedule import LOAD_KINDS
 from skylarktack.emulator.soak._schedule import SIGNAL_KINDS
 from skylarktack.emulator.soak._schedule import Injection
@@ -12,6 +13,7 @@
 from skylarktack.emulator.soak._schedule import draw_schedule
 
 __all__ = [
+    'CHANGE_KINDS',
     'LOAD_KINDS',
     'SIGNAL_KINDS',
     'REGRESSIONS',
--- a/packages/emulator/src/skylarktack/emulator/soak/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/__main__.py
@@ -9,9 +9,12 @@
 
 from skylarktack.emulator import soak
 
-#: Mean times between two loads, and between two injections of signals.
+#: Mean times between two faults, loads, injections of signals and changes of
+#: the configuration.
+FAULT_GAP_S = 0.8
 LOAD_GAP_S = 3.0
 SIGNAL_GAP_S = 2.0
+CHANGE_GAP_S = 1.0
 
 
 def run(
@@ -20,8 +23,10 @@
     minutes: float = 0.0,
     length_s: float = 15.0,
     instances: int = 3,
+    faults: bool = True,
     loads: bool = True,
     signals: bool = True,
+    changes: bool = False,
     logs: str = 'build/soak',
 ) -> None:
     """Run seeds and print each promise with the checks made.
@@ -31,16 +36,21 @@
     :param minutes: go on with fresh seeds for this time.
     :param length_s: time in which faults are injected, for each seed.
     :param instances: processes of the system.
+    :param faults: whether faults are injected.
     :param loads: whether the bounds of instances are reached as well.
     :param signals: whether instances get signals in quick succession, beside
         short silences of engines.
+    :param changes: whether the configuration changes while callers keep
+        their connections.
     :param logs: folder for the logs of seeds that broke a promise.
     """
     shape = soak.SoakShape(
         instance_count=instances,
         length_s=length_s,
+        gap_s=FAULT_GAP_S if faults else None,
         load_gap_s=LOAD_GAP_S if loads else None,
         signal_gap_s=SIGNAL_GAP_S if signals else None,
+        change_gap_s=CHANGE_GAP_S if changes else None,
     )
     end_s = time.monotonic() + 60 * minutes
     first = random.randrange(1_000_000) if seed is None else seed
@@ -67,12 +77,16 @@
         print(f'  {state}: {promise.name} ({promise.check_count} checks)')
         for what in promise.broken[:5]:
             print(f'    {what}')
+    for note in result.notes:
+        print(f'  {note}')
     print(f'  served {result.served_count} of {result.request_count}')
     print(
         f'  again: python -m skylarktack.emulator.soak --seed={result.seed} '
         f'--length_s={shape.length_s} --instances={shape.instance_count} '
+        f'--faults={shape.gap_s is not None} '
         f'--loads={shape.load_gap_s is not None} '
-        f'--signals={shape.signal_gap_s is not None}',
+        f'--signals={shape.signal_gap_s is not None} '
+        f'--changes={shape.change_gap_s is not None}',
         flush=True,
     )
 
--- a/packages/emulator/src/skylarktack/emulator/soak/_callers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_callers.py
@@ -33,6 +33,9 @@
     #: The answer, or None if the connection broke.
     answer: platform.Answer | None
 
+    #: Whether the limits of some configuration forbid it.
+    may_be_denied: bool = False
+
 
 @dataclasses.dataclass(frozen=True)
 class StreamRecord:
@@ -80,6 +83,16 @@
         for thread in self._threads:
             thread.join()
 
+    def record_call(self, record: CallRecord) -> None:
+        """Add what the caller of one call saw."""
+        with self._lock:
+            self.calls.append(record)
+
+    def record_stream(self, record: StreamRecord) -> None:
+        """Add what the caller of one stream saw."""
+        with self._lock:
+            self.streams.append(record)
+
     def _call_on(self, draw: random.Random) -> None:
         while not self._stopped.is_set():
             version = self._deployment.version
@@ -114,8 +127,7 @@
             time.monotonic(),
             answer,
         )
-        with self._lock:
-            self.calls.append(record)
+        self.record_call(record)
 
     def _stream_on(self, draw: random.Random) -> None:
         while not self._stopped.is_set():
@@ -146,8 +158,7 @@
         record = StreamRecord(
             tuple(attempts), tuple(events), is_complete, tuple(refusals)
         )
-        with self._lock:
-            self.streams.append(record)
+        self.record_stream(record)
 
 
 def _read(
--- a/packages/emulator/src/skylarktack/emulator/soak/_checkers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_checkers.py
@@ -117,6 +117,8 @@
     for call in evidence.calls:
         if call.answer is None or call.attempt.route not in ('book', 'peek'):
             continue
+        if call.may_be_denied:
+            continue
         promise.check(
             call.answer.status not in DENIAL_STATUSES,
             f'{call.attempt.attempt_id} got {call.answer.status}',
--- a/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
@@ -6,6 +6,7 @@
 import time
 
 from skylarktack.emulator import platform
+from skylarktack.emulator.soak import _configuration
 from skylarktack.emulator.soak import _schedule
 from skylarktack.emulator.soak import _signals
 
@@ -38,8 +39,13 @@
 class Injector:
     """Injects faults and takes them back."""
 
-    def __init__(self, deployment: platform.PlatformDeployment) -> None:
+    def __init__(
+        self,
+        deployment: platform.PlatformDeployment,
+        editor: _configuration.ConfigurationEditor,
+    ) -> None:
         self._deployment = deployment
+        self._editor = editor
         self._lock = threading.Lock()
         self._timers: list[threading.Timer] = []
         self._restarting: set[str] = set()
@@ -63,7 +69,7 @@
         elif kind.value.startswith('instance') or kind is _Kind.ALL_KILL:
             self._harm_instance(injection)
         elif kind is _Kind.CONFIGURATION:
-            self._change_configuration()
+            self._editor.add_route()
         elif kind in (_Kind.MOVE_TO_GOOD, _Kind.MOVE_TO_BAD):
             self._order_move(is_bad=kind is _Kind.MOVE_TO_BAD)
         else:
@@ -222,11 +228,6 @@
 
         self._later(0.0, _end_and_start)
 
-    def _change_configuration(self) -> None:
-        version = self._deployment.version + 1
-        routes = _schedule.routes_of(version)
-        self._deployment.apply(platform.manifest(version, more_routes=routes))
-
     def _order_move(self, is_bad: bool) -> None:
         """Order a move of the plain services; it replaces an earlier one."""
         with self._lock:
--- a/packages/emulator/src/skylarktack/emulator/soak/_loads.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_loads.py
@@ -9,6 +9,7 @@
 
 from skylarktack.emulator import platform
 from skylarktack.emulator.soak import _callers
+from skylarktack.emulator.soak import _configuration
 from skylarktack.emulator.soak import _schedule
 
 _Kind = _schedule.InjectionKind
@@ -36,15 +37,17 @@
         self,
         deployment: platform.PlatformDeployment,
         callers: _callers.Callers,
+        editor: _configuration.ConfigurationEditor,
     ) -> None:
         self._deployment = deployment
+        self._editor = editor
         self._callers = callers
         self._tasks: list[threading.Thread] = []
 
     def start(self, injection: _schedule.Injection) -> None:
         """Start one load."""
         if injection.kind is _Kind.LONG_MANIFEST:
-            self._apply_long_manifest()
+            self._editor.add_route(MORE_ROUTES)
             return
         instances = self._deployment.instances
         instance = instances[injection.index % len(instances)]
@@ -74,13 +77,6 @@
                 )
                 tasks.submit(self._callers.call, instance, attempt)
 
-    def _apply_long_manifest(self) -> None:
-        version = self._deployment.version + 1
-        routes = _schedule.routes_of(version)
-        self._deployment.apply(
-            platform.manifest(version, more_routes=routes + MORE_ROUTES)
-        )
-
 
 def _keep_idle(instance: platform.PlatformInstance, for_s: float) -> None:
     address = instance.address
--- a/packages/emulator/src/skylarktack/emulator/soak/_run.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_run.py
@@ -6,8 +6,12 @@
 
 from skylarktack.emulator import platform
 from skylarktack.emulator.soak import _callers
+from skylarktack.emulator.soak import _changes
 from skylarktack.emulator.soak import _checkers
+from skylarktack.emulator.soak import _configuration
 from skylarktack.emulator.soak import _injectors
+from skylarktack.emulator.soak import _kept_callers
+from skylarktack.emulator.soak import _kept_checkers
 from skylarktack.emulator.soak import _loads
 from skylarktack.emulator.soak import _recovery
 from skylarktack.emulator.soak import _schedule
@@ -25,6 +29,9 @@
     served_count: int
     request_count: int
 
+    #: Lines on what was counted and is not judged.
+    notes: tuple[str, ...] = ()
+
     @property
     def is_kept(self) -> bool:
         """Return whether every promise was kept."""
@@ -48,52 +55,82 @@
         shape.service_count,
         has_proxies=True,
     ) as deployment:
-        injector = _injectors.Injector(deployment)
+        editor = _configuration.ConfigurationEditor(deployment)
+        injector = _injectors.Injector(deployment, editor)
+        changes = _changes.ChangeInjector(deployment, editor, injector)
         callers = _callers.Callers(deployment, seed)
-        loads = _loads.LoadGenerator(deployment, callers)
+        kept = _kept_callers.KeptCallers(deployment, editor, callers, seed)
+        loads = _loads.LoadGenerator(deployment, callers, editor)
         callers.start(shape.caller_count)
+        if shape.change_gap_s is not None:
+            kept.start(shape.kept_caller_count)
         started_s = time.monotonic()
         for injection in schedule:
             wait_s = started_s + injection.at_s - time.monotonic()
             time.sleep(max(0.0, wait_s))
             if injection.kind in _loads.KINDS:
                 loads.start(injection)
+            elif injection.kind in _schedule.CHANGE_KINDS:
+                changes.start(injection)
             else:
                 injector.inject(injection)
+        changes.wait_ended()
         injector.mend()
         loads.wait_ended()
+        kept.stop()
         callers.stop()
-        memory = _recovery.check_memory(deployment)
-        recovery = _recovery.check_recovery(deployment)
-        taken_back = _recovery.check_bad_versions(deployment)
-        evidence = _checkers.Evidence(
-            tuple(callers.calls),
-            tuple(callers.streams),
-            tuple(
-                run
-                for run in deployment.runs()
-                if run.attempt_id not in _probe_ids(deployment, callers)
-            ),
-        )
-        promises = (
-            *_checkers.check_all(evidence),
-            memory,
-            recovery,
-            taken_back,
-            injector.signals.check(),
+        after_faults = (
+            _recovery.check_memory(deployment),
+            _recovery.check_recovery(deployment),
+            _recovery.check_bad_versions(deployment),
         )
+        evidence = _evidence(deployment, callers)
         result = SoakResult(
             seed,
             schedule,
-            promises,
+            (
+                *_checkers.check_all(evidence),
+                *after_faults,
+                injector.signals.check(),
+                *_check_kept(kept, shape),
+            ),
             _served(evidence),
             len(evidence.calls) + len(evidence.streams),
+            _kept_checkers.summarise(
+                tuple(kept.records), tuple(kept.early_ends)
+            ),
         )
         if log_folder is not None and not result.is_kept:
             _keep_logs(deployment, log_folder / f'seed-{seed}')
     return result
 
 
+def _evidence(
+    deployment: platform.PlatformDeployment, callers: _callers.Callers
+) -> _checkers.Evidence:
+    probe_ids = _probe_ids(deployment, callers)
+    return _checkers.Evidence(
+        tuple(callers.calls),
+        tuple(callers.streams),
+        tuple(
+            run for run in deployment.runs() if run.attempt_id not in probe_ids
+        ),
+    )
+
+
+def _check_kept(
+    kept: _kept_callers.KeptCallers, shape: _schedule.SoakShape
+) -> tuple[_checkers.Promise, ...]:
+    return (
+        _kept_checkers.check_answers(
+            tuple(kept.records), has_faults=shape.gap_s is not None
+        ),
+        _kept_checkers.check_open(
+            tuple(kept.early_ends), has_loads=shape.load_gap_s is not None
+        ),
+    )
+
+
 def _probe_ids(
     deployment: platform.PlatformDeployment, callers: _callers.Callers
 ) -> frozenset[str]:
--- a/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
@@ -41,6 +41,11 @@
     STORE_RESTART = 'store_restart'
     INSTANCE_SIGNALS = 'instance_signals'
     ENGINE_SILENCES = 'engine_silences'
+    LIMITS_CHANGE = 'limits_change'
+    ROUTES_CHANGE = 'routes_change'
+    CHANGE_BESIDE_INSTANCE = 'change_beside_instance'
+    CHANGE_BESIDE_STORE = 'change_beside_store'
+    CHANGE_BESIDE_CUT = 'change_beside_cut'
 
 
 #: Loads that reach the bounds of an instance. They are drawn apart from the
@@ -59,8 +64,20 @@
     InjectionKind.ENGINE_SILENCES,
 )
 
+#: Changes of the configuration, alone or beside something else, while callers
+#: keep their connections. They are drawn apart from all others.
+CHANGE_KINDS = (
+    InjectionKind.LIMITS_CHANGE,
+    InjectionKind.ROUTES_CHANGE,
+    InjectionKind.CHANGE_BESIDE_INSTANCE,
+    InjectionKind.CHANGE_BESIDE_STORE,
+    InjectionKind.CHANGE_BESIDE_CUT,
+)
+
 FAULT_KINDS = tuple(
-    kind for kind in InjectionKind if kind not in LOAD_KINDS + SIGNAL_KINDS
+    kind
+    for kind in InjectionKind
+    if kind not in LOAD_KINDS + SIGNAL_KINDS + CHANGE_KINDS
 )
 
 
@@ -81,8 +98,8 @@
     #: Time in which faults are injected.
     length_s: float = 15.0
 
-    #: Mean time between two faults.
-    gap_s: float = 0.8
+    #: Mean time between two faults, or None for none.
+    gap_s: float | None = 0.8
 
     #: Mean time between two loads, or None for none.
     load_gap_s: float | None = None
@@ -90,6 +107,13 @@
     #: Mean time between two injections of signals, or None for none.
     signal_gap_s: float | None = None
 
+    #: Mean time between two changes of the configuration while callers keep
+    #: their connections, or None for neither.
+    change_gap_s: float | None = None
+
+    #: Callers that keep their connections; without changes there are none.
+    kept_caller_count: int = 40
+
 
 @dataclasses.dataclass(frozen=True)
 class Injection:
@@ -115,24 +139,17 @@
 
 
 def draw_schedule(seed: int, shape: SoakShape) -> tuple[Injection, ...]:
-    """Return the faults and loads of a seed in the order of their times."""
-    injections = _draw(
-        random.Random(seed), FAULT_KINDS, shape.gap_s, shape.length_s
+    """Return all injections of a seed in the order of their times."""
+    series = (
+        (random.Random(seed), FAULT_KINDS, shape.gap_s),
+        (random.Random(f'{seed}/loads'), LOAD_KINDS, shape.load_gap_s),
+        (random.Random(f'{seed}/signals'), SIGNAL_KINDS, shape.signal_gap_s),
+        (random.Random(f'{seed}/changes'), CHANGE_KINDS, shape.change_gap_s),
     )
-    if shape.load_gap_s is not None:
-        injections += _draw(
-            random.Random(f'{seed}/loads'),
-            LOAD_KINDS,
-            shape.load_gap_s,
-            shape.length_s,
-        )
-    if shape.signal_gap_s is not None:
-        injections += _draw(
-            random.Random(f'{seed}/signals'),
-            SIGNAL_KINDS,
-            shape.signal_gap_s,
-            shape.length_s,
-        )
+    injections: list[Injection] = []
+    for draw, kinds, gap_s in series:
+        if gap_s is not None:
+            injections += _draw(draw, kinds, gap_s, shape.length_s)
     return tuple(sorted(injections, key=lambda injection: injection.at_s))
 
 
--- a/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
@@ -26,9 +26,17 @@
 SIGNAL_SEED = 3
 SIGNAL_SHAPE = dataclasses.replace(SHAPE, signal_gap_s=0.7)
 
+#: A seed with each kind of change, and nothing else, so that no stream may
+#: break off.
+CHANGE_SEED = 30
+CHANGE_SHAPE = dataclasses.replace(
+    SHAPE, instance_count=3, gap_s=None, length_s=8.0, change_gap_s=0.8
+)
 
 #: All that can be injected.
-FULL_SHAPE = dataclasses.replace(LOAD_SHAPE, signal_gap_s=0.7)
+FULL_SHAPE = dataclasses.replace(
+    LOAD_SHAPE, signal_gap_s=0.7, change_gap_s=0.7
+)
 
 
 def _assert_kept(result: soak.SoakResult) -> None:
@@ -76,6 +84,13 @@
         assert kinds >= set(soak.SIGNAL_KINDS)
         _assert_kept(soak.run_seed(SIGNAL_SEED, SIGNAL_SHAPE))
 
+    def test_answers_kept_connections_beside_changes(self) -> None:
+        """Guards against a request that is dropped beside a change."""
+        drawn = soak.draw_schedule(CHANGE_SEED, CHANGE_SHAPE)
+        kinds = {injection.kind for injection in drawn}
+        assert kinds >= set(soak.CHANGE_KINDS)
+        _assert_kept(soak.run_seed(CHANGE_SEED, CHANGE_SHAPE))
+
 
 class TestCheckers:
     """The checkers look at the right moment."""
@@ -113,12 +128,29 @@
                 kinds.add(injection.kind)
         assert kinds == set(soak.InjectionKind)
 
-    def test_loads_and_signals_do_not_change_the_faults(self) -> None:
+    @pytest.mark.parametrize(
+        'added, shape',
+        [
+            (
+                soak.LOAD_KINDS + soak.SIGNAL_KINDS + soak.CHANGE_KINDS,
+                SHAPE,
+            ),
+            (
+                soak.CHANGE_KINDS,
+                dataclasses.replace(FULL_SHAPE, change_gap_s=None),
+            ),
+        ],
+        ids=['faults', 'faults, loads and signals'],
+    )
+    def test_other_kinds_do_not_change_the_schedule(
+        self,
+        added: tuple[soak.InjectionKind, ...],
+        shape: soak.SoakShape,
+    ) -> None:
         """Guards against kept seeds that no longer show what they showed."""
-        added = soak.LOAD_KINDS + soak.SIGNAL_KINDS
-        faults = tuple(
+        kept = tuple(
             injection
             for injection in soak.draw_schedule(SEED, FULL_SHAPE)
             if injection.kind not in added
         )
-        assert faults == soak.draw_schedule(SEED, SHAPE)
+        assert kept == soak.draw_schedule(SEED, shape)
