--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
@@ -113,14 +113,17 @@
         handler = front_harness.RecordingHandler()
         handler.front_limits = data.FrontLimits(max_body_bytes=3)
         head = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n'
-        with _listening(handler) as endpoint:
-            idle = [_connect(endpoint, GET) for _ in range(MAX_OPEN_COUNT - 1)]
+        with _listening(handler) as listener:
+            idle = [
+                _connect(listener.endpoint, GET)
+                for _ in range(MAX_OPEN_COUNT - 1)
+            ]
             for caller in idle:
                 assert _has_answer(caller)
-            refused = _connect(endpoint, head)
+            refused = _connect(listener.endpoint, head)
             assert refused.recv(65536).startswith(b'HTTP/1.1 431')
             time.sleep(0.1)
-            late = _connect(endpoint, GET)
+            late = _connect(listener.endpoint, GET)
             assert _has_answer(late)
             for caller in idle:
                 caller.sendall(GET)
