Answer received requests before the HTTP server of skylarktackd ends

In a planned stop of skylarktackd, callers whose requests had been received got no answer: connections were closed or reset.

Cause: WsgiServer.stop closed the listener and the trigger of waitress first. Connections in the backlog were reset, the dispatcher cancelled queued requests, and a thread that answered later failed with EBADF when it woke the server's thread.

The server now accepts what waits, closes its listener but not the trigger, closes connections that are quiet, and ends when no connection is left or the time passed in is over; then it cuts the rest and logs their number. Answers while it stops carry `Connection: close`, but for those with another request behind them on the connection. Instance.stop passes the rest of the drain time, at least 5 s, and stops the servers before the tasks that requests in progress need (membership, claims, routing).

--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -30,6 +30,10 @@
 #: Threads that serve operator connections.
 OPERATOR_THREAD_COUNT = 8
 
+#: Minimum time for the answers to requests in progress once the generations
+#: are drained, even if that took the whole drain time.
+MIN_ANSWER_S = 5.0
+
 _LOG = structlog.get_logger(part='instance')
 
 
@@ -166,20 +170,24 @@
         )
 
     def stop(self) -> None:
-        """Drain the generations, then stop all tasks.
+        """Drain the generations, answer other requests, stop all tasks.
 
         Running generations finish within the drain time or are handed over.
         """
+        began_at_s = self._clock.monotonic_s()
+        drain_s = self._settings.generation.drain_ms / 1000
         self.stop_ordered.set()
         self._generations.drain()
+        # Requests in progress need the tasks that are stopped below.
+        remaining_s = began_at_s + drain_s - self._clock.monotonic_s()
+        self._caller_server.stop(max(MIN_ANSWER_S, remaining_s))
+        self._operator_server.stop(MIN_ANSWER_S)
         self._stopping.set()
         self._moves.stop()
         self._routing.watcher.stop()
         self._calls.stop()
         self._configuration.follower.stop()
         self._peers.leave()
-        self._caller_server.stop()
-        self._operator_server.stop()
         self._store.close()
         self._peers.stop()
         self._tasks.shutdown(wait=False, cancel_futures=True)
--- a/packages/transport/src/skylarktack/transport/_wsgi_server.py
+++ b/packages/transport/src/skylarktack/transport/_wsgi_server.py
@@ -3,15 +3,25 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import threading
+import time
 from typing import Any
 
-import waitress.server
+import structlog
 
 from skylarktack import state
-from skylarktack.transport import _error_channel
+from skylarktack.transport import _stoppable_server
 
 Application = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
+#: Interval at which a stop checks for open connections.
+STOP_CHECK_S = 0.05
+
+#: Maximum wait for the end of the workers, and of the server's own thread,
+#: once all connections are closed.
+END_S = 1
+
+_LOG = structlog.get_logger(part='http server')
+
 
 class WsgiServer:
     """A waitress server that runs in a thread of its own."""
@@ -22,7 +32,7 @@
         listen: state.Address,
         settings: state.CallerSettings,
     ) -> None:
-        self._server = waitress.server.create_server(
+        self._server = _stoppable_server.StoppableServer(
             application,
             host=listen.host,
             port=listen.port,
@@ -38,8 +48,6 @@
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=True,
         )
-        assert isinstance(self._server, waitress.server.BaseWSGIServer)
-        self._server.channel_class = _error_channel.TypedErrorChannel
         self._thread = threading.Thread(
             target=self._server.run, name='wsgi-server', daemon=True
         )
@@ -47,7 +55,6 @@
     @property
     def address(self) -> state.Address:
         """Where the server listens, with the port that it was given."""
-        assert isinstance(self._server, waitress.server.BaseWSGIServer)
         assert self._server.socket is not None
         host, port = self._server.socket.getsockname()[:2]
         return state.Address(str(host), int(port))
@@ -56,8 +63,32 @@
         """Start to accept connections."""
         self._thread.start()
 
-    def stop(self) -> None:
-        """Stop to accept connections and end the server's threads."""
-        self._server.close()
-        self._server.task_dispatcher.shutdown()
-        self._thread.join(timeout=5)
+    def stop(self, timeout_s: float) -> None:
+        """Stop to accept connections, answer what was received, then end.
+
+        :param timeout_s: maximum wait for the answers; connections that are
+            open after it are cut.
+        """
+        if not self._thread.is_alive():
+            # Not started, or stopped before.
+            self._server.close()
+            self._server.task_dispatcher.shutdown(timeout=END_S)
+            return
+        end_s = time.monotonic() + timeout_s
+        self._server.call_in_thread(self._server.stop_accepting)
+        while self._has_connections() and time.monotonic() < end_s:
+            self._server.call_in_thread(self._server.close_idle)
+            time.sleep(STOP_CHECK_S)
+        cut_count = len(self._server.active_channels)
+        if cut_count:
+            _LOG.warning('connections cut by the stop', count=cut_count)
+            self._server.call_in_thread(self._server.close_all)
+        self._server.task_dispatcher.shutdown(timeout=END_S)
+        if not self._server.task_dispatcher.threads:
+            self._server.call_in_thread(self._server.end)
+            self._thread.join(timeout=END_S)
+
+    def _has_connections(self) -> bool:
+        if not self._thread.is_alive():
+            return False
+        return self._server.accepting or bool(self._server.active_channels)
--- a/packages/transport/src/skylarktack/transport/tests/test_wsgi_server.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_wsgi_server.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import os
 import socket
+import threading
 import time
 from typing import Any
 
@@ -22,6 +24,8 @@
 
 TIMEOUT_S = 20.0
 
+STOP_S = 10.0
+
 
 def _echo_length(
     environ: dict[str, Any], start_response: Callable[..., Any]
@@ -42,7 +46,7 @@
     address = (server.address.host, server.address.port)
     with socket.create_connection(address, TIMEOUT_S) as caller:
         yield caller
-    server.stop()
+    server.stop(STOP_S)
 
 
 class TestRefusedBodies:
@@ -81,3 +85,105 @@
             while not received.endswith(b'\r\n\r\n4'):
                 received += caller.recv(65536)
             assert received.startswith(b'HTTP/1.1 200 ')
+
+
+WORK_S = 0.3
+
+REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+def _slow(
+    environ: dict[str, Any], start_response: Callable[..., Any]
+) -> Iterable[bytes]:
+    time.sleep(WORK_S)
+    return _echo_length(environ, start_response)
+
+
+def _read_to_end(caller: socket.socket) -> bytes:
+    """Return all that is received until the server closes."""
+    received = b''
+    while True:
+        try:
+            part = caller.recv(65536)
+        except ConnectionError:
+            part = b''
+        if not part:
+            return received
+        received += part
+
+
+class _StopBed:
+    """A server with one thread and a slow application."""
+
+    def __init__(self) -> None:
+        self.server = transport.WsgiServer(
+            _slow,
+            state.Address('127.0.0.1', 0),
+            state.CallerSettings(thread_count=1),
+        )
+        self._address = (self.server.address.host, self.server.address.port)
+        self.server.start()
+
+    def connect(self, sent: bytes) -> socket.socket:
+        """Return a new connection on which bytes were sent."""
+        caller = socket.create_connection(self._address, TIMEOUT_S)
+        caller.sendall(sent)
+        return caller
+
+
+class TestStop:
+    """Connections that are open when the server stops."""
+
+    def test_received_requests_are_answered(self) -> None:
+        """Guards against requests without an answer in a planned stop."""
+        bed = _StopBed()
+        # The server accepts two of them; the others wait in the backlog.
+        callers = [bed.connect(REQUEST) for _ in range(4)]
+        time.sleep(WORK_S / 2)
+        stopping = threading.Thread(target=bed.server.stop, args=(STOP_S,))
+        stopping.start()
+        answers = [_read_to_end(caller) for caller in callers]
+        stopping.join(STOP_S)
+        for answer in answers:
+            assert answer.startswith(b'HTTP/1.1 200 ')
+            assert b'\r\nConnection: close\r\n' in answer
+
+    def test_pipelined_request_is_answered(self) -> None:
+        """Guards against a request that is dropped behind another one."""
+        bed = _StopBed()
+        caller = bed.connect(REQUEST + REQUEST)
+        time.sleep(WORK_S / 2)
+        stopping = threading.Thread(target=bed.server.stop, args=(STOP_S,))
+        stopping.start()
+        assert _read_to_end(caller).count(b'HTTP/1.1 200 ') == 2
+        stopping.join(STOP_S)
+
+    def test_idle_connections_do_not_delay_the_stop(self) -> None:
+        """Guards against callers that keep a stopping server alive."""
+        bed = _StopBed()
+        with bed.connect(b''), bed.connect(b'GET /a HT'):
+            began_s = time.monotonic()
+            bed.server.stop(STOP_S)
+        assert time.monotonic() - began_s < STOP_S / 2
+
+    def test_stop_ends_in_time(self) -> None:
+        """Guards against a stop that outlasts the grace period."""
+        bed = _StopBed()
+        callers = [bed.connect(REQUEST) for _ in range(20)]
+        time.sleep(WORK_S / 2)
+        began_s = time.monotonic()
+        bed.server.stop(WORK_S / 2)
+        assert time.monotonic() - began_s < STOP_S / 2
+        for caller in callers:
+            caller.close()
+
+    def test_stop_may_be_repeated(self) -> None:
+        """Guards against bytes written to a descriptor that is in new use."""
+        bed = _StopBed()
+        bed.server.stop(STOP_S)
+        pipe = [os.pipe() for _ in range(4)]
+        bed.server.stop(STOP_S)
+        for reading, writing in pipe:
+            os.close(writing)
+            assert os.read(reading, 1) == b''
+            os.close(reading)
