Do all steps of a stop of skylarktackd when one of them fails

An error in one step of Instance.stop ended the main thread: later steps were not done (answers to callers, outcomes of calls, the announcement to peers), and threads of the other parts kept the process alive until it was killed.

Each step is now contained by the recorder of errors that forwarding instances use, which writes `unexpected error` with the step. The process exits in any case when stop() ends: a step that failed may have left threads behind.

--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -1,5 +1,6 @@
 """Composition of one entry instance."""
 
+from collections.abc import Callable
 import concurrent.futures
 import random
 import threading
@@ -15,6 +16,7 @@
 from skylarktack.coordination import routing
 from skylarktack.daemon import _calls
 from skylarktack.daemon import _configuration
+from skylarktack.daemon import _errors
 from skylarktack.daemon import _limits
 from skylarktack.daemon import _moves
 from skylarktack.daemon import _operators
@@ -50,6 +52,9 @@
         self._clock = ports.SystemClock()
         self._store = transport.HttpObjectStore(settings.store)
         self._metrics = transport.StatsdMetrics(settings.statsd)
+        self._errors = _errors.CountingErrorRecorder(
+            self._clock, self._metrics
+        )
         self._peers = _peers.Peers(settings, self._clock, self._metrics)
         network = self._peers.network
         self._configuration = _configuration.ConfigurationComponents(
@@ -173,26 +178,39 @@
         """Drain the generations, answer other requests, stop all tasks.
 
         Running generations finish within the drain time or are handed over.
+        A step that fails is recorded; the others are done all the same.
         """
-        began_at_s = self._clock.monotonic_s()
-        drain_s = self._settings.generation.drain_ms / 1000
+        stop_began_at_s = self._clock.monotonic_s()
         self.stop_ordered.set()
-        self._generations.drain()
+        with self._errors.contain('drain of generations'):
+            self._generations.drain()
         # Requests in progress need the tasks that are stopped below.
-        remaining_s = began_at_s + drain_s - self._clock.monotonic_s()
-        self._caller_server.stop(max(MIN_ANSWER_S, remaining_s))
-        self._operator_server.stop(MIN_ANSWER_S)
+        with self._errors.contain('stop of the caller server'):
+            self._caller_server.stop(self._answer_time_s(stop_began_at_s))
+        with self._errors.contain('stop of the operator server'):
+            self._operator_server.stop(MIN_ANSWER_S)
         self._stopping.set()
-        self._moves.stop()
-        self._routing.watcher.stop()
-        self._calls.stop()
-        self._configuration.follower.stop()
-        self._peers.leave()
-        self._store.close()
-        self._peers.stop()
+        steps: tuple[tuple[str, Callable[[], None]], ...] = (
+            ('stop of moves', self._moves.stop),
+            ('stop of the target watcher', self._routing.watcher.stop),
+            ('stop of calls', self._calls.stop),
+            ('stop of the follower', self._configuration.follower.stop),
+            ('announcement to peers', self._peers.leave),
+            ('close of the store', self._store.close),
+            ('stop of peers', self._peers.stop),
+        )
+        for place, step in steps:
+            with self._errors.contain(place):
+                step()
         self._tasks.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped')
 
+    def _answer_time_s(self, stop_began_at_s: float) -> float:
+        """Return how long the answers to requests in progress may take."""
+        drain_s = self._settings.generation.drain_ms / 1000
+        elapsed_s = self._clock.monotonic_s() - stop_began_at_s
+        return max(MIN_ANSWER_S, drain_s - elapsed_s)
+
     def _build_caller_server(self) -> transport.WsgiServer:
         settings = self._settings
         application = transport.CallerApplication(
--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -1,6 +1,7 @@
 """Entry point of ``skylarktackd``."""
 
 import json
+import os
 import sys
 
 import fire
@@ -65,7 +66,11 @@
     while not instance.stop_ordered.is_set():
         if signals.wait(STOP_CHECK_S):
             instance.order_stop()
-    instance.stop()
+    try:
+        instance.stop()
+    finally:
+        # Threads of a step that failed would keep the process alive.
+        os._exit(0)
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_main.py
@@ -0,0 +1,54 @@
+"""The process of ``skylarktackd`` when one of its steps fails."""
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+SCRIPT = pathlib.Path(__file__).with_name('failing_main.py')
+
+PATIENCE_S = 30.0
+
+_ANY_PORT = {'host': '127.0.0.1', 'port': 0}
+
+
+@pytest.fixture(name='settings')
+def _settings(tmp_path: pathlib.Path) -> pathlib.Path:
+    path = tmp_path / 'settings.json'
+    document = {
+        'name': 'entry-1',
+        'failure_domain': 'domain-0',
+        'region': 'region-1',
+        'listen': _ANY_PORT,
+        'operator_listen': _ANY_PORT,
+        'secret': 'secret of the test',
+        'operator_token_sha256': '0' * 64,
+        'store': {'address': {'host': '127.0.0.1', 'port': 9}},
+        'peer': {'listen': _ANY_PORT},
+        'generation': {'drain_ms': 100},
+    }
+    path.write_text(json.dumps(document))
+    return path
+
+
+def _run(
+    settings: pathlib.Path, step: str
+) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, str(SCRIPT), str(settings), step],
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE_S,
+    )
+
+
+class TestStop:
+    """A planned stop, one step of which fails."""
+
+    def test_process_ends(self, settings: pathlib.Path) -> None:
+        """Guards against a process that stays until it is killed."""
+        completed = _run(settings, 'stop of moves')
+        assert completed.returncode == 0
+        assert 'unexpected error' in completed.stderr
