Restart the background tasks of skylarktackd when they fail

An unexpected error in the poll of the platform's list or in the follower of the configuration ended that task without a line: nobody read its future. The instance stayed ready and served by an old list, or by an old configuration, until it was restarted.

Before: both cases of TestBackgroundTasks failed, the task had not run again within 20 s. After: they pass.

An instance whose lists keep failing stays ready by its last list, as during an outage of the store; the counter and the log tell of it.

--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -10,6 +10,7 @@
 from skylarktack import protocol
 from skylarktack import state
 from skylarktack import transport
+from skylarktack.coordination import forwarding
 from skylarktack.coordination import generation
 from skylarktack.coordination import limits
 from skylarktack.coordination import ports
@@ -55,6 +56,7 @@
         self._errors = _errors.CountingErrorRecorder(
             self._clock, self._metrics
         )
+        self._supervisor = forwarding.Supervisor(self._clock, self._errors)
         self._peers = _peers.Peers(settings, self._clock, self._metrics)
         network = self._peers.network
         self._configuration = _configuration.ConfigurationComponents(
@@ -164,8 +166,11 @@
     def start(self) -> None:
         """Start all tasks and accept callers."""
         self._peers.start()
-        self._tasks.submit(self._configuration.follower.follow)
-        self._tasks.submit(self._poll_platform_list)
+        for name, task in (
+            ('configuration follower', self._configuration.follower.follow),
+            ('platform list', self._poll_platform_list),
+        ):
+            self._tasks.submit(self._supervisor.run, name, task)
         self._routing.watcher.start()
         self._moves.start()
         self._operator_server.start()
--- a/packages/daemon/src/skylarktack/daemon/tests/test_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_instance.py
@@ -1,19 +1,27 @@
 """A whole instance whose steps fail, without a platform."""
 
 from collections.abc import Iterator
+import threading
 
+from expression import Ok
 import pytest
 
 from skylarktack import daemon
 from skylarktack import state
 from skylarktack import transport
+from skylarktack.coordination import configuration
 from skylarktack.coordination import generation
 from skylarktack.coordination import moves
 from skylarktack.daemon import _calls
 from skylarktack.daemon import _errors
+from skylarktack.daemon import _limits
 
 _ANY_PORT = state.Address('127.0.0.1', 0)
 
+PATIENCE_S = 20.0
+
+EMPTY_LIST = state.PlatformList((), ())
+
 
 def _fail(*arguments: object) -> None:
     raise ValueError('odd step')
@@ -74,3 +82,48 @@
         assert len(stopped) == 1
         counts = instance.status().metrics
         assert counts[_errors.UNEXPECTED_ERROR] >= 1
+
+
+class _FailsOnce:
+    """A step that fails at its first run and reports the second one."""
+
+    def __init__(self) -> None:
+        self.has_run_again = threading.Event()
+        self._has_failed = False
+
+    def __call__(self, *arguments: object) -> None:
+        """Run the step."""
+        if not self._has_failed:
+            self._has_failed = True
+            _fail()
+        self.has_run_again.set()
+
+
+class TestBackgroundTasks:
+    """Tasks of the instance that fail once."""
+
+    @pytest.mark.parametrize(
+        ('owner', 'step'),
+        [
+            (_limits.LimitsComponents, 'update'),
+            (configuration.ConfigurationFollower, 'follow'),
+        ],
+    )
+    def test_task_is_started_again(
+        self,
+        owner: type,
+        step: str,
+        instance: daemon.Instance,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Guards against an instance that serves by a stale list."""
+        fails_once = _FailsOnce()
+        monkeypatch.setattr(
+            transport.HttpObjectStore,
+            'platform_list',
+            lambda store: Ok(EMPTY_LIST),
+        )
+        monkeypatch.setattr(owner, step, fails_once)
+        instance.start()
+        assert fails_once.has_run_again.wait(PATIENCE_S)
+        assert instance.status().metrics[_errors.UNEXPECTED_ERROR] == 1
