End a process that cannot start

When the start of an instance raised, for example because the system had no more threads, the main thread ended while tasks that had begun kept the process alive: callers were connected by the listener's backlog and got no answer. Both daemons had this.

Construction and start of both instances now print the error and end the process with code 1. Other ways out were not changed: invalid settings still exit with code 2.

--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -11,6 +11,7 @@
 from skylarktack.daemon import _instance
 from skylarktack.daemon import _settings_file
 from skylarktack.daemon import _signals
+from skylarktack.daemon import _start
 
 #: Exit code for invalid settings.
 EXIT_INVALID_SETTINGS = 2
@@ -48,8 +49,9 @@
                 file=sys.stderr,
             )
         sys.exit(EXIT_INVALID_SETTINGS)
-    instance = _instance.Instance(decoded.ok)
-    instance.start()
+    with _start.exit_on_error():
+        instance = _instance.Instance(decoded.ok)
+        instance.start()
     address = instance.caller_address
     print(
         json.dumps(
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_main.py
@@ -11,6 +11,7 @@
 from skylarktack import platform
 from skylarktack.coordination import forwarding
 from skylarktack.daemon import _signals
+from skylarktack.daemon import _start
 from skylarktack.daemon.forwarding import _instance
 from skylarktack.daemon.forwarding import _modules
 from skylarktack.daemon.forwarding import _reload
@@ -73,10 +74,11 @@
             print(f'{finding.place}: {finding.message}', file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
     log = transport.LineLog(settings.instance)
-    instance = _instance.ForwardingInstance(settings, log, front)
-    reloader = _reload.SettingsReloader(path, metrics_port, settings, log)
-    instance.start()
-    instance.record_start()
+    with _start.exit_on_error():
+        instance = _instance.ForwardingInstance(settings, log, front)
+        reloader = _reload.SettingsReloader(path, metrics_port, settings, log)
+        instance.start()
+        instance.record_start()
     stop_signal = wait_for_stop(signals, reloader, log, instance.errors)
     try:
         with instance.errors.contain('exit timer'):
--- a/packages/daemon/src/skylarktack/daemon/tests/test_main.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_main.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from skylarktack.daemon import _start
+
 SCRIPT = pathlib.Path(__file__).with_name('failing_main.py')
 
 PATIENCE_S = 30.0
@@ -44,6 +46,16 @@
     )
 
 
+class TestStart:
+    """A start that fails after some of its tasks have begun."""
+
+    def test_process_ends(self, settings: pathlib.Path) -> None:
+        """Guards against a process that takes connections for nobody."""
+        completed = _run(settings, 'start of servers')
+        assert completed.returncode == _start.EXIT_NOT_STARTED
+        assert "can't start new thread" in completed.stderr
+
+
 class TestStop:
     """A planned stop, one step of which fails."""
 
