--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -1,6 +1,7 @@
 """Entry point of ``skylarktackd``."""
 
 import json
+import os
 import sys
 
 import fire
@@ -10,6 +11,7 @@
 from skylarktack.daemon import _instance
 from skylarktack.daemon import _settings_file
 from skylarktack.daemon import _signals
+from skylarktack.daemon import _start
 
 #: Exit code for invalid settings.
 EXIT_INVALID_SETTINGS = 2
@@ -47,8 +49,9 @@
                 file=sys.stderr,
             )
         sys.exit(EXIT_INVALID_SETTINGS)
-    instance = _instance.Instance(decoded.ok)
-    instance.start()
+    with _start.exit_on_error():
+        instance = _instance.Instance(decoded.ok)
+        instance.start()
     address = instance.caller_address
     print(
         json.dumps(
@@ -65,7 +68,11 @@
     while not instance.stop_ordered.is_set():
         if signals.wait(STOP_CHECK_S):
             instance.order_stop()
-    instance.stop()
+    try:
+        instance.stop()
+    finally:
+        # Threads of a step that failed would keep the process alive.
+        os._exit(0)
 
 
 def main() -> None:
