Write the traceback of an unexpected error of skylarktackd

Operators saw `request failed exc_info=True` and no place of the error: the processors of the log lacked one that formats exceptions. The traceback now follows its line.

--- a/packages/transport/src/skylarktack/transport/_logs.py
+++ b/packages/transport/src/skylarktack/transport/_logs.py
@@ -9,12 +9,15 @@
 def configure_logs(level: str = 'info') -> None:
     """Write log lines as ``<time> <level> <part>: <message> <fields>``.
 
+    The traceback of an error follows on lines of its own.
+
     :param level: lowest level that is written, such as ``info``.
     """
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
             _render,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(
@@ -32,5 +35,7 @@
     level = fields.pop('level')
     part = fields.pop('part', 'skylarktack')
     message = fields.pop('event')
+    traceback = fields.pop('exception', None)
     shown = ''.join(f' {name}={value}' for name, value in fields.items())
-    return f'{moment} {level} {part}: {message}{shown}'
+    line = f'{moment} {level} {part}: {message}{shown}'
+    return line if traceback is None else f'{line}\n{traceback}'
