Spare connections that have just been accepted in a planned stop

Cause: a stopping instance goes on accepting for 3 s and closes idle connections every 0.2 s. A connection that had been accepted a moment before counted as idle. Nothing was executed, the close crossed the request. The logs of the three were not kept; without loads, nothing else in the code closes a connection so soon.

Fix: the stop closes a connection once it has waited for a request for 0.2 s, which the next check sees.

Evidence: test_a_caller_that_has_just_connected_is_served failed before. Connections that wait are closed one check later at the latest.

--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
@@ -4,6 +4,7 @@
 from concurrent import futures
 import contextlib
 import socket
+import time
 
 import pytest
 
@@ -20,6 +21,8 @@
 
 MAX_OPEN_COUNT = 4
 
+CHECK_INTERVAL_S = 0.02
+
 
 def _limits(max_open_count: int) -> transport.ListenerLimits:
     memory = transport.MemoryBudget(transport.body_limit_bytes(None))
@@ -29,7 +32,7 @@
 @contextlib.contextmanager
 def _listening(
     handler: front_harness.RecordingHandler,
-) -> Iterator[data.Address]:
+) -> Iterator[transport.Listener]:
     """Serve callers with as many tasks as there may be connections."""
     errors = forwarding.ErrorRecorder(
         fakes.SteppingClock(), fakes.RecordingLog()
@@ -48,11 +51,13 @@
         )
         running = accepting.submit(listener.run)
         try:
-            yield listener.endpoint
+            yield listener
         finally:
             handler.may_respond.set()
             listener.close()
-            listener.close_idle()
+            while listener.open_count():
+                listener.close_idle()
+                time.sleep(CHECK_INTERVAL_S)
             running.result(front_harness.TIMEOUT_S)
 
 
@@ -76,10 +81,10 @@
 
         Idle connections that callers keep open used up the tasks.
         """
-        with _listening(front_harness.RecordingHandler()) as endpoint:
+        with _listening(front_harness.RecordingHandler()) as listener:
             callers = []
             for _ in range(3 * MAX_OPEN_COUNT):
-                caller = _connect(endpoint, GET)
+                caller = _connect(listener.endpoint, GET)
                 assert _has_answer(caller)
                 callers.append(caller)
             newest = callers[-MAX_OPEN_COUNT:]
@@ -95,9 +100,9 @@
         """Guards against callers that hold tasks by a byte now and then."""
         slow = (b'', b'GE', GET[:-2], b'POST /a HTTP/1.1\r\nHost: h\r\n')
         assert len(slow) == MAX_OPEN_COUNT
-        with _listening(front_harness.RecordingHandler()) as endpoint:
-            slow_callers = [_connect(endpoint, part) for part in slow]
-            caller = _connect(endpoint, GET)
+        with _listening(front_harness.RecordingHandler()) as listener:
+            slow_callers = [_connect(listener.endpoint, part) for part in slow]
+            caller = _connect(listener.endpoint, GET)
             assert _has_answer(caller)
             caller.close()
             for slow_caller in slow_callers:
@@ -107,9 +112,11 @@
         """Guards against a request that is cut for a new connection."""
         handler = front_harness.RecordingHandler()
         handler.may_respond.clear()
-        with _listening(handler) as endpoint:
-            busy = [_connect(endpoint, GET) for _ in range(MAX_OPEN_COUNT)]
-            late = _connect(endpoint, GET)
+        with _listening(handler) as listener:
+            busy = [
+                _connect(listener.endpoint, GET) for _ in range(MAX_OPEN_COUNT)
+            ]
+            late = _connect(listener.endpoint, GET)
             late.settimeout(0.5)
             with pytest.raises(TimeoutError):
                 late.recv(1)
@@ -122,6 +129,32 @@
                 caller.close()
 
 
+class TestCloseIdle:
+    """A planned stop closes connections without a request."""
+
+    def test_a_caller_that_has_just_connected_is_served(self) -> None:
+        """Guards against a first request that crosses the close."""
+        with _listening(front_harness.RecordingHandler()) as listener:
+            caller = _connect(listener.endpoint, b'')
+            while not listener.open_count():
+                time.sleep(CHECK_INTERVAL_S)
+            listener.close_idle()
+            caller.sendall(GET)
+            assert _has_answer(caller)
+            caller.close()
+
+    def test_a_connection_that_waits_is_closed(self) -> None:
+        """Guards against a stop that waits for an idle caller."""
+        with _listening(front_harness.RecordingHandler()) as listener:
+            caller = _connect(listener.endpoint, GET)
+            assert _has_answer(caller)
+            while listener.open_count():
+                listener.close_idle()
+                time.sleep(CHECK_INTERVAL_S)
+            assert caller.recv(1) == b''
+            caller.close()
+
+
 class TestClose:
     """The end of accepting cuts no connection that was made before."""
 
