--- a/packages/emulator/src/skylarktack/emulator/soak/_kept_callers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_kept_callers.py
@@ -1,7 +1,6 @@
 """Callers that keep their connections while the configuration changes."""
 
 import dataclasses
-import enum
 import random
 import signal
 import subprocess
@@ -13,6 +12,10 @@
 from skylarktack.emulator import platform
 from skylarktack.emulator.soak import _callers
 from skylarktack.emulator.soak import _configuration
+from skylarktack.emulator.soak import _kept_records
+
+RequestForm = _kept_records.RequestForm
+KeptEnding = _kept_records.KeptEnding
 
 #: Share of the idle timeout after which callers still use a connection, and
 #: the shares of that time for which they let it rest.
@@ -41,24 +44,6 @@
 _OK_STATUS = 200
 
 
-class RequestForm(enum.Enum):
-    """How requests are sent on a kept connection."""
-
-    CALL = 'call'
-    CHUNKED = 'chunked'
-    STREAM = 'stream'
-
-    #: Two calls at once.
-    PIPELINED = 'pipelined'
-
-    #: A body near the limit, in parts.
-    LONG_BODY = 'long body'
-
-    #: The caller ends its sending side after a whole request. An instance
-    #: takes it for a caller that has left.
-    HALF_CLOSED = 'half closed'
-
-
 #: Forms with their weights.
 _FORM_WEIGHTS = {
     RequestForm.CALL: 8,
@@ -70,62 +55,6 @@
 }
 
 
-class KeptEnding(enum.Enum):
-    """How a request on a kept connection ended."""
-
-    ANSWERED = 'answered'
-
-    #: The response before it announced the end of the connection.
-    ANNOUNCED = 'announced'
-
-    #: The end of the connection crossed the first bytes.
-    CROSSED = 'crossed'
-
-    #: The process was killed.
-    KILLED = 'killed'
-
-    #: The connection ended before the request was sent whole.
-    NOT_WHOLE = 'not whole'
-
-    #: The answer broke off.
-    TORN = 'torn'
-
-    UNANSWERED = 'unanswered'
-
-
-@dataclasses.dataclass(frozen=True)
-class KeptRecord:
-    """One request on a kept connection."""
-
-    attempt_id: str
-    instance: str
-    form: RequestForm
-    ending: KeptEnding
-
-    #: Time for which the connection had rested.
-    idle_s: float
-
-    #: Time since the start of the callers at which it was sent, and until it
-    #: ended.
-    sent_at_s: float
-    duration_s: float
-
-    #: What ended it without an answer, and how long the caller took for
-    #: sending its first bytes and looking for the end of the connection.
-    error: str = ''
-    look_ms: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True)
-class EarlyEnd:
-    """A connection that ended while its caller could still use it."""
-
-    instance: str
-    idle_s: float
-    idle_timeout_ms: int
-    process: subprocess.Popen[bytes]
-
-
 class _Use:
     """One connection with the process at its other end."""
 
@@ -141,6 +70,20 @@
         self.idle_since_s = time.monotonic()
         self.is_usable = True
 
+        #: Whether a response has announced the end of the connection.
+        self.is_announced = False
+
+
+@dataclasses.dataclass(frozen=True)
+class _Result:
+    """How a call ended."""
+
+    ending: KeptEnding
+
+    #: None without a whole answer; then what has ended the call.
+    answer: platform.Answer | None = None
+    error: str = ''
+
 
 class KeptCallers:
     """Threads that keep a connection each and use it again and again."""
@@ -160,8 +103,8 @@
         self._stopped = threading.Event()
         self._lock = threading.Lock()
         self._threads: list[threading.Thread] = []
-        self.records: list[KeptRecord] = []
-        self.early_ends: list[EarlyEnd] = []
+        self.records: list[_kept_records.KeptRecord] = []
+        self.early_ends: list[_kept_records.EarlyEnd] = []
 
     def start(self, count: int) -> None:
         """Start callers."""
@@ -234,38 +177,15 @@
         if form is RequestForm.HALF_CLOSED:
             use.connection.end_sending()
             use.is_usable = False
-        is_announced = False
         following_bytes = b''
         for attempt, exchange in zip(attempts, exchanges, strict=True):
-            answer = None
-            error = ''
-            if not is_announced:
-                exchange.receive_first(following_bytes)
-                answer, error = _read(exchange)
-                following_bytes = exchange.following_bytes
-            if is_announced:
-                ending = KeptEnding.ANNOUNCED
-            elif answer is None:
-                ending = _ending(use, exchange)
-            else:
-                ending = KeptEnding.ANSWERED
-            if answer is None or _announces_end(answer):
-                use.is_usable = False
-                is_announced = answer is not None or is_announced
-            self._record(use, attempt, form, ending, sent_at_s, error)
-            self._callers.record_call(
-                _callers.CallRecord(
-                    attempt,
-                    use.instance.name,
-                    use.process.pid,
-                    sent_at_s,
-                    time.monotonic(),
-                    answer,
-                    may_be_denied=(
-                        len(attempt.body) > _configuration.MIN_BODY_LIMIT_BYTES
-                    ),
-                )
+            exchange.receive_first(following_bytes)
+            result = _read(use, exchange)
+            following_bytes = exchange.following_bytes
+            self._record(
+                use, attempt, form, result.ending, sent_at_s, result.error
             )
+            self._record_call(use, attempt, sent_at_s, result.answer)
 
     def _attempt(
         self, draw: random.Random, form: RequestForm
@@ -326,7 +246,7 @@
         sent_at_s: float,
         error: str,
     ) -> None:
-        record = KeptRecord(
+        record = _kept_records.KeptRecord(
             attempt.attempt_id,
             use.instance.name,
             form,
@@ -340,20 +260,48 @@
         with self._lock:
             self.records.append(record)
 
+    def _record_call(
+        self,
+        use: _Use,
+        attempt: platform.Attempt,
+        sent_at_s: float,
+        answer: platform.Answer | None,
+    ) -> None:
+        size_bytes = len(attempt.body)
+        record = _callers.CallRecord(
+            attempt,
+            use.instance.name,
+            use.process.pid,
+            sent_at_s,
+            time.monotonic(),
+            answer,
+            may_be_denied=size_bytes > _configuration.MIN_BODY_LIMIT_BYTES,
+        )
+        self._callers.record_call(record)
+
     def _record_early_end(self, use: _Use) -> None:
         idle_s = time.monotonic() - use.idle_since_s
         timeout_ms = self._editor.options.idle_timeout_ms
-        end = EarlyEnd(use.instance.name, idle_s, timeout_ms, use.process)
+        end = _kept_records.EarlyEnd(
+            use.instance.name, idle_s, timeout_ms, use.process
+        )
         with self._lock:
             self.early_ends.append(end)
 
 
-def _read(exchange: platform.Exchange) -> tuple[platform.Answer | None, str]:
-    """Return the answer, or None and what has ended the request."""
+def _read(use: _Use, exchange: platform.Exchange) -> _Result:
+    """Read the answer to a call."""
+    if use.is_announced:
+        return _Result(KeptEnding.ANNOUNCED)
     try:
-        return exchange.read_answer(), ''
+        answer = exchange.read_answer()
     except (OSError, h11.RemoteProtocolError) as error:
-        return None, repr(error)
+        use.is_usable = False
+        return _Result(_ending(use, exchange), error=repr(error))
+    if _announces_end(answer):
+        use.is_announced = True
+        use.is_usable = False
+    return _Result(KeptEnding.ANSWERED, answer)
 
 
 def _ending(use: _Use, exchange: platform.Exchange) -> KeptEnding:
--- a/packages/emulator/src/skylarktack/emulator/soak/_kept_checkers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_kept_checkers.py
@@ -3,14 +3,14 @@
 import collections
 
 from skylarktack.emulator.soak import _checkers
-from skylarktack.emulator.soak import _kept_callers
+from skylarktack.emulator.soak import _kept_records
 
-_Ending = _kept_callers.KeptEnding
-_Form = _kept_callers.RequestForm
+_Ending = _kept_records.KeptEnding
+_Form = _kept_records.RequestForm
 
 
 def check_answers(
-    records: tuple[_kept_callers.KeptRecord, ...], has_faults: bool
+    records: tuple[_kept_records.KeptRecord, ...], has_faults: bool
 ) -> _checkers.Promise:
     """Check that each whole request got a whole answer or refusal.
 
@@ -31,7 +31,7 @@
 
 
 def check_open(
-    early_ends: tuple[_kept_callers.EarlyEnd, ...], has_loads: bool
+    early_ends: tuple[_kept_records.EarlyEnd, ...], has_loads: bool
 ) -> _checkers.Promise:
     """Check that idle connections stay open while callers may use them.
 
@@ -51,8 +51,8 @@
 
 
 def summarise(
-    records: tuple[_kept_callers.KeptRecord, ...],
-    early_ends: tuple[_kept_callers.EarlyEnd, ...],
+    records: tuple[_kept_records.KeptRecord, ...],
+    early_ends: tuple[_kept_records.EarlyEnd, ...],
 ) -> tuple[str, ...]:
     """Return lines on endings that are not judged."""
     if not records:
@@ -75,7 +75,7 @@
     return tuple(lines)
 
 
-def _describe(record: _kept_callers.KeptRecord) -> str:
+def _describe(record: _kept_records.KeptRecord) -> str:
     return (
         f'{record.attempt_id} ({record.form.value}) at {record.instance}, '
         f'sent after {record.sent_at_s:.2f} s and a rest of '
--- a/packages/emulator/src/skylarktack/emulator/tests/test_kept_connections.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_kept_connections.py
@@ -11,11 +11,11 @@
 
 from skylarktack import state
 from skylarktack.emulator import platform
-from skylarktack.emulator.soak import _kept_callers
 from skylarktack.emulator.soak import _kept_checkers
+from skylarktack.emulator.soak import _kept_records
 
-_Ending = _kept_callers.KeptEnding
-_Form = _kept_callers.RequestForm
+_Ending = _kept_records.KeptEnding
+_Form = _kept_records.RequestForm
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s'
 
@@ -41,8 +41,8 @@
     )
 
 
-def _record(form: _Form, ending: _Ending) -> _kept_callers.KeptRecord:
-    return _kept_callers.KeptRecord(
+def _record(form: _Form, ending: _Ending) -> _kept_records.KeptRecord:
+    return _kept_records.KeptRecord(
         'attempt', 'instance-0', form, ending, 0.0, 0.0, 0.0
     )
 
@@ -134,7 +134,7 @@
         with subprocess.Popen(
             [sys.executable, '-c', 'input()'], stdin=subprocess.PIPE
         ) as process:
-            end = _kept_callers.EarlyEnd('instance-0', 3.0, 4000, process)
+            end = _kept_records.EarlyEnd('instance-0', 3.0, 4000, process)
             running = _kept_checkers.check_open((end,), has_loads=False)
             loaded = _kept_checkers.check_open((end,), has_loads=True)
             process.kill()
