--- a/packages/emulator/src/skylarktack/emulator/soak/_changes.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_changes.py
@@ -13,7 +13,8 @@
 
 _Kind = _schedule.InjectionKind
 
-#: What happens beside a change.
+#: What happens beside a change. Kinds that stand several times are drawn more
+#: often.
 _KINDS_BESIDE = {
     _Kind.CHANGE_BESIDE_INSTANCE: (
         _Kind.INSTANCE_STOP,
--- a/packages/emulator/src/skylarktack/emulator/soak/_kept_callers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_kept_callers.py
@@ -43,7 +43,6 @@
 
 _OK_STATUS = 200
 
-
 #: Forms with their weights.
 _FORM_WEIGHTS = {
     RequestForm.CALL: 8,
@@ -56,7 +55,7 @@
 
 
 class _Use:
-    """One connection with the process at its other end."""
+    """A caller's use of one connection to one process."""
 
     def __init__(
         self,
--- a/packages/emulator/src/skylarktack/emulator/soak/_kept_checkers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_kept_checkers.py
@@ -37,7 +37,8 @@
 
     An instance that has ended since may have stopped when it closed them.
 
-    :param has_loads: whether connections are evicted by the thousand.
+    :param has_loads: whether callers open so many connections that idle ones
+        are evicted.
     """
     promise = _checkers.Promise('a kept connection stays open for its caller')
     for end in early_ends:
