--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -31,10 +31,6 @@
 MAX_ACCEPT_WAIT_S = 0.2
 ACCEPT_CHECK_INTERVAL_S = 0.002
 
-#: Minimum time without a request before a stop closes a connection. The first
-#: request of a caller that has just connected is on its way.
-MIN_CLOSE_WAIT_S = 0.2
-
 
 @dataclasses.dataclass(frozen=True)
 class ListenerLimits:
@@ -121,11 +117,8 @@
         """Close connections that have waited for a request for a while."""
         with self._lock:
             connections = tuple(self._open)
-        latest_s = time.monotonic() - MIN_CLOSE_WAIT_S
         for connection in connections:
-            since_s = connection.waiting_since_s
-            if since_s is not None and since_s <= latest_s:
-                connection.close_if_idle()
+            connection.close_if_idle()
 
     def close(self) -> None:
         """Stop accepting; open connections are not affected.
