Give the instance whose log nobody reads ports of its own

The process could not listen, and the test waited for its first line without bound. It takes the settings of the instance that it has ended now, and its wait is bounded. What it checks is the same.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_platform_sessions.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_platform_sessions.py
@@ -5,6 +5,7 @@
 import http.client
 import os
 import pathlib
+import select
 import signal
 import subprocess
 import sys
@@ -294,13 +295,15 @@
         self, deployment: platform.PlatformDeployment
     ) -> None:
         """Guards against a full pipe that stops the instance."""
-        deployment.instances[0].kill()
+        # The process takes the ports of an instance that has ended.
+        ended = deployment.instances[0]
+        ended.kill()
         with tempfile.TemporaryDirectory() as folder:
-            source = pathlib.Path(deployment.instances[1].settings_path)
+            source = pathlib.Path(ended.settings_path)
             path = pathlib.Path(folder) / 'node.conf'
             text = source.read_text(encoding='utf-8')
             with open(path, 'w', encoding='utf-8') as settings:
-                settings.write(text.replace('instance-1', 'unread'))
+                settings.write(text.replace('instance-0', 'unread'))
             reading, writing = os.pipe()
             process = subprocess.Popen(
                 [sys.executable, '-m', platform.INSTANCE_MODULE],
@@ -312,6 +315,7 @@
                 while not (
                     b'"event":"started"' in line and line.endswith(b'\n')
                 ):
+                    assert select.select([reading], (), (), PATIENCE_S)[0]
                     line += os.read(reading, 1)
                 address = platform.address_in_line(line)
                 statuses = set()
