--- a/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
@@ -8,6 +8,9 @@
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
 
+GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+POST = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody'
+
 #: Maximum wait of a test for an expected event.
 TIMEOUT_S = 20.0
 
@@ -133,6 +136,34 @@
         return data.FrontResponse(200, ((b'X-Own', b'1'),), request.body)
 
 
+class StreamHandler(RecordingHandler):
+    """Answers with the head and one event of a stream."""
+
+    def __init__(self, is_complete: bool) -> None:
+        """Create a handler.
+
+        :param is_complete: whether the stream ends in order.
+        """
+        super().__init__()
+        self._is_complete = is_complete
+        #: Whether a stop begins once the head of a stream was sent.
+        self.stops_after_head = False
+
+    def handle(
+        self, request: data.FrontRequest, caller: forwarding.Caller
+    ) -> forwarding.StreamOutcome:
+        """Return whether the stream was completed."""
+        head = PassThroughCodec().decode_response(
+            200, ((b'Content-Type', b'text/event-stream'),)
+        )
+        assert caller.start_stream(head)
+        self.is_stopping = self.stops_after_head
+        assert caller.send_events(b'id: 1\ndata: x\n\n')
+        if self._is_complete:
+            return forwarding.StreamCompleted()
+        return forwarding.StreamInterrupted('engine lost')
+
+
 class FrontHarness:
     """A caller's socket and the connection that serves it."""
 
--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_caller_limits.py
@@ -0,0 +1,148 @@
+"""Limits on what callers send and how long they stay idle."""
+
+from collections.abc import Iterator
+import socket
+import time
+
+import h11
+import pytest
+
+from skylarktack.state import forwarding as data
+from skylarktack.transport.forwarding import _sockets
+from skylarktack.transport.forwarding.tests import front_harness
+
+GET = front_harness.GET
+POST = front_harness.POST
+
+
+@pytest.fixture(name='harness')
+def _harness() -> Iterator[front_harness.FrontHarness]:
+    harness = front_harness.FrontHarness()
+    yield harness
+    harness.close()
+
+
+class TestLimits:
+    """Size and time limits of the configuration are enforced."""
+
+    def test_a_large_head_is_refused(
+        self, harness: front_harness.FrontHarness
+    ) -> None:
+        """Guards against exhausting memory with a request head."""
+        harness.start()
+        harness.caller.sendall(
+            b'GET /a HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 40000
+        )
+        assert harness.read_response()[0] == 431
+
+    def test_a_large_body_is_refused(self) -> None:
+        """Guards against exhausting memory with a request body."""
+        handler = front_harness.RecordingHandler()
+        handler.front_limits = data.FrontLimits(max_body_bytes=3)
+        harness = front_harness.FrontHarness(handler)
+        harness.start()
+        harness.caller.sendall(POST)
+        assert harness.read_response() == (431, b'body_too_large')
+        harness.close()
+
+    def test_an_incomplete_head_is_refused(self) -> None:
+        """Guards against callers that occupy connections (slowloris)."""
+        handler = front_harness.RecordingHandler()
+        handler.front_limits = data.FrontLimits(header_timeout_ms=50)
+        harness = front_harness.FrontHarness(handler)
+        harness.start()
+        harness.caller.sendall(GET[:10])
+        assert harness.read_response() == (400, b'read_timeout')
+        harness.close()
+
+    def test_a_request_that_arrived_during_a_suspension_is_served(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a refusal of a request that is complete."""
+        handler = front_harness.RecordingHandler()
+        handler.front_limits = data.FrontLimits(header_timeout_ms=50)
+        harness = front_harness.FrontHarness(handler)
+        harness.caller.sendall(POST[:10])
+        next_event = h11.Connection.next_event
+
+        def _suspend(parser: h11.Connection) -> object:
+            event = next_event(parser)
+            if parser.our_role is h11.SERVER and parser.trailing_data[0]:
+                monkeypatch.undo()
+                harness.caller.sendall(POST[10:])
+                time.sleep(0.1)
+            return event
+
+        monkeypatch.setattr(h11.Connection, 'next_event', _suspend)
+        harness.start()
+        assert harness.read_response() == (200, b'body')
+        harness.close()
+
+    def test_an_idle_connection_is_closed_without_a_response(self) -> None:
+        """Guards against a response to no request."""
+        handler = front_harness.RecordingHandler()
+        handler.front_limits = data.FrontLimits(idle_timeout_ms=50)
+        harness = front_harness.FrontHarness(handler)
+        harness.start()
+        assert harness.read_all() == b''
+        harness.close()
+
+
+class TestChangedLimits:
+    """The limits change while a connection waits for a request."""
+
+    def test_a_longer_idle_timeout_is_in_force_at_once(self) -> None:
+        """Guards against a close by the timeout of before."""
+        handler = front_harness.RecordingHandler()
+        handler.front_limits = data.FrontLimits(idle_timeout_ms=200)
+        harness = front_harness.FrontHarness(handler)
+        harness.start()
+        time.sleep(0.1)
+        handler.front_limits = data.FrontLimits(idle_timeout_ms=20_000)
+        time.sleep(0.2)
+        harness.caller.sendall(POST)
+        assert harness.read_response() == (200, b'body')
+        harness.close()
+
+    def test_a_larger_head_is_allowed_at_once(self) -> None:
+        """Guards against refusing a head by the limit of before."""
+        handler = front_harness.RecordingHandler()
+        handler.front_limits = data.FrontLimits(max_header_bytes=100)
+        harness = front_harness.FrontHarness(handler)
+        harness.start()
+        harness.caller.sendall(POST)
+        assert harness.read_response() == (200, b'body')
+        handler.front_limits = data.FrontLimits(max_header_bytes=10_000)
+        head = b'GET /a HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 1000
+        # More than the limit has to arrive before the head is complete.
+        harness.caller.sendall(head)
+        time.sleep(0.1)
+        harness.caller.sendall(b'\r\n\r\n')
+        assert harness.read_response()[0] == 200
+        harness.close()
+
+    def test_a_request_that_arrives_at_the_timeout_is_served(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against closing a connection with an unread request.
+
+        The task may have to wait for the processor after its timeout.
+        """
+        handler = front_harness.RecordingHandler()
+        handler.front_limits = data.FrontLimits(idle_timeout_ms=50)
+        harness = front_harness.FrontHarness(handler)
+        poll_socket = _sockets.wait_for
+
+        def _wait_and_send(
+            connection: socket.socket, events: int, timeout_s: float
+        ) -> int:
+            found = poll_socket(connection, events, timeout_s)
+            if not found and timeout_s > 0:
+                harness.caller.sendall(POST)
+            return found
+
+        monkeypatch.setattr(_sockets, 'wait_for', _wait_and_send)
+        harness.start()
+        assert harness.read_response() == (200, b'body')
+        monkeypatch.undo()
+        harness.close()
