Do not resume a run at a copy whose engine left during the wait

Since a lost run may wait up to 13.5 s for its retry, and was then resumed from the copy chosen when it was lost, also if that engine had begun to drain or was lost meanwhile. Nothing looked at the engine again; callers would get events from an engine that gets no new work (DRAIN).

The copy is dropped if its engine must get no new request, and the run goes on elsewhere after its last event. The test fails without it: the leaving engine was sent the run.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -89,6 +89,9 @@
             refusal = self._check_quarantine()
             if refusal is not None:
                 return self._outcome_of_quarantine(refusal)
+            if copy is not None and self._targets.is_unavailable(copy.engine):
+                # Its engine may have begun to drain during a wait.
+                copy = None
             pair = self._choose(copy)
             if pair is None:
                 pause = _pause_waits.plan_for_request(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_retry_waits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_retry_waits.py
@@ -87,6 +87,24 @@
         lost, again = env.client.sent
         assert 1.9 < again.at_s - lost.at_s < 2.2
 
+    def test_engine_that_drains_during_the_wait_gets_nothing(self) -> None:
+        """Guards against a copy at an engine that has begun to leave."""
+        env = _make_env('first', 'second', 'third')
+        env.client.script('first', harness.stream_script(1, 3, ending='lost'))
+        env.client.script('third', harness.stream_script(4, 6, start_s=0.05))
+        _spend_budget(env)
+        env.clock.schedule(
+            env.clock.monotonic_s() + 5.0,
+            lambda: env.targets.apply(
+                data.TargetChange(
+                    'second', harness.target('second', is_leaving=True)
+                )
+            ),
+        )
+        outcome, _ = _stream(env)
+        assert isinstance(outcome, forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first', 'third']
+
     def test_nothing_is_sent_without_a_claimed_retry(self) -> None:
         """Guards against sends beyond the budget after a wait."""
         env = _make_env('first', 'second', allowance=0.0)
