Do not wait again for a caller that was refused for its slowness

The test of the memory of a refused body used such a refusal and takes a malformed chunk now, after which the connection stays open for longer.

Evidence: test_slow_head passes; 89 tests of callers and listeners pass.

--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -149,7 +149,11 @@
             )
             self._connection.shutdown(socket.SHUT_WR)
             self._phase.begin_linger()
-            self._reader.discard_rest()
+            if received.reason is data.RefusalReason.READ_TIMEOUT:
+                # A caller that sends too slowly would be waited for again.
+                self._reader.discard_briefly()
+            else:
+                self._reader.discard_rest()
             return ConnectionEnd.REFUSED
         outcome = self._handler.handle(received, self)
         # The body is not needed while the caller reads its response.
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_refusals.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_refusals.py
@@ -90,12 +90,12 @@
         self, refusing: front_harness.FrontHarness
     ) -> None:
         """Guards against refused callers that hold the memory of others."""
-        limits = data.FrontLimits(header_timeout_ms=50)
-        refusing.handler.front_limits = limits
-        refusing.caller.sendall(
-            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n'
-        )
-        assert refusing.read_response() == (400, b'read_timeout')
+        refusing.handler.front_limits = data.FrontLimits()
+        # A body in chunks claims the largest size once it is long.
+        refusing.caller.sendall(LONG_POSTS['in chunks'][0])
+        refusing.caller.sendall(b'20000\r\n%s\r\n' % (b'x' * 0x20000))
+        refusing.caller.sendall(b'z\r\n')
+        assert refusing.read_response() == (400, b'bad_request')
         free_bytes = transport.body_limit_bytes(None)
         claimable_bytes = int(0.75 * free_bytes)
         assert refusing.memory.claim_request(claimable_bytes, 1.0)
