Use the usual words for idle connections and truncated answers

The soak with kept connections spoke of connections at rest and torn answers, and three comments of sound engines and files.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -318,7 +318,7 @@
     ) -> _stream_attempts.AttemptLost | None:
         """Return the end of the run here, or None if it stays.
 
-        A sound engine may be silent for a second or longer. Its run is given
+        A healthy engine may be silent for a second or longer. Its run is given
         up only for another engine that can take it now.
         """
         is_new = self._silence_began_at_s != self._watch.last_event_at_s
--- a/packages/coordination/src/skylarktack/coordination/generation/_attempt.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_attempt.py
@@ -289,7 +289,7 @@
     def _reattach(self, fault: ports.StreamFaultKind, now_s: float) -> bool:
         """Attach on a new connection; return False if the attempt is lost.
 
-        An attempt at a silent engine, which may be sound, is kept without a
+        An attempt at a silent engine, which may be healthy, is kept without a
         connection while the generation cannot go on at another engine.
         """
         if not self._dependencies.settings.protection:
@@ -345,7 +345,7 @@
     def _may_leave(self) -> bool:
         """Return whether the attempt at a silent engine may be abandoned.
 
-        The engine may be sound, so the next attempt is reserved first.
+        The engine may be healthy, so the next attempt is reserved first.
         """
         now_s = self._dependencies.clock.monotonic_s()
         kept_limit_s = KEPT_LIMIT_COUNT * self._progress_limit_s()
--- a/packages/daemon/src/skylarktack/daemon/_settings_file.py
+++ b/packages/daemon/src/skylarktack/daemon/_settings_file.py
@@ -4,7 +4,7 @@
 import os
 import stat
 
-#: Largest settings file that is read; sound ones hold a few kilobytes.
+#: Largest settings file that is read; usual ones hold a few kilobytes.
 MAX_FILE_BYTES = 1024 * 1024
 
 
--- a/packages/emulator/src/skylarktack/emulator/soak/_kept_callers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_kept_callers.py
@@ -18,9 +18,9 @@
 KeptEnding = _kept_records.KeptEnding
 
 #: Share of the idle timeout after which callers still use a connection, and
-#: the shares of that time for which they let it rest.
+#: the shares of that time for which they leave it idle.
 REUSE_SHARE = 0.8
-REST_SHARES = (0.02, 0.1, 0.3, 0.7, 0.9, 0.97)
+IDLE_SHARES = (0.02, 0.1, 0.3, 0.7, 0.9, 0.97)
 
 #: Time limit that callers name for a call.
 TIME_LIMIT_MS = 3000
@@ -37,9 +37,9 @@
 #: Time in which the end of a killed process is known.
 KILL_CHECK_S = 1.0
 
-#: Interval at which a resting caller looks whether its connection has ended,
+#: Interval at which an idle caller looks whether its connection has ended,
 #: or it has to end itself.
-REST_CHECK_S = 0.25
+IDLE_CHECK_S = 0.25
 
 _OK_STATUS = 200
 
@@ -148,11 +148,11 @@
                 self._call(draw, use, form)
             use.idle_since_s = time.monotonic()
             if use.is_usable:
-                self._rest(draw, use)
+                self._stay_idle(draw, use)
 
-    def _rest(self, draw: random.Random, use: _Use) -> None:
-        """Let a connection rest for a share of the time it may be used."""
-        share = draw.choice(REST_SHARES)
+    def _stay_idle(self, draw: random.Random, use: _Use) -> None:
+        """Leave a connection idle for a share of the time it may be used."""
+        share = draw.choice(IDLE_SHARES)
         while not self._stopped.is_set():
             options = self._editor.options
             reuse_s = REUSE_SHARE * options.idle_timeout_ms / 1000
@@ -162,7 +162,7 @@
                 return
             if idle_s >= share * reuse_s or use.connection.has_ended():
                 return
-            wait_s = min(REST_CHECK_S, share * reuse_s - idle_s)
+            wait_s = min(IDLE_CHECK_S, share * reuse_s - idle_s)
             self._editor.wait_changed(options, wait_s)
 
     def _call(self, draw: random.Random, use: _Use, form: RequestForm) -> None:
@@ -308,7 +308,7 @@
     if _was_killed(use.process):
         return KeptEnding.KILLED
     if exchange.has_head:
-        return KeptEnding.TORN
+        return KeptEnding.TRUNCATED
     if use.connection.has_crossed:
         return KeptEnding.CROSSED
     if not use.connection.has_sent_all:
--- a/packages/emulator/src/skylarktack/emulator/soak/_kept_checkers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_kept_checkers.py
@@ -24,7 +24,7 @@
         if record.form is _Form.HALF_CLOSED:
             continue
         is_lost = record.ending in (_Ending.UNANSWERED, _Ending.ANNOUNCED)
-        if record.ending is _Ending.TORN:
+        if record.ending is _Ending.TRUNCATED:
             is_lost = record.form is not _Form.STREAM or not has_faults
         promise.check(not is_lost, _describe(record))
     return promise
@@ -45,7 +45,7 @@
         is_running = end.process.poll() is None
         promise.check(
             has_loads or not is_running,
-            f'{end.instance} closed it after a rest of {end.idle_s:.2f} s, '
+            f'{end.instance} closed it after {end.idle_s:.2f} s idle, '
             f'the limit was {end.idle_timeout_ms} ms',
         )
     return promise
@@ -72,14 +72,14 @@
     for record in records:
         if record.ending in (_Ending.CROSSED, _Ending.NOT_WHOLE):
             lines.append(_describe(record))
-    lines.append(f'kept: {len(early_ends)} connections ended at rest')
+    lines.append(f'kept: {len(early_ends)} connections ended while idle')
     return tuple(lines)
 
 
 def _describe(record: _kept_records.KeptRecord) -> str:
     return (
         f'{record.attempt_id} ({record.form.value}) at {record.instance}, '
-        f'sent after {record.sent_at_s:.2f} s and a rest of '
+        f'sent after {record.sent_at_s:.2f} s and an idle time of '
         f'{record.idle_s:.2f} s: {record.ending.value} after '
         f'{record.duration_s:.2f} s, {record.error}, '
         f'look {record.look_ms:.1f} ms'
--- a/packages/emulator/src/skylarktack/emulator/soak/_kept_records.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_kept_records.py
@@ -41,7 +41,7 @@
     NOT_WHOLE = 'not whole'
 
     #: The answer broke off.
-    TORN = 'torn'
+    TRUNCATED = 'truncated'
 
     UNANSWERED = 'unanswered'
 
@@ -55,7 +55,7 @@
     form: RequestForm
     ending: KeptEnding
 
-    #: Time for which the connection had rested.
+    #: Time for which the connection had been idle.
     idle_s: float
 
     #: Time since the start of the callers at which it was sent, and until it
--- a/packages/emulator/src/skylarktack/emulator/tests/test_kept_connections.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_kept_connections.py
@@ -104,7 +104,7 @@
         [
             _Judgement(_Form.CALL, _Ending.ANSWERED, is_broken=False),
             _Judgement(_Form.CALL, _Ending.UNANSWERED, is_broken=True),
-            _Judgement(_Form.CALL, _Ending.TORN, is_broken=True),
+            _Judgement(_Form.CALL, _Ending.TRUNCATED, is_broken=True),
             _Judgement(_Form.CALL, _Ending.CROSSED, is_broken=False),
             _Judgement(_Form.CALL, _Ending.KILLED, is_broken=False),
             _Judgement(_Form.PIPELINED, _Ending.UNANSWERED, is_broken=True),
@@ -112,8 +112,10 @@
             _Judgement(_Form.LONG_BODY, _Ending.UNANSWERED, is_broken=True),
             _Judgement(_Form.LONG_BODY, _Ending.NOT_WHOLE, is_broken=False),
             _Judgement(_Form.STREAM, _Ending.UNANSWERED, is_broken=True),
-            _Judgement(_Form.STREAM, _Ending.TORN, is_broken=False),
-            _Judgement(_Form.STREAM, _Ending.TORN, True, has_faults=False),
+            _Judgement(_Form.STREAM, _Ending.TRUNCATED, is_broken=False),
+            _Judgement(
+                _Form.STREAM, _Ending.TRUNCATED, True, has_faults=False
+            ),
             _Judgement(_Form.HALF_CLOSED, _Ending.UNANSWERED, is_broken=False),
         ],
         ids=lambda case: f'{case.form.value} {case.ending.value}',
