--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_caller_limits.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_caller_limits.py
@@ -1,6 +1,5 @@
 """Limits on what callers send and how long they stay idle."""
 
-from collections.abc import Iterator
 import socket
 import time
 
@@ -15,13 +14,6 @@
 POST = front_harness.POST
 
 
-@pytest.fixture(name='harness')
-def _harness() -> Iterator[front_harness.FrontHarness]:
-    harness = front_harness.FrontHarness()
-    yield harness
-    harness.close()
-
-
 class TestLimits:
     """Size and time limits of the configuration are enforced."""
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_connection.py
@@ -1,6 +1,5 @@
 """Caller connections: framing, disconnects, streams."""
 
-from collections.abc import Iterator
 import socket
 
 import pytest
@@ -13,13 +12,6 @@
 POST = front_harness.POST
 
 
-@pytest.fixture(name='harness')
-def _harness() -> Iterator[front_harness.FrontHarness]:
-    harness = front_harness.FrontHarness()
-    yield harness
-    harness.close()
-
-
 class TestFraming:
     """Requests are delimited correctly and answered in order."""
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_stop.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_stop.py
@@ -1,6 +1,5 @@
 """Caller connections in a planned stop."""
 
-from collections.abc import Iterator
 import contextlib
 import socket
 import threading
@@ -17,13 +16,6 @@
 POST = front_harness.POST
 
 
-@pytest.fixture(name='harness')
-def _harness() -> Iterator[front_harness.FrontHarness]:
-    harness = front_harness.FrontHarness()
-    yield harness
-    harness.close()
-
-
 class TestStop:
     """A planned stop interrupts no request."""
 
