Split the interfaces of the store's watchers off their task

The interfaces are now in _watch_ports.py, so that the driver of moves imports the fault types without the task.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -117,14 +117,7 @@
 from skylarktack.coordination.forwarding._shared_watch import SharedWatch
 from skylarktack.coordination.forwarding._shared_watch import WatchRole
 from skylarktack.coordination.forwarding._store_health import StoreHealth
-from skylarktack.coordination.forwarding._store_watcher import Changes
-from skylarktack.coordination.forwarding._store_watcher import Listing
-from skylarktack.coordination.forwarding._store_watcher import StoreFault
-from skylarktack.coordination.forwarding._store_watcher import StoreFaultKind
 from skylarktack.coordination.forwarding._store_watcher import StoreWatcher
-from skylarktack.coordination.forwarding._store_watcher import WatchHandler
-from skylarktack.coordination.forwarding._store_watcher import WatchSettings
-from skylarktack.coordination.forwarding._store_watcher import WatchSource
 from skylarktack.coordination.forwarding._stream_attempts import AttemptEnd
 from skylarktack.coordination.forwarding._stream_attempts import AttemptLost
 from skylarktack.coordination.forwarding._stream_attempts import (
@@ -157,6 +150,13 @@
 from skylarktack.coordination.forwarding._watch_handlers import (
     TargetWatchHandler,
 )
+from skylarktack.coordination.forwarding._watch_ports import Changes
+from skylarktack.coordination.forwarding._watch_ports import Listing
+from skylarktack.coordination.forwarding._watch_ports import StoreFault
+from skylarktack.coordination.forwarding._watch_ports import StoreFaultKind
+from skylarktack.coordination.forwarding._watch_ports import WatchHandler
+from skylarktack.coordination.forwarding._watch_ports import WatchSettings
+from skylarktack.coordination.forwarding._watch_ports import WatchSource
 
 __all__ = [
     'ANY_VERSION',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -15,7 +15,7 @@
 from skylarktack.coordination.forwarding import _move_events
 from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _moves
-from skylarktack.coordination.forwarding import _store_watcher
+from skylarktack.coordination.forwarding import _watch_ports
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -51,7 +51,7 @@
 
     def write_phase(
         self, order: data.MoveOrder, phase: state.MovePhase
-    ) -> data.MoveChange | _store_watcher.StoreFault:
+    ) -> data.MoveChange | _watch_ports.StoreFault:
         """Record a phase unless the order has changed since it was read.
 
         :return: the order that the store holds afterwards.
@@ -183,7 +183,7 @@
 
     def _write(self, order: data.MoveOrder, phase: state.MovePhase) -> None:
         result = self._writer.write_phase(order, phase)
-        if isinstance(result, _store_watcher.StoreFault):
+        if isinstance(result, _watch_ports.StoreFault):
             self._next_write_s = self._clock.monotonic_s() + RETRY_DELAY_S
             self._log.record(
                 _move_events.MoveNotRecorded(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -1,20 +1,17 @@
 """List-then-watch loop that keeps one kind of store objects up to date."""
 
-import dataclasses
-import enum
 import threading
 from typing import Generic
-from typing import Protocol
 from typing import TypeVar
 
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _shared_watch
 from skylarktack.coordination.forwarding import _store_health
+from skylarktack.coordination.forwarding import _watch_ports
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
 T = TypeVar('T')
-C = TypeVar('C', contravariant=True)
 
 #: Interval at which an instance that relies on forwarded changes checks
 #: whether it may still do so.
@@ -31,126 +28,6 @@
 TURN_CHECK_INTERVAL_S = 0.05
 
 
-class StoreFaultKind(enum.Enum):
-    """How a call to the store failed."""
-
-    #: The call failed, or the response asks to retry later.
-    UNAVAILABLE = 'unavailable'
-
-    #: No byte of a response arrived in time.
-    TIMED_OUT = 'timed_out'
-
-    #: The store compacted the changes after the revision; list again.
-    REVISION_COMPACTED = 'history_gone'
-
-    #: A response that is too long, incomplete or malformed. The same call may
-    #: get it again and again; list instead.
-    UNREADABLE = 'unreadable'
-
-
-@dataclasses.dataclass(frozen=True)
-class StoreFault:
-    """A call to the store failed."""
-
-    kind: StoreFaultKind
-
-    #: Cause, for the log.
-    detail: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Listing(Generic[T]):
-    """All objects of one kind at one revision."""
-
-    items: tuple[T, ...]
-
-    #: Revision of the store at which the list was read.
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Changes(Generic[T]):
-    """Changes of one kind after a revision; empty if there were none."""
-
-    #: In the order in which the store made them.
-    items: tuple[T, ...]
-
-    #: Revision up to which the changes are complete.
-    revision: int
-
-    #: Body of the store's response, to be forwarded to other instances.
-    content: bytes = b''
-
-
-class WatchSource(Protocol[T]):
-    """Lists and watches objects of one kind in the store."""
-
-    def list_all(self, may_be_stale: bool = False) -> Listing[T] | StoreFault:
-        """Return all objects.
-
-        :param may_be_stale: whether a list that is seconds old is enough.
-        """
-        ...
-
-    def watch(self, revision: int, wait_s: float) -> Changes[T] | StoreFault:
-        """Return the changes after a revision as soon as there are any.
-
-        :param wait_s: time after which no changes are returned.
-        """
-        ...
-
-    def decode_changes(self, content: bytes) -> Changes[T] | StoreFault:
-        """Return the changes in a response that a peer forwarded."""
-        ...
-
-
-class WatchHandler(Protocol[C]):
-    """Applies lists and changes of one kind to the local cache."""
-
-    def replace(self, items: tuple[C, ...], after_outage: bool) -> None:
-        """Replace the cached objects by a complete list.
-
-        :param after_outage: whether entries may be missing only because
-            they expired while the store was unavailable.
-        """
-        ...
-
-    def apply(self, items: tuple[C, ...], after_outage: bool) -> None:
-        """Apply changes to the cached objects.
-
-        :param after_outage: whether entries may be missing only because
-            they expired while the store was unavailable.
-        """
-        ...
-
-    def confirm(self) -> None:
-        """Record that the cached objects are up to date."""
-        ...
-
-    def mark_stale(self) -> None:
-        """Record that the cached objects may be out of date."""
-        ...
-
-
-@dataclasses.dataclass(frozen=True)
-class WatchSettings:
-    """How one kind is watched."""
-
-    #: Name of the kind, in logs and in messages to peers.
-    name: str
-
-    #: Maximum time that one watch waits for a change.
-    watch_wait_s: float
-
-    #: Pause after a watch that returned changes, so that one call fetches
-    #: several.
-    watch_pause_s: float
-
-    #: Whether a list is usually shorter than the changes of several seconds,
-    #: because the kind has few objects, which are long and often replaced.
-    is_list_shorter: bool = False
-
-
 class StoreWatcher(Generic[T]):
     """Keeps one kind of objects up to date; runs as a task of its own.
 
@@ -161,10 +38,10 @@
     def __init__(
         self,
         clock: Clock,
-        source: WatchSource[T],
-        handler: WatchHandler[T],
+        source: _watch_ports.WatchSource[T],
+        handler: _watch_ports.WatchHandler[T],
         log: _events.EventLog,
-        settings: WatchSettings,
+        settings: _watch_ports.WatchSettings,
         health: _store_health.StoreHealth,
         shared_watch: _shared_watch.SharedWatch | None = None,
     ) -> None:
@@ -291,7 +168,7 @@
         if not change.previous_revision <= revision < change.revision:
             return revision
         decoded = self._source.decode_changes(change.content)
-        if not isinstance(decoded, Changes):
+        if not isinstance(decoded, _watch_ports.Changes):
             return revision
         self._handler.apply(decoded.items, change.follows_outage)
         self._last_change_revision = change.revision
@@ -320,7 +197,7 @@
         # The next watch fetches the changes that a stale list lacks.
         may_be_stale = not self._has_listed
         result = self._source.list_all(may_be_stale)
-        if isinstance(result, StoreFault):
+        if isinstance(result, _watch_ports.StoreFault):
             self._record_fault(result)
             return None
         after_outage = self._record_success()
@@ -336,8 +213,8 @@
 
     def _watch(self, revision: int, wait_s: float) -> int | None:
         result = self._source.watch(revision, wait_s)
-        if isinstance(result, StoreFault):
-            if result.kind is StoreFaultKind.REVISION_COMPACTED:
+        if isinstance(result, _watch_ports.StoreFault):
+            if result.kind is _watch_ports.StoreFaultKind.REVISION_COMPACTED:
                 self._health.record_response()
                 self._log.record(
                     _events.WatchRevisionCompacted(self._settings.name)
@@ -345,9 +222,9 @@
                 return None
             self._record_fault(result)
             self._must_catch_up = True
-            if result.kind is StoreFaultKind.TIMED_OUT:
+            if result.kind is _watch_ports.StoreFaultKind.TIMED_OUT:
                 self._require_list_if_shorter()
-            if result.kind is StoreFaultKind.UNREADABLE:
+            if result.kind is _watch_ports.StoreFaultKind.UNREADABLE:
                 self._log.record(
                     _events.WatchUnreadable(self._settings.name, result.detail)
                 )
@@ -384,7 +261,9 @@
         self._must_list = True
         self._log.record(_events.WatchNotAnswered(self._settings.name))
 
-    def _publish(self, result: Changes[T], after_outage: bool) -> None:
+    def _publish(
+        self, result: _watch_ports.Changes[T], after_outage: bool
+    ) -> None:
         if self._shared_watch is None:
             return
         self._shared_watch.publish(
@@ -405,7 +284,7 @@
                 )
             )
 
-    def _record_fault(self, fault: StoreFault) -> None:
+    def _record_fault(self, fault: _watch_ports.StoreFault) -> None:
         self._handler.mark_stale()
         if self._failing_since_s is None:
             self._failing_since_s = self._clock.monotonic_s()
