--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -31,9 +31,6 @@
 from skylarktack.coordination.forwarding._events import ReadinessChanged
 from skylarktack.coordination.forwarding._events import SettingsReloaded
 from skylarktack.coordination.forwarding._events import SignalReceived
-from skylarktack.coordination.forwarding._events import StoreEntryMalformed
-from skylarktack.coordination.forwarding._events import StoreRecovered
-from skylarktack.coordination.forwarding._events import StoreUnavailable
 from skylarktack.coordination.forwarding._events import TargetAdded
 from skylarktack.coordination.forwarding._events import TargetDraining
 from skylarktack.coordination.forwarding._events import TargetEjected
@@ -43,9 +40,6 @@
 from skylarktack.coordination.forwarding._events import TargetRemoved
 from skylarktack.coordination.forwarding._events import TargetSuspected
 from skylarktack.coordination.forwarding._events import UnexpectedError
-from skylarktack.coordination.forwarding._events import WatchRevisionCompacted
-from skylarktack.coordination.forwarding._events import WatchRoleChanged
-from skylarktack.coordination.forwarding._events import WatchUnreadable
 from skylarktack.coordination.forwarding._exposure import ExposureLimits
 from skylarktack.coordination.forwarding._fleet import FleetView
 from skylarktack.coordination.forwarding._fleet import PromptEvidenceExchange
@@ -116,6 +110,16 @@
 from skylarktack.coordination.forwarding._run_placements import RunPlacement
 from skylarktack.coordination.forwarding._shared_watch import SharedWatch
 from skylarktack.coordination.forwarding._shared_watch import WatchRole
+from skylarktack.coordination.forwarding._store_events import (
+    StoreEntryMalformed,
+)
+from skylarktack.coordination.forwarding._store_events import StoreRecovered
+from skylarktack.coordination.forwarding._store_events import StoreUnavailable
+from skylarktack.coordination.forwarding._store_events import (
+    WatchRevisionCompacted,
+)
+from skylarktack.coordination.forwarding._store_events import WatchRoleChanged
+from skylarktack.coordination.forwarding._store_events import WatchUnreadable
 from skylarktack.coordination.forwarding._store_health import StoreHealth
 from skylarktack.coordination.forwarding._store_watcher import StoreWatcher
 from skylarktack.coordination.forwarding._stream_attempts import AttemptEnd
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -151,81 +151,6 @@
     idle_timeout_ms: float
 
 
-@dataclasses.dataclass(frozen=True)
-class StoreUnavailable(LogEvent):
-    """A call to the store failed, the first since the last success."""
-
-    part = 'store'
-    message = 'store unavailable'
-
-    #: Kind of objects that was requested.
-    kind: str
-
-    #: Cause of the first failed call.
-    cause: str
-
-
-@dataclasses.dataclass(frozen=True)
-class StoreRecovered(LogEvent):
-    """The store responds again after failed calls."""
-
-    part = 'store'
-    message = 'store available again'
-
-    #: Kind of objects that was requested.
-    kind: str
-
-    #: Time since the first failed call.
-    after_ms: int
-
-
-@dataclasses.dataclass(frozen=True)
-class WatchRevisionCompacted(LogEvent):
-    """The store compacted the changes after the watched revision."""
-
-    part = 'store'
-    message = 'watch revision compacted; listing again'
-
-    #: Kind of objects that was watched.
-    kind: str
-
-
-@dataclasses.dataclass(frozen=True)
-class WatchUnreadable(LogEvent):
-    """The changes after the watched revision could not be read."""
-
-    part = 'store'
-    message = 'watch response unreadable; listing again'
-
-    #: Kind of objects that was watched.
-    kind: str
-
-    #: What is wrong with the response.
-    detail: str
-
-
-@dataclasses.dataclass(frozen=True)
-class WatchNotAnswered(LogEvent):
-    """The changes after the watched revision may take too long to send."""
-
-    part = 'store'
-    message = 'watch not answered in time; listing again'
-
-    #: Kind of objects that was watched.
-    kind: str
-
-
-@dataclasses.dataclass(frozen=True)
-class StoreEntryMalformed(LogEvent):
-    """An object in the store cannot be parsed and counts as missing."""
-
-    part = 'store'
-    message = 'malformed store entry treated as missing'
-
-    #: All errors with their location in the object.
-    findings: str
-
-
 @dataclasses.dataclass(frozen=True)
 class TargetAdded(LogEvent):
     """A target appeared in the store."""
@@ -389,20 +314,6 @@
     at: str
 
 
-@dataclasses.dataclass(frozen=True)
-class WatchRoleChanged(LogEvent):
-    """The instance started or stopped relying on the watches of peers."""
-
-    part = 'fleet'
-    message = 'store watch role changed'
-
-    #: Kind of objects that is watched.
-    kind: str
-
-    #: Whether the instance now applies changes that peers forward.
-    is_listening: bool
-
-
 @dataclasses.dataclass(frozen=True)
 class DatagramMalformed(LogEvent):
     """A datagram could not be decoded; only the first is logged."""
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_events.py
@@ -0,0 +1,94 @@
+"""Log events of the calls to the store and of its watches."""
+
+import dataclasses
+
+from skylarktack.coordination.forwarding import _events
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreUnavailable(_events.LogEvent):
+    """A call to the store failed, the first since the last success."""
+
+    part = 'store'
+    message = 'store unavailable'
+
+    #: Kind of objects that was requested.
+    kind: str
+
+    #: Cause of the first failed call.
+    cause: str
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreRecovered(_events.LogEvent):
+    """The store responds again after failed calls."""
+
+    part = 'store'
+    message = 'store available again'
+
+    #: Kind of objects that was requested.
+    kind: str
+
+    #: Time since the first failed call.
+    after_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class WatchRevisionCompacted(_events.LogEvent):
+    """The store compacted the changes after the watched revision."""
+
+    part = 'store'
+    message = 'watch revision compacted; listing again'
+
+    #: Kind of objects that was watched.
+    kind: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WatchUnreadable(_events.LogEvent):
+    """The changes after the watched revision could not be read."""
+
+    part = 'store'
+    message = 'watch response unreadable; listing again'
+
+    #: Kind of objects that was watched.
+    kind: str
+
+    #: What is wrong with the response.
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WatchNotAnswered(_events.LogEvent):
+    """The changes after the watched revision may take too long to send."""
+
+    part = 'store'
+    message = 'watch not answered in time; listing again'
+
+    #: Kind of objects that was watched.
+    kind: str
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreEntryMalformed(_events.LogEvent):
+    """An object in the store cannot be parsed and counts as missing."""
+
+    part = 'store'
+    message = 'malformed store entry treated as missing'
+
+    #: All errors with their location in the object.
+    findings: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WatchRoleChanged(_events.LogEvent):
+    """The instance started or stopped relying on the watches of peers."""
+
+    part = 'fleet'
+    message = 'store watch role changed'
+
+    #: Kind of objects that is watched.
+    kind: str
+
+    #: Whether the instance now applies changes that peers forward.
+    is_listening: bool
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -6,6 +6,7 @@
 
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _shared_watch
+from skylarktack.coordination.forwarding import _store_events
 from skylarktack.coordination.forwarding import _store_health
 from skylarktack.coordination.forwarding import _watch_ports
 from skylarktack.coordination.ports import Clock
@@ -94,7 +95,9 @@
         if receives_changes != self._receives_changes:
             self._receives_changes = receives_changes
             self._log.record(
-                _events.WatchRoleChanged(self._settings.name, receives_changes)
+                _store_events.WatchRoleChanged(
+                    self._settings.name, receives_changes
+                )
             )
         return role is _shared_watch.WatchRole.WATCH
 
@@ -217,7 +220,7 @@
             if result.kind is _watch_ports.StoreFaultKind.REVISION_COMPACTED:
                 self._health.record_response()
                 self._log.record(
-                    _events.WatchRevisionCompacted(self._settings.name)
+                    _store_events.WatchRevisionCompacted(self._settings.name)
                 )
                 return None
             self._record_fault(result)
@@ -226,7 +229,9 @@
                 self._require_list_if_shorter()
             if result.kind is _watch_ports.StoreFaultKind.UNREADABLE:
                 self._log.record(
-                    _events.WatchUnreadable(self._settings.name, result.detail)
+                    _store_events.WatchUnreadable(
+                        self._settings.name, result.detail
+                    )
                 )
                 return None
             return revision
@@ -259,7 +264,7 @@
         ):
             return
         self._must_list = True
-        self._log.record(_events.WatchNotAnswered(self._settings.name))
+        self._log.record(_store_events.WatchNotAnswered(self._settings.name))
 
     def _publish(
         self, result: _watch_ports.Changes[T], after_outage: bool
@@ -289,7 +294,9 @@
         if self._failing_since_s is None:
             self._failing_since_s = self._clock.monotonic_s()
             self._log.record(
-                _events.StoreUnavailable(self._settings.name, fault.detail)
+                _store_events.StoreUnavailable(
+                    self._settings.name, fault.detail
+                )
             )
         max_delay_s = _store_health.MAX_RETRY_DELAY_S
         if not self._has_listed:
@@ -313,5 +320,7 @@
         outage_s = self._clock.monotonic_s() - self._failing_since_s
         self._failing_since_s = None
         self._log.record(
-            _events.StoreRecovered(self._settings.name, round(outage_s * 1000))
+            _store_events.StoreRecovered(
+                self._settings.name, round(outage_s * 1000)
+            )
         )
