Read the era of the store from its responses and log a restore

Each response of the store now carries its era as far as the reader, and the first response of a later era logs "store restored from a copy". Readers do not act on the era yet.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -110,10 +110,12 @@
 from skylarktack.coordination.forwarding._run_placements import RunPlacement
 from skylarktack.coordination.forwarding._shared_watch import SharedWatch
 from skylarktack.coordination.forwarding._shared_watch import WatchRole
+from skylarktack.coordination.forwarding._store_era import StoreEra
 from skylarktack.coordination.forwarding._store_events import (
     StoreEntryMalformed,
 )
 from skylarktack.coordination.forwarding._store_events import StoreRecovered
+from skylarktack.coordination.forwarding._store_events import StoreRestored
 from skylarktack.coordination.forwarding._store_events import StoreUnavailable
 from skylarktack.coordination.forwarding._store_events import (
     WatchRevisionCompacted,
@@ -264,6 +266,8 @@
     'StoreClient',
     'StoreFault',
     'StoreFaultKind',
+    'StoreEra',
+    'StoreRestored',
     'StoreHealth',
     'WatchRole',
     'SharedWatch',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -286,6 +286,13 @@
 
     body: bytes
 
+    #: Fields of the head; their names are in lower case.
+    headers: tuple[tuple[str, str], ...] = ()
+
+    #: Era of the store, see ``StoreEra``; 0 until the platform's adapter has
+    #: read it from the head.
+    era: int = 0
+
 
 class StoreClient(Protocol):
     """Sends requests to the store, one at a time."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_events.py
@@ -33,6 +33,19 @@
     after_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreRestored(_events.LogEvent):
+    """The store came back from a copy and has lost its last changes."""
+
+    part = 'store'
+    message = 'store restored from a copy; reading everything again'
+
+    #: Era in which the store responded before.
+    previous_era: int
+
+    era: int
+
+
 @dataclasses.dataclass(frozen=True)
 class WatchRevisionCompacted(_events.LogEvent):
     """The store compacted the changes after the watched revision."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
@@ -6,6 +6,8 @@
 from typing import Protocol
 from typing import TypeVar
 
+from skylarktack.state import forwarding as data
+
 T = TypeVar('T')
 C = TypeVar('C', contravariant=True)
 
@@ -46,6 +48,14 @@
     #: Revision of the store at which the list was read.
     revision: int
 
+    #: Era of the store to which the revision belongs.
+    era: int = 0
+
+    @property
+    def position(self) -> data.StorePosition:
+        """Return the position from which a watch has to start."""
+        return data.StorePosition(self.era, self.revision)
+
 
 @dataclasses.dataclass(frozen=True)
 class Changes(Generic[T]):
@@ -60,6 +70,14 @@
     #: Body of the store's response, to be forwarded to other instances.
     content: bytes = b''
 
+    #: Era of the store to which the revision belongs.
+    era: int = 0
+
+    @property
+    def position(self) -> data.StorePosition:
+        """Return the position up to which the changes are complete."""
+        return data.StorePosition(self.era, self.revision)
+
 
 class WatchSource(Protocol[T]):
     """Lists and watches objects of one kind in the store."""
@@ -78,8 +96,13 @@
         """
         ...
 
-    def decode_changes(self, content: bytes) -> Changes[T] | StoreFault:
-        """Return the changes in a response that a peer forwarded."""
+    def decode_changes(
+        self, content: bytes, era: int = 0
+    ) -> Changes[T] | StoreFault:
+        """Return the changes in a response that a peer forwarded.
+
+        :param era: era of the store in which it responded.
+        """
         ...
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
@@ -49,10 +49,10 @@
         return result
 
     def decode_changes(
-        self, content: bytes
+        self, content: bytes, era: int = 0
     ) -> forwarding.Changes[str] | forwarding.StoreFault:
         text = content.decode()
-        return forwarding.Changes(tuple(text.split()), 0, content)
+        return forwarding.Changes(tuple(text.split()), 0, content, era)
 
     def _next(self) -> StoreResult:
         result = self._results.popleft()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -73,6 +73,7 @@
         self._log = log
         clock = ports.SystemClock()
         codec = platform.PlatformMessageCodec()
+        self._era = forwarding.StoreEra(log)
         errors = forwarding.ErrorRecorder(clock, log)
         self._errors = errors
         self._supervisor = forwarding.Supervisor(clock, errors)
@@ -117,16 +118,12 @@
         self._quarantine_keeper = forwarding.QuarantineKeeper(
             clock,
             quarantine,
-            platform.StoreQuarantines(
-                transport.HttpStoreCalls(settings.store)
-            ),
+            platform.StoreQuarantines(self._store_calls()),
         )
         self._trial_keeper = forwarding.TrialKeeper(
             clock,
             self._moves,
-            platform.StoreVersionTrials(
-                transport.HttpStoreCalls(settings.store)
-            ),
+            platform.StoreVersionTrials(self._store_calls()),
             self._fleet,
             self._targets.is_synced,
         )
@@ -223,9 +220,7 @@
         health = forwarding.StoreHealth(clock)
         self._configuration_watcher = forwarding.StoreWatcher(
             clock,
-            platform.ConfigurationReader(
-                transport.HttpStoreCalls(settings.store), log
-            ),
+            platform.ConfigurationReader(self._store_calls(), log),
             forwarding.ConfigurationWatchHandler(
                 self._configuration, CONFIRMATION_VALIDITY_S
             ),
@@ -238,9 +233,7 @@
         )
         self._target_watcher = forwarding.StoreWatcher(
             clock,
-            platform.TargetReader(
-                transport.HttpStoreCalls(settings.store), log
-            ),
+            platform.TargetReader(self._store_calls(), log),
             forwarding.TargetWatchHandler(self._targets),
             log,
             forwarding.WatchSettings(
@@ -251,7 +244,7 @@
         )
         self._move_watcher = forwarding.StoreWatcher(
             clock,
-            platform.MoveReader(transport.HttpStoreCalls(settings.store), log),
+            platform.MoveReader(self._store_calls(), log),
             forwarding.MoveWatchHandler(self._moves),
             log,
             forwarding.WatchSettings('moves', MOVE_WATCH_WAIT_S, 0.0),
@@ -296,15 +289,19 @@
             )
         )
 
+    def _store_calls(self) -> platform.TrackedStoreCalls:
+        """Return a client of the store; each task needs its own."""
+        return platform.TrackedStoreCalls(
+            transport.HttpStoreCalls(self._settings.store), self._era
+        )
+
     def _start_fleet(
         self,
         link: transport.DatagramLink,
         shared_watch: forwarding.SharedWatch,
     ) -> None:
         clock = ports.SystemClock()
-        registry = platform.StorePeerRegistry(
-            transport.HttpStoreCalls(self._settings.store), self._log
-        )
+        registry = platform.StorePeerRegistry(self._store_calls(), self._log)
         peer = data.ListedPeer(self._settings.instance, link.endpoint)
         discovery = forwarding.PeerDiscovery(
             clock, self._fleet, registry, peer
@@ -316,9 +313,7 @@
             self._moves,
             self._fleet,
             link,
-            platform.StoreMoveWriter(
-                transport.HttpStoreCalls(self._settings.store), self._log
-            ),
+            platform.StoreMoveWriter(self._store_calls(), self._log),
         )
         self._start_task(
             'datagram link',
--- a/packages/platform/src/skylarktack/platform/__init__.py
+++ b/packages/platform/src/skylarktack/platform/__init__.py
@@ -24,6 +24,7 @@
     from skylarktack.platform._settings import decode_settings
     from skylarktack.platform._store import ConfigurationReader
     from skylarktack.platform._store import TargetReader
+    from skylarktack.platform._store_calls import TrackedStoreCalls
     from skylarktack.platform._version_trials import StoreVersionTrials
 
 __all__ = [
@@ -38,6 +39,7 @@
     'StoreQuarantines',
     'StoreVersionTrials',
     'TargetReader',
+    'TrackedStoreCalls',
     'decode_configuration',
     'decode_settings',
     'decode_target',
@@ -61,6 +63,7 @@
     'decode_settings': '_settings',
     'ConfigurationReader': '_store',
     'TargetReader': '_store',
+    'TrackedStoreCalls': '_store_calls',
 }
 
 __getattr__ = lazy_exports(__name__, _MODULE_BY_NAME)
--- a/packages/platform/src/skylarktack/platform/_store.py
+++ b/packages/platform/src/skylarktack/platform/_store.py
@@ -56,10 +56,17 @@
         # The watch has to start at the revision of the oldest page;
         # otherwise it would miss changes between two pages.
         oldest_revision: int | None = None
+        era: int | None = None
         for _ in range(MAX_PAGES_COUNT):
-            response = self._get(query, CALL_TIMEOUT_S)
+            called = self._call(query, CALL_TIMEOUT_S)
+            if isinstance(called, forwarding.StoreFault):
+                return called
+            response = decode_object(called.body)
             if isinstance(response, forwarding.StoreFault):
                 return response
+            if era is not None and called.era != era:
+                return unavailable_fault('store was restored during a list')
+            era = called.era
             page = _objects_in(response, 'items')
             objects.extend(page)
             revision = _revision_of(response)
@@ -68,7 +75,7 @@
             if not response.get('has_more'):
                 if oldest_revision is None:
                     return unavailable_fault('list response has no revision')
-                return forwarding.Listing(tuple(objects), oldest_revision)
+                return forwarding.Listing(tuple(objects), oldest_revision, era)
             if not page:
                 return unavailable_fault('a page of the list is empty')
             # ``start_revision`` takes the name of the last object, not a
@@ -82,7 +89,7 @@
 
     def watch_events(
         self, revision: int, wait_s: float
-    ) -> bytes | forwarding.StoreFault:
+    ) -> forwarding.StoreResponse | forwarding.StoreFault:
         """Wait for changes after a revision; return the response undecoded.
 
         :param wait_s: time after which the store responds without changes.
@@ -92,17 +99,9 @@
         )
         return self._call(query, wait_s + WATCH_MARGIN_S)
 
-    def _get(
-        self, query: str, timeout_s: float
-    ) -> dict[str, Any] | forwarding.StoreFault:
-        response = self._call(query, timeout_s)
-        if isinstance(response, forwarding.StoreFault):
-            return response
-        return decode_object(response)
-
     def _call(
         self, query: str, timeout_s: float
-    ) -> bytes | forwarding.StoreFault:
+    ) -> forwarding.StoreResponse | forwarding.StoreFault:
         response = self._client.call(
             'GET', self._path + query, None, timeout_s
         )
@@ -123,7 +122,7 @@
             return unavailable_fault(
                 f'store responded with status {response.status}'
             )
-        return response.body
+        return response
 
 
 class KindReader(Generic[T]):
@@ -153,7 +152,9 @@
             decoded = self.decode(item, False)
             if decoded is not None:
                 items.append(decoded)
-        return forwarding.Listing(tuple(items), response.revision)
+        return forwarding.Listing(
+            tuple(items), response.revision, response.era
+        )
 
     def watch(
         self, revision: int, wait_s: float
@@ -162,12 +163,12 @@
         response = self._objects.watch_events(revision, wait_s)
         if isinstance(response, forwarding.StoreFault):
             return response
-        return self.decode_changes(response)
+        return self.decode_changes(response.body, response.era)
 
     def decode_changes(
-        self, content: bytes
+        self, content: bytes, era: int = 0
     ) -> forwarding.Changes[T] | forwarding.StoreFault:
-        """Return the changes in a response that ``watch`` received."""
+        """Return the changes in a response; see ``WatchSource``."""
         response = decode_object(content)
         if isinstance(response, forwarding.StoreFault):
             return response
@@ -181,7 +182,7 @@
         revision = _revision_of(response)
         if revision is None:
             return _unreadable_fault('watch response has no revision')
-        return forwarding.Changes(tuple(items), revision, content)
+        return forwarding.Changes(tuple(items), revision, content, era)
 
     def decode(self, item: dict[str, Any], is_deleted: bool) -> T | None:
         """Return the value of an object, or None if it has none."""
--- a/packages/platform/src/skylarktack/platform/tests/test_store.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_store.py
@@ -58,6 +58,26 @@
     return platform.TargetReader(client, log), client, log
 
 
+class _RestoredClient:
+    """A store that is restored between two pages of a list."""
+
+    def __init__(self) -> None:
+        self.call_count = 0
+
+    def call(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> forwarding.StoreResponse:
+        self.call_count += 1
+        page = {
+            'items': [_object(f'i-{self.call_count}', test_entries.ENTRY)],
+            'has_more': self.call_count == 1,
+            'at': 530,
+        }
+        return forwarding.StoreResponse(
+            200, json.dumps(page).encode(), era=self.call_count
+        )
+
+
 class TestListing:
     """A list is read to its last page; faults are reported."""
 
@@ -77,6 +97,14 @@
             '/objects/servers?start_revision=i%2F1',
         ]
 
+    def test_pages_of_two_eras(self) -> None:
+        """Guards against a list of which a restored store sent one half."""
+        client = _RestoredClient()
+        reader = platform.TargetReader(client, fakes.RecordingLog())
+        listing = reader.list_all()
+        assert isinstance(listing, forwarding.StoreFault)
+        assert client.call_count == 2
+
     def test_revision_is_that_of_oldest_page(self) -> None:
         """Guards against missing a change between two pages of a list.
 
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -44,6 +44,7 @@
 from skylarktack.state.forwarding._requests import ResponseHead
 from skylarktack.state.forwarding._requests import RunCopy
 from skylarktack.state.forwarding._settings import ForwardingSettings
+from skylarktack.state.forwarding._store_position import StorePosition
 from skylarktack.state.forwarding._targets import LeavingTarget
 from skylarktack.state.forwarding._targets import ListedTarget
 from skylarktack.state.forwarding._targets import TargetChange
@@ -96,6 +97,7 @@
     'BroadcastMessage',
     'WatchHeartbeat',
     'StoreChange',
+    'StorePosition',
     'StoredQuarantine',
     'VersionTrial',
     'TargetChange',
--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -102,6 +102,7 @@
             except BlockingIOError:
                 self._wait(connection, select.POLLOUT, deadline_s)
         status = 0
+        response_headers: list[tuple[str, str]] = []
         chunks: list[bytes] = []
         while True:
             event = parser.next_event()
@@ -114,6 +115,10 @@
                 continue
             if isinstance(event, h11.Response):
                 status = event.status_code
+                for name, value in event.headers:
+                    response_headers.append(
+                        (name.decode('latin-1'), value.decode('latin-1'))
+                    )
                 continue
             if isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
@@ -122,7 +127,9 @@
                 break
         if not parser.start_next_cycle():
             self._disconnect()
-        return forwarding.StoreResponse(status, b''.join(chunks))
+        return forwarding.StoreResponse(
+            status, b''.join(chunks), tuple(response_headers)
+        )
 
     def _connect_if_needed(self) -> socket.socket:
         # Bytes that arrive between two calls are a late or second response,
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
@@ -14,6 +14,7 @@
 
 OK_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
 
+OK = forwarding.StoreResponse(200, b'{}', (('content-length', '2'),))
 
 #: Delay of a repeated response.
 LATE_RESPONSE_S = 0.05
@@ -125,7 +126,7 @@
         calls = transport.HttpStoreCalls(store.endpoint)
         for _ in range(2):
             response = calls.call('GET', '/objects/a?x=1', None, 20.0)
-            assert response == forwarding.StoreResponse(200, b'{}')
+            assert response == OK
         assert store.connection_count == 1
         assert store.requests[0].startswith(b'GET /objects/a?x=1 HTTP/1.1')
         store.close()
@@ -143,7 +144,7 @@
         for idle_s in (0.0, 0.5, 3.0):
             clock.advance(idle_s)
             response = calls.call('GET', '/objects/a', None, 20.0)
-            assert response == forwarding.StoreResponse(200, b'{}')
+            assert response == OK
         assert store.connection_count == 2
         store.close()
 
@@ -162,7 +163,7 @@
             calls = transport.HttpStoreCalls(store.endpoint)
             for _ in range(2):
                 response = calls.call('GET', '/objects/a', None, 20.0)
-                assert response == forwarding.StoreResponse(200, b'{}')
+                assert response == OK
                 store.wait_until_late_response()
             assert store.connection_count == 2
             store.close()
