List again when the store has been restored from a copy

A restored store gives revisions out again; once it has passed that revision, the watch is answered instead of refused, and what was written below it is never seen. Instances that were frozen or cut off across the restore ask late and meet just that.

A watcher now keeps the era with its revision. A response of another era ends the history: its changes are not applied, the cache is marked stale, and the kind is listed, not from a stale read. The era is noticed by whichever task of the instance calls first. Entries that this list lacks are kept as after an outage. In a fleet that shares its watch the lists are distributed over 2 ms for each instance. Ruled out: the 410 alone, which the store sends only until it has passed the revision.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
@@ -118,6 +118,10 @@
         """Return whether the fleet is large enough to share watches."""
         return self._fleet.instance_count() > MAX_UNSHARED_FLEET_SIZE
 
+    def instance_count(self) -> int:
+        """Return the number of live instances, with this one."""
+        return self._fleet.instance_count()
+
     def role(self, kind: str) -> WatchRole:
         """Return how this instance learns of changes to a kind now."""
         now_s = self._clock.monotonic_s()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -1,11 +1,13 @@
 """List-then-watch loop that keeps one kind of store objects up to date."""
 
+import random
 import threading
 from typing import Generic
 from typing import TypeVar
 
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _shared_watch
+from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.forwarding import _store_events
 from skylarktack.coordination.forwarding import _store_health
 from skylarktack.coordination.forwarding import _watch_ports
@@ -25,6 +27,10 @@
 #: Wait of a watch that only fetches missing changes.
 CATCH_UP_WAIT_S = 0.05
 
+#: After a restore the instances that rely on forwarded changes list at random
+#: within this time for each instance, so that the store's rate limit is kept.
+LIST_SPREAD_PER_INSTANCE_S = 0.002
+
 #: Interval at which a task checks whether it is its turn to ask the store.
 TURN_CHECK_INTERVAL_S = 0.05
 
@@ -44,6 +50,7 @@
         log: _events.EventLog,
         settings: _watch_ports.WatchSettings,
         health: _store_health.StoreHealth,
+        era: _store_era.StoreEra,
         shared_watch: _shared_watch.SharedWatch | None = None,
     ) -> None:
         self._clock = clock
@@ -52,13 +59,16 @@
         self._log = log
         self._settings = settings
         self._health = health
+        self._era = era
         self._shared_watch = shared_watch
         self._receives_changes = False
         self._last_change_revision = 0
         self._behind_since_s: float | None = None
         self._stopped = threading.Event()
         self._failing_since_s: float | None = None
-        self._has_listed = False
+        #: Era in which the cached objects were listed; None before.
+        self._listed_era: int | None = None
+        self._follows_restore = False
         self._must_catch_up = False
         self._must_list = False
 
@@ -68,23 +78,47 @@
 
     def run(self) -> None:
         """List and watch the kind until stopped."""
-        revision: int | None = None
+        position: data.StorePosition | None = None
         while not self._stopped.is_set():
-            if revision is not None and not self._asks_store():
-                revision = self._receive_changes(revision)
+            if self._is_restored(self._era.current):
+                self._record_restore(self._era.current)
+                self._wait_to_list()
+                position = None
+                continue
+            if position is not None and not self._asks_store():
+                position = self._receive_changes(position)
                 continue
             if not self._health.claim_call(self._settings.name):
-                revision = self._wait_for_turn(revision)
+                position = self._wait_for_turn(position)
                 continue
-            if revision is None:
-                revision = self._list()
+            if position is None:
+                position = self._list()
                 continue
             if self._shared_watch is not None:
                 self._shared_watch.take_turn()
             if self._must_catch_up:
-                revision = self._catch_up(revision)
+                position = self._catch_up(position)
                 continue
-            revision = self._watch(revision, self._watch_wait_s())
+            position = self._watch(position, self._watch_wait_s())
+
+    def _is_restored(self, era: int) -> bool:
+        """Return whether the cached objects were listed before a restore."""
+        return self._listed_era is not None and era != self._listed_era
+
+    def _record_restore(self, era: int) -> None:
+        """Record that the next list is that of a restored store."""
+        self._listed_era = era
+        self._follows_restore = True
+        self._handler.record_restore()
+
+    def _wait_to_list(self) -> None:
+        """Wait, so that not all instances of the fleet list at once."""
+        if self._shared_watch is None or not self._receives_changes:
+            return
+        max_wait_s = LIST_SPREAD_PER_INSTANCE_S * (
+            self._shared_watch.instance_count()
+        )
+        self._clock.wait(self._stopped, max_wait_s * random.random())
 
     def _asks_store(self) -> bool:
         """Return whether to ask the store rather than rely on peers."""
@@ -115,10 +149,12 @@
             self._settings.name, self._settings.watch_pause_s
         )
 
-    def _receive_changes(self, revision: int) -> int | None:
+    def _receive_changes(
+        self, position: data.StorePosition
+    ) -> data.StorePosition | None:
         """Apply changes that peers forward; watch if one stays missing.
 
-        :return: revision up to which all changes are known.
+        :return: position up to which all changes are known.
         """
         if self._shared_watch is None:
             raise AssertionError(
@@ -132,51 +168,55 @@
         )
         change = self._shared_watch.next_change(name, step_s)
         if change is not None:
-            return self._apply_forwarded_change(change, revision)
+            return self._apply_forwarded_change(change, position)
         reported = self._shared_watch.reported(name)
         if reported is None:
-            return revision
-        if reported.changed_revision <= revision:
+            return position
+        if reported.changed_revision <= position.revision:
             self._record_up_to_date()
-            return revision
+            return position
         now_s = self._clock.monotonic_s()
         if self._behind_since_s is None:
             self._behind_since_s = now_s
         if now_s - self._behind_since_s < MISSING_CHANGE_TIMEOUT_S:
-            return revision
+            return position
         if not self._health.claim_call(name):
-            return revision
+            return position
         self._behind_since_s = None
-        return self._catch_up(revision)
+        return self._catch_up(position)
 
-    def _wait_for_turn(self, revision: int | None) -> int | None:
+    def _wait_for_turn(
+        self, position: data.StorePosition | None
+    ) -> data.StorePosition | None:
         """Wait for the turn to ask the store; apply forwarded changes."""
-        if self._shared_watch is None or revision is None:
+        if self._shared_watch is None or position is None:
             self._clock.wait(self._stopped, TURN_CHECK_INTERVAL_S)
-            return revision
+            return position
         change = self._shared_watch.next_change(
             self._settings.name, TURN_CHECK_INTERVAL_S
         )
         if change is None:
-            return revision
-        return self._apply_forwarded_change(change, revision)
+            return position
+        return self._apply_forwarded_change(change, position)
 
     def _apply_forwarded_change(
-        self, change: data.StoreChange, revision: int
-    ) -> int:
+        self, change: data.StoreChange, position: data.StorePosition
+    ) -> data.StorePosition:
         """Apply a change that a peer forwarded, unless there is a gap.
 
-        :return: revision up to which all changes are known.
+        :return: position up to which all changes are known.
         """
-        if not change.previous_revision <= revision < change.revision:
-            return revision
+        if not (
+            change.previous_revision <= position.revision < change.revision
+        ):
+            return position
         decoded = self._source.decode_changes(change.content)
         if not isinstance(decoded, _watch_ports.Changes):
-            return revision
+            return position
         self._handler.apply(decoded.items, change.follows_outage)
         self._last_change_revision = change.revision
         self._record_up_to_date()
-        return change.revision
+        return data.StorePosition(position.era, change.revision)
 
     def _record_up_to_date(self) -> None:
         """Record that peers reach the store and no change is missing."""
@@ -186,36 +226,47 @@
         self._handler.confirm()
         self._record_recovery()
 
-    def _catch_up(self, revision: int) -> int | None:
+    def _catch_up(
+        self, position: data.StorePosition
+    ) -> data.StorePosition | None:
         """Fetch missing changes by a watch, or by a list if it is due."""
         if not self._must_list:
-            return self._watch(revision, CATCH_UP_WAIT_S)
-        listed_revision = self._list()
+            return self._watch(position, CATCH_UP_WAIT_S)
+        listed = self._list()
         # Without a list, changes that peers forward can still be applied.
-        return revision if listed_revision is None else listed_revision
+        return position if listed is None else listed
 
-    def _list(self) -> int | None:
+    def _list(self) -> data.StorePosition | None:
         # When many instances start together, current lists would wait for
         # the store's rate limit, which stale reads do not count against.
         # The next watch fetches the changes that a stale list lacks.
-        may_be_stale = not self._has_listed
+        may_be_stale = self._listed_era is None
         result = self._source.list_all(may_be_stale)
         if isinstance(result, _watch_ports.StoreFault):
             self._record_fault(result)
             return None
         after_outage = self._record_success()
-        self._handler.replace(result.items, after_outage and self._has_listed)
-        self._has_listed = True
+        if self._is_restored(result.era):
+            self._record_restore(result.era)
+        is_first = self._listed_era is None
+        self._handler.replace(
+            result.items,
+            self._follows_restore or (after_outage and not is_first),
+        )
+        self._listed_era = result.era
+        self._follows_restore = False
         self._last_change_revision = result.revision
         self._must_catch_up = may_be_stale
         self._must_list = False
         if not may_be_stale:
             self._handler.confirm()
             self._record_response()
-        return result.revision
+        return result.position
 
-    def _watch(self, revision: int, wait_s: float) -> int | None:
-        result = self._source.watch(revision, wait_s)
+    def _watch(
+        self, position: data.StorePosition, wait_s: float
+    ) -> data.StorePosition | None:
+        result = self._source.watch(position.revision, wait_s)
         if isinstance(result, _watch_ports.StoreFault):
             if result.kind is _watch_ports.StoreFaultKind.REVISION_COMPACTED:
                 self._health.record_response()
@@ -234,8 +285,11 @@
                     )
                 )
                 return None
-            return revision
+            return position
         after_outage = self._record_success()
+        if result.era != position.era:
+            # The changes of another history, or only a part of them.
+            return position
         self._must_catch_up = False
         self._handler.apply(result.items, after_outage)
         self._handler.confirm()
@@ -246,7 +300,7 @@
         watch_pause_s = self._watch_pause_s()
         if result.items and watch_pause_s > 0:
             self._clock.wait(self._stopped, watch_pause_s)
-        return result.revision
+        return result.position
 
     def _require_list_if_shorter(self) -> None:
         """List next if the changes may be too long to be sent in time."""
@@ -299,7 +353,7 @@
                 )
             )
         max_delay_s = _store_health.MAX_RETRY_DELAY_S
-        if not self._has_listed:
+        if self._listed_era is None:
             max_delay_s = _store_health.MAX_FIRST_RETRY_DELAY_S
         self._health.record_fault(self._settings.name, max_delay_s)
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -114,6 +114,10 @@
         for configuration in items:
             self._holder.replace_if_newer(configuration)
 
+    def record_restore(self) -> None:
+        """Record that the configuration may be out of date."""
+        self._holder.mark_stale()
+
     def confirm(self) -> None:
         """Record that the store confirmed the configuration."""
         self._holder.confirm(self._validity_s)
@@ -148,6 +152,9 @@
         for item in items:
             self._targets.apply(item)
 
+    def record_restore(self) -> None:
+        """Do nothing; the next list keeps targets that it lacks a while."""
+
     def confirm(self) -> None:
         """Do nothing; the last known targets are used at any age."""
 
@@ -174,6 +181,9 @@
         for item in items:
             self._table.apply(item)
 
+    def record_restore(self) -> None:
+        """Do nothing; a move continues in its last recorded phase."""
+
     def confirm(self) -> None:
         """Record that all current moves are known."""
         self._table.is_synced.set()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
@@ -125,6 +125,14 @@
         """
         ...
 
+    def record_restore(self) -> None:
+        """Record that the store was restored from a copy.
+
+        The entries that it lists may be missing or older than the cached
+        ones until their writers have written them again.
+        """
+        ...
+
     def confirm(self) -> None:
         """Record that the cached objects are up to date."""
         ...
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
@@ -33,6 +33,7 @@
             fakes.RecordingLog(),
             forwarding.WatchSettings('kind', 3.0, 0.0, is_list_shorter),
             self.health,
+            self.source.era,
             self.shared_watch,
         )
         self.source.watcher = self.watcher
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_store_watcher.py
@@ -24,6 +24,7 @@
         log,
         forwarding.WatchSettings('kind', 3.0, 0.0, is_list_shorter),
         forwarding.StoreHealth(clock),
+        source.era,
     )
     source.watcher = watcher
     watcher.run()
@@ -207,6 +208,7 @@
             fakes.RecordingLog(),
             forwarding.WatchSettings('kind', 3.0, 0.0),
             health,
+            source.era,
         )
         source.watcher = watcher
         # Another kind is answered after the first watch got no response.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 
 UNAVAILABLE = forwarding.StoreFault(
@@ -27,6 +28,8 @@
 
     def __init__(self, *results: StoreResult) -> None:
         self._results = collections.deque(results)
+        #: Era that the results report, as the platform's adapter records it.
+        self.era = forwarding.StoreEra(fakes.RecordingLog())
         self.calls: list[str] = []
         self.waits_s: list[float] = []
         self.watcher: forwarding.StoreWatcher[str] | None = None
@@ -56,6 +59,8 @@
 
     def _next(self) -> StoreResult:
         result = self._results.popleft()
+        if not isinstance(result, forwarding.StoreFault):
+            self.era.record(result.era)
         if not self._results and self.watcher is not None:
             self.watcher.stop()
         return result
@@ -65,6 +70,7 @@
     def __init__(self) -> None:
         self.applied: list[tuple[str, tuple[str, ...], bool]] = []
         self.is_current = False
+        self.restore_count = 0
 
     def replace(self, items: tuple[str, ...], after_outage: bool) -> None:
         self.applied.append(('list', items, after_outage))
@@ -72,6 +78,10 @@
     def apply(self, items: tuple[str, ...], after_outage: bool) -> None:
         self.applied.append(('changes', items, after_outage))
 
+    def record_restore(self) -> None:
+        self.restore_count += 1
+        self.is_current = False
+
     def confirm(self) -> None:
         self.is_current = True
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -229,6 +229,7 @@
                 'configuration', WATCH_WAIT_S, 0.0, is_list_shorter=True
             ),
             health,
+            self._era,
             self._shared_watch,
         )
         self._target_watcher = forwarding.StoreWatcher(
@@ -240,6 +241,7 @@
                 'targets', WATCH_WAIT_S, TARGET_BATCH_PAUSE_S
             ),
             health,
+            self._era,
             self._shared_watch,
         )
         self._move_watcher = forwarding.StoreWatcher(
@@ -249,6 +251,7 @@
             log,
             forwarding.WatchSettings('moves', MOVE_WATCH_WAIT_S, 0.0),
             health,
+            self._era,
             self._shared_watch,
         )
         self._background_tasks = futures.ThreadPoolExecutor(
