Tell the era of the store in shared watches

After a restore the peers report lower revisions, so an instance took itself for current, dropped forwarded changes that began below its own revision, and kept the higher revision of a heartbeat from before.

Heartbeats and forwarded changes now name the era. What is of an earlier one is ignored, a heartbeat of a later one makes the receiver list, and an instance does not report what the store confirmed before the restore. The eras of a heartbeat are a field of their own, so that earlier releases read it; their heartbeats, without an era, are ignored by instances whose store reports one, which then take turns in asking the store until all are of this release.

Five cases in test_shared_store_watcher.py fail without the comparisons, and test_fleet_codec.py has the datagrams of the earlier release.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
@@ -19,6 +19,7 @@
 
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _fleet_tasks
+from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -105,10 +106,12 @@
         clock: Clock,
         fleet: _fleet.FleetView,
         link: _fleet_tasks.FleetLink,
+        era: _store_era.StoreEra,
     ) -> None:
         self._clock = clock
         self._fleet = fleet
         self._link = link
+        self._era = era
         self._lock = threading.Lock()
         self._kinds: dict[str, _KindState] = {}
         self._never_set = threading.Event()
@@ -190,7 +193,10 @@
             state = self._state_of(kind)
             if self._clock.monotonic_s() > state.peer_confirmed_until_s:
                 return None
-            return state.peer_confirmed
+            reported = state.peer_confirmed
+        if reported is None or reported.era < self._era.current:
+            return None
+        return reported
 
     def next_change(
         self, kind: str, timeout_s: float
@@ -231,21 +237,25 @@
             return
 
     def receive_heartbeat(self, heartbeat: data.WatchHeartbeat) -> None:
-        """Record the heartbeat of a peer to which the store responds."""
+        """Record the heartbeat of a peer to which the store responds.
+
+        What the store confirmed before a restore is ignored.
+        """
         until_s = self._clock.monotonic_s() + HEARTBEAT_LIFETIME_S
         is_outranking = self._fleet.is_outranked_by(heartbeat.instance)
         with self._lock:
             for confirmed in heartbeat.kinds:
                 state = self._state_of(confirmed.kind)
+                newest = state.peer_confirmed
+                newest_era = self._era.current
+                if newest is not None:
+                    newest_era = max(newest_era, newest.era)
+                if confirmed.era < newest_era:
+                    continue
                 state.peer_confirmed_until_s = until_s
                 if is_outranking:
                     state.outranked_until_s = until_s
-                newest = (
-                    0
-                    if state.peer_confirmed is None
-                    else state.peer_confirmed.changed_revision
-                )
-                if confirmed.changed_revision >= newest:
+                if newest is None or confirmed.position >= newest.position:
                     state.peer_confirmed = confirmed
 
     def heartbeat(self) -> data.WatchHeartbeat | None:
@@ -282,6 +292,9 @@
             return now_s <= self._state_of(kind).outranked_until_s
 
     def _is_confirmed(self, state: _KindState, now_s: float) -> bool:
+        """Return whether the store of now confirmed a kind recently."""
+        if state.confirmed is None or state.confirmed.era < self._era.current:
+            return False
         return now_s <= state.confirmed_at_s + CONFIRMATION_LIFETIME_S
 
     def _state_of(self, kind: str) -> _KindState:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -172,7 +172,11 @@
         reported = self._shared_watch.reported(name)
         if reported is None:
             return position
-        if reported.changed_revision <= position.revision:
+        if reported.era > position.era:
+            self._handler.mark_stale()
+            self._wait_to_list()
+            return None
+        if reported.position <= position:
             self._record_up_to_date()
             return position
         now_s = self._clock.monotonic_s()
@@ -206,6 +210,8 @@
 
         :return: position up to which all changes are known.
         """
+        if change.era != position.era:
+            return position
         if not (
             change.previous_revision <= position.revision < change.revision
         ):
@@ -260,7 +266,7 @@
         self._must_list = False
         if not may_be_stale:
             self._handler.confirm()
-            self._record_response()
+            self._record_response(result.era)
         return result.position
 
     def _watch(
@@ -296,7 +302,7 @@
         if result.items:
             self._publish(result, after_outage)
             self._last_change_revision = result.revision
-        self._record_response()
+        self._record_response(result.era)
         watch_pause_s = self._watch_pause_s()
         if result.items and watch_pause_s > 0:
             self._clock.wait(self._stopped, watch_pause_s)
@@ -332,14 +338,15 @@
                 result.revision,
                 result.content,
                 follows_outage=after_outage,
+                era=result.era,
             )
         )
 
-    def _record_response(self) -> None:
+    def _record_response(self, era: int) -> None:
         if self._shared_watch is not None:
             self._shared_watch.record_response(
                 data.ConfirmedKind(
-                    self._settings.name, self._last_change_revision
+                    self._settings.name, self._last_change_revision, era
                 )
             )
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
@@ -1,5 +1,7 @@
 """Tests of watching the store together with other instances."""
 
+import pytest
+
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding.tests import harness
@@ -59,7 +61,9 @@
             for number, name in enumerate(names):
                 if name != own:
                     view.receive(harness.peer_report(name, number))
-            shared_watch = forwarding.SharedWatch(self.clock, view, self.link)
+            shared_watch = forwarding.SharedWatch(
+                self.clock, view, self.link, self.source.era
+            )
             asks = shared_watch.role('kind') is forwarding.WatchRole.WATCH
             # Rank 2 asks at first as well, since it receives no heartbeat.
             if asks == is_watcher and (view.rank() < 2) == is_watcher:
@@ -298,8 +302,92 @@
             clock, fakes.RecordingLog(), 'own', data.Address('h', 1)
         )
         shared_watch = forwarding.SharedWatch(
-            clock, view, harness.RecordingLink()
+            clock,
+            view,
+            harness.RecordingLink(),
+            forwarding.StoreEra(fakes.RecordingLog()),
         )
         shared_watch.receive_heartbeat(_heartbeat(5))
         clock.advance(1.1)
         assert shared_watch.role('kind') is forwarding.WatchRole.WATCH
+
+
+class TestSharedWatchAfterRestore:
+    """Revisions that peers report belong to an era of the store."""
+
+    @pytest.mark.parametrize(
+        ('reported', 'is_reported'),
+        [
+            (data.ConfirmedKind('kind', 9, era=3), False),
+            (data.ConfirmedKind('kind', 5, era=4), True),
+            (data.ConfirmedKind('kind', 9), False),
+        ],
+    )
+    def test_heartbeats_of_an_earlier_era_are_ignored(
+        self, reported: data.ConfirmedKind, is_reported: bool
+    ) -> None:
+        """Guards against relying on a peer that missed the restore."""
+        shared = _SharedHarness(False)
+        shared.source.era.record(4)
+        heartbeat = data.WatchHeartbeat('x', (reported,))
+        shared.shared_watch.receive_heartbeat(heartbeat)
+        expected = reported if is_reported else None
+        assert shared.shared_watch.reported('kind') == expected
+
+    def test_an_earlier_confirmation_is_not_reported(self) -> None:
+        """Guards against peers that rely on a watch of the former history."""
+        shared = _SharedHarness(True)
+        confirmed = data.ConfirmedKind('kind', 9, era=3)
+        shared.source.era.record(3)
+        shared.shared_watch.record_response(confirmed)
+        assert shared.shared_watch.heartbeat() is not None
+        shared.source.era.record(4)
+        assert shared.shared_watch.heartbeat() is None
+
+    def test_a_receiver_lists_when_peers_report_a_later_era(self) -> None:
+        """Guards against an instance that counts as current for ever.
+
+        The peers report a lower revision, which the instance took for one
+        that it knows, and served the configuration from before the restore.
+        """
+        shared = _SharedHarness(
+            False,
+            forwarding.Listing(('a',), 9, era=3),
+            forwarding.Listing(('b',), 7, era=4),
+        )
+        later = data.ConfirmedKind('kind', 7, era=4)
+        end_s = shared.clock.monotonic_s() + 10.0
+
+        def _next(kind: str, timeout_s: float) -> data.StoreChange | None:
+            shared.clock.advance(timeout_s)
+            if shared.clock.monotonic_s() > end_s:
+                shared.watcher.stop()
+            shared.shared_watch.receive_heartbeat(
+                data.WatchHeartbeat('x', (later,))
+            )
+            return None
+
+        shared.shared_watch.next_change = _next  # type: ignore[method-assign]
+        shared.shared_watch.receive_heartbeat(
+            data.WatchHeartbeat('x', (data.ConfirmedKind('kind', 9, era=3),))
+        )
+        shared.watcher.run()
+        assert shared.source.calls == ['stale list', 'list']
+        assert shared.handler.applied[-1] == ('list', ('b',), True)
+        assert shared.handler.restore_count == 1
+
+    def test_a_forwarded_change_of_another_era_is_dropped(self) -> None:
+        """Guards against a position that mixes two histories."""
+        shared = _SharedHarness(
+            True,
+            forwarding.Listing((), 5, era=3),
+            watcher_harness.UNAVAILABLE,
+            forwarding.Changes((), 6, era=3),
+        )
+        shared.advance_while_waiting()
+        shared.shared_watch.receive_change(
+            data.StoreChange('kind', 5, 9, b'b', era=4)
+        )
+        shared.watcher.run()
+        assert shared.source.calls == ['stale list', 'watch 5', 'watch 5']
+        assert ('changes', ('b',), False) not in shared.handler.applied
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_watch.py
@@ -24,7 +24,10 @@
         self.view = forwarding.FleetView(
             clock, fakes.RecordingLog(), name, data.Address('h', 1)
         )
-        self.shared_watch = forwarding.SharedWatch(clock, self.view, self.link)
+        self.era = forwarding.StoreEra(fakes.RecordingLog())
+        self.shared_watch = forwarding.SharedWatch(
+            clock, self.view, self.link, self.era
+        )
         self.health = forwarding.StoreHealth(clock)
 
     def step(self, available_kinds: tuple[str, ...]) -> int:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -215,7 +215,7 @@
         self._shared_watch: forwarding.SharedWatch | None = None
         if self._link is not None:
             self._shared_watch = forwarding.SharedWatch(
-                clock, self._fleet, self._link
+                clock, self._fleet, self._link, self._era
             )
         health = forwarding.StoreHealth(clock)
         self._configuration_watcher = forwarding.StoreWatcher(
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -52,11 +52,14 @@
                 message.revision,
                 zlib.compress(message.content),
                 message.follows_outage,
+                message.era,
             )
         )
     if isinstance(message, data.WatchHeartbeat):
-        kinds = [dataclasses.astuple(kind) for kind in message.kinds]
-        return cbor2.dumps((HEARTBEAT_TYPE, message.instance, kinds))
+        kinds = [(kind.kind, kind.changed_revision) for kind in message.kinds]
+        # Earlier releases read pairs, so the eras are a list of their own.
+        eras = [kind.era for kind in message.kinds]
+        return cbor2.dumps((HEARTBEAT_TYPE, message.instance, kinds, eras))
     if isinstance(message, data.BroadcastMessage):
         peers = [(peer.host, peer.port) for peer in message.peers]
         return cbor2.dumps((BROADCAST_TYPE, peers, message.content))
@@ -231,13 +234,21 @@
         revision=_integer(fields[3]),
         content=_decompress(fields[4]),
         follows_outage=bool(fields[5]),
+        # Earlier releases send no era.
+        era=_integer(fields[6]) if len(fields) > 6 else 0,
     )
 
 
 def _decode_heartbeat(fields: Any) -> data.WatchHeartbeat:
+    # Earlier releases send no eras.
+    eras = fields[3] if len(fields) > 3 else [0] * len(fields[2])
     kinds = []
-    for kind, changed_revision in fields[2]:
-        kinds.append(data.ConfirmedKind(str(kind), _integer(changed_revision)))
+    for (kind, changed_revision), era in zip(fields[2], eras, strict=True):
+        kinds.append(
+            data.ConfirmedKind(
+                str(kind), _integer(changed_revision), _integer(era)
+            )
+        )
     return data.WatchHeartbeat(str(fields[1]), tuple(kinds))
 
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -65,6 +65,13 @@
             without_evidence, leaving_targets=()
         )
 
+    def test_watch_messages_of_an_earlier_release(self) -> None:
+        """Guards against a shared watch that stops in mixed releases."""
+        for message, field_count in ((HEARTBEAT, 3), (CHANGE, 6)):
+            fields = cbor2.loads(messages.encode_message(message))
+            earlier = cbor2.dumps(fields[:field_count])
+            assert messages.decode_message(earlier) == message
+
     def test_long_part_id_is_malformed(self) -> None:
         """Guards against memory that a peer fills with identifiers."""
         evidence = data.PromptEvidence(
@@ -78,13 +85,13 @@
         """Guards against store changes that are altered by the encoding."""
         change = data.StoreChange('targets', 5, 9, b'{"events":[],"at":9}')
         after_outage = data.StoreChange(
-            'targets', 5, 9, b'', follows_outage=True
+            'targets', 5, 9, b'', follows_outage=True, era=3
         )
         heartbeat = data.WatchHeartbeat(
             'edge-a-1',
             (
                 data.ConfirmedKind('targets', 9),
-                data.ConfirmedKind('routes', 4),
+                data.ConfirmedKind('routes', 4, era=3),
             ),
         )
         broadcast = data.BroadcastMessage(
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -8,6 +8,7 @@
 from skylarktack.state._addresses import Address
 from skylarktack.state.forwarding._moves import MoveReport
 from skylarktack.state.forwarding._prompt_evidence import PromptEvidence
+from skylarktack.state.forwarding._store_position import StorePosition
 from skylarktack.state.forwarding._targets import LeavingTarget
 
 
@@ -109,6 +110,10 @@
     #: store was unavailable.
     follows_outage: bool = False
 
+    #: Era of the store to which both revisions belong; 0 if an earlier
+    #: release forwarded the change.
+    era: int = 0
+
 
 @dataclasses.dataclass(frozen=True)
 class ConfirmedKind:
@@ -119,6 +124,15 @@
     #: Revision of the newest change of this kind.
     changed_revision: int
 
+    #: Era of the store to which the revision belongs; 0 if an earlier release
+    #: reports it.
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position of the newest change."""
+        return StorePosition(self.era, self.changed_revision)
+
 
 @dataclasses.dataclass(frozen=True)
 class WatchHeartbeat:
