Do not refuse by a configuration that peers know to be out of date

A caller would see 404 for a route that was confirmed before a restore of the store, from an instance that starts (or comes back from a partition) after the restore and before the operator has written the configuration again.

Instances that run keep the newer version, so no version goes back in a process.

Reports between instances now name the version in force. While a peer has a newer one, the instance does not count its own as current: it refuses an unknown route or key with 503 and a time to return instead of 404 or 401. A report is believed for 30 s. It still serves what the older version allows; if all instances start after the restore, nobody knows the newer one.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -65,6 +65,19 @@
         ...
 
 
+class ConfigurationVersions(Protocol):
+    """Gives the configuration in force here, and receives those of peers."""
+
+    @property
+    def version(self) -> int:
+        """Return the version in force here; 0 before the first."""
+        ...
+
+    def record_peer_version(self, version: int) -> None:
+        """Record the version in force at a peer."""
+        ...
+
+
 class RetryCounter(Protocol):
     """Counts requests and retries of this instance."""
 
@@ -97,6 +110,7 @@
         )
         self._retry_counter: RetryCounter | None = None
         self._prompt_exchange: PromptEvidenceExchange | None = None
+        self._configurations: ConfigurationVersions | None = None
         self._placements = _run_placements.RunPlacements()
         self._peers = _peer_table.PeerTable(clock, self._placements)
         self._failure_listener: TargetFailureListener | None = None
@@ -148,6 +162,10 @@
         """Set what gives and receives the evidence about prompt parts."""
         self._prompt_exchange = exchange
 
+    def set_configurations(self, versions: ConfigurationVersions) -> None:
+        """Set whose version is reported to the peers."""
+        self._configurations = versions
+
     def report_prompt_evidence(self) -> None:
         """Report new evidence about prompt parts at once."""
         with self._lock:
@@ -195,6 +213,10 @@
             )
         if self._prompt_exchange is not None:
             self._prompt_exchange.receive(report.prompt_evidence)
+        if self._configurations is not None:
+            self._configurations.record_peer_version(
+                report.configuration_version
+            )
         if self._failure_listener is None:
             return
         for name in report.lost_targets:
@@ -305,7 +327,7 @@
             report = self._reports.build(
                 True, tuple(self._own_runs.values()), interval_s, counts
             )
-        return self._with_prompt_evidence(report)
+        return self._with_exchanges(report)
 
     def change_report(self) -> data.InstanceReport | None:
         """Return a report of the changes since the last one, or None.
@@ -320,7 +342,7 @@
             changed = self.outgoing.take_runs()
             self.outgoing.clear_prompt_evidence()
             report = self._reports.build(False, changed, interval_s, counts)
-        return self._with_prompt_evidence(report)
+        return self._with_exchanges(report)
 
     def is_full_report_due(self) -> bool:
         """Return whether new peers wait for a full report."""
@@ -352,14 +374,18 @@
         random.shuffle(live)
         return (*live, *others)
 
-    def _with_prompt_evidence(
+    def _with_exchanges(
         self, report: data.InstanceReport
     ) -> data.InstanceReport:
-        if self._prompt_exchange is None:
-            return report
+        """Add what other components tell the peers."""
+        version = 0
+        if self._configurations is not None:
+            version = self._configurations.version
+        evidence = data.PromptEvidence()
+        if self._prompt_exchange is not None:
+            evidence = self._prompt_exchange.evidence(report.is_full)
         return dataclasses.replace(
-            report,
-            prompt_evidence=self._prompt_exchange.evidence(report.is_full),
+            report, prompt_evidence=evidence, configuration_version=version
         )
 
     def _own_counts(self) -> tuple[data.RetryCounts, ...]:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -10,6 +10,10 @@
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
+#: Time for which a report of a peer on its configuration is believed. Peers
+#: repeat it with each report, at least every 17 s in a fleet of 340.
+PEER_VERSION_LIFETIME_S = 30.0
+
 
 class ConfigurationHolder:
     """Holds the newest configuration; older versions are ignored.
@@ -33,6 +37,8 @@
         self._lock = threading.Lock()
         self._table: _routes.RouteTable | None = None
         self._confirmed_until_s = 0.0
+        self._peer_version = 0
+        self._peer_version_until_s = 0.0
         self.is_synced = threading.Event()
 
     @property
@@ -40,6 +46,25 @@
         """Return the active routes, or None before the first version."""
         return self._table
 
+    @property
+    def version(self) -> int:
+        """Return the active version; 0 before the first."""
+        return 0 if self._table is None else self._table.configuration.version
+
+    def record_peer_version(self, version: int) -> None:
+        """Record the active version of a peer.
+
+        A store that was restored from a copy confirms an older one until the
+        operator has written the newest again.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            is_expired = now_s >= self._peer_version_until_s
+            if version < self._peer_version and not is_expired:
+                return
+            self._peer_version = version
+            self._peer_version_until_s = now_s + PEER_VERSION_LIFETIME_S
+
     def replace_if_newer(
         self, configuration: data.ForwardingConfiguration
     ) -> None:
@@ -73,8 +98,16 @@
         self._confirmed_until_s = 0.0
 
     def is_current(self) -> bool:
-        """Return whether the last confirmation is still valid."""
-        return self._clock.monotonic_s() < self._confirmed_until_s
+        """Return whether the last confirmation is still valid.
+
+        It is not while a peer is known to have a newer configuration.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            is_behind = self.version < self._peer_version
+            if is_behind and now_s < self._peer_version_until_s:
+                return False
+        return now_s < self._confirmed_until_s
 
 
 def _limits_changed(
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -91,6 +91,7 @@
             settings.instance,
             None if self._link is None else self._link.endpoint,
         )
+        self._fleet.set_configurations(self._configuration)
         self._moves = forwarding.MoveTable(
             clock,
             log,
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -124,6 +124,7 @@
                 for leaving in report.leaving_targets
             ],
             _encode_prompt_evidence(report.prompt_evidence),
+            report.configuration_version,
         )
     )
 
@@ -177,6 +178,10 @@
             if len(fields) > 13
             else data.PromptEvidence()
         ),
+        # Earlier releases send no version of the configuration.
+        configuration_version=(
+            _integer(fields[14]) if len(fields) > 14 else 0
+        ),
     )
 
 
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -34,6 +34,7 @@
         (data.PromptOutput('p1', 300),),
         (data.QuarantinedPart('p2', 40, 59960, 1),),
     ),
+    configuration_version=1041,
 )
 
 HEARTBEAT = data.WatchHeartbeat(
@@ -55,8 +56,11 @@
     def test_report_of_an_earlier_release(self) -> None:
         """Guards against reports that are lost while releases are mixed."""
         fields = cbor2.loads(messages.encode_message(REPORT))
+        without_version = dataclasses.replace(REPORT, configuration_version=0)
+        earlier = messages.decode_message(cbor2.dumps(fields[:14]))
+        assert earlier == without_version
         without_evidence = dataclasses.replace(
-            REPORT, prompt_evidence=data.PromptEvidence()
+            without_version, prompt_evidence=data.PromptEvidence()
         )
         earlier = messages.decode_message(cbor2.dumps(fields[:13]))
         assert earlier == without_evidence
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -89,6 +89,10 @@
     #: Losses of engines under prompt parts, and the quarantined parts.
     prompt_evidence: PromptEvidence = PromptEvidence()
 
+    #: Version of the configuration in force at the sender; 0 if it has none
+    #: or is of an earlier release.
+    configuration_version: int = 0
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreChange:
