Call test fixtures harnesses instead of beds

"bed" stood for a harness of tests in 9 files of daemon and transport (response_bed, wsgi_bed, _Bed, _StopBed and variables); the other tests say harness. Names and file names only; the tests of these files pass.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/raw_target.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/raw_target.py
@@ -53,7 +53,7 @@
 
 
 class RawTarget:
-    """Sends the next answer of the bed to each request.
+    """Sends the next answer of the harness to each request.
 
     Probes always succeed.
     """
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_bed.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
@@ -1,4 +1,4 @@
-"""Test bed: a front connection before targets that are raw sockets.
+"""Harness: a front connection before targets that are raw sockets.
 
 Requests pass through the codec of the platform, the decisions and real
 connections, so a test sees exactly the bytes that a caller receives.
@@ -126,7 +126,7 @@
         return self._calls.run(admitted)
 
 
-class ResponseBed:
+class ResponseHarness:
     """A caller, a front connection, and equal targets.
 
     The first request that reaches a target gets the first answer, whichever
@@ -257,13 +257,13 @@
 @contextlib.contextmanager
 def serving(
     route: data.ForwardingRoute, *answers: raw_target.Answer
-) -> Iterator[ResponseBed]:
-    """Run a test bed whose targets send the answers in this order."""
-    bed = ResponseBed(route, *answers)
+) -> Iterator[ResponseHarness]:
+    """Run a test harness whose targets send the answers in this order."""
+    harness = ResponseHarness(route, *answers)
     try:
-        yield bed
+        yield harness
     finally:
-        bed.close()
+        harness.close()
 
 
 def route(
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_broken_streams.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_broken_streams.py
@@ -3,11 +3,13 @@
 import pytest
 
 from skylarktack.daemon.forwarding.tests import raw_target
-from skylarktack.daemon.forwarding.tests import response_bed
+from skylarktack.daemon.forwarding.tests import response_harness
 from skylarktack.state import forwarding as data
 
-RESUMABLE = response_bed.route(data.RequestKind.STREAM)
-NOT_RESUMABLE = response_bed.route(data.RequestKind.STREAM, is_resumable=False)
+RESUMABLE = response_harness.route(data.RequestKind.STREAM)
+NOT_RESUMABLE = response_harness.route(
+    data.RequestKind.STREAM, is_resumable=False
+)
 
 SIGNED = b'Attempt-Id: attempt-1\r\nReplica-Signature: s\r\n'
 EVENT_STREAM = b'Content-Type: text/event-stream\r\n'
@@ -159,20 +161,20 @@
         self, response: bytes, ending: str
     ) -> None:
         """Guards against the text of an error in the middle of a stream."""
-        with response_bed.serving(
+        with response_harness.serving(
             RESUMABLE,
             _broken_stream(2, 'chunks'),
             raw_target.Answer((response,), ending),
             _whole_stream(3, 4),
-        ) as bed:
-            bed.send()
-            received = bed.read_stream()
-            assert [r.last_event_id for r in bed.requests] == [
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+            assert [r.last_event_id for r in harness.requests] == [
                 None,
                 b'2',
                 b'2',
             ]
-        assert received == response_bed.ReceivedStream(
+        assert received == response_harness.ReceivedStream(
             200, _events(1, 4), True
         )
 
@@ -186,13 +188,15 @@
     ) -> None:
         """Guards against a stream that ends as if it were complete."""
         answer = raw_target.Answer((response,), ending)
-        route = response_bed.route(data.RequestKind.STREAM, timeout_ms=1500.0)
-        with response_bed.serving(
+        route = response_harness.route(
+            data.RequestKind.STREAM, timeout_ms=1500.0
+        )
+        with response_harness.serving(
             route, _broken_stream(2, 'chunks'), *(12 * (answer,))
-        ) as bed:
-            bed.send()
-            received = bed.read_stream()
-        assert received == response_bed.ReceivedStream(
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+        assert received == response_harness.ReceivedStream(
             200, _events(1, 2), False
         )
 
@@ -201,36 +205,36 @@
         gap = _answer(
             200, SIGNED + EVENT_STREAM, _events(3, 3) + _events(5, 6)
         )
-        with response_bed.serving(
+        with response_harness.serving(
             RESUMABLE,
             _broken_stream(2, 'chunks'),
             raw_target.Answer((gap,)),
             _whole_stream(4, 4),
-        ) as bed:
-            bed.send()
-            received = bed.read_stream()
-            assert bed.requests[2].last_event_id == b'3'
-        assert received == response_bed.ReceivedStream(
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+            assert harness.requests[2].last_event_id == b'3'
+        assert received == response_harness.ReceivedStream(
             200, _events(1, 4), True
         )
 
     @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
     def test_interruption_is_visible(self, version: bytes) -> None:
         """Guards against a broken stream that looks complete to a caller."""
-        with response_bed.serving(
+        with response_harness.serving(
             NOT_RESUMABLE, _broken_stream(2, 'chunks')
-        ) as bed:
-            bed.send(version=version)
-            assert not bed.read_stream().is_complete
+        ) as harness:
+            harness.send(version=version)
+            assert not harness.read_stream().is_complete
 
     def test_rest_without_events_completes(self) -> None:
         """Guards against failing a stream that lost only its end."""
-        with response_bed.serving(
+        with response_harness.serving(
             RESUMABLE, _broken_stream(2, 'chunks'), _whole_stream(3, 2)
-        ) as bed:
-            bed.send()
-            received = bed.read_stream()
-        assert received == response_bed.ReceivedStream(
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+        assert received == response_harness.ReceivedStream(
             200, _events(1, 2), True
         )
 
@@ -247,15 +251,15 @@
     ) -> None:
         """Guards against bytes of a failing engine within the stream."""
         ending = 'end' if rest else 'reset'
-        with response_bed.serving(
+        with response_harness.serving(
             RESUMABLE,
             _broken_stream(2, framing, rest, ending),
             _whole_stream(3, 4),
-        ) as bed:
-            bed.send()
-            received = bed.read_stream()
-            assert bed.requests[1].last_event_id == b'2'
-        assert received == response_bed.ReceivedStream(
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+            assert harness.requests[1].last_event_id == b'2'
+        assert received == response_harness.ReceivedStream(
             200, _events(1, 4), True
         )
 
@@ -268,12 +272,12 @@
     ) -> None:
         """Guards against a stream that ends as if it were complete."""
         ending = 'end' if rest else 'reset'
-        with response_bed.serving(
+        with response_harness.serving(
             NOT_RESUMABLE, _broken_stream(2, framing, rest, ending)
-        ) as bed:
-            bed.send()
-            received = bed.read_stream()
-        assert received == response_bed.ReceivedStream(
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+        assert received == response_harness.ReceivedStream(
             200, _events(1, 2), False
         )
 
@@ -286,13 +290,13 @@
         self, response: bytes, ending: str
     ) -> None:
         """Guards against a success that holds no stream."""
-        with response_bed.serving(
+        with response_harness.serving(
             RESUMABLE,
             raw_target.Answer((response,), ending),
             _whole_stream(1, 2),
-        ) as bed:
-            bed.send()
-            received = bed.read_stream()
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
         if received.status == 200:
             assert received.body == _events(1, 2)
         assert received.is_complete
@@ -308,10 +312,10 @@
         answer = raw_target.Answer(
             (HEAD + b'\r\n' + _events(1, 3, line_end),), 'end'
         )
-        with response_bed.serving(NOT_RESUMABLE, answer) as bed:
-            bed.send(version=version)
-            received = bed.read_stream()
-        assert received == response_bed.ReceivedStream(
+        with response_harness.serving(NOT_RESUMABLE, answer) as harness:
+            harness.send(version=version)
+            received = harness.read_stream()
+        assert received == response_harness.ReceivedStream(
             200, _events(1, 3, line_end), True
         )
 
@@ -325,13 +329,13 @@
     ) -> None:
         """Guards against completing a stream that ends inside an event."""
         rest = b'id: 3\ndata: t3' + ending_of_event
-        with response_bed.serving(
+        with response_harness.serving(
             RESUMABLE, _broken_stream(2, 'close', rest), _whole_stream(3, 4)
-        ) as bed:
-            bed.send()
-            received = bed.read_stream()
-            assert bed.requests[1].last_event_id == b'2'
-        assert received == response_bed.ReceivedStream(
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+            assert harness.requests[1].last_event_id == b'2'
+        assert received == response_harness.ReceivedStream(
             200, _events(1, 4), True
         )
 
@@ -346,23 +350,23 @@
             0.05,
             event[-cut:],
         )
-        with response_bed.serving(
+        with response_harness.serving(
             NOT_RESUMABLE, raw_target.Answer(parts, 'end')
-        ) as bed:
-            bed.send()
-            received = bed.read_stream()
-        assert received == response_bed.ReceivedStream(
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+        assert received == response_harness.ReceivedStream(
             200, _events(1, 2, b'\r\n') + event, True
         )
 
     def test_character_of_several_bytes_is_broken_off(self) -> None:
         """Guards against half a character in what the caller receives."""
         rest = 'id: 3\ndata: \N{EURO SIGN}'.encode()[:-1]
-        with response_bed.serving(
+        with response_harness.serving(
             RESUMABLE, _broken_stream(2, 'close', rest), _whole_stream(3, 4)
-        ) as bed:
-            bed.send()
-            received = bed.read_stream()
-        assert received == response_bed.ReceivedStream(
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+        assert received == response_harness.ReceivedStream(
             200, _events(1, 4), True
         )
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_framing_of_answers.py
@@ -3,10 +3,10 @@
 import pytest
 
 from skylarktack.daemon.forwarding.tests import raw_target
-from skylarktack.daemon.forwarding.tests import response_bed
+from skylarktack.daemon.forwarding.tests import response_harness
 from skylarktack.state import forwarding as data
 
-NON_IDEMPOTENT = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
+NON_IDEMPOTENT = response_harness.route(data.RequestKind.NON_IDEMPOTENT)
 
 HEAD = b'HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nReplica-Signature: s\r\n'
 LENGTH = b'Content-Length: 4\r\n\r\n'
@@ -59,11 +59,11 @@
         self, response: bytes, ending: str, version: bytes
     ) -> None:
         """Guards against failing an answer that ends with its connection."""
-        with response_bed.serving(
+        with response_harness.serving(
             NON_IDEMPOTENT, raw_target.Answer((response,), ending)
-        ) as bed:
-            bed.send(version=version)
-            assert bed.read_answer() == (200, b'done')
+        ) as harness:
+            harness.send(version=version)
+            assert harness.read_answer() == (200, b'done')
 
     @pytest.mark.parametrize(
         ('response', 'ending'),
@@ -75,9 +75,11 @@
     ) -> None:
         """Guards against bytes of one answer before the next one."""
         answer = raw_target.Answer((response,), ending)
-        with response_bed.serving(NON_IDEMPOTENT, answer, answer) as bed:
-            assert bed.ask() == (200, b'done')
-            assert bed.ask() == (200, b'done')
+        with response_harness.serving(
+            NON_IDEMPOTENT, answer, answer
+        ) as harness:
+            assert harness.ask() == (200, b'done')
+            assert harness.ask() == (200, b'done')
 
     @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
     @pytest.mark.parametrize(
@@ -89,12 +91,12 @@
         self, response: bytes, ending: str, version: bytes
     ) -> None:
         """Guards against a broken answer that looks complete."""
-        with response_bed.serving(
+        with response_harness.serving(
             NON_IDEMPOTENT, raw_target.Answer((response,), ending)
-        ) as bed:
-            bed.send(version=version)
-            status, _ = bed.read_answer()
-            assert len(bed.requests) == 1
+        ) as harness:
+            harness.send(version=version)
+            status, _ = harness.read_answer()
+            assert len(harness.requests) == 1
         assert status == 502
 
 
@@ -108,10 +110,12 @@
         answer = raw_target.Answer(
             (HEAD + LENGTH + b'done', 0.2), is_before_body=True
         )
-        with response_bed.serving(NON_IDEMPOTENT, answer, answer) as bed:
-            assert bed.ask(self.BODY) == (200, b'done')
-            assert bed.ask(self.BODY) == (200, b'done')
-            bodies = bed.wait_for_bodies(2)
+        with response_harness.serving(
+            NON_IDEMPOTENT, answer, answer
+        ) as harness:
+            assert harness.ask(self.BODY) == (200, b'done')
+            assert harness.ask(self.BODY) == (200, b'done')
+            bodies = harness.wait_for_bodies(2)
         for body in bodies:
             assert self.BODY.startswith(body)
 
@@ -120,9 +124,9 @@
         answer = raw_target.Answer(
             (HEAD + LENGTH + b'do',), is_before_body=True, after_body=b'ne'
         )
-        with response_bed.serving(NON_IDEMPOTENT, answer) as bed:
-            assert bed.ask(self.BODY) == (200, b'done')
-            assert bed.wait_for_bodies(1) == [self.BODY]
+        with response_harness.serving(NON_IDEMPOTENT, answer) as harness:
+            assert harness.ask(self.BODY) == (200, b'done')
+            assert harness.wait_for_bodies(1) == [self.BODY]
 
     @pytest.mark.parametrize('kind', data.RequestKind)
     def test_reset_within_an_answer_without_a_length(
@@ -139,8 +143,10 @@
             ending='reset',
             is_before_body=True,
         )
-        route = response_bed.route(kind, is_resumable=False, timeout_ms=2000.0)
-        with response_bed.serving(route, *(5 * (answer,))) as bed:
-            bed.send(self.BODY)
-            received = bed.read_stream()
+        route = response_harness.route(
+            kind, is_resumable=False, timeout_ms=2000.0
+        )
+        with response_harness.serving(route, *(5 * (answer,))) as harness:
+            harness.send(self.BODY)
+            received = harness.read_stream()
         assert received.status != 200 or not received.is_complete
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_refusals_of_targets.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_refusals_of_targets.py
@@ -3,11 +3,13 @@
 import pytest
 
 from skylarktack.daemon.forwarding.tests import raw_target
-from skylarktack.daemon.forwarding.tests import response_bed
+from skylarktack.daemon.forwarding.tests import response_harness
 from skylarktack.state import forwarding as data
 
-NON_IDEMPOTENT = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
-STREAM_ONCE = response_bed.route(data.RequestKind.STREAM, is_resumable=False)
+NON_IDEMPOTENT = response_harness.route(data.RequestKind.NON_IDEMPOTENT)
+STREAM_ONCE = response_harness.route(
+    data.RequestKind.STREAM, is_resumable=False
+)
 
 OWN = b'Attempt-Id: attempt-1\r\n'
 FOREIGN = b'Attempt-Id: attempt-0\r\n'
@@ -83,11 +85,11 @@
     ) -> None:
         """Guards against a booking that runs twice, or a false refusal."""
         answer = raw_target.Answer((response,), is_before_body=is_before_body)
-        with response_bed.serving(
+        with response_harness.serving(
             NON_IDEMPOTENT, answer, raw_target.Answer((SOUND,))
-        ) as bed:
-            status, _ = bed.ask()
-            assert len(bed.requests) == 1
+        ) as harness:
+            status, _ = harness.ask()
+            assert len(harness.requests) == 1
         assert status == 502
 
     @pytest.mark.parametrize(
@@ -97,13 +99,13 @@
         self, response: bytes
     ) -> None:
         """Guards against a stream that runs twice, or a false refusal."""
-        with response_bed.serving(
+        with response_harness.serving(
             STREAM_ONCE,
             raw_target.Answer((response,), 'end'),
             raw_target.Answer((SOUND_STREAM,), 'end'),
-        ) as bed:
-            status, _ = bed.ask()
-            assert len(bed.requests) == 1
+        ) as harness:
+            status, _ = harness.ask()
+            assert len(harness.requests) == 1
         assert status == 502
 
     def test_refusal_while_the_body_is_written(self) -> None:
@@ -111,11 +113,11 @@
         answer = raw_target.Answer(
             (_answer(503, FOREIGN + NOT_EXECUTED),), is_before_body=True
         )
-        with response_bed.serving(
+        with response_harness.serving(
             NON_IDEMPOTENT, answer, raw_target.Answer((SOUND,))
-        ) as bed:
-            status, _ = bed.ask(b'x' * 20_000_000)
-            assert len(bed.requests) == 1
+        ) as harness:
+            status, _ = harness.ask(b'x' * 20_000_000)
+            assert len(harness.requests) == 1
         assert status == 502
 
 
@@ -129,21 +131,21 @@
         self, response: bytes
     ) -> None:
         """Guards against a booking that one full target fails."""
-        with response_bed.serving(
+        with response_harness.serving(
             NON_IDEMPOTENT,
             raw_target.Answer((response,)),
             raw_target.Answer((SOUND,)),
-        ) as bed:
-            assert bed.ask() == (200, b'done')
-            assert len(bed.requests) == 2
+        ) as harness:
+            assert harness.ask() == (200, b'done')
+            assert len(harness.requests) == 2
 
     def test_refusal_while_the_body_is_written(self) -> None:
         """Guards against waiting for a target that refuses at the head."""
         answer = raw_target.Answer(
             (_answer(503, OWN + NOT_EXECUTED),), is_before_body=True
         )
-        with response_bed.serving(
+        with response_harness.serving(
             NON_IDEMPOTENT, answer, raw_target.Answer((SOUND,))
-        ) as bed:
-            assert bed.ask(b'x' * 20_000_000) == (200, b'done')
-            assert len(bed.requests) == 2
+        ) as harness:
+            assert harness.ask(b'x' * 20_000_000) == (200, b'done')
+            assert len(harness.requests) == 2
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_silent_targets.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_silent_targets.py
@@ -5,7 +5,7 @@
 import pytest
 
 from skylarktack.daemon.forwarding.tests import raw_target
-from skylarktack.daemon.forwarding.tests import response_bed
+from skylarktack.daemon.forwarding.tests import response_harness
 from skylarktack.state import forwarding as data
 
 #: A sound target may be silent for about a second.
@@ -57,11 +57,11 @@
         self, kind: data.RequestKind
     ) -> None:
         """Guards against a send that holds a request past its time limit."""
-        route = response_bed.route(kind, timeout_ms=1000 * TIMEOUT_S)
+        route = response_harness.route(kind, timeout_ms=1000 * TIMEOUT_S)
         unread = raw_target.Answer((UNREAD_S,), 'end', is_before_body=True)
-        with response_bed.serving(route, *(12 * (unread,))) as bed:
+        with response_harness.serving(route, *(12 * (unread,))) as harness:
             began_s = time.monotonic()
-            status, _ = bed.ask(LONG_BODY)
+            status, _ = harness.ask(LONG_BODY)
             took_s = time.monotonic() - began_s
         assert status == 504
         assert took_s < TIMEOUT_S + MAX_LATE_S
@@ -69,15 +69,15 @@
     @pytest.mark.parametrize('body', [b'x' * 1_000_000, LONG_BODY])
     def test_is_withdrawn_when_its_caller_leaves(self, body: bytes) -> None:
         """Guards against a run whose caller has left long ago."""
-        route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
+        route = response_harness.route(data.RequestKind.NON_IDEMPOTENT)
         unread = raw_target.Answer(
             (UNREAD_S / 2,), is_before_body=True, after_body=b' '
         )
-        with response_bed.serving(route, unread) as bed:
-            bed.send(body)
-            bed.wait_for_requests(1)
-            bed.caller.close()
-            bodies = bed.wait_for_bodies(1)
+        with response_harness.serving(route, unread) as harness:
+            harness.send(body)
+            harness.wait_for_requests(1)
+            harness.caller.close()
+            bodies = harness.wait_for_bodies(1)
         assert len(bodies[0]) < len(body)
 
 
@@ -89,49 +89,53 @@
     )
     def test_call_waits(self, parts: tuple[bytes | float, ...]) -> None:
         """Guards against breaking off a booking at a sound target."""
-        route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
-        with response_bed.serving(route, raw_target.Answer(parts)) as bed:
-            assert bed.ask() == (200, b'done')
-            assert len(bed.requests) == 1
-            assert not bed.ejected()
+        route = response_harness.route(data.RequestKind.NON_IDEMPOTENT)
+        with response_harness.serving(
+            route, raw_target.Answer(parts)
+        ) as harness:
+            assert harness.ask() == (200, b'done')
+            assert len(harness.requests) == 1
+            assert not harness.ejected()
 
     def test_call_with_a_long_body_waits(self) -> None:
         """Guards against giving up a target that reads late."""
-        route = response_bed.route(data.RequestKind.NON_IDEMPOTENT)
+        route = response_harness.route(data.RequestKind.NON_IDEMPOTENT)
         answer = raw_target.Answer(
             (SILENCE_S, PLAIN_HEAD), is_before_body=True, after_body=b'done'
         )
-        with response_bed.serving(route, answer) as bed:
-            assert bed.ask(b'x' * 8_000_000) == (200, b'done')
-            assert len(bed.requests) == 1
-            assert not bed.ejected()
+        with response_harness.serving(route, answer) as harness:
+            assert harness.ask(b'x' * 8_000_000) == (200, b'done')
+            assert len(harness.requests) == 1
+            assert not harness.ejected()
 
     @pytest.mark.parametrize(
         'parts', SILENT_STREAMS.values(), ids=SILENT_STREAMS.keys()
     )
     def test_stream_waits(self, parts: tuple[bytes | float, ...]) -> None:
         """Guards against breaking off a stream that may not be resumed."""
-        route = response_bed.route(data.RequestKind.STREAM, is_resumable=False)
+        route = response_harness.route(
+            data.RequestKind.STREAM, is_resumable=False
+        )
         answer = raw_target.Answer(parts, 'end')
-        with response_bed.serving(route, answer) as bed:
-            bed.send()
-            received = bed.read_stream()
-            assert len(bed.requests) == 1
-            assert not bed.ejected()
-        assert received == response_bed.ReceivedStream(
+        with response_harness.serving(route, answer) as harness:
+            harness.send()
+            received = harness.read_stream()
+            assert len(harness.requests) == 1
+            assert not harness.ejected()
+        assert received == response_harness.ReceivedStream(
             200, FIRST_EVENT + SECOND_EVENT, True
         )
 
     def test_resumed_stream_leaves_one_run(self) -> None:
         """Guards against two engines that work on one stream."""
-        route = response_bed.route(data.RequestKind.STREAM)
+        route = response_harness.route(data.RequestKind.STREAM)
         silent = raw_target.Answer(SILENT_STREAMS['between events'], 'end')
         rest = raw_target.Answer((STREAM_HEAD + SECOND_EVENT,), 'end')
-        with response_bed.serving(route, silent, rest) as bed:
-            bed.send()
-            received = bed.read_stream()
-            assert [r.last_event_id for r in bed.requests] == [None, b'1']
-            assert bed.requests[1].is_alone
-        assert received == response_bed.ReceivedStream(
+        with response_harness.serving(route, silent, rest) as harness:
+            harness.send()
+            received = harness.read_stream()
+            assert [r.last_event_id for r in harness.requests] == [None, b'1']
+            assert harness.requests[1].is_alone
+        assert received == response_harness.ReceivedStream(
             200, FIRST_EVENT + SECOND_EVENT, True
         )
--- a/packages/transport/src/skylarktack/transport/tests/test_generation_endpoints.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_generation_endpoints.py
@@ -19,13 +19,15 @@
 class _Application:
     """The endpoints of generations of one instance."""
 
-    def __init__(self, bed: generation_harness.GenerationHarness) -> None:
-        holder = configuration.ConfigurationHolder(bed.fleet.clock)
+    def __init__(
+        self, generation: generation_harness.GenerationHarness
+    ) -> None:
+        holder = configuration.ConfigurationHolder(generation.fleet.clock)
         holder.replace_if_newer(
             1, state.ConfigurationDocument((), (generation_harness.ROUTE,))
         )
         self._endpoints = _generation_endpoints.GenerationEndpoints(
-            bed.service,
+            generation.service,
             protocol.EventIdSigner('secret'),
             holder,
             limits.UnlimitedAdmission(),
--- a/packages/transport/src/skylarktack/transport/tests/test_operator_application.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_operator_application.py
@@ -14,7 +14,7 @@
 from skylarktack import transport
 from skylarktack.coordination import configuration
 from skylarktack.coordination import fakes
-from skylarktack.transport.tests import wsgi_bed
+from skylarktack.transport.tests import wsgi_harness
 
 _TOKEN = 'operator token'
 _BEARER = f'Bearer {_TOKEN}'
@@ -49,7 +49,7 @@
         self.stop_count += 1
 
 
-class _Bed:
+class _OperatorHarness:
     """The application over a store in memory."""
 
     def __init__(self) -> None:
@@ -71,10 +71,10 @@
 
     def call(
         self, method: str, path: str, body: bytes = b'', **headers: str
-    ) -> wsgi_bed.WsgiAnswer:
+    ) -> wsgi_harness.WsgiAnswer:
         """Call the application as an operator."""
         headers.setdefault('authorization', _BEARER)
-        return wsgi_bed.call_wsgi(
+        return wsgi_harness.call_wsgi(
             self.application, method, path, body, **headers
         )
 
@@ -93,38 +93,40 @@
     )
     def test_wrong_token(self, header: str) -> None:
         """Nothing is shown or done without the token."""
-        answer = _Bed().call('GET', '/operator/status', authorization=header)
+        answer = _OperatorHarness().call(
+            'GET', '/operator/status', authorization=header
+        )
         assert answer.status == 401
 
     def test_basic_password(self) -> None:
         """A browser sends the token as the password."""
         value = base64.b64encode(f'anybody:{_TOKEN}'.encode()).decode()
-        answer = _Bed().call(
+        answer = _OperatorHarness().call(
             'GET', '/operator/status', authorization=f'Basic {value}'
         )
         assert answer.status == 200
 
     def test_session(self) -> None:
         """A document is applied, read, replaced and rolled back."""
-        bed = _Bed()
-        applied = bed.call(
+        harness = _OperatorHarness()
+        applied = harness.call(
             'PUT', '/operator/configuration', _DOCUMENT, if_match='"0"'
         )
         assert json.loads(applied.body)['revision'] == 1
-        shown = bed.call('GET', '/operator/configuration?revision=1')
+        shown = harness.call('GET', '/operator/configuration?revision=1')
         record = protocol.decode_record_for_operators(shown.body)
         assert record.document.organisations[0].name == 'dealer'
-        bed.call('PUT', '/operator/configuration', b'{}', if_match='"1"')
-        back = bed.call(
+        harness.call('PUT', '/operator/configuration', b'{}', if_match='"1"')
+        back = harness.call(
             'POST',
             '/operator/rollback?revision=1',
             skylarktack_change_id='back',
         )
         assert json.loads(back.body)['revision'] == 3
-        history = json.loads(bed.call('GET', '/operator/history').body)
+        history = json.loads(harness.call('GET', '/operator/history').body)
         assert [one['revision'] for one in history['revisions']] == [3, 2, 1]
-        bed.call('POST', '/operator/drain')
-        assert bed.status.stop_count == 1
+        harness.call('POST', '/operator/drain')
+        assert harness.status.stop_count == 1
 
     @pytest.mark.parametrize(
         ('body', 'headers', 'status'),
@@ -142,16 +144,18 @@
         self, body: bytes, headers: dict[str, str], status: int
     ) -> None:
         """Each bad submission is rejected as a whole, in the typed form."""
-        bed = _Bed()
-        answer = bed.call('PUT', '/operator/configuration', body, **headers)
+        harness = _OperatorHarness()
+        answer = harness.call(
+            'PUT', '/operator/configuration', body, **headers
+        )
         assert answer.status == status
         assert json.loads(answer.body)
-        assert bed.publisher.current().ok is None
+        assert harness.publisher.current().ok is None
 
     def test_findings_have_places(self) -> None:
         """Type errors and unknown fields are reported together."""
         body = b'{"routes": [{"name": 5, "colour": "red"}], "moves": {}}'
-        answer = _Bed().call(
+        answer = _OperatorHarness().call(
             'PUT', '/operator/configuration', body, if_match='"0"'
         )
         places = [
@@ -163,9 +167,9 @@
 
     def test_store_down(self) -> None:
         """An outage is a typed answer, not a traceback."""
-        bed = _Bed()
-        bed.store.set_faults(fakes.StoreFaults(down=True))
-        answer = bed.call(
+        harness = _OperatorHarness()
+        harness.store.set_faults(fakes.StoreFaults(down=True))
+        answer = harness.call(
             'PUT', '/operator/configuration', _DOCUMENT, if_match='"0"'
         )
         assert answer.status == 503
@@ -181,80 +185,84 @@
         )
         return {name: html.unescape(value) for name, value in found}
 
-    def _post(self, bed: _Bed, page: str, action: str, **fields: str) -> str:
+    def _post(
+        self, harness: _OperatorHarness, page: str, action: str, **fields: str
+    ) -> str:
         form = {**self._form(page), 'action': action}
         for name, value in fields.items():
             form[f'field.{name}'] = value
         body = '&'.join(
             f'{_quote(name)}={_quote(value)}' for name, value in form.items()
         )
-        answer = bed.call('POST', '/console', body.encode())
+        answer = harness.call('POST', '/console', body.encode())
         assert answer.status == 200, answer.body
         return answer.body.decode()
 
     def test_edit_and_apply(self) -> None:
         """A draft is made by forms, checked, shown as diff and applied."""
-        bed = _Bed()
-        page = bed.call('GET', '/console').body.decode()
-        page = self._post(bed, page, 'add:organisations')
+        harness = _OperatorHarness()
+        page = harness.call('GET', '/console').body.decode()
+        page = self._post(harness, page, 'add:organisations')
         page = self._post(
-            bed, page, 'save', name='Bad Name', weight='1', priority='1'
+            harness, page, 'save', name='Bad Name', weight='1', priority='1'
         )
         assert 'organisations[0].name' in page
         assert '<strong class="finding">' in page
-        refused = self._post(bed, page, 'apply')
-        assert bed.publisher.current().ok is None
+        refused = self._post(harness, page, 'apply')
+        assert harness.publisher.current().ok is None
         page = self._post(
-            bed, refused, 'save', name='dealer', weight='2', priority='3'
+            harness, refused, 'save', name='dealer', weight='2', priority='3'
         )
         assert '&#34;name&#34;: &#34;dealer&#34;' in page
-        page = self._post(bed, page, 'apply')
+        page = self._post(harness, page, 'apply')
         assert 'Revision 1 is accepted.' in page
-        record = bed.publisher.current().ok
+        record = harness.publisher.current().ok
         assert record is not None
         assert record.document.organisations[0].weight == 2.0
 
     def test_conflict_shows_both_sides(self) -> None:
         """The later of two operators sees the other change and the draft."""
-        bed = _Bed()
-        mine = bed.call('GET', '/console').body.decode()
-        mine = self._post(bed, mine, 'add:organisations')
+        harness = _OperatorHarness()
+        mine = harness.call('GET', '/console').body.decode()
+        mine = self._post(harness, mine, 'add:organisations')
         mine = self._post(
-            bed, mine, 'save', name='mine', weight='1', priority='1'
+            harness, mine, 'save', name='mine', weight='1', priority='1'
+        )
+        harness.call(
+            'PUT', '/operator/configuration', _DOCUMENT, if_match='"0"'
         )
-        bed.call('PUT', '/operator/configuration', _DOCUMENT, if_match='"0"')
-        page = self._post(bed, mine, 'apply')
+        page = self._post(harness, mine, 'apply')
         assert 'accepted meanwhile' in page
         assert '+      &#34;name&#34;: &#34;dealer&#34;' in page
         assert '&#34;name&#34;: &#34;mine&#34;' in page
 
     def test_repeated_submission(self) -> None:
         """The same form sent twice is one change."""
-        bed = _Bed()
-        page = bed.call('GET', '/console').body.decode()
-        page = self._post(bed, page, 'add:organisations')
+        harness = _OperatorHarness()
+        page = harness.call('GET', '/console').body.decode()
+        page = self._post(harness, page, 'add:organisations')
         page = self._post(
-            bed, page, 'save', name='dealer', weight='1', priority='1'
+            harness, page, 'save', name='dealer', weight='1', priority='1'
         )
-        self._post(bed, page, 'apply')
-        self._post(bed, page, 'apply')
-        record = bed.publisher.current().ok
+        self._post(harness, page, 'apply')
+        self._post(harness, page, 'apply')
+        record = harness.publisher.current().ok
         assert record is not None
         assert record.revision == 1
 
     def test_foreign_form(self) -> None:
         """A form that another site made is refused."""
-        answer = _Bed().call(
+        answer = _OperatorHarness().call(
             'POST', '/console', b'action=apply&form_code=guess'
         )
         assert answer.status == 403
 
     def test_values_are_escaped(self) -> None:
         """Names in a draft cannot bring markup into the page."""
-        bed = _Bed()
-        page = bed.call('GET', '/console').body.decode()
-        page = self._post(bed, page, 'add:organisations')
-        page = self._post(bed, page, 'save', name='<script>x</script>')
+        harness = _OperatorHarness()
+        page = harness.call('GET', '/console').body.decode()
+        page = self._post(harness, page, 'add:organisations')
+        page = self._post(harness, page, 'save', name='<script>x</script>')
         assert '<script>' not in page
 
 
--- a/packages/transport/src/skylarktack/transport/tests/test_wsgi_server.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_wsgi_server.py
@@ -112,7 +112,7 @@
         received += part
 
 
-class _StopBed:
+class _StoppingServer:
     """A server with one thread and a slow application."""
 
     def __init__(self) -> None:
@@ -136,11 +136,13 @@
 
     def test_received_requests_are_answered(self) -> None:
         """Guards against requests without an answer in a planned stop."""
-        bed = _StopBed()
+        stopping_server = _StoppingServer()
         # The server accepts two of them; the others wait in the backlog.
-        callers = [bed.connect(REQUEST) for _ in range(4)]
+        callers = [stopping_server.connect(REQUEST) for _ in range(4)]
         time.sleep(WORK_S / 2)
-        stopping = threading.Thread(target=bed.server.stop, args=(STOP_S,))
+        stopping = threading.Thread(
+            target=stopping_server.server.stop, args=(STOP_S,)
+        )
         stopping.start()
         answers = [_read_to_end(caller) for caller in callers]
         stopping.join(STOP_S)
@@ -150,39 +152,44 @@
 
     def test_pipelined_request_is_answered(self) -> None:
         """Guards against a request that is dropped behind another one."""
-        bed = _StopBed()
-        caller = bed.connect(REQUEST + REQUEST)
+        stopping_server = _StoppingServer()
+        caller = stopping_server.connect(REQUEST + REQUEST)
         time.sleep(WORK_S / 2)
-        stopping = threading.Thread(target=bed.server.stop, args=(STOP_S,))
+        stopping = threading.Thread(
+            target=stopping_server.server.stop, args=(STOP_S,)
+        )
         stopping.start()
         assert _read_to_end(caller).count(b'HTTP/1.1 200 ') == 2
         stopping.join(STOP_S)
 
     def test_idle_connections_do_not_delay_the_stop(self) -> None:
         """Guards against callers that keep a stopping server alive."""
-        bed = _StopBed()
-        with bed.connect(b''), bed.connect(b'GET /a HT'):
+        stopping_server = _StoppingServer()
+        with (
+            stopping_server.connect(b''),
+            stopping_server.connect(b'GET /a HT'),
+        ):
             began_s = time.monotonic()
-            bed.server.stop(STOP_S)
+            stopping_server.server.stop(STOP_S)
         assert time.monotonic() - began_s < STOP_S / 2
 
     def test_stop_ends_in_time(self) -> None:
         """Guards against a stop that outlasts the grace period."""
-        bed = _StopBed()
-        callers = [bed.connect(REQUEST) for _ in range(20)]
+        stopping_server = _StoppingServer()
+        callers = [stopping_server.connect(REQUEST) for _ in range(20)]
         time.sleep(WORK_S / 2)
         began_s = time.monotonic()
-        bed.server.stop(WORK_S / 2)
+        stopping_server.server.stop(WORK_S / 2)
         assert time.monotonic() - began_s < STOP_S / 2
         for caller in callers:
             caller.close()
 
     def test_stop_may_be_repeated(self) -> None:
         """Guards against bytes written to a descriptor that is in new use."""
-        bed = _StopBed()
-        bed.server.stop(STOP_S)
+        stopping_server = _StoppingServer()
+        stopping_server.server.stop(STOP_S)
         pipe = [os.pipe() for _ in range(4)]
-        bed.server.stop(STOP_S)
+        stopping_server.server.stop(STOP_S)
         for reading, writing in pipe:
             os.close(writing)
             assert os.read(reading, 1) == b''
