Receive datagrams again after an error of the socket

An instance whose kernel is short of memory for a moment would hear no peer until its process starts again: it would not know their runs, leaving targets and changes of the store that they forward, and would ask the store by itself.

Cause: the task of the datagram link returned on any OSError other than a ConnectionError, which was meant for a closed socket. The supervisor starts only tasks again that fail. The link now returns when it was closed itself, and raises otherwise.

test_receives_again_after_an_error_of_the_socket fails with the return in place (ENOBUFS and ENOMEM).

--- a/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_fleet_link.py
@@ -28,6 +28,7 @@
         self._socket.bind((endpoint.host, endpoint.port))
         self._log = log
         self._malformed_count = 0
+        self._is_closed = False
 
     @property
     def endpoint(self) -> data.Address:
@@ -96,7 +97,10 @@
         sharing: forwarding.SharedWatch,
         moves: forwarding.MoveTable,
     ) -> None:
-        """Receive and apply messages until the process ends."""
+        """Receive and apply messages until the link is closed.
+
+        :raises OSError: if the socket cannot receive for a moment.
+        """
         while True:
             try:
                 datagram = self._socket.recv(RECEIVE_LIMIT_BYTES)
@@ -104,7 +108,9 @@
                 # ICMP reported a closed port for an earlier datagram.
                 continue
             except OSError:
-                return
+                if self._is_closed:
+                    return
+                raise
             message = messages.decode_message(datagram)
             if isinstance(message, data.BroadcastMessage):
                 self._send_to_groups(message.content, message.peers)
@@ -123,6 +129,7 @@
 
     def close(self) -> None:
         """Close the socket; nothing is sent afterwards."""
+        self._is_closed = True
         self._socket.close()
 
     def _count_malformed(self, size_bytes: int) -> None:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_fleet_link.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_fleet_link.py
@@ -1,8 +1,13 @@
 """Datagrams between instances, sent over loopback."""
 
+import errno
 import socket
+from typing import Any
+
+import pytest
 
 from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
@@ -66,3 +71,33 @@
         assert messages.decode_message(receiving.recv(65536)) == HEARTBEAT
         receiving.close()
         link.close()
+
+    @pytest.mark.parametrize('code', [errno.ENOBUFS, errno.ENOMEM])
+    def test_receives_again_after_an_error_of_the_socket(
+        self, code: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an instance that hears no peer until it restarts."""
+        clock = fakes.SteppingClock()
+        log = fakes.RecordingLog()
+        link = transport.DatagramLink(data.Address('127.0.0.1', 0), log)
+        results: list[OSError | bytes] = [
+            OSError(code, 'no memory'),
+            b'malformed',
+            b'malformed',
+        ]
+
+        def _receive(receiving: socket.socket, size_bytes: int) -> bytes:
+            if not results:
+                link.close()
+                raise OSError(errno.EBADF, 'closed')
+            result = results.pop(0)
+            if isinstance(result, OSError):
+                raise result
+            return result
+
+        monkeypatch.setattr(socket.socket, 'recv', _receive)
+        unused: Any = None
+        forwarding.Supervisor(clock, forwarding.ErrorRecorder(clock, log)).run(
+            'datagram link', lambda: link.run(unused, unused, unused)
+        )
+        assert not results
