Register again when the store has lost the entry

An instance that starts after a restore of the store would not find those that had registered in the seconds before: it places runs and counts retries without them until they happen to list it, up to a minute later, and for good if all of them are in that case.

PeerDiscovery now listens to the era of the store. After a restore it reads an up-to-date list at a random moment that grows with the fleet, and the registry writes the entry whenever a list lacks it or has another address (POST, and PUT after a 409, as at the start). A restore during a call is seen by the next step; a failed call stays an up-to-date read.

Ruled out: writing without a read, which costs the fleet 340 writes where most entries are in the copy.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from skylarktack.coordination.forwarding import _fleet
+from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -58,10 +59,12 @@
     """Registers and lists the instances of the fleet in the store."""
 
     def register(
-        self, peer: data.ListedPeer
+        self, peer: data.ListedPeer, may_be_stale: bool
     ) -> tuple[data.ListedPeer, ...] | None:
-        """Register this instance and list all.
+        """Register this instance unless the list has it, and list all.
 
+        :param may_be_stale: whether the list may be seconds old, which costs a
+            tenth of a call.
         :return: all instances, or None if the store is unavailable.
         """
         ...
@@ -168,25 +171,52 @@
     #: Delay after a failed call to the store.
     RETRY_DELAY_S = 0.7
 
+    #: After a restore of the store the instances read the list at random
+    #: within this time for each instance, since each of them may have to
+    #: write its entry again.
+    RESTORE_SPREAD_PER_INSTANCE_S = 0.02
+
     def __init__(
         self,
         clock: Clock,
         view: _fleet.FleetView,
         registry: PeerRegistry,
         peer: data.ListedPeer,
+        era: _store_era.StoreEra,
     ) -> None:
         self._clock = clock
         self._view = view
         self._registry = registry
         self._peer = peer
+        self._may_be_stale = True
         self._never_set = threading.Event()
+        self._is_restored = threading.Event()
+        era.add_listener(self._is_restored)
 
     def run(self) -> None:
         """Register and list the peers until the process ends."""
         while True:
-            peers = self._registry.register(self._peer)
-            if peers is None:
-                self._clock.wait(self._never_set, self.RETRY_DELAY_S)
-                continue
-            self._view.add_peers(peers)
-            self._clock.wait(self._never_set, self.LIST_INTERVAL_S)
+            delay_s = self.step()
+            self._clock.wait(self._is_restored, delay_s)
+
+    def step(self) -> float:
+        """Register and list the peers once.
+
+        The entry of this instance is written whenever the list lacks it. A
+        stale list may still have an entry that a restored store has lost.
+
+        :return: time until the next step, unless the store is restored before.
+        """
+        if self._is_restored.is_set():
+            self._is_restored.clear()
+            self._may_be_stale = False
+            max_wait_s = self.RESTORE_SPREAD_PER_INSTANCE_S * (
+                1 + self._view.peer_count()
+            )
+            self._clock.wait(self._never_set, max_wait_s * random.random())
+        peers = self._registry.register(self._peer, self._may_be_stale)
+        if peers is None:
+            return self.RETRY_DELAY_S
+        self._may_be_stale = True
+        self._view.add_peers(peers)
+        return self.LIST_INTERVAL_S
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -308,7 +308,7 @@
         registry = platform.StorePeerRegistry(self._store_calls(), self._log)
         peer = data.ListedPeer(self._settings.instance, link.endpoint)
         discovery = forwarding.PeerDiscovery(
-            clock, self._fleet, registry, peer
+            clock, self._fleet, registry, peer, self._era
         )
         reporter = forwarding.FleetReporter(clock, self._fleet, link)
         driver = forwarding.MoveDriver(
--- a/packages/platform/src/skylarktack/platform/_instances.py
+++ b/packages/platform/src/skylarktack/platform/_instances.py
@@ -26,27 +26,25 @@
         self._client = client
         self._objects = _store.ObjectReader(client, KIND)
         self._log = log
-        self._is_registered = False
 
     def register(
-        self, peer: data.ListedPeer
+        self, peer: data.ListedPeer, may_be_stale: bool
     ) -> tuple[data.ListedPeer, ...] | None:
         """Register this instance; return all, or None on a store failure.
 
-        The first list may be stale, which costs a tenth of a call. An
-        instance that restarts under its name mostly finds its entry there.
-        Otherwise the list is read again after the entry was written, so that
-        of two instances that start together at least one sees the other.
+        An instance that restarts under its name mostly finds its entry in the
+        list. Otherwise the list is read again after the entry was written, so
+        that of two instances that start together at least one sees the other.
+
+        :param may_be_stale: accept a first list that may be seconds old, which
+            costs a tenth of a call.
         """
-        peers = self._list_peers(may_be_stale=True)
-        if peers is None or self._is_registered:
+        peers = self._list_peers(may_be_stale)
+        if peers is None or peer in peers:
             return peers
-        if peer not in peers:
-            if not self._write_entry(peer):
-                return None
-            peers = self._list_peers(may_be_stale=False)
-        self._is_registered = peers is not None
-        return peers
+        if not self._write_entry(peer):
+            return None
+        return self._list_peers(may_be_stale=False)
 
     def _list_peers(
         self, may_be_stale: bool
--- a/packages/platform/src/skylarktack/platform/tests/test_store.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_store.py
@@ -266,10 +266,10 @@
             (200, {'items': [own, other], 'at': 6}),
         )
         registry = platform.StorePeerRegistry(client, fakes.RecordingLog())
-        peers = registry.register(self.PEER)
+        peers = registry.register(self.PEER, True)
         assert peers is not None
         assert [peer.instance for peer in peers] == ['edge-a-1', 'edge-b-1']
-        assert registry.register(self.PEER) is not None
+        assert registry.register(self.PEER, True) is not None
         path = '/objects/skylarktack-instances'
         assert [(method, where) for method, where, _ in client.calls] == [
             ('GET', f'{path}?stale_read=1'),
@@ -283,7 +283,7 @@
         own = _object('edge-a-1', {'address': '10.1.0.19:7200'})
         client = ScriptedClient((200, {'items': [own], 'at': 5}))
         registry = platform.StorePeerRegistry(client, fakes.RecordingLog())
-        assert registry.register(self.PEER) == (self.PEER,)
+        assert registry.register(self.PEER, True) == (self.PEER,)
         assert len(client.calls) == 1
 
     def test_lists_again_after_registration(self) -> None:
@@ -294,7 +294,7 @@
         nothing = (200, {'items': [], 'at': 5})
         client = ScriptedClient(nothing, (201, {}), nothing)
         registry = platform.StorePeerRegistry(client, fakes.RecordingLog())
-        registry.register(self.PEER)
+        registry.register(self.PEER, True)
         path = '/objects/skylarktack-instances'
         assert [(method, where) for method, where, _ in client.calls[1:]] == [
             ('POST', path),
@@ -307,11 +307,44 @@
         listed = (200, {'items': [old], 'at': 5})
         client = ScriptedClient(listed, (409, old), (200, {}), listed)
         registry = platform.StorePeerRegistry(client, fakes.RecordingLog())
-        assert registry.register(self.PEER) is not None
+        assert registry.register(self.PEER, True) is not None
         method, _, body = client.calls[2]
         assert method == 'PUT'
         assert body['specification'] == {'address': '10.1.0.19:7200'}
 
+    @pytest.mark.parametrize(
+        ('listed_addresses', 'write_statuses', 'expected_methods'),
+        [
+            ([], [201], ['GET', 'POST', 'GET']),
+            (['10.9.9.9:7200'], [409, 200], ['GET', 'POST', 'PUT', 'GET']),
+            (['10.1.0.19:7200'], [], ['GET']),
+        ],
+    )
+    def test_entry_of_a_later_list(
+        self,
+        listed_addresses: list[str],
+        write_statuses: list[int],
+        expected_methods: list[str],
+    ) -> None:
+        """Guards against an entry that is lost, or older, after a restore."""
+        own = _object('edge-a-1', {'address': '10.1.0.19:7200'})
+        later = [
+            _object('edge-a-1', {'address': address})
+            for address in listed_addresses
+        ]
+        client = ScriptedClient(
+            (200, {'items': [own], 'at': 5}),
+            (200, {'items': later, 'at': 3}),
+            *[(status, {}) for status in write_statuses],
+            (200, {'items': [own], 'at': 4}),
+        )
+        registry = platform.StorePeerRegistry(client, fakes.RecordingLog())
+        registry.register(self.PEER, True)
+        assert registry.register(self.PEER, False) == (self.PEER,)
+        calls = client.calls[1:]
+        assert [method for method, _, _ in calls] == expected_methods
+        assert 'stale_read' not in calls[0][1]
+
     def test_store_failure_returns_none(self) -> None:
         """Guards against an instance without peers after an outage.
 
@@ -320,4 +353,4 @@
         registry = platform.StorePeerRegistry(
             ScriptedClient(NO_RESPONSE), fakes.RecordingLog()
         )
-        assert registry.register(self.PEER) is None
+        assert registry.register(self.PEER, True) is None
