Write quarantined parts again after a restore of the store

If all instances restart after a restore of the store, callers would lose streams once more to a part that had been quarantined in the seconds before the copy was lost: three engines crash before it is refused again. A part that had been released would be refused again.

The others adopt them, and no one compares the store with them.

A restore now wakes the keepers. Those of the two lowest ranks read the kind, up to date, and have written what the table has newer, and removed what has ended by an output or without a request. The second one reads half a second later and mostly finds nothing to do. All look once more after 45 s, so that successors of writers that were lost with the restore take their place. Nothing is adopted from the copy: instances that run know all quarantines. RestoreChecks and WriterTurns hold what the keeper of version trials needs as well.

Ruled out: a write by each instance that knows the part, which at 340 instances and 64 parts is far beyond the rate.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -215,6 +215,32 @@
                 )
         self._record(events)
 
+    def compare(self, stored: tuple[data.StoredQuarantine, ...]) -> None:
+        """Have written what a restored store lacks or has again.
+
+        The quarantines of all instances are known here, so that nothing is
+        adopted: what is unknown was released or is about to be reported.
+        """
+        now_ms = 1000 * self._clock.wall_s()
+        stored_by_part = {item.part_id: item for item in stored}
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            for part_id in self._table.part_ids():
+                stored_part = stored_by_part.get(part_id)
+                if not self._table.is_saved(part_id, stored_part):
+                    self._table.set_unsaved(part_id)
+            for item in stored:
+                began_at_s = now_s - (now_ms - item.began_at_ms) / 1000
+                output_at_s = self._evidence.output_at_s.get(item.part_id)
+                if output_at_s is not None and output_at_s > began_at_s:
+                    self._table.set_unsaved(item.part_id)
+                    continue
+                if self._table.find(item.part_id) is not None:
+                    continue
+                remaining_ms = item.until_ms - now_ms
+                if self._table.has_ended(item.probe_count, remaining_ms):
+                    self._table.set_unsaved(item.part_id)
+
     def take_changes(
         self,
     ) -> tuple[_quarantine_keeper.QuarantineChange, ...]:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_keeper.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_keeper.py
@@ -2,13 +2,17 @@
 
 Instances learn of quarantines from each other. If all of them stop at once,
 the parts would have to be learned again from crashes. An instance reads the
-store when it starts, and writes what it decided itself.
+store when it starts, and writes what it decided itself. A store that was
+restored from a copy has lost the last decisions; two instances write them
+again.
 """
 
 import dataclasses
 import threading
 from typing import Protocol
 
+from skylarktack.coordination.forwarding import _record_writers
+from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -27,8 +31,14 @@
 class QuarantineStore(Protocol):
     """Stored quarantines; the calls return None or False on a failure."""
 
-    def load(self) -> tuple[data.StoredQuarantine, ...] | None:
-        """Return all stored quarantines; they may be seconds old."""
+    def load(
+        self, may_be_stale: bool
+    ) -> tuple[data.StoredQuarantine, ...] | None:
+        """Return all stored quarantines.
+
+        :param may_be_stale: whether they may be seconds old, which costs a
+            tenth of a call.
+        """
         ...
 
     def save(self, quarantine: data.StoredQuarantine) -> bool:
@@ -53,13 +63,17 @@
 class QuarantineSource(Protocol):
     """The quarantines of this instance."""
 
-    #: Set when there are changes.
+    #: Set when there are changes, and by a restore of the store.
     has_changes: threading.Event
 
     def restore(self, stored: tuple[data.StoredQuarantine, ...]) -> None:
         """Apply what the store has."""
         ...
 
+    def compare(self, stored: tuple[data.StoredQuarantine, ...]) -> None:
+        """Have written what a restored store lacks or has again."""
+        ...
+
     def take_changes(self) -> tuple[QuarantineChange, ...]:
         """Return the decisions since the last call."""
         ...
@@ -69,11 +83,22 @@
     """Reads and writes stored quarantines; runs as a task."""
 
     def __init__(
-        self, clock: Clock, source: QuarantineSource, store: QuarantineStore
+        self,
+        clock: Clock,
+        source: QuarantineSource,
+        store: QuarantineStore,
+        fleet: _record_writers.RankSource,
+        era: _store_era.StoreEra,
     ) -> None:
         self._clock = clock
         self._source = source
         self._store = store
+        self._restore_checks = _record_writers.RestoreChecks(
+            clock,
+            era,
+            _record_writers.WriterTurns(clock, fleet),
+            source.has_changes,
+        )
         self._never_set = threading.Event()
 
     def run(self) -> None:
@@ -83,17 +108,18 @@
             self._clock.wait(self._source.has_changes, READ_INTERVAL_S)
             self.write_changes()
         while True:
+            self.check_restore()
             self._clock.wait(self._source.has_changes, CHANGE_WAIT_S)
             self.write_changes()
 
     def read(self) -> None:
         """Apply what the store has; repeat the call until it succeeds."""
-        while True:
-            stored = self._store.load()
-            if stored is not None:
-                self._source.restore(stored)
-                return
-            self._clock.wait(self._never_set, RETRY_DELAY_S)
+        self._source.restore(self._load(may_be_stale=True))
+
+    def check_restore(self) -> None:
+        """Find what a restored store lacks, if it is this one's turn."""
+        if self._restore_checks.wait_if_due():
+            self._source.compare(self._load(may_be_stale=False))
 
     def write_changes(self) -> None:
         """Write the decisions of this instance, each until it succeeds.
@@ -113,6 +139,13 @@
             for change in self._source.take_changes():
                 pending[change.part_id] = change
 
+    def _load(self, may_be_stale: bool) -> tuple[data.StoredQuarantine, ...]:
+        while True:
+            stored = self._store.load(may_be_stale)
+            if stored is not None:
+                return stored
+            self._clock.wait(self._never_set, RETRY_DELAY_S)
+
     def _write(self, change: QuarantineChange) -> bool:
         if change.stored is None:
             return self._store.remove(change.part_id)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_table.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_table.py
@@ -121,6 +121,35 @@
         min_extension_s = MIN_EXTENSION_FRACTION * self._extension_step_s()
         return until_s <= known.until_s + min_extension_s
 
+    def has_ended(self, probe_count: int, remaining_ms: float) -> bool:
+        """Return whether a quarantine has ended without a further probe."""
+        return (
+            probe_count >= self._settings.max_probe_count and remaining_ms <= 0
+        )
+
+    def is_saved(
+        self, part_id: str, stored: data.StoredQuarantine | None
+    ) -> bool:
+        """Return whether what the store has of a part is up to date.
+
+        A quarantine that has ended here may have been extended or removed by
+        another instance, so that it is never written.
+
+        :param stored: None if the store has nothing of the part.
+        """
+        known = self._stored(part_id)
+        if known is None:
+            return stored is None
+        remaining_ms = known.until_ms - 1000 * self._clock.wall_s()
+        if self.has_ended(known.probe_count, remaining_ms):
+            return True
+        if stored is None:
+            return False
+        if known.probe_count != stored.probe_count:
+            return known.probe_count < stored.probe_count
+        min_extension_s = MIN_EXTENSION_FRACTION * self._extension_step_s()
+        return known.until_ms <= stored.until_ms + 1000 * min_extension_s
+
     def take_reported(
         self, is_full: bool, now_s: float
     ) -> tuple[data.QuarantinedPart, ...]:
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_record_writers.py
@@ -0,0 +1,87 @@
+"""Which instances write the stored records that all instances know.
+
+Those of the lowest ranks write, one after the other, so that the entries of
+the first need no second write. After a restore of the store they compare its
+records with what they know.
+"""
+
+import threading
+from typing import Protocol
+
+from skylarktack.coordination.forwarding import _store_era
+from skylarktack.coordination.ports import Clock
+
+#: Instances that write, those of the lowest ranks, and the time that each
+#: leaves to each one before it.
+WRITER_COUNT = 2
+TURN_S = 0.5
+
+#: Time after a restore at which the records are compared once more. Writers
+#: that were lost meanwhile no longer count as live then, in a fleet of 340, so
+#: that their successors compare in their place.
+COMPARE_AGAIN_S = 45.0
+
+
+class RankSource(Protocol):
+    """Tells the place of this instance in the fleet."""
+
+    def rank(self) -> int:
+        """Return the rank of this instance among the live ones, from 0."""
+        ...
+
+
+class WriterTurns:
+    """Tells whether this instance writes, and when it is its turn."""
+
+    def __init__(self, clock: Clock, fleet: RankSource) -> None:
+        self._clock = clock
+        self._fleet = fleet
+        self._never_set = threading.Event()
+
+    def is_writer(self) -> bool:
+        """Return whether this instance is one of those that write."""
+        return self._fleet.rank() < WRITER_COUNT
+
+    def wait(self) -> bool:
+        """Wait for the writers before this one; return whether it is one."""
+        turn = min(self._fleet.rank(), WRITER_COUNT)
+        if turn > 0:
+            self._clock.wait(self._never_set, TURN_S * turn)
+        return self.is_writer()
+
+
+class RestoreChecks:
+    """Tells when records have to be compared with a restored store."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        era: _store_era.StoreEra,
+        turns: WriterTurns,
+        wake: threading.Event,
+    ) -> None:
+        """Create checks.
+
+        :param wake: set when the store has been restored.
+        """
+        self._clock = clock
+        self._turns = turns
+        self._compare_again_at_s: float | None = None
+        self._is_restored = threading.Event()
+        era.add_listener(self._is_restored)
+        # Set last, since the task then looks at the event above.
+        era.add_listener(wake)
+
+    def wait_if_due(self) -> bool:
+        """Return whether to compare the records now, after those before."""
+        now_s = self._clock.monotonic_s()
+        if self._is_restored.is_set():
+            self._is_restored.clear()
+            self._compare_again_at_s = now_s + COMPARE_AGAIN_S
+            return self._turns.wait()
+        if self._compare_again_at_s is None:
+            return False
+        if now_s < self._compare_again_at_s:
+            return False
+        self._compare_again_at_s = None
+        return self._turns.wait()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_trial_keeper.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_trial_keeper.py
@@ -3,6 +3,7 @@
 import threading
 from typing import Protocol
 
+from skylarktack.coordination.forwarding import _record_writers
 from skylarktack.coordination.forwarding import _version_trials
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -10,11 +11,6 @@
 #: Delay after a failed call.
 RETRY_DELAY_S = 0.7
 
-#: Instances that write, those of the lowest ranks. Each waits for those before
-#: it, and their entries need no second write.
-WRITER_COUNT = 2
-TURN_S = 0.5
-
 #: Time after which an instance looks for changes that it missed.
 CHANGE_WAIT_S = 60.0
 
@@ -52,14 +48,6 @@
         ...
 
 
-class RankSource(Protocol):
-    """Tells the place of this instance in the fleet."""
-
-    def rank(self) -> int:
-        """Return the rank of this instance among the live ones, from 0."""
-        ...
-
-
 class TrialKeeper:
     """Reads the records at the start and writes changes; runs as a task."""
 
@@ -68,7 +56,7 @@
         clock: Clock,
         moves: TrialSource,
         store: TrialStore,
-        fleet: RankSource,
+        fleet: _record_writers.RankSource,
         are_targets_listed: threading.Event,
     ) -> None:
         """Create a keeper.
@@ -80,7 +68,7 @@
         self._trials = moves.trials
         self._are_targets_listed = are_targets_listed
         self._store = store
-        self._fleet = fleet
+        self._turns = _record_writers.WriterTurns(clock, fleet)
         self._never_set = threading.Event()
 
     def run(self) -> None:
@@ -115,15 +103,14 @@
         pending = list(self._trials.take_changes())
         if not pending:
             return
-        turn = min(self._fleet.rank(), WRITER_COUNT)
-        if turn > 0:
-            self._clock.wait(self._never_set, TURN_S * turn)
-        while pending and self._fleet.rank() < WRITER_COUNT:
+        is_writer = self._turns.wait()
+        while pending and is_writer:
             failed = [change for change in pending if not self._write(change)]
             if not failed:
                 return
             self._clock.wait(self._never_set, RETRY_DELAY_S)
             pending = _without_replaced(failed, self._trials.take_changes())
+            is_writer = self._turns.is_writer()
 
     def _write(self, change: _version_trials.TrialChange) -> bool:
         if change.trial is None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_version_trials.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_version_trials.py
@@ -8,7 +8,7 @@
 from skylarktack import state
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
-from skylarktack.coordination.forwarding import _trial_keeper
+from skylarktack.coordination.forwarding import _record_writers
 from skylarktack.coordination.forwarding import _version_trials
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.coordination.forwarding.tests import move_harness
@@ -294,4 +294,6 @@
         began_s = instance.env.clock.monotonic_s()
         instance.keeper.write_changes()
         waited_s = instance.env.clock.monotonic_s() - began_s
-        assert waited_s <= _trial_keeper.WRITER_COUNT * _trial_keeper.TURN_S
+        assert waited_s <= (
+            _record_writers.WRITER_COUNT * _record_writers.TURN_S
+        )
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -120,6 +120,8 @@
             clock,
             quarantine,
             platform.StoreQuarantines(self._store_calls()),
+            self._fleet,
+            self._era,
         )
         self._trial_keeper = forwarding.TrialKeeper(
             clock,
--- a/packages/platform/src/skylarktack/platform/_quarantines.py
+++ b/packages/platform/src/skylarktack/platform/_quarantines.py
@@ -26,12 +26,15 @@
         self._client = client
         self._objects = _store.ObjectReader(client, KIND)
 
-    def load(self) -> tuple[data.StoredQuarantine, ...] | None:
+    def load(
+        self, may_be_stale: bool
+    ) -> tuple[data.StoredQuarantine, ...] | None:
         """Return all stored quarantines; None on a store failure.
 
-        They may be seconds old, which costs a tenth of a call.
+        :param may_be_stale: accept quarantines that may be seconds old, which
+            costs a tenth of a call.
         """
-        listing = self._objects.list_objects(may_be_stale=True)
+        listing = self._objects.list_objects(may_be_stale)
         if isinstance(listing, forwarding.StoreFault):
             return None
         quarantines = []
--- a/packages/platform/src/skylarktack/platform/tests/test_quarantines.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_quarantines.py
@@ -21,7 +21,7 @@
 def _load(*items: Any) -> tuple[data.StoredQuarantine, ...] | None:
     listing = {'items': list(items), 'has_more': False, 'at': 5}
     client = test_store.ScriptedClient((200, listing))
-    return platform.StoreQuarantines(client).load()
+    return platform.StoreQuarantines(client).load(True)
 
 
 class TestStoreQuarantines:
@@ -49,8 +49,8 @@
             (503, {}), test_store.NO_RESPONSE, (429, {}), (503, {})
         )
         quarantines = platform.StoreQuarantines(client)
-        assert quarantines.load() is None
-        assert quarantines.load() is None
+        assert quarantines.load(True) is None
+        assert quarantines.load(True) is None
         assert not quarantines.save(QUARANTINE)
         assert not quarantines.remove('48720f3588ea')
 
