Write versions on trial again after a restore of the store

After a restore of the store, and then a replaced order and a restart of all instances, callers would get responses of a version whose move was called off: nothing in the store names it any more. The record of a version that had been completed would be back, and a start would exclude the version that serves.

VersionTrials now keeps the records themselves and up to 256 completed versions. A restore wakes the keepers; those of the two lowest ranks read the records, up to date, and write what is missing and remove what is back, as for quarantined parts (RestoreChecks). A version that is ordered again is no longer a completed one. Records that an instance does not know are left alone.

Evidence: seven cases of TestRestoredStore fail when the keeper does not compare, two without the removal, and one each without the wake-up, the bound of 256 writes, the rank, and the case of a version that is ordered again. Counted with 340 instances: four reads and one write for one lost record. A conflict of a create (409) needs no replacement here: the name is a hash of service and version, and only the time of the beginning may differ.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_trial_keeper.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_trial_keeper.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from skylarktack.coordination.forwarding import _record_writers
+from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.forwarding import _version_trials
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -57,6 +58,7 @@
         moves: TrialSource,
         store: TrialStore,
         fleet: _record_writers.RankSource,
+        era: _store_era.StoreEra,
         are_targets_listed: threading.Event,
     ) -> None:
         """Create a keeper.
@@ -69,6 +71,9 @@
         self._are_targets_listed = are_targets_listed
         self._store = store
         self._turns = _record_writers.WriterTurns(clock, fleet)
+        self._restore_checks = _record_writers.RestoreChecks(
+            clock, era, self._turns, self._trials.has_changes
+        )
         self._never_set = threading.Event()
 
     def run(self) -> None:
@@ -78,6 +83,7 @@
                 self._clock.wait(is_synced, CHANGE_WAIT_S)
         self.read()
         while True:
+            self.check_restore()
             self._clock.wait(self._trials.has_changes, CHANGE_WAIT_S)
             self.write_changes()
 
@@ -95,6 +101,17 @@
                 return
             self._clock.wait(self._never_set, RETRY_DELAY_S)
 
+    def check_restore(self) -> None:
+        """Find what a restored store lacks, if it is this one's turn."""
+        if not self._restore_checks.wait_if_due():
+            return
+        while True:
+            stored = self._store.load(may_be_stale=False)
+            if stored is not None:
+                self._trials.compare(stored)
+                return
+            self._clock.wait(self._never_set, RETRY_DELAY_S)
+
     def write_changes(self) -> None:
         """Write the changes of this instance, each until it succeeds.
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_trials.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_trials.py
@@ -53,11 +53,14 @@
         self._lock = threading.Lock()
         self._changes: dict[_Key, data.VersionTrial | None] = {}
         #: Records that the store has, or will have after the changes.
-        self._recorded: set[_Key] = set()
+        self._recorded: dict[_Key, data.VersionTrial] = {}
+        #: Versions whose move was completed, whose records a restored store
+        #: may have again.
+        self._completed: dict[_Key, None] = {}
         self._called_off: set[_Key] = set()
         #: Set once the records have been read.
         self.is_read = threading.Event()
-        #: Set when there are changes.
+        #: Set when there are changes, and by a restore of the store.
         self.has_changes = threading.Event()
 
     def record_begun(self, service: str, version: str) -> None:
@@ -66,19 +69,25 @@
         began_at_ms = int(self._clock.wall_s() * 1000)
         with self._lock:
             self._called_off.discard(key)
+            self._completed.pop(key, None)
             if key in self._recorded:
                 return
-            self._recorded.add(key)
-            self._change(key, data.VersionTrial(service, version, began_at_ms))
+            trial = data.VersionTrial(service, version, began_at_ms)
+            self._recorded[key] = trial
+            self._change(key, trial)
 
     def record_completed(self, service: str, version: str) -> None:
         """Record that a version has proved to be good."""
         key = _Key(service, version)
         with self._lock:
             self._called_off.discard(key)
+            self._completed.pop(key, None)
+            self._completed[key] = None
+            if len(self._completed) > MAX_TRIAL_COUNT:
+                del self._completed[next(iter(self._completed))]
             if self.is_read.is_set() and key not in self._recorded:
                 return
-            self._recorded.discard(key)
+            self._recorded.pop(key, None)
             self._change(key, None)
 
     def restore(self, stored: Sequence[data.VersionTrial]) -> None:
@@ -107,7 +116,7 @@
                 if is_old or position >= MAX_TRIAL_COUNT:
                     self._change(key, None)
                     continue
-                self._recorded.add(key)
+                self._recorded[key] = trial
                 self._called_off.add(key)
                 called_off.append(trial)
             for key in unstored:
@@ -119,6 +128,25 @@
                 _move_events.VersionExcluded(trial.service, trial.version)
             )
 
+    def compare(self, stored: Sequence[data.VersionTrial]) -> None:
+        """Have written what a restored store lacks or has again.
+
+        Nothing is excluded by its records; see ``restore``.
+        """
+        stored_keys = {_Key(trial.service, trial.version) for trial in stored}
+        with self._lock:
+            newest = sorted(
+                self._recorded.items(),
+                key=lambda item: item[1].began_at_ms,
+                reverse=True,
+            )
+            for key, trial in newest[:MAX_TRIAL_COUNT]:
+                if key not in stored_keys:
+                    self._change(key, trial)
+            for key in self._completed:
+                if key in stored_keys:
+                    self._change(key, None)
+
     def take_changes(self) -> tuple[TrialChange, ...]:
         """Return the changes since the last call."""
         with self._lock:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_version_trials.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_version_trials.py
@@ -71,10 +71,23 @@
 
     env: harness.Harness
     keeper: forwarding.TrialKeeper
+    rank: _Rank
+    era: forwarding.StoreEra
 
     def apply(self, order: data.MoveOrder | None) -> None:
         self.env.moves.apply(data.MoveChange('pool', order))
 
+    def restore(self) -> None:
+        """Let the keeper run after a restore of the store."""
+        self.era.record(self.era.current + 1)
+        self.run_keeper()
+
+    def run_keeper(self) -> None:
+        """Run what the task does after each wait."""
+        for _ in range(2):
+            self.keeper.write_changes()
+            self.keeper.check_restore()
+
     def used_versions(self) -> set[str]:
         """Return the versions to which one of 400 requests may be sent."""
         used = set()
@@ -104,10 +117,13 @@
     env = harness.make_harness(*[_target(version) for version in versions])
     env.moves.set_topology(forwarding.AggregationTopology('instance-0', 1))
     env.moves.trials = forwarding.VersionTrials(env.clock, env.log)
+    place = _Rank(rank)
+    era = forwarding.StoreEra(env.log)
+    era.record(5)
     keeper = forwarding.TrialKeeper(
-        env.clock, env.moves, store, _Rank(rank), env.targets.is_synced
+        env.clock, env.moves, store, place, era, env.targets.is_synced
     )
-    return _Instance(env, keeper)
+    return _Instance(env, keeper, place, era)
 
 
 def _order(
@@ -265,6 +281,144 @@
         assert store.reads == [True, False, False]
 
 
+class TestRestoredStore:
+    """A restored store gets the records of the running instances again."""
+
+    @pytest.mark.parametrize('is_begun_here', (True, False))
+    def test_lost_record_is_written_again(self, is_begun_here: bool) -> None:
+        """Guards against using a version whose order was replaced.
+
+        The order is replaced and all instances end, after the restore.
+        """
+        store = _Store() if is_begun_here else _store_with_move_to_v2()
+        instance = _start(store)
+        instance.keeper.read()
+        if is_begun_here:
+            instance.apply(_order('v2'))
+            instance.keeper.write_changes()
+        written = dict(store.stored)
+        store.stored.clear()
+        store.reads.clear()
+        instance.restore()
+        assert store.stored == written
+        assert store.reads == [False]
+        started = _start(store)
+        started.keeper.read()
+        started.apply(_order('v3'))
+        assert 'v2' not in started.used_versions()
+
+    @pytest.mark.parametrize('has_read_record', (True, False))
+    def test_record_of_a_completed_move_is_removed_again(
+        self, has_read_record: bool
+    ) -> None:
+        """Guards against excluding the version that serves the requests.
+
+        An instance may also have read a copy of the records that had none.
+        """
+        store = _store_with_move_to_v2()
+        copy = dict(store.stored)
+        if not has_read_record:
+            store.stored.clear()
+        instance = _start(store)
+        instance.keeper.read()
+        instance.apply(_order('v2', state.MovePhase.COMPLETED))
+        instance.keeper.write_changes()
+        store.stored.update(copy)
+        instance.restore()
+        assert not store.stored
+
+    def test_version_that_is_ordered_again_keeps_its_record(self) -> None:
+        """Guards against removing the record of a move in progress."""
+        store = _Store()
+        trials = forwarding.VersionTrials(
+            fakes.SteppingClock(), fakes.RecordingLog()
+        )
+        trials.restore(())
+        trials.record_begun('pool', 'v2')
+        trials.record_completed('pool', 'v2')
+        trials.record_begun('pool', 'v2')
+        for change in trials.take_changes():
+            assert change.trial is not None
+            store.save(change.trial)
+        trials.compare(tuple(store.stored.values()))
+        assert not trials.take_changes()
+
+    def test_unknown_record_is_neither_applied_nor_removed(self) -> None:
+        """Guards against excluding a version that was completed."""
+        store = _Store()
+        instance = _start(store)
+        instance.keeper.read()
+        store.stored.update(_store_with_move_to_v2().stored)
+        instance.restore()
+        assert list(store.stored) == [('pool', 'v2')]
+        assert store.write_count == 0
+        assert 'v2' in instance.used_versions()
+
+    def test_failed_calls_are_repeated(self) -> None:
+        """Guards against a store that is away again after the restore."""
+        store = _store_with_move_to_v2()
+        instance = _start(store)
+        instance.keeper.read()
+        store.stored.clear()
+        store.failures.extend((True, True, False, True))
+        instance.restore()
+        assert list(store.stored) == [('pool', 'v2')]
+
+    def test_restore_wakes_the_task(self) -> None:
+        """Guards against a record that is missing for a minute."""
+        instance = _start(_Store())
+        assert not instance.env.moves.trials.has_changes.is_set()
+        instance.era.record(6)
+        assert instance.env.moves.trials.has_changes.is_set()
+
+    def test_writers_lost_with_the_restore(self) -> None:
+        """Guards against records that no instance writes."""
+        store = _store_with_move_to_v2()
+        instance = _start(store, rank=2)
+        instance.keeper.read()
+        store.stored.clear()
+        instance.restore()
+        assert not store.stored
+        instance.rank.value = 0
+        instance.env.clock.advance(60.0)
+        instance.run_keeper()
+        assert list(store.stored) == [('pool', 'v2')]
+
+    def test_calls_of_the_largest_fleet(self) -> None:
+        """Guards against calls of each instance after a restore."""
+        store = _store_with_move_to_v2()
+        instances = []
+        for rank in range(340):
+            instance = _start(store, rank)
+            instance.keeper.read()
+            instances.append(instance)
+        store.stored.clear()
+        store.reads.clear()
+        store.write_count = 0
+        for instance in instances:
+            instance.restore()
+            instance.env.clock.advance(60.0)
+            instance.run_keeper()
+        assert list(store.stored) == [('pool', 'v2')]
+        assert store.write_count == 1
+        assert len(store.reads) == 2 * 2
+
+    def test_writes_are_bounded(self) -> None:
+        """Guards against writing all versions of a long-lived process."""
+        clock = fakes.SteppingClock()
+        trials = forwarding.VersionTrials(clock, fakes.RecordingLog())
+        trials.restore(())
+        for number in range(2 * _version_trials.MAX_TRIAL_COUNT):
+            clock.advance(1.0)
+            trials.record_begun('pool', f'v{number}')
+        trials.take_changes()
+        trials.compare(())
+        changes = trials.take_changes()
+        assert len(changes) == _version_trials.MAX_TRIAL_COUNT
+        last_number = 2 * _version_trials.MAX_TRIAL_COUNT - 1
+        assert changes[0].version == f'v{last_number}'
+
+
 class TestBounds:
     """Old records and those beyond the maximum number are removed."""
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -128,6 +128,7 @@
             self._moves,
             platform.StoreVersionTrials(self._store_calls()),
             self._fleet,
+            self._era,
             self._targets.is_synced,
         )
         metrics = _metrics.RequestMetrics(errors, quarantine)
