--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -120,12 +120,15 @@
             clock,
             quarantine,
             platform.StoreQuarantines(self._store_calls()),
+            self._fleet,
+            self._era,
         )
         self._trial_keeper = forwarding.TrialKeeper(
             clock,
             self._moves,
             platform.StoreVersionTrials(self._store_calls()),
             self._fleet,
+            self._era,
             self._targets.is_synced,
         )
         metrics = _metrics.RequestMetrics(errors, quarantine)
@@ -308,7 +311,7 @@
         registry = platform.StorePeerRegistry(self._store_calls(), self._log)
         peer = data.ListedPeer(self._settings.instance, link.endpoint)
         discovery = forwarding.PeerDiscovery(
-            clock, self._fleet, registry, peer
+            clock, self._fleet, registry, peer, self._era
         )
         reporter = forwarding.FleetReporter(clock, self._fleet, link)
         driver = forwarding.MoveDriver(
