Keep what is known of a target when a restored store lists it as it was

Callers would see requests cut off at a target that this instance had acknowledged as draining (rule DRAIN), or sent to the address, version or process that a target had before, from the restore of the store until the target has written its entry again.

Entries now carry the sequence number that a target raises with each of its writes. For some seconds after the first list of a restored store an entry is ignored, with a log line, if its start, its sequence number and whether it is leaving, compared in this order, are less than those of the known entry. The last of the three holds also where a report of leaving did not raise the number. The ignored entry still shows that the target is listed, so that a target that an outage had marked as expired is not removed. An entry without a start or a sequence number is used as before, and so is everything in the same era.

Ruled out: a comparison without an end. A host whose clock was set back gives a restarted target an earlier start, and its entries would be ignored for as long as the old one is known. An entry of the copy that nobody writes again expires within the window. Ruled out too: excluding leaving targets as if they had said so in a response; it covers neither addresses nor versions.

A sequence number that is no whole number makes an entry malformed, as with the start: the store's description says that an entry with a field of another type names no target to use.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_events.py
@@ -46,6 +46,16 @@
     era: int
 
 
+@dataclasses.dataclass(frozen=True)
+class OutdatedTargetIgnored(_events.LogEvent):
+    """A restored store lists a target as it was before a known change."""
+
+    part = 'target'
+    message = 'outdated target entry of a restored store ignored'
+
+    target: str
+
+
 @dataclasses.dataclass(frozen=True)
 class WatchRevisionCompacted(_events.LogEvent):
     """The store compacted the changes after the watched revision."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_records.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_records.py
@@ -3,6 +3,8 @@
 import math
 
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _restored_entries
+from skylarktack.coordination.forwarding import _store_events
 from skylarktack.coordination.forwarding import _target_list
 from skylarktack.coordination.forwarding import _target_stats
 from skylarktack.coordination.ports import Clock
@@ -24,6 +26,7 @@
         self._clock = clock
         self._log = log
         self._list = _target_list.TargetList()
+        self._restored = _restored_entries.RestoredEntries()
         self._stats: dict[str, _target_stats.TargetStats] = {}
         self._suspicions = _target_stats.DomainSuspicions()
 
@@ -36,11 +39,28 @@
         """Keep targets whose entries expire within the grace of an outage."""
         self._list.keep_expired(self._clock.monotonic_s())
 
+    def record_restore(self) -> None:
+        """Record that the next list is that of a restored store."""
+        self._restored.record_restore()
+
+    def record_list(self) -> None:
+        """Record that the entries of a complete list were put."""
+        self._restored.record_list(self._clock.monotonic_s())
+
     def put(self, target: data.ListedTarget) -> bool:
-        """Add or replace an entry; return whether its name is new."""
+        """Add or replace an entry; return whether its name is new.
+
+        An entry of a restored store that is older than the known one only
+        shows that the target is listed.
+        """
+        now_s = self._clock.monotonic_s()
+        known = self.by_name.get(target.name)
+        if known and self._restored.is_outdated(target, known, now_s):
+            self._log.record(_store_events.OutdatedTargetIgnored(target.name))
+            target = known
         previous = self._list.put(target)
         if previous is None:
-            self.stats_of(target).listed_at_s = self._clock.monotonic_s()
+            self.stats_of(target).listed_at_s = now_s
             self._log.record(
                 _events.TargetAdded(
                     target.name,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -71,8 +71,18 @@
             for name in list(self._records.by_name):
                 if name not in listed:
                     self._records.remove(name)
+            self._records.record_list()
         self.is_synced.set()
 
+    def record_restore(self) -> None:
+        """Record that the store was restored from a copy.
+
+        Its entries may be older than the known ones until the targets have
+        written them again.
+        """
+        with self._lock:
+            self._records.record_restore()
+
     def keep_expired(self) -> None:
         """Keep targets whose entries expired in an outage for a while.
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -186,7 +186,8 @@
             self._targets.apply(item)
 
     def record_restore(self) -> None:
-        """Do nothing; the next list keeps targets that it lacks a while."""
+        """Record that entries may be missing or older than the known ones."""
+        self._targets.record_restore()
 
     def confirm(self) -> None:
         """Do nothing; the last known targets are used at any age."""
--- a/packages/platform/src/skylarktack/platform/_entries.py
+++ b/packages/platform/src/skylarktack/platform/_entries.py
@@ -57,6 +57,7 @@
         # ``born`` is when the target started, in ms since the epoch,
         # not when the object was created.
         started_at_ms=reader.optional_integer('born'),
+        sequence_number=reader.optional_integer('sequence_number'),
     )
     reader.raise_on_findings()
     return target
--- a/packages/platform/src/skylarktack/platform/tests/test_entries.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_entries.py
@@ -37,8 +37,30 @@
             is_leaving=False,
             models=('m',),
             started_at_ms=1770053550000,
+            sequence_number=4,
         )
 
+    @pytest.mark.parametrize(
+        ('change', 'expected'),
+        [
+            ({'sequence_number': None}, None),
+            ({'sequence_number': 0}, 0),
+            ({'sequence_number': 5.0}, 5),
+        ],
+        ids=str,
+    )
+    def test_sequence_number_is_optional(
+        self, change: dict[str, Any], expected: int | None
+    ) -> None:
+        """Guards against rejecting a target without a sequence number."""
+        entry = {
+            name: value
+            for name, value in (ENTRY | change).items()
+            if value is not None
+        }
+        target = platform.decode_target('i-1', entry)
+        assert target.sequence_number == expected
+
     def test_draining_target_is_leaving(self) -> None:
         """Guards against new requests to a target that is draining."""
         entry = ENTRY | {'state': 'draining'}
@@ -58,6 +80,9 @@
             {'capacity_slots': 1.5},
             {'models': 'm'},
             {'born': 'today'},
+            {'sequence_number': 'four'},
+            {'sequence_number': 1.5},
+            {'sequence_number': -1},
         ],
         ids=str,
     )
--- a/packages/state/src/skylarktack/state/forwarding/_targets.py
+++ b/packages/state/src/skylarktack/state/forwarding/_targets.py
@@ -36,6 +36,10 @@
     #: lost all earlier requests.
     started_at_ms: int | None = None
 
+    #: Number that rises with the writes of one start, so that of two entries
+    #: of one start the later is known; None if it is unknown.
+    sequence_number: int | None = None
+
 
 @dataclasses.dataclass(frozen=True)
 class LeavingTarget:
