Do not use a removed target because a restored store lists it again

Callers would see requests cut off at a target that had left, or answered by whatever has its address now (rule DRAIN), from the restore of the store until the entry of the copy expires, three heartbeat intervals later.

An entry that the list after a restore has of a start that had been removed before is held back, with a log line. It is used when the store reports a change of it, when a later list shows a higher sequence number, or when the store still lists it 5 s after the first list: then its target has written it again, since it would have expired. A later start of the name, an entry without a start or a sequence number, and everything in the same era are used as before.

Ruled out: comparing the sequence number with that of the removed entry alone. A write that raises only the number is no event of a watch, so the copy may well have a higher number than the last event showed. Ruled out: waiting for a change without an end. A live target whose entry had expired while it was cut off writes the same entry again, which is no event either.

The comparison of two starts in _target_exclusions.py is shared.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_restored_entries.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_restored_entries.py
@@ -16,22 +16,29 @@
 
 
 class RestoredEntries:
-    """Entries of the copy that are older than what is known of a target.
+    """Whether entries may be those of the copy.
 
     The owner serialises the calls.
     """
 
     def __init__(self) -> None:
+        #: Monotonic time at which the last restore was noticed.
+        self.restored_at_s = -math.inf
         self._window_end_s = -math.inf
 
-    def record_restore(self) -> None:
+    def record_restore(self, now_s: float) -> None:
         """Record that the next list is that of a restored store."""
+        self.restored_at_s = now_s
         self._window_end_s = math.inf
 
     def record_list(self, now_s: float) -> None:
         """Record that a complete list was read."""
         self._window_end_s = min(self._window_end_s, now_s + REWRITE_WINDOW_S)
 
+    def is_being_rewritten(self, now_s: float) -> bool:
+        """Return whether some entries may not have been written again."""
+        return now_s < self._window_end_s
+
     def is_outdated(
         self,
         target: data.ListedTarget,
@@ -39,25 +46,32 @@
         now_s: float,
     ) -> bool:
         """Return whether an entry is of the copy and older than another."""
-        return now_s < self._window_end_s and _is_older(target, known)
+        return self.is_being_rewritten(now_s) and is_older(target, known)
+
 
+def are_comparable(
+    target: data.ListedTarget, other: data.ListedTarget
+) -> bool:
+    """Return whether it can be known which of two entries is older."""
+    for entry in (target, other):
+        if entry.started_at_ms is None or entry.sequence_number is None:
+            return False
+    return True
 
-def _is_older(target: data.ListedTarget, other: data.ListedTarget) -> bool:
+
+def is_older(target: data.ListedTarget, other: data.ListedTarget) -> bool:
     """Return whether an entry is known to be older than another.
 
     A target that is leaving does not become ready again in the same start.
     """
-    if target.started_at_ms is None or other.started_at_ms is None:
-        return False
-    if target.sequence_number is None or other.sequence_number is None:
+    if not are_comparable(target, other):
         return False
-    order = (
-        target.started_at_ms,
-        target.sequence_number,
+    return _order(target) < _order(other)
+
+
+def _order(target: data.ListedTarget) -> tuple[int, int, bool]:
+    return (
+        target.started_at_ms or 0,
+        target.sequence_number or 0,
         target.is_leaving,
     )
-    return order < (
-        other.started_at_ms,
-        other.sequence_number,
-        other.is_leaving,
-    )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_events.py
@@ -56,6 +56,19 @@
     target: str
 
 
+@dataclasses.dataclass(frozen=True)
+class RemovedTargetHeld(_events.LogEvent):
+    """A restored store lists a target that is known to be removed.
+
+    It is not used until it has written its entry again.
+    """
+
+    part = 'target'
+    message = 'removed target in a restored store not used yet'
+
+    target: str
+
+
 @dataclasses.dataclass(frozen=True)
 class WatchRevisionCompacted(_events.LogEvent):
     """The store compacted the changes after the watched revision."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_exclusions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_exclusions.py
@@ -82,7 +82,7 @@
             if target.name not in self._leaving:
                 return False
             leaving_ms = self._leaving[target.name]
-        return not _is_later(target.started_at_ms, leaving_ms)
+        return not is_later_start(target.started_at_ms, leaving_ms)
 
     def pause_end_s(self, target: data.ListedTarget) -> float:
         """Return when the target's pause ends; -inf if it has none."""
@@ -107,7 +107,7 @@
         with self._lock:
             if leaving.name in self._leaving:
                 known_ms = self._leaving[leaving.name]
-                if not _is_later(leaving.started_at_ms, known_ms):
+                if not is_later_start(leaving.started_at_ms, known_ms):
                     return False
                 del self._leaving[leaving.name]
             self._leaving[leaving.name] = leaving.started_at_ms
@@ -134,7 +134,7 @@
         )
 
 
-def _is_later(start_ms: int | None, other_ms: int | None) -> bool:
+def is_later_start(start_ms: int | None, other_ms: int | None) -> bool:
     """Return whether a start is known to be after another one."""
     if start_ms is None or other_ms is None:
         return False
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_records.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_records.py
@@ -3,6 +3,7 @@
 import math
 
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _removed_targets
 from skylarktack.coordination.forwarding import _restored_entries
 from skylarktack.coordination.forwarding import _store_events
 from skylarktack.coordination.forwarding import _target_list
@@ -27,6 +28,7 @@
         self._log = log
         self._list = _target_list.TargetList()
         self._restored = _restored_entries.RestoredEntries()
+        self._removed = _removed_targets.RemovedTargets(self._restored)
         self._stats: dict[str, _target_stats.TargetStats] = {}
         self._suspicions = _target_stats.DomainSuspicions()
 
@@ -41,11 +43,28 @@
 
     def record_restore(self) -> None:
         """Record that the next list is that of a restored store."""
-        self._restored.record_restore()
+        now_s = self._clock.monotonic_s()
+        self._restored.record_restore(now_s)
+        self._removed.record_restore(now_s)
 
-    def record_list(self) -> None:
-        """Record that the entries of a complete list were put."""
+    def record_list(self, names: frozenset[str]) -> None:
+        """Record that all entries of a complete list were put."""
         self._restored.record_list(self._clock.monotonic_s())
+        self._removed.discard_others(names)
+
+    def hold(self, target: data.ListedTarget) -> bool:
+        """Hold a listed entry back if it is older than a removal.
+
+        :returns: whether it must not be put now.
+        """
+        if not self._removed.hold(target, self._clock.monotonic_s()):
+            return False
+        self._log.record(_store_events.RemovedTargetHeld(target.name))
+        return True
+
+    def take_rewritten(self) -> tuple[data.ListedTarget, ...]:
+        """Return entries that were held back and have been written again."""
+        return self._removed.take_rewritten(self._clock.monotonic_s())
 
     def put(self, target: data.ListedTarget) -> bool:
         """Add or replace an entry; return whether its name is new.
@@ -59,6 +78,7 @@
             self._log.record(_store_events.OutdatedTargetIgnored(target.name))
             target = known
         previous = self._list.put(target)
+        self._removed.record_listed(target.name)
         if previous is None:
             self.stats_of(target).listed_at_s = now_s
             self._log.record(
@@ -78,8 +98,14 @@
         return False
 
     def remove(self, name: str) -> None:
-        """Remove a listed target, or mark it as expired after an outage."""
-        if self._list.remove(name, self._clock.monotonic_s()):
+        """Remove a target, or mark it as expired after an outage."""
+        self._removed.discard(name)
+        target = self.by_name.get(name)
+        if target is None:
+            return
+        now_s = self._clock.monotonic_s()
+        if self._list.remove(name, now_s):
+            self._removed.record_removal(target, now_s)
             self._stats.pop(name, None)
             self._log.record(_events.TargetRemoved(name))
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -65,13 +65,15 @@
         if after_outage:
             self.keep_expired()
         with self._lock:
-            listed = {target.name for target in targets}
+            listed = frozenset(target.name for target in targets)
             for target in targets:
+                if self._records.hold(target):
+                    continue
                 self._put(target)
             for name in list(self._records.by_name):
                 if name not in listed:
                     self._records.remove(name)
-            self._records.record_list()
+            self._records.record_list(listed)
         self.is_synced.set()
 
     def record_restore(self) -> None:
@@ -96,9 +98,15 @@
         with self._lock:
             if change.target is not None:
                 self._put(change.target)
-            elif change.name in self._records.by_name:
+            else:
                 self._records.remove(change.name)
 
+    def confirm(self) -> None:
+        """Record that all changes of the store so far were applied."""
+        with self._lock:
+            for target in self._records.take_rewritten():
+                self._put(target)
+
     def find(self, name: str) -> data.ListedTarget | None:
         """Return a target by name."""
         return self._records.by_name.get(name)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -190,7 +190,8 @@
         self._targets.record_restore()
 
     def confirm(self) -> None:
-        """Do nothing; the last known targets are used at any age."""
+        """Record that all changes so far were applied."""
+        self._targets.confirm()
 
     def mark_stale(self) -> None:
         """Do nothing; the last known targets are used at any age."""
