--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -186,10 +186,12 @@
             self._targets.apply(item)
 
     def record_restore(self) -> None:
-        """Do nothing; the next list keeps targets that it lacks a while."""
+        """Record that entries may be missing or older than the known ones."""
+        self._targets.record_restore()
 
     def confirm(self) -> None:
-        """Do nothing; the last known targets are used at any age."""
+        """Record that all changes so far were applied."""
+        self._targets.confirm()
 
     def mark_stale(self) -> None:
         """Do nothing; the last known targets are used at any age."""
