Do not record a phase with a revision of an earlier era

What callers would see: after the store was restored from a copy, the phase of a move could be written over that of another order, because the write is conditional on a revision that the store gives out again. An order of the restored store was ignored, because its revision is lower than the one that was known before. A 404 for an order that the copy lacks cancelled the move at once.

Cause: orders carried a revision without the era that it belongs to.

Fix: an order carries its position (era and revision) and positions are compared. The writer does not write with an order of an earlier era, takes the object of a conflict response in the era of that response, and treats a 404 of a later era as a failed write. A forwarded change is decoded with its era, so that its orders do not seem to be older.

Ruled out: naming the era in the write itself; the store's published protocol conditions a write on the revision only, so a write that is already on its way may still be executed after a restore. The docstring says what it may replace.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -345,7 +345,7 @@
             self._moves.pop(change.service, None)
             return
         if current is not None and is_same:
-            if order.revision < current.order.revision:
+            if order.position < current.order.position:
                 return
             is_restarted = current.order.has_ended and not order.has_ended
             if not is_restarted:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -216,7 +216,7 @@
             change.previous_revision <= position.revision < change.revision
         ):
             return position
-        decoded = self._source.decode_changes(change.content)
+        decoded = self._source.decode_changes(change.content, change.era)
         if not isinstance(decoded, _watch_ports.Changes):
             return position
         self._handler.apply(decoded.items, change.follows_outage)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/move_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/move_harness.py
@@ -22,10 +22,13 @@
 
 
 def order(
-    revision: int = 5, phase: state.MovePhase = state.MovePhase.PLANNED
+    revision: int = 5,
+    phase: state.MovePhase = state.MovePhase.PLANNED,
+    era: int = 0,
 ) -> data.MoveOrder:
     """Return an order to move the service to version 2."""
-    return data.MoveOrder('pool', 'v2', DURATION_S, revision, phase)
+    position = data.StorePosition(era, revision)
+    return data.MoveOrder('pool', 'v2', DURATION_S, position, phase)
 
 
 def new_target(name: str, domain: str = 'domain-a') -> data.ListedTarget:
@@ -46,6 +49,11 @@
     return made
 
 
+def following(position: data.StorePosition) -> data.StorePosition:
+    """Return the next position of the store in the same era."""
+    return dataclasses.replace(position, revision=position.revision + 1)
+
+
 class Writer:
     """Records phases like the store; may be unavailable."""
 
@@ -63,10 +71,12 @@
                 forwarding.StoreFaultKind.UNAVAILABLE,
                 'the store is unavailable',
             )
-        if order.revision == self.order.revision:
+        if order.position == self.order.position:
             self.written.append(phase)
             self.order = dataclasses.replace(
-                self.order, phase=phase, revision=self.order.revision + 1
+                self.order,
+                phase=phase,
+                position=following(self.order.position),
             )
         return data.MoveChange('pool', self.order)
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
@@ -391,3 +391,19 @@
         shared.watcher.run()
         assert shared.source.calls == ['stale list', 'watch 5', 'watch 5']
         assert ('changes', ('b',), False) not in shared.handler.applied
+
+    def test_a_forwarded_change_is_decoded_with_its_era(self) -> None:
+        """Guards against objects that seem to be from before the restore."""
+        shared = _SharedHarness(
+            True,
+            forwarding.Listing((), 5, era=3),
+            watcher_harness.UNAVAILABLE,
+            forwarding.Changes((), 9, era=3),
+        )
+        shared.advance_while_waiting()
+        shared.shared_watch.receive_change(
+            data.StoreChange('kind', 5, 9, b'b', era=3)
+        )
+        shared.watcher.run()
+        assert ('changes', ('b',), False) in shared.handler.applied
+        assert shared.source.decoded_eras == [3]
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
@@ -32,6 +32,8 @@
         self.era = forwarding.StoreEra(fakes.RecordingLog())
         self.calls: list[str] = []
         self.waits_s: list[float] = []
+        #: Eras of the forwarded changes that were decoded.
+        self.decoded_eras: list[int] = []
         self.watcher: forwarding.StoreWatcher[str] | None = None
 
     def list_all(
@@ -54,6 +56,7 @@
     def decode_changes(
         self, content: bytes, era: int = 0
     ) -> forwarding.Changes[str] | forwarding.StoreFault:
+        self.decoded_eras.append(era)
         text = content.decode()
         return forwarding.Changes(tuple(text.split()), 0, content, era)
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -317,7 +317,9 @@
             self._moves,
             self._fleet,
             link,
-            platform.StoreMoveWriter(self._store_calls(), self._log),
+            platform.StoreMoveWriter(
+                self._store_calls(), self._log, self._era
+            ),
         )
         self._start_task(
             'datagram link',
--- a/packages/platform/src/skylarktack/platform/_moves.py
+++ b/packages/platform/src/skylarktack/platform/_moves.py
@@ -35,19 +35,23 @@
     kind = KIND
 
     def decode(
-        self, item: dict[str, Any], is_deleted: bool
+        self, item: dict[str, Any], is_deleted: bool, era: int
     ) -> data.MoveChange | None:
         """Return the move order of an object; a malformed one is no order."""
-        return decode_move(item, is_deleted, self._findings)
+        return decode_move(item, is_deleted, era, self._findings)
 
 
 class StoreMoveWriter:
     """Records phases of moves in the status of their objects."""
 
     def __init__(
-        self, client: forwarding.StoreClient, log: forwarding.EventLog
+        self,
+        client: forwarding.StoreClient,
+        log: forwarding.EventLog,
+        era: forwarding.StoreEra,
     ) -> None:
         self._client = client
+        self._era = era
         self._findings = _store.FindingLog(log)
 
     def write_phase(
@@ -57,12 +61,24 @@
 
         On a conflict the store responds with the current object, which holds
         the phase that another instance has recorded.
+
+        The write is conditional on a revision, which a restored store may
+        have given out again. So an order that was read before a restore is
+        not written to. If the store is restored during the call, or if the
+        response is lost, the write may still be executed, even seconds later,
+        provided that the same object has the same revision again. It replaces
+        nothing but the status, which names the version, so that it does not
+        count for an order for another version. For the same version it may
+        replace a phase that was recorded since the restore; instances that
+        know a phase that the restored store lacks record it again.
         """
+        if order.position.era < self._era.current:
+            return _restored_fault()
         body = json.dumps(
             {
                 'metadata': {
                     'name': order.service,
-                    'revision': order.revision,
+                    'revision': order.position.revision,
                 },
                 'status': {
                     'state': _VALUE_BY_PHASE[phase],
@@ -79,6 +95,10 @@
         )
         if isinstance(response, forwarding.ExchangeFault):
             return _store.unavailable_fault(response.detail)
+        is_restored = order.position.era < response.era
+        if is_restored and response.status == _NOT_FOUND_STATUS:
+            # The operator writes a missing order again.
+            return _restored_fault()
         if response.status == _NOT_FOUND_STATUS:
             return data.MoveChange(order.service, None)
         if response.status not in _SUCCESS_STATUSES | {_CONFLICT_STATUS}:
@@ -88,13 +108,22 @@
         decoded = _store.decode_object(response.body)
         if isinstance(decoded, forwarding.StoreFault):
             return decoded
-        return decode_move(decoded, False, self._findings)
+        return decode_move(decoded, False, response.era, self._findings)
+
+
+def _restored_fault() -> forwarding.StoreFault:
+    return _store.unavailable_fault(
+        'the order was read before the store was restored'
+    )
 
 
 def decode_move(
-    item: dict[str, Any], is_deleted: bool, log: _store.FindingLog
+    item: dict[str, Any], is_deleted: bool, era: int, log: _store.FindingLog
 ) -> data.MoveChange:
-    """Return the move order of an object; a malformed one is no order."""
+    """Return the move order of an object; a malformed one is no order.
+
+    :param era: era of the store to which the object's revision belongs.
+    """
     service = _store.name_of(item)
     if is_deleted:
         return data.MoveChange(service, None)
@@ -111,7 +140,7 @@
         # ``target`` is a version here, not a target of requests.
         to_version=reader.text('target'),
         duration_s=reader.number('duration_s'),
-        revision=metadata.integer('revision'),
+        position=data.StorePosition(era, metadata.integer('revision')),
         phase=_decode_phase(item),
     )
     if findings:
--- a/packages/platform/src/skylarktack/platform/_store.py
+++ b/packages/platform/src/skylarktack/platform/_store.py
@@ -149,7 +149,7 @@
             return response
         items = []
         for item in response.items:
-            decoded = self.decode(item, False)
+            decoded = self.decode(item, False, response.era)
             if decoded is not None:
                 items.append(decoded)
         return forwarding.Listing(
@@ -176,7 +176,9 @@
         for event in _objects_in(response, 'events'):
             if not isinstance(event.get('object'), dict):
                 continue
-            decoded = self.decode(event['object'], bool(event.get('deleted')))
+            decoded = self.decode(
+                event['object'], bool(event.get('deleted')), era
+            )
             if decoded is not None:
                 items.append(decoded)
         revision = _revision_of(response)
@@ -184,8 +186,13 @@
             return _unreadable_fault('watch response has no revision')
         return forwarding.Changes(tuple(items), revision, content, era)
 
-    def decode(self, item: dict[str, Any], is_deleted: bool) -> T | None:
-        """Return the value of an object, or None if it has none."""
+    def decode(
+        self, item: dict[str, Any], is_deleted: bool, era: int
+    ) -> T | None:
+        """Return the value of an object, or None if it has none.
+
+        :param era: era of the store to which the object's revision belongs.
+        """
         raise AssertionError('subclasses have to override decode()')
 
 
@@ -195,7 +202,7 @@
     kind = 'config'
 
     def decode(
-        self, item: dict[str, Any], is_deleted: bool
+        self, item: dict[str, Any], is_deleted: bool, era: int
     ) -> data.ForwardingConfiguration | None:
         """Return the configuration of a manifest.
 
@@ -220,7 +227,7 @@
     kind = 'servers'
 
     def decode(
-        self, item: dict[str, Any], is_deleted: bool
+        self, item: dict[str, Any], is_deleted: bool, era: int
     ) -> data.TargetChange | None:
         """Return the target of an object; a malformed one has none."""
         name = name_of(item)
--- a/packages/state/src/skylarktack/state/forwarding/_moves.py
+++ b/packages/state/src/skylarktack/state/forwarding/_moves.py
@@ -8,6 +8,7 @@
 
 from skylarktack.state._moves import EvidenceRow
 from skylarktack.state._moves import MovePhase
+from skylarktack.state.forwarding._store_position import StorePosition
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,8 +24,8 @@
     #: Time after the order by which the move must end.
     duration_s: float
 
-    #: Revision of the order in the store.
-    revision: int
+    #: Revision of the order in the store, with the era that it belongs to.
+    position: StorePosition
 
     #: Recorded phase of the move: ``PLANNED`` if none is recorded,
     #: ``SHIFTING`` once an instance drives it.
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
@@ -10,6 +10,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.coordination import moves
 from skylarktack.coordination.forwarding.tests import harness
+from skylarktack.coordination.forwarding.tests import move_harness
 from skylarktack.protocol import forwarding as codec
 from skylarktack.state import forwarding as data
 
@@ -34,14 +35,18 @@
     """Stores the order and accepts the first write to each revision."""
 
     def __init__(self) -> None:
-        self.order = data.MoveOrder('pool', 'v2', DURATION_S, 5)
+        self.order = data.MoveOrder(
+            'pool', 'v2', DURATION_S, data.StorePosition(0, 5)
+        )
 
     def write_phase(
         self, order: data.MoveOrder, phase: state.MovePhase
     ) -> data.MoveChange | forwarding.StoreFault:
-        if order.revision == self.order.revision:
+        if order.position == self.order.position:
             self.order = dataclasses.replace(
-                self.order, phase=phase, revision=self.order.revision + 1
+                self.order,
+                phase=phase,
+                position=move_harness.following(order.position),
             )
         return data.MoveChange('pool', self.order)
 
