Continue moves after the store was restored from a copy

What callers would see: after a restore a version that was completed was judged again although its old targets had stopped, and a version that was rolled back got requests again. An order that the copy lacked for some seconds counted as cancelled, so that its version was excluded; an older order in the copy replaced the newer one at once.

Cause: an order without the end of its move counted as a new order, and a list without an order as a cancellation. Both hold within one era only.

Fix: the first order for the known version in a later era continues the move. The known phase stays if the store's is earlier, and it is recorded again by the turns of the instances, which begin anew, so that not all of them write at once. An order at an earlier position than the known one is dropped, also when it is for another version: the response to a write may arrive after a newer order was watched.

Ruled out: keeping the order until it returns, and keeping it only while a move is in progress (a completed version would lose its preference).

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
@@ -9,6 +9,7 @@
 from skylarktack.coordination.forwarding import _exposure
 from skylarktack.coordination.forwarding import _move_events
 from skylarktack.coordination.forwarding import _move_evidence
+from skylarktack.coordination.forwarding import _restored_orders
 from skylarktack.coordination.forwarding import _route_judging
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -53,6 +54,34 @@
     stop_reason: str = ''
     due_phase: state.MovePhase | None = None
     due_since_s: float = 0.0
+    #: Phase that the store holds. After a restore it may be earlier than the
+    #: known one, that of the order.
+    stored_phase: state.MovePhase = state.MovePhase.PLANNED
+
+    @property
+    def is_phase_lost(self) -> bool:
+        """Return whether the store lacks the known phase."""
+        return self.stored_phase is not self.order.phase
+
+    def update(self, order: data.MoveOrder) -> None:
+        """Replace the order by a newer one for the same version.
+
+        A known phase stays that a restored store has lost.
+        """
+        phase = order.phase
+        is_first_of_era = order.position.era > self.order.position.era
+        if is_first_of_era:
+            # The turns of the instances begin anew.
+            self.due_phase = None
+        if is_first_of_era or self.is_phase_lost:
+            phase = _restored_orders.later_phase(self.order.phase, phase)
+        self.order = dataclasses.replace(order, phase=phase)
+        self.stored_phase = order.phase
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether it is in progress or its end is not recorded."""
+        return not self.order.has_ended or self.is_phase_lost
 
 
 class MoveDecisions:
@@ -177,6 +206,24 @@
         if is_own_decision:
             self._announce(move)
 
+    def report(
+        self, move: Move, instance: str, scope: data.MoveScope
+    ) -> data.MoveReport:
+        """Return the report of an instance on a move.
+
+        :param scope: whose counts to report.
+        """
+        return data.MoveReport(
+            instance=instance,
+            service=move.order.service,
+            to_version=move.order.to_version,
+            scope=scope,
+            counts=move.evidence.counts_of(scope),
+            age_ms=int(1000 * self.age_s(move)),
+            is_shifting=move.is_shifting,
+            stop_reason=move.stop_reason,
+        )
+
     def _announce(self, move: Move) -> None:
         self._unreported_services.add(move.order.service)
         self.has_updates.set()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_events.py
@@ -20,6 +20,46 @@
     phase: str
 
 
+@dataclasses.dataclass(frozen=True)
+class MovePhaseLost(_events.LogEvent):
+    """The store was restored from a copy without the phase of a move."""
+
+    part = 'move'
+    message = 'restored store lacks the move phase; recording it again'
+
+    service: str
+    to_version: str
+
+    #: Phase that is known here, and that of the store.
+    phase: str
+    stored_phase: str
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveRecordedAgain(_events.LogEvent):
+    """The restored store holds the known phase of a move again."""
+
+    part = 'move'
+    message = 'move phase recorded again'
+
+    service: str
+    to_version: str
+    phase: str
+
+
+@dataclasses.dataclass(frozen=True)
+class MoveOrderKept(_events.LogEvent):
+    """A known order is kept although the restored store does not hold it."""
+
+    part = 'move'
+    message = 'restored store lacks the order; keeping the known one a while'
+
+    service: str
+
+    #: Version that is rolled out.
+    to_version: str
+
+
 @dataclasses.dataclass(frozen=True)
 class MoveStopped(_events.LogEvent):
     """The new version receives no more traffic."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
@@ -30,6 +30,17 @@
 MAX_ROUTE_COUNT = 4
 
 
+@dataclasses.dataclass(frozen=True)
+class FleetAggregate:
+    """Origin of the last counts of the whole fleet."""
+
+    #: Instance that sent them; empty before the first.
+    sender: str = ''
+
+    #: Monotonic time at which they arrived.
+    arrived_at_s: float = -math.inf
+
+
 @dataclasses.dataclass(frozen=True)
 class AggregationTopology:
     """Which instances aggregate whose counts, as one instance sees it."""
@@ -273,3 +284,26 @@
 def _weight(leader: str, instance: str) -> bytes:
     content = f'{leader} {instance}'.encode()
     return hashlib.blake2b(content, digest_size=8).digest()
+
+
+def row_of(
+    target: data.ListedTarget,
+    kind: state.OutcomeKind,
+    latency_ms: float | None,
+    is_counted: bool,
+) -> state.EvidenceRow:
+    """Return the counts of one outcome of a target.
+
+    :param is_counted: whether it counts as an attempt.
+    """
+    is_lost = kind is state.OutcomeKind.CONNECTION_LOST
+    is_error = not is_lost and kind is not state.OutcomeKind.SUCCESS
+    return state.EvidenceRow(
+        version=state.VersionName(target.version),
+        failure_domain=state.FailureDomain(target.failure_domain),
+        attempt_count=int(is_counted),
+        error_count=int(is_error),
+        lost_count=int(is_lost),
+        lost_targets=(state.TargetName(target.name),) if is_lost else (),
+        first_token=moves.latency_sums(latency_ms),
+    )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -9,7 +9,6 @@
 """
 
 from collections.abc import Callable
-import math
 import random
 import threading
 
@@ -21,6 +20,7 @@
 from skylarktack.coordination.forwarding import _move_decisions
 from skylarktack.coordination.forwarding import _move_events
 from skylarktack.coordination.forwarding import _move_evidence
+from skylarktack.coordination.forwarding import _restored_orders
 from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.forwarding import _version_trials
 from skylarktack.coordination.ports import Clock
@@ -54,10 +54,11 @@
         #: Versions whose move has begun, to be kept beyond a restart.
         self.trials = _version_trials.VersionTrials(clock, log)
         self._versions = _version_rules.KnownVersions()
+        self._held = _restored_orders.HeldChanges(clock)
+        # Whether the next list is the first one after a restore.
+        self._follows_restore = False
         self._topology = _move_evidence.AggregationTopology()
-        # Sender and arrival time of the last aggregate for the fleet.
-        self._fleet_aggregate_sender = ''
-        self._fleet_aggregate_at_s = -math.inf
+        self._fleet_aggregate = _move_evidence.FleetAggregate()
         #: Set once the orders have been read for the first time.
         self.is_synced = threading.Event()
         #: Set at each new order and at each stop or shift that was decided
@@ -67,11 +68,18 @@
     def replace(self, changes: tuple[data.MoveChange, ...]) -> None:
         """Replace all orders by a complete list."""
         with self._lock:
-            listed = {change.service for change in changes}
-            for service in list(self._moves):
-                if service not in listed:
-                    self._apply_change(data.MoveChange(service, None))
+            follows_restore = self._follows_restore
+            self._follows_restore = False
+            missing = dict(self._moves)
             for change in changes:
+                if change.order is not None:
+                    missing.pop(change.service, None)
+                    self._apply_change(change)
+            for service, move in missing.items():
+                change = data.MoveChange(service, None)
+                if follows_restore or self._held.has(service):
+                    self._hold(move, change)
+                    continue
                 self._apply_change(change)
 
     def apply(self, change: data.MoveChange) -> None:
@@ -79,6 +87,16 @@
         with self._lock:
             self._apply_change(change)
 
+    def record_restore(self) -> None:
+        """Record that the next list is that of a restored store.
+
+        It may lack the newest order of a service until the operator has
+        written it again.
+        """
+        with self._lock:
+            self._follows_restore = True
+            self._held.clear()
+
     def record_listed_version(
         self, service: str, version: str, is_first_list: bool
     ) -> None:
@@ -99,6 +117,7 @@
         Counts the request, and chooses at random whether it is a canary.
         """
         with self._lock:
+            self._apply_due_changes()
             move = self._moves.get(service)
             excluded = self._excluded(service)
             if move is None:
@@ -178,7 +197,7 @@
             move = self._moves.get(target.service)
             if move is None or move.order.has_ended or move.stop_reason:
                 return
-            row = _row_of(target, kind, latency_ms, is_counted)
+            row = _move_evidence.row_of(target, kind, latency_ms, is_counted)
             move.evidence.add(data.RouteEvidence(route, row))
             is_success = kind is state.OutcomeKind.SUCCESS
             if is_success and latency_ms is not None:
@@ -224,8 +243,9 @@
             move.evidence.merge(report)
             move.has_new_evidence = True
             if report.scope is data.MoveScope.FLEET:
-                self._fleet_aggregate_sender = report.instance
-                self._fleet_aggregate_at_s = now_s
+                self._fleet_aggregate = _move_evidence.FleetAggregate(
+                    report.instance, now_s
+                )
             began_at_s = now_s - report.age_ms / 1000
             move.began_at_s = min(move.began_at_s, began_at_s)
             # The sender reports its decision to all instances itself.
@@ -256,21 +276,10 @@
         """
         found = []
         with self._lock:
-            for service, move in self._moves.items():
+            for move in self._moves.values():
                 if move.order.has_ended:
                     continue
-                found.append(
-                    data.MoveReport(
-                        instance=instance,
-                        service=service,
-                        to_version=move.order.to_version,
-                        scope=scope,
-                        counts=move.evidence.counts_of(scope),
-                        age_ms=int(1000 * self._decisions.age_s(move)),
-                        is_shifting=move.is_shifting,
-                        stop_reason=move.stop_reason,
-                    )
-                )
+                found.append(self._decisions.report(move, instance, scope))
         return tuple(found)
 
     def decide(self, service: str) -> state.MovePhase | None:
@@ -280,10 +289,12 @@
         """
         with self._lock:
             move = self._moves.get(service)
-            if move is None or move.order.has_ended:
+            if move is None or not move.is_open:
                 return None
-            phase: state.MovePhase | None = self._decisions.due_phase(move)
-            if phase is move.order.phase:
+            phase: state.MovePhase | None = move.order.phase
+            if not move.order.has_ended:
+                phase = self._decisions.due_phase(move)
+            if phase is move.stored_phase or self._held.has(service):
                 phase = None
             if phase is not move.due_phase:
                 move.due_phase = phase
@@ -311,8 +322,8 @@
         :param since_s: earliest monotonic time at which it may have arrived.
         """
         with self._lock:
-            is_from_sender = self._fleet_aggregate_sender in senders
-            return is_from_sender and self._fleet_aggregate_at_s >= since_s
+            last = self._fleet_aggregate
+            return last.sender in senders and last.arrived_at_s >= since_s
 
     def order_of(self, service: str) -> data.MoveOrder | None:
         """Return the newest order for a service, or None."""
@@ -321,49 +332,106 @@
             return None if move is None else move.order
 
     def open_services(self) -> tuple[str, ...]:
-        """Return the services with a move in progress."""
+        """Return the services with a move in progress, or not recorded."""
         found = []
         with self._lock:
+            self._apply_due_changes()
             for service, move in self._moves.items():
-                if not move.order.has_ended:
+                if move.is_open:
                     found.append(service)
         return tuple(found)
 
-    def _apply_change(self, change: data.MoveChange) -> None:
+    def _apply_due_changes(self) -> None:
+        """Apply changes that were held after a restore for long enough."""
+        for change in self._held.take_due():
+            self._apply_change(change, is_confirmed=True)
+
+    def _apply_change(
+        self, change: data.MoveChange, is_confirmed: bool = False
+    ) -> None:
+        """Apply a change of one service's order.
+
+        :param is_confirmed: whether an order that may come from the copy of a
+            restored store is the newest one.
+        """
         order = change.order
         current = self._moves.get(change.service)
-        is_same = (
-            current is not None
-            and order is not None
-            and current.order.to_version == order.to_version
-        )
-        if current is not None and not is_same:
+        if current is not None and order is not None:
+            if order.position < current.order.position:
+                return
+            if order.to_version == current.order.to_version:
+                self._update(current, order)
+                return
+            if not is_confirmed and self._held.is_from_copy(
+                order, current.order
+            ):
+                self._hold(current, change)
+                return
+        self._held.discard(change.service)
+        if current is not None:
             if current.order.phase is not state.MovePhase.COMPLETED:
                 # A cancelled move has not shown that the version is good.
                 self._versions.reject(change.service, current.order.to_version)
         if order is None:
             self._moves.pop(change.service, None)
             return
-        if current is not None and is_same:
-            if order.position < current.order.position:
-                return
-            is_restarted = current.order.has_ended and not order.has_ended
-            if not is_restarted:
-                if order.phase is not current.order.phase:
-                    self._record_phase(order)
-                current.order = order
-                return
-        self._moves[change.service] = _move_decisions.Move(
+        self._begin(order)
+
+    def _begin(self, order: data.MoveOrder) -> None:
+        self._moves[order.service] = _move_decisions.Move(
             order,
             _move_evidence.MoveEvidence(self._topology),
             self._clock.monotonic_s(),
+            stored_phase=order.phase,
         )
         if not order.has_ended:
-            self._versions.restore(change.service, order.to_version)
-            self.trials.record_begun(change.service, order.to_version)
+            self._versions.restore(order.service, order.to_version)
+            self.trials.record_begun(order.service, order.to_version)
             self.has_updates.set()
         self._record_phase(order)
 
+    def _update(
+        self, current: _move_decisions.Move, order: data.MoveOrder
+    ) -> None:
+        """Apply an order for the version of the current one.
+
+        Within one era an order without the end of its move is a new one. A
+        restored store may have lost the phase; the known one stays.
+        """
+        known = current.order
+        is_first_of_era = order.position.era > known.position.era
+        was_lost = current.is_phase_lost
+        if is_first_of_era:
+            self._held.discard(order.service)
+        elif not was_lost and known.has_ended and not order.has_ended:
+            self._begin(order)
+            return
+        current.update(order)
+        phase = current.order.phase
+        names = (order.service, order.to_version, phase.value)
+        if phase is not known.phase:
+            self._record_phase(current.order)
+        elif was_lost and not current.is_phase_lost:
+            self._log.record(_move_events.MoveRecordedAgain(*names))
+        if is_first_of_era and current.is_phase_lost:
+            self._log.record(
+                _move_events.MovePhaseLost(*names, order.phase.value)
+            )
+            self.has_updates.set()
+
+    def _hold(
+        self, current: _move_decisions.Move, change: data.MoveChange
+    ) -> None:
+        """Keep the known order although the restored store lacks it."""
+        current.stored_phase = state.MovePhase.PLANNED
+        if self._held.hold(change):
+            self._log.record(
+                _move_events.MoveOrderKept(
+                    change.service, current.order.to_version
+                )
+            )
+            self.has_updates.set()
+
     def _record_phase(self, order: data.MoveOrder) -> None:
         if order.phase is state.MovePhase.ROLLED_BACK:
             self._versions.reject(order.service, order.to_version)
@@ -374,22 +442,3 @@
                 order.service, order.to_version, order.phase.value
             )
         )
-
-
-def _row_of(
-    target: data.ListedTarget,
-    kind: state.OutcomeKind,
-    latency_ms: float | None,
-    is_counted: bool,
-) -> state.EvidenceRow:
-    is_lost = kind is state.OutcomeKind.CONNECTION_LOST
-    is_error = not is_lost and kind is not state.OutcomeKind.SUCCESS
-    return state.EvidenceRow(
-        version=state.VersionName(target.version),
-        failure_domain=state.FailureDomain(target.failure_domain),
-        attempt_count=int(is_counted),
-        error_count=int(is_error),
-        lost_count=int(is_lost),
-        lost_targets=(state.TargetName(target.name),) if is_lost else (),
-        first_token=moves.latency_sums(latency_ms),
-    )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -215,7 +215,8 @@
             self._table.apply(item)
 
     def record_restore(self) -> None:
-        """Do nothing; a move continues in its last recorded phase."""
+        """Record that the next list may lack orders and phases."""
+        self._table.record_restore()
 
     def confirm(self) -> None:
         """Record that all current moves are known."""
