Report the end of a move that a restored store lacks

What callers would see: an instance that starts after a restore and before the phase is recorded again sends requests to a version that was rolled back: a canary share if the copy holds the order, any share if it lacks the order. A stop from an instance that was suspended took the completed version out of use, although the old targets had stopped.

Cause: instances report moves in progress only, reports on a move without a known order were ignored, and a reported stop was applied whatever phase the store held.

Fix: an end that the store lacks is reported as a stop or a shift until it is recorded. An instance that has read no order for the service excludes the reported version for 3 s after each report, unless all traffic is shifted to it. A report does not undo a recorded end.

Evidence: seven tests of TestInstanceStartedAfterRestore fail on the tree before.

Ruled out: excluding the reported version also where an order was read before. A peer that is cut off from the store would take a version out of use whose move was completed and whose order was deleted since.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
@@ -211,8 +211,19 @@
     ) -> data.MoveReport:
         """Return the report of an instance on a move.
 
+        The end of a move that a restored store lacks is reported too, for
+        instances that have started since.
+
         :param scope: whose counts to report.
         """
+        is_shifting = move.is_shifting
+        stop_reason = move.stop_reason
+        if move.order.phase is state.MovePhase.COMPLETED:
+            is_shifting = True
+            stop_reason = ''
+        if move.order.phase is state.MovePhase.ROLLED_BACK:
+            is_shifting = False
+            stop_reason = stop_reason or 'The move was rolled back.'
         return data.MoveReport(
             instance=instance,
             service=move.order.service,
@@ -220,8 +231,8 @@
             scope=scope,
             counts=move.evidence.counts_of(scope),
             age_ms=int(1000 * self.age_s(move)),
-            is_shifting=move.is_shifting,
-            stop_reason=move.stop_reason,
+            is_shifting=is_shifting,
+            stop_reason=stop_reason,
         )
 
     def _announce(self, move: Move) -> None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -238,7 +238,10 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             move = self._moves.get(report.service)
-            if move is None or move.order.to_version != report.to_version:
+            if move is None:
+                self._versions.record_reported(report, now_s)
+                return
+            if move.order.to_version != report.to_version:
                 return
             move.evidence.merge(report)
             move.has_new_evidence = True
@@ -248,6 +251,8 @@
                 )
             began_at_s = now_s - report.age_ms / 1000
             move.began_at_s = min(move.began_at_s, began_at_s)
+            if move.order.has_ended:
+                return
             # The sender reports its decision to all instances itself.
             if report.stop_reason and not move.stop_reason:
                 self._decisions.stop(
@@ -270,16 +275,15 @@
         instance: str,
         scope: data.MoveScope = data.MoveScope.INSTANCE,
     ) -> tuple[data.MoveReport, ...]:
-        """Return a report on each move in progress.
+        """Return a report on each move in progress, or not recorded.
 
         :param scope: whose counts to report.
         """
         found = []
         with self._lock:
             for move in self._moves.values():
-                if move.order.has_ended:
-                    continue
-                found.append(self._decisions.report(move, instance, scope))
+                if move.is_open:
+                    found.append(self._decisions.report(move, instance, scope))
         return tuple(found)
 
     def decide(self, service: str) -> state.MovePhase | None:
@@ -384,6 +388,7 @@
             self._clock.monotonic_s(),
             stored_phase=order.phase,
         )
+        self._versions.record_order(order.service)
         if not order.has_ended:
             self._versions.restore(order.service, order.to_version)
             self.trials.record_begun(order.service, order.to_version)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from skylarktack.state import forwarding as data
+
 #: A version without an order gets no traffic for this time after its first
 #: target was listed, since its order may arrive shortly after the target.
 UNORDERED_VERSION_WAIT_S = 3.0
@@ -44,6 +46,8 @@
         self._listed: dict[str, set[str]] = {}
         self._rejected: dict[str, set[str]] = {}
         self._unordered: dict[tuple[str, str], float] = {}
+        # Services for which an order was read since the start.
+        self._ordered: set[str] = set()
 
     def record_listed(
         self, service: str, version: str, is_first_list: bool, now_s: float
@@ -62,6 +66,24 @@
             )
         listed.add(version)
 
+    def record_order(self, service: str) -> None:
+        """Record that an order for a service was read."""
+        self._ordered.add(service)
+
+    def record_reported(self, report: data.MoveReport, now_s: float) -> None:
+        """Record a report on a move whose order is not known here.
+
+        An instance that starts after a restore may lack the order. It uses
+        the version no earlier than its peers, from whom reports on a move in
+        progress arrive more often than ``UNORDERED_VERSION_WAIT_S``.
+        """
+        if report.service in self._ordered or report.is_shifting:
+            return
+        if len(self._listed.get(report.service, ())) > 1:
+            self._unordered[report.service, report.to_version] = (
+                now_s + UNORDERED_VERSION_WAIT_S
+            )
+
     def listed(self, service: str) -> frozenset[str]:
         """Return the versions of which a target was listed."""
         return frozenset(self._listed.get(service, ()))
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_moves.py
@@ -71,9 +71,12 @@
 
 
 class _Instance:
-    """An instance that knows an order for version 2 from before a restore."""
+    """An instance that knows an order for version 2 from before a restore.
 
-    def __init__(self, known_phase: state.MovePhase) -> None:
+    Without a known phase it starts after the restore and knows none.
+    """
+
+    def __init__(self, known_phase: state.MovePhase | None) -> None:
         self.env = move_harness.make_env()
         self.moves = self.env.moves
         self.store = _Store()
@@ -88,6 +91,8 @@
             self.store,
         )
         self.env.fleet.add_peers(())
+        if known_phase is None:
+            return
         # Phases are recorded in the order of a move.
         known = _order('v2', PLANNED, 0, KNOWN_REVISION - 1)
         self.moves.apply(data.MoveChange('pool', known))
@@ -486,3 +491,85 @@
         assert instance.env.log.messages('move') == [
             'restored store lacks the order; keeping the known one a while'
         ]
+
+
+@dataclasses.dataclass(frozen=True)
+class _StartRow:
+    """What an instance reads that starts after the restore."""
+
+    #: Phase that the running peer knows.
+    known_phase: state.MovePhase
+
+    #: Order in the copy, or None if it has none.
+    copied: data.MoveOrder | None
+
+    #: Versions to which it sends requests before and after a report of the
+    #: peer.
+    used: tuple[str, ...]
+    used_after_report: tuple[str, ...]
+
+
+START_ROWS = {
+    'rolled back, copy planned': _StartRow(
+        ROLLED_BACK, _copied('v2'), BOTH, ('v1',)
+    ),
+    'rolled back, copy shifting': _StartRow(
+        ROLLED_BACK, _copied('v2', SHIFTING), BOTH, ('v1',)
+    ),
+    'rolled back, missing': _StartRow(ROLLED_BACK, None, BOTH, ('v1',)),
+    'shifting, missing': _StartRow(SHIFTING, None, BOTH, ('v1',)),
+    'shifting, copy planned': _StartRow(SHIFTING, _copied('v2'), BOTH, BOTH),
+    'completed, copy planned': _StartRow(
+        COMPLETED, _copied('v2'), BOTH, ('v2',)
+    ),
+    'completed, missing': _StartRow(COMPLETED, None, BOTH, BOTH),
+    'completed, copy completed': _StartRow(
+        COMPLETED, _copied('v2', COMPLETED), ('v2',), ('v2',)
+    ),
+}
+
+
+class TestInstanceStartedAfterRestore:
+    """An instance that reads the copy and learns the rest from its peers."""
+
+    @pytest.mark.parametrize('row', START_ROWS.values(), ids=START_ROWS.keys())
+    def test_outcomes(self, row: _StartRow) -> None:
+        """Guards against requests to a version that was rolled back."""
+        peer = _Instance(row.known_phase)
+        peer.restore(row.copied)
+        started = _Instance(None)
+        started.restore(row.copied)
+        assert started.used_versions() == set(row.used)
+        for report in peer.moves.reports('peer'):
+            started.moves.apply_report(report)
+        assert started.used_versions() == set(row.used_after_report)
+
+    def test_report_on_an_order_that_was_deleted(self) -> None:
+        """Guards against a peer without the store that stops a version."""
+        instance = _Instance(COMPLETED)
+        instance.write(None)
+        peer = _Instance(SHIFTING)
+        for report in peer.moves.reports('peer'):
+            instance.moves.apply_report(report)
+        assert instance.used_versions() == set(BOTH)
+
+    def test_late_stop_of_a_completed_move(self) -> None:
+        """Guards against a suspended peer that stops a completed version."""
+        instance = _Instance(COMPLETED)
+        peer = _Instance(SHIFTING)
+        (report,) = peer.moves.reports('peer')
+        instance.moves.apply_report(
+            dataclasses.replace(report, stop_reason='failed')
+        )
+        assert instance.used_versions() == {'v2'}
+
+    def test_recorded_end_is_not_reported(self) -> None:
+        """Guards against reports on all moves that have ended."""
+        for phase in (COMPLETED, ROLLED_BACK):
+            instance = _Instance(phase)
+            assert not instance.moves.reports('instance-0')
+            instance.restore(_copied('v2'))
+            assert instance.moves.reports('instance-0')
+            instance.run(1.0)
+            assert instance.store.phases == [phase]
+            assert not instance.moves.reports('instance-0')
