Test that a fleet records a lost phase of a move once

The turns of the instances begin anew after a restore. In a fleet of 9 or 91 instances in memory a bad version that was rolled back and a good one that was completed lose their phase: one instance writes, and the bad version gets no further request.

--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
@@ -35,6 +35,7 @@
     """Stores the order and accepts the first write to each revision."""
 
     def __init__(self) -> None:
+        self.call_count = 0
         self.order = data.MoveOrder(
             'pool', 'v2', DURATION_S, data.StorePosition(0, 5)
         )
@@ -42,6 +43,7 @@
     def write_phase(
         self, order: data.MoveOrder, phase: state.MovePhase
     ) -> data.MoveChange | forwarding.StoreFault:
+        self.call_count += 1
         if order.position == self.order.position:
             self.order = dataclasses.replace(
                 self.order,
@@ -195,6 +197,20 @@
         route = self.random.choice(ROUTES)
         instance.table.record_outcome(target, route, kind, latency_ms)
 
+    def restore(self) -> None:
+        """Bring the store back from a copy without a phase."""
+        self.store.call_count = 0
+        self.store.order = dataclasses.replace(
+            self.store.order,
+            phase=state.MovePhase.PLANNED,
+            position=data.StorePosition(1, 4),
+        )
+        for instance in self.instances:
+            instance.table.record_restore()
+            instance.table.replace(
+                (data.MoveChange('pool', self.store.order),)
+            )
+
     def leader(self) -> _Instance:
         """Return the instance with the lowest rank."""
         return min(self.instances, key=lambda each: each.fleet.rank())
@@ -227,6 +243,25 @@
         simulation.run(is_bad=False)
         assert simulation.store.order.phase is state.MovePhase.COMPLETED
 
+    @pytest.mark.parametrize('instance_count', (9, 91))
+    @pytest.mark.parametrize('is_bad', (True, False))
+    def test_a_lost_phase_is_recorded_once(
+        self, is_bad: bool, instance_count: int
+    ) -> None:
+        """Guards against a write from each instance after a restore."""
+        simulation = _FleetSimulation(instance_count, 4, rate_per_s=100.0)
+        simulation.run(is_bad)
+        phase = simulation.store.order.phase
+        sent_count = simulation.sent_count
+        # Longer than the turns of all instances.
+        simulation.clock.advance(60.0)
+        simulation.restore()
+        simulation.run(is_bad, until_s=3.0)
+        assert simulation.store.order.phase is phase
+        assert simulation.store.call_count == 1
+        if is_bad:
+            assert simulation.sent_count == sent_count
+
     @pytest.mark.parametrize('is_bad', (True, False))
     def test_a_verdict_after_the_leader_failed(self, is_bad: bool) -> None:
         """Guards against evidence that is lost with its aggregator."""
