--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_reported_moves.py
@@ -0,0 +1,106 @@
+"""What peers report on moves after the store was restored."""
+
+import dataclasses
+
+import pytest
+
+from skylarktack import state
+from skylarktack.coordination.forwarding.tests import (
+    restored_move_harness as restored,
+)
+from skylarktack.state import forwarding as data
+
+SHIFTING = state.MovePhase.SHIFTING
+COMPLETED = state.MovePhase.COMPLETED
+ROLLED_BACK = state.MovePhase.ROLLED_BACK
+
+
+@dataclasses.dataclass(frozen=True)
+class _StartRow:
+    """What an instance reads that starts after the restore."""
+
+    #: Phase that the running peer knows.
+    known_phase: state.MovePhase
+
+    #: Order in the copy, or None if it has none.
+    copied: data.MoveOrder | None
+
+    #: Versions to which it sends requests before and after a report of the
+    #: peer.
+    used: tuple[str, ...]
+    used_after_report: tuple[str, ...]
+
+
+START_ROWS = {
+    'rolled back, copy planned': _StartRow(
+        ROLLED_BACK, restored.copied_order('v2'), restored.BOTH, ('v1',)
+    ),
+    'rolled back, copy shifting': _StartRow(
+        ROLLED_BACK,
+        restored.copied_order('v2', SHIFTING),
+        restored.BOTH,
+        ('v1',),
+    ),
+    'rolled back, missing': _StartRow(
+        ROLLED_BACK, None, restored.BOTH, ('v1',)
+    ),
+    'shifting, missing': _StartRow(SHIFTING, None, restored.BOTH, ('v1',)),
+    'shifting, copy planned': _StartRow(
+        SHIFTING, restored.copied_order('v2'), restored.BOTH, restored.BOTH
+    ),
+    'completed, copy planned': _StartRow(
+        COMPLETED, restored.copied_order('v2'), restored.BOTH, ('v2',)
+    ),
+    'completed, missing': _StartRow(
+        COMPLETED, None, restored.BOTH, restored.BOTH
+    ),
+    'completed, copy completed': _StartRow(
+        COMPLETED, restored.copied_order('v2', COMPLETED), ('v2',), ('v2',)
+    ),
+}
+
+
+class TestInstanceStartedAfterRestore:
+    """An instance that reads the copy and learns the rest from its peers."""
+
+    @pytest.mark.parametrize('row', START_ROWS.values(), ids=START_ROWS.keys())
+    def test_outcomes(self, row: _StartRow) -> None:
+        """Guards against requests to a version that was rolled back."""
+        peer = restored.Instance(row.known_phase)
+        peer.restore(row.copied)
+        started = restored.Instance(None)
+        started.restore(row.copied)
+        assert started.used_versions() == set(row.used)
+        for report in peer.moves.reports('peer'):
+            started.moves.apply_report(report)
+        assert started.used_versions() == set(row.used_after_report)
+
+    def test_report_on_an_order_that_was_deleted(self) -> None:
+        """Guards against a peer without the store that stops a version."""
+        instance = restored.Instance(COMPLETED)
+        instance.write(None)
+        peer = restored.Instance(SHIFTING)
+        for report in peer.moves.reports('peer'):
+            instance.moves.apply_report(report)
+        assert instance.used_versions() == set(restored.BOTH)
+
+    def test_late_stop_of_a_completed_move(self) -> None:
+        """Guards against a suspended peer that stops a completed version."""
+        instance = restored.Instance(COMPLETED)
+        peer = restored.Instance(SHIFTING)
+        (report,) = peer.moves.reports('peer')
+        instance.moves.apply_report(
+            dataclasses.replace(report, stop_reason='failed')
+        )
+        assert instance.used_versions() == {'v2'}
+
+    def test_recorded_end_is_not_reported(self) -> None:
+        """Guards against reports on all moves that have ended."""
+        for phase in (COMPLETED, ROLLED_BACK):
+            instance = restored.Instance(phase)
+            assert not instance.moves.reports('instance-0')
+            instance.restore(restored.copied_order('v2'))
+            assert instance.moves.reports('instance-0')
+            instance.run(1.0)
+            assert instance.store.phases == [phase]
+            assert not instance.moves.reports('instance-0')
