Send nothing to a new version whose order is held after a restore

Callers could have met a version without any limit on its share: the operator orders it just after a restore of the store, the first list of an instance has that order at a revision below the one that is known for another version, and the order is held for up to 10 s as one that the copy may have brought back. A version without an order gets no traffic for 3 s only after its first target.

A version that is new to the service now gets no traffic while its order is held. One that the service uses, as the target of an older completed move, keeps its traffic.

Both cases of test_new_version_waits_for_its_order send to the new version without the rule, after 9 s.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -54,7 +54,7 @@
         #: Versions whose move has begun, to be kept beyond a restart.
         self.trials = _version_trials.VersionTrials(clock, log)
         self._versions = _version_rules.KnownVersions()
-        self._held = _restored_orders.HeldChanges(clock)
+        self._held = _restored_orders.HeldChanges(clock, self._versions)
         # Whether the next list is the first one after a restore.
         self._follows_restore = False
         self._topology = _move_evidence.AggregationTopology()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_restored_orders.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_restored_orders.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from skylarktack import state
+from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
@@ -49,8 +50,11 @@
     Not thread-safe; the owner serialises the calls.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, versions: _version_rules.KnownVersions
+    ) -> None:
         self._clock = clock
+        self._versions = versions
         self._held: dict[str, _HeldChange] = {}
 
     def hold(self, change: data.MoveChange) -> bool:
@@ -64,6 +68,10 @@
         else:
             due_at_s = earlier.due_at_s
         self._held[change.service] = _HeldChange(change, due_at_s)
+        if change.order is not None:
+            self._versions.record_held_order(
+                change.service, change.order.to_version, due_at_s
+            )
         return earlier is None
 
     def has(self, service: str) -> bool:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
@@ -61,11 +61,28 @@
         if version in listed:
             return
         if listed and not is_first_list:
-            self._unordered[service, version] = (
-                now_s + UNORDERED_VERSION_WAIT_S
+            self._wait_for_order(
+                service, version, now_s + UNORDERED_VERSION_WAIT_S
             )
         listed.add(version)
 
+    def record_held_order(
+        self, service: str, version: str, until_s: float
+    ) -> None:
+        """Record that an order for a version is not applied before a time.
+
+        A version that is new to the service gets no traffic until then.
+        """
+        is_listed = version in self._listed.get(service, ())
+        if not is_listed or (service, version) in self._unordered:
+            self._wait_for_order(service, version, until_s)
+
+    def _wait_for_order(
+        self, service: str, version: str, until_s: float
+    ) -> None:
+        waiting_until_s = self._unordered.get((service, version), until_s)
+        self._unordered[service, version] = max(waiting_until_s, until_s)
+
     def record_order(self, service: str) -> None:
         """Record that an order for a service was read."""
         self._ordered.add(service)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_moves.py
@@ -277,6 +277,25 @@
         # An order of an earlier era is not written to.
         assert instance.store.refused_count == 0
 
+    @pytest.mark.parametrize('listed_after_s', [0.0, 2.0])
+    def test_new_version_waits_for_its_order(
+        self, listed_after_s: float
+    ) -> None:
+        """Guards against full traffic to a version whose order is held."""
+        instance = restored.Instance(SHIFTING)
+        instance.restore(restored.copied_order('v3'))
+        instance.run(listed_after_s)
+        target = dataclasses.replace(
+            move_harness.new_target('newer'), version='v3'
+        )
+        instance.env.targets.apply(data.TargetChange('newer', target))
+        instance.run(9.0 - listed_after_s)
+        assert 'v3' not in instance.used_versions()
+        instance.run(2.0)
+        order = instance.moves.order_of('pool')
+        assert order is not None
+        assert order.to_version == 'v3'
+
     def test_evidence_is_kept(self) -> None:
         """Guards against a move in progress that starts over."""
         instance = restored.Instance(SHIFTING)
