Read the era of the object API and log a restore

The object API of skylarktackd may come back from a copy that lacks its last writes, acknowledged ones too, and gives their versions out again. Nothing told a reader of it; a version from before was taken for one of the same history.

HttpObjectStore reads the header Store-Era of each response (0 if absent) and offers the newest one as `era`, also in the port. A response of an earlier era than that counts as lost: a read as unavailable, a write as one whose outcome is unknown. So a caller that reads the same era before and after a call knows that the call was answered in it. The stand-in and the fake got `take_copy` and `restore`; a restore ends waiting watches, and a write is reported with the era in which it took effect. Readers do not act on the era yet.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_calls.py
@@ -247,6 +247,11 @@
         self._store = world.store
         self._is_conditional = world.shape.conditional_writes
         self._gate = gate
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        return self._era
 
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         return self._call_if_connected(lambda: self._store.get(key))
@@ -262,6 +267,7 @@
             found = self._store.get(key)
             expected_version = found.ok.version if found.is_ok() else None
         written = self._store.put(key, value, expected_version)
+        self._era = self._store.era
         with contextlib.suppress(_steps.InstanceDied):
             self._gate.reach(_steps.CallStep.CLAIM_WRITTEN)
         return Error(_response_lost()) if self._is_disconnected() else written
@@ -291,9 +297,11 @@
     ) -> Result[Any, state.StoreFault]:
         with contextlib.suppress(_steps.InstanceDied):
             self._gate.reach(None)
-        return (
-            Error(_response_lost()) if self._is_disconnected() else operation()
-        )
+        if self._is_disconnected():
+            return Error(_response_lost())
+        result = operation()
+        self._era = self._store.era
+        return result
 
     def _is_disconnected(self) -> bool:
         return self._gate.is_dead or self._gate.is_cut
--- a/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
@@ -46,14 +46,22 @@
     ) -> None:
         self._store = store
         self._clock = clock
+        self._era = 0
         self.down = False
         self.delay_s = 0.0
 
+    @property
+    def era(self) -> int:
+        """Newest era that a call of this instance was answered in."""
+        return self._era
+
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         """Read one object."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
-        return self._store.get(key)
+        result = self._store.get(key)
+        self._era = self._store.era
+        return result
 
     def put(
         self, key: str, value: bytes, expected_version: int | None
@@ -61,7 +69,9 @@
         """Write one object if its version is the expected one."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
-        return self._store.put(key, value, expected_version)
+        result = self._store.put(key, value, expected_version)
+        self._era = self._store.era
+        return result
 
     def delete(
         self, key: str, expected_version: int
@@ -69,7 +79,9 @@
         """Remove one object if its version is the expected one."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
-        return self._store.delete(key, expected_version)
+        result = self._store.delete(key, expected_version)
+        self._era = self._store.era
+        return result
 
     def list(
         self, prefix: str
@@ -77,7 +89,9 @@
         """Read all objects whose key starts with the prefix."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
-        return self._store.list(prefix)
+        result = self._store.list(prefix)
+        self._era = self._store.era
+        return result
 
     def watch(
         self, prefix: str, after_version: int, wait_s: float
@@ -85,11 +99,15 @@
         """Return the changes so far, without waiting."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
-        return self._store.watch(prefix, after_version, 0.0)
+        result = self._store.watch(prefix, after_version, 0.0)
+        self._era = self._store.era
+        return result
 
     def platform_list(self) -> Result[state.PlatformList, state.StoreFault]:
         """Read the list of live and leaving (draining) instances."""
-        return self._store.platform_list()
+        result = self._store.platform_list()
+        self._era = self._store.era
+        return result
 
     def _is_reachable(self) -> bool:
         if self.delay_s:
--- a/packages/coordination/src/skylarktack/coordination/fakes/_store.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_store.py
@@ -37,6 +37,8 @@
         self._changed = threading.Condition()
         self._objects: dict[str, state.StoredObject] = {}
         self._version = 0
+        self._copy: tuple[int, dict[str, state.StoredObject]] = (0, {})
+        self._era = 0
         self.listed = state.PlatformList((), ())
         self.faults = StoreFaults()
         self.call_counts: collections.Counter[str] = collections.Counter()
@@ -47,6 +49,24 @@
             self.faults = faults
             self._changed.notify_all()
 
+    @property
+    def era(self) -> int:
+        """Era of the store; each restore begins another one."""
+        return self._era
+
+    def take_copy(self) -> None:
+        """Take the copy that the next restore brings back."""
+        with self._changed:
+            self._copy = (self._version, dict(self._objects))
+
+    def restore(self) -> None:
+        """Come back from the copy and begin a new era."""
+        with self._changed:
+            self._version, objects = self._copy
+            self._objects = dict(objects)
+            self._era += 1
+            self._changed.notify_all()
+
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         """Read one object."""
         with self._changed:
@@ -118,7 +138,10 @@
         end_s = time.monotonic() + wait_s
         with self._changed:
             self.call_counts['watch'] += 1
+            era = self._era
             while True:
+                if self._era != era:
+                    return Ok(state.WatchBatch(after_version, ()))
                 if self.faults.down:
                     return Error(_unavailable())
                 changed = self._matching(prefix, after_version)
--- a/packages/coordination/src/skylarktack/coordination/ports/_store.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/_store.py
@@ -8,7 +8,21 @@
 
 
 class ObjectStore(Protocol):
-    """Versioned objects with conditional writes and watches."""
+    """Versioned objects with conditional writes and watches.
+
+    The store may be restored from a copy that lacks its last writes, also
+    acknowledged ones. It then gives versions out again, so that a version is
+    unique only within one era.
+    """
+
+    @property
+    def era(self) -> int:
+        """Newest era reported by a response; 0 before the first.
+
+        A response of an earlier era than this counts as lost, so a call whose
+        caller reads the same era before and after it was answered in that era.
+        """
+        ...
 
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         """Read one object; ``MISSING`` if no object has the key."""
--- a/packages/emulator/src/skylarktack/emulator/_object_api.py
+++ b/packages/emulator/src/skylarktack/emulator/_object_api.py
@@ -48,6 +48,8 @@
         self._changed = threading.Condition()
         self._objects: dict[str, state.StoredObject] = {}
         self._version = 0
+        self._copy: tuple[int, dict[str, state.StoredObject]] = (0, {})
+        self.era = 0
         self._lists: list[tuple[float, state.PlatformList]] = [
             (time.monotonic(), state.PlatformList((), ()))
         ]
@@ -74,6 +76,19 @@
             recent.append(now_s)
             return True
 
+    def take_copy(self) -> None:
+        """Take the copy that the next restore brings back."""
+        with self._changed:
+            self._copy = (self._version, dict(self._objects))
+
+    def restore(self) -> None:
+        """Come back from the copy and begin a new era."""
+        with self._changed:
+            self._version, objects = self._copy
+            self._objects = dict(objects)
+            self.era += 1
+            self._changed.notify_all()
+
     def get(self, key: str) -> state.StoredObject | None:
         """Read one object."""
         with self._changed:
@@ -115,7 +130,10 @@
         """Wait for changes after a version."""
         end_s = time.monotonic() + wait_s
         with self._changed:
+            era = self.era
             while True:
+                if self.era != era:
+                    return state.WatchBatch(after_version, ())
                 changed = self._matching(prefix, after_version)
                 if changed and not self.faults.watch_silent:
                     return state.WatchBatch(self._version, changed)
@@ -176,6 +194,19 @@
 class _Handler(_http_stand_in.StandInHandler):
     server: ObjectApiServer
 
+    #: Era in which the present call takes effect.
+    _era = 0
+
+    def answer(
+        self,
+        status: int = 200,
+        body: bytes = b'{}',
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Send a whole answer with the era of the store."""
+        era = (protocol.STORE_ERA_HEADER, str(self._era))
+        super().answer(status, body, (*headers, era))
+
     def do_POST(self) -> None:
         body = self.body()
         if self.route == '/control':
@@ -185,6 +216,14 @@
             )
             self.answer()
             return
+        if self.route == '/control/copy':
+            self.server.api.take_copy()
+            self.answer()
+            return
+        if self.route == '/control/restore':
+            self.server.api.restore()
+            self.answer()
+            return
         if self.route == '/control/instances':
             self.server.api.set_instances(protocol.decode_platform_list(body))
             self.answer()
@@ -211,6 +250,8 @@
                 int(self.query('after', '0')),
                 int(self.query('wait_ms', '0')) / 1000,
             )
+            # The wait may have ended because the store was restored.
+            self._era = api.era
             self.answer(200, protocol.encode_watch_batch(batch))
             return
         stored = api.get(self._key())
@@ -251,6 +292,9 @@
 
     def _admit(self, kind: str) -> bool:
         api = self.server.api
+        # Read before the call takes effect: a write that is lost with the
+        # restore must not be reported as one of the new era.
+        self._era = api.era
         faults = api.faults
         if faults.hang:
             # The caller's own time limit ends the call.
--- a/packages/emulator/src/skylarktack/emulator/tests/test_object_store_contract.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_object_store_contract.py
@@ -27,6 +27,12 @@
     #: Loses the answer of the next write that takes effect.
     lose_answer: Callable[[], None]
 
+    #: Takes the copy that a restore brings back.
+    take_copy: Callable[[], None]
+
+    #: Brings the copy back.
+    restore: Callable[[], None]
+
 
 @pytest.fixture(params=['memory', 'http'])
 def bed(request: pytest.FixtureRequest) -> Iterator[_Store]:
@@ -39,6 +45,8 @@
             lambda: memory.set_faults(
                 fakes.StoreFaults(lose_write_answers_count=1)
             ),
+            memory.take_copy,
+            memory.restore,
         )
         return
     server = emulator.ObjectApiServer(state.Address('127.0.0.1', 0))
@@ -57,6 +65,8 @@
             'faults',
             emulator.ObjectApiFaults(lose_write_answers_count=1),
         ),
+        server.api.take_copy,
+        server.api.restore,
     )
     client.close()
     server.shutdown()
@@ -122,3 +132,37 @@
         lost = bed.store.put('a', b'one', None)
         assert lost.error.kind is state.StoreFaultKind.ANSWER_LOST
         assert bed.store.get('a').ok.value == b'one'
+
+    def test_restore_takes_acknowledged_writes_back(self, bed: _Store) -> None:
+        """Guards against a store that loses writes within one era."""
+        store = bed.store
+        kept = store.put('a/1', b'kept', None).ok
+        bed.take_copy()
+        lost = store.put('a/1', b'lost', kept.version).ok
+        assert store.era == 0
+        bed.restore()
+        assert store.get('a/1').ok.value == b'kept'
+        assert store.era == 1
+        again = store.put('a/1', b'again', kept.version).ok
+        assert again.version == lost.version
+
+    def test_restore_ends_a_watch_and_reports_the_era(
+        self, bed: _Store
+    ) -> None:
+        """Guards against a watcher that waits in an era that has ended."""
+        store = bed.store
+        last = store.put('a/1', b'one', None).ok
+        watcher = threading.Thread(
+            target=store.watch,
+            args=('a/', last.version, 30.0),
+            daemon=True,
+        )
+        watcher.start()
+        # The watch may not have reached the store at the first restore.
+        for _ in range(100):
+            bed.restore()
+            watcher.join(0.05)
+            if not watcher.is_alive():
+                break
+        assert not watcher.is_alive()
+        assert store.era > 0
--- a/packages/protocol/src/skylarktack/protocol/_object_api.py
+++ b/packages/protocol/src/skylarktack/protocol/_object_api.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import json
+import re
 from typing import Any
 
 import pydantic
@@ -10,9 +11,22 @@
 from skylarktack import state
 from skylarktack.protocol import _json_values
 
+#: Header of all responses. The era rises by one each time the store comes back
+#: from a copy that lacks its last writes.
+STORE_ERA_HEADER = 'Store-Era'
+
+_ERA = re.compile(r'[0-9]{1,18}')
+
 _PLATFORM_LIST = pydantic.TypeAdapter(state.PlatformList)
 
 
+def decode_store_era(text: str | None) -> int:
+    """Return the era in a header; 0 if it is absent or malformed."""
+    if text is None or not _ERA.fullmatch(text):
+        return 0
+    return int(text)
+
+
 def encode_objects(objects: tuple[state.StoredObject, ...]) -> bytes:
     """Encode a list of objects."""
     return json.dumps(
--- a/packages/transport/src/skylarktack/transport/_object_store.py
+++ b/packages/transport/src/skylarktack/transport/_object_store.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 import re
+import threading
 from typing import TypeVar
 import urllib.parse
 
 from expression import Error
 from expression import Ok
 from expression import Result
+import structlog
 
 from skylarktack import protocol
 from skylarktack import state
@@ -17,6 +19,8 @@
 
 _VERSION = re.compile('[0-9]{1,18}')
 
+_LOG = structlog.get_logger(part='store')
+
 
 class HttpObjectStore:
     """Calls to the object API; each opens its own connection."""
@@ -25,6 +29,13 @@
         self._address = settings.address
         self._timeout_s = settings.timeout_ms / 1000
         self._open = _http_client.OpenConnections()
+        self._era_lock = threading.Lock()
+        self._era: int | None = None
+
+    @property
+    def era(self) -> int:
+        """Newest era reported by a response; 0 before the first."""
+        return self._era or 0
 
     def close(self) -> None:
         """End waiting watches; later calls fail."""
@@ -117,10 +128,37 @@
                 kind = state.StoreFaultKind.ANSWER_LOST
             return Error(state.StoreFault(kind, fault.message))
         answer = answered.ok
+        era = protocol.decode_store_era(
+            answer.header(protocol.STORE_ERA_HEADER)
+        )
+        if not self._record_era(era):
+            kind = state.StoreFaultKind.UNAVAILABLE
+            if changes:
+                kind = state.StoreFaultKind.ANSWER_LOST
+            return Error(
+                state.StoreFault(
+                    kind, 'The response is from before a restore of the store.'
+                )
+            )
         if answer.status == 200:
             return Ok(answer)
         return Error(_status_fault(answer.status, changes))
 
+    def _record_era(self, era: int) -> bool:
+        """Record the era of a response; return whether it is the newest."""
+        with self._era_lock:
+            previous = self._era
+            if previous is not None and era <= previous:
+                return era == previous
+            self._era = era
+        if previous is not None:
+            _LOG.warning(
+                'the store was restored from a copy',
+                previous_era=previous,
+                era=era,
+            )
+        return True
+
 
 def _status_fault(status: int, changes: bool) -> state.StoreFault:
     kinds = {
