Keep the accepted configuration when the object API is restored

Operators of skylarktackd would have seen a change that was confirmed return to an older one on instances that started later, and the next changes ignored by all running instances: a restored store gives revisions out again, so change 4 of the new era was older than the revision 5 that they had, and the same number named two documents (the lookup index did not even notice the replacement).

Records, offers, fetches and gossip now name the era in which a revision was accepted, and positions (era, revision) are compared; the era is left out or 0 where the store reports none, and gossip of earlier releases is read. A follower that notices a restore reads the record instead of going on from a version of the ended era. If the store lacks the revision that the instance has in effect, it is written again on the version just read, with its own position, so that only one of the watchers writes it. Until then a publisher on an instance that has it accepts no change on top of the copy. A write that was answered in another era than its condition was read in is not confirmed.

Ruled out: writing the revision again whenever the store shows an older one; in the same era the store only lags.

Not kept: revisions between the copy and the one in effect are missing in the history, and a publisher on an instance that had not heard of a revision accepts a change that starts from the copy.

--- a/packages/coordination/src/skylarktack/coordination/configuration/_directory.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_directory.py
@@ -10,7 +10,7 @@
 class _Index:
     """Lookup tables of one revision."""
 
-    revision: int
+    position: state.ConfigurationPosition
 
     #: By the hexadecimal SHA-256 of each key of an organisation.
     organisations_by_key: dict[str, state.Organisation]
@@ -27,7 +27,7 @@
 
     def __init__(self, source: ports.ConfigurationSource) -> None:
         self._source = source
-        self._index = _Index(-1, {}, {})
+        self._index = _Index(state.ConfigurationPosition(0, -1), {}, {})
 
     def organisation_by_key(
         self, key_sha256: str
@@ -42,7 +42,7 @@
     def _current(self) -> _Index:
         active = self._source.current()
         index = self._index
-        if index.revision == active.revision:
+        if index.position == active.position:
             return index
         # Two threads may both build the index; the results are equal.
         organisations: dict[str, state.Organisation] = {}
@@ -50,7 +50,7 @@
             for key_hash in organisation.key_sha256:
                 organisations[key_hash] = organisation
         index = _Index(
-            active.revision,
+            active.position,
             organisations,
             {route.name: route for route in active.document.routes},
         )
--- a/packages/coordination/src/skylarktack/coordination/configuration/_follower.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_follower.py
@@ -18,6 +18,7 @@
 from skylarktack.coordination.configuration import _holder
 from skylarktack.coordination.configuration import _publisher
 from skylarktack.coordination.configuration import _rules
+from skylarktack.coordination.configuration import _store_reads
 
 #: Instances that watch the object API; the others receive revisions from
 #: peers. Three tolerate the loss of any two at once in a fleet of any size.
@@ -82,6 +83,8 @@
         self._encoded_record = b''
         self._encoded_lock = threading.Lock()
         self._seen_version = 0
+        self._seen_era: int | None = None
+        self._stored_position = state.ConfigurationPosition(0, 0)
         self._store_reachable = False
         peers = dependencies.peers
         peers.register_handler(state.ConfigurationOffer, self._on_offer)
@@ -131,6 +134,12 @@
 
     def _watch(self) -> None:
         dependencies = self._dependencies
+        if self._must_read() and not self._read_after_restore():
+            self._process_fetch_request(
+                RETRY_WAIT_S * (0.5 + self._random.random())
+            )
+            return
+        era = self._seen_era
         batch = dependencies.store.watch(
             _publisher.CURRENT_KEY, self._seen_version, WATCH_WAIT_S
         )
@@ -142,11 +151,39 @@
                 RETRY_WAIT_S * (0.5 + self._random.random())
             )
             return
+        if dependencies.store.era != era:
+            # The changes may be of an era that has ended; the next round
+            # reads the record of the new one.
+            return
         self._seen_version = max(self._seen_version, batch.ok.version)
         for stored in batch.ok.changed:
-            self._apply_record(stored.value)
+            self._apply_stored(stored)
         self._process_fetch_request(0.0)
 
+    def _must_read(self) -> bool:
+        """Return whether a watch would miss what the store has."""
+        if self._dependencies.store.era != self._seen_era:
+            return True
+        return self._is_active_lost()
+
+    def _is_active_lost(self) -> bool:
+        """Return whether a restored store lacks the active revision.
+
+        A record of the present era cannot have been lost: the store lags.
+        """
+        if self._seen_era is None or self._stored_position.era >= (
+            self._seen_era
+        ):
+            return False
+        active = self._dependencies.holder.current()
+        return bool(active.revision) and (
+            active.position > self._stored_position
+        )
+
+    def _read_after_restore(self) -> bool:
+        """Read the store; return whether it has the active revision."""
+        return self._read_store() and not self._must_read()
+
     def _wait_for_fetch_request(self) -> None:
         if self._process_fetch_request(
             self._random.uniform(POLL_MIN_S, POLL_MAX_S)
@@ -168,15 +205,64 @@
         return True
 
     def _read_store(self) -> bool:
-        found = self._dependencies.store.get(_publisher.CURRENT_KEY)
+        read = _store_reads.read_in_one_era(
+            self._dependencies.store, _publisher.CURRENT_KEY
+        )
+        found = read.found
         self._dependencies.metrics.count('configuration.read_call')
         if found.is_error():
             missing = found.error.kind is state.StoreFaultKind.MISSING
             self._store_reachable = missing
+            if missing:
+                self._begin_era(read.era)
+                self._write_again_if_lost(None)
             return missing
         self._store_reachable = True
+        self._begin_era(read.era)
         self._seen_version = max(self._seen_version, found.ok.version)
-        return self._apply_record(found.ok.value)
+        is_valid = self._apply_stored(found.ok)
+        if is_valid:
+            self._write_again_if_lost(found.ok)
+        return is_valid
+
+    def _begin_era(self, era: int) -> None:
+        if era == self._seen_era:
+            return
+        self._seen_era = era
+        self._seen_version = 0
+        self._stored_position = state.ConfigurationPosition(0, 0)
+
+    def _write_again_if_lost(self, stored: state.StoredObject | None) -> None:
+        """Write the active record over the older one of a restored store."""
+        if not self._is_active_lost():
+            return
+        dependencies = self._dependencies
+        with self._encoded_lock:
+            position = dependencies.holder.current().position
+            value = self._encoded_record
+        if stored is not None:
+            # So that the history keeps the replaced record. A conflict means
+            # that it has it already; a lost archive only leaves a gap.
+            dependencies.store.put(
+                _publisher.history_key(self._stored_position.revision),
+                stored.value,
+                None,
+            )
+        written = dependencies.store.put(
+            _publisher.CURRENT_KEY,
+            value,
+            None if stored is None else stored.version,
+        )
+        dependencies.metrics.count('configuration.written_again')
+        if written.is_error() or dependencies.store.era != self._seen_era:
+            # Another instance may have written it; the next read shows it.
+            return
+        self._stored_position = position
+        self._seen_version = written.ok.version
+        _LOG.warning(
+            'a restored store lacked the configuration; it was written again',
+            revision=position.revision,
+        )
 
     def _fetch_from_peers(self) -> bool:
         peers = self._dependencies.peers
@@ -193,9 +279,11 @@
         return quorum > 0 and response_count >= quorum
 
     def _fetch_from_peer(self, peer: state.InstanceName) -> bool:
-        current_revision = self._dependencies.holder.current().revision
+        active = self._dependencies.holder.current()
         result = self._dependencies.peers.request(
-            peer, state.ConfigurationFetch(current_revision), PEER_TIMEOUT_S
+            peer,
+            state.ConfigurationFetch(active.revision, active.era),
+            PEER_TIMEOUT_S,
         )
         if result.is_error():
             return False
@@ -206,7 +294,16 @@
             self._apply_record(response.record)
         return response.revision > 0
 
-    def _apply_record(self, value: bytes) -> bool:
+    def _apply_stored(self, stored: state.StoredObject) -> bool:
+        """Apply a record of the store; return whether it is valid."""
+        record = self._apply_record(stored.value)
+        if record is None:
+            return False
+        self._stored_position = record.position
+        return True
+
+    def _apply_record(self, value: bytes) -> state.ConfigurationRecord | None:
+        """Apply a record if it is newer; return it, or None if invalid."""
         dependencies = self._dependencies
         decoded = dependencies.codec.decode(value)
         if decoded.is_error():
@@ -214,45 +311,45 @@
             _LOG.error(
                 'configuration record is invalid', findings=len(decoded.error)
             )
-            return False
+            return None
         record = decoded.ok
         if _rules.check_document(record.document):
             dependencies.metrics.count('configuration.invalid_record')
             _LOG.error(
                 'configuration document is invalid', revision=record.revision
             )
-            return False
-        current_revision = dependencies.holder.current().revision
-        if record.revision < current_revision:
+            return None
+        if record.position < dependencies.holder.current().position:
             # The object API or the peer lags behind; ignored below.
             dependencies.metrics.count('configuration.older_record')
         with self._encoded_lock:
             if not dependencies.holder.replace_if_newer(
-                record.revision, record.document
+                record.position, record.document
             ):
-                return True
+                return record
             self._encoded_record = value
         _LOG.info('configuration revision applied', revision=record.revision)
         dependencies.metrics.gauge('configuration.revision', record.revision)
         dependencies.peers.broadcast(
-            state.ConfigurationOffer(record.revision, value)
+            state.ConfigurationOffer(record.revision, value, record.era)
         )
-        return True
+        return record
 
     def _on_offer(
         self, peer: state.InstanceName, offer: state.ConfigurationOffer
     ) -> None:
         # Several neighbours push the same revision. Only the first is
         # decoded, which takes 119 ms for 13,000 organisations.
-        if self._dependencies.holder.is_newer(offer.revision):
+        if self._dependencies.holder.is_newer(offer.position):
             self._apply_record(offer.record)
 
     def _on_fetch(
         self, peer: state.InstanceName, fetch: state.ConfigurationFetch
     ) -> state.ConfigurationResponse:
         with self._encoded_lock:
-            revision = self._dependencies.holder.current().revision
-            if revision <= fetch.known_revision:
+            active = self._dependencies.holder.current()
+            revision = active.revision
+            if active.position <= fetch.known_position:
                 return state.ConfigurationResponse(revision)
             return state.ConfigurationResponse(revision, self._encoded_record)
 
@@ -276,12 +373,20 @@
     def outgoing(
         self, peer: state.InstanceName, limit_bytes: int
     ) -> bytes | None:
-        """Return the current revision as eight big-endian bytes."""
-        return self._holder.current().revision.to_bytes(8, 'big')
+        """Return the era and the revision, each as 8 big-endian bytes."""
+        active = self._holder.current()
+        return active.era.to_bytes(8, 'big') + active.revision.to_bytes(
+            8, 'big'
+        )
 
     def receive(self, peer: state.InstanceName, payload: bytes) -> None:
         """Request a fetch from the peer if its revision is newer."""
-        if int.from_bytes(payload, 'big') > self._holder.current().revision:
+        # Earlier releases send the revision only.
+        position = state.ConfigurationPosition(
+            era=int.from_bytes(payload[:-8], 'big'),
+            revision=int.from_bytes(payload[-8:], 'big'),
+        )
+        if position > self._holder.current().position:
             self._follower.request_fetch(peer)
 
 
--- a/packages/coordination/src/skylarktack/coordination/configuration/_holder.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_holder.py
@@ -1,4 +1,4 @@
-"""Holder of the current configuration; its revision never decreases."""
+"""Holder of the current configuration; its position never decreases."""
 
 import threading
 
@@ -22,23 +22,26 @@
         """Return the configuration; its revision is 0 before the first."""
         return self._current
 
-    def is_newer(self, revision: int) -> bool:
-        """Return whether a revision is newer than the current one."""
-        return revision > self._current.revision
+    def is_newer(self, position: state.ConfigurationPosition) -> bool:
+        """Return whether a position is newer than the current one."""
+        return position > self._current.position
 
     def replace_if_newer(
-        self, revision: int, document: state.ConfigurationDocument
+        self,
+        position: state.ConfigurationPosition,
+        document: state.ConfigurationDocument,
     ) -> bool:
-        """Replace the document if the revision is newer.
+        """Replace the document if the position is newer.
 
         Returns whether it was replaced.
         """
         with self._lock:
-            if not self.is_newer(revision):
+            if not self.is_newer(position):
                 return False
             self._current = state.ActiveConfiguration(
-                revision=revision,
+                revision=position.revision,
                 document=document,
                 since_s=self._clock.wall_s(),
+                era=position.era,
             )
             return True
--- a/packages/coordination/src/skylarktack/coordination/configuration/_publisher.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_publisher.py
@@ -11,6 +11,7 @@
 from skylarktack.coordination import ports
 from skylarktack.coordination.configuration import _codec
 from skylarktack.coordination.configuration import _rules
+from skylarktack.coordination.configuration import _store_reads
 
 #: Key of the current record.
 CURRENT_KEY = 'configuration/current'
@@ -66,6 +67,20 @@
     current: state.ConfigurationRecord | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class _CurrentRecord:
+    """The current record as read from the store."""
+
+    #: Era of the read.
+    era: int
+
+    #: None if there is none yet.
+    record: state.ConfigurationRecord | None
+
+    #: Version of the object; None if there is none yet.
+    version: int | None
+
+
 class ConfigurationPublisher:
     """Applies configuration changes; any instance can do so.
 
@@ -79,10 +94,17 @@
         store: ports.ObjectStore,
         codec: _codec.ConfigurationCodec,
         clock: ports.Clock,
+        active: ports.ConfigurationSource | None = None,
     ) -> None:
+        """Create a publisher.
+
+        :param active: the configuration of this instance. While a restored
+            store lacks it, no change is accepted.
+        """
         self._store = store
         self._codec = codec
         self._clock = clock
+        self._active = active
 
     def apply(
         self, change: state.ConfigurationChange
@@ -104,9 +126,21 @@
         found = self._read_current()
         if found.is_error():
             return Error(found.error)
-        current, version = found.ok
+        current, version, era = (
+            found.ok.record,
+            found.ok.version,
+            found.ok.era,
+        )
         if current is not None and _was_applied(current, change.change_id):
             return Ok(current)
+        if self._is_restored_without_active(current, era):
+            return Error(
+                ChangeFault(
+                    ChangeFaultKind.UNAVAILABLE,
+                    'The object API was restored from a copy; the revision '
+                    'in effect is being written again.',
+                )
+            )
         revision = 0 if current is None else current.revision
         if change.base_revision != revision:
             return Error(
@@ -117,7 +151,7 @@
                     current=current,
                 )
             )
-        record = self._next_record(change, current)
+        record = self._next_record(change, current, era)
         value = self._codec.encode(record)
         if len(value) > VALUE_LIMIT_BYTES:
             return Error(
@@ -147,7 +181,7 @@
         found = self._read_current()
         if found.is_error():
             return Error(found.error)
-        current, _ = found.ok
+        current = found.ok.record
         return self.apply(
             state.ConfigurationChange(
                 document=old.ok.document,
@@ -165,10 +199,10 @@
         found = self._read_current()
         if found.is_error():
             return Error(found.error)
-        current, _ = found.ok
+        current = found.ok.record
         if current is not None and current.revision == revision:
             return Ok(current)
-        stored = self._store.get(_history_key(revision))
+        stored = self._store.get(history_key(revision))
         if stored.is_error():
             return Error(_store_fault(stored.error, may_have_written=False))
         return self._decode(stored.ok.value)
@@ -177,7 +211,7 @@
         self,
     ) -> Result[state.ConfigurationRecord | None, ChangeFault]:
         """Read the current record; None if there is none yet."""
-        return self._read_current().map(lambda found: found[0])
+        return self._read_current().map(lambda found: found.record)
 
     def history(
         self, count: int
@@ -186,14 +220,17 @@
         found = self._read_current()
         if found.is_error():
             return Error(found.error)
-        current, _ = found.ok
+        current = found.ok.record
         if current is None:
             return Ok(())
         records = [current]
         oldest_excluded = max(0, current.revision - count)
         for revision in range(current.revision - 1, oldest_excluded, -1):
-            stored = self._store.get(_history_key(revision))
+            stored = self._store.get(history_key(revision))
             if stored.is_error():
+                if stored.error.kind is state.StoreFaultKind.MISSING:
+                    # A restore of the store may have left a gap.
+                    continue
                 break
             decoded = self._decode(stored.ok.value)
             if decoded.is_error():
@@ -205,6 +242,7 @@
         self,
         change: state.ConfigurationChange,
         current: state.ConfigurationRecord | None,
+        era: int,
     ) -> state.ConfigurationRecord:
         recent: tuple[state.AppliedChange, ...] = ()
         revision = 1
@@ -222,13 +260,25 @@
             change_id=change.change_id,
             comment=change.comment,
             recent_changes=recent,
+            era=era,
         )
 
+    def _is_restored_without_active(
+        self, current: state.ConfigurationRecord | None, era: int
+    ) -> bool:
+        """Return whether the store lost the revision of this instance."""
+        if self._active is None:
+            return False
+        active = self._active.current()
+        if not active.revision or active.era >= era:
+            return False
+        return current is None or current.position < active.position
+
     def _archive(
         self, current: state.ConfigurationRecord
     ) -> ChangeFault | None:
         written = self._store.put(
-            _history_key(current.revision),
+            history_key(current.revision),
             self._codec.encode(current),
             None,
         )
@@ -247,7 +297,7 @@
         # A failed removal leaves only one extra object.
         if revision <= 0:
             return
-        stored = self._store.get(_history_key(revision))
+        stored = self._store.get(history_key(revision))
         if stored.is_ok():
             self._store.delete(stored.ok.key, stored.ok.version)
 
@@ -258,6 +308,15 @@
         version: int | None,
     ) -> Result[state.ConfigurationRecord, ChangeFault]:
         written = self._store.put(CURRENT_KEY, value, version)
+        if self._store.era != record.era:
+            # The version of the condition may have been given out again.
+            return Error(
+                ChangeFault(
+                    ChangeFaultKind.UNKNOWN,
+                    'The object API was restored from a copy; submit the '
+                    'change again with the same identifier.',
+                )
+            )
         if written.is_ok():
             return Ok(record)
         if written.error.kind is state.StoreFaultKind.UNAVAILABLE:
@@ -267,7 +326,7 @@
         found = self._read_current()
         if found.is_error():
             return Error(_store_fault(written.error, may_have_written=True))
-        current, _ = found.ok
+        current = found.ok.record
         if current is not None and _was_applied(current, record.change_id):
             return Ok(record)
         if written.error.kind is state.StoreFaultKind.ANSWER_LOST:
@@ -284,18 +343,17 @@
 
     def _read_current(
         self,
-    ) -> Result[
-        tuple[state.ConfigurationRecord | None, int | None], ChangeFault
-    ]:
-        stored = self._store.get(CURRENT_KEY)
+    ) -> Result[_CurrentRecord, ChangeFault]:
+        read = _store_reads.read_in_one_era(self._store, CURRENT_KEY)
+        stored = read.found
         if stored.is_error():
             if stored.error.kind is state.StoreFaultKind.MISSING:
-                return Ok((None, None))
+                return Ok(_CurrentRecord(read.era, None, None))
             return Error(_store_fault(stored.error, may_have_written=False))
         decoded = self._decode(stored.ok.value)
         if decoded.is_error():
             return Error(decoded.error)
-        return Ok((decoded.ok, stored.ok.version))
+        return Ok(_CurrentRecord(read.era, decoded.ok, stored.ok.version))
 
     def _decode(
         self, value: bytes
@@ -321,7 +379,8 @@
     return False
 
 
-def _history_key(revision: int) -> str:
+def history_key(revision: int) -> str:
+    """Return the key of a revision in the history."""
     return f'{HISTORY_PREFIX}{revision:010d}'
 
 
--- a/packages/daemon/src/skylarktack/daemon/_configuration.py
+++ b/packages/daemon/src/skylarktack/daemon/_configuration.py
@@ -20,7 +20,7 @@
         codec = protocol.JsonConfigurationCodec()
         self.holder = configuration.ConfigurationHolder(clock)
         self.publisher = configuration.ConfigurationPublisher(
-            store, codec, clock
+            store, codec, clock, self.holder
         )
         self.follower = configuration.ConfigurationFollower(
             configuration.FollowerDependencies(
--- a/packages/protocol/src/skylarktack/protocol/tests/test_configuration_distribution.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_configuration_distribution.py
@@ -134,8 +134,8 @@
 class _UncheckedHolder(configuration.ConfigurationHolder):
     """Applies any revision, newer or not."""
 
-    def is_newer(self, revision: int) -> bool:
-        """Treat every revision as newer."""
+    def is_newer(self, position: state.ConfigurationPosition) -> bool:
+        """Treat every position as newer."""
         return True
 
 
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -28,6 +28,7 @@
     from skylarktack.state._documents import ActiveConfiguration
     from skylarktack.state._documents import CallerLossPolicy
     from skylarktack.state._documents import ConfigurationDocument
+    from skylarktack.state._documents import ConfigurationPosition
     from skylarktack.state._documents import Limits
     from skylarktack.state._documents import Move
     from skylarktack.state._documents import Organisation
@@ -117,6 +118,7 @@
     'ConfigurationDocument',
     'ConfigurationFetch',
     'ConfigurationOffer',
+    'ConfigurationPosition',
     'ConfigurationRecord',
     'DIGEST_BYTES',
     'DeliveredCursor',
@@ -219,6 +221,7 @@
     'ActiveConfiguration': '_documents',
     'CallerLossPolicy': '_documents',
     'ConfigurationDocument': '_documents',
+    'ConfigurationPosition': '_documents',
     'Limits': '_documents',
     'Move': '_documents',
     'Organisation': '_documents',
--- a/packages/state/src/skylarktack/state/_configurations.py
+++ b/packages/state/src/skylarktack/state/_configurations.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from skylarktack.state._documents import ConfigurationDocument
+from skylarktack.state._documents import ConfigurationPosition
 from skylarktack.state._names import InstanceName
 
 
@@ -21,7 +22,7 @@
 class ConfigurationRecord:
     """One accepted revision and its origin."""
 
-    #: Increases by one with each accepted change.
+    #: Increases by one with each accepted change of an era.
     revision: int
 
     document: ConfigurationDocument
@@ -41,6 +42,14 @@
     #: The changes before this one, newest first; a bounded number.
     recent_changes: tuple[AppliedChange, ...] = ()
 
+    #: Era of the object API in which the change was accepted.
+    era: int = 0
+
+    @property
+    def position(self) -> ConfigurationPosition:
+        """Position by which it is compared with others."""
+        return ConfigurationPosition(self.era, self.revision)
+
 
 @dataclasses.dataclass(frozen=True)
 class ConfigurationChange:
@@ -70,6 +79,14 @@
 
     record: bytes
 
+    #: Era of the revision.
+    era: int = 0
+
+    @property
+    def position(self) -> ConfigurationPosition:
+        """Position of the revision."""
+        return ConfigurationPosition(self.era, self.revision)
+
 
 @dataclasses.dataclass(frozen=True)
 class ConfigurationFetch:
@@ -78,6 +95,14 @@
     #: Current revision of the sender.
     known_revision: int
 
+    #: Era of that revision.
+    known_era: int = 0
+
+    @property
+    def known_position(self) -> ConfigurationPosition:
+        """Position of the sender's revision."""
+        return ConfigurationPosition(self.known_era, self.known_revision)
+
 
 @dataclasses.dataclass(frozen=True)
 class ConfigurationResponse:
--- a/packages/state/src/skylarktack/state/_documents.py
+++ b/packages/state/src/skylarktack/state/_documents.py
@@ -150,11 +150,25 @@
     moves: tuple[Move, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, order=True)
+class ConfigurationPosition:
+    """A revision with the era of the object API in which it was accepted.
+
+    A restored object API gives revisions out again. Each revision of a later
+    era is newer than those of an earlier one.
+    """
+
+    era: int
+
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True)
 class ActiveConfiguration:
     """The current configuration of one instance."""
 
-    #: Revision in the object API, which never decreases; 0 before the first.
+    #: Revision in the object API, which never decreases within an era; 0
+    #: before the first.
     revision: int
 
     document: ConfigurationDocument
@@ -162,3 +176,11 @@
     #: Wall clock time at which this instance applied it, in seconds since the
     #: epoch.
     since_s: float
+
+    #: Era of the object API in which the revision was accepted.
+    era: int = 0
+
+    @property
+    def position(self) -> ConfigurationPosition:
+        """Position by which it is compared with others."""
+        return ConfigurationPosition(self.era, self.revision)
--- a/packages/transport/src/skylarktack/transport/tests/test_generation_endpoints.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_generation_endpoints.py
@@ -22,7 +22,8 @@
     def __init__(self, bed: generation_harness.GenerationHarness) -> None:
         holder = configuration.ConfigurationHolder(bed.fleet.clock)
         holder.replace_if_newer(
-            1, state.ConfigurationDocument((), (generation_harness.ROUTE,))
+            state.ConfigurationPosition(0, 1),
+            state.ConfigurationDocument((), (generation_harness.ROUTE,)),
         )
         self._endpoints = _generation_endpoints.GenerationEndpoints(
             bed.service,
