Write claims again that a restored object API lacks

A call that may run once could run a second time: its claim was acknowledged, the store came back from a copy without it, and the next claim of the key found a free key. A bucket could also become unreadable for all instances: a head that lists a segment which the restore took back, or a compaction that removes a segment which the restored head lists again.

A log reads its bucket again when the era has changed, also if another task of the instance noticed it. What it knew of the last ten minutes and the head lacks goes into the same conditional write as the first new record, so nothing new is claimed before it. A write that is answered in another era than its condition was read in counts as one whose outcome is unknown and is settled by reading. Listed segments that the log knows are written again, and a removal that met a restore is taken back.

Since versions are given out again, a writer that has not noticed the restore can overwrite a head of the new era. In eras after the first a log therefore compares what it knows on every read of the head.

Ruled out: a head for each era under a key of its own. It would close that window, but instances of the earlier release in the same fleet would go on with the old key, and a key could be claimed in both.

Not kept: a claim known to no living instance, and one whose key is claimed again by an instance that does not know it before the one that does has written it again.

--- a/packages/coordination/src/skylarktack/coordination/once/_bucket.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_bucket.py
@@ -4,6 +4,9 @@
 conditional on its version. The head lists all sealed segments, so the
 conditional write fences every key of the bucket: a writer that was paused, or
 that no longer owns the bucket, fails to write and must read the head again.
+
+A restored store lacks its last writes. A log keeps what it wrote or read, and
+writes again what the restored head lacks, together with the first new record.
 """
 
 import dataclasses
@@ -12,6 +15,7 @@
 from expression import Error
 from expression import Ok
 from expression import Result
+import structlog
 
 from skylarktack import state
 from skylarktack.coordination import ports
@@ -22,11 +26,20 @@
 #: indicates too many writers.
 MAX_COMMIT_ATTEMPTS = 6
 
+#: Age of the records that are written again if a restored store lacks them.
+#: It exceeds the age of any copy that the store is restored from.
+RESTORED_COPY_AGE_S = 600.0
+
+#: Reads of a bucket before they fail because the store was restored meanwhile.
+_READ_ATTEMPTS_COUNT = 3
+
 _RETRYABLE_FAULTS = (
     state.StoreFaultKind.CONFLICT,
     state.StoreFaultKind.ANSWER_LOST,
 )
 
+_LOG = structlog.get_logger(part='claim')
+
 Records = tuple[state.ClaimRecord | None, ...]
 
 
@@ -60,6 +73,11 @@
         self._segment_records: dict[str, tuple[state.ClaimRecord, ...]] = {}
         self._head_records: dict[state.ClaimKey, state.ClaimRecord] = {}
         self._index: dict[state.ClaimKey, state.ClaimRecord] = {}
+        self._era: int | None = None
+        # Records from before a restore until the store is known to have them,
+        # and those that the head just read lacks.
+        self._known: dict[state.ClaimKey, state.ClaimRecord] = {}
+        self._lost: dict[state.ClaimKey, state.ClaimRecord] = {}
 
     @property
     def key_count(self) -> int:
@@ -88,6 +106,7 @@
                 return Ok(results)
             written = self._write_changes(changed)
             if written.is_ok():
+                self._record_rewritten()
                 return Ok(results)
             # If the response to the write was lost, reading the bucket shows
             # the outcome: the write succeeded if its claim id is there.
@@ -119,6 +138,11 @@
         loaded = self._load()
         if loaded.is_error():
             return Error(loaded.error)
+        if self._lost:
+            # Compaction copies the head, so it must be complete.
+            recovered = self.commit(())
+            if recovered.is_error():
+                return Error(recovered.error)
         old_segments = self._segments_to_compact()
         if not old_segments:
             return Ok(False)
@@ -185,7 +209,7 @@
     def _apply_proposals(
         self, proposals: tuple[state.ClaimRecord, ...]
     ) -> tuple[dict[state.ClaimKey, state.ClaimRecord], Records]:
-        changed: dict[state.ClaimKey, state.ClaimRecord] = {}
+        changed = dict(self._lost)
         results: list[state.ClaimRecord | None] = []
         for proposed in proposals:
             current = changed.get(proposed.key) or self._index.get(
@@ -244,6 +268,14 @@
         )
         if written.is_error():
             return Error(written.error)
+        if self._dependencies.store.era != self._era:
+            # The condition named a version of an era that has ended.
+            return Error(
+                state.StoreFault(
+                    state.StoreFaultKind.ANSWER_LOST,
+                    'The store was restored before the write was answered.',
+                )
+            )
         for key in self._head_records.keys() - head.keys():
             # Dropped by retention, or moved to the segment just sealed.
             self._index.pop(key, None)
@@ -275,14 +307,36 @@
         return Ok(state.SealedSegment(name, newest_s, len(value), stripped))
 
     def _delete_segment(self, name: str) -> None:
+        store = self._dependencies.store
+        stored = store.get(f'{self._prefix}/{name}')
+        if stored.is_error() or store.era != self._era:
+            return
+        store.delete(stored.ok.key, stored.ok.version)
+        if store.era != self._era:
+            # The restored head lists the segment again.
+            store.put(stored.ok.key, stored.ok.value, None)
+            return
         self._segment_records.pop(name, None)
-        stored = self._dependencies.store.get(f'{self._prefix}/{name}')
-        if stored.is_ok():
-            self._dependencies.store.delete(stored.ok.key, stored.ok.version)
 
     def _load(self) -> Result[None, state.StoreFault]:
-        if self._is_cache_valid:
+        store = self._dependencies.store
+        if self._is_cache_valid and store.era == self._era:
             return Ok(None)
+        for _ in range(_READ_ATTEMPTS_COUNT):
+            era = store.era
+            loaded = self._read_bucket(era)
+            if store.era == era:
+                return loaded
+            self._is_cache_valid = False
+        return Error(
+            state.StoreFault(
+                state.StoreFaultKind.UNAVAILABLE,
+                'The store was restored while the bucket was read.',
+            )
+        )
+
+    def _read_bucket(self, era: int) -> Result[None, state.StoreFault]:
+        is_restored = self._era is not None and era != self._era
         stored = self._dependencies.store.get(f'{self._prefix}/head')
         segment = state.ClaimSegment((), ())
         version: int | None = None
@@ -296,17 +350,65 @@
             return Error(stored.error)
         for sealed in segment.sealed:
             if sealed.name in self._segment_records:
+                if is_restored:
+                    self._write_segment_again(sealed.name)
                 continue
             read = self._load_segment(sealed.name)
             if read.is_error():
                 return Error(read.error)
+        if self._dependencies.store.era != era:
+            return Ok(None)
+        if is_restored or era:
+            # In a later era than the first, a writer that has not noticed the
+            # restore may have overwritten the head as well.
+            self._remember_known()
+        self._era = era
         self._head_version = version
         self._sealed_segments = segment.sealed
         self._head_records = {record.key: record for record in segment.records}
         self._rebuild_index()
+        self._find_lost()
         self._is_cache_valid = True
         return Ok(None)
 
+    def _remember_known(self) -> None:
+        """Keep the recent records, which the copy may lack."""
+        now_s = self._dependencies.clock.wall_s()
+        for key, record in self._index.items():
+            if now_s - record.changed_s <= RESTORED_COPY_AGE_S:
+                self._known[key] = record
+
+    def _find_lost(self) -> None:
+        """Find the known records that the bucket just read lacks."""
+        self._lost = {}
+        for key, known in self._known.items():
+            lost = _rules.merge_lost(self._index.get(key), known)
+            if lost is not None:
+                self._lost[key] = lost
+        if not self._lost:
+            self._known = {}
+
+    def _record_rewritten(self) -> None:
+        """Record that a commit has written the lost records again."""
+        if not self._lost:
+            return
+        self._dependencies.metrics.count('claim.written_again')
+        _LOG.warning(
+            'a restored store lacked claims; they were written again',
+            bucket=self._prefix,
+            record_count=len(self._lost),
+        )
+        self._known = {}
+        self._lost = {}
+
+    def _write_segment_again(self, name: str) -> None:
+        """Write a segment that a restored store may lack."""
+        value = self._dependencies.codec.encode(
+            state.ClaimSegment((), self._segment_records[name])
+        )
+        # A conflict means that the store has it.
+        self._dependencies.store.put(f'{self._prefix}/{name}', value, None)
+
     def _load_segment(self, name: str) -> Result[None, state.StoreFault]:
         stored = self._dependencies.store.get(f'{self._prefix}/{name}')
         if stored.is_error():
--- a/packages/coordination/src/skylarktack/coordination/once/_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_rules.py
@@ -61,6 +61,24 @@
     return None
 
 
+def merge_lost(
+    current: state.ClaimRecord | None, known: state.ClaimRecord
+) -> state.ClaimRecord | None:
+    """Return what to write of a record that a restored store may lack.
+
+    None if the store has it or a later one. If another claim holds the key by
+    now, that one stays.
+    """
+    if current is None:
+        return known
+    if current.claim_id == known.claim_id:
+        return merge(current, known)
+    if current.phase is not state.ClaimPhase.RELEASED:
+        return None
+    # The key may have run under the known claim.
+    return None if known.phase is state.ClaimPhase.RELEASED else known
+
+
 def is_unresolved(record: state.ClaimRecord, now_s: float) -> bool:
     """Return whether an operator may settle the claim."""
     if record.phase is state.ClaimPhase.UNKNOWN:
