Let former owners write their claims again after a restore

While the object API is away, writes of a bucket's owner fail and its claims are sent to the next instance in rank. After a restore that one reads a head that lacks what the former owner had written, and a key could run a second time: the former owner gets no more calls of the bucket and so never compared its records.

The client of the object API sets events when it notices a restore, through any call of the instance. A task of the instance then has each bucket's writer compare what it knows with the head and write what is missing, at once and again after a back-off until the store answers. Instances without records of a bucket make no call.

Open: until the former owner has noticed and written, at most as long as the instance makes no call and its writes are turned away, the new owner takes a lost key for a free one. Refusing all calls for a time after a restore would narrow this; it was not built, since no instance knows when all others have written.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import threading
 from typing import Any
 
 from expression import Error
@@ -247,11 +248,14 @@
         self._store = world.store
         self._is_conditional = world.shape.conditional_writes
         self._gate = gate
-        self._era = 0
+        self._era = _store.SeenEra(world.store)
 
     @property
     def era(self) -> int:
-        return self._era
+        return self._era.current
+
+    def add_era_listener(self, event: threading.Event) -> None:
+        self._era.add_listener(event)
 
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         return self._call_if_connected(lambda: self._store.get(key))
@@ -267,7 +271,7 @@
             found = self._store.get(key)
             expected_version = found.ok.version if found.is_ok() else None
         written = self._store.put(key, value, expected_version)
-        self._era = self._store.era
+        self._era.update()
         with contextlib.suppress(_steps.InstanceDied):
             self._gate.reach(_steps.CallStep.CLAIM_WRITTEN)
         return Error(_response_lost()) if self._is_disconnected() else written
@@ -300,7 +304,7 @@
         if self._is_disconnected():
             return Error(_response_lost())
         result = operation()
-        self._era = self._store.era
+        self._era.update()
         return result
 
     def _is_disconnected(self) -> bool:
--- a/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
@@ -46,21 +46,25 @@
     ) -> None:
         self._store = store
         self._clock = clock
-        self._era = 0
+        self._era = _store.SeenEra(store)
         self.down = False
         self.delay_s = 0.0
 
     @property
     def era(self) -> int:
         """Newest era that a call of this instance was answered in."""
-        return self._era
+        return self._era.current
+
+    def add_era_listener(self, event: threading.Event) -> None:
+        """Set the event each time a call notices a restore."""
+        self._era.add_listener(event)
 
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         """Read one object."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
         result = self._store.get(key)
-        self._era = self._store.era
+        self._era.update()
         return result
 
     def put(
@@ -70,7 +74,7 @@
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
         result = self._store.put(key, value, expected_version)
-        self._era = self._store.era
+        self._era.update()
         return result
 
     def delete(
@@ -80,7 +84,7 @@
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
         result = self._store.delete(key, expected_version)
-        self._era = self._store.era
+        self._era.update()
         return result
 
     def list(
@@ -90,7 +94,7 @@
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
         result = self._store.list(prefix)
-        self._era = self._store.era
+        self._era.update()
         return result
 
     def watch(
@@ -100,13 +104,13 @@
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
         result = self._store.watch(prefix, after_version, 0.0)
-        self._era = self._store.era
+        self._era.update()
         return result
 
     def platform_list(self) -> Result[state.PlatformList, state.StoreFault]:
         """Read the list of live and leaving (draining) instances."""
         result = self._store.platform_list()
-        self._era = self._store.era
+        self._era.update()
         return result
 
     def _is_reachable(self) -> bool:
--- a/packages/coordination/src/skylarktack/coordination/fakes/_store.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_store.py
@@ -39,6 +39,7 @@
         self._version = 0
         self._copy: tuple[int, dict[str, state.StoredObject]] = (0, {})
         self._era = 0
+        self._era_listeners: list[threading.Event] = []
         self.listed = state.PlatformList((), ())
         self.faults = StoreFaults()
         self.call_counts: collections.Counter[str] = collections.Counter()
@@ -54,6 +55,11 @@
         """Era of the store; each restore begins another one."""
         return self._era
 
+    def add_era_listener(self, event: threading.Event) -> None:
+        """Set the event at each restore."""
+        with self._changed:
+            self._era_listeners.append(event)
+
     def take_copy(self) -> None:
         """Take the copy that the next restore brings back."""
         with self._changed:
@@ -66,6 +72,9 @@
             self._objects = dict(objects)
             self._era += 1
             self._changed.notify_all()
+            listeners = tuple(self._era_listeners)
+        for event in listeners:
+            event.set()
 
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         """Read one object."""
@@ -183,6 +192,27 @@
         return tuple(sorted(found, key=lambda stored: stored.version))
 
 
+class SeenEra:
+    """Newest era that the calls of one instance were answered in."""
+
+    def __init__(self, store: MemoryObjectStore) -> None:
+        self._store = store
+        self._listeners: list[threading.Event] = []
+        self.current = 0
+
+    def add_listener(self, event: threading.Event) -> None:
+        """Set the event each time a call notices a restore."""
+        self._listeners.append(event)
+
+    def update(self) -> None:
+        """Notice the era of the store, at the end of a call."""
+        if self.current == self._store.era:
+            return
+        self.current = self._store.era
+        for event in self._listeners:
+            event.set()
+
+
 def _unavailable() -> state.StoreFault:
     return state.StoreFault(
         state.StoreFaultKind.UNAVAILABLE, 'store unavailable'
--- a/packages/coordination/src/skylarktack/coordination/once/_bucket.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_bucket.py
@@ -123,6 +123,12 @@
             )
         )
 
+    def recover(self) -> Result[None, state.StoreFault]:
+        """Write again what a restored store lacks of this log."""
+        if not self._index and not self._known:
+            return Ok(None)
+        return self.commit(()).map(lambda _: None)
+
     def records(
         self,
     ) -> Result[tuple[state.ClaimRecord, ...], state.StoreFault]:
--- a/packages/coordination/src/skylarktack/coordination/once/_table.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_table.py
@@ -56,6 +56,8 @@
         self._lock = threading.Lock()
         self._writers: dict[int, _writer.BucketWriter] = {}
         self._owners: dict[int, _CachedOwner] = {}
+        self._restored = threading.Event()
+        dependencies.bucket.store.add_era_listener(self._restored)
         self._skipped_until_s: dict[state.InstanceName, float] = {}
         dependencies.peers.register_handler(
             _messages.ClaimForwardRequest, self._on_forward
@@ -99,8 +101,31 @@
                     found.append(record)
         return Ok(tuple(found))
 
+    def recover(self) -> None:
+        """Write again what a restored store lacks of this instance's claims.
+
+        Also for buckets that another instance owns by now, because it may not
+        know these claims.
+        """
+        with self._lock:
+            writers = tuple(self._writers.values())
+        for writer in writers:
+            writer.recover()
+
+    def recover_after_restores(self, stopping: threading.Event) -> None:
+        """Call ``recover`` after each restore until the event is set.
+
+        ``stop`` ends the wait.
+        """
+        while not stopping.is_set():
+            self._restored.wait()
+            self._restored.clear()
+            if not stopping.is_set():
+                self.recover()
+
     def stop(self) -> None:
         """Write the queued outcomes and stop all writers."""
+        self._restored.set()
         with self._lock:
             writers = tuple(self._writers.values())
         for writer in writers:
--- a/packages/coordination/src/skylarktack/coordination/once/_writer.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_writer.py
@@ -66,6 +66,7 @@
         self._back_off_until_s = float('-inf')
         self._busy_since_s = float('inf')
         self._compacted_s = self._clock.monotonic_s()
+        self._must_recover = False
         self._is_stopping = False
         self._thread: threading.Thread | None = None
 
@@ -132,6 +133,13 @@
                 self._changed.notify()
             self._deferred.append(proposal)
 
+    def recover(self) -> None:
+        """Write again what a restored store lacks, before the next batch."""
+        with self._changed:
+            self._must_recover = True
+            self._start_thread()
+            self._changed.notify()
+
     def stop(self) -> None:
         """Write the queued records and stop the thread."""
         with self._changed:
@@ -159,8 +167,11 @@
                     break
                 submissions, self._submissions = self._submissions, []
                 deferred, self._deferred = self._deferred, []
+                must_recover, self._must_recover = self._must_recover, False
                 self._busy_since_s = self._clock.monotonic_s()
             try:
+                if must_recover:
+                    self._recover()
                 self._process_batch(submissions, deferred)
                 self._compact()
             except Exception:
@@ -180,18 +191,19 @@
             return False
         if now_s < self._written_s + self._interval_s():
             return False
-        if self._submissions:
+        if self._submissions or self._must_recover:
             return True
         return bool(self._deferred) and now_s >= self._deferred_due_s
 
     def _wait_s(self) -> float | None:
         """Return the time until the next batch; the lock must be held."""
-        if not self._submissions and not self._deferred:
+        is_urgent = bool(self._submissions) or self._must_recover
+        if not is_urgent and not self._deferred:
             return None
         due_s = max(
             self._back_off_until_s, self._written_s + self._interval_s()
         )
-        if not self._submissions:
+        if not is_urgent:
             due_s = max(due_s, self._deferred_due_s)
         return max(0.0, due_s - self._clock.monotonic_s())
 
@@ -236,6 +248,13 @@
                 self._deferred[:0] = deferred
         _complete(submissions, result, len(deferred))
 
+    def _recover(self) -> None:
+        if self._log.recover().is_ok():
+            return
+        with self._changed:
+            self._must_recover = True
+            self._back_off()
+
     def _back_off(self) -> None:
         """Start the back-off period; the lock must be held."""
         self._dependencies.metrics.count('claim.store_faults')
--- a/packages/coordination/src/skylarktack/coordination/ports/_store.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/_store.py
@@ -1,5 +1,6 @@
 """Port to the platform's object API."""
 
+import threading
 from typing import Protocol
 
 from expression import Result
@@ -24,6 +25,10 @@
         """
         ...
 
+    def add_era_listener(self, event: threading.Event) -> None:
+        """Set the event each time a restore of the store is noticed."""
+        ...
+
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         """Read one object; ``MISSING`` if no object has the key."""
         ...
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -115,9 +115,10 @@
         self._status = _status.FleetStatus(network, self.status)
         self._caller_server = self._build_caller_server()
         self._operator_server = self._build_operator_server()
-        # One thread watches the configuration, one polls the platform's list.
+        # One thread watches the configuration, one polls the platform's list,
+        # one writes claims again after a restore of the store.
         self._tasks = concurrent.futures.ThreadPoolExecutor(
-            max_workers=2, thread_name_prefix='instance'
+            max_workers=3, thread_name_prefix='instance'
         )
         self._add_topics()
 
@@ -169,6 +170,7 @@
         for name, task in (
             ('configuration follower', self._configuration.follower.follow),
             ('platform list', self._poll_platform_list),
+            ('claims after a restore', self._recover_claims),
         ):
             self._tasks.submit(self._supervisor.run, name, task)
         self._routing.watcher.start()
@@ -283,6 +285,9 @@
                 self._apply_platform_list(listed.ok)
             self._clock.wait(self._stopping, self._list_interval_s())
 
+    def _recover_claims(self) -> None:
+        self._calls.claims.recover_after_restores(self._stopping)
+
     def _list_interval_s(self) -> float:
         # Limits the reads of the fleet to LIST_READER_COUNT per interval.
         # What one instance reads reaches the others as notices.
--- a/packages/transport/src/skylarktack/transport/_object_store.py
+++ b/packages/transport/src/skylarktack/transport/_object_store.py
@@ -31,12 +31,18 @@
         self._open = _http_client.OpenConnections()
         self._era_lock = threading.Lock()
         self._era: int | None = None
+        self._era_listeners: list[threading.Event] = []
 
     @property
     def era(self) -> int:
         """Newest era reported by a response; 0 before the first."""
         return self._era or 0
 
+    def add_era_listener(self, event: threading.Event) -> None:
+        """Set the event each time a restore of the store is noticed."""
+        with self._era_lock:
+            self._era_listeners.append(event)
+
     def close(self) -> None:
         """End waiting watches; later calls fail."""
         self._open.close_all()
@@ -151,12 +157,16 @@
             if previous is not None and era <= previous:
                 return era == previous
             self._era = era
-        if previous is not None:
-            _LOG.warning(
-                'the store was restored from a copy',
-                previous_era=previous,
-                era=era,
-            )
+            listeners = tuple(self._era_listeners)
+        if previous is None:
+            return True
+        _LOG.warning(
+            'the store was restored from a copy',
+            previous_era=previous,
+            era=era,
+        )
+        for event in listeners:
+            event.set()
         return True
 
 
--- a/packages/transport/src/skylarktack/transport/tests/test_object_store.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_object_store.py
@@ -77,3 +77,12 @@
             for _ in range(3):
                 assert store.get('a').is_ok()
             assert store.era == 0
+
+    def test_listeners_learn_of_a_restore(self) -> None:
+        """Guards against tasks that wait while the store was restored."""
+        noticed = threading.Event()
+        with _store('1', '1', '2') as store:
+            store.add_era_listener(noticed)
+            for expected in (False, False, True):
+                assert store.get('a').is_ok()
+                assert noticed.is_set() is expected
