Give no fencing number twice when the object API is restored

The record of a move went back with the store, and its fencing number with it: the next driver took the number of the one that the store had forgotten, so targets accepted load commands of both. A record that was lost whole began at 1 again. Records were compared by version only, so instances ignored the steps of the new era until its versions had passed those of the ended one, or took the older record of the copy; a version that had been rolled back was tried again.

A fencing number taken in an era after the first is the era and the wall clock time in seconds, so it exceeds all numbers of earlier eras, and is unique even if a driver that had not noticed the restore overwrote the last one. After such a takeover commands wait until the lease that the store may lack has ended. A write that is answered in another era than its version was read in is settled by reading, and a lease of an earlier era is given up. Within an era records are compared by version, else by fencing number and time of writing. The next driver goes on from the newest record that it knows, and an end of a move that a restored store lacks is written again by any instance that knows it.

Notices carry the era; those of earlier releases count as of era 0. A store that reports no era gets the numbers 1, 2, 3 as before.

--- a/packages/coordination/src/skylarktack/coordination/moves/_coordinator.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_coordinator.py
@@ -168,11 +168,14 @@
 
     def read_records(self) -> bool:
         """Read all records; return whether the store responded."""
-        listed = self._dependencies.store.list(_codec.KEY_PREFIX)
-        if listed.is_error():
+        store = self._dependencies.store
+        era = store.era
+        listed = store.list(_codec.KEY_PREFIX)
+        if listed.is_error() or store.era != era:
             return False
         for stored in listed.ok:
-            self._store_record(stored)
+            self._store_record(stored, era)
+        self._write_ended_again(listed.ok, era)
         return True
 
     def send_reports(self) -> None:
@@ -241,18 +244,50 @@
             if active.revision < record.configuration_revision:
                 continue
             # The instance of rank 0 deletes it; all drop their copy.
+            if cached.era != dependencies.store.era:
+                continue
             if self._takeover_delay_s(record.name) == 0.0:
                 dependencies.store.delete(
                     _codec.record_key(record.name), cached.version
                 )
             self.table.forget(record.name)
 
-    def _store_record(self, stored: state.StoredObject) -> None:
+    def _write_ended_again(
+        self, listed: tuple[state.StoredObject, ...], era: int
+    ) -> None:
+        """Write the ends of moves again that a restored store lacks.
+
+        Otherwise a version that was rolled back would be tried again.
+        """
+        dependencies = self._dependencies
+        versions = {stored.key: stored.version for stored in listed}
+        for cached in self.table.all_cached():
+            if cached.era >= era or not cached.record.ended:
+                continue
+            key = _codec.record_key(cached.record.name)
+            written = dependencies.store.put(
+                key,
+                dependencies.codec.encode(cached.record),
+                versions.get(key),
+            )
+            if written.is_error() or dependencies.store.era != era:
+                # Another instance may have written it; the next read shows it.
+                continue
+            self.table.confirm(cached.record.name, written.ok.version, era)
+            _LOG.warning(
+                'a restored store lacked the end of a move; it was written '
+                'again',
+                move=cached.record.name,
+            )
+
+    def _store_record(self, stored: state.StoredObject, era: int) -> None:
         decoded = self._dependencies.codec.decode(stored.value)
         if decoded.is_error():
             _LOG.error('move record cannot be decoded', key=stored.key)
             return
-        self.table.apply_record(decoded.ok, stored.version)
+        self.table.apply_record(decoded.ok, stored.version, era)
+        if decoded.ok.ended:
+            self.table.confirm(decoded.ok.name, stored.version, era)
         if decoded.ok.ended:
             self.collector.forget(decoded.ok.name)
             self.evidence_reports.forget(decoded.ok.name)
@@ -260,6 +295,7 @@
     def _watch_records(self) -> None:
         dependencies = self._dependencies
         seen_version = 0
+        seen_era = 0
         last_read_s = -math.inf
         while not self._stopping.is_set():
             interval_s = dependencies.settings.read_interval_ms / 1000
@@ -268,14 +304,18 @@
             if dependencies.clock.monotonic_s() - last_read_s >= interval_s:
                 if self.read_records():
                     last_read_s = dependencies.clock.monotonic_s()
+            if dependencies.store.era != seen_era:
+                seen_era = dependencies.store.era
+                seen_version = 0
+                last_read_s = -math.inf
             batch = dependencies.store.watch(
                 _codec.KEY_PREFIX, seen_version, min(WATCH_WAIT_S, interval_s)
             )
             pause_s = 0.5
-            if batch.is_ok():
+            if batch.is_ok() and dependencies.store.era == seen_era:
                 seen_version = batch.ok.version
                 for stored in batch.ok.changed:
-                    self._store_record(stored)
+                    self._store_record(stored, seen_era)
                 # Lease renewals wake every watch; the pause bounds the read
                 # rate over all instances. Steps also arrive earlier, as
                 # notices from peers.
@@ -352,7 +392,7 @@
     ) -> None:
         # Each instance forwards a notice once, since the sender may be
         # connected to only some of the instances.
-        if self.table.apply_record(notice.record, notice.version):
+        if self.table.apply_record(notice.record, notice.version, notice.era):
             self._dependencies.peers.broadcast(notice)
 
     def _on_stop(self, peer: state.InstanceName, stop: state.MoveStop) -> None:
--- a/packages/coordination/src/skylarktack/coordination/moves/_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_driver.py
@@ -9,6 +9,7 @@
 from skylarktack.coordination import ports
 from skylarktack.coordination.moves import _codec
 from skylarktack.coordination.moves import _evidence
+from skylarktack.coordination.moves import _fencing
 from skylarktack.coordination.moves import _judging
 from skylarktack.coordination.moves import _loading
 from skylarktack.coordination.moves import _planning
@@ -97,6 +98,7 @@
         )
         self._record: state.MoveRecord | None = None
         self._version: int | None = None
+        self._era = 0
         self._fencing_number = 0
         self._is_write_unresolved = False
         self._lease_until_s = 0.0
@@ -121,7 +123,10 @@
 
     def _acquire(self) -> DriverState:
         dependencies = self._dependencies
+        self._era = dependencies.store.era
         read = dependencies.store.get(self._key)
+        if dependencies.store.era != self._era:
+            return DriverState.HOLDING
         now_s = dependencies.clock.wall_s()
         revision = dependencies.configuration.current().revision
         if read.is_error():
@@ -131,7 +136,22 @@
             if move is None:
                 return DriverState.ENDED
             self._version = None
-            record = _first_record(move, dependencies.peers.name)
+            known = self._newer_known_record(None)
+            if known is None:
+                record = _first_record(
+                    move,
+                    dependencies.peers.name,
+                    _fencing.next_fencing_number(0, self._era, now_s),
+                    _fencing.quiet_until_s(
+                        dependencies.settings, None, self._era, now_s
+                    ),
+                )
+            elif known.ended:
+                return DriverState.ENDED
+            elif not self._is_expired(known.lease, now_s):
+                return DriverState.WAITING
+            else:
+                record = self._take_over_lease(known, now_s)
         else:
             decoded = dependencies.codec.decode(read.ok.value)
             if decoded.is_error():
@@ -139,14 +159,15 @@
                 return DriverState.ENDED
             record = decoded.ok
             self._version = read.ok.version
-            dependencies.table.apply_record(record, read.ok.version)
+            dependencies.table.apply_record(record, read.ok.version, self._era)
+            record = self._newer_known_record(record) or record
             if record.ended:
                 return DriverState.ENDED
             if not self._is_expired(record.lease, now_s):
                 return DriverState.WAITING
             if revision < record.configuration_revision:
                 return DriverState.WAITING
-            record = self._take_over_lease(record)
+            record = self._take_over_lease(record, now_s)
         self._fencing_number = record.lease.fencing_number
         record = dataclasses.replace(record, configuration_revision=revision)
         return self._write(record, 'The lease was taken.')
@@ -155,24 +176,39 @@
         allowance_s = self._dependencies.settings.clock_allowance_ms / 1000
         return now_s > lease.expires_s + allowance_s
 
-    def _take_over_lease(self, record: state.MoveRecord) -> state.MoveRecord:
-        settings = self._dependencies.settings
-        # The previous holder sends no command that could outlive its lease.
-        # The timeout covers a command already in flight, the allowance covers
-        # clock skew.
-        quiet_s = (
-            settings.order_timeout_ms + settings.clock_allowance_ms
-        ) / 1000
+    def _take_over_lease(
+        self, record: state.MoveRecord, now_s: float
+    ) -> state.MoveRecord:
         return dataclasses.replace(
             record,
             lease=state.MoveLease(
                 holder=self._dependencies.peers.name,
-                fencing_number=record.lease.fencing_number + 1,
+                fencing_number=_fencing.next_fencing_number(
+                    record.lease.fencing_number, self._era, now_s
+                ),
                 expires_s=0.0,
-                quiet_until_s=record.lease.expires_s + quiet_s,
+                quiet_until_s=_fencing.quiet_until_s(
+                    self._dependencies.settings,
+                    record.lease,
+                    self._era,
+                    now_s,
+                ),
             ),
         )
 
+    def _newer_known_record(
+        self, stored: state.MoveRecord | None
+    ) -> state.MoveRecord | None:
+        """Return the cached record if a restored store lacks it."""
+        cached = self._dependencies.table.cached(self._name)
+        if cached is None or cached.era >= self._era:
+            return None
+        if stored is None:
+            return cached.record
+        if _table.write_order(stored) >= _table.write_order(cached.record):
+            return None
+        return cached.record
+
     def _drive(self, record: state.MoveRecord) -> DriverState:
         dependencies = self._dependencies
         active = dependencies.configuration.current()
@@ -269,6 +305,11 @@
         written = dependencies.store.put(
             self._key, dependencies.codec.encode(record), self._version
         )
+        if dependencies.store.era != self._era:
+            # The condition named a version of an era that has ended.
+            dependencies.metrics.count('moves.write_failed')
+            self._is_write_unresolved = True
+            return self._resolve_write()
         if written.is_ok():
             self._lease_until_s = (
                 sent_s + dependencies.settings.lease_ms / 1000
@@ -289,7 +330,11 @@
     def _resolve_write(self) -> DriverState:
         """Read the record to resolve a write of unknown outcome."""
         dependencies = self._dependencies
+        era = dependencies.store.era
         read = dependencies.store.get(self._key)
+        if dependencies.store.era != era:
+            return DriverState.HOLDING
+        self._era = era
         if read.is_error():
             if read.error.kind is not state.StoreFaultKind.MISSING:
                 return DriverState.HOLDING
@@ -303,6 +348,11 @@
         self._is_write_unresolved = False
         record = decoded.ok
         lease = record.lease
+        if not record.ended and _fencing.is_of_earlier_era(
+            self._fencing_number, era
+        ):
+            # Another driver may have taken over and been overwritten.
+            return DriverState.LOST
         is_own_lease = (
             lease.holder == dependencies.peers.name
             and lease.fencing_number == self._fencing_number
@@ -328,10 +378,12 @@
             dependencies.clock.monotonic_s()
             + dependencies.settings.renew_ms / 1000
         )
-        dependencies.table.apply_record(record, version)
+        dependencies.table.apply_record(record, version, self._era)
         if previous is not None and previous.history == record.history:
             return
-        dependencies.peers.broadcast(state.MoveNotice(version, record))
+        dependencies.peers.broadcast(
+            state.MoveNotice(version, record, self._era)
+        )
         dependencies.metrics.count(f'moves.phase.{record.phase.value}')
         _LOG.info(
             'move step recorded',
@@ -350,7 +402,10 @@
 
 
 def _first_record(
-    move: state.Move, holder: state.InstanceName
+    move: state.Move,
+    holder: state.InstanceName,
+    fencing_number: int,
+    quiet_until_s: float,
 ) -> state.MoveRecord:
     return state.MoveRecord(
         name=move.name,
@@ -360,7 +415,7 @@
         start_s=move.start_s,
         deadline_s=move.deadline_s,
         configuration_revision=0,
-        lease=state.MoveLease(holder, 1, 0.0),
+        lease=state.MoveLease(holder, fencing_number, 0.0, quiet_until_s),
     )
 
 
--- a/packages/coordination/src/skylarktack/coordination/moves/_table.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_table.py
@@ -21,6 +21,9 @@
     #: Version of the record in the object API.
     version: int
 
+    #: Era of the store in which the record was read or written.
+    era: int
+
     #: Share that this instance applies, at most that of the record.
     share: float
 
@@ -49,11 +52,15 @@
         self._lock = threading.Lock()
         self._cached: dict[str, CachedMove] = {}
 
-    def apply_record(self, record: state.MoveRecord, version: int) -> bool:
-        """Store a record if its version is newer; return whether it was."""
+    def apply_record(
+        self, record: state.MoveRecord, version: int, era: int = 0
+    ) -> bool:
+        """Store a record if it is newer; return whether it was."""
         with self._lock:
             cached = self._cached.get(record.name)
-            if cached is not None and version <= cached.version:
+            if cached is not None and not _is_newer(
+                cached, record, version, era
+            ):
                 return False
             if cached is not None and cached.record.ended:
                 return False
@@ -62,7 +69,7 @@
             if share > previous_share and not self._is_fresh(record):
                 share = previous_share
             self._cached[record.name] = CachedMove(
-                record, version, share, cached.stopped if cached else ''
+                record, version, era, share, cached.stopped if cached else ''
             )
         return True
 
@@ -84,6 +91,17 @@
         _LOG.warning('new version stopped', move=name, reason=reason)
         return True
 
+    def confirm(self, name: str, version: int, era: int) -> None:
+        """Record that the store has the end of a move in an era."""
+        with self._lock:
+            cached = self._cached.get(name)
+            if cached is None or not cached.record.ended:
+                return
+            if era > cached.era:
+                self._cached[name] = dataclasses.replace(
+                    cached, version=version, era=era
+                )
+
     def forget(self, name: str) -> None:
         """Drop an ended move that is no longer configured."""
         with self._lock:
@@ -114,3 +132,24 @@
     def _is_fresh(self, record: state.MoveRecord) -> bool:
         age_s = self._clock.wall_s() - record.updated_s
         return age_s <= self._settings.record_age_limit_ms / 1000
+
+
+def _is_newer(
+    cached: CachedMove, record: state.MoveRecord, version: int, era: int
+) -> bool:
+    """Return whether a record is newer than the cached one.
+
+    Versions of two eras cannot be compared: a restored store gives them out
+    again, and its records may be older than what was read before.
+    """
+    if era == cached.era:
+        return version > cached.version
+    order = write_order(record)
+    if order == write_order(cached.record):
+        return era > cached.era
+    return order > write_order(cached.record)
+
+
+def write_order(record: state.MoveRecord) -> tuple[int, float]:
+    """Return by what the records of one move were written one by one."""
+    return record.lease.fencing_number, record.updated_s
--- a/packages/state/src/skylarktack/state/_moves.py
+++ b/packages/state/src/skylarktack/state/_moves.py
@@ -37,7 +37,8 @@
 
     holder: InstanceName
 
-    #: Increases with each new holder; sent with each command to a target.
+    #: Increases with each new holder; sent with each command to a target. In
+    #: later eras of the store it exceeds all numbers of earlier ones.
     fencing_number: int
 
     #: Wall clock time after which another instance may acquire the lease.
@@ -264,6 +265,9 @@
 
     record: MoveRecord
 
+    #: Era of the store in which it was written.
+    era: int = 0
+
 
 @dataclasses.dataclass(frozen=True)
 class MoveStop:
