Compare the configurations of moves by era and revision

A driver whose record was based on revision 9 waited, and instances with the configuration of a later era did not take its lease over, until the restored store had given out revision 9 again: the move stood still and missed its stages, and old records were not removed.

Records of moves now carry the era of the configuration, and the positions are compared. Records without it count as of era 0.

test_configuration_of_a_later_era fails with a comparison by revision.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
@@ -135,6 +135,12 @@
             self._current.revision + 1, document, 0.0
         )
 
+    def set_position(self, position: state.ConfigurationPosition) -> None:
+        """Activate the document as a revision of another era."""
+        self._current = dataclasses.replace(
+            self._current, revision=position.revision, era=position.era
+        )
+
     def change_move(self, name: str, **fields: Any) -> None:
         """Activate a copy of the document with one move changed."""
         document = self._current.document
--- a/packages/coordination/src/skylarktack/coordination/moves/_coordinator.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_coordinator.py
@@ -241,7 +241,7 @@
                 continue
             if record.updated_s > oldest_s:
                 continue
-            if active.revision < record.configuration_revision:
+            if active.position < record.configuration_position:
                 continue
             # The instance of rank 0 deletes it; all drop their copy.
             if cached.era != dependencies.store.era:
--- a/packages/coordination/src/skylarktack/coordination/moves/_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_driver.py
@@ -128,7 +128,7 @@
         if dependencies.store.era != self._era:
             return DriverState.HOLDING
         now_s = dependencies.clock.wall_s()
-        revision = dependencies.configuration.current().revision
+        active = dependencies.configuration.current()
         if read.is_error():
             if read.error.kind is not state.StoreFaultKind.MISSING:
                 return DriverState.HOLDING
@@ -165,11 +165,11 @@
                 return DriverState.ENDED
             if not self._is_expired(record.lease, now_s):
                 return DriverState.WAITING
-            if revision < record.configuration_revision:
+            if active.position < record.configuration_position:
                 return DriverState.WAITING
             record = self._take_over_lease(record, now_s)
         self._fencing_number = record.lease.fencing_number
-        record = dataclasses.replace(record, configuration_revision=revision)
+        record = _with_configuration(record, active)
         return self._write(record, 'The lease was taken.')
 
     def _is_expired(self, lease: state.MoveLease, now_s: float) -> bool:
@@ -212,7 +212,7 @@
     def _drive(self, record: state.MoveRecord) -> DriverState:
         dependencies = self._dependencies
         active = dependencies.configuration.current()
-        if active.revision < record.configuration_revision:
+        if active.position < record.configuration_position:
             # The configuration of this instance is outdated. An instance with
             # the newer one takes over once the lease expires.
             return DriverState.HOLDING
@@ -230,9 +230,7 @@
         if next_record is not None:
             self._announce_stop(record, next_record)
             return self._write(
-                dataclasses.replace(
-                    next_record, configuration_revision=active.revision
-                ),
+                _with_configuration(next_record, active),
                 next_record.reason,
             )
         if dependencies.clock.monotonic_s() >= self._renew_at_s:
@@ -419,6 +417,16 @@
     )
 
 
+def _with_configuration(
+    record: state.MoveRecord, active: state.ActiveConfiguration
+) -> state.MoveRecord:
+    return dataclasses.replace(
+        record,
+        configuration_revision=active.revision,
+        configuration_era=active.era,
+    )
+
+
 def _with_step(
     record: state.MoveRecord, reason: str, now_s: float
 ) -> state.MoveRecord:
--- a/packages/coordination/src/skylarktack/coordination/moves/tests/test_restored_store.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/tests/test_restored_store.py
@@ -144,3 +144,17 @@
         assert cached() == later
         same_era = dataclasses.replace(later, share=0.1)
         assert table.apply_record(same_era, 10, 1)
+
+    def test_configuration_of_a_later_era(self) -> None:
+        """Guards against a driver that waits for a revision that was lost."""
+        world = fakes.MoveSimulation(fakes.MoveSimulationShape())
+        observer = _support.Observer(world)
+        world.configuration.set_position(state.ConfigurationPosition(0, 9))
+        _support.run_until(world, observer, 'stage-0')
+        world.configuration.set_position(state.ConfigurationPosition(1, 2))
+        record = _support.run_until(world, observer, 'stage-1')
+        assert record is not None
+        assert record.stage == 1
+        assert record.configuration_position == (
+            state.ConfigurationPosition(1, 2)
+        )
--- a/packages/state/src/skylarktack/state/_moves.py
+++ b/packages/state/src/skylarktack/state/_moves.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 
+from skylarktack.state._documents import ConfigurationPosition
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
 from skylarktack.state._names import RouteName
@@ -117,6 +118,16 @@
     #: Steps, oldest first; without lease renewals.
     history: tuple[MoveStep, ...] = ()
 
+    #: Era of the configuration revision.
+    configuration_era: int = 0
+
+    @property
+    def configuration_position(self) -> ConfigurationPosition:
+        """Position of the configuration on which the last step was based."""
+        return ConfigurationPosition(
+            self.configuration_era, self.configuration_revision
+        )
+
     @property
     def ended(self) -> bool:
         """Whether the phase is final."""
