Test lost claims of a restored object API with processes

Two instances, eight bookings that the copy lacks, a restore, and the kill of the instance that was called: the other one answers all of them and each key has run once.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_once_processes.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_once_processes.py
@@ -104,6 +104,50 @@
         del found['small:store-down']
         assert set(found.values()) == {1}
 
+    def test_claims_of_a_restored_store(self) -> None:
+        """Guards against keys that run again after a restore and a kill."""
+        shape = emulator.DeploymentShape(
+            instance_count=2, engine_count=1, service_count=1
+        )
+        keys = [f'lost-{index}' for index in range(8)]
+        waiting = threading.Event()
+        with emulator.Deployment(shape, _document()) as deployment:
+            one, two = deployment.instances
+            assert _book(one, 'kept')[0] == 201
+            _order(deployment.object_api, 'copy')
+            for key in keys:
+                assert _book(one, key)[0] == 201
+            # Outcomes are written after the answers.
+            waiting.wait(1.0)
+            _order(deployment.object_api, 'restore')
+            # The list of the platform is read each second.
+            waiting.wait(4.0)
+            one.kill()
+            for key in keys:
+                _wait_booked(two, key)
+            found = _executions(deployment.services)
+        assert set(found.values()) == {1}
+        assert len(found) == 1 + len(keys)
+
+
+def _order(object_api: emulator.EmulatedProcess, order: str) -> None:
+    """Have the object API take its copy or come back from it."""
+    answered = transport.http_call(
+        object_api.address, 'POST', f'/control/{order}', b'', {}, 5.0
+    )
+    assert answered.ok.status == 200
+
+
+def _wait_booked(instance: emulator.EmulatedProcess, key: str) -> None:
+    """Book until the answer is not one of a call that did not run."""
+    waiting = threading.Event()
+    for _ in range(50):
+        status, run, _ = _book(instance, key)
+        if run != 'not_run':
+            break
+        waiting.wait(0.1)
+    assert status == 201
+
 
 def _wait_executed(services: list[emulator.EmulatedProcess], key: str) -> None:
     """Wait until a target executed a key."""
