--- a/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
@@ -46,14 +46,26 @@
     ) -> None:
         self._store = store
         self._clock = clock
+        self._era = _store.SeenEra(store)
         self.down = False
         self.delay_s = 0.0
 
+    @property
+    def era(self) -> int:
+        """Newest era that a call of this instance was answered in."""
+        return self._era.current
+
+    def add_era_listener(self, event: threading.Event) -> None:
+        """Set the event each time a call notices a restore."""
+        self._era.add_listener(event)
+
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         """Read one object."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
-        return self._store.get(key)
+        result = self._store.get(key)
+        self._era.update()
+        return result
 
     def put(
         self, key: str, value: bytes, expected_version: int | None
@@ -61,7 +73,9 @@
         """Write one object if its version is the expected one."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
-        return self._store.put(key, value, expected_version)
+        result = self._store.put(key, value, expected_version)
+        self._era.update()
+        return result
 
     def delete(
         self, key: str, expected_version: int
@@ -69,7 +83,9 @@
         """Remove one object if its version is the expected one."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
-        return self._store.delete(key, expected_version)
+        result = self._store.delete(key, expected_version)
+        self._era.update()
+        return result
 
     def list(
         self, prefix: str
@@ -77,7 +93,9 @@
         """Read all objects whose key starts with the prefix."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
-        return self._store.list(prefix)
+        result = self._store.list(prefix)
+        self._era.update()
+        return result
 
     def watch(
         self, prefix: str, after_version: int, wait_s: float
@@ -85,11 +103,15 @@
         """Return the changes so far, without waiting."""
         if not self._is_reachable():
             return Error(_UNAVAILABLE)
-        return self._store.watch(prefix, after_version, 0.0)
+        result = self._store.watch(prefix, after_version, 0.0)
+        self._era.update()
+        return result
 
     def platform_list(self) -> Result[state.PlatformList, state.StoreFault]:
         """Read the list of live and leaving (draining) instances."""
-        return self._store.platform_list()
+        result = self._store.platform_list()
+        self._era.update()
+        return result
 
     def _is_reachable(self) -> bool:
         if self.delay_s:
@@ -113,6 +135,12 @@
             self._current.revision + 1, document, 0.0
         )
 
+    def set_position(self, position: state.ConfigurationPosition) -> None:
+        """Activate the document as a revision of another era."""
+        self._current = dataclasses.replace(
+            self._current, revision=position.revision, era=position.era
+        )
+
     def change_move(self, name: str, **fields: Any) -> None:
         """Activate a copy of the document with one move changed."""
         document = self._current.document
--- a/packages/coordination/src/skylarktack/coordination/fakes/_store.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_store.py
@@ -37,6 +37,9 @@
         self._changed = threading.Condition()
         self._objects: dict[str, state.StoredObject] = {}
         self._version = 0
+        self._copy: tuple[int, dict[str, state.StoredObject]] = (0, {})
+        self._era = 0
+        self._era_listeners: list[threading.Event] = []
         self.listed = state.PlatformList((), ())
         self.faults = StoreFaults()
         self.call_counts: collections.Counter[str] = collections.Counter()
@@ -47,6 +50,32 @@
             self.faults = faults
             self._changed.notify_all()
 
+    @property
+    def era(self) -> int:
+        """Era of the store; each restore begins another one."""
+        return self._era
+
+    def add_era_listener(self, event: threading.Event) -> None:
+        """Set the event at each restore."""
+        with self._changed:
+            self._era_listeners.append(event)
+
+    def take_copy(self) -> None:
+        """Take the copy that the next restore brings back."""
+        with self._changed:
+            self._copy = (self._version, dict(self._objects))
+
+    def restore(self) -> None:
+        """Come back from the copy and begin a new era."""
+        with self._changed:
+            self._version, objects = self._copy
+            self._objects = dict(objects)
+            self._era += 1
+            self._changed.notify_all()
+            listeners = tuple(self._era_listeners)
+        for event in listeners:
+            event.set()
+
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         """Read one object."""
         with self._changed:
@@ -118,7 +147,10 @@
         end_s = time.monotonic() + wait_s
         with self._changed:
             self.call_counts['watch'] += 1
+            era = self._era
             while True:
+                if self._era != era:
+                    return Ok(state.WatchBatch(after_version, ()))
                 if self.faults.down:
                     return Error(_unavailable())
                 changed = self._matching(prefix, after_version)
@@ -160,6 +192,27 @@
         return tuple(sorted(found, key=lambda stored: stored.version))
 
 
+class SeenEra:
+    """Newest era that the calls of one instance were answered in."""
+
+    def __init__(self, store: MemoryObjectStore) -> None:
+        self._store = store
+        self._listeners: list[threading.Event] = []
+        self.current = 0
+
+    def add_listener(self, event: threading.Event) -> None:
+        """Set the event each time a call notices a restore."""
+        self._listeners.append(event)
+
+    def update(self) -> None:
+        """Notice the era of the store, at the end of a call."""
+        if self.current == self._store.era:
+            return
+        self.current = self._store.era
+        for event in self._listeners:
+            event.set()
+
+
 def _unavailable() -> state.StoreFault:
     return state.StoreFault(
         state.StoreFaultKind.UNAVAILABLE, 'store unavailable'
--- a/packages/coordination/src/skylarktack/coordination/ports/_store.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/_store.py
@@ -1,5 +1,6 @@
 """Port to the platform's object API."""
 
+import threading
 from typing import Protocol
 
 from expression import Result
@@ -8,7 +9,25 @@
 
 
 class ObjectStore(Protocol):
-    """Versioned objects with conditional writes and watches."""
+    """Versioned objects with conditional writes and watches.
+
+    The store may be restored from a copy that lacks its last writes, also
+    acknowledged ones. It then gives versions out again, so that a version is
+    unique only within one era.
+    """
+
+    @property
+    def era(self) -> int:
+        """Newest era reported by a response; 0 before the first.
+
+        A response of an earlier era than this counts as lost, so a call whose
+        caller reads the same era before and after it was answered in that era.
+        """
+        ...
+
+    def add_era_listener(self, event: threading.Event) -> None:
+        """Set the event each time a restore of the store is noticed."""
+        ...
 
     def get(self, key: str) -> Result[state.StoredObject, state.StoreFault]:
         """Read one object; ``MISSING`` if no object has the key."""
--- a/packages/state/src/skylarktack/state/_moves.py
+++ b/packages/state/src/skylarktack/state/_moves.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 
+from skylarktack.state._documents import ConfigurationPosition
 from skylarktack.state._names import FailureDomain
 from skylarktack.state._names import InstanceName
 from skylarktack.state._names import RouteName
@@ -37,7 +38,8 @@
 
     holder: InstanceName
 
-    #: Increases with each new holder; sent with each command to a target.
+    #: Increases with each new holder; sent with each command to a target. In
+    #: later eras of the store it exceeds all numbers of earlier ones.
     fencing_number: int
 
     #: Wall clock time after which another instance may acquire the lease.
@@ -116,6 +118,16 @@
     #: Steps, oldest first; without lease renewals.
     history: tuple[MoveStep, ...] = ()
 
+    #: Era of the configuration revision.
+    configuration_era: int = 0
+
+    @property
+    def configuration_position(self) -> ConfigurationPosition:
+        """Position of the configuration on which the last step was based."""
+        return ConfigurationPosition(
+            self.configuration_era, self.configuration_revision
+        )
+
     @property
     def ended(self) -> bool:
         """Whether the phase is final."""
@@ -264,6 +276,9 @@
 
     record: MoveRecord
 
+    #: Era of the store in which it was written.
+    era: int = 0
+
 
 @dataclasses.dataclass(frozen=True)
 class MoveStop:
--- a/packages/transport/src/skylarktack/transport/tests/test_generation_endpoints.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_generation_endpoints.py
@@ -24,7 +24,8 @@
     ) -> None:
         holder = configuration.ConfigurationHolder(generation.fleet.clock)
         holder.replace_if_newer(
-            1, state.ConfigurationDocument((), (generation_harness.ROUTE,))
+            state.ConfigurationPosition(0, 1),
+            state.ConfigurationDocument((), (generation_harness.ROUTE,)),
         )
         self._endpoints = _generation_endpoints.GenerationEndpoints(
             generation.service,
