Let the stand-in of the platform's store be restored from a copy

A response and its era are made under one lock, so that the stand-in never names the era of one history with the content of another. A watch from a revision that the store does not have gets 410. write_again plays the operator and the replicas; the store keeps what they wrote apart from what the system wrote over HTTP, which nobody writes again.

Also: a POST checks and creates under one lock, and a PUT responds with the object as it is stored. Not played: stale reads and conditional writes of specifications, which the stand-in did not have before either.

--- a/packages/emulator/src/skylarktack/emulator/platform/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/__init__.py
@@ -20,6 +20,8 @@
 from skylarktack.emulator.platform._proxy import ProxyMode
 from skylarktack.emulator.platform._reserved_ports import ReservedPort
 from skylarktack.emulator.platform._store import PlatformStore
+from skylarktack.emulator.platform._store import StoreAnswer
+from skylarktack.emulator.platform._store import StoreCopy
 from skylarktack.emulator.platform._store import StoreMode
 from skylarktack.emulator.platform._target import PlatformTarget
 from skylarktack.emulator.platform._target import Run
@@ -45,6 +47,8 @@
     'ProxyMode',
     'ReservedPort',
     'Run',
+    'StoreAnswer',
+    'StoreCopy',
     'StoreMode',
     'TargetBehaviour',
     'call',
--- a/packages/emulator/src/skylarktack/emulator/platform/_store.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_store.py
@@ -1,5 +1,7 @@
 """Stand-in for the platform's store, with its faults."""
 
+from collections.abc import Callable
+import dataclasses
 import enum
 import json
 import threading
@@ -26,8 +28,44 @@
     SILENT = 'silent'
 
 
+#: Header of all responses; it rises by one with each restore.
+ERA_HEADER = 'Store-Era'
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """State of the store at one moment; its objects are never changed."""
+
+    #: Objects by kind and name.
+    objects: dict[str, dict[str, dict[str, Any]]]
+
+    #: Revision, kind, object, and whether it was removed.
+    events: tuple[tuple[int, str, dict[str, Any], bool], ...]
+
+    #: A watch from an earlier revision gets 410.
+    oldest_revision: int
+
+    #: Revision of the last change.
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreAnswer:
+    """Answer to a call, with the era in which it was made."""
+
+    status: int
+    content: Any
+
+    #: Era of the store.
+    era: int
+
+
 class PlatformStore:
-    """Objects by kind and name, one revision counter, watches."""
+    """Objects by kind and name, one revision counter, watches.
+
+    What is written by ``put`` and ``remove`` is written by the operator and
+    the replicas; the system writes through the HTTP interface.
+    """
 
     def __init__(self) -> None:
         self._changed = threading.Condition()
@@ -35,6 +73,10 @@
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._oldest_revision = 0
         self._revision = 1
+        self._era = 1
+        # Newest specification that the operator or a replica wrote, or None
+        # for an object that it removed, in the order of these writes.
+        self._written: dict[tuple[str, str], Any] = {}
         self._mode = StoreMode.GOOD
         self.delay_s = 0.0
         self.call_count = 0
@@ -69,8 +111,86 @@
             self._oldest_revision = self._revision
             self._changed.notify_all()
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last change."""
+        return self._revision
+
+    @property
+    def era(self) -> int:
+        """Return the era, which starts at 1 and rises with each restore."""
+        return self._era
+
+    def snapshot(self) -> StoreCopy:
+        """Return a copy of all objects, the history and the revision."""
+        with self._changed:
+            objects = {
+                kind: dict(named) for kind, named in self._objects.items()
+            }
+            return StoreCopy(
+                objects,
+                tuple(self._events),
+                self._oldest_revision,
+                self._revision,
+            )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; what was written since is lost.
+
+        Waiting watches are cut, and the revisions since the copy are given
+        out again.
+        """
+        with self._changed:
+            self._objects = {
+                kind: dict(named) for kind, named in copy.objects.items()
+            }
+            self._events = list(copy.events)
+            self._oldest_revision = copy.oldest_revision
+            self._revision = copy.revision
+            self._era += 1
+            self._changed.notify_all()
+
+    def write_again(self) -> None:
+        """Write what the operator and the replicas wrote and now is lost."""
+        with self._changed:
+            for (kind, name), specification in self._written.items():
+                if specification is None:
+                    self._remove(kind, name)
+                else:
+                    self._put(kind, name, specification)
+
     def put(self, kind: str, name: str, specification: Any) -> None:
-        """Create or replace an object."""
+        """Create or replace an object as the operator or a replica."""
+        with self._changed:
+            self._record_written(kind, name, specification)
+            self._put(kind, name, specification)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object, if there is one, as the operator or a replica."""
+        with self._changed:
+            self._record_written(kind, name, None)
+            self._remove(kind, name)
+
+    def replace(
+        self, kind: str, name: str, specification: Any
+    ) -> dict[str, Any]:
+        """Create or replace an object as the system; return the object."""
+        with self._changed:
+            self._put(kind, name, specification)
+            return self._objects[kind][name]
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object, if there is one, as the system."""
+        with self._changed:
+            self._remove(kind, name)
+
+    def _record_written(
+        self, kind: str, name: str, specification: Any
+    ) -> None:
+        self._written.pop((kind, name), None)
+        self._written[kind, name] = specification
+
+    def _put(self, kind: str, name: str, specification: Any) -> None:
         with self._changed:
             held = self._objects.setdefault(kind, {}).get(name)
             if held is not None and held['specification'] == specification:
@@ -128,8 +248,7 @@
         with self._changed:
             return self._objects.get(kind, {}).get(name, {}).get('status')
 
-    def remove(self, kind: str, name: str) -> None:
-        """Remove an object if there is one."""
+    def _remove(self, kind: str, name: str) -> None:
         with self._changed:
             item = self._objects.get(kind, {}).pop(name, None)
             if item is None:
@@ -161,8 +280,8 @@
         with self._changed:
             if name in self._objects.get(kind, {}):
                 return 409
-        self.put(kind, name, item.get('specification'))
-        return 201
+            self._put(kind, name, item.get('specification'))
+            return 201
 
     def watch(
         self, kind: str, revision: int, wait_s: float
@@ -170,10 +289,11 @@
         """Return status and answer of a watch, or None if it is cut."""
         end_s = time.monotonic() + wait_s
         with self._changed:
+            era = self._era
             while True:
-                if self._mode is not StoreMode.GOOD:
+                if self._mode is not StoreMode.GOOD or era != self._era:
                     return None
-                if revision < self._oldest_revision:
+                if not self._oldest_revision <= revision <= self._revision:
                     return 410, {}
                 events = []
                 for number, of_kind, item, is_gone in self._events:
@@ -184,6 +304,19 @@
                     return 200, {'events': events, 'at': self._revision}
                 self._changed.wait(left_s)
 
+    def answer(
+        self, act: Callable[[], tuple[int, Any] | None]
+    ) -> StoreAnswer | None:
+        """Return the answer to one call, or None if it is cut.
+
+        No restore comes between the answer and the era that it names.
+        """
+        with self._changed:
+            answer = act()
+            if answer is None:
+                return None
+            return StoreAnswer(*answer, self._era)
+
     def wait_good(self) -> None:
         """Wait until the store answers again."""
         with self._changed:
@@ -203,57 +336,88 @@
         kind = self._kind()
         revision = self.query('watch_stream')
         if not revision:
-            self.answer_json(200, self._store.listing(kind))
+            self._respond(lambda: (200, self._store.listing(kind)))
             return
         wait_s = int(self.query('wait_timeout_ms', '0')) / 1000
-        answer = self._store.watch(kind, int(revision), wait_s)
-        if answer is None:
-            self._is_refused()
-            return
-        self.answer_json(*answer)
+        self._respond(lambda: self._store.watch(kind, int(revision), wait_s))
 
     def do_POST(self) -> None:
         """Create an object."""
         item = json.loads(self.body())
         if not self._is_refused():
-            self.answer_json(self._store.create(self._kind(), item), item)
+            self._respond(
+                lambda: (self._store.create(self._kind(), item), item)
+            )
 
     def do_PUT(self) -> None:
         """Replace the specification or the status of an object."""
         item = json.loads(self.body())
         if self._is_refused():
             return
+        kind = self._kind()
         if self.route.endswith('/status'):
             name = urllib.parse.unquote(self.route.split('/')[3])
             revision = item.get('metadata', {}).get('revision')
-            self.answer_json(
-                *self._store.put_status(
-                    self._kind(), name, revision, item.get('status')
+            self._respond(
+                lambda: self._store.put_status(
+                    kind, name, revision, item.get('status')
                 )
             )
             return
-        name = urllib.parse.unquote(self.route.rpartition('/')[2])
-        self._store.put(self._kind(), name, item.get('specification'))
-        self.answer_json(200, item)
+        name = self._name()
+        specification = item.get('specification')
+        self._respond(
+            lambda: (200, self._store.replace(kind, name, specification))
+        )
 
     def do_DELETE(self) -> None:
         """Remove an object."""
         if self._is_refused():
             return
-        name = urllib.parse.unquote(self.route.rpartition('/')[2])
-        self._store.remove(self._kind(), name)
-        self.answer_json(200, {})
+        kind, name = self._kind(), self._name()
+
+        def _delete() -> tuple[int, Any]:
+            self._store.delete(kind, name)
+            return 200, {}
+
+        self._respond(_delete)
 
     def _kind(self) -> str:
         return urllib.parse.unquote(self.route.split('/')[2])
 
+    def _name(self) -> str:
+        return urllib.parse.unquote(self.route.rpartition('/')[2])
+
+    def _respond(self, act: Callable[[], tuple[int, Any] | None]) -> None:
+        """Send the answer to a call; a call that is cut gets none."""
+        answer = self._store.answer(act)
+        if answer is None:
+            self._cut()
+            return
+        self._send(answer)
+
+    def _send(self, answer: StoreAnswer) -> None:
+        self.answer(
+            answer.status,
+            json.dumps(answer.content).encode(),
+            (
+                ('Content-Type', 'application/json'),
+                (ERA_HEADER, str(answer.era)),
+            ),
+        )
+
+    def _cut(self) -> None:
+        """End a watch as the mode says, or without an answer."""
+        if not self._is_refused():
+            self.drop_connection()
+
     def _is_refused(self) -> bool:
         """Refuse the call as the mode says; return whether so."""
         self._store.call_count += 1
         if self._store.delay_s:
             time.sleep(self._store.delay_s)
         if self._store.mode is StoreMode.BUSY:
-            self.answer_json(503, {})
+            self._send(StoreAnswer(503, {}, self._store.era))
             return True
         if self._store.mode is StoreMode.GOOD:
             return False
