Restore the store from copies in the soak

A new promise is checked in every run: a route is not denied from 2.5 s after its confirmation on (2 s to apply it and half a second on the way).

--- a/packages/emulator/src/skylarktack/emulator/soak/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/__init__.py
@@ -6,6 +6,7 @@
 from skylarktack.emulator.soak._run import run_seed
 from skylarktack.emulator.soak._schedule import CHANGE_KINDS
 from skylarktack.emulator.soak._schedule import LOAD_KINDS
+from skylarktack.emulator.soak._schedule import RESTORE_KINDS
 from skylarktack.emulator.soak._schedule import SIGNAL_KINDS
 from skylarktack.emulator.soak._schedule import Injection
 from skylarktack.emulator.soak._schedule import InjectionKind
@@ -15,6 +16,7 @@
 __all__ = [
     'CHANGE_KINDS',
     'LOAD_KINDS',
+    'RESTORE_KINDS',
     'SIGNAL_KINDS',
     'REGRESSIONS',
     'Injection',
--- a/packages/emulator/src/skylarktack/emulator/soak/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/__main__.py
@@ -9,12 +9,13 @@
 
 from skylarktack.emulator import soak
 
-#: Mean times between two faults, loads, injections of signals and changes of
-#: the configuration.
+#: Mean times between two faults, loads, injections of signals, changes of the
+#: configuration and restores of the store.
 FAULT_GAP_S = 0.8
 LOAD_GAP_S = 3.0
 SIGNAL_GAP_S = 2.0
 CHANGE_GAP_S = 1.0
+RESTORE_GAP_S = 5.0
 
 
 def run(
@@ -27,6 +28,7 @@
     loads: bool = True,
     signals: bool = True,
     changes: bool = False,
+    restores: bool = False,
     logs: str = 'build/soak',
 ) -> None:
     """Run seeds and print each promise with the checks made.
@@ -42,6 +44,7 @@
         short silences of engines.
     :param changes: whether the configuration changes while callers keep
         their connections.
+    :param restores: whether the store is restored from copies.
     :param logs: folder for the logs of seeds that broke a promise.
     """
     shape = soak.SoakShape(
@@ -51,6 +54,7 @@
         load_gap_s=LOAD_GAP_S if loads else None,
         signal_gap_s=SIGNAL_GAP_S if signals else None,
         change_gap_s=CHANGE_GAP_S if changes else None,
+        restore_gap_s=RESTORE_GAP_S if restores else None,
     )
     end_s = time.monotonic() + 60 * minutes
     first = random.randrange(1_000_000) if seed is None else seed
@@ -86,7 +90,8 @@
         f'--faults={shape.gap_s is not None} '
         f'--loads={shape.load_gap_s is not None} '
         f'--signals={shape.signal_gap_s is not None} '
-        f'--changes={shape.change_gap_s is not None}',
+        f'--changes={shape.change_gap_s is not None} '
+        f'--restores={shape.restore_gap_s is not None}',
         flush=True,
     )
 
--- a/packages/emulator/src/skylarktack/emulator/soak/_callers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_callers.py
@@ -99,6 +99,7 @@
             routes = ['book', 'book', 'peek']
             if version > 1:
                 routes.append(f'r{version}')
+                routes.append(f'r{draw.randint(2, version)}')
             route = draw.choice(routes)
             attempt = platform.Attempt(
                 route, platform.new_attempt_id(), time_limit_ms=3000
--- a/packages/emulator/src/skylarktack/emulator/soak/_checkers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_checkers.py
@@ -10,6 +10,11 @@
 #: Statuses that promise that a request has not run.
 PROMISE_STATUSES = frozenset((408, 421, 429, 503))
 
+#: Time after its acknowledgement in which a configuration is in force, and the
+#: time for which an answer may be on its way.
+APPLY_S = 2.0
+CHECK_S = 0.5
+
 #: Statuses that deny a proper request.
 DENIAL_STATUSES = frozenset((400, 401, 403, 404, 413, 431))
 
@@ -37,6 +42,9 @@
     streams: tuple[_callers.StreamRecord, ...]
     runs: tuple[platform.Run, ...]
 
+    #: When each route that was added was acknowledged.
+    confirmed_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
 
 def check_all(evidence: Evidence) -> tuple[Promise, ...]:
     """Return all promises with their checks."""
@@ -150,6 +158,23 @@
     return promise
 
 
+def _no_late_denial(evidence: Evidence) -> Promise:
+    promise = Promise('a route that was confirmed is not denied later')
+    for call in evidence.calls:
+        confirmed_at_s = evidence.confirmed_at_s.get(call.attempt.route)
+        if call.answer is None or confirmed_at_s is None:
+            continue
+        after_s = call.started_at_s - confirmed_at_s
+        if after_s > APPLY_S + CHECK_S:
+            promise.check(
+                call.answer.status not in DENIAL_STATUSES,
+                f'{call.attempt.attempt_id} got {call.answer.status} for '
+                f'{call.attempt.route} at {call.instance}, process '
+                f'{call.process_id}, {after_s:.2f} s after it was confirmed',
+            )
+    return promise
+
+
 def _organisation(evidence: Evidence) -> Promise:
     promise = Promise('a target is told the organisation of the key')
     for run in evidence.runs:
@@ -182,6 +207,7 @@
     _own_answers,
     _no_denial,
     _no_return,
+    _no_late_denial,
     _organisation,
     _known_requests,
 )
--- a/packages/emulator/src/skylarktack/emulator/soak/_configuration.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_configuration.py
@@ -1,8 +1,11 @@
 """The configuration of a run and its changes."""
 
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import random
 import threading
+import time
 from typing import Any
 
 from skylarktack.emulator import platform
@@ -54,12 +57,18 @@
         self._deployment = deployment
         self._changed = threading.Condition()
         self._options = ConfigurationOptions()
+        self._confirmed_at_s: dict[str, float] = {}
 
     @property
     def options(self) -> ConfigurationOptions:
         """Return the newest options that the store has acknowledged."""
         return self._options
 
+    def confirmed_at_s(self) -> dict[str, float]:
+        """Return when the store acknowledged each route that was added."""
+        with self._changed:
+            return dict(self._confirmed_at_s)
+
     def wait_changed(
         self, options: ConfigurationOptions, wait_s: float
     ) -> None:
@@ -69,6 +78,12 @@
                 lambda: self._options is not options, wait_s
             )
 
+    @contextlib.contextmanager
+    def hold(self) -> Iterator[None]:
+        """Apply no configuration meanwhile, as the store is away."""
+        with self._changed:
+            yield
+
     def add_route(self, more_routes: tuple[str, ...] = ()) -> None:
         """Apply a configuration with one more route.
 
@@ -113,6 +128,7 @@
         version = self._deployment.version + 1
         routes = _schedule.routes_of(version) + more_routes
         self._deployment.apply(_manifest_of(version, options, routes))
+        self._confirmed_at_s[f'r{version}'] = time.monotonic()
         self._options = options
         self._changed.notify_all()
 
--- a/packages/emulator/src/skylarktack/emulator/soak/_run.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_run.py
@@ -14,6 +14,7 @@
 from skylarktack.emulator.soak import _kept_checkers
 from skylarktack.emulator.soak import _loads
 from skylarktack.emulator.soak import _recovery
+from skylarktack.emulator.soak import _restores
 from skylarktack.emulator.soak import _schedule
 
 
@@ -58,6 +59,7 @@
         editor = _configuration.ConfigurationEditor(deployment)
         injector = _injectors.Injector(deployment, editor)
         changes = _changes.ChangeInjector(deployment, editor, injector)
+        restores = _restores.RestoreInjector(deployment, editor, injector)
         callers = _callers.Callers(deployment, seed)
         kept = _kept_callers.KeptCallers(deployment, editor, callers, seed)
         loads = _loads.LoadGenerator(deployment, callers, editor)
@@ -72,9 +74,12 @@
                 loads.start(injection)
             elif injection.kind in _schedule.CHANGE_KINDS:
                 changes.start(injection)
+            elif injection.kind in _schedule.RESTORE_KINDS:
+                restores.start(injection)
             else:
                 injector.inject(injection)
         changes.wait_ended()
+        restores.wait_ended()
         injector.mend()
         loads.wait_ended()
         kept.stop()
@@ -84,7 +89,7 @@
             _recovery.check_recovery(deployment),
             _recovery.check_bad_versions(deployment),
         )
-        evidence = _evidence(deployment, callers)
+        evidence = _evidence(deployment, callers, editor)
         result = SoakResult(
             seed,
             schedule,
@@ -106,7 +111,9 @@
 
 
 def _evidence(
-    deployment: platform.PlatformDeployment, callers: _callers.Callers
+    deployment: platform.PlatformDeployment,
+    callers: _callers.Callers,
+    editor: _configuration.ConfigurationEditor,
 ) -> _checkers.Evidence:
     probe_ids = _probe_ids(deployment, callers)
     return _checkers.Evidence(
@@ -115,6 +122,7 @@
         tuple(
             run for run in deployment.runs() if run.attempt_id not in probe_ids
         ),
+        editor.confirmed_at_s(),
     )
 
 
--- a/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
@@ -46,6 +46,7 @@
     CHANGE_BESIDE_INSTANCE = 'change_beside_instance'
     CHANGE_BESIDE_STORE = 'change_beside_store'
     CHANGE_BESIDE_CUT = 'change_beside_cut'
+    STORE_RESTORE = 'store_restore'
 
 
 #: Loads that reach the bounds of an instance. They are drawn apart from the
@@ -74,11 +75,12 @@
     InjectionKind.CHANGE_BESIDE_CUT,
 )
 
-FAULT_KINDS = tuple(
-    kind
-    for kind in InjectionKind
-    if kind not in LOAD_KINDS + SIGNAL_KINDS + CHANGE_KINDS
-)
+#: Restores of the store from a copy. They are drawn apart from all others.
+RESTORE_KINDS = (InjectionKind.STORE_RESTORE,)
+
+_APART_KINDS = LOAD_KINDS + SIGNAL_KINDS + CHANGE_KINDS + RESTORE_KINDS
+
+FAULT_KINDS = tuple(kind for kind in InjectionKind if kind not in _APART_KINDS)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,6 +116,9 @@
     #: Callers that keep their connections; without changes there are none.
     kept_caller_count: int = 40
 
+    #: Mean time between two restores of the store, or None for none.
+    restore_gap_s: float | None = None
+
 
 @dataclasses.dataclass(frozen=True)
 class Injection:
@@ -145,6 +150,11 @@
         (random.Random(f'{seed}/loads'), LOAD_KINDS, shape.load_gap_s),
         (random.Random(f'{seed}/signals'), SIGNAL_KINDS, shape.signal_gap_s),
         (random.Random(f'{seed}/changes'), CHANGE_KINDS, shape.change_gap_s),
+        (
+            random.Random(f'{seed}/restores'),
+            RESTORE_KINDS,
+            shape.restore_gap_s,
+        ),
     )
     injections: list[Injection] = []
     for draw, kinds, gap_s in series:
--- a/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
@@ -35,7 +35,7 @@
 
 #: All that can be injected.
 FULL_SHAPE = dataclasses.replace(
-    LOAD_SHAPE, signal_gap_s=0.7, change_gap_s=0.7
+    LOAD_SHAPE, signal_gap_s=0.7, change_gap_s=0.7, restore_gap_s=1.0
 )
 
 
@@ -132,15 +132,28 @@
         'added, shape',
         [
             (
-                soak.LOAD_KINDS + soak.SIGNAL_KINDS + soak.CHANGE_KINDS,
+                soak.LOAD_KINDS
+                + soak.SIGNAL_KINDS
+                + soak.CHANGE_KINDS
+                + soak.RESTORE_KINDS,
                 SHAPE,
             ),
             (
-                soak.CHANGE_KINDS,
-                dataclasses.replace(FULL_SHAPE, change_gap_s=None),
+                soak.CHANGE_KINDS + soak.RESTORE_KINDS,
+                dataclasses.replace(
+                    FULL_SHAPE, change_gap_s=None, restore_gap_s=None
+                ),
             ),
+            (
+                soak.RESTORE_KINDS,
+                dataclasses.replace(FULL_SHAPE, restore_gap_s=None),
+            ),
+        ],
+        ids=[
+            'faults',
+            'faults, loads and signals',
+            'faults, loads, signals and changes',
         ],
-        ids=['faults', 'faults, loads and signals'],
     )
     def test_other_kinds_do_not_change_the_schedule(
         self,
