Show a 404 from an instance that starts just after a restore

Cause: the restored store confirms the configuration of the copy, and until the first report of a peer arrives nothing tells the instance that its peers have a newer one. From the first report on it answers 503, as intends. The readiness is 200 in that time, so a balancer sends it callers.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_restored_sessions.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_restored_sessions.py
@@ -183,6 +183,29 @@
         assert set(statuses) <= {200, 503}
         _wait_in_force(deployment.instances, *routes)
 
+    def test_an_instance_starts_before_the_operator_writes_again(
+        self, deployment: platform.PlatformDeployment
+    ) -> None:
+        """Guards against a 404 from an instance that knows only the copy."""
+        store = deployment.store
+        starting, *others = deployment.instances
+        copy = store.snapshot()
+        deployment.apply(platform.manifest(2, more_routes=('added',)))
+        _wait_in_force(deployment.instances, 'added')
+        starting.kill()
+        _restore(store, copy)
+        starting.start()
+        statuses = []
+        end_s = time.monotonic() + 2.0
+        while time.monotonic() < end_s:
+            answer = platform.call(starting.address, _call('added'))
+            statuses.append(answer.status)
+            time.sleep(0.02)
+        store.write_again()
+        statuses += _statuses_until_served(starting, 'added')
+        assert set(statuses) <= {200, 503}
+        _wait_in_force(others, 'added')
+
 
 class TestRequests:
     """Requests do not notice a restore."""
