Change the configuration beside several stopping instances in the soak

The soak changed limits beside one instance that stops at a time.

--fleet=True plays these, drawn apart from all other injections: two or more instances stop at once or in turn, mostly by SIGTERM, and start again at once or late, beside one to four changes. Injector.restart is public for it.

The schedule tests pass.

--- a/packages/emulator/src/skylarktack/emulator/soak/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/__init__.py
@@ -5,6 +5,7 @@
 from skylarktack.emulator.soak._run import SoakResult
 from skylarktack.emulator.soak._run import run_seed
 from skylarktack.emulator.soak._schedule import CHANGE_KINDS
+from skylarktack.emulator.soak._schedule import FLEET_KINDS
 from skylarktack.emulator.soak._schedule import LOAD_KINDS
 from skylarktack.emulator.soak._schedule import RESTORE_KINDS
 from skylarktack.emulator.soak._schedule import SIGNAL_KINDS
@@ -15,6 +16,7 @@
 
 __all__ = [
     'CHANGE_KINDS',
+    'FLEET_KINDS',
     'LOAD_KINDS',
     'RESTORE_KINDS',
     'SIGNAL_KINDS',
--- a/packages/emulator/src/skylarktack/emulator/soak/__main__.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/__main__.py
@@ -10,12 +10,13 @@
 from skylarktack.emulator import soak
 
 #: Mean times between two faults, loads, injections of signals, changes of the
-#: configuration and restores of the store.
+#: configuration, restores of the store and changes beside several instances.
 FAULT_GAP_S = 0.8
 LOAD_GAP_S = 3.0
 SIGNAL_GAP_S = 2.0
 CHANGE_GAP_S = 1.0
 RESTORE_GAP_S = 5.0
+FLEET_GAP_S = 3.0
 
 
 def run(
@@ -29,6 +30,7 @@
     signals: bool = True,
     changes: bool = False,
     restores: bool = False,
+    fleet: bool = False,
     logs: str = 'build/soak',
 ) -> None:
     """Run seeds and print each promise with the checks made.
@@ -45,6 +47,8 @@
     :param changes: whether the configuration changes while callers keep
         their connections.
     :param restores: whether the store is restored from copies.
+    :param fleet: whether the configuration changes beside several instances
+        that stop, while callers keep their connections.
     :param logs: folder for the logs of seeds that broke a promise.
     """
     shape = soak.SoakShape(
@@ -55,6 +59,7 @@
         signal_gap_s=SIGNAL_GAP_S if signals else None,
         change_gap_s=CHANGE_GAP_S if changes else None,
         restore_gap_s=RESTORE_GAP_S if restores else None,
+        fleet_gap_s=FLEET_GAP_S if fleet else None,
     )
     end_s = time.monotonic() + 60 * minutes
     first = random.randrange(1_000_000) if seed is None else seed
@@ -91,7 +96,8 @@
         f'--loads={shape.load_gap_s is not None} '
         f'--signals={shape.signal_gap_s is not None} '
         f'--changes={shape.change_gap_s is not None} '
-        f'--restores={shape.restore_gap_s is not None}',
+        f'--restores={shape.restore_gap_s is not None} '
+        f'--fleet={shape.fleet_gap_s is not None}',
         flush=True,
     )
 
--- a/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
@@ -75,6 +75,25 @@
         else:
             self._harm_target(injection)
 
+    def restart(
+        self,
+        instance: platform.PlatformInstance,
+        number: int,
+        after_s: float,
+    ) -> None:
+        """Stop an instance and start it again, unless that is under way.
+
+        :param number: signal that stops it.
+        :param after_s: time between the end of the process and the start.
+        """
+
+        def _end() -> None:
+            instance.signal(signal.SIGCONT)
+            instance.signal(number)
+            instance.wait_ended()
+
+        self._cycle(instance, _end, after_s)
+
     def mend(self) -> None:
         """Take all faults back and wait until all instances run."""
         for timer in self._timers:
@@ -126,7 +145,7 @@
         instances = self._deployment.instances
         if injection.kind is _Kind.ALL_KILL:
             for instance in instances:
-                self._restart(instance, signal.SIGKILL, injection.for_s / 3)
+                self.restart(instance, signal.SIGKILL, injection.for_s / 3)
             return
         instance = instances[injection.index % len(instances)]
         if injection.kind is _Kind.INSTANCE_RELOAD:
@@ -138,7 +157,7 @@
                 injection.for_s, lambda: instance.signal(signal.SIGCONT)
             )
         elif injection.kind is _Kind.INSTANCE_STOP:
-            self._restart(instance, signal.SIGTERM, 0.0)
+            self.restart(instance, signal.SIGTERM, 0.0)
         elif injection.kind is _Kind.INSTANCE_SIGNALS:
             self._cycle(
                 instance,
@@ -146,7 +165,7 @@
                 0.0,
             )
         else:
-            self._restart(instance, signal.SIGKILL, injection.for_s / 3)
+            self.restart(instance, signal.SIGKILL, injection.for_s / 3)
 
     def _harm_target(self, injection: _schedule.Injection) -> None:
         kind = injection.kind
@@ -194,19 +213,6 @@
             if not target.is_running:
                 self._deployment.restart(target)
 
-    def _restart(
-        self,
-        instance: platform.PlatformInstance,
-        number: int,
-        after_s: float,
-    ) -> None:
-        def _end() -> None:
-            instance.signal(signal.SIGCONT)
-            instance.signal(number)
-            instance.wait_ended()
-
-        self._cycle(instance, _end, after_s)
-
     def _cycle(
         self,
         instance: platform.PlatformInstance,
--- a/packages/emulator/src/skylarktack/emulator/soak/_run.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_run.py
@@ -9,6 +9,7 @@
 from skylarktack.emulator.soak import _changes
 from skylarktack.emulator.soak import _checkers
 from skylarktack.emulator.soak import _configuration
+from skylarktack.emulator.soak import _fleet_changes
 from skylarktack.emulator.soak import _injectors
 from skylarktack.emulator.soak import _kept_callers
 from skylarktack.emulator.soak import _kept_checkers
@@ -60,11 +61,14 @@
         injector = _injectors.Injector(deployment, editor)
         changes = _changes.ChangeInjector(deployment, editor, injector)
         restores = _restores.RestoreInjector(deployment, editor, injector)
+        fleet = _fleet_changes.FleetChangeInjector(
+            deployment, editor, injector
+        )
         callers = _callers.Callers(deployment, seed)
         kept = _kept_callers.KeptCallers(deployment, editor, callers, seed)
         loads = _loads.LoadGenerator(deployment, callers, editor)
         callers.start(shape.caller_count)
-        if shape.change_gap_s is not None:
+        if shape.keeps_connections:
             kept.start(shape.kept_caller_count)
         started_s = time.monotonic()
         for injection in schedule:
@@ -76,9 +80,12 @@
                 changes.start(injection)
             elif injection.kind in _schedule.RESTORE_KINDS:
                 restores.start(injection)
+            elif injection.kind in _schedule.FLEET_KINDS:
+                fleet.start(injection)
             else:
                 injector.inject(injection)
         changes.wait_ended()
+        fleet.wait_ended()
         restores.wait_ended()
         injector.mend()
         loads.wait_ended()
--- a/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
@@ -47,6 +47,7 @@
     CHANGE_BESIDE_STORE = 'change_beside_store'
     CHANGE_BESIDE_CUT = 'change_beside_cut'
     STORE_RESTORE = 'store_restore'
+    CHANGE_BESIDE_FLEET = 'change_beside_fleet'
 
 
 #: Loads that reach the bounds of an instance. They are drawn apart from the
@@ -78,7 +79,13 @@
 #: Restores of the store from a copy. They are drawn apart from all others.
 RESTORE_KINDS = (InjectionKind.STORE_RESTORE,)
 
-_APART_KINDS = LOAD_KINDS + SIGNAL_KINDS + CHANGE_KINDS + RESTORE_KINDS
+#: Changes of the configuration while several instances stop and start, and
+#: callers keep their connections. They are drawn apart from all others.
+FLEET_KINDS = (InjectionKind.CHANGE_BESIDE_FLEET,)
+
+_APART_KINDS = (
+    LOAD_KINDS + SIGNAL_KINDS + CHANGE_KINDS + RESTORE_KINDS + FLEET_KINDS
+)
 
 FAULT_KINDS = tuple(kind for kind in InjectionKind if kind not in _APART_KINDS)
 
@@ -110,7 +117,7 @@
     signal_gap_s: float | None = None
 
     #: Mean time between two changes of the configuration while callers keep
-    #: their connections, or None for neither.
+    #: their connections, or None for none.
     change_gap_s: float | None = None
 
     #: Callers that keep their connections; without changes there are none.
@@ -119,6 +126,15 @@
     #: Mean time between two restores of the store, or None for none.
     restore_gap_s: float | None = None
 
+    #: Mean time between two changes beside several instances that stop, or
+    #: None for none.
+    fleet_gap_s: float | None = None
+
+    @property
+    def keeps_connections(self) -> bool:
+        """Return whether there are callers that keep their connections."""
+        return self.change_gap_s is not None or self.fleet_gap_s is not None
+
 
 @dataclasses.dataclass(frozen=True)
 class Injection:
@@ -155,6 +171,7 @@
             RESTORE_KINDS,
             shape.restore_gap_s,
         ),
+        (random.Random(f'{seed}/fleet'), FLEET_KINDS, shape.fleet_gap_s),
     )
     injections: list[Injection] = []
     for draw, kinds, gap_s in series:
--- a/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
@@ -35,7 +35,11 @@
 
 #: All that can be injected.
 FULL_SHAPE = dataclasses.replace(
-    LOAD_SHAPE, signal_gap_s=0.7, change_gap_s=0.7, restore_gap_s=1.0
+    LOAD_SHAPE,
+    signal_gap_s=0.7,
+    change_gap_s=0.7,
+    restore_gap_s=1.0,
+    fleet_gap_s=1.0,
 )
 
 
@@ -135,24 +139,35 @@
                 soak.LOAD_KINDS
                 + soak.SIGNAL_KINDS
                 + soak.CHANGE_KINDS
-                + soak.RESTORE_KINDS,
+                + soak.RESTORE_KINDS
+                + soak.FLEET_KINDS,
                 SHAPE,
             ),
             (
-                soak.CHANGE_KINDS + soak.RESTORE_KINDS,
+                soak.CHANGE_KINDS + soak.RESTORE_KINDS + soak.FLEET_KINDS,
                 dataclasses.replace(
-                    FULL_SHAPE, change_gap_s=None, restore_gap_s=None
+                    FULL_SHAPE,
+                    change_gap_s=None,
+                    restore_gap_s=None,
+                    fleet_gap_s=None,
                 ),
             ),
             (
-                soak.RESTORE_KINDS,
-                dataclasses.replace(FULL_SHAPE, restore_gap_s=None),
+                soak.RESTORE_KINDS + soak.FLEET_KINDS,
+                dataclasses.replace(
+                    FULL_SHAPE, restore_gap_s=None, fleet_gap_s=None
+                ),
+            ),
+            (
+                soak.FLEET_KINDS,
+                dataclasses.replace(FULL_SHAPE, fleet_gap_s=None),
             ),
         ],
         ids=[
             'faults',
             'faults, loads and signals',
             'faults, loads, signals and changes',
+            'all but changes beside several instances',
         ],
     )
     def test_other_kinds_do_not_change_the_schedule(
