Do not judge a route that nobody could know after a restore in the soak

Such a time is recorded only if no process of before the restore runs when the lost objects are written again, and it covers only routes that the copy lacked, from the restore to 2.5 s after they are written again. All else is judged as before; a table of cases in TestCheckers has both sides.

--- a/packages/emulator/src/skylarktack/emulator/soak/__init__.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/__init__.py
@@ -1,5 +1,10 @@
 """A fault soak: real instances, faults from outside, promises checked."""
 
+from skylarktack.emulator.soak._callers import CallRecord
+from skylarktack.emulator.soak._checkers import Evidence
+from skylarktack.emulator.soak._checkers import Promise
+from skylarktack.emulator.soak._checkers import UnknownTime
+from skylarktack.emulator.soak._checkers import check_all
 from skylarktack.emulator.soak._regressions import REGRESSIONS
 from skylarktack.emulator.soak._regressions import Regression
 from skylarktack.emulator.soak._run import SoakResult
@@ -21,11 +26,16 @@
     'RESTORE_KINDS',
     'SIGNAL_KINDS',
     'REGRESSIONS',
+    'CallRecord',
+    'Evidence',
     'Injection',
     'InjectionKind',
+    'Promise',
     'Regression',
     'SoakResult',
     'SoakShape',
+    'UnknownTime',
+    'check_all',
     'draw_schedule',
     'run_seed',
 ]
--- a/packages/emulator/src/skylarktack/emulator/soak/_checkers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_checkers.py
@@ -34,6 +34,22 @@
             self.broken.append(what)
 
 
+@dataclasses.dataclass(frozen=True)
+class UnknownTime:
+    """A time in which neither the store nor a process knew some routes.
+
+    The store was restored from a copy without them, and all processes of
+    before were killed before the routes were written again.
+    """
+
+    #: Routes that the copy lacked.
+    routes: frozenset[str]
+
+    #: From the restore until the routes were written again.
+    began_at_s: float
+    ended_at_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Evidence:
     """All that callers and targets saw in a run."""
@@ -45,6 +61,9 @@
     #: When each route that was added was acknowledged.
     confirmed_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    #: Times in which nobody knew some of them.
+    unknown_times: tuple[UnknownTime, ...] = ()
+
 
 def check_all(evidence: Evidence) -> tuple[Promise, ...]:
     """Return all promises with their checks."""
@@ -164,6 +183,8 @@
         confirmed_at_s = evidence.confirmed_at_s.get(call.attempt.route)
         if call.answer is None or confirmed_at_s is None:
             continue
+        if _is_unknown(evidence, call):
+            continue
         after_s = call.started_at_s - confirmed_at_s
         if after_s > APPLY_S + CHECK_S:
             promise.check(
@@ -175,6 +196,17 @@
     return promise
 
 
+def _is_unknown(evidence: Evidence, call: _callers.CallRecord) -> bool:
+    """Return whether nobody could know the route when it was called."""
+    for each in evidence.unknown_times:
+        if call.attempt.route not in each.routes:
+            continue
+        known_at_s = each.ended_at_s + APPLY_S + CHECK_S
+        if each.began_at_s <= call.started_at_s <= known_at_s:
+            return True
+    return False
+
+
 def _organisation(evidence: Evidence) -> Promise:
     promise = Promise('a target is told the organisation of the key')
     for run in evidence.runs:
--- a/packages/emulator/src/skylarktack/emulator/soak/_restores.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_restores.py
@@ -7,6 +7,7 @@
 import time
 
 from skylarktack.emulator import platform
+from skylarktack.emulator.soak import _checkers
 from skylarktack.emulator.soak import _configuration
 from skylarktack.emulator.soak import _injectors
 from skylarktack.emulator.soak import _schedule
@@ -99,6 +100,7 @@
         self._injector = injector
         self._lock = threading.Lock()
         self._tasks: list[threading.Thread] = []
+        self.unknown_times: list[_checkers.UnknownTime] = []
 
     def start(self, injection: _schedule.Injection) -> None:
         """Start one restore; it ends by itself."""
@@ -122,7 +124,9 @@
         frozen = draw.sample(instances, plan.frozen_count)
         store = self._deployment.store
         with self._lock:
-            copy = store.snapshot()
+            with self._editor.hold():
+                copy = store.snapshot()
+                routes = self._editor.confirmed_at_s().keys()
             self._change(plan.lost_change_count)
             time.sleep(plan.age_s)
             for instance in frozen:
@@ -135,11 +139,25 @@
                 store.set_mode(platform.StoreMode.RESET)
                 time.sleep(plan.away_s)
                 lost_revision = store.revision
+                lost_routes = self._editor.confirmed_at_s().keys() - routes
+                processes = [each.process for each in instances]
+                restored_at_s = time.monotonic()
                 store.restore(copy)
                 store.set_mode(platform.StoreMode.GOOD)
             self._change(plan.early_change_count)
             time.sleep(plan.write_delay_s)
             store.write_again()
+            if not any(
+                instance.is_running and instance.process is process
+                for instance, process in zip(instances, processes, strict=True)
+            ):
+                self.unknown_times.append(
+                    _checkers.UnknownTime(
+                        frozenset(lost_routes),
+                        restored_at_s,
+                        time.monotonic(),
+                    )
+                )
             if plan.passes_revision:
                 self._pass_revision(lost_revision)
             time.sleep(plan.continue_delay_s)
--- a/packages/emulator/src/skylarktack/emulator/soak/_run.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_run.py
@@ -96,7 +96,10 @@
             _recovery.check_recovery(deployment),
             _recovery.check_bad_versions(deployment),
         )
-        evidence = _evidence(deployment, callers, editor)
+        evidence = dataclasses.replace(
+            _evidence(deployment, callers, editor),
+            unknown_times=tuple(restores.unknown_times),
+        )
         result = SoakResult(
             seed,
             schedule,
--- a/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
@@ -114,6 +114,46 @@
             deployment.order_move('desk', 'v3', 4.0)
             assert not deployment.has_move_ended('desk')
 
+    @pytest.mark.parametrize(
+        'status, route, at_s, is_broken',
+        [
+            (404, 'r2', 12.4, False),
+            (404, 'r2', 12.6, True),
+            (503, 'r2', 12.6, False),
+            (404, 'r2', 29.9, True),
+            (404, 'r2', 30.1, False),
+            (404, 'r2', 34.4, False),
+            (404, 'r2', 34.6, True),
+            (404, 'r1', 30.1, True),
+        ],
+    )
+    def test_a_late_denial_of_a_confirmed_route_shows(
+        self, status: int, route: str, at_s: float, is_broken: bool
+    ) -> None:
+        """Guards against a missed change that no checker sees."""
+        call = soak.CallRecord(
+            platform.Attempt(route, 'attempt'),
+            'instance-0',
+            1,
+            at_s,
+            at_s + 0.1,
+            platform.Answer(status, b'', {}),
+        )
+        evidence = soak.Evidence(
+            (call,),
+            (),
+            (),
+            {'r1': 0.0, 'r2': 10.0},
+            (soak.UnknownTime(frozenset(('r2',)), 30.0, 32.0),),
+        )
+        broken = [
+            promise.name
+            for promise in soak.check_all(evidence)
+            if promise.broken
+        ]
+        name = 'a route that was confirmed is not denied later'
+        assert broken == [name] * is_broken
+
 
 class TestSchedule:
     """The schedule comes from the seed alone."""
