--- a/packages/emulator/src/skylarktack/emulator/soak/_run.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_run.py
@@ -9,11 +9,13 @@
 from skylarktack.emulator.soak import _changes
 from skylarktack.emulator.soak import _checkers
 from skylarktack.emulator.soak import _configuration
+from skylarktack.emulator.soak import _fleet_changes
 from skylarktack.emulator.soak import _injectors
 from skylarktack.emulator.soak import _kept_callers
 from skylarktack.emulator.soak import _kept_checkers
 from skylarktack.emulator.soak import _loads
 from skylarktack.emulator.soak import _recovery
+from skylarktack.emulator.soak import _restores
 from skylarktack.emulator.soak import _schedule
 
 
@@ -58,11 +60,15 @@
         editor = _configuration.ConfigurationEditor(deployment)
         injector = _injectors.Injector(deployment, editor)
         changes = _changes.ChangeInjector(deployment, editor, injector)
+        restores = _restores.RestoreInjector(deployment, editor, injector)
+        fleet = _fleet_changes.FleetChangeInjector(
+            deployment, editor, injector
+        )
         callers = _callers.Callers(deployment, seed)
         kept = _kept_callers.KeptCallers(deployment, editor, callers, seed)
         loads = _loads.LoadGenerator(deployment, callers, editor)
         callers.start(shape.caller_count)
-        if shape.change_gap_s is not None:
+        if shape.keeps_connections:
             kept.start(shape.kept_caller_count)
         started_s = time.monotonic()
         for injection in schedule:
@@ -72,9 +78,15 @@
                 loads.start(injection)
             elif injection.kind in _schedule.CHANGE_KINDS:
                 changes.start(injection)
+            elif injection.kind in _schedule.RESTORE_KINDS:
+                restores.start(injection)
+            elif injection.kind in _schedule.FLEET_KINDS:
+                fleet.start(injection)
             else:
                 injector.inject(injection)
         changes.wait_ended()
+        fleet.wait_ended()
+        restores.wait_ended()
         injector.mend()
         loads.wait_ended()
         kept.stop()
@@ -84,7 +96,10 @@
             _recovery.check_recovery(deployment),
             _recovery.check_bad_versions(deployment),
         )
-        evidence = _evidence(deployment, callers)
+        evidence = dataclasses.replace(
+            _evidence(deployment, callers, editor),
+            unknown_times=tuple(restores.unknown_times),
+        )
         result = SoakResult(
             seed,
             schedule,
@@ -106,7 +121,9 @@
 
 
 def _evidence(
-    deployment: platform.PlatformDeployment, callers: _callers.Callers
+    deployment: platform.PlatformDeployment,
+    callers: _callers.Callers,
+    editor: _configuration.ConfigurationEditor,
 ) -> _checkers.Evidence:
     probe_ids = _probe_ids(deployment, callers)
     return _checkers.Evidence(
@@ -115,6 +132,7 @@
         tuple(
             run for run in deployment.runs() if run.attempt_id not in probe_ids
         ),
+        editor.confirmed_at_s(),
     )
 
 
--- a/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_soak.py
@@ -35,7 +35,11 @@
 
 #: All that can be injected.
 FULL_SHAPE = dataclasses.replace(
-    LOAD_SHAPE, signal_gap_s=0.7, change_gap_s=0.7
+    LOAD_SHAPE,
+    signal_gap_s=0.7,
+    change_gap_s=0.7,
+    restore_gap_s=1.0,
+    fleet_gap_s=1.0,
 )
 
 
@@ -110,6 +114,46 @@
             deployment.order_move('desk', 'v3', 4.0)
             assert not deployment.has_move_ended('desk')
 
+    @pytest.mark.parametrize(
+        'status, route, at_s, is_broken',
+        [
+            (404, 'r2', 12.4, False),
+            (404, 'r2', 12.6, True),
+            (503, 'r2', 12.6, False),
+            (404, 'r2', 29.9, True),
+            (404, 'r2', 30.1, False),
+            (404, 'r2', 34.4, False),
+            (404, 'r2', 34.6, True),
+            (404, 'r1', 30.1, True),
+        ],
+    )
+    def test_a_late_denial_of_a_confirmed_route_shows(
+        self, status: int, route: str, at_s: float, is_broken: bool
+    ) -> None:
+        """Guards against a missed change that no checker sees."""
+        call = soak.CallRecord(
+            platform.Attempt(route, 'attempt'),
+            'instance-0',
+            1,
+            at_s,
+            at_s + 0.1,
+            platform.Answer(status, b'', {}),
+        )
+        evidence = soak.Evidence(
+            (call,),
+            (),
+            (),
+            {'r1': 0.0, 'r2': 10.0},
+            (soak.UnknownTime(frozenset(('r2',)), 30.0, 32.0),),
+        )
+        broken = [
+            promise.name
+            for promise in soak.check_all(evidence)
+            if promise.broken
+        ]
+        name = 'a route that was confirmed is not denied later'
+        assert broken == [name] * is_broken
+
 
 class TestSchedule:
     """The schedule comes from the seed alone."""
@@ -132,15 +176,39 @@
         'added, shape',
         [
             (
-                soak.LOAD_KINDS + soak.SIGNAL_KINDS + soak.CHANGE_KINDS,
+                soak.LOAD_KINDS
+                + soak.SIGNAL_KINDS
+                + soak.CHANGE_KINDS
+                + soak.RESTORE_KINDS
+                + soak.FLEET_KINDS,
                 SHAPE,
             ),
             (
-                soak.CHANGE_KINDS,
-                dataclasses.replace(FULL_SHAPE, change_gap_s=None),
+                soak.CHANGE_KINDS + soak.RESTORE_KINDS + soak.FLEET_KINDS,
+                dataclasses.replace(
+                    FULL_SHAPE,
+                    change_gap_s=None,
+                    restore_gap_s=None,
+                    fleet_gap_s=None,
+                ),
+            ),
+            (
+                soak.RESTORE_KINDS + soak.FLEET_KINDS,
+                dataclasses.replace(
+                    FULL_SHAPE, restore_gap_s=None, fleet_gap_s=None
+                ),
             ),
+            (
+                soak.FLEET_KINDS,
+                dataclasses.replace(FULL_SHAPE, fleet_gap_s=None),
+            ),
+        ],
+        ids=[
+            'faults',
+            'faults, loads and signals',
+            'faults, loads, signals and changes',
+            'all but changes beside several instances',
         ],
-        ids=['faults', 'faults, loads and signals'],
     )
     def test_other_kinds_do_not_change_the_schedule(
         self,
