Wait for the peers' reports before refusing by a configuration

Cause: compares the own version with those that peers report, and before the first report, some 0.1 to 0.3 s after the start, there is nothing to compare with, while the restored store confirms the copy.

An instance with peers does not count its configuration as current in its first second: what it does not know is refused with 503 and a time to return. Not taken: to wait for one report, since the first one may come from another instance that has just started; and to hold readiness back, since what the copy allows is served by all.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -24,12 +24,18 @@
     """
 
     def __init__(
-        self, clock: Clock, log: _events.EventLog, lag_s: float
+        self,
+        clock: Clock,
+        log: _events.EventLog,
+        lag_s: float,
+        peer_wait_s: float,
     ) -> None:
         """Create a holder without a configuration.
 
         :param lag_s: maximum time for which this instance may not know a
             configuration that is in force elsewhere.
+        :param peer_wait_s: time from now on within which the peers report
+            their versions; 0 without peers.
         """
         self.limits = _front_limits.FrontLimitHistory(clock, lag_s)
         self._clock = clock
@@ -39,6 +45,7 @@
         self._confirmed_until_s = 0.0
         self._peer_version = 0
         self._peer_version_until_s = 0.0
+        self._peers_reported_at_s = clock.monotonic_s() + peer_wait_s
         self.is_synced = threading.Event()
 
     @property
@@ -100,9 +107,12 @@
     def is_current(self) -> bool:
         """Return whether the last confirmation is still valid.
 
-        It is not while a peer is known to have a newer configuration.
+        It is not while a peer is known to have a newer configuration, nor
+        before the peers had the time to report theirs.
         """
         now_s = self._clock.monotonic_s()
+        if now_s < self._peers_reported_at_s:
+            return False
         with self._lock:
             is_behind = self.version < self._peer_version
             if is_behind and now_s < self._peer_version_until_s:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -17,6 +17,9 @@
 #: Maximum time until a configuration is in force on all instances.
 CONFIGURATION_LAG_S = 2.0
 
+#: The instances of most tests have no peers.
+PEER_WAIT_S = 0.0
+
 
 class _Splitter:
     """Splits a stream into events, which end with an empty line."""
@@ -429,7 +432,7 @@
 ) -> GatewayHarness:
     """Return a gateway that has not received a configuration yet."""
     holder = forwarding.ConfigurationHolder(
-        harness.clock, harness.log, CONFIGURATION_LAG_S
+        harness.clock, harness.log, CONFIGURATION_LAG_S, PEER_WAIT_S
     )
     gateway = forwarding.Gateway(
         forwarding.GatewayDependencies(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding import _front_limits
 from skylarktack.coordination.forwarding.tests import harness
@@ -291,6 +292,18 @@
         gateway_env.holder.confirm(4.0)
         assert gateway_env.holder.is_current() is is_current
 
+    def test_waits_for_the_first_reports(self) -> None:
+        """Guards against a 404 before the first peer reports its version."""
+        clock = fakes.SteppingClock()
+        holder = forwarding.ConfigurationHolder(
+            clock, fakes.RecordingLog(), 4.0, peer_wait_s=1.0
+        )
+        holder.replace_if_newer(harness.configuration(5))
+        holder.confirm(4.0)
+        assert not holder.is_current()
+        clock.advance(1.1)
+        assert holder.is_current()
+
     def test_fleet_exchanges_versions(self) -> None:
         """Guards against a restarted instance that no peer warns."""
         gateway_env = _make_gateway_env()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -49,6 +49,10 @@
 #: stale.
 CONFIRMATION_VALIDITY_S = WATCH_WAIT_S + 1.0
 
+#: Time after the start within which the peers report their configuration. The
+#: store may confirm an older one if it was restored from a copy.
+PEER_REPORT_WAIT_S = 1.0
+
 #: Threads for background tasks and accept loops, connections not included.
 BACKGROUND_TASK_COUNT = 16
 
@@ -81,6 +85,7 @@
             clock,
             log,
             max(settings.configuration_lag_ms / 1000, CONFIRMATION_VALIDITY_S),
+            0.0 if settings.peer is None else PEER_REPORT_WAIT_S,
         )
         self._link: transport.DatagramLink | None = None
         if settings.peer is not None:
