Evict until a connection without a thread has one

A caller whose connection arrives while the system has no more threads could wait without an answer until some other caller left by itself.

Cause, not the load: when no thread can be started, one idle connection is evicted so that its thread takes the queued one, and this was tried once. The first caller had received its answer, but its thread had not yet come back to waiting, so there was no idle connection, and nothing tried again.

The listener now repeats it until a connection has ended, at each end or after the interval that it uses when it is full.

--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -144,9 +144,24 @@
             # The system has no more threads. The connection stays queued for
             # the next thread that is free.
             self._errors.record('start of a connection', error)
+            self._free_thread(connection)
+
+    def _free_thread(self, queued: _front_connection.FrontConnection) -> None:
+        """Wait until a connection has ended, whose thread serves another.
+
+        None may be idle at first, so eviction is repeated.
+        """
+        with self._lock:
+            ended_count = self._end_counts.total()
+        while not self._is_closed:
             with self._lock:
-                connections = tuple(self._open - {connection})
+                connections = tuple(self._open - {queued})
+                if not connections or self._end_counts.total() > ended_count:
+                    return
             _evict_longest_waiting(connections)
+            with self._has_ended:
+                if self._end_counts.total() == ended_count:
+                    self._has_ended.wait(ROOM_CHECK_S)
 
     def _make_room(self) -> None:
         """Wait until one more connection may be open."""
