Restart the tasks of membership and moves when they fail

An unexpected error in the watch of the move records, or in the loops of the membership that probe, exchange and rejoin, ended that task without a line: nobody read its future. The instance stayed ready; it served by an older share of a move until the next notice of a peer, or no longer probed its peers, sent them no updates, or did not rejoin those that it had lost.

The tasks now run under the supervisor of the instance, as the poll of the platform's list and the follower of the configuration do since: an error is written as `unexpected error` with the name of the task, counted, and the task starts again after 0.1 s to 5 s. So does the supervision of move drivers, whose rounds caught their errors but whose wait did not.

The parts get the supervisor as `ports.TaskSupervisor` in their dependencies, so they need neither the daemon nor `forwarding`; `forwarding.Supervisor` implements it.

Rounds of the membership caught their errors already, so only the waits between them could end its tasks.

--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -50,6 +50,7 @@
 from skylarktack.coordination.fakes._steps import StepGate
 from skylarktack.coordination.fakes._store import MemoryObjectStore
 from skylarktack.coordination.fakes._store import StoreFaults
+from skylarktack.coordination.fakes._tasks import DirectTaskRunner
 
 __all__ = [
     'RecordingLog',
@@ -63,6 +64,7 @@
     'CallStep',
     'CallSimulation',
     'CallSimulationShape',
+    'DirectTaskRunner',
     'EngineFault',
     'EngineFaultKind',
     'FaultedSummary',
--- a/packages/coordination/src/skylarktack/coordination/fakes/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_fleet.py
@@ -7,6 +7,7 @@
 from skylarktack.coordination.fakes import _clock
 from skylarktack.coordination.fakes import _links
 from skylarktack.coordination.fakes import _metrics
+from skylarktack.coordination.fakes import _tasks
 
 #: Duration of a step of the fleet, which is the exchange interval.
 STEP_S = 0.5
@@ -47,6 +48,7 @@
                 table=table,
                 clock=self.clock,
                 metrics=self.metrics,
+                supervisor=_tasks.DirectTaskRunner(),
                 seed=self._random.randrange(2**32),
             )
         )
--- a/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_moves.py
@@ -18,6 +18,7 @@
 from skylarktack.coordination.fakes import _metrics
 from skylarktack.coordination.fakes import _peers
 from skylarktack.coordination.fakes import _store
+from skylarktack.coordination.fakes import _tasks
 
 
 class MemoryMoveCodec:
@@ -265,6 +266,7 @@
                 configuration=self.configuration,
                 selector=self,  # type: ignore[arg-type]
                 metrics=self.metrics,
+                supervisor=_tasks.DirectTaskRunner(),
             ),
             judge,
         )
--- a/packages/coordination/src/skylarktack/coordination/membership/_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_membership.py
@@ -57,6 +57,9 @@
 
     metrics: ports.Metrics
 
+    #: Runs the background tasks.
+    supervisor: ports.TaskSupervisor
+
     #: Seed of the random choices; None for an unpredictable one.
     seed: int | None = None
 
@@ -130,9 +133,10 @@
 
     def start(self) -> None:
         """Start the probe, exchange and rejoin tasks."""
-        self._tasks.submit(self._run_rejoins)
-        self._tasks.submit(self._run_probes)
-        self._tasks.submit(self._run_exchanges)
+        run = self._dependencies.supervisor.run
+        self._tasks.submit(run, 'membership rejoins', self._run_rejoins)
+        self._tasks.submit(run, 'membership probes', self._run_probes)
+        self._tasks.submit(run, 'membership exchanges', self._run_exchanges)
 
     def leave(self) -> None:
         """Announce to the neighbours that this instance is leaving.
--- a/packages/coordination/src/skylarktack/coordination/moves/_coordinator.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_coordinator.py
@@ -96,6 +96,9 @@
 
     metrics: ports.Metrics
 
+    #: Runs the background tasks.
+    supervisor: ports.TaskSupervisor
+
 
 class MoveCoordinator:
     """Runs the moves of one instance: splits, evidence and drivers."""
@@ -154,8 +157,9 @@
 
     def start(self) -> None:
         """Start the background tasks."""
-        self._executor.submit(self._watch_records)
-        self._executor.submit(self._supervise)
+        run = self._dependencies.supervisor.run
+        self._executor.submit(run, 'move records', self._watch_records)
+        self._executor.submit(run, 'move supervision', self._supervise)
 
     def stop(self) -> None:
         """Stop all tasks; other instances take over once leases expire."""
--- a/packages/coordination/src/skylarktack/coordination/ports/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/__init__.py
@@ -42,6 +42,7 @@
     from skylarktack.coordination.ports._services import ServiceClient
     from skylarktack.coordination.ports._services import TargetHealth
     from skylarktack.coordination.ports._store import ObjectStore
+    from skylarktack.coordination.ports._tasks import TaskSupervisor
 
 __all__ = [
     'Admission',
@@ -75,6 +76,7 @@
     'TargetCommand',
     'TargetCommandKind',
     'TargetSelector',
+    'TaskSupervisor',
     'TokenStream',
     'VersionSelector',
 ]
@@ -113,6 +115,7 @@
     'ServiceClient': '_services',
     'TargetHealth': '_services',
     'ObjectStore': '_store',
+    'TaskSupervisor': '_tasks',
 }
 
 __getattr__ = lazy_exports(__name__, _MODULE_BY_NAME)
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -57,7 +57,9 @@
             self._clock, self._metrics
         )
         self._supervisor = forwarding.Supervisor(self._clock, self._errors)
-        self._peers = _peers.Peers(settings, self._clock, self._metrics)
+        self._peers = _peers.Peers(
+            settings, self._clock, self._metrics, self._supervisor
+        )
         network = self._peers.network
         self._configuration = _configuration.ConfigurationComponents(
             self._store, network, self._clock, self._metrics
@@ -78,6 +80,7 @@
             self._configuration.holder,
             self._routing.selector,
             self._metrics,
+            self._supervisor,
         )
         outcomes = _outcomes.OutcomeBroadcaster(
             self._metrics, self._routing.selector, self._moves.collector
--- a/packages/daemon/src/skylarktack/daemon/_moves.py
+++ b/packages/daemon/src/skylarktack/daemon/_moves.py
@@ -19,6 +19,7 @@
     configuration: ports.ConfigurationSource,
     selector: ports.TargetSelector,
     metrics: ports.Metrics,
+    supervisor: ports.TaskSupervisor,
 ) -> moves.MoveCoordinator:
     """Return the move coordinator of one instance, not yet started."""
     return moves.MoveCoordinator(
@@ -32,5 +33,6 @@
             configuration=configuration,
             selector=selector,
             metrics=metrics,
+            supervisor=supervisor,
         )
     )
--- a/packages/daemon/src/skylarktack/daemon/_peers.py
+++ b/packages/daemon/src/skylarktack/daemon/_peers.py
@@ -15,6 +15,7 @@
         settings: state.InstanceSettings,
         clock: ports.Clock,
         metrics: ports.Metrics,
+        supervisor: ports.TaskSupervisor,
     ) -> None:
         listening_socket = transport.listen_for_peers(settings.peer.listen)
         self.address = state.Address(
@@ -51,6 +52,7 @@
                 table=table,
                 clock=clock,
                 metrics=metrics,
+                supervisor=supervisor,
             )
         )
 
--- a/packages/daemon/src/skylarktack/daemon/tests/test_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_instance.py
@@ -107,6 +107,7 @@
         [
             (_limits.LimitsComponents, 'update'),
             (configuration.ConfigurationFollower, 'follow'),
+            (moves.MoveCoordinator, 'read_records'),
         ],
     )
     def test_task_is_started_again(
@@ -116,7 +117,7 @@
         instance: daemon.Instance,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        """Guards against an instance that serves by a stale list."""
+        """Guards against an instance that serves by stale objects."""
         fails_once = _FailsOnce()
         monkeypatch.setattr(
             transport.HttpObjectStore,
--- a/packages/daemon/src/skylarktack/daemon/tests/test_peers.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_peers.py
@@ -32,7 +32,12 @@
         store=state.StoreSettings(any_port),
         peer=state.PeerSettings(any_port),
     )
-    return daemon.Peers(settings, ports.SystemClock(), fakes.MemoryMetrics())
+    return daemon.Peers(
+        settings,
+        ports.SystemClock(),
+        fakes.MemoryMetrics(),
+        fakes.DirectTaskRunner(),
+    )
 
 
 @pytest.fixture(name='pair')
--- a/packages/emulator/src/skylarktack/emulator/_peer_process.py
+++ b/packages/emulator/src/skylarktack/emulator/_peer_process.py
@@ -81,7 +81,12 @@
         peer=state.PeerSettings(anywhere),
     )
     metrics = _TimedMetrics()
-    peers = daemon.Peers(settings, ports.SystemClock(), metrics)
+    peers = daemon.Peers(
+        settings,
+        ports.SystemClock(),
+        metrics,
+        fakes.DirectTaskRunner(),
+    )
     control = PeerControlServer(peers, metrics)
     signals = daemon.ProcessSignals()
     signals.install(daemon.STOP_SIGNALS)
