Accept callers until the balancer knows that skylarktackd stops

A planned stop of skylarktackd closed the listener for callers as soon as its generations were drained, at once if there were none. A load balancer that had not asked `readyz` since then still sent callers there, and their connections were refused.

The listener now stays open, and callers are answered, until two readiness checks after the begin of the stop were answered with 503, or until 3 s have passed, as long as the forwarding front end accepts. Both are settings, `stop.unready_check_count` and `stop.accept_ms`; a negative time or a count below 1 is a finding at the start. Only `GET /readyz` counts as a check, not the status that operators and peers read. New generations are still refused as `stopping`, with `not_run`; lookups and bookings are served.

A stop without a balancer lasts for up to 3 s longer than before, which the 5 s for answers after a drain are not reduced by.

--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -25,6 +25,7 @@
 from skylarktack.daemon import _peers
 from skylarktack.daemon import _routing
 from skylarktack.daemon import _status
+from skylarktack.daemon import _stopping
 
 #: Up to this number of instances, each reads the platform's list once per
 #: interval; larger fleets read proportionally less often.
@@ -33,10 +34,6 @@
 #: Threads that serve operator connections.
 OPERATOR_THREAD_COUNT = 8
 
-#: Minimum time for the answers to requests in progress once the generations
-#: are drained, even if that took the whole drain time.
-MIN_ANSWER_S = 5.0
-
 _LOG = structlog.get_logger(part='instance')
 
 
@@ -116,6 +113,9 @@
             network,
         )
         self._status = _status.FleetStatus(network, self.status)
+        self._balancer_readiness = _stopping.BalancerReadiness(
+            self, self.stop_ordered, settings.stop.unready_check_count
+        )
         self._caller_server = self._build_caller_server()
         self._operator_server = self._build_operator_server()
         # One thread watches the configuration, one polls the platform's list.
@@ -186,17 +186,24 @@
         """Drain the generations, answer other requests, stop all tasks.
 
         Running generations finish within the drain time or are handed over.
+        Callers are accepted until the load balancer has noticed the stop.
         A step that fails is recorded; the others are done all the same.
         """
-        stop_began_at_s = self._clock.monotonic_s()
+        times = _stopping.StopTimes(
+            self._settings, self._clock, self._clock.monotonic_s()
+        )
         self.stop_ordered.set()
         with self._errors.contain('drain of generations'):
             self._generations.drain()
+        with self._errors.contain('wait for the load balancer'):
+            self._balancer_readiness.wait_noticed(
+                self._clock, times.accept_s()
+            )
         # Requests in progress need the tasks that are stopped below.
         with self._errors.contain('stop of the caller server'):
-            self._caller_server.stop(self._answer_time_s(stop_began_at_s))
+            self._caller_server.stop(times.caller_answer_s())
         with self._errors.contain('stop of the operator server'):
-            self._operator_server.stop(MIN_ANSWER_S)
+            self._operator_server.stop(_stopping.MIN_ANSWER_S)
         self._stopping.set()
         steps: tuple[tuple[str, Callable[[], None]], ...] = (
             ('stop of moves', self._moves.stop),
@@ -213,19 +220,13 @@
         self._tasks.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped')
 
-    def _answer_time_s(self, stop_began_at_s: float) -> float:
-        """Return how long the answers to requests in progress may take."""
-        drain_s = self._settings.generation.drain_ms / 1000
-        elapsed_s = self._clock.monotonic_s() - stop_began_at_s
-        return max(MIN_ANSWER_S, drain_s - elapsed_s)
-
     def _build_caller_server(self) -> transport.WsgiServer:
         settings = self._settings
         application = transport.CallerApplication(
             transport.CallerParts(
                 settings=settings,
                 configuration=self._configuration.holder,
-                readiness=self,
+                readiness=self._balancer_readiness,
                 admission=self._limits.admission,
                 generations=self._generations,
                 lookups=self._calls.lookups,
--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -3,15 +3,18 @@
 import json
 import os
 import sys
+from typing import NoReturn
 
 import fire
 
 from skylarktack import protocol
+from skylarktack import state
 from skylarktack import transport
 from skylarktack.daemon import _instance
 from skylarktack.daemon import _settings_file
 from skylarktack.daemon import _signals
 from skylarktack.daemon import _start
+from skylarktack.daemon import _stopping
 
 #: Exit code for invalid settings.
 EXIT_INVALID_SETTINGS = 2
@@ -43,12 +46,10 @@
         sys.exit(EXIT_INVALID_SETTINGS)
     decoded = protocol.decode_settings(text)
     if decoded.is_error():
-        for finding in decoded.error:
-            print(
-                f'{settings}: {finding.place}: {finding.message}',
-                file=sys.stderr,
-            )
-        sys.exit(EXIT_INVALID_SETTINGS)
+        _exit_with_findings(settings, decoded.error)
+    findings = _stopping.check_stop_settings(decoded.ok)
+    if findings:
+        _exit_with_findings(settings, findings)
     with _start.exit_on_error():
         instance = _instance.Instance(decoded.ok)
         instance.start()
@@ -75,6 +76,15 @@
         os._exit(0)
 
 
+def _exit_with_findings(
+    path: str, findings: tuple[state.Finding, ...]
+) -> NoReturn:
+    """Print the findings about a settings file and end the process."""
+    for finding in findings:
+        print(f'{path}: {finding.place}: {finding.message}', file=sys.stderr)
+    sys.exit(EXIT_INVALID_SETTINGS)
+
+
 def main() -> None:
     """Run the command line of ``skylarktackd``."""
     fire.Fire(run)
--- a/packages/daemon/src/skylarktack/daemon/tests/test_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_instance.py
@@ -41,6 +41,7 @@
             store=state.StoreSettings(state.Address('127.0.0.1', 9)),
             peer=state.PeerSettings(_ANY_PORT),
             generation=state.GenerationSettings(drain_ms=100),
+            stop=state.StopSettings(accept_ms=0),
         )
     )
     yield instance
--- a/packages/daemon/src/skylarktack/daemon/tests/test_main.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_main.py
@@ -2,17 +2,24 @@
 
 import json
 import pathlib
+import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
+from skylarktack import state
+from skylarktack import transport
 from skylarktack.daemon import _start
 
 SCRIPT = pathlib.Path(__file__).with_name('failing_main.py')
 
 PATIENCE_S = 30.0
 
+#: Time by which a stop without generations has drained them.
+STEP_S = 1.0
+
 _ANY_PORT = {'host': '127.0.0.1', 'port': 0}
 
 
@@ -30,6 +37,7 @@
         'store': {'address': {'host': '127.0.0.1', 'port': 9}},
         'peer': {'listen': _ANY_PORT},
         'generation': {'drain_ms': 100},
+        'stop': {'accept_ms': 0},
     }
     path.write_text(json.dumps(document))
     return path
@@ -46,6 +54,12 @@
     )
 
 
+def _status(address: state.Address, path: str) -> int:
+    """Return the status of a request on a new connection; 0 if refused."""
+    answered = transport.http_call(address, 'GET', path, None, {}, PATIENCE_S)
+    return answered.ok.status if answered.is_ok() else 0
+
+
 class TestStart:
     """A start that fails after some of its tasks have begun."""
 
@@ -57,10 +71,42 @@
 
 
 class TestStop:
-    """A planned stop, one step of which fails."""
+    """A planned stop by SIGTERM, one step of which fails."""
 
     def test_process_ends(self, settings: pathlib.Path) -> None:
         """Guards against a process that stays until it is killed."""
         completed = _run(settings, 'stop of moves')
         assert completed.returncode == 0
         assert 'unexpected error' in completed.stderr
+
+    def test_caller_after_the_signal_is_answered(
+        self, settings: pathlib.Path
+    ) -> None:
+        """Guards against refused connections before the balancer knows."""
+        document = json.loads(settings.read_text())
+        document['stop'] = {'accept_ms': 20_000}
+        settings.write_text(json.dumps(document))
+        with subprocess.Popen(
+            [
+                sys.executable,
+                '-m',
+                'skylarktack.daemon',
+                f'--settings={settings}',
+            ],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        ) as process:
+            try:
+                assert process.stdout is not None
+                announced = json.loads(process.stdout.readline())
+                address = state.Address(announced['host'], announced['port'])
+                process.send_signal(signal.SIGTERM)
+                time.sleep(STEP_S)
+                statuses = [
+                    _status(address, path)
+                    for path in ('/healthz', '/readyz', '/healthz', '/readyz')
+                ]
+                assert statuses == [200, 503, 200, 503]
+                assert process.wait(PATIENCE_S / 2) == 0
+            finally:
+                process.kill()
--- a/packages/state/src/skylarktack/state/__init__.py
+++ b/packages/state/src/skylarktack/state/__init__.py
@@ -85,6 +85,7 @@
     from skylarktack.state._settings import LookupSettings
     from skylarktack.state._settings import PeerSettings
     from skylarktack.state._settings import RetrySettings
+    from skylarktack.state._settings import StopSettings
     from skylarktack.state._settings import StoreSettings
     from skylarktack.state._store import StoredObject
     from skylarktack.state._store import StoreFault
@@ -178,6 +179,7 @@
     'StatusRequest',
     'StoreFault',
     'StoreFaultKind',
+    'StopSettings',
     'StoreSettings',
     'StoredObject',
     'StreamEnd',
@@ -276,6 +278,7 @@
     'LookupSettings': '_settings',
     'PeerSettings': '_settings',
     'RetrySettings': '_settings',
+    'StopSettings': '_settings',
     'StoreSettings': '_settings',
     'StoredObject': '_store',
     'StoreFault': '_store',
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -249,6 +249,19 @@
     eject_ceiling_ms: int = 30_000
 
 
+@dataclasses.dataclass(frozen=True)
+class StopSettings:
+    """Settings of the planned stop."""
+
+    #: Maximum time for which callers are accepted after the stop began while
+    #: the load balancer may take the instance for ready.
+    accept_ms: int = 3000
+
+    #: Readiness checks that must be answered with "not ready" before callers
+    #: are refused earlier; with several load balancers, those of each.
+    unready_check_count: int = 2
+
+
 @dataclasses.dataclass(frozen=True)
 class InstanceSettings:
     """All settings of one entry instance."""
@@ -299,5 +312,7 @@
 
     move: MoveSettings = dataclasses.field(default_factory=MoveSettings)
 
+    stop: StopSettings = dataclasses.field(default_factory=StopSettings)
+
     #: Where statsd listens; None disables it.
     statsd: Address | None = None
