Bound the planned stop of skylarktackd by a grace period

The stop had no bound of its own. Its steps add up to `drain_ms`, 3 s for handovers, up to 7 s each for callers and operators and 0.5 s for the announcement to the peers; a step that does not return kept the process until it was killed. Operators could not tell how long to wait before the kill.

The setting `stop.grace_ms` bounds the whole stop from the signal on. The answers to callers and operators get what the drain leaves, less 2.5 s and 1.5 s for the steps after them. A timer ends the process with code 1 just before the end, as in the forwarding front end, if a step does not return. An operator's stop counts from when the main thread sees it, up to 0.5 s after the order.

By default the grace period is 20 s more than the longer of `drain_ms` and `accept_ms`, which is more than the sum above, so that no stop that ended by itself is cut off now, whatever `drain_ms` a settings file has. One that is set must be 8 s more than these, which the handovers, short answers and the end of the tasks need; a shorter one is a finding at the start.

Without the bound on the answers, TestGracePeriod .test_stop_ends_though_a_caller_never_does failed (5.0 s under a grace period of 4 s, with a caller whose request body never ends). Without the timer, TestStop.test_process_ends_within_its_grace_period failed (a stop of moves that does not return; the process ran on after 30 s). Both pass now.

--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -50,10 +50,9 @@
         self._clock = ports.SystemClock()
         self._store = transport.HttpObjectStore(settings.store)
         self._metrics = transport.StatsdMetrics(settings.statsd)
-        self._errors = _errors.CountingErrorRecorder(
-            self._clock, self._metrics
-        )
-        self._supervisor = forwarding.Supervisor(self._clock, self._errors)
+        #: Unexpected errors of this instance.
+        self.errors = _errors.CountingErrorRecorder(self._clock, self._metrics)
+        self._supervisor = forwarding.Supervisor(self._clock, self.errors)
         self._peers = _peers.Peers(
             settings, self._clock, self._metrics, self._supervisor
         )
@@ -182,28 +181,31 @@
             'accepting callers', address=str(self._caller_server.address)
         )
 
-    def stop(self) -> None:
+    def stop(self, began_at_s: float | None = None) -> None:
         """Drain the generations, answer other requests, stop all tasks.
 
         Running generations finish within the drain time or are handed over.
         Callers are accepted until the load balancer has noticed the stop.
         A step that fails is recorded; the others are done all the same.
+
+        :param began_at_s: monotonic time from which the grace period counts;
+            None for now.
         """
-        times = _stopping.StopTimes(
-            self._settings, self._clock, self._clock.monotonic_s()
-        )
+        if began_at_s is None:
+            began_at_s = self._clock.monotonic_s()
+        times = _stopping.StopTimes(self._settings, self._clock, began_at_s)
         self.stop_ordered.set()
-        with self._errors.contain('drain of generations'):
+        with self.errors.contain('drain of generations'):
             self._generations.drain()
-        with self._errors.contain('wait for the load balancer'):
+        with self.errors.contain('wait for the load balancer'):
             self._balancer_readiness.wait_noticed(
                 self._clock, times.accept_s()
             )
         # Requests in progress need the tasks that are stopped below.
-        with self._errors.contain('stop of the caller server'):
+        with self.errors.contain('stop of the caller server'):
             self._caller_server.stop(times.caller_answer_s())
-        with self._errors.contain('stop of the operator server'):
-            self._operator_server.stop(_stopping.MIN_ANSWER_S)
+        with self.errors.contain('stop of the operator server'):
+            self._operator_server.stop(times.operator_answer_s())
         self._stopping.set()
         steps: tuple[tuple[str, Callable[[], None]], ...] = (
             ('stop of moves', self._moves.stop),
@@ -215,7 +217,7 @@
             ('stop of peers', self._peers.stop),
         )
         for place, step in steps:
-            with self._errors.contain(place):
+            with self.errors.contain(place):
                 step()
         self._tasks.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped')
--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -3,6 +3,7 @@
 import json
 import os
 import sys
+import time
 from typing import NoReturn
 
 import fire
@@ -15,6 +16,7 @@
 from skylarktack.daemon import _signals
 from skylarktack.daemon import _start
 from skylarktack.daemon import _stopping
+from skylarktack.daemon.forwarding import _stopping as forwarding_stopping
 
 #: Exit code for invalid settings.
 EXIT_INVALID_SETTINGS = 2
@@ -66,16 +68,33 @@
         ),
         flush=True,
     )
-    while not instance.stop_ordered.is_set():
-        if signals.wait(STOP_CHECK_S):
-            instance.order_stop()
+    stop_began_at_s = _wait_for_stop(instance, signals)
     try:
-        instance.stop()
+        with instance.errors.contain('exit timer'):
+            forwarding_stopping.exit_before(
+                stop_began_at_s + _stopping.grace_period_s(decoded.ok)
+            )
+        instance.stop(stop_began_at_s)
     finally:
         # Threads of a step that failed would keep the process alive.
         os._exit(0)
 
 
+def _wait_for_stop(
+    instance: _instance.Instance, signals: _signals.ProcessSignals
+) -> float:
+    """Wait for a signal or an operator's stop.
+
+    :return: monotonic time of the signal, or at which the stop was seen.
+    """
+    while not instance.stop_ordered.is_set():
+        received = signals.wait(STOP_CHECK_S)
+        if received:
+            instance.order_stop()
+            return received[0].received_at_s
+    return time.monotonic()
+
+
 def _exit_with_findings(
     path: str, findings: tuple[state.Finding, ...]
 ) -> NoReturn:
--- a/packages/daemon/src/skylarktack/daemon/tests/failing_main.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/failing_main.py
@@ -1,4 +1,4 @@
-"""Runs ``skylarktackd`` with one step that fails.
+"""Runs ``skylarktackd`` with one step that fails or never returns.
 
 Run: ``python failing_main.py SETTINGS STEP``; the process receives SIGTERM
 once it has started.
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import threading
 
 from skylarktack import daemon
 from skylarktack import transport
@@ -17,6 +18,7 @@
 STEPS: dict[str, tuple[type, str]] = {
     'start of servers': (transport.WsgiServer, 'start'),
     'stop of moves': (moves.MoveCoordinator, 'stop'),
+    'endless stop of moves': (moves.MoveCoordinator, 'stop'),
 }
 
 
@@ -24,6 +26,10 @@
     raise RuntimeError("can't start new thread")
 
 
+def _hang(*arguments: object) -> None:
+    threading.Event().wait()
+
+
 class _SignalledInstance(daemon.Instance):
     """Orders its own stop once it has started."""
 
@@ -35,6 +41,7 @@
 
 if __name__ == '__main__':
     owner, method = STEPS[sys.argv[2]]
-    setattr(owner, method, _fail)
+    is_endless = sys.argv[2].startswith('endless')
+    setattr(owner, method, _hang if is_endless else _fail)
     _instance.Instance = _SignalledInstance  # type: ignore[misc]
     daemon.run(sys.argv[1])
--- a/packages/daemon/src/skylarktack/daemon/tests/test_main.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_main.py
@@ -1,4 +1,4 @@
-"""The process of ``skylarktackd`` when one of its steps fails."""
+"""The process of ``skylarktackd`` when one of its steps fails or lasts."""
 
 import json
 import pathlib
@@ -9,14 +9,22 @@
 
 import pytest
 
+from skylarktack import daemon
 from skylarktack import state
 from skylarktack import transport
 from skylarktack.daemon import _start
+from skylarktack.daemon.forwarding import _stopping
 
 SCRIPT = pathlib.Path(__file__).with_name('failing_main.py')
 
 PATIENCE_S = 30.0
 
+#: The shortest grace period for the drain time of these tests.
+GRACE_MS = 8100
+
+#: Time for the start of a process, also on a busy machine.
+START_S = 10.0
+
 #: Time by which a stop without generations has drained them.
 STEP_S = 1.0
 
@@ -37,7 +45,7 @@
         'store': {'address': {'host': '127.0.0.1', 'port': 9}},
         'peer': {'listen': _ANY_PORT},
         'generation': {'drain_ms': 100},
-        'stop': {'accept_ms': 0},
+        'stop': {'accept_ms': 0, 'grace_ms': GRACE_MS},
     }
     path.write_text(json.dumps(document))
     return path
@@ -71,7 +79,7 @@
 
 
 class TestStop:
-    """A planned stop by SIGTERM, one step of which fails."""
+    """A planned stop by SIGTERM, one step of which fails or never ends."""
 
     def test_process_ends(self, settings: pathlib.Path) -> None:
         """Guards against a process that stays until it is killed."""
@@ -79,6 +87,15 @@
         assert completed.returncode == 0
         assert 'unexpected error' in completed.stderr
 
+    def test_process_ends_within_its_grace_period(
+        self, settings: pathlib.Path
+    ) -> None:
+        """Guards against a process that a step keeps until it is killed."""
+        began_s = time.monotonic()
+        completed = _run(settings, 'endless stop of moves')
+        assert completed.returncode == _stopping.EXIT_CUT_OFF
+        assert time.monotonic() - began_s < GRACE_MS / 1000 + START_S
+
     def test_caller_after_the_signal_is_answered(
         self, settings: pathlib.Path
     ) -> None:
@@ -110,3 +127,18 @@
                 assert process.wait(PATIENCE_S / 2) == 0
             finally:
                 process.kill()
+
+
+class TestSettings:
+    """Settings of the planned stop that contradict each other."""
+
+    def test_short_grace_period_exits_with_a_finding(
+        self, settings: pathlib.Path
+    ) -> None:
+        """Guards against stops that are always cut off."""
+        document = json.loads(settings.read_text())
+        document['stop'] = {'grace_ms': 1000}
+        settings.write_text(json.dumps(document))
+        completed = _run(settings, 'stop of moves')
+        assert completed.returncode == daemon.EXIT_INVALID_SETTINGS
+        assert 'stop.grace_ms: Must be at least 11000' in completed.stderr
--- a/packages/daemon/src/skylarktack/daemon/tests/test_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_stopping.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import socket
 import threading
 import time
 
@@ -58,6 +59,13 @@
     return answered.ok.status if answered.is_ok() else 0
 
 
+def _send_slowly(caller: socket.socket, ended: threading.Event) -> None:
+    """Send a request body that never ends, until the connection does."""
+    with contextlib.suppress(OSError):
+        while not ended.wait(0.05):
+            caller.sendall(b'x')
+
+
 class TestAcceptance:
     """New connections after the stop has begun."""
 
@@ -97,8 +105,65 @@
                 _status(address, '/readyz')
 
 
-class TestSettings:
-    """The times of a planned stop."""
+class TestGracePeriod:
+    """The duration of a whole stop."""
+
+    def test_stop_ends_though_a_caller_never_does(self) -> None:
+        """Guards against a stop that outlasts its grace period."""
+        grace_s = 4.0
+        instance = daemon.Instance(
+            dataclasses.replace(
+                SETTINGS,
+                stop=state.StopSettings(
+                    accept_ms=0, grace_ms=round(1000 * grace_s)
+                ),
+            )
+        )
+        instance.start()
+        address = instance.caller_address
+        ended = threading.Event()
+        with socket.create_connection(
+            (address.host, address.port), TIMEOUT_S
+        ) as caller:
+            caller.sendall(
+                b'POST /a HTTP/1.1\r\nHost: h\r\n'
+                b'Content-Length: 100000\r\n\r\n'
+            )
+            sending = threading.Thread(
+                target=_send_slowly, args=(caller, ended)
+            )
+            sending.start()
+            time.sleep(0.2)
+            began_s = time.monotonic()
+            instance.stop()
+            duration_s = time.monotonic() - began_s
+            ended.set()
+            sending.join(TIMEOUT_S)
+        assert duration_s < grace_s
+
+    @pytest.mark.parametrize(
+        ('drain_ms', 'accept_ms', 'grace_ms', 'longest_s'),
+        [
+            (30_000, 3000, None, 50.0),
+            (100, 3000, None, 23.0),
+            (100, 3000, 11_000, 11.0),
+        ],
+    )
+    def test_accepted_settings(
+        self,
+        drain_ms: int,
+        accept_ms: int,
+        grace_ms: int | None,
+        longest_s: float,
+    ) -> None:
+        """Guards against a default that cuts off a drain in progress."""
+        settings = dataclasses.replace(
+            SETTINGS,
+            generation=state.GenerationSettings(drain_ms=drain_ms),
+            stop=state.StopSettings(accept_ms=accept_ms, grace_ms=grace_ms),
+        )
+        assert not _stopping.check_stop_settings(settings)
+        assert _stopping.grace_period_s(settings) == longest_s
 
     @pytest.mark.parametrize(
         ('stop', 'place'),
@@ -108,12 +173,17 @@
                 state.StopSettings(unready_check_count=0),
                 'stop.unready_check_count',
             ),
+            (state.StopSettings(grace_ms=10_999), 'stop.grace_ms'),
+            (
+                state.StopSettings(accept_ms=0, grace_ms=8099),
+                'stop.grace_ms',
+            ),
         ],
     )
     def test_rejected_settings(
         self, stop: state.StopSettings, place: str
     ) -> None:
-        """Guards against a stop that refuses callers at once."""
+        """Guards against a grace period too short for its steps."""
         findings = _stopping.check_stop_settings(
             dataclasses.replace(SETTINGS, stop=stop)
         )
--- a/packages/state/src/skylarktack/state/_settings.py
+++ b/packages/state/src/skylarktack/state/_settings.py
@@ -261,6 +261,10 @@
     #: are refused earlier; with several load balancers, those of each.
     unready_check_count: int = 2
 
+    #: Maximum duration of the whole stop. None allows ``accept_ms`` or
+    #: ``drain_ms``, whichever is longer, and 20 s.
+    grace_ms: int | None = None
+
 
 @dataclasses.dataclass(frozen=True)
 class InstanceSettings:
