--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -25,6 +25,7 @@
 from skylarktack.daemon import _peers
 from skylarktack.daemon import _routing
 from skylarktack.daemon import _status
+from skylarktack.daemon import _stopping
 
 #: Up to this number of instances, each reads the platform's list once per
 #: interval; larger fleets read proportionally less often.
@@ -33,10 +34,6 @@
 #: Threads that serve operator connections.
 OPERATOR_THREAD_COUNT = 8
 
-#: Minimum time for the answers to requests in progress once the generations
-#: are drained, even if that took the whole drain time.
-MIN_ANSWER_S = 5.0
-
 _LOG = structlog.get_logger(part='instance')
 
 
@@ -53,11 +50,12 @@
         self._clock = ports.SystemClock()
         self._store = transport.HttpObjectStore(settings.store)
         self._metrics = transport.StatsdMetrics(settings.statsd)
-        self._errors = _errors.CountingErrorRecorder(
-            self._clock, self._metrics
+        #: Unexpected errors of this instance.
+        self.errors = _errors.CountingErrorRecorder(self._clock, self._metrics)
+        self._supervisor = forwarding.Supervisor(self._clock, self.errors)
+        self._peers = _peers.Peers(
+            settings, self._clock, self._metrics, self._supervisor
         )
-        self._supervisor = forwarding.Supervisor(self._clock, self._errors)
-        self._peers = _peers.Peers(settings, self._clock, self._metrics)
         network = self._peers.network
         self._configuration = _configuration.ConfigurationComponents(
             self._store, network, self._clock, self._metrics
@@ -78,6 +76,7 @@
             self._configuration.holder,
             self._routing.selector,
             self._metrics,
+            self._supervisor,
         )
         outcomes = _outcomes.OutcomeBroadcaster(
             self._metrics, self._routing.selector, self._moves.collector
@@ -113,6 +112,9 @@
             network,
         )
         self._status = _status.FleetStatus(network, self.status)
+        self._balancer_readiness = _stopping.BalancerReadiness(
+            self, self.stop_ordered, settings.stop.unready_check_count
+        )
         self._caller_server = self._build_caller_server()
         self._operator_server = self._build_operator_server()
         # One thread watches the configuration, one polls the platform's list,
@@ -181,21 +183,31 @@
             'accepting callers', address=str(self._caller_server.address)
         )
 
-    def stop(self) -> None:
+    def stop(self, began_at_s: float | None = None) -> None:
         """Drain the generations, answer other requests, stop all tasks.
 
         Running generations finish within the drain time or are handed over.
+        Callers are accepted until the load balancer has noticed the stop.
         A step that fails is recorded; the others are done all the same.
+
+        :param began_at_s: monotonic time from which the grace period counts;
+            None for now.
         """
-        stop_began_at_s = self._clock.monotonic_s()
+        if began_at_s is None:
+            began_at_s = self._clock.monotonic_s()
+        times = _stopping.StopTimes(self._settings, self._clock, began_at_s)
         self.stop_ordered.set()
-        with self._errors.contain('drain of generations'):
+        with self.errors.contain('drain of generations'):
             self._generations.drain()
+        with self.errors.contain('wait for the load balancer'):
+            self._balancer_readiness.wait_noticed(
+                self._clock, times.accept_s()
+            )
         # Requests in progress need the tasks that are stopped below.
-        with self._errors.contain('stop of the caller server'):
-            self._caller_server.stop(self._answer_time_s(stop_began_at_s))
-        with self._errors.contain('stop of the operator server'):
-            self._operator_server.stop(MIN_ANSWER_S)
+        with self.errors.contain('stop of the caller server'):
+            self._caller_server.stop(times.caller_answer_s())
+        with self.errors.contain('stop of the operator server'):
+            self._operator_server.stop(times.operator_answer_s())
         self._stopping.set()
         steps: tuple[tuple[str, Callable[[], None]], ...] = (
             ('stop of moves', self._moves.stop),
@@ -207,24 +219,18 @@
             ('stop of peers', self._peers.stop),
         )
         for place, step in steps:
-            with self._errors.contain(place):
+            with self.errors.contain(place):
                 step()
         self._tasks.shutdown(wait=False, cancel_futures=True)
         _LOG.info('stopped')
 
-    def _answer_time_s(self, stop_began_at_s: float) -> float:
-        """Return how long the answers to requests in progress may take."""
-        drain_s = self._settings.generation.drain_ms / 1000
-        elapsed_s = self._clock.monotonic_s() - stop_began_at_s
-        return max(MIN_ANSWER_S, drain_s - elapsed_s)
-
     def _build_caller_server(self) -> transport.WsgiServer:
         settings = self._settings
         application = transport.CallerApplication(
             transport.CallerParts(
                 settings=settings,
                 configuration=self._configuration.holder,
-                readiness=self,
+                readiness=self._balancer_readiness,
                 admission=self._limits.admission,
                 generations=self._generations,
                 lookups=self._calls.lookups,
--- a/packages/daemon/src/skylarktack/daemon/_main.py
+++ b/packages/daemon/src/skylarktack/daemon/_main.py
@@ -3,15 +3,20 @@
 import json
 import os
 import sys
+import time
+from typing import NoReturn
 
 import fire
 
 from skylarktack import protocol
+from skylarktack import state
 from skylarktack import transport
 from skylarktack.daemon import _instance
 from skylarktack.daemon import _settings_file
 from skylarktack.daemon import _signals
 from skylarktack.daemon import _start
+from skylarktack.daemon import _stopping
+from skylarktack.daemon.forwarding import _stopping as forwarding_stopping
 
 #: Exit code for invalid settings.
 EXIT_INVALID_SETTINGS = 2
@@ -43,12 +48,10 @@
         sys.exit(EXIT_INVALID_SETTINGS)
     decoded = protocol.decode_settings(text)
     if decoded.is_error():
-        for finding in decoded.error:
-            print(
-                f'{settings}: {finding.place}: {finding.message}',
-                file=sys.stderr,
-            )
-        sys.exit(EXIT_INVALID_SETTINGS)
+        _exit_with_findings(settings, decoded.error)
+    findings = _stopping.check_stop_settings(decoded.ok)
+    if findings:
+        _exit_with_findings(settings, findings)
     with _start.exit_on_error():
         instance = _instance.Instance(decoded.ok)
         instance.start()
@@ -65,16 +68,42 @@
         ),
         flush=True,
     )
-    while not instance.stop_ordered.is_set():
-        if signals.wait(STOP_CHECK_S):
-            instance.order_stop()
+    stop_began_at_s = _wait_for_stop(instance, signals)
     try:
-        instance.stop()
+        with instance.errors.contain('exit timer'):
+            forwarding_stopping.exit_before(
+                stop_began_at_s + _stopping.grace_period_s(decoded.ok)
+            )
+        instance.stop(stop_began_at_s)
     finally:
         # Threads of a step that failed would keep the process alive.
         os._exit(0)
 
 
+def _wait_for_stop(
+    instance: _instance.Instance, signals: _signals.ProcessSignals
+) -> float:
+    """Wait for a signal or an operator's stop.
+
+    :return: monotonic time of the signal, or at which the stop was seen.
+    """
+    while not instance.stop_ordered.is_set():
+        received = signals.wait(STOP_CHECK_S)
+        if received:
+            instance.order_stop()
+            return received[0].received_at_s
+    return time.monotonic()
+
+
+def _exit_with_findings(
+    path: str, findings: tuple[state.Finding, ...]
+) -> NoReturn:
+    """Print the findings about a settings file and end the process."""
+    for finding in findings:
+        print(f'{path}: {finding.place}: {finding.message}', file=sys.stderr)
+    sys.exit(EXIT_INVALID_SETTINGS)
+
+
 def main() -> None:
     """Run the command line of ``skylarktackd``."""
     fire.Fire(run)
--- a/packages/daemon/src/skylarktack/daemon/tests/test_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/tests/test_instance.py
@@ -41,6 +41,7 @@
             store=state.StoreSettings(state.Address('127.0.0.1', 9)),
             peer=state.PeerSettings(_ANY_PORT),
             generation=state.GenerationSettings(drain_ms=100),
+            stop=state.StopSettings(accept_ms=0),
         )
     )
     yield instance
@@ -107,6 +108,7 @@
         [
             (_limits.LimitsComponents, 'update'),
             (configuration.ConfigurationFollower, 'follow'),
+            (moves.MoveCoordinator, 'read_records'),
         ],
     )
     def test_task_is_started_again(
@@ -116,7 +118,7 @@
         instance: daemon.Instance,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        """Guards against an instance that serves by a stale list."""
+        """Guards against an instance that serves by stale objects."""
         fails_once = _FailsOnce()
         monkeypatch.setattr(
             transport.HttpObjectStore,
