--- a/packages/emulator/src/skylarktack/emulator/_deployment.py
+++ b/packages/emulator/src/skylarktack/emulator/_deployment.py
@@ -298,6 +298,8 @@
             'operator_token_sha256': key_hash(OPERATOR_TOKEN),
             'store': {'address': {'host': store.host, 'port': store.port}},
             'peer': {'listen': anywhere},
+            # No load balancer checks these instances.
+            'stop': {'accept_ms': 0},
         }
         for field, value in self.shape.overrides.items():
             if isinstance(value, dict):
