Keep lost claims known when their first write after a restore fails

After a restore of the object API an instance could forget a claim or an outcome that it had just found missing: the key would run a second time, or a known answer would be lost. It takes a write of the missing records that fails, by a conflict or without a response, while the copy holds an earlier record of the same key, for example one that was released before. Several former owners write at once after a restore, so conflicts are the usual case.

Cause: each read of a bucket in a later era than the first first copies the records of the last read to those that are known. After the failed write these were the records of the copy, which replaced the newer known ones; the next comparison then found nothing missing. Keys with a newer known record are now passed over until that record is written.

Keys that the copy lacks entirely were not affected, since the read has no record of them; test_claims_of_a_writer_that_noticed_later passed before.

test_lost_records_after_a_failed_write fails without the condition in both cases: after a conflict and after a write to a store that is away.

--- a/packages/coordination/src/skylarktack/coordination/once/_bucket.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_bucket.py
@@ -381,6 +381,10 @@
         """Keep the recent records, which the copy may lack."""
         now_s = self._dependencies.clock.wall_s()
         for key, record in self._index.items():
+            if key in self._lost:
+                # The copy's record is older; the known one is yet to be
+                # written.
+                continue
             if now_s - record.changed_s <= RESTORED_COPY_AGE_S:
                 self._known[key] = record
 
--- a/packages/coordination/src/skylarktack/coordination/tests/test_restored_claims.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_restored_claims.py
@@ -5,6 +5,7 @@
 import threading
 
 from expression import Result
+import pytest
 
 from skylarktack import state
 from skylarktack.coordination import fakes
@@ -167,6 +168,33 @@
             bucket.store.restore()
             assert bucket.claim(owner, 'lost', 'two') == 'one'
 
+    @pytest.mark.parametrize('is_refused', [False, True])
+    def test_lost_records_after_a_failed_write(self, is_refused: bool) -> None:
+        """Guards against older records of the copy that pass for known."""
+        bucket = _Bucket()
+        owner, other = bucket.new_log(), bucket.new_log()
+        bucket.claim(owner, 'answered', 'one')
+        owner.commit((bucket.record('released', 'zero', _PHASE.RELEASED),))
+        bucket.store.take_copy()
+        owner.commit((bucket.record('answered', 'one', _PHASE.ANSWERED),))
+        bucket.claim(owner, 'released', 'one')
+        bucket.store.restore()
+
+        def _interrupt() -> None:
+            if is_refused:
+                bucket.store.set_faults(fakes.StoreFaults(down=True))
+                return
+            bucket.claim(other, 'later', 'other')
+
+        bucket.store.before_put['claims/0/head'] = _interrupt
+        assert owner.commit((), force_read=True).is_error() is is_refused
+        bucket.store.set_faults(fakes.StoreFaults())
+        assert owner.commit((), force_read=True).is_ok()
+        records = bucket.stored()
+        assert records['answered'].phase is _PHASE.ANSWERED
+        assert records['released'].claim_id == 'one'
+        assert records['released'].phase is _PHASE.CLAIMED
+
     def test_another_holder_since_the_restore_stays(self) -> None:
         """Guards against a claim that is taken from its holder."""
         bucket = _Bucket()
