Check that the configuration is current before it is read

A request for a route or a key that only the newest configuration has could get 404 or 403 although that configuration was in force: it was judged by the older table and counted as judged by a current one. Limits on callers could be those of the older configuration in the same way. Possible whenever an instance that was out of date catches up while requests wait, as after a restore of the store or a suspension of the process.

Cause: the gateway read the table first and asked after that whether the configuration is current. A newer one that was applied and confirmed in between confirmed the older table. Read in the other order, a table is at least as new as the confirmation, since a table never goes back.

test_configuration_that_is_replaced_during_admission and test_limits_that_are_replaced_meanwhile fail in the former order. Found by reading; the interleaving was not seen in a run.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -171,8 +171,10 @@
             or to send.
         """
         configuration = self.dependencies.configuration
+        # Read before the limits; see ``handle``.
+        is_current = configuration.is_current()
         limits = configuration.limits.allowed_since(began_at_s)
-        if configuration.is_current():
+        if is_current:
             return limits
         return _front_limits.while_unconfirmed(limits)
 
@@ -206,9 +208,11 @@
         started_at_s = self._clock.monotonic_s()
         trace = _outcomes.RequestTrace(started_at_s)
         self._wait_until_synced(request)
+        # Read before the table: a confirmation that arrives in between would
+        # be that of a newer one.
+        is_current = self.dependencies.configuration.is_current()
         table = self.dependencies.configuration.table
         version = None if table is None else table.configuration.version
-        is_current = self.dependencies.configuration.is_current()
         opened = _OpenRequest(
             request, started_at_s, trace, version, is_current
         )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
@@ -28,6 +28,22 @@
     return harness.make_gateway(env, observer or _Observer())
 
 
+def _replace_before_check(
+    monkeypatch: pytest.MonkeyPatch,
+    holder: forwarding.ConfigurationHolder,
+    newer: data.ForwardingConfiguration,
+) -> None:
+    """Have a newer configuration confirmed just before the next check."""
+    is_current = holder.is_current
+
+    def _is_current_after_change() -> bool:
+        holder.replace_if_newer(newer)
+        holder.confirm(4.0)
+        return is_current()
+
+    monkeypatch.setattr(holder, 'is_current', _is_current_after_change)
+
+
 def _reason(outcome: forwarding.StreamOutcome) -> data.RefusalReason:
     assert isinstance(outcome, data.Refusal)
     return outcome.reason
@@ -61,6 +77,27 @@
         limits = gateway_env.gateway.limits(clock.monotonic_s())
         assert limits.idle_timeout_ms == expected_ms
 
+    def test_limits_that_are_replaced_meanwhile(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a close by older limits than the confirmed ones."""
+        gateway_env = _make_gateway_env()
+        versions = []
+        for version, idle_timeout_ms in ((1, 3000.0), (2, 50_000.0)):
+            versions.append(
+                dataclasses.replace(
+                    harness.configuration(version),
+                    limits=data.FrontLimits(idle_timeout_ms=idle_timeout_ms),
+                )
+            )
+        gateway_env.holder.replace_if_newer(versions[0])
+        gateway_env.harness.clock.advance(100.0)
+        _replace_before_check(monkeypatch, gateway_env.holder, versions[1])
+        limits = gateway_env.gateway.limits(
+            gateway_env.harness.clock.monotonic_s()
+        )
+        assert limits.idle_timeout_ms > 50_000.0
+
     def test_a_change_is_logged(self) -> None:
         """Guards against changed limits that no line tells of."""
         gateway_env = _make_gateway_env()
@@ -206,6 +243,20 @@
         gateway_env.holder.mark_stale()
         assert _reason(gateway_env.send(request_)) is reason_if_stale
 
+    def test_configuration_that_is_replaced_during_admission(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an older one that passes for the confirmed one."""
+        gateway_env = _make_gateway_env()
+        holder = gateway_env.holder
+        holder.replace_if_newer(
+            dataclasses.replace(harness.configuration(1), routes=())
+        )
+        gateway_env.harness.client.script('only', harness.answer_script())
+        _replace_before_check(monkeypatch, holder, harness.configuration(2))
+        outcome = gateway_env.send(harness.request())
+        assert isinstance(outcome, data.FrontResponse)
+
     def test_longest_path_prefix_is_matched(self) -> None:
         """Guards against matching the route of a shorter prefix."""
         longer = dataclasses.replace(
