Do not use a response of the store that is read after its deadline

An instance that was suspended during a watch could count its configuration as current for four seconds by a response that had waited for it all the time, and refuse routes and keys that had been added meanwhile. The store may also have been restored since; the response then names the earlier era, which is the newest that this instance knows.

Cause: the deadline of a call was checked before each wait only. A response that was complete when the process went on was used at any age. It now counts as lost, so that the kind is marked stale and the store is asked again. A suspension that ends within the time of the call is not noticed; the next watch is then answered at once if anything has changed.

test_a_response_that_is_read_too_late_is_lost fails without the check. Found by reading; not seen in a run with suspended processes.

--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -59,8 +59,9 @@
 
         :param path: path and query.
         :param timeout_s: maximum time for connection and response together.
-        :return: a fault of the kind ``MALFORMED`` if a response arrived that
-            is too long, too slow, incomplete or malformed, and of the kind
+        :return: a fault of the kind ``LOST`` if the call failed or its
+            response was not read in time, ``MALFORMED`` if a response arrived
+            that is too long, too slow, incomplete or malformed, and
             ``NO_RESPONSE`` if none began in time.
         """
         now_s = self._read_clock()
@@ -69,6 +70,9 @@
         try:
             response = self._call(method, path, body, now_s + timeout_s)
             self._last_used_at_s = self._read_clock()
+            if self._last_used_at_s > now_s + timeout_s:
+                # It may have waited while the process was suspended.
+                raise TimeoutError('the response was read too late')
             return response
         except (OSError, h11.ProtocolError) as error:
             self._disconnect()
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_store_client.py
@@ -168,6 +168,26 @@
             assert store.connection_count == 2
             store.close()
 
+    def test_a_response_that_is_read_too_late_is_lost(self) -> None:
+        """Guards against a confirmation from before a suspension.
+
+        The process was suspended while the response arrived. Meanwhile the
+        store may have changed or may have been restored.
+        """
+        store = _Store(OK_RESPONSE, OK_RESPONSE)
+        # Begin of the call, wait for its response, end.
+        times_s = [5.0, 5.0, 35.0]
+
+        def _read_clock() -> float:
+            return times_s.pop(0) if times_s else 35.0
+
+        calls = transport.HttpStoreCalls(store.endpoint, _read_clock)
+        response = calls.call('GET', '/objects/a', None, 20.0)
+        assert isinstance(response, forwarding.ExchangeFault)
+        assert response.kind is forwarding.FaultKind.LOST
+        assert calls.call('GET', '/objects/a', None, 20.0) == OK
+        store.close()
+
     def test_reconnects_after_a_failure(self) -> None:
         """Guards against a store that stays unavailable after one fault."""
         store = _Store(OK_RESPONSE, None, OK_RESPONSE)
