Ask the store after a suspension instead of believing old heartbeats

In a fleet of more than twelve instances one that was suspended could count its configuration as current for up to four seconds after it went on, and refuse routes and keys that had been added meanwhile; also if the store was restored in between, until the first heartbeat of the new era.

Cause: heartbeats that waited in the socket are received after the suspension, and their lifetime begins when they are received. Their era and revision are those that the instance knows, so they confirm what it has. If the socket's buffer was full, the changes after them are lost.

A receiver whose wait for a forwarded change took two seconds longer than its timeout now marks the kind stale and fetches the changes from the store, at a random time like a list after a restore. If a call is not its turn because the store is unavailable, it goes on as before. Each suspension costs an instance one call for each kind.

test_a_suspended_receiver_asks_the_store fails without the check in both cases. Found by reading; not seen in a run with suspended processes.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -24,6 +24,11 @@
 #: this time asks the store.
 MISSING_CHANGE_TIMEOUT_S = 0.3
 
+#: A wait for a forwarded change that takes longer than this beyond its timeout
+#: shows that the process was suspended. Heartbeats that arrived meanwhile may
+#: be as old.
+MAX_WAIT_EXCESS_S = 2.0
+
 #: Wait of a watch that only fetches missing changes.
 CATCH_UP_WAIT_S = 0.05
 
@@ -112,7 +117,7 @@
         self._handler.record_restore()
 
     def _wait_to_list(self) -> None:
-        """Wait, so that not all instances of the fleet list at once."""
+        """Wait, so that not all instances of the fleet ask at once."""
         if self._shared_watch is None or not self._receives_changes:
             return
         max_wait_s = LIST_SPREAD_PER_INSTANCE_S * (
@@ -166,7 +171,13 @@
             if self._receives_changes
             else TURN_CHECK_INTERVAL_S
         )
+        end_s = self._clock.monotonic_s() + step_s
         change = self._shared_watch.next_change(name, step_s)
+        if self._clock.monotonic_s() > end_s + MAX_WAIT_EXCESS_S:
+            self._handler.mark_stale()
+            self._wait_to_list()
+            if self._health.claim_call(name):
+                return self._catch_up(position)
         if change is not None:
             return self._apply_forwarded_change(change, position)
         reported = self._shared_watch.reported(name)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
@@ -280,6 +280,45 @@
         ]
         assert ('changes', ('b',), False) in shared.handler.applied
 
+    @pytest.mark.parametrize('era', [0, 1])
+    def test_a_suspended_receiver_asks_the_store(self, era: int) -> None:
+        """Guards against confirmations that waited for a suspended process.
+
+        Heartbeats from before the suspension are received after it, and are
+        taken for new ones.
+        """
+        results: list[watcher_harness.StoreResult] = [
+            forwarding.Changes(('b',), 9, b'b', era=era)
+        ]
+        if era:
+            results.append(forwarding.Listing(('b',), 9, era=era))
+        shared = _SharedHarness(False, forwarding.Listing((), 5), *results)
+        shared.shared_watch.receive_heartbeat(_heartbeat(5))
+        states: list[bool] = []
+        watch = shared.source.watch
+
+        def _next(kind: str, timeout_s: float) -> data.StoreChange | None:
+            is_suspended = len(states) == 2
+            shared.clock.advance(10.0 if is_suspended else timeout_s)
+            shared.shared_watch.receive_heartbeat(_heartbeat(5))
+            if len(states) > 3:
+                shared.watcher.stop()
+            states.append(shared.handler.is_current)
+            return None
+
+        def _watch(
+            revision: int, wait_s: float
+        ) -> forwarding.Changes[str] | forwarding.StoreFault:
+            states.append(shared.handler.is_current)
+            return watch(revision, wait_s)
+
+        shared.shared_watch.next_change = _next  # type: ignore[method-assign]
+        shared.source.watch = _watch  # type: ignore[method-assign]
+        shared.watcher.run()
+        assert states[1:4] == [True, True, False]
+        assert shared.source.calls[:2] == ['stale list', 'watch 5']
+        assert shared.handler.applied[-1][1] == ('b',)
+
     def test_a_receiver_without_heartbeats_watches_itself(self) -> None:
         """Guards against a stale configuration after all watchers crashed."""
         shared = _SharedHarness(
