Gossip the era of the configuration in a topic of its own

While releases are mixed, instances of the earlier one would fetch the whole configuration from a peer with each gossip message of a later one, once a configuration was accepted after a restore of the object API: up to a megabyte and 119 ms of decoding each time, several times a second.

Cause: the payload became the era and the revision, 16 bytes. Earlier releases take the whole payload for the revision; with an era it is above 2**64, so newer than any that they have, also after the fetch. The topic that they know has the revision alone again, and the era and the revision are a topic of its own, which they pass over and which is sent in later eras only. Only the 16 bytes of the first era were the same to them.

The test of the gossip is split by topic and expects as much of each. test_gossip_with_earlier_releases fails with the 16 bytes. Found by reading the earlier release; no run with both releases was made.

--- a/packages/coordination/src/skylarktack/coordination/configuration/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/__init__.py
@@ -21,6 +21,7 @@
 from skylarktack.coordination.configuration._follower import (
     FollowerDependencies,
 )
+from skylarktack.coordination.configuration._follower import PositionTopic
 from skylarktack.coordination.configuration._follower import RevisionTopic
 from skylarktack.coordination.configuration._holder import ConfigurationHolder
 from skylarktack.coordination.configuration._publisher import CURRENT_KEY
@@ -56,6 +57,7 @@
     'POLL_MAX_S',
     'POLL_MIN_S',
     'RECENT_CHANGES_COUNT',
+    'PositionTopic',
     'RETRY_WAIT_S',
     'RevisionTopic',
     'PEER_QUORUM_COUNT',
--- a/packages/daemon/src/skylarktack/daemon/_configuration.py
+++ b/packages/daemon/src/skylarktack/daemon/_configuration.py
@@ -38,3 +38,6 @@
         members.add_topic(
             configuration.RevisionTopic(self.holder, self.follower)
         )
+        members.add_topic(
+            configuration.PositionTopic(self.holder, self.follower)
+        )
--- a/packages/protocol/src/skylarktack/protocol/tests/test_restored_configuration.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_restored_configuration.py
@@ -219,20 +219,37 @@
             )
             assert index.organisation_by_key('key') == organisation
 
-    def test_gossip_of_a_later_era_and_of_earlier_releases(self) -> None:
+    def test_gossip_of_a_later_era(self) -> None:
         """Guards against gossip that is compared by its revision only."""
         store = fakes.MemoryObjectStore()
         instance = _Instance(store)
-        topic = configuration.RevisionTopic(instance.holder, instance.follower)
+        topic = configuration.PositionTopic(instance.holder, instance.follower)
+        assert topic.outgoing(_PEER, 100) is None
         instance.network.receive(_PEER, _offer(_record(2, era=1)))
         sent = topic.outgoing(_PEER, 100)
         assert sent == (1).to_bytes(8, 'big') + (2).to_bytes(8, 'big')
         with mock.patch.object(
             instance.follower, 'request_fetch', autospec=True
         ) as fetch:
-            # Earlier releases send the revision only.
-            topic.receive(_PEER, (9).to_bytes(8, 'big'))
             topic.receive(_PEER, bytes(8) + (9).to_bytes(8, 'big'))
             fetch.assert_not_called()
             topic.receive(_PEER, (2).to_bytes(8, 'big') + bytes(8))
             fetch.assert_called_once_with(_PEER)
+
+    def test_gossip_with_earlier_releases(self) -> None:
+        """Guards against a fetch for each message of a later release.
+
+        Earlier releases take the whole payload for the revision.
+        """
+        store = fakes.MemoryObjectStore()
+        instance = _Instance(store)
+        topic = configuration.RevisionTopic(instance.holder, instance.follower)
+        instance.network.receive(_PEER, _offer(_record(2, era=1)))
+        sent = topic.outgoing(_PEER, 100)
+        assert sent is not None
+        assert int.from_bytes(sent, 'big') == 2
+        with mock.patch.object(
+            instance.follower, 'request_fetch', autospec=True
+        ) as fetch:
+            topic.receive(_PEER, (9).to_bytes(8, 'big'))
+            fetch.assert_not_called()
