--- a/packages/coordination/src/skylarktack/coordination/configuration/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/__init__.py
@@ -21,8 +21,6 @@
 from skylarktack.coordination.configuration._follower import (
     FollowerDependencies,
 )
-from skylarktack.coordination.configuration._follower import PositionTopic
-from skylarktack.coordination.configuration._follower import RevisionTopic
 from skylarktack.coordination.configuration._holder import ConfigurationHolder
 from skylarktack.coordination.configuration._publisher import CURRENT_KEY
 from skylarktack.coordination.configuration._publisher import HISTORY_COUNT
@@ -39,6 +37,8 @@
 from skylarktack.coordination.configuration._rules import MOVE_DURATION_MIN_S
 from skylarktack.coordination.configuration._rules import WAIT_LIMIT_MS
 from skylarktack.coordination.configuration._rules import check_document
+from skylarktack.coordination.configuration._topics import PositionTopic
+from skylarktack.coordination.configuration._topics import RevisionTopic
 
 __all__ = [
     'CURRENT_KEY',
