Keep changes that an earlier release accepts in a later era

While releases are mixed and the object API has been restored before, a change that an instance of the earlier release accepted was taken back within a second: instances of the later release ignored it and wrote the revision before it over it again. The operator had got it confirmed.

Cause: earlier releases write no era, so the record counts as of the first era and is lower than the active one of a later era, however high its revision. The follower took that for a restored store that lacks the active revision. Changes are based on the record in the store, so a record of the store without an era whose revision is higher than the active one was accepted after it. It now counts as of the era of the active revision, and is passed on to peers so. A record of a copy is not taken for one: what the active revision is based on has a lower revision. Offers of peers are compared as before, since they may have a lost one.

No run with both releases was made.

--- a/packages/coordination/src/skylarktack/coordination/configuration/_follower.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_follower.py
@@ -296,14 +296,19 @@
 
     def _apply_stored(self, stored: state.StoredObject) -> bool:
         """Apply a record of the store; return whether it is valid."""
-        record = self._apply_record(stored.value)
+        record = self._apply_record(stored.value, is_stored=True)
         if record is None:
             return False
         self._stored_position = record.position
         return True
 
-    def _apply_record(self, value: bytes) -> state.ConfigurationRecord | None:
-        """Apply a record if it is newer; return it, or None if invalid."""
+    def _apply_record(
+        self, value: bytes, is_stored: bool = False
+    ) -> state.ConfigurationRecord | None:
+        """Apply a record if it is newer; return it, or None if invalid.
+
+        :param is_stored: whether the object API has it, and not just a peer.
+        """
         dependencies = self._dependencies
         decoded = dependencies.codec.decode(value)
         if decoded.is_error():
@@ -319,7 +324,11 @@
                 'configuration document is invalid', revision=record.revision
             )
             return None
-        if record.position < dependencies.holder.current().position:
+        active = dependencies.holder.current()
+        if is_stored and _is_of_earlier_release(record, active):
+            record = dataclasses.replace(record, era=active.era)
+            value = dependencies.codec.encode(record)
+        if record.position < active.position:
             # The object API or the peer lags behind; ignored below.
             dependencies.metrics.count('configuration.older_record')
         with self._encoded_lock:
@@ -354,6 +363,19 @@
             return state.ConfigurationResponse(revision, self._encoded_record)
 
 
+def _is_of_earlier_release(
+    record: state.ConfigurationRecord, active: state.ActiveConfiguration
+) -> bool:
+    """Return whether an earlier release accepted it after the active one.
+
+    Earlier releases write no era. In a record of a copy, which the active
+    revision is based on, the revision is lower.
+    """
+    if record.era or not active.era:
+        return False
+    return record.revision > active.revision
+
+
 def _rank(name: state.InstanceName) -> bytes:
     return hashlib.blake2b(
         name.encode(), digest_size=8, person=b'watcher'
--- a/packages/protocol/src/skylarktack/protocol/tests/test_restored_configuration.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_restored_configuration.py
@@ -174,6 +174,32 @@
         assert instance.holds('later')
         instance.stop()
 
+    def test_change_that_an_earlier_release_accepted(self) -> None:
+        """Guards against an accepted change that is taken back.
+
+        Earlier releases accept changes on top of those of a later era and
+        write them without one.
+        """
+        store = fakes.MemoryObjectStore()
+        _publish(store, 0, 'first')
+        store.take_copy()
+        store.restore()
+        instance = _Instance(store)
+        instance.start()
+        assert _publish(store, 1, 'second').ok.era == 1
+        assert _wait_until(lambda: instance.holds('second'))
+        current = store.get(configuration.CURRENT_KEY).ok
+        accepted = _CODEC.encode(_record(3))
+        assert store.put(current.key, accepted, current.version).is_ok()
+        assert _wait_until(lambda: instance.holds('era-0-3'))
+        position = state.ConfigurationPosition(1, 3)
+        assert instance.holder.current().position == position
+        assert store.get(configuration.CURRENT_KEY).ok.value == accepted
+        # A revision of the ended era that a peer still has is not newer.
+        instance.network.receive(_PEER, _offer(_record(4)))
+        assert instance.holds('era-0-3')
+        instance.stop()
+
     def test_no_change_on_top_of_a_copy(self) -> None:
         """Guards against a change that takes an accepted one back unseen."""
         store = fakes.MemoryObjectStore()
