--- a/packages/protocol/src/skylarktack/protocol/tests/test_restored_configuration.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_restored_configuration.py
@@ -174,6 +174,32 @@
         assert instance.holds('later')
         instance.stop()
 
+    def test_change_that_an_earlier_release_accepted(self) -> None:
+        """Guards against an accepted change that is taken back.
+
+        Earlier releases accept changes on top of those of a later era and
+        write them without one.
+        """
+        store = fakes.MemoryObjectStore()
+        _publish(store, 0, 'first')
+        store.take_copy()
+        store.restore()
+        instance = _Instance(store)
+        instance.start()
+        assert _publish(store, 1, 'second').ok.era == 1
+        assert _wait_until(lambda: instance.holds('second'))
+        current = store.get(configuration.CURRENT_KEY).ok
+        accepted = _CODEC.encode(_record(3))
+        assert store.put(current.key, accepted, current.version).is_ok()
+        assert _wait_until(lambda: instance.holds('era-0-3'))
+        position = state.ConfigurationPosition(1, 3)
+        assert instance.holder.current().position == position
+        assert store.get(configuration.CURRENT_KEY).ok.value == accepted
+        # A revision of the ended era that a peer still has is not newer.
+        instance.network.receive(_PEER, _offer(_record(4)))
+        assert instance.holds('era-0-3')
+        instance.stop()
+
     def test_no_change_on_top_of_a_copy(self) -> None:
         """Guards against a change that takes an accepted one back unseen."""
         store = fakes.MemoryObjectStore()
@@ -219,20 +245,37 @@
             )
             assert index.organisation_by_key('key') == organisation
 
-    def test_gossip_of_a_later_era_and_of_earlier_releases(self) -> None:
+    def test_gossip_of_a_later_era(self) -> None:
         """Guards against gossip that is compared by its revision only."""
         store = fakes.MemoryObjectStore()
         instance = _Instance(store)
-        topic = configuration.RevisionTopic(instance.holder, instance.follower)
+        topic = configuration.PositionTopic(instance.holder, instance.follower)
+        assert topic.outgoing(_PEER, 100) is None
         instance.network.receive(_PEER, _offer(_record(2, era=1)))
         sent = topic.outgoing(_PEER, 100)
         assert sent == (1).to_bytes(8, 'big') + (2).to_bytes(8, 'big')
         with mock.patch.object(
             instance.follower, 'request_fetch', autospec=True
         ) as fetch:
-            # Earlier releases send the revision only.
-            topic.receive(_PEER, (9).to_bytes(8, 'big'))
             topic.receive(_PEER, bytes(8) + (9).to_bytes(8, 'big'))
             fetch.assert_not_called()
             topic.receive(_PEER, (2).to_bytes(8, 'big') + bytes(8))
             fetch.assert_called_once_with(_PEER)
+
+    def test_gossip_with_earlier_releases(self) -> None:
+        """Guards against a fetch for each message of a later release.
+
+        Earlier releases take the whole payload for the revision.
+        """
+        store = fakes.MemoryObjectStore()
+        instance = _Instance(store)
+        topic = configuration.RevisionTopic(instance.holder, instance.follower)
+        instance.network.receive(_PEER, _offer(_record(2, era=1)))
+        sent = topic.outgoing(_PEER, 100)
+        assert sent is not None
+        assert int.from_bytes(sent, 'big') == 2
+        with mock.patch.object(
+            instance.follower, 'request_fetch', autospec=True
+        ) as fetch:
+            topic.receive(_PEER, (9).to_bytes(8, 'big'))
+            fetch.assert_not_called()
