Forget the era that an expired heartbeat reported

One heartbeat with a wrong, high era made an instance ignore those of all peers until its process starts again, so that it would ask the store by itself and hear of no change from them.

The era of a heartbeat now counts while the heartbeat is valid, like the rest of it. test_a_wrong_era_expires fails without it.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
@@ -241,12 +241,15 @@
 
         What the store confirmed before a restore is ignored.
         """
-        until_s = self._clock.monotonic_s() + HEARTBEAT_LIFETIME_S
+        now_s = self._clock.monotonic_s()
+        until_s = now_s + HEARTBEAT_LIFETIME_S
         is_outranking = self._fleet.is_outranked_by(heartbeat.instance)
         with self._lock:
             for confirmed in heartbeat.kinds:
                 state = self._state_of(confirmed.kind)
                 newest = state.peer_confirmed
+                if now_s > state.peer_confirmed_until_s:
+                    newest = None
                 newest_era = self._era.current
                 if newest is not None:
                     newest_era = max(newest_era, newest.era)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
@@ -373,6 +373,17 @@
         expected = reported if is_reported else None
         assert shared.shared_watch.reported('kind') == expected
 
+    def test_a_wrong_era_expires(self) -> None:
+        """Guards against a peer that makes all others ignored for good."""
+        shared = _SharedHarness(False)
+        for era in (9, 4):
+            confirmed = data.ConfirmedKind('kind', 5, era)
+            heartbeat = data.WatchHeartbeat('x', (confirmed,))
+            shared.shared_watch.receive_heartbeat(heartbeat)
+            shared.clock.advance(1.0)
+        shared.shared_watch.receive_heartbeat(heartbeat)
+        assert shared.shared_watch.reported('kind') == confirmed
+
     def test_an_earlier_confirmation_is_not_reported(self) -> None:
         """Guards against peers that rely on a watch of the former history."""
         shared = _SharedHarness(True)
