Rename the fixture of the object store contract

Readers of the tests would see a fixture "bed" of a type "_Store", which is not a store: it holds one and the switches for its faults. The fixture is "harness" now and its type _StoreHarness. Test ids, cases and assertions are the same.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_object_store_contract.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_object_store_contract.py
@@ -15,7 +15,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Store:
+class _StoreHarness:
     """One implementation and its switches."""
 
     #: The store.
@@ -35,11 +35,11 @@
 
 
 @pytest.fixture(params=['memory', 'http'])
-def bed(request: pytest.FixtureRequest) -> Iterator[_Store]:
+def harness(request: pytest.FixtureRequest) -> Iterator[_StoreHarness]:
     """Provide each implementation in turn."""
     if request.param == 'memory':
         memory = fakes.MemoryObjectStore()
-        yield _Store(
+        yield _StoreHarness(
             memory,
             lambda down: memory.set_faults(fakes.StoreFaults(down=down)),
             lambda: memory.set_faults(
@@ -55,7 +55,7 @@
     client = transport.HttpObjectStore(
         state.StoreSettings(emulator.address_of(server))
     )
-    yield _Store(
+    yield _StoreHarness(
         client,
         lambda down: setattr(
             server.api, 'faults', emulator.ObjectApiFaults(down=down)
@@ -76,9 +76,9 @@
 class TestObjectStoreContract:
     """Guards against a fake that is kinder than the service."""
 
-    def test_conditional_writes(self, bed: _Store) -> None:
+    def test_conditional_writes(self, harness: _StoreHarness) -> None:
         """A write takes effect only on the expected version."""
-        store = bed.store
+        store = harness.store
         created = store.put('a/1', b'one', None).ok
         assert store.put('a/1', b'two', None).error.kind is (
             state.StoreFaultKind.CONFLICT
@@ -93,9 +93,9 @@
         assert store.delete('a/1', changed.version).is_ok()
         assert store.get('a/1').is_error()
 
-    def test_watch_and_list(self, bed: _Store) -> None:
+    def test_watch_and_list(self, harness: _StoreHarness) -> None:
         """A watch ends with the changes after its version."""
-        store = bed.store
+        store = harness.store
         first = store.put('a/1', b'one', None).ok
         store.put('b/1', b'other', None)
         batch = store.watch('a/', 0, 1.0).ok
@@ -113,44 +113,46 @@
         assert [one.value for one in found[0].changed] == [b'two']
         assert [one.key for one in store.list('a/').ok] == ['a/1']
 
-    def test_outage(self, bed: _Store) -> None:
+    def test_outage(self, harness: _StoreHarness) -> None:
         """Calls fail as typed faults and work again afterwards."""
-        bed.set_down(True)
+        harness.set_down(True)
         kinds = (
-            bed.store.get('a').error.kind,
-            bed.store.put('a', b'one', None).error.kind,
-            bed.store.list('a').error.kind,
-            bed.store.platform_list().error.kind,
+            harness.store.get('a').error.kind,
+            harness.store.put('a', b'one', None).error.kind,
+            harness.store.list('a').error.kind,
+            harness.store.platform_list().error.kind,
         )
         assert set(kinds) == {state.StoreFaultKind.UNAVAILABLE}
-        bed.set_down(False)
-        assert bed.store.put('a', b'one', None).is_ok()
+        harness.set_down(False)
+        assert harness.store.put('a', b'one', None).is_ok()
 
-    def test_lost_answer(self, bed: _Store) -> None:
+    def test_lost_answer(self, harness: _StoreHarness) -> None:
         """A write whose answer is lost may have taken effect."""
-        bed.lose_answer()
-        lost = bed.store.put('a', b'one', None)
+        harness.lose_answer()
+        lost = harness.store.put('a', b'one', None)
         assert lost.error.kind is state.StoreFaultKind.ANSWER_LOST
-        assert bed.store.get('a').ok.value == b'one'
+        assert harness.store.get('a').ok.value == b'one'
 
-    def test_restore_takes_acknowledged_writes_back(self, bed: _Store) -> None:
+    def test_restore_takes_acknowledged_writes_back(
+        self, harness: _StoreHarness
+    ) -> None:
         """Guards against a store that loses writes within one era."""
-        store = bed.store
+        store = harness.store
         kept = store.put('a/1', b'kept', None).ok
-        bed.take_copy()
+        harness.take_copy()
         lost = store.put('a/1', b'lost', kept.version).ok
         assert store.era == 0
-        bed.restore()
+        harness.restore()
         assert store.get('a/1').ok.value == b'kept'
         assert store.era == 1
         again = store.put('a/1', b'again', kept.version).ok
         assert again.version == lost.version
 
     def test_restore_ends_a_watch_and_reports_the_era(
-        self, bed: _Store
+        self, harness: _StoreHarness
     ) -> None:
         """Guards against a watcher that waits in an era that has ended."""
-        store = bed.store
+        store = harness.store
         last = store.put('a/1', b'one', None).ok
         watcher = threading.Thread(
             target=store.watch,
@@ -160,7 +162,7 @@
         watcher.start()
         # The watch may not have reached the store at the first restore.
         for _ in range(100):
-            bed.restore()
+            harness.restore()
             watcher.join(0.05)
             if not watcher.is_alive():
                 break
