Call simulations by their name instead of "world"

Readers would see variables "world" of the types MoveSimulation and CallSimulation. They are "simulation" now, in the fakes, the tests of moves and bookings and the benches; FAULTED_WORLD_COUNT is FAULTED_SIMULATION_COUNT. The end of a simulated move is computed once before the loop that the longer name would have wrapped.

Ruled out: collisions of names (the files had no other "simulation").

--- a/packages/coordination/src/skylarktack/coordination/fakes/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_calls.py
@@ -174,22 +174,22 @@
 class CallInstance:
     """One instance; its gate can kill, pause or disconnect it at any step."""
 
-    def __init__(self, world: CallSimulation, name: str) -> None:
-        self._world = world
+    def __init__(self, simulation: CallSimulation, name: str) -> None:
+        self._simulation = simulation
         self.name = state.InstanceName(name)
         self.gate = _steps.StepGate()
         self.metrics = _metrics.MemoryMetrics()
-        peers = world.hub.join(name)
-        store = _GatedStore(world, self.gate)
+        peers = simulation.hub.join(name)
+        store = _GatedStore(simulation, self.gate)
         clock = ports.SystemClock()
         selector = _selector.PlainSelector(seed=1)
-        selector.update(world.targets())
+        selector.update(simulation.targets())
         self.claims = once.ClaimTable(
             once.ClaimTableDependencies(
                 once.BucketDependencies(
-                    settings=world.shape.claim,
+                    settings=simulation.shape.claim,
                     store=store,
-                    codec=world.shape.codec,
+                    codec=simulation.shape.codec,
                     clock=clock,
                     metrics=self.metrics,
                 ),
@@ -200,9 +200,9 @@
         self.runner = once.AtMostOnceRunner(
             once.AtMostOnceDependencies(
                 instance=self.name,
-                settings=world.shape.claim,
+                settings=simulation.shape.claim,
                 claims=self.claims,
-                services=_GatedServices(world.services, self.gate),
+                services=_GatedServices(simulation.services, self.gate),
                 selector=selector,
                 versions=moves.RouteVersionChooser(),
                 retry_budget=limits.OrganisationRetryBudget(
@@ -227,7 +227,7 @@
             if outcome.is_ok():
                 self.gate.reach(_steps.CallStep.RECORDED)
         except _steps.InstanceDied:
-            self._world.hub.leave(self.name)
+            self._simulation.hub.leave(self.name)
             return lost
         if self.gate.is_dead or self.gate.is_cut:
             return lost
@@ -244,11 +244,13 @@
 class _GatedStore:
     """One instance's access to the object API, controlled by its gate."""
 
-    def __init__(self, world: CallSimulation, gate: _steps.StepGate) -> None:
-        self._store = world.store
-        self._is_conditional = world.shape.conditional_writes
+    def __init__(
+        self, simulation: CallSimulation, gate: _steps.StepGate
+    ) -> None:
+        self._store = simulation.store
+        self._is_conditional = simulation.shape.conditional_writes
         self._gate = gate
-        self._era = _store.SeenEra(world.store)
+        self._era = _store.SeenEra(simulation.store)
 
     @property
     def era(self) -> int:
--- a/packages/coordination/src/skylarktack/coordination/fakes/_faulted_bookings.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_faulted_bookings.py
@@ -48,27 +48,27 @@
     The other faults are those of the store and of the services.
     """
     rng = random.Random(seed)
-    world = _calls.CallSimulation(shape)
+    simulation = _calls.CallSimulation(shape)
     faults = threading.Thread(
-        target=_inject_store_faults, args=(world, rng.random())
+        target=_inject_store_faults, args=(simulation, rng.random())
     )
-    world.services.faults = _random_misbehaviour(rng)
-    for instance in rng.sample(world.instances, 2):
+    simulation.services.faults = _random_misbehaviour(rng)
+    for instance in rng.sample(simulation.instances, 2):
         step = rng.choice(tuple(_steps.CallStep))
         instance.gate.arm(step, rng.choice(tuple(_steps.StepAction)))
     faults.start()
     with concurrent.futures.ThreadPoolExecutor(BOOKING_COUNT) as pool:
         bookings = [
-            pool.submit(_book, world, f'key-{index}', rng.random())
+            pool.submit(_book, simulation, f'key-{index}', rng.random())
             for index in range(BOOKING_COUNT)
         ]
         faults.join()
-        for instance in world.instances:
+        for instance in simulation.instances:
             instance.gate.resume()
-    world.stop()
+    simulation.stop()
     # Wait for late executions, so that the summary includes them.
-    threading.Event().wait(world.services.faults.late_s)
-    return _summary(seed, world, [item.result() for item in bookings])
+    threading.Event().wait(simulation.services.faults.late_s)
+    return _summary(seed, simulation, [item.result() for item in bookings])
 
 
 def _random_misbehaviour(rng: random.Random) -> _services.ServiceMisbehaviour:
@@ -80,13 +80,15 @@
     )
 
 
-def _inject_store_faults(world: _calls.CallSimulation, seed: float) -> None:
+def _inject_store_faults(
+    simulation: _calls.CallSimulation, seed: float
+) -> None:
     """Inject store faults, then resume the paused instances."""
     rng = random.Random(seed)
     waiting = threading.Event()
     for _ in range(3):
         waiting.wait(rng.uniform(0.0, 0.05))
-        world.store.set_faults(
+        simulation.store.set_faults(
             _store.StoreFaults(
                 down=rng.random() < 0.3,
                 lose_write_answers_count=rng.randrange(3),
@@ -94,14 +96,14 @@
             )
         )
         waiting.wait(rng.uniform(0.0, 0.05))
-        world.store.set_faults(_store.StoreFaults())
+        simulation.store.set_faults(_store.StoreFaults())
     waiting.wait(rng.uniform(0.0, 0.3))
-    for instance in world.instances:
+    for instance in simulation.instances:
         instance.gate.resume()
 
 
 def _book(
-    world: _calls.CallSimulation, key: str, seed: float
+    simulation: _calls.CallSimulation, key: str, seed: float
 ) -> _calls.BookingResult:
     """Send requests with one key to random instances.
 
@@ -113,7 +115,7 @@
     with concurrent.futures.ThreadPoolExecutor(2) as pool:
         first = [
             pool.submit(
-                rng.choice(world.instances).book,
+                rng.choice(simulation.instances).book,
                 _calls.plain_call(key, f'{key}-{index}'),
             )
             for index in range(2)
@@ -123,7 +125,7 @@
     for index in range(2, _MAX_REQUEST_COUNT):
         if responses[-1].answer is not None:
             break
-        instance = rng.choice(world.instances)
+        instance = rng.choice(simulation.instances)
         call = _calls.plain_call(key, f'{key}-{index}')
         responses.append(instance.book(call))
     return _calls.BookingResult(key, tuple(responses))
@@ -131,14 +133,14 @@
 
 def _summary(
     seed: int,
-    world: _calls.CallSimulation,
+    simulation: _calls.CallSimulation,
     results: list[_calls.BookingResult],
 ) -> FaultedSummary:
     runs: dict[state.RunState, int] = dict.fromkeys(state.RunState, 0)
     faults: list[str] = []
     answered_count = 0
     for result in results:
-        fault = _calls.booking_fault(result, world.services)
+        fault = _calls.booking_fault(result, simulation.services)
         if fault is not None:
             faults.append(f'seed {seed}: {fault}')
         answers = [item for item in result.responses if item.answer]
--- a/packages/coordination/src/skylarktack/coordination/moves/tests/_support.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/tests/_support.py
@@ -29,9 +29,9 @@
     )
 
 
-def serve(world: fakes.MoveSimulation, failed: int = 0) -> None:
+def serve(simulation: fakes.MoveSimulation, failed: int = 0) -> None:
     """Record the outcomes of a tick; ``failed`` in ten fail on model-2."""
-    for instance in world.instances.values():
+    for instance in simulation.instances.values():
         share = instance.part.table.share('digest')
         collector = instance.part.collector
         for domain in ('domain-0', 'domain-1'):
@@ -45,8 +45,8 @@
 class Observer:
     """Checks the invariants that hold under any fault, on each tick."""
 
-    def __init__(self, world: fakes.MoveSimulation) -> None:
-        self._world = world
+    def __init__(self, simulation: fakes.MoveSimulation) -> None:
+        self._simulation = simulation
         self._highest_share = 0.0
         self._ended: state.MoveRecord | None = None
         self._fencing_number = 0
@@ -54,7 +54,7 @@
 
     def check(self) -> None:
         """Assert the invariants on shares, final records and fencing."""
-        record = self._world.record()
+        record = self._simulation.record()
         if record is None:
             return
         assert record.lease.fencing_number >= self._fencing_number
@@ -66,15 +66,15 @@
         self._highest_share = max(self._highest_share, record.share)
         self.judged |= record.verdict is state.MoveVerdict.GOOD
         limit = self._highest_share if self.judged else 0.05
-        for instance in self._world.instances.values():
+        for instance in self._simulation.instances.values():
             share = instance.part.table.share('digest')
             assert share <= limit
-            if self._world.clock.wall_s() >= record.deadline_s:
+            if self._simulation.clock.wall_s() >= record.deadline_s:
                 assert share in (0.0, 1.0)
 
 
 def run_until(
-    world: fakes.MoveSimulation,
+    simulation: fakes.MoveSimulation,
     observer: Observer,
     moment: str,
     failed: int = 0,
@@ -84,24 +84,24 @@
     :param moment: a phase, or ``stage-`` with the number of the stage.
     """
     for _ in range(TICK_LIMIT):
-        record = world.record()
+        record = simulation.record()
         if record is not None:
             if moment in (record.phase.value, f'stage-{record.stage}'):
                 return record
             if record.ended:
                 return record
-        run_ticks(world, observer, 1, failed)
-    return world.record()
+        run_ticks(simulation, observer, 1, failed)
+    return simulation.record()
 
 
 def run_ticks(
-    world: fakes.MoveSimulation,
+    simulation: fakes.MoveSimulation,
     observer: Observer,
     count: int,
     failed: int = 0,
 ) -> None:
     """Run a number of ticks, checking the invariants on each."""
     for _ in range(count):
-        world.tick()
-        serve(world, failed)
+        simulation.tick()
+        serve(simulation, failed)
         observer.check()
--- a/packages/coordination/src/skylarktack/coordination/moves/tests/test_faults.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/tests/test_faults.py
@@ -33,67 +33,67 @@
 class Fault:
     """Injects one fault, on the current driver of the move or the store."""
 
-    def __init__(self, world: fakes.MoveSimulation, name: str) -> None:
-        self._world = world
+    def __init__(self, simulation: fakes.MoveSimulation, name: str) -> None:
+        self._simulation = simulation
         self._name = name
-        self._driver = world.driver()
+        self._driver = simulation.driver()
 
     def start(self) -> None:
         """Inject the fault."""
-        world = self._world
-        driver = world.instances[self._driver]
+        simulation = self._simulation
+        driver = simulation.instances[self._driver]
         if self._name in ('store_down', 'deadline_in_outage'):
-            world.store.set_faults(fakes.StoreFaults(down=True))
+            simulation.store.set_faults(fakes.StoreFaults(down=True))
         if self._name == 'store_slow':
             driver.store.delay_s = 0.2
         if self._name == 'response_lost':
-            world.store.set_faults(
+            simulation.store.set_faults(
                 fakes.StoreFaults(lose_write_answers_count=1)
             )
         if self._name == 'responses_lost':
-            world.store.set_faults(
+            simulation.store.set_faults(
                 fakes.StoreFaults(lose_write_answers_count=4)
             )
         if self._name == 'write_lost':
-            world.store.set_faults(fakes.StoreFaults(lose_writes_count=3))
+            simulation.store.set_faults(fakes.StoreFaults(lose_writes_count=3))
         if self._name == 'driver_killed':
-            world.kill(self._driver)
+            simulation.kill(self._driver)
         if self._name in ('driver_paused', 'driver_partitioned'):
-            world.pause(self._driver)
+            simulation.pause(self._driver)
         if self._name == 'driver_partitioned':
             driver.paused = False
         if self._name in ('driver_store_cut', 'driver_partitioned'):
             driver.store.down = True
         if self._name == 'watch_unresponsive':
-            for name, instance in world.instances.items():
+            for name, instance in simulation.instances.items():
                 instance.misses_records = name != self._driver
         if self._name == 'operator_cancels':
-            world.configuration.change_move('digest', cancelled=True)
+            simulation.configuration.change_move('digest', cancelled=True)
         if self._name == 'operator_removes':
-            document = world.configuration.current().document
-            world.configuration.replace(
+            document = simulation.configuration.current().document
+            simulation.configuration.replace(
                 dataclasses.replace(document, moves=())
             )
         if self._name == 'operator_retargets':
-            world.configuration.change_move(
+            simulation.configuration.change_move(
                 'digest', to_version=state.VersionName('model-3')
             )
         if self._name == 'operator_extends':
-            move = world.configuration.current().document.moves[0]
-            world.configuration.change_move(
+            move = simulation.configuration.current().document.moves[0]
+            simulation.configuration.change_move(
                 'digest', deadline_s=move.deadline_s + 5
             )
 
     def end(self) -> None:
         """Remove the fault."""
-        world = self._world
-        world.store.set_faults(fakes.StoreFaults())
-        for instance in world.instances.values():
+        simulation = self._simulation
+        simulation.store.set_faults(fakes.StoreFaults())
+        for instance in simulation.instances.values():
             instance.store.down = False
             instance.store.delay_s = 0.0
             instance.misses_records = False
-        if self._driver in world.instances:
-            world.resume(self._driver)
+        if self._driver in simulation.instances:
+            simulation.resume(self._driver)
 
 
 class TestMoveUnderFaults:
@@ -110,24 +110,26 @@
         self, fault_name: str, moment: str
     ) -> None:
         """A good version must end as expected; traffic is deterministic."""
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape(window_s=45.0))
-        observer = _support.Observer(world)
-        _support.run_until(world, observer, moment)
-        fault = Fault(world, fault_name)
+        simulation = fakes.MoveSimulation(
+            fakes.MoveSimulationShape(window_s=45.0)
+        )
+        observer = _support.Observer(simulation)
+        _support.run_until(simulation, observer, moment)
+        fault = Fault(simulation, fault_name)
         fault.start()
         ticks = 100 if fault_name == 'deadline_in_outage' else 10
-        _support.run_ticks(world, observer, ticks)
+        _support.run_ticks(simulation, observer, ticks)
         fault.end()
-        record = _support.run_until(world, observer, 'completed')
+        record = _support.run_until(simulation, observer, 'completed')
         # Time for each instance to receive the final record.
-        _support.run_ticks(world, observer, 12)
+        _support.run_ticks(simulation, observer, 12)
         assert record is not None
         assert record.phase.value == FAULTS[fault_name]
         share = 1.0 if record.phase.value == 'completed' else 0.0
-        for instance in world.instances.values():
+        for instance in simulation.instances.values():
             assert instance.part.table.share('digest') == share
-        for name, order in world.engines.commands:
-            assert order.fencing_number <= world.engines.highest[name]
+        for name, order in simulation.engines.commands:
+            assert order.fencing_number <= simulation.engines.highest[name]
 
     @pytest.mark.parametrize('moment', ('stage-0', 'stage-1', 'stage-3'))
     @pytest.mark.parametrize(
@@ -141,17 +143,19 @@
 
         Instances must stop it before the store is available again.
         """
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape(window_s=45.0))
-        observer = _support.Observer(world)
-        _support.run_until(world, observer, moment)
-        fault = Fault(world, fault_name)
+        simulation = fakes.MoveSimulation(
+            fakes.MoveSimulationShape(window_s=45.0)
+        )
+        observer = _support.Observer(simulation)
+        _support.run_until(simulation, observer, moment)
+        fault = Fault(simulation, fault_name)
         fault.start()
-        _support.run_ticks(world, observer, 8, failed=5)
-        for instance in world.instances.values():
+        _support.run_ticks(simulation, observer, 8, failed=5)
+        for instance in simulation.instances.values():
             assert instance.part.table.share('digest') == 0.0
         fault.end()
-        _support.run_ticks(world, observer, 12, failed=5)
-        record = world.record()
+        _support.run_ticks(simulation, observer, 12, failed=5)
+        record = simulation.record()
         assert record is not None
         assert record.phase is state.MovePhase.ROLLED_BACK
         assert record.verdict is state.MoveVerdict.BAD
--- a/packages/coordination/src/skylarktack/coordination/moves/tests/test_judging.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/tests/test_judging.py
@@ -99,17 +99,17 @@
             settings = dataclasses.replace(
                 settings, shares=(0.5,), unjudged_share=0.5
             )
-        world = fakes.MoveSimulation(
+        simulation = fakes.MoveSimulation(
             fakes.MoveSimulationShape(settings=settings)
         )
         highest = 0.0
         for _ in range(60):
-            world.tick()
-            _support.serve(world, failed=2)
-            for instance in world.instances.values():
+            simulation.tick()
+            _support.serve(simulation, failed=2)
+            for instance in simulation.instances.values():
                 share = instance.part.table.share('digest')
                 highest = max(highest, share)
-        record = world.record()
+        record = simulation.record()
         assert record is not None
         assert record.verdict is state.MoveVerdict.BAD
         assert (highest <= 0.05) is is_bounded
--- a/packages/coordination/src/skylarktack/coordination/moves/tests/test_mechanisms.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/tests/test_mechanisms.py
@@ -34,19 +34,21 @@
         unconditional write would overwrite the successor's record.
         """
         store = None if conditional else UnconditionalStore()
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape(), store=store)
-        observer = _support.Observer(world)
-        _support.run_until(world, observer, 'stage-0')
-        former = world.driver()
-        world.pause(former)
-        _support.run_ticks(world, observer, 10)
-        record = world.record()
+        simulation = fakes.MoveSimulation(
+            fakes.MoveSimulationShape(), store=store
+        )
+        observer = _support.Observer(simulation)
+        _support.run_until(simulation, observer, 'stage-0')
+        former = simulation.driver()
+        simulation.pause(former)
+        _support.run_ticks(simulation, observer, 10)
+        record = simulation.record()
         assert record is not None
         assert record.lease.fencing_number == 2
         # The former driver resumes before its process has read anything.
-        move_driver = world.instances[former].sessions['digest']
+        move_driver = simulation.instances[former].sessions['digest']
         driver_state = move_driver.step()
-        record = world.record()
+        record = simulation.record()
         assert record is not None
         overwritten = record.lease.fencing_number == 1
         assert overwritten is not conditional
@@ -67,12 +69,14 @@
                 '_resolve_write',
                 lambda move_driver: moves.DriverState.LOST,
             )
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape())
-        observer = _support.Observer(world)
-        _support.run_until(world, observer, 'stage-0')
-        world.store.set_faults(fakes.StoreFaults(lose_write_answers_count=1))
-        _support.run_ticks(world, observer, 12)
-        record = world.record()
+        simulation = fakes.MoveSimulation(fakes.MoveSimulationShape())
+        observer = _support.Observer(simulation)
+        _support.run_until(simulation, observer, 'stage-0')
+        simulation.store.set_faults(
+            fakes.StoreFaults(lose_write_answers_count=1)
+        )
+        _support.run_ticks(simulation, observer, 12)
+        record = simulation.record()
         assert record is not None
         kept = record.lease.fencing_number == 1
         assert kept is reads_back
@@ -93,50 +97,52 @@
             settings = dataclasses.replace(
                 settings, order_timeout_ms=0, clock_allowance_ms=0
             )
-        world = fakes.MoveSimulation(
+        simulation = fakes.MoveSimulation(
             fakes.MoveSimulationShape(
                 checks_fencing=False, settings=settings, weights_bytes=0
             )
         )
         # The first driver is killed after acquiring the lease. Its last
         # command may remain in flight until it times out.
-        first = world.instances['instance-0'].part.new_driver('digest')
+        first = simulation.instances['instance-0'].part.new_driver('digest')
         first.step()
-        record = world.record()
+        record = simulation.record()
         assert record is not None
         last_possible_s = record.lease.expires_s + 2.0
-        world.kill('instance-0')
+        simulation.kill('instance-0')
         for _ in range(30):
-            world.tick()
-            if world.engines.commands:
+            simulation.tick()
+            if simulation.engines.commands:
                 break
-        assert world.engines.commands
-        safe = world.clock.wall_s() >= last_possible_s
+        assert simulation.engines.commands
+        safe = simulation.clock.wall_s() >= last_possible_s
         assert safe is waits
 
     def test_old_fencing_number_is_refused(self) -> None:
         """A target that checks fencing refuses a former driver's command."""
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape())
-        _support.run_until(world, _support.Observer(world), 'stage-0')
-        target, order = world.engines.commands[0]
-        known = world.target(target)
+        simulation = fakes.MoveSimulation(fakes.MoveSimulationShape())
+        _support.run_until(
+            simulation, _support.Observer(simulation), 'stage-0'
+        )
+        target, order = simulation.engines.commands[0]
+        known = simulation.target(target)
         assert known is not None
         newer = dataclasses.replace(order, fencing_number=7)
-        assert world.engines.send_command(known, newer, 1.0).is_ok()
-        assert world.engines.send_command(known, order, 1.0).is_error()
+        assert simulation.engines.send_command(known, newer, 1.0).is_ok()
+        assert simulation.engines.send_command(known, order, 1.0).is_error()
 
     def test_load_commands_respect_the_rate(self) -> None:
         """Load commands must not exceed the rate of the weight store."""
-        world = fakes.MoveSimulation(
+        simulation = fakes.MoveSimulation(
             fakes.MoveSimulationShape(
                 weights_bytes=2_000_000_000, window_s=120.0
             )
         )
-        observer = _support.Observer(world)
+        observer = _support.Observer(simulation)
         counts: list[int] = []
         for _ in range(160):
-            _support.run_ticks(world, observer, 1)
-            counts.append(len(world.engines.commands))
+            _support.run_ticks(simulation, observer, 1)
+            counts.append(len(simulation.engines.commands))
         assert counts[-1] >= 16
         for before, after in zip(counts, counts[8:], strict=False):
             assert after - before <= 5
@@ -144,26 +150,28 @@
     @pytest.mark.parametrize('fault', ('dead', 'stuck'))
     def test_target_that_does_not_load_is_replaced(self, fault: str) -> None:
         """A target that fails to load is replaced in the first wave."""
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape(window_s=80.0))
-        getattr(world.engines, fault).add(world.targets[0].name)
+        simulation = fakes.MoveSimulation(
+            fakes.MoveSimulationShape(window_s=80.0)
+        )
+        getattr(simulation.engines, fault).add(simulation.targets[0].name)
         record = _support.run_until(
-            world, _support.Observer(world), 'completed'
+            simulation, _support.Observer(simulation), 'completed'
         )
         assert record is not None
         assert record.phase is state.MovePhase.COMPLETED
 
     def test_move_that_cannot_finish(self) -> None:
         """A move that cannot load before the deadline must not start."""
-        world = fakes.MoveSimulation(
+        simulation = fakes.MoveSimulation(
             fakes.MoveSimulationShape(weights_bytes=8_000_000_000)
         )
         record = _support.run_until(
-            world, _support.Observer(world), 'rolled_back'
+            simulation, _support.Observer(simulation), 'rolled_back'
         )
         assert record is not None
         assert record.phase is state.MovePhase.ROLLED_BACK
         assert 'Loading and judging take' in record.reason
-        assert not world.engines.commands
+        assert not simulation.engines.commands
 
 
 class TestMoveTable:
@@ -236,15 +244,15 @@
 
     def test_split_is_equal_on_all_instances(self) -> None:
         """Instances must select alike and keep requests as the share rises."""
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape())
-        observer = _support.Observer(world)
-        route = world.configuration.current().document.routes[0]
+        simulation = fakes.MoveSimulation(fakes.MoveSimulationShape())
+        observer = _support.Observer(simulation)
+        route = simulation.configuration.current().document.routes[0]
         before: set[state.RequestId] = set()
         for moment, share in (('stage-1', 0.05), ('stage-3', 0.5)):
-            _support.run_until(world, observer, moment)
-            world.tick(0.1)
+            _support.run_until(simulation, observer, moment)
+            simulation.tick(0.1)
             chosen: list[set[state.RequestId]] = []
-            for instance in world.instances.values():
+            for instance in simulation.instances.values():
                 versions = instance.part.version_selector
                 found: set[state.RequestId] = set()
                 for number in range(20_000):
@@ -265,11 +273,13 @@
 
     def test_outage_during_first_write(self) -> None:
         """A lost response before an outage is resolved after the outage."""
-        world = fakes.MoveSimulation(
+        simulation = fakes.MoveSimulation(
             fakes.MoveSimulationShape(instance_count=1)
         )
-        move_driver = world.instances['instance-0'].part.new_driver('digest')
-        link = world.instances['instance-0'].store
+        move_driver = simulation.instances['instance-0'].part.new_driver(
+            'digest'
+        )
+        link = simulation.instances['instance-0'].store
         put = link.put
 
         def put_then_fail(
@@ -288,7 +298,7 @@
         assert move_driver.step() is moves.DriverState.HOLDING
         link.down = False
         assert move_driver.step() is moves.DriverState.DRIVING
-        record = world.record()
+        record = simulation.record()
         assert record is not None
         assert record.lease.fencing_number == 1
         assert Ok(record.phase) == Ok(state.MovePhase.LOADING)
@@ -302,16 +312,18 @@
         self, configured: bool
     ) -> None:
         """Only the record of a move no longer configured is deleted."""
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape())
-        _support.run_until(world, _support.Observer(world), 'completed')
-        world.tick()
+        simulation = fakes.MoveSimulation(fakes.MoveSimulationShape())
+        _support.run_until(
+            simulation, _support.Observer(simulation), 'completed'
+        )
+        simulation.tick()
         if not configured:
-            document = world.configuration.current().document
-            world.configuration.replace(
+            document = simulation.configuration.current().document
+            simulation.configuration.replace(
                 dataclasses.replace(document, moves=())
             )
         for wait_s, kept in ((60.0, True), (7200.0, configured)):
-            world.clock.advance(wait_s)
-            for instance in world.instances.values():
+            simulation.clock.advance(wait_s)
+            for instance in simulation.instances.values():
                 instance.part.remove_old_records()
-            assert (world.record() is not None) is kept
+            assert (simulation.record() is not None) is kept
--- a/packages/coordination/src/skylarktack/coordination/moves/tests/test_restored_store.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/tests/test_restored_store.py
@@ -8,21 +8,21 @@
 from skylarktack.coordination.moves.tests import _support
 
 
-def _fencing_number(world: fakes.MoveSimulation) -> int:
-    record = world.record()
+def _fencing_number(simulation: fakes.MoveSimulation) -> int:
+    record = simulation.record()
     assert record is not None
     return record.lease.fencing_number
 
 
-def _run_alone(world: fakes.MoveSimulation) -> None:
+def _run_alone(simulation: fakes.MoveSimulation) -> None:
     """Pause all instances and run one that knows nothing of the move."""
-    for name in tuple(world.instances):
-        world.pause(name)
-    world.start_instance('instance-new')
-    world.hub.cut('instance-new', 'instance-0')
+    for name in tuple(simulation.instances):
+        simulation.pause(name)
+    simulation.start_instance('instance-new')
+    simulation.hub.cut('instance-new', 'instance-0')
     for _ in range(20):
-        world.tick()
-        if world.driver() == 'instance-new':
+        simulation.tick()
+        if simulation.driver() == 'instance-new':
             return
 
 
@@ -31,61 +31,67 @@
 
     def test_number_that_went_back_is_not_given_again(self) -> None:
         """Guards against a takeover with a number that is in use."""
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape())
-        _support.run_until(world, _support.Observer(world), 'stage-0')
-        world.store.take_copy()
-        world.kill(world.driver())
-        observer = _support.Observer(world)
+        simulation = fakes.MoveSimulation(fakes.MoveSimulationShape())
+        _support.run_until(
+            simulation, _support.Observer(simulation), 'stage-0'
+        )
+        simulation.store.take_copy()
+        simulation.kill(simulation.driver())
+        observer = _support.Observer(simulation)
         for _ in range(20):
-            _support.run_ticks(world, observer, 1)
-            if _fencing_number(world) == 2:
+            _support.run_ticks(simulation, observer, 1)
+            if _fencing_number(simulation) == 2:
                 break
-        assert _fencing_number(world) == 2
-        world.store.restore()
-        assert _fencing_number(world) == 1
-        _run_alone(world)
-        assert world.driver() == 'instance-new'
-        assert _fencing_number(world) > 2
+        assert _fencing_number(simulation) == 2
+        simulation.store.restore()
+        assert _fencing_number(simulation) == 1
+        _run_alone(simulation)
+        assert simulation.driver() == 'instance-new'
+        assert _fencing_number(simulation) > 2
 
     def test_first_lease_of_a_lost_record(self) -> None:
         """Guards against a first record whose number is in use."""
-        world = fakes.MoveSimulation(
+        simulation = fakes.MoveSimulation(
             fakes.MoveSimulationShape(checks_fencing=False)
         )
-        world.store.take_copy()
-        _support.run_until(world, _support.Observer(world), 'stage-0')
-        world.store.restore()
+        simulation.store.take_copy()
+        _support.run_until(
+            simulation, _support.Observer(simulation), 'stage-0'
+        )
+        simulation.store.restore()
         # The new instance learns of the era from its first call.
-        _run_alone(world)
-        assert world.driver() == 'instance-new'
-        assert _fencing_number(world) > 1
-        record = world.record()
+        _run_alone(simulation)
+        assert simulation.driver() == 'instance-new'
+        assert _fencing_number(simulation) > 1
+        record = simulation.record()
         assert record is not None
-        settings = world.shape.settings
+        settings = simulation.shape.settings
         lease_s = settings.lease_ms / 1000
         assert record.lease.quiet_until_s > record.updated_s + lease_s
 
     def test_lease_of_an_earlier_era_is_taken_again(self) -> None:
         """Guards against a renewal on a version that was given out again."""
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape())
-        _support.run_until(world, _support.Observer(world), 'stage-0')
-        world.store.take_copy()
-        world.store.restore()
+        simulation = fakes.MoveSimulation(fakes.MoveSimulationShape())
+        _support.run_until(
+            simulation, _support.Observer(simulation), 'stage-0'
+        )
+        simulation.store.take_copy()
+        simulation.store.restore()
         # The version that the driver knows is one of the new era too.
-        _support.run_ticks(world, _support.Observer(world), 12)
-        assert _fencing_number(world) > 1 << 32
+        _support.run_ticks(simulation, _support.Observer(simulation), 12)
+        assert _fencing_number(simulation) > 1 << 32
 
     def test_new_driver_goes_on_from_the_last_step(self) -> None:
         """Guards against steps that are repeated because a copy lacks them."""
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape())
-        observer = _support.Observer(world)
-        _support.run_until(world, observer, 'stage-0')
-        world.store.take_copy()
-        before = _support.run_until(world, observer, 'stage-1')
+        simulation = fakes.MoveSimulation(fakes.MoveSimulationShape())
+        observer = _support.Observer(simulation)
+        _support.run_until(simulation, observer, 'stage-0')
+        simulation.store.take_copy()
+        before = _support.run_until(simulation, observer, 'stage-1')
         assert before is not None
-        world.store.restore()
-        _support.run_ticks(world, _support.Observer(world), 12)
-        record = world.record()
+        simulation.store.restore()
+        _support.run_ticks(simulation, _support.Observer(simulation), 12)
+        record = simulation.record()
         assert record is not None
         assert record.stage >= 1
         assert record.history[: len(before.history)] == before.history
@@ -96,17 +102,19 @@
 
     def test_end_of_a_move_is_written_again(self) -> None:
         """Guards against a bad version that is tried a second time."""
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape())
-        observer = _support.Observer(world)
-        _support.run_until(world, observer, 'stage-0')
-        world.store.take_copy()
-        ended = _support.run_until(world, observer, 'rolled_back', failed=5)
+        simulation = fakes.MoveSimulation(fakes.MoveSimulationShape())
+        observer = _support.Observer(simulation)
+        _support.run_until(simulation, observer, 'stage-0')
+        simulation.store.take_copy()
+        ended = _support.run_until(
+            simulation, observer, 'rolled_back', failed=5
+        )
         assert ended is not None
         assert ended.phase is state.MovePhase.ROLLED_BACK
-        _support.run_ticks(world, observer, 2)
-        world.store.restore()
-        _support.run_ticks(world, _support.Observer(world), 4)
-        assert world.record() == ended
+        _support.run_ticks(simulation, observer, 2)
+        simulation.store.restore()
+        _support.run_ticks(simulation, _support.Observer(simulation), 4)
+        assert simulation.record() == ended
 
     def test_only_newer_records_of_another_era(self) -> None:
         """Guards against a version that was given out again."""
@@ -147,12 +155,16 @@
 
     def test_configuration_of_a_later_era(self) -> None:
         """Guards against a driver that waits for a revision that was lost."""
-        world = fakes.MoveSimulation(fakes.MoveSimulationShape())
-        observer = _support.Observer(world)
-        world.configuration.set_position(state.ConfigurationPosition(0, 9))
-        _support.run_until(world, observer, 'stage-0')
-        world.configuration.set_position(state.ConfigurationPosition(1, 2))
-        record = _support.run_until(world, observer, 'stage-1')
+        simulation = fakes.MoveSimulation(fakes.MoveSimulationShape())
+        observer = _support.Observer(simulation)
+        simulation.configuration.set_position(
+            state.ConfigurationPosition(0, 9)
+        )
+        _support.run_until(simulation, observer, 'stage-0')
+        simulation.configuration.set_position(
+            state.ConfigurationPosition(1, 2)
+        )
+        record = _support.run_until(simulation, observer, 'stage-1')
         assert record is not None
         assert record.stage == 1
         assert record.configuration_position == (
--- a/packages/coordination/src/skylarktack/coordination/tests/test_once.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_once.py
@@ -73,15 +73,15 @@
         second: str,
     ) -> None:
         """A key executes at most once, and ``not_run`` refusals are true."""
-        world = fakes.CallSimulation(
+        simulation = fakes.CallSimulation(
             dataclasses.replace(_SHAPE, instance_count=2)
         )
         # The step occurs only if the stopped instance owns the bucket.
-        owner = world.instances[0].claims.owner(
-            world.instances[0].claims.bucket_of(_KEY)
+        owner = simulation.instances[0].claims.owner(
+            simulation.instances[0].claims.bucket_of(_KEY)
         )
         stopped, other = sorted(
-            world.instances, key=lambda item: item.name != owner
+            simulation.instances, key=lambda item: item.name != owner
         )
         stopped.gate.arm(step, action)
         with concurrent.futures.ThreadPoolExecutor(1) as pool:
@@ -90,13 +90,13 @@
             )
             assert stopped.gate.reached.wait(10)
             if action is not fakes.StepAction.PAUSE:
-                world.hub.leave(stopped.name)
+                simulation.hub.leave(stopped.name)
             two = other.book(fakes.plain_call('key-1', 'request-2'))
             stopped.gate.resume()
             one = pending.result()
-        world.stop()
+        simulation.stop()
         result = fakes.BookingResult('key-1', (one, two))
-        assert fakes.booking_fault(result, world.services) is None
+        assert fakes.booking_fault(result, simulation.services) is None
         assert _outcome(one) in first.split()
         assert _outcome(two) in second.split()
 
@@ -105,9 +105,9 @@
         shape = dataclasses.replace(
             _SHAPE, instance_count=2, conditional_writes=False
         )
-        world = fakes.CallSimulation(shape)
-        one, two = world.instances
-        world.hub.cut(one.name, two.name)
+        simulation = fakes.CallSimulation(shape)
+        one, two = simulation.instances
+        simulation.hub.cut(one.name, two.name)
         one.gate.arm(fakes.CallStep.CLAIM_SENT, fakes.StepAction.PAUSE)
         with concurrent.futures.ThreadPoolExecutor(1) as pool:
             pending = pool.submit(
@@ -117,8 +117,8 @@
             two.book(fakes.plain_call('key-1', 'request-2'))
             one.gate.resume()
             pending.result()
-        world.stop()
-        assert world.services.executions['small:key-1'] == 2
+        simulation.stop()
+        assert simulation.services.executions['small:key-1'] == 2
 
 
 class TestStoreFaults:
@@ -141,34 +141,34 @@
         execution_count: int,
     ) -> None:
         """A lost store response is resolved by a read; an outage refuses."""
-        world = fakes.CallSimulation(_SHAPE)
-        world.store.set_faults(faults)
-        response = world.instances[0].book(
+        simulation = fakes.CallSimulation(_SHAPE)
+        simulation.store.set_faults(faults)
+        response = simulation.instances[0].book(
             fakes.plain_call('key-1', 'request-1')
         )
-        world.store.set_faults(fakes.StoreFaults())
-        world.stop()
+        simulation.store.set_faults(fakes.StoreFaults())
+        simulation.stop()
         assert _outcome(response) == expected
-        assert world.services.executions['small:key-1'] == execution_count
+        assert simulation.services.executions['small:key-1'] == execution_count
 
     def test_store_outage_after_dispatch(self) -> None:
         """The outcome is recorded once the store is available again."""
-        world = fakes.CallSimulation(_SHAPE)
-        one, two = world.instances[:2]
+        simulation = fakes.CallSimulation(_SHAPE)
+        one, two = simulation.instances[:2]
         one.gate.arm(fakes.CallStep.DISPATCHED, fakes.StepAction.PAUSE)
         with concurrent.futures.ThreadPoolExecutor(1) as pool:
             pending = pool.submit(
                 one.book, fakes.plain_call('key-1', 'request-1')
             )
             assert one.gate.reached.wait(10)
-            world.store.set_faults(fakes.StoreFaults(down=True))
+            simulation.store.set_faults(fakes.StoreFaults(down=True))
             one.gate.resume()
             assert _outcome(pending.result()) == 'answer'
-        world.store.set_faults(fakes.StoreFaults())
+        simulation.store.set_faults(fakes.StoreFaults())
         second = two.book(fakes.plain_call('key-1', 'request-2'))
-        world.stop()
+        simulation.stop()
         assert _outcome(second) == 'answer'
-        assert world.services.executions['small:key-1'] == 1
+        assert simulation.services.executions['small:key-1'] == 1
 
     def test_random_faults(self) -> None:
         """Random faults of instances, store and targets break no guarantee."""
@@ -204,24 +204,24 @@
         self, call: state.ServiceCall, code: state.RefusalCode
     ) -> None:
         """A missing, invalid or reused key is refused with its own code."""
-        world = fakes.CallSimulation(_SHAPE)
-        world.instances[0].book(fakes.plain_call('key-1', 'request-1'))
-        response = world.instances[1].book(call)
-        world.stop()
+        simulation = fakes.CallSimulation(_SHAPE)
+        simulation.instances[0].book(fakes.plain_call('key-1', 'request-1'))
+        response = simulation.instances[1].book(call)
+        simulation.stop()
         assert response.refusal is not None
         assert response.refusal.code is code
         assert response.refusal.run is state.RunState.NOT_RUN
-        assert sum(world.services.executions.values()) == 1
+        assert sum(simulation.services.executions.values()) == 1
 
     def test_organisations_do_not_share_keys(self) -> None:
         """The same key of two organisations executes once for each."""
-        world = fakes.CallSimulation(_SHAPE)
+        simulation = fakes.CallSimulation(_SHAPE)
         for name in ('small', 'large', 'small'):
-            world.instances[0].book(
+            simulation.instances[0].book(
                 fakes.plain_call('key-1', f'request-{name}', b'{}', name)
             )
-        world.stop()
-        assert dict(world.services.executions) == {
+        simulation.stop()
+        assert dict(simulation.services.executions) == {
             'small:key-1': 1,
             'large:key-1': 1,
         }
@@ -262,26 +262,26 @@
         execution_count: int,
     ) -> None:
         """Only a call that was certainly not executed is sent again."""
-        world = fakes.CallSimulation(_SHAPE)
-        world.services.faults = faults
-        response = world.instances[0].book(
+        simulation = fakes.CallSimulation(_SHAPE)
+        simulation.services.faults = faults
+        response = simulation.instances[0].book(
             fakes.plain_call('key-1', 'request-1')
         )
         threading.Event().wait(0.4 if faults.late_execution_count else 0)
-        world.stop()
+        simulation.stop()
         assert _outcome(response) == expected
-        assert world.services.executions['small:key-1'] == execution_count
+        assert simulation.services.executions['small:key-1'] == execution_count
 
     def test_settlement_closes_the_key(self) -> None:
         """A settlement is accepted once and closes the key."""
-        world = fakes.CallSimulation(_SHAPE)
-        world.services.faults = fakes.ServiceMisbehaviour(
+        simulation = fakes.CallSimulation(_SHAPE)
+        simulation.services.faults = fakes.ServiceMisbehaviour(
             lose_answer_count=1, tells_outcome=False
         )
-        one = world.instances[0]
+        one = simulation.instances[0]
         one.book(fakes.plain_call('key-1', 'request-1'))
         one.claims.stop()
-        two = world.instances[1]
+        two = simulation.instances[1]
         listed = two.unknown_calls.list_unresolved().ok
         assert [item.key for item in listed] == [_KEY]
         settlement = once.Settlement(
@@ -295,5 +295,5 @@
         assert repeated.refusal is not None
         assert repeated.refusal.code is state.RefusalCode.CANCELLED
         assert two.unknown_calls.list_unresolved() == Ok(())
-        world.stop()
-        assert world.services.executions['small:key-1'] == 1
+        simulation.stop()
+        assert simulation.services.executions['small:key-1'] == 1
--- a/packages/coordination/src/skylarktack/coordination/tests/test_restored_claims.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_restored_claims.py
@@ -230,43 +230,43 @@
 
     def test_former_owner_writes_its_claims_again(self) -> None:
         """Guards against claims that only an instance without calls knows."""
-        world = fakes.CallSimulation(
+        simulation = fakes.CallSimulation(
             fakes.CallSimulationShape(
                 codec=fakes.PickledSegmentCodec(), instance_count=2
             )
         )
         key = state.ClaimKey(state.OrganisationName('small'), 'key-1')
-        claims = world.instances[0].claims
+        claims = simulation.instances[0].claims
         owner = claims.owner(claims.bucket_of(key))
         former, other = sorted(
-            world.instances, key=lambda item: item.name != owner
+            simulation.instances, key=lambda item: item.name != owner
         )
         stopping = threading.Event()
         task = threading.Thread(
             target=former.claims.recover_after_restores, args=(stopping,)
         )
         task.start()
-        world.store.take_copy()
+        simulation.store.take_copy()
         one = former.book(fakes.plain_call('key-1', 'request-1'))
         # Once its outcome is stored, the former owner has nothing to write.
         for _ in range(500):
-            if world.store.call_counts['put'] == 2:
+            if simulation.store.call_counts['put'] == 2:
                 break
             stopping.wait(0.01)
-        assert world.store.call_counts['put'] == 2
-        world.hub.cut(former.name, other.name)
-        world.store.restore()
+        assert simulation.store.call_counts['put'] == 2
+        simulation.hub.cut(former.name, other.name)
+        simulation.store.restore()
         # Another task of the former owner notices the restore.
         assert former.claims.unresolved().is_ok()
         for _ in range(500):
-            if world.store.list('claims/').ok:
+            if simulation.store.list('claims/').ok:
                 break
             stopping.wait(0.01)
         two = other.book(fakes.plain_call('key-1', 'request-2'))
         stopping.set()
-        world.stop()
+        simulation.stop()
         task.join(10)
         assert not task.is_alive()
         result = fakes.BookingResult('key-1', (one, two))
-        assert fakes.booking_fault(result, world.services) is None
+        assert fakes.booking_fault(result, simulation.services) is None
         assert one.answer is not None
--- a/packages/emulator/src/skylarktack/emulator/bench/_move_traffic.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_move_traffic.py
@@ -99,14 +99,14 @@
 
     def __init__(
         self,
-        world: fakes.MoveSimulation,
+        simulation: fakes.MoveSimulation,
         behaviour: Behaviour,
         draw: random.Random,
     ) -> None:
-        self._world = world
+        self._simulation = simulation
         self._behaviour = behaviour
         self._draw = draw
-        self._domain_count = world.shape.failure_domain_count
+        self._domain_count = simulation.shape.failure_domain_count
         self.new_counts: dict[str, int] = {}
         self.was_bad = False
         self.both_slow = False
@@ -118,12 +118,12 @@
         :param shifting_s: time since the first share.
         """
         behaviour = self._behaviour
-        rate = behaviour.rate_per_s / len(self._world.instances)
+        rate = behaviour.rate_per_s / len(self._simulation.instances)
         mean = rate * duration_s / self._domain_count
         self.new_counts[name] = 0
         if name == 'digest':
             self.was_bad = False
-        for instance in self._world.instances.values():
+        for instance in self._simulation.instances.values():
             share = instance.part.table.share(name)
             bad = self._is_bad(name, share, shifting_s)
             for domain in range(self._domain_count):
@@ -143,7 +143,7 @@
             return False
         if behaviour.kind is MoveKind.ONE_ROUTE:
             return name == 'digest'
-        targets = self._world.shape.target_count
+        targets = self._simulation.shape.target_count
         serving = targets if share > 0.05 else moves.FIRST_WAVE_COUNT
         return share * targets / serving >= behaviour.load_limit
 
--- a/packages/emulator/src/skylarktack/emulator/bench/_moves.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_moves.py
@@ -251,16 +251,16 @@
 
 def _report_size(seed: int, domain_count: int) -> int:
     draw = random.Random(seed)
-    world = fakes.MoveSimulation(
+    simulation = fakes.MoveSimulation(
         fakes.MoveSimulationShape(failure_domain_count=domain_count)
     )
     behaviour = _move_traffic.behaviour_of(_move_traffic.MoveKind.GOOD, draw)
-    traffic = _move_traffic.Traffic(world, behaviour, draw)
+    traffic = _move_traffic.Traffic(simulation, behaviour, draw)
     codec = protocol.PeerCodec(protocol.PEER_MESSAGES)
     for _ in range(80):
-        world.tick(TICK_S)
+        simulation.tick(TICK_S)
         traffic.serve('digest', TICK_S, 0.0)
-        for name, instance in world.instances.items():
+        for name, instance in simulation.instances.items():
             report = instance.part.collector.report(
                 'digest', state.InstanceName(name)
             )
@@ -273,11 +273,11 @@
     """Follows one move from outside and notes what it received."""
 
     def __init__(
-        self, world: fakes.MoveSimulation, traffic: _move_traffic.Traffic
+        self, simulation: fakes.MoveSimulation, traffic: _move_traffic.Traffic
     ) -> None:
-        self._world = world
+        self._simulation = simulation
         self._traffic = traffic
-        self._judge = moves.SequentialJudge(world.shape.settings)
+        self._judge = moves.SequentialJudge(simulation.shape.settings)
         self._detectable_s: float | None = None
         self.shifting_since_s: float | None = None
         self.onset_at_s: float | None = None
@@ -290,8 +290,8 @@
         self, behaviour: _move_traffic.Behaviour, name: str = 'digest'
     ) -> None:
         """Take in one tick after its traffic."""
-        now_s = self._world.clock.monotonic_s()
-        record = self._world.record(name)
+        now_s = self._simulation.clock.monotonic_s()
+        record = self._simulation.record(name)
         if record is None:
             return
         if record.ended and self.ended_at_s is None:
@@ -301,7 +301,7 @@
         new = self._traffic.new_counts.get(name, 0)
         share = new and max(
             instance.part.table.share(name)
-            for instance in self._world.instances.values()
+            for instance in self._simulation.instances.values()
         )
         if record.verdict is state.MoveVerdict.OPEN:
             self.unjudged_share = max(self.unjudged_share, share)
@@ -319,7 +319,7 @@
 
     def _is_detectable(self, name: str, record: state.MoveRecord) -> bool:
         rows: list[state.EvidenceRow] = []
-        for instance_name, instance in self._world.instances.items():
+        for instance_name, instance in self._simulation.instances.items():
             report = instance.part.collector.report(
                 name, state.InstanceName(instance_name)
             )
@@ -328,7 +328,7 @@
         return self._judge.judge(
             tuple(rows),
             record.to_version,
-            self._world.shape.settings.rejection_probability,
+            self._simulation.shape.settings.rejection_probability,
         ).bad
 
 
@@ -342,32 +342,33 @@
     if kind is _move_traffic.MoveKind.ONE_ROUTE:
         routes = ('digest', 'fit')
     judge = moves.ThresholdJudge() if fixed_thresholds else None
-    world = fakes.MoveSimulation(
+    simulation = fakes.MoveSimulation(
         fakes.MoveSimulationShape(routes=routes), judge
     )
     behaviour = _move_traffic.behaviour_of(kind, draw)
-    traffic = _move_traffic.Traffic(world, behaviour, draw)
-    watcher = _Watcher(world, traffic)
+    traffic = _move_traffic.Traffic(simulation, behaviour, draw)
+    watcher = _Watcher(simulation, traffic)
     fault_at_s = draw.uniform(2.0, 25.0)
-    started_s = world.clock.monotonic_s()
-    while world.clock.monotonic_s() < started_s + world.shape.window_s + 2:
-        elapsed_s = world.clock.monotonic_s() - started_s
-        _switch_faults(kind, world, traffic, elapsed_s - fault_at_s)
-        world.tick(TICK_S)
+    started_s = simulation.clock.monotonic_s()
+    end_s = started_s + simulation.shape.window_s + 2
+    while simulation.clock.monotonic_s() < end_s:
+        elapsed_s = simulation.clock.monotonic_s() - started_s
+        _switch_faults(kind, simulation, traffic, elapsed_s - fault_at_s)
+        simulation.tick(TICK_S)
         shifting_s = 0.0
         if watcher.shifting_since_s is not None:
-            now_s = world.clock.monotonic_s()
+            now_s = simulation.clock.monotonic_s()
             shifting_s = now_s - watcher.shifting_since_s
         for name in routes:
             traffic.serve(name, TICK_S, shifting_s)
         watcher.note(behaviour)
-        if all(_has_ended(world, name) for name in routes):
+        if all(_has_ended(simulation, name) for name in routes):
             break
     verdict_s = float('nan')
     if watcher.ended_at_s is not None and watcher.onset_at_s is not None:
         verdict_s = watcher.ended_at_s - watcher.onset_at_s
     return MoveResult(
-        right=_ended_right(world, kind),
+        right=_ended_right(simulation, kind),
         unjudged_share=watcher.unjudged_share,
         bad_share=watcher.bad_share,
         late_count=watcher.late_count,
@@ -379,27 +380,30 @@
     """Kill the driver of a good move at a seeded moment."""
     kind = _move_traffic.MoveKind.GOOD
     draw = random.Random(f'driver/{seed}')
-    world = fakes.MoveSimulation(fakes.MoveSimulationShape(instance_count=4))
+    simulation = fakes.MoveSimulation(
+        fakes.MoveSimulationShape(instance_count=4)
+    )
     behaviour = _move_traffic.behaviour_of(kind, draw)
-    traffic = _move_traffic.Traffic(world, behaviour, draw)
+    traffic = _move_traffic.Traffic(simulation, behaviour, draw)
     kill_at_s = draw.uniform(1.0, 20.0)
-    started_s = world.clock.monotonic_s()
+    started_s = simulation.clock.monotonic_s()
+    end_s = started_s + simulation.shape.window_s + 2
     killed_s = resumed_s = float('nan')
     victim = ''
-    while world.clock.monotonic_s() < started_s + world.shape.window_s + 2:
-        now_s = world.clock.monotonic_s()
+    while simulation.clock.monotonic_s() < end_s:
+        now_s = simulation.clock.monotonic_s()
         if not victim and now_s - started_s >= kill_at_s:
-            victim = world.driver()
+            victim = simulation.driver()
             killed_s = now_s
-            world.kill(victim)
-        world.tick(TICK_S)
+            simulation.kill(victim)
+        simulation.tick(TICK_S)
         traffic.serve('digest', TICK_S, 0.0)
-        if victim and resumed_s != resumed_s and world.driver() != victim:
-            resumed_s = world.clock.monotonic_s() - killed_s
-        if _has_ended(world, 'digest'):
+        if victim and resumed_s != resumed_s and simulation.driver() != victim:
+            resumed_s = simulation.clock.monotonic_s() - killed_s
+        if _has_ended(simulation, 'digest'):
             break
     return MoveResult(
-        right=_ended_right(world, kind),
+        right=_ended_right(simulation, kind),
         unjudged_share=0.0,
         bad_share=0.0,
         late_count=0,
@@ -410,7 +414,7 @@
 
 def _switch_faults(
     kind: _move_traffic.MoveKind,
-    world: fakes.MoveSimulation,
+    simulation: fakes.MoveSimulation,
     traffic: _move_traffic.Traffic,
     since_s: float,
 ) -> None:
@@ -421,24 +425,24 @@
     if kind is _move_traffic.MoveKind.DOMAIN_LOST:
         traffic.lost_domain = 0 if active else -1
     if kind is _move_traffic.MoveKind.STORE_DOWN:
-        world.store.set_faults(fakes.StoreFaults(down=active))
+        simulation.store.set_faults(fakes.StoreFaults(down=active))
 
 
-def _has_ended(world: fakes.MoveSimulation, name: str) -> bool:
-    record = world.record(name)
+def _has_ended(simulation: fakes.MoveSimulation, name: str) -> bool:
+    record = simulation.record(name)
     return record is not None and record.ended
 
 
 def _ended_right(
-    world: fakes.MoveSimulation, kind: _move_traffic.MoveKind
+    simulation: fakes.MoveSimulation, kind: _move_traffic.MoveKind
 ) -> bool:
-    record = world.record()
+    record = simulation.record()
     if record is None:
         return False
     if kind.is_good:
         return record.phase is state.MovePhase.COMPLETED
     if kind is _move_traffic.MoveKind.ONE_ROUTE:
-        other = world.record('fit')
+        other = simulation.record('fit')
         if other is None or other.phase is not state.MovePhase.COMPLETED:
             return False
     return record.verdict is state.MoveVerdict.BAD
--- a/packages/emulator/src/skylarktack/emulator/bench/_once.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_once.py
@@ -29,10 +29,10 @@
 #: Duration of each load.
 LOAD_S = 4.0
 
-#: Worlds of 24 faulted bookings each.
-FAULTED_WORLD_COUNT = 210
+#: Simulations of 24 faulted bookings each.
+FAULTED_SIMULATION_COUNT = 210
 
-#: Worlds that run at the same time.
+#: Simulations that run at the same time.
 _PARALLEL_COUNT = 12
 
 
@@ -70,13 +70,13 @@
         claim=state.ClaimSettings(),
     )
     store = _SlowStore()
-    world = fakes.CallSimulation(shape, store)
+    simulation = fakes.CallSimulation(shape, store)
     chance = random.Random(seed)
     durations_ms: list[float] = []
     booking_count = int(BOOKINGS_PER_S * LOAD_S)
 
     def book(index: int) -> None:
-        instance = chance.choice(world.instances)
+        instance = chance.choice(simulation.instances)
         started_s = time.monotonic()
         response = instance.book(
             fakes.plain_call(f'key-{index}', f'request-{index}')
@@ -92,7 +92,7 @@
             waiting.wait(max(0.0, due_s - time.monotonic()))
             pool.submit(book, index)
     elapsed_s = time.monotonic() - started_s
-    world.stop()
+    simulation.stop()
     name = f'once.instances_{instance_count}'
     answered_count = max(1, len(durations_ms))
     counts = store.call_counts
@@ -112,7 +112,7 @@
 def _faulted(seed: int) -> Iterator[_figures.Figure]:
     shape = fakes.CallSimulationShape(codec=protocol.CborSegmentCodec())
     first = seed * 10_000
-    seeds = range(first, first + FAULTED_WORLD_COUNT)
+    seeds = range(first, first + FAULTED_SIMULATION_COUNT)
     with concurrent.futures.ThreadPoolExecutor(_PARALLEL_COUNT) as pool:
         summaries = list(
             pool.map(
