Share how instances read and write their own objects

The store adapters for quarantined parts and for versions held the same call, the same sets of statuses and the same body; these two and the registry of instances held the same loop that decodes a list. ObjectWriter creates, saves and removes the objects of one kind, and ObjectReader.load() decodes a list and leaves out what other writers left.

Callers see no change: for all 49 pairs of statuses out of none, 200, 201, 204, 404, 409 and 503, saving and removing both kinds of record makes the same calls, byte for byte, with the same results as before.

Ruled out: the registry writes through ObjectWriter as well. It logs the status of a failed write and counts 204 as a failure.

Evidence: the tests of the package, the keepers and the instance pass. Without the handling of conflicts, of missing objects, of lost responses or the second call of a save, tests of the adapters fail.

--- a/packages/platform/src/skylarktack/platform/_instances.py
+++ b/packages/platform/src/skylarktack/platform/_instances.py
@@ -24,7 +24,7 @@
         self, client: forwarding.StoreClient, log: forwarding.EventLog
     ) -> None:
         self._client = client
-        self._objects = _store.ObjectReader(client, KIND)
+        self._reader = _store.ObjectReader(client, KIND)
         self._log = log
 
     def register(
@@ -39,25 +39,12 @@
         :param may_be_stale: accept a first list that may be seconds old, which
             costs a tenth of a call.
         """
-        peers = self._list_peers(may_be_stale)
+        peers = self._reader.load(_decode, may_be_stale)
         if peers is None or peer in peers:
             return peers
         if not self._write_entry(peer):
             return None
-        return self._list_peers(may_be_stale=False)
-
-    def _list_peers(
-        self, may_be_stale: bool
-    ) -> tuple[data.ListedPeer, ...] | None:
-        listing = self._objects.list_objects(may_be_stale)
-        if isinstance(listing, forwarding.StoreFault):
-            return None
-        peers = []
-        for item in listing.items:
-            listed = _decode(item)
-            if listed is not None:
-                peers.append(listed)
-        return tuple(peers)
+        return self._reader.load(_decode, may_be_stale=False)
 
     def _write_entry(self, peer: data.ListedPeer) -> bool:
         body = json.dumps(
--- a/packages/platform/src/skylarktack/platform/_store.py
+++ b/packages/platform/src/skylarktack/platform/_store.py
@@ -4,6 +4,7 @@
 revision of the list.
 """
 
+from collections.abc import Callable
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -87,6 +88,24 @@
             query = f'{first_query}{separator}start_revision={last}'
         return unavailable_fault(f'list has more than {MAX_PAGES_COUNT} pages')
 
+    def load(
+        self, decode: Callable[[dict[str, Any]], T | None], may_be_stale: bool
+    ) -> tuple[T, ...] | None:
+        """Return the values of all objects; None on a store failure.
+
+        :param decode: returns the value of an object, or None to leave it out.
+        :param may_be_stale: see ``list_objects``.
+        """
+        listing = self.list_objects(may_be_stale)
+        if isinstance(listing, forwarding.StoreFault):
+            return None
+        values = []
+        for item in listing.items:
+            value = decode(item)
+            if value is not None:
+                values.append(value)
+        return tuple(values)
+
     def watch_events(
         self, revision: int, wait_s: float
     ) -> forwarding.StoreResponse | forwarding.StoreFault:
--- a/packages/platform/src/skylarktack/platform/_version_trials.py
+++ b/packages/platform/src/skylarktack/platform/_version_trials.py
@@ -6,25 +6,20 @@
 
 from skylarktack.coordination import forwarding
 from skylarktack.platform import _fields
+from skylarktack.platform import _object_writer
 from skylarktack.platform import _store
 from skylarktack.state import forwarding as data
 
 #: Kind of the objects. Each is named after a hash of service and version.
 KIND = 'skylarktack-version-trials'
 
-_PATH = f'/objects/{KIND}'
-
-_NOT_FOUND_STATUS = 404
-_CONFLICT_STATUS = 409
-_SUCCESS_STATUSES = frozenset((200, 201, 204))
-
 
 class StoreVersionTrials:
     """Reads and writes the records of versions."""
 
     def __init__(self, client: forwarding.StoreClient) -> None:
-        self._client = client
-        self._objects = _store.ObjectReader(client, KIND)
+        self._reader = _store.ObjectReader(client, KIND)
+        self._writer = _object_writer.ObjectWriter(client, KIND)
 
     def load(self, may_be_stale: bool) -> tuple[data.VersionTrial, ...] | None:
         """Return all records; None on a store failure.
@@ -32,46 +27,22 @@
         :param may_be_stale: accept records that may be seconds old, which
             costs a tenth of a call.
         """
-        listing = self._objects.list_objects(may_be_stale)
-        if isinstance(listing, forwarding.StoreFault):
-            return None
-        trials = []
-        for item in listing.items:
-            trial = _decode(item)
-            if trial is not None:
-                trials.append(trial)
-        return tuple(trials)
+        return self._reader.load(_decode, may_be_stale)
 
     def save(self, trial: data.VersionTrial) -> bool:
         """Create the object of a version; True also if there is one."""
-        body = json.dumps(
+        return self._writer.create(
+            _name_of(trial.service, trial.version),
             {
-                'metadata': {
-                    'name': _name_of(trial.service, trial.version),
-                    'finalizers': [],
-                },
-                'specification': {
-                    'service': trial.service,
-                    'version': trial.version,
-                    'began_at_ms': trial.began_at_ms,
-                },
-            }
-        ).encode()
-        status = self._call('POST', _PATH, body)
-        return status == _CONFLICT_STATUS or status in _SUCCESS_STATUSES
+                'service': trial.service,
+                'version': trial.version,
+                'began_at_ms': trial.began_at_ms,
+            },
+        )
 
     def remove(self, service: str, version: str) -> bool:
         """Remove the object of a version; True also if there is none."""
-        path = f'{_PATH}/{_name_of(service, version)}'
-        status = self._call('DELETE', path, None)
-        return status == _NOT_FOUND_STATUS or status in _SUCCESS_STATUSES
-
-    def _call(self, method: str, path: str, body: bytes | None) -> int:
-        """Return the status of a response, or 0 without one."""
-        response = self._client.call(method, path, body, _store.CALL_TIMEOUT_S)
-        if isinstance(response, forwarding.ExchangeFault):
-            return 0
-        return response.status
+        return self._writer.remove(_name_of(service, version))
 
 
 def _name_of(service: str, version: str) -> str:
