Call engines without events unresponsive

Readers met "silent engines" and "silences" next to a watch that says when an engine "seems unresponsive". Names and comments use that term now, and "timed out" for the fault of an attempt. The steps of traces, the metric and the values of enums that leave the process keep their names.

Evidence: the tests of generations and of forwarded streams pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_engine_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_engine_watch.py
@@ -59,7 +59,7 @@
         self._probed_at_s = self.sent_at_s
         #: Whether the engine answers probes but has produced no event.
         self._is_hung = False
-        #: The next check after the run was kept at a silent engine.
+        #: The next check after the run was kept at an unresponsive engine.
         self._deferred_until_s = -math.inf
         objective_s = admitted.route.latency_objective_ms / 1000
         pause_s = (
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -45,7 +45,7 @@
     ) -> None:
         """Create a relay.
 
-        :param failover: asked before the run leaves a silent engine.
+        :param failover: asked before the run leaves an unresponsive engine.
         """
         self._dependencies = dependencies
         self._clock = dependencies.clock
@@ -64,8 +64,8 @@
         self._watch = _engine_watch.EngineWatch(
             dependencies, admitted, progress, target
         )
-        #: Time of the last event before a silence that was reported.
-        self._silence_began_at_s: float | None = None
+        #: Time of the last event before an inactivity that was reported.
+        self._inactive_since_s: float | None = None
 
     def run(
         self, exchange: _ports.Exchange, run_status: data.RunStatus
@@ -77,9 +77,9 @@
                 return _stream_attempts.StreamFinished(
                     self._outcome_at_deadline()
                 )
-            silence = self._watch.check(now_s)
-            if silence is not None:
-                attempt_end = self._leave_silent_engine(silence)
+            detail = self._watch.check(now_s)
+            if detail is not None:
+                attempt_end = self._leave_unresponsive_engine(detail)
                 if attempt_end is not None:
                     return attempt_end
             wait_until_s = min(
@@ -313,17 +313,17 @@
             self._progress.failure = response
         return _stream_attempts.AttemptLost(detail, None)
 
-    def _leave_silent_engine(
+    def _leave_unresponsive_engine(
         self, detail: str
     ) -> _stream_attempts.AttemptLost | None:
         """Return the end of the run here, or None if it stays.
 
-        A healthy engine may be silent for a second or longer. Its run is given
-        up only for another engine that can take it now.
+        A healthy engine may send nothing for a second or longer. Its run is
+        given up only for another engine that can take it now.
         """
-        is_new = self._silence_began_at_s != self._watch.last_event_at_s
+        is_new = self._inactive_since_s != self._watch.last_event_at_s
         if is_new:
-            self._silence_began_at_s = self._watch.last_event_at_s
+            self._inactive_since_s = self._watch.last_event_at_s
             self._record('silence', target=self._target.name, detail=detail)
             self._targets.report_failure(
                 self._target, self._admitted.route.name, detail, is_loss=True
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_sends.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_sends.py
@@ -37,7 +37,7 @@
         """Send the stream and relay it until it ends or the engine fails.
 
         :param copy: copy from which the run goes on, or None.
-        :param failover: asked before the run leaves a silent engine.
+        :param failover: asked before the run leaves an unresponsive engine.
         """
         target = pair.primary
         standby = pair.standby
--- a/packages/coordination/src/skylarktack/coordination/generation/_attempt.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_attempt.py
@@ -21,7 +21,8 @@
 #: Interval between checks whether the target is leaving, that is, draining.
 DRAIN_CHECK_INTERVAL_S = 0.5
 
-#: Interval between checks whether a generation can leave a silent engine.
+#: Interval between checks whether a generation can leave an unresponsive
+#: engine.
 RESERVATION_INTERVAL_S = 0.2
 
 #: Time without a token, in multiples of the maximum wait for the first one,
@@ -56,7 +57,7 @@
     ) -> None:
         """Create a reader.
 
-        :param failover: asked before a silent engine is left.
+        :param failover: asked before an unresponsive engine is left.
         """
         self._dependencies = dependencies
         self._record = record
@@ -77,7 +78,7 @@
         self._is_broken = False
         self._has_diverged = False
         self._idle_reattach_count = 0
-        # Whether there is no connection to a silent engine.
+        # Whether there is no connection to an unresponsive engine.
         self._is_detached = False
         # Whether the attempt was kept since its latest token.
         self._is_kept = False
@@ -289,14 +290,14 @@
     def _reattach(self, fault: ports.StreamFaultKind, now_s: float) -> bool:
         """Attach on a new connection; return False if the attempt is lost.
 
-        An attempt at a silent engine, which may be healthy, is kept without a
-        connection while the generation cannot go on at another engine.
+        An attempt at an unresponsive engine, which may be healthy, is kept
+        without a connection while the generation cannot go on at another one.
         """
         if not self._dependencies.settings.protection:
             return False
-        is_silent = fault is ports.StreamFaultKind.SILENT
-        if self._has_used_reattaches(is_silent, now_s):
-            if not is_silent or self._may_leave():
+        has_timed_out = fault is ports.StreamFaultKind.SILENT
+        if self._has_used_reattaches(has_timed_out, now_s):
+            if not has_timed_out or self._may_leave():
                 return False
             self._idle_reattach_count = 0
         error = self._attach()
@@ -306,13 +307,13 @@
             return False
         return not self._may_leave()
 
-    def _has_used_reattaches(self, is_silent: bool, now_s: float) -> bool:
+    def _has_used_reattaches(self, has_timed_out: bool, now_s: float) -> bool:
         """Count a reattachment; return whether there are too many."""
         if self._is_overdue(now_s):
             return True
         # An engine that is merely slow to send its first token is
         # reattached any number of times.
-        if is_silent and not self._outcome_recorder.token_count:
+        if has_timed_out and not self._outcome_recorder.token_count:
             return False
         if self._idle_reattach_count >= MAX_IDLE_REATTACHES:
             return True
@@ -343,7 +344,7 @@
         return None
 
     def _may_leave(self) -> bool:
-        """Return whether the attempt at a silent engine may be abandoned.
+        """Return whether an unresponsive engine may be left.
 
         The engine may be healthy, so the next attempt is reserved first.
         """
