Say that peers without reports expire

PeerTable.remove_silent() compares the last report of a peer with its lifetime and calls the limit "expired" itself; it is remove_expired() now.

Evidence: the tests of the fleet pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -352,10 +352,10 @@
     def peers(self) -> tuple[data.Address, ...]:
         """Return the endpoints of all peers in random order.
 
-        Peers that have been silent for too long are removed first.
+        Expired peers are removed first.
         """
         with self._lock:
-            self._peers.remove_silent()
+            self._peers.remove_expired()
             endpoints = [
                 peer.endpoint for peer in self._peers.by_name.values()
             ]
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_peer_table.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_peer_table.py
@@ -79,8 +79,8 @@
                 live[name] = peer
         return live
 
-    def remove_silent(self) -> None:
-        """Remove the peers that have been silent for too long."""
+    def remove_expired(self) -> None:
+        """Remove the peers that have sent no report for their lifetime."""
         expired_before_s = self._clock.monotonic_s() - PEER_LIFETIME_S
         for name in list(self.by_name):
             if self.by_name[name].last_seen_at_s < expired_before_s:
