Name the inactivity timeout of lasting connections

The constant SILENCE_S of the transport package did not say that it is a timeout, nor of what. It is INACTIVITY_TIMEOUT_S now; nothing outside the package used it. The metric keeps its name.

Evidence: the tests of the package pass.

--- a/packages/transport/src/skylarktack/transport/__init__.py
+++ b/packages/transport/src/skylarktack/transport/__init__.py
@@ -52,7 +52,7 @@
     from skylarktack.transport._peer_link import PeerLink
     from skylarktack.transport._peer_link import PeerSession
     from skylarktack.transport._peer_links import IDLE_S
-    from skylarktack.transport._peer_links import SILENCE_S
+    from skylarktack.transport._peer_links import INACTIVITY_TIMEOUT_S
     from skylarktack.transport._peer_links import PeerLinks
     from skylarktack.transport._peer_network import HANDLER_COUNT
     from skylarktack.transport._peer_network import OPEN_TIMEOUT_S
@@ -91,6 +91,7 @@
     'HttpTokenStream',
     'IDLE_LIMIT_COUNT',
     'IDLE_S',
+    'INACTIVITY_TIMEOUT_S',
     'LABEL_LIMIT_COUNT',
     'OPEN_TIMEOUT_S',
     'OPERATOR_BODY_LIMIT_BYTES',
@@ -112,7 +113,6 @@
     'REQUEST_LIMIT_COUNT',
     'Refuse',
     'SEND_TIMEOUT_S',
-    'SILENCE_S',
     'StartResponse',
     'StatsdMetrics',
     'StatusSource',
@@ -185,7 +185,7 @@
     'PeerLink': '_peer_link',
     'PeerSession': '_peer_link',
     'IDLE_S': '_peer_links',
-    'SILENCE_S': '_peer_links',
+    'INACTIVITY_TIMEOUT_S': '_peer_links',
     'PeerLinks': '_peer_links',
     'HANDLER_COUNT': '_peer_network',
     'OPEN_TIMEOUT_S': '_peer_network',
--- a/packages/transport/src/skylarktack/transport/_peer_links.py
+++ b/packages/transport/src/skylarktack/transport/_peer_links.py
@@ -9,9 +9,9 @@
 #: Idle time after which a short connection is closed.
 IDLE_S = 5.0
 
-#: Silence after which a lasting connection counts as lost. Neighbours
-#: exchange at least every few seconds.
-SILENCE_S = 10.0
+#: Time without a message after which a lasting connection counts as lost.
+#: Neighbours exchange at least every few seconds.
+INACTIVITY_TIMEOUT_S = 10.0
 
 
 class PeerLinks:
@@ -86,12 +86,12 @@
             return None
 
     def close_idle(self) -> None:
-        """Close idle short connections and silent lasting ones."""
+        """Close idle short connections and unresponsive lasting ones."""
         now_s = self._clock.monotonic_s()
         closing: list[_peer_link.PeerLink] = []
         with self._lock:
             for link in self._lasting.values():
-                if now_s - link.received_s > SILENCE_S:
+                if now_s - link.received_s > INACTIVITY_TIMEOUT_S:
                     self._metrics.count('peer.silent_links')
                     closing.append(link)
             # The side that opened a short connection closes it; the other
--- a/packages/transport/src/skylarktack/transport/_peer_network.py
+++ b/packages/transport/src/skylarktack/transport/_peer_network.py
@@ -151,7 +151,7 @@
             link.close()
 
     def close_stale_connections(self) -> None:
-        """Close idle short connections and silent lasting ones."""
+        """Close idle short connections and unresponsive lasting ones."""
         self._links.close_idle()
 
     def send(self, peer: state.InstanceName, message: object) -> bool:
