Name the order of writers and its delay by rank

Instances write records and phases in the order of their ranks, each after a delay that grows with its rank. The code called this a turn (WriterTurns, TURN_S). It is WriterOrder and RANK_DELAY_S now.

Evidence: the tests of the keepers, of moves and of the instance pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
@@ -71,7 +71,7 @@
         phase = order.phase
         is_first_of_era = order.position.era > self.order.position.era
         if is_first_of_era:
-            # The turns of the instances begin anew.
+            # The delays by rank start again.
             self.due_phase = None
         if is_first_of_era or self.is_phase_lost:
             phase = _restored_orders.later_phase(self.order.phase, phase)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -37,7 +37,7 @@
 
 #: Time by which an instance waits longer than the one of the next lower rank
 #: before it records a phase.
-TURN_S = 0.5
+RANK_DELAY_S = 0.5
 
 #: Delay after a failed attempt to record a phase.
 RETRY_DELAY_S = 0.4
@@ -116,7 +116,8 @@
             order = self._table.order_of(service)
             if phase is None or order is None:
                 continue
-            if self._table.due_for_s(service) < TURN_S * self._fleet.rank():
+            delay_s = RANK_DELAY_S * self._fleet.rank()
+            if self._table.due_for_s(service) < delay_s:
                 continue
             if self._clock.monotonic_s() >= self._next_write_s:
                 self._write(order, phase)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_keeper.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_keeper.py
@@ -96,7 +96,7 @@
         self._restore_checks = _record_writers.RestoreChecks(
             clock,
             era,
-            _record_writers.WriterTurns(clock, fleet),
+            _record_writers.WriterOrder(clock, fleet),
             source.has_changes,
         )
         self._never_set = threading.Event()
@@ -117,7 +117,7 @@
         self._source.restore(self._load(may_be_stale=True))
 
     def check_restore(self) -> None:
-        """Find what a restored store lacks, if it is this one's turn."""
+        """Find what a restored store lacks, if this instance is due."""
         if self._restore_checks.wait_if_due():
             self._source.compare(self._load(may_be_stale=False))
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_record_writers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_record_writers.py
@@ -11,10 +11,10 @@
 from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.ports import Clock
 
-#: Instances that write, those of the lowest ranks, and the time that each
-#: leaves to each one before it.
+#: Instances that write, those of the lowest ranks, and the time by which each
+#: one waits longer than the one of the next lower rank.
 WRITER_COUNT = 2
-TURN_S = 0.5
+RANK_DELAY_S = 0.5
 
 #: Time after a restore at which the records are compared once more. Writers
 #: that were lost meanwhile no longer count as live then, in a fleet of 340, so
@@ -30,8 +30,8 @@
         ...
 
 
-class WriterTurns:
-    """Tells whether this instance writes, and when it is its turn."""
+class WriterOrder:
+    """Order of the writers by rank, as seen by this instance."""
 
     def __init__(self, clock: Clock, fleet: RankSource) -> None:
         self._clock = clock
@@ -43,10 +43,10 @@
         return self._fleet.rank() < WRITER_COUNT
 
     def wait(self) -> bool:
-        """Wait for the writers before this one; return whether it is one."""
-        turn = min(self._fleet.rank(), WRITER_COUNT)
-        if turn > 0:
-            self._clock.wait(self._never_set, TURN_S * turn)
+        """Wait for writers of lower ranks; return whether this one writes."""
+        preceding_count = min(self._fleet.rank(), WRITER_COUNT)
+        if preceding_count > 0:
+            self._clock.wait(self._never_set, RANK_DELAY_S * preceding_count)
         return self.is_writer()
 
 
@@ -57,7 +57,7 @@
         self,
         clock: Clock,
         era: _store_era.StoreEra,
-        turns: WriterTurns,
+        writer_order: WriterOrder,
         wake: threading.Event,
     ) -> None:
         """Create checks.
@@ -65,7 +65,7 @@
         :param wake: set when the store has been restored.
         """
         self._clock = clock
-        self._turns = turns
+        self._writer_order = writer_order
         self._compare_again_at_s: float | None = None
         self._is_restored = threading.Event()
         era.add_listener(self._is_restored)
@@ -73,15 +73,15 @@
         era.add_listener(wake)
 
     def wait_if_due(self) -> bool:
-        """Return whether to compare the records now, after those before."""
+        """Return whether to compare now, after writers of lower ranks."""
         now_s = self._clock.monotonic_s()
         if self._is_restored.is_set():
             self._is_restored.clear()
             self._compare_again_at_s = now_s + COMPARE_AGAIN_S
-            return self._turns.wait()
+            return self._writer_order.wait()
         if self._compare_again_at_s is None:
             return False
         if now_s < self._compare_again_at_s:
             return False
         self._compare_again_at_s = None
-        return self._turns.wait()
+        return self._writer_order.wait()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_trial_keeper.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_trial_keeper.py
@@ -70,9 +70,9 @@
         self._trials = moves.trials
         self._are_targets_listed = are_targets_listed
         self._store = store
-        self._turns = _record_writers.WriterTurns(clock, fleet)
+        self._writer_order = _record_writers.WriterOrder(clock, fleet)
         self._restore_checks = _record_writers.RestoreChecks(
-            clock, era, self._turns, self._trials.has_changes
+            clock, era, self._writer_order, self._trials.has_changes
         )
         self._never_set = threading.Event()
 
@@ -102,7 +102,7 @@
             self._clock.wait(self._never_set, RETRY_DELAY_S)
 
     def check_restore(self) -> None:
-        """Find what a restored store lacks, if it is this one's turn."""
+        """Find what a restored store lacks, if this instance is due."""
         if not self._restore_checks.wait_if_due():
             return
         while True:
@@ -120,14 +120,14 @@
         pending = list(self._trials.take_changes())
         if not pending:
             return
-        is_writer = self._turns.wait()
+        is_writer = self._writer_order.wait()
         while pending and is_writer:
             failed = [change for change in pending if not self._write(change)]
             if not failed:
                 return
             self._clock.wait(self._never_set, RETRY_DELAY_S)
             pending = _without_replaced(failed, self._trials.take_changes())
-            is_writer = self._turns.is_writer()
+            is_writer = self._writer_order.is_writer()
 
     def _write(self, change: _version_trials.TrialChange) -> bool:
         if change.trial is None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_version_trials.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_version_trials.py
@@ -449,5 +449,5 @@
         instance.keeper.write_changes()
         waited_s = instance.env.clock.monotonic_s() - began_s
         assert waited_s <= (
-            _record_writers.WRITER_COUNT * _record_writers.TURN_S
+            _record_writers.WRITER_COUNT * _record_writers.RANK_DELAY_S
         )
