Say that the claim of a store call expires

TURN_TIMEOUT_S limits how long a call that was claimed with claim_call() keeps other calls from being made. It is CLAIM_TIMEOUT_S now.

Evidence: the tests of the store watchers pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_health.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_health.py
@@ -27,8 +27,8 @@
 #: have expired in an outage that is shorter than this.
 MIN_EXPIRY_OUTAGE_S = 2.0
 
-#: Time after which a call whose result was not reported loses its turn.
-TURN_TIMEOUT_S = 6.0
+#: Time after which the claim of a call without a reported result expires.
+CLAIM_TIMEOUT_S = 6.0
 
 
 class StoreHealth:
@@ -55,7 +55,7 @@
         with self._lock:
             if not self._is_unavailable:
                 return True
-            is_calling = now_s < self._called_at_s + TURN_TIMEOUT_S
+            is_calling = now_s < self._called_at_s + CLAIM_TIMEOUT_S
             if self._calling_kind is not None and is_calling:
                 return False
             extra_delay_s = (
