Call the random part of a pause jitter

Requests that wait for the end of a pause add a random delay. Its constants were named after a spread; the usual term is jitter.

Evidence: the tests of exclusions, streams and calls pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_pause_waits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_pause_waits.py
@@ -8,17 +8,17 @@
 from skylarktack.coordination.forwarding import _targets
 from skylarktack.state import forwarding as data
 
-#: Requests that wait for the same pause are spread over this fraction of it,
-#: and at most this time, so that they do not all arrive at its end.
-SPREAD_FRACTION = 0.2
-MAX_SPREAD_S = 0.25
+#: Maximum jitter of the wait for the end of a pause, as a fraction of the
+#: pause and in time, so that the waiting requests do not all arrive together.
+JITTER_FRACTION = 0.2
+MAX_JITTER_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
 class PauseWait:
     """Time until a request may be placed."""
 
-    #: Includes a random delay that spreads the waiting requests.
+    #: Includes the jitter.
     wait_s: float
 
     #: Whether the request can still be served after the wait; otherwise it
@@ -65,6 +65,6 @@
     :param service_time_s: time that a target is allowed for the request.
     :param draw: returns random numbers from 0 to 1.
     """
-    spread_s = min(MAX_SPREAD_S, SPREAD_FRACTION * pause_s)
-    wait_s = pause_s + spread_s * draw()
+    max_jitter_s = min(MAX_JITTER_S, JITTER_FRACTION * pause_s)
+    wait_s = pause_s + max_jitter_s * draw()
     return PauseWait(wait_s, wait_s + service_time_s <= time_left_s)
