Name variances and deviations as statistics does

"Spread" stood for the variance of a latency in the judge of moves, for the standard deviation of simulated latencies and for the sum of squares of a least squares line. Each has its usual name now.

--- a/packages/coordination/src/skylarktack/coordination/moves/_judging.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_judging.py
@@ -270,18 +270,18 @@
     weight_sum = 0.0
     difference_sum = 0.0
     new_count = 0
-    spread_sum = 0.0
+    variance_sum = 0.0
     for pair in pairs:
         new: state.LatencySums = getattr(pair.new, field)
         old: state.LatencySums = getattr(pair.old, field)
         if new.count < 2 or old.count < 2:
             continue
-        spread = max(VARIANCE_FLOOR, _variance(new), _variance(old))
-        variance = spread / new.count + spread / old.count
+        variance = max(VARIANCE_FLOOR, _variance(new), _variance(old))
+        difference_variance = variance / new.count + variance / old.count
         difference = new.log_sum / new.count - old.log_sum / old.count
-        weight_sum += 1 / variance
-        difference_sum += difference / variance
-        spread_sum += spread * new.count
+        weight_sum += 1 / difference_variance
+        difference_sum += difference / difference_variance
+        variance_sum += variance * new.count
         new_count += new.count
     if new_count < MIN_LATENCY_COUNT:
         return _LatencyDifference(field, 0.0, 0.0, 0.0)
@@ -289,7 +289,7 @@
         field,
         difference_sum / weight_sum,
         weight_sum,
-        spread_sum / new_count * weight_sum / TIGHTEST_COUNT,
+        variance_sum / new_count * weight_sum / TIGHTEST_COUNT,
     )
 
 
--- a/packages/coordination/src/skylarktack/coordination/moves/tests/_support.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/tests/_support.py
@@ -8,7 +8,8 @@
 #: Maximum duration of a simulation, in ticks of half a second.
 TICK_LIMIT = 160
 
-_SPREAD = 0.4
+#: Standard deviation of the logarithm of latencies.
+_LOG_DEVIATION = 0.4
 
 
 def row(
@@ -17,7 +18,7 @@
     """Return evidence of a version with given failures and slowdown."""
     centre = math.log(100.0 * slow)
     sums = state.LatencySums(
-        count, count * centre, count * (centre * centre + _SPREAD * _SPREAD)
+        count, count * centre, count * (centre * centre + _LOG_DEVIATION**2)
     )
     return state.EvidenceRow(
         version=state.VersionName(version),
--- a/packages/emulator/src/skylarktack/emulator/bench/_membership.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_membership.py
@@ -220,12 +220,12 @@
     """Return slope and start of the least squares line."""
     mean_x = sum(points) / len(points)
     mean_y = sum(values) / len(values)
-    covered = 0.0
-    spread = 0.0
+    covariance = 0.0
+    variance = 0.0
     for point, value in zip(points, values, strict=True):
-        covered += (point - mean_x) * (value - mean_y)
-        spread += (point - mean_x) ** 2
-    slope = covered / spread
+        covariance += (point - mean_x) * (value - mean_y)
+        variance += (point - mean_x) ** 2
+    slope = covariance / variance
     return slope, mean_y - slope * mean_x
 
 
--- a/packages/emulator/src/skylarktack/emulator/bench/_move_traffic.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_move_traffic.py
@@ -9,8 +9,8 @@
 from skylarktack.coordination import fakes
 from skylarktack.coordination import moves
 
-#: Spread of the logarithm of latencies.
-SPREAD = 0.4
+#: Standard deviation of the logarithm of latencies.
+LOG_DEVIATION = 0.4
 
 #: Failures of a healthy version, as a share of attempts.
 HEALTHY_FAILURES = 0.002
@@ -178,11 +178,13 @@
             return state.LatencySums()
         # Mean and variance of normal values are independent, so that two
         # draws replace one for each value.
-        mean = self._draw.gauss(math.log(median_ms), SPREAD / count**0.5)
+        mean = self._draw.gauss(
+            math.log(median_ms), LOG_DEVIATION / count**0.5
+        )
         squares = 0.0
         if count > 1:
             squares = self._draw.gammavariate(
-                (count - 1) / 2, 2 * SPREAD * SPREAD
+                (count - 1) / 2, 2 * LOG_DEVIATION * LOG_DEVIATION
             )
         return state.LatencySums(
             count, mean * count, squares + mean * mean * count
