Say that the soak freezes engines

The injection sets is_frozen of an engine for a moment; its function and its range of times were named after silence. The value of the injection kind, which reports show, stays.

--- a/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_injectors.py
@@ -65,7 +65,7 @@
         elif kind.value.startswith('store'):
             self._harm_store(injection)
         elif kind is _Kind.ENGINE_SILENCES:
-            self._later(0.0, lambda: self.signals.silence_engines(injection))
+            self._later(0.0, lambda: self.signals.freeze_engines(injection))
         elif kind.value.startswith('instance') or kind is _Kind.ALL_KILL:
             self._harm_instance(injection)
         elif kind is _Kind.CONFIGURATION:
--- a/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_schedule.py
@@ -57,8 +57,8 @@
     InjectionKind.STORE_RESTART,
 )
 
-#: Signals in quick succession, and short silences of healthy engines beside
-#: them. They are drawn apart from faults and loads.
+#: Signals in quick succession, and healthy engines that freeze for a short
+#: time. They are drawn apart from faults and loads.
 SIGNAL_KINDS = (
     InjectionKind.INSTANCE_SIGNALS,
     InjectionKind.ENGINE_SILENCES,
--- a/packages/emulator/src/skylarktack/emulator/soak/_signals.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_signals.py
@@ -1,4 +1,4 @@
-"""Signals in quick succession, and silences of engines beside them."""
+"""Signals in quick succession, while engines freeze for a short time."""
 
 import dataclasses
 import random
@@ -23,13 +23,13 @@
 GRACE_S = 8.0
 CHECK_S = 0.5
 
-#: Silences of a healthy engine.
-SILENCES_S = (0.6, 1.2)
+#: Range of the time for which a healthy engine freezes.
+FREEZE_RANGE_S = (0.6, 1.2)
 
 
 @dataclasses.dataclass(frozen=True)
 class PlannedStop:
-    """An instance that was told to stop."""
+    """An instance that got a signal to stop."""
 
     instance: str
 
@@ -80,8 +80,8 @@
         )
         instance.kill()
 
-    def silence_engines(self, injection: _schedule.Injection) -> None:
-        """Silence engines in turn, each for a short time."""
+    def freeze_engines(self, injection: _schedule.Injection) -> None:
+        """Freeze one engine after the other, each for a short time."""
         draw = random.Random(injection.at_s)
         engines = self._deployment.engines
         index = injection.index
@@ -89,12 +89,12 @@
         while time.monotonic() < end_s:
             behaviour = engines[index % len(engines)].behaviour
             behaviour.is_frozen = True
-            time.sleep(draw.uniform(*SILENCES_S))
+            time.sleep(draw.uniform(*FREEZE_RANGE_S))
             behaviour.is_frozen = False
             index += 1
 
     def check(self) -> _checkers.Promise:
-        """Return whether each instance that was told to stop has ended."""
+        """Return whether each instance with a signal to stop has ended."""
         promise = _checkers.Promise('an instance stops when it is told to')
         for stop in self.stops:
             promise.check(
