--- a/packages/coordination/src/skylarktack/coordination/forwarding/_retry_waits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_retry_waits.py
@@ -36,9 +36,9 @@
 
     The engine that continues the stream needs up to a latency objective for
     its first event, which has to arrive before the deadline and before the
-    caller abandons the stream. A caller without an event is told of the
-    failure once its first event would be late: its own retry is a new
-    request, which needs no retry from the budget.
+    caller abandons the stream. A caller without an event gets the failure
+    once its first event would be late: its own retry is a new request, which
+    needs no retry from the budget.
     """
     objective_s = admitted.route.latency_objective_ms / 1000
     if progress.last_sent_at_s is None:
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -83,7 +83,7 @@
     #: Requests and retries of the sender in the budget window.
     counts: tuple[RetryCounts, ...] = ()
 
-    #: Targets that told the sender that they are about to stop.
+    #: Targets that announced to the sender that they are about to stop.
     leaving_targets: tuple[LeavingTarget, ...] = ()
 
     #: Losses of engines under prompt parts, and the quarantined parts.
