Use usual terms in comments and names of the emulator

Benches, the demo and the caller loop used "news", "silence", "told" and "turn" for piggybacked updates, a read timeout, a completed process and the index of an attempt.

--- a/packages/emulator/src/skylarktack/emulator/_caller_loop.py
+++ b/packages/emulator/src/skylarktack/emulator/_caller_loop.py
@@ -51,14 +51,14 @@
     tokens: list[str] = []
     waiting = threading.Event()
     last_s = time.monotonic()
-    turn = 0
+    attempt_index = 0
     while True:
         event_id = _newest_event_id(received)
         posted = dict(body)
         if tokens and sends_delivered:
             posted['delivered'] = tokens
         part = _caller.generate(
-            addresses[turn % len(addresses)],
+            addresses[attempt_index % len(addresses)],
             route,
             key,
             posted,
@@ -79,7 +79,7 @@
         )
         if final or time.monotonic() - last_s > GIVE_UP_S:
             return _joined(received)
-        turn += 1
+        attempt_index += 1
         waiting.wait(RETRY_S)
 
 
--- a/packages/emulator/src/skylarktack/emulator/bench/_membership.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_membership.py
@@ -31,8 +31,8 @@
 CORES_BUDGET = 0.034
 MEMORY_BUDGET_MB = 128.0
 
-#: Time for each instance in which news of a growth is used up before a
-#: measurement.
+#: Time for each instance until updates about new members are no longer
+#: piggybacked, before a measurement.
 SETTLE_PER_INSTANCE_S = 0.12
 
 #: Time of one measurement.
--- a/packages/emulator/src/skylarktack/emulator/bench/_streams.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_streams.py
@@ -6,7 +6,7 @@
 from skylarktack import emulator
 from skylarktack import state
 
-#: Longest silence of a stream that a benchmark waits for.
+#: Maximum time without data after which a stream is abandoned.
 READ_TIMEOUT_S = 20.0
 
 
@@ -16,7 +16,7 @@
     counts: list[int],
     stopping: threading.Event,
 ) -> None:
-    """Read one generation until told to stop, counting its tokens.
+    """Read one generation until ``stopping`` is set, counting its tokens.
 
     :param counts: tokens of each stream; this one counts at ``index``.
     """
--- a/packages/emulator/src/skylarktack/emulator/demo/platform.py
+++ b/packages/emulator/src/skylarktack/emulator/demo/platform.py
@@ -102,7 +102,7 @@
 def explain(
     deployment: platform.PlatformDeployment, attempt_id: str
 ) -> list[str]:
-    """Return what the command line tells of a failed request.
+    """Return the explanation of a failed request by the command line.
 
     :param attempt_id: attempt that the first instance failed.
     :raises subprocess.CalledProcessError: if the command fails.
@@ -116,14 +116,14 @@
         for line in list(instance.lines)
     ]
     command = [sys.executable, '-m', 'skylarktack.cli', 'explain']
-    told = subprocess.run(
+    completed = subprocess.run(
         [*command, attempt_id, '-'],
         input='\n'.join(logs),
         stdout=subprocess.PIPE,
         check=True,
         text=True,
     )
-    return told.stdout.splitlines()
+    return completed.stdout.splitlines()
 
 
 if __name__ == '__main__':
--- a/packages/emulator/src/skylarktack/emulator/platform/_target.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_target.py
@@ -62,7 +62,7 @@
     #: Target that ran it.
     target: str
 
-    #: Method and path, and the organisation that the target was told.
+    #: Method and path, and the organisation named in the request.
     line: str
     organisation: str | None
 
