Share the following instance of the configuration tests

The tests of the distribution and of restored stores each built the same follower in a thread. Both use follower_harness.Instance; the tests of restores add the only thing they need. Tests, waits and assertions are the same.

--- a/packages/protocol/src/skylarktack/protocol/tests/test_configuration_distribution.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_configuration_distribution.py
@@ -14,6 +14,7 @@
 from skylarktack.coordination import configuration
 from skylarktack.coordination import fakes
 from skylarktack.coordination import ports
+from skylarktack.protocol.tests import follower_harness
 
 _CODEC = protocol.JsonConfigurationCodec()
 
@@ -139,67 +140,22 @@
         return True
 
 
-class _Instance:
-    """One instance that watches the configuration in a thread."""
-
-    def __init__(
-        self,
-        name: str,
-        hub: fakes.LocalPeerHub,
-        store: fakes.MemoryObjectStore,
-        holder: configuration.ConfigurationHolder | None = None,
-    ) -> None:
-        self.network = hub.join(name)
-        self.holder = holder or configuration.ConfigurationHolder(
-            ports.SystemClock()
-        )
-        self.follower = configuration.ConfigurationFollower(
-            configuration.FollowerDependencies(
-                store=store,
-                peers=self.network,
-                codec=_CODEC,
-                holder=self.holder,
-                clock=ports.SystemClock(),
-                metrics=fakes.MemoryMetrics(),
-            )
-        )
-        self._thread = threading.Thread(
-            target=self.follower.follow, daemon=True
-        )
-
-    def start(self) -> None:
-        """Start watching."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop watching; an open watch ends when it times out."""
-        self.follower.stop()
-
-    def wait_revision(self, revision: int) -> int:
-        """Wait for a revision or a newer one; return the one in effect.
-
-        Returns the revision then in effect if 500 waits of 10 ms pass first.
-        """
-        waiting = threading.Event()
-        for _ in range(500):
-            if self.holder.current().revision >= revision:
-                break
-            waiting.wait(0.01)
-        return self.holder.current().revision
-
-
 class TestDistribution:
     """Guards against instances that miss a revision or revert to one."""
 
     @staticmethod
     def _fleet(
         count: int,
-    ) -> tuple[fakes.LocalPeerHub, fakes.MemoryObjectStore, list[_Instance]]:
+    ) -> tuple[
+        fakes.LocalPeerHub,
+        fakes.MemoryObjectStore,
+        list[follower_harness.Instance],
+    ]:
         hub = fakes.LocalPeerHub()
         store = fakes.MemoryObjectStore()
         _publisher(store).apply(_change('first', 0))
         instances = [
-            _Instance(f'instance-{index}', hub, store)
+            follower_harness.Instance(f'instance-{index}', hub, store)
             for index in range(count)
         ]
         for instance in instances:
@@ -244,7 +200,7 @@
         for instance in instances:
             instance.wait_revision(1)
         store.set_faults(fakes.StoreFaults(down=True))
-        late = _Instance('instance-late', hub, store)
+        late = follower_harness.Instance('instance-late', hub, store)
         late.start()
         assert late.wait_revision(1) == 1
         late.stop()
@@ -260,7 +216,7 @@
         store = fakes.MemoryObjectStore()
         _publisher(store).apply(_change('first', 0))
         store.set_faults(fakes.StoreFaults(down=True))
-        alone = _Instance('instance-0', hub, store)
+        alone = follower_harness.Instance('instance-0', hub, store)
         alone.start()
         waiting = threading.Event()
         waiting.wait(0.2)
@@ -295,7 +251,7 @@
         _publisher(store).apply(_change('first', 0))
         _publisher(store).apply(_change('second', 1))
         holder = None if checked else _UncheckedHolder(ports.SystemClock())
-        instance = _Instance('instance-0', hub, store, holder)
+        instance = follower_harness.Instance('instance-0', hub, store, holder)
         instance.start()
         assert instance.wait_revision(2) == 2
         old = state.ConfigurationRecord(
--- a/packages/protocol/src/skylarktack/protocol/tests/test_restored_configuration.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_restored_configuration.py
@@ -14,6 +14,7 @@
 from skylarktack.coordination import configuration
 from skylarktack.coordination import fakes
 from skylarktack.coordination import ports
+from skylarktack.protocol.tests import follower_harness
 
 _CODEC = protocol.JsonConfigurationCodec()
 _PEER = state.InstanceName('peer')
@@ -81,33 +82,11 @@
     return False
 
 
-class _Instance:
-    """One instance that follows the configuration in a task."""
+class _Instance(follower_harness.Instance):
+    """The only instance of a fleet."""
 
     def __init__(self, store: ports.ObjectStore) -> None:
-        self.network = fakes.LocalPeerHub().join('instance-0')
-        self.holder = configuration.ConfigurationHolder(ports.SystemClock())
-        self.follower = configuration.ConfigurationFollower(
-            configuration.FollowerDependencies(
-                store=store,
-                peers=self.network,
-                codec=_CODEC,
-                holder=self.holder,
-                clock=ports.SystemClock(),
-                metrics=fakes.MemoryMetrics(),
-            )
-        )
-        self._thread = threading.Thread(
-            target=self.follower.follow, daemon=True
-        )
-
-    def start(self) -> None:
-        """Begin to follow."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop following; an open watch ends when it times out."""
-        self.follower.stop()
+        super().__init__('instance-0', fakes.LocalPeerHub(), store)
 
     def holds(self, change_id: str) -> bool:
         """Return whether the document of a change is in effect."""
