--- a/packages/emulator/src/skylarktack/emulator/bench/_move_traffic.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_move_traffic.py
@@ -9,8 +9,8 @@
 from skylarktack.coordination import fakes
 from skylarktack.coordination import moves
 
-#: Spread of the logarithm of latencies.
-SPREAD = 0.4
+#: Standard deviation of the logarithm of latencies.
+LOG_DEVIATION = 0.4
 
 #: Failures of a healthy version, as a share of attempts.
 HEALTHY_FAILURES = 0.002
@@ -99,14 +99,14 @@
 
     def __init__(
         self,
-        world: fakes.MoveSimulation,
+        simulation: fakes.MoveSimulation,
         behaviour: Behaviour,
         draw: random.Random,
     ) -> None:
-        self._world = world
+        self._simulation = simulation
         self._behaviour = behaviour
         self._draw = draw
-        self._domain_count = world.shape.failure_domain_count
+        self._domain_count = simulation.shape.failure_domain_count
         self.new_counts: dict[str, int] = {}
         self.was_bad = False
         self.both_slow = False
@@ -118,12 +118,12 @@
         :param shifting_s: time since the first share.
         """
         behaviour = self._behaviour
-        rate = behaviour.rate_per_s / len(self._world.instances)
+        rate = behaviour.rate_per_s / len(self._simulation.instances)
         mean = rate * duration_s / self._domain_count
         self.new_counts[name] = 0
         if name == 'digest':
             self.was_bad = False
-        for instance in self._world.instances.values():
+        for instance in self._simulation.instances.values():
             share = instance.part.table.share(name)
             bad = self._is_bad(name, share, shifting_s)
             for domain in range(self._domain_count):
@@ -143,7 +143,7 @@
             return False
         if behaviour.kind is MoveKind.ONE_ROUTE:
             return name == 'digest'
-        targets = self._world.shape.target_count
+        targets = self._simulation.shape.target_count
         serving = targets if share > 0.05 else moves.FIRST_WAVE_COUNT
         return share * targets / serving >= behaviour.load_limit
 
@@ -178,11 +178,13 @@
             return state.LatencySums()
         # Mean and variance of normal values are independent, so that two
         # draws replace one for each value.
-        mean = self._draw.gauss(math.log(median_ms), SPREAD / count**0.5)
+        mean = self._draw.gauss(
+            math.log(median_ms), LOG_DEVIATION / count**0.5
+        )
         squares = 0.0
         if count > 1:
             squares = self._draw.gammavariate(
-                (count - 1) / 2, 2 * SPREAD * SPREAD
+                (count - 1) / 2, 2 * LOG_DEVIATION * LOG_DEVIATION
             )
         return state.LatencySums(
             count, mean * count, squares + mean * mean * count
