Metrics of the store's era and of the configuration in force

An operator could not see at one instance of many that it serves an older configuration, nor that the store was restored, without reading logs.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -213,7 +213,9 @@
                 transport.Listener(
                     settings.metrics,
                     _metrics.MetricsHandler(
-                        metrics, _metrics.ConnectionMetrics(self._front)
+                        metrics,
+                        _metrics.ConnectionMetrics(self._front),
+                        _metrics.StoreMetrics(self._era, self._configuration),
                     ),
                     codec,
                     futures.ThreadPoolExecutor(OPERATOR_LIMIT_COUNT),
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -165,6 +165,49 @@
         yield ended
 
 
+class ConfigurationState(Protocol):
+    """Tells which configuration is in force."""
+
+    @property
+    def version(self) -> int:
+        """Return the active version; 0 before the first."""
+        ...
+
+    def is_current(self) -> bool:
+        """Return whether the active version is known to be the newest."""
+        ...
+
+
+class StoreMetrics:
+    """Shows the era of the store and the configuration read from it."""
+
+    def __init__(
+        self, era: forwarding.StoreEra, configuration: ConfigurationState
+    ) -> None:
+        self._era = era
+        self._configuration = configuration
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metric families; prometheus_client calls this."""
+        from prometheus_client import core
+
+        yield core.GaugeMetricFamily(
+            'skylarktack_store_era',
+            'Era of the store, which rises when it is restored from a copy.',
+            self._era.current,
+        )
+        yield core.GaugeMetricFamily(
+            'skylarktack_configuration_version',
+            'Version of the configuration in force.',
+            self._configuration.version,
+        )
+        yield core.GaugeMetricFamily(
+            'skylarktack_configuration_current',
+            'Whether the configuration in force is known to be the newest.',
+            self._configuration.is_current(),
+        )
+
+
 class MetricCollector(Protocol):
     """Collects some of the metrics."""
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -338,3 +338,33 @@
         duration_ms=12.0,
         steps=(),
     )
+
+
+class TestStoreMetrics:
+    """The metrics endpoint shows what the instance knows of the store."""
+
+    def test_era_and_configuration(self) -> None:
+        """Guards against an old configuration that operators cannot see."""
+        clock = fakes.SteppingClock()
+        log = fakes.RecordingLog()
+        era = forwarding.StoreEra(log)
+        era.record(3)
+        era.record(4)
+        holder = forwarding.ConfigurationHolder(clock, log, 4.0, 0.0)
+        holder.replace_if_newer(harness.configuration(7))
+        holder.confirm(4.0)
+        handler = _metrics.MetricsHandler(_metrics.StoreMetrics(era, holder))
+        response = handler.handle(
+            harness.request(), fakes.ScriptedCaller(clock)
+        )
+        assert isinstance(response, data.FrontResponse)
+        lines = response.body.decode().splitlines()
+        assert 'skylarktack_store_era 4.0' in lines
+        assert 'skylarktack_configuration_version 7.0' in lines
+        assert 'skylarktack_configuration_current 1.0' in lines
+        holder.mark_stale()
+        response = handler.handle(
+            harness.request(), fakes.ScriptedCaller(clock)
+        )
+        assert isinstance(response, data.FrontResponse)
+        assert b'skylarktack_configuration_current 0.0' in response.body
