--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding import _front_limits
 from skylarktack.coordination.forwarding.tests import harness
@@ -285,89 +284,6 @@
         assert gateway_env.harness.client.sent[0].delivery.organisation is None
 
 
-class TestConfigurationHolder:
-    """The configuration in force, and whether it is current."""
-
-    def test_older_configuration_is_ignored(self) -> None:
-        """Guards against a late response that reverts the configuration."""
-        gateway_env = _make_gateway_env()
-        gateway_env.holder.replace_if_newer(harness.configuration(7))
-        gateway_env.holder.replace_if_newer(harness.configuration(5))
-        table = gateway_env.holder.table
-        assert table is not None
-        assert table.configuration.version == 7
-
-    def test_confirmation_expires(self) -> None:
-        """Guards against trusting a configuration after the watch stalled."""
-        gateway_env = _make_gateway_env()
-        gateway_env.holder.confirm(4.0)
-        assert gateway_env.holder.is_current()
-        gateway_env.harness.clock.advance(4.1)
-        assert not gateway_env.holder.is_current()
-
-
-class TestConfigurationOfPeers:
-    """Peers report the version in force at each."""
-
-    @pytest.mark.parametrize(
-        ('own', 'peers', 'after_s', 'is_current'),
-        [
-            (7, (7,), 0.0, True),
-            (7, (5,), 0.0, True),
-            (7, (0,), 0.0, True),
-            (5, (7,), 0.0, False),
-            (5, (7, 5), 0.0, False),
-            (7, (7, 5), 0.0, True),
-            # No peer has reported it again.
-            (5, (7,), 31.0, True),
-            (5, (7, 5), 31.0, True),
-        ],
-    )
-    def test_an_older_one_is_not_current(
-        self,
-        own: int,
-        peers: tuple[int, ...],
-        after_s: float,
-        is_current: bool,
-    ) -> None:
-        """Guards against refusals by a version that a restore brought back.
-
-        An instance that starts between a restore and the operator's next
-        write reads an older configuration than its peers have.
-        """
-        gateway_env = _make_gateway_env()
-        gateway_env.holder.replace_if_newer(harness.configuration(own))
-        for version in peers:
-            gateway_env.holder.record_peer_version(version)
-        gateway_env.harness.clock.advance(after_s)
-        gateway_env.holder.confirm(4.0)
-        assert gateway_env.holder.is_current() is is_current
-
-    def test_waits_for_the_first_reports(self) -> None:
-        """Guards against a 404 before the first peer reports its version."""
-        clock = fakes.SteppingClock()
-        holder = forwarding.ConfigurationHolder(
-            clock, fakes.RecordingLog(), 4.0, peer_wait_s=1.0
-        )
-        holder.replace_if_newer(harness.configuration(5))
-        holder.confirm(4.0)
-        assert not holder.is_current()
-        clock.advance(1.1)
-        assert holder.is_current()
-
-    def test_fleet_exchanges_versions(self) -> None:
-        """Guards against a restarted instance that no peer warns."""
-        gateway_env = _make_gateway_env()
-        fleet = gateway_env.harness.fleet
-        fleet.set_configurations(gateway_env.holder)
-        gateway_env.holder.replace_if_newer(harness.configuration(5))
-        gateway_env.holder.confirm(4.0)
-        assert fleet.full_report().configuration_version == 5
-        report = harness.peer_report('peer', 1)
-        fleet.receive(dataclasses.replace(report, configuration_version=7))
-        assert not gateway_env.holder.is_current()
-
-
 class TestShutdown:
     """An instance that is stopping refuses what it may not finish."""
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_store.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_store.py
@@ -4,7 +4,9 @@
 
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
+from skylarktack.coordination.forwarding.tests import shared_watch_harness
 from skylarktack.coordination.forwarding.tests import watcher_harness
+from skylarktack.state import forwarding as data
 
 
 class _Watcher:
@@ -104,3 +106,111 @@
         watcher.watcher.run()
         assert watcher.source.calls == ['stale list', 'watch 9', 'watch 12']
         assert watcher.handler.restore_count == 0
+
+
+class TestSharedWatchAfterRestore:
+    """Revisions that peers report belong to an era of the store."""
+
+    @pytest.mark.parametrize(
+        ('reported', 'is_reported'),
+        [
+            (data.ConfirmedKind('kind', 9, era=3), False),
+            (data.ConfirmedKind('kind', 5, era=4), True),
+            (data.ConfirmedKind('kind', 9), False),
+        ],
+    )
+    def test_heartbeats_of_an_earlier_era_are_ignored(
+        self, reported: data.ConfirmedKind, is_reported: bool
+    ) -> None:
+        """Guards against relying on a peer that missed the restore."""
+        shared = shared_watch_harness.SharedHarness(False)
+        shared.source.era.record(4)
+        heartbeat = data.WatchHeartbeat('x', (reported,))
+        shared.shared_watch.receive_heartbeat(heartbeat)
+        expected = reported if is_reported else None
+        assert shared.shared_watch.reported('kind') == expected
+
+    def test_a_wrong_era_expires(self) -> None:
+        """Guards against a peer that makes all others ignored for good."""
+        shared = shared_watch_harness.SharedHarness(False)
+        for era in (9, 4):
+            confirmed = data.ConfirmedKind('kind', 5, era)
+            heartbeat = data.WatchHeartbeat('x', (confirmed,))
+            shared.shared_watch.receive_heartbeat(heartbeat)
+            shared.clock.advance(1.0)
+        shared.shared_watch.receive_heartbeat(heartbeat)
+        assert shared.shared_watch.reported('kind') == confirmed
+
+    def test_an_earlier_confirmation_is_not_reported(self) -> None:
+        """Guards against peers that rely on a watch of the former history."""
+        shared = shared_watch_harness.SharedHarness(True)
+        confirmed = data.ConfirmedKind('kind', 9, era=3)
+        shared.source.era.record(3)
+        shared.shared_watch.record_response(confirmed)
+        assert shared.shared_watch.heartbeat() is not None
+        shared.source.era.record(4)
+        assert shared.shared_watch.heartbeat() is None
+
+    def test_a_receiver_lists_when_peers_report_a_later_era(self) -> None:
+        """Guards against an instance that counts as current for ever.
+
+        The peers report a lower revision, which the instance took for one
+        that it knows, and served the configuration from before the restore.
+        """
+        shared = shared_watch_harness.SharedHarness(
+            False,
+            forwarding.Listing(('a',), 9, era=3),
+            forwarding.Listing(('b',), 7, era=4),
+        )
+        later = data.ConfirmedKind('kind', 7, era=4)
+        end_s = shared.clock.monotonic_s() + 10.0
+
+        def _next(kind: str, timeout_s: float) -> data.StoreChange | None:
+            shared.clock.advance(timeout_s)
+            if shared.clock.monotonic_s() > end_s:
+                shared.watcher.stop()
+            shared.shared_watch.receive_heartbeat(
+                data.WatchHeartbeat('x', (later,))
+            )
+            return None
+
+        shared.shared_watch.next_change = _next  # type: ignore[method-assign]
+        shared.shared_watch.receive_heartbeat(
+            data.WatchHeartbeat('x', (data.ConfirmedKind('kind', 9, era=3),))
+        )
+        shared.watcher.run()
+        assert shared.source.calls == ['stale list', 'list']
+        assert shared.handler.applied[-1] == ('list', ('b',), True)
+        assert shared.handler.restore_count == 1
+
+    def test_a_forwarded_change_of_another_era_is_dropped(self) -> None:
+        """Guards against a position that mixes two histories."""
+        shared = shared_watch_harness.SharedHarness(
+            True,
+            forwarding.Listing((), 5, era=3),
+            watcher_harness.UNAVAILABLE,
+            forwarding.Changes((), 6, era=3),
+        )
+        shared.advance_while_waiting()
+        shared.shared_watch.receive_change(
+            data.StoreChange('kind', 5, 9, b'b', era=4)
+        )
+        shared.watcher.run()
+        assert shared.source.calls == ['stale list', 'watch 5', 'watch 5']
+        assert ('changes', ('b',), False) not in shared.handler.applied
+
+    def test_a_forwarded_change_is_decoded_with_its_era(self) -> None:
+        """Guards against objects that seem to be from before the restore."""
+        shared = shared_watch_harness.SharedHarness(
+            True,
+            forwarding.Listing((), 5, era=3),
+            watcher_harness.UNAVAILABLE,
+            forwarding.Changes((), 9, era=3),
+        )
+        shared.advance_while_waiting()
+        shared.shared_watch.receive_change(
+            data.StoreChange('kind', 5, 9, b'b', era=3)
+        )
+        shared.watcher.run()
+        assert ('changes', ('b',), False) in shared.handler.applied
+        assert shared.source.decoded_eras == [3]
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
@@ -5,78 +5,17 @@
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding.tests import harness
+from skylarktack.coordination.forwarding.tests import shared_watch_harness
 from skylarktack.coordination.forwarding.tests import watcher_harness
 from skylarktack.state import forwarding as data
 
 
-def _heartbeat(revision: int) -> data.WatchHeartbeat:
-    return data.WatchHeartbeat('x', (data.ConfirmedKind('kind', revision),))
-
-
-class _SharedHarness:
-    """A watcher of an instance in a large fleet."""
-
-    def __init__(
-        self,
-        is_watcher: bool,
-        *results: watcher_harness.StoreResult,
-        is_list_shorter: bool = False,
-    ) -> None:
-        self.clock = fakes.SteppingClock()
-        self.link = harness.RecordingLink()
-        self.source = watcher_harness.ScriptedSource(*results)
-        self.handler = watcher_harness.RecordingHandler()
-        self.health = forwarding.StoreHealth(self.clock)
-        self.shared_watch = self._shared_watch_of_rank(is_watcher)
-        self.watcher = forwarding.StoreWatcher(
-            self.clock,
-            self.source,
-            self.handler,
-            fakes.RecordingLog(),
-            forwarding.WatchSettings('kind', 3.0, 0.0, is_list_shorter),
-            self.health,
-            self.source.era,
-            self.shared_watch,
-        )
-        self.source.watcher = self.watcher
-
-    def advance_while_waiting(self) -> None:
-        """Advance the clock while the watcher waits for a change."""
-        original = self.shared_watch.next_change
-
-        def _next(kind: str, timeout_s: float) -> data.StoreChange | None:
-            self.clock.advance(timeout_s)
-            return original(kind, 0.0)
-
-        self.shared_watch.next_change = _next  # type: ignore[method-assign]
-
-    def _shared_watch_of_rank(
-        self, is_watcher: bool
-    ) -> forwarding.SharedWatch:
-        names = [f'instance-{number}' for number in range(20)]
-        for own in names:
-            view = forwarding.FleetView(
-                self.clock, fakes.RecordingLog(), own, data.Address('h', 1)
-            )
-            for number, name in enumerate(names):
-                if name != own:
-                    view.receive(harness.peer_report(name, number))
-            shared_watch = forwarding.SharedWatch(
-                self.clock, view, self.link, self.source.era
-            )
-            asks = shared_watch.role('kind') is forwarding.WatchRole.WATCH
-            # Rank 2 asks at first as well, since it receives no heartbeat.
-            if asks == is_watcher and (view.rank() < 2) == is_watcher:
-                return shared_watch
-        raise AssertionError(f'no instance with is_watcher={is_watcher}')
-
-
 class TestStoreWatcherWithSharedWatch:
     """In a large fleet a few instances watch for all others."""
 
     def test_a_watcher_broadcasts_changes(self) -> None:
         """Guards against each instance watching the store by itself."""
-        shared = _SharedHarness(
+        shared = shared_watch_harness.SharedHarness(
             True,
             forwarding.Listing((), 5),
             forwarding.Changes(('b',), 9, b'b'),
@@ -89,7 +28,7 @@
 
     def test_a_watcher_without_store_sends_no_heartbeats(self) -> None:
         """Guards against relying on an instance that lost the store."""
-        shared = _SharedHarness(
+        shared = shared_watch_harness.SharedHarness(
             True, forwarding.Listing((), 5), forwarding.Changes((), 5)
         )
         shared.watcher.run()
@@ -99,11 +38,13 @@
 
     def test_a_receiver_applies_changes_without_a_call(self) -> None:
         """Guards against a call of each instance for every change."""
-        shared = _SharedHarness(
+        shared = shared_watch_harness.SharedHarness(
             False, forwarding.Listing((), 5), forwarding.Changes((), 5)
         )
         shared.source.watcher = None
-        shared.shared_watch.receive_heartbeat(_heartbeat(5))
+        shared.shared_watch.receive_heartbeat(
+            shared_watch_harness.heartbeat(5)
+        )
         shared.shared_watch.receive_change(
             data.StoreChange('kind', 5, 9, b'b c')
         )
@@ -122,7 +63,7 @@
 
     def test_a_receiver_that_misses_a_change_asks_the_store(self) -> None:
         """Guards against missing a change whose datagram was lost."""
-        shared = _SharedHarness(
+        shared = shared_watch_harness.SharedHarness(
             False,
             forwarding.Listing((), 5),
             forwarding.Changes(('b', 'c'), 9, b'b c'),
@@ -134,18 +75,24 @@
 
         def _next(kind: str, timeout_s: float) -> data.StoreChange | None:
             shared.clock.advance(timeout_s)
-            shared.shared_watch.receive_heartbeat(_heartbeat(9))
+            shared.shared_watch.receive_heartbeat(
+                shared_watch_harness.heartbeat(9)
+            )
             return original(kind, 0.001)
 
         shared.shared_watch.next_change = _next  # type: ignore[method-assign]
-        shared.shared_watch.receive_heartbeat(_heartbeat(9))
+        shared.shared_watch.receive_heartbeat(
+            shared_watch_harness.heartbeat(9)
+        )
         source_list = shared.source.list_all
 
         def _list(
             may_be_stale: bool = False,
         ) -> forwarding.Listing[str] | forwarding.StoreFault:
             result = source_list(may_be_stale)
-            shared.shared_watch.receive_heartbeat(_heartbeat(9))
+            shared.shared_watch.receive_heartbeat(
+                shared_watch_harness.heartbeat(9)
+            )
             return result
 
         shared.source.list_all = _list  # type: ignore[method-assign]
@@ -163,7 +110,7 @@
         a newer revision, and the list that the watching instance then reads
         has the same revision.
         """
-        shared = _SharedHarness(
+        shared = shared_watch_harness.SharedHarness(
             False, forwarding.Listing((), 5), forwarding.Changes(('b',), 80)
         )
         shared.advance_while_waiting()
@@ -186,9 +133,13 @@
 
     def test_a_forwarded_change_after_an_outage_is_marked(self) -> None:
         """Guards against removing targets that expired in an outage."""
-        shared = _SharedHarness(False, forwarding.Listing((), 5))
+        shared = shared_watch_harness.SharedHarness(
+            False, forwarding.Listing((), 5)
+        )
         shared.source.watcher = None
-        shared.shared_watch.receive_heartbeat(_heartbeat(5))
+        shared.shared_watch.receive_heartbeat(
+            shared_watch_harness.heartbeat(5)
+        )
         shared.shared_watch.receive_change(
             data.StoreChange('kind', 5, 9, b'b', follows_outage=True)
         )
@@ -207,7 +158,7 @@
 
         The instance shares the watch but its own call fails.
         """
-        shared = _SharedHarness(
+        shared = shared_watch_harness.SharedHarness(
             True, forwarding.Listing((), 5), watcher_harness.UNAVAILABLE
         )
         shared.shared_watch.receive_change(
@@ -230,7 +181,7 @@
         A list names a newer revision than the instances that receive changes
         have, so that each of them would ask for changes.
         """
-        shared = _SharedHarness(
+        shared = shared_watch_harness.SharedHarness(
             True,
             forwarding.Listing((), 5),
             watcher_harness.TIMED_OUT,
@@ -244,7 +195,7 @@
 
     def test_forwarded_changes_apply_while_a_list_is_due(self) -> None:
         """Guards against stale targets while the store answers no list."""
-        shared = _SharedHarness(
+        shared = shared_watch_harness.SharedHarness(
             True,
             forwarding.Listing((), 5),
             watcher_harness.TIMED_OUT,
@@ -292,15 +243,21 @@
         ]
         if era:
             results.append(forwarding.Listing(('b',), 9, era=era))
-        shared = _SharedHarness(False, forwarding.Listing((), 5), *results)
-        shared.shared_watch.receive_heartbeat(_heartbeat(5))
+        shared = shared_watch_harness.SharedHarness(
+            False, forwarding.Listing((), 5), *results
+        )
+        shared.shared_watch.receive_heartbeat(
+            shared_watch_harness.heartbeat(5)
+        )
         states: list[bool] = []
         watch = shared.source.watch
 
         def _next(kind: str, timeout_s: float) -> data.StoreChange | None:
             is_suspended = len(states) == 2
             shared.clock.advance(10.0 if is_suspended else timeout_s)
-            shared.shared_watch.receive_heartbeat(_heartbeat(5))
+            shared.shared_watch.receive_heartbeat(
+                shared_watch_harness.heartbeat(5)
+            )
             if len(states) > 3:
                 shared.watcher.stop()
             states.append(shared.handler.is_current)
@@ -321,14 +278,16 @@
 
     def test_a_receiver_without_heartbeats_watches_itself(self) -> None:
         """Guards against a stale configuration after all watchers crashed."""
-        shared = _SharedHarness(
+        shared = shared_watch_harness.SharedHarness(
             False,
             forwarding.Listing((), 5),
             forwarding.Changes((), 6),
             forwarding.Changes((), 7),
         )
         shared.advance_while_waiting()
-        shared.shared_watch.receive_heartbeat(_heartbeat(5))
+        shared.shared_watch.receive_heartbeat(
+            shared_watch_harness.heartbeat(5)
+        )
         shared.clock.advance(1.0)
         shared.watcher.run()
         assert shared.source.calls == ['stale list', 'watch 5', 'watch 6']
@@ -346,114 +305,6 @@
             harness.RecordingLink(),
             forwarding.StoreEra(fakes.RecordingLog()),
         )
-        shared_watch.receive_heartbeat(_heartbeat(5))
+        shared_watch.receive_heartbeat(shared_watch_harness.heartbeat(5))
         clock.advance(1.1)
         assert shared_watch.role('kind') is forwarding.WatchRole.WATCH
-
-
-class TestSharedWatchAfterRestore:
-    """Revisions that peers report belong to an era of the store."""
-
-    @pytest.mark.parametrize(
-        ('reported', 'is_reported'),
-        [
-            (data.ConfirmedKind('kind', 9, era=3), False),
-            (data.ConfirmedKind('kind', 5, era=4), True),
-            (data.ConfirmedKind('kind', 9), False),
-        ],
-    )
-    def test_heartbeats_of_an_earlier_era_are_ignored(
-        self, reported: data.ConfirmedKind, is_reported: bool
-    ) -> None:
-        """Guards against relying on a peer that missed the restore."""
-        shared = _SharedHarness(False)
-        shared.source.era.record(4)
-        heartbeat = data.WatchHeartbeat('x', (reported,))
-        shared.shared_watch.receive_heartbeat(heartbeat)
-        expected = reported if is_reported else None
-        assert shared.shared_watch.reported('kind') == expected
-
-    def test_a_wrong_era_expires(self) -> None:
-        """Guards against a peer that makes all others ignored for good."""
-        shared = _SharedHarness(False)
-        for era in (9, 4):
-            confirmed = data.ConfirmedKind('kind', 5, era)
-            heartbeat = data.WatchHeartbeat('x', (confirmed,))
-            shared.shared_watch.receive_heartbeat(heartbeat)
-            shared.clock.advance(1.0)
-        shared.shared_watch.receive_heartbeat(heartbeat)
-        assert shared.shared_watch.reported('kind') == confirmed
-
-    def test_an_earlier_confirmation_is_not_reported(self) -> None:
-        """Guards against peers that rely on a watch of the former history."""
-        shared = _SharedHarness(True)
-        confirmed = data.ConfirmedKind('kind', 9, era=3)
-        shared.source.era.record(3)
-        shared.shared_watch.record_response(confirmed)
-        assert shared.shared_watch.heartbeat() is not None
-        shared.source.era.record(4)
-        assert shared.shared_watch.heartbeat() is None
-
-    def test_a_receiver_lists_when_peers_report_a_later_era(self) -> None:
-        """Guards against an instance that counts as current for ever.
-
-        The peers report a lower revision, which the instance took for one
-        that it knows, and served the configuration from before the restore.
-        """
-        shared = _SharedHarness(
-            False,
-            forwarding.Listing(('a',), 9, era=3),
-            forwarding.Listing(('b',), 7, era=4),
-        )
-        later = data.ConfirmedKind('kind', 7, era=4)
-        end_s = shared.clock.monotonic_s() + 10.0
-
-        def _next(kind: str, timeout_s: float) -> data.StoreChange | None:
-            shared.clock.advance(timeout_s)
-            if shared.clock.monotonic_s() > end_s:
-                shared.watcher.stop()
-            shared.shared_watch.receive_heartbeat(
-                data.WatchHeartbeat('x', (later,))
-            )
-            return None
-
-        shared.shared_watch.next_change = _next  # type: ignore[method-assign]
-        shared.shared_watch.receive_heartbeat(
-            data.WatchHeartbeat('x', (data.ConfirmedKind('kind', 9, era=3),))
-        )
-        shared.watcher.run()
-        assert shared.source.calls == ['stale list', 'list']
-        assert shared.handler.applied[-1] == ('list', ('b',), True)
-        assert shared.handler.restore_count == 1
-
-    def test_a_forwarded_change_of_another_era_is_dropped(self) -> None:
-        """Guards against a position that mixes two histories."""
-        shared = _SharedHarness(
-            True,
-            forwarding.Listing((), 5, era=3),
-            watcher_harness.UNAVAILABLE,
-            forwarding.Changes((), 6, era=3),
-        )
-        shared.advance_while_waiting()
-        shared.shared_watch.receive_change(
-            data.StoreChange('kind', 5, 9, b'b', era=4)
-        )
-        shared.watcher.run()
-        assert shared.source.calls == ['stale list', 'watch 5', 'watch 5']
-        assert ('changes', ('b',), False) not in shared.handler.applied
-
-    def test_a_forwarded_change_is_decoded_with_its_era(self) -> None:
-        """Guards against objects that seem to be from before the restore."""
-        shared = _SharedHarness(
-            True,
-            forwarding.Listing((), 5, era=3),
-            watcher_harness.UNAVAILABLE,
-            forwarding.Changes((), 9, era=3),
-        )
-        shared.advance_while_waiting()
-        shared.shared_watch.receive_change(
-            data.StoreChange('kind', 5, 9, b'b', era=3)
-        )
-        shared.watcher.run()
-        assert ('changes', ('b',), False) in shared.handler.applied
-        assert shared.source.decoded_eras == [3]
