--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -71,8 +71,8 @@
         self._behind_since_s: float | None = None
         self._stopped = threading.Event()
         self._failing_since_s: float | None = None
-        #: Era in which the cached objects were listed; None before.
-        self._listed_era: int | None = None
+        #: Era that the next or the last list belongs to; None before the first.
+        self._known_era: int | None = None
         self._follows_restore = False
         self._must_catch_up = False
         self._must_list = False
@@ -108,11 +108,11 @@
 
     def _is_restored(self, era: int) -> bool:
         """Return whether the cached objects were listed before a restore."""
-        return self._listed_era is not None and era != self._listed_era
+        return self._known_era is not None and era != self._known_era
 
     def _record_restore(self, era: int) -> None:
         """Record that the next list is that of a restored store."""
-        self._listed_era = era
+        self._known_era = era
         self._follows_restore = True
         self._handler.record_restore()
 
@@ -257,7 +257,7 @@
         # When many instances start together, current lists would wait for
         # the store's rate limit, which stale reads do not count against.
         # The next watch fetches the changes that a stale list lacks.
-        may_be_stale = self._listed_era is None
+        may_be_stale = self._known_era is None
         result = self._source.list_all(may_be_stale)
         if isinstance(result, _watch_ports.StoreFault):
             self._record_fault(result)
@@ -265,12 +265,12 @@
         after_outage = self._record_success()
         if self._is_restored(result.era):
             self._record_restore(result.era)
-        is_first = self._listed_era is None
+        is_first = self._known_era is None
         self._handler.replace(
             result.items,
             self._follows_restore or (after_outage and not is_first),
         )
-        self._listed_era = result.era
+        self._known_era = result.era
         self._follows_restore = False
         self._last_change_revision = result.revision
         self._must_catch_up = may_be_stale
@@ -371,7 +371,7 @@
                 )
             )
         max_delay_s = _store_health.MAX_RETRY_DELAY_S
-        if self._listed_era is None:
+        if self._known_era is None:
             max_delay_s = _store_health.MAX_FIRST_RETRY_DELAY_S
         self._health.record_fault(self._settings.name, max_delay_s)
 
