--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -71,7 +71,7 @@
         self._behind_since_s: float | None = None
         self._stopped = threading.Event()
         self._failing_since_s: float | None = None
-        #: Era that the next or the last list belongs to; None before the first.
+        #: Era to which the next or the last list belongs; None at first.
         self._known_era: int | None = None
         self._follows_restore = False
         self._must_catch_up = False
