Give the era of the product's own object API a name of its own

skylarktackd read it from a header with the name that the users' platform gives it; only packages/platform may know such names. Its object API now says Object-Api-Era.

--- a/packages/emulator/src/skylarktack/emulator/_object_api.py
+++ b/packages/emulator/src/skylarktack/emulator/_object_api.py
@@ -204,7 +204,7 @@
         headers: tuple[tuple[str, str], ...] = (),
     ) -> None:
         """Send a whole answer with the era of the store."""
-        era = (protocol.STORE_ERA_HEADER, str(self._era))
+        era = (protocol.OBJECT_API_ERA_HEADER, str(self._era))
         super().answer(status, body, (*headers, era))
 
     def do_POST(self) -> None:
--- a/packages/emulator/src/skylarktack/emulator/platform/_store.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_store.py
@@ -29,7 +29,7 @@
 
 
 #: Header of all responses; it rises by one with each restore.
-ERA_HEADER = 'Store-Era'
+OBJECT_API_ERA_HEADER = 'Store-Era'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -402,7 +402,7 @@
             json.dumps(answer.content).encode(),
             (
                 ('Content-Type', 'application/json'),
-                (ERA_HEADER, str(answer.era)),
+                (OBJECT_API_ERA_HEADER, str(answer.era)),
             ),
         )
 
--- a/packages/protocol/src/skylarktack/protocol/__init__.py
+++ b/packages/protocol/src/skylarktack/protocol/__init__.py
@@ -56,10 +56,10 @@
     from skylarktack.protocol._json_values import unreadable_cause
     from skylarktack.protocol._loans import CborLoanCodec
     from skylarktack.protocol._moves import JsonMoveCodec
-    from skylarktack.protocol._object_api import STORE_ERA_HEADER
+    from skylarktack.protocol._object_api import OBJECT_API_ERA_HEADER
+    from skylarktack.protocol._object_api import decode_object_api_era
     from skylarktack.protocol._object_api import decode_objects
     from skylarktack.protocol._object_api import decode_platform_list
-    from skylarktack.protocol._object_api import decode_store_era
     from skylarktack.protocol._object_api import decode_watch_batch
     from skylarktack.protocol._object_api import encode_objects
     from skylarktack.protocol._object_api import encode_platform_list
@@ -113,7 +113,7 @@
     'REQUEST_ID_HEADER',
     'SECTIONS',
     'STATUS_BY_CODE',
-    'STORE_ERA_HEADER',
+    'OBJECT_API_ERA_HEADER',
     'StreamDecoder',
     'StructDigestCodec',
     'T',
@@ -131,7 +131,7 @@
     'decode_record_for_operators',
     'decode_settings',
     'decode_target_order',
-    'decode_store_era',
+    'decode_object_api_era',
     'decode_watch_batch',
     'document_difference',
     'encode_answer',
@@ -199,10 +199,10 @@
     'unreadable_cause': '_json_values',
     'CborLoanCodec': '_loans',
     'JsonMoveCodec': '_moves',
-    'STORE_ERA_HEADER': '_object_api',
+    'OBJECT_API_ERA_HEADER': '_object_api',
     'decode_objects': '_object_api',
     'decode_platform_list': '_object_api',
-    'decode_store_era': '_object_api',
+    'decode_object_api_era': '_object_api',
     'decode_watch_batch': '_object_api',
     'encode_objects': '_object_api',
     'encode_platform_list': '_object_api',
--- a/packages/protocol/src/skylarktack/protocol/_object_api.py
+++ b/packages/protocol/src/skylarktack/protocol/_object_api.py
@@ -13,14 +13,14 @@
 
 #: Header of all responses. The era rises by one each time the store comes back
 #: from a copy that lacks its last writes.
-STORE_ERA_HEADER = 'Store-Era'
+OBJECT_API_ERA_HEADER = 'Object-Api-Era'
 
 _ERA = re.compile(r'[0-9]{1,18}')
 
 _PLATFORM_LIST = pydantic.TypeAdapter(state.PlatformList)
 
 
-def decode_store_era(text: str | None) -> int:
+def decode_object_api_era(text: str | None) -> int:
     """Return the era in a header; 0 if it is absent or malformed."""
     if text is None or not _ERA.fullmatch(text):
         return 0
--- a/packages/transport/src/skylarktack/transport/_object_store.py
+++ b/packages/transport/src/skylarktack/transport/_object_store.py
@@ -134,8 +134,8 @@
                 kind = state.StoreFaultKind.ANSWER_LOST
             return Error(state.StoreFault(kind, fault.message))
         answer = answered.ok
-        era = protocol.decode_store_era(
-            answer.header(protocol.STORE_ERA_HEADER)
+        era = protocol.decode_object_api_era(
+            answer.header(protocol.OBJECT_API_ERA_HEADER)
         )
         if not self._record_era(era):
             kind = state.StoreFaultKind.UNAVAILABLE
--- a/packages/transport/src/skylarktack/transport/tests/test_object_store.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_object_store.py
@@ -31,7 +31,7 @@
         self.send_header('ETag', '"7"')
         era = self.eras.pop(0)
         if era is not None:
-            self.send_header('Store-Era', era)
+            self.send_header('Object-Api-Era', era)
         self.end_headers()
 
 
