Take a response of the object API without an era for one of the known era

One response without the header, or with a malformed one, would have counted as one of era 0 and been dropped as older than a restore, although nobody restored anything. packages/platform takes such a response of its store for one of the known era; the two now agree.

test_response_without_an_era_is_of_the_known_one fails without it. The docstring of _free_thread in the listener says what it blocks.

--- a/packages/protocol/src/skylarktack/protocol/_object_api.py
+++ b/packages/protocol/src/skylarktack/protocol/_object_api.py
@@ -15,15 +15,16 @@
 #: from a copy that lacks its last writes.
 OBJECT_API_ERA_HEADER = 'Object-Api-Era'
 
+#: Eras fit into 64 bits.
 _ERA = re.compile(r'[0-9]{1,18}')
 
 _PLATFORM_LIST = pydantic.TypeAdapter(state.PlatformList)
 
 
-def decode_object_api_era(text: str | None) -> int:
-    """Return the era in a header; 0 if it is absent or malformed."""
+def decode_object_api_era(text: str | None) -> int | None:
+    """Return the era in a header; None if it is absent or malformed."""
     if text is None or not _ERA.fullmatch(text):
-        return 0
+        return None
     return int(text)
 
 
--- a/packages/transport/src/skylarktack/transport/_object_store.py
+++ b/packages/transport/src/skylarktack/transport/_object_store.py
@@ -137,7 +137,7 @@
         era = protocol.decode_object_api_era(
             answer.header(protocol.OBJECT_API_ERA_HEADER)
         )
-        if not self._record_era(era):
+        if era is not None and not self._record_era(era):
             kind = state.StoreFaultKind.UNAVAILABLE
             if changes:
                 kind = state.StoreFaultKind.ANSWER_LOST
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -147,7 +147,7 @@
             self._free_thread(connection)
 
     def _free_thread(self, queued: _front_connection.FrontConnection) -> None:
-        """Wait until a connection has ended, whose thread serves another.
+        """Block the accepting task until the thread of a connection is free.
 
         None may be idle at first, so eviction is repeated.
         """
--- a/packages/transport/src/skylarktack/transport/tests/test_object_store.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_object_store.py
@@ -78,6 +78,13 @@
                 assert store.get('a').is_ok()
             assert store.era == 0
 
+    def test_response_without_an_era_is_of_the_known_one(self) -> None:
+        """Guards against a store that is ignored because of one header."""
+        with _store('2', None, 'x', '2') as store:
+            for _ in range(4):
+                assert store.get('a').is_ok()
+            assert store.era == 2
+
     def test_listeners_learn_of_a_restore(self) -> None:
         """Guards against tasks that wait while the store was restored."""
         noticed = threading.Event()
