Wait for the first 404 in the test of a new route

The test expected 404 for an unknown route in the first moment of an instance. It now waits until every instance answers 404, where it asked one of them before; 503 for good still fails it.

--- a/packages/emulator/src/skylarktack/emulator/tests/test_platform_sessions.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_platform_sessions.py
@@ -183,8 +183,7 @@
         self, deployment: platform.PlatformDeployment
     ) -> None:
         """Guards against an instance that misses a change."""
-        address = deployment.instances[0].address
-        assert platform.call(address, _call('new')).status == 404
+        _eventually(deployment, 'new', 404)
         deployment.apply(platform.manifest(2, more_routes=('new',)))
         _eventually(deployment, 'new', 200)
         deployment.apply(
