Word comments of the restored store for a newcomer

A reader who had not seen the work named sentences that needed a second read, a parameter that said the opposite (is_confirmed, now has_waited) and a deadline that was named like an event. Comments and private names only.

--- a/packages/coordination/src/skylarktack/coordination/configuration/_follower.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_follower.py
@@ -169,7 +169,8 @@
     def _is_active_lost(self) -> bool:
         """Return whether a restored store lacks the active revision.
 
-        A record of the present era cannot have been lost: the store lags.
+        A stored record of the current era is no loss, even if the active one
+        is newer: the read was only late.
         """
         if self._seen_era is None or self._stored_position.era >= (
             self._seen_era
@@ -241,8 +242,8 @@
             position = dependencies.holder.current().position
             value = self._encoded_record
         if stored is not None:
-            # So that the history keeps the replaced record. A conflict means
-            # that it has it already; a lost archive only leaves a gap.
+            # Archives the replaced record first. A conflict means that the
+            # history has it already; a failed write leaves a gap there.
             dependencies.store.put(
                 _publisher.history_key(self._stored_position.revision),
                 stored.value,
@@ -368,8 +369,8 @@
 ) -> bool:
     """Return whether an earlier release accepted it after the active one.
 
-    Earlier releases write no era. In a record of a copy, which the active
-    revision is based on, the revision is lower.
+    Earlier releases write no era. A record from the copy has a lower revision
+    than the active one, which was based on it.
     """
     if record.era or not active.era:
         return False
--- a/packages/coordination/src/skylarktack/coordination/configuration/_topics.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_topics.py
@@ -8,7 +8,7 @@
 class RevisionTopic:
     """Gossips the current revision and fetches newer ones from peers.
 
-    Earlier releases know this topic only, and take all of it for a revision.
+    Earlier releases know this topic only, and read all of it as a revision.
     """
 
     def __init__(
@@ -60,7 +60,7 @@
     ) -> bytes | None:
         """Return the era and the revision, each as 8 big-endian bytes.
 
-        None in the first era, in which the revision says all.
+        None in era 0, in which the revision is enough.
         """
         active = self._holder.current()
         if not active.era:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -66,7 +66,7 @@
 
 
 class ConfigurationVersions(Protocol):
-    """Gives the configuration in force here, and receives those of peers."""
+    """Gives the active version of this instance, receives those of peers."""
 
     @property
     def version(self) -> int:
@@ -377,7 +377,7 @@
     def _with_exchanges(
         self, report: data.InstanceReport
     ) -> data.InstanceReport:
-        """Add what other components tell the peers."""
+        """Add the prompt evidence and the configuration version."""
         version = 0
         if self._configurations is not None:
             version = self._configurations.version
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
@@ -54,8 +54,8 @@
     stop_reason: str = ''
     due_phase: state.MovePhase | None = None
     due_since_s: float = 0.0
-    #: Phase that the store holds. After a restore it may be earlier than the
-    #: known one, that of the order.
+    #: Phase in the store. After a restore it may precede the phase of
+    #: ``order``, which is the latest known one.
     stored_phase: state.MovePhase = state.MovePhase.PLANNED
 
     @property
@@ -66,7 +66,7 @@
     def update(self, order: data.MoveOrder) -> None:
         """Replace the order by a newer one for the same version.
 
-        A known phase stays that a restored store has lost.
+        Keeps the known phase if a restored store lacks it.
         """
         phase = order.phase
         is_first_of_era = order.position.era > self.order.position.era
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -275,7 +275,7 @@
         instance: str,
         scope: data.MoveScope = data.MoveScope.INSTANCE,
     ) -> tuple[data.MoveReport, ...]:
-        """Return a report on each move in progress, or not recorded.
+        """Return a report on each open move; see ``Move.is_open``.
 
         :param scope: whose counts to report.
         """
@@ -336,7 +336,7 @@
             return None if move is None else move.order
 
     def open_services(self) -> tuple[str, ...]:
-        """Return the services with a move in progress, or not recorded."""
+        """Return the services with an open move; see ``Move.is_open``."""
         found = []
         with self._lock:
             self._apply_due_changes()
@@ -348,15 +348,15 @@
     def _apply_due_changes(self) -> None:
         """Apply changes that were held after a restore for long enough."""
         for change in self._held.take_due():
-            self._apply_change(change, is_confirmed=True)
+            self._apply_change(change, has_waited=True)
 
     def _apply_change(
-        self, change: data.MoveChange, is_confirmed: bool = False
+        self, change: data.MoveChange, has_waited: bool = False
     ) -> None:
         """Apply a change of one service's order.
 
-        :param is_confirmed: whether an order that may come from the copy of a
-            restored store is the newest one.
+        :param has_waited: whether it was held for its time, so that also an
+            order that the copy may have brought back is applied.
         """
         order = change.order
         current = self._moves.get(change.service)
@@ -366,7 +366,7 @@
             if order.to_version == current.order.to_version:
                 self._update(current, order)
                 return
-            if not is_confirmed and self._held.is_from_copy(
+            if not has_waited and self._held.is_from_copy(
                 order, current.order
             ):
                 self._hold(current, change)
@@ -400,8 +400,9 @@
     ) -> None:
         """Apply an order for the version of the current one.
 
-        Within one era an order without the end of its move is a new one. A
-        restored store may have lost the phase; the known one stays.
+        Within one era, an order without an end that follows an ended one
+        begins a new move. After a restore the known phase is kept, since the
+        store may have lost it.
         """
         known = current.order
         is_first_of_era = order.position.era > known.position.era
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -216,10 +216,10 @@
         self._record(events)
 
     def compare(self, stored: tuple[data.StoredQuarantine, ...]) -> None:
-        """Have written what a restored store lacks or has again.
+        """Mark for writing what a restored store lacks or has again.
 
-        The quarantines of all instances are known here, so that nothing is
-        adopted: what is unknown was released or is about to be reported.
+        Stored quarantines that are unknown here are not taken over: they were
+        released, or a peer is about to report them.
         """
         now_ms = 1000 * self._clock.wall_s()
         stored_by_part = {item.part_id: item for item in stored}
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_keeper.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_quarantine_keeper.py
@@ -71,7 +71,7 @@
         ...
 
     def compare(self, stored: tuple[data.StoredQuarantine, ...]) -> None:
-        """Have written what a restored store lacks or has again."""
+        """Mark for writing what a restored store lacks or has again."""
         ...
 
     def take_changes(self) -> tuple[QuarantineChange, ...]:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_record_writers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_record_writers.py
@@ -1,7 +1,7 @@
 """Which instances write the stored records that all instances know.
 
-Those of the lowest ranks write, one after the other, so that the entries of
-the first need no second write. After a restore of the store they compare its
+Those of the lowest ranks write, one after the other, so that a later one skips
+what an earlier one has written. After a restore of the store they compare its
 records with what they know.
 """
 
@@ -16,14 +16,14 @@
 WRITER_COUNT = 2
 RANK_DELAY_S = 0.5
 
-#: Time after a restore at which the records are compared once more. Writers
-#: that were lost meanwhile no longer count as live then, in a fleet of 340, so
-#: that their successors compare in their place.
+#: Time after a restore at which the records are compared a second time. By
+#: then a writer that failed during the first comparison has expired as a peer,
+#: also in a fleet of 340, and the next rank compares.
 COMPARE_AGAIN_S = 45.0
 
 
 class RankSource(Protocol):
-    """Tells the place of this instance in the fleet."""
+    """Gives the rank of this instance."""
 
     def rank(self) -> int:
         """Return the rank of this instance among the live ones, from 0."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_removed_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_removed_targets.py
@@ -6,12 +6,11 @@
 from skylarktack.coordination.forwarding import _target_exclusions
 from skylarktack.state import forwarding as data
 
-#: Time for which a removal is remembered; a store is restored from a copy
-#: that is some seconds older than the beginning of its outage.
+#: Time for which a removal is kept. A copy is some seconds old; the rest is a
+#: margin.
 REMOVAL_LIFETIME_S = 300.0
 
-#: Maximum number of removals that are remembered; the oldest are forgotten
-#: first.
+#: Maximum number of removals that are kept; the oldest are dropped first.
 MAX_REMOVAL_COUNT = 4096
 
 
@@ -46,13 +45,13 @@
 
     def record_restore(self, now_s: float) -> None:
         """Record that the next list is that of a restored store."""
-        self._forget_expired(now_s)
+        self._drop_expired(now_s)
         self._held.clear()
 
     def hold(self, target: data.ListedTarget, now_s: float) -> bool:
         """Hold a listed entry back if it is older than a removal.
 
-        :returns: whether it must not be used now.
+        :return: whether it must not be used now.
         """
         removal = self._removals.get(target.name)
         if removal is None or not self._restored.is_being_rewritten(now_s):
@@ -92,7 +91,7 @@
         self._held.clear()
         return rewritten
 
-    def _forget_expired(self, now_s: float) -> None:
+    def _drop_expired(self, now_s: float) -> None:
         while self._removals:
             name, removal = next(iter(self._removals.items()))
             if now_s - removal.at_s < REMOVAL_LIFETIME_S:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_restored_entries.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_restored_entries.py
@@ -10,8 +10,8 @@
 from skylarktack.state import forwarding as data
 
 #: Time after the first list of a restored store in which an entry may be that
-#: of the copy. An entry expires after three heartbeat intervals unless its
-#: target writes it again.
+#: of the copy. An entry expires after three heartbeat intervals, 3.6 s by
+#: default, unless its target writes it again.
 REWRITE_WINDOW_S = 5.0
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
@@ -295,7 +295,7 @@
             return now_s <= self._state_of(kind).outranked_until_s
 
     def _is_confirmed(self, state: _KindState, now_s: float) -> bool:
-        """Return whether the store of now confirmed a kind recently."""
+        """Return whether the store confirmed a kind recently, in its era."""
         if state.confirmed is None or state.confirmed.era < self._era.current:
             return False
         return now_s <= state.confirmed_at_s + CONFIRMATION_LIFETIME_S
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -71,7 +71,8 @@
         self._behind_since_s: float | None = None
         self._stopped = threading.Event()
         self._failing_since_s: float | None = None
-        #: Era to which the next or the last list belongs; None at first.
+        #: Era of the cached objects, or of the restored store that is about to
+        #: be listed; None before the first list.
         self._known_era: int | None = None
         self._follows_restore = False
         self._must_catch_up = False
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_records.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_records.py
@@ -55,7 +55,7 @@
     def hold(self, target: data.ListedTarget) -> bool:
         """Hold a listed entry back if it is older than a removal.
 
-        :returns: whether it must not be put now.
+        :return: whether it must not be put now.
         """
         if not self._removed.hold(target, self._clock.monotonic_s()):
             return False
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_trials.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_trials.py
@@ -129,7 +129,7 @@
             )
 
     def compare(self, stored: Sequence[data.VersionTrial]) -> None:
-        """Have written what a restored store lacks or has again.
+        """Mark for writing what a restored store lacks or has again.
 
         Nothing is excluded by its records; see ``restore``.
         """
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -10,7 +10,7 @@
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: Time for which a report of a peer on its configuration is believed. Peers
+#: Time for which the version that a peer reported counts. Peers
 #: repeat it with each report, at least every 17 s in a fleet of 340.
 PEER_VERSION_LIFETIME_S = 30.0
 
@@ -45,7 +45,7 @@
         self._confirmed_until_s = 0.0
         self._peer_version = 0
         self._peer_version_until_s = 0.0
-        self._peers_reported_at_s = clock.monotonic_s() + peer_wait_s
+        self._peer_wait_end_s = clock.monotonic_s() + peer_wait_s
         self.is_synced = threading.Event()
 
     @property
@@ -105,13 +105,13 @@
         self._confirmed_until_s = 0.0
 
     def is_current(self) -> bool:
-        """Return whether the last confirmation is still valid.
+        """Return whether the active configuration is known to be the newest.
 
-        It is not while a peer is known to have a newer configuration, nor
-        before the peers had the time to report theirs.
+        It is not after the confirmation has expired, before the reports of
+        the peers are due, or while a peer reports a newer version.
         """
         now_s = self._clock.monotonic_s()
-        if now_s < self._peers_reported_at_s:
+        if now_s < self._peer_wait_end_s:
             return False
         with self._lock:
             is_behind = self.version < self._peer_version
--- a/packages/coordination/src/skylarktack/coordination/moves/_fencing.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_fencing.py
@@ -3,8 +3,8 @@
 from skylarktack import state
 
 #: Bits below the era in a fencing number, which hold the wall clock time in
-#: seconds. Takeovers are further apart than that, so a number is unique even
-#: if a writer that had not noticed the restore overwrote the last one.
+#: seconds. Takeovers are at least a lease time apart, so a number is unique
+#: even if a writer that had not noticed a restore overwrote the last one.
 ERA_SHIFT_BITS = 32
 
 
--- a/packages/coordination/src/skylarktack/coordination/moves/_table.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_table.py
@@ -151,5 +151,5 @@
 
 
 def write_order(record: state.MoveRecord) -> tuple[int, float]:
-    """Return by what the records of one move were written one by one."""
+    """Return a key that orders the records of one move by their writing."""
     return record.lease.fencing_number, record.updated_s
--- a/packages/coordination/src/skylarktack/coordination/once/_bucket.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_bucket.py
@@ -26,8 +26,8 @@
 #: indicates too many writers.
 MAX_COMMIT_ATTEMPTS = 6
 
-#: Age of the records that are written again if a restored store lacks them.
-#: It exceeds the age of any copy that the store is restored from.
+#: Maximum age of the records that are written again if a restored store lacks
+#: them. A copy is some seconds old; the rest is a margin.
 RESTORED_COPY_AGE_S = 600.0
 
 #: Reads of a bucket before they fail because the store was restored meanwhile.
@@ -365,8 +365,8 @@
         if self._dependencies.store.era != era:
             return Ok(None)
         if is_restored or era:
-            # In a later era than the first, a writer that has not noticed the
-            # restore may have overwritten the head as well.
+            # After era 0, a writer that has not noticed a restore may have
+            # overwritten the head as well.
             self._remember_known()
         self._era = era
         self._head_version = version
--- a/packages/platform/src/skylarktack/platform/_store_calls.py
+++ b/packages/platform/src/skylarktack/platform/_store_calls.py
@@ -16,8 +16,8 @@
 class TrackedStoreCalls:
     """Sends calls to the store and records the era of each response.
 
-    A response from before a restore that this instance knows of says nothing
-    about the store of now, so it counts as lost.
+    A response from before a known restore does not describe the current
+    store, so it counts as lost.
     """
 
     def __init__(
