--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -197,12 +197,12 @@
             self._era.current,
         )
         yield core.GaugeMetricFamily(
-            'skylarktack_configuration_version',
+            'skylarktack_active_configuration_version',
             'Version of the configuration in force.',
             self._configuration.version,
         )
         yield core.GaugeMetricFamily(
-            'skylarktack_configuration_current',
+            'skylarktack_is_configuration_current',
             'Whether the configuration in force is known to be the newest.',
             self._configuration.is_current(),
         )
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -360,11 +360,11 @@
         assert isinstance(response, data.FrontResponse)
         lines = response.body.decode().splitlines()
         assert 'skylarktack_store_era 4.0' in lines
-        assert 'skylarktack_configuration_version 7.0' in lines
-        assert 'skylarktack_configuration_current 1.0' in lines
+        assert 'skylarktack_active_configuration_version 7.0' in lines
+        assert 'skylarktack_is_configuration_current 1.0' in lines
         holder.mark_stale()
         response = handler.handle(
             harness.request(), fakes.ScriptedCaller(clock)
         )
         assert isinstance(response, data.FrontResponse)
-        assert b'skylarktack_configuration_current 0.0' in response.body
+        assert b'skylarktack_is_configuration_current 0.0' in response.body
