Judge requests that cross the end of a connection by what targets got

The soak counted a request as crossed, and judged it by nothing, if its connection showed its end within the caller's second look. An instance that reads a whole request, passes it on and then closes the connection would have shown the same.

A crossed request now breaks the promise if a target executed it.

--- a/packages/emulator/src/skylarktack/emulator/soak/_kept_checkers.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_kept_checkers.py
@@ -10,13 +10,17 @@
 
 
 def check_answers(
-    records: tuple[_kept_records.KeptRecord, ...], has_faults: bool
+    records: tuple[_kept_records.KeptRecord, ...],
+    executed_ids: frozenset[str],
+    has_faults: bool,
 ) -> _checkers.Promise:
     """Check that each whole request got a whole answer or refusal.
 
     Not judged are requests of killed processes, of callers that ended their
-    sending side, and those that the end of the connection crossed.
+    sending side, and those that the end of the connection crossed, unless a
+    target was sent them.
 
+    :param executed_ids: attempts that a target executed.
     :param has_faults: whether targets fail, so that streams may break off.
     """
     promise = _checkers.Promise('a request on a kept connection is answered')
@@ -24,6 +28,8 @@
         if record.form is _Form.HALF_CLOSED:
             continue
         is_lost = record.ending in (_Ending.UNANSWERED, _Ending.ANNOUNCED)
+        if record.ending is _Ending.CROSSED:
+            is_lost = record.attempt_id in executed_ids
         if record.ending is _Ending.TRUNCATED:
             is_lost = record.form is not _Form.STREAM or not has_faults
         promise.check(not is_lost, _describe(record))
--- a/packages/emulator/src/skylarktack/emulator/soak/_run.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_run.py
@@ -107,7 +107,7 @@
                 *_checkers.check_all(evidence),
                 *after_faults,
                 injector.signals.check(),
-                *_check_kept(kept, shape),
+                *_check_kept(kept, evidence, shape),
             ),
             _served(evidence),
             len(evidence.calls) + len(evidence.streams),
@@ -137,11 +137,15 @@
 
 
 def _check_kept(
-    kept: _kept_callers.KeptCallers, shape: _schedule.SoakShape
+    kept: _kept_callers.KeptCallers,
+    evidence: _checkers.Evidence,
+    shape: _schedule.SoakShape,
 ) -> tuple[_checkers.Promise, ...]:
     return (
         _kept_checkers.check_answers(
-            tuple(kept.records), has_faults=shape.gap_s is not None
+            tuple(kept.records),
+            frozenset(run.attempt_id for run in evidence.runs),
+            has_faults=shape.gap_s is not None,
         ),
         _kept_checkers.check_open(
             tuple(kept.early_ends), has_loads=shape.load_gap_s is not None
--- a/packages/emulator/src/skylarktack/emulator/tests/test_kept_connections.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_kept_connections.py
@@ -55,6 +55,7 @@
     ending: _Ending
     is_broken: bool
     has_faults: bool = True
+    is_executed: bool = False
 
 
 class TestKeptConnection:
@@ -106,6 +107,9 @@
             _Judgement(_Form.CALL, _Ending.UNANSWERED, is_broken=True),
             _Judgement(_Form.CALL, _Ending.TRUNCATED, is_broken=True),
             _Judgement(_Form.CALL, _Ending.CROSSED, is_broken=False),
+            _Judgement(
+                _Form.CALL, _Ending.CROSSED, is_broken=True, is_executed=True
+            ),
             _Judgement(_Form.CALL, _Ending.KILLED, is_broken=False),
             _Judgement(_Form.PIPELINED, _Ending.UNANSWERED, is_broken=True),
             _Judgement(_Form.PIPELINED, _Ending.ANNOUNCED, is_broken=True),
@@ -122,8 +126,10 @@
     )
     def test_judges(self, case: _Judgement) -> None:
         """Guards against a lost request that counts as allowed."""
+        record = _record(case.form, case.ending)
+        executed_ids = (record.attempt_id,) if case.is_executed else ()
         promise = _kept_checkers.check_answers(
-            (_record(case.form, case.ending),), case.has_faults
+            (record,), frozenset(executed_ids), case.has_faults
         )
         assert bool(promise.broken) == case.is_broken
 
