End the confirmation of a configuration with a suspension of the process

An instance that had been stopped by SIGSTOP and went on could answer its first request by the configuration from before: 404 for a route that had been confirmed and was in force at its peers.

Cause: the store's confirmation of the configuration holds for 4 s, the wait of a watch and a margin. A process that was suspended for a shorter time still counts as current until the task of the watch has run and has read that its connection was cut. A request that is handled before that task is refused by the old table.

Ruled out: a watch that goes on from a lost revision (it would answer 404 until the next change), and a read response of the former era (503 would not follow).

The holder now asks `SuspensionMonitor` for the time of the last resumption; a confirmation that was awaited before it does not count. The first call after a suspension notices it, whichever thread makes it, so that no order of the threads lets the old confirmation pass. The same holds for a response, or a forwarded change, that waited in the socket of a suspended process: it was awaited before. Each suspension is logged.

--- a/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/__init__.py
@@ -50,12 +50,14 @@
 from skylarktack.coordination.fakes._steps import StepGate
 from skylarktack.coordination.fakes._store import MemoryObjectStore
 from skylarktack.coordination.fakes._store import StoreFaults
+from skylarktack.coordination.fakes._suspensions import ScriptedSuspensions
 from skylarktack.coordination.fakes._tasks import DirectTaskRunner
 
 __all__ = [
     'RecordingLog',
     'ScriptedCaller',
     'ScriptedEvent',
+    'ScriptedSuspensions',
     'ScriptedExchange',
     'ScriptedTargetClient',
     'SentRequest',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -25,6 +25,7 @@
 from skylarktack.coordination.forwarding._events import LogEvent
 from skylarktack.coordination.forwarding._events import LogLinesDropped
 from skylarktack.coordination.forwarding._events import PeerDiscovered
+from skylarktack.coordination.forwarding._events import ProcessSuspended
 from skylarktack.coordination.forwarding._events import PromptPartProbed
 from skylarktack.coordination.forwarding._events import PromptPartQuarantined
 from skylarktack.coordination.forwarding._events import PromptPartReleased
@@ -138,6 +139,8 @@
 from skylarktack.coordination.forwarding._supervision import REQUEST_REPORT
 from skylarktack.coordination.forwarding._supervision import ErrorRecorder
 from skylarktack.coordination.forwarding._supervision import Supervisor
+from skylarktack.coordination.forwarding._suspensions import SuspensionMonitor
+from skylarktack.coordination.forwarding._suspensions import Suspensions
 from skylarktack.coordination.forwarding._targets import TargetTable
 from skylarktack.coordination.forwarding._trial_keeper import TrialKeeper
 from skylarktack.coordination.forwarding._trial_keeper import TrialStore
@@ -195,6 +198,7 @@
     'LogLinesDropped',
     'LogEvent',
     'PeerDiscovered',
+    'ProcessSuspended',
     'PromptPartProbed',
     'PromptPartQuarantined',
     'PromptPartReleased',
@@ -294,6 +298,8 @@
     'UnexpectedError',
     'ErrorRecorder',
     'Supervisor',
+    'SuspensionMonitor',
+    'Suspensions',
     'AdmittedRequest',
     'choose_service',
     'broadcast_groups',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -93,6 +93,17 @@
     is_changed: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class ProcessSuspended(LogEvent):
+    """The process did not run for a while and goes on."""
+
+    part = 'instance'
+    message = 'process was suspended'
+
+    #: Time for which nothing ran.
+    pause_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class UnexpectedError(LogEvent):
     """A task or a request failed with an error that no code expects."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -172,7 +172,8 @@
             if self._receives_changes
             else TURN_CHECK_INTERVAL_S
         )
-        end_s = self._clock.monotonic_s() + step_s
+        started_at_s = self._clock.monotonic_s()
+        end_s = started_at_s + step_s
         change = self._shared_watch.next_change(name, step_s)
         if self._clock.monotonic_s() > end_s + MAX_WAIT_EXCESS_S:
             self._handler.mark_stale()
@@ -180,7 +181,7 @@
             if self._health.claim_call(name):
                 return self._catch_up(position)
         if change is not None:
-            return self._apply_forwarded_change(change, position)
+            return self._apply_forwarded_change(change, position, started_at_s)
         reported = self._shared_watch.reported(name)
         if reported is None:
             return position
@@ -189,7 +190,7 @@
             self._wait_to_list()
             return None
         if reported.position <= position:
-            self._record_up_to_date()
+            self._record_up_to_date(started_at_s)
             return position
         now_s = self._clock.monotonic_s()
         if self._behind_since_s is None:
@@ -208,18 +209,23 @@
         if self._shared_watch is None or position is None:
             self._clock.wait(self._stopped, TURN_CHECK_INTERVAL_S)
             return position
+        started_at_s = self._clock.monotonic_s()
         change = self._shared_watch.next_change(
             self._settings.name, TURN_CHECK_INTERVAL_S
         )
         if change is None:
             return position
-        return self._apply_forwarded_change(change, position)
+        return self._apply_forwarded_change(change, position, started_at_s)
 
     def _apply_forwarded_change(
-        self, change: data.StoreChange, position: data.StorePosition
+        self,
+        change: data.StoreChange,
+        position: data.StorePosition,
+        asked_at_s: float,
     ) -> data.StorePosition:
         """Apply a change that a peer forwarded, unless there is a gap.
 
+        :param asked_at_s: monotonic time from which on a change was awaited.
         :return: position up to which all changes are known.
         """
         if change.era != position.era:
@@ -233,15 +239,15 @@
             return position
         self._handler.apply(decoded.items, change.follows_outage)
         self._last_change_revision = change.revision
-        self._record_up_to_date()
+        self._record_up_to_date(asked_at_s)
         return data.StorePosition(position.era, change.revision)
 
-    def _record_up_to_date(self) -> None:
+    def _record_up_to_date(self, asked_at_s: float) -> None:
         """Record that peers reach the store and no change is missing."""
         self._behind_since_s = None
         self._must_catch_up = False
         self._must_list = False
-        self._handler.confirm()
+        self._handler.confirm(asked_at_s)
         self._record_recovery()
 
     def _catch_up(
@@ -259,6 +265,7 @@
         # the store's rate limit, which stale reads do not count against.
         # The next watch fetches the changes that a stale list lacks.
         may_be_stale = self._known_era is None
+        asked_at_s = self._clock.monotonic_s()
         result = self._source.list_all(may_be_stale)
         if isinstance(result, _watch_ports.StoreFault):
             self._record_fault(result)
@@ -277,13 +284,14 @@
         self._must_catch_up = may_be_stale
         self._must_list = False
         if not may_be_stale:
-            self._handler.confirm()
+            self._handler.confirm(asked_at_s)
             self._record_response(result.era)
         return result.position
 
     def _watch(
         self, position: data.StorePosition, wait_s: float
     ) -> data.StorePosition | None:
+        asked_at_s = self._clock.monotonic_s()
         result = self._source.watch(position.revision, wait_s)
         if isinstance(result, _watch_ports.StoreFault):
             if result.kind is _watch_ports.StoreFaultKind.REVISION_COMPACTED:
@@ -310,7 +318,7 @@
             return position
         self._must_catch_up = False
         self._handler.apply(result.items, after_outage)
-        self._handler.confirm()
+        self._handler.confirm(asked_at_s)
         if result.items:
             self._publish(result, after_outage)
             self._last_change_revision = result.revision
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -1,11 +1,13 @@
 """Handlers that apply lists and watch events to the local caches."""
 
+import dataclasses
 import threading
 
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _front_limits
 from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _routes
+from skylarktack.coordination.forwarding import _suspensions
 from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -15,6 +17,17 @@
 PEER_VERSION_LIFETIME_S = 30.0
 
 
+@dataclasses.dataclass(frozen=True)
+class _Confirmation:
+    """The store confirmed that the active configuration is the newest."""
+
+    #: Monotonic time from which on the confirmation was awaited.
+    asked_at_s: float
+
+    #: Monotonic time until which it is valid.
+    until_s: float
+
+
 class ConfigurationHolder:
     """Holds the newest configuration; older versions are ignored.
 
@@ -27,6 +40,7 @@
         self,
         clock: Clock,
         log: _events.EventLog,
+        suspensions: _suspensions.Suspensions,
         lag_s: float,
         peer_wait_s: float,
     ) -> None:
@@ -40,9 +54,10 @@
         self.limits = _front_limits.FrontLimitHistory(clock, lag_s)
         self._clock = clock
         self._log = log
+        self._suspensions = suspensions
         self._lock = threading.Lock()
         self._table: _routes.RouteTable | None = None
-        self._confirmed_until_s = 0.0
+        self._confirmation: _Confirmation | None = None
         self._peer_version = 0
         self._peer_version_until_s = 0.0
         self._peer_wait_end_s = clock.monotonic_s() + peer_wait_s
@@ -93,23 +108,34 @@
             )
         )
 
-    def confirm(self, validity_s: float) -> None:
+    def confirm(self, asked_at_s: float, validity_s: float) -> None:
         """Record that the store confirmed the active configuration.
 
+        :param asked_at_s: monotonic time from which on the confirmation was
+            awaited.
         :param validity_s: time for which the confirmation is valid.
         """
-        self._confirmed_until_s = self._clock.monotonic_s() + validity_s
+        self._confirmation = _Confirmation(
+            asked_at_s, self._clock.monotonic_s() + validity_s
+        )
 
     def mark_stale(self) -> None:
         """Withdraw the confirmation because a call to the store failed."""
-        self._confirmed_until_s = 0.0
+        self._confirmation = None
 
     def is_current(self) -> bool:
         """Return whether the active configuration is known to be the newest.
 
         It is not after the confirmation has expired, before the reports of
-        the peers are due, or while a peer reports a newer version.
+        the peers are due, or while a peer reports a newer version. A
+        confirmation that was awaited while the process was suspended may
+        have been sent before changes that are in force elsewhere.
         """
+        confirmation = self._confirmation
+        if confirmation is None:
+            return False
+        if confirmation.asked_at_s < self._suspensions.running_since_s():
+            return False
         now_s = self._clock.monotonic_s()
         if now_s < self._peer_wait_end_s:
             return False
@@ -117,7 +143,7 @@
             is_behind = self.version < self._peer_version
             if is_behind and now_s < self._peer_version_until_s:
                 return False
-        return now_s < self._confirmed_until_s
+        return now_s < confirmation.until_s
 
 
 def _limits_changed(
@@ -161,9 +187,9 @@
         """Record that the configuration may be out of date."""
         self._holder.mark_stale()
 
-    def confirm(self) -> None:
+    def confirm(self, asked_at_s: float) -> None:
         """Record that the store confirmed the configuration."""
-        self._holder.confirm(self._validity_s)
+        self._holder.confirm(asked_at_s, self._validity_s)
 
     def mark_stale(self) -> None:
         """Record that the configuration may be out of date."""
@@ -199,7 +225,7 @@
         """Record that entries may be missing or older than the known ones."""
         self._targets.record_restore()
 
-    def confirm(self) -> None:
+    def confirm(self, asked_at_s: float) -> None:
         """Record that all changes so far were applied."""
         self._targets.confirm()
 
@@ -230,7 +256,7 @@
         """Record that the next list may lack orders and phases."""
         self._table.record_restore()
 
-    def confirm(self) -> None:
+    def confirm(self, asked_at_s: float) -> None:
         """Record that all current moves are known."""
         self._table.is_synced.set()
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
@@ -133,8 +133,12 @@
         """
         ...
 
-    def confirm(self) -> None:
-        """Record that the cached objects are up to date."""
+    def confirm(self, asked_at_s: float) -> None:
+        """Record that the cached objects are up to date.
+
+        :param asked_at_s: monotonic time from which on the confirmation was
+            awaited.
+        """
         ...
 
     def mark_stale(self) -> None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -14,12 +14,6 @@
 PAUSE_MS = 700.0
 OBJECTIVE_MS = 4500.0
 
-#: Maximum time until a configuration is in force on all instances.
-CONFIGURATION_LAG_S = 2.0
-
-#: The instances of most tests have no peers.
-PEER_WAIT_S = 0.0
-
 
 class _Splitter:
     """Splits a stream into events, which end with an empty line."""
@@ -412,38 +406,3 @@
         lost_targets=(),
         next_report_ms=1_000_000,
     )
-
-
-@dataclasses.dataclass
-class GatewayHarness:
-    """A gateway over the test harness."""
-
-    harness: Harness
-    holder: forwarding.ConfigurationHolder
-    gateway: forwarding.Gateway
-
-    def send(self, of_request: data.FrontRequest) -> forwarding.StreamOutcome:
-        """Send a request."""
-        return self.gateway.handle(of_request, self.harness.caller)
-
-
-def make_gateway(
-    harness: Harness, observer: forwarding.RequestObserver
-) -> GatewayHarness:
-    """Return a gateway that has not received a configuration yet."""
-    holder = forwarding.ConfigurationHolder(
-        harness.clock, harness.log, CONFIGURATION_LAG_S, PEER_WAIT_S
-    )
-    gateway = forwarding.Gateway(
-        forwarding.GatewayDependencies(
-            clock=harness.clock,
-            configuration=holder,
-            moves=harness.moves,
-            targets=harness.targets,
-            calls=harness.calls,
-            streams=harness.streams,
-            observer=observer,
-            errors=forwarding.ErrorRecorder(harness.clock, harness.log),
-        )
-    )
-    return GatewayHarness(harness, holder, gateway)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/restored_move_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/restored_move_harness.py
@@ -102,7 +102,7 @@
         self.handler.record_restore()
         items = () if copied is None else (data.MoveChange('pool', copied),)
         self.handler.replace(items, after_outage=True)
-        self.handler.confirm()
+        self.handler.confirm(0.0)
 
     def write(self, order: data.MoveOrder | None) -> None:
         """Write or delete the order, as the operator does."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_configuration_holder.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_configuration_holder.py
@@ -6,6 +6,7 @@
 
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
+from skylarktack.coordination.forwarding.tests import gateway_harness
 from skylarktack.coordination.forwarding.tests import harness
 
 
@@ -14,8 +15,8 @@
         """Ignore the report."""
 
 
-def _make_gateway() -> harness.GatewayHarness:
-    return harness.make_gateway(harness.make_harness(), _Observer())
+def _make_gateway() -> gateway_harness.GatewayHarness:
+    return gateway_harness.make_gateway(harness.make_harness(), _Observer())
 
 
 class TestConfigurationHolder:
@@ -33,11 +34,28 @@
     def test_confirmation_expires(self) -> None:
         """Guards against trusting a configuration after the watch stalled."""
         gateway_env = _make_gateway()
-        gateway_env.holder.confirm(4.0)
+        gateway_env.holder.confirm(0.0, 4.0)
         assert gateway_env.holder.is_current()
         gateway_env.harness.clock.advance(4.1)
         assert not gateway_env.holder.is_current()
 
+    @pytest.mark.parametrize(
+        ('asked_at_s', 'resumed_at_s', 'is_current'),
+        [
+            (10.0, 9.0, True),
+            # Sent, or awaited, before the process was suspended.
+            (10.0, 11.0, False),
+        ],
+    )
+    def test_confirmation_ends_with_a_suspension(
+        self, asked_at_s: float, resumed_at_s: float, is_current: bool
+    ) -> None:
+        """Guards against a 404 by what was current before a suspension."""
+        gateway_env = _make_gateway()
+        gateway_env.suspensions.resumed_at_s = resumed_at_s
+        gateway_env.holder.confirm(asked_at_s, 4.0)
+        assert gateway_env.holder.is_current() is is_current
+
 
 class TestConfigurationOfPeers:
     """Peers report the version in force at each."""
@@ -73,17 +91,21 @@
         for version in peers:
             gateway_env.holder.record_peer_version(version)
         gateway_env.harness.clock.advance(after_s)
-        gateway_env.holder.confirm(4.0)
+        gateway_env.holder.confirm(0.0, 4.0)
         assert gateway_env.holder.is_current() is is_current
 
     def test_waits_for_the_first_reports(self) -> None:
         """Guards against a 404 before the first peer reports its version."""
         clock = fakes.SteppingClock()
         holder = forwarding.ConfigurationHolder(
-            clock, fakes.RecordingLog(), 4.0, peer_wait_s=1.0
+            clock,
+            fakes.RecordingLog(),
+            fakes.ScriptedSuspensions(),
+            4.0,
+            peer_wait_s=1.0,
         )
         holder.replace_if_newer(harness.configuration(5))
-        holder.confirm(4.0)
+        holder.confirm(0.0, 4.0)
         assert not holder.is_current()
         clock.advance(1.1)
         assert holder.is_current()
@@ -94,7 +116,7 @@
         fleet = gateway_env.harness.fleet
         fleet.set_configurations(gateway_env.holder)
         gateway_env.holder.replace_if_newer(harness.configuration(5))
-        gateway_env.holder.confirm(4.0)
+        gateway_env.holder.confirm(0.0, 4.0)
         assert fleet.full_report().configuration_version == 5
         report = harness.peer_report('peer', 1)
         fleet.receive(dataclasses.replace(report, configuration_version=7))
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_gateway.py
@@ -7,6 +7,7 @@
 
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding import _front_limits
+from skylarktack.coordination.forwarding.tests import gateway_harness
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
@@ -23,9 +24,9 @@
 
 def _make_gateway_env(
     observer: _Observer | None = None,
-) -> harness.GatewayHarness:
+) -> gateway_harness.GatewayHarness:
     env = harness.make_harness(harness.target('only'))
-    return harness.make_gateway(env, observer or _Observer())
+    return gateway_harness.make_gateway(env, observer or _Observer())
 
 
 def _replace_before_check(
@@ -38,7 +39,7 @@
 
     def _is_current_after_change() -> bool:
         holder.replace_if_newer(newer)
-        holder.confirm(4.0)
+        holder.confirm(0.0, 4.0)
         return is_current()
 
     monkeypatch.setattr(holder, 'is_current', _is_current_after_change)
@@ -73,7 +74,7 @@
         clock = gateway_env.harness.clock
         clock.advance(100.0)
         if is_confirmed:
-            gateway_env.holder.confirm(1.0)
+            gateway_env.holder.confirm(0.0, 1.0)
         limits = gateway_env.gateway.limits(clock.monotonic_s())
         assert limits.idle_timeout_ms == expected_ms
 
@@ -238,7 +239,7 @@
         """Guards against denying what a newer configuration would allow."""
         gateway_env = _make_gateway_env()
         gateway_env.holder.replace_if_newer(harness.configuration())
-        gateway_env.holder.confirm(4.0)
+        gateway_env.holder.confirm(0.0, 4.0)
         assert _reason(gateway_env.send(request_)) is reason_if_current
         gateway_env.holder.mark_stale()
         assert _reason(gateway_env.send(request_)) is reason_if_stale
@@ -358,7 +359,7 @@
         observer = _Observer()
         gateway_env = _make_gateway_env(observer)
         gateway_env.holder.replace_if_newer(harness.configuration(3))
-        gateway_env.holder.confirm(60.0)
+        gateway_env.holder.confirm(0.0, 60.0)
         gateway_env.send(harness.request(key='unknown'))
         assert observer.reports[-1].route == 'route'
         assert observer.reports[-1].organisation is None
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_targets.py
@@ -40,12 +40,12 @@
         """List entries."""
         items = tuple(data.TargetChange(item.name, item) for item in entries)
         self._handler.replace(items, after_outage)
-        self._handler.confirm()
+        self._handler.confirm(0.0)
 
     def change(self, name: str, entry: data.ListedTarget | None) -> None:
         """Report one change."""
         self._handler.apply((data.TargetChange(name, entry),), False)
-        self._handler.confirm()
+        self._handler.confirm(0.0)
 
 
 class TestOlderEntryOfListedTarget:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -4,6 +4,7 @@
 
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
+from skylarktack.coordination.forwarding.tests import gateway_harness
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
@@ -83,7 +84,7 @@
             def on_request_end(self, report: forwarding.RequestReport) -> None:
                 reports.append(report)
 
-        gateway = harness.make_gateway(env, Observer())
+        gateway = gateway_harness.make_gateway(env, Observer())
         gateway.holder.replace_if_newer(harness.configuration())
         env.client.script('a', harness.answer_script()[1:])
         outcome = gateway.send(harness.request())
@@ -98,7 +99,7 @@
     ) -> None:
         """Guards against a request that counts as active for good."""
         env = harness.make_harness(harness.target('only'))
-        gateway_env = harness.make_gateway(env, _FailingObserver())
+        gateway_env = gateway_harness.make_gateway(env, _FailingObserver())
         gateway_env.holder.replace_if_newer(harness.configuration())
         monkeypatch.setattr(gateway_env.holder.table, 'find_route', _fail)
         outcome = gateway_env.send(harness.request())
@@ -211,7 +212,7 @@
     def test_answer_does_not_depend_on_its_report(self) -> None:
         """Guards against a connection that ends because of a log line."""
         env = harness.make_harness(harness.target('only'))
-        gateway_env = harness.make_gateway(env, _FailingObserver())
+        gateway_env = gateway_harness.make_gateway(env, _FailingObserver())
         gateway_env.holder.replace_if_newer(harness.configuration())
         env.client.script('only', harness.answer_script(200))
         outcome = gateway_env.send(harness.request())
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
@@ -85,7 +85,7 @@
         self.restore_count += 1
         self.is_current = False
 
-    def confirm(self) -> None:
+    def confirm(self, asked_at_s: float) -> None:
         self.is_current = True
 
     def mark_stale(self) -> None:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -82,9 +82,11 @@
         errors = forwarding.ErrorRecorder(clock, log)
         self._errors = errors
         self._supervisor = forwarding.Supervisor(clock, errors)
+        self._suspensions = forwarding.SuspensionMonitor(clock, log)
         self._configuration = forwarding.ConfigurationHolder(
             clock,
             log,
+            self._suspensions,
             max(settings.configuration_lag_ms / 1000, CONFIRMATION_VALIDITY_S),
             0.0 if settings.peer is None else PEER_REPORT_WAIT_S,
         )
@@ -278,6 +280,7 @@
     def start(self) -> None:
         """Start all background tasks and listeners; return at once."""
         self._start_task('log', self._log.run)
+        self._start_task('suspension monitor', self._suspensions.run)
         self._start_task('quarantine keeper', self._quarantine_keeper.run)
         self._start_task('request counts', self._request_counts.run)
         if self._settings.has_moves:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -6,6 +6,7 @@
 
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
+from skylarktack.coordination.forwarding.tests import gateway_harness
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.daemon.forwarding import _metrics
 from skylarktack.daemon.forwarding import _reports
@@ -105,12 +106,12 @@
         test_harness = harness.make_harness(harness.target('only'))
         test_harness.client.script('only', case.script)
         log = fakes.RecordingLog()
-        gateway = harness.make_gateway(
+        gateway = gateway_harness.make_gateway(
             test_harness, _reports.RequestLog(test_harness.clock, log)
         )
         route = harness.route(case.kind, max_attempts=1, is_resumable=False)
         gateway.holder.replace_if_newer(harness.configuration(4, route))
-        gateway.holder.confirm(60.0)
+        gateway.holder.confirm(0.0, 60.0)
         gateway.send(case.request)
         [event] = log.events
         assert isinstance(event, forwarding.RequestFailed)
@@ -124,7 +125,7 @@
         test_harness = harness.make_harness(harness.target('only'))
         test_harness.client.script('only', harness.stream_script(1, 3))
         log = fakes.RecordingLog()
-        gateway = harness.make_gateway(
+        gateway = gateway_harness.make_gateway(
             test_harness, _reports.RequestLog(test_harness.clock, log)
         )
 
@@ -136,7 +137,7 @@
         test_harness.caller = CallerAtExit(test_harness.clock)
         route = harness.route(STREAM, max_attempts=1)
         gateway.holder.replace_if_newer(harness.configuration(4, route))
-        gateway.holder.confirm(60.0)
+        gateway.holder.confirm(0.0, 60.0)
         gateway.send(harness.request(time_limit_ms=25000.0))
         [event] = log.events
         assert isinstance(event, forwarding.RequestFailed)
@@ -190,7 +191,7 @@
         test_harness.client.queued_count = 1
         test_harness.client.script('only', script)
         log = fakes.RecordingLog()
-        gateway = harness.make_gateway(
+        gateway = gateway_harness.make_gateway(
             test_harness, _reports.RequestLog(test_harness.clock, log)
         )
         route = harness.route(kind, max_attempts=1, is_resumable=False)
@@ -350,9 +351,11 @@
         era = forwarding.StoreEra(log)
         era.record(3)
         era.record(4)
-        holder = forwarding.ConfigurationHolder(clock, log, 4.0, 0.0)
+        holder = forwarding.ConfigurationHolder(
+            clock, log, fakes.ScriptedSuspensions(), 4.0, 0.0
+        )
         holder.replace_if_newer(harness.configuration(7))
-        holder.confirm(4.0)
+        holder.confirm(0.0, 4.0)
         handler = _metrics.MetricsHandler(_metrics.StoreMetrics(era, holder))
         response = handler.handle(
             harness.request(), fakes.ScriptedCaller(clock)
