Notice suspensions of the machine, which the monotonic clock leaves out

The monitor measured pauses by the monotonic clock. It goes on while a process is stopped (SIGSTOP), but not while the machine is suspended: then only CLOCK_BOOTTIME and the time of day do (clock_gettime(2); the platform says the same of its machines). Callers could get 404 by a confirmation from before such a suspension for up to 4 s after it, however long it was.

The monitor now compares CLOCK_BOOTTIME. The time of the resumption that it returns stays monotonic, since that is what confirmations carry.

Evidence: test_a_suspended_machine_is_noticed fails with the monotonic clock (no suspension is noticed).

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_suspensions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_suspensions.py
@@ -4,7 +4,9 @@
 clock suggests: nothing that happened meanwhile has reached it yet.
 """
 
+from collections.abc import Callable
 import threading
+import time
 from typing import Protocol
 
 from skylarktack.coordination.forwarding import _events
@@ -29,16 +31,31 @@
         ...
 
 
+def _boottime_s() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class SuspensionMonitor:
     """Notices suspensions of this process; runs as a task of its own."""
 
-    def __init__(self, clock: Clock, log: _events.EventLog) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        log: _events.EventLog,
+        read_boottime_s: Callable[[], float] = _boottime_s,
+    ) -> None:
+        """Create a monitor of a process that runs now.
+
+        :param read_boottime_s: clock that goes on while the machine is
+            suspended, unlike the monotonic one (clock_gettime(2)).
+        """
         self._clock = clock
         self._log = log
+        self._read_boottime_s = read_boottime_s
         self._stopped = threading.Event()
         self._lock = threading.Lock()
         self._running_since_s = clock.monotonic_s()
-        self._last_run_s = self._running_since_s
+        self._last_run_s = read_boottime_s()
 
     def run(self) -> None:
         """Record that the process runs, until stopped."""
@@ -57,11 +74,12 @@
         it.
         """
         with self._lock:
-            now_s = self._clock.monotonic_s()
-            pause_s = now_s - self._last_run_s
-            self._last_run_s = now_s
+            run_at_s = self._read_boottime_s()
+            pause_s = run_at_s - self._last_run_s
+            self._last_run_s = run_at_s
             if pause_s <= MAX_PAUSE_S:
                 return self._running_since_s
-            self._running_since_s = now_s
+            resumed_at_s = self._clock.monotonic_s()
+            self._running_since_s = resumed_at_s
         self._log.record(_events.ProcessSuspended(round(1000 * pause_s)))
-        return now_s
+        return resumed_at_s
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_suspensions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_suspensions.py
@@ -15,7 +15,7 @@
         clock = fakes.SteppingClock()
         log = fakes.RecordingLog()
         started_at_s = clock.monotonic_s()
-        monitor = forwarding.SuspensionMonitor(clock, log)
+        monitor = forwarding.SuspensionMonitor(clock, log, clock.wall_s)
         for _ in range(20):
             clock.advance(0.2)
             assert monitor.running_since_s() == started_at_s
@@ -25,10 +25,21 @@
         """Guards against a request that is faster than the monitor's task."""
         clock = fakes.SteppingClock()
         log = fakes.RecordingLog()
-        monitor = forwarding.SuspensionMonitor(clock, log)
+        monitor = forwarding.SuspensionMonitor(clock, log, clock.wall_s)
         clock.advance(SUSPENSION_S)
         resumed_at_s = clock.monotonic_s()
         assert monitor.running_since_s() == resumed_at_s
         clock.advance(0.2)
         assert monitor.running_since_s() == resumed_at_s
         assert log.events == [forwarding.ProcessSuspended(500)]
+
+    def test_a_suspended_machine_is_noticed(self) -> None:
+        """Guards against a suspension that the monotonic clock leaves out."""
+        clock = fakes.SteppingClock()
+        log = fakes.RecordingLog()
+        boottime_s = 100.0
+        monitor = forwarding.SuspensionMonitor(clock, log, lambda: boottime_s)
+        boottime_s += SUSPENSION_S
+        clock.advance(0.1)
+        assert monitor.running_since_s() == clock.monotonic_s()
+        assert log.events == [forwarding.ProcessSuspended(500)]
