Fail a soak whose injections fail

The four injectors start their tasks through InjectionTasks now, which stood four times as a list of threads before.

--- a/packages/emulator/src/skylarktack/emulator/soak/_changes.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_changes.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 import dataclasses
 import random
-import threading
 import time
 
 from skylarktack.emulator import platform
 from skylarktack.emulator.soak import _configuration
+from skylarktack.emulator.soak import _injection_tasks
 from skylarktack.emulator.soak import _injectors
 from skylarktack.emulator.soak import _schedule
 
@@ -61,20 +61,15 @@
         self._deployment = deployment
         self._editor = editor
         self._injector = injector
-        self._tasks: list[threading.Thread] = []
+        self._tasks = _injection_tasks.InjectionTasks()
 
     def start(self, injection: _schedule.Injection) -> None:
         """Start one change; it ends by itself."""
-        task = threading.Thread(
-            target=self._change, args=(injection,), daemon=True
-        )
-        self._tasks.append(task)
-        task.start()
+        self._tasks.start(lambda: self._change(injection))
 
     def wait_ended(self) -> None:
         """Wait until all changes are acknowledged."""
-        for task in self._tasks:
-            task.join()
+        self._tasks.wait_ended()
 
     def _change(self, injection: _schedule.Injection) -> None:
         draw = random.Random(injection.at_s)
--- a/packages/emulator/src/skylarktack/emulator/soak/_fleet_changes.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_fleet_changes.py
@@ -3,11 +3,11 @@
 import dataclasses
 import random
 import signal
-import threading
 import time
 
 from skylarktack.emulator import platform
 from skylarktack.emulator.soak import _configuration
+from skylarktack.emulator.soak import _injection_tasks
 from skylarktack.emulator.soak import _injectors
 from skylarktack.emulator.soak import _schedule
 
@@ -74,24 +74,18 @@
         self._deployment = deployment
         self._editor = editor
         self._injector = injector
-        self._tasks: list[threading.Thread] = []
+        self._tasks = _injection_tasks.InjectionTasks()
 
     def start(self, injection: _schedule.Injection) -> None:
         """Start one series of changes; it ends by itself."""
         draw = random.Random(injection.at_s)
         plan = draw_plan(draw, len(self._deployment.instances))
-        for run in (
-            lambda: self._stop_instances(plan),
-            lambda: self._change(draw, plan),
-        ):
-            task = threading.Thread(target=run, daemon=True)
-            self._tasks.append(task)
-            task.start()
+        self._tasks.start(lambda: self._stop_instances(plan))
+        self._tasks.start(lambda: self._change(draw, plan))
 
     def wait_ended(self) -> None:
         """Wait until all signals are sent and all changes acknowledged."""
-        for task in self._tasks:
-            task.join()
+        self._tasks.wait_ended()
 
     def _stop_instances(self, plan: FleetChangePlan) -> None:
         for index, number in zip(
--- a/packages/emulator/src/skylarktack/emulator/soak/_loads.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_loads.py
@@ -1,15 +1,14 @@
 """Loads that reach the bounds of an instance."""
 
-from collections.abc import Callable
 from concurrent import futures
 import contextlib
 import socket
-import threading
 import time
 
 from skylarktack.emulator import platform
 from skylarktack.emulator.soak import _callers
 from skylarktack.emulator.soak import _configuration
+from skylarktack.emulator.soak import _injection_tasks
 from skylarktack.emulator.soak import _schedule
 
 _Kind = _schedule.InjectionKind
@@ -42,7 +41,7 @@
         self._deployment = deployment
         self._editor = editor
         self._callers = callers
-        self._tasks: list[threading.Thread] = []
+        self._tasks = _injection_tasks.InjectionTasks()
 
     def start(self, injection: _schedule.Injection) -> None:
         """Start one load."""
@@ -52,19 +51,13 @@
         instances = self._deployment.instances
         instance = instances[injection.index % len(instances)]
         if injection.kind is _Kind.LONG_BODIES:
-            self._run(lambda: self._send_long_bodies(instance))
+            self._tasks.start(lambda: self._send_long_bodies(instance))
         else:
-            self._run(lambda: _keep_idle(instance, injection.for_s))
+            self._tasks.start(lambda: _keep_idle(instance, injection.for_s))
 
     def wait_ended(self) -> None:
         """Wait until all loads have ended."""
-        for task in self._tasks:
-            task.join()
-
-    def _run(self, load: Callable[[], None]) -> None:
-        task = threading.Thread(target=load, daemon=True)
-        self._tasks.append(task)
-        task.start()
+        self._tasks.wait_ended()
 
     def _send_long_bodies(self, instance: platform.PlatformInstance) -> None:
         with futures.ThreadPoolExecutor(LONG_BODY_CALLER_COUNT) as tasks:
--- a/packages/emulator/src/skylarktack/emulator/soak/_restores.py
+++ b/packages/emulator/src/skylarktack/emulator/soak/_restores.py
@@ -9,6 +9,7 @@
 from skylarktack.emulator import platform
 from skylarktack.emulator.soak import _checkers
 from skylarktack.emulator.soak import _configuration
+from skylarktack.emulator.soak import _injection_tasks
 from skylarktack.emulator.soak import _injectors
 from skylarktack.emulator.soak import _schedule
 
@@ -99,22 +100,17 @@
         self._editor = editor
         self._injector = injector
         self._lock = threading.Lock()
-        self._tasks: list[threading.Thread] = []
+        self._tasks = _injection_tasks.InjectionTasks()
         self.unknown_times: list[_checkers.UnknownTime] = []
 
     def start(self, injection: _schedule.Injection) -> None:
         """Start one restore; it ends by itself."""
-        task = threading.Thread(
-            target=self._restore, args=(injection,), daemon=True
-        )
-        self._tasks.append(task)
-        task.start()
+        self._tasks.start(lambda: self._restore(injection))
 
     def wait_ended(self) -> None:
         """Wait until all is written again, and then for calls."""
-        for task in self._tasks:
-            task.join()
-        if self._tasks:
+        self._tasks.wait_ended()
+        if not self._tasks.is_empty:
             time.sleep(SETTLE_S)
 
     def _restore(self, injection: _schedule.Injection) -> None:
