Split the choice of versions off the table of moves

The rule of a request during a move is decided by VersionChoice in _version_choice.py; MoveTable keeps the orders, the versions that get no request whatever the order, and the counts.

No behaviour changes.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -21,6 +21,7 @@
 from skylarktack.coordination.forwarding import _move_events
 from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _restored_orders
+from skylarktack.coordination.forwarding import _version_choice
 from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.forwarding import _version_trials
 from skylarktack.coordination.ports import Clock
@@ -44,11 +45,10 @@
     ) -> None:
         self._clock = clock
         self._log = log
-        self._limits = limits
         self._decisions = _move_decisions.MoveDecisions(
             clock, log, limits, judge
         )
-        self._draw = draw
+        self._choice = _version_choice.VersionChoice(clock, limits, draw)
         self._lock = threading.Lock()
         self._moves: dict[str, _move_decisions.Move] = {}
         #: Versions whose move has begun, to be kept beyond a restart.
@@ -126,29 +126,8 @@
                     if excluded
                     else _version_rules.ANY_VERSION
                 )
-            version = move.order.to_version
             move.evidence.count_request()
-            if move.stop_reason:
-                return _version_rules.VersionRule(None, excluded | {version})
-            if move.order.phase is state.MovePhase.ROLLED_BACK:
-                return _version_rules.VersionRule(None, excluded | {version})
-            is_complete = move.order.phase is state.MovePhase.COMPLETED
-            if is_complete or move.is_shifting:
-                return _version_rules.VersionRule(
-                    version, excluded - {version}
-                )
-            share = _exposure.canary_share(
-                self._limits,
-                move.evidence.exposure(),
-                self._topology.instance_count,
-                self._decisions.age_s(move),
-                move.order.duration_s,
-            )
-            if self._draw() < share:
-                return _version_rules.VersionRule(
-                    version, excluded - {version}, True
-                )
-            return _version_rules.VersionRule(None, excluded | {version})
+            return self._choice.rule(move, excluded, self._topology)
 
     def _excluded(self, service: str) -> frozenset[str]:
         """Return the versions that get no request, whatever its order."""
--- /dev/null
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_choice.py
@@ -0,0 +1,65 @@
+"""Choice of the versions to which a request may be sent during a move."""
+
+from collections.abc import Callable
+
+from skylarktack import state
+from skylarktack.coordination.forwarding import _exposure
+from skylarktack.coordination.forwarding import _move_decisions
+from skylarktack.coordination.forwarding import _move_evidence
+from skylarktack.coordination.forwarding import _version_rules
+from skylarktack.coordination.ports import Clock
+
+
+class VersionChoice:
+    """Chooses by the state of the move; the owner serialises the calls."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        limits: _exposure.ExposureLimits,
+        draw: Callable[[], float],
+    ) -> None:
+        """Create a choice.
+
+        :param draw: returns a random number from 0 to 1 for each request.
+        """
+        self._clock = clock
+        self._limits = limits
+        self._draw = draw
+
+    def rule(
+        self,
+        move: _move_decisions.Move,
+        excluded: frozenset[str],
+        topology: _move_evidence.AggregationTopology,
+    ) -> _version_rules.VersionRule:
+        """Return the rule of the next request.
+
+        :param excluded: versions that get no request, whatever the order.
+        """
+        version = move.order.to_version
+        without_new = _version_rules.VersionRule(None, excluded | {version})
+        if move.stop_reason:
+            return without_new
+        if move.order.phase is state.MovePhase.ROLLED_BACK:
+            return without_new
+        others = excluded - {version}
+        is_complete = move.order.phase is state.MovePhase.COMPLETED
+        if is_complete or move.is_shifting:
+            return _version_rules.VersionRule(version, others)
+        if self._draw() < self._canary_share(move, topology):
+            return _version_rules.VersionRule(version, others, True)
+        return without_new
+
+    def _canary_share(
+        self,
+        move: _move_decisions.Move,
+        topology: _move_evidence.AggregationTopology,
+    ) -> float:
+        return _exposure.canary_share(
+            self._limits,
+            move.evidence.exposure(),
+            topology.instance_count,
+            self._clock.monotonic_s() - move.began_at_s,
+            move.order.duration_s,
+        )
