Use a version that another instance recorded as completed

What callers saw: an instance that had decided to stop a version sent it no request after another instance had recorded the move as completed. At completion the targets of the old version stop, so that this instance refused every request for the service until the next order or its own restart.

Cause: the reason of the stop stayed with the move and was looked at before the recorded phase. Two instances may decide differently: the one that stops may have evidence that the writer of the phase had not received.

The reason is dropped when the move becomes completed, whether in the same era of the store or after a restore.

Evidence: test_completion_after_a_stop, both rows; without the fix the instance uses v1 only ({'v1'} instead of {'v2'}).

Ruled out: keeping the stop where old targets are still listed. They stop within moments, and the fleet would serve two versions.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
@@ -77,6 +77,9 @@
             phase = _restored_orders.later_phase(self.order.phase, phase)
         self.order = dataclasses.replace(order, phase=phase)
         self.stored_phase = order.phase
+        if phase is state.MovePhase.COMPLETED:
+            # The targets of the old version stop, so an own stop ends here.
+            self.stop_reason = ''
 
     @property
     def is_open(self) -> bool:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_reported_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_reported_moves.py
@@ -104,3 +104,20 @@
             instance.run(1.0)
             assert instance.store.phases == [phase]
             assert not instance.moves.reports('instance-0')
+
+
+class TestEndRecordedElsewhere:
+    """An end that another instance has recorded."""
+
+    @pytest.mark.parametrize('era', (0, 1))
+    def test_completion_after_a_stop(self, era: int) -> None:
+        """Guards against excluding the only version that has targets."""
+        instance = restored.Instance(SHIFTING)
+        (report,) = restored.Instance(SHIFTING).moves.reports('peer')
+        instance.moves.apply_report(
+            dataclasses.replace(report, stop_reason='failed')
+        )
+        assert instance.used_versions() == {'v1'}
+        completed = restored.order_of('v2', COMPLETED, era, 60)
+        instance.write(completed)
+        assert instance.used_versions() == {'v2'}
