Use a completed version in the next move although it was rolled back once

What callers could see: a version that an instance knew as rolled back, and that the store holds as completed after a restore, served while its order stood. With the order for the next version the instance excluded it, and with it the only version that had targets: all but the canary requests were refused until the end of that move.

Cause: the rejection of a version ended only with a new order for it. The rule of a completed move passes over it, that of the next move does not.

Evidence: test_order_after_a_completed_version; without the fix the instance uses {'v1'} instead of {'v1', 'v2'}. The tests of moves, trials and versions of coordination/forwarding/tests pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -421,6 +421,7 @@
         if order.phase is state.MovePhase.ROLLED_BACK:
             self._versions.reject(order.service, order.to_version)
         if order.phase is state.MovePhase.COMPLETED:
+            self._versions.restore(order.service, order.to_version)
             self.trials.record_completed(order.service, order.to_version)
         self._log.record(
             _move_events.MoveRecorded(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
@@ -114,7 +114,7 @@
         self._rejected.setdefault(service, set()).add(version)
 
     def restore(self, service: str, version: str) -> None:
-        """Admit a version again because a new move to it has begun."""
+        """Admit a version because a move to it has begun or is completed."""
         self._rejected.get(service, set()).discard(version)
 
     def excluded(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_reported_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_reported_moves.py
@@ -121,3 +121,10 @@
         completed = restored.order_of('v2', COMPLETED, era, 60)
         instance.write(completed)
         assert instance.used_versions() == {'v2'}
+
+    def test_order_after_a_completed_version(self) -> None:
+        """Guards against excluding a completed version in the next move."""
+        instance = restored.Instance(ROLLED_BACK)
+        instance.restore(restored.copied_order('v2', COMPLETED))
+        instance.write(restored.written_order('v3'))
+        assert instance.used_versions() == set(restored.BOTH)
