Follow a store whose era falls or was wrong once

What callers saw: after one response with a wrong, high era, or when the era of the store fell, an instance took every later response for one from before a restore. It kept its last state and answered 503 for what it did not know, until its process started again.

Cause: the highest era that any response had named was believed for good.

An era that rises by one is believed at once, as before. Any other one is believed when three responses agree on it, or one where the heartbeat of a peer names it; until then each counts as lost, as one of an ended era did. Only responses to calls that began after the last response of the current era count, so that late responses of the former era are no evidence. Positions are compared in many places, so eras within an instance do not fall: a fall is counted as a rise, and the offset is taken off in heartbeats and forwarded changes, since peers that started later do not have it.

What operators see: "store unavailable" with the cause "the response is of another era", then "store restored from a copy" with both eras as the store reports them. skylarktack_store_era shows the reported era.

Ruled out: following every change at once (one odd value would make all instances list twice, and positions would fall); comparing eras for equality everywhere (late responses of a former era could not be told apart).

Left: a wrong era that is higher by one, or the first that an instance reads, is believed at once, and corrected after three responses. HttpObjectStore of skylarktackd still drops all responses of an era that falls.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
@@ -223,15 +223,22 @@
 
     def publish(self, change: data.StoreChange) -> None:
         """Forward a change to all peers unless a lower rank does so."""
-        if self.is_shared() and not self._is_outranked(change.kind):
-            self._link.broadcast(change, self._fleet.broadcast_order())
+        if not self.is_shared() or self._is_outranked(change.kind):
+            return
+        reported = dataclasses.replace(
+            change, era=self._era.to_reported(change.era)
+        )
+        self._link.broadcast(reported, self._fleet.broadcast_order())
 
     def receive_change(self, change: data.StoreChange) -> None:
         """Queue a forwarded change; drop it if the queue is full."""
+        received = dataclasses.replace(
+            change, era=self._era.from_reported(change.era)
+        )
         with self._lock:
             inbox = self._state_of(change.kind).inbox
         try:
-            inbox.put_nowait(change)
+            inbox.put_nowait(received)
         except queue.Full:
             # The revision in the next heartbeat shows that it is missing.
             return
@@ -245,7 +252,11 @@
         until_s = now_s + HEARTBEAT_LIFETIME_S
         is_outranking = self._fleet.is_outranked_by(heartbeat.instance)
         with self._lock:
-            for confirmed in heartbeat.kinds:
+            for kind in heartbeat.kinds:
+                self._era.record_peer(kind.era)
+                confirmed = dataclasses.replace(
+                    kind, era=self._era.from_reported(kind.era)
+                )
                 state = self._state_of(confirmed.kind)
                 newest = state.peer_confirmed
                 if now_s > state.peer_confirmed_until_s:
@@ -275,7 +286,11 @@
                     kinds.append(state.confirmed)
         if not kinds:
             return None
-        return data.WatchHeartbeat(self._fleet.instance, tuple(kinds))
+        reported = [
+            dataclasses.replace(kind, era=self._era.to_reported(kind.era))
+            for kind in kinds
+        ]
+        return data.WatchHeartbeat(self._fleet.instance, tuple(reported))
 
     def run_heartbeats(self) -> None:
         """Send heartbeats until the process ends; runs as a task."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_records.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_records.py
@@ -33,7 +33,7 @@
         default_factory=collections.deque
     )
     #: What happens while the entries are listed, one for each list.
-    actions: collections.deque[Callable[[], None]] = dataclasses.field(
+    actions: collections.deque[Callable[[], object]] = dataclasses.field(
         default_factory=collections.deque
     )
     #: Whether each list was allowed to be stale.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_store.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_store.py
@@ -1,5 +1,7 @@
 """Tests of watchers when the store comes back from a copy."""
 
+import dataclasses
+
 import pytest
 
 from skylarktack.coordination import fakes
@@ -214,3 +216,72 @@
         shared.watcher.run()
         assert ('changes', ('b',), False) in shared.handler.applied
         assert shared.source.decoded_eras == [3]
+
+
+def _follow_fall(era: forwarding.StoreEra) -> None:
+    """Let the store report era 9 first and era 4 from then on."""
+    era.record(9)
+    for _ in range(3):
+        era.record(4, era.begin_call())
+
+
+class TestFallenEra:
+    """A store whose era falls, at instances that saw it and one that didn't.
+
+    An instance that started since then knows nothing of the higher era.
+    """
+
+    def test_heartbeats_name_the_reported_era(self) -> None:
+        """Guards against peers that list again with each heartbeat."""
+        shared = shared_watch_harness.SharedHarness(True)
+        _follow_fall(shared.source.era)
+        shared.shared_watch.record_response(
+            data.ConfirmedKind('kind', 7, shared.source.era.current)
+        )
+        heartbeat = shared.shared_watch.heartbeat()
+        assert heartbeat is not None
+        assert heartbeat.kinds == (data.ConfirmedKind('kind', 7, era=4),)
+
+    def test_heartbeats_of_a_later_instance_count(self) -> None:
+        """Guards against asking the store for each change from then on."""
+        shared = shared_watch_harness.SharedHarness(False)
+        _follow_fall(shared.source.era)
+        confirmed = data.ConfirmedKind('kind', 7, era=4)
+        shared.shared_watch.receive_heartbeat(
+            data.WatchHeartbeat('x', (confirmed,))
+        )
+        assert shared.shared_watch.reported('kind') == dataclasses.replace(
+            confirmed, era=shared.source.era.current
+        )
+
+    def test_forwarded_changes_cross(self) -> None:
+        """Guards against changes that only instances of one age apply."""
+        sender = shared_watch_harness.SharedHarness(True)
+        receiver = shared_watch_harness.SharedHarness(False)
+        _follow_fall(sender.source.era)
+        receiver.source.era.record(4)
+        sent = data.StoreChange(
+            'kind', 5, 9, b'b', era=sender.source.era.current
+        )
+        sender.shared_watch.publish(sent)
+        (message,) = sender.link.sent
+        assert isinstance(message, data.StoreChange)
+        receiver.shared_watch.receive_change(message)
+        sender.shared_watch.receive_change(message)
+        received = receiver.shared_watch.next_change('kind', 0.0)
+        assert received == dataclasses.replace(sent, era=4)
+        assert sender.shared_watch.next_change('kind', 0.0) == sent
+
+    @pytest.mark.parametrize('reported', (4, 12))
+    def test_one_response_suffices_beside_a_peer(self, reported: int) -> None:
+        """Guards against a fleet that takes many calls to follow."""
+        shared = shared_watch_harness.SharedHarness(False)
+        era = shared.source.era
+        era.record(9)
+        shared.shared_watch.receive_heartbeat(
+            data.WatchHeartbeat(
+                'x', (data.ConfirmedKind('kind', 7, reported),)
+            )
+        )
+        assert era.current == 9
+        assert era.record(reported, era.begin_call()) == max(10, reported)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -194,7 +194,7 @@
         yield core.GaugeMetricFamily(
             'skylarktack_store_era',
             'Era of the store, which rises when it is restored from a copy.',
-            self._era.current,
+            self._era.reported,
         )
         yield core.GaugeMetricFamily(
             'skylarktack_active_configuration_version',
--- a/packages/emulator/src/skylarktack/emulator/platform/_store.py
+++ b/packages/emulator/src/skylarktack/emulator/platform/_store.py
@@ -121,6 +121,11 @@
         """Return the era, which starts at 1 and rises with each restore."""
         return self._era
 
+    def set_era(self, era: int) -> None:
+        """Name another era in all responses; nothing else changes."""
+        with self._changed:
+            self._era = era
+
     def snapshot(self) -> StoreCopy:
         """Return a copy of all objects, the history and the revision."""
         with self._changed:
--- a/packages/emulator/src/skylarktack/emulator/tests/test_restored_sessions.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_restored_sessions.py
@@ -206,6 +206,19 @@
         assert set(statuses) <= {200, 503}
         _wait_in_force(others, 'added')
 
+    def test_changes_go_on_in_unexpected_eras(
+        self, deployment: platform.PlatformDeployment
+    ) -> None:
+        """Guards against a store that is ignored after its era fell."""
+        routes: list[str] = []
+        for version, era in enumerate((40, 3, 1), 2):
+            deployment.store.set_era(era)
+            routes.append(f'era-{era}')
+            deployment.apply(
+                platform.manifest(version, more_routes=tuple(routes))
+            )
+            _wait_in_force(deployment.instances, *routes)
+
 
 class TestRequests:
     """Requests do not notice a restore."""
--- a/packages/platform/src/skylarktack/platform/_store_calls.py
+++ b/packages/platform/src/skylarktack/platform/_store_calls.py
@@ -5,8 +5,8 @@
 
 from skylarktack.coordination import forwarding
 
-#: Header of all responses; it rises by one each time the store comes back
-#: from a copy that lacks its last changes.
+#: Header of all responses; it normally rises by one each time the store comes
+#: back from a copy that lacks its last changes.
 _ERA_HEADER = 'store-era'
 
 #: Eras fit into the integers of datagrams between instances.
@@ -16,8 +16,8 @@
 class TrackedStoreCalls:
     """Sends calls to the store and records the era of each response.
 
-    A response from before a known restore does not describe the current
-    store, so it counts as lost.
+    A response of another era than the current one, from before a known
+    restore or with an era that is not believed yet, counts as lost.
     """
 
     def __init__(
@@ -30,17 +30,18 @@
         self, method: str, path: str, body: bytes | None, timeout_s: float
     ) -> forwarding.StoreResponse | forwarding.ExchangeFault:
         """Send one call; see ``StoreClient``."""
+        call_number = self._era.begin_call()
         response = self._client.call(method, path, body, timeout_s)
         if isinstance(response, forwarding.ExchangeFault):
             return response
-        era = _era_in(response)
-        if era is None:
+        reported = _era_in(response)
+        if reported is None:
             return dataclasses.replace(response, era=self._era.current)
-        self._era.record(era)
-        if era < self._era.current:
+        era = self._era.record(reported, call_number)
+        if era is None:
             return forwarding.ExchangeFault(
                 forwarding.FaultKind.LOST,
-                'the response is from before the store was restored',
+                f'the response is of another era of the store, {reported}',
             )
         return dataclasses.replace(response, era=era)
 
--- a/packages/platform/src/skylarktack/platform/tests/test_store_calls.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_store_calls.py
@@ -54,6 +54,14 @@
             # Missing or malformed: the era that is known.
             ((None, '2', None), [0, 2, 2], 0),
             (('2', '-1', '', 'two', '9' * 30, '2'), [2] * 6, 0),
+            # One odd value, after or before the correct ones.
+            (('3', '9', '3', '9', '9', '3'), [3, None, 3, None, None, 3], 0),
+            (('9', '3', '3', '3', '3'), [9, None, None, 10, 10], 1),
+            (('3', '4', '3', '3', '3', '4'), [3, 4, None, None, 5, 6], 3),
+            # Values that agree with none before them.
+            (('3', '9', '7', '9', '7', '8'), [3] + [None] * 5, 0),
+            # Several restores that this instance has missed.
+            (('3', '9', '9', '9', '10'), [3, None, None, 9, 10], 2),
         ],
     )
     def test_era_of_responses(
@@ -66,3 +74,12 @@
         found, log = _call_all(*eras)
         assert found == expected
         assert len(log.messages('store')) == restored
+
+    def test_responses_to_earlier_calls_are_no_evidence(self) -> None:
+        """Guards against late responses that bring the former era back."""
+        era = forwarding.StoreEra(fakes.RecordingLog())
+        era.record(3)
+        late_calls = [era.begin_call() for _ in range(4)]
+        era.record(4)
+        assert [era.record(3, number) for number in late_calls] == [None] * 4
+        assert era.current == 4
