Wait for the reports of peers after a suspension of the process

An instance that goes on after a suspension could answer an unknown route with 404 by a copy of the store that its peers knew to be older: the store's confirmation counts from the resumption on, but what the peers reported of their configuration meanwhile is unread, or was dropped because the socket's buffer was full. The wait for these reports began with the start only.

The wait of peer_wait_s is now that of the start and of the last resumption. An instance without peers waits for none. In a fleet of more than 20 the next full reports take longer than this second, so reports that were dropped there may still be missed; what waits in the socket is read within it.

Evidence: test_waits_for_reports_after_a_suspension failed on ('assert not True') and passes now.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -48,8 +48,8 @@
 
         :param lag_s: maximum time for which this instance may not know a
             configuration that is in force elsewhere.
-        :param peer_wait_s: time from now on within which the peers report
-            their versions; 0 without peers.
+        :param peer_wait_s: time within which the peers report their versions
+            after the start and after a suspension; 0 without peers.
         """
         self.limits = _front_limits.FrontLimitHistory(clock, lag_s)
         self._clock = clock
@@ -60,7 +60,8 @@
         self._confirmation: _Confirmation | None = None
         self._peer_version = 0
         self._peer_version_until_s = 0.0
-        self._peer_wait_end_s = clock.monotonic_s() + peer_wait_s
+        self._peer_wait_s = peer_wait_s
+        self._started_at_s = clock.monotonic_s()
         self.is_synced = threading.Event()
 
     @property
@@ -127,17 +128,20 @@
         """Return whether the active configuration is known to be the newest.
 
         It is not after the confirmation has expired, before the reports of
-        the peers are due, or while a peer reports a newer version. A
+        the peers are due, or while a peer reports a newer version. Reports
+        that arrived during a suspension may have been dropped unread. A
         confirmation that was awaited while the process was suspended may
         have been sent before changes that are in force elsewhere.
         """
         confirmation = self._confirmation
         if confirmation is None:
             return False
-        if confirmation.asked_at_s < self._suspensions.running_since_s():
+        running_since_s = self._suspensions.running_since_s()
+        if confirmation.asked_at_s < running_since_s:
             return False
         now_s = self._clock.monotonic_s()
-        if now_s < self._peer_wait_end_s:
+        listening_since_s = max(self._started_at_s, running_since_s)
+        if now_s < listening_since_s + self._peer_wait_s:
             return False
         with self._lock:
             is_behind = self.version < self._peer_version
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_configuration_holder.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_configuration_holder.py
@@ -110,6 +110,21 @@
         clock.advance(1.1)
         assert holder.is_current()
 
+    def test_waits_for_reports_after_a_suspension(self) -> None:
+        """Guards against a 404 by a copy while reports are unread."""
+        clock = fakes.SteppingClock()
+        suspensions = fakes.ScriptedSuspensions()
+        holder = forwarding.ConfigurationHolder(
+            clock, fakes.RecordingLog(), suspensions, 4.0, peer_wait_s=1.0
+        )
+        holder.replace_if_newer(harness.configuration(5))
+        clock.advance(60.0)
+        suspensions.resumed_at_s = clock.monotonic_s()
+        holder.confirm(clock.monotonic_s(), 4.0)
+        assert not holder.is_current()
+        clock.advance(1.1)
+        assert holder.is_current()
+
     def test_fleet_exchanges_versions(self) -> None:
         """Guards against a restarted instance that no peer warns."""
         gateway_env = _make_gateway()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -49,9 +49,10 @@
 #: stale.
 CONFIRMATION_VALIDITY_S = WATCH_WAIT_S + 1.0
 
-#: Time after the start within which the peers report their configuration; each
-#: sends a full report to a new instance at once. A store that was restored
-#: from a copy may confirm an older configuration.
+#: Time after the start, or after a suspension, within which the peers report
+#: their configuration; each sends a full report to a new instance at once, and
+#: reports that wait in the socket are read. A store that was restored from a
+#: copy may confirm an older configuration.
 PEER_REPORT_WAIT_S = 1.0
 
 #: Threads for background tasks and accept loops, connections not included.
