Count a heartbeat for what was awaited when it may have been read

An instance that receives the store's changes from peers could count its configuration as current again after a suspension by a heartbeat that was sent before: heartbeats that waited in the socket are read at the resumption and are valid for 0.9 s, while each wait of 0.2 s for a change began a new confirmation. From the second wait on it was 'awaited' after the resumption, so an unknown route got 404 for up to 4 s. A suspension of more than 2.2 s within one wait asks the store, unless no call may be made then.

What peers sent now counts as awaited since the lifetime of a heartbeat before the wait. An instance that receives changes is not current for 0.9 s after a suspension, which is within the wait for reports of peers.

Evidence: test_a_heartbeat_that_waited_confirms_nothing_since failed with the former _store_watcher.py (confirmed as awaited 0.6 s after the resumption by a heartbeat that was read at it). Ruled out for instances that watch: their confirmation names the time of their own call, and a response that is read after its deadline is lost.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -172,8 +172,8 @@
             if self._receives_changes
             else TURN_CHECK_INTERVAL_S
         )
-        started_at_s = self._clock.monotonic_s()
-        end_s = started_at_s + step_s
+        asked_at_s = self._awaited_since_s()
+        end_s = self._clock.monotonic_s() + step_s
         change = self._shared_watch.next_change(name, step_s)
         if self._clock.monotonic_s() > end_s + MAX_WAIT_EXCESS_S:
             self._handler.mark_stale()
@@ -181,7 +181,7 @@
             if self._health.claim_call(name):
                 return self._catch_up(position)
         if change is not None:
-            return self._apply_forwarded_change(change, position, started_at_s)
+            return self._apply_forwarded_change(change, position, asked_at_s)
         reported = self._shared_watch.reported(name)
         if reported is None:
             return position
@@ -190,7 +190,7 @@
             self._wait_to_list()
             return None
         if reported.position <= position:
-            self._record_up_to_date(started_at_s)
+            self._record_up_to_date(asked_at_s)
             return position
         now_s = self._clock.monotonic_s()
         if self._behind_since_s is None:
@@ -209,13 +209,21 @@
         if self._shared_watch is None or position is None:
             self._clock.wait(self._stopped, TURN_CHECK_INTERVAL_S)
             return position
-        started_at_s = self._clock.monotonic_s()
+        asked_at_s = self._awaited_since_s()
         change = self._shared_watch.next_change(
             self._settings.name, TURN_CHECK_INTERVAL_S
         )
         if change is None:
             return position
-        return self._apply_forwarded_change(change, position, started_at_s)
+        return self._apply_forwarded_change(change, position, asked_at_s)
+
+    def _awaited_since_s(self) -> float:
+        """Return from when on messages of peers that count now were awaited.
+
+        A heartbeat may have been read this long ago, and may have waited in
+        the socket of a suspended process before.
+        """
+        return self._clock.monotonic_s() - _shared_watch.HEARTBEAT_LIFETIME_S
 
     def _apply_forwarded_change(
         self,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
@@ -276,6 +276,22 @@
         assert shared.source.calls[:2] == ['stale list', 'watch 5']
         assert shared.handler.applied[-1][1] == ('b',)
 
+    def test_a_heartbeat_that_waited_confirms_nothing_since(self) -> None:
+        """Guards against a 404 by a heartbeat from before a resumption."""
+        shared = shared_watch_harness.SharedHarness(
+            False, forwarding.Listing((), 5)
+        )
+        shared.source.watcher = None
+        resumed_at_s = shared.clock.monotonic_s()
+        shared.shared_watch.receive_heartbeat(
+            shared_watch_harness.heartbeat(5)
+        )
+        shared.clock.schedule(resumed_at_s + 0.8, shared.watcher.stop)
+        shared.advance_while_waiting()
+        shared.watcher.run()
+        assert shared.handler.asked_at_s is not None
+        assert shared.handler.asked_at_s < resumed_at_s
+
     def test_a_receiver_without_heartbeats_watches_itself(self) -> None:
         """Guards against a stale configuration after all watchers crashed."""
         shared = shared_watch_harness.SharedHarness(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
@@ -73,6 +73,7 @@
     def __init__(self) -> None:
         self.applied: list[tuple[str, tuple[str, ...], bool]] = []
         self.is_current = False
+        self.asked_at_s: float | None = None
         self.restore_count = 0
 
     def replace(self, items: tuple[str, ...], after_outage: bool) -> None:
@@ -87,6 +88,7 @@
 
     def confirm(self, asked_at_s: float) -> None:
         self.is_current = True
+        self.asked_at_s = asked_at_s
 
     def mark_stale(self) -> None:
         self.is_current = False
