Ask the store at once after a watch that spanned a suspension

On a machine so busy that the process stands still every few seconds, each watch of 3 s spanned such a pause, so the configuration never counted as current.

WatchHandler.confirm now returns whether the confirmation counts; if it does not, the watcher fetches at once by a watch of 50 ms, one call for each suspension.

Evidence: test_catches_up_at_once_after_a_suspension failed before (a second watch of 3.0 s in place of 0.05 s).

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -292,7 +292,7 @@
         self._must_catch_up = may_be_stale
         self._must_list = False
         if not may_be_stale:
-            self._handler.confirm(asked_at_s)
+            self._must_catch_up = not self._handler.confirm(asked_at_s)
             self._record_response(result.era)
         return result.position
 
@@ -324,9 +324,8 @@
         if result.era != position.era:
             # The changes of another history, or only a part of them.
             return position
-        self._must_catch_up = False
         self._handler.apply(result.items, after_outage)
-        self._handler.confirm(asked_at_s)
+        self._must_catch_up = not self._handler.confirm(asked_at_s)
         if result.items:
             self._publish(result, after_outage)
             self._last_change_revision = result.revision
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -109,16 +109,18 @@
             )
         )
 
-    def confirm(self, asked_at_s: float, validity_s: float) -> None:
+    def confirm(self, asked_at_s: float, validity_s: float) -> bool:
         """Record that the store confirmed the active configuration.
 
         :param asked_at_s: monotonic time from which on the confirmation was
             awaited.
         :param validity_s: time for which the confirmation is valid.
+        :return: whether it counts; see ``is_current``.
         """
         self._confirmation = _Confirmation(
             asked_at_s, self._clock.monotonic_s() + validity_s
         )
+        return asked_at_s >= self._suspensions.running_since_s()
 
     def mark_stale(self) -> None:
         """Withdraw the confirmation because a call to the store failed."""
@@ -191,9 +193,9 @@
         """Record that the configuration may be out of date."""
         self._holder.mark_stale()
 
-    def confirm(self, asked_at_s: float) -> None:
+    def confirm(self, asked_at_s: float) -> bool:
         """Record that the store confirmed the configuration."""
-        self._holder.confirm(asked_at_s, self._validity_s)
+        return self._holder.confirm(asked_at_s, self._validity_s)
 
     def mark_stale(self) -> None:
         """Record that the configuration may be out of date."""
@@ -229,9 +231,10 @@
         """Record that entries may be missing or older than the known ones."""
         self._targets.record_restore()
 
-    def confirm(self, asked_at_s: float) -> None:
-        """Record that all changes so far were applied."""
+    def confirm(self, asked_at_s: float) -> bool:
+        """Record that all changes so far were applied; always counts."""
         self._targets.confirm()
+        return True
 
     def mark_stale(self) -> None:
         """Do nothing; the last known targets are used at any age."""
@@ -260,9 +263,10 @@
         """Record that the next list may lack orders and phases."""
         self._table.record_restore()
 
-    def confirm(self, asked_at_s: float) -> None:
-        """Record that all current moves are known."""
+    def confirm(self, asked_at_s: float) -> bool:
+        """Record that all current moves are known; always counts."""
         self._table.is_synced.set()
+        return True
 
     def mark_stale(self) -> None:
         """Do nothing; a move continues in its last recorded phase."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
@@ -133,11 +133,12 @@
         """
         ...
 
-    def confirm(self, asked_at_s: float) -> None:
+    def confirm(self, asked_at_s: float) -> bool:
         """Record that the cached objects are up to date.
 
         :param asked_at_s: monotonic time from which on the confirmation was
             awaited.
+        :return: whether it counts; otherwise the store has to be asked again.
         """
         ...
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_store_watcher.py
@@ -8,6 +8,7 @@
 def _run_watcher(
     *results: watcher_harness.StoreResult,
     is_list_shorter: bool = False,
+    counted: tuple[bool, ...] = (),
 ) -> tuple[
     watcher_harness.ScriptedSource,
     watcher_harness.RecordingHandler,
@@ -17,6 +18,7 @@
     log = fakes.RecordingLog()
     source = watcher_harness.ScriptedSource(*results)
     handler = watcher_harness.RecordingHandler()
+    handler.counted.extend(counted)
     watcher = forwarding.StoreWatcher(
         clock,
         source,
@@ -145,6 +147,15 @@
         )
         assert source.waits_s[0] < 0.1 < source.waits_s[1]
 
+    def test_catches_up_at_once_after_a_suspension(self) -> None:
+        """Guards against 503 for the whole wait of the next watch."""
+        source, _, _ = _run_watcher(
+            forwarding.Listing((), 5),
+            *[forwarding.Changes((), 5)] * 4,
+            counted=(True, False),
+        )
+        assert source.waits_s == [0.05, 3.0, 0.05, 3.0]
+
     def test_a_fault_marks_the_cache_stale(self) -> None:
         """Guards against rejecting requests while the store is unavailable."""
         _, handler, _ = _run_watcher(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/watcher_harness.py
@@ -74,6 +74,8 @@
         self.applied: list[tuple[str, tuple[str, ...], bool]] = []
         self.is_current = False
         self.asked_at_s: float | None = None
+        #: Whether each of the next confirmations counts; later ones do.
+        self.counted: list[bool] = []
         self.restore_count = 0
 
     def replace(self, items: tuple[str, ...], after_outage: bool) -> None:
@@ -86,9 +88,10 @@
         self.restore_count += 1
         self.is_current = False
 
-    def confirm(self, asked_at_s: float) -> None:
+    def confirm(self, asked_at_s: float) -> bool:
         self.is_current = True
         self.asked_at_s = asked_at_s
+        return self.counted.pop(0) if self.counted else True
 
     def mark_stale(self) -> None:
         self.is_current = False
