Decide on a move after a suspension when peers have been heard

An instance that was suspended during a move judged the version by its age and by the evidence from before, at the first step of its driver after the resumption: it sent all its requests to a version that its peers had stopped meanwhile, told all instances of the shift, and recorded the version as completed if it came before the record of the stop. After a long suspension all peers have expired as well, so that its rank is 0 and no delay by rank holds it back.

The driver decides on no phase in the first 0.5 s after the start or a suspension.

Evidence: test_suspended_instance_hears_its_peers_first failed without the wait (VersionRule(preferred='v2') for all requests) and passes with it. Ruled out: an overwritten record, since the write is conditional on the revision that was read; a stop that is not recorded yet is the gap.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -15,6 +15,7 @@
 from skylarktack.coordination.forwarding import _move_events
 from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _moves
+from skylarktack.coordination.forwarding import _suspensions
 from skylarktack.coordination.forwarding import _watch_ports
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -42,6 +43,10 @@
 #: Delay after a failed attempt to record a phase.
 RETRY_DELAY_S = 0.4
 
+#: Time after the start or a suspension for which no phase is decided: peers
+#: may have stopped the version, and repeat it in their reports.
+RESUMPTION_WAIT_S = 0.5
+
 #: Maximum wait for a new order while no move is in progress.
 IDLE_WAIT_S = 30.0
 
@@ -70,6 +75,7 @@
         fleet: _fleet.FleetView,
         link: _fleet_tasks.FleetLink,
         writer: MoveWriter,
+        suspensions: _suspensions.Suspensions,
     ) -> None:
         self._clock = clock
         self._log = log
@@ -77,6 +83,7 @@
         self._fleet = fleet
         self._link = link
         self._writer = writer
+        self._suspensions = suspensions
         self._next_report_s = 0.0
         self._next_write_s = 0.0
         self._report_bytes = TYPICAL_REPORT_BYTES
@@ -111,6 +118,9 @@
             self._table.set_topology(topology)
             self._report(topology, leaders)
             self._next_report_s = now_s + self._interval_s(topology)
+        running_s = now_s - self._suspensions.running_since_s()
+        if running_s < RESUMPTION_WAIT_S:
+            return
         for service in self._table.open_services():
             phase = self._table.decide(service)
             order = self._table.order_of(service)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/restored_move_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/restored_move_harness.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from skylarktack import state
+from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.coordination.forwarding.tests import move_harness
@@ -85,6 +86,7 @@
             self.env.fleet,
             self.link,
             self.store,
+            fakes.ScriptedSuspensions(),
         )
         self.env.fleet.add_peers(())
         if known_phase is None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_move_verdicts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_move_verdicts.py
@@ -151,6 +151,36 @@
         assert move_run.writer.written[-1] is state.MovePhase.ROLLED_BACK
         assert move_run.failed_new < 50
 
+    def test_suspended_instance_hears_its_peers_first(self) -> None:
+        """Guards against all requests to a version that peers stopped."""
+        move_run = move_harness.make_move_run()
+        clock = move_run.env.clock
+        move_run.run(move_harness.healthy, until_s=5.0)
+        clock.advance(6.8)
+        move_run.suspensions.resumed_at_s = clock.monotonic_s()
+        move_run.driver.step()
+        for _ in range(50):
+            rule = move_run.env.moves.choose_versions('pool')
+            assert rule.preferred is None or rule.is_canary
+        move_run.env.moves.apply_report(
+            data.MoveReport(
+                instance='peer',
+                service='pool',
+                to_version='v2',
+                scope=data.MoveScope.INSTANCE,
+                counts=data.MoveCounts(member_count=1),
+                age_ms=0,
+                is_shifting=False,
+                stop_reason='failed',
+            )
+        )
+        clock.advance(0.6)
+        move_run.driver.step()
+        assert move_run.writer.written == [
+            state.MovePhase.SHIFTING,
+            state.MovePhase.ROLLED_BACK,
+        ]
+
     def test_unavailable_store_delays_only_recording(self) -> None:
         """Guards against traffic to a bad version while the store is down."""
         move_run = move_harness.make_move_run()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -335,6 +335,7 @@
             platform.StoreMoveWriter(
                 self._store_calls(), self._log, self._era
             ),
+            self._suspensions,
         )
         self._start_task(
             'datagram link',
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
@@ -83,6 +83,7 @@
             self.fleet,
             self,
             simulation.store,
+            fakes.ScriptedSuspensions(),
         )
 
     def send(
