Look for unread events before an engine counts as unresponsive

A stream whose caller read nothing for half a second left its sound engine: the relay compared the time of the last event with the clock before it looked for events that waited unread. The engine was reported to all instances as lost and ejected, the run went to another engine for a retry of the budget, and with these spent or refused the stream was cut. A suspension of the process within a send did the same.

The check now follows the wait, which returns unread events first, and is left out when they brought progress. Events without an id are still none.

Only the order of the steps in Relay.run changed; what was received moved to a method of its own.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -77,11 +77,6 @@
                 return _stream_attempts.StreamFinished(
                     self._outcome_at_deadline()
                 )
-            detail = self._watch.check(now_s)
-            if detail is not None:
-                attempt_end = self._leave_unresponsive_engine(detail)
-                if attempt_end is not None:
-                    return attempt_end
             wait_until_s = min(
                 self._admitted.deadline_s, self._watch.next_check_s(now_s)
             )
@@ -98,29 +93,43 @@
                     _outcomes.CallerDisconnected()
                 )
             self._copies.receive(wait_result.exchanges)
-            if exchange not in wait_result.exchanges:
-                continue
-            was_streaming = self._watch.is_streaming
-            for event in exchange.receive():
-                end = self._handle(event)
+            known_event_at_s = self._watch.last_event_at_s
+            if exchange in wait_result.exchanges:
+                end = self._receive(exchange, run_status)
                 if end is not None:
                     return end
-            if self._watch.is_streaming and not was_streaming:
-                if run_status.is_prefilling:
-                    first_event_s = (
-                        self._watch.last_event_at_s - self._watch.sent_at_s
-                    )
-                    self._targets.report_first_event(
-                        self._target,
-                        self._admitted.route.name,
-                        1000 * first_event_s,
-                    )
-                with self._dependencies.errors.contain(
-                    _supervision.RUN_REPORT
-                ):
-                    self._dependencies.fleet.record_run(
-                        dataclasses.replace(run_status, is_prefilling=False)
-                    )
+            if self._watch.last_event_at_s != known_event_at_s:
+                continue
+            # Checked after a look for unread events: the caller or a
+            # suspension of this process may have held up the last ones.
+            detail = self._watch.check(self._clock.monotonic_s())
+            if detail is None:
+                continue
+            lost = self._leave_unresponsive_engine(detail)
+            if lost is not None:
+                return lost
+
+    def _receive(
+        self, exchange: _ports.Exchange, run_status: data.RunStatus
+    ) -> _stream_attempts.AttemptEnd | None:
+        """Handle what was received; return how the attempt ended, if so."""
+        was_streaming = self._watch.is_streaming
+        for event in exchange.receive():
+            end = self._handle(event)
+            if end is not None:
+                return end
+        if not self._watch.is_streaming or was_streaming:
+            return None
+        if run_status.is_prefilling:
+            first_event_s = self._watch.last_event_at_s - self._watch.sent_at_s
+            self._targets.report_first_event(
+                self._target, self._admitted.route.name, 1000 * first_event_s
+            )
+        with self._dependencies.errors.contain(_supervision.RUN_REPORT):
+            self._dependencies.fleet.record_run(
+                dataclasses.replace(run_status, is_prefilling=False)
+            )
+        return None
 
     def handle_fault(
         self, fault: _ports.ExchangeFault
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_silent_engines.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_silent_engines.py
@@ -112,6 +112,24 @@
         assert env.client.sent_to() == ['first']
         assert env.caller.received == harness.event_range_bytes(1, 6)
 
+    def test_unread_events_of_a_slow_caller(self) -> None:
+        """Guards against leaving an engine whose events are not read yet."""
+        env = _make_env('first', 'second')
+        env.client.script('first', harness.stream_script(1, 30))
+        original = env.caller.send_events
+
+        def _send_events(events: bytes) -> bool:
+            # Also the time of a suspension of this process.
+            if len(env.caller.received_at_s) == 2:
+                env.clock.advance(SILENCE_S)
+            return original(events)
+
+        env.caller.send_events = _send_events  # type: ignore[method-assign]
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first']
+        messages = env.log.messages('target')
+        assert set(messages) == {forwarding.TargetAdded.message}
+
     def test_prefill_waits_for_its_engine(self) -> None:
         """Guards against a failure before the first event of a sound run."""
         env = _make_env('first', 'second', allowance=0.0)
