--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -48,8 +48,8 @@
 
         :param lag_s: maximum time for which this instance may not know a
             configuration that is in force elsewhere.
-        :param peer_wait_s: time from now on within which the peers report
-            their versions; 0 without peers.
+        :param peer_wait_s: time within which the peers report their versions
+            after the start and after a suspension; 0 without peers.
         """
         self.limits = _front_limits.FrontLimitHistory(clock, lag_s)
         self._clock = clock
@@ -60,7 +60,8 @@
         self._confirmation: _Confirmation | None = None
         self._peer_version = 0
         self._peer_version_until_s = 0.0
-        self._peer_wait_end_s = clock.monotonic_s() + peer_wait_s
+        self._peer_wait_s = peer_wait_s
+        self._started_at_s = clock.monotonic_s()
         self.is_synced = threading.Event()
 
     @property
@@ -108,16 +109,18 @@
             )
         )
 
-    def confirm(self, asked_at_s: float, validity_s: float) -> None:
+    def confirm(self, asked_at_s: float, validity_s: float) -> bool:
         """Record that the store confirmed the active configuration.
 
         :param asked_at_s: monotonic time from which on the confirmation was
             awaited.
         :param validity_s: time for which the confirmation is valid.
+        :return: whether it counts; see ``is_current``.
         """
         self._confirmation = _Confirmation(
             asked_at_s, self._clock.monotonic_s() + validity_s
         )
+        return asked_at_s >= self._suspensions.running_since_s()
 
     def mark_stale(self) -> None:
         """Withdraw the confirmation because a call to the store failed."""
@@ -127,17 +130,20 @@
         """Return whether the active configuration is known to be the newest.
 
         It is not after the confirmation has expired, before the reports of
-        the peers are due, or while a peer reports a newer version. A
+        the peers are due, or while a peer reports a newer version. Reports
+        that arrived during a suspension may have been dropped unread. A
         confirmation that was awaited while the process was suspended may
         have been sent before changes that are in force elsewhere.
         """
         confirmation = self._confirmation
         if confirmation is None:
             return False
-        if confirmation.asked_at_s < self._suspensions.running_since_s():
+        running_since_s = self._suspensions.running_since_s()
+        if confirmation.asked_at_s < running_since_s:
             return False
         now_s = self._clock.monotonic_s()
-        if now_s < self._peer_wait_end_s:
+        listening_since_s = max(self._started_at_s, running_since_s)
+        if now_s < listening_since_s + self._peer_wait_s:
             return False
         with self._lock:
             is_behind = self.version < self._peer_version
@@ -187,9 +193,9 @@
         """Record that the configuration may be out of date."""
         self._holder.mark_stale()
 
-    def confirm(self, asked_at_s: float) -> None:
+    def confirm(self, asked_at_s: float) -> bool:
         """Record that the store confirmed the configuration."""
-        self._holder.confirm(asked_at_s, self._validity_s)
+        return self._holder.confirm(asked_at_s, self._validity_s)
 
     def mark_stale(self) -> None:
         """Record that the configuration may be out of date."""
@@ -225,9 +231,10 @@
         """Record that entries may be missing or older than the known ones."""
         self._targets.record_restore()
 
-    def confirm(self, asked_at_s: float) -> None:
-        """Record that all changes so far were applied."""
+    def confirm(self, asked_at_s: float) -> bool:
+        """Record that all changes so far were applied; always counts."""
         self._targets.confirm()
+        return True
 
     def mark_stale(self) -> None:
         """Do nothing; the last known targets are used at any age."""
@@ -256,9 +263,10 @@
         """Record that the next list may lack orders and phases."""
         self._table.record_restore()
 
-    def confirm(self, asked_at_s: float) -> None:
-        """Record that all current moves are known."""
+    def confirm(self, asked_at_s: float) -> bool:
+        """Record that all current moves are known; always counts."""
         self._table.is_synced.set()
+        return True
 
     def mark_stale(self) -> None:
         """Do nothing; a move continues in its last recorded phase."""
