Restart the polling of targets when it fails

An unexpected error in a thread that polls load reports and cache events ended the polling of its whole group of targets: the instance selected among them by ever older reports, and learned by requests only that they left or had restarted. The log had at most the traceback that Python writes to standard error.

The threads now run under the supervisor of the instance, as `target polls`. An error at one target is recorded and ends its poll alone: with a restart only, a target whose report raises each time would keep those after it in the group from being polled at all. `ports.TaskSupervisor` gets `run_once` for this, which records the error of a task and does not start it again.

Before, with `_run` and `_poll` called directly again, both tests of TestTargetPolls failed: no wait within 20 s, and ValueError out of the round. After: they and the 29 others of test_background_tasks.py and test_routing.py pass.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_tasks.py
@@ -9,3 +9,7 @@
     def run(self, name: str, task: Callable[[], None]) -> None:
         """Run a task."""
         task()
+
+    def run_once(self, name: str, task: Callable[[], None]) -> None:
+        """Run a task."""
+        task()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_supervision.py
@@ -107,3 +107,8 @@
                 delay_s = FIRST_RESTART_DELAY_S
             self._clock.wait(self._never_set, delay_s)
             delay_s = min(MAX_RESTART_DELAY_S, 2 * delay_s)
+
+    def run_once(self, name: str, task: Callable[[], None]) -> None:
+        """Run a task; an exception ends it and is recorded."""
+        with self._errors.contain(name):
+            task()
--- a/packages/coordination/src/skylarktack/coordination/ports/_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/_tasks.py
@@ -13,3 +13,10 @@
         :param name: names the task where its errors are recorded.
         """
         ...
+
+    def run_once(self, name: str, task: Callable[[], None]) -> None:
+        """Run a task that an exception ends.
+
+        :param name: see :meth:`run`.
+        """
+        ...
--- a/packages/coordination/src/skylarktack/coordination/routing/_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/_watch.py
@@ -1,5 +1,6 @@
 """Polling of load reports and cache events, and leaving notices."""
 
+import functools
 import random
 import threading
 
@@ -17,6 +18,9 @@
 #: approximate anyway.
 EVENT_POLL_INTERVAL = 2
 
+#: Names the polling tasks where their errors are recorded.
+_TASK_NAME = 'target polls'
+
 
 class LeavingNotices:
     """Broadcasts immediately that a target is leaving.
@@ -69,6 +73,7 @@
         engines: ports.EngineClient,
         clock: ports.Clock,
         notices: LeavingNotices,
+        supervisor: ports.TaskSupervisor,
     ) -> None:
         self._settings = settings
         self._table = table
@@ -76,6 +81,7 @@
         self._engines = engines
         self._clock = clock
         self._notices = notices
+        self._supervisor = supervisor
         self._stopping = threading.Event()
         self._poll_count: dict[state.TargetName, int] = {}
 
@@ -83,8 +89,8 @@
         """Start the polling threads."""
         for group in range(self._settings.watch_thread_count):
             threading.Thread(
-                target=self._run,
-                args=(group,),
+                target=self._supervisor.run,
+                args=(_TASK_NAME, functools.partial(self._run, group)),
                 name=f'watch-{group}',
                 daemon=True,
             ).start()
@@ -101,7 +107,10 @@
                 continue
             if self._stopping.is_set():
                 return
-            self._poll(target)
+            # An error at one target must not keep the others from their poll.
+            self._supervisor.run_once(
+                _TASK_NAME, functools.partial(self._poll, target)
+            )
 
     def _run(self, group: int) -> None:
         jitter = random.Random()
--- a/packages/coordination/src/skylarktack/coordination/tests/test_background_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_background_tasks.py
@@ -1,12 +1,16 @@
-"""Background tasks of the membership whose steps fail."""
+"""Background tasks whose steps fail."""
 
 import threading
 
+from expression import Result
+
 from skylarktack import state
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination import membership
 from skylarktack.coordination import ports
+from skylarktack.coordination import routing
+from skylarktack.coordination.tests import routing_harness
 
 PATIENCE_S = 20.0
 
@@ -20,9 +24,10 @@
 class _FailingClock(ports.SystemClock):
     """A clock whose first wait fails, for each supervised task."""
 
-    def __init__(self) -> None:
+    def __init__(self, task_count: int) -> None:
         #: Set once all tasks have waited without an error.
         self.all_wait = threading.Event()
+        self._task_count = task_count
         self._lock = threading.Lock()
         self._failed: set[int] = set()
         self._waiting: set[int] = set()
@@ -35,20 +40,22 @@
                 self._failed.add(task)
                 raise ValueError('odd wait')
             self._waiting.add(task)
-            if len(self._waiting) == len(TASK_NAMES):
+            if len(self._waiting) == self._task_count:
                 self.all_wait.set()
         return super().wait(event, timeout_s)
 
 
+def _record_errors() -> forwarding.ErrorRecorder:
+    return forwarding.ErrorRecorder(ports.SystemClock(), fakes.RecordingLog())
+
+
 class TestMembershipTasks:
     """Errors outside the rounds of the three tasks."""
 
     def test_tasks_are_started_again(self) -> None:
         """Guards against an instance that stops to probe its peers."""
-        clock = _FailingClock()
-        errors = forwarding.ErrorRecorder(
-            ports.SystemClock(), fakes.RecordingLog()
-        )
+        clock = _FailingClock(len(TASK_NAMES))
+        errors = _record_errors()
         table = state.MemberTable(
             state.Member(
                 name=state.InstanceName('instance-000'),
@@ -75,3 +82,62 @@
         finally:
             members.stop()
         assert errors.counts() == dict.fromkeys(TASK_NAMES, 1)
+
+
+class _OddEngines(fakes.FaultyEngines):
+    """Engines, the first of which has a load report that raises."""
+
+    def __init__(self) -> None:
+        super().__init__(fakes.SteppingClock(), lambda prompt, at: '', 1)
+        #: Set once a sound engine was polled.
+        self.was_polled = threading.Event()
+
+    def read_load(
+        self, target: state.Target, timeout_s: float
+    ) -> Result[ports.EngineLoad, ports.StreamFault]:
+        """Raise for the first engine, refuse for the others."""
+        if target == routing_harness.make_target(0):
+            raise ValueError('odd report')
+        self.was_polled.set()
+        return super().read_load(target, timeout_s)
+
+
+class TestTargetPolls:
+    """Errors in the polling of a group of targets."""
+
+    def _watch(
+        self, clock: ports.Clock, engines: _OddEngines, target_count: int
+    ) -> tuple[routing.TargetWatcher, forwarding.ErrorRecorder]:
+        harness = routing_harness.RoutingHarness(
+            state.RoutingSettings(watch_thread_count=1), target_count
+        )
+        errors = _record_errors()
+        watcher = routing.TargetWatcher(
+            harness.settings,
+            harness.table,
+            harness.prefixes,
+            engines,
+            clock,
+            routing.LeavingNotices(harness.table, None),
+            forwarding.Supervisor(ports.SystemClock(), errors),
+        )
+        return watcher, errors
+
+    def test_group_is_polled_again(self) -> None:
+        """Guards against targets that are never polled after an error."""
+        clock = _FailingClock(1)
+        watcher, errors = self._watch(clock, _OddEngines(), 0)
+        watcher.start()
+        try:
+            assert clock.all_wait.wait(PATIENCE_S)
+        finally:
+            watcher.stop()
+        assert errors.counts() == {'target polls': 1}
+
+    def test_other_targets_are_polled(self) -> None:
+        """Guards against a target that ends the round of its group."""
+        engines = _OddEngines()
+        watcher, errors = self._watch(ports.SystemClock(), engines, 2)
+        watcher.poll_group(0)
+        assert engines.was_polled.is_set()
+        assert errors.counts() == {'target polls': 1}
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -62,7 +62,12 @@
         )
         engines = transport.HttpEngineClient()
         self._routing = _routing.RoutingComponents(
-            settings, engines, self._clock, self._metrics, network
+            settings,
+            engines,
+            self._clock,
+            self._metrics,
+            self._supervisor,
+            network,
         )
         self._limits = _limits.LimitsComponents(
             settings, self._configuration.holder, self._clock, self._metrics
--- a/packages/daemon/src/skylarktack/daemon/_routing.py
+++ b/packages/daemon/src/skylarktack/daemon/_routing.py
@@ -19,6 +19,7 @@
         engines: ports.EngineClient,
         clock: ports.Clock,
         metrics: ports.Metrics,
+        supervisor: ports.TaskSupervisor,
         peers: ports.PeerNetwork | None = None,
     ) -> None:
         self._metrics = metrics
@@ -41,7 +42,13 @@
             notices,
         )
         self.watcher = routing.TargetWatcher(
-            settings.routing, self.table, prefixes, engines, clock, notices
+            settings.routing,
+            self.table,
+            prefixes,
+            engines,
+            clock,
+            notices,
+            supervisor,
         )
 
     def update(self, listed: state.PlatformList) -> None:
