Close a connection between instances whose reader fails

An unexpected error while a frame was read or handled ended the reader of that connection only. The link stayed registered: `neighbours` went on to list it, requests over it got no answer until their timeouts, and broadcasts counted as delivered that nobody read, until the link had been without a frame for 10 s. A reader of a connection opened here left no line.

The link is now closed and removed in any case, so that both sides open a new one, and the error is written as `unexpected error` with the place `peer connections` and counted. The reader runs under `TaskSupervisor.run_once`: one that started again would read on from a connection in an unknown state.

Before, with the reader called directly and the close after it again: both cases of TestRequests.test_error_of_a_reader failed, the peer still listed its neighbour after 10 s. After: test_peer_network.py passed six times, and test_peers.py.

--- a/packages/daemon/src/skylarktack/daemon/_peers.py
+++ b/packages/daemon/src/skylarktack/daemon/_peers.py
@@ -41,6 +41,7 @@
                 messages=protocol.PEER_MESSAGES,
                 clock=clock,
                 metrics=metrics,
+                supervisor=supervisor,
                 inline_types=membership.NON_BLOCKING_TYPES,
             ),
             listening_socket,
--- a/packages/transport/src/skylarktack/transport/_peer_network.py
+++ b/packages/transport/src/skylarktack/transport/_peer_network.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import dataclasses
+import functools
 import socket
 import struct
 import threading
@@ -62,6 +63,9 @@
     #: Counters.
     metrics: ports.Metrics
 
+    #: Runs the tasks of connections and of requests.
+    supervisor: ports.TaskSupervisor
+
     #: Requests that are handled by the connection's own thread, because
     #: their handlers never wait.
     inline_types: frozenset[type] = frozenset()
@@ -239,7 +243,7 @@
         link = self._register(connection, proved.ok)
         if link is None:
             return Error('too many connections')
-        self._reader_pool.submit(self._read, link)
+        self._reader_pool.submit(self._supervise_link, link)
         return Ok(link)
 
     def _register(
@@ -294,13 +298,23 @@
             return
         link = self._register(connection, proved.ok)
         if link is not None:
-            self._read(link)
+            self._supervise_link(link)
+
+    def _supervise_link(self, link: _peer_link.PeerLink) -> None:
+        """Read a connection; an error closes it and is recorded."""
+        try:
+            self._parts.supervisor.run_once(
+                'peer connections', functools.partial(self._read, link)
+            )
+        finally:
+            link.close()
+            self._links.remove(link)
 
     def _read(self, link: _peer_link.PeerLink) -> None:
         while True:
             received = link.receive()
             if received is None:
-                break
+                return
             if received.is_error():
                 self._refuse_frame(link, received.error)
                 continue
@@ -309,8 +323,6 @@
                 link.take_answer(frame)
                 continue
             self._dispatch(link, frame)
-        link.close()
-        self._links.remove(link)
 
     def _refuse_frame(
         self, link: _peer_link.PeerLink, fault: protocol.FrameFault
--- a/packages/transport/src/skylarktack/transport/tests/test_peer_network.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_peer_network.py
@@ -15,6 +15,7 @@
 from skylarktack import state
 from skylarktack import transport
 from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
 from skylarktack.coordination import membership
 from skylarktack.coordination import ports
 
@@ -38,9 +39,13 @@
         secret: str = SECRET,
         connection_count: int = 8,
         more: dict[str, type] | None = None,
+        inline_types: frozenset[type] = frozenset(),
     ) -> None:
         anywhere = state.Address('127.0.0.1', 0)
         self.metrics = fakes.MemoryMetrics()
+        self.errors = forwarding.ErrorRecorder(
+            ports.SystemClock(), fakes.RecordingLog()
+        )
         listening = transport.listen_for_peers(anywhere)
         self.address = state.Address('127.0.0.1', listening.getsockname()[1])
         self.table = state.MemberTable(
@@ -65,6 +70,10 @@
                 messages={**protocol.PEER_MESSAGES, **(more or {})},
                 clock=ports.SystemClock(),
                 metrics=self.metrics,
+                supervisor=forwarding.Supervisor(
+                    ports.SystemClock(), self.errors
+                ),
+                inline_types=inline_types,
             ),
             listening,
         )
@@ -257,6 +266,26 @@
         )
         assert eventually(lambda: bool(two.received))
 
+    @pytest.mark.parametrize('initiates', (True, False))
+    def test_error_of_a_reader(
+        self, initiates: bool, start: Callable[..., Peer]
+    ) -> None:
+        """Guards against a connection that stays in use without a reader."""
+        one = start('one')
+        two = start('two', inline_types=frozenset({membership.IndirectProbe}))
+        introduce(one, two)
+        two.network.register_handler(
+            membership.IndirectProbe, lambda peer, message: _Unregistered()
+        )
+        opening, accepting = (two, one) if initiates else (one, two)
+        assert opening.network.connect(accepting.network.name)
+        assert eventually(lambda: bool(one.network.neighbours()))
+        fault = one.network.request(two.network.name, RELAY, 5.0).error
+        assert fault.kind == ports.PeerFaultKind.NO_ANSWER
+        assert eventually(lambda: not two.network.neighbours())
+        assert two.errors.counts() == {'peer connections': 1}
+        assert opening.network.connect(accepting.network.name)
+
 
 class TestNeighbours:
     """Guards against doubled, unbounded and silent connections."""
