Move the peer of the connection tests to a harness

`Peer` and what starts it are now in peer_harness.py, and the test of a failing reader in test_peer_errors.py beside the tests of other unexpected errors.

--- /dev/null
+++ b/packages/transport/src/skylarktack/transport/tests/test_peer_errors.py
@@ -0,0 +1,42 @@
+"""Unexpected errors in the tasks of connections between instances."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import pytest
+
+from skylarktack.coordination import membership
+from skylarktack.coordination import ports
+from skylarktack.transport.tests import peer_harness
+
+
+@pytest.fixture(name='start')
+def _start() -> Iterator[Callable[..., peer_harness.Peer]]:
+    yield from peer_harness.start_peers()
+
+
+class TestTaskErrors:
+    """Errors in the reader of a connection and in a request's task."""
+
+    @pytest.mark.parametrize('initiates', (True, False))
+    def test_error_of_a_reader(
+        self, initiates: bool, start: Callable[..., peer_harness.Peer]
+    ) -> None:
+        """Guards against a connection that stays in use without a reader."""
+        one = start('one')
+        two = start('two', inline_types=frozenset({membership.IndirectProbe}))
+        peer_harness.introduce(one, two)
+        two.network.register_handler(
+            membership.IndirectProbe,
+            lambda peer, message: peer_harness.Unregistered(),
+        )
+        opening, accepting = (two, one) if initiates else (one, two)
+        assert opening.network.connect(accepting.network.name)
+        assert peer_harness.eventually(lambda: bool(one.network.neighbours()))
+        fault = one.network.request(
+            two.network.name, peer_harness.RELAY, 5.0
+        ).error
+        assert fault.kind == ports.PeerFaultKind.NO_ANSWER
+        assert peer_harness.eventually(lambda: not two.network.neighbours())
+        assert two.errors.counts() == {'peer connections': 1}
+        assert opening.network.connect(accepting.network.name)
