Record errors of requests between instances

An unexpected error in the task of a peer's request, outside its handler, left no line: nobody read the task's future, and the peer waited for its whole timeout. The one known way is an answer that cannot be encoded.

The error is now written as `unexpected error` with the place `peer requests` and counted, and the peer gets the refusal `no answer` at once. It may not be another kind: the handler has run.

Before: TestTaskErrors.test_answer_that_cannot_be_encoded got `no answer` after the timeout of the request (6 s in that run) and no error was recorded. After: the 22 tests of test_peer_network.py and test_peer_errors.py pass.

--- a/packages/transport/src/skylarktack/transport/_peer_network.py
+++ b/packages/transport/src/skylarktack/transport/_peer_network.py
@@ -364,7 +364,9 @@
         self, link: _peer_link.PeerLink, frame: protocol.Frame
     ) -> None:
         try:
-            self._handle(link, frame)
+            self._parts.supervisor.run_once(
+                'peer requests', functools.partial(self._handle, link, frame)
+            )
         finally:
             self._request_slots.release()
 
@@ -372,8 +374,20 @@
         self, link: _peer_link.PeerLink, frame: protocol.Frame
     ) -> None:
         answer = self._answer(link.session.peer, frame.message)
-        if frame.request_number:
+        if not frame.request_number:
+            return
+        try:
             link.send(answer, -frame.request_number)
+        except Exception:
+            # An answer that cannot be encoded must not cost the peer its
+            # whole timeout.
+            link.send(
+                protocol.PeerRefusal(
+                    ports.PeerFaultKind.NO_ANSWER.value, 'answer not encoded'
+                ),
+                -frame.request_number,
+            )
+            raise
 
     def _answer(self, peer: state.InstanceName, message: Any) -> object:
         handler = self._handlers.get(type(message))
--- a/packages/transport/src/skylarktack/transport/tests/test_peer_errors.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_peer_errors.py
@@ -40,3 +40,21 @@
         assert peer_harness.eventually(lambda: not two.network.neighbours())
         assert two.errors.counts() == {'peer connections': 1}
         assert opening.network.connect(accepting.network.name)
+
+    def test_answer_that_cannot_be_encoded(
+        self, start: Callable[..., peer_harness.Peer]
+    ) -> None:
+        """Guards against a request that fails without a line."""
+        one, two = start('one'), start('two')
+        peer_harness.introduce(one, two)
+        two.network.register_handler(
+            membership.IndirectProbe,
+            lambda peer, message: peer_harness.Unregistered(),
+        )
+        fault = one.network.request(
+            two.network.name, peer_harness.RELAY, 60.0
+        ).error
+        assert fault.message == 'answer not encoded'
+        assert peer_harness.eventually(
+            lambda: two.errors.counts() == {'peer requests': 1}
+        )
