Record errors of generations without a caller

An unexpected error in the task of a generation whose caller had left ended the task without a line: nobody read its future. The generation also went on to count as running, since the iterator that had raised stayed with it: it was never evicted, and a planned stop waited its whole drain time for it.

The error is now written as `unexpected error` with the place `detached generations` and counted, and the generation drops an iterator that raised, so that it is kept as an idle one, which a caller who comes back resumes. The attempt is cancelled on its engine as before, by the iterator's own cleanup. The task is not started again: it would end at once.

TestDetachedGeneration failed with either half taken out: without the change of try_advance the service was not idle after 10 s, without run_once no error was recorded. After: it and the 140 other tests of test_generation_callers.py, test_generation_faults.py and test_silent_attempts.py pass.

--- a/packages/coordination/src/skylarktack/coordination/generation/_dependencies.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_dependencies.py
@@ -29,3 +29,6 @@
     clock: ports.Clock
 
     metrics: ports.Metrics
+
+    #: Runs the background tasks.
+    supervisor: ports.TaskSupervisor
--- a/packages/coordination/src/skylarktack/coordination/generation/_service.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_service.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import concurrent.futures
 import dataclasses
+import functools
 import threading
 
 from expression import Error
@@ -173,7 +174,11 @@
         remaining_count = generation.add_subscribers(-1)
         if not remaining_count and generation.is_running:
             generation.is_detached = True
-            self._detached.submit(self._run_detached, generation)
+            self._detached.submit(
+                self._dependencies.supervisor.run_once,
+                'detached generations',
+                functools.partial(self._run_detached, generation),
+            )
         self._mark_idle(generation)
         with self._changed:
             self._subscription_count -= 1
--- a/packages/coordination/src/skylarktack/coordination/generation/_subscription.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_subscription.py
@@ -77,7 +77,7 @@
                 return None
             if self._events_iterator is None:
                 self._events_iterator = self._runner.advance(self.record)
-            event = next(self._events_iterator, None)
+            event = self._next_event(self._events_iterator)
             if isinstance(event, _events.HandedOver):
                 self.handed_over = True
             if event is None or isinstance(event, _FINAL_EVENTS):
@@ -86,6 +86,17 @@
         finally:
             self._advance_lock.release()
 
+    def _next_event(
+        self, events: Iterator[_events.GenerationEvent]
+    ) -> _events.GenerationEvent | None:
+        try:
+            return next(events, None)
+        except Exception:
+            # The attempt is over; a generation that counted as running would
+            # be kept for ever.
+            self._events_iterator = None
+            raise
+
     def reopen(self) -> None:
         """Let a failed, cancelled or handed over generation continue."""
         with self._lock:
--- a/packages/coordination/src/skylarktack/coordination/tests/generation_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/generation_harness.py
@@ -7,6 +7,7 @@
 
 from skylarktack import state
 from skylarktack.coordination import fakes
+from skylarktack.coordination import forwarding
 from skylarktack.coordination import generation
 from skylarktack.coordination import limits
 from skylarktack.coordination import moves
@@ -92,6 +93,9 @@
         self.selector = fakes.PlainSelector(seed)
         self.selector.update(tuple(fleet.targets))
         self.metrics = fakes.MemoryMetrics()
+        self.errors = forwarding.ErrorRecorder(
+            fleet.clock, fakes.RecordingLog()
+        )
         self.outcomes = Outcomes()
         budget = limits.OrganisationRetryBudget(
             state.RetrySettings(budget_burst_count=burst_count),
@@ -106,6 +110,7 @@
             outcomes=self.outcomes,
             clock=fleet.clock,
             metrics=self.metrics,
+            supervisor=forwarding.Supervisor(fleet.clock, self.errors),
         )
         self.canceller = generation.AttemptCanceller(dependencies, False)
         self.service = generation.GenerationService(
--- a/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_generation_callers.py
@@ -1,6 +1,7 @@
 """Callers that disconnect, reconnect, fetch and cancel."""
 
 import dataclasses
+import threading
 
 import pytest
 
@@ -9,6 +10,8 @@
 from skylarktack.coordination import generation
 from skylarktack.coordination.tests import generation_harness
 
+PATIENCE_S = 10.0
+
 OTHER_ORGANISATION = state.OrganisationName('large')
 
 
@@ -149,6 +152,36 @@
         assert refused.refusal.code is state.RefusalCode.BAD_REQUEST
 
 
+class TestDetachedGeneration:
+    """A generation whose caller has left, and whose attempt raises."""
+
+    def test_error_is_recorded_and_ends_it(self) -> None:
+        """Guards against an instance that waits for it until it stops."""
+        one, _, request = _two_instances()
+
+        def token_at(prompt: str, position: int) -> str:
+            if position >= 30:
+                raise ValueError('odd token')
+            return generation_harness.token_at(prompt, position)
+
+        one.fleet.engines.token_at = token_at
+        first = _interrupt(one, request)
+        assert one.service.wait_idle(PATIENCE_S)
+        waiting = threading.Event()
+        for _ in range(1000):
+            if one.errors.counts():
+                break
+            waiting.wait(0.01)
+        assert one.errors.counts() == {'detached generations': 1}
+        one.fleet.engines.token_at = generation_harness.token_at
+        rest = one.run(
+            dataclasses.replace(request, resume=first.resume_token())
+        )
+        assert first.text + rest.text == generation_harness.expected_text(
+            request.prompt, 40
+        )
+
+
 class TestFetch:
     """Guards against lost or leaked generations in fetches by request id."""
 
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -112,6 +112,7 @@
                 outcomes=outcomes,
                 clock=self._clock,
                 metrics=self._metrics,
+                supervisor=self._supervisor,
             ),
             settings.caller.generation_count,
             network,
--- a/packages/emulator/src/skylarktack/emulator/bench/_generation_cost.py
+++ b/packages/emulator/src/skylarktack/emulator/bench/_generation_cost.py
@@ -212,5 +212,6 @@
         outcomes=_NoOutcomes(),
         clock=clock,
         metrics=fakes.MemoryMetrics(),
+        supervisor=fakes.DirectTaskRunner(),
     )
     return generation.GenerationService(parts, ANSWER_COUNT)
