Restart the writer of a bucket when it fails

An unexpected error of a bucket's writer outside its batches, in the decision whether one is due, ended the thread for good: nobody started another one, so that the instance refused each at-most-once call of the bucket that it owned, or wrote for an owner out of reach, until it started again. An error in the commit of the last outcomes at a planned stop lost them, and their claims counted as unresolved.

The thread now runs under the supervisor of the instance, as `claim writers`. The last outcomes stay queued until their commit returned, so that a commit that raised is tried again while `stop` waits.

Before, with `_run` as the target of the thread again: both tests of TestBucketWriter failed, the claim was not written within 20 s and the outcome not at all. After: they, test_claim_bucket.py, test_once.py, test_restored_claims.py and test_instance.py pass (84).

--- a/packages/coordination/src/skylarktack/coordination/fakes/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_calls.py
@@ -20,6 +20,7 @@
 from skylarktack.coordination.fakes import _services
 from skylarktack.coordination.fakes import _steps
 from skylarktack.coordination.fakes import _store
+from skylarktack.coordination.fakes import _tasks
 
 _VERSION = state.VersionName('desk-1')
 _ORGANISATION = state.OrganisationName('small')
@@ -194,6 +195,7 @@
                     metrics=self.metrics,
                 ),
                 peers,
+                _tasks.DirectTaskRunner(),
             )
         )
         self.unknown_calls = once.UnknownCalls(self.claims, clock)
--- a/packages/coordination/src/skylarktack/coordination/once/_table.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_table.py
@@ -37,6 +37,9 @@
 
     peers: ports.PeerNetwork
 
+    #: Runs the writers of buckets.
+    supervisor: ports.TaskSupervisor
+
 
 @dataclasses.dataclass(frozen=True)
 class _CachedOwner:
@@ -171,7 +174,10 @@
             writer = self._writers.get(bucket)
             if writer is None:
                 writer = _writer.BucketWriter(
-                    bucket, self._dependencies.bucket, self._forward
+                    bucket,
+                    self._dependencies.bucket,
+                    self._forward,
+                    self._dependencies.supervisor,
                 )
                 self._writers[bucket] = writer
             return writer
--- a/packages/coordination/src/skylarktack/coordination/once/_writer.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_writer.py
@@ -14,6 +14,7 @@
 import structlog
 
 from skylarktack import state
+from skylarktack.coordination import ports
 from skylarktack.coordination.once import _bucket
 
 _LOG = structlog.get_logger(part='claim')
@@ -52,11 +53,13 @@
         bucket: int,
         dependencies: _bucket.BucketDependencies,
         forward: Forward,
+        supervisor: ports.TaskSupervisor,
     ) -> None:
         self._bucket = bucket
         self._dependencies = dependencies
         self._clock = dependencies.clock
         self._forward = forward
+        self._supervisor = supervisor
         self._log = _bucket.BucketLog(bucket, dependencies)
         self._changed = threading.Condition()
         self._submissions: list[_Submission] = []
@@ -151,7 +154,8 @@
     def _start_thread(self) -> None:
         if self._thread is None:
             self._thread = threading.Thread(
-                target=self._run,
+                target=self._supervisor.run,
+                args=('claim writers', self._run),
                 name=f'claim-bucket-{self._bucket}',
                 daemon=True,
             )
@@ -163,7 +167,6 @@
                 while not self._is_due():
                     self._changed.wait(self._wait_s())
                 if self._is_stopping and not self._submissions:
-                    deferred, self._deferred = self._deferred, []
                     break
                 submissions, self._submissions = self._submissions, []
                 deferred, self._deferred = self._deferred, []
@@ -179,6 +182,9 @@
                 # calls end by their own timeouts.
                 _LOG.exception('claim batch failed', bucket=self._bucket)
             self._busy_since_s = float('inf')
+        # They stay queued for another try in case that the commit raises.
+        with self._changed:
+            deferred = list(self._deferred)
         if deferred:
             self._log.commit(tuple(deferred))
 
--- a/packages/daemon/src/skylarktack/daemon/_calls.py
+++ b/packages/daemon/src/skylarktack/daemon/_calls.py
@@ -43,6 +43,9 @@
 
     metrics: ports.Metrics
 
+    #: Runs the background tasks.
+    supervisor: ports.TaskSupervisor
+
 
 class CallComponents:
     """The components of one instance that serve plain calls."""
@@ -59,6 +62,7 @@
                     metrics=dependencies.metrics,
                 ),
                 dependencies.peers,
+                dependencies.supervisor,
             )
         )
         self.once = once.AtMostOnceRunner(
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -100,6 +100,7 @@
                 outcomes=outcomes,
                 clock=self._clock,
                 metrics=self._metrics,
+                supervisor=self._supervisor,
             )
         )
         self._generations = generation.GenerationService(
