Restart the cancellation of abandoned attempts when it fails

An unexpected error in the thread that cancels abandoned attempts, outside its rounds, ended it for good: the attempts of all callers who left later held their engine slots until they had generated everything.

The thread now runs under the supervisor of the instance, as `attempt cancellation`. Each start begins with a round: the event that wakes the thread was reset before the error, so attempts left by it would have waited for the next one to be abandoned.

Before: TestAttemptCanceller failed, no wait after the first within 20 s, with the thread called directly and also with the supervisor but the wait before the round as it was. After: it and the tests of test_background_tasks.py, test_generation_callers.py, test_generation_faults.py and test_silent_attempts.py pass (145).

--- a/packages/coordination/src/skylarktack/coordination/generation/_cancels.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_cancels.py
@@ -78,18 +78,21 @@
             self._added.set()
             if self._thread is None and self._in_background:
                 self._thread = threading.Thread(
-                    target=self._run, name='attempt-canceller', daemon=True
+                    target=self._dependencies.supervisor.run,
+                    args=('attempt cancellation', self._run),
+                    name='attempt-canceller',
+                    daemon=True,
                 )
                 self._thread.start()
 
     def _run(self) -> None:
         while True:
-            self._added.wait()
             self._added.clear()
-            while self.run_round():
-                # A newly abandoned attempt ends the wait early.
-                self._dependencies.clock.wait(self._added, ROUND_INTERVAL_S)
-                self._added.clear()
+            if not self.run_round():
+                self._added.wait()
+                continue
+            # A newly abandoned attempt ends the wait early.
+            self._dependencies.clock.wait(self._added, ROUND_INTERVAL_S)
 
     def run_round(self) -> int:
         """Try to cancel each waiting attempt; return how many are left."""
--- a/packages/coordination/src/skylarktack/coordination/tests/generation_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/generation_harness.py
@@ -112,6 +112,7 @@
             metrics=self.metrics,
             supervisor=forwarding.Supervisor(fleet.clock, self.errors),
         )
+        self.dependencies = dependencies
         self.canceller = generation.AttemptCanceller(dependencies, False)
         self.service = generation.GenerationService(
             dependencies,
--- a/packages/coordination/src/skylarktack/coordination/tests/test_background_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_background_tasks.py
@@ -1,5 +1,6 @@
 """Background tasks whose steps fail."""
 
+import dataclasses
 import threading
 
 from expression import Result
@@ -7,9 +8,11 @@
 from skylarktack import state
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
+from skylarktack.coordination import generation
 from skylarktack.coordination import membership
 from skylarktack.coordination import ports
 from skylarktack.coordination import routing
+from skylarktack.coordination.tests import generation_harness
 from skylarktack.coordination.tests import routing_harness
 
 PATIENCE_S = 20.0
@@ -141,3 +144,34 @@
         watcher.poll_group(0)
         assert engines.was_polled.is_set()
         assert errors.counts() == {'target polls': 1}
+
+
+class TestAttemptCanceller:
+    """Errors outside the rounds of the task that cancels attempts."""
+
+    def test_attempts_are_cancelled_after_an_error(self) -> None:
+        """Guards against attempts that hold engine slots for ever."""
+        clock = _FailingClock(1)
+        errors = _record_errors()
+        fleet = generation_harness.Fleet(1)
+        harness = generation_harness.GenerationHarness(fleet, 1)
+        canceller = generation.AttemptCanceller(
+            dataclasses.replace(
+                harness.dependencies,
+                clock=clock,
+                supervisor=forwarding.Supervisor(ports.SystemClock(), errors),
+            )
+        )
+        target = fleet.targets[0]
+        frozen = fleet.engines.engine(target.name)
+        frozen.frozen_until_s = float('inf')
+        canceller.abandon(target, state.RequestId('request-1'), 1)
+        assert clock.all_wait.wait(PATIENCE_S)
+        frozen.frozen_until_s = 0.0
+        waiting = threading.Event()
+        for _ in range(1000):
+            if not canceller.waiting_count:
+                break
+            waiting.wait(0.01)
+        assert not canceller.waiting_count
+        assert errors.counts() == {'attempt cancellation': 1}
