Ignore SIGHUP from the first statement of an instance on

Operators see an instance end when the settings of a fleet are reloaded just after it was started.

Cause: the handlers were installed only after _early_front, _signals and what they import had been loaded; until then SIGHUP has its default, which ends the process. The settings are read later in the start, so a SIGHUP at that time has nothing to reload and is ignored.

Ruled out: lost signals later in the start.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/__main__.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/__main__.py
@@ -1,12 +1,21 @@
 """Entry point of ``python -m skylarktack.daemon.forwarding``."""
 
-from skylarktack.daemon import _signals
-from skylarktack.daemon.forwarding import _early_front
+import signal
 
 if __name__ == '__main__':
+    # SIGHUP would end the process. The settings are read later, so there is
+    # nothing to reload yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    from skylarktack.daemon import _signals
+
     signals = _signals.ProcessSignals()
     signals.install(_signals.INSTANCE_SIGNALS)
+
+    from skylarktack.daemon.forwarding import _early_front
+
     front = _early_front.open_front()
+
     # Imported after the socket is open: the imports take most of the start.
     from skylarktack.daemon.forwarding import main
 
