Use a version whose completion an instance did not see

Callers of an instance that was cut off while a move was completed, and then reads a list without that order or with the next one, get 503 for every request that is not a canary of the next move, until it restarts.

Cause: the table of moves took an order that is gone for a cancelled move, also if it learned so from a complete list, and excluded the version for good. The old targets have stopped by then, so no version was left. The records of versions on trial did the same to an instance that started within the move: they count any version listed since its start as another one that may be used.

Such versions are now a last resort of the version rule: the choice among targets leaves them out only while another version is listed that may be used. This decides it, since the old targets stop at completion and stay after a cancellation. A change that is seen by itself, a recorded rollback and a stop by evidence exclude the version as before. A version that is ordered again as completed is no longer excluded either.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
@@ -78,6 +78,13 @@
         self.order = dataclasses.replace(order, phase=phase)
         self.stored_phase = order.phase
 
+    @property
+    def is_called_off(self) -> bool:
+        """Return whether the new version was found bad."""
+        if self.stop_reason:
+            return True
+        return self.order.phase is state.MovePhase.ROLLED_BACK
+
     @property
     def is_open(self) -> bool:
         """Return whether it is in progress or its end is not recorded."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -74,13 +74,13 @@
             for change in changes:
                 if change.order is not None:
                     missing.pop(change.service, None)
-                    self._apply_change(change)
+                    self._apply_change(change, is_from_list=True)
             for service, move in missing.items():
                 change = data.MoveChange(service, None)
                 if follows_restore or self._held.has(service):
                     self._hold(move, change)
                     continue
-                self._apply_change(change)
+                self._apply_change(change, is_from_list=True)
 
     def apply(self, change: data.MoveChange) -> None:
         """Apply a change of one service's order."""
@@ -119,24 +119,17 @@
         with self._lock:
             self._apply_due_changes()
             move = self._moves.get(service)
-            excluded = self._excluded(service)
+            rule = self._rule_beside_move(service)
             if move is None:
-                return (
-                    _version_rules.VersionRule(None, excluded)
-                    if excluded
-                    else _version_rules.ANY_VERSION
-                )
+                return rule
             version = move.order.to_version
             move.evidence.count_request()
-            if move.stop_reason:
-                return _version_rules.VersionRule(None, excluded | {version})
-            if move.order.phase is state.MovePhase.ROLLED_BACK:
-                return _version_rules.VersionRule(None, excluded | {version})
-            is_complete = move.order.phase is state.MovePhase.COMPLETED
-            if is_complete or move.is_shifting:
-                return _version_rules.VersionRule(
-                    version, excluded - {version}
-                )
+            if move.is_called_off:
+                return rule.without(version)
+            if move.order.phase is state.MovePhase.COMPLETED:
+                return rule.with_proven(version)
+            if move.is_shifting:
+                return rule.preferring(version)
             share = _exposure.canary_share(
                 self._limits,
                 move.evidence.exposure(),
@@ -145,22 +138,22 @@
                 move.order.duration_s,
             )
             if self._draw() < share:
-                return _version_rules.VersionRule(
-                    version, excluded - {version}, True
-                )
-            return _version_rules.VersionRule(None, excluded | {version})
+                return rule.preferring(version, is_canary=True)
+            return rule.without(version)
 
-    def _excluded(self, service: str) -> frozenset[str]:
-        """Return the versions that get no request, whatever its order."""
+    def _rule_beside_move(self, service: str) -> _version_rules.VersionRule:
+        """Return the rule for versions other than that of the move."""
         move = self._moves.get(service)
-        return self._versions.excluded(
+        ordered = None if move is None else move.order.to_version
+        excluded = self._versions.excluded(
             service,
             self.is_synced.is_set() and self.trials.is_read.is_set(),
             self._clock.monotonic_s(),
-        ) | self.trials.excluded(
-            service,
-            self._versions.listed(service),
-            None if move is None else move.order.to_version,
+        )
+        called_off = self.trials.last_resort(service, ordered)
+        return _version_rules.VersionRule(
+            excluded=excluded,
+            last_resort=called_off | self._versions.last_resort(service),
         )
 
     def has_versions_on_trial(self) -> bool:
@@ -351,12 +344,16 @@
             self._apply_change(change, has_waited=True)
 
     def _apply_change(
-        self, change: data.MoveChange, has_waited: bool = False
+        self,
+        change: data.MoveChange,
+        has_waited: bool = False,
+        is_from_list: bool = False,
     ) -> None:
         """Apply a change of one service's order.
 
         :param has_waited: whether it was held for its time, so that also an
             order that the copy may have brought back is applied.
+        :param is_from_list: whether changes before it may not have been seen.
         """
         order = change.order
         current = self._moves.get(change.service)
@@ -373,9 +370,9 @@
                 return
         self._held.discard(change.service)
         if current is not None:
-            if current.order.phase is not state.MovePhase.COMPLETED:
-                # A cancelled move has not shown that the version is good.
-                self._versions.reject(change.service, current.order.to_version)
+            self._versions.record_order_gone(
+                current.order, is_from_list and not current.is_called_off
+            )
         if order is None:
             self._moves.pop(change.service, None)
             return
@@ -388,9 +385,8 @@
             self._clock.monotonic_s(),
             stored_phase=order.phase,
         )
-        self._versions.record_order(order.service)
+        self._versions.record_order(order)
         if not order.has_ended:
-            self._versions.restore(order.service, order.to_version)
             self.trials.record_begun(order.service, order.to_version)
             self.has_updates.set()
         self._record_phase(order)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_candidates.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_candidates.py
@@ -1,5 +1,7 @@
 """Which targets of a service a request may be sent to."""
 
+import dataclasses
+
 from skylarktack.coordination.forwarding import _target_exclusions
 from skylarktack.coordination.forwarding import _target_records
 from skylarktack.coordination.forwarding import _version_rules
@@ -36,6 +38,7 @@
         """
         now_s = self._clock.monotonic_s()
         self._records.remove_expired()
+        rule = self._apply_last_resort(service, rule)
         healthy = []
         suspect = []
         ejected = []
@@ -70,6 +73,7 @@
         None if there is a target that is not paused, or no target at all.
         """
         now_s = self._clock.monotonic_s()
+        rule = self._apply_last_resort(service, rule)
         end_s: float | None = None
         for target in self._records.by_name.values():
             if not self._may_use(target, service, rule):
@@ -95,6 +99,20 @@
             return True
         return self._records.is_ejected(target, now_s)
 
+    def _apply_last_resort(
+        self, service: str, rule: _version_rules.VersionRule
+    ) -> _version_rules.VersionRule:
+        """Return the rule that excludes the last resort beside others."""
+        if not rule.last_resort:
+            return rule
+        unproven = rule.excluded | rule.last_resort | {rule.preferred}
+        for target in self._records.by_name.values():
+            if target.service == service and target.version not in unproven:
+                return dataclasses.replace(
+                    rule, excluded=rule.excluded | rule.last_resort
+                )
+        return rule
+
     def _may_use(
         self,
         target: data.ListedTarget,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from skylarktack import state
 from skylarktack.state import forwarding as data
 
 #: A version without an order gets no traffic for this time after its first
@@ -19,9 +20,34 @@
     #: Versions to which the request must not be sent.
     excluded: frozenset[str] = frozenset()
 
+    #: Versions that may have been called off. They are used only while no
+    #: other version is listed, but for the preferred one.
+    last_resort: frozenset[str] = frozenset()
+
     #: Whether the request is a canary, sent to a version that is still judged.
     is_canary: bool = False
 
+    def without(self, version: str) -> 'VersionRule':
+        """Return the rule that also excludes a version."""
+        return dataclasses.replace(self, excluded=self.excluded | {version})
+
+    def preferring(
+        self, version: str, is_canary: bool = False
+    ) -> 'VersionRule':
+        """Return the rule that sends requests to the version of a move."""
+        return dataclasses.replace(
+            self,
+            preferred=version,
+            excluded=self.excluded - {version},
+            last_resort=self.last_resort - {version},
+            is_canary=is_canary,
+        )
+
+    def with_proven(self, version: str) -> 'VersionRule':
+        """Return the rule that sends requests to a version in use."""
+        excluded = self.excluded | self.last_resort
+        return VersionRule(version, excluded - {version})
+
     def for_retry(self) -> 'VersionRule':
         """Return the rule for sends after the first.
 
@@ -29,7 +55,9 @@
         """
         if not self.is_canary or self.preferred is None:
             return self
-        return VersionRule(None, self.excluded | {self.preferred})
+        return VersionRule(
+            None, self.excluded | {self.preferred}, self.last_resort
+        )
 
 
 #: Rule of a service without a move.
@@ -45,6 +73,9 @@
     def __init__(self) -> None:
         self._listed: dict[str, set[str]] = {}
         self._rejected: dict[str, set[str]] = {}
+        # Versions whose move was completed or cancelled while the orders
+        # could not be followed.
+        self._unknown_end: dict[str, set[str]] = {}
         self._unordered: dict[tuple[str, str], float] = {}
         # Services for which an order was read since the start.
         self._ordered: set[str] = set()
@@ -83,9 +114,31 @@
         waiting_until_s = self._unordered.get((service, version), until_s)
         self._unordered[service, version] = max(waiting_until_s, until_s)
 
-    def record_order(self, service: str) -> None:
-        """Record that an order for a service was read."""
-        self._ordered.add(service)
+    def record_order(self, order: data.MoveOrder) -> None:
+        """Record an order for another version than the last one."""
+        self._ordered.add(order.service)
+        if order.phase is not state.MovePhase.ROLLED_BACK:
+            self._rejected.get(order.service, set()).discard(order.to_version)
+            self._unknown_end.get(order.service, set()).discard(
+                order.to_version
+            )
+
+    def record_order_gone(
+        self, order: data.MoveOrder, may_have_completed: bool
+    ) -> None:
+        """Record that an order was withdrawn or replaced.
+
+        :param may_have_completed: whether its last phase was perhaps not seen.
+        """
+        if order.phase is state.MovePhase.COMPLETED:
+            return
+        if may_have_completed:
+            self._unknown_end.setdefault(order.service, set()).add(
+                order.to_version
+            )
+            return
+        # A cancelled move has not shown that the version is good.
+        self.reject(order.service, order.to_version)
 
     def record_reported(self, report: data.MoveReport, now_s: float) -> None:
         """Record a report on a move whose order is not known here.
@@ -101,10 +154,6 @@
                 now_s + UNORDERED_VERSION_WAIT_S
             )
 
-    def listed(self, service: str) -> frozenset[str]:
-        """Return the versions of which a target was listed."""
-        return frozenset(self._listed.get(service, ()))
-
     def has_service_with_several(self) -> bool:
         """Return whether a service has listed targets of several versions."""
         return any(len(listed) > 1 for listed in self._listed.values())
@@ -113,9 +162,9 @@
         """Exclude a version whose move was rolled back or cancelled."""
         self._rejected.setdefault(service, set()).add(version)
 
-    def restore(self, service: str, version: str) -> None:
-        """Admit a version again because a new move to it has begun."""
-        self._rejected.get(service, set()).discard(version)
+    def last_resort(self, service: str) -> frozenset[str]:
+        """Return the versions of moves whose end was not seen."""
+        return frozenset(self._unknown_end.get(service, ()))
 
     def excluded(
         self, service: str, are_orders_known: bool, now_s: float
