Leave room for the retries of replaced instances in the budget

Targets got up to twice the retries that bounds.retry_budget_* allow in one window when all instances were killed within it.

Cause: the counts of requests and retries are kept in memory and by peers, so instances that start know nothing of what those before them spent, and use the full share of the budget again. The same holds in part when some of the instances are replaced.

Instances that are younger than the window now use 0.2 of the budget in place of 0.75, in proportion to their number: the rest may have been spent before them. Peers are placed by the start that they report.

The other tests of the budget let the instance grow older than the window first; their figures are unchanged.

Not measured: what callers lose by fewer retries within the window after a kill of all. Not kept in the store: a count that is up to date would cost writes at the very time at which the store may be down.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_budget.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_budget.py
@@ -12,6 +12,10 @@
 #: of date, so several instances may spend the same remainder.
 BUDGET_SHARE = 0.75
 
+#: The same while all instances are younger than the window. Those before them
+#: may have used their share in the same window, and their counts are lost.
+NEW_FLEET_BUDGET_SHARE = 0.2
+
 
 @dataclasses.dataclass(frozen=True)
 class RetryLimits:
@@ -32,7 +36,8 @@
 
     The counts of the peers arrive with their reports. While some peers are
     not live, this instance uses only a proportional part of the fixed
-    allowance.
+    allowance. Instances that have just started leave room for the retries of
+    those before them.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         """
         peers = self._fleet.peer_counts(service)
         live_share = self._fleet.live_share()
+        budget_share = self._budget_share()
         with self._lock:
             request_count = peers.request_count + len(
                 self._recent(self._requests, service)
@@ -72,7 +78,7 @@
             limit = self._limits.ratio * request_count
             limit += self._limits.allowance_count * live_share
             spent_count = peers.retry_count + len(retries)
-            if spent_count + 1 > BUDGET_SHARE * limit:
+            if spent_count + 1 > budget_share * limit:
                 return False
             retries.append(self._clock.monotonic_s())
             return True
@@ -98,6 +104,12 @@
             if retries:
                 retries.pop()
 
+    def _budget_share(self) -> float:
+        established_share = self._fleet.established_share(self._window_s)
+        return NEW_FLEET_BUDGET_SHARE + established_share * (
+            BUDGET_SHARE - NEW_FLEET_BUDGET_SHARE
+        )
+
     def _recent(
         self,
         times_by_service: dict[str, collections.deque[float]],
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -100,7 +100,7 @@
         self._log = log
         self.instance = instance
         self._endpoint = endpoint or data.Address('', 0)
-        self._warm_at_s = clock.monotonic_s() + WARM_UP_S
+        self._started_at_s = clock.monotonic_s()
         self._lock = threading.Lock()
         self._own_runs: dict[str, data.RunStatus] = {}
         #: Changes that have not been reported to the peers yet.
@@ -182,6 +182,16 @@
         with self._lock:
             return live_count / (1 + len(self._peers.by_name))
 
+    def established_share(self, age_s: float) -> float:
+        """Return the share of the live instances that have the given age."""
+        began_before_s = self._clock.monotonic_s() - age_s
+        established_count = int(self._started_at_s <= began_before_s)
+        with self._lock:
+            live = self._peers.live().values()
+            for peer in live:
+                established_count += peer.started_at_s <= began_before_s
+            return established_count / (1 + len(live))
+
     def add_peers(self, peers: tuple[data.ListedPeer, ...]) -> None:
         """Add the instances that the store lists."""
         with self._lock:
@@ -232,7 +242,7 @@
         It may then not know of all runs and copies, least of all of those
         that instances left at the engines when they were killed.
         """
-        return self._clock.monotonic_s() < self._warm_at_s
+        return self._clock.monotonic_s() < self._started_at_s + WARM_UP_S
 
     def loads(self) -> dict[str, _placement.EngineLoad]:
         """Return the load of each engine that has a run or a copy."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_peer_table.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_peer_table.py
@@ -20,6 +20,8 @@
 
     endpoint: data.Address
     started_at_ms: int = 0
+    #: Monotonic time of the start, as far as the wall clocks agree.
+    started_at_s: float = 0.0
     #: Sequence number of the last report, or -1 before the first.
     sequence: int = -1
     #: Monotonic time of the last report or, before it, of the listing.
@@ -61,6 +63,8 @@
             self.by_name[report.instance] = peer
         if report.started_at_ms != peer.started_at_ms:
             peer.started_at_ms = report.started_at_ms
+            age_s = self._clock.wall_s() - report.started_at_ms / 1000
+            peer.started_at_s = now_s - max(0.0, age_s)
             peer.sequence = -1
             peer.runs.clear()
         peer.endpoint = report.endpoint
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding.tests import harness
@@ -31,12 +33,20 @@
     return data.RunStatus(name, name, f'engine-{name}', None, False, has_ended)
 
 
-def _view(clock: fakes.SteppingClock) -> forwarding.FleetView:
+def _view(
+    clock: fakes.SteppingClock, name: str = 'own'
+) -> forwarding.FleetView:
     return forwarding.FleetView(
-        clock, fakes.RecordingLog(), 'own', data.Address('10.1.0.1', 7200)
+        clock, fakes.RecordingLog(), name, data.Address('10.1.0.1', 7200)
     )
 
 
+def _established_view(clock: fakes.SteppingClock) -> forwarding.FleetView:
+    view = _view(clock)
+    clock.advance(60.0)
+    return view
+
+
 class TestFleetView:
     """Loads of the engines by the latest reports of live peers."""
 
@@ -223,25 +233,62 @@
         assert clock.monotonic_s() == before_s + 0.5
 
 
+class _Fleet:
+    """Four instances that exchange a report after each retry."""
+
+    def __init__(self, ratio: float) -> None:
+        self.clock = fakes.SteppingClock()
+        self._limits = forwarding.RetryLimits(ratio, 100.0, 10.0)
+        self._views: dict[int, forwarding.FleetView] = {}
+        self._budgets: dict[int, forwarding.RetryBudget] = {}
+        for number in range(4):
+            self.start(number)
+
+    def start(self, number: int) -> None:
+        """Start an instance, in place of the one that had its name."""
+        view = _view(self.clock, f'instance-{number}')
+        self._views[number] = view
+        self._budgets[number] = forwarding.RetryBudget(
+            self.clock, self._limits, view
+        )
+
+    def spend(self) -> int:
+        """Receive 100 requests; return how many retries are allowed."""
+        for number in range(100):
+            self._budgets[number % 4].count_request('pool')
+        count = 0
+        self._exchange()
+        while self._budgets[count % 4].claim_retry('pool'):
+            count += 1
+            self._exchange()
+        return count
+
+    def _exchange(self) -> None:
+        for sender in self._views.values():
+            report = sender.full_report()
+            for receiver in self._views.values():
+                receiver.receive(report)
+
+
 class TestRetryBudget:
     """Retries stay within the budget that all instances share."""
 
     def test_one_instance_may_spend_the_unused_budget(self) -> None:
         """Guards against denied retries while the budget is unused."""
-        view = _view(fakes.SteppingClock())
+        view = _established_view(fakes.SteppingClock())
         view.receive(_report(1))
         assert _claim_all(_budget(view, 0.0, 100.0)) == 75
 
     def test_the_retries_of_peers_count(self) -> None:
         """Guards against a fleet that spends the budget several times."""
-        view = _view(fakes.SteppingClock())
+        view = _established_view(fakes.SteppingClock())
         counts = (data.RetryCounts('pool', 0, 70),)
         view.receive(dataclasses.replace(_report(1), counts=counts))
         assert _claim_all(_budget(view, 0.0, 100.0)) == 5
 
     def test_the_requests_of_peers_add_to_the_budget(self) -> None:
         """Guards against a budget from the requests of one instance only."""
-        view = _view(fakes.SteppingClock())
+        view = _established_view(fakes.SteppingClock())
         counts = (data.RetryCounts('pool', 100, 0),)
         view.receive(dataclasses.replace(_report(1), counts=counts))
         assert _claim_all(_budget(view, 0.8, 0.0)) == 60
@@ -256,9 +303,25 @@
         clock.advance(10.0)
         assert _claim_all(_budget(view, 0.0, 100.0)) == 7
 
+    @pytest.mark.parametrize('replaced_count', range(5))
+    @pytest.mark.parametrize('ratio', (0.0, 0.8))
+    def test_replaced_instances_may_have_spent_theirs(
+        self, replaced_count: int, ratio: float
+    ) -> None:
+        """Guards against kills that double the retries of a window."""
+        fleet = _Fleet(ratio)
+        fleet.clock.advance(60.0)
+        spent_count = fleet.spend()
+        for number in range(replaced_count):
+            fleet.start(number)
+        fleet.clock.advance(5.0)
+        spent_again_count = fleet.spend()
+        assert spent_count + spent_again_count <= 100 + ratio * 200
+        assert bool(spent_again_count) is bool(replaced_count or ratio)
+
     def test_reports_contain_the_counts(self) -> None:
         """Guards against peers that never receive the number of retries."""
-        view = _view(fakes.SteppingClock())
+        view = _established_view(fakes.SteppingClock())
         budget = _budget(view, 0.0, 100.0)
         budget.count_request('pool')
         budget.claim_retry('pool')
@@ -268,7 +331,9 @@
         """Guards against a budget that is never replenished."""
         clock = fakes.SteppingClock()
         budget = forwarding.RetryBudget(
-            clock, forwarding.RetryLimits(0.0, 1.4, 10.0), _view(clock)
+            clock,
+            forwarding.RetryLimits(0.0, 1.4, 10.0),
+            _established_view(clock),
         )
         assert budget.claim_retry('pool')
         assert not budget.claim_retry('pool')
@@ -277,7 +342,7 @@
 
     def test_a_retry_without_a_connection_is_refunded(self) -> None:
         """Guards against failed targets that use up the budget."""
-        budget = _budget(_view(fakes.SteppingClock()), 0.0, 1.4)
+        budget = _budget(_established_view(fakes.SteppingClock()), 0.0, 1.4)
         assert budget.claim_retry('pool')
         budget.refund_retry('pool')
         assert budget.claim_retry('pool')
