Refuse a request as not executed if an error came before its first send

Callers got 502 for each unexpected error in a request, also in its admission or in the choice of a target. A caller may not retry an unsafe request after a 502, though no target had received it.

Cause: the gateway did not know whether the request had been sent. The trace of a request now keeps that when a forwarder records the send, just before it.

With the former gateway test_failed_admission_is_answered and the cases of test_failed_choice_of_a_target without a send fail (502 without Retry-After); with the send before the error they pass on both. test_failed_admission_is_answered asked for internal_error before; it asks for the more exact reason now.

--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -37,6 +37,8 @@
     'no other could go on.',
     'internal_error': 'The instance failed with an unexpected error; its log '
     'has the traceback.',
+    'internal_error_not_run': 'The instance failed with an unexpected error '
+    'before it sent the request to a target; its log has the traceback.',
 }
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_accounting.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_accounting.py
@@ -28,6 +28,7 @@
     data.RefusalReason.TIME_UP: 'waited too long',
     data.RefusalReason.TIME_UP_NOT_RUN: 'waited too long',
     data.RefusalReason.INTERNAL_ERROR: 'unexpected error',
+    data.RefusalReason.INTERNAL_ERROR_NOT_RUN: 'unexpected error',
 }
 
 #: Reasons for which the caller's own request was wrong.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -219,7 +219,7 @@
             last_event_id=self._admitted.request.last_event_id,
         )
         self._targets.begin_request(target)
-        self._record('send', target=target.name)
+        self._admitted.trace.record_send(now_s, target=target.name)
         result = self._client.send(
             self._admitted.request, context, CONNECT_TIMEOUT_S
         )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -231,9 +231,7 @@
                 )
         except Exception as error:
             self.dependencies.errors.record('request', error)
-            outcome = data.Refusal(
-                data.RefusalReason.INTERNAL_ERROR, detail=type(error).__name__
-            )
+            outcome = _refusal_after_error(error, opened, queued_s)
         with self._lock:
             is_reported = opened not in self._open
             self._open.discard(opened)
@@ -408,6 +406,19 @@
     return (DEFAULT_TIME_LIMIT_MS if limit_ms is None else limit_ms) / 1000
 
 
+def _refusal_after_error(
+    error: Exception, opened: _OpenRequest, queued_s: float
+) -> data.Refusal:
+    detail = type(error).__name__
+    if opened.trace.has_sent:
+        return data.Refusal(data.RefusalReason.INTERNAL_ERROR, detail=detail)
+    return data.Refusal(
+        data.RefusalReason.INTERNAL_ERROR_NOT_RUN,
+        _retry_after_s(opened.request, queued_s),
+        detail,
+    )
+
+
 def _retry_after_s(request: data.FrontRequest, queued_s: float) -> float:
     wait_s = RETRY_AFTER_FRACTION * (_caller_time_limit_s(request) - queued_s)
     return round(min(MAX_RETRY_AFTER_S, max(0.0, wait_s)), 3)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_outcomes.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_outcomes.py
@@ -61,8 +61,15 @@
     def __init__(self, started_at_s: float) -> None:
         self.started_at_s = started_at_s
         self.steps: list[RequestStep] = []
+        #: Whether a target may have received the request.
+        self.has_sent = False
 
     def record(self, now_s: float, step: str, **inputs: object) -> None:
         """Append a decision with the values on which it was based."""
         at_ms = round((now_s - self.started_at_s) * 1000, 1)
         self.steps.append(RequestStep(at_ms, step, inputs))
+
+    def record_send(self, now_s: float, **inputs: object) -> None:
+        """Record that the request is sent to a target now."""
+        self.has_sent = True
+        self.record(now_s, 'send', **inputs)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_sends.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_sends.py
@@ -42,8 +42,8 @@
         target = pair.primary
         standby = pair.standby
         context = self._context(pair, copy)
-        self._record(
-            'send',
+        self._admitted.trace.record_send(
+            self._clock.monotonic_s(),
             target=target.name,
             standby=None if standby is None else standby.name,
             from_copy=copy is not None,
@@ -101,6 +101,3 @@
             copy=copy,
             is_stream=True,
         )
-
-    def _record(self, step: str, **inputs: object) -> None:
-        self._admitted.trace.record(self._clock.monotonic_s(), step, **inputs)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_supervision.py
@@ -104,9 +104,38 @@
         monkeypatch.setattr(gateway_env.holder.table, 'find_route', _fail)
         outcome = gateway_env.send(harness.request())
         assert isinstance(outcome, data.Refusal)
-        assert outcome.reason is data.RefusalReason.INTERNAL_ERROR
+        assert outcome.reason is data.RefusalReason.INTERNAL_ERROR_NOT_RUN
         assert gateway_env.gateway.active_count() == 0
 
+    @pytest.mark.parametrize('kind', data.RequestKind)
+    @pytest.mark.parametrize('is_first_choice', (True, False))
+    def test_failed_choice_of_a_target(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        kind: data.RequestKind,
+        is_first_choice: bool,
+    ) -> None:
+        """Guards against a failure of a request that can safely be retried.
+
+        After the first send a target may have run the request.
+        """
+        env = harness.make_harness(harness.target('only'))
+        gateway_env = gateway_harness.make_gateway(env, _FailingObserver())
+        gateway_env.holder.replace_if_newer(
+            harness.configuration(1, harness.route(kind))
+        )
+        for choice in ('choose_for_call', 'choose_engines'):
+            if is_first_choice:
+                monkeypatch.setattr(env.targets, choice, _fail)
+        monkeypatch.setattr(env.client, 'wait', _fail)
+        outcome = gateway_env.send(harness.request())
+        assert isinstance(outcome, data.Refusal)
+        expected = data.RefusalReason.INTERNAL_ERROR
+        if is_first_choice:
+            expected = data.RefusalReason.INTERNAL_ERROR_NOT_RUN
+            assert outcome.retry_after_s is not None
+        assert outcome.reason is expected
+
 
 class _FailingObserver:
     """Fails at each report."""
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -70,6 +70,7 @@
     data.RefusalReason.TIME_UP: 504,
     data.RefusalReason.TARGET_FAILED: 502,
     data.RefusalReason.INTERNAL_ERROR: 502,
+    data.RefusalReason.INTERNAL_ERROR_NOT_RUN: 503,
 }
 
 _PROBE_PATH = b'/report'
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -249,6 +249,9 @@
     #: The instance itself failed; a target may have executed the request.
     INTERNAL_ERROR = 'internal_error'
 
+    #: The instance itself failed before dispatch; not executed.
+    INTERNAL_ERROR_NOT_RUN = 'internal_error_not_run'
+
 
 @dataclasses.dataclass(frozen=True)
 class Refusal:
