--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
@@ -81,6 +81,13 @@
             # The targets of the old version stop, so an own stop ends here.
             self.stop_reason = ''
 
+    @property
+    def is_called_off(self) -> bool:
+        """Return whether the new version was found bad."""
+        if self.stop_reason:
+            return True
+        return self.order.phase is state.MovePhase.ROLLED_BACK
+
     @property
     def is_open(self) -> bool:
         """Return whether it is in progress or its end is not recorded."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_choice.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_choice.py
@@ -30,26 +30,23 @@
     def rule(
         self,
         move: _move_decisions.Move,
-        excluded: frozenset[str],
+        others: _version_rules.VersionRule,
         topology: _move_evidence.AggregationTopology,
     ) -> _version_rules.VersionRule:
         """Return the rule of the next request.
 
-        :param excluded: versions that get no request, whatever the order.
+        :param others: rule for versions other than that of the move.
         """
         version = move.order.to_version
-        without_new = _version_rules.VersionRule(None, excluded | {version})
-        if move.stop_reason:
-            return without_new
-        if move.order.phase is state.MovePhase.ROLLED_BACK:
-            return without_new
-        others = excluded - {version}
-        is_complete = move.order.phase is state.MovePhase.COMPLETED
-        if is_complete or move.is_shifting:
-            return _version_rules.VersionRule(version, others)
+        if move.is_called_off:
+            return others.without(version)
+        if move.order.phase is state.MovePhase.COMPLETED:
+            return others.with_proven(version)
+        if move.is_shifting:
+            return others.preferring(version)
         if self._draw() < self._canary_share(move, topology):
-            return _version_rules.VersionRule(version, others, True)
-        return without_new
+            return others.preferring(version, is_canary=True)
+        return others.without(version)
 
     def _canary_share(
         self,
