Refuse a body that never fits into the memory at once

A caller whose body is within max_body_bytes but longer than the requests' part of the memory budget waited 0.5 s, got 503 memory_full with a Retry-After of 1 s, and came back for nothing for ever. A chunked body above 64 KiB was refused in the same way whatever its length, since it claims max_body_bytes at once.

BodyClaim now bounds a body by the smaller of the two: a longer one gets 413 body_too_large with the limit in the detail, and a chunked one claims the smaller of the two. The arithmetic of the budget moves to the state layer, where the check of the settings can use it.

test_a_body_that_never_fits_is_refused_for_good fails for both framings with _body_claim.py of the parent commit (memory_full instead of body_too_large) and passes with this one; test_memory.py and test_front_refusals.py pass.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -120,7 +120,7 @@
             errors,
         )
         memory = transport.MemoryBudget(
-            transport.body_limit_bytes(settings.memory_limit_bytes)
+            data.body_limit_bytes(settings.memory_limit_bytes)
         )
         client = transport.HttpTargetClient(codec, memory)
         quarantine = forwarding.PromptQuarantine(clock, log, self._fleet)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
@@ -160,7 +160,7 @@
             accepted,
             self.forwarders,
             platform.PlatformMessageCodec(),
-            transport.MemoryBudget(transport.body_limit_bytes(None)),
+            transport.MemoryBudget(data.body_limit_bytes(None)),
         )
         self._task = threading.Thread(target=connection.run)
         self._task.start()
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -1,6 +1,9 @@
 """Data of the forwarding frontend: configuration, targets and requests."""
 
 from skylarktack.state._addresses import Address
+from skylarktack.state.forwarding._body_memory import body_limit_bytes
+from skylarktack.state.forwarding._body_memory import needed_memory_bytes
+from skylarktack.state.forwarding._body_memory import request_limit_bytes
 from skylarktack.state.forwarding._configuration import EngineCapacity
 from skylarktack.state.forwarding._configuration import ForwardingConfiguration
 from skylarktack.state.forwarding._configuration import ForwardingRoute
@@ -104,4 +107,7 @@
     'TargetLoad',
     'TargetReport',
     'WeightedService',
+    'body_limit_bytes',
+    'needed_memory_bytes',
+    'request_limit_bytes',
 ]
--- a/packages/transport/src/skylarktack/transport/forwarding/__init__.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/__init__.py
@@ -19,7 +19,6 @@
     from skylarktack.transport.forwarding._listener import ListenerLimits
     from skylarktack.transport.forwarding._listening import listen
     from skylarktack.transport.forwarding._memory import MemoryBudget
-    from skylarktack.transport.forwarding._memory import body_limit_bytes
     from skylarktack.transport.forwarding._store_client import HttpStoreCalls
     from skylarktack.transport.forwarding._target_client import (
         HttpTargetClient,
@@ -37,7 +36,6 @@
     'Listener',
     'ListenerLimits',
     'MemoryBudget',
-    'body_limit_bytes',
     'listen',
 ]
 
@@ -51,7 +49,6 @@
     'Listener': '_listener',
     'ListenerLimits': '_listener',
     'MemoryBudget': '_memory',
-    'body_limit_bytes': '_memory',
     'listen': '_listening',
     'HttpStoreCalls': '_store_client',
     'HttpExchange': '_http_exchange',
--- a/packages/transport/src/skylarktack/transport/forwarding/_body_claim.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_body_claim.py
@@ -27,6 +27,8 @@
             return data.Refusal(data.RefusalReason.BODY_TOO_LARGE)
         if size_bytes <= _memory.EXEMPT_BODY_BYTES:
             return None
+        if size_bytes > self._memory.request_limit_bytes:
+            return self._never_fits()
         if not self._memory.claim_request(size_bytes, MAX_WAIT_S):
             return data.Refusal(data.RefusalReason.MEMORY_FULL, RETRY_AFTER_S)
         self._claimed_bytes = size_bytes
@@ -42,13 +44,27 @@
         """
         if size_bytes > limits.max_body_bytes:
             return data.Refusal(data.RefusalReason.BODY_TOO_LARGE)
-        is_ordinary = size_bytes <= _memory.EXEMPT_BODY_BYTES
-        if is_ordinary or self._claimed_bytes:
+        if size_bytes <= _memory.EXEMPT_BODY_BYTES:
+            return None
+        largest_bytes = min(
+            limits.max_body_bytes, self._memory.request_limit_bytes
+        )
+        if size_bytes > largest_bytes:
+            return self._never_fits()
+        if self._claimed_bytes:
             return None
-        return self.claim(limits.max_body_bytes, limits)
+        return self.claim(largest_bytes, limits)
 
     def release(self, kept_bytes: int = 0) -> None:
         """Release what was claimed above the kept bytes."""
         released_bytes = max(0, self._claimed_bytes - kept_bytes)
         self._claimed_bytes -= released_bytes
         self._memory.release(released_bytes)
+
+    def _never_fits(self) -> data.Refusal:
+        """Return the refusal of a body for which no retry finds memory."""
+        return data.Refusal(
+            data.RefusalReason.BODY_TOO_LARGE,
+            detail='the memory limit of the instance allows '
+            f'{self._memory.request_limit_bytes} bytes',
+        )
--- a/packages/transport/src/skylarktack/transport/forwarding/_memory.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_memory.py
@@ -6,19 +6,12 @@
 import threading
 import time
 
+from skylarktack.state import forwarding as data
+
 #: Size up to which a body needs nothing of the budget, so that large bodies
 #: of some do not fail the ordinary ones of others.
 EXEMPT_BODY_BYTES = 65536
 
-#: Fraction of the memory limit of the process that bodies may take, and the
-#: limit that is assumed without one.
-BODY_FRACTION = 0.5
-DEFAULT_MEMORY_LIMIT_BYTES = 256 * 1024 * 1024
-
-#: Fraction of the budget that only responses may take: a request whose
-#: response cannot be buffered has run in vain.
-RESPONSE_FRACTION = 0.25
-
 
 class MemoryBudget:
     """Counts the bytes of the large bodies that are held at one time."""
@@ -26,7 +19,9 @@
     def __init__(self, limit_bytes: int) -> None:
         self._limit_bytes = limit_bytes
         self._free_bytes = limit_bytes
-        self._reserved_bytes = int(RESPONSE_FRACTION * limit_bytes)
+        #: What requests may take; the rest is kept for responses.
+        self.request_limit_bytes = data.request_limit_bytes(limit_bytes)
+        self._reserved_bytes = limit_bytes - self.request_limit_bytes
         self._was_released = threading.Condition()
 
     def claim_response(self, size_bytes: int) -> bool:
@@ -74,12 +69,3 @@
         with self._was_released:
             self._free_bytes += size_bytes
             self._was_released.notify_all()
-
-
-def body_limit_bytes(memory_limit_bytes: int | None) -> int:
-    """Return what all bodies may take together.
-
-    :param memory_limit_bytes: limit of the process, or None if unknown.
-    """
-    limit_bytes = memory_limit_bytes or DEFAULT_MEMORY_LIMIT_BYTES
-    return int(BODY_FRACTION * limit_bytes)
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -48,7 +48,7 @@
         self._codec = codec
         self._control = _control_requests.ControlRequests(codec)
         self._memory = memory or _memory.MemoryBudget(
-            _memory.body_limit_bytes(None)
+            data.body_limit_bytes(None)
         )
 
     def send(
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
@@ -174,7 +174,7 @@
     ) -> None:
         self.handler = handler or RecordingHandler()
         self.memory = memory or transport.MemoryBudget(
-            transport.body_limit_bytes(None)
+            data.body_limit_bytes(None)
         )
         with socket.create_server(('127.0.0.1', 0)) as listener:
             self.caller = socket.create_connection(listener.getsockname())
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_refusals.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_front_refusals.py
@@ -8,7 +8,6 @@
 
 from skylarktack.state import forwarding as data
 from skylarktack.transport import _lingering
-from skylarktack.transport import forwarding as transport
 from skylarktack.transport.forwarding import _request_reader
 from skylarktack.transport.forwarding.tests import front_harness
 
@@ -96,7 +95,7 @@
         refusing.caller.sendall(b'20000\r\n%s\r\n' % (b'x' * 0x20000))
         refusing.caller.sendall(b'z\r\n')
         assert refusing.read_response() == (400, b'bad_request')
-        free_bytes = transport.body_limit_bytes(None)
+        free_bytes = data.body_limit_bytes(None)
         claimable_bytes = int(0.75 * free_bytes)
         assert refusing.memory.claim_request(claimable_bytes, 1.0)
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
@@ -25,7 +25,7 @@
 
 
 def _limits(max_open_count: int) -> transport.ListenerLimits:
-    memory = transport.MemoryBudget(transport.body_limit_bytes(None))
+    memory = transport.MemoryBudget(data.body_limit_bytes(None))
     return transport.ListenerLimits(max_open_count, memory)
 
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_memory.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_memory.py
@@ -48,7 +48,7 @@
     def test_limit_is_a_part_of_the_memory_of_the_process(self) -> None:
         """Guards against a budget that does not fit the process."""
         for limit_bytes in (100_000_000, 300 * 1024 * 1024):
-            found_bytes = transport.body_limit_bytes(limit_bytes)
+            found_bytes = data.body_limit_bytes(limit_bytes)
             assert 0 < found_bytes <= limit_bytes / 2
 
 
@@ -96,6 +96,18 @@
         assert reason == data.RefusalReason.MEMORY_FULL.value.encode()
         assert memory.claim_request(REQUEST_BYTES, front_harness.TIMEOUT_S)
 
+    def test_a_body_that_never_fits_is_refused_for_good(
+        self, encode: Callable[[bytes], bytes]
+    ) -> None:
+        """Guards against callers that return with it again and again."""
+        memory = transport.MemoryBudget(len(BODY))
+        with _serving(memory) as harness:
+            harness.caller.sendall(encode(BODY))
+            _, reason = harness.read_response()
+            assert not harness.handler.requests
+        assert reason == data.RefusalReason.BODY_TOO_LARGE.value.encode()
+        assert memory.claim_request(memory.request_limit_bytes, 0.0)
+
     def test_a_short_body_needs_no_memory(
         self, encode: Callable[[bytes], bytes]
     ) -> None:
