Check the memory limit against max_body_bytes

An instance with a memory limit too small for one body of max_body_bytes started, and refused each such body without a line that names the cause.

The settings check now reports limits.memory_limit_mb with its place and the smallest value that fits, together with the other findings, and the start ends with exit code 2. max_body_bytes itself is in the configuration, which is not known then, so the check takes its default of 4 MiB (11 MB fits). A configuration with a longer limit is not refused: other instances have it in force already, and one that kept to the old one would be behind them. The instance logs "max_body_bytes exceeds the memory for request bodies" with what fits and the memory limit that would do.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -14,6 +14,7 @@
 from skylarktack.coordination.forwarding._engine_selection import (
     affinity_key_of,
 )
+from skylarktack.coordination.forwarding._events import BodyLimitExceedsMemory
 from skylarktack.coordination.forwarding._events import ConfigurationApplied
 from skylarktack.coordination.forwarding._events import DatagramMalformed
 from skylarktack.coordination.forwarding._events import EventLog
@@ -168,6 +169,7 @@
 from skylarktack.coordination.forwarding._watch_ports import WatchSource
 
 __all__ = [
+    'BodyLimitExceedsMemory',
     'ANY_VERSION',
     'ExposureLimits',
     'FrontLimitHistory',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_events.py
@@ -162,6 +162,24 @@
     idle_timeout_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class BodyLimitExceedsMemory(LogEvent):
+    """Bodies that the configuration allows are refused for want of memory."""
+
+    part = 'configuration'
+    message = 'max_body_bytes exceeds the memory for request bodies'
+
+    version: int
+
+    max_body_bytes: int
+
+    #: Largest body that the memory limit of the instance allows.
+    fitting_bytes: int
+
+    #: Smallest memory limit that allows bodies of ``max_body_bytes``.
+    needed_memory_bytes: int
+
+
 @dataclasses.dataclass(frozen=True)
 class TargetAdded(LogEvent):
     """A target appeared in the store."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -43,6 +43,7 @@
         suspensions: _suspensions.Suspensions,
         lag_s: float,
         peer_wait_s: float,
+        fitting_body_bytes: int | None = None,
     ) -> None:
         """Create a holder without a configuration.
 
@@ -50,11 +51,14 @@
             configuration that is in force elsewhere.
         :param peer_wait_s: time from now on within which the peers report
             their versions; 0 without peers.
+        :param fitting_body_bytes: largest request body for which the instance
+            has memory, or None if it is not bounded.
         """
         self.limits = _front_limits.FrontLimitHistory(clock, lag_s)
         self._clock = clock
         self._log = log
         self._suspensions = suspensions
+        self._fitting_body_bytes = fitting_body_bytes
         self._lock = threading.Lock()
         self._table: _routes.RouteTable | None = None
         self._confirmation: _Confirmation | None = None
@@ -102,12 +106,34 @@
         self.is_synced.set()
         if has_new_limits:
             self._log.record(_limits_changed(configuration))
+            self._check_body_limit(configuration)
         self._log.record(
             _events.ConfigurationApplied(
                 configuration.version, len(configuration.routes)
             )
         )
 
+    def _check_body_limit(
+        self, configuration: data.ForwardingConfiguration
+    ) -> None:
+        """Log a body limit for which the instance has no memory.
+
+        The configuration is in force all the same: other instances have
+        applied it, and shorter bodies can be served.
+        """
+        fitting_bytes = self._fitting_body_bytes
+        max_body_bytes = configuration.limits.max_body_bytes
+        if fitting_bytes is None or max_body_bytes <= fitting_bytes:
+            return
+        self._log.record(
+            _events.BodyLimitExceedsMemory(
+                configuration.version,
+                max_body_bytes,
+                fitting_bytes,
+                data.needed_memory_bytes(max_body_bytes),
+            )
+        )
+
     def confirm(self, asked_at_s: float, validity_s: float) -> None:
         """Record that the store confirmed the active configuration.
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -83,12 +83,16 @@
         self._errors = errors
         self._supervisor = forwarding.Supervisor(clock, errors)
         self._suspensions = forwarding.SuspensionMonitor(clock, log)
+        memory = transport.MemoryBudget(
+            data.body_limit_bytes(settings.memory_limit_bytes)
+        )
         self._configuration = forwarding.ConfigurationHolder(
             clock,
             log,
             self._suspensions,
             max(settings.configuration_lag_ms / 1000, CONFIRMATION_VALIDITY_S),
             0.0 if settings.peer is None else PEER_REPORT_WAIT_S,
+            memory.request_limit_bytes,
         )
         self._link: transport.DatagramLink | None = None
         if settings.peer is not None:
@@ -119,9 +123,6 @@
             self._moves,
             errors,
         )
-        memory = transport.MemoryBudget(
-            data.body_limit_bytes(settings.memory_limit_bytes)
-        )
         client = transport.HttpTargetClient(codec, memory)
         quarantine = forwarding.PromptQuarantine(clock, log, self._fleet)
         self._quarantine_keeper = forwarding.QuarantineKeeper(
--- a/packages/platform/src/skylarktack/platform/_settings.py
+++ b/packages/platform/src/skylarktack/platform/_settings.py
@@ -4,6 +4,7 @@
 Unknown names are ignored, so that the platform can add settings.
 """
 
+import math
 import re
 
 from skylarktack import state
@@ -100,7 +101,19 @@
     if reader.fields.get('limits.memory_limit_mb') is None:
         return None
     limit_mb = _parse_number(reader, 'limits.memory_limit_mb')
-    return int(limit_mb * BYTES_PER_MB) or None
+    limit_bytes = int(limit_mb * BYTES_PER_MB)
+    # The configuration is not known yet; its limit may differ from the
+    # default one, which is checked when the configuration is applied.
+    max_body_bytes = data.FrontLimits().max_body_bytes
+    needed_bytes = data.needed_memory_bytes(max_body_bytes)
+    if 0 < limit_bytes < needed_bytes:
+        needed_mb = math.ceil(needed_bytes / BYTES_PER_MB)
+        reader.add_finding(
+            'limits.memory_limit_mb',
+            f'is too small for one request body of {max_body_bytes} bytes, '
+            f'the default of max_body_bytes; {needed_mb} or more fits',
+        )
+    return limit_bytes or None
 
 
 def _parse_number(reader: _fields.FieldReader, name: str) -> float:
--- a/packages/platform/src/skylarktack/platform/tests/test_settings.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from skylarktack import platform
+from skylarktack import state
 from skylarktack.state import forwarding as data
 
 LINES = """\
@@ -85,3 +86,21 @@
             'node.conf.listen_addresses.frontend',
             'node.conf.bounds.retry_budget_ratio',
         }
+
+    @pytest.mark.parametrize(('limit_mb', 'fits'), [(10, False), (11, True)])
+    def test_memory_limit_holds_one_body(
+        self, limit_mb: int, fits: bool
+    ) -> None:
+        """Guards against an instance that refuses each long body."""
+        text = LINES.replace('limit_mb=300', f'limit_mb={limit_mb}')
+        findings: tuple[state.Finding, ...] = ()
+        try:
+            platform.decode_settings('node.conf', text)
+        except platform.MalformedError as error:
+            findings = error.findings
+        if fits:
+            assert not findings
+            return
+        (finding,) = findings
+        assert finding.place == 'node.conf.limits.memory_limit_mb'
+        assert '; 11 or more fits' in finding.message
