Count and log each bound of an instance that is reached

A request that was refused before it was read whole (head, body, memory, time to read) never came to the gateway, so no line, no account and no metric told of it but connections_ended{cause="refused"}; OPERATIONS.md named a cause in the account that cannot occur. Nor did anything tell of a full pipeline, of a caller that does not read, of responses that wait for memory, or of connections at their limit before one was evicted.

BoundRecorder counts each bound (skylarktack_bounds_reached_total) and writes "bound reached" with the attempt of the caller where the head is known: one line for each known request, otherwise one a second and bound, so that callers without a request cannot fill the log. Lines that the log drops are counted in skylarktack_log_lines_dropped_total; they cannot go through the recorder, which writes to the same log. send_all tells a caller that is gone from one that does not read.

test_bounds.py fails without the call in _serve_next.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -7,6 +7,9 @@
 from skylarktack.coordination.forwarding._admitted_request import (
     AdmittedRequest,
 )
+from skylarktack.coordination.forwarding._bounds import Bound
+from skylarktack.coordination.forwarding._bounds import BoundReached
+from skylarktack.coordination.forwarding._bounds import BoundRecorder
 from skylarktack.coordination.forwarding._budget import RetryBudget
 from skylarktack.coordination.forwarding._budget import RetryLimits
 from skylarktack.coordination.forwarding._calls import CallForwarder
@@ -170,6 +173,9 @@
 
 __all__ = [
     'BodyLimitExceedsMemory',
+    'Bound',
+    'BoundReached',
+    'BoundRecorder',
     'ANY_VERSION',
     'ExposureLimits',
     'FrontLimitHistory',
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -123,7 +123,8 @@
             self._moves,
             errors,
         )
-        client = transport.HttpTargetClient(codec, memory)
+        bounds = forwarding.BoundRecorder(clock, log)
+        client = transport.HttpTargetClient(codec, memory, bounds)
         quarantine = forwarding.PromptQuarantine(clock, log, self._fleet)
         self._quarantine_keeper = forwarding.QuarantineKeeper(
             clock,
@@ -191,12 +192,12 @@
             codec,
             futures.ThreadPoolExecutor(caller_limit_count),
             errors,
-            transport.ListenerLimits(caller_limit_count, memory),
+            transport.ListenerLimits(caller_limit_count, memory, bounds),
             front,
         )
         self._listeners = [self._front]
         operator_limits = transport.ListenerLimits(
-            OPERATOR_LIMIT_COUNT, memory
+            OPERATOR_LIMIT_COUNT, memory, bounds
         )
         self._readiness_listener: transport.Listener | None = None
         if settings.readiness is not None:
@@ -219,6 +220,7 @@
                     _metrics.MetricsHandler(
                         metrics,
                         _metrics.ConnectionMetrics(self._front),
+                        _metrics.BoundMetrics(bounds, log),
                         _metrics.StoreMetrics(self._era, self._configuration),
                     ),
                     codec,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -165,6 +165,42 @@
         yield ended
 
 
+class DroppedLines(Protocol):
+    """Counts the lines that the log has dropped."""
+
+    def dropped_count(self) -> int:
+        """Return the number of lines since the start."""
+        ...
+
+
+class BoundMetrics:
+    """Counts the bounds of the instance that were reached."""
+
+    def __init__(
+        self, bounds: forwarding.BoundRecorder, log: DroppedLines
+    ) -> None:
+        self._bounds = bounds
+        self._log = log
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metric families; prometheus_client calls this."""
+        from prometheus_client import core
+
+        reached = core.CounterMetricFamily(
+            'skylarktack_bounds_reached',
+            'Times that a bound of the instance was reached.',
+            labels=['bound'],
+        )
+        for bound, count in self._bounds.counts().items():
+            reached.add_metric([bound.value], count)
+        yield reached
+        yield core.CounterMetricFamily(
+            'skylarktack_log_lines_dropped',
+            'Log lines that were dropped because the queue was full.',
+            value=self._log.dropped_count(),
+        )
+
+
 class ConfigurationState(Protocol):
     """Tells which configuration is in force."""
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
@@ -161,6 +161,7 @@
             self.forwarders,
             platform.PlatformMessageCodec(),
             transport.MemoryBudget(data.body_limit_bytes(None)),
+            forwarding.BoundRecorder(ports.SystemClock(), self.log),
         )
         self._task = threading.Thread(target=connection.run)
         self._task.start()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_no_threads.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_no_threads.py
@@ -61,7 +61,11 @@
             platform.PlatformMessageCodec(),
             futures.ThreadPoolExecutor(8),
             errors,
-            transport.ListenerLimits(8, transport.MemoryBudget(1_000_000)),
+            transport.ListenerLimits(
+                8,
+                transport.MemoryBudget(1_000_000),
+                forwarding.BoundRecorder(ports.SystemClock(), log),
+            ),
         )
         accepting = threading.Thread(target=listener.run, daemon=True)
         accepting.start()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_reports.py
@@ -297,6 +297,34 @@
         assert 'skylarktack_connections_ended_total{cause="refused"} 1' in text
 
 
+class _Log(fakes.RecordingLog):
+    """A log that has dropped lines."""
+
+    def dropped_count(self) -> int:
+        return 7
+
+
+class TestBoundMetrics:
+    """Bounds that were reached in the Prometheus text format."""
+
+    def test_text(self) -> None:
+        """Guards against bounds that no metric tells of."""
+        log = _Log()
+        bounds = forwarding.BoundRecorder(fakes.SteppingClock(), log)
+        bounds.record(forwarding.Bound.REQUEST_HEAD)
+        response = _metrics.MetricsHandler(
+            _metrics.BoundMetrics(bounds, log)
+        ).handle(
+            harness.request(), fakes.ScriptedCaller(fakes.SteppingClock())
+        )
+        assert isinstance(response, data.FrontResponse)
+        text = response.body.decode()
+        for bound, count in bounds.counts().items():
+            series = f'bounds_reached_total{{bound="{bound.value}"}}'
+            assert f'skylarktack_{series} {count}.0' in text
+        assert 'skylarktack_log_lines_dropped_total 7.0' in text
+
+
 class _FailingObserver:
     """Fails at each report."""
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
@@ -17,6 +17,9 @@
 #: Maximum number of informational responses before a response.
 MAX_INFORMATIONAL_COUNT = 16
 
+#: Status that h11 suggests if a head, a chunk header or trailers are too long.
+_TOO_LONG_STATUS = 431
+
 #: Size up to which a request's body is sent in one piece with its head. A
 #: longer one is not copied.
 JOINED_BODY_BYTES = 65536
@@ -31,6 +34,10 @@
 )
 
 
+class ResponseLimitError(h11.RemoteProtocolError):
+    """A response exceeds one of the limits on it."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ResponseLimits:
     """Limits on one response."""
@@ -93,11 +100,11 @@
             response exceeds a limit.
         """
         while True:
-            event = self._connection.next_event()
+            event = self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 self._informational_count += 1
                 if self._informational_count > MAX_INFORMATIONAL_COUNT:
-                    raise h11.RemoteProtocolError(
+                    raise ResponseLimitError(
                         'too many informational responses'
                     )
                 continue
@@ -107,6 +114,14 @@
                 self._count(len(event.data))
             return event  # type: ignore[return-value]
 
+    def _next_event(self) -> object:
+        try:
+            return self._connection.next_event()
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == _TOO_LONG_STATUS:
+                raise ResponseLimitError(str(error)) from error
+            raise
+
     def claim_next(self, size_bytes: int) -> int:
         """Return how many bytes may be received now, up to a size.
 
@@ -130,9 +145,7 @@
             return size_bytes
         memory = self._limits.memory
         if memory.exceeds_limit(claimed_bytes):
-            raise h11.RemoteProtocolError(
-                'the buffers of all responses are full'
-            )
+            raise ResponseLimitError('the buffers of all responses are full')
         if not memory.claim_response(claimed_bytes):
             return 0
         self._claimed_bytes = claimed_bytes
@@ -176,15 +189,13 @@
     def _count(self, size_bytes: int) -> None:
         total_bytes = self._body_bytes + size_bytes
         if total_bytes > self._limits.max_body_bytes:
-            raise h11.RemoteProtocolError('the body exceeds the size limit')
+            raise ResponseLimitError('the body exceeds the size limit')
         claimed_bytes = max(0, total_bytes - _memory.EXEMPT_BODY_BYTES)
         missing_bytes = max(0, claimed_bytes - self._claimed_bytes)
         if missing_bytes and not self._limits.memory.claim_response(
             missing_bytes
         ):
-            raise h11.RemoteProtocolError(
-                'the buffers of all responses are full'
-            )
+            raise ResponseLimitError('the buffers of all responses are full')
         self._body_bytes = total_bytes
         self._claimed_bytes += missing_bytes
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_front_connection.py
@@ -42,9 +42,11 @@
         handler: _front_handler.FrontHandler,
         codec: forwarding.MessageCodec,
         memory: _memory.MemoryBudget,
+        bounds: forwarding.BoundRecorder,
     ) -> None:
         self._connection = connection
         self._memory = memory
+        self._bounds = bounds
         self._held_bytes = 0
         self._handler = handler
         self._codec = codec
@@ -53,6 +55,8 @@
             connection, handler, codec, self._phase, memory
         )
         self._has_begun_response = False
+        #: Whether the current request has reached the pipeline limit.
+        self._is_pipeline_full = False
         #: When this connection first noticed the stop, or None.
         self._stopping_since_s: float | None = None
 
@@ -101,6 +105,11 @@
     def fileno(self) -> int:
         """Return the descriptor to poll, or -1 above the pipeline limit."""
         if self._reader.pipelined_bytes > PIPELINE_LIMIT_BYTES:
+            if not self._is_pipeline_full:
+                self._is_pipeline_full = True
+                self._bounds.record(
+                    forwarding.Bound.PIPELINED_BYTES, self._reader.attempt_id
+                )
             return -1
         return self._connection.fileno()
 
@@ -134,6 +143,7 @@
             if end is not None:
                 return end
             self._has_begun_response = False
+            self._is_pipeline_full = False
             self._reader.start_next_cycle()
 
     def _serve_next(self) -> ConnectionEnd | None:
@@ -142,6 +152,7 @@
         if isinstance(received, ConnectionEnd):
             return received
         if isinstance(received, data.Refusal):
+            self._bounds.record_refusal(received, self._reader.attempt_id)
             # A body that is dropped needs no memory.
             self._reader.release_body()
             self._send_response(
@@ -152,8 +163,10 @@
             if received.reason is data.RefusalReason.READ_TIMEOUT:
                 # A caller that sends too slowly would be waited for again.
                 self._reader.discard_briefly()
-            else:
-                self._reader.discard_rest()
+            elif not self._reader.discard_rest():
+                self._bounds.record(
+                    forwarding.Bound.REFUSED_REQUEST, self._reader.attempt_id
+                )
             return ConnectionEnd.REFUSED
         outcome = self._handler.handle(received, self)
         # The body is not needed while the caller reads its response.
@@ -267,7 +280,12 @@
 
     def _write(self, outgoing: bytes) -> bool:
         """Write all bytes; return False if the caller is gone or stalled."""
-        if _sockets.send_all(self._connection, outgoing):
+        sent = _sockets.send_all(self._connection, outgoing)
+        if sent is _sockets.SendResult.SENT:
             return True
+        if sent is _sockets.SendResult.STALLED:
+            self._bounds.record(
+                forwarding.Bound.RESPONSE_WRITE_TIME, self._reader.attempt_id
+            )
         self._reader.has_disconnected = True
         return False
--- a/packages/transport/src/skylarktack/transport/forwarding/_http_exchange.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_http_exchange.py
@@ -22,12 +22,18 @@
         codec: forwarding.MessageCodec,
         attempt_id: str,
         is_stream: bool = False,
+        bounds: forwarding.BoundRecorder | None = None,
     ) -> None:
+        """Create an exchange over an open connection.
+
+        :param bounds: records the bounds that it reaches, or None.
+        """
         self._connection = connection
         self._parser = parser
         self._codec = codec
         self._attempt_id = attempt_id
         self._is_stream = is_stream
+        self._bounds = bounds
         self._has_ended = False
         #: Whether the rest of the response waits for memory.
         self.is_held_back = False
@@ -114,9 +120,12 @@
         try:
             size_bytes = self._parser.claim_next(_sockets.READ_SIZE_BYTES)
         except h11.RemoteProtocolError as error:
-            return [_exchange_faults.malformed(error)]
+            return [self._malformed(error)]
+        was_held_back = self.is_held_back
         self.is_held_back = size_bytes == 0
         if self.is_held_back:
+            if not was_held_back:
+                self._record(forwarding.Bound.RESPONSE_MEMORY, '')
             return []
         try:
             received = self._connection.recv(size_bytes)
@@ -136,7 +145,18 @@
                         'the connection ended within the answer'
                     )
                 ]
-            return [_exchange_faults.malformed(error)]
+            return [self._malformed(error)]
+
+    def _malformed(
+        self, error: h11.RemoteProtocolError
+    ) -> forwarding.ExchangeFault:
+        if isinstance(error, _bounded_response.ResponseLimitError):
+            self._record(forwarding.Bound.RESPONSE_SIZE, str(error))
+        return _exchange_faults.malformed(error)
+
+    def _record(self, bound: forwarding.Bound, detail: str) -> None:
+        if self._bounds is not None:
+            self._bounds.record(bound, self._attempt_id, detail)
 
     def _parse(self) -> list[forwarding.ResponseEvent]:
         events: list[forwarding.ResponseEvent] = []
--- a/packages/transport/src/skylarktack/transport/forwarding/_line_log.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_line_log.py
@@ -29,7 +29,9 @@
         self._instance = instance
         self._descriptor = descriptor
         self._lines: queue.Queue[str | None] = queue.Queue(QUEUE_LIMIT_COUNT)
+        #: Lines dropped since the start, and those that a line has named.
         self._dropped_count = 0
+        self._reported_count = 0
         self._lock = threading.Lock()
         self._ended = threading.Event()
 
@@ -41,6 +43,11 @@
             with self._lock:
                 self._dropped_count += 1
 
+    def dropped_count(self) -> int:
+        """Return the number of dropped lines since the start."""
+        with self._lock:
+            return self._dropped_count
+
     def run(self) -> None:
         """Write queued lines until the log is closed."""
         while True:
@@ -48,8 +55,8 @@
             if line is None:
                 break
             with self._lock:
-                dropped_count = self._dropped_count
-                self._dropped_count = 0
+                dropped_count = self._dropped_count - self._reported_count
+                self._reported_count = self._dropped_count
             if dropped_count:
                 self._write(
                     self._encode(forwarding.LogLinesDropped(dropped_count))
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -43,6 +43,9 @@
     #: Budget of the bodies of requests.
     memory: _memory.MemoryBudget
 
+    #: Records the limits that are reached.
+    bounds: forwarding.BoundRecorder
+
 
 class Listener:
     """Accepts connections on one address and tracks those that are open."""
@@ -97,7 +100,11 @@
                 continue
             self._make_room()
             connection = _front_connection.FrontConnection(
-                accepted, self._handler, self._codec, self._limits.memory
+                accepted,
+                self._handler,
+                self._codec,
+                self._limits.memory,
+                self._limits.bounds,
             )
             with self._lock:
                 self._open.add(connection)
@@ -165,6 +172,8 @@
 
     def _make_room(self) -> None:
         """Wait until one more connection may be open."""
+        if self.open_count() >= self._limits.max_open_count:
+            self._limits.bounds.record(forwarding.Bound.CONNECTIONS)
         while not self._is_closed:
             with self._lock:
                 if len(self._open) < self._limits.max_open_count:
--- a/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
@@ -75,6 +75,17 @@
         self.has_disconnected = False
         #: Whether the request that was read last wants no body in its answer.
         self.is_head_request = False
+        self._head: data.RequestHead | None = None
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the attempt that is read or was read last, or empty."""
+        if self._head is None:
+            return ''
+        request = self._codec.decode_request(self._head, b'', has_body=False)
+        if isinstance(request, data.Refusal):
+            return ''
+        return request.attempt_id
 
     def start_next_cycle(self) -> None:
         """Prepare for the request after a response."""
@@ -121,6 +132,7 @@
         """
         partial = _PartialRequest()
         self.is_head_request = False
+        self._head = None
         while True:
             try:
                 event = self.parser.next_event()
@@ -145,10 +157,12 @@
                 return self._handle_end(partial.head, partial)
             return _connection_phase.ConnectionEnd.CALLER
 
-    def discard_rest(self) -> None:
+    def discard_rest(self) -> bool:
         """Discard what a refused caller still sends.
 
         It has ``LINGER_S`` to read the refusal after the rest of its body.
+
+        :return: False if it had not ended at the limit of time or size.
         """
         lingering = _lingering.Lingering(time.monotonic())
         while not self._has_read_all():
@@ -158,13 +172,14 @@
                 )
             )
             if not received:
-                return
+                return lingering.remaining_s(time.monotonic()) > 0
             lingering.record_received(len(received), time.monotonic())
             # Without a head, or after a malformed part, nothing tells where
             # the request ends.
             if self.parser.their_state is h11.SEND_BODY:
                 self.parser.receive_data(received)
         self.discard_briefly()
+        return True
 
     def discard_briefly(self) -> None:
         """Discard what arrives within ``LINGER_S`` or before the end."""
@@ -198,6 +213,7 @@
             target=event.target,
             headers=tuple(event.headers.raw_items()),
         )
+        self._head = partial.head
         self.is_head_request = event.method == b'HEAD'
         partial.has_body = _request_framing.has_body(partial.head.headers)
         if _request_framing.has_conflicting_lengths(partial.head.headers):
@@ -322,5 +338,6 @@
     def _send_continue(self) -> None:
         interim = h11.InformationalResponse(status_code=100, headers=[])
         content = self.parser.send(interim) or b''
-        if not _sockets.send_all(self._connection, content):
+        sent = _sockets.send_all(self._connection, content)
+        if sent is not _sockets.SendResult.SENT:
             self.has_disconnected = True
--- a/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
@@ -2,6 +2,7 @@
 
 import array
 import contextlib
+import enum
 import fcntl
 import select
 import socket
@@ -94,17 +95,29 @@
     return 0
 
 
-def send_all(connection: socket.socket, outgoing: bytes) -> bool:
-    """Send all bytes; return False if the peer is gone or does not read."""
+class SendResult(enum.Enum):
+    """What became of bytes that were to be sent."""
+
+    SENT = 'sent'
+
+    #: The peer has closed the connection.
+    DISCONNECTED = 'disconnected'
+
+    #: The peer read nothing for ``WRITE_STALL_S``.
+    STALLED = 'stalled'
+
+
+def send_all(connection: socket.socket, outgoing: bytes) -> SendResult:
+    """Send all bytes, unless the peer is gone or does not read."""
     view = memoryview(outgoing)
     while view:
         try:
             sent_bytes = connection.send(view)
         except BlockingIOError:
             if not wait_for(connection, select.POLLOUT, WRITE_STALL_S):
-                return False
+                return SendResult.STALLED
             continue
         except OSError:
-            return False
+            return SendResult.DISCONNECTED
         view = view[sent_bytes:]
-    return True
+    return SendResult.SENT
--- a/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_target_client.py
@@ -39,13 +39,16 @@
         self,
         codec: forwarding.MessageCodec,
         memory: _memory.MemoryBudget | None = None,
+        bounds: forwarding.BoundRecorder | None = None,
     ) -> None:
         """Create a client.
 
         :param memory: budget of the bodies of responses; None for one of
             its own.
+        :param bounds: records the bounds that responses reach, or None.
         """
         self._codec = codec
+        self._bounds = bounds
         self._control = _control_requests.ControlRequests(codec)
         self._memory = memory or _memory.MemoryBudget(
             data.body_limit_bytes(None)
@@ -96,6 +99,7 @@
             self._codec,
             request.attempt_id,
             delivery.is_stream,
+            self._bounds,
         )
         exchange.send(outgoing)
         return exchange
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/front_harness.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 
+from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.protocol import forwarding as messages
 from skylarktack.state import forwarding as data
@@ -173,6 +174,7 @@
         memory: transport.MemoryBudget | None = None,
     ) -> None:
         self.handler = handler or RecordingHandler()
+        self.log = fakes.RecordingLog()
         self.memory = memory or transport.MemoryBudget(
             data.body_limit_bytes(None)
         )
@@ -185,6 +187,7 @@
             self.handler,
             PassThroughCodec(),
             self.memory,
+            forwarding.BoundRecorder(fakes.SteppingClock(), self.log),
         )
         self._task = threading.Thread(target=self.connection.run)
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
@@ -119,6 +120,12 @@
         exchange.close()
 
 
+def _recorder() -> forwarding.BoundRecorder:
+    return forwarding.BoundRecorder(
+        fakes.SteppingClock(), fakes.RecordingLog()
+    )
+
+
 def _has_fault(events: tuple[forwarding.ResponseEvent, ...]) -> bool:
     return any(isinstance(e, forwarding.ExchangeFault) for e in events)
 
@@ -133,13 +140,18 @@
     )
     def test_response(self, prefix: bytes, repeated: bytes) -> None:
         """Guards against a response that fills the memory of the instance."""
-        client = transport.HttpTargetClient(front_harness.PassThroughCodec())
+        bounds = _recorder()
+        client = transport.HttpTargetClient(
+            front_harness.PassThroughCodec(), bounds=bounds
+        )
         faults = []
         with _serving(prefix, repeated) as server:
             peak_bytes = _peak_bytes(
                 lambda: faults.append(_read_until_fault(client, server))
             )
         assert faults[0].kind is forwarding.FaultKind.MALFORMED
+        is_http = not repeated.startswith(b'\x00')
+        assert bounds.counts()[forwarding.Bound.RESPONSE_SIZE] == is_http
         assert peak_bytes < MAX_PEAK_BYTES
 
     def test_responses_share_a_budget(self) -> None:
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
@@ -26,12 +26,16 @@
 
 def _limits(max_open_count: int) -> transport.ListenerLimits:
     memory = transport.MemoryBudget(data.body_limit_bytes(None))
-    return transport.ListenerLimits(max_open_count, memory)
+    bounds = forwarding.BoundRecorder(
+        fakes.SteppingClock(), fakes.RecordingLog()
+    )
+    return transport.ListenerLimits(max_open_count, memory, bounds)
 
 
 @contextlib.contextmanager
 def _listening(
     handler: front_harness.RecordingHandler,
+    limits: transport.ListenerLimits | None = None,
 ) -> Iterator[transport.Listener]:
     """Serve callers with as many tasks as there may be connections."""
     errors = forwarding.ErrorRecorder(
@@ -47,7 +51,7 @@
             front_harness.PassThroughCodec(),
             tasks,
             errors,
-            _limits(MAX_OPEN_COUNT),
+            limits or _limits(MAX_OPEN_COUNT),
         )
         running = accepting.submit(listener.run)
         try:
@@ -81,12 +85,16 @@
 
         Idle connections that callers keep open used up the tasks.
         """
-        with _listening(front_harness.RecordingHandler()) as listener:
+        limits = _limits(MAX_OPEN_COUNT)
+        handler = front_harness.RecordingHandler()
+        with _listening(handler, limits) as listener:
             callers = []
             for _ in range(3 * MAX_OPEN_COUNT):
                 caller = _connect(listener.endpoint, GET)
                 assert _has_answer(caller)
                 callers.append(caller)
+            counts = limits.bounds.counts()
+            assert counts[forwarding.Bound.CONNECTIONS] == 2 * MAX_OPEN_COUNT
             newest = callers[-MAX_OPEN_COUNT:]
             for caller in callers[:-MAX_OPEN_COUNT]:
                 assert caller.recv(1) == b''
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
@@ -135,8 +136,11 @@
         limit_bytes = 10_000_000
         memory = transport.MemoryBudget(limit_bytes)
         memory.hold_response(limit_bytes)
+        bounds = forwarding.BoundRecorder(
+            fakes.SteppingClock(), fakes.RecordingLog()
+        )
         client = transport.HttpTargetClient(
-            front_harness.PassThroughCodec(), memory
+            front_harness.PassThroughCodec(), memory, bounds
         )
         body = b'x' * 500_000
         framing = b'\r\n'
@@ -167,6 +171,7 @@
                         received += event.data
                     has_ended = isinstance(event, forwarding.ResponseEnd)
             assert received == body
+            assert bounds.counts()[forwarding.Bound.RESPONSE_MEMORY] == 1
             assert not memory.claim_response(limit_bytes)
             sent.close()
         assert memory.claim_response(limit_bytes)
