Name the bound that ended a request in explain

explain knew no line about a request that was refused before it was read whole, and described one that had waited for memory or whose caller had not read the response as "time limit expired" or "Served.".

It reads the lines "bound reached" now: the bound is the cause of a request without an end of its own, and is added to the cause of a failed one. Bounds that were reached without a request are shown with the state of the instance.

The golden file gains three requests and changes nowhere else; test_golden_explanations fails with the former _explain.py.

--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -40,6 +40,30 @@
 }
 
 
+#: Part of the lines about bounds that were reached.
+_BOUND_PART = 'bound'
+
+#: Explanations of the bounds for which an instance refuses a request before
+#: it is read whole. The keys are the bounds of log lines.
+_EXPLANATION_BY_REFUSING_BOUND = {
+    'request_head': _EXPLANATION_BY_REASON['header_too_large'],
+    'request_body': _EXPLANATION_BY_REASON['body_too_large'],
+    'request_read_time': _EXPLANATION_BY_REASON['read_timeout'],
+    'request_memory': 'The bodies of other requests took all memory that the '
+    'instance has for them; the request was not executed.',
+}
+
+#: The same for those that end a request after it was read.
+_EXPLANATION_BY_BOUND = {
+    'response_memory': 'The response had to wait for memory.',
+    'response_size': 'A response of a target exceeded a size limit.',
+    'response_write_time': 'The caller did not read the response within the '
+    'time limit.',
+}
+
+_SERVED_OUTCOMES = frozenset(('answered', 'streamed'))
+
+
 def explain_request(
     request: str, lines: Iterable[messages.LogLine]
 ) -> list[str]:
@@ -54,6 +78,9 @@
         return [f'No line is about the request {request}.']
     output = []
     for line in request_lines:
+        if line.part == _BOUND_PART:
+            output.append(_bound_line(line))
+            continue
         started_s = line.time_s - _float_field(line, 'duration_ms') / 1000
         output.extend(_cached_state(line, started_s, ordered))
         output.append(
@@ -69,10 +96,49 @@
             f'{line.fields.get("outcome")} after '
             f'{line.fields.get("duration_ms")} ms'
         )
-    output.append(f'Cause: {describe_cause(request_lines[-1])}')
+    output.append(f'Cause: {_describe_end(request_lines)}')
     return output
 
 
+def _describe_end(request_lines: list[messages.LogLine]) -> str:
+    """Return why a request ended, with the bound that ended it, if any."""
+    bounds = [line for line in request_lines if line.part == _BOUND_PART]
+    ends = [line for line in request_lines if line.part != _BOUND_PART]
+    if not ends:
+        return _describe_refusing_bound(bounds)
+    cause = describe_cause(ends[-1])
+    for line in reversed(bounds):
+        bound = str(line.fields.get('bound'))
+        explanation = _EXPLANATION_BY_BOUND.get(bound)
+        # A response that nobody reads counts as served when it is sent.
+        is_served = ends[-1].fields.get('outcome') in _SERVED_OUTCOMES
+        if is_served and bound != 'response_write_time':
+            continue
+        if explanation is not None:
+            return f'{cause} {explanation}'
+    return cause
+
+
+def _describe_refusing_bound(bounds: list[messages.LogLine]) -> str:
+    for line in bounds:
+        bound = str(line.fields.get('bound'))
+        explanation = _EXPLANATION_BY_REFUSING_BOUND.get(bound)
+        if explanation is None:
+            continue
+        detail = line.fields.get('detail')
+        return f'{explanation} ({detail})' if detail else explanation
+    return 'No line tells how the request ended.'
+
+
+def _bound_line(line: messages.LogLine) -> str:
+    detail = line.fields.get('detail')
+    return (
+        f'{line.time_s:.3f} {line.instance} bound: '
+        f'{line.fields.get("bound")} reached'
+        + (f' ({detail})' if detail else '')
+    )
+
+
 def describe_cause(line: messages.LogLine) -> str:
     """Return a human-readable description of why the request ended."""
     outcome = str(line.fields.get('outcome'))
@@ -154,6 +220,8 @@
             continue
         if other.part == 'target' and other.fields.get('target') in targets:
             latest[('target', other.fields.get('target'))] = other
+        if other.part == _BOUND_PART and not other.request:
+            latest[('bound', other.fields.get('bound'))] = other
         if other.part in ('store', 'instance'):
             latest[(other.part, other.fields.get('kind'))] = other
     for other in sorted(latest.values(), key=lambda found: found.time_s):
--- a/packages/cli/src/skylarktack/cli/tests/test_explain.py
+++ b/packages/cli/src/skylarktack/cli/tests/test_explain.py
@@ -19,6 +19,9 @@
     'returned-late',
     'unfinished-stream',
     'refused-run',
+    'refused-body',
+    'waited-for-memory',
+    'unread-response',
     'unknown',
 )
 
