--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -67,6 +67,8 @@
         self._socket = opened or _listening.listen(
             endpoint.host, endpoint.port
         )
+        #: Names the listener in log lines, also once its socket is closed.
+        self._bound_to = str(self.endpoint)
         self._handler = handler
         self._codec = codec
         self._tasks = tasks
@@ -173,7 +175,10 @@
     def _make_room(self) -> None:
         """Wait until one more connection may be open."""
         if self.open_count() >= self._limits.max_open_count:
-            self._limits.bounds.record(forwarding.Bound.CONNECTIONS)
+            self._limits.bounds.record(
+                forwarding.Bound.CONNECTIONS,
+                detail=f'{self._limits.max_open_count} at {self._bound_to}',
+            )
         while not self._is_closed:
             with self._lock:
                 if len(self._open) < self._limits.max_open_count:
