--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -43,6 +43,9 @@
     #: Budget of the bodies of requests.
     memory: _memory.MemoryBudget
 
+    #: Records the limits that are reached.
+    bounds: forwarding.BoundRecorder
+
 
 class Listener:
     """Accepts connections on one address and tracks those that are open."""
@@ -64,6 +67,8 @@
         self._socket = opened or _listening.listen(
             endpoint.host, endpoint.port
         )
+        #: Names the listener in log lines, also once its socket is closed.
+        self._bound_to = str(self.endpoint)
         self._handler = handler
         self._codec = codec
         self._tasks = tasks
@@ -97,7 +102,11 @@
                 continue
             self._make_room()
             connection = _front_connection.FrontConnection(
-                accepted, self._handler, self._codec, self._limits.memory
+                accepted,
+                self._handler,
+                self._codec,
+                self._limits.memory,
+                self._limits.bounds,
             )
             with self._lock:
                 self._open.add(connection)
@@ -165,6 +174,11 @@
 
     def _make_room(self) -> None:
         """Wait until one more connection may be open."""
+        if self.open_count() >= self._limits.max_open_count:
+            self._limits.bounds.record(
+                forwarding.Bound.CONNECTIONS,
+                detail=f'{self._limits.max_open_count} at {self._bound_to}',
+            )
         while not self._is_closed:
             with self._lock:
                 if len(self._open) < self._limits.max_open_count:
