Keep the part of the retry budget that requests add for new instances

What requests add needs no room for instances that were killed: those that start count only the requests since their start, and the requests before them paid for the retries before them. Only the fixed allowance may be spent twice in a window. The smaller share applies to it alone now.

test_replaced_instances_may_have_spent_theirs holds for all ten rows.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_budget.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_budget.py
@@ -12,9 +12,11 @@
 #: of date, so several instances may spend the same remainder.
 BUDGET_SHARE = 0.75
 
-#: The same while all instances are younger than the window. Those before them
-#: may have used their share in the same window, and their counts are lost.
-NEW_FLEET_BUDGET_SHARE = 0.2
+#: Share of the fixed allowance that is used while all instances are younger
+#: than the window. Those before them may have used theirs in the same window,
+#: and their counts are lost. What requests add to the budget needs no such
+#: room, since only those that arrived since the start are known.
+NEW_FLEET_ALLOWANCE_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,16 +71,17 @@
         """
         peers = self._fleet.peer_counts(service)
         live_share = self._fleet.live_share()
-        budget_share = self._budget_share()
+        allowance_share = self._allowance_share()
         with self._lock:
             request_count = peers.request_count + len(
                 self._recent(self._requests, service)
             )
             retries = self._recent(self._retries, service)
-            limit = self._limits.ratio * request_count
-            limit += self._limits.allowance_count * live_share
+            limit = BUDGET_SHARE * self._limits.ratio * request_count
+            allowance = self._limits.allowance_count * live_share
+            limit += allowance_share * allowance
             spent_count = peers.retry_count + len(retries)
-            if spent_count + 1 > budget_share * limit:
+            if spent_count + 1 > limit:
                 return False
             retries.append(self._clock.monotonic_s())
             return True
@@ -104,10 +107,10 @@
             if retries:
                 retries.pop()
 
-    def _budget_share(self) -> float:
+    def _allowance_share(self) -> float:
         established_share = self._fleet.established_share(self._window_s)
-        return NEW_FLEET_BUDGET_SHARE + established_share * (
-            BUDGET_SHARE - NEW_FLEET_BUDGET_SHARE
+        return NEW_FLEET_ALLOWANCE_SHARE + established_share * (
+            BUDGET_SHARE - NEW_FLEET_ALLOWANCE_SHARE
         )
 
     def _recent(
