Test that an engine that stops in order is evidence against its prompt

The test keeps ten of these places; the caller of the harness sends two prompt parts, since the last part of a prompt is not observed.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/raw_target.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/raw_target.py
@@ -22,7 +22,7 @@
     parts: tuple[bytes | float, ...]
 
     #: ``stay`` keeps the connection open until the caller closes it, ``end``
-    #: closes it, and ``reset`` resets it.
+    #: closes it, ``reset`` resets it, and ``stop`` closes the listener first.
     ending: str = 'stay'
 
     #: Whether the target answers as soon as it has read the head.
@@ -118,6 +118,8 @@
                 connection.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
                 )
+            if answer.ending == 'stop':
+                self.close()
             if answer.ending == 'stay':
                 body += read_exactly(connection, sys.maxsize)
         finally:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
@@ -78,6 +78,7 @@
         )
         self.targets.replace(listed, after_outage=False)
         client = transport.HttpTargetClient(platform.PlatformMessageCodec())
+        self.quarantine = forwarding.PromptQuarantine(clock, log, fleet)
         budget = forwarding.RetryBudget(
             clock, forwarding.RetryLimits(0.8, 100.0, 10.0), fleet
         )
@@ -91,7 +92,7 @@
                 client=client,
                 fleet=fleet,
                 budget=budget,
-                quarantine=forwarding.PromptQuarantine(clock, log, fleet),
+                quarantine=self.quarantine,
                 new_splitter=messages.EventStreamSplitter,
                 errors=errors,
             )
@@ -176,7 +177,7 @@
         length = str(len(body)).encode()
         self.caller.sendall(
             b'POST /a/x HTTP/%s\r\nHost: host.example\r\nAttempt-Id: %s\r\n'
-            b'Prompt-Prefix: 1:10\r\nContent-Length: %s\r\n\r\n%s'
+            b'Prompt-Prefix: 1:10,2:10\r\nContent-Length: %s\r\n\r\n%s'
             % (version, attempt_id, length, body)
         )
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_broken_streams.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_broken_streams.py
@@ -302,6 +302,40 @@
         assert received.is_complete
 
 
+#: What an engine has sent of a response when its process stops.
+UNFINISHED = {
+    'nothing': b'',
+    'part of the status line': b'HTTP/1.1 20',
+    'head': HEAD,
+    'head of chunks': HEAD + CHUNKED,
+    'head of a body to the end of the connection': HEAD + b'\r\n',
+    'head with a length': HEAD + b'Content-Length: 50\r\n\r\n',
+    'part of a chunk size': HEAD + CHUNKED + b'5\r',
+    'part of an event in chunks': HEAD + CHUNKED + _chunk(b'id: 1'),
+    'part of an event to the end': HEAD + b'\r\nid: 1',
+    'event in chunks': HEAD + CHUNKED + _chunk(_events(1, 1)),
+}
+
+
+class TestStoppedEngine:
+    """An engine that closes its connections in order as it stops."""
+
+    @pytest.mark.parametrize(
+        'sent', UNFINISHED.values(), ids=UNFINISHED.keys()
+    )
+    def test_loss_is_evidence(self, sent: bytes) -> None:
+        """Guards against engines that stop one by one under a prompt."""
+        answer = raw_target.Answer((sent,), 'stop')
+        with response_harness.serving(
+            RESUMABLE, answer, _whole_stream(1, 2)
+        ) as harness:
+            harness.send()
+            harness.read_stream()
+            evidence = harness.forwarders.quarantine.evidence(is_full=True)
+            engines = [loss.engine for loss in evidence.losses]
+            assert engines == [harness.requests[0].target]
+
+
 class TestEndWithConnection:
     """Streams with neither a length nor chunks."""
 
