Bound the rate at which tasks read a restored store again

What operators could see: a store whose responses each name the next era (a counter in place of the era, or two restores in quick succession) was read without any pause by each instance: by both keepers of stored records, by the task that lists the peers and by each watcher.

Cause: the response to the read that follows a restore names a later era, so that the task is woken again at once.

A task handles at most one restore a second. A watcher marks its objects stale at once, as before, and waits with the list only. A first restore is read as early as before; one within a second of another is read up to a second later.

Ruled out: that the loops turn quickly while the store answers in an old era or not at all.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from skylarktack.coordination.forwarding import _fleet
+from skylarktack.coordination.forwarding import _restore_pause
 from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -190,6 +191,7 @@
         self._peer = peer
         self._may_be_stale = True
         self._never_set = threading.Event()
+        self._pause = _restore_pause.RestorePause(clock)
         self._is_restored = threading.Event()
         era.add_listener(self._is_restored)
 
@@ -208,6 +210,7 @@
         :return: time until the next step, unless the store is restored before.
         """
         if self._is_restored.is_set():
+            self._pause.wait(self._never_set)
             self._is_restored.clear()
             self._may_be_stale = False
             max_wait_s = self.RESTORE_SPREAD_PER_INSTANCE_S * (
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_record_writers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_record_writers.py
@@ -8,6 +8,7 @@
 import threading
 from typing import Protocol
 
+from skylarktack.coordination.forwarding import _restore_pause
 from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.ports import Clock
 
@@ -67,6 +68,8 @@
         self._clock = clock
         self._writer_order = writer_order
         self._compare_again_at_s: float | None = None
+        self._pause = _restore_pause.RestorePause(clock)
+        self._never_set = threading.Event()
         self._is_restored = threading.Event()
         era.add_listener(self._is_restored)
         # Set last, since the task then looks at the event above.
@@ -74,14 +77,15 @@
 
     def wait_if_due(self) -> bool:
         """Return whether to compare now, after writers of lower ranks."""
-        now_s = self._clock.monotonic_s()
         if self._is_restored.is_set():
+            self._pause.wait(self._never_set)
             self._is_restored.clear()
+            now_s = self._clock.monotonic_s()
             self._compare_again_at_s = now_s + COMPARE_AGAIN_S
             return self._writer_order.wait()
         if self._compare_again_at_s is None:
             return False
-        if now_s < self._compare_again_at_s:
+        if self._clock.monotonic_s() < self._compare_again_at_s:
             return False
         self._compare_again_at_s = None
         return self._writer_order.wait()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _restore_pause
 from skylarktack.coordination.forwarding import _shared_watch
 from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.forwarding import _store_events
@@ -75,6 +76,7 @@
         #: be listed; None before the first list.
         self._known_era: int | None = None
         self._follows_restore = False
+        self._restore_pause = _restore_pause.RestorePause(clock)
         self._must_catch_up = False
         self._must_list = False
 
@@ -88,7 +90,10 @@
         while not self._stopped.is_set():
             if self._is_restored(self._era.current):
                 self._record_restore(self._era.current)
+                self._restore_pause.wait(self._stopped)
                 self._wait_to_list()
+                # The next list is also that of a restore during the wait.
+                self._known_era = self._era.current
                 position = None
                 continue
             if position is not None and not self._asks_store():
