Try no version before the first reports of the peers are due

What callers could see: an instance that started while the store did not show the end of a move sent up to 0.3 of the requests to a version that its peers had stopped, until their first reports (0.4 s, more in a large fleet): after a restore from a copy that lacks the phase, or while the stop is not recorded.

An instance with peers now sends its canary requests to other versions for 1 s from its first list of instances, longer in fleets whose reports have a longer interval. Without an eligible target of another version they go to the new one as before, so that no request is refused by the wait: VersionRule.avoided. A move that is ordered later is not delayed, nor is a single instance.

Evidence: test_stopped_version_gets_no_canaries; without the wait the instance uses {'v1', 'v2'} before the first report in fleets of 2, 9 and 91. The three other tests of TestCanariesAfterStart guard the opposite. The tests of coordination/forwarding, test_platform_sessions.py and test_restored_sessions.py pass.

Ruled out: waiting for a report of each peer, since one that is down would hold the move; waiting only after a restore, of which an instance that starts knows nothing.

Not measured: how many moves end late or without enough evidence because instances were restarted within them; each loses 1 s of its canary share.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -115,7 +115,7 @@
         self._peers = _peer_table.PeerTable(clock, self._placements)
         self._failure_listener: TargetFailureListener | None = None
         self._is_full_report_due = True
-        self._has_listed = False
+        self._first_listed_at_s: float | None = None
         self._change_meter = _rate_meter.RateMeter()
 
     def set_failure_listener(self, listener: TargetFailureListener) -> None:
@@ -192,7 +192,8 @@
                     continue
                 self._peers.add(listed)
             self._is_full_report_due = True
-            self._has_listed = True
+            if self._first_listed_at_s is None:
+                self._first_listed_at_s = self._clock.monotonic_s()
             self.outgoing.wake()
 
     def receive(self, report: data.InstanceReport) -> None:
@@ -264,7 +265,14 @@
         that has just started cannot tell how many others there are.
         """
         with self._lock:
-            return 1 + len(self._peers.by_name) if self._has_listed else 0
+            if self._first_listed_at_s is None:
+                return 0
+            return 1 + len(self._peers.by_name)
+
+    def first_listed_at_s(self) -> float | None:
+        """Return the monotonic time of the first list of instances."""
+        with self._lock:
+            return self._first_listed_at_s
 
     def is_small(self, limit_count: int) -> bool:
         """Return whether the fleet is known to have few instances.
@@ -272,7 +280,9 @@
         :param limit_count: maximum number of instances, with this one.
         """
         with self._lock:
-            return self._has_listed and len(self._peers.by_name) < limit_count
+            if self._first_listed_at_s is None:
+                return False
+            return len(self._peers.by_name) < limit_count
 
     def is_outranked_by(self, name: str) -> bool:
         """Return whether an instance has a lower rank than this one."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -31,6 +31,11 @@
 #: Size that is assumed before the first report was sent.
 TYPICAL_REPORT_BYTES = 500.0
 
+#: Time from the first list of instances within which the peers' reports
+#: arrive, if it is longer than their interval. They learn of an instance by
+#: its first report, and check their moves in intervals.
+FIRST_REPORTS_WAIT_S = 1.0
+
 #: Number of report intervals without an aggregate for the fleet after which
 #: the next collector sends its own.
 COLLECTOR_TIMEOUT_COUNT = 2.5
@@ -108,9 +113,12 @@
                 self._fleet.expected_count(),
                 tuple(leaders),
             )
+            self._hold_canaries()
             self._table.set_topology(topology)
             self._report(topology, leaders)
-            self._next_report_s = now_s + self._interval_s(topology)
+            self._next_report_s = now_s + _interval_s(
+                len(topology.leaders), self._report_bytes
+            )
         for service in self._table.open_services():
             phase = self._table.decide(service)
             order = self._table.order_of(service)
@@ -122,17 +130,22 @@
             if self._clock.monotonic_s() >= self._next_write_s:
                 self._write(order, phase)
 
-    def _interval_s(
-        self, topology: _move_evidence.AggregationTopology
-    ) -> float:
-        """Return the interval between two reports.
+    def _hold_canaries(self) -> None:
+        """Try no version before the first reports of the peers are due.
 
-        It limits what a collector receives from the members of its group and
-        from all other leaders.
+        They may have stopped it while the store does not show that, because
+        it was restored from a copy or is not available.
         """
-        sender_count = 2 * len(topology.leaders)
-        received_bytes = sender_count * self._report_bytes
-        return max(REPORT_INTERVAL_S, received_bytes / REPORT_BYTES_PER_S)
+        listed_at_s = self._fleet.first_listed_at_s()
+        expected_count = self._fleet.expected_count()
+        if listed_at_s is None or expected_count < 2:
+            return
+        interval_s = _interval_s(
+            _move_evidence.leader_count(expected_count),
+            max(self._report_bytes, TYPICAL_REPORT_BYTES),
+        )
+        wait_s = max(FIRST_REPORTS_WAIT_S, interval_s + CHECK_INTERVAL_S)
+        self._table.hold_canaries(listed_at_s + wait_s)
 
     def _report(
         self,
@@ -175,7 +188,8 @@
         self, topology: _move_evidence.AggregationTopology
     ) -> bool:
         """Return whether an earlier collector recently sent an aggregate."""
-        timeout_s = COLLECTOR_TIMEOUT_COUNT * self._interval_s(topology)
+        interval_s = _interval_s(len(topology.leaders), self._report_bytes)
+        timeout_s = COLLECTOR_TIMEOUT_COUNT * interval_s
         position = topology.collectors.index(self._fleet.instance)
         return self._table.has_fleet_aggregate(
             topology.collectors[:position],
@@ -193,3 +207,15 @@
             )
             return
         self._table.apply(result)
+
+
+def _interval_s(leader_count: int, report_bytes: float) -> float:
+    """Return the interval between two reports.
+
+    It limits what a collector receives from the members of its group and from
+    all other leaders.
+
+    :param report_bytes: size of one report.
+    """
+    received_bytes = 2 * leader_count * report_bytes
+    return max(REPORT_INTERVAL_S, received_bytes / REPORT_BYTES_PER_S)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_moves.py
@@ -249,6 +249,11 @@
             for move in self._moves.values():
                 move.evidence.set_topology(topology)
 
+    def hold_canaries(self, until_s: float) -> None:
+        """Try no version before a monotonic time; see ``VersionChoice``."""
+        with self._lock:
+            self._choice.hold_canaries(until_s)
+
     def reports(
         self,
         instance: str,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_candidates.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_candidates.py
@@ -53,14 +53,11 @@
                 suspect.append(target)
                 continue
             healthy.append(target)
-        if rule.preferred is not None:
-            preferred = []
-            for target in healthy:
-                if target.version == rule.preferred:
-                    preferred.append(target)
-            if preferred:
-                return preferred
-        return healthy or suspect or ejected
+        preferred = []
+        for target in healthy:
+            if rule.prefers(target.version):
+                preferred.append(target)
+        return preferred or healthy or suspect or ejected
 
     def next_pause_end_s(
         self, service: str, rule: _version_rules.VersionRule
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_choice.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_choice.py
@@ -1,6 +1,7 @@
 """Choice of the versions to which a request may be sent during a move."""
 
 from collections.abc import Callable
+import math
 
 from skylarktack import state
 from skylarktack.coordination.forwarding import _exposure
@@ -26,6 +27,14 @@
         self._clock = clock
         self._limits = limits
         self._draw = draw
+        self._canaries_from_s = -math.inf
+
+    def hold_canaries(self, until_s: float) -> None:
+        """Send canary requests to other versions until a monotonic time.
+
+        Without eligible targets of these they are sent as before.
+        """
+        self._canaries_from_s = until_s
 
     def rule(
         self,
@@ -48,6 +57,10 @@
         if is_complete or move.is_shifting:
             return _version_rules.VersionRule(version, others)
         if self._draw() < self._canary_share(move, topology):
+            if self._clock.monotonic_s() < self._canaries_from_s:
+                return _version_rules.VersionRule(
+                    None, others, avoided=version
+                )
             return _version_rules.VersionRule(version, others, True)
         return without_new
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
@@ -22,6 +22,16 @@
     #: Whether the request is a canary, sent to a version that is still judged.
     is_canary: bool = False
 
+    #: Version that is used only if no other one has an eligible target, or
+    #: None.
+    avoided: str | None = None
+
+    def prefers(self, version: str) -> bool:
+        """Return whether a version goes before others that are eligible."""
+        if self.preferred is not None:
+            return version == self.preferred
+        return version != self.avoided
+
     def for_retry(self) -> 'VersionRule':
         """Return the rule for sends after the first.
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/restored_move_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/restored_move_harness.py
@@ -131,3 +131,14 @@
 
 #: Versions to which requests are sent during a move.
 BOTH = ('v1', 'v2')
+
+
+def start_after_restore(
+    peer_count: int, copied: data.MoveOrder | None
+) -> Instance:
+    """Return an instance with peers, whose driver has made its first step."""
+    started = Instance(None)
+    started.env.fleet.add_peers(harness.listed_peers(peer_count))
+    started.restore(copied)
+    started.driver.step()
+    return started
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_reported_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_reported_moves.py
@@ -14,6 +14,8 @@
 COMPLETED = state.MovePhase.COMPLETED
 ROLLED_BACK = state.MovePhase.ROLLED_BACK
 
+COPIED = restored.copied_order('v2')
+
 
 @dataclasses.dataclass(frozen=True)
 class _StartRow:
@@ -128,3 +130,49 @@
         instance.restore(restored.copied_order('v2', COMPLETED))
         instance.write(restored.written_order('v3'))
         assert instance.used_versions() == set(restored.BOTH)
+
+
+class TestCanariesAfterStart:
+    """An instance that starts waits for its peers before it tries a version.
+
+    The store may have been restored, or not have the end of the move yet.
+    """
+
+    @pytest.mark.parametrize('peer_count', (1, 8, 90))
+    def test_stopped_version_gets_no_canaries(self, peer_count: int) -> None:
+        """Guards against canaries of a version that peers have stopped."""
+        peer = restored.Instance(ROLLED_BACK)
+        peer.restore(restored.copied_order('v2'))
+        started = restored.start_after_restore(peer_count, COPIED)
+        interval_s = 1.25 if peer_count > 12 else 0.5
+        for _ in range(int(interval_s / restored.STEP_S)):
+            assert started.used_versions() == {'v1'}
+            started.run(restored.STEP_S)
+        for report in peer.moves.reports('peer-0'):
+            started.moves.apply_report(report)
+        started.run(5.0)
+        assert started.used_versions() == {'v1'}
+
+    @pytest.mark.parametrize(
+        ('peer_count', 'wait_s'), [(0, 0.0), (1, 1.0), (90, 1.5)]
+    )
+    def test_wait_is_bounded(self, peer_count: int, wait_s: float) -> None:
+        """Guards against a version that is never tried without reports."""
+        started = restored.start_after_restore(peer_count, COPIED)
+        started.run(wait_s)
+        assert started.used_versions() == set(restored.BOTH)
+
+    def test_later_order_does_not_wait(self) -> None:
+        """Guards against a wait at the beginning of each move."""
+        started = restored.start_after_restore(1, None)
+        started.run(5.0)
+        started.write(restored.written_order('v2'))
+        started.run(restored.STEP_S)
+        assert started.used_versions() == set(restored.BOTH)
+
+    def test_version_without_others_does_not_wait(self) -> None:
+        """Guards against refusing a request that a canary could serve."""
+        started = restored.start_after_restore(1, COPIED)
+        for name in ('old-a', 'old-b'):
+            started.env.targets.apply(data.TargetChange(name, None))
+        assert started.used_versions() == {'v2'}
