--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
@@ -27,6 +27,10 @@
     #: Whether the request is a canary, sent to a version that is still judged.
     is_canary: bool = False
 
+    #: Version that is used only if no other one has an eligible target, or
+    #: None.
+    avoided: str | None = None
+
     def without(self, version: str) -> 'VersionRule':
         """Return the rule that also excludes a version."""
         return dataclasses.replace(self, excluded=self.excluded | {version})
@@ -36,11 +40,19 @@
     ) -> 'VersionRule':
         """Return the rule that sends requests to the version of a move."""
         return dataclasses.replace(
-            self,
+            self.avoiding(version),
             preferred=version,
+            avoided=None,
+            is_canary=is_canary,
+        )
+
+    def avoiding(self, version: str) -> 'VersionRule':
+        """Return the rule that sends requests to the version if it must."""
+        return dataclasses.replace(
+            self,
             excluded=self.excluded - {version},
             last_resort=self.last_resort - {version},
-            is_canary=is_canary,
+            avoided=version,
         )
 
     def with_proven(self, version: str) -> 'VersionRule':
@@ -48,6 +60,12 @@
         excluded = self.excluded | self.last_resort
         return VersionRule(version, excluded - {version})
 
+    def prefers(self, version: str) -> bool:
+        """Return whether a version goes before others that are eligible."""
+        if self.preferred is not None:
+            return version == self.preferred
+        return version != self.avoided
+
     def for_retry(self) -> 'VersionRule':
         """Return the rule for sends after the first.
 
