Pause generations until the test has done its fault

test_answer_is_whole[_kill] and test_cut_link failed once each under load with "no engine ran the generation" within 8 s. Callers and operators are not affected: the generation had been served, and the test missed it.

Cause: `_running_engine` took the count of generated tokens at its first read of an engine for the count before the generation, and needed five more while it ran. A generation of 80 tokens lasts 0.8 s there. In 84 runs of these two tests, two at a time at loads of 13 to 75, one failed (`_kill`, load 20) with a trace: its first token was 25 ms after the first read, its last one after 835 ms; the reads of the engines that did not run it took 0.09 s and 0.59 s, so the first read of the engine that did saw 66 tokens and the next one 80 and nothing running. The two failures on record were not traced; with a wait of 1 s before the first read, 13 of the 14 tests that use the function failed with their message, all but the one of a generation of a million tokens.

Ruled out in the traced run: an instance that starts late, engine client deadlines, membership and the follower of the configuration; the answer was whole and on time while the test waited 8 s for it.

The engine stand-in can now pause the attempts that arrive from then on after a number of tokens, and tells that it does. The tests pause them, do the fault to the engine that paused one, and let them go on; their assertions and the bound of 8 s are as before.

After: with the wait of 1 s all 16 tests pass, and 24 of 24 runs of the file passed, four at a time at loads of 9 to 21. The new test test_generation_waits_for_a_slow_test fails with an engine that does not wait.

--- a/packages/emulator/src/skylarktack/emulator/_engine.py
+++ b/packages/emulator/src/skylarktack/emulator/_engine.py
@@ -39,6 +39,8 @@
             self.model.faults,
             **fields,  # type: ignore[arg-type]
         )
+        if not self.model.faults.pause_after_count:
+            self.model.resume_attempts()
 
 
 class _Handler(_http_stand_in.StandInHandler):
@@ -93,6 +95,7 @@
                 {
                     'running_count': model.running_count(),
                     'generated_count': model.generated_count,
+                    'paused_count': model.paused_count(),
                 },
             )
             return
--- a/packages/emulator/src/skylarktack/emulator/_engine_model.py
+++ b/packages/emulator/src/skylarktack/emulator/_engine_model.py
@@ -85,6 +85,10 @@
     #: Whether each token is sent twice.
     repeat_tokens: bool = False
 
+    #: Tokens after which new attempts wait until it is 0 again; 0 means
+    #: never.
+    pause_after_count: int = 0
+
     #: Position that each stream leaves out; negative means none.
     skip_position: int = -1
 
@@ -143,6 +147,9 @@
         self.start = len(order.prefix_tokens)
         self.position = self.start
         self.prefill_steps = 0
+        # Position at which it waits until attempts are resumed; None if it
+        # does not wait.
+        self.pause_position: int | None = None
         self.done = False
         self.cancelled = False
         self.done_s = 0.0
@@ -190,6 +197,8 @@
             run = EngineRun(order, time.monotonic())
             if self.faults.ignore_prefix:
                 run.start = run.position = 0
+            if self.faults.pause_after_count:
+                run.pause_position = run.start + self.faults.pause_after_count
             run.prefill_steps = self._prefill(order.prompt)
             self.runs[run.key] = run
             self._serial += 1
@@ -212,10 +221,21 @@
             self.changed.notify_all()
             return True
 
+    def resume_attempts(self) -> None:
+        """Let all paused attempts go on, also if others are paused later."""
+        with self.changed:
+            for run in self.runs.values():
+                run.pause_position = None
+
     def running_count(self) -> int:
         """Return the number of running attempts at this moment."""
         return len(self._running)
 
+    def paused_count(self) -> int:
+        """Return the number of running attempts that wait at present."""
+        with self.changed:
+            return sum(self._is_paused(run) for run in self._running)
+
     def load_report(self) -> tuple[int, int, int]:
         """Return running count, waiting count and age of a lagging report."""
         with self.changed:
@@ -323,6 +343,8 @@
             if run.prefill_steps > 0:
                 run.prefill_steps -= 1
                 continue
+            if self._is_paused(run):
+                continue
             # A prefix may already hold the whole answer.
             if run.position < run.order.max_tokens_count:
                 run.position += 1
@@ -337,3 +359,8 @@
         for key, run in list(self.runs.items()):
             if run.done and run.done_s < oldest_s:
                 del self.runs[key]
+
+    def _is_paused(self, run: EngineRun) -> bool:
+        if run.pause_position is None:
+            return False
+        return run.position >= run.pause_position
--- a/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
+++ b/packages/emulator/src/skylarktack/emulator/tests/test_generation_faults.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import concurrent.futures
+import contextlib
 import http.client
 import json
 import signal
@@ -16,6 +18,9 @@
 KEY = emulator.organisation_key('small')
 TOKEN_COUNT = 80
 
+#: Tokens that a generation has when a fault is done to its engine.
+RUN_UP_COUNT = 5
+
 #: A fault done to the engine that runs the generation.
 Fault = Callable[[emulator.Deployment, int], None]
 
@@ -110,19 +115,36 @@
 
 
 def _running_engine(deployment: emulator.Deployment) -> int:
-    """Return the engine that runs a generation, once it generated some."""
+    """Return the engine that runs a paused generation."""
     waiting = threading.Event()
-    counts: dict[int, int] = {}
     for _ in range(400):
         for index, engine in enumerate(deployment.engines):
-            seen = engine.read_json('/control/running')
-            first = counts.setdefault(index, seen['generated_count'])
-            if seen['running_count'] and seen['generated_count'] > first + 4:
+            if engine.read_json('/control/running')['paused_count']:
                 return index
         waiting.wait(0.02)
     raise AssertionError('no engine ran the generation')
 
 
+@contextlib.contextmanager
+def _paused_attempts(deployment: emulator.Deployment) -> Iterator[None]:
+    """Let attempts that begin in the block wait until its end.
+
+    A test that is slower than an engine would find the generation complete.
+    """
+    _pause_attempts(deployment, RUN_UP_COUNT)
+    try:
+        yield
+    finally:
+        _pause_attempts(deployment, 0)
+
+
+def _pause_attempts(deployment: emulator.Deployment, after_count: int) -> None:
+    # A frozen engine answers late; the others must not wait for it.
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        for engine in deployment.engines:
+            pool.submit(engine.control, pause_after_count=after_count)
+
+
 def _repair(deployment: emulator.Deployment) -> None:
     """End all faults of engines."""
     for index, engine in enumerate(deployment.engines):
@@ -143,6 +165,23 @@
     return [each for each in deployment.instances if each.is_running]
 
 
+class TestPausedAttempts:
+    """Guards against a fault that comes after the end of a generation."""
+
+    def test_generation_waits_for_a_slow_test(
+        self, deployment: emulator.Deployment
+    ) -> None:
+        """A test that takes longer than the generation finds it running."""
+        with _paused_attempts(deployment):
+            reader = _Reader([deployment.instances[-1].address], 'a week')
+            index = _running_engine(deployment)
+            whole_s = TOKEN_COUNT * deployment.shape.step_ms / 1000
+            threading.Event().wait(2 * whole_s)
+            assert _running_engine(deployment) == index
+            assert _generated_count(deployment) == RUN_UP_COUNT
+        assert reader.check().connection_count == 1
+
+
 class TestEngineFaults:
     """Guards against faults that only sockets and processes show."""
 
@@ -151,8 +190,9 @@
         self, deployment: emulator.Deployment, fault: Fault
     ) -> None:
         """The caller's one connection brings the whole answer."""
-        reader = _Reader([deployment.instances[-1].address], 'a week')
-        fault(deployment, _running_engine(deployment))
+        with _paused_attempts(deployment):
+            reader = _Reader([deployment.instances[-1].address], 'a week')
+            fault(deployment, _running_engine(deployment))
         try:
             assert reader.check().connection_count == 1
         finally:
@@ -171,8 +211,9 @@
         deployment.instances.remove(instance)
         deployment.links.clear()
         try:
-            reader = _Reader([instance.address], 'a week')
-            links[_running_engine(deployment)].cut()
+            with _paused_attempts(deployment):
+                reader = _Reader([instance.address], 'a week')
+                links[_running_engine(deployment)].cut()
             assert reader.check().connection_count == 1
         finally:
             instance.kill()
@@ -187,14 +228,15 @@
         """The engine's attempt ends after its caller disconnected."""
         address = deployment.instances[-1].address
         connection = http.client.HTTPConnection(address.host, address.port)
-        connection.request(
-            'POST',
-            '/v1/generate/digest',
-            json.dumps({'prompt': 'a week', 'max_tokens': 1_000_000}),
-            {'Authorization': f'Bearer {KEY}'},
-        )
-        connection.getresponse().read(100)
-        engine = deployment.engines[_running_engine(deployment)]
+        with _paused_attempts(deployment):
+            connection.request(
+                'POST',
+                '/v1/generate/digest',
+                json.dumps({'prompt': 'a week', 'max_tokens': 1_000_000}),
+                {'Authorization': f'Bearer {KEY}'},
+            )
+            connection.getresponse().read(100)
+            engine = deployment.engines[_running_engine(deployment)]
         connection.close()
         waiting = threading.Event()
         for _ in range(400):
@@ -218,11 +260,12 @@
         """The caller's event id is enough on another instance."""
         instances = _ready_instances(deployment)
         addresses = [each.address for each in instances[:2]]
-        reader = _Reader(addresses, 'a week', sends_delivered)
-        index = _running_engine(deployment)
-        if engine_too:
-            deployment.engines[index].kill()
-        instances[0].kill()
+        with _paused_attempts(deployment):
+            reader = _Reader(addresses, 'a week', sends_delivered)
+            index = _running_engine(deployment)
+            if engine_too:
+                deployment.engines[index].kill()
+            instances[0].kill()
         try:
             assert reader.check().connection_count == 2
         finally:
@@ -243,16 +286,17 @@
         hidden = emulator.fetch_generation(two, posted.request_id, other)
         assert hidden.status == 404
         long_id = f'r-{instances[0].name}-{"0" * 32}'
-        reader = _Reader([one], 'a week', request_id=long_id)
-        _running_engine(deployment)
-        cancelled = transport.http_call(
-            two,
-            'DELETE',
-            f'/v1/generations/{long_id}',
-            None,
-            {'Authorization': f'Bearer {KEY}'},
-            5.0,
-        )
+        with _paused_attempts(deployment):
+            reader = _Reader([one], 'a week', request_id=long_id)
+            _running_engine(deployment)
+            cancelled = transport.http_call(
+                two,
+                'DELETE',
+                f'/v1/generations/{long_id}',
+                None,
+                {'Authorization': f'Bearer {KEY}'},
+                5.0,
+            )
         assert cancelled.ok.status == 200
         reader.join()
         error = reader.received.answer.error
@@ -267,11 +311,12 @@
         # their last tokens are not counted here.
         _await_running(deployment, 0)
         before = _generated_count(deployment)
-        readers = [_Reader(addresses, f'week {at}') for at in range(8)]
-        # A stream that begins after the order to stop goes to the other
-        # instance at once and is not handed over.
-        _await_running(deployment, len(readers))
-        instances[0].stop()
+        with _paused_attempts(deployment):
+            readers = [_Reader(addresses, f'week {at}') for at in range(8)]
+            # A stream that begins after the order to stop goes to the other
+            # instance at once and is not handed over.
+            _await_running(deployment, len(readers))
+            instances[0].stop()
         for reader in readers:
             assert reader.check().handover_count == 1
         assert instances[0].wait_stopped() == 0
