Delay reads of a configuration record that cannot be decoded

After a restore, the watching instances read the configuration until the store has the active revision again. A record there that cannot be decoded was read by each of them about twice a second, with an error line each time, until an operator replaced it: at 13,000 organisations each read costs the object API the whole document.

The delay now doubles with each such read, up to 5 s, with the jitter that it had. A record that can be decoded and a new era set it back. Other failures keep their delay of 0.5 s, since an outage ends by itself. The instance serves by its active revision meanwhile, and requests of peers end the wait as before. The limit leaves a record that an operator mends in force well within 15 s.

Before: test_reads_of_a_record_that_cannot_be_decoded failed, the delays stayed between 0.25 s and 0.75 s. After: it passed in 8 runs of the module, with the other tests of the protocol package and test_restored_object_api.py. A starting instance without peers still reads such a record twice a second, and is not ready.

--- a/packages/coordination/src/skylarktack/coordination/configuration/_follower.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_follower.py
@@ -36,6 +36,11 @@
 #: Delay after a failed call to the object API.
 RETRY_WAIT_S = 0.5
 
+#: Longest mean delay before a record that could not be decoded is read again.
+#: Each read costs the object API the whole record, and with its jitter the
+#: delay leaves half of the 15 s in which a change is in force everywhere.
+MAX_INVALID_RECORD_WAIT_S = 5.0
+
 #: Maximum wait for a peer's response.
 PEER_TIMEOUT_S = 1.0
 
@@ -85,6 +90,8 @@
         self._seen_version = 0
         self._seen_era: int | None = None
         self._stored_position = state.ConfigurationPosition(0, 0)
+        # Mean delay before a read that a watch cannot replace.
+        self._read_wait_s = RETRY_WAIT_S
         self._store_reachable = False
         peers = dependencies.peers
         peers.register_handler(state.ConfigurationOffer, self._on_offer)
@@ -136,7 +143,7 @@
         dependencies = self._dependencies
         if self._must_read() and not self._read_after_restore():
             self._process_fetch_request(
-                RETRY_WAIT_S * (0.5 + self._random.random())
+                self._read_wait_s * (0.5 + self._random.random())
             )
             return
         era = self._seen_era
@@ -221,10 +228,14 @@
         self._store_reachable = True
         self._begin_era(read.era)
         self._seen_version = max(self._seen_version, found.ok.version)
-        is_valid = self._apply_stored(found.ok)
-        if is_valid:
-            self._write_again_if_lost(found.ok)
-        return is_valid
+        if not self._apply_stored(found.ok):
+            self._read_wait_s = min(
+                MAX_INVALID_RECORD_WAIT_S, 2 * self._read_wait_s
+            )
+            return False
+        self._read_wait_s = RETRY_WAIT_S
+        self._write_again_if_lost(found.ok)
+        return True
 
     def _begin_era(self, era: int) -> None:
         if era == self._seen_era:
@@ -232,6 +243,7 @@
         self._seen_era = era
         self._seen_version = 0
         self._stored_position = state.ConfigurationPosition(0, 0)
+        self._read_wait_s = RETRY_WAIT_S
 
     def _write_again_if_lost(self, stored: state.StoredObject | None) -> None:
         """Write the active record over the older one of a restored store."""
--- a/packages/protocol/src/skylarktack/protocol/tests/test_restored_configuration.py
+++ b/packages/protocol/src/skylarktack/protocol/tests/test_restored_configuration.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+import queue
 import threading
 from unittest import mock
 
@@ -37,6 +38,30 @@
         return super().put(key, value, expected_version)
 
 
+class _RecordingQueue:
+    """Fetch requests that never come; a number of waits take no time."""
+
+    def __init__(self) -> None:
+        self.waits_s: list[float] = []
+        self.has_waited = threading.Event()
+        self.may_go_on = threading.Event()
+
+    def get(self, timeout: float) -> None:
+        """Record a wait."""
+        self.waits_s.append(timeout)
+        if len(self.waits_s) == 8:
+            self.has_waited.set()
+            self.may_go_on.wait()
+        raise queue.Empty
+
+    def get_nowait(self) -> None:
+        """Return nothing."""
+        raise queue.Empty
+
+    def put(self, peer: state.InstanceName | None) -> None:
+        """Ignore a request."""
+
+
 def _document(name: str) -> state.ConfigurationDocument:
     organisation = state.Organisation(
         name=state.OrganisationName(name), key_sha256=()
@@ -179,6 +204,33 @@
         assert instance.holds('era-0-3')
         instance.stop()
 
+    def test_reads_of_a_record_that_cannot_be_decoded(self) -> None:
+        """Guards against instances that read it twice a second for ever."""
+        store = fakes.MemoryObjectStore()
+        _publish(store, 0, 'first')
+        requests = _RecordingQueue()
+        with mock.patch.object(
+            queue, 'SimpleQueue', autospec=True, return_value=requests
+        ):
+            instance = _Instance(store)
+        instance.start()
+        assert _wait_until(lambda: instance.holds('first'))
+        current = store.get(configuration.CURRENT_KEY).ok
+        store.put(current.key, b'odd', current.version)
+        store.take_copy()
+        store.restore()
+        assert requests.has_waited.wait(10.0)
+        waits_s = requests.waits_s
+        assert waits_s[0] <= 1.5
+        assert min(waits_s[-4:]) >= 2.5
+        assert max(waits_s) <= 7.5
+        current = store.get(configuration.CURRENT_KEY).ok
+        mended = _CODEC.encode(_record(2, era=1))
+        store.put(current.key, mended, current.version)
+        requests.may_go_on.set()
+        assert _wait_until(lambda: instance.holds('era-1-2'))
+        instance.stop()
+
     def test_no_change_on_top_of_a_copy(self) -> None:
         """Guards against a change that takes an accepted one back unseen."""
         store = fakes.MemoryObjectStore()
