Leave what waited for a suspended process out of a version's evidence

A good version could be rolled back because one instance was suspended: the responses to its open requests waited in its sockets, their latencies had the suspension in them, and while all requests go to the new version only that one had such latencies. Requests that were abandoned, or whose deadline passed in the suspension, counted as slow or failed the same way, and the target of the latter was ejected.

TargetTable asks for the last resumption. A response to a request that was sent before it counts as an outcome without a latency; an abandoned or timed out one is no evidence. Failures of the connection count as before.

A version that is slow on a machine that pauses within each of its responses is not seen by that instance.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_records.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_records.py
@@ -137,12 +137,19 @@
         stats.load_at_s = self._clock.monotonic_s()
 
     def record_response(
-        self, target: data.ListedTarget, latency_ms: float, is_error: bool
+        self,
+        target: data.ListedTarget,
+        latency_ms: float | None,
+        is_error: bool,
     ) -> None:
-        """Record a response or a complete stream; end the ejection."""
+        """Record a response or a complete stream; end the ejection.
+
+        :param latency_ms: None if it is not known.
+        """
         now_s = self._clock.monotonic_s()
         stats = self.stats_of(target)
-        stats.record_latency(latency_ms, now_s)
+        if latency_ms is not None:
+            stats.record_latency(latency_ms, now_s)
         stats.record_response(is_error)
         stats.last_seen_at_s = now_s
         stats.failure_count = 0
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -11,6 +11,7 @@
 from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _supervision
+from skylarktack.coordination.forwarding import _suspensions
 from skylarktack.coordination.forwarding import _target_candidates
 from skylarktack.coordination.forwarding import _target_exclusions
 from skylarktack.coordination.forwarding import _target_records
@@ -36,8 +37,10 @@
         fleet: _fleet.FleetView,
         moves: _moves.MoveTable,
         errors: _supervision.ErrorRecorder,
+        suspensions: _suspensions.Suspensions,
     ) -> None:
         self._errors = errors
+        self._suspensions = suspensions
         self._clock = clock
         self._log = log
         self._failure_domain = failure_domain
@@ -165,8 +168,9 @@
     ) -> None:
         """Record a response or a complete stream; end the ejection."""
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
+            measured_ms = self._measured_ms(latency_ms)
             with self._lock:
-                self._records.record_response(target, latency_ms, is_error)
+                self._records.record_response(target, measured_ms, is_error)
             kind = state.OutcomeKind.SUCCESS
             if is_error:
                 kind = state.OutcomeKind.ERROR
@@ -176,7 +180,7 @@
                 target,
                 route,
                 kind,
-                latency_ms if is_counted else None,
+                measured_ms if is_counted else None,
                 is_counted,
             )
 
@@ -187,7 +191,10 @@
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             if target.models:
                 self._moves.record_outcome(
-                    target, route, state.OutcomeKind.SUCCESS, latency_ms
+                    target,
+                    route,
+                    state.OutcomeKind.SUCCESS,
+                    self._measured_ms(latency_ms),
                 )
 
     def report_abandoned(
@@ -195,6 +202,8 @@
     ) -> None:
         """Record that a request has ended before the target's response."""
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
+            if self._was_suspended_since(sent_at_s):
+                return
             waited_s = self._clock.monotonic_s() - sent_at_s
             self._moves.record_abandoned(target, route, 1000 * waited_s)
 
@@ -235,6 +244,8 @@
         the timeout of the route may be too short for its requests.
         """
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
+            if self._was_suspended_since(sent_at_s):
+                return
             with self._lock:
                 stats = self._records.stats_of(target)
                 is_hanging = stats.last_seen_at_s <= sent_at_s
@@ -365,6 +376,15 @@
                 candidates, primary, loads, demand
             )
 
+    def _measured_ms(self, latency_ms: float) -> float | None:
+        """Return a latency; None if a suspension of this process is in it."""
+        sent_at_s = self._clock.monotonic_s() - latency_ms / 1000
+        return None if self._was_suspended_since(sent_at_s) else latency_ms
+
+    def _was_suspended_since(self, sent_at_s: float) -> bool:
+        """Return whether a response may have waited for this process."""
+        return sent_at_s < self._suspensions.running_since_s()
+
     def _put(self, target: data.ListedTarget) -> None:
         if self._records.put(target):
             self._moves.record_listed_version(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -226,6 +226,7 @@
     fleet: forwarding.FleetView
     moves: forwarding.MoveTable
     targets: forwarding.TargetTable
+    suspensions: fakes.ScriptedSuspensions
     budget: forwarding.RetryBudget
     calls: forwarding.CallForwarder
     streams: forwarding.StreamForwarder
@@ -313,8 +314,9 @@
     move_table.is_synced.set()
     move_table.trials.restore(())
     errors = forwarding.ErrorRecorder(clock, log)
+    suspensions = fakes.ScriptedSuspensions()
     targets = forwarding.TargetTable(
-        clock, log, 'domain-a', fleet, move_table, errors
+        clock, log, 'domain-a', fleet, move_table, errors, suspensions
     )
     targets.replace(listed, after_outage=False)
     budget = forwarding.RetryBudget(
@@ -343,6 +345,7 @@
         fleet=fleet,
         moves=move_table,
         targets=targets,
+        suspensions=suspensions,
         budget=budget,
         calls=forwarding.CallForwarder(clock, targets, client, budget),
         streams=streams,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/move_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/move_harness.py
@@ -5,7 +5,6 @@
 import random
 
 from skylarktack import state
-from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
@@ -90,7 +89,6 @@
     writer: Writer
     link: harness.RecordingLink
     driver: forwarding.MoveDriver
-    suspensions: fakes.ScriptedSuspensions
     sent_new: int = 0
     request_count: int = 0
     failed_new: int = 0
@@ -141,7 +139,6 @@
         serving_env.fleet.add_peers(listed)
     writer = Writer()
     link = harness.RecordingLink()
-    suspensions = fakes.ScriptedSuspensions()
     serving_env.moves.apply(data.MoveChange('pool', writer.order))
     driver = forwarding.MoveDriver(
         serving_env.clock,
@@ -150,9 +147,9 @@
         serving_env.fleet,
         link,
         writer,
-        suspensions,
+        serving_env.suspensions,
     )
-    return MoveRun(serving_env, writer, link, driver, suspensions)
+    return MoveRun(serving_env, writer, link, driver)
 
 
 def healthy(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/restored_move_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/restored_move_harness.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from skylarktack import state
-from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.coordination.forwarding.tests import move_harness
@@ -86,7 +85,7 @@
             self.env.fleet,
             self.link,
             self.store,
-            fakes.ScriptedSuspensions(),
+            self.env.suspensions,
         )
         self.env.fleet.add_peers(())
         if known_phase is None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_move_verdicts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_move_verdicts.py
@@ -157,7 +157,7 @@
         clock = move_run.env.clock
         move_run.run(move_harness.healthy, until_s=5.0)
         clock.advance(6.8)
-        move_run.suspensions.resumed_at_s = clock.monotonic_s()
+        move_run.env.suspensions.resumed_at_s = clock.monotonic_s()
         move_run.driver.step()
         for _ in range(50):
             rule = move_run.env.moves.choose_versions('pool')
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_slow_versions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_slow_versions.py
@@ -136,6 +136,31 @@
         assert rejected_count <= MAX_REJECTED_COUNT
 
 
+class TestSuspendedInstance:
+    """Responses that waited for an instance that was suspended."""
+
+    @pytest.mark.parametrize('kind', ['response', 'abandoned', 'timeout'])
+    def test_leave_no_evidence(self, kind: str) -> None:
+        """Guards against a good version that is rolled back for them."""
+        move_run = move_harness.make_move_run()
+        env = move_run.env
+        move_run.run(move_harness.healthy, until_s=9.0)
+        target = move_harness.new_target('new-a')
+        sent_at_s = env.clock.monotonic_s()
+        env.clock.advance(2.0)
+        env.suspensions.resumed_at_s = env.clock.monotonic_s()
+        for _ in range(20):
+            if kind == 'response':
+                env.targets.report_response(target, 'book', 2000.0, False)
+            elif kind == 'abandoned':
+                env.targets.report_abandoned(target, 'book', sent_at_s)
+            else:
+                env.targets.report_timeout(target, 'book', sent_at_s)
+        env.clock.advance(0.6)
+        move_run.driver.step()
+        assert move_run.writer.written[-1] is state.MovePhase.COMPLETED
+
+
 class TestAbandonedAttempts:
     """Attempts whose response does not arrive before that of another."""
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -119,6 +119,7 @@
             self._fleet,
             self._moves,
             errors,
+            self._suspensions,
         )
         memory = transport.MemoryBudget(
             transport.body_limit_bytes(settings.memory_limit_bytes)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
@@ -74,7 +74,13 @@
         self._moves.trials.is_read.set()
         errors = forwarding.ErrorRecorder(clock, log)
         self.targets = forwarding.TargetTable(
-            clock, log, 'domain-a', fleet, self._moves, errors
+            clock,
+            log,
+            'domain-a',
+            fleet,
+            self._moves,
+            errors,
+            fakes.ScriptedSuspensions(),
         )
         self.targets.replace(listed, after_outage=False)
         client = transport.HttpTargetClient(platform.PlatformMessageCodec())
