Do not report a slow start as a suspension of the process

The log of an instance said 'process was suspended' at its start when more than 0.3 s passed between the construction of its parts and the first run of the monitor's task, and the operators' page then sends them to look at the host. The first run of the task now begins the observation; a task that the supervisor starts again goes on with the old one, so a suspension meanwhile is noticed.

Evidence: test_a_slow_start_is_no_suspension failed before (ProcessSuspended with pause_ms=500); test_a_restarted_task_keeps_what_it_noticed passed before and after.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_suspensions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_suspensions.py
@@ -39,9 +39,11 @@
         self._lock = threading.Lock()
         self._running_since_s = clock.monotonic_s()
         self._last_run_s = self._running_since_s
+        self._has_begun = False
 
     def run(self) -> None:
         """Record that the process runs, until stopped."""
+        self._begin()
         while not self._stopped.is_set():
             self.running_since_s()
             self._clock.wait(self._stopped, CHECK_INTERVAL_S)
@@ -50,6 +52,14 @@
         """Make the task end."""
         self._stopped.set()
 
+    def _begin(self) -> None:
+        """Leave out the time until the task's first start."""
+        with self._lock:
+            if self._has_begun:
+                return
+            self._has_begun = True
+            self._last_run_s = self._clock.monotonic_s()
+
     def running_since_s(self) -> float:
         """Return the monotonic time of the last resumption, or of the start.
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_suspensions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_suspensions.py
@@ -21,6 +21,28 @@
             assert monitor.running_since_s() == started_at_s
         assert log.events == []
 
+    def test_a_slow_start_is_no_suspension(self) -> None:
+        """Guards against an alarm to operators at each slow start."""
+        clock = fakes.SteppingClock()
+        log = fakes.RecordingLog()
+        monitor = forwarding.SuspensionMonitor(clock, log)
+        clock.advance(SUSPENSION_S)
+        monitor.stop()
+        monitor.run()
+        monitor.running_since_s()
+        assert log.events == []
+
+    def test_a_restarted_task_keeps_what_it_noticed(self) -> None:
+        """Guards against a suspension that the monitor's failure hides."""
+        clock = fakes.SteppingClock()
+        log = fakes.RecordingLog()
+        monitor = forwarding.SuspensionMonitor(clock, log)
+        monitor.stop()
+        monitor.run()
+        clock.advance(SUSPENSION_S)
+        monitor.run()
+        assert monitor.running_since_s() == clock.monotonic_s()
+
     def test_the_first_call_notices_a_suspension(self) -> None:
         """Guards against a request that is faster than the monitor's task."""
         clock = fakes.SteppingClock()
