Notice pauses of skylarktackd that are as short as a suspicion

An instance that was paused for 1.5 to 2.4 s declared a healthy peer dead at its first exchange round: the suspicion of 1.5 s had run out by the clock while the refutation waited unread, and the pause was not noticed, since a round that blocks on a connection for 1 s was allowed for in the time between two rounds.

The time is now measured from the end of a round, so that blocked rounds do not count, and the allowance is gone: 1.5 s in place of 2.5 s.

A pause within a round is noticed by the prober only, as before.

--- a/packages/coordination/src/skylarktack/coordination/membership/_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/membership/_membership.py
@@ -35,8 +35,8 @@
 #: other instances are live; an instance on its own tries at each interval.
 REJOIN_INTERVAL_FACTOR = 2
 
-#: Time between two exchange rounds, in multiples of the interval, beyond
-#: which this instance must have been paused.
+#: Time between the end of an exchange round and the next one, in multiples of
+#: the interval, beyond which this instance must have been paused.
 PAUSE_FACTOR = 3.0
 
 _LOG = structlog.get_logger(part='membership')
@@ -194,6 +194,8 @@
         self._dependencies.metrics.gauge(
             'membership.health_factor', self._health.factor
         )
+        # Connection attempts may block a round; that is no pause.
+        self._last_exchange_s = self._dependencies.clock.monotonic_s()
 
     def send_urgent_updates(self) -> None:
         """Send the queued urgent updates to the neighbours."""
@@ -255,7 +257,7 @@
         if not self._dependencies.settings.guards_pauses:
             return
         interval_s = self._dependencies.settings.exchange_interval_ms / 1000
-        if gap_s < interval_s * PAUSE_FACTOR + JOIN_TIMEOUT_S:
+        if gap_s < interval_s * PAUSE_FACTOR:
             return
         # Responses and refutations that arrived meanwhile are still unread.
         self._dependencies.metrics.count('membership.pauses')
--- a/packages/coordination/src/skylarktack/coordination/tests/test_membership.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_membership.py
@@ -63,7 +63,7 @@
     return len(set(fleet.tables) - fleet.live(name))
 
 
-def pause(fleet: fakes.MemberFleet) -> bool:
+def pause(fleet: fakes.MemberFleet, duration_s: float = 12.0) -> bool:
     """Pause an instance with a suspicion that is refuted meanwhile."""
     fleet.hub.pause('instance-002')
     table = fleet.tables['instance-001']
@@ -75,7 +75,7 @@
             break
     fleet.hub.resume('instance-002')
     fleet.hub.pause('instance-001')
-    fleet.run(12.0)
+    fleet.run(duration_s)
     fleet.hub.resume('instance-001')
     # Worst case: its tasks run before it reads the queued messages.
     before = fleet.metrics.counts['membership.removals']
@@ -86,6 +86,11 @@
     return not false_deaths and fleet.agrees()
 
 
+def pause_briefly(fleet: fakes.MemberFleet) -> bool:
+    """Pause an instance for little longer than a suspicion lasts."""
+    return pause(fleet, 1.5)
+
+
 def cut_one_way(fleet: fakes.MemberFleet) -> bool:
     """Cut one direction between two instances that others reach."""
     fleet.hub.cut('instance-001', 'instance-005')
@@ -192,6 +197,7 @@
     FaultCase(lose_messages, 9, 1, {'refutes': False}),
     FaultCase(overload, 9, 2, {'health_limit_count': 0}),
     FaultCase(pause, 9, 3, {'guards_pauses': False}),
+    FaultCase(pause_briefly, 9, 3, {'guards_pauses': False}),
     FaultCase(cut_one_way, 9, 4, {'helper_count': 0}),
     FaultCase(partition, 9, 5, {'reunites': False}),
     FaultCase(restart_same_address, 9, 6),
