Name the delays by rank apart

RANK_DELAY_S was defined three times. The move driver of forwarding uses that of the other writers of records, which has the same value and purpose; the delay before an expired lease of skylarktackd is taken is now TAKEOVER_RANK_DELAY_S. No change of behaviour; the tests of moves, trials and records pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -15,6 +15,7 @@
 from skylarktack.coordination.forwarding import _move_events
 from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _moves
+from skylarktack.coordination.forwarding import _record_writers
 from skylarktack.coordination.forwarding import _suspensions
 from skylarktack.coordination.forwarding import _watch_ports
 from skylarktack.coordination.ports import Clock
@@ -36,10 +37,6 @@
 #: the next collector sends its own.
 COLLECTOR_TIMEOUT_COUNT = 2.5
 
-#: Time by which an instance waits longer than the one of the next lower rank
-#: before it records a phase.
-RANK_DELAY_S = 0.5
-
 #: Delay after a failed attempt to record a phase.
 RETRY_DELAY_S = 0.4
 
@@ -126,7 +123,7 @@
             order = self._table.order_of(service)
             if phase is None or order is None:
                 continue
-            delay_s = RANK_DELAY_S * self._fleet.rank()
+            delay_s = _record_writers.RANK_DELAY_S * self._fleet.rank()
             if self._table.due_for_s(service) < delay_s:
                 continue
             if self._clock.monotonic_s() >= self._next_write_s:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_record_writers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_record_writers.py
@@ -11,9 +11,11 @@
 from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.ports import Clock
 
-#: Instances that write, those of the lowest ranks, and the time by which each
-#: one waits longer than the one of the next lower rank.
+#: Instances that write, those of the lowest ranks.
 WRITER_COUNT = 2
+
+#: Time by which an instance waits longer than the one of the next lower rank
+#: before it writes a record, also the phase of a move.
 RANK_DELAY_S = 0.5
 
 #: Time after a restore at which the records are compared a second time. By
--- a/packages/coordination/src/skylarktack/coordination/moves/_coordinator.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_coordinator.py
@@ -23,10 +23,10 @@
 
 #: Delay before an instance tries to take an expired lease, times its rank for
 #: the move, so that not all instances write at once.
-RANK_DELAY_S = 0.2
+TAKEOVER_RANK_DELAY_S = 0.2
 
 #: Maximum of this delay; bounds the time without a driver.
-MAX_RANK_DELAY_S = 1.2
+MAX_TAKEOVER_RANK_DELAY_S = 1.2
 
 #: Maximum rate of object API reads for move records, over all instances.
 FLEET_READS_PER_S = 150.0
@@ -384,7 +384,7 @@
         for member in self._dependencies.peers.members():
             if _rank_hash(name, member.name) > own_hash:
                 rank += 1
-        return min(rank * RANK_DELAY_S, MAX_RANK_DELAY_S)
+        return min(rank * TAKEOVER_RANK_DELAY_S, MAX_TAKEOVER_RANK_DELAY_S)
 
     def _on_report(
         self, peer: state.InstanceName, report: state.EvidenceReport
