Give the fault of a compacted revision the value of its name

The value 'history_gone' was read nowhere: neither logged, nor a metric, nor sent. No change of behaviour; test_store_watcher and test_store pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
@@ -22,7 +22,7 @@
     TIMED_OUT = 'timed_out'
 
     #: The store compacted the changes after the revision; list again.
-    REVISION_COMPACTED = 'history_gone'
+    REVISION_COMPACTED = 'revision_compacted'
 
     #: A response that is too long, incomplete or malformed. The same call may
     #: get it again and again; list instead.
