Name calls to the store and delays by rank instead of turns

The shared watch, the watcher and the health of the store called the moment at which an instance may call the store its turn; they now name the call and the delay. No change of behaviour; the tests of forwarding and moves in coordination, of forwarding in protocol, test_move_fleet and test_instance pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
@@ -44,12 +44,12 @@
 #: before it asks the store for the changes that its first, stale lists lack.
 STARTUP_WAIT_S = 1.0
 
-#: While no heartbeat arrives: delay between the turns of instances of adjacent
-#: ranks, maximum delay of the first turn, and calls that the whole fleet makes
-#: each second after it.
-TURN_INTERVAL_S = 0.1
-MAX_FIRST_TURN_DELAY_S = 2.0
-TURNS_PER_S = 10.0
+#: While no heartbeat arrives: delay between the first calls of instances of
+#: adjacent ranks, maximum delay of the first call, and calls that the whole
+#: fleet makes each second after it.
+FIRST_CALL_INTERVAL_S = 0.1
+MAX_FIRST_CALL_DELAY_S = 2.0
+FLEET_CALLS_PER_S = 10.0
 
 #: Interval between two heartbeats of a watching instance.
 HEARTBEAT_INTERVAL_S = 0.4
@@ -74,7 +74,7 @@
     #: It applies the changes that peers forward.
     RECEIVE = 'receive'
 
-    #: No peer sends heartbeats, and it is the turn of others to ask.
+    #: No peer sends heartbeats, and instances of lower ranks ask first.
     WAIT = 'wait'
 
 
@@ -92,7 +92,7 @@
     outranked_until_s: float = -math.inf
     #: Time at which this instance may ask the store although no heartbeat
     #: arrives; None while one does.
-    turn_at_s: float | None = None
+    next_call_at_s: float | None = None
     inbox: queue.Queue[data.StoreChange] = dataclasses.field(
         default_factory=lambda: queue.Queue(MAX_QUEUED_CHANGE_COUNT)
     )
@@ -144,28 +144,28 @@
             is_outranked = now_s <= state.outranked_until_s
             is_peer_confirmed = now_s <= state.peer_confirmed_until_s
             if is_outranked or (is_peer_confirmed and not is_confirmed):
-                state.turn_at_s = None
+                state.next_call_at_s = None
                 return WatchRole.RECEIVE
             if is_confirmed:
                 return WatchRole.WATCH
-            if state.turn_at_s is None:
+            if state.next_call_at_s is None:
                 wait_s = min(
-                    TURN_INTERVAL_S * (rank - WATCHER_COUNT),
-                    MAX_FIRST_TURN_DELAY_S,
+                    FIRST_CALL_INTERVAL_S * (rank - WATCHER_COUNT),
+                    MAX_FIRST_CALL_DELAY_S,
                 )
-                state.turn_at_s = now_s + wait_s * _jitter()
-            if now_s < state.turn_at_s:
+                state.next_call_at_s = now_s + wait_s * _jitter()
+            if now_s < state.next_call_at_s:
                 return WatchRole.WAIT
             return WatchRole.WATCH
 
-    def take_turn(self) -> None:
-        """Schedule the next turn because this instance asks the store now."""
-        interval_s = self._fleet.instance_count() / TURNS_PER_S
+    def record_call(self) -> None:
+        """Schedule the next call because this instance asks the store now."""
+        interval_s = self._fleet.instance_count() / FLEET_CALLS_PER_S
         next_s = self._clock.monotonic_s() + interval_s * _jitter()
         with self._lock:
             for state in self._kinds.values():
-                if state.turn_at_s is not None:
-                    state.turn_at_s = next_s
+                if state.next_call_at_s is not None:
+                    state.next_call_at_s = next_s
 
     def watch_wait_s(self, kind: str, max_wait_s: float) -> float:
         """Return how long a watch of a kind may wait for a change.
@@ -218,8 +218,8 @@
             state.confirmed_at_s = now_s
             for other in self._kinds.values():
                 # The store is available, so the other kinds need not wait.
-                if other.turn_at_s is not None:
-                    other.turn_at_s = now_s
+                if other.next_call_at_s is not None:
+                    other.next_call_at_s = now_s
 
     def publish(self, change: data.StoreChange) -> None:
         """Forward a change to all peers unless a lower rank does so."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_health.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_health.py
@@ -1,8 +1,8 @@
 """State of the connection to the store, shared by all tasks that use it.
 
 Failed calls are charged like others, so while the store is unavailable the
-tasks of an instance take turns: one call is made at a time, with exponential
-backoff, and the first response lets all tasks continue.
+tasks of an instance make one call at a time, with exponential backoff, and the
+first response lets all tasks continue.
 """
 
 import math
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -36,8 +36,8 @@
 #: within this time for each instance, so that the store's rate limit is kept.
 LIST_SPREAD_PER_INSTANCE_S = 0.002
 
-#: Interval at which a task checks whether it is its turn to ask the store.
-TURN_CHECK_INTERVAL_S = 0.05
+#: Interval at which a task checks whether it may ask the store.
+CALL_CHECK_INTERVAL_S = 0.05
 
 
 class StoreWatcher(Generic[T]):
@@ -95,13 +95,13 @@
                 position = self._receive_changes(position)
                 continue
             if not self._health.claim_call(self._settings.name):
-                position = self._wait_for_turn(position)
+                position = self._wait_to_ask(position)
                 continue
             if position is None:
                 position = self._list()
                 continue
             if self._shared_watch is not None:
-                self._shared_watch.take_turn()
+                self._shared_watch.record_call()
             if self._must_catch_up:
                 position = self._catch_up(position)
                 continue
@@ -170,7 +170,7 @@
         step_s = (
             ROLE_CHECK_INTERVAL_S
             if self._receives_changes
-            else TURN_CHECK_INTERVAL_S
+            else CALL_CHECK_INTERVAL_S
         )
         asked_at_s = self._awaited_since_s()
         end_s = self._clock.monotonic_s() + step_s
@@ -202,16 +202,16 @@
         self._behind_since_s = None
         return self._catch_up(position)
 
-    def _wait_for_turn(
+    def _wait_to_ask(
         self, position: data.StorePosition | None
     ) -> data.StorePosition | None:
-        """Wait for the turn to ask the store; apply forwarded changes."""
+        """Wait until it may ask the store; apply forwarded changes."""
         if self._shared_watch is None or position is None:
-            self._clock.wait(self._stopped, TURN_CHECK_INTERVAL_S)
+            self._clock.wait(self._stopped, CALL_CHECK_INTERVAL_S)
             return position
         asked_at_s = self._awaited_since_s()
         change = self._shared_watch.next_change(
-            self._settings.name, TURN_CHECK_INTERVAL_S
+            self._settings.name, CALL_CHECK_INTERVAL_S
         )
         if change is None:
             return position
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
@@ -1,4 +1,4 @@
-"""Tests of moves: eligible versions, reports, turns and streams."""
+"""Tests of moves: eligible versions, reports, delays by rank and streams."""
 
 import dataclasses
 
@@ -246,10 +246,10 @@
         assert env.moves.take_updates() == expected
 
 
-class TestTurns:
-    """Turns of the instances, of which usually only one writes."""
+class TestDelayByRank:
+    """Delays of the instances, of which usually only one writes."""
 
-    def test_instance_of_later_rank_waits_for_its_turn(self) -> None:
+    def test_instance_of_higher_rank_writes_later(self) -> None:
         """Guards against a write from every instance for each phase."""
         move_run = move_harness.make_move_run()
         fleet = move_run.env.fleet
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_placement.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_placement.py
@@ -218,7 +218,7 @@
         assert env.client.probed == [preferred, other]
 
     def test_all_engines_full(self) -> None:
-        """Guards against refusing a stream that may wait for its turn."""
+        """Guards against refusing a stream that may wait in a queue."""
         env = harness.make_harness(
             harness.target('a'), harness.target('b'), is_warmed_up=False
         )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_prompt_quarantine.py
@@ -239,7 +239,7 @@
         until_s = change.stored.until_ms / 1000
         assert until_s > env.clock.wall_s() + 0.9 * SETTINGS.idle_s
 
-    def test_instances_take_turns(self) -> None:
+    def test_instances_probe_one_after_the_other(self) -> None:
         """Guards against a probe of each instance at the same moment."""
         env = _make_env()
         env.fleet.own_rank = 5
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_moves.py
@@ -386,7 +386,7 @@
         assert order.to_version == 'v2'
 
     @pytest.mark.parametrize('is_missing', (True, False))
-    def test_turns_begin_anew(self, is_missing: bool) -> None:
+    def test_delays_by_rank_begin_anew(self, is_missing: bool) -> None:
         """Guards against a write from every instance after a restore."""
         instance = restored.Instance(SHIFTING)
         instance.store.order = instance.moves.order_of('pool')
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_watch.py
@@ -31,7 +31,7 @@
         self.health = forwarding.StoreHealth(clock)
 
     def step(self, available_kinds: tuple[str, ...]) -> int:
-        """Call the store for each kind if it is this instance's turn.
+        """Call the store for each kind if this instance may ask.
 
         :param available_kinds: kinds for which the store responds.
         :return: number of calls.
@@ -42,7 +42,7 @@
                 continue
             if not self.health.claim_call(kind):
                 continue
-            self.shared_watch.take_turn()
+            self.shared_watch.record_call()
             call_count += 1
             if kind not in available_kinds:
                 self.health.record_fault(kind, 0.6)
@@ -115,7 +115,7 @@
 
 
 class TestSharedWatch:
-    """Roles of the instances in a fleet and their turns in an outage."""
+    """Roles of the instances in a fleet and their calls in an outage."""
 
     def test_two_watch_and_all_others_receive(self) -> None:
         """Guards against a number of calls that grows with the fleet."""
@@ -188,7 +188,7 @@
         assert waited_s < 2.0
 
     def test_all_kinds_recover_when_one_does(self) -> None:
-        """Guards against waiting for a turn of each kind after an outage."""
+        """Guards against waiting for each kind again after an outage."""
         fleet = _Fleet()
         fleet.run(12.0)
         fleet.run(1.5, served_ranks=frozenset(range(INSTANCE_COUNT)))
@@ -269,7 +269,7 @@
 
 
 class TestStoreHealth:
-    """Turns of the tasks of one instance while the store is unavailable."""
+    """Calls of the tasks of one instance while the store is unavailable."""
 
     def test_one_task_calls_at_a_time(self) -> None:
         """Guards against the cost of calls for each kind in an outage."""
@@ -303,7 +303,7 @@
             assert health.claim_call('targets')
             health.record_response()
 
-    def test_a_call_that_never_ends_loses_its_turn(self) -> None:
+    def test_a_call_that_never_ends_lets_others_ask(self) -> None:
         """Guards against an instance that never calls the store again."""
         clock = fakes.SteppingClock()
         health = forwarding.StoreHealth(clock)
--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -161,8 +161,8 @@
     def test_move_report_size(self) -> None:
         """Guards against per-route evidence that saturates a link.
 
-        A leader among 340 instances receives 38 reports in each turn, at
-        9 KB/s. A turn of six seconds leaves 1,421 bytes for each report.
+        A leader among 340 instances receives 38 reports in each interval, at
+        9 KB/s. An interval of six seconds leaves 1,421 bytes for each report.
         """
         rows = []
         histograms = []
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_move_fleet.py
@@ -254,7 +254,7 @@
         simulation.run(is_bad)
         phase = simulation.store.order.phase
         sent_count = simulation.sent_count
-        # Longer than the turns of all instances.
+        # Longer than the delays by rank of all instances.
         simulation.clock.advance(60.0)
         simulation.restore()
         simulation.run(is_bad, until_s=3.0)
