Call targets that answer nothing unresponsive

Outcomes, faults of streams and the tests called an engine or target that sends nothing silent, in part also one that only pauses. Tests of the latter speak of pauses. The value of OutcomeKind stays 'silent', since it is part of the metric outcome.silent; settings keys, steps of the log and the metrics with the word stay as well. One detail of a fault reads 'The engine is unresponsive.' now.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_engines.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_engines.py
@@ -24,7 +24,7 @@
     """Kind of a fault that occurs when a stream reaches a position."""
 
     CLOSE = 'close'
-    SILENCE = 'silence'
+    UNRESPONSIVE = 'unresponsive'
     ERROR = 'error'
     GAP = 'gap'
     REPEAT = 'repeat'
@@ -200,7 +200,7 @@
             return _fault(ports.StreamFaultKind.UNREACHABLE)
         if engine.frozen_until_s > now_s:
             self.clock.advance(timeout_s)
-            return _fault(ports.StreamFaultKind.SILENT)
+            return _fault(ports.StreamFaultKind.UNRESPONSIVE)
         return None
 
 
@@ -226,7 +226,7 @@
             return _fault(ports.StreamFaultKind.CLOSED)
         if self._is_unresponsive or engine.frozen_until_s > now_s:
             engines.clock.advance(timeout_s)
-            return _fault(ports.StreamFaultKind.SILENT)
+            return _fault(ports.StreamFaultKind.UNRESPONSIVE)
         request = self._run.request
         if (request.request_id, request.attempt) not in engine.runs:
             return _fault(ports.StreamFaultKind.CLOSED)
@@ -269,7 +269,7 @@
         if kind is EngineFaultKind.FREEZE:
             engine.frozen_until_s = now_s + OUTAGE_S
             return self.read(timeout_s)
-        if kind is EngineFaultKind.SILENCE:
+        if kind is EngineFaultKind.UNRESPONSIVE:
             self._is_unresponsive = True
             return self.read(timeout_s)
         return self._wrong_events(kind)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -253,7 +253,7 @@
                     stats.record_response(is_error=True)
             if not is_hanging:
                 self._moves.record_outcome(
-                    target, route, state.OutcomeKind.SILENT
+                    target, route, state.OutcomeKind.UNRESPONSIVE
                 )
                 return
             self.report_failure(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -193,7 +193,7 @@
     """Return the script of a stream.
 
     :param ending: ``end`` for a complete response, ``lost`` for a lost
-        connection, ``silent`` for a target that stops responding.
+        connection, ``unresponsive`` for a target that stops responding.
     """
     script = [fakes.ScriptedEvent(start_s, head())]
     at_s = start_s
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_fleet.py
@@ -63,7 +63,7 @@
         view.receive(_report(1, (_run('new'),), started_at_ms=2))
         assert set(view.loads()) == {'engine-new'}
 
-    def test_a_silent_peer_is_not_counted(self) -> None:
+    def test_an_unresponsive_peer_is_not_counted(self) -> None:
         """Guards against counting runs of an instance that has crashed."""
         clock = fakes.SteppingClock()
         view = _view(clock)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_shared_store_watcher.py
@@ -175,7 +175,7 @@
         shared.watcher.run()
         assert shared.handler.applied[-1] == ('changes', ('b',), False)
 
-    def test_a_silent_store_is_watched_again(self) -> None:
+    def test_an_unresponsive_store_is_watched_again(self) -> None:
         """Guards against a call of each instance after an outage.
 
         A list names a newer revision than the instances that receive changes
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_store_watcher.py
@@ -191,7 +191,7 @@
         not_answered = 'watch not answered in time; listing again'
         assert log.messages('store').count(not_answered) == 1
 
-    def test_watches_again_if_the_store_is_silent_to_all(self) -> None:
+    def test_watches_again_if_the_store_answers_nothing(self) -> None:
         """Guards against a list of many pages after each outage."""
         source, handler, _ = _run_watcher(
             forwarding.Listing(('a',), 5),
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -94,7 +94,7 @@
         """Guards against two engines that work on the same stream."""
         env = _make_two_engines()
         env.client.script(
-            'first', harness.stream_script(1, 5, ending='silent')
+            'first', harness.stream_script(1, 5, ending='unresponsive')
         )
         env.client.unresponsive.add('first')
         env.client.script('second', harness.stream_script(6, 9, start_s=0.05))
@@ -149,7 +149,7 @@
     ) -> None:
         """Guards against a stalled stream that never fails over."""
         env = _make_two_engines()
-        script = list(harness.stream_script(1, 3, ending='silent'))
+        script = list(harness.stream_script(1, 3, ending='unresponsive'))
         for number in range(200):
             chunk = forwarding.BodyChunk(kept_alive)
             script.append(fakes.ScriptedEvent(1.2 + 0.1 * number, chunk))
@@ -225,7 +225,7 @@
         """Guards against a pause that makes the stream late."""
         env = _make_two_engines()
         env.client.script(
-            'first', harness.stream_script(1, 5, ending='silent')
+            'first', harness.stream_script(1, 5, ending='unresponsive')
         )
         env.client.unresponsive.add('first')
         env.client.script('second', harness.stream_script(6, 9, start_s=0.05))
@@ -241,7 +241,7 @@
         """Guards against waiting on a connection without further events."""
         env = _make_two_engines()
         env.client.script(
-            'first', harness.stream_script(1, 5, ending='silent')
+            'first', harness.stream_script(1, 5, ending='unresponsive')
         )
         env.client.script('second', harness.stream_script(6, 9, start_s=0.05))
         assert isinstance(env.stream(), forwarding.StreamCompleted)
@@ -343,7 +343,7 @@
     ) -> None:
         """Guards against partial, missing or duplicate events."""
         env = _make_two_engines()
-        start = harness.stream_script(1, 2, ending='silent')
+        start = harness.stream_script(1, 2, ending='unresponsive')
         tail = tuple(fakes.ScriptedEvent(1.2, event) for event in case.tail)
         env.client.script('first', start + tail)
         env.client.script('second', harness.stream_script(3, 6, start_s=0.05))
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_silent_engines.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_unresponsive_engines.py
@@ -1,4 +1,4 @@
-"""Engines that are silent for a while and then go on with their runs."""
+"""Engines that send nothing for a while and then go on with their runs."""
 
 from collections.abc import Callable
 import dataclasses
@@ -11,19 +11,19 @@
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
-#: Silence of a sound engine, longer than the failover timeout.
-SILENCE_S = 1.2
+#: Pause of a sound engine, longer than the failover timeout.
+PAUSE_S = 1.2
 
 
-def _silent_script(
-    silences_s: tuple[float, ...] = (SILENCE_S,),
+def _pausing_script(
+    pauses_s: tuple[float, ...] = (PAUSE_S,),
 ) -> tuple[fakes.ScriptedEvent, ...]:
-    """Return a stream with three events before and after each silence."""
+    """Return a stream with three events before and after each pause."""
     script = [fakes.ScriptedEvent(1.0, harness.head())]
     at_s = 1.0
     event_id = 0
-    for silence_s in (0.0, *silences_s):
-        at_s += silence_s
+    for pause_s in (0.0, *pauses_s):
+        at_s += pause_s
         for _ in range(3):
             event_id += 1
             at_s += 0.04
@@ -92,8 +92,8 @@
 )
 
 
-class TestSilentButSoundEngines:
-    """A silence ends a run only if it can go on elsewhere."""
+class TestPausingEngines:
+    """A pause ends a run only if it can go on elsewhere."""
 
     @pytest.mark.parametrize('answers_probes', [True, False])
     @pytest.mark.parametrize(
@@ -104,7 +104,7 @@
     ) -> None:
         """Guards against streams that are cut though their engine goes on."""
         env = _make_env(*case.engines)
-        env.client.script('first', _silent_script())
+        env.client.script('first', _pausing_script())
         if not answers_probes:
             env.client.unresponsive.add('first')
         _at_first_event(env, case.action)
@@ -121,7 +121,7 @@
         def _send_events(events: bytes) -> bool:
             # Also the time of a suspension of this process.
             if len(env.caller.received_at_s) == 2:
-                env.clock.advance(SILENCE_S)
+                env.clock.advance(PAUSE_S)
             return original(events)
 
         env.caller.send_events = _send_events  # type: ignore[method-assign]
@@ -142,7 +142,7 @@
         """Guards against a run that stays at an engine that is lost."""
         env = _make_env('first', 'second', allowance=2.0)
         env.client.script(
-            'first', harness.stream_script(1, 3, ending='silent')
+            'first', harness.stream_script(1, 3, ending='unresponsive')
         )
         env.client.script('second', harness.stream_script(4, 6, start_s=0.05))
         env.client.unresponsive.add('first')
@@ -175,12 +175,12 @@
         env = _make_env('first', 'second')
         env.client.script(
             'first',
-            harness.stream_script(1, 3, ending='silent'),
+            harness.stream_script(1, 3, ending='unresponsive'),
             harness.stream_script(7, 9, start_s=0.05),
         )
         env.client.script(
             'second',
-            harness.stream_script(4, 6, start_s=1.0, ending='silent'),
+            harness.stream_script(4, 6, start_s=1.0, ending='unresponsive'),
         )
         assert isinstance(env.stream(), forwarding.StreamCompleted)
         assert env.client.sent_to() == ['first', 'second', 'first']
@@ -194,7 +194,7 @@
         def _lose_run(disconnects_after_s: float) -> harness.Harness:
             env = _make_env('first', 'second')
             env.client.script(
-                'first', harness.stream_script(1, 3, ending='silent')
+                'first', harness.stream_script(1, 3, ending='unresponsive')
             )
             env.client.unresponsive.add('first')
             env.caller.disconnects_at_s = (
--- a/packages/coordination/src/skylarktack/coordination/generation/_attempt.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_attempt.py
@@ -133,7 +133,7 @@
             return self._stream.read(self._inactivity.timeout_s)
         self._dependencies.clock.wait(self._never_set, RESERVATION_INTERVAL_S)
         return ports.StreamFault(
-            ports.StreamFaultKind.SILENT, 'The engine is silent.'
+            ports.StreamFaultKind.UNRESPONSIVE, 'The engine is unresponsive.'
         )
 
     def _wait_for_batch(self) -> None:
@@ -251,7 +251,9 @@
                 return AttemptEnd.LOST
             return None
         if self._is_overdue(now_s) and self._may_leave():
-            self._outcome_recorder.record_fault(ports.StreamFaultKind.SILENT)
+            self._outcome_recorder.record_fault(
+                ports.StreamFaultKind.UNRESPONSIVE
+            )
             return AttemptEnd.LOST
         if now_s - self._drain_checked_s < DRAIN_CHECK_INTERVAL_S:
             return None
@@ -295,7 +297,7 @@
         """
         if not self._dependencies.settings.protection:
             return False
-        has_timed_out = fault is ports.StreamFaultKind.SILENT
+        has_timed_out = fault is ports.StreamFaultKind.UNRESPONSIVE
         if self._has_used_reattaches(has_timed_out, now_s):
             if not has_timed_out or self._may_leave():
                 return False
@@ -303,7 +305,7 @@
         error = self._attach()
         if error is None:
             return True
-        if error is not ports.StreamFaultKind.SILENT:
+        if error is not ports.StreamFaultKind.UNRESPONSIVE:
             return False
         return not self._may_leave()
 
--- a/packages/coordination/src/skylarktack/coordination/generation/_outcome_recorder.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_outcome_recorder.py
@@ -8,7 +8,7 @@
     ports.StreamFaultKind.REFUSED: state.OutcomeKind.REFUSED,
     ports.StreamFaultKind.MISSING: state.OutcomeKind.REFUSED,
     ports.StreamFaultKind.CLOSED: state.OutcomeKind.CONNECTION_LOST,
-    ports.StreamFaultKind.SILENT: state.OutcomeKind.SILENT,
+    ports.StreamFaultKind.UNRESPONSIVE: state.OutcomeKind.UNRESPONSIVE,
     ports.StreamFaultKind.MALFORMED: state.OutcomeKind.ERROR,
 }
 
--- a/packages/coordination/src/skylarktack/coordination/lookup/_runner.py
+++ b/packages/coordination/src/skylarktack/coordination/lookup/_runner.py
@@ -266,7 +266,7 @@
         self._dependencies.health.record_fault(target.name)
         kind = state.OutcomeKind.CONNECTION_LOST
         if fault.timed_out:
-            kind = state.OutcomeKind.SILENT
+            kind = state.OutcomeKind.UNRESPONSIVE
         elif fault.run is state.RunState.NOT_RUN:
             kind = state.OutcomeKind.REFUSED
         duration_ms = (self._clock.monotonic_s() - started_s) * 1000
@@ -287,7 +287,7 @@
             self._observe(
                 lookup,
                 attempt.target,
-                state.OutcomeKind.SILENT,
+                state.OutcomeKind.UNRESPONSIVE,
                 lookup.call.route.call_timeout_ms,
             )
         if lookup.last_result.is_ok():
--- a/packages/coordination/src/skylarktack/coordination/moves/_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/moves/_evidence.py
@@ -15,7 +15,7 @@
 
 _ERROR_KINDS = (
     state.OutcomeKind.ERROR,
-    state.OutcomeKind.SILENT,
+    state.OutcomeKind.UNRESPONSIVE,
     state.OutcomeKind.REFUSED,
 )
 
--- a/packages/coordination/src/skylarktack/coordination/once/_dispatch.py
+++ b/packages/coordination/src/skylarktack/coordination/once/_dispatch.py
@@ -277,7 +277,7 @@
             return state.OutcomeKind.ERROR
         return state.OutcomeKind.SUCCESS
     if result.error.timed_out:
-        return state.OutcomeKind.SILENT
+        return state.OutcomeKind.UNRESPONSIVE
     if result.error.run is state.RunState.NOT_RUN:
         return state.OutcomeKind.REFUSED
     return state.OutcomeKind.CONNECTION_LOST
--- a/packages/coordination/src/skylarktack/coordination/ports/_engines.py
+++ b/packages/coordination/src/skylarktack/coordination/ports/_engines.py
@@ -25,7 +25,7 @@
     CLOSED = 'closed'
 
     #: Nothing arrived within the time limit; the connection is still open.
-    SILENT = 'silent'
+    UNRESPONSIVE = 'unresponsive'
 
     #: The engine violated its protocol.
     MALFORMED = 'malformed'
--- a/packages/coordination/src/skylarktack/coordination/routing/_table.py
+++ b/packages/coordination/src/skylarktack/coordination/routing/_table.py
@@ -33,7 +33,7 @@
     {
         state.OutcomeKind.ERROR,
         state.OutcomeKind.CONNECTION_LOST,
-        state.OutcomeKind.SILENT,
+        state.OutcomeKind.UNRESPONSIVE,
         state.OutcomeKind.TRUNCATED,
         state.OutcomeKind.REFUSED,
     }
--- a/packages/coordination/src/skylarktack/coordination/tests/test_generation_faults.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_generation_faults.py
@@ -18,7 +18,7 @@
 #: Faults of a stream or an engine that interrupt or corrupt the stream.
 STREAM_FAULTS = (
     KINDS.CLOSE,
-    KINDS.SILENCE,
+    KINDS.UNRESPONSIVE,
     KINDS.ERROR,
     KINDS.GAP,
     KINDS.CROSSED_STREAM,
@@ -108,7 +108,7 @@
         harness = _new_harness(3)
         request = generation_harness.request()
         harness.fleet.engines.faults[request.request_id] = [
-            fakes.EngineFault(KINDS.SILENCE, 9)
+            fakes.EngineFault(KINDS.UNRESPONSIVE, 9)
         ]
         assert harness.run(request).end is not None
         assert harness.fleet.engines.started_count == 1
--- a/packages/coordination/src/skylarktack/coordination/tests/test_silent_attempts.py
+++ b/packages/coordination/src/skylarktack/coordination/tests/test_unresponsive_engines.py
@@ -1,4 +1,4 @@
-"""Generations whose engine is silent while there is no way on."""
+"""Generations whose engine is unresponsive while no other is available."""
 
 from collections.abc import Callable
 import dataclasses
@@ -10,7 +10,7 @@
 from skylarktack.coordination import generation
 from skylarktack.coordination.tests import generation_harness
 
-#: Positions of the tokens before which an engine becomes silent, of 20.
+#: Positions of the tokens before which an engine becomes unresponsive, of 20.
 POSITIONS = (0, 9, 19)
 
 #: Settings with which each failover takes a retry from the budget.
@@ -59,8 +59,8 @@
     return request
 
 
-class TestSilentAttempts:
-    """A silence ends an attempt only if the generation can go on."""
+class TestUnresponsiveEngines:
+    """A pause ends an attempt only if the generation can go on."""
 
     @pytest.mark.parametrize('position', POSITIONS)
     @pytest.mark.parametrize(
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
@@ -119,8 +119,8 @@
     def test_leaves_time_for_the_last_answers(self) -> None:
         """Guards against answers that are made at the deadline and not sent.
 
-        A request at a silent target is answered at its time limit, which may
-        be the last moment at which requests have to end.
+        A request at an unresponsive target is answered at its time limit,
+        which may be the last moment at which requests have to end.
         """
         _, gateway, duration_s = _stop(streams_end_s=99.0, calls_end_s=99.0)
         assert duration_s - gateway.end_at_s >= 0.2
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_silent_targets.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_unresponsive_targets.py
@@ -1,4 +1,4 @@
-"""Sound targets that fall silent for a while, on real connections."""
+"""Sound targets that send nothing for a while, on real connections."""
 
 import time
 
@@ -8,8 +8,8 @@
 from skylarktack.daemon.forwarding.tests import response_harness
 from skylarktack.state import forwarding as data
 
-#: A sound target may be silent for about a second.
-SILENCE_S = 1.5
+#: A sound target may send nothing for about a second.
+PAUSE_S = 1.5
 
 HEAD = b'HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nReplica-Signature: s\r\n'
 STREAM_HEAD = HEAD + b'Content-Type: text/event-stream\r\n\r\n'
@@ -17,26 +17,26 @@
 FIRST_EVENT = b'id: 1\ndata: a\n\n'
 SECOND_EVENT = b'id: 2\ndata: b\n\n'
 
-SILENT_ANSWERS = {
-    'before the head': (SILENCE_S, PLAIN_HEAD + b'done'),
-    'within the head': (PLAIN_HEAD[:20], SILENCE_S, PLAIN_HEAD[20:] + b'done'),
-    'within the body': (PLAIN_HEAD + b'do', SILENCE_S, b'ne'),
+PAUSED_ANSWERS = {
+    'before the head': (PAUSE_S, PLAIN_HEAD + b'done'),
+    'within the head': (PLAIN_HEAD[:20], PAUSE_S, PLAIN_HEAD[20:] + b'done'),
+    'within the body': (PLAIN_HEAD + b'do', PAUSE_S, b'ne'),
 }
 
-SILENT_STREAMS = {
-    'before the head': (SILENCE_S, STREAM_HEAD + FIRST_EVENT + SECOND_EVENT),
+PAUSED_STREAMS = {
+    'before the head': (PAUSE_S, STREAM_HEAD + FIRST_EVENT + SECOND_EVENT),
     'before the first event': (
         STREAM_HEAD,
-        SILENCE_S,
+        PAUSE_S,
         FIRST_EVENT + SECOND_EVENT,
     ),
-    'between events': (STREAM_HEAD + FIRST_EVENT, SILENCE_S, SECOND_EVENT),
+    'between events': (STREAM_HEAD + FIRST_EVENT, PAUSE_S, SECOND_EVENT),
     'within an event': (
         STREAM_HEAD + FIRST_EVENT + SECOND_EVENT[:8],
-        SILENCE_S,
+        PAUSE_S,
         SECOND_EVENT[8:],
     ),
-    'before the end': (STREAM_HEAD + FIRST_EVENT + SECOND_EVENT, SILENCE_S),
+    'before the end': (STREAM_HEAD + FIRST_EVENT + SECOND_EVENT, PAUSE_S),
 }
 
 
@@ -81,11 +81,11 @@
         assert len(bodies[0]) < len(body)
 
 
-class TestSilentTarget:
-    """Requests that may not be repeated wait for a silent target."""
+class TestPausingTarget:
+    """Requests that may not be repeated wait for a target that pauses."""
 
     @pytest.mark.parametrize(
-        'parts', SILENT_ANSWERS.values(), ids=SILENT_ANSWERS.keys()
+        'parts', PAUSED_ANSWERS.values(), ids=PAUSED_ANSWERS.keys()
     )
     def test_call_waits(self, parts: tuple[bytes | float, ...]) -> None:
         """Guards against breaking off a booking at a sound target."""
@@ -101,7 +101,7 @@
         """Guards against giving up a target that reads late."""
         route = response_harness.route(data.RequestKind.NON_IDEMPOTENT)
         answer = raw_target.Answer(
-            (SILENCE_S, PLAIN_HEAD), is_before_body=True, after_body=b'done'
+            (PAUSE_S, PLAIN_HEAD), is_before_body=True, after_body=b'done'
         )
         with response_harness.serving(route, answer) as harness:
             assert harness.ask(b'x' * 8_000_000) == (200, b'done')
@@ -109,7 +109,7 @@
             assert not harness.ejected()
 
     @pytest.mark.parametrize(
-        'parts', SILENT_STREAMS.values(), ids=SILENT_STREAMS.keys()
+        'parts', PAUSED_STREAMS.values(), ids=PAUSED_STREAMS.keys()
     )
     def test_stream_waits(self, parts: tuple[bytes | float, ...]) -> None:
         """Guards against breaking off a stream that may not be resumed."""
@@ -129,9 +129,9 @@
     def test_resumed_stream_leaves_one_run(self) -> None:
         """Guards against two engines that work on one stream."""
         route = response_harness.route(data.RequestKind.STREAM)
-        silent = raw_target.Answer(SILENT_STREAMS['between events'], 'end')
+        paused = raw_target.Answer(PAUSED_STREAMS['between events'], 'end')
         rest = raw_target.Answer((STREAM_HEAD + SECOND_EVENT,), 'end')
-        with response_harness.serving(route, silent, rest) as harness:
+        with response_harness.serving(route, paused, rest) as harness:
             harness.send()
             received = harness.read_stream()
             assert [r.last_event_id for r in harness.requests] == [None, b'1']
--- a/packages/state/src/skylarktack/state/_targets.py
+++ b/packages/state/src/skylarktack/state/_targets.py
@@ -84,7 +84,10 @@
     SUCCESS = 'success'
     ERROR = 'error'
     CONNECTION_LOST = 'connection_lost'
-    SILENT = 'silent'
+
+    #: No response in time. The value is part of a metric's name.
+    UNRESPONSIVE = 'silent'
+
     TRUNCATED = 'truncated'
     CANCELLED = 'cancelled'
     REFUSED = 'refused'
--- a/packages/transport/src/skylarktack/transport/_engine_client.py
+++ b/packages/transport/src/skylarktack/transport/_engine_client.py
@@ -48,7 +48,7 @@
                     return events
         except TimeoutError:
             return _fault(
-                ports.StreamFaultKind.SILENT,
+                ports.StreamFaultKind.UNRESPONSIVE,
                 f'Nothing arrived within {timeout_s:.3f} s.',
             )
         except (OSError, ValueError, http.client.HTTPException) as error:
@@ -184,7 +184,7 @@
     if not fault.sent:
         return _fault(ports.StreamFaultKind.UNREACHABLE, fault.message)
     if fault.timed_out:
-        return _fault(ports.StreamFaultKind.SILENT, fault.message)
+        return _fault(ports.StreamFaultKind.UNRESPONSIVE, fault.message)
     return _fault(ports.StreamFaultKind.CLOSED, fault.message)
 
 
