Replace the last told, news and spread where no wire name has them

Constants of random delays are named delays, and a flag of the quarantine by what it holds. The wire field news of the membership messages and the setting news_count stay.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_tasks.py
@@ -174,7 +174,7 @@
     #: After a restore of the store the instances read the list at random
     #: within this time for each instance, since each of them may have to
     #: write its entry again.
-    RESTORE_SPREAD_PER_INSTANCE_S = 0.02
+    MAX_RESTORE_DELAY_PER_INSTANCE_S = 0.02
 
     def __init__(
         self,
@@ -210,7 +210,7 @@
         if self._is_restored.is_set():
             self._is_restored.clear()
             self._may_be_stale = False
-            max_wait_s = self.RESTORE_SPREAD_PER_INSTANCE_S * (
+            max_wait_s = self.MAX_RESTORE_DELAY_PER_INSTANCE_S * (
                 1 + self._view.peer_count()
             )
             self._clock.wait(self._never_set, max_wait_s * random.random())
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -118,9 +118,9 @@
                     self._evidence.report_output(part_id)
                 if self._table.release(part_id, is_own_decision=True):
                     events.append(_released(part_id, 'a run produced output'))
-            has_news = self._evidence.has_new_outputs
+            has_new_outputs = self._evidence.has_new_outputs
         self._record(events)
-        if has_news:
+        if has_new_outputs:
             self._fleet.report_prompt_evidence()
 
     def quarantined_count(self) -> int:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -34,7 +34,7 @@
 
 #: After a restore the instances that rely on forwarded changes list at random
 #: within this time for each instance, so that the store's rate limit is kept.
-LIST_SPREAD_PER_INSTANCE_S = 0.002
+MAX_LIST_DELAY_PER_INSTANCE_S = 0.002
 
 #: Interval at which a task checks whether it may ask the store.
 CALL_CHECK_INTERVAL_S = 0.05
@@ -121,7 +121,7 @@
         """Wait, so that not all instances of the fleet ask at once."""
         if self._shared_watch is None or not self._receives_changes:
             return
-        max_wait_s = LIST_SPREAD_PER_INSTANCE_S * (
+        max_wait_s = MAX_LIST_DELAY_PER_INSTANCE_S * (
             self._shared_watch.instance_count()
         )
         self._clock.wait(self._stopped, max_wait_s * random.random())
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_suspensions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_suspensions.py
@@ -1,6 +1,6 @@
 """Times at which the process did not run, such as a paused virtual machine.
 
-What an instance was told before such a time may be older than its age by the
+What an instance learned before such a time may be older than its age by the
 clock suggests: nothing that happened meanwhile has reached it yet.
 """
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_exclusions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_exclusions.py
@@ -138,7 +138,7 @@
         )
 
     def test_told_by_a_peer(self) -> None:
-        """Guards against requests to a target that told another instance."""
+        """Guards against requests to a target excluded by another instance."""
         env = harness.make_harness(_target('a'), _target('b'))
         report = dataclasses.replace(
             harness.peer_report('peer-0', 0),
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_records.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_restored_records.py
@@ -105,7 +105,7 @@
             discovery.task.run()
         read_at_s = discovery.registry.read_at_s
         assert read_at_s[-1] - read_at_s[0] <= (
-            discovery.task.RESTORE_SPREAD_PER_INSTANCE_S
+            discovery.task.MAX_RESTORE_DELAY_PER_INSTANCE_S
         )
 
     @pytest.mark.parametrize('failure_count', [0, 1, 3])
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_retry_waits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_retry_waits.py
@@ -187,7 +187,7 @@
         'case', WAIT_END_CASES, ids=lambda case: case.name
     )
     def test_stream_ends(self, case: WaitEndCase) -> None:
-        """Guards against callers that are held, or told too early."""
+        """Guards against callers that are held, or refused too early."""
         env = _make_env('first', 'second', allowance=0.0)
         env.client.script('first', case.script)
         env.client.queued_count = 1
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_streams.py
@@ -105,7 +105,7 @@
 class TestSimultaneousLoss:
     """Restarts of runs that are lost with their failure domain."""
 
-    def test_restarts_without_copy_are_spread_over_time(
+    def test_restarts_without_copy_have_random_delays(
         self,
     ) -> None:
         """Guards against a thundering herd at the engine with the least load.
