Record the end of a generation's attempt at one place

Joined and new attempts repeated the same call of the failover state after the attempt had been read. It is made by _read_attempt now, at the same moment: after its outcome was observed, and not if the iterator is closed. No change of behaviour; the tests of generations and of unresponsive engines pass.

--- a/packages/coordination/src/skylarktack/coordination/generation/_runner.py
+++ b/packages/coordination/src/skylarktack/coordination/generation/_runner.py
@@ -159,15 +159,11 @@
                 )
             return _attempt.AttemptEnd.LOST
         dependencies.metrics.count('generation.joined')
-        attempt_result = yield from self._read_attempt(
-            record, failover, target, running, opened.ok, outcome_recorder
-        )
-        failover.record_loss(
-            target,
-            outcome_recorder.token_count > 0,
-            dependencies.clock.monotonic_s(),
+        return (
+            yield from self._read_attempt(
+                record, failover, target, running, opened.ok, outcome_recorder
+            )
         )
-        return attempt_result
 
     def _next_attempt(
         self,
@@ -325,15 +321,11 @@
                 )
             return _attempt.AttemptEnd.LOST
         record.begin_attempt(attempt)
-        attempt_result = yield from self._read_attempt(
-            record, failover, target, attempt, opened.ok, outcome_recorder
-        )
-        failover.record_loss(
-            target,
-            outcome_recorder.token_count > 0,
-            dependencies.clock.monotonic_s(),
+        return (
+            yield from self._read_attempt(
+                record, failover, target, attempt, opened.ok, outcome_recorder
+            )
         )
-        return attempt_result
 
     def _read_attempt(
         self,
@@ -370,6 +362,11 @@
                 self.canceller.abandon(
                     target, record.request.request_id, attempt.number
                 )
+        failover.record_loss(
+            target,
+            outcome_recorder.token_count > 0,
+            self._dependencies.clock.monotonic_s(),
+        )
         return attempt_result
 
     def _observe(
