Share the message handlers of the in-memory networks

MemoryLinkNetwork and LocalPeerNetwork repeated the registry of handlers and the call of one. No change of behaviour; the tests of coordination that use them pass.

--- a/packages/coordination/src/skylarktack/coordination/fakes/_links.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_links.py
@@ -11,6 +11,7 @@
 
 from skylarktack import state
 from skylarktack.coordination import ports
+from skylarktack.coordination.fakes import _handlers
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,13 +117,13 @@
         )
 
 
-class MemoryLinkNetwork:
+class MemoryLinkNetwork(_handlers.MessageHandlers):
     """The links of one instance."""
 
     def __init__(self, hub: MemoryLinkHub, table: state.MemberTable) -> None:
+        super().__init__()
         self._hub = hub
         self._table = table
-        self._handlers: dict[type, ports.PeerHandler] = {}
         #: Peers with a persistent connection.
         self.linked: set[state.InstanceName] = set()
 
@@ -199,16 +200,3 @@
         if not self._hub.reads(self.name):
             return Error(no_answer)
         return Ok(response)
-
-    def register_handler(
-        self, message_type: type, handler: ports.PeerHandler
-    ) -> None:
-        """Register the handler for one type of message."""
-        self._handlers[message_type] = handler
-
-    def receive(self, source: state.InstanceName, message: object) -> Any:
-        """Run the handler of a message; None if there is no handler."""
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            return None
-        return handler(source, message)
--- a/packages/coordination/src/skylarktack/coordination/fakes/_peers.py
+++ b/packages/coordination/src/skylarktack/coordination/fakes/_peers.py
@@ -9,6 +9,7 @@
 
 from skylarktack import state
 from skylarktack.coordination import ports
+from skylarktack.coordination.fakes import _handlers
 
 
 class LocalPeerHub:
@@ -61,7 +62,7 @@
             return tuple(self._networks[name] for name in names)
 
 
-class LocalPeerNetwork:
+class LocalPeerNetwork(_handlers.MessageHandlers):
     """The network of one instance; handlers run in the sender's thread."""
 
     def __init__(
@@ -70,9 +71,9 @@
         name: state.InstanceName,
         failure_domain: str,
     ) -> None:
+        super().__init__()
         self._hub = hub
         self._name = name
-        self._handlers: dict[type, ports.PeerHandler] = {}
         self.member = state.Member(
             name=name,
             address=state.Address('127.0.0.1', 0),
@@ -124,19 +125,6 @@
             )
         return Ok(network.receive(self._name, message))
 
-    def register_handler(
-        self, message_type: type, handler: ports.PeerHandler
-    ) -> None:
-        """Register the handler for one type of message."""
-        self._handlers[message_type] = handler
-
-    def receive(self, source: state.InstanceName, message: object) -> Any:
-        """Run the handler of a message; None if there is no handler."""
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            return None
-        return handler(source, message)
-
 
 def _pair(one: str, other: str) -> frozenset[state.InstanceName]:
     return frozenset({state.InstanceName(one), state.InstanceName(other)})
