--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/move_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/move_harness.py
@@ -31,6 +31,23 @@
     return data.MoveOrder('pool', 'v2', DURATION_S, position, phase)
 
 
+def peer_report(**fields: object) -> data.MoveReport:
+    """Return the report of a peer that decided nothing, with some fields."""
+    return dataclasses.replace(
+        data.MoveReport(
+            instance='peer',
+            service='pool',
+            to_version='v2',
+            scope=data.MoveScope.INSTANCE,
+            counts=data.MoveCounts(member_count=1),
+            age_ms=0,
+            is_shifting=False,
+            stop_reason='',
+        ),
+        **fields,  # type: ignore[arg-type]
+    )
+
+
 def new_target(name: str, domain: str = 'domain-a') -> data.ListedTarget:
     """Return a target of the new version."""
     return dataclasses.replace(harness.target(name, domain), version='v2')
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_move_verdicts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_move_verdicts.py
@@ -163,16 +163,7 @@
             rule = move_run.env.moves.choose_versions('pool')
             assert rule.preferred is None or rule.is_canary
         move_run.env.moves.apply_report(
-            data.MoveReport(
-                instance='peer',
-                service='pool',
-                to_version='v2',
-                scope=data.MoveScope.INSTANCE,
-                counts=data.MoveCounts(member_count=1),
-                age_ms=0,
-                is_shifting=False,
-                stop_reason='failed',
-            )
+            move_harness.peer_report(stop_reason='failed')
         )
         clock.advance(0.6)
         move_run.driver.step()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_moves.py
@@ -98,26 +98,11 @@
 class TestReports:
     """Reports between instances, which judge and shift together."""
 
-    def _report(self, **fields: object) -> data.MoveReport:
-        return dataclasses.replace(
-            data.MoveReport(
-                instance='peer',
-                service='pool',
-                to_version='v2',
-                scope=data.MoveScope.INSTANCE,
-                counts=data.MoveCounts(member_count=1),
-                age_ms=0,
-                is_shifting=False,
-                stop_reason='',
-            ),
-            **fields,  # type: ignore[arg-type]
-        )
-
     def test_stop_reported_by_peer_is_applied(self) -> None:
         """Guards against a bad version that other instances keep using."""
         env = move_harness.make_env()
         env.moves.apply(data.MoveChange('pool', move_harness.order()))
-        env.moves.apply_report(self._report(stop_reason='failed'))
+        env.moves.apply_report(move_harness.peer_report(stop_reason='failed'))
         for _ in range(200):
             assert env.moves.choose_versions('pool').excluded == {'v2'}
 
@@ -126,7 +111,7 @@
         env = move_harness.make_env()
         env.moves.apply(data.MoveChange('pool', move_harness.order()))
         counts = data.MoveCounts(40, 60, member_count=1)
-        env.moves.apply_report(self._report(counts=counts))
+        env.moves.apply_report(move_harness.peer_report(counts=counts))
         for _ in range(200):
             assert not env.moves.choose_versions('pool').is_canary
 
@@ -169,7 +154,7 @@
         """Guards against a move that starts over with each restart."""
         env = move_harness.make_env()
         env.moves.apply(data.MoveChange('pool', move_harness.order()))
-        env.moves.apply_report(self._report(age_ms=9000))
+        env.moves.apply_report(move_harness.peer_report(age_ms=9000))
         env.clock.advance(1.0)
         assert env.moves.reports('own')[0].age_ms == pytest.approx(
             10000, abs=5
@@ -227,7 +212,9 @@
         env.moves.apply(data.MoveChange('pool', move_harness.order()))
         env.moves.has_updates.clear()
         if is_reported_by_peer:
-            env.moves.apply_report(self._report(stop_reason='failed'))
+            env.moves.apply_report(
+                move_harness.peer_report(stop_reason='failed')
+            )
         else:
             for _ in range(40):
                 env.moves.record_outcome(
