Call the configuration that an instance uses the active one

Docstrings called it active, current or in force. 'Current' now says only that it is known to be the newest, as in is_current. Texts that operators read (metrics' help, explain) stay.

--- a/packages/coordination/src/skylarktack/coordination/configuration/_directory.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_directory.py
@@ -1,4 +1,4 @@
-"""Index of the current configuration by name and key."""
+"""Index of the active configuration by name and key."""
 
 import dataclasses
 
@@ -19,7 +19,7 @@
 
 
 class ConfigurationIndex:
-    """Lookup tables of the current configuration.
+    """Lookup tables of the active configuration.
 
     Built once for each revision; without them, each request would scan up to
     13,000 organisations.
--- a/packages/coordination/src/skylarktack/coordination/configuration/_holder.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_holder.py
@@ -1,4 +1,4 @@
-"""Holder of the current configuration; its position never decreases."""
+"""Holder of the active configuration; its position never decreases."""
 
 import threading
 
@@ -7,7 +7,7 @@
 
 
 class ConfigurationHolder:
-    """The current configuration of this instance, replaced atomically."""
+    """The active configuration of this instance, replaced atomically."""
 
     def __init__(self, clock: ports.Clock) -> None:
         self._clock = clock
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -70,11 +70,11 @@
 
     @property
     def version(self) -> int:
-        """Return the version in force here; 0 before the first."""
+        """Return the active version; 0 before the first."""
         ...
 
     def record_peer_version(self, version: int) -> None:
-        """Record the version in force at a peer."""
+        """Record the active version of a peer."""
         ...
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_front_limits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_front_limits.py
@@ -12,13 +12,13 @@
 MAX_REPLACED_COUNT = 16
 
 #: Minimum idle timeout while the store does not confirm the configuration: a
-#: longer one may be in force that this instance does not know.
+#: longer one may be active elsewhere that this instance does not know.
 UNCONFIRMED_IDLE_TIMEOUT_MS = 60_000.0
 
 
 @dataclasses.dataclass(frozen=True)
 class _ReplacedLimits:
-    """Limits of configurations that are not in force any more."""
+    """Limits of configurations that are not active any more."""
 
     limits: data.FrontLimits
 
@@ -39,7 +39,7 @@
         """Create a history that begins with the default limits.
 
         :param lag_s: maximum time for which this instance may not know a
-            configuration that is in force elsewhere.
+            configuration that is active elsewhere.
         """
         self._clock = clock
         self._lag_s = lag_s
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -70,7 +70,7 @@
     #: key or on an anonymous route.
     organisation: str | None
 
-    #: Version of the configuration in force, or None if there was none.
+    #: Version of the active configuration, or None if there was none.
     configuration_version: int | None
 
     #: Whether the store had confirmed that version recently.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_evidence.py
@@ -26,7 +26,7 @@
 
 #: Maximum number of routes of a service that are counted separately; reports
 #: grow with them. Services have two or three routes with traffic, and some
-#: more that are only requested to see which configuration is in force.
+#: more that are only requested to see which configuration is active.
 MAX_ROUTE_COUNT = 4
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_handlers.py
@@ -47,7 +47,7 @@
         """Create a holder without a configuration.
 
         :param lag_s: maximum time for which this instance may not know a
-            configuration that is in force elsewhere.
+            configuration that is active elsewhere.
         :param peer_wait_s: time within which the peers report their versions
             after the start and after a suspension; 0 without peers.
         """
@@ -133,7 +133,7 @@
         the peers are due, or while a peer reports a newer version. Reports
         that arrived during a suspension may have been dropped unread. A
         confirmation that was awaited while the process was suspended may
-        have been sent before changes that are in force elsewhere.
+        have been sent before changes that are active elsewhere.
         """
         confirmation = self._confirmation
         if confirmation is None:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -166,7 +166,7 @@
 
 
 class ConfigurationState(Protocol):
-    """Tells which configuration is in force."""
+    """Tells which configuration is active."""
 
     @property
     def version(self) -> int:
--- a/packages/state/src/skylarktack/state/_configurations.py
+++ b/packages/state/src/skylarktack/state/_configurations.py
@@ -135,7 +135,7 @@
     #: Whether it is shutting down.
     stopping: bool
 
-    #: Revision of its current configuration.
+    #: Revision of its active configuration.
     revision: int
 
     #: Wall clock time at which it applied that revision, in seconds since the
--- a/packages/state/src/skylarktack/state/_documents.py
+++ b/packages/state/src/skylarktack/state/_documents.py
@@ -165,7 +165,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ActiveConfiguration:
-    """The current configuration of one instance."""
+    """The active configuration of one instance."""
 
     #: Revision in the object API, which never decreases within an era; 0
     #: before the first.
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -89,7 +89,7 @@
     #: Losses of engines under prompt parts, and the quarantined parts.
     prompt_evidence: PromptEvidence = PromptEvidence()
 
-    #: Version of the configuration in force at the sender; 0 if it has none
+    #: Version of the active configuration of the sender; 0 if it has none
     #: or is of an earlier release.
     configuration_version: int = 0
 
