--- a/packages/coordination/src/skylarktack/coordination/forwarding/_suspensions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_suspensions.py
@@ -1,6 +1,6 @@
 """Times at which the process did not run, such as a paused virtual machine.
 
-What an instance was told before such a time may be older than its age by the
+What an instance learned before such a time may be older than its age by the
 clock suggests: nothing that happened meanwhile has reached it yet.
 """
 
@@ -56,9 +56,11 @@
         self._lock = threading.Lock()
         self._running_since_s = clock.monotonic_s()
         self._last_run_s = read_boottime_s()
+        self._has_begun = False
 
     def run(self) -> None:
         """Record that the process runs, until stopped."""
+        self._begin()
         while not self._stopped.is_set():
             self.running_since_s()
             self._clock.wait(self._stopped, CHECK_INTERVAL_S)
@@ -67,6 +69,14 @@
         """Make the task end."""
         self._stopped.set()
 
+    def _begin(self) -> None:
+        """Leave out the time until the task's first start."""
+        with self._lock:
+            if self._has_begun:
+                return
+            self._has_begun = True
+            self._last_run_s = self._read_boottime_s()
+
     def running_since_s(self) -> float:
         """Return the monotonic time of the last resumption, or of the start.
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/move_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/move_harness.py
@@ -5,7 +5,6 @@
 import random
 
 from skylarktack import state
-from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
@@ -32,6 +31,23 @@
     return data.MoveOrder('pool', 'v2', DURATION_S, position, phase)
 
 
+def peer_report(**fields: object) -> data.MoveReport:
+    """Return the report of a peer that decided nothing, with some fields."""
+    return dataclasses.replace(
+        data.MoveReport(
+            instance='peer',
+            service='pool',
+            to_version='v2',
+            scope=data.MoveScope.INSTANCE,
+            counts=data.MoveCounts(member_count=1),
+            age_ms=0,
+            is_shifting=False,
+            stop_reason='',
+        ),
+        **fields,  # type: ignore[arg-type]
+    )
+
+
 def new_target(name: str, domain: str = 'domain-a') -> data.ListedTarget:
     """Return a target of the new version."""
     return dataclasses.replace(harness.target(name, domain), version='v2')
@@ -90,7 +106,6 @@
     writer: Writer
     link: harness.RecordingLink
     driver: forwarding.MoveDriver
-    suspensions: fakes.ScriptedSuspensions
     sent_new: int = 0
     request_count: int = 0
     failed_new: int = 0
@@ -141,7 +156,6 @@
         serving_env.fleet.add_peers(listed)
     writer = Writer()
     link = harness.RecordingLink()
-    suspensions = fakes.ScriptedSuspensions()
     serving_env.moves.apply(data.MoveChange('pool', writer.order))
     driver = forwarding.MoveDriver(
         serving_env.clock,
@@ -150,9 +164,9 @@
         serving_env.fleet,
         link,
         writer,
-        suspensions,
+        serving_env.suspensions,
     )
-    return MoveRun(serving_env, writer, link, driver, suspensions)
+    return MoveRun(serving_env, writer, link, driver)
 
 
 def healthy(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_move_verdicts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_move_verdicts.py
@@ -157,22 +157,13 @@
         clock = move_run.env.clock
         move_run.run(move_harness.healthy, until_s=5.0)
         clock.advance(6.8)
-        move_run.suspensions.resumed_at_s = clock.monotonic_s()
+        move_run.env.suspensions.resumed_at_s = clock.monotonic_s()
         move_run.driver.step()
         for _ in range(50):
             rule = move_run.env.moves.choose_versions('pool')
             assert rule.preferred is None or rule.is_canary
         move_run.env.moves.apply_report(
-            data.MoveReport(
-                instance='peer',
-                service='pool',
-                to_version='v2',
-                scope=data.MoveScope.INSTANCE,
-                counts=data.MoveCounts(member_count=1),
-                age_ms=0,
-                is_shifting=False,
-                stop_reason='failed',
-            )
+            move_harness.peer_report(stop_reason='failed')
         )
         clock.advance(0.6)
         move_run.driver.step()
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -123,6 +123,7 @@
             self._fleet,
             self._moves,
             errors,
+            self._suspensions,
         )
         bounds = forwarding.BoundRecorder(clock, log)
         client = transport.HttpTargetClient(codec, memory, bounds)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -202,7 +202,7 @@
 
 
 class ConfigurationState(Protocol):
-    """Tells which configuration is in force."""
+    """Tells which configuration is active."""
 
     @property
     def version(self) -> int:
