--- a/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_version_rules.py
@@ -21,7 +21,7 @@
     excluded: frozenset[str] = frozenset()
 
     #: Versions that may have been called off. They are used only while no
-    #: other version is listed, but for the preferred one.
+    #: version is listed that is neither these, nor excluded, nor preferred.
     last_resort: frozenset[str] = frozenset()
 
     #: Whether the request is a canary, sent to a version that is still judged.
@@ -133,7 +133,7 @@
         self._unordered[service, version] = max(waiting_until_s, until_s)
 
     def record_order(self, order: data.MoveOrder) -> None:
-        """Record an order for another version than the last one."""
+        """Record an order that begins a move or is the first one read."""
         self._ordered.add(order.service)
         if order.phase is not state.MovePhase.ROLLED_BACK:
             self.admit(order.service, order.to_version)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_suspensions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_suspensions.py
@@ -25,7 +25,7 @@
         """Guards against an alarm to operators at each slow start."""
         clock = fakes.SteppingClock()
         log = fakes.RecordingLog()
-        monitor = forwarding.SuspensionMonitor(clock, log)
+        monitor = forwarding.SuspensionMonitor(clock, log, clock.wall_s)
         clock.advance(SUSPENSION_S)
         monitor.stop()
         monitor.run()
@@ -36,7 +36,7 @@
         """Guards against a suspension that the monitor's failure hides."""
         clock = fakes.SteppingClock()
         log = fakes.RecordingLog()
-        monitor = forwarding.SuspensionMonitor(clock, log)
+        monitor = forwarding.SuspensionMonitor(clock, log, clock.wall_s)
         monitor.stop()
         monitor.run()
         clock.advance(SUSPENSION_S)
--- a/packages/platform/src/skylarktack/platform/tests/test_messages.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_messages.py
@@ -287,6 +287,7 @@
             (data.RefusalReason.MEMORY_FULL, 503),
             (data.RefusalReason.STOPPING, 503),
             (data.RefusalReason.TIME_UP_NOT_RUN, 503),
+            (data.RefusalReason.INTERNAL_ERROR_NOT_RUN, 503),
             (data.RefusalReason.TIME_UP, 504),
             (data.RefusalReason.TARGET_FAILED, 502),
         ],
