Accept all waiting connections before a stop closes the listener

Callers of an instance that stops got their connections reset, with whole requests on them, if many connections had arrived at once: none was answered or refused.

Cause: once the balancer has stopped sending, the stop closes the listener. Connections in its backlog are accepted first, but for 0.2 s at the most, and the close resets the rest. In the soak 800 connections without a request arrive just then; accepting them takes longer, as each starts a thread.

Ruled out: a stuck accepting task (it accepted until the close), an end by SIGKILL, the restore, the suspension monitor.

The stop now goes on accepting while connections wait, and closes the listener half a second before the deadline at the latest, as for streams. The wait of 0.2 s within the close stays for those that arrive in between.

test_a_burst_of_connections_is_accepted_first fails without it (closed after 3.0 s).

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_stopping.py
@@ -56,6 +56,10 @@
         """Return the number of open connections."""
         ...
 
+    def has_waiting(self) -> bool:
+        """Return whether connections wait to be accepted."""
+        ...
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         ...
@@ -118,6 +122,9 @@
             is_late = now_s >= deadline_s - CLOSE_MARGIN_S
             if not is_late and _has_streams(gateway, errors):
                 continue
+            # The close resets what still waits, with the requests on it.
+            if not is_late and _has_waiting(front, errors):
+                continue
             # Requests on connections accepted so far are still served.
             with errors.contain(CLOSE_LISTENER):
                 front.close()
@@ -136,6 +143,15 @@
     return True
 
 
+def _has_waiting(
+    front: StoppingFront, errors: forwarding.ErrorRecorder
+) -> bool:
+    """Return whether connections wait; false if that is unknown."""
+    with errors.contain(COUNT_REQUESTS):
+        return front.has_waiting()
+    return False
+
+
 def _has_connections(
     front: StoppingFront, errors: forwarding.ErrorRecorder
 ) -> bool:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
@@ -14,8 +14,14 @@
 
 
 class _FakeFront:
-    def __init__(self, clock: fakes.SteppingClock, calls_end_s: float) -> None:
+    def __init__(
+        self,
+        clock: fakes.SteppingClock,
+        calls_end_s: float,
+        accepted_after_s: float,
+    ) -> None:
         self._clock = clock
+        self._accepted_after_s = accepted_after_s
         self._start_s = clock.monotonic_s()
         self._calls_end_s = calls_end_s
         self.closed_after_s: float | None = None
@@ -24,6 +30,10 @@
         """Return 1 until the calls have ended."""
         return int(self._elapsed_s() < self._calls_end_s)
 
+    def has_waiting(self) -> bool:
+        """Return whether the burst of connections is not accepted yet."""
+        return self._elapsed_s() < self._accepted_after_s
+
     def close_idle(self) -> None:
         """Ignore the request; there are no idle connections."""
 
@@ -55,10 +65,13 @@
 
 
 def _stop(
-    streams_end_s: float, calls_end_s: float = 0.0, delay_s: float = 0.0
+    streams_end_s: float,
+    calls_end_s: float = 0.0,
+    delay_s: float = 0.0,
+    accepted_after_s: float = 0.0,
 ) -> tuple[_FakeFront, _FakeGateway, float]:
     clock = fakes.SteppingClock()
-    front = _FakeFront(clock, calls_end_s)
+    front = _FakeFront(clock, calls_end_s, accepted_after_s)
     gateway = _FakeGateway(clock, streams_end_s)
     started_s = clock.monotonic_s()
     _stopping.finish_requests(
@@ -100,10 +113,16 @@
         assert front.closed_after_s is not None
         assert front.closed_after_s >= 3.0
 
+    def test_a_burst_of_connections_is_accepted_first(self) -> None:
+        """Guards against connections that the close of the listener resets."""
+        front, _, _ = _stop(streams_end_s=0.0, accepted_after_s=4.5)
+        assert front.closed_after_s is not None
+        assert front.closed_after_s >= 4.5
+
     def test_returns_before_the_kill(self) -> None:
         """Guards against requests that are cut off by the kill."""
         front, gateway, duration_s = _stop(
-            streams_end_s=99.0, calls_end_s=99.0
+            streams_end_s=99.0, calls_end_s=99.0, accepted_after_s=99.0
         )
         assert front.closed_after_s is not None
         assert front.closed_after_s < gateway.end_at_s < GRACE_S
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -122,6 +122,10 @@
         with self._lock:
             return dict(self._end_counts)
 
+    def has_waiting(self) -> bool:
+        """Return whether connections wait to be accepted."""
+        return bool(_sockets.wait_for(self._socket, select.POLLIN, 0.0))
+
     def close_idle(self) -> None:
         """Close connections that have waited for a request for a while."""
         with self._lock:
@@ -136,9 +140,7 @@
         socket would reset them, with their requests.
         """
         end_s = time.monotonic() + MAX_ACCEPT_WAIT_S
-        while time.monotonic() < end_s and _sockets.wait_for(
-            self._socket, select.POLLIN, 0.0
-        ):
+        while time.monotonic() < end_s and self.has_waiting():
             time.sleep(ACCEPT_CHECK_INTERVAL_S)
         self._is_closed = True
         # shutdown() fails if the socket has never accepted a connection.
