Accept peers again after an error of accept

The server of websockets ends its loop at any error of accept. An instance that once had no free descriptor when a peer connected accepted none until it started again: its peers reached it only over connections that it opened itself, and an instance that starts could not join through it. It left no line.

The listening socket now waits 0.2 s and tries again after the errors that pass, and writes `peer not accepted`. Others, as after its close, end the loop as before. A server that is started again is no way out, since it closes its means of shutdown when it ends. The error of a thread that cannot be started still ends the loop, with a traceback on standard error.

Before: with the plain socket, the peer of TestPeerListener.test_peers_are_accepted_after_an_error was not reached in ten attempts of 1 s each. After: it passes, with test_peer_errors.py, test_peer_network.py and test_peers.py (24).

--- a/packages/transport/src/skylarktack/transport/__init__.py
+++ b/packages/transport/src/skylarktack/transport/__init__.py
@@ -54,13 +54,13 @@
     from skylarktack.transport._peer_links import IDLE_S
     from skylarktack.transport._peer_links import INACTIVITY_TIMEOUT_S
     from skylarktack.transport._peer_links import PeerLinks
+    from skylarktack.transport._peer_listener import listen_for_peers
     from skylarktack.transport._peer_network import HANDLER_COUNT
     from skylarktack.transport._peer_network import OPEN_TIMEOUT_S
     from skylarktack.transport._peer_network import REQUEST_LIMIT_COUNT
     from skylarktack.transport._peer_network import SEND_TIMEOUT_S
     from skylarktack.transport._peer_network import PeerNetworkParts
     from skylarktack.transport._peer_network import WebsocketPeerNetwork
-    from skylarktack.transport._peer_network import listen_for_peers
     from skylarktack.transport._routes import find_generation_route
     from skylarktack.transport._routes import find_route
     from skylarktack.transport._routes import may_use
@@ -193,7 +193,7 @@
     'SEND_TIMEOUT_S': '_peer_network',
     'PeerNetworkParts': '_peer_network',
     'WebsocketPeerNetwork': '_peer_network',
-    'listen_for_peers': '_peer_network',
+    'listen_for_peers': '_peer_listener',
     'find_generation_route': '_routes',
     'find_route': '_routes',
     'may_use': '_routes',
--- a/packages/transport/src/skylarktack/transport/_peer_network.py
+++ b/packages/transport/src/skylarktack/transport/_peer_network.py
@@ -420,11 +420,6 @@
         self._parts.metrics.count(f'peer.refused.{reason}')
 
 
-def listen_for_peers(address: state.Address) -> socket.socket:
-    """Bind the port on which peers are accepted; port 0 takes any."""
-    return socket.create_server((address.host, address.port), backlog=128)
-
-
 def _limit_writes(connection: websocket.Connection) -> None:
     limit = struct.pack('ll', int(SEND_TIMEOUT_S), 0)
     try:
--- a/packages/transport/src/skylarktack/transport/tests/test_peer_errors.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_peer_errors.py
@@ -1,7 +1,10 @@
-"""Unexpected errors in the tasks of connections between instances."""
+"""Errors in the tasks of connections between instances."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import errno
+import socket
+from typing import Any
 
 import pytest
 
@@ -58,3 +61,28 @@
         assert peer_harness.eventually(
             lambda: two.errors.counts() == {'peer requests': 1}
         )
+
+
+class TestPeerListener:
+    """Errors of accept."""
+
+    def test_peers_are_accepted_after_an_error(
+        self,
+        start: Callable[..., peer_harness.Peer],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Guards against an instance that never accepts a peer again."""
+        accept = socket.socket.accept
+        failures = [OSError(errno.EMFILE, 'Too many open files')]
+
+        def fail_once(listening: socket.socket) -> tuple[socket.socket, Any]:
+            if failures:
+                raise failures.pop()
+            return accept(listening)
+
+        monkeypatch.setattr(socket.socket, 'accept', fail_once)
+        one, two = start('one'), start('two')
+        peer_harness.introduce(one, two)
+        name = two.network.name
+        assert any(one.network.connect(name) for _ in range(10))
+        assert not failures
