Parse the chunks of one connection at a time

Callers that send bodies in one-byte chunks kept the others of the instance waiting: a chunk costs 4.5 microseconds of processor time, so that each 64 KiB from the socket keep a connection's thread at work for 50 ms, and a request of another caller waits for the turns of all such threads at the interpreter's lock, several times in sequence.

Received chunks are now parsed under one lock of the process and counted as one part of the body. Callers with chunks wait for each other, others compete with one thread.

test_one_connection_parses_chunks_at_a_time fails without the lock (up to 6 and more connections at once), for accepted and for refused bodies.

--- a/packages/transport/src/skylarktack/transport/forwarding/_request_framing.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_framing.py
@@ -24,6 +24,11 @@
     return False
 
 
+def is_chunked(headers: data.Headers) -> bool:
+    """Return whether the body comes in chunks, the only transfer coding."""
+    return any(name.lower() == b'transfer-encoding' for name, _ in headers)
+
+
 def content_length(head: data.RequestHead) -> int:
     """Return the length of a body, or 0 if it comes in chunks."""
     for name, value in head.headers:
--- a/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
@@ -3,6 +3,7 @@
 import dataclasses
 import select
 import socket
+import threading
 import time
 
 import h11
@@ -25,10 +26,18 @@
 #: that closing does not reset the connection before the response is read.
 LINGER_S = 0.5
 
+#: Held while received chunks of a body are parsed. Tiny chunks take much
+#: processor time; if many connections parsed them at once, each would take
+#: its turn at the interpreter's lock before a request of another caller.
+_chunk_parsing = threading.Lock()
+
 #: States of the parser once a request was read whole.
 _WHOLE_REQUEST_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
 
+_Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+
 @dataclasses.dataclass
 class _PartialRequest:
     """The part of a request that has been read."""
@@ -43,6 +52,8 @@
 
     has_body: bool = False
 
+    is_chunked: bool = False
+
     #: Whether a part was still received after its timeout had passed.
     is_overdue: bool = False
 
@@ -76,6 +87,8 @@
         #: Whether the request that was read last wants no body in its answer.
         self.is_head_request = False
         self._head: data.RequestHead | None = None
+        #: Event that was parsed behind chunks of a body; None without one.
+        self._parsed_event: _Event | None = None
 
     @property
     def attempt_id(self) -> str:
@@ -135,7 +148,7 @@
         self._head = None
         while True:
             try:
-                event = self.parser.next_event()
+                event = self._next_event(partial)
             except h11.RemoteProtocolError as error:
                 return _request_framing.bad_request(error)
             if event is h11.NEED_DATA:
@@ -198,13 +211,35 @@
     def _has_read_all(self) -> bool:
         """Drop parsed parts; return whether the request was read whole."""
         try:
-            while self.parser.their_state is h11.SEND_BODY:
-                if not isinstance(self.parser.next_event(), h11.Data):
-                    break
+            with _chunk_parsing:
+                while self.parser.their_state is h11.SEND_BODY:
+                    if not isinstance(self.parser.next_event(), h11.Data):
+                        break
         except h11.RemoteProtocolError:
             return False
         return self.parser.their_state in _WHOLE_REQUEST_STATES
 
+    def _next_event(self, partial: _PartialRequest) -> _Event:
+        """Return the next event; received chunks of a body are one event.
+
+        :raises h11.RemoteProtocolError: if the request is malformed.
+        """
+        if self._parsed_event is not None:
+            event, self._parsed_event = self._parsed_event, None
+            return event
+        if not partial.is_chunked:
+            return self.parser.next_event()
+        chunks = bytearray()
+        with _chunk_parsing:
+            event = self.parser.next_event()
+            while isinstance(event, h11.Data):
+                chunks += event.data
+                event = self.parser.next_event()
+        if not chunks:
+            return event
+        self._parsed_event = event
+        return h11.Data(data=bytes(chunks))
+
     def _handle_head(
         self, event: h11.Request, partial: _PartialRequest
     ) -> data.Refusal | None:
@@ -216,6 +251,7 @@
         self._head = partial.head
         self.is_head_request = event.method == b'HEAD'
         partial.has_body = _request_framing.has_body(partial.head.headers)
+        partial.is_chunked = _request_framing.is_chunked(partial.head.headers)
         if _request_framing.has_conflicting_lengths(partial.head.headers):
             return data.Refusal(
                 data.RefusalReason.BAD_REQUEST,
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_caller_limits.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_caller_limits.py
@@ -138,3 +138,46 @@
         assert harness.read_response() == (200, b'body')
         monkeypatch.undo()
         harness.close()
+
+
+class TestTinyChunks:
+    """Bodies of many callers in chunks of one byte."""
+
+    @pytest.mark.parametrize('max_body_bytes', [65536, 10])
+    def test_one_connection_parses_chunks_at_a_time(
+        self, max_body_bytes: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against chunks that leave other callers no processor time."""
+        next_event = h11.Connection.next_event
+        parsing: list[int] = []
+        parsing_counts = set()
+
+        def _count(parser: h11.Connection) -> object:
+            if parser.their_state is not h11.SEND_BODY:
+                return next_event(parser)
+            parsing.append(1)
+            parsing_counts.add(len(parsing))
+            time.sleep(0.001)
+            try:
+                return next_event(parser)
+            finally:
+                parsing.pop()
+
+        monkeypatch.setattr(h11.Connection, 'next_event', _count)
+        handler = front_harness.RecordingHandler()
+        handler.front_limits = data.FrontLimits(max_body_bytes=max_body_bytes)
+        harnesses = [front_harness.FrontHarness(handler) for _ in range(8)]
+        for harness in harnesses:
+            harness.start()
+            harness.caller.sendall(
+                b'POST /a HTTP/1.1\r\nHost: h\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n'
+                + b'1\r\nx\r\n' * 50
+                + b'0\r\n\r\n'
+            )
+        is_short = max_body_bytes > 50
+        expected = (200, b'x' * 50) if is_short else (431, b'body_too_large')
+        for harness in harnesses:
+            assert harness.read_response() == expected
+            harness.close()
+        assert parsing_counts == {1}
