Bound the number of header fields of a request

A head within max_header_bytes took up to 30 times its size: 16 kB of fields of four bytes hold 512 kB while the request is in progress (trial with 20 connections, tracemalloc; 16 kB with one field of 16 kB), because each field is a tuple and two objects. The heads of 1,200 callers would hold 615 MB by that figure, beside a memory limit of 300 MB, and they are not in the budget of bodies.

A head of more than 256 fields now gets 431 header_too_large with its own detail, and only the first 256 are kept for the log. 255 fields of four bytes and a Host hold 33 kB in the same trial, 40 MB for 1,200 callers.

test_memory_of_a_head fails with the bound at 25,600 fields: 200 instead of 431. The first form of the test failed on 260 kB that a collection frees: the interpreter's lists of free tuples, so it collects first.

--- a/packages/transport/src/skylarktack/transport/forwarding/_request_framing.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_framing.py
@@ -4,6 +4,10 @@
 
 from skylarktack.state import forwarding as data
 
+#: Maximum number of header fields. A field takes over 100 bytes of memory
+#: beside its text, so a head of short ones would take many times its size.
+MAX_FIELD_COUNT = 256
+
 _HEADER_TOO_LARGE_STATUS = 431
 
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_reader.py
@@ -243,13 +243,20 @@
     def _handle_head(
         self, event: h11.Request, partial: _PartialRequest
     ) -> data.Refusal | None:
+        fields = event.headers.raw_items()
+        max_field_count = _request_framing.MAX_FIELD_COUNT
         partial.head = data.RequestHead(
             method=event.method,
             target=event.target,
-            headers=tuple(event.headers.raw_items()),
+            headers=tuple(fields[:max_field_count]),
         )
         self._head = partial.head
         self.is_head_request = event.method == b'HEAD'
+        if len(fields) > max_field_count:
+            return data.Refusal(
+                data.RefusalReason.HEADER_TOO_LARGE,
+                detail=f'more than {max_field_count} header fields',
+            )
         partial.has_body = _request_framing.has_body(partial.head.headers)
         partial.is_chunked = _request_framing.is_chunked(partial.head.headers)
         if _request_framing.has_conflicting_lengths(partial.head.headers):
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_caller_limits.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_caller_limits.py
@@ -1,7 +1,9 @@
 """Limits on what callers send and how long they stay idle."""
 
+import gc
 import socket
 import time
+import tracemalloc
 
 import h11
 import pytest
@@ -140,6 +142,33 @@
         harness.close()
 
 
+class TestManyFields:
+    """Heads of short fields, which take many times their size in memory."""
+
+    @pytest.mark.parametrize(
+        ('field_count', 'status'), [(255, 200), (256, 431), (4000, 431)]
+    )
+    def test_memory_of_a_head(self, field_count: int, status: int) -> None:
+        """Guards against heads that exhaust the memory together."""
+        handler = front_harness.RecordingHandler()
+        harness = front_harness.FrontHarness(handler)
+        harness.start()
+        tracemalloc.start()
+        try:
+            harness.caller.sendall(
+                GET[:-2] + b'a:\r\n' * field_count + b'\r\n'
+            )
+            assert harness.read_response()[0] == status
+            # Empties the interpreter's lists of free tuples.
+            gc.collect()
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert held_bytes < 100_000
+        assert len(handler.requests) == (status == 200)
+        harness.close()
+
+
 class TestTinyChunks:
     """Bodies of many callers in chunks of one byte."""
 
