Word the interval of lines about bounds by what it limits

The comment said that such a bound ended no request; a head that is refused ends one whose attempt is not known. No change of behaviour; test_bounds.py passes.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_bounds.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_bounds.py
@@ -9,7 +9,7 @@
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: Minimum time between two log lines about a bound that ended no request.
+#: Minimum time between two log lines about a bound without a known request.
 LOG_INTERVAL_S = 1.0
 
 
