Bound the number of header fields of a response

A target's head of up to 32 KiB could have some 8,000 fields, which hold many times its size while the response is in progress (see the same bound on requests).

test_a_head_of_many_fields fails without the check (the body's limit ends the response instead) and passes with it; test_endless_responses.py, test_target_client.py and test_store_client.py pass.

--- a/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
@@ -10,6 +10,7 @@
 import h11
 
 from skylarktack.transport.forwarding import _memory
+from skylarktack.transport.forwarding import _request_framing
 
 #: Maximum size of a head, a chunk header or the trailers.
 MAX_HEAD_BYTES = 32768
@@ -109,6 +110,8 @@
                     )
                 continue
             if isinstance(event, h11.Response):
+                if len(event.headers) > _request_framing.MAX_FIELD_COUNT:
+                    raise ResponseLimitError('too many header fields')
                 self._length_bytes = _content_length(event)
             if isinstance(event, h11.Data) and self._is_counting:
                 self._count(len(event.data))
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
@@ -154,6 +154,14 @@
         assert bounds.counts()[forwarding.Bound.RESPONSE_SIZE] == is_http
         assert peak_bytes < MAX_PEAK_BYTES
 
+    def test_a_head_of_many_fields(self) -> None:
+        """Guards against heads that take many times their size in memory."""
+        client = transport.HttpTargetClient(front_harness.PassThroughCodec())
+        head = HEAD + b'a:\r\n' * 4000 + b'\r\n'
+        with _serving(head, b'x' * 65536) as server:
+            fault = _read_until_fault(client, server)
+        assert fault.detail == 'too many header fields'
+
     def test_responses_share_a_budget(self) -> None:
         """Guards against many large responses that fill the memory together.
 
