--- a/packages/transport/src/skylarktack/transport/forwarding/_request_framing.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_request_framing.py
@@ -4,6 +4,10 @@
 
 from skylarktack.state import forwarding as data
 
+#: Maximum number of header fields. A field takes over 100 bytes of memory
+#: beside its text, so a head of short ones would take many times its size.
+MAX_FIELD_COUNT = 256
+
 _HEADER_TOO_LARGE_STATUS = 431
 
 
@@ -24,6 +28,11 @@
     return False
 
 
+def is_chunked(headers: data.Headers) -> bool:
+    """Return whether the body comes in chunks, the only transfer coding."""
+    return any(name.lower() == b'transfer-encoding' for name, _ in headers)
+
+
 def content_length(head: data.RequestHead) -> int:
     """Return the length of a body, or 0 if it comes in chunks."""
     for name, value in head.headers:
