Evict one connection for each new one, also while it ends

Cause: an evicted connection counts as open until its task has ended. If that takes more than 50 ms, as on a busy machine, the listener evicted the next one, and so on every 50 ms.

It now waits up to a second for the evicted one before it evicts another. While none can be evicted it looks again every 50 ms, as before.

test_evicts_one_for_one, in which each task ends 0.3 s late, fails without it (a caller that should have kept its connection gets no answer).

--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -4,6 +4,7 @@
 from concurrent import futures
 import contextlib
 import dataclasses
+import math
 import operator
 import select
 import socket
@@ -26,6 +27,10 @@
 #: one that can be evicted for a new one.
 ROOM_CHECK_S = 0.05
 
+#: Maximum time for the end of an evicted connection, after which another one
+#: is evicted.
+EVICTION_WAIT_S = 1.0
+
 #: Maximum wait of a close for connections that are not accepted yet, and the
 #: interval at which it checks.
 MAX_ACCEPT_WAIT_S = 0.2
@@ -181,12 +186,18 @@
                 forwarding.Bound.CONNECTIONS,
                 detail=f'{self._limits.max_open_count} at {self._bound_to}',
             )
+        eviction_ends_at_s = -math.inf
         while not self._is_closed:
             with self._lock:
                 if len(self._open) < self._limits.max_open_count:
                     return
                 connections = tuple(self._open)
-            _evict_longest_waiting(connections)
+            # The task of an evicted connection may need a while to end.
+            now_s = time.monotonic()
+            if now_s >= eviction_ends_at_s and _evict_longest_waiting(
+                connections
+            ):
+                eviction_ends_at_s = now_s + EVICTION_WAIT_S
             with self._has_ended:
                 if len(self._open) >= self._limits.max_open_count:
                     self._has_ended.wait(ROOM_CHECK_S)
@@ -206,8 +217,11 @@
 
 def _evict_longest_waiting(
     connections: tuple[_front_connection.FrontConnection, ...],
-) -> None:
-    """Evict one connection: of a refused caller, or the longest idle one."""
+) -> bool:
+    """Evict one connection: of a refused caller, or the longest idle one.
+
+    :return: whether there was one.
+    """
     waiting: list[tuple[bool, float, _front_connection.FrontConnection]] = []
     for connection in connections:
         since_s = connection.waiting_since_s
@@ -216,4 +230,5 @@
     waiting.sort(key=operator.itemgetter(0, 1))
     for _, _, connection in waiting:
         if connection.evict():
-            return
+            return True
+    return False
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
@@ -12,6 +12,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
+from skylarktack.transport.forwarding import _connection_phase
 from skylarktack.transport.forwarding.tests import front_harness
 
 CONNECTION_COUNT = 40
@@ -104,6 +105,31 @@
             for caller in callers:
                 caller.close()
 
+    def test_evicts_one_for_one(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against needless evictions while the first one ends."""
+        run = transport.FrontConnection.run
+
+        def _end_late(
+            connection: transport.FrontConnection,
+        ) -> _connection_phase.ConnectionEnd:
+            end = run(connection)
+            time.sleep(0.3)
+            return end
+
+        monkeypatch.setattr(transport.FrontConnection, 'run', _end_late)
+        with _listening(front_harness.RecordingHandler()) as listener:
+            callers = [
+                _connect(listener.endpoint, GET) for _ in range(MAX_OPEN_COUNT)
+            ]
+            assert all(_has_answer(caller) for caller in callers)
+            callers.append(_connect(listener.endpoint, GET))
+            assert _has_answer(callers[-1])
+            for caller in callers[1:]:
+                caller.sendall(GET)
+                assert _has_answer(caller)
+            for caller in callers:
+                caller.close()
+
     def test_evicts_a_caller_that_sends_slowly(self) -> None:
         """Guards against callers that hold tasks by a byte now and then."""
         slow = (b'', b'GE', GET[:-2], b'POST /a HTTP/1.1\r\nHost: h\r\n')
