--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_configuration_holder.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_configuration_holder.py
@@ -57,6 +57,30 @@
         gateway_env.holder.confirm(asked_at_s, 4.0)
         assert gateway_env.holder.is_current() is is_current
 
+    @pytest.mark.parametrize(
+        ('fitting_bytes', 'count'), [(8000, 0), (7999, 1)]
+    )
+    def test_a_body_limit_above_the_memory_is_logged(
+        self, fitting_bytes: int, count: int
+    ) -> None:
+        """Guards against bodies that are refused without a known cause."""
+        log = fakes.RecordingLog()
+        holder = forwarding.ConfigurationHolder(
+            fakes.SteppingClock(),
+            log,
+            fakes.ScriptedSuspensions(),
+            4.0,
+            0.0,
+            fitting_bytes,
+        )
+        limits = data.FrontLimits(max_body_bytes=8000)
+        holder.replace_if_newer(
+            dataclasses.replace(harness.configuration(5), limits=limits)
+        )
+        assert holder.version == 5
+        message = forwarding.BodyLimitExceedsMemory.message
+        assert log.messages('configuration').count(message) == count
+
 
 class TestConfigurationOfPeers:
     """Peers report the version in force at each."""
@@ -137,27 +161,3 @@
         report = harness.peer_report('peer', 1)
         fleet.receive(dataclasses.replace(report, configuration_version=7))
         assert not gateway_env.holder.is_current()
-
-    @pytest.mark.parametrize(
-        ('fitting_bytes', 'count'), [(8000, 0), (7999, 1)]
-    )
-    def test_a_body_limit_above_the_memory_is_logged(
-        self, fitting_bytes: int, count: int
-    ) -> None:
-        """Guards against bodies that are refused without a known cause."""
-        log = fakes.RecordingLog()
-        holder = forwarding.ConfigurationHolder(
-            fakes.SteppingClock(),
-            log,
-            fakes.ScriptedSuspensions(),
-            4.0,
-            0.0,
-            fitting_bytes,
-        )
-        limits = data.FrontLimits(max_body_bytes=8000)
-        holder.replace_if_newer(
-            dataclasses.replace(harness.configuration(5), limits=limits)
-        )
-        assert holder.version == 5
-        message = forwarding.BodyLimitExceedsMemory.message
-        assert log.messages('configuration').count(message) == count
