Do not accept a burst that a stop cannot serve any more

With the last change a stop accepted waiting connections until half a second before its deadline.

The listener now stays open for waiting connections until one second before the deadline only. test_no_burst_is_accepted_too_late fails without it.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_stopping.py
@@ -21,6 +21,10 @@
 #: The listener is closed at the latest this long before the deadline.
 CLOSE_MARGIN_S = 0.5
 
+#: The listener does not stay open for connections that wait to be accepted
+#: from this time before the deadline on: requests on them would be cut.
+SERVE_MARGIN_S = 1.0
+
 #: Requests are admitted only if they end this long before the deadline, so
 #: that an answer at its time limit still reaches the caller.
 RESPONSE_MARGIN_S = 0.2
@@ -123,7 +127,8 @@
             if not is_late and _has_streams(gateway, errors):
                 continue
             # The close resets what still waits, with the requests on it.
-            if not is_late and _has_waiting(front, errors):
+            can_serve = now_s < deadline_s - SERVE_MARGIN_S
+            if can_serve and _has_waiting(front, errors):
                 continue
             # Requests on connections accepted so far are still served.
             with errors.contain(CLOSE_LISTENER):
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_stopping.py
@@ -119,6 +119,12 @@
         assert front.closed_after_s is not None
         assert front.closed_after_s >= 4.5
 
+    def test_no_burst_is_accepted_too_late(self) -> None:
+        """Guards against connections that are accepted only to be cut."""
+        front, _, _ = _stop(streams_end_s=0.0, accepted_after_s=99.0)
+        assert front.closed_after_s is not None
+        assert front.closed_after_s <= GRACE_S - 1.0
+
     def test_returns_before_the_kill(self) -> None:
         """Guards against requests that are cut off by the kill."""
         front, gateway, duration_s = _stop(
