--- a/packages/coordination/src/skylarktack/coordination/forwarding/_budget.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_budget.py
@@ -12,6 +12,12 @@
 #: of date, so several instances may spend the same remainder.
 BUDGET_SHARE = 0.75
 
+#: Share of the fixed allowance that is used while all instances are younger
+#: than the window. Those before them may have used theirs in the same window,
+#: and their counts are lost. What requests add to the budget needs no such
+#: room, since only those that arrived since the start are known.
+NEW_FLEET_ALLOWANCE_SHARE = 0.2
+
 
 @dataclasses.dataclass(frozen=True)
 class RetryLimits:
@@ -32,7 +38,8 @@
 
     The counts of the peers arrive with their reports. While some peers are
     not live, this instance uses only a proportional part of the fixed
-    allowance.
+    allowance. Instances that have just started leave room for the retries of
+    those before them.
     """
 
     def __init__(
@@ -64,15 +71,17 @@
         """
         peers = self._fleet.peer_counts(service)
         live_share = self._fleet.live_share()
+        allowance_share = self._allowance_share()
         with self._lock:
             request_count = peers.request_count + len(
                 self._recent(self._requests, service)
             )
             retries = self._recent(self._retries, service)
-            limit = self._limits.ratio * request_count
-            limit += self._limits.allowance_count * live_share
+            limit = BUDGET_SHARE * self._limits.ratio * request_count
+            allowance = self._limits.allowance_count * live_share
+            limit += allowance_share * allowance
             spent_count = peers.retry_count + len(retries)
-            if spent_count + 1 > BUDGET_SHARE * limit:
+            if spent_count + 1 > limit:
                 return False
             retries.append(self._clock.monotonic_s())
             return True
@@ -98,6 +107,12 @@
             if retries:
                 retries.pop()
 
+    def _allowance_share(self) -> float:
+        established_share = self._fleet.established_share(self._window_s)
+        return NEW_FLEET_ALLOWANCE_SHARE + established_share * (
+            BUDGET_SHARE - NEW_FLEET_ALLOWANCE_SHARE
+        )
+
     def _recent(
         self,
         times_by_service: dict[str, collections.deque[float]],
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -70,11 +70,11 @@
 
     @property
     def version(self) -> int:
-        """Return the version in force here; 0 before the first."""
+        """Return the active version; 0 before the first."""
         ...
 
     def record_peer_version(self, version: int) -> None:
-        """Record the version in force at a peer."""
+        """Record the active version of a peer."""
         ...
 
 
@@ -100,7 +100,7 @@
         self._log = log
         self.instance = instance
         self._endpoint = endpoint or data.Address('', 0)
-        self._warm_at_s = clock.monotonic_s() + WARM_UP_S
+        self._started_at_s = clock.monotonic_s()
         self._lock = threading.Lock()
         self._own_runs: dict[str, data.RunStatus] = {}
         #: Changes that have not been reported to the peers yet.
@@ -115,7 +115,7 @@
         self._peers = _peer_table.PeerTable(clock, self._placements)
         self._failure_listener: TargetFailureListener | None = None
         self._is_full_report_due = True
-        self._has_listed = False
+        self._first_listed_at_s: float | None = None
         self._change_meter = _rate_meter.RateMeter()
 
     def set_failure_listener(self, listener: TargetFailureListener) -> None:
@@ -182,6 +182,16 @@
         with self._lock:
             return live_count / (1 + len(self._peers.by_name))
 
+    def established_share(self, age_s: float) -> float:
+        """Return the share of the live instances that have the given age."""
+        began_before_s = self._clock.monotonic_s() - age_s
+        established_count = int(self._started_at_s <= began_before_s)
+        with self._lock:
+            live = self._peers.live().values()
+            for peer in live:
+                established_count += peer.started_at_s <= began_before_s
+            return established_count / (1 + len(live))
+
     def add_peers(self, peers: tuple[data.ListedPeer, ...]) -> None:
         """Add the instances that the store lists."""
         with self._lock:
@@ -192,7 +202,8 @@
                     continue
                 self._peers.add(listed)
             self._is_full_report_due = True
-            self._has_listed = True
+            if self._first_listed_at_s is None:
+                self._first_listed_at_s = self._clock.monotonic_s()
             self.outgoing.wake()
 
     def receive(self, report: data.InstanceReport) -> None:
@@ -232,7 +243,7 @@
         It may then not know of all runs and copies, least of all of those
         that instances left at the engines when they were killed.
         """
-        return self._clock.monotonic_s() < self._warm_at_s
+        return self._clock.monotonic_s() < self._started_at_s + WARM_UP_S
 
     def loads(self) -> dict[str, _placement.EngineLoad]:
         """Return the load of each engine that has a run or a copy."""
@@ -264,7 +275,14 @@
         that has just started cannot tell how many others there are.
         """
         with self._lock:
-            return 1 + len(self._peers.by_name) if self._has_listed else 0
+            if self._first_listed_at_s is None:
+                return 0
+            return 1 + len(self._peers.by_name)
+
+    def first_listed_at_s(self) -> float | None:
+        """Return the monotonic time of the first list of instances."""
+        with self._lock:
+            return self._first_listed_at_s
 
     def is_small(self, limit_count: int) -> bool:
         """Return whether the fleet is known to have few instances.
@@ -272,7 +290,9 @@
         :param limit_count: maximum number of instances, with this one.
         """
         with self._lock:
-            return self._has_listed and len(self._peers.by_name) < limit_count
+            if self._first_listed_at_s is None:
+                return False
+            return len(self._peers.by_name) < limit_count
 
     def is_outranked_by(self, name: str) -> bool:
         """Return whether an instance has a lower rank than this one."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_decisions.py
@@ -77,6 +77,16 @@
             phase = _restored_orders.later_phase(self.order.phase, phase)
         self.order = dataclasses.replace(order, phase=phase)
         self.stored_phase = order.phase
+        if phase is state.MovePhase.COMPLETED:
+            # The targets of the old version stop, so an own stop ends here.
+            self.stop_reason = ''
+
+    @property
+    def is_called_off(self) -> bool:
+        """Return whether the new version was found bad."""
+        if self.stop_reason:
+            return True
+        return self.order.phase is state.MovePhase.ROLLED_BACK
 
     @property
     def is_open(self) -> bool:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_move_driver.py
@@ -15,6 +15,8 @@
 from skylarktack.coordination.forwarding import _move_events
 from skylarktack.coordination.forwarding import _move_evidence
 from skylarktack.coordination.forwarding import _moves
+from skylarktack.coordination.forwarding import _record_writers
+from skylarktack.coordination.forwarding import _suspensions
 from skylarktack.coordination.forwarding import _watch_ports
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -31,17 +33,22 @@
 #: Size that is assumed before the first report was sent.
 TYPICAL_REPORT_BYTES = 500.0
 
+#: Time from the first list of instances within which the peers' reports
+#: arrive, if it is longer than their interval. They learn of an instance by
+#: its first report, and check their moves in intervals.
+FIRST_REPORTS_WAIT_S = 1.0
+
 #: Number of report intervals without an aggregate for the fleet after which
 #: the next collector sends its own.
 COLLECTOR_TIMEOUT_COUNT = 2.5
 
-#: Time by which an instance waits longer than the one of the next lower rank
-#: before it records a phase.
-RANK_DELAY_S = 0.5
-
 #: Delay after a failed attempt to record a phase.
 RETRY_DELAY_S = 0.4
 
+#: Time after the start or a suspension for which no phase is decided: peers
+#: may have stopped the version, and repeat it in their reports.
+RESUMPTION_WAIT_S = 0.5
+
 #: Maximum wait for a new order while no move is in progress.
 IDLE_WAIT_S = 30.0
 
@@ -70,6 +77,7 @@
         fleet: _fleet.FleetView,
         link: _fleet_tasks.FleetLink,
         writer: MoveWriter,
+        suspensions: _suspensions.Suspensions,
     ) -> None:
         self._clock = clock
         self._log = log
@@ -77,6 +85,7 @@
         self._fleet = fleet
         self._link = link
         self._writer = writer
+        self._suspensions = suspensions
         self._next_report_s = 0.0
         self._next_write_s = 0.0
         self._report_bytes = TYPICAL_REPORT_BYTES
@@ -108,31 +117,42 @@
                 self._fleet.expected_count(),
                 tuple(leaders),
             )
+            self._hold_canaries()
             self._table.set_topology(topology)
             self._report(topology, leaders)
-            self._next_report_s = now_s + self._interval_s(topology)
+            self._next_report_s = now_s + _interval_s(
+                len(topology.leaders), self._report_bytes
+            )
+        running_s = now_s - self._suspensions.running_since_s()
+        if running_s < RESUMPTION_WAIT_S:
+            return
         for service in self._table.open_services():
             phase = self._table.decide(service)
             order = self._table.order_of(service)
             if phase is None or order is None:
                 continue
-            delay_s = RANK_DELAY_S * self._fleet.rank()
+            delay_s = _record_writers.RANK_DELAY_S * self._fleet.rank()
             if self._table.due_for_s(service) < delay_s:
                 continue
             if self._clock.monotonic_s() >= self._next_write_s:
                 self._write(order, phase)
 
-    def _interval_s(
-        self, topology: _move_evidence.AggregationTopology
-    ) -> float:
-        """Return the interval between two reports.
+    def _hold_canaries(self) -> None:
+        """Try no version before the first reports of the peers are due.
 
-        It limits what a collector receives from the members of its group and
-        from all other leaders.
+        They may have stopped it while the store does not show that, because
+        it was restored from a copy or is not available.
         """
-        sender_count = 2 * len(topology.leaders)
-        received_bytes = sender_count * self._report_bytes
-        return max(REPORT_INTERVAL_S, received_bytes / REPORT_BYTES_PER_S)
+        listed_at_s = self._fleet.first_listed_at_s()
+        expected_count = self._fleet.expected_count()
+        if listed_at_s is None or expected_count < 2:
+            return
+        interval_s = _interval_s(
+            _move_evidence.leader_count(expected_count),
+            max(self._report_bytes, TYPICAL_REPORT_BYTES),
+        )
+        wait_s = max(FIRST_REPORTS_WAIT_S, interval_s + CHECK_INTERVAL_S)
+        self._table.hold_canaries(listed_at_s + wait_s)
 
     def _report(
         self,
@@ -175,7 +195,8 @@
         self, topology: _move_evidence.AggregationTopology
     ) -> bool:
         """Return whether an earlier collector recently sent an aggregate."""
-        timeout_s = COLLECTOR_TIMEOUT_COUNT * self._interval_s(topology)
+        interval_s = _interval_s(len(topology.leaders), self._report_bytes)
+        timeout_s = COLLECTOR_TIMEOUT_COUNT * interval_s
         position = topology.collectors.index(self._fleet.instance)
         return self._table.has_fleet_aggregate(
             topology.collectors[:position],
@@ -193,3 +214,15 @@
             )
             return
         self._table.apply(result)
+
+
+def _interval_s(leader_count: int, report_bytes: float) -> float:
+    """Return the interval between two reports.
+
+    It limits what a collector receives from the members of its group and from
+    all other leaders.
+
+    :param report_bytes: size of one report.
+    """
+    received_bytes = 2 * leader_count * report_bytes
+    return max(REPORT_INTERVAL_S, received_bytes / REPORT_BYTES_PER_S)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_shared_watch.py
@@ -44,12 +44,12 @@
 #: before it asks the store for the changes that its first, stale lists lack.
 STARTUP_WAIT_S = 1.0
 
-#: While no heartbeat arrives: delay between the turns of instances of adjacent
-#: ranks, maximum delay of the first turn, and calls that the whole fleet makes
-#: each second after it.
-TURN_INTERVAL_S = 0.1
-MAX_FIRST_TURN_DELAY_S = 2.0
-TURNS_PER_S = 10.0
+#: While no heartbeat arrives: delay between the first calls of instances of
+#: adjacent ranks, maximum delay of the first call, and calls that the whole
+#: fleet makes each second after it.
+FIRST_CALL_INTERVAL_S = 0.1
+MAX_FIRST_CALL_DELAY_S = 2.0
+FLEET_CALLS_PER_S = 10.0
 
 #: Interval between two heartbeats of a watching instance.
 HEARTBEAT_INTERVAL_S = 0.4
@@ -74,7 +74,7 @@
     #: It applies the changes that peers forward.
     RECEIVE = 'receive'
 
-    #: No peer sends heartbeats, and it is the turn of others to ask.
+    #: No peer sends heartbeats, and instances of lower ranks ask first.
     WAIT = 'wait'
 
 
@@ -92,7 +92,7 @@
     outranked_until_s: float = -math.inf
     #: Time at which this instance may ask the store although no heartbeat
     #: arrives; None while one does.
-    turn_at_s: float | None = None
+    next_call_at_s: float | None = None
     inbox: queue.Queue[data.StoreChange] = dataclasses.field(
         default_factory=lambda: queue.Queue(MAX_QUEUED_CHANGE_COUNT)
     )
@@ -144,28 +144,28 @@
             is_outranked = now_s <= state.outranked_until_s
             is_peer_confirmed = now_s <= state.peer_confirmed_until_s
             if is_outranked or (is_peer_confirmed and not is_confirmed):
-                state.turn_at_s = None
+                state.next_call_at_s = None
                 return WatchRole.RECEIVE
             if is_confirmed:
                 return WatchRole.WATCH
-            if state.turn_at_s is None:
+            if state.next_call_at_s is None:
                 wait_s = min(
-                    TURN_INTERVAL_S * (rank - WATCHER_COUNT),
-                    MAX_FIRST_TURN_DELAY_S,
+                    FIRST_CALL_INTERVAL_S * (rank - WATCHER_COUNT),
+                    MAX_FIRST_CALL_DELAY_S,
                 )
-                state.turn_at_s = now_s + wait_s * _jitter()
-            if now_s < state.turn_at_s:
+                state.next_call_at_s = now_s + wait_s * _jitter()
+            if now_s < state.next_call_at_s:
                 return WatchRole.WAIT
             return WatchRole.WATCH
 
-    def take_turn(self) -> None:
-        """Schedule the next turn because this instance asks the store now."""
-        interval_s = self._fleet.instance_count() / TURNS_PER_S
+    def record_call(self) -> None:
+        """Schedule the next call because this instance asks the store now."""
+        interval_s = self._fleet.instance_count() / FLEET_CALLS_PER_S
         next_s = self._clock.monotonic_s() + interval_s * _jitter()
         with self._lock:
             for state in self._kinds.values():
-                if state.turn_at_s is not None:
-                    state.turn_at_s = next_s
+                if state.next_call_at_s is not None:
+                    state.next_call_at_s = next_s
 
     def watch_wait_s(self, kind: str, max_wait_s: float) -> float:
         """Return how long a watch of a kind may wait for a change.
@@ -218,20 +218,27 @@
             state.confirmed_at_s = now_s
             for other in self._kinds.values():
                 # The store is available, so the other kinds need not wait.
-                if other.turn_at_s is not None:
-                    other.turn_at_s = now_s
+                if other.next_call_at_s is not None:
+                    other.next_call_at_s = now_s
 
     def publish(self, change: data.StoreChange) -> None:
         """Forward a change to all peers unless a lower rank does so."""
-        if self.is_shared() and not self._is_outranked(change.kind):
-            self._link.broadcast(change, self._fleet.broadcast_order())
+        if not self.is_shared() or self._is_outranked(change.kind):
+            return
+        reported = dataclasses.replace(
+            change, era=self._era.to_reported(change.era)
+        )
+        self._link.broadcast(reported, self._fleet.broadcast_order())
 
     def receive_change(self, change: data.StoreChange) -> None:
         """Queue a forwarded change; drop it if the queue is full."""
+        received = dataclasses.replace(
+            change, era=self._era.from_reported(change.era)
+        )
         with self._lock:
             inbox = self._state_of(change.kind).inbox
         try:
-            inbox.put_nowait(change)
+            inbox.put_nowait(received)
         except queue.Full:
             # The revision in the next heartbeat shows that it is missing.
             return
@@ -245,7 +252,11 @@
         until_s = now_s + HEARTBEAT_LIFETIME_S
         is_outranking = self._fleet.is_outranked_by(heartbeat.instance)
         with self._lock:
-            for confirmed in heartbeat.kinds:
+            for kind in heartbeat.kinds:
+                self._era.record_peer(kind.era)
+                confirmed = dataclasses.replace(
+                    kind, era=self._era.from_reported(kind.era)
+                )
                 state = self._state_of(confirmed.kind)
                 newest = state.peer_confirmed
                 if now_s > state.peer_confirmed_until_s:
@@ -275,7 +286,11 @@
                     kinds.append(state.confirmed)
         if not kinds:
             return None
-        return data.WatchHeartbeat(self._fleet.instance, tuple(kinds))
+        reported = [
+            dataclasses.replace(kind, era=self._era.to_reported(kind.era))
+            for kind in kinds
+        ]
+        return data.WatchHeartbeat(self._fleet.instance, tuple(reported))
 
     def run_heartbeats(self) -> None:
         """Send heartbeats until the process ends; runs as a task."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_watcher.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _restore_pause
 from skylarktack.coordination.forwarding import _shared_watch
 from skylarktack.coordination.forwarding import _store_era
 from skylarktack.coordination.forwarding import _store_events
@@ -34,10 +35,10 @@
 
 #: After a restore the instances that rely on forwarded changes list at random
 #: within this time for each instance, so that the store's rate limit is kept.
-LIST_SPREAD_PER_INSTANCE_S = 0.002
+MAX_LIST_DELAY_PER_INSTANCE_S = 0.002
 
-#: Interval at which a task checks whether it is its turn to ask the store.
-TURN_CHECK_INTERVAL_S = 0.05
+#: Interval at which a task checks whether it may ask the store.
+CALL_CHECK_INTERVAL_S = 0.05
 
 
 class StoreWatcher(Generic[T]):
@@ -75,6 +76,7 @@
         #: be listed; None before the first list.
         self._known_era: int | None = None
         self._follows_restore = False
+        self._restore_pause = _restore_pause.RestorePause(clock)
         self._must_catch_up = False
         self._must_list = False
 
@@ -88,20 +90,23 @@
         while not self._stopped.is_set():
             if self._is_restored(self._era.current):
                 self._record_restore(self._era.current)
+                self._restore_pause.wait(self._stopped)
                 self._wait_to_list()
+                # The next list is also that of a restore during the wait.
+                self._known_era = self._era.current
                 position = None
                 continue
             if position is not None and not self._asks_store():
                 position = self._receive_changes(position)
                 continue
             if not self._health.claim_call(self._settings.name):
-                position = self._wait_for_turn(position)
+                position = self._wait_to_ask(position)
                 continue
             if position is None:
                 position = self._list()
                 continue
             if self._shared_watch is not None:
-                self._shared_watch.take_turn()
+                self._shared_watch.record_call()
             if self._must_catch_up:
                 position = self._catch_up(position)
                 continue
@@ -121,7 +126,7 @@
         """Wait, so that not all instances of the fleet ask at once."""
         if self._shared_watch is None or not self._receives_changes:
             return
-        max_wait_s = LIST_SPREAD_PER_INSTANCE_S * (
+        max_wait_s = MAX_LIST_DELAY_PER_INSTANCE_S * (
             self._shared_watch.instance_count()
         )
         self._clock.wait(self._stopped, max_wait_s * random.random())
@@ -170,10 +175,10 @@
         step_s = (
             ROLE_CHECK_INTERVAL_S
             if self._receives_changes
-            else TURN_CHECK_INTERVAL_S
+            else CALL_CHECK_INTERVAL_S
         )
-        started_at_s = self._clock.monotonic_s()
-        end_s = started_at_s + step_s
+        asked_at_s = self._awaited_since_s()
+        end_s = self._clock.monotonic_s() + step_s
         change = self._shared_watch.next_change(name, step_s)
         if self._clock.monotonic_s() > end_s + MAX_WAIT_EXCESS_S:
             self._handler.mark_stale()
@@ -181,7 +186,7 @@
             if self._health.claim_call(name):
                 return self._catch_up(position)
         if change is not None:
-            return self._apply_forwarded_change(change, position, started_at_s)
+            return self._apply_forwarded_change(change, position, asked_at_s)
         reported = self._shared_watch.reported(name)
         if reported is None:
             return position
@@ -190,7 +195,7 @@
             self._wait_to_list()
             return None
         if reported.position <= position:
-            self._record_up_to_date(started_at_s)
+            self._record_up_to_date(asked_at_s)
             return position
         now_s = self._clock.monotonic_s()
         if self._behind_since_s is None:
@@ -202,20 +207,28 @@
         self._behind_since_s = None
         return self._catch_up(position)
 
-    def _wait_for_turn(
+    def _wait_to_ask(
         self, position: data.StorePosition | None
     ) -> data.StorePosition | None:
-        """Wait for the turn to ask the store; apply forwarded changes."""
+        """Wait until it may ask the store; apply forwarded changes."""
         if self._shared_watch is None or position is None:
-            self._clock.wait(self._stopped, TURN_CHECK_INTERVAL_S)
+            self._clock.wait(self._stopped, CALL_CHECK_INTERVAL_S)
             return position
-        started_at_s = self._clock.monotonic_s()
+        asked_at_s = self._awaited_since_s()
         change = self._shared_watch.next_change(
-            self._settings.name, TURN_CHECK_INTERVAL_S
+            self._settings.name, CALL_CHECK_INTERVAL_S
         )
         if change is None:
             return position
-        return self._apply_forwarded_change(change, position, started_at_s)
+        return self._apply_forwarded_change(change, position, asked_at_s)
+
+    def _awaited_since_s(self) -> float:
+        """Return from when on messages of peers that count now were awaited.
+
+        A heartbeat may have been read this long ago, and may have waited in
+        the socket of a suspended process before.
+        """
+        return self._clock.monotonic_s() - _shared_watch.HEARTBEAT_LIFETIME_S
 
     def _apply_forwarded_change(
         self,
@@ -284,7 +297,7 @@
         self._must_catch_up = may_be_stale
         self._must_list = False
         if not may_be_stale:
-            self._handler.confirm(asked_at_s)
+            self._must_catch_up = not self._handler.confirm(asked_at_s)
             self._record_response(result.era)
         return result.position
 
@@ -316,9 +329,8 @@
         if result.era != position.era:
             # The changes of another history, or only a part of them.
             return position
-        self._must_catch_up = False
         self._handler.apply(result.items, after_outage)
-        self._handler.confirm(asked_at_s)
+        self._must_catch_up = not self._handler.confirm(asked_at_s)
         if result.items:
             self._publish(result, after_outage)
             self._last_change_revision = result.revision
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_watch_ports.py
@@ -22,7 +22,7 @@
     TIMED_OUT = 'timed_out'
 
     #: The store compacted the changes after the revision; list again.
-    REVISION_COMPACTED = 'history_gone'
+    REVISION_COMPACTED = 'revision_compacted'
 
     #: A response that is too long, incomplete or malformed. The same call may
     #: get it again and again; list instead.
@@ -133,11 +133,12 @@
         """
         ...
 
-    def confirm(self, asked_at_s: float) -> None:
+    def confirm(self, asked_at_s: float) -> bool:
         """Record that the cached objects are up to date.
 
         :param asked_at_s: monotonic time from which on the confirmation was
             awaited.
+        :return: whether it counts; otherwise the store has to be asked again.
         """
         ...
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_configuration_holder.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_configuration_holder.py
@@ -8,6 +8,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding.tests import gateway_harness
 from skylarktack.coordination.forwarding.tests import harness
+from skylarktack.state import forwarding as data
 
 
 class _Observer:
@@ -56,6 +57,30 @@
         gateway_env.holder.confirm(asked_at_s, 4.0)
         assert gateway_env.holder.is_current() is is_current
 
+    @pytest.mark.parametrize(
+        ('fitting_bytes', 'count'), [(8000, 0), (7999, 1)]
+    )
+    def test_a_body_limit_above_the_memory_is_logged(
+        self, fitting_bytes: int, count: int
+    ) -> None:
+        """Guards against bodies that are refused without a known cause."""
+        log = fakes.RecordingLog()
+        holder = forwarding.ConfigurationHolder(
+            fakes.SteppingClock(),
+            log,
+            fakes.ScriptedSuspensions(),
+            4.0,
+            0.0,
+            fitting_bytes,
+        )
+        limits = data.FrontLimits(max_body_bytes=8000)
+        holder.replace_if_newer(
+            dataclasses.replace(harness.configuration(5), limits=limits)
+        )
+        assert holder.version == 5
+        message = forwarding.BodyLimitExceedsMemory.message
+        assert log.messages('configuration').count(message) == count
+
 
 class TestConfigurationOfPeers:
     """Peers report the version in force at each."""
@@ -110,6 +135,21 @@
         clock.advance(1.1)
         assert holder.is_current()
 
+    def test_waits_for_reports_after_a_suspension(self) -> None:
+        """Guards against a 404 by a copy while reports are unread."""
+        clock = fakes.SteppingClock()
+        suspensions = fakes.ScriptedSuspensions()
+        holder = forwarding.ConfigurationHolder(
+            clock, fakes.RecordingLog(), suspensions, 4.0, peer_wait_s=1.0
+        )
+        holder.replace_if_newer(harness.configuration(5))
+        clock.advance(60.0)
+        suspensions.resumed_at_s = clock.monotonic_s()
+        holder.confirm(clock.monotonic_s(), 4.0)
+        assert not holder.is_current()
+        clock.advance(1.1)
+        assert holder.is_current()
+
     def test_fleet_exchanges_versions(self) -> None:
         """Guards against a restarted instance that no peer warns."""
         gateway_env = _make_gateway()
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_move_verdicts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_move_verdicts.py
@@ -151,6 +151,27 @@
         assert move_run.writer.written[-1] is state.MovePhase.ROLLED_BACK
         assert move_run.failed_new < 50
 
+    def test_suspended_instance_hears_its_peers_first(self) -> None:
+        """Guards against all requests to a version that peers stopped."""
+        move_run = move_harness.make_move_run()
+        clock = move_run.env.clock
+        move_run.run(move_harness.healthy, until_s=5.0)
+        clock.advance(6.8)
+        move_run.env.suspensions.resumed_at_s = clock.monotonic_s()
+        move_run.driver.step()
+        for _ in range(50):
+            rule = move_run.env.moves.choose_versions('pool')
+            assert rule.preferred is None or rule.is_canary
+        move_run.env.moves.apply_report(
+            move_harness.peer_report(stop_reason='failed')
+        )
+        clock.advance(0.6)
+        move_run.driver.step()
+        assert move_run.writer.written == [
+            state.MovePhase.SHIFTING,
+            state.MovePhase.ROLLED_BACK,
+        ]
+
     def test_unavailable_store_delays_only_recording(self) -> None:
         """Guards against traffic to a bad version while the store is down."""
         move_run = move_harness.make_move_run()
--- a/packages/daemon/src/skylarktack/daemon/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/_instance.py
@@ -62,7 +62,12 @@
         )
         engines = transport.HttpEngineClient()
         self._routing = _routing.RoutingComponents(
-            settings, engines, self._clock, self._metrics, network
+            settings,
+            engines,
+            self._clock,
+            self._metrics,
+            self._supervisor,
+            network,
         )
         self._limits = _limits.LimitsComponents(
             settings, self._configuration.holder, self._clock, self._metrics
@@ -95,6 +100,7 @@
                 outcomes=outcomes,
                 clock=self._clock,
                 metrics=self._metrics,
+                supervisor=self._supervisor,
             )
         )
         self._generations = generation.GenerationService(
@@ -107,6 +113,7 @@
                 outcomes=outcomes,
                 clock=self._clock,
                 metrics=self._metrics,
+                supervisor=self._supervisor,
             ),
             settings.caller.generation_count,
             network,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -49,9 +49,10 @@
 #: stale.
 CONFIRMATION_VALIDITY_S = WATCH_WAIT_S + 1.0
 
-#: Time after the start within which the peers report their configuration; each
-#: sends a full report to a new instance at once. A store that was restored
-#: from a copy may confirm an older configuration.
+#: Time after the start, or after a suspension, within which the peers report
+#: their configuration; each sends a full report to a new instance at once, and
+#: reports that wait in the socket are read. A store that was restored from a
+#: copy may confirm an older configuration.
 PEER_REPORT_WAIT_S = 1.0
 
 #: Threads for background tasks and accept loops, connections not included.
@@ -83,12 +84,16 @@
         self._errors = errors
         self._supervisor = forwarding.Supervisor(clock, errors)
         self._suspensions = forwarding.SuspensionMonitor(clock, log)
+        memory = transport.MemoryBudget(
+            data.body_limit_bytes(settings.memory_limit_bytes)
+        )
         self._configuration = forwarding.ConfigurationHolder(
             clock,
             log,
             self._suspensions,
             max(settings.configuration_lag_ms / 1000, CONFIRMATION_VALIDITY_S),
             0.0 if settings.peer is None else PEER_REPORT_WAIT_S,
+            memory.request_limit_bytes,
         )
         self._link: transport.DatagramLink | None = None
         if settings.peer is not None:
@@ -118,11 +123,10 @@
             self._fleet,
             self._moves,
             errors,
+            self._suspensions,
         )
-        memory = transport.MemoryBudget(
-            transport.body_limit_bytes(settings.memory_limit_bytes)
-        )
-        client = transport.HttpTargetClient(codec, memory)
+        bounds = forwarding.BoundRecorder(clock, log)
+        client = transport.HttpTargetClient(codec, memory, bounds)
         quarantine = forwarding.PromptQuarantine(clock, log, self._fleet)
         self._quarantine_keeper = forwarding.QuarantineKeeper(
             clock,
@@ -190,12 +194,12 @@
             codec,
             futures.ThreadPoolExecutor(caller_limit_count),
             errors,
-            transport.ListenerLimits(caller_limit_count, memory),
+            transport.ListenerLimits(caller_limit_count, memory, bounds),
             front,
         )
         self._listeners = [self._front]
         operator_limits = transport.ListenerLimits(
-            OPERATOR_LIMIT_COUNT, memory
+            OPERATOR_LIMIT_COUNT, memory, bounds
         )
         self._readiness_listener: transport.Listener | None = None
         if settings.readiness is not None:
@@ -218,6 +222,7 @@
                     _metrics.MetricsHandler(
                         metrics,
                         _metrics.ConnectionMetrics(self._front),
+                        _metrics.BoundMetrics(bounds, log),
                         _metrics.StoreMetrics(self._era, self._configuration),
                     ),
                     codec,
@@ -334,6 +339,7 @@
             platform.StoreMoveWriter(
                 self._store_calls(), self._log, self._era
             ),
+            self._suspensions,
         )
         self._start_task(
             'datagram link',
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -165,8 +165,44 @@
         yield ended
 
 
+class DroppedLines(Protocol):
+    """Counts the lines that the log has dropped."""
+
+    def dropped_count(self) -> int:
+        """Return the number of lines since the start."""
+        ...
+
+
+class BoundMetrics:
+    """Counts the bounds of the instance that were reached."""
+
+    def __init__(
+        self, bounds: forwarding.BoundRecorder, log: DroppedLines
+    ) -> None:
+        self._bounds = bounds
+        self._log = log
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metric families; prometheus_client calls this."""
+        from prometheus_client import core
+
+        reached = core.CounterMetricFamily(
+            'skylarktack_bounds_reached',
+            'Times that a bound of the instance was reached.',
+            labels=['bound'],
+        )
+        for bound, count in self._bounds.counts().items():
+            reached.add_metric([bound.value], count)
+        yield reached
+        yield core.CounterMetricFamily(
+            'skylarktack_log_lines_dropped',
+            'Log lines that were dropped because the queue was full.',
+            value=self._log.dropped_count(),
+        )
+
+
 class ConfigurationState(Protocol):
-    """Tells which configuration is in force."""
+    """Tells which configuration is active."""
 
     @property
     def version(self) -> int:
@@ -194,7 +230,7 @@
         yield core.GaugeMetricFamily(
             'skylarktack_store_era',
             'Era of the store, which rises when it is restored from a copy.',
-            self._era.current,
+            self._era.reported,
         )
         yield core.GaugeMetricFamily(
             'skylarktack_active_configuration_version',
--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/response_harness.py
@@ -74,10 +74,17 @@
         self._moves.trials.is_read.set()
         errors = forwarding.ErrorRecorder(clock, log)
         self.targets = forwarding.TargetTable(
-            clock, log, 'domain-a', fleet, self._moves, errors
+            clock,
+            log,
+            'domain-a',
+            fleet,
+            self._moves,
+            errors,
+            fakes.ScriptedSuspensions(),
         )
         self.targets.replace(listed, after_outage=False)
         client = transport.HttpTargetClient(platform.PlatformMessageCodec())
+        self.quarantine = forwarding.PromptQuarantine(clock, log, fleet)
         budget = forwarding.RetryBudget(
             clock, forwarding.RetryLimits(0.8, 100.0, 10.0), fleet
         )
@@ -91,7 +98,7 @@
                 client=client,
                 fleet=fleet,
                 budget=budget,
-                quarantine=forwarding.PromptQuarantine(clock, log, fleet),
+                quarantine=self.quarantine,
                 new_splitter=messages.EventStreamSplitter,
                 errors=errors,
             )
@@ -160,7 +167,8 @@
             accepted,
             self.forwarders,
             platform.PlatformMessageCodec(),
-            transport.MemoryBudget(transport.body_limit_bytes(None)),
+            transport.MemoryBudget(data.body_limit_bytes(None)),
+            forwarding.BoundRecorder(ports.SystemClock(), self.log),
         )
         self._task = threading.Thread(target=connection.run)
         self._task.start()
@@ -175,7 +183,7 @@
         length = str(len(body)).encode()
         self.caller.sendall(
             b'POST /a/x HTTP/%s\r\nHost: host.example\r\nAttempt-Id: %s\r\n'
-            b'Prompt-Prefix: 1:10\r\nContent-Length: %s\r\n\r\n%s'
+            b'Prompt-Prefix: 1:10,2:10\r\nContent-Length: %s\r\n\r\n%s'
             % (version, attempt_id, length, body)
         )
 
--- a/packages/transport/src/skylarktack/transport/_peer_network.py
+++ b/packages/transport/src/skylarktack/transport/_peer_network.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import dataclasses
+import functools
 import socket
 import struct
 import threading
@@ -62,6 +63,9 @@
     #: Counters.
     metrics: ports.Metrics
 
+    #: Runs the tasks of connections and of requests.
+    supervisor: ports.TaskSupervisor
+
     #: Requests that are handled by the connection's own thread, because
     #: their handlers never wait.
     inline_types: frozenset[type] = frozenset()
@@ -239,7 +243,7 @@
         link = self._register(connection, proved.ok)
         if link is None:
             return Error('too many connections')
-        self._reader_pool.submit(self._read, link)
+        self._reader_pool.submit(self._supervise_link, link)
         return Ok(link)
 
     def _register(
@@ -294,13 +298,23 @@
             return
         link = self._register(connection, proved.ok)
         if link is not None:
-            self._read(link)
+            self._supervise_link(link)
+
+    def _supervise_link(self, link: _peer_link.PeerLink) -> None:
+        """Read a connection; an error closes it and is recorded."""
+        try:
+            self._parts.supervisor.run_once(
+                'peer connections', functools.partial(self._read, link)
+            )
+        finally:
+            link.close()
+            self._links.remove(link)
 
     def _read(self, link: _peer_link.PeerLink) -> None:
         while True:
             received = link.receive()
             if received is None:
-                break
+                return
             if received.is_error():
                 self._refuse_frame(link, received.error)
                 continue
@@ -309,8 +323,6 @@
                 link.take_answer(frame)
                 continue
             self._dispatch(link, frame)
-        link.close()
-        self._links.remove(link)
 
     def _refuse_frame(
         self, link: _peer_link.PeerLink, fault: protocol.FrameFault
@@ -352,7 +364,9 @@
         self, link: _peer_link.PeerLink, frame: protocol.Frame
     ) -> None:
         try:
-            self._handle(link, frame)
+            self._parts.supervisor.run_once(
+                'peer requests', functools.partial(self._handle, link, frame)
+            )
         finally:
             self._request_slots.release()
 
@@ -360,8 +374,20 @@
         self, link: _peer_link.PeerLink, frame: protocol.Frame
     ) -> None:
         answer = self._answer(link.session.peer, frame.message)
-        if frame.request_number:
+        if not frame.request_number:
+            return
+        try:
             link.send(answer, -frame.request_number)
+        except Exception:
+            # An answer that cannot be encoded must not cost the peer its
+            # whole timeout.
+            link.send(
+                protocol.PeerRefusal(
+                    ports.PeerFaultKind.NO_ANSWER.value, 'answer not encoded'
+                ),
+                -frame.request_number,
+            )
+            raise
 
     def _answer(self, peer: state.InstanceName, message: Any) -> object:
         handler = self._handlers.get(type(message))
@@ -394,11 +420,6 @@
         self._parts.metrics.count(f'peer.refused.{reason}')
 
 
-def listen_for_peers(address: state.Address) -> socket.socket:
-    """Bind the port on which peers are accepted; port 0 takes any."""
-    return socket.create_server((address.host, address.port), backlog=128)
-
-
 def _limit_writes(connection: websocket.Connection) -> None:
     limit = struct.pack('ll', int(SEND_TIMEOUT_S), 0)
     try:
--- a/packages/transport/src/skylarktack/transport/forwarding/_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_listener.py
@@ -4,6 +4,7 @@
 from concurrent import futures
 import contextlib
 import dataclasses
+import math
 import operator
 import select
 import socket
@@ -26,6 +27,10 @@
 #: one that can be evicted for a new one.
 ROOM_CHECK_S = 0.05
 
+#: Maximum time for the end of an evicted connection, after which another one
+#: is evicted.
+EVICTION_WAIT_S = 1.0
+
 #: Maximum wait of a close for connections that are not accepted yet, and the
 #: interval at which it checks.
 MAX_ACCEPT_WAIT_S = 0.2
@@ -43,6 +48,9 @@
     #: Budget of the bodies of requests.
     memory: _memory.MemoryBudget
 
+    #: Records the limits that are reached.
+    bounds: forwarding.BoundRecorder
+
 
 class Listener:
     """Accepts connections on one address and tracks those that are open."""
@@ -64,6 +72,8 @@
         self._socket = opened or _listening.listen(
             endpoint.host, endpoint.port
         )
+        #: Names the listener in log lines, also once its socket is closed.
+        self._bound_to = str(self.endpoint)
         self._handler = handler
         self._codec = codec
         self._tasks = tasks
@@ -97,7 +107,11 @@
                 continue
             self._make_room()
             connection = _front_connection.FrontConnection(
-                accepted, self._handler, self._codec, self._limits.memory
+                accepted,
+                self._handler,
+                self._codec,
+                self._limits.memory,
+                self._limits.bounds,
             )
             with self._lock:
                 self._open.add(connection)
@@ -113,6 +127,10 @@
         with self._lock:
             return dict(self._end_counts)
 
+    def has_waiting(self) -> bool:
+        """Return whether connections wait to be accepted."""
+        return bool(_sockets.wait_for(self._socket, select.POLLIN, 0.0))
+
     def close_idle(self) -> None:
         """Close connections that have waited for a request for a while."""
         with self._lock:
@@ -127,9 +145,7 @@
         socket would reset them, with their requests.
         """
         end_s = time.monotonic() + MAX_ACCEPT_WAIT_S
-        while time.monotonic() < end_s and _sockets.wait_for(
-            self._socket, select.POLLIN, 0.0
-        ):
+        while time.monotonic() < end_s and self.has_waiting():
             time.sleep(ACCEPT_CHECK_INTERVAL_S)
         self._is_closed = True
         # shutdown() fails if the socket has never accepted a connection.
@@ -165,12 +181,23 @@
 
     def _make_room(self) -> None:
         """Wait until one more connection may be open."""
+        if self.open_count() >= self._limits.max_open_count:
+            self._limits.bounds.record(
+                forwarding.Bound.CONNECTIONS,
+                detail=f'{self._limits.max_open_count} at {self._bound_to}',
+            )
+        eviction_ends_at_s = -math.inf
         while not self._is_closed:
             with self._lock:
                 if len(self._open) < self._limits.max_open_count:
                     return
                 connections = tuple(self._open)
-            _evict_longest_waiting(connections)
+            # The task of an evicted connection may need a while to end.
+            now_s = time.monotonic()
+            if now_s >= eviction_ends_at_s and _evict_longest_waiting(
+                connections
+            ):
+                eviction_ends_at_s = now_s + EVICTION_WAIT_S
             with self._has_ended:
                 if len(self._open) >= self._limits.max_open_count:
                     self._has_ended.wait(ROOM_CHECK_S)
@@ -190,8 +217,11 @@
 
 def _evict_longest_waiting(
     connections: tuple[_front_connection.FrontConnection, ...],
-) -> None:
-    """Evict one connection: of a refused caller, or the longest idle one."""
+) -> bool:
+    """Evict one connection: of a refused caller, or the longest idle one.
+
+    :return: whether there was one.
+    """
     waiting: list[tuple[bool, float, _front_connection.FrontConnection]] = []
     for connection in connections:
         since_s = connection.waiting_since_s
@@ -200,4 +230,5 @@
     waiting.sort(key=operator.itemgetter(0, 1))
     for _, _, connection in waiting:
         if connection.evict():
-            return
+            return True
+    return False
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_endless_responses.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
@@ -119,6 +120,12 @@
         exchange.close()
 
 
+def _recorder() -> forwarding.BoundRecorder:
+    return forwarding.BoundRecorder(
+        fakes.SteppingClock(), fakes.RecordingLog()
+    )
+
+
 def _has_fault(events: tuple[forwarding.ResponseEvent, ...]) -> bool:
     return any(isinstance(e, forwarding.ExchangeFault) for e in events)
 
@@ -133,15 +140,28 @@
     )
     def test_response(self, prefix: bytes, repeated: bytes) -> None:
         """Guards against a response that fills the memory of the instance."""
-        client = transport.HttpTargetClient(front_harness.PassThroughCodec())
+        bounds = _recorder()
+        client = transport.HttpTargetClient(
+            front_harness.PassThroughCodec(), bounds=bounds
+        )
         faults = []
         with _serving(prefix, repeated) as server:
             peak_bytes = _peak_bytes(
                 lambda: faults.append(_read_until_fault(client, server))
             )
         assert faults[0].kind is forwarding.FaultKind.MALFORMED
+        is_http = not repeated.startswith(b'\x00')
+        assert bounds.counts()[forwarding.Bound.RESPONSE_SIZE] == is_http
         assert peak_bytes < MAX_PEAK_BYTES
 
+    def test_a_head_of_many_fields(self) -> None:
+        """Guards against heads that take many times their size in memory."""
+        client = transport.HttpTargetClient(front_harness.PassThroughCodec())
+        head = HEAD + b'a:\r\n' * 4000 + b'\r\n'
+        with _serving(head, b'x' * 65536) as server:
+            fault = _read_until_fault(client, server)
+        assert fault.detail == 'too many header fields'
+
     def test_responses_share_a_budget(self) -> None:
         """Guards against many large responses that fill the memory together.
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_listener.py
@@ -12,6 +12,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
+from skylarktack.transport.forwarding import _connection_phase
 from skylarktack.transport.forwarding.tests import front_harness
 
 CONNECTION_COUNT = 40
@@ -25,13 +26,17 @@
 
 
 def _limits(max_open_count: int) -> transport.ListenerLimits:
-    memory = transport.MemoryBudget(transport.body_limit_bytes(None))
-    return transport.ListenerLimits(max_open_count, memory)
+    memory = transport.MemoryBudget(data.body_limit_bytes(None))
+    bounds = forwarding.BoundRecorder(
+        fakes.SteppingClock(), fakes.RecordingLog()
+    )
+    return transport.ListenerLimits(max_open_count, memory, bounds)
 
 
 @contextlib.contextmanager
 def _listening(
     handler: front_harness.RecordingHandler,
+    limits: transport.ListenerLimits | None = None,
 ) -> Iterator[transport.Listener]:
     """Serve callers with as many tasks as there may be connections."""
     errors = forwarding.ErrorRecorder(
@@ -47,7 +52,7 @@
             front_harness.PassThroughCodec(),
             tasks,
             errors,
-            _limits(MAX_OPEN_COUNT),
+            limits or _limits(MAX_OPEN_COUNT),
         )
         running = accepting.submit(listener.run)
         try:
@@ -81,12 +86,16 @@
 
         Idle connections that callers keep open used up the tasks.
         """
-        with _listening(front_harness.RecordingHandler()) as listener:
+        limits = _limits(MAX_OPEN_COUNT)
+        handler = front_harness.RecordingHandler()
+        with _listening(handler, limits) as listener:
             callers = []
             for _ in range(3 * MAX_OPEN_COUNT):
                 caller = _connect(listener.endpoint, GET)
                 assert _has_answer(caller)
                 callers.append(caller)
+            counts = limits.bounds.counts()
+            assert counts[forwarding.Bound.CONNECTIONS] == 2 * MAX_OPEN_COUNT
             newest = callers[-MAX_OPEN_COUNT:]
             for caller in callers[:-MAX_OPEN_COUNT]:
                 assert caller.recv(1) == b''
@@ -96,6 +105,31 @@
             for caller in callers:
                 caller.close()
 
+    def test_evicts_one_for_one(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against needless evictions while the first one ends."""
+        run = transport.FrontConnection.run
+
+        def _end_late(
+            connection: transport.FrontConnection,
+        ) -> _connection_phase.ConnectionEnd:
+            end = run(connection)
+            time.sleep(0.3)
+            return end
+
+        monkeypatch.setattr(transport.FrontConnection, 'run', _end_late)
+        with _listening(front_harness.RecordingHandler()) as listener:
+            callers = [
+                _connect(listener.endpoint, GET) for _ in range(MAX_OPEN_COUNT)
+            ]
+            assert all(_has_answer(caller) for caller in callers)
+            callers.append(_connect(listener.endpoint, GET))
+            assert _has_answer(callers[-1])
+            for caller in callers[1:]:
+                caller.sendall(GET)
+                assert _has_answer(caller)
+            for caller in callers:
+                caller.close()
+
     def test_evicts_a_caller_that_sends_slowly(self) -> None:
         """Guards against callers that hold tasks by a byte now and then."""
         slow = (b'', b'GE', GET[:-2], b'POST /a HTTP/1.1\r\nHost: h\r\n')
