--- a/packages/coordination/src/skylarktack/coordination/forwarding/_store_era.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_store_era.py
@@ -21,6 +21,7 @@
     A reported era that rises by one is believed at once. Any other change is
     only believed when several responses agree, or one and a peer, since a
     response may be wrong.
+
     The eras of this instance never fall: after a fall of the reported one they
     differ from it by an offset, which peers do not know.
     """
