Keep work off the few engines that no suspicion covers

Cause: the loss of a target renewed the suspicion of its failure domain, also seconds later, when the domain was back under new names. With losses in turn, two of three domains were suspect and all instances sent their lost runs to the same few engines (25 runs to one engine in 0.25 s). A run in prefill at an engine of a lost domain was probed only after a third of its objective.

Change: the loss of a target that is suspect already does not renew the suspicion; suspect domains are passed over only while a quarter of the targets remains; events that a peer received end the suspicion of their engine; the suspicion of a domain lets runs in prefill there be probed.

Measured: the new tests fail without the change; forwarding tests pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -49,6 +49,10 @@
         """Handle the report that a target is about to stop."""
         ...
 
+    def report_output(self, name: str) -> None:
+        """Handle the report that a target just sent the events of a run."""
+        ...
+
 
 class PromptEvidenceExchange(Protocol):
     """Gives and receives evidence about prompt parts."""
@@ -236,6 +240,11 @@
             self._failure_listener.report_replaced(name)
         for leaving in report.leaving_targets:
             self._failure_listener.report_leaving(leaving)
+        if report.is_full:
+            return
+        for run in report.runs:
+            if not run.is_prefilling and not run.has_ended:
+                self._failure_listener.report_output(run.engine)
 
     def is_warming_up(self) -> bool:
         """Return whether this instance started a short time ago.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_candidates.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_candidates.py
@@ -8,6 +8,20 @@
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
+#: Minimum share of the targets that are not ejected which remains when
+#: suspect ones are passed over. Where domains fail one after the other, the
+#: few targets that nothing is suspected of would get the work of all.
+MIN_REMAINING_SHARE = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class _Suspect:
+    """A target that may have failed with its domain."""
+
+    since_s: float
+
+    target: data.ListedTarget
+
 
 class TargetCandidates:
     """Filters targets by version, exclusion, ejection and suspicion.
@@ -34,13 +48,14 @@
         """Return the best targets of a service, empty if there is none.
 
         Healthy targets come first, those of the preferred version before
-        others. Suspect and then ejected ones are returned only without them.
+        others. Suspect ones are passed over while enough others remain;
+        ejected ones are returned only without any.
         """
         now_s = self._clock.monotonic_s()
         self._records.remove_expired()
         rule = self._apply_last_resort(service, rule)
         healthy = []
-        suspect = []
+        suspect: list[_Suspect] = []
         ejected = []
         for target in self._records.by_name.values():
             if target.name in excluded:
@@ -52,15 +67,17 @@
             if self._records.is_ejected(target, now_s):
                 ejected.append(target)
                 continue
-            if self._records.is_suspect(target, now_s):
-                suspect.append(target)
+            since_s = self._records.suspect_since_s(target, now_s)
+            if since_s is not None:
+                suspect.append(_Suspect(since_s, target))
                 continue
             healthy.append(target)
+        healthy.extend(_readmitted(suspect, len(healthy)))
         preferred = []
         for target in healthy:
             if rule.prefers(target.version):
                 preferred.append(target)
-        return preferred or healthy or suspect or ejected
+        return preferred or healthy or ejected
 
     def next_pause_end_s(
         self, service: str, rule: _version_rules.VersionRule
@@ -122,3 +139,24 @@
         if target.version in rule.excluded:
             return False
         return not self._exclusions.is_leaving(target)
+
+
+def _readmitted(
+    suspects: list[_Suspect], healthy_count: int
+) -> list[data.ListedTarget]:
+    """Return the suspect targets that are used beside the healthy ones.
+
+    Domains that were suspected last are passed over first, each as a whole,
+    while enough targets remain. All are used if there is no other.
+    """
+    total_count = healthy_count + len(suspects)
+    remaining_count = total_count
+    readmitted = []
+    for since_s in sorted({one.since_s for one in suspects}, reverse=True):
+        targets = [one.target for one in suspects if one.since_s == since_s]
+        rest_count = remaining_count - len(targets)
+        if rest_count and rest_count >= MIN_REMAINING_SHARE * total_count:
+            remaining_count = rest_count
+            continue
+        readmitted.extend(targets)
+    return readmitted
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_records.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_records.py
@@ -172,7 +172,7 @@
         )
         stats.ejected_until_s = now_s + ejection_s
         if is_loss:
-            self._suspicions.record_loss(target, now_s)
+            self._suspicions.record_loss(target, stats, now_s)
         return ejection_s
 
     def record_suspicion(self, name: str) -> bool:
@@ -191,7 +191,7 @@
         until_s = now_s + FIRST_EJECTION_S
         stats.ejected_until_s = max(stats.ejected_until_s, until_s)
         stats.suspected_at_s = now_s
-        self._suspicions.record_loss(target, now_s)
+        self._suspicions.record_loss(target, stats, now_s)
         return True
 
     def eject(self, name: str, ejection_s: float) -> None:
@@ -207,8 +207,13 @@
         """Return whether the target's ejection has not ended."""
         return now_s < self.stats_of(target).ejected_until_s
 
-    def is_suspect(self, target: data.ListedTarget, now_s: float) -> bool:
-        """Return whether the target may have failed with its domain."""
-        return self._suspicions.is_suspect(
+    def suspect_since_s(
+        self, target: data.ListedTarget, now_s: float
+    ) -> float | None:
+        """Return since when the target may have failed with its domain.
+
+        None for a target that is not suspect.
+        """
+        return self._suspicions.suspect_since_s(
             target, self.stats_of(target), now_s
         )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_stats.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_stats.py
@@ -29,8 +29,8 @@
 DOMAIN_LOSS_WINDOW_S = 0.6
 
 #: Time for which the targets of a suspect domain rank behind others unless
-#: they respond. The entry of a dead target stays in the store for three
-#: heartbeats, or for as long as the store is unavailable.
+#: they respond, or too few others remain. The entry of a dead target stays in
+#: the store for three heartbeats, or for as long as the store is unavailable.
 DOMAIN_SUSPICION_S = 10.0
 
 
@@ -118,8 +118,17 @@
         self._losses: dict[tuple[str, str], dict[str, float]] = {}
         self._suspect_since_s: dict[tuple[str, str], float] = {}
 
-    def record_loss(self, target: data.ListedTarget, now_s: float) -> None:
-        """Record a lost target; its domain may become suspect."""
+    def record_loss(
+        self, target: data.ListedTarget, stats: TargetStats, now_s: float
+    ) -> None:
+        """Record a lost target; its domain may become suspect.
+
+        The loss of a target that is suspect already does not renew the
+        suspicion: it may be found seconds after the failure, when other
+        targets of the domain have been replaced.
+        """
+        if self.suspect_since_s(target, stats, now_s) is not None:
+            return
         domain = (target.service, target.failure_domain)
         losses = self._losses.setdefault(domain, {})
         losses[target.name] = now_s
@@ -129,21 +138,21 @@
         if len(losses) >= DOMAIN_LOSS_COUNT:
             self._suspect_since_s[domain] = now_s
 
-    def is_suspect(
+    def suspect_since_s(
         self,
         target: data.ListedTarget,
         stats: TargetStats,
         now_s: float,
-    ) -> bool:
-        """Return whether the target may have failed with its domain.
+    ) -> float | None:
+        """Return since when the target may have failed with its domain.
 
-        A target that responded or was listed since is not suspect.
+        None for a target that is not suspect: one that responded or was
+        listed since then, or one whose domain has lost few targets.
         """
         domain = (target.service, target.failure_domain)
-        suspect_since_s = self._suspect_since_s.get(domain)
-        if (
-            suspect_since_s is None
-            or now_s >= suspect_since_s + DOMAIN_SUSPICION_S
-        ):
-            return False
-        return max(stats.last_seen_at_s, stats.listed_at_s) <= suspect_since_s
+        since_s = self._suspect_since_s.get(domain)
+        if since_s is None or now_s >= since_s + DOMAIN_SUSPICION_S:
+            return None
+        if max(stats.last_seen_at_s, stats.listed_at_s) > since_s:
+            return None
+        return since_s
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -267,6 +267,12 @@
         if is_ejected:
             self._log.record(_events.TargetSuspected(name))
 
+    def report_output(self, name: str) -> None:
+        """Record that a peer received events from a target just now."""
+        target = self.find(name)
+        if target is not None:
+            self.report_alive(target)
+
     def is_unavailable(self, target: data.ListedTarget) -> bool:
         """Return whether the target must get no new request now.
 
@@ -276,9 +282,17 @@
             return self._candidates.is_unavailable(target)
 
     def suspected_at_s(self, target: data.ListedTarget) -> float:
-        """Return the monotonic time of the last suspicion of a peer."""
+        """Return when the target, or its domain, was last suspected.
+
+        In monotonic time; -inf if it never was.
+        """
+        now_s = self._clock.monotonic_s()
         with self._lock:
-            return self._records.stats_of(target).suspected_at_s
+            domain_since_s = self._records.suspect_since_s(target, now_s)
+            reported_at_s = self._records.stats_of(target).suspected_at_s
+        if domain_since_s is None:
+            return reported_at_s
+        return max(reported_at_s, domain_since_s)
 
     def report_connection_refused(
         self, target: data.ListedTarget, route: str, cause: str
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
@@ -1,11 +1,24 @@
 """Tests of the table of targets: updates, statistics and selection."""
 
 import dataclasses
+import math
 
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
 
+def _engines_of_prompts(env: harness.Harness) -> set[str]:
+    """Return the engines that are chosen for many prompts."""
+    chosen = set()
+    for number in range(60):
+        pair = env.targets.choose_engines(
+            'pool', None, harness.demand(f'prompt-{number}'), frozenset()
+        )
+        assert pair is not None
+        chosen.add(pair.primary.name)
+    return chosen
+
+
 class TestTargetList:
     """Updates of the table by the store, also after an outage."""
 
@@ -159,14 +172,60 @@
         env.targets.apply(
             data.TargetChange('far', harness.target('far', 'domain-b'))
         )
-        chosen = set()
-        for number in range(60):
-            pair = env.targets.choose_engines(
-                'pool', None, harness.demand(f'prompt-{number}'), frozenset()
+        assert _engines_of_prompts(env) == {'c', 'new', 'far'}
+
+    def test_a_late_loss_does_not_renew_a_suspicion(self) -> None:
+        """Guards against avoiding the replaced targets of a domain.
+
+        Runs at targets that failed silently were found lost seconds after
+        the domain was back. All work went to the few targets listed since.
+        """
+        old = tuple(harness.target(name) for name in 'abc')
+        env = harness.make_harness(*old, harness.target('far', 'domain-b'))
+        for target in old[:2]:
+            env.targets.report_failure(target, 'book', 'reset', True)
+        env.clock.advance(1.0)
+        for name in ('new-1', 'new-2'):
+            env.targets.apply(data.TargetChange(name, harness.target(name)))
+        env.clock.advance(2.0)
+        for target in old:
+            env.targets.report_failure(target, 'book', 'no answer', True)
+        chosen = _engines_of_prompts(env)
+        assert chosen == {'far', 'new-1', 'new-2'}
+
+    def test_few_targets_do_not_get_the_work_of_all(self) -> None:
+        """Guards against overloading the rest when domains fail in turn."""
+        domains = ('a', 'b', 'c')
+        targets = []
+        for domain in domains:
+            for number in range(6):
+                targets.append(harness.target(f'{domain}{number}', domain))
+        env = harness.make_harness(*targets, harness.target('last', 'd'))
+        for domain in domains:
+            for number in range(2):
+                lost = harness.target(f'{domain}{number}', domain)
+                env.targets.report_failure(lost, 'book', 'reset', True)
+            env.clock.advance(3.0)
+        domains_used = {name[0] for name in _engines_of_prompts(env)}
+        assert domains_used == {'l', 'a'}
+
+    def test_events_that_a_peer_received_end_a_suspicion(self) -> None:
+        """Guards against avoiding live targets that others are using."""
+        env = harness.make_harness(
+            *(harness.target(name) for name in 'abc'),
+            harness.target('far', 'domain-b'),
+        )
+        for name in ('a', 'b'):
+            env.targets.report_failure(
+                harness.target(name), 'book', 'reset', True
             )
-            assert pair is not None
-            chosen.add(pair.primary.name)
-        assert chosen == {'c', 'new', 'far'}
+        env.clock.advance(0.2)
+        run = data.RunStatus('run', 'key', 'c', None, is_prefilling=False)
+        report = harness.peer_report('peer-1', 1)
+        env.fleet.receive(
+            dataclasses.replace(report, is_full=False, runs=(run,))
+        )
+        assert env.targets.suspected_at_s(harness.target('c')) == -math.inf
 
     def test_failures_of_one_target_do_not_make_a_domain_suspect(self) -> None:
         """Guards against suspecting a domain because of one bad target."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_unresponsive_engines.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_unresponsive_engines.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import random
+from typing import Any
 
 import pytest
 
@@ -130,6 +131,36 @@
         messages = env.log.messages('target')
         assert set(messages) == {forwarding.TargetAdded.message}
 
+    def test_prefill_is_probed_when_its_domain_is_suspected(self) -> None:
+        """Guards against waiting for an engine that failed with its domain.
+
+        An engine that is lost without a closed connection was only probed
+        after a third of the objective.
+        """
+        env = _make_env('first', 'second')
+        for name in ('lost-1', 'lost-2'):
+            env.targets.apply(data.TargetChange(name, harness.target(name)))
+        far = harness.target('far', 'domain-b')
+        env.targets.apply(data.TargetChange('far', far))
+        env.client.script('far', harness.stream_script(1, 3))
+        env.client.script('first', harness.stream_script(1, 3, start_s=60.0))
+        env.client.unresponsive.add('first')
+        original = env.client.send
+
+        def _send(*arguments: Any) -> Any:
+            exchange = original(*arguments)
+            if env.client.sent_to() == ['first']:
+                for name in ('lost-1', 'lost-2'):
+                    env.clock.advance(0.1)
+                    env.targets.report_suspicion(name)
+            return exchange
+
+        env.client.send = _send  # type: ignore[method-assign, assignment]
+        began_at_s = env.clock.monotonic_s()
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first', 'far']
+        assert env.clock.monotonic_s() - began_at_s < 2.0
+
     def test_prefill_waits_for_its_engine(self) -> None:
         """Guards against a failure before the first event of a sound run."""
         env = _make_env('first', 'second', allowance=0.0)
