Tell peers what an instance has seen of targets

Cause: each of many instances sees few responses of a target, so none knows its pace, its load or whether it answers. A load header with a fourth figure was dropped as a whole, so no load was known where targets send it.

Change: reports carry observations of targets and demands of organisations, appended to the positional datagram and bounded by 8 and 16 entries; a bad entry is left out without the others. TargetObservations merges them. The decoder of the load keeps the first three figures, reads the fourth as the slowdown of the machine, and ignores more. The protocols of FleetView have a module of their own.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -47,8 +47,12 @@
 from skylarktack.coordination.forwarding._events import UnexpectedError
 from skylarktack.coordination.forwarding._exposure import ExposureLimits
 from skylarktack.coordination.forwarding._fleet import FleetView
-from skylarktack.coordination.forwarding._fleet import PromptEvidenceExchange
-from skylarktack.coordination.forwarding._fleet import TargetFailureListener
+from skylarktack.coordination.forwarding._fleet_ports import (
+    PromptEvidenceExchange,
+)
+from skylarktack.coordination.forwarding._fleet_ports import (
+    TargetFailureListener,
+)
 from skylarktack.coordination.forwarding._fleet_tasks import FleetLink
 from skylarktack.coordination.forwarding._fleet_tasks import FleetReporter
 from skylarktack.coordination.forwarding._fleet_tasks import PeerDiscovery
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_admitted_request.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_admitted_request.py
@@ -42,6 +42,14 @@
     #: Decisions about the request, for the log.
     trace: _outcomes.RequestTrace
 
+    #: Urgency, that of the organisation or else of the route; 0 is the
+    #: highest.
+    priority: int = 0
+
+    #: Connections that one target of the service accepts from all instances
+    #: together, or None if it is unknown.
+    connection_limit: int | None = None
+
     @property
     def has_standby_copies(self) -> bool:
         """Whether engines of the service keep copies of the KV cache."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -10,9 +10,9 @@
 import hashlib
 import random
 import threading
-from typing import Protocol
 
 from skylarktack.coordination.forwarding import _events
+from skylarktack.coordination.forwarding import _fleet_ports
 from skylarktack.coordination.forwarding import _outgoing
 from skylarktack.coordination.forwarding import _peer_table
 from skylarktack.coordination.forwarding import _placement
@@ -34,62 +34,6 @@
 WARM_UP_S = 15.0
 
 
-class TargetFailureListener(Protocol):
-    """Receives what peers report about failed targets."""
-
-    def report_suspicion(self, name: str) -> None:
-        """Handle the report that a target failed."""
-        ...
-
-    def report_replaced(self, name: str) -> None:
-        """Handle the report that another target has a target's address."""
-        ...
-
-    def report_leaving(self, leaving: data.LeavingTarget) -> None:
-        """Handle the report that a target is about to stop."""
-        ...
-
-    def report_output(self, name: str) -> None:
-        """Handle the report that a target just sent the events of a run."""
-        ...
-
-
-class PromptEvidenceExchange(Protocol):
-    """Gives and receives evidence about prompt parts."""
-
-    def evidence(self, is_full: bool) -> data.PromptEvidence:
-        """Return the evidence for a report.
-
-        :param is_full: whether recent evidence is repeated.
-        """
-        ...
-
-    def receive(self, evidence: data.PromptEvidence) -> None:
-        """Apply the evidence of another instance."""
-        ...
-
-
-class ConfigurationVersions(Protocol):
-    """Gives the active version of this instance, receives those of peers."""
-
-    @property
-    def version(self) -> int:
-        """Return the active version; 0 before the first."""
-        ...
-
-    def record_peer_version(self, version: int) -> None:
-        """Record the active version of a peer."""
-        ...
-
-
-class RetryCounter(Protocol):
-    """Counts requests and retries of this instance."""
-
-    def counts(self) -> tuple[data.RetryCounts, ...]:
-        """Return the counts to report to the peers."""
-        ...
-
-
 class FleetView:
     """The live instances of the fleet and the runs that they reported."""
 
@@ -112,17 +56,25 @@
         self._reports = _report_builder.ReportBuilder(
             clock, instance, self._endpoint, self.outgoing
         )
-        self._retry_counter: RetryCounter | None = None
-        self._prompt_exchange: PromptEvidenceExchange | None = None
-        self._configurations: ConfigurationVersions | None = None
+        self._retry_counter: _fleet_ports.RetryCounter | None = None
+        self._prompt_exchange: _fleet_ports.PromptEvidenceExchange | None = (
+            None
+        )
+        self._configurations: _fleet_ports.ConfigurationVersions | None = None
+        self._observations: _fleet_ports.ObservationExchange | None = None
+        self._demands: _fleet_ports.DemandExchange | None = None
         self._placements = _run_placements.RunPlacements()
         self._peers = _peer_table.PeerTable(clock, self._placements)
-        self._failure_listener: TargetFailureListener | None = None
+        self._failure_listener: _fleet_ports.TargetFailureListener | None = (
+            None
+        )
         self._is_full_report_due = True
         self._first_listed_at_s: float | None = None
         self._change_meter = _rate_meter.RateMeter()
 
-    def set_failure_listener(self, listener: TargetFailureListener) -> None:
+    def set_failure_listener(
+        self, listener: _fleet_ports.TargetFailureListener
+    ) -> None:
         """Set the listener for failed targets that peers report."""
         self._failure_listener = listener
 
@@ -158,18 +110,32 @@
         with self._lock:
             self._reports.add_leaving_target(leaving)
 
-    def set_retry_counter(self, counter: RetryCounter) -> None:
+    def set_retry_counter(self, counter: _fleet_ports.RetryCounter) -> None:
         """Set the counter whose counts are reported to the peers."""
         self._retry_counter = counter
 
-    def set_prompt_exchange(self, exchange: PromptEvidenceExchange) -> None:
+    def set_prompt_exchange(
+        self, exchange: _fleet_ports.PromptEvidenceExchange
+    ) -> None:
         """Set what gives and receives the evidence about prompt parts."""
         self._prompt_exchange = exchange
 
-    def set_configurations(self, versions: ConfigurationVersions) -> None:
+    def set_configurations(
+        self, versions: _fleet_ports.ConfigurationVersions
+    ) -> None:
         """Set whose version is reported to the peers."""
         self._configurations = versions
 
+    def set_observations(
+        self, exchange: _fleet_ports.ObservationExchange
+    ) -> None:
+        """Set what gives and receives the observations of targets."""
+        self._observations = exchange
+
+    def set_demands(self, exchange: _fleet_ports.DemandExchange) -> None:
+        """Set what gives and receives the demand of organisations."""
+        self._demands = exchange
+
     def report_prompt_evidence(self) -> None:
         """Report new evidence about prompt parts at once."""
         with self._lock:
@@ -232,6 +198,10 @@
             self._configurations.record_peer_version(
                 report.configuration_version
             )
+        if self._observations is not None:
+            self._observations.receive(report.observations)
+        if self._demands is not None:
+            self._demands.receive(report.instance, report.demands)
         if self._failure_listener is None:
             return
         for name in report.lost_targets:
@@ -406,15 +376,25 @@
     def _with_exchanges(
         self, report: data.InstanceReport
     ) -> data.InstanceReport:
-        """Add the prompt evidence and the configuration version."""
+        """Add what other parts tell the peers."""
         version = 0
         if self._configurations is not None:
             version = self._configurations.version
         evidence = data.PromptEvidence()
         if self._prompt_exchange is not None:
             evidence = self._prompt_exchange.evidence(report.is_full)
+        observations: tuple[data.TargetObservation, ...] = ()
+        if self._observations is not None:
+            observations = self._observations.take()
+        demands: tuple[data.ServiceDemand, ...] = ()
+        if self._demands is not None:
+            demands = self._demands.demands()
         return dataclasses.replace(
-            report, prompt_evidence=evidence, configuration_version=version
+            report,
+            prompt_evidence=evidence,
+            configuration_version=version,
+            observations=observations,
+            demands=demands,
         )
 
     def _own_counts(self) -> tuple[data.RetryCounts, ...]:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -142,6 +142,12 @@
     engine: data.EngineCapacity | None
     organisation: str | None
 
+    #: Urgency of the request; 0 is the highest.
+    priority: int
+
+    #: Connections that one target accepts, or None if it is unknown.
+    connection_limit: int | None
+
 
 @dataclasses.dataclass(frozen=True)
 class _Rejected:
@@ -309,6 +315,7 @@
                 )
             return _Rejected(data.Refusal(data.RefusalReason.NO_ROUTE))
         organisation = None
+        priority = route.priority
         if table.needs_key(route):
             organisation_keys = table.find_organisation(request.key or '')
             if organisation_keys is None:
@@ -324,6 +331,8 @@
                     data.Refusal(data.RefusalReason.UNKNOWN_KEY), route
                 )
             organisation = organisation_keys.organisation
+            if organisation_keys.priority is not None:
+                priority = organisation_keys.priority
         service = _routes.choose_service(route, random.random)
         if service is None:
             refusal = data.Refusal(
@@ -338,8 +347,18 @@
             )
             return _Rejected(refusal, route, organisation)
         description = table.find_service(service)
-        engine = None if description is None else description.engine
-        return _Admission(route, service, engine, organisation)
+        if description is None:
+            return _Admission(
+                route, service, None, organisation, priority, None
+            )
+        return _Admission(
+            route,
+            service,
+            description.engine,
+            organisation,
+            priority,
+            description.connection_limit,
+        )
 
     def _is_refused_by_shutdown(
         self, route: data.ForwardingRoute, request: data.FrontRequest
@@ -380,6 +399,8 @@
             started_at_s=started_at_s,
             deadline_s=started_at_s + limit_ms / 1000,
             trace=trace,
+            priority=admission.priority,
+            connection_limit=admission.connection_limit,
         )
         if admission.route.kind is not data.RequestKind.STREAM:
             return self.dependencies.calls.run(admitted_request)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_prompt_quarantine.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from skylarktack.coordination.forwarding import _events
-from skylarktack.coordination.forwarding import _fleet
+from skylarktack.coordination.forwarding import _fleet_ports
 from skylarktack.coordination.forwarding import _prompt_evidence_log
 from skylarktack.coordination.forwarding import _prompt_losses
 from skylarktack.coordination.forwarding import _quarantine_admission
@@ -27,7 +27,7 @@
     """Reports evidence to the other instances."""
 
     def set_prompt_exchange(
-        self, exchange: _fleet.PromptEvidenceExchange
+        self, exchange: _fleet_ports.PromptEvidenceExchange
     ) -> None:
         """Set what gives and receives the evidence in reports."""
         ...
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -14,6 +14,7 @@
 from skylarktack.coordination.forwarding import _suspensions
 from skylarktack.coordination.forwarding import _target_candidates
 from skylarktack.coordination.forwarding import _target_exclusions
+from skylarktack.coordination.forwarding import _target_observations
 from skylarktack.coordination.forwarding import _target_records
 from skylarktack.coordination.forwarding import _target_stats
 from skylarktack.coordination.forwarding import _version_rules
@@ -47,6 +48,9 @@
         self._fleet = fleet
         self._moves = moves
         fleet.set_failure_listener(self)
+        #: What all instances have seen of the targets.
+        self.observations = _target_observations.TargetObservations(clock)
+        fleet.set_observations(self.observations)
         self._lock = threading.Lock()
         self._records = _target_records.TargetRecords(clock, log)
         self.exclusions = _target_exclusions.TargetExclusions(
@@ -132,6 +136,7 @@
         """Record what the target says of itself in the head of a response."""
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             if head.load is not None:
+                self.observations.record_load(target, head.load)
                 with self._lock:
                     self._records.record_load(target, head.load)
             self.exclusions.report_head(target, head)
@@ -169,6 +174,7 @@
         """Record a response or a complete stream; end the ejection."""
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             measured_ms = self._measured_ms(latency_ms)
+            self.observations.record_answer(target, is_error)
             with self._lock:
                 self._records.record_response(target, measured_ms, is_error)
             kind = state.OutcomeKind.SUCCESS
@@ -224,6 +230,7 @@
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             with self._lock:
                 ejection_s = self._records.record_failure(target, is_loss)
+            self.observations.record_answer(target, is_failure=True)
             kind = state.OutcomeKind.ERROR
             if is_loss:
                 self._fleet.record_failed_target(target.name)
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -34,6 +34,11 @@
 
 _EVENT_STREAM = b'text/event-stream'
 
+#: Figures of a load that must be there, and the largest slowdown that is
+#: taken over.
+LOAD_COUNT = 3
+MAX_SLOWDOWN = 100.0
+
 #: Header fields that are not forwarded from the caller: those that only the
 #: front end may set, and those that it sets again for each target.
 _RESERVED_NAMES = frozenset(
@@ -355,7 +360,19 @@
 
 
 def _decode_load(value: bytes) -> data.TargetLoad | None:
-    numbers = _parse_counts(value)
-    if len(numbers) != 3:
+    """Return the load; figures behind the known ones are ignored.
+
+    None if one of the first three is not a count. The fourth, in per cent,
+    is left out if it is unusable.
+    """
+    texts = value.split(b',')
+    counts = [_parse_count(text.strip()) for text in texts[:4]]
+    if len(counts) < LOAD_COUNT or None in counts[:LOAD_COUNT]:
         return None
-    return data.TargetLoad(*numbers)
+    running_count, waiting_count, slot_count = counts[:LOAD_COUNT]
+    slowdown = None
+    if len(counts) > LOAD_COUNT and counts[LOAD_COUNT]:
+        slowdown = min(MAX_SLOWDOWN, (counts[LOAD_COUNT] or 0) / 100)
+    return data.TargetLoad(
+        running_count or 0, waiting_count or 0, slot_count or 0, slowdown
+    )
--- a/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/_fleet_codec.py
@@ -1,8 +1,10 @@
 """Encodes datagrams between instances as positional CBOR arrays."""
 
+from collections.abc import Callable
 import dataclasses
 import ipaddress
 from typing import Any
+from typing import TypeVar
 import zlib
 
 import cbor2
@@ -40,6 +42,14 @@
 MAX_QUARANTINE_MS = 3_600_000
 MAX_PROBE_COUNT = 16
 
+#: Bounds of the observations and demands that are accepted of a peer.
+MAX_REPORT_ENTRIES = 16
+MAX_NAME_CHARS = 256
+MAX_UNIT_TIME_US = 600_000_000
+MAX_SAMPLE_COUNT = 1_000_000
+
+_Entry = TypeVar('_Entry')
+
 
 def encode_message(message: data.FleetMessage) -> bytes:
     """Encode a message as a datagram."""
@@ -125,6 +135,8 @@
             ],
             _encode_prompt_evidence(report.prompt_evidence),
             report.configuration_version,
+            [dataclasses.astuple(seen) for seen in report.observations],
+            [dataclasses.astuple(demand) for demand in report.demands],
         )
     )
 
@@ -182,9 +194,67 @@
         configuration_version=(
             _integer(fields[14]) if len(fields) > 14 else 0
         ),
+        # Earlier releases send no observations and no demands.
+        observations=_decode_entries(fields, 15, _decode_observation),
+        demands=_decode_entries(fields, 16, _decode_demand),
+    )
+
+
+def _decode_entries(
+    fields: Any, index: int, decode: Callable[[Any], _Entry]
+) -> tuple[_Entry, ...]:
+    """Return the entries of a list that can be read, without the others."""
+    if len(fields) <= index:
+        return ()
+    entries = []
+    for entry in fields[index][:MAX_REPORT_ENTRIES]:
+        try:
+            entries.append(decode(entry))
+        except (TypeError, ValueError, IndexError, OverflowError):
+            # The rest of the report does not depend on this entry.
+            continue
+    return tuple(entries)
+
+
+def _decode_observation(entry: Any) -> data.TargetObservation:
+    started_at_ms, load_age_ms = entry[1], entry[6]
+    return data.TargetObservation(
+        target=_name(entry[0]),
+        started_at_ms=(
+            None if started_at_ms is None else _integer(started_at_ms)
+        ),
+        unit_time_us=_integer(entry[2], MAX_UNIT_TIME_US),
+        sample_count=_integer(entry[3], MAX_SAMPLE_COUNT),
+        running_count=_integer(entry[4], MAX_SAMPLE_COUNT),
+        waiting_count=_integer(entry[5], MAX_SAMPLE_COUNT),
+        load_age_ms=None if load_age_ms is None else _integer(load_age_ms),
+        answered_count=_integer(entry[7], MAX_SAMPLE_COUNT),
+        failed_count=_integer(entry[8], MAX_SAMPLE_COUNT),
+    )
+
+
+def _decode_demand(entry: Any) -> data.ServiceDemand:
+    window_ms = _integer(entry[3], MAX_REPORT_INTERVAL_MS)
+    if window_ms <= 0:
+        raise ValueError('the window of a demand is empty')
+    return data.ServiceDemand(
+        service=_name(entry[0]),
+        organisation=_name(entry[1]),
+        request_count=_integer(entry[2], MAX_SAMPLE_COUNT),
+        window_ms=window_ms,
     )
 
 
+def _name(value: Any) -> str:
+    """Return a name.
+
+    :raises ValueError: if it is no text or too long.
+    """
+    if not isinstance(value, str) or len(value) > MAX_NAME_CHARS:
+        raise ValueError('not a name')
+    return value
+
+
 def _encode_prompt_evidence(evidence: data.PromptEvidence) -> Any:
     return (
         [dataclasses.astuple(loss) for loss in evidence.losses],
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -28,6 +28,8 @@
 from skylarktack.state.forwarding._moves import MoveReport
 from skylarktack.state.forwarding._moves import MoveScope
 from skylarktack.state.forwarding._moves import RouteEvidence
+from skylarktack.state.forwarding._observations import ServiceDemand
+from skylarktack.state.forwarding._observations import TargetObservation
 from skylarktack.state.forwarding._prompt_evidence import PromptEvidence
 from skylarktack.state.forwarding._prompt_evidence import PromptLoss
 from skylarktack.state.forwarding._prompt_evidence import PromptOutput
@@ -56,6 +58,8 @@
 from skylarktack.state.forwarding._version_trials import VersionTrial
 
 __all__ = [
+    'ServiceDemand',
+    'TargetObservation',
     'ConfirmedKind',
     'Address',
     'ResponseHead',
--- a/packages/state/src/skylarktack/state/forwarding/_fleet.py
+++ b/packages/state/src/skylarktack/state/forwarding/_fleet.py
@@ -7,6 +7,8 @@
 
 from skylarktack.state._addresses import Address
 from skylarktack.state.forwarding._moves import MoveReport
+from skylarktack.state.forwarding._observations import ServiceDemand
+from skylarktack.state.forwarding._observations import TargetObservation
 from skylarktack.state.forwarding._prompt_evidence import PromptEvidence
 from skylarktack.state.forwarding._store_position import StorePosition
 from skylarktack.state.forwarding._targets import LeavingTarget
@@ -93,6 +95,12 @@
     #: or is of an earlier release.
     configuration_version: int = 0
 
+    #: What the sender has seen of targets; empty from an earlier release.
+    observations: tuple[TargetObservation, ...] = ()
+
+    #: Demand of organisations at the sender; empty from an earlier release.
+    demands: tuple[ServiceDemand, ...] = ()
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreChange:
--- a/packages/state/src/skylarktack/state/forwarding/_targets.py
+++ b/packages/state/src/skylarktack/state/forwarding/_targets.py
@@ -94,3 +94,8 @@
 
     #: Maximum number of requests that it processes concurrently.
     slot_count: int
+
+    #: How long work takes on the target's machine at this moment, 1 for as
+    #: long as usual. It changes many times a second. None if the target does
+    #: not report it.
+    slowdown: float | None = None
