--- a/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
+++ b/packages/protocol/src/skylarktack/protocol/forwarding/tests/test_fleet_codec.py
@@ -271,3 +271,45 @@
         complete = messages.encode_message(REPORT)
         truncated = complete[: min(length, len(complete) - 1)]
         assert messages.decode_message(truncated) is None
+
+
+class TestObservations:
+    """Observations and demands in reports."""
+
+    def test_they_survive_the_wire(self) -> None:
+        """Guards against figures that change places."""
+        report = dataclasses.replace(
+            REPORT,
+            observations=(
+                data.TargetObservation('a', 1000, 80_000, 3, 4, 1, 20, 5, 2),
+                data.TargetObservation('b', None),
+            ),
+            demands=(data.ServiceDemand('pool', 'dealer', 7, 1000),),
+        )
+        datagram = messages.encode_message(report)
+        assert messages.decode_message(datagram) == report
+
+    @pytest.mark.parametrize(
+        'entry',
+        [
+            ['a', None, -1, 1, 0, 0, None, 0, 0],
+            ['a', None, 10**12, 1, 0, 0, None, 0, 0],
+            ['a', None, 1, 'x', 0, 0, None, 0, 0],
+            ['x' * 1000, None, 1, 1, 0, 0, None, 0, 0],
+            ['a', None],
+            7,
+            None,
+        ],
+    )
+    def test_a_bad_entry_is_left_out_alone(self, entry: object) -> None:
+        """Guards against losing a report for one odd figure in it."""
+        sound = data.TargetObservation('b', None, 1000, 1)
+        fields = cbor2.loads(
+            messages.encode_message(
+                dataclasses.replace(REPORT, observations=(sound,))
+            )
+        )
+        fields[15] = [entry, *fields[15]]
+        decoded = messages.decode_message(cbor2.dumps(fields))
+        assert isinstance(decoded, data.InstanceReport)
+        assert decoded.observations == (sound,)
