Tell engines how urgent a run is

Cause: the priorities of routes and organisations were read and not used. Where one kind of request has a tight objective and another a loose one, urgent runs waited for their prefill behind others.

Change: the priorities that requests of a service may have are ranked, and a run is sent with the priority of its rank; one that continues an interrupted stream goes before those of its rank. Where all requests of a service are equally urgent nothing is sent, as before.

Measured: unit tests pass and fail without the change.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_admitted_request.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_admitted_request.py
@@ -46,6 +46,10 @@
     #: highest.
     priority: int = 0
 
+    #: Urgency for engines, from 0; None where all requests of the service
+    #: are equally urgent.
+    engine_priority: int | None = None
+
     #: Connections that one target of the service accepts from all instances
     #: together, or None if it is unknown.
     connection_limit: int | None = None
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -145,6 +145,9 @@
     #: Urgency of the request; 0 is the highest.
     priority: int
 
+    #: The same for engines; None where all requests are equally urgent.
+    engine_priority: int | None
+
     #: Connections that one target accepts, or None if it is unknown.
     connection_limit: int | None
 
@@ -347,17 +350,15 @@
             )
             return _Rejected(refusal, route, organisation)
         description = table.find_service(service)
-        if description is None:
-            return _Admission(
-                route, service, None, organisation, priority, None
-            )
+        limit = None if description is None else description.connection_limit
         return _Admission(
-            route,
-            service,
-            description.engine,
-            organisation,
-            priority,
-            description.connection_limit,
+            route=route,
+            service=service,
+            engine=None if description is None else description.engine,
+            organisation=organisation,
+            priority=priority,
+            engine_priority=table.urgencies.engine_priority(service, priority),
+            connection_limit=limit,
         )
 
     def _is_refused_by_shutdown(
@@ -400,6 +401,7 @@
             deadline_s=started_at_s + limit_ms / 1000,
             trace=trace,
             priority=admission.priority,
+            engine_priority=admission.engine_priority,
             connection_limit=admission.connection_limit,
         )
         if admission.route.kind is not data.RequestKind.STREAM:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_routes.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_routes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from skylarktack.coordination.forwarding import _urgency
 from skylarktack.state import forwarding as data
 
 
@@ -19,6 +20,8 @@
         for organisation_keys in configuration.organisations or ():
             for key in organisation_keys.keys:
                 self._organisation_by_key[key] = organisation_keys
+        #: Ranks of the priorities that requests may have.
+        self.urgencies = _urgency.ServiceUrgencies(configuration)
         self._services = {
             service.name: service for service in configuration.services
         }
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_sends.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_sends.py
@@ -9,6 +9,7 @@
 from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
 from skylarktack.coordination.forwarding import _supervision
+from skylarktack.coordination.forwarding import _urgency
 from skylarktack.state import forwarding as data
 
 
@@ -100,4 +101,8 @@
             standby=None if standby is None else standby.endpoint,
             copy=copy,
             is_stream=True,
+            priority=_urgency.priority_of_send(
+                self._admitted.engine_priority,
+                is_resumed=self._progress.last_event_id is not None,
+            ),
         )
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -148,6 +148,10 @@
             headers.append((b'Last-Event-Id', last_event))
         if delivery.standby is not None:
             headers.append((b'Kv-Backup', str(delivery.standby).encode()))
+        if delivery.priority is not None:
+            headers.append(
+                (b'Request-Priority', str(delivery.priority).encode())
+            )
         if delivery.copy is not None:
             # A copy that an engine keeps by itself is named after the attempt.
             source = delivery.copy.source or target.endpoint
--- a/packages/platform/src/skylarktack/platform/tests/test_messages.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_messages.py
@@ -216,6 +216,17 @@
             (b'Kv-From', b'10.128.0.9:8080/9c41d07be2a35f68'),
         )
 
+    @pytest.mark.parametrize(
+        ('priority', 'expected'), [(None, None), (0, b'0'), (4, b'4')]
+    )
+    def test_priority_of_a_run(
+        self, priority: int | None, expected: bytes | None
+    ) -> None:
+        """Guards against runs whose urgency the engine does not learn."""
+        delivery = data.DispatchContext(TARGET, None, 1234, priority=priority)
+        headers = dict(CODEC.encode_request(_request(), delivery))
+        assert headers.get(b'Request-Priority') == expected
+
     @pytest.mark.parametrize('name', RESERVED, ids=bytes.decode)
     def test_reserved_headers_are_not_forwarded(self, name: bytes) -> None:
         """Guards against callers that set what only the front end sets."""
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -148,6 +148,10 @@
     #: Whether a successful response is a stream, relayed as it arrives.
     is_stream: bool = False
 
+    #: Order in which engines admit and preempt runs, from 0, first, to 9;
+    #: None to leave it to them.
+    priority: int | None = None
+
     @property
     def from_copy(self) -> bool:
         """Whether the run goes on from a copy of its KV cache."""
