Choose engines by predicted times where the deployment asks for it

Cause: engines were compared by counts of runs. The counts say nothing about engines of different pace, about the time that a run has left, or about other instances that decide in the same milliseconds, so runs of a lost failure domain went to the few engines with the fewest runs.

Change: EnginePolicy has two implementations. The policy by counts is unchanged. The policy by predicted times is used for a service whose targets report a slowdown, or whose stream routes differ in priority or objective. It predicts the time to the first event from the learned prefill time for each token, the learned pace of the engine, the prompt tokens ahead, the runs that generate and the fill; it draws the engine by weighted rendezvous hashing. Standby copies need free memory, another failure domain and a run with enough left. A run with an overdue first event moves once, within the retry budget and max_attempts.

--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -268,7 +268,7 @@
     last = ''
     for step in _trace_steps(line):
         name = step.get('step')
-        if name in ('fault', 'silence'):
+        if name in ('fault', 'silence', 'overdue'):
             last = f'{step.get("detail")} at {step.get("target")}'
         if name == 'answer' and _is_failure(step.get('status')):
             last = f'status {step.get("status")} from {step.get("target")}'
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -219,6 +219,8 @@
         is_current = self.dependencies.configuration.is_current()
         table = self.dependencies.configuration.table
         version = None if table is None else table.configuration.version
+        if table is not None:
+            self.dependencies.targets.engines.follow(table.configuration)
         opened = _OpenRequest(
             request, started_at_s, trace, version, is_current
         )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_placement.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_placement.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 import dataclasses
 import hashlib
+import math
 
 from skylarktack.coordination.forwarding import _admitted_request
 from skylarktack.coordination.forwarding import _engine_selection
@@ -53,13 +54,18 @@
     #: Tokens of the KV cache that runs and copies use.
     token_count: int = 0
 
+    #: Tokens of the runs whose prompt is being read.
+    prefill_tokens: int = 0
+
     def with_run(self, run: data.RunStatus) -> 'EngineLoad':
         """Return the load with one more run."""
+        prefill_tokens = run.token_count if run.is_prefilling else 0
         return dataclasses.replace(
             self,
             prefill_count=self.prefill_count + run.is_prefilling,
             decode_count=self.decode_count + (not run.is_prefilling),
             token_count=self.token_count + run.token_count,
+            prefill_tokens=self.prefill_tokens + prefill_tokens,
         )
 
     def with_standby(self, run: data.RunStatus) -> 'EngineLoad':
@@ -94,6 +100,29 @@
     #: Whether the run continues an interrupted stream.
     is_resumed: bool = False
 
+    #: Size of the prompt; 0 if it is unknown.
+    prompt_tokens: int = 0
+
+    #: Largest size of the output; 0 if it is unknown.
+    output_tokens: int = 0
+
+    #: Events that the caller has received of the run.
+    event_count: int = 0
+
+    #: Latency objective; 0 if it is unknown.
+    objective_s: float = 0.0
+
+    #: Monotonic times by which the next event has to arrive to be in time,
+    #: and by which the stream ends.
+    due_at_s: float = math.inf
+    deadline_s: float = math.inf
+
+    #: Whether an earlier engine of the run failed.
+    is_repeated: bool = False
+
+    #: Identifies the run where there is no prompt.
+    run_id: str = ''
+
 
 def demand_of(
     admitted: _admitted_request.AdmittedRequest,
@@ -101,11 +130,41 @@
     """Return what the run of an admitted request needs of an engine."""
     request = admitted.request
     capacity = admitted.engine
+    objective_s = admitted.route.latency_objective_ms / 1000
     return RunDemand(
         affinity_key=_engine_selection.affinity_key_of(request),
         token_count=request.prompt_tokens + request.output_tokens // 2,
         kv_cache_tokens=0 if capacity is None else capacity.kv_cache_tokens,
         is_resumed=request.last_event_id is not None,
+        prompt_tokens=request.prompt_tokens,
+        output_tokens=request.output_tokens,
+        objective_s=objective_s,
+        due_at_s=admitted.started_at_s + objective_s,
+        deadline_s=admitted.deadline_s,
+        run_id=request.attempt_id,
+    )
+
+
+def demand_after_progress(
+    demand: RunDemand,
+    admitted: _admitted_request.AdmittedRequest,
+    last_event_id: int | None,
+    last_sent_at_s: float | None,
+) -> RunDemand:
+    """Return the demand of a run after what its caller has received.
+
+    :param last_sent_at_s: monotonic time of the last event that was sent to
+        the caller, or None without any.
+    """
+    first_event_id = admitted.request.last_event_id or 0
+    pause_ms = admitted.route.longest_pause_ms
+    due_at_s = demand.due_at_s
+    if last_sent_at_s is not None and pause_ms is not None:
+        due_at_s = last_sent_at_s + pause_ms / 1000
+    return dataclasses.replace(
+        demand,
+        event_count=max(0, (last_event_id or 0) - first_event_id),
+        due_at_s=due_at_s,
     )
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_relay.py
@@ -6,9 +6,11 @@
 from skylarktack.coordination.forwarding import _calls
 from skylarktack.coordination.forwarding import _engine_watch
 from skylarktack.coordination.forwarding import _outcomes
+from skylarktack.coordination.forwarding import _overdue_runs
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _quarantine_records
 from skylarktack.coordination.forwarding import _refusals
+from skylarktack.coordination.forwarding import _run_samples
 from skylarktack.coordination.forwarding import _standby_copies
 from skylarktack.coordination.forwarding import _stream_attempts
 from skylarktack.coordination.forwarding import _supervision
@@ -42,10 +44,12 @@
         target: data.ListedTarget,
         copies: _standby_copies.StandbyCopies,
         failover: _stream_attempts.FailoverReservation,
+        overdue: _overdue_runs.OverdueCheck,
     ) -> None:
         """Create a relay.
 
         :param failover: asked before the run leaves an unresponsive engine.
+        :param overdue: asked while the run waits for its first event.
         """
         self._dependencies = dependencies
         self._clock = dependencies.clock
@@ -61,6 +65,10 @@
         self._head: data.ResponseHead | None = None
         self._error_body_chunks: list[bytes] = []
         self._failover = failover
+        self._overdue = overdue
+        self._samples = _run_samples.RunSamples(
+            dependencies, admitted, progress, target
+        )
         self._watch = _engine_watch.EngineWatch(
             dependencies, admitted, progress, target
         )
@@ -81,7 +89,7 @@
                 self._admitted.deadline_s, self._watch.next_check_s(now_s)
             )
             if self._watch.is_streaming:
-                self._copies.maintain()
+                self._copies.maintain(self._progress.last_event_id)
             wait_result = self._dependencies.client.wait(
                 (exchange, *self._copies.exchanges()),
                 self._admitted.caller,
@@ -104,8 +112,9 @@
             # suspension of this process may have held up the last ones.
             detail = self._watch.check(self._clock.monotonic_s())
             if detail is None:
-                continue
-            lost = self._leave_unresponsive_engine(detail)
+                lost = self._overdue.end_of_run(self._watch)
+            else:
+                lost = self._leave_unresponsive_engine(detail)
             if lost is not None:
                 return lost
 
@@ -125,6 +134,9 @@
             self._targets.report_first_event(
                 self._target, self._admitted.route.name, 1000 * first_event_s
             )
+            self._samples.record_first_event(
+                self._watch.sent_at_s, self._watch.last_event_at_s
+            )
         with self._dependencies.errors.contain(_supervision.RUN_REPORT):
             self._dependencies.fleet.record_run(
                 dataclasses.replace(run_status, is_prefilling=False)
@@ -228,6 +240,11 @@
         ordered = _take_in_order(events, self._progress.last_event_id)
         if ordered.has_progress:
             self._record_progress()
+            self._samples.record_events(
+                self._watch.last_event_at_s,
+                (ordered.last_event_id or 0)
+                - (self._progress.last_event_id or 0),
+            )
         self._progress.last_event_id = ordered.last_event_id
         if ordered.data:
             end = self._send_events(head, ordered.data)
@@ -283,6 +300,7 @@
         first_event_id = self._admitted.request.last_event_id or 0
         last_event_id = self._progress.last_event_id or 0
         self._record('complete', event_count=last_event_id - first_event_id)
+        self._samples.record_end(last_event_id - first_event_id)
         self._copies.release()
         return _stream_attempts.StreamFinished(_outcomes.StreamCompleted())
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
@@ -57,12 +57,15 @@
         """Return the exchange to poll while a copy is made."""
         return () if self._exchange is None else (self._exchange,)
 
-    def maintain(self) -> None:
-        """Start a replacement copy if the run has no usable one."""
+    def maintain(self, last_event_id: int | None) -> None:
+        """Start a replacement copy if the run has no usable one.
+
+        :param last_event_id: last event that the caller has received.
+        """
         with self._dependencies.errors.contain(_supervision.STANDBY_COPIES):
-            self._start_copy_if_due()
+            self._start_copy_if_due(last_event_id)
 
-    def _start_copy_if_due(self) -> None:
+    def _start_copy_if_due(self, last_event_id: int | None) -> None:
         if not self._admitted.has_standby_copies:
             return
         now_s = self._clock.monotonic_s()
@@ -79,7 +82,7 @@
             return
         if self._targets.exclusions.is_paused(self._engine):
             return
-        destination = self._choose_destination()
+        destination = self._choose_destination(last_event_id)
         if destination is not None:
             self._start_copy(destination)
 
@@ -151,12 +154,20 @@
     def _is_unavailable(self, engine: data.ListedTarget) -> bool:
         return self._targets.is_unavailable(engine)
 
-    def _choose_destination(self) -> data.ListedTarget | None:
+    def _choose_destination(
+        self, last_event_id: int | None
+    ) -> data.ListedTarget | None:
+        demand = _placement.demand_after_progress(
+            _placement.demand_of(self._admitted),
+            self._admitted,
+            last_event_id,
+            last_sent_at_s=None,
+        )
         return self._targets.choose_standby(
             self._admitted.service,
             self._engine,
             self._admitted.request.model,
-            _placement.demand_of(self._admitted),
+            demand,
             self._admitted.version_rule.for_retry(),
         )
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_attempts.py
@@ -54,7 +54,7 @@
     last_sent_at_s: float | None = None
 
     #: Whether the stream was moved away from an engine that answered probes
-    #: but produced no first event.
+    #: but produced no first event, or only one that was overdue.
     has_abandoned_hung_engine: bool = False
 
     #: Last response in which an engine reported its own failure, or None.
@@ -77,6 +77,14 @@
         """
         ...
 
+    def reserve_move(self, engine: data.ListedTarget) -> str | None:
+        """Reserve a send for a run that leaves an engine that works.
+
+        See :meth:`reserve`. The engine may go on with the run, so it counts
+        towards the targets that the route allows.
+        """
+        ...
+
 
 @dataclasses.dataclass(frozen=True)
 class StreamFinished:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_stream_sends.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_stream_sends.py
@@ -2,7 +2,9 @@
 
 from skylarktack.coordination.forwarding import _admitted_request
 from skylarktack.coordination.forwarding import _calls
+from skylarktack.coordination.forwarding import _engine_policies
 from skylarktack.coordination.forwarding import _engine_selection
+from skylarktack.coordination.forwarding import _overdue_runs
 from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _relay
@@ -67,6 +69,14 @@
             target,
             copies,
             failover,
+            _overdue_runs.OverdueCheck(
+                self._dependencies,
+                self._admitted,
+                self._progress,
+                _engine_policies.EngineChoice(target, pair.forecast),
+                demand,
+                failover,
+            ),
         )
         self._targets.begin_request(target)
         with self._dependencies.errors.contain(_supervision.RUN_REPORT):
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from skylarktack.coordination.forwarding import _admitted_request
+from skylarktack.coordination.forwarding import _engine_chooser
 from skylarktack.coordination.forwarding import _engine_selection
 from skylarktack.coordination.forwarding import _engine_watch
 from skylarktack.coordination.forwarding import _outcomes
@@ -111,6 +112,9 @@
                 if self._waits.wait_for_target():
                     return _outcomes.CallerDisconnected()
                 continue
+            if copy is not None and pair.primary != copy.engine:
+                self._record('copy_left', target=copy.engine.name)
+                copy = None
             if copy is None and not self._has_room(pair.primary):
                 continue
             obstacle = self._claims.secure()
@@ -159,6 +163,13 @@
             return 'the retry budget is spent'
         return None
 
+    def reserve_move(self, engine: data.ListedTarget) -> str | None:
+        """Reserve a send for a run that leaves an engine that works."""
+        route = self._admitted.route
+        if self._claims.send_count >= route.max_attempts:
+            return 'the attempts of the route are used'
+        return self.reserve(engine, None)
+
     def _may_have_copy(self) -> bool:
         """Return whether the engine is asked to copy the run from its start.
 
@@ -194,24 +205,33 @@
     def _choose(
         self, copy: data.RunCopy | None
     ) -> _engine_selection.EnginePair | None:
+        service = self._admitted.service
+        model = self._admitted.request.model
+        tried = frozenset(self._tried_targets)
         rule = self._admitted.version_rule
+        demand = self._current_demand()
         if self._claims.send_count > 0:
             rule = rule.for_retry()
-        if copy is not None:
+        if copy is not None and not self._targets.is_copy_late(
+            service, copy.engine, model, demand, tried, rule
+        ):
             standby = self._targets.choose_standby(
-                self._admitted.service,
-                copy.engine,
-                self._admitted.request.model,
-                self._demand,
-                rule,
+                service, copy.engine, model, demand, rule
             )
             return _engine_selection.EnginePair(copy.engine, standby)
         return self._targets.choose_engines(
-            self._admitted.service,
-            self._admitted.request.model,
-            self._demand,
-            frozenset(self._tried_targets),
-            rule,
+            service, model, demand, tried, rule
+        )
+
+    def _current_demand(self) -> _placement.RunDemand:
+        """Return what the run needs after what the caller has received."""
+        return _placement.demand_after_progress(
+            dataclasses.replace(
+                self._demand, is_repeated=self._claims.send_count > 0
+            ),
+            self._admitted,
+            self._progress.last_event_id,
+            self._progress.last_sent_at_s,
         )
 
     def _attempt(
@@ -222,7 +242,24 @@
         if not self._may_have_copy():
             pair = dataclasses.replace(pair, standby=None)
         self._tried_targets.add(pair.primary.name)
-        return self._sender.send(pair, copy, self._demand, self)
+        if pair.forecast is not None:
+            with self._dependencies.errors.contain(
+                _engine_chooser.ENGINE_FORECAST
+            ):
+                self._record_forecast(pair.forecast)
+        return self._sender.send(pair, copy, self._current_demand(), self)
+
+    def _record_forecast(
+        self, forecast: _engine_selection.EngineForecast
+    ) -> None:
+        due_at_s = self._current_demand().due_at_s
+        slack_s = due_at_s - self._clock.monotonic_s() - forecast.first_event_s
+        self._record(
+            'forecast',
+            first_event_ms=round(1000 * forecast.first_event_s),
+            slack_ms=round(1000 * slack_s),
+            pace=round(forecast.pace, 2),
+        )
 
     def _record_crash(self, engine: data.ListedTarget) -> None:
         """Record a crashed engine.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -5,6 +5,7 @@
 import threading
 
 from skylarktack import state
+from skylarktack.coordination.forwarding import _engine_chooser
 from skylarktack.coordination.forwarding import _engine_selection
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _fleet
@@ -51,6 +52,10 @@
         #: What all instances have seen of the targets.
         self.observations = _target_observations.TargetObservations(clock)
         fleet.set_observations(self.observations)
+        #: Chooses among the engines that a run may be sent to.
+        self.engines = _engine_chooser.EngineChooser(
+            clock, log, self.observations, errors, suspensions
+        )
         self._lock = threading.Lock()
         self._records = _target_records.TargetRecords(clock, log)
         self.exclusions = _target_exclusions.TargetExclusions(
@@ -137,6 +142,7 @@
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             if head.load is not None:
                 self.observations.record_load(target, head.load)
+                self.engines.switch.record_load(target, head.load)
                 with self._lock:
                     self._records.record_load(target, head.load)
             self.exclusions.report_head(target, head)
@@ -233,6 +239,7 @@
             self.observations.record_answer(target, is_failure=True)
             kind = state.OutcomeKind.ERROR
             if is_loss:
+                self.engines.record_loss(target)
                 self._fleet.record_failed_target(target.name)
                 kind = state.OutcomeKind.CONNECTION_LOST
             self._moves.record_outcome(target, route, kind)
@@ -272,6 +279,7 @@
         with self._lock:
             is_ejected = self._records.record_suspicion(name)
         if is_ejected:
+            self.engines.record_loss(self.find(name))
             self._log.record(_events.TargetSuspected(name))
 
     def report_output(self, name: str) -> None:
@@ -349,17 +357,30 @@
         known = self._fleet.find_placement(demand.affinity_key)
         if known is not None:
             demand = dataclasses.replace(demand, known_engine=known.run.engine)
-        with self._lock:
-            serving = _engine_selection.filter_by_model(
-                self._candidates.usable(service, excluded, rule), model
-            )
-            if not serving:
-                return None
-            primary = _placement.choose_primary(serving, loads, demand)
-            return _engine_selection.EnginePair(
-                primary,
-                _placement.choose_standby(serving, primary, loads, demand),
-            )
+        serving = self._serving(service, model, excluded, rule)
+        if not serving:
+            return None
+        return self.engines.choose(serving, loads, demand)
+
+    def is_copy_late(
+        self,
+        service: str,
+        engine: data.ListedTarget,
+        model: str | None,
+        demand: _placement.RunDemand,
+        excluded: frozenset[str],
+        rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
+    ) -> bool:
+        """Return whether a run had better not go on from a copy.
+
+        :param engine: engine that keeps the copy.
+        """
+        if not self.engines.switch.is_on(service):
+            return False
+        others = self._serving(service, model, excluded | {engine.name}, rule)
+        return self.engines.is_copy_late(
+            engine, others, self._fleet.loads(), demand
+        )
 
     def likely_engines(
         self,
@@ -370,10 +391,7 @@
         rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
     ) -> tuple[data.ListedTarget, ...]:
         """Return the engines that most likely have a prompt cached."""
-        with self._lock:
-            candidates = _engine_selection.filter_by_model(
-                self._candidates.usable(service, frozenset(), rule), model
-            )
+        candidates = self._serving(service, model, frozenset(), rule)
         return _placement.likely_engines(candidates, demand, count)
 
     def choose_standby(
@@ -385,16 +403,24 @@
         rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
     ) -> data.ListedTarget | None:
         """Return an engine for the standby copy of a run at the primary."""
-        loads = self._fleet.loads()
+        candidates = self._serving(
+            service, model, frozenset((primary.name,)), rule
+        )
+        return self.engines.choose_standby(
+            candidates, primary, self._fleet.loads(), demand
+        )
+
+    def _serving(
+        self,
+        service: str,
+        model: str | None,
+        excluded: frozenset[str],
+        rule: _version_rules.VersionRule,
+    ) -> list[data.ListedTarget]:
+        """Return the usable engines of a service that serve a model."""
         with self._lock:
-            candidates = _engine_selection.filter_by_model(
-                self._candidates.usable(
-                    service, frozenset((primary.name,)), rule
-                ),
-                model,
-            )
-            return _placement.choose_standby(
-                candidates, primary, loads, demand
+            return _engine_selection.filter_by_model(
+                self._candidates.usable(service, excluded, rule), model
             )
 
     def _measured_ms(self, latency_ms: float) -> float | None:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -11,6 +11,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.coordination import moves
 from skylarktack.coordination import ports
+from skylarktack.daemon.forwarding import _engine_metrics
 from skylarktack.daemon.forwarding import _metrics
 from skylarktack.daemon.forwarding import _readiness
 from skylarktack.daemon.forwarding import _reports
@@ -224,6 +225,7 @@
                         _metrics.ConnectionMetrics(self._front),
                         _metrics.BoundMetrics(bounds, log),
                         _metrics.StoreMetrics(self._era, self._configuration),
+                        _engine_metrics.EngineMetrics(self._targets),
                     ),
                     codec,
                     futures.ThreadPoolExecutor(OPERATOR_LIMIT_COUNT),
