Choose the server of a call by what the fleet knows of it

Cause: each of many instances sees few calls of a server, so it chose by a latency of 25 ms that it assumed, opened connections until the server reset them, and found out alone that a server hangs. A reset call that is not idempotent ends with 502.

Change: where a target reports slowdowns, or a connection limit is shared by more than twelve instances, a call goes by expected time (service time of the fleet, newest load, slowdown), by two choices among the targets close to the best. Connections to a target are bounded for each instance; a call without room waits while it can still be in time, else it is refused with the time until room is expected. Overdue calls are told to the peers, and a target that answers nobody gets few trials until it answers. A connection that was lost before the kernel took a byte is a fault that says so. Unusable load headers are logged.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -1,13 +1,17 @@
 """Forwards calls, which have one complete response: retries and hedging."""
 
 import dataclasses
+import math
 
 from skylarktack.coordination.forwarding import _admitted_request
 from skylarktack.coordination.forwarding import _budget
+from skylarktack.coordination.forwarding import _call_choice
+from skylarktack.coordination.forwarding import _call_waits
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _pause_waits
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _refusals
+from skylarktack.coordination.forwarding import _room_waits
 from skylarktack.coordination.forwarding import _targets
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -25,9 +29,6 @@
 #: the first send.
 HEDGE_OBJECTIVE_FRACTION = 0.45
 
-#: Retry-After of a request that no target accepted.
-RETRY_AFTER_S = 0.1
-
 #: Lowest status of a failure of the target itself; it executed the request.
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -39,6 +40,14 @@
     exchange: _ports.Exchange
     target: data.ListedTarget
     sent_at_s: float
+
+    #: The demand with which the target was chosen, and what was expected.
+    demand: _call_choice.CallDemand
+    expectation: _call_choice.CallExpectation
+
+    #: Monotonic time at which the call is overdue; infinite after it.
+    overdue_at_s: float
+
     head: data.ResponseHead | None = None
 
     #: Grows in place; a list of parts would be held twice when joined.
@@ -92,6 +101,9 @@
         self._executed_count = 0
         self._failure_response: data.FrontResponse | None = None
         self._last_fault = 'no target is available'
+        self._waits = _call_waits.CallWaits(clock, targets, admitted)
+        #: Whether the last choice found no target, or none with room.
+        self._was_choice_empty = False
 
     def run(self) -> _outcomes.CallOutcome:
         """Forward the call and return how it ended."""
@@ -102,6 +114,9 @@
             for attempt in self._open_attempts:
                 attempt.exchange.close()
                 self._targets.end_request(attempt.target)
+                self._targets.calls.release(
+                    attempt.target, attempt.demand.at_s
+                )
                 self._targets.report_abandoned(
                     attempt.target,
                     self._admitted.route.name,
@@ -117,17 +132,22 @@
             if not self._open_attempts and not self._send_next():
                 if self._clock.monotonic_s() >= self._admitted.deadline_s:
                     return self._outcome_at_deadline()
-                pause = self._plan_pause_wait()
-                if pause is None or not pause.is_in_time:
-                    return self._outcome_without_response(pause)
-                if self._wait_for_pause(pause):
+                wait = self._plan_wait()
+                if wait is None or not wait.is_in_time:
+                    return self._outcome_without_response(wait)
+                if self._wait_for(wait):
                     return _outcomes.CallerDisconnected()
                 hedge_time_s = self._hedge_time_s()
                 continue
             if now_s >= hedge_time_s and len(self._open_attempts) == 1:
                 hedge_time_s = self._admitted.deadline_s
                 self._hedge()
-            wait_until_s = min(hedge_time_s, self._admitted.deadline_s)
+            self._report_overdue(now_s)
+            wait_until_s = min(
+                hedge_time_s,
+                self._admitted.deadline_s,
+                *(attempt.overdue_at_s for attempt in self._open_attempts),
+            )
             wait_result = self._client.wait(
                 tuple(attempt.exchange for attempt in self._open_attempts),
                 self._admitted.caller,
@@ -143,22 +163,28 @@
                 if response is not None:
                     return response
 
-    def _plan_pause_wait(self) -> _pause_waits.PauseWait | None:
+    def _plan_wait(self) -> _call_waits.CallWait | None:
+        """Return the wait for a target; None where none helps."""
         if not self._may_send():
             return None
-        return _pause_waits.plan_for_request(
-            self._targets, self._admitted, self._clock.monotonic_s()
-        )
+        excluded = None
+        if self._was_choice_empty:
+            excluded = frozenset(self._tried_targets)
+        return self._waits.plan(excluded)
 
-    def _wait_for_pause(self, pause: _pause_waits.PauseWait) -> bool:
+    def _wait_for(self, wait: _call_waits.CallWait) -> bool:
         """Wait; return whether the caller disconnected.
 
-        Targets that refused the request become eligible again.
+        Targets that refused the request become eligible again after a pause.
         """
-        self._record('wait_for_pause', wait_ms=round(1000 * pause.wait_s))
-        self._tried_targets.clear()
+        wait_ms = round(1000 * wait.wait_s)
+        if isinstance(wait, _pause_waits.PauseWait):
+            self._record('wait_for_pause', wait_ms=wait_ms)
+            self._tried_targets.clear()
+        else:
+            self._record('wait_for_room', wait_ms=wait_ms)
         return self._client.wait(
-            (), self._admitted.caller, pause.wait_s
+            (), self._admitted.caller, wait.wait_s
         ).has_caller_disconnected
 
     def _hedge_time_s(self) -> float:
@@ -167,10 +193,20 @@
             return self._admitted.deadline_s
         # A request that was queued before its first send has less time left.
         now_s = self._clock.monotonic_s()
-        end_s = self._admitted.started_at_s + route.latency_objective_ms / 1000
-        if end_s <= now_s:
-            end_s = self._admitted.deadline_s
-        return now_s + HEDGE_OBJECTIVE_FRACTION * (end_s - now_s)
+        return now_s + HEDGE_OBJECTIVE_FRACTION * (
+            self._waits.service_end_s() - now_s
+        )
+
+    def _report_overdue(self, now_s: float) -> None:
+        """Report targets that have not answered for much too long."""
+        for attempt in self._open_attempts:
+            if now_s < attempt.overdue_at_s:
+                continue
+            attempt.overdue_at_s = math.inf
+            if attempt.head is None and self._targets.calls.report_overdue(
+                attempt.target, attempt.sent_at_s
+            ):
+                self._record('unresponsive', target=attempt.target.name)
 
     def _hedge(self) -> None:
         if self._executed_count + 1 >= self._admitted.route.max_attempts:
@@ -184,18 +220,24 @@
             rule = self._admitted.version_rule
             if self._send_count > 0:
                 rule = rule.for_retry()
+            demand = self._waits.demand()
             target = self._targets.choose_for_call(
-                self._admitted.service, frozenset(self._tried_targets), rule
+                self._admitted.service,
+                frozenset(self._tried_targets),
+                rule,
+                demand,
             )
+            self._was_choice_empty = target is None
             if target is None:
                 return False
             if self._send_count > 0:
                 if not self._budget.claim_retry(self._admitted.service):
+                    self._targets.calls.release(target, demand.at_s)
                     self._record('budget_spent')
                     return False
             self._send_count += 1
             self._tried_targets.add(target.name)
-            if self._send_to(target):
+            if self._send_to(target, demand):
                 return True
         return False
 
@@ -210,7 +252,9 @@
             return False
         return self._clock.monotonic_s() < self._admitted.deadline_s
 
-    def _send_to(self, target: data.ListedTarget) -> bool:
+    def _send_to(
+        self, target: data.ListedTarget, demand: _call_choice.CallDemand
+    ) -> bool:
         now_s = self._clock.monotonic_s()
         context = data.DispatchContext(
             target=target,
@@ -218,18 +262,50 @@
             time_left_ms=(self._admitted.deadline_s - now_s) * 1000,
             last_event_id=self._admitted.request.last_event_id,
         )
+        expectation = self._targets.calls.expect(target, demand)
         self._targets.begin_request(target)
-        self._admitted.trace.record_send(now_s, target=target.name)
+        self._record_send(now_s, target, expectation)
         result = self._client.send(
             self._admitted.request, context, CONNECT_TIMEOUT_S
         )
         if isinstance(result, _ports.ExchangeFault):
             self._targets.end_request(target)
+            self._targets.calls.release(target, demand.at_s)
             self._handle_fault(target, result)
             return False
-        self._open_attempts.append(_Attempt(result, target, now_s))
+        objective_s = self._admitted.route.latency_objective_ms / 1000
+        overdue_after_s = max(
+            HEDGE_OBJECTIVE_FRACTION * objective_s, expectation.overdue_after_s
+        )
+        self._open_attempts.append(
+            _Attempt(
+                result,
+                target,
+                now_s,
+                demand,
+                expectation,
+                now_s + overdue_after_s,
+            )
+        )
         return True
 
+    def _record_send(
+        self,
+        now_s: float,
+        target: data.ListedTarget,
+        expectation: _call_choice.CallExpectation,
+    ) -> None:
+        trace = self._admitted.trace
+        if expectation.expected_s is None:
+            trace.record_send(now_s, target=target.name)
+            return
+        trace.record_send(
+            now_s,
+            target=target.name,
+            expected_ms=round(1000 * expectation.expected_s),
+            is_trial=expectation.is_trial,
+        )
+
     def _receive(self, attempt: _Attempt) -> data.FrontResponse | None:
         for event in attempt.exchange.receive():
             if isinstance(event, _ports.ExchangeFault):
@@ -258,7 +334,10 @@
         target = attempt.target
         latency_ms = (self._clock.monotonic_s() - attempt.sent_at_s) * 1000
         self._record('answer', target=target.name, status=head.status)
+        is_trial = attempt.expectation.is_trial
         if _refusals.is_refusal(head, self._admitted.request):
+            if is_trial:
+                self._targets.report_alive(target)
             self._last_fault = f'the target refused with {head.status}'
             if head.status == _refusals.MISDIRECTED_STATUS:
                 self._last_fault = 'another target answers at this address'
@@ -269,6 +348,12 @@
         self._targets.report_response(
             target, self._admitted.route.name, latency_ms, is_error
         )
+        if is_trial:
+            self._targets.calls.report_recovery(target)
+        if not is_error:
+            self._targets.calls.record_response(
+                target, head, attempt.sent_at_s, attempt.expectation
+            )
         response = data.FrontResponse(
             head.status, head.headers, bytes(attempt.body)
         )
@@ -308,12 +393,13 @@
             target,
             self._admitted.route.name,
             fault.detail,
-            is_loss=not fault.may_have_arrived,
+            is_loss=fault.kind is _ports.FaultKind.NOT_CONNECTED,
         )
 
     def _close_attempt(self, attempt: _Attempt) -> None:
         attempt.exchange.close()
         self._targets.end_request(attempt.target)
+        self._targets.calls.release(attempt.target, attempt.demand.at_s)
         self._open_attempts.remove(attempt)
 
     def _outcome_at_deadline(self) -> data.FrontResponse | data.Refusal:
@@ -325,10 +411,12 @@
             )
         if self._open_attempts or self._executed_count:
             return data.Refusal(data.RefusalReason.TIME_UP)
-        return data.Refusal(data.RefusalReason.TIME_UP_NOT_RUN, RETRY_AFTER_S)
+        return data.Refusal(
+            data.RefusalReason.TIME_UP_NOT_RUN, self._waits.retry_after_s()
+        )
 
     def _outcome_without_response(
-        self, pause: _pause_waits.PauseWait | None
+        self, wait: _call_waits.CallWait | None
     ) -> data.FrontResponse | data.Refusal:
         if self._failure_response is not None:
             return self._failure_response
@@ -336,10 +424,17 @@
             return data.Refusal(
                 data.RefusalReason.TARGET_FAILED, detail=self._last_fault
             )
-        if pause is not None:
-            return pause.refusal()
+        if wait is not None:
+            refusal = wait.refusal()
+            if isinstance(wait, _room_waits.RoomWait):
+                self._record(
+                    'no_room', retry_after_ms=round(1000 * wait.wait_s)
+                )
+            return refusal
         return data.Refusal(
-            data.RefusalReason.NO_TARGET, RETRY_AFTER_S, self._last_fault
+            data.RefusalReason.NO_TARGET,
+            self._waits.retry_after_s(),
+            self._last_fault,
         )
 
     def _record(self, step: str, **inputs: object) -> None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -141,6 +141,11 @@
         with self._lock:
             self.outgoing.add_prompt_evidence()
 
+    def report_observations(self) -> None:
+        """Report what was seen of targets at once."""
+        with self._lock:
+            self.outgoing.add_observations()
+
     def peer_counts(self, service: str) -> data.RetryCounts:
         """Return the sums of a service's counts over all live peers."""
         with self._lock:
@@ -385,6 +390,7 @@
             evidence = self._prompt_exchange.evidence(report.is_full)
         observations: tuple[data.TargetObservation, ...] = ()
         if self._observations is not None:
+            self.outgoing.clear_observations()
             observations = self._observations.take()
         demands: tuple[data.ServiceDemand, ...] = ()
         if self._demands is not None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_outgoing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_outgoing.py
@@ -19,6 +19,7 @@
         self._replaced_targets: list[str] = []
         self._leaving_targets: list[data.LeavingTarget] = []
         self._has_prompt_evidence = False
+        self._has_observations = False
         self._has_changes = threading.Event()
         # Set by changes that the peers need at once.
         self._has_urgent_changes = threading.Event()
@@ -54,6 +55,12 @@
         self._has_urgent_changes.set()
         self._has_changes.set()
 
+    def add_observations(self) -> None:
+        """Note that there are observations that the peers need at once."""
+        self._has_observations = True
+        self._has_urgent_changes.set()
+        self._has_changes.set()
+
     def wake(self) -> None:
         """Wake the reporting task."""
         self._has_changes.set()
@@ -66,6 +73,7 @@
             or self._replaced_targets
             or self._leaving_targets
             or self._has_prompt_evidence
+            or self._has_observations
         )
 
     def take_runs(self) -> tuple[data.RunStatus, ...]:
@@ -96,6 +104,10 @@
         """Note that a report takes the new evidence about prompt parts."""
         self._has_prompt_evidence = False
 
+    def clear_observations(self) -> None:
+        """Note that a report takes the observations of targets."""
+        self._has_observations = False
+
     def wait_for_changes(self, timeout_s: float) -> bool:
         """Wait until the task is woken or the time has passed.
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_ports.py
@@ -17,6 +17,10 @@
     #: Nothing listens at the address; the request was not executed.
     CONNECTION_REFUSED = 'down'
 
+    #: The connection was lost before it accepted a byte of the request; the
+    #: request was not executed.
+    NOT_SENT = 'not_sent'
+
     #: The connection was lost after the request was sent; the request may
     #: have been executed.
     LOST = 'lost'
@@ -44,6 +48,7 @@
         return self.kind not in (
             FaultKind.NOT_CONNECTED,
             FaultKind.CONNECTION_REFUSED,
+            FaultKind.NOT_SENT,
         )
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_supervision.py
@@ -20,6 +20,7 @@
 LOG_INTERVAL_S = 1.0
 
 #: Places of errors in accounts of requests; operators see them in log lines.
+CALL_CHOICE = 'call choice'
 RUN_REPORT = 'run report'
 PROMPT_EVIDENCE = 'prompt evidence'
 PROMPT_SEARCH = 'prompt search'
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_observations.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_observations.py
@@ -56,9 +56,13 @@
 
     failed_count: int = 0
 
-    #: Monotonic time of the newest one; -inf without any.
+    #: Monotonic time of the newest response; -inf without any.
     last_answered_at_s: float = -math.inf
 
+    #: Failures since then, and the time of the newest one.
+    unanswered_count: int = 0
+    last_failed_at_s: float = -math.inf
+
 
 @dataclasses.dataclass
 class _Pending:
@@ -101,14 +105,27 @@
         self.sample_count = min(self.sample_count + count, MEMORY_SAMPLE_COUNT)
 
     def add_progress(
-        self, answered_count: int, failed_count: int, now_s: float
+        self,
+        answered_count: int,
+        failed_count: int,
+        answered_at_s: float,
+        failed_at_s: float,
     ) -> None:
-        """Count responses and failures."""
-        last_s = self.progress.last_answered_at_s
+        """Count responses and failures, of which the newest have a time."""
+        known = self.progress
+        unanswered_count = known.unanswered_count
+        if answered_count and answered_at_s >= known.last_failed_at_s:
+            unanswered_count = 0
+        if not answered_count:
+            answered_at_s = -math.inf
+        if not failed_count:
+            failed_at_s = -math.inf
         self.progress = TargetProgress(
-            self.progress.answered_count + answered_count,
-            self.progress.failed_count + failed_count,
-            now_s if answered_count else last_s,
+            known.answered_count + answered_count,
+            known.failed_count + failed_count,
+            max(known.last_answered_at_s, answered_at_s),
+            unanswered_count + failed_count,
+            max(known.last_failed_at_s, failed_at_s),
         )
 
 
@@ -147,11 +164,10 @@
     ) -> None:
         """Count a response, or a failure, that this instance has seen."""
         answered_count = int(not is_failure)
+        now_s = self._clock.monotonic_s()
         with self._lock:
             seen = self._of(target.name, target.started_at_ms)
-            seen.add_progress(
-                answered_count, int(is_failure), self._clock.monotonic_s()
-            )
+            seen.add_progress(answered_count, int(is_failure), now_s, now_s)
             seen.pending.answered_count += answered_count
             seen.pending.failed_count += int(is_failure)
 
@@ -211,8 +227,13 @@
                         observed.sample_count,
                     )
                 if observed.answered_count or observed.failed_count:
+                    # Responses are no newer than the load in the newest one;
+                    # a report may wait for seconds.
                     seen.add_progress(
-                        observed.answered_count, observed.failed_count, now_s
+                        observed.answered_count,
+                        observed.failed_count,
+                        now_s - (observed.load_age_ms or 0) / 1000,
+                        now_s,
                     )
                 _merge_load(seen, observed, now_s)
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -5,6 +5,8 @@
 import threading
 
 from skylarktack import state
+from skylarktack.coordination.forwarding import _call_choice
+from skylarktack.coordination.forwarding import _call_selection
 from skylarktack.coordination.forwarding import _engine_selection
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _fleet
@@ -16,7 +18,6 @@
 from skylarktack.coordination.forwarding import _target_exclusions
 from skylarktack.coordination.forwarding import _target_observations
 from skylarktack.coordination.forwarding import _target_records
-from skylarktack.coordination.forwarding import _target_stats
 from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
@@ -44,7 +45,6 @@
         self._suspensions = suspensions
         self._clock = clock
         self._log = log
-        self._failure_domain = failure_domain
         self._fleet = fleet
         self._moves = moves
         fleet.set_failure_listener(self)
@@ -59,6 +59,21 @@
         self._candidates = _target_candidates.TargetCandidates(
             clock, self._records, self.exclusions
         )
+        #: Choice and bounds of the targets of calls.
+        self.calls = _call_selection.CallSelection(
+            _call_selection.SelectionDependencies(
+                clock,
+                log,
+                self._lock,
+                self._records,
+                self._candidates,
+                self.observations,
+                fleet,
+                errors,
+                suspensions,
+                failure_domain,
+            )
+        )
         self.is_synced = threading.Event()
 
     def replace(
@@ -139,6 +154,7 @@
                 self.observations.record_load(target, head.load)
                 with self._lock:
                     self._records.record_load(target, head.load)
+            self.calls.report_head(target, head)
             self.exclusions.report_head(target, head)
 
     def report_probe(
@@ -328,13 +344,10 @@
         service: str,
         excluded: frozenset[str],
         rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
+        demand: _call_choice.CallDemand | None = None,
     ) -> data.ListedTarget | None:
-        """Return the target with the minimum expected latency, or None."""
-        with self._lock:
-            candidates = self._candidates.usable(service, excluded, rule)
-            if not candidates:
-                return None
-            return min(candidates, key=self._expected_latency_ms)
+        """Return the target of a call, or None; see ``CallSelection``."""
+        return self.calls.choose(service, excluded, rule, demand)
 
     def choose_engines(
         self,
@@ -411,11 +424,3 @@
             self._moves.record_listed_version(
                 target.service, target.version, not self.is_synced.is_set()
             )
-
-    def _expected_latency_ms(self, target: data.ListedTarget) -> float:
-        return _target_stats.expected_latency_ms(
-            self._records.stats_of(target),
-            target,
-            self._failure_domain,
-            self._clock.monotonic_s(),
-        )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/harness.py
@@ -289,18 +289,21 @@
     *listed: data.ListedTarget,
     allowance: float = 100.0,
     is_warmed_up: bool = True,
+    instance: str = 'instance-0',
+    shared_clock: fakes.SteppingClock | None = None,
 ) -> Harness:
     """Return a harness with the listed targets.
 
+    :param shared_clock: clock of several instances, or None for a new one.
     :param is_warmed_up: whether the instance started a while ago.
     :param allowance: retries that the budget allows in addition to the
         ratio.
     """
-    clock = fakes.SteppingClock()
+    clock = shared_clock or fakes.SteppingClock()
     log = fakes.RecordingLog()
     client = fakes.ScriptedTargetClient(clock)
     fleet = forwarding.FleetView(
-        clock, log, 'instance-0', data.Address('10.1.0.1', 7200)
+        clock, log, instance, data.Address('10.1.0.1', 7200)
     )
     if is_warmed_up:
         clock.advance(60.0)
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -39,6 +39,9 @@
 LOAD_COUNT = 3
 MAX_SLOWDOWN = 100.0
 
+#: Bytes of an unusable load header that are logged.
+MAX_DEFECT_BYTES = 64
+
 #: Header fields that are not forwarded from the caller: those that only the
 #: front end may set, and those that it sets again for each target.
 _RESERVED_NAMES = frozenset(
@@ -161,6 +164,7 @@
         """Return the head of a target's response."""
         values = _first_values(headers)
         media_type = values.get(_CONTENT_TYPE, _EVENT_STREAM)
+        load = _decode_load(values.get(_LOAD, b''))
         return data.ResponseHead(
             status=status,
             headers=headers,
@@ -168,7 +172,7 @@
             is_signed=_SIGNATURE in values,
             is_not_executed=_NOT_EXECUTED in values,
             is_encoded=_ENCODING in values,
-            load=_decode_load(values.get(_LOAD, b'')),
+            load=load,
             is_leaving=values.get(_LEAVING) == b'1',
             retry_after_s=_parse_retry_after(
                 values.get(_RETRY_AFTER, b''), self._read_wall_clock()
@@ -177,6 +181,7 @@
                 media_type.partition(b';')[0].strip().lower() != _EVENT_STREAM
             ),
             ends_with_connection=not messages.has_framing(headers),
+            load_defect=_find_load_defect(values.get(_LOAD), load),
         )
 
     def encode_refusal(self, refusal: data.Refusal) -> data.FrontResponse:
@@ -376,3 +381,15 @@
     return data.TargetLoad(
         running_count or 0, waiting_count or 0, slot_count or 0, slowdown
     )
+
+
+def _find_load_defect(
+    value: bytes | None, load: data.TargetLoad | None
+) -> str | None:
+    """Return the start of a load header whose figures were not all usable."""
+    if value is None:
+        return None
+    has_slowdown = value.count(b',') >= LOAD_COUNT
+    if load is not None and (load.slowdown is not None or not has_slowdown):
+        return None
+    return value[:MAX_DEFECT_BYTES].decode('latin-1')
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -190,6 +190,10 @@
     #: Whether the body has neither a length nor chunks.
     ends_with_connection: bool = False
 
+    #: Start of a load header that has an unusable figure; None if the header
+    #: is usable or missing.
+    load_defect: str | None = None
+
     @property
     def is_success(self) -> bool:
         """Whether the target declares that it executed the request well."""
--- a/packages/transport/src/skylarktack/transport/forwarding/_exchange_faults.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_exchange_faults.py
@@ -10,6 +10,20 @@
     return forwarding.ExchangeFault(forwarding.FaultKind.LOST, detail)
 
 
+def not_sent(event: forwarding.ResponseEvent) -> forwarding.ResponseEvent:
+    """Return a lost connection as one that accepted no byte of a request.
+
+    Other events are returned as they are.
+    """
+    if not isinstance(event, forwarding.ExchangeFault):
+        return event
+    if event.kind is not forwarding.FaultKind.LOST:
+        return event
+    return forwarding.ExchangeFault(
+        forwarding.FaultKind.NOT_SENT, f'{event.detail}; nothing was sent'
+    )
+
+
 def malformed(error: h11.RemoteProtocolError) -> forwarding.ExchangeFault:
     """Return the fault of a response that breaks the protocol."""
     return forwarding.ExchangeFault(forwarding.FaultKind.MALFORMED, str(error))
--- a/packages/transport/src/skylarktack/transport/forwarding/_http_exchange.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_http_exchange.py
@@ -41,6 +41,10 @@
         #: Error that ended the connection while the request was being sent;
         #: None if there was none, or if the response had ended before it.
         self._send_error: OSError | None = None
+        #: Whether the kernel took a byte of the request, which the target
+        #: may then have read.
+        self._has_sent = False
+        self._has_received = False
 
     def fileno(self) -> int:
         """Return the file descriptor to poll."""
@@ -87,7 +91,10 @@
         """Return the events received so far, without blocking."""
         if self._unsent:
             self._send_some()
-        return tuple(self._read_events())
+        events = self._read_events()
+        if self._has_sent or self._has_received:
+            return tuple(events)
+        return tuple(_exchange_faults.not_sent(event) for event in events)
 
     def _send_some(self) -> None:
         """Send what the connection takes.
@@ -111,6 +118,7 @@
                 self._unsent.clear()
                 self._send_error = error
                 return
+            self._has_sent = self._has_sent or sent_bytes > 0
             if sent_bytes < len(part):
                 self._unsent[0] = part[sent_bytes:]
                 return
@@ -133,6 +141,7 @@
             return []
         except OSError as error:
             return [_exchange_faults.reading_failed(error)]
+        self._has_received = self._has_received or bool(received)
         if not received and self._send_error is not None:
             return [_exchange_faults.reading_failed(self._send_error)]
         try:
