Fail a response without length that ends before its request was sent

Cause: the exchange took a broken pipe for an orderly end, and did not look at what it had not sent when the connection ended in order. A response without length was whole then, and a caller got the part that had arrived as a complete 200.

Change: the error that ends the sending is kept also if it is a broken pipe, and an end of the connection is a fault while bytes of the request are unsent or unacknowledged (SIOCOUTQ; the end acknowledges all that the target has received, so a request that the target has read never counts as undelivered). Responses with a length or in chunks are whole as before.

TestResetWhileSending asserted that an end in order before the reset completes the response. That is wrong: the target ended its side before it had the request, so nothing shows that the response is whole. The case now expects the same fault as the one without that end.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/raw_target.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/raw_target.py
@@ -22,7 +22,9 @@
     parts: tuple[bytes | float, ...]
 
     #: ``stay`` keeps the connection open until the caller closes it, ``end``
-    #: closes it, ``reset`` resets it, and ``stop`` closes the listener first.
+    #: closes it, ``reset`` resets it, ``stop`` closes the listener first, and
+    #: ``shut`` ends the target's side in order before it closes, also if
+    #: unread bytes then reset the connection.
     ending: str = 'stay'
 
     #: Whether the target answers as soon as it has read the head.
@@ -118,6 +120,8 @@
                 connection.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
                 )
+            if answer.ending == 'shut':
+                connection.shutdown(socket.SHUT_WR)
             if answer.ending == 'stop':
                 self.close()
             if answer.ending == 'stay':
--- /dev/null
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_whole_responses.py
@@ -0,0 +1,59 @@
+"""Responses whose end or status is in doubt, as callers get them."""
+
+import pytest
+
+from skylarktack.daemon.forwarding.tests import raw_target
+from skylarktack.daemon.forwarding.tests import response_harness
+from skylarktack.state import forwarding as data
+
+SIGNED = (
+    b'Attempt-Id: attempt-1\r\nReplica-Signature: s\r\n'
+    b'Content-Type: text/event-stream\r\n'
+)
+EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+
+LONG_BODY = b'x' * 8_000_000
+
+
+def _sized(status: bytes, body: bytes) -> bytes:
+    length = str(len(body)).encode()
+    return b'HTTP/1.1 %s X\r\n%sContent-Length: %s\r\n\r\n%s' % (
+        status,
+        SIGNED,
+        length,
+        body,
+    )
+
+
+class TestEarlyEnd:
+    """Responses without length that end before the request was sent."""
+
+    @pytest.mark.parametrize('ending', ['shut', 'reset', 'end'])
+    @pytest.mark.parametrize('kind', data.RequestKind)
+    def test_is_no_whole_response(
+        self, kind: data.RequestKind, ending: str
+    ) -> None:
+        """Guards against a part of a response that a caller gets as whole.
+
+        A broken pipe was taken for an end in order.
+        """
+        head = b'HTTP/1.1 200 OK\r\n' + SIGNED + b'\r\n'
+        answer = raw_target.Answer(
+            (head + EVENTS,), ending, is_before_body=True
+        )
+        route = response_harness.route(
+            kind, is_resumable=False, timeout_ms=2000.0
+        )
+        with response_harness.serving(route, *(5 * (answer,))) as harness:
+            harness.send(LONG_BODY)
+            received = harness.read_stream()
+        assert received.status != 200 or not received.is_complete
+
+    def test_with_length_is_whole(self) -> None:
+        """Guards against failing a response that says its own length."""
+        answer = raw_target.Answer(
+            (_sized(b'200', b'done'),), 'shut', is_before_body=True
+        )
+        route = response_harness.route(data.RequestKind.NON_IDEMPOTENT)
+        with response_harness.serving(route, answer) as harness:
+            assert harness.ask(LONG_BODY) == (200, b'done')
--- a/packages/transport/src/skylarktack/transport/forwarding/_http_exchange.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_http_exchange.py
@@ -7,6 +7,7 @@
 import h11
 
 from skylarktack.coordination import forwarding
+from skylarktack.transport import _undelivered_bytes
 from skylarktack.transport.forwarding import _bounded_response
 from skylarktack.transport.forwarding import _exchange_faults
 from skylarktack.transport.forwarding import _sockets
@@ -38,8 +39,8 @@
         #: Whether the rest of the response waits for memory.
         self.is_held_back = False
         self._unsent: collections.deque[memoryview] = collections.deque()
-        #: Error that ended the connection while the request was being sent;
-        #: None if there was none, or if the response had ended before it.
+        #: Error that ended the connection while the request was being sent,
+        #: or None.
         self._send_error: OSError | None = None
 
     def fileno(self) -> int:
@@ -95,8 +96,7 @@
         After a failure nothing more is sent; the response may have arrived
         before the target closed the connection. The kernel reports a reset
         once, so it is kept for the reader, which would otherwise find an
-        orderly end. A broken pipe is no reset within the response: the
-        target had ended its side before.
+        orderly end.
         """
         while self._unsent:
             part = self._unsent[0]
@@ -104,9 +104,6 @@
                 sent_bytes = self._connection.send(part)
             except BlockingIOError:
                 return
-            except BrokenPipeError:
-                self._unsent.clear()
-                return
             except OSError as error:
                 self._unsent.clear()
                 self._send_error = error
@@ -133,8 +130,10 @@
             return []
         except OSError as error:
             return [_exchange_faults.reading_failed(error)]
-        if not received and self._send_error is not None:
-            return [_exchange_faults.reading_failed(self._send_error)]
+        if not received and not self._has_ended:
+            fault = self._early_end()
+            if fault is not None:
+                return [fault]
         try:
             self._parser.receive_data(received)
             return self._parse()
@@ -147,6 +146,21 @@
                 ]
             return [self._malformed(error)]
 
+    def _early_end(self) -> forwarding.ExchangeFault | None:
+        """Return the fault of an end before the request was delivered.
+
+        Of a response without length, nothing else tells whether it is whole.
+        """
+        if self._send_error is not None:
+            return _exchange_faults.reading_failed(self._send_error)
+        if self._unsent or _undelivered_bytes.count_undelivered(
+            self._connection
+        ):
+            return _exchange_faults.connection_lost(
+                'the connection ended before the request was delivered'
+            )
+        return None
+
     def _malformed(
         self, error: h11.RemoteProtocolError
     ) -> forwarding.ExchangeFault:
--- a/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_sockets.py
@@ -1,15 +1,13 @@
 """TCP sockets with options that detect an unreachable peer."""
 
-import array
 import contextlib
 import enum
-import fcntl
 import select
 import socket
 import struct
-import termios
 
 from skylarktack.state import forwarding as data
+from skylarktack.transport import _undelivered_bytes
 
 #: TCP keepalive: an idle connection is probed after the idle time, then at
 #: the interval, and is closed after this number of unanswered probes.
@@ -60,12 +58,9 @@
 
     If there are any, the connection is reset; otherwise it ends in order.
     """
-    unacknowledged = array.array('i', [0])
-    # A connection that has failed or is closed has nothing to drop.
-    with contextlib.suppress(OSError, ValueError):
-        # tcp(7): for a TCP socket this is SIOCOUTQ.
-        fcntl.ioctl(connection, termios.TIOCOUTQ, unacknowledged)
-        if unacknowledged[0]:
+    if _undelivered_bytes.count_undelivered(connection):
+        # A connection that has failed has nothing to drop.
+        with contextlib.suppress(OSError):
             reset_on_close(connection)
 
 
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -272,7 +272,8 @@
     def test_the_end_of_the_response(self, has_ended: bool) -> None:
         """Guards against a truncated response that counts as complete.
 
-        It is complete if the target ended it before the reset.
+        An end in order before the reset does not complete it either: the
+        target ended before it had the request.
         """
         client = transport.HttpTargetClient(front_harness.PassThroughCodec())
         with socket.create_server(('127.0.0.1', 0)) as listener:
@@ -305,9 +306,6 @@
             events.extend(exchange.receive())
         exchange.close()
         assert forwarding.BodyChunk(b'ok') in events
-        if has_ended:
-            assert events[-1] == forwarding.ResponseEnd()
-            return
         assert isinstance(events[-1], forwarding.ExchangeFault)
         assert events[-1].kind is forwarding.FaultKind.LOST
 
--- a/packages/transport/src/skylarktack/transport/tests/raw_server.py
+++ b/packages/transport/src/skylarktack/transport/tests/raw_server.py
@@ -11,14 +11,25 @@
 class RawServer:
     """Serves each connection in a task of its own until it is closed."""
 
-    def __init__(self, serve: Callable[[socket.socket], None]) -> None:
+    def __init__(
+        self,
+        serve: Callable[[socket.socket], None],
+        receive_buffer_bytes: int | None = None,
+    ) -> None:
         """Begin to accept connections.
 
         :param serve: serves one connection, which is closed after it. An
             ``OSError`` ends it.
+        :param receive_buffer_bytes: size of the receive buffer of each
+            connection; None for that of the system.
         """
         self._serve = serve
         self._listener = socket.create_server(('127.0.0.1', 0))
+        if receive_buffer_bytes is not None:
+            # Accepted connections inherit it.
+            self._listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            )
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
@@ -62,8 +73,8 @@
     )
 
 
-def service_call() -> state.ServiceCall:
-    """Return a call without a body."""
+def service_call(body: bytes = b'') -> state.ServiceCall:
+    """Return a call, by default without a body."""
     return state.ServiceCall(
         request_id=state.RequestId('request-1'),
         organisation=state.OrganisationName('small'),
@@ -75,6 +86,6 @@
         method='GET',
         path='/items',
         headers=(),
-        body=b'',
+        body=body,
         idempotency_key='key-1',
     )
