Fail a store response without length that ends before its request was sent

Cause: the store's client took any end of the connection for the end of a response without length. Bytes of a write that still waited in the send buffer were not looked at, so a part of a response confirmed the write.

Change: an end of the connection while bytes of the call are unacknowledged is a malformed response.

--- a/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_store_client.py
@@ -9,6 +9,7 @@
 
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
+from skylarktack.transport import _undelivered_bytes
 from skylarktack.transport.forwarding import _bounded_response
 from skylarktack.transport.forwarding import _memory
 from skylarktack.transport.forwarding import _sockets
@@ -115,6 +116,12 @@
                 received = connection.recv(_sockets.READ_SIZE_BYTES)
                 if not received and not parser.has_begun():
                     raise ConnectionError('the store closed the connection')
+                if not received and _undelivered_bytes.count_undelivered(
+                    connection
+                ):
+                    raise h11.RemoteProtocolError(
+                        'the connection ended before the request was delivered'
+                    )
                 parser.receive_data(received)
                 continue
             if isinstance(event, h11.Response):
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_whole_responses.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_whole_responses.py
@@ -80,3 +80,16 @@
         if not case.is_whole:
             assert isinstance(events[-1], forwarding.ExchangeFault)
             assert events[-1].kind is forwarding.FaultKind.LOST
+
+    @pytest.mark.parametrize(
+        'case',
+        early_server.ENDED_RESPONSES.values(),
+        ids=early_server.ENDED_RESPONSES.keys(),
+    )
+    def test_of_the_store(self, case: early_server.Case) -> None:
+        """Guards against a write that counts as confirmed."""
+        upload = early_server.UPLOAD
+        with early_server.serving(case, upload) as address:
+            calls = transport.HttpStoreCalls(data.Address(*address))
+            found = calls.call('PUT', '/objects/a', upload, TIMEOUT_S)
+        assert isinstance(found, forwarding.StoreResponse) == case.is_whole
