skylarktackd: fail a response that ends before its request was delivered

Cause: http.client sends a request whole before it reads, and an error of the send fails the call. A request that fits in the send buffer meets no error; an end of the connection before the other end had it completed a response without length.

Change: the bounded socket raises EndBeforeRequestError if the connection ends while bytes of the request are unacknowledged.

--- a/packages/transport/src/skylarktack/transport/_bounded_socket.py
+++ b/packages/transport/src/skylarktack/transport/_bounded_socket.py
@@ -17,6 +17,8 @@
 import time
 from typing import Any
 
+from skylarktack.transport import _undelivered_bytes
+
 #: Maximum size of one response, its head included.
 RESPONSE_LIMIT_BYTES = 32 * 1024 * 1024
 
@@ -25,6 +27,13 @@
     """A response exceeds the size limit."""
 
 
+class EndBeforeRequestError(ConnectionError):
+    """The connection ended before the server had the whole request.
+
+    Of a response without length, nothing else tells whether it is whole.
+    """
+
+
 class BoundedSocket(socket.socket):
     """A connected socket that bounds what is read since ``start_response``.
 
@@ -56,6 +65,8 @@
 
         :raises TimeoutError: if the deadline has passed.
         :raises ResponseTooLargeError: if the response exceeds its limit.
+        :raises EndBeforeRequestError: if the connection ended before the
+            request was delivered.
         """
         if self._deadline_s != math.inf:
             remaining_s = self._deadline_s - time.monotonic()
@@ -63,6 +74,10 @@
                 raise TimeoutError('timed out')
             self.settimeout(remaining_s)
         size_bytes = super().recv_into(buffer, nbytes, flags)
+        if not size_bytes and _undelivered_bytes.count_undelivered(self):
+            raise EndBeforeRequestError(
+                'the connection ended before the request was delivered'
+            )
         self._free_bytes -= size_bytes
         if self._free_bytes < 0:
             raise ResponseTooLargeError('the response exceeds the size limit')
