Refuse a response of a target or the store with a status above 599

Cause: h11 refuses a status below 100 and accepts up to 999, so a target in trouble could have a caller get a status that does not exist.

Change: the parser of all responses of instances takes a status above 599 for a malformed response. 000 and 099, interim heads without end and a switched protocol were refused already; they stay in the table.

Measured: before the change a signed 600 or 999 reached the caller of a non-idempotent call (TestImproperResponse.test_of_a_call: 600 instead of 502), and the exchange and the store's client returned it as a response (6 cases). Streams, resumed runs, repeatable calls and probes went to another target or had no report before too. After the change all cases pass.

--- a/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_whole_responses.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/tests/test_whole_responses.py
@@ -5,6 +5,7 @@
 from skylarktack.daemon.forwarding.tests import raw_target
 from skylarktack.daemon.forwarding.tests import response_harness
 from skylarktack.state import forwarding as data
+from skylarktack.transport.tests import early_server
 
 SIGNED = (
     b'Attempt-Id: attempt-1\r\nReplica-Signature: s\r\n'
@@ -25,6 +26,67 @@
     )
 
 
+#: Responses that are none, also if they are signed.
+IMPROPER_RESPONSES = early_server.IMPROPER_RESPONSES | {
+    f'signed status {status.decode()}': _sized(status, EVENTS)
+    for status in (b'000', b'099', b'600', b'999')
+}
+
+
+@pytest.mark.parametrize(
+    'response', IMPROPER_RESPONSES.values(), ids=IMPROPER_RESPONSES.keys()
+)
+class TestImproperResponse:
+    """A status outside 100 to 599, or no final head, reaches no caller."""
+
+    def test_of_a_call(self, response: bytes) -> None:
+        """Guards against a status that does not exist, and a second run."""
+        route = response_harness.route(data.RequestKind.NON_IDEMPOTENT)
+        with response_harness.serving(
+            route, raw_target.Answer((response,), 'shut')
+        ) as harness:
+            status, _ = harness.ask()
+            assert len(harness.requests) == 1
+        assert status == 502
+
+    def test_of_a_repeatable_call(self, response: bytes) -> None:
+        """Guards against an improper response in place of a sound one."""
+        route = response_harness.route(data.RequestKind.IDEMPOTENT)
+        with response_harness.serving(
+            route,
+            raw_target.Answer((response,), 'shut'),
+            raw_target.Answer((_sized(b'200', b'done'),)),
+        ) as harness:
+            assert harness.ask() == (200, b'done')
+
+    def test_of_a_stream(self, response: bytes) -> None:
+        """Guards against an improper response in place of a stream."""
+        with response_harness.serving(
+            response_harness.route(data.RequestKind.STREAM),
+            raw_target.Answer((response,), 'shut'),
+            raw_target.Answer((_sized(b'200', EVENTS),)),
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+        assert received == response_harness.ReceivedStream(200, EVENTS, True)
+
+    def test_of_a_resumed_run(self, response: bytes) -> None:
+        """Guards against an improper response within a stream."""
+        first, rest = EVENTS[:15], EVENTS[15:]
+        broken = b'HTTP/1.1 200 OK\r\n' + SIGNED + b'\r\n' + first
+        with response_harness.serving(
+            response_harness.route(data.RequestKind.STREAM),
+            raw_target.Answer((broken,), 'reset'),
+            raw_target.Answer((response,), 'shut'),
+            raw_target.Answer((_sized(b'200', rest),)),
+        ) as harness:
+            harness.send()
+            received = harness.read_stream()
+            resumed_at = [r.last_event_id for r in harness.requests]
+        assert resumed_at == [None, b'1', b'1']
+        assert received == response_harness.ReceivedStream(200, EVENTS, True)
+
+
 class TestEarlyEnd:
     """Responses without length that end before the request was sent."""
 
--- a/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/_bounded_response.py
@@ -18,6 +18,10 @@
 #: Maximum number of informational responses before a response.
 MAX_INFORMATIONAL_COUNT = 16
 
+#: Highest status of HTTP (RFC 9110, 15). ``h11`` refuses those below 100 and
+#: accepts up to 999.
+MAX_STATUS = 599
+
 #: Status that h11 suggests if a head, a chunk header or trailers are too long.
 _TOO_LONG_STATUS = 431
 
@@ -110,6 +114,8 @@
                     )
                 continue
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise h11.RemoteProtocolError('the status is above 599')
                 if len(event.headers) > _request_framing.MAX_FIELD_COUNT:
                     raise ResponseLimitError('too many header fields')
                 self._length_bytes = _content_length(event)
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_whole_responses.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_whole_responses.py
@@ -93,3 +93,52 @@
             calls = transport.HttpStoreCalls(data.Address(*address))
             found = calls.call('PUT', '/objects/a', upload, TIMEOUT_S)
         assert isinstance(found, forwarding.StoreResponse) == case.is_whole
+
+
+class TestImproperResponse:
+    """A status outside 100 to 599, or no final head, is no response."""
+
+    @pytest.mark.parametrize('is_stream', [False, True])
+    @pytest.mark.parametrize(
+        'response',
+        early_server.IMPROPER_RESPONSES.values(),
+        ids=early_server.IMPROPER_RESPONSES.keys(),
+    )
+    def test_of_a_target(self, response: bytes, is_stream: bool) -> None:
+        """Guards against a caller that gets a status that does not exist."""
+        case = early_server.Case(
+            response, early_server.Ending.END, True, False
+        )
+        with early_server.serving(case, b'body') as address:
+            events = _read_to_end(address, b'body', is_stream)
+        assert [type(event) for event in events] == [forwarding.ExchangeFault]
+
+    @pytest.mark.parametrize(
+        'response',
+        early_server.IMPROPER_RESPONSES.values(),
+        ids=early_server.IMPROPER_RESPONSES.keys(),
+    )
+    def test_of_the_store(self, response: bytes) -> None:
+        """Guards against a list of targets made of such a response."""
+        case = early_server.Case(
+            response, early_server.Ending.END, True, False
+        )
+        with early_server.serving(case, b'') as address:
+            calls = transport.HttpStoreCalls(data.Address(*address))
+            found = calls.call('GET', '/objects/a', None, TIMEOUT_S)
+        assert isinstance(found, forwarding.ExchangeFault)
+
+    @pytest.mark.parametrize(
+        'response',
+        early_server.IMPROPER_RESPONSES.values(),
+        ids=early_server.IMPROPER_RESPONSES.keys(),
+    )
+    def test_of_a_probe(self, response: bytes) -> None:
+        """Guards against a target that counts as well by such a response."""
+        case = early_server.Case(
+            response, early_server.Ending.END, True, False
+        )
+        with early_server.serving(case, b'') as address:
+            client = _client()
+            assert client.probe(_listed(address), TIMEOUT_S) is None
+            assert not client.cached_parts(_listed(address), TIMEOUT_S)
--- a/packages/transport/src/skylarktack/transport/tests/early_server.py
+++ b/packages/transport/src/skylarktack/transport/tests/early_server.py
@@ -92,6 +92,19 @@
 
 ENDED_RESPONSES = _cases()
 
+#: Responses that are none, each after the whole request.
+IMPROPER_RESPONSES = {
+    f'status {status.decode()}': SIZED.replace(b'200', status)
+    for status in (b'000', b'099', b'600', b'999')
+} | {
+    'interim responses without end': 5000
+    * b'HTTP/1.1 103 Early Hints\r\n\r\n',
+    'interim head without end': b'HTTP/1.1 103 Early Hints\r\n'
+    + 20_000 * b'X-More: 1\r\n',
+    'only an interim response': b'HTTP/1.1 100 Continue\r\n\r\n',
+    'switched protocol': b'HTTP/1.1 101 Switching Protocols\r\n\r\n',
+}
+
 
 @contextlib.contextmanager
 def serving(case: Case, upload: bytes) -> Iterator[tuple[str, int]]:
