skylarktackd: refuse a response with a status above 599

Cause: http.client refuses a status below 100 and accepts up to 999. A call or a lookup returned 600 or 999 to its caller, and an engine that sent one counted as having refused.

Change: FinalResponse raises BadStatusLine for a status above 599, so the outcome is unknown.

Measured: TestImproperResponse failed before for 600 and 999 with the call, the lookup, the command and the stream of an engine (8 of 56 cases); the store's and the outcome's clients reported a fault already. After the change all pass.

--- a/packages/transport/src/skylarktack/transport/_bounded_socket.py
+++ b/packages/transport/src/skylarktack/transport/_bounded_socket.py
@@ -22,6 +22,10 @@
 #: Maximum size of one response, its head included.
 RESPONSE_LIMIT_BYTES = 32 * 1024 * 1024
 
+#: Highest status of HTTP (RFC 9110, 15). ``http.client`` refuses those below
+#: 100 and accepts up to 999.
+MAX_STATUS = 599
+
 
 class ResponseTooLargeError(OSError):
     """A response exceeds the size limit."""
@@ -121,7 +125,7 @@
         """Read the head of the final response.
 
         :raises http.client.HTTPException: if the protocol is switched, which
-            no request asks for.
+            no request asks for, or if the status is above 599.
         """
         super().begin()
         while self.status < http.HTTPStatus.OK:
@@ -129,6 +133,8 @@
                 raise http.client.HTTPException('the protocol is switched')
             self.headers = self.msg = None  # type: ignore[assignment]
             super().begin()
+        if self.status > MAX_STATUS:
+            raise http.client.BadStatusLine(str(self.status))
 
 
 class BoundedConnection(http.client.HTTPConnection):
--- a/packages/transport/src/skylarktack/transport/tests/test_whole_responses.py
+++ b/packages/transport/src/skylarktack/transport/tests/test_whole_responses.py
@@ -1,13 +1,17 @@
 """Responses whose end is in doubt, before the clients of skylarktackd."""
 
 from collections.abc import Callable
+from typing import Any
 
+from expression import Result
 import pytest
 
 from skylarktack import state
 from skylarktack import transport
+from skylarktack.coordination import ports
 from skylarktack.transport.tests import early_server
 from skylarktack.transport.tests import raw_server
+from skylarktack.transport.tests import test_truncated_heads
 
 TIMEOUT_S = 5.0
 
@@ -81,3 +85,33 @@
         case = early_server.Case(early_server.UNSIZED, ending, False, False)
         with early_server.serving(case, upload) as address:
             assert client(address, upload) is None
+
+
+class TestImproperResponse:
+    """A status outside 100 to 599, or no final head, is no response."""
+
+    @pytest.mark.parametrize(
+        'client',
+        test_truncated_heads.CLIENTS.values(),
+        ids=test_truncated_heads.CLIENTS.keys(),
+    )
+    @pytest.mark.parametrize(
+        'response',
+        early_server.IMPROPER_RESPONSES.values(),
+        ids=early_server.IMPROPER_RESPONSES.keys(),
+    )
+    def test_is_a_fault(
+        self,
+        response: bytes,
+        client: Callable[[state.Target], Result[Any, Any]],
+    ) -> None:
+        """Guards against a caller that gets a status that does not exist."""
+        case = early_server.Case(
+            response, early_server.Ending.END, True, False
+        )
+        with early_server.serving(case, b'') as address:
+            answered = client(raw_server.target(address))
+        assert answered.is_error()
+        if isinstance(answered.error, ports.StreamFault):
+            # A refusal says that the engine has judged the request.
+            assert answered.error.kind is ports.StreamFaultKind.CLOSED
