Refuse a configuration with a number that is not finite

Cause: JSON with NaN, Infinity or 1e999 decodes to a float. A record keeps it as null, so a weight or the time of a move made the record unreadable for every instance, after check and apply had accepted the document.

Measured: the three new cases of TestRules failed before (no finding); a record with such a weight failed to decode in a trial ("Input should be a valid number", organisations.0.weight). Found while writing the check command.

--- a/packages/coordination/src/skylarktack/coordination/configuration/_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_rules.py
@@ -1,6 +1,7 @@
 """Validation of a configuration document across its sections."""
 
 from collections.abc import Sequence
+import math
 import re
 
 from skylarktack import state
@@ -64,6 +65,7 @@
     owners: dict[str, str] = {}
     for index, organisation in enumerate(document.organisations):
         place = f'organisations[{index}]'
+        _check_finite(f'{place}.weight', organisation.weight, findings)
         if organisation.weight <= 0:
             findings.append(
                 state.Finding(f'{place}.weight', 'Must be greater than 0.')
@@ -139,6 +141,8 @@
     moves_by_route: dict[str, str] = {}
     for index, move in enumerate(document.moves):
         place = f'moves[{index}]'
+        _check_finite(f'{place}.start_s', move.start_s, findings)
+        _check_finite(f'{place}.deadline_s', move.deadline_s, findings)
         if move.deadline_s < move.start_s + MOVE_DURATION_MIN_S:
             findings.append(
                 state.Finding(
@@ -210,7 +214,18 @@
         findings.append(
             state.Finding(f'{place}.concurrency_count', 'Must not be below 0.')
         )
-    if limits.rate_per_s is not None and limits.rate_per_s < 0:
+    if limits.rate_per_s is None:
+        return
+    _check_finite(f'{place}.rate_per_s', limits.rate_per_s, findings)
+    if limits.rate_per_s < 0:
         findings.append(
             state.Finding(f'{place}.rate_per_s', 'Must not be below 0.')
         )
+
+
+def _check_finite(
+    place: str, number: float, findings: list[state.Finding]
+) -> None:
+    """Check that a number is kept by a record, where others become null."""
+    if not math.isfinite(number):
+        findings.append(state.Finding(place, 'Must be a finite number.'))
--- a/packages/coordination/src/skylarktack/coordination/configuration/tests/test_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/tests/test_rules.py
@@ -1,6 +1,7 @@
 """Tests of the validation of configuration documents."""
 
 import dataclasses
+import math
 
 import pytest
 
@@ -130,6 +131,24 @@
                     'organisations[0].limits.rate_per_s',
                 ),
             ),
+            # A record would hold null, which no instance can read.
+            (
+                _with_organisation(weight=math.nan),
+                ('organisations[0].weight',),
+            ),
+            (
+                _with_organisation(
+                    weight=math.inf, limits=state.Limits(rate_per_s=math.nan)
+                ),
+                (
+                    'organisations[0].weight',
+                    'organisations[0].limits.rate_per_s',
+                ),
+            ),
+            (
+                _with_move(start_s=math.nan, deadline_s=math.inf),
+                ('moves[0].start_s', 'moves[0].deadline_s'),
+            ),
         ],
     )
     def test_findings(
