Bound the choice of engines, and account for prompts beside an overdue one

A run counted as overdue by the prediction at its start, although runs placed at the same moment shared the engine.

Change: a choice compares at most 256 engines, which the prompt decides on; the search for a prompt after the loss of all instances uses the same ones. An overdue run also has to wait for twice the time of the prompts that are at its engine by now.

--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -224,6 +224,8 @@
             latest[('target', other.fields.get('target'))] = other
         if other.part == _BOUND_PART and not other.request:
             latest[('bound', other.fields.get('bound'))] = other
+        if other.part == 'engine':
+            latest[('engine', other.fields.get('service'))] = other
         if other.part in ('store', 'instance'):
             latest[(other.part, other.fields.get('kind'))] = other
     for other in sorted(latest.values(), key=lambda found: found.time_s):
--- a/packages/cli/src/skylarktack/cli/tests/test_explain.py
+++ b/packages/cli/src/skylarktack/cli/tests/test_explain.py
@@ -41,6 +41,51 @@
         expected = (GOLDEN / 'failures.txt').read_text(encoding='utf-8')
         assert output == expected.splitlines()
 
+    def test_overdue_run(self) -> None:
+        """Guards against moves of runs that no explanation tells of."""
+        base = {'instance': 'edge-a-1', 'request': 'r'}
+        steps = (
+            {'at_ms': 1, 'step': 'forecast', 'first_event_ms': 900},
+            {'at_ms': 1, 'step': 'send', 'target': 'first'},
+            {
+                'at_ms': 2000,
+                'step': 'overdue',
+                'target': 'first',
+                'detail': 'no first event after 1999 ms',
+            },
+        )
+        texts = [
+            json.dumps(
+                {
+                    'time_s': 1.0,
+                    'instance': 'edge-a-1',
+                    'part': 'engine',
+                    'event': 'engine policy changed',
+                    'service': 'pool',
+                }
+            ),
+            json.dumps(
+                base
+                | {
+                    'time_s': 9.0,
+                    'part': 'request',
+                    'event': 'a request was served',
+                    'outcome': 'streamed',
+                    'duration_ms': 6000.0,
+                    'steps': steps,
+                }
+            ),
+        ]
+        lines, findings = _explain.decode_lines('log', texts)
+        assert not findings
+        output = _explain.explain_request('r', lines)
+        assert 'engine policy changed (service=pool)' in output[1]
+        assert any('forecast (first_event_ms=900)' in one for one in output)
+        assert output[-1] == (
+            'Cause: Served despite a fault: no first event after 1999 ms at '
+            'first.'
+        )
+
     def test_malformed_lines_are_reported_with_their_place(self) -> None:
         """Guards against malformed lines that are skipped silently."""
         lines, findings = _explain.decode_lines(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_engine_chooser.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_engine_chooser.py
@@ -84,6 +84,16 @@
         """Return whether this process was suspended after a time."""
         return at_s < self._suspensions.running_since_s()
 
+    def compared(
+        self,
+        candidates: Sequence[data.ListedTarget],
+        demand: _placement.RunDemand,
+    ) -> Sequence[data.ListedTarget]:
+        """Return those of a service's engines that are compared for a run."""
+        if not candidates or not self.switch.is_on(candidates[0].service):
+            return candidates
+        return _forecast_policy.narrowed(candidates, demand)
+
     def choose(
         self,
         candidates: Sequence[data.ListedTarget],
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_forecast_policy.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_forecast_policy.py
@@ -9,7 +9,9 @@
 from collections.abc import Sequence
 import dataclasses
 import hashlib
+import heapq
 import math
+import zlib
 
 from skylarktack.coordination.forwarding import _engine_forecast
 from skylarktack.coordination.forwarding import _engine_policies
@@ -32,11 +34,36 @@
 LOSS_SCALE = 1.0
 LOSS_EFFECT_S = 1.0
 
+#: Number of engines that one choice compares. It bounds the time of a choice
+#: in large services; the best of so many is about as good as that of all.
+MAX_CANDIDATE_COUNT = 256
+
 #: Engines are not considered beyond this number of scales from the least
 #: cost; their probability is below 1 in 100,000.
 MAX_SCALE_COUNT = 12.0
 
 
+def narrowed(
+    candidates: Sequence[data.ListedTarget], demand: _placement.RunDemand
+) -> Sequence[data.ListedTarget]:
+    """Return the engines that are compared for a run.
+
+    The prompt alone decides on them, so that a run that returns finds its
+    engine among them.
+    """
+    if len(candidates) <= MAX_CANDIDATE_COUNT:
+        return candidates
+    seed = zlib.crc32((demand.affinity_key or demand.run_id).encode())
+    return heapq.nsmallest(
+        MAX_CANDIDATE_COUNT,
+        candidates,
+        key=lambda one: (
+            one.name != demand.known_engine,
+            zlib.crc32(one.name.encode(), seed),
+        ),
+    )
+
+
 class ForecastPolicy:
     """Compares engines by the predicted times of a run."""
 
@@ -63,6 +90,7 @@
         everywhere goes where it delays others least. The engine that has read
         the prompt before is preferred within a limit.
         """
+        candidates = narrowed(candidates, demand)
         forecasts = self._forecaster.forecasts(candidates, loads, demand)
         costs_s = self._costs_s(forecasts, demand)
         least_s = min(costs_s.values())
@@ -101,7 +129,7 @@
         if not remote and not self._is_after_loss(primary.service):
             remote = [one for one in candidates if one.name != primary.name]
         eligible = []
-        for target in remote:
+        for target in narrowed(remote, demand):
             load = loads.get(target.name, _placement.IDLE)
             fill = _placement.fill_with_run(load, target, demand)
             if fill < _placement.COMFORTABLE_FILL:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_overdue_runs.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_overdue_runs.py
@@ -77,6 +77,17 @@
             return None
         return _stream_attempts.AttemptLost(detail, None)
 
+    def _queue_s(self) -> float:
+        """Return how long the prompts at the engine take, with this one.
+
+        Runs that were placed there at the same moment were not known when
+        this one was.
+        """
+        current = self._targets.engines.forecaster.forecasts(
+            (self._engine,), self._dependencies.fleet.loads(), self._demand
+        )[self._engine.name]
+        return current.first_event_s - current.own_s
+
     def _overdue_detail(
         self, forecast: _engine_selection.EngineForecast, sent_at_s: float
     ) -> str | None:
@@ -84,6 +95,8 @@
         waited_s = now_s - sent_at_s
         if waited_s < OVERDUE_FACTOR * forecast.uncached_s:
             return None
+        if waited_s < OVERDUE_FACTOR * self._queue_s():
+            return None
         if self._targets.engines.was_suspended_since(sent_at_s):
             return None
         pair = self._targets.choose_engines(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -258,6 +258,11 @@
             'forecast',
             first_event_ms=round(1000 * forecast.first_event_s),
             slack_ms=round(1000 * slack_s),
+            event_ms=(
+                None
+                if forecast.event_s is None
+                else round(1000 * forecast.event_s, 1)
+            ),
             pace=round(forecast.pace, 2),
         )
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -391,7 +391,9 @@
         rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
     ) -> tuple[data.ListedTarget, ...]:
         """Return the engines that most likely have a prompt cached."""
-        candidates = self._serving(service, model, frozenset(), rule)
+        candidates = self.engines.compared(
+            self._serving(service, model, frozenset(), rule), demand
+        )
         return _placement.likely_engines(candidates, demand, count)
 
     def choose_standby(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_engine_forecast.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_engine_forecast.py
@@ -5,6 +5,7 @@
 
 import collections
 import dataclasses
+import functools
 import math
 import random
 
@@ -12,6 +13,7 @@
 
 from skylarktack.coordination import forwarding
 from skylarktack.coordination.forwarding import _engine_policies
+from skylarktack.coordination.forwarding import _forecast_policy
 from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding.tests import engine_play
 from skylarktack.coordination.forwarding.tests import harness
@@ -66,6 +68,30 @@
         assert sizes[True] <= 4
         assert sizes[False] > 10
 
+    def test_large_service(self) -> None:
+        """Guards against choices that take longer with each engine."""
+        play = _play(True, 2700)
+        demand = engine_play.demand(known_engine='engine-7')
+        compared = _forecast_policy.narrowed(play.listed, demand)
+        assert len(compared) == 256
+        assert play.listed[7] in compared
+        choice = play.policy.choose_primary(play.listed, {}, demand)
+        assert choice.engine == play.listed[7]
+
+    def test_prompt_is_found_again(self) -> None:
+        """Guards against searching for prompts at other engines.
+
+        After the loss of all instances a prompt is sought at the likely
+        engines, which have to be those that an idle fleet prefers.
+        """
+        play = _play(True, 2700, paces=(1.0,))
+        for number in range(20):
+            demand = engine_play.demand(affinity_key=f'run-{number}')
+            compared = _forecast_policy.narrowed(play.listed, demand)
+            likely = _placement.likely_engines(compared, demand, 1)
+            choice = play.policy.choose_primary(play.listed, {}, demand)
+            assert choice.engine == likely[0]
+
     def test_lost_domain(self) -> None:
         """Guards against runs of a lost domain that delay each other."""
         counts = {}
@@ -211,21 +237,44 @@
     return env
 
 
+def _overdue_obstacle(env: harness.Harness, max_attempts: int = 5) -> object:
+    """Forward a stream; return what kept the overdue run, or None."""
+    route = harness.route(data.RequestKind.STREAM, max_attempts)
+    work = env.work(route, harness.request(time_limit_ms=25000.0))
+    outcome = env.streams.run(work)
+    assert isinstance(outcome, forwarding.StreamCompleted)
+    (step,) = [one for one in work.trace.steps if one.step == 'overdue']
+    return step.inputs['kept_because']
+
+
 class TestOverdueRuns:
     """Runs whose engine is far behind what was predicted."""
 
     def test_move_to_an_idle_engine(self) -> None:
         """Guards against a wait for a slow engine while another is idle."""
         env = _make_env()
-        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert _overdue_obstacle(env) is None
         assert env.client.sent_to() == ['first', 'second']
         assert env.budget.counts()[0].retry_count == 1
 
+    def test_prompts_that_share_the_engine(self) -> None:
+        """Guards against a move from an engine that is about to be done."""
+        env = _make_env()
+        for name in 'yz':
+            run = data.RunStatus(name, name, 'first', None, True, False, 8600)
+            env.clock.schedule(
+                env.clock.monotonic_s() + 0.1,
+                functools.partial(env.fleet.record_run, run),
+            )
+        env.client.script('first', harness.stream_script(1, 3, start_s=1.5))
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first']
+
     def test_attempts_of_the_route_are_used(self) -> None:
         """Guards against more targets than the route allows."""
         env = _make_env()
-        route = harness.route(data.RequestKind.STREAM, max_attempts=1)
-        assert isinstance(env.stream(route), forwarding.StreamCompleted)
+        obstacle = _overdue_obstacle(env, max_attempts=1)
+        assert obstacle == 'the attempts of the route are used'
         assert env.client.sent_to() == ['first']
 
     def test_retry_budget_is_spent(self) -> None:
@@ -233,9 +282,22 @@
         env = _make_env()
         while env.budget.claim_retry('pool'):
             continue
-        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert _overdue_obstacle(env) == 'the retry budget is spent'
         assert env.client.sent_to() == ['first']
 
+    def test_no_time_is_left(self) -> None:
+        """Guards against a second prefill that is late as well."""
+        env = _make_env()
+        route = harness.route(data.RequestKind.STREAM, max_attempts=5)
+        work = env.work(
+            dataclasses.replace(route, latency_objective_ms=1100.0),
+            harness.request(time_limit_ms=25000.0),
+        )
+        env.streams.run(work)
+        steps = [one.step for one in work.trace.steps]
+        assert 'forecast' in steps
+        assert 'overdue' not in steps
+
 
 class TestSamples:
     """What a run tells of its engine."""
@@ -315,7 +377,9 @@
             due_at_s=time_s,
             deadline_s=time_s,
         )
-        assert env.targets.choose_engines('pool', None, demand, frozenset())
+        pair = env.targets.choose_engines('pool', None, demand, frozenset())
+        assert pair is not None
+        assert pair.forecast is not None
 
     def test_error_falls_back_to_counts(
         self, monkeypatch: pytest.MonkeyPatch
