Refuse the name of weights that is no valid Unicode

Cause: JSON may hold a lone surrogate.

All other strings of a document have a pattern or must name an entry that has one.

--- a/packages/coordination/src/skylarktack/coordination/configuration/_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/_rules.py
@@ -127,6 +127,11 @@
             findings.append(
                 state.Finding(f'{place}.weights_bytes', 'Must not be below 0.')
             )
+        if any(map(_is_surrogate, version.weights)):
+            # A record is UTF-8, which has none.
+            findings.append(
+                state.Finding(f'{place}.weights', 'Must be valid Unicode.')
+            )
         if version.kind is state.RouteKind.SERVICE and version.weights:
             findings.append(
                 state.Finding(f'{place}.weights', 'A service has no weights.')
@@ -229,3 +234,7 @@
     """Check that a number is kept by a record, where others become null."""
     if not math.isfinite(number):
         findings.append(state.Finding(place, 'Must be a finite number.'))
+
+
+def _is_surrogate(character: str) -> bool:
+    return '\ud800' <= character <= '\udfff'
--- a/packages/coordination/src/skylarktack/coordination/configuration/tests/test_rules.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/tests/test_rules.py
@@ -131,6 +131,21 @@
                     'organisations[0].limits.rate_per_s',
                 ),
             ),
+            # A record is UTF-8, so encoding it failed.
+            (
+                dataclasses.replace(
+                    _VALID,
+                    versions=(
+                        *_VALID.versions[:2],
+                        state.Version(
+                            state.VersionName('m3'),
+                            state.RouteKind.GENERATION,
+                            weights='\ud800',
+                        ),
+                    ),
+                ),
+                ('versions[2].weights',),
+            ),
             # A record would hold null, which no instance can read.
             (
                 _with_organisation(weight=math.nan),
