Refuse the excess of an organisation where a service is full

Cause: nothing bounds what one organisation takes of a service.

Change: each instance counts arrivals by service and organisation, reports the largest 16, and adds up what the peers report. While the demand for a service exceeds its capacity, an organisation over its max-min fair share is admitted with the probability of share through demand, urgent requests first; the rest is refused at once with 503, the new reason over_share and the time until room is expected.

--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -28,6 +28,9 @@
     'no_target': 'No target accepted the request; it was not executed.',
     'prompt_quarantined': 'A part of the prompt is quarantined, because '
     'engines crashed under it; the request was not executed.',
+    'over_share': 'The demand for the service exceeded its capacity, and the '
+    'organisation asked for more than its fair share; the request was not '
+    'executed.',
     'stopping': 'The instance was stopping; the caller should retry at '
     'another one.',
     'time_up_not_run': 'The time limit expired before a target accepted the '
--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -117,6 +117,9 @@
 from skylarktack.coordination.forwarding._routes import RouteTable
 from skylarktack.coordination.forwarding._routes import choose_service
 from skylarktack.coordination.forwarding._run_placements import RunPlacement
+from skylarktack.coordination.forwarding._service_admission import (
+    ServiceAdmission,
+)
 from skylarktack.coordination.forwarding._shared_watch import SharedWatch
 from skylarktack.coordination.forwarding._shared_watch import WatchRole
 from skylarktack.coordination.forwarding._store_era import StoreEra
@@ -286,6 +289,7 @@
     'StoreRestored',
     'StoreHealth',
     'WatchRole',
+    'ServiceAdmission',
     'SharedWatch',
     'StreamEvent',
     'StreamInterrupted',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_accounting.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_accounting.py
@@ -24,6 +24,7 @@
     data.RefusalReason.NO_CONFIGURATION: 'configuration out of date',
     data.RefusalReason.PROMPT_QUARANTINED: 'prompt part quarantined',
     data.RefusalReason.MEMORY_FULL: 'memory full',
+    data.RefusalReason.OVER_SHARE: 'organisation over its share',
     data.RefusalReason.STOPPING: 'instance stopping',
     data.RefusalReason.TIME_UP: 'waited too long',
     data.RefusalReason.TIME_UP_NOT_RUN: 'waited too long',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -141,6 +141,11 @@
         with self._lock:
             self.outgoing.add_prompt_evidence()
 
+    def report_demands(self) -> None:
+        """Report the changed demand of organisations soon."""
+        with self._lock:
+            self.outgoing.add_demands()
+
     def peer_counts(self, service: str) -> data.RetryCounts:
         """Return the sums of a service's counts over all live peers."""
         with self._lock:
@@ -323,6 +328,7 @@
             self.outgoing.take_runs()
             self._is_full_report_due = False
             self.outgoing.clear_prompt_evidence()
+            self.outgoing.clear_demands()
             report = self._reports.build(
                 True, tuple(self._own_runs.values()), interval_s, counts
             )
@@ -340,6 +346,7 @@
                 return None
             changed = self.outgoing.take_runs()
             self.outgoing.clear_prompt_evidence()
+            self.outgoing.clear_demands()
             report = self._reports.build(False, changed, interval_s, counts)
         return self._with_exchanges(report)
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_gateway.py
@@ -9,10 +9,12 @@
 from skylarktack.coordination.forwarding import _admitted_request
 from skylarktack.coordination.forwarding import _calls
 from skylarktack.coordination.forwarding import _front_limits
+from skylarktack.coordination.forwarding import _front_refusals
 from skylarktack.coordination.forwarding import _moves
 from skylarktack.coordination.forwarding import _outcomes
 from skylarktack.coordination.forwarding import _ports
 from skylarktack.coordination.forwarding import _routes
+from skylarktack.coordination.forwarding import _service_admission
 from skylarktack.coordination.forwarding import _streams
 from skylarktack.coordination.forwarding import _supervision
 from skylarktack.coordination.forwarding import _targets
@@ -27,23 +29,6 @@
 QUEUE_LIMIT_FRACTION = 0.3
 MAX_QUEUE_S = 0.5
 
-#: Fraction of the caller's remaining time that is sent as Retry-After by an
-#: instance whose configuration is missing or outdated, and the maximum of
-#: that value. Callers wait for at most a third of their remaining time.
-RETRY_AFTER_FRACTION = 0.28
-MAX_RETRY_AFTER_S = 2.0
-
-#: Time limit that is assumed of a caller that sent none.
-DEFAULT_TIME_LIMIT_MS = 2000.0
-
-#: Fraction of the latency objective that is sent as Retry-After by an
-#: instance that is stopping, and the maximum of that value. The load balancer
-#: takes up to two seconds to notice that instances stop, and the only retry
-#: of a caller should not reach another stopping instance. The rest of the
-#: objective is left for the prefill.
-STOPPING_RETRY_AFTER_FRACTION = 0.45
-MAX_STOPPING_RETRY_AFTER_S = 2.2
-
 #: Streams are still accepted for this time after the shutdown has begun,
 #: since the load balancer sends new connections until it notices.
 STOPPING_STREAM_ACCEPT_S = 0.3
@@ -121,6 +106,9 @@
 
     targets: _targets.TargetTable
 
+    #: Refuses the excess of organisations while a service lacks room.
+    admission: _service_admission.ServiceAdmission
+
     #: Forwards requests with one complete response.
     calls: _calls.CallForwarder
 
@@ -237,7 +225,9 @@
                 )
         except Exception as error:
             self.dependencies.errors.record('request', error)
-            outcome = _refusal_after_error(error, opened, queued_s)
+            outcome = _front_refusals.refusal_after_error(
+                error, request, trace, queued_s
+            )
         with self._lock:
             is_reported = opened not in self._open
             self._open.discard(opened)
@@ -279,7 +269,9 @@
     def _wait_until_synced(self, request: data.FrontRequest) -> None:
         """Wait for the first configuration and the first list of targets."""
         queue_limit_s = min(
-            MAX_QUEUE_S, QUEUE_LIMIT_FRACTION * _caller_time_limit_s(request)
+            MAX_QUEUE_S,
+            QUEUE_LIMIT_FRACTION
+            * _front_refusals.caller_time_limit_s(request),
         )
         queue_end_s = self._clock.monotonic_s() + queue_limit_s
         for is_synced in (
@@ -297,10 +289,10 @@
         request: data.FrontRequest,
         queued_s: float,
     ) -> _Admission | _Rejected:
-        retry_after_s = _retry_after_s(request, queued_s)
+        retry_after_s = _front_refusals.retry_after_s(request, queued_s)
         if table is None:
             return _Rejected(
-                _outdated_refusal(
+                _front_refusals.outdated_refusal(
                     retry_after_s, 'no configuration was received yet'
                 )
             )
@@ -308,7 +300,7 @@
         if route is None:
             if not is_current:
                 return _Rejected(
-                    _outdated_refusal(
+                    _front_refusals.outdated_refusal(
                         retry_after_s,
                         'no such route in an outdated configuration',
                     )
@@ -321,7 +313,7 @@
             if organisation_keys is None:
                 if not is_current:
                     return _Rejected(
-                        _outdated_refusal(
+                        _front_refusals.outdated_refusal(
                             retry_after_s,
                             'unknown key in an outdated configuration',
                         ),
@@ -342,9 +334,7 @@
             )
             return _Rejected(refusal, route, organisation)
         if self._is_refused_by_shutdown(route, request):
-            refusal = data.Refusal(
-                data.RefusalReason.STOPPING, _stopping_retry_after_s(route)
-            )
+            refusal = _front_refusals.stopping_refusal(route)
             return _Rejected(refusal, route, organisation)
         description = table.find_service(service)
         if description is None:
@@ -402,15 +392,20 @@
             priority=admission.priority,
             connection_limit=admission.connection_limit,
         )
+        refusal = self.dependencies.admission.check(admitted_request)
+        if refusal is not None:
+            return refusal
         if admission.route.kind is not data.RequestKind.STREAM:
             return self.dependencies.calls.run(admitted_request)
         with self._lock:
             self._stream_count += 1
         try:
-            return self.dependencies.streams.run(admitted_request)
+            outcome = self.dependencies.streams.run(admitted_request)
         finally:
             with self._lock:
                 self._stream_count -= 1
+        self.dependencies.admission.record_stream(admitted_request, outcome)
+        return outcome
 
 
 def _request_timeout_ms(
@@ -420,43 +415,3 @@
     if request.time_limit_ms is None:
         return route.timeout_ms
     return min(route.timeout_ms, request.time_limit_ms)
-
-
-def _caller_time_limit_s(request: data.FrontRequest) -> float:
-    limit_ms = request.time_limit_ms
-    return (DEFAULT_TIME_LIMIT_MS if limit_ms is None else limit_ms) / 1000
-
-
-def _refusal_after_error(
-    error: Exception, opened: _OpenRequest, queued_s: float
-) -> data.Refusal:
-    detail = type(error).__name__
-    if opened.trace.has_sent:
-        return data.Refusal(data.RefusalReason.INTERNAL_ERROR, detail=detail)
-    return data.Refusal(
-        data.RefusalReason.INTERNAL_ERROR_NOT_RUN,
-        _retry_after_s(opened.request, queued_s),
-        detail,
-    )
-
-
-def _retry_after_s(request: data.FrontRequest, queued_s: float) -> float:
-    wait_s = RETRY_AFTER_FRACTION * (_caller_time_limit_s(request) - queued_s)
-    return round(min(MAX_RETRY_AFTER_S, max(0.0, wait_s)), 3)
-
-
-def _outdated_refusal(retry_after_s: float, detail: str) -> data.Refusal:
-    return data.Refusal(
-        data.RefusalReason.NO_CONFIGURATION, retry_after_s, detail
-    )
-
-
-def _stopping_retry_after_s(route: data.ForwardingRoute) -> float:
-    objective_s = route.latency_objective_ms / 1000
-    return round(
-        min(
-            MAX_STOPPING_RETRY_AFTER_S,
-            STOPPING_RETRY_AFTER_FRACTION * objective_s,
-        ),
-        3,
-    )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_outgoing.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_outgoing.py
@@ -19,6 +19,7 @@
         self._replaced_targets: list[str] = []
         self._leaving_targets: list[data.LeavingTarget] = []
         self._has_prompt_evidence = False
+        self._has_demands = False
         self._has_changes = threading.Event()
         # Set by changes that the peers need at once.
         self._has_urgent_changes = threading.Event()
@@ -54,6 +55,11 @@
         self._has_urgent_changes.set()
         self._has_changes.set()
 
+    def add_demands(self) -> None:
+        """Note that the demand of organisations changed."""
+        self._has_demands = True
+        self._has_changes.set()
+
     def wake(self) -> None:
         """Wake the reporting task."""
         self._has_changes.set()
@@ -66,6 +72,7 @@
             or self._replaced_targets
             or self._leaving_targets
             or self._has_prompt_evidence
+            or self._has_demands
         )
 
     def take_runs(self) -> tuple[data.RunStatus, ...]:
@@ -96,6 +103,10 @@
         """Note that a report takes the new evidence about prompt parts."""
         self._has_prompt_evidence = False
 
+    def clear_demands(self) -> None:
+        """Note that a report takes the demand of organisations."""
+        self._has_demands = False
+
     def wait_for_changes(self, timeout_s: float) -> bool:
         """Wait until the task is woken or the time has passed.
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_supervision.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_supervision.py
@@ -24,6 +24,7 @@
 PROMPT_EVIDENCE = 'prompt evidence'
 PROMPT_SEARCH = 'prompt search'
 REQUEST_REPORT = 'request report'
+SERVICE_ADMISSION = 'service admission'
 STANDBY_COPIES = 'standby copies'
 TARGET_ACCOUNTING = 'target accounting'
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -323,6 +323,12 @@
             self._fleet.record_replaced_target(target.name)
             self._log.record(_events.TargetMisdirected(target.name))
 
+    def usable_targets(self, service: str) -> tuple[data.ListedTarget, ...]:
+        """Return the targets to which requests of a service may go now."""
+        rule = _version_rules.ANY_VERSION
+        with self._lock:
+            return tuple(self._candidates.usable(service, frozenset(), rule))
+
     def choose_for_call(
         self,
         service: str,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/gateway_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/gateway_harness.py
@@ -40,16 +40,20 @@
         CONFIGURATION_LAG_S,
         PEER_WAIT_S,
     )
+    errors = forwarding.ErrorRecorder(env.clock, env.log)
     gateway = forwarding.Gateway(
         forwarding.GatewayDependencies(
             clock=env.clock,
             configuration=holder,
             moves=env.moves,
             targets=env.targets,
+            admission=forwarding.ServiceAdmission(
+                env.clock, env.log, env.targets, env.fleet, errors
+            ),
             calls=env.calls,
             streams=env.streams,
             observer=observer,
-            errors=forwarding.ErrorRecorder(env.clock, env.log),
+            errors=errors,
         )
     )
     return GatewayHarness(env, holder, suspensions, gateway)
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -154,12 +154,16 @@
             ),
             self._fleet,
         )
+        admission = forwarding.ServiceAdmission(
+            clock, log, self._targets, self._fleet, errors
+        )
         self._gateway = forwarding.Gateway(
             forwarding.GatewayDependencies(
                 clock=clock,
                 configuration=self._configuration,
                 moves=self._moves,
                 targets=self._targets,
+                admission=admission,
                 calls=forwarding.CallForwarder(
                     clock, self._targets, client, budget
                 ),
@@ -223,6 +227,7 @@
                         metrics,
                         _metrics.ConnectionMetrics(self._front),
                         _metrics.BoundMetrics(bounds, log),
+                        _metrics.AdmissionMetrics(admission),
                         _metrics.StoreMetrics(self._era, self._configuration),
                     ),
                     codec,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -201,6 +201,47 @@
         )
 
 
+class AdmissionMetrics:
+    """Shows the demand for services, and what was refused for fairness."""
+
+    def __init__(self, admission: forwarding.ServiceAdmission) -> None:
+        self._admission = admission
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metric families; prometheus_client calls this."""
+        from prometheus_client import core
+
+        refused = core.CounterMetricFamily(
+            'skylarktack_over_share_refusals',
+            'Requests refused because their organisation was over its share.',
+            labels=['service'],
+        )
+        for service, count in self._admission.refused_counts().items():
+            refused.add_metric([service], count)
+        demand = core.GaugeMetricFamily(
+            'skylarktack_service_demand_per_second',
+            'Requests a second for a service at all instances.',
+            labels=['service'],
+        )
+        capacity = core.GaugeMetricFamily(
+            'skylarktack_service_capacity_per_second',
+            'Requests a second that the targets of a service can serve.',
+            labels=['service'],
+        )
+        for service, view in self._admission.views().items():
+            if view.capacity is not None:
+                demand.add_metric([service], view.demand_per_s)
+                capacity.add_metric([service], view.capacity.per_s)
+        yield refused
+        yield demand
+        yield capacity
+        yield core.CounterMetricFamily(
+            'skylarktack_peer_demands_dropped',
+            'Demands in reports of peers that cannot be right.',
+            value=self._admission.demands.dropped_count(),
+        )
+
+
 class ConfigurationState(Protocol):
     """Tells which configuration is active."""
 
--- a/packages/platform/src/skylarktack/platform/_messages.py
+++ b/packages/platform/src/skylarktack/platform/_messages.py
@@ -70,6 +70,7 @@
     data.RefusalReason.NO_TARGET: 503,
     data.RefusalReason.PROMPT_QUARANTINED: 503,
     data.RefusalReason.MEMORY_FULL: 503,
+    data.RefusalReason.OVER_SHARE: 503,
     data.RefusalReason.STOPPING: 503,
     data.RefusalReason.TIME_UP_NOT_RUN: 503,
     data.RefusalReason.TIME_UP: 504,
--- a/packages/platform/src/skylarktack/platform/tests/test_messages.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_messages.py
@@ -304,6 +304,7 @@
             (data.RefusalReason.READ_TIMEOUT, 408),
             (data.RefusalReason.NO_TARGET, 503),
             (data.RefusalReason.MEMORY_FULL, 503),
+            (data.RefusalReason.OVER_SHARE, 503),
             (data.RefusalReason.STOPPING, 503),
             (data.RefusalReason.TIME_UP_NOT_RUN, 503),
             (data.RefusalReason.INTERNAL_ERROR_NOT_RUN, 503),
--- a/packages/state/src/skylarktack/state/forwarding/_requests.py
+++ b/packages/state/src/skylarktack/state/forwarding/_requests.py
@@ -234,6 +234,10 @@
     #: There is no memory for the body; the request was not executed.
     MEMORY_FULL = 'memory_full'
 
+    #: The organisation asks for more than its share of a service that has too
+    #: little room for all; the request was not executed.
+    OVER_SHARE = 'over_share'
+
     #: The instance is shutting down; the request was not executed.
     STOPPING = 'stopping'
 
