Send few requests at first to targets that are new or back

Cause: a target without samples counts as the quickest of its service, at all instances at once. A server that is slow at first is flooded, and one that is still broken takes a call of every instance.

Change: TargetRamps gives such a target an allowance of requests at a time over the whole fleet. Responses that peers report count too. The setting target_ramp is auto, on or off; auto is on for services of which a target has reported a slowdown.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/__init__.py
@@ -149,6 +149,8 @@
 from skylarktack.coordination.forwarding._supervision import Supervisor
 from skylarktack.coordination.forwarding._suspensions import SuspensionMonitor
 from skylarktack.coordination.forwarding._suspensions import Suspensions
+from skylarktack.coordination.forwarding._target_ramp import RampCounts
+from skylarktack.coordination.forwarding._target_ramp import TargetRamps
 from skylarktack.coordination.forwarding._targets import TargetTable
 from skylarktack.coordination.forwarding._trial_keeper import TrialKeeper
 from skylarktack.coordination.forwarding._trial_keeper import TrialStore
@@ -296,6 +298,8 @@
     'StreamProgress',
     'TargetWatchHandler',
     'TargetClient',
+    'RampCounts',
+    'TargetRamps',
     'TargetTable',
     'RequestAccounts',
     'RequestCount',
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -187,6 +187,7 @@
             target = self._targets.choose_for_call(
                 self._admitted.service, frozenset(self._tried_targets), rule
             )
+            self._targets.ramps.explain(self._admitted.trace)
             if target is None:
                 return False
             if self._send_count > 0:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet.py
@@ -273,6 +273,18 @@
                 return False
             return len(self._peers.by_name) < limit_count
 
+    def ranked_names(self) -> frozenset[str]:
+        """Return the live instances, or all known ones if few are live.
+
+        This instance is among them. While reports do not arrive, as after a
+        start, each instance would else be the first of the few that it hears.
+        """
+        with self._lock:
+            live = self._peers.live()
+            is_cut_off = 2 * len(live) < len(self._peers.by_name)
+            others = self._peers.by_name if is_cut_off else live
+            return frozenset((self.instance, *others))
+
     def is_outranked_by(self, name: str) -> bool:
         """Return whether an instance has a lower rank than this one."""
         return _order_key(name) < _order_key(self.instance)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -206,13 +206,15 @@
                 rule,
             )
             return _engine_selection.EnginePair(copy.engine, standby)
-        return self._targets.choose_engines(
+        pair = self._targets.choose_engines(
             self._admitted.service,
             self._admitted.request.model,
             self._demand,
             frozenset(self._tried_targets),
             rule,
         )
+        self._targets.ramps.explain(self._admitted.trace)
+        return pair
 
     def _attempt(
         self, pair: _engine_selection.EnginePair, copy: data.RunCopy | None
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_candidates.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_candidates.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from skylarktack.coordination.forwarding import _target_exclusions
+from skylarktack.coordination.forwarding import _target_ramp
 from skylarktack.coordination.forwarding import _target_records
 from skylarktack.coordination.forwarding import _version_rules
 from skylarktack.coordination.ports import Clock
@@ -34,10 +35,12 @@
         clock: Clock,
         records: _target_records.TargetRecords,
         exclusions: _target_exclusions.TargetExclusions,
+        ramps: _target_ramp.TargetRamps,
     ) -> None:
         self._clock = clock
         self._records = records
         self._exclusions = exclusions
+        self._ramps = ramps
 
     def usable(
         self,
@@ -48,8 +51,9 @@
         """Return the best targets of a service, empty if there is none.
 
         Healthy targets come first, those of the preferred version before
-        others. Suspect ones are passed over while enough others remain;
-        ejected ones are returned only without any.
+        others. Suspect ones are passed over while enough others remain, and
+        ramping ones while another one of the same choice is free; ejected
+        ones are returned only without any.
         """
         now_s = self._clock.monotonic_s()
         self._records.remove_expired()
@@ -77,7 +81,10 @@
         for target in healthy:
             if rule.prefers(target.version):
                 preferred.append(target)
-        return preferred or healthy or ejected
+        available = preferred or healthy
+        if not available:
+            return ejected
+        return self._ramps.admit(available, self._records)
 
     def next_pause_end_s(
         self, service: str, rule: _version_rules.VersionRule
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -15,6 +15,7 @@
 from skylarktack.coordination.forwarding import _target_candidates
 from skylarktack.coordination.forwarding import _target_exclusions
 from skylarktack.coordination.forwarding import _target_observations
+from skylarktack.coordination.forwarding import _target_ramp
 from skylarktack.coordination.forwarding import _target_records
 from skylarktack.coordination.forwarding import _target_stats
 from skylarktack.coordination.forwarding import _version_rules
@@ -39,6 +40,7 @@
         moves: _moves.MoveTable,
         errors: _supervision.ErrorRecorder,
         suspensions: _suspensions.Suspensions,
+        ramp_mode: data.RampMode = data.RampMode.AUTO,
     ) -> None:
         self._errors = errors
         self._suspensions = suspensions
@@ -50,14 +52,24 @@
         fleet.set_failure_listener(self)
         #: What all instances have seen of the targets.
         self.observations = _target_observations.TargetObservations(clock)
-        fleet.set_observations(self.observations)
         self._lock = threading.Lock()
         self._records = _target_records.TargetRecords(clock, log)
         self.exclusions = _target_exclusions.TargetExclusions(
             clock, log, fleet
         )
+        #: Slow start of targets that are new or back.
+        self.ramps = _target_ramp.TargetRamps(
+            clock,
+            log,
+            fleet,
+            self.observations,
+            self.exclusions,
+            errors,
+            ramp_mode,
+        )
+        fleet.set_observations(self.ramps)
         self._candidates = _target_candidates.TargetCandidates(
-            clock, self._records, self.exclusions
+            clock, self._records, self.exclusions, self.ramps
         )
         self.is_synced = threading.Event()
 
@@ -140,6 +152,7 @@
                 with self._lock:
                     self._records.record_load(target, head.load)
             self.exclusions.report_head(target, head)
+            self.ramps.record_head(target, head)
 
     def report_probe(
         self, target: data.ListedTarget, report: data.TargetReport
@@ -147,6 +160,7 @@
         """Record what the target says of itself in answer to a probe."""
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             self.exclusions.report_probe(target, report)
+            self.ramps.record_pause(target)
 
     def report_leaving(self, leaving: data.LeavingTarget) -> None:
         """Exclude a target because a peer heard that it is leaving."""
@@ -175,6 +189,7 @@
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             measured_ms = self._measured_ms(latency_ms)
             self.observations.record_answer(target, is_error)
+            self.ramps.record_answer(target, measured_ms, is_error)
             with self._lock:
                 self._records.record_response(target, measured_ms, is_error)
             kind = state.OutcomeKind.SUCCESS
@@ -196,11 +211,10 @@
         """Record that an engine finished prefill and began to generate."""
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             if target.models:
+                measured_ms = self._measured_ms(latency_ms)
+                self.ramps.record_first_event(target, measured_ms)
                 self._moves.record_outcome(
-                    target,
-                    route,
-                    state.OutcomeKind.SUCCESS,
-                    self._measured_ms(latency_ms),
+                    target, route, state.OutcomeKind.SUCCESS, measured_ms
                 )
 
     def report_abandoned(
@@ -231,6 +245,7 @@
             with self._lock:
                 ejection_s = self._records.record_failure(target, is_loss)
             self.observations.record_answer(target, is_failure=True)
+            self.ramps.record_ejection(target, ejection_s)
             kind = state.OutcomeKind.ERROR
             if is_loss:
                 self._fleet.record_failed_target(target.name)
@@ -272,6 +287,9 @@
         with self._lock:
             is_ejected = self._records.record_suspicion(name)
         if is_ejected:
+            self.ramps.record_ejection(
+                self.find(name), _target_records.FIRST_EJECTION_S
+            )
             self._log.record(_events.TargetSuspected(name))
 
     def report_output(self, name: str) -> None:
@@ -309,6 +327,7 @@
             self.report_failure(target, route, cause, is_loss=True)
             with self._lock:
                 self._records.eject(target.name, REFUSED_EJECTION_S)
+            self.ramps.record_ejection(target, REFUSED_EJECTION_S)
 
     def report_replaced(self, name: str) -> None:
         """Eject a target for good because another one has its address."""
@@ -407,9 +426,12 @@
         return sent_at_s < self._suspensions.running_since_s()
 
     def _put(self, target: data.ListedTarget) -> None:
+        is_first_list = not self.is_synced.is_set()
+        known = self.find(target.name)
+        self.ramps.record_listed(target, known, is_first_list)
         if self._records.put(target):
             self._moves.record_listed_version(
-                target.service, target.version, not self.is_synced.is_set()
+                target.service, target.version, is_first_list
             )
 
     def _expected_latency_ms(self, target: data.ListedTarget) -> float:
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -124,6 +124,7 @@
             self._moves,
             errors,
             self._suspensions,
+            settings.target_ramp,
         )
         bounds = forwarding.BoundRecorder(clock, log)
         client = transport.HttpTargetClient(codec, memory, bounds)
@@ -224,6 +225,7 @@
                         _metrics.ConnectionMetrics(self._front),
                         _metrics.BoundMetrics(bounds, log),
                         _metrics.StoreMetrics(self._era, self._configuration),
+                        _metrics.RampMetrics(self._targets.ramps),
                     ),
                     codec,
                     futures.ThreadPoolExecutor(OPERATOR_LIMIT_COUNT),
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_metrics.py
@@ -244,6 +244,42 @@
         )
 
 
+class RampMetrics:
+    """Counts the targets that are or were ramped up."""
+
+    def __init__(self, ramps: forwarding.TargetRamps) -> None:
+        self._ramps = ramps
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metric families; prometheus_client calls this."""
+        from prometheus_client import core
+
+        counts = self._ramps.counts()
+        started = core.CounterMetricFamily(
+            'skylarktack_target_ramps_started',
+            'Slow starts of targets that were new or back, by cause.',
+            labels=['cause'],
+        )
+        for cause, count in counts.started_count_by_cause.items():
+            started.add_metric([cause], count)
+        yield started
+        yield core.GaugeMetricFamily(
+            'skylarktack_ramping_targets',
+            'Targets that are being ramped up.',
+            counts.ramping_count,
+        )
+        yield core.CounterMetricFamily(
+            'skylarktack_target_ramp_choices',
+            'Choices that passed over a target that is being ramped up.',
+            value=counts.held_back_count,
+        )
+        yield core.CounterMetricFamily(
+            'skylarktack_target_ramp_observations_dropped',
+            'Observations of peers with absurd figures of a ramping target.',
+            value=counts.dropped_count,
+        )
+
+
 class MetricCollector(Protocol):
     """Collects some of the metrics."""
 
--- a/packages/platform/src/skylarktack/platform/_settings.py
+++ b/packages/platform/src/skylarktack/platform/_settings.py
@@ -80,6 +80,7 @@
         ),
         descriptor_limit=int(_parse_number(reader, 'limits.file_descriptors')),
         memory_limit_bytes=_parse_memory_limit(reader),
+        target_ramp=_parse_ramp_mode(reader),
     )
     reader.raise_on_findings()
     return settings
@@ -116,6 +117,18 @@
     return limit_bytes or None
 
 
+def _parse_ramp_mode(reader: _fields.FieldReader) -> data.RampMode:
+    text = reader.optional_text('target_ramp')
+    if text is None:
+        return data.RampMode.AUTO
+    try:
+        return data.RampMode(text)
+    except ValueError:
+        modes = ', '.join(mode.value for mode in data.RampMode)
+        reader.add_finding('target_ramp', f'is none of {modes}')
+        return data.RampMode.AUTO
+
+
 def _parse_number(reader: _fields.FieldReader, name: str) -> float:
     text = reader.text(name)
     try:
--- a/packages/platform/src/skylarktack/platform/tests/test_settings.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_settings.py
@@ -56,6 +56,18 @@
             memory_limit_bytes=300 * 1024 * 1024,
         )
 
+    def test_slow_start_of_targets(self) -> None:
+        """Guards against a mode that is misspelt and then not in force."""
+        for mode in data.RampMode:
+            text = f'{LINES}target_ramp={mode.value}\n'
+            settings = platform.decode_settings('node.conf', text)
+            assert settings.target_ramp is mode
+        with pytest.raises(platform.MalformedError) as caught:
+            platform.decode_settings('node.conf', f'{LINES}target_ramp=no\n')
+        assert [finding.place for finding in caught.value.findings] == [
+            'node.conf.target_ramp'
+        ]
+
     def test_name_of_digits_is_a_string(self) -> None:
         """Guards against names that are decoded as numbers."""
         text = LINES.replace('edge-a-1', '17')
--- a/packages/state/src/skylarktack/state/forwarding/__init__.py
+++ b/packages/state/src/skylarktack/state/forwarding/__init__.py
@@ -49,6 +49,7 @@
 from skylarktack.state.forwarding._requests import ResponseHead
 from skylarktack.state.forwarding._requests import RunCopy
 from skylarktack.state.forwarding._settings import ForwardingSettings
+from skylarktack.state.forwarding._settings import RampMode
 from skylarktack.state.forwarding._store_position import StorePosition
 from skylarktack.state.forwarding._targets import LeavingTarget
 from skylarktack.state.forwarding._targets import ListedTarget
@@ -74,6 +75,7 @@
     'ForwardingConfiguration',
     'ForwardingRoute',
     'ForwardingSettings',
+    'RampMode',
     'FrontResponse',
     'FrontLimits',
     'FrontRequest',
--- a/packages/state/src/skylarktack/state/forwarding/_settings.py
+++ b/packages/state/src/skylarktack/state/forwarding/_settings.py
@@ -1,10 +1,21 @@
 """Settings of the forwarding frontend of one instance."""
 
 import dataclasses
+import enum
 
 from skylarktack.state._addresses import Address
 
 
+class RampMode(enum.Enum):
+    """For which services targets that are new or back start slowly."""
+
+    #: Services of which a target has reported a slowdown.
+    AUTO = 'auto'
+
+    ON = 'on'
+    OFF = 'off'
+
+
 @dataclasses.dataclass(frozen=True)
 class ForwardingSettings:
     """Settings of one instance, fixed at its start."""
@@ -57,3 +68,6 @@
 
     #: Limit on the resident memory of the process; None if it has none.
     memory_limit_bytes: int | None = None
+
+    #: Whether targets that are new or back start slowly.
+    target_ramp: RampMode = RampMode.AUTO
