Keep the rank for the length of a ramp, and report ramping targets first

Cause: ranks of 64 ramping targets were computed anew in a request when the list of instances had changed, which took 14 ms of CPU at 340 instances. In a report of at most 8 targets the one response of a new server came after busy engines with many samples.

Change: the rank is part of the ramp. Observations of ramping targets go first.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_observations.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_observations.py
@@ -178,20 +178,25 @@
             seen = self._find(target)
             return TargetProgress() if seen is None else seen.progress
 
-    def take(self) -> tuple[data.TargetObservation, ...]:
+    def take(
+        self, first: frozenset[str] = frozenset()
+    ) -> tuple[data.TargetObservation, ...]:
         """Return what the next report tells, and clear it.
 
         Targets of which most was seen come first; the others wait for the
         report after it.
+
+        :param first: names of targets that come before all others.
         """
         with self._lock:
             self._remove_expired()
             waiting = []
             for name, seen in self._seen.items():
-                if seen.pending.item_count():
-                    waiting.append((seen.pending.item_count(), name))
+                item_count = seen.pending.item_count()
+                if item_count:
+                    waiting.append((name in first, item_count, name))
             waiting.sort(reverse=True)
-            names = [name for _, name in waiting[:MAX_OBSERVATIONS]]
+            names = [name for _, _, name in waiting[:MAX_OBSERVATIONS]]
             return tuple(self._take_pending(name) for name in names)
 
     def receive(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp.py
@@ -192,8 +192,14 @@
         self._record_time(target, latency_ms, is_error=False)
 
     def take(self) -> tuple[data.TargetObservation, ...]:
-        """Return the observations for the next report."""
-        return self._observations.take()
+        """Return the observations for the next report.
+
+        Those of ramping targets come first: they are few, and peers wait
+        for them.
+        """
+        with self._lock:
+            ramping = frozenset(self._ramps)
+        return self._observations.take(ramping)
 
     def receive(
         self, observations: tuple[data.TargetObservation, ...]
@@ -288,8 +294,9 @@
             return candidates
         held_back = []
         for target in ramping:
-            in_flight_count = records.stats_of(target).in_flight_count
-            if in_flight_count >= self._own_limit(target, now_s):
+            usual_s = self._judge.usual_s(target)
+            limit = self._ramps[target.name].own_limit(now_s, usual_s)
+            if records.stats_of(target).in_flight_count >= limit:
                 held_back.append(target.name)
         rest = [one for one in candidates if one.name not in held_back]
         if not held_back or not self._judge.is_any_free(rest, records):
@@ -298,16 +305,6 @@
         self._last_choice.held_back = tuple(held_back)
         return rest
 
-    def _own_limit(self, target: data.ListedTarget, now_s: float) -> int:
-        admitted_count = self._ramps[target.name].admitted_count(
-            now_s, self._judge.usual_s(target)
-        )
-        return _target_ramp_steps.own_limit(
-            admitted_count,
-            self._ranks.rank(target.name),
-            self._ranks.instance_count(),
-        )
-
     def _begin_readmitted(
         self, target: data.ListedTarget, now_s: float
     ) -> None:
@@ -339,6 +336,7 @@
         ramp = _target_ramp_steps.Ramp(
             target,
             cause,
+            self._ranks.rank(target.name),
             began_at_s,
             peers_count_from_s,
             _target_ramp_steps.first_allowance(target, cause),
@@ -353,8 +351,8 @@
                 target.service,
                 cause.value,
                 ramp.allowance,
-                self._ranks.rank(target.name),
-                self._ranks.instance_count(),
+                ramp.rank.position,
+                ramp.rank.instance_count,
             )
         )
 
@@ -374,7 +372,6 @@
         ramp = self._ramps.pop(name, None)
         if ramp is None:
             return
-        self._ranks.forget(name)
         self._log.record(
             _target_ramp_events.TargetRampEnded(
                 name,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp_ranks.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp_ranks.py
@@ -4,13 +4,13 @@
 of them may send to it without a message about who may.
 """
 
+import dataclasses
 import hashlib
 from typing import Protocol
 
 from skylarktack.coordination.ports import Clock
 
-#: Time for which the list of instances is used. The ranks of all ramping
-#: targets are computed anew when it has changed.
+#: Time for which the list of instances is used.
 REFRESH_INTERVAL_S = 1.0
 
 _MASK = 2**64 - 1
@@ -33,8 +33,19 @@
         ...
 
 
+@dataclasses.dataclass(frozen=True)
+class Rank:
+    """The place of this instance in the order for a target."""
+
+    #: Instances that go before this one.
+    position: int
+
+    #: Instances in the order, with this one.
+    instance_count: int
+
+
 class InstanceRanks:
-    """Ranks by target; the owner serialises the calls."""
+    """Computes ranks; the owner serialises the calls."""
 
     def __init__(self, clock: Clock, instances: Instances) -> None:
         self._clock = clock
@@ -43,29 +54,20 @@
         self._names: frozenset[str] = frozenset()
         self._other_keys: tuple[int, ...] = ()
         self._refresh_at_s = clock.monotonic_s()
-        self._ranks: dict[str, int] = {}
 
-    def instance_count(self) -> int:
-        """Return the number of instances among which the ranks are."""
-        self._refresh()
-        return 1 + len(self._other_keys)
+    def rank(self, name: str) -> Rank:
+        """Return the rank of this instance for a target.
 
-    def rank(self, name: str) -> int:
-        """Return how many instances go before this one at a target."""
+        It is kept for the whole ramp, which is short: to compute it anew with
+        each change of the instances would take a small instance too long.
+        """
         self._refresh()
-        rank = self._ranks.get(name)
-        if rank is None:
-            target_key = _key(name)
-            own = _mix(self._own_key ^ target_key)
-            rank = sum(
-                _mix(key ^ target_key) > own for key in self._other_keys
-            )
-            self._ranks[name] = rank
-        return rank
-
-    def forget(self, name: str) -> None:
-        """Forget the rank for a target that is no longer asked for."""
-        self._ranks.pop(name, None)
+        target_key = _key(name)
+        own = _mix(self._own_key ^ target_key)
+        position = sum(
+            _mix(key ^ target_key) > own for key in self._other_keys
+        )
+        return Rank(position, 1 + len(self._other_keys))
 
     def _refresh(self) -> None:
         now_s = self._clock.monotonic_s()
@@ -73,12 +75,10 @@
             return
         self._refresh_at_s = now_s + REFRESH_INTERVAL_S
         names = self._instances.ranked_names()
-        if names == self._names:
-            return
-        self._names = names
-        others = names - {self._instances.instance}
-        self._other_keys = tuple(_key(name) for name in others)
-        self._ranks.clear()
+        if names != self._names:
+            self._names = names
+            others = names - {self._instances.instance}
+            self._other_keys = tuple(_key(name) for name in others)
 
 
 def _key(name: str) -> int:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp_steps.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp_steps.py
@@ -4,6 +4,7 @@
 import enum
 import math
 
+from skylarktack.coordination.forwarding import _target_ramp_ranks
 from skylarktack.state import forwarding as data
 
 #: Time without news of the target after which twice as many instances may
@@ -64,6 +65,9 @@
 
     cause: RampCause
 
+    #: Place of this instance among those that may send to the target.
+    rank: _target_ramp_ranks.Rank
+
     #: Monotonic time from which the age counts.
     began_at_s: float
 
@@ -118,6 +122,16 @@
         count = self.allowance << min(doublings, _MAX_DOUBLING_COUNT)
         return min(slot_count(self.target), count)
 
+    def own_limit(self, now_s: float, usual_s: float) -> int:
+        """Return how many of these this instance may have.
+
+        The instances that rank first have one more than the others.
+        """
+        share, extra_count = divmod(
+            self.admitted_count(now_s, usual_s), self.rank.instance_count
+        )
+        return share + (self.rank.position < extra_count)
+
     def end(self, now_s: float) -> RampEnd | None:
         """Return why the ramp has ended, or None if it goes on."""
         if self.sound_count and self.allowance >= slot_count(self.target):
@@ -143,12 +157,3 @@
     if not target.models or cause is RampCause.EJECTION:
         return 1
     return max(1, int(ENGINE_START_SHARE * target.slot_count))
-
-
-def own_limit(admitted_count: int, rank: int, instance_count: int) -> int:
-    """Return how many of the fleet's requests one instance may have.
-
-    The instances that rank first have one more than the others.
-    """
-    share, extra_count = divmod(admitted_count, max(1, instance_count))
-    return share + (rank < extra_count)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_returns.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_returns.py
@@ -5,8 +5,9 @@
 from skylarktack.coordination.forwarding import _target_ramp_steps
 from skylarktack.coordination.ports import Clock
 
-#: Maximum number of targets that are remembered.
-MAX_TARGET_COUNT = 4096
+#: Maximum number of targets that are remembered; the oldest are forgotten
+#: first, and get requests like any other when they are back.
+MAX_TARGET_COUNT = 1024
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_target_ramp.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_target_ramp.py
@@ -341,6 +341,18 @@
         self._receive(play, answered_count=1)
         assert len(_ended(play)) == 1
 
+    def test_a_ramping_target_is_reported_first(self) -> None:
+        """Guards against peers that wait for the one response they need."""
+        play = ramp_harness.Play(ON, 1, 'ab')
+        _add_now(play, 'c')
+        targets = play.instances[0].targets
+        for number in range(20):
+            busy = ramp_harness.server(f'busy{number}')
+            for _ in range(50):
+                targets.observations.record_unit_time(busy, 0.04)
+        targets.report_response(play.servers['c'].target, 'r', 45, False)
+        assert targets.ramps.take()[0].target == 'c'
+
     def test_a_slow_mean_is_a_setback(self) -> None:
         """Guards against reading any response of a peer as a sound one."""
         play = ramp_harness.Play(ON, 1, 'ab')
