--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -228,6 +228,7 @@
                 demand,
             )
             self._was_choice_empty = target is None
+            self._targets.ramps.explain(self._admitted.trace)
             if target is None:
                 return False
             if self._send_count > 0:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -219,9 +219,11 @@
                 service, copy.engine, model, demand, rule
             )
             return _engine_selection.EnginePair(copy.engine, standby)
-        return self._targets.choose_engines(
+        pair = self._targets.choose_engines(
             service, model, demand, tried, rule
         )
+        self._targets.ramps.explain(self._admitted.trace)
+        return pair
 
     def _current_demand(self) -> _placement.RunDemand:
         """Return what the run needs after what the caller has received."""
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -125,6 +125,7 @@
             self._moves,
             errors,
             self._suspensions,
+            settings.target_ramp,
         )
         bounds = forwarding.BoundRecorder(clock, log)
         client = transport.HttpTargetClient(codec, memory, bounds)
@@ -231,6 +232,7 @@
                         _metrics.AdmissionMetrics(admission),
                         _metrics.StoreMetrics(self._era, self._configuration),
                         _engine_metrics.EngineMetrics(self._targets),
+                        _metrics.RampMetrics(self._targets.ramps),
                     ),
                     codec,
                     futures.ThreadPoolExecutor(OPERATOR_LIMIT_COUNT),
