--- a/packages/coordination/src/skylarktack/coordination/forwarding/_policy_switch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_policy_switch.py
@@ -19,6 +19,8 @@
         self._lock = threading.Lock()
         self._reporting: frozenset[str] = frozenset()
         self._differing: frozenset[str] = frozenset()
+        #: Services that no route of streams uses.
+        self._for_calls: frozenset[str] = frozenset()
         self._configuration: data.ForwardingConfiguration | None = None
 
     def is_on(self, service: str) -> bool:
@@ -33,23 +35,33 @@
         self, target: data.ListedTarget, load: data.TargetLoad
     ) -> None:
         """Switch to predicted times where targets report a slowdown."""
-        if load.slowdown is None or target.service in self._reporting:
+        service = target.service
+        if load.slowdown is None or service in self._reporting:
+            return
+        if service in self._for_calls:
             return
         with self._lock:
-            is_new = not self.is_on(target.service)
-            self._reporting |= {target.service}
+            is_new = not self.is_on(service)
+            self._reporting |= {service}
         if is_new:
-            self._record(target.service, True, SLOWDOWN_CAUSE)
+            self._record(service, True, SLOWDOWN_CAUSE)
 
     def follow(self, configuration: data.ForwardingConfiguration) -> None:
         """Use the routes of a configuration."""
         if configuration is self._configuration:
             return
-        differing = _services_of_differing_routes(configuration)
+        needs_by_service = _stream_needs(configuration)
+        listed = {service.name for service in configuration.services}
+        differing = {
+            service
+            for service, needs in needs_by_service.items()
+            if len(needs) > 1
+        }
         with self._lock:
             self._configuration = configuration
             before = self.services()
-            self._differing = differing
+            self._differing = frozenset(differing)
+            self._for_calls = frozenset(listed - needs_by_service.keys())
             after = self.services()
         for service in sorted(after - before):
             self._record(service, True, ROUTES_CAUSE)
@@ -62,10 +74,10 @@
         )
 
 
-def _services_of_differing_routes(
+def _stream_needs(
     configuration: data.ForwardingConfiguration,
-) -> frozenset[str]:
-    """Return services whose routes of streams differ in what they need."""
+) -> dict[str, set[tuple[int, float]]]:
+    """Return priorities and objectives of the stream routes by service."""
     needs_by_service: dict[str, set[tuple[int, float]]] = {}
     for route in configuration.routes:
         if route.kind is not data.RequestKind.STREAM:
@@ -74,8 +86,4 @@
             if share.weight > 0:
                 needs = needs_by_service.setdefault(share.service, set())
                 needs.add((route.priority, route.latency_objective_ms))
-    return frozenset(
-        service
-        for service, needs in needs_by_service.items()
-        if len(needs) > 1
-    )
+    return needs_by_service
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_engine_forecast.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_engine_forecast.py
@@ -16,13 +16,20 @@
 from skylarktack.coordination.forwarding import _forecast_policy
 from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding.tests import engine_play
+from skylarktack.coordination.forwarding.tests import gateway_harness
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
+
 SPEEDS = (0.6, 1.0, 1.6)
 EngineLoad = _placement.EngineLoad
 
 
+class _Observer:
+    def on_request_end(self, report: forwarding.RequestReport) -> None:
+        pass
+
+
 def _play(
     is_forecast: bool, count: int = 59, paces: tuple[float, ...] = SPEEDS
 ) -> engine_play.Play:
@@ -335,6 +342,17 @@
             switch.record_load(engine, load)
             assert switch.is_on('pool') == is_on
 
+    def test_servers_of_calls(self) -> None:
+        """Guards against reports of a policy that decides on nothing."""
+        env = harness.make_harness(harness.target('first'))
+        engines = env.targets.engines
+        load = data.TargetLoad(1, 0, 12, slowdown=1.0)
+        stream = harness.route(data.RequestKind.STREAM)
+        for route, is_on in ((harness.route(), False), (stream, True)):
+            engines.follow(harness.configuration(1, route))
+            engines.switch.record_load(harness.target('first'), load)
+            assert engines.switch.services() == ({'pool'} if is_on else set())
+
     def test_routes(self) -> None:
         """Guards against predictions where all routes need the same."""
         env = harness.make_harness()
@@ -349,6 +367,21 @@
             env.targets.engines.follow(harness.configuration(1, *routes))
             assert switch.is_on('pool') == is_on
 
+    def test_gateway_tells_the_configuration(self) -> None:
+        """Guards against a configuration that calls for it in vain."""
+        env = harness.make_harness(harness.target('first'))
+        front = gateway_harness.make_gateway(env, _Observer())
+        stream = harness.route(data.RequestKind.STREAM)
+        other = dataclasses.replace(stream, name='other', host='other')
+        tight = dataclasses.replace(other, latency_objective_ms=2000.0)
+        for version, route in enumerate((other, tight), 1):
+            front.holder.replace_if_newer(
+                harness.configuration(version, stream, route)
+            )
+            front.send(harness.request())
+            services = env.targets.engines.switch.services()
+            assert services == ({'pool'} if route is tight else set())
+
 
 class TestOddFigures:
     """Figures that no sound deployment has."""
