Check that a failed prediction is logged

Cause: the test of the fall-back also passed with the part off. Change: it asks for the log line of the contained error as well. Result: tests of the engine forecast pass, and this one fails with the part off.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_engine_forecast.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_engine_forecast.py
@@ -20,7 +20,6 @@
 from skylarktack.coordination.forwarding.tests import harness
 from skylarktack.state import forwarding as data
 
-
 SPEEDS = (0.6, 1.0, 1.6)
 EngineLoad = _placement.EngineLoad
 
@@ -426,3 +425,9 @@
         assert pair is not None
         assert pair.primary.name == 'first'
         assert pair.forecast is None
+        (error,) = [
+            event
+            for event in env.log.events
+            if isinstance(event, forwarding.UnexpectedError)
+        ]
+        assert error.place == 'engine forecast'
