Show what is decided about calls, and test it

Cause: calls without room, trials and unusable load headers had no metric and no explanation. Of equal targets the first one was taken more often.

Equal targets are taken equally often.

--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -272,6 +272,10 @@
             last = f'{step.get("detail")} at {step.get("target")}'
         if name == 'answer' and _is_failure(step.get('status')):
             last = f'status {step.get("status")} from {step.get("target")}'
+        if name == 'unresponsive':
+            last = f'no answer for long from {step.get("target")}'
+        if name == 'no_room':
+            last = 'no target had room for another connection'
         if name == 'budget_spent':
             last = 'the budget of repeats was spent'
         if name == 'sends_used':
--- a/packages/cli/src/skylarktack/cli/tests/test_explain.py
+++ b/packages/cli/src/skylarktack/cli/tests/test_explain.py
@@ -41,6 +41,32 @@
         expected = (GOLDEN / 'failures.txt').read_text(encoding='utf-8')
         assert output == expected.splitlines()
 
+    @pytest.mark.parametrize(
+        ('step', 'expected'),
+        (
+            ('no_room', 'no target had room for another connection'),
+            ('unresponsive', 'no answer for long from desk-1'),
+        ),
+    )
+    def test_call_without_a_server_that_answers(
+        self, step: str, expected: str
+    ) -> None:
+        """Guards against a call whose explanation omits what it met."""
+        line = {
+            'time_s': 1.0,
+            'instance': 'a',
+            'part': 'request',
+            'event': 'a request failed',
+            'request': 'call',
+            'outcome': 'refused',
+            'cause': 'no_target',
+            'duration_ms': 5,
+            'steps': [{'at_ms': 1.0, 'step': step, 'target': 'desk-1'}],
+        }
+        lines, _ = _explain.decode_lines('log', (json.dumps(line),))
+        output = _explain.explain_request('call', lines)
+        assert expected in output[-1]
+
     def test_malformed_lines_are_reported_with_their_place(self) -> None:
         """Guards against malformed lines that are skipped silently."""
         lines, findings = _explain.decode_lines(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_call_choice.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_call_choice.py
@@ -192,7 +192,9 @@
         close = [one for one in expected if one[0] <= CLOSE_FACTOR * best_s]
         drawn = close.pop(int(self._draw() * len(close)))
         if close:
-            drawn = min(drawn, close[int(self._draw() * len(close))])
+            other = close[int(self._draw() * len(close))]
+            if other[0] < drawn[0]:
+                drawn = other
         return candidates[drawn[1]]
 
     def estimate(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_call_selection.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_call_selection.py
@@ -1,6 +1,5 @@
 """Where calls go: the choice of a target, its bound, and its trials."""
 
-import collections
 import dataclasses
 import threading
 
@@ -44,14 +43,12 @@
 LATE_ANSWER_FACTOR = 1.5
 LATE_ANSWER_MEMORY_S = 60.0
 
-
-class CallDecision:
-    """Names of the decisions that are counted for the metrics."""
-
-    NO_ROOM = 'no_room'
-    TRIAL = 'trial'
-    UNRESPONSIVE = 'unresponsive'
-    LOAD_UNUSABLE = 'load_unusable'
+#: Names of the decisions that are counted for the metrics.
+NO_ROOM = 'no_room'
+TRIAL = 'trial'
+UNRESPONSIVE = 'unresponsive'
+LOAD_UNUSABLE = 'load_unusable'
+CALL_DECISIONS = (NO_ROOM, TRIAL, UNRESPONSIVE, LOAD_UNUSABLE)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,7 +113,7 @@
         #: Latency of the last overdue call that was answered, and its time.
         self._late_answers: dict[str, tuple[float, float]] = {}
         self._logged_at_s: dict[str, float] = {}
-        self._counts: collections.Counter[str] = collections.Counter()
+        self._counts = dict.fromkeys(CALL_DECISIONS, 0)
 
     def is_on(self, service: str, connection_limit: int | None) -> bool:
         """Return whether calls of the service go by expected time.
@@ -237,7 +234,7 @@
             self._observations.record_answer(target, is_failure=True)
             with self._lock:
                 is_certain = self._unresponsive.record_overdue(target)
-                self._counts[CallDecision.UNRESPONSIVE] += 1
+                self._counts[UNRESPONSIVE] += 1
             if is_certain:
                 self._fleet.record_failed_target(target.name)
             else:
@@ -295,8 +292,8 @@
         if head.load_defect is None:
             return
         with self._lock:
-            self._counts[CallDecision.LOAD_UNUSABLE] += 1
-            count = self._counts[CallDecision.LOAD_UNUSABLE]
+            self._counts[LOAD_UNUSABLE] += 1
+            count = self._counts[LOAD_UNUSABLE]
             for name, logged_at_s in list(self._logged_at_s.items()):
                 if now_s >= logged_at_s + LOG_INTERVAL_S:
                     del self._logged_at_s[name]
@@ -355,14 +352,14 @@
                 if self._room_wait_of(candidate, demand) <= 0:
                     with_room.append(target)
             if not with_room:
-                self._counts[CallDecision.NO_ROOM] += bool(usable)
+                self._counts[NO_ROOM] += bool(usable)
                 return None
             target = self._expected_time.choose(
                 with_room, demand.connection_limit
             )
             if self._unresponsive.is_distrusted(target):
                 self._unresponsive.record_trial(target, instance_count)
-                self._counts[CallDecision.TRIAL] += 1
+                self._counts[TRIAL] += 1
             self._connections.open(target.name, demand.at_s)
             return target
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_call_selection.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_call_selection.py
@@ -1,5 +1,6 @@
 """Tests of calls that go by expected time, with bounded connections."""
 
+import collections
 import dataclasses
 
 import pytest
@@ -120,7 +121,7 @@
         )
         outcome = _run(env)
         assert isinstance(outcome, data.FrontResponse)
-        assert env.clock.monotonic_s() - demand.at_s < 0.08
+        assert 0.02 <= env.client.sent[0].at_s - demand.at_s < 0.06
 
     @pytest.mark.parametrize(
         'script',
@@ -244,6 +245,47 @@
         assert isinstance(_run(env), data.FrontResponse)
 
 
+class TestChoice:
+    """The choice among targets by what the fleet knows of them."""
+
+    def test_peers_figures_are_used(self) -> None:
+        """Guards against instances that each have to learn alone."""
+        targets = (harness.target('a'), harness.target('b'))
+        peer = _large_fleet(*targets)
+        env = _large_fleet(*targets)
+        for _ in range(3):
+            peer.targets.observations.record_unit_time(targets[0], 0.09)
+            peer.targets.observations.record_unit_time(targets[1], 0.045)
+        env.targets.observations.receive(peer.targets.observations.take())
+        assert {_choose(env), _choose(env)} == {targets[1]}
+        busy = data.TargetLoad(12, 24, 12)
+        peer.targets.observations.record_load(targets[1], busy)
+        env.targets.observations.receive(peer.targets.observations.take())
+        assert _choose(env) == targets[0]
+
+    @pytest.mark.parametrize('running_counts', ((0, 0, 0), (0, 1, 1)))
+    def test_instances_do_not_all_choose_the_same(
+        self, running_counts: tuple[int, ...]
+    ) -> None:
+        """Guards against a best target that is the worst at once."""
+        targets = tuple(harness.target(name) for name in 'abc')
+        env = _large_fleet(*targets)
+        for target, running_count in zip(targets, running_counts, strict=True):
+            load = data.TargetLoad(running_count, 0, 12)
+            env.targets.observations.record_load(target, load)
+        chosen = collections.Counter[data.ListedTarget]()
+        for _ in range(300):
+            demand = _demand(env)
+            taken = env.targets.choose_for_call(
+                'pool', frozenset(), ANY, demand
+            )
+            assert taken is not None
+            env.targets.calls.release(taken, demand.at_s)
+            chosen[taken] += 1
+        assert len(chosen) == 3
+        assert max(chosen.values()) < 240
+
+
 class TestEstimate:
     """The figures behind the expected time."""
 
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_instance.py
@@ -11,6 +11,7 @@
 from skylarktack.coordination import forwarding
 from skylarktack.coordination import moves
 from skylarktack.coordination import ports
+from skylarktack.daemon.forwarding import _call_metrics
 from skylarktack.daemon.forwarding import _metrics
 from skylarktack.daemon.forwarding import _readiness
 from skylarktack.daemon.forwarding import _reports
@@ -223,6 +224,7 @@
                         metrics,
                         _metrics.ConnectionMetrics(self._front),
                         _metrics.BoundMetrics(bounds, log),
+                        _call_metrics.CallMetrics(self._targets.calls),
                         _metrics.StoreMetrics(self._era, self._configuration),
                     ),
                     codec,
--- a/packages/platform/src/skylarktack/platform/tests/test_messages.py
+++ b/packages/platform/src/skylarktack/platform/tests/test_messages.py
@@ -255,29 +255,42 @@
         assert not CODEC.decode_response(503, ()).is_not_executed
 
     @pytest.mark.parametrize(
-        ('value', 'expected'),
+        ('value', 'expected', 'defect'),
         [
-            (b'', None),
-            (b'3', None),
-            (b'3,x,8', None),
-            (b'-1,2,8', None),
-            (b'3,1,' + b'9' * 400, None),
-            (b'3,1,8,250', data.TargetLoad(3, 1, 8, 2.5)),
-            (b'3, 1, 8, 40', data.TargetLoad(3, 1, 8, 0.4)),
-            (b'3,1,8,', data.TargetLoad(3, 1, 8)),
-            (b'3,1,8,x', data.TargetLoad(3, 1, 8)),
-            (b'3,1,8,-5', data.TargetLoad(3, 1, 8)),
-            (b'3,1,8,0', data.TargetLoad(3, 1, 8)),
-            (b'3,1,8,999999', data.TargetLoad(3, 1, 8, 100.0)),
-            (b'3,1,8,100,7,x', data.TargetLoad(3, 1, 8, 1.0)),
+            (b'', None, ''),
+            (b'3', None, '3'),
+            (b'3,x,8', None, '3,x,8'),
+            (b'-1,2,8', None, '-1,2,8'),
+            (b'3,1,' + b'9' * 400, None, '3,1,' + '9' * 60),
+            (b'3,1,8', data.TargetLoad(3, 1, 8), None),
+            (b'3,1,8,250', data.TargetLoad(3, 1, 8, 2.5), None),
+            (b'3, 1, 8, 40', data.TargetLoad(3, 1, 8, 0.4), None),
+            (b'3,1,8,', data.TargetLoad(3, 1, 8), '3,1,8,'),
+            (b'3,1,8,x', data.TargetLoad(3, 1, 8), '3,1,8,x'),
+            (b'3,1,8,-5', data.TargetLoad(3, 1, 8), '3,1,8,-5'),
+            (b'3,1,8,0', data.TargetLoad(3, 1, 8), '3,1,8,0'),
+            (b'3,1,8,999999', data.TargetLoad(3, 1, 8, 100.0), None),
+            (b'3,1,8,100,7,x', data.TargetLoad(3, 1, 8, 1.0), None),
         ],
     )
     def test_load_keeps_what_can_be_read(
-        self, value: bytes, expected: data.TargetLoad | None
+        self,
+        value: bytes,
+        expected: data.TargetLoad | None,
+        defect: str | None,
     ) -> None:
-        """Guards against losing a load for one figure more, or misreading."""
+        """Guards against losing a load for one figure more, or misreading.
+
+        And against a figure that is dropped without a word.
+        """
         headers = ((b'Replica-Load', value),)
-        assert CODEC.decode_response(200, headers).load == expected
+        head = CODEC.decode_response(200, headers)
+        assert head.load == expected
+        assert head.load_defect == defect
+
+    def test_missing_load_is_no_defect(self) -> None:
+        """Guards against log lines about targets that report no load."""
+        assert CODEC.decode_response(200, ()).load_defect is None
 
     def test_decodes_report(self) -> None:
         """Guards against a queue length or start time that is misread."""
--- a/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
+++ b/packages/transport/src/skylarktack/transport/forwarding/tests/test_target_client.py
@@ -6,12 +6,15 @@
 import socket
 import threading
 
+import h11
 import pytest
 
 from skylarktack.coordination import fakes
 from skylarktack.coordination import forwarding
 from skylarktack.state import forwarding as data
 from skylarktack.transport import forwarding as transport
+from skylarktack.transport.forwarding import _bounded_response
+from skylarktack.transport.forwarding import _memory
 from skylarktack.transport.forwarding.tests import front_harness
 
 
@@ -312,6 +315,78 @@
         assert events[-1].kind is forwarding.FaultKind.LOST
 
 
+class TestLostBeforeSending:
+    """Connections that a target resets, as it does beyond its limit."""
+
+    @pytest.mark.parametrize('accepts_byte', [False, True])
+    @pytest.mark.parametrize('has_ended', [False, True])
+    def test_request_arrived_only_if_a_byte_was_accepted(
+        self, accepts_byte: bool, has_ended: bool
+    ) -> None:
+        """Guards against a 502 for a call that nobody can have read.
+
+        And against a repeat of one that somebody may have read.
+        """
+        sending, receiving = _connected_pair()
+        sending.setblocking(False)
+        codec = front_harness.PassThroughCodec()
+        exchange = transport.HttpExchange(
+            sending, _parser(), codec, attempt_id='own'
+        )
+        if accepts_byte:
+            exchange.send((b'P',))
+        if has_ended:
+            receiving.shutdown(socket.SHUT_WR)
+        receiving.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0'
+        )
+        receiving.close()
+        _wait_for_hangup(sending)
+        exchange.send((b'OST',))
+        (fault,) = exchange.receive()
+        exchange.close()
+        assert isinstance(fault, forwarding.ExchangeFault)
+        assert fault.may_have_arrived == accepts_byte
+        if not accepts_byte:
+            assert fault.kind is forwarding.FaultKind.NOT_SENT
+
+    def test_response_without_reading_is_still_read(self) -> None:
+        """Guards against dropping what the target said before it closed."""
+        sending, receiving = _connected_pair()
+        sending.setblocking(False)
+        exchange = transport.HttpExchange(
+            sending, _parser(), front_harness.PassThroughCodec(), 'own'
+        )
+        receiving.sendall(RESPONSE_HEAD + b'Content-Length: 0\r\n\r\n')
+        receiving.close()
+        exchange.send((b'POST',))
+        events = exchange.receive()
+        exchange.close()
+        assert isinstance(events[0], data.ResponseHead)
+
+
+def _connected_pair() -> tuple[socket.socket, socket.socket]:
+    """Return two ends of a TCP connection."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        sending = socket.create_connection(listener.getsockname())
+        receiving, _ = listener.accept()
+    return sending, receiving
+
+
+def _parser() -> _bounded_response.BoundedResponseParser:
+    """Return a parser that waits for the response to a request."""
+    parser = _bounded_response.BoundedResponseParser(
+        _bounded_response.ResponseLimits(
+            1024, _memory.MemoryBudget(data.body_limit_bytes(None))
+        )
+    )
+    headers = [(b'Host', b'h'), (b'Content-Length', b'0')]
+    parser.encode(
+        h11.Request(method=b'POST', target=b'/a', headers=headers), b''
+    )
+    return parser
+
+
 def _wait_for_hangup(connection: socket.socket) -> None:
     """Wait until the other end has reset the connection."""
     poller = select.poll()
