Do not wait for a target that is only tried

Cause: a call that found the trusted targets full planned its wait by the distrusted ones too, which have room, and looked again every 10 ms. A call that all targets declined was told to come back after 10 ms.

Change: the wait is planned for the targets that the choice would take. After a decline it is at least the time of one call, or the end of the ejection. Only successful responses count as service times.

Measured: the tests of coordination.forwarding pass with a new one for the wait; the test of declined calls now checks the time.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_call_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_call_events.py
@@ -4,6 +4,13 @@
 
 from skylarktack.coordination.forwarding import _events
 
+#: Names of the decisions that are counted for the metrics.
+NO_ROOM = 'no_room'
+TRIAL = 'trial'
+UNRESPONSIVE = 'unresponsive'
+LOAD_UNUSABLE = 'load_unusable'
+CALL_DECISIONS = (NO_ROOM, TRIAL, UNRESPONSIVE, LOAD_UNUSABLE)
+
 
 @dataclasses.dataclass(frozen=True)
 class TargetUnresponsive(_events.LogEvent):
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_call_selection.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_call_selection.py
@@ -43,13 +43,6 @@
 LATE_ANSWER_FACTOR = 1.5
 LATE_ANSWER_MEMORY_S = 60.0
 
-#: Names of the decisions that are counted for the metrics.
-NO_ROOM = 'no_room'
-TRIAL = 'trial'
-UNRESPONSIVE = 'unresponsive'
-LOAD_UNUSABLE = 'load_unusable'
-CALL_DECISIONS = (NO_ROOM, TRIAL, UNRESPONSIVE, LOAD_UNUSABLE)
-
 
 @dataclasses.dataclass(frozen=True)
 class _Candidate:
@@ -113,7 +106,7 @@
         #: Latency of the last overdue call that was answered, and its time.
         self._late_answers: dict[str, tuple[float, float]] = {}
         self._logged_at_s: dict[str, float] = {}
-        self._counts = dict.fromkeys(CALL_DECISIONS, 0)
+        self._counts = dict.fromkeys(_call_events.CALL_DECISIONS, 0)
 
     def is_on(self, service: str, connection_limit: int | None) -> bool:
         """Return whether calls of the service go by expected time.
@@ -193,11 +186,15 @@
         excluded: frozenset[str],
         rule: _version_rules.VersionRule,
         demand: _call_choice.CallDemand,
+        has_been_declined: bool = False,
     ) -> _room_waits.RoomWait | None:
         """Return the time until a target is expected to have room.
 
         None if there is no target, which no wait changes, or where calls do
         not go by expected time.
+
+        :param has_been_declined: whether the targets did not take the call,
+            so that it waits for the end of an ejection and of one call.
         """
         with self._errors.contain(_supervision.CALL_CHOICE):
             if not self.is_on(service, demand.connection_limit):
@@ -205,9 +202,16 @@
             instance_count = self._instance_count()
             waits_s = []
             with self._lock:
-                for target in self._candidates.usable(service, excluded, rule):
+                for target in self._trusted(
+                    service, excluded, rule, demand, instance_count
+                ):
                     candidate = self._candidate(target, demand, instance_count)
                     wait_s = self._room_wait_of(candidate, demand)
+                    if has_been_declined:
+                        stats = self._records.stats_of(target)
+                        ejected_s = stats.ejected_until_s - demand.at_s
+                        service_s = candidate.estimate.service_s
+                        wait_s = max(wait_s, ejected_s, service_s)
                     waits_s.append((wait_s, candidate.estimate.service_s))
             if waits_s:
                 wait_s, service_s = min(waits_s)
@@ -234,7 +238,7 @@
             self._observations.record_answer(target, is_failure=True)
             with self._lock:
                 is_certain = self._unresponsive.record_overdue(target)
-                self._counts[UNRESPONSIVE] += 1
+                self._counts[_call_events.UNRESPONSIVE] += 1
             if is_certain:
                 self._fleet.record_failed_target(target.name)
             else:
@@ -292,8 +296,8 @@
         if head.load_defect is None:
             return
         with self._lock:
-            self._counts[LOAD_UNUSABLE] += 1
-            count = self._counts[LOAD_UNUSABLE]
+            self._counts[_call_events.LOAD_UNUSABLE] += 1
+            count = self._counts[_call_events.LOAD_UNUSABLE]
             for name, logged_at_s in list(self._logged_at_s.items()):
                 if now_s >= logged_at_s + LOG_INTERVAL_S:
                     del self._logged_at_s[name]
@@ -352,14 +356,14 @@
                 if self._room_wait_of(candidate, demand) <= 0:
                     with_room.append(target)
             if not with_room:
-                self._counts[NO_ROOM] += bool(usable)
+                self._counts[_call_events.NO_ROOM] += bool(usable)
                 return None
             target = self._expected_time.choose(
                 with_room, demand.connection_limit
             )
             if self._unresponsive.is_distrusted(target):
                 self._unresponsive.record_trial(target, instance_count)
-                self._counts[TRIAL] += 1
+                self._counts[_call_events.TRIAL] += 1
             self._connections.open(target.name, demand.at_s)
             return target
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_call_waits.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_call_waits.py
@@ -63,15 +63,16 @@
 
     def retry_after_s(self) -> float:
         """Return the time until a target is expected to have room."""
-        room = self._plan_room_wait(frozenset())
+        room = self._plan_room_wait(frozenset(), has_been_declined=True)
         return RETRY_AFTER_S if room is None else round(room.wait_s, 3)
 
     def _plan_room_wait(
-        self, excluded: frozenset[str]
+        self, excluded: frozenset[str], has_been_declined: bool = False
     ) -> _room_waits.RoomWait | None:
         return self._targets.calls.plan_room_wait(
             self._admitted.service,
             excluded,
             self._admitted.version_rule,
             self.demand(),
+            has_been_declined,
         )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_calls.py
@@ -350,7 +350,7 @@
         )
         if is_trial:
             self._targets.calls.report_recovery(target)
-        if not is_error:
+        if head.is_success:
             self._targets.calls.record_response(
                 target, head, attempt.sent_at_s, attempt.expectation
             )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_call_selection.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_call_selection.py
@@ -146,6 +146,8 @@
         assert isinstance(outcome, data.Refusal)
         assert outcome.reason is data.RefusalReason.NO_TARGET
         assert outcome.retry_after_s is not None
+        ejected_s = 0.5 if isinstance(script, forwarding.ExchangeFault) else 0
+        assert outcome.retry_after_s >= max(0.05, ejected_s)
         assert outcome.retry_after_s != 0.1
 
     def test_connections_are_released(self) -> None:
@@ -200,6 +202,19 @@
         assert env.fleet.change_report() is not None
         assert _choose(env) and _choose(env)
 
+    def test_withheld_target_is_no_reason_to_wait(self) -> None:
+        """Guards against a call that wakes up again and again for a trial."""
+        targets = (harness.target('hangs'), harness.target('full'))
+        env = _large_fleet(*targets)
+        env.targets.observations.record_unit_time(targets[1], 0.4)
+        env.targets.report_suspicion('hangs')
+        env.clock.advance(0.6)
+        now_s = env.clock.monotonic_s()
+        assert {_choose(env), _choose(env)} == {targets[1]}
+        assert isinstance(_run(env), data.Refusal)
+        assert env.clock.monotonic_s() == now_s
+        assert not env.client.sent
+
     def test_long_calls_are_not_taken_for_a_hang(self) -> None:
         """Guards against ejecting targets whose calls sometimes take long."""
         env = _large_fleet(harness.target('only'))
