--- a/packages/cli/src/skylarktack/cli/_explain.py
+++ b/packages/cli/src/skylarktack/cli/_explain.py
@@ -63,6 +63,11 @@
     'time limit.',
 }
 
+#: Meaning of steps whose name does not tell it.
+_MEANING_BY_STEP = {
+    'target_ramp': 'new or back, so it gets few requests at first',
+}
+
 _SERVED_OUTCOMES = frozenset(('answered', 'streamed'))
 
 
@@ -256,6 +261,9 @@
             for name, value in step.items()
             if name not in ('at_ms', 'step')
         )
+        meaning = _MEANING_BY_STEP.get(str(step.get('step')))
+        if meaning is not None:
+            inputs = f'{inputs}; {meaning}'
         at_s = started_s + float(step.get('at_ms', 0)) / 1000
         output.append(
             f'{at_s:.3f} {line.instance} request: {step.get("step")} '
--- a/packages/cli/src/skylarktack/cli/tests/test_explain.py
+++ b/packages/cli/src/skylarktack/cli/tests/test_explain.py
@@ -41,6 +41,31 @@
         expected = (GOLDEN / 'failures.txt').read_text(encoding='utf-8')
         assert output == expected.splitlines()
 
+    def test_targets_that_start_slowly(self) -> None:
+        """Guards against an idle target that no explanation mentions."""
+        step = {
+            'at_ms': 1.0,
+            'step': 'target_ramp',
+            'passed_over': 1,
+            'allowances': {'server-b': 2},
+        }
+        line = {
+            'time_s': 10.0,
+            'instance': 'a',
+            'part': 'request',
+            'event': 'a request was served',
+            'request': 'id',
+            'outcome': 'answered',
+            'duration_ms': 50.0,
+            'steps': [step],
+        }
+        lines, _ = _explain.decode_lines('log', (json.dumps(line),))
+        explanation = '\n'.join(_explain.explain_request('id', lines))
+        assert (
+            "target_ramp (passed_over=1, allowances={'server-b': 2}; "
+            'new or back, so it gets few requests at first)'
+        ) in explanation
+
     def test_malformed_lines_are_reported_with_their_place(self) -> None:
         """Guards against malformed lines that are skipped silently."""
         lines, findings = _explain.decode_lines(
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_target_ramp.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_target_ramp.py
@@ -180,6 +180,27 @@
             limits.append(in_flight_count)
         assert limits == [2, 1, 2, 4]
 
+    def test_sound_responses_end_the_ramp_before_the_allowance(self) -> None:
+        """Guards against holding back a sound server with few requests."""
+        play = ramp_harness.Play(ON, 1, 'ab')
+        _add_now(play, 'c')
+        new = play.servers['c'].target
+        play.instances[0].targets.report_response(new, 'r', 45, False)
+        play.run(3.1)
+        assert _is_admitted(play.instances[0])
+        assert [end.cause for end in _ended(play)] == ['sound responses only']
+
+    def test_first_events_of_an_engine(self) -> None:
+        """Guards against an engine that waits for a whole run to end."""
+        play = ramp_harness.Play(ON, 1, 'ab')
+        engine = ramp_harness.server('e', models=('m',), slots=16)
+        targets = play.instances[0].targets
+        targets.apply(data.TargetChange('e', engine))
+        targets.report_first_event(engine, 'r', 1000)
+        assert not _ended(play)
+        targets.report_first_event(engine, 'r', 1000)
+        assert [end.allowance for end in _ended(play)] == [16]
+
     def test_a_refusal_halves_it(self) -> None:
         """Guards against sending more to a server that refuses."""
         play = ramp_harness.Play(ON, 1, 'ab')
