check: entries without effect, conflicting limits and differences

Cause: `skylarktack check` reported only what instances refuse. A route that never matches, a limit that another one contradicts or a change beside the intended one was seen when it was in force.

Change: `check FILE [--against FILE|in-force] [--json]` reads a document of skylarktackd or a manifest of forwarding instances. Errors come from the decoders and rules of the instances; entries without effect and conflicting limits from new rules beside them, which the instances do not apply. Two configurations are compared by the names of their entries, API keys by marks. `apply` and the other commands keep theirs.

--- a/packages/cli/src/skylarktack/cli/_commands.py
+++ b/packages/cli/src/skylarktack/cli/_commands.py
@@ -18,6 +18,7 @@
 from skylarktack import protocol
 from skylarktack import state
 from skylarktack.cli import _account
+from skylarktack.cli import _check_report
 from skylarktack.cli import _explain
 from skylarktack.cli import _operator_client
 from skylarktack.cli import _tables
@@ -138,21 +139,35 @@
         self.unknown = UnknownCallCommands()
         self.logs = LogCommands()
 
-    def check(self, file: str, json: bool = False) -> None:
-        """Check a configuration document and print all findings.
+    @_parse_as_text('file', 'against')
+    def check(
+        self,
+        file: str,
+        against: str = '',
+        address: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Check a configuration and print all findings.
 
-        :param file: path of the document, JSON with comments.
+        The exit code is 0 without findings, 1 with findings, and 2 if a
+        configuration is unreadable.
+
+        :param file: path of a document, JSON with comments, or of a manifest
+            of forwarding instances, JSON.
+        :param against: path of another one to compare with, or in-force for
+            the document in effect.
+        :param address: operator address of an instance, IP:PORT.
         :param json: whether to print JSON.
         """
-        findings = check_text(_read_file(file))
+        printed = _check_report.report(
+            file, against, lambda: _document_in_effect(address)
+        )
         if json:
-            print(protocol.encode_findings(findings).decode())
+            _check_report.print_json(printed)
         else:
-            _print_findings(file, findings)
-        if findings:
-            sys.exit(EXIT_INVALID)
-        if not json:
-            print(f'{file}: valid')
+            _check_report.print_text(printed)
+        if printed.exit_code:
+            sys.exit(printed.exit_code)
 
     def apply(
         self,
@@ -345,6 +360,15 @@
     return int(response['revision'])
 
 
+def _document_in_effect(address: str | None) -> Result[str, str]:
+    """Return the document in effect; the error says why there is none."""
+    client = _operator_client.OperatorClient(address)
+    answered = client.call('GET', '/operator/configuration')
+    return answered.map(
+        lambda response: json.dumps(response['document'])
+    ).map_error(lambda fault: fault.message)
+
+
 def _call(
     address: str | None,
     method: str,
--- a/packages/coordination/src/skylarktack/coordination/configuration/__init__.py
+++ b/packages/coordination/src/skylarktack/coordination/configuration/__init__.py
@@ -8,6 +8,12 @@
 from skylarktack.coordination.configuration._directory import (
     ConfigurationIndex,
 )
+from skylarktack.coordination.configuration._effects import (
+    find_conflicting_limits,
+)
+from skylarktack.coordination.configuration._effects import (
+    find_entries_without_effect,
+)
 from skylarktack.coordination.configuration._follower import PEER_QUORUM_COUNT
 from skylarktack.coordination.configuration._follower import PEER_TIMEOUT_S
 from skylarktack.coordination.configuration._follower import POLL_MAX_S
@@ -21,6 +27,12 @@
 from skylarktack.coordination.configuration._follower import (
     FollowerDependencies,
 )
+from skylarktack.coordination.configuration._forwarding_effects import (
+    find_conflicting_forwarding_limits,
+)
+from skylarktack.coordination.configuration._forwarding_effects import (
+    find_forwarding_entries_without_effect,
+)
 from skylarktack.coordination.configuration._holder import ConfigurationHolder
 from skylarktack.coordination.configuration._publisher import CURRENT_KEY
 from skylarktack.coordination.configuration._publisher import HISTORY_COUNT
@@ -66,4 +78,8 @@
     'WATCHER_COUNT',
     'WATCH_WAIT_S',
     'check_document',
+    'find_conflicting_forwarding_limits',
+    'find_conflicting_limits',
+    'find_entries_without_effect',
+    'find_forwarding_entries_without_effect',
 ]
--- a/packages/platform/src/skylarktack/platform/__init__.py
+++ b/packages/platform/src/skylarktack/platform/__init__.py
@@ -17,6 +17,10 @@
     from skylarktack.platform._front_address import FrontAddress
     from skylarktack.platform._front_address import find_front_address
     from skylarktack.platform._instances import StorePeerRegistry
+    from skylarktack.platform._manifests import KeyHider
+    from skylarktack.platform._manifests import attempt_findings
+    from skylarktack.platform._manifests import has_manifest_fields
+    from skylarktack.platform._manifests import manifest_findings
     from skylarktack.platform._messages import PlatformMessageCodec
     from skylarktack.platform._moves import MoveReader
     from skylarktack.platform._moves import StoreMoveWriter
@@ -30,6 +34,7 @@
 __all__ = [
     'ConfigurationReader',
     'FrontAddress',
+    'KeyHider',
     'MalformedError',
     'MoveReader',
     'PATH_VARIABLE',
@@ -40,10 +45,13 @@
     'StoreVersionTrials',
     'TargetReader',
     'TrackedStoreCalls',
+    'attempt_findings',
     'decode_configuration',
     'decode_settings',
     'decode_target',
     'find_front_address',
+    'has_manifest_fields',
+    'manifest_findings',
 ]
 
 # The front socket is opened before the other modules are imported.
@@ -55,6 +63,10 @@
     'PlatformMessageCodec': '_messages',
     'MoveReader': '_moves',
     'StoreMoveWriter': '_moves',
+    'attempt_findings': '_manifests',
+    'has_manifest_fields': '_manifests',
+    'KeyHider': '_manifests',
+    'manifest_findings': '_manifests',
     'PATH_VARIABLE': '_front_address',
     'FrontAddress': '_front_address',
     'find_front_address': '_front_address',
