Bound the cost of the choice of a server

Cause: an estimate costs more than the latency that it replaces; a choice in a service of 2,700 targets took 75 ms of CPU.

Change: at most 32 targets are estimated for a call, a random part of more. A test shows that an overdue call that may not be repeated stays at its target.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_call_selection.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_call_selection.py
@@ -1,6 +1,7 @@
 """Where calls go: the choice of a target, its bound, and its trials."""
 
 import dataclasses
+import random
 import threading
 
 from skylarktack.coordination.forwarding import _call_choice
@@ -26,6 +27,10 @@
 #: stopped.
 MIN_LIVE_SHARE = 0.5
 
+#: Targets that are looked at for one call, a random part of more. The cost of
+#: a choice then does not grow with the service.
+MAX_CANDIDATE_COUNT = 32
+
 #: Time after which a service whose targets report no slowdown any more is
 #: served as before.
 SLOWDOWN_MEMORY_S = 60.0
@@ -190,8 +195,7 @@
     ) -> _room_waits.RoomWait | None:
         """Return the time until a target is expected to have room.
 
-        None if there is no target, which no wait changes, or where calls do
-        not go by expected time.
+        None without a target, or where calls do not go by expected time.
 
         :param has_been_declined: whether the targets did not take the call,
             so that it waits for the end of an ejection and of one call.
@@ -209,9 +213,11 @@
                     wait_s = self._room_wait_of(candidate, demand)
                     if has_been_declined:
                         stats = self._records.stats_of(target)
-                        ejected_s = stats.ejected_until_s - demand.at_s
-                        service_s = candidate.estimate.service_s
-                        wait_s = max(wait_s, ejected_s, service_s)
+                        wait_s = max(
+                            wait_s,
+                            stats.ejected_until_s - demand.at_s,
+                            candidate.estimate.service_s,
+                        )
                     waits_s.append((wait_s, candidate.estimate.service_s))
             if waits_s:
                 wait_s, service_s = min(waits_s)
@@ -225,9 +231,7 @@
     ) -> bool:
         """Record that a call has had no answer for much longer than usual.
 
-        A target that has answered any instance since is not unresponsive.
-
-        :return: whether the target is taken for unresponsive.
+        :return: whether no instance has seen an answer since the send.
         """
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
             if sent_at_s < self._suspensions.running_since_s():
@@ -380,6 +384,8 @@
         All are returned if there is no other.
         """
         usable = self._candidates.usable(service, excluded, rule)
+        if len(usable) > MAX_CANDIDATE_COUNT:
+            usable = random.sample(usable, MAX_CANDIDATE_COUNT)
         withheld = set()
         trusted = []
         for target in usable:
@@ -424,8 +430,7 @@
     ) -> float:
         """Return the time until a target has room for a call; 0 if it has.
 
-        It has none at its bound, nor while its queue alone makes the call
-        late.
+        It has none at its bound, nor if its queue makes the call late.
         """
         estimate = candidate.estimate
         wait_s = 0.0
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_call_selection.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_call_selection.py
@@ -29,7 +29,7 @@
         load.play(4.0, rate=270)
         total_count = load.in_time_count + load.late_count
         assert load.late_count < 0.06 * total_count
-        assert servers[2].received_count < 0.6 * servers[0].received_count
+        assert servers[2].received_count < 0.48 * servers[0].received_count
 
     def test_hanging_server_is_found_together_and_returns(self) -> None:
         """Guards against one lost call for each instance, and for each try."""
@@ -186,6 +186,15 @@
         assert env.client.sent_to() == ['hangs', 'hangs']
         assert 'unresponsive' in env.log.messages('target')
 
+    def test_overdue_call_that_may_not_be_repeated_stays(self) -> None:
+        """Guards against a booking that is executed twice."""
+        env = _large_fleet(harness.target('a'), harness.target('b'))
+        outcome = _run(env)
+        assert isinstance(outcome, data.Refusal)
+        assert outcome.reason is data.RefusalReason.TIME_UP
+        assert len(env.client.sent) == 1
+        assert 'unresponsive' in env.log.messages('target')
+
     def test_distrusted_target_gets_one_trial_until_it_answers(self) -> None:
         """Guards against many calls that hang at the same target."""
         only = harness.target('only')
