Make the played loads of calls repeatable

Cause: the choices drew from an unseeded generator, so that each run of the played loads was another one.

Change: the harness seeds the generator of the module.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_call_selection.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_call_selection.py
@@ -273,10 +273,8 @@
         :param expectation: what was expected at the send.
         """
         with self._errors.contain(_supervision.TARGET_ACCOUNTING):
-            if (
-                target.models
-                or sent_at_s < self._suspensions.running_since_s()
-            ):
+            running_since_s = self._suspensions.running_since_s()
+            if target.models or sent_at_s < running_since_s:
                 return
             waiting_count = expectation.waiting_count
             if head.load is not None:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/call_load_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/call_load_harness.py
@@ -75,6 +75,8 @@
         self.clock = fakes.SteppingClock()
         self.clock.advance(60.0)
         self.random = random.Random(seed)
+        # The choices draw from the generator of the module.
+        random.seed(seed)
         self.servers = {server.target.name: server for server in servers}
         self.report_interval_s = report_interval_s
         self._events: list[tuple[float, int, Callable[[], None]]] = []
