Let a lost run go on from its copy at a busy engine

Cause: under the forecast policy a run left its copy for an idle engine when the engine with the copy was reading prompts.

Change: a copy that can be used is used; the comparison is removed.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_engine_chooser.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_engine_chooser.py
@@ -126,18 +126,6 @@
             candidates, primary, loads, demand
         )
 
-    def is_copy_late(
-        self,
-        engine: data.ListedTarget,
-        others: Sequence[data.ListedTarget],
-        loads: _engine_policies.Loads,
-        demand: _placement.RunDemand,
-    ) -> bool:
-        """Return whether a new prefill elsewhere is sooner than the copy."""
-        with self._errors.contain(ENGINE_FORECAST):
-            return self._forecast.is_copy_late(engine, others, loads, demand)
-        return False
-
 
 def _choose(
     policy: _engine_policies.EnginePolicy,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_engine_policies.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_engine_policies.py
@@ -46,19 +46,6 @@
         """Return the engine for the standby copy of a run, or None."""
         ...
 
-    def is_copy_late(
-        self,
-        engine: data.ListedTarget,
-        others: Sequence[data.ListedTarget],
-        loads: Loads,
-        demand: _placement.RunDemand,
-    ) -> bool:
-        """Return whether a new prefill elsewhere is sooner than the copy.
-
-        :param engine: engine that keeps the copy of the run.
-        """
-        ...
-
 
 class CountingPolicy:
     """Compares engines by the number of their runs."""
@@ -83,13 +70,3 @@
     ) -> data.ListedTarget | None:
         """Return the engine on which the run would go on best, or None."""
         return _placement.choose_standby(candidates, primary, loads, demand)
-
-    def is_copy_late(
-        self,
-        engine: data.ListedTarget,
-        others: Sequence[data.ListedTarget],
-        loads: Loads,
-        demand: _placement.RunDemand,
-    ) -> bool:
-        """Return False: without a prediction a copy is always used."""
-        return False
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_forecast_policy.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_forecast_policy.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
-import dataclasses
 import hashlib
 import heapq
 import math
@@ -154,26 +153,6 @@
         )
         return next(one for one in eligible if one.name == chosen)
 
-    def is_copy_late(
-        self,
-        engine: data.ListedTarget,
-        others: Sequence[data.ListedTarget],
-        loads: _engine_policies.Loads,
-        demand: _placement.RunDemand,
-    ) -> bool:
-        """Return whether a new prefill elsewhere is sooner than the copy."""
-        going_on = dataclasses.replace(demand, known_engine=engine.name)
-        forecast = self._forecaster.forecasts([engine], loads, going_on)[
-            engine.name
-        ]
-        if not others or forecast.first_event_s <= forecast.usual_s:
-            return False
-        elsewhere = self.choose_primary(others, loads, demand).forecast
-        return (
-            elsewhere is not None
-            and elsewhere.first_event_s < forecast.first_event_s
-        )
-
     def _is_worth_copying(
         self,
         primary: data.ListedTarget,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -112,9 +112,6 @@
                 if self._waits.wait_for_target():
                     return _outcomes.CallerDisconnected()
                 continue
-            if copy is not None and pair.primary != copy.engine:
-                self._record('copy_left', target=copy.engine.name)
-                copy = None
             if copy is None and not self._has_room(pair.primary):
                 continue
             obstacle = self._claims.secure()
@@ -212,9 +209,8 @@
         demand = self._current_demand()
         if self._claims.send_count > 0:
             rule = rule.for_retry()
-        if copy is not None and not self._targets.is_copy_late(
-            service, copy.engine, model, demand, tried, rule
-        ):
+        if copy is not None:
+            # Engines admit a run with a copy first, whatever they prefill.
             standby = self._targets.choose_standby(
                 service, copy.engine, model, demand, rule
             )
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -400,26 +400,6 @@
             return None
         return self.engines.choose(serving, loads, demand)
 
-    def is_copy_late(
-        self,
-        service: str,
-        engine: data.ListedTarget,
-        model: str | None,
-        demand: _placement.RunDemand,
-        excluded: frozenset[str],
-        rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
-    ) -> bool:
-        """Return whether a run had better not go on from a copy.
-
-        :param engine: engine that keeps the copy.
-        """
-        if not self.engines.switch.is_on(service):
-            return False
-        others = self._serving(service, model, excluded | {engine.name}, rule)
-        return self.engines.is_copy_late(
-            engine, others, self._fleet.loads(), demand
-        )
-
     def likely_engines(
         self,
         service: str,
--- a/packages/daemon/src/skylarktack/daemon/forwarding/_engine_metrics.py
+++ b/packages/daemon/src/skylarktack/daemon/forwarding/_engine_metrics.py
@@ -1,7 +1,6 @@
 """Metrics of the choice of engines by predicted times.
 
-The moves of runs are counted among the steps of requests, as ``overdue`` and
-``copy_left``.
+The moves of runs are counted among the steps of requests, as ``overdue``.
 """
 
 from collections.abc import Iterator
