Draw more targets in the test of peers' figures

Cause: the test chose twice, so it passed now and then with the figures of the peers left out.

Change: it draws 20 targets.

Measured: it fails without the peers' figures and passes with them; the 35 tests of the selection pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_call_selection.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_call_selection.py
@@ -90,6 +90,20 @@
     return env.targets.choose_for_call('pool', frozenset(), ANY, _demand(env))
 
 
+def _draw_targets(
+    env: harness.Harness, count: int
+) -> collections.Counter[data.ListedTarget]:
+    """Return how often each target is chosen for calls that end at once."""
+    chosen: collections.Counter[data.ListedTarget] = collections.Counter()
+    for _ in range(count):
+        demand = _demand(env)
+        target = env.targets.choose_for_call('pool', frozenset(), ANY, demand)
+        assert target is not None
+        env.targets.calls.release(target, demand.at_s)
+        chosen[target] += 1
+    return chosen
+
+
 class TestRefusals:
     """A call that no target has run is refused with a true time."""
 
@@ -281,11 +295,11 @@
             peer.targets.observations.record_unit_time(targets[0], 0.09)
             peer.targets.observations.record_unit_time(targets[1], 0.045)
         env.targets.observations.receive(peer.targets.observations.take())
-        assert {_choose(env), _choose(env)} == {targets[1]}
+        assert set(_draw_targets(env, 20)) == {targets[1]}
         busy = data.TargetLoad(12, 24, 12)
         peer.targets.observations.record_load(targets[1], busy)
         env.targets.observations.receive(peer.targets.observations.take())
-        assert _choose(env) == targets[0]
+        assert set(_draw_targets(env, 20)) == {targets[0]}
 
     @pytest.mark.parametrize('running_counts', ((0, 0, 0), (0, 1, 1)))
     def test_instances_do_not_all_choose_the_same(
@@ -297,15 +311,7 @@
         for target, running_count in zip(targets, running_counts, strict=True):
             load = data.TargetLoad(running_count, 0, 12)
             env.targets.observations.record_load(target, load)
-        chosen = collections.Counter[data.ListedTarget]()
-        for _ in range(300):
-            demand = _demand(env)
-            taken = env.targets.choose_for_call(
-                'pool', frozenset(), ANY, demand
-            )
-            assert taken is not None
-            env.targets.calls.release(taken, demand.at_s)
-            chosen[taken] += 1
+        chosen = _draw_targets(env, 300)
         assert len(chosen) == 3
         assert max(chosen.values()) < 240
 
