skylarktackd: refuse a status that is not three digits

Cause: http.client converts the status by int, which accepts "0200", "+200" and "2_00" as 200. A server in trouble that sent such a head had its response taken for a success.

Change: FinalResponse checks the status line it has read. The parser of instances (h11) refused these already; they are in the common table.

Measured: TestImproperResponse failed before in 21 cases (three statuses, all seven clients); the 24 cases on instances passed. After the change all pass, with all tests of skylarktackd's transport.

--- a/packages/transport/src/skylarktack/transport/_bounded_socket.py
+++ b/packages/transport/src/skylarktack/transport/_bounded_socket.py
@@ -13,6 +13,7 @@
 import http.client
 import io
 import math
+import re
 import socket
 import time
 from typing import Any
@@ -26,6 +27,9 @@
 #: 100 and accepts up to 999.
 MAX_STATUS = 599
 
+#: Begin of a status line (RFC 9112, 4).
+_STATUS_LINE = re.compile(rb'HTTP/[0-9]\.[0-9] [0-9]{3}[ \r\n]')
+
 
 class ResponseTooLargeError(OSError):
     """A response exceeds the size limit."""
@@ -95,6 +99,9 @@
 class _WholeLineReader(io.BufferedReader):
     """Reads lines that end with a line feed, or as long as was asked for."""
 
+    #: The line that was read last.
+    last_line = b''
+
     def readline(self, size: int | None = -1, /) -> bytes:
         """Read one line.
 
@@ -103,6 +110,7 @@
         line = super().readline(size)
         if not line.endswith(b'\n') and len(line) != size:
             raise EndWithinLineError('the connection ended within a line')
+        self.last_line = line
         return line
 
 
@@ -119,7 +127,15 @@
         self, connected: socket.socket, *arguments: Any, **named: Any
     ):
         super().__init__(connected, *arguments, **named)
-        self.fp: io.BufferedReader = _WholeLineReader(self.fp.detach())
+        self.fp: _WholeLineReader = _WholeLineReader(self.fp.detach())
+
+    def _read_status(self) -> tuple[str, int, str]:
+        # The base class takes whatever ``int`` accepts for a status.
+        found: tuple[str, int, str]
+        found = super()._read_status()  # type: ignore[misc]
+        if _STATUS_LINE.match(self.fp.last_line) is None:
+            raise http.client.BadStatusLine(repr(self.fp.last_line))
+        return found
 
     def begin(self) -> None:
         """Read the head of the final response.
--- a/packages/transport/src/skylarktack/transport/tests/early_server.py
+++ b/packages/transport/src/skylarktack/transport/tests/early_server.py
@@ -95,7 +95,16 @@
 #: Responses that are none, each after the whole request.
 IMPROPER_RESPONSES = {
     f'status {status.decode()}': SIZED.replace(b'200', status)
-    for status in (b'000', b'099', b'600', b'999')
+    for status in (
+        b'000',
+        b'099',
+        b'600',
+        b'999',
+        # ``int`` reads these as 200.
+        b'0200',
+        b'+200',
+        b'2_00',
+    )
 } | {
     'interim responses without end': 5000
     * b'HTTP/1.1 103 Early Hints\r\n\r\n',
