Keep runs at engines that are slowed, and their starts unhindered

Change: where first events are predicted, an engine that answers probes is left after two longest pauses, and before the first event only by the prediction; an ejection does not lower the first allowance of an engine. The placement of runs has a module of its own, EnginePlacement.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_engine_watch.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_engine_watch.py
@@ -15,6 +15,11 @@
 #: its engine answers probes.
 FAILOVER_PAUSE_FRACTION = 0.7
 
+#: The same, in maximum pauses, for an engine that answers probes and that
+#: neighbours on its machine may slow: there a pause between events that is
+#: nearly too long for the route is usual while it reads prompts.
+SLOWED_FAILOVER_PAUSE_COUNT = 2.0
+
 #: Maximum pause between events that is assumed of a route without one.
 DEFAULT_MAX_PAUSE_MS = 2000.0
 
@@ -66,7 +71,12 @@
             admitted.route.longest_pause_ms or DEFAULT_MAX_PAUSE_MS
         ) / 1000
         self._probe_after_s = PROBE_PAUSE_FRACTION * pause_s
+        #: Whether first events are predicted, so that ``OverdueCheck`` finds
+        #: the late ones.
+        self._is_predicted = self._targets.engines.switch.is_on(target.service)
         self._failover_after_s = FAILOVER_PAUSE_FRACTION * pause_s
+        if self._is_predicted:
+            self._failover_after_s = SLOWED_FAILOVER_PAUSE_COUNT * pause_s
         self._hang_after_s = HANG_OBJECTIVE_FRACTION * objective_s
         self._next_probe_after_s = NEXT_PROBE_OBJECTIVE_FRACTION * objective_s
         self._probe_at_s = (
@@ -150,6 +160,8 @@
         )
         if self.is_streaming or report.queued_count != 0:
             return None
+        if self._is_predicted:
+            return None
         if self._probed_at_s < self.sent_at_s + self._hang_after_s:
             return None
         if self._progress.has_abandoned_hung_engine:
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_overdue_runs.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_overdue_runs.py
@@ -99,7 +99,7 @@
             return None
         if self._targets.engines.was_suspended_since(sent_at_s):
             return None
-        pair = self._targets.choose_engines(
+        pair = self._targets.placement.choose_engines(
             self._admitted.service,
             self._admitted.request.model,
             self._demand,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_standby_copies.py
@@ -163,7 +163,7 @@
             last_event_id,
             last_sent_at_s=None,
         )
-        return self._targets.choose_standby(
+        return self._targets.placement.choose_standby(
             self._admitted.service,
             self._engine,
             self._admitted.request.model,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_streams.py
@@ -211,11 +211,11 @@
             rule = rule.for_retry()
         if copy is not None:
             # Engines admit a run with a copy first, whatever they prefill.
-            standby = self._targets.choose_standby(
+            standby = self._targets.placement.choose_standby(
                 service, copy.engine, model, demand, rule
             )
             return _engine_selection.EnginePair(copy.engine, standby)
-        pair = self._targets.choose_engines(
+        pair = self._targets.placement.choose_engines(
             service, model, demand, tried, rule
         )
         self._targets.ramps.explain(self._admitted.trace)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp.py
@@ -339,7 +339,7 @@
             self._ranks.rank(target.name),
             began_at_s,
             peers_count_from_s,
-            _target_ramp_steps.first_allowance(target, cause),
+            _target_ramp_steps.first_allowance(target),
             news_at_s=began_at_s,
         )
         self._ramps[target.name] = ramp
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp_steps.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp_steps.py
@@ -149,11 +149,12 @@
     return max(1, target.slot_count)
 
 
-def first_allowance(target: data.ListedTarget, cause: RampCause) -> int:
+def first_allowance(target: data.ListedTarget) -> int:
     """Return the requests at a time with which a ramp begins.
 
-    It is 1 for an engine that failed: it may not respond yet.
+    Engines are often ejected for a pause between events while they work, so
+    an ejection does not lower their share: the rest would be overloaded.
     """
-    if not target.models or cause is RampCause.EJECTION:
+    if not target.models:
         return 1
     return max(1, int(ENGINE_START_SHARE * target.slot_count))
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_targets.py
@@ -1,6 +1,5 @@
 """The table of targets: its updates, the reports on them, the choice."""
 
-import dataclasses
 import math
 import threading
 
@@ -8,11 +7,10 @@
 from skylarktack.coordination.forwarding import _call_choice
 from skylarktack.coordination.forwarding import _call_selection
 from skylarktack.coordination.forwarding import _engine_chooser
-from skylarktack.coordination.forwarding import _engine_selection
+from skylarktack.coordination.forwarding import _engine_placement
 from skylarktack.coordination.forwarding import _events
 from skylarktack.coordination.forwarding import _fleet
 from skylarktack.coordination.forwarding import _moves
-from skylarktack.coordination.forwarding import _placement
 from skylarktack.coordination.forwarding import _supervision
 from skylarktack.coordination.forwarding import _suspensions
 from skylarktack.coordination.forwarding import _target_candidates
@@ -91,6 +89,10 @@
                 failure_domain,
             )
         )
+        #: Choice of the engines of runs and of their copies.
+        self.placement = _engine_placement.EnginePlacement(
+            fleet, self._lock, self._candidates, self.engines
+        )
         self.is_synced = threading.Event()
 
     def replace(
@@ -382,67 +384,6 @@
         """Return the target of a call, or None; see ``CallSelection``."""
         return self.calls.choose(service, excluded, rule, demand)
 
-    def choose_engines(
-        self,
-        service: str,
-        model: str | None,
-        demand: _placement.RunDemand,
-        excluded: frozenset[str],
-        rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
-    ) -> _engine_selection.EnginePair | None:
-        """Return the engine for a run and the one for its standby copy."""
-        loads = self._fleet.loads()
-        known = self._fleet.find_placement(demand.affinity_key)
-        if known is not None:
-            demand = dataclasses.replace(demand, known_engine=known.run.engine)
-        serving = self._serving(service, model, excluded, rule)
-        if not serving:
-            return None
-        return self.engines.choose(serving, loads, demand)
-
-    def likely_engines(
-        self,
-        service: str,
-        model: str | None,
-        demand: _placement.RunDemand,
-        count: int,
-        rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
-    ) -> tuple[data.ListedTarget, ...]:
-        """Return the engines that most likely have a prompt cached."""
-        candidates = self.engines.compared(
-            self._serving(service, model, frozenset(), rule), demand
-        )
-        return _placement.likely_engines(candidates, demand, count)
-
-    def choose_standby(
-        self,
-        service: str,
-        primary: data.ListedTarget,
-        model: str | None,
-        demand: _placement.RunDemand,
-        rule: _version_rules.VersionRule = _version_rules.ANY_VERSION,
-    ) -> data.ListedTarget | None:
-        """Return an engine for the standby copy of a run at the primary."""
-        candidates = self._serving(
-            service, model, frozenset((primary.name,)), rule
-        )
-        return self.engines.choose_standby(
-            candidates, primary, self._fleet.loads(), demand
-        )
-
-    def _serving(
-        self,
-        service: str,
-        model: str | None,
-        excluded: frozenset[str],
-        rule: _version_rules.VersionRule,
-    ) -> list[data.ListedTarget]:
-        """Return the usable engines of a service that serve a model."""
-        with self._lock:
-            return _engine_selection.filter_by_model(
-                self._candidates.usable(service, excluded, rule), model
-            )
-
     def _measured_ms(self, latency_ms: float) -> float | None:
         """Return a latency; None if a suspension of this process is in it."""
         sent_at_s = self._clock.monotonic_s() - latency_ms / 1000
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_warm_up_checks.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_warm_up_checks.py
@@ -60,7 +60,7 @@
             return demand
         if fleet.find_placement(demand.affinity_key) is not None:
             return demand
-        likely_engines = self._targets.likely_engines(
+        likely_engines = self._targets.placement.likely_engines(
             self._admitted.service,
             self._admitted.request.model,
             demand,
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_unresponsive_engines.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_unresponsive_engines.py
@@ -245,3 +245,45 @@
         assert env.client.sent_to() == ['first']
         [counts] = env.budget.counts()
         assert counts.retry_count == 0
+
+
+class TestSlowedEngines:
+    """Engines that share their machine pause longer and are still sound."""
+
+    @pytest.mark.parametrize(
+        ('pause_s', 'expected'),
+        [(0.6, ['first']), (1.2, ['first']), (1.6, ['first', 'second'])],
+    )
+    def test_pause_between_events(
+        self, pause_s: float, expected: list[str]
+    ) -> None:
+        """Guards against runs that leave an engine that is only slowed.
+
+        They gave up a fifth of all runs under load, each with its prompt.
+        """
+        env = _make_env('first', 'second')
+        _report_slowdown(env)
+        env.client.script('first', _pausing_script((pause_s,)))
+        env.client.script('second', harness.stream_script(4, 6))
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.sent_to() == expected
+
+    def test_long_prefill_with_an_empty_queue(self) -> None:
+        """Guards against giving up a prompt that is nearly read.
+
+        Engines do not count the prompts that they are reading as queued.
+        """
+        env = _make_env('first', 'second')
+        _report_slowdown(env)
+        for name in ('x', 'y', 'z'):
+            env.fleet.record_run(
+                data.RunStatus(name, name, 'second', None, True, False, 9000)
+            )
+        env.client.script('first', harness.stream_script(1, 3, start_s=4.2))
+        assert isinstance(env.stream(), forwarding.StreamCompleted)
+        assert env.client.sent_to() == ['first']
+
+
+def _report_slowdown(env: harness.Harness) -> None:
+    load = data.TargetLoad(1, 0, 12, slowdown=1.0)
+    env.targets.engines.switch.record_load(harness.target('first'), load)
