--- a/packages/coordination/src/skylarktack/coordination/forwarding/_call_events.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_call_events.py
@@ -24,7 +24,7 @@
     #: Time since the call was sent.
     waited_ms: int
 
-    #: Whether peers were told: no instance has seen an answer since another
+    #: Whether peers were notified: no instance had an answer since another
     #: call failed or was overdue as well.
     is_certain: bool
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_demands.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_fleet_demands.py
@@ -38,7 +38,7 @@
 MIN_WINDOW_MS = 100
 MAX_WINDOW_MS = 60_000
 
-#: Change of a count from which the peers are told before the next full
+#: Change of a count from which peers get a report before the next full
 #: report. A single request is no change: it is the noise of small counts.
 REPORTED_CHANGE = 0.25
 MIN_REPORTED_CHANGE_COUNT = 2
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_service_admission.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_service_admission.py
@@ -79,7 +79,7 @@
     #: Since when the demand exceeds the capacity by far; None if it does not.
     exceeded_since_s: float | None = None
 
-    #: Whether all listed peers are silent, so that only a part of the demand
+    #: Whether no listed peer is live, so that only a part of the demand
     #: is known.
     is_cut_off: bool = False
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_observations.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_observations.py
@@ -16,7 +16,7 @@
 #: Observations in one report; a report goes to every other instance.
 MAX_OBSERVATIONS = 8
 
-#: Time without news after which what is known of a target is dropped.
+#: Time without samples after which what is known of a target is dropped.
 OBSERVATION_LIFETIME_S = 60.0
 
 #: Number of samples that the mean unit time remembers: older ones lose their
@@ -66,7 +66,7 @@
 
 @dataclasses.dataclass
 class _Pending:
-    """What the peers have not been told of a target."""
+    """What no report to the peers has named yet."""
 
     unit_time_sum_s: float = 0.0
     sample_count: int = 0
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp.py
@@ -340,7 +340,7 @@
             began_at_s,
             peers_count_from_s,
             _target_ramp_steps.first_allowance(target),
-            news_at_s=began_at_s,
+            heard_at_s=began_at_s,
         )
         self._ramps[target.name] = ramp
         count = self._started_counts.get(cause.value, 0)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp_steps.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_target_ramp_steps.py
@@ -7,7 +7,7 @@
 from skylarktack.coordination.forwarding import _target_ramp_ranks
 from skylarktack.state import forwarding as data
 
-#: Time without news of the target after which twice as many instances may
+#: Time without responses of the target after which twice as many instances may
 #: send to it: those that rank first may have no requests.
 GROWTH_PERIOD_S = 0.3
 
@@ -20,7 +20,7 @@
 STEADY_S = 3.0
 
 #: A ramp ends at this age, counted from the last failure if there was one: a
-#: target that nobody sends to gives no news.
+#: target that nobody sends to gives no responses.
 MAX_AGE_S = 10.0
 
 #: Share of an engine's slots at which its allowance starts. Its first sign of
@@ -78,8 +78,8 @@
     #: Requests at a time that the fleet may have at the target.
     allowance: int
 
-    #: Times of the last news of any kind, setback and failure.
-    news_at_s: float
+    #: Times of the last response of any kind, setback and failure.
+    heard_at_s: float
     setback_at_s: float = -math.inf
     failed_at_s: float = -math.inf
 
@@ -94,7 +94,7 @@
             allowance=min(
                 slot_count(self.target), self.allowance << doublings
             ),
-            news_at_s=now_s,
+            heard_at_s=now_s,
             sound_count=self.sound_count + count,
         )
 
@@ -103,7 +103,7 @@
         return dataclasses.replace(
             self,
             allowance=max(1, self.allowance // 2),
-            news_at_s=now_s,
+            heard_at_s=now_s,
             setback_at_s=now_s,
             failed_at_s=now_s if is_failure else self.failed_at_s,
             sound_count=0,
@@ -112,13 +112,13 @@
     def admitted_count(self, now_s: float, usual_s: float) -> int:
         """Return the requests at a time that the fleet may have there now.
 
-        Without news the number doubles with each period, up to the slots. A
-        period is no shorter than a usual response, since no news can come
+        With no response the number doubles each period, up to the slots. A
+        period is no shorter than a usual response, since none can come
         earlier. As no more than the slots are filled, nothing has to wait at
-        the target where news of peers is seconds old.
+        the target where reports of peers are seconds old.
         """
         period_s = min(max(GROWTH_PERIOD_S, usual_s), MAX_GROWTH_PERIOD_S)
-        doublings = int(max(0.0, now_s - self.news_at_s) / period_s)
+        doublings = int(max(0.0, now_s - self.heard_at_s) / period_s)
         count = self.allowance << min(doublings, _MAX_DOUBLING_COUNT)
         return min(slot_count(self.target), count)
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_unresponsive_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_unresponsive_targets.py
@@ -31,7 +31,7 @@
 #: long one.
 CERTAIN_FAILURE_COUNT = 2
 
-#: Time after which a target without news counts as a usual one.
+#: Time after which a target without responses counts as a usual one.
 DISTRUST_LIFETIME_S = 60.0
 
 
--- a/packages/coordination/src/skylarktack/coordination/forwarding/_urgency.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_urgency.py
@@ -33,7 +33,7 @@
             self._by_service[service] = tuple(sorted(values))
 
     def engine_priority(self, service: str, priority: int) -> int | None:
-        """Return the priority that the engine is told.
+        """Return the priority that the engine is sent.
 
         None where all requests of the service are equally urgent: engines
         then use their default.
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/admission_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/admission_harness.py
@@ -139,7 +139,7 @@
 
 @dataclasses.dataclass
 class Totals:
-    """Counts of callers, and of what they were told."""
+    """Counts of callers and of their responses."""
 
     sent: int = 0
     in_time: int = 0
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_target_observations.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_target_observations.py
@@ -33,7 +33,7 @@
         assert unit_time.mean_s == pytest.approx(0.09)
         assert receiver.progress(TARGET).answered_count == 9
 
-    def test_nothing_is_told_twice(self) -> None:
+    def test_nothing_is_reported_twice(self) -> None:
         """Guards against counting the same responses with each report."""
         sender = _make()
         sender.record_answer(TARGET, is_failure=True)
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_target_ramp.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_target_ramp.py
@@ -424,7 +424,7 @@
 
 
 class TestExplanation:
-    """What operators are told."""
+    """Log lines and metrics of ramps."""
 
     def test_a_request_tells_which_target_it_passed_over(self) -> None:
         """Guards against idle targets that no log line explains."""
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_targets.py
@@ -177,7 +177,7 @@
     def test_a_late_loss_does_not_renew_a_suspicion(self) -> None:
         """Guards against avoiding the replaced targets of a domain.
 
-        Runs at targets that failed silently were found lost seconds after
+        Runs at targets that hung with open connections were found lost after
         the domain was back. All work went to the few targets listed since.
         """
         old = tuple(harness.target(name) for name in 'abc')
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_urgency.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/test_urgency.py
@@ -1,4 +1,4 @@
-"""Tests of the priority that engines are told."""
+"""Tests of the priority that engines are sent."""
 
 import dataclasses
 
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class UrgencyCase:
-    """A request and the priority that its engine is told."""
+    """A request and the priority that its engine is sent."""
 
     name: str
     configuration: data.ForwardingConfiguration
@@ -74,10 +74,12 @@
         """Guards against urgent runs that wait behind others."""
         urgencies = _urgency.ServiceUrgencies(case.configuration)
         engine_priority = urgencies.engine_priority('pool', case.priority)
-        told = _urgency.priority_of_send(engine_priority, case.is_resumed)
-        assert told == case.expected
+        sent_priority = _urgency.priority_of_send(
+            engine_priority, case.is_resumed
+        )
+        assert sent_priority == case.expected
 
-    def test_engines_are_told(self) -> None:
+    def test_engines_get_it(self) -> None:
         """Guards against a priority that is read and never used."""
         env = harness.make_harness(harness.target('a'), harness.target('b'))
         for name in 'ab':
@@ -87,5 +89,7 @@
             harness.request(time_limit_ms=25000.0),
         )
         env.streams.run(dataclasses.replace(admitted, engine_priority=4))
-        told = [sent.delivery.priority for sent in env.client.sent[:2]]
-        assert told == [4, 3]
+        sent_priorities = [
+            sent.delivery.priority for sent in env.client.sent[:2]
+        ]
+        assert sent_priorities == [4, 3]
