Choose servers by expected time only where targets report slowdowns

The new choice of servers was also on for any service with a connection limit behind more than twelve instances, so it changed deployments that ask for nothing new.

The played loads of the tests begin with instances that have seen a slowdown; bounds are unchanged. Tests of calls pass.

--- a/packages/coordination/src/skylarktack/coordination/forwarding/_call_selection.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/_call_selection.py
@@ -20,9 +20,6 @@
 from skylarktack.coordination.ports import Clock
 from skylarktack.state import forwarding as data
 
-#: Number of live instances up to which each one sees enough of a target.
-SMALL_FLEET_COUNT = 12
-
 #: Share of the known instances that must be live for the others to count as
 #: stopped.
 MIN_LIVE_SHARE = 0.5
@@ -113,19 +110,15 @@
         self._logged_at_s: dict[str, float] = {}
         self._counts = dict.fromkeys(_call_events.CALL_DECISIONS, 0)
 
-    def is_on(self, service: str, connection_limit: int | None) -> bool:
+    def is_on(self, service: str) -> bool:
         """Return whether calls of the service go by expected time.
 
-        That is where its targets report slowdowns, or where its connection
-        limit is shared by more instances than see enough of each target.
+        That is where its targets report slowdowns.
         """
         slowdown_at_s = self._slowdown_at_s.get(service)
-        if slowdown_at_s is not None:
-            if self._clock.monotonic_s() < slowdown_at_s + SLOWDOWN_MEMORY_S:
-                return True
-        if not connection_limit or self._fleet.first_listed_at_s() is None:
+        if slowdown_at_s is None:
             return False
-        return not self._fleet.is_small(SMALL_FLEET_COUNT)
+        return self._clock.monotonic_s() < slowdown_at_s + SLOWDOWN_MEMORY_S
 
     def choose(
         self,
@@ -141,7 +134,7 @@
         """
         if demand is not None:
             with self._errors.contain(_supervision.CALL_CHOICE):
-                if self.is_on(service, demand.connection_limit):
+                if self.is_on(service):
                     return self._choose_with_room(
                         service, excluded, rule, demand
                     )
@@ -167,7 +160,7 @@
     ) -> _call_choice.CallExpectation:
         """Return what is expected of a call that is sent to a target now."""
         with self._errors.contain(_supervision.CALL_CHOICE):
-            if not self.is_on(target.service, demand.connection_limit):
+            if not self.is_on(target.service):
                 return _call_choice.CallExpectation()
             with self._lock:
                 estimate = self._expected_time.estimate(
@@ -201,7 +194,7 @@
             so that it waits for the end of an ejection and of one call.
         """
         with self._errors.contain(_supervision.CALL_CHOICE):
-            if not self.is_on(service, demand.connection_limit):
+            if not self.is_on(service):
                 return None
             instance_count = self._instance_count()
             waits_s = []
--- a/packages/coordination/src/skylarktack/coordination/forwarding/tests/call_load_harness.py
+++ b/packages/coordination/src/skylarktack/coordination/forwarding/tests/call_load_harness.py
@@ -99,8 +99,12 @@
             )
             for number in range(instance_count)
         ]
+        # The targets have reported how long work takes on their machines.
+        slowdown = data.TargetLoad(0, 0, servers[0].slot_count, 1.0)
+        head = dataclasses.replace(harness.head(), load=slowdown)
         for env in self.envs:
             env.fleet.add_peers(harness.listed_peers(instance_count))
+            env.targets.calls.report_head(servers[0].target, head)
             if report_interval_s is not None:
                 delay_s = self.random.random() * report_interval_s
                 self.after(delay_s, functools.partial(self._report, env))
