--- a/review/stand-ins-2/standins.py
+++ b/review/stand-ins-2/standins.py
@@ -5,11 +5,13 @@
 """
 
 import collections
+import contextlib
 import http.client
 import http.server
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -431,10 +433,25 @@
     handler.wfile.write(b'0\r\n\r\n')
 
 
-def free_port(address='127.0.0.1'):
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
+#: Ports below those that the system gives to outgoing connections.
+PORTS = range(20000, 32000)
+_given_ports = set()
+
+
+def free_port():
+    """Return a port that nothing on this machine uses."""
+    while True:
+        port = random.choice(PORTS)
+        if port in _given_ports:
+            continue
+        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                probe = stack.enter_context(
+                    socket.socket(socket.AF_INET, kind)
+                )
+                probe.bind(('127.0.0.1', port))
+            _given_ports.add(port)
+            return port
 
 
 class Instance:
